--- /dev/null
+++ b/Makefile
@@ -0,0 +1,121 @@
+# Every folder below src with a main.c is a program; all other sources below
+# src go into one archive, which programs, tests and stand-ins link with.
+CC ?= cc
+BUILD ?= build
+PREFIX ?= /usr/local
+PKGS = liburcu libtirpc glib-2.0 jansson libsodium libxxhash libcurl
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wpointer-arith -Wvla -Werror
+CFLAGS ?= -O2 -g
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Iinclude $(shell pkg-config --cflags $(PKGS))
+LDLIBS += $(shell pkg-config --libs $(PKGS)) -lcivetweb -lpthread -ldl -lm
+SAN ?=
+ALLFLAGS = -std=gnu11 $(CFLAGS) $(SAN)
+
+MAINS = $(wildcard src/*/main.c)
+PROGDIRS = $(patsubst %/main.c,%,$(MAINS))
+PROGS = $(patsubst src/%,$(BUILD)/%,$(PROGDIRS))
+GEN_SRC = $(wildcard src/*/*_xdr.c)
+TEST_SRC = $(wildcard src/*/test_*.c)
+PATH_SRC = $(wildcard tests/path/test_*.c)
+HARN_SRC = $(filter-out $(PATH_SRC),$(wildcard tests/path/*.c))
+STANDIN_SRC = $(wildcard tests/standin/*.c)
+MEASURE_SRC = $(wildcard tests/measure/*.c)
+PROG_SRC = $(foreach d,$(PROGDIRS),$(wildcard $(d)/*.c))
+CORE_SRC = $(filter-out $(TEST_SRC) $(PROG_SRC),$(wildcard src/*/*.c))
+ALL_SRC = $(filter-out $(GEN_SRC),$(CORE_SRC) $(PROG_SRC) $(TEST_SRC) \
+	$(PATH_SRC) $(HARN_SRC) $(STANDIN_SRC) $(MEASURE_SRC))
+HDRS = $(filter-out %_xdr.h,$(wildcard src/*/*.h include/*.h tests/*/*.h))
+
+CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/obj/%.o)
+HARN_OBJ = $(HARN_SRC:%.c=$(BUILD)/obj/%.o)
+TESTS = $(TEST_SRC:src/%.c=$(BUILD)/test/%)
+PATHS = $(PATH_SRC:tests/%.c=$(BUILD)/test/%)
+STANDINS = $(STANDIN_SRC:tests/standin/%.c=$(BUILD)/standin/%)
+MEASURES = $(MEASURE_SRC:tests/measure/%.c=$(BUILD)/measure/%)
+
+all: $(PROGS) $(STANDINS)
+
+$(BUILD)/obj/%_xdr.o: %_xdr.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(ALLFLAGS) -Wno-unused-variable -MMD -c -o $@ $<
+
+$(BUILD)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(ALLFLAGS) $(WARN) -MMD -c -o $@ $<
+
+$(BUILD)/libcore.a: $(CORE_OBJ)
+	@rm -f $@
+	ar rcs $@ $(CORE_OBJ)
+
+define prog
+$(BUILD)/$(notdir $(1)): $(patsubst %.c,$(BUILD)/obj/%.o,$(filter-out \
+    $(TEST_SRC),$(wildcard $(1)/*.c))) $(BUILD)/libcore.a
+	$(CC) $(ALLFLAGS) -o $$@ $$^ $(LDLIBS)
+endef
+$(foreach d,$(PROGDIRS),$(eval $(call prog,$(d))))
+
+$(BUILD)/test/path/%: $(BUILD)/obj/tests/path/%.o $(HARN_OBJ) \
+    $(BUILD)/libcore.a
+	@mkdir -p $(@D)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
+$(BUILD)/test/%: $(BUILD)/obj/src/%.o $(BUILD)/libcore.a
+	@mkdir -p $(@D)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
+$(BUILD)/standin/%: $(BUILD)/obj/tests/standin/%.o $(BUILD)/libcore.a
+	@mkdir -p $(@D)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/measure/%: $(BUILD)/obj/tests/measure/%.o $(HARN_OBJ) \
+    $(BUILD)/libcore.a
+	@mkdir -p $(@D)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
+# One test program a module, then the tests with real processes.
+check: unit path regress
+
+unit: $(TESTS)
+	@for t in $(TESTS); do echo "== $$t"; ./$$t || exit 1; done
+
+path: all $(PATHS)
+	@for t in $(PATHS); do echo "== $$t"; BUILD=$(BUILD) ./$$t || exit 1; \
+	done
+
+regress: all
+	@if [ -x regress/run ]; then BUILD=$(BUILD) regress/run; fi
+
+# The unit tests again under the address and undefined-behaviour sanitizers.
+sanitize:
+	$(MAKE) BUILD=build-san CFLAGS="-O1 -g -fno-omit-frame-pointer" \
+	    SAN="-fsanitize=address,undefined -fno-sanitize-recover=all" unit
+
+format:
+	clang-format -i $(ALL_SRC) $(HDRS)
+
+lint:
+	clang-format --dry-run -Werror $(ALL_SRC) $(HDRS)
+	cppcheck -q --std=c11 --error-exitcode=1 --inline-suppr \
+	    --enable=warning,portability -Isrc -Iinclude $(ALL_SRC)
+	@echo $(ALL_SRC) | tr ' ' '\n' | xargs -P 8 -n 1 sh -c \
+	    'clang-tidy --quiet "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' sh
+	@if ls man/*.[1-9] >/dev/null 2>&1; then \
+	    mandoc -Tlint -Wwarning man/*.[1-9]; fi
+
+measure: all $(MEASURES)
+	@for m in $(MEASURES); do BUILD=$(BUILD) ./$$m $(MEASURE_ARGS) || exit 1; \
+	done
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/sbin
+	install -m 755 $(BUILD)/cyclamenvaled $(DESTDIR)$(PREFIX)/sbin
+	if [ -x $(BUILD)/cyclamenvalectl ]; then install -m 755 \
+	    $(BUILD)/cyclamenvalectl $(DESTDIR)$(PREFIX)/bin; fi
+
+clean:
+	rm -rf build build-san
+
+-include $(shell find $(BUILD)/obj -name '*.d' 2>/dev/null)
+.PHONY: all check unit path regress sanitize format lint measure install clean
+.SECONDARY:
