--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,15 @@
 PATH_SRC = $(wildcard tests/path/test_*.c)
 HARN_SRC = $(filter-out $(PATH_SRC),$(wildcard tests/path/*.c))
 STANDIN_SRC = $(wildcard tests/standin/*.c)
+STANDIN_PART_SRC = $(wildcard tests/standin/*/*.c)
 MEASURE_SRC = $(wildcard tests/measure/*.c)
 PROG_SRC = $(foreach d,$(PROGDIRS),$(wildcard $(d)/*.c))
 CORE_SRC = $(filter-out $(TEST_SRC) $(PROG_SRC),$(wildcard src/*/*.c))
 ALL_SRC = $(filter-out $(GEN_SRC),$(CORE_SRC) $(PROG_SRC) $(TEST_SRC) \
-	$(PATH_SRC) $(HARN_SRC) $(STANDIN_SRC) $(MEASURE_SRC))
-HDRS = $(filter-out %_xdr.h,$(wildcard src/*/*.h include/*.h tests/*/*.h))
+	$(PATH_SRC) $(HARN_SRC) $(STANDIN_SRC) $(STANDIN_PART_SRC) \
+	$(MEASURE_SRC))
+HDRS = $(filter-out %_xdr.h,$(wildcard src/*/*.h include/*.h tests/*/*.h \
+	tests/standin/*/*.h))
 
 CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/obj/%.o)
 HARN_OBJ = $(HARN_SRC:%.c=$(BUILD)/obj/%.o)
@@ -64,9 +67,15 @@
 	@mkdir -p $(@D)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
-$(BUILD)/standin/%: $(BUILD)/obj/tests/standin/%.o $(BUILD)/libcore.a
-	@mkdir -p $(@D)
-	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS)
+# A stand-in is one file and the sources in the folder of its name, if any.
+define standin
+$(BUILD)/standin/$(1): $(patsubst %.c,$(BUILD)/obj/%.o,\
+    tests/standin/$(1).c $(wildcard tests/standin/$(1)/*.c)) \
+    $(BUILD)/libcore.a
+	@mkdir -p $$(@D)
+	$(CC) $(ALLFLAGS) -o $$@ $$^ $(LDLIBS)
+endef
+$(foreach s,$(STANDIN_SRC),$(eval $(call standin,$(basename $(notdir $(s))))))
 
 $(BUILD)/measure/%: $(BUILD)/obj/tests/measure/%.o $(HARN_OBJ) \
     $(BUILD)/libcore.a
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -30,6 +30,7 @@
 
 	for (fd = 3; fd < STANDIN_FD_MAX; fd++) {
 		len = sizeof(sin);
+		memset(&sin, 0, sizeof(sin));
 		if (getpeername(fd, (struct sockaddr *)&sin, &len) == -1 ||
 		    sin.sin_family != AF_INET ||
 		    ntohs(sin.sin_port) != ri->remote_port)
