--- /dev/null
+++ b/src/settings/table.c
@@ -0,0 +1,83 @@
+#include "settings/settings.h"
+#include "settings/table.h"
+
+#define AT(f) offsetof(struct settings, f)
+#define NUMBER(n, e, def, min, max, field, help)                        \
+	{                                                               \
+		n, n, e, def, help, AT(field), KIND_NUMBER, min, max, 0 \
+	}
+
+#define PORT_MIN 1
+#define PORT_MAX 65535
+#define NAME_MAX_BYTES (SETTINGS_NAME_BYTES - 1)
+
+const struct row settings_rows[SETTINGS_ROWS] = {
+	{ "address", "address", "CYCLAMENVALE_ADDRESS", NULL,
+	    "address of all ports", AT(address), KIND_ADDRESS, 0, 0, 1 },
+	NUMBER("caller-port", "CYCLAMENVALE_CALLER_PORT", "8080", PORT_MIN,
+	    PORT_MAX, caller_port, "HTTP port for callers"),
+	NUMBER("inner-port", "CYCLAMENVALE_INNER_PORT", "8081", PORT_MIN,
+	    PORT_MAX, inner_port, "HTTP port for the local backend server"),
+	NUMBER("peer-port", "CYCLAMENVALE_PEER_PORT", "8082", PORT_MIN,
+	    PORT_MAX, peer_port, "HTTP port for other nodes"),
+	NUMBER("rpc-port", "CYCLAMENVALE_RPC_PORT", "8083", PORT_MIN, PORT_MAX,
+	    rpc_port, "ONC RPC port (UDP) for other nodes"),
+	NUMBER("operator-port", "CYCLAMENVALE_OPERATOR_PORT", "8084", PORT_MIN,
+	    PORT_MAX, operator_port, "HTTP port for operators"),
+	{ "advertise-address", "advertise-address",
+	    "CYCLAMENVALE_ADVERTISE_ADDRESS", NULL,
+	    "address that other nodes use (default: --address)",
+	    AT(advertise_address), KIND_ADDRESS, 0, 0, 0 },
+	NUMBER("advertise-peer-port", "CYCLAMENVALE_ADVERTISE_PEER_PORT", NULL,
+	    PORT_MIN, PORT_MAX, advertise_peer_port,
+	    "peer port that other nodes use (default: --peer-port)"),
+	NUMBER("advertise-rpc-port", "CYCLAMENVALE_ADVERTISE_RPC_PORT", NULL,
+	    PORT_MIN, PORT_MAX, advertise_rpc_port,
+	    "RPC port that other nodes use (default: --rpc-port)"),
+	{ "domain", "domain", "CYCLAMENVALE_DOMAIN", NULL,
+	    "failure domain of this instance", AT(domain), KIND_NAME, 1,
+	    NAME_MAX_BYTES, 1 },
+	{ "region", "region", "CYCLAMENVALE_REGION", "default",
+	    "region of this instance", AT(region), KIND_NAME, 1, NAME_MAX_BYTES,
+	    0 },
+	{ "log-url", "log-url", "CYCLAMENVALE_LOG_URL", NULL,
+	    "log service, http://IP:PORT", AT(log_url), KIND_URL, 0, 0, 1 },
+	{ "seed-peers", "seed-peers", "CYCLAMENVALE_SEED_PEERS", NULL,
+	    "nodes to ask when the log is out, IP:RPC_PORT,...", AT(seed_peers),
+	    KIND_PEERS, 0, 0, 0 },
+	{ "secret", NULL, "CYCLAMENVALE_SECRET", NULL,
+	    "secret that all nodes share (16 to 128 bytes)", AT(secret),
+	    KIND_SECRET, 0, 0, 0 },
+	{ "secret-file", "secret-file", "CYCLAMENVALE_SECRET_FILE", NULL,
+	    "file that holds the secret", AT(secret_file), KIND_PATH, 0, 0, 0 },
+	NUMBER("caller-connections", "CYCLAMENVALE_CALLER_CONNECTIONS", "512",
+	    1, 4096, caller_connections, "threads of the caller port"),
+	NUMBER("peer-connections", "CYCLAMENVALE_PEER_CONNECTIONS", "512", 1,
+	    4096, peer_connections, "threads of the peer port"),
+	NUMBER("inner-connections", "CYCLAMENVALE_INNER_CONNECTIONS", "256", 1,
+	    4096, inner_connections, "threads of the inner port"),
+	NUMBER("max-body-bytes", "CYCLAMENVALE_MAX_BODY_BYTES", "1048576", 0,
+	    1073741824, max_body_bytes, "largest request body, bytes"),
+	NUMBER("probe-ms", "CYCLAMENVALE_PROBE_MS", "200", 10, 10000, probe_ms,
+	    "time between probes of other nodes"),
+	NUMBER("log-poll-ms", "CYCLAMENVALE_LOG_POLL_MS", "500", 10, 10000,
+	    log_poll_ms, "time between reads of the log"),
+	NUMBER("config-stale-ms", "CYCLAMENVALE_CONFIG_STALE_MS", "10000", 100,
+	    600000, config_stale_ms,
+	    "age at which a cut-off node distrusts its configuration"),
+	NUMBER("lease-long-ms", "CYCLAMENVALE_LEASE_LONG_MS", "600000", 5000,
+	    3600000, lease_long_ms,
+	    "longest log outage that leases outlive; same on all nodes"),
+	NUMBER("once-window-ms", "CYCLAMENVALE_ONCE_WINDOW_MS", "600000", 1000,
+	    3600000, once_window_ms,
+	    "time for which request ids are kept; same on all nodes"),
+	NUMBER("stop-timeout-ms", "CYCLAMENVALE_STOP_TIMEOUT_MS", "30000", 0,
+	    600000, stop_timeout_ms,
+	    "longest wait for requests in flight at a planned stop"),
+	{ "log-level", "log-level", "CYCLAMENVALE_LOG_LEVEL", "info",
+	    "least severe lines that are logged", AT(log_level), KIND_LEVEL, 0,
+	    0, 0 },
+	{ "disable", "disable", "CYCLAMENVALE_DISABLE", NULL,
+	    "policies to turn off, for experiments", AT(policies_off),
+	    KIND_POLICIES, 0, 0, 0 },
+};
