--- a/src/config/state.c
+++ b/src/config/state.c
@@ -158,8 +158,8 @@
 	if (text == NULL)
 		err(1, "config_state_apply");
 	if (snapshot)
-		out = apply_snapshot(
-		    s, offset, o, text, (uint64_t)version, old, fs);
+		out =
+		    apply_snapshot(s, offset, text, (uint64_t)version, old, fs);
 	else
 		out = apply_publication(s, offset, text, (uint64_t)base,
 		    (uint64_t)version, old, fs);
--- a/src/exchange/client.c
+++ b/src/exchange/client.c
@@ -565,7 +565,7 @@
 	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(c, CURLOPT_WRITEDATA, f);
 	rc = curl_easy_perform(c);
-	end = end_of(&f, rc);
+	end = end_of(f, rc);
 	handle_give(cl, r, c, end == EXCHANGE_WHOLE);
 	curl_slist_free_all(hdrs);
 	free(f);
--- a/src/exchange/context.c
+++ b/src/exchange/context.c
@@ -58,17 +58,13 @@
  * Computes the proof that a peer made a request, as CONTEXT_MAC_HEX bytes.
  */
 void
-context_mac(const char *secret, const char *method, const char *target,
+context_mac(const unsigned char *key, const char *method, const char *target,
     const char *text, char *hex)
 {
 	crypto_generichash_state st;
 	unsigned char mac[MAC_BYTES];
-	size_t len = strlen(secret);
 
-	if (len > crypto_generichash_KEYBYTES_MAX)
-		len = crypto_generichash_KEYBYTES_MAX;
-	crypto_generichash_init(
-	    &st, (const unsigned char *)secret, len, sizeof(mac));
+	crypto_generichash_init(&st, key, CONTEXT_KEY_BYTES, sizeof(mac));
 	crypto_generichash_update(
 	    &st, (const unsigned char *)method, strlen(method) + 1);
 	crypto_generichash_update(
@@ -83,12 +79,12 @@
  * Tells whether a proof fits a request, in time that doesn't depend on it.
  */
 int
-context_mac_good(const char *secret, const char *method, const char *target,
-    const char *text, const char *hex)
+context_mac_good(const unsigned char *key, const char *method,
+    const char *target, const char *text, const char *hex)
 {
 	char want[CONTEXT_MAC_HEX];
 
-	context_mac(secret, method, target, text, want);
+	context_mac(key, method, target, text, want);
 	return strlen(hex) == CONTEXT_MAC_HEX - 1 &&
 	       sodium_memcmp(want, hex, CONTEXT_MAC_HEX - 1) == 0;
 }
--- a/src/exchange/context.h
+++ b/src/exchange/context.h
@@ -10,6 +10,7 @@
 #define CONTEXT_TEXT_MAX 512 /* bytes, with the terminator */
 #define CONTEXT_MAC_HEX 65   /* bytes, with the terminator */
 #define CONTEXT_DEPTH_MAX 64
+#define CONTEXT_KEY_BYTES 32 /* derived from the peers' secret */
 
 /* What a forwarded request carries between an entry and an exit. */
 struct context {
@@ -28,8 +29,8 @@
 void context_format(const struct context *, char *);
 int context_parse(struct context *, const char *);
 void context_mac(
-    const char *, const char *, const char *, const char *, char *);
-int context_mac_good(
-    const char *, const char *, const char *, const char *, const char *);
+    const unsigned char *, const char *, const char *, const char *, char *);
+int context_mac_good(const unsigned char *, const char *, const char *,
+    const char *, const char *);
 
 #endif
