--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -6,8 +6,7 @@
 #include <stdio.h>
 
 #include "base/find.h"
-
-#define CYCLAMENVALE_VERSION "0.1.0"
+#include "cyclamenvale.h"
 
 #define SETTINGS_NAME_BYTES 64	   /* a domain, region or URL with its NUL */
 #define SETTINGS_PATH_BYTES 1024   /* a file name with its NUL */
@@ -90,6 +89,7 @@
 void settings_finish(struct settings *);
 int settings_parse(
     struct settings *, int, char **, char *const *, struct finds *);
+int settings_open(struct settings *, int, char **, char *const *);
 int settings_policy_on(const struct settings *, enum policy);
 void settings_print(const struct settings *, FILE *);
 void settings_help(FILE *);
