Leases: table by log order, decisions, and the service that keeps them

The table applies claims by compare-and-set on the term and works out from when a new owner may act. Two holes of the first design were found while writing the argument and closed: a quick takeover of a lease that is not yet in effect waits for that one too (the owner before it may live on promises for the long wait), and an owner whose change of standby may have been written counts no promises of the old standby. A stream that lost its records is started over by a reset record, which sets all terms above its own offset, so that no lost claim can compare equal.

--- /dev/null
+++ b/src/lease/lease.x
@@ -0,0 +1,41 @@
+/* Messages of leases: heartbeats to standbys, and the table for newcomers. */
+
+const LEASE_PARTS_MAX = 48;
+const LEASE_PAGE = 24;
+
+struct lease_node {
+	unsigned int addr;
+	unsigned int port;
+	unsigned hyper incarnation;
+};
+
+struct lease_beat_item {
+	unsigned int part;
+	unsigned hyper term;
+};
+
+struct lease_beat_arg {
+	lease_node owner;
+	lease_node standby;
+	lease_beat_item items<LEASE_PARTS_MAX>;
+};
+
+/* Bit i says that part i of the argument is promised. */
+struct lease_beat_res {
+	unsigned hyper promised;
+};
+
+struct lease_page_arg {
+	unsigned int from;
+};
+
+struct lease_row {
+	unsigned hyper term;
+	lease_node owner;
+	lease_node standby;
+};
+
+struct lease_page_res {
+	unsigned int from;
+	lease_row rows<LEASE_PAGE>;
+};
--- /dev/null
+++ b/src/lease/lease_internal.h
@@ -0,0 +1,32 @@
+#ifndef LEASE_LEASE_INTERNAL_H
+#define LEASE_LEASE_INTERNAL_H
+
+#include "lease/lease.h"
+
+/* One partition in a snapshot. */
+struct lease_state {
+	uint64_t term;
+	uint64_t tenure;
+	uint64_t wait_ms; /* until the owner may act */
+	int first;
+	struct node_id owner;
+	struct node_id standby;
+};
+
+enum lease_record_type {
+	LEASE_RECORD_BAD,
+	LEASE_RECORD_CLAIM,
+	LEASE_RECORD_SNAPSHOT,
+	LEASE_RECORD_RESET
+};
+
+struct lease_record {
+	enum lease_record_type type;
+	struct lease_claim claim;
+	uint64_t next;
+	struct lease_state state[LEASE_PARTS];
+};
+
+void lease_record_decode(struct lease_record *, const char *, size_t);
+
+#endif
--- /dev/null
+++ b/src/lease/lease_service.c
@@ -0,0 +1,496 @@
+#include <err.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <urcu.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/logline.h"
+#include "lease/lease_service.h"
+
+#define POLL_MS 500	  /* reads by nodes with a part in the leases */
+#define POLL_IDLE_MS 5000 /* reads by all others */
+#define BEAT_MS 500
+#define STALE_MS 3000 /* without a read: ask a peer for its table */
+#define READ_MAX 500  /* records of one read */
+#define READ_TIMEOUT_MS 1000
+#define APPEND_TIMEOUT_MS 1000
+#define CLAIMS_MAX 8	      /* appended in one round */
+#define SNAPSHOT_SHARE 4      /* of the log's retention */
+#define SNAPSHOT_STEP_MS 1000 /* between the nodes that might write one */
+
+static void *run_log(void *);
+static void *run_beats(void *);
+static void sleep_ms(struct lease_service *, uint64_t);
+static uint64_t poll_ms(struct lease_service *);
+static void log_result(const struct lease_service *, enum lease_result,
+    const struct logsvc_record *);
+static int apply_batch(
+    struct lease_service *, const struct logsvc_batch *, uint64_t);
+static int read_stream(struct lease_service *);
+static int append(struct lease_service *, const char *);
+static int append_claim(struct lease_service *, const struct lease_claim *);
+static size_t decide(struct lease_service *);
+static int snapshot_due(struct lease_service *, uint64_t);
+static int write_table(struct lease_service *);
+static size_t owned(const struct lease_table *);
+
+/*
+ * Starts the threads that read the stream and keep this node's leases.
+ * Returns 0, or -1 if a thread can't be started.
+ */
+int
+lease_service_init(struct lease_service *s, const struct lease_config *cfg)
+{
+	pthread_condattr_t attr;
+
+	memset(s, 0, sizeof(*s));
+	s->cfg = *cfg;
+	pthread_mutex_init(&s->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&s->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	lease_init(&s->table, &cfg->self,
+	    cfg->long_ms != 0 ? cfg->long_ms : LEASE_LONG_MS);
+	lease_decider_init(&s->decider);
+	s->members = calloc(LEASE_MEMBERS_MAX, sizeof(*s->members));
+	s->view = malloc(sizeof(*s->view));
+	if (s->members == NULL || s->view == NULL)
+		err(1, "lease_service_init");
+	*s->view = s->table;
+	s->started_ms = clock_ms();
+	s->jitter_ms = rand_u64() % (LEASE_PARTS * SNAPSHOT_STEP_MS);
+	if (pthread_create(&s->log_thread, NULL, run_log, s) != 0)
+		return -1;
+	if (pthread_create(&s->beat_thread, NULL, run_beats, s) != 0)
+		return -1;
+	return 0;
+}
+
+/*
+ * Stops the threads and frees all.  The RPC server must not call any more.
+ */
+void
+lease_service_finish(struct lease_service *s)
+{
+	pthread_mutex_lock(&s->lock);
+	s->stop = 1;
+	pthread_cond_broadcast(&s->wake);
+	pthread_mutex_unlock(&s->lock);
+	pthread_join(s->log_thread, NULL);
+	pthread_join(s->beat_thread, NULL);
+	synchronize_rcu();
+	free(s->view);
+	free(s->members);
+	lease_finish(&s->table);
+	pthread_cond_destroy(&s->wake);
+	pthread_mutex_destroy(&s->lock);
+}
+
+/*
+ * Makes the table visible to request threads.  When it returns, none of
+ * them uses an older one.
+ */
+void
+lease_publish(struct lease_service *s)
+{
+	struct lease_table *fresh = malloc(sizeof(*fresh)), *old;
+
+	if (fresh == NULL)
+		err(1, "lease_publish");
+	pthread_mutex_lock(&s->lock);
+	*fresh = s->table;
+	fresh->pending = NULL;
+	old = s->view;
+	rcu_assign_pointer(s->view, fresh);
+	pthread_mutex_unlock(&s->lock);
+	synchronize_rcu();
+	free(old);
+}
+
+/*
+ * Describes a partition (lease_lookup_fn).  Takes no lock; the thread must
+ * be registered with RCU.
+ */
+void
+lease_service_lookup(
+    void *ctx, uint32_t part, uint64_t now_ms, struct lease_view *v)
+{
+	struct lease_service *s = ctx;
+
+	rcu_read_lock();
+	lease_view(rcu_dereference(s->view), part, now_ms, v);
+	rcu_read_unlock();
+}
+
+/*
+ * Has the stream read at once, when an owner turned out to be gone.
+ */
+void
+lease_service_kick(struct lease_service *s)
+{
+	pthread_mutex_lock(&s->lock);
+	s->kicked = 1;
+	pthread_cond_broadcast(&s->wake);
+	pthread_mutex_unlock(&s->lock);
+}
+
+/*
+ * Hands all partitions over before a planned stop.  Waits up to timeout_ms;
+ * returns 0, or -1 if this node still owns some.
+ */
+int
+lease_service_leave(struct lease_service *s, uint32_t timeout_ms)
+{
+	uint64_t end = clock_ms() + timeout_ms;
+	size_t n;
+
+	pthread_mutex_lock(&s->lock);
+	s->decider.stopping = 1;
+	s->kicked = 1;
+	pthread_cond_broadcast(&s->wake);
+	while ((n = owned(&s->table)) > 0 && clock_ms() < end)
+		sleep_ms(s, POLL_MS / 10);
+	pthread_mutex_unlock(&s->lock);
+	return n == 0 ? 0 : -1;
+}
+
+/*
+ * Prints every partition: term, owner, standby and for how long (ms) this
+ * node's authority still lasts.
+ */
+void
+lease_service_dump(struct lease_service *s, FILE *out)
+{
+	char owner[NODE_ID_TEXT], standby[NODE_ID_TEXT];
+	uint64_t now = clock_ms();
+	struct lease_view v;
+	uint32_t i;
+
+	for (i = 0; i < LEASE_PARTS; i++) {
+		lease_service_lookup(s, i, now, &v);
+		nodeid_format(&v.owner, owner);
+		nodeid_format(&v.standby, standby);
+		fprintf(out,
+		    "lease part=%u term=%" PRIu64 " owner=%s standby=%s "
+		    "held_ms=%" PRIu64 " effective_in_ms=%" PRIu64 "\n",
+		    i, v.term, owner, standby,
+		    v.until_ms > now ? v.until_ms - now : 0,
+		    v.effective_ms > now ? v.effective_ms - now : 0);
+	}
+}
+
+/*
+ * Returns how many partitions the table gives to its own node.
+ */
+static size_t
+owned(const struct lease_table *t)
+{
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < LEASE_PARTS; i++)
+		if (nodeid_equal(&t->part[i].owner, &t->self))
+			n++;
+	return n;
+}
+
+/*
+ * Waits until woken, at most ms; the lock is held.
+ */
+static void
+sleep_ms(struct lease_service *s, uint64_t ms)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_sec += (time_t)(ms / 1000);
+	ts.tv_nsec += (long)(ms % 1000) * 1000000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	pthread_cond_timedwait(&s->wake, &s->lock, &ts);
+}
+
+/*
+ * Returns how long to wait before the next read; the lock is held.  Nodes
+ * without a part in the leases read rarely while all owners are alive.
+ */
+static uint64_t
+poll_ms(struct lease_service *s)
+{
+	const struct lease_entry *e;
+	int i;
+
+	if (!s->table.complete)
+		return POLL_MS;
+	for (i = 0; i < LEASE_PARTS; i++) {
+		e = &s->table.part[i];
+		if (nodeid_equal(&e->owner, &s->cfg.self) ||
+		    nodeid_equal(&e->standby, &s->cfg.self) ||
+		    nodeid_is_none(&e->owner) || s->decider.dead_ms[i] != 0)
+			return POLL_MS;
+	}
+	return POLL_IDLE_MS;
+}
+
+/*
+ * Logs what a record changed.
+ */
+static void
+log_result(const struct lease_service *s, enum lease_result res,
+    const struct logsvc_record *rec)
+{
+	if (res == LEASE_BAD) {
+		counter_add(CTR_LOG_BAD_RECORDS, 1);
+		logline(LOG_WARNING, "lease-bad-record", "offset=%" PRIu64,
+		    rec->offset);
+	} else if (res == LEASE_RESET)
+		logline(LOG_ERR, "lease-reset",
+		    "offset=%" PRIu64 " wait_ms=%" PRIu64, rec->offset,
+		    s->table.long_ms);
+	else if (res == LEASE_ACCEPTED)
+		logline(LOG_DEBUG, "lease-claim", "offset=%" PRIu64 " %.*s",
+		    rec->offset, (int)rec->len, rec->data);
+}
+
+/*
+ * Applies what a read sent at sent_ms brought.  Returns 1 if the stream's
+ * end was reached, 0 if there is more, -1 if the log went backwards.
+ */
+static int
+apply_batch(
+    struct lease_service *s, const struct logsvc_batch *b, uint64_t sent_ms)
+{
+	uint64_t now = clock_ms();
+	size_t i;
+	int end;
+
+	if (b->next < s->table.next) {
+		logline(LOG_CRIT, "lease-log-regressed",
+		    "had=%" PRIu64 " next=%" PRIu64, s->table.next, b->next);
+		return -1;
+	}
+	s->first = b->first;
+	lease_first(&s->table, b->first);
+	for (i = 0; i < b->count; i++)
+		log_result(s,
+		    lease_apply(&s->table, b->list[i].data, b->list[i].len,
+			b->list[i].offset, now),
+		    &b->list[i]);
+	end = s->table.next >= b->next;
+	if (end)
+		lease_read_proof(&s->table, sent_ms);
+	return end;
+}
+
+/*
+ * Reads the stream to its end.  Returns 0, or -1 if that failed.
+ */
+static int
+read_stream(struct lease_service *s)
+{
+	struct logsvc_batch b;
+	uint64_t sent, next;
+	size_t count;
+	int end;
+
+	do {
+		pthread_mutex_lock(&s->lock);
+		next = s->table.next;
+		pthread_mutex_unlock(&s->lock);
+		memset(&b, 0, sizeof(b));
+		sent = clock_ms();
+		if (s->cfg.log.read(s->cfg.log.ctx, LEASE_STREAM, next,
+			READ_MAX, 0, READ_TIMEOUT_MS, &b) != LOGSVC_OK)
+			return -1;
+		pthread_mutex_lock(&s->lock);
+		end = apply_batch(s, &b, sent);
+		if (s->table.next == next)
+			b.count = 0;
+		pthread_mutex_unlock(&s->lock);
+		count = b.count;
+		logsvc_batch_finish(&b);
+	} while (end == 0 && count > 0);
+	return end == 1 ? 0 : -1;
+}
+
+/*
+ * Appends a record.  Returns 1 if it is or may yet be in the log, 0 if it
+ * can't be.
+ */
+static int
+append(struct lease_service *s, const char *text)
+{
+	enum logsvc_status st;
+	uint64_t offset;
+
+	st = s->cfg.log.append(s->cfg.log.ctx, LEASE_STREAM, text, strlen(text),
+	    APPEND_TIMEOUT_MS, &offset);
+	return st == LOGSVC_OK || st == LOGSVC_UNKNOWN;
+}
+
+/*
+ * Appends a claim.  Before, all threads see that it has begun.
+ */
+static int
+append_claim(struct lease_service *s, const struct lease_claim *c)
+{
+	char owner[NODE_ID_TEXT];
+	char *text;
+	int written;
+
+	pthread_mutex_lock(&s->lock);
+	if (lease_append_begin(&s->table, c) == -1) {
+		pthread_mutex_unlock(&s->lock);
+		return 0;
+	}
+	pthread_mutex_unlock(&s->lock);
+	lease_publish(s);
+	text = lease_claim_encode(c);
+	written = append(s, text);
+	free(text);
+	pthread_mutex_lock(&s->lock);
+	lease_append_end(&s->table, c, written);
+	pthread_mutex_unlock(&s->lock);
+	nodeid_format(&c->owner, owner);
+	logline(LOG_NOTICE, "lease-append",
+	    "part=%u term=%" PRIu64 " owner=%s written=%d", c->part, c->term,
+	    owner, written);
+	return written;
+}
+
+/*
+ * Decides and appends.  Returns how many claims may have been written.
+ */
+static size_t
+decide(struct lease_service *s)
+{
+	struct lease_claim claims[CLAIMS_MAX];
+	struct lease_inputs in;
+	size_t i, n, done = 0;
+
+	pthread_mutex_lock(&s->lock);
+	in.members = s->members;
+	in.count =
+	    s->cfg.members(s->cfg.members_ctx, s->members, LEASE_MEMBERS_MAX);
+	in.ready = s->cfg.ready;
+	in.ready_ctx = s->cfg.ready_ctx;
+	in.now_ms = clock_ms();
+	n = lease_decide(&s->decider, &s->table, &in, claims, CLAIMS_MAX);
+	pthread_mutex_unlock(&s->lock);
+	for (i = 0; i < n; i++) {
+		if (!append_claim(s, &claims[i]))
+			break;
+		done++;
+	}
+	return done;
+}
+
+/*
+ * Tells whether this node should write a snapshot; the lock is held.  Nodes
+ * take turns: owners first, by partition, then the others at random.
+ */
+static int
+snapshot_due(struct lease_service *s, uint64_t now_ms)
+{
+	const struct lease_table *t = &s->table;
+	uint64_t since = t->snapshot_seen ? t->snapshot_ms : s->started_ms;
+	uint64_t due, turn = LEASE_PARTS * SNAPSHOT_STEP_MS + s->jitter_ms;
+	uint64_t i;
+
+	if (!t->complete || !t->proved || t->next == 0)
+		return 0;
+	if (s->first <= (t->snapshot_seen ? t->snapshot_next : 0))
+		s->unsafe_ms = 0;
+	else if (s->unsafe_ms == 0)
+		s->unsafe_ms = now_ms;
+	for (i = LEASE_PARTS; i > 0; i--)
+		if (nodeid_equal(&t->part[i - 1].owner, &t->self))
+			turn = (i - 1) * SNAPSHOT_STEP_MS;
+	due = since + s->cfg.retention_ms / SNAPSHOT_SHARE;
+	if (s->unsafe_ms != 0 && s->unsafe_ms < due)
+		due = s->unsafe_ms;
+	return now_ms >= due + turn;
+}
+
+/*
+ * Writes a snapshot, or starts all leases over, where that is due.  Returns
+ * 1 if a record may have been written.
+ */
+static int
+write_table(struct lease_service *s)
+{
+	uint64_t now = clock_ms();
+	char *text = NULL;
+	int written;
+
+	pthread_mutex_lock(&s->lock);
+	if (lease_wants_reset(&s->table, now))
+		text = lease_reset_encode();
+	else if (snapshot_due(s, now))
+		text = lease_snapshot_encode(&s->table, now);
+	pthread_mutex_unlock(&s->lock);
+	if (text == NULL)
+		return 0;
+	written = append(s, text);
+	free(text);
+	return written;
+}
+
+/*
+ * Reads, decides and appends until the service stops.
+ */
+static void *
+run_log(void *ctx)
+{
+	struct lease_service *s = ctx;
+	uint64_t good = clock_ms();
+	size_t done;
+	int ok, stop = 0;
+
+	rcu_register_thread();
+	while (!stop) {
+		ok = read_stream(s) == 0;
+		if (ok)
+			good = clock_ms();
+		if (clock_ms() - good >= STALE_MS || !s->table.complete)
+			lease_fetch_pages(s);
+		lease_publish(s);
+		done = ok ? decide(s) + (size_t)write_table(s) : 0;
+		pthread_mutex_lock(&s->lock);
+		if (done == 0 && !s->kicked && !s->stop)
+			sleep_ms(s, ok ? poll_ms(s) : POLL_MS);
+		s->kicked = 0;
+		stop = s->stop;
+		pthread_mutex_unlock(&s->lock);
+	}
+	rcu_unregister_thread();
+	return NULL;
+}
+
+/*
+ * Sends heartbeats until the service stops.
+ */
+static void *
+run_beats(void *ctx)
+{
+	struct lease_service *s = ctx;
+	int stop = 0;
+
+	rcu_register_thread();
+	while (!stop) {
+		lease_send_beats(s);
+		pthread_mutex_lock(&s->lock);
+		if (!s->stop)
+			sleep_ms(s, BEAT_MS);
+		stop = s->stop;
+		pthread_mutex_unlock(&s->lock);
+	}
+	rcu_unregister_thread();
+	return NULL;
+}
--- /dev/null
+++ b/src/lease/lease_service.h
@@ -0,0 +1,67 @@
+#ifndef LEASE_LEASE_SERVICE_H
+#define LEASE_LEASE_SERVICE_H
+
+#include <pthread.h>
+#include <stdio.h>
+
+#include "lease/lease.h"
+#include "logsvc/logsvc.h"
+#include "rpc/rpc.h"
+
+#define LEASE_MEMBERS_MAX 4096 /* members that decisions look at */
+
+enum lease_proc {
+	LEASE_PROC_BEAT,
+	LEASE_PROC_PAGE,
+	LEASE_PROC_MAX
+};
+
+/* What the service needs from its surroundings. */
+struct lease_config {
+	struct node_id self;
+	struct logsvc log;
+	rpc_call_fn call;
+	void *call_ctx;
+	/* Writes up to max members, this node among them; returns how many. */
+	size_t (*members)(void *, struct lease_member *, size_t);
+	void *members_ctx;
+	lease_ready_fn ready;
+	void *ready_ctx;
+	uint64_t long_ms;      /* 0: LEASE_LONG_MS */
+	uint64_t retention_ms; /* for how long the log keeps records */
+};
+
+struct lease_service {
+	struct lease_config cfg;
+	pthread_mutex_t lock; /* guards all below but view */
+	pthread_cond_t wake;
+	struct lease_table table;
+	struct lease_decider decider;
+	struct lease_member *members;
+	uint64_t first; /* oldest offset kept, as last read */
+	uint64_t started_ms;
+	uint64_t unsafe_ms; /* since newcomers could not read the table */
+	uint64_t jitter_ms;
+	int kicked;
+	int stop;
+	pthread_t log_thread;
+	pthread_t beat_thread;
+	struct lease_table *view; /* RCU */
+};
+
+/* Procedures for the RPC server; their context is the service. */
+extern const struct rpc_proc lease_procs[LEASE_PROC_MAX];
+
+int lease_service_init(struct lease_service *, const struct lease_config *);
+void lease_service_finish(struct lease_service *);
+void lease_service_lookup(void *, uint32_t, uint64_t, struct lease_view *);
+void lease_service_kick(struct lease_service *);
+int lease_service_leave(struct lease_service *, uint32_t);
+void lease_service_dump(struct lease_service *, FILE *);
+
+/* lease_rpc.c */
+void lease_send_beats(struct lease_service *);
+void lease_fetch_pages(struct lease_service *);
+void lease_publish(struct lease_service *);
+
+#endif
--- /dev/null
+++ b/src/lease/test_lease.c
@@ -0,0 +1,544 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lease/lease.h"
+
+#define LONG_MS 100000
+#define LONG_WAIT (LONG_MS + LONG_MS / 100 + LEASE_TERM_MS + LEASE_MARGIN_MS)
+#define TERM_WAIT (LEASE_TERM_MS + LEASE_MARGIN_MS)
+
+static struct node_id node(int);
+static enum lease_result apply(
+    struct lease_table *, char *, uint64_t, uint64_t);
+static struct lease_claim make(uint64_t, int, int, int);
+static enum lease_result put(
+    struct lease_table *, const struct lease_claim *, uint64_t);
+static void own(struct lease_table *, int);
+
+/*
+ * Returns the name of node i; 0 is none.
+ */
+static struct node_id
+node(int i)
+{
+	struct node_id id = { 0, 0, 0 };
+
+	if (i != 0) {
+		id.addr = 0x7f000000 + (uint32_t)i;
+		id.rpc_port = 7000;
+		id.incarnation = 0xabc0 + (uint64_t)i;
+	}
+	return id;
+}
+
+/*
+ * Applies an encoded record and frees it.
+ */
+static enum lease_result
+apply(struct lease_table *t, char *text, uint64_t offset, uint64_t now)
+{
+	enum lease_result res;
+
+	res = lease_apply(t, text, strlen(text), offset, now);
+	free(text);
+	return res;
+}
+
+/*
+ * Builds a claim on partition 0.
+ */
+static struct lease_claim
+make(uint64_t prev, int by, int owner, int standby)
+{
+	struct lease_claim c = { 0, prev, prev + 1, node(by), node(owner),
+		node(standby) };
+
+	return c;
+}
+
+/*
+ * Applies a claim as the next record.
+ */
+static enum lease_result
+put(struct lease_table *t, const struct lease_claim *c, uint64_t now)
+{
+	return apply(t, lease_claim_encode(c), t->next, now);
+}
+
+/*
+ * Prepares the table of node self, in which node 1 owns partition 0 and
+ * node 2 is its standby since 0 ms.
+ */
+static void
+own(struct lease_table *t, int self)
+{
+	struct node_id id = node(self);
+	struct lease_claim c = make(0, 1, 1, 2);
+
+	lease_init(t, &id, LONG_MS);
+	assert_int_equal(put(t, &c, 0), LEASE_ACCEPTED);
+}
+
+/*
+ * Each kind of claim is told by who made it, and waits its time.
+ */
+static void
+test_kinds(void **state)
+{
+	static const struct {
+		uint64_t prev;
+		int by, owner, standby;
+		enum lease_result res;
+		enum lease_kind kind;
+		uint64_t wait;
+	} cases[] = {
+		{ 1, 1, 1, 3, LEASE_ACCEPTED, LEASE_STANDBY_CHANGE, 0 },
+		{ 1, 1, 2, 3, LEASE_ACCEPTED, LEASE_HANDOVER,
+		    LEASE_HANDOVER_MS },
+		{ 1, 2, 2, 3, LEASE_ACCEPTED, LEASE_TAKEOVER, TERM_WAIT },
+		{ 1, 2, 3, 2, LEASE_ACCEPTED, LEASE_SLOW_TAKEOVER, LONG_WAIT },
+		{ 1, 3, 3, 4, LEASE_ACCEPTED, LEASE_SLOW_TAKEOVER, LONG_WAIT },
+		{ 1, 3, 2, 4, LEASE_ACCEPTED, LEASE_SLOW_TAKEOVER, LONG_WAIT },
+		{ 0, 3, 3, 4, LEASE_LOST, LEASE_FIRST, 0 },
+		{ 2, 2, 2, 4, LEASE_LOST, LEASE_FIRST, 0 },
+		{ 1, 2, 2, 2, LEASE_BAD, LEASE_FIRST, 0 },
+		{ 1, 0, 2, 3, LEASE_BAD, LEASE_FIRST, 0 },
+		{ 1, 2, 0, 3, LEASE_BAD, LEASE_FIRST, 0 },
+	};
+	struct lease_table t;
+	struct lease_claim c;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		own(&t, 9);
+		c = make(cases[i].prev, cases[i].by, cases[i].owner,
+		    cases[i].standby);
+		assert_int_equal(put(&t, &c, 1000), cases[i].res);
+		assert_int_equal(t.part[0].kind, cases[i].kind);
+		if (cases[i].wait != 0)
+			assert_int_equal(
+			    t.part[0].effective_ms, 1000 + cases[i].wait);
+		assert_int_equal(put(&t, &c, 2000),
+		    cases[i].res == LEASE_ACCEPTED ? LEASE_LOST : cases[i].res);
+		lease_finish(&t);
+	}
+}
+
+/*
+ * A quick takeover from a lease not yet in effect waits for that one too:
+ * the first owner may still live on promises.
+ */
+static void
+test_waits_add_up(void **state)
+{
+	struct lease_claim slow = make(1, 3, 3, 4), quick = make(2, 4, 4, 5);
+	struct lease_table t;
+
+	(void)state;
+	own(&t, 4);
+	put(&t, &slow, 1000);
+	put(&t, &quick, 2000);
+	assert_int_equal(t.part[0].kind, LEASE_TAKEOVER);
+	assert_int_equal(t.part[0].effective_ms, 1000 + LONG_WAIT);
+	lease_read_proof(&t, 5000);
+	assert_int_equal(lease_held(&t, 0, 5001), 0);
+	lease_finish(&t);
+}
+
+/*
+ * An owner acts on reads, then on promises, and on neither for too long.
+ */
+static void
+test_authority(void **state)
+{
+	struct lease_claim c = make(1, 1, 1, 3);
+	struct lease_table t;
+
+	(void)state;
+	own(&t, 1);
+	assert_int_equal(lease_held(&t, 0, 10), 0);
+	lease_read_proof(&t, 1000);
+	assert_int_equal(lease_held(&t, 0, 2999), 3000);
+	assert_int_equal(lease_held(&t, 0, 3000), 0);
+	lease_promise(&t, 0, 1, 2500);
+	assert_int_equal(lease_held(&t, 0, 3000), 4500);
+	lease_promise(&t, 0, 7, 4000);
+	assert_int_equal(lease_held(&t, 0, 4400), 4500);
+	lease_promise(&t, 0, 1, 1000 + LONG_MS);
+	assert_int_equal(lease_held(&t, 0, 1000 + LONG_MS - 1), 1000 + LONG_MS);
+	assert_int_equal(lease_held(&t, 0, 1000 + LONG_MS), 0);
+
+	/* An own append that may be written makes promises worthless. */
+	assert_int_equal(lease_append_begin(&t, &c), 0);
+	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
+	lease_append_end(&t, &c, 0);
+	assert_int_not_equal(lease_held(&t, 0, LONG_MS), 0);
+	lease_append_begin(&t, &c);
+	lease_append_end(&t, &c, 1);
+	lease_append_begin(&t, &c);
+	lease_append_end(&t, &c, 0);
+	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
+
+	/* Read back, it counts again, for the new term only. */
+	put(&t, &c, LONG_MS);
+	lease_promise(&t, 0, 1, LONG_MS);
+	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
+	lease_promise(&t, 0, 2, LONG_MS);
+	assert_int_equal(lease_held(&t, 0, LONG_MS), 1000 + LONG_MS);
+	lease_finish(&t);
+}
+
+/*
+ * A standby promises until it has begun a takeover, and again only if that
+ * was surely not written.
+ */
+static void
+test_promises(void **state)
+{
+	struct lease_claim c = make(1, 2, 2, 3);
+	struct node_id owner = node(1), other = node(5);
+	struct lease_table t;
+
+	(void)state;
+	own(&t, 2);
+	assert_true(lease_may_promise(&t, 0, 1, &owner));
+	assert_false(lease_may_promise(&t, 0, 1, &other));
+	assert_false(lease_may_promise(&t, LEASE_PARTS, 1, &owner));
+	assert_true(lease_may_promise(&t, 0, 2, &other));
+	lease_append_begin(&t, &c);
+	assert_false(lease_may_promise(&t, 0, 1, &owner));
+	lease_append_end(&t, &c, 0);
+	assert_true(lease_may_promise(&t, 0, 1, &owner));
+	lease_append_begin(&t, &c);
+	lease_append_end(&t, &c, 1);
+	assert_false(lease_may_promise(&t, 0, 1, &owner));
+	lease_first(&t, 50);
+	assert_false(lease_may_promise(&t, 0, 1, &owner));
+	lease_finish(&t);
+	own(&t, 2);
+	lease_hint(&t, 0, 2, &other, &owner);
+	assert_false(lease_may_promise(&t, 0, 1, &owner));
+	lease_finish(&t);
+}
+
+/*
+ * An owner that hands over stops before the record is written, and acts
+ * again only if it surely was not.
+ */
+static void
+test_handover_stops(void **state)
+{
+	struct lease_claim c = make(1, 1, 2, 3);
+	struct lease_table t;
+
+	(void)state;
+	own(&t, 1);
+	lease_read_proof(&t, 1000);
+	lease_append_begin(&t, &c);
+	assert_int_equal(lease_held(&t, 0, 1001), 0);
+	lease_append_end(&t, &c, 0);
+	assert_int_equal(lease_held(&t, 0, 1001), 3000);
+	lease_append_begin(&t, &c);
+	lease_append_end(&t, &c, 1);
+	assert_int_equal(lease_held(&t, 0, 1001), 0);
+	lease_finish(&t);
+}
+
+/*
+ * What a peer says can end authority and show the way, but give none.
+ */
+static void
+test_hints(void **state)
+{
+	struct node_id a = node(5), b = node(6), self = node(1);
+	struct lease_table t;
+	struct lease_view v;
+
+	(void)state;
+	own(&t, 1);
+	lease_read_proof(&t, 1000);
+	lease_hint(&t, 0, 1, &a, &b);
+	assert_int_equal(lease_held(&t, 0, 1001), 3000);
+	lease_hint(&t, 0, 5, &a, &b);
+	lease_hint(&t, 0, 4, &b, &a);
+	assert_int_equal(lease_held(&t, 0, 1001), 0);
+	lease_view(&t, 0, 1001, &v);
+	assert_true(nodeid_equal(&v.owner, &a));
+	assert_int_equal(v.term, 5);
+	lease_hint(&t, 1, 3, &self, &a);
+	assert_int_equal(lease_held(&t, 1, 1001), 0);
+	lease_finish(&t);
+}
+
+/*
+ * A newcomer to an aged stream buffers claims until a snapshot tells what
+ * they compare with; one that is too old won't do.
+ */
+static void
+test_snapshot(void **state)
+{
+	struct lease_claim c2 = make(1, 1, 1, 3), c3 = make(2, 1, 1, 4);
+	struct lease_table t, late;
+	struct node_id self = node(3), owner = node(1);
+	char *old, *good;
+
+	(void)state;
+	own(&t, 2);
+	t.part[0].effective_ms = 900;
+	old = lease_snapshot_encode(&t, 500);
+	put(&t, &c2, 500);
+	good = lease_snapshot_encode(&t, 500);
+	put(&t, &c3, 500);
+
+	lease_init(&late, &self, LONG_MS);
+	lease_first(&late, 2);
+	lease_read_proof(&late, 10);
+	assert_int_equal(lease_held(&late, 0, 11), 0);
+	assert_int_equal(
+	    apply(&late, lease_claim_encode(&c3), 2, 5000), LEASE_BUFFERED);
+	assert_int_equal(apply(&late, old, 3, 5000), LEASE_OLD);
+	assert_int_equal(apply(&late, good, 4, 5000), LEASE_SNAPSHOT);
+	assert_true(late.complete);
+	assert_int_equal(late.part[0].term, 3);
+	assert_true(nodeid_equal(&late.part[0].owner, &owner));
+	assert_int_equal(late.part[0].effective_ms, 5400);
+	assert_true(late.part[0].first);
+	assert_int_equal(late.part[1].term, 0);
+
+	/* Records lost under way: no authority and a new start. */
+	lease_first(&late, 9);
+	assert_false(late.complete);
+	assert_int_equal(late.part[0].term, 0);
+	lease_finish(&late);
+	lease_finish(&t);
+}
+
+/*
+ * Without a snapshot, the leases start over with terms above all others,
+ * and after the long wait.
+ */
+static void
+test_reset(void **state)
+{
+	struct node_id self = node(3);
+	struct lease_claim c;
+	struct lease_table t;
+
+	(void)state;
+	lease_init(&t, &self, LONG_MS);
+	lease_first(&t, 40);
+	c = make(0, 3, 3, 4);
+	assert_int_equal(lease_append_begin(&t, &c), -1);
+	lease_read_proof(&t, 1000);
+	assert_false(lease_wants_reset(&t, 1000 + LEASE_RESET_WAIT_MS - 1));
+	assert_true(lease_wants_reset(&t, 1000 + LEASE_RESET_WAIT_MS));
+	assert_int_equal(
+	    apply(&t, lease_reset_encode(), 40, 2000), LEASE_RESET);
+	assert_int_equal(put(&t, &c, 2000), LEASE_LOST);
+	c = make(41, 3, 3, 4);
+	assert_int_equal(put(&t, &c, 2000), LEASE_ACCEPTED);
+	assert_int_equal(t.part[0].kind, LEASE_VACANT);
+	assert_false(t.part[0].first);
+	assert_int_equal(t.part[0].effective_ms, 2000 + LONG_WAIT);
+	lease_finish(&t);
+	own(&t, 1);
+	lease_read_proof(&t, 100);
+	apply(&t, lease_reset_encode(), 1, 100);
+	assert_int_equal(lease_held(&t, 0, 101), 0);
+	lease_finish(&t);
+}
+
+/*
+ * Malformed records are dropped and counted; random bytes and cut records
+ * do no harm.
+ */
+static void
+test_bad_records(void **state)
+{
+	static const char *const bad[] = { "", "{", "[]", "7", "{\"part\":0}",
+		"{\"snapshot\":true}", "{\"snapshot\":true,\"parts\":[]}",
+		"{\"part\":48,\"prev\":1,\"term\":2,\"by\":\"1.2.3.4:5/6\","
+		"\"owner\":\"1.2.3.4:5/6\",\"standby\":null}",
+		"{\"part\":0,\"prev\":1,\"term\":2,\"by\":\"1.2.3.999:5/6\","
+		"\"owner\":\"1.2.3.4:5/6\",\"standby\":null}",
+		"{\"part\":0,\"prev\":1,\"term\":9,\"by\":\"1.2.3.4:5/6\","
+		"\"owner\":\"1.2.3.4:5/6\",\"standby\":null}",
+		"{\"part\":0,\"prev\":-1,\"term\":0,\"by\":\"1.2.3.4:5/6\","
+		"\"owner\":\"1.2.3.4:5/6\",\"standby\":null}" };
+	size_t i, n = sizeof(bad) / sizeof(bad[0]), len;
+	struct lease_claim c = make(1, 1, 1, 3);
+	struct lease_table t;
+	char buf[64];
+	char *text;
+
+	(void)state;
+	own(&t, 1);
+	for (i = 0; i < n; i++)
+		assert_int_equal(
+		    lease_apply(&t, bad[i], strlen(bad[i]), t.next, 5),
+		    LEASE_BAD);
+	text = lease_claim_encode(&c);
+	for (len = 0; len < strlen(text); len++)
+		assert_int_equal(
+		    lease_apply(&t, text, len, t.next, 5), LEASE_BAD);
+	n += len;
+	free(text);
+	srandom(7);
+	for (i = 0; i < 2000; i++) {
+		for (len = 0; len < sizeof(buf); len++)
+			buf[len] = (char)random();
+		lease_apply(&t, buf, sizeof(buf), t.next, 5);
+	}
+	assert_int_equal(t.bad, n + i);
+	assert_int_equal(t.part[0].term, 1);
+	lease_finish(&t);
+}
+
+/*
+ * Decisions of node 1 on partition 0, whose owner and standby are given,
+ * among six members in three domains.
+ */
+static void
+test_decisions(void **state)
+{
+	static const struct {
+		const char *what;
+		int self, owner, standby;
+		int dead, dead2; /* members that are not alive */
+		int leaving, stopping;
+		uint64_t after; /* ms in this state before the decision */
+		int claims, by_self;
+	} cases[] = {
+		{ "owner lives", 3, 1, 2, 0, 0, 0, 0, 0, 0, 0 },
+		{ "standby takes over", 2, 1, 2, 1, 0, 0, 0, 0, 1, 1 },
+		{ "others wait", 3, 1, 2, 1, 0, 0, 0, 20000, 0, 0 },
+		{ "both dead: too early", 3, 1, 2, 1, 2, 0, 0, 14000, 0, 0 },
+		{ "both dead", 3, 1, 2, 1, 2, 0, 0, 60000, 1, 1 },
+		{ "idle standby", 3, 1, 2, 1, 0, 0, 0, 90000, 1, 1 },
+		{ "dead standby replaced", 1, 1, 2, 2, 0, 0, 0, 0, 1, 1 },
+		{ "leaving standby replaced", 1, 1, 2, 0, 0, 2, 0, 0, 1, 1 },
+		{ "stopping owner hands over", 1, 1, 2, 0, 0, 1, 1, 0, 1, 0 },
+		{ "stopping standby does nothing", 2, 1, 2, 1, 0, 2, 1, 0, 0,
+		    0 },
+	};
+	struct lease_member m[6];
+	struct lease_inputs in = { m, 6, NULL, NULL, 0 };
+	struct lease_decider d;
+	struct lease_table t;
+	struct lease_claim c[LEASE_PARTS];
+	struct node_id self;
+	size_t i, j, n, k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		for (j = 0; j < 6; j++) {
+			m[j].id = node((int)j + 1);
+			m[j].domain = (uint32_t)(j / 2);
+			m[j].alive = (int)j + 1 != cases[i].dead &&
+				     (int)j + 1 != cases[i].dead2;
+			m[j].leaving = (int)j + 1 == cases[i].leaving;
+			m[j].age_ms = 1000;
+		}
+		self = node(cases[i].self);
+		lease_init(&t, &self, LONG_MS);
+		for (j = 0; j < LEASE_PARTS; j++) {
+			c[0] = make(0, cases[i].owner, cases[i].owner,
+			    cases[i].standby);
+			c[0].part = (uint32_t)j;
+			put(&t, &c[0], 1);
+		}
+		lease_decider_init(&d);
+		d.stopping = cases[i].stopping;
+		lease_read_proof(&t, 1000);
+		in.now_ms = 1000;
+		n = lease_decide(&d, &t, &in, c, LEASE_PARTS);
+		if (cases[i].after != 0) {
+			lease_read_proof(&t, 1000 + cases[i].after);
+			in.now_ms = 1000 + cases[i].after;
+			n = lease_decide(&d, &t, &in, c, LEASE_PARTS);
+		}
+		if (n != (size_t)cases[i].claims * LEASE_PARTS)
+			fail_msg("%s: %zu claims", cases[i].what, n);
+		for (k = 0; k < n; k++) {
+			assert_int_equal(
+			    nodeid_equal(&c[k].owner, &self), cases[i].by_self);
+			for (j = 0; j < 6; j++)
+				if (nodeid_equal(&c[k].standby, &m[j].id))
+					break;
+			assert_true(j < 6 && m[j].alive && !m[j].leaving);
+		}
+		lease_finish(&t);
+	}
+}
+
+/*
+ * Members that decide by turns give every partition one owner, in the
+ * failure domain of its group, with a standby in the same one.
+ */
+static void
+test_cold_start(void **state)
+{
+	struct lease_member m[6];
+	struct lease_inputs in = { m, 6, NULL, NULL, 1000 };
+	struct lease_decider d[6];
+	struct lease_table t[6];
+	struct lease_claim c[LEASE_PARTS];
+	size_t i, j, k, n;
+	uint32_t owner, standby;
+
+	(void)state;
+	for (i = 0; i < 6; i++) {
+		m[i].id = node((int)i + 1);
+		m[i].domain = (uint32_t)(i / 2);
+		m[i].alive = 1;
+		m[i].leaving = 0;
+		m[i].age_ms = LEASE_STABLE_MS;
+		lease_init(&t[i], &m[i].id, LONG_MS);
+		lease_decider_init(&d[i]);
+		lease_read_proof(&t[i], 1000);
+	}
+	for (i = 0; i < 6; i++) {
+		n = lease_decide(&d[i], &t[i], &in, c, LEASE_PARTS);
+		for (k = 0; k < n; k++)
+			for (j = 0; j < 6; j++)
+				assert_int_equal(
+				    put(&t[j], &c[k], 1000), LEASE_ACCEPTED);
+	}
+	for (i = 0; i < LEASE_PARTS; i++) {
+		owner = t[0].part[i].owner.addr - 0x7f000001;
+		standby = t[0].part[i].standby.addr - 0x7f000001;
+		assert_int_equal(m[owner].domain, i / LEASE_GROUP_PARTS);
+		assert_int_equal(m[standby].domain, i / LEASE_GROUP_PARTS);
+	}
+	in.now_ms = 1500;
+	for (i = 0; i < 6; i++) {
+		assert_int_equal(
+		    lease_decide(&d[i], &t[i], &in, c, LEASE_PARTS), 0);
+		lease_finish(&t[i]);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_kinds),
+		cmocka_unit_test(test_waits_add_up),
+		cmocka_unit_test(test_authority),
+		cmocka_unit_test(test_promises),
+		cmocka_unit_test(test_handover_stops),
+		cmocka_unit_test(test_hints),
+		cmocka_unit_test(test_snapshot),
+		cmocka_unit_test(test_reset),
+		cmocka_unit_test(test_bad_records),
+		cmocka_unit_test(test_decisions),
+		cmocka_unit_test(test_cold_start),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
