Limits: buckets with loans, owners, and admission at the entry

A bucket keeps level + outstanding loans within the burst, so no window sees more than rate x window + burst whatever is lost. Entries borrow for all that wait in one call, prefetch for dense flows, report what was spent and give back what was not.

Seen failing with a rule broken: the bucket without room for what is out (test_bucket_windows), a repeated ask that borrows twice (test_owners_down), loans that never lapse or outlast the lease (test_lease_ends), a new owner that starts full (test_new_tenure_is_empty).

--- /dev/null
+++ b/src/limits/limits.c
@@ -0,0 +1,147 @@
+#include <err.h>
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "limits/limits_int.h"
+
+static struct limits_entry *entry_find(struct limits_entry *, uint64_t);
+static int handle_ask(void *, const struct sockaddr_in *, const void *, void *);
+static int handle_report(
+    void *, const struct sockaddr_in *, const void *, void *);
+
+const struct rpc_proc limits_procs[LIMITS_PROC_MAX] = {
+	[LIMITS_PROC_ASK] = { RPC_BLOCK_LIMITS + 1,
+	    (xdrproc_t)xdr_limits_ask_arg, sizeof(limits_ask_arg),
+	    (xdrproc_t)xdr_limits_ask_res, sizeof(limits_ask_res), handle_ask },
+	[LIMITS_PROC_REPORT] = { RPC_BLOCK_LIMITS + 2,
+	    (xdrproc_t)xdr_limits_report_arg, sizeof(limits_report_arg),
+	    (xdrproc_t)xdr_limits_report_res, sizeof(limits_report_res),
+	    handle_report },
+};
+
+/*
+ * Prepares the limits of a node.
+ */
+void
+limits_init(struct limits *l, const struct limits_config *cfg)
+{
+	memset(l, 0, sizeof(*l));
+	l->cfg = *cfg;
+	if (l->cfg.clock_us == NULL)
+		l->cfg.clock_us = clock_us;
+	pthread_mutex_init(&l->lock, NULL);
+}
+
+/*
+ * Frees all.  No thread may use the limits any more.
+ */
+void
+limits_finish(struct limits *l)
+{
+	struct limits_entry *e, *next;
+	size_t i;
+
+	limits_owner_finish(l);
+	for (i = 0; i < LIMITS_TABLE; i++)
+		for (e = l->entries[i]; e != NULL; e = next) {
+			next = e->next;
+			pthread_mutex_destroy(&e->lock);
+			pthread_cond_destroy(&e->got);
+			free(e);
+		}
+	pthread_mutex_destroy(&l->lock);
+}
+
+/*
+ * Finds a workspace in a chain, or NULL.
+ */
+static struct limits_entry *
+entry_find(struct limits_entry *e, uint64_t hash)
+{
+	while (e != NULL && e->hash != hash)
+		e = e->next;
+	return e;
+}
+
+/*
+ * Returns what this entry knows of a workspace, a new record if need be.
+ * Records are never removed, so that a found one needs no lock to reach.
+ */
+struct limits_entry *
+limits_entry_get(struct limits *l, uint64_t hash)
+{
+	size_t i = hash % LIMITS_TABLE;
+	struct limits_entry *e;
+	pthread_condattr_t attr;
+
+	e = entry_find(atomic_load(&l->entries[i]), hash);
+	if (e != NULL)
+		return e;
+	pthread_mutex_lock(&l->lock);
+	e = entry_find(atomic_load(&l->entries[i]), hash);
+	if (e == NULL) {
+		e = calloc(1, sizeof(*e));
+		if (e == NULL)
+			err(1, "entry_get");
+		e->hash = hash;
+		pthread_mutex_init(&e->lock, NULL);
+		pthread_condattr_init(&attr);
+		pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+		pthread_cond_init(&e->got, &attr);
+		pthread_condattr_destroy(&attr);
+		e->next = atomic_load(&l->entries[i]);
+		atomic_store(&l->entries[i], e);
+	}
+	pthread_mutex_unlock(&l->lock);
+	return e;
+}
+
+/*
+ * Serves an entry's ask.
+ */
+static int
+handle_ask(
+    void *ctx, const struct sockaddr_in *from, const void *arg, void *res)
+{
+	(void)from;
+	limits_serve_ask(ctx, arg, res);
+	return 0;
+}
+
+/*
+ * Serves an entry's report.
+ */
+static int
+handle_report(
+    void *ctx, const struct sockaddr_in *from, const void *arg, void *res)
+{
+	(void)from;
+	limits_serve_report(ctx, arg, res);
+	return 0;
+}
+
+/*
+ * Prints what this node holds as an entry and decides as an owner.
+ */
+void
+limits_dump(struct limits *l, FILE *out)
+{
+	struct limits_entry *e;
+	size_t i;
+
+	for (i = 0; i < LIMITS_TABLE; i++)
+		for (e = atomic_load(&l->entries[i]); e != NULL; e = e->next) {
+			pthread_mutex_lock(&e->lock);
+			fprintf(out,
+			    "loans workspace=%016" PRIx64 " held=%u "
+			    "demand=%.1f\n",
+			    e->hash, loans_held(e, l->cfg.clock_us()),
+			    e->demand);
+			pthread_mutex_unlock(&e->lock);
+		}
+	limits_owner_dump(l, out);
+}
--- /dev/null
+++ b/src/limits/limits.x
@@ -0,0 +1,43 @@
+/* Messages of limits: an entry borrows tokens from a shard's owner. */
+
+const LIMITS_REPORTS_MAX = 32;
+
+enum limits_status {
+	LIMITS_GRANTED = 0,
+	LIMITS_DRY = 1,		/* not enough tokens */
+	LIMITS_NOT_OWNER = 2,
+	LIMITS_NO_WORKSPACE = 3	/* not in the owner's configuration */
+};
+
+/* What became of a loan: these tokens were not spent, the others were. */
+struct limits_report {
+	unsigned hyper loan;
+	unsigned int unspent;
+};
+
+struct limits_ask_arg {
+	unsigned hyper workspace;
+	unsigned int part;
+	unsigned hyper loan;
+	unsigned int need;
+	unsigned int want;
+	unsigned int life_ms;
+	limits_report reports<LIMITS_REPORTS_MAX>;
+};
+
+struct limits_ask_res {
+	limits_status status;
+	unsigned int tokens;
+	unsigned int life_ms;
+	unsigned int dry_us;
+};
+
+struct limits_report_arg {
+	unsigned hyper workspace;
+	unsigned int part;
+	limits_report reports<LIMITS_REPORTS_MAX>;
+};
+
+struct limits_report_res {
+	unsigned int taken;
+};
--- /dev/null
+++ b/src/limits/limits_bucket.c
@@ -0,0 +1,286 @@
+#include <err.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "limits/limits_bucket.h"
+
+#define TOKEN_NT INT64_C(1000000000)
+#define MILLI 1000.0
+#define RATE_MAX 1e9	/* requests a second */
+#define LOANS_MIN 8	/* places of a new ring */
+#define LOANS_MAX 65536 /* loans of one bucket */
+#define WAIT_MAX_US UINT64_C(3600000000)
+#define SPARE_SHARE 4 /* of what is left, that a prefetch gets */
+
+static void fill_until(struct limits_bucket *, uint64_t);
+static void clamp(struct limits_bucket *);
+static struct limits_loan *loan_at(const struct limits_bucket *, size_t);
+static int loan_push(struct limits_bucket *, uint64_t, uint32_t, uint64_t);
+
+/*
+ * Returns into how many shards a limit with this burst is cut.
+ */
+uint32_t
+limits_shards(uint32_t burst)
+{
+	return burst >= LIMITS_SHARD_BURST ? LIMITS_SHARDS : 1;
+}
+
+/*
+ * Returns the partition that decides for a shard of a workspace.
+ */
+uint32_t
+limits_part(const struct limits_ws *ws, uint32_t shard)
+{
+	uint32_t group = shard;
+
+	if (limits_shards(ws->burst) == 1)
+		group = (uint32_t)(ws->hash % LEASE_GROUPS);
+	return group * LEASE_GROUP_PARTS +
+	       (uint32_t)(ws->hash % LEASE_GROUP_PARTS);
+}
+
+/*
+ * Returns the shard that a partition decides for, or -1 if none of the
+ * workspace's lies there.
+ */
+int
+limits_shard_of(const struct limits_ws *ws, uint32_t part)
+{
+	uint32_t i;
+
+	for (i = 0; i < limits_shards(ws->burst); i++)
+		if (limits_part(ws, i) == part)
+			return (int)i;
+	return -1;
+}
+
+/*
+ * Computes a shard's part of a limit.  The parts sum to the whole exactly,
+ * the rate in thousandths.
+ */
+void
+limits_share(const struct limits_ws *ws, uint32_t shard, struct limits_share *s)
+{
+	uint32_t n = limits_shards(ws->burst);
+	uint64_t rate = 0;
+
+	if (ws->rate > 0)
+		rate = (uint64_t)floor(fmin(ws->rate, RATE_MAX) * MILLI);
+	s->rate_mt = rate / n + (shard < rate % n);
+	s->burst = ws->burst / n + (shard < ws->burst % n);
+}
+
+/*
+ * Prepares a bucket that is full or empty at a time (us).
+ */
+void
+bucket_init(struct limits_bucket *b, const struct limits_share *share, int full,
+    uint64_t now_us)
+{
+	memset(b, 0, sizeof(*b));
+	b->share = *share;
+	b->level_nt = full ? share->burst * TOKEN_NT : 0;
+	b->filled_us = now_us;
+}
+
+/*
+ * Frees what a bucket holds.
+ */
+void
+bucket_finish(struct limits_bucket *b)
+{
+	free(b->loans);
+	memset(b, 0, sizeof(*b));
+}
+
+/*
+ * Returns the i-th oldest loan.
+ */
+static struct limits_loan *
+loan_at(const struct limits_bucket *b, size_t i)
+{
+	return &b->loans[(b->head + i) & (b->cap - 1)];
+}
+
+/*
+ * Keeps level + outstanding within the burst.
+ */
+static void
+clamp(struct limits_bucket *b)
+{
+	int64_t room = (int64_t)b->share.burst - (int64_t)b->outstanding;
+
+	if (room < 0)
+		room = 0;
+	if (b->level_nt > room * TOKEN_NT)
+		b->level_nt = room * TOKEN_NT;
+}
+
+/*
+ * Adds what has flowed in up to a time (us), while nothing lapsed.
+ */
+static void
+fill_until(struct limits_bucket *b, uint64_t now_us)
+{
+	uint64_t dt, need;
+
+	if (now_us <= b->filled_us)
+		return;
+	dt = now_us - b->filled_us;
+	b->filled_us = now_us;
+	if (b->share.rate_mt == 0)
+		return;
+	need =
+	    (uint64_t)b->share.burst * (uint64_t)TOKEN_NT / b->share.rate_mt +
+	    1;
+	if (dt > need)
+		dt = need;
+	b->level_nt += (int64_t)(dt * b->share.rate_mt);
+	clamp(b);
+}
+
+/*
+ * Brings a bucket up to a time (us): tokens flow in, and loans that were
+ * not reported count as spent from their expiry on.
+ */
+void
+bucket_refill(struct limits_bucket *b, uint64_t now_us)
+{
+	struct limits_loan *l;
+
+	while (b->count > 0) {
+		l = loan_at(b, 0);
+		if (l->tokens > 0 && l->expire_us > now_us)
+			break;
+		if (l->tokens > 0)
+			fill_until(b, l->expire_us);
+		b->outstanding -= l->tokens;
+		b->head = (b->head + 1) & (b->cap - 1);
+		b->count--;
+	}
+	fill_until(b, now_us);
+}
+
+/*
+ * Takes up a changed limit.  What is in the bucket stays, but for what no
+ * longer fits.
+ */
+void
+bucket_resize(
+    struct limits_bucket *b, const struct limits_share *share, uint64_t now_us)
+{
+	if (b->share.rate_mt == share->rate_mt &&
+	    b->share.burst == share->burst)
+		return;
+	bucket_refill(b, now_us);
+	b->share = *share;
+	clamp(b);
+}
+
+/*
+ * Adds a loan at the end of the ring.  Expiries must not run backwards; a
+ * loan that would lapse before the newest one is kept as long as that one.
+ * Returns 0, or -1 if there are too many.
+ */
+static int
+loan_push(
+    struct limits_bucket *b, uint64_t id, uint32_t tokens, uint64_t expire_us)
+{
+	struct limits_loan *fresh;
+	size_t cap, i;
+
+	if (b->count == b->cap) {
+		cap = b->cap == 0 ? LOANS_MIN : b->cap * 2;
+		if (cap > LOANS_MAX)
+			return -1;
+		fresh = calloc(cap, sizeof(*fresh));
+		if (fresh == NULL)
+			err(1, "loan_push");
+		for (i = 0; i < b->count; i++)
+			fresh[i] = *loan_at(b, i);
+		free(b->loans);
+		b->loans = fresh;
+		b->head = 0;
+		b->cap = cap;
+	}
+	if (b->count > 0 && loan_at(b, b->count - 1)->expire_us > expire_us)
+		expire_us = loan_at(b, b->count - 1)->expire_us;
+	*loan_at(b, b->count++) = (struct limits_loan){ id, expire_us, tokens };
+	return 0;
+}
+
+/*
+ * Lends up to need tokens, and towards want a share of what is left, until
+ * a time (us).  A repeated id gets what it got before.  Returns the tokens
+ * lent.
+ */
+uint32_t
+bucket_lend(struct limits_bucket *b, uint64_t id, uint32_t need, uint32_t want,
+    uint64_t now_us, uint64_t expire_us)
+{
+	uint64_t level, got, extra;
+	size_t i;
+
+	bucket_refill(b, now_us);
+	for (i = b->count; i > 0; i--)
+		if (loan_at(b, i - 1)->id == id)
+			return loan_at(b, i - 1)->tokens;
+	level = (uint64_t)(b->level_nt / TOKEN_NT);
+	got = need < level ? need : level;
+	extra = want > need ? want - need : 0;
+	if (extra > (level - got) / SPARE_SHARE)
+		extra = (level - got) / SPARE_SHARE;
+	got += extra;
+	if (got == 0 || loan_push(b, id, (uint32_t)got, expire_us) == -1)
+		return 0;
+	b->level_nt -= (int64_t)got * TOKEN_NT;
+	b->outstanding += got;
+	return (uint32_t)got;
+}
+
+/*
+ * Ends a loan: so many of its tokens were not spent and go back.  Returns
+ * 0, or -1 if there is no such loan, or it was reported or has lapsed.
+ */
+int
+bucket_report(
+    struct limits_bucket *b, uint64_t id, uint32_t unspent, uint64_t now_us)
+{
+	struct limits_loan *l;
+	size_t i;
+
+	bucket_refill(b, now_us);
+	for (i = b->count; i > 0; i--) {
+		l = loan_at(b, i - 1);
+		if (l->id != id || l->tokens == 0)
+			continue;
+		if (unspent > l->tokens)
+			unspent = l->tokens;
+		b->outstanding -= l->tokens;
+		b->level_nt += (int64_t)unspent * TOKEN_NT;
+		l->tokens = 0;
+		clamp(b);
+		return 0;
+	}
+	return -1;
+}
+
+/*
+ * Returns after how long (us) the bucket will hold so many tokens, if
+ * nothing is lent meanwhile.
+ */
+uint64_t
+bucket_wait_us(const struct limits_bucket *b, uint32_t tokens)
+{
+	int64_t lack = (int64_t)tokens * TOKEN_NT - b->level_nt;
+	uint64_t wait;
+
+	if (lack <= 0)
+		return 0;
+	if (b->share.rate_mt == 0)
+		return WAIT_MAX_US;
+	wait = (uint64_t)lack / b->share.rate_mt + 1;
+	return wait < WAIT_MAX_US ? wait : WAIT_MAX_US;
+}
--- /dev/null
+++ b/src/limits/limits_entry.c
@@ -0,0 +1,325 @@
+#include <stdatomic.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "limits/limits_int.h"
+
+#define US_PER_MS 1000
+#define US_PER_S 1000000
+#define ASK_MS 100 /* bound on a request's wait */
+#define ASK_TRIES 2
+#define SHARD_ASK_MS 40	     /* part of it for one of several shards */
+#define REPORT_TIMEOUT_MS 40 /* bound on a report */
+#define DOWN_US 100000	     /* an owner is not asked after a failure */
+#define PREFETCH_MS 200	     /* demand that a dense flow borrows ahead */
+#define REFILL_MS 100	     /* held demand below which it borrows more */
+#define DENSE_RATE 20.0	     /* requests a second of a dense flow */
+#define REPORT_US 100000     /* spent loans are reported this late */
+
+static int ask_owner(struct limits *, struct limits_entry *,
+    const struct lease_view *, limits_ask_arg *, limits_ask_res *, uint32_t);
+static uint32_t ask_shard(struct limits *, struct limits_entry *,
+    const struct limits_ws *, uint32_t, limits_ask_arg *, uint64_t);
+static void ask_shards(struct limits *, struct limits_entry *,
+    const struct limits_ws *, uint32_t, uint32_t);
+static enum limits_verdict blocked(const struct limits_entry *,
+    const struct limits_ws *, uint64_t, uint32_t *);
+static void wait_got(struct limits_entry *, uint64_t);
+static uint32_t prefetch(const struct limits_entry *);
+static void flush(struct limits *, struct limits_entry *);
+static void maintain_entry(struct limits *, struct limits_entry *);
+
+/*
+ * Asks an owner, which may be this node.  A datagram may be lost, so that
+ * it is sent again; the loan's id keeps that from borrowing twice.  Returns
+ * 0, or -1 if there was no answer.
+ */
+static int
+ask_owner(struct limits *l, struct limits_entry *e, const struct lease_view *v,
+    limits_ask_arg *arg, limits_ask_res *res, uint32_t timeout_ms)
+{
+	enum rpc_status st;
+	int i;
+
+	if (nodeid_is_none(&v->owner))
+		return -1;
+	pthread_mutex_lock(&e->lock);
+	arg->reports.reports_len = (u_int)reports_take(
+	    e, arg->part, &v->owner, arg->reports.reports_val);
+	pthread_mutex_unlock(&e->lock);
+	counter_add(CTR_LOANS_ASKED, 1);
+	if (nodeid_equal(&v->owner, &l->cfg.self)) {
+		limits_serve_ask(l, arg, res);
+		return 0;
+	}
+	for (i = 0; i < ASK_TRIES; i++) {
+		st = l->cfg.call(l->cfg.call_ctx, &v->owner,
+		    &limits_procs[LIMITS_PROC_ASK], arg, res,
+		    timeout_ms / ASK_TRIES);
+		if (st != RPC_TIMEOUT)
+			return st == RPC_DONE ? 0 : -1;
+	}
+	return -1;
+}
+
+/*
+ * Borrows from one shard and remembers the answer.  Returns the tokens got.
+ */
+static uint32_t
+ask_shard(struct limits *l, struct limits_entry *e, const struct limits_ws *ws,
+    uint32_t shard, limits_ask_arg *arg, uint64_t deadline)
+{
+	uint32_t timeout = limits_shards(ws->burst) > 1 ? SHARD_ASK_MS : ASK_MS;
+	limits_ask_res res = { 0 };
+	uint64_t asked = l->cfg.clock_us(), now;
+	struct lease_view v;
+	struct limits_held ln;
+	int down;
+
+	if (asked + US_PER_MS > deadline)
+		return 0;
+	if (timeout > (deadline - asked) / US_PER_MS)
+		timeout = (uint32_t)((deadline - asked) / US_PER_MS);
+	arg->part = limits_part(ws, shard);
+	arg->loan = rand_u64();
+	l->cfg.lookup(l->cfg.lookup_ctx, arg->part, asked / US_PER_MS, &v);
+	down = ask_owner(l, e, &v, arg, &res, timeout) == -1 ||
+	       (res.status != LIMITS_GRANTED && res.status != LIMITS_DRY);
+	now = l->cfg.clock_us();
+	pthread_mutex_lock(&e->lock);
+	if (down)
+		e->down_us[shard] = now + DOWN_US;
+	else if (res.dry_us > 0)
+		e->dry_us[shard] = now + res.dry_us;
+	if (!down && res.tokens > 0) {
+		ln.id = arg->loan;
+		ln.owner = v.owner;
+		ln.part = arg->part;
+		ln.tokens = res.tokens;
+		ln.expire_us = asked + (uint64_t)res.life_ms * US_PER_MS;
+		loan_keep(e, &ln, now);
+	}
+	pthread_mutex_unlock(&e->lock);
+	if (down && l->cfg.kick != NULL)
+		l->cfg.kick(l->cfg.kick_ctx);
+	return down ? 0 : res.tokens;
+}
+
+/*
+ * Borrows need tokens from as many shards as it takes, that of the own
+ * failure domain first, and up to want from the first that has them.
+ */
+static void
+ask_shards(struct limits *l, struct limits_entry *e, const struct limits_ws *ws,
+    uint32_t need, uint32_t want)
+{
+	uint32_t n = limits_shards(ws->burst), i, shard, got;
+	uint64_t now = l->cfg.clock_us();
+	uint64_t deadline = now + ASK_MS * US_PER_MS;
+	limits_report reports[LIMITS_REPORTS_MAX];
+	limits_ask_arg arg;
+
+	memset(&arg, 0, sizeof(arg));
+	arg.workspace = ws->hash;
+	arg.reports.reports_val = reports;
+	arg.life_ms = want > need ? LIMITS_LOAN_MS : LIMITS_SINGLE_MS;
+	for (i = 0; i < n; i++) {
+		shard = (l->cfg.group + i) % n;
+		if (e->dry_us[shard] > now || e->down_us[shard] > now)
+			continue;
+		arg.need = need;
+		arg.want = want;
+		got = ask_shard(l, e, ws, shard, &arg, deadline);
+		need -= got < need ? got : need;
+		want -= got < want ? got : want;
+		if (got > 0 && need == 0)
+			return;
+	}
+}
+
+/*
+ * Tells whether no shard is worth asking now, and why: LIMITS_ADMIT if one
+ * is.
+ */
+static enum limits_verdict
+blocked(const struct limits_entry *e, const struct limits_ws *ws, uint64_t now,
+    uint32_t *retry_ms)
+{
+	uint32_t n = limits_shards(ws->burst), i;
+	uint64_t first = UINT64_MAX, until;
+	int dry = 0;
+
+	for (i = 0; i < n; i++) {
+		until =
+		    e->dry_us[i] > e->down_us[i] ? e->dry_us[i] : e->down_us[i];
+		if (until <= now)
+			return LIMITS_ADMIT;
+		if (e->dry_us[i] > now)
+			dry = 1;
+		if (until < first)
+			first = until;
+	}
+	*retry_ms = (uint32_t)((first - now) / US_PER_MS) + 1;
+	return dry ? LIMITS_OVER_RATE : LIMITS_UNAVAILABLE;
+}
+
+/*
+ * Waits until the thread that asks is done, at most us; the lock is held.
+ */
+static void
+wait_got(struct limits_entry *e, uint64_t us)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_sec += (time_t)(us / US_PER_S);
+	ts.tv_nsec += (long)(us % US_PER_S) * 1000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	pthread_cond_timedwait(&e->got, &e->lock, &ts);
+}
+
+/*
+ * Returns how many tokens to borrow ahead of demand.
+ */
+static uint32_t
+prefetch(const struct limits_entry *e)
+{
+	if (e->demand < DENSE_RATE)
+		return 0;
+	return (uint32_t)(e->demand * PREFETCH_MS / 1000.0);
+}
+
+/*
+ * Decides whether a request, or a retry of one that may have run, is within
+ * its workspace's limit, and charges n tokens if so.  Blocks up to ASK_MS
+ * when tokens must be borrowed; one thread borrows for all that wait.  If
+ * refused, *retry_ms says when (ms) to come back.
+ */
+enum limits_verdict
+limits_admit(struct limits *l, const struct limits_ws *ws, uint32_t n,
+    uint32_t *retry_ms)
+{
+	struct limits_entry *e = limits_entry_get(l, ws->hash);
+	uint64_t now = l->cfg.clock_us();
+	uint64_t deadline = now + ASK_MS * US_PER_MS;
+	enum limits_verdict v = LIMITS_ADMIT;
+	uint32_t need;
+
+	*retry_ms = 1;
+	pthread_mutex_lock(&e->lock);
+	e->ws = *ws;
+	e->arrivals += n;
+	for (;;) {
+		now = l->cfg.clock_us();
+		if (loans_spend(e, n, now))
+			break;
+		v = blocked(e, ws, now, retry_ms);
+		if (v == LIMITS_ADMIT && now >= deadline)
+			v = LIMITS_UNAVAILABLE;
+		if (v != LIMITS_ADMIT)
+			break;
+		if (e->asking) {
+			e->waiting += n;
+			wait_got(e, deadline - now);
+			e->waiting -= n;
+			continue;
+		}
+		e->asking = 1;
+		need = n + e->waiting - loans_held(e, now);
+		pthread_mutex_unlock(&e->lock);
+		ask_shards(l, e, ws, need, need + prefetch(e));
+		pthread_mutex_lock(&e->lock);
+		e->asking = 0;
+		pthread_cond_broadcast(&e->got);
+	}
+	pthread_mutex_unlock(&e->lock);
+	return v;
+}
+
+/*
+ * Sends all queued reports.  One that is lost leaves its tokens spent.
+ */
+static void
+flush(struct limits *l, struct limits_entry *e)
+{
+	limits_report reports[LIMITS_REPORTS_MAX];
+	limits_report_arg arg;
+	limits_report_res res;
+	struct node_id owner;
+
+	memset(&arg, 0, sizeof(arg));
+	arg.workspace = e->hash;
+	arg.reports.reports_val = reports;
+	pthread_mutex_lock(&e->lock);
+	while (e->report_count > 0) {
+		owner = e->reports[0].owner;
+		arg.part = e->reports[0].part;
+		arg.reports.reports_len =
+		    (u_int)reports_take(e, arg.part, &owner, reports);
+		pthread_mutex_unlock(&e->lock);
+		memset(&res, 0, sizeof(res));
+		if (nodeid_equal(&owner, &l->cfg.self))
+			limits_serve_report(l, &arg, &res);
+		else
+			l->cfg.call(l->cfg.call_ctx, &owner,
+			    &limits_procs[LIMITS_PROC_REPORT], &arg, &res,
+			    REPORT_TIMEOUT_MS);
+		pthread_mutex_lock(&e->lock);
+	}
+	pthread_mutex_unlock(&e->lock);
+}
+
+/*
+ * Measures one workspace's demand, gives back what won't be spent, and
+ * borrows ahead for a dense flow.
+ */
+static void
+maintain_entry(struct limits *l, struct limits_entry *e)
+{
+	uint64_t now = l->cfg.clock_us();
+	struct limits_ws ws;
+	uint32_t want, retry;
+	int send, ask = 0;
+
+	pthread_mutex_lock(&e->lock);
+	demand_measure(e, now);
+	send = loans_return(e, now);
+	if (e->report_count > 0 &&
+	    (loans_tight(e) || now - e->report_us >= REPORT_US))
+		send = 1;
+	ws = e->ws;
+	want = prefetch(e);
+	if (!e->asking && e->demand >= DENSE_RATE &&
+	    loans_held(e, now) < e->demand * REFILL_MS / 1000.0 &&
+	    blocked(e, &ws, now, &retry) == LIMITS_ADMIT)
+		ask = e->asking = 1;
+	pthread_mutex_unlock(&e->lock);
+	if (send)
+		flush(l, e);
+	if (!ask)
+		return;
+	ask_shards(l, e, &ws, 0, want);
+	pthread_mutex_lock(&e->lock);
+	e->asking = 0;
+	pthread_cond_broadcast(&e->got);
+	pthread_mutex_unlock(&e->lock);
+}
+
+/*
+ * Must be called every LIMITS_TICK_MS, by one control thread.
+ */
+void
+limits_maintain(struct limits *l)
+{
+	struct limits_entry *e;
+	size_t i;
+
+	for (i = 0; i < LIMITS_TABLE; i++)
+		for (e = atomic_load(&l->entries[i]); e != NULL; e = e->next)
+			maintain_entry(l, e);
+}
--- /dev/null
+++ b/src/limits/limits_owner.c
@@ -0,0 +1,264 @@
+#include <err.h>
+#include <inttypes.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "limits/limits_int.h"
+
+#define WINDOW_US 100000 /* over which refused asks are counted */
+#define DRY_MIN_US 1000	 /* before an asker comes back */
+#define DRY_MAX_US 400000
+#define DRY_PER_ASK_US 500 /* keeps all askers of an overdriven limit apart */
+#define US_PER_MS 1000
+
+/* The bucket of one shard. */
+struct limits_slot {
+	struct limits_slot *next;
+	uint64_t hash;
+	uint32_t part;
+	uint64_t tenure; /* of the lease that the bucket belongs to */
+	uint64_t window_us;
+	uint32_t refused;      /* in the window so far */
+	uint32_t refused_last; /* in the window before */
+	struct limits_bucket bucket;
+	pthread_mutex_t lock; /* guards all but next, hash and part */
+};
+
+static struct limits_slot *slot_find(struct limits_slot *, uint64_t, uint32_t);
+static struct limits_slot *slot_get(struct limits *, uint64_t, uint32_t);
+static int slot_enter(struct limits_slot *, const struct lease_view *,
+    const struct limits_ws *, uint64_t);
+static uint32_t dry_us(struct limits_slot *, uint64_t);
+static struct limits_slot *open_slot(struct limits *, uint64_t, uint32_t,
+    struct lease_view *, uint64_t, limits_status *);
+
+/*
+ * Frees all buckets.
+ */
+void
+limits_owner_finish(struct limits *l)
+{
+	struct limits_slot *s, *next;
+	size_t i;
+
+	for (i = 0; i < LIMITS_TABLE; i++)
+		for (s = l->slots[i]; s != NULL; s = next) {
+			next = s->next;
+			bucket_finish(&s->bucket);
+			pthread_mutex_destroy(&s->lock);
+			free(s);
+		}
+}
+
+/*
+ * Finds a slot in a chain, or NULL.
+ */
+static struct limits_slot *
+slot_find(struct limits_slot *s, uint64_t hash, uint32_t part)
+{
+	while (s != NULL && (s->hash != hash || s->part != part))
+		s = s->next;
+	return s;
+}
+
+/*
+ * Returns the slot of a workspace in a partition, a new one if need be.
+ * Slots are never removed, so that a found one needs no lock to reach.
+ */
+static struct limits_slot *
+slot_get(struct limits *l, uint64_t hash, uint32_t part)
+{
+	size_t i = (hash / LEASE_PARTS + part) % LIMITS_TABLE;
+	struct limits_slot *s;
+
+	s = slot_find(atomic_load(&l->slots[i]), hash, part);
+	if (s != NULL)
+		return s;
+	pthread_mutex_lock(&l->lock);
+	s = slot_find(atomic_load(&l->slots[i]), hash, part);
+	if (s == NULL) {
+		s = calloc(1, sizeof(*s));
+		if (s == NULL)
+			err(1, "slot_get");
+		s->hash = hash;
+		s->part = part;
+		pthread_mutex_init(&s->lock, NULL);
+		s->next = atomic_load(&l->slots[i]);
+		atomic_store(&l->slots[i], s);
+	}
+	pthread_mutex_unlock(&l->lock);
+	return s;
+}
+
+/*
+ * Brings a locked slot to the lease and the limit in force.  A bucket
+ * starts empty with the lease, or full if the lease is the first ever.
+ * Returns 0, or -1 if the slot already belongs to a newer lease.
+ */
+static int
+slot_enter(struct limits_slot *s, const struct lease_view *v,
+    const struct limits_ws *ws, uint64_t now_us)
+{
+	struct limits_share share;
+	uint64_t since;
+	int shard = limits_shard_of(ws, s->part), full;
+
+	if (shard == -1 || v->tenure < s->tenure)
+		return -1;
+	limits_share(ws, (uint32_t)shard, &share);
+	if (v->tenure == s->tenure) {
+		bucket_resize(&s->bucket, &share, now_us);
+		return 0;
+	}
+	full = v->first && ws->changed_ms == 0;
+	since = v->effective_ms;
+	if (ws->changed_ms > since)
+		since = ws->changed_ms;
+	bucket_finish(&s->bucket);
+	bucket_init(&s->bucket, &share, full, since * US_PER_MS);
+	s->tenure = v->tenure;
+	return 0;
+}
+
+/*
+ * Counts an ask that left the bucket empty, and tells after how long (us)
+ * its asker should come back: when a token is due, but no sooner than all
+ * such askers can be served.
+ */
+static uint32_t
+dry_us(struct limits_slot *s, uint64_t now_us)
+{
+	uint64_t wait = bucket_wait_us(&s->bucket, 1), apart;
+
+	if (now_us - s->window_us >= WINDOW_US) {
+		s->refused_last =
+		    now_us - s->window_us < 2 * WINDOW_US ? s->refused : 0;
+		s->refused = 0;
+		s->window_us = now_us;
+	}
+	s->refused++;
+	apart = (uint64_t)s->refused_last * DRY_PER_ASK_US;
+	if (wait < apart)
+		wait = apart;
+	if (wait < DRY_MIN_US)
+		wait = DRY_MIN_US;
+	return (uint32_t)(wait < DRY_MAX_US ? wait : DRY_MAX_US);
+}
+
+/*
+ * Returns the locked slot that this node decides for at a time, or NULL
+ * with the reason in *st.
+ */
+static struct limits_slot *
+open_slot(struct limits *l, uint64_t hash, uint32_t part, struct lease_view *v,
+    uint64_t now_us, limits_status *st)
+{
+	struct limits_ws ws;
+	struct limits_slot *s;
+
+	*st = LIMITS_NOT_OWNER;
+	if (part >= LEASE_PARTS)
+		return NULL;
+	l->cfg.lookup(l->cfg.lookup_ctx, part, now_us / US_PER_MS, v);
+	if (v->until_ms <= now_us / US_PER_MS + 1)
+		return NULL;
+	if (l->cfg.find(l->cfg.find_ctx, hash, &ws) == -1 ||
+	    limits_shard_of(&ws, part) == -1) {
+		*st = LIMITS_NO_WORKSPACE;
+		return NULL;
+	}
+	s = slot_get(l, hash, part);
+	pthread_mutex_lock(&s->lock);
+	if (slot_enter(s, v, &ws, now_us) == 0)
+		return s;
+	pthread_mutex_unlock(&s->lock);
+	return NULL;
+}
+
+/*
+ * Lends tokens, if this node is the owner.  No loan outlasts the lease: its
+ * life counts from before the entry asked, hence from before now.
+ */
+void
+limits_serve_ask(
+    struct limits *l, const limits_ask_arg *arg, limits_ask_res *res)
+{
+	uint64_t now = l->cfg.clock_us(), life, end;
+	struct lease_view v;
+	struct limits_slot *s;
+	u_int i;
+
+	memset(res, 0, sizeof(*res));
+	s = open_slot(l, arg->workspace, arg->part, &v, now, &res->status);
+	if (s == NULL)
+		return;
+	life = v.until_ms - now / US_PER_MS - 1;
+	if (life > arg->life_ms)
+		life = arg->life_ms;
+	if (life > LIMITS_LOAN_MS)
+		life = LIMITS_LOAN_MS;
+	end = now + (life + LIMITS_MARGIN_MS) * US_PER_MS;
+	for (i = 0; i < arg->reports.reports_len; i++)
+		bucket_report(&s->bucket, arg->reports.reports_val[i].loan,
+		    arg->reports.reports_val[i].unspent, now);
+	res->tokens =
+	    bucket_lend(&s->bucket, arg->loan, arg->need, arg->want, now, end);
+	res->status = LIMITS_GRANTED;
+	res->life_ms = (u_int)life;
+	if (arg->need > res->tokens || bucket_wait_us(&s->bucket, 1) > 0)
+		res->dry_us = dry_us(s, now);
+	if (arg->need > 0 && res->tokens == 0)
+		res->status = LIMITS_DRY;
+	pthread_mutex_unlock(&s->lock);
+	counter_add(CTR_LOANS_GRANTED, res->tokens);
+}
+
+/*
+ * Takes back what entries did not spend.
+ */
+void
+limits_serve_report(
+    struct limits *l, const limits_report_arg *arg, limits_report_res *res)
+{
+	uint64_t now = l->cfg.clock_us();
+	struct lease_view v;
+	struct limits_slot *s;
+	limits_status st;
+	u_int i;
+
+	res->taken = 0;
+	s = open_slot(l, arg->workspace, arg->part, &v, now, &st);
+	if (s == NULL)
+		return;
+	for (i = 0; i < arg->reports.reports_len; i++)
+		if (bucket_report(&s->bucket, arg->reports.reports_val[i].loan,
+			arg->reports.reports_val[i].unspent, now) == 0)
+			res->taken++;
+	pthread_mutex_unlock(&s->lock);
+}
+
+/*
+ * Prints every bucket that this node has decided for.
+ */
+void
+limits_owner_dump(struct limits *l, FILE *out)
+{
+	struct limits_slot *s;
+	size_t i;
+
+	for (i = 0; i < LIMITS_TABLE; i++)
+		for (s = atomic_load(&l->slots[i]); s != NULL; s = s->next) {
+			pthread_mutex_lock(&s->lock);
+			fprintf(out,
+			    "bucket workspace=%016" PRIx64 " part=%u "
+			    "tenure=%" PRIu64 " level=%.3f outstanding=%" PRIu64
+			    " burst=%u rate=%.3f\n",
+			    s->hash, s->part, s->tenure,
+			    (double)s->bucket.level_nt / 1e9,
+			    s->bucket.outstanding, s->bucket.share.burst,
+			    (double)s->bucket.share.rate_mt / 1e3);
+			pthread_mutex_unlock(&s->lock);
+		}
+}
--- /dev/null
+++ b/src/limits/test_limits.c
@@ -0,0 +1,548 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "limits/limits.h"
+#include "limits/limits_bucket.h"
+#include "limits/limits_int.h"
+
+#define NODES 3
+#define SPENT_MAX 65536
+#define MS 1000
+#define SECOND 1000000
+
+/* Nodes within this process; each owns the partitions of one group. */
+static struct limits nodes[NODES];
+static struct limits_ws workspace;
+static atomic_uint_fast64_t now_us;
+static uint64_t held_until_ms; /* of all leases */
+static uint64_t tenure;
+static int first_lease;
+static int down[NODES];
+static int lose_answers;
+static atomic_int calls;
+
+static uint64_t fake_clock(void);
+static struct node_id node(size_t);
+static int find_ws(void *, uint64_t, struct limits_ws *);
+static void lookup(void *, uint32_t, uint64_t, struct lease_view *);
+static enum rpc_status call(void *, const struct node_id *,
+    const struct rpc_proc *, const void *, void *, uint32_t);
+static int setup(void **);
+static int teardown(void **);
+static void check_windows(const uint64_t *, size_t, const struct limits_ws *);
+
+/*
+ * Returns the time of the tests (us).
+ */
+static uint64_t
+fake_clock(void)
+{
+	return atomic_load(&now_us);
+}
+
+/*
+ * Returns the name of node i.
+ */
+static struct node_id
+node(size_t i)
+{
+	struct node_id id = { 0x7f000001, (uint16_t)(7000 + i), 1 };
+
+	return id;
+}
+
+/*
+ * All nodes have the same configuration, of one workspace.
+ */
+static int
+find_ws(void *ctx, uint64_t hash, struct limits_ws *ws)
+{
+	(void)ctx;
+	*ws = workspace;
+	return hash == workspace.hash ? 0 : -1;
+}
+
+/*
+ * Gives each node the partitions of a group; the context is the node.
+ */
+static void
+lookup(void *ctx, uint32_t part, uint64_t now_ms, struct lease_view *v)
+{
+	size_t group = part / LEASE_GROUP_PARTS;
+
+	memset(v, 0, sizeof(*v));
+	v->owner = node(group);
+	v->term = v->tenure = tenure;
+	v->first = first_lease;
+	if (ctx == &nodes[group] && now_ms < held_until_ms)
+		v->until_ms = held_until_ms;
+}
+
+/*
+ * Calls another node directly, unless it is down.
+ */
+static enum rpc_status
+call(void *ctx, const struct node_id *to, const struct rpc_proc *p,
+    const void *arg, void *res, uint32_t timeout_ms)
+{
+	size_t i = to->rpc_port - 7000U;
+
+	(void)ctx;
+	atomic_fetch_add(&calls, 1);
+	if (down[i]) {
+		atomic_fetch_add(&now_us, timeout_ms * MS);
+		return RPC_TIMEOUT;
+	}
+	p->handle(&nodes[i], NULL, arg, res);
+	return lose_answers-- > 0 ? RPC_TIMEOUT : RPC_DONE;
+}
+
+/*
+ * Starts three nodes; a workspace of 30 requests a second, burst 30.
+ */
+static int
+setup(void **state)
+{
+	struct limits_config cfg = { .lookup = lookup,
+		.call = call,
+		.find = find_ws,
+		.clock_us = fake_clock };
+	size_t i;
+
+	(void)state;
+	workspace = (struct limits_ws){ 16, 30, 30, 0 };
+	now_us = 1000 * SECOND;
+	held_until_ms = UINT64_MAX;
+	tenure = 1;
+	first_lease = 1;
+	lose_answers = 0;
+	calls = 0;
+	memset(down, 0, sizeof(down));
+	for (i = 0; i < NODES; i++) {
+		cfg.self = node(i);
+		cfg.group = (uint32_t)i;
+		cfg.lookup_ctx = &nodes[i];
+		limits_init(&nodes[i], &cfg);
+	}
+	return 0;
+}
+
+/*
+ * Ends the nodes.
+ */
+static int
+teardown(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < NODES; i++)
+		limits_finish(&nodes[i]);
+	return 0;
+}
+
+/*
+ * Checks every window that begins and ends with an admitted request.
+ */
+static void
+check_windows(const uint64_t *at, size_t n, const struct limits_ws *ws)
+{
+	double least = -1e18, v;
+	size_t i;
+
+	/* n requests in [i, j] <= rate x (t_j - t_i) + burst, for all i. */
+	for (i = 0; i < n; i++) {
+		v = ws->rate * (double)at[i] / SECOND - (double)i;
+		if (v > least)
+			least = v;
+		v = (double)i + 1 - ws->rate * (double)at[i] / SECOND + least;
+		if (v > ws->burst + 0.001)
+			fail_msg("request %zu: %.3f over a burst of %u", i, v,
+			    ws->burst);
+	}
+}
+
+/*
+ * Shards' parts sum to the whole, and lie in different groups.
+ */
+static void
+test_shares(void **state)
+{
+	static const struct {
+		double rate;
+		uint32_t burst, shards;
+	} cases[] = { { 50, 100, 3 }, { 0.5, 2, 1 }, { 10, 11, 1 },
+		{ 10, 12, 3 }, { 0.001, 13, 3 }, { 1e6, 14, 3 }, { 0, 1, 1 },
+		{ -1, 0, 1 } };
+	struct limits_ws ws = { 12345, 0, 0, 0 };
+	struct limits_share s;
+	uint64_t rate, burst;
+	size_t i;
+	uint32_t k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		ws.rate = cases[i].rate;
+		ws.burst = cases[i].burst;
+		assert_int_equal(limits_shards(ws.burst), cases[i].shards);
+		rate = burst = 0;
+		for (k = 0; k < cases[i].shards; k++) {
+			limits_share(&ws, k, &s);
+			rate += s.rate_mt;
+			burst += s.burst;
+			assert_int_equal(
+			    limits_shard_of(&ws, limits_part(&ws, k)), k);
+			if (cases[i].shards > 1)
+				assert_int_equal(
+				    limits_part(&ws, k) / LEASE_GROUP_PARTS, k);
+		}
+		assert_int_equal(burst, ws.burst);
+		assert_int_equal(
+		    rate, ws.rate > 0 ? (uint64_t)(ws.rate * 1000) : 0);
+	}
+}
+
+/*
+ * Loans: what is out takes room in the bucket until reported or lapsed.
+ */
+static void
+test_bucket_loans(void **state)
+{
+	struct limits_share share = { 10000, 10 };
+	struct limits_bucket b;
+
+	(void)state;
+	bucket_init(&b, &share, 1, 0);
+	assert_int_equal(bucket_lend(&b, 1, 8, 8, 0, 500 * MS), 8);
+	assert_int_equal(bucket_lend(&b, 1, 8, 8, 0, 500 * MS), 8);
+	assert_int_equal(b.outstanding, 8);
+	bucket_refill(&b, 400 * MS);
+	assert_int_equal(b.level_nt / 1000000000, 2);
+	assert_int_equal(bucket_report(&b, 1, 3, 400 * MS), 0);
+	assert_int_equal(bucket_report(&b, 1, 3, 400 * MS), -1);
+	assert_int_equal(b.level_nt / 1000000000, 5);
+	assert_int_equal(bucket_lend(&b, 2, 9, 9, 400 * MS, 900 * MS), 5);
+	assert_int_equal(bucket_lend(&b, 3, 9, 9, 400 * MS, 900 * MS), 0);
+	assert_int_equal(bucket_wait_us(&b, 1), 100001);
+	/* Lapsed at 0.9 s: 5 tokens by then, and it fills from there on. */
+	bucket_refill(&b, 1100 * MS);
+	assert_int_equal(b.level_nt / 1000000, 7000);
+	assert_int_equal(bucket_report(&b, 2, 5, 1100 * MS), -1);
+	/* A prefetch gets a part of what is left only. */
+	assert_int_equal(bucket_lend(&b, 4, 1, 50, 1100 * MS, 1600 * MS), 2);
+	share.burst = 3;
+	bucket_resize(&b, &share, 1100 * MS);
+	assert_int_equal(b.level_nt / 1000000000, 1);
+	bucket_finish(&b);
+}
+
+/*
+ * Whatever is lent, spent, returned and left to lapse, no window has more
+ * than rate x window + burst.
+ */
+static void
+test_bucket_windows(void **state)
+{
+	struct limits_ws ws = { 1, 37.5, 11, 0 };
+	static uint64_t spent[SPENT_MAX];
+	struct limits_share share;
+	struct limits_bucket b;
+	uint64_t t = 0, end;
+	uint32_t got, use;
+	size_t n = 0, i;
+
+	(void)state;
+	srandom(11);
+	limits_share(&ws, 0, &share);
+	bucket_init(&b, &share, 1, 0);
+	for (i = 1; i < 5000; i++) {
+		t += (uint64_t)random() % 60000;
+		end = t + (uint64_t)random() % 100000;
+		got = bucket_lend(&b, i, (uint32_t)random() % 6,
+		    (uint32_t)random() % 12, t, end);
+		use = got > 0 ? (uint32_t)random() % (got + 1) : 0;
+		assert_true(b.outstanding <= ws.burst);
+		/* Some is spent as late as the loan allows, or at once. */
+		if (random() % 2 == 0) {
+			t = end > t ? end - 1 : t;
+			bucket_refill(&b, t);
+			if (random() % 2 == 0)
+				bucket_report(&b, i, got - use, t);
+		} else if (random() % 2 == 0)
+			bucket_report(&b, i, got - use, t);
+		while (use-- > 0)
+			spent[n++] = t;
+	}
+	assert_true(n > 1000);
+	check_windows(spent, n, &ws);
+	bucket_finish(&b);
+}
+
+/*
+ * Through three nodes at five times its rate, a workspace gets its limit:
+ * no more in any window, and not much less in all.
+ */
+static void
+test_fleet_overdriven(void **state)
+{
+	static uint64_t spent[SPENT_MAX];
+	uint32_t retry;
+	size_t n = 0, i;
+
+	(void)state;
+	for (i = 0; i < 3000; i++) {
+		now_us += SECOND / 150;
+		if (limits_admit(&nodes[i % NODES], &workspace, 1, &retry) ==
+		    LIMITS_ADMIT)
+			spent[n++] = now_us;
+		if (i % 3 == 0)
+			limits_maintain(&nodes[i % NODES]);
+	}
+	check_windows(spent, n, &workspace);
+	/* 20 s at 30 a second, and the burst. */
+	assert_in_range(n, (20 * 30 + 30) * 95 / 100, 20 * 30 + 30);
+}
+
+/*
+ * Within its rate, a workspace is not refused, also when it is small and
+ * comes through all nodes in turn.
+ */
+static void
+test_fleet_within_rate(void **state)
+{
+	static const struct {
+		double rate;
+		uint32_t burst;
+	} cases[] = { { 30, 30 }, { 50, 2 }, { 2, 2 }, { 300, 100 } };
+	uint32_t retry;
+	size_t i, k, refused;
+
+	(void)state;
+	for (k = 0; k < sizeof(cases) / sizeof(cases[0]); k++) {
+		workspace.hash += 48;
+		workspace.rate = cases[k].rate;
+		workspace.burst = cases[k].burst;
+		refused = 0;
+		for (i = 0; i < 1000; i++) {
+			now_us += (uint64_t)(SECOND / (workspace.rate * 0.9));
+			if (limits_admit(&nodes[i % NODES], &workspace, 1,
+				&retry) != LIMITS_ADMIT)
+				refused++;
+			limits_maintain(&nodes[(i + 1) % NODES]);
+			limits_maintain(&nodes[i % NODES]);
+		}
+		if (refused > 0)
+			fail_msg("rate %.1f burst %u: %zu refused",
+			    workspace.rate, workspace.burst, refused);
+	}
+}
+
+/*
+ * A dense flow costs far fewer calls than requests.
+ */
+static void
+test_prefetch(void **state)
+{
+	uint32_t retry;
+	size_t i;
+
+	(void)state;
+	workspace.rate = 1000;
+	workspace.burst = 1000;
+	for (i = 0; i < 5000; i++) {
+		now_us += 2 * MS;
+		assert_int_equal(limits_admit(&nodes[0], &workspace, 1, &retry),
+		    LIMITS_ADMIT);
+		if (i % 10 == 0)
+			limits_maintain(&nodes[0]);
+	}
+	assert_true(calls < 500);
+}
+
+/*
+ * With owners gone, the shards left still admit; with all gone, the refusal
+ * says so within its bound.
+ */
+static void
+test_owners_down(void **state)
+{
+	uint32_t retry;
+	uint64_t began;
+	size_t i, n = 0;
+
+	(void)state;
+	down[1] = down[2] = 1;
+	for (i = 0; i < 40; i++)
+		if (limits_admit(&nodes[0], &workspace, 1, &retry) ==
+		    LIMITS_ADMIT)
+			n++;
+	assert_in_range(n, 10, 13);
+	workspace.burst = 2;
+	workspace.rate = 2;
+	workspace.hash = 16 * 3 + 1; /* its one shard is with node 1 */
+	began = now_us;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_UNAVAILABLE);
+	assert_in_range(now_us - began, 0, 110 * MS);
+	began = now_us;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_UNAVAILABLE);
+	assert_int_equal(now_us, began);
+	now_us += SECOND;
+	down[1] = 0;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_ADMIT);
+	/* A lost answer is asked for again, and lends once. */
+	lose_answers = 1;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_ADMIT);
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_OVER_RATE);
+	assert_in_range(retry, 1, 501);
+}
+
+/*
+ * No loan outlasts the owner's lease, and none is spent past its life.
+ */
+static void
+test_lease_ends(void **state)
+{
+	limits_ask_arg arg = { .workspace = 16,
+		.part = 0,
+		.loan = 5,
+		.need = 1,
+		.want = 1,
+		.life_ms = 400 };
+	limits_ask_res res;
+	uint32_t retry;
+
+	(void)state;
+	held_until_ms = now_us / MS + 300;
+	limits_serve_ask(&nodes[0], &arg, &res);
+	assert_int_equal(res.status, LIMITS_GRANTED);
+	assert_int_equal(res.life_ms, 299);
+	now_us += 300 * MS;
+	limits_serve_ask(&nodes[0], &arg, &res);
+	assert_int_equal(res.status, LIMITS_NOT_OWNER);
+	arg.part = LEASE_PARTS;
+	limits_serve_ask(&nodes[0], &arg, &res);
+	assert_int_equal(res.status, LIMITS_NOT_OWNER);
+	arg.part = 0;
+	arg.workspace = 17;
+	held_until_ms = UINT64_MAX;
+	limits_serve_ask(&nodes[0], &arg, &res);
+	assert_int_equal(res.status, LIMITS_NO_WORKSPACE);
+
+	/* What was borrowed for a dense flow lapses unspent. */
+	workspace.rate = workspace.burst = 3000;
+	limits_admit(&nodes[0], &workspace, 1, &retry);
+	now_us += 2 * (uint64_t)SECOND;
+	for (arg.loan = 0; arg.loan < 300; arg.loan++) {
+		now_us += MS;
+		limits_admit(&nodes[0], &workspace, 1, &retry);
+		if (arg.loan % 20 == 0)
+			limits_maintain(&nodes[0]);
+	}
+	held_until_ms = 0;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_ADMIT);
+	now_us += LIMITS_LOAN_MS * MS;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_UNAVAILABLE);
+}
+
+/*
+ * A new owner starts empty, whether or not its buckets were used before.
+ */
+static void
+test_new_tenure_is_empty(void **state)
+{
+	uint32_t retry;
+	size_t i, n = 0;
+
+	(void)state;
+	for (i = 0; i < 30; i++)
+		assert_int_equal(limits_admit(&nodes[0], &workspace, 1, &retry),
+		    LIMITS_ADMIT);
+	now_us += 10 * (uint64_t)SECOND;
+	tenure = 2;
+	first_lease = 0;
+	for (i = 0; i < NODES; i++) { /* effective_ms is 0: long ago */
+		workspace.changed_ms = now_us / MS;
+	}
+	for (i = 0; i < 30; i++)
+		if (limits_admit(&nodes[0], &workspace, 1, &retry) ==
+		    LIMITS_ADMIT)
+			n++;
+	assert_int_equal(n, 0);
+	now_us += SECOND / 5;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_ADMIT);
+}
+
+/*
+ * Runs many requests of one thread; the context counts those admitted.
+ */
+static void *
+run_requests(void *ctx)
+{
+	atomic_int *admitted = ctx;
+	uint32_t retry;
+	int i;
+
+	for (i = 0; i < 200; i++)
+		if (limits_admit(&nodes[0], &workspace, 1, &retry) ==
+		    LIMITS_ADMIT)
+			atomic_fetch_add(admitted, 1);
+	return NULL;
+}
+
+/*
+ * Threads that ask at once are all served, and no token is spent twice.
+ */
+static void
+test_threads(void **state)
+{
+	pthread_t th[8];
+	atomic_int admitted = 0;
+	size_t i;
+
+	(void)state;
+	workspace.burst = 1000;
+	workspace.rate = 0;
+	for (i = 0; i < 8; i++)
+		pthread_create(&th[i], NULL, run_requests, &admitted);
+	for (i = 0; i < 8; i++)
+		pthread_join(th[i], NULL);
+	assert_int_equal(admitted, 1000);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_shares),
+		cmocka_unit_test(test_bucket_loans),
+		cmocka_unit_test(test_bucket_windows),
+		cmocka_unit_test_setup_teardown(
+		    test_fleet_overdriven, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_fleet_within_rate, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_prefetch, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_owners_down, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_lease_ends, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_new_tenure_is_empty, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_threads, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
