Admission: limit by trials, ordered queue, level told to entries

An exit needs a limit below the announced slots where the server has taken too much at once, and must keep all slots where the server is slow for a reason of its own.

Seen failing first: an estimate of the service time that had risen over all deadlines refused nearly everything for good; it fades now, and a server that stops stalling is climbed again as from cold.

--- /dev/null
+++ b/src/admission/limiter.c
@@ -0,0 +1,329 @@
+#include <math.h>
+#include <string.h>
+
+#include "admission/admission_core.h"
+
+/*
+ * The concurrency limit.  It moves by trials: the latency of a window at the
+ * old limit is compared with one at the new limit.  A step up is kept only
+ * if it bought throughput, a step down only if it bought latency.  So a
+ * server that is slow for a reason of its own keeps its slots, while one
+ * that has taken too much at once is relieved.
+ */
+
+#define COLD_SHARE 4   /* a cold server starts with 1/4 of its slots */
+#define FLOOR_SHARE 16 /* the limit stays above 1/16 of the slots */
+#define STEP_RAMP 1.5  /* until the first try has failed */
+#define STEP_UP 1.4
+#define STEP_DOWN 0.6
+#define SHED_CUT 0.9
+#define TIMEOUT_CUT 0.75
+#define TIMEOUT_SHARE 8	    /* one in 8 timed out: cut */
+#define STALL_SHARE 2	    /* half timed out: the server stalls */
+#define RAMP_ELASTICITY 1.0 /* growth of latency over that of the limit */
+#define UP_ELASTICITY 0.8
+#define DOWN_ELASTICITY 0.5
+#define RAISED_LATENCY 1.4 /* over the base: worth a step down */
+#define BASE_FALL 0.3	   /* weight of a window below or above the base */
+#define BASE_RISE 0.1
+#define WINDOW_MIN_US 50000
+#define WINDOW_MAX_US 1000000
+#define WINDOW_RAMP 64 /* served requests */
+#define WINDOW_SERVED 128
+#define WINDOW_LEAST 16
+#define WINDOW_LIMITS 8	   /* as many times the limit */
+#define SETTLE_LATENCIES 2 /* until a changed limit shows */
+#define HOLD_FIRST 4	   /* windows */
+#define HOLD_LAST 16
+#define MEAN_WEIGHT 0.05
+#define MEAN_HALF_US 1000000 /* without news, the mean halves in this time */
+
+static void window_begin(struct limiter *, uint64_t);
+static void change(struct limiter *, double, enum limiter_phase, uint64_t);
+static int settled(const struct limiter *, uint64_t);
+static int ended(const struct limiter *, uint64_t);
+static double window_latency(const struct limiter *, double *);
+static void judge_steady(struct limiter *, uint64_t);
+static void judge_up(struct limiter *, uint64_t);
+static void judge_down(struct limiter *, uint64_t);
+static void fail_try(struct limiter *);
+static double floor_of(const struct limiter *);
+
+static void (*const judges[LIMITER_PHASE_MAX])(struct limiter *, uint64_t) = {
+	[LIMITER_STEADY] = judge_steady,
+	[LIMITER_TRY_UP] = judge_up,
+	[LIMITER_TRY_DOWN] = judge_down,
+};
+
+/*
+ * Starts over for a server that has just appeared with this many slots.
+ */
+void
+limiter_init(struct limiter *l, uint32_t slots, uint64_t now_us)
+{
+	int fixed = l->fixed;
+
+	memset(l, 0, sizeof(*l));
+	l->fixed = fixed;
+	l->slots = slots;
+	l->limit = fmax(1, (double)slots / COLD_SHARE);
+	l->ramping = 1;
+	l->hold_max = HOLD_FIRST;
+	window_begin(l, now_us);
+}
+
+/*
+ * Takes a changed number of slots from a server that is running.
+ */
+void
+limiter_set_slots(struct limiter *l, uint32_t slots)
+{
+	l->slots = slots;
+	if (l->limit > slots)
+		l->limit = slots;
+	if (l->limit < floor_of(l))
+		l->limit = floor_of(l);
+}
+
+/*
+ * Returns how many requests may be in flight at once; 0 without a server.
+ */
+uint32_t
+limiter_value(const struct limiter *l)
+{
+	if (l->fixed || l->slots == 0)
+		return l->slots;
+	return (uint32_t)l->limit;
+}
+
+/*
+ * Returns the time (us) below which a request can't be expected to end: the
+ * mean less the deviation of service times.  It fades when nothing is
+ * served, so that an old slowness can't refuse for ever.
+ */
+uint64_t
+limiter_need_us(const struct limiter *l, uint64_t now_us)
+{
+	double need = fmax(l->mean_us - l->dev_us, l->mean_us / 4);
+	uint64_t age = now_us > l->seen_us ? now_us - l->seen_us : 0;
+
+	if (age > MEAN_HALF_US)
+		need *= exp2(-(double)age / MEAN_HALF_US);
+	return (uint64_t)need;
+}
+
+/*
+ * Notes that a request found no free place: the limit binds.
+ */
+void
+limiter_saturated(struct limiter *l)
+{
+	l->win.saturated = 1;
+}
+
+/*
+ * Takes the end of one request: how, after how long, how many were in flight
+ * then, and the time.
+ */
+void
+limiter_done(struct limiter *l, enum admission_outcome how, uint64_t took_us,
+    uint32_t inflight, uint64_t now_us)
+{
+	double d;
+
+	if (how == ADMISSION_SHED && settled(l, now_us)) {
+		fail_try(l);
+		change(l, fmin(l->limit, inflight) * SHED_CUT, LIMITER_STEADY,
+		    now_us);
+		return;
+	}
+	if (how != ADMISSION_SERVED && how != ADMISSION_TIMEOUT)
+		return;
+	d = (double)took_us;
+	if (l->mean_us == 0)
+		l->mean_us = d;
+	l->dev_us += MEAN_WEIGHT * (fabs(d - l->mean_us) - l->dev_us);
+	l->mean_us += MEAN_WEIGHT * (d - l->mean_us);
+	l->seen_us = now_us;
+	if (!settled(l, now_us))
+		return;
+	l->win.sum_us += d;
+	l->win.sum_sq += d * d;
+	l->win.served++;
+	l->win.timeouts += how == ADMISSION_TIMEOUT;
+	if (ended(l, now_us))
+		judges[l->phase](l, now_us);
+}
+
+/*
+ * Begins to count anew.
+ */
+static void
+window_begin(struct limiter *l, uint64_t now_us)
+{
+	memset(&l->win, 0, sizeof(l->win));
+	l->win.start_us = now_us;
+}
+
+/*
+ * Sets the limit, within its bounds, and opens a window that begins once the
+ * requests admitted under the old one are through.
+ */
+static void
+change(
+    struct limiter *l, double limit, enum limiter_phase phase, uint64_t now_us)
+{
+	l->limit = fmin(fmax(limit, floor_of(l)), l->slots);
+	l->phase = phase;
+	window_begin(l, now_us + (uint64_t)fmin(SETTLE_LATENCIES * l->mean_us,
+				     WINDOW_MAX_US));
+}
+
+/*
+ * Tells whether the window has begun.
+ */
+static int
+settled(const struct limiter *l, uint64_t now_us)
+{
+	return now_us >= l->win.start_us;
+}
+
+/*
+ * Tells whether the window has seen enough to be judged.
+ */
+static int
+ended(const struct limiter *l, uint64_t now_us)
+{
+	double enough = fmax(WINDOW_LEAST, WINDOW_LIMITS * l->limit);
+
+	enough = fmin(enough, l->ramping ? WINDOW_RAMP : WINDOW_SERVED);
+	if (now_us < l->win.start_us + WINDOW_MIN_US)
+		return 0;
+	if (l->win.served >= enough)
+		return 1;
+	return l->win.served >= WINDOW_LEAST &&
+	       now_us >= l->win.start_us + WINDOW_MAX_US;
+}
+
+/*
+ * Returns the mean latency of the window and sets *var to the squared
+ * standard error of its logarithm.
+ */
+static double
+window_latency(const struct limiter *l, double *var)
+{
+	double n = l->win.served, mean = l->win.sum_us / n;
+
+	if (mean < 1)
+		mean = 1;
+	*var = fmax(0, l->win.sum_sq / n - mean * mean) / (mean * mean) / n;
+	return mean;
+}
+
+/*
+ * Ends a window without a trial: cuts after timeouts, tries a step down if
+ * the latency has risen, or a step up if the limit binds.
+ */
+static void
+judge_steady(struct limiter *l, uint64_t now_us)
+{
+	int binds = l->win.saturated;
+	double lat = window_latency(l, &l->ref_var);
+
+	if (l->base_us == 0)
+		l->base_us = lat;
+	l->ref_us = lat;
+	l->ref_limit = l->limit;
+	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served) {
+		l->stalled = l->win.timeouts * STALL_SHARE > l->win.served;
+		if (binds)
+			fail_try(l);
+		change(l, l->limit * (binds ? TIMEOUT_CUT : 1), LIMITER_STEADY,
+		    now_us);
+		return;
+	}
+	if (l->stalled) {
+		/* What held the server up is gone: climb as from cold. */
+		l->stalled = 0;
+		l->ramping = 1;
+		l->hold = 0;
+		l->base_us = lat;
+	}
+	if (binds && lat > l->base_us * RAISED_LATENCY &&
+	    l->limit > floor_of(l)) {
+		change(l, l->limit * STEP_DOWN, LIMITER_TRY_DOWN, now_us);
+		return;
+	}
+	l->base_us +=
+	    (lat < l->base_us ? BASE_FALL : BASE_RISE) * (lat - l->base_us);
+	if (l->hold > 0)
+		l->hold--;
+	if (binds && l->hold == 0 && l->limit < l->slots) {
+		change(l, l->limit * (l->ramping ? STEP_RAMP : STEP_UP) + 1,
+		    LIMITER_TRY_UP, now_us);
+		return;
+	}
+	window_begin(l, now_us);
+}
+
+/*
+ * Ends a try upwards: undone if the latency took what the limit gave.
+ */
+static void
+judge_up(struct limiter *l, uint64_t now_us)
+{
+	double gain = log(l->limit / l->ref_limit), var;
+	double rise = log(window_latency(l, &var) / l->ref_us);
+
+	gain *= l->ramping ? RAMP_ELASTICITY : UP_ELASTICITY;
+	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served || rise > gain) {
+		fail_try(l);
+		change(l, l->ref_limit, LIMITER_STEADY, now_us);
+		return;
+	}
+	l->hold_max = HOLD_FIRST;
+	l->phase = LIMITER_STEADY;
+	judge_steady(l, now_us);
+}
+
+/*
+ * Ends a try downwards: kept only if the latency fell by more than chance
+ * explains.  If not, the server's present latency is the new base.
+ */
+static void
+judge_down(struct limiter *l, uint64_t now_us)
+{
+	double cut = log(l->limit / l->ref_limit), var;
+	double lat = window_latency(l, &var);
+
+	if (log(lat / l->ref_us) >
+	    DOWN_ELASTICITY * cut - sqrt(var + l->ref_var)) {
+		l->base_us = fmax(l->ref_us, lat);
+		change(l, l->ref_limit, LIMITER_STEADY, now_us);
+		return;
+	}
+	fail_try(l);
+	l->phase = LIMITER_STEADY;
+	judge_steady(l, now_us);
+}
+
+/*
+ * Notes that the limit was too high: the next try upwards waits longer.
+ */
+static void
+fail_try(struct limiter *l)
+{
+	l->ramping = 0;
+	l->hold = l->hold_max;
+	if (l->hold_max < HOLD_LAST)
+		l->hold_max *= 2;
+}
+
+/*
+ * Returns the lowest limit for this server.
+ */
+static double
+floor_of(const struct limiter *l)
+{
+	return fmax(1, (double)l->slots / FLOOR_SHARE);
+}
--- /dev/null
+++ b/src/admission/load.c
@@ -0,0 +1,61 @@
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "admission/admission.h"
+
+#define LEVEL_AGE_US 1000000 /* a level heard earlier is forgotten */
+#define PROBE_SHARE 32	     /* one in 32 is sent against the level */
+#define LOAD_FIELDS 5
+
+/*
+ * Writes the load as header text into ADMISSION_LOAD_TEXT bytes.
+ */
+void
+admission_load_format(const struct admission_load *load, char *buf)
+{
+	snprintf(buf, ADMISSION_LOAD_TEXT, "%u,%u,%u,%u,%u", load->level,
+	    load->inflight, load->limit, load->queued, load->service_us);
+}
+
+/*
+ * Reads the load from header text.  Returns 0, or -1 if it isn't whole.
+ */
+int
+admission_load_parse(struct admission_load *load, const char *text)
+{
+	uint32_t *const fields[LOAD_FIELDS] = { &load->level, &load->inflight,
+		&load->limit, &load->queued, &load->service_us };
+	uint64_t v;
+	int i;
+
+	for (i = 0; i < LOAD_FIELDS; i++) {
+		if (i > 0 && *text++ != ',')
+			return -1;
+		if (*text < '0' || *text > '9')
+			return -1;
+		for (v = 0; *text >= '0' && *text <= '9'; text++) {
+			v = v * 10 + (uint64_t)(*text - '0');
+			if (v > UINT32_MAX)
+				return -1;
+		}
+		*fields[i] = (uint32_t)v;
+	}
+	return *text == '\0' && load->level < ADMISSION_LEVELS ? 0 : -1;
+}
+
+/*
+ * Decides at an entry, before any work is done, whether a request of this
+ * rank is worth sending to an exit whose load was heard at heard_us (0 for
+ * never).  The last argument is a random number.
+ */
+enum admission_hint
+admission_precheck(const struct admission_load *load, uint64_t heard_us,
+    uint32_t rank, uint64_t now_us, uint64_t rnd)
+{
+	if (heard_us == 0 || now_us > heard_us + LEVEL_AGE_US ||
+	    rank <= load->level)
+		return ADMISSION_HINT_SEND;
+	if (rnd % PROBE_SHARE == 0)
+		return ADMISSION_HINT_PROBE;
+	return ADMISSION_HINT_SHED;
+}
--- /dev/null
+++ b/src/admission/test_admission.c
@@ -0,0 +1,343 @@
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "admission/admission.h"
+#include "base/clock.h"
+
+#define SLOTS 8
+#define LIMIT (SLOTS / 4)
+#define SECOND 1000000
+#define CALLERS 32
+#define CALLS 200
+#define POLL_US 1000
+
+struct caller {
+	pthread_t thread;
+	struct admission *a;
+	struct admission_req req;
+	struct admission_ticket ticket;
+	enum admission_verdict verdict;
+	int leaves;
+};
+
+static atomic_int running, most;
+
+/*
+ * Returns a request of a class that has some seconds left.
+ */
+static struct admission_req
+request(enum admission_class class, uint32_t depth, uint64_t hash)
+{
+	struct admission_req r = { class, depth, hash,
+		clock_us() + 10 * SECOND };
+
+	return r;
+}
+
+/*
+ * Enters once and keeps the place, or gives it back at once.
+ */
+static void *
+call(void *arg)
+{
+	struct caller *c = arg;
+
+	c->verdict = admission_enter(c->a, &c->req, &c->ticket);
+	if (c->verdict == ADMISSION_RUN && c->leaves)
+		admission_leave(&c->ticket, ADMISSION_SERVED, 1000);
+	return NULL;
+}
+
+/*
+ * Starts a caller and waits until it is counted as busy.
+ */
+static void
+call_start(struct caller *c, struct admission *a, enum admission_class class,
+    int leaves)
+{
+	uint32_t n = admission_busy(a);
+
+	memset(c, 0, sizeof(*c));
+	c->a = a;
+	c->leaves = leaves;
+	c->req = request(class, 0, 0);
+	pthread_create(&c->thread, NULL, call, c);
+	while (admission_busy(a) <= n)
+		usleep(POLL_US);
+}
+
+/*
+ * Enters and leaves many times, keeping count of how many run at once.
+ */
+static void *
+call_often(void *arg)
+{
+	struct admission_ticket t;
+	struct admission_req r;
+	int i, n;
+
+	for (i = 0; i < CALLS; i++) {
+		r = request((enum admission_class)(i % 4), 0, (uint64_t)i);
+		if (admission_enter(arg, &r, &t) != ADMISSION_RUN)
+			continue;
+		n = atomic_fetch_add(&running, 1) + 1;
+		if (n > atomic_load(&most))
+			atomic_store(&most, n);
+		atomic_fetch_sub(&running, 1);
+		admission_leave(&t, ADMISSION_SERVED, 100);
+	}
+	return NULL;
+}
+
+/*
+ * However many callers come, no more run at once than the server has slots.
+ */
+static void
+test_never_above_slots(void **state)
+{
+	pthread_t th[CALLERS];
+	struct admission a;
+	int i;
+
+	(void)state;
+	admission_init(&a);
+	admission_server_reset(&a, SLOTS);
+	for (i = 0; i < CALLERS; i++)
+		pthread_create(&th[i], NULL, call_often, &a);
+	for (i = 0; i < CALLERS; i++)
+		pthread_join(th[i], NULL);
+	assert_true(atomic_load(&most) <= SLOTS);
+	assert_int_equal(admission_busy(&a), 0);
+	admission_finish(&a);
+}
+
+enum event {
+	EVENT_LEAVE,
+	EVENT_DRAIN,
+	EVENT_STOP,
+	EVENT_GONE,
+	EVENT_RESET,
+	EVENT_NONE
+};
+
+/*
+ * What becomes of a request that waits, of one that comes afterwards, and of
+ * how many are busy at last, when something happens.
+ */
+static void
+test_events(void **state)
+{
+	static const struct {
+		enum event event;
+		uint64_t left_us;
+		enum admission_verdict waiting, next;
+	} cases[] = {
+		{ EVENT_LEAVE, SECOND, ADMISSION_RUN, ADMISSION_RUN },
+		{ EVENT_DRAIN, SECOND, ADMISSION_DRAINING, ADMISSION_DRAINING },
+		{ EVENT_STOP, SECOND, ADMISSION_RUN, ADMISSION_STOPPING },
+		{ EVENT_GONE, SECOND, ADMISSION_NO_SERVER,
+		    ADMISSION_NO_SERVER },
+		{ EVENT_RESET, SECOND, ADMISSION_RUN, ADMISSION_RUN },
+		{ EVENT_NONE, 50000, ADMISSION_DEADLINE, ADMISSION_RUN },
+	};
+	struct caller c[LIMIT + 1];
+	struct admission_ticket t;
+	struct admission_req r;
+	struct admission a;
+	size_t i;
+	int j;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		admission_init(&a);
+		admission_server_reset(&a, SLOTS);
+		for (j = 0; j < LIMIT; j++)
+			call_start(&c[j], &a, ADMISSION_LOW, 0);
+		memset(&c[LIMIT], 0, sizeof(c[LIMIT]));
+		call_start(&c[LIMIT], &a, ADMISSION_NORMAL, 1);
+		if (cases[i].event == EVENT_DRAIN)
+			admission_drain(&a);
+		if (cases[i].event == EVENT_STOP)
+			admission_stop(&a);
+		if (cases[i].event == EVENT_GONE)
+			admission_server_reset(&a, 0);
+		if (cases[i].event == EVENT_RESET)
+			admission_server_reset(&a, SLOTS);
+		if (cases[i].event == EVENT_NONE) {
+			r = request(ADMISSION_CRITICAL, 0, 0);
+			r.deadline_us = clock_us() + cases[i].left_us;
+			assert_int_equal(
+			    admission_enter(&a, &r, &t), ADMISSION_DEADLINE);
+		}
+		for (j = 0; j < LIMIT; j++) {
+			pthread_join(c[j].thread, NULL);
+			assert_int_equal(c[j].verdict, ADMISSION_RUN);
+			admission_leave(&c[j].ticket, ADMISSION_SERVED, 1000);
+		}
+		pthread_join(c[LIMIT].thread, NULL);
+		if (cases[i].event != EVENT_NONE)
+			assert_int_equal(c[LIMIT].verdict, cases[i].waiting);
+		r = request(ADMISSION_NORMAL, 0, 0);
+		assert_int_equal(admission_enter(&a, &r, &t), cases[i].next);
+		if (cases[i].next == ADMISSION_RUN)
+			admission_leave(&t, ADMISSION_SERVED, 1000);
+		assert_int_equal(admission_busy(&a), 0);
+		admission_finish(&a);
+	}
+}
+
+/*
+ * A request of a dead server frees no place of the new one.
+ */
+static void
+test_old_place_stays_old(void **state)
+{
+	struct admission_waiter old[SLOTS], w[LIMIT + 1], *out;
+	struct admission_req r = request(ADMISSION_HIGH, 0, 0);
+	static struct admission_core c;
+	int i;
+
+	(void)state;
+	core_init(&c, 1);
+	core_reset(&c, SLOTS, 1);
+	assert_int_equal(core_offer(&c, &r, &old[0], &out, 1), ADMISSION_RUN);
+	core_reset(&c, SLOTS, 2);
+	for (i = 0; i < LIMIT; i++)
+		assert_int_equal(
+		    core_offer(&c, &r, &w[i], &out, 3), ADMISSION_RUN);
+	assert_int_equal(core_offer(&c, &r, &w[i], &out, 4), ADMISSION_WAIT);
+	core_done(&c, &old[0], ADMISSION_FAILED, 3, 5);
+	assert_null(core_next(&c, 6));
+	core_done(&c, &w[0], ADMISSION_SERVED, 3, 7);
+	assert_ptr_equal(core_next(&c, 8), &w[LIMIT]);
+}
+
+/*
+ * The order of importance: class, then depth, then the root's hash, and the
+ * queue gives up the least important first.
+ */
+static void
+test_order(void **state)
+{
+	static const struct admission_req rows[] = {
+		{ ADMISSION_CRITICAL, 9, 5, 0 },
+		{ ADMISSION_CRITICAL, 0, 0, 0 },
+		{ ADMISSION_HIGH, 17, ~0ULL, 0 },
+		{ ADMISSION_HIGH, 4, 0, 0 },
+		{ ADMISSION_HIGH, 4, 1ULL << 60, 0 },
+		{ ADMISSION_HIGH, 1, 0, 0 },
+		{ ADMISSION_NORMAL, 0, 0, 0 },
+		{ ADMISSION_LOW, 20, 0, 0 },
+		{ ADMISSION_LOW, 0, ~0ULL, 0 },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 1; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		assert_true(
+		    admission_order(&rows[i - 1]) < admission_order(&rows[i]));
+		assert_true(
+		    admission_rank(&rows[i - 1]) <= admission_rank(&rows[i]));
+	}
+	assert_int_equal(admission_rank(&rows[8]), ADMISSION_LEVEL_ALL);
+}
+
+/*
+ * A full queue evicts its least important for one that is more important,
+ * and refuses one that is less.
+ */
+static void
+test_eviction(void **state)
+{
+	static struct admission_core c;
+	struct admission_waiter w[64], *out;
+	struct admission_req r = request(ADMISSION_NORMAL, 0, 0);
+	enum admission_verdict v = ADMISSION_RUN;
+	int n = 0;
+
+	(void)state;
+	core_init(&c, 1);
+	core_reset(&c, SLOTS, 1);
+	while (v != ADMISSION_OVERLOAD)
+		v = core_offer(&c, &r, &w[n++], &out, 1);
+	assert_int_equal(n, LIMIT + 16 + 1);
+	r.class = ADMISSION_LOW;
+	assert_int_equal(
+	    core_offer(&c, &r, &w[n], &out, 1), ADMISSION_OVERLOAD);
+	r.class = ADMISSION_CRITICAL;
+	assert_int_equal(core_offer(&c, &r, &w[n], &out, 1), ADMISSION_WAIT);
+	assert_ptr_equal(out, &w[n - 2]);
+	assert_int_equal(out->verdict, ADMISSION_OVERLOAD);
+	core_done(&c, &w[0], ADMISSION_SERVED, 1, 2);
+	assert_ptr_equal(core_next(&c, 2), &w[n]);
+}
+
+/*
+ * What an entry makes of a level, by rank, age and chance.
+ */
+static void
+test_precheck(void **state)
+{
+	static const struct {
+		uint64_t heard_us, now_us, rnd;
+		uint32_t rank;
+		enum admission_hint hint;
+	} rows[] = {
+		{ 1000, 2000, 1, 500, ADMISSION_HINT_SEND },
+		{ 1000, 2000, 1, 501, ADMISSION_HINT_SHED },
+		{ 1000, 2000, 32, 501, ADMISSION_HINT_PROBE },
+		{ 1000, 1001001, 1, 501, ADMISSION_HINT_SEND },
+		{ 0, 10, 1, 1023, ADMISSION_HINT_SEND },
+	};
+	struct admission_load load = { 500, 0, 0, 0, 0 };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		assert_int_equal(admission_precheck(&load, rows[i].heard_us,
+				     rows[i].rank, rows[i].now_us, rows[i].rnd),
+		    rows[i].hint);
+}
+
+/*
+ * The load header survives a round trip, and nothing else is taken for one.
+ */
+static void
+test_load_text(void **state)
+{
+	static const char *const bad[] = { "", "1,2,3,4", "1,2,3,4,5,6",
+		"1024,2,3,4,5", "-1,2,3,4,5", "1,2,3,4,x", "1,,3,4,5",
+		"1,2,3,4,4294967296", "1, 2,3,4,5" };
+	struct admission_load in = { 1023, 2, 3, 4, 4294967295U }, out;
+	char buf[ADMISSION_LOAD_TEXT];
+	size_t i;
+
+	(void)state;
+	admission_load_format(&in, buf);
+	assert_int_equal(admission_load_parse(&out, buf), 0);
+	assert_memory_equal(&in, &out, sizeof(in));
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		assert_int_equal(admission_load_parse(&out, bad[i]), -1);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_never_above_slots),
+		cmocka_unit_test(test_events),
+		cmocka_unit_test(test_old_place_stays_old),
+		cmocka_unit_test(test_order),
+		cmocka_unit_test(test_eviction),
+		cmocka_unit_test(test_precheck),
+		cmocka_unit_test(test_load_text),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
