--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,228 @@
+#include <curl/curl.h>
+#include <err.h>
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <urcu.h>
+
+#include "node/node.h"
+
+#define TICK_US		  100000
+#define PEER_CONNS_MAX	  256
+#define PEER_IDLE_MS	  2000 /* shorter than a peer keeps them open */
+#define SERVER_CONNS_MAX  512
+#define SERVER_IDLE_MS	  2000
+#define STOP_CHECK_US	  10000
+#define STOP_LINGER_MS	  300 /* peers and callers learn of the stop */
+
+static void *ticker_main(void *);
+
+/*
+ * Tells peers of a newly decided configuration.
+ */
+static void
+on_config(void *ctx, const struct config *c)
+{
+	struct node *n = ctx;
+
+	member_set_config_version(&n->member, c->version);
+	atomic_store(&n->ready, 1);
+}
+
+/*
+ * Notes that the log was read to its end by a read sent at that time (ms).
+ */
+static void
+on_log_read(void *ctx, uint64_t sent_ms)
+{
+	struct node *n = ctx;
+
+	member_set_log_read(&n->member, sent_ms);
+}
+
+/*
+ * Derives the key that proves peers to each other.
+ */
+static void
+derive_key(struct node *n, const struct settings *s)
+{
+	static const char label[] = "cyclamenvale peer key 1";
+
+	crypto_generichash(n->key, sizeof(n->key),
+	    (const unsigned char *)label, sizeof(label), s->secret.bytes,
+	    s->secret.len > crypto_generichash_KEYBYTES_MAX ?
+		crypto_generichash_KEYBYTES_MAX :
+		s->secret.len);
+}
+
+/*
+ * Sets up RPC and membership.  Returns -1 after logging why it can't.
+ */
+static int
+init_peers(struct node *n)
+{
+	const struct settings *s = &n->settings;
+	struct node_id seeds[SETTINGS_SEED_PEERS_MAX] = { 0 };
+	struct member_settings ms = { .self = n->id,
+		.peer_port = (uint16_t)s->advertise_peer_port,
+		.domain = s->domain,
+		.region = s->region,
+		.probe_ms = s->probe_ms,
+		.seeds = seeds,
+		.seeds_len = s->seed_peers.count };
+	struct node_id bind = { .addr = s->address,
+		.rpc_port = (uint16_t)s->rpc_port,
+		.incarnation = n->id.incarnation };
+	GError *e = NULL;
+	size_t i;
+
+	for (i = 0; i < s->seed_peers.count; i++) {
+		seeds[i].addr = s->seed_peers.list[i].addr;
+		seeds[i].rpc_port = (uint16_t)s->seed_peers.list[i].port;
+	}
+	if (rpc_settings_init(&n->rpc_settings, &bind, n->key, sizeof(n->key),
+		&e) == -1 ||
+	    rpc_server_init(&n->rpc_server, &n->rpc_settings, &e) == -1 ||
+	    rpc_client_init(&n->rpc_client, &n->rpc_settings, &e) == -1) {
+		logline(LOG_CRIT, "rpc-failed", "why=\"%s\"", e->message);
+		g_error_free(e);
+		return -1;
+	}
+	return member_service_init(&n->member, &ms, &n->rpc_server,
+	    &n->rpc_client, &n->log);
+}
+
+/*
+ * Prepares a node from checked settings.  Returns -1 after logging why it
+ * can't run.
+ */
+int
+node_init(struct node *n, const struct settings *s)
+{
+	memset(n, 0, sizeof(*n));
+	n->settings = *s;
+	n->id.addr = s->advertise_address;
+	n->id.rpc_port = (uint16_t)s->advertise_rpc_port;
+	n->id.incarnation = rand_u64();
+	derive_key(n, s);
+	n->log_http = logsvc_http_new(s->log_url);
+	logsvc_http_use(n->log_http, &n->log);
+	n->peers = client_new(PEER_CONNS_MAX, PEER_IDLE_MS);
+	n->servers = client_new(SERVER_CONNS_MAX, SERVER_IDLE_MS);
+	server_init(&n->server);
+	admission_init(&n->admission);
+	admission_set_policy(&n->admission,
+	    settings_policy_on(s, POLICY_ADMISSION));
+	if (init_peers(n) == -1)
+		return -1;
+	if (config_service_init(&n->config, &n->log, s->log_poll_ms, on_config,
+		on_log_read, n) == -1) {
+		logline(LOG_CRIT, "config-failed", "why=\"%m\"");
+		return -1;
+	}
+	return 0;
+}
+
+/*
+ * Starts all threads and opens the ports.  Returns -1 after logging why it
+ * can't.
+ */
+int
+node_start(struct node *n)
+{
+	GError *e = NULL;
+	char id[NODE_ID_TEXT];
+
+	if (rpc_server_start(&n->rpc_server, &e) == -1 ||
+	    member_service_start(&n->member, &e) == -1) {
+		logline(LOG_CRIT, "start-failed", "why=\"%s\"", e->message);
+		g_error_free(e);
+		return -1;
+	}
+	n->running = 1;
+	if (config_service_start(&n->config) == -1 ||
+	    pthread_create(&n->ticker, NULL, ticker_main, n) != 0) {
+		logline(LOG_CRIT, "start-failed", "why=\"no thread\"");
+		return -1;
+	}
+	if (ports_start(n) == -1)
+		return -1;
+	nodeid_format(&n->id, id);
+	logline(LOG_NOTICE, "started", "node=%s domain=%s", id,
+	    n->settings.domain);
+	return 0;
+}
+
+/*
+ * Does what has to be done from time to time.
+ */
+static void *
+ticker_main(void *ctx)
+{
+	struct node *n = ctx;
+
+	rcu_register_thread();
+	while (n->running) {
+		usleep(TICK_US);
+		server_check(n, clock_ms());
+		client_reap(n->peers, clock_ms());
+		client_reap(n->servers, clock_ms());
+	}
+	rcu_unregister_thread();
+	return NULL;
+}
+
+/*
+ * Returns how many requests are under way, apart from operators'.
+ */
+static unsigned int
+busy(struct node *n)
+{
+	return atomic_load(&n->inflight[PORT_CALLER]) +
+	    atomic_load(&n->inflight[PORT_INNER]) +
+	    atomic_load(&n->inflight[PORT_PEER]);
+}
+
+/*
+ * Stops gracefully: no new work, peers are told, and what is under way ends
+ * or runs into the stop timeout.
+ */
+void
+node_stop(struct node *n)
+{
+	uint64_t now = clock_ms(), until = now + n->settings.stop_timeout_ms;
+	uint64_t linger = now + STOP_LINGER_MS;
+
+	logline(LOG_NOTICE, "stopping", "inflight=%u", busy(n));
+	atomic_store(&n->stopping, 1);
+	admission_stop(&n->admission);
+	server_check(n, now);
+	member_leave(&n->member);
+	while ((now = clock_ms()) < until && (busy(n) > 0 || now < linger))
+		usleep(STOP_CHECK_US);
+	logline(LOG_NOTICE, "stopped", "cut=%u", busy(n));
+}
+
+/*
+ * Ends all threads and frees everything.
+ */
+void
+node_finish(struct node *n)
+{
+	ports_stop(n);
+	if (n->running) {
+		n->running = 0;
+		pthread_join(n->ticker, NULL);
+	}
+	config_service_finish(&n->config);
+	member_service_finish(&n->member);
+	rpc_server_finish(&n->rpc_server);
+	rpc_client_finish(&n->rpc_client);
+	client_free(n->peers);
+	client_free(n->servers);
+	admission_finish(&n->admission);
+	server_finish(&n->server);
+	logsvc_http_free(n->log_http);
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,80 @@
+#ifndef NODE_NODE_H
+#define NODE_NODE_H
+
+#include <civetweb.h>
+#include <stdatomic.h>
+
+#include "admission/admission.h"
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/logline.h"
+#include "base/nodeid.h"
+#include "config/service.h"
+#include "exchange/answer.h"
+#include "exchange/client.h"
+#include "exchange/context.h"
+#include "exchange/request.h"
+#include "logsvc/logsvc.h"
+#include "member/member.h"
+#include "node/server.h"
+#include "rpc/rpc.h"
+#include "settings/settings.h"
+
+enum port_kind {
+	PORT_CALLER,
+	PORT_INNER,
+	PORT_PEER,
+	PORT_OPERATOR,
+	PORT_MAX
+};
+
+/* One process: all duties and what ties them together. */
+struct node {
+	struct settings settings;
+	struct node_id id;
+	unsigned char key[CONTEXT_KEY_BYTES]; /* from the peers' secret */
+	struct logsvc_http *log_http;
+	struct logsvc log;
+	struct client *peers;
+	struct client *servers;
+	struct rpc_settings rpc_settings;
+	struct rpc_server rpc_server;
+	struct rpc_client rpc_client;
+	struct config_service config;
+	struct member_service member;
+	struct admission admission;
+	struct server server;
+	struct mg_context *ports[PORT_MAX];
+	pthread_t ticker;
+	atomic_uint inflight[PORT_MAX];
+	atomic_int stopping;
+	atomic_int ready;
+	int running;
+};
+
+/* What an exit reports of one request besides the answer itself. */
+struct verdict {
+	enum outcome outcome;
+	enum reason reason;
+	uint32_t retries_left;
+	char load[ADMISSION_LOAD_TEXT];
+};
+
+int node_init(struct node *, const struct settings *);
+int node_start(struct node *);
+void node_stop(struct node *);
+void node_finish(struct node *);
+
+void entry_caller(struct node *, struct request *);
+void entry_inner(struct node *, struct request *);
+void exit_run(struct node *, const struct context *, const struct request *,
+    const struct answer_sink *, struct verdict *);
+void peer_serve(struct node *, struct request *);
+int announce_serve(struct node *, struct request *);
+void operator_serve(struct node *, struct request *);
+void server_check(struct node *, uint64_t);
+
+int ports_start(struct node *);
+void ports_stop(struct node *);
+
+#endif
--- /dev/null
+++ b/src/node/ports.c
@@ -0,0 +1,188 @@
+#include <err.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+
+#include "node/node.h"
+
+#define REQUEST_READ_MS	  "10000"
+#define KEEP_ALIVE_MS	  "60000"
+#define PEER_KEEP_MS	  "5000"
+#define ACCEPT_QUEUE	  "1024"
+#define OPERATOR_THREADS  4
+
+typedef void (*serve_fn)(struct node *, struct request *);
+
+static void serve_inner(struct node *, struct request *);
+
+/* What serves each port. */
+static const struct port_row {
+	const char *name;
+	serve_fn serve;
+	const char *keep_ms;
+} port_rows[PORT_MAX] = {
+	[PORT_CALLER] = { "caller", entry_caller, KEEP_ALIVE_MS },
+	[PORT_INNER] = { "inner", serve_inner, KEEP_ALIVE_MS },
+	[PORT_PEER] = { "peer", peer_serve, PEER_KEEP_MS },
+	[PORT_OPERATOR] = { "operator", operator_serve, PEER_KEEP_MS },
+};
+
+/* What a port's threads need to find their node again. */
+struct port {
+	struct node *node;
+	enum port_kind kind;
+};
+
+static struct port port_ctx[PORT_MAX];
+
+/*
+ * Serves the inner port: announcements first, all else is an inner call.
+ */
+static void
+serve_inner(struct node *n, struct request *r)
+{
+	if (!announce_serve(n, r))
+		entry_inner(n, r);
+}
+
+/*
+ * Serves one request on any port.
+ */
+static int
+on_request(struct mg_connection *conn, void *ctx)
+{
+	struct port *p = ctx;
+	struct node *n = p->node;
+	struct request *r;
+	const char *detail;
+	enum reason why;
+
+	r = malloc(sizeof(*r));
+	if (r == NULL)
+		err(1, "on_request");
+	atomic_fetch_add(&n->inflight[p->kind], 1);
+	why = request_init(r, conn, n->settings.max_body_bytes, &detail);
+	if (why != REASON_NONE)
+		answer_refuse(r, OUTCOME_NOT_RUN, why, detail, 0, NULL);
+	else
+		port_rows[p->kind].serve(n, r);
+	if (atomic_load(&n->stopping))
+		mg_disable_connection_keep_alive(conn);
+	request_finish(r);
+	free(r);
+	atomic_fetch_sub(&n->inflight[p->kind], 1);
+	return 1;
+}
+
+/*
+ * Lets every thread of a port read RCU data.
+ */
+static void *
+on_thread(const struct mg_context *mg, int type)
+{
+	(void)mg;
+	(void)type;
+	rcu_register_thread();
+	return NULL;
+}
+
+/*
+ * Ends a port's thread.
+ */
+static void
+on_thread_end(const struct mg_context *mg, int type, void *ctx)
+{
+	(void)mg;
+	(void)type;
+	(void)ctx;
+	rcu_unregister_thread();
+}
+
+/*
+ * Passes the HTTP library's messages to the log.
+ */
+static int
+on_message(const struct mg_connection *conn, const char *text)
+{
+	(void)conn;
+	logline(LOG_DEBUG, "http", "message=\"%s\"", text);
+	return 1;
+}
+
+/*
+ * Opens one port with a thread for each connection.  Returns -1 where it
+ * can't be opened.
+ */
+static int
+port_start(struct node *n, enum port_kind kind, uint32_t port,
+    uint32_t threads)
+{
+	static const struct mg_callbacks calls = {
+		.init_thread = on_thread,
+		.exit_thread = on_thread_end,
+		.log_message = on_message,
+	};
+	char listen[64], count[16];
+	const char *opts[] = { "listening_ports", listen, "num_threads", count,
+		"enable_keep_alive", "yes", "keep_alive_timeout_ms",
+		port_rows[kind].keep_ms, "request_timeout_ms", REQUEST_READ_MS,
+		"tcp_nodelay", "1", "connection_queue", ACCEPT_QUEUE,
+		"listen_backlog", ACCEPT_QUEUE, "decode_url", "no", NULL };
+	struct mg_init_data init = { .callbacks = &calls,
+		.user_data = n,
+		.configuration_options = opts };
+	uint32_t a = n->settings.address;
+	char text[128] = "";
+	struct mg_error_data e = { .text = text,
+		.text_buffer_size = sizeof(text) };
+
+	snprintf(listen, sizeof(listen), "%u.%u.%u.%u:%u", a >> 24,
+	    a >> 16 & 255, a >> 8 & 255, a & 255, port);
+	snprintf(count, sizeof(count), "%u", threads);
+	n->ports[kind] = mg_start2(&init, &e);
+	if (n->ports[kind] == NULL) {
+		logline(LOG_CRIT, "port-failed", "port=%s listen=%s why=\"%s\"",
+		    port_rows[kind].name, listen, text);
+		return -1;
+	}
+	port_ctx[kind].node = n;
+	port_ctx[kind].kind = kind;
+	mg_set_request_handler(n->ports[kind], "**", on_request,
+	    &port_ctx[kind]);
+	return 0;
+}
+
+/*
+ * Opens all ports.  Returns -1 where one can't be opened.
+ */
+int
+ports_start(struct node *n)
+{
+	const struct settings *s = &n->settings;
+
+	if (port_start(n, PORT_OPERATOR, s->operator_port, OPERATOR_THREADS) ==
+		-1 ||
+	    port_start(n, PORT_PEER, s->peer_port, s->peer_connections) ==
+		-1 ||
+	    port_start(n, PORT_INNER, s->inner_port, s->inner_connections) ==
+		-1 ||
+	    port_start(n, PORT_CALLER, s->caller_port,
+		s->caller_connections) == -1)
+		return -1;
+	return 0;
+}
+
+/*
+ * Closes all ports; requests under way end first.
+ */
+void
+ports_stop(struct node *n)
+{
+	int i;
+
+	for (i = 0; i < PORT_MAX; i++)
+		if (n->ports[i] != NULL)
+			mg_stop(n->ports[i]);
+	memset(n->ports, 0, sizeof(n->ports));
+}
