--- /dev/null
+++ b/src/member/member.h
@@ -0,0 +1,177 @@
+#ifndef MEMBER_MEMBER_H
+#define MEMBER_MEMBER_H
+
+#include <glib.h>
+#include <pthread.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <urcu.h>
+
+#include "base/find.h"
+#include "base/nodeid.h"
+#include "logsvc/logsvc.h"
+#include "rpc/rpc.h"
+
+#define MEMBER_DOMAIN_TEXT 32  /* bytes, with the terminator */
+#define MEMBER_SERVICE_TEXT 64 /* bytes, with the terminator */
+#define MEMBER_HEALTH_TEXT 128 /* bytes, with the terminator */
+
+#define MEMBER_ANNOUNCE_MS 5000	  /* silence that ends an announcement */
+#define MEMBER_FRESH_MS 10000	  /* age of log reads that still counts */
+#define MEMBER_PROBE_MS 200	  /* default period of probes */
+#define MEMBER_VIEW_STALE_MS 2000 /* a view older than this proves nothing */
+
+enum member_state {
+	MEMBER_ALIVE,
+	MEMBER_SUSPECT,
+	MEMBER_DEAD,
+	MEMBER_LEFT,
+	MEMBER_STATE_MAX
+};
+
+enum member_server_state {
+	MEMBER_SERVER_NONE,
+	MEMBER_SERVER_UP,
+	MEMBER_SERVER_DRAINING,
+	MEMBER_SERVER_GONE,
+	MEMBER_SERVER_STATE_MAX
+};
+
+enum member_event {
+	MEMBER_JOINED,	    /* a process was heard of for the first time */
+	MEMBER_DIED,	    /* it is dead, or another one has its port */
+	MEMBER_DEPARTED,    /* it said that it stops */
+	MEMBER_RETURNED,    /* it was held dead, and isn't */
+	MEMBER_CONFIG_SEEN, /* it has a later configuration than this node */
+	MEMBER_EVENT_MAX
+};
+
+/* What a node tells of the backend server beside it. */
+struct member_server {
+	char service[MEMBER_SERVICE_TEXT];
+	uint64_t service_hash;
+	uint64_t incarnation;
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t load; /* busy slots, in thousandths of all */
+	enum member_server_state state;
+};
+
+/* What is known of one member. */
+struct member_info {
+	struct node_id id;
+	uint64_t epoch; /* start of the process, ms since 1970 */
+	uint64_t config_version;
+	uint64_t since_ms; /* local time of its last change of state */
+	uint32_t seq;	   /* grows with each change the member tells */
+	uint16_t peer_port;
+	enum member_state state;
+	char domain[MEMBER_DOMAIN_TEXT];
+	char region[MEMBER_DOMAIN_TEXT];
+	struct member_server server;
+};
+
+/* A backend server's announcement to its node, as parsed. */
+struct member_announce {
+	struct member_server server;
+	uint32_t addr; /* host byte order; 0: the node's own */
+	uint16_t port;
+	char health[MEMBER_HEALTH_TEXT];
+};
+
+struct member_index {
+	uint64_t hash;
+	uint32_t first; /* in the view's handles */
+	uint32_t len;
+};
+
+/*
+ * What readers see: immutable, replaced as a whole.  Members are sorted by
+ * address and port; a handle is a position in the list and holds for one
+ * view only.
+ */
+struct member_view {
+	struct rcu_head rcu;
+	uint64_t generation;
+	uint64_t built_ms;
+	uint64_t log_read_ms; /* latest known read of the log by anybody */
+	uint64_t config_version;
+	uint32_t known; /* members that haven't left, this node included */
+	uint32_t alive; /* of those, the ones that answer */
+	uint32_t probed;
+	uint32_t answered; /* of the probes of the last seconds */
+	uint32_t self;
+	uint32_t len;
+	struct member_info *list;
+	uint32_t services_len;
+	struct member_index *services;
+	uint32_t *handles;
+};
+
+struct member_settings {
+	struct node_id self;
+	uint16_t peer_port;
+	const char *domain;
+	const char *region; /* may be NULL */
+	uint32_t probe_ms;  /* 0: the default */
+	const struct node_id *seeds;
+	size_t seeds_len;
+};
+
+typedef void (*member_event_fn)(
+    void *, enum member_event, const struct member_info *, uint64_t);
+
+struct member_table;
+
+/* Membership of one process: its threads, its table and the view of it. */
+struct member_service {
+	struct member_table *table;
+	struct member_view *view;
+	struct rpc_client *client;
+	const struct logsvc *log;
+	member_event_fn event;
+	void *event_ctx;
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	pthread_cond_t stop;
+	pthread_t ticker;
+	pthread_t logger;
+	GQueue events;
+	uint64_t generation;
+	uint64_t built_ms;
+	int running;
+	int logging;
+	int stopping;
+};
+
+int member_service_init(struct member_service *, const struct member_settings *,
+    struct rpc_server *, struct rpc_client *, const struct logsvc *);
+void member_service_on_event(struct member_service *, member_event_fn, void *);
+int member_service_start(struct member_service *, GError **);
+void member_service_finish(struct member_service *);
+
+void member_set_server(struct member_service *, const struct member_server *);
+void member_set_load(struct member_service *, uint32_t);
+void member_set_config_version(struct member_service *, uint64_t);
+void member_set_log_read(struct member_service *, uint64_t);
+void member_leave(struct member_service *);
+
+const struct member_view *member_view_get(struct member_service *);
+const struct member_info *member_view_find(
+    const struct member_view *, uint32_t, uint16_t);
+const uint32_t *member_view_service(
+    const struct member_view *, const char *, uint32_t *);
+int member_fresh(const struct member_view *, uint64_t);
+
+int member_announce_parse(
+    const char *, size_t, struct member_announce *, struct finds *);
+int member_announce_live(uint64_t, uint64_t);
+uint64_t member_service_hash(const char *);
+
+const char *member_state_name(enum member_state);
+const char *member_server_state_name(enum member_server_state);
+void member_dump(struct member_service *, FILE *);
+char *member_dump_json(struct member_service *);
+
+#endif
--- /dev/null
+++ b/src/member/member.x
@@ -0,0 +1,67 @@
+/*
+ * Messages of the membership protocol.  All are one-way: an answer is a
+ * message of its own that carries the nonce of what it answers.
+ */
+const MEMBER_DOMAIN_BYTES = 31;
+const MEMBER_SERVICE_BYTES = 63;
+const MEMBER_DIGESTS = 128;
+const MEMBER_ENTRIES_MAX = 64;
+
+enum member_kind {
+	MEMBER_PING = 0,
+	MEMBER_ACK = 1,
+	MEMBER_PING_REQ = 2,
+	MEMBER_RELAYED_ACK = 3,
+	MEMBER_GOSSIP = 4,
+	MEMBER_SYNC = 5,
+	MEMBER_SYNC_REPLY = 6
+};
+
+/* The process that has an address and port, and the number that orders the
+ * processes which had them one after another. */
+struct member_name {
+	unsigned int addr;
+	unsigned int port;
+	unsigned hyper incarnation;
+	unsigned hyper epoch;
+};
+
+struct member_server_entry {
+	unsigned int state;
+	string service<MEMBER_SERVICE_BYTES>;
+	unsigned hyper incarnation;
+	unsigned int slots;
+	unsigned int connections;
+	unsigned int load;
+};
+
+struct member_entry {
+	member_name name;
+	unsigned int peer_port;
+	unsigned int state;
+	unsigned int seq;
+	unsigned int age_s;
+	string domain<MEMBER_DOMAIN_BYTES>;
+	string region<MEMBER_DOMAIN_BYTES>;
+	unsigned hyper config_version;
+	member_server_entry *server;
+};
+
+/* The highest configuration version known, and a node that has it. */
+struct member_config {
+	unsigned hyper number;
+	unsigned int addr;
+	unsigned int peer_port;
+};
+
+struct member_message {
+	member_kind kind;
+	unsigned int nonce;
+	unsigned int target_addr;
+	unsigned int target_port;
+	unsigned int log_age_ms;
+	member_config config;
+	member_entry self;
+	member_entry entries<MEMBER_ENTRIES_MAX>;
+	unsigned int digests<MEMBER_DIGESTS>;
+};
--- /dev/null
+++ b/src/member/member_announce.c
@@ -0,0 +1,235 @@
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "member/member_int.h"
+
+#define SLOTS_MAX 100000
+#define ANNOUNCE_BYTES_MAX 8192
+
+enum announce_msg {
+	MSG_NOT_JSON,
+	MSG_NOT_OBJECT,
+	MSG_MISSING,
+	MSG_TYPE,
+	MSG_RANGE,
+	MSG_TEXT,
+	MSG_ADDRESS,
+	MSG_UNKNOWN,
+	MSG_MAX
+};
+
+enum announce_field {
+	FIELD_SERVICE,
+	FIELD_PORT,
+	FIELD_SLOTS,
+	FIELD_CONNECTIONS,
+	FIELD_INCARNATION,
+	FIELD_ADDRESS,
+	FIELD_HEALTH,
+	FIELD_LOAD,
+	FIELD_MAX
+};
+
+struct field {
+	const char *name;
+	int required;
+	json_type type;
+	json_int_t low, high; /* of an integer */
+	size_t size;	      /* of a text, with the terminator */
+};
+
+static void report(
+    struct finds *, enum announce_msg, const char *, const char *);
+static int text_printable(const char *);
+static int check_field(const json_t *, const struct field *, struct finds *);
+static void check_unknown(json_t *, struct finds *);
+static void take_fields(
+    const json_t *, struct member_announce *, struct finds *);
+
+static const struct find_msg msgs[MSG_MAX] = {
+	[MSG_NOT_JSON] = { FIND_ERROR, "not JSON" },
+	[MSG_NOT_OBJECT] = { FIND_ERROR, "not an object" },
+	[MSG_MISSING] = { FIND_ERROR, "missing" },
+	[MSG_TYPE] = { FIND_ERROR, "wrong type" },
+	[MSG_RANGE] = { FIND_ERROR, "out of range" },
+	[MSG_TEXT] = { FIND_ERROR, "empty, too long or not printable" },
+	[MSG_ADDRESS] = { FIND_ERROR, "not an IPv4 address" },
+	[MSG_UNKNOWN] = { FIND_WARNING, "unknown field" },
+};
+
+static const struct field fields[FIELD_MAX] = {
+	[FIELD_SERVICE] = { "service", 1, JSON_STRING, 0, 0,
+	    MEMBER_SERVICE_TEXT },
+	[FIELD_PORT] = { "port", 1, JSON_INTEGER, 1, UINT16_MAX, 0 },
+	[FIELD_SLOTS] = { "slots", 1, JSON_INTEGER, 1, SLOTS_MAX, 0 },
+	[FIELD_CONNECTIONS] = { "connections", 1, JSON_INTEGER, 1, SLOTS_MAX,
+	    0 },
+	[FIELD_INCARNATION] = { "incarnation", 1, JSON_STRING, 0, 0, 129 },
+	[FIELD_ADDRESS] = { "address", 0, JSON_STRING, 0, 0, INET_ADDRSTRLEN },
+	[FIELD_HEALTH] = { "health", 0, JSON_STRING, 0, 0, MEMBER_HEALTH_TEXT },
+	[FIELD_LOAD] = { "load", 0, JSON_INTEGER, 0, 1000, 0 },
+};
+
+/*
+ * Adds a finding at a field.
+ */
+static void
+report(struct finds *fs, enum announce_msg msg, const char *field,
+    const char *detail)
+{
+	char place[64];
+
+	g_snprintf(place, sizeof(place), "/%s", field);
+	finds_add(fs, &msgs[msg], place, "%s", detail);
+}
+
+/*
+ * Tells whether a text has printable characters only, and no spaces.
+ */
+static int
+text_printable(const char *s)
+{
+	for (; *s != '\0'; s++) {
+		if (!g_ascii_isgraph(*s))
+			return 0;
+	}
+	return 1;
+}
+
+/*
+ * Checks one field against its row.  Returns -1 if it can't be used.
+ */
+static int
+check_field(const json_t *o, const struct field *f, struct finds *fs)
+{
+	const json_t *v = json_object_get(o, f->name);
+	const char *s;
+
+	if (v == NULL) {
+		if (f->required)
+			report(fs, MSG_MISSING, f->name, "");
+		return -1;
+	}
+	if (json_typeof(v) != f->type) {
+		report(fs, MSG_TYPE, f->name, "");
+		return -1;
+	}
+	if (f->type == JSON_INTEGER && (json_integer_value(v) < f->low ||
+					   json_integer_value(v) > f->high)) {
+		report(fs, MSG_RANGE, f->name, "");
+		return -1;
+	}
+	if (f->type != JSON_STRING)
+		return 0;
+	s = json_string_value(v);
+	if (json_string_length(v) != strlen(s) || s[0] == '\0' ||
+	    strlen(s) >= f->size || !text_printable(s)) {
+		report(fs, MSG_TEXT, f->name, "");
+		return -1;
+	}
+	return 0;
+}
+
+/*
+ * Warns of every field that no row describes.
+ */
+static void
+check_unknown(json_t *o, struct finds *fs)
+{
+	const char *name;
+	json_t *v;
+	int i;
+
+	json_object_foreach(o, name, v)
+	{
+		for (i = 0; i < FIELD_MAX; i++) {
+			if (strcmp(fields[i].name, name) == 0)
+				break;
+		}
+		if (i == FIELD_MAX)
+			report(fs, MSG_UNKNOWN, name, "");
+	}
+}
+
+/*
+ * Checks all fields and takes over those that are right.
+ */
+static void
+take_fields(const json_t *o, struct member_announce *a, struct finds *fs)
+{
+	const char *text[FIELD_MAX] = { NULL };
+	json_int_t num[FIELD_MAX] = { 0 };
+	struct in_addr in = { 0 };
+	const json_t *v;
+	int i;
+
+	for (i = 0; i < FIELD_MAX; i++) {
+		if (check_field(o, &fields[i], fs) == -1)
+			continue;
+		v = json_object_get(o, fields[i].name);
+		text[i] = json_string_value(v);
+		num[i] = json_integer_value(v);
+	}
+	if (text[FIELD_ADDRESS] != NULL &&
+	    inet_pton(AF_INET, text[FIELD_ADDRESS], &in) != 1)
+		report(fs, MSG_ADDRESS, fields[FIELD_ADDRESS].name,
+		    text[FIELD_ADDRESS]);
+	a->addr = ntohl(in.s_addr);
+	a->port = (uint16_t)num[FIELD_PORT];
+	a->server.slots = (uint32_t)num[FIELD_SLOTS];
+	a->server.connections = (uint32_t)num[FIELD_CONNECTIONS];
+	a->server.load = (uint32_t)num[FIELD_LOAD];
+	if (text[FIELD_SERVICE] != NULL)
+		g_strlcpy(a->server.service, text[FIELD_SERVICE],
+		    MEMBER_SERVICE_TEXT);
+	if (text[FIELD_HEALTH] != NULL)
+		g_strlcpy(a->health, text[FIELD_HEALTH], MEMBER_HEALTH_TEXT);
+	if (text[FIELD_INCARNATION] != NULL)
+		a->server.incarnation = XXH3_64bits(
+		    text[FIELD_INCARNATION], strlen(text[FIELD_INCARNATION]));
+}
+
+/*
+ * Parses a backend server's announcement.  All findings are collected;
+ * returns -1 if there are errors among them, and the announcement is then
+ * not to be used.  Its incarnation becomes a hash of the text announced.
+ */
+int
+member_announce_parse(
+    const char *text, size_t len, struct member_announce *a, struct finds *fs)
+{
+	json_error_t err;
+	json_t *o;
+
+	memset(a, 0, sizeof(*a));
+	o = len > ANNOUNCE_BYTES_MAX
+		? NULL
+		: json_loadb(text, len, JSON_REJECT_DUPLICATES, &err);
+	if (len > ANNOUNCE_BYTES_MAX) {
+		finds_add(fs, &msgs[MSG_RANGE], "/", "%zu bytes", len);
+	} else if (o == NULL) {
+		finds_add(fs, &msgs[MSG_NOT_JSON], "/", "line %d: %s", err.line,
+		    err.text);
+	} else if (!json_is_object(o)) {
+		finds_add(fs, &msgs[MSG_NOT_OBJECT], "/", "%s", "");
+	} else {
+		take_fields(o, a, fs);
+		check_unknown(o, fs);
+	}
+	json_decref(o);
+	a->server.service_hash = member_service_hash(a->server.service);
+	a->server.state = MEMBER_SERVER_UP;
+	return fs->errors == 0 ? 0 : -1;
+}
+
+/*
+ * Tells whether an announcement last repeated at one time still holds at
+ * another (both ms).
+ */
+int
+member_announce_live(uint64_t last, uint64_t now)
+{
+	return last != 0 && now - last < MEMBER_ANNOUNCE_MS;
+}
--- /dev/null
+++ b/src/member/member_dump.c
@@ -0,0 +1,141 @@
+#include <inttypes.h>
+#include <jansson.h>
+
+#include "base/clock.h"
+#include "member/member_int.h"
+
+static void dump_one(FILE *, const struct member_info *, uint64_t);
+static json_t *json_one(const struct member_info *, uint64_t);
+
+static const char *const state_names[MEMBER_STATE_MAX] = {
+	[MEMBER_ALIVE] = "alive",
+	[MEMBER_SUSPECT] = "suspect",
+	[MEMBER_DEAD] = "dead",
+	[MEMBER_LEFT] = "left",
+};
+
+static const char *const server_state_names[MEMBER_SERVER_STATE_MAX] = {
+	[MEMBER_SERVER_NONE] = "none",
+	[MEMBER_SERVER_UP] = "up",
+	[MEMBER_SERVER_DRAINING] = "draining",
+	[MEMBER_SERVER_GONE] = "gone",
+};
+
+/*
+ * Returns the name of a member's state.
+ */
+const char *
+member_state_name(enum member_state state)
+{
+	return state_names[state];
+}
+
+/*
+ * Returns the name of a backend server's state.
+ */
+const char *
+member_server_state_name(enum member_server_state state)
+{
+	return server_state_names[state];
+}
+
+/*
+ * Prints one member on a line.
+ */
+static void
+dump_one(FILE *out, const struct member_info *m, uint64_t now)
+{
+	char name[NODE_ID_TEXT];
+
+	nodeid_format(&m->id, name);
+	fprintf(out,
+	    "member %s peer_port=%u domain=%s state=%s for=%" PRIu64
+	    "s seq=%u config=%" PRIu64,
+	    name, m->peer_port, m->domain[0] != '\0' ? m->domain : "-",
+	    state_names[m->state], (now - m->since_ms) / 1000, m->seq,
+	    m->config_version);
+	if (m->server.state != MEMBER_SERVER_NONE)
+		fprintf(out,
+		    " service=%s server=%s slots=%u connections=%u load=%u",
+		    m->server.service, server_state_names[m->server.state],
+		    m->server.slots, m->server.connections, m->server.load);
+	fputc('\n', out);
+}
+
+/*
+ * Prints what this node knows of all members.  The thread must be registered
+ * with RCU.
+ */
+void
+member_dump(struct member_service *ms, FILE *out)
+{
+	const struct member_view *v;
+	uint64_t now = clock_ms();
+	uint32_t i;
+
+	rcu_read_lock();
+	v = member_view_get(ms);
+	fprintf(out,
+	    "members known=%u alive=%u probed=%u answered=%u "
+	    "log_read=%" PRIu64 "ms fresh=%d config=%" PRIu64 "\n",
+	    v->known, v->alive, v->probed, v->answered,
+	    v->log_read_ms == 0 ? 0 : now - v->log_read_ms,
+	    member_fresh(v, now), v->config_version);
+	for (i = 0; i < v->len; i++)
+		dump_one(out, &v->list[i], now);
+	rcu_read_unlock();
+}
+
+/*
+ * Makes a JSON object of one member.
+ */
+static json_t *
+json_one(const struct member_info *m, uint64_t now)
+{
+	char name[NODE_ID_TEXT];
+	json_t *o;
+
+	nodeid_format(&m->id, name);
+	o = json_pack("{s:s,s:i,s:s,s:s,s:I,s:I,s:I}", "node", name,
+	    "peer_port", (int)m->peer_port, "domain", m->domain, "state",
+	    state_names[m->state], "for_s",
+	    (json_int_t)((now - m->since_ms) / 1000), "seq", (json_int_t)m->seq,
+	    "config", (json_int_t)m->config_version);
+	if (m->server.state != MEMBER_SERVER_NONE)
+		json_object_set_new(o, "server",
+		    json_pack("{s:s,s:s,s:I,s:I,s:I}", "service",
+			m->server.service, "state",
+			server_state_names[m->server.state], "slots",
+			(json_int_t)m->server.slots, "connections",
+			(json_int_t)m->server.connections, "load",
+			(json_int_t)m->server.load));
+	return o;
+}
+
+/*
+ * Returns what this node knows of all members as a JSON object, to be freed
+ * by the caller.  The thread must be registered with RCU.
+ */
+char *
+member_dump_json(struct member_service *ms)
+{
+	const struct member_view *v;
+	uint64_t now = clock_ms();
+	json_t *o, *list;
+	uint32_t i;
+	char *text;
+
+	list = json_array();
+	rcu_read_lock();
+	v = member_view_get(ms);
+	o = json_pack("{s:i,s:i,s:b,s:I}", "known", (int)v->known, "alive",
+	    (int)v->alive, "fresh", member_fresh(v, now), "config",
+	    (json_int_t)v->config_version);
+	for (i = 0; i < v->len; i++)
+		json_array_append_new(list, json_one(&v->list[i], now));
+	rcu_read_unlock();
+	json_object_set_new(o, "members", list);
+	text = json_dumps(o, 0);
+	json_decref(o);
+	return text;
+}
--- /dev/null
+++ b/src/member/member_log.c
@@ -0,0 +1,276 @@
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/logline.h"
+#include "member/member_int.h"
+
+#define STREAM "members"
+#define TAIL_RECORDS 64
+#define FRESH_MIN 5 /* hellos of living members that the log should have */
+#define LOG_TIMEOUT_MS 2000
+#define ALONE_MS 1000  /* between reads while this node knows nobody */
+#define CHECK_MS 30000 /* between reads otherwise, a hundred members */
+#define CHECK_MEMBERS 100
+#define HELLO_BYTES_MAX 1024
+
+static int text_field(const json_t *, const char *, char *, size_t);
+static int port_field(const json_t *, const char *, uint16_t *);
+static int read_tail(struct member_service *, struct logsvc_batch *);
+static uint32_t take_hellos(
+    struct member_service *, const struct logsvc_batch *, int *);
+static void append_hello(struct member_service *, int *);
+static uint32_t others(struct member_service *);
+static int should_append(struct member_service *, uint32_t, int, int);
+static void pause_ms(struct member_service *, uint64_t);
+
+/*
+ * Formats the record by which a node is found, to be freed by the caller.
+ */
+char *
+member_hello_format(const struct member_info *m)
+{
+	struct in_addr in = { .s_addr = htonl(m->id.addr) };
+	char addr[INET_ADDRSTRLEN], inc[17];
+	json_t *o;
+	char *s;
+
+	inet_ntop(AF_INET, &in, addr, sizeof(addr));
+	snprintf(inc, sizeof(inc), "%016" PRIx64, m->id.incarnation);
+	o = json_pack("{s:s,s:i,s:i,s:s,s:s}", "address", addr, "rpc_port",
+	    (int)m->id.rpc_port, "peer_port", (int)m->peer_port, "domain",
+	    m->domain, "incarnation", inc);
+	s = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	return s;
+}
+
+/*
+ * Copies a text field.  Returns -1 if it is missing or too long.
+ */
+static int
+text_field(const json_t *o, const char *name, char *buf, size_t size)
+{
+	const char *s = json_string_value(json_object_get(o, name));
+
+	if (s == NULL || strlen(s) >= size)
+		return -1;
+	g_strlcpy(buf, s, size);
+	return 0;
+}
+
+/*
+ * Reads a port.  Returns -1 if it is missing or out of range.
+ */
+static int
+port_field(const json_t *o, const char *name, uint16_t *port)
+{
+	json_int_t v = json_integer_value(json_object_get(o, name));
+
+	if (v <= 0 || v > UINT16_MAX)
+		return -1;
+	*port = (uint16_t)v;
+	return 0;
+}
+
+/*
+ * Parses a record of the stream of members.  Returns -1 if it is no hello.
+ */
+int
+member_hello_parse(const char *data, size_t len, struct member_hello *h)
+{
+	char addr[INET_ADDRSTRLEN], inc[17], *end;
+	struct in_addr in;
+	json_t *o;
+	int rc = -1;
+
+	memset(h, 0, sizeof(*h));
+	if (len > HELLO_BYTES_MAX)
+		return -1;
+	o = json_loadb(data, len, 0, NULL);
+	if (o != NULL && text_field(o, "address", addr, sizeof(addr)) == 0 &&
+	    inet_pton(AF_INET, addr, &in) == 1 && in.s_addr != 0 &&
+	    port_field(o, "rpc_port", &h->id.rpc_port) == 0 &&
+	    port_field(o, "peer_port", &h->peer_port) == 0 &&
+	    text_field(o, "domain", h->domain, sizeof(h->domain)) == 0 &&
+	    text_field(o, "incarnation", inc, sizeof(inc)) == 0) {
+		h->id.addr = ntohl(in.s_addr);
+		h->id.incarnation = strtoull(inc, &end, 16);
+		rc = h->id.incarnation != 0 && *end == '\0' ? 0 : -1;
+	}
+	json_decref(o);
+	return rc;
+}
+
+/*
+ * Reads the last records of the stream.  Returns -1 on failure.
+ */
+static int
+read_tail(struct member_service *ms, struct logsvc_batch *b)
+{
+	const struct logsvc *log = ms->log;
+	uint64_t from;
+
+	memset(b, 0, sizeof(*b));
+	if (log->read(log->ctx, STREAM, 0, 1, 0, LOG_TIMEOUT_MS, b) !=
+	    LOGSVC_OK)
+		return -1;
+	from = b->first;
+	if (b->next > from + TAIL_RECORDS)
+		from = b->next - TAIL_RECORDS;
+	logsvc_batch_finish(b);
+	memset(b, 0, sizeof(*b));
+	return log->read(log->ctx, STREAM, from, TAIL_RECORDS, 0,
+		   LOG_TIMEOUT_MS, b) == LOGSVC_OK
+		   ? 0
+		   : -1;
+}
+
+/*
+ * Takes the addresses of unknown members from hellos.  Returns how many name
+ * a process that is alive, and sets *own if one names this node.
+ */
+static uint32_t
+take_hellos(struct member_service *ms, const struct logsvc_batch *b, int *own)
+{
+	struct member_hello h;
+	struct member_slot *s;
+	uint32_t fresh = 0;
+	size_t i;
+
+	pthread_mutex_lock(&ms->lock);
+	for (i = 0; i < b->count; i++) {
+		if (member_hello_parse(b->list[i].data, b->list[i].len, &h) ==
+		    -1) {
+			counter_add(CTR_LOG_BAD_RECORDS, 1);
+			continue;
+		}
+		s = member_find(ms->table, h.id.addr, h.id.rpc_port);
+		if (s == NULL)
+			member_table_seed(
+			    ms->table, h.id.addr, h.id.rpc_port, 0);
+		else if (s->info.state == MEMBER_ALIVE &&
+			 nodeid_equal(&s->info.id, &h.id))
+			fresh++;
+		if (s != NULL &&
+		    member_handle(ms->table, s) == ms->table->self &&
+		    nodeid_equal(&s->info.id, &h.id))
+			*own = 1;
+	}
+	pthread_mutex_unlock(&ms->lock);
+	return fresh;
+}
+
+/*
+ * Appends this node's hello.  If the answer was lost the next read tells.
+ */
+static void
+append_hello(struct member_service *ms, int *appended)
+{
+	enum logsvc_status st;
+	uint64_t offset;
+	char *hello;
+
+	pthread_mutex_lock(&ms->lock);
+	hello = member_hello_format(&ms->table->slots[ms->table->self].info);
+	pthread_mutex_unlock(&ms->lock);
+	if (hello == NULL)
+		return;
+	st = ms->log->append(ms->log->ctx, STREAM, hello, strlen(hello),
+	    LOG_TIMEOUT_MS, &offset);
+	free(hello);
+	if (st == LOGSVC_OK)
+		*appended = 1;
+	else
+		logline(LOG_WARNING, "member-hello", "status=%d", (int)st);
+}
+
+/*
+ * Returns the number of other members that are alive.
+ */
+static uint32_t
+others(struct member_service *ms)
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&ms->lock);
+	n = ms->table->alive - (ms->table->leaving ? 0 : 1);
+	pthread_mutex_unlock(&ms->lock);
+	return n;
+}
+
+/*
+ * Tells whether to append a hello: once after the start, and again when the
+ * log has few; then about FRESH_MIN of all members do so.
+ */
+static int
+should_append(struct member_service *ms, uint32_t fresh, int own, int appended)
+{
+	uint32_t n = others(ms) + 1;
+
+	if (!own && !appended)
+		return 1;
+	if (fresh >= FRESH_MIN || fresh >= n || own)
+		return 0;
+	return rand_u64() % n < FRESH_MIN;
+}
+
+/*
+ * Waits for some ms or until the service stops.
+ */
+static void
+pause_ms(struct member_service *ms, uint64_t n)
+{
+	struct timespec ts;
+	int rc = 0;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_sec += (time_t)(n / 1000);
+	ts.tv_nsec += (long)(n % 1000) * 1000000;
+	ts.tv_sec += ts.tv_nsec / 1000000000;
+	ts.tv_nsec %= 1000000000;
+	pthread_mutex_lock(&ms->lock);
+	while (!ms->stopping && rc == 0)
+		rc = pthread_cond_clockwait(
+		    &ms->stop, &ms->lock, CLOCK_MONOTONIC, &ts);
+	pthread_mutex_unlock(&ms->lock);
+}
+
+/*
+ * Reads the stream of members for addresses, and keeps a few hellos in it
+ * for those that start later.  All nodes together read at a bounded rate.
+ */
+void *
+member_log_thread(void *arg)
+{
+	struct member_service *ms = arg;
+	struct logsvc_batch b;
+	int own, appended = 0, stopping = 0;
+	uint32_t fresh, n;
+	uint64_t every;
+
+	while (!stopping) {
+		own = 0;
+		if (read_tail(ms, &b) == 0) {
+			fresh = take_hellos(ms, &b, &own);
+			if (should_append(ms, fresh, own, appended))
+				append_hello(ms, &appended);
+		}
+		logsvc_batch_finish(&b);
+		n = others(ms);
+		every =
+		    (uint64_t)CHECK_MS * MAX(n, CHECK_MEMBERS) / CHECK_MEMBERS;
+		if (n == 0 || !(own || appended))
+			every = ALONE_MS;
+		pause_ms(ms, every / 2 + rand_u64() % every);
+		pthread_mutex_lock(&ms->lock);
+		stopping = ms->stopping;
+		pthread_mutex_unlock(&ms->lock);
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/member/member_service.c
@@ -0,0 +1,415 @@
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/counter.h"
+#include "base/logline.h"
+#include "member/member_int.h"
+
+#define PROC_MESSAGE (RPC_BLOCK_MEMBER + 1)
+#define VIEW_GAP_MS 20	  /* between views while there are changes */
+#define VIEW_EVERY_MS 500 /* so that ages and loads stay current */
+
+/* An event to be reported once the lock is released. */
+struct pending_event {
+	enum member_event event;
+	struct member_info info;
+	uint64_t version;
+};
+
+static int handle_message(
+    void *, const struct sockaddr_in *, const void *, void *);
+static void port_send(
+    void *, uint32_t, uint16_t, const struct member_message *);
+static uint64_t port_rand(void *);
+static void port_event(
+    void *, enum member_event, const struct member_info *, uint64_t);
+static void on_refused(void *, const struct node_id *);
+static void free_view(struct rcu_head *);
+static void publish(struct member_service *, uint64_t);
+static void deliver(struct member_service *);
+static void wait_ms(struct member_service *, uint32_t);
+static void *run(void *);
+static uint64_t epoch_now(void);
+static void log_event(enum member_event, const struct member_info *);
+
+static const struct rpc_proc proc_message = {
+	.proc = PROC_MESSAGE,
+	.arg_xdr = (xdrproc_t)xdr_member_message,
+	.arg_size = sizeof(struct member_message),
+	.res_xdr = rpc_xdr_none,
+	.res_size = 0,
+	.handle = handle_message,
+};
+
+static const char *const event_names[MEMBER_EVENT_MAX] = {
+	[MEMBER_JOINED] = "member-joined",
+	[MEMBER_DIED] = "member-died",
+	[MEMBER_DEPARTED] = "member-departed",
+	[MEMBER_RETURNED] = "member-returned",
+	[MEMBER_CONFIG_SEEN] = "config-seen",
+};
+
+/*
+ * Returns the wall clock in ms since 1970.
+ */
+static uint64_t
+epoch_now(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+/*
+ * Prepares membership and registers its procedure, so the RPC server must
+ * not have started yet.  The log may be NULL: then only seeds are used.
+ */
+int
+member_service_init(struct member_service *ms,
+    const struct member_settings *settings, struct rpc_server *server,
+    struct rpc_client *client, const struct logsvc *log)
+{
+	struct member_port port = { port_send, port_rand, port_event, ms };
+	uint64_t now = clock_ms();
+
+	memset(ms, 0, sizeof(*ms));
+	ms->client = client;
+	ms->log = log;
+	g_queue_init(&ms->events);
+	pthread_mutex_init(&ms->lock, NULL);
+	pthread_cond_init(&ms->wake, NULL);
+	pthread_cond_init(&ms->stop, NULL);
+	ms->table = calloc(1, sizeof(*ms->table));
+	if (ms->table == NULL)
+		abort();
+	member_table_init(ms->table, settings, &port, now, epoch_now());
+	ms->view = member_view_build(ms->table, now, ms->generation++);
+	ms->built_ms = now;
+	rpc_client_on_refused(client, on_refused, ms);
+	rpc_server_register(server, &proc_message, 1, ms);
+	return 0;
+}
+
+/*
+ * Sets what is called for every event, by the service's own thread and with
+ * no lock held.  To be set before the start.
+ */
+void
+member_service_on_event(
+    struct member_service *ms, member_event_fn event, void *ctx)
+{
+	ms->event = event;
+	ms->event_ctx = ctx;
+}
+
+/*
+ * Starts the threads for probes and for the log.
+ */
+int
+member_service_start(struct member_service *ms, GError **error)
+{
+	if (pthread_create(&ms->ticker, NULL, run, ms) != 0) {
+		g_set_error(
+		    error, RPC_ERROR, RPC_ERROR_THREAD, "membership thread");
+		return -1;
+	}
+	ms->running = 1;
+	if (ms->log == NULL)
+		return 0;
+	if (pthread_create(&ms->logger, NULL, member_log_thread, ms) != 0) {
+		g_set_error(error, RPC_ERROR, RPC_ERROR_THREAD,
+		    "membership log thread");
+		return -1;
+	}
+	ms->logging = 1;
+	return 0;
+}
+
+/*
+ * Ends the threads and frees everything.  The RPC server must have been
+ * finished before, the RPC client is finished after, and no reader may hold
+ * a view.
+ */
+void
+member_service_finish(struct member_service *ms)
+{
+	rpc_client_on_refused(ms->client, NULL, NULL);
+	pthread_mutex_lock(&ms->lock);
+	ms->stopping = 1;
+	pthread_cond_broadcast(&ms->wake);
+	pthread_cond_broadcast(&ms->stop);
+	pthread_mutex_unlock(&ms->lock);
+	if (ms->running)
+		pthread_join(ms->ticker, NULL);
+	if (ms->logging)
+		pthread_join(ms->logger, NULL);
+	rcu_barrier();
+	member_view_free(ms->view);
+	member_table_finish(ms->table);
+	free(ms->table);
+	g_queue_clear_full(&ms->events, free);
+	pthread_cond_destroy(&ms->wake);
+	pthread_cond_destroy(&ms->stop);
+	pthread_mutex_destroy(&ms->lock);
+}
+
+/*
+ * Sends a message of the table's.
+ */
+static void
+port_send(
+    void *ctx, uint32_t addr, uint16_t port, const struct member_message *msg)
+{
+	struct member_service *ms = ctx;
+	struct node_id to = { addr, port, 0 };
+
+	rpc_client_notify(ms->client, &to, &proc_message, msg);
+}
+
+/*
+ * Returns random bits for the table.
+ */
+static uint64_t
+port_rand(void *ctx)
+{
+	(void)ctx;
+	return rand_u64();
+}
+
+/*
+ * Keeps an event of the table's until the lock is released.
+ */
+static void
+port_event(void *ctx, enum member_event event, const struct member_info *info,
+    uint64_t version)
+{
+	struct member_service *ms = ctx;
+	struct pending_event *pe = malloc(sizeof(*pe));
+
+	if (pe == NULL)
+		abort();
+	pe->event = event;
+	pe->info = *info;
+	pe->version = version;
+	g_queue_push_tail(&ms->events, pe);
+}
+
+/*
+ * Takes a message from the RPC server; there is never an answer.
+ */
+static int
+handle_message(
+    void *ctx, const struct sockaddr_in *from, const void *arg, void *res)
+{
+	struct member_service *ms = ctx;
+
+	(void)from;
+	(void)res;
+	pthread_mutex_lock(&ms->lock);
+	member_table_receive(ms->table, clock_ms(), arg);
+	if (ms->table->dirty || !g_queue_is_empty(&ms->events))
+		pthread_cond_signal(&ms->wake);
+	pthread_mutex_unlock(&ms->lock);
+	return -1;
+}
+
+/*
+ * Notes that an address has no process.
+ */
+static void
+on_refused(void *ctx, const struct node_id *to)
+{
+	struct member_service *ms = ctx;
+
+	pthread_mutex_lock(&ms->lock);
+	member_table_refused(ms->table, clock_ms(), to->addr, to->rpc_port);
+	pthread_mutex_unlock(&ms->lock);
+}
+
+/*
+ * Frees a view after a grace period.
+ */
+static void
+free_view(struct rcu_head *head)
+{
+	member_view_free(caa_container_of(head, struct member_view, rcu));
+}
+
+/*
+ * Replaces the view if it is out of date, with the lock held.
+ */
+static void
+publish(struct member_service *ms, uint64_t now)
+{
+	uint64_t age = now - ms->built_ms;
+	struct member_view *v, *old;
+
+	if (age < VIEW_GAP_MS || (!ms->table->dirty && age < VIEW_EVERY_MS))
+		return;
+	v = member_view_build(ms->table, now, ms->generation++);
+	ms->table->dirty = 0;
+	ms->built_ms = now;
+	old = rcu_xchg_pointer(&ms->view, v);
+	call_rcu(&old->rcu, free_view);
+}
+
+/*
+ * Writes a line about an event.
+ */
+static void
+log_event(enum member_event event, const struct member_info *m)
+{
+	char name[NODE_ID_TEXT];
+
+	nodeid_format(&m->id, name);
+	logline(LOG_NOTICE, event_names[event], "node=%s domain=%s service=%s",
+	    name, m->domain[0] != '\0' ? m->domain : "-",
+	    m->server.service[0] != '\0' ? m->server.service : "-");
+}
+
+/*
+ * Reports all events that wait, with the lock held but for the calls.
+ */
+static void
+deliver(struct member_service *ms)
+{
+	struct pending_event *pe;
+
+	while ((pe = g_queue_pop_head(&ms->events)) != NULL) {
+		pthread_mutex_unlock(&ms->lock);
+		if (pe->event != MEMBER_CONFIG_SEEN)
+			log_event(pe->event, &pe->info);
+		if (ms->event != NULL)
+			ms->event(
+			    ms->event_ctx, pe->event, &pe->info, pe->version);
+		free(pe);
+		pthread_mutex_lock(&ms->lock);
+	}
+}
+
+/*
+ * Waits until woken or for some ms, with the lock held.
+ */
+static void
+wait_ms(struct member_service *ms, uint32_t n)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_nsec += (long)n * 1000000;
+	ts.tv_sec += ts.tv_nsec / 1000000000;
+	ts.tv_nsec %= 1000000000;
+	pthread_cond_clockwait(&ms->wake, &ms->lock, CLOCK_MONOTONIC, &ts);
+}
+
+/*
+ * Ticks the table, publishes views and reports events until stopped.
+ */
+static void *
+run(void *arg)
+{
+	struct member_service *ms = arg;
+	uint64_t now;
+
+	rcu_register_thread();
+	pthread_mutex_lock(&ms->lock);
+	while (!ms->stopping) {
+		now = clock_ms();
+		if (now >= ms->table->last_tick_ms + MEMBER_TICK_MS)
+			member_table_tick(ms->table, now);
+		publish(ms, now);
+		deliver(ms);
+		wait_ms(
+		    ms, ms->table->dirty ? VIEW_GAP_MS / 4 : MEMBER_TICK_MS);
+	}
+	pthread_mutex_unlock(&ms->lock);
+	rcu_unregister_thread();
+	return NULL;
+}
+
+/*
+ * Sets what this node tells of its backend server; it spreads at once.
+ */
+void
+member_set_server(struct member_service *ms, const struct member_server *sv)
+{
+	struct member_server *own;
+
+	pthread_mutex_lock(&ms->lock);
+	own = &ms->table->slots[ms->table->self].info.server;
+	*own = *sv;
+	own->service_hash = member_service_hash(own->service);
+	member_table_changed(ms->table, clock_ms());
+	pthread_cond_signal(&ms->wake);
+	pthread_mutex_unlock(&ms->lock);
+}
+
+/*
+ * Sets the load of the local backend server, in thousandths.  It goes out
+ * with the messages that are sent anyway.
+ */
+void
+member_set_load(struct member_service *ms, uint32_t load)
+{
+	pthread_mutex_lock(&ms->lock);
+	ms->table->slots[ms->table->self].info.server.load = load;
+	pthread_mutex_unlock(&ms->lock);
+}
+
+/*
+ * Sets the configuration version in force at this node.
+ */
+void
+member_set_config_version(struct member_service *ms, uint64_t version)
+{
+	struct member_table *t = ms->table;
+	struct member_info *own;
+
+	pthread_mutex_lock(&ms->lock);
+	own = &t->slots[t->self].info;
+	own->config_version = version;
+	if (version >= t->config_version) {
+		t->config_version = version;
+		t->config_addr = own->id.addr;
+		t->config_peer_port = own->peer_port;
+	}
+	pthread_mutex_unlock(&ms->lock);
+}
+
+/*
+ * Notes a read of the log that was sent at this time (ms) and succeeded.
+ */
+void
+member_set_log_read(struct member_service *ms, uint64_t sent)
+{
+	pthread_mutex_lock(&ms->lock);
+	ms->table->log_read_ms = MAX(ms->table->log_read_ms, sent);
+	pthread_mutex_unlock(&ms->lock);
+}
+
+/*
+ * Tells peers that this process stops.  It goes on answering until it is
+ * finished.
+ */
+void
+member_leave(struct member_service *ms)
+{
+	pthread_mutex_lock(&ms->lock);
+	if (!ms->table->leaving)
+		member_table_leave(ms->table, clock_ms());
+	pthread_cond_signal(&ms->wake);
+	pthread_mutex_unlock(&ms->lock);
+}
+
+/*
+ * Returns the current view.  To be called and used within an RCU read-side
+ * critical section.
+ */
+const struct member_view *
+member_view_get(struct member_service *ms)
+{
+	return rcu_dereference(ms->view);
+}
--- /dev/null
+++ b/src/member/member_view.c
@@ -0,0 +1,189 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/member_int.h"
+
+static uint64_t order_of(uint32_t, uint16_t);
+static int by_order(const void *, const void *);
+static int by_service(const void *, const void *, void *);
+static void *alloc(size_t, size_t);
+static void index_services(struct member_view *);
+
+/*
+ * Returns the number by which members are sorted.
+ */
+static uint64_t
+order_of(uint32_t addr, uint16_t port)
+{
+	return (uint64_t)addr << 16 | port;
+}
+
+/*
+ * Compares two members by address and port.
+ */
+static int
+by_order(const void *a, const void *b)
+{
+	const struct member_info *x = a, *y = b;
+	uint64_t i = order_of(x->id.addr, x->id.rpc_port);
+	uint64_t j = order_of(y->id.addr, y->id.rpc_port);
+
+	return (i > j) - (i < j);
+}
+
+/*
+ * Compares two handles by the service of their members.
+ */
+static int
+by_service(const void *a, const void *b, void *ctx)
+{
+	const struct member_view *v = ctx;
+	uint64_t i = v->list[*(const uint32_t *)a].server.service_hash;
+	uint64_t j = v->list[*(const uint32_t *)b].server.service_hash;
+
+	return (i > j) - (i < j);
+}
+
+/*
+ * Allocates a zeroed array.  Exits the process if memory is exhausted.
+ */
+static void *
+alloc(size_t len, size_t size)
+{
+	void *p = calloc(len > 0 ? len : 1, size);
+
+	if (p == NULL)
+		abort();
+	return p;
+}
+
+/*
+ * Lists, service by service, the members whose server is up and that may be
+ * there.
+ */
+static void
+index_services(struct member_view *v)
+{
+	struct member_index *ix = NULL;
+	uint32_t i, n = 0;
+	uint64_t hash;
+
+	v->handles = alloc(v->len, sizeof(*v->handles));
+	v->services = alloc(v->len, sizeof(*v->services));
+	for (i = 0; i < v->len; i++) {
+		if (v->list[i].server.state == MEMBER_SERVER_UP &&
+		    v->list[i].state <= MEMBER_SUSPECT)
+			v->handles[n++] = i;
+	}
+	qsort_r(v->handles, n, sizeof(*v->handles), by_service, v);
+	for (i = 0; i < n; i++) {
+		hash = v->list[v->handles[i]].server.service_hash;
+		if (ix == NULL || ix->hash != hash) {
+			ix = &v->services[v->services_len++];
+			ix->hash = hash;
+			ix->first = i;
+		}
+		ix->len++;
+	}
+}
+
+/*
+ * Builds the view of a table as it is now.
+ */
+struct member_view *
+member_view_build(
+    const struct member_table *t, uint64_t now, uint64_t generation)
+{
+	struct member_view *v = alloc(1, sizeof(*v));
+	const struct member_info *self = &t->slots[t->self].info;
+	uint32_t h;
+
+	v->generation = generation;
+	v->built_ms = now;
+	v->log_read_ms = t->log_read_ms;
+	v->config_version = t->config_version;
+	v->alive = t->alive;
+	member_window_sum(t, now, &v->probed, &v->answered);
+	v->list = alloc(t->count, sizeof(*v->list));
+	for (h = 0; h < t->slots_len; h++) {
+		if (!t->slots[h].used)
+			continue;
+		v->known += t->slots[h].info.state != MEMBER_LEFT;
+		v->list[v->len++] = t->slots[h].info;
+	}
+	qsort(v->list, v->len, sizeof(*v->list), by_order);
+	v->self =
+	    (uint32_t)(member_view_find(v, self->id.addr, self->id.rpc_port) -
+		       v->list);
+	index_services(v);
+	return v;
+}
+
+/*
+ * Frees a view that no reader holds any more.
+ */
+void
+member_view_free(struct member_view *v)
+{
+	free(v->list);
+	free(v->services);
+	free(v->handles);
+	free(v);
+}
+
+/*
+ * Finds the member at an address and port in a view, or returns NULL.
+ */
+const struct member_info *
+member_view_find(const struct member_view *v, uint32_t addr, uint16_t port)
+{
+	struct member_info key = { 0 };
+
+	key.id.addr = addr;
+	key.id.rpc_port = port;
+	return bsearch(&key, v->list, v->len, sizeof(*v->list), by_order);
+}
+
+/*
+ * Returns the handles of the members whose server offers a service and is
+ * up, and their number.
+ */
+const uint32_t *
+member_view_service(
+    const struct member_view *v, const char *service, uint32_t *len)
+{
+	uint64_t hash = member_service_hash(service);
+	uint32_t low = 0, high = v->services_len, mid;
+
+	while (low < high) {
+		mid = (low + high) / 2;
+		if (v->services[mid].hash < hash)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	*len = 0;
+	if (low == v->services_len || v->services[low].hash != hash)
+		return NULL;
+	*len = v->services[low].len;
+	return &v->handles[v->services[low].first];
+}
+
+/*
+ * Tells whether this node may trust its configuration: the log was read by
+ * somebody within MEMBER_FRESH_MS, as far as it knows, or it hears from more
+ * than half of the members.  What it hears is judged by the table, where
+ * others' probes count too, and by its own probes of the last seconds, since
+ * alone it would notice only slowly that many are gone.
+ */
+int
+member_fresh(const struct member_view *v, uint64_t now)
+{
+	if (v->log_read_ms != 0 && now - v->log_read_ms < MEMBER_FRESH_MS)
+		return 1;
+	if (now - v->built_ms >= MEMBER_VIEW_STALE_MS)
+		return 0;
+	if (v->alive * 2 <= v->known)
+		return 0;
+	return v->known == 1 || v->answered * 2 > v->probed;
+}
--- /dev/null
+++ b/src/member/member_wire.c
@@ -0,0 +1,374 @@
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "member/member_int.h"
+
+/* Bytes of the parts of a message that don't vary, as XDR encodes them. */
+#define MESSAGE_BYTES 44
+#define ENTRY_BYTES 60
+#define SERVER_BYTES 28
+
+/* A message being put together, with the memory that it points to. */
+struct draft {
+	struct member_message msg;
+	struct member_entry list[MEMBER_ENTRIES_MAX];
+	struct member_server_entry servers[MEMBER_ENTRIES_MAX + 1];
+	u_int digests[MEMBER_DIGESTS];
+	size_t bytes;
+};
+
+static void fill_entry(uint64_t, struct member_slot *, struct member_entry *,
+    struct member_server_entry *);
+static size_t entry_bytes(const struct member_entry *);
+static int add_entry(uint64_t, struct draft *, struct member_slot *);
+static void begin(
+    struct member_table *, uint64_t, struct draft *, member_kind, uint32_t);
+static struct member_slot *least_told(struct member_table *);
+static void add_queued(struct member_table *, uint64_t, struct draft *);
+static void add_old(struct member_table *, uint64_t, struct draft *);
+static void add_about(
+    struct member_table *, uint64_t, struct draft *, const struct node_id *);
+static void send_draft(
+    struct member_table *, struct draft *, const struct node_id *);
+static uint32_t bucket_of(const struct member_info *);
+static void digest(const struct member_table *, u_int *);
+
+/*
+ * Puts a member's change among those to be told.
+ */
+void
+member_queue(struct member_table *t, struct member_slot *s)
+{
+	s->told = 0;
+	if (s->queued)
+		return;
+	s->queued = 1;
+	t->queue[t->queue_len++] = member_handle(t, s);
+}
+
+/*
+ * Ends the telling of a member's change.
+ */
+void
+member_unqueue(struct member_table *t, uint32_t h)
+{
+	uint32_t i;
+
+	for (i = 0; i < t->queue_len; i++) {
+		if (t->queue[i] != h)
+			continue;
+		t->queue[i] = t->queue[--t->queue_len];
+		t->slots[h].queued = 0;
+		return;
+	}
+}
+
+/*
+ * Fills in an entry for the wire, which points into the slot.  Of a member
+ * that isn't there, only its name and state are told.
+ */
+static void
+fill_entry(uint64_t now, struct member_slot *s, struct member_entry *e,
+    struct member_server_entry *sv)
+{
+	static char none[] = "";
+	struct member_info *m = &s->info;
+	int up = m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
+
+	e->name.addr = m->id.addr;
+	e->name.port = m->id.rpc_port;
+	e->name.incarnation = m->id.incarnation;
+	e->name.epoch = m->epoch;
+	e->peer_port = m->peer_port;
+	e->state = m->state;
+	e->seq = m->seq;
+	e->age_s = (u_int)((now - m->since_ms) / 1000);
+	e->domain = up ? m->domain : none;
+	e->region = up ? m->region : none;
+	e->config_version = m->config_version;
+	e->server = NULL;
+	if (!up || m->server.state == MEMBER_SERVER_NONE)
+		return;
+	e->server = sv;
+	sv->state = m->server.state;
+	sv->service = m->server.service;
+	sv->incarnation = m->server.incarnation;
+	sv->slots = m->server.slots;
+	sv->connections = m->server.connections;
+	sv->load = m->server.load;
+}
+
+/*
+ * Returns the bytes that an entry takes when encoded.
+ */
+static size_t
+entry_bytes(const struct member_entry *e)
+{
+	size_t n = ENTRY_BYTES;
+
+	n += RNDUP(strlen(e->domain)) + RNDUP(strlen(e->region));
+	if (e->server != NULL)
+		n += SERVER_BYTES + RNDUP(strlen(e->server->service));
+	return n;
+}
+
+/*
+ * Adds an entry to a message.  Returns 0 if it has no room.
+ */
+static int
+add_entry(uint64_t now, struct draft *d, struct member_slot *s)
+{
+	u_int n = d->msg.entries.entries_len;
+	size_t bytes;
+
+	if (n == MEMBER_ENTRIES_MAX)
+		return 0;
+	fill_entry(now, s, &d->list[n], &d->servers[n]);
+	bytes = entry_bytes(&d->list[n]);
+	if (d->bytes + bytes > MEMBER_MESSAGE_BYTES)
+		return 0;
+	d->bytes += bytes;
+	d->msg.entries.entries_len++;
+	return 1;
+}
+
+/*
+ * Begins a message with what all of them carry.
+ */
+static void
+begin(struct member_table *t, uint64_t now, struct draft *d, member_kind kind,
+    uint32_t nonce)
+{
+	uint64_t age = now - t->log_read_ms;
+
+	memset(&d->msg, 0, sizeof(d->msg));
+	d->msg.kind = kind;
+	d->msg.nonce = nonce;
+	d->msg.log_age_ms = UINT32_MAX;
+	if (t->log_read_ms != 0 && age < UINT32_MAX)
+		d->msg.log_age_ms = (u_int)age;
+	d->msg.config.number = t->config_version;
+	d->msg.config.addr = t->config_addr;
+	d->msg.config.peer_port = t->config_peer_port;
+	d->msg.entries.entries_val = d->list;
+	d->msg.digests.digests_val = d->digests;
+	fill_entry(now, &t->slots[t->self], &d->msg.self,
+	    &d->servers[MEMBER_ENTRIES_MAX]);
+	d->bytes = MESSAGE_BYTES + entry_bytes(&d->msg.self);
+	t->stamp++;
+}
+
+/*
+ * Finds the change that was told least often and isn't in the message yet,
+ * or returns NULL.
+ */
+static struct member_slot *
+least_told(struct member_table *t)
+{
+	struct member_slot *s, *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < t->queue_len; i++) {
+		s = &t->slots[t->queue[i]];
+		if (s->stamp != t->stamp &&
+		    (best == NULL || s->told < best->told))
+			best = s;
+	}
+	return best;
+}
+
+/*
+ * Fills a message up with changes.  One that was told often enough is told
+ * no more.  Every message has this node's own entry anyway.
+ */
+static void
+add_queued(struct member_table *t, uint64_t now, struct draft *d)
+{
+	struct member_slot *s;
+	uint32_t h;
+
+	while ((s = least_told(t)) != NULL) {
+		h = member_handle(t, s);
+		if (h != t->self && !add_entry(now, d, s))
+			return;
+		s->stamp = t->stamp;
+		if (++s->told >= member_tells(t))
+			member_unqueue(t, h);
+	}
+}
+
+/*
+ * Adds one entry whether or not it has changed, each in turn, so that all
+ * nodes agree in the end whatever was lost.
+ */
+static void
+add_old(struct member_table *t, uint64_t now, struct draft *d)
+{
+	struct member_slot *s;
+	uint32_t i;
+
+	for (i = 0; i < t->slots_len; i++) {
+		t->old_pos = (t->old_pos + 1) % t->slots_len;
+		s = &t->slots[t->old_pos];
+		if (s->used && t->old_pos != t->self &&
+		    s->info.state != MEMBER_LEFT && s->stamp != t->stamp) {
+			add_entry(now, d, s);
+			return;
+		}
+	}
+}
+
+/*
+ * Adds what this node holds of the receiver, where the receiver may want to
+ * refute it.
+ */
+static void
+add_about(struct member_table *t, uint64_t now, struct draft *d,
+    const struct node_id *to)
+{
+	struct member_slot *s = member_find(t, to->addr, to->rpc_port);
+
+	if (s == NULL)
+		return;
+	if (s->info.state == MEMBER_ALIVE &&
+	    (to->incarnation == 0 || to->incarnation == s->info.id.incarnation))
+		return;
+	s->stamp = t->stamp;
+	add_entry(now, d, s);
+}
+
+/*
+ * Sends a message and charges it to the budget.
+ */
+static void
+send_draft(struct member_table *t, struct draft *d, const struct node_id *to)
+{
+	if (d->msg.kind == MEMBER_GOSSIP)
+		t->budget -= (int64_t)d->bytes;
+	t->port.send(t->port.ctx, to->addr, to->rpc_port, &d->msg);
+}
+
+/*
+ * Sends a message that carries as many changes as it has room for.
+ */
+void
+member_send(struct member_table *t, uint64_t now, member_kind kind,
+    const struct node_id *to, uint32_t nonce)
+{
+	struct draft d;
+
+	begin(t, now, &d, kind, nonce);
+	add_about(t, now, &d, to);
+	add_queued(t, now, &d);
+	if (kind == MEMBER_PING)
+		add_old(t, now, &d);
+	send_draft(t, &d, to);
+}
+
+/*
+ * Asks a helper to probe a target.
+ */
+void
+member_send_ping_req(struct member_table *t, uint64_t now,
+    const struct node_id *helper, const struct node_id *target, uint32_t nonce)
+{
+	struct draft d;
+
+	begin(t, now, &d, MEMBER_PING_REQ, nonce);
+	d.msg.target_addr = target->addr;
+	d.msg.target_port = target->rpc_port;
+	add_queued(t, now, &d);
+	send_draft(t, &d, helper);
+}
+
+/*
+ * Returns the bucket of digests that a member belongs to.
+ */
+static uint32_t
+bucket_of(const struct member_info *m)
+{
+	uint64_t key = (uint64_t)m->id.addr << 16 | m->id.rpc_port;
+
+	return (uint32_t)(XXH3_64bits(&key, sizeof(key)) % MEMBER_DIGESTS);
+}
+
+/*
+ * Computes a digest of each bucket over the members that are there.  Nodes
+ * that agree have equal digests; what changes often or differs rightly
+ * (load, suspicion, age) stays out.
+ */
+static void
+digest(const struct member_table *t, u_int *out)
+{
+	const struct member_slot *s;
+	uint64_t in[3];
+	uint32_t h;
+
+	memset(out, 0, MEMBER_DIGESTS * sizeof(*out));
+	for (h = 0; h < t->slots_len; h++) {
+		s = &t->slots[h];
+		if (!s->used || s->info.state > MEMBER_SUSPECT)
+			continue;
+		in[0] = (uint64_t)s->info.id.addr << 16 | s->info.id.rpc_port;
+		in[1] = s->info.id.incarnation;
+		in[2] = s->info.seq;
+		out[bucket_of(&s->info)] ^= (u_int)XXH3_64bits(in, sizeof(in));
+	}
+}
+
+/*
+ * Sends the digests of this node's table, so that the receiver sends what
+ * differs.
+ */
+void
+member_sync(struct member_table *t, uint64_t now, member_kind kind,
+    const struct node_id *to)
+{
+	struct draft d;
+
+	begin(t, now, &d, kind, 0);
+	digest(t, d.digests);
+	d.msg.digests.digests_len = MEMBER_DIGESTS;
+	add_about(t, now, &d, to);
+	send_draft(t, &d, to);
+}
+
+/*
+ * Sends the members of all buckets that differ from the sender's digests, as
+ * far as the bounds on pages and bytes allow, beginning anywhere.
+ */
+void
+member_sync_answer(
+    struct member_table *t, uint64_t now, const struct member_message *msg)
+{
+	struct node_id to = { msg->self.name.addr,
+		(uint16_t)msg->self.name.port, msg->self.name.incarnation };
+	u_int own[MEMBER_DIGESTS];
+	struct member_slot *s;
+	struct draft d;
+	uint32_t start, i, b;
+	int pages = 0;
+
+	if (msg->digests.digests_len != MEMBER_DIGESTS)
+		return;
+	digest(t, own);
+	begin(t, now, &d, MEMBER_GOSSIP, 0);
+	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
+	for (i = 0; i < t->slots_len; i++) {
+		s = &t->slots[(start + i) % t->slots_len];
+		b = bucket_of(&s->info);
+		if (!s->used || s->info.state == MEMBER_LEFT ||
+		    own[b] == msg->digests.digests_val[b])
+			continue;
+		if (add_entry(now, &d, s))
+			continue;
+		send_draft(t, &d, &to);
+		if (++pages == MEMBER_SYNC_PAGES || t->budget < 0)
+			return;
+		begin(t, now, &d, MEMBER_GOSSIP, 0);
+		add_entry(now, &d, s);
+	}
+	if (d.msg.entries.entries_len > 0)
+		send_draft(t, &d, &to);
+}
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -110,6 +110,9 @@
 	pthread_t thread;
 	int fd;
 	int wake_fd;
+	pthread_mutex_t refused_lock;
+	void (*refused)(void *, const struct node_id *);
+	void *refused_ctx;
 };
 
 /* One call among many: where to, its argument, and what came of it. */
@@ -121,6 +124,7 @@
 };
 
 GQuark rpc_error_quark(void);
+bool_t rpc_xdr_none(XDR *, ...);
 int rpc_settings_init(struct rpc_settings *, const struct node_id *,
     const void *, size_t, GError **);
 
@@ -134,6 +138,8 @@
 int rpc_client_init(
     struct rpc_client *, const struct rpc_settings *, GError **);
 void rpc_client_finish(struct rpc_client *);
+void rpc_client_on_refused(
+    struct rpc_client *, void (*)(void *, const struct node_id *), void *);
 enum rpc_status rpc_client_call(void *, const struct node_id *,
     const struct rpc_proc *, const void *, void *, uint32_t);
 void rpc_client_call_many(struct rpc_client *, const struct rpc_proc *,
--- a/src/rpc/rpc_client.c
+++ b/src/rpc/rpc_client.c
@@ -73,6 +73,7 @@
 		return -1;
 	setsockopt(c->fd, IPPROTO_IP, IP_RECVERR, &on, sizeof(on));
 	pthread_mutex_init(&c->lock, NULL);
+	pthread_mutex_init(&c->refused_lock, NULL);
 	c->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	if (c->wake_fd == -1 ||
 	    pthread_create(&c->thread, NULL, receive, c) != 0) {
@@ -97,6 +98,21 @@
 	close(c->wake_fd);
 	close(c->fd);
 	pthread_mutex_destroy(&c->lock);
+	pthread_mutex_destroy(&c->refused_lock);
+}
+
+/*
+ * Sets what is called, by the client's thread, for each notice that an
+ * address refused; NULL for nothing.  Returns once a call under way is over.
+ */
+void
+rpc_client_on_refused(struct rpc_client *c,
+    void (*refused)(void *, const struct node_id *), void *ctx)
+{
+	pthread_mutex_lock(&c->refused_lock);
+	c->refused = refused;
+	c->refused_ctx = ctx;
+	pthread_mutex_unlock(&c->refused_lock);
 }
 
 /*
@@ -300,6 +316,7 @@
 	struct sockaddr_in to = { 0 };
 	struct iovec iov = { .iov_base = buf, .iov_len = sizeof(buf) };
 	struct msghdr msg = { .msg_name = &to, .msg_namelen = sizeof(to) };
+	struct node_id id = { 0 };
 	struct rpc_pending *p;
 	uint32_t xid;
 	ssize_t len;
@@ -314,12 +331,19 @@
 	if ((size_t)len < sizeof(xid))
 		return 1;
 	memcpy(&xid, buf, sizeof(xid));
+	id.addr = ntohl(to.sin_addr.s_addr);
+	id.rpc_port = ntohs(to.sin_port);
 	pthread_mutex_lock(&c->lock);
 	p = find(c, ntohl(xid));
-	if (p != NULL && ntohl(to.sin_addr.s_addr) == p->to.addr &&
-	    ntohs(to.sin_port) == p->to.rpc_port)
+	if (p != NULL && id.addr == p->to.addr && id.rpc_port == p->to.rpc_port)
 		complete(c, p, RPC_UNREACHABLE);
 	pthread_mutex_unlock(&c->lock);
+	if (p != NULL)
+		return 1;
+	pthread_mutex_lock(&c->refused_lock);
+	if (c->refused != NULL)
+		c->refused(c->refused_ctx, &id);
+	pthread_mutex_unlock(&c->refused_lock);
 	return 1;
 }
 
--- a/src/rpc/rpc_wire.c
+++ b/src/rpc/rpc_wire.c
@@ -57,6 +57,16 @@
 	return 0;
 }
 
+/*
+ * Encodes and decodes nothing: for procedures without argument or result.
+ */
+bool_t
+rpc_xdr_none(XDR *xdrs, ...)
+{
+	(void)xdrs;
+	return TRUE;
+}
+
 /*
  * Adds 32 bits to a MAC in network byte order.
  */
