--- a/src/config/test_config.c
+++ b/src/config/test_config.c
@@ -8,16 +8,17 @@
 
 #include "config/config.h"
 
-#define ID	  "00112233445566778899aabbccddeeff"
-#define HASH_A	  "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
-#define ROUTE(n, p) \
+#define ID "00112233445566778899aabbccddeeff"
+#define HASH_A \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define ROUTE(n, p)                                                   \
 	"{\"name\":\"" n "\",\"prefix\":\"" p "\",\"service\":\"s\"," \
 	"\"idempotent\":true,\"class\":\"normal\",\"deadline_ms\":100}"
 #define CONF(r) "{\"routes\":[" r "],\"workspaces\":[]}"
-#define PUB(b, v) \
+#define PUB(b, v)                                            \
 	"{\"id\":\"" ID "\",\"base\":" #b ",\"version\":" #v \
 	",\"author\":\"t\",\"config\":" CONF(ROUTE("a", "/a")) "}"
-#define SNAP(v) \
+#define SNAP(v)                              \
 	"{\"id\":\"" ID "\",\"version\":" #v \
 	",\"snapshot\":true,\"config\":" CONF(ROUTE("a", "/a")) "}"
 
@@ -48,8 +49,8 @@
 				     strlen(st[i].record), &old, &fs),
 		    st[i].outcome);
 		config_free(old);
-		assert_int_equal(s.cur != NULL ? s.cur->version : 0,
-		    st[i].version);
+		assert_int_equal(
+		    s.cur != NULL ? s.cur->version : 0, st[i].version);
 		finds_finish(&fs);
 	}
 	config_state_finish(&s);
@@ -148,8 +149,8 @@
 	config_state_apply(&s, 0, PUB(0, 1), strlen(PUB(0, 1)), &old, &fs);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		s.held_at = cases[i].held;
-		assert_int_equal(config_snapshot_due(&s, cases[i].first,
-				     cases[i].next),
+		assert_int_equal(
+		    config_snapshot_due(&s, cases[i].first, cases[i].next),
 		    cases[i].due);
 	}
 	finds_finish(&fs);
@@ -162,10 +163,11 @@
 static void
 test_longest_prefix_wins(void **state)
 {
-	static const char text[] = CONF(ROUTE("root", "/") "," ROUTE("a",
-	    "/a") "," ROUTE("ab", "/a/b") ",{\"name\":\"p\",\"prefix\":\"/a\","
-	    "\"service\":\"s\",\"idempotent\":true,\"class\":\"low\","
-	    "\"deadline_ms\":5,\"methods\":[\"POST\"]}");
+	static const char text[] = CONF(ROUTE("root", "/") "," ROUTE(
+	    "a", "/a") "," ROUTE("ab",
+	    "/a/b") ",{\"name\":\"p\",\"prefix\":\"/a\","
+		    "\"service\":\"s\",\"idempotent\":true,\"class\":\"low\","
+		    "\"deadline_ms\":5,\"methods\":[\"POST\"]}");
 	static const struct {
 		const char *method, *path, *name;
 	} cases[] = {
@@ -189,13 +191,11 @@
 	assert_int_equal(fs.errors, 1);
 	finds_finish(&fs);
 	for (i = 0; i < 4; i++) {
-		static const char plain[] =
-		    CONF(ROUTE("root", "/") "," ROUTE("a", "/a") "," ROUTE("ab",
-			"/a/b"));
+		static const char plain[] = CONF(ROUTE("root", "/") "," ROUTE(
+		    "a", "/a") "," ROUTE("ab", "/a/b"));
 
 		finds_init(&fs);
-		assert_int_equal(config_init(&c, plain, strlen(plain), &fs),
-		    0);
+		assert_int_equal(config_init(&c, plain, strlen(plain), &fs), 0);
 		r = config_route_find(&c, cases[i].method, cases[i].path);
 		assert_string_equal(c.routes[r].name, cases[i].name);
 		config_finish(&c);
--- a/src/node/announce.c
+++ b/src/node/announce.c
@@ -7,7 +7,7 @@
 #include "node/node.h"
 
 #define SERVER_TARGET "/cyclamen/server"
-#define DRAIN_TARGET  "/cyclamen/drain"
+#define DRAIN_TARGET "/cyclamen/drain"
 
 typedef void (*announce_fn)(struct node *, struct request *);
 
@@ -50,10 +50,10 @@
 	size_t i;
 
 	for (i = 0; i < fs->count; i++)
-		json_array_append_new(list,
-		    json_pack("{s:s,s:s,s:s}", "place", fs->list[i].place,
-			"finding", fs->list[i].text, "detail",
-			fs->list[i].detail));
+		json_array_append_new(
+		    list, json_pack("{s:s,s:s,s:s}", "place", fs->list[i].place,
+			      "finding", fs->list[i].text, "detail",
+			      fs->list[i].detail));
 	list = json_pack("{s:o}", "findings", list);
 	text = json_dumps(list, JSON_COMPACT);
 	json_decref(list);
@@ -72,8 +72,7 @@
 	struct member_announce a;
 
 	server_get(&n->server, now, &a);
-	if (atomic_load(&n->stopping) &&
-	    a.server.state == MEMBER_SERVER_UP)
+	if (atomic_load(&n->stopping) && a.server.state == MEMBER_SERVER_UP)
 		a.server.state = MEMBER_SERVER_DRAINING;
 	member_set_server(&n->member, &a.server);
 }
@@ -89,8 +88,8 @@
 	enum server_change change;
 
 	finds_init(&fs);
-	if (member_announce_parse(r->body != NULL ? r->body : "", r->body_len,
-		&a, &fs) == -1) {
+	if (member_announce_parse(
+		r->body != NULL ? r->body : "", r->body_len, &a, &fs) == -1) {
 		reply_findings(r, &fs);
 		finds_finish(&fs);
 		return;
@@ -156,7 +155,8 @@
 		announce_rows[i].serve(n, r);
 		return 1;
 	}
-	reply(r, 404, "{\"findings\":[{\"place\":\"/\",\"finding\":"
-		      "\"no such operation\"}]}");
+	reply(r, 404,
+	    "{\"findings\":[{\"place\":\"/\",\"finding\":"
+	    "\"no such operation\"}]}");
 	return 1;
 }
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -8,8 +8,8 @@
 
 #include "node/node.h"
 
-#define PEER_IDLE_MAX	 8
-#define TRIED_MAX	 16
+#define PEER_IDLE_MAX 8
+#define TRIED_MAX 16
 #define FORWARD_GRACE_MS 50 /* an exit answers at its deadline, then we */
 
 /* Where a request can be sent. */
@@ -102,8 +102,7 @@
 	for (i = 0; i < len && found == -1; i++) {
 		m = &v->list[h[(start + i) % len]];
 		if (m->state != MEMBER_ALIVE ||
-		    m->server.state != MEMBER_SERVER_UP ||
-		    was_tried(c, &m->id))
+		    m->server.state != MEMBER_SERVER_UP || was_tried(c, &m->id))
 			continue;
 		t->id = m->id;
 		t->peer_port = m->peer_port;
@@ -139,16 +138,16 @@
 	if (c->verdict.retries_left > c->cx.retries)
 		c->verdict.retries_left = c->cx.retries;
 	v = head_get(h, "Cyclamen-Load");
-	snprintf(c->verdict.load, sizeof(c->verdict.load), "%s",
-	    v != NULL ? v : "");
+	snprintf(
+	    c->verdict.load, sizeof(c->verdict.load), "%s", v != NULL ? v : "");
 	if (c->verdict.outcome != OUTCOME_DONE)
 		return 0;
 	head_init(&c->scratch, h->status);
 	c->scratch.length = h->length;
 	for (i = 0; i < h->count; i++)
 		if (!head_is_internal(head_name(h, i)))
-			head_add(&c->scratch, head_name(h, i),
-			    head_value(h, i));
+			head_add(
+			    &c->scratch, head_name(h, i), head_value(h, i));
 	head_add(&c->scratch, "Cyclamen-Outcome", outcome_names[OUTCOME_DONE]);
 	answer_sink(&c->answer, &s);
 	return s.head(s.ctx, &c->scratch);
--- a/src/node/exit.c
+++ b/src/node/exit.c
@@ -1,3 +1,5 @@
+#include <err.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <poll.h>
 #include <stdio.h>
@@ -8,9 +10,9 @@
 
 #include "node/node.h"
 
-#define SERVER_IDLE_MAX	 256
+#define SERVER_IDLE_MAX 256
 #define DEATH_CONNECT_MS 50
-#define ID_HEX		 17
+#define ID_HEX 17
 
 /* One request at the local server. */
 struct run {
@@ -96,8 +98,8 @@
 			head_add(&r->head, head_name(h, i), head_value(h, i));
 	head_add(&r->head, "Cyclamen-Outcome", outcome_names[OUTCOME_DONE]);
 	head_addf(&r->head, "Cyclamen-Attempt", "%016" PRIx64, r->cx->attempt);
-	head_addf(&r->head, "Cyclamen-Retries-Left", "%u",
-	    r->verdict->retries_left);
+	head_addf(
+	    &r->head, "Cyclamen-Retries-Left", "%u", r->verdict->retries_left);
 	head_add(&r->head, "Cyclamen-Load", r->verdict->load);
 	r->passed = 1;
 	return r->next->head(r->next->ctx, &r->head);
@@ -151,9 +153,8 @@
 		return;
 	if (!server_died(&n->server, a->server.incarnation))
 		return;
-	logline(LOG_WARNING, "server-died",
-	    "service=%s incarnation=%" PRIx64, a->server.service,
-	    a->server.incarnation);
+	logline(LOG_WARNING, "server-died", "service=%s incarnation=%" PRIx64,
+	    a->server.service, a->server.incarnation);
 	client_forget(n->servers, a->addr, a->port);
 	server_check(n, clock_ms());
 }
@@ -176,8 +177,8 @@
  * Sends an admitted request to the server and passes its answer on.
  */
 static void
-run_admitted(struct node *n, const struct context *cx,
-    const struct request *rq, const struct member_announce *a, uint32_t left,
+run_admitted(struct node *n, const struct context *cx, const struct request *rq,
+    const struct member_announce *a, uint32_t left,
     const struct answer_sink *next, struct verdict *v,
     enum admission_outcome *served)
 {
@@ -236,8 +237,7 @@
 					(enum admission_class)cx->importance,
 		.depth = cx->depth,
 		.root_hash = cx->root,
-		.deadline_us =
-		    clock_us() + (uint64_t)cx->deadline_ms * 1000 };
+		.deadline_us = clock_us() + (uint64_t)cx->deadline_ms * 1000 };
 	struct admission_load load;
 	struct admission_ticket ticket;
 	struct member_announce a;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -9,13 +9,13 @@
 
 #include "node/node.h"
 
-#define TICK_US		  100000
-#define PEER_CONNS_MAX	  256
-#define PEER_IDLE_MS	  2000 /* shorter than a peer keeps them open */
-#define SERVER_CONNS_MAX  512
-#define SERVER_IDLE_MS	  2000
-#define STOP_CHECK_US	  10000
-#define STOP_LINGER_MS	  300 /* peers and callers learn of the stop */
+#define TICK_US 100000
+#define PEER_CONNS_MAX 256
+#define PEER_IDLE_MS 2000 /* shorter than a peer keeps them open */
+#define SERVER_CONNS_MAX 512
+#define SERVER_IDLE_MS 2000
+#define STOP_CHECK_US 10000
+#define STOP_LINGER_MS 300 /* peers and callers learn of the stop */
 
 static void *ticker_main(void *);
 
@@ -50,11 +50,11 @@
 {
 	static const char label[] = "cyclamenvale peer key 1";
 
-	crypto_generichash(n->key, sizeof(n->key),
-	    (const unsigned char *)label, sizeof(label), s->secret.bytes,
-	    s->secret.len > crypto_generichash_KEYBYTES_MAX ?
-		crypto_generichash_KEYBYTES_MAX :
-		s->secret.len);
+	crypto_generichash(n->key, sizeof(n->key), (const unsigned char *)label,
+	    sizeof(label), s->secret.bytes,
+	    s->secret.len > crypto_generichash_KEYBYTES_MAX
+		? crypto_generichash_KEYBYTES_MAX
+		: s->secret.len);
 }
 
 /*
@@ -82,16 +82,16 @@
 		seeds[i].addr = s->seed_peers.list[i].addr;
 		seeds[i].rpc_port = (uint16_t)s->seed_peers.list[i].port;
 	}
-	if (rpc_settings_init(&n->rpc_settings, &bind, n->key, sizeof(n->key),
-		&e) == -1 ||
+	if (rpc_settings_init(
+		&n->rpc_settings, &bind, n->key, sizeof(n->key), &e) == -1 ||
 	    rpc_server_init(&n->rpc_server, &n->rpc_settings, &e) == -1 ||
 	    rpc_client_init(&n->rpc_client, &n->rpc_settings, &e) == -1) {
 		logline(LOG_CRIT, "rpc-failed", "why=\"%s\"", e->message);
 		g_error_free(e);
 		return -1;
 	}
-	return member_service_init(&n->member, &ms, &n->rpc_server,
-	    &n->rpc_client, &n->log);
+	return member_service_init(
+	    &n->member, &ms, &n->rpc_server, &n->rpc_client, &n->log);
 }
 
 /*
@@ -113,8 +113,8 @@
 	n->servers = client_new(SERVER_CONNS_MAX, SERVER_IDLE_MS);
 	server_init(&n->server);
 	admission_init(&n->admission);
-	admission_set_policy(&n->admission,
-	    settings_policy_on(s, POLICY_ADMISSION));
+	admission_set_policy(
+	    &n->admission, settings_policy_on(s, POLICY_ADMISSION));
 	if (init_peers(n) == -1)
 		return -1;
 	if (config_service_init(&n->config, &n->log, s->log_poll_ms, on_config,
@@ -150,8 +150,8 @@
 	if (ports_start(n) == -1)
 		return -1;
 	nodeid_format(&n->id, id);
-	logline(LOG_NOTICE, "started", "node=%s domain=%s", id,
-	    n->settings.domain);
+	logline(
+	    LOG_NOTICE, "started", "node=%s domain=%s", id, n->settings.domain);
 	return 0;
 }
 
@@ -181,8 +181,8 @@
 busy(struct node *n)
 {
 	return atomic_load(&n->inflight[PORT_CALLER]) +
-	    atomic_load(&n->inflight[PORT_INNER]) +
-	    atomic_load(&n->inflight[PORT_PEER]);
+	       atomic_load(&n->inflight[PORT_INNER]) +
+	       atomic_load(&n->inflight[PORT_PEER]);
 }
 
 /*
--- a/src/node/peer.c
+++ b/src/node/peer.c
@@ -21,8 +21,8 @@
 	if (h == NULL)
 		err(1, "serve_config");
 	if (text == NULL) {
-		answer_refuse(r, OUTCOME_NOT_RUN, REASON_NO_CONFIG, NULL, 0,
-		    NULL);
+		answer_refuse(
+		    r, OUTCOME_NOT_RUN, REASON_NO_CONFIG, NULL, 0, NULL);
 		free(h);
 		return;
 	}
@@ -60,8 +60,7 @@
 		answer_break(a);
 	} else {
 		head_init(more, 0);
-		head_addf(more, "Cyclamen-Attempt", "%016" PRIx64,
-		    cx->attempt);
+		head_addf(more, "Cyclamen-Attempt", "%016" PRIx64, cx->attempt);
 		head_addf(more, "Cyclamen-Retries-Left", "%u", v.retries_left);
 		head_add(more, "Cyclamen-Load", v.load);
 		answer_refuse(r, v.outcome, v.reason, NULL, 0, more);
@@ -80,8 +79,8 @@
 	struct context cx;
 
 	if (r->context == NULL || r->mac == NULL ||
-	    !context_mac_good(n->key, r->method, r->target, r->context,
-		r->mac)) {
+	    !context_mac_good(
+		n->key, r->method, r->target, r->context, r->mac)) {
 		answer_refuse(r, OUTCOME_NOT_RUN, REASON_BAD_REQUEST,
 		    "not a peer of this fleet", 0, NULL);
 		return;
--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -6,11 +6,11 @@
 
 #include "node/node.h"
 
-#define REQUEST_READ_MS	  "10000"
-#define KEEP_ALIVE_MS	  "60000"
-#define PEER_KEEP_MS	  "5000"
-#define ACCEPT_QUEUE	  "1024"
-#define OPERATOR_THREADS  4
+#define REQUEST_READ_MS "10000"
+#define KEEP_ALIVE_MS "60000"
+#define PEER_KEEP_MS "5000"
+#define ACCEPT_QUEUE "1024"
+#define OPERATOR_THREADS 4
 
 typedef void (*serve_fn)(struct node *, struct request *);
 
@@ -115,8 +115,7 @@
  * can't be opened.
  */
 static int
-port_start(struct node *n, enum port_kind kind, uint32_t port,
-    uint32_t threads)
+port_start(struct node *n, enum port_kind kind, uint32_t port, uint32_t threads)
 {
 	static const struct mg_callbacks calls = {
 		.init_thread = on_thread,
@@ -148,8 +147,8 @@
 	}
 	port_ctx[kind].node = n;
 	port_ctx[kind].kind = kind;
-	mg_set_request_handler(n->ports[kind], "**", on_request,
-	    &port_ctx[kind]);
+	mg_set_request_handler(
+	    n->ports[kind], "**", on_request, &port_ctx[kind]);
 	return 0;
 }
 
@@ -163,12 +162,11 @@
 
 	if (port_start(n, PORT_OPERATOR, s->operator_port, OPERATOR_THREADS) ==
 		-1 ||
-	    port_start(n, PORT_PEER, s->peer_port, s->peer_connections) ==
-		-1 ||
+	    port_start(n, PORT_PEER, s->peer_port, s->peer_connections) == -1 ||
 	    port_start(n, PORT_INNER, s->inner_port, s->inner_connections) ==
 		-1 ||
-	    port_start(n, PORT_CALLER, s->caller_port,
-		s->caller_connections) == -1)
+	    port_start(n, PORT_CALLER, s->caller_port, s->caller_connections) ==
+		-1)
 		return -1;
 	return 0;
 }
--- a/src/node/server.c
+++ b/src/node/server.c
@@ -28,8 +28,8 @@
  * lasts until another process announces itself.
  */
 enum server_change
-server_announced(struct server *s, const struct member_announce *a,
-    uint64_t now)
+server_announced(
+    struct server *s, const struct member_announce *a, uint64_t now)
 {
 	enum server_change change = SERVER_SAME;
 	struct member_server *was = &s->announce.server;
@@ -45,8 +45,8 @@
 		s->draining = 0;
 		s->dead_incarnation = 0;
 	} else if (was->slots != a->server.slots ||
-	    strcmp(was->service, a->server.service) != 0 ||
-	    s->announce.port != a->port || s->announce.addr != a->addr) {
+		   strcmp(was->service, a->server.service) != 0 ||
+		   s->announce.port != a->port || s->announce.addr != a->addr) {
 		change = SERVER_CHANGED;
 	}
 	s->announce = *a;
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -24,8 +24,8 @@
 
 void server_init(struct server *);
 void server_finish(struct server *);
-enum server_change server_announced(struct server *,
-    const struct member_announce *, uint64_t);
+enum server_change server_announced(
+    struct server *, const struct member_announce *, uint64_t);
 void server_drain(struct server *);
 void server_gone(struct server *);
 int server_died(struct server *, uint64_t);
