Routing: two random choices on told and own load, ejection, slow return

An old latency fades: without that, one slow spell kept a server out of all draws a minute later.

Timeouts of a server that answers others meanwhile don't eject it, since ejecting the overloaded moves their load to the rest. At most half of a service stays ejected.

--- /dev/null
+++ b/src/route/book.c
@@ -0,0 +1,213 @@
+#include <err.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "route/route.h"
+
+#define MIX 0x9e3779b97f4a7c15ULL
+
+static uint64_t key_of(const struct node_id *);
+static struct route_bucket *bucket_of(const struct route_book *, uint64_t);
+static struct route_stat *find(struct route_bucket *, uint64_t);
+static struct route_stat *find_or_make(struct route_bucket *, uint64_t);
+
+/*
+ * Prepares an empty book.  Exits the process if memory is exhausted.
+ */
+void
+route_book_init(struct route_book *b)
+{
+	size_t i;
+
+	b->buckets = calloc(ROUTE_BUCKETS, sizeof(*b->buckets));
+	if (b->buckets == NULL)
+		err(1, "route_book_init");
+	for (i = 0; i < ROUTE_BUCKETS; i++)
+		pthread_mutex_init(&b->buckets[i].lock, NULL);
+}
+
+/*
+ * Releases a book that no thread uses any more.
+ */
+void
+route_book_finish(struct route_book *b)
+{
+	size_t i;
+
+	for (i = 0; i < ROUTE_BUCKETS; i++)
+		pthread_mutex_destroy(&b->buckets[i].lock);
+	free(b->buckets);
+	b->buckets = NULL;
+}
+
+/*
+ * Notes that a request is being sent to a server.  Each call is followed by
+ * one of route_observe().
+ */
+void
+route_begin(struct route_book *b, const struct node_id *id, uint64_t now_ms)
+{
+	uint64_t key = key_of(id);
+	struct route_bucket *bk = bucket_of(b, key);
+	struct route_stat *s;
+
+	pthread_mutex_lock(&bk->lock);
+	s = find_or_make(bk, key);
+	s->inflight++;
+	s->used_ms = now_ms;
+	pthread_mutex_unlock(&bk->lock);
+}
+
+/*
+ * Notes how a request to a server ended, after which latency (us), and the
+ * load that the answer told, or NULL.
+ */
+void
+route_observe(struct route_book *b, const struct node_id *id,
+    enum route_outcome how, uint64_t latency_us,
+    const struct admission_load *load, uint64_t now_ms)
+{
+	uint64_t key = key_of(id);
+	struct route_bucket *bk = bucket_of(b, key);
+	struct route_stat *s;
+
+	pthread_mutex_lock(&bk->lock);
+	s = find_or_make(bk, key);
+	if (s->inflight > 0)
+		s->inflight--;
+	route_stat_update(s, how, latency_us, load, now_ms);
+	pthread_mutex_unlock(&bk->lock);
+}
+
+/*
+ * Copies what is known of a server; all zero if nothing is.
+ */
+void
+route_book_get(
+    struct route_book *b, const struct node_id *id, struct route_stat *out)
+{
+	uint64_t key = key_of(id);
+	struct route_bucket *bk = bucket_of(b, key);
+	struct route_stat *s;
+
+	pthread_mutex_lock(&bk->lock);
+	s = find(bk, key);
+	if (s != NULL)
+		*out = *s;
+	else
+		memset(out, 0, sizeof(*out));
+	pthread_mutex_unlock(&bk->lock);
+}
+
+/*
+ * Chooses a server by what the book knows.  Returns an index, or -1 with the
+ * reason.  Of more than ROUTE_CANDIDATES_MAX, a random run is looked at.
+ */
+int
+route_pick(struct route_book *b, const struct route_candidate *cand,
+    size_t count, const struct route_query *q, enum route_reason *why)
+{
+	struct route_stat stats[ROUTE_CANDIDATES_MAX];
+	size_t i, from = 0;
+	int at;
+
+	if (count > ROUTE_CANDIDATES_MAX) {
+		from = (q->rnd >> 32) % (count - ROUTE_CANDIDATES_MAX + 1);
+		count = ROUTE_CANDIDATES_MAX;
+	}
+	for (i = 0; i < count; i++)
+		route_book_get(b, &cand[from + i].id, &stats[i]);
+	at = route_choose(cand + from, stats, count, q, why);
+	return at < 0 ? at : (int)from + at;
+}
+
+/*
+ * Prints a line for each candidate.
+ */
+void
+route_dump(struct route_book *b, const struct route_candidate *cand,
+    size_t count, uint64_t now_ms, FILE *out)
+{
+	char name[NODE_ID_TEXT];
+	struct route_stat s;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		route_book_get(b, &cand[i].id, &s);
+		nodeid_format(&cand[i].id, name);
+		fprintf(out,
+		    "route server=%s slots=%u inflight=%u told=%u/%u "
+		    "level=%u latency_us=%.0f good=%.1f bad=%.1f streak=%u "
+		    "ejections=%u ejected_ms=%" PRIu64 " returning=%d "
+		    "leaving=%d\n",
+		    name, cand[i].slots, s.inflight, s.load.inflight,
+		    s.load.limit, s.load.level, s.latency_us, s.good, s.bad,
+		    s.streak, s.ejections,
+		    s.ejected_ms > now_ms ? s.ejected_ms - now_ms : 0,
+		    s.returning, cand[i].leaving || now_ms < s.leaving_ms);
+	}
+}
+
+/*
+ * Returns a hash of a server's name, never 0.
+ */
+static uint64_t
+key_of(const struct node_id *id)
+{
+	uint64_t h = id->incarnation;
+
+	h ^= ((uint64_t)id->addr << 16 | id->rpc_port) * MIX;
+	h ^= h >> 31;
+	h *= MIX;
+	h ^= h >> 29;
+	return h != 0 ? h : 1;
+}
+
+/*
+ * Returns the bucket of a key.
+ */
+static struct route_bucket *
+bucket_of(const struct route_book *b, uint64_t key)
+{
+	return &b->buckets[key % ROUTE_BUCKETS];
+}
+
+/*
+ * Returns the server with this key, or NULL.
+ */
+static struct route_stat *
+find(struct route_bucket *bk, uint64_t key)
+{
+	size_t i;
+
+	for (i = 0; i < ROUTE_WAYS; i++) {
+		if (bk->ways[i].key == key)
+			return &bk->ways[i];
+	}
+	return NULL;
+}
+
+/*
+ * Returns the server with this key, in the place of the one least recently
+ * used, if need be; one with requests in flight is replaced last.
+ */
+static struct route_stat *
+find_or_make(struct route_bucket *bk, uint64_t key)
+{
+	struct route_stat *s = find(bk, key), *w;
+	size_t i;
+
+	if (s != NULL)
+		return s;
+	s = &bk->ways[0];
+	for (i = 1; i < ROUTE_WAYS; i++) {
+		w = &bk->ways[i];
+		if (!w->inflight != !s->inflight ? w->inflight == 0
+						 : w->used_ms < s->used_ms)
+			s = w;
+	}
+	memset(s, 0, sizeof(*s));
+	s->key = key;
+	return s;
+}
--- /dev/null
+++ b/src/route/test_route.c
@@ -0,0 +1,312 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "route/route.h"
+
+#define NOW 100000 /* ms */
+#define DRAWS 4000
+#define SERVERS 4
+#define MEMBERS 1600
+#define PICKS 200000
+
+/* How often (share) the first of four equal servers may be chosen. */
+struct rule {
+	const char *name;
+	struct route_candidate cand;
+	struct route_stat stat;
+	double least, most;
+	int may_probe;
+};
+
+static const struct rule rules[] = {
+	{ "equal", { .slots = 50 }, { .good = 10 }, .22, .28, 1 },
+	{ "leaving", { .slots = 50, .leaving = 1 }, { 0 }, 0, 0, 1 },
+	{ "refused as leaving", { .slots = 50 }, { .leaving_ms = NOW + 1 }, 0,
+	    0, 1 },
+	{ "tried", { .slots = 50, .tried = 1 }, { 0 }, 0, 0, 1 },
+	{ "no slots", { .slots = 0 }, { 0 }, 0, 0, 1 },
+	{ "ejected", { .slots = 50 }, { .ejected_ms = NOW + 1, .returning = 1 },
+	    0, 0, 1 },
+	{ "returns", { .slots = 50 }, { .ejected_ms = NOW - 1, .returning = 1 },
+	    .1, .15, 1 },
+	{ "returns, no probe", { .slots = 50 },
+	    { .ejected_ms = NOW - 1, .returning = 1 }, 0, 0, 0 },
+	{ "returns late", { .slots = 50 },
+	    { .ejected_ms = NOW - 6000, .returning = 1 }, .1, .15, 0 },
+	{ "probe is out", { .slots = 50 },
+	    { .ejected_ms = NOW - 1, .returning = 1, .inflight = 1 }, 0, 0, 1 },
+	{ "cold", { .slots = 50, .since_ms = NOW - 100 }, { .good = 10 }, 0,
+	    .01, 1 },
+	{ "busy", { .slots = 50 }, { .inflight = 20 }, 0, .01, 1 },
+	{ "told busy", { .slots = 50 },
+	    { .heard_ms = NOW, .load = { 1023, 20, 50, 0, 0 } }, 0, .01, 1 },
+	{ "told busy long ago", { .slots = 50 },
+	    { .heard_ms = NOW - 20000, .load = { 0, 20, 50, 9, 0 } }, .22, .51,
+	    1 },
+	{ "gossip says busy",
+	    { .slots = 50, .heard_ms = NOW, .load = { 1023, 20, 50, 0, 0 } },
+	    { 0 }, 0, .01, 1 },
+	{ "sheds", { .slots = 50 },
+	    { .heard_ms = NOW, .load = { 499, 0, 50, 0, 0 } }, 0, .03, 1 },
+	{ "larger and as busy", { .slots = 100 }, { .inflight = 1 }, .22, .51,
+	    1 },
+	{ "fails fast", { .slots = 50 },
+	    { .bad = 5, .good = 10, .latency_us = 100, .used_ms = NOW }, 0, .01,
+	    1 },
+	{ "fails fast, as slow else", { .slots = 50 }, { .bad = 5, .good = 10 },
+	    0, .01, 1 },
+	{ "slow", { .slots = 50 },
+	    { .latency_us = 90000, .good = 10, .used_ms = NOW }, 0, .01, 1 },
+	{ "slow long ago", { .slots = 50 },
+	    { .latency_us = 90000, .used_ms = NOW - 60000 }, .1, .51, 1 },
+	{ "own domain", { .slots = 50, .same_domain = 1 }, { .good = 10 }, 1, 1,
+	    1 },
+	{ "own domain, busy", { .slots = 50, .same_domain = 1 },
+	    { .inflight = 40 }, 0, 0, 1 },
+};
+
+/*
+ * Chooses many times and returns the share of one index, or of refusals
+ * (-1).
+ */
+static double
+share(const struct route_candidate *cand, const struct route_stat *stat,
+    int may_probe, int which)
+{
+	struct route_query q = { NOW, 88172645463325252ULL, 500, may_probe };
+	enum route_reason why;
+	int i, n = 0;
+
+	for (i = 0; i < DRAWS; i++) {
+		q.rnd ^= q.rnd << 13;
+		q.rnd ^= q.rnd >> 7;
+		q.rnd ^= q.rnd << 17;
+		n += route_choose(cand, stat, SERVERS, &q, &why) == which;
+	}
+	return (double)n / DRAWS;
+}
+
+/*
+ * Fills in a service of equal, healthy servers elsewhere.
+ */
+static void
+service(struct route_candidate *cand, struct route_stat *stat)
+{
+	int i;
+
+	memset(cand, 0, SERVERS * sizeof(*cand));
+	memset(stat, 0, SERVERS * sizeof(*stat));
+	for (i = 0; i < SERVERS; i++) {
+		cand[i].slots = 50;
+		stat[i].good = 10;
+		stat[i].latency_us = 10000;
+	}
+}
+
+/*
+ * Each rule: how often the server that it is about is chosen.
+ */
+static void
+test_rules(void **state)
+{
+	struct route_candidate cand[SERVERS];
+	struct route_stat stat[SERVERS];
+	const struct rule *r;
+	double got;
+	size_t i;
+	int bad = 0;
+
+	(void)state;
+	for (i = 0; i < sizeof(rules) / sizeof(rules[0]); i++) {
+		r = &rules[i];
+		service(cand, stat);
+		cand[0] = r->cand;
+		stat[0] = r->stat;
+		if (stat[0].latency_us == 0)
+			stat[0].latency_us = 10000;
+		got = share(cand, stat, r->may_probe, 0);
+		if (got < r->least || got > r->most) {
+			print_message("%s: %.3f\n", r->name, got);
+			bad++;
+		}
+	}
+	assert_int_equal(bad, 0);
+}
+
+/*
+ * However many are ejected, at least half of the service takes requests, and
+ * nothing is sent if all leave or all shed.
+ */
+static void
+test_all_bad(void **state)
+{
+	struct route_candidate cand[SERVERS];
+	struct route_stat stat[SERVERS];
+	int i;
+
+	(void)state;
+	service(cand, stat);
+	for (i = 0; i < SERVERS; i++) {
+		stat[i].ejected_ms = NOW + 1 + (uint64_t)i;
+		stat[i].returning = 1;
+	}
+	assert_true(share(cand, stat, 0, 0) > .4);
+	assert_true(share(cand, stat, 0, 1) > .4);
+	assert_true(share(cand, stat, 0, 3) <= 0);
+	service(cand, stat);
+	for (i = 0; i < SERVERS; i++)
+		cand[i].leaving = 1;
+	assert_true(share(cand, stat, 0, -1) >= 1);
+	service(cand, stat);
+	for (i = 0; i < SERVERS; i++) {
+		stat[i].heard_ms = NOW;
+		stat[i].load.level = 100;
+	}
+	assert_true(share(cand, stat, 0, -1) > .9);
+}
+
+/*
+ * What a run of outcomes does to a server: ejected for how long at the last.
+ */
+static void
+test_ejection(void **state)
+{
+	static const struct {
+		const char *runs; /* s served, f failed, t timeout, T timeout
+				   * while it answers others, r refused, o shed,
+				   * w one second */
+		uint64_t left_ms;
+		uint32_t ejections;
+	} cases[] = {
+		{ "ssssffff", 0, 0 },
+		{ "fffff", 1000, 1 },
+		{ "ffffsffff", 0, 0 },
+		{ "sssffsfsffsff", 1000, 1 },
+		{ "r", 1000, 1 },
+		{ "rrrrrr", 1000, 1 },
+		{ "rwr", 2000, 2 },
+		{ "rwrwwr", 4000, 3 },
+		{ "rwsr", 2000, 2 },
+		{ "ttttt", 1000, 1 },
+		{ "TTTTTTTTTTTTTTTT", 0, 0 },
+		{ "oooooooooooooooo", 0, 0 },
+	};
+	struct route_stat s;
+	uint64_t now;
+	const char *p;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		memset(&s, 0, sizeof(s));
+		now = NOW;
+		for (p = cases[i].runs; *p != '\0'; p++) {
+			if (*p == 'T')
+				s.answer_ms = now;
+			if (*p == 'w')
+				now += 1000;
+			else
+				route_stat_update(&s,
+				    *p == 's'	? ROUTE_SERVED
+				    : *p == 'f' ? ROUTE_FAILED
+				    : *p == 'r' ? ROUTE_REFUSED
+				    : *p == 'o' ? ROUTE_SHED
+						: ROUTE_TIMEOUT,
+				    500000, NULL, now);
+		}
+		assert_int_equal(s.ejections, cases[i].ejections);
+		assert_int_equal(s.ejected_ms > now ? s.ejected_ms - now : 0,
+		    cases[i].left_ms);
+	}
+}
+
+/*
+ * One of four servers fails every request in no time while the others work:
+ * how many requests it ruins in ten seconds at 1,000 a second.
+ */
+static void
+test_fails_fast(void **state)
+{
+	struct route_candidate cand[SERVERS];
+	struct route_stat stat[SERVERS], unused[SERVERS];
+	struct route_query q = { NOW, 1, 500, 1 };
+	enum route_reason why;
+	int at, i, ruined = 0;
+
+	(void)state;
+	service(cand, stat);
+	service(cand, unused);
+	for (i = 0; i < 10000; i++, q.now_ms = NOW + (uint64_t)i) {
+		q.rnd = q.rnd * 6364136223846793005ULL + 1442695040888963407ULL;
+		at = route_choose(cand, stat, SERVERS, &q, &why);
+		assert_true(at >= 0);
+		route_stat_update(&stat[at],
+		    at == 0 ? ROUTE_FAILED : ROUTE_SERVED,
+		    at == 0 ? 100 : 10000, NULL, q.now_ms);
+		ruined += at == 0;
+	}
+	print_message("%d of 10000 ruined\n", ruined);
+	assert_true(ruined < 20);
+}
+
+/*
+ * The book keeps 1,600 servers apart, and counts what is in flight.  Prints
+ * what one choice costs.
+ */
+static void
+test_book(void **state)
+{
+	static struct route_candidate cand[MEMBERS];
+	struct route_query q = { NOW, 1, 500, 1 };
+	struct admission_load load = { 1023, 5, 50, 0, 1000 };
+	struct route_book b;
+	struct route_stat s;
+	enum route_reason why;
+	uint64_t t;
+	uint32_t i;
+
+	(void)state;
+	route_book_init(&b);
+	for (i = 0; i < MEMBERS; i++) {
+		cand[i].id = (struct node_id){ 0x7f000001, (uint16_t)i, 77 };
+		cand[i].slots = 50;
+		route_begin(&b, &cand[i].id, NOW);
+		route_begin(&b, &cand[i].id, NOW);
+		route_observe(
+		    &b, &cand[i].id, ROUTE_SERVED, 1000 + i, &load, NOW);
+	}
+	for (i = 0; i < MEMBERS; i++) {
+		route_book_get(&b, &cand[i].id, &s);
+		assert_int_equal(s.inflight, 1);
+		assert_int_equal((int)s.latency_us, 1000 + i);
+	}
+	cand[0].id.incarnation++;
+	route_book_get(&b, &cand[0].id, &s);
+	assert_int_equal(s.key, 0);
+	t = clock_us();
+	for (i = 0; i < PICKS; i++) {
+		q.rnd = q.rnd * 6364136223846793005ULL + 1442695040888963407ULL;
+		assert_true(route_pick(&b, cand + 1, 22, &q, &why) >= 0);
+	}
+	t = clock_us() - t;
+	print_message("%.0f ns a choice of 22\n", (double)t * 1e3 / PICKS);
+	route_book_finish(&b);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_rules),
+		cmocka_unit_test(test_all_bad),
+		cmocka_unit_test(test_ejection),
+		cmocka_unit_test(test_fails_fast),
+		cmocka_unit_test(test_book),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
