--- a/tests/standin/backend.c
+++ b/tests/standin/backend.c
@@ -1,4 +1,5 @@
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <getopt.h>
 #include <signal.h>
 #include <unistd.h>
@@ -67,6 +68,7 @@
 	OPT_SERVICE,
 	OPT_POISON,
 	OPT_HEALTH,
+	OPT_RUNS_FILE,
 	OPT_TEXT_MAX,
 	OPT_SLOTS = OPT_TEXT_MAX,
 	OPT_CONNECTIONS,
@@ -83,9 +85,10 @@
 };
 
 static int64_t keep_headers = 1;
+static const char *runs_file;
 
 static const char **const texts[OPT_TEXT_MAX] = { &be.address, &be.port,
-	&be.inner, &be.service, &be.poison, &be.health };
+	&be.inner, &be.service, &be.poison, &be.health, &runs_file };
 
 static int64_t *const numbers[OPT_MAX - OPT_TEXT_MAX] = { &be.slots,
 	&be.connections, &be.queue_max, &be.service_us, &be.fixed, &be.setup_us,
@@ -99,6 +102,7 @@
 	{ "service", required_argument, NULL, OPT_SERVICE },
 	{ "poison", required_argument, NULL, OPT_POISON },
 	{ "health", required_argument, NULL, OPT_HEALTH },
+	{ "runs-file", required_argument, NULL, OPT_RUNS_FILE },
 	{ "slots", required_argument, NULL, OPT_SLOTS },
 	{ "connections", required_argument, NULL, OPT_CONNECTIONS },
 	{ "queue", required_argument, NULL, OPT_QUEUE },
@@ -371,6 +375,9 @@
 	standin_raise_files();
 	runs_init(&be.runs);
 	be.runs.keep_heads = be.runs.keep_heads && keep_headers;
+	if (runs_file != NULL)
+		be.runs.file = open(
+		    runs_file, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0666);
 	be.started = clock_ms();
 	snprintf(be.incarnation, sizeof(be.incarnation), "%016llx",
 	    (unsigned long long)rand_u64());
--- a/tests/standin/runs.h
+++ b/tests/standin/runs.h
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <pthread.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -35,6 +36,7 @@
 	char *heads;
 	size_t head_len;
 	int keep_heads;
+	int file; /* outlives the process, -1 without */
 };
 
 /*
@@ -47,6 +49,7 @@
 	pthread_mutex_init(&rs->lock, NULL);
 	rs->heads = malloc(RUNS_HEAD_BYTES);
 	rs->keep_heads = rs->heads != NULL;
+	rs->file = -1;
 }
 
 /*
@@ -118,6 +121,11 @@
 		strncpy(r->workspace, workspace, sizeof(r->workspace) - 1);
 		r->start_us = clock_us();
 	}
+	if (n >= 0 && rs->file != -1)
+		dprintf(rs->file, "%llu %s %s %s\n",
+		    (unsigned long long)r->start_us, r->path,
+		    r->workspace[0] == '\0' ? "-" : r->workspace,
+		    r->id[0] == '\0' ? "-" : r->id);
 	pthread_mutex_unlock(&rs->lock);
 	return n;
 }
