--- a/tests/path/runlog.c
+++ b/tests/path/runlog.c
@@ -94,6 +94,9 @@
 			if ((p = strtok_r(NULL, " \n", &save)) == NULL)
 				continue;
 			snprintf(e.id, sizeof(e.id), "%s", p);
+			if ((p = strtok_r(NULL, " \n", &save)) == NULL)
+				continue;
+			snprintf(e.attempt, sizeof(e.attempt), "%s", p);
 			add(rl, &e);
 		}
 		fclose(in);
@@ -115,6 +118,19 @@
 	return n;
 }
 
+/*
+ * Returns how often one sending of a request ran.
+ */
+size_t
+runlog_count_attempt(const struct runlog *rl, const char *attempt)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < rl->count; i++)
+		n += strcmp(rl->list[i].attempt, attempt) == 0;
+	return n;
+}
+
 /*
  * Returns how many runs had a path that begins with a piece of text.
  */
@@ -185,3 +201,52 @@
 	}
 	return worst;
 }
+
+/*
+ * Returns the certain excess of a workspace over rate x window + burst in
+ * the worst window of any length, 0 or less if there is none.  Each caller
+ * wrote into X-Attempt when it sent the request ("t<us>.<more>"): it was
+ * admitted between then and its run, so a window that holds both ends holds
+ * its admission, and no tolerance for the way is needed.  A request that ran
+ * more than once counts once.
+ */
+double
+runlog_certain_excess(
+    const struct runlog *rl, const char *workspace, double rate, double burst)
+{
+	struct runlog_entry *own = malloc((rl->count + 1) * sizeof(*own));
+	uint64_t *sent = malloc((rl->count + 1) * sizeof(*sent));
+	double worst = -burst, over;
+	size_t i, k, n = 0, inside;
+
+	if (own == NULL || sent == NULL)
+		abort();
+	for (i = 0; i < rl->count; i++) {
+		if (strcmp(rl->list[i].workspace, workspace) != 0 ||
+		    rl->list[i].attempt[0] != 't')
+			continue;
+		for (k = n; k > 0; k--)
+			if (strcmp(own[k - 1].attempt, rl->list[i].attempt) ==
+			    0)
+				break;
+		if (k > 0)
+			continue;
+		own[n] = rl->list[i];
+		sent[n++] = strtoull(rl->list[i].attempt + 1, NULL, 10);
+	}
+	for (i = 0; i < n; i++) {
+		inside = 0;
+		for (k = 0; k < n; k++) {
+			if (sent[k] < sent[i])
+				continue;
+			inside++;
+			over = (double)inside - burst -
+			       rate * (double)(own[k].us - sent[i]) / 1e6;
+			if (over > worst)
+				worst = over;
+		}
+	}
+	free(own);
+	free(sent);
+	return worst;
+}
--- a/tests/path/runlog.h
+++ b/tests/path/runlog.h
@@ -16,6 +16,7 @@
 	char path[72];
 	char workspace[32];
 	char id[72];
+	char attempt[72]; /* what the caller wrote in X-Attempt */
 };
 
 struct runlog {
@@ -30,6 +31,9 @@
 size_t runlog_count_id(const struct runlog *, const char *);
 size_t runlog_count_path(const struct runlog *, const char *);
 size_t runlog_max_per_id(const struct runlog *, char *, size_t);
+size_t runlog_count_attempt(const struct runlog *, const char *);
+double runlog_certain_excess(
+    const struct runlog *, const char *, double, double);
 double runlog_excess(const struct runlog *, const char *, double, double);
 
 #endif
--- /dev/null
+++ b/tests/path/test_stop.c
@@ -0,0 +1,232 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "load.h"
+#include "runlog.h"
+#include "std.h"
+
+#include <sys/wait.h>
+
+/*
+ * A leaving backend server receives no new work after a few seconds, and a
+ * planned stop of server or node cuts no request in flight.
+ */
+
+#define NODES 4
+#define THREADS 16
+#define BOUND_MS 3000
+#define STOP_MS 15000
+#define LOAD_MS 700
+
+struct traffic {
+	uint64_t served;
+	uint64_t not_run; /* refused, and sent again by a real caller */
+	uint64_t unreached;
+	uint64_t cut;
+	uint64_t other;
+	char sample[160];
+};
+
+static struct fleet fleet;
+
+/*
+ * Starts four nodes and servers; slow requests keep some in flight.
+ */
+static int
+setup(void **state)
+{
+	harness_setup(state);
+	return std_start(&fleet, NODES, 0);
+}
+
+/*
+ * Fills in a request: half are orders with an id, half are pages.
+ */
+static int
+traffic_request(void *ctx, int thread, uint64_t seq, struct http_req *rq)
+{
+	(void)ctx;
+	http_req_init(rq, "http://%s:%d/%s/t?bytes=100000&tag=9",
+	    fleet.list[thread % NODES].addr, CALLER_PORT,
+	    thread % 2 == 0 ? "order" : "file");
+	http_req_header(rq, "Authorization: Bearer %s", ACME_KEY);
+	http_req_header(
+	    rq, "Idempotency-Key: %016llx", (unsigned long long)rand_u64());
+	(void)seq;
+	return 0;
+}
+
+/*
+ * Sorts the answers: served, refused, never connected, cut, other.
+ */
+static void
+traffic_answer(void *ctx, int thread, uint64_t seq, const struct http_req *rq,
+    const struct http_res *rs)
+{
+	struct traffic *t = ctx;
+	uint64_t *n = &t->other;
+
+	(void)seq;
+	(void)rq;
+	if (http_is(rs, 200, NULL) && http_content_is(rs, 9, 100000))
+		n = &t->served;
+	else if (strcmp(rs->outcome, "not-run") == 0)
+		n = &t->not_run;
+	else if (rs->code == CURLE_COULDNT_CONNECT)
+		n = &t->unreached;
+	else if (rs->code != CURLE_OK)
+		n = &t->cut;
+	if (n == &t->cut || n == &t->other)
+		snprintf(t->sample, sizeof(t->sample),
+		    "thread %d curl %d status %ld %s %s", thread, (int)rs->code,
+		    rs->status, rs->outcome, rs->reason);
+	__atomic_add_fetch(n, 1, __ATOMIC_RELAXED);
+	if (n == &t->unreached)
+		usleep(20000);
+}
+
+/*
+ * Prints the counts and asserts that nothing was cut.
+ */
+static void
+check_uncut(const char *what, const struct traffic *t)
+{
+	print_message("%s: %llu served, %llu not run, %llu unreached, %llu "
+		      "cut, %llu other %s\n",
+	    what, (unsigned long long)t->served, (unsigned long long)t->not_run,
+	    (unsigned long long)t->unreached, (unsigned long long)t->cut,
+	    (unsigned long long)t->other, t->sample);
+	assert_true(t->served > 100);
+	assert_int_equal(t->cut, 0);
+	assert_int_equal(t->other, 0);
+}
+
+/*
+ * SIGTERM for a backend server under load: it drains and leaves, and no
+ * request fails.
+ */
+static void
+test_server_stop(void **state)
+{
+	struct traffic t;
+	struct load l = { .threads = THREADS,
+		.interval_us = 4000,
+		.request = traffic_request,
+		.answer = traffic_answer,
+		.ctx = &t };
+
+	(void)state;
+	memset(&t, 0, sizeof(t));
+	fleet_server_control(&fleet, 0, "{\"service_us\":50000}");
+	assert_int_equal(load_start(&l), 0);
+	usleep(LOAD_MS * 1000);
+	proc_signal(fleet.list[0].server, SIGTERM);
+	assert_int_equal(proc_wait(fleet.list[0].server, STOP_MS), 0);
+	usleep(LOAD_MS * 1000);
+	load_stop(&l);
+	check_uncut("server stopped", &t);
+	assert_true(WIFEXITED(proc_status(fleet.list[0].server)));
+	assert_int_equal(WEXITSTATUS(proc_status(fleet.list[0].server)), 0);
+	fleet_server_start(&fleet, 0);
+}
+
+/*
+ * SIGTERM for a node under load: it ends by itself with status 0, callers on
+ * it see refusals or closed connections but no cut answer, and the other
+ * nodes' callers see nothing.
+ */
+static void
+test_node_stop(void **state)
+{
+	struct traffic t;
+	struct load l = { .threads = THREADS,
+		.interval_us = 4000,
+		.request = traffic_request,
+		.answer = traffic_answer,
+		.ctx = &t };
+	uint64_t began;
+
+	(void)state;
+	memset(&t, 0, sizeof(t));
+	assert_int_equal(load_start(&l), 0);
+	usleep(LOAD_MS * 1000);
+	began = clock_ms();
+	proc_signal(fleet.list[1].node, SIGTERM);
+	assert_int_equal(proc_wait(fleet.list[1].node, STOP_MS), 0);
+	print_message("node stopped in %llu ms\n",
+	    (unsigned long long)(clock_ms() - began));
+	usleep(LOAD_MS * 1000);
+	load_stop(&l);
+	check_uncut("node stopped", &t);
+	assert_true(WIFEXITED(proc_status(fleet.list[1].node)));
+	assert_int_equal(WEXITSTATUS(proc_status(fleet.list[1].node)), 0);
+	fleet_node_start(&fleet, 1);
+	assert_int_equal(
+	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
+}
+
+/*
+ * A server that asks to drain, but would go on serving, gets no new work
+ * after the bound.
+ */
+static void
+test_drain(void **state)
+{
+	struct traffic t;
+	struct load l = { .threads = THREADS,
+		.interval_us = 4000,
+		.request = traffic_request,
+		.answer = traffic_answer,
+		.ctx = &t };
+	struct runlog rl;
+	struct http_req rq;
+	struct http_res rs;
+	uint64_t when;
+	size_t i, late = 0;
+
+	(void)state;
+	memset(&t, 0, sizeof(t));
+	assert_int_equal(load_start(&l), 0);
+	usleep(LOAD_MS * 1000);
+	fleet_server_control(&fleet, 2, "{\"announce\":false}");
+	http_req_init(
+	    &rq, "http://%s:%d/cyclamen/drain", fleet.list[2].addr, INNER_PORT);
+	rq.method = "POST";
+	rq.body = " ";
+	http_call(NULL, &rq, &rs);
+	assert_true(rs.status >= 200 && rs.status < 300);
+	http_res_finish(&rs);
+	when = clock_us();
+	usleep((BOUND_MS + 1000) * 1000);
+	load_stop(&l);
+	runlog_init(&rl);
+	runlog_read(&rl, &fleet);
+	for (i = 0; i < rl.count; i++)
+		late += rl.list[i].inst == 2 &&
+			rl.list[i].us > when + BOUND_MS * 1000ULL;
+	runlog_finish(&rl);
+	check_uncut("drained", &t);
+	assert_int_equal(late, 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_server_stop),
+		cmocka_unit_test(test_node_stop),
+		cmocka_unit_test(test_drain),
+	};
+
+	return cmocka_run_group_tests(tests, setup, harness_teardown);
+}
--- a/tests/standin/backend/work.c
+++ b/tests/standin/backend/work.c
@@ -188,6 +188,7 @@
 {
 	const char *id = mg_get_header(rq->conn, "Idempotency-Key");
 	const char *ws = mg_get_header(rq->conn, "Cyclamen-Workspace");
+	const char *attempt = mg_get_header(rq->conn, "X-Attempt");
 	const char *query = rq->info->query_string;
 	int status;
 	long n;
@@ -196,8 +197,8 @@
 	    (query != NULL && is_poison(query, strlen(query))) ||
 	    is_poison(rq->body, rq->body_len))
 		_exit(DEATH_STATUS);
-	n = runs_begin(
-	    &be.runs, rq->path, id == NULL ? "" : id, ws == NULL ? "" : ws);
+	n = runs_begin(&be.runs, rq->path, id == NULL ? "" : id,
+	    ws == NULL ? "" : ws, attempt == NULL ? "" : attempt);
 	if (!work(rq))
 		status = backend_hang_up(rq);
 	else if (!call_inner(rq))
--- a/tests/standin/runs.h
+++ b/tests/standin/runs.h
@@ -23,6 +23,7 @@
 	char path[RUNS_TEXT];
 	char id[RUNS_TEXT];
 	char workspace[32];
+	char attempt[RUNS_TEXT]; /* what the caller wrote in X-Attempt */
 	uint64_t start_us;
 	uint64_t end_us;
 	int status;
@@ -97,8 +98,8 @@
  * record is full.
  */
 static inline long
-runs_begin(
-    struct runs *rs, const char *path, const char *id, const char *workspace)
+runs_begin(struct runs *rs, const char *path, const char *id,
+    const char *workspace, const char *attempt)
 {
 	struct run *r;
 	long n = -1;
@@ -119,13 +120,15 @@
 		strncpy(r->path, path, sizeof(r->path) - 1);
 		strncpy(r->id, id, sizeof(r->id) - 1);
 		strncpy(r->workspace, workspace, sizeof(r->workspace) - 1);
+		strncpy(r->attempt, attempt, sizeof(r->attempt) - 1);
 		r->start_us = clock_us();
 	}
 	if (n >= 0 && rs->file != -1)
-		dprintf(rs->file, "%llu %s %s %s\n",
+		dprintf(rs->file, "%llu %s %s %s %s\n",
 		    (unsigned long long)r->start_us, r->path,
 		    r->workspace[0] == '\0' ? "-" : r->workspace,
-		    r->id[0] == '\0' ? "-" : r->id);
+		    r->id[0] == '\0' ? "-" : r->id,
+		    r->attempt[0] == '\0' ? "-" : r->attempt);
 	pthread_mutex_unlock(&rs->lock);
 	return n;
 }
