--- /dev/null
+++ b/src/publish/test_publish.c
@@ -0,0 +1,368 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "publish/publish.h"
+
+#define RECORDS_MAX 32
+#define STEPS_MAX 4
+#define TIMEOUT_MS 5000
+#define ID_A "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define ID_B "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+
+#define HASH0                              \
+	"00000000000000000000000000000000" \
+	"00000000000000000000000000000000"
+
+static const char conf[] =
+    "{\"routes\":[],\"workspaces\":[{\"name\":\"w\",\"rate\":1,\"burst\":1,"
+    "\"keys\":[{\"id\":\"k\",\"hash\":\"" HASH0 "\"}]}]}";
+
+/* What the log does with one append. */
+enum step {
+	STEP_OK,
+	STEP_REFUSED,
+	STEP_UNAVAILABLE,
+	STEP_ANSWER_LOST,  /* written, no answer */
+	STEP_REQUEST_LOST, /* not written, no answer */
+	STEP_LATE,	   /* no answer, written before the next append */
+	STEP_RACE,	   /* another operator's is written first */
+	STEP_RACE_LOST,	   /* the same, and no answer */
+	STEP_MAX
+};
+
+struct fake {
+	char *records[RECORDS_MAX];
+	uint64_t first;
+	uint64_t next;
+	const enum step *steps;
+	size_t step;
+	int outage_after; /* appends after which reads fail; 0 is never */
+	int reads_fail;	  /* reads that fail then */
+	char *late;
+	uint64_t now;
+};
+
+/*
+ * Writes a record.
+ */
+static void
+fake_write(struct fake *f, const char *data)
+{
+	assert_true(f->next < RECORDS_MAX);
+	f->records[f->next++] = strdup(data);
+}
+
+/*
+ * Writes a publication of another operator.
+ */
+static void
+fake_rival(struct fake *f, uint64_t base)
+{
+	char *rec = config_publication(conf, base, ID_B, "rival");
+
+	fake_write(f, rec);
+	free(rec);
+}
+
+/*
+ * Appends as the next step says.
+ */
+static enum logsvc_status
+fake_append(void *ctx, const char *stream, const char *data, size_t len,
+    uint32_t timeout, uint64_t *offset)
+{
+	struct fake *f = ctx;
+	enum step s =
+	    f->steps[f->step < STEPS_MAX - 1 ? f->step : STEPS_MAX - 1];
+
+	(void)len;
+	(void)timeout;
+	assert_string_equal(stream, "config");
+	f->step++;
+	if (f->late != NULL) {
+		fake_write(f, f->late);
+		free(f->late);
+		f->late = NULL;
+	}
+	if (s == STEP_REFUSED)
+		return LOGSVC_REFUSED;
+	if (s == STEP_UNAVAILABLE)
+		return LOGSVC_UNAVAILABLE;
+	if (s == STEP_REQUEST_LOST)
+		return LOGSVC_UNKNOWN;
+	if (s == STEP_LATE) {
+		f->late = strdup(data);
+		return LOGSVC_UNKNOWN;
+	}
+	if (s == STEP_RACE || s == STEP_RACE_LOST)
+		fake_rival(f, 0);
+	fake_write(f, data);
+	*offset = f->next - 1;
+	if (s == STEP_ANSWER_LOST || s == STEP_RACE_LOST)
+		return LOGSVC_UNKNOWN;
+	return LOGSVC_OK;
+}
+
+/*
+ * Reads two records at most, so that a stream takes several reads.
+ */
+static enum logsvc_status
+fake_read(void *ctx, const char *stream, uint64_t from, uint32_t max,
+    uint32_t wait, uint32_t timeout, struct logsvc_batch *b)
+{
+	struct fake *f = ctx;
+	uint64_t i;
+
+	(void)stream;
+	(void)max;
+	(void)wait;
+	(void)timeout;
+	if (f->outage_after > 0 && f->step >= (size_t)f->outage_after &&
+	    f->reads_fail > 0) {
+		f->reads_fail--;
+		return LOGSVC_UNKNOWN;
+	}
+	memset(b, 0, sizeof(*b));
+	b->first = f->first;
+	b->next = f->next;
+	b->list = calloc(2, sizeof(*b->list));
+	for (i = from > f->first ? from : f->first; i < f->next && b->count < 2;
+	     i++) {
+		b->list[b->count].offset = i;
+		b->list[b->count].data = strdup(f->records[i]);
+		b->list[b->count++].len = strlen(f->records[i]);
+	}
+	return LOGSVC_OK;
+}
+
+static uint64_t
+fake_now(void *ctx)
+{
+	return ((struct fake *)ctx)->now;
+}
+
+static void
+fake_sleep(void *ctx, uint32_t ms)
+{
+	((struct fake *)ctx)->now += ms;
+}
+
+/*
+ * Prepares a log with a number of publications, of which the oldest are
+ * dropped.
+ */
+static void
+fake_init(struct fake *f, struct publish_env *env, const enum step *steps,
+    uint64_t versions, uint64_t dropped)
+{
+	uint64_t v;
+
+	memset(f, 0, sizeof(*f));
+	f->steps = steps;
+	for (v = 0; v < versions; v++)
+		fake_rival(f, v);
+	f->first = dropped;
+	env->log.append = fake_append;
+	env->log.read = fake_read;
+	env->log.ctx = f;
+	env->now = fake_now;
+	env->sleep = fake_sleep;
+	env->ctx = f;
+}
+
+static void
+fake_finish(struct fake *f)
+{
+	uint64_t i;
+
+	for (i = 0; i < f->next; i++)
+		free(f->records[i]);
+	free(f->late);
+}
+
+static const struct {
+	const char *name;
+	enum step steps[STEPS_MAX];
+	uint64_t versions;
+	uint64_t dropped;
+	uint64_t base;
+	int outage_after;
+	int reads_fail;
+	enum publish_status status;
+	uint64_t version;
+	uint64_t next; /* records in the log afterwards */
+} cases[] = {
+	{ "first", { STEP_OK }, 0, 0, 0, 0, 0, PUBLISH_WON, 1, 1 },
+	{ "fourth", { STEP_OK }, 3, 0, 3, 0, 0, PUBLISH_WON, 4, 4 },
+	{ "stale base", { STEP_OK }, 3, 0, 2, 0, 0, PUBLISH_LOST, 3, 3 },
+	{ "future base", { STEP_OK }, 3, 0, 4, 0, 0, PUBLISH_LOST, 3, 3 },
+	{ "answer lost", { STEP_ANSWER_LOST }, 0, 0, 0, 0, 0, PUBLISH_WON, 1,
+	    1 },
+	{ "request lost", { STEP_REQUEST_LOST, STEP_OK }, 0, 0, 0, 0, 0,
+	    PUBLISH_WON, 1, 1 },
+	{ "written late, twice", { STEP_LATE, STEP_OK }, 0, 0, 0, 0, 0,
+	    PUBLISH_WON, 1, 2 },
+	{ "race", { STEP_RACE }, 0, 0, 0, 0, 0, PUBLISH_LOST, 1, 2 },
+	{ "race, answer lost", { STEP_RACE_LOST }, 0, 0, 0, 0, 0, PUBLISH_LOST,
+	    1, 2 },
+	{ "refused at first", { STEP_REFUSED, STEP_UNAVAILABLE, STEP_OK }, 0, 0,
+	    0, 0, 0, PUBLISH_WON, 1, 1 },
+	{ "refused for long",
+	    { STEP_REFUSED, STEP_REFUSED, STEP_REFUSED, STEP_REFUSED }, 0, 0, 0,
+	    0, 0, PUBLISH_UNAVAILABLE, 0, 0 },
+	{ "reads fail at first", { STEP_OK }, 0, 0, 0, 1, 3, PUBLISH_WON, 1,
+	    1 },
+	{ "answer lost, reads fail", { STEP_ANSWER_LOST }, 0, 0, 0, 1, 3,
+	    PUBLISH_WON, 1, 1 },
+	{ "answer lost, then an outage", { STEP_ANSWER_LOST }, 0, 0, 0, 1, 1000,
+	    PUBLISH_UNKNOWN, 0, 1 },
+	{ "no snapshot yet", { STEP_OK }, 3, 2, 3, 0, 0, PUBLISH_UNSYNCED, 0,
+	    3 },
+};
+
+/*
+ * However the log behaves, the publisher says what became of its record, and
+ * one record at most is taken.
+ */
+static void
+test_publish_outcomes(void **state)
+{
+	struct publication p = { conf, "test", 0, TIMEOUT_MS };
+	struct publish_reader r, again;
+	struct publish_env env;
+	enum publish_status st;
+	struct fake f;
+	uint64_t version;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		fake_init(&f, &env, cases[i].steps, cases[i].versions,
+		    cases[i].dropped);
+		f.outage_after = cases[i].outage_after;
+		f.reads_fail = cases[i].reads_fail;
+		publish_reader_init(&r, &env, ID_A);
+		p.base = cases[i].base;
+		version = 0;
+		st = publish_run(&r, &p, &version);
+		if (st != cases[i].status || f.next != cases[i].next)
+			print_error("case %s\n", cases[i].name);
+		assert_int_equal(st, cases[i].status);
+		assert_int_equal(version, cases[i].version);
+		assert_int_equal(f.next, cases[i].next);
+		f.reads_fail = 0;
+		publish_reader_init(&again, &env, ID_A);
+		if (st == PUBLISH_WON || st == PUBLISH_LOST) {
+			assert_int_equal(publish_run(&again, &p, &version), st);
+			assert_int_equal(version, cases[i].version);
+			assert_int_equal(f.next, cases[i].next);
+		}
+		publish_reader_finish(&again);
+		publish_reader_finish(&r);
+		fake_finish(&f);
+	}
+}
+
+/*
+ * A snapshot tells the version in force where old records are gone; whether
+ * an old publication won can then no longer be told.
+ */
+static void
+test_publish_after_snapshot(void **state)
+{
+	static const enum step steps[STEPS_MAX] = { STEP_OK };
+	struct publication p = { conf, "test", 2, TIMEOUT_MS };
+	struct publish_reader r;
+	struct publish_env env;
+	struct fake f;
+	uint64_t version = 0;
+	char *snap;
+
+	(void)state;
+	fake_init(&f, &env, steps, 3, 0);
+	publish_reader_init(&r, &env, ID_A);
+	assert_int_equal(publish_catch_up(&r, TIMEOUT_MS), LOGSVC_OK);
+	assert_int_equal(publish_version(&r), 3);
+	snap = config_snapshot(r.state.cur, ID_B);
+	fake_write(&f, snap);
+	free(snap);
+	publish_reader_finish(&r);
+	f.first = 3;
+	publish_reader_init(&r, &env, ID_A);
+	assert_int_equal(publish_run(&r, &p, &version), PUBLISH_UNKNOWN);
+	assert_int_equal(version, 3);
+	p.base = 3;
+	assert_int_equal(publish_run(&r, &p, &version), PUBLISH_WON);
+	assert_int_equal(version, 4);
+	publish_reader_finish(&r);
+	fake_finish(&f);
+}
+
+static const struct {
+	const char *ws;
+	const char *id;
+	int withdraw;
+	size_t errors;
+	size_t keys; /* afterwards */
+} edits[] = {
+	{ "w", "k2", 0, 0, 2 },
+	{ "w", "k", 0, 1, 0 },
+	{ "x", "k", 0, 1, 0 },
+	{ "w", "k", 1, 0, 0 },
+	{ "w", "k2", 1, 1, 0 },
+	{ "x", "k", 1, 1, 0 },
+};
+
+/*
+ * Keys are added to and taken from a checked configuration.
+ */
+static void
+test_edits(void **state)
+{
+	const char *hash = "11111111111111111111111111111111"
+			   "11111111111111111111111111111111";
+	struct config *c;
+	struct finds fs;
+	char *text;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(edits) / sizeof(edits[0]); i++) {
+		finds_init(&fs);
+		if (edits[i].withdraw)
+			text = publish_withdraw(
+			    conf, edits[i].ws, edits[i].id, &fs);
+		else
+			text = publish_grant(
+			    conf, edits[i].ws, edits[i].id, hash, &fs);
+		assert_int_equal(fs.errors, edits[i].errors);
+		assert_int_equal(text == NULL, edits[i].errors > 0);
+		if (text != NULL) {
+			c = config_new(text, strlen(text), 1, &fs);
+			assert_non_null(c);
+			assert_int_equal(c->key_count, edits[i].keys);
+			config_free(c);
+		}
+		free(text);
+		finds_finish(&fs);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_publish_outcomes),
+		cmocka_unit_test(test_publish_after_snapshot),
+		cmocka_unit_test(test_edits),
+	};
+
+	if (sodium_init() == -1)
+		return 1;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
