--- a/src/cyclamenvalectl/args.c
+++ b/src/cyclamenvalectl/args.c
@@ -173,7 +173,7 @@
 	*(const char **)dst = s;
 	if (strlen(s) >= sizeof(buf))
 		return -1;
-	strcpy(buf, s);
+	memcpy(buf, s, strlen(s) + 1);
 	colon = strchr(buf, ':');
 	if (colon == NULL)
 		return -1;
--- a/src/cyclamenvalectl/log.c
+++ b/src/cyclamenvalectl/log.c
@@ -90,7 +90,7 @@
 	if (publish_catch_up(r, (uint32_t)a->timeout) != LOGSVC_OK) {
 		fprintf(stderr,
 		    CTL_PROG ": can't read the log at %s; nothing was "
-			     "published; try again when it answers\n",
+			     "changed; try again when it answers\n",
 		    a->log_url);
 		return CTL_LOG;
 	}
--- a/src/publish/test_publish.c
+++ b/src/publish/test_publish.c
@@ -9,6 +9,7 @@
 #include "publish/publish.h"
 
 #define RECORDS_MAX 32
+#define RECORD_BYTES 1024
 #define STEPS_MAX 4
 #define TIMEOUT_MS 5000
 #define ID_A "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
@@ -36,14 +37,14 @@
 };
 
 struct fake {
-	char *records[RECORDS_MAX];
+	char records[RECORDS_MAX][RECORD_BYTES];
 	uint64_t first;
 	uint64_t next;
 	const enum step *steps;
 	size_t step;
 	int outage_after; /* appends after which reads fail; 0 is never */
 	int reads_fail;	  /* reads that fail then */
-	char *late;
+	char late[RECORD_BYTES]; /* empty if there is none */
 	uint64_t now;
 };
 
@@ -54,7 +55,8 @@
 fake_write(struct fake *f, const char *data)
 {
 	assert_true(f->next < RECORDS_MAX);
-	f->records[f->next++] = strdup(data);
+	assert_true(strlen(data) < RECORD_BYTES);
+	memcpy(f->records[f->next++], data, strlen(data) + 1);
 }
 
 /*
@@ -84,10 +86,9 @@
 	(void)timeout;
 	assert_string_equal(stream, "config");
 	f->step++;
-	if (f->late != NULL) {
+	if (f->late[0] != '\0') {
 		fake_write(f, f->late);
-		free(f->late);
-		f->late = NULL;
+		f->late[0] = '\0';
 	}
 	if (s == STEP_REFUSED)
 		return LOGSVC_REFUSED;
@@ -96,7 +97,7 @@
 	if (s == STEP_REQUEST_LOST)
 		return LOGSVC_UNKNOWN;
 	if (s == STEP_LATE) {
-		f->late = strdup(data);
+		snprintf(f->late, RECORD_BYTES, "%s", data);
 		return LOGSVC_UNKNOWN;
 	}
 	if (s == STEP_RACE || s == STEP_RACE_LOST)
@@ -175,16 +176,6 @@
 	env->ctx = f;
 }
 
-static void
-fake_finish(struct fake *f)
-{
-	uint64_t i;
-
-	for (i = 0; i < f->next; i++)
-		free(f->records[i]);
-	free(f->late);
-}
-
 static const struct {
 	const char *name;
 	enum step steps[STEPS_MAX];
@@ -264,7 +255,6 @@
 		}
 		publish_reader_finish(&again);
 		publish_reader_finish(&r);
-		fake_finish(&f);
 	}
 }
 
@@ -300,7 +290,6 @@
 	assert_int_equal(publish_run(&r, &p, &version), PUBLISH_WON);
 	assert_int_equal(version, 4);
 	publish_reader_finish(&r);
-	fake_finish(&f);
 }
 
 static const struct {
