--- a/src/cyclamenvalectl/wait.c
+++ b/src/cyclamenvalectl/wait.c
@@ -7,7 +7,7 @@
 #include "base/clock.h"
 #include "cyclamenvalectl/ctl.h"
 
-#define DUMP_JSON_PATH "/dump.json"
+#define VERSION_PATH "/version"
 #define ASK_TIMEOUT_MS 1000
 #define PAUSE_NS 100000000L
 
@@ -20,12 +20,12 @@
 static int64_t
 node_version(const char *node)
 {
-	char *text = ctl_http_get(node, DUMP_JSON_PATH, ASK_TIMEOUT_MS);
+	char *text = ctl_http_get(node, VERSION_PATH, ASK_TIMEOUT_MS);
 	json_t *o = text != NULL ? json_loads(text, 0, NULL) : NULL;
 	json_int_t version = -1;
 
 	if (o != NULL)
-		json_unpack(o, "{s:{s:I}}", "config", "version", &version);
+		json_unpack(o, "{s:I}", "version", &version);
 	json_decref(o);
 	free(text);
 	return version;
--- a/src/publish/edit.c
+++ b/src/publish/edit.c
@@ -94,7 +94,7 @@
 }
 
 /*
- * Returns a configuration without the key that has an id, or NULL with a
+ * Returns a configuration without any key that has an id, or NULL with a
  * finding.  The caller frees it.
  */
 char *
@@ -102,15 +102,17 @@
     const char *text, const char *ws, const char *id, struct finds *fs)
 {
 	json_t *root = json_loads(text, 0, NULL), *keys = keys_of(root, ws);
-	int i = key_index(keys, id);
+	int i = key_index(keys, id), found = i != -1;
 
 	if (keys == NULL)
 		finds_add(
 		    fs, &msgs[FIND_NO_WORKSPACE], "/workspaces", "%s", ws);
-	else if (i == -1)
+	else if (!found)
 		finds_add(
 		    fs, &msgs[FIND_NO_KEY], "/workspaces", "%s of %s", id, ws);
-	else if (json_array_remove(keys, (size_t)i) == 0)
+	for (; i != -1; i = key_index(keys, id))
+		json_array_remove(keys, (size_t)i);
+	if (found)
 		return text_of(root);
 	json_decref(root);
 	return NULL;
--- a/src/publish/test_publish.c
+++ b/src/publish/test_publish.c
@@ -342,6 +342,26 @@
 	}
 }
 
+/*
+ * Where one id names two keys, both are withdrawn.
+ */
+static void
+test_withdraw_takes_all(void **state)
+{
+	struct finds fs;
+	char *text;
+
+	(void)state;
+	finds_init(&fs);
+	text = publish_withdraw("{\"workspaces\":[{\"name\":\"w\",\"keys\":"
+				"[{\"id\":\"k\"},{\"id\":\"k\"}]}]}",
+	    "w", "k", &fs);
+	assert_string_equal(
+	    text, "{\"workspaces\":[{\"name\":\"w\",\"keys\":[]}]}");
+	free(text);
+	finds_finish(&fs);
+}
+
 int
 main(void)
 {
@@ -349,6 +369,7 @@
 		cmocka_unit_test(test_publish_outcomes),
 		cmocka_unit_test(test_publish_after_snapshot),
 		cmocka_unit_test(test_edits),
+		cmocka_unit_test(test_withdraw_takes_all),
 	};
 
 	if (sodium_init() == -1)
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -255,6 +255,7 @@
 {
 	const struct row *r;
 	char place[PLACE_BYTES];
+	int secret = 0;
 	size_t i;
 
 	for (i = 0; i < SETTINGS_ROWS; i++) {
@@ -270,7 +271,12 @@
 		else if (r->required)
 			finds_add(fs, &msgs[MSG_REQUIRED], place, "or set %s",
 			    r->env);
+		if (r->kind == KIND_SECRET || r->kind == KIND_PATH)
+			secret = secret || given[i].text != NULL;
 	}
+	if (!secret)
+		finds_add(
+		    fs, &msgs[MSG_NO_SECRET], "CYCLAMENVALE_SECRET", "%s", "");
 }
 
 /*
@@ -372,9 +378,6 @@
 {
 	check_ports(s, fs);
 	check_address(s, fs);
-	if (s->secret.len == 0 && s->secret_file[0] == '\0')
-		finds_add(
-		    fs, &msgs[MSG_NO_SECRET], "CYCLAMENVALE_SECRET", "%s", "");
 	if (s->config_stale_ms != 0 && s->config_stale_ms < 2 * s->log_poll_ms)
 		finds_add(fs, &msgs[MSG_STALE_POLL], "--config-stale-ms",
 		    "%u < 2 x %u", s->config_stale_ms, s->log_poll_ms);
