--- a/tests/standin/runs.h
+++ b/tests/standin/runs.h
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <pthread.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,6 +23,7 @@
 	char path[RUNS_TEXT];
 	char id[RUNS_TEXT];
 	char workspace[32];
+	char attempt[RUNS_TEXT]; /* what the caller wrote in X-Attempt */
 	uint64_t start_us;
 	uint64_t end_us;
 	int status;
@@ -35,6 +37,7 @@
 	char *heads;
 	size_t head_len;
 	int keep_heads;
+	int file; /* outlives the process, -1 without */
 };
 
 /*
@@ -47,6 +50,7 @@
 	pthread_mutex_init(&rs->lock, NULL);
 	rs->heads = malloc(RUNS_HEAD_BYTES);
 	rs->keep_heads = rs->heads != NULL;
+	rs->file = -1;
 }
 
 /*
@@ -94,8 +98,8 @@
  * record is full.
  */
 static inline long
-runs_begin(
-    struct runs *rs, const char *path, const char *id, const char *workspace)
+runs_begin(struct runs *rs, const char *path, const char *id,
+    const char *workspace, const char *attempt)
 {
 	struct run *r;
 	long n = -1;
@@ -116,8 +120,15 @@
 		strncpy(r->path, path, sizeof(r->path) - 1);
 		strncpy(r->id, id, sizeof(r->id) - 1);
 		strncpy(r->workspace, workspace, sizeof(r->workspace) - 1);
+		strncpy(r->attempt, attempt, sizeof(r->attempt) - 1);
 		r->start_us = clock_us();
 	}
+	if (n >= 0 && rs->file != -1)
+		dprintf(rs->file, "%llu %s %s %s %s\n",
+		    (unsigned long long)r->start_us, r->path,
+		    r->workspace[0] == '\0' ? "-" : r->workspace,
+		    r->id[0] == '\0' ? "-" : r->id,
+		    r->attempt[0] == '\0' ? "-" : r->attempt);
 	pthread_mutex_unlock(&rs->lock);
 	return n;
 }
