--- a/src/config/test_config.c
+++ b/src/config/test_config.c
@@ -179,7 +179,7 @@
 		{ "POST", "/a/b", "ab" },
 		{ "BREW", "/a", "a" },
 	};
-	struct config c;
+	struct config c = { 0 };
 	struct finds fs;
 	size_t i;
 	int r;
@@ -214,7 +214,7 @@
 	    "\"idempotent\":1,\"deadline_ms\":0,\"retries\":11,\"colour\":1}],"
 	    "\"workspaces\":[{\"name\":\"w\",\"rate\":-1,\"burst\":0.5,"
 	    "\"keys\":[{\"id\":\"k\",\"hash\":\"12\"}]}]}";
-	struct config c;
+	struct config c = { 0 };
 	struct finds fs;
 
 	(void)state;
@@ -234,7 +234,7 @@
 	unsigned char h[CONFIG_HASH_BYTES];
 	const struct config_key *k;
 	char text[512], hex[2 * CONFIG_HASH_BYTES + 1];
-	struct config c;
+	struct config c = { 0 };
 	struct finds fs;
 	int i;
 
