Retries: one number lent along the chain, a budget per route, live parents

A call's node lends an attempt all but one of what it has left, and a server's node lends each inner call half of the rest, rounded up, so that the last retry goes to the bottom of the chain, where repeating costs least. Without the closed state of a chain, a late answer gives retries back to a request that has already answered, and the test fails.

Refusals that can't add load (no connection, draining) spend from the chain only: a rolling restart must not use up the budget that is there for failures.

--- /dev/null
+++ b/src/retry/parents.c
@@ -0,0 +1,173 @@
+#include <err.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "retry/parents.h"
+
+static struct parents_stripe *stripe_of(
+    struct parents *, const unsigned char *);
+
+/*
+ * Prepares an empty table.
+ */
+void
+parents_init(struct parents *ps)
+{
+	size_t i;
+
+	memset(ps, 0, sizeof(*ps));
+	for (i = 0; i < PARENTS_STRIPES; i++)
+		pthread_mutex_init(&ps->stripes[i].lock, NULL);
+}
+
+/*
+ * Releases a table that no thread uses any more.  All parents must have been
+ * ended.
+ */
+void
+parents_finish(struct parents *ps)
+{
+	size_t i;
+
+	for (i = 0; i < PARENTS_STRIPES; i++)
+		pthread_mutex_destroy(&ps->stripes[i].lock);
+}
+
+/*
+ * Adds a request that is about to be sent to the local server, with the
+ * retries lent to it, under a token of its own.  Exits the process if memory
+ * is exhausted.
+ */
+struct parent *
+parents_add(struct parents *ps, const struct parent_context *ctx, uint32_t lent)
+{
+	struct parents_stripe *st;
+	struct parent *p;
+
+	p = calloc(1, sizeof(*p));
+	if (p == NULL)
+		err(1, "parents_add");
+	randombytes_buf(p->token, sizeof(p->token));
+	p->context = *ctx;
+	retry_chain_init(&p->chain, lent);
+	atomic_init(&p->refs, 1);
+	st = stripe_of(ps, p->token);
+	pthread_mutex_lock(&st->lock);
+	p->next = st->head;
+	st->head = p;
+	st->count++;
+	pthread_mutex_unlock(&st->lock);
+	return p;
+}
+
+/*
+ * Ends a request: its token is unknown from now on, and inner calls still in
+ * flight see it dead.  Returns the retries left, for its answer.  The parent
+ * must not be used by the caller afterwards.
+ */
+uint32_t
+parents_end(struct parents *ps, struct parent *p)
+{
+	struct parents_stripe *st = stripe_of(ps, p->token);
+	struct parent **at;
+	uint32_t left;
+
+	pthread_mutex_lock(&st->lock);
+	for (at = &st->head; *at != NULL; at = &(*at)->next) {
+		if (*at != p)
+			continue;
+		*at = p->next;
+		st->count--;
+		break;
+	}
+	pthread_mutex_unlock(&st->lock);
+	atomic_store(&p->dead, 1);
+	left = retry_chain_close(&p->chain);
+	parent_put(p);
+	return left;
+}
+
+/*
+ * Returns the live request with this token (hexadecimal text) with a
+ * reference to be put by parent_put(), or NULL.  Tokens are compared in
+ * constant time.
+ */
+struct parent *
+parents_get(struct parents *ps, const char *text)
+{
+	unsigned char token[PARENT_TOKEN_BYTES];
+	struct parents_stripe *st;
+	struct parent *p;
+	size_t len;
+
+	if (strlen(text) != PARENT_TOKEN_TEXT - 1 ||
+	    sodium_hex2bin(token, sizeof(token), text, PARENT_TOKEN_TEXT - 1,
+		NULL, &len, NULL) != 0 ||
+	    len != sizeof(token))
+		return NULL;
+	st = stripe_of(ps, token);
+	pthread_mutex_lock(&st->lock);
+	for (p = st->head; p != NULL; p = p->next) {
+		if (sodium_memcmp(p->token, token, sizeof(token)) == 0)
+			break;
+	}
+	if (p != NULL)
+		atomic_fetch_add(&p->refs, 1);
+	pthread_mutex_unlock(&st->lock);
+	return p;
+}
+
+/*
+ * Gives a reference back.
+ */
+void
+parent_put(struct parent *p)
+{
+	if (atomic_fetch_sub(&p->refs, 1) == 1)
+		free(p);
+}
+
+/*
+ * Tells whether the request has ended, so that work for it is wasted.
+ */
+int
+parent_is_dead(const struct parent *p)
+{
+	return atomic_load(&p->dead);
+}
+
+/*
+ * Writes the token into PARENT_TOKEN_TEXT bytes.
+ */
+void
+parent_token_format(const struct parent *p, char *buf)
+{
+	sodium_bin2hex(buf, PARENT_TOKEN_TEXT, p->token, sizeof(p->token));
+}
+
+/*
+ * Returns how many requests run at the local server.
+ */
+uint32_t
+parents_count(struct parents *ps)
+{
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < PARENTS_STRIPES; i++) {
+		pthread_mutex_lock(&ps->stripes[i].lock);
+		n += ps->stripes[i].count;
+		pthread_mutex_unlock(&ps->stripes[i].lock);
+	}
+	return n;
+}
+
+/*
+ * Returns the stripe of a token.
+ */
+static struct parents_stripe *
+stripe_of(struct parents *ps, const unsigned char *token)
+{
+	return &ps->stripes[token[0] % PARENTS_STRIPES];
+}
--- /dev/null
+++ b/src/retry/parents.h
@@ -0,0 +1,62 @@
+#ifndef RETRY_PARENTS_H
+#define RETRY_PARENTS_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "admission/admission_core.h"
+#include "retry/retry.h"
+
+#define PARENT_TOKEN_BYTES 16
+#define PARENT_TOKEN_TEXT 33	/* hexadecimal, with its end */
+#define PARENT_WORKSPACE_MAX 64 /* bytes of a name, with its end */
+#define PARENTS_STRIPES 64
+
+/* What inner calls inherit from the request they are made for. */
+struct parent_context {
+	uint64_t root_hash;
+	uint64_t root_print[2]; /* fingerprint of the root request */
+	uint64_t deadline_us;
+	enum admission_class class;
+	uint32_t depth;
+	char workspace[PARENT_WORKSPACE_MAX]; /* empty on open routes */
+};
+
+/*
+ * A request that runs at the local server now.  The chain holds the retries
+ * lent to it.  It stays readable until the last reference is put.
+ */
+struct parent {
+	struct parent *next;
+	unsigned char token[PARENT_TOKEN_BYTES];
+	struct parent_context context;
+	struct retry_chain chain;
+	atomic_uint refs;
+	atomic_int dead;
+};
+
+struct parents_stripe {
+	pthread_mutex_t lock;
+	struct parent *head;
+	uint32_t count;
+};
+
+struct parents {
+	struct parents_stripe stripes[PARENTS_STRIPES];
+};
+
+void parents_init(struct parents *);
+void parents_finish(struct parents *);
+struct parent *parents_add(
+    struct parents *, const struct parent_context *, uint32_t);
+uint32_t parents_end(struct parents *, struct parent *);
+struct parent *parents_get(struct parents *, const char *);
+void parent_put(struct parent *);
+int parent_is_dead(const struct parent *);
+void parent_token_format(const struct parent *, char *);
+uint32_t parents_count(struct parents *);
+
+#endif
--- /dev/null
+++ b/src/retry/test_retry.c
@@ -0,0 +1,334 @@
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "retry/parents.h"
+#include "retry/retry.h"
+
+#define TREES 3000
+#define DEPTH_MIN 4
+#define DEPTH_MAX 18
+#define THREADS 8
+#define ROUNDS 20000
+#define LOOKUPS 200000
+
+/* A tree of calls that fail at random at every level. */
+struct tree {
+	uint64_t rnd;
+	uint32_t depth;
+	uint32_t width;
+	uint32_t fail_in_8;
+	uint32_t retries; /* used in the whole tree */
+};
+
+/*
+ * Returns the next number of a seeded sequence, below n.
+ */
+static uint32_t
+draw(struct tree *t, uint32_t n)
+{
+	t->rnd = t->rnd * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (uint32_t)(t->rnd >> 33) % n;
+}
+
+/*
+ * One call with its attempts and, at the server, its inner calls.  Returns
+ * what is left of the retries it was lent.
+ */
+static uint32_t
+call(struct tree *t, uint32_t lent, uint32_t depth)
+{
+	struct retry_chain own, at_server;
+	uint32_t loan, left, i, part[3] = { 0 };
+
+	retry_chain_init(&own, lent);
+	for (;;) {
+		loan = retry_lend_attempt(&own);
+		retry_chain_init(&at_server, loan);
+		if (depth > 1) {
+			for (i = 0; i < t->width; i++)
+				part[i] = retry_lend_call(&at_server);
+			for (i = 0; i < t->width; i++) {
+				left = call(t, part[i], depth - 1);
+				if (draw(t, 8) >= t->fail_in_8)
+					retry_return(&at_server, part[i], left);
+			}
+		}
+		left = retry_chain_close(&at_server);
+		retry_return(&at_server, RETRY_MAX, RETRY_MAX);
+		assert_int_equal(retry_lend_call(&at_server), 0);
+		if (draw(t, 8) >= t->fail_in_8) {
+			retry_return(&own, loan, left);
+			break;
+		}
+		if (draw(t, 2) == 0)
+			retry_return(&own, loan, left);
+		if (!retry_spend(&own))
+			break;
+		t->retries++;
+	}
+	return retry_chain_close(&own);
+}
+
+/*
+ * Whatever fails at whatever depth, a whole tree uses no more retries than
+ * its root had, and all of them can be used.
+ */
+static void
+test_bound_of_tree(void **state)
+{
+	struct tree t = { 42, 0, 0, 0, 0 };
+	uint32_t i, root, used_up = 0;
+
+	(void)state;
+	for (i = 0; i < TREES; i++) {
+		t.depth = DEPTH_MIN + draw(&t, DEPTH_MAX - DEPTH_MIN + 1);
+		t.width = t.depth <= 6 ? 1 + draw(&t, 3) : 1;
+		t.fail_in_8 = draw(&t, 8);
+		t.retries = 0;
+		root = draw(&t, RETRY_MAX + 1);
+		call(&t, root, t.depth);
+		assert_true(t.retries <= root);
+		used_up += root > 0 && t.retries == root;
+	}
+	print_message("%u of %d trees used all\n", used_up, TREES);
+	assert_true(used_up > TREES / 20);
+}
+
+/*
+ * An answer that claims more than was lent is worth the loan at most.
+ */
+static void
+test_return_is_clamped(void **state)
+{
+	struct retry_chain c;
+	uint32_t lent;
+
+	(void)state;
+	retry_chain_init(&c, 4);
+	lent = retry_lend_attempt(&c);
+	assert_int_equal(lent, 3);
+	retry_return(&c, lent, 1000);
+	assert_int_equal(retry_chain_close(&c), 4);
+}
+
+/*
+ * How one hop's number is split among calls that run side by side, and how
+ * an attempt shares with what is kept.
+ */
+static void
+test_split(void **state)
+{
+	static const struct {
+		uint32_t left, calls[4], attempt;
+	} rows[] = {
+		{ 0, { 0, 0, 0, 0 }, 0 },
+		{ 1, { 1, 0, 0, 0 }, 1 },
+		{ 2, { 1, 1, 0, 0 }, 1 },
+		{ 3, { 2, 1, 0, 0 }, 2 },
+		{ 10, { 5, 3, 1, 1 }, 9 },
+		{ 99, { 5, 3, 1, 1 }, 9 },
+	};
+	struct retry_chain c;
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		retry_chain_init(&c, rows[i].left);
+		for (j = 0; j < 4; j++)
+			assert_int_equal(retry_lend_call(&c), rows[i].calls[j]);
+		retry_chain_init(&c, rows[i].left);
+		assert_int_equal(retry_lend_attempt(&c), rows[i].attempt);
+	}
+}
+
+/*
+ * Every reason, with and without the chance that it ran.
+ */
+static void
+test_decisions(void **state)
+{
+	static const struct {
+		struct retry_case q;
+		uint32_t left;
+		int broke; /* the route's budget is used up */
+		enum retry_verdict verdict;
+	} rows[] = {
+		{ { RETRY_NO_CONNECTION, 1, 0, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
+		    RETRY_NOW },
+		{ { RETRY_NO_CONNECTION, 1, 0, 0, 1, 0, 9999999, 0, 7 }, 0, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_NO_CONNECTION, 1, 0, 0, 1, 0, 9999999, 0, 7 }, 1, 1,
+		    RETRY_NOW },
+		{ { RETRY_LEAVING, 1, 0, 0, 1, 0, 9999999, 0, 7 }, 1, 1,
+		    RETRY_NOW },
+		{ { RETRY_OVERLOAD, 1, 0, 0, 1, 1, 9999999, 0, 7 }, 1, 0,
+		    RETRY_NOW },
+		{ { RETRY_OVERLOAD, 1, 0, 0, 2, 2, 9999999, 0, 7 }, 1, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_OVERLOAD, 1, 0, 0, 1, 1, 9999999, 0, 7 }, 1, 1,
+		    RETRY_GIVE_UP },
+		{ { RETRY_OVERLOAD_ALL, 1, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_BROKEN, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
+		    RETRY_LATER },
+		{ { RETRY_BROKEN, 0, 0, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_BROKEN, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 1,
+		    RETRY_GIVE_UP },
+		{ { RETRY_BROKEN, 0, 1, 1, 1, 0, 9999999, 0, 7 }, 9, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_SERVER_FAILED, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
+		    RETRY_LATER },
+		{ { RETRY_SERVER_FAILED, 0, 0, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_SERVER_FAILED, 0, 1, 0, 1, 0, 5000, 0, 7 }, 1, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_SERVER_FAILED, 0, 1, 0, 1, 0, 50000, 50000, 7 }, 1, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_DEADLINE, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
+		    RETRY_GIVE_UP },
+		{ { RETRY_FINAL, 1, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
+		    RETRY_GIVE_UP },
+	};
+	struct retry_chain c;
+	struct retry_budget b;
+	enum retry_verdict v;
+	uint32_t delay;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		retry_chain_init(&c, rows[i].left);
+		retry_budget_init(&b, 5000);
+		while (rows[i].broke && retry_budget_spend(&b, 5000))
+			;
+		v = retry_decide(&rows[i].q, &c, &b, 5000, &delay);
+		assert_int_equal(v, rows[i].verdict);
+		assert_int_equal(
+		    retry_chain_close(&c), rows[i].left - (v != RETRY_GIVE_UP));
+	}
+}
+
+/*
+ * While everything fails, a route's retries die down to one in two seconds;
+ * while it works they may be a tenth.
+ */
+static void
+test_budget(void **state)
+{
+	struct retry_budget b;
+	uint64_t now;
+	int i, spent = 0;
+
+	(void)state;
+	retry_budget_init(&b, 0);
+	for (now = 1; now <= 20000; now++)
+		spent += retry_budget_spend(&b, now);
+	assert_int_equal(spent, 10 + 10);
+	spent = 0;
+	for (i = 0; i < 1000; i++) {
+		retry_budget_success(&b);
+		spent += retry_budget_spend(&b, now);
+	}
+	assert_int_equal(spent, 100);
+}
+
+/*
+ * Looks a request up, lends and returns, over and over, until it is dead.
+ */
+static void *
+borrow(void *arg)
+{
+	struct retry_chain *c = arg;
+	uint32_t i, n;
+
+	for (i = 0; i < ROUNDS; i++) {
+		n = retry_lend_call(c);
+		retry_return(c, n, n);
+	}
+	return NULL;
+}
+
+/*
+ * Threads that lend and return at once neither lose nor gain a retry.
+ */
+static void
+test_threads(void **state)
+{
+	pthread_t th[THREADS];
+	struct retry_chain c;
+	int i;
+
+	(void)state;
+	retry_chain_init(&c, RETRY_MAX);
+	for (i = 0; i < THREADS; i++)
+		pthread_create(&th[i], NULL, borrow, &c);
+	for (i = 0; i < THREADS; i++)
+		pthread_join(th[i], NULL);
+	assert_int_equal(retry_chain_close(&c), RETRY_MAX);
+}
+
+/*
+ * A token finds its request while that lives and not afterwards; who holds
+ * it sees it dead.  Text that is no token finds nothing.
+ */
+static void
+test_parents(void **state)
+{
+	static const char *const bad[] = { "", "00", "zz",
+		"00000000000000000000000000000000",
+		"0000000000000000000000000000000g",
+		"000000000000000000000000000000000" };
+	struct parent_context ctx = { .root_hash = 7, .workspace = "acme" };
+	struct parent *p, *held;
+	struct parents ps;
+	char text[PARENT_TOKEN_TEXT];
+	uint64_t t;
+	size_t i;
+
+	(void)state;
+	parents_init(&ps);
+	p = parents_add(&ps, &ctx, 3);
+	parent_token_format(p, text);
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		assert_null(parents_get(&ps, bad[i]));
+	held = parents_get(&ps, text);
+	assert_ptr_equal(held, p);
+	assert_string_equal(held->context.workspace, "acme");
+	assert_int_equal(retry_lend_call(&held->chain), 2);
+	t = clock_us();
+	for (i = 0; i < LOOKUPS; i++)
+		parent_put(parents_get(&ps, text));
+	t = clock_us() - t;
+	print_message("%.0f ns a lookup\n", (double)t * 1e3 / LOOKUPS);
+	assert_false(parent_is_dead(held));
+	assert_int_equal(parents_count(&ps), 1);
+	assert_int_equal(parents_end(&ps, p), 1);
+	assert_null(parents_get(&ps, text));
+	assert_true(parent_is_dead(held));
+	assert_int_equal(retry_lend_call(&held->chain), 0);
+	parent_put(held);
+	assert_int_equal(parents_count(&ps), 0);
+	parents_finish(&ps);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_bound_of_tree),
+		cmocka_unit_test(test_return_is_clamped),
+		cmocka_unit_test(test_split),
+		cmocka_unit_test(test_decisions),
+		cmocka_unit_test(test_budget),
+		cmocka_unit_test(test_threads),
+		cmocka_unit_test(test_parents),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
