--- a/tests/path/test_config.c
+++ b/tests/path/test_config.c
@@ -20,12 +20,14 @@
 #define IN_FORCE_MS 5000
 #define ID_A "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 #define ID_B "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
-#define BAD_CONFIG                                                 \
-	"{\"id\":\"dddddddddddddddddddddddddddddddd\",\"base\":2," \
-	"\"version\":3,\"author\":\"x\",\"config\":{\"routes\":"   \
-	"[{\"name\":\"\"}],\"workspaces\":7}}"
 #define ID_C "cccccccccccccccccccccccccccccccc"
 
+/* A publication on version 2 whose configuration has errors. */
+static const char bad_config[] =
+    "{\"id\":\"dddddddddddddddddddddddddddddddd\",\"base\":2,"
+    "\"version\":3,\"author\":\"x\",\"config\":{\"routes\":"
+    "[{\"name\":\"\"}],\"workspaces\":7}}";
+
 static struct fleet fleet;
 
 /*
@@ -105,7 +107,7 @@
 {
 	static const char *const garbage[] = { "", "{", "[]", "{\"id\":1}",
 		"{\"snapshot\":true,\"id\":\"x\",\"version\":1,\"config\":{}}",
-		BAD_CONFIG };
+		bad_config };
 	json_t *old = conf_with("old", "/old"), *next = conf_with("ra", "/ra");
 	char url[96];
 	struct route_spec r = { .name = "n3",
