--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -34,7 +34,7 @@
 	uint64_t unreached;
 	uint64_t cut;
 	uint64_t other;
-	char sample[160];
+	char sample[200];
 };
 
 static struct fleet fleet;
