--- a/Makefile
+++ b/Makefile
@@ -146,6 +146,10 @@
 	@if ls man/*.[1-9] >/dev/null 2>&1; then \
 	    mandoc -Tlint -Wwarning man/*.[1-9]; fi
 
+# A small fleet on loopback, with stand-ins for all else.
+demo: all
+	@BUILD=$(BUILD) tests/demo
+
 measure: all $(MEASURES)
 	@for m in $(MEASURES); do BUILD=$(BUILD) ./$$m $(MEASURE_ARGS) || exit 1; \
 	done
