--- a/src/cyclamenvalectl/dump.c
+++ b/src/cyclamenvalectl/dump.c
@@ -4,7 +4,7 @@
 #include "cyclamenvalectl/ctl.h"
 
 #define DUMP_TEXT_PATH "/dump"
-#define DUMP_JSON_PATH "/dump.json"
+#define DUMP_JSON_PATH "/dump?format=json"
 
 /*
  * Prints the state of a node, as text or as JSON.
