--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,6 +40,7 @@
 	uint64_t hash;
 	double rate;
 	uint32_t burst;
+	uint64_t changed_ms; /* local time at which the limit changed */
 };
 
 struct config_key {
@@ -88,8 +89,11 @@
 
 int config_route_find(const struct config *, const char *, const char *);
 const struct config_key *config_key_find(const struct config *, const char *);
+int config_key_live(const struct config *, uint64_t);
+uint64_t config_key_tag(const struct config_key *);
 int config_ws_find(const struct config *, uint64_t);
 uint64_t config_ws_hash(const char *);
+void config_carry(struct config *, const struct config *, uint64_t);
 void config_key_hash(const char *, unsigned char *);
 
 void config_state_init(struct config_state *);
--- a/src/config/parse.c
+++ b/src/config/parse.c
@@ -730,3 +730,58 @@
 			return (int)i;
 	return -1;
 }
+
+/*
+ * Returns the number by which a chain remembers the key it began with.
+ */
+uint64_t
+config_key_tag(const struct config_key *k)
+{
+	uint64_t tag = 0;
+	int i;
+
+	for (i = 0; i < 8; i++)
+		tag = tag << 8 | k->hash[i];
+	return tag;
+}
+
+/*
+ * Tells whether the key of that tag is in force.
+ */
+int
+config_key_live(const struct config *c, uint64_t tag)
+{
+	size_t lo = 0, hi = c->key_count, mid;
+
+	while (lo < hi) {
+		mid = lo + (hi - lo) / 2;
+		if (config_key_tag(&c->keys[mid]) < tag)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo < c->key_count && config_key_tag(&c->keys[lo]) == tag;
+}
+
+/*
+ * Notes for each workspace since when (ms) this node knows its limit: from
+ * the version before where that had the same, else from now.
+ */
+void
+config_carry(struct config *c, const struct config *before, uint64_t now)
+{
+	const struct config_ws *w;
+	size_t i;
+	int j;
+
+	for (i = 0; before != NULL && i < c->ws_count; i++) {
+		c->workspaces[i].changed_ms = now;
+		j = config_ws_find(before, c->workspaces[i].hash);
+		if (j == -1)
+			continue;
+		w = &before->workspaces[j];
+		if (w->rate == c->workspaces[i].rate &&
+		    w->burst == c->workspaces[i].burst)
+			c->workspaces[i].changed_ms = w->changed_ms;
+	}
+}
--- a/src/config/service.c
+++ b/src/config/service.c
@@ -111,6 +111,7 @@
 static void
 publish(struct config_service *s, struct config *old, const char *source)
 {
+	config_carry(s->state.cur, old, clock_ms());
 	rcu_assign_pointer(s->current, s->state.cur);
 	logline(LOG_NOTICE, "config-in-force",
 	    "version=%llu source=%s routes=%zu workspaces=%zu",
--- a/src/exchange/context.c
+++ b/src/exchange/context.c
@@ -14,14 +14,13 @@
 void
 context_format(const struct context *c, char *buf)
 {
-	char fp[2 * CONTEXT_FP_BYTES + 1];
-
-	sodium_bin2hex(fp, sizeof(fp), c->fingerprint, CONTEXT_FP_BYTES);
 	snprintf(buf, CONTEXT_TEXT_MAX,
 	    "v=1;root=%016" PRIx64 ";att=%016" PRIx64
-	    ";cls=%u;ret=%u;dl=%u;dep=%u;idem=%u;fp=%s;svc=%s;ws=%s",
+	    ";cls=%u;ret=%u;dl=%u;dep=%u;idem=%u;key=%016" PRIx64
+	    ";fp=%016" PRIx64 "%016" PRIx64 ";svc=%s;ws=%s",
 	    c->root, c->attempt, c->importance, c->retries, c->deadline_ms,
-	    c->depth, c->idempotent, fp, c->service, c->workspace);
+	    c->depth, c->idempotent, c->key_tag, c->print[0], c->print[1],
+	    c->service, c->workspace);
 }
 
 /*
@@ -31,8 +30,7 @@
 int
 context_parse(struct context *c, const char *s)
 {
-	char fp[2 * CONTEXT_FP_BYTES + 1], again[CONTEXT_TEXT_MAX];
-	size_t len;
+	char again[CONTEXT_TEXT_MAX];
 	int n;
 
 	memset(c, 0, sizeof(*c));
@@ -40,15 +38,13 @@
 		return -1;
 	n = sscanf(s,
 	    "v=1;root=%16" SCNx64 ";att=%16" SCNx64
-	    ";cls=%9u;ret=%9u;dl=%9u;dep=%9u;idem=%1u;fp=%32[0-9a-f];"
-	    "svc=%63[^;];ws=%63[^;]",
+	    ";cls=%9u;ret=%9u;dl=%9u;dep=%9u;idem=%1u;key=%16" SCNx64
+	    ";fp=%16" SCNx64 "%16" SCNx64 ";svc=%63[^;];ws=%63[^;]",
 	    &c->root, &c->attempt, &c->importance, &c->retries, &c->deadline_ms,
-	    &c->depth, &c->idempotent, fp, c->service, c->workspace);
-	if (n < 9 || c->importance >= CLASS_MAX || c->idempotent > 1 ||
-	    c->retries > CONFIG_RETRIES_MAX || c->depth > CONTEXT_DEPTH_MAX ||
-	    sodium_hex2bin(c->fingerprint, CONTEXT_FP_BYTES, fp, strlen(fp),
-		NULL, &len, NULL) != 0 ||
-	    len != CONTEXT_FP_BYTES)
+	    &c->depth, &c->idempotent, &c->key_tag, &c->print[0], &c->print[1],
+	    c->service, c->workspace);
+	if (n < 11 || c->importance >= CLASS_MAX || c->idempotent > 1 ||
+	    c->retries > CONFIG_RETRIES_MAX || c->depth > CONTEXT_DEPTH_MAX)
 		return -1;
 	context_format(c, again);
 	return strcmp(s, again) == 0 ? 0 : -1;
--- a/src/exchange/context.h
+++ b/src/exchange/context.h
@@ -6,7 +6,6 @@
 
 #include "config/config.h"
 
-#define CONTEXT_FP_BYTES 16
 #define CONTEXT_TEXT_MAX 512 /* bytes, with the terminator */
 #define CONTEXT_MAC_HEX 65   /* bytes, with the terminator */
 #define CONTEXT_DEPTH_MAX 64
@@ -21,7 +20,8 @@
 	uint32_t deadline_ms;
 	uint32_t depth;
 	uint32_t idempotent;
-	unsigned char fingerprint[CONTEXT_FP_BYTES];
+	uint64_t key_tag;  /* of the key that the chain began with, or 0 */
+	uint64_t print[2]; /* the root request's fingerprint */
 	char workspace[CONFIG_NAME_MAX + 1]; /* empty on open routes */
 	char service[CONFIG_NAME_MAX + 1];
 };
--- a/src/node/announce.c
+++ b/src/node/announce.c
@@ -98,7 +98,9 @@
 	if (a.addr == 0)
 		a.addr = n->settings.address;
 	change = server_announced(&n->server, &a, clock_ms());
-	if (change == SERVER_NEW) {
+	if (change == SERVER_REPLACED)
+		quarantine_death(&n->quarantine, rand_u64() | 1, clock_ms());
+	if (change == SERVER_NEW || change == SERVER_REPLACED) {
 		logline(LOG_NOTICE, "server-announced",
 		    "service=%s slots=%u incarnation=%" PRIx64,
 		    a.server.service, a.server.slots, a.server.incarnation);
--- /dev/null
+++ b/src/node/choose.c
@@ -0,0 +1,172 @@
+#include <string.h>
+#include <urcu.h>
+
+#include "node/call.h"
+
+/*
+ * Tells whether a server was tried for this request already.
+ */
+static int
+was_tried(const struct call *c, const struct node_id *id)
+{
+	unsigned int i;
+
+	for (i = 0; i < c->tried_count; i++)
+		if (nodeid_equal(&c->tried[i], id))
+			return 1;
+	return 0;
+}
+
+/*
+ * Describes a member as a candidate for routing.
+ */
+static void
+candidate(const struct call *c, const struct member_view *v,
+    const struct member_info *m, struct route_candidate *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->id = m->id;
+	out->since_ms = m->since_ms;
+	out->slots = m->server.slots;
+	out->same_domain = strcmp(m->domain, v->list[v->self].domain) == 0;
+	out->leaving =
+	    (m->state != MEMBER_ALIVE && m->state != MEMBER_SUSPECT) ||
+	    m->server.state != MEMBER_SERVER_UP;
+	out->tried = was_tried(c, &m->id);
+}
+
+/*
+ * Returns the rank of a request, by which an exit sheds.
+ */
+static uint32_t
+rank_of(const struct call *c)
+{
+	struct admission_req ar = { .class =
+					(enum admission_class)c->cx.importance,
+		.depth = c->cx.depth,
+		.root_hash = c->cx.root };
+
+	if (!settings_policy_on(&c->node->settings, POLICY_PRECHECK))
+		return 0;
+	return admission_rank(&ar);
+}
+
+/*
+ * Chooses among candidates without looking at load, for comparison.
+ */
+static int
+choose_any(const struct route_candidate *cand, size_t n)
+{
+	size_t i, start = n > 0 ? rand_u64() % n : 0, at;
+
+	for (i = 0; i < n; i++) {
+		at = (start + i) % n;
+		if (!cand[at].leaving && !cand[at].tried)
+			return (int)at;
+	}
+	return -1;
+}
+
+/*
+ * Lets a struck request run at one server only, wherever it entered.
+ */
+static int
+choose_pinned(
+    const struct call *c, const struct route_candidate *cand, size_t n)
+{
+	struct node_id ids[ROUTE_CANDIDATES_MAX];
+	int usable[ROUTE_CANDIDATES_MAX];
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		ids[i] = cand[i].id;
+		usable[i] = !cand[i].leaving && !cand[i].tried;
+	}
+	return quarantine_pin(&c->print, ids, usable, n);
+}
+
+/*
+ * Chooses where to send a request next.  Returns 0, or -1 with the reason.
+ */
+int
+call_choose(struct call *c, struct target *t, enum route_reason *why)
+{
+	struct route_candidate cand[ROUTE_CANDIDATES_MAX];
+	struct route_query q = { .now_ms = clock_ms(),
+		.rnd = rand_u64(),
+		.rank = rank_of(c),
+		.may_probe = atomic_load(&c->chain.left) > 0 };
+	struct node *n = c->node;
+	const struct member_view *v;
+	const struct member_info *m;
+	const uint32_t *h;
+	uint32_t len, i;
+	int at;
+
+	*why = ROUTE_NO_SERVER;
+	rcu_read_lock();
+	v = member_view_get(&n->member);
+	h = member_view_service(v, c->route.service, &len);
+	if (len > ROUTE_CANDIDATES_MAX)
+		len = ROUTE_CANDIDATES_MAX;
+	for (i = 0; i < len; i++)
+		candidate(c, v, &v->list[h[i]], &cand[i]);
+	if (settings_policy_on(&n->settings, POLICY_QUARANTINE) &&
+	    quarantine_check(&n->quarantine, &c->print, q.now_ms) !=
+		QUARANTINE_FREE)
+		at = choose_pinned(c, cand, len);
+	else if (settings_policy_on(&n->settings, POLICY_ROUTING))
+		at = route_pick(&n->routes, cand, len, &q, why);
+	else
+		at = choose_any(cand, len);
+	if (at >= 0) {
+		m = &v->list[h[at]];
+		t->id = m->id;
+		t->peer_port = m->peer_port;
+		t->local = nodeid_equal(&m->id, &n->id);
+	}
+	rcu_read_unlock();
+	return at >= 0 ? 0 : -1;
+}
+
+/*
+ * Returns how the last attempt counts for the server that it went to.
+ */
+static enum route_outcome
+route_outcome_of(const struct call *c)
+{
+	const struct verdict *v = &c->verdict;
+
+	if (v->outcome == OUTCOME_DONE)
+		return c->scratch.status >= 500 ? ROUTE_FAILED : ROUTE_SERVED;
+	if (c->answer.broken)
+		return ROUTE_CANCELLED;
+	if (c->unsent)
+		return ROUTE_REFUSED;
+	if (v->reason == REASON_DEADLINE)
+		return v->outcome == OUTCOME_NOT_RUN ? ROUTE_SHED
+						     : ROUTE_TIMEOUT;
+	if (v->reason == REASON_OVERLOAD)
+		return ROUTE_SHED;
+	if (v->reason == REASON_QUARANTINED)
+		return ROUTE_CANCELLED;
+	return v->outcome == OUTCOME_NOT_RUN ? ROUTE_LEAVING : ROUTE_FAILED;
+}
+
+/*
+ * Notes what the last attempt showed of its server.
+ */
+void
+call_observe(struct call *c, const struct target *t, uint64_t latency_us)
+{
+	struct admission_load load;
+	enum route_outcome out = route_outcome_of(c);
+	int heard = admission_load_parse(&load, c->verdict.load) == 0;
+
+	if (!settings_policy_on(&c->node->settings, POLICY_EJECTION) &&
+	    (out == ROUTE_FAILED || out == ROUTE_TIMEOUT ||
+		out == ROUTE_REFUSED))
+		out = ROUTE_CANCELLED;
+	route_observe(&c->node->routes, &t->id, out, latency_us,
+	    heard ? &load : NULL, clock_ms());
+}
--- a/src/node/exit.c
+++ b/src/node/exit.c
@@ -13,6 +13,7 @@
 #define SERVER_IDLE_MAX 256
 #define DEATH_CONNECT_MS 50
 #define ID_HEX 17
+#define US_PER_MS 1000
 
 /* One request at the local server. */
 struct run {
@@ -20,11 +21,11 @@
 	const struct context *cx;
 	const struct answer_sink *next;
 	struct verdict *verdict;
+	struct parent *parent;
 	struct head head;
 	char id[ID_HEX];
 	int refused; /* the server said that it did not run */
 	int wrong;   /* the answer belongs to another request */
-	int passed;
 };
 
 static int run_head(void *, const struct head *);
@@ -101,7 +102,6 @@
 	head_addf(
 	    &r->head, "Cyclamen-Retries-Left", "%u", r->verdict->retries_left);
 	head_add(&r->head, "Cyclamen-Load", r->verdict->load);
-	r->passed = 1;
 	return r->next->head(r->next->ctx, &r->head);
 }
 
@@ -156,6 +156,7 @@
 	logline(LOG_WARNING, "server-died", "service=%s incarnation=%" PRIx64,
 	    a->server.service, a->server.incarnation);
 	client_forget(n->servers, a->addr, a->port);
+	quarantine_death(&n->quarantine, rand_u64() | 1, clock_ms());
 	server_check(n, clock_ms());
 }
 
@@ -163,65 +164,145 @@
  * Builds what the server receives: the caller's fields, and ours.
  */
 static void
-run_request(struct run *r, const struct request *rq, uint32_t left)
+run_request(
+    struct run *r, const struct request *rq, uint32_t left, struct head *h)
 {
-	r->head = rq->head;
-	head_add(&r->head, "Cyclamen-Workspace", r->cx->workspace);
-	head_addf(&r->head, "Cyclamen-Deadline-Ms", "%u", left);
-	head_add(&r->head, "Cyclamen-Request-Id", r->id);
-	if (rq->id[0] != '\0' && head_get(&rq->head, "Idempotency-Key") == NULL)
-		head_add(&r->head, "Idempotency-Key", rq->id);
+	char token[PARENT_TOKEN_TEXT];
+
+	*h = rq->head;
+	parent_token_format(r->parent, token);
+	head_add(h, "Cyclamen-Token", token);
+	head_add(h, "Cyclamen-Workspace", r->cx->workspace);
+	head_addf(h, "Cyclamen-Deadline-Ms", "%u", left);
+	head_add(h, "Cyclamen-Request-Id", r->id);
+}
+
+/*
+ * Registers a request as one that inner calls may belong to.
+ */
+static struct parent *
+add_parent(struct node *n, const struct context *cx, uint64_t deadline_us)
+{
+	struct parent_context pc = { .root_hash = cx->root,
+		.root_print = { cx->print[0], cx->print[1] },
+		.key_tag = cx->key_tag,
+		.deadline_us = deadline_us,
+		.class = (enum admission_class)cx->importance,
+		.depth = cx->depth };
+
+	snprintf(pc.workspace, sizeof(pc.workspace), "%s", cx->workspace);
+	return parents_add(&n->parents, &pc, cx->retries);
+}
+
+/*
+ * Turns the end of an exchange with the server into the verdict.
+ */
+static enum admission_outcome
+run_verdict(const struct run *r, enum exchange_end end)
+{
+	struct verdict *v = r->verdict;
+
+	v->outcome = end_rows[end].outcome;
+	v->reason = end_rows[end].reason;
+	if (r->wrong)
+		return ADMISSION_FAILED;
+	if (end != EXCHANGE_WHOLE || !r->refused)
+		return end_rows[end].served;
+	not_run(v, REASON_OVERLOAD);
+	return ADMISSION_SHED;
 }
 
 /*
  * Sends an admitted request to the server and passes its answer on.
+ * Returns how the exchange ended.
  */
-static void
-run_admitted(struct node *n, const struct context *cx, const struct request *rq,
-    const struct member_announce *a, uint32_t left,
-    const struct answer_sink *next, struct verdict *v,
-    enum admission_outcome *served)
+static enum exchange_end
+run_admitted(struct run *r, const struct request *rq,
+    const struct member_announce *a, uint32_t left)
 {
-	struct run *r = calloc(1, sizeof(*r));
 	struct answer_sink sink = { run_head, run_body, r };
+	struct head *h = malloc(sizeof(*h));
 	struct exchange_req x = { .addr = a->addr,
 		.port = a->port,
 		.method = rq->method,
 		.target = rq->target,
+		.head = h,
 		.body = rq->body,
 		.body_len = rq->body_len,
 		.timeout_ms = left,
 		.idle_max = SERVER_IDLE_MAX };
-	struct head *out = calloc(1, sizeof(*out));
 	enum exchange_end end;
 
-	if (r == NULL || out == NULL)
+	if (h == NULL)
 		err(1, "run_admitted");
+	run_request(r, rq, left, h);
+	end = client_exchange(r->node->servers, &x, &sink);
+	free(h);
+	if (end == EXCHANGE_CUT || end == EXCHANGE_CUT_BODY ||
+	    end == EXCHANGE_UNSENT)
+		look_for_death(r->node, a);
+	return end;
+}
+
+/*
+ * Tells the quarantine how a run ended.
+ */
+static enum quarantine_end
+quarantine_end_of(enum exchange_end end)
+{
+	if (end == EXCHANGE_WHOLE)
+		return QUARANTINE_WHOLE;
+	if (end == EXCHANGE_CUT || end == EXCHANGE_CUT_BODY)
+		return QUARANTINE_BROKEN;
+	return QUARANTINE_NOTHING;
+}
+
+/*
+ * Runs an admitted request, unless servers died of it or its root.
+ */
+static enum admission_outcome
+run(struct node *n, const struct context *cx, const struct request *rq,
+    const struct member_announce *a, uint64_t deadline_us,
+    const struct answer_sink *next, struct verdict *v)
+{
+	struct quarantine_print prints[QUARANTINE_RUN_PRINTS];
+	struct quarantine_run qr;
+	enum admission_outcome served;
+	enum exchange_end end;
+	struct run *r;
+	uint64_t now = clock_us();
+	int quarantine = settings_policy_on(&n->settings, POLICY_QUARANTINE);
+
+	if (now + US_PER_MS >= deadline_us) {
+		not_run(v, REASON_DEADLINE);
+		return ADMISSION_CANCELLED;
+	}
+	quarantine_print(&prints[0], cx->workspace, rq->method, rq->target,
+	    rq->body != NULL ? rq->body : "", rq->body_len);
+	prints[1].lo = cx->print[0];
+	prints[1].hi = cx->print[1];
+	if (quarantine && quarantine_begin(&n->quarantine, &qr, prints,
+			      cx->depth > 0 ? 2 : 1, now / US_PER_MS) == -1) {
+		not_run(v, REASON_QUARANTINED);
+		return ADMISSION_CANCELLED;
+	}
+	r = calloc(1, sizeof(*r));
+	if (r == NULL)
+		err(1, "run");
 	r->node = n;
 	r->cx = cx;
 	r->next = next;
 	r->verdict = v;
+	r->parent = add_parent(n, cx, deadline_us);
 	snprintf(r->id, sizeof(r->id), "%016" PRIx64, cx->attempt);
-	run_request(r, rq, left);
-	*out = r->head;
-	x.head = out;
-	end = client_exchange(n->servers, &x, &sink);
-	v->outcome = end_rows[end].outcome;
-	v->reason = end_rows[end].reason;
-	*served = end_rows[end].served;
-	if (r->wrong) {
-		v->reason = REASON_SERVER_FAILED;
-		*served = ADMISSION_FAILED;
-	}
-	if (end == EXCHANGE_WHOLE && r->refused) {
-		not_run(v, REASON_OVERLOAD);
-		*served = ADMISSION_SHED;
-	}
-	if (end == EXCHANGE_CUT || end == EXCHANGE_CUT_BODY ||
-	    end == EXCHANGE_UNSENT)
-		look_for_death(n, a);
-	free(out);
+	end = run_admitted(r, rq, a, (uint32_t)((deadline_us - now) / 1000));
+	served = run_verdict(r, end);
+	v->retries_left += parents_end(&n->parents, r->parent);
+	if (quarantine)
+		quarantine_end(
+		    &n->quarantine, &qr, quarantine_end_of(end), clock_ms());
 	free(r);
+	return served;
 }
 
 /*
@@ -237,12 +318,13 @@
 					(enum admission_class)cx->importance,
 		.depth = cx->depth,
 		.root_hash = cx->root,
-		.deadline_us = clock_us() + (uint64_t)cx->deadline_ms * 1000 };
+		.deadline_us =
+		    clock_us() + (uint64_t)cx->deadline_ms * US_PER_MS };
 	struct admission_load load;
 	struct admission_ticket ticket;
 	struct member_announce a;
 	enum admission_verdict av;
-	enum admission_outcome served = ADMISSION_CANCELLED;
+	enum admission_outcome served;
 	uint64_t begin;
 
 	memset(v, 0, sizeof(*v));
@@ -262,11 +344,9 @@
 		return;
 	}
 	begin = clock_us();
-	if (begin + 1000 >= ar.deadline_us)
-		not_run(v, REASON_DEADLINE);
-	else
-		run_admitted(n, cx, rq, &a,
-		    (uint32_t)((ar.deadline_us - begin) / 1000), next, v,
-		    &served);
+	v->retries_left = 0;
+	served = run(n, cx, rq, &a, ar.deadline_us, next, v);
+	if (v->outcome == OUTCOME_NOT_RUN)
+		v->retries_left = cx->retries;
 	admission_leave(&ticket, served, clock_us() - begin);
 }
--- /dev/null
+++ b/src/node/forward.c
@@ -0,0 +1,152 @@
+#include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "node/call.h"
+
+#define US_PER_MS 1000
+
+/* Why an attempt brought no answer, in the terms of the retry policy. */
+static const enum retry_reason retry_reasons[REASON_MAX] = {
+	[REASON_BAD_REQUEST] = RETRY_FINAL,
+	[REASON_SERVER_FAILED] = RETRY_BROKEN,
+	[REASON_OVERLOAD] = RETRY_OVERLOAD,
+	[REASON_NO_SERVER] = RETRY_LEAVING,
+	[REASON_DRAINING] = RETRY_LEAVING,
+	[REASON_STOPPING] = RETRY_LEAVING,
+	[REASON_QUARANTINED] = RETRY_FINAL,
+	[REASON_DEADLINE] = RETRY_DEADLINE,
+};
+
+/*
+ * Returns the retry budget of a route.
+ */
+static struct retry_budget *
+budget_of(struct call *c)
+{
+	uint64_t h = XXH3_64bits(c->route.name, strlen(c->route.name));
+
+	return &c->node->budgets[h % NODE_BUDGETS];
+}
+
+/*
+ * Charges the workspace for another run of a root request that may have run
+ * already.  Returns 0, or -1 where its limit leaves no room.
+ */
+static int
+charge_again(struct call *c)
+{
+	uint32_t wait;
+
+	if (!c->ran || c->cx.depth > 0 || c->route.open)
+		return 0;
+	return limits_admit(&c->node->limits, &c->limit, 1, &wait) ==
+		       LIMITS_ADMIT
+		   ? 0
+		   : -1;
+}
+
+/*
+ * Decides whether another attempt follows the last one, and waits before it
+ * if that is the decision.
+ */
+static int
+retry(struct call *c)
+{
+	uint64_t now = clock_ms();
+	struct retry_case q = { .reason = retry_reasons[c->verdict.reason],
+		.not_run = c->verdict.outcome == OUTCOME_NOT_RUN,
+		.idempotent = c->route.idempotent,
+		.attempts = c->tried_count,
+		.left_us = now < c->deadline_ms
+			       ? (c->deadline_ms - now) * US_PER_MS
+			       : 0,
+		.rnd = rand_u64() };
+	struct retry_budget *b = budget_of(c), none;
+	enum retry_verdict v;
+	uint32_t delay;
+
+	if (c->answer.started || c->answer.broken)
+		return 0;
+	if (c->unsent)
+		q.reason = RETRY_NO_CONNECTION;
+	if (q.reason == RETRY_OVERLOAD)
+		c->overloads++;
+	q.overloads = c->overloads;
+	q.struck = settings_policy_on(&c->node->settings, POLICY_QUARANTINE) &&
+		   quarantine_check(&c->node->quarantine, &c->print, now) !=
+		       QUARANTINE_FREE;
+	if (!settings_policy_on(&c->node->settings, POLICY_RETRY_BUDGET)) {
+		retry_budget_init(&none, now);
+		b = &none;
+	}
+	v = retry_decide(&q, &c->chain, b, now, &delay);
+	if (v == RETRY_GIVE_UP || charge_again(c) == -1)
+		return 0;
+	counter_add(CTR_RETRIES, 1);
+	if (v == RETRY_LATER && delay > 0)
+		usleep(delay * US_PER_MS);
+	return 1;
+}
+
+/*
+ * Gives the caller what the last attempt brought.  The refusal is truthful
+ * for all attempts together.
+ */
+static void
+conclude(struct call *c)
+{
+	if (c->verdict.outcome == OUTCOME_DONE) {
+		answer_end(&c->answer);
+		counter_add(CTR_DONE, 1);
+		retry_budget_success(budget_of(c));
+		return;
+	}
+	if (c->answer.started) {
+		answer_break(&c->answer);
+		return;
+	}
+	if (c->ran)
+		c->verdict.outcome = OUTCOME_MAY_HAVE_RUN;
+	else if (c->claimed)
+		once_release(&c->node->once, &c->claim);
+	answer_refuse(
+	    c->req, c->verdict.outcome, c->verdict.reason, NULL, 0, NULL);
+}
+
+/*
+ * Sends a request to servers until one answers or no retry is left, and
+ * answers the caller.
+ */
+void
+call_forward(struct call *c)
+{
+	enum route_reason why;
+	struct target t;
+	uint64_t now;
+
+	answer_init(&c->answer, c->req);
+	for (;;) {
+		now = clock_ms();
+		if (now >= c->deadline_ms) {
+			c->verdict.outcome = OUTCOME_NOT_RUN;
+			c->verdict.reason = REASON_DEADLINE;
+			break;
+		}
+		c->cx.deadline_ms = (uint32_t)(c->deadline_ms - now);
+		if (call_choose(c, &t, &why) == -1) {
+			if (c->tried_count > 0)
+				break;
+			c->verdict.outcome = OUTCOME_NOT_RUN;
+			c->verdict.reason = why == ROUTE_OVERLOAD
+						? REASON_OVERLOAD
+						: REASON_NO_SERVER;
+			break;
+		}
+		call_attempt(c, &t);
+		if (c->verdict.outcome == OUTCOME_DONE || !retry(c))
+			break;
+	}
+	conclude(c);
+	answer_finish(&c->answer);
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -9,12 +9,14 @@
 
 #include "node/node.h"
 
-#define TICK_US 100000
+#define TICK_US 20000 /* LIMITS_TICK_MS */
+#define SLOW_TICKS 5
 #define PEER_CONNS_MAX 256
 #define PEER_IDLE_MS 2000 /* shorter than a peer keeps them open */
 #define SERVER_CONNS_MAX 512
 #define SERVER_IDLE_MS 2000
 #define STOP_CHECK_US 10000
+#define LEAVE_LEASES_MS 2000
 #define STOP_LINGER_MS 300 /* peers and callers learn of the stop */
 
 static void *ticker_main(void *);
@@ -135,6 +137,10 @@
 	GError *e = NULL;
 	char id[NODE_ID_TEXT];
 
+	if (duties_init(n) == -1) {
+		logline(LOG_CRIT, "start-failed", "why=\"no thread\"");
+		return -1;
+	}
 	if (rpc_server_start(&n->rpc_server, &e) == -1 ||
 	    member_service_start(&n->member, &e) == -1) {
 		logline(LOG_CRIT, "start-failed", "why=\"%s\"", e->message);
@@ -162,10 +168,14 @@
 ticker_main(void *ctx)
 {
 	struct node *n = ctx;
+	unsigned int tick = 0;
 
 	rcu_register_thread();
 	while (n->running) {
 		usleep(TICK_US);
+		duties_tick(n);
+		if (++tick % SLOW_TICKS != 0)
+			continue;
 		server_check(n, clock_ms());
 		client_reap(n->peers, clock_ms());
 		client_reap(n->servers, clock_ms());
@@ -199,6 +209,7 @@
 	atomic_store(&n->stopping, 1);
 	admission_stop(&n->admission);
 	server_check(n, now);
+	lease_service_leave(&n->lease, LEAVE_LEASES_MS);
 	member_leave(&n->member);
 	while ((now = clock_ms()) < until && (busy(n) > 0 || now < linger))
 		usleep(STOP_CHECK_US);
@@ -216,9 +227,10 @@
 		n->running = 0;
 		pthread_join(n->ticker, NULL);
 	}
+	rpc_server_finish(&n->rpc_server);
+	duties_finish(n);
 	config_service_finish(&n->config);
 	member_service_finish(&n->member);
-	rpc_server_finish(&n->rpc_server);
 	rpc_client_finish(&n->rpc_client);
 	client_free(n->peers);
 	client_free(n->servers);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -14,12 +14,21 @@
 #include "exchange/client.h"
 #include "exchange/context.h"
 #include "exchange/request.h"
+#include "lease/lease_service.h"
+#include "limits/limits.h"
 #include "logsvc/logsvc.h"
 #include "member/member.h"
 #include "node/server.h"
+#include "once/once.h"
+#include "quarantine/quarantine.h"
+#include "retry/parents.h"
+#include "retry/retry.h"
+#include "route/route.h"
 #include "rpc/rpc.h"
 #include "settings/settings.h"
 
+#define NODE_BUDGETS 256 /* retry budgets, shared by routes' hashes */
+
 enum port_kind {
 	PORT_CALLER,
 	PORT_INNER,
@@ -44,6 +53,13 @@
 	struct member_service member;
 	struct admission admission;
 	struct server server;
+	struct lease_service lease;
+	struct limits limits;
+	struct once once;
+	struct quarantine quarantine;
+	struct route_book routes;
+	struct retry_budget budgets[NODE_BUDGETS];
+	struct parents parents;
 	struct mg_context *ports[PORT_MAX];
 	pthread_t ticker;
 	atomic_uint inflight[PORT_MAX];
@@ -74,6 +90,10 @@
 void operator_serve(struct node *, struct request *);
 void server_check(struct node *, uint64_t);
 
+int duties_init(struct node *);
+void duties_tick(struct node *);
+void duties_finish(struct node *);
+
 int ports_start(struct node *);
 void ports_stop(struct node *);
 
--- a/src/node/operator.c
+++ b/src/node/operator.c
@@ -36,7 +36,16 @@
 	member_dump(&n->member, f);
 	fprintf(f, "\n# admission\n");
 	admission_dump(&n->admission, f);
-	fprintf(f, "\n# counters\n");
+	fprintf(f, "\n# leases\n");
+	lease_service_dump(&n->lease, f);
+	fprintf(f, "\n# limits\n");
+	limits_dump(&n->limits, f);
+	fprintf(f, "\n# request ids\n");
+	once_dump(&n->once, f);
+	fprintf(f, "\n# quarantine\n");
+	quarantine_dump(&n->quarantine, clock_ms(), f);
+	fprintf(f, "\n# live parents %u\n\n# counters\n",
+	    parents_count(&n->parents));
 	for (i = 0; i < CTR_MAX; i++)
 		fprintf(f, "%s %llu\n", counter_name((enum counter)i),
 		    (unsigned long long)counter_sum((enum counter)i));
--- a/src/node/server.c
+++ b/src/node/server.c
@@ -41,7 +41,8 @@
 	}
 	if (was->state == MEMBER_SERVER_NONE ||
 	    was->incarnation != a->server.incarnation) {
-		change = SERVER_NEW;
+		change = was->state == MEMBER_SERVER_UP ? SERVER_REPLACED
+							: SERVER_NEW;
 		s->draining = 0;
 		s->dead_incarnation = 0;
 	} else if (was->slots != a->server.slots ||
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -17,7 +17,8 @@
 
 enum server_change {
 	SERVER_SAME,
-	SERVER_NEW, /* another process than before */
+	SERVER_NEW,
+	SERVER_REPLACED, /* another process, the one before was still up */
 	SERVER_CHANGED,
 	SERVER_CHANGE_MAX
 };
--- a/src/retry/parents.h
+++ b/src/retry/parents.h
@@ -19,6 +19,7 @@
 struct parent_context {
 	uint64_t root_hash;
 	uint64_t root_print[2]; /* fingerprint of the root request */
+	uint64_t key_tag;	/* of the key that the chain began with, or 0 */
 	uint64_t deadline_us;
 	enum admission_class class;
 	uint32_t depth;
