Quarantine: strikes by death, acquittals, one pinned run for a suspect

A strike is a pair of a fingerprint and a death with a random id, an acquittal outweighs it in whichever order they come, so nodes that merge each other's news agree and news told twice counts once. A request that has run well at a node needs three deaths there, so that a hot catalogue request in flight at two isn't refused; any copy that runs to its end acquits it everywhere.

A struck request isn't kept to one run per entry, as first planned: with n entries that lets n more servers die. All entries name one server by rendezvous hash, whose exit runs one copy at a time. So at most one server dies beyond those that copies had reached when the first death became known.

Each rule was taken out by itself and its test seen to fail: the third death for proven requests, one copy at a time, striking what broke off just before the death was known, eviction of the refused last, acquittals that stay.

--- /dev/null
+++ b/src/quarantine/quarantine.c
@@ -0,0 +1,367 @@
+#include <err.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define XXH_STATIC_LINKING_ONLY /* for a state on the stack */
+#include <xxhash.h>
+
+#include "quarantine/quarantine.h"
+
+#define BROKEN_MS 3000 /* from a broken exchange until its death is known */
+
+static void note_broken(
+    struct quarantine *, const struct quarantine_run *, uint64_t);
+static size_t strike_all(struct quarantine *, const struct quarantine_print *,
+    size_t, uint64_t, uint64_t, struct quarantine_print *);
+static int beside(const struct quarantine *, const struct quarantine_print *);
+
+/*
+ * Computes the fingerprint of a request: XXH3 of 128 bits over the
+ * workspace's name, method and target with its query, each with its length,
+ * and the body.
+ */
+void
+quarantine_print(struct quarantine_print *p, const char *workspace,
+    const char *method, const char *target, const void *body, size_t len)
+{
+	const char *const texts[] = { workspace, method, target };
+	XXH3_state_t state;
+	XXH128_hash_t h;
+	uint64_t n;
+	size_t i;
+
+	XXH3_128bits_reset(&state);
+	for (i = 0; i < sizeof(texts) / sizeof(*texts); i++) {
+		n = strlen(texts[i]);
+		XXH3_128bits_update(&state, &n, sizeof(n));
+		XXH3_128bits_update(&state, texts[i], n);
+	}
+	XXH3_128bits_update(&state, body, len);
+	h = XXH3_128bits_digest(&state);
+	p->lo = h.low64;
+	p->hi = h.high64;
+}
+
+/*
+ * Prepares an empty quarantine that tells its news by the callback.  Exits
+ * the process if memory is exhausted.
+ */
+void
+quarantine_init(struct quarantine *q, quarantine_tell_fn tell, void *ctx)
+{
+	memset(q, 0, sizeof(*q));
+	q->table = calloc(1, sizeof(*q->table));
+	if (q->table == NULL)
+		err(1, "quarantine_init");
+	pthread_mutex_init(&q->lock, NULL);
+	q->runs.next = q->runs.prev = &q->runs;
+	q->tell = tell;
+	q->tell_ctx = ctx;
+}
+
+/*
+ * Releases a quarantine that no thread uses any more.
+ */
+void
+quarantine_finish(struct quarantine *q)
+{
+	pthread_mutex_destroy(&q->lock);
+	free(q->table);
+	q->table = NULL;
+}
+
+/*
+ * Tells an entry how to treat a request: run it as any other; run it without
+ * retries and only at the server that quarantine_pin() names; or refuse it,
+ * as not run.
+ */
+enum quarantine_state
+quarantine_check(
+    struct quarantine *q, const struct quarantine_print *p, uint64_t now_ms)
+{
+	enum quarantine_state st;
+
+	pthread_mutex_lock(&q->lock);
+	st = table_state(q->table, p, now_ms);
+	q->refused += st == QUARANTINE_REFUSED;
+	pthread_mutex_unlock(&q->lock);
+	return st;
+}
+
+/*
+ * Names the one server at which a struck request may run, by rendezvous
+ * hash, so that all entries name the same.  Returns an index into ids, of
+ * those whose usable flag is set, or -1.
+ */
+int
+quarantine_pin(const struct quarantine_print *p, const struct node_id *ids,
+    const int *usable, size_t count)
+{
+	uint64_t parts[4], h, best = 0;
+	size_t i;
+	int at = -1;
+
+	for (i = 0; i < count; i++) {
+		if (!usable[i])
+			continue;
+		parts[0] = p->lo;
+		parts[1] = p->hi;
+		parts[2] = (uint64_t)ids[i].addr << 16 | ids[i].rpc_port;
+		parts[3] = ids[i].incarnation;
+		h = XXH3_64bits(parts, sizeof(parts));
+		if (at < 0 || h > best) {
+			best = h;
+			at = (int)i;
+		}
+	}
+	return at;
+}
+
+/*
+ * Notes at an entry that a request was answered whole.  It needn't be told:
+ * the exit that ran it does that.
+ */
+void
+quarantine_served(
+    struct quarantine *q, const struct quarantine_print *p, uint64_t now_ms)
+{
+	uint64_t deaths[QUARANTINE_DEATHS];
+
+	pthread_mutex_lock(&q->lock);
+	table_succeed(q->table, p, now_ms, deaths);
+	pthread_mutex_unlock(&q->lock);
+}
+
+/*
+ * Asks, at the exit, to run a request with these fingerprints (its own
+ * first).  Returns 0, and quarantine_end() must follow; or -1 if it is in
+ * quarantine, or struck while a copy of it runs here: then it is refused as
+ * not run.
+ */
+int
+quarantine_begin(struct quarantine *q, struct quarantine_run *run,
+    const struct quarantine_print *prints, size_t count, uint64_t now_ms)
+{
+	enum quarantine_state st, worst = QUARANTINE_FREE;
+	size_t i;
+
+	memset(run, 0, sizeof(*run));
+	if (count > QUARANTINE_RUN_PRINTS)
+		count = QUARANTINE_RUN_PRINTS;
+	memcpy(run->prints, prints, count * sizeof(*prints));
+	run->count = (uint32_t)count;
+	pthread_mutex_lock(&q->lock);
+	for (i = 0; i < count; i++) {
+		st = table_state(q->table, &prints[i], now_ms);
+		if (i == 0 && st == QUARANTINE_STRUCK && beside(q, &prints[i]))
+			st = QUARANTINE_REFUSED;
+		if (st > worst)
+			worst = st;
+	}
+	if (worst == QUARANTINE_REFUSED) {
+		q->refused++;
+	} else {
+		run->next = &q->runs;
+		run->prev = q->runs.prev;
+		run->prev->next = run;
+		q->runs.prev = run;
+	}
+	pthread_mutex_unlock(&q->lock);
+	return worst == QUARANTINE_REFUSED ? -1 : 0;
+}
+
+/*
+ * Notes how a request that quarantine_begin() let run has ended.  One that ran
+ * to its end acquits its own fingerprint, not its root's.
+ */
+void
+quarantine_end(struct quarantine *q, struct quarantine_run *run,
+    enum quarantine_end how, uint64_t now_ms)
+{
+	uint64_t deaths[QUARANTINE_DEATHS];
+	size_t n = 0, i;
+
+	pthread_mutex_lock(&q->lock);
+	run->prev->next = run->next;
+	run->next->prev = run->prev;
+	if (how == QUARANTINE_BROKEN && !run->struck)
+		note_broken(q, run, now_ms);
+	if (how == QUARANTINE_WHOLE)
+		n = table_succeed(q->table, &run->prints[0], now_ms, deaths);
+	pthread_mutex_unlock(&q->lock);
+	for (i = 0; i < n; i++)
+		quarantine_tell(q, deaths[i], 1, &run->prints[0], 1);
+}
+
+/*
+ * The local server has died: strikes all that was in flight, also what has
+ * broken off just now, and tells the others.  The death is a random number
+ * other than 0.  Returns how many fingerprints were struck.
+ */
+size_t
+quarantine_death(struct quarantine *q, uint64_t death, uint64_t now_ms)
+{
+	struct quarantine_print *told;
+	struct quarantine_run *r;
+	size_t n = 0, i, room = QUARANTINE_BROKEN_MAX;
+
+	pthread_mutex_lock(&q->lock);
+	for (r = q->runs.next; r != &q->runs; r = r->next)
+		room += r->count;
+	told = calloc(room, sizeof(*told));
+	if (told == NULL)
+		err(1, "quarantine_death");
+	q->deaths++;
+	for (r = q->runs.next; r != &q->runs; r = r->next) {
+		r->struck = 1;
+		n +=
+		    strike_all(q, r->prints, r->count, death, now_ms, told + n);
+	}
+	for (i = 0; i < QUARANTINE_BROKEN_MAX; i++) {
+		if (q->broken[i].at_ms != 0 &&
+		    now_ms < q->broken[i].at_ms + BROKEN_MS)
+			n += strike_all(
+			    q, &q->broken[i].print, 1, death, now_ms, told + n);
+		q->broken[i].at_ms = 0;
+	}
+	pthread_mutex_unlock(&q->lock);
+	quarantine_tell(q, death, 0, told, n);
+	free(told);
+	return n;
+}
+
+/*
+ * Takes a strike or an acquittal told by a peer, of a death age_ms ago.
+ */
+void
+quarantine_merge(struct quarantine *q, const struct quarantine_print *p,
+    uint64_t death, int acquitted, uint64_t age_ms, uint64_t now_ms)
+{
+	uint64_t at = now_ms > age_ms ? now_ms - age_ms : 1;
+
+	pthread_mutex_lock(&q->lock);
+	table_strike(q->table, p, death, acquitted, at, now_ms);
+	pthread_mutex_unlock(&q->lock);
+}
+
+/*
+ * Hands strikes to a callback, from a place in the table on, until at least
+ * room of them, less one suspect's, have been handed over.  Returns the
+ * place to go on at, or 0 at the end.
+ */
+uint32_t
+quarantine_page(struct quarantine *q, uint32_t from, uint64_t now_ms,
+    void (*take)(void *, const struct quarantine_print *,
+	const struct quarantine_strike *),
+    void *ctx, size_t room)
+{
+	const struct quarantine_suspect *s;
+	const uint32_t end = QUARANTINE_SETS * QUARANTINE_WAYS;
+	uint32_t at;
+	size_t i;
+
+	pthread_mutex_lock(&q->lock);
+	for (at = from; at < end && room >= QUARANTINE_DEATHS; at++) {
+		s = &q->table->sets[at / QUARANTINE_WAYS][at % QUARANTINE_WAYS];
+		if (s->touched_ms == 0)
+			continue;
+		for (i = 0; i < QUARANTINE_DEATHS; i++) {
+			if (s->strikes[i].death == 0 ||
+			    now_ms >= s->strikes[i].at_ms + QUARANTINE_MS)
+				continue;
+			take(ctx, &s->print, &s->strikes[i]);
+			room--;
+		}
+	}
+	pthread_mutex_unlock(&q->lock);
+	return at < end ? at : 0;
+}
+
+/*
+ * Prints the state and every request that is refused or struck.
+ */
+void
+quarantine_dump(struct quarantine *q, uint64_t now_ms, FILE *out)
+{
+	static const char *const names[QUARANTINE_STATE_MAX] = {
+		[QUARANTINE_FREE] = "free",
+		[QUARANTINE_STRUCK] = "struck",
+		[QUARANTINE_REFUSED] = "refused",
+	};
+	const struct quarantine_suspect *s;
+	enum quarantine_state st;
+	size_t i;
+
+	pthread_mutex_lock(&q->lock);
+	fprintf(out, "quarantine suspects=%u deaths=%llu refused=%llu\n",
+	    q->table->suspects, (unsigned long long)q->deaths,
+	    (unsigned long long)q->refused);
+	for (i = 0; i < QUARANTINE_SETS * QUARANTINE_WAYS; i++) {
+		s = &q->table->sets[i / QUARANTINE_WAYS][i % QUARANTINE_WAYS];
+		if (s->touched_ms == 0)
+			continue;
+		st = table_state(q->table, &s->print, now_ms);
+		if (st != QUARANTINE_FREE)
+			fprintf(out,
+			    "quarantine print=%016llx%016llx state=%s\n",
+			    (unsigned long long)s->print.hi,
+			    (unsigned long long)s->print.lo, names[st]);
+	}
+	pthread_mutex_unlock(&q->lock);
+}
+
+/*
+ * Remembers a request that broke off, until it is known whether the server
+ * has died.
+ */
+static void
+note_broken(
+    struct quarantine *q, const struct quarantine_run *run, uint64_t now_ms)
+{
+	struct quarantine_broken *b;
+	uint32_t i;
+
+	for (i = 0; i < run->count; i++) {
+		b = &q->broken[q->broken_next++ % QUARANTINE_BROKEN_MAX];
+		b->print = run->prints[i];
+		b->at_ms = now_ms;
+	}
+}
+
+/*
+ * Strikes fingerprints for a death and copies to told those that weren't
+ * struck by it before.  Returns their number.
+ */
+static size_t
+strike_all(struct quarantine *q, const struct quarantine_print *prints,
+    size_t count, uint64_t death, uint64_t now_ms,
+    struct quarantine_print *told)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < count; i++) {
+		if (table_strike(
+			q->table, &prints[i], death, 0, now_ms, now_ms))
+			told[n++] = prints[i];
+	}
+	return n;
+}
+
+/*
+ * Tells whether a request with this fingerprint runs here now.
+ */
+static int
+beside(const struct quarantine *q, const struct quarantine_print *p)
+{
+	const struct quarantine_run *r;
+	uint32_t i;
+
+	for (r = q->runs.next; r != &q->runs; r = r->next) {
+		for (i = 0; i < r->count; i++) {
+			if (r->prints[i].lo == p->lo &&
+			    r->prints[i].hi == p->hi)
+				return 1;
+		}
+	}
+	return 0;
+}
--- /dev/null
+++ b/src/quarantine/quarantine.h
@@ -0,0 +1,94 @@
+#ifndef QUARANTINE_QUARANTINE_H
+#define QUARANTINE_QUARANTINE_H
+
+#include <pthread.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "base/nodeid.h"
+#include "quarantine/quarantine_core.h"
+#include "rpc/rpc.h"
+
+#define QUARANTINE_RUN_PRINTS 2	  /* a request's own, and its root's */
+#define QUARANTINE_BROKEN_MAX 256 /* broken off, the death not yet known */
+
+enum quarantine_proc {
+	QUARANTINE_PROC_NEWS,
+	QUARANTINE_PROC_PAGE,
+	QUARANTINE_PROC_MAX
+};
+
+/* How a request at the local server ended. */
+enum quarantine_end {
+	QUARANTINE_WHOLE,  /* answered whole, whatever the answer */
+	QUARANTINE_BROKEN, /* the exchange broke off or was refused */
+	QUARANTINE_NOTHING /* cancelled, or never sent: says nothing */
+};
+
+/* A request that runs at the local server; held by its thread. */
+struct quarantine_run {
+	struct quarantine_run *next;
+	struct quarantine_run *prev;
+	struct quarantine_print prints[QUARANTINE_RUN_PRINTS];
+	uint32_t count;
+	int struck; /* already, by the death that broke it off */
+};
+
+struct quarantine_broken {
+	struct quarantine_print print;
+	uint64_t at_ms;
+};
+
+/*
+ * Sends one message to all other members; it must not block for long and
+ * may lose some.
+ */
+typedef void (*quarantine_tell_fn)(
+    void *, const struct rpc_proc *, const void *);
+
+struct quarantine {
+	pthread_mutex_t lock;
+	struct quarantine_table *table;
+	struct quarantine_run runs; /* head of a ring */
+	struct quarantine_broken broken[QUARANTINE_BROKEN_MAX];
+	uint32_t broken_next;
+	quarantine_tell_fn tell;
+	void *tell_ctx;
+	uint64_t deaths; /* of the local server */
+	uint64_t refused;
+};
+
+/* To be registered with the RPC server, the quarantine as context. */
+extern const struct rpc_proc quarantine_procs[QUARANTINE_PROC_MAX];
+
+void quarantine_print(struct quarantine_print *, const char *, const char *,
+    const char *, const void *, size_t);
+void quarantine_init(struct quarantine *, quarantine_tell_fn, void *);
+void quarantine_finish(struct quarantine *);
+enum quarantine_state quarantine_check(
+    struct quarantine *, const struct quarantine_print *, uint64_t);
+void quarantine_served(
+    struct quarantine *, const struct quarantine_print *, uint64_t);
+int quarantine_pin(const struct quarantine_print *, const struct node_id *,
+    const int *, size_t);
+int quarantine_begin(struct quarantine *, struct quarantine_run *,
+    const struct quarantine_print *, size_t, uint64_t);
+void quarantine_end(struct quarantine *, struct quarantine_run *,
+    enum quarantine_end, uint64_t);
+size_t quarantine_death(struct quarantine *, uint64_t, uint64_t);
+int quarantine_sync(
+    struct quarantine *, rpc_call_fn, void *, const struct node_id *);
+void quarantine_dump(struct quarantine *, uint64_t, FILE *);
+
+/* For the handlers of messages. */
+void quarantine_merge(struct quarantine *, const struct quarantine_print *,
+    uint64_t, int, uint64_t, uint64_t);
+uint32_t quarantine_page(struct quarantine *, uint32_t, uint64_t,
+    void (*)(void *, const struct quarantine_print *,
+	const struct quarantine_strike *),
+    void *, size_t);
+void quarantine_tell(struct quarantine *, uint64_t, int,
+    const struct quarantine_print *, size_t);
+
+#endif
--- /dev/null
+++ b/src/quarantine/quarantine_rpc.c
@@ -0,0 +1,156 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "quarantine/quarantine.h"
+#include "quarantine/quarantine_xdr.h"
+
+#define PAGE_TIMEOUT_MS 300
+
+static int handle_news(
+    void *, const struct sockaddr_in *, const void *, void *);
+static int handle_page(
+    void *, const struct sockaddr_in *, const void *, void *);
+static void add_row(
+    void *, const struct quarantine_print *, const struct quarantine_strike *);
+
+const struct rpc_proc quarantine_procs[QUARANTINE_PROC_MAX] = {
+	[QUARANTINE_PROC_NEWS] = { RPC_BLOCK_QUARANTINE + 1,
+	    (xdrproc_t)xdr_quarantine_news_arg, sizeof(quarantine_news_arg),
+	    (xdrproc_t)xdr_quarantine_news_res, sizeof(quarantine_news_res),
+	    handle_news },
+	[QUARANTINE_PROC_PAGE] = { RPC_BLOCK_QUARANTINE + 2,
+	    (xdrproc_t)xdr_quarantine_page_arg, sizeof(quarantine_page_arg),
+	    (xdrproc_t)xdr_quarantine_page_res, sizeof(quarantine_page_res),
+	    handle_page },
+};
+
+/* A page being filled. */
+struct page {
+	uint64_t now_ms;
+	quarantine_page_res *res;
+};
+
+/*
+ * Tells all other members that requests were in flight at a death, or are
+ * acquitted of it, in as many messages as that takes.
+ */
+void
+quarantine_tell(struct quarantine *q, uint64_t death, int acquitted,
+    const struct quarantine_print *prints, size_t count)
+{
+	quarantine_print_msg rows[QUARANTINE_NEWS_PRINTS];
+	quarantine_news_arg arg = { .death = death, .acquitted = acquitted };
+	size_t i, n;
+
+	if (q->tell == NULL)
+		return;
+	arg.prints.prints_val = rows;
+	for (; count > 0; prints += n, count -= n) {
+		n = count < QUARANTINE_NEWS_PRINTS ? count
+						   : QUARANTINE_NEWS_PRINTS;
+		for (i = 0; i < n; i++) {
+			rows[i].lo = prints[i].lo;
+			rows[i].hi = prints[i].hi;
+		}
+		arg.prints.prints_len = (u_int)n;
+		q->tell(
+		    q->tell_ctx, &quarantine_procs[QUARANTINE_PROC_NEWS], &arg);
+	}
+}
+
+/*
+ * Fetches all that a peer knows and merges it: for a node that has just
+ * started, and now and then against lost messages.  Blocks up to 300 ms a
+ * page.  Returns 0, or -1 if the peer didn't answer to the end.
+ */
+int
+quarantine_sync(struct quarantine *q, rpc_call_fn call, void *ctx,
+    const struct node_id *peer)
+{
+	quarantine_page_arg arg = { 0 };
+	quarantine_page_res res;
+	const quarantine_row_msg *r;
+	struct quarantine_print p;
+	u_int i;
+
+	do {
+		memset(&res, 0, sizeof(res));
+		if (call(ctx, peer, &quarantine_procs[QUARANTINE_PROC_PAGE],
+			&arg, &res, PAGE_TIMEOUT_MS) != RPC_DONE)
+			return -1;
+		for (i = 0; i < res.rows.rows_len; i++) {
+			r = &res.rows.rows_val[i];
+			p.lo = r->print.lo;
+			p.hi = r->print.hi;
+			quarantine_merge(q, &p, r->death, r->acquitted,
+			    r->age_ms, clock_ms());
+		}
+		if (res.next != 0 && res.next <= arg.from)
+			res.next = 0;
+		arg.from = res.next;
+		xdr_free((xdrproc_t)xdr_quarantine_page_res, (char *)&res);
+	} while (arg.from != 0);
+	return 0;
+}
+
+/*
+ * Merges what a peer tells.
+ */
+static int
+handle_news(
+    void *ctx, const struct sockaddr_in *from, const void *argp, void *resp)
+{
+	const quarantine_news_arg *arg = argp;
+	quarantine_news_res *res = resp;
+	struct quarantine_print p;
+	uint64_t now = clock_ms();
+	u_int i;
+
+	(void)from;
+	for (i = 0; i < arg->prints.prints_len; i++) {
+		p.lo = arg->prints.prints_val[i].lo;
+		p.hi = arg->prints.prints_val[i].hi;
+		quarantine_merge(
+		    ctx, &p, arg->death, arg->acquitted, arg->age_ms, now);
+	}
+	res->taken = 1;
+	return 0;
+}
+
+/*
+ * Answers a page of all strikes known here.
+ */
+static int
+handle_page(
+    void *ctx, const struct sockaddr_in *from, const void *argp, void *resp)
+{
+	const quarantine_page_arg *arg = argp;
+	struct page page = { clock_ms(), resp };
+
+	(void)from;
+	page.res->rows.rows_val =
+	    calloc(QUARANTINE_PAGE, sizeof(*page.res->rows.rows_val));
+	if (page.res->rows.rows_val == NULL)
+		return -1;
+	page.res->next = quarantine_page(
+	    ctx, arg->from, page.now_ms, add_row, &page, QUARANTINE_PAGE);
+	return 0;
+}
+
+/*
+ * Adds one strike to a page.
+ */
+static void
+add_row(void *ctx, const struct quarantine_print *p,
+    const struct quarantine_strike *k)
+{
+	struct page *page = ctx;
+	quarantine_row_msg *r;
+
+	r = &page->res->rows.rows_val[page->res->rows.rows_len++];
+	r->print.lo = p->lo;
+	r->print.hi = p->hi;
+	r->death = k->death;
+	r->acquitted = k->acquitted;
+	r->age_ms = (u_int)(page->now_ms - k->at_ms);
+}
--- /dev/null
+++ b/src/quarantine/test_quarantine.c
@@ -0,0 +1,393 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "base/clock.h"
+#include "quarantine/quarantine.h"
+#include "quarantine/quarantine_xdr.h"
+
+#define NOW 1000000 /* ms */
+#define NODES 3
+#define SERVERS 3
+#define RESENDS 10
+#define HOT_RUNS 4
+#define FLOOD 100000
+
+static struct quarantine nodes[NODES];
+static int cut; /* news is lost */
+
+/*
+ * Hands a message to the other nodes, by way of its encoding.
+ */
+static void
+tell(void *ctx, const struct rpc_proc *proc, const void *arg)
+{
+	char buf[RPC_BODY_MAX];
+	quarantine_news_arg got;
+	quarantine_news_res res;
+	XDR x;
+	int i;
+
+	for (i = 0; i < NODES && !cut; i++) {
+		if (&nodes[i] == ctx)
+			continue;
+		xdrmem_create(&x, buf, sizeof(buf), XDR_ENCODE);
+		assert_true(proc->arg_xdr(&x, (void *)(uintptr_t)arg));
+		xdrmem_create(&x, buf, sizeof(buf), XDR_DECODE);
+		memset(&got, 0, sizeof(got));
+		assert_true(proc->arg_xdr(&x, &got));
+		proc->handle(&nodes[i], NULL, &got, &res);
+		xdr_free((xdrproc_t)proc->arg_xdr, (char *)&got);
+	}
+}
+
+/*
+ * Asks a node directly, as the peer is an index.
+ */
+static enum rpc_status
+ask(void *ctx, const struct node_id *to, const struct rpc_proc *proc,
+    const void *arg, void *res, uint32_t timeout_ms)
+{
+	(void)ctx;
+	(void)timeout_ms;
+	return proc->handle(&nodes[to->addr], NULL, arg, res) == 0
+		   ? RPC_DONE
+		   : RPC_TIMEOUT;
+}
+
+/*
+ * Starts all nodes anew.
+ */
+static int
+setup(void **state)
+{
+	int i;
+
+	(void)state;
+	cut = 0;
+	for (i = 0; i < NODES; i++)
+		quarantine_init(&nodes[i], tell, &nodes[i]);
+	return 0;
+}
+
+/*
+ * Ends all nodes.
+ */
+static int
+teardown(void **state)
+{
+	int i;
+
+	(void)state;
+	for (i = 0; i < NODES; i++)
+		quarantine_finish(&nodes[i]);
+	return 0;
+}
+
+/*
+ * What happens to one fingerprint, a letter a step, and its state at last.
+ */
+static void
+test_table(void **state)
+{
+	static const struct {
+		/* a..c struck by that death, A..C acquitted of it, s succeeds,
+		 * w five minutes pass */
+		const char *steps;
+		enum quarantine_state last;
+	} rows[] = {
+		{ "", QUARANTINE_FREE },
+		{ "a", QUARANTINE_STRUCK },
+		{ "aa", QUARANTINE_STRUCK },
+		{ "ab", QUARANTINE_REFUSED },
+		{ "ba", QUARANTINE_REFUSED },
+		{ "as", QUARANTINE_FREE },
+		{ "asb", QUARANTINE_FREE },
+		{ "sab", QUARANTINE_FREE },
+		{ "sabc", QUARANTINE_REFUSED },
+		{ "sabcs", QUARANTINE_FREE },
+		{ "abs", QUARANTINE_FREE },
+		{ "aA", QUARANTINE_FREE },
+		{ "Aa", QUARANTINE_FREE },
+		{ "aAa", QUARANTINE_FREE },
+		{ "Aab", QUARANTINE_STRUCK },
+		{ "abA", QUARANTINE_STRUCK },
+		{ "abw", QUARANTINE_REFUSED },
+		{ "abww", QUARANTINE_FREE },
+		{ "awbw", QUARANTINE_STRUCK },
+		{ "awbaw", QUARANTINE_STRUCK },
+		{ "wwa", QUARANTINE_STRUCK },
+	};
+	struct quarantine_print p = { 5, 9 }, other = { 5, 8 };
+	struct quarantine_table *t;
+	uint64_t deaths[QUARANTINE_DEATHS], now;
+	const char *c;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		t = calloc(1, sizeof(*t));
+		assert_non_null(t);
+		now = NOW;
+		for (c = rows[i].steps; *c != '\0'; c++) {
+			if (*c == 's')
+				table_succeed(t, &p, now, deaths);
+			else if (*c == 'w')
+				now += QUARANTINE_MS / 2;
+			else
+				table_strike(t, &p, (uint64_t)(*c & 31),
+				    *c < 'a', now, now);
+		}
+		assert_int_equal(table_state(t, &p, now), rows[i].last);
+		assert_int_equal(table_state(t, &other, now), QUARANTINE_FREE);
+		free(t);
+	}
+}
+
+/*
+ * A poisonous request is sent again and again, each time to another node, to
+ * a service whose servers return: at most two of them die of it.
+ */
+static void
+test_resent_poison(void **state)
+{
+	struct quarantine_print p;
+	struct quarantine_run run;
+	uint64_t now = NOW;
+	int i, dead = 0, refused = 0;
+
+	(void)state;
+	quarantine_print(&p, "acme", "POST", "/orders", "boom", 4);
+	for (i = 0; i < RESENDS; i++, now += 10) {
+		if (quarantine_check(&nodes[i % NODES], &p, now) ==
+			QUARANTINE_REFUSED ||
+		    quarantine_begin(
+			&nodes[(i + 1) % NODES], &run, &p, 1, now) != 0) {
+			refused++;
+			continue;
+		}
+		quarantine_end(
+		    &nodes[(i + 1) % NODES], &run, QUARANTINE_BROKEN, now);
+		quarantine_death(
+		    &nodes[(i + 1) % NODES], 100 + (uint64_t)i, now);
+		dead++;
+	}
+	assert_int_equal(dead, 2);
+	assert_int_equal(refused, RESENDS - 2);
+	assert_int_equal(quarantine_check(&nodes[0], &p, now + QUARANTINE_MS),
+	    QUARANTINE_FREE);
+}
+
+/*
+ * Copies sent through all entries at once: those already in flight may each
+ * kill the server that they are at, but the pin sends all later ones to one
+ * server, one at a time, so at most one more dies.
+ */
+static void
+test_concurrent_poison(void **state)
+{
+	struct node_id ids[SERVERS] = { { 0, 1, 1 }, { 1, 1, 1 }, { 2, 1, 1 } };
+	int usable[SERVERS] = { 1, 1, 1 }, at, i, dead, let = 0;
+	struct quarantine_print p;
+	struct quarantine_run run[RESENDS];
+
+	(void)state;
+	quarantine_print(&p, "acme", "GET", "/x", NULL, 0);
+	assert_int_equal(quarantine_begin(&nodes[0], &run[0], &p, 1, NOW), 0);
+	quarantine_death(&nodes[0], 1, NOW);
+	quarantine_end(&nodes[0], &run[0], QUARANTINE_BROKEN, NOW);
+	dead = 1;
+	at = quarantine_pin(&p, ids, usable, SERVERS);
+	for (i = 0; i < RESENDS; i++) {
+		assert_int_equal(quarantine_check(&nodes[i % NODES], &p, NOW),
+		    QUARANTINE_STRUCK);
+		assert_int_equal(quarantine_pin(&p, ids, usable, SERVERS), at);
+		let += quarantine_begin(&nodes[at], &run[i], &p, 1, NOW) == 0;
+	}
+	assert_int_equal(let, 1);
+	quarantine_death(&nodes[at], 2, NOW);
+	dead++;
+	for (i = 0; i < NODES; i++)
+		assert_int_equal(
+		    quarantine_check(&nodes[i], &p, NOW), QUARANTINE_REFUSED);
+	assert_int_equal(dead, 2);
+	quarantine_end(&nodes[at], &run[0], QUARANTINE_BROKEN, NOW);
+	usable[at] = 0;
+	assert_int_not_equal(quarantine_pin(&p, ids, usable, SERVERS), at);
+}
+
+/*
+ * A hot catalogue request is in flight at both deaths: never refused where
+ * it has run before, and anywhere only until a copy has run to its end.
+ */
+static void
+test_hot_innocent(void **state)
+{
+	struct quarantine_run run[HOT_RUNS];
+	struct quarantine_print p;
+	int i;
+
+	(void)state;
+	quarantine_print(&p, "acme", "GET", "/catalogue", NULL, 0);
+	for (i = 0; i < HOT_RUNS; i++)
+		assert_int_equal(
+		    quarantine_begin(&nodes[i % 2], &run[i], &p, 1, NOW), 0);
+	quarantine_served(&nodes[2], &p, NOW);
+	quarantine_end(&nodes[1], &run[3], QUARANTINE_NOTHING, NOW);
+	quarantine_death(&nodes[0], 1, NOW);
+	quarantine_death(&nodes[1], 2, NOW);
+	assert_int_equal(
+	    quarantine_check(&nodes[0], &p, NOW), QUARANTINE_REFUSED);
+	assert_int_equal(quarantine_check(&nodes[2], &p, NOW), QUARANTINE_FREE);
+	assert_int_equal(quarantine_begin(&nodes[2], &run[3], &p, 1, NOW), 0);
+	quarantine_end(&nodes[2], &run[3], QUARANTINE_WHOLE, NOW + 1);
+	for (i = 0; i < NODES; i++)
+		assert_int_equal(
+		    quarantine_check(&nodes[i], &p, NOW + 1), QUARANTINE_FREE);
+	for (i = 0; i < HOT_RUNS - 1; i++)
+		quarantine_end(&nodes[i % 2], &run[i], QUARANTINE_BROKEN, NOW);
+}
+
+/*
+ * Inner requests that differ each time are still refused by their root, and
+ * the end of one inner request doesn't acquit the root.
+ */
+static void
+test_root_is_struck(void **state)
+{
+	struct quarantine_print p[2], root;
+	struct quarantine_run run;
+	int i;
+
+	(void)state;
+	quarantine_print(&root, "acme", "POST", "/orders", "boom", 4);
+	for (i = 0; i < 2; i++) {
+		p[0] = (struct quarantine_print){ 70 + (uint64_t)i, 7 };
+		p[1] = root;
+		assert_int_equal(
+		    quarantine_begin(&nodes[i], &run, p, 2, NOW), 0);
+		quarantine_death(&nodes[i], 1 + (uint64_t)i, NOW);
+		quarantine_end(&nodes[i], &run, QUARANTINE_BROKEN, NOW);
+		p[0].lo += 10;
+		if (quarantine_begin(&nodes[2], &run, p, 2, NOW) == 0)
+			quarantine_end(&nodes[2], &run, QUARANTINE_WHOLE, NOW);
+	}
+	assert_int_equal(
+	    quarantine_check(&nodes[2], &root, NOW), QUARANTINE_REFUSED);
+}
+
+/*
+ * A node that heard no news learns all from a peer.
+ */
+static void
+test_sync(void **state)
+{
+	struct node_id peer = { 0, 1, 1 };
+	struct quarantine_print p;
+	uint64_t i, now = clock_ms();
+
+	(void)state;
+	cut = 1;
+	for (i = 0; i < 200; i++) {
+		p = (struct quarantine_print){ i * 77, i };
+		quarantine_merge(&nodes[0], &p, 1, 0, 5, now);
+		quarantine_merge(&nodes[0], &p, 2, 0, 5, now);
+		quarantine_merge(&nodes[0], &p, 3, 1, 5, now);
+	}
+	assert_int_equal(quarantine_sync(&nodes[1], ask, NULL, &peer), 0);
+	for (i = 0; i < 200; i++) {
+		p = (struct quarantine_print){ i * 77, i };
+		assert_int_equal(
+		    quarantine_check(&nodes[1], &p, now), QUARANTINE_REFUSED);
+	}
+}
+
+/*
+ * A flood of suspects stays within the table and doesn't push out a request
+ * that is refused.  Prints what a request costs.
+ */
+static void
+test_flood(void **state)
+{
+	struct quarantine_print p = { 1, 1 }, f;
+	struct quarantine_run run;
+	uint64_t i, t;
+
+	(void)state;
+	cut = 1;
+	quarantine_merge(&nodes[0], &p, 1, 0, 0, NOW);
+	quarantine_merge(&nodes[0], &p, 2, 0, 0, NOW);
+	for (i = 1; i <= FLOOD; i++) {
+		f = (struct quarantine_print){ i * 512 + 1, i };
+		quarantine_merge(&nodes[0], &f, i, 0, 0, NOW + i);
+	}
+	assert_int_equal(
+	    quarantine_check(&nodes[0], &p, NOW + FLOOD), QUARANTINE_REFUSED);
+	assert_true(nodes[0].table->suspects <= QUARANTINE_WAYS);
+	t = clock_us();
+	for (i = 0; i < FLOOD; i++) {
+		f = (struct quarantine_print){ i, i };
+		quarantine_check(&nodes[0], &f, NOW);
+		if (quarantine_begin(&nodes[0], &run, &f, 1, NOW) == 0)
+			quarantine_end(&nodes[0], &run, QUARANTINE_WHOLE, NOW);
+	}
+	t = clock_us() - t;
+	print_message("%.0f ns a request\n", (double)t * 1e3 / FLOOD);
+}
+
+/*
+ * Each part of a request makes another fingerprint, also where only the
+ * border between parts moves.
+ */
+static void
+test_print(void **state)
+{
+	static const char *const rows[][4] = {
+		{ "acme", "GET", "/a", "x" },
+		{ "acmf", "GET", "/a", "x" },
+		{ "acme", "PUT", "/a", "x" },
+		{ "acme", "GET", "/a?b", "x" },
+		{ "acme", "GET", "/a", "y" },
+		{ "acme", "GET", "/a", "" },
+		{ "acm", "eGET", "/a", "x" },
+		{ "acme", "GET/", "a", "x" },
+		{ "acme", "GET", "/ax", "" },
+		{ "", "", "", "acmeGET/ax" },
+	};
+	struct quarantine_print p[sizeof(rows) / sizeof(rows[0])];
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		quarantine_print(&p[i], rows[i][0], rows[i][1], rows[i][2],
+		    rows[i][3], strlen(rows[i][3]));
+		for (j = 0; j < i; j++) {
+			assert_true(p[i].lo != p[j].lo);
+			assert_true(p[i].hi != p[j].hi);
+		}
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_table),
+		cmocka_unit_test_setup_teardown(
+		    test_resent_poison, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_concurrent_poison, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_hot_innocent, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_root_is_struck, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_sync, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_flood, setup, teardown),
+		cmocka_unit_test(test_print),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
