--- a/Makefile
+++ b/Makefile
@@ -118,7 +118,7 @@
 	    $(shell pkg-config --libs $(LIB_PKGS))
 
 # One test program a module, then the tests with real processes.
-check: unit path regress install-check
+check: unit path regress install-check demo
 
 unit: $(TESTS)
 	@BUILD=$(BUILD) tests/known-red $(TESTS)
--- a/src/publish/test_publish.c
+++ b/src/publish/test_publish.c
@@ -12,6 +12,8 @@
 #define RECORD_BYTES 1024
 #define STEPS_MAX 4
 #define TIMEOUT_MS 5000
+#define GARBAGE_ROUNDS 50
+#define GARBAGE_SEED 1
 #define ID_A "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 #define ID_B "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
 
@@ -292,6 +294,56 @@
 	publish_reader_finish(&r);
 }
 
+/*
+ * Returns the next number of a simple generator, so that a run can be
+ * repeated.
+ */
+static uint32_t
+rand_next(uint32_t *seed)
+{
+	*seed = *seed * 1664525 + 1013904223;
+	return *seed >> 8;
+}
+
+/*
+ * Whatever else stands in the stream, a publication from the version in
+ * force wins, and a reader survives it.
+ */
+static void
+test_publish_amid_garbage(void **state)
+{
+	static const enum step steps[STEPS_MAX] = { STEP_OK };
+	struct publication p = { conf, "test", 0, TIMEOUT_MS };
+	char *good = config_publication(conf, 0, ID_B, "rival");
+	struct publish_reader r;
+	struct publish_env env;
+	uint32_t seed, round, i, cuts;
+	uint64_t version;
+	struct fake f;
+	size_t len = strlen(good);
+
+	(void)state;
+	for (round = 0; round < GARBAGE_ROUNDS; round++) {
+		seed = GARBAGE_SEED + round;
+		fake_init(&f, &env, steps, 0, 0);
+		for (i = 0; i < RECORDS_MAX - 1; i++) {
+			fake_write(&f, good);
+			for (cuts = rand_next(&seed) % 4 + 1; cuts > 0; cuts--)
+				f.records[i][rand_next(&seed) % len] =
+				    (char)(rand_next(&seed) % 96 + 32);
+			if (rand_next(&seed) % 3 == 0)
+				f.records[i][rand_next(&seed) % len] = '\0';
+		}
+		publish_reader_init(&r, &env, ID_A);
+		assert_int_equal(publish_catch_up(&r, TIMEOUT_MS), LOGSVC_OK);
+		p.base = publish_version(&r);
+		assert_int_equal(publish_run(&r, &p, &version), PUBLISH_WON);
+		assert_int_equal(version, p.base + 1);
+		publish_reader_finish(&r);
+	}
+	free(good);
+}
+
 static const struct {
 	const char *ws;
 	const char *id;
@@ -368,6 +420,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_publish_outcomes),
 		cmocka_unit_test(test_publish_after_snapshot),
+		cmocka_unit_test(test_publish_amid_garbage),
 		cmocka_unit_test(test_edits),
 		cmocka_unit_test(test_withdraw_takes_all),
 	};
