--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -84,6 +84,11 @@
 	for (i = 0; i < h->count; i++)
 		n += (size_t)snprintf(buf + n, HEAD_TEXT_MAX - n, "%s: %s\r\n",
 		    head_name(h, i), head_value(h, i));
+	if (atomic_load(a->req->closing)) {
+		mg_disable_connection_keep_alive(a->req->conn);
+		n += (size_t)snprintf(
+		    buf + n, HEAD_TEXT_MAX - n, "Connection: close\r\n");
+	}
 	if (length == HEAD_LEN_CHUNKED)
 		n += (size_t)snprintf(buf + n, HEAD_TEXT_MAX - n,
 		    "Transfer-Encoding: chunked\r\n\r\n");
--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -284,14 +284,15 @@
  * follows on it can't be told apart from the body.
  */
 enum reason
-request_init(struct request *r, struct mg_connection *conn, size_t body_max,
-    const char **detail)
+request_init(struct request *r, struct mg_connection *conn,
+    const atomic_int *closing, size_t body_max, const char **detail)
 {
 	const struct mg_request_info *ri = mg_get_request_info(conn);
 	enum reason why;
 	int64_t len;
 
 	r->conn = conn;
+	r->closing = closing;
 	r->key[0] = r->id[0] = r->token[0] = r->target[0] = '\0';
 	r->context = r->mac = NULL;
 	r->timeout_ms = 0;
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -2,6 +2,7 @@
 #define EXCHANGE_REQUEST_H
 
 #include <civetweb.h>
+#include <stdatomic.h>
 
 #include "exchange/head.h"
 #include "exchange/reason.h"
@@ -14,6 +15,7 @@
 /* A request as it was received and checked, with the fields to pass on. */
 struct request {
 	struct mg_connection *conn;
+	const atomic_int *closing; /* connections end with their answer */
 	char method[REQUEST_METHOD_MAX];
 	char target[REQUEST_TARGET_MAX]; /* path and query */
 	char key[REQUEST_KEY_MAX + 1];
@@ -28,8 +30,8 @@
 	struct head head;
 };
 
-enum reason request_init(
-    struct request *, struct mg_connection *, size_t, const char **);
+enum reason request_init(struct request *, struct mg_connection *,
+    const atomic_int *, size_t, const char **);
 void request_finish(struct request *);
 const char *request_raw(const struct request *, const char *);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -17,7 +17,7 @@
 #define SERVER_IDLE_MS 2000
 #define STOP_CHECK_US 10000
 #define LEAVE_LEASES_MS 2000
-#define STOP_LINGER_MS 300 /* peers and callers learn of the stop */
+#define STOP_QUIET_MS 300 /* without a request, before ports close */
 
 static void *ticker_main(void *);
 
@@ -149,7 +149,8 @@
 	}
 	n->running = 1;
 	if (config_service_start(&n->config) == -1 ||
-	    pthread_create(&n->ticker, NULL, ticker_main, n) != 0) {
+	    pthread_create(&n->ticker, NULL, ticker_main, n) != 0 ||
+	    pthread_create(&n->fetcher, NULL, fetch_main, n) != 0) {
 		logline(LOG_CRIT, "start-failed", "why=\"no thread\"");
 		return -1;
 	}
@@ -203,7 +204,6 @@
 node_stop(struct node *n)
 {
 	uint64_t now = clock_ms(), until = now + n->settings.stop_timeout_ms;
-	uint64_t linger = now + STOP_LINGER_MS;
 
 	logline(LOG_NOTICE, "stopping", "inflight=%u", busy(n));
 	atomic_store(&n->stopping, 1);
@@ -211,7 +211,10 @@
 	server_check(n, now);
 	lease_service_leave(&n->lease, LEAVE_LEASES_MS);
 	member_leave(&n->member);
-	while ((now = clock_ms()) < until && (busy(n) > 0 || now < linger))
+	atomic_store(&n->last_request_ms, clock_ms());
+	while ((now = clock_ms()) < until &&
+	       (busy(n) > 0 ||
+		   now < atomic_load(&n->last_request_ms) + STOP_QUIET_MS))
 		usleep(STOP_CHECK_US);
 	logline(LOG_NOTICE, "stopped", "cut=%u", busy(n));
 }
@@ -226,6 +229,7 @@
 	if (n->running) {
 		n->running = 0;
 		pthread_join(n->ticker, NULL);
+		pthread_join(n->fetcher, NULL);
 	}
 	rpc_server_finish(&n->rpc_server);
 	duties_finish(n);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -62,10 +62,12 @@
 	struct parents parents;
 	struct mg_context *ports[PORT_MAX];
 	pthread_t ticker;
+	pthread_t fetcher;
 	atomic_uint inflight[PORT_MAX];
+	atomic_ullong last_request_ms;
 	atomic_int stopping;
 	atomic_int ready;
-	int running;
+	atomic_int running;
 };
 
 /* What an exit reports of one request besides the answer itself. */
@@ -90,6 +92,8 @@
 void operator_serve(struct node *, struct request *);
 void server_check(struct node *, uint64_t);
 
+void *fetch_main(void *);
+
 int duties_init(struct node *);
 void duties_tick(struct node *);
 void duties_finish(struct node *);
--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -62,13 +62,14 @@
 	if (r == NULL)
 		err(1, "on_request");
 	atomic_fetch_add(&n->inflight[p->kind], 1);
-	why = request_init(r, conn, n->settings.max_body_bytes, &detail);
+	if (p->kind != PORT_OPERATOR)
+		atomic_store(&n->last_request_ms, clock_ms());
+	why = request_init(
+	    r, conn, &n->stopping, n->settings.max_body_bytes, &detail);
 	if (why != REASON_NONE)
 		answer_refuse(r, OUTCOME_NOT_RUN, why, detail, 0, NULL);
 	else
 		port_rows[p->kind].serve(n, r);
-	if (atomic_load(&n->stopping))
-		mg_disable_connection_keep_alive(conn);
 	request_finish(r);
 	free(r);
 	atomic_fetch_sub(&n->inflight[p->kind], 1);
