Membership: nobody is declared dead on another's word; tests of many tables

Fifty tables that exchange encoded messages with loss, pauses and cuts. The price is that death isn't passed on faster than suspicion; suspicion's wait went from 150 to 125 ms times log2 of the members for it.

Seeds are tried faster at first.

--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -10,10 +10,11 @@
 
 #define MEMBER_DIRECT_MS 250 /* until others are asked to probe */
 #define MEMBER_PROBE_FAIL_MS 500
-#define MEMBER_SUSPECT_UNIT_MS 150 /* times log2 of the members */
+#define MEMBER_SUSPECT_UNIT_MS 125 /* times log2 of the members */
 #define MEMBER_SUSPECT_MIN_MS 400
-#define MEMBER_HELPERS 3     /* peers asked to probe */
-#define MEMBER_STALL_MS 1000 /* between ticks: this process was paused */
+#define MEMBER_REPORT_FACTOR 3 /* times that, for a reported death */
+#define MEMBER_HELPERS 3       /* peers asked to probe */
+#define MEMBER_STALL_MS 1000   /* between ticks: this process was paused */
 
 #define MEMBER_TELL_FACTOR 3 /* times log2 of the members */
 #define MEMBER_GOSSIP_MS 100
@@ -32,11 +33,12 @@
 #define MEMBER_LEFT_KEEP_MS (10 * 60 * 1000)
 
 #define MEMBER_MESSAGE_BYTES 1150 /* of a full message's body */
+#define MEMBER_COUNT_MAX 8192	  /* members of a table */
 #define MEMBER_PROBES_MAX 64
 #define MEMBER_RELAYS_MAX 64
 #define MEMBER_SEEDS_MAX 64
 #define MEMBER_SEED_TRIES 8
-#define MEMBER_SEED_MS 1000
+#define MEMBER_SEED_MS 200 /* times the tries so far */
 #define MEMBER_WINDOW_S 10
 #define MEMBER_TICK_MS 25
 
@@ -62,6 +64,7 @@
 /* A probe without its answer yet. */
 struct member_probe {
 	uint64_t sent_ms;
+	uint64_t since_ms; /* what its timeouts count from */
 	uint64_t incarnation;
 	uint32_t nonce;
 	uint32_t handle;
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -36,7 +36,7 @@
 static void try_seeds(struct member_table *, uint64_t);
 static void gossip(struct member_table *, uint64_t);
 static void start_sync(struct member_table *, uint64_t);
-static void after_stall(struct member_table *, uint64_t, uint64_t);
+static void after_stall(struct member_table *, uint64_t);
 static void refill(struct member_table *, uint64_t);
 
 static const kind_fn kinds[] = {
@@ -333,7 +333,7 @@
 	p->handle = h;
 	p->incarnation = t->slots[h].info.id.incarnation;
 	p->nonce = t->next_nonce++;
-	p->sent_ms = now;
+	p->sent_ms = p->since_ms = now;
 	member_send(t, now, MEMBER_PING, &t->slots[h].info.id, p->nonce);
 }
 
@@ -385,9 +385,9 @@
 	for (p = t->probes; p < t->probes + MEMBER_PROBES_MAX; p++) {
 		if (!p->used)
 			continue;
-		if (now >= p->sent_ms + MEMBER_PROBE_FAIL_MS)
+		if (now >= p->since_ms + MEMBER_PROBE_FAIL_MS)
 			fail_probe(t, now, p);
-		else if (!p->indirect && now >= p->sent_ms + MEMBER_DIRECT_MS)
+		else if (!p->indirect && now >= p->since_ms + MEMBER_DIRECT_MS)
 			ask_helpers(t, now, p);
 	}
 }
@@ -486,8 +486,9 @@
 		known = member_find(t, s->addr, s->port);
 		if (known != NULL)
 			continue;
-		s->next_ms = now + MEMBER_SEED_MS;
 		s->tries++;
+		s->next_ms =
+		    now + MIN(s->tries, MEMBER_SEED_TRIES) * MEMBER_SEED_MS;
 		to.addr = s->addr;
 		to.rpc_port = s->port;
 		member_send(t, now, MEMBER_PING, &to, t->next_nonce++);
@@ -532,21 +533,21 @@
 }
 
 /*
- * Forgives what seemed late while this process was paused itself.
+ * Grants all that waits for others the time for which this process was
+ * paused itself: what they sent may wait in its socket.
  */
 static void
-after_stall(struct member_table *t, uint64_t now, uint64_t gap)
+after_stall(struct member_table *t, uint64_t gap)
 {
 	uint32_t h;
 	int i;
 
 	for (i = 0; i < MEMBER_PROBES_MAX; i++)
-		t->probes[i].used = 0;
+		t->probes[i].since_ms += gap;
 	for (h = 0; h < t->slots_len; h++) {
 		if (t->slots[h].used)
-			t->slots[h].deadline_ms += gap + t->probe_ms;
+			t->slots[h].deadline_ms += gap;
 	}
-	t->next_probe_ms = now;
 }
 
 /*
@@ -574,12 +575,13 @@
 
 	t->last_tick_ms = now;
 	if (gap > MEMBER_STALL_MS)
-		after_stall(t, now, gap);
+		after_stall(t, gap);
 	refill(t, now);
 	check_probes(t, now);
 	check_suspects(t, now);
 	if (now >= t->next_probe_ms) {
-		t->next_probe_ms += t->probe_ms;
+		t->next_probe_ms =
+		    MAX(t->next_probe_ms + t->probe_ms, now + t->probe_ms / 2);
 		probe_next(t, now);
 	}
 	try_seeds(t, now);
--- a/src/member/member_table.c
+++ b/src/member/member_table.c
@@ -37,6 +37,8 @@
     struct member_table *, uint64_t, const struct member_entry *);
 static void merge_replaced(struct member_table *, uint64_t,
     struct member_slot *, const struct member_entry *);
+static void merge_report(struct member_table *, uint64_t, struct member_slot *,
+    const struct member_entry *);
 static void merge_same(struct member_table *, uint64_t, struct member_slot *,
     const struct member_entry *, int);
 
@@ -360,7 +362,8 @@
 	struct member_slot *s;
 
 	if (state == MEMBER_LEFT ||
-	    (state == MEMBER_DEAD && age >= MEMBER_DEAD_KEEP_MS))
+	    (state == MEMBER_DEAD && age >= MEMBER_DEAD_KEEP_MS) ||
+	    t->count == MEMBER_COUNT_MAX)
 		return;
 	s = add_slot(t, e->name.addr, (uint16_t)e->name.port);
 	copy_entry(s, e);
@@ -412,12 +415,26 @@
 	tell(t, MEMBER_JOINED, s);
 }
 
+/*
+ * Merges a report of the death of a member that counts as there.  It is only
+ * a suspicion: when a cut heals, each side brings such reports of the whole
+ * other side.  Everybody declares death at the end of their own wait.
+ */
+static void
+merge_report(struct member_table *t, uint64_t now, struct member_slot *s,
+    const struct member_entry *e)
+{
+	uint64_t wait = member_suspect_ms(t) * MEMBER_REPORT_FACTOR;
+
+	if (s->info.state == MEMBER_SUSPECT && e->seq == s->info.seq)
+		return;
+	member_set_state(t, now, s, MEMBER_SUSPECT, e->seq);
+	s->deadline_ms = now + wait;
+}
+
 /*
  * Merges an entry about a process that is known already.  Load is taken from
- * the member itself only, since it ages faster than it spreads.  A report of
- * the death of a member that nobody here suspects counts as a suspicion, so
- * that a node returning from a cut, which held all others dead, can't kill
- * them for the rest.
+ * the member itself only, since it ages faster than it spreads.
  */
 static void
 merge_same(struct member_table *t, uint64_t now, struct member_slot *s,
@@ -435,10 +452,11 @@
 	    (e->seq == s->info.seq && ranks[state] <= ranks[s->info.state]))
 		return;
 	t->news++;
-	if (state == MEMBER_DEAD && s->info.state == MEMBER_ALIVE)
-		state = MEMBER_SUSPECT;
 	copy_entry(s, e);
-	member_set_state(t, now, s, state, e->seq);
+	if (state == MEMBER_DEAD && is_up(s->info.state))
+		merge_report(t, now, s, e);
+	else
+		member_set_state(t, now, s, state, e->seq);
 }
 
 /*
--- a/src/member/test_member.c
+++ b/src/member/test_member.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "member/member_int.h"
 
 #define SECRET "0123456789abcdef"
@@ -21,7 +22,17 @@
 	int cut;
 };
 
+/* A log in memory that refuses every other append at first. */
+struct fake_log {
+	struct logsvc svc;
+	pthread_mutex_t lock;
+	char *list[64];
+	uint64_t len;
+	int appends;
+};
+
 static struct node nodes[SERVICES];
+static struct fake_log fake;
 
 /*
  * Cuts a node off from all others while its flag is set.
@@ -41,13 +52,61 @@
 }
 
 /*
- * Starts a node on loopback; the seed may be NULL.
+ * Appends to the log in memory.
+ */
+static enum logsvc_status
+fake_append(void *ctx, const char *stream, const char *data, size_t len,
+    uint32_t timeout, uint64_t *offset)
+{
+	struct fake_log *f = ctx;
+	enum logsvc_status st = LOGSVC_REFUSED;
+
+	(void)timeout;
+	assert_string_equal(stream, "members");
+	pthread_mutex_lock(&f->lock);
+	if (f->appends++ % 2 == 1 && f->len < G_N_ELEMENTS(f->list)) {
+		*offset = f->len;
+		f->list[f->len++] = g_strndup(data, len);
+		st = LOGSVC_OK;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return st;
+}
+
+/*
+ * Reads from the log in memory.
+ */
+static enum logsvc_status
+fake_read(void *ctx, const char *stream, uint64_t from, uint32_t max,
+    uint32_t wait, uint32_t timeout, struct logsvc_batch *b)
+{
+	struct fake_log *f = ctx;
+
+	(void)wait;
+	(void)timeout;
+	assert_string_equal(stream, "members");
+	pthread_mutex_lock(&f->lock);
+	memset(b, 0, sizeof(*b));
+	b->next = f->len;
+	b->list = calloc(G_N_ELEMENTS(f->list), sizeof(*b->list));
+	for (; from < f->len && b->count < max; from++) {
+		b->list[b->count].offset = from;
+		b->list[b->count].data = strdup(f->list[from]);
+		b->list[b->count].len = strlen(f->list[from]);
+		b->count++;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return LOGSVC_OK;
+}
+
+/*
+ * Starts a node on loopback; the seed and the log may be NULL.
  */
 static void
-node_init(struct node *n, uint16_t port, const struct node_id *seed)
+node_init(struct node *n, const struct node_id *seed, struct logsvc *log)
 {
 	struct member_settings s = { 0 };
-	struct node_id id = { INADDR_LOOPBACK, port, rand_u64() };
+	struct node_id id = { INADDR_LOOPBACK, 0, rand_u64() };
 
 	memset(n, 0, sizeof(*n));
 	assert_int_equal(
@@ -62,7 +121,7 @@
 	s.seeds = seed;
 	s.seeds_len = seed != NULL;
 	assert_int_equal(
-	    member_service_init(&n->member, &s, &n->server, &n->client, NULL),
+	    member_service_init(&n->member, &s, &n->server, &n->client, log),
 	    0);
 	assert_int_equal(rpc_server_start(&n->server, NULL), 0);
 	assert_int_equal(member_service_start(&n->member, NULL), 0);
@@ -113,10 +172,10 @@
 	int i, j;
 
 	(void)state;
-	node_init(&nodes[0], 0, NULL);
+	node_init(&nodes[0], NULL, NULL);
 	seed = nodes[0].rpc.self;
 	for (i = 1; i < SERVICES; i++)
-		node_init(&nodes[i], 0, &seed);
+		node_init(&nodes[i], &seed, NULL);
 	for (i = 0; i < SERVICES; i++) {
 		for (j = 0; j < SERVICES; j++)
 			assert_int_not_equal(
@@ -146,11 +205,169 @@
 		node_finish(&nodes[i]);
 }
 
+/*
+ * Nodes find each other through the log alone, though its first records are
+ * no hellos and appends are refused now and then.
+ */
+static void
+test_log_bootstrap(void **state)
+{
+	static const char bad_addr[] =
+	    "{\"address\":\"1.2.3\",\"rpc_port\":1,\"peer_port\":1,"
+	    "\"domain\":\"a\",\"incarnation\":\"1\"}";
+	static const char *const bad[] = { "", "{}", "[1,2", "\xff\xfe",
+		bad_addr };
+	uint64_t before = counter_sum(CTR_LOG_BAD_RECORDS);
+	size_t i, j;
+
+	(void)state;
+	pthread_mutex_init(&fake.lock, NULL);
+	fake.svc.append = fake_append;
+	fake.svc.read = fake_read;
+	fake.svc.ctx = &fake;
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		fake.list[fake.len++] = strdup(bad[i]);
+	for (i = 0; i < 3; i++)
+		node_init(&nodes[i], NULL, &fake.svc);
+	for (i = 0; i < 3; i++) {
+		for (j = 0; j < 3; j++)
+			assert_int_not_equal(
+			    wait_state(
+				&nodes[i], &nodes[j].rpc.self, MEMBER_ALIVE),
+			    -1);
+	}
+	assert_true(
+	    counter_sum(CTR_LOG_BAD_RECORDS) - before >= G_N_ELEMENTS(bad));
+	for (i = 0; i < 3; i++)
+		node_finish(&nodes[i]);
+	for (i = 0; i < fake.len; i++)
+		free(fake.list[i]);
+}
+
+/*
+ * A hello that was formatted is parsed again; others are refused.
+ */
+static void
+test_hello(void **state)
+{
+	struct member_info m = { .id = { 0x0a000001, 7000, 0xfedcba98 },
+		.peer_port = 8000,
+		.domain = "tunis-a" };
+	struct member_hello h;
+	char *text = member_hello_format(&m);
+
+	(void)state;
+	assert_int_equal(member_hello_parse(text, strlen(text), &h), 0);
+	assert_true(nodeid_equal(&h.id, &m.id));
+	assert_int_equal(h.peer_port, 8000);
+	assert_string_equal(h.domain, "tunis-a");
+	assert_int_equal(member_hello_parse(text, strlen(text) - 1, &h), -1);
+	free(text);
+}
+
+/*
+ * Announcements: each fault gives its findings, all at once.
+ */
+static void
+test_announce(void **state)
+{
+	static const struct {
+		const char *text;
+		size_t errors, finds;
+	} rows[] = {
+		{ "{\"service\":\"orders\",\"port\":80,\"slots\":4,"
+		  "\"connections\":9,\"incarnation\":\"x\"}",
+		    0, 0 },
+		{ "{\"service\":\"orders\",\"port\":80,\"slots\":4,"
+		  "\"connections\":9,\"incarnation\":\"x\",\"new\":1}",
+		    0, 1 },
+		{ "{\"service\":\"orders\",\"port\":80,\"slots\":4,"
+		  "\"connections\":9,\"incarnation\":\"x\","
+		  "\"address\":\"10.0.0.7\",\"health\":\"/up\"}",
+		    0, 0 },
+		{ "{}", 5, 5 },
+		{ "[]", 1, 1 },
+		{ "", 1, 1 },
+		{ "{\"service\":\"orders\"", 1, 1 },
+		{ "{\"service\":7,\"port\":0,\"slots\":\"4\","
+		  "\"connections\":-1,\"incarnation\":\"\"}",
+		    5, 5 },
+		{ "{\"service\":\"a b\",\"port\":65536,\"slots\":4,"
+		  "\"connections\":9,\"incarnation\":\"x\","
+		  "\"address\":\"10.0.0\"}",
+		    3, 3 },
+		{ "{\"service\":\"a\",\"service\":\"b\"}", 1, 1 },
+	};
+	struct member_announce a;
+	struct finds fs;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		finds_init(&fs);
+		assert_int_equal(member_announce_parse(rows[i].text,
+				     strlen(rows[i].text), &a, &fs),
+		    rows[i].errors == 0 ? 0 : -1);
+		assert_int_equal(fs.errors, rows[i].errors);
+		assert_int_equal(fs.count, rows[i].finds);
+		finds_finish(&fs);
+	}
+	finds_init(&fs);
+	member_announce_parse(rows[2].text, strlen(rows[2].text), &a, &fs);
+	assert_int_equal(a.addr, 0x0a000007);
+	assert_string_equal(a.health, "/up");
+	assert_string_equal(a.server.service, "orders");
+	finds_finish(&fs);
+	assert_true(member_announce_live(1000, 5999));
+	assert_false(member_announce_live(1000, 6000));
+	assert_false(member_announce_live(0, 100));
+}
+
+/*
+ * The dump shows every member in both forms.
+ */
+static void
+test_dump(void **state)
+{
+	struct member_server sv = { .service = "orders",
+		.state = MEMBER_SERVER_UP };
+	const struct member_info *m;
+	char *text = NULL, *json;
+	size_t len;
+	FILE *out;
+	int up = 0;
+
+	(void)state;
+	node_init(&nodes[0], NULL, NULL);
+	member_set_server(&nodes[0].member, &sv);
+	while (!up) {
+		rcu_read_lock();
+		m = member_view_get(&nodes[0].member)->list;
+		up = m->server.state == MEMBER_SERVER_UP;
+		rcu_read_unlock();
+		sched_yield();
+	}
+	out = open_memstream(&text, &len);
+	member_dump(&nodes[0].member, out);
+	fclose(out);
+	json = member_dump_json(&nodes[0].member);
+	assert_non_null(strstr(text, "service=orders server=up"));
+	assert_non_null(strstr(json, "\"service\": \"orders\""));
+	assert_null(strstr(text, SECRET));
+	free(text);
+	free(json);
+	node_finish(&nodes[0]);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_live_services),
+		cmocka_unit_test(test_log_bootstrap),
+		cmocka_unit_test(test_hello),
+		cmocka_unit_test(test_announce),
+		cmocka_unit_test(test_dump),
 	};
 	int rc;
 
--- /dev/null
+++ b/src/member/test_net.h
@@ -0,0 +1,307 @@
+#ifndef MEMBER_TEST_NET_H
+#define MEMBER_TEST_NET_H
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/member_int.h"
+
+/*
+ * Many tables in one process that exchange encoded messages with delay and
+ * loss, driven by a clock of their own.  Everything follows from the seed.
+ */
+#define NET_ADDR 0x0a000000u
+#define NET_PORT 7000
+#define NET_DELAY_MAX 64  /* ms */
+#define NET_START 1000000 /* ms at which the clock starts */
+
+struct net;
+
+struct net_msg {
+	struct net_msg *next;
+	uint32_t to;
+	uint32_t side;
+	uint32_t len;
+	char bytes[RPC_BODY_MAX];
+};
+
+struct net_node {
+	struct member_table table;
+	struct net *net;
+	struct node_id id;
+	uint64_t stalled_until;
+	uint64_t msgs;
+	uint64_t bytes;
+	uint64_t config_seen;
+	uint32_t side;
+	uint32_t deaths;
+	int up;
+};
+
+struct net {
+	struct net_node *nodes;
+	struct net_msg *due[NET_DELAY_MAX];
+	uint32_t len;
+	uint64_t now;
+	uint64_t rng;
+	uint32_t loss; /* in thousandths */
+	uint32_t delay;
+	uint32_t false_deaths;
+	uint32_t largest;
+};
+
+/*
+ * Returns the next random number (splitmix64).
+ */
+static inline uint64_t
+net_rand(void *ctx)
+{
+	struct net *net = ((struct net_node *)ctx)->net;
+	uint64_t z = net->rng += 0x9e3779b97f4a7c15;
+
+	z = (z ^ z >> 30) * 0xbf58476d1ce4e5b9;
+	z = (z ^ z >> 27) * 0x94d049bb133111eb;
+	return z ^ z >> 31;
+}
+
+/*
+ * Returns the node at an address, or NULL.
+ */
+static inline struct net_node *
+net_at(struct net *net, uint32_t addr)
+{
+	uint32_t i = addr - NET_ADDR;
+
+	return i < net->len ? &net->nodes[i] : NULL;
+}
+
+/*
+ * Encodes a message and puts it among those under way, unless it is lost.
+ */
+static inline void
+net_send(
+    void *ctx, uint32_t addr, uint16_t port, const struct member_message *msg)
+{
+	struct net_node *from = ctx, *to = net_at(from->net, addr);
+	struct net *net = from->net;
+	struct net_msg *m;
+	uint64_t due;
+	XDR xdrs;
+
+	m = malloc(sizeof(*m));
+	assert(m != NULL);
+	xdrmem_create(&xdrs, m->bytes, sizeof(m->bytes), XDR_ENCODE);
+	if (!xdr_member_message(&xdrs, (struct member_message *)(uintptr_t)msg))
+		abort();
+	m->len = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	net->largest = MAX(net->largest, m->len);
+	from->msgs++;
+	from->bytes += m->len;
+	if (to == NULL || port != NET_PORT ||
+	    net_rand(ctx) % 1000 < net->loss) {
+		free(m);
+		return;
+	}
+	m->to = addr - NET_ADDR;
+	m->side = from->side;
+	due = net->now + 1 + net_rand(ctx) % net->delay;
+	m->next = net->due[due % NET_DELAY_MAX];
+	net->due[due % NET_DELAY_MAX] = m;
+}
+
+/*
+ * Counts deaths, and those of processes that are there.
+ */
+static inline void
+net_event(void *ctx, enum member_event event, const struct member_info *info,
+    uint64_t version)
+{
+	struct net_node *n = ctx, *about = net_at(n->net, info->id.addr);
+
+	if (event == MEMBER_CONFIG_SEEN)
+		n->config_seen = version;
+	if (event != MEMBER_DIED)
+		return;
+	n->deaths++;
+	if (about != NULL && about->up && about->side == n->side &&
+	    about->id.incarnation == info->id.incarnation)
+		n->net->false_deaths++;
+}
+
+/*
+ * Starts a process on a node's address, with the node before it as a seed.
+ */
+static inline void
+net_start(struct net *net, uint32_t i, uint64_t epoch)
+{
+	struct net_node *n = &net->nodes[i];
+	struct member_port port = { net_send, net_rand, net_event, n };
+	struct node_id seed = { NET_ADDR + (i == 0 ? 1 : i - 1), NET_PORT, 0 };
+	struct member_settings s = { 0 };
+
+	n->net = net;
+	n->id.addr = NET_ADDR + i;
+	n->id.rpc_port = NET_PORT;
+	n->id.incarnation = net_rand(n) | 1;
+	s.self = n->id;
+	s.peer_port = 8000;
+	s.domain = "domain-a";
+	s.seeds = &seed;
+	s.seeds_len = 1;
+	member_table_init(&n->table, &s, &port, net->now, epoch);
+	n->up = 1;
+}
+
+/*
+ * Ends a process without a word.
+ */
+static inline void
+net_kill(struct net *net, uint32_t i)
+{
+	member_table_finish(&net->nodes[i].table);
+	net->nodes[i].up = 0;
+}
+
+/*
+ * Prepares a net and starts all nodes.
+ */
+static inline void
+net_init(struct net *net, uint32_t len, uint64_t seed)
+{
+	uint32_t i;
+
+	memset(net, 0, sizeof(*net));
+	net->nodes = calloc(len, sizeof(*net->nodes));
+	assert(net->nodes != NULL);
+	net->len = len;
+	net->now = NET_START;
+	net->rng = seed;
+	net->delay = 4;
+	for (i = 0; i < len; i++)
+		net_start(net, i, net->now + i);
+}
+
+/*
+ * Frees a net with all that is under way.
+ */
+static inline void
+net_finish(struct net *net)
+{
+	struct net_msg *m;
+	uint32_t i;
+
+	for (i = 0; i < net->len; i++) {
+		if (net->nodes[i].up)
+			net_kill(net, i);
+	}
+	for (i = 0; i < NET_DELAY_MAX; i++) {
+		while ((m = net->due[i]) != NULL) {
+			net->due[i] = m->next;
+			free(m);
+		}
+	}
+	free(net->nodes);
+}
+
+/*
+ * Delivers one message, or keeps it for a node that is paused.
+ */
+static inline void
+net_deliver(struct net *net, struct net_msg *m)
+{
+	struct net_node *n = &net->nodes[m->to];
+	struct member_message msg;
+	uint64_t due;
+	XDR xdrs;
+
+	if (n->up && n->stalled_until > net->now) {
+		due = MIN(n->stalled_until, net->now + NET_DELAY_MAX - 1);
+		m->next = net->due[due % NET_DELAY_MAX];
+		net->due[due % NET_DELAY_MAX] = m;
+		return;
+	}
+	memset(&msg, 0, sizeof(msg));
+	xdrmem_create(&xdrs, m->bytes, m->len, XDR_DECODE);
+	if (!xdr_member_message(&xdrs, &msg))
+		n = NULL; /* spoilt by a test */
+	xdr_destroy(&xdrs);
+	if (n != NULL && n->up && n->side == m->side)
+		member_table_receive(&n->table, net->now, &msg);
+	xdr_free((xdrproc_t)xdr_member_message, &msg);
+	free(m);
+}
+
+/*
+ * Lets some ms pass.
+ */
+static inline void
+net_run(struct net *net, uint64_t ms)
+{
+	uint64_t end = net->now + ms;
+	struct net_msg *m, *next;
+	struct net_node *n;
+	uint32_t i;
+
+	while (net->now < end) {
+		net->now++;
+		m = net->due[net->now % NET_DELAY_MAX];
+		net->due[net->now % NET_DELAY_MAX] = NULL;
+		for (; m != NULL; m = next) {
+			next = m->next;
+			net_deliver(net, m);
+		}
+		for (i = 0; i < net->len; i++) {
+			n = &net->nodes[i];
+			if (n->up && n->stalled_until <= net->now &&
+			    (net->now + i) % MEMBER_TICK_MS == 0)
+				member_table_tick(&n->table, net->now);
+		}
+	}
+}
+
+/*
+ * Counts the running nodes that hold a node's present process in a state.
+ */
+static inline uint32_t
+net_holding(struct net *net, uint32_t about, enum member_state state)
+{
+	const struct node_id *id = &net->nodes[about].id;
+	struct member_slot *s;
+	uint32_t i, n = 0;
+
+	for (i = 0; i < net->len; i++) {
+		if (!net->nodes[i].up || i == about)
+			continue;
+		s = member_find(&net->nodes[i].table, id->addr, id->rpc_port);
+		n += s != NULL && nodeid_equal(&s->info.id, id) &&
+		     s->info.state == state;
+	}
+	return n;
+}
+
+/*
+ * Runs until all running nodes hold each other alive.  Returns the ms it
+ * took, or the bound if they don't.
+ */
+static inline uint64_t
+net_settle(struct net *net, uint64_t bound)
+{
+	uint64_t start = net->now;
+	uint32_t i, up, want;
+
+	while (net->now - start < bound) {
+		net_run(net, 25);
+		for (i = up = 0; i < net->len; i++)
+			up += net->nodes[i].up;
+		for (i = want = 0; i < net->len; i++)
+			want += net->nodes[i].up &&
+				net_holding(net, i, MEMBER_ALIVE) == up - 1;
+		if (want == up)
+			break;
+	}
+	return net->now - start;
+}
+
+#endif
--- /dev/null
+++ b/src/member/test_table.c
@@ -0,0 +1,614 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+
+#include "member/test_net.h"
+
+#define NODES 50
+#define TODAY 15 /* nodes of today's sizes */
+
+/*
+ * Makes an entry as it comes from the wire.
+ */
+static struct member_entry
+entry(uint32_t addr, uint64_t inc, uint64_t epoch, enum member_state state,
+    uint32_t seq)
+{
+	struct member_entry e = { .name = { addr, NET_PORT, inc, epoch },
+		.peer_port = 8000,
+		.domain = (char *)(uintptr_t) "domain-a",
+		.region = (char *)(uintptr_t) "" };
+
+	e.state = state;
+	e.seq = seq;
+	return e;
+}
+
+/*
+ * The precedence of two reports on one process, and of two processes on one
+ * port.
+ */
+static void
+test_merge(void **state)
+{
+	static const struct {
+		enum member_state have;
+		uint32_t have_seq;
+		enum member_state in;
+		uint32_t in_seq;
+		int other; /* 1: a later process, -1: an earlier one */
+		enum member_state want;
+		uint32_t want_seq;
+	} rows[] = {
+		{ MEMBER_ALIVE, 5, MEMBER_ALIVE, 5, 0, MEMBER_ALIVE, 5 },
+		{ MEMBER_ALIVE, 5, MEMBER_ALIVE, 4, 0, MEMBER_ALIVE, 5 },
+		{ MEMBER_ALIVE, 5, MEMBER_ALIVE, 6, 0, MEMBER_ALIVE, 6 },
+		{ MEMBER_ALIVE, 5, MEMBER_SUSPECT, 4, 0, MEMBER_ALIVE, 5 },
+		{ MEMBER_ALIVE, 5, MEMBER_SUSPECT, 5, 0, MEMBER_SUSPECT, 5 },
+		{ MEMBER_ALIVE, 5, MEMBER_DEAD, 4, 0, MEMBER_ALIVE, 5 },
+		{ MEMBER_ALIVE, 5, MEMBER_DEAD, 5, 0, MEMBER_SUSPECT, 5 },
+		{ MEMBER_ALIVE, 5, MEMBER_DEAD, 6, 0, MEMBER_SUSPECT, 6 },
+		{ MEMBER_ALIVE, 5, MEMBER_LEFT, 6, 0, MEMBER_LEFT, 6 },
+		{ MEMBER_SUSPECT, 5, MEMBER_ALIVE, 5, 0, MEMBER_SUSPECT, 5 },
+		{ MEMBER_SUSPECT, 5, MEMBER_ALIVE, 6, 0, MEMBER_ALIVE, 6 },
+		{ MEMBER_SUSPECT, 5, MEMBER_DEAD, 5, 0, MEMBER_SUSPECT, 5 },
+		{ MEMBER_SUSPECT, 5, MEMBER_DEAD, 6, 0, MEMBER_SUSPECT, 6 },
+		{ MEMBER_SUSPECT, 5, MEMBER_DEAD, 4, 0, MEMBER_SUSPECT, 5 },
+		{ MEMBER_DEAD, 5, MEMBER_ALIVE, 5, 0, MEMBER_DEAD, 5 },
+		{ MEMBER_DEAD, 5, MEMBER_SUSPECT, 5, 0, MEMBER_DEAD, 5 },
+		{ MEMBER_DEAD, 5, MEMBER_ALIVE, 6, 0, MEMBER_ALIVE, 6 },
+		{ MEMBER_LEFT, 5, MEMBER_ALIVE, 5, 0, MEMBER_LEFT, 5 },
+		{ MEMBER_LEFT, 5, MEMBER_DEAD, 5, 0, MEMBER_LEFT, 5 },
+		{ MEMBER_ALIVE, 5, MEMBER_ALIVE, 1, 1, MEMBER_ALIVE, 1 },
+		{ MEMBER_DEAD, 5, MEMBER_ALIVE, 1, 1, MEMBER_ALIVE, 1 },
+		{ MEMBER_LEFT, 5, MEMBER_ALIVE, 1, 1, MEMBER_ALIVE, 1 },
+		{ MEMBER_ALIVE, 5, MEMBER_DEAD, 9, -1, MEMBER_ALIVE, 5 },
+		{ MEMBER_ALIVE, 5, MEMBER_ALIVE, 9, -1, MEMBER_ALIVE, 5 },
+	};
+	struct member_entry e;
+	struct member_slot *s;
+	struct net net;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		net_init(&net, 1, 1);
+		e = entry(NET_ADDR + 9, 77, 10, MEMBER_ALIVE, 5);
+		member_merge(&net.nodes[0].table, net.now, &e, 0);
+		s = member_find(&net.nodes[0].table, NET_ADDR + 9, NET_PORT);
+		s->info.state = rows[i].have;
+		s->info.seq = rows[i].have_seq;
+		e = entry(NET_ADDR + 9, rows[i].other != 0 ? 33 : 77,
+		    10 + (uint64_t)rows[i].other, rows[i].in, rows[i].in_seq);
+		member_merge(&net.nodes[0].table, net.now, &e, 0);
+		if (s->info.state != rows[i].want ||
+		    s->info.seq != rows[i].want_seq)
+			fail_msg("row %zu: state %d seq %u", i,
+			    (int)s->info.state, s->info.seq);
+		net_finish(&net);
+	}
+}
+
+/*
+ * Entries that make no sense change nothing.
+ */
+static void
+test_merge_bad(void **state)
+{
+	struct member_entry rows[] = {
+		entry(0, 1, 1, MEMBER_ALIVE, 1),
+		entry(NET_ADDR + 9, 0, 1, MEMBER_ALIVE, 1),
+		entry(NET_ADDR + 9, 1, 1, MEMBER_STATE_MAX, 1),
+		entry(NET_ADDR + 9, 1, 1, MEMBER_ALIVE, 1),
+		entry(NET_ADDR + 9, 1, 1, MEMBER_ALIVE, 1),
+	};
+	struct net net;
+	size_t i;
+
+	(void)state;
+	rows[3].name.port = UINT16_MAX + 1;
+	rows[4].peer_port = UINT16_MAX + 1;
+	net_init(&net, 1, 1);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		member_merge(&net.nodes[0].table, net.now, &rows[i], 0);
+	assert_int_equal(net.nodes[0].table.count, 1);
+	net_finish(&net);
+}
+
+/*
+ * A node refutes what is wrongly said of it, by a higher number or a higher
+ * epoch, and nothing else.
+ */
+static void
+test_refute(void **state)
+{
+	static const struct {
+		int epoch;
+		int other;
+		enum member_state in;
+		uint32_t in_seq;
+		uint32_t want_seq;
+	} rows[] = {
+		{ 0, 0, MEMBER_ALIVE, 1, 1 },
+		{ 0, 0, MEMBER_SUSPECT, 1, 2 },
+		{ 0, 0, MEMBER_DEAD, 7, 8 },
+		{ 0, 0, MEMBER_SUSPECT, 0, 1 },
+		{ -1, 1, MEMBER_DEAD, 9, 1 },
+		{ 1, 1, MEMBER_ALIVE, 9, 2 },
+	};
+	struct member_entry e;
+	struct member_info *own;
+	struct net net;
+	uint64_t epoch;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		net_init(&net, 1, 1);
+		own = &net.nodes[0].table.slots[0].info;
+		epoch = own->epoch + (uint64_t)rows[i].epoch;
+		e = entry(NET_ADDR, own->id.incarnation + rows[i].other * 2,
+		    epoch, rows[i].in, rows[i].in_seq);
+		member_merge(&net.nodes[0].table, net.now, &e, 0);
+		assert_int_equal(own->seq, rows[i].want_seq);
+		assert_int_equal(own->state, MEMBER_ALIVE);
+		assert_true(rows[i].other == 0 || own->epoch > epoch);
+		net_finish(&net);
+	}
+}
+
+/*
+ * All find each other from a chain of seeds, with a twentieth of messages
+ * lost.
+ */
+static void
+test_join(void **state)
+{
+	struct net net;
+
+	(void)state;
+	net_init(&net, NODES, 11);
+	net.loss = 50;
+	assert_in_range(net_settle(&net, 20000), 0, 10000);
+	assert_true(net.largest <= RPC_BODY_MAX);
+	net_finish(&net);
+}
+
+/*
+ * A node that falls silent is held dead by all others in time, at today's
+ * size 1.5 s on average.
+ */
+static void
+test_death(void **state)
+{
+	uint64_t start, sum = 0, took;
+	struct net net;
+	int round;
+
+	(void)state;
+	for (round = 0; round < 20; round++) {
+		net_init(&net, TODAY, 100 + (uint64_t)round);
+		net_settle(&net, 10000);
+		net_run(&net, net_rand(&net.nodes[0]) % 400);
+		net_kill(&net, 3);
+		start = net.now;
+		while (net_holding(&net, 3, MEMBER_DEAD) < TODAY - 1 &&
+		       net.now - start < 5000)
+			net_run(&net, 5);
+		took = net.now - start;
+		sum += took;
+		assert_in_range(took, 0, 2500);
+		assert_int_equal(net.false_deaths, 0);
+		net_finish(&net);
+	}
+	assert_in_range(sum / 20, 0, 1500);
+}
+
+/*
+ * With losses and pauses under half a second nobody is declared dead.
+ */
+static void
+test_no_false_death(void **state)
+{
+	struct net net;
+	uint32_t i;
+
+	(void)state;
+	net_init(&net, TODAY, 12);
+	net.loss = 50;
+	net_settle(&net, 10000);
+	for (i = 0; i < 100; i++) {
+		net.nodes[i % TODAY].stalled_until = net.now + 499;
+		net_run(&net, 600);
+	}
+	assert_int_equal(net.false_deaths, 0);
+	net_finish(&net);
+}
+
+/*
+ * A node that was paused for long declares nobody dead when it goes on, and
+ * is soon alive again for all.
+ */
+static void
+test_pause(void **state)
+{
+	struct net net;
+
+	(void)state;
+	net_init(&net, TODAY, 21);
+	net_settle(&net, 10000);
+	net.nodes[3].stalled_until = net.now + 5000;
+	net_run(&net, 5000);
+	assert_int_equal(net_holding(&net, 3, MEMBER_DEAD), TODAY - 1);
+	assert_in_range(net_settle(&net, 10000), 0, 3000);
+	assert_int_equal(net.nodes[3].deaths, 0);
+	net_finish(&net);
+}
+
+/*
+ * What waited for others while this process was paused waits on: their
+ * answers may lie unread.
+ */
+static void
+test_pause_forgiven(void **state)
+{
+	struct member_table *t;
+	struct net net;
+	int i, used = 0;
+
+	(void)state;
+	net_init(&net, 2, 22);
+	net_settle(&net, 10000);
+	t = &net.nodes[0].table;
+	while (!used) {
+		net_run(&net, 1);
+		for (i = 0; i < MEMBER_PROBES_MAX; i++)
+			used += t->probes[i].used;
+	}
+	member_table_tick(t, net.now + 3000);
+	assert_int_equal(net_holding(&net, 1, MEMBER_ALIVE), 1);
+	member_table_tick(t, net.now + 3025);
+	assert_int_equal(net_holding(&net, 1, MEMBER_ALIVE), 1);
+	net_finish(&net);
+}
+
+/*
+ * Both sides of a cut hold the other dead, nobody on a side is declared dead
+ * by its own, and after the cut all are alive again.
+ */
+static void
+test_cut_heals(void **state)
+{
+	struct net net;
+	uint32_t i;
+
+	(void)state;
+	net_init(&net, NODES, 13);
+	net.loss = 20;
+	net_settle(&net, 20000);
+	for (i = 0; i < 20; i++)
+		net.nodes[i].side = 1;
+	net_run(&net, 60000);
+	assert_int_equal(net_holding(&net, 0, MEMBER_DEAD), 30);
+	assert_int_equal(net_holding(&net, 49, MEMBER_DEAD), 20);
+	for (i = 0; i < 20; i++)
+		net.nodes[i].side = 0;
+	assert_in_range(net_settle(&net, 60000), 0, 15000);
+	net_run(&net, 10000);
+	assert_int_equal(net_settle(&net, 1000), 25);
+	assert_int_equal(net.false_deaths, 0);
+	net_finish(&net);
+}
+
+/*
+ * A later process on a port replaces the earlier one everywhere at once,
+ * also if the clock of its machine went back.
+ */
+static void
+test_restart(void **state)
+{
+	static const int64_t epochs[] = { 10000, -10000 };
+	struct net net;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(epochs); i++) {
+		net_init(&net, TODAY, 14);
+		net_settle(&net, 10000);
+		net_kill(&net, 5);
+		net_start(&net, 5, (uint64_t)((int64_t)net.now + epochs[i]));
+		assert_in_range(net_settle(&net, 10000), 0, 1500);
+		assert_int_equal(net.nodes[9].deaths, 1);
+		net_finish(&net);
+	}
+}
+
+/*
+ * A change of a backend server's state is known to all within a second, with
+ * losses.
+ */
+static void
+test_drain_spreads(void **state)
+{
+	static const enum member_server_state steps[] = { MEMBER_SERVER_UP,
+		MEMBER_SERVER_DRAINING, MEMBER_SERVER_GONE };
+	struct member_server *sv;
+	struct member_slot *s;
+	struct net net;
+	uint32_t i, k;
+
+	(void)state;
+	net_init(&net, NODES, 15);
+	net.loss = 50;
+	net_settle(&net, 20000);
+	net_run(&net, 3000);
+	sv = &net.nodes[7].table.slots[net.nodes[7].table.self].info.server;
+	for (k = 0; k < G_N_ELEMENTS(steps); k++) {
+		g_strlcpy(sv->service, "orders", sizeof(sv->service));
+		sv->state = steps[k];
+		member_table_changed(&net.nodes[7].table, net.now);
+		net_run(&net, 1000);
+		for (i = 0; i < NODES; i++) {
+			s = member_find(
+			    &net.nodes[i].table, NET_ADDR + 7, NET_PORT);
+			assert_int_equal(s->info.server.state, steps[k]);
+			assert_string_equal(s->info.server.service, "orders");
+		}
+	}
+	net_finish(&net);
+}
+
+/*
+ * A node that leaves is known to have left within a second, though it is
+ * gone right after.
+ */
+static void
+test_leave(void **state)
+{
+	struct net net;
+
+	(void)state;
+	net_init(&net, NODES, 16);
+	net.loss = 50;
+	net_settle(&net, 20000);
+	member_table_leave(&net.nodes[4].table, net.now);
+	net_kill(&net, 4);
+	net_run(&net, 1000);
+	assert_int_equal(net_holding(&net, 4, MEMBER_LEFT), NODES - 1);
+	net_finish(&net);
+}
+
+/*
+ * The age of the last log read spreads within seconds, and is never taken
+ * for younger than it is, also by a node that was paused.  A configuration
+ * version spreads too.
+ */
+static void
+test_log_age_and_config(void **state)
+{
+	struct member_table *t;
+	uint64_t read = 0;
+	struct net net;
+	uint32_t i, k;
+
+	(void)state;
+	net_init(&net, NODES, 17);
+	net_settle(&net, 20000);
+	t = &net.nodes[0].table;
+	t->slots[t->self].info.config_version = t->config_version = 9;
+	t->config_addr = NET_ADDR;
+	for (k = 0; k < 200; k++) {
+		if (k < 100)
+			read = t->log_read_ms = net.now;
+		net.nodes[1 + k % 49].stalled_until =
+		    net.now + (k % 3 == 0 ? 5000 : 0);
+		net_run(&net, 100);
+		for (i = 0; i < NODES; i++)
+			assert_true(net.nodes[i].table.log_read_ms <= read);
+	}
+	net_run(&net, 10000);
+	for (i = 0; i < NODES; i++) {
+		assert_true(net.nodes[i].table.log_read_ms + 1000 > read);
+		assert_true(i == 0 || net.nodes[i].config_seen == 9);
+	}
+	net_finish(&net);
+}
+
+/*
+ * The rule by which a node trusts its configuration.
+ */
+static void
+test_fresh(void **state)
+{
+	static const struct {
+		uint64_t log_age; /* 0: never read */
+		uint64_t view_age;
+		uint32_t known, alive, probed, answered;
+		int want;
+	} rows[] = {
+		{ 9999, 0, 10, 1, 50, 0, 1 },
+		{ 10000, 0, 10, 5, 50, 50, 0 },
+		{ 10000, 0, 10, 6, 50, 26, 1 },
+		{ 10000, 0, 10, 6, 50, 25, 0 },
+		{ 10000, 2000, 10, 6, 50, 50, 0 },
+		{ 0, 0, 10, 10, 50, 50, 1 },
+		{ 0, 0, 10, 10, 0, 0, 0 },
+		{ 0, 0, 1, 1, 0, 0, 1 },
+		{ 0, 0, 2, 1, 0, 0, 0 },
+		{ 0, 0, 2, 1, 50, 50, 0 },
+	};
+	struct member_view v = { 0 };
+	uint64_t now = 100000;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		v.log_read_ms =
+		    rows[i].log_age == 0 ? 0 : now - rows[i].log_age;
+		v.built_ms = now - rows[i].view_age;
+		v.known = rows[i].known;
+		v.alive = rows[i].alive;
+		v.probed = rows[i].probed;
+		v.answered = rows[i].answered;
+		if (member_fresh(&v, now) != rows[i].want)
+			fail_msg("row %zu", i);
+	}
+}
+
+/*
+ * A node that is cut off alone stops trusting its configuration within ten
+ * seconds of the last word, also among many members, and doesn't start again
+ * after the dead could have been forgotten.
+ */
+static void
+test_fresh_alone(void **state)
+{
+	struct member_view *v;
+	struct net net;
+	uint32_t i;
+
+	(void)state;
+	net_init(&net, NODES, 18);
+	net_settle(&net, 20000);
+	net_run(&net, 10000);
+	net.nodes[0].side = 1;
+	net_run(&net, MEMBER_FRESH_MS);
+	v = member_view_build(&net.nodes[0].table, net.now, 0);
+	assert_false(member_fresh(v, net.now));
+	member_view_free(v);
+	v = member_view_build(&net.nodes[1].table, net.now, 0);
+	assert_true(member_fresh(v, net.now));
+	member_view_free(v);
+	for (i = 1; i < NODES; i++)
+		net_kill(&net, i);
+	net_run(&net, 60000);
+	net.now += MEMBER_DEAD_KEEP_MS;
+	net_run(&net, 60000);
+	v = member_view_build(&net.nodes[0].table, net.now, 0);
+	assert_false(member_fresh(v, net.now));
+	member_view_free(v);
+	net_finish(&net);
+}
+
+/*
+ * Spoilt messages are refused by the decoder or change the table at most as
+ * any message may; the table stays within its bound.
+ */
+static void
+test_fuzz_messages(void **state)
+{
+	struct member_message msg;
+	struct net net;
+	struct net_msg *m;
+	XDR xdrs;
+	uint32_t i, j, k;
+
+	(void)state;
+	net_init(&net, 4, 23);
+	net_settle(&net, 10000);
+	for (i = 0; i < 20000; i++) {
+		net_run(&net, 1);
+		m = net.due[(net.now + 1) % NET_DELAY_MAX];
+		for (; m != NULL; m = m->next) {
+			for (j = 0; j < 1 + i % 8; j++) {
+				k = (uint32_t)(net_rand(&net.nodes[0]) %
+					       m->len);
+				m->bytes[k] = (char)net_rand(&net.nodes[0]);
+			}
+			memset(&msg, 0, sizeof(msg));
+			xdrmem_create(&xdrs, m->bytes, m->len, XDR_DECODE);
+			if (xdr_member_message(&xdrs, &msg))
+				member_table_receive(
+				    &net.nodes[3].table, net.now, &msg);
+			xdr_free((xdrproc_t)xdr_member_message, &msg);
+			m->len = 0;
+		}
+	}
+	assert_true(net.nodes[3].table.count <= MEMBER_COUNT_MAX);
+	net_finish(&net);
+}
+
+/*
+ * A table takes no more members than its bound.
+ */
+static void
+test_bound(void **state)
+{
+	struct member_entry e;
+	struct net net;
+	uint32_t i;
+
+	(void)state;
+	net_init(&net, 1, 24);
+	for (i = 0; i < MEMBER_COUNT_MAX + 10; i++) {
+		e = entry(NET_ADDR + 9 + i, 7, 7, MEMBER_ALIVE, 1);
+		member_merge(&net.nodes[0].table, net.now, &e, 0);
+	}
+	assert_int_equal(net.nodes[0].table.count, MEMBER_COUNT_MAX);
+	net_finish(&net);
+}
+
+/*
+ * A view finds members and services.
+ */
+static void
+test_view(void **state)
+{
+	struct member_server *sv;
+	struct member_view *v;
+	struct net net;
+	uint32_t i, len;
+
+	(void)state;
+	net_init(&net, TODAY, 19);
+	net_settle(&net, 10000);
+	for (i = 0; i < TODAY; i++) {
+		sv = &net.nodes[0].table.slots[i].info.server;
+		g_strlcpy(sv->service, i % 2 ? "orders" : "pricing",
+		    sizeof(sv->service));
+		sv->service_hash = member_service_hash(sv->service);
+		sv->state = i == 3 ? MEMBER_SERVER_DRAINING : MEMBER_SERVER_UP;
+	}
+	net.nodes[0].table.slots[4].info.state = MEMBER_DEAD;
+	v = member_view_build(&net.nodes[0].table, net.now, 0);
+	assert_int_equal(v->len, TODAY);
+	assert_int_equal(v->list[v->self].id.addr, NET_ADDR);
+	assert_null(member_view_find(v, NET_ADDR + 99, NET_PORT));
+	assert_non_null(member_view_find(v, NET_ADDR + 14, NET_PORT));
+	assert_non_null(member_view_service(v, "orders", &len));
+	assert_int_equal(len, 6);
+	assert_non_null(member_view_service(v, "pricing", &len));
+	assert_int_equal(len, 7);
+	assert_null(member_view_service(v, "artwork", &len));
+	assert_int_equal(len, 0);
+	member_view_free(v);
+	net_finish(&net);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_merge),
+		cmocka_unit_test(test_merge_bad),
+		cmocka_unit_test(test_refute),
+		cmocka_unit_test(test_join),
+		cmocka_unit_test(test_death),
+		cmocka_unit_test(test_no_false_death),
+		cmocka_unit_test(test_pause),
+		cmocka_unit_test(test_pause_forgiven),
+		cmocka_unit_test(test_cut_heals),
+		cmocka_unit_test(test_restart),
+		cmocka_unit_test(test_drain_spreads),
+		cmocka_unit_test(test_leave),
+		cmocka_unit_test(test_log_age_and_config),
+		cmocka_unit_test(test_fresh),
+		cmocka_unit_test(test_fresh_alone),
+		cmocka_unit_test(test_fuzz_messages),
+		cmocka_unit_test(test_bound),
+		cmocka_unit_test(test_view),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
