At most once: claims at the owner, notes at the standby, copies

The entry reserves an id with the owner and has the standby note it for the same term; only both together make it first. Handlers never block. A claim has a random attempt number, so that a release that is late or doubled can't free another attempt's claim. Time-ordered ids made in the future are refused, and those older than the window are unknown, so that they run at most once whatever the age of the memory.

--- /dev/null
+++ b/src/once/once.x
@@ -0,0 +1,69 @@
+/* Messages of at most once: claims, notes at the standby, copies. */
+
+const ONCE_ID_BYTES = 16;
+const ONCE_PAGE = 32;
+
+enum once_status {
+	ONCE_RESERVED = 0,	/* first, once the standby has noted it */
+	ONCE_CLAIMED = 1,	/* claimed before */
+	ONCE_NOT_KNOWN = 2,	/* the memory is too young to tell */
+	ONCE_NOT_OWNER = 3,
+	ONCE_NO_ROOM = 4,
+	ONCE_NO_STANDBY = 5,
+	ONCE_FUTURE = 6		/* made later than now */
+};
+
+struct once_node {
+	unsigned int addr;
+	unsigned int port;
+	unsigned hyper incarnation;
+};
+
+struct once_claim_arg {
+	opaque id[ONCE_ID_BYTES];
+	unsigned hyper attempt;
+	unsigned hyper stamp_ms;
+};
+
+struct once_claim_res {
+	once_status status;
+	unsigned hyper term;
+	once_node standby;
+};
+
+struct once_note_arg {
+	opaque id[ONCE_ID_BYTES];
+	unsigned hyper attempt;
+	unsigned hyper term;
+};
+
+struct once_note_res {
+	bool noted;
+};
+
+struct once_release_arg {
+	opaque id[ONCE_ID_BYTES];
+	unsigned hyper attempt;
+};
+
+struct once_release_res {
+	bool released;
+};
+
+struct once_copy_cell {
+	opaque id[ONCE_ID_BYTES];
+	unsigned hyper attempt;
+	unsigned int age_s;
+};
+
+struct once_copy_arg {
+	unsigned int part;
+	unsigned hyper term;
+	bool last;
+	unsigned hyper age_ms;	/* for how long the memory is complete */
+	once_copy_cell cells<ONCE_PAGE>;
+};
+
+struct once_copy_res {
+	bool kept;
+};
--- /dev/null
+++ b/src/once/once_entry.c
@@ -0,0 +1,189 @@
+#include <string.h>
+
+#include "base/clock.h"
+#include "once/once_int.h"
+
+#define RELEASES_PER_TICK 64
+
+static once_status ask_owner(
+    struct once *, const struct once_key *, struct once_claim *, uint64_t *);
+static int ask_standby(struct once *, const struct once_claim *, uint64_t);
+static int pop_release(struct once *, struct once_claim *);
+
+/* What an owner's answer means to the caller, once nothing is reserved. */
+static const enum once_verdict verdicts[] = {
+	[ONCE_RESERVED] = ONCE_UNAVAILABLE,
+	[ONCE_CLAIMED] = ONCE_SEEN,
+	[ONCE_NOT_KNOWN] = ONCE_UNKNOWN,
+	[ONCE_NOT_OWNER] = ONCE_UNAVAILABLE,
+	[ONCE_NO_ROOM] = ONCE_UNAVAILABLE,
+	[ONCE_NO_STANDBY] = ONCE_UNAVAILABLE,
+	[ONCE_FUTURE] = ONCE_UNAVAILABLE,
+};
+
+/*
+ * Converts a node's name for a message.
+ */
+struct once_node
+once_node_pack(const struct node_id *id)
+{
+	struct once_node n = { id->addr, id->rpc_port, id->incarnation };
+
+	return n;
+}
+
+/*
+ * Converts a node's name from a message.
+ */
+struct node_id
+once_node_unpack(const struct once_node *n)
+{
+	struct node_id id = { n->addr, (uint16_t)n->port, n->incarnation };
+
+	return id;
+}
+
+/*
+ * Calls a procedure of a node, which may be this one.  A datagram may be
+ * lost, so that it is sent again; all procedures allow for that.  Returns
+ * 0, or -1 if there was no answer.
+ */
+int
+once_call(struct once *o, const struct node_id *to, enum once_proc proc,
+    const void *arg, void *res)
+{
+	const struct rpc_proc *p = &once_procs[proc];
+	enum rpc_status st = RPC_TIMEOUT;
+	int i;
+
+	memset(res, 0, p->res_size);
+	if (nodeid_equal(to, &o->cfg.self))
+		return p->handle(o, NULL, arg, res);
+	for (i = 0; i < ONCE_RPC_TRIES && st == RPC_TIMEOUT; i++)
+		st = o->cfg.call(o->cfg.call_ctx, to, p, arg, res,
+		    ONCE_RPC_MS / ONCE_RPC_TRIES);
+	if (st != RPC_DONE && o->cfg.kick != NULL)
+		o->cfg.kick(o->cfg.kick_ctx);
+	return st == RPC_DONE ? 0 : -1;
+}
+
+/*
+ * Asks the owner to reserve an id, and fills in who is concerned.
+ */
+static once_status
+ask_owner(struct once *o, const struct once_key *key, struct once_claim *c,
+    uint64_t *term)
+{
+	once_claim_arg arg = { .attempt = c->attempt,
+		.stamp_ms = key->stamp_ms };
+	once_claim_res res;
+	struct lease_view v;
+
+	memcpy(arg.id, key->id.byte, sizeof(arg.id));
+	o->cfg.lookup(
+	    o->cfg.lookup_ctx, once_part(&key->id), o->cfg.clock_ms(), &v);
+	if (nodeid_is_none(&v.owner))
+		return ONCE_NOT_OWNER;
+	c->owner = v.owner;
+	c->standby = v.standby;
+	if (once_call(o, &v.owner, ONCE_PROC_CLAIM, &arg, &res) == -1) {
+		/* It may have been reserved for nothing. */
+		once_release(o, c);
+		return ONCE_NOT_OWNER;
+	}
+	c->standby = once_node_unpack(&res.standby);
+	*term = res.term;
+	return res.status;
+}
+
+/*
+ * Has the standby note a reserved id.  Returns 0, or -1 if it did not.
+ */
+static int
+ask_standby(struct once *o, const struct once_claim *c, uint64_t term)
+{
+	once_note_arg arg = { .attempt = c->attempt, .term = term };
+	once_note_res res;
+
+	memcpy(arg.id, c->id.byte, sizeof(arg.id));
+	if (once_call(o, &c->standby, ONCE_PROC_NOTE, &arg, &res) == -1 ||
+	    !res.noted)
+		return -1;
+	return 0;
+}
+
+/*
+ * Claims an id before its request runs.  Blocks for at most ONCE_BOUND_MS.
+ * With ONCE_FIRST the request may be run, and *c is for once_release().
+ */
+enum once_verdict
+once_claim(struct once *o, const struct once_key *key, struct once_claim *c)
+{
+	uint64_t began = o->cfg.clock_ms(), term = 0;
+	once_status st;
+
+	memset(c, 0, sizeof(*c));
+	c->id = key->id;
+	c->attempt = rand_u64() | 1;
+	st = ask_owner(o, key, c, &term);
+	if ((size_t)st >= sizeof(verdicts) / sizeof(verdicts[0]))
+		return ONCE_UNAVAILABLE;
+	if (st != ONCE_RESERVED)
+		return verdicts[st];
+	/* Late answers count for nothing: this thread may have stood still. */
+	if (ask_standby(o, c, term) == 0 &&
+	    o->cfg.clock_ms() - began < ONCE_BOUND_MS)
+		return ONCE_FIRST;
+	once_release(o, c);
+	return ONCE_UNAVAILABLE;
+}
+
+/*
+ * Gives a claim back whose request was surely not run; it is sent by the
+ * next once_maintain().  If it gets lost, the id stays claimed.
+ */
+void
+once_release(struct once *o, const struct once_claim *c)
+{
+	pthread_mutex_lock(&o->lock);
+	if (o->release_count < ONCE_RELEASES_MAX)
+		o->releases[o->release_count++] = *c;
+	pthread_mutex_unlock(&o->lock);
+}
+
+/*
+ * Takes a claim from the queue.  Returns 0, or -1 if it is empty.
+ */
+static int
+pop_release(struct once *o, struct once_claim *c)
+{
+	int res = -1;
+
+	pthread_mutex_lock(&o->lock);
+	if (o->release_count > 0) {
+		*c = o->releases[--o->release_count];
+		res = 0;
+	}
+	pthread_mutex_unlock(&o->lock);
+	return res;
+}
+
+/*
+ * Sends what waits to be released.
+ */
+void
+once_send_releases(struct once *o)
+{
+	once_release_arg arg;
+	once_release_res res;
+	struct once_claim c;
+	int i;
+
+	for (i = 0; i < RELEASES_PER_TICK && pop_release(o, &c) == 0; i++) {
+		memcpy(arg.id, c.id.byte, sizeof(arg.id));
+		arg.attempt = c.attempt;
+		once_call(o, &c.owner, ONCE_PROC_RELEASE, &arg, &res);
+		if (!nodeid_is_none(&c.standby))
+			once_call(o, &c.standby, ONCE_PROC_RELEASE, &arg, &res);
+	}
+}
--- /dev/null
+++ b/src/once/once_memory.c
@@ -0,0 +1,249 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "once/once_memory.h"
+
+#define CAP_MIN 64
+#define LOAD_NUM 3 /* a table is at most 3/4 full */
+#define LOAD_DEN 4
+
+static size_t home(const struct once_memory *, const struct once_id *);
+static struct memory_cell *find(
+    const struct once_memory *, const struct once_id *);
+static int is_alive(const struct memory_cell *, uint32_t);
+static int budget_take(struct memory_budget *, size_t);
+static int rebuild(struct once_memory *, uint32_t);
+static void place(struct once_memory *, const struct memory_cell *);
+
+/*
+ * Prepares an empty memory.
+ */
+void
+memory_init(struct once_memory *m, struct memory_budget *budget)
+{
+	memset(m, 0, sizeof(*m));
+	m->budget = budget;
+}
+
+/*
+ * Frees a memory.
+ */
+void
+memory_finish(struct once_memory *m)
+{
+	memory_clear(m);
+}
+
+/*
+ * Forgets all ids.
+ */
+void
+memory_clear(struct once_memory *m)
+{
+	atomic_fetch_add(&m->budget->left, m->cap);
+	free(m->cells);
+	m->cells = NULL;
+	m->cap = m->used = 0;
+	m->layout++;
+}
+
+/*
+ * Returns the place at which the search for an id begins.
+ */
+static size_t
+home(const struct once_memory *m, const struct once_id *id)
+{
+	uint64_t h;
+
+	/* The first half chose the partition. */
+	memcpy(&h, &id->byte[sizeof(h)], sizeof(h));
+	return (size_t)h & (m->cap - 1);
+}
+
+/*
+ * Finds an id's cell, or the free one where the search ends, or NULL in an
+ * empty table.
+ */
+static struct memory_cell *
+find(const struct once_memory *m, const struct once_id *id)
+{
+	size_t i;
+
+	if (m->cap == 0)
+		return NULL;
+	for (i = home(m, id); m->cells[i].state != MEMORY_FREE;
+	     i = (i + 1) & (m->cap - 1))
+		if (memcmp(&m->cells[i].id, id, sizeof(*id)) == 0)
+			break;
+	return &m->cells[i];
+}
+
+/*
+ * Tells whether a cell still has to be kept.
+ */
+static int
+is_alive(const struct memory_cell *c, uint32_t now_s)
+{
+	/* Times are whole seconds: one more makes the window full. */
+	return c->state == MEMORY_CLAIMED &&
+	       (now_s <= c->time_s || now_s - c->time_s <= ONCE_WINDOW_S + 1);
+}
+
+/*
+ * Takes cells from a budget.  Returns 0, or -1 if there are too few.
+ */
+static int
+budget_take(struct memory_budget *b, size_t n)
+{
+	size_t left = atomic_load(&b->left);
+
+	do {
+		if (left < n)
+			return -1;
+	} while (!atomic_compare_exchange_weak(&b->left, &left, left - n));
+	return 0;
+}
+
+/*
+ * Puts a cell into a table known to have room and not to have the id.
+ */
+static void
+place(struct once_memory *m, const struct memory_cell *c)
+{
+	*find(m, &c->id) = *c;
+	m->used++;
+}
+
+/*
+ * Drops what has passed its window, and makes room for one more id.
+ * Returns 0, or -1 if the budget doesn't allow it.
+ */
+static int
+rebuild(struct once_memory *m, uint32_t now_s)
+{
+	struct once_memory old = *m;
+	size_t live = 0, cap = CAP_MIN, i;
+
+	for (i = 0; i < old.cap; i++)
+		live += (size_t)is_alive(&old.cells[i], now_s);
+	while ((live + 1) * 2 > cap)
+		cap *= 2;
+	if (budget_take(m->budget, cap) == -1)
+		return -1;
+	m->cells = calloc(cap, sizeof(*m->cells));
+	if (m->cells == NULL) {
+		m->cells = old.cells;
+		atomic_fetch_add(&m->budget->left, cap);
+		return -1;
+	}
+	m->cap = cap;
+	m->used = 0;
+	m->layout++;
+	for (i = 0; i < old.cap; i++)
+		if (is_alive(&old.cells[i], now_s))
+			place(m, &old.cells[i]);
+	atomic_fetch_add(&m->budget->left, old.cap);
+	free(old.cells);
+	return 0;
+}
+
+/*
+ * Tells whether an id is there, and by whom.
+ */
+enum memory_result
+memory_look(const struct once_memory *m, const struct once_id *id,
+    uint64_t attempt, uint32_t now_s)
+{
+	const struct memory_cell *c = find(m, id);
+
+	if (c == NULL || !is_alive(c, now_s))
+		return MEMORY_ADDED;
+	return c->attempt == attempt ? MEMORY_SAME : MEMORY_OTHER;
+}
+
+/*
+ * Adds an id claimed at time_s, unless it is there.
+ */
+enum memory_result
+memory_add(struct once_memory *m, const struct once_id *id, uint64_t attempt,
+    uint32_t time_s, uint32_t now_s)
+{
+	enum memory_result res = memory_look(m, id, attempt, now_s);
+	struct memory_cell *c = find(m, id);
+	int known = c != NULL && c->state != MEMORY_FREE;
+
+	if (res != MEMORY_ADDED)
+		return res;
+	if (!known && (m->used + 1) * LOAD_DEN > m->cap * LOAD_NUM) {
+		if (rebuild(m, now_s) == -1)
+			return MEMORY_FULL;
+		c = find(m, id);
+	}
+	if (c == NULL)
+		return MEMORY_FULL;
+	if (!known)
+		m->used++;
+	c->id = *id;
+	c->attempt = attempt;
+	c->time_s = time_s;
+	c->state = MEMORY_CLAIMED;
+	return MEMORY_ADDED;
+}
+
+/*
+ * Notes an id at the standby.  If another attempt noted it before, neither
+ * can take it back any more.  Returns 0, or -1 if there is no room.
+ */
+int
+memory_note(struct once_memory *m, const struct once_id *id, uint64_t attempt,
+    uint32_t time_s, uint32_t now_s)
+{
+	enum memory_result res = memory_add(m, id, attempt, time_s, now_s);
+	struct memory_cell *c;
+
+	if (res == MEMORY_FULL)
+		return -1;
+	if (res == MEMORY_ADDED)
+		return 0;
+	c = find(m, id);
+	if (c == NULL)
+		return -1;
+	if (res == MEMORY_OTHER)
+		c->attempt = 0;
+	if (time_s > c->time_s)
+		c->time_s = time_s;
+	return 0;
+}
+
+/*
+ * Forgets an id if it was claimed by this attempt.  Returns 0, or -1 if it
+ * was not.
+ */
+int
+memory_release(
+    struct once_memory *m, const struct once_id *id, uint64_t attempt)
+{
+	struct memory_cell *c = find(m, id);
+
+	if (c == NULL || c->state != MEMORY_CLAIMED || attempt == 0 ||
+	    c->attempt != attempt)
+		return -1;
+	c->state = MEMORY_RELEASED;
+	return 0;
+}
+
+/*
+ * Copies up to max cells that have to be kept, from *pos on, and moves it.
+ * Returns how many; 0 at the end.
+ */
+size_t
+memory_page(const struct once_memory *m, size_t *pos, uint32_t now_s,
+    struct memory_cell *out, size_t max)
+{
+	size_t n = 0;
+
+	for (; *pos < m->cap && n < max; (*pos)++)
+		if (is_alive(&m->cells[*pos], now_s))
+			out[n++] = m->cells[*pos];
+	return n;
+}
--- /dev/null
+++ b/src/once/once_owner.c
@@ -0,0 +1,129 @@
+#include <string.h>
+
+#include "once/once_int.h"
+
+static int is_new(const struct once_part *, uint64_t, uint64_t, uint64_t);
+static once_status reserve(struct once *, struct once_part *,
+    const once_claim_arg *, const struct lease_view *, uint64_t);
+
+/*
+ * Brings a locked partition to the lease of this node.  Its memory has all
+ * ids that were first under the lease before, if this node was that one's
+ * standby and was sent the whole of it; or if there was none before.
+ * Returns 0, or -1 if the lease is older than the memory.
+ */
+int
+once_enter(struct once_part *p, const struct lease_view *v)
+{
+	if (v->term < p->term || v->term < p->standby_term)
+		return -1;
+	p->term = v->term;
+	if (v->tenure == p->tenure)
+		return 0;
+	p->tenure = v->tenure;
+	p->copied = 0;
+	if (p->whole && p->standby_term + 1 == v->tenure)
+		p->since_ms = p->whole_since_ms;
+	else
+		p->since_ms = (int64_t)v->effective_ms;
+	if (v->first)
+		p->since_ms -= (int64_t)ONCE_WINDOW_S * MS_PER_S;
+	return 0;
+}
+
+/*
+ * Tells whether an id that isn't remembered can't have been first before:
+ * all of its window is remembered, or it was made after the memory began.
+ */
+static int
+is_new(const struct once_part *p, uint64_t stamp_ms, uint64_t now_ms,
+    uint64_t wall_ms)
+{
+	int64_t age = (int64_t)now_ms - p->since_ms;
+
+	if (age >= (int64_t)ONCE_WINDOW_S * MS_PER_S)
+		return 1;
+	/* Two clocks are involved: the one that saw it first, and ours. */
+	return stamp_ms != 0 &&
+	       (int64_t)stamp_ms > (int64_t)wall_ms - age + 2 * ONCE_CLOCK_MS;
+}
+
+/*
+ * Reserves an id in a locked partition of this node's own.
+ */
+static once_status
+reserve(struct once *o, struct once_part *p, const once_claim_arg *arg,
+    const struct lease_view *v, uint64_t now_ms)
+{
+	uint64_t wall = o->cfg.wall_ms(), stamp = arg->stamp_ms;
+	uint64_t window = (uint64_t)ONCE_WINDOW_S * MS_PER_S;
+	uint32_t now_s = (uint32_t)(now_ms / MS_PER_S);
+	enum memory_result res;
+	struct once_id id;
+
+	memcpy(id.byte, arg->id, sizeof(id.byte));
+	if (stamp > wall + ONCE_CLOCK_MS)
+		return ONCE_FUTURE;
+	res = memory_look(&p->memory, &id, arg->attempt, now_s);
+	if (res == MEMORY_OTHER)
+		return ONCE_CLAIMED;
+	if (res == MEMORY_ADDED && !is_new(p, stamp, now_ms, wall))
+		return ONCE_NOT_KNOWN;
+	/* What was made longer ago may have been first and forgotten. */
+	if (stamp != 0 && stamp + window < wall + 2 * ONCE_CLOCK_MS)
+		return ONCE_NOT_KNOWN;
+	if (nodeid_is_none(&v->standby))
+		return ONCE_NO_STANDBY;
+	if (memory_add(&p->memory, &id, arg->attempt, now_s, now_s) ==
+	    MEMORY_FULL)
+		return ONCE_NO_ROOM;
+	return ONCE_RESERVED;
+}
+
+/*
+ * Serves a claim.  The answer names the term and the standby that has to
+ * note the id before the claim counts.
+ */
+void
+once_serve_claim(struct once *o, const once_claim_arg *arg, once_claim_res *res)
+{
+	uint64_t now = o->cfg.clock_ms();
+	struct once_part *p;
+	struct lease_view v;
+	struct once_id id;
+	uint32_t part;
+
+	memset(res, 0, sizeof(*res));
+	res->status = ONCE_NOT_OWNER;
+	memcpy(id.byte, arg->id, sizeof(id.byte));
+	part = once_part(&id);
+	p = &o->part[part];
+	o->cfg.lookup(o->cfg.lookup_ctx, part, now, &v);
+	if (v.until_ms == 0 || arg->attempt == 0)
+		return;
+	pthread_mutex_lock(&p->lock);
+	if (once_enter(p, &v) == 0) {
+		p->used_ms = now;
+		res->status = reserve(o, p, arg, &v, now);
+	}
+	pthread_mutex_unlock(&p->lock);
+	res->term = v.term;
+	res->standby = once_node_pack(&v.standby);
+}
+
+/*
+ * Forgets an id whose request was not run, if that attempt claimed it.
+ */
+void
+once_serve_release(
+    struct once *o, const once_release_arg *arg, once_release_res *res)
+{
+	struct once_part *p;
+	struct once_id id;
+
+	memcpy(id.byte, arg->id, sizeof(id.byte));
+	p = &o->part[once_part(&id)];
+	pthread_mutex_lock(&p->lock);
+	res->released = memory_release(&p->memory, &id, arg->attempt) == 0;
+	pthread_mutex_unlock(&p->lock);
+}
--- /dev/null
+++ b/src/once/once_standby.c
@@ -0,0 +1,225 @@
+#include <string.h>
+
+#include "once/once_int.h"
+
+#define COPY_RETRY_MS 200 /* after a copy that failed */
+
+static int is_standby(struct once *, uint32_t, uint64_t, uint64_t);
+static int enter_standby(struct once_part *, uint64_t, uint64_t);
+static int next_page(struct once *, uint32_t, const struct lease_view *,
+    size_t *, uint32_t *, once_copy_arg *);
+static void copy_part(struct once *, uint32_t, const struct lease_view *);
+static void forget(struct once *, uint32_t, const struct lease_view *);
+
+/*
+ * Tells whether this node may be the standby in a term: it knows of no
+ * newer one, and of no other standby in it.
+ */
+static int
+is_standby(struct once *o, uint32_t part, uint64_t term, uint64_t now_ms)
+{
+	struct lease_view v;
+
+	o->cfg.lookup(o->cfg.lookup_ctx, part, now_ms, &v);
+	if (v.term != term)
+		return v.term < term;
+	return nodeid_equal(&v.standby, &o->cfg.self);
+}
+
+/*
+ * Brings a locked partition to a term in which this node is the standby.
+ * Returns 0, or -1 if it has acted under a newer one, or as its owner.
+ */
+static int
+enter_standby(struct once_part *p, uint64_t term, uint64_t now_ms)
+{
+	if (p->term >= term || p->standby_term > term)
+		return -1;
+	if (p->standby_term < term) {
+		p->standby_term = term;
+		p->whole = 0;
+	}
+	p->used_ms = now_ms;
+	return 0;
+}
+
+/*
+ * Notes an id for the owner of a term, so that this node knows it when it
+ * takes the partition over.
+ */
+void
+once_serve_note(struct once *o, const once_note_arg *arg, once_note_res *res)
+{
+	uint64_t now = o->cfg.clock_ms();
+	uint32_t now_s = (uint32_t)(now / MS_PER_S), part;
+	struct once_part *p;
+	struct once_id id;
+
+	res->noted = 0;
+	memcpy(id.byte, arg->id, sizeof(id.byte));
+	part = once_part(&id);
+	p = &o->part[part];
+	if (!is_standby(o, part, arg->term, now))
+		return;
+	pthread_mutex_lock(&p->lock);
+	if (enter_standby(p, arg->term, now) == 0)
+		res->noted = memory_note(&p->memory, &id, arg->attempt, now_s,
+				 now_s) == 0;
+	pthread_mutex_unlock(&p->lock);
+}
+
+/*
+ * Takes a page of the owner's memory; the last one makes it whole.
+ */
+void
+once_serve_copy(struct once *o, const once_copy_arg *arg, once_copy_res *res)
+{
+	uint64_t now = o->cfg.clock_ms();
+	uint32_t now_s = (uint32_t)(now / MS_PER_S);
+	const once_copy_cell *c;
+	struct once_part *p;
+	struct once_id id;
+	u_int i;
+
+	res->kept = 0;
+	if (arg->part >= LEASE_PARTS ||
+	    !is_standby(o, arg->part, arg->term, now))
+		return;
+	p = &o->part[arg->part];
+	pthread_mutex_lock(&p->lock);
+	res->kept = enter_standby(p, arg->term, now) == 0;
+	for (i = 0; i < arg->cells.cells_len && res->kept; i++) {
+		c = &arg->cells.cells_val[i];
+		memcpy(id.byte, c->id, sizeof(id.byte));
+		if (once_part(&id) != arg->part || c->age_s > now_s ||
+		    memory_note(&p->memory, &id, c->attempt, now_s - c->age_s,
+			now_s) == -1)
+			res->kept = 0;
+	}
+	if (res->kept && arg->last) {
+		p->whole = 1;
+		p->whole_since_ms = (int64_t)now - (int64_t)arg->age_ms;
+	}
+	pthread_mutex_unlock(&p->lock);
+}
+
+/*
+ * Fills the next page for the standby of a lease.  Claims that come later
+ * are noted there by their entries.  Returns 1 if there is a page, or 0 if
+ * the lease has passed or the copy is to be begun again.
+ */
+static int
+next_page(struct once *o, uint32_t part, const struct lease_view *v,
+    size_t *pos, uint32_t *layout, once_copy_arg *arg)
+{
+	uint64_t now = o->cfg.clock_ms();
+	uint32_t now_s = (uint32_t)(now / MS_PER_S);
+	struct memory_cell cells[ONCE_PAGE];
+	struct once_part *p = &o->part[part];
+	int64_t age;
+	size_t n, i;
+
+	pthread_mutex_lock(&p->lock);
+	if (*pos == 0)
+		*layout = p->memory.layout;
+	if (once_enter(p, v) == -1 || *layout != p->memory.layout) {
+		pthread_mutex_unlock(&p->lock);
+		return 0;
+	}
+	n = memory_page(&p->memory, pos, now_s, cells, ONCE_PAGE);
+	age = (int64_t)now - p->since_ms;
+	arg->last = *pos >= p->memory.cap;
+	pthread_mutex_unlock(&p->lock);
+	if (age > (int64_t)ONCE_WINDOW_S * MS_PER_S)
+		age = (int64_t)ONCE_WINDOW_S * MS_PER_S;
+	arg->age_ms = age > 0 ? (uint64_t)age : 0;
+	arg->cells.cells_len = (u_int)n;
+	for (i = 0; i < n; i++) {
+		memcpy(arg->cells.cells_val[i].id, cells[i].id.byte,
+		    ONCE_ID_BYTES);
+		arg->cells.cells_val[i].attempt = cells[i].attempt;
+		arg->cells.cells_val[i].age_s =
+		    now_s > cells[i].time_s ? now_s - cells[i].time_s : 0;
+	}
+	return 1;
+}
+
+/*
+ * Sends the whole memory of a partition to the standby.  If that fails, or
+ * the table is rebuilt meanwhile, it has to be done again.
+ */
+static void
+copy_part(struct once *o, uint32_t part, const struct lease_view *v)
+{
+	once_copy_cell cells[ONCE_PAGE];
+	once_copy_arg arg = { .part = part, .term = v->term };
+	once_copy_res res;
+	struct once_part *p = &o->part[part];
+	uint32_t layout = 0;
+	size_t pos = 0;
+
+	arg.cells.cells_val = cells;
+	do {
+		if (next_page(o, part, v, &pos, &layout, &arg) == 0 ||
+		    once_call(o, &v->standby, ONCE_PROC_COPY, &arg, &res) ==
+			-1 ||
+		    !res.kept)
+			return;
+	} while (!arg.last);
+	pthread_mutex_lock(&p->lock);
+	if (p->term == v->term)
+		p->copied = v->term;
+	pthread_mutex_unlock(&p->lock);
+}
+
+/*
+ * Frees the memory of a partition that this node long has had no part in.
+ */
+static void
+forget(struct once *o, uint32_t part, const struct lease_view *v)
+{
+	uint64_t now = o->cfg.clock_ms();
+	struct once_part *p = &o->part[part];
+
+	if (v->term == 0 || nodeid_equal(&v->owner, &o->cfg.self) ||
+	    nodeid_equal(&v->standby, &o->cfg.self))
+		return;
+	pthread_mutex_lock(&p->lock);
+	if (p->memory.cap > 0 &&
+	    now - p->used_ms > (uint64_t)ONCE_WINDOW_S * MS_PER_S) {
+		memory_clear(&p->memory);
+		p->whole = 0;
+		p->since_ms = (int64_t)now;
+	}
+	pthread_mutex_unlock(&p->lock);
+}
+
+/*
+ * Sends the memories of this node's partitions to standbys that have not
+ * got them yet.
+ */
+void
+once_copy_all(struct once *o)
+{
+	struct lease_view v;
+	struct once_part *p;
+	uint64_t now;
+	uint32_t part;
+	int due;
+
+	for (part = 0; part < LEASE_PARTS; part++) {
+		p = &o->part[part];
+		now = o->cfg.clock_ms();
+		o->cfg.lookup(o->cfg.lookup_ctx, part, now, &v);
+		forget(o, part, &v);
+		if (v.until_ms == 0 || nodeid_is_none(&v.standby))
+			continue;
+		pthread_mutex_lock(&p->lock);
+		due = p->copied != v.term && now >= p->retry_ms;
+		if (due)
+			p->retry_ms = now + COPY_RETRY_MS;
+		pthread_mutex_unlock(&p->lock);
+		if (due)
+			copy_part(o, part, &v);
+	}
+}
--- /dev/null
+++ b/src/once/test_once.c
@@ -0,0 +1,480 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "once/once.h"
+#include "once/once_int.h"
+
+#define NODES 4
+#define START_MS 10000000
+#define WALL_MS UINT64_C(1700000000000)
+#define WINDOW_MS (ONCE_WINDOW_S * UINT64_C(1000))
+
+/* Each node has its own view of the one lease that all partitions share. */
+static struct once nodes[NODES];
+static struct lease_view views[NODES];
+static uint64_t now_ms;
+static int down[NODES];
+static int lose_answers;
+
+static uint64_t fake_clock(void);
+static uint64_t fake_wall(void);
+static struct node_id node(int);
+static void lookup(void *, uint32_t, uint64_t, struct lease_view *);
+static enum rpc_status call(void *, const struct node_id *,
+    const struct rpc_proc *, const void *, void *, uint32_t);
+static void lease(uint64_t, uint64_t, int, int, int);
+static int setup(void **);
+static int teardown(void **);
+static struct once_key key(int);
+static struct once_key key_v7(int, uint64_t);
+static enum once_verdict claim(int, const struct once_key *);
+
+/*
+ * Returns the time of the tests (ms).
+ */
+static uint64_t
+fake_clock(void)
+{
+	return now_ms;
+}
+
+/*
+ * Returns the wall clock of the tests (ms).
+ */
+static uint64_t
+fake_wall(void)
+{
+	return WALL_MS + now_ms - START_MS;
+}
+
+/*
+ * Returns the name of node i; -1 is none.
+ */
+static struct node_id
+node(int i)
+{
+	struct node_id id = { 0x7f000001, (uint16_t)(7000 + i), 1 };
+	struct node_id none = { 0, 0, 0 };
+
+	return i < 0 ? none : id;
+}
+
+/*
+ * Looks into the view of the node that is the context.
+ */
+static void
+lookup(void *ctx, uint32_t part, uint64_t now, struct lease_view *v)
+{
+	(void)part;
+	*v = views[(struct once *)ctx - nodes];
+	if (now >= v->until_ms)
+		v->until_ms = 0;
+}
+
+/*
+ * Calls another node directly, unless it is down.
+ */
+static enum rpc_status
+call(void *ctx, const struct node_id *to, const struct rpc_proc *p,
+    const void *arg, void *res, uint32_t timeout_ms)
+{
+	int i = to->rpc_port - 7000;
+
+	(void)ctx;
+	if (down[i]) {
+		now_ms += timeout_ms;
+		return RPC_TIMEOUT;
+	}
+	p->handle(&nodes[i], NULL, arg, res);
+	return lose_answers-- > 0 ? RPC_TIMEOUT : RPC_DONE;
+}
+
+/*
+ * Shows a lease, in effect from now on, to all nodes but those that are
+ * down.
+ */
+static void
+lease(uint64_t term, uint64_t tenure, int owner, int standby, int first)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++) {
+		if (down[i])
+			continue;
+		memset(&views[i], 0, sizeof(views[i]));
+		views[i].owner = node(owner);
+		views[i].standby = node(standby);
+		views[i].term = term;
+		views[i].tenure = tenure;
+		views[i].first = first;
+		views[i].effective_ms = now_ms;
+		if (i == owner)
+			views[i].until_ms = UINT64_MAX;
+	}
+}
+
+/*
+ * Starts the nodes, with node 0 as the first owner and 1 as its standby.
+ */
+static int
+setup(void **state)
+{
+	struct once_config cfg = { .lookup = lookup,
+		.call = call,
+		.clock_ms = fake_clock,
+		.wall_ms = fake_wall };
+	int i;
+
+	(void)state;
+	now_ms = START_MS;
+	lose_answers = 0;
+	memset(down, 0, sizeof(down));
+	for (i = 0; i < NODES; i++) {
+		cfg.self = node(i);
+		cfg.lookup_ctx = &nodes[i];
+		once_init(&nodes[i], &cfg);
+	}
+	lease(1, 1, 0, 1, 1);
+	return 0;
+}
+
+/*
+ * Ends the nodes.
+ */
+static int
+teardown(void **state)
+{
+	int i;
+
+	(void)state;
+	for (i = 0; i < NODES; i++)
+		once_finish(&nodes[i]);
+	return 0;
+}
+
+/*
+ * Returns the key of the i-th id, which says nothing of its time.
+ */
+static struct once_key
+key(int i)
+{
+	struct once_key k;
+	char buf[32];
+
+	snprintf(buf, sizeof(buf), "order-%d", i);
+	once_key(&k, "acme", buf);
+	return k;
+}
+
+/*
+ * Returns the key of the i-th time-ordered id, made at a time of the tests.
+ */
+static struct once_key
+key_v7(int i, uint64_t at_ms)
+{
+	uint64_t stamp = WALL_MS + at_ms - START_MS;
+	struct once_key k;
+	char buf[64];
+
+	snprintf(buf, sizeof(buf), "%08x-%04x-7000-8000-%012x",
+	    (unsigned int)(stamp >> 16), (unsigned int)(stamp & 0xffff),
+	    (unsigned int)i);
+	once_key(&k, "acme", buf);
+	assert_int_equal(k.stamp_ms, stamp);
+	return k;
+}
+
+/*
+ * Claims an id through an entry.
+ */
+static enum once_verdict
+claim(int entry, const struct once_key *k)
+{
+	struct once_claim c;
+
+	return once_claim(&nodes[entry], k, &c);
+}
+
+/*
+ * An id is first once; equal ids of two workspaces are two ids.
+ */
+static void
+test_first_once(void **state)
+{
+	struct once_key k = key(1), other;
+
+	(void)state;
+	once_key(&other, "zeta", "order-1");
+	assert_int_equal(claim(2, &k), ONCE_FIRST);
+	assert_int_equal(claim(3, &k), ONCE_SEEN);
+	assert_int_equal(claim(0, &k), ONCE_SEEN);
+	assert_int_equal(claim(1, &other), ONCE_FIRST);
+}
+
+/*
+ * Which ids are taken for time-ordered ones.
+ */
+static void
+test_stamps(void **state)
+{
+	static const struct {
+		const char *id;
+		uint64_t stamp;
+	} cases[] = {
+		{ "018bcfe5-6800-7abc-8def-0123456789ab", 0x018bcfe56800 },
+		{ "018BCFE5-6800-7ABC-BDEF-0123456789AB", 0x018bcfe56800 },
+		{ "018bcfe5-6800-4abc-8def-0123456789ab", 0 },
+		{ "018bcfe5-6800-7abc-cdef-0123456789ab", 0 },
+		{ "018bcfe5-6800-7abc-8def-0123456789a", 0 },
+		{ "018bcfe5x6800-7abc-8def-0123456789ab", 0 },
+		{ "018bcfeg-6800-7abc-8def-0123456789ab", 0 },
+		{ "", 0 },
+	};
+	struct once_key k;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		once_key(&k, "acme", cases[i].id);
+		assert_int_equal(k.stamp_ms, cases[i].stamp);
+	}
+}
+
+/*
+ * After a takeover the standby knows every id, and stays complete.
+ */
+static void
+test_takeover(void **state)
+{
+	struct once_key k;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 500; i++) {
+		k = key(i);
+		assert_int_equal(claim(2, &k), ONCE_FIRST);
+	}
+	once_maintain(&nodes[0]);
+	assert_true(once_standby_ready(&nodes[0], 7));
+	down[0] = 1;
+	now_ms += 3000;
+	lease(2, 2, 1, 3, 0);
+	for (i = 0; i < 500; i++) {
+		k = key(i);
+		assert_int_equal(claim(2, &k), ONCE_SEEN);
+	}
+	k = key(i);
+	assert_int_equal(claim(2, &k), ONCE_FIRST);
+	/* The next standby is sent all of it. */
+	assert_false(once_standby_ready(&nodes[1], 7));
+	once_maintain(&nodes[1]);
+	assert_true(once_standby_ready(&nodes[1], 7));
+	down[1] = 1;
+	lease(3, 3, 3, 2, 0);
+	for (i = 0; i <= 500; i++) {
+		k = key(i);
+		assert_int_equal(claim(2, &k), ONCE_SEEN);
+	}
+	k = key(i);
+	assert_int_equal(claim(2, &k), ONCE_FIRST);
+}
+
+/*
+ * A standby that was not sent the whole memory can't tell old ids; those
+ * made after its time began are new, but for the clocks' allowance.
+ */
+static void
+test_young_memory(void **state)
+{
+	struct once_key a = key(1), b = key(2), v;
+
+	(void)state;
+	assert_int_equal(claim(2, &a), ONCE_FIRST);
+	down[0] = down[1] = 1;
+	now_ms += 700000;
+	lease(2, 2, 3, 2, 0);
+	now_ms += 20000;
+	assert_int_equal(claim(2, &a), ONCE_UNKNOWN);
+	assert_int_equal(claim(2, &b), ONCE_UNKNOWN);
+	v = key_v7(1, now_ms - 20000 + 9999);
+	assert_int_equal(claim(2, &v), ONCE_UNKNOWN);
+	v = key_v7(1, now_ms - 20000 + 10001);
+	assert_int_equal(claim(2, &v), ONCE_FIRST);
+	assert_int_equal(claim(2, &v), ONCE_SEEN);
+	v = key_v7(2, now_ms + ONCE_CLOCK_MS + 1);
+	assert_int_equal(claim(2, &v), ONCE_UNAVAILABLE);
+	now_ms += WINDOW_MS - 20000;
+	assert_int_equal(claim(2, &b), ONCE_FIRST);
+	/* Time-ordered ids older than the window are never first. */
+	v = key_v7(3, now_ms - WINDOW_MS + 2 * ONCE_CLOCK_MS - 1);
+	assert_int_equal(claim(2, &v), ONCE_UNKNOWN);
+}
+
+/*
+ * Without the standby's note, an id is not claimed, and can be later.
+ */
+static void
+test_no_note(void **state)
+{
+	struct once_key k = key(1);
+
+	(void)state;
+	down[1] = 1;
+	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
+	down[1] = 0;
+	once_maintain(&nodes[2]);
+	assert_int_equal(claim(2, &k), ONCE_FIRST);
+	/* A lost answer costs a second try, not a second claim. */
+	k = key(2);
+	lose_answers = 1;
+	assert_int_equal(claim(2, &k), ONCE_FIRST);
+	assert_int_equal(claim(2, &k), ONCE_SEEN);
+	lease(2, 1, 0, -1, 1);
+	k = key(3);
+	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
+}
+
+/*
+ * A release frees an id for its own attempt only, also when it is late.
+ */
+static void
+test_release(void **state)
+{
+	struct once_key k = key(1);
+	struct once_claim c, d;
+
+	(void)state;
+	assert_int_equal(once_claim(&nodes[2], &k, &c), ONCE_FIRST);
+	once_release(&nodes[2], &c);
+	once_maintain(&nodes[2]);
+	assert_int_equal(once_claim(&nodes[3], &k, &d), ONCE_FIRST);
+	once_release(&nodes[2], &c);
+	once_maintain(&nodes[2]);
+	assert_int_equal(claim(3, &k), ONCE_SEEN);
+	once_maintain(&nodes[0]);
+	down[0] = 1;
+	lease(2, 2, 1, 3, 0);
+	assert_int_equal(claim(3, &k), ONCE_SEEN);
+}
+
+/*
+ * A note or a page for a term that has passed is refused: the node that
+ * noted it might decide already.
+ */
+static void
+test_late_notes(void **state)
+{
+	struct once_key k = key(1);
+	once_note_arg note = { .attempt = 5, .term = 1 };
+	once_note_res noted;
+	once_copy_arg copy = { .part = 0, .term = 1, .last = 1 };
+	once_copy_res kept;
+	struct lease_view old = views[0], stale = views[1];
+
+	(void)state;
+	once_maintain(&nodes[0]);
+	lease(2, 2, 1, 3, 0);
+	views[0] = old; /* was frozen: believes to be the owner yet */
+	memcpy(note.id, k.id.byte, sizeof(note.id));
+	once_serve_note(&nodes[1], &note, &noted);
+	assert_false(noted.noted);
+	once_serve_copy(&nodes[1], &copy, &kept);
+	assert_false(kept.kept);
+	views[2].owner = node(0);
+	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
+	assert_int_equal(claim(3, &k), ONCE_FIRST);
+	/* Also if the node's own view is behind what it has decided. */
+	views[1] = stale;
+	once_serve_note(&nodes[1], &note, &noted);
+	assert_false(noted.noted);
+	/* A term not yet read is taken on the owner's word. */
+	note.term = 9;
+	once_serve_note(&nodes[2], &note, &noted);
+	assert_true(noted.noted);
+	note.term = 8;
+	once_serve_note(&nodes[2], &note, &noted);
+	assert_false(noted.noted);
+}
+
+/*
+ * An owner whose view is behind what it has sent to a new standby reserves
+ * nothing under the old term.
+ */
+static void
+test_stale_owner_view(void **state)
+{
+	struct lease_view old = views[0];
+	struct once_key k = key(1);
+	once_claim_arg arg = { .attempt = 3 };
+	once_claim_res res;
+
+	(void)state;
+	lease(2, 1, 0, 3, 1);
+	once_maintain(&nodes[0]);
+	views[0] = old;
+	memcpy(arg.id, k.id.byte, sizeof(arg.id));
+	once_serve_claim(&nodes[0], &arg, &res);
+	assert_int_equal(res.status, ONCE_NOT_OWNER);
+}
+
+/*
+ * Memory is bounded: when full, new ids are refused and old ones kept until
+ * their window has passed.
+ */
+static void
+test_memory_bound(void **state)
+{
+	struct memory_budget budget;
+	struct once_memory m;
+	struct once_id id;
+	uint32_t i, added = 0;
+
+	(void)state;
+	atomic_init(&budget.left, 1024);
+	memory_init(&m, &budget);
+	memset(&id, 0, sizeof(id));
+	for (i = 0; i < 2000; i++) {
+		memcpy(&id.byte[8], &i, sizeof(i));
+		if (memory_add(&m, &id, 1, 100, 100) == MEMORY_ADDED)
+			added++;
+	}
+	assert_in_range(added, 256, 1024);
+	for (i = 0; i < added; i++) {
+		memcpy(&id.byte[8], &i, sizeof(i));
+		assert_int_equal(
+		    memory_add(&m, &id, 2, 700, 700), MEMORY_OTHER);
+	}
+	memcpy(&id.byte[8], &i, sizeof(i));
+	assert_int_equal(memory_add(&m, &id, 2, 701, 701), MEMORY_FULL);
+	assert_int_equal(memory_add(&m, &id, 2, 702, 702), MEMORY_ADDED);
+	assert_int_equal(m.used, 1);
+	memory_finish(&m);
+	assert_int_equal(atomic_load(&budget.left), 1024);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_first_once, setup, teardown),
+		cmocka_unit_test(test_stamps),
+		cmocka_unit_test_setup_teardown(test_takeover, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_young_memory, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_no_note, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_release, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_late_notes, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_stale_owner_view, setup, teardown),
+		cmocka_unit_test(test_memory_bound),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
