--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -147,7 +147,8 @@
 		.members_ctx = n,
 		.ready = once_standby_ready,
 		.ready_ctx = &n->once,
-		.long_ms = n->settings.lease_long_ms };
+		.long_ms = n->settings.lease_long_ms,
+		.retention_ms = n->settings.log_retention_ms };
 
 	rpc_server_register(
 	    &n->rpc_server, lease_procs, LEASE_PROC_MAX, &n->lease);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -77,6 +77,7 @@
 	uint32_t max_body_bytes;
 	uint32_t probe_ms;
 	uint32_t log_poll_ms;
+	uint32_t log_retention_ms;
 	uint32_t config_stale_ms;
 	uint32_t lease_long_ms;
 	uint32_t once_window_ms;
