--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -170,6 +170,7 @@
 void member_sync_answer(
     struct member_table *, uint64_t, const struct member_message *);
 
+void member_ask_config(struct member_table *, uint64_t);
 void member_window_add(struct member_table *, uint64_t, int);
 void member_window_sum(
     const struct member_table *, uint64_t, uint32_t *, uint32_t *);
--- /dev/null
+++ b/src/member/member_receive.c
@@ -0,0 +1,254 @@
+#include <string.h>
+
+#include "member/member_int.h"
+
+#define CONFIG_ASK_MS 1000
+
+typedef void (*kind_fn)(struct member_table *, uint64_t,
+    const struct member_message *, const struct node_id *);
+
+static void on_ping(struct member_table *, uint64_t,
+    const struct member_message *, const struct node_id *);
+static void on_ack(struct member_table *, uint64_t,
+    const struct member_message *, const struct node_id *);
+static void on_ping_req(struct member_table *, uint64_t,
+    const struct member_message *, const struct node_id *);
+static void on_relayed_ack(struct member_table *, uint64_t,
+    const struct member_message *, const struct node_id *);
+static void on_sync(struct member_table *, uint64_t,
+    const struct member_message *, const struct node_id *);
+static void on_sync_reply(struct member_table *, uint64_t,
+    const struct member_message *, const struct node_id *);
+static struct member_probe *find_probe(struct member_table *, uint32_t);
+static void take_config(
+    struct member_table *, uint64_t, const struct member_message *);
+
+static const kind_fn kinds[] = {
+	[MEMBER_PING] = on_ping,
+	[MEMBER_ACK] = on_ack,
+	[MEMBER_PING_REQ] = on_ping_req,
+	[MEMBER_RELAYED_ACK] = on_relayed_ack,
+	[MEMBER_GOSSIP] = NULL,
+	[MEMBER_SYNC] = on_sync,
+	[MEMBER_SYNC_REPLY] = on_sync_reply,
+};
+
+/*
+ * Takes a message in: what it says of members, and what its kind asks for.
+ */
+void
+member_table_receive(
+    struct member_table *t, uint64_t now, const struct member_message *msg)
+{
+	struct node_id from = { msg->self.name.addr,
+		(uint16_t)msg->self.name.port, msg->self.name.incarnation };
+	struct member_slot *s = &t->slots[t->self];
+	u_int i;
+
+	if ((u_int)msg->kind >= G_N_ELEMENTS(kinds))
+		return;
+	if (from.addr == s->info.id.addr &&
+	    from.rpc_port == s->info.id.rpc_port) {
+		member_merge(t, now, &msg->self, 0);
+		return;
+	}
+	member_merge(t, now, &msg->self, 1);
+	for (i = 0; i < msg->entries.entries_len; i++)
+		member_merge(t, now, &msg->entries.entries_val[i], 0);
+	take_config(t, now, msg);
+	if (kinds[msg->kind] != NULL)
+		kinds[msg->kind](t, now, msg, &from);
+}
+
+/*
+ * Answers a probe.
+ */
+static void
+on_ping(struct member_table *t, uint64_t now, const struct member_message *msg,
+    const struct node_id *from)
+{
+	member_send(t, now, MEMBER_ACK, from, msg->nonce);
+}
+
+/*
+ * Finds a probe without an answer, or returns NULL.
+ */
+static struct member_probe *
+find_probe(struct member_table *t, uint32_t nonce)
+{
+	int i;
+
+	for (i = 0; i < MEMBER_PROBES_MAX; i++) {
+		if (t->probes[i].used && t->probes[i].nonce == nonce)
+			return &t->probes[i];
+	}
+	return NULL;
+}
+
+/*
+ * Ends the probe that was answered.  The age of the last read of the log is
+ * counted from when the probe was sent, so that no delay of the answer makes
+ * it look younger.  An answer to a probe made for another member is passed
+ * on to it.
+ */
+static void
+on_ack(struct member_table *t, uint64_t now, const struct member_message *msg,
+    const struct node_id *from)
+{
+	struct member_probe *p = find_probe(t, msg->nonce);
+	struct member_relay *r;
+	int i;
+
+	(void)from;
+	if (p != NULL) {
+		p->used = 0;
+		member_window_add(t, now, 1);
+		if (msg->log_age_ms < p->sent_ms)
+			t->log_read_ms =
+			    MAX(t->log_read_ms, p->sent_ms - msg->log_age_ms);
+		return;
+	}
+	for (i = 0; i < MEMBER_RELAYS_MAX; i++) {
+		r = &t->relays[i];
+		if (r->origin.addr == 0 || r->nonce != msg->nonce)
+			continue;
+		member_send(
+		    t, now, MEMBER_RELAYED_ACK, &r->origin, r->origin_nonce);
+		r->origin.addr = 0;
+	}
+}
+
+/*
+ * Probes a target for another member.
+ */
+static void
+on_ping_req(struct member_table *t, uint64_t now,
+    const struct member_message *msg, const struct node_id *from)
+{
+	struct node_id target = { msg->target_addr, (uint16_t)msg->target_port,
+		0 };
+	struct member_relay *r;
+
+	if (member_find(t, target.addr, target.rpc_port) == NULL)
+		return;
+	r = &t->relays[t->relay_pos++ % MEMBER_RELAYS_MAX];
+	r->origin = *from;
+	r->origin_nonce = msg->nonce;
+	r->nonce = t->next_nonce++;
+	member_send(t, now, MEMBER_PING, &target, r->nonce);
+}
+
+/*
+ * Ends a probe that another member saw answered.
+ */
+static void
+on_relayed_ack(struct member_table *t, uint64_t now,
+    const struct member_message *msg, const struct node_id *from)
+{
+	struct member_probe *p = find_probe(t, msg->nonce);
+
+	(void)from;
+	if (p == NULL)
+		return;
+	p->used = 0;
+	member_window_add(t, now, 1);
+}
+
+/*
+ * Sends what differs from the sender's table, and asks for the reverse.
+ */
+static void
+on_sync(struct member_table *t, uint64_t now, const struct member_message *msg,
+    const struct node_id *from)
+{
+	member_sync_answer(t, now, msg);
+	member_sync(t, now, MEMBER_SYNC_REPLY, from);
+}
+
+/*
+ * Sends what differs from the sender's table.
+ */
+static void
+on_sync_reply(struct member_table *t, uint64_t now,
+    const struct member_message *msg, const struct node_id *from)
+{
+	(void)from;
+	member_sync_answer(t, now, msg);
+}
+
+/*
+ * Notes the highest configuration version heard of and who has it.  The
+ * sender itself is preferred where it has it, since it was just there.
+ */
+static void
+take_config(
+    struct member_table *t, uint64_t now, const struct member_message *msg)
+{
+	if (msg->self.config_version >= msg->config.number &&
+	    msg->self.config_version >= t->config_version) {
+		t->config_version = msg->self.config_version;
+		t->config_addr = msg->self.name.addr;
+		t->config_peer_port = (uint16_t)msg->self.peer_port;
+	} else if (msg->config.number > t->config_version) {
+		t->config_version = msg->config.number;
+		t->config_addr = msg->config.addr;
+		t->config_peer_port = (uint16_t)msg->config.peer_port;
+	} else {
+		return;
+	}
+	member_ask_config(t, now);
+}
+
+/*
+ * Reports that another node has a later configuration, now and then as long
+ * as it is so.
+ */
+void
+member_ask_config(struct member_table *t, uint64_t now)
+{
+	struct member_info holder;
+
+	if (t->config_version <= t->slots[t->self].info.config_version ||
+	    now < t->config_asked_ms || t->port.event == NULL)
+		return;
+	t->config_asked_ms = now + CONFIG_ASK_MS;
+	memset(&holder, 0, sizeof(holder));
+	holder.id.addr = t->config_addr;
+	holder.peer_port = t->config_peer_port;
+	t->port.event(
+	    t->port.ctx, MEMBER_CONFIG_SEEN, &holder, t->config_version);
+}
+
+/*
+ * Adds the outcome of one probe to the last seconds' record.
+ */
+void
+member_window_add(struct member_table *t, uint64_t now, int answered)
+{
+	struct member_second *w = &t->seconds[now / 1000 % MEMBER_WINDOW_S];
+
+	if (w->second != now / 1000) {
+		w->second = now / 1000;
+		w->probed = w->answered = 0;
+	}
+	w->probed++;
+	w->answered += answered != 0;
+}
+
+/*
+ * Sums up the probes of the last seconds.
+ */
+void
+member_window_sum(const struct member_table *t, uint64_t now, uint32_t *probed,
+    uint32_t *answered)
+{
+	const struct member_second *w;
+
+	*probed = *answered = 0;
+	for (w = t->seconds; w < t->seconds + MEMBER_WINDOW_S; w++) {
+		if (w->second + MEMBER_WINDOW_S <= now / 1000)
+			continue;
+		*probed += w->probed;
+		*answered += w->answered;
+	}
+}
--- a/src/member/test_member.c
+++ b/src/member/test_member.c
@@ -324,7 +324,8 @@
 }
 
 /*
- * The dump shows every member in both forms.
+ * The dump shows every member in both forms, and a change of load alone is
+ * no news.
  */
 static void
 test_dump(void **state)
@@ -340,10 +341,13 @@
 	(void)state;
 	node_init(&nodes[0], NULL, NULL);
 	member_set_server(&nodes[0].member, &sv);
+	sv.load = 500;
+	member_set_server(&nodes[0].member, &sv);
 	while (!up) {
 		rcu_read_lock();
 		m = member_view_get(&nodes[0].member)->list;
 		up = m->server.state == MEMBER_SERVER_UP;
+		assert_true(m->seq <= 2);
 		rcu_read_unlock();
 		sched_yield();
 	}
--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -67,12 +67,15 @@
     const struct rpc_proc *, const void *, void *, uint32_t);
 
 /*
- * What a server and a client of one process share.  If the callback is set
+ * What a server and a client of one process share: the name by which peers
+ * know it, and the address to bind where that isn't the same.  If the
+ * callback is set
  * and returns non-zero for a peer, nothing is sent to it and nothing from it
  * is served; tests cut nodes off this way.
  */
 struct rpc_settings {
 	struct node_id self;
+	struct node_id bind; /* address 0: that of self */
 	uint8_t secret[RPC_SECRET_MAX];
 	size_t secret_len;
 	int (*cut)(void *, const struct node_id *);
@@ -95,6 +98,7 @@
 	pthread_t thread;
 	int fd;
 	int wake_fd;
+	uint16_t port;
 	int running;
 };
 
@@ -133,6 +137,7 @@
     struct rpc_server *, const struct rpc_proc *, size_t, void *);
 int rpc_server_start(struct rpc_server *, GError **);
 void rpc_server_finish(struct rpc_server *);
+uint16_t rpc_server_port(const struct rpc_server *);
 const struct node_id *rpc_sender(void);
 
 int rpc_client_init(
--- a/src/rpc/rpc_client.c
+++ b/src/rpc/rpc_client.c
@@ -61,7 +61,7 @@
 rpc_client_init(
     struct rpc_client *c, const struct rpc_settings *s, GError **error)
 {
-	struct node_id any = s->self;
+	struct node_id any = s->bind.addr != 0 ? s->bind : s->self;
 	int on = 1;
 
 	memset(c, 0, sizeof(*c));
@@ -243,7 +243,7 @@
 		return -1;
 	if (env->format != RPC_FORMAT)
 		return RPC_REJECTED;
-	if (p->to.incarnation != 0 && !nodeid_equal(&from, &p->to))
+	if (p->to.incarnation != 0 && p->to.incarnation != from.incarnation)
 		return RPC_REJECTED;
 	return RPC_DONE;
 }
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -41,11 +41,13 @@
 
 	memset(srv, 0, sizeof(*srv));
 	srv->settings = s;
-	srv->fd = rpc_socket(&s->self, error);
+	srv->fd = rpc_socket(s->bind.addr != 0 ? &s->bind : &s->self, error);
 	if (srv->fd == -1)
 		return -1;
 	getsockname(srv->fd, (struct sockaddr *)&sin, &len);
-	s->self.rpc_port = ntohs(sin.sin_port);
+	srv->port = ntohs(sin.sin_port);
+	if (s->self.rpc_port == 0)
+		s->self.rpc_port = srv->port;
 	srv->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	srv->xprt = svc_dg_create(srv->fd, 0, 0);
 	if (srv->wake_fd == -1 || srv->xprt == NULL ||
@@ -59,6 +61,15 @@
 	return 0;
 }
 
+/*
+ * Returns the port that a server has bound.
+ */
+uint16_t
+rpc_server_port(const struct rpc_server *srv)
+{
+	return srv->port;
+}
+
 /*
  * Adds procedures, which must outlive the server, with the context that
  * their handlers get.  Exits the process if there are too many.
--- a/src/rpc/test_rpc.c
+++ b/src/rpc/test_rpc.c
@@ -144,6 +144,37 @@
 	peer_finish(&b);
 }
 
+/*
+ * A peer may be known by another address than the one that it binds, as
+ * behind a proxy: its incarnation tells who answers.
+ */
+static void
+test_advertised_address(void **state)
+{
+	static const char secret[] = "0123456789abcdef";
+	struct node_id to, id = { INADDR_LOOPBACK + 1, 7, 99 };
+	struct peer a;
+	u_int arg = 21, res;
+
+	(void)state;
+	assert_int_equal(
+	    rpc_settings_init(&a.settings, &id, secret, strlen(secret), NULL),
+	    0);
+	a.settings.bind.addr = INADDR_LOOPBACK;
+	assert_int_equal(rpc_server_init(&a.server, &a.settings, NULL), 0);
+	rpc_server_register(&a.server, procs, 2, &calls);
+	assert_int_equal(rpc_server_start(&a.server, NULL), 0);
+	assert_int_equal(rpc_client_init(&a.client, &a.settings, NULL), 0);
+	to = id;
+	to.addr = INADDR_LOOPBACK;
+	to.rpc_port = rpc_server_port(&a.server);
+	assert_int_equal(
+	    rpc_client_call(&a.client, &to, &procs[0], &arg, &res, CALL_MS),
+	    RPC_DONE);
+	assert_int_equal(a.settings.self.rpc_port, 7);
+	peer_finish(&a);
+}
+
 /*
  * Calls to many peers come back together, each with its own answer, and a
  * silent peer costs the others nothing.
@@ -346,6 +377,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_call_statuses),
+		cmocka_unit_test(test_advertised_address),
 		cmocka_unit_test(test_call_many),
 		cmocka_unit_test(test_threads_share_client),
 		cmocka_unit_test(test_fuzz_server),
