--- /dev/null
+++ b/tests/path/world.c
@@ -0,0 +1,202 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "world.h"
+
+#define DOMAINS 3
+#define DEADLINE_SERVICES 3 /* service times in a deadline */
+#define DEADLINE_EXTRA_MS 1000
+#define QUEUE_TEXT 16
+
+const struct world world_qarta = { "qarta", 1000,
+	{
+	    { "catalogue", 5, 65, 500, 1000, 0, "high", "low" },
+	    { "orders", 4, 80, 600, 1000, 1, "critical", "normal" },
+	    { "artwork", 3, 110, 750, 1200, 0, "high", "low" },
+	    { "pricing", 3, 25, 250, 300, 0, "high", "normal" },
+	} };
+
+const struct world world_brazos = { "brazos", 1500,
+	{
+	    { "pricebook", 6, 100, 700, 1200, 0, "high", "low" },
+	    { "quotedesk", 3, 200, 1300, 2000, 1, "critical", "normal" },
+	    { "workbooks", 3, 200, 1300, 2400, 0, "high", "low" },
+	    { "blendcalc", 3, 35, 300, 400, 0, "high", "normal" },
+	} };
+
+static const char *const domains[DOMAINS] = { "da", "db", "dc" };
+
+/* Two large workspaces and six smaller ones. */
+static const double shares[WORLD_WORKSPACES] = { 0.28, 0.24, 0.14, 0.1, 0.08,
+	0.06, 0.05, 0.05 };
+
+/*
+ * Returns the part of all demand that one workspace has.
+ */
+double
+world_share(int workspace)
+{
+	return shares[workspace];
+}
+
+/*
+ * Writes the key of a workspace.
+ */
+void
+world_key(int workspace, char *buf, size_t size)
+{
+	snprintf(buf, size, "world-key-of-workspace-%d", workspace);
+}
+
+/*
+ * Returns the requests a second that a service can serve.
+ */
+double
+world_service_capacity(const struct world_service *s)
+{
+	return s->servers * s->slots * 1000.0 / s->service_ms;
+}
+
+/*
+ * Returns the requests a second that all services together can serve.
+ */
+double
+world_capacity(const struct world *w)
+{
+	double sum = 0;
+	int i;
+
+	for (i = 0; i < WORLD_SERVICES; i++)
+		sum += world_service_capacity(&w->services[i]);
+	return sum;
+}
+
+/*
+ * Adds the two routes of a service: important and bulk requests.
+ */
+static void
+service_routes(json_t *conf, const struct world_service *s)
+{
+	char bulk[48], prefix[48], bulk_prefix[48];
+	struct route_spec r = { .retries = 2 };
+
+	snprintf(bulk, sizeof(bulk), "%s-bulk", s->name);
+	snprintf(prefix, sizeof(prefix), "/%s", s->name);
+	snprintf(bulk_prefix, sizeof(bulk_prefix), "/%s-bulk", s->name);
+	r.name = s->name;
+	r.prefix = prefix;
+	r.service = s->name;
+	r.idempotent = !s->orders;
+	r.priority = s->important_class;
+	r.deadline_ms = DEADLINE_SERVICES * s->service_ms + DEADLINE_EXTRA_MS;
+	conf_route(conf, &r);
+	r.name = bulk;
+	r.prefix = bulk_prefix;
+	r.idempotent = 1;
+	r.priority = s->bulk_class;
+	conf_route(conf, &r);
+}
+
+/*
+ * Returns the configuration of a workload.  Rates are the workspaces' shares
+ * of `rate`; `small` more workspaces have a rate of 4 and a burst of 2.
+ */
+json_t *
+world_conf(const struct world *w, double rate, int small)
+{
+	json_t *conf = conf_new();
+	char name[32], key[48];
+	int i;
+
+	for (i = 0; i < WORLD_SERVICES; i++)
+		service_routes(conf, &w->services[i]);
+	for (i = 0; i < WORLD_WORKSPACES; i++) {
+		snprintf(name, sizeof(name), "w%d", i);
+		world_key(i, key, sizeof(key));
+		conf_workspace(conf, name, key, rate * shares[i],
+		    (int)(2 * rate * shares[i]) + 1);
+	}
+	for (i = 0; i < small; i++) {
+		snprintf(name, sizeof(name), "s%d", i);
+		world_key(WORLD_WORKSPACES + i, key, sizeof(key));
+		conf_workspace(conf, name, key, 4, 2);
+	}
+	return conf;
+}
+
+/*
+ * Adds one flow.
+ */
+static void
+flow_add(struct openload *l, const struct world_service *s, int service,
+    int workspace, int important)
+{
+	struct ol_flow *f = &l->flows[l->flow_count++];
+	double part = important ? WORLD_IMPORTANT : 1 - WORLD_IMPORTANT;
+
+	memset(f, 0, sizeof(*f));
+	snprintf(f->path, sizeof(f->path), "/%s%s/x", s->name,
+	    important ? "" : "-bulk");
+	world_key(workspace, f->key, sizeof(f->key));
+	f->rate = world_service_capacity(s) * part * shares[workspace];
+	f->order = important && s->orders;
+	f->surges = 1;
+	f->group = service;
+	f->workspace = workspace;
+	f->important = important;
+}
+
+/*
+ * Adds the flows of a workload; at factor 1 they ask for its capacity.
+ */
+void
+world_flows(struct openload *l, const struct world *w, int workspaces)
+{
+	int i, k;
+
+	for (i = 0; i < WORLD_SERVICES; i++)
+		for (k = 0; k < workspaces; k++) {
+			flow_add(l, &w->services[i], i, k, 0);
+			flow_add(l, &w->services[i], i, k, 1);
+		}
+}
+
+/*
+ * Starts all nodes and servers of a workload, with the named policies
+ * turned off ("" for none).  Returns 0, or -1.
+ */
+int
+world_start(
+    struct fleet *f, const struct world *w, const char *off, int proxied)
+{
+	struct inst_spec spec;
+	const struct world_service *s;
+	static char queues[WORLD_SERVICES][QUEUE_TEXT];
+	int i, k, n = 0;
+
+	fleet_init(f, proxied);
+	for (i = 0; i < WORLD_SERVICES; i++) {
+		s = &w->services[i];
+		snprintf(queues[i], QUEUE_TEXT, "%d", s->connections);
+		memset(&spec, 0, sizeof(spec));
+		spec.service = s->name;
+		spec.slots = s->slots;
+		spec.connections = s->connections;
+		spec.service_us = s->service_ms * 1000;
+		spec.server_args[0] = "--queue";
+		spec.server_args[1] = queues[i];
+		spec.server_args[2] = "--fixed";
+		spec.server_args[3] = "2";
+		spec.server_args[4] = "--setup-us";
+		spec.server_args[5] = "1000";
+		spec.server_args[6] = "--keep-headers";
+		spec.server_args[7] = "0";
+		spec.node_args[0] = off[0] == '\0' ? NULL : "--disable";
+		spec.node_args[1] = off;
+		for (k = 0; k < s->servers; k++) {
+			spec.domain = domains[n++ % DOMAINS];
+			fleet_add(f, &spec);
+		}
+	}
+	return fleet_start(f);
+}
--- a/tests/standin/backend/work.c
+++ b/tests/standin/backend/work.c
@@ -27,7 +27,9 @@
 }
 
 /*
- * Draws the service time of the next request, in microseconds.
+ * Draws the service time of the next request, in microseconds: from an
+ * exponential distribution, the same for all, or from half to one and a half
+ * times the mean.
  */
 static uint64_t
 draw_service(void)
@@ -38,8 +40,10 @@
 	n = __atomic_add_fetch(&be.draws, 1, __ATOMIC_RELAXED);
 	u = (double)(content_mix((uint64_t)be.seed * 1000003 + n) >> 11) /
 	    9007199254740992.0;
-	if (!be.fixed)
+	if (be.fixed == 0)
 		t = -log(1.0 - u) * t;
+	else if (be.fixed == 2)
+		t *= 0.5 + u;
 	t = t * (double)be.slow_percent / 100.0;
 	if (clock_ms() - be.started < (uint64_t)be.cold_ms)
 		t *= (double)be.cold_factor;
