Count a server's own resending of failed inner calls against the chain

A backend server that repeats a failed inner call multiplies retries at each hop: up to 29 runs at level 4 and 42 in all for one root request that allows 3 retries. A node now remembers the failed inner calls of each request it runs; the same call again takes a retry from the chain, or is refused not-run with the reason retry-bound. The quarantine's test went by a fixed time while its handlers go by the clock, and failed once the machine was up for 1,000 s.

--- a/src/exchange/reason.c
+++ b/src/exchange/reason.c
@@ -52,6 +52,8 @@
 	    CTR_DUPLICATE },
 	[REASON_DEADLINE] = { "deadline", "the deadline passed", 504, 0,
 	    CTR_DEADLINE },
+	[REASON_RETRY_BOUND] = { "retry-bound",
+	    "the retries of the whole chain are used up", 503, 0, CTR_NOT_RUN },
 	[REASON_DEAD_TOKEN] = { "dead-token",
 	    "the request that this call belongs to has ended", 401, 0,
 	    CTR_NO_KEY },
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -249,6 +249,8 @@
 
 	retry_chain_init(&c->chain, lent);
 	call_forward(c);
+	if (c->verdict.outcome != OUTCOME_DONE || c->scratch.status >= 500)
+		parent_call_failed(p, c->print.lo);
 	retry_return(&p->chain, lent, retry_chain_close(&c->chain));
 	free(c);
 }
@@ -281,6 +283,9 @@
 	rcu_read_unlock();
 	if (why == REASON_NONE)
 		why = check_quarantine(c);
+	if (why == REASON_NONE && parent_call_repeats(p, c->print.lo) &&
+	    !retry_spend(&p->chain))
+		why = REASON_RETRY_BOUND;
 	if (why == REASON_NONE)
 		why = check_once(c);
 	if (why != REASON_NONE) {
--- a/src/quarantine/test_quarantine.c
+++ b/src/quarantine/test_quarantine.c
@@ -9,13 +9,14 @@
 #include "quarantine/quarantine.h"
 #include "quarantine/quarantine_xdr.h"
 
-#define NOW 1000000 /* ms */
+#define NOW start_ms /* handlers go by the clock, so the test does */
 #define NODES 3
 #define SERVERS 3
 #define RESENDS 10
 #define HOT_RUNS 4
 #define FLOOD 100000
 
+static uint64_t start_ms;
 static struct quarantine nodes[NODES];
 static int cut; /* news is lost */
 
@@ -389,5 +390,6 @@
 		cmocka_unit_test(test_print),
 	};
 
+	start_ms = clock_ms();
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/retry/parents.c
+++ b/src/retry/parents.c
@@ -51,6 +51,7 @@
 	randombytes_buf(p->token, sizeof(p->token));
 	p->context = *ctx;
 	retry_chain_init(&p->chain, lent);
+	pthread_mutex_init(&p->lock, NULL);
 	atomic_init(&p->refs, 1);
 	st = stripe_of(ps, p->token);
 	pthread_mutex_lock(&st->lock);
@@ -124,8 +125,41 @@
 void
 parent_put(struct parent *p)
 {
-	if (atomic_fetch_sub(&p->refs, 1) == 1)
-		free(p);
+	if (atomic_fetch_sub(&p->refs, 1) != 1)
+		return;
+	pthread_mutex_destroy(&p->lock);
+	free(p);
+}
+
+/*
+ * Remembers an inner call, by a hash of what it asked for, that brought no
+ * good answer.
+ */
+void
+parent_call_failed(struct parent *p, uint64_t call)
+{
+	pthread_mutex_lock(&p->lock);
+	if (p->failed_count < PARENT_FAILED_MAX)
+		p->failed[p->failed_count++] = call;
+	pthread_mutex_unlock(&p->lock);
+}
+
+/*
+ * Tells whether an inner call is one that failed before, and so a retry by
+ * the server itself.  Once no more can be remembered, any call may be one.
+ */
+int
+parent_call_repeats(struct parent *p, uint64_t call)
+{
+	uint32_t i;
+	int repeats;
+
+	pthread_mutex_lock(&p->lock);
+	for (i = 0; i < p->failed_count && p->failed[i] != call; i++)
+		;
+	repeats = i < p->failed_count || p->failed_count == PARENT_FAILED_MAX;
+	pthread_mutex_unlock(&p->lock);
+	return repeats;
 }
 
 /*
--- a/src/retry/parents.h
+++ b/src/retry/parents.h
@@ -14,6 +14,7 @@
 #define PARENT_TOKEN_TEXT 33	/* hexadecimal, with its end */
 #define PARENT_WORKSPACE_MAX 64 /* bytes of a name, with its end */
 #define PARENTS_STRIPES 64
+#define PARENT_FAILED_MAX 32 /* failed inner calls that are remembered */
 
 /* What inner calls inherit from the request they are made for. */
 struct parent_context {
@@ -35,6 +36,9 @@
 	unsigned char token[PARENT_TOKEN_BYTES];
 	struct parent_context context;
 	struct retry_chain chain;
+	pthread_mutex_t lock; /* of the failed calls */
+	uint64_t failed[PARENT_FAILED_MAX];
+	uint32_t failed_count;
 	atomic_uint refs;
 	atomic_int dead;
 };
@@ -56,6 +60,8 @@
 uint32_t parents_end(struct parents *, struct parent *);
 struct parent *parents_get(struct parents *, const char *);
 void parent_put(struct parent *);
+void parent_call_failed(struct parent *, uint64_t);
+int parent_call_repeats(struct parent *, uint64_t);
 int parent_is_dead(const struct parent *);
 void parent_token_format(const struct parent *, char *);
 uint32_t parents_count(struct parents *);
--- a/tests/path/openload.c
+++ b/tests/path/openload.c
@@ -18,8 +18,8 @@
 	struct call *next;
 	CURL *curl;
 	struct curl_slist *headers;
-	uint64_t start;	  /* us, of the request */
-	uint64_t sent;	  /* us, of the attempt */
+	uint64_t start; /* us, of the request */
+	uint64_t sent;	/* us, of the attempt */
 	uint64_t id;
 	size_t got;
 	struct ol_result r;
@@ -194,7 +194,7 @@
 	if (c != NULL)
 		t->free = c->next;
 	else if ((c = calloc(1, sizeof(*c))) == NULL ||
-	    (c->curl = curl_easy_init()) == NULL)
+		 (c->curl = curl_easy_init()) == NULL)
 		abort();
 	memset(&c->r, 0, sizeof(c->r));
 	c->r.flow = (uint16_t)flow;
@@ -240,8 +240,8 @@
 		if (!l->flows[i].paced)
 			continue;
 		if (t->due[i] == 0)
-			t->due[i] = now +
-			    (uint64_t)(draw(t) * 1e6 / l->flows[i].rate);
+			t->due[i] =
+			    now + (uint64_t)(draw(t) * 1e6 / l->flows[i].rate);
 		if (t->due[i] > now)
 			continue;
 		t->due[i] += (uint64_t)(1e6 / l->flows[i].rate);
@@ -397,11 +397,11 @@
 	while (!__atomic_load_n(&l->stop, __ATOMIC_ACQUIRE) || t->active > 0) {
 		now = clock_us();
 		while (next <= now &&
-		    !__atomic_load_n(&l->stop, __ATOMIC_ACQUIRE)) {
+		       !__atomic_load_n(&l->stop, __ATOMIC_ACQUIRE)) {
 			if (arrival_rate(l) > 0)
 				arrive(t);
 			next += (uint64_t)(-log(1.0 - draw(t)) * 1e6 /
-			    (arrival_rate(l) + 1e-3));
+					   (arrival_rate(l) + 1e-3));
 		}
 		if (t->number == 0 &&
 		    !__atomic_load_n(&l->stop, __ATOMIC_ACQUIRE))
--- a/tests/path/openload.h
+++ b/tests/path/openload.h
@@ -22,11 +22,11 @@
 struct ol_flow {
 	char path[96];
 	char key[48];
-	double rate;  /* a second, at load 1 */
-	int order;    /* a POST with an id */
-	int surges;   /* follows the load factor; else stays at 1 */
-	int paced;  /* begins at equal intervals */
-	int group;    /* what the measuring program makes of it */
+	double rate; /* a second, at load 1 */
+	int order;   /* a POST with an id */
+	int surges;  /* follows the load factor; else stays at 1 */
+	int paced;   /* begins at equal intervals */
+	int group;   /* what the measuring program makes of it */
 	int workspace;
 	int important;
 };
@@ -52,12 +52,12 @@
 	struct ol_flow flows[OL_FLOWS_MAX];
 	size_t flow_count;
 	int threads;
-	int attempts;	   /* at most, of one request */
-	int retry_ms;	   /* mean time before the next attempt */
-	long timeout_ms;   /* of one attempt */
+	int attempts;	      /* at most, of one request */
+	int retry_ms;	      /* mean time before the next attempt */
+	long timeout_ms;      /* of one attempt */
 	uint64_t patience_ms; /* of a caller, over all attempts */
 	uint64_t seed;
-	double factor;	   /* of the load, may change while it runs */
+	double factor; /* of the load, may change while it runs */
 	int stop;
 	uint64_t began;
 	uint64_t dropped; /* not begun: too many at once */
