Bind RPC to the node's own address, name the node by its advertised one

Behind a proxy the sender of every message was the bound address, so no peer knew the owner of a lease by it: promises and loans were refused.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -74,9 +74,6 @@
 		.probe_ms = s->probe_ms,
 		.seeds = seeds,
 		.seeds_len = s->seed_peers.count };
-	struct node_id bind = { .addr = s->address,
-		.rpc_port = (uint16_t)s->rpc_port,
-		.incarnation = n->id.incarnation };
 	GError *e = NULL;
 	size_t i;
 
@@ -84,9 +81,15 @@
 		seeds[i].addr = s->seed_peers.list[i].addr;
 		seeds[i].rpc_port = (uint16_t)s->seed_peers.list[i].port;
 	}
-	if (rpc_settings_init(
-		&n->rpc_settings, &bind, n->key, sizeof(n->key), &e) == -1 ||
-	    rpc_server_init(&n->rpc_server, &n->rpc_settings, &e) == -1 ||
+	if (rpc_settings_init(&n->rpc_settings, &n->id, n->key,
+		sizeof(n->key), &e) == -1) {
+		logline(LOG_CRIT, "rpc-failed", "why=\"%s\"", e->message);
+		g_error_free(e);
+		return -1;
+	}
+	n->rpc_settings.bind.addr = s->address;
+	n->rpc_settings.bind.rpc_port = (uint16_t)s->rpc_port;
+	if (rpc_server_init(&n->rpc_server, &n->rpc_settings, &e) == -1 ||
 	    rpc_client_init(&n->rpc_client, &n->rpc_settings, &e) == -1) {
 		logline(LOG_CRIT, "rpc-failed", "why=\"%s\"", e->message);
 		g_error_free(e);
