--- a/tests/path/openload.h
+++ b/tests/path/openload.h
@@ -29,6 +29,7 @@
 	int group;   /* what the measuring program makes of it */
 	int workspace;
 	int important;
+	int noisy; /* goes over its rate on purpose */
 };
 
 /*
--- a/tests/path/test_config.c
+++ b/tests/path/test_config.c
@@ -86,7 +86,8 @@
 	long status = 0;
 
 	(void)state;
-	fleet_log_control(&fleet, "{\"lose_answers\":1}");
+	fleet_log_control(
+	    &fleet, "{\"lose_answers\":1,\"lose_stream\":\"config\"}");
 	assert_int_equal(fleet_publish_raw(&fleet, ID_A, 1, 2, a, &status), -1);
 	assert_int_equal(status, 0);
 	assert_int_equal(fleet_publish_raw(&fleet, ID_B, 1, 2, b, NULL), 0);
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -62,7 +62,8 @@
 	http_req_header(rq, "Authorization: Bearer %s", ACME_KEY);
 	http_req_header(
 	    rq, "Idempotency-Key: %016llx", (unsigned long long)rand_u64());
-	(void)seq;
+	http_req_header(
+	    rq, "X-Attempt: %d.%llu", thread, (unsigned long long)seq);
 	return 0;
 }
 
@@ -87,8 +88,9 @@
 		n = &t->cut;
 	if (n == &t->cut || n == &t->other)
 		snprintf(t->sample, sizeof(t->sample),
-		    "thread %d curl %d status %ld %s %s", thread, (int)rs->code,
-		    rs->status, rs->outcome, rs->reason);
+		    "attempt %d.%llu curl %d status %ld %s %s after %llu us",
+		    thread, (unsigned long long)seq, (int)rs->code, rs->status,
+		    rs->outcome, rs->reason, (unsigned long long)rs->us);
 	__atomic_add_fetch(n, 1, __ATOMIC_RELAXED);
 	if (n == &t->unreached)
 		usleep(20000);
--- a/tests/standin/logsvc.c
+++ b/tests/standin/logsvc.c
@@ -50,6 +50,7 @@
 static struct stream streams[STREAMS_MAX];
 static int64_t outage, slow_ms, lose_answers, append_rate;
 static int64_t retain_count, retain_ms, refused;
+static char lose_stream[NAME_MAX_LEN]; /* whose answers get lost, "" all */
 static double rate_level;
 static uint64_t rate_time;
 
@@ -214,7 +215,8 @@
 	}
 	s = stream_get(name, true);
 	off = s == NULL ? -1 : stream_add(s, data, len);
-	lost = off >= 0 && lose_answers > 0;
+	lost = off >= 0 && lose_answers > 0 &&
+	       (lose_stream[0] == '\0' || strcmp(lose_stream, name) == 0);
 	if (lost)
 		lose_answers--;
 	pthread_mutex_unlock(&lock);
@@ -343,8 +345,11 @@
 control(const json_t *j)
 {
 	const char *name = json_string_value(json_object_get(j, "truncate"));
+	const char *lose = json_string_value(json_object_get(j, "lose_stream"));
 	struct stream *s;
 
+	snprintf(
+	    lose_stream, sizeof(lose_stream), "%s", lose == NULL ? "" : lose);
 	standin_take_int(j, "outage", &outage);
 	standin_take_int(j, "slow_ms", &slow_ms);
 	standin_take_int(j, "lose_answers", &lose_answers);
