--- a/tests/path/test_shed.c
+++ b/tests/path/test_shed.c
@@ -33,6 +33,7 @@
 	uint64_t served;
 	uint64_t shed;
 	uint64_t other;
+	char reason[32]; /* of the last one shed */
 };
 
 static struct fleet fleet;
@@ -96,9 +97,10 @@
 	(void)rq;
 	if (http_is(rs, 200, NULL))
 		__atomic_add_fetch(&t->served, 1, __ATOMIC_RELAXED);
-	else if (strcmp(rs->outcome, "not-run") == 0)
+	else if (strcmp(rs->outcome, "not-run") == 0) {
 		__atomic_add_fetch(&t->shed, 1, __ATOMIC_RELAXED);
-	else
+		snprintf(t->reason, sizeof(t->reason), "%s", rs->reason);
+	} else
 		__atomic_add_fetch(&t->other, 1, __ATOMIC_RELAXED);
 }
 
@@ -109,8 +111,8 @@
 static void
 test_classes(void **state)
 {
-	struct tally crit = { "/order/c", "c", 0, 0, 0 };
-	struct tally low = { "/low/l", "l", 0, 0, 0 };
+	struct tally crit = { "/order/c", "c", 0, 0, 0, "" };
+	struct tally low = { "/low/l", "l", 0, 0, 0, "" };
 	struct load lc = { .threads = CRITICAL_THREADS,
 		.interval_us = 30000,
 		.request = class_request,
@@ -129,11 +131,13 @@
 	load_stop(&ll);
 	crit_all = crit.served + crit.shed + crit.other;
 	low_all = low.served + low.shed + low.other;
-	print_message("critical %llu of %llu served (%llu other), low %llu of "
-		      "%llu (%llu other), capacity %d\n",
+	print_message(
+	    "critical %llu of %llu served (%llu other, %s), low %llu of "
+	    "%llu (%llu other), capacity %d\n",
 	    (unsigned long long)crit.served, (unsigned long long)crit_all,
-	    (unsigned long long)crit.other, (unsigned long long)low.served,
-	    (unsigned long long)low_all, (unsigned long long)low.other,
+	    (unsigned long long)crit.other, crit.reason,
+	    (unsigned long long)low.served, (unsigned long long)low_all,
+	    (unsigned long long)low.other,
 	    (int)((double)NODES * SLOTS * RUN_MS * 1000 / SERVICE_US));
 	assert_true(crit.served * 100 >= crit_all * 97);
 	assert_true(low.shed > 0);
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -34,6 +34,7 @@
 	uint64_t unreached;
 	uint64_t cut;
 	uint64_t other;
+	char reason[32]; /* of the last one not run */
 	char sample[200];
 };
 
@@ -80,9 +81,10 @@
 	(void)rq;
 	if (http_is(rs, 200, NULL) && http_content_is(rs, 9, 100000))
 		n = &t->served;
-	else if (strcmp(rs->outcome, "not-run") == 0)
+	else if (strcmp(rs->outcome, "not-run") == 0) {
 		n = &t->not_run;
-	else if (rs->code == CURLE_COULDNT_CONNECT)
+		snprintf(t->reason, sizeof(t->reason), "%s", rs->reason);
+	} else if (rs->code == CURLE_COULDNT_CONNECT)
 		n = &t->unreached;
 	else if (rs->code != CURLE_OK)
 		n = &t->cut;
@@ -112,8 +114,9 @@
 		    runlog_count_attempt(&rl, attempt));
 		runlog_finish(&rl);
 	}
-	print_message("%s: %llu served, %llu not run, %llu unreached, %llu "
-		      "cut, %llu other %s\n",
+	print_message(
+	    "%s: %llu served, %llu not run (%s), %llu unreached, %llu "
+	    "cut, %llu other %s\n",
 	    what, (unsigned long long)t->served, (unsigned long long)t->not_run,
 	    (unsigned long long)t->unreached, (unsigned long long)t->cut,
 	    (unsigned long long)t->other, t->sample);
