--- /dev/null
+++ b/src/dump/dump.h
@@ -0,0 +1,6 @@
+#ifndef DUMP_DUMP_H
+#define DUMP_DUMP_H
+
+char *dump_json(const char *);
+
+#endif
