--- a/regress/scripts/docs.sh
+++ b/regress/scripts/docs.sh
@@ -1,5 +1,6 @@
 # Pages against the code: the folders and files that they name exist, and
-# every reason of a refusal is listed with its status.
+# every reason of a refusal is listed with its status, and every event of the
+# log is listed.
 for page in README.md docs/OPERATIONS.md; do
 	grep -o '`[a-zA-Z.]*/[a-zA-Z0-9_./-]*`' $page | tr -d '`' | sort -u |
 	    while read -r path; do
@@ -17,3 +18,10 @@
 	grep -qF "| $status | \`$reason\` |" docs/OPERATIONS.md ||
 	    echo "docs/OPERATIONS.md: no $status $reason"
 done
+
+cat $(ls src/*/*.c | grep -v /test_) | tr '\n\t' '  ' |
+    grep -o 'logline( *LOG_[A-Z]*, *"[a-z-]*"' | sed 's/.*"\(.*\)"/\1/' |
+    sort -u | while read -r event; do
+	grep -qF "\`$event\`" docs/OPERATIONS.md ||
+	    echo "docs/OPERATIONS.md: no event $event"
+done
