--- a/regress/scripts/docs.sh
+++ b/regress/scripts/docs.sh
@@ -1,6 +1,6 @@
-# Pages against the code: the folders and files that they name exist, and
-# every reason of a refusal is listed with its status, and every event of the
-# log is listed.
+# Pages against the code: the folders and files that they name exist, every
+# reason of a refusal is listed with its status, and every event of the log is
+# listed.
 for page in README.md docs/OPERATIONS.md; do
 	grep -o '`[a-zA-Z.]*/[a-zA-Z0-9_./-]*`' $page | tr -d '`' | sort -u |
 	    while read -r path; do
@@ -25,3 +25,9 @@
 	grep -qF "\`$event\`" docs/OPERATIONS.md ||
 	    echo "docs/OPERATIONS.md: no event $event"
 done
+
+# The configurations shown are accepted.
+sed -n '/fleet.json <<EOF/,/EOF$/p' README.md | sed '1d;$d' |
+    "$BUILD/cyclamenvalectl" check -
+sed -n '/^\.Bd/,/^\.Ed/p' man/cyclamenvale-config.5 | sed '1d;$d' |
+    "$BUILD/cyclamenvalectl" check -
--- a/src/cyclamenvalectl/args.c
+++ b/src/cyclamenvalectl/args.c
@@ -53,6 +53,7 @@
 static void options_fill(struct option *, const struct ctl_verb *);
 static void value_read(
     struct ctl_args *, enum ctl_opt, const char *, struct finds *);
+static void nodes_check(const struct ctl_args *, struct finds *);
 static void args_check(
     struct ctl_args *, const struct ctl_verb *, struct finds *);
 
@@ -66,12 +67,17 @@
 	    "to publish again needs the base version of the first time" },
 };
 
-static int (*const readers[ARG_KIND_MAX])(const char *, void *) = {
-	[ARG_TEXT] = read_text,
-	[ARG_NUMBER] = read_number,
-	[ARG_SECONDS] = read_seconds,
-	[ARG_ID] = read_id,
-	[ARG_NODE] = read_node,
+/* How each kind of value is read and described. */
+static const struct {
+	int (*read)(const char *, void *);
+	const char *text;
+} kinds[ARG_KIND_MAX] = {
+	[ARG_SWITCH] = { NULL, "" },
+	[ARG_TEXT] = { read_text, "a text" },
+	[ARG_NUMBER] = { read_number, "a whole number" },
+	[ARG_SECONDS] = { read_seconds, "0 to 86400 seconds" },
+	[ARG_ID] = { read_id, "32 hexadecimal digits in lower case" },
+	[ARG_NODE] = { read_node, "IP:PORT" },
 };
 
 #define AT(f) offsetof(struct ctl_args, f)
@@ -216,13 +222,29 @@
 	a->given |= OPT_BIT(o);
 	if (opts[o].kind == ARG_SWITCH)
 		return;
-	if (readers[opts[o].kind](s, (char *)a + opts[o].offset) == 0)
+	if (kinds[opts[o].kind].read(s, (char *)a + opts[o].offset) == 0)
 		return;
 	snprintf(place, sizeof(place), "--%s", opts[o].name);
 	finds_add(
 	    fs, &msgs[FIND_BAD], place, "\"%.60s\" is not %s", s, opts[o].word);
 }
 
+/*
+ * Checks the operands that name nodes.
+ */
+static void
+nodes_check(const struct ctl_args *a, struct finds *fs)
+{
+	const char *node;
+	int i;
+
+	for (i = 0; i < a->operand_count; i++)
+		if (read_node(a->operands[i], &node) == -1)
+			finds_add(fs, &msgs[FIND_BAD], "operand",
+			    "\"%.60s\" is not %s", a->operands[i],
+			    kinds[ARG_NODE].text);
+}
+
 /*
  * Checks that a verb has the options and operands that it needs.
  */
@@ -251,6 +273,8 @@
 		    "%d given, see "
 		    "--help",
 		    a->operand_count);
+	if (v->operand_nodes)
+		nodes_check(a, fs);
 }
 
 /*
--- a/src/cyclamenvalectl/ctl.h
+++ b/src/cyclamenvalectl/ctl.h
@@ -61,6 +61,7 @@
 	unsigned int required; /* bits of enum ctl_opt */
 	int operands_min;
 	int operands_max;
+	int operand_nodes; /* operands are IP:PORT */
 	const char *operands;
 	const char *help;
 };
--- a/src/cyclamenvalectl/main.c
+++ b/src/cyclamenvalectl/main.c
@@ -8,34 +8,63 @@
 
 #define LOG_OPTS (OPT_BIT(OPT_LOG_URL) | OPT_BIT(OPT_TIMEOUT))
 #define KEY_OPTS (OPT_BIT(OPT_WORKSPACE) | OPT_BIT(OPT_KEY_ID))
+#define CHANGE_OPTS \
+	(LOG_OPTS | KEY_OPTS | OPT_BIT(OPT_RETRY) | OPT_BIT(OPT_AUTHOR))
 #define ANY_OPERANDS 1024
 
 static void usage(FILE *);
 static const struct ctl_verb *verb_find(const char *);
 
 static const struct ctl_verb verbs[] = {
-	{ "check", ctl_check, 0, 0, 1, ANY_OPERANDS, "FILE ...",
-	    "report every finding in a configuration" },
-	{ "publish", ctl_publish,
-	    LOG_OPTS | OPT_BIT(OPT_BASE) | OPT_BIT(OPT_ID) |
-		OPT_BIT(OPT_AUTHOR),
-	    OPT_BIT(OPT_LOG_URL), 1, 1, "FILE", "publish a configuration" },
-	{ "show", ctl_show, LOG_OPTS, OPT_BIT(OPT_LOG_URL), 0, 0, "",
-	    "print the configuration in force" },
-	{ "grant", ctl_grant,
-	    LOG_OPTS | KEY_OPTS | OPT_BIT(OPT_RETRY) | OPT_BIT(OPT_AUTHOR),
-	    OPT_BIT(OPT_LOG_URL) | KEY_OPTS, 0, 0, "",
-	    "make a key for a workspace and print it once" },
-	{ "withdraw", ctl_withdraw,
-	    LOG_OPTS | KEY_OPTS | OPT_BIT(OPT_RETRY) | OPT_BIT(OPT_AUTHOR),
-	    OPT_BIT(OPT_LOG_URL) | KEY_OPTS, 0, 0, "",
-	    "withdraw a workspace's key" },
-	{ "dump", ctl_dump,
-	    OPT_BIT(OPT_NODE) | OPT_BIT(OPT_JSON) | OPT_BIT(OPT_TIMEOUT),
-	    OPT_BIT(OPT_NODE), 0, 0, "", "print the state of a node" },
-	{ "wait", ctl_wait, OPT_BIT(OPT_VERSION) | OPT_BIT(OPT_TIMEOUT),
-	    OPT_BIT(OPT_VERSION), 1, ANY_OPERANDS, "NODE ...",
-	    "wait until a version is in force on nodes (IP:PORT)" },
+	{ .name = "check",
+	    .run = ctl_check,
+	    .operands_min = 1,
+	    .operands_max = ANY_OPERANDS,
+	    .operands = "FILE ...",
+	    .help = "report every finding in a configuration" },
+	{ .name = "publish",
+	    .run = ctl_publish,
+	    .allowed = LOG_OPTS | OPT_BIT(OPT_BASE) | OPT_BIT(OPT_ID) |
+		       OPT_BIT(OPT_AUTHOR),
+	    .required = OPT_BIT(OPT_LOG_URL),
+	    .operands_min = 1,
+	    .operands_max = 1,
+	    .operands = "FILE",
+	    .help = "publish a configuration" },
+	{ .name = "show",
+	    .run = ctl_show,
+	    .allowed = LOG_OPTS,
+	    .required = OPT_BIT(OPT_LOG_URL),
+	    .operands = "",
+	    .help = "print the configuration in force" },
+	{ .name = "grant",
+	    .run = ctl_grant,
+	    .allowed = CHANGE_OPTS,
+	    .required = OPT_BIT(OPT_LOG_URL) | KEY_OPTS,
+	    .operands = "",
+	    .help = "make a key for a workspace and print it once" },
+	{ .name = "withdraw",
+	    .run = ctl_withdraw,
+	    .allowed = CHANGE_OPTS,
+	    .required = OPT_BIT(OPT_LOG_URL) | KEY_OPTS,
+	    .operands = "",
+	    .help = "withdraw a workspace's key" },
+	{ .name = "dump",
+	    .run = ctl_dump,
+	    .allowed =
+		OPT_BIT(OPT_NODE) | OPT_BIT(OPT_JSON) | OPT_BIT(OPT_TIMEOUT),
+	    .required = OPT_BIT(OPT_NODE),
+	    .operands = "",
+	    .help = "print the state of a node" },
+	{ .name = "wait",
+	    .run = ctl_wait,
+	    .allowed = OPT_BIT(OPT_VERSION) | OPT_BIT(OPT_TIMEOUT),
+	    .required = OPT_BIT(OPT_VERSION),
+	    .operands_min = 1,
+	    .operands_max = ANY_OPERANDS,
+	    .operand_nodes = 1,
+	    .operands = "NODE ...",
+	    .help = "wait until a version is in force on nodes (IP:PORT)" },
 };
 
 #define VERBS (sizeof(verbs) / sizeof(verbs[0]))
