--- a/src/cyclamenvalectl/args.c
+++ b/src/cyclamenvalectl/args.c
@@ -225,8 +225,8 @@
 	if (kinds[opts[o].kind].read(s, (char *)a + opts[o].offset) == 0)
 		return;
 	snprintf(place, sizeof(place), "--%s", opts[o].name);
-	finds_add(
-	    fs, &msgs[FIND_BAD], place, "\"%.60s\" is not %s", s, opts[o].word);
+	finds_add(fs, &msgs[FIND_BAD], place, "\"%.60s\" is not %s", s,
+	    kinds[opts[o].kind].text);
 }
 
 /*
