--- a/tests/path/std.c
+++ b/tests/path/std.c
@@ -1,8 +1,11 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "std.h"
 
+#define ORDERS_READY 30 /* in a row, each with a random id */
+
 struct status_wait {
 	struct fleet *fleet;
 	int inst;
@@ -12,6 +15,7 @@
 };
 
 static int status_is(void *);
+static int orders_taken(void *);
 
 const struct inst_spec std_spec[3] = {
 	{ .domain = "da", .service = "web", .service_us = 2000 },
@@ -93,11 +97,49 @@
 	json_decref(conf);
 	if (r == 0)
 		r = fleet_ready(f, "/page/ready", ACME_KEY, STD_READY_MS);
+	if (r == 0)
+		r = std_orders_ready(f, STD_READY_MS);
 	if (r == -1)
 		fleet_show(f);
 	return r;
 }
 
+/*
+ * Returns 1 if orders with random ids are taken through all nodes.
+ */
+static int
+orders_taken(void *ctx)
+{
+	struct fleet *f = ctx;
+	struct http_req rq;
+	struct http_res rs;
+	int i;
+
+	for (i = 0; i < ORDERS_READY; i++) {
+		http_req_init(&rq, "http://%s:%d/order/ready",
+		    f->list[i % f->count].addr, CALLER_PORT);
+		http_req_header(&rq, "Authorization: Bearer %s", ACME_KEY);
+		http_req_header(&rq, "Idempotency-Key: %016llx",
+		    (unsigned long long)rand_u64());
+		rq.body = "{}";
+		http_call(NULL, &rq, &rs);
+		http_res_finish(&rs);
+		if (!http_is(&rs, 200, NULL))
+			return 0;
+	}
+	return 1;
+}
+
+/*
+ * Waits until the request ids of every partition have their owners.  Returns
+ * 0, or -1.
+ */
+int
+std_orders_ready(struct fleet *f, int ms)
+{
+	return wait_until(orders_taken, f, ms);
+}
+
 /*
  * Returns 1 if a request through a node gets the status.
  */
--- a/tests/path/std.h
+++ b/tests/path/std.h
@@ -16,6 +16,7 @@
 
 json_t *std_conf(void);
 int std_start(struct fleet *, int, int);
+int std_orders_ready(struct fleet *, int);
 int std_route_says(struct fleet *, int, const char *, const char *, long, int);
 
 #endif
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -114,12 +114,12 @@
 		    runlog_count_attempt(&rl, attempt));
 		runlog_finish(&rl);
 	}
-	print_message(
-	    "%s: %llu served, %llu not run (%s), %llu unreached, %llu "
-	    "cut, %llu other %s\n",
+	print_message("%s: %llu served, %llu not run (%s), %llu unreached, "
+		      "%llu cut, %llu other %s\n",
 	    what, (unsigned long long)t->served, (unsigned long long)t->not_run,
-	    (unsigned long long)t->unreached, (unsigned long long)t->cut,
-	    (unsigned long long)t->other, t->sample);
+	    t->reason, (unsigned long long)t->unreached,
+	    (unsigned long long)t->cut, (unsigned long long)t->other,
+	    t->sample);
 	assert_true(t->served > 100);
 	assert_int_equal(t->cut, 0);
 	assert_int_equal(t->other, 0);
