Stop: end admitted work, then stop accepting, then close

A node under load from callers that don't cease never saw 300 ms without a request and ran into its stop timeout of 30 s.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -17,7 +17,8 @@
 #define SERVER_IDLE_MS 2000
 #define STOP_CHECK_US 10000
 #define LEAVE_LEASES_MS 2000
-#define STOP_QUIET_MS 300 /* without a request, before ports close */
+#define STOP_QUIET_MS 300   /* without a request, before ports close */
+#define STOP_LINGER_MS 1000 /* for callers that don't cease */
 
 static void *ticker_main(void *);
 
@@ -81,8 +82,8 @@
 		seeds[i].addr = s->seed_peers.list[i].addr;
 		seeds[i].rpc_port = (uint16_t)s->seed_peers.list[i].port;
 	}
-	if (rpc_settings_init(&n->rpc_settings, &n->id, n->key,
-		sizeof(n->key), &e) == -1) {
+	if (rpc_settings_init(
+		&n->rpc_settings, &n->id, n->key, sizeof(n->key), &e) == -1) {
 		logline(LOG_CRIT, "rpc-failed", "why=\"%s\"", e->message);
 		g_error_free(e);
 		return -1;
@@ -199,9 +200,25 @@
 	       atomic_load(&n->inflight[PORT_PEER]);
 }
 
+/*
+ * Waits until no request is under way and none has come for a while, or
+ * until a time (ms).
+ */
+static void
+wait_quiet(struct node *n, uint64_t until, uint64_t quiet_ms)
+{
+	uint64_t now;
+
+	while (
+	    (now = clock_ms()) < until &&
+	    (busy(n) > 0 || now < atomic_load(&n->last_request_ms) + quiet_ms))
+		usleep(STOP_CHECK_US);
+}
+
 /*
  * Stops gracefully: no new work, peers are told, and what is under way ends
- * or runs into the stop timeout.
+ * or runs into the stop timeout.  Then no connection is accepted any more,
+ * and those that are open are told to close as long as they bring requests.
  */
 void
 node_stop(struct node *n)
@@ -214,11 +231,14 @@
 	server_check(n, now);
 	lease_service_leave(&n->lease, LEAVE_LEASES_MS);
 	member_leave(&n->member);
-	atomic_store(&n->last_request_ms, clock_ms());
-	while ((now = clock_ms()) < until &&
-	       (busy(n) > 0 ||
-		   now < atomic_load(&n->last_request_ms) + STOP_QUIET_MS))
+	while (clock_ms() < until && admission_busy(&n->admission) > 0)
 		usleep(STOP_CHECK_US);
+	now = clock_ms();
+	wait_quiet(n,
+	    now + STOP_LINGER_MS < until ? now + STOP_LINGER_MS : until,
+	    STOP_QUIET_MS);
+	ports_close(n);
+	wait_quiet(n, until, STOP_QUIET_MS);
 	logline(LOG_NOTICE, "stopped", "cut=%u", busy(n));
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -99,6 +99,7 @@
 void duties_finish(struct node *);
 
 int ports_start(struct node *);
+void ports_close(struct node *);
 void ports_stop(struct node *);
 
 #endif
--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -2,6 +2,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <urcu.h>
 
 #include "node/node.h"
@@ -11,6 +13,7 @@
 #define PEER_KEEP_MS "5000"
 #define ACCEPT_QUEUE "1024"
 #define OPERATOR_THREADS 4
+#define DESCRIPTORS_MAX 65536
 
 typedef void (*serve_fn)(struct node *, struct request *);
 
@@ -172,6 +175,36 @@
 	return 0;
 }
 
+/*
+ * Has callers and peers refused at connecting while open connections are
+ * still served.  CivetWeb can't do so; its listening sockets are found among
+ * this process's descriptors.
+ */
+void
+ports_close(struct node *n)
+{
+	const struct settings *s = &n->settings;
+	const uint32_t closing[] = { s->caller_port, s->peer_port };
+	struct sockaddr_in sin;
+	socklen_t len;
+	size_t i;
+	int fd, listening, max = (int)sysconf(_SC_OPEN_MAX);
+
+	for (fd = 0; fd < max && fd < DESCRIPTORS_MAX; fd++) {
+		len = sizeof(listening);
+		if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening,
+			&len) == -1 ||
+		    !listening)
+			continue;
+		len = sizeof(sin);
+		if (getsockname(fd, (struct sockaddr *)&sin, &len) == -1)
+			continue;
+		for (i = 0; i < sizeof(closing) / sizeof(closing[0]); i++)
+			if (ntohs(sin.sin_port) == closing[i])
+				shutdown(fd, SHUT_RD);
+	}
+}
+
 /*
  * Closes all ports; requests under way end first.
  */
