--- a/src/once/test_once.c
+++ b/src/once/test_once.c
@@ -20,6 +20,7 @@
 static uint64_t now_ms;
 static int down[NODES];
 static int lose_answers;
+static uint64_t slow_ms; /* that a call takes */
 
 static uint64_t fake_clock(void);
 static uint64_t fake_wall(void);
@@ -91,6 +92,7 @@
 		return RPC_TIMEOUT;
 	}
 	p->handle(&nodes[i], NULL, arg, res);
+	now_ms += slow_ms;
 	return lose_answers-- > 0 ? RPC_TIMEOUT : RPC_DONE;
 }
 
@@ -133,6 +135,7 @@
 	(void)state;
 	now_ms = START_MS;
 	lose_answers = 0;
+	slow_ms = 0;
 	memset(down, 0, sizeof(down));
 	for (i = 0; i < NODES; i++) {
 		cfg.self = node(i);
@@ -339,6 +342,22 @@
 	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
 }
 
+/*
+ * A claim whose answers come late, as after a freeze, counts for nothing.
+ */
+static void
+test_late_answers(void **state)
+{
+	struct once_key k = key(1);
+
+	(void)state;
+	slow_ms = ONCE_BOUND_MS / 2;
+	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
+	slow_ms--;
+	k = key(2);
+	assert_int_equal(claim(2, &k), ONCE_FIRST);
+}
+
 /*
  * A release frees an id for its own attempt only, also when it is late.
  */
@@ -468,6 +487,8 @@
 		cmocka_unit_test_setup_teardown(
 		    test_young_memory, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_no_note, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_late_answers, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_release, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_late_notes, setup, teardown),
