Let an owner without a standby grant ids

A fleet of one node, or one whose standby has just died, refused every non-idempotent request with an id.

--- a/src/once/once.x
+++ b/src/once/once.x
@@ -4,13 +4,12 @@
 const ONCE_PAGE = 32;
 
 enum once_status {
-	ONCE_RESERVED = 0,	/* first, once the standby has noted it */
+	ONCE_RESERVED = 0,	/* first, once the standby, if any, has noted it */
 	ONCE_CLAIMED = 1,	/* claimed before */
 	ONCE_NOT_KNOWN = 2,	/* the memory is too young to tell */
 	ONCE_NOT_OWNER = 3,
 	ONCE_NO_ROOM = 4,
-	ONCE_NO_STANDBY = 5,
-	ONCE_FUTURE = 6		/* made later than now */
+	ONCE_FUTURE = 5		/* made later than now */
 };
 
 struct once_node {
--- a/src/once/once_entry.c
+++ b/src/once/once_entry.c
@@ -17,7 +17,6 @@
 	[ONCE_NOT_KNOWN] = ONCE_UNKNOWN,
 	[ONCE_NOT_OWNER] = ONCE_UNAVAILABLE,
 	[ONCE_NO_ROOM] = ONCE_UNAVAILABLE,
-	[ONCE_NO_STANDBY] = ONCE_UNAVAILABLE,
 	[ONCE_FUTURE] = ONCE_UNAVAILABLE,
 };
 
@@ -98,6 +97,8 @@
 
 /*
  * Has the standby note a reserved id.  Returns 0, or -1 if it did not.
+ * Where the term names no standby there is none that could take over with a
+ * memory that counts as whole, and so none that has to know.
  */
 static int
 ask_standby(struct once *o, const struct once_claim *c, uint64_t term)
@@ -105,6 +106,8 @@
 	once_note_arg arg = { .attempt = c->attempt, .term = term };
 	once_note_res res;
 
+	if (nodeid_is_none(&c->standby))
+		return 0;
 	memcpy(arg.id, c->id.byte, sizeof(arg.id));
 	if (once_call(o, &c->standby, ONCE_PROC_NOTE, &arg, &res) == -1 ||
 	    !res.noted)
--- a/src/once/once_owner.c
+++ b/src/once/once_owner.c
@@ -3,8 +3,8 @@
 #include "once/once_int.h"
 
 static int is_new(const struct once_part *, uint64_t, uint64_t, uint64_t);
-static once_status reserve(struct once *, struct once_part *,
-    const once_claim_arg *, const struct lease_view *, uint64_t);
+static once_status reserve(
+    struct once *, struct once_part *, const once_claim_arg *, uint64_t);
 
 /*
  * Brings a locked partition to the lease of this node.  Its memory has all
@@ -53,7 +53,7 @@
  */
 static once_status
 reserve(struct once *o, struct once_part *p, const once_claim_arg *arg,
-    const struct lease_view *v, uint64_t now_ms)
+    uint64_t now_ms)
 {
 	uint64_t wall = o->cfg.wall_ms(), stamp = arg->stamp_ms;
 	uint64_t window = (uint64_t)ONCE_WINDOW_S * MS_PER_S;
@@ -72,8 +72,6 @@
 	/* What was made longer ago may have been first and forgotten. */
 	if (stamp != 0 && stamp + window < wall + 2 * ONCE_CLOCK_MS)
 		return ONCE_NOT_KNOWN;
-	if (nodeid_is_none(&v->standby))
-		return ONCE_NO_STANDBY;
 	if (memory_add(&p->memory, &id, arg->attempt, now_s, now_s) ==
 	    MEMORY_FULL)
 		return ONCE_NO_ROOM;
@@ -104,7 +102,7 @@
 	pthread_mutex_lock(&p->lock);
 	if (once_enter(p, &v) == 0) {
 		p->used_ms = now;
-		res->status = reserve(o, p, arg, &v, now);
+		res->status = reserve(o, p, arg, now);
 	}
 	pthread_mutex_unlock(&p->lock);
 	res->term = v.term;
--- a/src/once/once_xdr.h
+++ b/src/once/once_xdr.h
@@ -22,8 +22,7 @@
 	ONCE_NOT_KNOWN = 2,
 	ONCE_NOT_OWNER = 3,
 	ONCE_NO_ROOM = 4,
-	ONCE_NO_STANDBY = 5,
-	ONCE_FUTURE = 6,
+	ONCE_FUTURE = 5,
 };
 typedef enum once_status once_status;
 
