--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -10,7 +10,7 @@
 #define LIMITS_MARGIN_MS 50  /* kept longer by the owner: clock speeds */
 
 #define LIMITS_HELD_MAX 8    /* loans that an entry holds of a workspace */
-#define LIMITS_QUEUED_MAX 64 /* reports not yet sent */
+#define LIMITS_QUEUED_MAX 16 /* reports not yet sent */
 
 struct limits_held {
 	uint64_t id;
