Leases: kicks don't flood the log, and a slow log is better than none

Each request that found an owner gone had the stream read at once: with 1,600 entries and an owner dead for 3 s that is thousands of reads a second. A kick now brings the next read forward to 1 s after the last one, or 0.5 s where the node has a part in the leases, with jitter.

Reads and appends of over 1 s counted as an outage, in which nobody can take over and everything stops after 10 minutes. They now have 3 s, and a read up to 10 s old is good enough to decide on, as the log compares terms anyway.

--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -143,6 +143,7 @@
 char *lease_reset_encode(void);
 
 /* lease_decide.c: which claims this node appends now */
+#define LEASE_FRESH_MS 10000	 /* age of the last read to decide on */
 #define LEASE_SETTLE_MS 2000	 /* members find each other meanwhile */
 #define LEASE_RANK_MS 3000	 /* head start of each better candidate */
 #define LEASE_DEAD_MS 15000	 /* silence before anyone takes over */
--- a/src/lease/lease_decide.c
+++ b/src/lease/lease_decide.c
@@ -382,7 +382,7 @@
 	uint32_t part;
 
 	if (!t->complete || !t->proved ||
-	    in->now_ms - t->read_sent_ms >= LEASE_TERM_MS)
+	    in->now_ms - t->read_sent_ms >= LEASE_FRESH_MS)
 		return 0;
 	r.self = find(&r, &t->self);
 	round_domains(&r);
--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -10,13 +10,15 @@
 #include "base/logline.h"
 #include "lease/lease_service.h"
 
-#define POLL_MS 500	  /* reads by nodes with a part in the leases */
-#define POLL_IDLE_MS 5000 /* reads by all others */
+#define POLL_MS 500	    /* reads by nodes with a part in the leases */
+#define POLL_WATCH_MS 1000  /* reads by others while an owner is gone */
+#define POLL_IDLE_MS 5000   /* reads by others */
+#define POLL_JITTER_MS 1000 /* keeps those others apart */
 #define BEAT_MS 500
-#define STALE_MS 3000 /* without a read: ask a peer for its table */
-#define READ_MAX 500  /* records of one read */
-#define READ_TIMEOUT_MS 1000
-#define APPEND_TIMEOUT_MS 1000
+#define STALE_MS 3000	     /* without a read: ask a peer for its table */
+#define READ_MAX 500	     /* records of one read */
+#define READ_TIMEOUT_MS 3000 /* a slow log is better than none */
+#define APPEND_TIMEOUT_MS 3000
 #define CLAIMS_MAX 8	      /* appended in one round */
 #define SNAPSHOT_SHARE 4      /* of the log's retention */
 #define SNAPSHOT_STEP_MS 1000 /* between the nodes that might write one */
@@ -24,7 +26,9 @@
 static void *run_log(void *);
 static void *run_beats(void *);
 static void sleep_ms(struct lease_service *, uint64_t);
+static int has_part(struct lease_service *);
 static uint64_t poll_ms(struct lease_service *);
+static int wait_poll(struct lease_service *, uint64_t);
 static void log_result(const struct lease_service *, enum lease_result,
     const struct logsvc_record *);
 static int apply_batch(
@@ -127,7 +131,7 @@
 }
 
 /*
- * Has the stream read at once, when an owner turned out to be gone.
+ * Has the stream read soon, when an owner turned out to be gone.
  */
 void
 lease_service_kick(struct lease_service *s)
@@ -217,25 +221,68 @@
 }
 
 /*
- * Returns how long to wait before the next read; the lock is held.  Nodes
- * without a part in the leases read rarely while all owners are alive.
+ * Tells whether this node has a part in the leases or may soon have one;
+ * the lock is held.
  */
-static uint64_t
-poll_ms(struct lease_service *s)
+static int
+has_part(struct lease_service *s)
 {
 	const struct lease_entry *e;
 	int i;
 
-	if (!s->table.complete)
-		return POLL_MS;
 	for (i = 0; i < LEASE_PARTS; i++) {
 		e = &s->table.part[i];
 		if (nodeid_equal(&e->owner, &s->cfg.self) ||
 		    nodeid_equal(&e->standby, &s->cfg.self) ||
-		    nodeid_is_none(&e->owner) || s->decider.dead_ms[i] != 0)
-			return POLL_MS;
+		    nodeid_is_none(&e->owner))
+			return 1;
 	}
-	return POLL_IDLE_MS;
+	return 0;
+}
+
+/*
+ * Returns how long to wait between two reads; the lock is held.  Most nodes
+ * only have to know where the owners are, and must not flood the log when
+ * one is gone.
+ */
+static uint64_t
+poll_ms(struct lease_service *s)
+{
+	uint64_t jitter = s->jitter_ms % POLL_JITTER_MS;
+	int i;
+
+	if (!s->table.complete || has_part(s))
+		return POLL_MS;
+	if (s->kicked)
+		return POLL_WATCH_MS + jitter;
+	for (i = 0; i < LEASE_PARTS; i++)
+		if (s->decider.dead_ms[i] != 0)
+			return POLL_WATCH_MS + jitter;
+	return POLL_IDLE_MS + jitter;
+}
+
+/*
+ * Waits until the next read is due, counted from the last one.  Returns 1
+ * if the service is to stop.
+ */
+static int
+wait_poll(struct lease_service *s, uint64_t last_ms)
+{
+	uint64_t now, due;
+	int stop;
+
+	pthread_mutex_lock(&s->lock);
+	for (;;) {
+		now = clock_ms();
+		due = last_ms + poll_ms(s);
+		if (s->stop || now >= due)
+			break;
+		sleep_ms(s, due - now);
+	}
+	s->kicked = 0;
+	stop = s->stop;
+	pthread_mutex_unlock(&s->lock);
+	return stop;
 }
 
 /*
@@ -449,26 +496,23 @@
 run_log(void *ctx)
 {
 	struct lease_service *s = ctx;
-	uint64_t good = clock_ms();
+	uint64_t good = clock_ms(), last;
 	size_t done;
-	int ok, stop = 0;
+	int ok;
 
 	rcu_register_thread();
-	while (!stop) {
+	do {
+		last = clock_ms();
 		ok = read_stream(s) == 0;
 		if (ok)
-			good = clock_ms();
+			good = last;
 		if (clock_ms() - good >= STALE_MS || !s->table.complete)
 			lease_fetch_pages(s);
 		lease_publish(s);
 		done = ok ? decide(s) + (size_t)write_table(s) : 0;
-		pthread_mutex_lock(&s->lock);
-		if (done == 0 && !s->kicked && !s->stop)
-			sleep_ms(s, ok ? poll_ms(s) : POLL_MS);
-		s->kicked = 0;
-		stop = s->stop;
-		pthread_mutex_unlock(&s->lock);
-	}
+		if (done > 0)
+			last = 0; /* read back at once what was appended */
+	} while (!wait_poll(s, last));
 	rcu_unregister_thread();
 	return NULL;
 }
