--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -21,6 +21,7 @@
 #define APPEND_TIMEOUT_MS 3000
 #define CLAIMS_MAX 8	      /* appended in one round */
 #define SNAPSHOT_SHARE 4      /* of the log's retention */
+#define SNAPSHOT_MIN_MS 10000 /* between two */
 #define SNAPSHOT_STEP_MS 1000 /* between the nodes that might write one */
 
 static void *run_log(void *);
@@ -459,7 +460,8 @@
 	for (i = LEASE_PARTS; i > 0; i--)
 		if (nodeid_equal(&t->part[i - 1].owner, &t->self))
 			turn = (i - 1) * SNAPSHOT_STEP_MS;
-	due = since + s->cfg.retention_ms / SNAPSHOT_SHARE;
+	due = s->cfg.retention_ms / SNAPSHOT_SHARE;
+	due = since + (due > SNAPSHOT_MIN_MS ? due : SNAPSHOT_MIN_MS);
 	if (s->unsafe_ms != 0 && s->unsafe_ms < due)
 		due = s->unsafe_ms;
 	return now_ms >= due + turn;
@@ -477,7 +479,8 @@
 	int written;
 
 	pthread_mutex_lock(&s->lock);
-	if (lease_wants_reset(&s->table, now))
+	if (now > s->jitter_ms &&
+	    lease_wants_reset(&s->table, now - s->jitter_ms))
 		text = lease_reset_encode();
 	else if (snapshot_due(s, now))
 		text = lease_snapshot_encode(&s->table, now);
--- a/src/lease/lease_table.c
+++ b/src/lease/lease_table.c
@@ -550,5 +550,5 @@
 lease_wants_reset(const struct lease_table *t, uint64_t now_ms)
 {
 	return !t->complete && t->reached_ms != 0 &&
-	       now_ms - t->reached_ms >= LEASE_RESET_WAIT_MS;
+	       now_ms >= t->reached_ms + LEASE_RESET_WAIT_MS;
 }
