Limits: few refusals within the rate, also for small bursts

Cause: tokens on loan keep a bucket from filling, and spent ones were reported up to 0.1 s late; prefetched tokens of small buckets were missing elsewhere; shards of a few tokens overflowed while others were empty.

Now spent tokens are reported at once without waiting for an answer (a new callback, notify), only shards of 32 tokens or more are borrowed ahead from, small shards are asked in the order of what they should hold, and a limit is cut in shards from a burst of 30 on instead of 12. Price: sparse flows send a datagram more a request, and limits with bursts of 12 to 29 lose all of their rate, not a third, for the seconds that a takeover takes.

--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -14,7 +14,7 @@
  * holds its bucket; entries admit requests from loans of its tokens.
  */
 #define LIMITS_SHARDS 3
-#define LIMITS_SHARD_BURST 12 /* a limit with this burst is cut in shards */
+#define LIMITS_SHARD_BURST 30 /* a limit with this burst is cut in shards */
 #define LIMITS_TICK_MS 20     /* between two calls of limits_maintain() */
 
 /* A workspace's limit in a configuration. */
@@ -50,6 +50,13 @@
 	void *lookup_ctx;
 	rpc_call_fn call;
 	void *call_ctx;
+	/*
+	 * Sends a call without waiting for its answer; may be NULL, which
+	 * costs small bursts some of their rate.
+	 */
+	void (*notify)(void *, const struct node_id *, const struct rpc_proc *,
+	    const void *);
+	void *notify_ctx;
 	/* Finds a workspace in the node's configuration; 0, or -1 if none. */
 	int (*find)(void *, uint64_t, struct limits_ws *);
 	void *find_ctx;
--- a/src/limits/limits.x
+++ b/src/limits/limits.x
@@ -30,6 +30,7 @@
 	unsigned int tokens;
 	unsigned int life_ms;
 	unsigned int dry_us;
+	unsigned int level;	/* whole tokens left */
 };
 
 struct limits_report_arg {
--- a/src/limits/limits_bucket.c
+++ b/src/limits/limits_bucket.c
@@ -267,6 +267,15 @@
 	return -1;
 }
 
+/*
+ * Returns the whole tokens in the bucket.
+ */
+uint32_t
+bucket_level(const struct limits_bucket *b)
+{
+	return (uint32_t)(b->level_nt / TOKEN_NT);
+}
+
 /*
  * Returns after how long (us) the bucket will hold so many tokens, if
  * nothing is lent meanwhile.
--- a/src/limits/limits_bucket.h
+++ b/src/limits/limits_bucket.h
@@ -47,6 +47,7 @@
 uint32_t bucket_lend(
     struct limits_bucket *, uint64_t, uint32_t, uint32_t, uint64_t, uint64_t);
 int bucket_report(struct limits_bucket *, uint64_t, uint32_t, uint64_t);
+uint32_t bucket_level(const struct limits_bucket *);
 uint64_t bucket_wait_us(const struct limits_bucket *, uint32_t);
 
 #endif
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <time.h>
@@ -15,6 +16,8 @@
 #define DOWN_US 100000	     /* an owner is not asked after a failure */
 #define PREFETCH_MS 200	     /* demand that a dense flow borrows ahead */
 #define REFILL_MS 100	     /* held demand below which it borrows more */
+#define PREFETCH_BURST 32    /* of a shard that is borrowed ahead from */
+#define SMALL_BURST 64	     /* of shards that are used evenly */
 #define DENSE_RATE 20.0	     /* requests a second of a dense flow */
 #define REPORT_US 100000     /* spent loans are reported this late */
 
@@ -28,7 +31,13 @@
     const struct limits_ws *, uint64_t, uint32_t *);
 static void wait_got(struct limits_entry *, uint64_t);
 static uint32_t prefetch(const struct limits_entry *);
-static void flush(struct limits *, struct limits_entry *);
+static void send_reports(
+    struct limits *, const struct node_id *, const limits_report_arg *, int);
+static void flush(struct limits *, struct limits_entry *, int);
+static double shard_score(const struct limits *, const struct limits_entry *,
+    const struct limits_ws *, uint32_t, uint64_t);
+static int best_shard(const struct limits *, const struct limits_entry *,
+    const struct limits_ws *, const int *, uint64_t);
 static void maintain_entry(struct limits *, struct limits_entry *);
 
 /*
@@ -93,6 +102,8 @@
 		e->down_us[shard] = now + DOWN_US;
 	else if (res.dry_us > 0)
 		e->dry_us[shard] = now + res.dry_us;
+	e->level[shard] = down ? 0 : res.level;
+	e->level_us[shard] = now;
 	if (!down && res.tokens > 0) {
 		ln.id = arg->loan;
 		ln.owner = v.owner;
@@ -108,30 +119,77 @@
 }
 
 /*
- * Borrows need tokens from as many shards as it takes, that of the own
- * failure domain first, and up to want from the first that has them.
+ * Estimates what a shard's bucket holds, and so how good it is to ask.  The
+ * shard of the own failure domain is the best, unless buckets are so small
+ * that a full one would lose what flows in while others are empty.
+ */
+static double
+shard_score(const struct limits *l, const struct limits_entry *e,
+    const struct limits_ws *ws, uint32_t shard, uint64_t now)
+{
+	struct limits_share share;
+	double level;
+
+	limits_share(ws, shard, &share);
+	level = share.burst;
+	if (e->level_us[shard] != 0)
+		level = fmin(level,
+		    e->level[shard] + (double)(now - e->level_us[shard]) *
+					  (double)share.rate_mt /
+					  (US_PER_S * 1e3));
+	if (shard == l->cfg.group % limits_shards(ws->burst))
+		level += share.burst >= SMALL_BURST ? UINT32_MAX : 0.5;
+	return level;
+}
+
+/*
+ * Returns the best shard that is neither dry, down nor marked in tried, or
+ * -1.
+ */
+static int
+best_shard(const struct limits *l, const struct limits_entry *e,
+    const struct limits_ws *ws, const int *tried, uint64_t now)
+{
+	uint32_t n = limits_shards(ws->burst), i;
+	double score, top = -1;
+	int best = -1;
+
+	for (i = 0; i < n; i++) {
+		if (tried[i] || e->dry_us[i] > now || e->down_us[i] > now)
+			continue;
+		score = shard_score(l, e, ws, i, now);
+		if (score > top) {
+			top = score;
+			best = (int)i;
+		}
+	}
+	return best;
+}
+
+/*
+ * Borrows need tokens from as many shards as it takes, the best ones first,
+ * and up to want from the first that has them.
  */
 static void
 ask_shards(struct limits *l, struct limits_entry *e, const struct limits_ws *ws,
     uint32_t need, uint32_t want)
 {
-	uint32_t n = limits_shards(ws->burst), i, shard, got;
 	uint64_t now = l->cfg.clock_us();
 	uint64_t deadline = now + ASK_MS * US_PER_MS;
 	limits_report reports[LIMITS_REPORTS_MAX];
+	int tried[LIMITS_SHARDS] = { 0 }, shard;
 	limits_ask_arg arg;
+	uint32_t got;
 
 	memset(&arg, 0, sizeof(arg));
 	arg.workspace = ws->hash;
 	arg.reports.reports_val = reports;
 	arg.life_ms = want > need ? LIMITS_LOAN_MS : LIMITS_SINGLE_MS;
-	for (i = 0; i < n; i++) {
-		shard = (l->cfg.group + i) % n;
-		if (e->dry_us[shard] > now || e->down_us[shard] > now)
-			continue;
+	while ((shard = best_shard(l, e, ws, tried, now)) != -1) {
+		tried[shard] = 1;
 		arg.need = need;
 		arg.want = want;
-		got = ask_shard(l, e, ws, shard, &arg, deadline);
+		got = ask_shard(l, e, ws, (uint32_t)shard, &arg, deadline);
 		need -= got < need ? got : need;
 		want -= got < want ? got : want;
 		if (got > 0 && need == 0)
@@ -184,12 +242,15 @@
 }
 
 /*
- * Returns how many tokens to borrow ahead of demand.
+ * Returns how many tokens to borrow ahead of demand: none for a sparse flow,
+ * nor from buckets so small that others would miss them.
  */
 static uint32_t
 prefetch(const struct limits_entry *e)
 {
-	if (e->demand < DENSE_RATE)
+	uint32_t burst = e->ws.burst / limits_shards(e->ws.burst);
+
+	if (e->demand < DENSE_RATE || burst < PREFETCH_BURST)
 		return 0;
 	return (uint32_t)(e->demand * PREFETCH_MS / 1000.0);
 }
@@ -209,6 +270,7 @@
 	uint64_t deadline = now + ASK_MS * US_PER_MS;
 	enum limits_verdict v = LIMITS_ADMIT;
 	uint32_t need;
+	int report;
 
 	*retry_ms = 1;
 	pthread_mutex_lock(&e->lock);
@@ -237,21 +299,47 @@
 		e->asking = 0;
 		pthread_cond_broadcast(&e->got);
 	}
+	/* Without a loan to come that tells it: the bucket may fill again. */
+	report = e->report_count > 0 && prefetch(e) == 0;
 	pthread_mutex_unlock(&e->lock);
+	if (report)
+		flush(l, e, 0);
 	return v;
 }
 
 /*
- * Sends all queued reports.  One that is lost leaves its tokens spent.
+ * Sends reports to an owner, which may be this node.  One that is lost
+ * leaves its tokens spent.
+ */
+static void
+send_reports(struct limits *l, const struct node_id *owner,
+    const limits_report_arg *arg, int wait)
+{
+	limits_report_res res = { 0 };
+
+	if (nodeid_equal(owner, &l->cfg.self))
+		limits_serve_report(l, arg, &res);
+	else if (wait)
+		l->cfg.call(l->cfg.call_ctx, owner,
+		    &limits_procs[LIMITS_PROC_REPORT], arg, &res,
+		    REPORT_TIMEOUT_MS);
+	else
+		l->cfg.notify(l->cfg.notify_ctx, owner,
+		    &limits_procs[LIMITS_PROC_REPORT], arg);
+}
+
+/*
+ * Sends all queued reports, with or without waiting for the answers.
  */
 static void
-flush(struct limits *l, struct limits_entry *e)
+flush(struct limits *l, struct limits_entry *e, int wait)
 {
 	limits_report reports[LIMITS_REPORTS_MAX];
 	limits_report_arg arg;
-	limits_report_res res;
 	struct node_id owner;
 
+	if (!wait && l->cfg.notify == NULL)
+		return;
 	memset(&arg, 0, sizeof(arg));
 	arg.workspace = e->hash;
 	arg.reports.reports_val = reports;
@@ -262,13 +350,7 @@
 		arg.reports.reports_len =
 		    (u_int)reports_take(e, arg.part, &owner, reports);
 		pthread_mutex_unlock(&e->lock);
-		memset(&res, 0, sizeof(res));
-		if (nodeid_equal(&owner, &l->cfg.self))
-			limits_serve_report(l, &arg, &res);
-		else
-			l->cfg.call(l->cfg.call_ctx, &owner,
-			    &limits_procs[LIMITS_PROC_REPORT], &arg, &res,
-			    REPORT_TIMEOUT_MS);
+		send_reports(l, &owner, &arg, wait);
 		pthread_mutex_lock(&e->lock);
 	}
 	pthread_mutex_unlock(&e->lock);
@@ -294,13 +376,13 @@
 		send = 1;
 	ws = e->ws;
 	want = prefetch(e);
-	if (!e->asking && e->demand >= DENSE_RATE &&
+	if (!e->asking && want > 0 &&
 	    loans_held(e, now) < e->demand * REFILL_MS / 1000.0 &&
 	    blocked(e, &ws, now, &retry) == LIMITS_ADMIT)
 		ask = e->asking = 1;
 	pthread_mutex_unlock(&e->lock);
 	if (send)
-		flush(l, e);
+		flush(l, e, 1);
 	if (!ask)
 		return;
 	ask_shards(l, e, &ws, 0, want);
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -206,6 +206,7 @@
 	res->tokens =
 	    bucket_lend(&s->bucket, arg->loan, arg->need, arg->want, now, end);
 	res->status = LIMITS_GRANTED;
+	res->level = bucket_level(&s->bucket);
 	res->life_ms = (u_int)life;
 	if (arg->need > res->tokens || bucket_wait_us(&s->bucket, 1) > 0)
 		res->dry_us = dry_us(s, now);
--- a/src/limits/limits_xdr.c
+++ b/src/limits/limits_xdr.c
@@ -108,6 +108,49 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_limits_status (xdrs, &objp->status))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tokens))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->life_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->dry_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->level))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->tokens);
+			IXDR_PUT_U_LONG(buf, objp->life_ms);
+			IXDR_PUT_U_LONG(buf, objp->dry_us);
+			IXDR_PUT_U_LONG(buf, objp->level);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_limits_status (xdrs, &objp->status))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tokens))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->life_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->dry_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->level))
+				 return FALSE;
+		} else {
+			objp->tokens = IXDR_GET_U_LONG(buf);
+			objp->life_ms = IXDR_GET_U_LONG(buf);
+			objp->dry_us = IXDR_GET_U_LONG(buf);
+			objp->level = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_limits_status (xdrs, &objp->status))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->tokens))
@@ -116,6 +159,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->dry_us))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->level))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/limits/limits_xdr.h
+++ b/src/limits/limits_xdr.h
@@ -48,6 +48,7 @@
 	u_int tokens;
 	u_int life_ms;
 	u_int dry_us;
+	u_int level;
 };
 typedef struct limits_ask_res limits_ask_res;
 
