Admission: tell overload up the chain, look down after a failed step up

A window that is much quicker than the one before at the same limit makes the limit climb as from cold.

--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -2,11 +2,14 @@
 #define ADMISSION_ADMISSION_H
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdint.h>
 #include <stdio.h>
 
 #include "admission/admission_core.h"
 
+#define ADMISSION_CHAIN_ALL 255U  /* a chain level that sheds nothing */
+#define ADMISSION_CHAIN_NONE 256U /* no inner call has told one */
 #define ADMISSION_LOAD_TEXT 64 /* bytes that admission_load_format() writes */
 
 /* What an exit tells about itself on every answer. */
@@ -39,6 +42,11 @@
 	ADMISSION_HINT_MAX
 };
 
+/* Overload further down, as a route's answers tell it to an entry. */
+struct admission_echo {
+	atomic_uint_fast64_t heard; /* time (us) and level; 0 for none */
+};
+
 void admission_init(struct admission *);
 void admission_finish(struct admission *);
 void admission_set_policy(struct admission *, int);
@@ -62,4 +70,14 @@
     const struct admission_load *, uint64_t, uint32_t, uint64_t, uint64_t);
 const char *admission_verdict_name(enum admission_verdict);
 
+uint32_t admission_chain_rank(const struct admission_req *);
+uint32_t admission_chain_level(uint32_t, const struct admission_req *);
+void admission_echo_init(struct admission_echo *);
+uint32_t admission_echo_level(const struct admission_echo *);
+void admission_echo_heard(struct admission_echo *, uint32_t, uint64_t);
+void admission_echo_served(
+    struct admission_echo *, const struct admission_req *);
+enum admission_hint admission_echo_check(const struct admission_echo *,
+    const struct admission_req *, uint64_t, uint64_t);
+
 #endif
--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -82,7 +82,8 @@
 	uint32_t hold_max; /* grows with each try that failed */
 	int ramping;	   /* no try has failed since the cold start */
 	int stalled;	   /* in the last window most timed out */
-	int fixed;	   /* the policy is off: the limit is the slots */
+	int look_down; /* a try upwards has failed since the last one down */
+	int fixed;     /* the policy is off: the limit is the slots */
 };
 
 struct level {
--- a/src/admission/limiter.c
+++ b/src/admission/limiter.c
@@ -13,9 +13,10 @@
 
 #define COLD_SHARE 4   /* a cold server starts with 1/4 of its slots */
 #define FLOOR_SHARE 16 /* the limit stays above 1/16 of the slots */
-#define STEP_RAMP 1.5  /* until the first try has failed */
+#define STEP_RAMP 1.8  /* until the first try has failed */
 #define STEP_UP 1.4
 #define STEP_DOWN 0.6
+#define STEP_LOOK_DOWN 0.75 /* after a failed try upwards */
 #define SHED_CUT 0.9
 #define TIMEOUT_CUT 0.75
 #define TIMEOUT_SHARE 8	    /* one in 8 timed out: cut */
@@ -24,6 +25,7 @@
 #define UP_ELASTICITY 0.8
 #define DOWN_ELASTICITY 0.5
 #define RAISED_LATENCY 1.4 /* over the base: worth a step down */
+#define MUCH_QUICKER 0.45  /* than the window before, by no step of ours */
 #define BASE_FALL 0.3	   /* weight of a window below or above the base */
 #define BASE_RISE 0.1
 #define WINDOW_MIN_US 50000
@@ -31,21 +33,24 @@
 #define WINDOW_RAMP 64 /* served requests */
 #define WINDOW_SERVED 128
 #define WINDOW_LEAST 16
-#define WINDOW_LIMITS 8	   /* as many times the limit */
+#define WINDOW_LIMITS 16 /* times the limit, where that is fewer */
+#define RAMP_LIMITS 4
 #define SETTLE_LATENCIES 2 /* until a changed limit shows */
-#define HOLD_FIRST 4	   /* windows */
-#define HOLD_LAST 16
+#define HOLD_FIRST 2	   /* windows */
+#define HOLD_LAST 8
 #define MEAN_WEIGHT 0.05
 #define MEAN_HALF_US 1000000 /* without news, the mean halves in this time */
 
 static void window_begin(struct limiter *, uint64_t);
 static void change(struct limiter *, double, enum limiter_phase, uint64_t);
+static void note_time(struct limiter *, double, uint64_t);
 static int settled(const struct limiter *, uint64_t);
 static int ended(const struct limiter *, uint64_t);
 static double window_latency(const struct limiter *, double *);
 static void judge_steady(struct limiter *, uint64_t);
 static void judge_up(struct limiter *, uint64_t);
 static void judge_down(struct limiter *, uint64_t);
+static void climb(struct limiter *, double);
 static void fail_try(struct limiter *);
 static double floor_of(const struct limiter *);
 
@@ -129,7 +134,7 @@
 limiter_done(struct limiter *l, enum admission_outcome how, uint64_t took_us,
     uint32_t inflight, uint64_t now_us)
 {
-	double d;
+	double took = (double)took_us;
 
 	if (how == ADMISSION_SHED && settled(l, now_us)) {
 		fail_try(l);
@@ -139,22 +144,34 @@
 	}
 	if (how != ADMISSION_SERVED && how != ADMISSION_TIMEOUT)
 		return;
-	d = (double)took_us;
-	if (l->mean_us == 0)
-		l->mean_us = d;
-	l->dev_us += MEAN_WEIGHT * (fabs(d - l->mean_us) - l->dev_us);
-	l->mean_us += MEAN_WEIGHT * (d - l->mean_us);
-	l->seen_us = now_us;
+	note_time(l, took, now_us);
 	if (!settled(l, now_us))
 		return;
-	l->win.sum_us += d;
-	l->win.sum_sq += d * d;
+	l->win.sum_us += took;
+	l->win.sum_sq += took * took;
 	l->win.served++;
 	l->win.timeouts += how == ADMISSION_TIMEOUT;
 	if (ended(l, now_us))
 		judges[l->phase](l, now_us);
 }
 
+/*
+ * Adds a service time to the decaying mean and deviation.  The first window
+ * begins once the first requests are through, for those that end soonest
+ * are the short ones.
+ */
+static void
+note_time(struct limiter *l, double took, uint64_t now_us)
+{
+	if (l->mean_us <= 0) {
+		l->mean_us = took;
+		window_begin(l, now_us + (uint64_t)(SETTLE_LATENCIES * took));
+	}
+	l->dev_us += MEAN_WEIGHT * (fabs(took - l->mean_us) - l->dev_us);
+	l->mean_us += MEAN_WEIGHT * (took - l->mean_us);
+	l->seen_us = now_us;
+}
+
 /*
  * Begins to count anew.
  */
@@ -194,9 +211,11 @@
 static int
 ended(const struct limiter *l, uint64_t now_us)
 {
-	double enough = fmax(WINDOW_LEAST, WINDOW_LIMITS * l->limit);
+	double enough = l->ramping
+			    ? fmin(WINDOW_RAMP, RAMP_LIMITS * l->limit)
+			    : fmin(WINDOW_SERVED, WINDOW_LIMITS * l->limit);
 
-	enough = fmin(enough, l->ramping ? WINDOW_RAMP : WINDOW_SERVED);
+	enough = fmax(enough, WINDOW_LEAST);
 	if (now_us < l->win.start_us + WINDOW_MIN_US)
 		return 0;
 	if (l->win.served >= enough)
@@ -221,8 +240,9 @@
 }
 
 /*
- * Ends a window without a trial: cuts after timeouts, tries a step down if
- * the latency has risen, or a step up if the limit binds.
+ * Ends a window without a trial: cuts after timeouts, and tries a step down
+ * if the latency has risen.  If the limit binds, it tries a step up, and
+ * after one that failed a step down, for it may stand too high already.
  */
 static void
 judge_steady(struct limiter *l, uint64_t now_us)
@@ -230,8 +250,10 @@
 	int binds = l->win.saturated;
 	double lat = window_latency(l, &l->ref_var);
 
-	if (l->base_us == 0)
+	if (l->base_us <= 0)
 		l->base_us = lat;
+	if (l->limit >= l->ref_limit && lat < l->ref_us * MUCH_QUICKER)
+		climb(l, lat);
 	l->ref_us = lat;
 	l->ref_limit = l->limit;
 	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served) {
@@ -242,13 +264,8 @@
 		    now_us);
 		return;
 	}
-	if (l->stalled) {
-		/* What held the server up is gone: climb as from cold. */
-		l->stalled = 0;
-		l->ramping = 1;
-		l->hold = 0;
-		l->base_us = lat;
-	}
+	if (l->stalled)
+		climb(l, lat);
 	if (binds && lat > l->base_us * RAISED_LATENCY &&
 	    l->limit > floor_of(l)) {
 		change(l, l->limit * STEP_DOWN, LIMITER_TRY_DOWN, now_us);
@@ -258,6 +275,11 @@
 	    (lat < l->base_us ? BASE_FALL : BASE_RISE) * (lat - l->base_us);
 	if (l->hold > 0)
 		l->hold--;
+	if (binds && l->hold == 0 && l->look_down) {
+		l->look_down = 0;
+		change(l, l->limit * STEP_LOOK_DOWN, LIMITER_TRY_DOWN, now_us);
+		return;
+	}
 	if (binds && l->hold == 0 && l->limit < l->slots) {
 		change(l, l->limit * (l->ramping ? STEP_RAMP : STEP_UP) + 1,
 		    LIMITER_TRY_UP, now_us);
@@ -275,9 +297,13 @@
 	double gain = log(l->limit / l->ref_limit), var;
 	double rise = log(window_latency(l, &var) / l->ref_us);
 
-	gain *= l->ramping ? RAMP_ELASTICITY : UP_ELASTICITY;
+	if (l->ramping)
+		gain = gain * RAMP_ELASTICITY + sqrt(var + l->ref_var);
+	else
+		gain *= UP_ELASTICITY;
 	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served || rise > gain) {
 		fail_try(l);
+		l->look_down = 1;
 		change(l, l->ref_limit, LIMITER_STEADY, now_us);
 		return;
 	}
@@ -307,6 +333,20 @@
 	judge_steady(l, now_us);
 }
 
+/*
+ * Notes that what held the server up is gone: the limit climbs as from cold.
+ */
+static void
+climb(struct limiter *l, double lat)
+{
+	l->stalled = 0;
+	l->ramping = 1;
+	l->hold = 0;
+	l->hold_max = HOLD_FIRST;
+	l->look_down = 0;
+	l->base_us = lat;
+}
+
 /*
  * Notes that the limit was too high: the next try upwards waits longer.
  */
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -15,6 +15,7 @@
 #define SECOND 1000000
 #define CALLERS 32
 #define CALLS 200
+#define CALLS_COST 1000000
 #define POLL_US 1000
 
 struct caller {
@@ -274,7 +275,7 @@
 	assert_int_equal(core_offer(&c, &r, &w[n], &out, 1), ADMISSION_WAIT);
 	assert_ptr_equal(out, &w[n - 2]);
 	assert_int_equal(out->verdict, ADMISSION_OVERLOAD);
-	core_done(&c, &w[0], ADMISSION_SERVED, 1, 2);
+	core_done(&c, &w[0], ADMISSION_SERVED, 3, 2);
 	assert_ptr_equal(core_next(&c, 2), &w[n]);
 }
 
@@ -326,6 +327,116 @@
 		assert_int_equal(admission_load_parse(&out, bad[i]), -1);
 }
 
+/*
+ * Prints what one decision costs, an offer and a leave, at a busy server.
+ */
+static void
+test_cost(void **state)
+{
+	static struct admission_core c;
+	struct admission_req r = { ADMISSION_NORMAL, 0, 0, 1ULL << 40 };
+	struct admission_waiter w[SLOTS], *out;
+	uint64_t i, t;
+
+	(void)state;
+	core_init(&c, 1);
+	core_reset(&c, SLOTS, 1);
+	t = clock_us();
+	for (i = 0; i < CALLS_COST; i++) {
+		r.root_hash = i * 0x9e3779b97f4a7c15ULL;
+		assert_int_equal(
+		    core_offer(&c, &r, &w[0], &out, i), ADMISSION_RUN);
+		core_done(&c, &w[0], ADMISSION_SERVED, 3, i);
+		assert_null(core_next(&c, i));
+	}
+	t = clock_us() - t;
+	print_message("%.0f ns a request\n", (double)t * 1e3 / CALLS_COST);
+}
+
+/*
+ * What a server's level means for the chain, by the depth of the call that
+ * was answered with it, and what an entry makes of that.
+ */
+static void
+test_echo(void **state)
+{
+	static const struct {
+		struct admission_req call; /* that the level was told to */
+		uint64_t hash;		   /* of a request at the entry */
+		uint32_t level, chain;
+		enum admission_class class; /* of that request */
+		enum admission_hint hint;
+	} rows[] = {
+		/* all is let in */
+		{ { 2, 1, 0, 0 }, 63, 1023, 255, 3, ADMISSION_HINT_SEND },
+		/* half of the calls of class 2 at that depth */
+		{ { 2, 1, 0, 0 }, 31, 2 << 8 | 2 << 6 | 31, 2 << 6 | 31, 2,
+		    ADMISSION_HINT_SEND },
+		{ { 2, 1, 0, 0 }, 32, 2 << 8 | 2 << 6 | 31, 2 << 6 | 31, 2,
+		    ADMISSION_HINT_SHED },
+		{ { 2, 1, 0, 0 }, 63, 2 << 8 | 2 << 6 | 31, 2 << 6 | 31, 1,
+		    ADMISSION_HINT_SEND },
+		/* only roots of class 2 are shed: calls pass */
+		{ { 2, 1, 0, 0 }, 63, 2 << 8 | 3 << 6 | 5, 2 << 6 | 63, 2,
+		    ADMISSION_HINT_SEND },
+		/* only deeper calls of class 2 pass: none at this depth */
+		{ { 2, 1, 0, 0 }, 0, 2 << 8 | 1 << 6 | 5, 1 << 6 | 63, 2,
+		    ADMISSION_HINT_SHED },
+		{ { 0, 1, 0, 0 }, 0, 5, 0, 0, ADMISSION_HINT_SEND },
+	};
+	struct admission_req req = { 0, 0, 0, 0 };
+	struct admission_echo e;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		assert_int_equal(
+		    admission_chain_level(rows[i].level, &rows[i].call),
+		    rows[i].chain);
+		admission_echo_init(&e);
+		req.class = rows[i].class;
+		req.root_hash = rows[i].hash << 58;
+		assert_int_equal(admission_echo_check(&e, &req, SECOND, 1),
+		    ADMISSION_HINT_SEND);
+		admission_echo_heard(&e, rows[i].chain, SECOND);
+		assert_int_equal(
+		    admission_echo_check(&e, &req, SECOND, 1), rows[i].hint);
+		assert_int_not_equal(admission_echo_check(&e, &req, SECOND, 32),
+		    ADMISSION_HINT_SHED);
+		assert_int_equal(
+		    admission_echo_check(&e, &req, 2 * SECOND + 1, 1),
+		    ADMISSION_HINT_SEND);
+		admission_echo_served(&e, &req);
+		assert_int_equal(admission_echo_check(&e, &req, SECOND, 1),
+		    ADMISSION_HINT_SEND);
+	}
+}
+
+/*
+ * Without news an estimate of the service time fades, and a server that is
+ * idle gets a request whatever the estimate.
+ */
+static void
+test_estimate(void **state)
+{
+	static struct admission_core c;
+	struct admission_req r = { ADMISSION_LOW, 0, 0, SECOND + 1000 };
+	struct admission_waiter w[2], *out;
+	uint64_t need;
+
+	(void)state;
+	core_init(&c, 1);
+	core_reset(&c, SLOTS, 1);
+	limiter_done(&c.limiter, ADMISSION_SERVED, SECOND, 1, SECOND);
+	need = limiter_need_us(&c.limiter, SECOND);
+	assert_true(need > SECOND / 2);
+	assert_true(limiter_need_us(&c.limiter, 6 * SECOND) <= need / 16);
+	assert_int_equal(
+	    core_offer(&c, &r, &w[0], &out, SECOND), ADMISSION_RUN);
+	assert_int_equal(
+	    core_offer(&c, &r, &w[1], &out, SECOND), ADMISSION_DEADLINE);
+}
+
 int
 main(void)
 {
@@ -337,6 +448,9 @@
 		cmocka_unit_test(test_eviction),
 		cmocka_unit_test(test_precheck),
 		cmocka_unit_test(test_load_text),
+		cmocka_unit_test(test_cost),
+		cmocka_unit_test(test_echo),
+		cmocka_unit_test(test_estimate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/retry/parents.c
+++ b/src/retry/parents.c
@@ -53,6 +53,7 @@
 	retry_chain_init(&p->chain, lent);
 	pthread_mutex_init(&p->lock, NULL);
 	atomic_init(&p->refs, 1);
+	atomic_init(&p->chain_level, ADMISSION_CHAIN_NONE);
 	st = stripe_of(ps, p->token);
 	pthread_mutex_lock(&st->lock);
 	p->next = st->head;
@@ -162,6 +163,29 @@
 	return repeats;
 }
 
+/*
+ * Notes the chain level that the answer to an inner call has told.
+ */
+void
+parent_note_level(struct parent *p, uint32_t level)
+{
+	unsigned int was = atomic_load(&p->chain_level);
+
+	while (level < was &&
+	       !atomic_compare_exchange_weak(&p->chain_level, &was, level))
+		;
+}
+
+/*
+ * Returns the least chain level that its inner calls were told, or
+ * ADMISSION_CHAIN_NONE.
+ */
+uint32_t
+parent_chain_level(const struct parent *p)
+{
+	return atomic_load(&p->chain_level);
+}
+
 /*
  * Tells whether the request has ended, so that work for it is wasted.
  */
--- a/src/retry/parents.h
+++ b/src/retry/parents.h
@@ -7,7 +7,7 @@
 #include <stdint.h>
 #include <stdio.h>
 
-#include "admission/admission_core.h"
+#include "admission/admission.h"
 #include "retry/retry.h"
 
 #define PARENT_TOKEN_BYTES 16
@@ -41,6 +41,7 @@
 	uint32_t failed_count;
 	atomic_uint refs;
 	atomic_int dead;
+	atomic_uint chain_level; /* least told by its inner calls */
 };
 
 struct parents_stripe {
@@ -62,6 +63,8 @@
 void parent_put(struct parent *);
 void parent_call_failed(struct parent *, uint64_t);
 int parent_call_repeats(struct parent *, uint64_t);
+void parent_note_level(struct parent *, uint32_t);
+uint32_t parent_chain_level(const struct parent *);
 int parent_is_dead(const struct parent *);
 void parent_token_format(const struct parent *, char *);
 uint32_t parents_count(struct parents *);
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -306,6 +306,10 @@
 		parent_put(parents_get(&ps, text));
 	t = clock_us() - t;
 	print_message("%.0f ns a lookup\n", (double)t * 1e3 / LOOKUPS);
+	assert_int_equal(parent_chain_level(p), ADMISSION_CHAIN_NONE);
+	parent_note_level(held, 70);
+	parent_note_level(held, 90);
+	assert_int_equal(parent_chain_level(p), 70);
 	assert_false(parent_is_dead(held));
 	assert_int_equal(parents_count(&ps), 1);
 	assert_int_equal(parents_end(&ps, p), 1);
