--- a/src/quarantine/test_quarantine.c
+++ b/src/quarantine/test_quarantine.c
@@ -15,6 +15,8 @@
 #define RESENDS 10
 #define HOT_RUNS 4
 #define FLOOD 100000
+#define THREADS 8
+#define RUNS 2000
 
 static uint64_t start_ms;
 static struct quarantine nodes[NODES];
@@ -339,6 +341,45 @@
 	print_message("%.0f ns a request\n", (double)t * 1e3 / FLOOD);
 }
 
+/*
+ * Runs requests over and over while servers die.
+ */
+static void *
+run_often(void *arg)
+{
+	struct quarantine_print p = { 0, 3 };
+	struct quarantine_run run;
+	uint64_t i;
+
+	for (i = 1; i <= RUNS; i++) {
+		p.lo = i % 16;
+		if (quarantine_begin(arg, &run, &p, 1, NOW) == 0)
+			quarantine_end(arg, &run,
+			    i % 3 == 0 ? QUARANTINE_BROKEN : QUARANTINE_WHOLE,
+			    NOW);
+		if (i % 64 == 0)
+			quarantine_death(arg, i, NOW);
+	}
+	return NULL;
+}
+
+/*
+ * Threads that use one quarantine at once leave nothing in flight.
+ */
+static void
+test_threads(void **state)
+{
+	pthread_t th[THREADS];
+	int i;
+
+	(void)state;
+	for (i = 0; i < THREADS; i++)
+		pthread_create(&th[i], NULL, run_often, &nodes[0]);
+	for (i = 0; i < THREADS; i++)
+		pthread_join(th[i], NULL);
+	assert_ptr_equal(nodes[0].runs.next, &nodes[0].runs);
+}
+
 /*
  * Each part of a request makes another fingerprint, also where only the
  * border between parts moves.
@@ -387,6 +428,7 @@
 		    test_root_is_struck, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_sync, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_flood, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_threads, setup, teardown),
 		cmocka_unit_test(test_print),
 	};
 
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -12,6 +12,7 @@
 #define SERVERS 4
 #define MEMBERS 1600
 #define PICKS 200000
+#define THREADS 8
 
 /* How often (share) the first of four equal servers may be chosen. */
 struct rule {
@@ -297,6 +298,58 @@
 	route_book_finish(&b);
 }
 
+/*
+ * Sends and ends requests at a few servers, over and over.
+ */
+static void *
+send_often(void *arg)
+{
+	struct route_candidate cand[SERVERS] = { 0 };
+	struct route_query q = { NOW, 1, 500, 1 };
+	enum route_reason why;
+	int i, at;
+
+	for (i = 0; i < SERVERS; i++) {
+		cand[i].id.rpc_port = (uint16_t)(i + 1);
+		cand[i].slots = 50;
+	}
+	for (i = 0; i < DRAWS; i++) {
+		q.rnd = q.rnd * 6364136223846793005ULL + 1442695040888963407ULL;
+		at = route_pick(arg, cand, SERVERS, &q, &why);
+		assert_true(at >= 0);
+		route_begin(arg, &cand[at].id, NOW);
+		route_observe(arg, &cand[at].id,
+		    i % 7 == 0 ? ROUTE_FAILED : ROUTE_SERVED, 1000, NULL, NOW);
+	}
+	return NULL;
+}
+
+/*
+ * Threads that use one book at once lose no request.
+ */
+static void
+test_threads(void **state)
+{
+	pthread_t th[THREADS];
+	struct route_book b;
+	struct route_stat s;
+	struct node_id id = { 0, 0, 0 };
+	int i;
+
+	(void)state;
+	route_book_init(&b);
+	for (i = 0; i < THREADS; i++)
+		pthread_create(&th[i], NULL, send_often, &b);
+	for (i = 0; i < THREADS; i++)
+		pthread_join(th[i], NULL);
+	for (i = 0; i < SERVERS; i++) {
+		id.rpc_port = (uint16_t)(i + 1);
+		route_book_get(&b, &id, &s);
+		assert_int_equal(s.inflight, 0);
+	}
+	route_book_finish(&b);
+}
+
 int
 main(void)
 {
@@ -306,6 +359,7 @@
 		cmocka_unit_test(test_ejection),
 		cmocka_unit_test(test_fails_fast),
 		cmocka_unit_test(test_book),
+		cmocka_unit_test(test_threads),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
