--- a/src/admission/limiter.c
+++ b/src/admission/limiter.c
@@ -37,7 +37,7 @@
 #define RAMP_LIMITS 4
 #define SETTLE_LATENCIES 2 /* until a changed limit shows */
 #define HOLD_FIRST 2	   /* windows */
-#define HOLD_LAST 8
+#define HOLD_LAST 16
 #define MEAN_WEIGHT 0.05
 #define MEAN_HALF_US 1000000 /* without news, the mean halves in this time */
 
--- a/src/admission/test_policy.c
+++ b/src/admission/test_policy.c
@@ -356,6 +356,20 @@
 	}
 }
 
+/*
+ * Turns a number in (0, 1) into a class.
+ */
+static enum admission_class
+class_of(double at)
+{
+	static const double below[] = { 0.1, 0.3, 0.7 };
+	int c = 0;
+
+	while (c < ADMISSION_LOW && at > below[c])
+		c++;
+	return (enum admission_class)c;
+}
+
 /*
  * Runs a model under a rule; returns the sim, to be freed.
  */
@@ -379,8 +393,7 @@
 			slow *= 1 + 4 * (1 - sec / m->cold_s);
 		rate = m->load * capacity(m) * (trouble ? m->surge : 1);
 		for (due += rate * STEP_US; due > 0;)
-			due += arrive(s, 0,
-			    (rnd(s) > 0.1) + (rnd(s) > 0.3) + (rnd(s) > 0.5));
+			due += arrive(s, 0, class_of(rnd(s)));
 		for (a = 1; a < ATTEMPTS; a++) {
 			for (j = 0; j < ADMISSION_CLASS_MAX; j++) {
 				for (; s->retry[s->step][a][j] > 0;
