--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -13,9 +13,9 @@
 #define LOAD_AGE_MS 1000   /* a told limit or level is forgotten */
 #define PROBE_SHARE 8	   /* one in 8 may be a returning server's probe */
 #define PROBE_LATE_MS 5000 /* then any request may be one */
-#define DOMAIN_BUSY 0.6	   /* share of its capacity in use */
+#define DOMAIN_BUSY 0.75   /* share of its capacity in use */
 #define DOMAIN_SLOW 1.5	   /* times the mean slowness */
-#define DOMAIN_BETTER 0.75 /* the others' cost against its own */
+#define DOMAIN_BETTER 0.9  /* the others' cost against its own */
 #define FAIL_FLOOR 0.05
 #define LATENCY_GUESS_US 10000
 #define LATENCY_HALF_MS 5000
