Shed by the level below only on routes nearly all of whose answers tell one

An entry can't tell which request of a route will make inner calls.

Without the share test_echo fails.

--- a/src/admission/echo.c
+++ b/src/admission/echo.c
@@ -6,18 +6,30 @@
  * works on it.  The level told up the chain is one of class and root hash
  * only, since the depth at which it holds differs from the depth at which it
  * is used.
+ *
+ * Not every request of a route need make inner calls, and the entry can't
+ * tell which will.  So it sheds only on routes nearly all of whose answers
+ * tell a level.
  */
 
-#define ECHO_AGE_US 1000000 /* a level heard earlier is forgotten */
+#define ECHO_AGE_MS 1000    /* a level heard earlier is forgotten */
 #define ECHO_PROBE_SHARE 32 /* one in 32 is sent against the level */
-#define ECHO_LEVEL_BITS 8
-#define ECHO_LEVEL_MASK ADMISSION_CHAIN_ALL
+#define ECHO_SHARE_SHIFT 8
+#define ECHO_SHARE_ALL 65535U
+#define ECHO_SHARE_LEAST 61600U /* 94% of the answers */
+#define ECHO_SHARE_WEIGHT 32	/* an answer counts one in 32 */
+#define ECHO_TIME_SHIFT 24
+#define US_PER_MS 1000
 #define CHAIN_CLASS_SHIFT 6
 #define CHAIN_HASH_SHIFT 58
 #define CHAIN_HASH_MAX 63U
 #define LEVEL_CLASS_SHIFT 8
 #define LEVEL_BAND_SHIFT 6
 
+static uint64_t pack(uint64_t, uint32_t, uint32_t);
+static uint32_t level_of(uint64_t);
+static uint32_t share_of(uint64_t);
+
 /*
  * Returns a request's place in the order of classes and root hashes.
  */
@@ -64,8 +76,7 @@
 {
 	uint64_t was = atomic_load(&e->heard);
 
-	return was == 0 ? ADMISSION_CHAIN_ALL
-			: (uint32_t)(was & ECHO_LEVEL_MASK);
+	return was == 0 ? ADMISSION_CHAIN_ALL : level_of(was);
 }
 
 /*
@@ -75,9 +86,16 @@
 void
 admission_echo_heard(struct admission_echo *e, uint32_t level, uint64_t now_us)
 {
-	if (level > ECHO_LEVEL_MASK)
+	uint64_t was = atomic_load(&e->heard);
+	uint32_t share;
+
+	if (level > ADMISSION_CHAIN_ALL)
 		return;
-	atomic_store(&e->heard, now_us << ECHO_LEVEL_BITS | level);
+	do {
+		share = share_of(was);
+		share += (ECHO_SHARE_ALL - share) / ECHO_SHARE_WEIGHT;
+	} while (!atomic_compare_exchange_weak(
+	    &e->heard, &was, pack(now_us / US_PER_MS, share, level)));
 }
 
 /*
@@ -88,12 +106,15 @@
 admission_echo_served(struct admission_echo *e, const struct admission_req *req)
 {
 	uint64_t was = atomic_load(&e->heard);
-	uint32_t rank = admission_chain_rank(req);
+	uint32_t rank = admission_chain_rank(req), share, level;
 
-	while (was != 0 && rank > (was & ECHO_LEVEL_MASK) &&
-	       !atomic_compare_exchange_weak(
-		   &e->heard, &was, (was & ~(uint64_t)ECHO_LEVEL_MASK) | rank))
-		;
+	do {
+		if (was == 0)
+			return;
+		share = share_of(was) - share_of(was) / ECHO_SHARE_WEIGHT;
+		level = level_of(was) > rank ? level_of(was) : rank;
+	} while (!atomic_compare_exchange_weak(
+	    &e->heard, &was, pack(was >> ECHO_TIME_SHIFT, share, level)));
 }
 
 /*
@@ -107,10 +128,41 @@
 {
 	uint64_t was = atomic_load(&e->heard);
 
-	if (was == 0 || now_us > (was >> ECHO_LEVEL_BITS) + ECHO_AGE_US ||
-	    admission_chain_rank(req) <= (was & ECHO_LEVEL_MASK))
+	if (was == 0 ||
+	    now_us / US_PER_MS > (was >> ECHO_TIME_SHIFT) + ECHO_AGE_MS ||
+	    share_of(was) < ECHO_SHARE_LEAST ||
+	    admission_chain_rank(req) <= level_of(was))
 		return ADMISSION_HINT_SEND;
 	if (rnd % ECHO_PROBE_SHARE == 0)
 		return ADMISSION_HINT_PROBE;
 	return ADMISSION_HINT_SHED;
 }
+
+/*
+ * Returns what is remembered in one word: when (ms) the level was heard, the
+ * share of answers that tell one, and the level.
+ */
+static uint64_t
+pack(uint64_t heard_ms, uint32_t share, uint32_t level)
+{
+	return heard_ms << ECHO_TIME_SHIFT |
+	       (uint64_t)share << ECHO_SHARE_SHIFT | level;
+}
+
+/*
+ * Returns the level in that word.
+ */
+static uint32_t
+level_of(uint64_t heard)
+{
+	return heard & ADMISSION_CHAIN_ALL;
+}
+
+/*
+ * Returns the share in that word.
+ */
+static uint32_t
+share_of(uint64_t heard)
+{
+	return heard >> ECHO_SHARE_SHIFT & ECHO_SHARE_ALL;
+}
