Limits of small servers: whole numbers, none below 4, waits in time

With real processes, three servers of 4 slots served 1,095 critical and 1,525 low requests of 3,600 that they could (test_shed), since their limits stood at 1 or 2 for most of the run: chance in windows of few requests, a share of a limit cut off to a whole number, and waits of up to 16 windows. Limits are whole numbers now, so that gains are judged by what was really changed; a rise of latency must be beyond its error to be tried; a failed step up is followed by a wait in time, 0.2 s doubling to 3.2 s; and no limit falls below 4 or the slots.

--- a/src/admission/limiter.c
+++ b/src/admission/limiter.c
@@ -13,6 +13,7 @@
 
 #define COLD_SHARE 4   /* a cold server starts with 1/4 of its slots */
 #define FLOOR_SHARE 16 /* the limit stays above 1/16 of the slots */
+#define FLOOR_LEAST 4  /* too few to tell a trend from chance */
 #define STEP_RAMP 1.8  /* until the first try has failed */
 #define STEP_UP 1.4
 #define STEP_DOWN 0.6
@@ -36,8 +37,8 @@
 #define WINDOW_LIMITS 16 /* times the limit, where that is fewer */
 #define RAMP_LIMITS 4
 #define SETTLE_LATENCIES 2 /* until a changed limit shows */
-#define HOLD_FIRST 2	   /* windows */
-#define HOLD_LAST 16
+#define HOLD_FIRST_US 200000
+#define HOLD_LAST_US 3200000
 #define MEAN_WEIGHT 0.05
 #define MEAN_HALF_US 1000000 /* without news, the mean halves in this time */
 
@@ -51,7 +52,7 @@
 static void judge_up(struct limiter *, uint64_t);
 static void judge_down(struct limiter *, uint64_t);
 static void climb(struct limiter *, double);
-static void fail_try(struct limiter *);
+static void fail_try(struct limiter *, uint64_t);
 static double floor_of(const struct limiter *);
 
 static void (*const judges[LIMITER_PHASE_MAX])(struct limiter *, uint64_t) = {
@@ -71,9 +72,9 @@
 	memset(l, 0, sizeof(*l));
 	l->fixed = fixed;
 	l->slots = slots;
-	l->limit = fmax(1, (double)slots / COLD_SHARE);
+	l->limit = fmax(floor_of(l), floor((double)slots / COLD_SHARE));
 	l->ramping = 1;
-	l->hold_max = HOLD_FIRST;
+	l->hold_max_us = HOLD_FIRST_US;
 	window_begin(l, now_us);
 }
 
@@ -137,7 +138,7 @@
 	double took = (double)took_us;
 
 	if (how == ADMISSION_SHED && settled(l, now_us)) {
-		fail_try(l);
+		fail_try(l, now_us);
 		change(l, fmin(l->limit, inflight) * SHED_CUT, LIMITER_STEADY,
 		    now_us);
 		return;
@@ -190,7 +191,7 @@
 change(
     struct limiter *l, double limit, enum limiter_phase phase, uint64_t now_us)
 {
-	l->limit = fmin(fmax(limit, floor_of(l)), l->slots);
+	l->limit = fmin(fmax(floor(limit), floor_of(l)), l->slots);
 	l->phase = phase;
 	window_begin(l, now_us + (uint64_t)fmin(SETTLE_LATENCIES * l->mean_us,
 				     WINDOW_MAX_US));
@@ -248,7 +249,7 @@
 judge_steady(struct limiter *l, uint64_t now_us)
 {
 	int binds = l->win.saturated;
-	double lat = window_latency(l, &l->ref_var);
+	double lat = window_latency(l, &l->ref_var), step;
 
 	if (l->base_us <= 0)
 		l->base_us = lat;
@@ -259,33 +260,35 @@
 	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served) {
 		l->stalled = l->win.timeouts * STALL_SHARE > l->win.served;
 		if (binds)
-			fail_try(l);
+			fail_try(l, now_us);
 		change(l, l->limit * (binds ? TIMEOUT_CUT : 1), LIMITER_STEADY,
 		    now_us);
 		return;
 	}
 	if (l->stalled)
 		climb(l, lat);
-	if (binds && lat > l->base_us * RAISED_LATENCY &&
-	    l->limit > floor_of(l)) {
+	if (binds && l->limit > floor_of(l) &&
+	    log(lat / l->base_us) > log(RAISED_LATENCY) + sqrt(l->ref_var)) {
 		change(l, l->limit * STEP_DOWN, LIMITER_TRY_DOWN, now_us);
 		return;
 	}
 	l->base_us +=
 	    (lat < l->base_us ? BASE_FALL : BASE_RISE) * (lat - l->base_us);
-	if (l->hold > 0)
-		l->hold--;
-	if (binds && l->hold == 0 && l->look_down) {
+	if (!binds || now_us < l->hold_us) {
+		window_begin(l, now_us);
+		return;
+	}
+	if (l->look_down) {
 		l->look_down = 0;
 		change(l, l->limit * STEP_LOOK_DOWN, LIMITER_TRY_DOWN, now_us);
 		return;
 	}
-	if (binds && l->hold == 0 && l->limit < l->slots) {
-		change(l, l->limit * (l->ramping ? STEP_RAMP : STEP_UP) + 1,
-		    LIMITER_TRY_UP, now_us);
+	if (l->limit >= l->slots) {
+		window_begin(l, now_us);
 		return;
 	}
-	window_begin(l, now_us);
+	step = l->ramping ? STEP_RAMP : STEP_UP;
+	change(l, ceil(l->limit * step), LIMITER_TRY_UP, now_us);
 }
 
 /*
@@ -302,12 +305,12 @@
 	else
 		gain *= UP_ELASTICITY;
 	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served || rise > gain) {
-		fail_try(l);
+		fail_try(l, now_us);
 		l->look_down = 1;
 		change(l, l->ref_limit, LIMITER_STEADY, now_us);
 		return;
 	}
-	l->hold_max = HOLD_FIRST;
+	l->hold_max_us = HOLD_FIRST_US;
 	l->phase = LIMITER_STEADY;
 	judge_steady(l, now_us);
 }
@@ -328,7 +331,7 @@
 		change(l, l->ref_limit, LIMITER_STEADY, now_us);
 		return;
 	}
-	fail_try(l);
+	fail_try(l, now_us);
 	l->phase = LIMITER_STEADY;
 	judge_steady(l, now_us);
 }
@@ -341,8 +344,8 @@
 {
 	l->stalled = 0;
 	l->ramping = 1;
-	l->hold = 0;
-	l->hold_max = HOLD_FIRST;
+	l->hold_us = 0;
+	l->hold_max_us = HOLD_FIRST_US;
 	l->look_down = 0;
 	l->base_us = lat;
 }
@@ -351,12 +354,12 @@
  * Notes that the limit was too high: the next try upwards waits longer.
  */
 static void
-fail_try(struct limiter *l)
+fail_try(struct limiter *l, uint64_t now_us)
 {
 	l->ramping = 0;
-	l->hold = l->hold_max;
-	if (l->hold_max < HOLD_LAST)
-		l->hold_max *= 2;
+	l->hold_us = now_us + l->hold_max_us;
+	if (l->hold_max_us < HOLD_LAST_US)
+		l->hold_max_us *= 2;
 }
 
 /*
@@ -365,5 +368,6 @@
 static double
 floor_of(const struct limiter *l)
 {
-	return fmax(1, (double)l->slots / FLOOR_SHARE);
+	return fmax(
+	    floor((double)l->slots / FLOOR_SHARE), fmin(l->slots, FLOOR_LEAST));
 }
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -10,7 +10,7 @@
 #include "admission/admission.h"
 #include "base/clock.h"
 
-#define SLOTS 8
+#define SLOTS 16
 #define LIMIT (SLOTS / 4)
 #define SECOND 1000000
 #define CALLERS 32
