Retries: a reason that was never set is final

A caller's table of reasons leaves out those that no retry follows; the value for these was RETRY_NO_CONNECTION, which is retried at once and without a charge to the route's budget. RETRY_FINAL is the zero value now. The new row of test_decisions failed before.

--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -22,6 +22,7 @@
 
 /* Why an attempt has not brought an answer. */
 enum retry_reason {
+	RETRY_FINAL, /* another attempt would be refused alike */
 	RETRY_NO_CONNECTION,
 	RETRY_LEAVING,	     /* the server drains or its node stops */
 	RETRY_OVERLOAD,	     /* this server sheds */
@@ -29,7 +30,6 @@
 	RETRY_BROKEN,	     /* the answer was lost, cut or garbled */
 	RETRY_SERVER_FAILED, /* the server or its node reports a failure */
 	RETRY_DEADLINE,
-	RETRY_FINAL, /* another attempt would be refused alike */
 	RETRY_REASON_MAX
 };
 
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -194,6 +194,9 @@
 		    RETRY_GIVE_UP },
 		{ { RETRY_FINAL, 1, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
 		    RETRY_GIVE_UP },
+		/* a reason that was never set */
+		{ { .not_run = 1, .idempotent = 1, .left_us = 9999999 }, 9, 0,
+		    RETRY_GIVE_UP },
 	};
 	struct retry_chain c;
 	struct retry_budget b;
