Membership at size: budgets, short entries, reports of death verified

Measured with all tables of a net in one process. Seen before: with 400 members started at once, and with a sixth of them cut off, a node sent up to 27 KB/s for as long as its changes lasted, because every change was told 3 log2 n times; and 1,600 returning from a cut would each have told 1,333 refutations to all. Now changes and pages of the table have budgets of 4 KB/s each, messages are short once the first is spent, entries of suspects and the dead are short, and a change is told fully only where it matters: a refutation of what wasn't believed here, a death that everybody finds for themselves, and members found by comparing tables are told rarely or not. A report of death is no suspicion any more: the member is probed first thing.

--- a/src/member/member.x
+++ b/src/member/member.x
@@ -4,7 +4,7 @@
  */
 const MEMBER_DOMAIN_BYTES = 31;
 const MEMBER_SERVICE_BYTES = 63;
-const MEMBER_DIGESTS = 128;
+const MEMBER_DIGESTS = 200;
 const MEMBER_ENTRIES_MAX = 64;
 
 enum member_kind {
@@ -14,7 +14,8 @@
 	MEMBER_RELAYED_ACK = 3,
 	MEMBER_GOSSIP = 4,
 	MEMBER_SYNC = 5,
-	MEMBER_SYNC_REPLY = 6
+	MEMBER_SYNC_REPLY = 6,
+	MEMBER_PAGE = 7
 };
 
 /* The process that has an address and port, and the number that orders the
--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -12,30 +12,37 @@
 #define MEMBER_PROBE_FAIL_MS 500
 #define MEMBER_SUSPECT_UNIT_MS 125 /* times log2 of the members */
 #define MEMBER_SUSPECT_MIN_MS 400
-#define MEMBER_REPORT_FACTOR 3 /* times that, for a reported death */
-#define MEMBER_HELPERS 3       /* peers asked to probe */
-#define MEMBER_STALL_MS 1000   /* between ticks: this process was paused */
+#define MEMBER_HELPERS 3    /* peers asked to probe */
+#define MEMBER_STALL_MS 100 /* between ticks: this process was paused */
 
 #define MEMBER_TELL_FACTOR 3 /* times log2 of the members */
+#define MEMBER_FEW_TELLS 3
+#define MEMBER_QUEUE_LONG 64 /* changes; each is told less often then */
 #define MEMBER_GOSSIP_MS 100
 #define MEMBER_GOSSIP_FANOUT 2
 #define MEMBER_LEAVE_FANOUT 24
 
 #define MEMBER_SYNC_MS 30000
-#define MEMBER_SYNC_AGAIN_MS 250 /* after one that brought much news */
-#define MEMBER_SYNC_NEWS 16	 /* changes that are much news */
-#define MEMBER_SYNC_PAGES 16	 /* messages that answer one sync */
-#define MEMBER_BUDGET_BYTES 65536
-#define MEMBER_BUDGET_RATE 6000 /* bytes a second for gossip and sync */
+#define MEMBER_SYNC_AGAIN_MS 250  /* after one that brought much news */
+#define MEMBER_SYNC_SOON_MS 2000  /* after one that brought any */
+#define MEMBER_SYNC_START_MS 1000 /* soon after the start */
+#define MEMBER_START_MS 10000
+#define MEMBER_SYNC_NEWS 16  /* changes that are much news */
+#define MEMBER_SYNC_PAGES 16 /* messages that answer one sync */
+#define MEMBER_BUDGET_BYTES (64 * 1024)
+#define MEMBER_BUDGET_START (1024 * 1024) /* of pages, at the start */
+#define MEMBER_BUDGET_RATE 4000		  /* bytes a second */
 
 #define MEMBER_REPROBE_MS 1000 /* between probes of dead members */
 #define MEMBER_DEAD_KEEP_MS (2 * 3600 * 1000)
 #define MEMBER_LEFT_KEEP_MS (10 * 60 * 1000)
 
 #define MEMBER_MESSAGE_BYTES 1150 /* of a full message's body */
+#define MEMBER_MESSAGE_LOW 450	  /* once the budget is spent */
 #define MEMBER_COUNT_MAX 8192	  /* members of a table */
 #define MEMBER_PROBES_MAX 64
 #define MEMBER_RELAYS_MAX 64
+#define MEMBER_VERIFY_MAX 16
 #define MEMBER_SEEDS_MAX 64
 #define MEMBER_SEED_TRIES 8
 #define MEMBER_SEED_MS 200 /* times the tries so far */
@@ -50,6 +57,14 @@
 	void *ctx;
 };
 
+/* How often a change is told. */
+enum member_tell {
+	MEMBER_TELL_FEW,  /* most know it, or will find out by themselves */
+	MEMBER_TELL_SOME, /* comparing tables would find it too */
+	MEMBER_TELL_ALL,
+	MEMBER_TELL_MAX
+};
+
 struct member_slot {
 	struct member_info info;
 	uint64_t deadline_ms; /* a suspect is dead from then on */
@@ -110,6 +125,8 @@
 	uint32_t queue_len;
 	uint32_t old_pos; /* next entry that is told again unasked */
 	struct member_probe probes[MEMBER_PROBES_MAX];
+	uint32_t verify[MEMBER_VERIFY_MAX]; /* reported dead, to be probed */
+	uint32_t verify_len;
 	struct member_relay relays[MEMBER_RELAYS_MAX];
 	uint32_t relay_pos;
 	struct member_seed seeds[MEMBER_SEEDS_MAX];
@@ -117,23 +134,26 @@
 	struct member_second seconds[MEMBER_WINDOW_S];
 	uint32_t next_nonce;
 	uint32_t stamp;
-	uint32_t news; /* changes learnt since the last sync */
+	uint32_t news; /* changes that the last sync brought */
 	uint32_t probe_ms;
 	uint64_t started_ms;
 	uint64_t last_tick_ms;
 	uint64_t next_probe_ms;
 	uint64_t next_gossip_ms;
 	uint64_t next_sync_ms;
+	uint64_t last_sync_ms;
 	uint64_t next_dead_ms;
 	uint64_t next_forget_ms;
 	uint64_t budget_ms;
-	int64_t budget;
+	int64_t gossip_budget; /* bytes for changes in messages */
+	int64_t page_budget;   /* bytes for pages of the table */
 	uint64_t log_read_ms;
 	uint64_t config_version;
 	uint64_t config_asked_ms;
 	uint32_t config_addr;
 	uint16_t config_peer_port;
-	int dirty; /* the view is out of date */
+	int paging; /* the message at hand is a page of a table */
+	int dirty;  /* the view is out of date */
 	int leaving;
 };
 
@@ -156,10 +176,13 @@
     enum member_state, uint32_t);
 uint64_t member_suspect_ms(const struct member_table *);
 uint32_t member_tells(const struct member_table *);
+int member_server_differs(
+    const struct member_server *, const struct member_server *);
 void member_forget(struct member_table *, uint64_t);
 uint32_t member_random_alive(struct member_table *);
 
-void member_queue(struct member_table *, struct member_slot *);
+void member_queue(
+    struct member_table *, struct member_slot *, enum member_tell);
 void member_unqueue(struct member_table *, uint32_t);
 void member_send(struct member_table *, uint64_t, member_kind,
     const struct node_id *, uint32_t);
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -11,7 +11,9 @@
 static void check_suspects(struct member_table *, uint64_t);
 static void probe_dead(struct member_table *, uint64_t);
 static void try_seeds(struct member_table *, uint64_t);
+static int worth_telling(const struct member_table *);
 static void gossip(struct member_table *, uint64_t);
+static void sync_due(struct member_table *, uint64_t);
 static void start_sync(struct member_table *, uint64_t);
 static void after_stall(struct member_table *, uint64_t);
 static void refill(struct member_table *, uint64_t);
@@ -39,7 +41,8 @@
 }
 
 /*
- * Returns the next member to probe, or MEMBER_NONE.
+ * Returns the next member to probe, or MEMBER_NONE.  Those that others
+ * reported dead come first.
  */
 static uint32_t
 next_target(struct member_table *t)
@@ -47,6 +50,11 @@
 	struct member_slot *s;
 	int round;
 
+	while (t->verify_len > 0) {
+		s = &t->slots[t->verify[--t->verify_len]];
+		if (s->used && s->info.state == MEMBER_ALIVE)
+			return member_handle(t, s);
+	}
 	for (round = 0; round < 2; round++) {
 		while (t->ring_pos < t->ring_len) {
 			s = &t->slots[t->ring[t->ring_pos++]];
@@ -85,21 +93,26 @@
 }
 
 /*
- * Asks other members to probe one that hasn't answered.
+ * Probes a member that hasn't answered again, and asks other members to.
  */
 static void
 ask_helpers(struct member_table *t, uint64_t now, struct member_probe *p)
 {
 	const struct node_id *target = &t->slots[p->handle].info.id;
-	uint32_t h;
-	int i;
+	uint32_t start, i, h;
+	int asked = 0;
 
 	p->indirect = 1;
-	for (i = 0; i < MEMBER_HELPERS; i++) {
-		h = member_random_alive(t);
-		if (h != MEMBER_NONE && h != p->handle)
-			member_send_ping_req(
-			    t, now, &t->slots[h].info.id, target, p->nonce);
+	member_send(t, now, MEMBER_PING, target, p->nonce);
+	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
+	for (i = 0; i < t->slots_len && asked < MEMBER_HELPERS; i++) {
+		h = (start + i) % t->slots_len;
+		if (!t->slots[h].used || h == t->self || h == p->handle ||
+		    t->slots[h].info.state != MEMBER_ALIVE)
+			continue;
+		member_send_ping_req(
+		    t, now, &t->slots[h].info.id, target, p->nonce);
+		asked++;
 	}
 }
 
@@ -242,6 +255,26 @@
 	}
 }
 
+/*
+ * Tells whether there are changes worth a message of their own: once half of
+ * the budget is spent, the rest is kept for those that all are to be told.
+ */
+static int
+worth_telling(const struct member_table *t)
+{
+	uint32_t all = member_tells(t), i;
+
+	if (t->gossip_budget < 0)
+		return 0;
+	if (t->gossip_budget > MEMBER_BUDGET_BYTES / 2)
+		return t->queue_len > 0;
+	for (i = 0; i < t->queue_len; i++) {
+		if (t->slots[t->queue[i]].told < all / MEMBER_TELL_FACTOR)
+			return 1;
+	}
+	return 0;
+}
+
 /*
  * Sends changes to random members ahead of the probes, within the budget.
  */
@@ -253,7 +286,7 @@
 
 	t->next_gossip_ms = now + MEMBER_GOSSIP_MS;
 	for (i = 0; i < MEMBER_GOSSIP_FANOUT; i++) {
-		if (t->queue_len == 0 || t->budget < 0)
+		if (!worth_telling(t))
 			return;
 		h = member_random_alive(t);
 		if (h == MEMBER_NONE)
@@ -270,15 +303,34 @@
 start_sync(struct member_table *t, uint64_t now)
 {
 	uint32_t h = member_random_alive(t);
+	uint64_t every;
 
 	if (h == MEMBER_NONE)
 		return;
 	t->news = 0;
-	t->next_sync_ms = now + MEMBER_SYNC_MS / 2 +
-			  t->port.rand(t->port.ctx) % MEMBER_SYNC_MS;
+	t->last_sync_ms = now;
+	every = now < t->started_ms + MEMBER_START_MS ? MEMBER_SYNC_START_MS
+						      : MEMBER_SYNC_MS;
+	t->next_sync_ms = now + every / 2 + t->port.rand(t->port.ctx) % every;
 	member_sync(t, now, MEMBER_SYNC, &t->slots[h].info.id);
 }
 
+/*
+ * Compares tables when it is time.
+ */
+static void
+sync_due(struct member_table *t, uint64_t now)
+{
+	uint64_t soon = t->last_sync_ms + (t->news >= MEMBER_SYNC_NEWS
+						  ? MEMBER_SYNC_AGAIN_MS
+						  : MEMBER_SYNC_SOON_MS);
+
+	if (t->news > 0)
+		t->next_sync_ms = MIN(t->next_sync_ms, soon);
+	if (now >= t->next_sync_ms)
+		start_sync(t, now);
+}
+
 /*
  * Grants all that waits for others the time for which this process was
  * paused itself: what they sent may wait in its socket.
@@ -298,7 +350,7 @@
 }
 
 /*
- * Refills the budget of bytes for gossip and sync.
+ * Refills the budgets.
  */
 static void
 refill(struct member_table *t, uint64_t now)
@@ -309,7 +361,10 @@
 	if (add == 0)
 		return;
 	t->budget_ms = now;
-	t->budget = MIN(t->budget + add, MEMBER_BUDGET_BYTES);
+	if (t->gossip_budget < MEMBER_BUDGET_BYTES)
+		t->gossip_budget += add;
+	if (t->page_budget < MEMBER_BUDGET_BYTES)
+		t->page_budget += add;
 }
 
 /*
@@ -336,11 +391,7 @@
 		gossip(t, now);
 	if (now >= t->next_dead_ms)
 		probe_dead(t, now);
-	if (t->news >= MEMBER_SYNC_NEWS)
-		t->next_sync_ms =
-		    MIN(t->next_sync_ms, now + MEMBER_SYNC_AGAIN_MS);
-	if (now >= t->next_sync_ms)
-		start_sync(t, now);
+	sync_due(t, now);
 	if (now >= t->next_forget_ms) {
 		t->next_forget_ms = now + MEMBER_SYNC_MS;
 		member_forget(t, now);
--- a/src/member/member_receive.c
+++ b/src/member/member_receive.c
@@ -31,6 +31,7 @@
 	[MEMBER_GOSSIP] = NULL,
 	[MEMBER_SYNC] = on_sync,
 	[MEMBER_SYNC_REPLY] = on_sync_reply,
+	[MEMBER_PAGE] = NULL,
 };
 
 /*
@@ -53,8 +54,10 @@
 		return;
 	}
 	member_merge(t, now, &msg->self, 1);
+	t->paging = msg->kind == MEMBER_PAGE;
 	for (i = 0; i < msg->entries.entries_len; i++)
 		member_merge(t, now, &msg->entries.entries_val[i], 0);
+	t->paging = 0;
 	take_config(t, now, msg);
 	if (kinds[msg->kind] != NULL)
 		kinds[msg->kind](t, now, msg, &from);
@@ -129,8 +132,6 @@
 		0 };
 	struct member_relay *r;
 
-	if (member_find(t, target.addr, target.rpc_port) == NULL)
-		return;
 	r = &t->relays[t->relay_pos++ % MEMBER_RELAYS_MAX];
 	r->origin = *from;
 	r->origin_nonce = msg->nonce;
--- a/src/member/member_service.c
+++ b/src/member/member_service.c
@@ -32,8 +32,6 @@
 static void wait_ms(struct member_service *, uint32_t);
 static void *run(void *);
 static uint64_t epoch_now(void);
-static int server_differs(
-    const struct member_server *, const struct member_server *);
 static void log_event(enum member_event, const struct member_info *);
 
 static const struct rpc_proc proc_message = {
@@ -332,17 +330,6 @@
 	return NULL;
 }
 
-/*
- * Tells whether two states of a backend server differ in more than load.
- */
-static int
-server_differs(const struct member_server *a, const struct member_server *b)
-{
-	return a->state != b->state || a->incarnation != b->incarnation ||
-	       a->slots != b->slots || a->connections != b->connections ||
-	       strcmp(a->service, b->service) != 0;
-}
-
 /*
  * Sets what this node tells of its backend server.  A change spreads at
  * once; one of the load alone goes out with the messages sent anyway.
@@ -355,7 +342,7 @@
 
 	pthread_mutex_lock(&ms->lock);
 	own = &ms->table->slots[ms->table->self].info.server;
-	differs = server_differs(own, sv);
+	differs = member_server_differs(own, sv);
 	*own = *sv;
 	own->service_hash = member_service_hash(own->service);
 	if (differs) {
--- a/src/member/member_table.c
+++ b/src/member/member_table.c
@@ -37,8 +37,7 @@
     struct member_table *, uint64_t, const struct member_entry *);
 static void merge_replaced(struct member_table *, uint64_t,
     struct member_slot *, const struct member_entry *);
-static void merge_report(struct member_table *, uint64_t, struct member_slot *,
-    const struct member_entry *);
+static void merge_report(struct member_table *, const struct member_slot *);
 static void merge_same(struct member_table *, uint64_t, struct member_slot *,
     const struct member_entry *, int);
 
@@ -70,10 +69,11 @@
 	t->started_ms = t->last_tick_ms = t->budget_ms = now;
 	t->next_probe_ms = now + t->port.rand(t->port.ctx) % t->probe_ms;
 	t->next_forget_ms = now + MEMBER_SYNC_MS;
-	t->budget = MEMBER_BUDGET_BYTES;
+	t->gossip_budget = MEMBER_BUDGET_BYTES;
+	t->page_budget = MEMBER_BUDGET_START;
 	t->next_nonce = (uint32_t)t->port.rand(t->port.ctx);
 	t->dirty = 1;
-	member_queue(t, &t->slots[t->self]);
+	member_queue(t, &t->slots[t->self], MEMBER_TELL_ALL);
 	for (i = 0; i < s->seeds_len; i++)
 		member_table_seed(t, s->seeds[i].addr, s->seeds[i].rpc_port, 1);
 }
@@ -222,7 +222,9 @@
 }
 
 /*
- * Puts a member into a state at a sequence number, and has that told.
+ * Puts a member into a state at a sequence number, and has that told: a
+ * death rarely, since everybody finds it for themselves, and a number that
+ * refutes what wasn't believed here rarely too.
  */
 void
 member_set_state(struct member_table *t, uint64_t now, struct member_slot *s,
@@ -242,7 +244,10 @@
 		if (is_up(old) != is_up(state))
 			s->info.since_ms = now;
 	}
-	member_queue(t, s);
+	if (state == MEMBER_DEAD || old == state)
+		member_queue(t, s, MEMBER_TELL_FEW);
+	else
+		member_queue(t, s, MEMBER_TELL_ALL);
 	if (is_up(old) && state == MEMBER_DEAD)
 		tell(t, MEMBER_DIED, s);
 	if (is_up(old) && state == MEMBER_LEFT)
@@ -275,6 +280,18 @@
 	g_strlcpy(to, from == NULL ? "" : from, size);
 }
 
+/*
+ * Tells whether two states of a backend server differ in more than load.
+ */
+int
+member_server_differs(
+    const struct member_server *a, const struct member_server *b)
+{
+	return a->state != b->state || a->incarnation != b->incarnation ||
+	       a->slots != b->slots || a->connections != b->connections ||
+	       strcmp(a->service, b->service) != 0;
+}
+
 /*
  * Takes over what an entry says of the member's backend server.
  */
@@ -295,7 +312,7 @@
 
 /*
  * Takes over what an entry says of a member, but for its state.  Entries of
- * the dead are short and keep what was known.
+ * those who aren't known alive are short and keep what was known.
  */
 static void
 copy_entry(struct member_slot *s, const struct member_entry *e)
@@ -303,7 +320,7 @@
 	s->info.id.incarnation = e->name.incarnation;
 	s->info.epoch = e->name.epoch;
 	s->info.seq = e->seq;
-	if (!is_up((enum member_state)e->state))
+	if (e->state != MEMBER_ALIVE)
 		return;
 	s->info.peer_port = (uint16_t)e->peer_port;
 	s->info.config_version = MAX(s->info.config_version, e->config_version);
@@ -361,7 +378,7 @@
 	uint64_t age = (uint64_t)e->age_s * 1000;
 	struct member_slot *s;
 
-	if (state == MEMBER_LEFT ||
+	if (state == MEMBER_LEFT || state == MEMBER_SUSPECT ||
 	    (state == MEMBER_DEAD && age >= MEMBER_DEAD_KEEP_MS) ||
 	    t->count == MEMBER_COUNT_MAX)
 		return;
@@ -371,12 +388,11 @@
 	s->info.since_ms = now > age ? now - age : 0;
 	s->info.state = state;
 	t->dirty = 1;
-	t->news++;
+	t->news += (uint32_t)t->paging;
 	t->alive += state == MEMBER_ALIVE;
-	if (state == MEMBER_SUSPECT)
-		s->deadline_ms = now + member_suspect_ms(t);
-	member_queue(t, s);
-	if (!is_up(state))
+	if (!t->paging)
+		member_queue(t, s, MEMBER_TELL_SOME);
+	if (state != MEMBER_ALIVE)
 		return;
 	insert_probe(t, member_handle(t, s));
 	tell(t, MEMBER_JOINED, s);
@@ -392,6 +408,8 @@
 {
 	enum member_state state = (enum member_state)e->state;
 
+	if (state == MEMBER_SUSPECT)
+		return;
 	if (is_up(s->info.state)) {
 		t->alive -= s->info.state == MEMBER_ALIVE;
 		s->info.state = MEMBER_DEAD;
@@ -405,31 +423,31 @@
 	s->accused = 0;
 	t->alive += state == MEMBER_ALIVE;
 	t->dirty = 1;
-	t->news++;
-	if (state == MEMBER_SUSPECT)
-		s->deadline_ms = now + member_suspect_ms(t);
-	member_queue(t, s);
-	if (!is_up(state))
+	t->news += (uint32_t)t->paging;
+	member_queue(t, s, MEMBER_TELL_SOME);
+	if (state != MEMBER_ALIVE)
 		return;
 	insert_probe(t, member_handle(t, s));
 	tell(t, MEMBER_JOINED, s);
 }
 
 /*
- * Merges a report of the death of a member that counts as there.  It is only
- * a suspicion: when a cut heals, each side brings such reports of the whole
- * other side.  Everybody declares death at the end of their own wait.
+ * Takes note of a report of the death of a member that counts as there.  It
+ * isn't believed: when a cut heals, each side brings such reports of the
+ * whole other side.  The member is probed soon instead.
  */
 static void
-merge_report(struct member_table *t, uint64_t now, struct member_slot *s,
-    const struct member_entry *e)
+merge_report(struct member_table *t, const struct member_slot *s)
 {
-	uint64_t wait = member_suspect_ms(t) * MEMBER_REPORT_FACTOR;
+	uint32_t h = member_handle(t, s), i;
 
-	if (s->info.state == MEMBER_SUSPECT && e->seq == s->info.seq)
+	if (s->info.state != MEMBER_ALIVE || t->verify_len == MEMBER_VERIFY_MAX)
 		return;
-	member_set_state(t, now, s, MEMBER_SUSPECT, e->seq);
-	s->deadline_ms = now + wait;
+	for (i = 0; i < t->verify_len; i++) {
+		if (t->verify[i] == h)
+			return;
+	}
+	t->verify[t->verify_len++] = h;
 }
 
 /*
@@ -441,6 +459,7 @@
     const struct member_entry *e, int direct)
 {
 	enum member_state state = (enum member_state)e->state;
+	struct member_server was;
 
 	if (direct && s->info.state == MEMBER_SUSPECT)
 		s->deadline_ms = now + member_suspect_ms(t);
@@ -451,12 +470,16 @@
 	if (e->seq < s->info.seq ||
 	    (e->seq == s->info.seq && ranks[state] <= ranks[s->info.state]))
 		return;
-	t->news++;
+	if (state == MEMBER_DEAD && is_up(s->info.state)) {
+		merge_report(t, s);
+		return;
+	}
+	t->news += (uint32_t)t->paging;
+	was = s->info.server;
 	copy_entry(s, e);
-	if (state == MEMBER_DEAD && is_up(s->info.state))
-		merge_report(t, now, s, e);
-	else
-		member_set_state(t, now, s, state, e->seq);
+	member_set_state(t, now, s, state, e->seq);
+	if (member_server_differs(&was, &s->info.server))
+		member_queue(t, s, MEMBER_TELL_ALL);
 }
 
 /*
@@ -492,7 +515,7 @@
 
 	s->info.seq++;
 	t->dirty = 1;
-	member_queue(t, s);
+	member_queue(t, s, MEMBER_TELL_ALL);
 	t->next_gossip_ms = now;
 }
 
--- a/src/member/member_wire.c
+++ b/src/member/member_wire.c
@@ -16,6 +16,7 @@
 	struct member_server_entry servers[MEMBER_ENTRIES_MAX + 1];
 	u_int digests[MEMBER_DIGESTS];
 	size_t bytes;
+	size_t limit;
 };
 
 static void fill_entry(uint64_t, struct member_slot *, struct member_entry *,
@@ -35,12 +36,27 @@
 static void digest(const struct member_table *, u_int *);
 
 /*
- * Puts a member's change among those to be told.
+ * Puts a member's change among those to be told.  When there are many, each
+ * is told less often, since comparing tables finds them too.  What came that
+ * way itself is news to few.
  */
 void
-member_queue(struct member_table *t, struct member_slot *s)
+member_queue(
+    struct member_table *t, struct member_slot *s, enum member_tell tell)
 {
-	s->told = 0;
+	uint32_t all = member_tells(t);
+	const uint32_t wants[MEMBER_TELL_MAX] = {
+		[MEMBER_TELL_FEW] = MEMBER_FEW_TELLS,
+		[MEMBER_TELL_SOME] = all / MEMBER_TELL_FACTOR,
+		[MEMBER_TELL_ALL] = all,
+	};
+
+	if (t->paging)
+		tell = MEMBER_TELL_FEW;
+	else if (t->queue_len > MEMBER_QUEUE_LONG && tell > MEMBER_TELL_FEW &&
+		 member_handle(t, s) != t->self)
+		tell--;
+	s->told = all > wants[tell] ? all - wants[tell] : 0;
 	if (s->queued)
 		return;
 	s->queued = 1;
@@ -66,7 +82,7 @@
 
 /*
  * Fills in an entry for the wire, which points into the slot.  Of a member
- * that isn't there, only its name and state are told.
+ * that isn't known alive, only its name and state are told.
  */
 static void
 fill_entry(uint64_t now, struct member_slot *s, struct member_entry *e,
@@ -74,7 +90,7 @@
 {
 	static char none[] = "";
 	struct member_info *m = &s->info;
-	int up = m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
+	int up = m->state == MEMBER_ALIVE;
 
 	e->name.addr = m->id.addr;
 	e->name.port = m->id.rpc_port;
@@ -126,7 +142,7 @@
 		return 0;
 	fill_entry(now, s, &d->list[n], &d->servers[n]);
 	bytes = entry_bytes(&d->list[n]);
-	if (d->bytes + bytes > MEMBER_MESSAGE_BYTES)
+	if (d->bytes + bytes > d->limit)
 		return 0;
 	d->bytes += bytes;
 	d->msg.entries.entries_len++;
@@ -156,6 +172,9 @@
 	fill_entry(now, &t->slots[t->self], &d->msg.self,
 	    &d->servers[MEMBER_ENTRIES_MAX]);
 	d->bytes = MESSAGE_BYTES + entry_bytes(&d->msg.self);
+	d->limit = MEMBER_MESSAGE_BYTES;
+	if (t->gossip_budget < 0 && kind != MEMBER_PAGE)
+		d->limit = MEMBER_MESSAGE_LOW;
 	t->stamp++;
 }
 
@@ -239,13 +258,19 @@
 }
 
 /*
- * Sends a message and charges it to the budget.
+ * Sends a message and charges its entries to a budget.  Once that is spent
+ * messages are short, so that also after the loss of a failure domain a node
+ * keeps within its share of the network.
  */
 static void
 send_draft(struct member_table *t, struct draft *d, const struct node_id *to)
 {
-	if (d->msg.kind == MEMBER_GOSSIP)
-		t->budget -= (int64_t)d->bytes;
+	size_t bytes = d->bytes - entry_bytes(&d->msg.self);
+
+	if (d->msg.kind == MEMBER_PAGE)
+		t->page_budget -= (int64_t)bytes;
+	else if (d->msg.digests.digests_len == 0)
+		t->gossip_budget -= (int64_t)bytes;
 	t->port.send(t->port.ctx, to->addr, to->rpc_port, &d->msg);
 }
 
@@ -330,6 +355,7 @@
 	begin(t, now, &d, kind, 0);
 	digest(t, d.digests);
 	d.msg.digests.digests_len = MEMBER_DIGESTS;
+	d.bytes += sizeof(d.digests);
 	add_about(t, now, &d, to);
 	send_draft(t, &d, to);
 }
@@ -353,7 +379,7 @@
 	if (msg->digests.digests_len != MEMBER_DIGESTS)
 		return;
 	digest(t, own);
-	begin(t, now, &d, MEMBER_GOSSIP, 0);
+	begin(t, now, &d, MEMBER_PAGE, 0);
 	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
 	for (i = 0; i < t->slots_len; i++) {
 		s = &t->slots[(start + i) % t->slots_len];
@@ -364,9 +390,9 @@
 		if (add_entry(now, &d, s))
 			continue;
 		send_draft(t, &d, &to);
-		if (++pages == MEMBER_SYNC_PAGES || t->budget < 0)
+		if (++pages == MEMBER_SYNC_PAGES || t->page_budget < 0)
 			return;
-		begin(t, now, &d, MEMBER_GOSSIP, 0);
+		begin(t, now, &d, MEMBER_PAGE, 0);
 		add_entry(now, &d, s);
 	}
 	if (d.msg.entries.entries_len > 0)
--- a/src/member/member_xdr.h
+++ b/src/member/member_xdr.h
@@ -15,7 +15,7 @@
 
 #define MEMBER_DOMAIN_BYTES 31
 #define MEMBER_SERVICE_BYTES 63
-#define MEMBER_DIGESTS 128
+#define MEMBER_DIGESTS 200
 #define MEMBER_ENTRIES_MAX 64
 
 enum member_kind {
@@ -26,6 +26,7 @@
 	MEMBER_GOSSIP = 4,
 	MEMBER_SYNC = 5,
 	MEMBER_SYNC_REPLY = 6,
+	MEMBER_PAGE = 7,
 };
 typedef enum member_kind member_kind;
 
