--- a/src/member/test_net.h
+++ b/src/member/test_net.h
@@ -296,8 +296,11 @@
 		for (i = up = 0; i < net->len; i++)
 			up += net->nodes[i].up;
 		for (i = want = 0; i < net->len; i++)
-			want += net->nodes[i].up &&
-				net_holding(net, i, MEMBER_ALIVE) == up - 1;
+			want +=
+			    net->nodes[i].up && net->nodes[i].table.alive == up;
+		for (i = 0; i < net->len && want == up; i++)
+			want -= net->nodes[i].up &&
+				net_holding(net, i, MEMBER_ALIVE) < up - 1;
 		if (want == up)
 			break;
 	}
--- a/src/rpc/test_rpc.c
+++ b/src/rpc/test_rpc.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
@@ -47,7 +48,7 @@
     void *ctx, const struct sockaddr_in *from, const void *arg, void *res)
 {
 	(void)from;
-	(*(unsigned int *)ctx)++;
+	atomic_fetch_add((atomic_uint *)ctx, 1);
 	*(u_int *)res = *(const u_int *)arg * 2;
 	return 0;
 }
@@ -62,11 +63,11 @@
 	(void)from;
 	(void)arg;
 	(void)res;
-	(*(unsigned int *)ctx)++;
+	atomic_fetch_add((atomic_uint *)ctx, 1);
 	return -1;
 }
 
-static unsigned int calls;
+static atomic_uint calls;
 
 /*
  * Starts a server and a client on loopback.
@@ -316,7 +317,7 @@
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	sin.sin_port = htons(a.settings.self.rpc_port);
 	fd = socket(AF_INET, SOCK_DGRAM, 0);
-	before = calls;
+	before = atomic_load(&calls);
 	for (i = 0; i < FUZZ_ROUNDS; i++) {
 		len = whole = valid_call(&a, buf, sizeof(buf), (u_int)i);
 		memcpy(copy, buf, sizeof(buf));
@@ -332,7 +333,7 @@
 		    RPC_DONE);
 		before++;
 	}
-	assert_int_equal(calls, before);
+	assert_int_equal(atomic_load(&calls), before);
 	assert_int_equal(recv(fd, buf, sizeof(buf), MSG_DONTWAIT), -1);
 	close(fd);
 	peer_finish(&a);
--- a/tests/measure/member.c
+++ b/tests/measure/member.c
@@ -13,12 +13,23 @@
  * envelope, UDP and IP are added.
  */
 #define SEED 20261204
-#define STEADY_MS 30000
+#define CALM_MS 10000
+#define STEADY_MS 20000
 #define SETTLE_MS 120000
 #define HEADER_BYTES (40 + 56 + 28)
 #define BUILDS 50
 #define NOTES 20000
 #define DOMAINS 6
+#define LIVE 15
+#define LIVE_MS 10000
+
+/* A node's membership over real RPC. */
+struct live {
+	struct rpc_settings rpc;
+	struct rpc_server server;
+	struct rpc_client client;
+	struct member_service member;
+};
 
 static double cpu_now(void);
 static double resident_now(void);
@@ -32,6 +43,9 @@
 static void measure(uint32_t);
 static int count_note(void *, const struct sockaddr_in *, const void *, void *);
 static void measure_rpc(void);
+static int live_init(struct live *, const struct node_id *);
+static void live_finish(struct live *);
+static void measure_live(void);
 
 static const uint32_t sizes[] = { 15, 100, 400, 1600 };
 
@@ -192,7 +206,7 @@
 	net.loss = 10;
 	announce(&net);
 	joined = net_settle(&net, SETTLE_MS);
-	net_run(&net, 20000);
+	net_run(&net, CALM_MS);
 	mem = resident_now() - mem;
 	cpu = cpu_now();
 	bytes = sum_bytes(&net);
@@ -255,6 +269,7 @@
 	unsigned int got = 0, i, want = NOTES;
 	double cpu;
 
+	printf("notice: ");
 	if (rpc_settings_init(&s, &id, "0123456789abcdef", 16, NULL) == -1 ||
 	    rpc_server_init(&srv, &s, NULL) == -1)
 		return;
@@ -270,13 +285,75 @@
 	}
 	while (__atomic_load_n(&got, __ATOMIC_RELAXED) + 50 < i)
 		usleep(100);
-	printf("notice: %.1f us of processor time, sent and served "
+	printf("%.1f us of processor time, sent and served "
 	       "(%u of %u)\n",
 	    (cpu_now() - cpu) / want * 1e6, got, want);
 	rpc_client_finish(&c);
 	rpc_server_finish(&srv);
 }
 
+/*
+ * Starts a node on loopback.
+ */
+static int
+live_init(struct live *n, const struct node_id *seed)
+{
+	struct node_id id = { INADDR_LOOPBACK, 0, rand_u64() };
+	struct member_settings s = { .peer_port = 8000,
+		.domain = "domain-a",
+		.seeds = seed,
+		.seeds_len = seed != NULL };
+
+	if (rpc_settings_init(&n->rpc, &id, "0123456789abcdef", 16, NULL) ==
+		-1 ||
+	    rpc_server_init(&n->server, &n->rpc, NULL) == -1 ||
+	    rpc_client_init(&n->client, &n->rpc, NULL) == -1)
+		return -1;
+	s.self = n->rpc.self;
+	member_service_init(&n->member, &s, &n->server, &n->client, NULL);
+	if (rpc_server_start(&n->server, NULL) == -1)
+		return -1;
+	return member_service_start(&n->member, NULL);
+}
+
+/*
+ * Ends a node.
+ */
+static void
+live_finish(struct live *n)
+{
+	rpc_server_finish(&n->server);
+	member_service_finish(&n->member);
+	rpc_client_finish(&n->client);
+}
+
+/*
+ * Measures the processor time of whole services in one process, threads and
+ * sockets included.
+ */
+static void
+measure_live(void)
+{
+	static struct live nodes[LIVE];
+	double cpu;
+	int i;
+
+	for (i = 0; i < LIVE; i++) {
+		if (live_init(&nodes[i], i == 0 ? NULL : &nodes[0].rpc.self) ==
+		    -1) {
+			printf("live: can't start node %d\n", i);
+			return;
+		}
+	}
+	usleep(LIVE_MS * 500);
+	cpu = cpu_now();
+	usleep(LIVE_MS * 1000);
+	cpu = (cpu_now() - cpu) / LIVE / (LIVE_MS / 1000.0);
+	printf("live: %d services, %.3f%% of a core each\n", LIVE, cpu * 100);
+	for (i = 0; i < LIVE; i++)
+		live_finish(&nodes[i]);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -294,5 +371,6 @@
 			measure(sizes[i]);
 	}
 	measure_rpc();
+	measure_live();
 	return 0;
 }
