--- a/tests/measure/scenarios.c
+++ b/tests/measure/scenarios.c
@@ -322,6 +322,23 @@
 	restart_dead(r);
 }
 
+/*
+ * Says what each node answers to a path that never became ready.
+ */
+static void
+explain(struct run *r, const char *path, const char *key)
+{
+	struct http_res rs;
+	int i;
+
+	for (i = 0; i < r->fleet.count; i++) {
+		fleet_call(&r->fleet, i, path, key, &rs);
+		warnx("%s%s: curl %d, status %ld, %s, %s", r->fleet.list[i].addr,
+		    path, (int)rs.code, rs.status, rs.outcome, rs.reason);
+		http_res_finish(&rs);
+	}
+}
+
 /*
  * Waits until every service answers through every node.
  */
@@ -336,7 +353,7 @@
 		snprintf(path, sizeof(path), "/%s-bulk/r",
 		    r->world->services[i].name);
 		if (fleet_ready(&r->fleet, path, key, READY_MS) == -1) {
-			warnx("%s never answered", path);
+			explain(r, path, key);
 			return -1;
 		}
 	}
--- a/tests/path/test_shed.c
+++ b/tests/path/test_shed.c
@@ -60,9 +60,9 @@
 	if (r == 0)
 		r = fleet_publish(&fleet, conf);
 	json_decref(conf);
-	return r == 0
-		   ? fleet_ready(&fleet, "/page/ready", ACME_KEY, STD_READY_MS)
-		   : r;
+	if (r == 0)
+		r = fleet_ready(&fleet, "/page/ready", ACME_KEY, STD_READY_MS);
+	return r == 0 ? std_orders_ready(&fleet, STD_READY_MS) : r;
 }
 
 /*
