--- a/tests/path/openload.c
+++ b/tests/path/openload.c
@@ -23,6 +23,7 @@
 	uint64_t id;
 	size_t got;
 	struct ol_result r;
+	struct openload *load;
 	int refused; /* the attempt was refused as not run */
 	int over;
 };
@@ -50,6 +51,11 @@
 static void call_end(struct ol_thread *, struct call *, int);
 static double draw(struct ol_thread *);
 
+static const char *const reasons[OL_REASONS] = { "overload",
+	"limits-unavailable", "ids-unavailable", "over-rate", "no-server",
+	"deadline", "draining", "quarantined", "duplicate", "server-failed",
+	"retry-bound", "" };
+
 /*
  * Makes a load without flows.
  */
@@ -117,6 +123,29 @@
 	return size * n;
 }
 
+/*
+ * Counts a reason for a refusal; the last row takes all others.
+ */
+static void
+reason_count(struct openload *l, const char *word)
+{
+	size_t i;
+
+	for (i = 0; i < OL_REASONS - 1; i++)
+		if (strncmp(word, reasons[i], strlen(reasons[i])) == 0)
+			break;
+	__atomic_add_fetch(&l->reasons[i], 1, __ATOMIC_RELAXED);
+}
+
+/*
+ * Returns the name of a reason, "" for the rest.
+ */
+const char *
+openload_reason(size_t i)
+{
+	return reasons[i];
+}
+
 /*
  * Notes why an attempt was refused.
  */
@@ -124,6 +153,7 @@
 on_header(char *p, size_t size, size_t n, void *ctx)
 {
 	static const char not_run[] = "Cyclamen-Outcome: not-run";
+	static const char reason[] = "Cyclamen-Reason: ";
 	static const char over[] = "Cyclamen-Reason: over-rate";
 	struct call *c = ctx;
 	size_t len = size * n;
@@ -134,6 +164,9 @@
 	if (len >= sizeof(over) - 1 &&
 	    strncasecmp(p, over, sizeof(over) - 1) == 0)
 		c->over = 1;
+	if (len >= sizeof(reason) - 1 &&
+	    strncasecmp(p, reason, sizeof(reason) - 1) == 0)
+		reason_count(c->load, p + sizeof(reason) - 1);
 	return len;
 }
 
@@ -197,6 +230,7 @@
 		 (c->curl = curl_easy_init()) == NULL)
 		abort();
 	memset(&c->r, 0, sizeof(c->r));
+	c->load = l;
 	c->r.flow = (uint16_t)flow;
 	c->start = clock_us();
 	c->r.start_ms = (uint32_t)((c->start - l->began) / 1000);
--- a/tests/path/openload.h
+++ b/tests/path/openload.h
@@ -15,6 +15,7 @@
 #define OL_THREADS_MAX 6
 #define OL_FLOWS_MAX 256
 #define OL_ATTEMPTS_MAX 5
+#define OL_REASONS 12
 
 /*
  * A stream of equal requests.
@@ -61,7 +62,8 @@
 	double factor; /* of the load, may change while it runs */
 	int stop;
 	uint64_t began;
-	uint64_t dropped; /* not begun: too many at once */
+	uint64_t reasons[OL_REASONS]; /* of refusals, by attempt */
+	uint64_t dropped;	      /* not begun: too many at once */
 	struct ol_thread *list[OL_THREADS_MAX];
 	pthread_t ids[OL_THREADS_MAX];
 	struct ol_result *results;
@@ -73,6 +75,7 @@
 void openload_stop(struct openload *);
 void openload_finish(struct openload *);
 void openload_factor(struct openload *, double);
+const char *openload_reason(size_t);
 uint32_t openload_now(const struct openload *);
 
 #endif
