--- a/tests/measure/scenarios.c
+++ b/tests/measure/scenarios.c
@@ -19,7 +19,6 @@
 #define CALM 0.6  /* of capacity, before and after the trigger */
 #define SURGE 2.0 /* of capacity */
 #define AFTER_MS 5000
-#define READY_MS 30000
 #define SMALL_COUNT 40
 #define SMALL_RATE 3.0 /* of 4 a second that each may have */
 #define NOISY 5.0      /* times its rate */
@@ -130,28 +129,13 @@
 	}
 }
 
-/*
- * Slows a service by a factor.
- */
-static void
-slow(struct run *r, const char *service, int percent)
-{
-	char ctl[64];
-	int i;
-
-	snprintf(ctl, sizeof(ctl), "{\"slow_percent\":%d}", percent);
-	for (i = 0; i < r->fleet.count; i++)
-		if (strcmp(r->fleet.list[i].spec.service, service) == 0)
-			fleet_server_control(&r->fleet, i, ctl);
-}
-
 /*
  * The deep service slows five times.
  */
 static void
 begin_deep(struct run *r)
 {
-	slow(r, "pricing", 500);
+	world_slow(&r->fleet, "pricing", 500);
 }
 
 /*
@@ -160,7 +144,7 @@
 static void
 end_deep(struct run *r)
 {
-	slow(r, "pricing", 100);
+	world_slow(&r->fleet, "pricing", 100);
 }
 
 /*
@@ -256,45 +240,13 @@
 	fleet_link(&r->fleet, "dc", "da", "\"cut\":true");
 }
 
-/*
- * Sets the delays between failure domains, and lifts all cuts.
- */
-static void
-delays(struct run *r)
-{
-	static const char *const names[] = { "da", "db", "dc" };
-	char rule[64];
-	int a, b;
-
-	if (r->fleet.proxy == -1)
-		return;
-	snprintf(rule, sizeof(rule), "\"delay_us\":%d", r->world->delay_us);
-	for (a = 0; a < 3; a++)
-		for (b = 0; b < 3; b++)
-			if (a != b)
-				fleet_link(&r->fleet, names[a], names[b], rule);
-}
-
 /*
  * The failure domain is back.
  */
 static void
 end_domain(struct run *r)
 {
-	delays(r);
-}
-
-/*
- * Starts again the servers that have died.
- */
-static void
-restart_dead(struct run *r)
-{
-	int i;
-
-	for (i = 0; i < r->fleet.count; i++)
-		if (!proc_running(r->fleet.list[i].server))
-			fleet_server_start(&r->fleet, i);
+	world_delays(&r->fleet, r->world);
 }
 
 /*
@@ -310,7 +262,7 @@
 	fleet_call(&r->fleet, (int)(rand_u64() % (uint64_t)r->fleet.count),
 	    "/pricing/poison-pill", key, &rs);
 	http_res_finish(&rs);
-	restart_dead(r);
+	world_restart_dead(&r->fleet);
 }
 
 /*
@@ -319,59 +271,7 @@
 static void
 end_poison(struct run *r)
 {
-	restart_dead(r);
-}
-
-/*
- * Says what each node answers to a path that never became ready.
- */
-static void
-explain(struct run *r, const char *path, const char *key)
-{
-	struct http_res rs;
-	int i;
-
-	for (i = 0; i < r->fleet.count; i++) {
-		fleet_call(&r->fleet, i, path, key, &rs);
-		warnx("%s%s: curl %d, status %ld, %s, %s",
-		    r->fleet.list[i].addr, path, (int)rs.code, rs.status,
-		    rs.outcome, rs.reason);
-		http_res_finish(&rs);
-	}
-}
-
-/*
- * Waits until every service answers through every node.
- */
-static int
-ready(struct run *r)
-{
-	char path[64], key[48];
-	int i;
-
-	world_key(0, key, sizeof(key));
-	for (i = 0; i < WORLD_SERVICES; i++) {
-		snprintf(path, sizeof(path), "/%s-bulk/r",
-		    r->world->services[i].name);
-		if (fleet_ready(&r->fleet, path, key, READY_MS) == -1) {
-			explain(r, path, key);
-			return -1;
-		}
-	}
-	return 0;
-}
-
-/*
- * Sets the service times of all servers to a percentage of the usual ones,
- * so that the start does not take long.
- */
-static void
-quicken(struct run *r, int percent)
-{
-	int i;
-
-	for (i = 0; i < WORLD_SERVICES; i++)
-		slow(r, r->world->services[i].name, percent);
+	world_restart_dead(&r->fleet);
 }
 
 /*
@@ -389,12 +289,12 @@
 	if (rc == 0)
 		rc = fleet_publish(&r->fleet, conf);
 	json_decref(conf);
-	quicken(r, 1);
+	world_quicken(&r->fleet, r->world, 1);
 	if (rc == 0)
-		rc = ready(r);
-	quicken(r, 100);
+		rc = world_ready(&r->fleet, r->world);
+	world_quicken(&r->fleet, r->world, 100);
 	if (rc == 0)
-		delays(r);
+		world_delays(&r->fleet, r->world);
 	return rc;
 }
 
--- a/tests/path/test_peer.c
+++ b/tests/path/test_peer.c
@@ -129,6 +129,37 @@
 		    rq->headers[2] + strlen("X-Attempt: "));
 }
 
+/*
+ * Sends a few pages through the other nodes and returns 1 if the server of
+ * an instance ran one.
+ */
+static int
+gets_work(void *ctx)
+{
+	const struct inst *in = ctx;
+	struct http_res rs;
+	struct runlog rl;
+	size_t k;
+	int i, found = 0, at = (int)(in - fleet.list);
+	char path[64];
+
+	snprintf(path, sizeof(path), "/page/work-%llx",
+	    (unsigned long long)rand_u64());
+	for (i = 0; i < 4 * NODES; i++) {
+		if (i % NODES == at)
+			continue;
+		fleet_call(&fleet, i % NODES, path, ACME_KEY, &rs);
+		http_res_finish(&rs);
+	}
+	runlog_init(&rl);
+	runlog_read(&rl, &fleet);
+	for (k = 0; k < rl.count; k++)
+		found |=
+		    rl.list[k].inst == at && strcmp(rl.list[k].path, path) == 0;
+	runlog_finish(&rl);
+	return found;
+}
+
 /*
  * Every row: answers are whole, refused or visibly broken, never wrong; no
  * id runs twice, refusals are true, no node dies, and all comes back.
@@ -142,19 +173,26 @@
 		.answer = link_answer,
 		.ctx = &outcome };
 	struct runlog rl;
+	const char *domain;
 	char id[72];
 	size_t i, k;
 
 	(void)state;
 	runlog_init(&rl);
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		/* Each domain has the time of two cases to be trusted again. */
+		domain = fleet.list[i % NODES].spec.domain;
+		if (wait_until(gets_work, &fleet.list[i % NODES], HEAL_MS) ==
+		    -1)
+			fail_msg(
+			    "%s gets no work before %s", domain, cases[i].name);
 		memset(&outcome, 0, sizeof(outcome));
-		fleet_link(&fleet, "*", "db", cases[i].rule);
+		fleet_link(&fleet, "*", domain, cases[i].rule);
 		if (cases[i].back != NULL)
-			fleet_link(&fleet, "db", "*", cases[i].back);
+			fleet_link(&fleet, domain, "*", cases[i].back);
 		load_run(&l, CASE_MS);
-		fleet_link(&fleet, "*", "db", "\"cut\":false");
-		fleet_link(&fleet, "db", "*", "\"cut\":false");
+		fleet_link(&fleet, "*", domain, "\"cut\":false");
+		fleet_link(&fleet, domain, "*", "\"cut\":false");
 		print_message("%s: %llu whole, %llu refused, %llu broken, %llu "
 			      "wrong\n",
 		    cases[i].name, (unsigned long long)outcome.whole,
--- a/tests/path/world.c
+++ b/tests/path/world.c
@@ -1,9 +1,11 @@
+#include <err.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "world.h"
 
 #define DOMAINS 3
+#define WORLD_READY_MS 30000
 #define DEADLINE_SERVICES 3 /* service times in a deadline */
 #define DEADLINE_EXTRA_MS 1000
 #define QUEUE_TEXT 16
@@ -214,3 +216,99 @@
 	}
 	return fleet_start(f);
 }
+
+/*
+ * Slows a service by a factor.
+ */
+void
+world_slow(struct fleet *f, const char *service, int percent)
+{
+	char ctl[64];
+	int i;
+
+	snprintf(ctl, sizeof(ctl), "{\"slow_percent\":%d}", percent);
+	for (i = 0; i < f->count; i++)
+		if (strcmp(f->list[i].spec.service, service) == 0)
+			fleet_server_control(f, i, ctl);
+}
+
+/*
+ * Sets the delays between failure domains, and lifts all cuts.
+ */
+void
+world_delays(struct fleet *f, const struct world *w)
+{
+	char rule[64];
+	int a, b;
+
+	if (f->proxy == -1)
+		return;
+	snprintf(rule, sizeof(rule), "\"delay_us\":%d", w->delay_us);
+	for (a = 0; a < 3; a++)
+		for (b = 0; b < 3; b++)
+			if (a != b)
+				fleet_link(f, domains[a], domains[b], rule);
+}
+
+/*
+ * Starts again the servers that have died.
+ */
+void
+world_restart_dead(struct fleet *f)
+{
+	int i;
+
+	for (i = 0; i < f->count; i++)
+		if (!proc_running(f->list[i].server))
+			fleet_server_start(f, i);
+}
+
+/*
+ * Says what each node answers to a path that never became ready.
+ */
+static void
+explain(struct fleet *f, const char *path, const char *key)
+{
+	struct http_res rs;
+	int i;
+
+	for (i = 0; i < f->count; i++) {
+		fleet_call(f, i, path, key, &rs);
+		warnx("%s%s: curl %d, status %ld, %s, %s", f->list[i].addr,
+		    path, (int)rs.code, rs.status, rs.outcome, rs.reason);
+		http_res_finish(&rs);
+	}
+}
+
+/*
+ * Waits until every service answers through every node.
+ */
+int
+world_ready(struct fleet *f, const struct world *w)
+{
+	char path[64], key[48];
+	int i;
+
+	world_key(0, key, sizeof(key));
+	for (i = 0; i < WORLD_SERVICES; i++) {
+		snprintf(path, sizeof(path), "/%s-bulk/r", w->services[i].name);
+		if (fleet_ready(f, path, key, WORLD_READY_MS) == -1) {
+			explain(f, path, key);
+			return -1;
+		}
+	}
+	return 0;
+}
+
+/*
+ * Sets the service times of all servers to a percentage of the usual ones,
+ * so that the start does not take long.
+ */
+void
+world_quicken(struct fleet *f, const struct world *w, int percent)
+{
+	int i;
+
+	for (i = 0; i < WORLD_SERVICES; i++)
+		world_slow(f, w->services[i].name, percent);
+}
--- a/tests/path/world.h
+++ b/tests/path/world.h
@@ -37,6 +37,11 @@
 int world_start(struct fleet *, const struct world *, const char *, int);
 json_t *world_conf(const struct world *, double, int);
 void world_flows(struct openload *, const struct world *, int);
+void world_slow(struct fleet *, const char *, int);
+void world_quicken(struct fleet *, const struct world *, int);
+void world_delays(struct fleet *, const struct world *);
+void world_restart_dead(struct fleet *);
+int world_ready(struct fleet *, const struct world *);
 double world_share(int);
 void world_key(int, char *, size_t);
 
