--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -10,7 +10,7 @@
 #define LIMITS_MARGIN_MS 50  /* kept longer by the owner: clock speeds */
 
 #define LIMITS_HELD_MAX 8    /* loans that an entry holds of a workspace */
-#define LIMITS_QUEUED_MAX 64 /* reports not yet sent */
+#define LIMITS_QUEUED_MAX 16 /* reports not yet sent */
 
 struct limits_held {
 	uint64_t id;
@@ -40,6 +40,8 @@
 	uint64_t report_us; /* when the oldest was queued */
 	uint64_t dry_us[LIMITS_SHARDS];
 	uint64_t down_us[LIMITS_SHARDS];
+	double level[LIMITS_SHARDS]; /* tokens left, as last told */
+	uint64_t level_us[LIMITS_SHARDS];
 	int asking;
 	uint32_t waiting; /* tokens that other threads wait for */
 	uint64_t arrivals;
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -194,6 +194,9 @@
 		    RETRY_GIVE_UP },
 		{ { RETRY_FINAL, 1, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
 		    RETRY_GIVE_UP },
+		/* a reason that was never set */
+		{ { .not_run = 1, .idempotent = 1, .left_us = 9999999 }, 9, 0,
+		    RETRY_GIVE_UP },
 	};
 	struct retry_chain c;
 	struct retry_budget b;
@@ -306,6 +309,10 @@
 		parent_put(parents_get(&ps, text));
 	t = clock_us() - t;
 	print_message("%.0f ns a lookup\n", (double)t * 1e3 / LOOKUPS);
+	assert_int_equal(parent_chain_level(p), ADMISSION_CHAIN_NONE);
+	parent_note_level(held, 70);
+	parent_note_level(held, 90);
+	assert_int_equal(parent_chain_level(p), 70);
 	assert_false(parent_is_dead(held));
 	assert_int_equal(parents_count(&ps), 1);
 	assert_int_equal(parents_end(&ps, p), 1);
