--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -14,6 +14,9 @@
 #define ACCEPT_QUEUE "1024"
 #define OPERATOR_THREADS 4
 #define DESCRIPTORS_MAX 65536
+#define THREAD_WORKER 1 /* as CivetWeb numbers them */
+#define THREAD_WAIT_MS 5000
+#define THREAD_CHECK_US 2000
 
 typedef void (*serve_fn)(struct node *, struct request *);
 
@@ -35,6 +38,7 @@
 struct port {
 	struct node *node;
 	enum port_kind kind;
+	atomic_uint workers; /* that have started */
 };
 
 static struct port port_ctx[PORT_MAX];
@@ -85,9 +89,11 @@
 static void *
 on_thread(const struct mg_context *mg, int type)
 {
-	(void)mg;
-	(void)type;
+	struct port *p = mg_get_user_data(mg);
+
 	rcu_register_thread();
+	if (type == THREAD_WORKER)
+		atomic_fetch_add(&p->workers, 1);
 	return NULL;
 }
 
@@ -114,6 +120,25 @@
 	return 1;
 }
 
+/*
+ * Waits until all threads of a port have started: CivetWeb goes on with
+ * fewer where the system has no more, and requests would hang.
+ */
+static int
+workers_wait(struct port *p, uint32_t threads)
+{
+	uint64_t until = clock_ms() + THREAD_WAIT_MS;
+
+	while (atomic_load(&p->workers) < threads && clock_ms() < until)
+		usleep(THREAD_CHECK_US);
+	if (atomic_load(&p->workers) == threads)
+		return 0;
+	logline(LOG_CRIT, "port-failed",
+	    "port=%s threads=%u started=%u why=\"too few threads\"",
+	    port_rows[p->kind].name, threads, atomic_load(&p->workers));
+	return -1;
+}
+
 /*
  * Opens one port with a thread for each connection.  Returns -1 where it
  * can't be opened.
@@ -133,7 +158,7 @@
 		"tcp_nodelay", "1", "connection_queue", ACCEPT_QUEUE,
 		"listen_backlog", ACCEPT_QUEUE, "decode_url", "no", NULL };
 	struct mg_init_data init = { .callbacks = &calls,
-		.user_data = n,
+		.user_data = &port_ctx[kind],
 		.configuration_options = opts };
 	uint32_t a = n->settings.address;
 	char text[128] = "";
@@ -143,17 +168,17 @@
 	snprintf(listen, sizeof(listen), "%u.%u.%u.%u:%u", a >> 24,
 	    a >> 16 & 255, a >> 8 & 255, a & 255, port);
 	snprintf(count, sizeof(count), "%u", threads);
+	port_ctx[kind].node = n;
+	port_ctx[kind].kind = kind;
 	n->ports[kind] = mg_start2(&init, &e);
 	if (n->ports[kind] == NULL) {
 		logline(LOG_CRIT, "port-failed", "port=%s listen=%s why=\"%s\"",
 		    port_rows[kind].name, listen, text);
 		return -1;
 	}
-	port_ctx[kind].node = n;
-	port_ctx[kind].kind = kind;
 	mg_set_request_handler(
 	    n->ports[kind], "**", on_request, &port_ctx[kind]);
-	return 0;
+	return workers_wait(&port_ctx[kind], threads);
 }
 
 /*
