Leases: ask a peer for the table as soon as the log can't be read

A path test began an outage of the log just after the first claims: entries that had not read the last of them refused 92 of 2,000 orders until they asked a peer, 3 s later.

--- a/src/lease/lease_rpc.c
+++ b/src/lease/lease_rpc.c
@@ -19,6 +19,7 @@
 static void send_beat(
     struct lease_service *, const struct node_id *, lease_beat_item *, size_t);
 static int fetch_page(struct lease_service *, const struct node_id *, u_int);
+static int pick_peer(struct lease_service *, struct node_id *);
 
 const struct rpc_proc lease_procs[LEASE_PROC_MAX] = {
 	[LEASE_PROC_BEAT] = { RPC_BLOCK_LEASE + 1,
@@ -231,6 +232,30 @@
 	return 0;
 }
 
+/*
+ * Picks a random live peer.  Returns 0, or -1 if there is none.
+ */
+static int
+pick_peer(struct lease_service *s, struct node_id *peer)
+{
+	const struct lease_member *m;
+	size_t n, i, start;
+	int res = -1;
+
+	pthread_mutex_lock(&s->lock);
+	n = s->cfg.members(s->cfg.members_ctx, s->members, LEASE_MEMBERS_MAX);
+	start = n > 0 ? rand_u64() % n : 0;
+	for (i = 0; i < n && res == -1; i++) {
+		m = &s->members[(start + i) % n];
+		if (!m->alive || nodeid_equal(&m->id, &s->cfg.self))
+			continue;
+		*peer = m->id;
+		res = 0;
+	}
+	pthread_mutex_unlock(&s->lock);
+	return res;
+}
+
 /*
  * Learns from a random peer where the partitions are, while the log can't
  * be read.
@@ -238,18 +263,12 @@
 void
 lease_fetch_pages(struct lease_service *s)
 {
-	struct lease_member m;
-	size_t n;
+	struct node_id peer;
 	u_int from;
 
-	pthread_mutex_lock(&s->lock);
-	n = s->cfg.members(s->cfg.members_ctx, s->members, LEASE_MEMBERS_MAX);
-	if (n > 0)
-		m = s->members[rand_u64() % n];
-	pthread_mutex_unlock(&s->lock);
-	if (n == 0 || !m.alive || nodeid_equal(&m.id, &s->cfg.self))
+	if (pick_peer(s, &peer) == -1)
 		return;
 	for (from = 0; from < LEASE_PARTS; from += LEASE_PAGE)
-		if (fetch_page(s, &m.id, from) == -1)
+		if (fetch_page(s, &peer, from) == -1)
 			return;
 }
--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -15,7 +15,6 @@
 #define POLL_IDLE_MS 5000   /* reads by others */
 #define POLL_JITTER_MS 1000 /* keeps those others apart */
 #define BEAT_MS 500
-#define STALE_MS 3000	     /* without a read: ask a peer for its table */
 #define READ_MAX 500	     /* records of one read */
 #define READ_TIMEOUT_MS 3000 /* a slow log is better than none */
 #define APPEND_TIMEOUT_MS 3000
@@ -499,7 +498,7 @@
 run_log(void *ctx)
 {
 	struct lease_service *s = ctx;
-	uint64_t good = clock_ms(), last;
+	uint64_t last;
 	size_t done;
 	int ok;
 
@@ -507,9 +506,7 @@
 	do {
 		last = clock_ms();
 		ok = read_stream(s) == 0;
-		if (ok)
-			good = last;
-		if (clock_ms() - good >= STALE_MS || !s->table.complete)
+		if (!ok || !s->table.complete)
 			lease_fetch_pages(s);
 		lease_publish(s);
 		done = ok ? decide(s) + (size_t)write_table(s) : 0;
