--- a/src/exchange/head.c
+++ b/src/exchange/head.c
@@ -149,7 +149,7 @@
 	int64_t n = 0;
 	int i;
 
-	for (i = 0; isdigit((unsigned char)s[i]) && i < LENGTH_DIGITS; i++)
+	for (i = 0; i < LENGTH_DIGITS && isdigit((unsigned char)s[i]); i++)
 		n = n * 10 + (s[i] - '0');
 	if (i == 0 || s[i] != '\0')
 		return -1;
--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -242,7 +242,7 @@
 	size_t cap = len >= 0 ? (size_t)len : 4096, got = 0;
 	const char *expect = request_raw(r, "Expect");
 	char *p;
-	int n;
+	int n = 0;
 
 	if (len > (int64_t)max)
 		return REASON_TOO_LARGE;
--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -133,6 +133,18 @@
 	free(to);
 }
 
+/*
+ * Sends one message that needs no answer.
+ */
+static void
+notify(void *ctx, const struct node_id *to, const struct rpc_proc *proc,
+    const void *arg)
+{
+	struct node *n = ctx;
+
+	rpc_client_notify(&n->rpc_client, to, proc, arg);
+}
+
 /*
  * Starts the leases of this node.
  */
@@ -169,6 +181,8 @@
 		.call_ctx = &n->rpc_client,
 		.find = find_ws,
 		.find_ctx = n,
+		.notify = notify,
+		.notify_ctx = n,
 		.kick = kick_leases,
 		.kick_ctx = n };
 	struct once_config oc = { .self = n->id,
--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -210,10 +210,10 @@
 {
 	const struct settings *s = &n->settings;
 	const uint32_t closing[] = { s->caller_port, s->peer_port };
-	struct sockaddr_in sin;
+	struct sockaddr_in sin = { 0 };
 	socklen_t len;
 	size_t i;
-	int fd, listening, max = (int)sysconf(_SC_OPEN_MAX);
+	int fd, listening = 0, max = (int)sysconf(_SC_OPEN_MAX);
 
 	for (fd = 0; fd < max && fd < DESCRIPTORS_MAX; fd++) {
 		len = sizeof(listening);
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -5,6 +5,7 @@
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <urcu.h>
 
 #include "base/counter.h"
 #include "base/logline.h"
@@ -305,6 +306,8 @@
 	};
 	int i;
 
+	/* Handlers read what other threads publish by RCU. */
+	rcu_register_thread();
 	serving = srv;
 	for (;;) {
 		if (poll(fds, 2, -1) == -1 && errno != EINTR)
@@ -314,5 +317,6 @@
 		for (i = 0; i < BATCH_MAX && serve_one(srv); i++)
 			continue;
 	}
+	rcu_unregister_thread();
 	return NULL;
 }
