--- a/tests/path/figures.h
+++ b/tests/path/figures.h
@@ -9,6 +9,7 @@
 
 #define FIGURES_RAMP_MS 1000 /* of the trigger that goodput leaves out */
 #define FIGURES_BUCKET_MS 500
+#define FIGURES_CALM_MS 2500 /* before the trigger, to compare with */
 
 /*
  * The load, when the trigger was on, and what there was to share.
