--- a/src/member/test_table.c
+++ b/src/member/test_table.c
@@ -158,6 +158,85 @@
 	}
 }
 
+/*
+ * How often news is told: a change of the backend server in full, a number
+ * that refutes what nobody here believed a few times, and either less when
+ * it came with a page.
+ */
+static void
+test_tells(void **state)
+{
+	static const struct {
+		int server;
+		int paging;
+		enum member_tell want;
+	} rows[] = {
+		{ 0, 0, MEMBER_TELL_FEW },
+		{ 1, 0, MEMBER_TELL_ALL },
+		{ 1, 1, MEMBER_TELL_FEW },
+	};
+	struct member_server_entry sv = { .service = (char *)(uintptr_t) "a" };
+	struct member_entry e;
+	struct member_table *t;
+	struct member_slot *s;
+	struct net net;
+	uint32_t left;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		net_init(&net, NODES, 25);
+		net_settle(&net, 20000);
+		net_run(&net, 10000);
+		t = &net.nodes[0].table;
+		s = member_find(t, NET_ADDR + 9, NET_PORT);
+		e = entry(NET_ADDR + 9, s->info.id.incarnation, s->info.epoch,
+		    MEMBER_ALIVE, s->info.seq + 1);
+		sv.state = MEMBER_SERVER_UP;
+		e.server = rows[i].server ? &sv : NULL;
+		t->paging = rows[i].paging;
+		member_merge(t, net.now, &e, 0);
+		left = member_tells(t) - s->told;
+		assert_true(s->queued);
+		assert_int_equal(left, rows[i].want == MEMBER_TELL_ALL
+					   ? member_tells(t)
+					   : MEMBER_FEW_TELLS);
+		net_finish(&net);
+	}
+}
+
+/*
+ * A member that is reported dead isn't held so, but is the next to be
+ * probed.
+ */
+static void
+test_report_verified(void **state)
+{
+	struct member_table *t;
+	struct member_entry e;
+	struct member_slot *s;
+	struct net net;
+	uint64_t start;
+	int i, probed = 0;
+
+	(void)state;
+	net_init(&net, NODES, 26);
+	net_settle(&net, 20000);
+	t = &net.nodes[0].table;
+	s = member_find(t, NET_ADDR + 9, NET_PORT);
+	e = entry(NET_ADDR + 9, s->info.id.incarnation, s->info.epoch,
+	    MEMBER_DEAD, s->info.seq);
+	start = net.now;
+	member_merge(t, net.now, &e, 0);
+	net_run(&net, MEMBER_PROBE_MS + MEMBER_TICK_MS);
+	for (i = 0; i < MEMBER_PROBES_MAX; i++)
+		probed += t->probes[i].handle == member_handle(t, s) &&
+			  t->probes[i].sent_ms >= start;
+	assert_int_equal(probed, 1);
+	assert_int_equal(s->info.state, MEMBER_ALIVE);
+	net_finish(&net);
+}
+
 /*
  * All find each other from a chain of seeds, with a twentieth of messages
  * lost.
@@ -596,6 +675,8 @@
 		cmocka_unit_test(test_merge),
 		cmocka_unit_test(test_merge_bad),
 		cmocka_unit_test(test_refute),
+		cmocka_unit_test(test_tells),
+		cmocka_unit_test(test_report_verified),
 		cmocka_unit_test(test_join),
 		cmocka_unit_test(test_death),
 		cmocka_unit_test(test_no_false_death),
