RPC: what failed to start can be finished

A server whose port was taken closed file descriptor 0 when it was finished, as the eventfd's number was still 0 (the new test failed so first).

--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -114,6 +114,7 @@
 	pthread_t thread;
 	int fd;
 	int wake_fd;
+	int running;
 	pthread_mutex_t refused_lock;
 	void (*refused)(void *, const struct node_id *);
 	void *refused_ctx;
--- a/src/rpc/rpc_client.c
+++ b/src/rpc/rpc_client.c
@@ -55,7 +55,7 @@
 
 /*
  * Opens the socket that all calls of a process share, and starts the thread
- * that takes the answers.
+ * that takes the answers.  To be finished also if it fails.
  */
 int
 rpc_client_init(
@@ -68,35 +68,40 @@
 	c->settings = s;
 	c->next_xid = (uint32_t)rand_u64();
 	any.rpc_port = 0;
+	c->wake_fd = -1;
+	pthread_mutex_init(&c->lock, NULL);
+	pthread_mutex_init(&c->refused_lock, NULL);
 	c->fd = rpc_socket(&any, error);
 	if (c->fd == -1)
 		return -1;
 	setsockopt(c->fd, IPPROTO_IP, IP_RECVERR, &on, sizeof(on));
-	pthread_mutex_init(&c->lock, NULL);
-	pthread_mutex_init(&c->refused_lock, NULL);
 	c->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	if (c->wake_fd == -1 ||
 	    pthread_create(&c->thread, NULL, receive, c) != 0) {
 		g_set_error(error, RPC_ERROR, RPC_ERROR_THREAD,
 		    "RPC client thread: %s", g_strerror(errno));
-		close(c->fd);
 		return -1;
 	}
+	c->running = 1;
 	return 0;
 }
 
 /*
- * Ends the thread and closes the socket.  No call may be in flight.
+ * Ends the thread and closes the socket, also after a failed start.  No call
+ * may be in flight.
  */
 void
 rpc_client_finish(struct rpc_client *c)
 {
 	uint64_t one = 1;
 
-	if (write(c->wake_fd, &one, sizeof(one)) > 0)
+	if (c->running && write(c->wake_fd, &one, sizeof(one)) > 0)
 		pthread_join(c->thread, NULL);
-	close(c->wake_fd);
-	close(c->fd);
+	c->running = 0;
+	if (c->wake_fd != -1)
+		close(c->wake_fd);
+	if (c->fd != -1)
+		close(c->fd);
 	pthread_mutex_destroy(&c->lock);
 	pthread_mutex_destroy(&c->refused_lock);
 }
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -40,6 +40,7 @@
 	socklen_t len = sizeof(sin);
 
 	memset(srv, 0, sizeof(*srv));
+	srv->wake_fd = -1;
 	srv->settings = s;
 	srv->fd = rpc_socket(s->bind.addr != 0 ? &s->bind : &s->self, error);
 	if (srv->fd == -1)
--- a/src/rpc/test_rpc.c
+++ b/src/rpc/test_rpc.c
@@ -176,6 +176,37 @@
 	peer_finish(&a);
 }
 
+/*
+ * A port that is taken is an error, and what failed to start can be
+ * finished.
+ */
+static void
+test_port_taken(void **state)
+{
+	struct rpc_settings s;
+	struct rpc_server other;
+	struct rpc_client c;
+	GError *error = NULL;
+	struct peer a;
+	int fd;
+
+	(void)state;
+	peer_init(&a, "0123456789abcdef");
+	s = a.settings;
+	assert_int_equal(rpc_server_init(&other, &s, &error), -1);
+	assert_int_equal(error->code, RPC_ERROR_SOCKET);
+	g_clear_error(&error);
+	rpc_server_finish(&other);
+	s.self.addr = 1;
+	assert_int_equal(rpc_client_init(&c, &s, &error), -1);
+	g_clear_error(&error);
+	rpc_client_finish(&c);
+	fd = dup(0);
+	assert_int_not_equal(fd, -1);
+	close(fd);
+	peer_finish(&a);
+}
+
 /*
  * Calls to many peers come back together, each with its own answer, and a
  * silent peer costs the others nothing.
@@ -379,6 +410,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_call_statuses),
 		cmocka_unit_test(test_advertised_address),
+		cmocka_unit_test(test_port_taken),
 		cmocka_unit_test(test_call_many),
 		cmocka_unit_test(test_threads_share_client),
 		cmocka_unit_test(test_fuzz_server),
--- a/tests/measure/member.c
+++ b/tests/measure/member.c
@@ -20,6 +20,7 @@
 #define BUILDS 50
 #define NOTES 20000
 #define DOMAINS 6
+#define CALLS 5000
 #define LIVE 15
 #define LIVE_MS 10000
 
@@ -42,6 +43,9 @@
 static void announce(struct net *);
 static void measure(uint32_t);
 static int count_note(void *, const struct sockaddr_in *, const void *, void *);
+static int answer_call(
+    void *, const struct sockaddr_in *, const void *, void *);
+static void measure_call(struct rpc_client *, const struct node_id *);
 static void measure_rpc(void);
 static int live_init(struct live *, const struct node_id *);
 static void live_finish(struct live *);
@@ -250,6 +254,39 @@
 	return -1;
 }
 
+/*
+ * Answers a call.
+ */
+static int
+answer_call(
+    void *ctx, const struct sockaddr_in *from, const void *arg, void *res)
+{
+	(void)ctx;
+	(void)from;
+	*(u_int *)res = *(const u_int *)arg;
+	return 0;
+}
+
+static const struct rpc_proc proc_call = { RPC_BLOCK_MEMBER + 98,
+	(xdrproc_t)xdr_u_int, sizeof(u_int), (xdrproc_t)xdr_u_int,
+	sizeof(u_int), answer_call };
+
+/*
+ * Measures the round trip of small calls, one after the other.
+ */
+static void
+measure_call(struct rpc_client *c, const struct node_id *to)
+{
+	uint64_t start = clock_us();
+	u_int i, res, failed = 0;
+
+	for (i = 0; i < CALLS; i++)
+		failed += rpc_client_call(c, to, &proc_call, &i, &res, 1000) !=
+			  RPC_DONE;
+	printf("call: %.1f us a round trip, %u of %d failed\n",
+	    (double)(clock_us() - start) / CALLS, failed, CALLS);
+}
+
 /*
  * Measures the processor time of one sealed notice of usual size over
  * loopback, both sides together.
@@ -275,6 +312,7 @@
 	    rpc_server_init(&srv, &s, NULL) == -1)
 		return;
 	rpc_server_register(&srv, &proc, 1, &got);
+	rpc_server_register(&srv, &proc_call, 1, NULL);
 	if (rpc_server_start(&srv, NULL) == -1 ||
 	    rpc_client_init(&c, &s, NULL) == -1)
 		return;
@@ -289,6 +327,7 @@
 	printf("%.1f us of processor time, sent and served "
 	       "(%u of %u)\n",
 	    (cpu_now() - cpu) / want * 1e6, got, want);
+	measure_call(&c, &s.self);
 	rpc_client_finish(&c);
 	rpc_server_finish(&srv);
 }
