--- a/regress/scripts/man.sh
+++ b/regress/scripts/man.sh
@@ -1,5 +1,5 @@
-# Every flag that a program's help lists is in its manual page, and every
-# verb as well.
+# Every flag that a program's help lists is in its manual page, with its
+# default, and every verb as well.
 daemon=$BUILD/cyclamenvaled
 ctl=$BUILD/cyclamenvalectl
 
@@ -16,6 +16,12 @@
 }
 
 "$daemon" --help | flags | look Fl man/cyclamenvaled.8
+"$daemon" --help |
+    sed -n 's/^  --\([a-z-]*\) .*(default: \([^-)][^)]*\)).*/\1 \2/p' |
+    while read -r flag value; do
+	sed -n "/^\.It Fl -$flag /,/^\.It/p" man/cyclamenvaled.8 |
+	    grep -qF "The default is $value." || echo "no default of $flag"
+done
 verbs=$("$ctl" --help | sed -n 's/^  \([a-z][a-z]*\)  .*/\1/p')
 echo "$verbs" | look Cm man/cyclamenvalectl.1
 for verb in $verbs; do
