--- a/tests/measure/scenarios.c
+++ b/tests/measure/scenarios.c
@@ -15,10 +15,10 @@
  * policies and without any, in the same run.
  */
 
-#define WARM_MS 10000	/* with policies: a server starts cold */
+#define WARM_MS 10000	 /* with policies: a server starts cold */
 #define WARM_OFF_MS 4000 /* without */
-#define CALM 0.6  /* of capacity, before and after the trigger */
-#define SURGE 2.0 /* of capacity */
+#define CALM 0.6	 /* of capacity, before and after the trigger */
+#define SURGE 2.0	 /* of capacity */
 #define AFTER_MS 4000
 #define SMALL_COUNT 40
 #define SMALL_RATE 3.0 /* of 4 a second that each may have */
--- a/tests/path/figures.c
+++ b/tests/path/figures.c
@@ -147,8 +147,7 @@
 	for (i = 0; i < r->load->result_count; i++)
 		if (r->load->results[i].whole &&
 		    r->load->results[i].start_ms < r->on_ms &&
-		    r->load->results[i].start_ms >=
-			r->on_ms - FIGURES_CALM_MS)
+		    r->load->results[i].start_ms >= r->on_ms - FIGURES_CALM_MS)
 			us[n++] = r->load->results[i].last_us;
 	qsort(us, n, sizeof(*us), by_number);
 	if (n > 0) {
