Admission: quick ramp of slow services, no level told from a free server

An exit with a free place refuses nothing, but went on telling a level for up to half a second, by which entries shed for another second. It tells none now.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -179,7 +179,7 @@
 
 	pthread_mutex_lock(&a->lock);
 	level_tick(&c->level, c->limiter.mean_us, clock_us());
-	load->level = c->level.cur;
+	load->level = core_level(c);
 	load->inflight = c->inflight;
 	load->limit = limiter_value(&c->limiter);
 	load->queued = c->queued;
--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -149,6 +149,7 @@
 struct admission_waiter *core_next(struct admission_core *, uint64_t);
 struct admission_waiter *core_flush(
     struct admission_core *, enum admission_verdict);
+uint32_t core_level(const struct admission_core *);
 void core_withdraw(struct admission_core *, struct admission_waiter *);
 void core_done(struct admission_core *, const struct admission_waiter *,
     enum admission_outcome, uint64_t, uint64_t);
--- a/src/admission/core.c
+++ b/src/admission/core.c
@@ -194,6 +194,18 @@
 	level_serve(&c->level);
 }
 
+/*
+ * Returns the level to be told: none while there is a free place, for then
+ * nothing is refused here.
+ */
+uint32_t
+core_level(const struct admission_core *c)
+{
+	if (c->queued == 0 && c->inflight < limiter_value(&c->limiter))
+		return ADMISSION_LEVEL_ALL;
+	return c->level.cur;
+}
+
 /*
  * Returns how many may wait: about one service time's worth.
  */
--- a/src/admission/limiter.c
+++ b/src/admission/limiter.c
@@ -32,6 +32,7 @@
 #define WINDOW_MIN_US 50000
 #define WINDOW_MAX_US 1000000
 #define WINDOW_RAMP 64 /* served requests */
+#define RAMP_STEP_US 250000
 #define WINDOW_SERVED 128
 #define WINDOW_LEAST 16
 #define WINDOW_LIMITS 16 /* times the limit, where that is fewer */
@@ -45,6 +46,7 @@
 static void window_begin(struct limiter *, uint64_t);
 static void change(struct limiter *, double, enum limiter_phase, uint64_t);
 static void note_time(struct limiter *, double, uint64_t);
+static uint64_t settle_us(const struct limiter *);
 static int settled(const struct limiter *, uint64_t);
 static int ended(const struct limiter *, uint64_t);
 static double window_latency(const struct limiter *, double *);
@@ -166,7 +168,7 @@
 {
 	if (l->mean_us <= 0) {
 		l->mean_us = took;
-		window_begin(l, now_us + (uint64_t)(SETTLE_LATENCIES * took));
+		window_begin(l, now_us + settle_us(l));
 	}
 	l->dev_us += MEAN_WEIGHT * (fabs(took - l->mean_us) - l->dev_us);
 	l->mean_us += MEAN_WEIGHT * (took - l->mean_us);
@@ -193,8 +195,19 @@
 {
 	l->limit = fmin(fmax(floor(limit), floor_of(l)), l->slots);
 	l->phase = phase;
-	window_begin(l, now_us + (uint64_t)fmin(SETTLE_LATENCIES * l->mean_us,
-				     WINDOW_MAX_US));
+	window_begin(l, now_us + settle_us(l));
+}
+
+/*
+ * Returns how long requests that were admitted under another limit still
+ * end.  A server that ramps up isn't kept waiting for all of them.
+ */
+static uint64_t
+settle_us(const struct limiter *l)
+{
+	double us = SETTLE_LATENCIES * l->mean_us;
+
+	return (uint64_t)fmin(us, l->ramping ? RAMP_STEP_US : WINDOW_MAX_US);
 }
 
 /*
@@ -207,7 +220,8 @@
 }
 
 /*
- * Tells whether the window has seen enough to be judged.
+ * Tells whether the window has seen enough to be judged.  While the limit
+ * ramps up, a step that shows no harm for some time is taken for harmless.
  */
 static int
 ended(const struct limiter *l, uint64_t now_us)
@@ -217,6 +231,8 @@
 			    : fmin(WINDOW_SERVED, WINDOW_LIMITS * l->limit);
 
 	enough = fmax(enough, WINDOW_LEAST);
+	if (l->ramping && now_us >= l->win.start_us + RAMP_STEP_US)
+		return 1;
 	if (now_us < l->win.start_us + WINDOW_MIN_US)
 		return 0;
 	if (l->win.served >= enough)
@@ -304,6 +320,8 @@
 		gain = gain * RAMP_ELASTICITY + sqrt(var + l->ref_var);
 	else
 		gain *= UP_ELASTICITY;
+	if (l->win.served < WINDOW_LEAST)
+		rise = 0;
 	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served || rise > gain) {
 		fail_try(l, now_us);
 		l->look_down = 1;
--- a/src/admission/test_policy.c
+++ b/src/admission/test_policy.c
@@ -228,7 +228,7 @@
 	struct admission_req req = { it->w.class, (uint32_t)it->tier, it->hash,
 		0 };
 	uint32_t level =
-	    admission_chain_level(s->core[it->tier].level.cur, &req);
+	    admission_chain_level(core_level(&s->core[it->tier]), &req);
 
 	parent->level = level < parent->level ? level : parent->level;
 	if (it->level < parent->level)
@@ -435,6 +435,10 @@
 	    .97 },
 	{ "4 slots 2x", 4, 4, 0, 20e3, 500000, 2, 1, 1, 0, 0, 0, 1, 0, .95,
 	    .97 },
+	{ "slow service .6x", 65, 65, 0, 800e3, 3000000, .6, 1, 1, 0, 0, 0, 1,
+	    0, .55, .8 },
+	{ "slow service 2x", 65, 65, 0, 800e3, 3000000, 2, 1, 1, 0, 0, 0, 1, 0,
+	    .85, .8 },
 	{ "sharing 2x", 65, 16, 0, 20e3, 500000, 2, 1, 1, 0, 0, 0, 1, 0, .9,
 	    .99 },
 	{ "thrash 2x", 65, 16, .02, 20e3, 500000, 2, 1, 1, 0, 0, 0, 1, 0, .9,
