Peer test: only orders carry ids, on every thread

An id of a page was counted as run twice (8 ms apart, on two instances, after a lost answer): pages are idempotent and may be retried. The condition for the id and for the path had different parity on odd threads.

--- a/tests/path/test_peer.c
+++ b/tests/path/test_peer.c
@@ -102,15 +102,15 @@
 link_request(void *ctx, int thread, uint64_t seq, struct http_req *rq)
 {
 	uint64_t tag = (uint64_t)thread * 100000 + seq + 1;
+	int page = (seq + (uint64_t)thread) % 2 == 0;
 
 	(void)ctx;
 	http_req_init(rq, "http://%s:%d/%s/p?bytes=2000&tag=%llu",
-	    fleet.list[0].addr, CALLER_PORT,
-	    (seq + (uint64_t)thread) % 2 == 0 ? "page" : "order",
+	    fleet.list[0].addr, CALLER_PORT, page ? "page" : "order",
 	    (unsigned long long)tag);
 	http_req_header(rq, "Authorization: Bearer %s", ACME_KEY);
 	/* Pages may run again, so that only orders have an id to count. */
-	if (seq % 2 != 0)
+	if (!page)
 		http_req_header(rq, "Idempotency-Key: %016llx",
 		    (unsigned long long)rand_u64());
 	http_req_header(rq, "X-Attempt: p%llu", (unsigned long long)rand_u64());
@@ -192,6 +192,22 @@
 	}
 }
 
+/*
+ * Prints every run of an id.
+ */
+static void
+print_runs(const struct runlog *rl, const char *id)
+{
+	const struct runlog_entry *e;
+
+	for (e = rl->list; e < rl->list + rl->count; e++)
+		if (strcmp(e->id, id) == 0)
+			print_message("id %s: at %llu us on instance %d, "
+				      "path %s, attempt %s\n",
+			    id, (unsigned long long)e->us, e->inst, e->path,
+			    e->attempt);
+}
+
 /*
  * Every row: answers are whole, refused or visibly broken, never wrong; no
  * id runs twice, refusals are true, no node dies, and all comes back.
@@ -244,8 +260,10 @@
 			       rl.list[k].attempt[0] == 'p' &&
 			       &fleet.list[rl.list[k].inst] == in;
 		print_message("    %zu ran behind the fault\n", ran);
-		if (runlog_max_per_id(&rl, id, sizeof(id)) > 1)
+		if (runlog_max_per_id(&rl, id, sizeof(id)) > 1) {
+			print_runs(&rl, id);
 			fail_msg("%s: an id ran twice", cases[i].name);
+		}
 		for (k = 0; k < outcome.notes && k < 20000; k++)
 			if (runlog_count_attempt(&rl, outcome.not_run[k]) > 0)
 				fail_msg("%s: a refusal was not true",
