Wire chain levels, blame of inner calls, acquittals and quarantine sync

The head of an answer told 0 retries left, so that every inner call ate its loan: on a lost answer the deeper levels never retried. A 5xx of a server whose inner call failed no longer counts against it; answers tell the level of overload further down, and entries refuse doomed work.

--- a/src/node/call.h
+++ b/src/node/call.h
@@ -27,6 +27,7 @@
 	struct context cx;
 	struct quarantine_print print; /* of this very request */
 	uint64_t deadline_ms;
+	struct parent *parent; /* of an inner call, else NULL */
 	struct retry_chain chain;
 	struct once_claim claim;
 	int claimed;
@@ -45,6 +46,8 @@
 void call_log_refusal(const struct call *, enum outcome, enum reason);
 void call_forward(struct call *);
 int call_choose(struct call *, struct target *, enum route_reason *);
+void call_request(const struct call *, struct admission_req *);
+struct admission_echo *call_echo(struct call *);
 void call_observe(struct call *, const struct target *, uint64_t);
 void call_attempt(struct call *, const struct target *);
 
--- a/src/node/choose.c
+++ b/src/node/choose.c
@@ -35,19 +35,29 @@
 	out->tried = was_tried(c, &m->id);
 }
 
+/*
+ * Describes a request as admission sees it.
+ */
+void
+call_request(const struct call *c, struct admission_req *ar)
+{
+	memset(ar, 0, sizeof(*ar));
+	ar->class = (enum admission_class)c->cx.importance;
+	ar->depth = c->cx.depth;
+	ar->root_hash = c->cx.root;
+}
+
 /*
  * Returns the rank of a request, by which an exit sheds.
  */
 static uint32_t
 rank_of(const struct call *c)
 {
-	struct admission_req ar = { .class =
-					(enum admission_class)c->cx.importance,
-		.depth = c->cx.depth,
-		.root_hash = c->cx.root };
+	struct admission_req ar;
 
 	if (!settings_policy_on(&c->node->settings, POLICY_PRECHECK))
 		return 0;
+	call_request(c, &ar);
 	return admission_rank(&ar);
 }
 
@@ -138,7 +148,9 @@
 	const struct verdict *v = &c->verdict;
 
 	if (v->outcome == OUTCOME_DONE)
-		return c->scratch.status >= 500 ? ROUTE_FAILED : ROUTE_SERVED;
+		return c->scratch.status < 500 ? ROUTE_SERVED
+		       : v->inner_failed       ? ROUTE_CANCELLED
+					       : ROUTE_FAILED;
 	if (c->answer.broken)
 		return ROUTE_CANCELLED;
 	if (c->unsent)
@@ -173,6 +185,31 @@
 	    was->streak + 1, (unsigned long long)(is.ejected_ms - clock_ms()));
 }
 
+/*
+ * Passes on what the last attempt told of overload further down: to the
+ * route's later requests, and to the request that an inner call is made for.
+ */
+static void
+note_levels(struct call *c, const struct admission_load *load)
+{
+	struct admission_echo *e = call_echo(c);
+	uint32_t level = c->verdict.chain_level;
+	struct admission_req ar;
+
+	call_request(c, &ar);
+	if (level != ADMISSION_CHAIN_NONE)
+		admission_echo_heard(e, level, clock_us());
+	else if (c->verdict.outcome == OUTCOME_DONE)
+		admission_echo_served(e, &ar);
+	if (c->parent == NULL)
+		return;
+	if (level != ADMISSION_CHAIN_NONE)
+		parent_note_level(c->parent, level);
+	if (load != NULL)
+		parent_note_level(
+		    c->parent, admission_chain_level(load->level, &ar));
+}
+
 /*
  * Notes what the last attempt showed of its server.
  */
@@ -189,6 +226,7 @@
 	    (out == ROUTE_FAILED || out == ROUTE_TIMEOUT ||
 		out == ROUTE_REFUSED))
 		out = ROUTE_CANCELLED;
+	note_levels(c, heard ? &load : NULL);
 	failed =
 	    out == ROUTE_FAILED || out == ROUTE_TIMEOUT || out == ROUTE_REFUSED;
 	if (failed)
--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -167,6 +167,30 @@
 	return lease_service_init(&n->lease, &c);
 }
 
+/*
+ * Asks a random member for what it knows of crashing requests, against news
+ * that were lost.  Blocks for up to a few hundred ms.
+ */
+void
+duties_sync(struct node *n)
+{
+	const struct member_view *v;
+	struct node_id to = { 0 };
+	uint32_t i;
+
+	rcu_read_lock();
+	v = member_view_get(&n->member);
+	if (v->len > 1) {
+		i = (uint32_t)(rand_u64() % v->len);
+		if (i != v->self && v->list[i].state == MEMBER_ALIVE)
+			to = v->list[i].id;
+	}
+	rcu_read_unlock();
+	if (!nodeid_is_none(&to))
+		quarantine_sync(
+		    &n->quarantine, rpc_client_call, &n->rpc_client, &to);
+}
+
 /*
  * Prepares the duties that requests pass through.  Returns -1 where a
  * thread can't be started.
@@ -196,8 +220,10 @@
 
 	route_book_init(&n->routes);
 	parents_init(&n->parents);
-	for (i = 0; i < NODE_BUDGETS; i++)
+	for (i = 0; i < NODE_BUDGETS; i++) {
 		retry_budget_init(&n->budgets[i], clock_ms());
+		admission_echo_init(&n->echoes[i]);
+	}
 	quarantine_init(&n->quarantine, tell_members, n);
 	limits_init(&n->limits, &lc);
 	once_init(&n->once, &oc);
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -284,6 +284,7 @@
 		return;
 	}
 	inherit(c, p);
+	c->parent = p;
 	rcu_read_lock();
 	conf = config_current(&n->config);
 	why = find_route(c, conf);
--- a/src/node/exit.c
+++ b/src/node/exit.c
@@ -24,6 +24,7 @@
 	struct parent *parent;
 	struct head head;
 	char id[ID_HEX];
+	int status;  /* of the server's answer */
 	int refused; /* the server said that it did not run */
 	int wrong;   /* the answer belongs to another request */
 };
@@ -71,6 +72,20 @@
 	v->reason = why;
 }
 
+/*
+ * Adds to the head of an answer what an exit tells the entry.
+ */
+void
+verdict_add(const struct verdict *v, struct head *h)
+{
+	head_addf(h, "Cyclamen-Retries-Left", "%u", v->retries_left);
+	head_add(h, "Cyclamen-Load", v->load);
+	if (v->chain_level != ADMISSION_CHAIN_NONE)
+		head_addf(h, "Cyclamen-Chain-Level", "%u", v->chain_level);
+	if (v->inner_failed)
+		head_add(h, "Cyclamen-Inner", "failed");
+}
+
 /*
  * Receives the head of the server's answer: checks that it answers this
  * request, and replaces the server's own fields of ours by the exit's.
@@ -99,9 +114,11 @@
 			head_add(&r->head, head_name(h, i), head_value(h, i));
 	head_add(&r->head, "Cyclamen-Outcome", outcome_names[OUTCOME_DONE]);
 	head_addf(&r->head, "Cyclamen-Attempt", "%016" PRIx64, r->cx->attempt);
-	head_addf(
-	    &r->head, "Cyclamen-Retries-Left", "%u", r->verdict->retries_left);
-	head_add(&r->head, "Cyclamen-Load", r->verdict->load);
+	r->status = h->status;
+	r->verdict->retries_left = retry_chain_close(&r->parent->chain);
+	r->verdict->chain_level = parent_chain_level(r->parent);
+	r->verdict->inner_failed = parent_has_failed_calls(r->parent);
+	verdict_add(r->verdict, &r->head);
 	return r->next->head(r->next->ctx, &r->head);
 }
 
@@ -206,6 +223,8 @@
 	v->reason = end_rows[end].reason;
 	if (r->wrong)
 		return ADMISSION_FAILED;
+	if (end == EXCHANGE_WHOLE && r->status >= 500 && !v->inner_failed)
+		return ADMISSION_FAILED;
 	if (end != EXCHANGE_WHOLE || !r->refused)
 		return end_rows[end].served;
 	not_run(v, REASON_OVERLOAD);
@@ -297,6 +316,8 @@
 	snprintf(r->id, sizeof(r->id), "%016" PRIx64, cx->attempt);
 	end = run_admitted(r, rq, a, (uint32_t)((deadline_us - now) / 1000));
 	served = run_verdict(r, end);
+	v->chain_level = parent_chain_level(r->parent);
+	v->inner_failed = parent_has_failed_calls(r->parent);
 	v->retries_left += parents_end(&n->parents, r->parent);
 	if (quarantine)
 		quarantine_end(
@@ -329,6 +350,7 @@
 
 	memset(v, 0, sizeof(*v));
 	v->retries_left = cx->retries;
+	v->chain_level = ADMISSION_CHAIN_NONE;
 	counter_add(CTR_REQ_EXIT, 1);
 	server_get(&n->server, clock_ms(), &a);
 	if (a.server.state == MEMBER_SERVER_NONE ||
--- a/src/node/fetch.c
+++ b/src/node/fetch.c
@@ -8,6 +8,7 @@
 #include "node/node.h"
 
 #define CHECK_US 200000
+#define SYNC_ROUNDS 25 /* checks between two syncs of the quarantine */
 #define FETCH_TIMEOUT_MS 2000
 #define FETCH_BYTES_MAX (LOGSVC_RECORD_MAX + 4096)
 #define CONFIG_TARGET "/cyclamen/config"
@@ -117,17 +118,20 @@
 
 /*
  * The thread that fetches configurations which peers have and the log has
- * not brought here yet.
+ * not brought here yet, and news of crashing requests that were lost.
  */
 void *
 fetch_main(void *ctx)
 {
 	struct node *n = ctx;
 	struct member_info m;
+	unsigned int round = 0;
 
 	rcu_register_thread();
 	while (n->running) {
 		usleep(CHECK_US);
+		if (round++ % SYNC_ROUNDS == 0)
+			duties_sync(n);
 		if (choose_source(n, &m))
 			fetch_from(n, &m);
 	}
--- a/src/node/forward.c
+++ b/src/node/forward.c
@@ -18,15 +18,52 @@
 	[REASON_DEADLINE] = RETRY_DEADLINE,
 };
 
+/*
+ * Returns the place of a route in the tables by route.
+ */
+static size_t
+route_slot(const struct call *c)
+{
+	return XXH3_64bits(c->route.name, strlen(c->route.name)) % NODE_BUDGETS;
+}
+
 /*
  * Returns the retry budget of a route.
  */
 static struct retry_budget *
 budget_of(struct call *c)
 {
-	uint64_t h = XXH3_64bits(c->route.name, strlen(c->route.name));
+	return &c->node->budgets[route_slot(c)];
+}
 
-	return &c->node->budgets[h % NODE_BUDGETS];
+/*
+ * Returns what is known of overload further down a route.
+ */
+struct admission_echo *
+call_echo(struct call *c)
+{
+	return &c->node->echoes[route_slot(c)];
+}
+
+/*
+ * Tells whether a request would be shed further down its chain, so that no
+ * server needs to work on it.
+ */
+static int
+is_doomed(struct call *c)
+{
+	struct admission_echo *e = call_echo(c);
+	struct admission_req ar;
+
+	if (!settings_policy_on(&c->node->settings, POLICY_PRECHECK))
+		return 0;
+	call_request(c, &ar);
+	if (admission_echo_check(e, &ar, clock_us(), rand_u64()) !=
+	    ADMISSION_HINT_SHED)
+		return 0;
+	if (c->parent != NULL)
+		parent_note_level(c->parent, admission_echo_level(e));
+	return 1;
 }
 
 /*
@@ -63,11 +100,14 @@
 			       : 0,
 		.rnd = rand_u64() };
 	struct retry_budget *b = budget_of(c), none;
+	struct admission_load load;
 	enum retry_verdict v;
 	uint32_t delay;
 
 	if (c->answer.started || c->answer.broken)
 		return 0;
+	if (admission_load_parse(&load, c->verdict.load) == 0)
+		q.expected_us = load.service_us;
 	if (c->unsent)
 		q.reason = RETRY_NO_CONNECTION;
 	if (q.reason == RETRY_OVERLOAD)
@@ -115,6 +155,7 @@
 		answer_end(&c->answer);
 		counter_add(CTR_DONE, 1);
 		retry_budget_success(budget_of(c));
+		quarantine_served(&c->node->quarantine, &c->print, clock_ms());
 		return;
 	}
 	if (c->answer.started) {
@@ -142,7 +183,9 @@
 	uint64_t now;
 
 	answer_init(&c->answer, c->req);
-	for (;;) {
+	c->verdict.outcome = OUTCOME_NOT_RUN;
+	c->verdict.reason = REASON_OVERLOAD;
+	while (!is_doomed(c)) {
 		now = clock_ms();
 		if (now >= c->deadline_ms) {
 			c->verdict.outcome = OUTCOME_NOT_RUN;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -59,6 +59,7 @@
 	struct quarantine quarantine;
 	struct route_book routes;
 	struct retry_budget budgets[NODE_BUDGETS];
+	struct admission_echo echoes[NODE_BUDGETS];
 	struct parents parents;
 	struct mg_context *ports[PORT_MAX];
 	pthread_t ticker;
@@ -75,6 +76,8 @@
 	enum outcome outcome;
 	enum reason reason;
 	uint32_t retries_left;
+	uint32_t chain_level; /* told by inner calls, or ADMISSION_CHAIN_NONE */
+	int inner_failed;     /* an inner call brought no good answer */
 	char load[ADMISSION_LOAD_TEXT];
 };
 
@@ -85,6 +88,7 @@
 
 void entry_caller(struct node *, struct request *);
 void entry_inner(struct node *, struct request *);
+void verdict_add(const struct verdict *, struct head *);
 void exit_run(struct node *, const struct context *, const struct request *,
     const struct answer_sink *, struct verdict *);
 void peer_serve(struct node *, struct request *);
@@ -96,6 +100,7 @@
 
 int duties_init(struct node *);
 void duties_tick(struct node *);
+void duties_sync(struct node *);
 void duties_finish(struct node *);
 
 int ports_start(struct node *);
--- a/src/node/peer.c
+++ b/src/node/peer.c
@@ -61,8 +61,7 @@
 	} else {
 		head_init(more, 0);
 		head_addf(more, "Cyclamen-Attempt", "%016" PRIx64, cx->attempt);
-		head_addf(more, "Cyclamen-Retries-Left", "%u", v.retries_left);
-		head_add(more, "Cyclamen-Load", v.load);
+		verdict_add(&v, more);
 		answer_refuse(r, v.outcome, v.reason, NULL, 0, more);
 	}
 	answer_finish(a);
--- a/src/retry/parents.c
+++ b/src/retry/parents.c
@@ -163,6 +163,21 @@
 	return repeats;
 }
 
+/*
+ * Tells whether an inner call has brought no good answer, so that a failure
+ * of the request says nothing of its own server.
+ */
+int
+parent_has_failed_calls(struct parent *p)
+{
+	int failed;
+
+	pthread_mutex_lock(&p->lock);
+	failed = p->failed_count > 0;
+	pthread_mutex_unlock(&p->lock);
+	return failed;
+}
+
 /*
  * Notes the chain level that the answer to an inner call has told.
  */
--- a/src/retry/parents.h
+++ b/src/retry/parents.h
@@ -65,6 +65,7 @@
 int parent_call_repeats(struct parent *, uint64_t);
 void parent_note_level(struct parent *, uint32_t);
 uint32_t parent_chain_level(const struct parent *);
+int parent_has_failed_calls(struct parent *);
 int parent_is_dead(const struct parent *);
 void parent_token_format(const struct parent *, char *);
 uint32_t parents_count(struct parents *);
