--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -195,6 +195,8 @@
 void member_unqueue(struct member_table *, uint32_t);
 void member_send(struct member_table *, uint64_t, member_kind,
     const struct node_id *, uint32_t);
+void member_send_bare(
+    struct member_table *, uint64_t, const struct node_id *, uint32_t);
 void member_send_ping_req(struct member_table *, uint64_t,
     const struct node_id *, const struct node_id *, uint32_t);
 void member_sync(
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -5,7 +5,7 @@
 static void rebuild_ring(struct member_table *);
 static uint32_t next_target(struct member_table *);
 static uint32_t next_reported(struct member_table *);
-static void probe(struct member_table *, uint64_t, uint32_t);
+static void probe(struct member_table *, uint64_t, uint32_t, int);
 static void ask_helpers(struct member_table *, uint64_t, struct member_probe *);
 static int hears_most(const struct member_table *, uint64_t);
 static void fail_probe(struct member_table *, uint64_t, struct member_probe *);
@@ -80,10 +80,11 @@
 }
 
 /*
- * Probes a member, unless too many probes wait for their answers.
+ * Probes a member, unless too many probes wait for their answers.  A bare
+ * probe carries no news.
  */
 static void
-probe(struct member_table *t, uint64_t now, uint32_t h)
+probe(struct member_table *t, uint64_t now, uint32_t h, int bare)
 {
 	struct member_probe *p;
 
@@ -101,7 +102,11 @@
 	p->incarnation = t->slots[h].info.id.incarnation;
 	p->nonce = t->next_nonce++;
 	p->sent_ms = p->since_ms = now;
-	member_send(t, now, MEMBER_PING, &t->slots[h].info.id, p->nonce);
+	if (bare)
+		member_send_bare(t, now, &t->slots[h].info.id, p->nonce);
+	else
+		member_send(
+		    t, now, MEMBER_PING, &t->slots[h].info.id, p->nonce);
 }
 
 /*
@@ -198,8 +203,7 @@
 			member_set_state(t, now, s, MEMBER_DEAD, s->info.seq);
 		} else if (s->accused && now >= s->accuse_ms) {
 			s->accuse_ms = now + member_suspect_ms(t) / 3;
-			member_send(
-			    t, now, MEMBER_PING, &s->info.id, t->next_nonce++);
+			member_send_bare(t, now, &s->info.id, t->next_nonce++);
 		}
 	}
 }
@@ -414,11 +418,11 @@
 	if (now >= t->next_probe_ms) {
 		t->next_probe_ms =
 		    MAX(t->next_probe_ms + t->probe_ms, now + t->probe_ms / 2);
-		probe(t, now, next_target(t));
+		probe(t, now, next_target(t), 0);
 	}
 	if (now >= t->next_verify_ms) {
 		t->next_verify_ms = now + MEMBER_VERIFY_MS;
-		probe(t, now, next_reported(t));
+		probe(t, now, next_reported(t), 1);
 	}
 	try_seeds(t, now);
 	if (now >= t->next_gossip_ms)
--- a/src/member/member_wire.c
+++ b/src/member/member_wire.c
@@ -321,6 +321,20 @@
 	send_draft(t, &d, to);
 }
 
+/*
+ * Sends a probe that carries nothing but what the receiver may refute.
+ */
+void
+member_send_bare(struct member_table *t, uint64_t now, const struct node_id *to,
+    uint32_t nonce)
+{
+	struct draft d;
+
+	begin(t, now, &d, MEMBER_PING, nonce);
+	add_about(t, now, &d, to);
+	send_draft(t, &d, to);
+}
+
 /*
  * Asks a helper to probe a target.
  */
