--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -81,7 +81,7 @@
 
 /*
  * Probes a member, unless too many probes wait for their answers.  A bare
- * probe carries no news.
+ * probe carries no news, and no others are asked to help.
  */
 static void
 probe(struct member_table *t, uint64_t now, uint32_t h, int bare)
@@ -97,7 +97,7 @@
 	if (p == t->probes + MEMBER_PROBES_MAX)
 		return;
 	p->used = 1;
-	p->indirect = 0;
+	p->indirect = bare;
 	p->handle = h;
 	p->incarnation = t->slots[h].info.id.incarnation;
 	p->nonce = t->next_nonce++;
--- a/src/member/member_receive.c
+++ b/src/member/member_receive.c
@@ -138,7 +138,7 @@
 	r->origin = *from;
 	r->origin_nonce = msg->nonce;
 	r->nonce = t->next_nonce++;
-	member_send(t, now, MEMBER_PING, &target, r->nonce);
+	member_send_bare(t, now, &target, r->nonce);
 }
 
 /*
--- a/src/member/member_wire.c
+++ b/src/member/member_wire.c
@@ -347,7 +347,6 @@
 	begin(t, now, &d, MEMBER_PING_REQ, nonce);
 	d.msg.target_addr = target->addr;
 	d.msg.target_port = target->rpc_port;
-	add_queued(t, now, &d);
 	send_draft(t, &d, helper);
 }
 
