--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -4,8 +4,10 @@
 
 static void rebuild_ring(struct member_table *);
 static uint32_t next_target(struct member_table *);
-static void probe_next(struct member_table *, uint64_t);
+static uint32_t next_reported(struct member_table *);
+static void probe(struct member_table *, uint64_t, uint32_t, int);
 static void ask_helpers(struct member_table *, uint64_t, struct member_probe *);
+static int hears_most(const struct member_table *, uint64_t);
 static void fail_probe(struct member_table *, uint64_t, struct member_probe *);
 static void check_probes(struct member_table *, uint64_t);
 static void check_suspects(struct member_table *, uint64_t);
@@ -41,8 +43,7 @@
 }
 
 /*
- * Returns the next member to probe, or MEMBER_NONE.  Those that others
- * reported dead come first.
+ * Returns the next member to probe, or MEMBER_NONE.
  */
 static uint32_t
 next_target(struct member_table *t)
@@ -50,11 +51,6 @@
 	struct member_slot *s;
 	int round;
 
-	while (t->verify_len > 0) {
-		s = &t->slots[t->verify[--t->verify_len]];
-		if (s->used && s->info.state == MEMBER_ALIVE)
-			return member_handle(t, s);
-	}
 	for (round = 0; round < 2; round++) {
 		while (t->ring_pos < t->ring_len) {
 			s = &t->slots[t->ring[t->ring_pos++]];
@@ -67,12 +63,29 @@
 }
 
 /*
- * Probes the next member.
+ * Returns the next member that was reported dead and is held alive, or
+ * MEMBER_NONE.
+ */
+static uint32_t
+next_reported(struct member_table *t)
+{
+	uint32_t h;
+
+	while (t->verify_len > 0) {
+		h = t->verify[--t->verify_len];
+		if (t->slots[h].used && t->slots[h].info.state == MEMBER_ALIVE)
+			return h;
+	}
+	return MEMBER_NONE;
+}
+
+/*
+ * Probes a member, unless too many probes wait for their answers.  A bare
+ * probe carries no news, and no others are asked to help.
  */
 static void
-probe_next(struct member_table *t, uint64_t now)
+probe(struct member_table *t, uint64_t now, uint32_t h, int bare)
 {
-	uint32_t h = next_target(t);
 	struct member_probe *p;
 
 	if (h == MEMBER_NONE)
@@ -84,12 +97,16 @@
 	if (p == t->probes + MEMBER_PROBES_MAX)
 		return;
 	p->used = 1;
-	p->indirect = 0;
+	p->indirect = bare;
 	p->handle = h;
 	p->incarnation = t->slots[h].info.id.incarnation;
 	p->nonce = t->next_nonce++;
 	p->sent_ms = p->since_ms = now;
-	member_send(t, now, MEMBER_PING, &t->slots[h].info.id, p->nonce);
+	if (bare)
+		member_send_bare(t, now, &t->slots[h].info.id, p->nonce);
+	else
+		member_send(
+		    t, now, MEMBER_PING, &t->slots[h].info.id, p->nonce);
 }
 
 /*
@@ -117,7 +134,21 @@
 }
 
 /*
- * Ends a probe without an answer: its target is a suspect from now on.
+ * Tells whether half of the last seconds' probes were answered.
+ */
+static int
+hears_most(const struct member_table *t, uint64_t now)
+{
+	uint32_t probed, answered;
+
+	member_window_sum(t, now, MEMBER_HEARING_S, &probed, &answered);
+	return answered * 2 >= probed;
+}
+
+/*
+ * Ends a probe without an answer: its target is a suspect from now on.  A
+ * node that hears few is probably cut off itself and keeps its suspicions to
+ * itself, or all of them would have to be refuted once the cut heals.
  */
 static void
 fail_probe(struct member_table *t, uint64_t now, struct member_probe *p)
@@ -132,6 +163,8 @@
 	member_set_state(t, now, s, MEMBER_SUSPECT, s->info.seq);
 	s->accused = 1;
 	s->accuse_ms = now;
+	if (!hears_most(t, now))
+		member_unqueue(t, member_handle(t, s));
 }
 
 /*
@@ -169,9 +202,8 @@
 		if (now >= s->deadline_ms) {
 			member_set_state(t, now, s, MEMBER_DEAD, s->info.seq);
 		} else if (s->accused && now >= s->accuse_ms) {
-			s->accuse_ms = now + t->probe_ms;
-			member_send(
-			    t, now, MEMBER_PING, &s->info.id, t->next_nonce++);
+			s->accuse_ms = now + member_suspect_ms(t) / 3;
+			member_send_bare(t, now, &s->info.id, t->next_nonce++);
 		}
 	}
 }
@@ -386,7 +418,11 @@
 	if (now >= t->next_probe_ms) {
 		t->next_probe_ms =
 		    MAX(t->next_probe_ms + t->probe_ms, now + t->probe_ms / 2);
-		probe_next(t, now);
+		probe(t, now, next_target(t), 0);
+	}
+	if (now >= t->next_verify_ms) {
+		t->next_verify_ms = now + MEMBER_VERIFY_MS;
+		probe(t, now, next_reported(t), 1);
 	}
 	try_seeds(t, now);
 	if (now >= t->next_gossip_ms)
