A server that answers is alive; room for announcements at the inner port

With a deep service 5x slower, every slot of the servers that call it waits on an inner call; with fewer inner threads than slots their announcements waited behind those calls, and after 5 s of silence the servers counted as gone: 9,882 refusals no-server and no recovery. A whole answer now counts as a sign of life, the node warns of too few inner threads, and the measured world gives each node slots + 16.

--- a/src/node/announce.c
+++ b/src/node/announce.c
@@ -104,6 +104,10 @@
 		logline(LOG_NOTICE, "server-announced",
 		    "service=%s slots=%u incarnation=%" PRIx64,
 		    a.server.service, a.server.slots, a.server.incarnation);
+		if (a.server.slots >= n->settings.inner_connections)
+			logline(LOG_WARNING, "inner-connections-few",
+			    "slots=%u inner_connections=%u", a.server.slots,
+			    n->settings.inner_connections);
 		client_forget(n->servers, a.addr, a.port);
 		admission_server_reset(&n->admission, a.server.slots);
 	} else if (change == SERVER_CHANGED) {
--- a/src/node/exit.c
+++ b/src/node/exit.c
@@ -257,6 +257,9 @@
 	run_request(r, rq, left, h);
 	end = client_exchange(r->node->servers, &x, &sink);
 	free(h);
+	if (end == EXCHANGE_WHOLE)
+		server_heard(
+		    &r->node->server, a->server.incarnation, clock_ms());
 	if (end == EXCHANGE_CUT || end == EXCHANGE_CUT_BODY ||
 	    end == EXCHANGE_UNSENT)
 		look_for_death(r->node, a);
--- a/src/node/server.c
+++ b/src/node/server.c
@@ -82,6 +82,20 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+/*
+ * Notes that the process of that incarnation answered a request at a time
+ * (ms): it is alive, even where its announcements are late.
+ */
+void
+server_heard(struct server *s, uint64_t incarnation, uint64_t now)
+{
+	pthread_mutex_lock(&s->lock);
+	if (s->announce.server.state != MEMBER_SERVER_NONE &&
+	    s->announce.server.incarnation == incarnation && now > s->heard_ms)
+		s->heard_ms = now;
+	pthread_mutex_unlock(&s->lock);
+}
+
 /*
  * Notes that the process of that incarnation died.  Returns 1 to the first
  * caller that says so.
--- a/src/node/server.h
+++ b/src/node/server.h
@@ -29,6 +29,7 @@
     struct server *, const struct member_announce *, uint64_t);
 void server_drain(struct server *);
 void server_gone(struct server *);
+void server_heard(struct server *, uint64_t, uint64_t);
 int server_died(struct server *, uint64_t);
 void server_get(struct server *, uint64_t, struct member_announce *);
 
--- a/tests/path/world.c
+++ b/tests/path/world.c
@@ -9,6 +9,7 @@
 #define DEADLINE_SERVICES 3 /* service times in a deadline */
 #define DEADLINE_EXTRA_MS 1000
 #define QUEUE_TEXT 16
+#define INNER_SPARE 16 /* threads of the inner port beyond the slots */
 /*
  * A connection costs a thread here and one machine carries all servers, so
  * they take twice their slots and a few more, not all that they could.
@@ -179,6 +180,7 @@
 	struct inst_spec spec;
 	const struct world_service *s;
 	static char queues[WORLD_SERVICES][QUEUE_TEXT];
+	static char inner[WORLD_SERVICES][QUEUE_TEXT];
 	int i, k, conns, n = 0;
 
 	fleet_init(f, proxied);
@@ -188,6 +190,7 @@
 			    ? s->connections
 			    : 2 * s->slots + CONNECTIONS_SPARE;
 		snprintf(queues[i], QUEUE_TEXT, "%d", conns);
+		snprintf(inner[i], QUEUE_TEXT, "%d", s->slots + INNER_SPARE);
 		memset(&spec, 0, sizeof(spec));
 		spec.service = s->name;
 		spec.slots = s->slots;
@@ -206,7 +209,7 @@
 		spec.node_args[2] = "--peer-connections";
 		spec.node_args[3] = "256";
 		spec.node_args[4] = "--inner-connections";
-		spec.node_args[5] = "32";
+		spec.node_args[5] = inner[i];
 		spec.node_args[6] = off[0] == '\0' ? NULL : "--disable";
 		spec.node_args[7] = off;
 		for (k = 0; k < s->servers; k++) {
