--- a/src/member/test_table.c
+++ b/src/member/test_table.c
@@ -206,6 +206,69 @@
 	}
 }
 
+/*
+ * With much to tell a suspicion is told less, but its refutation in full and
+ * first.
+ */
+static void
+test_refutation_first(void **state)
+{
+	struct member_table *t;
+	struct member_entry e;
+	struct member_slot *s;
+	struct net net;
+	uint32_t i;
+
+	(void)state;
+	net_init(&net, 2, 27);
+	net_settle(&net, 10000);
+	t = &net.nodes[0].table;
+	for (i = 0; i <= MEMBER_QUEUE_LONG; i++) {
+		e = entry(NET_ADDR + 9 + i, 7, 7, MEMBER_ALIVE, 1);
+		member_merge(t, net.now, &e, 0);
+	}
+	e = entry(NET_ADDR + 9, 7, 7, MEMBER_SUSPECT, 1);
+	member_unqueue(
+	    t, member_handle(t, member_find(t, NET_ADDR + 9, NET_PORT)));
+	member_merge(t, net.now, &e, 0);
+	s = member_find(t, NET_ADDR + 9, NET_PORT);
+	assert_int_equal(s->info.state, MEMBER_SUSPECT);
+	assert_true(s->queued && s->told > 0);
+	e = entry(NET_ADDR + 9, 7, 7, MEMBER_ALIVE, 2);
+	member_merge(t, net.now, &e, 0);
+	assert_int_equal(s->info.state, MEMBER_ALIVE);
+	assert_true(s->queued && s->told == 0);
+	net_finish(&net);
+}
+
+/*
+ * A node whose probes are mostly unanswered keeps its suspicions to itself;
+ * one that hears most tells them.
+ */
+static void
+test_cut_off_is_quiet(void **state)
+{
+	struct member_slot *s;
+	struct net net;
+	uint32_t i, quiet;
+
+	(void)state;
+	for (quiet = 0; quiet < 2; quiet++) {
+		net_init(&net, 10, 28);
+		net_settle(&net, 10000);
+		net_run(&net, 10000);
+		for (i = 0; i < 10; i++)
+			net.nodes[i].side = quiet ? i == 0 : i == 9;
+		for (i = 0; i < MEMBER_WINDOW_S && quiet; i++)
+			net.nodes[0].table.seconds[i].answered = 0;
+		s = member_find(&net.nodes[0].table, NET_ADDR + 9, NET_PORT);
+		while (s->info.state == MEMBER_ALIVE)
+			net_run(&net, 1);
+		assert_int_equal(s->queued, !quiet);
+		net_finish(&net);
+	}
+}
+
 /*
  * A member that is reported dead isn't held so, but is probed soon.
  */
@@ -679,6 +742,8 @@
 		cmocka_unit_test(test_refute),
 		cmocka_unit_test(test_tells),
 		cmocka_unit_test(test_report_verified),
+		cmocka_unit_test(test_refutation_first),
+		cmocka_unit_test(test_cut_off_is_quiet),
 		cmocka_unit_test(test_join),
 		cmocka_unit_test(test_death),
 		cmocka_unit_test(test_no_false_death),
