--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -175,6 +175,12 @@
 void member_table_leave(struct member_table *, uint64_t);
 void member_table_changed(struct member_table *, uint64_t);
 
+struct member_slot *member_add_slot(struct member_table *, uint32_t, uint16_t);
+void member_insert_probe(struct member_table *, uint32_t);
+int member_is_up(enum member_state);
+void member_tell(
+    struct member_table *, enum member_event, const struct member_slot *);
+void member_copy_text(char *, size_t, const char *);
 struct member_slot *member_find(struct member_table *, uint32_t, uint16_t);
 uint32_t member_handle(const struct member_table *, const struct member_slot *);
 void member_merge(
--- /dev/null
+++ b/src/member/member_merge.c
@@ -0,0 +1,333 @@
+#include <string.h>
+
+#include "member/member_int.h"
+
+/*
+ * The higher rank wins between two reports with the same sequence number: a
+ * suspicion is refuted only by a higher number, which the member itself
+ * gives out.
+ */
+static const int ranks[MEMBER_STATE_MAX] = {
+	[MEMBER_ALIVE] = 0,
+	[MEMBER_SUSPECT] = 1,
+	[MEMBER_DEAD] = 2,
+	[MEMBER_LEFT] = 3,
+};
+
+static int entry_valid(const struct member_entry *);
+static void copy_server(struct member_server *, const struct member_entry *);
+static void copy_data(struct member_slot *, const struct member_entry *);
+static void copy_entry(struct member_slot *, const struct member_entry *);
+static int name_newer(const struct member_entry *, const struct member_info *);
+static void refute(
+    struct member_table *, uint64_t, enum member_state, uint32_t);
+static void merge_self(
+    struct member_table *, uint64_t, const struct member_entry *);
+static void merge_new(
+    struct member_table *, uint64_t, const struct member_entry *);
+static void merge_replaced(struct member_table *, uint64_t,
+    struct member_slot *, const struct member_entry *);
+static void merge_report(struct member_table *, const struct member_slot *);
+static void merge_state(struct member_table *, uint64_t, struct member_slot *,
+    enum member_state, uint32_t);
+static void merge_same(struct member_table *, uint64_t, struct member_slot *,
+    const struct member_entry *, int);
+
+/*
+ * Tells whether an entry from the wire makes sense.
+ */
+static int
+entry_valid(const struct member_entry *e)
+{
+	return e->name.addr != 0 && e->name.port > 0 &&
+	       e->name.port <= UINT16_MAX && e->peer_port <= UINT16_MAX &&
+	       e->name.incarnation != 0 && e->state < MEMBER_STATE_MAX &&
+	       (e->server == NULL ||
+		   e->server->state < MEMBER_SERVER_STATE_MAX);
+}
+
+/*
+ * Copies a text of bounded length; NULL counts as empty.
+ */
+void
+member_copy_text(char *to, size_t size, const char *from)
+{
+	g_strlcpy(to, from == NULL ? "" : from, size);
+}
+
+/*
+ * Tells whether two states of a backend server differ in more than load.
+ */
+int
+member_server_differs(
+    const struct member_server *a, const struct member_server *b)
+{
+	return a->state != b->state || a->incarnation != b->incarnation ||
+	       a->slots != b->slots || a->connections != b->connections ||
+	       strcmp(a->service, b->service) != 0;
+}
+
+/*
+ * Takes over what an entry says of the member's backend server.
+ */
+static void
+copy_server(struct member_server *sv, const struct member_entry *e)
+{
+	memset(sv, 0, sizeof(*sv));
+	if (e->server == NULL)
+		return;
+	sv->state = (enum member_server_state)e->server->state;
+	member_copy_text(sv->service, MEMBER_SERVICE_TEXT, e->server->service);
+	sv->service_hash = member_service_hash(sv->service);
+	sv->incarnation = e->server->incarnation;
+	sv->slots = e->server->slots;
+	sv->connections = e->server->connections;
+	sv->load = e->server->load;
+}
+
+/*
+ * Takes over what an entry tells of a member but its name and state.  Only
+ * entries of members that are known alive tell it.
+ */
+static void
+copy_data(struct member_slot *s, const struct member_entry *e)
+{
+	if (e->state != MEMBER_ALIVE)
+		return;
+	s->info.rev = e->rev;
+	s->info.peer_port = (uint16_t)e->peer_port;
+	s->info.config_version = MAX(s->info.config_version, e->config_version);
+	member_copy_text(s->info.domain, MEMBER_DOMAIN_TEXT, e->domain);
+	member_copy_text(s->info.region, MEMBER_DOMAIN_TEXT, e->region);
+	copy_server(&s->info.server, e);
+}
+
+/*
+ * Takes over an entry of a process that wasn't known, but for its state.
+ */
+static void
+copy_entry(struct member_slot *s, const struct member_entry *e)
+{
+	s->info.id.incarnation = e->name.incarnation;
+	s->info.epoch = e->name.epoch;
+	s->info.seq = e->seq;
+	s->info.rev = 0;
+	s->full = 1;
+	copy_data(s, e);
+}
+
+/*
+ * Tells whether an entry names a later process than the one known at its
+ * address.
+ */
+static int
+name_newer(const struct member_entry *e, const struct member_info *m)
+{
+	if (e->name.epoch != m->epoch)
+		return e->name.epoch > m->epoch;
+	return e->name.incarnation > m->id.incarnation;
+}
+
+/*
+ * Refutes what others say of this node's state if it is wrong, by a higher
+ * number.
+ */
+static void
+refute(
+    struct member_table *t, uint64_t now, enum member_state state, uint32_t seq)
+{
+	struct member_slot *s = &t->slots[t->self];
+
+	if (t->leaving || seq < s->info.seq ||
+	    (seq == s->info.seq && state == MEMBER_ALIVE))
+		return;
+	s->info.seq = seq + 1;
+	t->dirty = 1;
+	member_queue(t, s, MEMBER_TELL_URGENT);
+	t->next_gossip_ms = now;
+}
+
+/*
+ * Merges an entry about this node's address: refutes it, or raises the epoch
+ * where an earlier process is thought to be the later one.
+ */
+static void
+merge_self(struct member_table *t, uint64_t now, const struct member_entry *e)
+{
+	struct member_slot *s = &t->slots[t->self];
+
+	if (e->name.incarnation == s->info.id.incarnation) {
+		refute(t, now, (enum member_state)e->state, e->seq);
+	} else if (!t->leaving && name_newer(e, &s->info)) {
+		s->info.epoch = e->name.epoch + 1;
+		member_table_changed(t, now);
+	}
+}
+
+/*
+ * Adds a member that wasn't known.  The dead are remembered too, so that
+ * they are counted and probed again, unless they have been so for long.
+ */
+static void
+merge_new(struct member_table *t, uint64_t now, const struct member_entry *e)
+{
+	enum member_state state = (enum member_state)e->state;
+	uint64_t age = (uint64_t)e->age_s * 1000;
+	struct member_slot *s;
+
+	if (state == MEMBER_LEFT || state == MEMBER_SUSPECT ||
+	    (state == MEMBER_DEAD && age >= MEMBER_DEAD_KEEP_MS) ||
+	    t->count == MEMBER_COUNT_MAX)
+		return;
+	s = member_add_slot(t, e->name.addr, (uint16_t)e->name.port);
+	copy_entry(s, e);
+	s->info.peer_port = (uint16_t)e->peer_port;
+	s->info.since_ms = now > age ? now - age : 0;
+	s->info.state = state;
+	t->dirty = 1;
+	t->news += (uint32_t)t->paging;
+	t->alive += state == MEMBER_ALIVE;
+	if (!t->paging)
+		member_queue(t, s, MEMBER_TELL_SOME);
+	if (state != MEMBER_ALIVE)
+		return;
+	member_insert_probe(t, member_handle(t, s));
+	member_tell(t, MEMBER_JOINED, s);
+}
+
+/*
+ * Replaces a process by a later one at the same address and port, which
+ * proves the earlier one dead.
+ */
+static void
+merge_replaced(struct member_table *t, uint64_t now, struct member_slot *s,
+    const struct member_entry *e)
+{
+	enum member_state state = (enum member_state)e->state;
+
+	if (state == MEMBER_SUSPECT)
+		return;
+	if (member_is_up(s->info.state)) {
+		t->alive -= s->info.state == MEMBER_ALIVE;
+		s->info.state = MEMBER_DEAD;
+		member_tell(t, MEMBER_DIED, s);
+	}
+	s->info.config_version = 0;
+	memset(&s->info.server, 0, sizeof(s->info.server));
+	copy_entry(s, e);
+	s->info.since_ms = now;
+	s->info.state = state;
+	s->accused = 0;
+	t->alive += state == MEMBER_ALIVE;
+	t->dirty = 1;
+	t->news += (uint32_t)t->paging;
+	member_queue(t, s, MEMBER_TELL_SOME);
+	if (state != MEMBER_ALIVE)
+		return;
+	member_insert_probe(t, member_handle(t, s));
+	member_tell(t, MEMBER_JOINED, s);
+}
+
+/*
+ * Takes note of a report of the death of a member that counts as there.  It
+ * isn't believed: when a cut heals, each side brings such reports of the
+ * whole other side.  The member is probed soon instead.
+ */
+static void
+merge_report(struct member_table *t, const struct member_slot *s)
+{
+	uint32_t h = member_handle(t, s), i;
+
+	if (s->info.state != MEMBER_ALIVE || t->verify_len == MEMBER_VERIFY_MAX)
+		return;
+	for (i = 0; i < t->verify_len; i++) {
+		if (t->verify[i] == h)
+			return;
+	}
+	t->verify[t->verify_len++] = h;
+}
+
+/*
+ * Merges a state of a process that is known already.
+ */
+static void
+merge_state(struct member_table *t, uint64_t now, struct member_slot *s,
+    enum member_state state, uint32_t seq)
+{
+	if (seq < s->info.seq ||
+	    (seq == s->info.seq && ranks[state] <= ranks[s->info.state]))
+		return;
+	if (state == MEMBER_DEAD && member_is_up(s->info.state)) {
+		merge_report(t, s);
+		return;
+	}
+	t->news += (uint32_t)t->paging;
+	member_set_state(t, now, s, state, seq);
+}
+
+/*
+ * Merges an entry about a process that is known already.  Load is taken from
+ * the member itself only, since it ages faster than it spreads.
+ */
+static void
+merge_same(struct member_table *t, uint64_t now, struct member_slot *s,
+    const struct member_entry *e, int direct)
+{
+	if (direct && s->info.state == MEMBER_SUSPECT)
+		s->deadline_ms = now + member_suspect_ms(t);
+	if (e->config_version > s->info.config_version)
+		s->info.config_version = e->config_version;
+	if (direct && e->server != NULL && e->rev == s->info.rev)
+		s->info.server.load = e->server->load;
+	merge_state(t, now, s, (enum member_state)e->state, e->seq);
+	if (e->rev <= s->info.rev || e->state != MEMBER_ALIVE)
+		return;
+	copy_data(s, e);
+	s->full = 1;
+	t->dirty = 1;
+	t->news += (uint32_t)t->paging;
+	member_queue(t, s, MEMBER_TELL_URGENT);
+}
+
+/*
+ * Merges the state of a member from a message, if it is known.
+ */
+void
+member_merge_status(
+    struct member_table *t, uint64_t now, const struct member_status *st)
+{
+	struct member_slot *s;
+	uint32_t state = st->port_state & UINT16_MAX;
+
+	s = member_find(t, st->addr, (uint16_t)(st->port_state >> 16));
+	if (s == NULL || s->info.id.incarnation != st->incarnation ||
+	    state >= MEMBER_STATE_MAX)
+		return;
+	if (member_handle(t, s) == t->self)
+		refute(t, now, (enum member_state)state, st->seq);
+	else
+		merge_state(t, now, s, (enum member_state)state, st->seq);
+}
+
+/*
+ * Merges an entry from a message.  It is direct if the member sent it
+ * itself.
+ */
+void
+member_merge(struct member_table *t, uint64_t now, const struct member_entry *e,
+    int direct)
+{
+	struct member_slot *s;
+
+	if (!entry_valid(e))
+		return;
+	s = member_find(t, e->name.addr, (uint16_t)e->name.port);
+	if (s == NULL)
+		merge_new(t, now, e);
+	else if (member_handle(t, s) == t->self)
+		merge_self(t, now, e);
+	else if (s->info.id.incarnation == e->name.incarnation)
+		merge_same(t, now, s, e, direct);
+	else if (name_newer(e, &s->info))
+		merge_replaced(t, now, s, e);
+}
