--- a/src/member/test_net.h
+++ b/src/member/test_net.h
@@ -307,4 +307,21 @@
 	return net->now - start;
 }
 
+/*
+ * Makes an entry as it comes from the wire.
+ */
+static inline struct member_entry
+net_entry(uint32_t addr, uint64_t inc, uint64_t epoch, enum member_state state,
+    uint32_t seq)
+{
+	struct member_entry e = { .name = { addr, NET_PORT, inc, epoch },
+		.peer_port = 8000,
+		.domain = (char *)(uintptr_t) "domain-a",
+		.region = (char *)(uintptr_t) "" };
+
+	e.state = state;
+	e.seq = seq;
+	return e;
+}
+
 #endif
