--- a/src/node/call.h
+++ b/src/node/call.h
@@ -31,6 +31,8 @@
 	struct retry_chain chain;
 	struct once_claim claim;
 	int claimed;
+	struct target first; /* where the first attempt goes, if chosen */
+	int chosen;
 	struct node_id tried[CALL_TRIED_MAX];
 	unsigned int tried_count;
 	unsigned int overloads;
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -108,6 +108,22 @@
 	return REASON_NONE;
 }
 
+/*
+ * Chooses a server before the workspace is charged: a request that would be
+ * shed costs no token, so that its caller may come again within the rate.
+ */
+static enum reason
+check_servers(struct call *c)
+{
+	enum route_reason why;
+
+	if (call_choose(c, &c->first, &why) == -1)
+		return why == ROUTE_OVERLOAD ? REASON_OVERLOAD
+					     : REASON_NO_SERVER;
+	c->chosen = 1;
+	return REASON_NONE;
+}
+
 /*
  * Holds the workspace to its rate and burst.
  */
@@ -212,8 +228,12 @@
 	rcu_read_unlock();
 	if (why == REASON_NONE && atomic_load(&n->stopping))
 		why = REASON_STOPPING;
+	c->cx.root = rand_u64();
+	retry_chain_init(&c->chain, c->route.retries);
 	if (why == REASON_NONE)
 		why = check_quarantine(c);
+	if (why == REASON_NONE)
+		why = check_servers(c);
 	if (why == REASON_NONE)
 		why = check_limit(c);
 	if (why == REASON_NONE)
@@ -223,10 +243,8 @@
 		return;
 	}
 	set_deadline(c, clock_ms(), UINT64_MAX);
-	c->cx.root = rand_u64();
 	c->cx.print[0] = c->print.lo;
 	c->cx.print[1] = c->print.hi;
-	retry_chain_init(&c->chain, c->route.retries);
 	call_forward(c);
 	free(c);
 }
--- a/src/node/forward.c
+++ b/src/node/forward.c
@@ -171,6 +171,20 @@
 	    c->req, c->verdict.outcome, c->verdict.reason, NULL, 0, NULL);
 }
 
+/*
+ * Returns where the next attempt goes: first to the server chosen before the
+ * workspace was charged.
+ */
+static int
+next_target(struct call *c, struct target *t, enum route_reason *why)
+{
+	if (!c->chosen)
+		return call_choose(c, t, why);
+	*t = c->first;
+	c->chosen = 0;
+	return 0;
+}
+
 /*
  * Sends a request to servers until one answers or no retry is left, and
  * answers the caller.
@@ -193,7 +207,7 @@
 			break;
 		}
 		c->cx.deadline_ms = (uint32_t)(c->deadline_ms - now);
-		if (call_choose(c, &t, &why) == -1) {
+		if (next_target(c, &t, &why) == -1) {
 			if (c->tried_count > 0)
 				break;
 			c->verdict.outcome = OUTCOME_NOT_RUN;
