--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -208,9 +208,9 @@
     struct request *r, const struct mg_request_info *ri, const char **detail)
 {
 	const char *path = ri->local_uri_raw, *q = ri->query_string;
-	char plain[REQUEST_TARGET_MAX];
+	char *plain;
 	size_t len;
-	int n;
+	int n, dotted;
 
 	*detail = "the path is malformed";
 	if (path == NULL || path[0] != '/')
@@ -219,12 +219,18 @@
 	    q != NULL ? "?" : "", q != NULL ? q : "");
 	if (n < 0 || (size_t)n >= sizeof(r->target))
 		return REASON_BAD_REQUEST;
-	if (mg_url_decode(
-		path, (int)strlen(path), plain, sizeof(plain) - 4, 0) < 0)
-		return REASON_BAD_REQUEST;
-	len = strlen(plain);
-	memcpy(plain + len, "/", 2);
-	if (strstr(plain, "/../") != NULL || strstr(plain, "/./") != NULL)
+	/* On the heap: a thread's stack stays resident once it was used. */
+	len = strlen(path);
+	plain = malloc(len + 2);
+	if (plain == NULL)
+		err(1, "read_target");
+	n = mg_url_decode(path, (int)len, plain, (int)len + 1, 0);
+	if (n >= 0)
+		memcpy(plain + n, "/", 2);
+	dotted = n < 0 || strstr(plain, "/../") != NULL ||
+		 strstr(plain, "/./") != NULL;
+	free(plain);
+	if (dotted)
 		return REASON_BAD_REQUEST;
 	for (n = 0; r->target[n] != '\0'; n++)
 		if (r->target[n] <= ' ' || r->target[n] == 127)
--- a/src/node/choose.c
+++ b/src/node/choose.c
@@ -1,3 +1,5 @@
+#include <err.h>
+#include <stdlib.h>
 #include <string.h>
 #include <urcu.h>
 
@@ -101,7 +103,7 @@
 int
 call_choose(struct call *c, struct target *t, enum route_reason *why)
 {
-	struct route_candidate cand[ROUTE_CANDIDATES_MAX];
+	struct route_candidate *cand;
 	struct route_query q = { .now_ms = clock_ms(),
 		.rnd = rand_u64(),
 		.rank = rank_of(c),
@@ -119,6 +121,10 @@
 	h = member_view_service(v, c->route.service, &len);
 	if (len > ROUTE_CANDIDATES_MAX)
 		len = ROUTE_CANDIDATES_MAX;
+	/* On the heap: a thread's stack stays resident once it was used. */
+	cand = calloc(len + 1, sizeof(*cand));
+	if (cand == NULL)
+		err(1, "call_choose");
 	for (i = 0; i < len; i++)
 		candidate(c, v, &v->list[h[i]], &cand[i]);
 	if (settings_policy_on(&n->settings, POLICY_QUARANTINE) &&
@@ -136,6 +142,7 @@
 		t->local = nodeid_equal(&m->id, &n->id);
 	}
 	rcu_read_unlock();
+	free(cand);
 	return at >= 0 ? 0 : -1;
 }
 
--- a/src/route/book.c
+++ b/src/route/book.c
@@ -108,7 +108,7 @@
 route_pick(struct route_book *b, const struct route_candidate *cand,
     size_t count, const struct route_query *q, enum route_reason *why)
 {
-	struct route_stat stats[ROUTE_CANDIDATES_MAX];
+	struct route_stat *stats;
 	size_t i, from = 0;
 	int at;
 
@@ -116,9 +116,14 @@
 		from = (q->rnd >> 32) % (count - ROUTE_CANDIDATES_MAX + 1);
 		count = ROUTE_CANDIDATES_MAX;
 	}
+	/* On the heap: a thread's stack stays resident once it was used. */
+	stats = calloc(count + 1, sizeof(*stats));
+	if (stats == NULL)
+		err(1, "route_pick");
 	for (i = 0; i < count; i++)
 		route_book_get(b, &cand[from + i].id, &stats[i]);
 	at = route_choose(cand + from, stats, count, q, why);
+	free(stats);
 	return at < 0 ? at : (int)from + at;
 }
 
