Split look-ups from the configuration's parser

parse.c had grown to 791 lines with two jobs. lookup.c answers which route, key or workspace; parse.c reads and reports.

--- a/src/config/parse.c
+++ b/src/config/parse.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "config/config.h"
+#include "config/internal.h"
 
 enum config_find {
 	FIND_JSON,
@@ -77,9 +78,6 @@
 	[CLASS_LOW] = "low",
 };
 
-static const char *const method_names[] = { "GET", "HEAD", "POST", "PUT",
-	"DELETE", "PATCH", "OPTIONS" };
-
 static const struct field route_fields[] = {
 	{ "name", 1, route_name },
 	{ "prefix", 1, route_prefix },
@@ -323,20 +321,6 @@
 	    &((struct config_route *)dst)->retries);
 }
 
-/*
- * Returns a method's number, or -1.
- */
-static int
-method_number(const char *s)
-{
-	size_t i;
-
-	for (i = 0; s != NULL && i < sizeof(method_names) / sizeof(char *); i++)
-		if (strcmp(method_names[i], s) == 0)
-			return (int)i;
-	return -1;
-}
-
 /*
  * Reads the methods that a route is limited to.
  */
@@ -356,7 +340,7 @@
 	}
 	json_array_foreach(v, i, m)
 	{
-		n = method_number(json_string_value(m));
+		n = config_method_number(json_string_value(m));
 		snprintf(sub, sizeof(sub), "%s/%zu", place, i);
 		if (n == -1)
 			finds_add(
@@ -558,15 +542,6 @@
 	return (x->methods == 0) - (y->methods == 0);
 }
 
-/*
- * Orders keys by hash.
- */
-static int
-key_cmp(const void *a, const void *b)
-{
-	return memcmp(a, b, CONFIG_HASH_BYTES);
-}
-
 /*
  * Sorts routes and keys for look-up and reports keys that two workspaces or
  * one workspace twice lay claim to.
@@ -579,9 +554,9 @@
 	if (c->route_count > 0)
 		qsort(c->routes, c->route_count, sizeof(*c->routes), route_cmp);
 	if (c->key_count > 0)
-		qsort(c->keys, c->key_count, sizeof(*c->keys), key_cmp);
+		qsort(c->keys, c->key_count, sizeof(*c->keys), config_key_cmp);
 	for (i = 1; i < c->key_count; i++)
-		if (key_cmp(&c->keys[i - 1], &c->keys[i]) == 0)
+		if (config_key_cmp(&c->keys[i - 1], &c->keys[i]) == 0)
 			finds_add(fs, &msgs[FIND_TWICE], "/workspaces",
 			    "the hash of keys %s and %s", c->keys[i - 1].id,
 			    c->keys[i].id);
@@ -661,131 +636,3 @@
 	config_finish(c);
 	free(c);
 }
-
-/*
- * Returns the handle of the route for a method and a path, or -1.  A prefix
- * matches whole segments; the query is no part of the path.
- */
-int
-config_route_find(const struct config *c, const char *method, const char *path)
-{
-	const struct config_route *r;
-	int m = method_number(method);
-	size_t i, len = strcspn(path, "?");
-
-	for (i = 0; i < c->route_count; i++) {
-		r = &c->routes[i];
-		if (len < r->prefix_len ||
-		    memcmp(path, r->prefix, r->prefix_len) != 0)
-			continue;
-		if (r->prefix_len > 1 && len > r->prefix_len &&
-		    path[r->prefix_len] != '/')
-			continue;
-		if (r->methods == 0 || (m >= 0 && (r->methods & 1U << m) != 0))
-			return (int)i;
-	}
-	return -1;
-}
-
-/*
- * Returns a key's hash in CONFIG_HASH_BYTES bytes.
- */
-void
-config_key_hash(const char *key, unsigned char *hash)
-{
-	crypto_generichash(hash, CONFIG_HASH_BYTES, (const unsigned char *)key,
-	    strlen(key), NULL, 0);
-}
-
-/*
- * Returns the entry of a key as shown by a caller, or NULL where it is
- * unknown or withdrawn.  Only hashes are compared.
- */
-const struct config_key *
-config_key_find(const struct config *c, const char *key)
-{
-	unsigned char hash[CONFIG_HASH_BYTES];
-
-	if (c->key_count == 0 || strlen(key) > CONFIG_KEY_MAX)
-		return NULL;
-	config_key_hash(key, hash);
-	return bsearch(hash, c->keys, c->key_count, sizeof(*c->keys), key_cmp);
-}
-
-/*
- * Returns the number under which peers speak of a workspace.
- */
-uint64_t
-config_ws_hash(const char *name)
-{
-	return XXH3_64bits(name, strlen(name));
-}
-
-/*
- * Returns the handle of the workspace with that number, or -1.
- */
-int
-config_ws_find(const struct config *c, uint64_t hash)
-{
-	size_t i;
-
-	for (i = 0; i < c->ws_count; i++)
-		if (c->workspaces[i].hash == hash)
-			return (int)i;
-	return -1;
-}
-
-/*
- * Returns the number by which a chain remembers the key it began with.
- */
-uint64_t
-config_key_tag(const struct config_key *k)
-{
-	uint64_t tag = 0;
-	int i;
-
-	for (i = 0; i < 8; i++)
-		tag = tag << 8 | k->hash[i];
-	return tag;
-}
-
-/*
- * Tells whether the key of that tag is in force.
- */
-int
-config_key_live(const struct config *c, uint64_t tag)
-{
-	size_t lo = 0, hi = c->key_count, mid;
-
-	while (lo < hi) {
-		mid = lo + (hi - lo) / 2;
-		if (config_key_tag(&c->keys[mid]) < tag)
-			lo = mid + 1;
-		else
-			hi = mid;
-	}
-	return lo < c->key_count && config_key_tag(&c->keys[lo]) == tag;
-}
-
-/*
- * Notes for each workspace since when (ms) this node knows its limit: from
- * the version before where that had the same, else from now.
- */
-void
-config_carry(struct config *c, const struct config *before, uint64_t now)
-{
-	const struct config_ws *w;
-	size_t i;
-	int j;
-
-	for (i = 0; before != NULL && i < c->ws_count; i++) {
-		c->workspaces[i].changed_ms = now;
-		j = config_ws_find(before, c->workspaces[i].hash);
-		if (j == -1)
-			continue;
-		w = &before->workspaces[j];
-		if (w->rate == c->workspaces[i].rate &&
-		    w->burst == c->workspaces[i].burst)
-			c->workspaces[i].changed_ms = w->changed_ms;
-	}
-}
