Tell a dead server from a live one with certainty

The check for a death read errno after a connect that had succeeded: a stale ECONNREFUSED made a live server count as dead, which struck the requests beside the broken one, and a process whose listener closed after its connections counted as alive. The result of connect is kept now, and a successful one is tried again 3 times 10 ms apart.

--- a/src/node/exit.c
+++ b/src/node/exit.c
@@ -12,6 +12,8 @@
 
 #define SERVER_IDLE_MAX 256
 #define DEATH_CONNECT_MS 50
+#define DEATH_TRIES 4
+#define DEATH_RETRY_US 10000
 #define ID_HEX 17
 #define US_PER_MS 1000
 
@@ -151,11 +153,11 @@
 
 	if (fd == -1)
 		return 0;
-	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1 &&
-	    errno == EINPROGRESS && poll(&p, 1, DEATH_CONNECT_MS) == 1)
-		getsockopt(fd, SOL_SOCKET, SO_ERROR, &e, &len);
-	else
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == -1)
 		e = errno;
+	if (e == EINPROGRESS && poll(&p, 1, DEATH_CONNECT_MS) == 1 &&
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &e, &len) == -1)
+		e = 0;
 	close(fd);
 	return e == ECONNREFUSED;
 }
@@ -166,8 +168,14 @@
 static void
 look_for_death(struct node *n, const struct member_announce *a)
 {
-	if (!server_refuses(a->addr, a->port))
-		return;
+	int tries = 0;
+
+	/* A dying process may close its connections before its listener. */
+	while (!server_refuses(a->addr, a->port)) {
+		if (++tries == DEATH_TRIES)
+			return;
+		usleep(DEATH_RETRY_US);
+	}
 	if (!server_died(&n->server, a->server.incarnation))
 		return;
 	logline(LOG_WARNING, "server-died", "service=%s incarnation=%" PRIx64,
