Hold off new connections before a stopping node closes its ports

Shutting down a listening socket resets the connections that wait in its accept queue, although their clients may have sent their requests already.

Ruled out: a request that a worker had begun (the attempt ran 0 times), idle kept connections (the callers of a stopping node connect anew each time).

The node now has the kernel drop the first segment of new connections, waits until the queue is empty, and closes the port then.

test_node_stop_crowd, new: 32 callers that connect anew for each request, three stops.

A request on an idle kept connection that the node closes at that moment is still answered by a reset; it has not run.

--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -1,4 +1,6 @@
 #include <err.h>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,8 +19,15 @@
 #define THREAD_WORKER 1 /* as CivetWeb numbers them */
 #define THREAD_WAIT_MS 5000
 #define THREAD_CHECK_US 2000
+#define HOLD_MIN_MS 200 /* for handshakes that have begun */
+#define HOLD_MAX_MS 2000
+#define HOLD_CHECK_US 5000
+#define TCP_FLAGS_BYTE 13 /* of the header, and its bits */
+#define TCP_SYN 0x02
+#define TCP_ACK 0x10
 
 typedef void (*serve_fn)(struct node *, struct request *);
+typedef void (*listener_fn)(int, void *);
 
 static void serve_inner(struct node *, struct request *);
 
@@ -201,19 +210,18 @@
 }
 
 /*
- * Has callers and peers refused at connecting while open connections are
- * still served.  CivetWeb can't do so; its listening sockets are found among
- * this process's descriptors.
+ * Calls a function with each listening socket on which callers and peers
+ * connect.  CivetWeb keeps them to itself; they are found among this
+ * process's descriptors.
  */
-void
-ports_close(struct node *n)
+static void
+each_listener(struct node *n, listener_fn fn, void *ctx)
 {
 	const struct settings *s = &n->settings;
-	const uint32_t closing[] = { s->caller_port, s->peer_port };
 	struct sockaddr_in sin = { 0 };
 	socklen_t len;
-	size_t i;
 	int fd, listening = 0, max = (int)sysconf(_SC_OPEN_MAX);
+	uint32_t port;
 
 	for (fd = 0; fd < max && fd < DESCRIPTORS_MAX; fd++) {
 		len = sizeof(listening);
@@ -224,12 +232,81 @@
 		len = sizeof(sin);
 		if (getsockname(fd, (struct sockaddr *)&sin, &len) == -1)
 			continue;
-		for (i = 0; i < sizeof(closing) / sizeof(closing[0]); i++)
-			if (ntohs(sin.sin_port) == closing[i])
-				shutdown(fd, SHUT_RD);
+		port = ntohs(sin.sin_port);
+		if (port == s->caller_port || port == s->peer_port)
+			fn(fd, ctx);
 	}
 }
 
+/*
+ * Drops the first segment of connections yet to come, so that their clients
+ * try again until the port is closed.
+ */
+static void
+listener_hold(int fd, void *ctx)
+{
+	static struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_BYTE),
+		BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TCP_SYN | TCP_ACK),
+		BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TCP_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog prog = { sizeof(code) / sizeof(code[0]), code };
+
+	(void)ctx;
+	if (setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &prog, sizeof(prog)) ==
+	    -1)
+		logline(LOG_WARNING, "port-hold-failed", "why=\"%m\"");
+}
+
+/*
+ * Adds the connections that wait to be accepted to a sum.
+ */
+static void
+listener_count(int fd, void *ctx)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+	unsigned int *waiting = ctx;
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) == 0)
+		*waiting += info.tcpi_unacked;
+}
+
+/*
+ * Refuses further connections.
+ */
+static void
+listener_close(int fd, void *ctx)
+{
+	(void)ctx;
+	shutdown(fd, SHUT_RD);
+}
+
+/*
+ * Has callers and peers refused at connecting while open connections are
+ * still served.  A listening socket that is closed resets the connections
+ * that wait in its queue, although their clients may have sent requests
+ * already; so new ones are held off until the queue is empty.
+ */
+void
+ports_close(struct node *n)
+{
+	uint64_t began = clock_ms(), now;
+	unsigned int waiting;
+
+	each_listener(n, listener_hold, NULL);
+	do {
+		usleep(HOLD_CHECK_US);
+		waiting = 0;
+		each_listener(n, listener_count, &waiting);
+		now = clock_ms();
+	} while (now < began + HOLD_MIN_MS ||
+		 (waiting > 0 && now < began + HOLD_MAX_MS));
+	each_listener(n, listener_close, NULL);
+}
+
 /*
  * Closes all ports; requests under way end first.
  */
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -24,6 +24,9 @@
 
 #define NODES 4
 #define THREADS 16
+#define CROWD 32
+#define CROWD_STOPS 3
+#define CROWD_BYTES 100000
 #define BOUND_MS 3000
 #define STOP_MS 15000
 #define LOAD_MS 700
@@ -68,6 +71,21 @@
 	return 0;
 }
 
+/*
+ * Fills in a request of a crowd: all at the same node.
+ */
+static int
+crowd_request(void *ctx, int thread, uint64_t seq, struct http_req *rq)
+{
+	(void)ctx;
+	http_req_init(rq, "http://%s:%d/file/t?bytes=%d&tag=9",
+	    fleet.list[1].addr, CALLER_PORT, CROWD_BYTES);
+	http_req_header(rq, "Authorization: Bearer %s", ACME_KEY);
+	http_req_header(
+	    rq, "X-Attempt: %d.%llu", thread, (unsigned long long)seq);
+	return 0;
+}
+
 /*
  * Sorts the answers: served, refused, never connected, cut, other.
  */
@@ -193,6 +211,36 @@
 	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
 }
 
+/*
+ * SIGTERM for a node that a crowd connects to all the time: a connection is
+ * either never made or brings its whole answer.
+ */
+static void
+test_node_stop_crowd(void **state)
+{
+	struct traffic t;
+	struct load l = { .threads = CROWD,
+		.request = crowd_request,
+		.answer = traffic_answer,
+		.ctx = &t };
+	int i, ended = 0;
+
+	(void)state;
+	memset(&t, 0, sizeof(t));
+	assert_int_equal(load_start(&l), 0);
+	for (i = 0; i < CROWD_STOPS && ended == 0; i++) {
+		usleep(LOAD_MS * 1000);
+		proc_signal(fleet.list[1].node, SIGTERM);
+		ended = proc_wait(fleet.list[1].node, STOP_MS);
+		fleet_node_start(&fleet, 1);
+	}
+	load_stop(&l);
+	assert_int_equal(ended, 0);
+	check_uncut("crowd", &t);
+	assert_int_equal(
+	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
+}
+
 /*
  * A server that asks to drain, but would go on serving, gets no new work
  * after the bound.
@@ -245,6 +293,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_server_stop),
 		cmocka_unit_test(test_node_stop),
+		cmocka_unit_test(test_node_stop_crowd),
 		cmocka_unit_test(test_drain),
 	};
 
