Serve callers at a stopping node until its ports close

Cause: from the signal until the ports closed, 2 to 3 s, the entry refused every request, although it can pass them on to other nodes as before; each planned restart so refused requests within their rate.

Ruled out: lost leases as the cause of the crowd's refusals, its requests carry no ids.

What is left comes from the hand-over of partitions and from the first moments of a new node.

--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -226,8 +226,6 @@
 	if (why == REASON_NONE)
 		why = check_key(c, conf);
 	rcu_read_unlock();
-	if (why == REASON_NONE && atomic_load(&n->stopping))
-		why = REASON_STOPPING;
 	c->cx.root = rand_u64();
 	retry_chain_init(&c->chain, c->route.retries);
 	if (why == REASON_NONE)
