--- a/src/member/member.h
+++ b/src/member/member.h
@@ -175,6 +175,5 @@
 const char *member_state_name(enum member_state);
 const char *member_server_state_name(enum member_server_state);
 void member_dump(struct member_service *, FILE *);
-char *member_dump_json(struct member_service *);
 
 #endif
--- a/src/member/member_dump.c
+++ b/src/member/member_dump.c
@@ -1,11 +1,9 @@
 #include <inttypes.h>
-#include <jansson.h>
 
 #include "base/clock.h"
 #include "member/member_int.h"
 
 static void dump_one(FILE *, const struct member_info *, uint64_t);
-static json_t *json_one(const struct member_info *, uint64_t);
 
 static const char *const state_names[MEMBER_STATE_MAX] = {
 	[MEMBER_ALIVE] = "alive",
@@ -85,57 +83,3 @@
 		dump_one(out, &v->list[i], now);
 	rcu_read_unlock();
 }
-
-/*
- * Makes a JSON object of one member.
- */
-static json_t *
-json_one(const struct member_info *m, uint64_t now)
-{
-	char name[NODE_ID_TEXT];
-	json_t *o;
-
-	nodeid_format(&m->id, name);
-	o = json_pack("{s:s,s:i,s:s,s:s,s:I,s:I,s:I}", "node", name,
-	    "peer_port", (int)m->peer_port, "domain", m->domain, "state",
-	    state_names[m->state], "for_s",
-	    (json_int_t)((now - m->since_ms) / 1000), "seq", (json_int_t)m->seq,
-	    "config", (json_int_t)m->config_version);
-	if (m->server.state != MEMBER_SERVER_NONE)
-		json_object_set_new(o, "server",
-		    json_pack("{s:s,s:s,s:I,s:I,s:I}", "service",
-			m->server.service, "state",
-			server_state_names[m->server.state], "slots",
-			(json_int_t)m->server.slots, "connections",
-			(json_int_t)m->server.connections, "load",
-			(json_int_t)m->server.load));
-	return o;
-}
-
-/*
- * Returns what this node knows of all members as a JSON object, to be freed
- * by the caller.  The thread must be registered with RCU.
- */
-char *
-member_dump_json(struct member_service *ms)
-{
-	const struct member_view *v;
-	uint64_t now = clock_ms();
-	json_t *o, *list;
-	uint32_t i;
-	char *text;
-
-	list = json_array();
-	rcu_read_lock();
-	v = member_view_get(ms);
-	o = json_pack("{s:i,s:i,s:b,s:I}", "known", (int)v->known, "alive",
-	    (int)v->alive, "fresh", member_fresh(v, now), "config",
-	    (json_int_t)v->config_version);
-	for (i = 0; i < v->len; i++)
-		json_array_append_new(list, json_one(&v->list[i], now));
-	rcu_read_unlock();
-	json_object_set_new(o, "members", list);
-	text = json_dumps(o, 0);
-	json_decref(o);
-	return text;
-}
