Prefer the own region's servers over those further away

Cause: a choice knew the own failure domain and elsewhere only; with two regions a busy domain would have sent to the other region as readily as to the next domain, over a delay that every level of a chain pays again.

A candidate now is in the own domain, the own region or elsewhere, and the choice goes outwards by the rule that it had between two steps.

--- a/src/node/choose.c
+++ b/src/node/choose.c
@@ -26,11 +26,15 @@
 candidate(const struct call *c, const struct member_view *v,
     const struct member_info *m, struct route_candidate *out)
 {
+	const struct member_info *self = &v->list[v->self];
+
 	memset(out, 0, sizeof(*out));
 	out->id = m->id;
 	out->since_ms = m->since_ms;
 	out->slots = m->server.slots;
-	out->same_domain = strcmp(m->domain, v->list[v->self].domain) == 0;
+	out->near = strcmp(m->region, self->region) != 0   ? ROUTE_ELSEWHERE
+		    : strcmp(m->domain, self->domain) != 0 ? ROUTE_SAME_REGION
+							   : ROUTE_SAME_DOMAIN;
 	out->leaving =
 	    (m->state != MEMBER_ALIVE && m->state != MEMBER_SUSPECT) ||
 	    m->server.state != MEMBER_SERVER_UP;
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -3,8 +3,8 @@
 #include "route/route.h"
 
 /*
- * The choice of a server: the cheaper of two random candidates, in the own
- * failure domain unless that is busy and the others aren't.
+ * The choice of a server: the cheaper of two random candidates in the own
+ * failure domain, or further away where that is busy and the others aren't.
  */
 
 #define COLD_MS 5000	   /* a new or returned server ramps up in this time */
@@ -13,9 +13,10 @@
 #define LOAD_AGE_MS 1000   /* a told limit or level is forgotten */
 #define PROBE_SHARE 8	   /* one in 8 may be a returning server's probe */
 #define PROBE_LATE_MS 5000 /* then any request may be one */
-#define DOMAIN_BUSY 0.75   /* share of its capacity in use */
-#define DOMAIN_SLOW 1.5	   /* times the mean slowness */
-#define DOMAIN_BETTER 0.9  /* the others' cost against its own */
+#define NEAR_BUSY 0.75	   /* share of its capacity in use */
+#define NEAR_SLOW 1.5	   /* times the mean slowness */
+#define FAR_BETTER 0.9	   /* cost against that of a nearer one */
+#define ANYWHERE ((1U << ROUTE_NEAR_MAX) - 1)
 #define FAIL_FLOOR 0.05
 #define LATENCY_GUESS_US 10000
 #define LATENCY_HALF_MS 5000
@@ -48,9 +49,10 @@
 static double usage(const struct choice *, size_t);
 static double slowness(const struct choice *, size_t);
 static double cost(const struct choice *, size_t);
-static size_t nth(const struct choice *, enum fit, int, size_t);
-static size_t count_fit(const struct choice *, enum fit, int);
-static int better_of_two(const struct choice *, enum fit, int, uint64_t);
+static size_t nth(const struct choice *, enum fit, unsigned int, size_t);
+static size_t count_fit(const struct choice *, enum fit, unsigned int);
+static int better_of_two(
+    const struct choice *, enum fit, unsigned int, uint64_t);
 static int best(const struct choice *, enum fit, uint64_t);
 static double mean_latency(const struct choice *);
 
@@ -71,18 +73,18 @@
 	limit_ejections(&c);
 	c.latency_us = mean_latency(&c);
 	*why = ROUTE_CHOSEN;
-	n = count_fit(&c, FIT_PROBE, -1);
+	n = count_fit(&c, FIT_PROBE, ANYWHERE);
 	if (n > 0 && q->rnd % PROBE_SHARE == 0)
-		return (int)nth(&c, FIT_PROBE, -1, draw % n);
-	if (count_fit(&c, FIT_READY, -1) > 0)
+		return (int)nth(&c, FIT_PROBE, ANYWHERE, draw % n);
+	if (count_fit(&c, FIT_READY, ANYWHERE) > 0)
 		return best(&c, FIT_READY, draw);
-	if (count_fit(&c, FIT_SHEDS, -1) > 0) {
+	if (count_fit(&c, FIT_SHEDS, ANYWHERE) > 0) {
 		*why = ROUTE_OVERLOAD;
 		return -1;
 	}
 	if (n > 0)
 		return best(&c, FIT_PROBE, draw);
-	if (count_fit(&c, FIT_EJECTED, -1) > 0)
+	if (count_fit(&c, FIT_EJECTED, ANYWHERE) > 0)
 		return best(&c, FIT_EJECTED, draw);
 	*why = ROUTE_NO_SERVER;
 	return -1;
@@ -266,17 +268,15 @@
 }
 
 /*
- * Counts candidates of a state, in the own domain (1), outside (0) or
- * everywhere (-1).
+ * Counts candidates of a state at the distances of a bit mask.
  */
 static size_t
-count_fit(const struct choice *c, enum fit fit, int domain)
+count_fit(const struct choice *c, enum fit fit, unsigned int nears)
 {
 	size_t i, n = 0;
 
 	for (i = 0; i < c->count; i++)
-		n += c->fits[i] == fit &&
-		     (domain < 0 || !c->cand[i].same_domain == !domain);
+		n += c->fits[i] == fit && (nears >> c->cand[i].near & 1);
 	return n;
 }
 
@@ -284,13 +284,12 @@
  * Returns the index of the nth such candidate, which must exist.
  */
 static size_t
-nth(const struct choice *c, enum fit fit, int domain, size_t n)
+nth(const struct choice *c, enum fit fit, unsigned int nears, size_t n)
 {
 	size_t i;
 
 	for (i = 0; i < c->count; i++) {
-		if (c->fits[i] != fit ||
-		    (domain >= 0 && !c->cand[i].same_domain != !domain))
+		if (c->fits[i] != fit || (nears >> c->cand[i].near & 1) == 0)
 			continue;
 		if (n-- == 0)
 			return i;
@@ -302,35 +301,46 @@
  * Returns the cheaper of two random ones, or -1 if there is none.
  */
 static int
-better_of_two(const struct choice *c, enum fit fit, int domain, uint64_t draw)
+better_of_two(
+    const struct choice *c, enum fit fit, unsigned int nears, uint64_t draw)
 {
-	size_t n = count_fit(c, fit, domain), a, b;
+	size_t n = count_fit(c, fit, nears), a, b;
 
 	if (n == 0)
 		return -1;
 	a = draw % n;
 	b = n > 1 ? (a + 1 + (draw >> 24) % (n - 1)) % n : a;
-	a = nth(c, fit, domain, a);
-	b = nth(c, fit, domain, b);
+	a = nth(c, fit, nears, a);
+	b = nth(c, fit, nears, b);
 	return (int)(cost(c, b) < COST_BETTER * cost(c, a) ? b : a);
 }
 
 /*
- * Returns the better of two in the own domain, or of two elsewhere if there
- * is none or it is busy or slow and theirs aren't.
+ * Tells whether a candidate has room and is about as quick as the others.
+ */
+static int
+is_easy(const struct choice *c, size_t i)
+{
+	return usage(c, i) <= NEAR_BUSY &&
+	       slowness(c, i) <= NEAR_SLOW * c->latency_us;
+}
+
+/*
+ * Returns the better of two in the own domain, or of two further away, the
+ * own region first, if there is none or it is busy or slow and theirs aren't.
  */
 static int
 best(const struct choice *c, enum fit fit, uint64_t draw)
 {
-	int near = better_of_two(c, fit, 1, draw), far;
-
-	if (near >= 0 && usage(c, (size_t)near) <= DOMAIN_BUSY &&
-	    slowness(c, (size_t)near) <= DOMAIN_SLOW * c->latency_us)
-		return near;
-	far = better_of_two(c, fit, 0, draw);
-	if (near < 0 || far < 0)
-		return near < 0 ? far : near;
-	return cost(c, (size_t)far) < DOMAIN_BETTER * cost(c, (size_t)near)
-		   ? far
-		   : near;
+	int near = ROUTE_NEAR_MAX, at = -1, next;
+
+	while (near-- > 0 && (at < 0 || !is_easy(c, (size_t)at))) {
+		next = better_of_two(c, fit, 1U << near, draw);
+		if (next < 0)
+			continue;
+		if (at < 0 ||
+		    cost(c, (size_t)next) < FAR_BETTER * cost(c, (size_t)at))
+			at = next;
+	}
+	return at;
 }
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -32,6 +32,14 @@
 	ROUTE_REASON_MAX
 };
 
+/* Where a server is, seen from here. */
+enum route_near {
+	ROUTE_ELSEWHERE,
+	ROUTE_SAME_REGION,
+	ROUTE_SAME_DOMAIN,
+	ROUTE_NEAR_MAX
+};
+
 /* A server of the service, as membership knows it. */
 struct route_candidate {
 	struct node_id id;
@@ -39,7 +47,7 @@
 	uint64_t heard_ms; /* of the load below; 0 for none */
 	struct admission_load load;
 	uint32_t slots;
-	int same_domain;
+	enum route_near near;
 	int leaving; /* drains, stops, or is held to be dead */
 	int tried;   /* an earlier attempt of this request went there */
 };
--- a/src/route/test_balance.c
+++ b/src/route/test_balance.c
@@ -233,7 +233,8 @@
 	for (e = 0; e < ENTRIES; e++) {
 		for (i = 0; i < SERVERS; i++) {
 			s->cand[e][i].slots = SLOTS;
-			s->cand[e][i].same_domain = e / 2 == i / 2;
+			s->cand[e][i].near = e / 2 == i / 2 ? ROUTE_SAME_DOMAIN
+							    : ROUTE_SAME_REGION;
 		}
 	}
 	for (; s->now < STEPS; s->now++) {
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -64,10 +64,16 @@
 	    { .latency_us = 90000, .good = 10, .used_ms = NOW }, 0, .01, 1 },
 	{ "slow long ago", { .slots = 50 },
 	    { .latency_us = 90000, .used_ms = NOW - 60000 }, .1, .51, 1 },
-	{ "own domain", { .slots = 50, .same_domain = 1 }, { .good = 10 }, 1, 1,
-	    1 },
-	{ "own domain, busy", { .slots = 50, .same_domain = 1 },
+	{ "own domain", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
+	    { .good = 10 }, 1, 1, 1 },
+	{ "own domain, busy", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
+	    { .inflight = 40 }, 0, 0, 1 },
+	{ "own region", { .slots = 50, .near = ROUTE_SAME_REGION },
+	    { .good = 10 }, 1, 1, 1 },
+	{ "own region, busy", { .slots = 50, .near = ROUTE_SAME_REGION },
 	    { .inflight = 40 }, 0, 0, 1 },
+	{ "own region, slow", { .slots = 50, .near = ROUTE_SAME_REGION },
+	    { .latency_us = 90000, .good = 10, .used_ms = NOW }, 0, .01, 1 },
 };
 
 /*
