Put standbys into other failure domains, owners into the log's region

Cause: owner and standby of a partition were in one failure domain. Its loss takes both, and others wait 615 s before they act: a third of all limits and ids is refused for that long. A cut between regions does the same to the region that has the log.

Found on the way: after a cut, a node trusted its old configuration again as soon as it heard of a recent read of the log, before it had the version which that read had shown; up to 7 requests ran with a key withdrawn 20 s before. Its trust now counts from the last read that its own version is as of, and the entry looks at it before it takes the configuration.

Lost by it: a log outage and a cut at once stop the pairs that the cut parts (before, only the lost domain's own). A region without the log refuses what needs a limit at once, in place of after 10 s.

--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -154,6 +154,8 @@
 struct lease_member {
 	struct node_id id;
 	uint32_t domain;
+	uint32_t region;
+	int preferred; /* owners are chosen here while there are any such */
 	int alive;
 	int leaving;
 	uint64_t age_ms; /* for how long it has been alive */
--- a/src/lease/lease_decide.c
+++ b/src/lease/lease_decide.c
@@ -5,6 +5,7 @@
 
 #define DOMAINS_MAX 64
 #define DOMAIN_MATCH (UINT64_C(1) << 63)
+#define REGION_MATCH (UINT64_C(1) << 62)
 
 /* One round of decisions. */
 struct round {
@@ -19,26 +20,41 @@
 	size_t max;
 };
 
+/* Where an owner or a standby should be. */
+struct want {
+	uint32_t domain;
+	int apart; /* in any domain but that one */
+	uint32_t region;
+};
+
 static void round_domains(struct round *);
+static void add_domain(struct round *, uint32_t);
 static const struct lease_member *find(
     const struct round *, const struct node_id *);
 static int is_alive(const struct round *, const struct node_id *);
-static uint32_t home(const struct round *, uint32_t);
-static uint64_t score(uint32_t, uint32_t, const struct lease_member *);
-static const struct lease_member *pick(const struct round *, uint32_t, uint32_t,
-    uint64_t, const struct node_id *, const struct node_id *);
+static struct want home(const struct round *, uint32_t);
+static struct want apart_from(const struct lease_member *);
+static uint64_t score(
+    uint32_t, const struct want *, const struct lease_member *);
+static const struct lease_member *pick(const struct round *, uint32_t,
+    const struct want *, uint64_t, const struct node_id *,
+    const struct node_id *);
 static uint64_t rank(const struct round *, uint32_t);
 static void claim(
     struct round *, uint32_t, const struct node_id *, const struct node_id *);
 static void claim_self(struct round *, uint32_t);
 static int is_ready(const struct round *, uint32_t);
 static void name_standby(struct round *, uint32_t);
-static void leave(struct round *, uint32_t);
-static void rebalance(struct round *, uint32_t);
+static void leave(struct round *, uint32_t, const struct lease_member *);
+static int move_standby(struct round *, uint32_t, const struct lease_member *);
+static int move_owner(struct round *, uint32_t, const struct lease_member *,
+    const struct lease_member *);
+static void rebalance(struct round *, uint32_t, const struct lease_member *);
 static void decide_own(struct round *, uint32_t);
 static void decide_vacant(struct round *, uint32_t);
 static void decide_dead(struct round *, uint32_t);
 static void decide_part(struct round *, uint32_t);
+static int in_minority(const struct round *);
 
 static const struct node_id no_node;
 
@@ -52,29 +68,46 @@
 }
 
 /*
- * Collects the distinct failure domains in ascending order, so that all
- * nodes with the same members number them alike.
+ * Adds a failure domain to those of the round, in ascending order.
+ */
+static void
+add_domain(struct round *r, uint32_t domain)
+{
+	size_t j;
+
+	for (j = 0; j < r->domain_count; j++)
+		if (r->domains[j] >= domain)
+			break;
+	if ((j < r->domain_count && r->domains[j] == domain) ||
+	    r->domain_count == DOMAINS_MAX)
+		return;
+	memmove(&r->domains[j + 1], &r->domains[j],
+	    (r->domain_count - j) * sizeof(r->domains[0]));
+	r->domains[j] = domain;
+	r->domain_count++;
+}
+
+/*
+ * Collects the distinct failure domains that may hold owners, so that all
+ * nodes with the same members number them alike: those with live members
+ * that are preferred, or with any if there are none.
  */
 static void
 round_domains(struct round *r)
 {
 	const struct lease_member *m;
-	size_t i, j;
+	size_t i;
 
 	for (i = 0; i < r->in->count; i++) {
 		m = &r->in->members[i];
-		if (!m->alive || r->domain_count == DOMAINS_MAX)
-			continue;
-		for (j = 0; j < r->domain_count; j++)
-			if (r->domains[j] >= m->domain)
-				break;
-		if (j < r->domain_count && r->domains[j] == m->domain)
-			continue;
-		memmove(&r->domains[j + 1], &r->domains[j],
-		    (r->domain_count - j) * sizeof(r->domains[0]));
-		r->domains[j] = m->domain;
-		r->domain_count++;
+		if (m->alive && m->preferred)
+			add_domain(r, m->domain);
 	}
+	if (r->domain_count > 0)
+		return;
+	for (i = 0; i < r->in->count; i++)
+		if (r->in->members[i].alive)
+			add_domain(r, r->in->members[i].domain);
 }
 
 /*
@@ -103,28 +136,43 @@
 }
 
 /*
- * Returns the failure domain in which a partition's owner should be.
+ * Returns where a partition's owner should be.
  */
-static uint32_t
+static struct want
 home(const struct round *r, uint32_t part)
 {
 	uint32_t group = part / LEASE_GROUP_PARTS;
+	struct want w = { .domain = r->domains[group % r->domain_count] };
+
+	return w;
+}
+
+/*
+ * Returns where an owner's standby should be: in another failure domain, so
+ * that the loss of one leaves either, but in the same region.
+ */
+static struct want
+apart_from(const struct lease_member *owner)
+{
+	struct want w = { owner->domain, 1, owner->region };
 
-	return r->domains[group % r->domain_count];
+	return w;
 }
 
 /*
- * Weighs a member for a partition: rendezvous hashing within the wanted
- * failure domain first.
+ * Weighs a member for a partition: by where it should be first, then by
+ * rendezvous hashing.
  */
 static uint64_t
-score(uint32_t part, uint32_t domain, const struct lease_member *m)
+score(uint32_t part, const struct want *w, const struct lease_member *m)
 {
 	uint64_t key[4] = { part, m->id.addr, m->id.rpc_port,
 		m->id.incarnation };
-	uint64_t h = XXH3_64bits(key, sizeof(key)) >> 1;
+	uint64_t h = XXH3_64bits(key, sizeof(key)) >> 2;
 
-	return m->domain == domain ? h | DOMAIN_MATCH : h;
+	if ((m->domain == w->domain) != w->apart)
+		h |= DOMAIN_MATCH;
+	return m->region == w->region ? h | REGION_MATCH : h;
 }
 
 /*
@@ -132,8 +180,8 @@
  * NULL.
  */
 static const struct lease_member *
-pick(const struct round *r, uint32_t part, uint32_t domain, uint64_t age_ms,
-    const struct node_id *not1, const struct node_id *not2)
+pick(const struct round *r, uint32_t part, const struct want *w,
+    uint64_t age_ms, const struct node_id *not1, const struct node_id *not2)
 {
 	const struct lease_member *m, *best = NULL;
 	uint64_t s, top = 0;
@@ -144,7 +192,7 @@
 		if (!m->alive || m->leaving || m->age_ms < age_ms ||
 		    nodeid_equal(&m->id, not1) || nodeid_equal(&m->id, not2))
 			continue;
-		s = score(part, domain, m);
+		s = score(part, w, m);
 		if (best == NULL || s > top) {
 			best = m;
 			top = s;
@@ -159,14 +207,14 @@
 static uint64_t
 rank(const struct round *r, uint32_t part)
 {
-	uint32_t domain = home(r, part);
-	uint64_t own = score(part, domain, r->self), n = 0;
+	struct want w = home(r, part);
+	uint64_t own = score(part, &w, r->self), n = 0;
 	const struct lease_member *m;
 	size_t i;
 
 	for (i = 0; i < r->in->count; i++) {
 		m = &r->in->members[i];
-		if (m->alive && !m->leaving && score(part, domain, m) > own)
+		if (m->alive && !m->leaving && score(part, &w, m) > own)
 			n++;
 	}
 	return n;
@@ -194,14 +242,15 @@
 }
 
 /*
- * Claims a partition for this node, with the best standby in its domain.
+ * Claims a partition for this node, with the best standby.
  */
 static void
 claim_self(struct round *r, uint32_t part)
 {
+	const struct want w = apart_from(r->self);
 	const struct lease_member *m;
 
-	m = pick(r, part, r->self->domain, 0, &r->t->self, &no_node);
+	m = pick(r, part, &w, 0, &r->t->self, &no_node);
 	claim(r, part, &r->t->self, m != NULL ? &m->id : &no_node);
 }
 
@@ -221,9 +270,10 @@
 name_standby(struct round *r, uint32_t part)
 {
 	const struct lease_entry *e = &r->t->part[part];
+	const struct want w = apart_from(r->self);
 	const struct lease_member *m;
 
-	m = pick(r, part, r->self->domain, 0, &r->t->self, &e->standby);
+	m = pick(r, part, &w, 0, &r->t->self, &e->standby);
 	if (m != NULL)
 		claim(r, part, &r->t->self, &m->id);
 }
@@ -232,51 +282,78 @@
  * Hands an own partition to its standby before a planned stop.
  */
 static void
-leave(struct round *r, uint32_t part)
+leave(struct round *r, uint32_t part, const struct lease_member *standby)
 {
 	const struct lease_entry *e = &r->t->part[part];
+	const struct want w = apart_from(standby);
 	const struct lease_member *m;
 
 	if (!is_ready(r, part))
 		return;
-	m = pick(r, part, home(r, part), 0, &r->t->self, &e->standby);
+	m = pick(r, part, &w, 0, &r->t->self, &e->standby);
 	claim(r, part, &e->standby, m != NULL ? &m->id : &no_node);
 }
 
 /*
- * Moves an own partition a step towards the member that rendezvous hashing
- * prefers: first that one becomes the standby, then the owner.
+ * Names a standby in another failure domain where the present one is in the
+ * own and a better one can be had.  Returns 1 if it did.
+ */
+static int
+move_standby(struct round *r, uint32_t part, const struct lease_member *standby)
+{
+	const struct want w = apart_from(r->self);
+	const struct lease_member *m;
+
+	if (standby->domain != r->self->domain)
+		return 0;
+	m = pick(r, part, &w, LEASE_STABLE_MS, &r->t->self, &no_node);
+	if (m == NULL || m->domain == r->self->domain)
+		return 0;
+	claim(r, part, &r->t->self, &m->id);
+	return 1;
+}
+
+/*
+ * Moves an own partition a step towards the member that should own it: first
+ * that one becomes the standby, then the owner.  Returns 1 if it did.
+ */
+static int
+move_owner(struct round *r, uint32_t part, const struct lease_member *to,
+    const struct lease_member *standby)
+{
+	if (to != standby)
+		claim(r, part, &r->t->self, &to->id);
+	else if (is_ready(r, part))
+		claim(r, part, &to->id, &r->t->self);
+	else
+		return 0;
+	return 1;
+}
+
+/*
+ * Moves an own partition a step, but one at a time, to where it should be.
+ * With a whole domain gone, owners stay until it is back.
  */
 static void
-rebalance(struct round *r, uint32_t part)
+rebalance(struct round *r, uint32_t part, const struct lease_member *standby)
 {
 	const struct lease_entry *e = &r->t->part[part];
-	const struct lease_member *m, *s;
+	const struct lease_member *m;
 	uint64_t now = r->in->now_ms;
-	uint32_t domain;
+	struct want w = home(r, part);
+	int moved;
 
 	if ((r->d->moved && now - r->d->moved_ms < LEASE_REBALANCE_MS) ||
 	    now - e->seen_ms < LEASE_REBALANCE_MS)
 		return;
-	/* With a whole domain gone, leases stay until it is back. */
-	domain =
-	    r->domain_count < LEASE_GROUPS ? r->self->domain : home(r, part);
-	m = pick(r, part, domain, LEASE_STABLE_MS, &no_node, &no_node);
+	if (r->domain_count < LEASE_GROUPS)
+		w.domain = r->self->domain;
+	m = pick(r, part, &w, LEASE_STABLE_MS, &no_node, &no_node);
 	if (m == NULL)
 		return;
-	s = find(r, &e->standby);
-	if (m == r->self) {
-		m = pick(r, part, r->self->domain, LEASE_STABLE_MS, &r->t->self,
-		    &no_node);
-		if (m == NULL || s == NULL || s->domain == m->domain ||
-		    m->domain != r->self->domain)
-			return;
-		claim(r, part, &r->t->self, &m->id);
-	} else if (m != s)
-		claim(r, part, &r->t->self, &m->id);
-	else if (is_ready(r, part))
-		claim(r, part, &m->id, &r->t->self);
-	else
+	moved = m == r->self ? move_standby(r, part, standby)
+			     : move_owner(r, part, m, standby);
+	if (!moved)
 		return;
 	r->d->moved = 1;
 	r->d->moved_ms = now;
@@ -294,9 +371,9 @@
 	if (s == NULL || !s->alive || s->leaving)
 		name_standby(r, part);
 	else if (r->d->stopping)
-		leave(r, part);
+		leave(r, part, s);
 	else
-		rebalance(r, part);
+		rebalance(r, part, s);
 }
 
 /*
@@ -369,9 +446,29 @@
 		decide_dead(r, part);
 }
 
+/*
+ * Tells whether this node sees less than half of the members.  Cut off with
+ * its domain, but not from the log, it would take leases to where most can't
+ * reach them.
+ */
+static int
+in_minority(const struct round *r)
+{
+	const struct lease_member *m;
+	size_t i, known = 0, alive = 0;
+
+	for (i = 0; i < r->in->count; i++) {
+		m = &r->in->members[i];
+		known += m->alive || !m->leaving;
+		alive += m->alive != 0;
+	}
+	return alive * 2 < known;
+}
+
 /*
  * Decides which claims this node should append now, at most max of them.
- * Nothing is decided on a table that isn't fresh.  The members must include
+ * Nothing is decided on a table that isn't fresh, or without half of the
+ * members.  The members must include
  * this node.  Returns how many claims were written to out.
  */
 size_t
@@ -386,7 +483,7 @@
 		return 0;
 	r.self = find(&r, &t->self);
 	round_domains(&r);
-	if (r.self == NULL || r.domain_count == 0)
+	if (r.self == NULL || r.domain_count == 0 || in_minority(&r))
 		return 0;
 	for (part = 0; part < LEASE_PARTS; part++)
 		decide_part(&r, part);
--- a/src/lease/test_lease.c
+++ b/src/lease/test_lease.c
@@ -439,6 +439,7 @@
 		for (j = 0; j < 6; j++) {
 			m[j].id = node((int)j + 1);
 			m[j].domain = (uint32_t)(j / 2);
+			m[j].region = m[j].preferred = 1;
 			m[j].alive = (int)j + 1 != cases[i].dead &&
 				     (int)j + 1 != cases[i].dead2;
 			m[j].leaving = (int)j + 1 == cases[i].leaving;
@@ -476,12 +477,48 @@
 	}
 }
 
+/*
+ * A standby that sees its owner dead takes over if it sees at least half of
+ * the members, and else claims nothing.
+ */
+static void
+test_minority(void **state)
+{
+	struct lease_member m[6];
+	struct lease_inputs in = { m, 6, NULL, NULL, 1000 };
+	struct lease_decider d;
+	struct lease_table t;
+	struct lease_claim c[LEASE_PARTS];
+	int alive, i;
+
+	(void)state;
+	for (alive = 1; alive <= 5; alive++) {
+		for (i = 0; i < 6; i++) {
+			m[i].id = node(i + 1);
+			m[i].domain = (uint32_t)(i / 2);
+			m[i].region = m[i].preferred = 1;
+			m[i].alive = i != 0 && i <= alive;
+			m[i].leaving = 0;
+			m[i].age_ms = 1000;
+		}
+		lease_init(&t, &m[1].id, LONG_MS);
+		c[0] = make(0, 1, 1, 2);
+		put(&t, &c[0], 1);
+		lease_decider_init(&d);
+		lease_read_proof(&t, 1000);
+		assert_int_equal(
+		    lease_decide(&d, &t, &in, c, LEASE_PARTS), alive >= 3);
+		lease_finish(&t);
+	}
+}
+
 /*
  * Members that decide by turns give every partition one owner, in the
- * failure domain of its group, with a standby in the same one.
+ * failure domain of its group, and a standby in another domain of its region.
+ * Owners are in the preferred region, if there is one.
  */
 static void
-test_cold_start(void **state)
+cold_start(int preferred)
 {
 	struct lease_member m[6];
 	struct lease_inputs in = { m, 6, NULL, NULL, 1000 };
@@ -489,12 +526,13 @@
 	struct lease_table t[6];
 	struct lease_claim c[LEASE_PARTS];
 	size_t i, j, k, n;
-	uint32_t owner, standby;
+	uint32_t owner, standby, domain;
 
-	(void)state;
 	for (i = 0; i < 6; i++) {
 		m[i].id = node((int)i + 1);
 		m[i].domain = (uint32_t)(i / 2);
+		m[i].region = 1 + (i < 4);
+		m[i].preferred = preferred && i < 4;
 		m[i].alive = 1;
 		m[i].leaving = 0;
 		m[i].age_ms = LEASE_STABLE_MS;
@@ -522,8 +560,11 @@
 	for (i = 0; i < LEASE_PARTS; i++) {
 		owner = t[0].part[i].owner.addr - 0x7f000001;
 		standby = t[0].part[i].standby.addr - 0x7f000001;
-		assert_int_equal(m[owner].domain, i / LEASE_GROUP_PARTS);
-		assert_int_equal(m[standby].domain, i / LEASE_GROUP_PARTS);
+		domain = i / LEASE_GROUP_PARTS % (preferred ? 2 : 3);
+		assert_int_equal(m[owner].domain, domain);
+		assert_int_not_equal(m[standby].domain, domain);
+		if (domain < 2)
+			assert_int_equal(m[standby].region, m[owner].region);
 	}
 	in.now_ms += 500;
 	for (i = 0; i < 6; i++) {
@@ -533,6 +574,17 @@
 	}
 }
 
+/*
+ * A cold start with and without a preferred region.
+ */
+static void
+test_cold_start(void **state)
+{
+	(void)state;
+	cold_start(0);
+	cold_start(1);
+}
+
 int
 main(void)
 {
@@ -547,6 +599,7 @@
 		cmocka_unit_test(test_reset),
 		cmocka_unit_test(test_bad_records),
 		cmocka_unit_test(test_decisions),
+		cmocka_unit_test(test_minority),
 		cmocka_unit_test(test_cold_start),
 	};
 
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -97,8 +97,10 @@
 	uint64_t generation;
 	uint64_t built_ms;
 	uint64_t log_read_ms; /* latest known read of the log by anybody */
+	uint64_t current_ms;  /* latest that the own configuration is as of */
 	uint64_t fresh_ms;    /* age of such a read that still counts */
-	uint64_t config_version;
+	uint64_t config_version; /* latest known of */
+	int behind;		 /* the own one is an earlier one */
 	uint32_t known; /* members that haven't left, this node included */
 	uint32_t alive; /* of those, the ones that answer */
 	uint32_t probed;
--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -155,6 +155,8 @@
 	int64_t gossip_budget; /* bytes for changes in messages */
 	int64_t page_budget;   /* bytes for pages of the table */
 	uint64_t log_read_ms;
+	uint64_t
+	    current_ms; /* latest such read that the own version is as of */
 	uint64_t config_version;
 	uint64_t config_asked_ms;
 	uint32_t config_addr;
@@ -210,6 +212,7 @@
 void member_sync_answer(
     struct member_table *, uint64_t, const struct member_message *);
 
+void member_note_log_read(struct member_table *, uint64_t);
 void member_ask_config(struct member_table *, uint64_t);
 void member_window_add(struct member_table *, uint64_t, int);
 void member_window_sum(
--- a/src/member/member_receive.c
+++ b/src/member/member_receive.c
@@ -109,8 +109,7 @@
 		p->used = 0;
 		member_window_add(t, now, 1);
 		if (msg->log_age_ms < p->sent_ms)
-			t->log_read_ms =
-			    MAX(t->log_read_ms, p->sent_ms - msg->log_age_ms);
+			member_note_log_read(t, p->sent_ms - msg->log_age_ms);
 		return;
 	}
 	for (i = 0; i < MEMBER_RELAYS_MAX; i++) {
@@ -202,6 +201,19 @@
 	member_ask_config(t, now);
 }
 
+/*
+ * Notes a read of the log (ms) by somebody, 0 for none.  All versions that it
+ * showed are known of here by now: a message that tells of a read tells of
+ * them too.  So if the own version is none earlier, it is as of that read.
+ */
+void
+member_note_log_read(struct member_table *t, uint64_t read_ms)
+{
+	t->log_read_ms = MAX(t->log_read_ms, read_ms);
+	if (t->slots[t->self].info.config_version >= t->config_version)
+		t->current_ms = t->log_read_ms;
+}
+
 /*
  * Reports that another node has a later configuration, now and then as long
  * as it is so.
--- a/src/member/member_service.c
+++ b/src/member/member_service.c
@@ -381,6 +381,7 @@
 		t->config_addr = own->id.addr;
 		t->config_peer_port = own->peer_port;
 	}
+	member_note_log_read(t, 0);
 	pthread_mutex_unlock(&ms->lock);
 }
 
@@ -391,7 +392,7 @@
 member_set_log_read(struct member_service *ms, uint64_t sent)
 {
 	pthread_mutex_lock(&ms->lock);
-	ms->table->log_read_ms = MAX(ms->table->log_read_ms, sent);
+	member_note_log_read(ms->table, sent);
 	pthread_mutex_unlock(&ms->lock);
 }
 
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -101,6 +101,8 @@
 	v->generation = generation;
 	v->built_ms = now;
 	v->log_read_ms = t->log_read_ms;
+	v->current_ms = t->current_ms;
+	v->behind = self->config_version < t->config_version;
 	v->fresh_ms = t->fresh_ms;
 	v->config_version = t->config_version;
 	v->alive = t->alive;
@@ -171,18 +173,19 @@
 }
 
 /*
- * Tells whether this node may trust its configuration: the log was read by
- * somebody recently enough, as far as it knows, or it hears from more
- * than half of the members.  What it hears is judged by the table, where
+ * Tells whether this node may trust its configuration: it was the latest when
+ * the log was read by somebody recently enough, as far as this node knows, or
+ * it is the latest known of and this node hears from more than half of the
+ * members.  What it hears is judged by the table, where
  * others' probes count too, and by its own probes of the last seconds, since
  * alone it would notice only slowly that many are gone.
  */
 int
 member_fresh(const struct member_view *v, uint64_t now)
 {
-	if (v->log_read_ms != 0 && now - v->log_read_ms < v->fresh_ms)
+	if (v->current_ms != 0 && now - v->current_ms < v->fresh_ms)
 		return 1;
-	if (now - v->built_ms >= MEMBER_VIEW_STALE_MS)
+	if (v->behind || now - v->built_ms >= MEMBER_VIEW_STALE_MS)
 		return 0;
 	if (v->alive * 2 <= v->known)
 		return 0;
--- a/src/member/test_table.c
+++ b/src/member/test_table.c
@@ -307,17 +307,21 @@
 		uint64_t view_age;
 		uint32_t known, alive, probed, answered;
 		int want;
+		int behind;
 	} rows[] = {
-		{ 9999, 0, 10, 1, 50, 0, 1 },
-		{ 10000, 0, 10, 5, 50, 50, 0 },
-		{ 10000, 0, 10, 6, 50, 26, 1 },
-		{ 10000, 0, 10, 6, 50, 25, 0 },
-		{ 10000, 2000, 10, 6, 50, 50, 0 },
-		{ 0, 0, 10, 10, 50, 50, 1 },
-		{ 0, 0, 10, 10, 0, 0, 0 },
-		{ 0, 0, 1, 1, 0, 0, 1 },
-		{ 0, 0, 2, 1, 0, 0, 0 },
-		{ 0, 0, 2, 1, 50, 50, 0 },
+		{ 9999, 0, 10, 1, 50, 0, 1, 0 },
+		{ 10000, 0, 10, 5, 50, 50, 0, 0 },
+		{ 10000, 0, 10, 6, 50, 26, 1, 0 },
+		{ 10000, 0, 10, 6, 50, 25, 0, 0 },
+		{ 10000, 2000, 10, 6, 50, 50, 0, 0 },
+		{ 0, 0, 10, 10, 50, 50, 1, 0 },
+		{ 0, 0, 10, 10, 0, 0, 0, 0 },
+		{ 0, 0, 1, 1, 0, 0, 1, 0 },
+		{ 0, 0, 2, 1, 0, 0, 0, 0 },
+		{ 0, 0, 2, 1, 50, 50, 0, 0 },
+		{ 9999, 0, 10, 1, 50, 0, 1, 1 },
+		{ 10000, 0, 10, 6, 50, 26, 0, 1 },
+		{ 0, 0, 10, 10, 50, 50, 0, 1 },
 	};
 	struct member_view v = { .fresh_ms = MEMBER_FRESH_MS };
 	uint64_t now = 100000;
@@ -325,8 +329,8 @@
 
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
-		v.log_read_ms =
-		    rows[i].log_age == 0 ? 0 : now - rows[i].log_age;
+		v.current_ms = rows[i].log_age == 0 ? 0 : now - rows[i].log_age;
+		v.behind = rows[i].behind;
 		v.built_ms = now - rows[i].view_age;
 		v.known = rows[i].known;
 		v.alive = rows[i].alive;
@@ -337,6 +341,32 @@
 	}
 }
 
+/*
+ * A node that hears of a read of the log and of a later version than its own
+ * is as of no later read than before, until it has that version.
+ */
+static void
+test_behind(void **state)
+{
+	struct net net;
+	struct member_table *t;
+
+	(void)state;
+	net_init(&net, 1, 18);
+	t = &net.nodes[0].table;
+	t->slots[t->self].info.config_version = t->config_version = 4;
+	member_note_log_read(t, 1000);
+	assert_int_equal(t->current_ms, 1000);
+	t->config_version = 5;
+	member_note_log_read(t, 50000);
+	assert_int_equal(t->log_read_ms, 50000);
+	assert_int_equal(t->current_ms, 1000);
+	t->slots[t->self].info.config_version = 5;
+	member_note_log_read(t, 0);
+	assert_int_equal(t->current_ms, 50000);
+	net_finish(&net);
+}
+
 /*
  * A node that is cut off alone stops trusting its configuration within ten
  * seconds of the last word, also among many members, and doesn't start again
@@ -463,6 +493,7 @@
 		cmocka_unit_test(test_leave),
 		cmocka_unit_test(test_log_age_and_config),
 		cmocka_unit_test(test_fresh),
+		cmocka_unit_test(test_behind),
 		cmocka_unit_test(test_fresh_alone),
 		cmocka_unit_test(test_fuzz_messages),
 		cmocka_unit_test(test_view),
--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -9,12 +9,23 @@
 #define DOMAINS_MAX 64
 
 /*
- * Gives a failure domain the number by which leases know it.
+ * Gives a failure domain or region the number by which leases know it.
  */
 static uint32_t
-domain_number(const char *domain)
+number_of(const char *name)
 {
-	return (uint32_t)XXH3_64bits(domain, strlen(domain));
+	return (uint32_t)XXH3_64bits(name, strlen(name)) | 1;
+}
+
+/*
+ * Tells whether leases should have their owners in a region.
+ */
+static int
+is_lease_region(const struct node *n, const char *region)
+{
+	const char *want = n->settings.lease_region;
+
+	return want[0] == '\0' || strcmp(want, region) == 0;
 }
 
 /*
@@ -34,7 +45,9 @@
 	for (i = 0; i < v->len && count < max; i++) {
 		m = &v->list[i];
 		out[count].id = m->id;
-		out[count].domain = domain_number(m->domain);
+		out[count].domain = number_of(m->domain);
+		out[count].region = number_of(m->region);
+		out[count].preferred = is_lease_region(n, m->region);
 		out[count].alive =
 		    m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
 		out[count].leaving =
@@ -54,17 +67,18 @@
 static uint32_t
 own_group(struct node *n)
 {
-	uint32_t own = domain_number(n->settings.domain), d[DOMAINS_MAX], x;
+	uint32_t own = number_of(n->settings.domain), d[DOMAINS_MAX], x;
 	const struct member_view *v;
 	uint32_t count = 0, rank = 0, i, j;
 
 	rcu_read_lock();
 	v = member_view_get(&n->member);
 	for (i = 0; i < v->len && count < DOMAINS_MAX; i++) {
-		x = domain_number(v->list[i].domain);
+		x = number_of(v->list[i].domain);
 		for (j = 0; j < count && d[j] != x; j++)
 			;
-		if (j < count || v->list[i].state != MEMBER_ALIVE)
+		if (j < count || v->list[i].state != MEMBER_ALIVE ||
+		    !is_lease_region(n, v->list[i].region))
 			continue;
 		d[count++] = x;
 		if (x < own)
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -55,14 +55,14 @@
  * Checks a caller's key on a route that needs one.
  */
 static enum reason
-check_key(struct call *c, const struct config *conf)
+check_key(struct call *c, const struct config *conf, int known)
 {
 	const struct config_key *k;
 	const struct config_ws *w;
 
 	if (c->route.open)
 		return REASON_NONE;
-	if (!keys_known(c))
+	if (!known)
 		return REASON_STALE_CONFIG;
 	k = c->req->key[0] != '\0' ? config_key_find(conf, c->req->key) : NULL;
 	if (k == NULL)
@@ -218,13 +218,16 @@
 	struct call *c = call_new(n, r);
 	const struct config *conf;
 	enum reason why;
+	int known;
 
 	counter_add(CTR_REQ_ENTRY, 1);
 	rcu_read_lock();
+	/* First: what is trusted must not be older than the trust. */
+	known = keys_known(c);
 	conf = config_current(&n->config);
 	why = find_route(c, conf);
 	if (why == REASON_NONE)
-		why = check_key(c, conf);
+		why = check_key(c, conf, known);
 	rcu_read_unlock();
 	c->cx.root = rand_u64();
 	retry_chain_init(&c->chain, c->route.retries);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -67,6 +67,7 @@
 	uint32_t advertise_rpc_port;
 	char domain[SETTINGS_NAME_BYTES];
 	char region[SETTINGS_NAME_BYTES];
+	char lease_region[SETTINGS_NAME_BYTES]; /* empty: any */
 	char log_url[SETTINGS_NAME_BYTES];
 	struct settings_peers seed_peers;
 	struct settings_secret secret;
--- a/src/settings/table.h
+++ b/src/settings/table.h
@@ -48,7 +48,7 @@
 	const char *word;
 };
 
-#define SETTINGS_ROWS 27
+#define SETTINGS_ROWS 28
 #define SETTINGS_WHY_BYTES 160 /* bytes of a reason with its NUL */
 
 extern const struct row settings_rows[SETTINGS_ROWS];
