Give back the token of a request that did not run

Cause, as far as seen: a request of a small workspace within its rate was charged, an exit shed it unrun, its caller sent it again within 90 ms, and the next attempt found a bucket of burst 2 empty.

The entry reports a loan again with one more unspent token when a request charged to it ended unrun; reports name totals, so repeats and overtaken ones change nothing, and no message changes. The owner keeps a reported loan's spent tokens as credit, with level + outstanding + credit <= burst; credit gives way to what flows in, so no window has more than rate x window + burst that ran. A new tenure knows no old loan. The check against a level told from further down now comes before the charge, too.

Ruled out: giving back whenever the bucket has not been at its cap since the debit.

Tests: limits_admit() now names the loan charged in place of a count that was always one; calls in tests follow. New: test_bucket_refunds, test_fleet_refunds, test_fleet_refunds_late.

--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -83,7 +83,8 @@
 void limits_init(struct limits *, const struct limits_config *);
 void limits_finish(struct limits *);
 enum limits_verdict limits_admit(
-    struct limits *, const struct limits_ws *, uint32_t, uint32_t *);
+    struct limits *, const struct limits_ws *, uint64_t *, uint32_t *);
+void limits_refund(struct limits *, const struct limits_ws *, uint64_t);
 void limits_maintain(struct limits *);
 void limits_dump(struct limits *, FILE *);
 
--- a/src/limits/limits.x
+++ b/src/limits/limits.x
@@ -9,7 +9,10 @@
 	LIMITS_NO_WORKSPACE = 3	/* not in the owner's configuration */
 };
 
-/* What became of a loan: these tokens were not spent, the others were. */
+/*
+ * What became of a loan: so many tokens were not spent, the others were.  May
+ * be told again with more, if a request that had spent one did not run.
+ */
 struct limits_report {
 	unsigned hyper loan;
 	unsigned int unspent;
--- a/src/limits/limits_bucket.c
+++ b/src/limits/limits_bucket.c
@@ -7,14 +7,17 @@
 
 #define TOKEN_NT INT64_C(1000000000)
 #define MILLI 1000.0
-#define RATE_MAX 1e9	/* requests a second */
-#define LOANS_MIN 8	/* places of a new ring */
-#define LOANS_MAX 65536 /* loans of one bucket */
+#define RATE_MAX 1e9	  /* requests a second */
+#define LOANS_MIN 8	  /* places of a new ring */
+#define LOANS_MAX 65536	  /* loans of one bucket */
+#define CREDIT_US 1000000 /* after a loan's expiry, to give tokens back */
 #define WAIT_MAX_US UINT64_C(3600000000)
 #define SPARE_SHARE 4 /* of what is left, that a prefetch gets */
 
 static void fill_until(struct limits_bucket *, uint64_t);
 static void clamp(struct limits_bucket *);
+static void forfeit(struct limits_bucket *);
+static void drop_oldest(struct limits_bucket *);
 static struct limits_loan *loan_at(const struct limits_bucket *, size_t);
 static int loan_push(struct limits_bucket *, uint64_t, uint32_t, uint64_t);
 
@@ -105,7 +108,41 @@
 }
 
 /*
- * Keeps level + outstanding within the burst.
+ * Takes credit from the oldest loans until all is within the burst.
+ */
+static void
+forfeit(struct limits_bucket *b)
+{
+	int64_t excess =
+	    b->level_nt + b->credit_nt -
+	    ((int64_t)b->share.burst - (int64_t)b->outstanding) * TOKEN_NT;
+	struct limits_loan *l;
+	int64_t part;
+	size_t i;
+
+	for (i = 0; i < b->count && excess > 0 && b->credit_nt > 0; i++) {
+		l = loan_at(b, i);
+		part = l->credit_nt < excess ? l->credit_nt : excess;
+		l->credit_nt -= part;
+		b->credit_nt -= part;
+		excess -= part;
+	}
+}
+
+/*
+ * Forgets the oldest loan, which must be settled.
+ */
+static void
+drop_oldest(struct limits_bucket *b)
+{
+	b->credit_nt -= loan_at(b, 0)->credit_nt;
+	b->head = (b->head + 1) & (b->cap - 1);
+	b->count--;
+	b->settled--;
+}
+
+/*
+ * Keeps level + outstanding + credit within the burst.
  */
 static void
 clamp(struct limits_bucket *b)
@@ -116,6 +153,7 @@
 		room = 0;
 	if (b->level_nt > room * TOKEN_NT)
 		b->level_nt = room * TOKEN_NT;
+	forfeit(b);
 }
 
 /*
@@ -150,17 +188,23 @@
 {
 	struct limits_loan *l;
 
-	while (b->count > 0) {
-		l = loan_at(b, 0);
-		if (l->tokens > 0 && l->expire_us > now_us)
+	for (; b->settled < b->count; b->settled++) {
+		l = loan_at(b, b->settled);
+		if (l->tokens == 0)
+			continue;
+		if (l->expire_us > now_us)
 			break;
-		if (l->tokens > 0)
-			fill_until(b, l->expire_us);
+		fill_until(b, l->expire_us);
 		b->outstanding -= l->tokens;
-		b->head = (b->head + 1) & (b->cap - 1);
-		b->count--;
+		l->tokens = 0;
 	}
 	fill_until(b, now_us);
+	while (b->settled > 0) {
+		l = loan_at(b, 0);
+		if (l->credit_nt > 0 && l->expire_us + CREDIT_US > now_us)
+			break;
+		drop_oldest(b);
+	}
 }
 
 /*
@@ -191,6 +235,8 @@
 	struct limits_loan *fresh;
 	size_t cap, i;
 
+	if (b->count == LOANS_MAX && b->settled > 0)
+		drop_oldest(b);
 	if (b->count == b->cap) {
 		cap = b->cap == 0 ? LOANS_MIN : b->cap * 2;
 		if (cap > LOANS_MAX)
@@ -207,7 +253,8 @@
 	}
 	if (b->count > 0 && loan_at(b, b->count - 1)->expire_us > expire_us)
 		expire_us = loan_at(b, b->count - 1)->expire_us;
-	*loan_at(b, b->count++) = (struct limits_loan){ id, expire_us, tokens };
+	*loan_at(b, b->count++) =
+	    (struct limits_loan){ id, expire_us, tokens, 0, 0 };
 	return 0;
 }
 
@@ -224,7 +271,7 @@
 	size_t i;
 
 	bucket_refill(b, now_us);
-	for (i = b->count; i > 0; i--)
+	for (i = b->count; i > b->settled; i--)
 		if (loan_at(b, i - 1)->id == id)
 			return loan_at(b, i - 1)->tokens;
 	level = (uint64_t)(b->level_nt / TOKEN_NT);
@@ -241,30 +288,41 @@
 }
 
 /*
- * Ends a loan: so many of its tokens were not spent and go back.  Returns
- * 0, or -1 if there is no such loan, or it was reported or has lapsed.
+ * Ends a loan: so many of its tokens were not spent and go back.  Later
+ * reports may name more, spent on requests that were then refused unrun;
+ * these go back as far as the loan has credit.  Repeated and overtaken
+ * reports change nothing.  Returns 0, or -1 if nothing changed or there is
+ * no such loan.
  */
 int
 bucket_report(
     struct limits_bucket *b, uint64_t id, uint32_t unspent, uint64_t now_us)
 {
-	struct limits_loan *l;
+	struct limits_loan *l = NULL;
+	int64_t back;
 	size_t i;
 
 	bucket_refill(b, now_us);
-	for (i = b->count; i > 0; i--) {
-		l = loan_at(b, i - 1);
-		if (l->id != id || l->tokens == 0)
-			continue;
-		if (unspent > l->tokens)
-			unspent = l->tokens;
+	for (i = b->count; i > 0 && l == NULL; i--)
+		if (loan_at(b, i - 1)->id == id)
+			l = loan_at(b, i - 1);
+	if (l == NULL || (l->tokens == 0 && unspent <= l->unspent))
+		return -1;
+	if (l->tokens > 0) {
 		b->outstanding -= l->tokens;
-		b->level_nt += (int64_t)unspent * TOKEN_NT;
+		l->credit_nt = (int64_t)l->tokens * TOKEN_NT;
+		b->credit_nt += l->credit_nt;
 		l->tokens = 0;
-		clamp(b);
-		return 0;
 	}
-	return -1;
+	back = (int64_t)(unspent - l->unspent) * TOKEN_NT;
+	if (back > l->credit_nt)
+		back = l->credit_nt;
+	l->unspent = unspent;
+	l->credit_nt -= back;
+	b->credit_nt -= back;
+	b->level_nt += back;
+	clamp(b);
+	return 0;
 }
 
 /*
--- a/src/limits/limits_bucket.h
+++ b/src/limits/limits_bucket.h
@@ -15,22 +15,28 @@
 struct limits_loan {
 	uint64_t id;
 	uint64_t expire_us;
-	uint32_t tokens; /* 0: reported */
+	uint32_t tokens;   /* outstanding; 0: reported or lapsed */
+	uint32_t unspent;  /* as reported so far */
+	int64_t credit_nt; /* of its spent tokens, what may still go back */
 };
 
 /*
- * A token bucket with loans.  level + outstanding <= burst at all times, so
- * what is spent in any window is at most burst + rate x window.
+ * A token bucket with loans.  level + outstanding + credit <= burst at all
+ * times, so what is spent and not given back later is in any window at most
+ * burst + rate x window.  Credit gives way to what flows in, so that a spent
+ * token goes back only into room that it left.
  */
 struct limits_bucket {
 	struct limits_share share;
 	int64_t level_nt; /* billionths of a token */
 	uint64_t filled_us;
 	uint64_t outstanding;
+	int64_t credit_nt;	   /* sum over the loans */
 	struct limits_loan *loans; /* ring, by ascending expiry */
 	size_t head;
 	size_t count;
-	size_t cap; /* a power of two */
+	size_t settled; /* oldest loans that are all reported or lapsed */
+	size_t cap;	/* a power of two */
 };
 
 uint32_t limits_shards(uint32_t);
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -257,12 +257,13 @@
 
 /*
  * Decides whether a request, or a retry of one that may have run, is within
- * its workspace's limit, and charges n tokens if so.  Blocks up to ASK_MS
- * when tokens must be borrowed; one thread borrows for all that wait.  If
- * refused, *retry_ms says when (ms) to come back.
+ * its workspace's limit, and charges a token if so, of the loan that *loan
+ * then names.  Blocks up to ASK_MS when tokens must be borrowed; one thread
+ * borrows for all that wait.  If refused, *retry_ms says when (ms) to come
+ * back.
  */
 enum limits_verdict
-limits_admit(struct limits *l, const struct limits_ws *ws, uint32_t n,
+limits_admit(struct limits *l, const struct limits_ws *ws, uint64_t *loan,
     uint32_t *retry_ms)
 {
 	struct limits_entry *e = limits_entry_get(l, ws->hash);
@@ -275,10 +276,10 @@
 	*retry_ms = 1;
 	pthread_mutex_lock(&e->lock);
 	e->ws = *ws;
-	e->arrivals += n;
+	e->arrivals++;
 	for (;;) {
 		now = l->cfg.clock_us();
-		if (loans_spend(e, n, now))
+		if (loans_spend(e, loan, now))
 			break;
 		v = blocked(e, ws, now, retry_ms);
 		if (v == LIMITS_ADMIT && now >= deadline)
@@ -286,13 +287,13 @@
 		if (v != LIMITS_ADMIT)
 			break;
 		if (e->asking) {
-			e->waiting += n;
+			e->waiting++;
 			wait_got(e, deadline - now);
-			e->waiting -= n;
+			e->waiting--;
 			continue;
 		}
 		e->asking = 1;
-		need = n + e->waiting - loans_held(e, now);
+		need = 1 + e->waiting;
 		pthread_mutex_unlock(&e->lock);
 		ask_shards(l, e, ws, need, need + prefetch(e));
 		pthread_mutex_lock(&e->lock);
@@ -307,6 +308,24 @@
 	return v;
 }
 
+/*
+ * Gives back the token that a request was charged with which was then refused
+ * without having run.  What can't be given back stays spent.
+ */
+void
+limits_refund(struct limits *l, const struct limits_ws *ws, uint64_t loan)
+{
+	struct limits_entry *e = limits_entry_get(l, ws->hash);
+	int report;
+
+	pthread_mutex_lock(&e->lock);
+	loan_refund(e, loan, l->cfg.clock_us());
+	report = e->report_count > 0 && prefetch(e) == 0;
+	pthread_mutex_unlock(&e->lock);
+	if (report)
+		flush(l, e, 0);
+}
+
 /*
  * Sends reports to an owner, which may be this node.  One that is lost
  * leaves its tokens spent.
@@ -335,6 +354,7 @@
 flush(struct limits *l, struct limits_entry *e, int wait)
 {
 	limits_report reports[LIMITS_REPORTS_MAX];
+	const struct limits_ended *r;
 	limits_report_arg arg;
 	struct node_id owner;
 
@@ -344,9 +364,9 @@
 	arg.workspace = e->hash;
 	arg.reports.reports_val = reports;
 	pthread_mutex_lock(&e->lock);
-	while (e->report_count > 0) {
-		owner = e->reports[0].owner;
-		arg.part = e->reports[0].part;
+	while ((r = report_first(e)) != NULL) {
+		owner = r->owner;
+		arg.part = r->part;
 		arg.reports.reports_len =
 		    (u_int)reports_take(e, arg.part, &owner, reports);
 		pthread_mutex_unlock(&e->lock);
--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -9,8 +9,8 @@
 #define LIMITS_SINGLE_MS 150 /* life of tokens for waiting requests */
 #define LIMITS_MARGIN_MS 50  /* kept longer by the owner: clock speeds */
 
-#define LIMITS_HELD_MAX 8    /* loans that an entry holds of a workspace */
-#define LIMITS_QUEUED_MAX 16 /* reports not yet sent */
+#define LIMITS_HELD_MAX 8   /* loans that an entry holds of a workspace */
+#define LIMITS_ENDED_MAX 16 /* ended loans that it remembers */
 
 struct limits_held {
 	uint64_t id;
@@ -20,9 +20,11 @@
 	uint64_t expire_us;
 };
 
-struct limits_queued {
+/* A loan that has ended. */
+struct limits_ended {
 	struct node_id owner;
-	uint32_t part;
+	uint16_t part;
+	uint16_t queued; /* its owner is to be told what was not spent */
 	uint32_t unspent;
 	uint64_t id;
 };
@@ -35,8 +37,8 @@
 	pthread_cond_t got;
 	struct limits_ws ws;
 	struct limits_held loans[LIMITS_HELD_MAX];
-	struct limits_queued reports[LIMITS_QUEUED_MAX];
-	size_t report_count;
+	struct limits_ended ended[LIMITS_ENDED_MAX]; /* newest last */
+	size_t report_count;			     /* of them queued */
 	uint64_t report_us; /* when the oldest was queued */
 	uint64_t dry_us[LIMITS_SHARDS];
 	uint64_t down_us[LIMITS_SHARDS];
@@ -55,8 +57,10 @@
 /* limits_loans.c: the entry's lock is held */
 void loan_end(struct limits_entry *, struct limits_held *, uint64_t);
 uint32_t loans_held(struct limits_entry *, uint64_t);
-int loans_spend(struct limits_entry *, uint32_t, uint64_t);
+int loans_spend(struct limits_entry *, uint64_t *, uint64_t);
+void loan_refund(struct limits_entry *, uint64_t, uint64_t);
 void loan_keep(struct limits_entry *, const struct limits_held *, uint64_t);
+const struct limits_ended *report_first(const struct limits_entry *);
 size_t reports_take(
     struct limits_entry *, uint32_t, const struct node_id *, limits_report *);
 void demand_measure(struct limits_entry *, uint64_t);
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -27,7 +27,18 @@
 static int first_lease;
 static int down[NODES];
 static int lose_answers;
+static int lose_notices;
 static atomic_int calls;
+static _Thread_local uint64_t loan; /* of the last request admitted */
+
+/* A loan as the model of its entry sees it. */
+struct model_loan {
+	uint64_t id; /* 0: none */
+	uint64_t end_us;
+	uint32_t left; /* not spent, or spent in vain */
+	uint32_t shed; /* spent on requests that won't run */
+	int spent;
+};
 
 static uint64_t fake_clock(void);
 static struct node_id node(size_t);
@@ -117,6 +128,8 @@
 {
 	limits_report_res res;
 
+	if (lose_notices)
+		return;
 	call(ctx, to, p, arg, &res, 0);
 }
 
@@ -139,7 +152,7 @@
 	held_until_ms = UINT64_MAX;
 	tenure = 1;
 	first_lease = 1;
-	lose_answers = 0;
+	lose_answers = lose_notices = 0;
 	calls = 0;
 	memset(down, 0, sizeof(down));
 	for (i = 0; i < NODES; i++) {
@@ -228,6 +241,154 @@
 	bucket_finish(&b);
 }
 
+/*
+ * Spends one loan of the next test: some of its tokens on requests that run
+ * now, some on ones that turn out later not to have run.
+ */
+static void
+model_spend(struct model_loan *ln, struct limits_bucket *b, uint64_t t,
+    uint64_t *ran, size_t *n)
+{
+	uint32_t run = (uint32_t)random() % (ln->left + 1);
+
+	if (t < ln->end_us) {
+		while (run-- > 0) {
+			ran[(*n)++] = t;
+			ln->left--;
+		}
+		ln->shed += ln->left > 0 ? (uint32_t)random() % ln->left : 0;
+		ln->left -= ln->shed;
+	}
+	ln->spent = 1;
+	if (random() % 8 > 0)
+		bucket_report(b, ln->id, ln->left, t);
+}
+
+/*
+ * Tokens of requests that did not run go back late, in any order, some of
+ * their reports twice or overtaken; what ran stays within the limit in every
+ * window, and more runs than without.
+ */
+static void
+test_bucket_refunds(void **state)
+{
+	struct limits_ws ws = { 1, 37.5, 11, 0 };
+	static uint64_t ran[SPENT_MAX];
+	struct model_loan loans[8], *ln;
+	struct limits_share share;
+	struct limits_bucket b;
+	uint64_t t, id, back;
+	size_t n, seed;
+
+	(void)state;
+	limits_share(&ws, 0, &share);
+	for (seed = 1, back = 0; seed <= 20; seed++) {
+		srandom((unsigned int)seed);
+		bucket_init(&b, &share, 1, 0);
+		memset(loans, 0, sizeof(loans));
+		for (t = n = 0, id = 1; id < 4000;) {
+			/* Long calms fill the bucket, bursts empty it. */
+			t += (uint64_t)random() %
+			     (random() % 64 > 0 ? 2000 : 600000);
+			ln = &loans[random() % 8];
+			if (ln->id == 0) {
+				ln->id = id++;
+				ln->end_us = t + (uint64_t)random() % 100000;
+				ln->left = bucket_lend(
+				    &b, ln->id, 4, 4, t, ln->end_us);
+			} else if (!ln->spent) {
+				model_spend(ln, &b, t, ran, &n);
+			} else if (ln->shed == 0 || random() % 16 == 0) {
+				memset(ln, 0, sizeof(*ln));
+			} else {
+				ln->shed--;
+				back += bucket_report(
+					    &b, ln->id, ++ln->left, t) == 0;
+				bucket_report(&b, ln->id,
+				    ln->left - (uint32_t)random() % 2, t);
+			}
+			assert_true(
+			    b.level_nt + b.credit_nt <=
+			    ((int64_t)ws.burst - (int64_t)b.outstanding) *
+				1000000000);
+		}
+		assert_true(n > 1000);
+		check_windows(ran, n, &ws);
+		bucket_finish(&b);
+	}
+	assert_true(back > 1000);
+}
+
+/*
+ * A small workspace, each of whose requests runs at the fourth attempt, the
+ * others refused unrun by any node, is never over its rate.
+ */
+static void
+test_fleet_refunds(void **state)
+{
+	uint32_t retry;
+	size_t i;
+
+	(void)state;
+	workspace.rate = 4;
+	workspace.burst = 2;
+	for (i = 0; i < 1000; i++) {
+		struct limits *l = &nodes[(size_t)random() % NODES];
+
+		now_us += i % 4 == 0 ? 300 * MS : 60 * MS;
+		assert_int_equal(
+		    limits_admit(l, &workspace, &loan, &retry), LIMITS_ADMIT);
+		if (i % 4 < 3)
+			limits_refund(l, &workspace, loan);
+	}
+}
+
+/*
+ * Requests through all nodes at five times the rate, half of them found out
+ * later not to have run, while reports get lost and the owners' tenure ends
+ * now and then: what ran stays within the limit in every window.
+ */
+static void
+test_fleet_refunds_late(void **state)
+{
+	static uint64_t ran[SPENT_MAX];
+	struct limits *at[16] = { NULL };
+	uint64_t loans[16];
+	uint32_t retry;
+	size_t n = 0, i, k;
+
+	(void)state;
+	srandom(7);
+	workspace.burst = 11;
+	for (i = 0; i < 20000; i++) {
+		struct limits *l = &nodes[(size_t)random() % NODES];
+
+		now_us += (uint64_t)random() %
+			  (random() % 64 > 0 ? 2 * SECOND / 150 : SECOND);
+		if (i % 3000 == 2999) {
+			tenure++;
+			first_lease = 0;
+			workspace.changed_ms = now_us / MS;
+		}
+		lose_notices = random() % 8 == 0;
+		k = (size_t)random() % 16;
+		if (at[k] != NULL)
+			limits_refund(at[k], &workspace, loans[k]);
+		at[k] = NULL;
+		if (limits_admit(l, &workspace, &loan, &retry) ==
+		    LIMITS_ADMIT) {
+			if (random() % 2 == 0) {
+				at[k] = l;
+				loans[k] = loan;
+			} else
+				ran[n++] = now_us;
+		}
+		limits_maintain(&nodes[i % NODES]);
+	}
+	assert_true(n > 1000);
+	check_windows(ran, n, &workspace);
+}
+
 /*
  * Through three nodes at five times its rate, a workspace gets its limit:
  * no more in any window, and not much less in all.
@@ -242,8 +403,8 @@
 	(void)state;
 	for (i = 0; i < 3000; i++) {
 		now_us += SECOND / 150;
-		if (limits_admit(&nodes[i % NODES], &workspace, 1, &retry) ==
-		    LIMITS_ADMIT)
+		if (limits_admit(&nodes[i % NODES], &workspace, &loan,
+			&retry) == LIMITS_ADMIT)
 			spent[n++] = now_us;
 		if (i % 3 == 0)
 			limits_maintain(&nodes[i % NODES]);
@@ -275,7 +436,7 @@
 		refused = 0;
 		for (i = 0; i < 1000; i++) {
 			now_us += (uint64_t)(SECOND / (workspace.rate * 0.9));
-			if (limits_admit(&nodes[i % NODES], &workspace, 1,
+			if (limits_admit(&nodes[i % NODES], &workspace, &loan,
 				&retry) != LIMITS_ADMIT)
 				refused++;
 			limits_maintain(&nodes[(i + 1) % NODES]);
@@ -312,8 +473,8 @@
 		}
 		now_us = t;
 		level = fmin(ws->burst, level + ws->rate * gap / SECOND);
-		if (limits_admit(&nodes[spread ? random() % NODES : 0], ws, 1,
-			&retry) == LIMITS_ADMIT)
+		if (limits_admit(&nodes[spread ? random() % NODES : 0], ws,
+			&loan, &retry) == LIMITS_ADMIT)
 			level -= 1;
 		else if (level >= 1)
 			wrong++;
@@ -367,7 +528,8 @@
 	workspace.burst = 1000;
 	for (i = 0; i < 5000; i++) {
 		now_us += 2 * MS;
-		assert_int_equal(limits_admit(&nodes[0], &workspace, 1, &retry),
+		assert_int_equal(
+		    limits_admit(&nodes[0], &workspace, &loan, &retry),
 		    LIMITS_ADMIT);
 		if (i % 10 == 0)
 			limits_maintain(&nodes[0]);
@@ -389,7 +551,7 @@
 	(void)state;
 	down[1] = down[2] = 1;
 	for (i = 0; i < 40; i++)
-		if (limits_admit(&nodes[0], &workspace, 1, &retry) ==
+		if (limits_admit(&nodes[0], &workspace, &loan, &retry) ==
 		    LIMITS_ADMIT)
 			n++;
 	assert_in_range(n, 10, 13);
@@ -397,23 +559,23 @@
 	workspace.rate = 2;
 	workspace.hash = 16 * 3 + 1; /* its one shard is with node 1 */
 	began = now_us;
-	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_UNAVAILABLE);
+	assert_int_equal(limits_admit(&nodes[0], &workspace, &loan, &retry),
+	    LIMITS_UNAVAILABLE);
 	assert_in_range(now_us - began, 0, 110 * MS);
 	began = now_us;
-	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_UNAVAILABLE);
+	assert_int_equal(limits_admit(&nodes[0], &workspace, &loan, &retry),
+	    LIMITS_UNAVAILABLE);
 	assert_int_equal(now_us, began);
 	now_us += SECOND;
 	down[1] = 0;
 	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_ADMIT);
+	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
 	/* A lost answer is asked for again, and lends once. */
 	lose_answers = 1;
 	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_ADMIT);
-	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_OVER_RATE);
+	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
+	assert_int_equal(limits_admit(&nodes[0], &workspace, &loan, &retry),
+	    LIMITS_OVER_RATE);
 	assert_in_range(retry, 1, 501);
 }
 
@@ -451,20 +613,20 @@
 
 	/* What was borrowed for a dense flow lapses unspent. */
 	workspace.rate = workspace.burst = 3000;
-	limits_admit(&nodes[0], &workspace, 1, &retry);
+	limits_admit(&nodes[0], &workspace, &loan, &retry);
 	now_us += 2 * (uint64_t)SECOND;
 	for (arg.loan = 0; arg.loan < 300; arg.loan++) {
 		now_us += MS;
-		limits_admit(&nodes[0], &workspace, 1, &retry);
+		limits_admit(&nodes[0], &workspace, &loan, &retry);
 		if (arg.loan % 20 == 0)
 			limits_maintain(&nodes[0]);
 	}
 	held_until_ms = 0;
 	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_ADMIT);
+	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
 	now_us += LIMITS_LOAN_MS * MS;
-	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_UNAVAILABLE);
+	assert_int_equal(limits_admit(&nodes[0], &workspace, &loan, &retry),
+	    LIMITS_UNAVAILABLE);
 }
 
 /*
@@ -478,7 +640,8 @@
 
 	(void)state;
 	for (i = 0; i < 30; i++)
-		assert_int_equal(limits_admit(&nodes[0], &workspace, 1, &retry),
+		assert_int_equal(
+		    limits_admit(&nodes[0], &workspace, &loan, &retry),
 		    LIMITS_ADMIT);
 	now_us += 10 * (uint64_t)SECOND;
 	tenure = 2;
@@ -487,13 +650,13 @@
 		workspace.changed_ms = now_us / MS;
 	}
 	for (i = 0; i < 30; i++)
-		if (limits_admit(&nodes[0], &workspace, 1, &retry) ==
+		if (limits_admit(&nodes[0], &workspace, &loan, &retry) ==
 		    LIMITS_ADMIT)
 			n++;
 	assert_int_equal(n, 0);
 	now_us += SECOND / 5;
 	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, 1, &retry), LIMITS_ADMIT);
+	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
 }
 
 /*
@@ -507,7 +670,7 @@
 	int i;
 
 	for (i = 0; i < 200; i++)
-		if (limits_admit(&nodes[0], &workspace, 1, &retry) ==
+		if (limits_admit(&nodes[0], &workspace, &loan, &retry) ==
 		    LIMITS_ADMIT)
 			atomic_fetch_add(admitted, 1);
 	return NULL;
@@ -538,6 +701,11 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_bucket_windows),
+		cmocka_unit_test(test_bucket_refunds),
+		cmocka_unit_test_setup_teardown(
+		    test_fleet_refunds, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_fleet_refunds_late, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_fleet_overdriven, setup, teardown),
 		cmocka_unit_test_setup_teardown(
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -24,6 +24,7 @@
 	struct request *req;
 	struct config_route route;
 	struct limits_ws limit;
+	uint64_t loan; /* that a token was charged to, or 0 */
 	struct context cx;
 	struct quarantine_print print; /* of this very request */
 	uint64_t deadline_ms;
@@ -46,6 +47,8 @@
 };
 
 void call_log_refusal(const struct call *, enum outcome, enum reason);
+int call_is_doomed(struct call *);
+void call_refund(struct call *);
 void call_forward(struct call *);
 int call_choose(struct call *, struct target *, enum route_reason *);
 void call_request(const struct call *, struct admission_req *);
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -117,6 +117,8 @@
 {
 	enum route_reason why;
 
+	if (call_is_doomed(c))
+		return REASON_OVERLOAD;
 	if (call_choose(c, &c->first, &why) == -1)
 		return why == ROUTE_OVERLOAD ? REASON_OVERLOAD
 					     : REASON_NO_SERVER;
@@ -135,7 +137,7 @@
 
 	if (c->route.open)
 		return REASON_NONE;
-	v = limits_admit(&c->node->limits, &c->limit, 1, &wait);
+	v = limits_admit(&c->node->limits, &c->limit, &c->loan, &wait);
 	c->retry_ms = (int)wait;
 	return limit_reasons[v];
 }
@@ -190,6 +192,8 @@
 {
 	int wait = (c->retry_ms + MS_PER_S - 1) / MS_PER_S;
 
+	if (outcome_at_entry(why) == OUTCOME_NOT_RUN)
+		call_refund(c);
 	call_log_refusal(c, outcome_at_entry(why), why);
 	answer_refuse(c->req, outcome_at_entry(why), why, NULL,
 	    why == REASON_OVER_RATE ? wait : 0, NULL);
--- a/src/node/forward.c
+++ b/src/node/forward.c
@@ -49,8 +49,8 @@
  * Tells whether a request would be shed further down its chain, so that no
  * server needs to work on it.
  */
-static int
-is_doomed(struct call *c)
+int
+call_is_doomed(struct call *c)
 {
 	struct admission_echo *e = call_echo(c);
 	struct admission_req ar;
@@ -73,16 +73,29 @@
 static int
 charge_again(struct call *c)
 {
+	uint64_t loan;
 	uint32_t wait;
 
 	if (!c->ran || c->cx.depth > 0 || c->route.open)
 		return 0;
-	return limits_admit(&c->node->limits, &c->limit, 1, &wait) ==
+	return limits_admit(&c->node->limits, &c->limit, &loan, &wait) ==
 		       LIMITS_ADMIT
 		   ? 0
 		   : -1;
 }
 
+/*
+ * Gives back what the workspace was charged for a root request that did not
+ * run, so that its caller may come again within the rate.
+ */
+void
+call_refund(struct call *c)
+{
+	if (c->loan != 0)
+		limits_refund(&c->node->limits, &c->limit, c->loan);
+	c->loan = 0;
+}
+
 /*
  * Decides whether another attempt follows the last one, and waits before it
  * if that is the decision.
@@ -166,6 +179,8 @@
 		c->verdict.outcome = OUTCOME_MAY_HAVE_RUN;
 	else if (c->claimed)
 		once_release(&c->node->once, &c->claim);
+	if (!c->ran)
+		call_refund(c);
 	call_log_refusal(c, c->verdict.outcome, c->verdict.reason);
 	answer_refuse(
 	    c->req, c->verdict.outcome, c->verdict.reason, NULL, 0, NULL);
@@ -199,7 +214,7 @@
 	answer_init(&c->answer, c->req);
 	c->verdict.outcome = OUTCOME_NOT_RUN;
 	c->verdict.reason = REASON_OVERLOAD;
-	while (!is_doomed(c)) {
+	while (c->chosen || !call_is_doomed(c)) {
 		now = clock_ms();
 		if (now >= c->deadline_ms) {
 			c->verdict.outcome = OUTCOME_NOT_RUN;
--- a/src/once/test_fleet.c
+++ b/src/once/test_fleet.c
@@ -355,11 +355,13 @@
 	struct once_claim c;
 	struct once_key key;
 	uint32_t retry;
+	uint64_t loan;
 	uint64_t i = pick(2) ? (now_us / 4000000) % IDS : pick(IDS);
 	char id[64];
 	double v;
 
-	if (limits_admit(&n->limits, &workspace, 1, &retry) == LIMITS_ADMIT) {
+	if (limits_admit(&n->limits, &workspace, &loan, &retry) ==
+	    LIMITS_ADMIT) {
 		admits++;
 		v = (double)admits -
 		    workspace.rate * 1.006 * (double)now_us / 1e6;
--- a/tests/measure/control.c
+++ b/tests/measure/control.c
@@ -209,7 +209,7 @@
 		.find = find_ws,
 		.clock_us = fake_us };
 	struct limits_ws ws = workspace;
-	uint64_t began, i;
+	uint64_t began, i, loan;
 	uint32_t retry;
 	size_t base;
 
@@ -220,7 +220,7 @@
 	base = mallinfo2().uordblks;
 	for (i = 0; i < WORKSPACES; i++) {
 		ws.hash = i * 7919;
-		limits_admit(&limits[1], &ws, 1, &retry);
+		limits_admit(&limits[1], &ws, &loan, &retry);
 	}
 	printf("limits: %zu bytes a workspace, at an entry and at one owner\n",
 	    (mallinfo2().uordblks - base) / WORKSPACES);
@@ -228,7 +228,7 @@
 	for (i = 0; i < REQUESTS; i++) {
 		now_us += 1000;
 		ws.hash = i % WORKSPACES * 7919;
-		limits_admit(&limits[0], &ws, 1, &retry);
+		limits_admit(&limits[0], &ws, &loan, &retry);
 	}
 	printf("limits: %.2f us to admit with a grant by the own node\n",
 	    (double)(clock_us() - began) / REQUESTS);
@@ -251,6 +251,7 @@
 		.clock_us = fake_us };
 	uint64_t began, tick = 0, spent = 0;
 	size_t i, n = 20000;
+	uint64_t loan;
 	uint32_t retry;
 
 	limits_init(&limits[1], &cfg);
@@ -265,7 +266,7 @@
 			tick = now_us + (uint64_t)LIMITS_TICK_MS * 1000;
 		}
 		began = clock_us();
-		limits_admit(&limits[1], &workspace, 1, &retry);
+		limits_admit(&limits[1], &workspace, &loan, &retry);
 		spent += clock_us() - began;
 	}
 	printf("limits: %.3f calls a request, %.2f us each, %s of %.0f a "
