Don't blame the limit for timeouts at a server slow of its own

Cause: while pricing is slow (300 ms become 1.5 s, deadline 1.9 s), more than one in eight requests time out at any limit, and each window with as many cut the limit by a quarter.

Now a step down that brought nothing holds for timeouts too: none counts for 4 s. After that, timeouts of less than half a window lead to a step down that is judged by latency, not to a cut.

--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -77,11 +77,12 @@
 	double ref_var; /* squared standard error of log(ref_us) */
 	double mean_us; /* decaying mean and deviation of service times */
 	double dev_us;
-	uint64_t seen_us;     /* the last service time was seen then */
-	uint64_t hold_us;     /* no try upwards until then */
-	uint64_t hold_max_us; /* grows with each try that failed */
-	int ramping;	      /* no try has failed since the cold start */
-	int stalled;	      /* in the last window most timed out */
+	uint64_t seen_us;      /* the last service time was seen then */
+	uint64_t hold_us;      /* no try upwards until then */
+	uint64_t hold_max_us;  /* grows with each try that failed */
+	uint64_t blameless_us; /* until then timeouts aren't its doing */
+	int ramping;	       /* no try has failed since the cold start */
+	int stalled;	       /* in the last window most timed out */
 	int look_down; /* a try upwards has failed since the last one down */
 	int fixed;     /* the policy is off: the limit is the slots */
 };
--- a/src/admission/limiter.c
+++ b/src/admission/limiter.c
@@ -40,6 +40,7 @@
 #define SETTLE_LATENCIES 2 /* until a changed limit shows */
 #define HOLD_FIRST_US 200000
 #define HOLD_LAST_US 3200000
+#define BLAMELESS_US 4000000 /* after a step down that brought nothing */
 #define MEAN_WEIGHT 0.05
 #define MEAN_HALF_US 1000000 /* without news, the mean halves in this time */
 
@@ -51,6 +52,7 @@
 static int ended(const struct limiter *, uint64_t);
 static double window_latency(const struct limiter *, double *);
 static void judge_steady(struct limiter *, uint64_t);
+static void judge_timeouts(struct limiter *, int, uint64_t);
 static void judge_up(struct limiter *, uint64_t);
 static void judge_down(struct limiter *, uint64_t);
 static void climb(struct limiter *, double);
@@ -257,9 +259,10 @@
 }
 
 /*
- * Ends a window without a trial: cuts after timeouts, and tries a step down
- * if the latency has risen.  If the limit binds, it tries a step up, and
- * after one that failed a step down, for it may stand too high already.
+ * Ends a window without a trial: cuts after timeouts, unless a step down has
+ * lately shown that the server is slow for a reason of its own, and tries a
+ * step down if the latency has risen.  If the limit binds, it tries a step up,
+ * and after one that failed a step down, for it may stand too high already.
  */
 static void
 judge_steady(struct limiter *l, uint64_t now_us)
@@ -275,10 +278,7 @@
 	l->ref_limit = l->limit;
 	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served) {
 		l->stalled = l->win.timeouts * STALL_SHARE > l->win.served;
-		if (binds)
-			fail_try(l, now_us);
-		change(l, l->limit * (binds ? TIMEOUT_CUT : 1), LIMITER_STEADY,
-		    now_us);
+		judge_timeouts(l, binds && now_us >= l->blameless_us, now_us);
 		return;
 	}
 	if (l->stalled)
@@ -307,6 +307,25 @@
 	change(l, ceil(l->limit * step), LIMITER_TRY_UP, now_us);
 }
 
+/*
+ * Takes a window of many timeouts: cuts at once where most timed out, or else
+ * tries a step down if the limit may be to blame.
+ */
+static void
+judge_timeouts(struct limiter *l, int blamed, uint64_t now_us)
+{
+	if (!blamed) {
+		change(l, l->limit, LIMITER_STEADY, now_us);
+		return;
+	}
+	if (!l->stalled && l->limit > floor_of(l)) {
+		change(l, l->limit * STEP_DOWN, LIMITER_TRY_DOWN, now_us);
+		return;
+	}
+	fail_try(l, now_us);
+	change(l, l->limit * TIMEOUT_CUT, LIMITER_STEADY, now_us);
+}
+
 /*
  * Ends a try upwards: undone if the latency took what the limit gave.
  */
@@ -346,6 +365,7 @@
 	if (log(lat / l->ref_us) >
 	    DOWN_ELASTICITY * cut - sqrt(var + l->ref_var)) {
 		l->base_us = fmax(l->ref_us, lat);
+		l->blameless_us = now_us + BLAMELESS_US;
 		change(l, l->ref_limit, LIMITER_STEADY, now_us);
 		return;
 	}
--- a/src/admission/test_policy.c
+++ b/src/admission/test_policy.c
@@ -575,12 +575,36 @@
 	}
 }
 
+/*
+ * After a slowness so long that requests ran past their deadlines, a service
+ * gives what is asked of it within two seconds.
+ */
+static void
+test_return(void **state)
+{
+	static const struct model m = { "long slowness", 25, 25, 0, 300e3,
+		1900000, .6, 5, 1, 2, 8, 0, 1, 0, 0, 0 };
+	struct sim *s;
+	double good = 0;
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		s = simulate(&m, RULE_TRIAL, seed);
+		good += goodput(s, m.to, m.to + 2) / SEEDS;
+		free(s);
+	}
+	print_message("two seconds after a slowness: %.2f\n", good);
+	assert_true(good >= .99 * m.load);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_models),
 		cmocka_unit_test(test_classes),
+		cmocka_unit_test(test_return),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
