Hand ids over at a planned stop without a gap

Cause: an owner stopped serving ids before it appended the hand-over, and its successor waited 0.7 s after reading the record, for loans of limits that ids don't have. Entries refused at the first 'not the owner'. A leaving node also ended while it was still the standby of other partitions, which claim no ids until another is named.

An id is first only once the standby has noted it, and a standby notes nothing for a term after it has read a newer one or decided under it. So the owner may go on until it reads its hand-over, and a standby with the whole memory may act when it has read its claim, also a takeover (lease_noted()). One without the whole memory waits as before. Entries try again, then with the standby, for up to 2 s within the request's deadline; all tries are one attempt, and releases wait until the last one failed. A standby that is taken for the owner reads the log at once. A leaving node waits up to 2 s until it is no standby any more. The deadline now counts from the arrival, as waiting is part of it.

Ruled out: a shorter hand-over wait for limits (loans live 0.5 s; no limits-unavailable was seen).

--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -68,6 +68,7 @@
 	struct node_id standby;
 	enum lease_kind kind;
 	uint64_t effective_ms;	  /* the owner may act from here on */
+	uint64_t noted_ms;	  /* or here, on what only counts once noted */
 	uint64_t seen_ms;	  /* when this term was read */
 	uint64_t promise_sent_ms; /* newest promise of the standby */
 	int promised;
@@ -111,6 +112,7 @@
 	uint64_t tenure;
 	uint64_t effective_ms;
 	uint64_t until_ms; /* this node is the owner up to here; 0 if not */
+	uint64_t noted_until_ms; /* see lease_noted() */
 	int first;
 };
 
@@ -132,6 +134,7 @@
 void lease_hint(struct lease_table *, uint32_t, uint64_t,
     const struct node_id *, const struct node_id *);
 uint64_t lease_held(const struct lease_table *, uint32_t, uint64_t);
+uint64_t lease_noted(const struct lease_table *, uint32_t, uint64_t);
 void lease_view(
     const struct lease_table *, uint32_t, uint64_t, struct lease_view *);
 int lease_wants_reset(const struct lease_table *, uint64_t);
--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -11,6 +11,7 @@
 #include "lease/lease_service.h"
 
 #define POLL_MS 500	    /* reads by nodes with a part in the leases */
+#define POLL_EXPECT_MS 50   /* by a standby that others take for owner */
 #define POLL_WATCH_MS 1000  /* reads by others while an owner is gone */
 #define POLL_IDLE_MS 5000   /* reads by others */
 #define POLL_JITTER_MS 1000 /* keeps those others apart */
@@ -39,6 +40,7 @@
 static size_t decide(struct lease_service *);
 static int snapshot_due(struct lease_service *, uint64_t);
 static int write_table(struct lease_service *);
+static size_t parts(struct lease_service *);
 static size_t owned(const struct lease_table *);
 
 /*
@@ -142,6 +144,19 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+/*
+ * Has the stream read at once, when this node, a standby, was taken for the
+ * owner: a claim on its behalf may be in the log.
+ */
+void
+lease_service_expect(struct lease_service *s)
+{
+	pthread_mutex_lock(&s->lock);
+	s->expecting = 1;
+	pthread_cond_broadcast(&s->wake);
+	pthread_mutex_unlock(&s->lock);
+}
+
 /*
  * Hands all partitions over before a planned stop.  Waits up to timeout_ms;
  * returns 0, or -1 if this node still owns some.
@@ -162,6 +177,37 @@
 	return n == 0 ? 0 : -1;
 }
 
+/*
+ * Waits up to timeout_ms until this node, which is known to leave, is no
+ * owner and no standby any more.  Returns 0, or -1 if it still is.
+ */
+int
+lease_service_left(struct lease_service *s, uint32_t timeout_ms)
+{
+	uint64_t end = clock_ms() + timeout_ms;
+	size_t n;
+
+	pthread_mutex_lock(&s->lock);
+	while ((n = parts(s)) > 0 && clock_ms() < end)
+		sleep_ms(s, POLL_EXPECT_MS);
+	pthread_mutex_unlock(&s->lock);
+	return n == 0 ? 0 : -1;
+}
+
+/*
+ * Tells whether the stream was read to its end and the table is whole.
+ */
+int
+lease_service_ready(struct lease_service *s)
+{
+	int ready;
+
+	pthread_mutex_lock(&s->lock);
+	ready = s->table.complete && s->table.proved;
+	pthread_mutex_unlock(&s->lock);
+	return ready;
+}
+
 /*
  * Prints every partition: term, owner, standby and for how long (ms) this
  * node's authority still lasts.
@@ -202,6 +248,25 @@
 	return n;
 }
 
+/*
+ * Returns how many partitions this node is the owner or standby of; the lock
+ * is held.
+ */
+static size_t
+parts(struct lease_service *s)
+{
+	const struct lease_entry *e;
+	size_t n = 0;
+	int i;
+
+	for (i = 0; i < LEASE_PARTS; i++) {
+		e = &s->table.part[i];
+		n += nodeid_equal(&e->owner, &s->cfg.self) ||
+		     nodeid_equal(&e->standby, &s->cfg.self);
+	}
+	return n;
+}
+
 /*
  * Waits until woken, at most ms; the lock is held.
  */
@@ -227,16 +292,13 @@
 static int
 has_part(struct lease_service *s)
 {
-	const struct lease_entry *e;
 	int i;
 
-	for (i = 0; i < LEASE_PARTS; i++) {
-		e = &s->table.part[i];
-		if (nodeid_equal(&e->owner, &s->cfg.self) ||
-		    nodeid_equal(&e->standby, &s->cfg.self) ||
-		    nodeid_is_none(&e->owner))
+	if (parts(s) > 0)
+		return 1;
+	for (i = 0; i < LEASE_PARTS; i++)
+		if (nodeid_is_none(&s->table.part[i].owner))
 			return 1;
-	}
 	return 0;
 }
 
@@ -251,6 +313,8 @@
 	uint64_t jitter = s->jitter_ms % POLL_JITTER_MS;
 	int i;
 
+	if (s->expecting || (s->decider.stopping && parts(s) > 0))
+		return POLL_EXPECT_MS;
 	if (!s->table.complete || has_part(s))
 		return POLL_MS;
 	if (s->kicked)
@@ -280,6 +344,7 @@
 		sleep_ms(s, due - now);
 	}
 	s->kicked = 0;
+	s->expecting = 0;
 	stop = s->stop;
 	pthread_mutex_unlock(&s->lock);
 	return stop;
--- a/src/lease/lease_service.h
+++ b/src/lease/lease_service.h
@@ -43,6 +43,7 @@
 	uint64_t unsafe_ms; /* since newcomers could not read the table */
 	uint64_t jitter_ms;
 	int kicked;
+	int expecting; /* asked as the owner while the standby */
 	int stop;
 	pthread_t log_thread;
 	pthread_t beat_thread;
@@ -56,7 +57,10 @@
 void lease_service_finish(struct lease_service *);
 void lease_service_lookup(void *, uint32_t, uint64_t, struct lease_view *);
 void lease_service_kick(struct lease_service *);
+void lease_service_expect(struct lease_service *);
 int lease_service_leave(struct lease_service *, uint32_t);
+int lease_service_left(struct lease_service *, uint32_t);
+int lease_service_ready(struct lease_service *);
 void lease_service_dump(struct lease_service *, FILE *);
 
 /* lease_rpc.c */
--- a/src/lease/lease_table.c
+++ b/src/lease/lease_table.c
@@ -16,8 +16,12 @@
 static void forget(struct lease_table *, uint64_t);
 static enum lease_kind classify(
     const struct lease_entry *, const struct lease_claim *);
+static int is_succession(
+    const struct lease_entry *, const struct lease_claim *, enum lease_kind);
 static int is_pending(const struct lease_entry *, uint64_t);
 static int is_stopped(const struct lease_entry *);
+static uint64_t proved_until(
+    const struct lease_table *, const struct lease_entry *);
 static enum lease_result apply_claim(
     struct lease_table *, const struct lease_claim *, uint64_t);
 static enum lease_result buffer_claim(
@@ -183,6 +187,17 @@
 	return LEASE_SLOW_TAKEOVER;
 }
 
+/*
+ * Tells whether a claim makes the standby the owner.
+ */
+static int
+is_succession(const struct lease_entry *e, const struct lease_claim *c,
+    enum lease_kind kind)
+{
+	return (kind == LEASE_HANDOVER || kind == LEASE_TAKEOVER) &&
+	       nodeid_equal(&c->owner, &e->standby);
+}
+
 /*
  * Tells whether an append of this node's own may yet replace a term.
  */
@@ -220,6 +235,7 @@
 {
 	struct lease_entry *e = &t->part[c->part];
 	enum lease_kind kind;
+	uint64_t from;
 
 	if (c->prev != e->term) {
 		t->lost++;
@@ -228,8 +244,11 @@
 	kind = classify(e, c);
 	/* A claim on a lease not yet in effect waits as long as that one. */
 	if (kind != LEASE_STANDBY_CHANGE) {
-		e->effective_ms =
-		    max_u64(e->effective_ms, now_ms + waits[kind](t));
+		from = now_ms + waits[kind](t);
+		e->effective_ms = max_u64(e->effective_ms, from);
+		if (is_succession(e, c, kind))
+			from = now_ms;
+		e->noted_ms = max_u64(e->noted_ms, from);
 		e->tenure = c->term;
 		e->first = kind == LEASE_FIRST;
 	}
@@ -277,6 +296,7 @@
 	e->standby = s->standby;
 	e->kind = LEASE_SLOW_TAKEOVER;
 	e->effective_ms = now_ms + s->wait_ms;
+	e->noted_ms = e->effective_ms;
 	new_term(e, s->term, now_ms);
 }
 
@@ -305,8 +325,11 @@
 		eff = now_ms + r->state[i].wait_ms;
 		if (!t->complete)
 			adopt(e, &r->state[i], now_ms);
-		else if (e->term == r->state[i].term && eff < e->effective_ms)
+		else if (e->term == r->state[i].term && eff < e->effective_ms) {
 			e->effective_ms = eff;
+			if (e->noted_ms > eff)
+				e->noted_ms = eff;
+		}
 	}
 	if (t->complete)
 		return LEASE_SNAPSHOT;
@@ -338,6 +361,7 @@
 		e->kind = LEASE_SLOW_TAKEOVER;
 		e->effective_ms =
 		    max_u64(e->effective_ms, now_ms + wait_long(t));
+		e->noted_ms = e->effective_ms;
 		new_term(e, offset + 1, now_ms);
 	}
 	t->complete = 1;
@@ -495,17 +519,16 @@
 }
 
 /*
- * Returns the time (ms) up to which this node may decide for a partition,
- * or 0 if it may not at now_ms.
+ * Returns the time (ms) up to which this node is known to be the owner of a
+ * partition, by its newest read or promise, or 0.
  */
-uint64_t
-lease_held(const struct lease_table *t, uint32_t part, uint64_t now_ms)
+static uint64_t
+proved_until(const struct lease_table *t, const struct lease_entry *e)
 {
-	const struct lease_entry *e = &t->part[part];
 	uint64_t until, promise;
 
 	if (!t->complete || !t->proved || !nodeid_equal(&e->owner, &t->self) ||
-	    is_stopped(e) || e->hint_term > e->term || now_ms < e->effective_ms)
+	    e->hint_term > e->term)
 		return 0;
 	until = t->read_sent_ms + LEASE_TERM_MS;
 	if (e->promised && !is_pending(e, e->term)) {
@@ -514,6 +537,38 @@
 			promise = t->read_sent_ms + t->long_ms;
 		until = max_u64(until, promise);
 	}
+	return until;
+}
+
+/*
+ * Returns the time (ms) up to which this node may decide for a partition,
+ * or 0 if it may not at now_ms.
+ */
+uint64_t
+lease_held(const struct lease_table *t, uint32_t part, uint64_t now_ms)
+{
+	const struct lease_entry *e = &t->part[part];
+	uint64_t until = proved_until(t, e);
+
+	if (is_stopped(e) || now_ms < e->effective_ms)
+		return 0;
+	return now_ms < until ? until : 0;
+}
+
+/*
+ * The same for decisions that count only once the standby has noted them,
+ * and that a successor knows if it was sent all earlier ones: such an owner
+ * need not wait for the one before, and goes on while it hands over.
+ */
+uint64_t
+lease_noted(const struct lease_table *t, uint32_t part, uint64_t now_ms)
+{
+	const struct lease_entry *e = &t->part[part];
+	uint64_t until = proved_until(t, e);
+
+	if ((is_stopped(e) && nodeid_is_none(&e->standby)) ||
+	    now_ms < e->noted_ms)
+		return 0;
 	return now_ms < until ? until : 0;
 }
 
@@ -540,6 +595,7 @@
 	v->effective_ms = e->effective_ms;
 	v->first = e->first;
 	v->until_ms = lease_held(t, part, now_ms);
+	v->noted_until_ms = lease_noted(t, part, now_ms);
 }
 
 /*
--- a/src/lease/test_lease.c
+++ b/src/lease/test_lease.c
@@ -249,6 +249,55 @@
 	lease_finish(&t);
 }
 
+/*
+ * Where the standby has to note decisions, an owner goes on while it hands
+ * over to it, and the standby acts as soon as it has read that.  Anyone else
+ * waits like the loans.
+ */
+static void
+test_noted(void **state)
+{
+	struct lease_claim to_standby = make(1, 1, 2, 3);
+	struct lease_claim to_other = make(1, 1, 3, 2);
+	struct lease_claim takeover = make(1, 2, 2, 3);
+	struct lease_claim alone = make(1, 1, 1, 0);
+	struct lease_claim to_nobody = make(2, 1, 2, 0);
+	const struct {
+		int self;
+		const struct lease_claim *claim;
+		uint64_t at;
+		uint64_t want;
+	} cases[] = {
+		{ 2, &to_standby, 1000, 3000 },
+		{ 2, &takeover, 1000, 3000 },
+		{ 3, &to_other, 1000, 0 },
+		{ 3, &to_other, 1000 + LEASE_HANDOVER_MS, 3000 },
+		{ 1, &to_standby, 1000, 0 },
+	};
+	struct lease_table t;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		own(&t, cases[i].self);
+		put(&t, cases[i].claim, 1000);
+		lease_read_proof(&t, 1000);
+		assert_int_equal(
+		    lease_noted(&t, 0, cases[i].at), cases[i].want);
+		lease_finish(&t);
+	}
+	own(&t, 1);
+	lease_read_proof(&t, 1000);
+	lease_append_begin(&t, &to_standby);
+	assert_int_equal(lease_held(&t, 0, 1001), 0);
+	assert_int_equal(lease_noted(&t, 0, 1001), 3000);
+	lease_append_end(&t, &to_standby, 0);
+	put(&t, &alone, 1000);
+	lease_append_begin(&t, &to_nobody);
+	assert_int_equal(lease_noted(&t, 0, 1001), 0);
+	lease_finish(&t);
+}
+
 /*
  * What a peer says can end authority and show the way, but give none.
  */
@@ -542,6 +591,7 @@
 		cmocka_unit_test(test_authority),
 		cmocka_unit_test(test_promises),
 		cmocka_unit_test(test_handover_stops),
+		cmocka_unit_test(test_noted),
 		cmocka_unit_test(test_hints),
 		cmocka_unit_test(test_snapshot),
 		cmocka_unit_test(test_reset),
--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -109,6 +109,17 @@
 	lease_service_kick(&n->lease);
 }
 
+/*
+ * Has the lease stream read, as this node may have become an owner.
+ */
+static void
+expect_lease(void *ctx)
+{
+	struct node *n = ctx;
+
+	lease_service_expect(&n->lease);
+}
+
 /*
  * Sends news to all other members that are alive.
  */
@@ -215,7 +226,9 @@
 		.call = rpc_client_call,
 		.call_ctx = &n->rpc_client,
 		.kick = kick_leases,
-		.kick_ctx = n };
+		.kick_ctx = n,
+		.expect = expect_lease,
+		.expect_ctx = n };
 	size_t i;
 
 	route_book_init(&n->routes);
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -146,13 +146,16 @@
 static enum reason
 check_once(struct call *c)
 {
+	uint64_t now = clock_ms(), wait = ONCE_WAIT_MS;
 	struct once_key key;
 	enum once_verdict v;
 
 	if (c->route.idempotent || c->req->id[0] == '\0')
 		return REASON_NONE;
 	once_key(&key, c->cx.workspace, c->req->id);
-	v = once_claim(&c->node->once, &key, &c->claim);
+	if (c->deadline_ms < now + wait)
+		wait = c->deadline_ms > now ? c->deadline_ms - now : 0;
+	v = once_claim_wait(&c->node->once, &key, (uint32_t)wait, &c->claim);
 	c->claimed = v == ONCE_FIRST;
 	return once_reasons[v];
 }
@@ -234,13 +237,13 @@
 		why = check_servers(c);
 	if (why == REASON_NONE)
 		why = check_limit(c);
+	set_deadline(c, clock_ms(), UINT64_MAX);
 	if (why == REASON_NONE)
 		why = check_once(c);
 	if (why != REASON_NONE) {
 		refuse(c, why);
 		return;
 	}
-	set_deadline(c, clock_ms(), UINT64_MAX);
 	c->cx.print[0] = c->print.lo;
 	c->cx.print[1] = c->print.hi;
 	call_forward(c);
@@ -312,12 +315,12 @@
 	if (why == REASON_NONE && parent_call_repeats(p, c->print.lo) &&
 	    !retry_spend(&p->chain))
 		why = REASON_RETRY_BOUND;
+	set_deadline(c, clock_ms(), p->context.deadline_us / 1000);
 	if (why == REASON_NONE)
 		why = check_once(c);
 	if (why != REASON_NONE) {
 		refuse(c, why);
 	} else {
-		set_deadline(c, clock_ms(), p->context.deadline_us / 1000);
 		forward_inner(c, p);
 	}
 	parent_put(p);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -232,6 +232,7 @@
 	server_check(n, now);
 	lease_service_leave(&n->lease, LEAVE_LEASES_MS);
 	member_leave(&n->member);
+	lease_service_left(&n->lease, LEAVE_LEASES_MS);
 	while (clock_ms() < until && admission_busy(&n->admission) > 0)
 		usleep(STOP_CHECK_US);
 	now = clock_ms();
--- a/src/once/once.h
+++ b/src/once/once.h
@@ -14,6 +14,7 @@
  * standby.  docs/LEASES.md argues why no id is first twice.
  */
 #define ONCE_CLOCK_MS 5000    /* by which wall clocks may differ */
+#define ONCE_WAIT_MS 2000     /* for an owner, before a claim is refused */
 #define ONCE_TICK_MS 20	      /* between two calls of once_maintain() */
 #define ONCE_CELLS_MAX 262144 /* ids that a node remembers, 32 bytes each */
 
@@ -55,6 +56,8 @@
 	void *call_ctx;
 	void (*kick)(void *); /* an owner did not answer; may be NULL */
 	void *kick_ctx;
+	void (*expect)(void *); /* as standby asked as owner; may be NULL */
+	void *expect_ctx;
 	uint64_t (*clock_ms)(void); /* NULL: the clock */
 	uint64_t (*wall_ms)(void);  /* NULL: the wall clock */
 	size_t cells_max;	    /* 0: ONCE_CELLS_MAX */
@@ -95,6 +98,8 @@
 uint32_t once_part(const struct once_id *);
 enum once_verdict once_claim(
     struct once *, const struct once_key *, struct once_claim *);
+enum once_verdict once_claim_wait(
+    struct once *, const struct once_key *, uint32_t, struct once_claim *);
 void once_release(struct once *, const struct once_claim *);
 void once_maintain(struct once *);
 int once_standby_ready(void *, uint32_t);
--- a/src/once/once_entry.c
+++ b/src/once/once_entry.c
@@ -1,12 +1,27 @@
 #include <string.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "once/once_int.h"
 
 #define RELEASES_PER_TICK 64
+#define TRIES_LEFT_MAX 4
+#define PAUSE_US 20000 /* between two tries to claim */
 
-static once_status ask_owner(
-    struct once *, const struct once_key *, struct once_claim *, uint64_t *);
+/* What earlier tries to claim an id have come to. */
+struct tries {
+	struct once_claim list[TRIES_LEFT_MAX]; /* that may be reserved */
+	size_t count;
+	int final; /* an owner has refused, and would again */
+};
+
+static void leave_behind(struct tries *, const struct once_claim *);
+static once_status ask_owner(struct once *, const struct once_key *,
+    struct once_claim *, uint64_t *, struct tries *);
+static enum once_verdict try_owner(struct once *, const struct once_key *,
+    struct once_claim *, struct tries *);
+static enum once_verdict try_claim(struct once *, const struct once_key *,
+    struct once_claim *, struct tries *);
 static int ask_standby(struct once *, const struct once_claim *, uint64_t);
 static int pop_release(struct once *, struct once_claim *);
 
@@ -67,27 +82,40 @@
 }
 
 /*
- * Asks the owner to reserve an id, and fills in who is concerned.
+ * Takes note of whom to send a release, should the claim fail for good.  What
+ * finds no room stays claimed.
+ */
+static void
+leave_behind(struct tries *t, const struct once_claim *c)
+{
+	size_t i;
+
+	for (i = 0; i < t->count; i++)
+		if (nodeid_equal(&t->list[i].owner, &c->owner) &&
+		    nodeid_equal(&t->list[i].standby, &c->standby))
+			return;
+	if (t->count < TRIES_LEFT_MAX)
+		t->list[t->count++] = *c;
+}
+
+/*
+ * Asks the node taken for the owner to reserve an id, and fills in who is to
+ * note it.
  */
 static once_status
 ask_owner(struct once *o, const struct once_key *key, struct once_claim *c,
-    uint64_t *term)
+    uint64_t *term, struct tries *t)
 {
 	once_claim_arg arg = { .attempt = c->attempt,
 		.stamp_ms = key->stamp_ms };
 	once_claim_res res;
-	struct lease_view v;
 
-	memcpy(arg.id, key->id.byte, sizeof(arg.id));
-	o->cfg.lookup(
-	    o->cfg.lookup_ctx, once_part(&key->id), o->cfg.clock_ms(), &v);
-	if (nodeid_is_none(&v.owner))
+	if (nodeid_is_none(&c->owner))
 		return ONCE_NOT_OWNER;
-	c->owner = v.owner;
-	c->standby = v.standby;
-	if (once_call(o, &v.owner, ONCE_PROC_CLAIM, &arg, &res) == -1) {
+	memcpy(arg.id, key->id.byte, sizeof(arg.id));
+	if (once_call(o, &c->owner, ONCE_PROC_CLAIM, &arg, &res) == -1) {
 		/* It may have been reserved for nothing. */
-		once_release(o, c);
+		leave_behind(t, c);
 		return ONCE_NOT_OWNER;
 	}
 	c->standby = once_node_unpack(&res.standby);
@@ -116,31 +144,89 @@
 }
 
 /*
- * Claims an id before its request runs.  Blocks for at most ONCE_BOUND_MS.
- * With ONCE_FIRST the request may be run, and *c is for once_release().
+ * Claims an id with the node taken for the owner.  Blocks for at most
+ * ONCE_BOUND_MS.
  */
-enum once_verdict
-once_claim(struct once *o, const struct once_key *key, struct once_claim *c)
+static enum once_verdict
+try_owner(struct once *o, const struct once_key *key, struct once_claim *c,
+    struct tries *t)
 {
 	uint64_t began = o->cfg.clock_ms(), term = 0;
 	once_status st;
 
-	memset(c, 0, sizeof(*c));
-	c->id = key->id;
-	c->attempt = rand_u64() | 1;
-	st = ask_owner(o, key, c, &term);
+	st = ask_owner(o, key, c, &term, t);
 	if ((size_t)st >= sizeof(verdicts) / sizeof(verdicts[0]))
 		return ONCE_UNAVAILABLE;
+	t->final = st == ONCE_FUTURE || st == ONCE_NO_ROOM;
 	if (st != ONCE_RESERVED)
 		return verdicts[st];
 	/* Late answers count for nothing: this thread may have stood still. */
 	if (ask_standby(o, c, term) == 0 &&
 	    o->cfg.clock_ms() - began < ONCE_BOUND_MS)
 		return ONCE_FIRST;
-	once_release(o, c);
+	leave_behind(t, c);
 	return ONCE_UNAVAILABLE;
 }
 
+/*
+ * Claims an id with the owner, or with the standby, which may have become
+ * the owner without this node's knowledge.
+ */
+static enum once_verdict
+try_claim(struct once *o, const struct once_key *key, struct once_claim *c,
+    struct tries *t)
+{
+	enum once_verdict verdict;
+	struct lease_view v;
+
+	o->cfg.lookup(
+	    o->cfg.lookup_ctx, once_part(&key->id), o->cfg.clock_ms(), &v);
+	c->owner = v.owner;
+	c->standby = v.standby;
+	verdict = try_owner(o, key, c, t);
+	if (verdict != ONCE_UNAVAILABLE || t->final ||
+	    nodeid_is_none(&v.standby))
+		return verdict;
+	c->owner = v.standby;
+	memset(&c->standby, 0, sizeof(c->standby));
+	return try_owner(o, key, c, t);
+}
+
+/*
+ * Claims an id before its request runs, and tries again for up to wait_ms
+ * while nobody answers for it.  With ONCE_FIRST the request may be run, and
+ * *c is for once_release().  All tries are one attempt, so that none finds
+ * the id claimed by another; releases wait until the last one has failed.
+ */
+enum once_verdict
+once_claim_wait(struct once *o, const struct once_key *key, uint32_t wait_ms,
+    struct once_claim *c)
+{
+	uint64_t until = o->cfg.clock_ms() + wait_ms;
+	struct tries t = { .count = 0 };
+	enum once_verdict v;
+	size_t i;
+
+	memset(c, 0, sizeof(*c));
+	c->id = key->id;
+	c->attempt = rand_u64() | 1;
+	while ((v = try_claim(o, key, c, &t)) == ONCE_UNAVAILABLE && !t.final &&
+	       o->cfg.clock_ms() + PAUSE_US / 1000 < until)
+		usleep(PAUSE_US);
+	for (i = 0; i < t.count && v != ONCE_FIRST; i++)
+		once_release(o, &t.list[i]);
+	return v;
+}
+
+/*
+ * Claims an id without a second try.
+ */
+enum once_verdict
+once_claim(struct once *o, const struct once_key *key, struct once_claim *c)
+{
+	return once_claim_wait(o, key, 0, c);
+}
+
 /*
  * Gives a claim back whose request was surely not run; it is sent by the
  * next once_maintain().  If it gets lost, the id stays claimed.
--- a/src/once/once_int.h
+++ b/src/once/once_int.h
@@ -14,6 +14,7 @@
 void once_serve_release(
     struct once *, const once_release_arg *, once_release_res *);
 int once_enter(struct once_part *, const struct lease_view *);
+int once_succeeds(const struct once_part *, const struct lease_view *);
 
 /* once_standby.c */
 void once_serve_note(struct once *, const once_note_arg *, once_note_res *);
--- a/src/once/once_owner.c
+++ b/src/once/once_owner.c
@@ -2,10 +2,31 @@
 
 #include "once/once_int.h"
 
+static int was_whole(const struct once_part *, const struct lease_view *);
 static int is_new(const struct once_part *, uint64_t, uint64_t, uint64_t);
 static once_status reserve(
     struct once *, struct once_part *, const once_claim_arg *, uint64_t);
 
+/*
+ * Tells whether this node was the standby of the term that a lease replaced,
+ * and was sent the whole memory for it.
+ */
+static int
+was_whole(const struct once_part *p, const struct lease_view *v)
+{
+	return p->whole && p->standby_term + 1 == v->tenure;
+}
+
+/*
+ * Tells whether a locked partition knows all ids that were first before a
+ * lease, so that its owner need not wait until the one before has stopped.
+ */
+int
+once_succeeds(const struct once_part *p, const struct lease_view *v)
+{
+	return p->tenure == v->tenure || was_whole(p, v);
+}
+
 /*
  * Brings a locked partition to the lease of this node.  Its memory has all
  * ids that were first under the lease before, if this node was that one's
@@ -22,7 +43,7 @@
 		return 0;
 	p->tenure = v->tenure;
 	p->copied = 0;
-	if (p->whole && p->standby_term + 1 == v->tenure)
+	if (was_whole(p, v))
 		p->since_ms = p->whole_since_ms;
 	else
 		p->since_ms = (int64_t)v->effective_ms;
@@ -97,10 +118,14 @@
 	part = once_part(&id);
 	p = &o->part[part];
 	o->cfg.lookup(o->cfg.lookup_ctx, part, now, &v);
-	if (v.until_ms == 0 || arg->attempt == 0)
+	if (v.noted_until_ms == 0 && nodeid_equal(&v.standby, &o->cfg.self) &&
+	    o->cfg.expect != NULL)
+		o->cfg.expect(o->cfg.expect_ctx);
+	if (v.noted_until_ms == 0 || arg->attempt == 0)
 		return;
 	pthread_mutex_lock(&p->lock);
-	if (once_enter(p, &v) == 0) {
+	if ((v.until_ms != 0 || once_succeeds(p, &v)) &&
+	    once_enter(p, &v) == 0) {
 		p->used_ms = now;
 		res->status = reserve(o, p, arg, now);
 	}
--- a/src/once/test_once.c
+++ b/src/once/test_once.c
@@ -75,6 +75,8 @@
 	*v = views[(struct once *)ctx - nodes];
 	if (now >= v->until_ms)
 		v->until_ms = 0;
+	if (now >= v->noted_until_ms)
+		v->noted_until_ms = 0;
 }
 
 /*
@@ -116,7 +118,8 @@
 		views[i].first = first;
 		views[i].effective_ms = now_ms;
 		if (i == owner)
-			views[i].until_ms = UINT64_MAX;
+			views[i].until_ms = views[i].noted_until_ms =
+			    UINT64_MAX;
 	}
 }
 
@@ -287,6 +290,64 @@
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 }
 
+/*
+ * A standby that becomes the owner serves at once what it was sent whole,
+ * also entries that don't know of it; otherwise it waits for its lease.
+ */
+static void
+test_succession(void **state)
+{
+	struct once_key old = key(1), k;
+	int whole;
+
+	for (whole = 0; whole < 2; whole++) {
+		teardown(state);
+		setup(state);
+		assert_int_equal(claim(2, &old), ONCE_FIRST);
+		if (whole)
+			once_maintain(&nodes[0]);
+		down[2] = down[0] = 1; /* they don't see the new lease */
+		lease(2, 2, 1, 3, 0);
+		down[2] = down[0] = 0;
+		views[1].until_ms = 0;
+		k = key(2);
+		assert_int_equal(
+		    claim(2, &k), whole ? ONCE_FIRST : ONCE_UNAVAILABLE);
+		once_maintain(&nodes[2]);
+		assert_int_equal(
+		    claim(2, &k), whole ? ONCE_SEEN : ONCE_UNAVAILABLE);
+		assert_int_equal(claim(2, &old), ONCE_SEEN);
+		down[0] = 1;
+		k = key(3);
+		assert_int_equal(
+		    claim(2, &k), whole ? ONCE_FIRST : ONCE_UNAVAILABLE);
+		assert_int_equal(
+		    claim(2, &old), whole ? ONCE_SEEN : ONCE_UNAVAILABLE);
+	}
+}
+
+/*
+ * A claim waits for a lease, and no longer than it may.
+ */
+static void
+test_claim_waits(void **state)
+{
+	struct once_key k = key(1);
+	struct once_claim c;
+
+	(void)state;
+	down[0] = down[1] = 1;
+	assert_int_equal(
+	    once_claim_wait(&nodes[2], &k, 1000, &c), ONCE_UNAVAILABLE);
+	assert_true(now_ms >= START_MS + 900);
+	assert_true(now_ms <= START_MS + 1500);
+	down[0] = down[1] = 0;
+	lose_answers = 2 * ONCE_RPC_TRIES; /* reserved for nothing so far */
+	assert_int_equal(once_claim_wait(&nodes[2], &k, 1000, &c), ONCE_FIRST);
+	once_maintain(&nodes[2]);
+	assert_int_equal(claim(3, &k), ONCE_SEEN);
+}
+
 /*
  * A standby that was not sent the whole memory can't tell old ids; those
  * made after its time began are new, but for the clocks' allowance.
@@ -490,6 +551,10 @@
 		    test_first_once, setup, teardown),
 		cmocka_unit_test(test_stamps),
 		cmocka_unit_test_setup_teardown(test_takeover, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_succession, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_claim_waits, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_young_memory, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_no_note, setup, teardown),
--- a/tests/measure/control.c
+++ b/tests/measure/control.c
@@ -65,8 +65,10 @@
 	v->standby = node(1);
 	v->term = v->tenure = 1;
 	v->first = 1;
-	if (ctx == NULL)
-		v->until_ms = now_ms + LEASE_TERM_MS;
+	if (ctx != NULL)
+		return;
+	v->until_ms = now_ms + LEASE_TERM_MS;
+	v->noted_until_ms = v->until_ms;
 }
 
 /*
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -30,6 +31,15 @@
 #define BOUND_MS 3000
 #define STOP_MS 15000
 #define LOAD_MS 700
+#define REASONS_MAX 8
+#define REFUSED_SHARE 100 /* at most one in this many, within the rate */
+
+struct refusals {
+	char reason[32];
+	uint64_t count;
+	uint64_t first_ms;
+	uint64_t last_ms;
+};
 
 struct traffic {
 	uint64_t served;
@@ -37,8 +47,9 @@
 	uint64_t unreached;
 	uint64_t cut;
 	uint64_t other;
-	char reason[32]; /* of the last one not run */
 	char sample[200];
+	pthread_mutex_t lock; /* guards all below */
+	struct refusals refused[REASONS_MAX];
 };
 
 static struct fleet fleet;
@@ -86,6 +97,45 @@
 	return 0;
 }
 
+/*
+ * Counts a refusal under its reason.
+ */
+static void
+traffic_refused(struct traffic *t, const char *reason)
+{
+	struct refusals *r = t->refused;
+	uint64_t now = clock_ms();
+
+	pthread_mutex_lock(&t->lock);
+	while (r < &t->refused[REASONS_MAX - 1] && r->count > 0 &&
+	       strcmp(r->reason, reason) != 0)
+		r++;
+	snprintf(r->reason, sizeof(r->reason), "%s", reason);
+	if (r->count++ == 0)
+		r->first_ms = now;
+	r->last_ms = now;
+	pthread_mutex_unlock(&t->lock);
+}
+
+/*
+ * Prints the refusals by reason and when they came, and asserts that they
+ * were few: all of the traffic is within its rate.
+ */
+static void
+check_refused(struct traffic *t, uint64_t stop_ms)
+{
+	const struct refusals *r;
+
+	for (r = t->refused; r < &t->refused[REASONS_MAX]; r++)
+		if (r->count > 0)
+			print_message("%llu %s, %lld to %lld ms after the "
+				      "stop began\n",
+			    (unsigned long long)r->count, r->reason,
+			    (long long)(r->first_ms - stop_ms),
+			    (long long)(r->last_ms - stop_ms));
+	assert_true(t->not_run * REFUSED_SHARE <= t->served + t->not_run);
+}
+
 /*
  * Sorts the answers: served, refused, never connected, cut, other.
  */
@@ -101,7 +151,7 @@
 		n = &t->served;
 	else if (strcmp(rs->outcome, "not-run") == 0) {
 		n = &t->not_run;
-		snprintf(t->reason, sizeof(t->reason), "%s", rs->reason);
+		traffic_refused(t, rs->reason);
 	} else if (rs->code == CURLE_COULDNT_CONNECT)
 		n = &t->unreached;
 	else if (rs->code != CURLE_OK)
@@ -132,12 +182,11 @@
 		    runlog_count_attempt(&rl, attempt));
 		runlog_finish(&rl);
 	}
-	print_message("%s: %llu served, %llu not run (%s), %llu unreached, "
+	print_message("%s: %llu served, %llu not run, %llu unreached, "
 		      "%llu cut, %llu other %s\n",
 	    what, (unsigned long long)t->served, (unsigned long long)t->not_run,
-	    t->reason, (unsigned long long)t->unreached,
-	    (unsigned long long)t->cut, (unsigned long long)t->other,
-	    t->sample);
+	    (unsigned long long)t->unreached, (unsigned long long)t->cut,
+	    (unsigned long long)t->other, t->sample);
 	assert_true(t->served > 100);
 	assert_int_equal(t->cut, 0);
 	assert_int_equal(t->other, 0);
@@ -204,6 +253,7 @@
 	load_stop(&l);
 	assert_int_equal(ended, 0);
 	check_uncut("node stopped", &t);
+	check_refused(&t, began);
 	assert_true(WIFEXITED(proc_status(fleet.list[1].node)));
 	assert_int_equal(WEXITSTATUS(proc_status(fleet.list[1].node)), 0);
 	fleet_node_start(&fleet, 1);
