Wait for an owner of ids only while leases can change

An entry now waits until 2.5 s after it first missed a partition's owner, and only while it has read the log lately. The argument for ids without a wait is in docs/LEASES.md. Mutants: an early successor that was not sent the whole memory fails test_once (test_fleet doesn't see it), every claim without a wait fails test_lease.

--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -7,6 +7,7 @@
 
 #define NEWS_MEMBERS_MAX 4096
 #define DOMAINS_MAX 64
+#define LOG_READ_MS 500 /* a read of the log takes, at most */
 
 /*
  * Gives a failure domain the number by which leases know it.
@@ -120,6 +121,18 @@
 	lease_service_expect(&n->lease);
 }
 
+/*
+ * Tells whether leases can change now, since the log was read lately.
+ */
+static int
+leases_change(void *ctx)
+{
+	struct node *n = ctx;
+	uint64_t max = LOG_READ_MS + n->settings.log_poll_ms;
+
+	return clock_ms() < atomic_load(&n->log_read_ms) + max;
+}
+
 /*
  * Sends news to all other members that are alive.
  */
@@ -228,7 +241,9 @@
 		.kick = kick_leases,
 		.kick_ctx = n,
 		.expect = expect_lease,
-		.expect_ctx = n };
+		.expect_ctx = n,
+		.changing = leases_change,
+		.changing_ctx = n };
 	size_t i;
 
 	route_book_init(&n->routes);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -41,6 +41,7 @@
 {
 	struct node *n = ctx;
 
+	atomic_store(&n->log_read_ms, sent_ms);
 	member_set_log_read(&n->member, sent_ms);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -68,6 +68,7 @@
 	pthread_t fetcher;
 	atomic_uint inflight[PORT_MAX];
 	atomic_ullong last_request_ms;
+	atomic_ullong log_read_ms; /* newest read to its end was sent */
 	atomic_int stopping;
 	atomic_int running;
 };
--- a/src/once/once.h
+++ b/src/once/once.h
@@ -2,6 +2,7 @@
 #define ONCE_ONCE_H
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 
 #include "lease/lease.h"
@@ -14,7 +15,7 @@
  * standby.  docs/LEASES.md argues why no id is first twice.
  */
 #define ONCE_CLOCK_MS 5000    /* by which wall clocks may differ */
-#define ONCE_WAIT_MS 2000     /* for an owner, before a claim is refused */
+#define ONCE_WAIT_MS 2500     /* for an owner, since one was missed first */
 #define ONCE_TICK_MS 20	      /* between two calls of once_maintain() */
 #define ONCE_CELLS_MAX 262144 /* ids that a node remembers, 32 bytes each */
 
@@ -58,6 +59,8 @@
 	void *kick_ctx;
 	void (*expect)(void *); /* as standby asked as owner; may be NULL */
 	void *expect_ctx;
+	int (*changing)(void *); /* owners may change; NULL: always */
+	void *changing_ctx;
 	uint64_t (*clock_ms)(void); /* NULL: the clock */
 	uint64_t (*wall_ms)(void);  /* NULL: the wall clock */
 	size_t cells_max;	    /* 0: ONCE_CELLS_MAX */
@@ -75,7 +78,8 @@
 	int whole;	       /* the owner has sent its whole memory */
 	int64_t whole_since_ms;
 	uint64_t used_ms;
-	uint64_t retry_ms; /* a copy that failed is not begun before */
+	uint64_t retry_ms;     /* a copy that failed is not begun before */
+	atomic_ullong down_ms; /* nobody answers this entry since; 0: not so */
 };
 
 #define ONCE_RELEASES_MAX 1024
--- a/src/once/once_entry.c
+++ b/src/once/once_entry.c
@@ -22,6 +22,7 @@
     struct once_claim *, struct tries *);
 static enum once_verdict try_claim(struct once *, const struct once_key *,
     struct once_claim *, struct tries *);
+static int is_hopeful(struct once *, struct once_part *);
 static int ask_standby(struct once *, const struct once_claim *, uint64_t);
 static int pop_release(struct once *, struct once_claim *);
 
@@ -192,6 +193,23 @@
 	return try_owner(o, key, c, t);
 }
 
+/*
+ * Tells whether it is worth while to wait for an owner: leases can change,
+ * and one was missed only lately.
+ */
+static int
+is_hopeful(struct once *o, struct once_part *p)
+{
+	uint64_t now = o->cfg.clock_ms();
+	unsigned long long none = 0;
+
+	if (atomic_compare_exchange_strong(&p->down_ms, &none, now))
+		none = now;
+	return now < none + ONCE_WAIT_MS &&
+	       (o->cfg.changing == NULL ||
+		   o->cfg.changing(o->cfg.changing_ctx));
+}
+
 /*
  * Claims an id before its request runs, and tries again for up to wait_ms
  * while nobody answers for it.  With ONCE_FIRST the request may be run, and
@@ -202,6 +220,7 @@
 once_claim_wait(struct once *o, const struct once_key *key, uint32_t wait_ms,
     struct once_claim *c)
 {
+	struct once_part *p = &o->part[once_part(&key->id)];
 	uint64_t until = o->cfg.clock_ms() + wait_ms;
 	struct tries t = { .count = 0 };
 	enum once_verdict v;
@@ -211,8 +230,10 @@
 	c->id = key->id;
 	c->attempt = rand_u64() | 1;
 	while ((v = try_claim(o, key, c, &t)) == ONCE_UNAVAILABLE && !t.final &&
-	       o->cfg.clock_ms() + PAUSE_US / 1000 < until)
+	       o->cfg.clock_ms() + PAUSE_US / 1000 < until && is_hopeful(o, p))
 		usleep(PAUSE_US);
+	if (v != ONCE_UNAVAILABLE)
+		atomic_store(&p->down_ms, 0);
 	for (i = 0; i < t.count && v != ONCE_FIRST; i++)
 		once_release(o, &t.list[i]);
 	return v;
