Open the callers' port once the node is ready

Cause: a fresh node opened its callers' port before it knew any member, and refused as no-server until it did: in test_stop's crowd, which restarts one of four nodes three times, 4,057 of 20,544 requests, all no-server, from 733 ms after the first stop on.

The port now opens when the configuration was read, the members are known and have been for 0.3 s, and the leases are known from the log or from a peer; or after 3 s whatever is known, as a node may be alone or the log be out. The peers' and inner ports open at once, since other nodes send only once they know this one's server. The log says 'ready', and so does the dump.

--- a/src/cyclamenvaled/main.c
+++ b/src/cyclamenvaled/main.c
@@ -4,11 +4,13 @@
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
+#include <time.h>
 #include <unistd.h>
 #include <urcu.h>
 
 #include "node/node.h"
 
+#define READY_CHECK_NS 20000000
 #define ARENAS_MAX 4 /* of malloc: memory over speed */
 
 /*
@@ -25,6 +27,25 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
+/*
+ * Opens the callers' port once the node is ready, and waits for a signal.
+ * Returns -1 if the port can't be opened.
+ */
+static int
+serve(struct node *n, const sigset_t *set)
+{
+	static const struct timespec check = { .tv_nsec = READY_CHECK_NS };
+	int sig;
+
+	while (!node_ready(n))
+		if (sigtimedwait(set, NULL, &check) > 0)
+			return 0;
+	if (node_open(n) == -1)
+		return -1;
+	sigwait(set, &sig);
+	return 0;
+}
+
 /*
  * Runs a node until it is told to stop.
  */
@@ -34,7 +55,7 @@
 	static struct node node;
 	struct settings settings;
 	sigset_t set;
-	int rc, sig;
+	int rc;
 
 	logline_init("cyclamenvaled", LOG_INFO);
 	settings_init(&settings);
@@ -50,7 +71,8 @@
 	rcu_register_thread();
 	if (node_init(&node, &settings) == -1 || node_start(&node) == -1)
 		return 1;
-	sigwait(&set, &sig);
+	if (serve(&node, &set) == -1)
+		return 1;
 	node_stop(&node);
 	node_finish(&node);
 	settings_finish(&settings);
--- a/src/lease/lease_rpc.c
+++ b/src/lease/lease_rpc.c
@@ -271,4 +271,7 @@
 	for (from = 0; from < LEASE_PARTS; from += LEASE_PAGE)
 		if (fetch_page(s, &peer, from) == -1)
 			return;
+	pthread_mutex_lock(&s->lock);
+	s->paged = 1;
+	pthread_mutex_unlock(&s->lock);
 }
--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -195,7 +195,8 @@
 }
 
 /*
- * Tells whether the stream was read to its end and the table is whole.
+ * Tells whether requests can be led to the owners: the table is whole, or a
+ * peer has shown its own while the log can't be read.
  */
 int
 lease_service_ready(struct lease_service *s)
@@ -203,7 +204,7 @@
 	int ready;
 
 	pthread_mutex_lock(&s->lock);
-	ready = s->table.complete && s->table.proved;
+	ready = (s->table.complete && s->table.proved) || s->paged;
 	pthread_mutex_unlock(&s->lock);
 	return ready;
 }
--- a/src/lease/lease_service.h
+++ b/src/lease/lease_service.h
@@ -43,6 +43,7 @@
 	uint64_t unsafe_ms; /* since newcomers could not read the table */
 	uint64_t jitter_ms;
 	int kicked;
+	int paged;     /* a peer has told where the partitions are */
 	int expecting; /* asked as the owner while the standby */
 	int stop;
 	pthread_t log_thread;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -15,6 +15,8 @@
 #define PEER_IDLE_MS 2000 /* shorter than a peer keeps them open */
 #define SERVER_CONNS_MAX 512
 #define SERVER_IDLE_MS 2000
+#define READY_MAX_MS 3000   /* after which callers are served anyway */
+#define READY_SETTLE_MS 300 /* without a new member */
 #define STOP_CHECK_US 10000
 #define LEAVE_LEASES_MS 2000
 #define STOP_QUIET_MS 300   /* without a request, before ports close */
@@ -133,8 +135,8 @@
 }
 
 /*
- * Starts all threads and opens the ports.  Returns -1 after logging why it
- * can't.
+ * Starts all threads and opens the ports but for callers'.  Returns -1 after
+ * logging why it can't.
  */
 int
 node_start(struct node *n)
@@ -161,12 +163,66 @@
 	}
 	if (ports_start(n) == -1)
 		return -1;
+	n->started_ms = clock_ms();
 	nodeid_format(&n->id, id);
 	logline(
 	    LOG_NOTICE, "started", "node=%s domain=%s", id, n->settings.domain);
 	return 0;
 }
 
+/*
+ * Tells whether the members are known: the seeds have told of theirs, and no
+ * more turn up; or there is nobody to ask.
+ */
+static int
+members_known(struct node *n, uint64_t now)
+{
+	uint32_t known;
+
+	rcu_read_lock();
+	known = member_view_get(&n->member)->known;
+	rcu_read_unlock();
+	if (known != n->known) {
+		n->known = known;
+		n->known_ms = now;
+	}
+	return n->settings.seed_peers.count == 0 ||
+	       (known > 1 && now >= n->known_ms + READY_SETTLE_MS);
+}
+
+/*
+ * Tells whether callers can be served: the configuration, the members and
+ * the leases are known.  After READY_MAX_MS a node serves as well as it can,
+ * for it may be alone or the log be out.
+ */
+int
+node_ready(struct node *n)
+{
+	uint64_t now = clock_ms();
+	int known = members_known(n, now);
+
+	if (now >= n->started_ms + READY_MAX_MS)
+		return 1;
+	return known &&
+	       (atomic_load(&n->log_read_ms) > 0 ||
+		   config_service_version(&n->config) > 0) &&
+	       lease_service_ready(&n->lease);
+}
+
+/*
+ * Opens the callers' port.  Returns -1 after logging why it can't.
+ */
+int
+node_open(struct node *n)
+{
+	if (ports_open(n) == -1)
+		return -1;
+	atomic_store(&n->open, 1);
+	logline(LOG_NOTICE, "ready", "after_ms=%" PRIu64,
+	    clock_ms() - n->started_ms);
+	return 0;
+}
+
 /*
  * Does what has to be done from time to time.
  */
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -69,6 +69,10 @@
 	atomic_uint inflight[PORT_MAX];
 	atomic_ullong last_request_ms;
 	atomic_ullong log_read_ms; /* newest read to its end was sent */
+	uint64_t started_ms;
+	atomic_int open; /* to callers */
+	uint32_t known;	 /* members, and since when that many */
+	uint64_t known_ms;
 	atomic_int stopping;
 	atomic_int running;
 };
@@ -85,6 +89,8 @@
 
 int node_init(struct node *, const struct settings *);
 int node_start(struct node *);
+int node_ready(struct node *);
+int node_open(struct node *);
 void node_stop(struct node *);
 void node_finish(struct node *);
 
@@ -107,6 +113,7 @@
 void duties_finish(struct node *);
 
 int ports_start(struct node *);
+int ports_open(struct node *);
 void ports_close(struct node *);
 void ports_stop(struct node *);
 
--- a/src/node/operator.c
+++ b/src/node/operator.c
@@ -32,8 +32,10 @@
 	int i;
 
 	nodeid_format(&n->id, id);
-	fprintf(f, "node %s\ndomain %s\nstopping %d\nconfig version %llu\n", id,
-	    n->settings.domain, atomic_load(&n->stopping),
+	fprintf(f,
+	    "node %s\ndomain %s\nready %d\nstopping %d\nconfig version %llu\n",
+	    id, n->settings.domain, atomic_load(&n->open),
+	    atomic_load(&n->stopping),
 	    (unsigned long long)config_service_version(&n->config));
 	fprintf(f, "\n# members\n");
 	member_dump(&n->member, f);
--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -191,7 +191,7 @@
 }
 
 /*
- * Opens all ports.  Returns -1 where one can't be opened.
+ * Opens all ports but the callers'.  Returns -1 where one can't be opened.
  */
 int
 ports_start(struct node *n)
@@ -202,13 +202,23 @@
 		-1 ||
 	    port_start(n, PORT_PEER, s->peer_port, s->peer_connections) == -1 ||
 	    port_start(n, PORT_INNER, s->inner_port, s->inner_connections) ==
-		-1 ||
-	    port_start(n, PORT_CALLER, s->caller_port, s->caller_connections) ==
 		-1)
 		return -1;
 	return 0;
 }
 
+/*
+ * Opens the callers' port.  Returns -1 if it can't be opened.
+ */
+int
+ports_open(struct node *n)
+{
+	const struct settings *s = &n->settings;
+
+	return port_start(
+	    n, PORT_CALLER, s->caller_port, s->caller_connections);
+}
+
 /*
  * Calls a function with each listening socket on which callers and peers
  * connect.  CivetWeb keeps them to itself; they are found among this
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -273,11 +273,13 @@
 		.request = crowd_request,
 		.answer = traffic_answer,
 		.ctx = &t };
+	uint64_t began;
 	int i, ended = 0;
 
 	(void)state;
 	memset(&t, 0, sizeof(t));
 	assert_int_equal(load_start(&l), 0);
+	began = clock_ms();
 	for (i = 0; i < CROWD_STOPS && ended == 0; i++) {
 		usleep(LOAD_MS * 1000);
 		proc_signal(fleet.list[1].node, SIGTERM);
@@ -287,6 +289,7 @@
 	load_stop(&l);
 	assert_int_equal(ended, 0);
 	check_uncut("crowd", &t);
+	check_refused(&t, began);
 	assert_int_equal(
 	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
 }
