--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -31,6 +31,7 @@
 #define BOUND_MS 3000
 #define STOP_MS 15000
 #define LOAD_MS 700
+#define KILL_LOAD_MS 5000
 #define REASONS_MAX 8
 #define REFUSED_SHARE 100 /* at most one in this many, within the rate */
 
@@ -294,6 +295,38 @@
 	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
 }
 
+/*
+ * SIGKILL for a node under load: the others' callers wait until its leases
+ * have new owners.
+ */
+static void
+test_node_kill(void **state)
+{
+	struct traffic t;
+	struct load l = { .threads = THREADS,
+		.interval_us = 4000,
+		.request = traffic_request,
+		.answer = traffic_answer,
+		.ctx = &t };
+	uint64_t began;
+
+	(void)state;
+	memset(&t, 0, sizeof(t));
+	assert_int_equal(load_start(&l), 0);
+	usleep(LOAD_MS * 1000);
+	began = clock_ms();
+	proc_kill(fleet.list[2].node);
+	fleet_node_start(&fleet, 2);
+	usleep(KILL_LOAD_MS * 1000);
+	load_stop(&l);
+	print_message("node killed: %llu served, %llu not run, %llu other\n",
+	    (unsigned long long)t.served, (unsigned long long)t.not_run,
+	    (unsigned long long)t.other);
+	check_refused(&t, began);
+	assert_int_equal(
+	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
+}
+
 /*
  * A server that asks to drain, but would go on serving, gets no new work
  * after the bound.
@@ -347,6 +380,7 @@
 		cmocka_unit_test(test_server_stop),
 		cmocka_unit_test(test_node_stop),
 		cmocka_unit_test(test_node_stop_crowd),
+		cmocka_unit_test(test_node_kill),
 		cmocka_unit_test(test_drain),
 	};
 
