Wait for a limit's owner while its lease changes hands

Cause: a workspace with a small burst has its whole limit in one partition, and while that moved (0.7 s after a hand-over, 2.2 s after a takeover) its requests were refused as limits-unavailable; a large one lost some as well.

An entry now asks again within the deadline, until 4 s after it first missed an owner, and only while it has read the log lately.

--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -124,8 +124,8 @@
 /*
  * Tells whether leases can change now, since the log was read lately.
  */
-static int
-leases_change(void *ctx)
+int
+duties_leases_change(void *ctx)
 {
 	struct node *n = ctx;
 	uint64_t max = LOG_READ_MS + n->settings.log_poll_ms;
@@ -242,7 +242,7 @@
 		.kick_ctx = n,
 		.expect = expect_lease,
 		.expect_ctx = n,
-		.changing = leases_change,
+		.changing = duties_leases_change,
 		.changing_ctx = n };
 	size_t i;
 
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -2,11 +2,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <urcu.h>
 
 #include "node/call.h"
 
 #define MS_PER_S 1000
+#define LIMIT_WAIT_MS 4000 /* for an owner, since one was missed first */
+#define LIMIT_PAUSE_US 20000
 
 /* What the verdicts of other duties mean for a request. */
 static const enum reason limit_reasons[LIMITS_VERDICT_MAX] = {
@@ -125,17 +128,41 @@
 }
 
 /*
- * Holds the workspace to its rate and burst.
+ * Tells whether it is worth while to wait for an owner of a workspace's
+ * limit: leases can change, and one was missed only lately.
+ */
+static int
+limit_is_hopeful(struct call *c, atomic_ullong *missed_ms)
+{
+	uint64_t now = clock_ms();
+	unsigned long long since = 0;
+
+	if (atomic_compare_exchange_strong(missed_ms, &since, now))
+		since = now;
+	return now < since + LIMIT_WAIT_MS && now < c->deadline_ms &&
+	       duties_leases_change(c->node);
+}
+
+/*
+ * Holds the workspace to its rate and burst.  While its limit changes hands,
+ * the request waits.
  */
 static enum reason
 check_limit(struct call *c)
 {
 	enum limits_verdict v;
+	atomic_ullong *missed;
 	uint32_t wait = 0;
 
 	if (c->route.open)
 		return REASON_NONE;
-	v = limits_admit(&c->node->limits, &c->limit, 1, &wait);
+	missed = &c->node->limit_missed_ms[c->limit.hash % NODE_BUDGETS];
+	while ((v = limits_admit(&c->node->limits, &c->limit, 1, &wait)) ==
+		   LIMITS_UNAVAILABLE &&
+	       limit_is_hopeful(c, missed))
+		usleep(LIMIT_PAUSE_US);
+	if (v != LIMITS_UNAVAILABLE)
+		atomic_store(missed, 0);
 	c->retry_ms = (int)wait;
 	return limit_reasons[v];
 }
@@ -235,9 +262,9 @@
 		why = check_quarantine(c);
 	if (why == REASON_NONE)
 		why = check_servers(c);
+	set_deadline(c, clock_ms(), UINT64_MAX);
 	if (why == REASON_NONE)
 		why = check_limit(c);
-	set_deadline(c, clock_ms(), UINT64_MAX);
 	if (why == REASON_NONE)
 		why = check_once(c);
 	if (why != REASON_NONE) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -61,6 +61,7 @@
 	struct quarantine quarantine;
 	struct route_book routes;
 	struct retry_budget budgets[NODE_BUDGETS];
+	atomic_ullong limit_missed_ms[NODE_BUDGETS]; /* by workspace */
 	struct admission_echo echoes[NODE_BUDGETS];
 	struct parents parents;
 	struct mg_context *ports[PORT_MAX];
@@ -108,6 +109,7 @@
 
 int duties_init(struct node *);
 void duties_tick(struct node *);
+int duties_leases_change(void *);
 void duties_regroup(struct node *);
 void duties_sync(struct node *);
 void duties_finish(struct node *);
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -54,6 +54,7 @@
 };
 
 static struct fleet fleet;
+static struct traffic small; /* of a small workspace, in test_rolling */
 
 /*
  * Starts four nodes and servers; slow requests keep some in flight.
@@ -295,6 +296,75 @@
 	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
 }
 
+/*
+ * Fills in a page of a workspace with a small rate.
+ */
+static int
+small_request(void *ctx, int thread, uint64_t seq, struct http_req *rq)
+{
+	(void)ctx;
+	http_req_init(rq, "http://%s:%d/file/t?bytes=100000&tag=9",
+	    fleet.list[thread % NODES].addr, CALLER_PORT);
+	http_req_header(rq, "Authorization: Bearer %s", SMALL_KEY);
+	http_req_header(
+	    rq, "X-Attempt: %d.%llu", thread, (unsigned long long)seq);
+	return 0;
+}
+
+/*
+ * All nodes are restarted, one after the other.
+ */
+static void
+test_rolling(void **state)
+{
+	struct traffic t;
+	struct load l = { .threads = THREADS,
+		.interval_us = 20000,
+		.request = traffic_request,
+		.answer = traffic_answer,
+		.ctx = &t };
+	struct load s = { .threads = 1,
+		.interval_us = 400000,
+		.request = small_request,
+		.answer = traffic_answer,
+		.ctx = &small };
+	uint64_t began;
+	int i, ended = 0;
+
+	(void)state;
+	memset(&t, 0, sizeof(t));
+	memset(&small, 0, sizeof(small));
+	assert_int_equal(load_start(&l), 0);
+	assert_int_equal(load_start(&s), 0);
+	began = clock_ms();
+	for (i = 1; i <= NODES && ended == 0; i++) {
+		usleep(LOAD_MS * 1000);
+		proc_signal(fleet.list[i % NODES].node, SIGTERM);
+		ended = proc_wait(fleet.list[i % NODES].node, STOP_MS);
+		fleet_node_start(&fleet, i % NODES);
+		fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS);
+	}
+	load_stop(&l);
+	load_stop(&s);
+	assert_int_equal(ended, 0);
+	check_uncut("rolling", &t);
+	check_refused(&t, began);
+}
+
+/*
+ * Nor is a small workspace refused meanwhile, whose limit is one partition's.
+ */
+static void
+test_rolling_small(void **state)
+{
+	(void)state;
+	print_message("small: %llu served, %llu not run\n",
+	    (unsigned long long)small.served,
+	    (unsigned long long)small.not_run);
+	assert_true(small.served > 0);
+	check_refused(&small, 0);
+}
+
 /*
  * SIGKILL for a node under load: the others' callers wait until its leases
  * have new owners.
@@ -380,6 +450,8 @@
 		cmocka_unit_test(test_server_stop),
 		cmocka_unit_test(test_node_stop),
 		cmocka_unit_test(test_node_stop_crowd),
+		cmocka_unit_test(test_rolling),
+		cmocka_unit_test(test_rolling_small),
 		cmocka_unit_test(test_node_kill),
 		cmocka_unit_test(test_drain),
 	};
