--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -7,6 +7,7 @@
 
 #define NEWS_MEMBERS_MAX 4096
 #define DOMAINS_MAX 64
+#define LOG_READ_MS 500 /* a read of the log takes, at most */
 
 /*
  * Gives a failure domain or region the number by which leases know it.
@@ -123,6 +124,29 @@
 	lease_service_kick(&n->lease);
 }
 
+/*
+ * Has the lease stream read, as this node may have become an owner.
+ */
+static void
+expect_lease(void *ctx)
+{
+	struct node *n = ctx;
+
+	lease_service_expect(&n->lease);
+}
+
+/*
+ * Tells whether leases can change now, since the log was read lately.
+ */
+int
+duties_leases_change(void *ctx)
+{
+	struct node *n = ctx;
+	uint64_t max = LOG_READ_MS + n->settings.log_poll_ms;
+
+	return clock_ms() < atomic_load(&n->log_read_ms) + max;
+}
+
 /*
  * Sends news to all other members that are alive.
  */
@@ -229,7 +253,11 @@
 		.call = rpc_client_call,
 		.call_ctx = &n->rpc_client,
 		.kick = kick_leases,
-		.kick_ctx = n };
+		.kick_ctx = n,
+		.expect = expect_lease,
+		.expect_ctx = n,
+		.changing = duties_leases_change,
+		.changing_ctx = n };
 	size_t i;
 
 	route_book_init(&n->routes);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -61,6 +61,7 @@
 	struct quarantine quarantine;
 	struct route_book routes;
 	struct retry_budget budgets[NODE_BUDGETS];
+	atomic_ullong limit_missed_ms[NODE_BUDGETS]; /* by workspace */
 	struct admission_echo echoes[NODE_BUDGETS];
 	struct parents parents;
 	struct mg_context *ports[PORT_MAX];
@@ -68,6 +69,11 @@
 	pthread_t fetcher;
 	atomic_uint inflight[PORT_MAX];
 	atomic_ullong last_request_ms;
+	atomic_ullong log_read_ms; /* newest read to its end was sent */
+	uint64_t started_ms;
+	atomic_int open; /* to callers */
+	uint32_t known;	 /* members, and since when that many */
+	uint64_t known_ms;
 	atomic_int stopping;
 	atomic_int running;
 };
@@ -84,6 +90,8 @@
 
 int node_init(struct node *, const struct settings *);
 int node_start(struct node *);
+int node_ready(struct node *);
+int node_open(struct node *);
 void node_stop(struct node *);
 void node_finish(struct node *);
 
@@ -101,11 +109,13 @@
 
 int duties_init(struct node *);
 void duties_tick(struct node *);
+int duties_leases_change(void *);
 void duties_regroup(struct node *);
 void duties_sync(struct node *);
 void duties_finish(struct node *);
 
 int ports_start(struct node *);
+int ports_open(struct node *);
 void ports_close(struct node *);
 void ports_stop(struct node *);
 
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -30,6 +31,16 @@
 #define BOUND_MS 3000
 #define STOP_MS 15000
 #define LOAD_MS 700
+#define KILL_LOAD_MS 5000
+#define REASONS_MAX 8
+#define REFUSED_SHARE 100 /* at most one in this many, within the rate */
+
+struct refusals {
+	char reason[32];
+	uint64_t count;
+	uint64_t first_ms;
+	uint64_t last_ms;
+};
 
 struct traffic {
 	uint64_t served;
@@ -37,11 +48,14 @@
 	uint64_t unreached;
 	uint64_t cut;
 	uint64_t other;
-	char reason[32]; /* of the last one not run */
 	char sample[200];
+	pthread_mutex_t lock; /* guards all below */
+	struct refusals refused[REASONS_MAX];
 };
 
 static struct fleet fleet;
+static struct traffic small; /* of a small workspace, in test_rolling */
+static uint64_t rolling_ms;  /* when that began */
 
 /*
  * Starts four nodes and servers; slow requests keep some in flight.
@@ -86,6 +100,45 @@
 	return 0;
 }
 
+/*
+ * Counts a refusal under its reason.
+ */
+static void
+traffic_refused(struct traffic *t, const char *reason)
+{
+	struct refusals *r = t->refused;
+	uint64_t now = clock_ms();
+
+	pthread_mutex_lock(&t->lock);
+	while (r < &t->refused[REASONS_MAX - 1] && r->count > 0 &&
+	       strcmp(r->reason, reason) != 0)
+		r++;
+	snprintf(r->reason, sizeof(r->reason), "%s", reason);
+	if (r->count++ == 0)
+		r->first_ms = now;
+	r->last_ms = now;
+	pthread_mutex_unlock(&t->lock);
+}
+
+/*
+ * Prints the refusals by reason and when they came, and asserts that they
+ * were few: all of the traffic is within its rate.
+ */
+static void
+check_refused(struct traffic *t, uint64_t stop_ms)
+{
+	const struct refusals *r;
+
+	for (r = t->refused; r < &t->refused[REASONS_MAX]; r++)
+		if (r->count > 0)
+			print_message("%llu %s, %lld to %lld ms after the "
+				      "stop began\n",
+			    (unsigned long long)r->count, r->reason,
+			    (long long)(r->first_ms - stop_ms),
+			    (long long)(r->last_ms - stop_ms));
+	assert_true(t->not_run * REFUSED_SHARE <= t->served + t->not_run);
+}
+
 /*
  * Sorts the answers: served, refused, never connected, cut, other.
  */
@@ -101,7 +154,7 @@
 		n = &t->served;
 	else if (strcmp(rs->outcome, "not-run") == 0) {
 		n = &t->not_run;
-		snprintf(t->reason, sizeof(t->reason), "%s", rs->reason);
+		traffic_refused(t, rs->reason);
 	} else if (rs->code == CURLE_COULDNT_CONNECT)
 		n = &t->unreached;
 	else if (rs->code != CURLE_OK)
@@ -132,12 +185,11 @@
 		    runlog_count_attempt(&rl, attempt));
 		runlog_finish(&rl);
 	}
-	print_message("%s: %llu served, %llu not run (%s), %llu unreached, "
+	print_message("%s: %llu served, %llu not run, %llu unreached, "
 		      "%llu cut, %llu other %s\n",
 	    what, (unsigned long long)t->served, (unsigned long long)t->not_run,
-	    t->reason, (unsigned long long)t->unreached,
-	    (unsigned long long)t->cut, (unsigned long long)t->other,
-	    t->sample);
+	    (unsigned long long)t->unreached, (unsigned long long)t->cut,
+	    (unsigned long long)t->other, t->sample);
 	assert_true(t->served > 100);
 	assert_int_equal(t->cut, 0);
 	assert_int_equal(t->other, 0);
@@ -204,6 +256,7 @@
 	load_stop(&l);
 	assert_int_equal(ended, 0);
 	check_uncut("node stopped", &t);
+	check_refused(&t, began);
 	assert_true(WIFEXITED(proc_status(fleet.list[1].node)));
 	assert_int_equal(WEXITSTATUS(proc_status(fleet.list[1].node)), 0);
 	fleet_node_start(&fleet, 1);
@@ -223,11 +276,13 @@
 		.request = crowd_request,
 		.answer = traffic_answer,
 		.ctx = &t };
+	uint64_t began;
 	int i, ended = 0;
 
 	(void)state;
 	memset(&t, 0, sizeof(t));
 	assert_int_equal(load_start(&l), 0);
+	began = clock_ms();
 	for (i = 0; i < CROWD_STOPS && ended == 0; i++) {
 		usleep(LOAD_MS * 1000);
 		proc_signal(fleet.list[1].node, SIGTERM);
@@ -237,6 +292,107 @@
 	load_stop(&l);
 	assert_int_equal(ended, 0);
 	check_uncut("crowd", &t);
+	check_refused(&t, began);
+	assert_int_equal(
+	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
+}
+
+/*
+ * Fills in a page of a workspace with a small rate.
+ */
+static int
+small_request(void *ctx, int thread, uint64_t seq, struct http_req *rq)
+{
+	(void)ctx;
+	http_req_init(rq, "http://%s:%d/file/t?bytes=100000&tag=9",
+	    fleet.list[thread % NODES].addr, CALLER_PORT);
+	http_req_header(rq, "Authorization: Bearer %s", SMALL_KEY);
+	http_req_header(
+	    rq, "X-Attempt: %d.%llu", thread, (unsigned long long)seq);
+	return 0;
+}
+
+/*
+ * All nodes are restarted, one after the other.
+ */
+static void
+test_rolling(void **state)
+{
+	struct traffic t;
+	struct load l = { .threads = THREADS,
+		.interval_us = 20000,
+		.request = traffic_request,
+		.answer = traffic_answer,
+		.ctx = &t };
+	struct load s = { .threads = 1,
+		.interval_us = 400000,
+		.request = small_request,
+		.answer = traffic_answer,
+		.ctx = &small };
+	int i, ended = 0;
+
+	(void)state;
+	memset(&t, 0, sizeof(t));
+	memset(&small, 0, sizeof(small));
+	assert_int_equal(load_start(&l), 0);
+	assert_int_equal(load_start(&s), 0);
+	rolling_ms = clock_ms();
+	for (i = 1; i <= NODES && ended == 0; i++) {
+		usleep(LOAD_MS * 1000);
+		proc_signal(fleet.list[i % NODES].node, SIGTERM);
+		ended = proc_wait(fleet.list[i % NODES].node, STOP_MS);
+		fleet_node_start(&fleet, i % NODES);
+		fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS);
+	}
+	load_stop(&l);
+	load_stop(&s);
+	assert_int_equal(ended, 0);
+	check_uncut("rolling", &t);
+	check_refused(&t, rolling_ms);
+}
+
+/*
+ * Nor is a small workspace refused meanwhile, whose limit is one partition's.
+ */
+static void
+test_rolling_small(void **state)
+{
+	(void)state;
+	print_message("small: %llu served, %llu not run\n",
+	    (unsigned long long)small.served,
+	    (unsigned long long)small.not_run);
+	assert_true(small.served > 0);
+	check_refused(&small, rolling_ms);
+}
+
+/*
+ * SIGKILL for a node under load: the others' callers wait until its leases
+ * have new owners.
+ */
+static void
+test_node_kill(void **state)
+{
+	struct traffic t;
+	struct load l = { .threads = THREADS,
+		.interval_us = 4000,
+		.request = traffic_request,
+		.answer = traffic_answer,
+		.ctx = &t };
+	uint64_t began;
+
+	(void)state;
+	memset(&t, 0, sizeof(t));
+	assert_int_equal(load_start(&l), 0);
+	usleep(LOAD_MS * 1000);
+	began = clock_ms();
+	proc_kill(fleet.list[2].node);
+	fleet_node_start(&fleet, 2);
+	usleep(KILL_LOAD_MS * 1000);
+	load_stop(&l);
+	print_message("node killed: %llu served, %llu not run, %llu other\n",
+	    (unsigned long long)t.served, (unsigned long long)t.not_run,
+	    (unsigned long long)t.other);
+	check_refused(&t, began);
 	assert_int_equal(
 	    fleet_ready(&fleet, "/page/back", ACME_KEY, STD_READY_MS), 0);
 }
@@ -294,6 +450,9 @@
 		cmocka_unit_test(test_server_stop),
 		cmocka_unit_test(test_node_stop),
 		cmocka_unit_test(test_node_stop_crowd),
+		cmocka_unit_test(test_rolling),
+		cmocka_unit_test(test_rolling_small),
+		cmocka_unit_test(test_node_kill),
 		cmocka_unit_test(test_drain),
 	};
 
