Cut a failure domain faithfully; measure what is reachable

The domain cut also cut all that stays within the domain. Goodput is given also of the capacity that the trigger leaves: in killed without the killed server, and without the frozen node's for its 3 s; a cut domain keeps its share of servers and callers.

calm counted requests begun in the last 2.5 s before the trigger, with service times of up to 3.6 s: the trigger found them in flight. It now counts those that had time to end, which is stricter for recovery; the old count stays as caught.

--- a/tests/measure/scenarios.c
+++ b/tests/measure/scenarios.c
@@ -15,16 +15,19 @@
  * policies and without any, in the same run.
  */
 
-#define WARM_MS 10000	 /* with policies: a server starts cold */
-#define WARM_OFF_MS 4000 /* without */
-#define CALM 0.6	 /* of capacity, before and after the trigger */
-#define SURGE 2.0	 /* of capacity */
+/* A server starts cold with policies, and what is calm has to end. */
+#define WARM_MS (10000 + FIGURES_ENDS_MS)
+#define WARM_OFF_MS (4000 + FIGURES_ENDS_MS)
+#define CALM 0.6  /* of capacity, before and after the trigger */
+#define SURGE 2.0 /* of capacity */
 #define AFTER_MS 4000
 #define SMALL_COUNT 40
 #define SMALL_RATE 3.0 /* of 4 a second that each may have */
 #define NOISY 5.0      /* times its rate */
 #define WITHIN 0.8     /* of their rate, the others */
 #define FREEZE_MS 3000
+#define KILLED 5 /* the instance whose server is killed */
+#define FROZEN 9 /* the instance whose node is frozen */
 #define ALL_POLICIES \
 	"admission,retry-budget,routing,ejection,quarantine,precheck"
 
@@ -35,6 +38,7 @@
 	SCENARIO_OUTAGE,
 	SCENARIO_KILLED,
 	SCENARIO_DOMAIN,
+	SCENARIO_STAY,
 	SCENARIO_POISON,
 	SCENARIO_SMALL,
 	SCENARIO_LADDER,
@@ -53,7 +57,9 @@
 
 /*
  * One scenario.  begin() and end() pull the trigger; prepare() changes the
- * flows beforehand.  Any may be NULL.
+ * flows beforehand; lost() tells the capacity (requests a second) that the
+ * trigger takes away, in the mean of the time that goodput looks at.  Any may
+ * be NULL.
  */
 struct scenario {
 	const char *name;
@@ -65,6 +71,7 @@
 	void (*begin)(struct run *);
 	void (*during)(struct run *);
 	void (*end)(struct run *);
+	double (*lost)(const struct run *);
 };
 
 static void prepare_deep(struct run *);
@@ -76,6 +83,8 @@
 static void end_outage(struct run *);
 static void begin_killed(struct run *);
 static void end_killed(struct run *);
+static double lost_killed(const struct run *);
+static void prepare_stay(struct run *);
 static void begin_domain(struct run *);
 static void end_domain(struct run *);
 static void during_poison(struct run *);
@@ -83,23 +92,25 @@
 
 static const struct scenario scenarios[SCENARIO_MAX] = {
 	[SCENARIO_SURGE] = { "surge", &world_qarta, SURGE, 10, 0, NULL, NULL,
-	    NULL, NULL },
+	    NULL, NULL, NULL },
 	[SCENARIO_DEEP] = { "deep-slow", &world_qarta, CALM, 10, 0,
-	    prepare_deep, begin_deep, NULL, end_deep },
+	    prepare_deep, begin_deep, NULL, end_deep, NULL },
 	[SCENARIO_NOISY] = { "noisy", &world_brazos, 1, CALM, 0, prepare_noisy,
-	    NULL, NULL, NULL },
+	    NULL, NULL, NULL, NULL },
 	[SCENARIO_OUTAGE] = { "log-out", &world_qarta, SURGE, 10, 0, NULL,
-	    begin_outage, NULL, end_outage },
+	    begin_outage, NULL, end_outage, NULL },
 	[SCENARIO_KILLED] = { "killed", &world_qarta, SURGE, 10, 0, NULL,
-	    begin_killed, NULL, end_killed },
+	    begin_killed, NULL, end_killed, lost_killed },
 	[SCENARIO_DOMAIN] = { "domain-cut", &world_brazos, SURGE, 10, 0, NULL,
-	    begin_domain, NULL, end_domain },
+	    begin_domain, NULL, end_domain, NULL },
+	[SCENARIO_STAY] = { "domain-stay", &world_brazos, SURGE, 10, 0,
+	    prepare_stay, begin_domain, NULL, end_domain, NULL },
 	[SCENARIO_POISON] = { "poison", &world_qarta, SURGE, 10, 0, NULL, NULL,
-	    during_poison, end_poison },
+	    during_poison, end_poison, NULL },
 	[SCENARIO_SMALL] = { "small", &world_brazos, CALM, 10, SMALL_COUNT,
-	    prepare_small, NULL, NULL, NULL },
+	    prepare_small, NULL, NULL, NULL, NULL },
 	[SCENARIO_LADDER] = { "ladder", &world_qarta, 1, 10, 0, NULL, NULL,
-	    NULL, NULL },
+	    NULL, NULL, NULL },
 };
 
 static const char *const policies[] = { "admission", "retry-budget", "routing",
@@ -214,10 +225,10 @@
 static void
 begin_killed(struct run *r)
 {
-	proc_kill(r->fleet.list[5].server);
-	proc_signal(r->fleet.list[9].node, SIGSTOP);
+	proc_kill(r->fleet.list[KILLED].server);
+	proc_signal(r->fleet.list[FROZEN].node, SIGSTOP);
 	usleep(FREEZE_MS * 1000);
-	proc_signal(r->fleet.list[9].node, SIGCONT);
+	proc_signal(r->fleet.list[FROZEN].node, SIGCONT);
 }
 
 /*
@@ -226,18 +237,41 @@
 static void
 end_killed(struct run *r)
 {
-	fleet_server_start(&r->fleet, 5);
+	fleet_server_start(&r->fleet, KILLED);
+}
+
+/*
+ * The killed server's part is gone throughout, the frozen node's until it
+ * thaws.
+ */
+static double
+lost_killed(const struct run *r)
+{
+	double frozen = (double)(FREEZE_MS - FIGURES_RAMP_MS) /
+			(surge_ms - FIGURES_RAMP_MS);
+	const struct inst *in = r->fleet.list;
+
+	return world_server_capacity(r->world, in[KILLED].spec.service) +
+	       frozen *
+		   world_server_capacity(r->world, in[FROZEN].spec.service);
+}
+
+/*
+ * Callers stay with the node that they sent to first.
+ */
+static void
+prepare_stay(struct run *r)
+{
+	r->load.stays = 1;
 }
 
 /*
- * Nothing passes between one failure domain and the others.  Requests come
- * from sockets that do not tell their domain, so all towards it are cut,
- * also those from within.
+ * Nothing passes between one failure domain and the others.  Within it, and
+ * from callers to its nodes, everything does.
  */
 static void
 begin_domain(struct run *r)
 {
-	fleet_link(&r->fleet, "*", "da", "\"cut\":true");
 	fleet_link(&r->fleet, "da", "db", "\"cut\":true");
 	fleet_link(&r->fleet, "da", "dc", "\"cut\":true");
 	fleet_link(&r->fleet, "db", "da", "\"cut\":true");
@@ -250,7 +284,6 @@
 static void
 end_domain(struct run *r)
 {
-	fleet_link(&r->fleet, "*", "da", "\"cut\":false");
 	world_delays(&r->fleet, r->world);
 }
 
@@ -377,11 +410,12 @@
 	snprintf(rec, sizeof(rec), f->recovery_ms < 0 ? ">%ld" : "%ld",
 	    f->recovery_ms < 0 ? (long)AFTER_MS - FIGURES_BUCKET_MS
 			       : f->recovery_ms);
-	printf("%-11s %-7s %-13s %7zu %6.1f %6.1f %6.1f %6s %6.1f %7.3f "
-	       "%7.0f %7.0f %6llu\n",
+	printf("%-11s %-7s %-13s %7zu %6.1f %6.1f %6.1f %6.1f %6.1f %6s %6.1f "
+	       "%7.3f %7.0f %7.0f %6llu\n",
 	    r->scenario->name, r->world->name, label, f->requests,
-	    100 * f->normal, 100 * f->goodput, 100 * f->important, rec,
-	    100 * f->worst, 100 * f->wrongful, f->p50_ms, f->p99_ms,
+	    100 * f->normal, 100 * f->caught, 100 * f->goodput,
+	    100 * f->reachable, 100 * f->important, rec, 100 * f->worst,
+	    100 * f->wrongful, f->p50_ms, f->p99_ms,
 	    (unsigned long long)r->load.dropped);
 	print_reasons(&r->load);
 	fflush(stdout);
@@ -413,6 +447,7 @@
 	w.off_ms = r.off_ms;
 	w.after_ms = AFTER_MS;
 	w.capacity = world_capacity(r.world);
+	w.reachable = w.capacity - (s->lost != NULL ? s->lost(&r) : 0);
 	w.rate = w.capacity * s->rate;
 	w.small_only = s->small > 0;
 	figures_get(&w, &f);
@@ -525,9 +560,11 @@
 	}
 	printf("seed %llu, surge %d ms, %ld processors\n",
 	    (unsigned long long)seed, surge_ms, sysconf(_SC_NPROCESSORS_ONLN));
-	printf("%-11s %-7s %-13s %7s %6s %6s %6s %6s %6s %7s %7s %7s %6s\n",
-	    "scenario", "world", "policies", "reqs", "calm%", "good%", "impt%",
-	    "rec-ms", "worst%", "wrong%", "p50-ms", "p99-ms", "unsent");
+	printf("%-11s %-7s %-13s %7s %6s %6s %6s %6s %6s %6s %6s %7s %7s %7s "
+	       "%6s\n",
+	    "scenario", "world", "policies", "reqs", "calm%", "caugh%", "good%",
+	    "left%", "impt%", "rec-ms", "worst%", "wrong%", "p50-ms", "p99-ms",
+	    "unsent");
 	for (i = 0; i < SCENARIO_MAX; i++) {
 		if (only != NULL && strcmp(only, scenarios[i].name) != 0)
 			continue;
--- a/tests/path/figures.c
+++ b/tests/path/figures.c
@@ -140,14 +140,15 @@
 latency(const struct window *r, struct figures *f)
 {
 	uint32_t *us = calloc(r->load->result_count + 1, sizeof(*us));
+	uint32_t calm_end = r->on_ms - FIGURES_ENDS_MS;
 	size_t i, n = 0, mid, high;
 
 	if (us == NULL)
 		err(1, "calloc");
 	for (i = 0; i < r->load->result_count; i++)
 		if (r->load->results[i].whole &&
-		    r->load->results[i].start_ms < r->on_ms &&
-		    r->load->results[i].start_ms >= r->on_ms - FIGURES_CALM_MS)
+		    r->load->results[i].start_ms < calm_end &&
+		    r->load->results[i].start_ms >= calm_end - FIGURES_CALM_MS)
 			us[n++] = r->load->results[i].last_us;
 	qsort(us, n, sizeof(*us), by_number);
 	if (n > 0) {
@@ -165,12 +166,16 @@
 void
 figures_get(const struct window *r, struct figures *f)
 {
+	uint32_t calm_end = r->on_ms - FIGURES_ENDS_MS;
+	double good =
+	    figures_goodput(r->load, r->on_ms + FIGURES_RAMP_MS, r->off_ms);
+
 	memset(f, 0, sizeof(*f));
 	f->requests = r->load->result_count;
-	f->normal = served(r, r->on_ms - FIGURES_CALM_MS, r->on_ms, 0);
-	f->goodput =
-	    figures_goodput(r->load, r->on_ms + FIGURES_RAMP_MS, r->off_ms) /
-	    r->capacity;
+	f->normal = served(r, calm_end - FIGURES_CALM_MS, calm_end, 0);
+	f->caught = served(r, r->on_ms - FIGURES_CALM_MS, r->on_ms, 0);
+	f->goodput = good / r->capacity;
+	f->reachable = good / r->reachable;
 	f->important = served(r, r->on_ms, r->off_ms, 1);
 	f->recovery_ms = recovery(r, f->normal);
 	f->worst = worst_workspace(r, r->rate);
--- a/tests/path/openload.c
+++ b/tests/path/openload.c
@@ -22,6 +22,7 @@
 	uint64_t sent;	/* us, of the attempt */
 	uint64_t id;
 	size_t got;
+	int inst; /* the node of the last attempt */
 	struct ol_result r;
 	struct openload *load;
 	int refused; /* the attempt was refused as not run */
@@ -171,20 +172,22 @@
 }
 
 /*
- * Sends one attempt of a request to a random node.
+ * Sends one attempt of a request to a random node, or to that of the first
+ * one where callers stay.
  */
 static void
 attempt(struct ol_thread *t, struct call *c)
 {
 	struct openload *l = t->load;
 	const struct ol_flow *f = &l->flows[c->r.flow];
-	int inst = (int)(draw(t) * l->fleet->count);
 	char url[256], line[128];
 
+	if (c->r.attempts == 0 || !l->stays)
+		c->inst = (int)(draw(t) * l->fleet->count);
 	curl_slist_free_all(c->headers);
 	c->headers = NULL;
-	snprintf(url, sizeof(url), "http://%s:%d%s", l->fleet->list[inst].addr,
-	    CALLER_PORT, f->path);
+	snprintf(url, sizeof(url), "http://%s:%d%s",
+	    l->fleet->list[c->inst].addr, CALLER_PORT, f->path);
 	snprintf(line, sizeof(line), "Authorization: Bearer %s", f->key);
 	c->headers = curl_slist_append(c->headers, line);
 	curl_easy_reset(c->curl);
--- a/tests/path/openload.h
+++ b/tests/path/openload.h
@@ -55,6 +55,7 @@
 	size_t flow_count;
 	int threads;
 	int attempts;	      /* at most, of one request */
+	int stays;	      /* all attempts of a request go to one node */
 	int retry_ms;	      /* mean time before the next attempt */
 	long timeout_ms;      /* of one attempt */
 	uint64_t patience_ms; /* of a caller, over all attempts */
--- a/tests/path/world.c
+++ b/tests/path/world.c
@@ -79,6 +79,19 @@
 	return sum;
 }
 
+/*
+ * Returns the requests a second that one server of a service can serve.
+ */
+double
+world_server_capacity(const struct world *w, const char *service)
+{
+	const struct world_service *s = w->services;
+
+	while (strcmp(s->name, service) != 0)
+		s++;
+	return world_service_capacity(s) / s->servers;
+}
+
 /*
  * Adds the two routes of a service: important and bulk requests.
  */
--- a/tests/path/world.h
+++ b/tests/path/world.h
@@ -33,6 +33,7 @@
 extern const struct world world_brazos;
 
 double world_capacity(const struct world *);
+double world_server_capacity(const struct world *, const char *);
 double world_service_capacity(const struct world_service *);
 int world_start(struct fleet *, const struct world *, const char *, int);
 json_t *world_conf(const struct world *, double, int);
