Send to suspects only where nothing else takes requests

Cause: a server that membership suspects was as good a choice as any for the 0.5 s until it is dead, and for good in a cut of one direction, where its own messages put its death off.

--- a/src/node/choose.c
+++ b/src/node/choose.c
@@ -34,6 +34,7 @@
 	out->leaving =
 	    (m->state != MEMBER_ALIVE && m->state != MEMBER_SUSPECT) ||
 	    m->server.state != MEMBER_SERVER_UP;
+	out->suspect = m->state == MEMBER_SUSPECT;
 	out->tried = was_tried(c, &m->id);
 }
 
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -26,6 +26,7 @@
 enum fit {
 	FIT_READY,
 	FIT_SHEDS,   /* it would shed this rank */
+	FIT_SUSPECT, /* usable where no other takes requests */
 	FIT_PROBE,   /* returns from an ejection, free for its one probe */
 	FIT_EJECTED, /* but usable where more than half are ejected */
 	FIT_NEVER,
@@ -80,6 +81,8 @@
 		*why = ROUTE_OVERLOAD;
 		return -1;
 	}
+	if (count_fit(&c, FIT_SUSPECT, -1) > 0)
+		return best(&c, FIT_SUSPECT, draw);
 	if (n > 0)
 		return best(&c, FIT_PROBE, draw);
 	if (count_fit(&c, FIT_EJECTED, -1) > 0)
@@ -115,7 +118,7 @@
 	if (admission_precheck(&load, heard * 1000, q->rank, now * 1000,
 		q->rnd >> 3) == ADMISSION_HINT_SHED)
 		return FIT_SHEDS;
-	return FIT_READY;
+	return cand->suspect ? FIT_SUSPECT : FIT_READY;
 }
 
 /*
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -41,6 +41,7 @@
 	uint32_t slots;
 	int same_domain;
 	int leaving; /* drains, stops, or is held to be dead */
+	int suspect; /* may be dead, may still refute it */
 	int tried;   /* an earlier attempt of this request went there */
 };
 
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -26,6 +26,10 @@
 static const struct rule rules[] = {
 	{ "equal", { .slots = 50 }, { .good = 10 }, .22, .28, 1 },
 	{ "leaving", { .slots = 50, .leaving = 1 }, { 0 }, 0, 0, 1 },
+	{ "suspect", { .slots = 50, .suspect = 1 }, { .good = 10 }, 0, 0, 1 },
+	{ "suspect in the own domain",
+	    { .slots = 50, .suspect = 1, .same_domain = 1 }, { .good = 10 }, 0,
+	    0, 1 },
 	{ "refused as leaving", { .slots = 50 }, { .leaving_ms = NOW + 1 }, 0,
 	    0, 1 },
 	{ "tried", { .slots = 50, .tried = 1 }, { 0 }, 0, 0, 1 },
@@ -139,8 +143,9 @@
 }
 
 /*
- * However many are ejected, at least half of the service takes requests, and
- * nothing is sent if all leave or all shed.
+ * However many are ejected, at least half of the service takes requests, as
+ * do suspects if there are no others, and nothing is sent if all leave or all
+ * shed.
  */
 static void
 test_all_bad(void **state)
@@ -163,6 +168,10 @@
 		cand[i].leaving = 1;
 	assert_true(share(cand, stat, 0, -1) >= 1);
 	service(cand, stat);
+	for (i = 0; i < SERVERS; i++)
+		cand[i].suspect = 1;
+	assert_true(share(cand, stat, 0, -1) <= 0);
+	service(cand, stat);
 	for (i = 0; i < SERVERS; i++) {
 		stat[i].heard_ms = NOW;
 		stat[i].load.level = 100;
