Wait no longer for a dead peer where a request may run again

An exchange now asks about once a second, as libcurl reports progress, whether waiting is hopeless. It is where membership holds the peer to be dead, no part of the answer has come and the route is idempotent. The attempt then counts as broken: it may have run, and the retry budget and the chain's bound apply. Orders go on waiting: they may not run again, and the peer may thaw.

The table of link faults gets a cut in each single direction, and asks of every cut that what remains serves 20 pages in a row while it lasts; test_dead_peer asks that requests with a deadline of 20 s are answered within 5 s.

--- a/src/exchange/client.c
+++ b/src/exchange/client.c
@@ -49,6 +49,7 @@
 /* One exchange under way. */
 struct flight {
 	const struct answer_sink *sink;
+	const struct exchange_req *req;
 	struct head head;
 	int sent;
 	int chunked;
@@ -60,6 +61,7 @@
 };
 
 static curl_socket_t on_open(void *, curlsocktype, struct curl_sockaddr *);
+static int on_progress(void *, curl_off_t, curl_off_t, curl_off_t, curl_off_t);
 static int on_request(void *, char *, char *, int, int);
 static size_t on_header(char *, size_t, size_t, void *);
 static size_t on_body(char *, size_t, size_t, void *);
@@ -312,6 +314,25 @@
 	return socket(a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
 }
 
+/*
+ * Gives up an exchange that nobody expects an answer from any more.
+ */
+static int
+on_progress(void *ctx, curl_off_t down_all, curl_off_t down, curl_off_t up_all,
+    curl_off_t up)
+{
+	struct flight *f = ctx;
+
+	(void)down_all;
+	(void)down;
+	(void)up_all;
+	(void)up;
+	if (!f->req->hopeless(f->req->hopeless_ctx))
+		return 0;
+	f->aborted = 1;
+	return 1;
+}
+
 /*
  * Notes that the request is about to be sent.
  */
@@ -541,6 +562,7 @@
 	if (f == NULL)
 		err(1, "client_exchange");
 	f->sink = sink;
+	f->req = r;
 	head_init(&f->head, 0);
 	set_request(c, r, f);
 	curl_easy_setopt(c, CURLOPT_HTTPHEADER, hdrs);
@@ -560,6 +582,11 @@
 	curl_easy_setopt(c, CURLOPT_HEADERDATA, f);
 	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(c, CURLOPT_WRITEDATA, f);
+	if (r->hopeless != NULL) {
+		curl_easy_setopt(c, CURLOPT_NOPROGRESS, 0L);
+		curl_easy_setopt(c, CURLOPT_XFERINFOFUNCTION, on_progress);
+		curl_easy_setopt(c, CURLOPT_XFERINFODATA, f);
+	}
 	rc = curl_easy_perform(c);
 	end = end_of(f, rc);
 	handle_give(cl, r, c, end == EXCHANGE_WHOLE);
--- a/src/exchange/client.h
+++ b/src/exchange/client.h
@@ -38,6 +38,9 @@
 	size_t body_len;
 	uint32_t timeout_ms;
 	size_t idle_max; /* connections kept open to this destination */
+	/* Asked about once a second, if set: 1 to wait no longer. */
+	int (*hopeless)(void *);
+	void *hopeless_ctx;
 };
 
 struct client;
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -3,12 +3,19 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <urcu.h>
 
 #include "node/call.h"
 
 #define PEER_IDLE_MAX 8
 #define FORWARD_GRACE_MS 50 /* an exit answers at its deadline, then we */
 
+/* A peer that a request has been sent to. */
+struct waiting {
+	struct call *call;
+	const struct target *target;
+};
+
 static int peer_head(void *, const struct head *);
 static int peer_body(void *, const char *, size_t);
 
@@ -119,6 +126,31 @@
 	}
 }
 
+/*
+ * Tells whether waiting for a peer's answer costs more than it can bring:
+ * the peer is held to be dead, no part of its answer has come, and the
+ * request may run again elsewhere.
+ */
+static int
+peer_hopeless(void *ctx)
+{
+	const struct waiting *w = ctx;
+	const struct node_id *id = &w->target->id;
+	struct call *c = w->call;
+	const struct member_info *m;
+	int dead;
+
+	if (!c->route.idempotent || c->answer.started)
+		return 0;
+	rcu_read_lock();
+	m = member_view_find(
+	    member_view_get(&c->node->member), id->addr, id->rpc_port);
+	dead = m == NULL || m->id.incarnation != id->incarnation ||
+	       m->state == MEMBER_DEAD;
+	rcu_read_unlock();
+	return dead;
+}
+
 /*
  * Runs an attempt at the exit of a peer.
  */
@@ -126,6 +158,7 @@
 attempt_peer(struct call *c, const struct target *t)
 {
 	struct answer_sink sink = { peer_head, peer_body, c };
+	struct waiting w = { c, t };
 	struct head *h = malloc(sizeof(*h));
 	char text[CONTEXT_TEXT_MAX], mac[CONTEXT_MAC_HEX];
 	struct exchange_req x = { .addr = t->id.addr,
@@ -136,7 +169,9 @@
 		.body = c->req->body,
 		.body_len = c->req->body_len,
 		.timeout_ms = c->cx.deadline_ms + FORWARD_GRACE_MS,
-		.idle_max = PEER_IDLE_MAX };
+		.idle_max = PEER_IDLE_MAX,
+		.hopeless = peer_hopeless,
+		.hopeless_ctx = &w };
 
 	if (h == NULL)
 		err(1, "attempt_peer");
--- a/tests/path/test_peer.c
+++ b/tests/path/test_peer.c
@@ -31,6 +31,8 @@
 #define THREADS 6
 #define CASE_MS 900
 #define HEAL_MS 10000
+#define WAIT_MS 5000 /* of the 20 s that a file's deadline allows */
+#define PAGES 20     /* in a row, while a server is cut off */
 #define DATAGRAMS 2000
 #define STREAMS 60
 #define NOISE_MAX 1500
@@ -39,18 +41,21 @@
 	const char *name;
 	const char *rule;
 	const char *back; /* the rule of the other direction, or NULL */
+	int cut;	  /* nothing can be served behind the fault */
 };
 
 static const struct link_case cases[] = {
-	{ "slow", "\"delay_us\":20000", "\"delay_us\":20000" },
-	{ "very slow", "\"delay_us\":700000", NULL },
-	{ "cut before", "\"reset\":true", NULL },
-	{ "cut midway", "\"cut_after\":300", NULL },
-	{ "answers lost", "\"lose_answer\":30", NULL },
-	{ "garbage", "\"garbage\":true", NULL },
-	{ "frozen", "\"cut\":true", "\"cut\":true" },
-	{ "datagrams lost", "\"loss\":50", "\"loss\":50" },
-	{ "datagrams twice", "\"twice\":true", "\"twice\":true" },
+	{ "slow", "\"delay_us\":20000", "\"delay_us\":20000", 0 },
+	{ "very slow", "\"delay_us\":700000", NULL, 0 },
+	{ "cut before", "\"reset\":true", NULL, 0 },
+	{ "cut midway", "\"cut_after\":300", NULL, 0 },
+	{ "answers lost", "\"lose_answer\":30", NULL, 0 },
+	{ "garbage", "\"garbage\":true", NULL, 0 },
+	{ "frozen", "\"cut\":true", "\"cut\":true", 1 },
+	{ "cut one way", "\"cut\":true", NULL, 1 },
+	{ "cut the other way", "\"cut\":false", "\"cut\":true", 1 },
+	{ "datagrams lost", "\"loss\":50", "\"loss\":50", 0 },
+	{ "datagrams twice", "\"twice\":true", "\"twice\":true", 0 },
 };
 
 static const int ports[] = { CALLER_PORT, INNER_PORT, PEER_PORT,
@@ -176,6 +181,25 @@
 	return found;
 }
 
+/*
+ * Returns 1 once the first node serves many pages in a row.
+ */
+static int
+serves(void *ctx)
+{
+	struct http_res rs;
+	int i;
+
+	(void)ctx;
+	for (i = 0; i < PAGES; i++) {
+		fleet_call(&fleet, 0, "/page/rest", ACME_KEY, &rs);
+		http_res_finish(&rs);
+		if (!http_is(&rs, 200, NULL))
+			return 0;
+	}
+	return 1;
+}
+
 /*
  * Prints the state of all nodes, for a failed test.
  */
@@ -210,7 +234,8 @@
 
 /*
  * Every row: answers are whole, refused or visibly broken, never wrong; no
- * id runs twice, refusals are true, no node dies, and all comes back.
+ * id runs twice, refusals are true, no node dies, and all comes back.  What
+ * remains serves while a server is cut off.
  */
 static void
 test_links(void **state)
@@ -243,6 +268,8 @@
 		if (cases[i].back != NULL)
 			fleet_link(&fleet, domain, "*", cases[i].back);
 		load_run(&l, CASE_MS);
+		if (cases[i].cut && wait_until(serves, NULL, HEAL_MS) == -1)
+			fail_msg("%s: the rest does not serve", cases[i].name);
 		fleet_link(&fleet, "*", domain, "\"cut\":false");
 		fleet_link(&fleet, domain, "*", "\"cut\":false");
 		print_message("%s: %llu whole, %llu refused (%s), %llu broken, "
@@ -272,6 +299,64 @@
 	runlog_finish(&rl);
 }
 
+/*
+ * Fills in a request that may run again and has a long deadline.
+ */
+static int
+file_request(void *ctx, int thread, uint64_t seq, struct http_req *rq)
+{
+	(void)ctx;
+	(void)thread;
+	(void)seq;
+	http_req_init(
+	    rq, "http://%s:%d/file/x", fleet.list[0].addr, CALLER_PORT);
+	http_req_header(rq, "Authorization: Bearer %s", ACME_KEY);
+	rq->timeout_ms = WAIT_MS;
+	return 0;
+}
+
+/*
+ * Counts the answers.
+ */
+static void
+file_answer(void *ctx, int thread, uint64_t seq, const struct http_req *rq,
+    const struct http_res *rs)
+{
+	uint64_t *whole = ctx;
+
+	(void)thread;
+	(void)seq;
+	(void)rq;
+	if (http_is(rs, 200, NULL))
+		__atomic_add_fetch(whole, 1, __ATOMIC_RELAXED);
+}
+
+/*
+ * Requests that may run again don't wait for their deadline at a server that
+ * is cut off, but are served by another.
+ */
+static void
+test_dead_peer(void **state)
+{
+	uint64_t whole = 0;
+	struct load l = { .threads = THREADS,
+		.interval_us = 8000,
+		.request = file_request,
+		.answer = file_answer,
+		.ctx = &whole };
+	struct inst *in = &fleet.list[1];
+
+	(void)state;
+	assert_int_equal(wait_until(gets_work, in, HEAL_MS), 0);
+	fleet_link(&fleet, "*", in->spec.domain, "\"cut\":true");
+	fleet_link(&fleet, in->spec.domain, "*", "\"cut\":true");
+	load_run(&l, CASE_MS);
+	fleet_link(&fleet, "*", in->spec.domain, "\"cut\":false");
+	fleet_link(&fleet, in->spec.domain, "*", "\"cut\":false");
+	assert_int_equal(whole, l.sent);
+	assert_int_equal(fleet_ready(&fleet, "/page/h", ACME_KEY, HEAL_MS), 0);
+}
+
 /*
  * Sends one datagram of noise to the RPC port of a node.  Some begin like a
  * real call.
@@ -355,6 +440,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_links),
+		cmocka_unit_test(test_dead_peer),
 		cmocka_unit_test(test_noise),
 	};
 
