--- a/tests/measure/scenarios.c
+++ b/tests/measure/scenarios.c
@@ -33,6 +33,7 @@
 
 enum scenario_id {
 	SCENARIO_SURGE,
+	SCENARIO_SURGE_BRAZOS,
 	SCENARIO_DEEP,
 	SCENARIO_NOISY,
 	SCENARIO_OUTAGE,
@@ -93,6 +94,8 @@
 static const struct scenario scenarios[SCENARIO_MAX] = {
 	[SCENARIO_SURGE] = { "surge", &world_qarta, SURGE, 10, 0, NULL, NULL,
 	    NULL, NULL, NULL },
+	[SCENARIO_SURGE_BRAZOS] = { "surge-brazos", &world_brazos, SURGE, 10, 0,
+	    NULL, NULL, NULL, NULL, NULL },
 	[SCENARIO_DEEP] = { "deep-slow", &world_qarta, CALM, 10, 0,
 	    prepare_deep, begin_deep, NULL, end_deep, NULL },
 	[SCENARIO_NOISY] = { "noisy", &world_brazos, 1, CALM, 0, prepare_noisy,
