Give back the file pages that only the start needed

Cause: 11.9 MB of a node's resident memory are pages of its libraries, 3.2 MB of them libcrypto and 1.1 MB gnutls, which libcurl brings and a node has no use for after their constructors ran (/proc/PID/smaps).

Once the ports are open, the segments that can't be written are given back with madvise(MADV_DONTNEED); what is still read is mapped from the page cache again.

--- a/src/cyclamenvaled/main.c
+++ b/src/cyclamenvaled/main.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 #include <urcu.h>
 
+#include "base/image.h"
 #include "node/node.h"
 
 #define ARENAS_MAX 4 /* of malloc: memory over speed */
@@ -50,6 +51,7 @@
 	rcu_register_thread();
 	if (node_init(&node, &settings) == -1 || node_start(&node) == -1)
 		return 1;
+	image_release();
 	sigwait(&set, &sig);
 	node_stop(&node);
 	node_finish(&node);
