--- a/src/cyclamenvaled/main.c
+++ b/src/cyclamenvaled/main.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 #include <urcu.h>
 
+#include "base/image.h"
 #include "node/node.h"
 
 #define READY_CHECK_NS 20000000
@@ -42,6 +43,7 @@
 			return 0;
 	if (node_open(n) == -1)
 		return -1;
+	image_release();
 	sigwait(set, &sig);
 	return 0;
 }
