--- a/tests/path/test_peer.c
+++ b/tests/path/test_peer.c
@@ -67,7 +67,8 @@
 	uint64_t broken;
 	uint64_t wrong;
 	uint64_t orders;
-	char reason[32]; /* of the last one refused */
+	uint64_t unknown; /* of those broken: ids that an owner can't judge */
+	char reason[32];  /* of the last one refused */
 	size_t notes;
 	char not_run[20000][40];
 };
@@ -142,6 +143,8 @@
 	}
 	if (strcmp(rs->outcome, "not-run") != 0) {
 		__atomic_add_fetch(&o->broken, 1, __ATOMIC_RELAXED);
+		if (strcmp(rs->reason, "duplicate") == 0)
+			__atomic_add_fetch(&o->unknown, 1, __ATOMIC_RELAXED);
 		return;
 	}
 	__atomic_add_fetch(&o->refused, 1, __ATOMIC_RELAXED);
@@ -272,11 +275,12 @@
 			fail_msg("%s: the rest does not serve", cases[i].name);
 		fleet_link(&fleet, "*", domain, "\"cut\":false");
 		fleet_link(&fleet, domain, "*", "\"cut\":false");
-		print_message("%s: %llu whole, %llu refused (%s), %llu broken, "
-			      "%llu wrong\n",
+		print_message("%s: %llu whole, %llu refused (%s), %llu broken "
+			      "(%llu unknown ids), %llu wrong\n",
 		    cases[i].name, (unsigned long long)outcome.whole,
 		    (unsigned long long)outcome.refused, outcome.reason,
 		    (unsigned long long)outcome.broken,
+		    (unsigned long long)outcome.unknown,
 		    (unsigned long long)outcome.wrong);
 		assert_int_equal(outcome.wrong, 0);
 		if (fleet_ready(&fleet, "/page/h", ACME_KEY, HEAL_MS) == -1)
--- a/tests/path/test_region.c
+++ b/tests/path/test_region.c
@@ -288,8 +288,8 @@
 		if (dot == NULL || e->us > until_calm)
 			continue;
 		(*calm)++;
-		*crossed +=
-		    (atoi(dot + 1) % NODES >= HALF) != (e->inst >= HALF);
+		*crossed += (strtol(dot + 1, NULL, 10) % NODES >= HALF) !=
+			    (e->inst >= HALF);
 	}
 }
 
