--- a/Makefile
+++ b/Makefile
@@ -118,6 +118,9 @@
 	$(CC) $(ALLFLAGS) $(WARN) -Iinclude -o $@ $< $(LIB_A) \
 	    $(shell pkg-config --libs $(LIB_PKGS))
 
+# All test programs, to be built at once.
+tests: $(TESTS) $(PATHS)
+
 # One test program a module, then the tests with real processes.
 check: unit path regress install-check demo
 
@@ -180,6 +183,6 @@
 	rm -rf build build-san
 
 -include $(shell find $(BUILD)/obj $(BUILD)/pic -name '*.d' 2>/dev/null)
-.PHONY: all check unit path regress sanitize format lint measure install \
+.PHONY: all check tests unit path regress sanitize format lint measure install \
 	install-check demo clean
 .SECONDARY:
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -69,7 +69,7 @@
 	c->a = a;
 	c->leaves = leaves;
 	c->req = request(class, 0, 0);
-	pthread_create(&c->thread, NULL, call, c);
+	assert_int_equal(pthread_create(&c->thread, NULL, call, c), 0);
 	while (admission_busy(a) <= n)
 		usleep(POLL_US);
 }
@@ -111,7 +111,8 @@
 	admission_init(&a);
 	admission_server_reset(&a, SLOTS);
 	for (i = 0; i < CALLERS; i++)
-		pthread_create(&th[i], NULL, call_often, &a);
+		assert_int_equal(
+		    pthread_create(&th[i], NULL, call_often, &a), 0);
 	for (i = 0; i < CALLERS; i++)
 		pthread_join(th[i], NULL);
 	assert_true(atomic_load(&most) <= SLOTS);
