Tell an entry of a death in the answer, and run suspects one at a time

Cause: test_poison failed twice in whole runs with some 250 innocent requests quarantined. An exchange with a server that died ended before the death was struck, by another thread whose exchange ended in the same moment, or the entry had the exit's answer before the news by datagram. So the entry took the request for free and retried it at the next server, beside whatever else the death had broken off; both died there again, and two deaths quarantine. The runs in question show 9 of 10 resends refused: the first sending had cost both servers.

Whoever finds a death noted already waits until its strikes are made; the exit names the death in its answer (Cyclamen-Death), and the entry strikes before it decides on a retry; of struck requests one at a time runs at a server, since of two that a death strikes again one is innocent.

A server that dies of a request so slowly that its port still listens 40 ms later is noticed by another exchange or its silence.

--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -38,6 +38,8 @@
 	v->chain_level =
 	    s != NULL ? (uint32_t)strtoul(s, NULL, 10) : ADMISSION_CHAIN_NONE;
 	v->inner_failed = head_get(h, "Cyclamen-Inner") != NULL;
+	s = head_get(h, "Cyclamen-Death");
+	v->death = s != NULL ? strtoull(s, NULL, 16) : 0;
 	s = head_get(h, "Cyclamen-Load");
 	snprintf(v->load, sizeof(v->load), "%s", s != NULL ? s : "");
 }
--- a/src/node/exit.c
+++ b/src/node/exit.c
@@ -11,6 +11,7 @@
 #include "node/node.h"
 
 #define SERVER_IDLE_MAX 256
+#define SUSPECT_CHECK_US 2000
 #define DEATH_CONNECT_MS 50
 #define DEATH_TRIES 4
 #define DEATH_RETRY_US 10000
@@ -86,6 +87,8 @@
 		head_addf(h, "Cyclamen-Chain-Level", "%u", v->chain_level);
 	if (v->inner_failed)
 		head_add(h, "Cyclamen-Inner", "failed");
+	if (v->death != 0)
+		head_addf(h, "Cyclamen-Death", "%016" PRIx64, v->death);
 }
 
 /*
@@ -162,6 +165,24 @@
 	return e == ECONNREFUSED;
 }
 
+/*
+ * Strikes what was in flight at the server's death, but once.  Whoever comes
+ * second waits until that is done, so that it can tell of its own strike.
+ * Returns 1 to the first caller.
+ */
+static int
+strike_death(struct node *n, uint64_t incarnation)
+{
+	int first;
+
+	pthread_mutex_lock(&n->death_lock);
+	first = server_died(&n->server, incarnation);
+	if (first)
+		quarantine_death(&n->quarantine, rand_u64() | 1, clock_ms());
+	pthread_mutex_unlock(&n->death_lock);
+	return first;
+}
+
 /*
  * Looks whether the server died, after an exchange with it broke.
  */
@@ -176,12 +197,11 @@
 			return;
 		usleep(DEATH_RETRY_US);
 	}
-	if (!server_died(&n->server, a->server.incarnation))
+	if (!strike_death(n, a->server.incarnation))
 		return;
 	logline(LOG_WARNING, "server-died", "service=%s incarnation=%" PRIx64,
 	    a->server.service, a->server.incarnation);
 	client_forget(n->servers, a->addr, a->port);
-	quarantine_death(&n->quarantine, rand_u64() | 1, clock_ms());
 	server_check(n, clock_ms());
 }
 
@@ -287,6 +307,30 @@
 	return QUARANTINE_NOTHING;
 }
 
+/*
+ * Asks the quarantine to let a request run, and waits while another one that
+ * is under suspicion runs.  Returns 0, or -1 with the verdict.
+ */
+static int
+begin_run(struct node *n, struct quarantine_run *qr,
+    const struct quarantine_print *prints, size_t count, uint64_t deadline_us,
+    struct verdict *v)
+{
+	int rc;
+
+	while ((rc = quarantine_begin(
+		    &n->quarantine, qr, prints, count, clock_ms())) == 1) {
+		usleep(SUSPECT_CHECK_US);
+		if (clock_us() + US_PER_MS >= deadline_us) {
+			not_run(v, REASON_DEADLINE);
+			return -1;
+		}
+	}
+	if (rc == -1)
+		not_run(v, REASON_QUARANTINED);
+	return rc;
+}
+
 /*
  * Runs an admitted request, unless servers died of it or its root.
  */
@@ -311,11 +355,10 @@
 	    rq->body != NULL ? rq->body : "", rq->body_len);
 	prints[1].lo = cx->print[0];
 	prints[1].hi = cx->print[1];
-	if (quarantine && quarantine_begin(&n->quarantine, &qr, prints,
-			      cx->depth > 0 ? 2 : 1, now / US_PER_MS) == -1) {
-		not_run(v, REASON_QUARANTINED);
+	if (quarantine && begin_run(n, &qr, prints, cx->depth > 0 ? 2 : 1,
+			      deadline_us, v) == -1)
 		return ADMISSION_CANCELLED;
-	}
+	now = clock_us();
 	r = calloc(1, sizeof(*r));
 	if (r == NULL)
 		err(1, "run");
@@ -330,9 +373,11 @@
 	v->chain_level = parent_chain_level(r->parent);
 	v->inner_failed = parent_has_failed_calls(r->parent);
 	v->retries_left += parents_end(&n->parents, r->parent);
-	if (quarantine)
+	if (quarantine) {
 		quarantine_end(
 		    &n->quarantine, &qr, quarantine_end_of(end), clock_ms());
+		v->death = qr.death;
+	}
 	free(r);
 	return served;
 }
--- a/src/node/forward.c
+++ b/src/node/forward.c
@@ -96,6 +96,23 @@
 	c->loan = 0;
 }
 
+/*
+ * Tells whether a server died while it ran the request, now or before.  The
+ * exit of the last attempt tells so itself, since news of it may come later
+ * than a further attempt would reach its server.
+ */
+static int
+is_struck(struct call *c, uint64_t now)
+{
+	struct quarantine *q = &c->node->quarantine;
+
+	if (!settings_policy_on(&c->node->settings, POLICY_QUARANTINE))
+		return 0;
+	if (c->verdict.death != 0)
+		quarantine_merge(q, &c->print, c->verdict.death, 0, 0, now);
+	return quarantine_check(q, &c->print, now) != QUARANTINE_FREE;
+}
+
 /*
  * Decides whether another attempt follows the last one, and waits before it
  * if that is the decision.
@@ -126,9 +143,7 @@
 	if (q.reason == RETRY_OVERLOAD)
 		c->overloads++;
 	q.overloads = c->overloads;
-	q.struck = settings_policy_on(&c->node->settings, POLICY_QUARANTINE) &&
-		   quarantine_check(&c->node->quarantine, &c->print, now) !=
-		       QUARANTINE_FREE;
+	q.struck = is_struck(c, now);
 	if (!settings_policy_on(&c->node->settings, POLICY_RETRY_BUDGET)) {
 		retry_budget_init(&none, now);
 		b = &none;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -121,6 +121,7 @@
 	n->peers = client_new(s->address, PEER_CONNS_MAX, PEER_IDLE_MS);
 	n->servers = client_new(s->address, SERVER_CONNS_MAX, SERVER_IDLE_MS);
 	server_init(&n->server);
+	pthread_mutex_init(&n->death_lock, NULL);
 	admission_init(&n->admission);
 	admission_set_policy(
 	    &n->admission, settings_policy_on(s, POLICY_ADMISSION));
@@ -322,5 +323,6 @@
 	client_free(n->servers);
 	admission_finish(&n->admission);
 	server_finish(&n->server);
+	pthread_mutex_destroy(&n->death_lock);
 	logsvc_http_free(n->log_http);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -55,6 +55,7 @@
 	struct member_service member;
 	struct admission admission;
 	struct server server;
+	pthread_mutex_t death_lock; /* until all that a death struck is known */
 	struct lease_service lease;
 	struct limits limits;
 	struct once once;
@@ -85,6 +86,7 @@
 	uint32_t retries_left;
 	uint32_t chain_level; /* told by inner calls, or ADMISSION_CHAIN_NONE */
 	int inner_failed;     /* an inner call brought no good answer */
+	uint64_t death;	      /* of the server, that struck the request, or 0 */
 	char load[ADMISSION_LOAD_TEXT];
 };
 
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -14,6 +14,7 @@
 static size_t strike_all(struct quarantine *, const struct quarantine_print *,
     size_t, uint64_t, uint64_t, struct quarantine_print *);
 static int beside(const struct quarantine *, const struct quarantine_print *);
+static int runs_struck(const struct quarantine *, uint64_t);
 
 /*
  * Computes the fingerprint of a request: XXH3 of 128 bits over the
@@ -136,13 +137,15 @@
  * Asks, at the exit, to run a request with these fingerprints (its own
  * first).  Returns 0, and quarantine_end() must follow; or -1 if it is in
  * quarantine, or struck while a copy of it runs here: then it is refused as
- * not run.
+ * not run; or 1 if it is struck while another struck one runs here: then it
+ * waits, since of two that a death strikes again one is innocent.
  */
 int
 quarantine_begin(struct quarantine *q, struct quarantine_run *run,
     const struct quarantine_print *prints, size_t count, uint64_t now_ms)
 {
 	enum quarantine_state st, worst = QUARANTINE_FREE;
+	int wait = 0;
 	size_t i;
 
 	memset(run, 0, sizeof(*run));
@@ -155,19 +158,21 @@
 		st = table_state(q->table, &prints[i], now_ms);
 		if (i == 0 && st == QUARANTINE_STRUCK && beside(q, &prints[i]))
 			st = QUARANTINE_REFUSED;
+		if (i == 0 && st == QUARANTINE_STRUCK)
+			wait = runs_struck(q, now_ms);
 		if (st > worst)
 			worst = st;
 	}
 	if (worst == QUARANTINE_REFUSED) {
 		q->refused++;
-	} else {
+	} else if (!wait) {
 		run->next = &q->runs;
 		run->prev = q->runs.prev;
 		run->prev->next = run;
 		q->runs.prev = run;
 	}
 	pthread_mutex_unlock(&q->lock);
-	return worst == QUARANTINE_REFUSED ? -1 : 0;
+	return worst == QUARANTINE_REFUSED ? -1 : wait;
 }
 
 /*
@@ -184,7 +189,7 @@
 	pthread_mutex_lock(&q->lock);
 	run->prev->next = run->next;
 	run->next->prev = run->prev;
-	if (how == QUARANTINE_BROKEN && !run->struck)
+	if (how == QUARANTINE_BROKEN && run->death == 0)
 		note_broken(q, run, now_ms);
 	if (how == QUARANTINE_WHOLE)
 		n = table_succeed(q->table, &run->prints[0], now_ms, deaths);
@@ -213,7 +218,7 @@
 		err(1, "quarantine_death");
 	q->deaths++;
 	for (r = q->runs.next; r != &q->runs; r = r->next) {
-		r->struck = 1;
+		r->death = death;
 		n +=
 		    strike_all(q, r->prints, r->count, death, now_ms, told + n);
 	}
@@ -365,3 +370,18 @@
 	}
 	return 0;
 }
+
+/*
+ * Tells whether a request that is struck itself runs here now.
+ */
+static int
+runs_struck(const struct quarantine *q, uint64_t now_ms)
+{
+	const struct quarantine_run *r;
+
+	for (r = q->runs.next; r != &q->runs; r = r->next)
+		if (table_state(q->table, &r->prints[0], now_ms) ==
+		    QUARANTINE_STRUCK)
+			return 1;
+	return 0;
+}
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -32,7 +32,7 @@
 	struct quarantine_run *prev;
 	struct quarantine_print prints[QUARANTINE_RUN_PRINTS];
 	uint32_t count;
-	int struck; /* already, by the death that broke it off */
+	uint64_t death; /* that struck it already, or 0 */
 };
 
 struct quarantine_broken {
--- a/src/quarantine/test_quarantine.c
+++ b/src/quarantine/test_quarantine.c
@@ -184,6 +184,34 @@
 	    QUARANTINE_FREE);
 }
 
+/*
+ * Of two struck requests one waits while the other runs, so that a further
+ * death strikes one alone; others don't wait.
+ */
+static void
+test_suspects_run_alone(void **state)
+{
+	struct quarantine_run run[3];
+	struct quarantine_print p[3] = { { 1, 1 }, { 2, 2 }, { 3, 3 } };
+	struct quarantine *q = &nodes[0];
+
+	(void)state;
+	assert_int_equal(quarantine_begin(q, &run[0], &p[0], 1, NOW), 0);
+	assert_int_equal(quarantine_begin(q, &run[1], &p[1], 1, NOW), 0);
+	assert_int_equal(quarantine_death(q, 7, NOW), 2);
+	quarantine_end(q, &run[0], QUARANTINE_BROKEN, NOW);
+	assert_int_equal(quarantine_begin(q, &run[0], &p[0], 1, NOW), 1);
+	quarantine_end(q, &run[1], QUARANTINE_BROKEN, NOW);
+	assert_int_equal(quarantine_begin(q, &run[0], &p[0], 1, NOW), 0);
+	assert_int_equal(quarantine_begin(q, &run[1], &p[1], 1, NOW), 1);
+	assert_int_equal(quarantine_begin(q, &run[2], &p[2], 1, NOW), 0);
+	assert_int_equal(quarantine_death(q, 8, NOW), 2);
+	quarantine_end(q, &run[0], QUARANTINE_BROKEN, NOW);
+	quarantine_end(q, &run[2], QUARANTINE_BROKEN, NOW);
+	assert_int_equal(quarantine_check(q, &p[0], NOW), QUARANTINE_REFUSED);
+	assert_int_equal(quarantine_check(q, &p[1], NOW), QUARANTINE_STRUCK);
+}
+
 /*
  * Copies sent through all entries at once: those already in flight may each
  * kill the server that they are at, but the pin sends all later ones to one
@@ -420,6 +448,8 @@
 		cmocka_unit_test(test_table),
 		cmocka_unit_test_setup_teardown(
 		    test_resent_poison, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_suspects_run_alone, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_concurrent_poison, setup, teardown),
 		cmocka_unit_test_setup_teardown(
