Prepare the traffic of test_stop in one place, name a size once

Five tests filled in the same load but for its interval, and two files of the configuration's reader defined the same size.

--- a/src/config/internal.h
+++ b/src/config/internal.h
@@ -7,6 +7,8 @@
 
 #include "config/config.h"
 
+#define PLACE_BYTES 600 /* of where in a configuration a finding is */
+
 /* What can be wrong with a configuration. */
 enum config_find {
 	FIND_JSON,
--- a/src/config/read.c
+++ b/src/config/read.c
@@ -5,8 +5,6 @@
 
 #include "config/internal.h"
 
-#define PLACE_BYTES 600
-
 const struct find_msg config_msgs[CONFIG_FIND_MAX] = {
 	[FIND_JSON] = { FIND_ERROR, "not valid JSON" },
 	[FIND_TYPE] = { FIND_ERROR, "wrong type" },
--- a/src/config/read_route.c
+++ b/src/config/read_route.c
@@ -4,8 +4,6 @@
 
 #include "config/internal.h"
 
-#define PLACE_BYTES 600
-
 static void route_name(struct parse *, const char *, json_t *, void *);
 static void route_prefix(struct parse *, const char *, json_t *, void *);
 static void route_service(struct parse *, const char *, json_t *, void *);
--- a/tests/path/test_stop.c
+++ b/tests/path/test_stop.c
@@ -169,6 +169,21 @@
 		usleep(20000);
 }
 
+/*
+ * Prepares the usual traffic, each thread with a request at an interval (us).
+ */
+static void
+traffic_load(struct load *l, struct traffic *t, uint64_t interval_us)
+{
+	memset(t, 0, sizeof(*t));
+	memset(l, 0, sizeof(*l));
+	l->threads = THREADS;
+	l->interval_us = interval_us;
+	l->request = traffic_request;
+	l->answer = traffic_answer;
+	l->ctx = t;
+}
+
 /*
  * Prints the counts and asserts that nothing was cut.
  */
@@ -203,15 +218,11 @@
 test_server_stop(void **state)
 {
 	struct traffic t;
-	struct load l = { .threads = THREADS,
-		.interval_us = 4000,
-		.request = traffic_request,
-		.answer = traffic_answer,
-		.ctx = &t };
+	struct load l;
 	int ended;
 
 	(void)state;
-	memset(&t, 0, sizeof(t));
+	traffic_load(&l, &t, 4000);
 	fleet_server_control(&fleet, 0, "{\"service_us\":50000}");
 	assert_int_equal(load_start(&l), 0);
 	usleep(LOAD_MS * 1000);
@@ -235,16 +246,12 @@
 test_node_stop(void **state)
 {
 	struct traffic t;
-	struct load l = { .threads = THREADS,
-		.interval_us = 4000,
-		.request = traffic_request,
-		.answer = traffic_answer,
-		.ctx = &t };
+	struct load l;
 	uint64_t began;
 	int ended;
 
 	(void)state;
-	memset(&t, 0, sizeof(t));
+	traffic_load(&l, &t, 4000);
 	assert_int_equal(load_start(&l), 0);
 	usleep(LOAD_MS * 1000);
 	began = clock_ms();
@@ -319,11 +326,7 @@
 test_rolling(void **state)
 {
 	struct traffic t;
-	struct load l = { .threads = THREADS,
-		.interval_us = 20000,
-		.request = traffic_request,
-		.answer = traffic_answer,
-		.ctx = &t };
+	struct load l;
 	struct load s = { .threads = 1,
 		.interval_us = 400000,
 		.request = small_request,
@@ -332,7 +335,7 @@
 	int i, ended = 0;
 
 	(void)state;
-	memset(&t, 0, sizeof(t));
+	traffic_load(&l, &t, 20000);
 	memset(&small, 0, sizeof(small));
 	assert_int_equal(load_start(&l), 0);
 	assert_int_equal(load_start(&s), 0);
@@ -373,15 +376,11 @@
 test_node_kill(void **state)
 {
 	struct traffic t;
-	struct load l = { .threads = THREADS,
-		.interval_us = 4000,
-		.request = traffic_request,
-		.answer = traffic_answer,
-		.ctx = &t };
+	struct load l;
 	uint64_t began;
 
 	(void)state;
-	memset(&t, 0, sizeof(t));
+	traffic_load(&l, &t, 4000);
 	assert_int_equal(load_start(&l), 0);
 	usleep(LOAD_MS * 1000);
 	began = clock_ms();
@@ -405,11 +404,7 @@
 test_drain(void **state)
 {
 	struct traffic t;
-	struct load l = { .threads = THREADS,
-		.interval_us = 4000,
-		.request = traffic_request,
-		.answer = traffic_answer,
-		.ctx = &t };
+	struct load l;
 	struct runlog rl;
 	struct http_req rq;
 	struct http_res rs;
@@ -418,7 +413,7 @@
 	int accepted;
 
 	(void)state;
-	memset(&t, 0, sizeof(t));
+	traffic_load(&l, &t, 4000);
 	assert_int_equal(load_start(&l), 0);
 	usleep(LOAD_MS * 1000);
 	fleet_server_control(&fleet, 2, "{\"announce\":false}");
