--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -12,11 +12,11 @@
 #include "limits/limits.h"
 #include "limits/limits_bucket.h"
 #include "limits/limits_int.h"
+#include "limits/test_windows.h"
 
 #define NODES 3
 #define SPENT_MAX 65536
 #define MS 1000
-#define SECOND 1000000
 
 /* Nodes within this process; each owns the partitions of one group. */
 static struct limits nodes[NODES];
@@ -31,15 +31,6 @@
 static atomic_int calls;
 static _Thread_local uint64_t loan; /* of the last request admitted */
 
-/* A loan as the model of its entry sees it. */
-struct model_loan {
-	uint64_t id; /* 0: none */
-	uint64_t end_us;
-	uint32_t left; /* not spent, or spent in vain */
-	uint32_t shed; /* spent on requests that won't run */
-	int spent;
-};
-
 static uint64_t fake_clock(void);
 static struct node_id node(size_t);
 static int find_ws(void *, uint64_t, struct limits_ws *);
@@ -51,7 +42,6 @@
 static int setup(void **);
 static int teardown(void **);
 static uint64_t wrongful(const struct limits_ws *, int);
-static void check_windows(const uint64_t *, size_t, const struct limits_ws *);
 
 /*
  * Returns the time of the tests (us).
@@ -178,147 +168,6 @@
 	return 0;
 }
 
-/*
- * Checks every window that begins and ends with an admitted request.
- */
-static void
-check_windows(const uint64_t *at, size_t n, const struct limits_ws *ws)
-{
-	double least = -1e18, v;
-	size_t i;
-
-	/* n requests in [i, j] <= rate x (t_j - t_i) + burst, for all i. */
-	for (i = 0; i < n; i++) {
-		v = ws->rate * (double)at[i] / SECOND - (double)i;
-		if (v > least)
-			least = v;
-		v = (double)i + 1 - ws->rate * (double)at[i] / SECOND + least;
-		if (v > ws->burst + 0.001)
-			fail_msg("request %zu: %.3f over a burst of %u", i, v,
-			    ws->burst);
-	}
-}
-
-/*
- * Whatever is lent, spent, returned and left to lapse, no window has more
- * than rate x window + burst.
- */
-static void
-test_bucket_windows(void **state)
-{
-	struct limits_ws ws = { 1, 37.5, 11, 0 };
-	static uint64_t spent[SPENT_MAX];
-	struct limits_share share;
-	struct limits_bucket b;
-	uint64_t t = 0, end;
-	uint32_t got, use;
-	size_t n = 0, i;
-
-	(void)state;
-	srandom(11);
-	limits_share(&ws, 0, &share);
-	bucket_init(&b, &share, 1, 0);
-	for (i = 1; i < 5000; i++) {
-		t += (uint64_t)random() % 60000;
-		end = t + (uint64_t)random() % 100000;
-		got = bucket_lend(&b, i, (uint32_t)random() % 6,
-		    (uint32_t)random() % 12, t, end);
-		use = got > 0 ? (uint32_t)random() % (got + 1) : 0;
-		assert_true(b.outstanding <= ws.burst);
-		/* Some is spent as late as the loan allows, or at once. */
-		if (random() % 2 == 0) {
-			t = end > t ? end - 1 : t;
-			bucket_refill(&b, t);
-			if (random() % 2 == 0)
-				bucket_report(&b, i, got - use, t);
-		} else if (random() % 2 == 0)
-			bucket_report(&b, i, got - use, t);
-		while (use-- > 0)
-			spent[n++] = t;
-	}
-	assert_true(n > 1000);
-	check_windows(spent, n, &ws);
-	bucket_finish(&b);
-}
-
-/*
- * Spends one loan of the next test: some of its tokens on requests that run
- * now, some on ones that turn out later not to have run.
- */
-static void
-model_spend(struct model_loan *ln, struct limits_bucket *b, uint64_t t,
-    uint64_t *ran, size_t *n)
-{
-	uint32_t run = (uint32_t)random() % (ln->left + 1);
-
-	if (t < ln->end_us) {
-		while (run-- > 0) {
-			ran[(*n)++] = t;
-			ln->left--;
-		}
-		ln->shed += ln->left > 0 ? (uint32_t)random() % ln->left : 0;
-		ln->left -= ln->shed;
-	}
-	ln->spent = 1;
-	if (random() % 8 > 0)
-		bucket_report(b, ln->id, ln->left, t);
-}
-
-/*
- * Tokens of requests that did not run go back late, in any order, some of
- * their reports twice or overtaken; what ran stays within the limit in every
- * window, and more runs than without.
- */
-static void
-test_bucket_refunds(void **state)
-{
-	struct limits_ws ws = { 1, 37.5, 11, 0 };
-	static uint64_t ran[SPENT_MAX];
-	struct model_loan loans[8], *ln;
-	struct limits_share share;
-	struct limits_bucket b;
-	uint64_t t, id, back;
-	size_t n, seed;
-
-	(void)state;
-	limits_share(&ws, 0, &share);
-	for (seed = 1, back = 0; seed <= 20; seed++) {
-		srandom((unsigned int)seed);
-		bucket_init(&b, &share, 1, 0);
-		memset(loans, 0, sizeof(loans));
-		for (t = n = 0, id = 1; id < 4000;) {
-			/* Long calms fill the bucket, bursts empty it. */
-			t += (uint64_t)random() %
-			     (random() % 64 > 0 ? 2000 : 600000);
-			ln = &loans[random() % 8];
-			if (ln->id == 0) {
-				ln->id = id++;
-				ln->end_us = t + (uint64_t)random() % 100000;
-				ln->left = bucket_lend(
-				    &b, ln->id, 4, 4, t, ln->end_us);
-			} else if (!ln->spent) {
-				model_spend(ln, &b, t, ran, &n);
-			} else if (ln->shed == 0 || random() % 16 == 0) {
-				memset(ln, 0, sizeof(*ln));
-			} else {
-				ln->shed--;
-				back += bucket_report(
-					    &b, ln->id, ++ln->left, t) == 0;
-				bucket_report(&b, ln->id,
-				    ln->left - (uint32_t)random() % 2, t);
-			}
-			assert_true(
-			    b.level_nt + b.credit_nt <=
-			    ((int64_t)ws.burst - (int64_t)b.outstanding) *
-				1000000000);
-		}
-		assert_true(n > 1000);
-		check_windows(ran, n, &ws);
-		bucket_finish(&b);
-	}
-	assert_true(back > 1000);
-}
-
 /*
  * A small workspace, each of whose requests runs at the fourth attempt, the
  * others refused unrun by any node, is never over its rate.
@@ -700,8 +549,6 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_bucket_windows),
-		cmocka_unit_test(test_bucket_refunds),
 		cmocka_unit_test_setup_teardown(
 		    test_fleet_refunds, setup, teardown),
 		cmocka_unit_test_setup_teardown(
