--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,13 @@
 PREFIX ?= /usr/local
 VERSION = $(shell sed -n 's/^\#define CYCLAMENVALE_VERSION "\(.*\)"/\1/p' \
 	include/cyclamenvale.h)
-PKGS = liburcu libtirpc glib-2.0 jansson libsodium libxxhash libcurl
+PKGS = liburcu libtirpc glib-2.0 jansson libsodium libxxhash libcurl libuv
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wpointer-arith -Wvla -Werror
 CFLAGS ?= -O2 -g
-CPPFLAGS += -D_GNU_SOURCE -Isrc -Iinclude $(shell pkg-config --cflags $(PKGS))
-LDLIBS += $(shell pkg-config --libs $(PKGS)) -lcivetweb -lpthread -ldl -lm
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Iinclude -I. $(shell pkg-config --cflags $(PKGS))
+LDLIBS += $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lcivetweb \
+	-lpthread -ldl -lm
 SAN ?=
 ALLFLAGS = -std=gnu11 $(CFLAGS) $(SAN)
 
@@ -44,6 +45,18 @@
 EXAMPLE_SRC = $(wildcard examples/*.c)
 EXAMPLES = $(EXAMPLE_SRC:%.c=$(BUILD)/%)
 
+# The node on the users' platform: the event loop's duties, and of the others
+# only the files that decide.
+NODE_TEST_SRC = $(wildcard platform/test_*.c)
+NODE_SRC = $(filter-out $(TEST_SRC) $(NODE_TEST_SRC),$(wildcard platform/*.c \
+	src/http1/*.c src/fleet/*.c src/quota/*.c src/relay/*.c src/event/*.c \
+	src/follow/*.c)) src/admission/core.c src/admission/level.c \
+	src/admission/limiter.c src/quarantine/table.c src/config/lookup.c \
+	src/config/parse.c src/config/read.c src/config/read_route.c \
+	src/config/read_ws.c src/limits/limits_bucket.c src/base/find.c
+NODE_OBJ = $(NODE_SRC:%.c=$(BUILD)/obj/%.o)
+NODE_PKGS = libuv jansson libsodium libxxhash libtirpc
+
 CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/obj/%.o)
 HARN_OBJ = $(HARN_SRC:%.c=$(BUILD)/obj/%.o)
 TESTS = $(TEST_SRC:src/%.c=$(BUILD)/test/%)
@@ -51,7 +64,7 @@
 STANDINS = $(STANDIN_SRC:tests/standin/%.c=$(BUILD)/standin/%)
 MEASURES = $(MEASURE_SRC:tests/measure/%.c=$(BUILD)/measure/%)
 
-all: $(PROGS) $(STANDINS) $(LIB_A) $(LIB_SO) $(EXAMPLES)
+all: $(PROGS) $(BUILD)/cyclamenvale-node $(STANDINS) $(LIB_A) $(LIB_SO) $(EXAMPLES)
 
 $(BUILD)/obj/%_xdr.o: %_xdr.c
 	@mkdir -p $(@D)
@@ -61,6 +74,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(ALLFLAGS) $(WARN) -MMD -c -o $@ $<
 
+$(BUILD)/cyclamenvale-node: $(NODE_OBJ)
+	$(CC) $(ALLFLAGS) -o $@ $^ -Wl,--as-needed \
+	    $(shell pkg-config --libs $(NODE_PKGS)) -lhttp_parser -lm
+
 $(BUILD)/libcore.a: $(CORE_OBJ)
 	@rm -f $@
 	ar rcs $@ $(CORE_OBJ)
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -13,6 +13,9 @@
 #define CONFIG_DEADLINE_MAX 600000 /* ms */
 #define CONFIG_KEY_MAX 256	   /* bytes of a key as shown */
 #define CONFIG_ID_HEX 32	   /* digits of a publication's id */
+#define CONFIG_HOST_MAX 127
+#define CONFIG_PARTS_MAX 8 /* services among which a route is split */
+#define CONFIG_NO_PRIORITY UINT32_MAX
 
 enum importance {
 	CLASS_CRITICAL,
@@ -22,6 +25,12 @@
 	CLASS_MAX
 };
 
+/* A service that gets a share of a route's requests. */
+struct config_part {
+	char service[CONFIG_NAME_MAX + 1];
+	uint32_t weight;
+};
+
 struct config_route {
 	char name[CONFIG_NAME_MAX + 1];
 	char prefix[CONFIG_PREFIX_MAX + 1];
@@ -33,6 +42,12 @@
 	enum importance importance;
 	uint32_t deadline_ms;
 	uint32_t retries;
+	/* Only of routes that are selected by host; else empty or zero. */
+	char host[CONFIG_HOST_MAX + 1];
+	struct config_part parts[CONFIG_PARTS_MAX];
+	uint32_t part_count;
+	uint32_t target_ms; /* an answer within this time is in time */
+	uint32_t priority;  /* 0 is the most important */
 };
 
 struct config_ws {
@@ -41,6 +56,7 @@
 	double rate;
 	uint32_t burst;
 	uint64_t changed_ms; /* local time at which the limit changed */
+	uint32_t priority;   /* goes before a route's; CONFIG_NO_PRIORITY */
 };
 
 struct config_key {
@@ -49,6 +65,14 @@
 	uint32_t ws; /* handle into the workspaces */
 };
 
+/* Limits on what callers send; 0 for the built-in ones. */
+struct config_caps {
+	uint32_t head_bytes;
+	uint64_t body_bytes;
+	uint64_t head_ms;
+	uint64_t idle_ms;
+};
+
 /* One checked configuration; immutable once it is in force. */
 struct config {
 	uint64_t version;
@@ -59,6 +83,7 @@
 	struct config_key *keys; /* sorted by hash */
 	size_t key_count;
 	char *text; /* the configuration as compact JSON */
+	struct config_caps caps;
 };
 
 enum config_outcome {
@@ -87,6 +112,8 @@
 struct config *config_new(const char *, size_t, uint64_t, struct finds *);
 void config_free(struct config *);
 
+int config_route_match(const struct config *, const char *, const char *);
+void config_sort(struct config *);
 int config_route_find(const struct config *, const char *, const char *);
 const struct config_key *config_key_find(const struct config *, const char *);
 int config_key_live(const struct config *, uint64_t);
--- a/src/config/lookup.c
+++ b/src/config/lookup.c
@@ -57,6 +57,61 @@
 	return -1;
 }
 
+/*
+ * Orders routes by host, then the longest prefix first.
+ */
+static int
+route_cmp(const void *a, const void *b)
+{
+	const struct config_route *x = a, *y = b;
+	int d = strcmp(x->host, y->host);
+
+	if (d != 0)
+		return d;
+	return (x->prefix_len < y->prefix_len) - (x->prefix_len > y->prefix_len);
+}
+
+/*
+ * Puts routes that are selected by host, and keys, into the order that the
+ * look-ups need.
+ */
+void
+config_sort(struct config *c)
+{
+	if (c->route_count > 0)
+		qsort(c->routes, c->route_count, sizeof(*c->routes), route_cmp);
+	if (c->key_count > 0)
+		qsort(c->keys, c->key_count, sizeof(*c->keys), config_key_cmp);
+}
+
+/*
+ * Returns the handle of the route of a host with the longest prefix that
+ * begins the path, or -1.  The query is no part of the path.
+ */
+int
+config_route_match(const struct config *c, const char *host, const char *path)
+{
+	size_t lo = 0, hi = c->route_count, mid, len = strcspn(path, "?");
+	const struct config_route *r;
+
+	while (lo < hi) {
+		mid = lo + (hi - lo) / 2;
+		if (strcmp(c->routes[mid].host, host) < 0)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	for (; lo < c->route_count; lo++) {
+		r = &c->routes[lo];
+		if (strcmp(r->host, host) != 0)
+			return -1;
+		if (len >= r->prefix_len &&
+		    memcmp(path, r->prefix, r->prefix_len) == 0)
+			return (int)lo;
+	}
+	return -1;
+}
+
 /*
  * Returns a key's hash in CONFIG_HASH_BYTES bytes.
  */
--- /dev/null
+++ b/src/event/event.c
@@ -0,0 +1,177 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "event/event.h"
+
+#define BUFFER_BYTES 65536 /* lines waiting for a slow reader */
+#define LINE_BYTES 512
+#define PERIOD_MS 1000
+#define LINES_MAX 20 /* of one event within one period */
+
+struct event_desc {
+	const char *severity;
+	const char *name;
+};
+
+/* How often an event came in the present period. */
+struct event_rate {
+	uint64_t start_ms;
+	uint32_t lines;
+	uint32_t suppressed;
+};
+
+static void put(const char *, size_t);
+
+static const struct event_desc descs[EVENT_MAX] = {
+	[EVENT_START] = { "info", "start" },
+	[EVENT_READY] = { "info", "ready" },
+	[EVENT_STOPPING] = { "info", "stopping" },
+	[EVENT_STOPPED] = { "info", "stopped" },
+	[EVENT_SETTINGS_READ] = { "info", "settings-read" },
+	[EVENT_SETTINGS_BAD] = { "error", "settings-invalid" },
+	[EVENT_CONFIG_TAKEN] = { "info", "config-in-force" },
+	[EVENT_CONFIG_BAD] = { "warning", "config-invalid" },
+	[EVENT_CONFIG_OLD] = { "notice", "config-outdated" },
+	[EVENT_STORE_LOST] = { "warning", "store-lost" },
+	[EVENT_STORE_BACK] = { "info", "store-regained" },
+	[EVENT_PEER_NEW] = { "info", "peer-new" },
+	[EVENT_PEER_CHANGED] = { "info", "peer-changed" },
+	[EVENT_SERVER_NEW] = { "info", "server-new" },
+	[EVENT_SERVER_LEAVING] = { "info", "server-leaving" },
+	[EVENT_SERVER_GONE] = { "info", "server-gone" },
+	[EVENT_SERVER_DOWN] = { "warning", "server-lost" },
+	[EVENT_SERVER_UP] = { "info", "server-regained" },
+	[EVENT_ANNOUNCE_BAD] = { "warning", "announcement-invalid" },
+	[EVENT_REFUSED] = { "notice", "request-refused" },
+	[EVENT_FAILED] = { "notice", "request-failed" },
+	[EVENT_REPEATED] = { "info", "request-retried" },
+	[EVENT_CALLER_GONE] = { "info", "caller-gone" },
+	[EVENT_EXIT_REFUSED] = { "notice", "server-refusal" },
+	[EVENT_EXIT_FAILED] = { "notice", "server-failure" },
+	[EVENT_STRIKE] = { "warning", "request-struck" },
+	[EVENT_SERVED] = { "info", "served" },
+	[EVENT_DROPPED] = { "warning", "lines-dropped" },
+};
+
+static char node_name[64] = "-";
+static struct event_rate rates[EVENT_MAX];
+static char buffer[BUFFER_BYTES];
+static size_t buffer_len;
+static uint64_t lines_lost;
+static uint64_t lines_lost_told;
+static int quiet;
+
+/*
+ * Names the node in each line.  Standard output becomes non-blocking.  A
+ * quiet process writes nothing.
+ */
+void
+event_init(const char *node, int be_quiet)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	snprintf(node_name, sizeof(node_name), "%s", node);
+	quiet = be_quiet;
+	if (flags != -1)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+/*
+ * Adds a line to the buffer, or drops it whole.
+ */
+static void
+put(const char *p, size_t n)
+{
+	if (buffer_len + n > sizeof(buffer))
+		event_flush();
+	if (buffer_len + n > sizeof(buffer)) {
+		lines_lost++;
+		return;
+	}
+	memcpy(buffer + buffer_len, p, n);
+	buffer_len += n;
+}
+
+/*
+ * Logs an event at a time (ms) with its fields, key=value.  At most
+ * LINES_MAX lines of an event are written in a period, the rest is counted.
+ */
+void
+event_log(enum event e, uint64_t now, const char *fmt, ...)
+{
+	struct event_rate *r = &rates[e];
+	char line[LINE_BYTES];
+	size_t n;
+	va_list ap;
+
+	if (quiet)
+		return;
+	if (now - r->start_ms >= PERIOD_MS) {
+		if (r->suppressed > 0) {
+			n = (size_t)snprintf(line, sizeof(line),
+			    "t=%llu node=%s level=%s event=%s suppressed=%u\n",
+			    (unsigned long long)now, node_name,
+			    descs[e].severity, descs[e].name, r->suppressed);
+			put(line, n);
+		}
+		r->start_ms = now;
+		r->lines = 0;
+		r->suppressed = 0;
+	}
+	if (++r->lines > LINES_MAX) {
+		r->suppressed++;
+		return;
+	}
+	n = (size_t)snprintf(line, sizeof(line),
+	    "t=%llu node=%s level=%s event=%s ", (unsigned long long)now,
+	    node_name, descs[e].severity, descs[e].name);
+	va_start(ap, fmt);
+	n += (size_t)vsnprintf(line + n, sizeof(line) - n, fmt, ap);
+	va_end(ap);
+	if (n > sizeof(line) - 2)
+		n = sizeof(line) - 2;
+	line[n++] = '\n';
+	put(line, n);
+}
+
+/*
+ * Writes what standard output takes without waiting.
+ */
+void
+event_flush(void)
+{
+	char line[LINE_BYTES];
+	ssize_t n;
+
+	if (lines_lost > lines_lost_told &&
+	    buffer_len + sizeof(line) < sizeof(buffer)) {
+		n = snprintf(line, sizeof(line),
+		    "node=%s level=%s event=%s total=%llu\n", node_name,
+		    descs[EVENT_DROPPED].severity, descs[EVENT_DROPPED].name,
+		    (unsigned long long)lines_lost);
+		lines_lost_told = lines_lost;
+		put(line, (size_t)n);
+	}
+	if (buffer_len == 0)
+		return;
+	n = write(STDOUT_FILENO, buffer, buffer_len);
+	if (n < 0 && errno != EAGAIN && errno != EINTR)
+		n = (ssize_t)buffer_len; /* nobody will ever read it */
+	if (n <= 0)
+		return;
+	buffer_len -= (size_t)n;
+	memmove(buffer, buffer + n, buffer_len);
+}
+
+/*
+ * Returns how many lines were dropped since the start.
+ */
+uint64_t
+event_dropped(void)
+{
+	return lines_lost;
+}
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,99 @@
+#ifndef FLEET_FLEET_H
+#define FLEET_FLEET_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "fleet/fleet_xdr.h"
+
+#define FLEET_NAME_BYTES (FLEET_NAME_MAX + 1)
+#define FLEET_SELF (-1) /* in place of a peer's handle */
+#define FLEET_NONE (-2)
+
+/* A backend server, as its node told. */
+struct fleet_server {
+	char id[FLEET_NAME_BYTES]; /* empty: the node has no server */
+	char service[FLEET_NAME_BYTES];
+	uint64_t born_ms;
+	uint32_t slots;
+	uint64_t cold_until_ms; /* on this node's clock */
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t shed; /* of 1000 arrivals, lately */
+	int leaving;
+};
+
+/* Another node. */
+struct fleet_peer {
+	char node[FLEET_NAME_BYTES];
+	char zone[FLEET_NAME_BYTES];
+	uint64_t hash; /* of the name */
+	uint64_t incarnation;
+	uint64_t sequence;
+	uint32_t address; /* IPv4, host order */
+	uint16_t port;	  /* for forwarded requests; 0 until heard */
+	uint64_t learned_ms;
+	uint64_t heard_ms; /* 0: never */
+	uint64_t config_version;
+	int stopping;
+	int gone; /* it said goodbye, or hasn't been heard of for long */
+	struct fleet_server server;
+};
+
+/* Who is there, as this node knows.  Handles stay valid for good. */
+struct fleet_table {
+	struct fleet_peer *peers;
+	size_t count, cap;
+	char node[FLEET_NAME_BYTES];
+	uint64_t hash;
+	uint64_t interval_ms; /* of beats */
+	uint64_t turned_ms;   /* when the set of live nodes last changed */
+	uint64_t live_print;  /* a hash over that set */
+};
+
+void fleet_table_init(struct fleet_table *, const char *);
+void fleet_table_finish(struct fleet_table *);
+int fleet_find(const struct fleet_table *, const char *);
+int fleet_learn(struct fleet_table *, const char *, uint32_t, uint64_t);
+int fleet_heard(struct fleet_table *, const struct fleet_beat *, uint64_t, int *);
+void fleet_said_bye(struct fleet_table *, const struct fleet_beat *, uint64_t);
+int fleet_alive(const struct fleet_table *, size_t, uint64_t);
+int fleet_quorum(const struct fleet_table *, uint64_t);
+int fleet_owner(const struct fleet_table *, uint64_t, uint64_t);
+uint32_t fleet_size(const struct fleet_table *);
+void fleet_tick(struct fleet_table *, uint64_t);
+void fleet_paused(struct fleet_table *, uint64_t);
+uint64_t fleet_interval_ms(const struct fleet_table *);
+
+/* What the owner of a fleet socket hears; all get the context given there. */
+struct fleet_ops {
+	void (*fill)(void *, struct fleet_beat *); /* this node's own beat */
+	void (*turned)(void *, int); /* a peer, or FLEET_NONE: who is alive */
+	void (*ask)(void *, const struct fleet_ask *, const struct sockaddr_in *);
+	void (*give)(void *, const struct fleet_give *);
+	void (*strike)(void *, const struct fleet_strike *);
+};
+
+/* The socket over which nodes talk. */
+struct fleet_net {
+	uv_loop_t *loop;
+	uv_udp_t udp;
+	uv_timer_t timer;
+	uint16_t port; /* the same at all nodes */
+	struct fleet_table *table;
+	const struct fleet_ops *ops;
+	void *ctx;
+	uint64_t ticked_ms;
+	uint64_t bad; /* datagrams that could not be read */
+};
+
+int fleet_net_init(struct fleet_net *, uv_loop_t *, const struct sockaddr_in *,
+    struct fleet_table *, const struct fleet_ops *, void *);
+void fleet_beat_all(struct fleet_net *, int);
+void fleet_beat_one(struct fleet_net *, uint32_t);
+void fleet_send(struct fleet_net *, const struct fleet_msg *, uint32_t);
+void fleet_send_all(struct fleet_net *, const struct fleet_msg *);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet.x
@@ -0,0 +1,75 @@
+/*
+ * What nodes tell each other in datagrams.
+ */
+
+const FLEET_NAME_MAX = 63;
+
+/* The backend server beside a node, as it announced itself. */
+struct fleet_server_state {
+	string id<FLEET_NAME_MAX>;
+	string service<FLEET_NAME_MAX>;
+	unsigned hyper born_ms;
+	unsigned int slots;
+	unsigned int cold_ms;	 /* how much longer it is slow */
+	unsigned int running;
+	unsigned int waiting;
+	unsigned int shed;	 /* of 1000 arrivals, lately */
+	unsigned int leaving;
+};
+
+/* A node's sign of life. */
+struct fleet_beat {
+	string node<FLEET_NAME_MAX>;
+	string zone<FLEET_NAME_MAX>;
+	unsigned hyper incarnation;
+	unsigned hyper sequence;
+	unsigned int address;	 /* IPv4, host order */
+	unsigned int port;	 /* for forwarded requests */
+	unsigned int stopping;
+	unsigned hyper config_version;
+	fleet_server_state server;
+};
+
+/* Asks the owner of a limit for tokens. */
+struct fleet_ask {
+	unsigned hyper workspace;
+	unsigned hyper id;
+	unsigned int need;
+	unsigned int want;
+};
+
+struct fleet_give {
+	unsigned hyper workspace;
+	unsigned hyper id;
+	unsigned int tokens;
+	unsigned int owner;	 /* 0: ask another */
+	unsigned int wait_ms;	 /* until there are tokens again */
+};
+
+/* A request was at work on a server when that died. */
+struct fleet_strike {
+	unsigned hyper lo;
+	unsigned hyper hi;
+	unsigned hyper death;
+};
+
+enum fleet_kind {
+	FLEET_BEAT = 1,
+	FLEET_BYE = 2,
+	FLEET_ASK = 3,
+	FLEET_GIVE = 4,
+	FLEET_STRIKE = 5
+};
+
+union fleet_msg switch (fleet_kind kind) {
+case FLEET_BEAT:
+	fleet_beat beat;
+case FLEET_BYE:
+	fleet_beat bye;
+case FLEET_ASK:
+	fleet_ask ask;
+case FLEET_GIVE:
+	fleet_give give;
+case FLEET_STRIKE:
+	fleet_strike strike;
+};
--- /dev/null
+++ b/src/http1/head.c
@@ -0,0 +1,324 @@
+#include <ctype.h>
+#include <err.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "http1/http1_int.h"
+
+#define HEAD_FIRST 512 /* bytes of a new head's buffer */
+#define TEXT_FIRST 512
+
+static int head_add(struct h1_collect *, const char *, size_t);
+
+/* Fields that concern one connection only. */
+static const char *const hop_names[] = { "connection", "keep-alive",
+	"proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+	"content-length", "expect", NULL };
+
+/*
+ * Prepares a head without fields.
+ */
+void
+h1_head_init(struct h1_head *h)
+{
+	h->buf = NULL;
+	h->len = h->cap = 0;
+	h->target = h->target_len = 0;
+	h->count = 0;
+}
+
+/*
+ * Frees what a head holds.
+ */
+void
+h1_head_finish(struct h1_head *h)
+{
+	free(h->buf);
+	h1_head_init(h);
+}
+
+/*
+ * Tells whether a name that isn't terminated equals another, in any case.
+ */
+int
+h1_name_is(const char *p, size_t n, const char *name)
+{
+	return strlen(name) == n && strncasecmp(p, name, n) == 0;
+}
+
+/*
+ * Returns the value of a field and its length, or NULL.  Of several fields
+ * of one name the first counts.
+ */
+const char *
+h1_head_get(const struct h1_head *h, const char *name, size_t *len)
+{
+	const struct h1_field *f;
+	uint32_t i;
+
+	for (i = 0; i < h->count; i++) {
+		f = &h->fields[i];
+		if (!h1_name_is(h->buf + f->name, f->name_len, name))
+			continue;
+		*len = f->value_len;
+		return h->buf + f->value;
+	}
+	return NULL;
+}
+
+/*
+ * Returns a copy of a field's value, to be freed, or NULL.
+ */
+char *
+h1_head_dup(const struct h1_head *h, const char *name)
+{
+	const char *v;
+	size_t n;
+
+	v = h1_head_get(h, name, &n);
+	return v == NULL ? NULL : strndup(v, n);
+}
+
+/*
+ * Copies a field's value into a buffer.  Returns its length, or -1 if there
+ * is no such field or no room for it.
+ */
+int
+h1_head_copy(const struct h1_head *h, const char *name, char *buf, size_t size)
+{
+	const char *v;
+	size_t n;
+
+	v = h1_head_get(h, name, &n);
+	if (v == NULL || n >= size)
+		return -1;
+	memcpy(buf, v, n);
+	buf[n] = '\0';
+	return (int)n;
+}
+
+/*
+ * Returns a field that holds a whole number in decimal digits, or a default
+ * if it is missing or something else.
+ */
+uint64_t
+h1_head_number(const struct h1_head *h, const char *name, uint64_t otherwise)
+{
+	char buf[20];
+	char *end;
+	uint64_t v;
+
+	if (h1_head_copy(h, name, buf, sizeof(buf)) < 1 ||
+	    !isdigit((unsigned char)buf[0]))
+		return otherwise;
+	v = strtoull(buf, &end, 10);
+	return *end == '\0' ? v : otherwise;
+}
+
+/*
+ * Tells whether a field must not be forwarded: it concerns one connection by
+ * its name, or the Connection field names it.
+ */
+int
+h1_hop_by_hop(const struct h1_head *h, const struct h1_field *f)
+{
+	const char *name = h->buf + f->name, *v, *end, *next;
+	size_t n, i;
+
+	for (i = 0; hop_names[i] != NULL; i++)
+		if (h1_name_is(name, f->name_len, hop_names[i]))
+			return 1;
+	v = h1_head_get(h, "Connection", &n);
+	if (v == NULL)
+		return 0;
+	for (end = v + n; v < end; v = next + 1) {
+		next = memchr(v, ',', (size_t)(end - v));
+		if (next == NULL)
+			next = end;
+		while (v < next && *v == ' ')
+			v++;
+		n = (size_t)(next - v);
+		while (n > 0 && v[n - 1] == ' ')
+			n--;
+		if (n == f->name_len && strncasecmp(v, name, n) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+/*
+ * Prepares to collect a head of at most limit bytes.
+ */
+void
+h1_collect_init(struct h1_collect *c, struct h1_head *h, uint32_t limit)
+{
+	c->head = h;
+	c->limit = limit;
+	c->in_value = 1;
+	c->overflow = 0;
+}
+
+/*
+ * Appends bytes to a head's buffer.  Returns -1 past the limit.
+ */
+static int
+head_add(struct h1_collect *c, const char *p, size_t n)
+{
+	struct h1_head *h = c->head;
+
+	if (h->len + n > c->limit) {
+		c->overflow = 1;
+		return -1;
+	}
+	if (h->len + n > h->cap) {
+		if (h->cap == 0)
+			h->cap = HEAD_FIRST;
+		while (h->cap < h->len + n)
+			h->cap *= 2;
+		h->buf = realloc(h->buf, h->cap);
+		if (h->buf == NULL)
+			err(1, "out of memory");
+	}
+	memcpy(h->buf + h->len, p, n);
+	h->len += (uint32_t)n;
+	return 0;
+}
+
+/*
+ * Takes a piece of the request target.  Returns -1 past the limit.
+ */
+int
+h1_collect_target(struct h1_collect *c, const char *p, size_t n)
+{
+	if (c->head->target_len == 0)
+		c->head->target = c->head->len;
+	c->head->target_len += (uint32_t)n;
+	return head_add(c, p, n);
+}
+
+/*
+ * Takes a piece of a field's name.  Returns -1 past the limits.
+ */
+int
+h1_collect_field(struct h1_collect *c, const char *p, size_t n)
+{
+	struct h1_head *h = c->head;
+
+	if (c->in_value) {
+		if (h->count == H1_FIELDS_MAX) {
+			c->overflow = 1;
+			return -1;
+		}
+		h->fields[h->count].name = h->len;
+		h->fields[h->count].name_len = 0;
+		h->fields[h->count].value_len = 0;
+		h->count++;
+		c->in_value = 0;
+	}
+	h->fields[h->count - 1].name_len += (uint32_t)n;
+	return head_add(c, p, n);
+}
+
+/*
+ * Takes a piece of a field's value.  Returns -1 past the limits.
+ */
+int
+h1_collect_value(struct h1_collect *c, const char *p, size_t n)
+{
+	struct h1_head *h = c->head;
+	struct h1_field *f;
+
+	if (h->count == 0)
+		return -1;
+	f = &h->fields[h->count - 1];
+	if (!c->in_value) {
+		f->value = h->len;
+		c->in_value = 1;
+	}
+	f->value_len += (uint32_t)n;
+	return head_add(c, p, n);
+}
+
+/*
+ * Prepares empty text.
+ */
+void
+h1_text_init(struct h1_text *t)
+{
+	t->p = NULL;
+	t->len = t->cap = 0;
+}
+
+/*
+ * Frees text.
+ */
+void
+h1_text_finish(struct h1_text *t)
+{
+	free(t->p);
+	h1_text_init(t);
+}
+
+/*
+ * Appends bytes.
+ */
+void
+h1_text_add(struct h1_text *t, const char *p, size_t n)
+{
+	if (n == 0)
+		return;
+	if (t->len + n > t->cap) {
+		if (t->cap == 0)
+			t->cap = TEXT_FIRST;
+		while (t->cap < t->len + n)
+			t->cap *= 2;
+		t->p = realloc(t->p, t->cap);
+		if (t->p == NULL)
+			err(1, "out of memory");
+	}
+	memcpy(t->p + t->len, p, n);
+	t->len += n;
+}
+
+/*
+ * Appends formatted text of less than 1024 bytes; longer text is cut.
+ */
+void
+h1_text_addf(struct h1_text *t, const char *fmt, ...)
+{
+	char buf[1024];
+	va_list ap;
+	int n;
+
+	va_start(ap, fmt);
+	n = vsnprintf(buf, sizeof(buf), fmt, ap);
+	va_end(ap);
+	if (n < 0)
+		return;
+	h1_text_add(
+	    t, buf, (size_t)n < sizeof(buf) ? (size_t)n : sizeof(buf) - 1);
+}
+
+/*
+ * Appends one header field.
+ */
+void
+h1_text_field(struct h1_text *t, const char *name, const char *value)
+{
+	h1_text_add(t, name, strlen(name));
+	h1_text_add(t, ": ", 2);
+	h1_text_add(t, value, strlen(value));
+	h1_text_add(t, "\r\n", 2);
+}
+
+/*
+ * Returns the usual phrase of a status.
+ */
+const char *
+h1_reason(unsigned int status)
+{
+	return http_status_str((enum http_status)status);
+}
--- /dev/null
+++ b/src/http1/http1.h
@@ -0,0 +1,162 @@
+#ifndef HTTP1_HTTP1_H
+#define HTTP1_HTTP1_H
+
+#include <netinet/in.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+/*
+ * HTTP/1.1 on one libuv loop: both sides of a connection, with bodies passed
+ * on in pieces.  Nothing here blocks and nothing is safe to use from a second
+ * thread.
+ */
+
+#define H1_FIELDS_MAX 64
+#define H1_LENGTH_CHUNKED UINT64_MAX /* a body whose length isn't known */
+#define H1_QUEUE_HIGH 65536 /* bytes unwritten at which a source is paused */
+
+struct h1_field {
+	uint32_t name, name_len;
+	uint32_t value, value_len;
+};
+
+/* A request's or an answer's head; strings are offsets into buf. */
+struct h1_head {
+	char *buf;
+	uint32_t len, cap;
+	uint32_t target, target_len;
+	uint32_t count;
+	struct h1_field fields[H1_FIELDS_MAX];
+};
+
+/* Text that grows, for heads and small bodies to be sent. */
+struct h1_text {
+	char *p;
+	size_t len, cap;
+};
+
+void h1_head_init(struct h1_head *);
+void h1_head_finish(struct h1_head *);
+const char *h1_head_get(const struct h1_head *, const char *, size_t *);
+char *h1_head_dup(const struct h1_head *, const char *);
+int h1_head_copy(const struct h1_head *, const char *, char *, size_t);
+uint64_t h1_head_number(const struct h1_head *, const char *, uint64_t);
+int h1_name_is(const char *, size_t, const char *);
+int h1_hop_by_hop(const struct h1_head *, const struct h1_field *);
+
+void h1_text_init(struct h1_text *);
+void h1_text_finish(struct h1_text *);
+void h1_text_add(struct h1_text *, const char *, size_t);
+void h1_text_addf(struct h1_text *, const char *, ...)
+    __attribute__((format(printf, 2, 3)));
+void h1_text_field(struct h1_text *, const char *, const char *);
+const char *h1_reason(unsigned int);
+
+/* Limits on what a peer may send and how long it may take. */
+struct h1_limits {
+	uint32_t head_bytes;
+	uint64_t body_bytes;
+	uint64_t head_ms; /* for a whole head, from its first byte */
+	uint64_t idle_ms; /* between two requests */
+};
+
+struct h1_conn;
+
+/* What a listener's owner wants to hear; all get the context given there. */
+struct h1_server_ops {
+	void (*head)(void *, struct h1_conn *);
+	void (*body)(void *, struct h1_conn *, const char *, size_t);
+	void (*end)(void *, struct h1_conn *);
+	void (*gone)(void *, struct h1_conn *);
+	void (*drained)(void *, struct h1_conn *);
+};
+
+struct h1_server {
+	uv_loop_t *loop;
+	uv_tcp_t listener;
+	uv_timer_t sweeper;
+	const struct h1_server_ops *ops;
+	void *ctx;
+	struct h1_limits limits;
+	struct h1_conn *conns; /* all, newest first */
+	uint32_t conn_count;
+	uint32_t conn_max;
+	int closing; /* answers end their connections */
+	int stopped; /* accepts no more */
+};
+
+int h1_server_init(struct h1_server *, uv_loop_t *, const struct sockaddr_in *,
+    const struct h1_server_ops *, void *, uint32_t);
+void h1_server_closing(struct h1_server *);
+void h1_server_stop(struct h1_server *);
+uint32_t h1_server_busy(const struct h1_server *);
+
+const struct h1_head *h1_conn_head(const struct h1_conn *);
+const char *h1_conn_method(const struct h1_conn *);
+int h1_conn_has_body(const struct h1_conn *);
+uint64_t h1_conn_length(const struct h1_conn *);
+void h1_conn_set_user(struct h1_conn *, void *);
+void *h1_conn_user(const struct h1_conn *);
+void h1_conn_pause(struct h1_conn *);
+void h1_conn_resume(struct h1_conn *);
+size_t h1_conn_queued(const struct h1_conn *);
+void h1_answer_head(
+    struct h1_conn *, unsigned int, const struct h1_text *, uint64_t);
+void h1_answer_body(struct h1_conn *, const char *, size_t);
+void h1_answer_end(struct h1_conn *);
+void h1_answer(struct h1_conn *, unsigned int, const struct h1_text *,
+    const char *, size_t);
+void h1_conn_abort(struct h1_conn *);
+
+/* How an exchange failed. */
+enum h1_fail {
+	H1_NOT_SENT, /* no connection: the peer has seen nothing */
+	H1_BROKEN,   /* ended before the whole answer was in */
+	H1_GARBLED,  /* what came is no answer */
+	H1_FAIL_MAX
+};
+
+struct h1_xchg;
+
+struct h1_client_ops {
+	/* Returns 0 to take this answer, 1 to skip it and await another. */
+	int (*head)(void *, struct h1_xchg *);
+	void (*body)(void *, struct h1_xchg *, const char *, size_t);
+	void (*end)(void *, struct h1_xchg *);
+	void (*fail)(void *, struct h1_xchg *, enum h1_fail);
+	void (*drained)(void *, struct h1_xchg *);
+};
+
+struct h1_peer;
+
+/* Idle connections to one address. */
+struct h1_pool {
+	uv_loop_t *loop;
+	struct sockaddr_in addr;
+	struct h1_peer *idle; /* most recently used first */
+	uint32_t idle_count;
+	uint32_t open_count;
+	uint64_t idle_ms;    /* a connection idle for longer isn't used */
+	uint64_t connect_ms; /* for a new connection */
+};
+
+void h1_pool_init(struct h1_pool *, uv_loop_t *, const struct sockaddr_in *,
+    uint64_t, uint64_t);
+void h1_pool_finish(struct h1_pool *);
+void h1_pool_trim(struct h1_pool *, uint32_t);
+struct h1_xchg *h1_send(struct h1_pool *, const struct h1_text *, uint64_t, int,
+    uint64_t, const struct h1_client_ops *, void *);
+void h1_send_body(struct h1_xchg *, const char *, size_t);
+void h1_send_end(struct h1_xchg *);
+size_t h1_send_queued(const struct h1_xchg *);
+void h1_cancel(struct h1_xchg *);
+void h1_xchg_pause(struct h1_xchg *);
+void h1_xchg_resume(struct h1_xchg *);
+const struct h1_head *h1_xchg_head(const struct h1_xchg *);
+unsigned int h1_xchg_status(const struct h1_xchg *);
+uint64_t h1_xchg_length(const struct h1_xchg *);
+int h1_xchg_reused(const struct h1_xchg *);
+
+#endif
--- /dev/null
+++ b/src/http1/stream.c
@@ -0,0 +1,105 @@
+#include <err.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http1/http1_int.h"
+
+#define READ_BYTES 65536
+
+/* A write that the kernel didn't take at once, with its bytes behind it. */
+struct pending {
+	uv_write_t req;
+	struct h1_stream *stream;
+	char bytes[];
+};
+
+static void written(uv_write_t *, int);
+
+/* The one loop reads into this and uses the bytes before it reads again. */
+static char read_buffer[READ_BYTES];
+
+/*
+ * Gives libuv the common read buffer.
+ */
+void
+h1_alloc(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)hint;
+	buf->base = read_buffer;
+	buf->len = sizeof(read_buffer);
+}
+
+/*
+ * Ends a queued write, and says so to the owner once the queue is short.
+ */
+static void
+written(uv_write_t *req, int status)
+{
+	struct pending *p = (struct pending *)req;
+	struct h1_stream *s = p->stream;
+
+	free(p);
+	(void)status; /* a broken connection shows at the reading side */
+	if (s->closing || !s->was_high ||
+	    s->tcp.write_queue_size > H1_QUEUE_HIGH / 2)
+		return;
+	s->was_high = 0;
+	if (s->drained != NULL)
+		s->drained(s);
+}
+
+/*
+ * Writes bytes, queueing what the kernel doesn't take now.
+ */
+void
+h1_stream_write(struct h1_stream *s, const char *p, size_t n)
+{
+	struct pending *w;
+	uv_buf_t buf;
+	int done = 0;
+
+	if (s->closing || n == 0)
+		return;
+	if (!s->connecting && s->tcp.write_queue_size == 0) {
+		buf = uv_buf_init((char *)(uintptr_t)p, (unsigned int)n);
+		done = uv_try_write((uv_stream_t *)&s->tcp, &buf, 1);
+		if (done < 0)
+			done = 0; /* full, or broken, which reading shows */
+		if ((size_t)done == n)
+			return;
+	}
+	p += done;
+	n -= (size_t)done;
+	w = malloc(sizeof(*w) + n);
+	if (w == NULL)
+		err(1, "out of memory");
+	w->stream = s;
+	memcpy(w->bytes, p, n);
+	buf = uv_buf_init(w->bytes, (unsigned int)n);
+	if (uv_write(&w->req, (uv_stream_t *)&s->tcp, &buf, 1, written) != 0) {
+		free(w);
+		return;
+	}
+	if (s->tcp.write_queue_size > H1_QUEUE_HIGH)
+		s->was_high = 1;
+}
+
+/*
+ * Writes one chunk of a chunked body; an empty one ends the body.
+ */
+void
+h1_stream_chunk(struct h1_stream *s, const char *p, size_t n)
+{
+	char size[24];
+	struct h1_text t;
+
+	h1_text_init(&t);
+	snprintf(size, sizeof(size), "%zx\r\n", n);
+	h1_text_add(&t, size, strlen(size));
+	h1_text_add(&t, p, n);
+	h1_text_add(&t, "\r\n", 2);
+	h1_stream_write(s, t.p, t.len);
+	h1_text_finish(&t);
+}
--- /dev/null
+++ b/src/relay/entry.c
@@ -0,0 +1,392 @@
+#include <ctype.h>
+#include <err.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "event/event.h"
+#include "relay/relay_int.h"
+
+#define BODY_KEPT 393216    /* bytes of a body kept for another attempt */
+#define BODY_WINDOW 65536   /* of a longer one, between caller and node */
+#define HELD_SHARE 4	    /* of the memory, that bodies may take */
+#define TIMEOUT_GRACE_MS 30 /* for the server's own answer at its deadline */
+#define SPLIT_BITS 32
+
+static void on_head(void *, struct h1_conn *);
+static void on_body(void *, struct h1_conn *, const char *, size_t);
+static void on_end(void *, struct h1_conn *);
+static void on_gone(void *, struct h1_conn *);
+static void on_drained(void *, struct h1_conn *);
+static struct entry_req *entry_new(struct relay *, struct h1_conn *);
+static const struct config_route *entry_route(
+    struct relay *, const struct h1_head *);
+static enum entry_end entry_workspace(struct entry_req *,
+    const struct config_route *, const struct h1_head *);
+static void entry_split(struct entry_req *, const struct config_route *);
+
+const struct h1_server_ops entry_ops = { on_head, on_body, on_end, on_gone,
+	on_drained };
+
+/* How a request without a server's answer ends. */
+struct end_desc {
+	unsigned int status;
+	enum relay_counter counter;
+	const char *reason;
+};
+
+static const struct end_desc ends[END_MAX] = {
+	[END_BAD_REQUEST] = { 400, RELAY_REFUSED, "bad-request" },
+	[END_NO_CONFIG] = { 503, RELAY_REFUSED, "no-configuration" },
+	[END_NO_ROUTE] = { 404, RELAY_NO_ROUTE, "no-route" },
+	[END_NO_KEY] = { 401, RELAY_NO_KEY, "no-key" },
+	[END_STALE] = { 503, RELAY_STALE, "configuration-stale" },
+	[END_OVER_RATE] = { 429, RELAY_OVER_RATE, "over-rate" },
+	[END_NO_OWNER] = { 503, RELAY_REFUSED, "limit-unknown" },
+	[END_NO_SERVER] = { 503, RELAY_REFUSED, "no-server" },
+	[END_OVERLOAD] = { 503, RELAY_REFUSED, "overload" },
+	[END_TIMEOUT_UNSENT] = { 503, RELAY_TIMEOUTS, "timeout-not-run" },
+	[END_TIMEOUT] = { 504, RELAY_TIMEOUTS, "timeout" },
+	[END_BROKEN] = { 502, RELAY_FAILED, "broken-exchange" },
+	[END_SUSPECT] = { 503, RELAY_REFUSED, "crashes-servers" },
+};
+
+/*
+ * Prepares the state of a new request.
+ */
+static struct entry_req *
+entry_new(struct relay *r, struct h1_conn *conn)
+{
+	struct entry_req *e;
+
+	e = calloc(1, sizeof(*e));
+	if (e == NULL)
+		err(1, "out of memory");
+	e->relay = r;
+	e->conn = conn;
+	e->link = RELAY_NO_LINK;
+	e->began_ms = relay_now(r);
+	e->next = r->entries;
+	if (e->next != NULL)
+		e->next->prev = e;
+	r->entries = e;
+	h1_text_init(&e->fields);
+	h1_text_init(&e->answer);
+	h1_conn_set_user(conn, e);
+	relay_tick_start(r);
+	return e;
+}
+
+/*
+ * Forgets a request; the connection goes its own way.
+ */
+void
+entry_finish(struct entry_req *e)
+{
+	struct relay *r = e->relay;
+
+	entry_limit_leave(e);
+	entry_stop_attempt(e);
+	if (e->prev != NULL)
+		e->prev->next = e->next;
+	else
+		r->entries = e->next;
+	if (e->next != NULL)
+		e->next->prev = e->prev;
+	r->held_bytes -= e->body_cap;
+	free(e->body);
+	h1_text_finish(&e->fields);
+	h1_text_finish(&e->answer);
+	free(e);
+}
+
+/*
+ * Ends a request without a server's answer.  If it can't have run, its
+ * caller is told when to come back (ms; 0: not told).
+ */
+void
+entry_end(struct entry_req *e, enum entry_end how, uint64_t again_ms)
+{
+	const struct end_desc *d = &ends[how];
+	struct relay *r = e->relay;
+	struct h1_conn *conn = e->conn;
+	struct h1_text fields;
+	unsigned int status = d->status;
+
+	if (e->maybe_run && (status == 503 || status == 429))
+		status = 504;
+	if (!e->maybe_run)
+		entry_token_back(e);
+	r->counters[d->counter]++;
+	event_log(status == 502 || status == 504 ? EVENT_FAILED : EVENT_REFUSED,
+	    relay_now(r),
+	    "id=%s service=%s status=%u reason=%s age_ms=%llu tries=%u "
+	    "arrivals=%u class=%u workspace=%s retry_after_ms=%llu "
+	    "config=%llu",
+	    e->id, e->service, status, d->reason,
+	    (unsigned long long)(relay_now(r) - e->began_ms), e->tries,
+	    e->arrivals, e->class, e->ws_name[0] != '\0' ? e->ws_name : "-",
+	    (unsigned long long)again_ms,
+	    (unsigned long long)(r->config != NULL ? r->config->version : 0));
+	if (e->passing) {
+		entry_finish(e);
+		h1_conn_abort(conn);
+		return;
+	}
+	h1_text_init(&fields);
+	h1_text_field(&fields, "Cyclamen-Reason", d->reason);
+	if (e->id[0] != '\0')
+		h1_text_field(&fields, r->set.names.request_id, e->id);
+	if (again_ms > 0 && (status == 503 || status == 429))
+		h1_text_addf(&fields, "Retry-After: %.3f\r\n",
+		    (double)again_ms / 1000);
+	entry_finish(e);
+	h1_conn_set_user(conn, NULL);
+	h1_answer(conn, status, &fields, NULL, 0);
+	h1_text_finish(&fields);
+}
+
+/*
+ * Finds the route of a request.
+ */
+static const struct config_route *
+entry_route(struct relay *r, const struct h1_head *h)
+{
+	char host[CONFIG_HOST_MAX + 1], path[1024];
+	size_t i, n = h->target_len;
+	int at;
+
+	if (h1_head_copy(h, "Host", host, sizeof(host)) < 1)
+		return NULL;
+	for (i = 0; host[i] != '\0' && host[i] != ':'; i++)
+		host[i] = (char)tolower((unsigned char)host[i]);
+	host[i] = '\0';
+	if (n >= sizeof(path))
+		n = sizeof(path) - 1;
+	memcpy(path, h->buf + h->target, n);
+	path[n] = '\0';
+	at = config_route_match(r->config, host, path);
+	return at < 0 ? NULL : &r->config->routes[at];
+}
+
+/*
+ * Finds the workspace whose key came with a request.  Returns END_MAX if all
+ * is well.
+ */
+static enum entry_end
+entry_workspace(struct entry_req *e, const struct config_route *route,
+    const struct h1_head *h)
+{
+	struct relay *r = e->relay;
+	const struct config_key *k;
+	const struct config_ws *w;
+	char key[CONFIG_KEY_MAX + 1];
+
+	if (route->open || r->config->ws_count == 0)
+		return END_MAX;
+	/* On an old configuration the key may be withdrawn, or be granted. */
+	if (relay_now(r) - r->proved_ms > r->set.fresh_ms)
+		return END_STALE;
+	if (h1_head_copy(h, r->set.names.key, key, sizeof(key)) < 1)
+		return END_NO_KEY;
+	k = config_key_find(r->config, key);
+	if (k == NULL)
+		return END_NO_KEY;
+	w = &r->config->workspaces[k->ws];
+	snprintf(e->ws_name, sizeof(e->ws_name), "%s", w->name);
+	e->ws = w->hash;
+	e->limit.rate = w->rate;
+	e->limit.burst = w->burst;
+	if (w->priority != CONFIG_NO_PRIORITY)
+		e->class = w->priority;
+	return END_MAX;
+}
+
+/*
+ * Chooses the service of a route that is split, by weight.
+ */
+static void
+entry_split(struct entry_req *e, const struct config_route *route)
+{
+	uint64_t sum = 0, at;
+	uint32_t i;
+
+	for (i = 0; i < route->part_count; i++)
+		sum += route->parts[i].weight;
+	if (sum == 0) {
+		snprintf(e->service, sizeof(e->service), "%s", route->service);
+		return;
+	}
+	at = (relay_random(e->relay) >> SPLIT_BITS) * sum >> SPLIT_BITS;
+	for (i = 0; i + 1 < route->part_count; i++) {
+		if (at < route->parts[i].weight)
+			break;
+		at -= route->parts[i].weight;
+	}
+	snprintf(
+	    e->service, sizeof(e->service), "%s", route->parts[i].service);
+}
+
+/*
+ * Decides on a request whose head is in.
+ */
+static void
+on_head(void *ctx, struct h1_conn *conn)
+{
+	struct relay *r = ctx;
+	const struct h1_head *h = h1_conn_head(conn);
+	const struct config_route *route;
+	struct entry_req *e = entry_new(r, conn);
+	enum entry_end bad;
+	uint64_t left;
+
+	if (h1_head_copy(h, r->set.names.request_id, e->id, sizeof(e->id)) < 0)
+		e->id[0] = '\0';
+	if (r->config == NULL) {
+		entry_end(e, END_NO_CONFIG, 300);
+		return;
+	}
+	route = entry_route(r, h);
+	if (route == NULL) {
+		entry_end(e, END_NO_ROUTE, 0);
+		return;
+	}
+	e->class = route->priority;
+	bad = entry_workspace(e, route, h);
+	if (bad != END_MAX) {
+		entry_end(e, bad, 500);
+		return;
+	}
+	if (e->class >= ADMISSION_CLASS_MAX)
+		e->class = ADMISSION_CLASS_MAX - 1;
+	e->depth = route->open ? 1 : 0;
+	r->counters[e->depth > 0 ? RELAY_CALLS : RELAY_REQUESTS]++;
+	entry_split(e, route);
+	e->idempotent = route->idempotent;
+	e->arrivals_max = route->retries + 1;
+	left = h1_head_number(h, r->set.names.deadline_ms, route->deadline_ms);
+	e->deadline_ms = e->began_ms + left;
+	if (left > route->deadline_ms)
+		left = route->deadline_ms;
+	e->end_ms = e->began_ms + left;
+	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
+	relay_budget(r, e->service)->tokens +=
+	    r->set.retry_ratio;
+	if (entry_limit(e) == 0)
+		entry_start(e);
+}
+
+/*
+ * Keeps a piece of the body and passes it on.
+ */
+static void
+on_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
+{
+	struct relay *r = ctx;
+	struct entry_req *e = h1_conn_user(conn);
+	size_t cap;
+
+	if (e == NULL)
+		return;
+	if (e->xchg != NULL)
+		entry_forward_body(e, p, n);
+	if (e->body_lost)
+		return;
+	if (e->body_len + n > BODY_KEPT ||
+	    r->held_bytes + n > r->set.memory_bytes / HELD_SHARE) {
+		/* Too much to keep: this attempt is the only one. */
+		if (e->xchg != NULL) {
+			e->body_lost = 1;
+			r->held_bytes -= e->body_cap;
+			free(e->body);
+			e->body = NULL;
+			e->body_len = e->body_cap = 0;
+			return;
+		}
+		h1_conn_pause(conn);
+	}
+	if (e->body_len + n > e->body_cap) {
+		cap = e->body_cap == 0 ? 4096 : e->body_cap;
+		while (cap < e->body_len + n)
+			cap *= 2;
+		r->held_bytes += cap - e->body_cap;
+		e->body = realloc(e->body, cap);
+		if (e->body == NULL)
+			err(1, "out of memory");
+		e->body_cap = cap;
+	}
+	memcpy(e->body + e->body_len, p, n);
+	e->body_len += n;
+}
+
+/*
+ * The request is read to its end.
+ */
+static void
+on_end(void *ctx, struct h1_conn *conn)
+{
+	struct entry_req *e = h1_conn_user(conn);
+
+	(void)ctx;
+	if (e == NULL)
+		return;
+	e->body_in = 1;
+	if (e->xchg != NULL)
+		h1_send_end(e->xchg);
+}
+
+/*
+ * The caller has left: nobody wants the answer.
+ */
+static void
+on_gone(void *ctx, struct h1_conn *conn)
+{
+	struct relay *r = ctx;
+	struct entry_req *e = h1_conn_user(conn);
+
+	if (e == NULL)
+		return;
+	r->counters[RELAY_GONE]++;
+	event_log(EVENT_CALLER_GONE, relay_now(r),
+	    "id=%s service=%s age_ms=%llu state=%d", e->id, e->service,
+	    (unsigned long long)(relay_now(r) - e->began_ms), (int)e->state);
+	if (!e->maybe_run && e->xchg == NULL)
+		entry_token_back(e);
+	entry_finish(e);
+}
+
+/*
+ * The caller has read: the answer may go on.
+ */
+static void
+on_drained(void *ctx, struct h1_conn *conn)
+{
+	struct entry_req *e = h1_conn_user(conn);
+
+	(void)ctx;
+	if (e != NULL && e->xchg != NULL)
+		h1_xchg_resume(e->xchg);
+}
+
+/*
+ * Ends requests whose time is over, and tries others again.
+ */
+void
+entry_tick(struct relay *r)
+{
+	struct entry_req *e, *next;
+	uint64_t now = relay_now(r);
+
+	for (e = r->entries; e != NULL; e = next) {
+		next = e->next;
+		if (e->passing)
+			continue;
+		if (now >= e->end_ms + (e->xchg != NULL ? TIMEOUT_GRACE_MS : 0))
+			entry_end(e,
+			    e->maybe_run || e->xchg != NULL ? END_TIMEOUT
+							    : END_TIMEOUT_UNSENT,
+			    200);
+		else if (e->again_ms != 0 && now >= e->again_ms)
+			entry_start(e);
+	}
+}
--- /dev/null
+++ b/src/relay/entry_limit.c
@@ -0,0 +1,312 @@
+#include <arpa/inet.h>
+#include <err.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "relay/relay_int.h"
+
+#define ASK_MS 60  /* for the owner's answer, before the question is repeated */
+#define ASKS_MAX 2 /* after that the reserve is used */
+#define OVER_AFTER_MS 300
+#define OVER_SPREAD_MS 700
+#define OWNER_AFTER_MS 300
+
+static struct relay_limit *limit_of(struct relay *, uint64_t);
+static void ask(struct relay *, struct relay_limit *);
+static void received(
+    struct relay *, struct relay_limit *, const struct quota_grant *);
+static void without_owner(struct relay *, struct relay_limit *);
+static struct entry_req *take_waiting(struct relay_limit *);
+static struct quota_grant lend(struct relay *, uint64_t, uint64_t, uint32_t,
+    uint32_t);
+static uint64_t over_after(struct relay *);
+
+/*
+ * Returns when a caller over its rate should come back (ms).
+ */
+static uint64_t
+over_after(struct relay *r)
+{
+	return OVER_AFTER_MS + relay_random(r) % OVER_SPREAD_MS;
+}
+
+/*
+ * Finds what this node holds of a workspace's tokens.
+ */
+static struct relay_limit *
+limit_of(struct relay *r, uint64_t ws)
+{
+	struct relay_limit *l;
+	size_t i;
+
+	for (i = 0; i < r->limit_count; i++)
+		if (r->limits[i].ws == ws)
+			return &r->limits[i];
+	r->limits =
+	    reallocarray(r->limits, r->limit_count + 1, sizeof(*r->limits));
+	if (r->limits == NULL)
+		err(1, "out of memory");
+	l = &r->limits[r->limit_count++];
+	memset(l, 0, sizeof(*l));
+	l->ws = ws;
+	return l;
+}
+
+/*
+ * Holds a request to its workspace's limit.  Returns 0 if it may go on now,
+ * 1 if it waits for a token or has ended.
+ */
+int
+entry_limit(struct entry_req *e)
+{
+	struct relay *r = e->relay;
+	struct relay_limit *l;
+	struct entry_req **at;
+
+	if (e->ws_name[0] == '\0' || e->limit.rate <= 0)
+		return 0;
+	l = limit_of(r, e->ws);
+	switch (quota_take(&l->stock, relay_now(r))) {
+	case QUOTA_TAKEN:
+		e->took_token = 1;
+		return 0;
+	case QUOTA_OVER:
+		entry_end(e, END_OVER_RATE, over_after(r));
+		return 1;
+	case QUOTA_ASK:
+	case QUOTA_VERDICT_MAX:
+		break;
+	}
+	e->state = ENTRY_TOKEN;
+	for (at = &l->waiting; *at != NULL; at = &(*at)->next_waiting)
+		;
+	*at = e;
+	e->next_waiting = NULL;
+	l->waiting_count++;
+	if (l->stock.ask_id == 0)
+		ask(r, l);
+	return 1;
+}
+
+/*
+ * Removes a request from those that wait for a token.
+ */
+void
+entry_limit_leave(struct entry_req *e)
+{
+	struct relay_limit *l;
+	struct entry_req **at;
+
+	if (e->state != ENTRY_TOKEN)
+		return;
+	l = limit_of(e->relay, e->ws);
+	for (at = &l->waiting; *at != NULL; at = &(*at)->next_waiting) {
+		if (*at != e)
+			continue;
+		*at = e->next_waiting;
+		l->waiting_count--;
+		break;
+	}
+	e->state = ENTRY_DONE;
+}
+
+/*
+ * Gives a token back whose request did not run.
+ */
+void
+entry_token_back(struct entry_req *e)
+{
+	if (!e->took_token)
+		return;
+	e->took_token = 0;
+	quota_return(&limit_of(e->relay, e->ws)->stock, relay_now(e->relay));
+}
+
+/*
+ * Takes the first request from those that wait.
+ */
+static struct entry_req *
+take_waiting(struct relay_limit *l)
+{
+	struct entry_req *e = l->waiting;
+
+	if (e == NULL)
+		return NULL;
+	l->waiting = e->next_waiting;
+	l->waiting_count--;
+	e->state = ENTRY_SENT;
+	return e;
+}
+
+/*
+ * Lends tokens of a limit that this node owns.
+ */
+static struct quota_grant
+lend(struct relay *r, uint64_t ws, uint64_t id, uint32_t need, uint32_t want)
+{
+	struct quota_grant none = { 0, 0, 0 };
+	struct quota_limit limit;
+	int i;
+
+	i = r->config == NULL ? -1 : config_ws_find(r->config, ws);
+	if (i < 0 ||
+	    fleet_owner(&r->fleet, ws, relay_now(r)) != FLEET_SELF) {
+		quota_owner_drop(&r->owner, ws);
+		return none;
+	}
+	limit.rate = r->config->workspaces[i].rate;
+	limit.burst = r->config->workspaces[i].burst;
+	return quota_owner_lend(&r->owner, ws, &limit, id, need, want,
+	    r->fleet.turned_ms, relay_now(r));
+}
+
+/*
+ * Asks the owner of a limit for tokens.
+ */
+static void
+ask(struct relay *r, struct relay_limit *l)
+{
+	struct quota_grant g;
+	struct fleet_msg m;
+	uint32_t need, want;
+	int owner;
+
+	quota_want(&l->stock, l->waiting_count, &need, &want);
+	owner = fleet_owner(&r->fleet, l->ws, relay_now(r));
+	if (owner == FLEET_NONE) {
+		without_owner(r, l);
+		return;
+	}
+	if (l->stock.ask_id == 0)
+		l->stock.ask_id = relay_random(r) | 1;
+	l->stock.asked_ms = relay_now(r);
+	l->stock.asks++;
+	if (owner == FLEET_SELF) {
+		g = lend(r, l->ws, l->stock.ask_id, need, want);
+		received(r, l, &g);
+		return;
+	}
+	memset(&m, 0, sizeof(m));
+	m.kind = FLEET_ASK;
+	m.fleet_msg_u.ask.workspace = l->ws;
+	m.fleet_msg_u.ask.id = l->stock.ask_id;
+	m.fleet_msg_u.ask.need = need;
+	m.fleet_msg_u.ask.want = want;
+	fleet_send(&r->net, &m, r->fleet.peers[owner].address);
+	relay_tick_start(r);
+}
+
+/*
+ * Lets requests go on that got a token, and refuses the others if there are
+ * no more.
+ */
+static void
+received(
+    struct relay *r, struct relay_limit *l, const struct quota_grant *g)
+{
+	struct entry_req *e;
+	uint64_t ws = l->ws;
+
+	quota_receive(&l->stock, g, relay_now(r));
+	if (!g->owner) {
+		without_owner(r, l);
+		return;
+	}
+	while (l->waiting != NULL && l->stock.tokens > 0) {
+		l->stock.tokens--;
+		e = take_waiting(l);
+		e->took_token = 1;
+		entry_start(e);
+		l = limit_of(r, ws);
+	}
+	if (l->waiting == NULL)
+		return;
+	if (g->tokens > 0) {
+		if (l->stock.ask_id == 0)
+			ask(r, l);
+		return;
+	}
+	while ((e = take_waiting(l)) != NULL) {
+		entry_end(e, END_OVER_RATE, over_after(r));
+		l = limit_of(r, ws);
+	}
+}
+
+/*
+ * Serves those that wait from the reserve.
+ */
+static void
+without_owner(struct relay *r, struct relay_limit *l)
+{
+	struct entry_req *e;
+	uint64_t ws = l->ws;
+
+	l->stock.ask_id = 0;
+	l->stock.asks = 0;
+	while ((e = take_waiting(l)) != NULL) {
+		if (quota_reserve(&l->stock, &e->limit, r->set.quota_share,
+			r->set.quota_constant, fleet_size(&r->fleet),
+			relay_now(r)))
+			entry_start(e);
+		else
+			entry_end(e, END_NO_OWNER, OWNER_AFTER_MS);
+		l = limit_of(r, ws);
+	}
+}
+
+/*
+ * Repeats questions that were not answered, and then does without.
+ */
+void
+entry_limit_tick(struct relay *r)
+{
+	struct relay_limit *l;
+	size_t i;
+
+	for (i = 0; i < r->limit_count; i++) {
+		l = &r->limits[i];
+		if (l->stock.ask_id == 0 ||
+		    relay_now(r) - l->stock.asked_ms < ASK_MS)
+			continue;
+		if (l->stock.asks < ASKS_MAX)
+			ask(r, l);
+		else
+			without_owner(r, l);
+	}
+}
+
+/*
+ * Answers another node's question.
+ */
+void
+relay_on_ask(
+    void *ctx, const struct fleet_ask *a, const struct sockaddr_in *from)
+{
+	struct relay *r = ctx;
+	struct quota_grant g;
+	struct fleet_msg m;
+
+	g = lend(r, a->workspace, a->id, a->need, a->want);
+	memset(&m, 0, sizeof(m));
+	m.kind = FLEET_GIVE;
+	m.fleet_msg_u.give.workspace = a->workspace;
+	m.fleet_msg_u.give.id = a->id;
+	m.fleet_msg_u.give.tokens = g.tokens;
+	m.fleet_msg_u.give.owner = (unsigned int)g.owner;
+	m.fleet_msg_u.give.wait_ms = g.wait_ms;
+	fleet_send(&r->net, &m, ntohl(from->sin_addr.s_addr));
+}
+
+/*
+ * Takes the owner's answer; one that is late or repeated changes nothing.
+ */
+void
+relay_on_give(void *ctx, const struct fleet_give *a)
+{
+	struct relay *r = ctx;
+	struct relay_limit *l = limit_of(r, a->workspace);
+	struct quota_grant g = { a->tokens, a->wait_ms, (int)a->owner };
+
+	if (l->stock.ask_id == a->id)
+		received(r, l, &g);
+}
--- /dev/null
+++ b/src/relay/entry_send.c
@@ -0,0 +1,461 @@
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "event/event.h"
+#include "relay/relay_int.h"
+
+#define ANSWER_KEPT 65536   /* bytes of an answer kept until it is whole */
+#define CHOICES_MAX 128
+#define AVOID_MS 300	    /* a node that took no connection */
+#define AVOID_MAX_MS 3000
+#define FAIL_WEIGHT 0.1	    /* of the newest attempt in the share of failed */
+#define FAIL_DECAY 0.98
+#define TRIES_MAX 4	    /* nodes asked for one request */
+#define RETRY_PAUSE_MS 15   /* when all nodes were asked, before the last try */
+#define LEFT_MIN_MS 20	    /* less time isn't worth another attempt */
+#define RETRY_AFTER_MIN_MS 150
+#define RETRY_AFTER_SPREAD_MS 350
+#define BUDGET_TOKENS_MAX 4.0
+#define IDLE_ANY UINT64_MAX
+#define IDLE_UNSAFE_MS 4000 /* an older connection may break under a request */
+
+static int on_head(void *, struct h1_xchg *);
+static void on_body(void *, struct h1_xchg *, const char *, size_t);
+static void on_end(void *, struct h1_xchg *);
+static void on_fail(void *, struct h1_xchg *, enum h1_fail);
+static void on_drained(void *, struct h1_xchg *);
+static void attempt_over(struct entry_req *, int);
+static void again(struct entry_req *);
+static int may_repeat(struct entry_req *);
+static void pass_head(struct entry_req *);
+static void compose(struct entry_req *, struct h1_text *);
+static uint64_t come_back(struct entry_req *);
+
+static const struct h1_client_ops attempt_ops = { on_head, on_body, on_end,
+	on_fail, on_drained };
+
+/*
+ * Returns when a refused caller should come back (ms): spread out, so that
+ * callers refused together don't return together.
+ */
+static uint64_t
+come_back(struct entry_req *e)
+{
+	return RETRY_AFTER_MIN_MS +
+	       relay_random(e->relay) % RETRY_AFTER_SPREAD_MS;
+}
+
+/*
+ * Chooses a node for the next attempt.  Returns its handle, or RELAY_NO_LINK.
+ */
+int
+entry_pick(struct entry_req *e)
+{
+	struct choice list[CHOICES_MAX];
+	struct relay *r = e->relay;
+	const struct fleet_peer *p;
+	struct relay_link *l;
+	struct choice *c;
+	uint64_t now = relay_now(r);
+	uint32_t slots, i, busy;
+	size_t n = 0;
+	int h, best, count = (int)r->fleet.count;
+
+	for (h = FLEET_SELF; h < count && n < CHOICES_MAX; h++) {
+		for (i = 0; i < e->tries && i < RELAY_TRIED_MAX; i++)
+			if (e->tried[i] == h)
+				break;
+		if (i < e->tries && i < RELAY_TRIED_MAX)
+			continue;
+		c = &list[n];
+		memset(c, 0, sizeof(*c));
+		c->handle = h;
+		if (h == FLEET_SELF) {
+			if (r->server.id[0] == '\0' || r->server.leaving ||
+			    r->server.down_until_ms > now ||
+			    strcmp(r->server.service, e->service) != 0)
+				continue;
+			slots = limiter_value(&r->core.limiter);
+			busy = r->core.inflight + r->core.queued;
+			c->near = 1;
+			c->cold = r->server.cold_until_ms > now;
+			l = relay_link(r, h);
+		} else {
+			p = &r->fleet.peers[h];
+			if (p->port == 0 || p->gone || p->stopping ||
+			    p->server.id[0] == '\0' || p->server.leaving ||
+			    strcmp(p->server.service, e->service) != 0)
+				continue;
+			l = relay_link(r, h);
+			slots = p->server.slots;
+			busy = p->server.running + p->server.waiting;
+			if (l->told_ms > p->heard_ms) {
+				slots = l->slots;
+				busy = l->running + l->waiting;
+			}
+			busy += l->sent_since;
+			if (busy < l->inflight)
+				busy = l->inflight;
+			c->near = strcmp(p->zone, r->set.zone) == 0;
+			c->cold = p->server.cold_until_ms > now;
+			c->avoid = !fleet_alive(&r->fleet, (size_t)h, now);
+		}
+		c->avoid |= l->avoid_ms > now;
+		c->failing = l->failing;
+		c->load = slots > 0 ? (double)busy / slots : 2;
+		n++;
+	}
+	best = choice_best(list, n, relay_random(r));
+	return best < 0 ? RELAY_NO_LINK : list[best].handle;
+}
+
+/*
+ * Composes the head that goes to the exit.
+ */
+static void
+compose(struct entry_req *e, struct h1_text *t)
+{
+	const struct relay_names *names = &e->relay->set.names;
+	const struct h1_head *h = h1_conn_head(e->conn);
+	const struct h1_field *f;
+	const char *name;
+	uint64_t now = relay_now(e->relay);
+	uint32_t i;
+
+	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
+	h1_text_add(t, h->buf + h->target, h->target_len);
+	h1_text_add(t, " HTTP/1.1\r\n", 11);
+	for (i = 0; i < h->count; i++) {
+		f = &h->fields[i];
+		name = h->buf + f->name;
+		if (h1_hop_by_hop(h, f) ||
+		    h1_name_is(name, f->name_len, names->key) ||
+		    h1_name_is(name, f->name_len, names->deadline_ms) ||
+		    h1_name_is(name, f->name_len, names->workspace) ||
+		    h1_name_is(name, f->name_len, names->caller) ||
+		    h1_name_is(name, f->name_len, names->expect) ||
+		    h1_name_is(name, f->name_len, RELAY_HOP) ||
+		    h1_name_is(name, f->name_len, RELAY_EXIT))
+			continue;
+		h1_text_add(t, name, f->name_len);
+		h1_text_add(t, ": ", 2);
+		h1_text_add(t, h->buf + f->value, f->value_len);
+		h1_text_add(t, "\r\n", 2);
+	}
+	h1_text_addf(t, "%s: %llu %u %u %d %s %s %s\r\n", RELAY_HOP,
+	    (unsigned long long)(e->end_ms > now ? e->end_ms - now : 1),
+	    e->class, e->depth, e->idempotent, e->service,
+	    e->relay->set.service, e->ws_name[0] != '\0' ? e->ws_name : "-");
+	if (e->body_length == H1_LENGTH_CHUNKED)
+		h1_text_field(t, "Transfer-Encoding", "chunked");
+	else if (e->body_length > 0 || h1_conn_length(e->conn) > 0)
+		h1_text_addf(t, "Content-Length: %llu\r\n",
+		    (unsigned long long)e->body_length);
+	h1_text_add(t, "\r\n", 2);
+}
+
+/*
+ * Sends a request to a node, or ends it if there is none for it.
+ */
+void
+entry_start(struct entry_req *e)
+{
+	struct relay *r = e->relay;
+	struct relay_link *l;
+	struct h1_text t;
+	int h = entry_pick(e);
+
+	e->again_ms = 0;
+	if (h == RELAY_NO_LINK) {
+		entry_end(e, e->tries > 0 ? END_OVERLOAD : END_NO_SERVER,
+		    come_back(e));
+		return;
+	}
+	e->state = ENTRY_SENT;
+	if (e->tries < RELAY_TRIED_MAX)
+		e->tried[e->tries] = h;
+	e->tries++;
+	e->link = h;
+	e->verdict = VERDICT_UNKNOWN;
+	l = relay_link(r, h);
+	l->inflight++;
+	l->sent_since++;
+	h1_text_init(&t);
+	compose(e, &t);
+	if (e->body_len > 0 && e->body_length != H1_LENGTH_CHUNKED) {
+		h1_text_add(&t, e->body, e->body_len);
+	}
+	e->xchg = h1_send(l->pool, &t, e->body_length,
+	    strcmp(h1_conn_method(e->conn), "HEAD") == 0,
+	    e->idempotent ? IDLE_ANY : IDLE_UNSAFE_MS, &attempt_ops, e);
+	h1_text_finish(&t);
+	if (e->body_len > 0 && e->body_length == H1_LENGTH_CHUNKED)
+		h1_send_body(e->xchg, e->body, e->body_len);
+	if (e->body_in)
+		h1_send_end(e->xchg);
+	h1_conn_resume(e->conn);
+}
+
+/*
+ * Passes a piece of the body on; the caller is held back if the node is slow.
+ */
+void
+entry_forward_body(struct entry_req *e, const char *p, size_t n)
+{
+	h1_send_body(e->xchg, p, n);
+	if (h1_send_queued(e->xchg) > H1_QUEUE_HIGH)
+		h1_conn_pause(e->conn);
+}
+
+/*
+ * The node reads again, and so does this one.
+ */
+static void
+on_drained(void *ctx, struct h1_xchg *x)
+{
+	struct entry_req *e = ctx;
+
+	(void)x;
+	h1_conn_resume(e->conn);
+}
+
+/*
+ * Notes how an attempt ended, for the choice of later ones.
+ */
+static void
+attempt_over(struct entry_req *e, int failed)
+{
+	struct relay_link *l;
+
+	if (e->link == RELAY_NO_LINK)
+		return;
+	l = relay_link(e->relay, e->link);
+	l->inflight--;
+	l->failing *= failed ? 1 - FAIL_WEIGHT : FAIL_DECAY;
+	if (failed)
+		l->failing += FAIL_WEIGHT;
+	e->link = RELAY_NO_LINK;
+	e->xchg = NULL;
+}
+
+/*
+ * Gives an attempt up that is under way.
+ */
+void
+entry_stop_attempt(struct entry_req *e)
+{
+	struct h1_xchg *x = e->xchg;
+
+	if (x == NULL)
+		return;
+	attempt_over(e, 0);
+	h1_cancel(x);
+}
+
+/*
+ * Takes the head of an answer.
+ */
+static int
+on_head(void *ctx, struct h1_xchg *x)
+{
+	struct entry_req *e = ctx;
+	const struct h1_head *h = h1_xchg_head(x);
+	const struct h1_field *f;
+	char text[96];
+	uint32_t i;
+
+	e->verdict = VERDICT_UNKNOWN;
+	if (h1_head_copy(h, RELAY_EXIT, text, sizeof(text)) > 0) {
+		for (i = 0; i < VERDICT_MAX; i++)
+			if (h1_name_is(text, strcspn(text, " "),
+				relay_verdict_names[i]))
+				e->verdict = (enum relay_verdict)i;
+		relay_told(e->relay, e->link, text);
+	}
+	e->status = h1_xchg_status(x);
+	e->answer_length = h1_xchg_length(x);
+	h1_text_finish(&e->fields);
+	h1_text_finish(&e->answer);
+	for (i = 0; i < h->count; i++) {
+		f = &h->fields[i];
+		if (h1_hop_by_hop(h, f) ||
+		    h1_name_is(h->buf + f->name, f->name_len, RELAY_EXIT))
+			continue;
+		h1_text_add(&e->fields, h->buf + f->name, f->name_len);
+		h1_text_add(&e->fields, ": ", 2);
+		h1_text_add(&e->fields, h->buf + f->value, f->value_len);
+		h1_text_add(&e->fields, "\r\n", 2);
+	}
+	return 0;
+}
+
+/*
+ * Sends the head of a long answer, and what there is of its body.
+ */
+static void
+pass_head(struct entry_req *e)
+{
+	e->passing = 1;
+	e->state = ENTRY_ANSWER;
+	h1_answer_head(e->conn, e->status, &e->fields, e->answer_length);
+	h1_answer_body(e->conn, e->answer.p, e->answer.len);
+	h1_text_finish(&e->answer);
+}
+
+/*
+ * Takes a piece of an answer's body.  Short answers are kept until they are
+ * whole, since a broken one can then be asked for again.
+ */
+static void
+on_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+{
+	struct entry_req *e = ctx;
+
+	if (e->verdict != VERDICT_RAN)
+		return;
+	if (!e->passing && e->answer.len + n <= ANSWER_KEPT) {
+		h1_text_add(&e->answer, p, n);
+		return;
+	}
+	if (!e->passing)
+		pass_head(e);
+	h1_answer_body(e->conn, p, n);
+	if (h1_conn_queued(e->conn) > H1_QUEUE_HIGH)
+		h1_xchg_pause(x);
+}
+
+/*
+ * Tells whether a request may be sent to another server after one that may
+ * have run it, and takes that from the budget of retries.
+ */
+static int
+may_repeat(struct entry_req *e)
+{
+	struct relay_budget *b = relay_budget(e->relay, e->service);
+
+	if (e->arrivals >= e->arrivals_max ||
+	    relay_now(e->relay) + LEFT_MIN_MS > e->end_ms)
+		return 0;
+	if (b->tokens > BUDGET_TOKENS_MAX)
+		b->tokens = BUDGET_TOKENS_MAX;
+	if (b->tokens < 1)
+		return 0;
+	b->tokens--;
+	return 1;
+}
+
+/*
+ * Sends a request to another node.
+ */
+static void
+again(struct entry_req *e)
+{
+	struct relay *r = e->relay;
+
+	r->counters[RELAY_RETRIES]++;
+	event_log(EVENT_REPEATED, relay_now(r),
+	    "id=%s service=%s verdict=%s tries=%u arrivals=%u maybe_run=%d",
+	    e->id, e->service, relay_verdict_names[e->verdict], e->tries,
+	    e->arrivals, e->maybe_run);
+	entry_start(e);
+}
+
+/*
+ * Takes the end of an answer: the server's, or the exit's refusal.
+ */
+static void
+on_end(void *ctx, struct h1_xchg *x)
+{
+	struct entry_req *e = ctx;
+	struct relay *r = e->relay;
+	struct h1_conn *conn = e->conn;
+	uint64_t now = relay_now(r);
+
+	(void)x;
+	attempt_over(e,
+	    e->verdict == VERDICT_UNKNOWN || e->verdict == VERDICT_AWAY ||
+	    e->verdict == VERDICT_TURNED ||
+	    (e->verdict == VERDICT_RAN && e->status >= 500));
+	switch (e->verdict) {
+	case VERDICT_RAN:
+		r->counters[e->status < 500 ? RELAY_SERVED : RELAY_FAILED]++;
+		if (e->status >= 500)
+			event_log(EVENT_FAILED, now,
+			    "id=%s service=%s status=%u reason=server "
+			    "age_ms=%llu tries=%u",
+			    e->id, e->service, e->status,
+			    (unsigned long long)(now - e->began_ms), e->tries);
+		if (!e->passing)
+			h1_conn_set_user(conn, NULL);
+		if (e->passing)
+			h1_answer_end(conn);
+		else
+			h1_answer(conn, e->status, &e->fields, e->answer.p,
+			    e->answer.len);
+		h1_conn_resume(conn);
+		entry_finish(e);
+		return;
+	case VERDICT_TURNED:
+		e->arrivals++;
+		if (!e->body_lost && may_repeat(e))
+			again(e);
+		else
+			entry_end(e, END_OVERLOAD, come_back(e));
+		return;
+	case VERDICT_BUSY:
+	case VERDICT_AWAY:
+		if (e->tries < TRIES_MAX && !e->body_lost &&
+		    now + LEFT_MIN_MS < e->end_ms)
+			again(e);
+		else
+			entry_end(e, END_OVERLOAD, come_back(e));
+		return;
+	case VERDICT_SUSPECT:
+		entry_end(e, END_SUSPECT, 0);
+		return;
+	case VERDICT_UNKNOWN:
+	case VERDICT_MAX:
+		break;
+	}
+	e->arrivals++;
+	e->maybe_run = 1;
+	if (e->idempotent && !e->body_lost && may_repeat(e))
+		again(e);
+	else
+		entry_end(e, END_BROKEN, 0);
+}
+
+/*
+ * An attempt broke off.
+ */
+static void
+on_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+{
+	struct entry_req *e = ctx;
+	struct relay *r = e->relay;
+	struct relay_link *l = relay_link(r, e->link);
+	uint64_t pause, now = relay_now(r);
+
+	(void)x;
+	if (how == H1_NOT_SENT) {
+		pause = (uint64_t)AVOID_MS << (l->avoid_run < 4 ? l->avoid_run : 4);
+		l->avoid_ms = now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
+		l->avoid_run++;
+		attempt_over(e, 0);
+		if (e->tries < TRIES_MAX && !e->body_lost &&
+		    now + LEFT_MIN_MS < e->end_ms)
+			again(e);
+		else
+			entry_end(e, END_NO_SERVER, come_back(e));
+		return;
+	}
+	attempt_over(e, 1);
+	e->arrivals++;
+	e->maybe_run = 1;
+	if (!e->passing && e->idempotent && !e->body_lost && may_repeat(e))
+		again(e);
+	else
+		entry_end(e, END_BROKEN, 0);
+}
--- /dev/null
+++ b/src/relay/exit.c
@@ -0,0 +1,312 @@
+#include <err.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "event/event.h"
+#include "relay/relay_int.h"
+
+#define BODY_WINDOW 65536   /* bytes of a body that waits for a slot */
+#define OVERDUE_MS 400	    /* past its time, when the entry seems to be dead */
+#define SHED_WEIGHT 0.02    /* of the newest arrival */
+#define MS_US 1000
+
+static void on_head(void *, struct h1_conn *);
+static void on_body(void *, struct h1_conn *, const char *, size_t);
+static void on_end(void *, struct h1_conn *);
+static void on_gone(void *, struct h1_conn *);
+static void on_drained(void *, struct h1_conn *);
+static struct exit_req *exit_new(struct relay *, struct h1_conn *);
+static int read_hop(struct exit_req *, const struct h1_head *, char *,
+    struct admission_req *);
+static struct exit_req *of_waiter(struct admission_waiter *);
+
+const struct h1_server_ops exit_ops = { on_head, on_body, on_end, on_gone,
+	on_drained };
+
+/*
+ * Prepares the state of a new request.
+ */
+static struct exit_req *
+exit_new(struct relay *r, struct h1_conn *conn)
+{
+	struct exit_req *e;
+
+	e = calloc(1, sizeof(*e));
+	if (e == NULL)
+		err(1, "out of memory");
+	e->relay = r;
+	e->conn = conn;
+	e->next = r->exits;
+	if (e->next != NULL)
+		e->next->prev = e;
+	r->exits = e;
+	h1_text_init(&e->body);
+	h1_text_init(&e->fields);
+	h1_text_init(&e->answer);
+	h1_conn_set_user(conn, e);
+	relay_tick_start(r);
+	return e;
+}
+
+/*
+ * Forgets a request.
+ */
+void
+exit_finish(struct exit_req *e)
+{
+	struct relay *r = e->relay;
+
+	if (e->prev != NULL)
+		e->prev->next = e->next;
+	else
+		r->exits = e->next;
+	if (e->next != NULL)
+		e->next->prev = e->prev;
+	r->held_bytes -= e->body.cap;
+	h1_text_finish(&e->body);
+	h1_text_finish(&e->fields);
+	h1_text_finish(&e->answer);
+	free(e);
+}
+
+/*
+ * Returns the request that a waiter is part of.
+ */
+static struct exit_req *
+of_waiter(struct admission_waiter *w)
+{
+	return (struct exit_req *)((char *)w -
+	    offsetof(struct exit_req, waiter));
+}
+
+/*
+ * Reads what the entry says of a request: the time left (ms), its class and
+ * depth, whether it is idempotent, the service that is meant, the service
+ * beside which it began, and its workspace.  Returns 0, or -1 if it can't be
+ * read.
+ */
+static int
+read_hop(struct exit_req *e, const struct h1_head *h, char *service,
+    struct admission_req *req)
+{
+	unsigned long long left;
+	unsigned int class, depth;
+	char text[320];
+	int idempotent;
+
+	if (h1_head_copy(h, RELAY_HOP, text, sizeof(text)) < 0 ||
+	    sscanf(text, "%llu %u %u %d %63s %63s %63s", &left, &class, &depth,
+		&idempotent, service, e->caller, e->ws_name) != 7 ||
+	    class >= ADMISSION_CLASS_MAX)
+		return -1;
+	if (strcmp(e->ws_name, "-") == 0)
+		e->ws_name[0] = '\0';
+	e->deadline_ms = relay_now(e->relay) + left;
+	e->idempotent = idempotent;
+	req->class = (enum admission_class)class;
+	req->depth = depth;
+	req->root_hash = relay_random(e->relay);
+	req->deadline_us = e->deadline_ms * MS_US;
+	return 0;
+}
+
+/*
+ * Decides on a request from another node, or from this one's own entry.
+ */
+static void
+on_head(void *ctx, struct h1_conn *conn)
+{
+	struct relay *r = ctx;
+	const struct h1_head *h = h1_conn_head(conn);
+	struct exit_req *e = exit_new(r, conn);
+	struct relay_server *s = &r->server;
+	struct admission_waiter *out;
+	struct admission_req req;
+	char service[FLEET_NAME_BYTES];
+	enum quarantine_state state;
+
+	r->counters[RELAY_EXIT_REQUESTS]++;
+	r->shed *= 1 - SHED_WEIGHT;
+	if (h1_head_copy(h, r->set.names.request_id, e->id, sizeof(e->id)) < 0)
+		e->id[0] = '\0';
+	if (read_hop(e, h, service, &req) == -1) {
+		exit_finish(e);
+		h1_conn_set_user(conn, NULL);
+		h1_answer(conn, 400, NULL, NULL, 0);
+		return;
+	}
+	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
+	if (s->id[0] == '\0' || s->leaving ||
+	    s->down_until_ms > relay_now(r) ||
+	    strcmp(service, s->service) != 0) {
+		exit_refuse(e, VERDICT_AWAY, s->leaving ? "leaving" : "absent");
+		return;
+	}
+	suspect_print(e);
+	state = suspect_state(e);
+	if (state == QUARANTINE_REFUSED) {
+		exit_refuse(e, VERDICT_SUSPECT, "quarantined");
+		return;
+	}
+	if (state == QUARANTINE_STRUCK) {
+		if (r->singles > 0) {
+			exit_refuse(e, VERDICT_BUSY, "struck");
+			return;
+		}
+		e->single = 1;
+		r->singles++;
+	}
+	switch (core_offer(&r->core, &req, &e->waiter, &out,
+	    relay_now(r) * MS_US)) {
+	case ADMISSION_RUN:
+		exit_send(e);
+		break;
+	case ADMISSION_WAIT:
+		e->waiting = 1;
+		break;
+	default:
+		r->shed += SHED_WEIGHT;
+		exit_refuse(e, VERDICT_BUSY, "overload");
+		break;
+	}
+	if (out != NULL) {
+		r->shed += SHED_WEIGHT;
+		of_waiter(out)->waiting = 0;
+		exit_refuse(of_waiter(out), VERDICT_BUSY, "displaced");
+	}
+}
+
+/*
+ * Lets requests run for which there is a slot now.
+ */
+void
+exit_next(struct relay *r)
+{
+	struct admission_waiter *w;
+	struct exit_req *e;
+
+	while (r->server.leaving &&
+	    (w = core_flush(&r->core, ADMISSION_DRAINING)) != NULL) {
+		e = of_waiter(w);
+		e->waiting = 0;
+		exit_refuse(e, VERDICT_AWAY, "leaving");
+	}
+	while ((w = core_next(&r->core, relay_now(r) * MS_US)) != NULL) {
+		e = of_waiter(w);
+		e->waiting = 0;
+		if (w->verdict == ADMISSION_RUN) {
+			exit_send(e);
+			continue;
+		}
+		r->shed += SHED_WEIGHT;
+		exit_refuse(e, VERDICT_BUSY, "deadline");
+	}
+}
+
+/*
+ * Takes a piece of the body.
+ */
+static void
+on_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
+{
+	struct relay *r = ctx;
+	struct exit_req *e = h1_conn_user(conn);
+	size_t cap;
+
+	if (e == NULL)
+		return;
+	if (e->xchg != NULL) {
+		h1_send_body(e->xchg, p, n);
+		if (h1_send_queued(e->xchg) > H1_QUEUE_HIGH)
+			h1_conn_pause(conn);
+		return;
+	}
+	cap = e->body.cap;
+	h1_text_add(&e->body, p, n);
+	r->held_bytes += e->body.cap - cap;
+	if (e->body.len > BODY_WINDOW)
+		h1_conn_pause(conn);
+}
+
+/*
+ * The request is read to its end.
+ */
+static void
+on_end(void *ctx, struct h1_conn *conn)
+{
+	struct exit_req *e = h1_conn_user(conn);
+
+	(void)ctx;
+	if (e == NULL)
+		return;
+	e->body_in = 1;
+	if (e->xchg != NULL)
+		h1_send_end(e->xchg);
+}
+
+/*
+ * The entry has given the request up: so does the server.
+ */
+static void
+on_gone(void *ctx, struct h1_conn *conn)
+{
+	struct relay *r = ctx;
+	struct exit_req *e = h1_conn_user(conn);
+	struct h1_xchg *x;
+
+	if (e == NULL)
+		return;
+	x = e->xchg;
+	e->xchg = NULL;
+	if (e->waiting)
+		core_withdraw(&r->core, &e->waiter);
+	if (x != NULL)
+		h1_cancel(x);
+	exit_done(e, ADMISSION_CANCELLED);
+	exit_finish(e);
+	exit_next(r);
+}
+
+/*
+ * The entry has read: the answer may go on.
+ */
+static void
+on_drained(void *ctx, struct h1_conn *conn)
+{
+	struct exit_req *e = h1_conn_user(conn);
+
+	(void)ctx;
+	if (e != NULL && e->xchg != NULL)
+		h1_xchg_resume(e->xchg);
+}
+
+/*
+ * Refuses requests whose time passed while they waited, and gives those up
+ * whose entry should have done so long ago.
+ */
+void
+exit_tick(struct relay *r)
+{
+	struct exit_req *e, *next;
+	struct h1_conn *conn;
+	uint64_t now = relay_now(r);
+
+	for (e = r->exits; e != NULL; e = next) {
+		next = e->next;
+		if (e->waiting && now >= e->deadline_ms) {
+			core_withdraw(&r->core, &e->waiter);
+			e->waiting = 0;
+			exit_refuse(e, VERDICT_BUSY, "deadline");
+		} else if (e->running && now >= e->deadline_ms + OVERDUE_MS) {
+			conn = e->conn;
+			h1_conn_set_user(conn, e);
+			on_gone(r, conn);
+			h1_conn_set_user(conn, NULL);
+			h1_conn_abort(conn);
+			return; /* the list may have changed */
+		}
+	}
+	exit_next(r);
+}
--- /dev/null
+++ b/src/relay/exit_send.c
@@ -0,0 +1,349 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "event/event.h"
+#include "relay/relay_int.h"
+
+#define ANSWER_KEPT 16384 /* bytes of an answer sent on in one piece */
+#define IDLE_ANY UINT64_MAX
+#define IDLE_UNSAFE_MS 3000 /* an older connection may break under a request */
+#define DOWN_MS 200	    /* a server that takes no connection */
+#define DOWN_DOUBLINGS 3
+#define MS_US 1000
+
+static int on_head(void *, struct h1_xchg *);
+static void on_body(void *, struct h1_xchg *, const char *, size_t);
+static void on_end(void *, struct h1_xchg *);
+static void on_fail(void *, struct h1_xchg *, enum h1_fail);
+static void on_drained(void *, struct h1_xchg *);
+static void compose(struct exit_req *, struct h1_text *);
+static void add_exit(struct exit_req *, struct h1_text *, enum relay_verdict);
+static enum relay_verdict judge(struct exit_req *, const struct h1_head *);
+static void server_down(struct relay *);
+
+static const struct h1_client_ops server_ops = { on_head, on_body, on_end,
+	on_fail, on_drained };
+
+/*
+ * Composes the head that goes to the server.
+ */
+static void
+compose(struct exit_req *e, struct h1_text *t)
+{
+	const struct relay_names *names = &e->relay->set.names;
+	const struct h1_head *h = h1_conn_head(e->conn);
+	const struct h1_field *f;
+	uint64_t now = relay_now(e->relay);
+	uint32_t i;
+
+	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
+	h1_text_add(t, h->buf + h->target, h->target_len);
+	h1_text_add(t, " HTTP/1.1\r\n", 11);
+	for (i = 0; i < h->count; i++) {
+		f = &h->fields[i];
+		if (h1_hop_by_hop(h, f) ||
+		    h1_name_is(h->buf + f->name, f->name_len, RELAY_HOP))
+			continue;
+		h1_text_add(t, h->buf + f->name, f->name_len);
+		h1_text_add(t, ": ", 2);
+		h1_text_add(t, h->buf + f->value, f->value_len);
+		h1_text_add(t, "\r\n", 2);
+	}
+	h1_text_addf(t, "%s: %llu\r\n", names->deadline_ms,
+	    (unsigned long long)(e->deadline_ms > now ? e->deadline_ms - now
+						      : 1));
+	h1_text_field(t, names->expect, e->relay->server.id);
+	h1_text_field(t, names->caller, e->caller);
+	if (e->ws_name[0] != '\0')
+		h1_text_field(t, names->workspace, e->ws_name);
+	if (e->body_length == H1_LENGTH_CHUNKED)
+		h1_text_field(t, "Transfer-Encoding", "chunked");
+	else if (e->body_length > 0)
+		h1_text_addf(t, "Content-Length: %llu\r\n",
+		    (unsigned long long)e->body_length);
+	h1_text_add(t, "\r\n", 2);
+}
+
+/*
+ * Sends a request to the server, which has a slot for it.
+ */
+void
+exit_send(struct exit_req *e)
+{
+	struct relay *r = e->relay;
+	struct h1_text t;
+
+	e->running = 1;
+	e->sent_ms = relay_now(r);
+	h1_text_init(&t);
+	compose(e, &t);
+	if (e->body_length != H1_LENGTH_CHUNKED)
+		h1_text_add(&t, e->body.p, e->body.len);
+	e->xchg = h1_send(&r->server_pool, &t, e->body_length,
+	    strcmp(h1_conn_method(e->conn), "HEAD") == 0,
+	    e->idempotent ? IDLE_ANY : IDLE_UNSAFE_MS, &server_ops, e);
+	h1_text_finish(&t);
+	if (e->body_length == H1_LENGTH_CHUNKED)
+		h1_send_body(e->xchg, e->body.p, e->body.len);
+	r->held_bytes -= e->body.cap;
+	h1_text_finish(&e->body);
+	if (e->body_in)
+		h1_send_end(e->xchg);
+	h1_conn_resume(e->conn);
+}
+
+/*
+ * Adds this node's word on a request, and the load of its server.
+ */
+static void
+add_exit(struct exit_req *e, struct h1_text *t, enum relay_verdict verdict)
+{
+	struct admission_core *c = &e->relay->core;
+
+	h1_text_addf(t, "%s: %s %u %u %u\r\n", RELAY_EXIT,
+	    relay_verdict_names[verdict], c->inflight, c->queued,
+	    limiter_value(&c->limiter));
+}
+
+/*
+ * Ends a request's stay at the server.
+ */
+void
+exit_done(struct exit_req *e, enum admission_outcome how)
+{
+	struct relay *r = e->relay;
+	uint64_t now = relay_now(r);
+
+	if (e->single) {
+		e->single = 0;
+		r->singles--;
+	}
+	if (!e->running)
+		return;
+	e->running = 0;
+	core_done(&r->core, &e->waiter, how, (now - e->sent_ms) * MS_US,
+	    now * MS_US);
+}
+
+/*
+ * Ends a request without a server's answer.
+ */
+void
+exit_refuse(struct exit_req *e, enum relay_verdict verdict, const char *reason)
+{
+	struct relay *r = e->relay;
+	struct h1_conn *conn = e->conn;
+	struct h1_text fields;
+
+	r->counters[verdict == VERDICT_UNKNOWN ? RELAY_EXIT_FAILED
+					       : RELAY_EXIT_REFUSED]++;
+	event_log(verdict == VERDICT_UNKNOWN ? EVENT_EXIT_FAILED
+					     : EVENT_EXIT_REFUSED,
+	    relay_now(r),
+	    "id=%s verdict=%s reason=%s running=%u waiting=%u limit=%u "
+	    "server=%s",
+	    e->id, relay_verdict_names[verdict], reason, r->core.inflight,
+	    r->core.queued, limiter_value(&r->core.limiter), r->server.id);
+	h1_text_init(&fields);
+	add_exit(e, &fields, verdict);
+	exit_done(e, verdict == VERDICT_TURNED ? ADMISSION_SHED
+					       : ADMISSION_FAILED);
+	exit_finish(e);
+	h1_conn_set_user(conn, NULL);
+	h1_answer(conn, verdict == VERDICT_UNKNOWN ? 502 : 503, &fields, NULL,
+	    0);
+	h1_conn_resume(conn);
+	h1_text_finish(&fields);
+}
+
+/*
+ * Judges an answer by its head.
+ */
+static enum relay_verdict
+judge(struct exit_req *e, const struct h1_head *h)
+{
+	const struct relay_names *names = &e->relay->set.names;
+	size_t n;
+
+	if (h1_head_get(h, names->not_run, &n) != NULL || e->status == 421)
+		return VERDICT_TURNED;
+	if (h1_head_get(h, "Content-Encoding", &n) != NULL)
+		return VERDICT_UNKNOWN;
+	if (e->status < 400 && h1_head_get(h, names->signature, &n) == NULL)
+		return VERDICT_UNKNOWN;
+	return VERDICT_RAN;
+}
+
+/*
+ * Takes the head of an answer, if it belongs to this request.
+ */
+static int
+on_head(void *ctx, struct h1_xchg *x)
+{
+	struct exit_req *e = ctx;
+	const struct h1_head *h = h1_xchg_head(x);
+	const struct h1_field *f;
+	char id[RELAY_ID_BYTES];
+	uint32_t i;
+
+	if (e->id[0] != '\0' &&
+	    (h1_head_copy(h, e->relay->set.names.request_id, id, sizeof(id)) <
+		    0 ||
+		strcmp(id, e->id) != 0)) {
+		e->relay->counters[RELAY_SKIPPED]++;
+		return 1;
+	}
+	e->status = h1_xchg_status(x);
+	e->answer_length = h1_xchg_length(x);
+	e->verdict = judge(e, h);
+	for (i = 0; i < h->count; i++) {
+		f = &h->fields[i];
+		if (h1_hop_by_hop(h, f))
+			continue;
+		h1_text_add(&e->fields, h->buf + f->name, f->name_len);
+		h1_text_add(&e->fields, ": ", 2);
+		h1_text_add(&e->fields, h->buf + f->value, f->value_len);
+		h1_text_add(&e->fields, "\r\n", 2);
+	}
+	return 0;
+}
+
+/*
+ * Takes a piece of an answer's body.
+ */
+static void
+on_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+{
+	struct exit_req *e = ctx;
+
+	if (e->verdict != VERDICT_RAN)
+		return;
+	if (!e->passing && e->answer.len + n <= ANSWER_KEPT) {
+		h1_text_add(&e->answer, p, n);
+		return;
+	}
+	if (!e->passing) {
+		e->passing = 1;
+		add_exit(e, &e->fields, VERDICT_RAN);
+		h1_answer_head(
+		    e->conn, e->status, &e->fields, e->answer_length);
+		h1_answer_body(e->conn, e->answer.p, e->answer.len);
+		h1_text_finish(&e->answer);
+	}
+	h1_answer_body(e->conn, p, n);
+	if (h1_conn_queued(e->conn) > H1_QUEUE_HIGH)
+		h1_xchg_pause(x);
+}
+
+/*
+ * Takes the end of an answer.
+ */
+static void
+on_end(void *ctx, struct h1_xchg *x)
+{
+	struct exit_req *e = ctx;
+	struct relay *r = e->relay;
+	struct h1_conn *conn = e->conn;
+
+	(void)x;
+	e->xchg = NULL;
+	r->server.down_count = 0;
+	if (e->verdict == VERDICT_TURNED) {
+		r->counters[RELAY_EXIT_SHED]++;
+		exit_refuse(e, VERDICT_TURNED, "server");
+		exit_next(r);
+		return;
+	}
+	if (e->verdict != VERDICT_RAN) {
+		exit_refuse(e, VERDICT_UNKNOWN, "answer-invalid");
+		exit_next(r);
+		return;
+	}
+	suspect_served(e);
+	r->counters[RELAY_EXIT_SERVED]++;
+	exit_done(e, e->status < 500     ? ADMISSION_SERVED
+		     : e->status == 504 ? ADMISSION_TIMEOUT
+					 : ADMISSION_FAILED);
+	if (e->passing) {
+		h1_answer_end(conn);
+	} else {
+		add_exit(e, &e->fields, VERDICT_RAN);
+		h1_conn_set_user(conn, NULL);
+		h1_answer(conn, e->status, &e->fields, e->answer.p,
+		    e->answer.len);
+	}
+	h1_conn_resume(conn);
+	exit_finish(e);
+	exit_next(r);
+}
+
+/*
+ * The server takes no connections: it is down, for some time.
+ */
+static void
+server_down(struct relay *r)
+{
+	struct relay_server *s = &r->server;
+	uint64_t now = relay_now(r);
+
+	if (s->down_until_ms > now)
+		return;
+	s->down_until_ms = now +
+	    ((uint64_t)DOWN_MS
+	     << (s->down_count < DOWN_DOUBLINGS ? s->down_count
+						 : DOWN_DOUBLINGS));
+	s->down_count++;
+	event_log(EVENT_SERVER_DOWN, now, "server=%s retry_in_ms=%llu", s->id,
+	    (unsigned long long)(s->down_until_ms - now));
+	suspect_server_died(r);
+	fleet_beat_all(&r->net, 0);
+}
+
+/*
+ * The exchange with the server broke.
+ */
+static void
+on_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+{
+	struct exit_req *e = ctx;
+	struct relay *r = e->relay;
+	struct h1_conn *conn = e->conn;
+
+	(void)x;
+	e->xchg = NULL;
+	if (how == H1_NOT_SENT) {
+		server_down(r);
+		exit_refuse(e, VERDICT_AWAY, "no-connection");
+		exit_next(r);
+		return;
+	}
+	if (how == H1_BROKEN && e->status == 0)
+		suspect_broken(e);
+	if (e->passing) {
+		r->counters[RELAY_EXIT_FAILED]++;
+		event_log(EVENT_EXIT_FAILED, relay_now(r),
+		    "id=%s verdict=unknown reason=cut-answer server=%s", e->id,
+		    r->server.id);
+		exit_done(e, ADMISSION_FAILED);
+		exit_finish(e);
+		h1_conn_set_user(conn, NULL);
+		h1_conn_abort(conn);
+	} else {
+		exit_refuse(e, VERDICT_UNKNOWN,
+		    how == H1_BROKEN ? "broken" : "garbled");
+	}
+	exit_next(r);
+}
+
+/*
+ * The server reads again, and so does this node.
+ */
+static void
+on_drained(void *ctx, struct h1_xchg *x)
+{
+	struct exit_req *e = ctx;
+
+	(void)x;
+	h1_conn_resume(e->conn);
+}
--- /dev/null
+++ b/src/relay/relay.c
@@ -0,0 +1,462 @@
+#include <arpa/inet.h>
+#include <err.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "event/event.h"
+#include "relay/relay_int.h"
+
+#define TICK_MS 10	     /* deadlines are met to this precision */
+#define LINK_IDLE_MS 20000   /* of connections to other nodes */
+#define CONNECT_MS 400	     /* to a node: a lost first packet shows by then */
+#define SERVER_IDLE_MS 9000  /* of connections to the server beside this node */
+#define SERVER_CONNECT_MS 300
+#define OWN_DESCRIPTORS 400  /* for other things than callers and nodes */
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000
+
+static void fill_beat(void *, struct fleet_beat *);
+static void peer_turned(void *, int);
+static void on_tick(uv_timer_t *);
+static void server_changed(struct relay *);
+
+static const struct fleet_ops fleet_ops = {
+	.fill = fill_beat,
+	.turned = peer_turned,
+	.ask = relay_on_ask,
+	.give = relay_on_give,
+	.strike = relay_on_strike,
+};
+
+static const char *const counter_names[RELAY_COUNTER_MAX] = {
+	[RELAY_REQUESTS] = "requests",
+	[RELAY_CALLS] = "calls",
+	[RELAY_SERVED] = "served",
+	[RELAY_FAILED] = "failed",
+	[RELAY_REFUSED] = "refused",
+	[RELAY_TIMEOUTS] = "timeouts",
+	[RELAY_NO_ROUTE] = "no_route",
+	[RELAY_NO_KEY] = "no_key",
+	[RELAY_OVER_RATE] = "over_rate",
+	[RELAY_STALE] = "config_stale",
+	[RELAY_RETRIES] = "retries",
+	[RELAY_GONE] = "caller_gone",
+	[RELAY_EXIT_REQUESTS] = "exit_requests",
+	[RELAY_EXIT_SERVED] = "exit_served",
+	[RELAY_EXIT_REFUSED] = "exit_refused",
+	[RELAY_EXIT_FAILED] = "exit_failed",
+	[RELAY_EXIT_SHED] = "exit_shed_by_server",
+	[RELAY_SKIPPED] = "answers_skipped",
+	[RELAY_STRIKES] = "strikes",
+};
+
+const char *const relay_verdict_names[VERDICT_MAX] = {
+	[VERDICT_RAN] = "ran",
+	[VERDICT_UNKNOWN] = "unknown",
+	[VERDICT_TURNED] = "turned",
+	[VERDICT_BUSY] = "busy",
+	[VERDICT_AWAY] = "away",
+	[VERDICT_SUSPECT] = "suspect",
+};
+
+/*
+ * Returns a counter's name, without unit: all count requests or answers.
+ */
+const char *
+relay_counter_name(enum relay_counter c)
+{
+	return counter_names[c];
+}
+
+/*
+ * Prepares a relay and opens its ports.  Returns a libuv error or 0.
+ */
+int
+relay_init(
+    struct relay *r, uv_loop_t *loop, const struct relay_settings *settings)
+{
+	struct timespec ts;
+	uint32_t conns;
+	int rc;
+
+	memset(r, 0, sizeof(*r));
+	r->loop = loop;
+	r->set = *settings;
+	clock_gettime(CLOCK_REALTIME, &ts);
+	r->incarnation = (uint64_t)ts.tv_sec * MS_PER_S +
+	    (uint64_t)(ts.tv_nsec / NS_PER_MS);
+	r->rnd = r->incarnation ^ (uint64_t)ntohl(
+	    settings->exit.sin_addr.s_addr) << 20;
+	fleet_table_init(&r->fleet, settings->node);
+	core_init(&r->core, uv_now(loop) * MS_PER_S);
+	quota_owner_init(&r->owner);
+	h1_pool_init(&r->server_pool, loop, &settings->server, SERVER_IDLE_MS,
+	    SERVER_CONNECT_MS);
+	uv_timer_init(loop, &r->tick);
+	r->tick.data = r;
+	conns = settings->descriptors > 2 * OWN_DESCRIPTORS
+		    ? settings->descriptors - OWN_DESCRIPTORS
+		    : OWN_DESCRIPTORS;
+	rc = h1_server_init(
+	    &r->entry, loop, &settings->entry, &entry_ops, r, conns / 3);
+	if (rc == 0)
+		rc = h1_server_init(&r->exit, loop, &settings->exit, &exit_ops,
+		    r, conns / 3);
+	if (rc == 0)
+		rc = fleet_net_init(&r->net, loop, &settings->fleet, &r->fleet,
+		    &fleet_ops, r);
+	return rc;
+}
+
+/*
+ * Returns the loop's time in milliseconds.
+ */
+uint64_t
+relay_now(const struct relay *r)
+{
+	return uv_now(r->loop);
+}
+
+/*
+ * Returns the next of a sequence of pseudo-random numbers (splitmix64).
+ */
+uint64_t
+relay_random(struct relay *r)
+{
+	uint64_t z = r->rnd += 0x9e3779b97f4a7c15ULL;
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 31);
+}
+
+/*
+ * Keeps the timer of deadlines running while there are requests.
+ */
+void
+relay_tick_start(struct relay *r)
+{
+	if (r->ticking)
+		return;
+	r->ticking = 1;
+	uv_timer_start(&r->tick, on_tick, TICK_MS, TICK_MS);
+}
+
+/*
+ * Looks after deadlines.
+ */
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct relay *r = timer->data;
+
+	entry_limit_tick(r);
+	entry_tick(r);
+	exit_tick(r);
+	if (r->entries != NULL || r->exits != NULL)
+		return;
+	r->ticking = 0;
+	uv_timer_stop(timer);
+}
+
+/*
+ * Returns what is known of the way to a node, given its handle.
+ */
+struct relay_link *
+relay_link(struct relay *r, int handle)
+{
+	size_t at = (size_t)(handle + 1), count;
+	struct relay_link *l;
+	struct fleet_peer *p;
+	struct sockaddr_in to;
+
+	if (at >= r->link_count) {
+		count = r->fleet.count + 1;
+		r->links = reallocarray(r->links, count, sizeof(*r->links));
+		if (r->links == NULL)
+			err(1, "out of memory");
+		memset(&r->links[r->link_count], 0,
+		    (count - r->link_count) * sizeof(*r->links));
+		r->link_count = count;
+	}
+	l = &r->links[at];
+	to = r->set.exit;
+	if (handle != FLEET_SELF) {
+		p = &r->fleet.peers[handle];
+		if (l->pool != NULL && l->address == p->address &&
+		    l->port == p->port)
+			return l;
+		l->address = p->address;
+		l->port = p->port;
+		to.sin_addr.s_addr = htonl(p->address);
+		to.sin_port = htons(p->port);
+	} else if (l->pool != NULL) {
+		return l;
+	}
+	/*
+	 * A node that moved: exchanges under way keep the old pool, which is
+	 * small and stays allocated.
+	 */
+	if (l->pool != NULL)
+		h1_pool_finish(l->pool);
+	l->pool = malloc(sizeof(*l->pool));
+	if (l->pool == NULL)
+		err(1, "out of memory");
+	h1_pool_init(l->pool, r->loop, &to, LINK_IDLE_MS, CONNECT_MS);
+	return l;
+}
+
+/*
+ * Returns the retry budget of a service.
+ */
+struct relay_budget *
+relay_budget(struct relay *r, const char *service)
+{
+	struct relay_budget *b;
+	size_t i;
+
+	for (i = 0; i < r->budget_count; i++)
+		if (strcmp(r->budgets[i].service, service) == 0)
+			return &r->budgets[i];
+	r->budgets = reallocarray(
+	    r->budgets, r->budget_count + 1, sizeof(*r->budgets));
+	if (r->budgets == NULL)
+		err(1, "out of memory");
+	b = &r->budgets[r->budget_count++];
+	memset(b, 0, sizeof(*b));
+	snprintf(b->service, sizeof(b->service), "%s", service);
+	b->tokens = 1;
+	return b;
+}
+
+/*
+ * Takes a configuration into force; the one before is freed.
+ */
+void
+relay_take_config(struct relay *r, struct config *c)
+{
+	struct h1_limits *l;
+
+	if (r->config != NULL)
+		config_free(r->config);
+	r->config = c;
+	l = &r->entry.limits;
+	if (c->caps.head_bytes > 0)
+		l->head_bytes = c->caps.head_bytes;
+	if (c->caps.body_bytes > 0)
+		l->body_bytes = c->caps.body_bytes;
+	if (c->caps.head_ms > 0)
+		l->head_ms = c->caps.head_ms;
+	if (c->caps.idle_ms > 0)
+		l->idle_ms = c->caps.idle_ms;
+	r->exit.limits.body_bytes = l->body_bytes;
+	r->exit.limits.head_bytes = l->head_bytes * 2;
+}
+
+/*
+ * The configuration in force was the newest at a time (ms).
+ */
+void
+relay_proved(struct relay *r, uint64_t at_ms)
+{
+	if (at_ms > r->proved_ms)
+		r->proved_ms = at_ms;
+}
+
+/*
+ * Tells whether callers may come.
+ */
+int
+relay_ready(const struct relay *r)
+{
+	return !r->stopping && r->config != NULL;
+}
+
+/*
+ * Fills in this node's beat.
+ */
+static void
+fill_beat(void *ctx, struct fleet_beat *b)
+{
+	struct relay *r = ctx;
+	struct relay_server *s = &r->server;
+	uint64_t now = relay_now(r);
+
+	b->node = r->set.node;
+	b->zone = r->set.zone;
+	b->incarnation = r->incarnation;
+	b->sequence = ++r->beat_sequence;
+	b->address = ntohl(r->set.exit.sin_addr.s_addr);
+	b->port = ntohs(r->set.exit.sin_port);
+	b->stopping = (unsigned int)r->stopping;
+	b->config_version = r->config != NULL ? r->config->version : 0;
+	b->server.id = s->gone ? "" : s->id;
+	b->server.service = s->service;
+	b->server.born_ms = s->born_ms;
+	b->server.slots = limiter_value(&r->core.limiter);
+	b->server.cold_ms =
+	    s->cold_until_ms > now ? (unsigned int)(s->cold_until_ms - now) : 0;
+	b->server.running = r->core.inflight;
+	b->server.waiting = r->core.queued;
+	b->server.shed = (unsigned int)(r->shed * 1000);
+	b->server.leaving = (unsigned int)(s->leaving || s->gone ||
+	    s->down_until_ms > now);
+}
+
+/*
+ * Notes that a node or its server has changed, or only that the set of live
+ * nodes has.  Limits that other nodes own now are given up.
+ */
+static void
+peer_turned(void *ctx, int handle)
+{
+	struct relay *r = ctx;
+	const struct fleet_peer *p;
+	struct relay_link *l;
+	size_t i;
+
+	for (i = 0; i < r->owner.count; i++)
+		if (r->owner.list[i].ws != 0 &&
+		    fleet_owner(&r->fleet, r->owner.list[i].ws, relay_now(r)) !=
+			FLEET_SELF)
+			quota_owner_drop(&r->owner, r->owner.list[i].ws);
+	if (handle < 0)
+		return;
+	p = &r->fleet.peers[handle];
+	l = relay_link(r, handle);
+
+	l->avoid_ms = 0;
+	l->avoid_run = 0;
+	l->told_ms = 0;
+	event_log(EVENT_PEER_CHANGED, relay_now(r),
+	    "peer=%s incarnation=%llu stopping=%d service=%s server=%s "
+	    "server_leaving=%d",
+	    p->node, (unsigned long long)p->incarnation, p->stopping,
+	    p->server.service, p->server.id, p->server.leaving);
+}
+
+/*
+ * Tells other nodes of a change of the server at once.
+ */
+static void
+server_changed(struct relay *r)
+{
+	fleet_beat_all(&r->net, 0);
+}
+
+/*
+ * Takes an announcement of the server beside this node.  Returns 1 if it is
+ * news, 0 if it is out of date.
+ */
+int
+relay_announced(struct relay *r, const struct relay_announce *a)
+{
+	struct relay_server *s = &r->server;
+	uint64_t now = relay_now(r);
+	int fresh;
+
+	if (s->id[0] != '\0' && (a->born_ms < s->born_ms ||
+	    (a->born_ms == s->born_ms && strcmp(a->id, s->id) == 0 &&
+	    a->sequence <= s->sequence)))
+		return 0;
+	fresh = strcmp(a->id, s->id) != 0 || a->born_ms != s->born_ms;
+	if (fresh) {
+		snprintf(s->id, sizeof(s->id), "%s", a->id);
+		snprintf(s->service, sizeof(s->service), "%s", a->service);
+		s->born_ms = a->born_ms;
+		s->leaving = 0;
+		s->gone = 0;
+		s->down_until_ms = 0;
+		s->down_count = 0;
+		s->slots = a->slots;
+		core_reset(&r->core, a->slots, now * MS_PER_S);
+		h1_pool_trim(&r->server_pool, 0);
+		event_log(EVENT_SERVER_NEW, now,
+		    "server=%s service=%s born=%llu slots=%u cold_ms=%llu",
+		    s->id, s->service, (unsigned long long)s->born_ms,
+		    s->slots, (unsigned long long)a->cold_ms);
+	}
+	s->sequence = a->sequence;
+	s->cold_until_ms = a->cold_ms > 0 ? now + a->cold_ms : 0;
+	if (s->slots != a->slots) {
+		s->slots = a->slots;
+		limiter_set_slots(&r->core.limiter, a->slots);
+	}
+	if (a->draining && !s->leaving) {
+		s->leaving = 1;
+		event_log(EVENT_SERVER_LEAVING, now, "server=%s sequence=%llu",
+		    s->id, (unsigned long long)s->sequence);
+		fresh = 1;
+	}
+	if (fresh)
+		server_changed(r);
+	exit_next(r);
+	return 1;
+}
+
+/*
+ * The server beside this node says that it ends.  A goodbye of an earlier
+ * incarnation is passed over; born_ms is 0 if it didn't say.
+ */
+void
+relay_left(struct relay *r, const char *id, uint64_t born_ms)
+{
+	struct relay_server *s = &r->server;
+
+	if (strcmp(s->id, id) != 0 || s->gone ||
+	    (born_ms != 0 && born_ms != s->born_ms))
+		return;
+	s->leaving = 1;
+	s->gone = 1;
+	event_log(EVENT_SERVER_GONE, relay_now(r), "server=%s", s->id);
+	server_changed(r);
+	exit_next(r);
+}
+
+/*
+ * Begins a graceful stop: callers are sent away, what is under way ends.
+ */
+void
+relay_stop(struct relay *r)
+{
+	if (r->stopping)
+		return;
+	r->stopping = 1;
+	h1_server_closing(&r->entry);
+	h1_server_closing(&r->exit);
+	fleet_beat_all(&r->net, 0);
+	event_log(EVENT_STOPPING, relay_now(r), "entries=%u exits=%u",
+	    h1_server_busy(&r->entry), h1_server_busy(&r->exit));
+}
+
+/*
+ * Tells whether a request is still under way.
+ */
+int
+relay_busy(const struct relay *r)
+{
+	return r->entries != NULL || r->exits != NULL ||
+	       h1_server_busy(&r->entry) > 0;
+}
+
+/*
+ * Takes the exit's field in an answer: the load of its server.
+ */
+void
+relay_told(struct relay *r, int handle, const char *text)
+{
+	struct relay_link *l = relay_link(r, handle);
+	unsigned int running, waiting, slots;
+
+	if (sscanf(text, "%*s %u %u %u", &running, &waiting, &slots) != 3)
+		return;
+	l->running = running;
+	l->waiting = waiting;
+	l->slots = slots;
+	l->sent_since = 0;
+	l->told_ms = relay_now(r);
+	l->avoid_run = 0;
+}
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,189 @@
+#ifndef RELAY_RELAY_H
+#define RELAY_RELAY_H
+
+#include <netinet/in.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "admission/admission_core.h"
+#include "config/config.h"
+#include "fleet/fleet.h"
+#include "http1/http1.h"
+#include "quarantine/quarantine_core.h"
+#include "quota/quota.h"
+
+/*
+ * The path of requests on one event loop.  The entry takes requests from
+ * callers beside this node and forwards them to the node of a backend server;
+ * the exit stands before the server beside this node.
+ */
+
+/* Header fields that callers and backend servers speak. */
+struct relay_names {
+	const char *request_id;	 /* echoed in answers */
+	const char *deadline_ms; /* how much longer the caller waits */
+	const char *key;	 /* of a workspace */
+	const char *workspace;	 /* for the server, instead of the key */
+	const char *caller;	 /* service beside which a request began */
+	const char *expect;	 /* instance that the request is meant for */
+	const char *not_run;	 /* in a refusal by the server */
+	const char *signature;	 /* of an answer of the server */
+	const char *load;	 /* of the server: running, waiting, slots */
+};
+
+struct relay_settings {
+	struct relay_names names;
+	char node[FLEET_NAME_BYTES];
+	char zone[FLEET_NAME_BYTES];
+	char service[FLEET_NAME_BYTES]; /* of the server beside this node */
+	struct sockaddr_in entry;	/* for callers beside this node */
+	struct sockaddr_in exit;	/* for requests from other nodes */
+	struct sockaddr_in server;	/* the backend server */
+	struct sockaddr_in fleet;	/* for datagrams between nodes */
+	uint64_t fresh_ms; /* keys are refused on an older configuration */
+	double quota_share; /* tolerance of limits, in part and constant */
+	double quota_constant;
+	double retry_ratio;  /* extra arrivals at a service to requests */
+	double retry_slack;  /* more of them, over the whole fleet */
+	uint64_t retry_window_ms;
+	uint64_t leave_ms; /* callers still come so long after a stop */
+	uint64_t memory_bytes; /* that the process may use */
+	uint32_t descriptors;
+};
+
+/* An announcement by the backend server beside this node. */
+struct relay_announce {
+	char id[FLEET_NAME_BYTES];
+	char service[FLEET_NAME_BYTES];
+	uint64_t born_ms;
+	uint64_t sequence;
+	uint32_t slots;
+	uint64_t cold_ms;
+	int draining;
+};
+
+enum relay_counter {
+	RELAY_REQUESTS,
+	RELAY_CALLS,
+	RELAY_SERVED,
+	RELAY_FAILED,
+	RELAY_REFUSED,
+	RELAY_TIMEOUTS,
+	RELAY_NO_ROUTE,
+	RELAY_NO_KEY,
+	RELAY_OVER_RATE,
+	RELAY_STALE,
+	RELAY_RETRIES,
+	RELAY_GONE,
+	RELAY_EXIT_REQUESTS,
+	RELAY_EXIT_SERVED,
+	RELAY_EXIT_REFUSED,
+	RELAY_EXIT_FAILED,
+	RELAY_EXIT_SHED,
+	RELAY_SKIPPED,
+	RELAY_STRIKES,
+	RELAY_COUNTER_MAX
+};
+
+/* The backend server beside this node, as it announced itself. */
+struct relay_server {
+	char id[FLEET_NAME_BYTES]; /* empty: none */
+	char service[FLEET_NAME_BYTES];
+	uint64_t born_ms;
+	uint64_t sequence;
+	uint32_t slots;
+	uint64_t cold_until_ms;
+	uint64_t down_until_ms; /* it took no connection lately */
+	uint32_t down_count;
+	int leaving;
+	int gone;
+};
+
+/* What this node knows of the way to another one, from its own requests. */
+struct relay_link {
+	struct h1_pool *pool;
+	uint32_t address;
+	uint16_t port;
+	uint32_t inflight;
+	uint32_t sent_since; /* the load below was told */
+	uint32_t running, waiting, slots;
+	uint64_t told_ms;
+	double failing;	    /* decaying share of attempts that failed */
+	uint64_t avoid_ms;  /* not to be used until then */
+	uint32_t avoid_run; /* failures to connect, one after the other */
+};
+
+struct entry_req;
+struct exit_req;
+
+#define RELAY_BROKEN_MAX 64 /* broken exchanges with the server, remembered */
+
+/* A request that was at work when its connection broke. */
+struct relay_broken {
+	struct quarantine_print print;
+	uint64_t at_ms; /* 0: none */
+};
+
+/* What is left of the retries at one service. */
+struct relay_budget {
+	char service[FLEET_NAME_BYTES];
+	double tokens;
+};
+
+/* A workspace's tokens at this node, and who waits for them. */
+struct relay_limit {
+	uint64_t ws;
+	struct quota_stock stock;
+	struct entry_req *waiting; /* first come first */
+	uint32_t waiting_count;
+};
+
+struct relay {
+	uv_loop_t *loop;
+	struct relay_settings set;
+	struct config *config; /* NULL until one is known */
+	uint64_t proved_ms; /* the configuration was the newest at this time */
+	struct fleet_table fleet;
+	struct fleet_net net;
+	uint64_t incarnation;
+	uint64_t beat_sequence;
+	struct h1_server entry;
+	struct h1_server exit;
+	struct h1_pool server_pool;
+	struct relay_server server;
+	struct relay_link *links; /* by the peer's handle, after one for self */
+	size_t link_count;
+	struct admission_core core;
+	struct quarantine_table *suspects; /* NULL until a server dies */
+	struct relay_broken broken[RELAY_BROKEN_MAX];
+	uint32_t broken_at; /* place of the next one */
+	uint32_t singles;   /* struck requests that run here */
+	struct quota_owner owner;
+	struct relay_limit *limits;
+	size_t limit_count;
+	struct relay_budget *budgets;
+	size_t budget_count;
+	struct entry_req *entries; /* all open ones */
+	struct exit_req *exits;
+	uv_timer_t tick;
+	int ticking;
+	int stopping;
+	uint64_t held_bytes; /* of bodies, in all requests */
+	uint64_t rnd;
+	double shed; /* decaying share of arrivals that the exit refused */
+	uint64_t counters[RELAY_COUNTER_MAX];
+};
+
+int relay_init(struct relay *, uv_loop_t *, const struct relay_settings *);
+void relay_take_config(struct relay *, struct config *);
+void relay_proved(struct relay *, uint64_t);
+int relay_announced(struct relay *, const struct relay_announce *);
+void relay_left(struct relay *, const char *, uint64_t);
+void relay_stop(struct relay *);
+int relay_busy(const struct relay *);
+int relay_ready(const struct relay *);
+const char *relay_counter_name(enum relay_counter);
+
+#endif
--- /dev/null
+++ b/src/relay/relay_int.h
@@ -0,0 +1,182 @@
+#ifndef RELAY_RELAY_INT_H
+#define RELAY_RELAY_INT_H
+
+#include "relay/relay.h"
+
+#define RELAY_TRIED_MAX 6
+#define RELAY_ID_BYTES 65
+#define RELAY_NO_LINK (-3)
+
+/* Header fields between the entry and the exit. */
+#define RELAY_HOP "Cyclamen-Hop"
+#define RELAY_EXIT "Cyclamen-Exit"
+
+/* What the exit says of a request. */
+enum relay_verdict {
+	VERDICT_RAN,	 /* the server answered */
+	VERDICT_UNKNOWN, /* it may have run */
+	VERDICT_TURNED,	 /* the server refused it, not run */
+	VERDICT_BUSY,	 /* the exit refused it: overload */
+	VERDICT_AWAY,	 /* no such server here, or not any more */
+	VERDICT_SUSPECT, /* it killed servers */
+	VERDICT_MAX
+};
+
+extern const char *const relay_verdict_names[VERDICT_MAX];
+
+/* Why the entry ended a request without a server's answer. */
+enum entry_end {
+	END_BAD_REQUEST,
+	END_NO_CONFIG,
+	END_NO_ROUTE,
+	END_NO_KEY,
+	END_STALE,
+	END_OVER_RATE,
+	END_NO_OWNER,
+	END_NO_SERVER,
+	END_OVERLOAD,
+	END_TIMEOUT_UNSENT,
+	END_TIMEOUT,
+	END_BROKEN,
+	END_SUSPECT,
+	END_MAX
+};
+
+enum entry_state {
+	ENTRY_TOKEN,  /* waits for a token of its workspace's limit */
+	ENTRY_SENT,   /* an attempt is under way */
+	ENTRY_ANSWER, /* the server's answer goes to the caller */
+	ENTRY_DONE
+};
+
+/* A caller's request at the entry. */
+struct entry_req {
+	struct relay *relay;
+	struct h1_conn *conn;
+	struct entry_req *next, *prev;
+	struct entry_req *next_waiting;
+	enum entry_state state;
+	char id[RELAY_ID_BYTES];
+	char service[FLEET_NAME_BYTES]; /* that is to run it */
+	char ws_name[CONFIG_NAME_MAX + 1]; /* empty: no workspace */
+	uint64_t ws;
+	struct quota_limit limit;
+	uint64_t began_ms;
+	uint64_t deadline_ms; /* of the caller */
+	uint64_t end_ms;      /* an answer goes out by then */
+	uint32_t class;
+	uint32_t depth;
+	uint32_t arrivals; /* at servers */
+	uint32_t arrivals_max;
+	uint32_t tries; /* of nodes */
+	int idempotent;
+	int took_token;
+	int maybe_run;
+	int turned; /* the last attempt's verdict */
+	uint64_t again_ms; /* try again at that time; 0: no */
+	int tried[RELAY_TRIED_MAX];
+	int link; /* of the attempt under way */
+	struct h1_xchg *xchg;
+	char *body; /* as read so far, for the present and later attempts */
+	size_t body_len, body_cap;
+	uint64_t body_length; /* as told */
+	int body_in;
+	int body_lost; /* too long to be kept for another attempt */
+	unsigned int status;
+	struct h1_text fields; /* of the answer */
+	struct h1_text answer; /* its body, until it is passed on */
+	uint64_t answer_length;
+	int passing; /* the answer's head is out */
+	enum relay_verdict verdict;
+};
+
+/* A request from another node at the exit. */
+struct exit_req {
+	struct relay *relay;
+	struct h1_conn *conn;
+	struct exit_req *next, *prev;
+	struct admission_waiter waiter;
+	int waiting; /* for a slot */
+	int running;
+	struct h1_xchg *xchg;
+	char id[RELAY_ID_BYTES];
+	char caller[FLEET_NAME_BYTES];
+	char ws_name[CONFIG_NAME_MAX + 1];
+	uint64_t deadline_ms; /* on this node's clock */
+	uint64_t sent_ms;
+	int idempotent;
+	struct h1_text body; /* that waits for a slot */
+	int body_in;
+	uint64_t body_length;
+	int passing;
+	uint64_t ended_ms; /* the caller's time is over */
+	unsigned int status;
+	uint64_t answer_length;
+	enum relay_verdict verdict;
+	struct h1_text fields; /* of the answer */
+	struct h1_text answer; /* its body, until it is passed on */
+	struct quarantine_print print;
+	int single; /* was struck before: runs alone */
+};
+
+/* A server that a request could go to. */
+struct choice {
+	int handle;	 /* of its node */
+	double load;	 /* outstanding work to slots */
+	double failing;	 /* share of attempts */
+	int near;	 /* same zone */
+	int cold;	 /* slow since just started */
+	int avoid;	 /* hasn't been reached lately */
+};
+
+double choice_cost(const struct choice *, double);
+int choice_best(const struct choice *, size_t, uint64_t);
+
+uint64_t relay_now(const struct relay *);
+uint64_t relay_random(struct relay *);
+void relay_tick_start(struct relay *);
+struct relay_link *relay_link(struct relay *, int);
+struct relay_budget *relay_budget(struct relay *, const char *);
+void relay_told(struct relay *, int, const char *);
+
+/* entry.c */
+extern const struct h1_server_ops entry_ops;
+void entry_finish(struct entry_req *);
+void entry_end(struct entry_req *, enum entry_end, uint64_t);
+void entry_tick(struct relay *);
+
+/* entry_send.c */
+void entry_start(struct entry_req *);
+void entry_forward_body(struct entry_req *, const char *, size_t);
+void entry_stop_attempt(struct entry_req *);
+int entry_pick(struct entry_req *);
+
+/* entry_limit.c */
+int entry_limit(struct entry_req *);
+void entry_limit_leave(struct entry_req *);
+void entry_limit_tick(struct relay *);
+void entry_token_back(struct entry_req *);
+void relay_on_ask(
+    void *, const struct fleet_ask *, const struct sockaddr_in *);
+void relay_on_give(void *, const struct fleet_give *);
+
+/* exit.c */
+extern const struct h1_server_ops exit_ops;
+void exit_tick(struct relay *);
+void exit_next(struct relay *);
+
+/* exit_send.c */
+void exit_send(struct exit_req *);
+void exit_refuse(struct exit_req *, enum relay_verdict, const char *);
+void exit_finish(struct exit_req *);
+void exit_done(struct exit_req *, enum admission_outcome);
+
+/* suspect.c */
+void suspect_print(struct exit_req *);
+void suspect_broken(struct exit_req *);
+void suspect_server_died(struct relay *);
+void suspect_served(struct exit_req *);
+enum quarantine_state suspect_state(const struct exit_req *);
+void relay_on_strike(void *, const struct fleet_strike *);
+
+#endif
