Take a reset that reads as an end for what it is

The socket read 0 and SO_ERROR held ECONNRESET; traced by printing both at the end of each such answer: 4 of 4 broken ones had 104.

--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -1,6 +1,7 @@
 #include <err.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "http1/http1_int.h"
 
@@ -48,6 +49,7 @@
 static void peer_fail(struct h1_peer *, enum h1_fail);
 static struct h1_peer *peer_new(struct h1_pool *);
 static void stop_timer(struct h1_peer *);
+static int was_reset(const struct h1_peer *);
 static int on_begin(http_parser *);
 static int on_field(http_parser *, const char *, size_t);
 static int on_value(http_parser *, const char *, size_t);
@@ -431,6 +433,23 @@
 	pool->idle_count++;
 }
 
+/*
+ * Tells whether the end of a connection was a reset: the kernel may report
+ * the end first and keep the error.
+ */
+static int
+was_reset(const struct h1_peer *p)
+{
+	socklen_t len;
+	int fd, error = 0;
+
+	len = sizeof(error);
+	if (uv_fileno((const uv_handle_t *)&p->stream.tcp, &fd) != 0 ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == -1)
+		return 1;
+	return error != 0;
+}
+
 /*
  * Takes bytes, or the end of the connection.
  */
@@ -456,7 +475,7 @@
 		return;
 	}
 	/* Only a clean end completes an answer that has no length. */
-	if (n < 0 && n != UV_EOF) {
+	if (n < 0 && (n != UV_EOF || was_reset(p))) {
 		peer_fail(p, H1_BROKEN);
 		return;
 	}
