--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,7 +21,7 @@
 	uint64_t cold_until_ms; /* on this node's clock */
 	uint32_t running;
 	uint32_t waiting;
-	uint32_t shed; /* of 1000 arrivals, lately */
+	double offered; /* work that arrives, as a share of its slots */
 	int leaving;
 };
 
@@ -70,6 +70,7 @@
 /* What the owner of a fleet socket hears; all get the context given there. */
 struct fleet_ops {
 	void (*fill)(void *, struct fleet_beat *); /* this node's own beat */
+	void (*heard)(void *, int, const struct fleet_beat *);
 	void (*turned)(void *, int); /* a peer, or FLEET_NONE: who is alive */
 	void (*ask)(void *, const struct fleet_ask *, const struct sockaddr_in *);
 	void (*give)(void *, const struct fleet_give *);
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -3,6 +3,13 @@
  */
 
 const FLEET_NAME_MAX = 63;
+const FLEET_CALLS_MAX = 8;
+
+/* Calls of a server to a service, for 1000 requests that it ran. */
+struct fleet_calls {
+	string service<FLEET_NAME_MAX>;
+	unsigned int per_1000;
+};
 
 /* The backend server beside a node, as it announced itself. */
 struct fleet_server_state {
@@ -13,8 +20,9 @@
 	unsigned int cold_ms;	 /* how much longer it is slow */
 	unsigned int running;
 	unsigned int waiting;
-	unsigned int shed;	 /* of 1000 arrivals, lately */
+	unsigned int offered;	 /* work, in thousandths of the slots */
 	unsigned int leaving;
+	fleet_calls calls<FLEET_CALLS_MAX>;
 };
 
 /* A node's sign of life. */
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -159,6 +159,7 @@
 		return;
 	if (before == 0)
 		fleet_beat_one(n, b->address);
+	n->ops->heard(n->ctx, i, b);
 	if (changed) {
 		tick(n);
 		n->ops->turned(n->ctx, i);
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -147,7 +147,7 @@
 	    b->server.cold_ms > 0 ? now + b->server.cold_ms : 0;
 	s->running = b->server.running;
 	s->waiting = b->server.waiting;
-	s->shed = b->server.shed;
+	s->offered = b->server.offered / 1000.0;
 	s->leaving = (int)b->server.leaving;
 	return i;
 }
--- a/src/fleet/fleet_xdr.c
+++ b/src/fleet/fleet_xdr.c
@@ -5,6 +5,18 @@
 
 #include "fleet/fleet_xdr.h"
 
+bool_t
+xdr_fleet_calls (XDR *xdrs, fleet_calls *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->per_1000))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_server_state (XDR *xdrs, fleet_server_state *objp)
 {
@@ -28,18 +40,22 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->waiting))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->shed))
+			 if (!xdr_u_int (xdrs, &objp->offered))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->leaving))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->slots);
-			IXDR_PUT_U_LONG(buf, objp->cold_ms);
-			IXDR_PUT_U_LONG(buf, objp->running);
-			IXDR_PUT_U_LONG(buf, objp->waiting);
-			IXDR_PUT_U_LONG(buf, objp->shed);
-			IXDR_PUT_U_LONG(buf, objp->leaving);
+		IXDR_PUT_U_LONG(buf, objp->slots);
+		IXDR_PUT_U_LONG(buf, objp->cold_ms);
+		IXDR_PUT_U_LONG(buf, objp->running);
+		IXDR_PUT_U_LONG(buf, objp->waiting);
+		IXDR_PUT_U_LONG(buf, objp->offered);
+		IXDR_PUT_U_LONG(buf, objp->leaving);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
+			sizeof (fleet_calls), (xdrproc_t) xdr_fleet_calls))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
@@ -58,18 +74,22 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->waiting))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->shed))
+			 if (!xdr_u_int (xdrs, &objp->offered))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->leaving))
 				 return FALSE;
+
 		} else {
-			objp->slots = IXDR_GET_U_LONG(buf);
-			objp->cold_ms = IXDR_GET_U_LONG(buf);
-			objp->running = IXDR_GET_U_LONG(buf);
-			objp->waiting = IXDR_GET_U_LONG(buf);
-			objp->shed = IXDR_GET_U_LONG(buf);
-			objp->leaving = IXDR_GET_U_LONG(buf);
+		objp->slots = IXDR_GET_U_LONG(buf);
+		objp->cold_ms = IXDR_GET_U_LONG(buf);
+		objp->running = IXDR_GET_U_LONG(buf);
+		objp->waiting = IXDR_GET_U_LONG(buf);
+		objp->offered = IXDR_GET_U_LONG(buf);
+		objp->leaving = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
+			sizeof (fleet_calls), (xdrproc_t) xdr_fleet_calls))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -87,10 +107,13 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->waiting))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->shed))
+	 if (!xdr_u_int (xdrs, &objp->offered))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
+		sizeof (fleet_calls), (xdrproc_t) xdr_fleet_calls))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/fleet/fleet_xdr.h
+++ b/src/fleet/fleet_xdr.h
@@ -3,8 +3,8 @@
  * It was generated using rpcgen.
  */
 
-#ifndef _FLEET_XDR_H_RPCGEN
-#define _FLEET_XDR_H_RPCGEN
+#ifndef _FX_H_RPCGEN
+#define _FX_H_RPCGEN
 
 #include <rpc/rpc.h>
 
@@ -15,6 +15,13 @@
 #endif
 
 #define FLEET_NAME_MAX 63
+#define FLEET_CALLS_MAX 8
+
+struct fleet_calls {
+	char *service;
+	u_int per_1000;
+};
+typedef struct fleet_calls fleet_calls;
 
 struct fleet_server_state {
 	char *id;
@@ -24,8 +31,12 @@
 	u_int cold_ms;
 	u_int running;
 	u_int waiting;
-	u_int shed;
+	u_int offered;
 	u_int leaving;
+	struct {
+		u_int calls_len;
+		fleet_calls *calls_val;
+	} calls;
 };
 typedef struct fleet_server_state fleet_server_state;
 
@@ -90,6 +101,7 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
+extern  bool_t xdr_fleet_calls (XDR *, fleet_calls*);
 extern  bool_t xdr_fleet_server_state (XDR *, fleet_server_state*);
 extern  bool_t xdr_fleet_beat (XDR *, fleet_beat*);
 extern  bool_t xdr_fleet_ask (XDR *, fleet_ask*);
@@ -99,6 +111,7 @@
 extern  bool_t xdr_fleet_msg (XDR *, fleet_msg*);
 
 #else /* K&R C */
+extern bool_t xdr_fleet_calls ();
 extern bool_t xdr_fleet_server_state ();
 extern bool_t xdr_fleet_beat ();
 extern bool_t xdr_fleet_ask ();
@@ -113,4 +126,4 @@
 }
 #endif
 
-#endif /* !_FLEET_XDR_H_RPCGEN */
+#endif /* !_FX_H_RPCGEN */
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -12,6 +12,8 @@
 #define HELD_SHARE 4	    /* of the memory, that bodies may take */
 #define TIMEOUT_GRACE_MS 30 /* for the server's own answer at its deadline */
 #define SPLIT_BITS 32
+#define THROTTLED_AFTER_MS 600 /* before a throttled caller should return */
+#define THROTTLED_SPREAD_MS 1000
 
 static void on_head(void *, struct h1_conn *);
 static void on_body(void *, struct h1_conn *, const char *, size_t);
@@ -43,6 +45,7 @@
 	[END_STALE] = { 503, RELAY_STALE, "configuration-stale" },
 	[END_OVER_RATE] = { 429, RELAY_OVER_RATE, "over-rate" },
 	[END_NO_OWNER] = { 503, RELAY_REFUSED, "limit-unknown" },
+	[END_THROTTLED] = { 503, RELAY_THROTTLED, "overload-below" },
 	[END_NO_SERVER] = { 503, RELAY_REFUSED, "no-server" },
 	[END_OVERLOAD] = { 503, RELAY_REFUSED, "overload" },
 	[END_TIMEOUT_UNSENT] = { 503, RELAY_TIMEOUTS, "timeout-not-run" },
@@ -197,8 +200,7 @@
 	e->ws = w->hash;
 	e->limit.rate = w->rate;
 	e->limit.burst = w->burst;
-	if (w->priority != CONFIG_NO_PRIORITY)
-		e->class = w->priority;
+	e->class = load_class(r, w->priority, route->priority);
 	return END_MAX;
 }
 
@@ -251,17 +253,25 @@
 		entry_end(e, END_NO_ROUTE, 0);
 		return;
 	}
-	e->class = route->priority;
+	e->class = load_class(r, 0, route->priority);
 	bad = entry_workspace(e, route, h);
 	if (bad != END_MAX) {
 		entry_end(e, bad, 500);
 		return;
 	}
-	if (e->class >= ADMISSION_CLASS_MAX)
-		e->class = ADMISSION_CLASS_MAX - 1;
+	/* Calls go before new root requests: work was done for them already. */
 	e->depth = route->open ? 1 : 0;
+	if (e->depth > 0)
+		e->class = ADMISSION_CRITICAL;
 	r->counters[e->depth > 0 ? RELAY_CALLS : RELAY_REQUESTS]++;
 	entry_split(e, route);
+	if (e->depth > 0) {
+		load_called(r, e->service);
+	} else if (!load_admits(r, e->service, e->class)) {
+		entry_end(e, END_THROTTLED, THROTTLED_AFTER_MS +
+			relay_random(r) % THROTTLED_SPREAD_MS);
+		return;
+	}
 	e->idempotent = route->idempotent;
 	e->arrivals_max = route->retries + 1;
 	left = h1_head_number(h, r->set.names.deadline_ms, route->deadline_ms);
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -9,7 +9,6 @@
 
 #define BODY_WINDOW 65536   /* bytes of a body that waits for a slot */
 #define OVERDUE_MS 400	    /* past its time, when the entry seems to be dead */
-#define SHED_WEIGHT 0.02    /* of the newest arrival */
 #define MS_US 1000
 
 static void on_head(void *, struct h1_conn *);
@@ -128,7 +127,6 @@
 	enum quarantine_state state;
 
 	r->counters[RELAY_EXIT_REQUESTS]++;
-	r->shed *= 1 - SHED_WEIGHT;
 	if (h1_head_copy(h, r->set.names.request_id, e->id, sizeof(e->id)) < 0)
 		e->id[0] = '\0';
 	if (read_hop(e, h, service, &req) == -1) {
@@ -167,12 +165,12 @@
 		e->waiting = 1;
 		break;
 	default:
-		r->shed += SHED_WEIGHT;
+		load_shed(r);
 		exit_refuse(e, VERDICT_BUSY, "overload");
 		break;
 	}
 	if (out != NULL) {
-		r->shed += SHED_WEIGHT;
+		load_shed(r);
 		of_waiter(out)->waiting = 0;
 		exit_refuse(of_waiter(out), VERDICT_BUSY, "displaced");
 	}
@@ -200,7 +198,7 @@
 			exit_send(e);
 			continue;
 		}
-		r->shed += SHED_WEIGHT;
+		load_shed(r);
 		exit_refuse(e, VERDICT_BUSY, "deadline");
 	}
 }
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -76,6 +76,7 @@
 
 	e->running = 1;
 	e->sent_ms = relay_now(r);
+	load_ran(r);
 	h1_text_init(&t);
 	compose(e, &t);
 	if (e->body_length != H1_LENGTH_CHUNKED)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -25,6 +25,7 @@
 
 static const struct fleet_ops fleet_ops = {
 	.fill = fill_beat,
+	.heard = load_heard,
 	.turned = peer_turned,
 	.ask = relay_on_ask,
 	.give = relay_on_give,
@@ -49,6 +50,7 @@
 	[RELAY_EXIT_REFUSED] = "exit_refused",
 	[RELAY_EXIT_FAILED] = "exit_failed",
 	[RELAY_EXIT_SHED] = "exit_shed_by_server",
+	[RELAY_THROTTLED] = "throttled",
 	[RELAY_SKIPPED] = "answers_skipped",
 	[RELAY_STRIKES] = "strikes",
 };
@@ -95,6 +97,7 @@
 	quota_owner_init(&r->owner);
 	h1_pool_init(&r->server_pool, loop, &settings->server, SERVER_IDLE_MS,
 	    SERVER_CONNECT_MS);
+	load_init(r);
 	uv_timer_init(loop, &r->tick);
 	r->tick.data = r;
 	conns = settings->descriptors > 2 * OWN_DESCRIPTORS
@@ -156,6 +159,7 @@
 	entry_limit_tick(r);
 	entry_tick(r);
 	exit_tick(r);
+	load_tick(r);
 	if (r->entries != NULL || r->exits != NULL)
 		return;
 	r->ticking = 0;
@@ -243,6 +247,7 @@
 	if (r->config != NULL)
 		config_free(r->config);
 	r->config = c;
+	load_ranks(r);
 	l = &r->entry.limits;
 	if (c->caps.head_bytes > 0)
 		l->head_bytes = c->caps.head_bytes;
@@ -281,6 +286,7 @@
 static void
 fill_beat(void *ctx, struct fleet_beat *b)
 {
+	static fleet_calls calls[FLEET_CALLS_MAX];
 	struct relay *r = ctx;
 	struct relay_server *s = &r->server;
 	uint64_t now = relay_now(r);
@@ -301,9 +307,9 @@
 	    s->cold_until_ms > now ? (unsigned int)(s->cold_until_ms - now) : 0;
 	b->server.running = r->core.inflight;
 	b->server.waiting = r->core.queued;
-	b->server.shed = (unsigned int)(r->shed * 1000);
 	b->server.leaving = (unsigned int)(s->leaving || s->gone ||
 	    s->down_until_ms > now);
+	load_fill(r, b, calls);
 }
 
 /*
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -13,6 +13,7 @@
 #include "http1/http1.h"
 #include "quarantine/quarantine_core.h"
 #include "quota/quota.h"
+#include "throttle/throttle.h"
 
 /*
  * The path of requests on one event loop.  The entry takes requests from
@@ -83,6 +84,7 @@
 	RELAY_EXIT_FAILED,
 	RELAY_EXIT_SHED,
 	RELAY_SKIPPED,
+	RELAY_THROTTLED,
 	RELAY_STRIKES,
 	RELAY_COUNTER_MAX
 };
@@ -115,6 +117,14 @@
 	uint32_t avoid_run; /* failures to connect, one after the other */
 };
 
+/* Calls of the server beside this node to a service. */
+struct relay_calls {
+	char service[FLEET_NAME_BYTES];
+	double count; /* decaying */
+};
+
+#define RELAY_RANKS 64 /* different pairs of priorities */
+
 struct entry_req;
 struct exit_req;
 
@@ -172,7 +182,16 @@
 	int stopping;
 	uint64_t held_bytes; /* of bodies, in all requests */
 	uint64_t rnd;
-	double shed; /* decaying share of arrivals that the exit refused */
+	struct throttle throttle;
+	uv_timer_t throttle_timer;
+	double busy; /* decaying share of the slots in use or waited for */
+	double shed_per_s; /* decaying rate of arrivals that were refused */
+	uint64_t busy_ms;  /* of these two */
+	struct relay_calls calls[FLEET_CALLS_MAX];
+	uint32_t call_count;
+	double runs;	  /* decaying number, of the server beside this node */
+	uint32_t ranks[RELAY_RANKS]; /* of importance, as configured */
+	uint32_t rank_count;
 	uint64_t counters[RELAY_COUNTER_MAX];
 };
 
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -33,6 +33,7 @@
 	END_STALE,
 	END_OVER_RATE,
 	END_NO_OWNER,
+	END_THROTTLED,
 	END_NO_SERVER,
 	END_OVERLOAD,
 	END_TIMEOUT_UNSENT,
@@ -139,6 +140,18 @@
 struct relay_budget *relay_budget(struct relay *, const char *);
 void relay_told(struct relay *, int, const char *);
 
+/* load.c */
+void load_init(struct relay *);
+void load_fill(struct relay *, struct fleet_beat *, fleet_calls *);
+void load_heard(void *, int, const struct fleet_beat *);
+void load_tick(struct relay *);
+void load_shed(struct relay *);
+void load_ran(struct relay *);
+void load_called(struct relay *, const char *);
+int load_admits(struct relay *, const char *, uint32_t);
+void load_ranks(struct relay *);
+uint32_t load_class(const struct relay *, uint32_t, uint32_t);
+
 /* entry.c */
 extern const struct h1_server_ops entry_ops;
 void entry_finish(struct entry_req *);
