Limit a server's concurrency at the slots that it tells

The adaptive limiter took the server's refusals for overload and cut its limit, refusals at the exit then counted as offered work, and the cut fell by at most 0.5 a second from its maximum. Servers here tell their slots, so the limit is 0.96 of these, and the throttle opens faster.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -15,6 +15,7 @@
 #define SERVER_IDLE_MS 9000  /* of connections to the server beside this node */
 #define SERVER_CONNECT_MS 300
 #define OWN_DESCRIPTORS 400  /* for other things than callers and nodes */
+#define SLOTS_USED 0.96 /* of those that a server tells */
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -22,6 +23,7 @@
 static void peer_turned(void *, int);
 static void on_tick(uv_timer_t *);
 static void server_changed(struct relay *);
+static uint32_t usable_slots(uint32_t);
 
 static const struct fleet_ops fleet_ops = {
 	.fill = fill_beat,
@@ -94,6 +96,8 @@
 	    settings->exit.sin_addr.s_addr) << 20;
 	fleet_table_init(&r->fleet, settings->node);
 	core_init(&r->core, uv_now(loop) * MS_PER_S);
+	/* Servers tell their slots, and queue by themselves what is more. */
+	r->core.limiter.fixed = 1;
 	quota_owner_init(&r->owner);
 	h1_pool_init(&r->server_pool, loop, &settings->server, SERVER_IDLE_MS,
 	    SERVER_CONNECT_MS);
@@ -353,6 +357,18 @@
 	fleet_beat_all(&r->net, 0);
 }
 
+/*
+ * Returns how many of a server's slots are used: some servers are slow when
+ * they are nearly full.
+ */
+static uint32_t
+usable_slots(uint32_t slots)
+{
+	uint32_t n = (uint32_t)(slots * SLOTS_USED);
+
+	return n > 0 ? n : 1;
+}
+
 /*
  * Takes an announcement of the server beside this node.  Returns 1 if it is
  * news, 0 if it is out of date.
@@ -378,7 +394,7 @@
 		s->down_until_ms = 0;
 		s->down_count = 0;
 		s->slots = a->slots;
-		core_reset(&r->core, a->slots, now * MS_PER_S);
+		core_reset(&r->core, usable_slots(a->slots), now * MS_PER_S);
 		h1_pool_trim(&r->server_pool, 0);
 		event_log(EVENT_SERVER_NEW, now,
 		    "server=%s service=%s born=%llu slots=%u cold_ms=%llu",
@@ -389,7 +405,8 @@
 	s->cold_until_ms = a->cold_ms > 0 ? now + a->cold_ms : 0;
 	if (s->slots != a->slots) {
 		s->slots = a->slots;
-		limiter_set_slots(&r->core.limiter, a->slots);
+		limiter_set_slots(
+		    &r->core.limiter, usable_slots(a->slots));
 	}
 	if (a->draining && !s->leaving) {
 		s->leaving = 1;
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -6,7 +6,8 @@
 #define TARGET 0.88	  /* share of the slots that is to be in use */
 #define GAIN_PER_S 0.9	  /* of the cut for each unit above the target */
 #define RISE_PER_S 1.6	  /* at most, so that one odd sample does little */
-#define FALL_PER_S 0.5
+#define FALL_GAIN_PER_S 2.0 /* below the target */
+#define FALL_PER_S 1.2
 #define CLASS_FLOOR 0.22  /* of a class that is let in whatever happens */
 #define REACHES 0.05	  /* calls for each run that count as reaching */
 #define CUT_MAX ((1 - CLASS_FLOOR) * THROTTLE_CLASSES)
@@ -83,8 +84,8 @@
 
 	for (i = 0; i < t->count; i++) {
 		s = &t->services[i];
-		by = s->known ? (s->offered - TARGET) * GAIN_PER_S
-			      : -FALL_PER_S;
+		by = s->known ? s->offered - TARGET : -1;
+		by *= by > 0 ? GAIN_PER_S : FALL_GAIN_PER_S;
 		if (by > RISE_PER_S)
 			by = RISE_PER_S;
 		if (by < -FALL_PER_S)
