Compare a request's id whole, however long it is

The id of a call four deep has 67 bytes; the exit kept 64 and took an id that didn't fit for none, so it skipped no late extra answer. Now both header fields are compared where they stand; only log lines cut an id.

--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -242,8 +242,7 @@
 	enum entry_end bad;
 	uint64_t left;
 
-	if (h1_head_copy(h, r->set.names.request_id, e->id, sizeof(e->id)) < 0)
-		e->id[0] = '\0';
+	relay_id(r, h, e->id);
 	if (r->config == NULL) {
 		entry_end(e, END_NO_CONFIG, 300);
 		return;
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -127,8 +127,7 @@
 	enum quarantine_state state;
 
 	r->counters[RELAY_EXIT_REQUESTS]++;
-	if (h1_head_copy(h, r->set.names.request_id, e->id, sizeof(e->id)) < 0)
-		e->id[0] = '\0';
+	relay_id(r, h, e->id);
 	if (read_hop(e, h, service, &req) == -1) {
 		exit_finish(e);
 		h1_conn_set_user(conn, NULL);
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -20,6 +20,7 @@
 static void compose(struct exit_req *, struct h1_text *);
 static void add_exit(struct exit_req *, struct h1_text *, enum relay_verdict);
 static enum relay_verdict judge(struct exit_req *, const struct h1_head *);
+static int is_ours(const struct exit_req *, const struct h1_head *);
 static void server_down(struct relay *);
 
 static const struct h1_client_ops server_ops = { on_head, on_body, on_end,
@@ -176,6 +177,24 @@
 	return VERDICT_RAN;
 }
 
+/*
+ * Tells whether an answer bears the id of this request, of any length.  To a
+ * request without an id any answer is its own.
+ */
+static int
+is_ours(const struct exit_req *e, const struct h1_head *h)
+{
+	const char *name = e->relay->set.names.request_id, *ours, *its;
+	size_t our_len, its_len;
+
+	ours = h1_head_get(h1_conn_head(e->conn), name, &our_len);
+	if (ours == NULL)
+		return 1;
+	its = h1_head_get(h, name, &its_len);
+	return its != NULL && its_len == our_len &&
+	       memcmp(its, ours, our_len) == 0;
+}
+
 /*
  * Takes the head of an answer, if it belongs to this request.
  */
@@ -185,13 +204,9 @@
 	struct exit_req *e = ctx;
 	const struct h1_head *h = h1_xchg_head(x);
 	const struct h1_field *f;
-	char id[RELAY_ID_BYTES];
 	uint32_t i;
 
-	if (e->id[0] != '\0' &&
-	    (h1_head_copy(h, e->relay->set.names.request_id, id, sizeof(id)) <
-		    0 ||
-		strcmp(id, e->id) != 0)) {
+	if (!is_ours(e, h)) {
 		e->relay->counters[RELAY_SKIPPED]++;
 		return 1;
 	}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -127,6 +127,26 @@
 	return uv_now(r->loop);
 }
 
+/*
+ * Copies a request's id into RELAY_ID_BYTES for log lines; a longer one is
+ * cut.  Without one it is empty.
+ */
+void
+relay_id(const struct relay *r, const struct h1_head *h, char *id)
+{
+	const char *v;
+	size_t n;
+
+	id[0] = '\0';
+	v = h1_head_get(h, r->set.names.request_id, &n);
+	if (v == NULL)
+		return;
+	if (n >= RELAY_ID_BYTES)
+		n = RELAY_ID_BYTES - 1;
+	memcpy(id, v, n);
+	id[n] = '\0';
+}
+
 /*
  * Returns the next of a sequence of pseudo-random numbers (splitmix64).
  */
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -4,7 +4,7 @@
 #include "relay/relay.h"
 
 #define RELAY_TRIED_MAX 6
-#define RELAY_ID_BYTES 65
+#define RELAY_ID_BYTES 160 /* of a request's id in log lines */
 #define RELAY_NO_LINK (-3)
 
 /* Header fields between the entry and the exit. */
@@ -134,6 +134,7 @@
 int choice_best(const struct choice *, size_t, uint64_t);
 
 uint64_t relay_now(const struct relay *);
+void relay_id(const struct relay *, const struct h1_head *, char *);
 uint64_t relay_random(struct relay *);
 void relay_tick_start(struct relay *);
 struct relay_link *relay_link(struct relay *, int);
