Test HTTP/1.1 on the loop against raw bytes

Refusals echo an id of any length, and nodes that fell silent get a beat now and then, so that a healed cut shows.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -87,6 +87,7 @@
 	const struct fleet_ops *ops;
 	void *ctx;
 	uint64_t ticked_ms;
+	uint64_t beats; /* sent to all */
 	uint64_t bad; /* datagrams that could not be read */
 };
 
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -4,6 +4,7 @@
 #include "fleet/fleet.h"
 
 #define DATAGRAM_BYTES 1400
+#define LOST_BEATS 8 /* of which one goes to nodes that fell silent, too */
 #define PAUSE_BEATS 3 /* beats late by which a pause of the process is seen */
 
 static void on_alloc(uv_handle_t *, size_t, uv_buf_t *);
@@ -11,6 +12,7 @@
     const struct sockaddr *, unsigned int);
 static void on_timer(uv_timer_t *);
 static void tick(struct fleet_net *);
+static void beat_lost(struct fleet_net *);
 static void take(struct fleet_net *, const struct fleet_msg *,
     const struct sockaddr_in *);
 static void take_beat(struct fleet_net *, const struct fleet_beat *);
@@ -75,6 +77,8 @@
 	n->ticked_ms = now;
 	tick(n);
 	fleet_beat_all(n, 0);
+	if (++n->beats % LOST_BEATS == 0)
+		beat_lost(n);
 	uv_timer_start(&n->timer, on_timer, every, 0);
 }
 
@@ -91,6 +95,23 @@
 		n->ops->turned(n->ctx, FLEET_NONE);
 }
 
+/*
+ * Sends a beat to nodes that fell silent long ago: a cut between the two may
+ * have healed.
+ */
+static void
+beat_lost(struct fleet_net *n)
+{
+	const struct fleet_peer *p;
+	size_t i;
+
+	for (i = 0; i < n->table->count; i++) {
+		p = &n->table->peers[i];
+		if (p->gone && !p->stopping)
+			fleet_beat_one(n, p->address);
+	}
+}
+
 /*
  * Takes a datagram; one that can't be read is counted.
  */
--- /dev/null
+++ b/src/http1/test_http1.c
@@ -0,0 +1,590 @@
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "http1/http1.h"
+
+/*
+ * Both sides of the connection, each against raw bytes on loopback.  The
+ * loop runs until what a case waits for has come; a case that hangs is ended
+ * by the alarm.
+ */
+
+#define ALARM_S 20
+#define TEXT_MAX 70000
+
+/* How the stand-in ends its side after its bytes. */
+enum ending { STAY, END, RESET };
+
+/* What became of an exchange. */
+struct outcome {
+	int done; /* 1: whole answer, 2: failed */
+	enum h1_fail fail;
+	unsigned int status;
+	int heads;
+	size_t body_len;
+	char body[64];
+	const char *skip_id; /* answers that bear this id are skipped */
+};
+
+struct answer_case {
+	const char *name;
+	const char *bytes;
+	enum ending ending;
+	int done;
+	enum h1_fail fail;
+	const char *body;
+	uint32_t idle; /* connections kept */
+};
+
+/* A server of raw bytes: answers what comes with fixed text. */
+struct raw {
+	uv_tcp_t listener;
+	uv_tcp_t conn;
+	uv_write_t write;
+	const char *bytes;
+	enum ending ending;
+	struct sockaddr_in addr;
+	int conns;
+};
+
+static uv_loop_t loop;
+
+static void
+alloc(uv_handle_t *h, size_t n, uv_buf_t *b)
+{
+	static char room[TEXT_MAX];
+
+	(void)h;
+	(void)n;
+	*b = uv_buf_init(room, sizeof(room));
+}
+
+static void
+raw_written(uv_write_t *w, int status)
+{
+	struct raw *r = w->data;
+
+	(void)status;
+	if (r->ending == RESET)
+		uv_tcp_close_reset(&r->conn, NULL);
+	else if (r->ending == END)
+		uv_close((uv_handle_t *)&r->conn, NULL);
+}
+
+static void
+raw_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
+{
+	struct raw *r = s->data;
+	uv_buf_t out;
+
+	(void)b;
+	if (n < 0) {
+		if (!uv_is_closing((uv_handle_t *)s))
+			uv_close((uv_handle_t *)s, NULL);
+		return;
+	}
+	if (r->bytes == NULL)
+		return;
+	out = uv_buf_init((char *)(uintptr_t)r->bytes,
+	    (unsigned int)strlen(r->bytes));
+	r->write.data = r;
+	uv_write(&r->write, s, &out, 1, raw_written);
+	r->bytes = NULL;
+}
+
+static void
+raw_accept(uv_stream_t *l, int status)
+{
+	struct raw *r = l->data;
+
+	assert_int_equal(status, 0);
+	r->conns++;
+	uv_tcp_init(&loop, &r->conn);
+	r->conn.data = r;
+	assert_int_equal(uv_accept(l, (uv_stream_t *)&r->conn), 0);
+	uv_read_start((uv_stream_t *)&r->conn, alloc, raw_read);
+}
+
+static void
+raw_init(struct raw *r, const char *bytes, enum ending ending)
+{
+	int len = sizeof(r->addr);
+
+	memset(r, 0, sizeof(*r));
+	r->bytes = bytes;
+	r->ending = ending;
+	uv_ip4_addr("127.0.0.1", 0, &r->addr);
+	uv_tcp_init(&loop, &r->listener);
+	r->listener.data = r;
+	uv_tcp_bind(&r->listener, (struct sockaddr *)&r->addr, 0);
+	assert_int_equal(
+	    uv_listen((uv_stream_t *)&r->listener, 8, raw_accept), 0);
+	uv_tcp_getsockname(&r->listener, (struct sockaddr *)&r->addr, &len);
+}
+
+static int
+client_head(void *ctx, struct h1_xchg *x)
+{
+	struct outcome *o = ctx;
+	char id[32];
+
+	o->heads++;
+	if (o->skip_id != NULL &&
+	    h1_head_copy(h1_xchg_head(x), "Id", id, sizeof(id)) > 0 &&
+	    strcmp(id, o->skip_id) == 0)
+		return 1;
+	o->status = h1_xchg_status(x);
+	return 0;
+}
+
+static void
+client_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+{
+	struct outcome *o = ctx;
+
+	(void)x;
+	if (o->body_len + n < sizeof(o->body))
+		memcpy(o->body + o->body_len, p, n);
+	o->body_len += n;
+}
+
+static void
+client_end(void *ctx, struct h1_xchg *x)
+{
+	(void)x;
+	((struct outcome *)ctx)->done = 1;
+}
+
+static void
+client_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+{
+	struct outcome *o = ctx;
+
+	(void)x;
+	o->done = 2;
+	o->fail = how;
+}
+
+static const struct h1_client_ops client_ops = { client_head, client_body,
+	client_end, client_fail, NULL };
+
+static void
+close_all(uv_handle_t *h, void *arg)
+{
+	(void)arg;
+	if (!uv_is_closing(h))
+		uv_close(h, NULL);
+}
+
+static int
+setup(void **state)
+{
+	(void)state;
+	alarm(ALARM_S);
+	return uv_loop_init(&loop);
+}
+
+static int
+teardown(void **state)
+{
+	(void)state;
+	uv_walk(&loop, close_all, NULL);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	return uv_loop_close(&loop);
+}
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+
+static const struct answer_case answers[] = {
+	{ "whole", HEAD "Content-Length: 2\r\n\r\nab", STAY, 1, 0, "ab", 1 },
+	{ "chunked", HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+	    STAY, 1, 0, "ab", 1 },
+	{ "told to close", HEAD "Connection: close\r\nContent-Length: 1\r\n\r\na",
+	    STAY, 1, 0, "a", 0 },
+	{ "cut in the body", HEAD "Content-Length: 3\r\n\r\nab", END, 2,
+	    H1_BROKEN, NULL, 0 },
+	{ "cut in the head", "HTTP/1.1 200 O", END, 2, H1_BROKEN, NULL, 0 },
+	{ "cut in a chunk",
+	    HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nab", END, 2, H1_BROKEN,
+	    NULL, 0 },
+	{ "cut before the last chunk",
+	    HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", END, 2,
+	    H1_BROKEN, NULL, 0 },
+	{ "no length, ended", HEAD "\r\nabc", END, 1, 0, "abc", 0 },
+	{ "no length, reset", HEAD "\r\nabc", RESET, 2, H1_BROKEN, NULL, 0 },
+	{ "no answer", "", END, 2, H1_BROKEN, NULL, 0 },
+	{ "garbage", "\x01\x02 what\r\n\r\n", STAY, 2, H1_GARBLED, NULL, 0 },
+	{ "a second answer",
+	    HEAD "Content-Length: 1\r\n\r\na" HEAD "Content-Length: 1\r\n\r\nb",
+	    STAY, 1, 0, "a", 0 },
+	{ "interim answer",
+	    "HTTP/1.1 100 Continue\r\n\r\n" HEAD "Content-Length: 1\r\n\r\na",
+	    STAY, 1, 0, "a", 1 },
+	{ "another request's answer before ours",
+	    HEAD "Id: old\r\nContent-Length: 3\r\n\r\nold" HEAD
+		 "Id: new\r\nContent-Length: 3\r\n\r\nnew",
+	    STAY, 1, 0, "new", 1 },
+	{ "both lengths",
+	    HEAD "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na",
+	    STAY, 2, H1_GARBLED, NULL, 0 },
+};
+
+/*
+ * What a server sends is taken for what it is: whole, cut, or no answer.
+ */
+static void
+test_answers(void **state)
+{
+	const struct answer_case *c;
+	struct outcome o;
+	struct h1_pool pool;
+	struct h1_text t;
+	struct raw raw;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+		c = &answers[i];
+		print_message("%s\n", c->name);
+		memset(&o, 0, sizeof(o));
+		o.skip_id = "old";
+		raw_init(&raw, c->bytes, c->ending);
+		h1_pool_init(&pool, &loop, &raw.addr, 1000, 1000);
+		h1_text_init(&t);
+		h1_text_addf(&t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+		h1_send(&pool, &t, 0, 0, UINT64_MAX, &client_ops, &o);
+		h1_text_finish(&t);
+		while (o.done == 0)
+			uv_run(&loop, UV_RUN_ONCE);
+		assert_int_equal(o.done, c->done);
+		if (o.done == 2)
+			assert_int_equal(o.fail, c->fail);
+		if (c->body != NULL) {
+			assert_int_equal(o.body_len, strlen(c->body));
+			assert_memory_equal(o.body, c->body, o.body_len);
+		}
+		assert_int_equal(pool.idle_count, c->idle);
+		h1_pool_finish(&pool);
+		while (pool.open_count > 0)
+			uv_run(&loop, UV_RUN_ONCE);
+		uv_close((uv_handle_t *)&raw.listener, NULL);
+		uv_run(&loop, UV_RUN_NOWAIT);
+	}
+}
+
+/*
+ * A port that nobody listens at has seen nothing of the request.
+ */
+static void
+test_not_sent(void **state)
+{
+	struct sockaddr_in nowhere;
+	struct outcome o = { 0 };
+	struct h1_pool pool;
+	struct h1_text t;
+	struct raw raw;
+
+	(void)state;
+	raw_init(&raw, NULL, STAY);
+	nowhere = raw.addr;
+	uv_close((uv_handle_t *)&raw.listener, NULL);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	h1_pool_init(&pool, &loop, &nowhere, 1000, 1000);
+	h1_text_init(&t);
+	h1_text_addf(&t, "GET / HTTP/1.1\r\n\r\n");
+	h1_send(&pool, &t, 0, 0, UINT64_MAX, &client_ops, &o);
+	h1_text_finish(&t);
+	while (o.done == 0)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(o.done, 2);
+	assert_int_equal(o.fail, H1_NOT_SENT);
+	while (pool.open_count > 0)
+		uv_run(&loop, UV_RUN_ONCE);
+}
+
+/* What the server under test saw, and a raw caller of it. */
+struct caller {
+	uv_tcp_t conn;
+	uv_connect_t connect;
+	uv_write_t write;
+	struct h1_server server;
+	char got[TEXT_MAX];
+	size_t got_len;
+	int ended; /* the server closed the connection */
+	int requests, gone;
+	size_t body_len;
+	int hold; /* don't answer */
+	int answer_early;
+};
+
+static void
+server_head(void *ctx, struct h1_conn *conn)
+{
+	struct caller *c = ctx;
+
+	c->requests++;
+	if (c->answer_early)
+		h1_answer(conn, 200, NULL, "early", 5);
+}
+
+static void
+server_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
+{
+	(void)conn;
+	(void)p;
+	((struct caller *)ctx)->body_len += n;
+}
+
+static void
+server_end(void *ctx, struct h1_conn *conn)
+{
+	struct caller *c = ctx;
+
+	if (!c->hold)
+		h1_answer(conn, 200, NULL, "ok", 2);
+}
+
+static void
+server_gone(void *ctx, struct h1_conn *conn)
+{
+	(void)conn;
+	((struct caller *)ctx)->gone++;
+}
+
+static const struct h1_server_ops server_ops = { server_head, server_body,
+	server_end, server_gone, NULL };
+
+static void
+caller_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
+{
+	struct caller *c = s->data;
+
+	if (n < 0) {
+		c->ended = 1;
+		uv_close((uv_handle_t *)s, NULL);
+		return;
+	}
+	memcpy(c->got + c->got_len, b->base, (size_t)n);
+	c->got_len += (size_t)n;
+	c->got[c->got_len] = '\0';
+}
+
+static void
+caller_write(struct caller *c, const char *bytes)
+{
+	uv_buf_t b = uv_buf_init(
+	    (char *)(uintptr_t)bytes, (unsigned int)strlen(bytes));
+
+	assert_int_equal(
+	    uv_try_write((uv_stream_t *)&c->conn, &b, 1), (int)b.len);
+}
+
+static void
+caller_connected(uv_connect_t *r, int status)
+{
+	assert_int_equal(status, 0);
+	r->data = NULL;
+}
+
+static void
+caller_init(struct caller *c)
+{
+	struct sockaddr_in at;
+	int len = sizeof(at);
+
+	memset(c, 0, sizeof(*c));
+	uv_ip4_addr("127.0.0.1", 0, &at);
+	assert_int_equal(
+	    h1_server_init(&c->server, &loop, &at, &server_ops, c, 16), 0);
+	uv_tcp_getsockname(&c->server.listener, (struct sockaddr *)&at, &len);
+	uv_tcp_init(&loop, &c->conn);
+	c->conn.data = c;
+	c->connect.data = c;
+	uv_tcp_connect(&c->connect, &c->conn, (struct sockaddr *)&at,
+	    caller_connected);
+	while (c->connect.data != NULL)
+		uv_run(&loop, UV_RUN_ONCE);
+	uv_read_start((uv_stream_t *)&c->conn, alloc, caller_read);
+}
+
+static void
+caller_finish(struct caller *c)
+{
+	if (!uv_is_closing((uv_handle_t *)&c->conn))
+		uv_close((uv_handle_t *)&c->conn, NULL);
+	h1_server_stop(&c->server);
+	uv_close((uv_handle_t *)&c->server.sweeper, NULL);
+	while (c->server.conn_count > 0)
+		uv_run(&loop, UV_RUN_ONCE);
+}
+
+struct request_case {
+	const char *name;
+	const char *bytes;
+	const char *status; /* of the last answer */
+	int requests;
+	int ended; /* the connection is closed after it */
+};
+
+static const struct request_case requests[] = {
+	{ "plain", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", " 200 ", 1, 0 },
+	{ "two at once", "GET / HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+	    " 200 ", 2, 0 },
+	{ "with a length", "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab",
+	    " 200 ", 1, 0 },
+	{ "in chunks",
+	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	    "2\r\nab\r\n0\r\n\r\n",
+	    " 200 ", 1, 0 },
+	{ "asks to close", "GET / HTTP/1.1\r\nConnection: close\r\n\r\n",
+	    " 200 ", 1, 1 },
+	{ "no request", "hello there\r\n\r\n", " 400 ", 0, 1 },
+	{ "both lengths",
+	    "POST / HTTP/1.1\r\nContent-Length: 2\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	    " 400 ", 0, 1 },
+	{ "two lengths",
+	    "POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n",
+	    " 400 ", 0, 1 },
+	{ "a length that is none",
+	    "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\n", " 400 ", 0, 1 },
+	{ "another protocol",
+	    "GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+	    " 400 ", 0, 1 },
+	{ "too long a body",
+	    "POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", " 413 ",
+	    0, 1 },
+};
+
+/*
+ * What a caller sends is answered, or refused and the connection closed.
+ */
+static void
+test_requests(void **state)
+{
+	const struct request_case *r;
+	static struct caller c;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(requests) / sizeof(requests[0]); i++) {
+		r = &requests[i];
+		print_message("%s\n", r->name);
+		caller_init(&c);
+		caller_write(&c, r->bytes);
+		while (strstr(c.got, r->status) == NULL ||
+		       c.requests < r->requests || (r->ended && !c.ended))
+			uv_run(&loop, UV_RUN_ONCE);
+		assert_int_equal(c.requests, r->requests);
+		assert_int_equal(c.ended, r->ended);
+		caller_finish(&c);
+	}
+}
+
+/*
+ * A head over the limit is refused with its own status.
+ */
+static void
+test_long_head(void **state)
+{
+	static struct caller c;
+	static char text[20000];
+
+	(void)state;
+	caller_init(&c);
+	memset(text, 'a', sizeof(text) - 1);
+	memcpy(text, "GET / HTTP/1.1\r\nX: ", 19);
+	caller_write(&c, text);
+	while (strstr(c.got, " 431 ") == NULL)
+		uv_run(&loop, UV_RUN_ONCE);
+	caller_finish(&c);
+}
+
+/*
+ * A caller that leaves while its request is at work is noticed at once.
+ */
+static void
+test_gone(void **state)
+{
+	static struct caller c;
+
+	(void)state;
+	caller_init(&c);
+	c.hold = 1;
+	caller_write(&c, "GET / HTTP/1.1\r\n\r\n");
+	while (c.requests == 0)
+		uv_run(&loop, UV_RUN_ONCE);
+	uv_close((uv_handle_t *)&c.conn, NULL);
+	while (c.gone == 0)
+		uv_run(&loop, UV_RUN_ONCE);
+	caller_finish(&c);
+}
+
+/*
+ * An answer before the body is in leaves the rest of the body out of the next
+ * request.
+ */
+static void
+test_early_answer(void **state)
+{
+	static struct caller c;
+
+	(void)state;
+	caller_init(&c);
+	c.answer_early = 1;
+	caller_write(&c, "POST / HTTP/1.1\r\nContent-Length: 18\r\n\r\n");
+	while (strstr(c.got, "early") == NULL)
+		uv_run(&loop, UV_RUN_ONCE);
+	caller_write(&c, "GET / HTTP/1.1\r\n\r\n");
+	caller_write(&c, "GET /next HTTP/1.1\r\n\r\n");
+	while (c.requests < 2)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(c.requests, 2);
+	assert_int_equal(c.body_len, 0);
+	assert_int_equal(c.ended, 0);
+	caller_finish(&c);
+}
+
+/*
+ * A server that closes says so in its answers and ends their connections.
+ */
+static void
+test_closing(void **state)
+{
+	static struct caller c;
+
+	(void)state;
+	caller_init(&c);
+	h1_server_closing(&c.server);
+	caller_write(&c, "GET / HTTP/1.1\r\n\r\n");
+	while (!c.ended)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_non_null(strstr(c.got, "Connection: close"));
+	assert_non_null(strstr(c.got, " 200 "));
+	caller_finish(&c);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_answers, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_not_sent, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_requests, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_long_head, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_gone, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_early_answer, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_closing, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -114,6 +114,8 @@
 	struct relay *r = e->relay;
 	struct h1_conn *conn = e->conn;
 	struct h1_text fields;
+	const char *id;
+	size_t id_len;
 	unsigned int status = d->status;
 
 	if (e->maybe_run && (status == 503 || status == 429))
@@ -138,8 +140,12 @@
 	}
 	h1_text_init(&fields);
 	h1_text_field(&fields, "Cyclamen-Reason", d->reason);
-	if (e->id[0] != '\0')
-		h1_text_field(&fields, r->set.names.request_id, e->id);
+	id = h1_head_get(h1_conn_head(conn), r->set.names.request_id, &id_len);
+	if (id != NULL) {
+		h1_text_addf(&fields, "%s: ", r->set.names.request_id);
+		h1_text_add(&fields, id, id_len);
+		h1_text_add(&fields, "\r\n", 2);
+	}
 	if (again_ms > 0 && (status == 503 || status == 429))
 		h1_text_addf(&fields, "Retry-After: %.3f\r\n",
 		    (double)again_ms / 1000);
