--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,9 @@
 CORE_SRC = $(filter-out $(TEST_SRC) $(PROG_SRC),$(wildcard src/*/*.c))
 ALL_SRC = $(filter-out $(GEN_SRC),$(CORE_SRC) $(PROG_SRC) $(TEST_SRC) \
 	$(PATH_SRC) $(HARN_SRC) $(STANDIN_SRC) $(STANDIN_PART_SRC) \
-	$(MEASURE_SRC) $(wildcard examples/*.c))
+	$(MEASURE_SRC) $(wildcard examples/*.c platform/*.c))
 HDRS = $(filter-out %_xdr.h,$(wildcard src/*/*.h include/*.h tests/*/*.h \
-	tests/standin/*/*.h))
+	tests/standin/*/*.h platform/*.h))
 
 # libcyclamenvale and all that it needs of the other folders.
 LIB_SRC = $(filter-out $(TEST_SRC),$(wildcard src/libcyclamenvale/*.c)) \
@@ -59,7 +59,10 @@
 
 CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/obj/%.o)
 HARN_OBJ = $(HARN_SRC:%.c=$(BUILD)/obj/%.o)
-TESTS = $(TEST_SRC:src/%.c=$(BUILD)/test/%)
+TESTS = $(TEST_SRC:src/%.c=$(BUILD)/test/%) \
+	$(NODE_TEST_SRC:platform/%.c=$(BUILD)/test/platform/%)
+PLATFORM_OBJ = $(filter-out %/main.o,$(filter $(BUILD)/obj/platform/%, \
+	$(NODE_OBJ)))
 PATHS = $(PATH_SRC:tests/%.c=$(BUILD)/test/%)
 STANDINS = $(STANDIN_SRC:tests/standin/%.c=$(BUILD)/standin/%)
 MEASURES = $(MEASURE_SRC:tests/measure/%.c=$(BUILD)/measure/%)
@@ -94,6 +97,11 @@
 	@mkdir -p $(@D)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
+$(BUILD)/test/platform/%: $(BUILD)/obj/platform/%.o $(PLATFORM_OBJ) \
+    $(BUILD)/libcore.a
+	@mkdir -p $(@D)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+
 $(BUILD)/test/%: $(BUILD)/obj/src/%.o $(BUILD)/libcore.a
 	@mkdir -p $(@D)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
--- a/src/config/lookup.c
+++ b/src/config/lookup.c
@@ -68,7 +68,8 @@
 
 	if (d != 0)
 		return d;
-	return (x->prefix_len < y->prefix_len) - (x->prefix_len > y->prefix_len);
+	return (x->prefix_len < y->prefix_len) -
+	       (x->prefix_len > y->prefix_len);
 }
 
 /*
--- /dev/null
+++ b/src/event/test_event.c
@@ -0,0 +1,143 @@
+#include <fcntl.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "event/event.h"
+
+#define PIPE_READ 65536
+#define REFUSALS 10000 /* a second */
+#define SECONDS 30
+
+static int reader = -1;
+
+/*
+ * Makes standard output a pipe; what cmocka prints goes to standard error.
+ */
+static void
+make_pipe(void)
+{
+	int fds[2];
+
+	assert_int_equal(pipe(fds), 0);
+	assert_true(dup2(fds[1], STDOUT_FILENO) >= 0);
+	close(fds[1]);
+	reader = fds[0];
+	assert_int_equal(fcntl(reader, F_SETFL, O_NONBLOCK), 0);
+	event_init("n1", 0);
+}
+
+/*
+ * Reads all lines that are in the pipe.
+ */
+static size_t
+drain(char *buf, size_t size)
+{
+	size_t len = 0;
+	ssize_t n;
+
+	for (;;) {
+		event_flush();
+		n = read(reader, buf + len, size - 1 - len);
+		if (n <= 0)
+			break;
+		len += (size_t)n;
+	}
+	buf[len] = '\0';
+	return len;
+}
+
+/*
+ * A line has the time, the node, the level, the event and its fields.
+ */
+static void
+test_line(void **state)
+{
+	char buf[PIPE_READ];
+
+	(void)state;
+	event_log(EVENT_READY, 12, "config=%d", 7);
+	drain(buf, sizeof(buf));
+	assert_string_equal(
+	    buf, "t=12 node=n1 level=info event=ready config=7\n");
+}
+
+/*
+ * Of many events of one kind some are printed and the rest is counted.
+ */
+static void
+test_rate(void **state)
+{
+	char buf[PIPE_READ];
+	int i, lines = 0;
+	char *p;
+
+	(void)state;
+	for (i = 0; i < 1000; i++)
+		event_log(EVENT_FAILED, 5000, "id=%d", i);
+	event_log(EVENT_FAILED, 6000, "id=last");
+	drain(buf, sizeof(buf));
+	for (p = buf; (p = strchr(p, '\n')) != NULL; p++)
+		lines++;
+	assert_int_equal(lines, 20 + 2);
+	assert_non_null(strstr(buf, "suppressed=980"));
+	assert_non_null(strstr(buf, "id=last"));
+}
+
+/*
+ * Nobody reads: no event waits, and lines that don't fit are counted.
+ */
+static void
+test_nobody_reads(void **state)
+{
+	struct timespec a, b;
+	char buf[4 * PIPE_READ];
+	uint64_t i, now;
+	double s;
+
+	(void)state;
+	clock_gettime(CLOCK_MONOTONIC, &a);
+	for (i = 0; i < (uint64_t)REFUSALS * SECONDS; i++) {
+		now = 10000 + i * 1000 / REFUSALS;
+		event_log((enum event)(i % EVENT_MAX), now,
+		    "id=%llu reason=overload service=orders age_ms=1",
+		    (unsigned long long)i);
+		if (i % 100 == 0)
+			event_flush();
+	}
+	clock_gettime(CLOCK_MONOTONIC, &b);
+	s = (double)(b.tv_sec - a.tv_sec) +
+	    (double)(b.tv_nsec - a.tv_nsec) / 1e9;
+	fprintf(stderr, "%.3f s for %d s of events\n", s, SECONDS);
+	assert_true(event_dropped() > 0);
+	assert_true(s < SECONDS / 10.0);
+	drain(buf, sizeof(buf));
+	event_log(EVENT_READY, 100000, "config=1");
+	drain(buf, sizeof(buf));
+	assert_non_null(strstr(buf, "event=ready"));
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_line),
+		cmocka_unit_test(test_rate),
+		cmocka_unit_test(test_nobody_reads),
+	};
+	int rc, out = dup(STDOUT_FILENO);
+
+	make_pipe();
+	/* cmocka prints through stdio, which must not fill the pipe. */
+	stdout = fdopen(out, "w");
+	rc = cmocka_run_group_tests(tests, NULL, NULL);
+	fflush(stdout);
+	return rc;
+}
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -57,7 +57,8 @@
 void fleet_table_finish(struct fleet_table *);
 int fleet_find(const struct fleet_table *, const char *);
 int fleet_learn(struct fleet_table *, const char *, uint32_t, uint64_t);
-int fleet_heard(struct fleet_table *, const struct fleet_beat *, uint64_t, int *);
+int fleet_heard(
+    struct fleet_table *, const struct fleet_beat *, uint64_t, int *);
 void fleet_said_bye(struct fleet_table *, const struct fleet_beat *, uint64_t);
 int fleet_alive(const struct fleet_table *, size_t, uint64_t);
 int fleet_quorum(const struct fleet_table *, uint64_t);
@@ -72,7 +73,8 @@
 	void (*fill)(void *, struct fleet_beat *); /* this node's own beat */
 	void (*heard)(void *, int, const struct fleet_beat *);
 	void (*turned)(void *, int); /* a peer, or FLEET_NONE: who is alive */
-	void (*ask)(void *, const struct fleet_ask *, const struct sockaddr_in *);
+	void (*ask)(
+	    void *, const struct fleet_ask *, const struct sockaddr_in *);
 	void (*give)(void *, const struct fleet_give *);
 	void (*strike)(void *, const struct fleet_strike *);
 };
@@ -88,7 +90,7 @@
 	void *ctx;
 	uint64_t ticked_ms;
 	uint64_t beats; /* sent to all */
-	uint64_t bad; /* datagrams that could not be read */
+	uint64_t bad;	/* datagrams that could not be read */
 };
 
 int fleet_net_init(struct fleet_net *, uv_loop_t *, const struct sockaddr_in *,
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -4,7 +4,7 @@
 #include "fleet/fleet.h"
 
 #define DATAGRAM_BYTES 1400
-#define LOST_BEATS 8 /* of which one goes to nodes that fell silent, too */
+#define LOST_BEATS 8  /* of which one goes to nodes that fell silent, too */
 #define PAUSE_BEATS 3 /* beats late by which a pause of the process is seen */
 
 static void on_alloc(uv_handle_t *, size_t, uv_buf_t *);
@@ -13,8 +13,8 @@
 static void on_timer(uv_timer_t *);
 static void tick(struct fleet_net *);
 static void beat_lost(struct fleet_net *);
-static void take(struct fleet_net *, const struct fleet_msg *,
-    const struct sockaddr_in *);
+static void take(
+    struct fleet_net *, const struct fleet_msg *, const struct sockaddr_in *);
 static void take_beat(struct fleet_net *, const struct fleet_beat *);
 static size_t encode(const struct fleet_msg *, char *);
 static void send_bytes(struct fleet_net *, const char *, size_t, uint32_t);
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -6,12 +6,12 @@
 
 #include "fleet/fleet.h"
 
-#define BEAT_MS 250	  /* between two beats in a small fleet */
-#define BEAT_PEER_MS 6	  /* more for each peer, to bound the traffic */
-#define MISSED_BEATS 4	  /* after which a node is taken to be dead */
+#define BEAT_MS 250	    /* between two beats in a small fleet */
+#define BEAT_PEER_MS 6	    /* more for each peer, to bound the traffic */
+#define MISSED_BEATS 4	    /* after which a node is taken to be dead */
 #define MISSED_SLACK_MS 200 /* for late timers and datagrams */
-#define FORGET_MS 20000	  /* a silent node no longer counts in the quorum */
-#define STALE_MS 1000	  /* an old incarnation silent for that long is gone */
+#define FORGET_MS 20000	    /* a silent node no longer counts in the quorum */
+#define STALE_MS 1000 /* an old incarnation silent for that long is gone */
 
 static uint64_t owner_weight(uint64_t, uint64_t);
 static void copy_name(char *, const char *);
@@ -126,10 +126,10 @@
 		return FLEET_NONE;
 	s = &p->server;
 	*changed = p->heard_ms == 0 || b->incarnation != p->incarnation ||
-	    p->stopping != (int)b->stopping || p->gone ||
-	    strcmp(s->id, b->server.id) != 0 ||
-	    s->born_ms != b->server.born_ms ||
-	    s->leaving != (int)b->server.leaving;
+		   p->stopping != (int)b->stopping || p->gone ||
+		   strcmp(s->id, b->server.id) != 0 ||
+		   s->born_ms != b->server.born_ms ||
+		   s->leaving != (int)b->server.leaving;
 	copy_name(p->zone, b->zone);
 	p->incarnation = b->incarnation;
 	p->sequence = b->sequence;
@@ -143,8 +143,7 @@
 	copy_name(s->service, b->server.service);
 	s->born_ms = b->server.born_ms;
 	s->slots = b->server.slots;
-	s->cold_until_ms =
-	    b->server.cold_ms > 0 ? now + b->server.cold_ms : 0;
+	s->cold_until_ms = b->server.cold_ms > 0 ? now + b->server.cold_ms : 0;
 	s->running = b->server.running;
 	s->waiting = b->server.waiting;
 	s->offered = b->server.offered / 1000.0;
--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -6,11 +6,11 @@
 #include "event/event.h"
 #include "follow/follow.h"
 
-#define WAIT_MS 1500	  /* for a record: longer leaves keys in doubt */
-#define LATE_MS 900	  /* after which an answer is not awaited any more */
-#define NEWEST_MS 1200	  /* for an answer */
+#define WAIT_MS 1500   /* for a record: longer leaves keys in doubt */
+#define LATE_MS 900    /* after which an answer is not awaited any more */
+#define NEWEST_MS 1200 /* for an answer */
 #define APPEND_MS 1500
-#define RETRY_MS 60	  /* after a failure, doubled with each more */
+#define RETRY_MS 60 /* after a failure, doubled with each more */
 #define RETRY_DOUBLINGS 3
 #define NODES_RETRY_MS 200
 
@@ -99,8 +99,8 @@
 	struct follow *f = timer->data;
 
 	if (f->phase == FOLLOW_NEWEST) {
-		f->store->newest(f->store_ctx, STORE_CONFIG, NULL, NEWEST_MS,
-		    on_newest, f);
+		f->store->newest(
+		    f->store_ctx, STORE_CONFIG, NULL, NEWEST_MS, on_newest, f);
 		return;
 	}
 	/* After a failure a short question shows sooner that all is well. */
@@ -230,10 +230,10 @@
 		f->next = rep->records[i].offset + 1;
 	}
 	if (f->version > 0 && f->next >= rep->end)
-		f->ops->proved(f->ctx,
-		    rep->count > 0 ? rep->asked_ms
-				   : follow_proof(rep->asked_ms, f->wait_ms,
-					 uv_now(f->loop)));
+		f->ops->proved(f->ctx, rep->count > 0
+					   ? rep->asked_ms
+					   : follow_proof(rep->asked_ms,
+						 f->wait_ms, uv_now(f->loop)));
 	config_works(f);
 }
 
@@ -247,11 +247,11 @@
 	struct follow *f = timer->data;
 
 	if (!f->entered)
-		f->store->append(f->store_ctx, STORE_NODES, f->node,
-		    f->address, strlen(f->address), APPEND_MS, on_entered, f);
+		f->store->append(f->store_ctx, STORE_NODES, f->node, f->address,
+		    strlen(f->address), APPEND_MS, on_entered, f);
 	else
-		f->store->newest(f->store_ctx, STORE_NODES, NULL, NEWEST_MS,
-		    on_listed, f);
+		f->store->newest(
+		    f->store_ctx, STORE_NODES, NULL, NEWEST_MS, on_listed, f);
 }
 
 /*
@@ -304,8 +304,8 @@
 			f->bad_records++;
 			continue;
 		}
-		snprintf(name, sizeof(name), "%.*s", (int)rec->key_len,
-		    rec->key);
+		snprintf(
+		    name, sizeof(name), "%.*s", (int)rec->key_len, rec->key);
 		snprintf(text, sizeof(text), "%.*s", (int)rec->value_len,
 		    rec->value);
 		if (inet_pton(AF_INET, text, &a) == 1)
@@ -317,8 +317,8 @@
 		snprintf(name, sizeof(name), "%.*s",
 		    (int)rep->records[rep->count - 1].key_len,
 		    rep->records[rep->count - 1].key);
-		f->store->newest(f->store_ctx, STORE_NODES, name, NEWEST_MS,
-		    on_listed, f);
+		f->store->newest(
+		    f->store_ctx, STORE_NODES, name, NEWEST_MS, on_listed, f);
 		return;
 	}
 	f->listed = 1;
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -10,8 +10,7 @@
 /* What a follower tells its owner; all get the context given there. */
 struct follow_ops {
 	/* Reads a configuration; NULL with findings if it is invalid. */
-	struct config *(*decode)(
-	    void *, const char *, size_t, struct finds *);
+	struct config *(*decode)(void *, const char *, size_t, struct finds *);
 	/* A newer configuration, which the owner takes over. */
 	void (*take)(void *, struct config *);
 	/* The configuration in force was the newest at this time (ms). */
@@ -39,9 +38,9 @@
 	uv_timer_t config_timer;
 	uv_timer_t nodes_timer;
 	enum follow_phase phase;
-	uint64_t next; /* offset to read from */
-	uint64_t wait_ms; /* of the question under way */
-	uint64_t version; /* in force; 0: none */
+	uint64_t next;	       /* offset to read from */
+	uint64_t wait_ms;      /* of the question under way */
+	uint64_t version;      /* in force; 0: none */
 	uint32_t config_fails; /* in a row */
 	uint32_t nodes_fails;
 	int entered; /* this node is in the store's list */
--- /dev/null
+++ b/src/follow/test_follow.c
@@ -0,0 +1,286 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "follow/follow.h"
+
+/*
+ * The follower against a store whose answers are listed: one row a question
+ * about configurations.
+ */
+
+#define ALARM_S 20
+#define END_OF_LIST UINT64_MAX
+#define RECORDS_MAX 3
+
+enum question {
+	NEWEST,
+	READ
+};
+
+struct step {
+	enum question asked;
+	uint64_t from; /* of a READ */
+	enum store_status status;
+	const char *values[RECORDS_MAX];
+	uint64_t end;
+	uint64_t version; /* in force after the answer */
+	int proves;	  /* the answer proves it to be the newest */
+};
+
+static const struct step story[] = {
+	{ NEWEST, 0, STORE_UNKNOWN, { NULL }, 0, 0, 0 }, /* lost answer */
+	{ NEWEST, 0, STORE_REFUSED, { NULL }, 0, 0, 0 },
+	{ NEWEST, 0, STORE_OK, { "5" }, 8, 5, 1 },
+	{ READ, 8, STORE_OK, { NULL }, 8, 5, 1 },	/* nothing new */
+	{ READ, 8, STORE_OK, { "7", "6" }, 10, 7, 1 },	/* an old one late */
+	{ READ, 10, STORE_UNKNOWN, { NULL }, 0, 7, 0 }, /* hangs */
+	{ READ, 10, STORE_OK, { "what" }, 11, 7, 1 },	/* unreadable */
+	{ READ, 11, STORE_OK, { "9" }, 13, 9, 0 },	/* more to come */
+	{ READ, 12, STORE_OK, { "10" }, 13, 10, 1 },
+	{ READ, 13, STORE_TRIMMED, { NULL }, 0, 10, 0 },
+	{ NEWEST, 0, STORE_OK, { "12" }, 40, 12, 1 },
+	{ READ, 40, STORE_OK, { NULL }, 40, 12, 1 },
+};
+
+#define STEPS (sizeof(story) / sizeof(story[0]))
+
+/* A store that answers from the list, and what the follower said. */
+struct world {
+	uv_loop_t loop;
+	uv_timer_t timer;
+	struct follow follow;
+	size_t at;
+	store_fn done;
+	void *done_ctx;
+	uint64_t version;
+	int proofs, proofs_due;
+	int takes;
+	int appends;
+	char appended[32];
+	int listed;
+	struct store_reply nodes;
+};
+
+static void
+check(struct world *w)
+{
+	if (w->at == 0)
+		return;
+	assert_int_equal(w->version, story[w->at - 1].version);
+	assert_int_equal(w->proofs, w->proofs_due);
+}
+
+static void
+answer(uv_timer_t *timer)
+{
+	struct world *w = timer->data;
+	const struct step *s = &story[w->at++];
+	struct store_record recs[RECORDS_MAX];
+	struct store_reply rep;
+	int i;
+
+	memset(&rep, 0, sizeof(rep));
+	memset(recs, 0, sizeof(recs));
+	rep.status = s->status;
+	rep.end = s->end;
+	rep.asked_ms = uv_now(&w->loop);
+	rep.records = recs;
+	for (i = 0; i < RECORDS_MAX && s->values[i] != NULL; i++) {
+		recs[i].key = "config";
+		recs[i].key_len = 6;
+		recs[i].value = s->values[i];
+		recs[i].value_len = strlen(s->values[i]);
+		recs[i].offset = s->from + (uint64_t)i;
+		rep.count++;
+	}
+	w->proofs_due += s->proves;
+	w->done(w->done_ctx, &rep);
+	if (w->at == STEPS)
+		uv_stop(&w->loop);
+}
+
+static void
+ask(struct world *w, enum question q, uint64_t from, store_fn done, void *ctx)
+{
+	check(w);
+	if (w->at == STEPS)
+		return;
+	assert_int_equal(q, story[w->at].asked);
+	if (q == READ)
+		assert_int_equal(from, story[w->at].from);
+	w->done = done;
+	w->done_ctx = ctx;
+	uv_timer_start(&w->timer, answer, 1, 0);
+}
+
+static void
+newest(void *ctx, enum store_log log, const char *after, uint64_t timeout,
+    store_fn done, void *done_ctx)
+{
+	struct world *w = ctx;
+
+	(void)after;
+	(void)timeout;
+	if (log == STORE_NODES) {
+		w->listed++;
+		done(done_ctx, &w->nodes);
+		return;
+	}
+	ask(w, NEWEST, 0, done, done_ctx);
+}
+
+static void
+read_log(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
+    uint64_t timeout, store_fn done, void *done_ctx)
+{
+	assert_int_equal(log, STORE_CONFIG);
+	assert_true(timeout > wait);
+	ask(ctx, READ, from, done, done_ctx);
+}
+
+static void
+append(void *ctx, enum store_log log, const char *key, const char *value,
+    size_t len, uint64_t timeout, store_fn done, void *done_ctx)
+{
+	struct world *w = ctx;
+	struct store_reply rep;
+
+	(void)timeout;
+	assert_int_equal(log, STORE_NODES);
+	snprintf(
+	    w->appended, sizeof(w->appended), "%s=%.*s", key, (int)len, value);
+	memset(&rep, 0, sizeof(rep));
+	rep.status = w->appends++ == 0 ? STORE_UNKNOWN : STORE_OK;
+	done(done_ctx, &rep);
+}
+
+static const struct store_ops store_ops = { newest, read_log, append };
+
+static struct config *
+decode(void *ctx, const char *text, size_t len, struct finds *finds)
+{
+	struct config *c;
+
+	(void)ctx;
+	(void)finds;
+	if (len == 0 || text[0] < '0' || text[0] > '9')
+		return NULL;
+	c = calloc(1, sizeof(*c));
+	c->version = strtoull(text, NULL, 10);
+	return c;
+}
+
+static void
+take(void *ctx, struct config *c)
+{
+	struct world *w = ctx;
+
+	assert_true(c->version > w->version);
+	w->version = c->version;
+	w->takes++;
+	config_free(c);
+}
+
+static void
+proved(void *ctx, uint64_t at)
+{
+	(void)at;
+	((struct world *)ctx)->proofs++;
+}
+
+static void
+node(void *ctx, const char *name, uint32_t address)
+{
+	struct world *w = ctx;
+
+	assert_string_equal(name, "n2");
+	assert_int_equal(address, 0x7f000002);
+	w->listed += 100;
+}
+
+static const struct follow_ops follow_ops = { decode, take, proved, node };
+
+static void
+close_all(uv_handle_t *h, void *arg)
+{
+	(void)arg;
+	if (!uv_is_closing(h))
+		uv_close(h, NULL);
+}
+
+/*
+ * Lost, refused, late, unreadable and trimmed records: the version in force
+ * never goes back, and is held for the newest only when that is proved.
+ */
+static void
+test_story(void **state)
+{
+	struct store_record list[2] = {
+		{ "n2", 2, "127.0.0.2", 9, 0 },
+		{ "n3", 2, "rubbish", 7, 1 },
+	};
+	struct world w;
+
+	(void)state;
+	alarm(ALARM_S);
+	memset(&w, 0, sizeof(w));
+	w.nodes.records = list;
+	w.nodes.count = 2;
+	uv_loop_init(&w.loop);
+	uv_timer_init(&w.loop, &w.timer);
+	w.timer.data = &w;
+	follow_init(&w.follow, &w.loop, &store_ops, &w, &follow_ops, &w,
+	    "config", "n1");
+	follow_start(&w.follow, 0x7f000001);
+	uv_run(&w.loop, UV_RUN_DEFAULT);
+	check(&w);
+	assert_int_equal(w.at, STEPS);
+	assert_int_equal(w.takes, 5);
+	assert_int_equal(w.follow.bad_records, 2);
+	assert_int_equal(w.appends, 2);
+	assert_string_equal(w.appended, "n1=127.0.0.1");
+	assert_int_equal(w.listed, 101);
+	uv_walk(&w.loop, close_all, NULL);
+	uv_run(&w.loop, UV_RUN_DEFAULT);
+	uv_loop_close(&w.loop);
+}
+
+/*
+ * An empty answer proves as much as the store can have known.
+ */
+static void
+test_proof(void **state)
+{
+	static const struct {
+		uint64_t asked, wait, now, proof;
+	} rows[] = {
+		{ 1000, 1500, 2510, 2500 }, /* waited all the time */
+		{ 1000, 1500, 4000, 2500 }, /* and was late itself */
+		{ 1000, 1500, 1010, 1000 }, /* answered at once */
+		{ 1000, 0, 1004, 1000 },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		assert_int_equal(
+		    follow_proof(rows[i].asked, rows[i].wait, rows[i].now),
+		    rows[i].proof);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_story),
+		cmocka_unit_test(test_proof),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -5,9 +5,9 @@
 
 #include "http1/http1_int.h"
 
-#define HEAD_BYTES 65536 /* of an answer's head */
+#define HEAD_BYTES 65536	 /* of an answer's head */
 #define KEEP_ALIVE_MARGIN_MS 500 /* before the server closes an idle one */
-#define USER_TIMEOUT_MS 5000 /* for the kernel to give a dead peer up */
+#define USER_TIMEOUT_MS 5000	 /* for the kernel to give a dead peer up */
 
 /* One connection to a server; it carries one exchange at a time. */
 struct h1_peer {
@@ -30,10 +30,10 @@
 	struct h1_head head;
 	struct h1_collect collect;
 	uint64_t length;
-	int chunked;   /* the request's body */
-	int sent_all;  /* the request is written */
-	int answered;  /* the whole answer is in */
-	int skipping;  /* an answer that belongs to no request of ours */
+	int chunked;  /* the request's body */
+	int sent_all; /* the request is written */
+	int answered; /* the whole answer is in */
+	int skipping; /* an answer that belongs to no request of ours */
 	int reused;
 	int head_only; /* the answer has no body, whatever its head says */
 	int cancelled;
@@ -151,8 +151,7 @@
  */
 struct h1_xchg *
 h1_send(struct h1_pool *pool, const struct h1_text *head, uint64_t length,
-    int head_only, uint64_t idle_ms, const struct h1_client_ops *ops,
-    void *ctx)
+    int head_only, uint64_t idle_ms, const struct h1_client_ops *ops, void *ctx)
 {
 	uint64_t age, now = uv_now(pool->loop);
 	struct h1_xchg *x;
@@ -408,8 +407,8 @@
 	p->idle_max_ms = UINT64_MAX;
 	if (h1_head_copy(&x->head, "Keep-Alive", text, sizeof(text)) > 0 &&
 	    (at = strstr(text, "timeout=")) != NULL)
-		p->idle_max_ms = strtoull(at + strlen("timeout="), NULL, 10) *
-		    1000;
+		p->idle_max_ms =
+		    strtoull(at + strlen("timeout="), NULL, 10) * 1000;
 	if (p->idle_max_ms != UINT64_MAX)
 		p->idle_max_ms -= p->idle_max_ms < KEEP_ALIVE_MARGIN_MS
 				      ? p->idle_max_ms
@@ -424,8 +423,7 @@
 	}
 	if (p->stream.paused) {
 		p->stream.paused = 0;
-		uv_read_start(
-		    (uv_stream_t *)&p->stream.tcp, h1_alloc, on_read);
+		uv_read_start((uv_stream_t *)&p->stream.tcp, h1_alloc, on_read);
 	}
 	p->idle_since_ms = uv_now(pool->loop);
 	p->next = pool->idle;
@@ -480,8 +478,8 @@
 		return;
 	}
 	len = n < 0 ? 0 : (size_t)n;
-	used = http_parser_execute(
-	    &p->parser, &parser_settings, buf->base, len);
+	used =
+	    http_parser_execute(&p->parser, &parser_settings, buf->base, len);
 	if (p->stream.closing || p->xchg == NULL)
 		return; /* cancelled by its owner meanwhile */
 	if (x->answered) {
--- a/src/http1/server.c
+++ b/src/http1/server.c
@@ -6,9 +6,9 @@
 
 #define BACKLOG 1024
 #define SWEEP_MS 250
-#define LINGER_MS 1000	  /* for the peer to read an answer before a reset */
-#define PIPELINED 16384	  /* bytes kept of requests that must wait */
-#define HEAD_BYTES 16384  /* of a head, until a configuration says */
+#define LINGER_MS 1000	 /* for the peer to read an answer before a reset */
+#define PIPELINED 16384	 /* bytes kept of requests that must wait */
+#define HEAD_BYTES 16384 /* of a head, until a configuration says */
 #define BODY_BYTES (64ULL << 20)
 #define HEAD_MS 5000
 #define IDLE_MS 60000
@@ -20,7 +20,11 @@
 	IN_READ /* the request is in, its answer isn't out */
 };
 
-enum out_state { OUT_NONE, OUT_HEAD, OUT_DONE };
+enum out_state {
+	OUT_NONE,
+	OUT_HEAD,
+	OUT_DONE
+};
 
 struct h1_conn {
 	struct h1_stream stream; /* first, for libuv's handle */
@@ -416,8 +420,7 @@
 	c->in = IN_HEAD;
 	c->since_ms = uv_now(c->server->loop);
 	c->body_seen = 0;
-	h1_collect_init(
-	    &c->collect, &c->head, c->server->limits.head_bytes);
+	h1_collect_init(&c->collect, &c->head, c->server->limits.head_bytes);
 	return 0;
 }
 
@@ -545,7 +548,7 @@
 {
 	return (c->parser.flags & F_CHUNKED) != 0 ||
 	       (c->parser.content_length != UINT64_MAX &&
-	       c->parser.content_length > 0);
+		   c->parser.content_length > 0);
 }
 
 /*
@@ -629,8 +632,8 @@
 	if (c->chunked)
 		h1_text_field(t, "Transfer-Encoding", "chunked");
 	else if (status != 204 && status != 304)
-		h1_text_addf(t, "Content-Length: %llu\r\n",
-		    (unsigned long long)length);
+		h1_text_addf(
+		    t, "Content-Length: %llu\r\n", (unsigned long long)length);
 	if (!c->keep)
 		h1_text_field(t, "Connection", "close");
 	h1_text_add(t, "\r\n", 2);
--- a/src/http1/test_http1.c
+++ b/src/http1/test_http1.c
@@ -20,7 +20,11 @@
 #define TEXT_MAX 70000
 
 /* How the stand-in ends its side after its bytes. */
-enum ending { STAY, END, RESET };
+enum ending {
+	STAY,
+	END,
+	RESET
+};
 
 /* What became of an exchange. */
 struct outcome {
@@ -92,8 +96,8 @@
 	}
 	if (r->bytes == NULL)
 		return;
-	out = uv_buf_init((char *)(uintptr_t)r->bytes,
-	    (unsigned int)strlen(r->bytes));
+	out = uv_buf_init(
+	    (char *)(uintptr_t)r->bytes, (unsigned int)strlen(r->bytes));
 	r->write.data = r;
 	uv_write(&r->write, s, &out, 1, raw_written);
 	r->bytes = NULL;
@@ -204,16 +208,17 @@
 
 static const struct answer_case answers[] = {
 	{ "whole", HEAD "Content-Length: 2\r\n\r\nab", STAY, 1, 0, "ab", 1 },
-	{ "chunked", HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
-	    STAY, 1, 0, "ab", 1 },
-	{ "told to close", HEAD "Connection: close\r\nContent-Length: 1\r\n\r\na",
-	    STAY, 1, 0, "a", 0 },
+	{ "chunked",
+	    HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", STAY,
+	    1, 0, "ab", 1 },
+	{ "told to close",
+	    HEAD "Connection: close\r\nContent-Length: 1\r\n\r\na", STAY, 1, 0,
+	    "a", 0 },
 	{ "cut in the body", HEAD "Content-Length: 3\r\n\r\nab", END, 2,
 	    H1_BROKEN, NULL, 0 },
 	{ "cut in the head", "HTTP/1.1 200 O", END, 2, H1_BROKEN, NULL, 0 },
-	{ "cut in a chunk",
-	    HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nab", END, 2, H1_BROKEN,
-	    NULL, 0 },
+	{ "cut in a chunk", HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+	    END, 2, H1_BROKEN, NULL, 0 },
 	{ "cut before the last chunk",
 	    HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", END, 2,
 	    H1_BROKEN, NULL, 0 },
@@ -379,8 +384,8 @@
 static void
 caller_write(struct caller *c, const char *bytes)
 {
-	uv_buf_t b = uv_buf_init(
-	    (char *)(uintptr_t)bytes, (unsigned int)strlen(bytes));
+	uv_buf_t b =
+	    uv_buf_init((char *)(uintptr_t)bytes, (unsigned int)strlen(bytes));
 
 	assert_int_equal(
 	    uv_try_write((uv_stream_t *)&c->conn, &b, 1), (int)b.len);
@@ -407,8 +412,8 @@
 	uv_tcp_init(&loop, &c->conn);
 	c->conn.data = c;
 	c->connect.data = c;
-	uv_tcp_connect(&c->connect, &c->conn, (struct sockaddr *)&at,
-	    caller_connected);
+	uv_tcp_connect(
+	    &c->connect, &c->conn, (struct sockaddr *)&at, caller_connected);
 	while (c->connect.data != NULL)
 		uv_run(&loop, UV_RUN_ONCE);
 	uv_read_start((uv_stream_t *)&c->conn, alloc, caller_read);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -72,10 +72,8 @@
 };
 
 enum quota_verdict quota_take(struct quota_stock *, uint64_t);
-void quota_want(
-    const struct quota_stock *, uint32_t, uint32_t *, uint32_t *);
-void quota_receive(
-    struct quota_stock *, const struct quota_grant *, uint64_t);
+void quota_want(const struct quota_stock *, uint32_t, uint32_t *, uint32_t *);
+void quota_receive(struct quota_stock *, const struct quota_grant *, uint64_t);
 void quota_return(struct quota_stock *, uint64_t);
 int quota_reserve(struct quota_stock *, const struct quota_limit *, double,
     double, uint32_t, uint64_t);
--- a/src/quota/quota_owner.c
+++ b/src/quota/quota_owner.c
@@ -4,15 +4,14 @@
 
 #include "quota/quota.h"
 
-#define HOLD_MS 800	  /* for a new owner, until the one before has stopped */
-#define LOAN_MS 500	  /* after which a token counts as spent */
-#define FORGET_MS 10000	  /* of a bucket that nobody asks for */
+#define HOLD_MS 800	/* for a new owner, until the one before has stopped */
+#define LOAN_MS 500	/* after which a token counts as spent */
+#define FORGET_MS 10000 /* of a bucket that nobody asks for */
 #define MS_US 1000
 #define MILLI 1000.0
 
-static struct quota_bucket *bucket_of(
-    struct quota_owner *, uint64_t, const struct limits_share *, uint64_t,
-    uint64_t);
+static struct quota_bucket *bucket_of(struct quota_owner *, uint64_t,
+    const struct limits_share *, uint64_t, uint64_t);
 
 /*
  * Prepares an owner of nothing.
@@ -87,8 +86,8 @@
 	memset(room, 0, sizeof(*room));
 	room->ws = ws;
 	room->since_ms = turned;
-	bucket_init(&room->bucket, share, now - turned > QUOTA_WINDOW_MS,
-	    now * MS_US);
+	bucket_init(
+	    &room->bucket, share, now - turned > QUOTA_WINDOW_MS, now * MS_US);
 	return room;
 }
 
@@ -114,10 +113,10 @@
 		return g;
 	bucket_resize(&b->bucket, &share, now * MS_US);
 	g.owner = 1;
-	g.tokens = bucket_lend(&b->bucket, id, need, want, now * MS_US,
-	    (now + LOAN_MS) * MS_US);
+	g.tokens = bucket_lend(
+	    &b->bucket, id, need, want, now * MS_US, (now + LOAN_MS) * MS_US);
 	if (g.tokens == 0)
-		g.wait_ms = (uint32_t)(bucket_wait_us(&b->bucket, need) /
-		    MS_US) + 1;
+		g.wait_ms =
+		    (uint32_t)(bucket_wait_us(&b->bucket, need) / MS_US) + 1;
 	return g;
 }
--- a/src/quota/quota_stock.c
+++ b/src/quota/quota_stock.c
@@ -95,8 +95,8 @@
 		s->reserve_used = 0;
 		s->reserve_ms = now;
 	}
-	whole = (limit->rate * QUOTA_WINDOW_MS / MS_PER_S + limit->burst) *
-		share +
+	whole =
+	    (limit->rate * QUOTA_WINDOW_MS / MS_PER_S + limit->burst) * share +
 	    constant;
 	part = floor(whole / nodes);
 	if (s->reserve_used + s->reserve_before + 1 > part)
--- /dev/null
+++ b/src/quota/test_quota.c
@@ -0,0 +1,243 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "quota/quota.h"
+
+#define SHARE 0.1
+#define CONSTANT 20.0
+#define WS 7
+#define NODES 15
+#define RUN_MS 30000
+#define LEN (RUN_MS + 1)
+
+static const struct quota_limit limit = { 40, 40 };
+
+/*
+ * Returns the most that was admitted within any window.
+ */
+static uint32_t
+worst_window(const uint32_t *per_ms, int len)
+{
+	uint32_t sum = 0, worst = 0;
+	int i;
+
+	for (i = 0; i < len; i++) {
+		sum += per_ms[i];
+		if (i >= QUOTA_WINDOW_MS)
+			sum -= per_ms[i - QUOTA_WINDOW_MS];
+		if (sum > worst)
+			worst = sum;
+	}
+	return worst;
+}
+
+/*
+ * Returns what the limit allows within a window, with its tolerance.
+ */
+static double
+allowed(const struct quota_limit *l)
+{
+	return (l->rate * QUOTA_WINDOW_MS / 1000 + l->burst) * (1 + SHARE) +
+	       CONSTANT;
+}
+
+/*
+ * Hot tenant: all nodes ask for far more than the limit, the owner changes
+ * twice and is away for a while, in which the nodes use their reserve.  No
+ * window exceeds the limit, and most of it is used.
+ */
+static void
+test_window(void **state)
+{
+	static uint32_t per_ms[LEN];
+	struct quota_owner owners[2];
+	struct quota_stock stocks[NODES];
+	struct quota_grant g;
+	uint64_t now, turned = 0, id = 1;
+	uint32_t need, want, total = 0;
+	int owner = 0, n;
+
+	(void)state;
+	memset(stocks, 0, sizeof(stocks));
+	quota_owner_init(&owners[0]);
+	quota_owner_init(&owners[1]);
+	for (now = 10000; now < 10000 + RUN_MS; now++) {
+		/* Owner 1 from 10 s on, nobody from 20 to 21 s, then 0. */
+		n = now < 20000 ? 0 : now < 30000 ? 1 : now < 31000 ? -1 : 0;
+		if (n != owner) {
+			quota_owner_drop(&owners[0], WS);
+			quota_owner_drop(&owners[1], WS);
+			turned = now;
+			owner = n;
+		}
+		for (n = 0; n < NODES; n++) {
+			if ((now + (uint64_t)n * 7) % 50 != 0)
+				continue; /* 20 requests a second a node */
+			if (quota_take(&stocks[n], now) == QUOTA_TAKEN) {
+				per_ms[now - 10000]++;
+				continue;
+			}
+			if (owner >= 0) {
+				quota_want(&stocks[n], 1, &need, &want);
+				g = quota_owner_lend(&owners[owner], WS, &limit,
+				    id++, need, want, turned, now);
+				quota_receive(&stocks[n], &g, now);
+				if (quota_take(&stocks[n], now) ==
+				    QUOTA_TAKEN) {
+					per_ms[now - 10000]++;
+					continue;
+				}
+				if (g.owner)
+					continue;
+			}
+			per_ms[now - 10000] += (uint32_t)quota_reserve(
+			    &stocks[n], &limit, SHARE, CONSTANT, NODES, now);
+		}
+	}
+	for (n = 0; n < LEN; n++)
+		total += per_ms[n];
+	print_message("worst window %u of %.0f, %u in 30 s at 40 a second\n",
+	    worst_window(per_ms, LEN), allowed(&limit), total);
+	assert_true(worst_window(per_ms, LEN) <= allowed(&limit));
+	assert_true(total > 40 * 30 * 0.85);
+	quota_owner_finish(&owners[0]);
+	quota_owner_finish(&owners[1]);
+}
+
+/*
+ * A workspace that stays within its rate is refused nothing, though most
+ * nodes get less than one of its requests a second.
+ */
+static void
+test_small(void **state)
+{
+	static const struct quota_limit small = { 5, 5 };
+	struct quota_stock stocks[NODES];
+	struct quota_owner owner;
+	struct quota_grant g;
+	uint32_t need, want, refused = 0, asked = 0;
+	uint64_t now;
+	int n;
+
+	(void)state;
+	memset(stocks, 0, sizeof(stocks));
+	quota_owner_init(&owner);
+	for (now = 20000; now < 40000; now += 250) {
+		n = (int)(now / 250 * 7 % NODES);
+		asked++;
+		if (quota_take(&stocks[n], now) == QUOTA_TAKEN)
+			continue;
+		quota_want(&stocks[n], 1, &need, &want);
+		g = quota_owner_lend(
+		    &owner, WS, &small, now, need, want, 0, now);
+		quota_receive(&stocks[n], &g, now);
+		refused += quota_take(&stocks[n], now) != QUOTA_TAKEN;
+	}
+	print_message("%u of %u refused\n", refused, asked);
+	assert_int_equal(refused, 0);
+	quota_owner_finish(&owner);
+}
+
+/*
+ * A repeated question gets the same tokens and takes no others.
+ */
+static void
+test_repeat(void **state)
+{
+	struct quota_owner o;
+	struct quota_grant a, b;
+
+	(void)state;
+	quota_owner_init(&o);
+	a = quota_owner_lend(&o, WS, &limit, 1, 10, 10, 0, 10000);
+	b = quota_owner_lend(&o, WS, &limit, 1, 10, 10, 0, 10010);
+	assert_int_equal(a.tokens, 10);
+	assert_int_equal(b.tokens, 10);
+	b = quota_owner_lend(&o, WS, &limit, 2, 40, 40, 0, 10010);
+	assert_int_equal(b.tokens, 30);
+	b = quota_owner_lend(&o, WS, &limit, 3, 1, 1, 0, 10011);
+	assert_int_equal(b.tokens, 0);
+	assert_int_equal(b.owner, 1);
+	assert_true(b.wait_ms > 0);
+	quota_owner_finish(&o);
+}
+
+/*
+ * A new owner holds back until the one before has surely stopped.
+ */
+static void
+test_hold(void **state)
+{
+	struct quota_owner o;
+	struct quota_grant g;
+
+	(void)state;
+	quota_owner_init(&o);
+	g = quota_owner_lend(&o, WS, &limit, 1, 1, 1, 10000, 10100);
+	assert_int_equal(g.owner, 0);
+	g = quota_owner_lend(&o, WS, &limit, 2, 1, 1, 10000, 12000);
+	assert_int_equal(g.owner, 1);
+	assert_int_equal(g.tokens, 1);
+	quota_owner_finish(&o);
+}
+
+/*
+ * A lowered limit holds from the next question on.
+ */
+static void
+test_lowered(void **state)
+{
+	static const struct quota_limit low = { 2, 2 };
+	struct quota_owner o;
+	struct quota_grant g;
+	uint64_t now;
+	uint32_t got = 0;
+
+	(void)state;
+	quota_owner_init(&o);
+	quota_owner_lend(&o, WS, &limit, 1, 1, 1, 0, 10000);
+	for (now = 10001; now < 15001; now += 10) {
+		g = quota_owner_lend(&o, WS, &low, now, 1, 1, 0, now);
+		got += g.tokens;
+	}
+	assert_true(got <= 2 * 5 + 2);
+	quota_owner_finish(&o);
+}
+
+/*
+ * A token of a request that didn't run serves another.
+ */
+static void
+test_return(void **state)
+{
+	struct quota_stock s;
+	struct quota_grant none = { 0, 50, 1 };
+
+	(void)state;
+	memset(&s, 0, sizeof(s));
+	quota_receive(&s, &none, 10000);
+	assert_int_equal(quota_take(&s, 10001), QUOTA_OVER);
+	quota_return(&s, 10002);
+	assert_int_equal(quota_take(&s, 10003), QUOTA_TAKEN);
+	assert_int_equal(quota_take(&s, 10004), QUOTA_ASK);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_window),
+		cmocka_unit_test(test_small),
+		cmocka_unit_test(test_repeat),
+		cmocka_unit_test(test_hold),
+		cmocka_unit_test(test_lowered),
+		cmocka_unit_test(test_return),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/relay/choice.c
+++ b/src/relay/choice.c
@@ -2,11 +2,11 @@
 
 #include "relay/relay_int.h"
 
-#define FAR_COST 0.12	  /* another zone: worth that much of the slots */
-#define COLD_COST 0.6	  /* a server that started just now */
-#define AVOID_COST 100.0  /* only where nothing else takes requests */
-#define FAIL_COST 3.0	  /* of a server that fails every attempt */
-#define JITTER 0.04	  /* so that entries don't all take the same one */
+#define FAR_COST 0.12	 /* another zone: worth that much of the slots */
+#define COLD_COST 0.6	 /* a server that started just now */
+#define AVOID_COST 100.0 /* only where nothing else takes requests */
+#define FAIL_COST 3.0	 /* of a server that fails every attempt */
+#define JITTER 0.04	 /* so that entries don't all take the same one */
 
 /*
  * Returns what it costs to send a request to a server, as a share of its
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -12,6 +12,8 @@
 #define HELD_SHARE 4	    /* of the memory, that bodies may take */
 #define TIMEOUT_GRACE_MS 30 /* for the server's own answer at its deadline */
 #define SPLIT_BITS 32
+#define RETRY_SHARE 0.6 /* of the repeats that are allowed: calls repeat, too \
+			 */
 #define THROTTLED_AFTER_MS 600 /* before a throttled caller should return */
 #define THROTTLED_SPREAD_MS 1000
 
@@ -23,8 +25,8 @@
 static struct entry_req *entry_new(struct relay *, struct h1_conn *);
 static const struct config_route *entry_route(
     struct relay *, const struct h1_head *);
-static enum entry_end entry_workspace(struct entry_req *,
-    const struct config_route *, const struct h1_head *);
+static enum entry_end entry_workspace(
+    struct entry_req *, const struct config_route *, const struct h1_head *);
 static void entry_split(struct entry_req *, const struct config_route *);
 
 const struct h1_server_ops entry_ops = { on_head, on_body, on_end, on_gone,
@@ -118,8 +120,9 @@
 	size_t id_len;
 	unsigned int status = d->status;
 
+	/* What may have run can't be refused any more. */
 	if (e->maybe_run && (status == 503 || status == 429))
-		status = 504;
+		status = 502;
 	if (!e->maybe_run)
 		entry_token_back(e);
 	r->counters[d->counter]++;
@@ -147,8 +150,8 @@
 		h1_text_add(&fields, "\r\n", 2);
 	}
 	if (again_ms > 0 && (status == 503 || status == 429))
-		h1_text_addf(&fields, "Retry-After: %.3f\r\n",
-		    (double)again_ms / 1000);
+		h1_text_addf(
+		    &fields, "Retry-After: %.3f\r\n", (double)again_ms / 1000);
 	entry_finish(e);
 	h1_conn_set_user(conn, NULL);
 	h1_answer(conn, status, &fields, NULL, 0);
@@ -231,8 +234,7 @@
 			break;
 		at -= route->parts[i].weight;
 	}
-	snprintf(
-	    e->service, sizeof(e->service), "%s", route->parts[i].service);
+	snprintf(e->service, sizeof(e->service), "%s", route->parts[i].service);
 }
 
 /*
@@ -273,8 +275,8 @@
 	if (e->depth > 0) {
 		load_called(r, e->service);
 	} else if (!load_admits(r, e->service, e->class)) {
-		entry_end(e, END_THROTTLED, THROTTLED_AFTER_MS +
-			relay_random(r) % THROTTLED_SPREAD_MS);
+		entry_end(e, END_THROTTLED,
+		    THROTTLED_AFTER_MS + relay_random(r) % THROTTLED_SPREAD_MS);
 		return;
 	}
 	e->idempotent = route->idempotent;
@@ -285,8 +287,7 @@
 		left = route->deadline_ms;
 	e->end_ms = e->began_ms + left;
 	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
-	relay_budget(r, e->service)->tokens +=
-	    r->set.retry_ratio;
+	relay_budget(r, e->service)->tokens += r->set.retry_ratio * RETRY_SHARE;
 	if (entry_limit(e) == 0)
 		entry_start(e);
 }
@@ -398,8 +399,9 @@
 			continue;
 		if (now >= e->end_ms + (e->xchg != NULL ? TIMEOUT_GRACE_MS : 0))
 			entry_end(e,
-			    e->maybe_run || e->xchg != NULL ? END_TIMEOUT
-							    : END_TIMEOUT_UNSENT,
+			    e->maybe_run || e->xchg != NULL
+				? END_TIMEOUT
+				: END_TIMEOUT_UNSENT,
 			    200);
 		else if (e->again_ms != 0 && now >= e->again_ms)
 			entry_start(e);
--- a/src/relay/entry_limit.c
+++ b/src/relay/entry_limit.c
@@ -5,7 +5,8 @@
 
 #include "relay/relay_int.h"
 
-#define ASK_MS 60  /* for the owner's answer, before the question is repeated */
+#define ASK_MS 60  /* for the owner's answer, before the question is repeated \
+		    */
 #define ASKS_MAX 2 /* after that the reserve is used */
 #define OVER_AFTER_MS 300
 #define OVER_SPREAD_MS 700
@@ -17,8 +18,8 @@
     struct relay *, struct relay_limit *, const struct quota_grant *);
 static void without_owner(struct relay *, struct relay_limit *);
 static struct entry_req *take_waiting(struct relay_limit *);
-static struct quota_grant lend(struct relay *, uint64_t, uint64_t, uint32_t,
-    uint32_t);
+static struct quota_grant lend(
+    struct relay *, uint64_t, uint64_t, uint32_t, uint32_t);
 static uint64_t over_after(struct relay *);
 
 /*
@@ -149,8 +150,7 @@
 	int i;
 
 	i = r->config == NULL ? -1 : config_ws_find(r->config, ws);
-	if (i < 0 ||
-	    fleet_owner(&r->fleet, ws, relay_now(r)) != FLEET_SELF) {
+	if (i < 0 || fleet_owner(&r->fleet, ws, relay_now(r)) != FLEET_SELF) {
 		quota_owner_drop(&r->owner, ws);
 		return none;
 	}
@@ -201,8 +201,7 @@
  * no more.
  */
 static void
-received(
-    struct relay *r, struct relay_limit *l, const struct quota_grant *g)
+received(struct relay *r, struct relay_limit *l, const struct quota_grant *g)
 {
 	struct entry_req *e;
 	uint64_t ws = l->ws;
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -6,20 +6,21 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define ANSWER_KEPT 65536   /* bytes of an answer kept until it is whole */
+#define ANSWER_KEPT 65536 /* bytes of an answer kept until it is whole */
 #define CHOICES_MAX 128
-#define AVOID_MS 300	    /* a node that took no connection */
+#define AVOID_MS 300 /* a node that took no connection */
 #define AVOID_MAX_MS 3000
-#define FAIL_WEIGHT 0.1	    /* of the newest attempt in the share of failed */
+#define FAIL_WEIGHT 0.1 /* of the newest attempt in the share of failed */
 #define FAIL_DECAY 0.98
-#define TRIES_MAX 4	    /* nodes asked for one request */
-#define RETRY_PAUSE_MS 15   /* when all nodes were asked, before the last try */
-#define LEFT_MIN_MS 20	    /* less time isn't worth another attempt */
+#define TRIES_MAX 4	  /* nodes asked for one request */
+#define RETRY_PAUSE_MS 15 /* when all nodes were asked, before the last try */
+#define LEFT_MIN_MS 20	  /* less time isn't worth another attempt */
 #define RETRY_AFTER_MIN_MS 150
 #define RETRY_AFTER_SPREAD_MS 350
-#define BUDGET_TOKENS_MAX 4.0
+#define SLACK_SHARE 0.7 /* of the slack in repeats, for all nodes together */
 #define IDLE_ANY UINT64_MAX
-#define IDLE_UNSAFE_MS 4000 /* an older connection may break under a request */
+#define IDLE_UNSAFE_MS 4000 /* an older connection may break under a request \
+			     */
 
 static int on_head(void *, struct h1_xchg *);
 static void on_body(void *, struct h1_xchg *, const char *, size_t);
@@ -333,13 +334,18 @@
 static int
 may_repeat(struct entry_req *e)
 {
-	struct relay_budget *b = relay_budget(e->relay, e->service);
+	struct relay *r = e->relay;
+	struct relay_budget *b = relay_budget(r, e->service);
+	double most;
 
 	if (e->arrivals >= e->arrivals_max ||
-	    relay_now(e->relay) + LEFT_MIN_MS > e->end_ms)
+	    relay_now(r) + LEFT_MIN_MS > e->end_ms)
 		return 0;
-	if (b->tokens > BUDGET_TOKENS_MAX)
-		b->tokens = BUDGET_TOKENS_MAX;
+	most = r->set.retry_slack * SLACK_SHARE / fleet_size(&r->fleet);
+	if (most < 1)
+		most = 1;
+	if (b->tokens > most)
+		b->tokens = most;
 	if (b->tokens < 1)
 		return 0;
 	b->tokens--;
@@ -374,10 +380,10 @@
 	uint64_t now = relay_now(r);
 
 	(void)x;
-	attempt_over(e,
-	    e->verdict == VERDICT_UNKNOWN || e->verdict == VERDICT_AWAY ||
-	    e->verdict == VERDICT_TURNED ||
-	    (e->verdict == VERDICT_RAN && e->status >= 500));
+	attempt_over(e, e->verdict == VERDICT_UNKNOWN ||
+			    e->verdict == VERDICT_AWAY ||
+			    e->verdict == VERDICT_TURNED ||
+			    (e->verdict == VERDICT_RAN && e->status >= 500));
 	switch (e->verdict) {
 	case VERDICT_RAN:
 		r->counters[e->status < 500 ? RELAY_SERVED : RELAY_FAILED]++;
@@ -440,8 +446,10 @@
 
 	(void)x;
 	if (how == H1_NOT_SENT) {
-		pause = (uint64_t)AVOID_MS << (l->avoid_run < 4 ? l->avoid_run : 4);
-		l->avoid_ms = now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
+		pause = (uint64_t)AVOID_MS
+			<< (l->avoid_run < 4 ? l->avoid_run : 4);
+		l->avoid_ms =
+		    now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
 		l->avoid_run++;
 		attempt_over(e, 0);
 		if (e->tries < TRIES_MAX && !e->body_lost &&
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -7,8 +7,8 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define BODY_WINDOW 65536   /* bytes of a body that waits for a slot */
-#define OVERDUE_MS 400	    /* past its time, when the entry seems to be dead */
+#define BODY_WINDOW 65536 /* bytes of a body that waits for a slot */
+#define OVERDUE_MS 400	  /* past its time, when the entry seems to be dead */
 #define MS_US 1000
 
 static void on_head(void *, struct h1_conn *);
@@ -17,8 +17,8 @@
 static void on_gone(void *, struct h1_conn *);
 static void on_drained(void *, struct h1_conn *);
 static struct exit_req *exit_new(struct relay *, struct h1_conn *);
-static int read_hop(struct exit_req *, const struct h1_head *, char *,
-    struct admission_req *);
+static int read_hop(
+    struct exit_req *, const struct h1_head *, char *, struct admission_req *);
 static struct exit_req *of_waiter(struct admission_waiter *);
 
 const struct h1_server_ops exit_ops = { on_head, on_body, on_end, on_gone,
@@ -76,8 +76,8 @@
 static struct exit_req *
 of_waiter(struct admission_waiter *w)
 {
-	return (struct exit_req *)((char *)w -
-	    offsetof(struct exit_req, waiter));
+	return (
+	    struct exit_req *)((char *)w - offsetof(struct exit_req, waiter));
 }
 
 /*
@@ -104,7 +104,7 @@
 		e->ws_name[0] = '\0';
 	e->deadline_ms = relay_now(e->relay) + left;
 	e->idempotent = idempotent;
-	req->class = (enum admission_class)class;
+	req->class = (enum admission_class) class;
 	req->depth = depth;
 	req->root_hash = relay_random(e->relay);
 	req->deadline_us = e->deadline_ms * MS_US;
@@ -135,8 +135,7 @@
 		return;
 	}
 	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
-	if (s->id[0] == '\0' || s->leaving ||
-	    s->down_until_ms > relay_now(r) ||
+	if (s->id[0] == '\0' || s->leaving || s->down_until_ms > relay_now(r) ||
 	    strcmp(service, s->service) != 0) {
 		exit_refuse(e, VERDICT_AWAY, s->leaving ? "leaving" : "absent");
 		return;
@@ -155,8 +154,8 @@
 		e->single = 1;
 		r->singles++;
 	}
-	switch (core_offer(&r->core, &req, &e->waiter, &out,
-	    relay_now(r) * MS_US)) {
+	switch (core_offer(
+	    &r->core, &req, &e->waiter, &out, relay_now(r) * MS_US)) {
 	case ADMISSION_RUN:
 		exit_send(e);
 		break;
@@ -185,7 +184,7 @@
 	struct exit_req *e;
 
 	while (r->server.leaving &&
-	    (w = core_flush(&r->core, ADMISSION_DRAINING)) != NULL) {
+	       (w = core_flush(&r->core, ADMISSION_DRAINING)) != NULL) {
 		e = of_waiter(w);
 		e->waiting = 0;
 		exit_refuse(e, VERDICT_AWAY, "leaving");
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -7,7 +7,8 @@
 
 #define ANSWER_KEPT 16384 /* bytes of an answer sent on in one piece */
 #define IDLE_ANY UINT64_MAX
-#define IDLE_UNSAFE_MS 3000 /* an older connection may break under a request */
+#define IDLE_UNSAFE_MS 3000 /* an older connection may break under a request \
+			     */
 #define DOWN_MS 200	    /* a server that takes no connection */
 #define DOWN_DOUBLINGS 3
 #define MS_US 1000
@@ -124,8 +125,8 @@
 	if (!e->running)
 		return;
 	e->running = 0;
-	core_done(&r->core, &e->waiter, how, (now - e->sent_ms) * MS_US,
-	    now * MS_US);
+	core_done(
+	    &r->core, &e->waiter, how, (now - e->sent_ms) * MS_US, now * MS_US);
 }
 
 /*
@@ -140,8 +141,8 @@
 
 	r->counters[verdict == VERDICT_UNKNOWN ? RELAY_EXIT_FAILED
 					       : RELAY_EXIT_REFUSED]++;
-	event_log(verdict == VERDICT_UNKNOWN ? EVENT_EXIT_FAILED
-					     : EVENT_EXIT_REFUSED,
+	event_log(
+	    verdict == VERDICT_UNKNOWN ? EVENT_EXIT_FAILED : EVENT_EXIT_REFUSED,
 	    relay_now(r),
 	    "id=%s verdict=%s reason=%s running=%u waiting=%u limit=%u "
 	    "server=%s",
@@ -149,12 +150,12 @@
 	    r->core.queued, limiter_value(&r->core.limiter), r->server.id);
 	h1_text_init(&fields);
 	add_exit(e, &fields, verdict);
-	exit_done(e, verdict == VERDICT_TURNED ? ADMISSION_SHED
-					       : ADMISSION_FAILED);
+	exit_done(
+	    e, verdict == VERDICT_TURNED ? ADMISSION_SHED : ADMISSION_FAILED);
 	exit_finish(e);
 	h1_conn_set_user(conn, NULL);
-	h1_answer(conn, verdict == VERDICT_UNKNOWN ? 502 : 503, &fields, NULL,
-	    0);
+	h1_answer(
+	    conn, verdict == VERDICT_UNKNOWN ? 502 : 503, &fields, NULL, 0);
 	h1_conn_resume(conn);
 	h1_text_finish(&fields);
 }
@@ -278,16 +279,16 @@
 	}
 	suspect_served(e);
 	r->counters[RELAY_EXIT_SERVED]++;
-	exit_done(e, e->status < 500     ? ADMISSION_SERVED
+	exit_done(e, e->status < 500	? ADMISSION_SERVED
 		     : e->status == 504 ? ADMISSION_TIMEOUT
-					 : ADMISSION_FAILED);
+					: ADMISSION_FAILED);
 	if (e->passing) {
 		h1_answer_end(conn);
 	} else {
 		add_exit(e, &e->fields, VERDICT_RAN);
 		h1_conn_set_user(conn, NULL);
-		h1_answer(conn, e->status, &e->fields, e->answer.p,
-		    e->answer.len);
+		h1_answer(
+		    conn, e->status, &e->fields, e->answer.p, e->answer.len);
 	}
 	h1_conn_resume(conn);
 	exit_finish(e);
@@ -305,10 +306,10 @@
 
 	if (s->down_until_ms > now)
 		return;
-	s->down_until_ms = now +
-	    ((uint64_t)DOWN_MS
-	     << (s->down_count < DOWN_DOUBLINGS ? s->down_count
-						 : DOWN_DOUBLINGS));
+	s->down_until_ms =
+	    now + ((uint64_t)DOWN_MS
+		      << (s->down_count < DOWN_DOUBLINGS ? s->down_count
+							 : DOWN_DOUBLINGS));
 	s->down_count++;
 	event_log(EVENT_SERVER_DOWN, now, "server=%s retry_in_ms=%llu", s->id,
 	    (unsigned long long)(s->down_until_ms - now));
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -42,7 +42,7 @@
 
 	if (r->server.slots > 0)
 		busy = (double)(r->core.inflight + r->core.queued) /
-		    r->server.slots;
+		       r->server.slots;
 	r->busy = r->busy * keep + busy * (1 - keep);
 	r->shed_per_s *= keep;
 	r->busy_ms = now;
@@ -119,7 +119,7 @@
 	offered = r->busy;
 	if (r->server.slots > 0)
 		offered += r->shed_per_s * r->core.limiter.mean_us /
-		    (MS_PER_S * MS_PER_S) / r->server.slots;
+			   (MS_PER_S * MS_PER_S) / r->server.slots;
 	b->server.offered = (unsigned int)(offered * RATIO);
 	b->server.calls.calls_val = calls;
 	b->server.calls.calls_len = r->runs >= 1 ? r->call_count : 0;
@@ -261,9 +261,8 @@
 		if (c->ws_count == 0)
 			rank_add(r, c->routes[i].priority);
 		for (j = 0; j < c->ws_count; j++)
-			rank_add(r,
-			    c->workspaces[j].priority << RANK_SHIFT |
-				c->routes[i].priority);
+			rank_add(r, c->workspaces[j].priority << RANK_SHIFT |
+					c->routes[i].priority);
 	}
 	qsort(r->ranks, r->rank_count, sizeof(*r->ranks), rank_cmp);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -9,13 +9,14 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define TICK_MS 10	     /* deadlines are met to this precision */
-#define LINK_IDLE_MS 20000   /* of connections to other nodes */
-#define CONNECT_MS 400	     /* to a node: a lost first packet shows by then */
-#define SERVER_IDLE_MS 9000  /* of connections to the server beside this node */
+#define TICK_MS 10	    /* deadlines are met to this precision */
+#define LINK_IDLE_MS 20000  /* of connections to other nodes */
+#define CONNECT_MS 400	    /* to a node: a lost first packet shows by then */
+#define SERVER_IDLE_MS 9000 /* of connections to the server beside this node \
+			     */
 #define SERVER_CONNECT_MS 300
-#define OWN_DESCRIPTORS 400  /* for other things than callers and nodes */
-#define SLOTS_USED 0.96 /* of those that a server tells */
+#define OWN_DESCRIPTORS 400 /* for other things than callers and nodes */
+#define SLOTS_USED 0.96	    /* of those that a server tells */
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -90,10 +91,10 @@
 	r->loop = loop;
 	r->set = *settings;
 	clock_gettime(CLOCK_REALTIME, &ts);
-	r->incarnation = (uint64_t)ts.tv_sec * MS_PER_S +
-	    (uint64_t)(ts.tv_nsec / NS_PER_MS);
-	r->rnd = r->incarnation ^ (uint64_t)ntohl(
-	    settings->exit.sin_addr.s_addr) << 20;
+	r->incarnation =
+	    (uint64_t)ts.tv_sec * MS_PER_S + (uint64_t)(ts.tv_nsec / NS_PER_MS);
+	r->rnd = r->incarnation ^
+		 (uint64_t)ntohl(settings->exit.sin_addr.s_addr) << 20;
 	fleet_table_init(&r->fleet, settings->node);
 	core_init(&r->core, uv_now(loop) * MS_PER_S);
 	/* Servers tell their slots, and queue by themselves what is more. */
@@ -110,11 +111,11 @@
 	rc = h1_server_init(
 	    &r->entry, loop, &settings->entry, &entry_ops, r, conns / 3);
 	if (rc == 0)
-		rc = h1_server_init(&r->exit, loop, &settings->exit, &exit_ops,
-		    r, conns / 3);
+		rc = h1_server_init(
+		    &r->exit, loop, &settings->exit, &exit_ops, r, conns / 3);
 	if (rc == 0)
-		rc = fleet_net_init(&r->net, loop, &settings->fleet, &r->fleet,
-		    &fleet_ops, r);
+		rc = fleet_net_init(
+		    &r->net, loop, &settings->fleet, &r->fleet, &fleet_ops, r);
 	return rc;
 }
 
@@ -249,8 +250,8 @@
 	for (i = 0; i < r->budget_count; i++)
 		if (strcmp(r->budgets[i].service, service) == 0)
 			return &r->budgets[i];
-	r->budgets = reallocarray(
-	    r->budgets, r->budget_count + 1, sizeof(*r->budgets));
+	r->budgets =
+	    reallocarray(r->budgets, r->budget_count + 1, sizeof(*r->budgets));
 	if (r->budgets == NULL)
 		err(1, "out of memory");
 	b = &r->budgets[r->budget_count++];
@@ -331,8 +332,8 @@
 	    s->cold_until_ms > now ? (unsigned int)(s->cold_until_ms - now) : 0;
 	b->server.running = r->core.inflight;
 	b->server.waiting = r->core.queued;
-	b->server.leaving = (unsigned int)(s->leaving || s->gone ||
-	    s->down_until_ms > now);
+	b->server.leaving =
+	    (unsigned int)(s->leaving || s->gone || s->down_until_ms > now);
 	load_fill(r, b, calls);
 }
 
@@ -400,9 +401,10 @@
 	uint64_t now = relay_now(r);
 	int fresh;
 
-	if (s->id[0] != '\0' && (a->born_ms < s->born_ms ||
-	    (a->born_ms == s->born_ms && strcmp(a->id, s->id) == 0 &&
-	    a->sequence <= s->sequence)))
+	if (s->id[0] != '\0' &&
+	    (a->born_ms < s->born_ms ||
+		(a->born_ms == s->born_ms && strcmp(a->id, s->id) == 0 &&
+		    a->sequence <= s->sequence)))
 		return 0;
 	fresh = strcmp(a->id, s->id) != 0 || a->born_ms != s->born_ms;
 	if (fresh) {
@@ -418,15 +420,14 @@
 		h1_pool_trim(&r->server_pool, 0);
 		event_log(EVENT_SERVER_NEW, now,
 		    "server=%s service=%s born=%llu slots=%u cold_ms=%llu",
-		    s->id, s->service, (unsigned long long)s->born_ms,
-		    s->slots, (unsigned long long)a->cold_ms);
+		    s->id, s->service, (unsigned long long)s->born_ms, s->slots,
+		    (unsigned long long)a->cold_ms);
 	}
 	s->sequence = a->sequence;
 	s->cold_until_ms = a->cold_ms > 0 ? now + a->cold_ms : 0;
 	if (s->slots != a->slots) {
 		s->slots = a->slots;
-		limiter_set_slots(
-		    &r->core.limiter, usable_slots(a->slots));
+		limiter_set_slots(&r->core.limiter, usable_slots(a->slots));
 	}
 	if (a->draining && !s->leaving) {
 		s->leaving = 1;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -43,13 +43,12 @@
 	struct sockaddr_in exit;	/* for requests from other nodes */
 	struct sockaddr_in server;	/* the backend server */
 	struct sockaddr_in fleet;	/* for datagrams between nodes */
-	uint64_t fresh_ms; /* keys are refused on an older configuration */
+	uint64_t fresh_ms;  /* keys are refused on an older configuration */
 	double quota_share; /* tolerance of limits, in part and constant */
 	double quota_constant;
-	double retry_ratio;  /* extra arrivals at a service to requests */
-	double retry_slack;  /* more of them, over the whole fleet */
-	uint64_t retry_window_ms;
-	uint64_t leave_ms; /* callers still come so long after a stop */
+	double retry_ratio;    /* extra arrivals at a service to requests */
+	double retry_slack;    /* more of them, over the whole fleet */
+	uint64_t leave_ms;     /* callers still come so long after a stop */
 	uint64_t memory_bytes; /* that the process may use */
 	uint32_t descriptors;
 };
@@ -189,7 +188,7 @@
 	uint64_t busy_ms;  /* of these two */
 	struct relay_calls calls[FLEET_CALLS_MAX];
 	uint32_t call_count;
-	double runs;	  /* decaying number, of the server beside this node */
+	double runs; /* decaying number, of the server beside this node */
 	uint32_t ranks[RELAY_RANKS]; /* of importance, as configured */
 	uint32_t rank_count;
 	uint64_t counters[RELAY_COUNTER_MAX];
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -58,7 +58,7 @@
 	struct entry_req *next_waiting;
 	enum entry_state state;
 	char id[RELAY_ID_BYTES];
-	char service[FLEET_NAME_BYTES]; /* that is to run it */
+	char service[FLEET_NAME_BYTES];	   /* that is to run it */
 	char ws_name[CONFIG_NAME_MAX + 1]; /* empty: no workspace */
 	uint64_t ws;
 	struct quota_limit limit;
@@ -73,7 +73,7 @@
 	int idempotent;
 	int took_token;
 	int maybe_run;
-	int turned; /* the last attempt's verdict */
+	int turned;	   /* the last attempt's verdict */
 	uint64_t again_ms; /* try again at that time; 0: no */
 	int tried[RELAY_TRIED_MAX];
 	int link; /* of the attempt under way */
@@ -122,12 +122,12 @@
 
 /* A server that a request could go to. */
 struct choice {
-	int handle;	 /* of its node */
-	double load;	 /* outstanding work to slots */
-	double failing;	 /* share of attempts */
-	int near;	 /* same zone */
-	int cold;	 /* slow since just started */
-	int avoid;	 /* hasn't been reached lately */
+	int handle;	/* of its node */
+	double load;	/* outstanding work to slots */
+	double failing; /* share of attempts */
+	int near;	/* same zone */
+	int cold;	/* slow since just started */
+	int avoid;	/* hasn't been reached lately */
 };
 
 double choice_cost(const struct choice *, double);
@@ -170,8 +170,7 @@
 void entry_limit_leave(struct entry_req *);
 void entry_limit_tick(struct relay *);
 void entry_token_back(struct entry_req *);
-void relay_on_ask(
-    void *, const struct fleet_ask *, const struct sockaddr_in *);
+void relay_on_ask(void *, const struct fleet_ask *, const struct sockaddr_in *);
 void relay_on_give(void *, const struct fleet_give *);
 
 /* exit.c */
--- a/src/relay/suspect.c
+++ b/src/relay/suspect.c
@@ -87,8 +87,7 @@
 		if (r->suspects == NULL)
 			err(1, "out of memory");
 	}
-	if (!table_strike(
-		r->suspects, p, death, 0, relay_now(r), relay_now(r)))
+	if (!table_strike(r->suspects, p, death, 0, relay_now(r), relay_now(r)))
 		return;
 	r->counters[RELAY_STRIKES]++;
 	event_log(EVENT_STRIKE, relay_now(r),
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -1,17 +1,20 @@
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "throttle/throttle.h"
 
-#define TARGET 0.88	  /* share of the slots that is to be in use */
-#define GAIN_PER_S 0.9	  /* of the cut for each unit above the target */
-#define RISE_PER_S 1.6	  /* at most, so that one odd sample does little */
-#define FALL_GAIN_PER_S 2.0 /* below the target */
-#define FALL_PER_S 1.2
-#define CLASS_FLOOR 0.22  /* of a class that is let in whatever happens */
-#define REACHES 0.05	  /* calls for each run that count as reaching */
-#define CUT_MAX ((1 - CLASS_FLOOR) * THROTTLE_CLASSES)
-
+#define TARGET 0.88	   /* share of the slots that is to be in use */
+#define RATE_PER_S 1.0	   /* of the change that would meet the target */
+#define CHANGE_PER_S 1.8   /* at most, so that one odd sample does little */
+#define MIX_KEEP_PER_S 0.5 /* of what was seen of the classes before */
+#define CLASS_FLOOR 0.22   /* of a class that is let in whatever happens */
+#define REACHES 0.05	   /* calls for each run that count as reaching */
+#define SPAN (1 - CLASS_FLOOR)
+#define CUT_MAX (SPAN * THROTTLE_CLASSES)
+#define SLOPE_MIN 0.02
+
+static double slope(const struct throttle_service *);
 static double share_below(struct throttle *, int, uint32_t);
 
 /*
@@ -72,6 +75,27 @@
 	t->services[service].known = 1;
 }
 
+/*
+ * Returns by how much the offered load falls for each unit more of a cut, as
+ * far as the classes that were seen tell.
+ */
+static double
+slope(const struct throttle_service *s)
+{
+	double seen = 0, passed = 0;
+	uint32_t k, cut_class = 0;
+
+	for (k = 0; k < THROTTLE_CLASSES; k++) {
+		seen += s->mix[k];
+		passed += s->mix[k] * throttle_class_share(s->cut, k);
+		if (s->cut <= SPAN * (THROTTLE_CLASSES - k))
+			cut_class = k;
+	}
+	if (passed <= 0 || seen <= 0)
+		return 1;
+	return s->offered / passed * s->mix[cut_class] / SPAN;
+}
+
 /*
  * Adapts the cuts after so many seconds.
  */
@@ -79,23 +103,21 @@
 throttle_step(struct throttle *t, double seconds)
 {
 	struct throttle_service *s;
-	double by;
-	uint32_t i;
+	double by, most = CHANGE_PER_S * seconds;
+	uint32_t i, k;
 
 	for (i = 0; i < t->count; i++) {
 		s = &t->services[i];
-		by = s->known ? s->offered - TARGET : -1;
-		by *= by > 0 ? GAIN_PER_S : FALL_GAIN_PER_S;
-		if (by > RISE_PER_S)
-			by = RISE_PER_S;
-		if (by < -FALL_PER_S)
-			by = -FALL_PER_S;
-		s->cut += by * seconds;
-		if (s->cut < 0)
-			s->cut = 0;
-		if (s->cut > CUT_MAX)
-			s->cut = CUT_MAX;
+		by = -most;
+		if (s->known) {
+			by = (s->offered - TARGET) * RATE_PER_S * seconds;
+			by /= fmax(slope(s), SLOPE_MIN);
+		}
+		s->cut += fmax(-most, fmin(most, by));
+		s->cut = fmax(0, fmin(CUT_MAX, s->cut));
 		s->known = 0;
+		for (k = 0; k < THROTTLE_CLASSES; k++)
+			s->mix[k] *= pow(MIX_KEEP_PER_S, seconds);
 	}
 }
 
@@ -106,16 +128,16 @@
 double
 throttle_class_share(double cut, uint32_t class)
 {
-	double span = 1 - CLASS_FLOOR, mine;
+	double mine = cut - SPAN * (THROTTLE_CLASSES - 1 - class);
 
-	mine = cut - span * (THROTTLE_CLASSES - 1 - class);
 	if (mine <= 0)
 		return 1;
-	return mine >= span ? CLASS_FLOOR : 1 - mine;
+	return mine >= SPAN ? CLASS_FLOOR : 1 - mine;
 }
 
 /*
- * Returns the smallest share over a service and all that it calls.
+ * Returns the smallest share over a service and all that it calls, and notes
+ * the class there.
  */
 static double
 share_below(struct throttle *t, int service, uint32_t class)
@@ -125,6 +147,7 @@
 	uint32_t i;
 
 	s->reach_done = t->walk;
+	s->mix[class]++;
 	for (i = 0; i < s->call_count; i++) {
 		if (s->calls[i].per_run < REACHES ||
 		    t->services[s->calls[i].service].reach_done == t->walk)
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -26,7 +26,8 @@
 	char name[THROTTLE_NAME_BYTES];
 	double offered; /* work that arrives, as a share of all slots */
 	int known;	/* a load was told since the last step */
-	double cut;	/* 0: all are let in; a unit for each class */
+	double mix[THROTTLE_CLASSES]; /* decaying, of arrivals by class */
+	double cut; /* 0: all are let in; a unit for each class */
 	struct throttle_call calls[THROTTLE_CALLS];
 	uint32_t call_count;
 	uint32_t reach_done; /* marks of the walk over the tree */
