Linters clean on the new modules

Numbers between entry and exit are read with strtoull, fields ordered without holes, comments short enough for the formatter.

--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -25,8 +25,8 @@
 
 struct step {
 	enum question asked;
-	uint64_t from; /* of a READ */
 	enum store_status status;
+	uint64_t from; /* of a READ */
 	const char *values[RECORDS_MAX];
 	uint64_t end;
 	uint64_t version; /* in force after the answer */
@@ -34,18 +34,18 @@
 };
 
 static const struct step story[] = {
-	{ NEWEST, 0, STORE_UNKNOWN, { NULL }, 0, 0, 0 }, /* lost answer */
-	{ NEWEST, 0, STORE_REFUSED, { NULL }, 0, 0, 0 },
-	{ NEWEST, 0, STORE_OK, { "5" }, 8, 5, 1 },
-	{ READ, 8, STORE_OK, { NULL }, 8, 5, 1 },	/* nothing new */
-	{ READ, 8, STORE_OK, { "7", "6" }, 10, 7, 1 },	/* an old one late */
-	{ READ, 10, STORE_UNKNOWN, { NULL }, 0, 7, 0 }, /* hangs */
-	{ READ, 10, STORE_OK, { "what" }, 11, 7, 1 },	/* unreadable */
-	{ READ, 11, STORE_OK, { "9" }, 13, 9, 0 },	/* more to come */
-	{ READ, 12, STORE_OK, { "10" }, 13, 10, 1 },
-	{ READ, 13, STORE_TRIMMED, { NULL }, 0, 10, 0 },
-	{ NEWEST, 0, STORE_OK, { "12" }, 40, 12, 1 },
-	{ READ, 40, STORE_OK, { NULL }, 40, 12, 1 },
+	{ NEWEST, STORE_UNKNOWN, 0, { NULL }, 0, 0, 0 }, /* lost answer */
+	{ NEWEST, STORE_REFUSED, 0, { NULL }, 0, 0, 0 },
+	{ NEWEST, STORE_OK, 0, { "5" }, 8, 5, 1 },
+	{ READ, STORE_OK, 8, { NULL }, 8, 5, 1 },	/* nothing new */
+	{ READ, STORE_OK, 8, { "7", "6" }, 10, 7, 1 },	/* an old one late */
+	{ READ, STORE_UNKNOWN, 10, { NULL }, 0, 7, 0 }, /* hangs */
+	{ READ, STORE_OK, 10, { "what" }, 11, 7, 1 },	/* unreadable */
+	{ READ, STORE_OK, 11, { "9" }, 13, 9, 0 },	/* more to come */
+	{ READ, STORE_OK, 12, { "10" }, 13, 10, 1 },
+	{ READ, STORE_TRIMMED, 13, { NULL }, 0, 10, 0 },
+	{ NEWEST, STORE_OK, 0, { "12" }, 40, 12, 1 },
+	{ READ, STORE_OK, 40, { NULL }, 40, 12, 1 },
 };
 
 #define STEPS (sizeof(story) / sizeof(story[0]))
--- a/src/http1/test_http1.c
+++ b/src/http1/test_http1.c
@@ -43,8 +43,8 @@
 	enum ending ending;
 	int done;
 	enum h1_fail fail;
-	const char *body;
 	uint32_t idle; /* connections kept */
+	const char *body;
 };
 
 /* A server of raw bytes: answers what comes with fixed text. */
@@ -207,38 +207,38 @@
 #define HEAD "HTTP/1.1 200 OK\r\n"
 
 static const struct answer_case answers[] = {
-	{ "whole", HEAD "Content-Length: 2\r\n\r\nab", STAY, 1, 0, "ab", 1 },
+	{ "whole", HEAD "Content-Length: 2\r\n\r\nab", STAY, 1, 0, 1, "ab" },
 	{ "chunked",
 	    HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", STAY,
 	    1, 0, "ab", 1 },
 	{ "told to close",
 	    HEAD "Connection: close\r\nContent-Length: 1\r\n\r\na", STAY, 1, 0,
-	    "a", 0 },
+	    0, "a" },
 	{ "cut in the body", HEAD "Content-Length: 3\r\n\r\nab", END, 2,
-	    H1_BROKEN, NULL, 0 },
-	{ "cut in the head", "HTTP/1.1 200 O", END, 2, H1_BROKEN, NULL, 0 },
+	    H1_BROKEN, 0, NULL },
+	{ "cut in the head", "HTTP/1.1 200 O", END, 2, H1_BROKEN, 0, NULL },
 	{ "cut in a chunk", HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
-	    END, 2, H1_BROKEN, NULL, 0 },
+	    END, 2, H1_BROKEN, 0, NULL },
 	{ "cut before the last chunk",
 	    HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", END, 2,
-	    H1_BROKEN, NULL, 0 },
-	{ "no length, ended", HEAD "\r\nabc", END, 1, 0, "abc", 0 },
-	{ "no length, reset", HEAD "\r\nabc", RESET, 2, H1_BROKEN, NULL, 0 },
-	{ "no answer", "", END, 2, H1_BROKEN, NULL, 0 },
-	{ "garbage", "\x01\x02 what\r\n\r\n", STAY, 2, H1_GARBLED, NULL, 0 },
+	    H1_BROKEN, 0, NULL },
+	{ "no length, ended", HEAD "\r\nabc", END, 1, 0, 0, "abc" },
+	{ "no length, reset", HEAD "\r\nabc", RESET, 2, H1_BROKEN, 0, NULL },
+	{ "no answer", "", END, 2, H1_BROKEN, 0, NULL },
+	{ "garbage", "\x01\x02 what\r\n\r\n", STAY, 2, H1_GARBLED, 0, NULL },
 	{ "a second answer",
 	    HEAD "Content-Length: 1\r\n\r\na" HEAD "Content-Length: 1\r\n\r\nb",
-	    STAY, 1, 0, "a", 0 },
+	    STAY, 1, 0, 0, "a" },
 	{ "interim answer",
 	    "HTTP/1.1 100 Continue\r\n\r\n" HEAD "Content-Length: 1\r\n\r\na",
-	    STAY, 1, 0, "a", 1 },
+	    STAY, 1, 0, 1, "a" },
 	{ "another request's answer before ours",
 	    HEAD "Id: old\r\nContent-Length: 3\r\n\r\nold" HEAD
 		 "Id: new\r\nContent-Length: 3\r\n\r\nnew",
-	    STAY, 1, 0, "new", 1 },
+	    STAY, 1, 0, 1, "new" },
 	{ "both lengths",
 	    HEAD "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na",
-	    STAY, 2, H1_GARBLED, NULL, 0 },
+	    STAY, 2, H1_GARBLED, 0, NULL },
 };
 
 /*
@@ -501,11 +501,13 @@
 {
 	static struct caller c;
 	static char text[20000];
+	int n;
 
 	(void)state;
 	caller_init(&c);
 	memset(text, 'a', sizeof(text) - 1);
-	memcpy(text, "GET / HTTP/1.1\r\nX: ", 19);
+	n = snprintf(text, sizeof(text), "GET / HTTP/1.1\r\nX: ");
+	text[n] = 'a';
 	caller_write(&c, text);
 	while (strstr(c.got, " 431 ") == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -51,14 +51,14 @@
 
 /* What a node holds of a workspace's tokens. */
 struct quota_stock {
+	uint64_t expire_ms; /* of the tokens */
 	uint32_t tokens;
-	uint64_t expire_ms;
-	double per_s; /* decaying demand */
+	uint32_t asks; /* sent for the outstanding question */
+	double per_s;  /* decaying demand */
 	uint64_t seen_ms;
 	uint64_t refused_until_ms; /* the owner had none */
 	uint64_t ask_id;	   /* outstanding; 0: none */
 	uint64_t asked_ms;
-	uint32_t asks;		 /* sent for that id */
 	uint32_t reserve_used;	 /* in the window that began then */
 	uint32_t reserve_before; /* in the window before it */
 	uint64_t reserve_ms;
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -12,8 +12,7 @@
 #define HELD_SHARE 4	    /* of the memory, that bodies may take */
 #define TIMEOUT_GRACE_MS 30 /* for the server's own answer at its deadline */
 #define SPLIT_BITS 32
-#define RETRY_SHARE 0.6 /* of the repeats that are allowed: calls repeat, too \
-			 */
+#define RETRY_SHARE 0.6	       /* of the repeats allowed: calls repeat, too */
 #define THROTTLED_AFTER_MS 600 /* before a throttled caller should return */
 #define THROTTLED_SPREAD_MS 1000
 
--- a/src/relay/entry_limit.c
+++ b/src/relay/entry_limit.c
@@ -5,8 +5,7 @@
 
 #include "relay/relay_int.h"
 
-#define ASK_MS 60  /* for the owner's answer, before the question is repeated \
-		    */
+#define ASK_MS 60  /* for the owner's answer to a question */
 #define ASKS_MAX 2 /* after that the reserve is used */
 #define OVER_AFTER_MS 300
 #define OVER_SPREAD_MS 700
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -19,8 +19,7 @@
 #define RETRY_AFTER_SPREAD_MS 350
 #define SLACK_SHARE 0.7 /* of the slack in repeats, for all nodes together */
 #define IDLE_ANY UINT64_MAX
-#define IDLE_UNSAFE_MS 4000 /* an older connection may break under a request \
-			     */
+#define IDLE_UNSAFE_MS 4000 /* an older connection may break */
 
 static int on_head(void *, struct h1_xchg *);
 static void on_body(void *, struct h1_xchg *, const char *, size_t);
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -90,22 +90,24 @@
 read_hop(struct exit_req *e, const struct h1_head *h, char *service,
     struct admission_req *req)
 {
-	unsigned long long left;
-	unsigned int class, depth;
-	char text[320];
-	int idempotent;
+	uint64_t left, class, depth, idempotent;
+	char text[320], *at = text;
 
 	if (h1_head_copy(h, RELAY_HOP, text, sizeof(text)) < 0 ||
-	    sscanf(text, "%llu %u %u %d %63s %63s %63s", &left, &class, &depth,
-		&idempotent, service, e->caller, e->ws_name) != 7 ||
+	    relay_number(&at, &left) == -1 || relay_number(&at, &class) == -1 ||
+	    relay_number(&at, &depth) == -1 ||
+	    relay_number(&at, &idempotent) == -1 ||
+	    relay_word(&at, service, FLEET_NAME_BYTES) == -1 ||
+	    relay_word(&at, e->caller, sizeof(e->caller)) == -1 ||
+	    relay_word(&at, e->ws_name, sizeof(e->ws_name)) == -1 ||
 	    class >= ADMISSION_CLASS_MAX)
 		return -1;
 	if (strcmp(e->ws_name, "-") == 0)
 		e->ws_name[0] = '\0';
 	e->deadline_ms = relay_now(e->relay) + left;
-	e->idempotent = idempotent;
+	e->idempotent = idempotent != 0;
 	req->class = (enum admission_class) class;
-	req->depth = depth;
+	req->depth = (uint32_t)depth;
 	req->root_hash = relay_random(e->relay);
 	req->deadline_us = e->deadline_ms * MS_US;
 	return 0;
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -7,8 +7,7 @@
 
 #define ANSWER_KEPT 16384 /* bytes of an answer sent on in one piece */
 #define IDLE_ANY UINT64_MAX
-#define IDLE_UNSAFE_MS 3000 /* an older connection may break under a request \
-			     */
+#define IDLE_UNSAFE_MS 3000 /* an older connection may break */
 #define DOWN_MS 200	    /* a server that takes no connection */
 #define DOWN_DOUBLINGS 3
 #define MS_US 1000
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -12,8 +12,7 @@
 #define TICK_MS 10	    /* deadlines are met to this precision */
 #define LINK_IDLE_MS 20000  /* of connections to other nodes */
 #define CONNECT_MS 400	    /* to a node: a lost first packet shows by then */
-#define SERVER_IDLE_MS 9000 /* of connections to the server beside this node \
-			     */
+#define SERVER_IDLE_MS 9000 /* of connections to the server */
 #define SERVER_CONNECT_MS 300
 #define OWN_DESCRIPTORS 400 /* for other things than callers and nodes */
 #define SLOTS_USED 0.96	    /* of those that a server tells */
@@ -128,6 +127,39 @@
 	return uv_now(r->loop);
 }
 
+/*
+ * Takes the next word, up to a space, from text that it moves on.  Returns 0,
+ * or -1 if there is none that fits.
+ */
+int
+relay_word(char **at, char *word, size_t size)
+{
+	size_t n;
+
+	*at += strspn(*at, " ");
+	n = strcspn(*at, " ");
+	if (n == 0 || n >= size)
+		return -1;
+	memcpy(word, *at, n);
+	word[n] = '\0';
+	*at += n;
+	return 0;
+}
+
+/*
+ * Takes the next word as a whole number.  Returns 0, or -1 if it is none.
+ */
+int
+relay_number(char **at, uint64_t *number)
+{
+	char word[24], *end;
+
+	if (relay_word(at, word, sizeof(word)) == -1)
+		return -1;
+	*number = strtoull(word, &end, 10);
+	return *end == '\0' ? 0 : -1;
+}
+
 /*
  * Copies a request's id into RELAY_ID_BYTES for log lines; a longer one is
  * cut.  Without one it is empty.
@@ -197,7 +229,7 @@
 struct relay_link *
 relay_link(struct relay *r, int handle)
 {
-	size_t at = (size_t)(handle + 1), count;
+	size_t at = (size_t)handle + 1, count; /* FLEET_SELF is -1 */
 	struct relay_link *l;
 	struct fleet_peer *p;
 	struct sockaddr_in to;
@@ -490,16 +522,20 @@
  * Takes the exit's field in an answer: the load of its server.
  */
 void
-relay_told(struct relay *r, int handle, const char *text)
+relay_told(struct relay *r, int handle, char *text)
 {
 	struct relay_link *l = relay_link(r, handle);
-	unsigned int running, waiting, slots;
+	uint64_t running, waiting, slots;
+	char verdict[16];
 
-	if (sscanf(text, "%*s %u %u %u", &running, &waiting, &slots) != 3)
+	if (relay_word(&text, verdict, sizeof(verdict)) == -1 ||
+	    relay_number(&text, &running) == -1 ||
+	    relay_number(&text, &waiting) == -1 ||
+	    relay_number(&text, &slots) == -1)
 		return;
-	l->running = running;
-	l->waiting = waiting;
-	l->slots = slots;
+	l->running = (uint32_t)running;
+	l->waiting = (uint32_t)waiting;
+	l->slots = (uint32_t)slots;
 	l->sent_since = 0;
 	l->told_ms = relay_now(r);
 	l->avoid_run = 0;
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -122,9 +122,9 @@
 
 /* A server that a request could go to. */
 struct choice {
-	int handle;	/* of its node */
 	double load;	/* outstanding work to slots */
 	double failing; /* share of attempts */
+	int handle;	/* of its node */
 	int near;	/* same zone */
 	int cold;	/* slow since just started */
 	int avoid;	/* hasn't been reached lately */
@@ -136,10 +136,12 @@
 uint64_t relay_now(const struct relay *);
 void relay_id(const struct relay *, const struct h1_head *, char *);
 uint64_t relay_random(struct relay *);
+int relay_word(char **, char *, size_t);
+int relay_number(char **, uint64_t *);
 void relay_tick_start(struct relay *);
 struct relay_link *relay_link(struct relay *, int);
 struct relay_budget *relay_budget(struct relay *, const char *);
-void relay_told(struct relay *, int, const char *);
+void relay_told(struct relay *, int, char *);
 
 /* load.c */
 void load_init(struct relay *);
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -350,23 +350,23 @@
 struct answer_case {
 	const char *name;
 	enum deed deed;
-	const char *path;
 	unsigned int status;
+	const char *path;
 	const char *body;
 	int runs;
 };
 
 static const struct answer_case answers[] = {
-	{ "answer", ANSWER, "/o/1", 200, "mine", 1 },
-	{ "failure of the server", FAIL, "/o/1", 500, "bad", 1 },
-	{ "refusal, not run", TURN, "/o/1", 503, "", 0 },
-	{ "another request's answer first", OTHERS_FIRST, "/o/1", 200, "mine",
+	{ "answer", ANSWER, 200, "/o/1", "mine", 1 },
+	{ "failure of the server", FAIL, 500, "/o/1", "bad", 1 },
+	{ "refusal, not run", TURN, 503, "/o/1", "", 0 },
+	{ "another request's answer first", OTHERS_FIRST, 200, "/o/1", "mine",
 	    1 },
-	{ "success without a stamp", NO_STAMP, "/o/1", 502, "", 1 },
-	{ "broken exchange", BREAK, "/o/1", 502, "", 1 },
-	{ "broken, may be repeated, no other server", BREAK, "/s/1", 502, "",
+	{ "success without a stamp", NO_STAMP, 502, "/o/1", "", 1 },
+	{ "broken exchange", BREAK, 502, "/o/1", "", 1 },
+	{ "broken, may be repeated, no other server", BREAK, 502, "/s/1", "",
 	    1 },
-	{ "no answer in time", HOLD, "/o/1", 504, "", 1 },
+	{ "no answer in time", HOLD, 504, "/o/1", "", 1 },
 };
 
 /*
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -11,6 +11,7 @@
 #define DELAY_STEPS 6 /* until a cut at the roots shows three calls below */
 #define TELL_STEPS 3  /* between two beats of a node */
 #define KINDS 3
+#define STEPS 300
 
 /* A kind of root request: its class, and its work at the bottleneck. */
 struct kind {
@@ -59,9 +60,10 @@
 static void
 play(const struct load *l, struct seen *seen)
 {
-	double shares[1000][KINDS], offered, told = 0, surge, t;
+	double shares[STEPS][KINDS] = { { 0 } }, offered, told = 0, surge, t;
 	struct throttle th;
-	int n, step, steps = 300, at, root, mid, deep, counted = 0, surged = 0;
+	int n, step, steps = STEPS, at, root, mid, deep, counted = 0,
+		     surged = 0;
 	uint32_t k;
 
 	throttle_init(&th);
