Two nodes follow the store closely for all; hand a limit's bucket over

Now two nodes, chosen alike by all, ask each second; the others ask them how old the version is (an answer proves no more than the time of the question less the age told) and themselves only every 15 s, or when a proof is 2.2 s old or a peer knows a newer version. Tests for both in test_relay.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -63,6 +63,8 @@
 int fleet_alive(const struct fleet_table *, size_t, uint64_t);
 int fleet_quorum(const struct fleet_table *, uint64_t);
 int fleet_owner(const struct fleet_table *, uint64_t, uint64_t);
+int fleet_successor(const struct fleet_table *, uint64_t, uint64_t);
+size_t fleet_readers(const struct fleet_table *, uint64_t, int *, size_t);
 uint32_t fleet_size(const struct fleet_table *);
 void fleet_tick(struct fleet_table *, uint64_t);
 void fleet_paused(struct fleet_table *, uint64_t);
@@ -77,6 +79,10 @@
 	    void *, const struct fleet_ask *, const struct sockaddr_in *);
 	void (*give)(void *, const struct fleet_give *);
 	void (*strike)(void *, const struct fleet_strike *);
+	void (*bucket)(void *, const struct fleet_bucket *);
+	void (*doubt)(
+	    void *, const struct fleet_doubt *, const struct sockaddr_in *);
+	void (*proof)(void *, const struct fleet_proof *);
 };
 
 /* The socket over which nodes talk. */
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -54,6 +54,24 @@
 	unsigned int wait_ms;	 /* until there are tokens again */
 };
 
+/* A limit's bucket, from an owner that stops to the next one. */
+struct fleet_bucket {
+	unsigned hyper workspace;
+	unsigned int level;	 /* whole tokens */
+};
+
+/* Asks a node that reads the store how new its configuration is. */
+struct fleet_doubt {
+	unsigned hyper id;
+};
+
+/* This version was the newest so long before the answer. */
+struct fleet_proof {
+	unsigned hyper id;
+	unsigned hyper config_version;
+	unsigned int age_ms;
+};
+
 /* A request was at work on a server when that died. */
 struct fleet_strike {
 	unsigned hyper lo;
@@ -66,7 +84,10 @@
 	FLEET_BYE = 2,
 	FLEET_ASK = 3,
 	FLEET_GIVE = 4,
-	FLEET_STRIKE = 5
+	FLEET_STRIKE = 5,
+	FLEET_BUCKET = 6,
+	FLEET_DOUBT = 7,
+	FLEET_PROOF = 8
 };
 
 union fleet_msg switch (fleet_kind kind) {
@@ -80,4 +101,10 @@
 	fleet_give give;
 case FLEET_STRIKE:
 	fleet_strike strike;
+case FLEET_BUCKET:
+	fleet_bucket bucket;
+case FLEET_DOUBT:
+	fleet_doubt doubt;
+case FLEET_PROOF:
+	fleet_proof proof;
 };
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -160,6 +160,15 @@
 	case FLEET_STRIKE:
 		n->ops->strike(n->ctx, &m->fleet_msg_u.strike);
 		break;
+	case FLEET_BUCKET:
+		n->ops->bucket(n->ctx, &m->fleet_msg_u.bucket);
+		break;
+	case FLEET_DOUBT:
+		n->ops->doubt(n->ctx, &m->fleet_msg_u.doubt, from);
+		break;
+	case FLEET_PROOF:
+		n->ops->proof(n->ctx, &m->fleet_msg_u.proof);
+		break;
 	}
 }
 
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -10,10 +10,12 @@
 #define BEAT_PEER_MS 6	    /* more for each peer, to bound the traffic */
 #define MISSED_BEATS 4	    /* after which a node is taken to be dead */
 #define MISSED_SLACK_MS 200 /* for late timers and datagrams */
+#define READER_SLOT 1	    /* what the first reader of the store is owner of */
 #define FORGET_MS 20000	    /* a silent node no longer counts in the quorum */
 #define STALE_MS 1000 /* an old incarnation silent for that long is gone */
 
 static uint64_t owner_weight(uint64_t, uint64_t);
+static int heaviest(const struct fleet_table *, uint64_t, int, uint64_t);
 static void copy_name(char *, const char *);
 
 /*
@@ -223,18 +225,16 @@
 }
 
 /*
- * Returns which live node decides for a limit (rendezvous hashing): a
- * handle, FLEET_SELF, or FLEET_NONE without a quorum.
+ * Returns the live node with the greatest weight (rendezvous hashing), or
+ * FLEET_NONE; this node counts only if it may be chosen itself.
  */
-int
-fleet_owner(const struct fleet_table *t, uint64_t what, uint64_t now)
+static int
+heaviest(const struct fleet_table *t, uint64_t what, int self, uint64_t now)
 {
-	uint64_t w, best = owner_weight(t->hash, what);
-	int owner = FLEET_SELF;
+	uint64_t w, best = self ? owner_weight(t->hash, what) : 0;
+	int owner = self ? FLEET_SELF : FLEET_NONE;
 	size_t i;
 
-	if (!fleet_quorum(t, now))
-		return FLEET_NONE;
 	for (i = 0; i < t->count; i++) {
 		if (t->peers[i].stopping || !fleet_alive(t, i, now))
 			continue;
@@ -247,6 +247,48 @@
 	return owner;
 }
 
+/*
+ * Returns which live node decides for a limit: a handle, FLEET_SELF, or
+ * FLEET_NONE without a quorum.
+ */
+int
+fleet_owner(const struct fleet_table *t, uint64_t what, uint64_t now)
+{
+	if (!fleet_quorum(t, now))
+		return FLEET_NONE;
+	return heaviest(t, what, 1, now);
+}
+
+/*
+ * Returns which other node decides for a limit once this one has stopped, or
+ * FLEET_NONE.
+ */
+int
+fleet_successor(const struct fleet_table *t, uint64_t what, uint64_t now)
+{
+	return heaviest(t, what, 0, now);
+}
+
+/*
+ * Lists the nodes that follow the store closely for all others, the same ones
+ * wherever the same nodes are alive.  Returns their number.
+ */
+size_t
+fleet_readers(const struct fleet_table *t, uint64_t now, int *list, size_t most)
+{
+	size_t n, i;
+	int h;
+
+	for (n = 0; n < most; n++) {
+		h = heaviest(t, READER_SLOT + n, 1, now);
+		for (i = 0; i < n; i++)
+			if (list[i] == h)
+				return n;
+		list[n] = h;
+	}
+	return n;
+}
+
 /*
  * Forgets nodes that have been silent for long, and notes when the set of
  * live nodes changes.
--- a/src/fleet/fleet_xdr.c
+++ b/src/fleet/fleet_xdr.c
@@ -236,6 +236,42 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_bucket (XDR *xdrs, fleet_bucket *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->workspace))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->level))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_doubt (XDR *xdrs, fleet_doubt *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_proof (XDR *xdrs, fleet_proof *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_strike (XDR *xdrs, fleet_strike *objp)
 {
@@ -288,6 +324,18 @@
 		 if (!xdr_fleet_strike (xdrs, &objp->fleet_msg_u.strike))
 			 return FALSE;
 		break;
+	case FLEET_BUCKET:
+		 if (!xdr_fleet_bucket (xdrs, &objp->fleet_msg_u.bucket))
+			 return FALSE;
+		break;
+	case FLEET_DOUBT:
+		 if (!xdr_fleet_doubt (xdrs, &objp->fleet_msg_u.doubt))
+			 return FALSE;
+		break;
+	case FLEET_PROOF:
+		 if (!xdr_fleet_proof (xdrs, &objp->fleet_msg_u.proof))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/fleet/fleet_xdr.h
+++ b/src/fleet/fleet_xdr.h
@@ -70,6 +70,24 @@
 };
 typedef struct fleet_give fleet_give;
 
+struct fleet_bucket {
+	u_quad_t workspace;
+	u_int level;
+};
+typedef struct fleet_bucket fleet_bucket;
+
+struct fleet_doubt {
+	u_quad_t id;
+};
+typedef struct fleet_doubt fleet_doubt;
+
+struct fleet_proof {
+	u_quad_t id;
+	u_quad_t config_version;
+	u_int age_ms;
+};
+typedef struct fleet_proof fleet_proof;
+
 struct fleet_strike {
 	u_quad_t lo;
 	u_quad_t hi;
@@ -83,6 +101,9 @@
 	FLEET_ASK = 3,
 	FLEET_GIVE = 4,
 	FLEET_STRIKE = 5,
+	FLEET_BUCKET = 6,
+	FLEET_DOUBT = 7,
+	FLEET_PROOF = 8,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -94,6 +115,9 @@
 		fleet_ask ask;
 		fleet_give give;
 		fleet_strike strike;
+		fleet_bucket bucket;
+		fleet_doubt doubt;
+		fleet_proof proof;
 	} fleet_msg_u;
 };
 typedef struct fleet_msg fleet_msg;
@@ -106,6 +130,9 @@
 extern  bool_t xdr_fleet_beat (XDR *, fleet_beat*);
 extern  bool_t xdr_fleet_ask (XDR *, fleet_ask*);
 extern  bool_t xdr_fleet_give (XDR *, fleet_give*);
+extern  bool_t xdr_fleet_bucket (XDR *, fleet_bucket*);
+extern  bool_t xdr_fleet_doubt (XDR *, fleet_doubt*);
+extern  bool_t xdr_fleet_proof (XDR *, fleet_proof*);
 extern  bool_t xdr_fleet_strike (XDR *, fleet_strike*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_msg (XDR *, fleet_msg*);
@@ -116,6 +143,9 @@
 extern bool_t xdr_fleet_beat ();
 extern bool_t xdr_fleet_ask ();
 extern bool_t xdr_fleet_give ();
+extern bool_t xdr_fleet_bucket ();
+extern bool_t xdr_fleet_doubt ();
+extern bool_t xdr_fleet_proof ();
 extern bool_t xdr_fleet_strike ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_msg ();
--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -6,7 +6,9 @@
 #include "event/event.h"
 #include "follow/follow.h"
 
-#define WAIT_MS 1500   /* for a record: longer leaves keys in doubt */
+#define WAIT_MS 1000	   /* for a record: longer leaves keys in doubt */
+#define WAIT_LONG_MS 15000 /* where other nodes follow closely */
+#define DOUBT_MS 200   /* between two looks whether the store must be asked */
 #define LATE_MS 900    /* after which an answer is not awaited any more */
 #define NEWEST_MS 1200 /* for an answer */
 #define APPEND_MS 1500
@@ -20,6 +22,9 @@
 static void config_failed(struct follow *, const struct store_reply *);
 static void config_works(struct follow *);
 static void take(struct follow *, const struct store_record *);
+static void take_all(struct follow *, const struct store_reply *, uint64_t);
+static void on_doubt(uv_timer_t *);
+static void on_doubt_read(void *, const struct store_reply *);
 static void ask_nodes(uv_timer_t *);
 static void on_entered(void *, const struct store_reply *);
 static void on_listed(void *, const struct store_reply *);
@@ -52,6 +57,8 @@
 	f->node = node;
 	uv_timer_init(loop, &f->config_timer);
 	f->config_timer.data = f;
+	uv_timer_init(loop, &f->doubt_timer);
+	f->doubt_timer.data = f;
 	uv_timer_init(loop, &f->nodes_timer);
 	f->nodes_timer.data = f;
 }
@@ -68,6 +75,37 @@
 	inet_ntop(AF_INET, &a, f->address, sizeof(f->address));
 	uv_timer_start(&f->config_timer, ask_config, 0, 0);
 	uv_timer_start(&f->nodes_timer, ask_nodes, 0, 0);
+	uv_timer_start(&f->doubt_timer, on_doubt, DOUBT_MS, DOUBT_MS);
+}
+
+/*
+ * Asks the store beside the long question, if there is a reason to: that one
+ * may hang on a dead connection.
+ */
+static void
+on_doubt(uv_timer_t *timer)
+{
+	struct follow *f = timer->data;
+
+	if (f->doubting || f->phase != FOLLOW_READ || f->wait_ms == 0 ||
+	    !f->ops->doubt(f->ctx))
+		return;
+	f->doubting = 1;
+	f->store->read(
+	    f->store_ctx, STORE_CONFIG, f->next, 0, LATE_MS, on_doubt_read, f);
+}
+
+/*
+ * Takes the answer to a short question.
+ */
+static void
+on_doubt_read(void *ctx, const struct store_reply *rep)
+{
+	struct follow *f = ctx;
+
+	f->doubting = 0;
+	if (rep->status == STORE_OK)
+		take_all(f, rep, 0);
 }
 
 /*
@@ -104,7 +142,9 @@
 		return;
 	}
 	/* After a failure a short question shows sooner that all is well. */
-	f->wait_ms = f->config_fails > 0 ? 0 : WAIT_MS;
+	f->wait_ms = f->config_fails > 0     ? 0
+		     : f->ops->close(f->ctx) ? WAIT_MS
+					     : WAIT_LONG_MS;
 	f->store->read(f->store_ctx, STORE_CONFIG, f->next, f->wait_ms,
 	    f->wait_ms + LATE_MS, on_read, f);
 }
@@ -213,27 +253,40 @@
 }
 
 /*
- * Takes records that came after.
+ * Takes records from an answer to a question that waited for so long.
  */
 static void
-on_read(void *ctx, const struct store_reply *rep)
+take_all(struct follow *f, const struct store_reply *rep, uint64_t wait_ms)
 {
-	struct follow *f = ctx;
+	uint64_t next = f->next;
 	size_t i;
 
-	if (rep->status != STORE_OK) {
-		config_failed(f, rep);
-		return;
-	}
 	for (i = 0; i < rep->count; i++) {
 		take(f, &rep->records[i]);
-		f->next = rep->records[i].offset + 1;
+		next = rep->records[i].offset + 1;
 	}
+	if (next > f->next)
+		f->next = next;
 	if (f->version > 0 && f->next >= rep->end)
 		f->ops->proved(f->ctx, rep->count > 0
 					   ? rep->asked_ms
 					   : follow_proof(rep->asked_ms,
-						 f->wait_ms, uv_now(f->loop)));
+						 wait_ms, uv_now(f->loop)));
+}
+
+/*
+ * Takes records that came after.
+ */
+static void
+on_read(void *ctx, const struct store_reply *rep)
+{
+	struct follow *f = ctx;
+
+	if (rep->status != STORE_OK) {
+		config_failed(f, rep);
+		return;
+	}
+	take_all(f, rep, f->wait_ms);
 	config_works(f);
 }
 
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -15,6 +15,10 @@
 	void (*take)(void *, struct config *);
 	/* The configuration in force was the newest at this time (ms). */
 	void (*proved)(void *, uint64_t);
+	/* Whether this node follows the store closely, for others, too. */
+	int (*close)(void *);
+	/* Whether there is a reason to ask the store now. */
+	int (*doubt)(void *);
 	/* A node is said to be at an address (IPv4, host order). */
 	void (*node)(void *, const char *, uint32_t);
 };
@@ -37,9 +41,11 @@
 	const char *config_key;
 	uv_timer_t config_timer;
 	uv_timer_t nodes_timer;
+	uv_timer_t doubt_timer;
 	enum follow_phase phase;
 	uint64_t next;	       /* offset to read from */
 	uint64_t wait_ms;      /* of the question under way */
+	int doubting;	       /* a short question is under way, too */
 	uint64_t version;      /* in force; 0: none */
 	uint32_t config_fails; /* in a row */
 	uint32_t nodes_fails;
--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -204,7 +204,22 @@
 	w->listed += 100;
 }
 
-static const struct follow_ops follow_ops = { decode, take, proved, node };
+static int
+reads_closely(void *ctx)
+{
+	(void)ctx;
+	return 1;
+}
+
+static int
+doubt(void *ctx)
+{
+	(void)ctx;
+	return 0;
+}
+
+static const struct follow_ops follow_ops = { decode, take, proved,
+	reads_closely, doubt, node };
 
 static void
 close_all(uv_handle_t *h, void *arg)
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -45,6 +45,8 @@
 void quota_owner_init(struct quota_owner *);
 void quota_owner_finish(struct quota_owner *);
 void quota_owner_drop(struct quota_owner *, uint64_t);
+void quota_owner_inherit(struct quota_owner *, uint64_t,
+    const struct quota_limit *, uint32_t, uint64_t);
 struct quota_grant quota_owner_lend(struct quota_owner *, uint64_t,
     const struct quota_limit *, uint64_t, uint32_t, uint32_t, uint64_t,
     uint64_t);
--- a/src/quota/quota_owner.c
+++ b/src/quota/quota_owner.c
@@ -9,10 +9,22 @@
 #define FORGET_MS 10000 /* of a bucket that nobody asks for */
 #define MS_US 1000
 #define MILLI 1000.0
+#define TOKEN_NT INT64_C(1000000000) /* the unit of a bucket's level */
 
+static void share_of(const struct quota_limit *, struct limits_share *);
 static struct quota_bucket *bucket_of(struct quota_owner *, uint64_t,
     const struct limits_share *, uint64_t, uint64_t);
 
+/*
+ * Puts a limit into the units of buckets; a burst of none would admit nothing.
+ */
+static void
+share_of(const struct quota_limit *limit, struct limits_share *share)
+{
+	share->rate_mt = (uint64_t)(limit->rate * MILLI);
+	share->burst = limit->burst > 0 ? limit->burst : 1;
+}
+
 /*
  * Prepares an owner of nothing.
  */
@@ -91,6 +103,27 @@
 	return room;
 }
 
+/*
+ * Takes over the bucket of an owner that has stopped, with the tokens that
+ * it had left.
+ */
+void
+quota_owner_inherit(struct quota_owner *o, uint64_t ws,
+    const struct quota_limit *limit, uint32_t level, uint64_t now)
+{
+	struct quota_bucket *b;
+	struct limits_share share;
+
+	share_of(limit, &share);
+	quota_owner_drop(o, ws);
+	b = bucket_of(o, ws, &share, now, now);
+	b->since_ms = now > HOLD_MS ? now - HOLD_MS : 0;
+	b->used_ms = now;
+	if (level > share.burst)
+		level = share.burst;
+	b->bucket.level_nt = (int64_t)level * TOKEN_NT;
+}
+
 /*
  * Lends tokens: need at least, up to want if there are plenty.  A repeated
  * id gets what it got before.  The set of live nodes, and with it who owns
@@ -105,8 +138,7 @@
 	struct limits_share share;
 	struct quota_bucket *b;
 
-	share.rate_mt = (uint64_t)(limit->rate * MILLI);
-	share.burst = limit->burst > 0 ? limit->burst : 1;
+	share_of(limit, &share);
 	b = bucket_of(o, ws, &share, turned, now);
 	b->used_ms = now;
 	if (now - b->since_ms < HOLD_MS)
--- a/src/relay/entry_limit.c
+++ b/src/relay/entry_limit.c
@@ -10,6 +10,7 @@
 #define OVER_AFTER_MS 300
 #define OVER_SPREAD_MS 700
 #define OWNER_AFTER_MS 300
+#define US_PER_MS 1000
 
 static struct relay_limit *limit_of(struct relay *, uint64_t);
 static void ask(struct relay *, struct relay_limit *);
@@ -149,7 +150,8 @@
 	int i;
 
 	i = r->config == NULL ? -1 : config_ws_find(r->config, ws);
-	if (i < 0 || fleet_owner(&r->fleet, ws, relay_now(r)) != FLEET_SELF) {
+	if (i < 0 || r->stopping ||
+	    fleet_owner(&r->fleet, ws, relay_now(r)) != FLEET_SELF) {
 		quota_owner_drop(&r->owner, ws);
 		return none;
 	}
@@ -172,6 +174,8 @@
 
 	quota_want(&l->stock, l->waiting_count, &need, &want);
 	owner = fleet_owner(&r->fleet, l->ws, relay_now(r));
+	if (owner == FLEET_SELF && r->stopping)
+		owner = fleet_successor(&r->fleet, l->ws, relay_now(r));
 	if (owner == FLEET_NONE) {
 		without_owner(r, l);
 		return;
@@ -273,6 +277,54 @@
 	}
 }
 
+/*
+ * Hands the buckets that this node owns to their next owners, which then need
+ * not hold back.  This node lends no more.
+ */
+void
+relay_hand_over(struct relay *r)
+{
+	struct quota_bucket *b;
+	struct fleet_msg m;
+	uint64_t now = relay_now(r);
+	size_t i;
+	int next;
+
+	for (i = 0; i < r->owner.count; i++) {
+		b = &r->owner.list[i];
+		if (b->ws == 0)
+			continue;
+		next = fleet_successor(&r->fleet, b->ws, now);
+		bucket_refill(&b->bucket, now * US_PER_MS);
+		memset(&m, 0, sizeof(m));
+		m.kind = FLEET_BUCKET;
+		m.fleet_msg_u.bucket.workspace = b->ws;
+		m.fleet_msg_u.bucket.level = bucket_level(&b->bucket);
+		if (next >= 0)
+			fleet_send(&r->net, &m, r->fleet.peers[next].address);
+		quota_owner_drop(&r->owner, b->ws);
+	}
+}
+
+/*
+ * Takes over a bucket of a node that stops.
+ */
+void
+relay_on_bucket(void *ctx, const struct fleet_bucket *m)
+{
+	struct relay *r = ctx;
+	struct quota_limit limit;
+	int i;
+
+	i = r->config == NULL ? -1 : config_ws_find(r->config, m->workspace);
+	if (i < 0 || r->stopping)
+		return;
+	limit.rate = r->config->workspaces[i].rate;
+	limit.burst = r->config->workspaces[i].burst;
+	quota_owner_inherit(
+	    &r->owner, m->workspace, &limit, m->level, relay_now(r));
+}
+
 /*
  * Answers another node's question.
  */
--- /dev/null
+++ b/src/relay/proof.c
@@ -0,0 +1,103 @@
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "relay/relay_int.h"
+
+/*
+ * How old the configuration in force may be.  A few nodes follow the store
+ * closely; the others ask one of them, which costs no call to the store.  An
+ * answer proves that the version was the newest at the time of the question
+ * less the age told, whatever time the messages took.
+ */
+
+#define READERS 2
+#define AGE_OK_MS 1100	 /* younger proofs need no question */
+#define AGE_READ_MS 2200 /* older ones: this node asks the store itself */
+#define AGAIN_MS 300	 /* between two questions */
+
+/*
+ * Tells whether this node is one of those that follow the store closely.
+ */
+int
+relay_reads_store(struct relay *r)
+{
+	int list[READERS];
+	size_t i, n;
+
+	n = fleet_readers(&r->fleet, relay_now(r), list, READERS);
+	for (i = 0; i < n; i++)
+		if (list[i] == FLEET_SELF)
+			return 1;
+	return 0;
+}
+
+/*
+ * Looks how old the last proof is, and asks a reader if it gets old.
+ * Returns 1 if this node should ask the store itself: the readers didn't
+ * help, or another node knows a newer version.
+ */
+int
+relay_must_read(struct relay *r)
+{
+	uint64_t now = relay_now(r), age = now - r->proved_ms;
+	struct fleet_msg m;
+	int list[READERS];
+	size_t i, n;
+
+	if (r->config == NULL)
+		return 0;
+	for (i = 0; i < r->fleet.count; i++)
+		if (r->fleet.peers[i].config_version > r->config->version &&
+		    fleet_alive(&r->fleet, i, now))
+			return 1;
+	if (age < AGE_OK_MS)
+		return 0;
+	if (now - r->doubt_ms >= AGAIN_MS) {
+		n = fleet_readers(&r->fleet, now, list, READERS);
+		r->doubt_id = relay_random(r);
+		r->doubt_ms = now;
+		memset(&m, 0, sizeof(m));
+		m.kind = FLEET_DOUBT;
+		m.fleet_msg_u.doubt.id = r->doubt_id;
+		i = n > 0 ? relay_random(r) % n : 0;
+		if (i < n && list[i] >= 0)
+			fleet_send(
+			    &r->net, &m, r->fleet.peers[list[i]].address);
+	}
+	return age >= AGE_READ_MS;
+}
+
+/*
+ * Answers a question.
+ */
+void
+relay_on_doubt(
+    void *ctx, const struct fleet_doubt *d, const struct sockaddr_in *from)
+{
+	struct relay *r = ctx;
+	struct fleet_msg m;
+
+	if (r->config == NULL || r->proved_ms == 0)
+		return;
+	memset(&m, 0, sizeof(m));
+	m.kind = FLEET_PROOF;
+	m.fleet_msg_u.proof.id = d->id;
+	m.fleet_msg_u.proof.config_version = r->config->version;
+	m.fleet_msg_u.proof.age_ms =
+	    (unsigned int)(relay_now(r) - r->proved_ms);
+	fleet_send(&r->net, &m, ntohl(from->sin_addr.s_addr));
+}
+
+/*
+ * Takes an answer to the last question, if it is about the version in force.
+ */
+void
+relay_on_proof(void *ctx, const struct fleet_proof *p)
+{
+	struct relay *r = ctx;
+
+	if (p->id != r->doubt_id || r->config == NULL ||
+	    p->config_version != r->config->version || p->age_ms > r->doubt_ms)
+		return;
+	relay_proved(r, r->doubt_ms - p->age_ms);
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -32,6 +32,9 @@
 	.ask = relay_on_ask,
 	.give = relay_on_give,
 	.strike = relay_on_strike,
+	.bucket = relay_on_bucket,
+	.doubt = relay_on_doubt,
+	.proof = relay_on_proof,
 };
 
 static const char *const counter_names[RELAY_COUNTER_MAX] = {
@@ -504,6 +507,7 @@
 	h1_server_closing(&r->entry);
 	h1_server_closing(&r->exit);
 	fleet_beat_all(&r->net, 0);
+	relay_hand_over(r);
 	event_log(EVENT_STOPPING, relay_now(r), "entries=%u exits=%u",
 	    h1_server_busy(&r->entry), h1_server_busy(&r->exit));
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -154,6 +154,8 @@
 	struct relay_settings set;
 	struct config *config; /* NULL until one is known */
 	uint64_t proved_ms; /* the configuration was the newest at this time */
+	uint64_t doubt_id;  /* of the question to a reader of the store */
+	uint64_t doubt_ms;  /* when it was sent */
 	struct fleet_table fleet;
 	struct fleet_net net;
 	uint64_t incarnation;
@@ -197,6 +199,8 @@
 int relay_init(struct relay *, uv_loop_t *, const struct relay_settings *);
 void relay_take_config(struct relay *, struct config *);
 void relay_proved(struct relay *, uint64_t);
+int relay_reads_store(struct relay *);
+int relay_must_read(struct relay *);
 int relay_announced(struct relay *, const struct relay_announce *);
 void relay_left(struct relay *, const char *, uint64_t);
 void relay_stop(struct relay *);
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -174,6 +174,13 @@
 void entry_token_back(struct entry_req *);
 void relay_on_ask(void *, const struct fleet_ask *, const struct sockaddr_in *);
 void relay_on_give(void *, const struct fleet_give *);
+void relay_on_bucket(void *, const struct fleet_bucket *);
+void relay_hand_over(struct relay *);
+
+/* proof.c */
+void relay_on_doubt(
+    void *, const struct fleet_doubt *, const struct sockaddr_in *);
+void relay_on_proof(void *, const struct fleet_proof *);
 
 /* exit.c */
 extern const struct h1_server_ops exit_ops;
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -562,6 +562,86 @@
 	assert_int_equal(servers[1].runs, ok);
 }
 
+/*
+ * The owner of a limit stops: the next one has its tokens and lends at once,
+ * no more than were left.
+ */
+static void
+test_hand_over(void **state)
+{
+	uint64_t ws = config_ws_hash("w");
+	struct quota_bucket *b = NULL;
+	struct caller c;
+	int i, owner, ok = 0;
+
+	(void)state;
+	for (i = 0; i < 2; i++)
+		relay_take_config(&nodes[i], make_config(2, 10, KEY));
+	nodes[0].fleet.turned_ms = nodes[1].fleet.turned_ms = 0;
+	owner = fleet_owner(&nodes[0].fleet, ws, uv_now(&loop)) == FLEET_SELF
+		    ? 0
+		    : 1;
+	for (i = 0; i < 6; i++) {
+		send_to(&c, 1 - owner, "/o/1", KEY, "");
+		while (!c.done)
+			uv_run(&loop, UV_RUN_ONCE);
+		h1_pool_finish(&c.pool);
+		assert_int_equal(c.status, 200);
+	}
+	relay_stop(&nodes[owner]);
+	while (b == NULL) {
+		uv_run(&loop, UV_RUN_ONCE);
+		if (nodes[1 - owner].owner.count > 0)
+			b = &nodes[1 - owner].owner.list[0];
+	}
+	assert_int_equal(b->ws, ws);
+	for (i = 0; i < 8; i++) {
+		send_to(&c, 1 - owner, "/o/1", KEY, "");
+		while (!c.done)
+			uv_run(&loop, UV_RUN_ONCE);
+		h1_pool_finish(&c.pool);
+		ok += c.status == 200;
+	}
+	print_message("%d of 8 after the owner stopped\n", ok);
+	assert_true(ok >= 4);
+	assert_true(ok <= 6);
+}
+
+/*
+ * A node that hears nothing from the store goes on with keys as long as one
+ * that follows it closely says that their version is the newest.
+ */
+static void
+test_proof(void **state)
+{
+	uint64_t before;
+	int i, reader;
+
+	(void)state;
+	reader = 0;
+	for (i = 0; i < 2; i++)
+		if (relay_reads_store(&nodes[i]))
+			reader = i;
+	nodes[1 - reader].proved_ms = 0;
+	before = uv_now(&loop);
+	relay_proved(&nodes[reader], before);
+	while (nodes[1 - reader].proved_ms == 0) {
+		assert_true(relay_must_read(&nodes[1 - reader]));
+		uv_run(&loop, UV_RUN_ONCE);
+	}
+	assert_true(nodes[1 - reader].proved_ms <= uv_now(&loop));
+	assert_true(nodes[1 - reader].proved_ms + 50 >= before);
+	/* Not so where the other one has an older version. */
+	relay_take_config(&nodes[1 - reader], make_config(3, 0, KEY));
+	nodes[1 - reader].proved_ms = 0;
+	before = uv_now(&loop);
+	while (uv_now(&loop) < before + 700) {
+		relay_must_read(&nodes[1 - reader]);
+		uv_run(&loop, UV_RUN_ONCE);
+	}
+	assert_int_equal(nodes[1 - reader].proved_ms, 0);
+}
+
 /*
  * A request at work on two servers when they died is refused everywhere.
  */
@@ -632,6 +712,9 @@
 		cmocka_unit_test_setup_teardown(
 		    test_two_servers, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_rate, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_hand_over, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_proof, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_crash, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_stop, setup, teardown),
 	};
