Use a free slot whatever the mean of service times says

The mean over kinds that take 15 and 210 ms, inflated by a slow server, said that they could not end in time. Where slots are known the check holds for waiting requests only, and the log line says deadline where it is that.

--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -121,7 +121,8 @@
 	uint64_t seq;
 	int draining;
 	int stopping;
-	int unordered; /* the policy is off: first come, first served */
+	int unordered;	 /* the policy is off: first come, first served */
+	int slots_known; /* the server tells them: a free one is used */
 };
 
 void limiter_init(struct limiter *, uint32_t, uint64_t);
--- a/src/admission/core.c
+++ b/src/admission/core.c
@@ -286,6 +286,8 @@
 /*
  * Tells whether a request can't end in time with this many to run before
  * it.  One is always let through to an idle server, to measure it anew.
+ * Where the slots are known, all are used: the mean over kinds of requests
+ * that differ much says little of one of them.
  */
 static int
 doomed(const struct admission_core *c, const struct admission_waiter *w,
@@ -298,5 +300,7 @@
 		return 1;
 	if (c->inflight == 0 || c->unordered || limit == 0)
 		return 0;
+	if (c->slots_known && c->inflight < limit)
+		return 0;
 	return now_us + need + need * ahead / limit > w->deadline_us;
 }
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -484,6 +484,45 @@
 	    core_offer(&c, &r, &w[1], &out, SECOND), ADMISSION_DEADLINE);
 }
 
+/*
+ * Mixed kinds on one server: the mean of the slow ones refuses no quick one
+ * for its deadline while there is a free slot, if the slots are known.
+ */
+static void
+test_known_slots(void **state)
+{
+	static struct admission_core c;
+	struct admission_waiter w[3], *out;
+	struct admission_req quick = { ADMISSION_HIGH, 0, 0, 0 };
+	int i, known;
+
+	(void)state;
+	for (known = 0; known < 2; known++) {
+		core_init(&c, 0);
+		c.limiter.fixed = 1;
+		c.slots_known = known;
+		core_reset(&c, 2, 0);
+		quick.deadline_us = 10 * SECOND;
+		for (i = 0; i < 50; i++) {
+			assert_int_equal(
+			    core_offer(&c, &quick, &w[0], &out, SECOND),
+			    ADMISSION_RUN);
+			core_done(
+			    &c, &w[0], ADMISSION_SERVED, 2 * SECOND, SECOND);
+		}
+		assert_int_equal(
+		    core_offer(&c, &quick, &w[0], &out, SECOND), ADMISSION_RUN);
+		quick.deadline_us = SECOND + SECOND / 5;
+		assert_int_equal(core_offer(&c, &quick, &w[1], &out, SECOND),
+		    known ? ADMISSION_RUN : ADMISSION_DEADLINE);
+		/* No slot is free: it would wait in vain. */
+		if (known)
+			assert_int_equal(
+			    core_offer(&c, &quick, &w[2], &out, SECOND),
+			    ADMISSION_DEADLINE);
+	}
+}
+
 int
 main(void)
 {
@@ -499,6 +538,7 @@
 		cmocka_unit_test(test_cost),
 		cmocka_unit_test(test_echo),
 		cmocka_unit_test(test_estimate),
+		cmocka_unit_test(test_known_slots),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -126,6 +126,7 @@
 	struct admission_waiter *out;
 	struct admission_req req;
 	char service[FLEET_NAME_BYTES];
+	enum admission_verdict verdict;
 	enum quarantine_state state;
 
 	r->counters[RELAY_EXIT_REQUESTS]++;
@@ -156,18 +157,16 @@
 		e->single = 1;
 		r->singles++;
 	}
-	switch (core_offer(
-	    &r->core, &req, &e->waiter, &out, relay_now(r) * MS_US)) {
-	case ADMISSION_RUN:
+	verdict =
+	    core_offer(&r->core, &req, &e->waiter, &out, relay_now(r) * MS_US);
+	if (verdict == ADMISSION_RUN) {
 		exit_send(e);
-		break;
-	case ADMISSION_WAIT:
+	} else if (verdict == ADMISSION_WAIT) {
 		e->waiting = 1;
-		break;
-	default:
+	} else {
 		load_shed(r);
-		exit_refuse(e, VERDICT_BUSY, "overload");
-		break;
+		exit_refuse(e, VERDICT_BUSY,
+		    verdict == ADMISSION_DEADLINE ? "deadline" : "overload");
 	}
 	if (out != NULL) {
 		load_shed(r);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -101,6 +101,7 @@
 	core_init(&r->core, uv_now(loop) * MS_PER_S);
 	/* Servers tell their slots, and queue by themselves what is more. */
 	r->core.limiter.fixed = 1;
+	r->core.slots_known = 1;
 	quota_owner_init(&r->owner);
 	h1_pool_init(&r->server_pool, loop, &settings->server, SERVER_IDLE_MS,
 	    SERVER_CONNECT_MS);
