--- a/src/relay/choice.c
+++ b/src/relay/choice.c
@@ -2,7 +2,7 @@
 
 #include "relay/relay_int.h"
 
-#define FAR_COST 0.12	 /* another zone: worth that much of the slots */
+#define FAR_COST 0.3	 /* another zone: worth that much of the slots */
 #define COLD_COST 0.6	 /* a server that started just now */
 #define AVOID_COST 100.0 /* only where nothing else takes requests */
 #define FAIL_COST 3.0	 /* of a server that fails every attempt */
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -385,6 +385,7 @@
 			    (e->verdict == VERDICT_RAN && e->status >= 500));
 	switch (e->verdict) {
 	case VERDICT_RAN:
+		latency_add(&r->answered, now - e->began_ms);
 		r->counters[e->status < 500 ? RELAY_SERVED : RELAY_FAILED]++;
 		if (e->status >= 500)
 			event_log(EVENT_FAILED, now,
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -278,6 +278,7 @@
 	}
 	suspect_served(e);
 	r->counters[RELAY_EXIT_SERVED]++;
+	latency_add(&r->ran, relay_now(r) - e->sent_ms);
 	exit_done(e, e->status < 500	? ADMISSION_SERVED
 		     : e->status == 504 ? ADMISSION_TIMEOUT
 					: ADMISSION_FAILED);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -8,6 +8,7 @@
 #include <uv.h>
 
 #include "admission/admission_core.h"
+#include "base/latency.h"
 #include "config/config.h"
 #include "fleet/fleet.h"
 #include "http1/http1.h"
@@ -194,6 +195,8 @@
 	uint32_t ranks[RELAY_RANKS]; /* of importance, as configured */
 	uint32_t rank_count;
 	uint64_t counters[RELAY_COUNTER_MAX];
+	struct latency answered; /* by the entry, of the server's answers */
+	struct latency ran;	 /* at the server beside this node */
 };
 
 int relay_init(struct relay *, uv_loop_t *, const struct relay_settings *);
