--- a/platform/settings.c
+++ b/src/options/options.c
@@ -5,7 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/platform.h"
+#include "base/duration.h"
+#include "options/options.h"
 
 #define FRESH_SHARE 0.85 /* of the time after which a withdrawn key is dead */
 #define LEAVE_MS 2600	 /* two questions for readiness, and some slack */
@@ -25,7 +26,7 @@
 	const char *name;
 	enum setting_kind kind;
 	int required;
-	size_t at; /* in struct platform_settings */
+	size_t at; /* in struct node_options */
 	const char *help;
 };
 
@@ -39,10 +40,10 @@
 	SETTINGS_FIND_MAX
 };
 
-#define AT(field) offsetof(struct platform_settings, field)
+#define AT(field) offsetof(struct node_options, field)
 
 static int read_address(const char *, struct sockaddr_in *);
-static void read_value(struct platform_settings *, const struct setting *,
+static void read_value(struct node_options *, const struct setting *,
     const char *, struct finds *);
 
 static const struct find_msg msgs[SETTINGS_FIND_MAX] = {
@@ -121,8 +122,8 @@
  * Reads one setting; what is wrong with it becomes a finding.
  */
 static void
-read_value(struct platform_settings *set, const struct setting *s,
-    const char *text, struct finds *finds)
+read_value(struct node_options *set, const struct setting *s, const char *text,
+    struct finds *finds)
 {
 	char *dst = (char *)set + s->at, *end;
 	enum settings_find bad = SETTINGS_FIND_MAX;
@@ -153,7 +154,7 @@
 		sa->sin_port = htons((uint16_t)v);
 		break;
 	case KIND_TIME:
-		if (platform_duration(text, (uint64_t *)dst) == -1)
+		if (duration_read(text, (uint64_t *)dst) == -1)
 			bad = FIND_TIME;
 		break;
 	case KIND_NUMBER:
@@ -175,8 +176,8 @@
  * only help is asked for.
  */
 int
-platform_settings_read(
-    struct platform_settings *set, int argc, char **argv, struct finds *finds)
+options_read(
+    struct node_options *set, int argc, char **argv, struct finds *finds)
 {
 	struct option options[SETTINGS + 4];
 	int seen[SETTINGS] = { 0 }, i;
@@ -211,7 +212,6 @@
 		if (settings[n].required && !seen[n])
 			finds_add(finds, &msgs[FIND_REQUIRED], settings[n].name,
 			    "%s", settings[n].help);
-	set->relay.names = platform_names;
 	set->relay.fleet.sin_addr = set->relay.exit.sin_addr;
 	set->metrics.sin_addr = set->relay.exit.sin_addr;
 	set->relay.fresh_ms =
@@ -224,7 +224,7 @@
  * Prints the options.
  */
 void
-platform_usage(void)
+options_usage(void)
 {
 	size_t n;
 
--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -15,6 +15,15 @@
 #define AGE_READ_MS 2200 /* older ones: this node asks the store itself */
 #define AGAIN_MS 300	 /* between two questions */
 
+/*
+ * Returns how long ago the configuration in force was surely the newest.
+ */
+uint64_t
+relay_proof_age_ms(const struct relay *r)
+{
+	return relay_now(r) - r->proved_ms;
+}
+
 /*
  * Tells whether this node is one of those that follow the store closely.
  */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -203,6 +203,7 @@
 void relay_take_config(struct relay *, struct config *);
 void relay_proved(struct relay *, uint64_t);
 int relay_reads_store(struct relay *);
+uint64_t relay_proof_age_ms(const struct relay *);
 int relay_must_read(struct relay *);
 int relay_announced(struct relay *, const struct relay_announce *);
 void relay_left(struct relay *, const char *, uint64_t);
