--- a/src/event/event.c
+++ b/src/event/event.c
@@ -32,7 +32,6 @@
 	[EVENT_STOPPING] = { "info", "stopping" },
 	[EVENT_STOPPED] = { "info", "stopped" },
 	[EVENT_SETTINGS_READ] = { "info", "settings-read" },
-	[EVENT_SETTINGS_BAD] = { "error", "settings-invalid" },
 	[EVENT_CONFIG_TAKEN] = { "info", "config-in-force" },
 	[EVENT_CONFIG_BAD] = { "warning", "config-invalid" },
 	[EVENT_CONFIG_OLD] = { "notice", "config-outdated" },
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -264,6 +264,9 @@
 
 	(void)x;
 	e->xchg = NULL;
+	if (r->server.down_count > 0)
+		event_log(
+		    EVENT_SERVER_UP, relay_now(r), "server=%s", r->server.id);
 	r->server.down_count = 0;
 	if (e->verdict == VERDICT_TURNED) {
 		r->counters[RELAY_EXIT_SHED]++;
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "event/event.h"
 #include "relay/relay_int.h"
 
 #define STEP_MS 100	 /* between two steps of the throttle */
@@ -11,9 +12,12 @@
 #define MS_PER_S 1000.0
 #define RATIO 1000.0 /* loads and calls are told in thousandths */
 #define RANK_SHIFT 16
+#define STEPS_PER_SUM 10 /* steps between two lines about successes */
+#define SUMS RELAY_SUMS
 
 static void on_step(uv_timer_t *);
 static void decay(struct relay *);
+static void log_sums(struct relay *);
 static void sum_loads(struct relay *);
 static int rank_cmp(const void *, const void *);
 static void rank_add(struct relay *, uint32_t);
@@ -189,6 +193,36 @@
 			    &r->throttle, (int)s, work[s] / slots[s]);
 }
 
+/*
+ * Logs what was answered since the last such line, in place of a line for
+ * each success.
+ */
+static void
+log_sums(struct relay *r)
+{
+	static const enum relay_counter summed[SUMS] = { RELAY_SERVED,
+		RELAY_FAILED, RELAY_REFUSED, RELAY_THROTTLED, RELAY_OVER_RATE,
+		RELAY_EXIT_SERVED, RELAY_EXIT_REFUSED };
+	uint64_t n[SUMS], all = 0;
+	int i;
+
+	for (i = 0; i < SUMS; i++) {
+		n[i] = r->counters[summed[i]] - r->summed[i];
+		r->summed[i] = r->counters[summed[i]];
+		all += n[i];
+	}
+	if (all == 0)
+		return;
+	event_log(EVENT_SERVED, relay_now(r),
+	    "answers=%llu failed=%llu refused=%llu throttled=%llu "
+	    "over_rate=%llu server_answers=%llu server_refusals=%llu "
+	    "offered=%.2f",
+	    (unsigned long long)n[0], (unsigned long long)n[1],
+	    (unsigned long long)n[2], (unsigned long long)n[3],
+	    (unsigned long long)n[4], (unsigned long long)n[5],
+	    (unsigned long long)n[6], r->busy);
+}
+
 /*
  * Adapts the throttle.
  */
@@ -200,6 +234,8 @@
 	decay(r);
 	sum_loads(r);
 	throttle_step(&r->throttle, STEP_MS / MS_PER_S);
+	if (++r->steps % STEPS_PER_SUM == 0)
+		log_sums(r);
 }
 
 /*
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -123,6 +123,7 @@
 	double count; /* decaying */
 };
 
+#define RELAY_SUMS 7
 #define RELAY_RANKS 64 /* different pairs of priorities */
 
 struct entry_req;
@@ -195,8 +196,10 @@
 	uint32_t ranks[RELAY_RANKS]; /* of importance, as configured */
 	uint32_t rank_count;
 	uint64_t counters[RELAY_COUNTER_MAX];
-	struct latency answered; /* by the entry, of the server's answers */
-	struct latency ran;	 /* at the server beside this node */
+	uint64_t summed[RELAY_SUMS]; /* counters at the last line of sums */
+	uint64_t steps;		     /* of the throttle */
+	struct latency answered;     /* by the entry, of the server's answers */
+	struct latency ran;	     /* at the server beside this node */
 };
 
 int relay_init(struct relay *, uv_loop_t *, const struct relay_settings *);
