A randomized soak; a restarted node finds its server; silence is bounded

A node that starts again asks its server's health and so knows it 1.5 s before the next announcement (test_probe). Unused constants and fields are gone.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 CORE_SRC = $(filter-out $(TEST_SRC) $(PROG_SRC),$(wildcard src/*/*.c))
 ALL_SRC = $(filter-out $(GEN_SRC),$(CORE_SRC) $(PROG_SRC) $(TEST_SRC) \
 	$(PATH_SRC) $(HARN_SRC) $(STANDIN_SRC) $(STANDIN_PART_SRC) \
-	$(MEASURE_SRC) $(wildcard examples/*.c platform/*.c))
+	$(MEASURE_SRC) $(SOAK_SRC) $(wildcard examples/*.c platform/*.c))
 HDRS = $(filter-out %_xdr.h,$(wildcard src/*/*.h include/*.h tests/*/*.h \
 	tests/standin/*/*.h platform/*.h))
 
@@ -58,6 +58,8 @@
 NODE_OBJ = $(NODE_SRC:%.c=$(BUILD)/obj/%.o)
 NODE_PKGS = libuv jansson libsodium libxxhash libtirpc
 
+SOAK_SRC = $(wildcard tests/soak/*.c)
+
 CORE_OBJ = $(CORE_SRC:%.c=$(BUILD)/obj/%.o)
 HARN_OBJ = $(HARN_SRC:%.c=$(BUILD)/obj/%.o)
 TESTS = $(TEST_SRC:src/%.c=$(BUILD)/test/%) \
@@ -117,6 +119,9 @@
 endef
 $(foreach s,$(STANDIN_SRC),$(eval $(call standin,$(basename $(notdir $(s))))))
 
+$(BUILD)/soak: $(SOAK_SRC:%.c=$(BUILD)/obj/%.o) $(BUILD)/libcore.a
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/measure/%: $(BUILD)/obj/tests/measure/%.o $(HARN_OBJ) \
     $(BUILD)/libcore.a
 	@mkdir -p $(@D)
@@ -148,7 +153,11 @@
 tests: $(TESTS) $(PATHS)
 
 # One test program a module, then the tests with real processes.
-check: unit path regress install-check demo
+check: unit path regress install-check demo soak
+
+# Real nodes under random faults: seeds that failed once, and fresh ones.
+soak: all $(BUILD)/soak
+	@BUILD=$(BUILD) tests/soak/run
 
 unit: $(TESTS)
 	@BUILD=$(BUILD) tests/known-red $(TESTS)
@@ -210,5 +219,5 @@
 
 -include $(shell find $(BUILD)/obj $(BUILD)/pic -name '*.d' 2>/dev/null)
 .PHONY: all check tests unit path regress sanitize format lint measure install \
-	install-check demo clean
+	install-check demo soak clean
 .SECONDARY:
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -73,6 +73,12 @@
 	uint64_t idle_ms;
 };
 
+/* Where a service's servers answer health checks. */
+struct config_health {
+	char service[CONFIG_NAME_MAX + 1];
+	char path[CONFIG_PREFIX_MAX + 1];
+};
+
 /* One checked configuration; immutable once it is in force. */
 struct config {
 	uint64_t version;
@@ -84,6 +90,8 @@
 	size_t key_count;
 	char *text; /* the configuration as compact JSON */
 	struct config_caps caps;
+	struct config_health *health;
+	size_t health_count;
 };
 
 enum config_outcome {
--- a/src/config/parse.c
+++ b/src/config/parse.c
@@ -89,6 +89,7 @@
 	free(c->routes);
 	free(c->workspaces);
 	free(c->keys);
+	free(c->health);
 	free(c->text);
 	memset(c, 0, sizeof(*c));
 }
--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -15,7 +15,6 @@
  */
 
 #define ALARM_S 20
-#define END_OF_LIST UINT64_MAX
 #define RECORDS_MAX 3
 
 enum question {
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -2,12 +2,13 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <netinet/tcp.h>
 
 #include "http1/http1_int.h"
 
 #define HEAD_BYTES 65536	 /* of an answer's head */
 #define KEEP_ALIVE_MARGIN_MS 500 /* before the server closes an idle one */
-#define USER_TIMEOUT_MS 5000	 /* for the kernel to give a dead peer up */
+#define USER_TIMEOUT_MS 1500	 /* bytes unacknowledged: the peer is lost */
 
 /* One connection to a server; it carries one exchange at a time. */
 struct h1_peer {
@@ -49,6 +50,7 @@
 static void peer_fail(struct h1_peer *, enum h1_fail);
 static struct h1_peer *peer_new(struct h1_pool *);
 static void stop_timer(struct h1_peer *);
+static void bound_silence(struct h1_peer *);
 static int was_reset(const struct h1_peer *);
 static int on_begin(http_parser *);
 static int on_field(http_parser *, const char *, size_t);
@@ -320,6 +322,21 @@
 	p->timer = NULL;
 }
 
+/*
+ * Has the kernel break a connection whose bytes aren't acknowledged: a peer
+ * behind a cut sends no reset.
+ */
+static void
+bound_silence(struct h1_peer *p)
+{
+	unsigned int ms = USER_TIMEOUT_MS;
+	int fd;
+
+	if (uv_fileno((const uv_handle_t *)&p->stream.tcp, &fd) == 0)
+		(void)setsockopt(
+		    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 /*
  * The connection is up, or can't be had.
  */
@@ -336,6 +353,7 @@
 	}
 	stop_timer(p);
 	p->stream.connecting = 0;
+	bound_silence(p);
 	uv_read_start((uv_stream_t *)&p->stream.tcp, h1_alloc, on_read);
 }
 
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -91,6 +91,7 @@
     const struct h1_server_ops *, void *, uint32_t);
 void h1_server_closing(struct h1_server *);
 void h1_server_stop(struct h1_server *);
+void h1_server_finish(struct h1_server *);
 uint32_t h1_server_busy(const struct h1_server *);
 
 const struct h1_head *h1_conn_head(const struct h1_conn *);
--- a/src/http1/server.c
+++ b/src/http1/server.c
@@ -131,6 +131,21 @@
 	uv_close((uv_handle_t *)&s->listener, NULL);
 }
 
+/*
+ * Closes the port and breaks off all connections.  The memory must stay until
+ * the loop has let go of them.
+ */
+void
+h1_server_finish(struct h1_server *s)
+{
+	struct h1_conn *c;
+
+	h1_server_stop(s);
+	uv_close((uv_handle_t *)&s->sweeper, NULL);
+	for (c = s->conns; c != NULL; c = c->next)
+		conn_close(c);
+}
+
 /*
  * Returns how many requests are not answered yet.
  */
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -8,7 +8,6 @@
 #include "relay/relay_int.h"
 
 #define BODY_KEPT 393216    /* bytes of a body kept for another attempt */
-#define BODY_WINDOW 65536   /* of a longer one, between caller and node */
 #define HELD_SHARE 4	    /* of the memory, that bodies may take */
 #define TIMEOUT_GRACE_MS 30 /* for the server's own answer at its deadline */
 #define SPLIT_BITS 32
@@ -39,7 +38,6 @@
 };
 
 static const struct end_desc ends[END_MAX] = {
-	[END_BAD_REQUEST] = { 400, RELAY_REFUSED, "bad-request" },
 	[END_NO_CONFIG] = { 503, RELAY_REFUSED, "no-configuration" },
 	[END_NO_ROUTE] = { 404, RELAY_NO_ROUTE, "no-route" },
 	[END_NO_KEY] = { 401, RELAY_NO_KEY, "no-key" },
@@ -396,6 +394,8 @@
 		next = e->next;
 		if (e->passing)
 			continue;
+		if (e->xchg != NULL && now >= e->end_ms + TIMEOUT_GRACE_MS)
+			entry_silent(e);
 		if (now >= e->end_ms + (e->xchg != NULL ? TIMEOUT_GRACE_MS : 0))
 			entry_end(e,
 			    e->maybe_run || e->xchg != NULL
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -12,9 +12,8 @@
 #define AVOID_MAX_MS 3000
 #define FAIL_WEIGHT 0.1 /* of the newest attempt in the share of failed */
 #define FAIL_DECAY 0.98
-#define TRIES_MAX 4	  /* nodes asked for one request */
-#define RETRY_PAUSE_MS 15 /* when all nodes were asked, before the last try */
-#define LEFT_MIN_MS 20	  /* less time isn't worth another attempt */
+#define TRIES_MAX 4    /* nodes asked for one request */
+#define LEFT_MIN_MS 20 /* less time isn't worth another attempt */
 #define RETRY_AFTER_MIN_MS 150
 #define RETRY_AFTER_SPREAD_MS 350
 #define SLACK_SHARE 0.7 /* of the slack in repeats, for all nodes together */
@@ -254,6 +253,17 @@
 	h1_cancel(x);
 }
 
+/*
+ * No answer came in time.  The connection may be dead without a reset, and so
+ * may the idle ones to that node: they aren't used again.
+ */
+void
+entry_silent(struct entry_req *e)
+{
+	if (e->link != RELAY_NO_LINK)
+		h1_pool_trim(relay_link(e->relay, e->link)->pool, 0);
+}
+
 /*
  * Takes the head of an answer.
  */
--- /dev/null
+++ b/src/relay/probe.c
@@ -0,0 +1,153 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "relay/relay_int.h"
+
+/*
+ * After a restart a node doesn't know the server beside it until that
+ * announces itself, a second or more later.  Meanwhile it asks for the
+ * server's health, whose answer names the instance and its slots; a server
+ * that leaves isn't healthy.
+ */
+
+#define PROBE_MS 100 /* between two questions */
+#define PROBES_MAX 5 /* after that the announcement is awaited */
+
+static void on_timer(uv_timer_t *);
+static int on_head(void *, struct h1_xchg *);
+static void on_body(void *, struct h1_xchg *, const char *, size_t);
+static void on_end(void *, struct h1_xchg *);
+static void on_fail(void *, struct h1_xchg *, enum h1_fail);
+static const char *health_path(const struct relay *);
+static int read_slots(const char *, uint64_t *);
+
+static const struct h1_client_ops probe_ops = { on_head, on_body, on_end,
+	on_fail, NULL };
+
+/*
+ * Begins to look for the server.
+ */
+void
+probe_init(struct relay *r)
+{
+	uv_timer_init(r->loop, &r->probe_timer);
+	r->probe_timer.data = r;
+	uv_timer_start(&r->probe_timer, on_timer, PROBE_MS, PROBE_MS);
+}
+
+/*
+ * Returns the path of the server's health check, or NULL while it isn't
+ * known.
+ */
+static const char *
+health_path(const struct relay *r)
+{
+	size_t i;
+
+	for (i = 0; r->config != NULL && i < r->config->health_count; i++)
+		if (strcmp(r->config->health[i].service, r->set.service) == 0)
+			return r->config->health[i].path;
+	return NULL;
+}
+
+/*
+ * Asks for the server's health, if it is still unknown.
+ */
+static void
+on_timer(uv_timer_t *timer)
+{
+	struct relay *r = timer->data;
+	const char *path = health_path(r);
+	struct h1_text t;
+
+	if (r->server.id[0] != '\0' || r->probes == PROBES_MAX) {
+		uv_timer_stop(timer);
+		return;
+	}
+	if (path == NULL)
+		return;
+	r->probes++;
+	h1_text_init(&t);
+	h1_text_addf(&t, "GET %s HTTP/1.1\r\nHost: health\r\n\r\n", path);
+	h1_send(&r->server_pool, &t, 0, 0, UINT64_MAX, &probe_ops, r);
+	h1_text_finish(&t);
+}
+
+/*
+ * Reads the slots from a load: running, waiting, slots.  Returns 0, or -1.
+ */
+static int
+read_slots(const char *text, uint64_t *slots)
+{
+	char words[64], *at = words;
+	uint64_t skipped;
+	char *c;
+
+	snprintf(words, sizeof(words), "%s", text);
+	for (c = words; *c != '\0'; c++)
+		if (*c == ',')
+			*c = ' ';
+	return relay_number(&at, &skipped) == 0 &&
+		       relay_number(&at, &skipped) == 0 &&
+		       relay_number(&at, slots) == 0
+		   ? 0
+		   : -1;
+}
+
+/*
+ * Takes an answer.  A server that says who it is and how many slots it has
+ * counts as announced.
+ */
+static int
+on_head(void *ctx, struct h1_xchg *x)
+{
+	struct relay *r = ctx;
+	const struct h1_head *h = h1_xchg_head(x);
+	struct relay_announce a;
+	char load[64];
+	uint64_t slots;
+
+	memset(&a, 0, sizeof(a));
+	if (r->server.id[0] != '\0' || h1_xchg_status(x) != 200 ||
+	    h1_head_copy(h, r->set.names.instance, a.id, sizeof(a.id)) < 1 ||
+	    h1_head_copy(h, r->set.names.load, load, sizeof(load)) < 1 ||
+	    read_slots(load, &slots) == -1 || slots == 0 || slots > UINT32_MAX)
+		return 0;
+	snprintf(a.service, sizeof(a.service), "%s", r->set.service);
+	a.slots = (uint32_t)slots;
+	(void)relay_announced(r, &a);
+	return 0;
+}
+
+/*
+ * A health answer's body says nothing more.
+ */
+static void
+on_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+{
+	(void)ctx;
+	(void)x;
+	(void)p;
+	(void)n;
+}
+
+/*
+ * The answer is in.
+ */
+static void
+on_end(void *ctx, struct h1_xchg *x)
+{
+	(void)ctx;
+	(void)x;
+}
+
+/*
+ * There was no answer: the next question may get one.
+ */
+static void
+on_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+{
+	(void)ctx;
+	(void)x;
+	(void)how;
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -106,6 +106,7 @@
 	h1_pool_init(&r->server_pool, loop, &settings->server, SERVER_IDLE_MS,
 	    SERVER_CONNECT_MS);
 	load_init(r);
+	probe_init(r);
 	uv_timer_init(loop, &r->tick);
 	r->tick.data = r;
 	conns = settings->descriptors > 2 * OWN_DESCRIPTORS
@@ -437,6 +438,9 @@
 	uint64_t now = relay_now(r);
 	int fresh;
 
+	/* A server that was found by its health has now said who it is. */
+	if (strcmp(a->id, s->id) == 0 && s->born_ms == 0 && s->sequence == 0)
+		s->born_ms = a->born_ms;
 	if (s->id[0] != '\0' &&
 	    (a->born_ms < s->born_ms ||
 		(a->born_ms == s->born_ms && strcmp(a->id, s->id) == 0 &&
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -33,6 +33,7 @@
 	const char *not_run;	 /* in a refusal by the server */
 	const char *signature;	 /* of an answer of the server */
 	const char *load;	 /* of the server: running, waiting, slots */
+	const char *instance;	 /* of the server, in its health answer */
 };
 
 struct relay_settings {
@@ -166,6 +167,8 @@
 	struct h1_server exit;
 	struct h1_pool server_pool;
 	struct relay_server server;
+	uv_timer_t probe_timer;
+	uint32_t probes;	  /* of the server's health, since the start */
 	struct relay_link *links; /* by the peer's handle, after one for self */
 	size_t link_count;
 	struct admission_core core;
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -26,7 +26,6 @@
 
 /* Why the entry ended a request without a server's answer. */
 enum entry_end {
-	END_BAD_REQUEST,
 	END_NO_CONFIG,
 	END_NO_ROUTE,
 	END_NO_KEY,
@@ -73,7 +72,6 @@
 	int idempotent;
 	int took_token;
 	int maybe_run;
-	int turned;	   /* the last attempt's verdict */
 	uint64_t again_ms; /* try again at that time; 0: no */
 	int tried[RELAY_TRIED_MAX];
 	int link; /* of the attempt under way */
@@ -110,7 +108,6 @@
 	int body_in;
 	uint64_t body_length;
 	int passing;
-	uint64_t ended_ms; /* the caller's time is over */
 	unsigned int status;
 	uint64_t answer_length;
 	enum relay_verdict verdict;
@@ -165,6 +162,7 @@
 void entry_start(struct entry_req *);
 void entry_forward_body(struct entry_req *, const char *, size_t);
 void entry_stop_attempt(struct entry_req *);
+void entry_silent(struct entry_req *);
 int entry_pick(struct entry_req *);
 
 /* entry_limit.c */
@@ -177,6 +175,9 @@
 void relay_on_bucket(void *, const struct fleet_bucket *);
 void relay_hand_over(struct relay *);
 
+/* probe.c */
+void probe_init(struct relay *);
+
 /* proof.c */
 void relay_on_doubt(
     void *, const struct fleet_doubt *, const struct sockaddr_in *);
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -36,7 +36,8 @@
 	struct h1_server http;
 	enum deed deed;
 	int runs;
-	int gone; /* connections that broke while a request was held */
+	int health; /* the last request asked for it */
+	int gone;   /* connections that broke while a request was held */
 	char id[256];
 	char seen[1024]; /* names and values of the last request */
 	struct h1_conn *held;
@@ -60,7 +61,7 @@
 static char long_id[200];
 
 static const struct relay_names names = { "Id", "Deadline", "Key", "Workspace",
-	"Caller", "Expect", "Not-Run", "Stamp", "Load" };
+	"Caller", "Expect", "Not-Run", "Stamp", "Load", "Instance" };
 
 static void
 server_head(void *ctx, struct h1_conn *conn)
@@ -68,7 +69,8 @@
 	struct server *s = ctx;
 	const struct h1_head *h = h1_conn_head(conn);
 
-	s->runs += s->deed != TURN;
+	s->health = strncmp(h->buf + h->target, "/health", 7) == 0;
+	s->runs += s->deed != TURN && !s->health;
 	if (h1_head_copy(h, "Id", s->id, sizeof(s->id)) < 0)
 		s->id[0] = '\0';
 	snprintf(s->seen, sizeof(s->seen), "%.*s", (int)h->len, h->buf);
@@ -81,6 +83,13 @@
 	struct h1_text t;
 
 	h1_text_init(&t);
+	if (s->health) {
+		h1_text_field(&t, "Instance", "i-0");
+		h1_text_field(&t, "Load", "1,0,7");
+		h1_answer(conn, s->deed == FAIL ? 503 : 200, &t, NULL, 0);
+		h1_text_finish(&t);
+		return;
+	}
 	h1_text_field(&t, "Id", s->id);
 	switch (s->deed) {
 	case ANSWER:
@@ -607,6 +616,40 @@
 	assert_true(ok <= 6);
 }
 
+/*
+ * A node that doesn't know its server finds it by its health, unless it
+ * leaves; the announcement that follows is of the same incarnation.
+ */
+static void
+test_probe(void **state)
+{
+	struct config *c = make_config(2, 0, KEY);
+	uint64_t began = uv_now(&loop);
+
+	(void)state;
+	c->health = calloc(1, sizeof(*c->health));
+	c->health_count = 1;
+	snprintf(c->health[0].service, sizeof(c->health[0].service), "web");
+	snprintf(c->health[0].path, sizeof(c->health[0].path), "/health");
+	servers[0].deed = FAIL;
+	relay_take_config(&nodes[0], c);
+	while (nodes[0].probes < 2)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_string_equal(nodes[0].server.id, "");
+	servers[0].deed = ANSWER;
+	while (nodes[0].server.id[0] == '\0' && uv_now(&loop) < began + 5000)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_string_equal(nodes[0].server.id, "i-0");
+	assert_int_equal(nodes[0].server.slots, 7);
+	nodes[0].core.inflight = 3;
+	announce(0, 100, 1, 0);
+	assert_int_equal(nodes[0].server.born_ms, 100);
+	assert_int_equal(nodes[0].core.inflight, 3); /* not started over */
+	announce(0, 100, 2, 1);
+	assert_true(nodes[0].server.leaving);
+	nodes[0].core.inflight = 0;
+}
+
 /*
  * A node that hears nothing from the store goes on with keys as long as one
  * that follows it closely says that their version is the newest.
@@ -715,6 +758,7 @@
 		cmocka_unit_test_setup_teardown(
 		    test_hand_over, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_proof, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_probe, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_crash, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_stop, setup, teardown),
 	};
