Soak: a pair lives as long as its delayed bytes; nodes end with the soak

A delayed piece used its pair after that was freed. Now pieces hold the pair, and the program takes its nodes with it when it dies.

--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -12,7 +12,7 @@
 	struct proxy_pair *next;
 	uv_tcp_t ends[2]; /* 0: of the node, 1: of the other side */
 	uv_connect_t connect;
-	int open;
+	int open; /* ends and delayed pieces */
 	int closing;
 };
 
@@ -25,10 +25,13 @@
 	char bytes[];
 };
 
+/*
+ * Lets go of a pair; the last of its ends and delayed pieces frees it.
+ */
 static void
-on_closed(uv_handle_t *h)
+pair_release(struct proxy_pair *p)
 {
-	struct proxy_pair *p = h->data, **at;
+	struct proxy_pair **at;
 
 	if (--p->open > 0)
 		return;
@@ -38,6 +41,12 @@
 	free(p);
 }
 
+static void
+on_closed(uv_handle_t *h)
+{
+	pair_release(h->data);
+}
+
 static void
 pair_close(struct proxy_pair *p, int reset)
 {
@@ -72,7 +81,11 @@
 static void
 timer_freed(uv_handle_t *h)
 {
-	piece_send(h->data);
+	struct piece *x = h->data;
+	struct proxy_pair *p = x->pair;
+
+	piece_send(x);
+	pair_release(p);
 }
 
 static void
@@ -118,6 +131,7 @@
 		piece_send(x);
 		return;
 	}
+	p->open++;
 	uv_timer_init(&soak.loop, &x->timer);
 	x->timer.data = x;
 	uv_timer_start(&x->timer, on_due, SLOW_MS, 0);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -479,6 +479,20 @@
 	check_all();
 }
 
+/*
+ * This program is broken or is ended: its nodes end with it.
+ */
+static void
+on_end_signal(int sig)
+{
+	int k;
+
+	for (k = 0; k < NODES; k++)
+		if (soak.nodes[k].running)
+			kill(soak.nodes[k].process.pid, SIGKILL);
+	_exit(128 + sig);
+}
+
 /*
  * Runs one seed.  SOAK_NET is the second byte of the loopback addresses, so
  * that several can run side by side.
@@ -491,6 +505,10 @@
 	soak.seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	soak.net = net != NULL ? (int)strtol(net, NULL, 10) : 90;
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGSEGV, on_end_signal);
+	signal(SIGABRT, on_end_signal);
+	signal(SIGTERM, on_end_signal);
+	signal(SIGINT, on_end_signal);
 	run();
 	printf("seed %llu: %u requests, %u faults, %u wrong\n",
 	    (unsigned long long)soak.seed, soak.request_count, soak.fault_count,
