A server can't set the exit's word; one copy of forwarding fields

Cause: the entry took the first Cyclamen-Exit field of an answer, which a server could send (test_answers failed first: 503 in place of 200). Fields between nodes are dropped from what servers answer. The four loops that copied fields are h1_text_forward() now.

--- a/src/http1/head.c
+++ b/src/http1/head.c
@@ -314,6 +314,33 @@
 	h1_text_add(t, "\r\n", 2);
 }
 
+/*
+ * Appends all fields of a head that may be forwarded, but for those named in
+ * a list that NULL ends.
+ */
+void
+h1_text_forward(
+    struct h1_text *t, const struct h1_head *h, const char *const *skip)
+{
+	const struct h1_field *f;
+	const char *name;
+	uint32_t i, k;
+
+	for (i = 0; i < h->count; i++) {
+		f = &h->fields[i];
+		name = h->buf + f->name;
+		for (k = 0; skip[k] != NULL; k++)
+			if (h1_name_is(name, f->name_len, skip[k]))
+				break;
+		if (skip[k] != NULL || h1_hop_by_hop(h, f))
+			continue;
+		h1_text_add(t, name, f->name_len);
+		h1_text_add(t, ": ", 2);
+		h1_text_add(t, h->buf + f->value, f->value_len);
+		h1_text_add(t, "\r\n", 2);
+	}
+}
+
 /*
  * Returns the usual phrase of a status.
  */
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -52,6 +52,8 @@
 void h1_text_addf(struct h1_text *, const char *, ...)
     __attribute__((format(printf, 2, 3)));
 void h1_text_field(struct h1_text *, const char *, const char *);
+void h1_text_forward(
+    struct h1_text *, const struct h1_head *, const char *const *);
 const char *h1_reason(unsigned int);
 
 /* Limits on what a peer may send and how long it may take. */
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -118,31 +118,15 @@
 {
 	const struct relay_names *names = &e->relay->set.names;
 	const struct h1_head *h = h1_conn_head(e->conn);
-	const struct h1_field *f;
-	const char *name;
+	const char *const skip[] = { names->key, names->deadline_ms,
+		names->workspace, names->caller, names->expect, RELAY_HOP,
+		RELAY_EXIT, NULL };
 	uint64_t now = relay_now(e->relay);
-	uint32_t i;
 
 	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
 	h1_text_add(t, h->buf + h->target, h->target_len);
 	h1_text_add(t, " HTTP/1.1\r\n", 11);
-	for (i = 0; i < h->count; i++) {
-		f = &h->fields[i];
-		name = h->buf + f->name;
-		if (h1_hop_by_hop(h, f) ||
-		    h1_name_is(name, f->name_len, names->key) ||
-		    h1_name_is(name, f->name_len, names->deadline_ms) ||
-		    h1_name_is(name, f->name_len, names->workspace) ||
-		    h1_name_is(name, f->name_len, names->caller) ||
-		    h1_name_is(name, f->name_len, names->expect) ||
-		    h1_name_is(name, f->name_len, RELAY_HOP) ||
-		    h1_name_is(name, f->name_len, RELAY_EXIT))
-			continue;
-		h1_text_add(t, name, f->name_len);
-		h1_text_add(t, ": ", 2);
-		h1_text_add(t, h->buf + f->value, f->value_len);
-		h1_text_add(t, "\r\n", 2);
-	}
+	h1_text_forward(t, h, skip);
 	h1_text_addf(t, "%s: %llu %u %u %d %s %s %s\r\n", RELAY_HOP,
 	    (unsigned long long)(e->end_ms > now ? e->end_ms - now : 1),
 	    e->class, e->depth, e->idempotent, e->service,
@@ -271,8 +255,8 @@
 on_head(void *ctx, struct h1_xchg *x)
 {
 	struct entry_req *e = ctx;
+	static const char *const skip[] = { RELAY_EXIT, NULL };
 	const struct h1_head *h = h1_xchg_head(x);
-	const struct h1_field *f;
 	char text[96];
 	uint32_t i;
 
@@ -288,16 +272,7 @@
 	e->answer_length = h1_xchg_length(x);
 	h1_text_finish(&e->fields);
 	h1_text_finish(&e->answer);
-	for (i = 0; i < h->count; i++) {
-		f = &h->fields[i];
-		if (h1_hop_by_hop(h, f) ||
-		    h1_name_is(h->buf + f->name, f->name_len, RELAY_EXIT))
-			continue;
-		h1_text_add(&e->fields, h->buf + f->name, f->name_len);
-		h1_text_add(&e->fields, ": ", 2);
-		h1_text_add(&e->fields, h->buf + f->value, f->value_len);
-		h1_text_add(&e->fields, "\r\n", 2);
-	}
+	h1_text_forward(&e->fields, h, skip);
 	return 0;
 }
 
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -23,6 +23,9 @@
 static int is_ours(const struct exit_req *, const struct h1_head *);
 static void server_down(struct relay *);
 
+/* Fields between nodes, which no server gets and none can set. */
+static const char *const internal[] = { RELAY_HOP, RELAY_EXIT, NULL };
+
 static const struct h1_client_ops server_ops = { on_head, on_body, on_end,
 	on_fail, on_drained };
 
@@ -34,23 +37,12 @@
 {
 	const struct relay_names *names = &e->relay->set.names;
 	const struct h1_head *h = h1_conn_head(e->conn);
-	const struct h1_field *f;
 	uint64_t now = relay_now(e->relay);
-	uint32_t i;
 
 	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
 	h1_text_add(t, h->buf + h->target, h->target_len);
 	h1_text_add(t, " HTTP/1.1\r\n", 11);
-	for (i = 0; i < h->count; i++) {
-		f = &h->fields[i];
-		if (h1_hop_by_hop(h, f) ||
-		    h1_name_is(h->buf + f->name, f->name_len, RELAY_HOP))
-			continue;
-		h1_text_add(t, h->buf + f->name, f->name_len);
-		h1_text_add(t, ": ", 2);
-		h1_text_add(t, h->buf + f->value, f->value_len);
-		h1_text_add(t, "\r\n", 2);
-	}
+	h1_text_forward(t, h, internal);
 	h1_text_addf(t, "%s: %llu\r\n", names->deadline_ms,
 	    (unsigned long long)(e->deadline_ms > now ? e->deadline_ms - now
 						      : 1));
@@ -203,8 +195,6 @@
 {
 	struct exit_req *e = ctx;
 	const struct h1_head *h = h1_xchg_head(x);
-	const struct h1_field *f;
-	uint32_t i;
 
 	if (!is_ours(e, h)) {
 		e->relay->counters[RELAY_SKIPPED]++;
@@ -213,15 +203,7 @@
 	e->status = h1_xchg_status(x);
 	e->answer_length = h1_xchg_length(x);
 	e->verdict = judge(e, h);
-	for (i = 0; i < h->count; i++) {
-		f = &h->fields[i];
-		if (h1_hop_by_hop(h, f))
-			continue;
-		h1_text_add(&e->fields, h->buf + f->name, f->name_len);
-		h1_text_add(&e->fields, ": ", 2);
-		h1_text_add(&e->fields, h->buf + f->value, f->value_len);
-		h1_text_add(&e->fields, "\r\n", 2);
-	}
+	h1_text_forward(&e->fields, h, internal);
 	return 0;
 }
 
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -93,6 +93,7 @@
 	h1_text_field(&t, "Id", s->id);
 	switch (s->deed) {
 	case ANSWER:
+		h1_text_field(&t, "Cyclamen-Exit", "busy 0 0 0");
 		h1_text_field(&t, "Stamp", "s");
 		h1_answer(conn, 200, &t, "mine", 4);
 		break;
