cyclamenvalectl explain: from a request's id to its cause

Joins the lines of all nodes about an id and the calls below it, by time, and names the line of the deepest call that failed.

--- a/src/cyclamenvalectl/ctl.h
+++ b/src/cyclamenvalectl/ctl.h
@@ -82,6 +82,7 @@
 enum ctl_exit ctl_withdraw(const struct ctl_args *);
 enum ctl_exit ctl_dump(const struct ctl_args *);
 enum ctl_exit ctl_wait(const struct ctl_args *);
+enum ctl_exit ctl_explain(const struct ctl_args *);
 
 void ctl_log_open(struct ctl_log *, const struct ctl_args *);
 void ctl_log_close(struct ctl_log *);
--- a/src/cyclamenvalectl/main.c
+++ b/src/cyclamenvalectl/main.c
@@ -65,6 +65,12 @@
 	    .operand_nodes = 1,
 	    .operands = "NODE ...",
 	    .help = "wait until a version is in force on nodes (IP:PORT)" },
+	{ .name = "explain",
+	    .run = ctl_explain,
+	    .operands_min = 2,
+	    .operands_max = ANY_OPERANDS,
+	    .operands = "ID LOG ...",
+	    .help = "join the log lines of all nodes about a request" },
 };
 
 #define VERBS (sizeof(verbs) / sizeof(verbs[0]))
--- a/src/event/event.c
+++ b/src/event/event.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "event/event.h"
@@ -62,19 +63,25 @@
 static size_t buffer_len;
 static uint64_t lines_lost;
 static uint64_t lines_lost_told;
+static uint64_t day_ms; /* the time of day less the caller's clock */
 static int quiet;
 
 /*
- * Names the node in each line.  Standard output becomes non-blocking.  A
- * quiet process writes nothing.
+ * Names the node in each line.  The caller's clock shows now; lines have the
+ * time of day, so that those of several nodes can be joined.  Standard output
+ * becomes non-blocking.  A quiet process writes nothing.
  */
 void
-event_init(const char *node, int be_quiet)
+event_init(const char *node, int be_quiet, uint64_t now)
 {
+	struct timespec ts;
 	int flags = fcntl(STDOUT_FILENO, F_GETFL);
 
 	snprintf(node_name, sizeof(node_name), "%s", node);
 	quiet = be_quiet;
+	clock_gettime(CLOCK_REALTIME, &ts);
+	day_ms =
+	    (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000 - now;
 	if (flags != -1)
 		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
@@ -113,7 +120,7 @@
 		if (r->suppressed > 0) {
 			n = (size_t)snprintf(line, sizeof(line),
 			    "t=%llu node=%s level=%s event=%s suppressed=%u\n",
-			    (unsigned long long)now, node_name,
+			    (unsigned long long)(day_ms + now), node_name,
 			    descs[e].severity, descs[e].name, r->suppressed);
 			put(line, n);
 		}
@@ -126,8 +133,9 @@
 		return;
 	}
 	n = (size_t)snprintf(line, sizeof(line),
-	    "t=%llu node=%s level=%s event=%s ", (unsigned long long)now,
-	    node_name, descs[e].severity, descs[e].name);
+	    "t=%llu node=%s level=%s event=%s ",
+	    (unsigned long long)(day_ms + now), node_name, descs[e].severity,
+	    descs[e].name);
 	va_start(ap, fmt);
 	n += (size_t)vsnprintf(line + n, sizeof(line) - n, fmt, ap);
 	va_end(ap);
--- a/src/event/event.h
+++ b/src/event/event.h
@@ -40,7 +40,7 @@
 	EVENT_MAX
 };
 
-void event_init(const char *, int);
+void event_init(const char *, int, uint64_t);
 void event_log(enum event, uint64_t, const char *, ...)
     __attribute__((format(printf, 3, 4)));
 void event_flush(void);
