--- a/src/event/event.c
+++ b/src/event/event.c
@@ -110,6 +110,7 @@
 event_log(enum event e, uint64_t now, const char *fmt, ...)
 {
 	struct event_rate *r = &rates[e];
+	uint64_t at = day_ms + now;
 	char line[LINE_BYTES];
 	size_t n;
 	va_list ap;
@@ -120,7 +121,7 @@
 		if (r->suppressed > 0) {
 			n = (size_t)snprintf(line, sizeof(line),
 			    "t=%llu node=%s level=%s event=%s suppressed=%u\n",
-			    (unsigned long long)(day_ms + now), node_name,
+			    (unsigned long long)at, node_name,
 			    descs[e].severity, descs[e].name, r->suppressed);
 			put(line, n);
 		}
@@ -133,9 +134,8 @@
 		return;
 	}
 	n = (size_t)snprintf(line, sizeof(line),
-	    "t=%llu node=%s level=%s event=%s ",
-	    (unsigned long long)(day_ms + now), node_name, descs[e].severity,
-	    descs[e].name);
+	    "t=%llu node=%s level=%s event=%s ", (unsigned long long)at,
+	    node_name, descs[e].severity, descs[e].name);
 	va_start(ap, fmt);
 	n += (size_t)vsnprintf(line + n, sizeof(line) - n, fmt, ap);
 	va_end(ap);
