--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -101,6 +101,7 @@
 
 int fleet_net_init(struct fleet_net *, uv_loop_t *, const struct sockaddr_in *,
     struct fleet_table *, const struct fleet_ops *, void *);
+void fleet_net_close(struct fleet_net *);
 void fleet_beat_all(struct fleet_net *, int);
 void fleet_beat_one(struct fleet_net *, uint32_t);
 void fleet_send(struct fleet_net *, const struct fleet_msg *, uint32_t);
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -50,6 +50,16 @@
 	return rc;
 }
 
+/*
+ * Closes the socket.
+ */
+void
+fleet_net_close(struct fleet_net *n)
+{
+	uv_close((uv_handle_t *)&n->udp, NULL);
+	uv_close((uv_handle_t *)&n->timer, NULL);
+}
+
 /*
  * Gives libuv the common buffer.
  */
--- a/src/fleet/test_table.c
+++ b/src/fleet/test_table.c
@@ -103,7 +103,7 @@
 static void
 test_owner(void **state)
 {
-	static char names[NODES][8];
+	static char names[NODES][16];
 	struct fleet_table t[2];
 	int i, n, owner, mine = 0, same = 0;
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -517,6 +517,47 @@
 	    h1_server_busy(&r->entry), h1_server_busy(&r->exit));
 }
 
+/*
+ * Closes all that is open; requests under way are given up.  The loop must run
+ * until it has let go of everything before relay_finish().
+ */
+void
+relay_close(struct relay *r)
+{
+	size_t i;
+
+	h1_server_finish(&r->entry);
+	h1_server_finish(&r->exit);
+	fleet_net_close(&r->net);
+	uv_close((uv_handle_t *)&r->tick, NULL);
+	uv_close((uv_handle_t *)&r->throttle_timer, NULL);
+	uv_close((uv_handle_t *)&r->probe_timer, NULL);
+	h1_pool_finish(&r->server_pool);
+	for (i = 0; i < r->link_count; i++)
+		if (r->links[i].pool != NULL)
+			h1_pool_finish(r->links[i].pool);
+}
+
+/*
+ * Frees what a closed relay holds.
+ */
+void
+relay_finish(struct relay *r)
+{
+	size_t i;
+
+	for (i = 0; i < r->link_count; i++)
+		free(r->links[i].pool);
+	free(r->links);
+	free(r->budgets);
+	free(r->limits);
+	free(r->suspects);
+	quota_owner_finish(&r->owner);
+	fleet_table_finish(&r->fleet);
+	config_free(r->config);
+	memset(r, 0, sizeof(*r));
+}
+
 /*
  * Tells whether a request is still under way.
  */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -214,6 +214,8 @@
 int relay_announced(struct relay *, const struct relay_announce *);
 void relay_left(struct relay *, const char *, uint64_t);
 void relay_stop(struct relay *);
+void relay_close(struct relay *);
+void relay_finish(struct relay *);
 int relay_busy(const struct relay *);
 int relay_ready(const struct relay *);
 const char *relay_counter_name(enum relay_counter);
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -310,21 +310,20 @@
 	return 0;
 }
 
-static void
-close_all(uv_handle_t *h, void *arg)
-{
-	(void)arg;
-	if (!uv_is_closing(h))
-		uv_close(h, NULL);
-}
-
 static int
 teardown(void **state)
 {
+	int i;
+
 	(void)state;
-	uv_walk(&loop, close_all, NULL);
-	uv_run(&loop, UV_RUN_NOWAIT);
-	return 0;
+	for (i = 0; i < 2; i++) {
+		relay_close(&nodes[i]);
+		h1_server_finish(&servers[i].http);
+	}
+	uv_run(&loop, UV_RUN_DEFAULT);
+	for (i = 0; i < 2; i++)
+		relay_finish(&nodes[i]);
+	return uv_loop_close(&loop);
 }
 
 static void
@@ -701,11 +700,10 @@
 		ask(&c, "/o/kill", KEY);
 		assert_int_equal(c.status, 502);
 		/* The server is gone: nothing listens any more. */
-		h1_server_stop(&servers[1].http);
+		h1_server_finish(&servers[1].http);
 		h1_pool_trim(&nodes[1].server_pool, 0);
 		ask(&c, "/o/other", KEY);
 		assert_int_equal(c.status, 503);
-		uv_close((uv_handle_t *)&servers[1].http.sweeper, NULL);
 		uv_run(&loop, UV_RUN_NOWAIT);
 		assert_int_equal(
 		    h1_server_init(&servers[1].http, &loop, &server_at[1],
