Tell a new owner's empty bucket from one that is used up

The owner now says for a second that its bucket is still filling, and the entry lets the request wait for a token, as it does while there is no owner.

--- a/src/limits/limits.x
+++ b/src/limits/limits.x
@@ -34,6 +34,7 @@
 	unsigned int life_ms;
 	unsigned int dry_us;
 	unsigned int level;	/* whole tokens left */
+	unsigned int filling;	/* empty since the lease is new, not by use */
 };
 
 struct limits_report_arg {
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -102,6 +102,7 @@
 		e->down_us[shard] = now + DOWN_US;
 	else if (res.dry_us > 0)
 		e->dry_us[shard] = now + res.dry_us;
+	e->filling[shard] = !down && res.filling;
 	e->level[shard] = down ? 0 : res.level;
 	e->level_us[shard] = now;
 	if (!down && res.tokens > 0) {
@@ -199,7 +200,8 @@
 
 /*
  * Tells whether no shard is worth asking now, and why: LIMITS_ADMIT if one
- * is.
+ * is.  A bucket that is empty since its owner is new refuses nobody as over
+ * the rate: the request may wait for what flows in.
  */
 static enum limits_verdict
 blocked(const struct limits_entry *e, const struct limits_ws *ws, uint64_t now,
@@ -214,7 +216,7 @@
 		    e->dry_us[i] > e->down_us[i] ? e->dry_us[i] : e->down_us[i];
 		if (until <= now)
 			return LIMITS_ADMIT;
-		if (e->dry_us[i] > now)
+		if (e->dry_us[i] > now && !e->filling[i])
 			dry = 1;
 		if (until < first)
 			first = until;
--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -42,6 +42,7 @@
 	uint64_t report_us; /* when the oldest was queued */
 	uint64_t dry_us[LIMITS_SHARDS];
 	uint64_t down_us[LIMITS_SHARDS];
+	int filling[LIMITS_SHARDS];  /* dry, but perhaps not by use */
 	double level[LIMITS_SHARDS]; /* tokens left, as last told */
 	uint64_t level_us[LIMITS_SHARDS];
 	int asking;
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -11,6 +11,7 @@
 #define DRY_MIN_US 1000	 /* before an asker comes back */
 #define DRY_MAX_US 400000
 #define DRY_PER_ASK_US 500 /* keeps all askers of an overdriven limit apart */
+#define FILLING_US 1000000 /* a new owner's bucket says little of use */
 #define US_PER_MS 1000
 
 /* The bucket of one shard. */
@@ -18,7 +19,8 @@
 	struct limits_slot *next;
 	uint64_t hash;
 	uint32_t part;
-	uint64_t tenure; /* of the lease that the bucket belongs to */
+	uint64_t tenure;   /* of the lease that the bucket belongs to */
+	uint64_t since_us; /* when the bucket began, empty; 0: it was full */
 	uint64_t window_us;
 	uint32_t refused;      /* in the window so far */
 	uint32_t refused_last; /* in the window before */
@@ -118,6 +120,7 @@
 		since = ws->changed_ms;
 	bucket_finish(&s->bucket);
 	bucket_init(&s->bucket, &share, full, since * US_PER_MS);
+	s->since_us = full ? 0 : since * US_PER_MS;
 	s->tenure = v->tenure;
 	return 0;
 }
@@ -212,6 +215,7 @@
 		res->dry_us = dry_us(s, now);
 	if (arg->need > 0 && res->tokens == 0)
 		res->status = LIMITS_DRY;
+	res->filling = s->since_us != 0 && now < s->since_us + FILLING_US;
 	pthread_mutex_unlock(&s->lock);
 	counter_add(CTR_LOANS_GRANTED, res->tokens);
 }
--- a/src/limits/limits_xdr.c
+++ b/src/limits/limits_xdr.c
@@ -112,7 +112,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_limits_status (xdrs, &objp->status))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tokens))
 				 return FALSE;
@@ -122,17 +122,20 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->level))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->filling))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->tokens);
 			IXDR_PUT_U_LONG(buf, objp->life_ms);
 			IXDR_PUT_U_LONG(buf, objp->dry_us);
 			IXDR_PUT_U_LONG(buf, objp->level);
+			IXDR_PUT_U_LONG(buf, objp->filling);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_limits_status (xdrs, &objp->status))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->tokens))
 				 return FALSE;
@@ -142,11 +145,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->level))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->filling))
+				 return FALSE;
 		} else {
 			objp->tokens = IXDR_GET_U_LONG(buf);
 			objp->life_ms = IXDR_GET_U_LONG(buf);
 			objp->dry_us = IXDR_GET_U_LONG(buf);
 			objp->level = IXDR_GET_U_LONG(buf);
+			objp->filling = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -161,6 +167,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->level))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->filling))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/limits/limits_xdr.h
+++ b/src/limits/limits_xdr.h
@@ -3,11 +3,12 @@
  * It was generated using rpcgen.
  */
 
-#ifndef _LIMITS_XDR_H_RPCGEN
-#define _LIMITS_XDR_H_RPCGEN
+#ifndef _LX_H_RPCGEN
+#define _LX_H_RPCGEN
 
 #include <rpc/rpc.h>
 
+#include <pthread.h>
 
 #ifdef __cplusplus
 extern "C" {
@@ -49,6 +50,7 @@
 	u_int life_ms;
 	u_int dry_us;
 	u_int level;
+	u_int filling;
 };
 typedef struct limits_ask_res limits_ask_res;
 
@@ -91,4 +93,4 @@
 }
 #endif
 
-#endif /* !_LIMITS_XDR_H_RPCGEN */
+#endif /* !_LX_H_RPCGEN */
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -508,6 +508,33 @@
 	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
 }
 
+/*
+ * The bucket of a new owner is empty, which is no sign of use: for a second
+ * nobody is told to be over the rate, after that whoever is.
+ */
+static void
+test_new_owner_is_filling(void **state)
+{
+	enum limits_verdict v = LIMITS_ADMIT;
+	uint32_t retry;
+	int i;
+
+	(void)state;
+	limits_admit(&nodes[0], &workspace, &loan, &retry);
+	now_us += 10 * (uint64_t)SECOND;
+	tenure = 2;
+	first_lease = 0;
+	workspace.changed_ms = now_us / MS;
+	for (i = 0; i < 30; i++)
+		assert_int_equal(
+		    limits_admit(&nodes[0], &workspace, &loan, &retry),
+		    LIMITS_UNAVAILABLE);
+	now_us += 2 * (uint64_t)SECOND;
+	for (i = 0; i < 1000 && v == LIMITS_ADMIT; i++)
+		v = limits_admit(&nodes[0], &workspace, &loan, &retry);
+	assert_int_equal(v, LIMITS_OVER_RATE);
+}
+
 /*
  * Runs many requests of one thread; the context counts those admitted.
  */
@@ -566,6 +593,8 @@
 		    test_lease_ends, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_new_tenure_is_empty, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_new_owner_is_filling, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_threads, setup, teardown),
 	};
 
