--- /dev/null
+++ b/src/http1/answer.c
@@ -0,0 +1,195 @@
+#include <string.h>
+
+#include "http1/http1_int.h"
+
+static void compose(struct h1_conn *, struct h1_text *, unsigned int,
+    const struct h1_text *, uint64_t);
+
+/*
+ * Returns the head of the present request.
+ */
+const struct h1_head *
+h1_conn_head(const struct h1_conn *c)
+{
+	return &c->head;
+}
+
+/*
+ * Returns the method of the present request.
+ */
+const char *
+h1_conn_method(const struct h1_conn *c)
+{
+	return http_method_str((enum http_method)c->parser.method);
+}
+
+/*
+ * Tells whether the present request has a body.
+ */
+int
+h1_conn_has_body(const struct h1_conn *c)
+{
+	return (c->parser.flags & F_CHUNKED) != 0 ||
+	       (c->parser.content_length != UINT64_MAX &&
+		   c->parser.content_length > 0);
+}
+
+/*
+ * Returns the length of the present request's body, or H1_LENGTH_CHUNKED.
+ * It is only right until the body begins.
+ */
+uint64_t
+h1_conn_length(const struct h1_conn *c)
+{
+	if (c->parser.flags & F_CHUNKED)
+		return H1_LENGTH_CHUNKED;
+	return c->parser.content_length == UINT64_MAX
+		   ? 0
+		   : c->parser.content_length;
+}
+
+/*
+ * Keeps the owner's own state of the present request.
+ */
+void
+h1_conn_set_user(struct h1_conn *c, void *user)
+{
+	c->user = user;
+}
+
+/*
+ * Returns the owner's own state of the present request.
+ */
+void *
+h1_conn_user(const struct h1_conn *c)
+{
+	return c->user;
+}
+
+/*
+ * Stops reading, so that the caller is held back by its window.
+ */
+void
+h1_conn_pause(struct h1_conn *c)
+{
+	if (c->stream.paused || c->stream.closing)
+		return;
+	c->stream.paused = 1;
+	uv_read_stop((uv_stream_t *)&c->stream.tcp);
+}
+
+/*
+ * Reads on.
+ */
+void
+h1_conn_resume(struct h1_conn *c)
+{
+	if (!c->stream.paused || c->stream.closing)
+		return;
+	c->stream.paused = 0;
+	uv_read_start((uv_stream_t *)&c->stream.tcp, h1_alloc, h1_on_read);
+}
+
+/*
+ * Returns how many bytes of the answer are not written yet.
+ */
+size_t
+h1_conn_queued(const struct h1_conn *c)
+{
+	return c->stream.tcp.write_queue_size;
+}
+
+/*
+ * Composes the head of an answer.
+ */
+static void
+compose(struct h1_conn *c, struct h1_text *t, unsigned int status,
+    const struct h1_text *fields, uint64_t length)
+{
+	if (c->server->closing)
+		c->keep = 0;
+	h1_text_addf(t, "HTTP/1.1 %u %s\r\n", status, h1_reason(status));
+	if (fields != NULL)
+		h1_text_add(t, fields->p, fields->len);
+	c->chunked = length == H1_LENGTH_CHUNKED;
+	if (c->chunked)
+		h1_text_field(t, "Transfer-Encoding", "chunked");
+	else if (status != 204 && status != 304)
+		h1_text_addf(
+		    t, "Content-Length: %llu\r\n", (unsigned long long)length);
+	if (!c->keep)
+		h1_text_field(t, "Connection", "close");
+	h1_text_add(t, "\r\n", 2);
+}
+
+/*
+ * Sends the head of an answer; its body follows, of the length given or in
+ * chunks.  Fields are whole header lines.
+ */
+void
+h1_answer_head(struct h1_conn *c, unsigned int status,
+    const struct h1_text *fields, uint64_t length)
+{
+	struct h1_text t;
+
+	h1_text_init(&t);
+	compose(c, &t, status, fields, length);
+	h1_stream_write(&c->stream, t.p, t.len);
+	h1_text_finish(&t);
+	c->out = OUT_HEAD;
+}
+
+/*
+ * Sends a piece of an answer's body.
+ */
+void
+h1_answer_body(struct h1_conn *c, const char *p, size_t n)
+{
+	if (n == 0)
+		return;
+	if (c->chunked)
+		h1_stream_chunk(&c->stream, p, n);
+	else
+		h1_stream_write(&c->stream, p, n);
+}
+
+/*
+ * Ends an answer.  The owner holds the request no longer.
+ */
+void
+h1_answer_end(struct h1_conn *c)
+{
+	if (c->chunked)
+		h1_stream_chunk(&c->stream, NULL, 0);
+	c->out = OUT_DONE;
+	c->open = 0;
+	h1_conn_advance(c);
+}
+
+/*
+ * Sends a whole answer in one write.  The owner holds the request no longer.
+ */
+void
+h1_answer(struct h1_conn *c, unsigned int status, const struct h1_text *fields,
+    const char *body, size_t n)
+{
+	struct h1_text t;
+
+	h1_text_init(&t);
+	compose(c, &t, status, fields, n);
+	if (strcmp(h1_conn_method(c), "HEAD") != 0)
+		h1_text_add(&t, body, n);
+	h1_stream_write(&c->stream, t.p, t.len);
+	h1_text_finish(&t);
+	h1_answer_end(c);
+}
+
+/*
+ * Breaks off the connection, so that an answer that began can't look whole.
+ */
+void
+h1_conn_abort(struct h1_conn *c)
+{
+	c->open = 0;
+	h1_conn_close(c);
+}
--- a/src/http1/server.c
+++ b/src/http1/server.c
@@ -13,52 +13,14 @@
 #define HEAD_MS 5000
 #define IDLE_MS 60000
 
-enum in_state {
-	IN_IDLE, /* no byte of a request has come */
-	IN_HEAD,
-	IN_BODY,
-	IN_READ /* the request is in, its answer isn't out */
-};
-
-enum out_state {
-	OUT_NONE,
-	OUT_HEAD,
-	OUT_DONE
-};
-
-struct h1_conn {
-	struct h1_stream stream; /* first, for libuv's handle */
-	struct h1_server *server;
-	struct h1_conn *next, *prev;
-	http_parser parser;
-	struct h1_head head;
-	struct h1_collect collect;
-	void *user;
-	enum in_state in;
-	enum out_state out;
-	uint64_t since_ms; /* of the present state */
-	uint64_t body_seen;
-	char *pending;
-	size_t pending_len;
-	uv_shutdown_t shutdown;
-	int keep;
-	int chunked; /* the answer's body */
-	int feeding;
-	int lingering;
-	int open; /* the owner holds a request of this connection */
-};
-
 static void on_connection(uv_stream_t *, int);
-static void on_read(uv_stream_t *, ssize_t, const uv_buf_t *);
 static void on_close(uv_handle_t *);
 static void on_drained(struct h1_stream *);
 static void on_sweep(uv_timer_t *);
-static void conn_close(struct h1_conn *);
 static void conn_linger(struct h1_conn *);
 static void conn_refuse(struct h1_conn *, unsigned int);
 static void conn_feed(struct h1_conn *, const char *, size_t);
 static void conn_keep(struct h1_conn *, const char *, size_t);
-static void conn_advance(struct h1_conn *);
 static int close_idlest(struct h1_server *);
 static int on_begin(http_parser *);
 static int on_url(http_parser *, const char *, size_t);
@@ -143,7 +105,7 @@
 	h1_server_stop(s);
 	uv_close((uv_handle_t *)&s->sweeper, NULL);
 	for (c = s->conns; c != NULL; c = c->next)
-		conn_close(c);
+		h1_conn_close(c);
 }
 
 /*
@@ -188,13 +150,13 @@
 	s->conns = c;
 	s->conn_count++;
 	if (uv_accept(listener, (uv_stream_t *)&c->stream.tcp) != 0) {
-		conn_close(c);
+		h1_conn_close(c);
 		return;
 	}
 	uv_tcp_nodelay(&c->stream.tcp, 1);
-	uv_read_start((uv_stream_t *)&c->stream.tcp, h1_alloc, on_read);
+	uv_read_start((uv_stream_t *)&c->stream.tcp, h1_alloc, h1_on_read);
 	if (s->conn_count > s->conn_max && !close_idlest(s))
-		conn_close(c);
+		h1_conn_close(c);
 }
 
 /*
@@ -212,7 +174,7 @@
 			worst = c;
 	if (worst == NULL)
 		return 0;
-	conn_close(worst);
+	h1_conn_close(worst);
 	return 1;
 }
 
@@ -233,10 +195,10 @@
 		age = now - c->since_ms;
 		if (c->lingering) {
 			if (age > LINGER_MS)
-				conn_close(c);
+				h1_conn_close(c);
 		} else if (c->in == IN_IDLE) {
 			if (age > s->limits.idle_ms)
-				conn_close(c);
+				h1_conn_close(c);
 		} else if (c->in == IN_HEAD && age > s->limits.head_ms) {
 			conn_refuse(c, 408);
 		}
@@ -268,8 +230,8 @@
  * Closes a connection.  The owner of an open request hears that the caller
  * is gone.
  */
-static void
-conn_close(struct h1_conn *c)
+void
+h1_conn_close(struct h1_conn *c)
 {
 	if (c->stream.closing)
 		return;
@@ -343,14 +305,14 @@
 		return;
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
 		conn_keep(c, p + used, n - used);
-		conn_advance(c);
+		h1_conn_advance(c);
 		return;
 	}
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && !c->parser.upgrade)
 		return;
 	if (c->in == IN_BODY && c->open) {
 		/* A body that breaks off: the request never was whole. */
-		conn_close(c);
+		h1_conn_close(c);
 		return;
 	}
 	conn_refuse(c, c->collect.overflow ? 431 : 400);
@@ -359,8 +321,8 @@
 /*
  * Goes on to the next request, if this one is read and answered.
  */
-static void
-conn_advance(struct h1_conn *c)
+void
+h1_conn_advance(struct h1_conn *c)
 {
 	char *p;
 	size_t n;
@@ -393,15 +355,15 @@
 /*
  * Takes bytes, or the end of the connection.
  */
-static void
-on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+void
+h1_on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct h1_conn *c = stream->data;
 
 	if (n == 0 || c->stream.closing)
 		return;
 	if (n < 0) {
-		conn_close(c);
+		h1_conn_close(c);
 		return;
 	}
 	if (c->lingering)
@@ -536,192 +498,3 @@
 	http_parser_pause(parser, 1);
 	return 0;
 }
-
-/*
- * Returns the head of the present request.
- */
-const struct h1_head *
-h1_conn_head(const struct h1_conn *c)
-{
-	return &c->head;
-}
-
-/*
- * Returns the method of the present request.
- */
-const char *
-h1_conn_method(const struct h1_conn *c)
-{
-	return http_method_str((enum http_method)c->parser.method);
-}
-
-/*
- * Tells whether the present request has a body.
- */
-int
-h1_conn_has_body(const struct h1_conn *c)
-{
-	return (c->parser.flags & F_CHUNKED) != 0 ||
-	       (c->parser.content_length != UINT64_MAX &&
-		   c->parser.content_length > 0);
-}
-
-/*
- * Returns the length of the present request's body, or H1_LENGTH_CHUNKED.
- * It is only right until the body begins.
- */
-uint64_t
-h1_conn_length(const struct h1_conn *c)
-{
-	if (c->parser.flags & F_CHUNKED)
-		return H1_LENGTH_CHUNKED;
-	return c->parser.content_length == UINT64_MAX
-		   ? 0
-		   : c->parser.content_length;
-}
-
-/*
- * Keeps the owner's own state of the present request.
- */
-void
-h1_conn_set_user(struct h1_conn *c, void *user)
-{
-	c->user = user;
-}
-
-/*
- * Returns the owner's own state of the present request.
- */
-void *
-h1_conn_user(const struct h1_conn *c)
-{
-	return c->user;
-}
-
-/*
- * Stops reading, so that the caller is held back by its window.
- */
-void
-h1_conn_pause(struct h1_conn *c)
-{
-	if (c->stream.paused || c->stream.closing)
-		return;
-	c->stream.paused = 1;
-	uv_read_stop((uv_stream_t *)&c->stream.tcp);
-}
-
-/*
- * Reads on.
- */
-void
-h1_conn_resume(struct h1_conn *c)
-{
-	if (!c->stream.paused || c->stream.closing)
-		return;
-	c->stream.paused = 0;
-	uv_read_start((uv_stream_t *)&c->stream.tcp, h1_alloc, on_read);
-}
-
-/*
- * Returns how many bytes of the answer are not written yet.
- */
-size_t
-h1_conn_queued(const struct h1_conn *c)
-{
-	return c->stream.tcp.write_queue_size;
-}
-
-/*
- * Composes the head of an answer.
- */
-static void
-compose(struct h1_conn *c, struct h1_text *t, unsigned int status,
-    const struct h1_text *fields, uint64_t length)
-{
-	if (c->server->closing)
-		c->keep = 0;
-	h1_text_addf(t, "HTTP/1.1 %u %s\r\n", status, h1_reason(status));
-	if (fields != NULL)
-		h1_text_add(t, fields->p, fields->len);
-	c->chunked = length == H1_LENGTH_CHUNKED;
-	if (c->chunked)
-		h1_text_field(t, "Transfer-Encoding", "chunked");
-	else if (status != 204 && status != 304)
-		h1_text_addf(
-		    t, "Content-Length: %llu\r\n", (unsigned long long)length);
-	if (!c->keep)
-		h1_text_field(t, "Connection", "close");
-	h1_text_add(t, "\r\n", 2);
-}
-
-/*
- * Sends the head of an answer; its body follows, of the length given or in
- * chunks.  Fields are whole header lines.
- */
-void
-h1_answer_head(struct h1_conn *c, unsigned int status,
-    const struct h1_text *fields, uint64_t length)
-{
-	struct h1_text t;
-
-	h1_text_init(&t);
-	compose(c, &t, status, fields, length);
-	h1_stream_write(&c->stream, t.p, t.len);
-	h1_text_finish(&t);
-	c->out = OUT_HEAD;
-}
-
-/*
- * Sends a piece of an answer's body.
- */
-void
-h1_answer_body(struct h1_conn *c, const char *p, size_t n)
-{
-	if (n == 0)
-		return;
-	if (c->chunked)
-		h1_stream_chunk(&c->stream, p, n);
-	else
-		h1_stream_write(&c->stream, p, n);
-}
-
-/*
- * Ends an answer.  The owner holds the request no longer.
- */
-void
-h1_answer_end(struct h1_conn *c)
-{
-	if (c->chunked)
-		h1_stream_chunk(&c->stream, NULL, 0);
-	c->out = OUT_DONE;
-	c->open = 0;
-	conn_advance(c);
-}
-
-/*
- * Sends a whole answer in one write.  The owner holds the request no longer.
- */
-void
-h1_answer(struct h1_conn *c, unsigned int status, const struct h1_text *fields,
-    const char *body, size_t n)
-{
-	struct h1_text t;
-
-	h1_text_init(&t);
-	compose(c, &t, status, fields, n);
-	if (strcmp(h1_conn_method(c), "HEAD") != 0)
-		h1_text_add(&t, body, n);
-	h1_stream_write(&c->stream, t.p, t.len);
-	h1_text_finish(&t);
-	h1_answer_end(c);
-}
-
-/*
- * Breaks off the connection, so that an answer that began can't look whole.
- */
-void
-h1_conn_abort(struct h1_conn *c)
-{
-	c->open = 0;
-	conn_close(c);
-}
--- /dev/null
+++ b/src/relay/test_pair.h
@@ -0,0 +1,349 @@
+#ifndef RELAY_TEST_PAIR_H
+#define RELAY_TEST_PAIR_H
+
+/*
+ * Two nodes and their servers on one loop, on two loopback addresses.  The
+ * callers use node A; the server of the service is beside node B, in some
+ * cases another one beside A.
+ */
+
+#define ALARM_S 60
+#define SERVICE "orders"
+#define KEY "key-1"
+#define FRESH_MS 4000
+
+/* What a server does with a request. */
+enum deed {
+	ANSWER,
+	HOLD,
+	BREAK,
+	TURN,
+	OTHERS_FIRST,
+	NO_STAMP,
+	FAIL
+};
+
+struct server {
+	struct h1_server http;
+	enum deed deed;
+	int runs;
+	int health; /* the last request asked for it */
+	int gone;   /* connections that broke while a request was held */
+	char id[256];
+	char seen[1024]; /* names and values of the last request */
+	struct h1_conn *held;
+};
+
+struct caller {
+	struct h1_pool pool;
+	struct h1_xchg *xchg;
+	int done;
+	enum h1_fail fail;
+	unsigned int status;
+	char body[64];
+	size_t body_len;
+	char retry_after[16];
+};
+
+static uv_loop_t loop;
+static struct relay nodes[2];
+static struct server servers[2];
+static struct sockaddr_in server_at[2];
+static char long_id[200];
+
+static const struct relay_names names = { "Id", "Deadline", "Key", "Workspace",
+	"Caller", "Expect", "Not-Run", "Stamp", "Load", "Instance" };
+
+static void
+server_head(void *ctx, struct h1_conn *conn)
+{
+	struct server *s = ctx;
+	const struct h1_head *h = h1_conn_head(conn);
+
+	s->health = strncmp(h->buf + h->target, "/health", 7) == 0;
+	s->runs += s->deed != TURN && !s->health;
+	if (h1_head_copy(h, "Id", s->id, sizeof(s->id)) < 0)
+		s->id[0] = '\0';
+	snprintf(s->seen, sizeof(s->seen), "%.*s", (int)h->len, h->buf);
+}
+
+static void
+server_end(void *ctx, struct h1_conn *conn)
+{
+	struct server *s = ctx;
+	struct h1_text t;
+
+	h1_text_init(&t);
+	if (s->health) {
+		h1_text_field(&t, "Instance", "i-0");
+		h1_text_field(&t, "Load", "1,0,7");
+		h1_answer(conn, s->deed == FAIL ? 503 : 200, &t, NULL, 0);
+		h1_text_finish(&t);
+		return;
+	}
+	h1_text_field(&t, "Id", s->id);
+	switch (s->deed) {
+	case ANSWER:
+		h1_text_field(&t, "Cyclamen-Exit", "busy 0 0 0");
+		h1_text_field(&t, "Stamp", "s");
+		h1_answer(conn, 200, &t, "mine", 4);
+		break;
+	case FAIL:
+		h1_text_field(&t, "Stamp", "s");
+		h1_answer(conn, 500, &t, "bad", 3);
+		break;
+	case NO_STAMP:
+		h1_answer(conn, 200, &t, "mine", 4);
+		break;
+	case TURN:
+		h1_text_field(&t, "Not-Run", "1");
+		h1_answer(conn, 503, &t, NULL, 0);
+		break;
+	case OTHERS_FIRST:
+		/* The late second answer of the request before, then ours. */
+		h1_text_finish(&t);
+		s->id[strlen(s->id) - 1] ^= 1;
+		h1_text_field(&t, "Id", s->id);
+		h1_text_field(&t, "Stamp", "s");
+		h1_text_addf(&t, "Content-Length: 6\r\n\r\nothersHTTP/1.1 200 "
+				 "OK\r\n");
+		s->id[strlen(s->id) - 1] ^= 1;
+		h1_text_field(&t, "Id", s->id);
+		h1_text_field(&t, "Stamp", "s");
+		h1_answer(conn, 200, &t, "mine", 4);
+		break;
+	case BREAK:
+		h1_conn_abort(conn);
+		break;
+	case HOLD:
+		s->held = conn;
+		break;
+	}
+	h1_text_finish(&t);
+}
+
+static void
+server_gone(void *ctx, struct h1_conn *conn)
+{
+	struct server *s = ctx;
+
+	s->gone++;
+	if (s->held == conn)
+		s->held = NULL;
+}
+
+static const struct h1_server_ops server_ops = { server_head, NULL, server_end,
+	server_gone, NULL };
+
+static int
+caller_head(void *ctx, struct h1_xchg *x)
+{
+	struct caller *c = ctx;
+
+	c->status = h1_xchg_status(x);
+	if (h1_head_copy(h1_xchg_head(x), "Retry-After", c->retry_after,
+		sizeof(c->retry_after)) < 0)
+		c->retry_after[0] = '\0';
+	return 0;
+}
+
+static void
+caller_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+{
+	struct caller *c = ctx;
+
+	(void)x;
+	assert_true(c->body_len + n < sizeof(c->body));
+	memcpy(c->body + c->body_len, p, n);
+	c->body_len += n;
+}
+
+static void
+caller_end(void *ctx, struct h1_xchg *x)
+{
+	(void)x;
+	((struct caller *)ctx)->done = 1;
+}
+
+static void
+caller_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+{
+	(void)x;
+	((struct caller *)ctx)->done = 2;
+	((struct caller *)ctx)->fail = how;
+}
+
+static const struct h1_client_ops caller_ops = { caller_head, caller_body,
+	caller_end, caller_fail, NULL };
+
+/*
+ * Finds ports that are free at both addresses; they are taken soon after.
+ */
+static void
+free_ports(uint16_t *ports, int n)
+{
+	uv_tcp_t probes[8];
+	struct sockaddr_in at;
+	int i, len;
+
+	for (i = 0; i < n; i++) {
+		uv_ip4_addr("127.0.0.1", 0, &at);
+		len = sizeof(at);
+		uv_tcp_init(&loop, &probes[i]);
+		uv_tcp_bind(&probes[i], (struct sockaddr *)&at, 0);
+		uv_tcp_getsockname(&probes[i], (struct sockaddr *)&at, &len);
+		ports[i] = ntohs(at.sin_port);
+	}
+	for (i = 0; i < n; i++)
+		uv_close((uv_handle_t *)&probes[i], NULL);
+	uv_run(&loop, UV_RUN_NOWAIT);
+}
+
+/*
+ * Makes a configuration: "/o/" isn't idempotent, "/s/" is, "/open/" takes
+ * requests without a key, and one workspace has a rate.
+ */
+static struct config *
+make_config(uint64_t version, double rate, const char *key)
+{
+	static const char *const prefixes[] = { "/o/", "/s/", "/open/" };
+	struct config *c = calloc(1, sizeof(*c));
+	struct config_route *r;
+	int i;
+
+	c->version = version;
+	c->routes = calloc(3, sizeof(*c->routes));
+	c->workspaces = calloc(1, sizeof(*c->workspaces));
+	c->keys = calloc(1, sizeof(*c->keys));
+	for (i = 0; i < 3; i++) {
+		r = &c->routes[c->route_count++];
+		snprintf(r->host, sizeof(r->host), "h");
+		snprintf(r->prefix, sizeof(r->prefix), "%s", prefixes[i]);
+		r->prefix_len = strlen(r->prefix);
+		snprintf(r->service, sizeof(r->service), SERVICE);
+		r->idempotent = i > 0;
+		r->open = i == 2;
+		r->deadline_ms = 1000;
+		r->retries = 1;
+	}
+	c->ws_count = 1;
+	snprintf(c->workspaces[0].name, sizeof(c->workspaces[0].name), "w");
+	c->workspaces[0].hash = config_ws_hash("w");
+	c->workspaces[0].rate = rate;
+	c->workspaces[0].burst = rate > 0 ? (uint32_t)rate : 0;
+	c->key_count = 1;
+	config_key_hash(key, c->keys[0].hash);
+	config_sort(c);
+	return c;
+}
+
+static void
+announce(int node, uint64_t born, uint64_t sequence, int draining)
+{
+	struct relay_announce a;
+
+	memset(&a, 0, sizeof(a));
+	snprintf(a.id, sizeof(a.id), "i-%d", node);
+	snprintf(a.service, sizeof(a.service), SERVICE);
+	a.born_ms = born;
+	a.sequence = sequence;
+	a.slots = 10;
+	a.draining = draining;
+	relay_announced(&nodes[node], &a);
+}
+
+static int
+setup(void **state)
+{
+	static const char *const ips[] = { "127.0.0.1", "127.0.0.2" };
+	struct relay_settings set;
+	uint16_t ports[5];
+	int i;
+
+	(void)state;
+	alarm(ALARM_S);
+	uv_loop_init(&loop);
+	free_ports(ports, 5);
+	memset(servers, 0, sizeof(servers));
+	for (i = 0; i < 2; i++) {
+		memset(&set, 0, sizeof(set));
+		set.names = names;
+		snprintf(set.node, sizeof(set.node), "n%d", i);
+		snprintf(set.zone, sizeof(set.zone), "z%d", i);
+		snprintf(
+		    set.service, sizeof(set.service), i == 0 ? "web" : SERVICE);
+		uv_ip4_addr(ips[i], ports[0], &set.entry);
+		uv_ip4_addr(ips[i], ports[1], &set.exit);
+		uv_ip4_addr(ips[i], ports[2], &set.server);
+		uv_ip4_addr(ips[i], ports[3], &set.fleet);
+		set.fresh_ms = FRESH_MS;
+		set.quota_share = 0.1;
+		set.quota_constant = 20;
+		set.retry_ratio = 0.2;
+		set.retry_slack = 4;
+		set.memory_bytes = 64 << 20;
+		set.descriptors = 1000;
+		server_at[i] = set.server;
+		assert_int_equal(h1_server_init(&servers[i].http, &loop,
+				     &set.server, &server_ops, &servers[i], 64),
+		    0);
+		assert_int_equal(relay_init(&nodes[i], &loop, &set), 0);
+		relay_take_config(&nodes[i], make_config(1, 0, KEY));
+		relay_proved(&nodes[i], uv_now(&loop));
+	}
+	fleet_learn(&nodes[0].fleet, "n1", ntohl(inet_addr(ips[1])), 1);
+	fleet_learn(&nodes[1].fleet, "n0", ntohl(inet_addr(ips[0])), 1);
+	announce(1, 100, 1, 0);
+	while (nodes[0].fleet.peers[0].server.id[0] == '\0' ||
+	       nodes[1].fleet.peers[0].heard_ms == 0)
+		uv_run(&loop, UV_RUN_ONCE);
+	memset(long_id, 'a', sizeof(long_id) - 1);
+	return 0;
+}
+
+static int
+teardown(void **state)
+{
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		relay_close(&nodes[i]);
+		h1_server_finish(&servers[i].http);
+	}
+	uv_run(&loop, UV_RUN_DEFAULT);
+	for (i = 0; i < 2; i++)
+		relay_finish(&nodes[i]);
+	return uv_loop_close(&loop);
+}
+
+static void
+send_to(struct caller *c, int node, const char *path, const char *key,
+    const char *more)
+{
+	struct h1_text t;
+
+	memset(c, 0, sizeof(*c));
+	h1_pool_init(&c->pool, &loop, &nodes[node].set.entry, 1000, 1000);
+	h1_text_init(&t);
+	h1_text_addf(&t,
+	    "GET %s HTTP/1.1\r\nHost: H:80\r\nDeadline: 2000\r\n"
+	    "Id: %s\r\n%s",
+	    path, long_id, more);
+	if (key != NULL)
+		h1_text_field(&t, "Key", key);
+	h1_text_add(&t, "\r\n", 2);
+	c->xchg = h1_send(&c->pool, &t, 0, 0, 0, &caller_ops, c);
+	h1_text_finish(&t);
+}
+
+static void
+ask(struct caller *c, const char *path, const char *key)
+{
+	send_to(c, 0, path, key, "");
+	while (!c->done)
+		uv_run(&loop, UV_RUN_ONCE);
+	h1_pool_finish(&c->pool);
+}
+
+#endif
