The least share of a class follows the mean of all

Ruled out: slots (29 of 31 in use, 470 calls a second), routing (one server). The floor is now 0.32 of the mean share.

--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -8,13 +8,13 @@
 #define RATE_PER_S 1.0	   /* of the change that would meet the target */
 #define CHANGE_PER_S 1.8   /* at most, so that one odd sample does little */
 #define MIX_KEEP_PER_S 0.5 /* of what was seen of the classes before */
-#define CLASS_FLOOR 0.22   /* of a class that is let in whatever happens */
-#define REACHES 0.05	   /* calls for each run that count as reaching */
-#define SPAN (1 - CLASS_FLOOR)
-#define CUT_MAX (SPAN * THROTTLE_CLASSES)
+#define FLOOR_OF_MEAN 0.32 /* a class's least share, of the mean of all */
+#define FLOOR_MIN 0.03
+#define FLOOR_MAX 0.22
+#define REACHES 0.05 /* calls for each run that count as reaching */
 #define SLOPE_MIN 0.02
 
-static double slope(const struct throttle_service *);
+static double slope(struct throttle_service *);
 static double share_below(struct throttle *, int, uint32_t);
 
 /*
@@ -41,6 +41,7 @@
 		return -1;
 	memset(&t->services[i], 0, sizeof(t->services[i]));
 	snprintf(t->services[i].name, THROTTLE_NAME_BYTES, "%s", name);
+	t->services[i].floor = FLOOR_MAX;
 	t->count++;
 	return (int)i;
 }
@@ -77,23 +78,27 @@
 
 /*
  * Returns by how much the offered load falls for each unit more of a cut, as
- * far as the classes that were seen tell.
+ * far as the classes that were seen tell, and sets the least share of a class
+ * by the mean of all: none is to starve beside the others.
  */
 static double
-slope(const struct throttle_service *s)
+slope(struct throttle_service *s)
 {
-	double seen = 0, passed = 0;
+	double seen = 0, passed = 0, span = 1 - s->floor, by;
 	uint32_t k, cut_class = 0;
 
 	for (k = 0; k < THROTTLE_CLASSES; k++) {
 		seen += s->mix[k];
-		passed += s->mix[k] * throttle_class_share(s->cut, k);
-		if (s->cut <= SPAN * (THROTTLE_CLASSES - k))
+		passed += s->mix[k] * throttle_class_share(s->cut, k, s->floor);
+		if (s->cut <= span * (THROTTLE_CLASSES - k))
 			cut_class = k;
 	}
 	if (passed <= 0 || seen <= 0)
 		return 1;
-	return s->offered / passed * s->mix[cut_class] / SPAN;
+	by = s->offered / passed * s->mix[cut_class] / span;
+	s->floor =
+	    fmax(FLOOR_MIN, fmin(FLOOR_MAX, FLOOR_OF_MEAN * passed / seen));
+	return by;
 }
 
 /*
@@ -114,7 +119,8 @@
 			by /= fmax(slope(s), SLOPE_MIN);
 		}
 		s->cut += fmax(-most, fmin(most, by));
-		s->cut = fmax(0, fmin(CUT_MAX, s->cut));
+		s->cut =
+		    fmax(0, fmin((1 - s->floor) * THROTTLE_CLASSES, s->cut));
 		s->known = 0;
 		for (k = 0; k < THROTTLE_CLASSES; k++)
 			s->mix[k] *= pow(MIX_KEEP_PER_S, seconds);
@@ -126,13 +132,14 @@
  * cut first, to its floor, then the next one.
  */
 double
-throttle_class_share(double cut, uint32_t class)
+throttle_class_share(double cut, uint32_t class, double floor)
 {
-	double mine = cut - SPAN * (THROTTLE_CLASSES - 1 - class);
+	double span = 1 - floor, mine;
 
+	mine = cut - span * (THROTTLE_CLASSES - 1 - class);
 	if (mine <= 0)
 		return 1;
-	return mine >= SPAN ? CLASS_FLOOR : 1 - mine;
+	return mine >= span ? floor : 1 - mine;
 }
 
 /*
@@ -143,9 +150,10 @@
 share_below(struct throttle *t, int service, uint32_t class)
 {
 	struct throttle_service *s = &t->services[service];
-	double share, least = throttle_class_share(s->cut, class);
+	double share, least;
 	uint32_t i;
 
+	least = throttle_class_share(s->cut, class, s->floor);
 	s->reach_done = t->walk;
 	s->mix[class]++;
 	for (i = 0; i < s->call_count; i++) {
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -27,7 +27,8 @@
 	double offered; /* work that arrives, as a share of all slots */
 	int known;	/* a load was told since the last step */
 	double mix[THROTTLE_CLASSES]; /* decaying, of arrivals by class */
-	double cut; /* 0: all are let in; a unit for each class */
+	double floor; /* least share of a class that is let in */
+	double cut;   /* 0: all are let in; a unit for each class */
 	struct throttle_call calls[THROTTLE_CALLS];
 	uint32_t call_count;
 	uint32_t reach_done; /* marks of the walk over the tree */
@@ -45,6 +46,6 @@
 void throttle_offered(struct throttle *, int, double);
 void throttle_step(struct throttle *, double);
 double throttle_share(struct throttle *, int, uint32_t);
-double throttle_class_share(double, uint32_t);
+double throttle_class_share(double, uint32_t, double);
 
 #endif
