Remove what the relay never used

Left alone: entry and exit look alike in four callbacks, but hold different states; the rest of the pairs are generated code and tables of prototypes.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -374,5 +374,4 @@
 		    f->store_ctx, STORE_NODES, name, NEWEST_MS, on_listed, f);
 		return;
 	}
-	f->listed = 1;
 }
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -50,7 +50,6 @@
 	uint32_t config_fails; /* in a row */
 	uint32_t nodes_fails;
 	int entered; /* this node is in the store's list */
-	int listed;  /* the list has been read since */
 	int lost;
 	uint64_t bad_records;
 };
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -31,11 +31,10 @@
 	struct h1_head head;
 	struct h1_collect collect;
 	uint64_t length;
-	int chunked;  /* the request's body */
-	int sent_all; /* the request is written */
-	int answered; /* the whole answer is in */
-	int skipping; /* an answer that belongs to no request of ours */
-	int reused;
+	int chunked;   /* the request's body */
+	int sent_all;  /* the request is written */
+	int answered;  /* the whole answer is in */
+	int skipping;  /* an answer that belongs to no request of ours */
 	int head_only; /* the answer has no body, whatever its head says */
 	int cancelled;
 };
@@ -175,7 +174,6 @@
 		} else {
 			pool->idle = p->next;
 			pool->idle_count--;
-			x->reused = 1;
 		}
 	}
 	if (p == NULL)
@@ -301,15 +299,6 @@
 	return x->length;
 }
 
-/*
- * Tells whether the exchange went over a connection used before.
- */
-int
-h1_xchg_reused(const struct h1_xchg *x)
-{
-	return x->reused;
-}
-
 /*
  * Ends the time for connecting.
  */
--- a/src/http1/head.c
+++ b/src/http1/head.c
@@ -69,19 +69,6 @@
 	return NULL;
 }
 
-/*
- * Returns a copy of a field's value, to be freed, or NULL.
- */
-char *
-h1_head_dup(const struct h1_head *h, const char *name)
-{
-	const char *v;
-	size_t n;
-
-	v = h1_head_get(h, name, &n);
-	return v == NULL ? NULL : strndup(v, n);
-}
-
 /*
  * Copies a field's value into a buffer.  Returns its length, or -1 if there
  * is no such field or no room for it.
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -40,7 +40,6 @@
 void h1_head_init(struct h1_head *);
 void h1_head_finish(struct h1_head *);
 const char *h1_head_get(const struct h1_head *, const char *, size_t *);
-char *h1_head_dup(const struct h1_head *, const char *);
 int h1_head_copy(const struct h1_head *, const char *, char *, size_t);
 uint64_t h1_head_number(const struct h1_head *, const char *, uint64_t);
 int h1_name_is(const char *, size_t, const char *);
@@ -160,6 +159,5 @@
 const struct h1_head *h1_xchg_head(const struct h1_xchg *);
 unsigned int h1_xchg_status(const struct h1_xchg *);
 uint64_t h1_xchg_length(const struct h1_xchg *);
-int h1_xchg_reused(const struct h1_xchg *);
 
 #endif
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -382,7 +382,7 @@
 }
 
 /*
- * Ends requests whose time is over, and tries others again.
+ * Ends requests whose time is over.
  */
 void
 entry_tick(struct relay *r)
@@ -402,7 +402,5 @@
 				? END_TIMEOUT
 				: END_TIMEOUT_UNSENT,
 			    200);
-		else if (e->again_ms != 0 && now >= e->again_ms)
-			entry_start(e);
 	}
 }
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -150,7 +150,6 @@
 	struct h1_text t;
 	int h = entry_pick(e);
 
-	e->again_ms = 0;
 	if (h == RELAY_NO_LINK) {
 		entry_end(e, e->tries > 0 ? END_OVERLOAD : END_NO_SERVER,
 		    come_back(e));
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -13,10 +13,8 @@
 #define RATIO 1000.0 /* loads and calls are told in thousandths */
 #define RANK_SHIFT 16
 #define STEPS_PER_SUM 10 /* steps between two lines about successes */
-#define SUMS RELAY_SUMS
 
 static void on_step(uv_timer_t *);
-static void decay(struct relay *);
 static void log_sums(struct relay *);
 static void sum_loads(struct relay *);
 static int rank_cmp(const void *, const void *);
@@ -35,10 +33,10 @@
 }
 
 /*
- * Lets the measured load fade to the present one.
+ * Brings the measured load of the server beside this node up to now.
  */
-static void
-decay(struct relay *r)
+void
+load_tick(struct relay *r)
 {
 	uint64_t now = relay_now(r);
 	double keep = exp(-(double)(now - r->busy_ms) / MS_PER_S / BUSY_S);
@@ -52,22 +50,13 @@
 	r->busy_ms = now;
 }
 
-/*
- * Measures the load of the server beside this node.
- */
-void
-load_tick(struct relay *r)
-{
-	decay(r);
-}
-
 /*
  * A request was refused here.
  */
 void
 load_shed(struct relay *r)
 {
-	decay(r);
+	load_tick(r);
 	r->shed_per_s += 1 / BUSY_S;
 }
 
@@ -119,7 +108,7 @@
 	double offered;
 	uint32_t i;
 
-	decay(r);
+	load_tick(r);
 	offered = r->busy;
 	if (r->server.slots > 0)
 		offered += r->shed_per_s * r->core.limiter.mean_us /
@@ -200,13 +189,13 @@
 static void
 log_sums(struct relay *r)
 {
-	static const enum relay_counter summed[SUMS] = { RELAY_SERVED,
+	static const enum relay_counter summed[RELAY_SUMS] = { RELAY_SERVED,
 		RELAY_FAILED, RELAY_REFUSED, RELAY_THROTTLED, RELAY_OVER_RATE,
 		RELAY_EXIT_SERVED, RELAY_EXIT_REFUSED };
-	uint64_t n[SUMS], all = 0;
+	uint64_t n[RELAY_SUMS], all = 0;
 	int i;
 
-	for (i = 0; i < SUMS; i++) {
+	for (i = 0; i < RELAY_SUMS; i++) {
 		n[i] = r->counters[summed[i]] - r->summed[i];
 		r->summed[i] = r->counters[summed[i]];
 		all += n[i];
@@ -231,7 +220,7 @@
 {
 	struct relay *r = timer->data;
 
-	decay(r);
+	load_tick(r);
 	sum_loads(r);
 	throttle_step(&r->throttle, STEP_MS / MS_PER_S);
 	if (++r->steps % STEPS_PER_SUM == 0)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -22,7 +22,6 @@
 static void fill_beat(void *, struct fleet_beat *);
 static void peer_turned(void *, int);
 static void on_tick(uv_timer_t *);
-static void server_changed(struct relay *);
 static uint32_t usable_slots(uint32_t);
 
 static const struct fleet_ops fleet_ops = {
@@ -395,7 +394,6 @@
 		return;
 	p = &r->fleet.peers[handle];
 	l = relay_link(r, handle);
-
 	l->avoid_ms = 0;
 	l->avoid_run = 0;
 	l->told_ms = 0;
@@ -406,15 +404,6 @@
 	    p->server.service, p->server.id, p->server.leaving);
 }
 
-/*
- * Tells other nodes of a change of the server at once.
- */
-static void
-server_changed(struct relay *r)
-{
-	fleet_beat_all(&r->net, 0);
-}
-
 /*
  * Returns how many of a server's slots are used: some servers are slow when
  * they are nearly full.
@@ -476,7 +465,7 @@
 		fresh = 1;
 	}
 	if (fresh)
-		server_changed(r);
+		fleet_beat_all(&r->net, 0);
 	exit_next(r);
 	return 1;
 }
@@ -496,7 +485,7 @@
 	s->leaving = 1;
 	s->gone = 1;
 	event_log(EVENT_SERVER_GONE, relay_now(r), "server=%s", s->id);
-	server_changed(r);
+	fleet_beat_all(&r->net, 0);
 	exit_next(r);
 }
 
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -72,7 +72,6 @@
 	int idempotent;
 	int took_token;
 	int maybe_run;
-	uint64_t again_ms; /* try again at that time; 0: no */
 	int tried[RELAY_TRIED_MAX];
 	int link; /* of the attempt under way */
 	struct h1_xchg *xchg;
