--- a/src/config/config.h
+++ b/src/config/config.h
@@ -142,4 +142,7 @@
 char *config_publication(const char *, uint64_t, const char *, const char *);
 char *config_snapshot(const struct config *, const char *);
 
+char *config_copy_write(const struct config *, size_t *);
+struct config *config_copy_read(const char *, size_t);
+
 #endif
--- a/src/event/event.c
+++ b/src/event/event.c
@@ -36,10 +36,12 @@
 	[EVENT_CONFIG_TAKEN] = { "info", "config-in-force" },
 	[EVENT_CONFIG_BAD] = { "warning", "config-invalid" },
 	[EVENT_CONFIG_OLD] = { "notice", "config-outdated" },
+	[EVENT_COPY_FAILED] = { "notice", "config-copy-failed" },
 	[EVENT_STORE_LOST] = { "warning", "store-lost" },
 	[EVENT_STORE_BACK] = { "info", "store-regained" },
 	[EVENT_PEER_NEW] = { "info", "peer-new" },
 	[EVENT_PEER_CHANGED] = { "info", "peer-changed" },
+	[EVENT_STRANGERS] = { "warning", "strangers" },
 	[EVENT_SERVER_NEW] = { "info", "server-new" },
 	[EVENT_SERVER_LEAVING] = { "info", "server-leaving" },
 	[EVENT_SERVER_GONE] = { "info", "server-gone" },
@@ -54,6 +56,8 @@
 	[EVENT_EXIT_FAILED] = { "notice", "server-failure" },
 	[EVENT_STRIKE] = { "warning", "request-struck" },
 	[EVENT_SERVED] = { "info", "served" },
+	[EVENT_THROTTLE] = { "notice", "throttle" },
+	[EVENT_LIMIT_OWNED] = { "info", "limit-owned" },
 	[EVENT_DROPPED] = { "warning", "lines-dropped" },
 };
 
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -4,38 +4,64 @@
 
 const FLEET_NAME_MAX = 63;
 const FLEET_CALLS_MAX = 8;
+const FLEET_DEMANDS_MAX = 8;
+const FLEET_CLASSES = 4;
+const FLEET_RATES_MAX = 32;	/* services by classes */
+const FLEET_SILENT_MAX = 32;
+const FLEET_DOWN = 1;	/* a server that took no connection lately */
+const FLEET_LEAVING = 2;	/* one that said that it ends */
 
-/* Calls of a server to a service, for 1000 requests that it ran. */
-struct fleet_calls {
-	string service<FLEET_NAME_MAX>;
-	unsigned int per_1000;
-};
+typedef string fleet_name<FLEET_NAME_MAX>;
 
 /* The backend server beside a node, as it announced itself. */
 struct fleet_server_state {
-	string id<FLEET_NAME_MAX>;
-	string service<FLEET_NAME_MAX>;
+	fleet_name id;
+	fleet_name service;
 	unsigned hyper born_ms;
 	unsigned int slots;
 	unsigned int cold_ms;	 /* how much longer it is slow */
+	unsigned int away;	 /* FLEET_DOWN or FLEET_LEAVING */
+};
+
+/* What changes all the time. */
+struct fleet_load {
+	unsigned hyper sequence;
+	unsigned hyper config_version;
+	unsigned int out;	 /* 1: it decides for no limit */
+	unsigned int nodes;	 /* that the sender knows of; 0: not yet */
 	unsigned int running;
 	unsigned int waiting;
 	unsigned int offered;	 /* work, in thousandths of the slots */
-	unsigned int leaving;
-	fleet_calls calls<FLEET_CALLS_MAX>;
+	unsigned int run_us;	 /* mean time of a run; 0: not known */
+	unsigned int failing;	 /* of 1000 runs */
+	unsigned int chained;	 /* of 1000 calls, those whose run is known */
+	/* Nodes that it doesn't hear, by the hash of their name. */
+	unsigned int silent<FLEET_SILENT_MAX>;
+	/* Calls of 1000 runs to each service that the server calls. */
+	unsigned int calls_per_1000<FLEET_CALLS_MAX>;
+	/* Root requests for each service asked for, by class: demand_code(). */
+	opaque demands<FLEET_RATES_MAX>;
 };
 
-/* A node's sign of life. */
+/* A node's sign of life, with all that it tells of itself. */
 struct fleet_beat {
-	string node<FLEET_NAME_MAX>;
-	string zone<FLEET_NAME_MAX>;
+	fleet_name node;
+	fleet_name zone;
 	unsigned hyper incarnation;
-	unsigned hyper sequence;
 	unsigned int address;	 /* IPv4, host order */
 	unsigned int port;	 /* for forwarded requests */
 	unsigned int stopping;
-	unsigned hyper config_version;
 	fleet_server_state server;
+	fleet_name calls<FLEET_CALLS_MAX>;     /* services, see the load */
+	fleet_name demands<FLEET_DEMANDS_MAX>; /* services, see the load */
+	fleet_load load;
+};
+
+/* A sign of life where the rest is as in the last whole beat. */
+struct fleet_pulse {
+	unsigned hyper incarnation;
+	unsigned hyper print;	 /* of that beat */
+	fleet_load load;
 };
 
 /* Asks the owner of a limit for tokens. */
@@ -72,11 +98,18 @@
 	unsigned int age_ms;
 };
 
-/* A request was at work on a server when that died. */
+/* A request was at work on a server when that died, or has run well since. */
 struct fleet_strike {
 	unsigned hyper lo;
 	unsigned hyper hi;
 	unsigned hyper death;
+	unsigned int acquitted;
+};
+
+/* A server said to its node, before that started again, that it ends. */
+struct fleet_left {
+	fleet_name server;
+	unsigned hyper born_ms;
 };
 
 enum fleet_kind {
@@ -87,7 +120,9 @@
 	FLEET_STRIKE = 5,
 	FLEET_BUCKET = 6,
 	FLEET_DOUBT = 7,
-	FLEET_PROOF = 8
+	FLEET_PROOF = 8,
+	FLEET_PULSE = 9,
+	FLEET_LEFT = 10
 };
 
 union fleet_msg switch (fleet_kind kind) {
@@ -107,4 +142,8 @@
 	fleet_doubt doubt;
 case FLEET_PROOF:
 	fleet_proof proof;
+case FLEET_PULSE:
+	fleet_pulse pulse;
+case FLEET_LEFT:
+	fleet_left left;
 };
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -1,9 +1,12 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "base/loopclock.h"
 #include "fleet/fleet.h"
 
 #define DATAGRAM_BYTES 1400
+#define WHOLE_EVERY 8 /* beats; the others tell only the load */
+#define WHOLE_MORE 2  /* after a change, as datagrams may be lost */
 #define LOST_BEATS 8  /* of which one goes to nodes that fell silent, too */
 #define PAUSE_BEATS 3 /* beats late by which a pause of the process is seen */
 
@@ -11,16 +14,20 @@
 static void on_datagram(uv_udp_t *, ssize_t, const uv_buf_t *,
     const struct sockaddr *, unsigned int);
 static void on_timer(uv_timer_t *);
+static void beat_or_pulse(struct fleet_net *);
+static void look_for_pause(struct fleet_net *);
 static void tick(struct fleet_net *);
 static void beat_lost(struct fleet_net *);
 static void take(
     struct fleet_net *, const struct fleet_msg *, const struct sockaddr_in *);
 static void take_beat(struct fleet_net *, const struct fleet_beat *);
-static size_t encode(const struct fleet_msg *, char *);
+static void tell_left(struct fleet_net *, const struct fleet_beat *);
+static size_t encode(
+    const struct fleet_net *, const struct fleet_msg *, char *);
 static void send_bytes(struct fleet_net *, const char *, size_t, uint32_t);
 
 /* The one loop reads into this and uses the bytes before it reads again. */
-static char datagram[DATAGRAM_BYTES];
+static char datagram[DATAGRAM_BYTES + SEAL_BYTES];
 
 /*
  * Opens the socket and begins to send beats.  Returns a libuv error or 0.
@@ -28,17 +35,18 @@
 int
 fleet_net_init(struct fleet_net *n, uv_loop_t *loop,
     const struct sockaddr_in *at, struct fleet_table *table,
-    const struct fleet_ops *ops, void *ctx)
+    const struct seal *seal, const struct fleet_ops *ops, void *ctx)
 {
 	int rc;
 
 	memset(n, 0, sizeof(*n));
 	n->loop = loop;
 	n->table = table;
+	n->seal = seal;
 	n->ops = ops;
 	n->ctx = ctx;
 	n->port = ntohs(at->sin_port);
-	n->ticked_ms = uv_now(loop);
+	n->ticked_ms = loop_ms(loop);
 	uv_udp_init(loop, &n->udp);
 	n->udp.data = n;
 	rc = uv_udp_bind(&n->udp, (const struct sockaddr *)at, 0);
@@ -79,19 +87,64 @@
 on_timer(uv_timer_t *timer)
 {
 	struct fleet_net *n = timer->data;
-	uint64_t now = uv_now(n->loop);
 	uint64_t every = fleet_interval_ms(n->table);
 
-	if (now - n->ticked_ms > every * PAUSE_BEATS)
-		fleet_paused(n->table, now - n->ticked_ms);
-	n->ticked_ms = now;
+	look_for_pause(n);
+	n->ticked_ms = loop_ms(n->loop);
 	tick(n);
-	fleet_beat_all(n, 0);
+	beat_or_pulse(n);
 	if (++n->beats % LOST_BEATS == 0)
 		beat_lost(n);
 	uv_timer_start(&n->timer, on_timer, every, 0);
 }
 
+/*
+ * Sees that this process stood still, before anything that came meanwhile is
+ * taken.  After a stop the timer is the first to know, after a suspension of
+ * the machine, which timers don't count, it may be a datagram.
+ */
+static void
+look_for_pause(struct fleet_net *n)
+{
+	uint64_t now = loop_ms(n->loop), for_ms = now - n->ticked_ms;
+
+	if (for_ms <= fleet_interval_ms(n->table) * PAUSE_BEATS)
+		return;
+	fleet_paused(n->table, for_ms, now);
+	n->ticked_ms = now;
+	tick(n);
+}
+
+/*
+ * Sends a whole beat to all if there is news or it is time for one, and the
+ * load alone otherwise.
+ */
+static void
+beat_or_pulse(struct fleet_net *n)
+{
+	struct fleet_msg m, pulse;
+	uint64_t print;
+
+	memset(&m, 0, sizeof(m));
+	m.kind = FLEET_BEAT;
+	n->ops->fill(n->ctx, &m.fleet_msg_u.beat);
+	print = fleet_print(&m.fleet_msg_u.beat);
+	if (print != n->print)
+		n->wholes = 1 + WHOLE_MORE;
+	n->print = print;
+	if (n->wholes > 0 || n->beats % WHOLE_EVERY == 0) {
+		n->wholes -= n->wholes > 0;
+		fleet_send_all(n, &m);
+		return;
+	}
+	memset(&pulse, 0, sizeof(pulse));
+	pulse.kind = FLEET_PULSE;
+	pulse.fleet_msg_u.pulse.incarnation = m.fleet_msg_u.beat.incarnation;
+	pulse.fleet_msg_u.pulse.print = print;
+	pulse.fleet_msg_u.pulse.load = m.fleet_msg_u.beat.load;
+	fleet_send_all(n, &pulse);
+}
+
 /*
  * Looks who is silent, and tells the owner if that changes who is alive.
  */
@@ -100,7 +153,7 @@
 {
 	uint64_t before = n->table->live_print;
 
-	fleet_tick(n->table, uv_now(n->loop));
+	fleet_tick(n->table, loop_ms(n->loop));
 	if (n->table->live_print != before)
 		n->ops->turned(n->ctx, FLEET_NONE);
 }
@@ -123,7 +176,8 @@
 }
 
 /*
- * Takes a datagram; one that can't be read is counted.
+ * Takes a datagram; one that can't be read, or that isn't of this fleet, is
+ * counted.
  */
 static void
 on_datagram(uv_udp_t *udp, ssize_t len, const uv_buf_t *buf,
@@ -131,13 +185,20 @@
 {
 	struct fleet_net *n = udp->data;
 	struct fleet_msg m;
+	size_t size;
 	XDR x;
 
 	(void)flags;
 	if (len <= 0 || from == NULL)
 		return;
+	look_for_pause(n);
+	size = seal_open(n->seal, buf->base, (size_t)len);
+	if (size == 0) {
+		n->unsealed++;
+		return;
+	}
 	memset(&m, 0, sizeof(m));
-	xdrmem_create(&x, buf->base, (unsigned int)len, XDR_DECODE);
+	xdrmem_create(&x, buf->base, (unsigned int)size, XDR_DECODE);
 	if (xdr_fleet_msg(&x, &m))
 		take(n, &m, (const struct sockaddr_in *)from);
 	else
@@ -153,12 +214,20 @@
 take(struct fleet_net *n, const struct fleet_msg *m,
     const struct sockaddr_in *from)
 {
+	int i;
+
 	switch (m->kind) {
 	case FLEET_BEAT:
 		take_beat(n, &m->fleet_msg_u.beat);
 		break;
+	case FLEET_PULSE:
+		i = fleet_pulsed(n->table, &m->fleet_msg_u.pulse,
+		    ntohl(from->sin_addr.s_addr), loop_ms(n->loop));
+		if (i >= 0)
+			n->ops->told(n->ctx, i, &m->fleet_msg_u.pulse.load);
+		break;
 	case FLEET_BYE:
-		fleet_said_bye(n->table, &m->fleet_msg_u.bye, uv_now(n->loop));
+		fleet_said_bye(n->table, &m->fleet_msg_u.bye, loop_ms(n->loop));
 		tick(n);
 		break;
 	case FLEET_ASK:
@@ -176,6 +245,9 @@
 	case FLEET_DOUBT:
 		n->ops->doubt(n->ctx, &m->fleet_msg_u.doubt, from);
 		break;
+	case FLEET_LEFT:
+		n->ops->left(n->ctx, &m->fleet_msg_u.left);
+		break;
 	case FLEET_PROOF:
 		n->ops->proof(n->ctx, &m->fleet_msg_u.proof);
 		break;
@@ -188,7 +260,7 @@
 static void
 take_beat(struct fleet_net *n, const struct fleet_beat *b)
 {
-	uint64_t now = uv_now(n->loop), before = 0;
+	uint64_t now = loop_ms(n->loop), before = 0;
 	int i, changed;
 
 	i = fleet_find(n->table, b->node);
@@ -199,7 +271,11 @@
 		return;
 	if (before == 0)
 		fleet_beat_one(n, b->address);
+	if (b->server.away != FLEET_LEAVING &&
+	    fleet_has_left(&n->table->peers[i], &b->server))
+		tell_left(n, b);
 	n->ops->heard(n->ctx, i, b);
+	n->ops->told(n->ctx, i, &b->load);
 	if (changed) {
 		tick(n);
 		n->ops->turned(n->ctx, i);
@@ -207,17 +283,32 @@
 }
 
 /*
- * Encodes a message.  Returns its length, or 0 if it is too long.
+ * Tells a node that the server which it takes for sound said that it ends.
+ */
+static void
+tell_left(struct fleet_net *n, const struct fleet_beat *b)
+{
+	struct fleet_msg m;
+
+	memset(&m, 0, sizeof(m));
+	m.kind = FLEET_LEFT;
+	m.fleet_msg_u.left.server = b->server.id;
+	m.fleet_msg_u.left.born_ms = b->server.born_ms;
+	fleet_send(n, &m, b->address);
+}
+
+/*
+ * Encodes a message and seals it.  Returns its length, or 0 if it is too long.
  */
 static size_t
-encode(const struct fleet_msg *m, char *buf)
+encode(const struct fleet_net *n, const struct fleet_msg *m, char *buf)
 {
 	size_t len = 0;
 	XDR x;
 
 	xdrmem_create(&x, buf, DATAGRAM_BYTES, XDR_ENCODE);
 	if (xdr_fleet_msg(&x, (struct fleet_msg *)(uintptr_t)m))
-		len = xdr_getpos(&x);
+		len = seal_datagram(n->seal, buf, xdr_getpos(&x));
 	xdr_destroy(&x);
 	return len;
 }
@@ -245,8 +336,8 @@
 void
 fleet_send(struct fleet_net *n, const struct fleet_msg *m, uint32_t address)
 {
-	char buf[DATAGRAM_BYTES];
-	size_t len = encode(m, buf);
+	char buf[DATAGRAM_BYTES + SEAL_BYTES];
+	size_t len = encode(n, m, buf);
 
 	if (len > 0)
 		send_bytes(n, buf, len, address);
@@ -258,8 +349,8 @@
 void
 fleet_send_all(struct fleet_net *n, const struct fleet_msg *m)
 {
-	char buf[DATAGRAM_BYTES];
-	size_t i, len = encode(m, buf);
+	char buf[DATAGRAM_BYTES + SEAL_BYTES];
+	size_t i, len = encode(n, m, buf);
 
 	for (i = 0; len > 0 && i < n->table->count; i++)
 		if (!n->table->peers[i].gone)
@@ -277,6 +368,8 @@
 	memset(&m, 0, sizeof(m));
 	m.kind = bye ? FLEET_BYE : FLEET_BEAT;
 	n->ops->fill(n->ctx, &m.fleet_msg_u.beat);
+	n->print = fleet_print(&m.fleet_msg_u.beat);
+	n->wholes = WHOLE_MORE;
 	fleet_send_all(n, &m);
 }
 
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -12,22 +12,37 @@
 #define MISSED_SLACK_MS 200 /* for late timers and datagrams */
 #define READER_SLOT 1	    /* what the first reader of the store is owner of */
 #define FORGET_MS 20000	    /* a silent node no longer counts in the quorum */
+#define FORGET_ALONE_MS 60000 /* where a quorum was lost: longer than cuts */
+#define JUDGE_BEATS 2  /* after a pause, until all have told their part */
+#define RETURN_MS 5000 /* heard by most for so long, it decides again */
+#define PER_THOUSAND 1000.0
+#define US_PER_S 1000000.0
 #define STALE_MS 1000 /* an old incarnation silent for that long is gone */
 
 static uint64_t owner_weight(uint64_t, uint64_t);
-static int heaviest(const struct fleet_table *, uint64_t, int, uint64_t);
+static int heaviest(const struct fleet_table *, uint64_t, int);
 static void copy_name(char *, const char *);
+static void take_load(struct fleet_table *, struct fleet_peer *,
+    const struct fleet_load *, uint64_t);
+static uint64_t print_name(uint64_t, const char *);
+static int hash_cmp(const void *, const void *);
+static uint32_t votes_for(const uint32_t *, size_t, uint64_t);
+static void count_votes(struct fleet_table *, uint64_t);
+static void judge_self(struct fleet_table *, int, int, uint64_t);
+static uint64_t forget_ms(const struct fleet_peer *, int);
+static uint64_t dead_ms(const struct fleet_table *);
 
 /*
- * Prepares a table that holds only this node, of that name.
+ * Prepares a table that holds only this node, of that name, which starts now.
  */
 void
-fleet_table_init(struct fleet_table *t, const char *node)
+fleet_table_init(struct fleet_table *t, const char *node, uint64_t now)
 {
 	memset(t, 0, sizeof(*t));
 	copy_name(t->node, node);
 	t->hash = XXH3_64bits(t->node, strlen(t->node));
 	t->interval_ms = BEAT_MS;
+	t->turned_ms = now;
 }
 
 /*
@@ -64,6 +79,15 @@
 	return FLEET_NONE;
 }
 
+/*
+ * All nodes in the store's list have been learned.
+ */
+void
+fleet_listed(struct fleet_table *t)
+{
+	t->listed = 1;
+}
+
 /*
  * Notes that a node is said to exist at an address.  Returns its handle, or
  * FLEET_SELF.
@@ -124,35 +148,123 @@
 	    now - p->heard_ms < STALE_MS)
 		return FLEET_NONE;
 	if (p->heard_ms != 0 && b->incarnation == p->incarnation &&
-	    b->sequence <= p->sequence)
+	    b->load.sequence <= p->sequence)
 		return FLEET_NONE;
 	s = &p->server;
 	*changed = p->heard_ms == 0 || b->incarnation != p->incarnation ||
 		   p->stopping != (int)b->stopping || p->gone ||
 		   strcmp(s->id, b->server.id) != 0 ||
 		   s->born_ms != b->server.born_ms ||
-		   s->leaving != (int)b->server.leaving;
+		   s->leaving != (int)b->server.away;
+	fleet_note_left(p, b);
 	copy_name(p->zone, b->zone);
 	p->incarnation = b->incarnation;
-	p->sequence = b->sequence;
+	p->print = fleet_print(b);
 	p->address = b->address;
 	p->port = (uint16_t)b->port;
-	p->heard_ms = now;
 	p->stopping = (int)b->stopping;
 	p->gone = 0;
-	p->config_version = b->config_version;
 	copy_name(s->id, b->server.id);
 	copy_name(s->service, b->server.service);
 	s->born_ms = b->server.born_ms;
 	s->slots = b->server.slots;
 	s->cold_until_ms = b->server.cold_ms > 0 ? now + b->server.cold_ms : 0;
-	s->running = b->server.running;
-	s->waiting = b->server.waiting;
-	s->offered = b->server.offered / 1000.0;
-	s->leaving = (int)b->server.leaving;
+	s->leaving =
+	    fleet_has_left(p, &b->server) ? FLEET_LEAVING : (int)b->server.away;
+	take_load(t, p, &b->load, now);
 	return i;
 }
 
+/*
+ * Takes what changes all the time.
+ */
+static void
+take_load(struct fleet_table *t, struct fleet_peer *p,
+    const struct fleet_load *l, uint64_t now)
+{
+	struct fleet_server *s = &p->server;
+
+	if (l->nodes > t->told_size)
+		t->told_size = l->nodes;
+	p->says_out = (int)l->out;
+	p->silent_count = l->silent.silent_len;
+	if (p->silent_count > 0)
+		memcpy(p->silent, l->silent.silent_val,
+		    p->silent_count * sizeof(*p->silent));
+
+	p->heard_ms = now;
+	p->sequence = l->sequence;
+	p->config_version = l->config_version;
+	s->running = l->running;
+	s->waiting = l->waiting;
+	s->offered = l->offered / PER_THOUSAND;
+	s->run_s = l->run_us / US_PER_S;
+	s->failing = l->failing / PER_THOUSAND;
+}
+
+/*
+ * Takes a pulse that came from an address.  Returns the sender's handle, or
+ * FLEET_NONE if its last whole beat isn't known, or if it is out of date.
+ */
+int
+fleet_pulsed(struct fleet_table *t, const struct fleet_pulse *m,
+    uint32_t address, uint64_t now)
+{
+	struct fleet_peer *p;
+	size_t i;
+
+	for (i = 0; i < t->count; i++)
+		if (t->peers[i].address == address && !t->peers[i].gone)
+			break;
+	if (i == t->count)
+		return FLEET_NONE;
+	p = &t->peers[i];
+	if (p->heard_ms == 0 || p->incarnation != m->incarnation ||
+	    m->load.sequence <= p->sequence)
+		return FLEET_NONE;
+	if (p->print != m->print) {
+		/* A whole beat was lost: it lives, and tells more soon. */
+		p->heard_ms = now;
+		p->config_version = m->load.config_version;
+		return FLEET_NONE;
+	}
+	take_load(t, p, &m->load, now);
+	return (int)i;
+}
+
+/*
+ * Computes a hash over all that a beat tells beside the load.
+ */
+uint64_t
+fleet_print(const struct fleet_beat *b)
+{
+	const struct fleet_server_state *s = &b->server;
+	const uint64_t numbers[] = { b->incarnation, b->address, b->port,
+		b->stopping, s->born_ms, s->slots, s->away };
+	uint64_t print = XXH3_64bits(numbers, sizeof(numbers));
+	u_int i;
+
+	print = print_name(print, b->node);
+	print = print_name(print, b->zone);
+	print = print_name(print, s->id);
+	print = print_name(print, s->service);
+	for (i = 0; i < b->calls.calls_len; i++)
+		print = print_name(print, b->calls.calls_val[i]);
+	print = print_name(print, "");
+	for (i = 0; i < b->demands.demands_len; i++)
+		print = print_name(print, b->demands.demands_val[i]);
+	return print;
+}
+
+/*
+ * Adds a name to a hash.
+ */
+static uint64_t
+print_name(uint64_t print, const char *name)
+{
+	return XXH3_64bits_withSeed(name, strlen(name) + 1, print);
+}
+
 /*
  * Takes a node's goodbye: it no longer counts, until it is heard again.
  */
@@ -167,7 +279,7 @@
 	t->peers[i].stopping = 1;
 	t->peers[i].heard_ms = now;
 	t->peers[i].incarnation = b->incarnation;
-	t->peers[i].sequence = b->sequence;
+	t->peers[i].sequence = b->load.sequence;
 }
 
 /*
@@ -178,9 +290,16 @@
 {
 	const struct fleet_peer *p = &t->peers[i];
 
-	return !p->gone && p->heard_ms != 0 &&
-	       now - p->heard_ms <
-		   t->interval_ms * MISSED_BEATS + MISSED_SLACK_MS;
+	return !p->gone && p->heard_ms != 0 && now - p->heard_ms < dead_ms(t);
+}
+
+/*
+ * Returns after how long a silent node is taken to be dead.
+ */
+static uint64_t
+dead_ms(const struct fleet_table *t)
+{
+	return t->interval_ms * MISSED_BEATS + MISSED_SLACK_MS;
 }
 
 /*
@@ -190,17 +309,19 @@
 int
 fleet_quorum(const struct fleet_table *t, uint64_t now)
 {
-	size_t i, known = 1, alive = 1;
+	uint32_t known = fleet_size(t);
+	size_t i, alive = 1;
 
-	for (i = 0; i < t->count; i++) {
-		known += !t->peers[i].gone;
+	for (i = 0; i < t->count; i++)
 		alive += (size_t)fleet_alive(t, i, now);
-	}
-	return alive * 2 > known;
+	return known != FLEET_SIZE_UNKNOWN && alive * 2 > known;
 }
 
 /*
- * Returns how many nodes are known, this one among them.
+ * Returns how many nodes are known, this one among them.  A node that has
+ * just started knows few or none: until it has read the list of nodes it goes
+ * by what others tell, and has FLEET_SIZE_UNKNOWN before that, with which its
+ * part of anything is nothing.
  */
 uint32_t
 fleet_size(const struct fleet_table *t)
@@ -210,7 +331,11 @@
 
 	for (i = 0; i < t->count; i++)
 		n += !t->peers[i].gone;
-	return n;
+	if (t->listed)
+		return n;
+	if (t->told_size == 0)
+		return FLEET_SIZE_UNKNOWN;
+	return n > t->told_size ? n : t->told_size;
 }
 
 /*
@@ -225,20 +350,133 @@
 }
 
 /*
- * Returns the live node with the greatest weight (rendezvous hashing), or
- * FLEET_NONE; this node counts only if it may be chosen itself.
+ * Lists nodes that this one doesn't hear any more, though they said no
+ * goodbye, into FLEET_SILENT_MAX.  Returns their number.
+ */
+uint32_t
+fleet_silent(const struct fleet_table *t, uint64_t now, uint32_t *list)
+{
+	const struct fleet_peer *p;
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < t->count && n < FLEET_SILENT_MAX; i++) {
+		p = &t->peers[i];
+		if (p->heard_ms != 0 && !p->gone && !fleet_alive(t, i, now))
+			list[n++] = (uint32_t)p->hash;
+	}
+	return n;
+}
+
+/*
+ * Orders hashes.
  */
 static int
-heaviest(const struct fleet_table *t, uint64_t what, int self, uint64_t now)
+hash_cmp(const void *a, const void *b)
 {
-	uint64_t w, best = self ? owner_weight(t->hash, what) : 0;
-	int owner = self ? FLEET_SELF : FLEET_NONE;
+	uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/*
+ * Counts how often a node stands in an ordered list of hashes.
+ */
+static uint32_t
+votes_for(const uint32_t *list, size_t n, uint64_t node)
+{
+	uint32_t hash = (uint32_t)node, votes = 0;
+	size_t lo = 0, hi = n, mid;
+
+	while (lo < hi) {
+		mid = lo + (hi - lo) / 2;
+		if (list[mid] < hash)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	for (; lo < n && list[lo] == hash; lo++)
+		votes++;
+	return votes;
+}
+
+/*
+ * Decides whether this node takes part in the choice of owners.  One that most
+ * nodes stop to hear while it hears them has a bad link: it stays out until
+ * that is well for some time, since limits that change their owner all the
+ * time have none.  After a cut or a start, all come in at once.
+ */
+static void
+judge_self(struct fleet_table *t, int heard, int quorum, uint64_t now)
+{
+	if (!quorum)
+		t->was_in = 0;
+	if (!heard)
+		t->unheard_ms = now;
+	t->out = !heard || now < t->judged_ms ||
+		 (t->was_in && t->out && now - t->unheard_ms < RETURN_MS);
+	if (!t->out)
+		t->was_in = 1;
+}
+
+/*
+ * Finds the nodes that more than half of all don't hear.  This one counts as
+ * such a node unless more than half of all hear it, as far as it knows.  So
+ * where some nodes can't hear others, one that only a few don't hear still
+ * owns what it owned, and no other one takes that over beside it.
+ */
+static void
+count_votes(struct fleet_table *t, uint64_t now)
+{
+	uint32_t *list, voters = 1, votes, known = fleet_size(t);
+	const struct fleet_peer *p;
+	size_t n = 0, i;
+
+	list = calloc(t->count + 1, FLEET_SILENT_MAX * sizeof(*list));
+	if (list == NULL)
+		err(1, "out of memory");
+	for (i = 0; i < t->count; i++) {
+		p = &t->peers[i];
+		if (!fleet_alive(t, i, now))
+			continue;
+		voters++;
+		memcpy(&list[n], p->silent, p->silent_count * sizeof(*list));
+		n += p->silent_count;
+	}
+	qsort(list, n, sizeof(*list), hash_cmp);
+	for (i = 0; i < t->count; i++) {
+		votes = votes_for(list, n, t->peers[i].hash);
+		votes += !fleet_alive(t, i, now);
+		t->peers[i].out = t->peers[i].says_out || votes > known / 2;
+	}
+	votes = votes_for(list, n, t->hash);
+	judge_self(t, votes < voters && voters - votes > known / 2,
+	    voters > known / 2, now);
+	free(list);
+}
+
+/*
+ * Returns the node with the greatest weight (rendezvous hashing) of those that
+ * most nodes hear, or FLEET_NONE; this node counts only if it may be chosen
+ * itself.
+ */
+static int
+heaviest(const struct fleet_table *t, uint64_t what, int self)
+{
+	uint64_t w, best = 0;
+	const struct fleet_peer *p;
+	int owner = FLEET_NONE;
 	size_t i;
 
+	if (self && !t->out) {
+		best = owner_weight(t->hash, what);
+		owner = FLEET_SELF;
+	}
 	for (i = 0; i < t->count; i++) {
-		if (t->peers[i].stopping || !fleet_alive(t, i, now))
+		p = &t->peers[i];
+		if (p->stopping || p->gone || p->out || p->heard_ms == 0)
 			continue;
-		w = owner_weight(t->peers[i].hash, what);
+		w = owner_weight(p->hash, what);
 		if (w <= best)
 			continue;
 		best = w;
@@ -256,7 +494,7 @@
 {
 	if (!fleet_quorum(t, now))
 		return FLEET_NONE;
-	return heaviest(t, what, 1, now);
+	return heaviest(t, what, 1);
 }
 
 /*
@@ -264,9 +502,9 @@
  * FLEET_NONE.
  */
 int
-fleet_successor(const struct fleet_table *t, uint64_t what, uint64_t now)
+fleet_successor(const struct fleet_table *t, uint64_t what)
 {
-	return heaviest(t, what, 0, now);
+	return heaviest(t, what, 0);
 }
 
 /*
@@ -274,13 +512,13 @@
  * wherever the same nodes are alive.  Returns their number.
  */
 size_t
-fleet_readers(const struct fleet_table *t, uint64_t now, int *list, size_t most)
+fleet_readers(const struct fleet_table *t, int *list, size_t most)
 {
 	size_t n, i;
 	int h;
 
 	for (n = 0; n < most; n++) {
-		h = heaviest(t, READER_SLOT + n, 1, now);
+		h = heaviest(t, READER_SLOT + n, 1);
 		for (i = 0; i < n; i++)
 			if (list[i] == h)
 				return n;
@@ -289,6 +527,17 @@
 	return n;
 }
 
+/*
+ * Returns for how long a silent node counts as known.  The smaller part of a
+ * divided fleet keeps the larger one for longer, or it would take itself for
+ * the whole.  Nodes that never were heard may have been removed long ago.
+ */
+static uint64_t
+forget_ms(const struct fleet_peer *p, int quorum)
+{
+	return quorum || p->heard_ms == 0 ? FORGET_MS : FORGET_ALONE_MS;
+}
+
 /*
  * Forgets nodes that have been silent for long, and notes when the set of
  * live nodes changes.
@@ -296,17 +545,23 @@
 void
 fleet_tick(struct fleet_table *t, uint64_t now)
 {
+	int quorum = fleet_quorum(t, now);
 	struct fleet_peer *p;
-	uint64_t print = 0;
+	uint64_t print;
 	size_t i;
 
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
 		if (!p->gone &&
 		    now - (p->heard_ms != 0 ? p->heard_ms : p->learned_ms) >
-			FORGET_MS)
+			forget_ms(p, quorum))
 			p->gone = 1;
-		if (fleet_alive(t, i, now) && !p->stopping)
+	}
+	count_votes(t, now);
+	print = (uint64_t)t->out;
+	for (i = 0; i < t->count; i++) {
+		p = &t->peers[i];
+		if (p->heard_ms != 0 && !p->gone && !p->out && !p->stopping)
 			print += owner_weight(p->hash, p->incarnation);
 	}
 	if (print != t->live_print) {
@@ -316,17 +571,28 @@
 }
 
 /*
- * Takes note that this process stood still: what was not heard meanwhile is
- * no evidence against others.
+ * Takes note that this process stood still until now: what was not heard
+ * meanwhile is no evidence against others.  But they may have taken it for
+ * dead; so it decides for no limit until it has heard from them what they
+ * think.
  */
 void
-fleet_paused(struct fleet_table *t, uint64_t for_ms)
+fleet_paused(struct fleet_table *t, uint64_t for_ms, uint64_t now)
 {
+	struct fleet_peer *p;
 	size_t i;
 
-	for (i = 0; i < t->count; i++)
-		if (t->peers[i].heard_ms != 0)
-			t->peers[i].heard_ms += for_ms;
+	if (for_ms >= dead_ms(t))
+		t->judged_ms = now + JUDGE_BEATS * t->interval_ms;
+	for (i = 0; i < t->count; i++) {
+		p = &t->peers[i];
+		if (p->heard_ms == 0)
+			continue;
+		/* Heard after the pause is counted from: no later than now. */
+		p->heard_ms += for_ms;
+		if (p->heard_ms > now)
+			p->heard_ms = now;
+	}
 }
 
 /*
--- a/src/fleet/fleet_xdr.c
+++ b/src/fleet/fleet_xdr.c
@@ -6,13 +6,11 @@
 #include "fleet/fleet_xdr.h"
 
 bool_t
-xdr_fleet_calls (XDR *xdrs, fleet_calls *objp)
+xdr_fleet_name (XDR *xdrs, fleet_name *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->per_1000))
+	 if (!xdr_string (xdrs, objp, FLEET_NAME_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -22,19 +20,37 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_fleet_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_fleet_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->away))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_load (XDR *xdrs, fleet_load *objp)
+{
+	register int32_t *buf;
+
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->slots))
+			 if (!xdr_u_int (xdrs, &objp->out))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+			 if (!xdr_u_int (xdrs, &objp->nodes))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -42,33 +58,42 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->offered))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->leaving))
+			 if (!xdr_u_int (xdrs, &objp->run_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failing))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->chained))
 				 return FALSE;
 
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->slots);
-		IXDR_PUT_U_LONG(buf, objp->cold_ms);
+		IXDR_PUT_U_LONG(buf, objp->out);
+		IXDR_PUT_U_LONG(buf, objp->nodes);
 		IXDR_PUT_U_LONG(buf, objp->running);
 		IXDR_PUT_U_LONG(buf, objp->waiting);
 		IXDR_PUT_U_LONG(buf, objp->offered);
-		IXDR_PUT_U_LONG(buf, objp->leaving);
+		IXDR_PUT_U_LONG(buf, objp->run_us);
+		IXDR_PUT_U_LONG(buf, objp->failing);
+		IXDR_PUT_U_LONG(buf, objp->chained);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
-			sizeof (fleet_calls), (xdrproc_t) xdr_fleet_calls))
+		 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, FLEET_SILENT_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->calls_per_1000.calls_per_1000_val, (u_int *) &objp->calls_per_1000.calls_per_1000_len, FLEET_CALLS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_RATES_MAX))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 8 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->slots))
+			 if (!xdr_u_int (xdrs, &objp->out))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+			 if (!xdr_u_int (xdrs, &objp->nodes))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -76,32 +101,41 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->offered))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->leaving))
+			 if (!xdr_u_int (xdrs, &objp->run_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failing))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->chained))
 				 return FALSE;
 
 		} else {
-		objp->slots = IXDR_GET_U_LONG(buf);
-		objp->cold_ms = IXDR_GET_U_LONG(buf);
+		objp->out = IXDR_GET_U_LONG(buf);
+		objp->nodes = IXDR_GET_U_LONG(buf);
 		objp->running = IXDR_GET_U_LONG(buf);
 		objp->waiting = IXDR_GET_U_LONG(buf);
 		objp->offered = IXDR_GET_U_LONG(buf);
-		objp->leaving = IXDR_GET_U_LONG(buf);
+		objp->run_us = IXDR_GET_U_LONG(buf);
+		objp->failing = IXDR_GET_U_LONG(buf);
+		objp->chained = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
-			sizeof (fleet_calls), (xdrproc_t) xdr_fleet_calls))
+		 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, FLEET_SILENT_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->calls_per_1000.calls_per_1000_val, (u_int *) &objp->calls_per_1000.calls_per_1000_len, FLEET_CALLS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		 if (!xdr_bytes (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_RATES_MAX))
 			 return FALSE;
 	 return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->id, FLEET_NAME_MAX))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->service, FLEET_NAME_MAX))
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->slots))
+	 if (!xdr_u_int (xdrs, &objp->out))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+	 if (!xdr_u_int (xdrs, &objp->nodes))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
 		 return FALSE;
@@ -109,10 +143,19 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->offered))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->leaving))
+	 if (!xdr_u_int (xdrs, &objp->run_us))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
-		sizeof (fleet_calls), (xdrproc_t) xdr_fleet_calls))
+	 if (!xdr_u_int (xdrs, &objp->failing))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->chained))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->silent.silent_val, (u_int *) &objp->silent.silent_len, FLEET_SILENT_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->calls_per_1000.calls_per_1000_val, (u_int *) &objp->calls_per_1000.calls_per_1000_len, FLEET_CALLS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_RATES_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -124,14 +167,12 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+		 if (!xdr_fleet_name (xdrs, &objp->node))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->zone, FLEET_NAME_MAX))
+		 if (!xdr_fleet_name (xdrs, &objp->zone))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->address))
@@ -146,20 +187,24 @@
 		IXDR_PUT_U_LONG(buf, objp->port);
 		IXDR_PUT_U_LONG(buf, objp->stopping);
 		}
-		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
-			 return FALSE;
 		 if (!xdr_fleet_server_state (xdrs, &objp->server))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
+			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_DEMANDS_MAX,
+			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
+			 return FALSE;
+		 if (!xdr_fleet_load (xdrs, &objp->load))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+		 if (!xdr_fleet_name (xdrs, &objp->node))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->zone, FLEET_NAME_MAX))
+		 if (!xdr_fleet_name (xdrs, &objp->zone))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->address))
@@ -174,31 +219,55 @@
 		objp->port = IXDR_GET_U_LONG(buf);
 		objp->stopping = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
-			 return FALSE;
 		 if (!xdr_fleet_server_state (xdrs, &objp->server))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
+			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_DEMANDS_MAX,
+			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
+			 return FALSE;
+		 if (!xdr_fleet_load (xdrs, &objp->load))
+			 return FALSE;
 	 return TRUE;
 	}
 
-	 if (!xdr_string (xdrs, &objp->node, FLEET_NAME_MAX))
+	 if (!xdr_fleet_name (xdrs, &objp->node))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->zone, FLEET_NAME_MAX))
+	 if (!xdr_fleet_name (xdrs, &objp->zone))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->address))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->port))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->stopping))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
-		 return FALSE;
 	 if (!xdr_fleet_server_state (xdrs, &objp->server))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
+		sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_DEMANDS_MAX,
+		sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
+		 return FALSE;
+	 if (!xdr_fleet_load (xdrs, &objp->load))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_pulse (XDR *xdrs, fleet_pulse *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->print))
+		 return FALSE;
+	 if (!xdr_fleet_load (xdrs, &objp->load))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -283,6 +352,20 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->death))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->acquitted))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_left (XDR *xdrs, fleet_left *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_name (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -336,6 +419,14 @@
 		 if (!xdr_fleet_proof (xdrs, &objp->fleet_msg_u.proof))
 			 return FALSE;
 		break;
+	case FLEET_PULSE:
+		 if (!xdr_fleet_pulse (xdrs, &objp->fleet_msg_u.pulse))
+			 return FALSE;
+		break;
+	case FLEET_LEFT:
+		 if (!xdr_fleet_left (xdrs, &objp->fleet_msg_u.left))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/fleet/fleet_xdr.h
+++ b/src/fleet/fleet_xdr.h
@@ -16,43 +16,78 @@
 
 #define FLEET_NAME_MAX 63
 #define FLEET_CALLS_MAX 8
+#define FLEET_DEMANDS_MAX 8
+#define FLEET_CLASSES 4
+#define FLEET_RATES_MAX 32
+#define FLEET_SILENT_MAX 32
+#define FLEET_DOWN 1
+#define FLEET_LEAVING 2
 
-struct fleet_calls {
-	char *service;
-	u_int per_1000;
-};
-typedef struct fleet_calls fleet_calls;
+typedef char *fleet_name;
 
 struct fleet_server_state {
-	char *id;
-	char *service;
+	fleet_name id;
+	fleet_name service;
 	u_quad_t born_ms;
 	u_int slots;
 	u_int cold_ms;
+	u_int away;
+};
+typedef struct fleet_server_state fleet_server_state;
+
+struct fleet_load {
+	u_quad_t sequence;
+	u_quad_t config_version;
+	u_int out;
+	u_int nodes;
 	u_int running;
 	u_int waiting;
 	u_int offered;
-	u_int leaving;
+	u_int run_us;
+	u_int failing;
+	u_int chained;
 	struct {
-		u_int calls_len;
-		fleet_calls *calls_val;
-	} calls;
+		u_int silent_len;
+		u_int *silent_val;
+	} silent;
+	struct {
+		u_int calls_per_1000_len;
+		u_int *calls_per_1000_val;
+	} calls_per_1000;
+	struct {
+		u_int demands_len;
+		char *demands_val;
+	} demands;
 };
-typedef struct fleet_server_state fleet_server_state;
+typedef struct fleet_load fleet_load;
 
 struct fleet_beat {
-	char *node;
-	char *zone;
+	fleet_name node;
+	fleet_name zone;
 	u_quad_t incarnation;
-	u_quad_t sequence;
 	u_int address;
 	u_int port;
 	u_int stopping;
-	u_quad_t config_version;
 	fleet_server_state server;
+	struct {
+		u_int calls_len;
+		fleet_name *calls_val;
+	} calls;
+	struct {
+		u_int demands_len;
+		fleet_name *demands_val;
+	} demands;
+	fleet_load load;
 };
 typedef struct fleet_beat fleet_beat;
 
+struct fleet_pulse {
+	u_quad_t incarnation;
+	u_quad_t print;
+	fleet_load load;
+};
+typedef struct fleet_pulse fleet_pulse;
+
 struct fleet_ask {
 	u_quad_t workspace;
 	u_quad_t id;
@@ -92,9 +127,16 @@
 	u_quad_t lo;
 	u_quad_t hi;
 	u_quad_t death;
+	u_int acquitted;
 };
 typedef struct fleet_strike fleet_strike;
 
+struct fleet_left {
+	fleet_name server;
+	u_quad_t born_ms;
+};
+typedef struct fleet_left fleet_left;
+
 enum fleet_kind {
 	FLEET_BEAT = 1,
 	FLEET_BYE = 2,
@@ -104,6 +146,8 @@
 	FLEET_BUCKET = 6,
 	FLEET_DOUBT = 7,
 	FLEET_PROOF = 8,
+	FLEET_PULSE = 9,
+	FLEET_LEFT = 10,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -118,6 +162,8 @@
 		fleet_bucket bucket;
 		fleet_doubt doubt;
 		fleet_proof proof;
+		fleet_pulse pulse;
+		fleet_left left;
 	} fleet_msg_u;
 };
 typedef struct fleet_msg fleet_msg;
@@ -125,28 +171,34 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_fleet_calls (XDR *, fleet_calls*);
+extern  bool_t xdr_fleet_name (XDR *, fleet_name*);
 extern  bool_t xdr_fleet_server_state (XDR *, fleet_server_state*);
+extern  bool_t xdr_fleet_load (XDR *, fleet_load*);
 extern  bool_t xdr_fleet_beat (XDR *, fleet_beat*);
+extern  bool_t xdr_fleet_pulse (XDR *, fleet_pulse*);
 extern  bool_t xdr_fleet_ask (XDR *, fleet_ask*);
 extern  bool_t xdr_fleet_give (XDR *, fleet_give*);
 extern  bool_t xdr_fleet_bucket (XDR *, fleet_bucket*);
 extern  bool_t xdr_fleet_doubt (XDR *, fleet_doubt*);
 extern  bool_t xdr_fleet_proof (XDR *, fleet_proof*);
 extern  bool_t xdr_fleet_strike (XDR *, fleet_strike*);
+extern  bool_t xdr_fleet_left (XDR *, fleet_left*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_msg (XDR *, fleet_msg*);
 
 #else /* K&R C */
-extern bool_t xdr_fleet_calls ();
+extern bool_t xdr_fleet_name ();
 extern bool_t xdr_fleet_server_state ();
+extern bool_t xdr_fleet_load ();
 extern bool_t xdr_fleet_beat ();
+extern bool_t xdr_fleet_pulse ();
 extern bool_t xdr_fleet_ask ();
 extern bool_t xdr_fleet_give ();
 extern bool_t xdr_fleet_bucket ();
 extern bool_t xdr_fleet_doubt ();
 extern bool_t xdr_fleet_proof ();
 extern bool_t xdr_fleet_strike ();
+extern bool_t xdr_fleet_left ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_msg ();
 
--- /dev/null
+++ b/src/fleet/seal.c
@@ -0,0 +1,158 @@
+#include "fleet/seal.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define KIND_DATAGRAM 1 /* so that no seal of one kind serves for another */
+#define KIND_REQUEST 2
+
+static void hash(const char *, unsigned char *);
+static void part(crypto_generichash_state *, const char *, size_t);
+static void of_datagram(
+    const unsigned char *, const char *, size_t, unsigned char *);
+static void of_request(
+    const unsigned char *, const struct seal_request *, char *);
+
+/*
+ * Makes a key of a text of any length.
+ */
+static void
+hash(const char *text, unsigned char *key)
+{
+	crypto_generichash(key, SEAL_KEY_HASH, (const unsigned char *)text,
+	    strlen(text), NULL, 0);
+}
+
+/*
+ * Takes the fleet's key, and another one whose seals are good, too; an empty
+ * text means that there is none.
+ */
+void
+seal_init(struct seal *s, const char *secret, const char *other)
+{
+	memset(s, 0, sizeof(*s));
+	s->keyed = secret[0] != '\0';
+	if (!s->keyed)
+		return;
+	hash(secret, s->key[0]);
+	hash(other[0] != '\0' ? other : secret, s->key[1]);
+}
+
+/*
+ * Adds a part with its length, so that no two lists of parts hash alike.
+ */
+static void
+part(crypto_generichash_state *st, const char *p, size_t len)
+{
+	unsigned char n[4] = { (unsigned char)(len >> 24),
+		(unsigned char)(len >> 16), (unsigned char)(len >> 8),
+		(unsigned char)len };
+
+	crypto_generichash_update(st, n, sizeof(n));
+	crypto_generichash_update(st, (const unsigned char *)p, len);
+}
+
+/*
+ * Computes the seal of a datagram with a key.
+ */
+static void
+of_datagram(
+    const unsigned char *key, const char *p, size_t len, unsigned char *mac)
+{
+	static const unsigned char kind = KIND_DATAGRAM;
+	crypto_generichash_state st;
+
+	crypto_generichash_init(&st, key, SEAL_KEY_HASH, SEAL_BYTES);
+	crypto_generichash_update(&st, &kind, sizeof(kind));
+	part(&st, p, len);
+	crypto_generichash_final(&st, mac, SEAL_BYTES);
+}
+
+/*
+ * Computes the seal of a request with a key, as SEAL_HEX bytes of text.
+ */
+static void
+of_request(const unsigned char *key, const struct seal_request *q, char *hex)
+{
+	static const unsigned char kind = KIND_REQUEST;
+	crypto_generichash_state st;
+	unsigned char mac[SEAL_BYTES];
+
+	crypto_generichash_init(&st, key, SEAL_KEY_HASH, SEAL_BYTES);
+	crypto_generichash_update(&st, &kind, sizeof(kind));
+	part(&st, q->method, strlen(q->method));
+	part(&st, q->target, q->target_len);
+	part(&st, q->id, q->id_len);
+	part(&st, q->hop, strlen(q->hop));
+	crypto_generichash_final(&st, mac, sizeof(mac));
+	sodium_bin2hex(hex, SEAL_HEX, mac, sizeof(mac));
+}
+
+/*
+ * Puts the seal behind a datagram, where SEAL_BYTES must be free.  Returns the
+ * new length, which is the old one without a key.
+ */
+size_t
+seal_datagram(const struct seal *s, char *p, size_t len)
+{
+	if (!s->keyed)
+		return len;
+	of_datagram(s->key[0], p, len, (unsigned char *)p + len);
+	return len + SEAL_BYTES;
+}
+
+/*
+ * Returns the length of a datagram without its seal, or 0 if the seal is
+ * missing or of no key that is taken.
+ */
+size_t
+seal_open(const struct seal *s, const char *p, size_t len)
+{
+	unsigned char want[SEAL_BYTES];
+	size_t i;
+
+	if (!s->keyed)
+		return len;
+	if (len <= SEAL_BYTES)
+		return 0;
+	for (i = 0; i < SEAL_KEYS; i++) {
+		of_datagram(s->key[i], p, len - SEAL_BYTES, want);
+		if (sodium_memcmp(want, p + len - SEAL_BYTES, SEAL_BYTES) == 0)
+			return len - SEAL_BYTES;
+	}
+	return 0;
+}
+
+/*
+ * Writes the seal of a request as SEAL_HEX bytes of text, or an empty text
+ * without a key.
+ */
+void
+seal_request(const struct seal *s, const struct seal_request *q, char *hex)
+{
+	hex[0] = '\0';
+	if (s->keyed)
+		of_request(s->key[0], q, hex);
+}
+
+/*
+ * Tells whether a request bears the seal of a key that is taken; without a key
+ * each does.
+ */
+int
+seal_request_good(
+    const struct seal *s, const struct seal_request *q, const char *hex)
+{
+	char want[SEAL_HEX];
+	size_t i;
+
+	if (!s->keyed)
+		return 1;
+	for (i = 0; i < SEAL_KEYS; i++) {
+		of_request(s->key[i], q, want);
+		if (strlen(hex) == SEAL_HEX - 1 &&
+		    sodium_memcmp(hex, want, SEAL_HEX - 1) == 0)
+			return 1;
+	}
+	return 0;
+}
--- /dev/null
+++ b/src/fleet/seal.h
@@ -0,0 +1,39 @@
+#ifndef FLEET_SEAL_H
+#define FLEET_SEAL_H
+
+#include <stddef.h>
+
+#define SEAL_KEY_MIN 16	  /* characters: 128 bits if each holds a byte */
+#define SEAL_KEY_BYTES 65 /* with the NUL: 32 bytes in hexadecimal */
+#define SEAL_BYTES 16	  /* of a datagram's seal: 128 bits */
+#define SEAL_HEX (2 * SEAL_BYTES + 1)
+#define SEAL_KEYS 2 /* that are taken; the first one seals */
+#define SEAL_KEY_HASH 32
+
+/*
+ * Proof that a message between nodes comes from one that knows the fleet's
+ * key: a keyed hash.  Without a key nothing is sealed and everything is taken.
+ */
+struct seal {
+	int keyed;
+	unsigned char key[SEAL_KEYS][SEAL_KEY_HASH];
+};
+
+/* What the seal of a forwarded request covers; the body is not in it. */
+struct seal_request {
+	const char *method;
+	const char *target;
+	size_t target_len;
+	const char *id;
+	size_t id_len;
+	const char *hop;
+};
+
+void seal_init(struct seal *, const char *, const char *);
+size_t seal_datagram(const struct seal *, char *, size_t);
+size_t seal_open(const struct seal *, const char *, size_t);
+void seal_request(const struct seal *, const struct seal_request *, char *);
+int seal_request_good(
+    const struct seal *, const struct seal_request *, const char *);
+
+#endif
--- /dev/null
+++ b/src/fleet/test_seal.c
@@ -0,0 +1,127 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "fleet/seal.h"
+
+#define OLD "old-key-of-a-fleet"
+#define NEW "new-key-of-a-fleet"
+
+/*
+ * Which keys take whose seals, also while a key is changed node by node.
+ */
+static void
+test_keys(void **state)
+{
+	static const struct {
+		const char *sealer[2], *taker[2];
+		int good;
+	} rows[] = {
+		{ { OLD, "" }, { OLD, "" }, 1 },
+		{ { OLD, "" }, { NEW, "" }, 0 },
+		{ { "", "" }, { OLD, "" }, 0 },
+		{ { "", "" }, { "", "" }, 1 },
+		{ { OLD, NEW }, { OLD, "" }, 1 },  /* first round */
+		{ { OLD, NEW }, { NEW, OLD }, 1 }, /* second round */
+		{ { NEW, OLD }, { OLD, NEW }, 1 },
+		{ { NEW, "" }, { NEW, OLD }, 1 }, /* third round */
+		{ { OLD, NEW }, { NEW, "" }, 0 },
+	};
+	static const struct seal_request q = { .method = "POST",
+		.target = "/o/1",
+		.target_len = 4,
+		.id = "r1",
+		.id_len = 2,
+		.hop = "1 0" };
+	char buf[9 + SEAL_BYTES], hex[SEAL_HEX];
+	struct seal from, to;
+	size_t i, len;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		seal_init(&from, rows[i].sealer[0], rows[i].sealer[1]);
+		seal_init(&to, rows[i].taker[0], rows[i].taker[1]);
+		snprintf(buf, sizeof(buf), "datagram");
+		len = seal_datagram(&from, buf, 8);
+		assert_int_equal(
+		    seal_open(&to, buf, len), rows[i].good ? 8 : 0);
+		seal_request(&from, &q, hex);
+		assert_int_equal(seal_request_good(&to, &q, hex), rows[i].good);
+	}
+}
+
+/*
+ * A datagram of which any bit was changed, or that was cut, is none of ours.
+ */
+static void
+test_datagram(void **state)
+{
+	char buf[13 + SEAL_BYTES];
+	struct seal s;
+	size_t len, i;
+
+	(void)state;
+	seal_init(&s, OLD, "");
+	snprintf(buf, sizeof(buf), "twelve bytes");
+	len = seal_datagram(&s, buf, 12);
+	assert_int_equal(len, 12 + SEAL_BYTES);
+	for (i = 0; i < len * 8; i++) {
+		buf[i / 8] ^= (char)(1 << (i % 8));
+		assert_int_equal(seal_open(&s, buf, len), 0);
+		buf[i / 8] ^= (char)(1 << (i % 8));
+	}
+	for (i = 0; i < len; i++)
+		assert_int_equal(seal_open(&s, buf, i), 0);
+	assert_int_equal(seal_open(&s, buf, len), 12);
+}
+
+/*
+ * The seal of a request is good for it alone, and parts don't run into each
+ * other.
+ */
+static void
+test_request(void **state)
+{
+	static const struct seal_request rows[] = {
+		{ "GET", "/o/12", 5, "r1", 2, "9 0" },
+		{ "POST", "/o/12", 5, "r1", 2, "9 0" },
+		{ "GET", "/o/1", 4, "r1", 2, "9 0" },
+		{ "GET", "/o/1", 4, "2r1", 3, "9 0" },
+		{ "GET", "/o/12", 5, "r", 1, "9 0" },
+		{ "GET", "/o/12", 5, "r", 1, "19 0" },
+		{ "GET", "/o/12", 5, "r1", 2, "9 1" },
+		{ "GET", "/o/12", 5, NULL, 0, "9 0" },
+	};
+	char hex[SEAL_HEX];
+	struct seal s;
+	size_t i, j, n = sizeof(rows) / sizeof(rows[0]);
+
+	(void)state;
+	seal_init(&s, OLD, "");
+	for (i = 0; i < n; i++) {
+		seal_request(&s, &rows[i], hex);
+		assert_int_equal(strlen(hex), SEAL_HEX - 1);
+		for (j = 0; j < n; j++)
+			assert_int_equal(
+			    seal_request_good(&s, &rows[j], hex), i == j);
+		hex[SEAL_HEX - 2] = '\0';
+		assert_false(seal_request_good(&s, &rows[i], hex));
+		assert_false(seal_request_good(&s, &rows[i], ""));
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_keys),
+		cmocka_unit_test(test_datagram),
+		cmocka_unit_test(test_request),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/loopclock.h"
 #include "event/event.h"
 #include "follow/follow.h"
 
@@ -14,6 +15,7 @@
 #define APPEND_MS 1500
 #define RETRY_MS 60 /* after a failure, doubled with each more */
 #define RETRY_DOUBLINGS 3
+#define CALM_DOUBLINGS 5 /* where others tell that there is nothing new */
 #define NODES_RETRY_MS 200
 
 static void ask_config(uv_timer_t *);
@@ -29,7 +31,8 @@
 static void on_entered(void *, const struct store_reply *);
 static void on_listed(void *, const struct store_reply *);
 static void nodes_failed(struct follow *);
-static uint64_t pause_ms(uint64_t, uint32_t);
+static uint64_t pause_ms(uint64_t, uint32_t, uint32_t);
+static int is_calm(const struct follow *);
 
 static const char *const status_names[STORE_STATUS_MAX] = {
 	[STORE_OK] = "ok",
@@ -80,19 +83,27 @@
 
 /*
  * Asks the store beside the long question, if there is a reason to: that one
- * may hang on a dead connection.
+ * may hang on a dead connection, or be from before this node had to follow
+ * closely.  The owner looks for a reason, and asks other nodes, also while the
+ * store doesn't answer.
  */
 static void
 on_doubt(uv_timer_t *timer)
 {
 	struct follow *f = timer->data;
 
-	if (f->doubting || f->phase != FOLLOW_READ || f->wait_ms == 0 ||
-	    !f->ops->doubt(f->ctx))
+	f->doubtful = f->ops->doubt(f->ctx);
+	if (f->doubtful && f->lost)
+		f->ops->ask(f->ctx);
+	if (f->doubting || f->phase != FOLLOW_READ || f->wait_ms == 0)
+		return;
+	if (!f->doubtful &&
+	    (f->wait_ms < WAIT_LONG_MS || !f->ops->close(f->ctx)))
 		return;
 	f->doubting = 1;
-	f->store->read(
-	    f->store_ctx, STORE_CONFIG, f->next, 0, LATE_MS, on_doubt_read, f);
+	f->doubt_wait_ms = f->doubtful ? 0 : WAIT_MS;
+	f->store->read(f->store_ctx, STORE_CONFIG, f->next, f->doubt_wait_ms,
+	    f->doubt_wait_ms + LATE_MS, on_doubt_read, f);
 }
 
 /*
@@ -105,7 +116,7 @@
 
 	f->doubting = 0;
 	if (rep->status == STORE_OK)
-		take_all(f, rep, 0);
+		take_all(f, rep, f->doubt_wait_ms);
 }
 
 /*
@@ -120,12 +131,24 @@
 }
 
 /*
- * Returns how long to pause after so many failures in a row.
+ * Returns how long to pause after so many failures in a row, of which so many
+ * double the pause.
  */
 static uint64_t
-pause_ms(uint64_t first, uint32_t fails)
+pause_ms(uint64_t first, uint32_t fails, uint32_t doublings)
+{
+	return first << (fails < doublings ? fails : doublings);
+}
+
+/*
+ * Tells whether it is of no harm that the store doesn't answer: another node
+ * answers for it, and nothing newer is known.
+ */
+static int
+is_calm(const struct follow *f)
 {
-	return first << (fails < RETRY_DOUBLINGS ? fails : RETRY_DOUBLINGS);
+	return f->version > 0 && f->phase == FOLLOW_READ && !f->doubtful &&
+	       !f->ops->close(f->ctx);
 }
 
 /*
@@ -157,7 +180,7 @@
 {
 	if (!f->lost) {
 		f->lost = 1;
-		event_log(EVENT_STORE_LOST, uv_now(f->loop),
+		event_log(EVENT_STORE_LOST, loop_ms(f->loop),
 		    "status=%s phase=%d version=%llu next=%llu",
 		    status_names[rep->status], (int)f->phase,
 		    (unsigned long long)f->version,
@@ -166,8 +189,11 @@
 	if (rep->status == STORE_TRIMMED)
 		f->phase = FOLLOW_NEWEST;
 	uv_timer_start(&f->config_timer, ask_config,
-	    pause_ms(RETRY_MS, f->config_fails), 0);
+	    pause_ms(RETRY_MS, f->config_fails,
+		is_calm(f) ? CALM_DOUBLINGS : RETRY_DOUBLINGS),
+	    0);
 	f->config_fails++;
+	f->ops->ask(f->ctx);
 }
 
 /*
@@ -177,7 +203,7 @@
 config_works(struct follow *f)
 {
 	if (f->lost)
-		event_log(EVENT_STORE_BACK, uv_now(f->loop),
+		event_log(EVENT_STORE_BACK, loop_ms(f->loop),
 		    "version=%llu failures=%u", (unsigned long long)f->version,
 		    f->config_fails);
 	f->lost = 0;
@@ -192,7 +218,7 @@
 static void
 take(struct follow *f, const struct store_record *rec)
 {
-	uint64_t now = uv_now(f->loop);
+	uint64_t now = loop_ms(f->loop);
 	struct finds finds;
 	struct config *c;
 
@@ -208,26 +234,40 @@
 		    (unsigned long long)rec->offset, finds.count,
 		    finds.count > 0 ? finds.list[0].text : "",
 		    finds.count > 0 ? finds.list[0].place : "/");
-	} else if (c->version <= f->version) {
+	} else {
+		follow_offer(f, c, "store", rec->offset);
+	}
+	finds_finish(&finds);
+}
+
+/*
+ * Takes a configuration if it is newer than what is in force, or frees it.
+ * Its source is the store, with its offset there, or a node's name.
+ */
+void
+follow_offer(
+    struct follow *f, struct config *c, const char *source, uint64_t offset)
+{
+	uint64_t now = loop_ms(f->loop);
+
+	if (c->version <= f->version) {
 		if (c->version < f->version)
 			event_log(EVENT_CONFIG_OLD, now,
-			    "offset=%llu version=%llu in_force=%llu",
-			    (unsigned long long)rec->offset,
+			    "source=%s offset=%llu version=%llu in_force=%llu",
+			    source, (unsigned long long)offset,
 			    (unsigned long long)c->version,
 			    (unsigned long long)f->version);
 		config_free(c);
-	} else {
-		event_log(EVENT_CONFIG_TAKEN, now,
-		    "version=%llu before=%llu offset=%llu routes=%zu "
-		    "workspaces=%zu keys=%zu",
-		    (unsigned long long)c->version,
-		    (unsigned long long)f->version,
-		    (unsigned long long)rec->offset, c->route_count,
-		    c->ws_count, c->key_count);
-		f->version = c->version;
-		f->ops->take(f->ctx, c);
+		return;
 	}
-	finds_finish(&finds);
+	event_log(EVENT_CONFIG_TAKEN, now,
+	    "version=%llu before=%llu source=%s offset=%llu routes=%zu "
+	    "workspaces=%zu keys=%zu",
+	    (unsigned long long)c->version, (unsigned long long)f->version,
+	    source, (unsigned long long)offset, c->route_count, c->ws_count,
+	    c->key_count);
+	f->version = c->version;
+	f->ops->take(f->ctx, c);
 }
 
 /*
@@ -271,7 +311,7 @@
 		f->ops->proved(f->ctx, rep->count > 0
 					   ? rep->asked_ms
 					   : follow_proof(rep->asked_ms,
-						 wait_ms, uv_now(f->loop)));
+						 wait_ms, loop_ms(f->loop)));
 }
 
 /*
@@ -314,7 +354,7 @@
 nodes_failed(struct follow *f)
 {
 	uv_timer_start(&f->nodes_timer, ask_nodes,
-	    pause_ms(NODES_RETRY_MS, f->nodes_fails), 0);
+	    pause_ms(NODES_RETRY_MS, f->nodes_fails, RETRY_DOUBLINGS), 0);
 	f->nodes_fails++;
 }
 
@@ -374,4 +414,5 @@
 		    f->store_ctx, STORE_NODES, name, NEWEST_MS, on_listed, f);
 		return;
 	}
+	f->ops->listed(f->ctx);
 }
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -19,8 +19,12 @@
 	int (*close)(void *);
 	/* Whether there is a reason to ask the store now. */
 	int (*doubt)(void *);
+	/* The store doesn't answer: another node may have newer ones. */
+	void (*ask)(void *);
 	/* A node is said to be at an address (IPv4, host order). */
 	void (*node)(void *, const char *, uint32_t);
+	/* All nodes of the list were named. */
+	void (*listed)(void *);
 };
 
 enum follow_phase {
@@ -43,11 +47,13 @@
 	uv_timer_t nodes_timer;
 	uv_timer_t doubt_timer;
 	enum follow_phase phase;
-	uint64_t next;	       /* offset to read from */
-	uint64_t wait_ms;      /* of the question under way */
-	int doubting;	       /* a short question is under way, too */
-	uint64_t version;      /* in force; 0: none */
-	uint32_t config_fails; /* in a row */
+	uint64_t next;		/* offset to read from */
+	uint64_t wait_ms;	/* of the question under way */
+	int doubting;		/* a short question is under way, too */
+	uint64_t doubt_wait_ms; /* of that one */
+	int doubtful;		/* there was a reason at the last look */
+	uint64_t version;	/* in force; 0: none */
+	uint32_t config_fails;	/* in a row */
 	uint32_t nodes_fails;
 	int entered; /* this node is in the store's list */
 	int lost;
@@ -57,6 +63,7 @@
 void follow_init(struct follow *, uv_loop_t *, const struct store_ops *, void *,
     const struct follow_ops *, void *, const char *, const char *);
 void follow_start(struct follow *, uint32_t);
+void follow_offer(struct follow *, struct config *, const char *, uint64_t);
 uint64_t follow_proof(uint64_t, uint64_t, uint64_t);
 
 #endif
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <netinet/tcp.h>
 
+#include "base/loopclock.h"
 #include "http1/http1_int.h"
 
 #define HEAD_BYTES 65536	 /* of an answer's head */
@@ -154,7 +155,7 @@
 h1_send(struct h1_pool *pool, const struct h1_text *head, uint64_t length,
     int head_only, uint64_t idle_ms, const struct h1_client_ops *ops, void *ctx)
 {
-	uint64_t age, now = uv_now(pool->loop);
+	uint64_t age, now = loop_ms(pool->loop);
 	struct h1_xchg *x;
 	struct h1_peer *p;
 
@@ -432,7 +433,7 @@
 		p->stream.paused = 0;
 		uv_read_start((uv_stream_t *)&p->stream.tcp, h1_alloc, on_read);
 	}
-	p->idle_since_ms = uv_now(pool->loop);
+	p->idle_since_ms = loop_ms(pool->loop);
 	p->next = pool->idle;
 	pool->idle = p;
 	pool->idle_count++;
--- a/src/http1/server.c
+++ b/src/http1/server.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/loopclock.h"
 #include "http1/http1_int.h"
 
 #define BACKLOG 1024
@@ -140,7 +141,7 @@
 	c->stream.tcp.data = c;
 	c->stream.drained = on_drained;
 	c->server = s;
-	c->since_ms = uv_now(s->loop);
+	c->since_ms = loop_ms(s->loop);
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
 	h1_head_init(&c->head);
@@ -186,7 +187,7 @@
 {
 	struct h1_server *s = timer->data;
 	struct h1_conn *c, *next;
-	uint64_t age, now = uv_now(s->loop);
+	uint64_t age, now = loop_ms(s->loop);
 
 	for (c = s->conns; c != NULL; c = next) {
 		next = c->next;
@@ -253,7 +254,7 @@
 	if (c->lingering || c->stream.closing)
 		return;
 	c->lingering = 1;
-	c->since_ms = uv_now(c->server->loop);
+	c->since_ms = loop_ms(c->server->loop);
 	uv_shutdown(&c->shutdown, (uv_stream_t *)&c->stream.tcp, NULL);
 	h1_conn_resume(c);
 }
@@ -338,7 +339,7 @@
 		c->in = IN_IDLE;
 		c->out = OUT_NONE;
 		c->user = NULL;
-		c->since_ms = uv_now(c->server->loop);
+		c->since_ms = loop_ms(c->server->loop);
 		h1_head_finish(&c->head);
 		http_parser_pause(&c->parser, 0);
 		p = c->pending;
@@ -395,7 +396,7 @@
 	struct h1_conn *c = parser->data;
 
 	c->in = IN_HEAD;
-	c->since_ms = uv_now(c->server->loop);
+	c->since_ms = loop_ms(c->server->loop);
 	c->body_seen = 0;
 	h1_collect_init(&c->collect, &c->head, c->server->limits.head_bytes);
 	return 0;
@@ -449,7 +450,7 @@
 	size_t n;
 
 	c->in = IN_BODY;
-	c->since_ms = uv_now(c->server->loop);
+	c->since_ms = loop_ms(c->server->loop);
 	c->keep = http_should_keep_alive(parser) && !c->server->closing;
 	if (parser->upgrade || parser->method == HTTP_CONNECT)
 		return -1;
--- a/src/options/options.c
+++ b/src/options/options.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <getopt.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -8,13 +9,19 @@
 #include "base/duration.h"
 #include "options/options.h"
 
-#define FRESH_SHARE 0.85 /* of the time after which a withdrawn key is dead */
-#define LEAVE_MS 2600	 /* two questions for readiness, and some slack */
+#define FRESH_SHARE 0.85   /* of the time after which a withdrawn key is dead */
+#define LEAVE_MS 2600	   /* two questions for readiness, and some slack */
+#define END_MARGIN_MS 1000 /* before SIGKILL, for a machine that is slowed */
+#define LAST_RUN_MS 1500   /* nearly all requests take less (p99 1.4 s) */
 #define MEGABYTE (1ULL << 20)
+#define VARIABLE "CYCLAMENVALE_NODE_" /* then the option in capitals */
+#define VARIABLE_BYTES 64
 
 enum setting_kind {
 	KIND_NAME,
 	KIND_ADDRESS,
+	KIND_IP,
+	KIND_KEY,
 	KIND_PORT, /* on the address of the exit */
 	KIND_TIME,
 	KIND_NUMBER, /* with fractions */
@@ -32,9 +39,13 @@
 
 enum settings_find {
 	FIND_OPTION,
+	FIND_VARIABLE,
 	FIND_REQUIRED,
 	FIND_NAME,
 	FIND_ADDRESS,
+	FIND_IP,
+	FIND_KEY,
+	FIND_OTHER_KEY,
 	FIND_NUMBER,
 	FIND_TIME,
 	SETTINGS_FIND_MAX
@@ -45,12 +56,19 @@
 static int read_address(const char *, struct sockaddr_in *);
 static void read_value(struct node_options *, const struct setting *,
     const char *, struct finds *);
+static void variable_name(const struct setting *, char *);
+static void read_variables(
+    struct node_options *, char *const *, int *, struct finds *);
 
 static const struct find_msg msgs[SETTINGS_FIND_MAX] = {
 	[FIND_OPTION] = { FIND_ERROR, "unknown option" },
+	[FIND_VARIABLE] = { FIND_ERROR, "unknown variable" },
 	[FIND_REQUIRED] = { FIND_ERROR, "missing option" },
 	[FIND_NAME] = { FIND_ERROR, "not a name of 1 to 63 characters" },
 	[FIND_ADDRESS] = { FIND_ERROR, "not an IPv4 address and port" },
+	[FIND_IP] = { FIND_ERROR, "not an IPv4 address" },
+	[FIND_KEY] = { FIND_ERROR, "not a key of 16 to 64 characters" },
+	[FIND_OTHER_KEY] = { FIND_ERROR, "needs --fleet-key" },
 	[FIND_NUMBER] = { FIND_ERROR, "not a number" },
 	[FIND_TIME] = { FIND_ERROR, "not a time in ms or s" },
 };
@@ -63,6 +81,8 @@
 	{ "entry", KIND_ADDRESS, 1, AT(relay.entry),
 	    "where callers beside this node come" },
 	{ "exit", KIND_ADDRESS, 1, AT(relay.exit), "where other nodes come" },
+	{ "advertise", KIND_IP, 0, AT(relay.advertised),
+	    "address told to other nodes, if not that of the exit" },
 	{ "server", KIND_ADDRESS, 1, AT(relay.server),
 	    "the backend server beside this node" },
 	{ "control", KIND_ADDRESS, 1, AT(control),
@@ -71,6 +91,10 @@
 	{ "store", KIND_ADDRESS, 1, AT(store), "the platform's store" },
 	{ "fleet-port", KIND_PORT, 1, AT(relay.fleet),
 	    "port for datagrams between nodes" },
+	{ "fleet-key", KIND_KEY, 0, AT(relay.fleet_key),
+	    "known to all nodes, which take messages with its seal only" },
+	{ "fleet-key-other", KIND_KEY, 0, AT(relay.other_key),
+	    "another one whose seals are taken, too" },
 	{ "metrics-port", KIND_PORT, 0, AT(metrics), "port for metrics" },
 	{ "revoke", KIND_TIME, 1, AT(relay.fresh_ms),
 	    "after which a withdrawn key must not work" },
@@ -146,6 +170,18 @@
 		if (read_address(text, (struct sockaddr_in *)dst) == -1)
 			bad = FIND_ADDRESS;
 		break;
+	case KIND_IP:
+		if (inet_pton(AF_INET, text, dst) != 1)
+			bad = FIND_IP;
+		break;
+	case KIND_KEY:
+		if (strlen(text) < SEAL_KEY_MIN ||
+		    strlen(text) >= SEAL_KEY_BYTES)
+			bad = FIND_KEY;
+		else
+			snprintf(dst, SEAL_KEY_BYTES, "%s", text);
+		text = ""; /* findings are logged; a key must not be */
+		break;
 	case KIND_PORT:
 		if (bad == SETTINGS_FIND_MAX && (v < 1 || v > 65535))
 			bad = FIND_NUMBER;
@@ -172,12 +208,57 @@
 }
 
 /*
- * Reads the command line.  Returns 0, or -1 if there are findings, or 1 if
- * only help is asked for.
+ * Writes the name of a setting's variable into VARIABLE_BYTES.
+ */
+static void
+variable_name(const struct setting *s, char *name)
+{
+	char *c = name + strlen(VARIABLE);
+
+	snprintf(name, VARIABLE_BYTES, "%s%s", VARIABLE, s->name);
+	for (; *c != '\0'; c++)
+		*c = *c == '-' ? '_' : (char)toupper((unsigned char)*c);
+}
+
+/*
+ * Reads the settings that flags don't give from variables of the environment.
+ * A variable that belongs to no setting is a finding.
+ */
+static void
+read_variables(
+    struct node_options *set, char *const *envp, int *seen, struct finds *finds)
+{
+	char name[VARIABLE_BYTES];
+	const char *value;
+	size_t n, len;
+
+	for (; *envp != NULL; envp++) {
+		if (strncmp(*envp, VARIABLE, strlen(VARIABLE)) != 0)
+			continue;
+		len = strcspn(*envp, "=");
+		value = (*envp)[len] == '=' ? *envp + len + 1 : "";
+		for (n = 0; n < SETTINGS; n++) {
+			variable_name(&settings[n], name);
+			if (strlen(name) == len &&
+			    strncmp(name, *envp, len) == 0)
+				break;
+		}
+		if (n == SETTINGS) {
+			finds_add(finds, &msgs[FIND_VARIABLE], *envp, "%s", "");
+		} else if (!seen[n]) {
+			seen[n] = 1;
+			read_value(set, &settings[n], value, finds);
+		}
+	}
+}
+
+/*
+ * Reads the command line, then the environment.  Returns 0, or -1 if there
+ * are findings, or 1 if only help is asked for.
  */
 int
-options_read(
-    struct node_options *set, int argc, char **argv, struct finds *finds)
+options_read(struct node_options *set, int argc, char **argv, char *const *envp,
+    struct finds *finds)
 {
 	struct option options[SETTINGS + 4];
 	int seen[SETTINGS] = { 0 }, i;
@@ -208,15 +289,27 @@
 			    "%s", "");
 		}
 	}
+	read_variables(set, envp, seen, finds);
 	for (n = 0; n < SETTINGS; n++)
 		if (settings[n].required && !seen[n])
 			finds_add(finds, &msgs[FIND_REQUIRED], settings[n].name,
 			    "%s", settings[n].help);
+	if (set->relay.other_key[0] != '\0' && set->relay.fleet_key[0] == '\0')
+		finds_add(
+		    finds, &msgs[FIND_OTHER_KEY], "fleet-key-other", "%s", "");
 	set->relay.fleet.sin_addr = set->relay.exit.sin_addr;
 	set->metrics.sin_addr = set->relay.exit.sin_addr;
+	if (set->relay.advertised.s_addr == 0)
+		set->relay.advertised = set->relay.exit.sin_addr;
 	set->relay.fresh_ms =
 	    (uint64_t)((double)set->relay.fresh_ms * FRESH_SHARE);
 	set->relay.leave_ms = LEAVE_MS;
+	set->end_ms =
+	    set->grace_ms > END_MARGIN_MS ? set->grace_ms - END_MARGIN_MS : 0;
+	set->relay.take_ms = set->end_ms > LEAVE_MS + LAST_RUN_MS
+				 ? set->end_ms - LAST_RUN_MS
+			     : set->end_ms < LEAVE_MS ? set->end_ms
+						      : LEAVE_MS;
 	return finds->errors > 0 ? -1 : 0;
 }
 
@@ -233,5 +326,7 @@
 		printf("  --%-16s %s%s\n", settings[n].name, settings[n].help,
 		    settings[n].required ? "" : " (optional)");
 	printf("  --check-settings   only check the settings\n"
-	       "  --quiet            write no log lines\n");
+	       "  --quiet            write no log lines\n"
+	       "A setting can also stand in a variable, such as " VARIABLE
+	       "FLEET_PORT;\na flag goes before it.\n");
 }
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -12,11 +12,13 @@
 	struct sockaddr_in metrics; /* port 0: none */
 	struct sockaddr_in store;
 	uint64_t grace_ms; /* from SIGTERM to SIGKILL */
+	uint64_t end_ms;   /* from SIGTERM to the end in any case */
 	int check_only;
 	int quiet; /* no log lines */
 };
 
-int options_read(struct node_options *, int, char **, struct finds *);
+int options_read(
+    struct node_options *, int, char **, char *const *, struct finds *);
 void options_usage(void);
 
 #endif
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -40,6 +40,7 @@
 	uint32_t tokens;
 	uint32_t wait_ms; /* until there are tokens again */
 	int owner;	  /* 0: not ready to decide */
+	int fresh;	  /* the bucket began with this question */
 };
 
 void quota_owner_init(struct quota_owner *);
--- a/src/quota/quota_owner.c
+++ b/src/quota/quota_owner.c
@@ -134,12 +134,13 @@
     const struct quota_limit *limit, uint64_t id, uint32_t need, uint32_t want,
     uint64_t turned, uint64_t now)
 {
-	struct quota_grant g = { 0, 0, 0 };
+	struct quota_grant g = { 0, 0, 0, 0 };
 	struct limits_share share;
 	struct quota_bucket *b;
 
 	share_of(limit, &share);
 	b = bucket_of(o, ws, &share, turned, now);
+	g.fresh = b->used_ms == 0;
 	b->used_ms = now;
 	if (now - b->since_ms < HOLD_MS)
 		return g;
--- a/src/relay/choice.c
+++ b/src/relay/choice.c
@@ -1,12 +1,41 @@
+#include <math.h>
 #include <stddef.h>
+#include <stdlib.h>
 
-#include "relay/relay_int.h"
+#include "relay/choice.h"
 
 #define FAR_COST 0.3	 /* another zone: worth that much of the slots */
 #define COLD_COST 0.6	 /* a server that started just now */
 #define AVOID_COST 100.0 /* only where nothing else takes requests */
 #define FAIL_COST 3.0	 /* of a server that fails every attempt */
 #define JITTER 0.04	 /* so that entries don't all take the same one */
+#define FAIL_WEIGHT 0.1	 /* of a failed attempt in the share */
+#define GOOD_WEIGHT 0.02 /* of one that went well */
+#define FORGET_MS 2000.0 /* a server that gets nothing is tried again */
+
+/*
+ * Returns the share of attempts that fail at a server.  What was seen counts
+ * half after a while, or a server that is sound again would stay avoided.
+ */
+double
+choice_failing(const struct choice_health *h, uint64_t now)
+{
+	return h->failing * exp2(-(double)(now - h->at_ms) / FORGET_MS);
+}
+
+/*
+ * Notes how an attempt ended.
+ */
+void
+choice_note(struct choice_health *h, int failed, uint64_t now)
+{
+	double weight = failed ? FAIL_WEIGHT : GOOD_WEIGHT;
+
+	h->failing = choice_failing(h, now) * (1 - weight);
+	if (failed)
+		h->failing += weight;
+	h->at_ms = now;
+}
 
 /*
  * Returns what it costs to send a request to a server, as a share of its
@@ -33,14 +62,14 @@
 int
 choice_best(const struct choice *list, size_t n, uint64_t rnd)
 {
+	unsigned short draw[3] = { (unsigned short)rnd,
+		(unsigned short)(rnd >> 16), (unsigned short)(rnd >> 32) };
 	double cost, best_cost = 0;
 	int best = -1;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		rnd = rnd * 6364136223846793005ULL + 1442695040888963407ULL;
-		cost = choice_cost(
-		    &list[i], (double)(rnd >> 40) / (double)(1 << 24));
+		cost = choice_cost(&list[i], erand48(draw));
 		if (best != -1 && cost >= best_cost)
 			continue;
 		best = (int)i;
--- /dev/null
+++ b/src/relay/dump.c
@@ -0,0 +1,163 @@
+#include "relay/relay_int.h"
+
+/*
+ * A node's state as text: a section a topic, a line a value, or an object
+ * with KEY=VALUE words (see src/dump).
+ */
+
+static void dump_node(struct relay *, struct h1_text *);
+static void dump_server(struct relay *, struct h1_text *);
+static void dump_peers(struct relay *, struct h1_text *);
+static void dump_throttle(const struct relay *, struct h1_text *);
+static void dump_limits(struct relay *, struct h1_text *);
+
+/*
+ * Returns the name, or a dash in place of an empty one.
+ */
+static const char *
+or_dash(const char *name)
+{
+	return name[0] != '\0' ? name : "-";
+}
+
+/*
+ * Adds what the node is and which configuration it has.
+ */
+static void
+dump_node(struct relay *r, struct h1_text *t)
+{
+	h1_text_addf(t, "name %s\nfailure domain %s\nservice %s\n", r->set.node,
+	    r->set.zone, r->set.service);
+	h1_text_addf(t, "incarnation %llu\nstopping %d\nready %d\n",
+	    (unsigned long long)r->incarnation, r->stopping, relay_ready(r));
+	h1_text_addf(t, "# configuration\nversion %llu\nproof age ms %llu\n",
+	    (unsigned long long)(r->config != NULL ? r->config->version : 0),
+	    (unsigned long long)relay_proof_age_ms(r));
+	h1_text_addf(t, "reads store %d\n", relay_reads_store(r));
+	if (r->config != NULL)
+		h1_text_addf(t, "routes %zu\nworkspaces %zu\nkeys %zu\n",
+		    r->config->route_count, r->config->ws_count,
+		    r->config->key_count);
+	h1_text_addf(t, "# requests\nentries %u\nexits %u\nheld bytes %llu\n",
+	    h1_server_busy(&r->entry), h1_server_busy(&r->exit),
+	    (unsigned long long)r->held_bytes);
+}
+
+/*
+ * Adds the server beside this node.
+ */
+static void
+dump_server(struct relay *r, struct h1_text *t)
+{
+	const struct relay_server *s = &r->server;
+	uint64_t now = relay_now(r);
+
+	h1_text_addf(t, "# server\nid %s\nborn ms %llu\nleaving %d\ndown %d\n",
+	    or_dash(s->id), (unsigned long long)s->born_ms, s->leaving,
+	    s->down_until_ms > now);
+	h1_text_addf(t, "slots %u\nlimit %u\nrunning %u\nwaiting %u\n",
+	    s->slots, limiter_value(&r->core.limiter), r->core.inflight,
+	    r->core.queued);
+	h1_text_addf(t, "run seconds %.4f\nfailing %.3f\n",
+	    profile_run_s(&r->profile), choice_failing(&r->health, now));
+}
+
+/*
+ * Adds what is known of other nodes.
+ */
+static void
+dump_peers(struct relay *r, struct h1_text *t)
+{
+	const struct fleet_peer *p;
+	struct relay_link *l;
+	uint64_t now = relay_now(r);
+	size_t i;
+
+	h1_text_addf(t, "# fleet\nknown %u\nquorum %d\nlisted %d\nout %d\n",
+	    fleet_size(&r->fleet), fleet_quorum(&r->fleet, now),
+	    r->fleet.listed, r->fleet.out);
+	for (i = 0; i < r->fleet.count; i++) {
+		p = &r->fleet.peers[i];
+		l = relay_link(r, (int)i);
+		h1_text_addf(t,
+		    "peer %s alive=%d gone=%d out=%d stopping=%d "
+		    "silent_ms=%llu "
+		    "config=%llu service=%s server=%s leaving=%d running=%u "
+		    "waiting=%u slots=%u offered=%.2f failing=%.3f "
+		    "inflight=%u avoided=%d\n",
+		    p->node, fleet_alive(&r->fleet, i, now), p->gone, p->out,
+		    p->stopping,
+		    (unsigned long long)(p->heard_ms > 0 ? now - p->heard_ms
+							 : 0),
+		    (unsigned long long)p->config_version,
+		    or_dash(p->server.service), or_dash(p->server.id),
+		    p->server.leaving, p->server.running, p->server.waiting,
+		    p->server.slots, p->server.offered,
+		    choice_failing(&l->health, now), l->inflight,
+		    l->avoid_ms > now);
+	}
+}
+
+/*
+ * Adds how much of each class of root requests is let in, and why.
+ */
+static void
+dump_throttle(const struct relay *r, struct h1_text *t)
+{
+	const struct throttle_service *s;
+	uint32_t i, k;
+
+	h1_text_addf(t, "# throttle\n");
+	for (i = 0; i < r->throttle.count; i++) {
+		s = &r->throttle.services[i];
+		h1_text_addf(t,
+		    "service %s limits=%d offered=%.3f expected=%.3f trim=%.2f "
+		    "slots=%.0f runs_per_s=%.1f",
+		    s->name, s->limits, s->offered, s->expected, s->trim,
+		    s->slots, s->runs_per_s);
+		for (k = 0; k < THROTTLE_CLASSES; k++)
+			h1_text_addf(t, " share_%u=%.3f asked_per_s_%u=%.1f", k,
+			    s->share[k], k, s->demand[k]);
+		h1_text_addf(t, "\n");
+		for (k = 0; k < s->call_count; k++)
+			h1_text_addf(t, "calls %s to=%s per_run=%.3f\n",
+			    s->name,
+			    r->throttle.services[s->calls[k].service].name,
+			    s->calls[k].per_run);
+	}
+}
+
+/*
+ * Adds the limits of workspaces, and who decides for each.
+ */
+static void
+dump_limits(struct relay *r, struct h1_text *t)
+{
+	const struct config_ws *w;
+	size_t i;
+	int owner;
+
+	h1_text_addf(t, "# limits\n");
+	for (i = 0; r->config != NULL && i < r->config->ws_count; i++) {
+		w = &r->config->workspaces[i];
+		owner = fleet_owner(&r->fleet, w->hash, relay_now(r));
+		h1_text_addf(t, "limit %s rate=%.1f burst=%u owner=%s\n",
+		    w->name, w->rate, w->burst,
+		    owner == FLEET_SELF	  ? r->set.node
+		    : owner == FLEET_NONE ? "-"
+					  : r->fleet.peers[owner].node);
+	}
+}
+
+/*
+ * Writes the state of a node.
+ */
+void
+relay_dump(struct relay *r, struct h1_text *t)
+{
+	dump_node(r, t);
+	dump_server(r, t);
+	dump_peers(r, t);
+	dump_throttle(r, t);
+	dump_limits(r, t);
+}
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -11,10 +11,8 @@
 #define HELD_SHARE 4	    /* of the memory, that bodies may take */
 #define TIMEOUT_GRACE_MS 30 /* for the server's own answer at its deadline */
 #define SPLIT_BITS 32
-#define RETRY_SHARE 0.6	       /* of the repeats allowed: calls repeat, too */
-#define THROTTLED_AFTER_MS 600 /* before a throttled caller should return */
-#define THROTTLED_SPREAD_MS 1000
 
+static int is_too_late(const struct relay *);
 static void on_head(void *, struct h1_conn *);
 static void on_body(void *, struct h1_conn *, const char *, size_t);
 static void on_end(void *, struct h1_conn *);
@@ -26,6 +24,7 @@
 static enum entry_end entry_workspace(
     struct entry_req *, const struct config_route *, const struct h1_head *);
 static void entry_split(struct entry_req *, const struct config_route *);
+static void entry_call(struct entry_req *, const struct h1_head *);
 
 const struct h1_server_ops entry_ops = { on_head, on_body, on_end, on_gone,
 	on_drained };
@@ -51,6 +50,7 @@
 	[END_TIMEOUT] = { 504, RELAY_TIMEOUTS, "timeout" },
 	[END_BROKEN] = { 502, RELAY_FAILED, "broken-exchange" },
 	[END_SUSPECT] = { 503, RELAY_REFUSED, "crashes-servers" },
+	[END_LEAVING] = { 503, RELAY_REFUSED, "node-leaving" },
 };
 
 /*
@@ -102,6 +102,26 @@
 	free(e);
 }
 
+/*
+ * A call of the server beside this node has ended.  Where it failed, the run
+ * that made it will, too, which is no failure of the server.
+ */
+void
+entry_call_ended(struct entry_req *e, int refused, int failed)
+{
+	struct relay *r = e->relay;
+	struct exit_req *run = NULL;
+	const char *id;
+	size_t len;
+
+	profile_call_ended(&r->profile, refused);
+	id = h1_head_get(h1_conn_head(e->conn), r->set.names.request_id, &len);
+	if (failed && id != NULL)
+		run = exit_parent(r, id, len);
+	if (run != NULL)
+		run->call_failed = 1;
+}
+
 /*
  * Ends a request without a server's answer.  If it can't have run, its
  * caller is told when to come back (ms; 0: not told).
@@ -122,6 +142,11 @@
 		status = 502;
 	if (!e->maybe_run)
 		entry_token_back(e);
+	if (e->depth > 0)
+		entry_call_ended(
+		    e, how == END_OVERLOAD && e->verdict == VERDICT_BUSY, 1);
+	else if (how == END_OVER_RATE)
+		load_over_rate(r, e->service, e->class);
 	r->counters[d->counter]++;
 	event_log(status == 502 || status == 504 ? EVENT_FAILED : EVENT_REFUSED,
 	    relay_now(r),
@@ -225,7 +250,7 @@
 		snprintf(e->service, sizeof(e->service), "%s", route->service);
 		return;
 	}
-	at = (relay_random(e->relay) >> SPLIT_BITS) * sum >> SPLIT_BITS;
+	at = (relay_random() >> SPLIT_BITS) * sum >> SPLIT_BITS;
 	for (i = 0; i + 1 < route->part_count; i++) {
 		if (at < route->parts[i].weight)
 			break;
@@ -234,6 +259,39 @@
 	snprintf(e->service, sizeof(e->service), "%s", route->parts[i].service);
 }
 
+/*
+ * Takes a call of the server beside this node for part of the request that it
+ * is at work on: a chain ranks alike at every depth.  Where that isn't known,
+ * calls go first, as work was done for them already.
+ */
+static void
+entry_call(struct entry_req *e, const struct h1_head *h)
+{
+	struct relay *r = e->relay;
+	const struct exit_req *run = NULL;
+	const char *id;
+	size_t len;
+
+	id = h1_head_get(h, r->set.names.request_id, &len);
+	if (id != NULL)
+		run = exit_parent(r, id, len);
+	e->chained = run != NULL;
+	e->depth = run != NULL ? run->depth + 1 : 1;
+	e->class = run != NULL ? run->class : ADMISSION_CRITICAL;
+	if (run != NULL)
+		e->root_hash = run->root_hash;
+}
+
+/*
+ * Tells whether this node ends so soon that a root request might not.  Calls of
+ * runs that are at work are part of what still has to end.
+ */
+static int
+is_too_late(const struct relay *r)
+{
+	return r->stopping && relay_now(r) - r->stop_ms > r->set.take_ms;
+}
+
 /*
  * Decides on a request whose head is in.
  */
@@ -249,7 +307,8 @@
 
 	relay_id(r, h, e->id);
 	if (r->config == NULL) {
-		entry_end(e, END_NO_CONFIG, 300);
+		entry_end(e, END_NO_CONFIG,
+		    relay_comeback(COMEBACK_NO_CONFIG, e->target_ms));
 		return;
 	}
 	route = entry_route(r, h);
@@ -257,23 +316,28 @@
 		entry_end(e, END_NO_ROUTE, 0);
 		return;
 	}
+	e->target_ms = route->target_ms;
 	e->class = load_class(r, 0, route->priority);
 	bad = entry_workspace(e, route, h);
 	if (bad != END_MAX) {
-		entry_end(e, bad, 500);
+		entry_end(
+		    e, bad, relay_comeback(COMEBACK_REFUSED, e->target_ms));
 		return;
 	}
-	/* Calls go before new root requests: work was done for them already. */
-	e->depth = route->open ? 1 : 0;
-	if (e->depth > 0)
-		e->class = ADMISSION_CRITICAL;
+	e->root_hash = relay_random();
+	if (route->open)
+		entry_call(e, h);
 	r->counters[e->depth > 0 ? RELAY_CALLS : RELAY_REQUESTS]++;
 	entry_split(e, route);
 	if (e->depth > 0) {
-		load_called(r, e->service);
+		profile_called(&r->profile, e->service, e->chained);
+	} else if (is_too_late(r)) {
+		entry_end(e, END_LEAVING,
+		    relay_comeback(COMEBACK_FULL, e->target_ms));
+		return;
 	} else if (!load_admits(r, e->service, e->class)) {
 		entry_end(e, END_THROTTLED,
-		    THROTTLED_AFTER_MS + relay_random(r) % THROTTLED_SPREAD_MS);
+		    relay_comeback(COMEBACK_THROTTLED, e->target_ms));
 		return;
 	}
 	e->idempotent = route->idempotent;
@@ -284,7 +348,8 @@
 		left = route->deadline_ms;
 	e->end_ms = e->began_ms + left;
 	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
-	relay_budget(r, e->service)->tokens += r->set.retry_ratio * RETRY_SHARE;
+	budget_earn(
+	    relay_budget(r, e->service), r->set.retry_ratio, relay_now(r));
 	if (entry_limit(e) == 0)
 		entry_start(e);
 }
@@ -401,6 +466,6 @@
 			    e->maybe_run || e->xchg != NULL
 				? END_TIMEOUT
 				: END_TIMEOUT_UNSENT,
-			    200);
+			    relay_comeback(COMEBACK_TIMEOUT, e->target_ms));
 	}
 }
--- a/src/relay/entry_limit.c
+++ b/src/relay/entry_limit.c
@@ -3,13 +3,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "event/event.h"
 #include "relay/relay_int.h"
 
 #define ASK_MS 60  /* for the owner's answer to a question */
 #define ASKS_MAX 2 /* after that the reserve is used */
-#define OVER_AFTER_MS 300
-#define OVER_SPREAD_MS 700
-#define OWNER_AFTER_MS 300
 #define US_PER_MS 1000
 
 static struct relay_limit *limit_of(struct relay *, uint64_t);
@@ -20,16 +18,6 @@
 static struct entry_req *take_waiting(struct relay_limit *);
 static struct quota_grant lend(
     struct relay *, uint64_t, uint64_t, uint32_t, uint32_t);
-static uint64_t over_after(struct relay *);
-
-/*
- * Returns when a caller over its rate should come back (ms).
- */
-static uint64_t
-over_after(struct relay *r)
-{
-	return OVER_AFTER_MS + relay_random(r) % OVER_SPREAD_MS;
-}
 
 /*
  * Finds what this node holds of a workspace's tokens.
@@ -72,7 +60,8 @@
 		e->took_token = 1;
 		return 0;
 	case QUOTA_OVER:
-		entry_end(e, END_OVER_RATE, over_after(r));
+		entry_end(e, END_OVER_RATE,
+		    relay_comeback(COMEBACK_OVER_RATE, e->target_ms));
 		return 1;
 	case QUOTA_ASK:
 	case QUOTA_VERDICT_MAX:
@@ -145,20 +134,27 @@
 static struct quota_grant
 lend(struct relay *r, uint64_t ws, uint64_t id, uint32_t need, uint32_t want)
 {
-	struct quota_grant none = { 0, 0, 0 };
+	struct quota_grant g = { 0, 0, 0, 0 };
+	uint64_t now = relay_now(r);
 	struct quota_limit limit;
 	int i;
 
 	i = r->config == NULL ? -1 : config_ws_find(r->config, ws);
 	if (i < 0 || r->stopping ||
-	    fleet_owner(&r->fleet, ws, relay_now(r)) != FLEET_SELF) {
+	    fleet_owner(&r->fleet, ws, now) != FLEET_SELF) {
 		quota_owner_drop(&r->owner, ws);
-		return none;
+		return g;
 	}
 	limit.rate = r->config->workspaces[i].rate;
 	limit.burst = r->config->workspaces[i].burst;
-	return quota_owner_lend(&r->owner, ws, &limit, id, need, want,
-	    r->fleet.turned_ms, relay_now(r));
+	g = quota_owner_lend(
+	    &r->owner, ws, &limit, id, need, want, r->fleet.turned_ms, now);
+	if (g.fresh)
+		event_log(EVENT_LIMIT_OWNED, now,
+		    "workspace=%s rate=%.1f burst=%u nodes_changed_ms=%llu",
+		    r->config->workspaces[i].name, limit.rate, limit.burst,
+		    (unsigned long long)(now - r->fleet.turned_ms));
+	return g;
 }
 
 /*
@@ -175,13 +171,13 @@
 	quota_want(&l->stock, l->waiting_count, &need, &want);
 	owner = fleet_owner(&r->fleet, l->ws, relay_now(r));
 	if (owner == FLEET_SELF && r->stopping)
-		owner = fleet_successor(&r->fleet, l->ws, relay_now(r));
+		owner = fleet_successor(&r->fleet, l->ws);
 	if (owner == FLEET_NONE) {
 		without_owner(r, l);
 		return;
 	}
 	if (l->stock.ask_id == 0)
-		l->stock.ask_id = relay_random(r) | 1;
+		l->stock.ask_id = relay_random() | 1;
 	l->stock.asked_ms = relay_now(r);
 	l->stock.asks++;
 	if (owner == FLEET_SELF) {
@@ -229,7 +225,8 @@
 		return;
 	}
 	while ((e = take_waiting(l)) != NULL) {
-		entry_end(e, END_OVER_RATE, over_after(r));
+		entry_end(e, END_OVER_RATE,
+		    relay_comeback(COMEBACK_OVER_RATE, e->target_ms));
 		l = limit_of(r, ws);
 	}
 }
@@ -251,7 +248,8 @@
 			relay_now(r)))
 			entry_start(e);
 		else
-			entry_end(e, END_NO_OWNER, OWNER_AFTER_MS);
+			entry_end(e, END_NO_OWNER,
+			    relay_comeback(COMEBACK_NO_OWNER, e->target_ms));
 		l = limit_of(r, ws);
 	}
 }
@@ -294,7 +292,7 @@
 		b = &r->owner.list[i];
 		if (b->ws == 0)
 			continue;
-		next = fleet_successor(&r->fleet, b->ws, now);
+		next = fleet_successor(&r->fleet, b->ws);
 		bucket_refill(&b->bucket, now * US_PER_MS);
 		memset(&m, 0, sizeof(m));
 		m.kind = FLEET_BUCKET;
@@ -355,7 +353,7 @@
 {
 	struct relay *r = ctx;
 	struct relay_limit *l = limit_of(r, a->workspace);
-	struct quota_grant g = { a->tokens, a->wait_ms, (int)a->owner };
+	struct quota_grant g = { a->tokens, a->wait_ms, (int)a->owner, 0 };
 
 	if (l->stock.ask_id == a->id)
 		received(r, l, &g);
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -10,13 +10,8 @@
 #define CHOICES_MAX 128
 #define AVOID_MS 300 /* a node that took no connection */
 #define AVOID_MAX_MS 3000
-#define FAIL_WEIGHT 0.1 /* of the newest attempt in the share of failed */
-#define FAIL_DECAY 0.98
 #define TRIES_MAX 4    /* nodes asked for one request */
 #define LEFT_MIN_MS 20 /* less time isn't worth another attempt */
-#define RETRY_AFTER_MIN_MS 150
-#define RETRY_AFTER_SPREAD_MS 350
-#define SLACK_SHARE 0.7 /* of the slack in repeats, for all nodes together */
 #define IDLE_ANY UINT64_MAX
 #define IDLE_UNSAFE_MS 4000 /* an older connection may break */
 
@@ -30,22 +25,10 @@
 static int may_repeat(struct entry_req *);
 static void pass_head(struct entry_req *);
 static void compose(struct entry_req *, struct h1_text *);
-static uint64_t come_back(struct entry_req *);
 
 static const struct h1_client_ops attempt_ops = { on_head, on_body, on_end,
 	on_fail, on_drained };
 
-/*
- * Returns when a refused caller should come back (ms): spread out, so that
- * callers refused together don't return together.
- */
-static uint64_t
-come_back(struct entry_req *e)
-{
-	return RETRY_AFTER_MIN_MS +
-	       relay_random(e->relay) % RETRY_AFTER_SPREAD_MS;
-}
-
 /*
  * Chooses a node for the next attempt.  Returns its handle, or RELAY_NO_LINK.
  */
@@ -102,14 +85,36 @@
 			c->avoid = !fleet_alive(&r->fleet, (size_t)h, now);
 		}
 		c->avoid |= l->avoid_ms > now;
-		c->failing = l->failing;
+		c->failing = choice_failing(&l->health, now);
 		c->load = slots > 0 ? (double)busy / slots : 2;
 		n++;
 	}
-	best = choice_best(list, n, relay_random(r));
+	best = choice_best(list, n, relay_random());
 	return best < 0 ? RELAY_NO_LINK : list[best].handle;
 }
 
+/*
+ * Writes what the exit must know of a request, and the seal on it.
+ */
+static void
+add_hop(struct entry_req *e, struct h1_text *t)
+{
+	uint64_t now = relay_now(e->relay);
+	struct seal_request q;
+	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX];
+
+	snprintf(hop, sizeof(hop), "%llu %u %u %llu %d %s %s %s",
+	    (unsigned long long)(e->end_ms > now ? e->end_ms - now : 1),
+	    e->class, e->depth, (unsigned long long)e->root_hash, e->idempotent,
+	    e->service, e->relay->set.service,
+	    e->ws_name[0] != '\0' ? e->ws_name : "-");
+	h1_text_field(t, RELAY_HOP, hop);
+	sealed_parts(e->relay, e->conn, hop, &q);
+	seal_request(&e->relay->seal, &q, hex);
+	if (hex[0] != '\0')
+		h1_text_field(t, RELAY_SEAL, hex);
+}
+
 /*
  * Composes the head that goes to the exit.
  */
@@ -120,17 +125,13 @@
 	const struct h1_head *h = h1_conn_head(e->conn);
 	const char *const skip[] = { names->key, names->deadline_ms,
 		names->workspace, names->caller, names->expect, RELAY_HOP,
-		RELAY_EXIT, NULL };
-	uint64_t now = relay_now(e->relay);
+		RELAY_EXIT, RELAY_SEAL, NULL };
 
 	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
 	h1_text_add(t, h->buf + h->target, h->target_len);
 	h1_text_add(t, " HTTP/1.1\r\n", 11);
 	h1_text_forward(t, h, skip);
-	h1_text_addf(t, "%s: %llu %u %u %d %s %s %s\r\n", RELAY_HOP,
-	    (unsigned long long)(e->end_ms > now ? e->end_ms - now : 1),
-	    e->class, e->depth, e->idempotent, e->service,
-	    e->relay->set.service, e->ws_name[0] != '\0' ? e->ws_name : "-");
+	add_hop(e, t);
 	if (e->body_length == H1_LENGTH_CHUNKED)
 		h1_text_field(t, "Transfer-Encoding", "chunked");
 	else if (e->body_length > 0 || h1_conn_length(e->conn) > 0)
@@ -152,7 +153,7 @@
 
 	if (h == RELAY_NO_LINK) {
 		entry_end(e, e->tries > 0 ? END_OVERLOAD : END_NO_SERVER,
-		    come_back(e));
+		    relay_comeback(COMEBACK_FULL, e->target_ms));
 		return;
 	}
 	e->state = ENTRY_SENT;
@@ -215,9 +216,7 @@
 		return;
 	l = relay_link(e->relay, e->link);
 	l->inflight--;
-	l->failing *= failed ? 1 - FAIL_WEIGHT : FAIL_DECAY;
-	if (failed)
-		l->failing += FAIL_WEIGHT;
+	choice_note(&l->health, failed, relay_now(e->relay));
 	e->link = RELAY_NO_LINK;
 	e->xchg = NULL;
 }
@@ -260,12 +259,13 @@
 	uint32_t i;
 
 	e->verdict = VERDICT_UNKNOWN;
+	e->call_failed = 0;
 	if (h1_head_copy(h, RELAY_EXIT, text, sizeof(text)) > 0) {
 		for (i = 0; i < VERDICT_MAX; i++)
 			if (h1_name_is(text, strcspn(text, " "),
 				relay_verdict_names[i]))
 				e->verdict = (enum relay_verdict)i;
-		relay_told(e->relay, e->link, text);
+		e->call_failed = relay_told(e->relay, e->link, text);
 	}
 	e->status = h1_xchg_status(x);
 	e->answer_length = h1_xchg_length(x);
@@ -318,21 +318,18 @@
 may_repeat(struct entry_req *e)
 {
 	struct relay *r = e->relay;
-	struct relay_budget *b = relay_budget(r, e->service);
-	double most;
+	struct budget_ask ask = {
+		.class = e->class,
+		.root_hash = e->root_hash,
+		.slack = r->set.retry_slack,
+		.nodes = fleet_size(&r->fleet),
+		.now_ms = relay_now(r),
+	};
 
 	if (e->arrivals >= e->arrivals_max ||
-	    relay_now(r) + LEFT_MIN_MS > e->end_ms)
-		return 0;
-	most = r->set.retry_slack * SLACK_SHARE / fleet_size(&r->fleet);
-	if (most < 1)
-		most = 1;
-	if (b->tokens > most)
-		b->tokens = most;
-	if (b->tokens < 1)
+	    ask.now_ms + LEFT_MIN_MS > e->end_ms)
 		return 0;
-	b->tokens--;
-	return 1;
+	return budget_spend(relay_budget(r, e->service), &ask);
 }
 
 /*
@@ -366,16 +363,20 @@
 	attempt_over(e, e->verdict == VERDICT_UNKNOWN ||
 			    e->verdict == VERDICT_AWAY ||
 			    e->verdict == VERDICT_TURNED ||
-			    (e->verdict == VERDICT_RAN && e->status >= 500));
+			    (e->verdict == VERDICT_RAN && e->status >= 500 &&
+				!e->call_failed));
 	switch (e->verdict) {
 	case VERDICT_RAN:
 		latency_add(&r->answered, now - e->began_ms);
+		if (e->depth > 0)
+			entry_call_ended(e, 0, e->status >= 400);
 		r->counters[e->status < 500 ? RELAY_SERVED : RELAY_FAILED]++;
 		if (e->status >= 500)
 			event_log(EVENT_FAILED, now,
-			    "id=%s service=%s status=%u reason=server "
+			    "id=%s service=%s status=%u reason=%s "
 			    "age_ms=%llu tries=%u",
 			    e->id, e->service, e->status,
+			    e->call_failed ? "call-failed" : "server",
 			    (unsigned long long)(now - e->began_ms), e->tries);
 		if (!e->passing)
 			h1_conn_set_user(conn, NULL);
@@ -392,7 +393,8 @@
 		if (!e->body_lost && may_repeat(e))
 			again(e);
 		else
-			entry_end(e, END_OVERLOAD, come_back(e));
+			entry_end(e, END_OVERLOAD,
+			    relay_comeback(COMEBACK_FULL, e->target_ms));
 		return;
 	case VERDICT_BUSY:
 	case VERDICT_AWAY:
@@ -400,7 +402,8 @@
 		    now + LEFT_MIN_MS < e->end_ms)
 			again(e);
 		else
-			entry_end(e, END_OVERLOAD, come_back(e));
+			entry_end(e, END_OVERLOAD,
+			    relay_comeback(COMEBACK_FULL, e->target_ms));
 		return;
 	case VERDICT_SUSPECT:
 		entry_end(e, END_SUSPECT, 0);
@@ -440,7 +443,8 @@
 		    now + LEFT_MIN_MS < e->end_ms)
 			again(e);
 		else
-			entry_end(e, END_NO_SERVER, come_back(e));
+			entry_end(e, END_NO_SERVER,
+			    relay_comeback(COMEBACK_FULL, e->target_ms));
 		return;
 	}
 	attempt_over(e, 1);
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <err.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -81,21 +82,21 @@
 }
 
 /*
- * Reads what the entry says of a request: the time left (ms), its class and
- * depth, whether it is idempotent, the service that is meant, the service
- * beside which it began, and its workspace.  Returns 0, or -1 if it can't be
- * read.
+ * Reads what the entry says of a request: the time left (ms), its class, its
+ * depth and the hash of its root, whether it is idempotent, the service that
+ * is meant, the service beside which it began, and its workspace.  Returns 0,
+ * or -1 if it can't be read.
  */
 static int
 read_hop(struct exit_req *e, const struct h1_head *h, char *service,
     struct admission_req *req)
 {
-	uint64_t left, class, depth, idempotent;
-	char text[320], *at = text;
+	uint64_t left, class, depth, root, idempotent;
+	char text[RELAY_HOP_BYTES], *at = text;
 
 	if (h1_head_copy(h, RELAY_HOP, text, sizeof(text)) < 0 ||
 	    relay_number(&at, &left) == -1 || relay_number(&at, &class) == -1 ||
-	    relay_number(&at, &depth) == -1 ||
+	    relay_number(&at, &depth) == -1 || relay_number(&at, &root) == -1 ||
 	    relay_number(&at, &idempotent) == -1 ||
 	    relay_word(&at, service, FLEET_NAME_BYTES) == -1 ||
 	    relay_word(&at, e->caller, sizeof(e->caller)) == -1 ||
@@ -106,9 +107,12 @@
 		e->ws_name[0] = '\0';
 	e->deadline_ms = relay_now(e->relay) + left;
 	e->idempotent = idempotent != 0;
+	e->class = (uint32_t) class;
+	e->depth = (uint32_t)depth;
+	e->root_hash = root;
 	req->class = (enum admission_class) class;
 	req->depth = (uint32_t)depth;
-	req->root_hash = relay_random(e->relay);
+	req->root_hash = root;
 	req->deadline_us = e->deadline_ms * MS_US;
 	return 0;
 }
@@ -121,16 +125,28 @@
 {
 	struct relay *r = ctx;
 	const struct h1_head *h = h1_conn_head(conn);
-	struct exit_req *e = exit_new(r, conn);
 	struct relay_server *s = &r->server;
+	struct exit_req *e;
 	struct admission_waiter *out;
 	struct admission_req req;
 	char service[FLEET_NAME_BYTES];
 	enum admission_verdict verdict;
 	enum quarantine_state state;
 
+	if (!sealed_good(r, conn)) {
+		e = exit_new(r, conn);
+		relay_id(r, h, e->id);
+		exit_refuse(e, VERDICT_AWAY, "unsealed");
+		return;
+	}
+	if (copy_asked(conn)) {
+		copy_answer(r, conn);
+		return;
+	}
+	e = exit_new(r, conn);
 	r->counters[RELAY_EXIT_REQUESTS]++;
 	relay_id(r, h, e->id);
+	e->whole_id = h1_head_get(h, r->set.names.request_id, &e->whole_id_len);
 	if (read_hop(e, h, service, &req) == -1) {
 		exit_finish(e);
 		h1_conn_set_user(conn, NULL);
@@ -157,6 +173,7 @@
 		e->single = 1;
 		r->singles++;
 	}
+	load_tick(r);
 	verdict =
 	    core_offer(&r->core, &req, &e->waiter, &out, relay_now(r) * MS_US);
 	if (verdict == ADMISSION_RUN) {
@@ -175,6 +192,27 @@
 	}
 }
 
+/*
+ * Returns the request at work here that made a call, or NULL: the one with
+ * the longest id that the call's id begins with, up to a separator.
+ */
+struct exit_req *
+exit_parent(const struct relay *r, const char *id, size_t len)
+{
+	struct exit_req *e, *best = NULL;
+
+	for (e = r->exits; e != NULL; e = e->next) {
+		if (!e->running || e->whole_id == NULL ||
+		    e->whole_id_len >= len ||
+		    (best != NULL && e->whole_id_len <= best->whole_id_len) ||
+		    isalnum((unsigned char)id[e->whole_id_len]) ||
+		    memcmp(e->whole_id, id, e->whole_id_len) != 0)
+			continue;
+		best = e;
+	}
+	return best;
+}
+
 /*
  * Lets requests run for which there is a slot now.
  */
@@ -184,6 +222,7 @@
 	struct admission_waiter *w;
 	struct exit_req *e;
 
+	load_tick(r);
 	while (r->server.leaving &&
 	       (w = core_flush(&r->core, ADMISSION_DRAINING)) != NULL) {
 		e = of_waiter(w);
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -24,7 +24,8 @@
 static void server_down(struct relay *);
 
 /* Fields between nodes, which no server gets and none can set. */
-static const char *const internal[] = { RELAY_HOP, RELAY_EXIT, NULL };
+static const char *const internal[] = { RELAY_HOP, RELAY_EXIT, RELAY_SEAL,
+	NULL };
 
 static const struct h1_client_ops server_ops = { on_head, on_body, on_end,
 	on_fail, on_drained };
@@ -69,7 +70,7 @@
 
 	e->running = 1;
 	e->sent_ms = relay_now(r);
-	load_ran(r);
+	profile_begin(&r->profile);
 	h1_text_init(&t);
 	compose(e, &t);
 	if (e->body_length != H1_LENGTH_CHUNKED)
@@ -95,9 +96,9 @@
 {
 	struct admission_core *c = &e->relay->core;
 
-	h1_text_addf(t, "%s: %s %u %u %u\r\n", RELAY_EXIT,
+	h1_text_addf(t, "%s: %s %u %u %u %d\r\n", RELAY_EXIT,
 	    relay_verdict_names[verdict], c->inflight, c->queued,
-	    limiter_value(&c->limiter));
+	    limiter_value(&c->limiter), e->call_failed);
 }
 
 /*
@@ -116,6 +117,11 @@
 	if (!e->running)
 		return;
 	e->running = 0;
+	load_tick(r);
+	profile_end(&r->profile);
+	if (how == ADMISSION_SERVED ||
+	    (how != ADMISSION_CANCELLED && !e->call_failed))
+		choice_note(&r->health, how != ADMISSION_SERVED, now);
 	core_done(
 	    &r->core, &e->waiter, how, (now - e->sent_ms) * MS_US, now * MS_US);
 }
@@ -288,9 +294,11 @@
 {
 	struct relay_server *s = &r->server;
 	uint64_t now = relay_now(r);
+	int died;
 
 	if (s->down_until_ms > now)
 		return;
+	died = s->down_count == 0;
 	s->down_until_ms =
 	    now + ((uint64_t)DOWN_MS
 		      << (s->down_count < DOWN_DOUBLINGS ? s->down_count
@@ -298,7 +306,7 @@
 	s->down_count++;
 	event_log(EVENT_SERVER_DOWN, now, "server=%s retry_in_ms=%llu", s->id,
 	    (unsigned long long)(s->down_until_ms - now));
-	suspect_server_died(r);
+	suspect_server_down(r, died);
 	fleet_beat_all(&r->net, 0);
 }
 
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -6,16 +6,20 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define STEP_MS 100	 /* between two steps of the throttle */
-#define BUSY_S 0.25	 /* time constant of the measured load */
-#define CALLS_HALF 200.0 /* runs after which older ones count half */
+#define STEP_MS 100 /* between two steps of the throttle */
+#define BUSY_S 0.25 /* time constant of the measured load */
 #define MS_PER_S 1000.0
-#define RATIO 1000.0 /* loads and calls are told in thousandths */
+#define THOUSAND 1000.0 /* loads and calls are told in thousandths */
+#define US_PER_S 1000000.0
 #define RANK_SHIFT 16
 #define STEPS_PER_SUM 10 /* steps between two lines about successes */
 
 static void on_step(uv_timer_t *);
 static void log_sums(struct relay *);
+static void log_limits(struct relay *);
+static double offered(const struct relay *);
+static void take_calls(struct relay *, int, const char *, double);
+static void sum_own(struct relay *);
 static void sum_loads(struct relay *);
 static int rank_cmp(const void *, const void *);
 static void rank_add(struct relay *, uint32_t);
@@ -27,27 +31,44 @@
 load_init(struct relay *r)
 {
 	throttle_init(&r->throttle);
+	profile_init(&r->profile);
+	demand_init(&r->demand);
 	uv_timer_init(r->loop, &r->throttle_timer);
 	r->throttle_timer.data = r;
 	uv_timer_start(&r->throttle_timer, on_step, STEP_MS, STEP_MS);
 }
 
 /*
- * Brings the measured load of the server beside this node up to now.
+ * Brings the measured load of the server beside this node up to now, before
+ * it changes.
  */
 void
 load_tick(struct relay *r)
 {
 	uint64_t now = relay_now(r);
-	double keep = exp(-(double)(now - r->busy_ms) / MS_PER_S / BUSY_S);
-	double busy = 0;
+	double passed = (double)(now - r->busy_ms) / MS_PER_S;
+	double keep = exp(-passed / BUSY_S), busy = 0;
 
 	if (r->server.slots > 0)
 		busy = (double)(r->core.inflight + r->core.queued) /
-		       r->server.slots;
+		       limiter_value(&r->core.limiter);
 	r->busy = r->busy * keep + busy * (1 - keep);
 	r->shed_per_s *= keep;
 	r->busy_ms = now;
+	profile_age(&r->profile, r->core.inflight, passed);
+}
+
+/*
+ * Returns the work that arrives for the server beside this node, as a share
+ * of its slots: what is in them or waits, and what was refused here.
+ */
+static double
+offered(const struct relay *r)
+{
+	if (r->server.slots == 0)
+		return 0;
+	return r->busy + r->shed_per_s * profile_run_s(&r->profile) /
+			     limiter_value(&r->core.limiter);
 }
 
 /*
@@ -61,125 +82,181 @@
 }
 
 /*
- * The server began to run a request.
+ * Fills the load and the calls of the server into this node's beat, and what
+ * callers ask of this node.
  */
 void
-load_ran(struct relay *r)
+load_fill(struct relay *r, struct fleet_beat *b)
 {
-	uint32_t i;
+	static fleet_name calls[FLEET_CALLS_MAX], demands[FLEET_DEMANDS_MAX];
+	static u_int per_1000[FLEET_CALLS_MAX];
+	static char rates[FLEET_RATES_MAX];
+	const struct profile *p = &r->profile;
+	struct demand_row *row;
+	uint32_t i, k, n = 0;
 
-	r->runs++;
-	if (r->runs < 2 * CALLS_HALF)
-		return;
-	r->runs /= 2;
-	for (i = 0; i < r->call_count; i++)
-		r->calls[i].count /= 2;
+	load_tick(r);
+	b->load.offered = (unsigned int)(offered(r) * THOUSAND);
+	b->load.run_us = (unsigned int)(profile_run_s(p) * US_PER_S);
+	b->load.failing =
+	    (unsigned int)(choice_failing(&r->health, relay_now(r)) * THOUSAND);
+	b->load.chained = (unsigned int)(p->chained * THOUSAND);
+	if (profile_known(p))
+		n = p->call_count;
+	for (i = 0; i < n; i++) {
+		calls[i] = r->profile.calls[i].service;
+		per_1000[i] = (u_int)(profile_per_run(p, i) * THOUSAND);
+	}
+	b->calls.calls_val = calls;
+	b->load.calls_per_1000.calls_per_1000_val = per_1000;
+	b->calls.calls_len = b->load.calls_per_1000.calls_per_1000_len = n;
+	n = r->demand.count;
+	for (i = 0; i < n; i++) {
+		row = &r->demand.rows[i];
+		demands[i] = row->service;
+		for (k = 0; k < THROTTLE_CLASSES; k++)
+			rates[i * THROTTLE_CLASSES + k] =
+			    (char)demand_code(demand_per_s(row, k));
+	}
+	b->demands.demands_val = demands;
+	b->demands.demands_len = n;
+	b->load.demands.demands_val = rates;
+	b->load.demands.demands_len = n * THROTTLE_CLASSES;
 }
 
 /*
- * The server called a service.
+ * Takes which services another node's server calls, and which ones that node
+ * is asked for.
  */
 void
-load_called(struct relay *r, const char *service)
+load_heard(void *ctx, int handle, const struct fleet_beat *b)
 {
-	struct relay_calls *c;
-	uint32_t i;
+	struct relay *r = ctx;
+	struct relay_link *l = relay_link(r, handle);
+	u_int i;
 
-	for (i = 0; i < r->call_count; i++)
-		if (strcmp(r->calls[i].service, service) == 0)
-			break;
-	if (i == FLEET_CALLS_MAX)
-		return;
-	c = &r->calls[i];
-	if (i == r->call_count) {
-		r->call_count++;
-		snprintf(c->service, sizeof(c->service), "%s", service);
-		c->count = 0;
-	}
-	c->count++;
+	l->call_count = b->calls.calls_len;
+	for (i = 0; i < b->calls.calls_len; i++)
+		l->calls[i] =
+		    throttle_service(&r->throttle, b->calls.calls_val[i]);
+	l->demand_count = b->demands.demands_len;
+	for (i = 0; i < b->demands.demands_len; i++)
+		l->demands[i] =
+		    throttle_service(&r->throttle, b->demands.demands_val[i]);
+	memset(l->demands_per_s, 0, sizeof(l->demands_per_s));
 }
 
 /*
- * Fills the load and the calls of the server into this node's beat.
+ * Takes the numbers that go with these services.
  */
 void
-load_fill(struct relay *r, struct fleet_beat *b, fleet_calls *calls)
+load_told(void *ctx, int handle, const struct fleet_load *m)
 {
-	double offered;
-	uint32_t i;
+	struct relay *r = ctx;
+	struct relay_link *l = relay_link(r, handle);
+	int caller;
+	u_int i;
 
-	load_tick(r);
-	offered = r->busy;
-	if (r->server.slots > 0)
-		offered += r->shed_per_s * r->core.limiter.mean_us /
-			   (MS_PER_S * MS_PER_S) / r->server.slots;
-	b->server.offered = (unsigned int)(offered * RATIO);
-	b->server.calls.calls_val = calls;
-	b->server.calls.calls_len = r->runs >= 1 ? r->call_count : 0;
-	for (i = 0; i < b->server.calls.calls_len; i++) {
-		calls[i].service = r->calls[i].service;
-		calls[i].per_1000 =
-		    (unsigned int)(r->calls[i].count / r->runs * RATIO);
-	}
+	caller = throttle_service(
+	    &r->throttle, r->fleet.peers[handle].server.service);
+	for (i = 0; i < m->calls_per_1000.calls_per_1000_len &&
+		    i < l->call_count && caller >= 0;
+	     i++)
+		if (l->calls[i] >= 0)
+			throttle_calls(&r->throttle, caller, l->calls[i],
+			    m->calls_per_1000.calls_per_1000_val[i] / THOUSAND);
+	if (l->call_count > 0)
+		throttle_chained(&r->throttle, m->chained / THOUSAND);
+	for (i = 0; i < m->demands.demands_len &&
+		    i < l->demand_count * THROTTLE_CLASSES;
+	     i++)
+		l->demands_per_s[i / THROTTLE_CLASSES][i % THROTTLE_CLASSES] =
+		    (float)demand_decode((uint8_t)m->demands.demands_val[i]);
 }
 
 /*
- * Takes the calls that another node's server makes.
+ * Takes how many calls a run at one service makes to another.
  */
-void
-load_heard(void *ctx, int handle, const struct fleet_beat *b)
+static void
+take_calls(struct relay *r, int caller, const char *service, double per_run)
 {
-	struct relay *r = ctx;
-	uint32_t i;
-	int from, to;
+	int h = throttle_service(&r->throttle, service);
 
-	(void)handle;
-	if (b->server.calls.calls_len == 0)
-		return;
-	from = throttle_service(&r->throttle, b->server.service);
-	for (i = 0; from >= 0 && i < b->server.calls.calls_len; i++) {
-		to = throttle_service(
-		    &r->throttle, b->server.calls.calls_val[i].service);
-		if (to >= 0)
-			throttle_calls(&r->throttle, from, to,
-			    b->server.calls.calls_val[i].per_1000 / RATIO);
+	if (h >= 0)
+		throttle_calls(&r->throttle, caller, h, per_run);
+}
+
+/*
+ * Sums what this node's server does and what this node's callers ask.
+ */
+static void
+sum_own(struct relay *r)
+{
+	const struct demand_row *row;
+	struct throttle_server own;
+	uint32_t i, k;
+	int h;
+
+	for (i = 0; i < r->demand.count; i++) {
+		row = &r->demand.rows[i];
+		h = throttle_service(&r->throttle, row->service);
+		for (k = 0; h >= 0 && k < THROTTLE_CLASSES; k++)
+			throttle_demand(
+			    &r->throttle, h, k, demand_per_s(row, k));
 	}
+	if (r->server.id[0] == '\0' || r->server.leaving ||
+	    (h = throttle_service(&r->throttle, r->server.service)) < 0)
+		return;
+	own.slots = limiter_value(&r->core.limiter);
+	own.run_s = profile_run_s(&r->profile);
+	own.offered = offered(r);
+	own.failing = choice_failing(&r->health, relay_now(r));
+	throttle_server(&r->throttle, h, &own);
+	if (r->profile.call_count > 0)
+		throttle_chained(&r->throttle, r->profile.chained);
+	for (i = 0; profile_known(&r->profile) && i < r->profile.call_count;
+	     i++)
+		take_calls(r, h, r->profile.calls[i].service,
+		    profile_per_run(&r->profile, i));
 }
 
 /*
- * Sums the loads of each service's servers.
+ * Sums what the servers of each service do, and what callers ask of all
+ * nodes.
  */
 static void
 sum_loads(struct relay *r)
 {
-	double work[THROTTLE_SERVICES] = { 0 };
-	double slots[THROTTLE_SERVICES] = { 0 };
 	const struct fleet_peer *p;
+	const struct relay_link *l;
+	struct throttle_server m;
 	uint64_t now = relay_now(r);
-	uint32_t s;
+	uint32_t j, k;
 	size_t i;
 	int h;
 
+	throttle_begin(&r->throttle);
+	sum_own(r);
 	for (i = 0; i < r->fleet.count; i++) {
 		p = &r->fleet.peers[i];
-		if (p->server.id[0] == '\0' || p->server.leaving ||
-		    !fleet_alive(&r->fleet, i, now))
+		if (!fleet_alive(&r->fleet, i, now))
 			continue;
-		h = throttle_service(&r->throttle, p->server.service);
-		if (h < 0)
+		l = relay_link(r, (int)i);
+		for (j = 0; j < l->demand_count; j++)
+			for (k = 0; l->demands[j] >= 0 && k < THROTTLE_CLASSES;
+			     k++)
+				throttle_demand(&r->throttle, l->demands[j], k,
+				    l->demands_per_s[j][k]);
+		if (p->server.id[0] == '\0' || p->server.leaving)
 			continue;
-		work[h] += p->server.offered * p->server.slots;
-		slots[h] += p->server.slots;
-	}
-	if (r->server.id[0] != '\0' && !r->server.leaving &&
-	    (h = throttle_service(&r->throttle, r->server.service)) >= 0) {
-		work[h] += r->busy * r->server.slots;
-		slots[h] += r->server.slots;
+		h = throttle_service(&r->throttle, p->server.service);
+		m.slots = p->server.slots;
+		m.run_s = p->server.run_s;
+		m.offered = p->server.offered;
+		m.failing = p->server.failing;
+		if (h >= 0)
+			throttle_server(&r->throttle, h, &m);
 	}
-	for (s = 0; s < r->throttle.count; s++)
-		if (slots[s] > 0)
-			throttle_offered(
-			    &r->throttle, (int)s, work[s] / slots[s]);
 }
 
 /*
@@ -205,11 +282,33 @@
 	event_log(EVENT_SERVED, relay_now(r),
 	    "answers=%llu failed=%llu refused=%llu throttled=%llu "
 	    "over_rate=%llu server_answers=%llu server_refusals=%llu "
-	    "offered=%.2f",
+	    "offered=%.2f run_ms=%.1f",
 	    (unsigned long long)n[0], (unsigned long long)n[1],
 	    (unsigned long long)n[2], (unsigned long long)n[3],
 	    (unsigned long long)n[4], (unsigned long long)n[5],
-	    (unsigned long long)n[6], r->busy);
+	    (unsigned long long)n[6], offered(r),
+	    profile_run_s(&r->profile) * MS_PER_S);
+}
+
+/*
+ * Logs the services whose load cuts root requests now, and what that rests on.
+ */
+static void
+log_limits(struct relay *r)
+{
+	const struct throttle_service *s;
+	uint32_t i;
+
+	for (i = 0; i < r->throttle.count; i++) {
+		s = &r->throttle.services[i];
+		if (!s->limits)
+			continue;
+		event_log(EVENT_THROTTLE, relay_now(r),
+		    "service=%s offered=%.2f expected=%.2f trim=%.2f "
+		    "slots=%.0f runs_per_s=%.0f shares=%.2f,%.2f,%.2f,%.2f",
+		    s->name, s->offered, s->expected, s->trim, s->slots,
+		    s->runs_per_s, s->cut[0], s->cut[1], s->cut[2], s->cut[3]);
+	}
 }
 
 /*
@@ -221,10 +320,13 @@
 	struct relay *r = timer->data;
 
 	load_tick(r);
+	demand_age(&r->demand, STEP_MS / MS_PER_S);
 	sum_loads(r);
 	throttle_step(&r->throttle, STEP_MS / MS_PER_S);
-	if (++r->steps % STEPS_PER_SUM == 0)
+	if (++r->steps % STEPS_PER_SUM == 0) {
 		log_sums(r);
+		log_limits(r);
+	}
 }
 
 /*
@@ -233,14 +335,30 @@
 int
 load_admits(struct relay *r, const char *service, uint32_t class)
 {
+	struct demand_row *row = demand_row(&r->demand, service);
 	int h = throttle_service(&r->throttle, service);
-	double share;
+	double share = h < 0 ? 1 : throttle_share(&r->throttle, h, class);
+
+	if (row != NULL)
+		row->counts[class].asked++;
+	if (share < 1 &&
+	    (double)(relay_random() >> 40) / (double)(1 << 24) >= share)
+		return 0;
+	if (row != NULL)
+		row->counts[class].let_in++;
+	return 1;
+}
+
+/*
+ * A root request that was let in is over its workspace's rate.
+ */
+void
+load_over_rate(struct relay *r, const char *service, uint32_t class)
+{
+	struct demand_row *row = demand_row(&r->demand, service);
 
-	if (h < 0)
-		return 1;
-	share = throttle_share(&r->throttle, h, class);
-	return share >= 1 ||
-	       (double)(relay_random(r) >> 40) / (double)(1 << 24) < share;
+	if (row != NULL)
+		row->counts[class].over++;
 }
 
 /*
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -1,11 +1,13 @@
 #include <arpa/inet.h>
 #include <err.h>
 #include <math.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
+#include "base/loopclock.h"
 #include "event/event.h"
 #include "relay/relay_int.h"
 
@@ -22,11 +24,13 @@
 static void fill_beat(void *, struct fleet_beat *);
 static void peer_turned(void *, int);
 static void on_tick(uv_timer_t *);
+static void relay_on_left(void *, const struct fleet_left *);
 static uint32_t usable_slots(uint32_t);
 
 static const struct fleet_ops fleet_ops = {
 	.fill = fill_beat,
 	.heard = load_heard,
+	.told = load_told,
 	.turned = peer_turned,
 	.ask = relay_on_ask,
 	.give = relay_on_give,
@@ -34,6 +38,7 @@
 	.bucket = relay_on_bucket,
 	.doubt = relay_on_doubt,
 	.proof = relay_on_proof,
+	.left = relay_on_left,
 };
 
 static const char *const counter_names[RELAY_COUNTER_MAX] = {
@@ -54,6 +59,7 @@
 	[RELAY_EXIT_REFUSED] = "exit_refused",
 	[RELAY_EXIT_FAILED] = "exit_failed",
 	[RELAY_EXIT_SHED] = "exit_shed_by_server",
+	[RELAY_EXIT_UNSEALED] = "exit_unsealed",
 	[RELAY_THROTTLED] = "throttled",
 	[RELAY_SKIPPED] = "answers_skipped",
 	[RELAY_STRIKES] = "strikes",
@@ -91,17 +97,20 @@
 	memset(r, 0, sizeof(*r));
 	r->loop = loop;
 	r->set = *settings;
+	randombytes_set_implementation(&randombytes_internal_implementation);
+	if (sodium_init() == -1)
+		return UV_ENOSYS;
 	clock_gettime(CLOCK_REALTIME, &ts);
 	r->incarnation =
 	    (uint64_t)ts.tv_sec * MS_PER_S + (uint64_t)(ts.tv_nsec / NS_PER_MS);
-	r->rnd = r->incarnation ^
-		 (uint64_t)ntohl(settings->exit.sin_addr.s_addr) << 20;
-	fleet_table_init(&r->fleet, settings->node);
-	core_init(&r->core, uv_now(loop) * MS_PER_S);
+	fleet_table_init(&r->fleet, settings->node, loop_ms(loop));
+	core_init(&r->core, loop_ms(loop) * MS_PER_S);
 	/* Servers tell their slots, and queue by themselves what is more. */
 	r->core.limiter.fixed = 1;
 	r->core.slots_known = 1;
 	quota_owner_init(&r->owner);
+	seal_init(&r->seal, settings->fleet_key, settings->other_key);
+	suspect_init(r);
 	h1_pool_init(&r->server_pool, loop, &settings->server, SERVER_IDLE_MS,
 	    SERVER_CONNECT_MS);
 	load_init(r);
@@ -117,8 +126,8 @@
 		rc = h1_server_init(
 		    &r->exit, loop, &settings->exit, &exit_ops, r, conns / 3);
 	if (rc == 0)
-		rc = fleet_net_init(
-		    &r->net, loop, &settings->fleet, &r->fleet, &fleet_ops, r);
+		rc = fleet_net_init(&r->net, loop, &settings->fleet, &r->fleet,
+		    &r->seal, &fleet_ops, r);
 	return rc;
 }
 
@@ -128,7 +137,7 @@
 uint64_t
 relay_now(const struct relay *r)
 {
-	return uv_now(r->loop);
+	return loop_ms(r->loop);
 }
 
 /*
@@ -185,16 +194,16 @@
 }
 
 /*
- * Returns the next of a sequence of pseudo-random numbers (splitmix64).
+ * Returns a random number.  The generator is the library's own, which asks
+ * the system once, and not at each number.
  */
 uint64_t
-relay_random(struct relay *r)
+relay_random(void)
 {
-	uint64_t z = r->rnd += 0x9e3779b97f4a7c15ULL;
+	uint64_t number;
 
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-	return z ^ (z >> 31);
+	randombytes_buf(&number, sizeof(number));
+	return number;
 }
 
 /*
@@ -220,7 +229,6 @@
 	entry_limit_tick(r);
 	entry_tick(r);
 	exit_tick(r);
-	load_tick(r);
 	if (r->entries != NULL || r->exits != NULL)
 		return;
 	r->ticking = 0;
@@ -277,7 +285,7 @@
 /*
  * Returns the retry budget of a service.
  */
-struct relay_budget *
+struct budget *
 relay_budget(struct relay *r, const char *service)
 {
 	struct relay_budget *b;
@@ -285,7 +293,7 @@
 
 	for (i = 0; i < r->budget_count; i++)
 		if (strcmp(r->budgets[i].service, service) == 0)
-			return &r->budgets[i];
+			return &r->budgets[i].budget;
 	r->budgets =
 	    reallocarray(r->budgets, r->budget_count + 1, sizeof(*r->budgets));
 	if (r->budgets == NULL)
@@ -293,8 +301,17 @@
 	b = &r->budgets[r->budget_count++];
 	memset(b, 0, sizeof(*b));
 	snprintf(b->service, sizeof(b->service), "%s", service);
-	b->tokens = 1;
-	return b;
+	budget_init(&b->budget);
+	return &b->budget;
+}
+
+/*
+ * Returns after how long (ms) a refused caller should come back.
+ */
+uint64_t
+relay_comeback(enum comeback why, uint64_t target_ms)
+{
+	return comeback_ms(why, target_ms, relay_random());
 }
 
 /*
@@ -347,30 +364,37 @@
 static void
 fill_beat(void *ctx, struct fleet_beat *b)
 {
-	static fleet_calls calls[FLEET_CALLS_MAX];
+	static uint32_t silent[FLEET_SILENT_MAX];
 	struct relay *r = ctx;
 	struct relay_server *s = &r->server;
 	uint64_t now = relay_now(r);
+	uint32_t nodes = fleet_size(&r->fleet);
 
 	b->node = r->set.node;
 	b->zone = r->set.zone;
 	b->incarnation = r->incarnation;
-	b->sequence = ++r->beat_sequence;
-	b->address = ntohl(r->set.exit.sin_addr.s_addr);
+	b->load.sequence = ++r->beat_sequence;
+	b->address = ntohl(r->set.advertised.s_addr);
 	b->port = ntohs(r->set.exit.sin_port);
 	b->stopping = (unsigned int)r->stopping;
-	b->config_version = r->config != NULL ? r->config->version : 0;
+	b->load.config_version = r->config != NULL ? r->config->version : 0;
 	b->server.id = s->gone ? "" : s->id;
 	b->server.service = s->service;
 	b->server.born_ms = s->born_ms;
 	b->server.slots = limiter_value(&r->core.limiter);
 	b->server.cold_ms =
 	    s->cold_until_ms > now ? (unsigned int)(s->cold_until_ms - now) : 0;
-	b->server.running = r->core.inflight;
-	b->server.waiting = r->core.queued;
-	b->server.leaving =
-	    (unsigned int)(s->leaving || s->gone || s->down_until_ms > now);
-	load_fill(r, b, calls);
+	b->load.out = (unsigned int)r->fleet.out;
+	b->load.nodes = nodes != FLEET_SIZE_UNKNOWN ? nodes : 0;
+	b->load.silent.silent_len = fleet_silent(&r->fleet, now, silent);
+	b->load.silent.silent_val = silent;
+	b->load.running = r->core.inflight;
+	b->load.waiting = r->core.queued;
+	b->server.away = s->leaving || s->gone	  ? FLEET_LEAVING
+			 : s->down_until_ms > now ? FLEET_DOWN
+						  : 0;
+	load_fill(r, b);
+	sealed_tell(r);
 }
 
 /*
@@ -489,6 +513,26 @@
 	exit_next(r);
 }
 
+/*
+ * Another node remembers that the server said that it ends, to this node before
+ * it started again.
+ */
+static void
+relay_on_left(void *ctx, const struct fleet_left *l)
+{
+	struct relay *r = ctx;
+	struct relay_server *s = &r->server;
+
+	if (strcmp(s->id, l->server) != 0 || s->leaving ||
+	    (l->born_ms != 0 && s->born_ms != 0 && l->born_ms != s->born_ms))
+		return;
+	s->leaving = 1;
+	event_log(
+	    EVENT_SERVER_LEAVING, relay_now(r), "server=%s source=node", s->id);
+	fleet_beat_all(&r->net, 0);
+	exit_next(r);
+}
+
 /*
  * Begins a graceful stop: callers are sent away, what is under way ends.
  */
@@ -498,6 +542,7 @@
 	if (r->stopping)
 		return;
 	r->stopping = 1;
+	r->stop_ms = relay_now(r);
 	h1_server_closing(&r->entry);
 	h1_server_closing(&r->exit);
 	fleet_beat_all(&r->net, 0);
@@ -517,6 +562,7 @@
 
 	h1_server_finish(&r->entry);
 	h1_server_finish(&r->exit);
+	copy_close(r);
 	fleet_net_close(&r->net);
 	uv_close((uv_handle_t *)&r->tick, NULL);
 	uv_close((uv_handle_t *)&r->throttle_timer, NULL);
@@ -558,24 +604,27 @@
 }
 
 /*
- * Takes the exit's field in an answer: the load of its server.
+ * Takes the exit's field in an answer: the load of its server.  Returns 1 if
+ * a call failed that the server made for the request, else 0.
  */
-void
+int
 relay_told(struct relay *r, int handle, char *text)
 {
 	struct relay_link *l = relay_link(r, handle);
-	uint64_t running, waiting, slots;
+	uint64_t running, waiting, slots, call_failed;
 	char verdict[16];
 
 	if (relay_word(&text, verdict, sizeof(verdict)) == -1 ||
 	    relay_number(&text, &running) == -1 ||
 	    relay_number(&text, &waiting) == -1 ||
-	    relay_number(&text, &slots) == -1)
-		return;
+	    relay_number(&text, &slots) == -1 ||
+	    relay_number(&text, &call_failed) == -1)
+		return 0;
 	l->running = (uint32_t)running;
 	l->waiting = (uint32_t)waiting;
 	l->slots = (uint32_t)slots;
 	l->sent_since = 0;
 	l->told_ms = relay_now(r);
 	l->avoid_run = 0;
+	return call_failed != 0;
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -14,6 +14,10 @@
 #include "http1/http1.h"
 #include "quarantine/quarantine_core.h"
 #include "quota/quota.h"
+#include "relay/budget.h"
+#include "relay/choice.h"
+#include "throttle/demand.h"
+#include "throttle/profile.h"
 #include "throttle/throttle.h"
 
 /*
@@ -43,16 +47,20 @@
 	char service[FLEET_NAME_BYTES]; /* of the server beside this node */
 	struct sockaddr_in entry;	/* for callers beside this node */
 	struct sockaddr_in exit;	/* for requests from other nodes */
-	struct sockaddr_in server;	/* the backend server */
-	struct sockaddr_in fleet;	/* for datagrams between nodes */
+	struct in_addr advertised; /* address of the exit, told to others */
+	struct sockaddr_in server; /* the backend server */
+	struct sockaddr_in fleet;  /* for datagrams between nodes */
 	uint64_t fresh_ms;  /* keys are refused on an older configuration */
 	double quota_share; /* tolerance of limits, in part and constant */
 	double quota_constant;
 	double retry_ratio;    /* extra arrivals at a service to requests */
 	double retry_slack;    /* more of them, over the whole fleet */
 	uint64_t leave_ms;     /* callers still come so long after a stop */
+	uint64_t take_ms;      /* and root requests are taken so long */
 	uint64_t memory_bytes; /* that the process may use */
 	uint32_t descriptors;
+	char fleet_key[SEAL_KEY_BYTES]; /* that all nodes know; or empty */
+	char other_key[SEAL_KEY_BYTES]; /* taken, too, while it is changed */
 };
 
 /* An announcement by the backend server beside this node. */
@@ -84,6 +92,7 @@
 	RELAY_EXIT_REFUSED,
 	RELAY_EXIT_FAILED,
 	RELAY_EXIT_SHED,
+	RELAY_EXIT_UNSEALED,
 	RELAY_SKIPPED,
 	RELAY_THROTTLED,
 	RELAY_STRIKES,
@@ -113,17 +122,16 @@
 	uint32_t sent_since; /* the load below was told */
 	uint32_t running, waiting, slots;
 	uint64_t told_ms;
-	double failing;	    /* decaying share of attempts that failed */
+	int calls[FLEET_CALLS_MAX]; /* services that its server calls */
+	uint32_t call_count;
+	int demands[FLEET_DEMANDS_MAX]; /* services it is asked for */
+	uint32_t demand_count;
+	float demands_per_s[FLEET_DEMANDS_MAX][THROTTLE_CLASSES];
+	struct choice_health health;
 	uint64_t avoid_ms;  /* not to be used until then */
 	uint32_t avoid_run; /* failures to connect, one after the other */
 };
 
-/* Calls of the server beside this node to a service. */
-struct relay_calls {
-	char service[FLEET_NAME_BYTES];
-	double count; /* decaying */
-};
-
 #define RELAY_SUMS 7
 #define RELAY_RANKS 64 /* different pairs of priorities */
 
@@ -141,7 +149,7 @@
 /* What is left of the retries at one service. */
 struct relay_budget {
 	char service[FLEET_NAME_BYTES];
-	double tokens;
+	struct budget budget;
 };
 
 /* A workspace's tokens at this node, and who waits for them. */
@@ -152,6 +160,20 @@
 	uint32_t waiting_count;
 };
 
+/* Takes a configuration that a node, given by its name, had; owns it then. */
+typedef void (*relay_config_fn)(void *, struct config *, const char *);
+
+/* A question to another node for its configuration. */
+struct relay_copy {
+	struct h1_xchg *xchg; /* NULL: none is under way */
+	int peer;	      /* handle */
+	int good;	      /* so far */
+	uint64_t asked_ms;
+	struct h1_text body;
+	relay_config_fn done;
+	void *ctx;
+};
+
 struct relay {
 	uv_loop_t *loop;
 	struct relay_settings set;
@@ -159,8 +181,12 @@
 	uint64_t proved_ms; /* the configuration was the newest at this time */
 	uint64_t doubt_id;  /* of the question to a reader of the store */
 	uint64_t doubt_ms;  /* when it was sent */
+	struct relay_copy copy;
 	struct fleet_table fleet;
 	struct fleet_net net;
+	struct seal seal;
+	uint64_t stop_ms;   /* when it was told to stop */
+	uint64_t strangers; /* messages of none of the fleet, as last told */
 	uint64_t incarnation;
 	uint64_t beat_sequence;
 	struct h1_server entry;
@@ -172,7 +198,8 @@
 	struct relay_link *links; /* by the peer's handle, after one for self */
 	size_t link_count;
 	struct admission_core core;
-	struct quarantine_table *suspects; /* NULL until a server dies */
+	struct quarantine_table *suspects;
+	uint64_t death; /* the last one of the server */
 	struct relay_broken broken[RELAY_BROKEN_MAX];
 	uint32_t broken_at; /* place of the next one */
 	uint32_t singles;   /* struck requests that run here */
@@ -187,15 +214,14 @@
 	int ticking;
 	int stopping;
 	uint64_t held_bytes; /* of bodies, in all requests */
-	uint64_t rnd;
 	struct throttle throttle;
 	uv_timer_t throttle_timer;
 	double busy; /* decaying share of the slots in use or waited for */
 	double shed_per_s; /* decaying rate of arrivals that were refused */
 	uint64_t busy_ms;  /* of these two */
-	struct relay_calls calls[FLEET_CALLS_MAX];
-	uint32_t call_count;
-	double runs; /* decaying number, of the server beside this node */
+	struct profile profile;	     /* of the server beside this node */
+	struct choice_health health; /* of that server */
+	struct demand demand;	     /* of the callers of this node */
 	uint32_t ranks[RELAY_RANKS]; /* of importance, as configured */
 	uint32_t rank_count;
 	uint64_t counters[RELAY_COUNTER_MAX];
@@ -211,6 +237,7 @@
 int relay_reads_store(struct relay *);
 uint64_t relay_proof_age_ms(const struct relay *);
 int relay_must_read(struct relay *);
+void relay_ask_config(struct relay *, relay_config_fn, void *);
 int relay_announced(struct relay *, const struct relay_announce *);
 void relay_left(struct relay *, const char *, uint64_t);
 void relay_stop(struct relay *);
@@ -219,5 +246,6 @@
 int relay_busy(const struct relay *);
 int relay_ready(const struct relay *);
 const char *relay_counter_name(enum relay_counter);
+void relay_dump(struct relay *, struct h1_text *);
 
 #endif
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -1,6 +1,7 @@
 #ifndef RELAY_RELAY_INT_H
 #define RELAY_RELAY_INT_H
 
+#include "relay/comeback.h"
 #include "relay/relay.h"
 
 #define RELAY_TRIED_MAX 6
@@ -10,6 +11,8 @@
 /* Header fields between the entry and the exit. */
 #define RELAY_HOP "Cyclamen-Hop"
 #define RELAY_EXIT "Cyclamen-Exit"
+#define RELAY_SEAL "Cyclamen-Seal"
+#define RELAY_HOP_BYTES 320 /* three names of 63 and numbers */
 
 /* What the exit says of a request. */
 enum relay_verdict {
@@ -39,6 +42,7 @@
 	END_TIMEOUT,
 	END_BROKEN,
 	END_SUSPECT,
+	END_LEAVING,
 	END_MAX
 };
 
@@ -64,9 +68,13 @@
 	uint64_t began_ms;
 	uint64_t deadline_ms; /* of the caller */
 	uint64_t end_ms;      /* an answer goes out by then */
-	uint32_t class;
-	uint32_t depth;
-	uint32_t arrivals; /* at servers */
+	uint64_t target_ms; /* an answer within this time is in time; 0: any */
+	uint32_t class;	    /* of the root request */
+	uint32_t depth;	    /* 0: a root request */
+	uint64_t root_hash; /* the same for all calls of a root request */
+	int chained;	    /* a call whose run is known */
+	int call_failed;    /* one that the server made for this request */
+	uint32_t arrivals;  /* at servers */
 	uint32_t arrivals_max;
 	uint32_t tries; /* of nodes */
 	int idempotent;
@@ -98,6 +106,12 @@
 	int running;
 	struct h1_xchg *xchg;
 	char id[RELAY_ID_BYTES];
+	const char *whole_id; /* in the head of the request; NULL: none */
+	size_t whole_id_len;
+	uint32_t class; /* of the root request */
+	uint32_t depth;
+	uint64_t root_hash;
+	int call_failed; /* one that its run made */
 	char caller[FLEET_NAME_BYTES];
 	char ws_name[CONFIG_NAME_MAX + 1];
 	uint64_t deadline_ms; /* on this node's clock */
@@ -116,38 +130,26 @@
 	int single; /* was struck before: runs alone */
 };
 
-/* A server that a request could go to. */
-struct choice {
-	double load;	/* outstanding work to slots */
-	double failing; /* share of attempts */
-	int handle;	/* of its node */
-	int near;	/* same zone */
-	int cold;	/* slow since just started */
-	int avoid;	/* hasn't been reached lately */
-};
-
-double choice_cost(const struct choice *, double);
-int choice_best(const struct choice *, size_t, uint64_t);
-
 uint64_t relay_now(const struct relay *);
 void relay_id(const struct relay *, const struct h1_head *, char *);
-uint64_t relay_random(struct relay *);
+uint64_t relay_random(void);
 int relay_word(char **, char *, size_t);
 int relay_number(char **, uint64_t *);
 void relay_tick_start(struct relay *);
 struct relay_link *relay_link(struct relay *, int);
-struct relay_budget *relay_budget(struct relay *, const char *);
-void relay_told(struct relay *, int, char *);
+struct budget *relay_budget(struct relay *, const char *);
+uint64_t relay_comeback(enum comeback, uint64_t);
+int relay_told(struct relay *, int, char *);
 
 /* load.c */
 void load_init(struct relay *);
-void load_fill(struct relay *, struct fleet_beat *, fleet_calls *);
+void load_fill(struct relay *, struct fleet_beat *);
 void load_heard(void *, int, const struct fleet_beat *);
+void load_told(void *, int, const struct fleet_load *);
 void load_tick(struct relay *);
 void load_shed(struct relay *);
-void load_ran(struct relay *);
-void load_called(struct relay *, const char *);
 int load_admits(struct relay *, const char *, uint32_t);
+void load_over_rate(struct relay *, const char *, uint32_t);
 void load_ranks(struct relay *);
 uint32_t load_class(const struct relay *, uint32_t, uint32_t);
 
@@ -156,6 +158,7 @@
 void entry_finish(struct entry_req *);
 void entry_end(struct entry_req *, enum entry_end, uint64_t);
 void entry_tick(struct relay *);
+void entry_call_ended(struct entry_req *, int, int);
 
 /* entry_send.c */
 void entry_start(struct entry_req *);
@@ -182,8 +185,18 @@
     void *, const struct fleet_doubt *, const struct sockaddr_in *);
 void relay_on_proof(void *, const struct fleet_proof *);
 
+/* copy.c */
+void sealed_parts(const struct relay *, struct h1_conn *, const char *,
+    struct seal_request *);
+int sealed_good(struct relay *, struct h1_conn *);
+void sealed_tell(struct relay *);
+int copy_asked(const struct h1_conn *);
+void copy_answer(struct relay *, struct h1_conn *);
+void copy_close(struct relay *);
+
 /* exit.c */
 extern const struct h1_server_ops exit_ops;
+struct exit_req *exit_parent(const struct relay *, const char *, size_t);
 void exit_tick(struct relay *);
 void exit_next(struct relay *);
 
@@ -196,7 +209,8 @@
 /* suspect.c */
 void suspect_print(struct exit_req *);
 void suspect_broken(struct exit_req *);
-void suspect_server_died(struct relay *);
+void suspect_init(struct relay *);
+void suspect_server_down(struct relay *, int);
 void suspect_served(struct exit_req *);
 enum quarantine_state suspect_state(const struct exit_req *);
 void relay_on_strike(void *, const struct fleet_strike *);
--- /dev/null
+++ b/src/relay/sealed.c
@@ -0,0 +1,71 @@
+#include <string.h>
+
+#include "event/event.h"
+#include "relay/relay_int.h"
+
+/*
+ * Seals on what nodes ask of each other by HTTP: only who knows the fleet's
+ * key may use the port for other nodes.
+ */
+
+/*
+ * Names the parts of a forwarded request that its seal covers.
+ */
+void
+sealed_parts(const struct relay *r, struct h1_conn *conn, const char *hop,
+    struct seal_request *q)
+{
+	const struct h1_head *h = h1_conn_head(conn);
+
+	q->method = h1_conn_method(conn);
+	q->target = h->buf + h->target;
+	q->target_len = h->target_len;
+	q->id = h1_head_get(h, r->set.names.request_id, &q->id_len);
+	if (q->id == NULL)
+		q->id_len = 0;
+	q->hop = hop;
+}
+
+/*
+ * Tells whether a request on the port for other nodes bears a good seal, and
+ * counts those that don't.
+ */
+int
+sealed_good(struct relay *r, struct h1_conn *conn)
+{
+	const struct h1_head *h = h1_conn_head(conn);
+	struct seal_request q;
+	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX];
+
+	if (!r->seal.keyed)
+		return 1;
+	if (h1_head_copy(h, RELAY_HOP, hop, sizeof(hop)) < 0)
+		hop[0] = '\0';
+	if (h1_head_copy(h, RELAY_SEAL, hex, sizeof(hex)) < 0)
+		hex[0] = '\0';
+	sealed_parts(r, conn, hop, &q);
+	if (seal_request_good(&r->seal, &q, hex))
+		return 1;
+	r->counters[RELAY_EXIT_UNSEALED]++;
+	return 0;
+}
+
+/*
+ * Logs what came since the last time from who is no node of this fleet, or
+ * from one with another key or version.
+ */
+void
+sealed_tell(struct relay *r)
+{
+	uint64_t requests = r->counters[RELAY_EXIT_UNSEALED];
+	uint64_t all = r->net.bad + r->net.unsealed + requests;
+
+	if (all == r->strangers)
+		return;
+	r->strangers = all;
+	event_log(EVENT_STRANGERS, relay_now(r),
+	    "unreadable_datagrams=%llu unsealed_datagrams=%llu "
+	    "unsealed_requests=%llu",
+	    (unsigned long long)r->net.bad, (unsigned long long)r->net.unsealed,
+	    (unsigned long long)requests);
+}
--- a/src/relay/suspect.c
+++ b/src/relay/suspect.c
@@ -8,7 +8,22 @@
 
 #define TOGETHER_MS 1500 /* between a broken exchange and a dead server */
 
-static void strike(struct relay *, const struct quarantine_print *, uint64_t);
+static void strike(
+    struct relay *, const struct quarantine_print *, uint64_t, int);
+static void tell(
+    struct relay *, const struct quarantine_print *, uint64_t, int);
+
+/*
+ * Begins to note which requests run well, so that a server's death makes none
+ * of them suspect alone.
+ */
+void
+suspect_init(struct relay *r)
+{
+	r->suspects = calloc(1, sizeof(*r->suspects));
+	if (r->suspects == NULL)
+		err(1, "out of memory");
+}
 
 /*
  * Computes what makes a request the same as another one: its method, target
@@ -43,23 +58,22 @@
 {
 	struct relay *r = e->relay;
 
-	if (r->suspects == NULL)
-		return QUARANTINE_FREE;
 	return table_state(r->suspects, &e->print, relay_now(r));
 }
 
 /*
- * Notes that a request ran well.
+ * Notes that a request ran well, and tells the other nodes if that acquits it.
  */
 void
 suspect_served(struct exit_req *e)
 {
 	uint64_t deaths[QUARANTINE_DEATHS];
 	struct relay *r = e->relay;
+	size_t n, i;
 
-	if (r->suspects != NULL)
-		(void)table_succeed(
-		    r->suspects, &e->print, relay_now(r), deaths);
+	n = table_succeed(r->suspects, &e->print, relay_now(r), deaths);
+	for (i = 0; i < n; i++)
+		tell(r, &e->print, deaths[i], 1);
 }
 
 /*
@@ -77,47 +91,61 @@
 }
 
 /*
- * Adds a strike to what is known of a request.
+ * Adds a strike, or an acquittal, to what is known of a request.
  */
 static void
-strike(struct relay *r, const struct quarantine_print *p, uint64_t death)
+strike(struct relay *r, const struct quarantine_print *p, uint64_t death,
+    int acquitted)
 {
-	if (r->suspects == NULL) {
-		r->suspects = calloc(1, sizeof(*r->suspects));
-		if (r->suspects == NULL)
-			err(1, "out of memory");
-	}
-	if (!table_strike(r->suspects, p, death, 0, relay_now(r), relay_now(r)))
+	uint64_t now = relay_now(r);
+
+	if (!table_strike(r->suspects, p, death, acquitted, now, now))
 		return;
-	r->counters[RELAY_STRIKES]++;
-	event_log(EVENT_STRIKE, relay_now(r),
-	    "print=%016llx%016llx death=%016llx", (unsigned long long)p->hi,
-	    (unsigned long long)p->lo, (unsigned long long)death);
+	r->counters[RELAY_STRIKES] += !acquitted;
+	event_log(EVENT_STRIKE, now,
+	    "print=%016llx%016llx death=%016llx acquitted=%d",
+	    (unsigned long long)p->hi, (unsigned long long)p->lo,
+	    (unsigned long long)death, acquitted);
+}
+
+/*
+ * Tells a strike or an acquittal to all other nodes.
+ */
+static void
+tell(struct relay *r, const struct quarantine_print *p, uint64_t death,
+    int acquitted)
+{
+	struct fleet_msg m;
+
+	memset(&m, 0, sizeof(m));
+	m.kind = FLEET_STRIKE;
+	m.fleet_msg_u.strike.lo = p->lo;
+	m.fleet_msg_u.strike.hi = p->hi;
+	m.fleet_msg_u.strike.death = death;
+	m.fleet_msg_u.strike.acquitted = (u_int)acquitted;
+	fleet_send_all(&r->net, &m);
 }
 
 /*
- * The server died: what was at work on it is suspect, here and at all other
- * nodes.
+ * The server takes no connection: what was at work on it is suspect, here and
+ * at all other nodes.  It has died once for as long as it doesn't answer; what
+ * was sent to see whether it is back makes no new death.
  */
 void
-suspect_server_died(struct relay *r)
+suspect_server_down(struct relay *r, int died)
 {
-	uint64_t now = relay_now(r), death = relay_random(r) | 1;
+	uint64_t now = relay_now(r);
 	struct relay_broken *b;
-	struct fleet_msg m;
 	uint32_t i;
 
+	if (died)
+		r->death = relay_random() | 1;
 	for (i = 0; i < RELAY_BROKEN_MAX; i++) {
 		b = &r->broken[i];
 		if (b->at_ms == 0 || now - b->at_ms > TOGETHER_MS)
 			continue;
-		strike(r, &b->print, death);
-		memset(&m, 0, sizeof(m));
-		m.kind = FLEET_STRIKE;
-		m.fleet_msg_u.strike.lo = b->print.lo;
-		m.fleet_msg_u.strike.hi = b->print.hi;
-		m.fleet_msg_u.strike.death = death;
-		fleet_send_all(&r->net, &m);
+		strike(r, &b->print, r->death, 0);
+		tell(r, &b->print, r->death, 0);
 		b->at_ms = 0;
 	}
 }
@@ -130,5 +158,5 @@
 {
 	struct quarantine_print p = { s->lo, s->hi };
 
-	strike(ctx, &p, s->death);
+	strike(ctx, &p, s->death, s->acquitted != 0);
 }
--- /dev/null
+++ b/src/relay/test_sealed.c
@@ -0,0 +1,206 @@
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "base/loopclock.h"
+#include "relay/relay_int.h"
+#include "relay/test_pair.h"
+
+#define OLD "old-key-of-a-fleet"
+#define NEW "new-key-of-a-fleet"
+#define HOP "900 0 0 1 0 " SERVICE " web w"
+
+/*
+ * Sets the keys of both nodes, each with the one that it takes, too.
+ */
+static int
+setup_keys(
+    void **state, const char *a, const char *a2, const char *b, const char *b2)
+{
+	fleet_keys[0][0] = a;
+	fleet_keys[0][1] = a2;
+	fleet_keys[1][0] = b;
+	fleet_keys[1][1] = b2;
+	return setup(state);
+}
+
+static int
+setup_open(void **state)
+{
+	return setup_keys(state, "", "", "", "");
+}
+
+static int
+setup_keyed(void **state)
+{
+	return setup_keys(state, OLD, "", OLD, "");
+}
+
+static int
+setup_changing(void **state)
+{
+	return setup_keys(state, OLD, NEW, NEW, OLD);
+}
+
+/*
+ * Sends a request to node B's port for other nodes, as who isn't one could.
+ */
+static void
+forge(struct caller *c, const char *path, const char *hop, const char *hex)
+{
+	struct h1_text t;
+
+	memset(c, 0, sizeof(*c));
+	h1_pool_init(&c->pool, &loop, &nodes[1].set.exit, 1000, 1000);
+	h1_text_init(&t);
+	h1_text_addf(&t, "GET %s HTTP/1.1\r\nHost: H\r\nId: forged\r\n", path);
+	if (hop != NULL)
+		h1_text_field(&t, RELAY_HOP, hop);
+	if (hex != NULL)
+		h1_text_field(&t, RELAY_SEAL, hex);
+	h1_text_add(&t, "\r\n", 2);
+	c->xchg = h1_send(&c->pool, &t, 0, 0, 0, &caller_ops, c);
+	h1_text_finish(&t);
+	while (!c->done)
+		uv_run(&loop, UV_RUN_ONCE);
+	h1_pool_finish(&c->pool);
+}
+
+/*
+ * Without a key a forged request runs: that is what the key is for, and it
+ * shows that the requests of the next test would run.
+ */
+static void
+test_open(void **state)
+{
+	struct caller c;
+
+	(void)state;
+	forge(&c, "/o/1", HOP, NULL);
+	assert_int_equal(c.status, 200);
+	assert_int_equal(servers[1].runs, 1);
+}
+
+/*
+ * With a key, a request that doesn't come from a node of the fleet doesn't
+ * reach the server, and the configuration isn't given away.
+ */
+static void
+test_forged(void **state)
+{
+	static const struct seal_request other = { .method = "GET",
+		.target = "/o/2",
+		.target_len = 4,
+		.id = "forged",
+		.id_len = 6,
+		.hop = HOP };
+	char wrong[SEAL_HEX], moved[SEAL_HEX];
+	struct caller c;
+	struct seal s;
+
+	(void)state;
+	seal_init(&s, NEW, "");
+	seal_request(&s, &other, wrong);
+	seal_request(&nodes[0].seal, &other, moved);
+	forge(&c, "/o/1", HOP, NULL);
+	assert_int_equal(c.status, 503);
+	forge(&c, "/o/2", HOP, wrong);
+	assert_int_equal(c.status, 503);
+	forge(&c, "/o/1", HOP, moved);
+	assert_int_equal(c.status, 503);
+	forge(&c, "/o/1", NULL, NULL);
+	assert_int_equal(c.status, 503);
+	forge(&c, "/cyclamen/config", NULL, NULL);
+	assert_int_equal(c.status, 503);
+	assert_int_equal(c.body_len, 0);
+	assert_int_equal(servers[1].runs, 0);
+	assert_int_equal(nodes[1].counters[RELAY_EXIT_UNSEALED], 5);
+
+	/* The same with its own seal, as a node sends it, runs. */
+	forge(&c, "/o/2", HOP, moved);
+	assert_int_equal(c.status, 200);
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 200);
+	assert_int_equal(servers[1].runs, 2);
+	assert_null(strstr(servers[1].seen, "Cyclamen"));
+}
+
+/*
+ * A goodbye that no node of the fleet sent changes nothing.
+ */
+static void
+test_forged_bye(void **state)
+{
+	struct fleet_net *to = &nodes[0].net;
+	struct fleet_net from = *to;
+	struct fleet_msg m;
+	struct seal none;
+
+	(void)state;
+	seal_init(&none, "", "");
+	memset(&m, 0, sizeof(m));
+	m.kind = FLEET_BYE;
+	m.fleet_msg_u.bye.node = "n1";
+	m.fleet_msg_u.bye.zone = "z1";
+	m.fleet_msg_u.bye.server.id = "";
+	m.fleet_msg_u.bye.server.service = "";
+	m.fleet_msg_u.bye.stopping = 1;
+	m.fleet_msg_u.bye.incarnation = UINT64_MAX;
+	from.seal = &none;
+	fleet_send(&from, &m, ntohl(nodes[0].set.advertised.s_addr));
+	while (to->unsealed == 0)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(to->unsealed, 1);
+	assert_false(nodes[0].fleet.peers[0].stopping);
+	assert_true(fleet_alive(&nodes[0].fleet, 0, loop_ms(&loop)));
+}
+
+static void
+took(void *ctx, struct config *c, const char *from)
+{
+	assert_string_equal(from, "n1");
+	relay_take_config(ctx, c);
+}
+
+/*
+ * While a key is changed node by node, requests go on, and a node gets its
+ * configuration from another.
+ */
+static void
+test_changing(void **state)
+{
+	struct caller c;
+
+	(void)state;
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 200);
+	relay_take_config(&nodes[1], make_config(2, 0, KEY));
+	while (nodes[0].fleet.peers[0].config_version < 2)
+		uv_run(&loop, UV_RUN_ONCE);
+	relay_ask_config(&nodes[0], took, &nodes[0]);
+	while (nodes[0].config->version < 2)
+		uv_run(&loop, UV_RUN_ONCE);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_open, setup_open, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_forged, setup_keyed, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_forged_bye, setup_keyed, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_changing, setup_changing, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/relay/test_stopping.c
@@ -0,0 +1,108 @@
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "base/loopclock.h"
+#include "relay/relay_int.h"
+#include "relay/test_pair.h"
+
+#define RUN "7fa3" /* id of the request that is at work during the stop */
+
+/*
+ * Sends a request to node B and returns its status.
+ */
+static unsigned int
+status_of(const char *path, const char *key, const char *id)
+{
+	struct caller c;
+
+	send_as(&c, 1, path, key, id, "");
+	while (!c.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	h1_pool_finish(&c.pool);
+	return c.status;
+}
+
+/*
+ * A node that stops goes on taking requests, as callers still come; but near
+ * its end it refuses those that might not end before, rather than to break
+ * them off.  Calls of what is at work are taken to the last.
+ */
+static void
+test_last_requests(void **state)
+{
+	struct caller root;
+	uint64_t began;
+
+	(void)state;
+	ask(&root, "/o/1", KEY);
+	assert_int_equal(root.status, 200);
+	servers[1].deed = HOLD;
+	send_as(&root, 1, "/o/1", KEY, RUN, "");
+	while (servers[1].held == NULL)
+		uv_run(&loop, UV_RUN_ONCE);
+	servers[1].deed = ANSWER;
+	relay_stop(&nodes[1]);
+	assert_int_equal(status_of("/o/2", KEY, "early"), 200);
+	nodes[1].set.take_ms = loop_ms(&loop) - nodes[1].stop_ms;
+	began = loop_ms(&loop);
+	while (loop_ms(&loop) <= began)
+		uv_run(&loop, UV_RUN_ONCE);
+	servers[1].runs = 0;
+	assert_int_equal(status_of("/o/3", KEY, "late"), 503);
+	assert_int_equal(servers[1].runs, 0);
+	assert_int_equal(status_of("/open/1", NULL, RUN ".01"), 200);
+	assert_int_equal(servers[1].runs, 1);
+	while (!root.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	h1_pool_finish(&root.pool);
+}
+
+/*
+ * A server said that it ends; then its node starts again, and a late
+ * announcement says that it is sound.  The other node remembers.
+ */
+static void
+test_forgotten(void **state)
+{
+	struct caller c;
+
+	(void)state;
+	announce(1, 100, 2, 1);
+	while (!nodes[0].fleet.peers[0].server.leaving)
+		uv_run(&loop, UV_RUN_ONCE);
+	memset(&nodes[1].server, 0, sizeof(nodes[1].server));
+	nodes[1].incarnation++;
+	nodes[1].beat_sequence = 0;
+	announce(1, 100, 3, 0);
+	assert_false(nodes[1].server.leaving);
+	while (!nodes[1].server.leaving)
+		uv_run(&loop, UV_RUN_ONCE);
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 503);
+	assert_int_equal(servers[1].runs, 0);
+	announce(1, 300, 1, 0); /* it started again */
+	while (nodes[0].fleet.peers[0].server.leaving)
+		uv_run(&loop, UV_RUN_ONCE);
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 200);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_last_requests, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_forgotten, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/relay/test_suspend.c
@@ -0,0 +1,75 @@
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "base/loopclock.h"
+#include "relay/relay_int.h"
+#include "relay/test_pair.h"
+
+#define SLEEP_S 10
+
+static time_t slept_s;
+
+/*
+ * The machine's clocks after it was suspended for a while.
+ */
+static int
+later(clockid_t which, struct timespec *ts)
+{
+	int rc = clock_gettime(which, ts);
+
+	if (which == CLOCK_BOOTTIME)
+		ts->tv_sec += slept_s;
+	return rc;
+}
+
+/*
+ * A suspended machine's loop doesn't count the time.  Still, a key that may
+ * have been withdrawn meanwhile works for nobody, no limit is decided by who
+ * may have lost it, and a moment after the proof is renewed all is as before.
+ */
+static void
+test_suspended(void **state)
+{
+	uint64_t ws = config_ws_hash("w"), now;
+	struct caller c;
+
+	(void)state;
+	loop_clock_use(later);
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 200);
+	now = loop_ms(&loop);
+	slept_s = SLEEP_S;
+	while (loop_ms(&loop) < now + SLEEP_S * 1000)
+		uv_update_time(&loop);
+	now = loop_ms(&loop);
+	assert_int_not_equal(fleet_owner(&nodes[0].fleet, ws, now), FLEET_SELF);
+	assert_int_not_equal(fleet_owner(&nodes[1].fleet, ws, now), FLEET_SELF);
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 503);
+	assert_int_equal(servers[1].runs, 1);
+	do {
+		relay_proved(&nodes[0], loop_ms(&loop));
+		ask(&c, "/o/1", KEY);
+	} while (c.status != 200);
+	assert_false(nodes[0].fleet.peers[0].gone);
+	while (nodes[0].fleet.out || nodes[1].fleet.out)
+		uv_run(&loop, UV_RUN_ONCE);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_suspended, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
