--- /dev/null
+++ b/src/throttle/demand.c
@@ -0,0 +1,122 @@
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "throttle/demand.h"
+
+#define KEEP_S 0.3  /* time constant of the measured rates */
+#define ROW_MIN 0.1 /* a row with less is used for another service */
+
+/*
+ * Steps of a rate told to other nodes: 14 to a doubling, so that it is at most
+ * 2.6 % off, from 0.004 to 19,000 a second.  As a number of four bytes, these
+ * rates were half of what nodes send.
+ */
+#define CODE_STEPS 14.0
+#define CODE_UNIT 0.0625 /* a second; below it steps are even */
+#define CODE_MAX 255.0
+
+/*
+ * Begins without any demand.
+ */
+void
+demand_init(struct demand *d)
+{
+	memset(d, 0, sizeof(*d));
+}
+
+/*
+ * Returns the row of a service, or NULL if there are too many.
+ */
+struct demand_row *
+demand_row(struct demand *d, const char *service)
+{
+	struct demand_row *r, *unused = NULL;
+	double asked;
+	uint32_t i, k;
+
+	for (i = 0; i < d->count; i++) {
+		r = &d->rows[i];
+		if (strcmp(r->service, service) == 0)
+			return r;
+		for (asked = 0, k = 0; k < THROTTLE_CLASSES; k++)
+			asked += r->asked_per_s[k] + r->counts[k].asked;
+		if (asked < ROW_MIN)
+			unused = r;
+	}
+	if (unused == NULL) {
+		if (d->count == DEMAND_MAX)
+			return NULL;
+		unused = &d->rows[d->count++];
+	}
+	memset(unused, 0, sizeof(*unused));
+	snprintf(unused->service, sizeof(unused->service), "%s", service);
+	return unused;
+}
+
+/*
+ * Brings a rate up to now, after so many seconds with that count.
+ */
+static void
+fold(double *per_s, uint32_t count, double keep, double seconds)
+{
+	*per_s = *per_s * keep + count / seconds * (1 - keep);
+}
+
+/*
+ * Ends a step of so many seconds: what was counted goes into the rates.
+ */
+void
+demand_age(struct demand *d, double seconds)
+{
+	double keep = exp(-seconds / KEEP_S);
+	struct demand_row *r;
+	uint32_t i, k;
+
+	for (i = 0; i < d->count; i++) {
+		r = &d->rows[i];
+		for (k = 0; k < THROTTLE_CLASSES; k++) {
+			fold(&r->asked_per_s[k], r->counts[k].asked, keep,
+			    seconds);
+			fold(&r->let_in_per_s[k], r->counts[k].let_in, keep,
+			    seconds);
+			fold(&r->over_per_s[k], r->counts[k].over, keep,
+			    seconds);
+		}
+		memset(r->counts, 0, sizeof(r->counts));
+	}
+}
+
+/*
+ * Returns the requests of a class that are asked for each second and lie
+ * within the rates of their workspaces.
+ */
+double
+demand_per_s(const struct demand_row *r, uint32_t class)
+{
+	double within = 1;
+
+	if (r->let_in_per_s[class] > 0)
+		within -=
+		    fmin(1, r->over_per_s[class] / r->let_in_per_s[class]);
+	return r->asked_per_s[class] * within;
+}
+
+/*
+ * Returns a rate (a second) as a byte.
+ */
+uint8_t
+demand_code(double per_s)
+{
+	return (uint8_t)fmin(
+	    CODE_MAX, round(CODE_STEPS * log2(1 + fmax(0, per_s) / CODE_UNIT)));
+}
+
+/*
+ * Returns the rate (a second) that a byte stands for.
+ */
+double
+demand_decode(uint8_t code)
+{
+	return (exp2(code / CODE_STEPS) - 1) * CODE_UNIT;
+}
