--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -4,7 +4,7 @@
 
 #include "soak.h"
 
-#define SEND_MS 22 /* between two requests at one node, on average */
+#define SEND_MS 22 /* between two requests at one of five nodes, on average */
 #define PROBE_MS 500
 #define MISSES 2
 #define SMALL_SHARE 20 /* one in so many requests is of the small workspace */
@@ -168,11 +168,14 @@
 {
 	struct node *n = t->data;
 	struct h1_text head;
+	uint64_t pause;
 
 	if (soak.over)
 		return;
-	uv_timer_start(t, on_timer, 1 + chance(2 * SEND_MS), 0);
-	if (now_ms() / PROBE_MS != (now_ms() - SEND_MS) / PROBE_MS) {
+	pause = (uint64_t)SEND_MS * (uint64_t)soak.count / NODES;
+	uv_timer_start(t, on_timer, 1 + chance(2 * pause), 0);
+	if (now_ms() - n->probed_ms >= PROBE_MS) {
+		n->probed_ms = now_ms();
 		h1_text_init(&head);
 		h1_text_addf(
 		    &head, "GET /v1/ready HTTP/1.1\r\nHost: r\r\n\r\n");
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -53,7 +53,7 @@
 		r->broke = 1;
 		return;
 	}
-	if (node >= FRONTS)
+	if (!is_front(node))
 		wrong("r%lu ran at the wrong service", i);
 	if (++r->runs > 1 && r->once)
 		wrong("r%lu ran %u times", i, r->runs);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -5,6 +5,7 @@
 #include "soak.h"
 
 #define SLOW_MS 120
+#define LOST_PERCENT 30 /* of datagrams, where they are lossy */
 
 /* Two connections, joined. */
 struct proxy_pair {
@@ -223,3 +224,49 @@
 	for (p = x->pairs; p != NULL; p = p->next)
 		pair_close(p, 1);
 }
+
+/*
+ * Passes a datagram on to a node, from the address that other nodes know its
+ * sender by.
+ */
+static void
+on_datagram(uv_udp_t *u, ssize_t n, const uv_buf_t *b,
+    const struct sockaddr *from, unsigned int flags)
+{
+	struct node *to = u->data;
+	struct sockaddr_in at;
+	uv_buf_t out = uv_buf_init(b->base, n > 0 ? (unsigned int)n : 0);
+	int k;
+
+	(void)flags;
+	if (n <= 0 || from == NULL)
+		return;
+	at = *(const struct sockaddr_in *)from;
+	k = (int)(ntohl(at.sin_addr.s_addr) >> 8 & 255) - 2;
+	if (k < 0 || k >= soak.count || to->deaf || soak.nodes[k].mute ||
+	    (soak.lossy && chance(100) < LOST_PERCENT))
+		return;
+	address(&at, (int)(to - soak.nodes), PORT_FLEET);
+	uv_udp_try_send(
+	    &soak.nodes[k].relay, &out, 1, (const struct sockaddr *)&at);
+}
+
+/*
+ * Stands before a node: other nodes know it by the address told.
+ */
+void
+relay_init(struct node *n)
+{
+	int k = (int)(n - soak.nodes);
+	struct sockaddr_in at, to;
+
+	address_told(&at, k, PORT_EXIT);
+	address(&to, k, PORT_EXIT);
+	proxy_init(&n->node_link, &at, &to);
+	uv_udp_init(&soak.loop, &n->relay);
+	n->relay.data = n;
+	address_told(&at, k, PORT_FLEET);
+	if (uv_udp_bind(&n->relay, (struct sockaddr *)&at, 0) != 0 ||
+	    uv_udp_recv_start(&n->relay, on_alloc, on_datagram) != 0)
+		errx(1, "can't open a relay's port");
+}
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -161,7 +161,7 @@
 	uv_timer_init(&soak.loop, &w->timer);
 	w->timer.data = w;
 	h1_conn_set_user(conn, w);
-	if (s->node >= FRONTS ||
+	if (!is_front(s->node) ||
 	    strncmp(h->buf + h->target, "/safe/", 6) != 0) {
 		uv_timer_start(&w->timer, on_worked,
 		    (uint64_t)((1 + (double)chance(2 * WORK_MS)) * s->slow_x),
@@ -246,7 +246,7 @@
 	    "{\"address\":\"x\",\"info\":{\"service\":\"%s\",\"version\":"
 	    "\"v1\",\"zone\":\"z\",\"slots\":%d},\"status\":{\"state\":\"%s\","
 	    "\"sequence\":%llu,\"cold_remaining\":\"0ms\"},\"born\":%llu}",
-	    s->node < FRONTS ? "front" : "deep", SLOTS,
+	    is_front(s->node) ? "front" : "deep", SLOTS,
 	    s->leaving ? "draining" : "ready",
 	    (unsigned long long)++s->sequence, (unsigned long long)s->born_ms);
 	h1_text_addf(&t,
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -23,6 +23,9 @@
 
 static void node_start(struct node *);
 
+static const char *const fleet_keys[2] = { "one-key-of-a-fleet",
+	"another-key-of-a-fleet" };
+
 /*
  * Returns the time since the start of the run.
  */
@@ -57,6 +60,29 @@
 	uv_ip4_addr(ip, port, sa);
 }
 
+/*
+ * Fills in the address that other nodes know a node's port by.
+ */
+void
+address_told(struct sockaddr_in *sa, int node, enum port port)
+{
+	char ip[32];
+
+	snprintf(ip, sizeof(ip), "127.%d.%d.%d", soak.net, node + 2,
+	    soak.relayed ? 2 : 1);
+	uv_ip4_addr(ip, port, sa);
+}
+
+/*
+ * Tells whether the server beside a node is of the service "front"; the
+ * others are "deep".
+ */
+int
+is_front(int node)
+{
+	return node < FRONTS(soak.count);
+}
+
 /*
  * Tells what happens, where that is asked for.
  */
@@ -81,6 +107,21 @@
 		node_start(t->data);
 }
 
+/*
+ * Ends the loop once the run is over and all its processes are gone: the next
+ * run may use their addresses.
+ */
+static void
+stop_if_ended(void)
+{
+	int k;
+
+	for (k = 0; k < soak.count; k++)
+		if (soak.nodes[k].running)
+			return;
+	uv_stop(&soak.loop);
+}
+
 static void
 on_exit_of(uv_process_t *p, int64_t status, int sig)
 {
@@ -94,7 +135,10 @@
 	if (n->asked && (status != 0 || sig != 0) && sig != SIGKILL)
 		wrong("node %d ended with status %lld signal %d",
 		    (int)(n - soak.nodes), (long long)status, sig);
-	uv_timer_start(&n->respawn, on_respawn, RESPAWN_MS, 0);
+	if (soak.over)
+		stop_if_ended();
+	else
+		uv_timer_start(&n->respawn, on_respawn, RESPAWN_MS, 0);
 }
 
 /*
@@ -119,9 +163,10 @@
 	ARG("cyclamenvale-node");
 	ARG("--node=n%d", k);
 	ARG("--zone=z%d", k % 3);
-	ARG("--service=%s", k < FRONTS ? "front" : "deep");
+	ARG("--service=%s", is_front(k) ? "front" : "deep");
 	ADDR("entry", k, PORT_ENTRY);
 	ADDR("exit", k, PORT_EXIT);
+	ARG("--advertise=127.%d.%d.%d", soak.net, k + 2, soak.relayed ? 2 : 1);
 	ADDR("control", k, PORT_CONTROL);
 	ADDR("ready", k, PORT_READY);
 	ADDR("server", k, PORT_SERVER_PROXY);
@@ -135,6 +180,12 @@
 	ARG("--retry-slack=49");
 	ARG("--memory-mb=200");
 	ARG("--descriptors=1000");
+	if (soak.seed % 2 == 1) {
+		/* As if a key were being changed all the time. */
+		k = (int)(soak.starts++ % 2);
+		ARG("--fleet-key=%s", fleet_keys[k]);
+		ARG("--fleet-key-other=%s", fleet_keys[1 - k]);
+	}
 	for (k = 0; k < i; k++)
 		argv[k] = args[k];
 	argv[i] = NULL;
@@ -322,6 +373,60 @@
 	proxy_mode(&soak.nodes[k].server_link, LINK_PASS);
 }
 
+static void
+node_unreached(int k)
+{
+	proxy_mode(&soak.nodes[k].node_link, LINK_SILENT);
+	soak.nodes[k].deaf = 1;
+}
+
+static void
+node_unheard(int k)
+{
+	soak.nodes[k].mute = 1;
+}
+
+static void
+node_cut(int k)
+{
+	node_unreached(k);
+	node_unheard(k);
+}
+
+static void
+node_link_slow(int k)
+{
+	proxy_mode(&soak.nodes[k].node_link, LINK_SLOW);
+}
+
+static void
+node_link_reset(int k)
+{
+	proxy_reset(&soak.nodes[k].node_link);
+}
+
+static void
+node_link_well(int k)
+{
+	proxy_mode(&soak.nodes[k].node_link, LINK_PASS);
+	soak.nodes[k].deaf = soak.nodes[k].mute = 0;
+	soak.nodes[k].harmed_ms = now_ms();
+}
+
+static void
+datagrams_lossy(int k)
+{
+	(void)k;
+	soak.lossy = 1;
+}
+
+static void
+datagrams_well(int k)
+{
+	(void)k;
+	soak.lossy = 0;
+}
+
 static void
 publish(int k)
 {
@@ -373,9 +478,17 @@
 	{ "configuration", publish, publish },
 	{ "key withdrawn", withdraw, nothing },
 	{ "small workspace sends eight times more", hot, cool },
+	/* These need to stand between nodes. */
+	{ "node not reached by others", node_unreached, node_link_well },
+	{ "node not heard by others", node_unheard, node_link_well },
+	{ "node cut off from others", node_cut, node_link_well },
+	{ "connections to node slow", node_link_slow, node_link_well },
+	{ "connections to node reset", node_link_reset, nothing },
+	{ "datagrams lost", datagrams_lossy, datagrams_well },
 };
 
 #define KINDS (sizeof(faults) / sizeof(faults[0]))
+#define KINDS_DIRECT 19 /* those before the ones between nodes */
 
 /* One fault of a run, as drawn. */
 struct drawn {
@@ -416,8 +529,8 @@
 
 	for (i = 0; i < n; i++) {
 		d = &plan[i];
-		d->fault = &faults[chance(KINDS)];
-		d->node = (int)chance(NODES);
+		d->fault = &faults[chance(soak.kinds)];
+		d->node = (int)chance((uint64_t)soak.count);
 		d->at_ms = FAULTS_FROM_MS +
 			   (uint32_t)chance(FAULTS_TO_MS - FAULTS_FROM_MS);
 		d->for_ms = 200 + (uint32_t)chance(LONGEST_MS - 200);
@@ -435,12 +548,12 @@
 
 	(void)t;
 	soak.over = 1;
-	for (k = 0; k < NODES; k++)
+	for (k = 0; k < soak.count; k++)
 		if (soak.nodes[k].running) {
 			uv_process_kill(&soak.nodes[k].process, SIGCONT);
 			uv_process_kill(&soak.nodes[k].process, SIGKILL);
 		}
-	uv_stop(&soak.loop);
+	stop_if_ended();
 }
 
 static void
@@ -458,7 +571,7 @@
 	if (soak.requests == NULL)
 		err(1, "out of memory");
 	store_init(&soak.store);
-	for (k = 0; k < NODES; k++) {
+	for (k = 0; k < soak.count; k++) {
 		n = &soak.nodes[k];
 		uv_timer_init(&soak.loop, &n->respawn);
 		n->respawn.data = n;
@@ -468,6 +581,11 @@
 		address(&at, k, PORT_SERVER_PROXY);
 		address(&to, k, PORT_SERVER);
 		proxy_init(&n->server_link, &at, &to);
+		if (soak.relayed)
+			relay_init(n);
+	}
+	for (k = 0; k < soak.count; k++) {
+		n = &soak.nodes[k];
 		node_start(n);
 		server_init(&n->server, k);
 		caller_init(n);
@@ -487,15 +605,16 @@
 {
 	int k;
 
-	for (k = 0; k < NODES; k++)
+	for (k = 0; k < soak.count; k++)
 		if (soak.nodes[k].running)
 			kill(soak.nodes[k].process.pid, SIGKILL);
 	_exit(128 + sig);
 }
 
 /*
- * Runs one seed.  SOAK_NET is the second byte of the loopback addresses, so
- * that several can run side by side.
+ * Runs one seed with so many nodes, and only the first so many kinds of
+ * faults.  SOAK_NET is the second byte of the loopback addresses, so that
+ * several can run side by side.
  */
 int
 main(int argc, char **argv)
@@ -504,14 +623,23 @@
 
 	soak.seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	soak.net = net != NULL ? (int)strtol(net, NULL, 10) : 90;
+	soak.count = argc > 2 ? (int)strtol(argv[2], NULL, 10) : NODES;
+	soak.kinds = argc > 3 ? (uint32_t)strtoul(argv[3], NULL, 10) : KINDS;
+	if (soak.count < NODES || soak.count > NODES_MAX || soak.kinds < 1 ||
+	    soak.kinds > KINDS)
+		errx(2, "usage: soak [SEED [NODES [KINDS]]], %d to %d nodes",
+		    NODES, NODES_MAX);
+	soak.relayed = soak.kinds > KINDS_DIRECT && soak.count <= RELAYED_MAX;
+	if (!soak.relayed && soak.kinds > KINDS_DIRECT)
+		soak.kinds = KINDS_DIRECT;
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGSEGV, on_end_signal);
 	signal(SIGABRT, on_end_signal);
 	signal(SIGTERM, on_end_signal);
 	signal(SIGINT, on_end_signal);
 	run();
-	printf("seed %llu: %u requests, %u faults, %u wrong\n",
-	    (unsigned long long)soak.seed, soak.request_count, soak.fault_count,
-	    soak.failures);
+	printf("seed %llu, %d nodes: %u requests, %u faults, %u wrong\n",
+	    (unsigned long long)soak.seed, soak.count, soak.request_count,
+	    soak.fault_count, soak.failures);
 	return soak.failures > 0;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,8 +13,10 @@
  * the servers and the callers in this one, and faults from outside.
  */
 
-#define NODES 5
-#define FRONTS 3 /* nodes beside servers of "front"; the others' is "deep" */
+#define NODES_MAX 200
+#define NODES 5	       /* of the first seeds */
+#define RELAYED_MAX 48 /* nodes between which this program can stand */
+#define FRONTS(count) ((count)*3 / 5) /* beside servers of "front" */
 #define REQUESTS_MAX 65536
 #define SLOTS 24
 #define RUN_MS 16000
@@ -95,12 +97,17 @@
 	int asked;   /* SIGTERM was sent */
 	int ready;
 	int misses;
+	uint64_t probed_ms;
 	uint64_t harmed_ms; /* last unplanned harm to it ended */
 	struct h1_pool entry;
 	struct h1_pool probe;
 	struct server server;
 	struct proxy store_link;
 	struct proxy server_link;
+	struct proxy node_link; /* connections of other nodes to this one */
+	uv_udp_t relay;		/* datagrams of other nodes to this one */
+	int deaf;		/* datagrams to it are lost */
+	int mute;		/* those from it are */
 	uv_timer_t caller;
 	uv_timer_t respawn;
 	FILE *log;
@@ -120,7 +127,12 @@
 	uint64_t seed, rnd;
 	uint64_t start_ms;
 	int net; /* second byte of all addresses */
-	struct node nodes[NODES];
+	struct node nodes[NODES_MAX];
+	int count;	     /* of nodes */
+	int relayed;	     /* nodes reach each other through this program */
+	unsigned int starts; /* of nodes so far */
+	int lossy;	     /* a part of all datagrams is lost */
+	uint32_t kinds;	     /* of faults that are drawn */
 	struct store store;
 	struct request *requests;
 	uint32_t request_count;
@@ -137,6 +149,7 @@
 uint64_t now_ms(void);
 uint64_t chance(uint64_t);
 void address(struct sockaddr_in *, int, enum port);
+void address_told(struct sockaddr_in *, int, enum port);
 void wrong(const char *, ...) __attribute__((format(printf, 1, 2)));
 void note(const char *, ...) __attribute__((format(printf, 1, 2)));
 
@@ -150,6 +163,8 @@
     struct proxy *, const struct sockaddr_in *, const struct sockaddr_in *);
 void proxy_mode(struct proxy *, enum link_mode);
 void proxy_reset(struct proxy *);
+void relay_init(struct node *);
+int is_front(int);
 void caller_init(struct node *);
 void check_run(const char *, int, uint64_t, int);
 void check_all(void);
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -7,7 +7,7 @@
 #include "soak.h"
 
 #define RECORDS_MAX 256
-#define WAITERS_MAX 64
+#define WAITERS_MAX (2 * NODES_MAX)
 #define TOPICS 2 /* keyed.op and keyed.nodes */
 
 struct record {
