A port's handler is known before the port opens

CivetWeb answers 404 by itself to requests that come between the opening of a port and mg_set_request_handler().

--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -17,7 +17,8 @@
 #define ACCEPT_QUEUE "1024"
 #define OPERATOR_THREADS 4
 #define DESCRIPTORS_MAX 65536
-#define THREAD_WORKER 1 /* as CivetWeb numbers them */
+#define REQUEST_SERVED 1 /* tells CivetWeb to do nothing more */
+#define THREAD_WORKER 1	 /* as CivetWeb numbers them */
 #define THREAD_WAIT_MS 5000
 #define THREAD_CHECK_US 2000
 #define HOLD_MIN_MS 200 /* for handshakes that have begun */
@@ -67,9 +68,9 @@
  * Serves one request on any port.
  */
 static int
-on_request(struct mg_connection *conn, void *ctx)
+on_request(struct mg_connection *conn)
 {
-	struct port *p = ctx;
+	struct port *p = mg_get_request_info(conn)->user_data;
 	struct node *n = p->node;
 	struct request *r;
 	const char *detail;
@@ -90,7 +91,7 @@
 	request_finish(r);
 	free(r);
 	atomic_fetch_sub(&n->inflight[p->kind], 1);
-	return 1;
+	return REQUEST_SERVED;
 }
 
 /*
@@ -164,8 +165,10 @@
 }
 
 /*
- * Opens one port with a thread for each connection.  Returns -1 where it
- * can't be opened.
+ * Opens one port with a thread for each connection.  All that answers is a
+ * callback known before: CivetWeb answers 404 by itself to requests that come
+ * before a handler is set on the open port.  Returns -1 where the port can't
+ * be opened.
  */
 static int
 port_start(struct node *n, enum port_kind kind, uint32_t port, uint32_t threads)
@@ -173,6 +176,7 @@
 	static const struct mg_callbacks calls = {
 		.init_thread = on_thread,
 		.exit_thread = on_thread_end,
+		.begin_request = on_request,
 		.end_request = on_request_end,
 		.log_message = on_message,
 	};
@@ -195,14 +199,13 @@
 	snprintf(count, sizeof(count), "%u", threads);
 	port_ctx[kind].node = n;
 	port_ctx[kind].kind = kind;
+	atomic_store(&port_ctx[kind].workers, 0);
 	n->ports[kind] = mg_start2(&init, &e);
 	if (n->ports[kind] == NULL) {
 		logline(LOG_CRIT, "port-failed", "port=%s listen=%s why=\"%s\"",
 		    port_rows[kind].name, listen, text);
 		return -1;
 	}
-	mg_set_request_handler(
-	    n->ports[kind], "**", on_request, &port_ctx[kind]);
 	return workers_wait(&port_ctx[kind], threads);
 }
 
--- a/tests/path/std.c
+++ b/tests/path/std.c
@@ -73,6 +73,7 @@
 	for (i = 0; i < sizeof(std_routes) / sizeof(std_routes[0]); i++)
 		conf_route(conf, &std_routes[i]);
 	conf_workspace(conf, "acme", ACME_KEY, 5000, 5000);
+	conf_workspace(conf, "crowd", CROWD_KEY, 1000000, 1000000);
 	conf_workspace(conf, "small", SMALL_KEY, 5, 2);
 	conf_workspace(conf, "mid", MID_KEY, 60, 30);
 	return conf;
--- a/tests/path/std.h
+++ b/tests/path/std.h
@@ -9,6 +9,7 @@
 
 #define STD_READY_MS 15000
 #define ACME_KEY "acme-key-5f1c9d2e7b"	 /* a workspace with room to spare */
+#define CROWD_KEY "crowd-key-7b20e4c916" /* more than any test can ask for */
 #define SMALL_KEY "small-key-90c4aa17e3" /* 5 a second, burst 2 */
 #define MID_KEY "mid-key-3e6f20b8d1"	 /* 60 a second, burst 30 */
 
