An answer noted meanwhile is no silence of the server

If another thread notes an answer in between, now - heard_ms wraps around, and a server that answers 3,000 requests a second counts as silent for 5 s, until its next announcement.

Ruled out: ports used up by TIME_WAIT (2,200 of 28,000), members taken for dead at a stopping node (no line), CivetWeb's begin_request, a refused connection to the server (no exchange ended unsent).

--- a/src/admission/core.c
+++ b/src/admission/core.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "admission/admission_core.h"
+#include "base/age.h"
 
 #define ORDER_CLASS_SHIFT 62
 #define ORDER_BAND_SHIFT 60
@@ -280,7 +281,7 @@
 	c->inflight++;
 	w->epoch = c->epoch;
 	w->start_us = now_us;
-	level_run(&c->level, now_us - w->enter_us);
+	level_run(&c->level, age_at(now_us, w->enter_us));
 }
 
 /*
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/age.h"
 #include "base/clock.h"
 #include "base/counter.h"
 #include "limits/limits_int.h"
@@ -135,7 +136,7 @@
 	level = share.burst;
 	if (e->level_us[shard] != 0)
 		level = fmin(level,
-		    e->level[shard] + (double)(now - e->level_us[shard]) *
+		    e->level[shard] + (double)age_at(now, e->level_us[shard]) *
 					  (double)share.rate_mt /
 					  (US_PER_S * 1e3));
 	if (shard == l->cfg.group % limits_shards(ws->burst))
@@ -394,7 +395,7 @@
 	demand_measure(e, now);
 	send = loans_return(e, now);
 	if (e->report_count > 0 &&
-	    (loans_tight(e) || now - e->report_us >= REPORT_US))
+	    (loans_tight(e) || age_at(now, e->report_us) >= REPORT_US))
 		send = 1;
 	ws = e->ws;
 	want = prefetch(e);
--- a/src/limits/limits_loans.c
+++ b/src/limits/limits_loans.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/age.h"
 #include "limits/limits_int.h"
 
 #define US_PER_S 1000000
@@ -169,7 +170,7 @@
 void
 demand_measure(struct limits_entry *e, uint64_t now)
 {
-	double dt = (double)(now - e->measured_us), share;
+	double dt = (double)age_at(now, e->measured_us), share;
 
 	if (e->measured_us == 0 || dt <= 0) {
 		e->measured_us = now;
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/age.h"
 #include "base/counter.h"
 #include "limits/limits_int.h"
 
@@ -135,9 +136,10 @@
 {
 	uint64_t wait = bucket_wait_us(&s->bucket, 1), apart;
 
-	if (now_us - s->window_us >= WINDOW_US) {
-		s->refused_last =
-		    now_us - s->window_us < 2 * WINDOW_US ? s->refused : 0;
+	if (age_at(now_us, s->window_us) >= WINDOW_US) {
+		s->refused_last = age_at(now_us, s->window_us) < 2 * WINDOW_US
+				      ? s->refused
+				      : 0;
 		s->refused = 0;
 		s->window_us = now_us;
 	}
--- a/src/member/member_announce.c
+++ b/src/member/member_announce.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/age.h"
 #include "member/member_int.h"
 
 #define SLOTS_MAX 100000
@@ -231,5 +232,5 @@
 int
 member_announce_live(uint64_t last, uint64_t now)
 {
-	return last != 0 && now - last < MEMBER_ANNOUNCE_MS;
+	return last != 0 && age_at(now, last) < MEMBER_ANNOUNCE_MS;
 }
--- a/src/member/member_dump.c
+++ b/src/member/member_dump.c
@@ -1,5 +1,6 @@
 #include <inttypes.h>
 
+#include "base/age.h"
 #include "base/clock.h"
 #include "member/member_int.h"
 
@@ -50,7 +51,7 @@
 	    "member %s peer_port=%u domain=%s state=%s for=%" PRIu64
 	    "s seq=%u config=%" PRIu64,
 	    name, m->peer_port, m->domain[0] != '\0' ? m->domain : "-",
-	    state_names[m->state], (now - m->since_ms) / 1000, m->seq,
+	    state_names[m->state], age_at(now, m->since_ms) / 1000, m->seq,
 	    m->config_version);
 	if (m->server.state != MEMBER_SERVER_NONE)
 		fprintf(out,
@@ -77,7 +78,7 @@
 	    "members known=%u alive=%u probed=%u answered=%u "
 	    "log_read=%" PRIu64 "ms fresh=%d config=%" PRIu64 "\n",
 	    v->known, v->alive, v->probed, v->answered,
-	    v->log_read_ms == 0 ? 0 : now - v->log_read_ms,
+	    v->log_read_ms == 0 ? 0 : age_at(now, v->log_read_ms),
 	    member_fresh(v, now), v->config_version);
 	for (i = 0; i < v->len; i++)
 		dump_one(out, &v->list[i], now);
--- a/src/member/member_service.c
+++ b/src/member/member_service.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "base/age.h"
 #include "base/clock.h"
 #include "base/counter.h"
 #include "base/logline.h"
@@ -244,7 +245,7 @@
 static void
 publish(struct member_service *ms, uint64_t now)
 {
-	uint64_t age = now - ms->built_ms;
+	uint64_t age = age_at(now, ms->built_ms);
 	struct member_view *v, *old;
 
 	if (age < VIEW_GAP_MS || (!ms->table->dirty && age < VIEW_EVERY_MS))
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/age.h"
 #include "member/member_int.h"
 
 static uint64_t order_of(uint32_t, uint16_t);
@@ -183,9 +184,9 @@
 int
 member_fresh(const struct member_view *v, uint64_t now)
 {
-	if (v->current_ms != 0 && now - v->current_ms < v->fresh_ms)
+	if (v->current_ms != 0 && age_at(now, v->current_ms) < v->fresh_ms)
 		return 1;
-	if (v->behind || now - v->built_ms >= MEMBER_VIEW_STALE_MS)
+	if (v->behind || age_at(now, v->built_ms) >= MEMBER_VIEW_STALE_MS)
 		return 0;
 	if (v->alive * 2 <= v->known)
 		return 0;
--- a/src/member/member_wire.c
+++ b/src/member/member_wire.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/age.h"
 #include "member/member_int.h"
 
 /* Bytes of the parts of a message that don't vary, as XDR encodes them. */
@@ -105,7 +106,7 @@
 	e->state = m->state;
 	e->seq = m->seq;
 	e->rev = m->rev;
-	e->age_s = (u_int)((now - m->since_ms) / 1000);
+	e->age_s = (u_int)(age_at(now, m->since_ms) / 1000);
 	e->domain = up ? m->domain : none;
 	e->region = up ? m->region : none;
 	e->config_version = m->config_version;
@@ -182,7 +183,7 @@
 begin(struct member_table *t, uint64_t now, struct draft *d, member_kind kind,
     uint32_t nonce)
 {
-	uint64_t age = now - t->log_read_ms;
+	uint64_t age = age_at(now, t->log_read_ms);
 
 	memset(&d->msg, 0, sizeof(d->msg));
 	d->msg.kind = kind;
--- a/src/member/test_table.c
+++ b/src/member/test_table.c
@@ -339,6 +339,14 @@
 		if (member_fresh(&v, now) != rows[i].want)
 			fail_msg("row %zu", i);
 	}
+	/* A view that was built while the time was taken. */
+	v.behind = 0;
+	v.built_ms = v.current_ms = now + 1;
+	assert_true(member_fresh(&v, now));
+	v.current_ms = 0;
+	v.known = v.alive = 10;
+	v.probed = v.answered = 50;
+	assert_true(member_fresh(&v, now));
 }
 
 /*
--- a/src/node/test_server.c
+++ b/src/node/test_server.c
@@ -100,6 +100,27 @@
 	drive(steps, sizeof(steps) / sizeof(steps[0]));
 }
 
+/*
+ * A time taken just before another thread noted an answer is no silence.
+ */
+static void
+test_answer_noted_meanwhile(void **state)
+{
+	struct member_announce a = { .addr = 1, .port = 2 }, got;
+	struct server s;
+
+	(void)state;
+	snprintf(a.server.service, sizeof(a.server.service), "web");
+	a.server.slots = 4;
+	a.server.incarnation = 7;
+	server_init(&s);
+	server_announced(&s, &a, 1000);
+	server_heard(&s, 7, 2001);
+	server_get(&s, 2000, &got);
+	assert_int_equal(got.server.state, MEMBER_SERVER_UP);
+	server_finish(&s);
+}
+
 /*
  * Draining lasts until another process announces itself.
  */
@@ -124,6 +145,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answers_keep_a_server),
 		cmocka_unit_test(test_the_dead_stay_dead),
+		cmocka_unit_test(test_answer_noted_meanwhile),
 		cmocka_unit_test(test_draining_lasts),
 	};
 
--- a/src/once/once_standby.c
+++ b/src/once/once_standby.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "base/age.h"
 #include "once/once_int.h"
 
 #define COPY_RETRY_MS 200 /* after a copy that failed */
@@ -186,7 +187,7 @@
 		return;
 	pthread_mutex_lock(&p->lock);
 	if (p->memory.cap > 0 &&
-	    now - p->used_ms > (uint64_t)ONCE_WINDOW_S * MS_PER_S) {
+	    age_at(now, p->used_ms) > (uint64_t)ONCE_WINDOW_S * MS_PER_S) {
 		memory_clear(&p->memory);
 		p->whole = 0;
 		p->since_ms = (int64_t)now;
