One comparison of servers' incarnations

Whether two ids and times of birth are one server process stood twice, in fleet_has_left() and relay_on_left(), with the same rule for a time that isn't known. Behaviour unchanged: test_left and test_relay pass.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -81,6 +81,7 @@
 int fleet_pulsed(
     struct fleet_table *, const struct fleet_pulse *, uint32_t, uint64_t);
 void fleet_note_left(struct fleet_peer *, const struct fleet_beat *);
+int fleet_same_server(const char *, uint64_t, const char *, uint64_t);
 int fleet_has_left(
     const struct fleet_peer *, const struct fleet_server_state *);
 uint64_t fleet_print(const struct fleet_beat *);
--- a/src/fleet/fleet_left.c
+++ b/src/fleet/fleet_left.c
@@ -29,13 +29,23 @@
 }
 
 /*
- * Tells whether a server beside a node has said before that it ends.  One that
- * starts again under its id was born later; 0 is a time of birth not known.
+ * Tells whether two ids and times of birth (Unix ms, 0: not known) are those of
+ * one server process.  One that starts again under its id was born later.
+ */
+int
+fleet_same_server(
+    const char *id, uint64_t born_ms, const char *other, uint64_t other_born_ms)
+{
+	return strcmp(id, other) == 0 &&
+	       (born_ms == 0 || other_born_ms == 0 || born_ms == other_born_ms);
+}
+
+/*
+ * Tells whether a server beside a node has said before that it ends.
  */
 int
 fleet_has_left(const struct fleet_peer *p, const struct fleet_server_state *s)
 {
-	return s->id[0] != '\0' && strcmp(p->left_id, s->id) == 0 &&
-	       (s->born_ms == 0 || p->left_born_ms == 0 ||
-		   s->born_ms == p->left_born_ms);
+	return s->id[0] != '\0' && fleet_same_server(p->left_id,
+				       p->left_born_ms, s->id, s->born_ms);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -523,8 +523,8 @@
 	struct relay *r = ctx;
 	struct relay_server *s = &r->server;
 
-	if (strcmp(s->id, l->server) != 0 || s->leaving ||
-	    (l->born_ms != 0 && s->born_ms != 0 && l->born_ms != s->born_ms))
+	if (s->leaving ||
+	    !fleet_same_server(s->id, s->born_ms, l->server, l->born_ms))
 		return;
 	s->leaving = 1;
 	event_log(
