Refuse roots whose runs need a service without servers

A server that this node doesn't hear but most others do counts as there. Calls that found no server no longer make a run look as if it made fewer.

Weighed: no probe share (a beat tells of a new server anyway, but a wrong belief would last); a longer Retry-After (late answers for more of them; not tried).

--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -122,6 +122,17 @@
 		run->call_failed = 1;
 }
 
+/*
+ * Tells whether a request ends since no node had a server or a slot for it.
+ */
+static int
+found_no_room(const struct entry_req *e, enum entry_end how)
+{
+	return how == END_NO_SERVER ||
+	       (how == END_OVERLOAD &&
+		   (e->verdict == VERDICT_BUSY || e->verdict == VERDICT_AWAY));
+}
+
 /*
  * Ends a request without a server's answer.  If it can't have run, its
  * caller is told when to come back (ms; 0: not told).
@@ -143,8 +154,7 @@
 	if (!e->maybe_run)
 		entry_token_back(e);
 	if (e->depth > 0)
-		entry_call_ended(
-		    e, how == END_OVERLOAD && e->verdict == VERDICT_BUSY, 1);
+		entry_call_ended(e, found_no_room(e, how), 1);
 	else if (how == END_OVER_RATE)
 		load_over_rate(r, e->service, e->class);
 	r->counters[d->counter]++;
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -20,6 +20,7 @@
 static double offered(const struct relay *);
 static void take_calls(struct relay *, int, const char *, double);
 static void sum_own(struct relay *);
+static void sum_unseen(struct relay *, const struct fleet_peer *);
 static void sum_loads(struct relay *);
 static int rank_cmp(const void *, const void *);
 static void rank_add(struct relay *, uint32_t);
@@ -220,6 +221,22 @@
 		    profile_per_run(&r->profile, i));
 }
 
+/*
+ * Counts the server beside a node that this one doesn't hear, but that most
+ * others do: what this one's callers ask for may well reach it.
+ */
+static void
+sum_unseen(struct relay *r, const struct fleet_peer *p)
+{
+	int h;
+
+	if (p->gone || p->out || p->server.id[0] == '\0' || p->server.leaving)
+		return;
+	h = throttle_service(&r->throttle, p->server.service);
+	if (h >= 0)
+		throttle_unseen(&r->throttle, h);
+}
+
 /*
  * Sums what the servers of each service do, and what callers ask of all
  * nodes.
@@ -239,8 +256,10 @@
 	sum_own(r);
 	for (i = 0; i < r->fleet.count; i++) {
 		p = &r->fleet.peers[i];
-		if (!fleet_alive(&r->fleet, i, now))
+		if (!fleet_alive(&r->fleet, i, now)) {
+			sum_unseen(r, p);
 			continue;
+		}
 		l = relay_link(r, (int)i);
 		for (j = 0; j < l->demand_count; j++)
 			for (k = 0; l->demands[j] >= 0 && k < THROTTLE_CLASSES;
--- a/src/throttle/profile.c
+++ b/src/throttle/profile.c
@@ -70,7 +70,8 @@
 }
 
 /*
- * A call of the server ended; it may have been refused for want of a slot.
+ * A call of the server ended; it may have been refused for want of a slot, or
+ * of a server.
  */
 void
 profile_call_ended(struct profile *p, int refused)
--- a/src/throttle/profile.h
+++ b/src/throttle/profile.h
@@ -21,7 +21,7 @@
 	struct profile_call calls[PROFILE_CALLS];
 	uint32_t call_count;
 	double runs;	/* decaying, as are the calls */
-	double refused; /* decaying share of calls, for want of a slot */
+	double refused; /* decaying share of calls, for want of room */
 	double chained; /* decaying share of calls whose run is known */
 	double held_s;	/* decaying sum of the time that slots were held */
 	double ended;	/* decaying number of runs that ended */
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -582,6 +582,55 @@
 	}
 }
 
+/*
+ * Cascading failure: a service loses all its servers.  Roots whose runs need it
+ * are refused, but for a few that show when it is back; not those that rarely
+ * call it, nor while other nodes hear of a server, nor before it ever had one.
+ */
+static void
+test_away(void **state)
+{
+	static const struct {
+		int servers, unseen;
+		double needy_max, needy_min;
+	} rows[] = {
+		{ 0, 0, 1, 1 }, /* none was there yet */
+		{ 1, 0, 1, 1 },
+		{ 0, 0, 0.05, 0.01 },
+		{ 0, 1, 1, 1 },
+		{ 0, 0, 0.05, 0.01 },
+		{ 1, 0, 1, 1 },
+	};
+	int needy, rare, proofs;
+	struct throttle t;
+	size_t i;
+
+	(void)state;
+	throttle_init(&t);
+	needy = throttle_service(&t, "catalogue");
+	rare = throttle_service(&t, "orders");
+	proofs = throttle_service(&t, "proofs");
+	throttle_calls(&t, needy, proofs, 2);
+	throttle_calls(&t, rare, proofs, 0.3);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		throttle_begin(&t);
+		add(&t, needy, 100, 0.1, 0.1);
+		add(&t, rare, 100, 0.1, 0.1);
+		if (rows[i].servers)
+			add(&t, proofs, 100, 0.02, 0.1);
+		if (rows[i].unseen)
+			throttle_unseen(&t, proofs);
+		throttle_demand(&t, needy, 1, 50);
+		throttle_demand(&t, rare, 0, 50);
+		throttle_step(&t, STEP_S);
+		assert_true(throttle_share(&t, needy, 1) <= rows[i].needy_max);
+		assert_true(throttle_share(&t, needy, 1) >= rows[i].needy_min);
+		assert_true(throttle_share(&t, rare, 0) >= 1);
+		assert_true(throttle_share(&t, proofs, 2) >= 1);
+		assert_true(t.services[proofs].trim <= 1);
+	}
+}
+
 int
 main(void)
 {
@@ -595,6 +644,7 @@
 		cmocka_unit_test(test_full),
 		cmocka_unit_test(test_profile),
 		cmocka_unit_test(test_stall),
+		cmocka_unit_test(test_away),
 		cmocka_unit_test(test_demand),
 		cmocka_unit_test(test_demand_code),
 	};
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -20,6 +20,12 @@
 #define AVOIDED 3.0	    /* part of a server for each share that fails */
 #define DEPTH_MAX 20	    /* of a tree of calls; ends cycles */
 
+/*
+ * Calls for each run from which it is taken to need the service that it calls:
+ * with fewer, more is served by letting all in than is lost by those that fail.
+ */
+#define NEEDS 0.75
+
 /* What arrives at one service, by class and by where its root goes. */
 struct arrivals {
 	double per_root[THROTTLE_SERVICES]; /* for a root at each service */
@@ -31,6 +37,7 @@
 static void arrivals_at(const struct throttle *, int, struct arrivals *);
 static void class_shares(const struct arrivals *, double, double, double *);
 static void limit(struct throttle *, int);
+static void close_roots(struct throttle *, int);
 static void adjust_trim(struct throttle_service *, double, double);
 static int worst(struct throttle *, const int *);
 static double room(const struct throttle *, const struct throttle_service *);
@@ -127,6 +134,7 @@
 		s->offered = 0;
 		s->soundest = s->soundest_now;
 		s->soundest_now = 1;
+		s->has_servers = 0;
 	}
 }
 
@@ -150,6 +158,7 @@
 	struct throttle_service *s = &t->services[service];
 	double more = fmax(0, m->failing - s->soundest);
 
+	s->had_servers = s->has_servers = 1;
 	s->slots += m->slots;
 	s->offered += m->offered * m->slots;
 	s->soundest_now = fmin(s->soundest_now, m->failing);
@@ -158,6 +167,16 @@
 		    m->slots / m->run_s * fmax(0, 1 - AVOIDED * more);
 }
 
+/*
+ * Notes that a service has a server that other nodes hear of, though this one
+ * doesn't.
+ */
+void
+throttle_unseen(struct throttle *t, int service)
+{
+	t->services[service].has_servers = 1;
+}
+
 /*
  * Returns how many runs a second a service is to be asked for at most; 0 if
  * that isn't known.
@@ -320,6 +339,28 @@
 			t->services[i].share[k] *= share[k];
 }
 
+/*
+ * Lets in only a few of the roots that need a service that has lost all its
+ * servers: they would be run for nothing.  Those few show when it is back.
+ */
+static void
+close_roots(struct throttle *t, int at)
+{
+	struct throttle_service *s = &t->services[at];
+	struct arrivals a;
+	uint32_t i, k;
+
+	arrivals_at(t, at, &a);
+	s->limits = 1;
+	for (k = 0; k < THROTTLE_CLASSES; k++)
+		s->cut[k] = FLOOR_MIN;
+	for (i = 0; i < t->count; i++)
+		for (k = 0; (int)i != at && a.per_root[i] >= NEEDS &&
+			    k < THROTTLE_CLASSES;
+		     k++)
+			t->services[i].share[k] *= FLOOR_MIN;
+}
+
 /*
  * Returns the service whose servers are most overloaded by what arrives with
  * the present shares, of those not yet done; -1 if there is none.
@@ -358,13 +399,17 @@
 
 	for (i = 0; i < t->count; i++) {
 		s = &t->services[i];
-		if (s->slots > 0)
+		if (s->slots > 0) {
 			s->offered /= s->slots;
-		adjust_trim(s, throttle_target(t), seconds);
+			adjust_trim(s, throttle_target(t), seconds);
+		}
 		s->limits = 0;
 		for (k = 0; k < THROTTLE_CLASSES; k++)
 			s->share[k] = 1;
 	}
+	for (i = 0; i < t->count; i++)
+		if (t->services[i].had_servers && !t->services[i].has_servers)
+			close_roots(t, (int)i);
 	while ((at = worst(t, done)) >= 0) {
 		done[at] = 1;
 		limit(t, at);
