--- a/src/relay/budget.c
+++ b/src/relay/budget.c
@@ -6,9 +6,7 @@
 #define EARN_SHARE 0.6	/* of the repeats allowed: what calls repeat counts */
 #define SLACK_SHARE 0.7 /* of the slack in repeats, for all nodes together */
 #define KEPT_SHARE 0.5	/* of what was earned lately: of about 0.7 s */
-#define HALF_MS                                                      \
-	1000.0 /* after which what was earned and wanted counts half \
-		*/
+#define HALF_MS 1000.0	/* after which what was counted counts half */
 
 static void decay(struct budget *, uint64_t);
 static int is_chosen(const struct budget *, const struct budget_ask *);
