A service that no route leads to is not waited for

What its callers' runs called is still remembered, so roots stay closed at 3 %, and with so few runs the memory fades over some 30 s. Roots are closed only for services to which the configuration in force sends something. Other way weighed: letting in more than 3 %, which shortens the same mistake only.

test_load's test_moved failed first (ran into its alarm).

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -121,6 +121,7 @@
 void config_free(struct config *);
 
 int config_route_match(const struct config *, const char *, const char *);
+int config_routes_to(const struct config *, const char *);
 void config_sort(struct config *);
 int config_route_find(const struct config *, const char *, const char *);
 const struct config_key *config_key_find(const struct config *, const char *);
--- a/src/config/lookup.c
+++ b/src/config/lookup.c
@@ -113,6 +113,25 @@
 	return -1;
 }
 
+/*
+ * Tells whether any route sends requests to a service.
+ */
+int
+config_routes_to(const struct config *c, const char *service)
+{
+	const struct config_route *r;
+	uint32_t k;
+
+	for (r = c->routes; r < c->routes + c->route_count; r++) {
+		if (strcmp(r->service, service) == 0)
+			return 1;
+		for (k = 0; k < r->part_count; k++)
+			if (strcmp(r->parts[k].service, service) == 0)
+				return 1;
+	}
+	return 0;
+}
+
 /*
  * Returns a key's hash in CONFIG_HASH_BYTES bytes.
  */
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -21,6 +21,7 @@
 static void take_calls(struct relay *, int, const char *, double);
 static void sum_own(struct relay *);
 static void sum_unseen(struct relay *, const struct fleet_peer *);
+static void pass_over_unrouted(struct relay *);
 static void sum_loads(struct relay *);
 static int rank_cmp(const void *, const void *);
 static void rank_add(struct relay *, uint32_t);
@@ -237,6 +238,25 @@
 		throttle_unseen(&r->throttle, h);
 }
 
+/*
+ * Passes over services without servers to which no route leads any more: what
+ * runs called there, they call elsewhere now.
+ */
+static void
+pass_over_unrouted(struct relay *r)
+{
+	const struct throttle_service *s;
+	uint32_t i;
+
+	for (i = 0; i < r->throttle.count; i++) {
+		s = &r->throttle.services[i];
+		if (s->had_servers && !s->has_servers &&
+		    (r->config == NULL ||
+			!config_routes_to(r->config, s->name)))
+			throttle_unseen(&r->throttle, (int)i);
+	}
+}
+
 /*
  * Sums what the servers of each service do, and what callers ask of all
  * nodes.
@@ -341,6 +361,7 @@
 	load_tick(r);
 	demand_age(&r->demand, STEP_MS / MS_PER_S);
 	sum_loads(r);
+	pass_over_unrouted(r);
 	throttle_step(&r->throttle, STEP_MS / MS_PER_S);
 	if (++r->steps % STEPS_PER_SUM == 0) {
 		log_sums(r);
--- /dev/null
+++ b/src/relay/test_load.c
@@ -0,0 +1,82 @@
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "base/loopclock.h"
+#include "relay/relay_int.h"
+#include "relay/test_pair.h"
+
+/*
+ * Tells whether a node lets in few of the roots that need the service.
+ */
+static int
+is_closed(struct relay *r)
+{
+	return r->throttle.services[throttle_service(&r->throttle, SERVICE)]
+		   .limits != 0;
+}
+
+/*
+ * Cascading failure: once the only server of a service leaves, roots that need
+ * it are refused, and no more when it is back.
+ */
+static void
+test_away(void **state)
+{
+	struct caller c;
+
+	(void)state;
+	while (nodes[0].steps < 2)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_false(is_closed(&nodes[0]));
+	announce(1, 100, 2, 1);
+	while (!is_closed(&nodes[0]))
+		uv_run(&loop, UV_RUN_ONCE);
+	ask(&c, "/s/away", KEY);
+	assert_int_equal(c.status, 503);
+	announce(1, 200, 1, 0);
+	while (is_closed(&nodes[0]))
+		uv_run(&loop, UV_RUN_ONCE);
+	ask(&c, "/s/back", KEY);
+	assert_int_equal(c.status, 200);
+}
+
+/*
+ * What was called before the configuration moved is not needed any more.
+ */
+static void
+test_moved(void **state)
+{
+	struct config *c = make_config(2, 0, KEY);
+	size_t i;
+
+	(void)state;
+	while (nodes[0].steps < 2)
+		uv_run(&loop, UV_RUN_ONCE);
+	announce(1, 100, 2, 1);
+	while (!is_closed(&nodes[0]))
+		uv_run(&loop, UV_RUN_ONCE);
+	for (i = 0; i < c->route_count; i++)
+		snprintf(c->routes[i].service, sizeof(c->routes[i].service),
+		    "elsewhere");
+	relay_take_config(&nodes[0], c);
+	while (is_closed(&nodes[0]))
+		uv_run(&loop, UV_RUN_ONCE);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_away, setup, teardown),
+		cmocka_unit_test_setup_teardown(test_moved, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -168,8 +168,8 @@
 }
 
 /*
- * Notes that a service has a server that other nodes hear of, though this one
- * doesn't.
+ * Notes that a service is not without servers, though this node knows of none:
+ * others hear of one, or nothing is sent there.
  */
 void
 throttle_unseen(struct throttle *t, int service)
