Name what keeps roots open for what it does

throttle_unseen() was used for services that nobody needs as well as for servers out of sight, and has_servers was set for both. Names only: throttle_keep_open(), keep_open; test_throttle, test_load and test_relay pass.

--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -235,7 +235,7 @@
 		return;
 	h = throttle_service(&r->throttle, p->server.service);
 	if (h >= 0)
-		throttle_unseen(&r->throttle, h);
+		throttle_keep_open(&r->throttle, h);
 }
 
 /*
@@ -250,10 +250,10 @@
 
 	for (i = 0; i < r->throttle.count; i++) {
 		s = &r->throttle.services[i];
-		if (s->had_servers && !s->has_servers &&
+		if (s->had_servers && !s->keep_open &&
 		    (r->config == NULL ||
 			!config_routes_to(r->config, s->name)))
-			throttle_unseen(&r->throttle, (int)i);
+			throttle_keep_open(&r->throttle, (int)i);
 	}
 }
 
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -655,7 +655,7 @@
 		if (rows[i].servers)
 			add(&t, proofs, 100, 0.02, 0.1);
 		if (rows[i].unseen)
-			throttle_unseen(&t, proofs);
+			throttle_keep_open(&t, proofs);
 		throttle_demand(&t, needy, 1, 50);
 		throttle_demand(&t, rare, 0, 50);
 		throttle_step(&t, STEP_S);
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -134,7 +134,7 @@
 		s->offered = 0;
 		s->soundest = s->soundest_now;
 		s->soundest_now = 1;
-		s->has_servers = 0;
+		s->keep_open = 0;
 	}
 }
 
@@ -158,7 +158,7 @@
 	struct throttle_service *s = &t->services[service];
 	double more = fmax(0, m->failing - s->soundest);
 
-	s->had_servers = s->has_servers = 1;
+	s->had_servers = s->keep_open = 1;
 	s->slots += m->slots;
 	s->offered += m->offered * m->slots;
 	s->soundest_now = fmin(s->soundest_now, m->failing);
@@ -168,13 +168,13 @@
 }
 
 /*
- * Notes that a service is not without servers, though this node knows of none:
+ * Lets roots in that need a service although this node knows of no server:
  * others hear of one, or nothing is sent there.
  */
 void
-throttle_unseen(struct throttle *t, int service)
+throttle_keep_open(struct throttle *t, int service)
 {
-	t->services[service].has_servers = 1;
+	t->services[service].keep_open = 1;
 }
 
 /*
@@ -408,7 +408,7 @@
 			s->share[k] = 1;
 	}
 	for (i = 0; i < t->count; i++)
-		if (t->services[i].had_servers && !t->services[i].has_servers)
+		if (t->services[i].had_servers && !t->services[i].keep_open)
 			close_roots(t, (int)i);
 	while ((at = worst(t, done)) >= 0) {
 		done[at] = 1;
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -55,7 +55,7 @@
 	double share[THROTTLE_CLASSES]; /* of root requests that is let in */
 	int limits;			/* its load cuts shares */
 	int had_servers;		/* once */
-	int has_servers;		/* now, though maybe out of sight */
+	int keep_open;	 /* roots aren't closed for its want of servers */
 	double expected; /* work with nothing cut here, to the slots */
 	double cut[THROTTLE_CLASSES]; /* share that is let in for its sake */
 	double bound_s; /* for how long it has been at its limit */
@@ -77,7 +77,7 @@
 void throttle_begin(struct throttle *);
 void throttle_demand(struct throttle *, int, uint32_t, double);
 void throttle_server(struct throttle *, int, const struct throttle_server *);
-void throttle_unseen(struct throttle *, int);
+void throttle_keep_open(struct throttle *, int);
 void throttle_step(struct throttle *, double);
 double throttle_share(const struct throttle *, int, uint32_t);
 
