Read on while a caller sends a body that was refused

The port answers 413 and closes the connection while the caller still sends its 3 MB; bytes unread make that a reset, and a caller that sends before it reads sees the reset instead of the answer. It was a race on any machine. The port now reads on for 1 s and 16 MB at most.

--- a/src/node/ports.c
+++ b/src/node/ports.c
@@ -12,6 +12,9 @@
 #include "node/node.h"
 
 #define REQUEST_READ_MS "10000"
+#define DISCARD_MS 1000		  /* for the rest of a refused body */
+#define DISCARD_BYTES (16U << 20) /* of it at most */
+#define DISCARD_BUF_BYTES 16384
 #define KEEP_ALIVE_MS "60000"
 #define PEER_KEEP_MS "5000"
 #define ACCEPT_QUEUE "1024"
@@ -64,6 +67,29 @@
 		entry_inner(n, r);
 }
 
+/*
+ * Reads on for a while what a caller sends after its refusal.  A connection
+ * that is closed with bytes unread is reset, and a caller that is still sending
+ * may see the reset instead of the answer.
+ */
+static void
+discard_body(struct mg_connection *conn)
+{
+	uint64_t until = clock_ms() + DISCARD_MS;
+	size_t left = DISCARD_BYTES;
+	char *buf;
+	int n;
+
+	/* On the heap: a thread's stack stays resident once it was used. */
+	buf = malloc(DISCARD_BUF_BYTES);
+	if (buf == NULL)
+		err(1, "discard_body");
+	while (left > 0 && clock_ms() < until &&
+	       (n = mg_read(conn, buf, DISCARD_BUF_BYTES)) > 0)
+		left -= (size_t)n < left ? (size_t)n : left;
+	free(buf);
+}
+
 /*
  * Serves one request on any port.
  */
@@ -88,6 +114,8 @@
 		answer_refuse(r, OUTCOME_NOT_RUN, why, detail, 0, NULL);
 	else
 		port_rows[p->kind].serve(n, r);
+	if (why == REASON_TOO_LARGE)
+		discard_body(conn);
 	request_finish(r);
 	free(r);
 	atomic_fetch_sub(&n->inflight[p->kind], 1);
--- a/src/node/test_ports.c
+++ b/src/node/test_ports.c
@@ -26,6 +26,12 @@
 	"Content-Length: 2\r\n\r\n"
 #define OWN_FIELD "Cyclamen-Outcome: not-run"
 
+/* A body that is too large, of which a caller sends a part before it looks. */
+#define BODY_BYTES 3000000
+#define TOO_LARGE \
+	"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n"
+#define PART_BYTES 65536
+
 struct caller {
 	pthread_t id;
 	uint32_t port;
@@ -97,6 +103,61 @@
 	return NULL;
 }
 
+/*
+ * Connects to a port of loopback.
+ */
+static int
+connect_to(uint32_t port)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons((uint16_t)port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	return fd;
+}
+
+/*
+ * A caller that sends its whole body before it reads the answer gets the
+ * refusal of a body that is too large, and not a reset.
+ */
+static void
+test_too_large(void **state)
+{
+	static char part[PART_BYTES];
+	char answer[64] = "";
+	size_t sent = 0;
+	ssize_t n;
+	int fd;
+
+	(void)state;
+	rcu_register_thread();
+	node.settings.address = INADDR_LOOPBACK;
+	node.settings.caller_connections = THREADS;
+	node.settings.caller_port = free_port();
+	node.settings.max_body_bytes = 1 << 20;
+	assert_int_equal(ports_open(&node), 0);
+	fd = connect_to(node.settings.caller_port);
+	n = send(fd, TOO_LARGE, sizeof(TOO_LARGE) - 1, MSG_NOSIGNAL);
+	assert_true(n > 0);
+	n = send(fd, part, sizeof(part), MSG_NOSIGNAL);
+	assert_int_equal(n, sizeof(part));
+	/* The answer is there before the rest goes out. */
+	assert_true(recv(fd, answer, 1, MSG_PEEK) == 1);
+	for (sent = sizeof(part); n > 0 && sent < BODY_BYTES; sent += (size_t)n)
+		n = send(fd, part,
+		    BODY_BYTES - sent < PART_BYTES ? BODY_BYTES - sent
+						   : PART_BYTES,
+		    MSG_NOSIGNAL);
+	assert_true(n > 0);
+	assert_true(recv(fd, answer, sizeof(answer) - 1, 0) > 12);
+	assert_memory_equal(answer, "HTTP/1.1 413", 12);
+	close(fd);
+	ports_stop(&node);
+	rcu_unregister_thread();
+}
+
 /*
  * Callers that wait for a port to open: the node answers the first request
  * on it, and not the HTTP library.
@@ -139,6 +200,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_first_request),
+		cmocka_unit_test(test_too_large),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
