--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -257,6 +257,23 @@
 		uv_close(h, NULL);
 }
 
+/*
+ * Starts a follower at an address, of a store that lists two nodes.
+ */
+static void
+world_start(struct world *w, struct store_record *list, uint32_t address)
+{
+	memset(w, 0, sizeof(*w));
+	w->nodes.records = list;
+	w->nodes.count = 2;
+	uv_loop_init(&w->loop);
+	uv_timer_init(&w->loop, &w->timer);
+	w->timer.data = w;
+	follow_init(&w->follow, &w->loop, &store_ops, w, &follow_ops, w,
+	    "config", "n1");
+	follow_start(&w->follow, address);
+}
+
 /*
  * Lost, refused, late, unreadable and trimmed records: the version in force
  * never goes back, and is held for the newest only when that is proved.
@@ -272,15 +289,7 @@
 
 	(void)state;
 	alarm(ALARM_S);
-	memset(&w, 0, sizeof(w));
-	w.nodes.records = list;
-	w.nodes.count = 2;
-	uv_loop_init(&w.loop);
-	uv_timer_init(&w.loop, &w.timer);
-	w.timer.data = &w;
-	follow_init(&w.follow, &w.loop, &store_ops, &w, &follow_ops, &w,
-	    "config", "n1");
-	follow_start(&w.follow, 0x7f000001);
+	world_start(&w, list, 0x7f000001);
 	uv_run(&w.loop, UV_RUN_DEFAULT);
 	check(&w);
 	assert_int_equal(w.at, STEPS);
@@ -321,15 +330,7 @@
 	(void)state;
 	alarm(ALARM_S);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-		memset(&w, 0, sizeof(w));
-		w.nodes.records = list;
-		w.nodes.count = 2;
-		uv_loop_init(&w.loop);
-		uv_timer_init(&w.loop, &w.timer);
-		w.timer.data = &w;
-		follow_init(&w.follow, &w.loop, &store_ops, &w, &follow_ops, &w,
-		    "config", "n1");
-		follow_start(&w.follow, rows[i].address);
+		world_start(&w, list, rows[i].address);
 		while (w.lists_read == 0)
 			uv_run(&w.loop, UV_RUN_ONCE);
 		assert_int_equal(w.appends, rows[i].appends);
