throttle: rename private names to terms of the field

Private constants had no unit or named a metaphor (TRIM_AFTER_S, KEEP_S, NEEDS), and static functions, locals and tests were named by a bare word (worst, room, spread, play, test_two). They now say what they compute, with the unit at the end.

--- a/src/throttle/demand.c
+++ b/src/throttle/demand.c
@@ -4,16 +4,16 @@
 
 #include "throttle/demand.h"
 
-#define KEEP_S 0.3  /* time constant of the measured rates */
-#define ROW_MIN 0.1 /* a row with less is used for another service */
+#define RATE_TIME_CONSTANT_S 0.3 /* time constant of the measured rates */
+#define IDLE_ROW_MAX 0.1 /* a row with less is used for another service */
 
 /*
  * Steps of a rate told to other nodes: 14 to a doubling, so that it is at most
  * 2.6 % off, from 0.004 to 19,000 a second.  As a number of four bytes, these
  * rates were half of what nodes send.
  */
-#define CODE_STEPS 14.0
-#define CODE_UNIT 0.0625 /* a second; below it steps are even */
+#define CODE_STEPS_PER_DOUBLING 14.0
+#define CODE_UNIT_PER_S 0.0625 /* a second; below it steps are even */
 #define CODE_MAX 255.0
 
 /*
@@ -31,36 +31,36 @@
 struct demand_row *
 demand_row(struct demand *d, const char *service)
 {
-	struct demand_row *r, *unused = NULL;
-	double asked;
+	struct demand_row *r, *free_row = NULL;
+	double requested;
 	uint32_t i, k;
 
 	for (i = 0; i < d->count; i++) {
 		r = &d->rows[i];
 		if (strcmp(r->service, service) == 0)
 			return r;
-		for (asked = 0, k = 0; k < THROTTLE_CLASSES; k++)
-			asked += r->asked_per_s[k] + r->counts[k].asked;
-		if (asked < ROW_MIN)
-			unused = r;
+		for (requested = 0, k = 0; k < THROTTLE_CLASSES; k++)
+			requested += r->asked_per_s[k] + r->counts[k].asked;
+		if (requested < IDLE_ROW_MAX)
+			free_row = r;
 	}
-	if (unused == NULL) {
+	if (free_row == NULL) {
 		if (d->count == DEMAND_MAX)
 			return NULL;
-		unused = &d->rows[d->count++];
+		free_row = &d->rows[d->count++];
 	}
-	memset(unused, 0, sizeof(*unused));
-	snprintf(unused->service, sizeof(unused->service), "%s", service);
-	return unused;
+	memset(free_row, 0, sizeof(*free_row));
+	snprintf(free_row->service, sizeof(free_row->service), "%s", service);
+	return free_row;
 }
 
 /*
  * Brings a rate up to now, after so many seconds with that count.
  */
 static void
-fold(double *per_s, uint32_t count, double keep, double seconds)
+update_rate(double *per_s, uint32_t count, double old_weight, double seconds)
 {
-	*per_s = *per_s * keep + count / seconds * (1 - keep);
+	*per_s = *per_s * old_weight + count / seconds * (1 - old_weight);
 }
 
 /*
@@ -69,19 +69,19 @@
 void
 demand_age(struct demand *d, double seconds)
 {
-	double keep = exp(-seconds / KEEP_S);
+	double old_weight = exp(-seconds / RATE_TIME_CONSTANT_S);
 	struct demand_row *r;
 	uint32_t i, k;
 
 	for (i = 0; i < d->count; i++) {
 		r = &d->rows[i];
 		for (k = 0; k < THROTTLE_CLASSES; k++) {
-			fold(&r->asked_per_s[k], r->counts[k].asked, keep,
-			    seconds);
-			fold(&r->let_in_per_s[k], r->counts[k].let_in, keep,
-			    seconds);
-			fold(&r->over_per_s[k], r->counts[k].over, keep,
-			    seconds);
+			update_rate(&r->asked_per_s[k], r->counts[k].asked,
+			    old_weight, seconds);
+			update_rate(&r->let_in_per_s[k], r->counts[k].let_in,
+			    old_weight, seconds);
+			update_rate(&r->over_per_s[k], r->counts[k].over,
+			    old_weight, seconds);
 		}
 		memset(r->counts, 0, sizeof(r->counts));
 	}
@@ -94,12 +94,12 @@
 double
 demand_per_s(const struct demand_row *r, uint32_t class)
 {
-	double within = 1;
+	double within_share = 1;
 
 	if (r->let_in_per_s[class] > 0)
-		within -=
+		within_share -=
 		    fmin(1, r->over_per_s[class] / r->let_in_per_s[class]);
-	return r->asked_per_s[class] * within;
+	return r->asked_per_s[class] * within_share;
 }
 
 /*
@@ -109,7 +109,8 @@
 demand_code(double per_s)
 {
 	return (uint8_t)fmin(
-	    CODE_MAX, round(CODE_STEPS * log2(1 + fmax(0, per_s) / CODE_UNIT)));
+	    CODE_MAX, round(CODE_STEPS_PER_DOUBLING *
+			    log2(1 + fmax(0, per_s) / CODE_UNIT_PER_S)));
 }
 
 /*
@@ -118,5 +119,5 @@
 double
 demand_decode(uint8_t code)
 {
-	return (exp2(code / CODE_STEPS) - 1) * CODE_UNIT;
+	return (exp2(code / CODE_STEPS_PER_DOUBLING) - 1) * CODE_UNIT_PER_S;
 }
--- a/src/throttle/profile.c
+++ b/src/throttle/profile.c
@@ -4,16 +4,18 @@
 
 #include "throttle/profile.h"
 
-#define RUNS_KNOWN 20.0	 /* fewer say little */
-#define CALL_WEIGHT 0.05 /* of the newest call in a share of all calls */
-#define REFUSED_SOME 0.02
-#define CALLS_KEEP_S 1.5 /* time constant of the calls for each run */
-#define TIME_KEEP_S 0.8	 /* and of the time of a run */
-#define USUAL_KEEP_S 3.0 /* of the calls remembered for overloads */
-#define BEGIN_SHARE 0.5	 /* of a run, that counts before its calls */
-#define ENDED_MIN 0.5
-
-static double now_per_run(const struct profile *, uint32_t);
+#define KNOWN_RUNS_MIN 20.0    /* fewer say little */
+#define CALL_SHARE_WEIGHT 0.05 /* of the newest call in a share of all calls \
+				*/
+#define REFUSED_SHARE_MIN 0.02
+#define CALLS_TIME_CONSTANT_S 1.5 /* time constant of the calls for each run \
+				   */
+#define RUN_TIME_CONSTANT_S 0.8	  /* and of the time of a run */
+#define USUAL_TIME_CONSTANT_S 3.0 /* of the calls remembered for overloads */
+#define RUN_START_SHARE 0.5	  /* of a run, that counts before its calls */
+#define ENDED_RUNS_MIN 0.5
+
+static double current_per_run(const struct profile *, uint32_t);
 
 /*
  * Begins with nothing known.
@@ -31,7 +33,7 @@
 void
 profile_begin(struct profile *p)
 {
-	p->runs += BEGIN_SHARE;
+	p->runs += RUN_START_SHARE;
 }
 
 /*
@@ -40,7 +42,7 @@
 void
 profile_end(struct profile *p)
 {
-	p->runs += 1 - BEGIN_SHARE;
+	p->runs += 1 - RUN_START_SHARE;
 	p->ended++;
 }
 
@@ -50,12 +52,12 @@
  * this node did, which would take their calls for those of a few later runs.
  */
 void
-profile_called(struct profile *p, const char *service, int known)
+profile_called(struct profile *p, const char *service, int run_known)
 {
 	struct profile_call *c;
 	uint32_t i;
 
-	p->chained += CALL_WEIGHT * ((known ? 1 : 0) - p->chained);
+	p->chained += CALL_SHARE_WEIGHT * ((run_known ? 1 : 0) - p->chained);
 	for (i = 0; i < p->call_count; i++)
 		if (strcmp(p->calls[i].service, service) == 0)
 			break;
@@ -69,10 +71,10 @@
 		c->usual = 0;
 		c->tied = 0;
 	}
-	if (known && !c->tied)
+	if (run_known && !c->tied)
 		c->count = 0;
-	c->tied |= known;
-	c->count += known || !c->tied;
+	c->tied |= run_known;
+	c->count += run_known || !c->tied;
 }
 
 /*
@@ -82,14 +84,14 @@
 void
 profile_call_ended(struct profile *p, int refused)
 {
-	p->refused += CALL_WEIGHT * ((refused ? 1 : 0) - p->refused);
+	p->refused += CALL_SHARE_WEIGHT * ((refused ? 1 : 0) - p->refused);
 }
 
 /*
  * Returns how many calls a run makes at present.
  */
 static double
-now_per_run(const struct profile *p, uint32_t call)
+current_per_run(const struct profile *p, uint32_t call)
 {
 	return p->runs > 0 ? p->calls[call].count / p->runs : 0;
 }
@@ -99,34 +101,34 @@
  * were held; the last known means stay.
  */
 void
-profile_age(struct profile *p, uint32_t held, double seconds)
+profile_age(struct profile *p, uint32_t held_slots, double seconds)
 {
-	double keep = exp(-seconds / TIME_KEEP_S), now;
+	double decay = exp(-seconds / RUN_TIME_CONSTANT_S), current;
 	struct profile_call *c;
 	uint32_t i;
 
-	p->held_s += held * seconds;
-	if (p->ended >= ENDED_MIN || held > 0) {
-		p->held_s *= keep;
-		p->ended *= keep;
+	p->held_s += held_slots * seconds;
+	if (p->ended >= ENDED_RUNS_MIN || held_slots > 0) {
+		p->held_s *= decay;
+		p->ended *= decay;
 	}
-	if (p->runs < RUNS_KNOWN)
+	if (p->runs < KNOWN_RUNS_MIN)
 		return;
 	for (i = 0; i < p->call_count; i++) {
 		c = &p->calls[i];
-		now = now_per_run(p, i);
+		current = current_per_run(p, i);
 		if (c->usual <= 0)
-			c->usual = now;
-		else if (now > c->usual || p->refused < REFUSED_SOME)
-			c->usual +=
-			    (now - c->usual) * fmin(1, seconds / USUAL_KEEP_S);
+			c->usual = current;
+		else if (current > c->usual || p->refused < REFUSED_SHARE_MIN)
+			c->usual += (current - c->usual) *
+				    fmin(1, seconds / USUAL_TIME_CONSTANT_S);
 	}
-	keep = exp(-seconds / CALLS_KEEP_S);
-	if (p->runs * keep < RUNS_KNOWN)
+	decay = exp(-seconds / CALLS_TIME_CONSTANT_S);
+	if (p->runs * decay < KNOWN_RUNS_MIN)
 		return;
-	p->runs *= keep;
+	p->runs *= decay;
 	for (i = 0; i < p->call_count; i++)
-		p->calls[i].count *= keep;
+		p->calls[i].count *= decay;
 }
 
 /*
@@ -148,10 +150,11 @@
 double
 profile_per_run(const struct profile *p, uint32_t call)
 {
-	double now = now_per_run(p, call);
+	double current = current_per_run(p, call);
 
-	return p->refused < REFUSED_SOME ? now
-					 : fmax(now, p->calls[call].usual);
+	return p->refused < REFUSED_SHARE_MIN
+		   ? current
+		   : fmax(current, p->calls[call].usual);
 }
 
 /*
@@ -160,5 +163,5 @@
 int
 profile_known(const struct profile *p)
 {
-	return p->runs >= RUNS_KNOWN;
+	return p->runs >= KNOWN_RUNS_MIN;
 }
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -14,40 +14,40 @@
 #define STEP_S 0.1
 #define KINDS 3
 #define STEPS 300
-#define TOO_MUCH (1.02 / THROTTLE_TARGET) /* of the target */
-#define ROOTS_PER_S 3000.0		  /* callers ask for, without a surge */
-#define CALLS_MID 2.0
-#define CALLS_DEEP 4.0
-#define RETURN_STEPS 10	 /* until a refused caller comes back, once */
-#define BUSY_WEIGHT 0.33 /* of the newest in the load that is measured */
+#define OVERLOAD_TARGETS (1.02 / THROTTLE_TARGET) /* of the target */
+#define ROOTS_PER_S 3000.0 /* callers ask for, without a surge */
+#define MID_CALLS_PER_RUN 2.0
+#define DEEP_CALLS_PER_RUN 4.0
+#define RETRY_STEPS 10	 /* until a refused caller comes back, once */
+#define LOAD_WEIGHT 0.33 /* of the newest in the load that is measured */
 
 /* A kind of root request: its class, and its work at the bottleneck. */
-struct kind {
+struct request_kind {
 	uint32_t class;
 	double work; /* share of the bottleneck's slots, all let in */
 };
 
 /* A load on a service three calls deep, and what must come of it. */
-struct load {
+struct load_case {
 	const char *name;
-	struct kind kinds[KINDS];
+	struct request_kind kinds[KINDS];
 	double surge; /* times the load between these seconds */
-	double from_s, to_s;
-	double overload_max; /* share of time with too much, after 2 s */
-	double first_min;    /* share of class 0 that is let in on average */
-	double recovered_s;  /* all are let in so long after the surge */
-	double second_min;   /* share of class 1 */
-	double use_min;	     /* mean use of the bottleneck while surged */
+	double start_s, end_s;
+	double overload_share_max; /* share of time with too much, after 2 s */
+	double share0_min; /* share of class 0 that is let in on average */
+	double recovery_s; /* all are let in so long after the surge */
+	double share1_min; /* share of class 1 */
+	double use_min;	   /* mean use of the bottleneck while surge_steps */
 };
 
 /* What stands between a decision at the roots and the bottleneck. */
-struct fleet_size {
+struct fleet_case {
 	const char *name;
-	int delay_steps;  /* until a root request's calls arrive there */
-	int tell_steps;	  /* between two beats of a node */
-	double misjudged; /* a run costs so many times what servers tell */
-	int returns;	  /* refused callers come back, once */
-	int chained;	  /* exits refuse the calls of a chain alike */
+	int delay_steps;    /* until a root request's calls arrive there */
+	int report_steps;   /* between two beats of a node */
+	double cost_factor; /* a run costs so many times what servers tell */
+	int callers_retry;  /* refused callers come back, once */
+	int chained;	    /* exits refuse the calls of a chain alike */
 };
 
 /*
@@ -55,7 +55,7 @@
  * order makes four.  Metastable failure: once the surge is gone, so must the
  * cut be.
  */
-static const struct load loads[] = {
+static const struct load_case loads[] = {
 	{ "no overload", { { 0, 0.2 }, { 1, 0.1 }, { 2, 0.4 } }, 1, 0, 0, 0, 1,
 	    0, 1, 0 },
 	{ "surge of 1.8", { { 0, 0.25 }, { 1, 0.07 }, { 2, 0.5 } }, 1.8, 2, 20,
@@ -70,7 +70,7 @@
 	    0.1, 0.7 },
 };
 
-static const struct fleet_size sizes[] = {
+static const struct fleet_case fleets[] = {
 	{ "15 nodes", 6, 3, 1, 0, 0 },
 	{ "60 nodes", 12, 4, 1, 0, 0 },
 	{ "15 nodes, callers return", 6, 3, 1, 1, 0 },
@@ -85,7 +85,8 @@
 };
 
 static void
-add(struct throttle *t, int service, double slots, double run_s, double offered)
+add_server(
+    struct throttle *t, int service, double slots, double run_s, double offered)
 {
 	struct throttle_server s = { slots, run_s, offered, 0 };
 
@@ -93,17 +94,17 @@
 }
 
 /* What a run of a load showed. */
-struct seen {
-	double let_in[THROTTLE_CLASSES];
-	double overloaded;
+struct result {
+	double admitted[THROTTLE_CLASSES];
+	double overload_share;
 	double use;
-	double recovered_s;
+	double recovery_s;
 };
 
 /* A run: what callers ask for, and what arrives at the bottleneck. */
-struct world {
+struct simulation {
 	double shares[STEPS][KINDS];
-	double asked[STEPS][KINDS]; /* a second */
+	double requested[STEPS][KINDS]; /* a second */
 	double offered[STEPS];
 	struct demand demand;
 	struct throttle th;
@@ -115,107 +116,113 @@
  * come back once.
  */
 static void
-callers(struct world *w, const struct load *l, const struct fleet_size *f,
-    int step, double surge)
+simulate_callers(struct simulation *s, const struct load_case *l,
+    const struct fleet_case *f, int step, double surge)
 {
-	struct demand_row *row = demand_row(&w->demand, "catalogue");
-	double all = 0, fresh;
-	int back = step - RETURN_STEPS;
+	struct demand_row *row = demand_row(&s->demand, "catalogue");
+	double total = 0, new_per_s;
+	int earlier = step - RETRY_STEPS;
 	uint32_t k, class;
 
 	for (k = 0; k < KINDS; k++)
-		all += l->kinds[k].work;
+		total += l->kinds[k].work;
 	for (k = 0; k < KINDS; k++) {
 		class = l->kinds[k].class;
-		fresh = ROOTS_PER_S * surge * l->kinds[k].work / all;
-		w->shares[step][k] = throttle_share(&w->th, w->root, class);
-		w->asked[step][k] = fresh;
-		if (f->returns && back >= 0)
-			w->asked[step][k] += ROOTS_PER_S * l->kinds[k].work /
-					     all * (1 - w->shares[back][k]);
+		new_per_s = ROOTS_PER_S * surge * l->kinds[k].work / total;
+		s->shares[step][k] = throttle_share(&s->th, s->root, class);
+		s->requested[step][k] = new_per_s;
+		if (f->callers_retry && earlier >= 0)
+			s->requested[step][k] += ROOTS_PER_S *
+						 l->kinds[k].work / total *
+						 (1 - s->shares[earlier][k]);
 		row->counts[class].asked +=
-		    (uint32_t)(w->asked[step][k] * STEP_S);
+		    (uint32_t)(s->requested[step][k] * STEP_S);
 	}
-	demand_age(&w->demand, STEP_S);
+	demand_age(&s->demand, STEP_S);
 }
 
 /*
  * Returns the work at the bottleneck of a step, as a share of its slots.
  */
 static double
-work_at(const struct world *w, const struct load *l, int step)
+bottleneck_work(const struct simulation *s, const struct load_case *l, int step)
 {
-	double work = 0, all = 0;
+	double work = 0, total = 0;
 	uint32_t k;
 
 	for (k = 0; k < KINDS; k++)
-		all += l->kinds[k].work;
+		total += l->kinds[k].work;
 	for (k = 0; step >= 0 && k < KINDS; k++)
-		work +=
-		    w->asked[step][k] * w->shares[step][k] * all / ROOTS_PER_S;
+		work += s->requested[step][k] * s->shares[step][k] * total /
+			ROOTS_PER_S;
 	return work;
 }
 
 static void
-play(const struct load *l, const struct fleet_size *f, struct seen *seen)
+simulate(
+    const struct load_case *l, const struct fleet_case *f, struct result *r)
 {
-	static struct world w;
-	double surge, t, busy = 0, told[KINDS] = { 0 }, told_busy = 0, all = 0;
-	int step, mid, surged = 0;
+	static struct simulation s;
+	double surge, t, load = 0, reported[KINDS] = { 0 }, reported_load = 0,
+			 total = 0;
+	int step, mid, surge_steps = 0;
 	uint32_t k;
 
-	memset(&w, 0, sizeof(w));
-	throttle_init(&w.th);
-	w.th.chained = f->chained;
-	demand_init(&w.demand);
-	w.root = throttle_service(&w.th, "catalogue");
-	mid = throttle_service(&w.th, "artwork");
-	w.deep = throttle_service(&w.th, "pricing");
-	throttle_calls(&w.th, w.root, mid, CALLS_MID);
-	throttle_calls(&w.th, mid, w.deep, CALLS_DEEP);
+	memset(&s, 0, sizeof(s));
+	throttle_init(&s.th);
+	s.th.chained = f->chained;
+	demand_init(&s.demand);
+	s.root = throttle_service(&s.th, "catalogue");
+	mid = throttle_service(&s.th, "artwork");
+	s.deep = throttle_service(&s.th, "pricing");
+	throttle_calls(&s.th, s.root, mid, MID_CALLS_PER_RUN);
+	throttle_calls(&s.th, mid, s.deep, DEEP_CALLS_PER_RUN);
 	for (k = 0; k < KINDS; k++)
-		all += l->kinds[k].work;
-	*seen = (struct seen){ { 0 }, 0, 0, 0 };
+		total += l->kinds[k].work;
+	*r = (struct result){ { 0 }, 0, 0, 0 };
 	for (step = 0; step < STEPS; step++) {
 		t = step * STEP_S;
-		surge = t >= l->from_s && t < l->to_s ? l->surge : 1;
-		callers(&w, l, f, step, surge);
-		w.offered[step] = work_at(&w, l, step - f->delay_steps);
-		busy += BUSY_WEIGHT * (w.offered[step] - busy);
-		if (step % f->tell_steps == 0) {
+		surge = t >= l->start_s && t < l->end_s ? l->surge : 1;
+		simulate_callers(&s, l, f, step, surge);
+		s.offered[step] = bottleneck_work(&s, l, step - f->delay_steps);
+		load += LOAD_WEIGHT * (s.offered[step] - load);
+		if (step % f->report_steps == 0) {
 			for (k = 0; k < KINDS; k++)
-				told[k] = demand_per_s(
-				    demand_row(&w.demand, "catalogue"),
+				reported[k] = demand_per_s(
+				    demand_row(&s.demand, "catalogue"),
 				    l->kinds[k].class);
-			told_busy = busy;
+			reported_load = load;
 		}
-		throttle_begin(&w.th);
+		throttle_begin(&s.th);
 		for (k = 0; k < KINDS; k++)
 			throttle_demand(
-			    &w.th, w.root, l->kinds[k].class, told[k]);
+			    &s.th, s.root, l->kinds[k].class, reported[k]);
 		/* One slot: its runs a second are those of all work. */
-		add(&w.th, w.deep, 1,
-		    all / (ROOTS_PER_S * CALLS_MID * CALLS_DEEP) / f->misjudged,
-		    told_busy);
-		throttle_step(&w.th, STEP_S);
-		if (surge > 1 && t >= l->from_s + 2) {
-			surged++;
-			seen->overloaded +=
-			    w.offered[step] > throttle_target(&w.th) * TOO_MUCH;
-			seen->use += w.offered[step] < 1 ? w.offered[step] : 1;
+		add_server(&s.th, s.deep, 1,
+		    total /
+			(ROOTS_PER_S * MID_CALLS_PER_RUN * DEEP_CALLS_PER_RUN) /
+			f->cost_factor,
+		    reported_load);
+		throttle_step(&s.th, STEP_S);
+		if (surge > 1 && t >= l->start_s + 2) {
+			surge_steps++;
+			r->overload_share +=
+			    s.offered[step] >
+			    throttle_target(&s.th) * OVERLOAD_TARGETS;
+			r->use += s.offered[step] < 1 ? s.offered[step] : 1;
 			for (k = 0; k < KINDS; k++)
-				seen->let_in[l->kinds[k].class] +=
-				    w.shares[step][k];
+				r->admitted[l->kinds[k].class] +=
+				    s.shares[step][k];
 		}
-		if (t >= l->to_s && w.shares[step][KINDS - 1] < 0.99)
-			seen->recovered_s = t - l->to_s;
+		if (t >= l->end_s && s.shares[step][KINDS - 1] < 0.99)
+			r->recovery_s = t - l->end_s;
 	}
-	if (surged == 0)
-		surged = 1;
-	seen->overloaded /= surged;
-	seen->use /= surged;
+	if (surge_steps == 0)
+		surge_steps = 1;
+	r->overload_share /= surge_steps;
+	r->use /= surge_steps;
 	for (k = 0; k < THROTTLE_CLASSES; k++)
-		seen->let_in[k] /= surged;
+		r->admitted[k] /= surge_steps;
 }
 
 /*
@@ -223,29 +230,31 @@
  * and return are load, too: recovery is counted from their end.
  */
 static void
-check(const struct load *l, const struct fleet_size *f, const struct seen *s)
+check_result(const struct load_case *l, const struct fleet_case *f,
+    const struct result *s)
 {
 	double mean = 0, work = 0;
 	uint32_t k;
 
-	assert_true(s->overloaded <= l->overload_max);
-	assert_true(s->recovered_s - (f->returns ? RETURN_STEPS * STEP_S : 0) <=
-		    l->recovered_s);
+	assert_true(s->overload_share <= l->overload_share_max);
+	assert_true(
+	    s->recovery_s - (f->callers_retry ? RETRY_STEPS * STEP_S : 0) <=
+	    l->recovery_s);
 	if (l->surge <= 1)
 		return;
 	assert_true(s->use >= l->use_min);
 	/* Starvation: a quarter of the mean is the least. */
 	for (k = 0; k < KINDS; k++) {
-		mean += l->kinds[k].work * s->let_in[l->kinds[k].class];
+		mean += l->kinds[k].work * s->admitted[l->kinds[k].class];
 		work += l->kinds[k].work;
 	}
 	for (k = 0; k < KINDS; k++)
-		assert_true(s->let_in[k] >= mean / work / 4);
+		assert_true(s->admitted[k] >= mean / work / 4);
 	/* Priority inversion: never more of a less important class. */
-	assert_true(s->let_in[0] + 0.001 >= s->let_in[1]);
-	assert_true(s->let_in[1] + 0.001 >= s->let_in[2]);
-	assert_true(s->let_in[0] >= l->first_min);
-	assert_true(s->let_in[1] >= l->second_min);
+	assert_true(s->admitted[0] + 0.001 >= s->admitted[1]);
+	assert_true(s->admitted[1] + 0.001 >= s->admitted[2]);
+	assert_true(s->admitted[0] >= l->share0_min);
+	assert_true(s->admitted[1] >= l->share1_min);
 }
 
 /*
@@ -253,22 +262,23 @@
  * first, and all are let in again soon after.
  */
 static void
-test_loads(void **state)
+test_overload_cuts_least_important_first(void **state)
 {
-	struct seen s;
+	struct result s;
 	size_t i, j;
 
 	(void)state;
-	for (j = 0; j < sizeof(sizes) / sizeof(sizes[0]); j++) {
-		print_message("%s\n", sizes[j].name);
+	for (j = 0; j < sizeof(fleets) / sizeof(fleets[0]); j++) {
+		print_message("%s\n", fleets[j].name);
 		for (i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
-			play(&loads[i], &sizes[j], &s);
+			simulate(&loads[i], &fleets[j], &s);
 			print_message("%-34s overloaded %.2f use %.2f first "
 				      "%.2f second %.2f third %.2f recovered "
 				      "%.1f s\n",
-			    loads[i].name, s.overloaded, s.use, s.let_in[0],
-			    s.let_in[1], s.let_in[2], s.recovered_s);
-			check(&loads[i], &sizes[j], &s);
+			    loads[i].name, s.overload_share, s.use,
+			    s.admitted[0], s.admitted[1], s.admitted[2],
+			    s.recovery_s);
+			check_result(&loads[i], &fleets[j], &s);
 		}
 	}
 }
@@ -278,7 +288,7 @@
  * fail alike, none is kept away.
  */
 static void
-test_grey(void **state)
+test_failing_server_loses_capacity(void **state)
 {
 	static const struct {
 		double failing[3];
@@ -316,7 +326,7 @@
  * A service that a tree doesn't reach costs it nothing.
  */
 static void
-test_reach(void **state)
+test_unreached_service_limits_nothing(void **state)
 {
 	struct throttle th;
 	int a, b, c, i;
@@ -333,7 +343,7 @@
 		throttle_demand(&th, a, 3, 100);
 		throttle_demand(&th, b, 3, 100);
 		throttle_demand(&th, c, 3, 100);
-		add(&th, b, 10, 0.1, 2);
+		add_server(&th, b, 10, 0.1, 2);
 		throttle_step(&th, STEP_S);
 	}
 	assert_true(throttle_share(&th, a, 3) < 0.5);
@@ -346,7 +356,7 @@
  * first, and none to nothing.
  */
 static void
-test_classes(void **state)
+test_class_shares_by_capacity(void **state)
 {
 	static const struct {
 		double room; /* runs a second, where 100 of each are wanted */
@@ -371,7 +381,7 @@
 		throttle_begin(&th);
 		for (k = 0; k < THROTTLE_CLASSES; k++)
 			throttle_demand(&th, a, k, 100);
-		add(&th, a, rows[i].room / 10, 0.1, 0.9);
+		add_server(&th, a, rows[i].room / 10, 0.1, 0.9);
 		throttle_step(&th, STEP_S);
 		for (k = 0; k < THROTTLE_CLASSES; k++) {
 			share = throttle_share(&th, a, k);
@@ -386,10 +396,10 @@
  * as the servers that make calls tell.
  */
 static void
-test_chained(void **state)
+test_target_follows_chained_share(void **state)
 {
 	static const struct {
-		double told[2]; /* by two servers in turn */
+		double reported[2]; /* by two servers in turn */
 		double least, most;
 	} rows[] = {
 		{ { 0, 0 }, THROTTLE_TARGET, THROTTLE_TARGET },
@@ -405,7 +415,7 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		throttle_init(&th);
 		for (n = 0; n < 200; n++)
-			throttle_chained(&th, rows[i].told[n % 2]);
+			throttle_chained(&th, rows[i].reported[n % 2]);
 		assert_true(throttle_target(&th) >= rows[i].least);
 		assert_true(throttle_target(&th) <= rows[i].most);
 	}
@@ -416,7 +426,7 @@
  * takes off the other is not taken twice.
  */
 static void
-test_two(void **state)
+test_two_bottlenecks(void **state)
 {
 	struct throttle th;
 	int a, b, c;
@@ -430,8 +440,8 @@
 	throttle_calls(&th, a, c, 1);
 	throttle_begin(&th);
 	throttle_demand(&th, a, 0, 100);
-	add(&th, b, 5, 0.1, 0.9); /* has room for half */
-	add(&th, c, 8, 0.1, 0.4); /* for four fifths */
+	add_server(&th, b, 5, 0.1, 0.9); /* has room for half */
+	add_server(&th, c, 8, 0.1, 0.4); /* for four fifths */
 	throttle_step(&th, STEP_S);
 	assert_true(throttle_share(&th, a, 0) > 0.4);
 	assert_true(throttle_share(&th, a, 0) < 0.5);
@@ -443,7 +453,7 @@
  * More services than there is room for are let in without a limit.
  */
 static void
-test_full(void **state)
+test_service_table_full(void **state)
 {
 	struct throttle th;
 	char name[16];
@@ -464,14 +474,14 @@
  * first that is refused.
  */
 static void
-run(struct profile *p, int n, int calls, int refuse_every)
+simulate_runs(struct profile *p, int runs, int calls_per_run, int refuse_every)
 {
 	static int made;
 	int i, c, refused;
 
-	for (i = 0; i < n; i++) {
+	for (i = 0; i < runs; i++) {
 		profile_begin(p);
-		for (refused = c = 0; c < calls && !refused; c++) {
+		for (refused = c = 0; c < calls_per_run && !refused; c++) {
 			refused =
 			    refuse_every > 0 && ++made % refuse_every == 0;
 			profile_called(p, "pricing", 1);
@@ -487,7 +497,7 @@
  * of a slot: the run would make them all if there were room.
  */
 static void
-test_profile(void **state)
+test_profile_remembers_refused_calls(void **state)
 {
 	struct profile p;
 
@@ -495,16 +505,17 @@
 	profile_init(&p);
 	assert_false(profile_known(&p));
 	assert_true(profile_run_s(&p) <= 0);
-	run(&p, 300, 4, 0);
+	simulate_runs(&p, 300, 4, 0);
 	assert_true(profile_known(&p));
 	assert_true(profile_per_run(&p, 0) > 3.9);
 	assert_true(profile_per_run(&p, 0) < 4.1);
 	/* Little's law: 8 slots held, 100 runs ended a second. */
 	assert_true(profile_run_s(&p) > 0.075);
 	assert_true(profile_run_s(&p) < 0.085);
-	run(&p, 300, 4, 2); /* every second call is refused: two are made */
+	simulate_runs(
+	    &p, 300, 4, 2); /* every second call is refused: two are made */
 	assert_true(profile_per_run(&p, 0) > 3.7);
-	run(&p, 600, 1, 0); /* another mix, nothing refused */
+	simulate_runs(&p, 600, 1, 0); /* another mix, nothing refused */
 	assert_true(profile_per_run(&p, 0) < 1.2);
 }
 
@@ -514,7 +525,7 @@
  * Where no call's run is ever known, all calls count.
  */
 static void
-test_restart(void **state)
+test_profile_skips_unseen_runs(void **state)
 {
 	static const struct {
 		int known;
@@ -548,14 +559,14 @@
  * A server that stalls shows it before its runs have ended.
  */
 static void
-test_stall(void **state)
+test_profile_shows_stall(void **state)
 {
 	struct profile p;
 	int i;
 
 	(void)state;
 	profile_init(&p);
-	run(&p, 300, 0, 0);
+	simulate_runs(&p, 300, 0, 0);
 	for (i = 0; i < 100; i++)
 		profile_age(&p, 8, 0.01);
 	assert_true(profile_run_s(&p) > 0.12);
@@ -565,7 +576,7 @@
  * Demand counts what the throttle refuses, and not what is over its rate.
  */
 static void
-test_demand(void **state)
+test_demand_excludes_over_rate(void **state)
 {
 	struct demand_row *r;
 	struct demand d;
@@ -597,9 +608,9 @@
  * A rate comes through a byte with an error of a few in a hundred.
  */
 static void
-test_demand_code(void **state)
+test_demand_code_precision(void **state)
 {
-	double v, back;
+	double v, decoded;
 	int code, i;
 
 	(void)state;
@@ -612,9 +623,9 @@
 		    demand_code(demand_decode((uint8_t)code)), code);
 	for (i = 0; i < 1660; i++) {
 		v = 0.001 * pow(1.01, i); /* up to 15,000 */
-		back = demand_decode(demand_code(v));
-		assert_true(back >= v * 0.974 - 0.002);
-		assert_true(back <= v * 1.026 + 0.002);
+		decoded = demand_decode(demand_code(v));
+		assert_true(decoded >= v * 0.974 - 0.002);
+		assert_true(decoded <= v * 1.026 + 0.002);
 	}
 }
 
@@ -624,11 +635,11 @@
  * call it, nor while other nodes hear of a server, nor before it ever had one.
  */
 static void
-test_away(void **state)
+test_service_without_servers(void **state)
 {
 	static const struct {
-		int servers, unseen;
-		double needy_max, needy_min;
+		int servers, reported_elsewhere;
+		double heavy_max, heavy_min;
 	} rows[] = {
 		{ 0, 0, 1, 1 }, /* none was there yet */
 		{ 1, 0, 1, 1 },
@@ -637,30 +648,30 @@
 		{ 0, 0, 0.05, 0.01 },
 		{ 1, 0, 1, 1 },
 	};
-	int needy, rare, proofs;
+	int heavy, rare, proofs;
 	struct throttle t;
 	size_t i;
 
 	(void)state;
 	throttle_init(&t);
-	needy = throttle_service(&t, "catalogue");
+	heavy = throttle_service(&t, "catalogue");
 	rare = throttle_service(&t, "orders");
 	proofs = throttle_service(&t, "proofs");
-	throttle_calls(&t, needy, proofs, 2);
+	throttle_calls(&t, heavy, proofs, 2);
 	throttle_calls(&t, rare, proofs, 0.3);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		throttle_begin(&t);
-		add(&t, needy, 100, 0.1, 0.1);
-		add(&t, rare, 100, 0.1, 0.1);
+		add_server(&t, heavy, 100, 0.1, 0.1);
+		add_server(&t, rare, 100, 0.1, 0.1);
 		if (rows[i].servers)
-			add(&t, proofs, 100, 0.02, 0.1);
-		if (rows[i].unseen)
+			add_server(&t, proofs, 100, 0.02, 0.1);
+		if (rows[i].reported_elsewhere)
 			throttle_keep_open(&t, proofs);
-		throttle_demand(&t, needy, 1, 50);
+		throttle_demand(&t, heavy, 1, 50);
 		throttle_demand(&t, rare, 0, 50);
 		throttle_step(&t, STEP_S);
-		assert_true(throttle_share(&t, needy, 1) <= rows[i].needy_max);
-		assert_true(throttle_share(&t, needy, 1) >= rows[i].needy_min);
+		assert_true(throttle_share(&t, heavy, 1) <= rows[i].heavy_max);
+		assert_true(throttle_share(&t, heavy, 1) >= rows[i].heavy_min);
 		assert_true(throttle_share(&t, rare, 0) >= 1);
 		assert_true(throttle_share(&t, proofs, 2) >= 1);
 		assert_true(t.services[proofs].trim <= 1);
@@ -671,19 +682,19 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_loads),
-		cmocka_unit_test(test_grey),
-		cmocka_unit_test(test_reach),
-		cmocka_unit_test(test_classes),
-		cmocka_unit_test(test_chained),
-		cmocka_unit_test(test_two),
-		cmocka_unit_test(test_full),
-		cmocka_unit_test(test_profile),
-		cmocka_unit_test(test_restart),
-		cmocka_unit_test(test_stall),
-		cmocka_unit_test(test_away),
-		cmocka_unit_test(test_demand),
-		cmocka_unit_test(test_demand_code),
+		cmocka_unit_test(test_overload_cuts_least_important_first),
+		cmocka_unit_test(test_failing_server_loses_capacity),
+		cmocka_unit_test(test_unreached_service_limits_nothing),
+		cmocka_unit_test(test_class_shares_by_capacity),
+		cmocka_unit_test(test_target_follows_chained_share),
+		cmocka_unit_test(test_two_bottlenecks),
+		cmocka_unit_test(test_service_table_full),
+		cmocka_unit_test(test_profile_remembers_refused_calls),
+		cmocka_unit_test(test_profile_skips_unseen_runs),
+		cmocka_unit_test(test_profile_shows_stall),
+		cmocka_unit_test(test_service_without_servers),
+		cmocka_unit_test(test_demand_excludes_over_rate),
+		cmocka_unit_test(test_demand_code_precision),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -4,43 +4,52 @@
 
 #include "throttle/throttle.h"
 
-#define TRIM_PER_S 0.7	    /* correction for each unit of misjudged load */
-#define TRIM_ERROR_MAX 0.25 /* more is a surge, which is no misjudging */
-#define TRIM_AFTER_S 1.0    /* until a cut at the roots shows deep in a tree */
-#define TRIM_MIN 0.5
-#define TRIM_MAX 1.3
-#define FORGET_PER_S 0.2   /* of the correction, where nothing is cut */
-#define FLOOR_OF_MEAN 0.32 /* a class's least share, of the mean of all */
-#define FLOOR_MIN 0.03
-#define FLOOR_MAX 0.22
-#define FLOOR_ROUNDS 4	    /* until the floor and the mean fit */
-#define REACHES 0.05	    /* calls for each run that count as reaching */
-#define CHAINED_WEIGHT 0.05 /* of the newest word on calls of chains */
-#define CALLS_WEIGHT 0.2    /* of the newest word on calls for each run */
-#define AVOIDED 3.0	    /* part of a server for each share that fails */
-#define DEPTH_MAX 20	    /* of a tree of calls; ends cycles */
+#define CORRECTION_PER_S 0.7 /* correction for each unit of misjudged load */
+#define CORRECTION_ERROR_MAX 0.25 /* more is a surge, which is no misjudging \
+				   */
+#define CORRECTION_DELAY_S \
+	1.0 /* until a cut at the roots shows deep in a tree */
+#define CAPACITY_FACTOR_MIN 0.5
+#define CAPACITY_FACTOR_MAX 1.3
+#define CORRECTION_DECAY_PER_S 0.2 /* of the correction, where nothing is cut \
+				    */
+#define SHARE_FLOOR_OF_MEAN 0.32 /* a class's least share, of the mean of all \
+				  */
+#define SHARE_FLOOR_MIN 0.03
+#define SHARE_FLOOR_MAX 0.22
+#define SHARE_FLOOR_ROUNDS 4 /* until the floor and the mean fit */
+#define REACHED_RUNS_PER_ROOT \
+	0.05 /* calls for each run that count as reaching */
+#define CHAINED_REPORT_WEIGHT 0.05 /* of the newest word on calls of chains */
+#define CALLS_REPORT_WEIGHT 0.2 /* of the newest word on calls for each run */
+#define AVOIDANCE_PER_FAILURE \
+	3.0		  /* part of a server for each share that fails */
+#define CALL_DEPTH_MAX 20 /* of a tree of calls; ends cycles */
 
 /*
  * Calls for each run from which it is taken to need the service that it calls:
  * with fewer, more is served by letting all in than is lost by those that fail.
  */
-#define NEEDS 0.75
+#define REQUIRED_RUNS_PER_ROOT 0.75
 
 /* What arrives at one service, by class and by where its root goes. */
 struct arrivals {
-	double per_root[THROTTLE_SERVICES]; /* for a root at each service */
-	double runs[THROTTLE_CLASSES];	    /* a second */
-	double roots[THROTTLE_CLASSES];	    /* a second, that reach it */
+	double
+	    runs_per_root[THROTTLE_SERVICES]; /* for a root at each service */
+	double runs_per_s[THROTTLE_CLASSES];  /* a second */
+	double roots_per_s[THROTTLE_CLASSES]; /* a second, that reach it */
 };
 
-static void spread(const struct throttle *, double *);
-static void arrivals_at(const struct throttle *, int, struct arrivals *);
-static void class_shares(const struct arrivals *, double, double, double *);
-static void limit(struct throttle *, int);
-static void close_roots(struct throttle *, int);
-static void adjust_trim(struct throttle_service *, double, double);
-static int worst(struct throttle *, const int *);
-static double room(const struct throttle *, const struct throttle_service *);
+static void compute_runs(const struct throttle *, double *);
+static void compute_arrivals(const struct throttle *, int, struct arrivals *);
+static void compute_class_shares(
+    const struct arrivals *, double, double, double *);
+static void limit_service(struct throttle *, int);
+static void restrict_roots(struct throttle *, int);
+static void adjust_capacity_factor(struct throttle_service *, double, double);
+static int most_overloaded(struct throttle *, const int *);
+static double max_runs_per_s(
+    const struct throttle *, const struct throttle_service *);
 
 /*
  * Prepares a throttle that knows no service.
@@ -94,7 +103,8 @@
 		s->calls[i].service = to;
 		s->calls[i].per_run = per_run;
 	}
-	s->calls[i].per_run += CALLS_WEIGHT * (per_run - s->calls[i].per_run);
+	s->calls[i].per_run +=
+	    CALLS_REPORT_WEIGHT * (per_run - s->calls[i].per_run);
 }
 
 /*
@@ -104,7 +114,7 @@
 void
 throttle_chained(struct throttle *t, double share)
 {
-	t->chained += CHAINED_WEIGHT * (share - t->chained);
+	t->chained += CHAINED_REPORT_WEIGHT * (share - t->chained);
 }
 
 /*
@@ -153,18 +163,18 @@
  */
 void
 throttle_server(
-    struct throttle *t, int service, const struct throttle_server *m)
+    struct throttle *t, int service, const struct throttle_server *server)
 {
 	struct throttle_service *s = &t->services[service];
-	double more = fmax(0, m->failing - s->soundest);
+	double excess = fmax(0, server->failing - s->soundest);
 
 	s->had_servers = s->keep_open = 1;
-	s->slots += m->slots;
-	s->offered += m->offered * m->slots;
-	s->soundest_now = fmin(s->soundest_now, m->failing);
-	if (m->run_s > 0)
-		s->runs_per_s +=
-		    m->slots / m->run_s * fmax(0, 1 - AVOIDED * more);
+	s->slots += server->slots;
+	s->offered += server->offered * server->slots;
+	s->soundest_now = fmin(s->soundest_now, server->failing);
+	if (server->run_s > 0)
+		s->runs_per_s += server->slots / server->run_s *
+				 fmax(0, 1 - AVOIDANCE_PER_FAILURE * excess);
 }
 
 /*
@@ -182,7 +192,7 @@
  * that isn't known.
  */
 static double
-room(const struct throttle *t, const struct throttle_service *s)
+max_runs_per_s(const struct throttle *t, const struct throttle_service *s)
 {
 	return throttle_target(t) * s->trim * s->runs_per_s;
 }
@@ -192,20 +202,21 @@
  * while it was the limit.
  */
 static void
-adjust_trim(struct throttle_service *s, double target, double seconds)
+adjust_capacity_factor(
+    struct throttle_service *s, double target, double seconds)
 {
-	double off = fmax(
-	    -TRIM_ERROR_MAX, fmin(TRIM_ERROR_MAX, s->offered / target - 1));
+	double error = fmax(-CORRECTION_ERROR_MAX,
+	    fmin(CORRECTION_ERROR_MAX, s->offered / target - 1));
 
-	if (s->limits || off > 0) {
+	if (s->limits || error > 0) {
 		s->bound_s += seconds;
-		if (s->bound_s > TRIM_AFTER_S)
-			s->trim *= exp(-TRIM_PER_S * off * seconds);
+		if (s->bound_s > CORRECTION_DELAY_S)
+			s->trim *= exp(-CORRECTION_PER_S * error * seconds);
 	} else {
 		s->bound_s = 0;
-		s->trim += (1 - s->trim) * FORGET_PER_S * seconds;
+		s->trim += (1 - s->trim) * CORRECTION_DECAY_PER_S * seconds;
 	}
-	s->trim = fmax(TRIM_MIN, fmin(TRIM_MAX, s->trim));
+	s->trim = fmax(CAPACITY_FACTOR_MIN, fmin(CAPACITY_FACTOR_MAX, s->trim));
 }
 
 /*
@@ -213,11 +224,11 @@
  * shares: of root requests, and of what these call, level by level.
  */
 static void
-spread(const struct throttle *t, double *runs)
+compute_runs(const struct throttle *t, double *runs_per_s)
 {
 	double level[THROTTLE_SERVICES], next[THROTTLE_SERVICES];
 	const struct throttle_service *s;
-	double more = 1;
+	double total = 1;
 	uint32_t i, k, depth;
 
 	for (i = 0; i < t->count; i++) {
@@ -225,9 +236,9 @@
 		for (k = 0; k < THROTTLE_CLASSES; k++)
 			level[i] +=
 			    t->services[i].demand[k] * t->services[i].share[k];
-		runs[i] = level[i];
+		runs_per_s[i] = level[i];
 	}
-	for (depth = 0; depth < DEPTH_MAX && more > 0; depth++) {
+	for (depth = 0; depth < CALL_DEPTH_MAX && total > 0; depth++) {
 		memset(next, 0, sizeof(next));
 		for (i = 0; i < t->count; i++) {
 			s = &t->services[i];
@@ -235,10 +246,10 @@
 				next[s->calls[k].service] +=
 				    level[i] * s->calls[k].per_run;
 		}
-		for (more = 0, i = 0; i < t->count; i++) {
+		for (total = 0, i = 0; i < t->count; i++) {
 			level[i] = next[i];
-			runs[i] += next[i];
-			more += next[i];
+			runs_per_s[i] += next[i];
+			total += next[i];
 		}
 	}
 }
@@ -248,37 +259,37 @@
  * what arrives there by class.
  */
 static void
-arrivals_at(const struct throttle *t, int to, struct arrivals *a)
+compute_arrivals(const struct throttle *t, int service, struct arrivals *a)
 {
 	double level[THROTTLE_SERVICES] = { 0 }, next[THROTTLE_SERVICES];
 	const struct throttle_service *s;
-	double more = 1;
+	double total = 1;
 	uint32_t i, k, depth;
 
 	memset(a, 0, sizeof(*a));
-	level[to] = 1;
-	a->per_root[to] = 1;
-	for (depth = 0; depth < DEPTH_MAX && more > 0; depth++) {
-		for (more = 0, i = 0; i < t->count; i++) {
+	level[service] = 1;
+	a->runs_per_root[service] = 1;
+	for (depth = 0; depth < CALL_DEPTH_MAX && total > 0; depth++) {
+		for (total = 0, i = 0; i < t->count; i++) {
 			s = &t->services[i];
 			for (next[i] = 0, k = 0; k < s->call_count; k++)
 				next[i] += s->calls[k].per_run *
 					   level[s->calls[k].service];
-			more += next[i];
+			total += next[i];
 		}
 		for (i = 0; i < t->count; i++) {
 			level[i] = next[i];
-			a->per_root[i] += next[i];
+			a->runs_per_root[i] += next[i];
 		}
 	}
 	for (i = 0; i < t->count; i++) {
 		s = &t->services[i];
-		if (a->per_root[i] < REACHES)
+		if (a->runs_per_root[i] < REACHED_RUNS_PER_ROOT)
 			continue;
 		for (k = 0; k < THROTTLE_CLASSES; k++) {
-			a->roots[k] += s->demand[k] * s->share[k];
-			a->runs[k] +=
-			    s->demand[k] * s->share[k] * a->per_root[i];
+			a->roots_per_s[k] += s->demand[k] * s->share[k];
+			a->runs_per_s[k] +=
+			    s->demand[k] * s->share[k] * a->runs_per_root[i];
 		}
 	}
 }
@@ -288,21 +299,23 @@
  * important ones first, and of each at least the floor.
  */
 static void
-class_shares(const struct arrivals *a, double runs, double floor, double *share)
+compute_class_shares(const struct arrivals *a, double runs_per_s,
+    double share_floor, double *share)
 {
-	double left = runs, more;
+	double remaining = runs_per_s, extra;
 	uint32_t k;
 
 	for (k = 0; k < THROTTLE_CLASSES; k++)
-		left -= floor * a->runs[k];
+		remaining -= share_floor * a->runs_per_s[k];
 	for (k = 0; k < THROTTLE_CLASSES; k++) {
-		more = (1 - floor) * a->runs[k];
+		extra = (1 - share_floor) * a->runs_per_s[k];
 		share[k] = 1;
-		if (left <= 0)
-			share[k] = floor;
-		else if (more > left)
-			share[k] = floor + (1 - floor) * left / more;
-		left -= more;
+		if (remaining <= 0)
+			share[k] = share_floor;
+		else if (extra > remaining)
+			share[k] =
+			    share_floor + (1 - share_floor) * remaining / extra;
+		remaining -= extra;
 	}
 }
 
@@ -312,29 +325,33 @@
  * mean share.
  */
 static void
-limit(struct throttle *t, int at)
+limit_service(struct throttle *t, int service)
 {
-	struct throttle_service *s = &t->services[at];
-	double share[THROTTLE_CLASSES], floor = FLOOR_MAX, roots, let_in;
+	struct throttle_service *s = &t->services[service];
+	double share[THROTTLE_CLASSES], share_floor = SHARE_FLOOR_MAX, roots,
+					admitted;
 	struct arrivals a;
 	uint32_t i, k, round;
 
-	arrivals_at(t, at, &a);
-	for (round = 0; round < FLOOR_ROUNDS; round++) {
-		class_shares(&a, room(t, s), floor, share);
-		for (roots = let_in = 0, k = 0; k < THROTTLE_CLASSES; k++) {
-			roots += a.roots[k];
-			let_in += a.roots[k] * share[k];
+	compute_arrivals(t, service, &a);
+	for (round = 0; round < SHARE_FLOOR_ROUNDS; round++) {
+		compute_class_shares(
+		    &a, max_runs_per_s(t, s), share_floor, share);
+		for (roots = admitted = 0, k = 0; k < THROTTLE_CLASSES; k++) {
+			roots += a.roots_per_s[k];
+			admitted += a.roots_per_s[k] * share[k];
 		}
 		if (roots <= 0)
 			return;
-		floor = fmax(
-		    FLOOR_MIN, fmin(FLOOR_MAX, FLOOR_OF_MEAN * let_in / roots));
+		share_floor = fmax(SHARE_FLOOR_MIN,
+		    fmin(SHARE_FLOOR_MAX,
+			SHARE_FLOOR_OF_MEAN * admitted / roots));
 	}
 	s->limits = 1;
 	memcpy(s->cut, share, sizeof(s->cut));
 	for (i = 0; i < t->count; i++)
-		for (k = 0; a.per_root[i] >= REACHES && k < THROTTLE_CLASSES;
+		for (k = 0; a.runs_per_root[i] >= REACHED_RUNS_PER_ROOT &&
+			    k < THROTTLE_CLASSES;
 		     k++)
 			t->services[i].share[k] *= share[k];
 }
@@ -344,21 +361,22 @@
  * servers: they would be run for nothing.  Those few show when it is back.
  */
 static void
-close_roots(struct throttle *t, int at)
+restrict_roots(struct throttle *t, int service)
 {
-	struct throttle_service *s = &t->services[at];
+	struct throttle_service *s = &t->services[service];
 	struct arrivals a;
 	uint32_t i, k;
 
-	arrivals_at(t, at, &a);
+	compute_arrivals(t, service, &a);
 	s->limits = 1;
 	for (k = 0; k < THROTTLE_CLASSES; k++)
-		s->cut[k] = FLOOR_MIN;
+		s->cut[k] = SHARE_FLOOR_MIN;
 	for (i = 0; i < t->count; i++)
-		for (k = 0; (int)i != at && a.per_root[i] >= NEEDS &&
+		for (k = 0; (int)i != service &&
+			    a.runs_per_root[i] >= REQUIRED_RUNS_PER_ROOT &&
 			    k < THROTTLE_CLASSES;
 		     k++)
-			t->services[i].share[k] *= FLOOR_MIN;
+			t->services[i].share[k] *= SHARE_FLOOR_MIN;
 }
 
 /*
@@ -366,24 +384,25 @@
  * the present shares, of those not yet done; -1 if there is none.
  */
 static int
-worst(struct throttle *t, const int *done)
+most_overloaded(struct throttle *t, const int *done)
 {
-	double runs[THROTTLE_SERVICES], over, most = 1;
+	double runs_per_s[THROTTLE_SERVICES], overload, highest = 1;
 	uint32_t i;
-	int at = -1;
+	int service = -1;
 
-	spread(t, runs);
+	compute_runs(t, runs_per_s);
 	for (i = 0; i < t->count; i++) {
 		if (done[i] || t->services[i].runs_per_s <= 0)
 			continue;
-		t->services[i].expected = runs[i] / t->services[i].runs_per_s;
-		over = runs[i] / room(t, &t->services[i]);
-		if (over <= most)
+		t->services[i].expected =
+		    runs_per_s[i] / t->services[i].runs_per_s;
+		overload = runs_per_s[i] / max_runs_per_s(t, &t->services[i]);
+		if (overload <= highest)
 			continue;
-		most = over;
-		at = (int)i;
+		highest = overload;
+		service = (int)i;
 	}
-	return at;
+	return service;
 }
 
 /*
@@ -395,13 +414,13 @@
 	int done[THROTTLE_SERVICES] = { 0 };
 	struct throttle_service *s;
 	uint32_t i, k;
-	int at;
+	int service;
 
 	for (i = 0; i < t->count; i++) {
 		s = &t->services[i];
 		if (s->slots > 0) {
 			s->offered /= s->slots;
-			adjust_trim(s, throttle_target(t), seconds);
+			adjust_capacity_factor(s, throttle_target(t), seconds);
 		}
 		s->limits = 0;
 		for (k = 0; k < THROTTLE_CLASSES; k++)
@@ -409,10 +428,10 @@
 	}
 	for (i = 0; i < t->count; i++)
 		if (t->services[i].had_servers && !t->services[i].keep_open)
-			close_roots(t, (int)i);
-	while ((at = worst(t, done)) >= 0) {
-		done[at] = 1;
-		limit(t, at);
+			restrict_roots(t, (int)i);
+	while ((service = most_overloaded(t, done)) >= 0) {
+		done[service] = 1;
+		limit_service(t, service);
 	}
 }
 
