quota: rename private names to terms of the field

HOLD_MS, LOAN_MS, MS_US, turned, room and got are now TAKEOVER_DELAY_MS, GRANT_LIFETIME_MS, US_PER_MS, members_changed_ms, slot and granted; test functions name what they check.

--- a/src/quota/quota_owner.c
+++ b/src/quota/quota_owner.c
@@ -4,24 +4,25 @@
 
 #include "quota/quota.h"
 
-#define HOLD_MS 800	/* for a new owner, until the one before has stopped */
-#define LOAN_MS 500	/* after which a token counts as spent */
-#define FORGET_MS 10000 /* of a bucket that nobody asks for */
-#define MS_US 1000
-#define MILLI 1000.0
-#define TOKEN_NT INT64_C(1000000000) /* the unit of a bucket's level */
+#define TAKEOVER_DELAY_MS \
+	800 /* for a new owner, until the one before has stopped */
+#define GRANT_LIFETIME_MS 500 /* after which a token counts as spent */
+#define BUCKET_IDLE_MS 10000  /* of a bucket that nobody asks for */
+#define US_PER_MS 1000
+#define MILLITOKENS_PER_TOKEN 1000.0
+#define NT_PER_TOKEN INT64_C(1000000000) /* the unit of a bucket's level */
 
-static void share_of(const struct quota_limit *, struct limits_share *);
-static struct quota_bucket *bucket_of(struct quota_owner *, uint64_t,
+static void limit_to_share(const struct quota_limit *, struct limits_share *);
+static struct quota_bucket *find_bucket(struct quota_owner *, uint64_t,
     const struct limits_share *, uint64_t, uint64_t);
 
 /*
  * Puts a limit into the units of buckets; a burst of none would admit nothing.
  */
 static void
-share_of(const struct quota_limit *limit, struct limits_share *share)
+limit_to_share(const struct quota_limit *limit, struct limits_share *share)
 {
-	share->rate_mt = (uint64_t)(limit->rate * MILLI);
+	share->rate_mt = (uint64_t)(limit->rate * MILLITOKENS_PER_TOKEN);
 	share->burst = limit->burst > 0 ? limit->burst : 1;
 }
 
@@ -70,37 +71,38 @@
  * what an owner before may have lent within the window.
  */
 static struct quota_bucket *
-bucket_of(struct quota_owner *o, uint64_t ws, const struct limits_share *share,
-    uint64_t turned, uint64_t now)
+find_bucket(struct quota_owner *o, uint64_t ws,
+    const struct limits_share *share, uint64_t members_changed_ms,
+    uint64_t now_ms)
 {
-	struct quota_bucket *b, *room = NULL;
+	struct quota_bucket *b, *slot = NULL;
 	size_t i;
 
 	for (i = 0; i < o->count; i++) {
 		b = &o->list[i];
-		if (b->ws == ws && now - b->used_ms < FORGET_MS)
+		if (b->ws == ws && now_ms - b->used_ms < BUCKET_IDLE_MS)
 			return b;
 		if (b->ws == ws) {
 			quota_owner_drop(o, ws);
-			room = b;
+			slot = b;
 		} else if (b->ws == 0) {
-			room = b;
+			slot = b;
 		}
 	}
-	if (room == NULL && o->count == o->cap) {
+	if (slot == NULL && o->count == o->cap) {
 		o->cap = o->cap == 0 ? 8 : o->cap * 2;
 		o->list = reallocarray(o->list, o->cap, sizeof(*o->list));
 		if (o->list == NULL)
 			err(1, "out of memory");
 	}
-	if (room == NULL)
-		room = &o->list[o->count++];
-	memset(room, 0, sizeof(*room));
-	room->ws = ws;
-	room->since_ms = turned;
-	bucket_init(
-	    &room->bucket, share, now - turned > QUOTA_WINDOW_MS, now * MS_US);
-	return room;
+	if (slot == NULL)
+		slot = &o->list[o->count++];
+	memset(slot, 0, sizeof(*slot));
+	slot->ws = ws;
+	slot->since_ms = members_changed_ms;
+	bucket_init(&slot->bucket, share,
+	    now_ms - members_changed_ms > QUOTA_WINDOW_MS, now_ms * US_PER_MS);
+	return slot;
 }
 
 /*
@@ -109,19 +111,20 @@
  */
 void
 quota_owner_inherit(struct quota_owner *o, uint64_t ws,
-    const struct quota_limit *limit, uint32_t level, uint64_t now)
+    const struct quota_limit *limit, uint32_t level, uint64_t now_ms)
 {
 	struct quota_bucket *b;
 	struct limits_share share;
 
-	share_of(limit, &share);
+	limit_to_share(limit, &share);
 	quota_owner_drop(o, ws);
-	b = bucket_of(o, ws, &share, now, now);
-	b->since_ms = now > HOLD_MS ? now - HOLD_MS : 0;
-	b->used_ms = now;
+	b = find_bucket(o, ws, &share, now_ms, now_ms);
+	b->since_ms =
+	    now_ms > TAKEOVER_DELAY_MS ? now_ms - TAKEOVER_DELAY_MS : 0;
+	b->used_ms = now_ms;
 	if (level > share.burst)
 		level = share.burst;
-	b->bucket.level_nt = (int64_t)level * TOKEN_NT;
+	b->bucket.level_nt = (int64_t)level * NT_PER_TOKEN;
 }
 
 /*
@@ -131,25 +134,26 @@
  */
 struct quota_grant
 quota_owner_lend(struct quota_owner *o, uint64_t ws,
-    const struct quota_limit *limit, uint64_t id, uint32_t need, uint32_t want,
-    uint64_t turned, uint64_t now)
+    const struct quota_limit *limit, uint64_t id, uint32_t needed,
+    uint32_t wanted, uint64_t members_changed_ms, uint64_t now_ms)
 {
 	struct quota_grant g = { 0, 0, 0, 0 };
 	struct limits_share share;
 	struct quota_bucket *b;
 
-	share_of(limit, &share);
-	b = bucket_of(o, ws, &share, turned, now);
+	limit_to_share(limit, &share);
+	b = find_bucket(o, ws, &share, members_changed_ms, now_ms);
 	g.fresh = b->used_ms == 0;
-	b->used_ms = now;
-	if (now - b->since_ms < HOLD_MS)
+	b->used_ms = now_ms;
+	if (now_ms - b->since_ms < TAKEOVER_DELAY_MS)
 		return g;
-	bucket_resize(&b->bucket, &share, now * MS_US);
+	bucket_resize(&b->bucket, &share, now_ms * US_PER_MS);
 	g.owner = 1;
-	g.tokens = bucket_lend(
-	    &b->bucket, id, need, want, now * MS_US, (now + LOAN_MS) * MS_US);
+	g.tokens = bucket_lend(&b->bucket, id, needed, wanted,
+	    now_ms * US_PER_MS, (now_ms + GRANT_LIFETIME_MS) * US_PER_MS);
 	if (g.tokens == 0)
 		g.wait_ms =
-		    (uint32_t)(bucket_wait_us(&b->bucket, need) / MS_US) + 1;
+		    (uint32_t)(bucket_wait_us(&b->bucket, needed) / US_PER_MS) +
+		    1;
 	return g;
 }
--- a/src/quota/quota_stock.c
+++ b/src/quota/quota_stock.c
@@ -2,63 +2,66 @@
 
 #include "quota/quota.h"
 
-#define STOCK_MS 400	   /* a token that isn't used by then is given up */
-#define AHEAD_S 0.12	   /* of demand that is asked for at once */
-#define DEMAND_DECAY_S 1.0 /* time constant of the measured demand */
-#define OVER_MS 100	   /* no new ask after the owner had none, at most */
+#define TOKEN_LIFETIME_MS 400 /* a token that isn't used by then is given up \
+			       */
+#define PREFETCH_S 0.12	      /* of demand that is asked for at once */
+#define DEMAND_TIME_CONSTANT_S 1.0 /* time constant of the measured demand */
+#define REFUSAL_MS_MAX 100 /* no new ask after the owner had none, at most */
 #define MS_PER_S 1000.0
 
 /*
  * Takes a token for one request, or tells what to do without one.
  */
 enum quota_verdict
-quota_take(struct quota_stock *s, uint64_t now)
+quota_take(struct quota_stock *s, uint64_t now_ms)
 {
-	double gap = (double)(now - s->seen_ms) / MS_PER_S;
+	double gap_s = (double)(now_ms - s->seen_ms) / MS_PER_S;
 
-	s->per_s *= exp(-gap / DEMAND_DECAY_S);
-	s->per_s += 1 / DEMAND_DECAY_S;
-	s->seen_ms = now;
-	if (now >= s->expire_ms)
+	s->per_s *= exp(-gap_s / DEMAND_TIME_CONSTANT_S);
+	s->per_s += 1 / DEMAND_TIME_CONSTANT_S;
+	s->seen_ms = now_ms;
+	if (now_ms >= s->expire_ms)
 		s->tokens = 0;
 	if (s->tokens > 0) {
 		s->tokens--;
 		return QUOTA_TAKEN;
 	}
-	return now < s->refused_until_ms ? QUOTA_OVER : QUOTA_ASK;
+	return now_ms < s->refused_until_ms ? QUOTA_OVER : QUOTA_ASK;
 }
 
 /*
  * Computes what to ask for when so many requests wait for a token.
  */
 void
-quota_want(const struct quota_stock *s, uint32_t waiting, uint32_t *need,
-    uint32_t *want)
+quota_want(const struct quota_stock *s, uint32_t waiting, uint32_t *needed,
+    uint32_t *wanted)
 {
-	*need = waiting > 0 ? waiting : 1;
-	*want = *need + (uint32_t)(s->per_s * AHEAD_S);
+	*needed = waiting > 0 ? waiting : 1;
+	*wanted = *needed + (uint32_t)(s->per_s * PREFETCH_S);
 }
 
 /*
  * Takes the owner's answer.
  */
 void
-quota_receive(struct quota_stock *s, const struct quota_grant *g, uint64_t now)
+quota_receive(
+    struct quota_stock *s, const struct quota_grant *g, uint64_t now_ms)
 {
-	uint32_t wait = g->wait_ms < OVER_MS ? g->wait_ms : OVER_MS;
+	uint32_t wait_ms =
+	    g->wait_ms < REFUSAL_MS_MAX ? g->wait_ms : REFUSAL_MS_MAX;
 
 	s->ask_id = 0;
 	s->asks = 0;
 	if (!g->owner)
 		return;
 	if (g->tokens == 0) {
-		s->refused_until_ms = now + wait;
+		s->refused_until_ms = now_ms + wait_ms;
 		return;
 	}
-	if (now >= s->expire_ms)
+	if (now_ms >= s->expire_ms)
 		s->tokens = 0;
 	s->tokens += g->tokens;
-	s->expire_ms = now + STOCK_MS;
+	s->expire_ms = now_ms + TOKEN_LIFETIME_MS;
 	s->refused_until_ms = 0;
 }
 
@@ -66,12 +69,12 @@
  * Takes back the token of a request that didn't run.
  */
 void
-quota_return(struct quota_stock *s, uint64_t now)
+quota_return(struct quota_stock *s, uint64_t now_ms)
 {
-	if (now >= s->expire_ms)
+	if (now_ms >= s->expire_ms)
 		s->tokens = 0;
 	s->tokens++;
-	s->expire_ms = now + STOCK_MS;
+	s->expire_ms = now_ms + TOKEN_LIFETIME_MS;
 	s->refused_until_ms = 0;
 }
 
@@ -83,23 +86,23 @@
  */
 int
 quota_reserve(struct quota_stock *s, const struct quota_limit *limit,
-    double share, double constant, uint32_t nodes, uint64_t now)
+    double share, double constant, uint32_t nodes, uint64_t now_ms)
 {
-	double whole, part;
+	double total, node_part;
 
-	if (now - s->reserve_ms >= QUOTA_WINDOW_MS) {
+	if (now_ms - s->reserve_ms >= QUOTA_WINDOW_MS) {
 		s->reserve_before =
-		    now - s->reserve_ms < 2 * (uint64_t)QUOTA_WINDOW_MS
+		    now_ms - s->reserve_ms < 2 * (uint64_t)QUOTA_WINDOW_MS
 			? s->reserve_used
 			: 0;
 		s->reserve_used = 0;
-		s->reserve_ms = now;
+		s->reserve_ms = now_ms;
 	}
-	whole =
+	total =
 	    (limit->rate * QUOTA_WINDOW_MS / MS_PER_S + limit->burst) * share +
 	    constant;
-	part = floor(whole / nodes);
-	if (s->reserve_used + s->reserve_before + 1 > part)
+	node_part = floor(total / nodes);
+	if (s->reserve_used + s->reserve_before + 1 > node_part)
 		return 0;
 	s->reserve_used++;
 	return 1;
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -9,13 +9,13 @@
 #include "fleet/fleet.h"
 #include "quota/quota.h"
 
-#define SHARE 0.1
-#define CONSTANT 20.0
-#define WS 7
-#define RESTARTED 62
+#define TOLERANCE_SHARE 0.1
+#define TOLERANCE_TOKENS 20.0
+#define WORKSPACE 7
+#define RESTARTED_NODES 62
 #define NODES 15
 #define RUN_MS 30000
-#define LEN (RUN_MS + 1)
+#define SERIES_MS (RUN_MS + 1)
 
 static const struct quota_limit limit = { 40, 40 };
 
@@ -42,10 +42,11 @@
  * Returns what the limit allows within a window, with its tolerance.
  */
 static double
-allowed(const struct quota_limit *l)
+allowed_in_window(const struct quota_limit *l)
 {
-	return (l->rate * QUOTA_WINDOW_MS / 1000 + l->burst) * (1 + SHARE) +
-	       CONSTANT;
+	return (l->rate * QUOTA_WINDOW_MS / 1000 + l->burst) *
+		   (1 + TOLERANCE_SHARE) +
+	       TOLERANCE_TOKENS;
 }
 
 /*
@@ -54,13 +55,13 @@
  * window exceeds the limit, and most of it is used.
  */
 static void
-test_window(void **state)
+test_window_limit_across_owner_changes(void **state)
 {
-	static uint32_t per_ms[LEN];
+	static uint32_t per_ms[SERIES_MS];
 	struct quota_owner owners[2];
 	struct quota_stock stocks[NODES];
 	struct quota_grant g;
-	uint64_t now, turned = 0, id = 1;
+	uint64_t now, members_changed_ms = 0, id = 1;
 	uint32_t need, want, total = 0;
 	int owner = 0, n;
 
@@ -72,9 +73,9 @@
 		/* Owner 1 from 10 s on, nobody from 20 to 21 s, then 0. */
 		n = now < 20000 ? 0 : now < 30000 ? 1 : now < 31000 ? -1 : 0;
 		if (n != owner) {
-			quota_owner_drop(&owners[0], WS);
-			quota_owner_drop(&owners[1], WS);
-			turned = now;
+			quota_owner_drop(&owners[0], WORKSPACE);
+			quota_owner_drop(&owners[1], WORKSPACE);
+			members_changed_ms = now;
 			owner = n;
 		}
 		for (n = 0; n < NODES; n++) {
@@ -86,8 +87,9 @@
 			}
 			if (owner >= 0) {
 				quota_want(&stocks[n], 1, &need, &want);
-				g = quota_owner_lend(&owners[owner], WS, &limit,
-				    id++, need, want, turned, now);
+				g = quota_owner_lend(&owners[owner], WORKSPACE,
+				    &limit, id++, need, want,
+				    members_changed_ms, now);
 				quota_receive(&stocks[n], &g, now);
 				if (quota_take(&stocks[n], now) ==
 				    QUOTA_TAKEN) {
@@ -97,15 +99,17 @@
 				if (g.owner)
 					continue;
 			}
-			per_ms[now - 10000] += (uint32_t)quota_reserve(
-			    &stocks[n], &limit, SHARE, CONSTANT, NODES, now);
+			per_ms[now - 10000] +=
+			    (uint32_t)quota_reserve(&stocks[n], &limit,
+				TOLERANCE_SHARE, TOLERANCE_TOKENS, NODES, now);
 		}
 	}
-	for (n = 0; n < LEN; n++)
+	for (n = 0; n < SERIES_MS; n++)
 		total += per_ms[n];
 	print_message("worst window %u of %.0f, %u in 30 s at 40 a second\n",
-	    worst_window(per_ms, LEN), allowed(&limit), total);
-	assert_true(worst_window(per_ms, LEN) <= allowed(&limit));
+	    worst_window(per_ms, SERIES_MS), allowed_in_window(&limit), total);
+	assert_true(
+	    worst_window(per_ms, SERIES_MS) <= allowed_in_window(&limit));
 	assert_true(total > 40 * 30 * 0.85);
 	quota_owner_finish(&owners[0]);
 	quota_owner_finish(&owners[1]);
@@ -116,7 +120,7 @@
  * nodes get less than one of its requests a second.
  */
 static void
-test_small(void **state)
+test_low_rate_is_not_refused(void **state)
 {
 	static const struct quota_limit small = { 5, 5 };
 	struct quota_stock stocks[NODES];
@@ -136,7 +140,7 @@
 			continue;
 		quota_want(&stocks[n], 1, &need, &want);
 		g = quota_owner_lend(
-		    &owner, WS, &small, now, need, want, 0, now);
+		    &owner, WORKSPACE, &small, now, need, want, 0, now);
 		quota_receive(&stocks[n], &g, now);
 		refused += quota_take(&stocks[n], now) != QUOTA_TAKEN;
 	}
@@ -149,20 +153,20 @@
  * A repeated question gets the same tokens and takes no others.
  */
 static void
-test_repeat(void **state)
+test_repeated_request_gets_same_grant(void **state)
 {
 	struct quota_owner o;
 	struct quota_grant a, b;
 
 	(void)state;
 	quota_owner_init(&o);
-	a = quota_owner_lend(&o, WS, &limit, 1, 10, 10, 0, 10000);
-	b = quota_owner_lend(&o, WS, &limit, 1, 10, 10, 0, 10010);
+	a = quota_owner_lend(&o, WORKSPACE, &limit, 1, 10, 10, 0, 10000);
+	b = quota_owner_lend(&o, WORKSPACE, &limit, 1, 10, 10, 0, 10010);
 	assert_int_equal(a.tokens, 10);
 	assert_int_equal(b.tokens, 10);
-	b = quota_owner_lend(&o, WS, &limit, 2, 40, 40, 0, 10010);
+	b = quota_owner_lend(&o, WORKSPACE, &limit, 2, 40, 40, 0, 10010);
 	assert_int_equal(b.tokens, 30);
-	b = quota_owner_lend(&o, WS, &limit, 3, 1, 1, 0, 10011);
+	b = quota_owner_lend(&o, WORKSPACE, &limit, 3, 1, 1, 0, 10011);
 	assert_int_equal(b.tokens, 0);
 	assert_int_equal(b.owner, 1);
 	assert_true(b.wait_ms > 0);
@@ -173,16 +177,16 @@
  * A new owner holds back until the one before has surely stopped.
  */
 static void
-test_hold(void **state)
+test_new_owner_waits(void **state)
 {
 	struct quota_owner o;
 	struct quota_grant g;
 
 	(void)state;
 	quota_owner_init(&o);
-	g = quota_owner_lend(&o, WS, &limit, 1, 1, 1, 10000, 10100);
+	g = quota_owner_lend(&o, WORKSPACE, &limit, 1, 1, 1, 10000, 10100);
 	assert_int_equal(g.owner, 0);
-	g = quota_owner_lend(&o, WS, &limit, 2, 1, 1, 10000, 12000);
+	g = quota_owner_lend(&o, WORKSPACE, &limit, 2, 1, 1, 10000, 12000);
 	assert_int_equal(g.owner, 1);
 	assert_int_equal(g.tokens, 1);
 	quota_owner_finish(&o);
@@ -193,15 +197,15 @@
  * owner, which has a full bucket, for as long as it takes to notice.
  */
 static void
-test_overlap(void **state)
+test_window_limit_while_owners_overlap(void **state)
 {
 	static const struct quota_limit large = { 470, 470 };
-	static uint32_t per_ms[LEN];
+	static uint32_t per_ms[SERIES_MS];
 	struct quota_owner owners[2];
 	struct quota_grant g;
 	uint64_t now, id = 1;
 	uint32_t worst;
-	int at;
+	int owner;
 
 	(void)state;
 	quota_owner_init(&owners[0]);
@@ -209,19 +213,20 @@
 	memset(per_ms, 0, sizeof(per_ms));
 	for (now = 20000; now < 30000; now++) {
 		/* The owner changes at 20.5 s; the old one sees it at 21.3. */
-		for (at = 0; at < 2; at++) {
-			if (at == 0 && now >= 21300)
+		for (owner = 0; owner < 2; owner++) {
+			if (owner == 0 && now >= 21300)
 				continue;
-			if (at == 1 && now < 20500)
+			if (owner == 1 && now < 20500)
 				continue;
-			g = quota_owner_lend(&owners[at], WS, &large, id++, 5,
-			    5, at == 0 ? 0 : 20500, now);
+			g = quota_owner_lend(&owners[owner], WORKSPACE, &large,
+			    id++, 5, 5, owner == 0 ? 0 : 20500, now);
 			per_ms[now - 20000] += g.tokens;
 		}
 	}
-	worst = worst_window(per_ms, LEN);
-	print_message("worst window %u of %.0f\n", worst, allowed(&large));
-	assert_true(worst <= allowed(&large));
+	worst = worst_window(per_ms, SERIES_MS);
+	print_message(
+	    "worst window %u of %.0f\n", worst, allowed_in_window(&large));
+	assert_true(worst <= allowed_in_window(&large));
 	quota_owner_finish(&owners[0]);
 	quota_owner_finish(&owners[1]);
 }
@@ -230,22 +235,22 @@
  * A lowered limit holds from the next question on.
  */
 static void
-test_lowered(void **state)
+test_lowered_limit_applies_at_once(void **state)
 {
 	static const struct quota_limit low = { 2, 2 };
 	struct quota_owner o;
 	struct quota_grant g;
 	uint64_t now;
-	uint32_t got = 0;
+	uint32_t granted = 0;
 
 	(void)state;
 	quota_owner_init(&o);
-	quota_owner_lend(&o, WS, &limit, 1, 1, 1, 0, 10000);
+	quota_owner_lend(&o, WORKSPACE, &limit, 1, 1, 1, 0, 10000);
 	for (now = 10001; now < 15001; now += 10) {
-		g = quota_owner_lend(&o, WS, &low, now, 1, 1, 0, now);
-		got += g.tokens;
+		g = quota_owner_lend(&o, WORKSPACE, &low, now, 1, 1, 0, now);
+		granted += g.tokens;
 	}
-	assert_true(got <= 2 * 5 + 2);
+	assert_true(granted <= 2 * 5 + 2);
 	quota_owner_finish(&o);
 }
 
@@ -253,7 +258,7 @@
  * A token of a request that didn't run serves another.
  */
 static void
-test_return(void **state)
+test_returned_token_is_reused(void **state)
 {
 	struct quota_stock s;
 	struct quota_grant none = { 0, 50, 1, 0 };
@@ -273,38 +278,41 @@
  * nothing from the reserve, and together never more than it.
  */
 static void
-test_reserve_at_restart(void **state)
+test_reserve_at_fleet_restart(void **state)
 {
 	const struct quota_limit big = { 470, 470 };
-	static struct quota_stock stocks[RESTARTED];
-	uint32_t given = 0, n, i;
+	static struct quota_stock stocks[RESTARTED_NODES];
+	uint32_t granted = 0, n, i;
 
 	(void)state;
-	for (n = 0; n < RESTARTED; n++)
+	for (n = 0; n < RESTARTED_NODES; n++)
 		for (i = 0; i < 100; i++)
-			given += (uint32_t)quota_reserve(&stocks[n], &big,
-			    SHARE, CONSTANT, FLEET_SIZE_UNKNOWN, 20000 + i);
-	assert_int_equal(given, 0);
-	for (n = 0; n < RESTARTED; n++)
+			granted += (uint32_t)quota_reserve(&stocks[n], &big,
+			    TOLERANCE_SHARE, TOLERANCE_TOKENS,
+			    FLEET_SIZE_UNKNOWN, 20000 + i);
+	assert_int_equal(granted, 0);
+	for (n = 0; n < RESTARTED_NODES; n++)
 		for (i = 0; i < 100; i++)
-			given += (uint32_t)quota_reserve(&stocks[n], &big,
-			    SHARE, CONSTANT, RESTARTED, 20100 + i);
-	assert_true(given > 0);
-	assert_true(given <= (470 * 5 + 470) * SHARE + CONSTANT);
+			granted += (uint32_t)quota_reserve(&stocks[n], &big,
+			    TOLERANCE_SHARE, TOLERANCE_TOKENS, RESTARTED_NODES,
+			    20100 + i);
+	assert_true(granted > 0);
+	assert_true(
+	    granted <= (470 * 5 + 470) * TOLERANCE_SHARE + TOLERANCE_TOKENS);
 }
 
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_window),
-		cmocka_unit_test(test_small),
-		cmocka_unit_test(test_repeat),
-		cmocka_unit_test(test_hold),
-		cmocka_unit_test(test_overlap),
-		cmocka_unit_test(test_lowered),
-		cmocka_unit_test(test_return),
-		cmocka_unit_test(test_reserve_at_restart),
+		cmocka_unit_test(test_window_limit_across_owner_changes),
+		cmocka_unit_test(test_low_rate_is_not_refused),
+		cmocka_unit_test(test_repeated_request_gets_same_grant),
+		cmocka_unit_test(test_new_owner_waits),
+		cmocka_unit_test(test_window_limit_while_owners_overlap),
+		cmocka_unit_test(test_lowered_limit_applies_at_once),
+		cmocka_unit_test(test_returned_token_is_reused),
+		cmocka_unit_test(test_reserve_at_fleet_restart),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
