throttle: reword comments and test labels

Comments were chains of clauses in words private to the project (word, told, soundest, let in, for want of). They are now short sentences or noun phrases with meaning and unit; the reasons and figures behind constants stay. Five labels of test cases are reworded.

--- a/src/throttle/demand.c
+++ b/src/throttle/demand.c
@@ -4,20 +4,21 @@
 
 #include "throttle/demand.h"
 
-#define RATE_TIME_CONSTANT_S 0.3 /* time constant of the measured rates */
-#define IDLE_ROW_MAX 0.1 /* a row with less is used for another service */
+#define RATE_TIME_CONSTANT_S 0.3 /* of the exponential averages */
+/* A row whose rates and counts sum to less may be reused. */
+#define IDLE_ROW_MAX 0.1
 
 /*
- * Steps of a rate told to other nodes: 14 to a doubling, so that it is at most
- * 2.6 % off, from 0.004 to 19,000 a second.  As a number of four bytes, these
- * rates were half of what nodes send.
+ * Encoding of a rate for other nodes in one byte: 14 steps per doubling, with
+ * an error of at most 2.6 %, from 0.004 to 19,000 per second.  Encoded in four
+ * bytes, these rates made up half of the traffic between nodes.
  */
 #define CODE_STEPS_PER_DOUBLING 14.0
-#define CODE_UNIT_PER_S 0.0625 /* a second; below it steps are even */
+#define CODE_UNIT_PER_S 0.0625 /* below it, steps are linear */
 #define CODE_MAX 255.0
 
 /*
- * Begins without any demand.
+ * Initializes a table without demand.
  */
 void
 demand_init(struct demand *d)
@@ -26,7 +27,8 @@
 }
 
 /*
- * Returns the row of a service, or NULL if there are too many.
+ * Returns the row of a service, which may reuse an idle row, or NULL if the
+ * table is full.
  */
 struct demand_row *
 demand_row(struct demand *d, const char *service)
@@ -55,7 +57,7 @@
 }
 
 /*
- * Brings a rate up to now, after so many seconds with that count.
+ * Updates an exponential average by the count of the last step.
  */
 static void
 update_rate(double *per_s, uint32_t count, double old_weight, double seconds)
@@ -64,7 +66,7 @@
 }
 
 /*
- * Ends a step of so many seconds: what was counted goes into the rates.
+ * Ends a step of the given length: updates the rates and resets the counts.
  */
 void
 demand_age(struct demand *d, double seconds)
@@ -88,8 +90,8 @@
 }
 
 /*
- * Returns the requests of a class that are asked for each second and lie
- * within the rates of their workspaces.
+ * Returns the requests per second of a class that are within the rates of
+ * their workspaces.
  */
 double
 demand_per_s(const struct demand_row *r, uint32_t class)
@@ -103,7 +105,7 @@
 }
 
 /*
- * Returns a rate (a second) as a byte.
+ * Encodes a rate per second as a byte.
  */
 uint8_t
 demand_code(double per_s)
@@ -114,7 +116,7 @@
 }
 
 /*
- * Returns the rate (a second) that a byte stands for.
+ * Returns the rate per second that a byte encodes.
  */
 double
 demand_decode(uint8_t code)
--- a/src/throttle/demand.h
+++ b/src/throttle/demand.h
@@ -6,20 +6,21 @@
 #include "throttle/throttle.h"
 
 /*
- * The root requests that callers ask of one node, by service and class,
- * whether they are let in or not.  What is over its workspace's rate is no
- * demand.  Pure: no clock, no lock.
+ * Root requests that callers send to one node, by service and class, admitted
+ * or not.  Requests above the rate of their workspace don't count as demand.
+ * No function reads a clock or takes a lock.
  */
 
-#define DEMAND_MAX 8 /* services that are asked for at one node */
+#define DEMAND_MAX 8 /* requested services at one node */
 
-/* What came since the last step. */
+/* Requests of one class since the last step. */
 struct demand_count {
-	uint32_t asked;
-	uint32_t let_in; /* by the throttle */
-	uint32_t over;	 /* of these, over their rate */
+	uint32_t asked;	 /* sent by callers */
+	uint32_t let_in; /* admitted by the throttle */
+	uint32_t over;	 /* admitted, but above the workspace's rate */
 };
 
+/* Demand for one service. */
 struct demand_row {
 	char service[THROTTLE_NAME_BYTES];
 	struct demand_count counts[THROTTLE_CLASSES];
--- a/src/throttle/profile.c
+++ b/src/throttle/profile.c
@@ -4,21 +4,22 @@
 
 #include "throttle/profile.h"
 
-#define KNOWN_RUNS_MIN 20.0    /* fewer say little */
-#define CALL_SHARE_WEIGHT 0.05 /* of the newest call in a share of all calls \
-				*/
+#define KNOWN_RUNS_MIN 20.0 /* for a reliable mean of calls per run */
+/* Weight of the newest call in the refused and chained shares. */
+#define CALL_SHARE_WEIGHT 0.05
+/* Refused share from which the calls per run count as reduced. */
 #define REFUSED_SHARE_MIN 0.02
-#define CALLS_TIME_CONSTANT_S 1.5 /* time constant of the calls for each run \
-				   */
-#define RUN_TIME_CONSTANT_S 0.8	  /* and of the time of a run */
-#define USUAL_TIME_CONSTANT_S 3.0 /* of the calls remembered for overloads */
-#define RUN_START_SHARE 0.5	  /* of a run, that counts before its calls */
+#define CALLS_TIME_CONSTANT_S 1.5 /* of the current calls per run */
+#define RUN_TIME_CONSTANT_S 0.8	  /* of the mean run time */
+#define USUAL_TIME_CONSTANT_S 3.0 /* of the usual calls per run */
+#define RUN_START_SHARE 0.5	  /* part of a run that counts at its start */
+/* Ended runs below which the sums decay only while slots are held. */
 #define ENDED_RUNS_MIN 0.5
 
 static double current_per_run(const struct profile *, uint32_t);
 
 /*
- * Begins with nothing known.
+ * Initializes a profile without measurements.
  */
 void
 profile_init(struct profile *p)
@@ -27,8 +28,8 @@
 }
 
 /*
- * A run began.  It counts in part now and for the rest when it ends, since
- * its calls come in between.
+ * Records the start of a run.  A part of the run counts now and the rest at
+ * its end, because its calls come in between.
  */
 void
 profile_begin(struct profile *p)
@@ -37,7 +38,7 @@
 }
 
 /*
- * A run ended.
+ * Records the end of a run.
  */
 void
 profile_end(struct profile *p)
@@ -47,9 +48,10 @@
 }
 
 /*
- * The server called a service; it may be known which run made the call.  Once
- * that is known of one, calls of other runs don't count: those began before
- * this node did, which would take their calls for those of a few later runs.
+ * Records a call of the server to a service; run_known says whether the
+ * calling run is known.  After the first call of a known run to that service,
+ * calls of unknown runs no longer count: their runs began before this node
+ * did, and the calls would be attributed to the few runs counted since.
  */
 void
 profile_called(struct profile *p, const char *service, int run_known)
@@ -78,7 +80,7 @@
 }
 
 /*
- * A call of the server ended; it may have been refused for want of a slot, or
+ * Records the end of a call, which may have been refused for lack of a slot or
  * of a server.
  */
 void
@@ -88,7 +90,7 @@
 }
 
 /*
- * Returns how many calls a run makes at present.
+ * Returns the present number of calls per run.
  */
 static double
 current_per_run(const struct profile *p, uint32_t call)
@@ -97,8 +99,8 @@
 }
 
 /*
- * Lets what is known fade for so many seconds, during which so many slots
- * were held; the last known means stay.
+ * Updates the averages after the given seconds, during which held_slots slots
+ * were in use.  With too few runs, the last known means stay.
  */
 void
 profile_age(struct profile *p, uint32_t held_slots, double seconds)
@@ -132,9 +134,9 @@
 }
 
 /*
- * Returns the mean time for which a run holds a slot (seconds), by Little's
- * law, so that a server that has just slowed down shows it before its runs
- * have ended; 0 if none ever ended.
+ * Returns the mean time in seconds for which a run holds a slot, or 0 if no
+ * run has ended.  By Little's law, a slowed server shows in it before its runs
+ * end.
  */
 double
 profile_run_s(const struct profile *p)
@@ -143,9 +145,9 @@
 }
 
 /*
- * Returns how many calls a run makes to a service that it calls.  A run whose
- * call is refused makes no further ones: while that happens, what it made
- * before is returned, for it would make as many if there were room.
+ * Returns the calls per run to a service.  A run makes no further calls after
+ * a refused one, so while calls are refused, the number from before the
+ * refusals is returned if it is higher.
  */
 double
 profile_per_run(const struct profile *p, uint32_t call)
@@ -158,7 +160,7 @@
 }
 
 /*
- * Tells whether enough runs were seen to speak of their calls.
+ * Returns whether enough runs were measured for reliable calls per run.
  */
 int
 profile_known(const struct profile *p)
--- a/src/throttle/profile.h
+++ b/src/throttle/profile.h
@@ -4,28 +4,29 @@
 #include <stdint.h>
 
 /*
- * What a run at one server costs: the time that it holds a slot, and the
- * calls that it makes.  Pure: no clock, no lock.
+ * Measured cost of a run at one server: the time for which it holds a slot and
+ * the calls that it makes.  No function reads a clock or takes a lock.
  */
 
 #define PROFILE_NAME_BYTES 64
 #define PROFILE_CALLS 8
 
+/* Calls of the server to one service. */
 struct profile_call {
 	char service[PROFILE_NAME_BYTES];
-	double count; /* decaying */
-	double usual; /* for each run, as seen before calls were refused */
-	int tied;     /* calls count only if their run is known */
+	double count; /* decaying sum of calls */
+	double usual; /* calls per run before calls were refused */
+	int tied;     /* 1: only calls of known runs count */
 };
 
 struct profile {
 	struct profile_call calls[PROFILE_CALLS];
 	uint32_t call_count;
-	double runs;	/* decaying, as are the calls */
-	double refused; /* decaying share of calls, for want of room */
-	double chained; /* decaying share of calls whose run is known */
-	double held_s;	/* decaying sum of the time that slots were held */
-	double ended;	/* decaying number of runs that ended */
+	double runs;	/* decaying number of runs */
+	double refused; /* decaying share of refused calls */
+	double chained; /* decaying share of calls of known runs */
+	double held_s;	/* decaying sum of slot holding times */
+	double ended;	/* decaying number of ended runs */
 };
 
 void profile_init(struct profile *);
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -14,46 +14,45 @@
 #define STEP_S 0.1
 #define KINDS 3
 #define STEPS 300
-#define OVERLOAD_TARGETS (1.02 / THROTTLE_TARGET) /* of the target */
-#define ROOTS_PER_S 3000.0 /* callers ask for, without a surge */
-#define MID_CALLS_PER_RUN 2.0
-#define DEEP_CALLS_PER_RUN 4.0
-#define RETRY_STEPS 10	 /* until a refused caller comes back, once */
-#define LOAD_WEIGHT 0.33 /* of the newest in the load that is measured */
-
-/* A kind of root request: its class, and its work at the bottleneck. */
+#define OVERLOAD (1.02 / THROTTLE_TARGET) /* counts as overload */
+#define ROOTS_PER_S 3000.0		  /* requested without a surge */
+#define MID_CALLS 2.0			  /* per run of the root service */
+#define DEEP_CALLS 4.0			  /* per run of the middle service */
+#define RETRY_STEPS 10	 /* until the only retry of a refused caller */
+#define LOAD_WEIGHT 0.33 /* of the newest step in the measured load */
+
+/* A kind of root request. */
 struct request_kind {
 	uint32_t class;
-	double work; /* share of the bottleneck's slots, all let in */
+	double work; /* share of the bottleneck's slots if all are admitted */
 };
 
-/* A load on a service three calls deep, and what must come of it. */
+/* A load on a service at the third level, and the required results. */
 struct load_case {
 	const char *name;
 	struct request_kind kinds[KINDS];
-	double surge; /* times the load between these seconds */
+	double surge; /* load factor from start_s to end_s */
 	double start_s, end_s;
-	double overload_share_max; /* share of time with too much, after 2 s */
-	double share0_min; /* share of class 0 that is let in on average */
-	double recovery_s; /* all are let in so long after the surge */
-	double share1_min; /* share of class 1 */
-	double use_min;	   /* mean use of the bottleneck while surge_steps */
+	double overload_max; /* of time, from 2 s into the surge */
+	double share0_min;   /* mean admitted share of class 0 */
+	double recovery_s;   /* at most, until all are admitted again */
+	double share1_min;   /* mean admitted share of class 1 */
+	double use_min;	     /* mean use of the bottleneck in the surge */
 };
 
-/* What stands between a decision at the roots and the bottleneck. */
+/* Delays and errors between the entry and the bottleneck. */
 struct fleet_case {
 	const char *name;
-	int delay_steps;    /* until a root request's calls arrive there */
-	int report_steps;   /* between two beats of a node */
-	double cost_factor; /* a run costs so many times what servers tell */
-	int callers_retry;  /* refused callers come back, once */
-	int chained;	    /* exits refuse the calls of a chain alike */
+	int delay_steps;  /* from root request to bottleneck */
+	int report_steps; /* between two heartbeats of a node */
+	double cost;	  /* true cost of a run, relative to the reported one */
+	int retry;	  /* refused callers retry once */
+	int chained;	  /* exits refuse all calls of a chain alike */
 };
 
 /*
- * Bottleneck deep in a tree: browsing makes eight calls to pricing where an
- * order makes four.  Metastable failure: once the surge is gone, so must the
- * cut be.
+ * Bottleneck deep in a call tree: browsing makes eight calls to pricing, an
+ * order four.  Metastable failure: the limit must end after the surge.
  */
 static const struct load_case loads[] = {
 	{ "no overload", { { 0, 0.2 }, { 1, 0.1 }, { 2, 0.4 } }, 1, 0, 0, 0, 1,
@@ -62,10 +61,9 @@
 	    0.15, 0.97, 2.0, 0.95, 0.75 },
 	{ "short burst", { { 0, 0.2 }, { 1, 0.07 }, { 2, 0.5 } }, 2, 5, 10,
 	    0.35, 0.97, 2.0, 0.9, 0.7 },
-	{ "a third of the bottleneck is left",
-	    { { 0, 0.15 }, { 1, 0.03 }, { 2, 0.69 } }, 3.6, 2, 20, 0.25, 0.85,
-	    3.0, 0.6, 0.75 },
-	{ "important ones alone are too many",
+	{ "a third of the load fits", { { 0, 0.15 }, { 1, 0.03 }, { 2, 0.69 } },
+	    3.6, 2, 20, 0.25, 0.85, 3.0, 0.6, 0.75 },
+	{ "class 0 alone exceeds the capacity",
 	    { { 0, 0.6 }, { 1, 0.1 }, { 2, 0.1 } }, 2.5, 2, 20, 0.25, 0.4, 3.0,
 	    0.1, 0.7 },
 };
@@ -73,13 +71,13 @@
 static const struct fleet_case fleets[] = {
 	{ "15 nodes", 6, 3, 1, 0, 0 },
 	{ "60 nodes", 12, 4, 1, 0, 0 },
-	{ "15 nodes, callers return", 6, 3, 1, 1, 0 },
-	{ "60 nodes, callers return", 12, 4, 1, 1, 0 },
+	{ "15 nodes, callers retry", 6, 3, 1, 1, 0 },
+	{ "60 nodes, callers retry", 12, 4, 1, 1, 0 },
 	{ "15 nodes, runs cost a fifth more", 6, 3, 1.2, 0, 0 },
 	{ "15 nodes, runs cost a fifth less", 6, 3, 0.8, 0, 0 },
 	{ "15 nodes, chains", 6, 3, 1, 0, 1 },
 	{ "60 nodes, chains", 12, 4, 1, 0, 1 },
-	{ "60 nodes, chains, callers return", 12, 4, 1, 1, 1 },
+	{ "60 nodes, chains, callers retry", 12, 4, 1, 1, 1 },
 	{ "15 nodes, chains, runs cost a fifth more", 6, 3, 1.2, 0, 1 },
 	{ "15 nodes, chains, runs cost a fifth less", 6, 3, 0.8, 0, 1 },
 };
@@ -93,18 +91,18 @@
 	throttle_server(t, service, &s);
 }
 
-/* What a run of a load showed. */
+/* Measured results of one simulation. */
 struct result {
 	double admitted[THROTTLE_CLASSES];
-	double overload_share;
+	double overload;
 	double use;
 	double recovery_s;
 };
 
-/* A run: what callers ask for, and what arrives at the bottleneck. */
+/* State of a simulation, by step. */
 struct simulation {
 	double shares[STEPS][KINDS];
-	double requested[STEPS][KINDS]; /* a second */
+	double requested[STEPS][KINDS]; /* per second */
 	double offered[STEPS];
 	struct demand demand;
 	struct throttle th;
@@ -112,8 +110,7 @@
 };
 
 /*
- * Plays a step of callers: new ones, and those that were refused before, who
- * come back once.
+ * Simulates the callers in one step: new requests and retries of refused ones.
  */
 static void
 simulate_callers(struct simulation *s, const struct load_case *l,
@@ -131,7 +128,7 @@
 		new_per_s = ROOTS_PER_S * surge * l->kinds[k].work / total;
 		s->shares[step][k] = throttle_share(&s->th, s->root, class);
 		s->requested[step][k] = new_per_s;
-		if (f->callers_retry && earlier >= 0)
+		if (f->retry && earlier >= 0)
 			s->requested[step][k] += ROOTS_PER_S *
 						 l->kinds[k].work / total *
 						 (1 - s->shares[earlier][k]);
@@ -142,7 +139,7 @@
 }
 
 /*
- * Returns the work at the bottleneck of a step, as a share of its slots.
+ * Returns the work of a step at the bottleneck, as a share of its slots.
  */
 static double
 bottleneck_work(const struct simulation *s, const struct load_case *l, int step)
@@ -175,8 +172,8 @@
 	s.root = throttle_service(&s.th, "catalogue");
 	mid = throttle_service(&s.th, "artwork");
 	s.deep = throttle_service(&s.th, "pricing");
-	throttle_calls(&s.th, s.root, mid, MID_CALLS_PER_RUN);
-	throttle_calls(&s.th, mid, s.deep, DEEP_CALLS_PER_RUN);
+	throttle_calls(&s.th, s.root, mid, MID_CALLS);
+	throttle_calls(&s.th, mid, s.deep, DEEP_CALLS);
 	for (k = 0; k < KINDS; k++)
 		total += l->kinds[k].work;
 	*r = (struct result){ { 0 }, 0, 0, 0 };
@@ -197,18 +194,15 @@
 		for (k = 0; k < KINDS; k++)
 			throttle_demand(
 			    &s.th, s.root, l->kinds[k].class, reported[k]);
-		/* One slot: its runs a second are those of all work. */
+		/* One slot, whose capacity is the total work. */
 		add_server(&s.th, s.deep, 1,
-		    total /
-			(ROOTS_PER_S * MID_CALLS_PER_RUN * DEEP_CALLS_PER_RUN) /
-			f->cost_factor,
+		    total / (ROOTS_PER_S * MID_CALLS * DEEP_CALLS) / f->cost,
 		    reported_load);
 		throttle_step(&s.th, STEP_S);
 		if (surge > 1 && t >= l->start_s + 2) {
 			surge_steps++;
-			r->overload_share +=
-			    s.offered[step] >
-			    throttle_target(&s.th) * OVERLOAD_TARGETS;
+			r->overload +=
+			    s.offered[step] > throttle_target(&s.th) * OVERLOAD;
 			r->use += s.offered[step] < 1 ? s.offered[step] : 1;
 			for (k = 0; k < KINDS; k++)
 				r->admitted[l->kinds[k].class] +=
@@ -219,15 +213,15 @@
 	}
 	if (surge_steps == 0)
 		surge_steps = 1;
-	r->overload_share /= surge_steps;
+	r->overload /= surge_steps;
 	r->use /= surge_steps;
 	for (k = 0; k < THROTTLE_CLASSES; k++)
 		r->admitted[k] /= surge_steps;
 }
 
 /*
- * Checks what must come of a load.  Callers who were refused before its end
- * and return are load, too: recovery is counted from their end.
+ * Checks the results of a load.  Retries of callers refused in the surge are
+ * load too, so recovery counts from the last retry.
  */
 static void
 check_result(const struct load_case *l, const struct fleet_case *f,
@@ -236,14 +230,13 @@
 	double mean = 0, work = 0;
 	uint32_t k;
 
-	assert_true(s->overload_share <= l->overload_share_max);
-	assert_true(
-	    s->recovery_s - (f->callers_retry ? RETRY_STEPS * STEP_S : 0) <=
-	    l->recovery_s);
+	assert_true(s->overload <= l->overload_max);
+	assert_true(s->recovery_s - (f->retry ? RETRY_STEPS * STEP_S : 0) <=
+		    l->recovery_s);
 	if (l->surge <= 1)
 		return;
 	assert_true(s->use >= l->use_min);
-	/* Starvation: a quarter of the mean is the least. */
+	/* Starvation: at least a quarter of the mean share. */
 	for (k = 0; k < KINDS; k++) {
 		mean += l->kinds[k].work * s->admitted[l->kinds[k].class];
 		work += l->kinds[k].work;
@@ -258,8 +251,8 @@
 }
 
 /*
- * Loads are brought within the bottleneck's slots, the least important class
- * first, and all are let in again soon after.
+ * Overload at the bottleneck: the least important class is reduced first, and
+ * all requests are admitted again soon after the surge.
  */
 static void
 test_overload_cuts_least_important_first(void **state)
@@ -275,24 +268,23 @@
 			print_message("%-34s overloaded %.2f use %.2f first "
 				      "%.2f second %.2f third %.2f recovered "
 				      "%.1f s\n",
-			    loads[i].name, s.overload_share, s.use,
-			    s.admitted[0], s.admitted[1], s.admitted[2],
-			    s.recovery_s);
+			    loads[i].name, s.overload, s.use, s.admitted[0],
+			    s.admitted[1], s.admitted[2], s.recovery_s);
 			check_result(&loads[i], &fleets[j], &s);
 		}
 	}
 }
 
 /*
- * Grey server: what is kept away from it must fit at the others.  Where all
- * fail alike, none is kept away.
+ * Grey failure: work kept away from a failing server must fit at the others.
+ * If all servers fail alike, no capacity is lost.
  */
 static void
 test_failing_server_loses_capacity(void **state)
 {
 	static const struct {
 		double failing[3];
-		double least, most; /* share that is let in */
+		double least, most; /* admitted share */
 	} rows[] = {
 		{ { 0, 0, 0 }, 0.9, 0.95 },
 		{ { 0, 0, 0.45 }, 0.6, 0.65 },
@@ -323,7 +315,7 @@
 }
 
 /*
- * A service that a tree doesn't reach costs it nothing.
+ * An overloaded service limits only the call trees that reach it.
  */
 static void
 test_unreached_service_limits_nothing(void **state)
@@ -337,7 +329,7 @@
 	b = throttle_service(&th, "b");
 	c = throttle_service(&th, "c");
 	throttle_calls(&th, a, b, 1);
-	throttle_calls(&th, b, a, 0.5); /* a cycle must end */
+	throttle_calls(&th, b, a, 0.5); /* cycles must end */
 	for (i = 0; i < 20; i++) {
 		throttle_begin(&th);
 		throttle_demand(&th, a, 3, 100);
@@ -352,14 +344,14 @@
 }
 
 /*
- * The share of each class by what there is room for: the least important
- * first, and none to nothing.
+ * Shares of the classes by capacity: the least important is reduced first, and
+ * no share falls to zero.
  */
 static void
 test_class_shares_by_capacity(void **state)
 {
 	static const struct {
-		double room; /* runs a second, where 100 of each are wanted */
+		double room; /* runs per second; each class requests 100 */
 		double least[THROTTLE_CLASSES], most[THROTTLE_CLASSES];
 	} rows[] = {
 		{ 500, { 1, 1, 1, 1 }, { 1, 1, 1, 1 } },
@@ -392,14 +384,13 @@
 }
 
 /*
- * More is let in the more calls are known to rank with their root requests,
- * as the servers that make calls tell.
+ * The target load grows with the reported share of chained calls.
  */
 static void
 test_target_follows_chained_share(void **state)
 {
 	static const struct {
-		double reported[2]; /* by two servers in turn */
+		double reported[2]; /* by two alternating servers */
 		double least, most;
 	} rows[] = {
 		{ { 0, 0 }, THROTTLE_TARGET, THROTTLE_TARGET },
@@ -422,8 +413,8 @@
 }
 
 /*
- * Two bottlenecks: the one that is worse is relieved first, and what this
- * takes off the other is not taken twice.
+ * Two bottlenecks: the worse one is limited first, and the other isn't limited
+ * again for load that is already removed.
  */
 static void
 test_two_bottlenecks(void **state)
@@ -440,8 +431,8 @@
 	throttle_calls(&th, a, c, 1);
 	throttle_begin(&th);
 	throttle_demand(&th, a, 0, 100);
-	add_server(&th, b, 5, 0.1, 0.9); /* has room for half */
-	add_server(&th, c, 8, 0.1, 0.4); /* for four fifths */
+	add_server(&th, b, 5, 0.1, 0.9); /* capacity for half */
+	add_server(&th, c, 8, 0.1, 0.4); /* capacity for four fifths */
 	throttle_step(&th, STEP_S);
 	assert_true(throttle_share(&th, a, 0) > 0.4);
 	assert_true(throttle_share(&th, a, 0) < 0.5);
@@ -450,7 +441,7 @@
 }
 
 /*
- * More services than there is room for are let in without a limit.
+ * Services beyond the table size get no handle.
  */
 static void
 test_service_table_full(void **state)
@@ -470,8 +461,7 @@
 }
 
 /*
- * Plays runs that each make so many calls, one after the other, up to the
- * first that is refused.
+ * Simulates runs that make calls in sequence until one is refused.
  */
 static void
 simulate_runs(struct profile *p, int runs, int calls_per_run, int refuse_every)
@@ -493,8 +483,8 @@
 }
 
 /*
- * A run's calls are learned, and remembered while they are refused for want
- * of a slot: the run would make them all if there were room.
+ * The calls per run are measured, and retained while calls are refused for
+ * lack of a slot: with free slots, a run would make all of them.
  */
 static void
 test_profile_remembers_refused_calls(void **state)
@@ -509,20 +499,19 @@
 	assert_true(profile_known(&p));
 	assert_true(profile_per_run(&p, 0) > 3.9);
 	assert_true(profile_per_run(&p, 0) < 4.1);
-	/* Little's law: 8 slots held, 100 runs ended a second. */
+	/* Little's law: 8 slots held, 100 runs ended per second. */
 	assert_true(profile_run_s(&p) > 0.075);
 	assert_true(profile_run_s(&p) < 0.085);
-	simulate_runs(
-	    &p, 300, 4, 2); /* every second call is refused: two are made */
+	simulate_runs(&p, 300, 4, 2); /* every second call refused */
 	assert_true(profile_per_run(&p, 0) > 3.7);
-	simulate_runs(&p, 600, 1, 0); /* another mix, nothing refused */
+	simulate_runs(&p, 600, 1, 0); /* fewer calls, none refused */
 	assert_true(profile_per_run(&p, 0) < 1.2);
 }
 
 /*
- * A node that starts again beside a server that is at work sees the calls of
- * runs that it never saw begin: they are no calls of the runs that it counts.
- * Where no call's run is ever known, all calls count.
+ * A node that restarts beside a busy server sees calls of runs whose start it
+ * missed.  They must not count as calls of the runs that it counts.  If no
+ * call's run is ever known, all calls count.
  */
 static void
 test_profile_skips_unseen_runs(void **state)
@@ -556,7 +545,7 @@
 }
 
 /*
- * A server that stalls shows it before its runs have ended.
+ * A stalled server shows in the run time before its runs end.
  */
 static void
 test_profile_shows_stall(void **state)
@@ -573,7 +562,7 @@
 }
 
 /*
- * Demand counts what the throttle refuses, and not what is over its rate.
+ * Demand includes requests refused by the throttle, but none above their rate.
  */
 static void
 test_demand_excludes_over_rate(void **state)
@@ -605,7 +594,7 @@
 }
 
 /*
- * A rate comes through a byte with an error of a few in a hundred.
+ * A decoded rate is within 2.6 % and 0.002 per second of the encoded one.
  */
 static void
 test_demand_code_precision(void **state)
@@ -630,18 +619,19 @@
 }
 
 /*
- * Cascading failure: a service loses all its servers.  Roots whose runs need it
- * are refused, but for a few that show when it is back; not those that rarely
- * call it, nor while other nodes hear of a server, nor before it ever had one.
+ * Cascading failure: a service loses all its servers.  Roots that require it
+ * are refused, except a few that show its return.  Roots that rarely call it
+ * stay admitted; so do all while other nodes report a server or if it never
+ * had one.
  */
 static void
 test_service_without_servers(void **state)
 {
 	static const struct {
 		int servers, reported_elsewhere;
-		double heavy_max, heavy_min;
+		double most, least;
 	} rows[] = {
-		{ 0, 0, 1, 1 }, /* none was there yet */
+		{ 0, 0, 1, 1 }, /* never had a server */
 		{ 1, 0, 1, 1 },
 		{ 0, 0, 0.05, 0.01 },
 		{ 0, 1, 1, 1 },
@@ -670,8 +660,8 @@
 		throttle_demand(&t, heavy, 1, 50);
 		throttle_demand(&t, rare, 0, 50);
 		throttle_step(&t, STEP_S);
-		assert_true(throttle_share(&t, heavy, 1) <= rows[i].heavy_max);
-		assert_true(throttle_share(&t, heavy, 1) >= rows[i].heavy_min);
+		assert_true(throttle_share(&t, heavy, 1) <= rows[i].most);
+		assert_true(throttle_share(&t, heavy, 1) >= rows[i].least);
 		assert_true(throttle_share(&t, rare, 0) >= 1);
 		assert_true(throttle_share(&t, proofs, 2) >= 1);
 		assert_true(t.services[proofs].trim <= 1);
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -4,40 +4,47 @@
 
 #include "throttle/throttle.h"
 
-#define CORRECTION_PER_S 0.7 /* correction for each unit of misjudged load */
-#define CORRECTION_ERROR_MAX 0.25 /* more is a surge, which is no misjudging \
-				   */
-#define CORRECTION_DELAY_S \
-	1.0 /* until a cut at the roots shows deep in a tree */
+/* Rate of the capacity correction, per unit of load error. */
+#define CORRECTION_PER_S 0.7
+/* Larger errors come from a surge, not from a wrong capacity. */
+#define CORRECTION_ERROR_MAX 0.25
+/* Time until a reduced share at the entry shows deep in a call tree. */
+#define CORRECTION_DELAY_S 1.0
 #define CAPACITY_FACTOR_MIN 0.5
 #define CAPACITY_FACTOR_MAX 1.3
-#define CORRECTION_DECAY_PER_S 0.2 /* of the correction, where nothing is cut \
-				    */
-#define SHARE_FLOOR_OF_MEAN 0.32 /* a class's least share, of the mean of all \
-				  */
+/* Decay of the correction while the service limits nothing. */
+#define CORRECTION_DECAY_PER_S 0.2
+
+/* Lowest admitted share of a class, as part of the mean over all classes. */
+#define SHARE_FLOOR_OF_MEAN 0.32
 #define SHARE_FLOOR_MIN 0.03
 #define SHARE_FLOOR_MAX 0.22
-#define SHARE_FLOOR_ROUNDS 4 /* until the floor and the mean fit */
-#define REACHED_RUNS_PER_ROOT \
-	0.05 /* calls for each run that count as reaching */
-#define CHAINED_REPORT_WEIGHT 0.05 /* of the newest word on calls of chains */
-#define CALLS_REPORT_WEIGHT 0.2 /* of the newest word on calls for each run */
-#define AVOIDANCE_PER_FAILURE \
-	3.0		  /* part of a server for each share that fails */
-#define CALL_DEPTH_MAX 20 /* of a tree of calls; ends cycles */
+/* Iterations until the floor and the mean share agree. */
+#define SHARE_FLOOR_ROUNDS 4
+
+/* Runs per root request from which its tree counts as reaching a service. */
+#define REACHED_RUNS_PER_ROOT 0.05
+/* Weight of the newest report in the mean share of chained calls. */
+#define CHAINED_REPORT_WEIGHT 0.05
+/* Weight of the newest report in the mean calls per run. */
+#define CALLS_REPORT_WEIGHT 0.2
+/* Capacity lost per unit of a server's excess failure share. */
+#define AVOIDANCE_PER_FAILURE 3.0
+/* Levels of a call tree that are followed; ends cycles. */
+#define CALL_DEPTH_MAX 20
 
 /*
- * Calls for each run from which it is taken to need the service that it calls:
- * with fewer, more is served by letting all in than is lost by those that fail.
+ * Runs per root request from which its tree is taken to require a service.
+ * With fewer, admitting all root requests serves more than the failing ones
+ * cost.
  */
 #define REQUIRED_RUNS_PER_ROOT 0.75
 
-/* What arrives at one service, by class and by where its root goes. */
+/* Arrivals at one service. */
 struct arrivals {
-	double
-	    runs_per_root[THROTTLE_SERVICES]; /* for a root at each service */
-	double runs_per_s[THROTTLE_CLASSES];  /* a second */
-	double roots_per_s[THROTTLE_CLASSES]; /* a second, that reach it */
+	double runs_per_root[THROTTLE_SERVICES]; /* by root service */
+	double runs_per_s[THROTTLE_CLASSES];	 /* by class */
+	double roots_per_s[THROTTLE_CLASSES];	 /* whose trees reach it */
 };
 
 static void compute_runs(const struct throttle *, double *);
@@ -52,7 +59,7 @@
     const struct throttle *, const struct throttle_service *);
 
 /*
- * Prepares a throttle that knows no service.
+ * Initializes a throttle without services.
  */
 void
 throttle_init(struct throttle *t)
@@ -61,7 +68,8 @@
 }
 
 /*
- * Returns the handle of a service, or -1 if there are too many.
+ * Returns the handle of a service, adding it if it is new, or -1 if the table
+ * is full.
  */
 int
 throttle_service(struct throttle *t, const char *name)
@@ -84,8 +92,8 @@
 }
 
 /*
- * Takes a server's word that a run at one service makes so many calls to
- * another.  The words of all its servers are averaged.
+ * Records a server's report of the calls that a run of service from makes to
+ * service to.  The reports of all its servers are averaged.
  */
 void
 throttle_calls(struct throttle *t, int from, int to, double per_run)
@@ -108,8 +116,8 @@
 }
 
 /*
- * Takes a server's word on the share of its calls that are known to be part
- * of a chain.  The words of all servers that make calls are averaged.
+ * Records a server's report of the share of its calls that belong to a known
+ * chain.  The reports of all calling servers are averaged.
  */
 void
 throttle_chained(struct throttle *t, double share)
@@ -118,7 +126,7 @@
 }
 
 /*
- * Returns the work that may arrive at a service, as a share of its slots.
+ * Returns the target load of a service, as a share of its slots.
  */
 double
 throttle_target(const struct throttle *t)
@@ -128,7 +136,8 @@
 }
 
 /*
- * Begins to take the present demand and the present servers.
+ * Begins an update: clears the demand and the servers, which the caller then
+ * adds anew.
  */
 void
 throttle_begin(struct throttle *t)
@@ -149,7 +158,8 @@
 }
 
 /*
- * Adds root requests of a class that a node is asked for, let in or not.
+ * Adds the root requests per second of a class that callers send to one node,
+ * admitted or not.
  */
 void
 throttle_demand(struct throttle *t, int service, uint32_t class, double per_s)
@@ -158,8 +168,8 @@
 }
 
 /*
- * Adds a server.  One that fails more than the soundest of its service is
- * avoided and so takes fewer runs.
+ * Adds a server.  Routing sends fewer runs to a server whose failure share is
+ * above the lowest of its service, so its capacity counts less.
  */
 void
 throttle_server(
@@ -178,8 +188,8 @@
 }
 
 /*
- * Lets roots in that need a service although this node knows of no server:
- * others hear of one, or nothing is sent there.
+ * Keeps admitting root requests that require a service without a known server:
+ * other nodes know one, or no request is sent there.
  */
 void
 throttle_keep_open(struct throttle *t, int service)
@@ -188,8 +198,8 @@
 }
 
 /*
- * Returns how many runs a second a service is to be asked for at most; 0 if
- * that isn't known.
+ * Returns the runs per second to admit at most at a service; 0 if its capacity
+ * is unknown.
  */
 static double
 max_runs_per_s(const struct throttle *t, const struct throttle_service *s)
@@ -198,8 +208,8 @@
 }
 
 /*
- * Corrects what a service is taken to be able to do, by what arrived there
- * while it was the limit.
+ * Corrects the estimated capacity of a service by the load measured while the
+ * service was the limit.
  */
 static void
 adjust_capacity_factor(
@@ -220,8 +230,8 @@
 }
 
 /*
- * Computes the runs a second that arrive at each service with the present
- * shares: of root requests, and of what these call, level by level.
+ * Computes the runs per second that arrive at each service with the present
+ * shares: root requests and, level by level, the calls that they cause.
  */
 static void
 compute_runs(const struct throttle *t, double *runs_per_s)
@@ -255,8 +265,8 @@
 }
 
 /*
- * Computes what a root request at each service brings to one of them, and
- * what arrives there by class.
+ * Computes the runs that one root request at each service causes at the given
+ * service, and its arrivals by class.
  */
 static void
 compute_arrivals(const struct throttle *t, int service, struct arrivals *a)
@@ -295,8 +305,9 @@
 }
 
 /*
- * Computes which share of each class fits into so many runs a second: the
- * important ones first, and of each at least the floor.
+ * Computes the share of each class that fits into the given runs per second.
+ * Each class gets at least the floor; the rest goes to the most important
+ * classes first.
  */
 static void
 compute_class_shares(const struct arrivals *a, double runs_per_s,
@@ -320,9 +331,9 @@
 }
 
 /*
- * Cuts the classes whose trees reach a service, so that what arrives there
- * fits.  No class starves beside the others: each gets at least a part of the
- * mean share.
+ * Reduces the shares of the classes whose trees reach a service until its
+ * arrivals fit.  A floor derived from the mean share prevents the starvation
+ * of any class.
  */
 static void
 limit_service(struct throttle *t, int service)
@@ -357,8 +368,9 @@
 }
 
 /*
- * Lets in only a few of the roots that need a service that has lost all its
- * servers: they would be run for nothing.  Those few show when it is back.
+ * Reduces root requests that require a service without servers to a minimum,
+ * because they would fail after other work was done.  The remaining few show
+ * when the service is back.
  */
 static void
 restrict_roots(struct throttle *t, int service)
@@ -380,8 +392,9 @@
 }
 
 /*
- * Returns the service whose servers are most overloaded by what arrives with
- * the present shares, of those not yet done; -1 if there is none.
+ * Returns the service with the highest ratio of arrivals to admissible runs
+ * among those not yet done, or -1 if none is overloaded.  Updates the expected
+ * load of each.
  */
 static int
 most_overloaded(struct throttle *t, const int *done)
@@ -406,7 +419,7 @@
 }
 
 /*
- * Computes the shares anew, so many seconds after the last time.
+ * Recomputes all shares.  The previous update was the given seconds ago.
  */
 void
 throttle_step(struct throttle *t, double seconds)
@@ -436,7 +449,7 @@
 }
 
 /*
- * Returns which share of a class of root requests to a service is let in.
+ * Returns the admitted share of a class of root requests to a service.
  */
 double
 throttle_share(const struct throttle *t, int service, uint32_t class)
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -5,60 +5,61 @@
 #include <stdint.h>
 
 /*
- * Decides at the entry how many root requests are let in, by the most loaded
- * service that their trees of calls reach: a call that is refused deep in a
- * tree wastes all that was done above it.  What would arrive at each service
- * is computed from what callers ask of all nodes and from the calls that a
- * run makes, so that a surge is met before it shows deep in the trees.  Pure:
- * no clock, no lock.
+ * Admission control for root requests at the entry.  The most overloaded
+ * service in a call tree decides which share of its root requests is admitted,
+ * because a call that is refused deep in a tree wastes the work done above it.
+ * The arrivals at each service are computed from the demand at all nodes and
+ * the measured calls per run, so the throttle reacts before a surge reaches
+ * the deep services.  No function reads a clock or takes a lock.
  */
 
 #define THROTTLE_NAME_BYTES 64
 #define THROTTLE_SERVICES 128
 #define THROTTLE_CLASSES 4
-#define THROTTLE_CALLS 8 /* services that one service calls */
+#define THROTTLE_CALLS 8 /* recorded callees of one service */
 
 /*
- * Work that may arrive at a service, as a share of its slots.  Where calls
- * can't be told from each other, a refused one fails any root, so that less
- * than fits must come.  Where exits refuse the calls of a chain alike and the
- * least important first, more than fits may come, which fills the slots; the
- * more, the more is wasted that was done before a call is refused.
+ * Target load of a service: arriving work as a share of its slots.  Without
+ * chains, exits can't tell which calls belong to one root request, and a
+ * refused call may fail any root request.  The target then stays below
+ * capacity.  With chains, exits refuse all calls of a chain alike, the least
+ * important first.  A target above capacity then keeps the slots full, but the
+ * higher it is, the more work is wasted before a call is refused.
  */
 #define THROTTLE_TARGET 0.93
 #define THROTTLE_TARGET_CHAINED 1.2
 
-/* What a service was seen to call, for each request that it ran. */
+/* Measured calls of one service to another. */
 struct throttle_call {
-	int service; /* handle */
-	double per_run;
+	int service;	/* handle of the callee */
+	double per_run; /* mean calls per run of the caller */
 };
 
-/* A server, as it was measured. */
+/* Measured state of one server. */
 struct throttle_server {
 	double slots;
-	double run_s;	/* for which a run takes a slot; 0: not known */
-	double offered; /* work that arrives, as a share of the slots */
-	double failing; /* share of its runs */
+	double run_s;	/* mean time a run holds a slot; 0: unknown */
+	double offered; /* arriving work, as a share of the slots */
+	double failing; /* share of its runs that fail */
 };
 
-/* A service: who asks for it, what it can do, and what is let in. */
+/* Demand, capacity and admitted shares of one service. */
 struct throttle_service {
 	char name[THROTTLE_NAME_BYTES];
-	double demand[THROTTLE_CLASSES]; /* root requests a second */
+	double demand[THROTTLE_CLASSES]; /* requested roots per second */
 	double slots;			 /* of all its servers */
-	double runs_per_s;   /* with all slots in use that are of use */
-	double soundest;     /* least share of runs that fail at a server */
+	double runs_per_s;   /* capacity with all usable slots in use */
+	double soundest;     /* lowest failure share of a server */
 	double soundest_now; /* the same, of the servers added so far */
-	double offered; /* work that was measured, as a share of the slots */
-	double trim;	/* corrects runs_per_s by what was measured */
-	double share[THROTTLE_CLASSES]; /* of root requests that is let in */
-	int limits;			/* its load cuts shares */
-	int had_servers;		/* once */
-	int keep_open;	 /* roots aren't closed for its want of servers */
-	double expected; /* work with nothing cut here, to the slots */
-	double cut[THROTTLE_CLASSES]; /* share that is let in for its sake */
-	double bound_s; /* for how long it has been at its limit */
+	double offered;	     /* measured load, as a share of the slots */
+	double trim;	     /* correction factor of the capacity */
+	double share[THROTTLE_CLASSES]; /* admitted share of root requests */
+	int limits;	 /* 1: its load reduces admitted shares */
+	int had_servers; /* 1: at least one server was ever added */
+	int keep_open;	 /* 1: a server is known or assumed to exist */
+	double expected; /* load before its own limit, as part of capacity */
+	double cut[THROTTLE_CLASSES]; /* share admitted by its own limit */
+	double bound_s;		      /* time at or above its limit */
 	struct throttle_call calls[THROTTLE_CALLS];
 	uint32_t call_count;
 };
@@ -66,7 +67,7 @@
 struct throttle {
 	struct throttle_service services[THROTTLE_SERVICES];
 	uint32_t count;
-	double chained; /* share of calls that rank with their root request */
+	double chained; /* share of calls that belong to a known chain */
 };
 
 void throttle_init(struct throttle *);
