quota: reword comments and a test message

The comments spoke of lending, asking and stock without naming the subject. They now name the owner, the node and the request, and each field has its meaning and unit. One message of a test says 'per second'.

--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -7,26 +7,26 @@
 #include "limits/limits_bucket.h"
 
 /*
- * A workspace's rate and burst over the whole fleet, without a lock or a
- * clock.  One node owns a workspace's bucket; the others ask it for tokens.
- * Where no owner answers, a node falls back on a small reserve, whose sum
- * over all nodes lies within the tolerance of the limit.  Times are
- * milliseconds of one clock.
+ * Fleet-wide rate and burst limits of workspaces.  One node owns the token
+ * bucket of a workspace; the others request tokens from it.  While no owner
+ * answers, a node uses a small reserve; the reserves of all nodes together
+ * stay within the tolerance of the limit.  No function reads a clock or takes
+ * a lock.  All times come from one clock, in milliseconds.
  */
 
-#define QUOTA_WINDOW_MS 5000 /* over which a limit's tolerance is granted */
+#define QUOTA_WINDOW_MS 5000 /* to which a limit's tolerance applies */
 
-/* A workspace's limit as configured. */
+/* Configured limit of a workspace. */
 struct quota_limit {
-	double rate; /* requests a second */
+	double rate; /* requests per second */
 	uint32_t burst;
 };
 
-/* The bucket of a workspace that this node owns. */
+/* Token bucket of a workspace that this node owns. */
 struct quota_bucket {
-	uint64_t ws; /* hash of the workspace's name; 0: unused */
-	uint64_t since_ms;
-	uint64_t used_ms;
+	uint64_t ws;	   /* hash of the workspace's name; 0: unused */
+	uint64_t since_ms; /* start of the ownership */
+	uint64_t used_ms;  /* last request; 0: none yet */
 	struct limits_bucket bucket;
 };
 
@@ -36,11 +36,12 @@
 	size_t count, cap;
 };
 
+/* Answer of an owner to a request for tokens. */
 struct quota_grant {
 	uint32_t tokens;
-	uint32_t wait_ms; /* until there are tokens again */
-	int owner;	  /* 0: not ready to decide */
-	int fresh;	  /* the bucket began with this question */
+	uint32_t wait_ms; /* until tokens are available */
+	int owner;	  /* 0: the node doesn't grant tokens yet */
+	int fresh;	  /* 1: this request created the bucket */
 };
 
 void quota_owner_init(struct quota_owner *);
@@ -52,25 +53,26 @@
     const struct quota_limit *, uint64_t, uint32_t, uint32_t, uint64_t,
     uint64_t);
 
-/* What a node holds of a workspace's tokens. */
+/* Tokens of a workspace that a node has cached, and its reserve. */
 struct quota_stock {
-	uint64_t expire_ms; /* of the tokens */
+	uint64_t expire_ms; /* expiry of the tokens */
 	uint32_t tokens;
-	uint32_t asks; /* sent for the outstanding question */
-	double per_s;  /* decaying demand */
-	uint64_t seen_ms;
-	uint64_t refused_until_ms; /* the owner had none */
-	uint64_t ask_id;	   /* outstanding; 0: none */
-	uint64_t asked_ms;
-	uint32_t reserve_used;	 /* in the window that began then */
-	uint32_t reserve_before; /* in the window before it */
-	uint64_t reserve_ms;
+	uint32_t asks;		   /* times the outstanding request was sent */
+	double per_s;		   /* exponential average of the demand */
+	uint64_t seen_ms;	   /* last update of the average */
+	uint64_t refused_until_ms; /* the owner has no tokens until then */
+	uint64_t ask_id;	   /* outstanding request; 0: none */
+	uint64_t asked_ms;	   /* when that request was sent */
+	uint32_t reserve_used;	   /* in the current window */
+	uint32_t reserve_before;   /* in the previous window */
+	uint64_t reserve_ms;	   /* start of the current window */
 };
 
+/* Result of taking a token. */
 enum quota_verdict {
-	QUOTA_TAKEN,
-	QUOTA_ASK,  /* none here: ask the owner */
-	QUOTA_OVER, /* the owner said there are none */
+	QUOTA_TAKEN, /* a cached token was taken */
+	QUOTA_ASK,   /* no cached token: request some from the owner */
+	QUOTA_OVER,  /* the owner reported that it has none */
 	QUOTA_VERDICT_MAX
 };
 
--- a/src/quota/quota_owner.c
+++ b/src/quota/quota_owner.c
@@ -4,20 +4,21 @@
 
 #include "quota/quota.h"
 
-#define TAKEOVER_DELAY_MS \
-	800 /* for a new owner, until the one before has stopped */
-#define GRANT_LIFETIME_MS 500 /* after which a token counts as spent */
-#define BUCKET_IDLE_MS 10000  /* of a bucket that nobody asks for */
+/* Wait of a new owner until the previous one has stopped granting. */
+#define TAKEOVER_DELAY_MS 800
+#define GRANT_LIFETIME_MS 500 /* then a granted token counts as spent */
+#define BUCKET_IDLE_MS 10000  /* without a request, before reuse */
 #define US_PER_MS 1000
 #define MILLITOKENS_PER_TOKEN 1000.0
-#define NT_PER_TOKEN INT64_C(1000000000) /* the unit of a bucket's level */
+#define NT_PER_TOKEN INT64_C(1000000000) /* nanotokens, as in bucket levels */
 
 static void limit_to_share(const struct quota_limit *, struct limits_share *);
 static struct quota_bucket *find_bucket(struct quota_owner *, uint64_t,
     const struct limits_share *, uint64_t, uint64_t);
 
 /*
- * Puts a limit into the units of buckets; a burst of none would admit nothing.
+ * Converts a limit into the units of a bucket.  The burst is at least 1,
+ * because a burst of 0 would admit nothing.
  */
 static void
 limit_to_share(const struct quota_limit *limit, struct limits_share *share)
@@ -27,7 +28,7 @@
 }
 
 /*
- * Prepares an owner of nothing.
+ * Initializes an owner without buckets.
  */
 void
 quota_owner_init(struct quota_owner *o)
@@ -51,7 +52,7 @@
 }
 
 /*
- * Gives up a workspace's bucket, since another node owns it now.
+ * Drops the bucket of a workspace that another node owns now.
  */
 void
 quota_owner_drop(struct quota_owner *o, uint64_t ws)
@@ -67,8 +68,9 @@
 }
 
 /*
- * Finds a workspace's bucket.  A new one starts empty while it isn't known
- * what an owner before may have lent within the window.
+ * Returns the bucket of a workspace, creating it if necessary.  A new bucket
+ * starts empty if a previous owner may have granted tokens within the last
+ * window.
  */
 static struct quota_bucket *
 find_bucket(struct quota_owner *o, uint64_t ws,
@@ -106,8 +108,8 @@
 }
 
 /*
- * Takes over the bucket of an owner that has stopped, with the tokens that
- * it had left.
+ * Takes over the bucket of an owner that has stopped, with its remaining
+ * tokens.
  */
 void
 quota_owner_inherit(struct quota_owner *o, uint64_t ws,
@@ -128,9 +130,9 @@
 }
 
 /*
- * Lends tokens: need at least, up to want if there are plenty.  A repeated
- * id gets what it got before.  The set of live nodes, and with it who owns
- * what, last changed at turned.
+ * Grants at least the needed tokens, up to the wanted ones if there are
+ * plenty. A repeated id gets the same grant again.  members_changed_ms is the
+ * time when the set of live nodes, and with it the ownership, last changed.
  */
 struct quota_grant
 quota_owner_lend(struct quota_owner *o, uint64_t ws,
--- a/src/quota/quota_stock.c
+++ b/src/quota/quota_stock.c
@@ -2,15 +2,15 @@
 
 #include "quota/quota.h"
 
-#define TOKEN_LIFETIME_MS 400 /* a token that isn't used by then is given up \
-			       */
-#define PREFETCH_S 0.12	      /* of demand that is asked for at once */
-#define DEMAND_TIME_CONSTANT_S 1.0 /* time constant of the measured demand */
-#define REFUSAL_MS_MAX 100 /* no new ask after the owner had none, at most */
+#define TOKEN_LIFETIME_MS 400	   /* unused tokens expire after it */
+#define PREFETCH_S 0.12		   /* of demand that one request covers */
+#define DEMAND_TIME_CONSTANT_S 1.0 /* of the measured demand */
+/* Longest time without a new request after the owner had no tokens. */
+#define REFUSAL_MS_MAX 100
 #define MS_PER_S 1000.0
 
 /*
- * Takes a token for one request, or tells what to do without one.
+ * Takes a token for one request, or returns what to do without one.
  */
 enum quota_verdict
 quota_take(struct quota_stock *s, uint64_t now_ms)
@@ -30,7 +30,7 @@
 }
 
 /*
- * Computes what to ask for when so many requests wait for a token.
+ * Computes how many tokens to request while the given number of requests wait.
  */
 void
 quota_want(const struct quota_stock *s, uint32_t waiting, uint32_t *needed,
@@ -41,7 +41,7 @@
 }
 
 /*
- * Takes the owner's answer.
+ * Applies the owner's answer.
  */
 void
 quota_receive(
@@ -66,7 +66,7 @@
 }
 
 /*
- * Takes back the token of a request that didn't run.
+ * Returns the token of a request that didn't run to the cache.
  */
 void
 quota_return(struct quota_stock *s, uint64_t now_ms)
@@ -79,10 +79,10 @@
 }
 
 /*
- * Takes a token from the reserve that this node has while no owner answers:
- * in any window, its part of what the limit's tolerance allows, a share of
- * the limit and a constant, divided among so many nodes.  Returns 1, or 0 if
- * it is used up.
+ * Takes a token from this node's reserve, for use while no owner answers.  The
+ * tolerance of a limit in each window is a share of the limit plus a constant;
+ * each node may use an equal part of it.  Returns 1, or 0 if the reserve is
+ * used up.
  */
 int
 quota_reserve(struct quota_stock *s, const struct quota_limit *limit,
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -20,7 +20,7 @@
 static const struct quota_limit limit = { 40, 40 };
 
 /*
- * Returns the most that was admitted within any window.
+ * Returns the highest number of admissions within any window.
  */
 static uint32_t
 worst_window(const uint32_t *per_ms, int len)
@@ -39,7 +39,8 @@
 }
 
 /*
- * Returns what the limit allows within a window, with its tolerance.
+ * Returns the number of requests that a limit allows within a window, with its
+ * tolerance.
  */
 static double
 allowed_in_window(const struct quota_limit *l)
@@ -50,9 +51,9 @@
 }
 
 /*
- * Hot tenant: all nodes ask for far more than the limit, the owner changes
- * twice and is away for a while, in which the nodes use their reserve.  No
- * window exceeds the limit, and most of it is used.
+ * Hot tenant: all nodes request far more than the limit while the owner
+ * changes twice and is unavailable for a second, in which the nodes use their
+ * reserve. No window exceeds the limit, and most of the limit is used.
  */
 static void
 test_window_limit_across_owner_changes(void **state)
@@ -70,7 +71,7 @@
 	quota_owner_init(&owners[0]);
 	quota_owner_init(&owners[1]);
 	for (now = 10000; now < 10000 + RUN_MS; now++) {
-		/* Owner 1 from 10 s on, nobody from 20 to 21 s, then 0. */
+		/* Owner 0 until 10 s, 1 until 20 s, none until 21 s. */
 		n = now < 20000 ? 0 : now < 30000 ? 1 : now < 31000 ? -1 : 0;
 		if (n != owner) {
 			quota_owner_drop(&owners[0], WORKSPACE);
@@ -80,7 +81,7 @@
 		}
 		for (n = 0; n < NODES; n++) {
 			if ((now + (uint64_t)n * 7) % 50 != 0)
-				continue; /* 20 requests a second a node */
+				continue; /* 20 requests per second and node */
 			if (quota_take(&stocks[n], now) == QUOTA_TAKEN) {
 				per_ms[now - 10000]++;
 				continue;
@@ -106,7 +107,7 @@
 	}
 	for (n = 0; n < SERIES_MS; n++)
 		total += per_ms[n];
-	print_message("worst window %u of %.0f, %u in 30 s at 40 a second\n",
+	print_message("worst window %u of %.0f, %u in 30 s at 40 per second\n",
 	    worst_window(per_ms, SERIES_MS), allowed_in_window(&limit), total);
 	assert_true(
 	    worst_window(per_ms, SERIES_MS) <= allowed_in_window(&limit));
@@ -116,8 +117,8 @@
 }
 
 /*
- * A workspace that stays within its rate is refused nothing, though most
- * nodes get less than one of its requests a second.
+ * A workspace that stays within its rate has no request refused, even if most
+ * nodes get less than one of its requests per second.
  */
 static void
 test_low_rate_is_not_refused(void **state)
@@ -150,7 +151,7 @@
 }
 
 /*
- * A repeated question gets the same tokens and takes no others.
+ * A repeated request gets the same tokens again and uses up no others.
  */
 static void
 test_repeated_request_gets_same_grant(void **state)
@@ -174,7 +175,7 @@
 }
 
 /*
- * A new owner holds back until the one before has surely stopped.
+ * A new owner grants nothing until the previous owner has stopped.
  */
 static void
 test_new_owner_waits(void **state)
@@ -193,8 +194,8 @@
 }
 
 /*
- * Hot tenant while its owner changes: half of the nodes go on asking the old
- * owner, which has a full bucket, for as long as it takes to notice.
+ * Hot tenant during a change of the owner: half of the nodes still use the old
+ * owner, which has a full bucket, until they notice the change.
  */
 static void
 test_window_limit_while_owners_overlap(void **state)
@@ -212,7 +213,7 @@
 	quota_owner_init(&owners[1]);
 	memset(per_ms, 0, sizeof(per_ms));
 	for (now = 20000; now < 30000; now++) {
-		/* The owner changes at 20.5 s; the old one sees it at 21.3. */
+		/* The owner changes at 20.5 s; the old one stops at 21.3 s. */
 		for (owner = 0; owner < 2; owner++) {
 			if (owner == 0 && now >= 21300)
 				continue;
@@ -232,7 +233,7 @@
 }
 
 /*
- * A lowered limit holds from the next question on.
+ * A lowered limit applies from the next request on.
  */
 static void
 test_lowered_limit_applies_at_once(void **state)
@@ -255,7 +256,7 @@
 }
 
 /*
- * A token of a request that didn't run serves another.
+ * The token of a request that didn't run serves another request.
  */
 static void
 test_returned_token_is_reused(void **state)
@@ -273,9 +274,9 @@
 }
 
 /*
- * Thundering herd: the whole fleet restarts while one workspace asks for far
- * more than its rate.  Nodes that don't know yet how many they are give
- * nothing from the reserve, and together never more than it.
+ * Thundering herd: the whole fleet restarts while one workspace requests far
+ * more than its rate.  Nodes that don't know the fleet size yet grant nothing
+ * from the reserve, and all nodes together never exceed it.
  */
 static void
 test_reserve_at_fleet_restart(void **state)
