throttle: rename profile fields that only this folder uses

The fields refused and ended of struct profile read like flags but are a share and a decaying count of runs; they are now refused_share and ended_runs.

--- a/src/throttle/profile.c
+++ b/src/throttle/profile.c
@@ -44,7 +44,7 @@
 profile_end(struct profile *p)
 {
 	p->runs += 1 - RUN_START_SHARE;
-	p->ended++;
+	p->ended_runs++;
 }
 
 /*
@@ -86,7 +86,8 @@
 void
 profile_call_ended(struct profile *p, int refused)
 {
-	p->refused += CALL_SHARE_WEIGHT * ((refused ? 1 : 0) - p->refused);
+	p->refused_share +=
+	    CALL_SHARE_WEIGHT * ((refused ? 1 : 0) - p->refused_share);
 }
 
 /*
@@ -110,9 +111,9 @@
 	uint32_t i;
 
 	p->held_s += held_slots * seconds;
-	if (p->ended >= ENDED_RUNS_MIN || held_slots > 0) {
+	if (p->ended_runs >= ENDED_RUNS_MIN || held_slots > 0) {
 		p->held_s *= decay;
-		p->ended *= decay;
+		p->ended_runs *= decay;
 	}
 	if (p->runs < KNOWN_RUNS_MIN)
 		return;
@@ -121,7 +122,8 @@
 		current = current_per_run(p, i);
 		if (c->usual <= 0)
 			c->usual = current;
-		else if (current > c->usual || p->refused < REFUSED_SHARE_MIN)
+		else if (current > c->usual ||
+			 p->refused_share < REFUSED_SHARE_MIN)
 			c->usual += (current - c->usual) *
 				    fmin(1, seconds / USUAL_TIME_CONSTANT_S);
 	}
@@ -141,7 +143,7 @@
 double
 profile_run_s(const struct profile *p)
 {
-	return p->ended > 0 ? p->held_s / p->ended : 0;
+	return p->ended_runs > 0 ? p->held_s / p->ended_runs : 0;
 }
 
 /*
@@ -154,7 +156,7 @@
 {
 	double current = current_per_run(p, call);
 
-	return p->refused < REFUSED_SHARE_MIN
+	return p->refused_share < REFUSED_SHARE_MIN
 		   ? current
 		   : fmax(current, p->calls[call].usual);
 }
--- a/src/throttle/profile.h
+++ b/src/throttle/profile.h
@@ -22,11 +22,11 @@
 struct profile {
 	struct profile_call calls[PROFILE_CALLS];
 	uint32_t call_count;
-	double runs;	/* decaying number of runs */
-	double refused; /* decaying share of refused calls */
-	double chained; /* decaying share of calls of known runs */
-	double held_s;	/* decaying sum of slot holding times */
-	double ended;	/* decaying number of ended runs */
+	double runs;	      /* decaying number of runs */
+	double refused_share; /* decaying share of refused calls */
+	double chained;	      /* decaying share of calls of known runs */
+	double held_s;	      /* decaying sum of slot holding times */
+	double ended_runs;    /* decaying number of ended runs */
 };
 
 void profile_init(struct profile *);
