quota: rename time fields that only this folder uses

The fields since_ms, used_ms and seen_ms did not say of what; they are now owned_since_ms, last_used_ms and last_demand_ms, for the bucket and for a node's tokens.

--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -24,9 +24,9 @@
 
 /* Token bucket of a workspace that this node owns. */
 struct quota_bucket {
-	uint64_t ws;	   /* hash of the workspace's name; 0: unused */
-	uint64_t since_ms; /* start of the ownership */
-	uint64_t used_ms;  /* last request; 0: none yet */
+	uint64_t ws;		 /* hash of the workspace's name; 0: unused */
+	uint64_t owned_since_ms; /* start of the ownership */
+	uint64_t last_used_ms;	 /* last request; 0: none yet */
 	struct limits_bucket bucket;
 };
 
@@ -59,7 +59,7 @@
 	uint32_t tokens;
 	uint32_t asks;		   /* times the outstanding request was sent */
 	double per_s;		   /* exponential average of the demand */
-	uint64_t seen_ms;	   /* last update of the average */
+	uint64_t last_demand_ms;   /* last update of the average */
 	uint64_t refused_until_ms; /* the owner has no tokens until then */
 	uint64_t ask_id;	   /* outstanding request; 0: none */
 	uint64_t asked_ms;	   /* when that request was sent */
--- a/src/quota/quota_owner.c
+++ b/src/quota/quota_owner.c
@@ -82,7 +82,7 @@
 
 	for (i = 0; i < o->count; i++) {
 		b = &o->list[i];
-		if (b->ws == ws && now_ms - b->used_ms < BUCKET_IDLE_MS)
+		if (b->ws == ws && now_ms - b->last_used_ms < BUCKET_IDLE_MS)
 			return b;
 		if (b->ws == ws) {
 			quota_owner_drop(o, ws);
@@ -101,7 +101,7 @@
 		slot = &o->list[o->count++];
 	memset(slot, 0, sizeof(*slot));
 	slot->ws = ws;
-	slot->since_ms = members_changed_ms;
+	slot->owned_since_ms = members_changed_ms;
 	bucket_init(&slot->bucket, share,
 	    now_ms - members_changed_ms > QUOTA_WINDOW_MS, now_ms * US_PER_MS);
 	return slot;
@@ -121,9 +121,9 @@
 	limit_to_share(limit, &share);
 	quota_owner_drop(o, ws);
 	b = find_bucket(o, ws, &share, now_ms, now_ms);
-	b->since_ms =
+	b->owned_since_ms =
 	    now_ms > TAKEOVER_DELAY_MS ? now_ms - TAKEOVER_DELAY_MS : 0;
-	b->used_ms = now_ms;
+	b->last_used_ms = now_ms;
 	if (level > share.burst)
 		level = share.burst;
 	b->bucket.level_nt = (int64_t)level * NT_PER_TOKEN;
@@ -145,9 +145,9 @@
 
 	limit_to_share(limit, &share);
 	b = find_bucket(o, ws, &share, members_changed_ms, now_ms);
-	g.fresh = b->used_ms == 0;
-	b->used_ms = now_ms;
-	if (now_ms - b->since_ms < TAKEOVER_DELAY_MS)
+	g.fresh = b->last_used_ms == 0;
+	b->last_used_ms = now_ms;
+	if (now_ms - b->owned_since_ms < TAKEOVER_DELAY_MS)
 		return g;
 	bucket_resize(&b->bucket, &share, now_ms * US_PER_MS);
 	g.owner = 1;
--- a/src/quota/quota_stock.c
+++ b/src/quota/quota_stock.c
@@ -15,11 +15,11 @@
 enum quota_verdict
 quota_take(struct quota_stock *s, uint64_t now_ms)
 {
-	double gap_s = (double)(now_ms - s->seen_ms) / MS_PER_S;
+	double gap_s = (double)(now_ms - s->last_demand_ms) / MS_PER_S;
 
 	s->per_s *= exp(-gap_s / DEMAND_TIME_CONSTANT_S);
 	s->per_s += 1 / DEMAND_TIME_CONSTANT_S;
-	s->seen_ms = now_ms;
+	s->last_demand_ms = now_ms;
 	if (now_ms >= s->expire_ms)
 		s->tokens = 0;
 	if (s->tokens > 0) {
