--- a/src/limits/limits.c
+++ b/src/limits/limits.c
@@ -8,15 +8,17 @@
 #include "base/clock.h"
 #include "limits/limits_int.h"
 
-static struct limits_entry *entry_find(struct limits_entry *, uint64_t);
-static int handle_ask(void *, const struct sockaddr_in *, const void *, void *);
+static struct limits_entry *find_entry(struct limits_entry *, uint64_t);
+static int handle_loan_request(
+    void *, const struct sockaddr_in *, const void *, void *);
 static int handle_report(
     void *, const struct sockaddr_in *, const void *, void *);
 
 const struct rpc_proc limits_procs[LIMITS_PROC_MAX] = {
 	[LIMITS_PROC_ASK] = { RPC_BLOCK_LIMITS + 1,
 	    (xdrproc_t)xdr_limits_ask_arg, sizeof(limits_ask_arg),
-	    (xdrproc_t)xdr_limits_ask_res, sizeof(limits_ask_res), handle_ask },
+	    (xdrproc_t)xdr_limits_ask_res, sizeof(limits_ask_res),
+	    handle_loan_request },
 	[LIMITS_PROC_REPORT] = { RPC_BLOCK_LIMITS + 2,
 	    (xdrproc_t)xdr_limits_report_arg, sizeof(limits_report_arg),
 	    (xdrproc_t)xdr_limits_report_res, sizeof(limits_report_res),
@@ -46,11 +48,11 @@
 	size_t i;
 
 	limits_owner_finish(l);
-	for (i = 0; i < LIMITS_TABLE; i++)
+	for (i = 0; i < LIMITS_TABLE_CHAINS; i++)
 		for (e = l->entries[i]; e != NULL; e = next) {
 			next = e->next;
 			pthread_mutex_destroy(&e->lock);
-			pthread_cond_destroy(&e->got);
+			pthread_cond_destroy(&e->borrow_done);
 			free(e);
 		}
 	pthread_mutex_destroy(&l->lock);
@@ -60,7 +62,7 @@
  * Finds a workspace in a chain, or NULL.
  */
 static struct limits_entry *
-entry_find(struct limits_entry *e, uint64_t hash)
+find_entry(struct limits_entry *e, uint64_t hash)
 {
 	while (e != NULL && e->hash != hash)
 		e = e->next;
@@ -74,15 +76,15 @@
 struct limits_entry *
 limits_entry_get(struct limits *l, uint64_t hash)
 {
-	size_t i = hash % LIMITS_TABLE;
+	size_t i = hash % LIMITS_TABLE_CHAINS;
 	struct limits_entry *e;
 	pthread_condattr_t attr;
 
-	e = entry_find(atomic_load(&l->entries[i]), hash);
+	e = find_entry(atomic_load(&l->entries[i]), hash);
 	if (e != NULL)
 		return e;
 	pthread_mutex_lock(&l->lock);
-	e = entry_find(atomic_load(&l->entries[i]), hash);
+	e = find_entry(atomic_load(&l->entries[i]), hash);
 	if (e == NULL) {
 		e = calloc(1, sizeof(*e));
 		if (e == NULL)
@@ -91,7 +93,7 @@
 		pthread_mutex_init(&e->lock, NULL);
 		pthread_condattr_init(&attr);
 		pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-		pthread_cond_init(&e->got, &attr);
+		pthread_cond_init(&e->borrow_done, &attr);
 		pthread_condattr_destroy(&attr);
 		e->next = atomic_load(&l->entries[i]);
 		atomic_store(&l->entries[i], e);
@@ -104,7 +106,7 @@
  * Serves an entry's ask.
  */
 static int
-handle_ask(
+handle_loan_request(
     void *ctx, const struct sockaddr_in *from, const void *arg, void *res)
 {
 	(void)from;
@@ -133,14 +135,15 @@
 	struct limits_entry *e;
 	size_t i;
 
-	for (i = 0; i < LIMITS_TABLE; i++)
+	for (i = 0; i < LIMITS_TABLE_CHAINS; i++)
 		for (e = atomic_load(&l->entries[i]); e != NULL; e = e->next) {
 			pthread_mutex_lock(&e->lock);
 			fprintf(out,
 			    "loans workspace=%016" PRIx64 " held=%u "
 			    "demand=%.1f\n",
-			    e->hash, loans_held(e, l->cfg.clock_us()),
-			    e->demand);
+			    e->hash,
+			    limits_available_tokens(e, l->cfg.clock_us()),
+			    e->demand_per_s);
 			pthread_mutex_unlock(&e->lock);
 		}
 	limits_owner_dump(l, out);
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -14,8 +14,9 @@
  * holds its bucket; entries admit requests from loans of its tokens.
  */
 #define LIMITS_SHARDS 3
-#define LIMITS_SHARD_BURST 30 /* a limit with this burst is cut in shards */
-#define LIMITS_TICK_MS 20     /* between two calls of limits_maintain() */
+#define LIMITS_SHARD_BURST_MIN 30 /* a limit with this burst is cut in shards \
+				   */
+#define LIMITS_TICK_MS 20	  /* between two calls of limits_maintain() */
 
 /* A workspace's limit in a configuration. */
 struct limits_ws {
@@ -65,16 +66,16 @@
 	uint64_t (*clock_us)(void); /* NULL: the clock */
 };
 
-#define LIMITS_TABLE 1024 /* chains of each table */
+#define LIMITS_TABLE_CHAINS 1024 /* chains of each table */
 
-struct limits_slot;
+struct limits_shard_bucket;
 struct limits_entry;
 
 struct limits {
 	struct limits_config cfg;
 	pthread_mutex_t lock; /* guards insertion into the tables */
-	struct limits_slot *_Atomic slots[LIMITS_TABLE];
-	struct limits_entry *_Atomic entries[LIMITS_TABLE];
+	struct limits_shard_bucket *_Atomic shard_buckets[LIMITS_TABLE_CHAINS];
+	struct limits_entry *_Atomic entries[LIMITS_TABLE_CHAINS];
 };
 
 /* Procedures for the RPC server; their context is struct limits. */
--- a/src/limits/limits_bucket.c
+++ b/src/limits/limits_bucket.c
@@ -5,19 +5,20 @@
 
 #include "limits/limits_bucket.h"
 
-#define TOKEN_NT INT64_C(1000000000)
-#define MILLI 1000.0
-#define RATE_MAX 1e9	  /* requests a second */
-#define LOANS_MIN 8	  /* places of a new ring */
-#define LOANS_MAX 65536	  /* loans of one bucket */
-#define CREDIT_US 1000000 /* after a loan's expiry, to give tokens back */
+#define NT_PER_TOKEN INT64_C(1000000000)
+#define MT_PER_TOKEN 1000.0
+#define RATE_MAX_PER_S 1e9   /* requests a second */
+#define RING_LOANS_MIN 8     /* places of a new ring */
+#define RING_LOANS_MAX 65536 /* loans of one bucket */
+#define CREDIT_LIFETIME_US \
+	1000000 /* after a loan's expiry, to give tokens back */
 #define WAIT_MAX_US UINT64_C(3600000000)
-#define SPARE_SHARE 4 /* of what is left, that a prefetch gets */
+#define PREFETCH_DIVISOR 4 /* of what is left, that a prefetch gets */
 
-static void fill_until(struct limits_bucket *, uint64_t);
-static void clamp(struct limits_bucket *);
-static void forfeit(struct limits_bucket *);
-static void drop_oldest(struct limits_bucket *);
+static void add_inflow(struct limits_bucket *, uint64_t);
+static void clamp_to_burst(struct limits_bucket *);
+static void trim_credit(struct limits_bucket *);
+static void drop_oldest_loan(struct limits_bucket *);
 static struct limits_loan *loan_at(const struct limits_bucket *, size_t);
 static int loan_push(struct limits_bucket *, uint64_t, uint32_t, uint64_t);
 
@@ -25,20 +26,20 @@
  * Returns into how many shards a limit with this burst is cut.
  */
 uint32_t
-limits_shards(uint32_t burst)
+limits_shard_count(uint32_t burst)
 {
-	return burst >= LIMITS_SHARD_BURST ? LIMITS_SHARDS : 1;
+	return burst >= LIMITS_SHARD_BURST_MIN ? LIMITS_SHARDS : 1;
 }
 
 /*
  * Returns the partition that decides for a shard of a workspace.
  */
 uint32_t
-limits_part(const struct limits_ws *ws, uint32_t shard)
+limits_shard_partition(const struct limits_ws *ws, uint32_t shard)
 {
 	uint32_t group = shard;
 
-	if (limits_shards(ws->burst) == 1)
+	if (limits_shard_count(ws->burst) == 1)
 		group = (uint32_t)(ws->hash % LEASE_GROUPS);
 	return group * LEASE_GROUP_PARTS +
 	       (uint32_t)(ws->hash % LEASE_GROUP_PARTS);
@@ -49,12 +50,12 @@
  * workspace's lies there.
  */
 int
-limits_shard_of(const struct limits_ws *ws, uint32_t part)
+limits_partition_shard(const struct limits_ws *ws, uint32_t part)
 {
 	uint32_t i;
 
-	for (i = 0; i < limits_shards(ws->burst); i++)
-		if (limits_part(ws, i) == part)
+	for (i = 0; i < limits_shard_count(ws->burst); i++)
+		if (limits_shard_partition(ws, i) == part)
 			return (int)i;
 	return -1;
 }
@@ -64,13 +65,15 @@
  * the rate in thousandths.
  */
 void
-limits_share(const struct limits_ws *ws, uint32_t shard, struct limits_share *s)
+limits_compute_share(
+    const struct limits_ws *ws, uint32_t shard, struct limits_share *s)
 {
-	uint32_t n = limits_shards(ws->burst);
+	uint32_t n = limits_shard_count(ws->burst);
 	uint64_t rate = 0;
 
 	if (ws->rate > 0)
-		rate = (uint64_t)floor(fmin(ws->rate, RATE_MAX) * MILLI);
+		rate = (uint64_t)floor(
+		    fmin(ws->rate, RATE_MAX_PER_S) * MT_PER_TOKEN);
 	s->rate_mt = rate / n + (shard < rate % n);
 	s->burst = ws->burst / n + (shard < ws->burst % n);
 }
@@ -84,8 +87,8 @@
 {
 	memset(b, 0, sizeof(*b));
 	b->share = *share;
-	b->level_nt = full ? share->burst * TOKEN_NT : 0;
-	b->filled_us = now_us;
+	b->level_nt = full ? share->burst * NT_PER_TOKEN : 0;
+	b->refilled_us = now_us;
 }
 
 /*
@@ -111,21 +114,21 @@
  * Takes credit from the oldest loans until all is within the burst.
  */
 static void
-forfeit(struct limits_bucket *b)
+trim_credit(struct limits_bucket *b)
 {
-	int64_t excess =
+	int64_t excess_nt =
 	    b->level_nt + b->credit_nt -
-	    ((int64_t)b->share.burst - (int64_t)b->outstanding) * TOKEN_NT;
+	    ((int64_t)b->share.burst - (int64_t)b->outstanding) * NT_PER_TOKEN;
 	struct limits_loan *l;
-	int64_t part;
+	int64_t cut_nt;
 	size_t i;
 
-	for (i = 0; i < b->count && excess > 0 && b->credit_nt > 0; i++) {
+	for (i = 0; i < b->count && excess_nt > 0 && b->credit_nt > 0; i++) {
 		l = loan_at(b, i);
-		part = l->credit_nt < excess ? l->credit_nt : excess;
-		l->credit_nt -= part;
-		b->credit_nt -= part;
-		excess -= part;
+		cut_nt = l->credit_nt < excess_nt ? l->credit_nt : excess_nt;
+		l->credit_nt -= cut_nt;
+		b->credit_nt -= cut_nt;
+		excess_nt -= cut_nt;
 	}
 }
 
@@ -133,7 +136,7 @@
  * Forgets the oldest loan, which must be settled.
  */
 static void
-drop_oldest(struct limits_bucket *b)
+drop_oldest_loan(struct limits_bucket *b)
 {
 	b->credit_nt -= loan_at(b, 0)->credit_nt;
 	b->head = (b->head + 1) & (b->cap - 1);
@@ -145,38 +148,38 @@
  * Keeps level + outstanding + credit within the burst.
  */
 static void
-clamp(struct limits_bucket *b)
+clamp_to_burst(struct limits_bucket *b)
 {
 	int64_t room = (int64_t)b->share.burst - (int64_t)b->outstanding;
 
 	if (room < 0)
 		room = 0;
-	if (b->level_nt > room * TOKEN_NT)
-		b->level_nt = room * TOKEN_NT;
-	forfeit(b);
+	if (b->level_nt > room * NT_PER_TOKEN)
+		b->level_nt = room * NT_PER_TOKEN;
+	trim_credit(b);
 }
 
 /*
  * Adds what has flowed in up to a time (us), while nothing lapsed.
  */
 static void
-fill_until(struct limits_bucket *b, uint64_t now_us)
+add_inflow(struct limits_bucket *b, uint64_t now_us)
 {
-	uint64_t dt, need;
+	uint64_t dt, full_us;
 
-	if (now_us <= b->filled_us)
+	if (now_us <= b->refilled_us)
 		return;
-	dt = now_us - b->filled_us;
-	b->filled_us = now_us;
+	dt = now_us - b->refilled_us;
+	b->refilled_us = now_us;
 	if (b->share.rate_mt == 0)
 		return;
-	need =
-	    (uint64_t)b->share.burst * (uint64_t)TOKEN_NT / b->share.rate_mt +
-	    1;
-	if (dt > need)
-		dt = need;
+	full_us = (uint64_t)b->share.burst * (uint64_t)NT_PER_TOKEN /
+		      b->share.rate_mt +
+		  1;
+	if (dt > full_us)
+		dt = full_us;
 	b->level_nt += (int64_t)(dt * b->share.rate_mt);
-	clamp(b);
+	clamp_to_burst(b);
 }
 
 /*
@@ -194,16 +197,17 @@
 			continue;
 		if (l->expire_us > now_us)
 			break;
-		fill_until(b, l->expire_us);
+		add_inflow(b, l->expire_us);
 		b->outstanding -= l->tokens;
 		l->tokens = 0;
 	}
-	fill_until(b, now_us);
+	add_inflow(b, now_us);
 	while (b->settled > 0) {
 		l = loan_at(b, 0);
-		if (l->credit_nt > 0 && l->expire_us + CREDIT_US > now_us)
+		if (l->credit_nt > 0 &&
+		    l->expire_us + CREDIT_LIFETIME_US > now_us)
 			break;
-		drop_oldest(b);
+		drop_oldest_loan(b);
 	}
 }
 
@@ -220,7 +224,7 @@
 		return;
 	bucket_refill(b, now_us);
 	b->share = *share;
-	clamp(b);
+	clamp_to_burst(b);
 }
 
 /*
@@ -232,22 +236,22 @@
 loan_push(
     struct limits_bucket *b, uint64_t id, uint32_t tokens, uint64_t expire_us)
 {
-	struct limits_loan *fresh;
+	struct limits_loan *grown;
 	size_t cap, i;
 
-	if (b->count == LOANS_MAX && b->settled > 0)
-		drop_oldest(b);
+	if (b->count == RING_LOANS_MAX && b->settled > 0)
+		drop_oldest_loan(b);
 	if (b->count == b->cap) {
-		cap = b->cap == 0 ? LOANS_MIN : b->cap * 2;
-		if (cap > LOANS_MAX)
+		cap = b->cap == 0 ? RING_LOANS_MIN : b->cap * 2;
+		if (cap > RING_LOANS_MAX)
 			return -1;
-		fresh = calloc(cap, sizeof(*fresh));
-		if (fresh == NULL)
+		grown = calloc(cap, sizeof(*grown));
+		if (grown == NULL)
 			err(1, "loan_push");
 		for (i = 0; i < b->count; i++)
-			fresh[i] = *loan_at(b, i);
+			grown[i] = *loan_at(b, i);
 		free(b->loans);
-		b->loans = fresh;
+		b->loans = grown;
 		b->head = 0;
 		b->cap = cap;
 	}
@@ -267,24 +271,25 @@
 bucket_lend(struct limits_bucket *b, uint64_t id, uint32_t need, uint32_t want,
     uint64_t now_us, uint64_t expire_us)
 {
-	uint64_t level, got, extra;
+	uint64_t level, granted, ahead;
 	size_t i;
 
 	bucket_refill(b, now_us);
 	for (i = b->count; i > b->settled; i--)
 		if (loan_at(b, i - 1)->id == id)
 			return loan_at(b, i - 1)->tokens;
-	level = (uint64_t)(b->level_nt / TOKEN_NT);
-	got = need < level ? need : level;
-	extra = want > need ? want - need : 0;
-	if (extra > (level - got) / SPARE_SHARE)
-		extra = (level - got) / SPARE_SHARE;
-	got += extra;
-	if (got == 0 || loan_push(b, id, (uint32_t)got, expire_us) == -1)
+	level = (uint64_t)(b->level_nt / NT_PER_TOKEN);
+	granted = need < level ? need : level;
+	ahead = want > need ? want - need : 0;
+	if (ahead > (level - granted) / PREFETCH_DIVISOR)
+		ahead = (level - granted) / PREFETCH_DIVISOR;
+	granted += ahead;
+	if (granted == 0 ||
+	    loan_push(b, id, (uint32_t)granted, expire_us) == -1)
 		return 0;
-	b->level_nt -= (int64_t)got * TOKEN_NT;
-	b->outstanding += got;
-	return (uint32_t)got;
+	b->level_nt -= (int64_t)granted * NT_PER_TOKEN;
+	b->outstanding += granted;
+	return (uint32_t)granted;
 }
 
 /*
@@ -295,11 +300,11 @@
  * no such loan.
  */
 int
-bucket_report(
+bucket_settle_loan(
     struct limits_bucket *b, uint64_t id, uint32_t unspent, uint64_t now_us)
 {
 	struct limits_loan *l = NULL;
-	int64_t back;
+	int64_t returned_nt;
 	size_t i;
 
 	bucket_refill(b, now_us);
@@ -310,18 +315,18 @@
 		return -1;
 	if (l->tokens > 0) {
 		b->outstanding -= l->tokens;
-		l->credit_nt = (int64_t)l->tokens * TOKEN_NT;
+		l->credit_nt = (int64_t)l->tokens * NT_PER_TOKEN;
 		b->credit_nt += l->credit_nt;
 		l->tokens = 0;
 	}
-	back = (int64_t)(unspent - l->unspent) * TOKEN_NT;
-	if (back > l->credit_nt)
-		back = l->credit_nt;
+	returned_nt = (int64_t)(unspent - l->unspent) * NT_PER_TOKEN;
+	if (returned_nt > l->credit_nt)
+		returned_nt = l->credit_nt;
 	l->unspent = unspent;
-	l->credit_nt -= back;
-	b->credit_nt -= back;
-	b->level_nt += back;
-	clamp(b);
+	l->credit_nt -= returned_nt;
+	b->credit_nt -= returned_nt;
+	b->level_nt += returned_nt;
+	clamp_to_burst(b);
 	return 0;
 }
 
@@ -331,7 +336,7 @@
 uint32_t
 bucket_level(const struct limits_bucket *b)
 {
-	return (uint32_t)(b->level_nt / TOKEN_NT);
+	return (uint32_t)(b->level_nt / NT_PER_TOKEN);
 }
 
 /*
@@ -341,13 +346,13 @@
 uint64_t
 bucket_wait_us(const struct limits_bucket *b, uint32_t tokens)
 {
-	int64_t lack = (int64_t)tokens * TOKEN_NT - b->level_nt;
+	int64_t missing_nt = (int64_t)tokens * NT_PER_TOKEN - b->level_nt;
 	uint64_t wait;
 
-	if (lack <= 0)
+	if (missing_nt <= 0)
 		return 0;
 	if (b->share.rate_mt == 0)
 		return WAIT_MAX_US;
-	wait = (uint64_t)lack / b->share.rate_mt + 1;
+	wait = (uint64_t)missing_nt / b->share.rate_mt + 1;
 	return wait < WAIT_MAX_US ? wait : WAIT_MAX_US;
 }
--- a/src/limits/limits_bucket.h
+++ b/src/limits/limits_bucket.h
@@ -29,7 +29,7 @@
 struct limits_bucket {
 	struct limits_share share;
 	int64_t level_nt; /* billionths of a token */
-	uint64_t filled_us;
+	uint64_t refilled_us;
 	uint64_t outstanding;
 	int64_t credit_nt;	   /* sum over the loans */
 	struct limits_loan *loans; /* ring, by ascending expiry */
@@ -39,10 +39,11 @@
 	size_t cap;	/* a power of two */
 };
 
-uint32_t limits_shards(uint32_t);
-uint32_t limits_part(const struct limits_ws *, uint32_t);
-int limits_shard_of(const struct limits_ws *, uint32_t);
-void limits_share(const struct limits_ws *, uint32_t, struct limits_share *);
+uint32_t limits_shard_count(uint32_t);
+uint32_t limits_shard_partition(const struct limits_ws *, uint32_t);
+int limits_partition_shard(const struct limits_ws *, uint32_t);
+void limits_compute_share(
+    const struct limits_ws *, uint32_t, struct limits_share *);
 
 void bucket_init(
     struct limits_bucket *, const struct limits_share *, int, uint64_t);
@@ -52,7 +53,7 @@
 void bucket_refill(struct limits_bucket *, uint64_t);
 uint32_t bucket_lend(
     struct limits_bucket *, uint64_t, uint32_t, uint32_t, uint64_t, uint64_t);
-int bucket_report(struct limits_bucket *, uint64_t, uint32_t, uint64_t);
+int bucket_settle_loan(struct limits_bucket *, uint64_t, uint32_t, uint64_t);
 uint32_t bucket_level(const struct limits_bucket *);
 uint64_t bucket_wait_us(const struct limits_bucket *, uint32_t);
 
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -10,31 +10,32 @@
 
 #define US_PER_MS 1000
 #define US_PER_S 1000000
-#define ASK_MS 100 /* bound on a request's wait */
-#define ASK_TRIES 2
-#define SHARD_ASK_MS 40	     /* part of it for one of several shards */
+#define ADMIT_TIMEOUT_MS 100 /* bound on a request's wait */
+#define ASK_ATTEMPTS 2
+#define SHARD_TIMEOUT_MS 40  /* part of it for one of several shards */
 #define REPORT_TIMEOUT_MS 40 /* bound on a report */
-#define DOWN_US 100000	     /* an owner is not asked after a failure */
-#define PREFETCH_MS 200	     /* demand that a dense flow borrows ahead */
-#define REFILL_MS 100	     /* held demand below which it borrows more */
-#define PREFETCH_BURST 32    /* of a shard that is borrowed ahead from */
-#define SMALL_BURST 64	     /* of shards that are used evenly */
-#define DENSE_RATE 20.0	     /* requests a second of a dense flow */
-#define REPORT_US 100000     /* spent loans are reported this late */
+#define UNREACHABLE_BACKOFF_US \
+	100000			 /* an owner is not asked after a failure */
+#define PREFETCH_MS 200		 /* demand that a dense flow borrows ahead */
+#define PREFETCH_BELOW_MS 100	 /* held demand below which it borrows more */
+#define PREFETCH_BURST_MIN 32	 /* of a shard that is borrowed ahead from */
+#define LOCAL_SHARD_BURST_MIN 64 /* of shards that are used evenly */
+#define PREFETCH_RATE_MIN 20.0	 /* requests a second of a dense flow */
+#define REPORT_DELAY_US 100000	 /* spent loans are reported this late */
 
-static int ask_owner(struct limits *, struct limits_entry *,
+static int call_owner(struct limits *, struct limits_entry *,
     const struct lease_view *, limits_ask_arg *, limits_ask_res *, uint32_t);
-static uint32_t ask_shard(struct limits *, struct limits_entry *,
+static uint32_t borrow_from_shard(struct limits *, struct limits_entry *,
     const struct limits_ws *, uint32_t, limits_ask_arg *, uint64_t);
-static void ask_shards(struct limits *, struct limits_entry *,
+static void borrow_tokens(struct limits *, struct limits_entry *,
     const struct limits_ws *, uint32_t, uint32_t);
-static enum limits_verdict blocked(const struct limits_entry *,
+static enum limits_verdict check_shards(const struct limits_entry *,
     const struct limits_ws *, uint64_t, uint32_t *);
-static void wait_got(struct limits_entry *, uint64_t);
-static uint32_t prefetch(const struct limits_entry *);
+static void wait_for_borrower(struct limits_entry *, uint64_t);
+static uint32_t prefetch_tokens(const struct limits_entry *);
 static void send_reports(
     struct limits *, const struct node_id *, const limits_report_arg *, int);
-static void flush(struct limits *, struct limits_entry *, int);
+static void flush_reports(struct limits *, struct limits_entry *, int);
 static double shard_score(const struct limits *, const struct limits_entry *,
     const struct limits_ws *, uint32_t, uint64_t);
 static int best_shard(const struct limits *, const struct limits_entry *,
@@ -47,7 +48,7 @@
  * 0, or -1 if there was no answer.
  */
 static int
-ask_owner(struct limits *l, struct limits_entry *e, const struct lease_view *v,
+call_owner(struct limits *l, struct limits_entry *e, const struct lease_view *v,
     limits_ask_arg *arg, limits_ask_res *res, uint32_t timeout_ms)
 {
 	enum rpc_status st;
@@ -56,7 +57,7 @@
 	if (nodeid_is_none(&v->owner))
 		return -1;
 	pthread_mutex_lock(&e->lock);
-	arg->reports.reports_len = (u_int)reports_take(
+	arg->reports.reports_len = (u_int)limits_dequeue_reports(
 	    e, arg->part, &v->owner, arg->reports.reports_val);
 	pthread_mutex_unlock(&e->lock);
 	counter_add(CTR_LOANS_ASKED, 1);
@@ -64,10 +65,10 @@
 		limits_serve_ask(l, arg, res);
 		return 0;
 	}
-	for (i = 0; i < ASK_TRIES; i++) {
+	for (i = 0; i < ASK_ATTEMPTS; i++) {
 		st = l->cfg.call(l->cfg.call_ctx, &v->owner,
 		    &limits_procs[LIMITS_PROC_ASK], arg, res,
-		    timeout_ms / ASK_TRIES);
+		    timeout_ms / ASK_ATTEMPTS);
 		if (st != RPC_TIMEOUT)
 			return st == RPC_DONE ? 0 : -1;
 	}
@@ -78,46 +79,48 @@
  * Borrows from one shard and remembers the answer.  Returns the tokens got.
  */
 static uint32_t
-ask_shard(struct limits *l, struct limits_entry *e, const struct limits_ws *ws,
-    uint32_t shard, limits_ask_arg *arg, uint64_t deadline)
+borrow_from_shard(struct limits *l, struct limits_entry *e,
+    const struct limits_ws *ws, uint32_t shard, limits_ask_arg *arg,
+    uint64_t deadline)
 {
-	uint32_t timeout = limits_shards(ws->burst) > 1 ? SHARD_ASK_MS : ASK_MS;
+	uint32_t timeout = limits_shard_count(ws->burst) > 1 ? SHARD_TIMEOUT_MS
+							     : ADMIT_TIMEOUT_MS;
 	limits_ask_res res = { 0 };
 	uint64_t asked = l->cfg.clock_us(), now;
 	struct lease_view v;
-	struct limits_held ln;
-	int down;
+	struct limits_active_loan ln;
+	int failed;
 
 	if (asked + US_PER_MS > deadline)
 		return 0;
 	if (timeout > (deadline - asked) / US_PER_MS)
 		timeout = (uint32_t)((deadline - asked) / US_PER_MS);
-	arg->part = limits_part(ws, shard);
+	arg->part = limits_shard_partition(ws, shard);
 	arg->loan = rand_u64();
 	l->cfg.lookup(l->cfg.lookup_ctx, arg->part, asked / US_PER_MS, &v);
-	down = ask_owner(l, e, &v, arg, &res, timeout) == -1 ||
-	       (res.status != LIMITS_GRANTED && res.status != LIMITS_DRY);
+	failed = call_owner(l, e, &v, arg, &res, timeout) == -1 ||
+		 (res.status != LIMITS_GRANTED && res.status != LIMITS_DRY);
 	now = l->cfg.clock_us();
 	pthread_mutex_lock(&e->lock);
-	if (down)
-		e->down_us[shard] = now + DOWN_US;
+	if (failed)
+		e->unreachable_until_us[shard] = now + UNREACHABLE_BACKOFF_US;
 	else if (res.dry_us > 0)
-		e->dry_us[shard] = now + res.dry_us;
-	e->filling[shard] = !down && res.filling;
-	e->level[shard] = down ? 0 : res.level;
-	e->level_us[shard] = now;
-	if (!down && res.tokens > 0) {
+		e->empty_until_us[shard] = now + res.dry_us;
+	e->owner_is_new[shard] = !failed && res.filling;
+	e->last_level[shard] = failed ? 0 : res.level;
+	e->level_read_us[shard] = now;
+	if (!failed && res.tokens > 0) {
 		ln.id = arg->loan;
 		ln.owner = v.owner;
 		ln.part = arg->part;
 		ln.tokens = res.tokens;
 		ln.expire_us = asked + (uint64_t)res.life_ms * US_PER_MS;
-		loan_keep(e, &ln, now);
+		limits_add_loan(e, &ln, now);
 	}
 	pthread_mutex_unlock(&e->lock);
-	if (down && l->cfg.kick != NULL)
+	if (failed && l->cfg.kick != NULL)
 		l->cfg.kick(l->cfg.kick_ctx);
-	return down ? 0 : res.tokens;
+	return failed ? 0 : res.tokens;
 }
 
 /*
@@ -132,36 +135,38 @@
 	struct limits_share share;
 	double level;
 
-	limits_share(ws, shard, &share);
+	limits_compute_share(ws, shard, &share);
 	level = share.burst;
-	if (e->level_us[shard] != 0)
-		level = fmin(level,
-		    e->level[shard] + (double)age_at(now, e->level_us[shard]) *
-					  (double)share.rate_mt /
-					  (US_PER_S * 1e3));
-	if (shard == l->cfg.group % limits_shards(ws->burst))
-		level += share.burst >= SMALL_BURST ? UINT32_MAX : 0.5;
+	if (e->level_read_us[shard] != 0)
+		level = fmin(
+		    level, e->last_level[shard] +
+			       (double)age_at(now, e->level_read_us[shard]) *
+				   (double)share.rate_mt / (US_PER_S * 1e3));
+	if (shard == l->cfg.group % limits_shard_count(ws->burst))
+		level +=
+		    share.burst >= LOCAL_SHARD_BURST_MIN ? UINT32_MAX : 0.5;
 	return level;
 }
 
 /*
- * Returns the best shard that is neither dry, down nor marked in tried, or
+ * Returns the best shard that is neither dry, failed nor marked in tried, or
  * -1.
  */
 static int
 best_shard(const struct limits *l, const struct limits_entry *e,
     const struct limits_ws *ws, const int *tried, uint64_t now)
 {
-	uint32_t n = limits_shards(ws->burst), i;
-	double score, top = -1;
+	uint32_t n = limits_shard_count(ws->burst), i;
+	double score, best_score = -1;
 	int best = -1;
 
 	for (i = 0; i < n; i++) {
-		if (tried[i] || e->dry_us[i] > now || e->down_us[i] > now)
+		if (tried[i] || e->empty_until_us[i] > now ||
+		    e->unreachable_until_us[i] > now)
 			continue;
 		score = shard_score(l, e, ws, i, now);
-		if (score > top) {
-			top = score;
+		if (score > best_score) {
+			best_score = score;
 			best = (int)i;
 		}
 	}
@@ -173,11 +178,11 @@
  * and up to want from the first that has them.
  */
 static void
-ask_shards(struct limits *l, struct limits_entry *e, const struct limits_ws *ws,
-    uint32_t need, uint32_t want)
+borrow_tokens(struct limits *l, struct limits_entry *e,
+    const struct limits_ws *ws, uint32_t need, uint32_t want)
 {
 	uint64_t now = l->cfg.clock_us();
-	uint64_t deadline = now + ASK_MS * US_PER_MS;
+	uint64_t deadline = now + ADMIT_TIMEOUT_MS * US_PER_MS;
 	limits_report reports[LIMITS_REPORTS_MAX];
 	int tried[LIMITS_SHARDS] = { 0 }, shard;
 	limits_ask_arg arg;
@@ -186,12 +191,13 @@
 	memset(&arg, 0, sizeof(arg));
 	arg.workspace = ws->hash;
 	arg.reports.reports_val = reports;
-	arg.life_ms = want > need ? LIMITS_LOAN_MS : LIMITS_SINGLE_MS;
+	arg.life_ms = want > need ? LIMITS_LOAN_MAX_MS : LIMITS_SHORT_LOAN_MS;
 	while ((shard = best_shard(l, e, ws, tried, now)) != -1) {
 		tried[shard] = 1;
 		arg.need = need;
 		arg.want = want;
-		got = ask_shard(l, e, ws, (uint32_t)shard, &arg, deadline);
+		got = borrow_from_shard(
+		    l, e, ws, (uint32_t)shard, &arg, deadline);
 		need -= got < need ? got : need;
 		want -= got < want ? got : want;
 		if (got > 0 && need == 0)
@@ -205,32 +211,33 @@
  * the rate: the request may wait for what flows in.
  */
 static enum limits_verdict
-blocked(const struct limits_entry *e, const struct limits_ws *ws, uint64_t now,
-    uint32_t *retry_ms)
+check_shards(const struct limits_entry *e, const struct limits_ws *ws,
+    uint64_t now, uint32_t *retry_ms)
 {
-	uint32_t n = limits_shards(ws->burst), i;
-	uint64_t first = UINT64_MAX, until;
-	int dry = 0;
+	uint32_t n = limits_shard_count(ws->burst), i;
+	uint64_t earliest = UINT64_MAX, until;
+	int over_rate = 0;
 
 	for (i = 0; i < n; i++) {
-		until =
-		    e->dry_us[i] > e->down_us[i] ? e->dry_us[i] : e->down_us[i];
+		until = e->empty_until_us[i] > e->unreachable_until_us[i]
+			    ? e->empty_until_us[i]
+			    : e->unreachable_until_us[i];
 		if (until <= now)
 			return LIMITS_ADMIT;
-		if (e->dry_us[i] > now && !e->filling[i])
-			dry = 1;
-		if (until < first)
-			first = until;
+		if (e->empty_until_us[i] > now && !e->owner_is_new[i])
+			over_rate = 1;
+		if (until < earliest)
+			earliest = until;
 	}
-	*retry_ms = (uint32_t)((first - now) / US_PER_MS) + 1;
-	return dry ? LIMITS_OVER_RATE : LIMITS_UNAVAILABLE;
+	*retry_ms = (uint32_t)((earliest - now) / US_PER_MS) + 1;
+	return over_rate ? LIMITS_OVER_RATE : LIMITS_UNAVAILABLE;
 }
 
 /*
  * Waits until the thread that asks is done, at most us; the lock is held.
  */
 static void
-wait_got(struct limits_entry *e, uint64_t us)
+wait_for_borrower(struct limits_entry *e, uint64_t us)
 {
 	struct timespec ts;
 
@@ -241,7 +248,7 @@
 		ts.tv_sec++;
 		ts.tv_nsec -= 1000000000;
 	}
-	pthread_cond_timedwait(&e->got, &e->lock, &ts);
+	pthread_cond_timedwait(&e->borrow_done, &e->lock, &ts);
 }
 
 /*
@@ -249,21 +256,21 @@
  * nor from buckets so small that others would miss them.
  */
 static uint32_t
-prefetch(const struct limits_entry *e)
+prefetch_tokens(const struct limits_entry *e)
 {
-	uint32_t burst = e->ws.burst / limits_shards(e->ws.burst);
+	uint32_t burst = e->ws.burst / limits_shard_count(e->ws.burst);
 
-	if (e->demand < DENSE_RATE || burst < PREFETCH_BURST)
+	if (e->demand_per_s < PREFETCH_RATE_MIN || burst < PREFETCH_BURST_MIN)
 		return 0;
-	return (uint32_t)(e->demand * PREFETCH_MS / 1000.0);
+	return (uint32_t)(e->demand_per_s * PREFETCH_MS / 1000.0);
 }
 
 /*
  * Decides whether a request, or a retry of one that may have run, is within
  * its workspace's limit, and charges a token if so, of the loan that *loan
- * then names.  Blocks up to ASK_MS when tokens must be borrowed; one thread
- * borrows for all that wait.  If refused, *retry_ms says when (ms) to come
- * back.
+ * then names.  Blocks up to ADMIT_TIMEOUT_MS when tokens must be borrowed; one
+ * thread borrows for all that wait.  If refused, *retry_ms says when (ms) to
+ * come back.
  */
 enum limits_verdict
 limits_admit(struct limits *l, const struct limits_ws *ws, uint64_t *loan,
@@ -271,10 +278,10 @@
 {
 	struct limits_entry *e = limits_entry_get(l, ws->hash);
 	uint64_t now = l->cfg.clock_us();
-	uint64_t deadline = now + ASK_MS * US_PER_MS;
+	uint64_t deadline = now + ADMIT_TIMEOUT_MS * US_PER_MS;
 	enum limits_verdict v = LIMITS_ADMIT;
 	uint32_t need;
-	int report;
+	int send;
 
 	*retry_ms = 1;
 	pthread_mutex_lock(&e->lock);
@@ -282,32 +289,32 @@
 	e->arrivals++;
 	for (;;) {
 		now = l->cfg.clock_us();
-		if (loans_spend(e, loan, now))
+		if (limits_spend_token(e, loan, now))
 			break;
-		v = blocked(e, ws, now, retry_ms);
+		v = check_shards(e, ws, now, retry_ms);
 		if (v == LIMITS_ADMIT && now >= deadline)
 			v = LIMITS_UNAVAILABLE;
 		if (v != LIMITS_ADMIT)
 			break;
-		if (e->asking) {
-			e->waiting++;
-			wait_got(e, deadline - now);
-			e->waiting--;
+		if (e->borrowing) {
+			e->waiting_requests++;
+			wait_for_borrower(e, deadline - now);
+			e->waiting_requests--;
 			continue;
 		}
-		e->asking = 1;
-		need = 1 + e->waiting;
+		e->borrowing = 1;
+		need = 1 + e->waiting_requests;
 		pthread_mutex_unlock(&e->lock);
-		ask_shards(l, e, ws, need, need + prefetch(e));
+		borrow_tokens(l, e, ws, need, need + prefetch_tokens(e));
 		pthread_mutex_lock(&e->lock);
-		e->asking = 0;
-		pthread_cond_broadcast(&e->got);
+		e->borrowing = 0;
+		pthread_cond_broadcast(&e->borrow_done);
 	}
 	/* Without a loan to come that tells it: the bucket may fill again. */
-	report = e->report_count > 0 && prefetch(e) == 0;
+	send = e->queued_reports > 0 && prefetch_tokens(e) == 0;
 	pthread_mutex_unlock(&e->lock);
-	if (report)
-		flush(l, e, 0);
+	if (send)
+		flush_reports(l, e, 0);
 	return v;
 }
 
@@ -319,14 +326,14 @@
 limits_refund(struct limits *l, const struct limits_ws *ws, uint64_t loan)
 {
 	struct limits_entry *e = limits_entry_get(l, ws->hash);
-	int report;
+	int send;
 
 	pthread_mutex_lock(&e->lock);
-	loan_refund(e, loan, l->cfg.clock_us());
-	report = e->report_count > 0 && prefetch(e) == 0;
+	limits_refund_token(e, loan, l->cfg.clock_us());
+	send = e->queued_reports > 0 && prefetch_tokens(e) == 0;
 	pthread_mutex_unlock(&e->lock);
-	if (report)
-		flush(l, e, 0);
+	if (send)
+		flush_reports(l, e, 0);
 }
 
 /*
@@ -354,10 +361,10 @@
  * Sends all queued reports, with or without waiting for the answers.
  */
 static void
-flush(struct limits *l, struct limits_entry *e, int wait)
+flush_reports(struct limits *l, struct limits_entry *e, int wait)
 {
 	limits_report reports[LIMITS_REPORTS_MAX];
-	const struct limits_ended *r;
+	const struct limits_ended_loan *r;
 	limits_report_arg arg;
 	struct node_id owner;
 
@@ -367,11 +374,11 @@
 	arg.workspace = e->hash;
 	arg.reports.reports_val = reports;
 	pthread_mutex_lock(&e->lock);
-	while ((r = report_first(e)) != NULL) {
+	while ((r = limits_first_queued_report(e)) != NULL) {
 		owner = r->owner;
 		arg.part = r->part;
 		arg.reports.reports_len =
-		    (u_int)reports_take(e, arg.part, &owner, reports);
+		    (u_int)limits_dequeue_reports(e, arg.part, &owner, reports);
 		pthread_mutex_unlock(&e->lock);
 		send_reports(l, &owner, &arg, wait);
 		pthread_mutex_lock(&e->lock);
@@ -392,26 +399,28 @@
 	int send, ask = 0;
 
 	pthread_mutex_lock(&e->lock);
-	demand_measure(e, now);
-	send = loans_return(e, now);
-	if (e->report_count > 0 &&
-	    (loans_tight(e) || age_at(now, e->report_us) >= REPORT_US))
+	limits_update_demand(e, now);
+	send = limits_end_expiring_loans(e, now);
+	if (e->queued_reports > 0 &&
+	    (limits_reports_urgent(e) ||
+		age_at(now, e->oldest_report_us) >= REPORT_DELAY_US))
 		send = 1;
 	ws = e->ws;
-	want = prefetch(e);
-	if (!e->asking && want > 0 &&
-	    loans_held(e, now) < e->demand * REFILL_MS / 1000.0 &&
-	    blocked(e, &ws, now, &retry) == LIMITS_ADMIT)
-		ask = e->asking = 1;
+	want = prefetch_tokens(e);
+	if (!e->borrowing && want > 0 &&
+	    limits_available_tokens(e, now) <
+		e->demand_per_s * PREFETCH_BELOW_MS / 1000.0 &&
+	    check_shards(e, &ws, now, &retry) == LIMITS_ADMIT)
+		ask = e->borrowing = 1;
 	pthread_mutex_unlock(&e->lock);
 	if (send)
-		flush(l, e, 1);
+		flush_reports(l, e, 1);
 	if (!ask)
 		return;
-	ask_shards(l, e, &ws, 0, want);
+	borrow_tokens(l, e, &ws, 0, want);
 	pthread_mutex_lock(&e->lock);
-	e->asking = 0;
-	pthread_cond_broadcast(&e->got);
+	e->borrowing = 0;
+	pthread_cond_broadcast(&e->borrow_done);
 	pthread_mutex_unlock(&e->lock);
 }
 
@@ -424,7 +433,7 @@
 	struct limits_entry *e;
 	size_t i;
 
-	for (i = 0; i < LIMITS_TABLE; i++)
+	for (i = 0; i < LIMITS_TABLE_CHAINS; i++)
 		for (e = atomic_load(&l->entries[i]); e != NULL; e = e->next)
 			maintain_entry(l, e);
 }
--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -5,14 +5,16 @@
 #include "limits/limits_bucket.h"
 #include "limits/limits_xdr.h"
 
-#define LIMITS_LOAN_MS 500   /* life of a prefetched loan */
-#define LIMITS_SINGLE_MS 150 /* life of tokens for waiting requests */
-#define LIMITS_MARGIN_MS 50  /* kept longer by the owner: clock speeds */
+#define LIMITS_LOAN_MAX_MS 500	   /* life of a prefetched loan */
+#define LIMITS_SHORT_LOAN_MS 150   /* life of tokens for waiting requests */
+#define LIMITS_EXPIRY_MARGIN_MS 50 /* kept longer by the owner: clock speeds \
+				    */
 
-#define LIMITS_HELD_MAX 8   /* loans that an entry holds of a workspace */
-#define LIMITS_ENDED_MAX 16 /* ended loans that it remembers */
+#define LIMITS_ACTIVE_LOANS_MAX 8 /* loans that an entry holds of a workspace \
+				   */
+#define LIMITS_ENDED_LOANS_MAX 16 /* ended loans that it remembers */
 
-struct limits_held {
+struct limits_active_loan {
 	uint64_t id;
 	struct node_id owner;
 	uint32_t part;
@@ -21,10 +23,10 @@
 };
 
 /* A loan that has ended. */
-struct limits_ended {
+struct limits_ended_loan {
 	struct node_id owner;
 	uint16_t part;
-	uint16_t queued; /* its owner is to be told what was not spent */
+	uint16_t report_queued; /* its owner is to be told what was not spent */
 	uint32_t unspent;
 	uint64_t id;
 };
@@ -34,39 +36,43 @@
 	struct limits_entry *next;
 	uint64_t hash;
 	pthread_mutex_t lock; /* guards all below */
-	pthread_cond_t got;
+	pthread_cond_t borrow_done;
 	struct limits_ws ws;
-	struct limits_held loans[LIMITS_HELD_MAX];
-	struct limits_ended ended[LIMITS_ENDED_MAX]; /* newest last */
-	size_t report_count;			     /* of them queued */
-	uint64_t report_us; /* when the oldest was queued */
-	uint64_t dry_us[LIMITS_SHARDS];
-	uint64_t down_us[LIMITS_SHARDS];
-	int filling[LIMITS_SHARDS];  /* dry, but perhaps not by use */
-	double level[LIMITS_SHARDS]; /* tokens left, as last told */
-	uint64_t level_us[LIMITS_SHARDS];
-	int asking;
-	uint32_t waiting; /* tokens that other threads wait for */
+	struct limits_active_loan loans[LIMITS_ACTIVE_LOANS_MAX];
+	struct limits_ended_loan
+	    ended[LIMITS_ENDED_LOANS_MAX]; /* newest last */
+	size_t queued_reports;		   /* of them queued */
+	uint64_t oldest_report_us;	   /* when the oldest was queued */
+	uint64_t empty_until_us[LIMITS_SHARDS];
+	uint64_t unreachable_until_us[LIMITS_SHARDS];
+	int owner_is_new[LIMITS_SHARDS];  /* dry, but perhaps not by use */
+	double last_level[LIMITS_SHARDS]; /* tokens left, as last told */
+	uint64_t level_read_us[LIMITS_SHARDS];
+	int borrowing;
+	uint32_t waiting_requests; /* tokens that other threads wait for */
 	uint64_t arrivals;
-	uint64_t measured_us;
-	double demand; /* requests a second */
+	uint64_t demand_measured_us;
+	double demand_per_s; /* requests a second */
 };
 
 /* limits.c */
 struct limits_entry *limits_entry_get(struct limits *, uint64_t);
 
 /* limits_loans.c: the entry's lock is held */
-void loan_end(struct limits_entry *, struct limits_held *, uint64_t);
-uint32_t loans_held(struct limits_entry *, uint64_t);
-int loans_spend(struct limits_entry *, uint64_t *, uint64_t);
-void loan_refund(struct limits_entry *, uint64_t, uint64_t);
-void loan_keep(struct limits_entry *, const struct limits_held *, uint64_t);
-const struct limits_ended *report_first(const struct limits_entry *);
-size_t reports_take(
+void limits_end_loan(
+    struct limits_entry *, struct limits_active_loan *, uint64_t);
+uint32_t limits_available_tokens(struct limits_entry *, uint64_t);
+int limits_spend_token(struct limits_entry *, uint64_t *, uint64_t);
+void limits_refund_token(struct limits_entry *, uint64_t, uint64_t);
+void limits_add_loan(
+    struct limits_entry *, const struct limits_active_loan *, uint64_t);
+const struct limits_ended_loan *limits_first_queued_report(
+    const struct limits_entry *);
+size_t limits_dequeue_reports(
     struct limits_entry *, uint32_t, const struct node_id *, limits_report *);
-void demand_measure(struct limits_entry *, uint64_t);
-int loans_return(struct limits_entry *, uint64_t);
-int loans_tight(const struct limits_entry *);
+void limits_update_demand(struct limits_entry *, uint64_t);
+int limits_end_expiring_loans(struct limits_entry *, uint64_t);
+int limits_reports_urgent(const struct limits_entry *);
 
 /* limits_owner.c */
 void limits_owner_finish(struct limits *);
--- a/src/limits/limits_loans.c
+++ b/src/limits/limits_loans.c
@@ -4,22 +4,23 @@
 #include "limits/limits_int.h"
 
 #define US_PER_S 1000000
-#define MEASURE_US 400000.0 /* time over which demand is averaged */
-#define RETURN_US 60000	    /* unspent tokens go back before the expiry */
+#define DEMAND_WINDOW_US 400000.0 /* time over which demand is averaged */
+#define RETURN_BEFORE_US 60000	  /* unspent tokens go back before the expiry */
 
-static void queue(struct limits_entry *, struct limits_ended *, uint64_t);
+static void queue_report(
+    struct limits_entry *, struct limits_ended_loan *, uint64_t);
 
 /*
  * Queues a report of an ended loan.
  */
 static void
-queue(struct limits_entry *e, struct limits_ended *r, uint64_t now)
+queue_report(struct limits_entry *e, struct limits_ended_loan *r, uint64_t now)
 {
-	if (r->queued)
+	if (r->report_queued)
 		return;
-	if (e->report_count++ == 0)
-		e->report_us = now;
-	r->queued = 1;
+	if (e->queued_reports++ == 0)
+		e->oldest_report_us = now;
+	r->report_queued = 1;
 }
 
 /*
@@ -28,19 +29,20 @@
  * the owner counts its tokens as spent.
  */
 void
-loan_end(struct limits_entry *e, struct limits_held *ln, uint64_t now)
+limits_end_loan(
+    struct limits_entry *e, struct limits_active_loan *ln, uint64_t now)
 {
-	struct limits_ended *r = &e->ended[LIMITS_ENDED_MAX - 1];
+	struct limits_ended_loan *r = &e->ended[LIMITS_ENDED_LOANS_MAX - 1];
 
-	e->report_count -= e->ended[0].queued;
+	e->queued_reports -= e->ended[0].report_queued;
 	memmove(&e->ended[0], &e->ended[1],
-	    (LIMITS_ENDED_MAX - 1) * sizeof(e->ended[0]));
+	    (LIMITS_ENDED_LOANS_MAX - 1) * sizeof(e->ended[0]));
 	r->owner = ln->owner;
 	r->part = (uint16_t)ln->part;
-	r->queued = 0;
+	r->report_queued = 0;
 	r->unspent = ln->tokens;
 	r->id = ln->id;
-	queue(e, r, now);
+	queue_report(e, r, now);
 	memset(ln, 0, sizeof(*ln));
 }
 
@@ -48,17 +50,17 @@
  * Returns how many tokens can be spent now; lapsed ones are forgotten.
  */
 uint32_t
-loans_held(struct limits_entry *e, uint64_t now)
+limits_available_tokens(struct limits_entry *e, uint64_t now)
 {
-	uint32_t sum = 0;
+	uint32_t tokens = 0;
 	size_t i;
 
-	for (i = 0; i < LIMITS_HELD_MAX; i++) {
+	for (i = 0; i < LIMITS_ACTIVE_LOANS_MAX; i++) {
 		if (now >= e->loans[i].expire_us)
 			memset(&e->loans[i], 0, sizeof(e->loans[i]));
-		sum += e->loans[i].tokens;
+		tokens += e->loans[i].tokens;
 	}
-	return sum;
+	return tokens;
 }
 
 /*
@@ -66,17 +68,17 @@
  * or 0 if there is none.
  */
 int
-loans_spend(struct limits_entry *e, uint64_t *loan, uint64_t now)
+limits_spend_token(struct limits_entry *e, uint64_t *loan, uint64_t now)
 {
-	struct limits_held *ln = e->loans;
+	struct limits_active_loan *ln = e->loans;
 
-	if (loans_held(e, now) == 0)
+	if (limits_available_tokens(e, now) == 0)
 		return 0;
 	while (ln->tokens == 0)
 		ln++;
 	*loan = ln->id;
 	if (--ln->tokens == 0)
-		loan_end(e, ln, now);
+		limits_end_loan(e, ln, now);
 	return 1;
 }
 
@@ -85,27 +87,27 @@
  * run: to the loan, or if that has ended, to its owner by another report.
  */
 void
-loan_refund(struct limits_entry *e, uint64_t loan, uint64_t now)
+limits_refund_token(struct limits_entry *e, uint64_t loan, uint64_t now)
 {
-	struct limits_ended *r;
+	struct limits_ended_loan *r;
 	size_t i;
 	int shard;
 
-	loans_held(e, now);
-	for (i = 0; i < LIMITS_HELD_MAX; i++)
+	limits_available_tokens(e, now);
+	for (i = 0; i < LIMITS_ACTIVE_LOANS_MAX; i++)
 		if (e->loans[i].tokens > 0 && e->loans[i].id == loan) {
 			e->loans[i].tokens++;
 			return;
 		}
-	for (i = 0; i < LIMITS_ENDED_MAX; i++) {
+	for (i = 0; i < LIMITS_ENDED_LOANS_MAX; i++) {
 		r = &e->ended[i];
 		if (r->id != loan)
 			continue;
 		r->unspent++;
-		queue(e, r, now);
-		shard = limits_shard_of(&e->ws, r->part);
+		queue_report(e, r, now);
+		shard = limits_partition_shard(&e->ws, r->part);
 		if (shard != -1)
-			e->dry_us[shard] = 0;
+			e->empty_until_us[shard] = 0;
 	}
 }
 
@@ -113,30 +115,31 @@
  * Keeps a new loan, if need be in place of the one that lapses first.
  */
 void
-loan_keep(struct limits_entry *e, const struct limits_held *ln, uint64_t now)
+limits_add_loan(
+    struct limits_entry *e, const struct limits_active_loan *ln, uint64_t now)
 {
-	struct limits_held *place = &e->loans[0];
+	struct limits_active_loan *place = &e->loans[0];
 	size_t i;
 
-	for (i = 0; i < LIMITS_HELD_MAX && place->tokens != 0; i++)
+	for (i = 0; i < LIMITS_ACTIVE_LOANS_MAX && place->tokens != 0; i++)
 		if (e->loans[i].tokens == 0 ||
 		    e->loans[i].expire_us < place->expire_us)
 			place = &e->loans[i];
 	if (place->tokens != 0)
-		loan_end(e, place, now);
+		limits_end_loan(e, place, now);
 	*place = *ln;
 }
 
 /*
  * Returns the oldest loan of which a report is queued, or NULL.
  */
-const struct limits_ended *
-report_first(const struct limits_entry *e)
+const struct limits_ended_loan *
+limits_first_queued_report(const struct limits_entry *e)
 {
 	size_t i;
 
-	for (i = 0; i < LIMITS_ENDED_MAX; i++)
-		if (e->ended[i].queued)
+	for (i = 0; i < LIMITS_ENDED_LOANS_MAX; i++)
+		if (e->ended[i].report_queued)
 			return &e->ended[i];
 	return NULL;
 }
@@ -145,21 +148,21 @@
  * Takes the queued reports for an owner of a partition.  Returns how many.
  */
 size_t
-reports_take(struct limits_entry *e, uint32_t part, const struct node_id *owner,
-    limits_report *out)
+limits_dequeue_reports(struct limits_entry *e, uint32_t part,
+    const struct node_id *owner, limits_report *out)
 {
 	size_t i, n = 0;
-	struct limits_ended *r;
+	struct limits_ended_loan *r;
 
-	for (i = 0; i < LIMITS_ENDED_MAX; i++) {
+	for (i = 0; i < LIMITS_ENDED_LOANS_MAX; i++) {
 		r = &e->ended[i];
-		if (!r->queued || r->part != part ||
+		if (!r->report_queued || r->part != part ||
 		    !nodeid_equal(&r->owner, owner))
 			continue;
 		out[n].loan = r->id;
 		out[n++].unspent = r->unspent;
-		r->queued = 0;
-		e->report_count--;
+		r->report_queued = 0;
+		e->queued_reports--;
 	}
 	return n;
 }
@@ -168,19 +171,19 @@
  * Updates the average demand.
  */
 void
-demand_measure(struct limits_entry *e, uint64_t now)
+limits_update_demand(struct limits_entry *e, uint64_t now)
 {
-	double dt = (double)age_at(now, e->measured_us), share;
+	double dt = (double)age_at(now, e->demand_measured_us), weight;
 
-	if (e->measured_us == 0 || dt <= 0) {
-		e->measured_us = now;
+	if (e->demand_measured_us == 0 || dt <= 0) {
+		e->demand_measured_us = now;
 		return;
 	}
-	share = dt < MEASURE_US ? dt / MEASURE_US : 1;
-	e->demand *= 1 - share;
-	e->demand += share * (double)e->arrivals * US_PER_S / dt;
+	weight = dt < DEMAND_WINDOW_US ? dt / DEMAND_WINDOW_US : 1;
+	e->demand_per_s *= 1 - weight;
+	e->demand_per_s += weight * (double)e->arrivals * US_PER_S / dt;
 	e->arrivals = 0;
-	e->measured_us = now;
+	e->demand_measured_us = now;
 }
 
 /*
@@ -188,17 +191,17 @@
  * Returns 1 if there are tokens to give back.
  */
 int
-loans_return(struct limits_entry *e, uint64_t now)
+limits_end_expiring_loans(struct limits_entry *e, uint64_t now)
 {
 	size_t i;
 
-	loans_held(e, now);
-	for (i = 0; i < LIMITS_HELD_MAX; i++)
+	limits_available_tokens(e, now);
+	for (i = 0; i < LIMITS_ACTIVE_LOANS_MAX; i++)
 		if (e->loans[i].tokens > 0 &&
-		    e->loans[i].expire_us - now < RETURN_US)
-			loan_end(e, &e->loans[i], now);
-	for (i = 0; i < LIMITS_ENDED_MAX; i++)
-		if (e->ended[i].queued && e->ended[i].unspent > 0)
+		    e->loans[i].expire_us - now < RETURN_BEFORE_US)
+			limits_end_loan(e, &e->loans[i], now);
+	for (i = 0; i < LIMITS_ENDED_LOANS_MAX; i++)
+		if (e->ended[i].report_queued && e->ended[i].unspent > 0)
 			return 1;
 	return 0;
 }
@@ -207,7 +210,7 @@
  * Tells whether loans not yet reported could keep the bucket from filling.
  */
 int
-loans_tight(const struct limits_entry *e)
+limits_reports_urgent(const struct limits_entry *e)
 {
-	return e->ws.burst < e->ws.rate * 2 * LIMITS_LOAN_MS / 1000.0;
+	return e->ws.burst < e->ws.rate * 2 * LIMITS_LOAN_MAX_MS / 1000.0;
 }
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -8,34 +8,38 @@
 #include "base/counter.h"
 #include "limits/limits_int.h"
 
-#define WINDOW_US 100000 /* over which refused asks are counted */
-#define DRY_MIN_US 1000	 /* before an asker comes back */
-#define DRY_MAX_US 400000
-#define DRY_PER_ASK_US 500 /* keeps all askers of an overdriven limit apart */
-#define FILLING_US 1000000 /* a new owner's bucket says little of use */
+#define EMPTY_WINDOW_US 100000	/* over which refused asks are counted */
+#define RETRY_AFTER_MIN_US 1000 /* before an asker comes back */
+#define RETRY_AFTER_MAX_US 400000
+#define RETRY_AFTER_PER_ASK_US \
+	500		     /* keeps all askers of an overdriven limit apart */
+#define NEW_OWNER_US 1000000 /* a new owner's bucket says little of use */
 #define US_PER_MS 1000
 
 /* The bucket of one shard. */
-struct limits_slot {
-	struct limits_slot *next;
+struct limits_shard_bucket {
+	struct limits_shard_bucket *next;
 	uint64_t hash;
 	uint32_t part;
-	uint64_t tenure;   /* of the lease that the bucket belongs to */
-	uint64_t since_us; /* when the bucket began, empty; 0: it was full */
-	uint64_t window_us;
-	uint32_t refused;      /* in the window so far */
-	uint32_t refused_last; /* in the window before */
+	uint64_t tenure; /* of the lease that the bucket belongs to */
+	uint64_t
+	    empty_since_us; /* when the bucket began, empty; 0: it was full */
+	uint64_t window_start_us;
+	uint32_t empty_asks;	      /* in the window so far */
+	uint32_t previous_empty_asks; /* in the window before */
 	struct limits_bucket bucket;
 	pthread_mutex_t lock; /* guards all but next, hash and part */
 };
 
-static struct limits_slot *slot_find(struct limits_slot *, uint64_t, uint32_t);
-static struct limits_slot *slot_get(struct limits *, uint64_t, uint32_t);
-static int slot_enter(struct limits_slot *, const struct lease_view *,
-    const struct limits_ws *, uint64_t);
-static uint32_t dry_us(struct limits_slot *, uint64_t);
-static struct limits_slot *open_slot(struct limits *, uint64_t, uint32_t,
-    struct lease_view *, uint64_t, limits_status *);
+static struct limits_shard_bucket *find_shard_bucket(
+    struct limits_shard_bucket *, uint64_t, uint32_t);
+static struct limits_shard_bucket *get_shard_bucket(
+    struct limits *, uint64_t, uint32_t);
+static int apply_lease_and_limit(struct limits_shard_bucket *,
+    const struct lease_view *, const struct limits_ws *, uint64_t);
+static uint32_t count_empty_ask(struct limits_shard_bucket *, uint64_t);
+static struct limits_shard_bucket *lock_shard_bucket(struct limits *, uint64_t,
+    uint32_t, struct lease_view *, uint64_t, limits_status *);
 
 /*
  * Frees all buckets.
@@ -43,11 +47,11 @@
 void
 limits_owner_finish(struct limits *l)
 {
-	struct limits_slot *s, *next;
+	struct limits_shard_bucket *s, *next;
 	size_t i;
 
-	for (i = 0; i < LIMITS_TABLE; i++)
-		for (s = l->slots[i]; s != NULL; s = next) {
+	for (i = 0; i < LIMITS_TABLE_CHAINS; i++)
+		for (s = l->shard_buckets[i]; s != NULL; s = next) {
 			next = s->next;
 			bucket_finish(&s->bucket);
 			pthread_mutex_destroy(&s->lock);
@@ -58,8 +62,8 @@
 /*
  * Finds a slot in a chain, or NULL.
  */
-static struct limits_slot *
-slot_find(struct limits_slot *s, uint64_t hash, uint32_t part)
+static struct limits_shard_bucket *
+find_shard_bucket(struct limits_shard_bucket *s, uint64_t hash, uint32_t part)
 {
 	while (s != NULL && (s->hash != hash || s->part != part))
 		s = s->next;
@@ -70,17 +74,17 @@
  * Returns the slot of a workspace in a partition, a new one if need be.
  * Slots are never removed, so that a found one needs no lock to reach.
  */
-static struct limits_slot *
-slot_get(struct limits *l, uint64_t hash, uint32_t part)
+static struct limits_shard_bucket *
+get_shard_bucket(struct limits *l, uint64_t hash, uint32_t part)
 {
-	size_t i = (hash / LEASE_PARTS + part) % LIMITS_TABLE;
-	struct limits_slot *s;
+	size_t i = (hash / LEASE_PARTS + part) % LIMITS_TABLE_CHAINS;
+	struct limits_shard_bucket *s;
 
-	s = slot_find(atomic_load(&l->slots[i]), hash, part);
+	s = find_shard_bucket(atomic_load(&l->shard_buckets[i]), hash, part);
 	if (s != NULL)
 		return s;
 	pthread_mutex_lock(&l->lock);
-	s = slot_find(atomic_load(&l->slots[i]), hash, part);
+	s = find_shard_bucket(atomic_load(&l->shard_buckets[i]), hash, part);
 	if (s == NULL) {
 		s = calloc(1, sizeof(*s));
 		if (s == NULL)
@@ -88,8 +92,8 @@
 		s->hash = hash;
 		s->part = part;
 		pthread_mutex_init(&s->lock, NULL);
-		s->next = atomic_load(&l->slots[i]);
-		atomic_store(&l->slots[i], s);
+		s->next = atomic_load(&l->shard_buckets[i]);
+		atomic_store(&l->shard_buckets[i], s);
 	}
 	pthread_mutex_unlock(&l->lock);
 	return s;
@@ -101,27 +105,27 @@
  * Returns 0, or -1 if the slot already belongs to a newer lease.
  */
 static int
-slot_enter(struct limits_slot *s, const struct lease_view *v,
+apply_lease_and_limit(struct limits_shard_bucket *s, const struct lease_view *v,
     const struct limits_ws *ws, uint64_t now_us)
 {
 	struct limits_share share;
-	uint64_t since;
-	int shard = limits_shard_of(ws, s->part), full;
+	uint64_t start_ms;
+	int shard = limits_partition_shard(ws, s->part), full;
 
 	if (shard == -1 || v->tenure < s->tenure)
 		return -1;
-	limits_share(ws, (uint32_t)shard, &share);
+	limits_compute_share(ws, (uint32_t)shard, &share);
 	if (v->tenure == s->tenure) {
 		bucket_resize(&s->bucket, &share, now_us);
 		return 0;
 	}
 	full = v->first && ws->changed_ms == 0;
-	since = v->effective_ms;
-	if (ws->changed_ms > since)
-		since = ws->changed_ms;
+	start_ms = v->effective_ms;
+	if (ws->changed_ms > start_ms)
+		start_ms = ws->changed_ms;
 	bucket_finish(&s->bucket);
-	bucket_init(&s->bucket, &share, full, since * US_PER_MS);
-	s->since_us = full ? 0 : since * US_PER_MS;
+	bucket_init(&s->bucket, &share, full, start_ms * US_PER_MS);
+	s->empty_since_us = full ? 0 : start_ms * US_PER_MS;
 	s->tenure = v->tenure;
 	return 0;
 }
@@ -132,36 +136,38 @@
  * such askers can be served.
  */
 static uint32_t
-dry_us(struct limits_slot *s, uint64_t now_us)
+count_empty_ask(struct limits_shard_bucket *s, uint64_t now_us)
 {
-	uint64_t wait = bucket_wait_us(&s->bucket, 1), apart;
+	uint64_t wait = bucket_wait_us(&s->bucket, 1), spacing;
 
-	if (age_at(now_us, s->window_us) >= WINDOW_US) {
-		s->refused_last = age_at(now_us, s->window_us) < 2 * WINDOW_US
-				      ? s->refused
-				      : 0;
-		s->refused = 0;
-		s->window_us = now_us;
+	if (age_at(now_us, s->window_start_us) >= EMPTY_WINDOW_US) {
+		s->previous_empty_asks =
+		    age_at(now_us, s->window_start_us) < 2 * EMPTY_WINDOW_US
+			? s->empty_asks
+			: 0;
+		s->empty_asks = 0;
+		s->window_start_us = now_us;
 	}
-	s->refused++;
-	apart = (uint64_t)s->refused_last * DRY_PER_ASK_US;
-	if (wait < apart)
-		wait = apart;
-	if (wait < DRY_MIN_US)
-		wait = DRY_MIN_US;
-	return (uint32_t)(wait < DRY_MAX_US ? wait : DRY_MAX_US);
+	s->empty_asks++;
+	spacing = (uint64_t)s->previous_empty_asks * RETRY_AFTER_PER_ASK_US;
+	if (wait < spacing)
+		wait = spacing;
+	if (wait < RETRY_AFTER_MIN_US)
+		wait = RETRY_AFTER_MIN_US;
+	return (
+	    uint32_t)(wait < RETRY_AFTER_MAX_US ? wait : RETRY_AFTER_MAX_US);
 }
 
 /*
  * Returns the locked slot that this node decides for at a time, or NULL
  * with the reason in *st.
  */
-static struct limits_slot *
-open_slot(struct limits *l, uint64_t hash, uint32_t part, struct lease_view *v,
-    uint64_t now_us, limits_status *st)
+static struct limits_shard_bucket *
+lock_shard_bucket(struct limits *l, uint64_t hash, uint32_t part,
+    struct lease_view *v, uint64_t now_us, limits_status *st)
 {
 	struct limits_ws ws;
-	struct limits_slot *s;
+	struct limits_shard_bucket *s;
 
 	*st = LIMITS_NOT_OWNER;
 	if (part >= LEASE_PARTS)
@@ -170,13 +176,13 @@
 	if (v->until_ms <= now_us / US_PER_MS + 1)
 		return NULL;
 	if (l->cfg.find(l->cfg.find_ctx, hash, &ws) == -1 ||
-	    limits_shard_of(&ws, part) == -1) {
+	    limits_partition_shard(&ws, part) == -1) {
 		*st = LIMITS_NO_WORKSPACE;
 		return NULL;
 	}
-	s = slot_get(l, hash, part);
+	s = get_shard_bucket(l, hash, part);
 	pthread_mutex_lock(&s->lock);
-	if (slot_enter(s, v, &ws, now_us) == 0)
+	if (apply_lease_and_limit(s, v, &ws, now_us) == 0)
 		return s;
 	pthread_mutex_unlock(&s->lock);
 	return NULL;
@@ -190,34 +196,36 @@
 limits_serve_ask(
     struct limits *l, const limits_ask_arg *arg, limits_ask_res *res)
 {
-	uint64_t now = l->cfg.clock_us(), life, end;
+	uint64_t now = l->cfg.clock_us(), life_ms, expire_us;
 	struct lease_view v;
-	struct limits_slot *s;
+	struct limits_shard_bucket *s;
 	u_int i;
 
 	memset(res, 0, sizeof(*res));
-	s = open_slot(l, arg->workspace, arg->part, &v, now, &res->status);
+	s = lock_shard_bucket(
+	    l, arg->workspace, arg->part, &v, now, &res->status);
 	if (s == NULL)
 		return;
-	life = v.until_ms - now / US_PER_MS - 1;
-	if (life > arg->life_ms)
-		life = arg->life_ms;
-	if (life > LIMITS_LOAN_MS)
-		life = LIMITS_LOAN_MS;
-	end = now + (life + LIMITS_MARGIN_MS) * US_PER_MS;
+	life_ms = v.until_ms - now / US_PER_MS - 1;
+	if (life_ms > arg->life_ms)
+		life_ms = arg->life_ms;
+	if (life_ms > LIMITS_LOAN_MAX_MS)
+		life_ms = LIMITS_LOAN_MAX_MS;
+	expire_us = now + (life_ms + LIMITS_EXPIRY_MARGIN_MS) * US_PER_MS;
 	for (i = 0; i < arg->reports.reports_len; i++)
-		bucket_report(&s->bucket, arg->reports.reports_val[i].loan,
+		bucket_settle_loan(&s->bucket, arg->reports.reports_val[i].loan,
 		    arg->reports.reports_val[i].unspent, now);
-	res->tokens =
-	    bucket_lend(&s->bucket, arg->loan, arg->need, arg->want, now, end);
+	res->tokens = bucket_lend(
+	    &s->bucket, arg->loan, arg->need, arg->want, now, expire_us);
 	res->status = LIMITS_GRANTED;
 	res->level = bucket_level(&s->bucket);
-	res->life_ms = (u_int)life;
+	res->life_ms = (u_int)life_ms;
 	if (arg->need > res->tokens || bucket_wait_us(&s->bucket, 1) > 0)
-		res->dry_us = dry_us(s, now);
+		res->dry_us = count_empty_ask(s, now);
 	if (arg->need > 0 && res->tokens == 0)
 		res->status = LIMITS_DRY;
-	res->filling = s->since_us != 0 && now < s->since_us + FILLING_US;
+	res->filling =
+	    s->empty_since_us != 0 && now < s->empty_since_us + NEW_OWNER_US;
 	pthread_mutex_unlock(&s->lock);
 	counter_add(CTR_LOANS_GRANTED, res->tokens);
 }
@@ -231,16 +239,17 @@
 {
 	uint64_t now = l->cfg.clock_us();
 	struct lease_view v;
-	struct limits_slot *s;
+	struct limits_shard_bucket *s;
 	limits_status st;
 	u_int i;
 
 	res->taken = 0;
-	s = open_slot(l, arg->workspace, arg->part, &v, now, &st);
+	s = lock_shard_bucket(l, arg->workspace, arg->part, &v, now, &st);
 	if (s == NULL)
 		return;
 	for (i = 0; i < arg->reports.reports_len; i++)
-		if (bucket_report(&s->bucket, arg->reports.reports_val[i].loan,
+		if (bucket_settle_loan(&s->bucket,
+			arg->reports.reports_val[i].loan,
 			arg->reports.reports_val[i].unspent, now) == 0)
 			res->taken++;
 	pthread_mutex_unlock(&s->lock);
@@ -252,11 +261,12 @@
 void
 limits_owner_dump(struct limits *l, FILE *out)
 {
-	struct limits_slot *s;
+	struct limits_shard_bucket *s;
 	size_t i;
 
-	for (i = 0; i < LIMITS_TABLE; i++)
-		for (s = atomic_load(&l->slots[i]); s != NULL; s = s->next) {
+	for (i = 0; i < LIMITS_TABLE_CHAINS; i++)
+		for (s = atomic_load(&l->shard_buckets[i]); s != NULL;
+		     s = s->next) {
 			pthread_mutex_lock(&s->lock);
 			fprintf(out,
 			    "bucket workspace=%016" PRIx64 " part=%u "
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -22,18 +22,18 @@
 static struct limits nodes[NODES];
 static struct limits_ws workspace;
 static atomic_uint_fast64_t now_us;
-static uint64_t held_until_ms; /* of all leases */
+static uint64_t lease_until_ms; /* of all leases */
 static uint64_t tenure;
-static int first_lease;
-static int down[NODES];
-static int lose_answers;
-static int lose_notices;
+static int is_first_lease;
+static int unreachable[NODES];
+static int replies_to_lose;
+static int lose_notifications;
 static atomic_int calls;
-static _Thread_local uint64_t loan; /* of the last request admitted */
+static _Thread_local uint64_t admitted_loan; /* of the last request admitted */
 
-static uint64_t fake_clock(void);
-static struct node_id node(size_t);
-static int find_ws(void *, uint64_t, struct limits_ws *);
+static uint64_t test_clock(void);
+static struct node_id node_id(size_t);
+static int find_workspace(void *, uint64_t, struct limits_ws *);
 static void lookup(void *, uint32_t, uint64_t, struct lease_view *);
 static enum rpc_status call(void *, const struct node_id *,
     const struct rpc_proc *, const void *, void *, uint32_t);
@@ -41,13 +41,13 @@
     void *, const struct node_id *, const struct rpc_proc *, const void *);
 static int setup(void **);
 static int teardown(void **);
-static uint64_t wrongful(const struct limits_ws *, int);
+static uint64_t refused_within_rate(const struct limits_ws *, int);
 
 /*
  * Returns the time of the tests (us).
  */
 static uint64_t
-fake_clock(void)
+test_clock(void)
 {
 	return atomic_load(&now_us);
 }
@@ -56,7 +56,7 @@
  * Returns the name of node i.
  */
 static struct node_id
-node(size_t i)
+node_id(size_t i)
 {
 	struct node_id id = { 0x7f000001, (uint16_t)(7000 + i), 1 };
 
@@ -67,7 +67,7 @@
  * All nodes have the same configuration, of one workspace.
  */
 static int
-find_ws(void *ctx, uint64_t hash, struct limits_ws *ws)
+find_workspace(void *ctx, uint64_t hash, struct limits_ws *ws)
 {
 	(void)ctx;
 	*ws = workspace;
@@ -83,11 +83,11 @@
 	size_t group = part / LEASE_GROUP_PARTS;
 
 	memset(v, 0, sizeof(*v));
-	v->owner = node(group);
+	v->owner = node_id(group);
 	v->term = v->tenure = tenure;
-	v->first = first_lease;
-	if (ctx == &nodes[group] && now_ms < held_until_ms)
-		v->until_ms = held_until_ms;
+	v->first = is_first_lease;
+	if (ctx == &nodes[group] && now_ms < lease_until_ms)
+		v->until_ms = lease_until_ms;
 }
 
 /*
@@ -101,12 +101,12 @@
 
 	(void)ctx;
 	atomic_fetch_add(&calls, 1);
-	if (down[i]) {
+	if (unreachable[i]) {
 		atomic_fetch_add(&now_us, timeout_ms * MS);
 		return RPC_TIMEOUT;
 	}
 	p->handle(&nodes[i], NULL, arg, res);
-	return lose_answers-- > 0 ? RPC_TIMEOUT : RPC_DONE;
+	return replies_to_lose-- > 0 ? RPC_TIMEOUT : RPC_DONE;
 }
 
 /*
@@ -118,7 +118,7 @@
 {
 	limits_report_res res;
 
-	if (lose_notices)
+	if (lose_notifications)
 		return;
 	call(ctx, to, p, arg, &res, 0);
 }
@@ -132,21 +132,21 @@
 	struct limits_config cfg = { .lookup = lookup,
 		.call = call,
 		.notify = notify,
-		.find = find_ws,
-		.clock_us = fake_clock };
+		.find = find_workspace,
+		.clock_us = test_clock };
 	size_t i;
 
 	(void)state;
 	workspace = (struct limits_ws){ 16, 30, 30, 0 };
 	now_us = 1000 * SECOND;
-	held_until_ms = UINT64_MAX;
+	lease_until_ms = UINT64_MAX;
 	tenure = 1;
-	first_lease = 1;
-	lose_answers = lose_notices = 0;
+	is_first_lease = 1;
+	replies_to_lose = lose_notifications = 0;
 	calls = 0;
-	memset(down, 0, sizeof(down));
+	memset(unreachable, 0, sizeof(unreachable));
 	for (i = 0; i < NODES; i++) {
-		cfg.self = node(i);
+		cfg.self = node_id(i);
 		cfg.group = (uint32_t)i;
 		cfg.lookup_ctx = &nodes[i];
 		limits_init(&nodes[i], &cfg);
@@ -173,7 +173,7 @@
  * others refused unrun by any node, is never over its rate.
  */
 static void
-test_fleet_refunds(void **state)
+test_refund_restores_token(void **state)
 {
 	uint32_t retry;
 	size_t i;
@@ -186,9 +186,10 @@
 
 		now_us += i % 4 == 0 ? 300 * MS : 60 * MS;
 		assert_int_equal(
-		    limits_admit(l, &workspace, &loan, &retry), LIMITS_ADMIT);
+		    limits_admit(l, &workspace, &admitted_loan, &retry),
+		    LIMITS_ADMIT);
 		if (i % 4 < 3)
-			limits_refund(l, &workspace, loan);
+			limits_refund(l, &workspace, admitted_loan);
 	}
 }
 
@@ -198,10 +199,10 @@
  * now and then: what ran stays within the limit in every window.
  */
 static void
-test_fleet_refunds_late(void **state)
+test_late_refunds_stay_within_rate(void **state)
 {
 	static uint64_t ran[SPENT_MAX];
-	struct limits *at[16] = { NULL };
+	struct limits *pending[16] = { NULL };
 	uint64_t loans[16];
 	uint32_t retry;
 	size_t n = 0, i, k;
@@ -216,19 +217,19 @@
 			  (random() % 64 > 0 ? 2 * SECOND / 150 : SECOND);
 		if (i % 3000 == 2999) {
 			tenure++;
-			first_lease = 0;
+			is_first_lease = 0;
 			workspace.changed_ms = now_us / MS;
 		}
-		lose_notices = random() % 8 == 0;
+		lose_notifications = random() % 8 == 0;
 		k = (size_t)random() % 16;
-		if (at[k] != NULL)
-			limits_refund(at[k], &workspace, loans[k]);
-		at[k] = NULL;
-		if (limits_admit(l, &workspace, &loan, &retry) ==
+		if (pending[k] != NULL)
+			limits_refund(pending[k], &workspace, loans[k]);
+		pending[k] = NULL;
+		if (limits_admit(l, &workspace, &admitted_loan, &retry) ==
 		    LIMITS_ADMIT) {
 			if (random() % 2 == 0) {
-				at[k] = l;
-				loans[k] = loan;
+				pending[k] = l;
+				loans[k] = admitted_loan;
 			} else
 				ran[n++] = now_us;
 		}
@@ -243,7 +244,7 @@
  * no more in any window, and not much less in all.
  */
 static void
-test_fleet_overdriven(void **state)
+test_overload_gets_exact_limit(void **state)
 {
 	static uint64_t spent[SPENT_MAX];
 	uint32_t retry;
@@ -252,7 +253,7 @@
 	(void)state;
 	for (i = 0; i < 3000; i++) {
 		now_us += SECOND / 150;
-		if (limits_admit(&nodes[i % NODES], &workspace, &loan,
+		if (limits_admit(&nodes[i % NODES], &workspace, &admitted_loan,
 			&retry) == LIMITS_ADMIT)
 			spent[n++] = now_us;
 		if (i % 3 == 0)
@@ -268,7 +269,7 @@
  * is small and comes through all nodes in turn.
  */
 static void
-test_fleet_regular(void **state)
+test_regular_pace_not_refused(void **state)
 {
 	static const struct {
 		double rate;
@@ -285,8 +286,8 @@
 		refused = 0;
 		for (i = 0; i < 1000; i++) {
 			now_us += (uint64_t)(SECOND / (workspace.rate * 0.9));
-			if (limits_admit(&nodes[i % NODES], &workspace, &loan,
-				&retry) != LIMITS_ADMIT)
+			if (limits_admit(&nodes[i % NODES], &workspace,
+				&admitted_loan, &retry) != LIMITS_ADMIT)
 				refused++;
 			limits_maintain(&nodes[(i + 1) % NODES]);
 			limits_maintain(&nodes[i % NODES]);
@@ -303,32 +304,32 @@
  * that the ideal one has room for.
  */
 static uint64_t
-wrongful(const struct limits_ws *ws, int spread)
+refused_within_rate(const struct limits_ws *ws, int spread)
 {
-	uint64_t wrong = 0, t = now_us, tick = now_us;
-	double level = ws->burst, gap;
+	uint64_t refused = 0, t = now_us, tick = now_us;
+	double level = ws->burst, gap_us;
 	const size_t n = ws->rate < 50 ? 1000 : 20000;
 	uint32_t retry;
 	size_t i, k;
 
 	for (i = 0; i < n; i++) {
-		gap = -log(((double)random() + 1) / 2147483649.0);
-		gap *= SECOND / (ws->rate * 0.9);
-		t += (uint64_t)gap;
+		gap_us = -log(((double)random() + 1) / 2147483649.0);
+		gap_us *= SECOND / (ws->rate * 0.9);
+		t += (uint64_t)gap_us;
 		for (; tick < t; tick += LIMITS_TICK_MS * MS) {
 			now_us = tick;
 			for (k = 0; k < NODES; k++)
 				limits_maintain(&nodes[k]);
 		}
 		now_us = t;
-		level = fmin(ws->burst, level + ws->rate * gap / SECOND);
+		level = fmin(ws->burst, level + ws->rate * gap_us / SECOND);
 		if (limits_admit(&nodes[spread ? random() % NODES : 0], ws,
-			&loan, &retry) == LIMITS_ADMIT)
+			&admitted_loan, &retry) == LIMITS_ADMIT)
 			level -= 1;
 		else if (level >= 1)
-			wrong++;
+			refused++;
 	}
-	return wrong * 100000 / n;
+	return refused * 100000 / n;
 }
 
 /*
@@ -336,14 +337,14 @@
  * and whether its requests come through one node or all.
  */
 static void
-test_fleet_within_rate(void **state)
+test_random_arrivals_rarely_refused(void **state)
 {
 	static const struct {
 		double rate;
 		uint32_t burst;
 	} cases[] = { { 0.5, 2 }, { 2, 2 }, { 50, 2 }, { 50, 11 }, { 50, 29 },
 		{ 50, 30 }, { 50, 50 }, { 500, 100 }, { 500, 1000 } };
-	uint64_t wrong;
+	uint64_t refused;
 	size_t k;
 	int spread;
 
@@ -354,12 +355,12 @@
 			workspace.hash += 48;
 			workspace.rate = cases[k].rate;
 			workspace.burst = cases[k].burst;
-			wrong = wrongful(&workspace, spread);
-			if (wrong > 100)
+			refused = refused_within_rate(&workspace, spread);
+			if (refused > 100)
 				fail_msg("rate %.1f burst %u spread %d: "
 					 "%" PRIu64 " in 100,000 refused",
 				    workspace.rate, workspace.burst, spread,
-				    wrong);
+				    refused);
 		}
 }
 
@@ -367,7 +368,7 @@
  * A dense flow costs far fewer calls than requests.
  */
 static void
-test_prefetch(void **state)
+test_prefetch_saves_calls(void **state)
 {
 	uint32_t retry;
 	size_t i;
@@ -378,7 +379,7 @@
 	for (i = 0; i < 5000; i++) {
 		now_us += 2 * MS;
 		assert_int_equal(
-		    limits_admit(&nodes[0], &workspace, &loan, &retry),
+		    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 		    LIMITS_ADMIT);
 		if (i % 10 == 0)
 			limits_maintain(&nodes[0]);
@@ -391,39 +392,44 @@
  * says so within its bound.
  */
 static void
-test_owners_down(void **state)
+test_unreachable_owners(void **state)
 {
 	uint32_t retry;
-	uint64_t began;
+	uint64_t start_us;
 	size_t i, n = 0;
 
 	(void)state;
-	down[1] = down[2] = 1;
+	unreachable[1] = unreachable[2] = 1;
 	for (i = 0; i < 40; i++)
-		if (limits_admit(&nodes[0], &workspace, &loan, &retry) ==
-		    LIMITS_ADMIT)
+		if (limits_admit(&nodes[0], &workspace, &admitted_loan,
+			&retry) == LIMITS_ADMIT)
 			n++;
 	assert_in_range(n, 10, 13);
 	workspace.burst = 2;
 	workspace.rate = 2;
 	workspace.hash = 16 * 3 + 1; /* its one shard is with node 1 */
-	began = now_us;
-	assert_int_equal(limits_admit(&nodes[0], &workspace, &loan, &retry),
+	start_us = now_us;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 	    LIMITS_UNAVAILABLE);
-	assert_in_range(now_us - began, 0, 110 * MS);
-	began = now_us;
-	assert_int_equal(limits_admit(&nodes[0], &workspace, &loan, &retry),
+	assert_in_range(now_us - start_us, 0, 110 * MS);
+	start_us = now_us;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 	    LIMITS_UNAVAILABLE);
-	assert_int_equal(now_us, began);
+	assert_int_equal(now_us, start_us);
 	now_us += SECOND;
-	down[1] = 0;
+	unreachable[1] = 0;
 	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
+	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
+	    LIMITS_ADMIT);
 	/* A lost answer is asked for again, and lends once. */
-	lose_answers = 1;
+	replies_to_lose = 1;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
+	    LIMITS_ADMIT);
 	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
-	assert_int_equal(limits_admit(&nodes[0], &workspace, &loan, &retry),
+	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 	    LIMITS_OVER_RATE);
 	assert_in_range(retry, 1, 501);
 }
@@ -432,7 +438,7 @@
  * No loan outlasts the owner's lease, and none is spent past its life.
  */
 static void
-test_lease_ends(void **state)
+test_loans_end_with_lease(void **state)
 {
 	limits_ask_arg arg = { .workspace = 16,
 		.part = 0,
@@ -444,7 +450,7 @@
 	uint32_t retry;
 
 	(void)state;
-	held_until_ms = now_us / MS + 300;
+	lease_until_ms = now_us / MS + 300;
 	limits_serve_ask(&nodes[0], &arg, &res);
 	assert_int_equal(res.status, LIMITS_GRANTED);
 	assert_int_equal(res.life_ms, 299);
@@ -456,25 +462,27 @@
 	assert_int_equal(res.status, LIMITS_NOT_OWNER);
 	arg.part = 0;
 	arg.workspace = 17;
-	held_until_ms = UINT64_MAX;
+	lease_until_ms = UINT64_MAX;
 	limits_serve_ask(&nodes[0], &arg, &res);
 	assert_int_equal(res.status, LIMITS_NO_WORKSPACE);
 
 	/* What was borrowed for a dense flow lapses unspent. */
 	workspace.rate = workspace.burst = 3000;
-	limits_admit(&nodes[0], &workspace, &loan, &retry);
+	limits_admit(&nodes[0], &workspace, &admitted_loan, &retry);
 	now_us += 2 * (uint64_t)SECOND;
 	for (arg.loan = 0; arg.loan < 300; arg.loan++) {
 		now_us += MS;
-		limits_admit(&nodes[0], &workspace, &loan, &retry);
+		limits_admit(&nodes[0], &workspace, &admitted_loan, &retry);
 		if (arg.loan % 20 == 0)
 			limits_maintain(&nodes[0]);
 	}
-	held_until_ms = 0;
+	lease_until_ms = 0;
 	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
-	now_us += LIMITS_LOAN_MS * MS;
-	assert_int_equal(limits_admit(&nodes[0], &workspace, &loan, &retry),
+	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
+	    LIMITS_ADMIT);
+	now_us += LIMITS_LOAN_MAX_MS * MS;
+	assert_int_equal(
+	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 	    LIMITS_UNAVAILABLE);
 }
 
@@ -482,7 +490,7 @@
  * A new owner starts empty, whether or not its buckets were used before.
  */
 static void
-test_new_tenure_is_empty(void **state)
+test_new_tenure_starts_empty(void **state)
 {
 	uint32_t retry;
 	size_t i, n = 0;
@@ -490,22 +498,23 @@
 	(void)state;
 	for (i = 0; i < 30; i++)
 		assert_int_equal(
-		    limits_admit(&nodes[0], &workspace, &loan, &retry),
+		    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 		    LIMITS_ADMIT);
 	now_us += 10 * (uint64_t)SECOND;
 	tenure = 2;
-	first_lease = 0;
+	is_first_lease = 0;
 	for (i = 0; i < NODES; i++) { /* effective_ms is 0: long ago */
 		workspace.changed_ms = now_us / MS;
 	}
 	for (i = 0; i < 30; i++)
-		if (limits_admit(&nodes[0], &workspace, &loan, &retry) ==
-		    LIMITS_ADMIT)
+		if (limits_admit(&nodes[0], &workspace, &admitted_loan,
+			&retry) == LIMITS_ADMIT)
 			n++;
 	assert_int_equal(n, 0);
 	now_us += SECOND / 5;
 	assert_int_equal(
-	    limits_admit(&nodes[0], &workspace, &loan, &retry), LIMITS_ADMIT);
+	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
+	    LIMITS_ADMIT);
 }
 
 /*
@@ -513,25 +522,25 @@
  * nobody is told to be over the rate, after that whoever is.
  */
 static void
-test_new_owner_is_filling(void **state)
+test_new_owner_not_over_rate(void **state)
 {
 	enum limits_verdict v = LIMITS_ADMIT;
 	uint32_t retry;
 	int i;
 
 	(void)state;
-	limits_admit(&nodes[0], &workspace, &loan, &retry);
+	limits_admit(&nodes[0], &workspace, &admitted_loan, &retry);
 	now_us += 10 * (uint64_t)SECOND;
 	tenure = 2;
-	first_lease = 0;
+	is_first_lease = 0;
 	workspace.changed_ms = now_us / MS;
 	for (i = 0; i < 30; i++)
 		assert_int_equal(
-		    limits_admit(&nodes[0], &workspace, &loan, &retry),
+		    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 		    LIMITS_UNAVAILABLE);
 	now_us += 2 * (uint64_t)SECOND;
 	for (i = 0; i < 1000 && v == LIMITS_ADMIT; i++)
-		v = limits_admit(&nodes[0], &workspace, &loan, &retry);
+		v = limits_admit(&nodes[0], &workspace, &admitted_loan, &retry);
 	assert_int_equal(v, LIMITS_OVER_RATE);
 }
 
@@ -539,15 +548,15 @@
  * Runs many requests of one thread; the context counts those admitted.
  */
 static void *
-run_requests(void *ctx)
+admit_many(void *ctx)
 {
 	atomic_int *admitted = ctx;
 	uint32_t retry;
 	int i;
 
 	for (i = 0; i < 200; i++)
-		if (limits_admit(&nodes[0], &workspace, &loan, &retry) ==
-		    LIMITS_ADMIT)
+		if (limits_admit(&nodes[0], &workspace, &admitted_loan,
+			&retry) == LIMITS_ADMIT)
 			atomic_fetch_add(admitted, 1);
 	return NULL;
 }
@@ -556,7 +565,7 @@
  * Threads that ask at once are all served, and no token is spent twice.
  */
 static void
-test_threads(void **state)
+test_concurrent_admission(void **state)
 {
 	pthread_t th[8];
 	atomic_int admitted = 0;
@@ -566,7 +575,7 @@
 	workspace.burst = 1000;
 	workspace.rate = 0;
 	for (i = 0; i < 8; i++)
-		pthread_create(&th[i], NULL, run_requests, &admitted);
+		pthread_create(&th[i], NULL, admit_many, &admitted);
 	for (i = 0; i < 8; i++)
 		pthread_join(th[i], NULL);
 	assert_int_equal(admitted, 1000);
@@ -577,25 +586,27 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
-		    test_fleet_refunds, setup, teardown),
+		    test_refund_restores_token, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_late_refunds_stay_within_rate, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_overload_gets_exact_limit, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_fleet_refunds_late, setup, teardown),
+		    test_regular_pace_not_refused, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_fleet_overdriven, setup, teardown),
+		    test_random_arrivals_rarely_refused, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_fleet_regular, setup, teardown),
+		    test_prefetch_saves_calls, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_fleet_within_rate, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_prefetch, setup, teardown),
+		    test_unreachable_owners, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_owners_down, setup, teardown),
+		    test_loans_end_with_lease, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_lease_ends, setup, teardown),
+		    test_new_tenure_starts_empty, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_new_tenure_is_empty, setup, teardown),
+		    test_new_owner_not_over_rate, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_new_owner_is_filling, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_threads, setup, teardown),
+		    test_concurrent_admission, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/limits/test_limits_bucket.c
+++ b/src/limits/test_limits_bucket.c
@@ -14,9 +14,9 @@
 /* A loan as the model of its entry sees it. */
 struct model_loan {
 	uint64_t id; /* 0: none */
-	uint64_t end_us;
-	uint32_t left; /* not spent, or spent in vain */
-	uint32_t shed; /* spent on requests that won't run */
+	uint64_t expire_us;
+	uint32_t unspent; /* not spent, or spent in vain */
+	uint32_t not_run; /* spent on requests that won't run */
 	int spent;
 };
 
@@ -24,7 +24,7 @@
  * Shards' parts sum to the whole, and lie in different groups.
  */
 static void
-test_shares(void **state)
+test_shares_sum_to_limit(void **state)
 {
 	static const struct {
 		double rate;
@@ -42,17 +42,20 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		ws.rate = cases[i].rate;
 		ws.burst = cases[i].burst;
-		assert_int_equal(limits_shards(ws.burst), cases[i].shards);
+		assert_int_equal(limits_shard_count(ws.burst), cases[i].shards);
 		rate = burst = 0;
 		for (k = 0; k < cases[i].shards; k++) {
-			limits_share(&ws, k, &s);
+			limits_compute_share(&ws, k, &s);
 			rate += s.rate_mt;
 			burst += s.burst;
-			assert_int_equal(
-			    limits_shard_of(&ws, limits_part(&ws, k)), k);
+			assert_int_equal(limits_partition_shard(&ws,
+					     limits_shard_partition(&ws, k)),
+			    k);
 			if (cases[i].shards > 1)
 				assert_int_equal(
-				    limits_part(&ws, k) / LEASE_GROUP_PARTS, k);
+				    limits_shard_partition(&ws, k) /
+					LEASE_GROUP_PARTS,
+				    k);
 		}
 		assert_int_equal(burst, ws.burst);
 		assert_int_equal(
@@ -64,7 +67,7 @@
  * Loans: what is out takes room in the bucket until reported or lapsed.
  */
 static void
-test_bucket_loans(void **state)
+test_loans_reserve_room(void **state)
 {
 	struct limits_share share = { 10000, 10 };
 	struct limits_bucket b;
@@ -76,8 +79,8 @@
 	assert_int_equal(b.outstanding, 8);
 	bucket_refill(&b, 400 * MS);
 	assert_int_equal(b.level_nt / 1000000000, 2);
-	assert_int_equal(bucket_report(&b, 1, 3, 400 * MS), 0);
-	assert_int_equal(bucket_report(&b, 1, 3, 400 * MS), -1);
+	assert_int_equal(bucket_settle_loan(&b, 1, 3, 400 * MS), 0);
+	assert_int_equal(bucket_settle_loan(&b, 1, 3, 400 * MS), -1);
 	assert_int_equal(b.level_nt / 1000000000, 5);
 	assert_int_equal(bucket_lend(&b, 2, 9, 9, 400 * MS, 900 * MS), 5);
 	assert_int_equal(bucket_lend(&b, 3, 9, 9, 400 * MS, 900 * MS), 0);
@@ -85,7 +88,7 @@
 	/* Lapsed at 0.9 s: 5 tokens by then, and it fills from there on. */
 	bucket_refill(&b, 1100 * MS);
 	assert_int_equal(b.level_nt / 1000000, 7000);
-	assert_int_equal(bucket_report(&b, 2, 5, 1100 * MS), -1);
+	assert_int_equal(bucket_settle_loan(&b, 2, 5, 1100 * MS), -1);
 	/* A prefetch gets a part of what is left only. */
 	assert_int_equal(bucket_lend(&b, 4, 1, 50, 1100 * MS, 1600 * MS), 2);
 	share.burst = 3;
@@ -99,36 +102,36 @@
  * than rate x window + burst.
  */
 static void
-test_bucket_windows(void **state)
+test_no_window_over_limit(void **state)
 {
 	struct limits_ws ws = { 1, 37.5, 11, 0 };
 	static uint64_t spent[SPENT_MAX];
 	struct limits_share share;
 	struct limits_bucket b;
-	uint64_t t = 0, end;
-	uint32_t got, use;
+	uint64_t t = 0, expire_us;
+	uint32_t granted, used;
 	size_t n = 0, i;
 
 	(void)state;
 	srandom(11);
-	limits_share(&ws, 0, &share);
+	limits_compute_share(&ws, 0, &share);
 	bucket_init(&b, &share, 1, 0);
 	for (i = 1; i < 5000; i++) {
 		t += (uint64_t)random() % 60000;
-		end = t + (uint64_t)random() % 100000;
-		got = bucket_lend(&b, i, (uint32_t)random() % 6,
-		    (uint32_t)random() % 12, t, end);
-		use = got > 0 ? (uint32_t)random() % (got + 1) : 0;
+		expire_us = t + (uint64_t)random() % 100000;
+		granted = bucket_lend(&b, i, (uint32_t)random() % 6,
+		    (uint32_t)random() % 12, t, expire_us);
+		used = granted > 0 ? (uint32_t)random() % (granted + 1) : 0;
 		assert_true(b.outstanding <= ws.burst);
 		/* Some is spent as late as the loan allows, or at once. */
 		if (random() % 2 == 0) {
-			t = end > t ? end - 1 : t;
+			t = expire_us > t ? expire_us - 1 : t;
 			bucket_refill(&b, t);
 			if (random() % 2 == 0)
-				bucket_report(&b, i, got - use, t);
+				bucket_settle_loan(&b, i, granted - used, t);
 		} else if (random() % 2 == 0)
-			bucket_report(&b, i, got - use, t);
-		while (use-- > 0)
+			bucket_settle_loan(&b, i, granted - used, t);
+		while (used-- > 0)
 			spent[n++] = t;
 	}
 	assert_true(n > 1000);
@@ -142,21 +145,22 @@
  */
 static void
 model_spend(struct model_loan *ln, struct limits_bucket *b, uint64_t t,
-    uint64_t *ran, size_t *n)
+    uint64_t *run_us, size_t *n)
 {
-	uint32_t run = (uint32_t)random() % (ln->left + 1);
+	uint32_t to_run = (uint32_t)random() % (ln->unspent + 1);
 
-	if (t < ln->end_us) {
-		while (run-- > 0) {
-			ran[(*n)++] = t;
-			ln->left--;
+	if (t < ln->expire_us) {
+		while (to_run-- > 0) {
+			run_us[(*n)++] = t;
+			ln->unspent--;
 		}
-		ln->shed += ln->left > 0 ? (uint32_t)random() % ln->left : 0;
-		ln->left -= ln->shed;
+		ln->not_run +=
+		    ln->unspent > 0 ? (uint32_t)random() % ln->unspent : 0;
+		ln->unspent -= ln->not_run;
 	}
 	ln->spent = 1;
 	if (random() % 8 > 0)
-		bucket_report(b, ln->id, ln->left, t);
+		bucket_settle_loan(b, ln->id, ln->unspent, t);
 }
 
 /*
@@ -165,19 +169,19 @@
  * window, and more runs than without.
  */
 static void
-test_bucket_refunds(void **state)
+test_late_refunds_stay_within_limit(void **state)
 {
 	struct limits_ws ws = { 1, 37.5, 11, 0 };
-	static uint64_t ran[SPENT_MAX];
+	static uint64_t run_us[SPENT_MAX];
 	struct model_loan loans[8], *ln;
 	struct limits_share share;
 	struct limits_bucket b;
-	uint64_t t, id, back;
+	uint64_t t, id, returned;
 	size_t n, seed;
 
 	(void)state;
-	limits_share(&ws, 0, &share);
-	for (seed = 1, back = 0; seed <= 20; seed++) {
+	limits_compute_share(&ws, 0, &share);
+	for (seed = 1, returned = 0; seed <= 20; seed++) {
 		srandom((unsigned int)seed);
 		bucket_init(&b, &share, 1, 0);
 		memset(loans, 0, sizeof(loans));
@@ -188,19 +192,19 @@
 			ln = &loans[random() % 8];
 			if (ln->id == 0) {
 				ln->id = id++;
-				ln->end_us = t + (uint64_t)random() % 100000;
-				ln->left = bucket_lend(
-				    &b, ln->id, 4, 4, t, ln->end_us);
+				ln->expire_us = t + (uint64_t)random() % 100000;
+				ln->unspent = bucket_lend(
+				    &b, ln->id, 4, 4, t, ln->expire_us);
 			} else if (!ln->spent) {
-				model_spend(ln, &b, t, ran, &n);
-			} else if (ln->shed == 0 || random() % 16 == 0) {
+				model_spend(ln, &b, t, run_us, &n);
+			} else if (ln->not_run == 0 || random() % 16 == 0) {
 				memset(ln, 0, sizeof(*ln));
 			} else {
-				ln->shed--;
-				back += bucket_report(
-					    &b, ln->id, ++ln->left, t) == 0;
-				bucket_report(&b, ln->id,
-				    ln->left - (uint32_t)random() % 2, t);
+				ln->not_run--;
+				returned += bucket_settle_loan(&b, ln->id,
+						++ln->unspent, t) == 0;
+				bucket_settle_loan(&b, ln->id,
+				    ln->unspent - (uint32_t)random() % 2, t);
 			}
 			assert_true(
 			    b.level_nt + b.credit_nt <=
@@ -208,20 +212,20 @@
 				1000000000);
 		}
 		assert_true(n > 1000);
-		check_windows(ran, n, &ws);
+		check_windows(run_us, n, &ws);
 		bucket_finish(&b);
 	}
-	assert_true(back > 1000);
+	assert_true(returned > 1000);
 }
 
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_shares),
-		cmocka_unit_test(test_bucket_loans),
-		cmocka_unit_test(test_bucket_windows),
-		cmocka_unit_test(test_bucket_refunds),
+		cmocka_unit_test(test_shares_sum_to_limit),
+		cmocka_unit_test(test_loans_reserve_room),
+		cmocka_unit_test(test_no_window_over_limit),
+		cmocka_unit_test(test_late_refunds_stay_within_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
