limits: comments and error texts in plain terms

Comments spoke of asking, telling and coming back, and hung several clauses on one another. They now say which node does what, in the terms of token buckets, loans, leases and shards; field comments give meaning, unit and special values; test heads name the failure that they guard against. Two messages for failed allocations say what was being allocated.

--- a/src/limits/limits.c
+++ b/src/limits/limits.c
@@ -26,7 +26,7 @@
 };
 
 /*
- * Prepares the limits of a node.
+ * Initialises the limits of a node.
  */
 void
 limits_init(struct limits *l, const struct limits_config *cfg)
@@ -39,7 +39,7 @@
 }
 
 /*
- * Frees all.  No thread may use the limits any more.
+ * Frees all memory.  No thread may use the limits any more.
  */
 void
 limits_finish(struct limits *l)
@@ -59,7 +59,7 @@
 }
 
 /*
- * Finds a workspace in a chain, or NULL.
+ * Returns the entry of a workspace in a chain, or NULL.
  */
 static struct limits_entry *
 find_entry(struct limits_entry *e, uint64_t hash)
@@ -70,8 +70,8 @@
 }
 
 /*
- * Returns what this entry knows of a workspace, a new record if need be.
- * Records are never removed, so that a found one needs no lock to reach.
+ * Returns the entry of a workspace, a new one if there was none.  Entries are
+ * never removed; hence a lookup takes no lock unless it inserts.
  */
 struct limits_entry *
 limits_entry_get(struct limits *l, uint64_t hash)
@@ -103,7 +103,7 @@
 }
 
 /*
- * Serves an entry's ask.
+ * Handles the RPC by which an entry node borrows tokens.
  */
 static int
 handle_loan_request(
@@ -115,7 +115,7 @@
 }
 
 /*
- * Serves an entry's report.
+ * Handles the RPC by which an entry node reports unspent tokens.
  */
 static int
 handle_report(
@@ -127,7 +127,7 @@
 }
 
 /*
- * Prints what this node holds as an entry and decides as an owner.
+ * Prints the loans of this node as an entry node and its buckets as an owner.
  */
 void
 limits_dump(struct limits *l, FILE *out)
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -10,22 +10,23 @@
 #include "rpc/rpc.h"
 
 /*
- * Rate limits of workspaces, fleet-wide.  The owner of a shard's partition
- * holds its bucket; entries admit requests from loans of its tokens.
+ * Fleet-wide rate limits of workspaces.  A limit is a token bucket, split into
+ * shards if its burst is large.  The node that leases a shard's partition owns
+ * the shard's bucket.  Entry nodes borrow tokens from the owners and admit
+ * requests from these loans.
  */
-#define LIMITS_SHARDS 3
-#define LIMITS_SHARD_BURST_MIN 30 /* a limit with this burst is cut in shards \
-				   */
-#define LIMITS_TICK_MS 20	  /* between two calls of limits_maintain() */
+#define LIMITS_SHARDS 3		  /* shards of a split limit */
+#define LIMITS_SHARD_BURST_MIN 30 /* tokens; smaller limits aren't split */
+#define LIMITS_TICK_MS 20	  /* interval of limits_maintain() */
 
-/* A workspace's limit in a configuration. */
+/* The limit of a workspace in a configuration. */
 struct limits_ws {
-	uint64_t hash; /* of its name */
+	uint64_t hash; /* of the workspace's name */
 	double rate;   /* requests a second */
 	uint32_t burst;
 	/*
-	 * clock_ms() when this node took up the configuration with which
-	 * this limit came or changed; 0 if it was in the node's first one.
+	 * clock_ms() when this node applied the configuration that added or
+	 * changed this limit; 0 if the node's first configuration had it.
 	 */
 	uint64_t changed_ms;
 };
@@ -33,40 +34,44 @@
 enum limits_verdict {
 	LIMITS_ADMIT,
 	LIMITS_OVER_RATE,
-	LIMITS_UNAVAILABLE, /* no owner could be asked */
+	LIMITS_UNAVAILABLE, /* no owner could be asked in time */
 	LIMITS_VERDICT_MAX
 };
 
 enum limits_proc {
-	LIMITS_PROC_ASK,
-	LIMITS_PROC_REPORT,
+	LIMITS_PROC_ASK,    /* borrow tokens */
+	LIMITS_PROC_REPORT, /* report unspent tokens of ended loans */
 	LIMITS_PROC_MAX
 };
 
-/* What the slice needs from its surroundings. */
+/* Parameters and callbacks of the limits of a node. */
 struct limits_config {
 	struct node_id self;
-	uint32_t group; /* shard asked first: that of the own domain */
+	uint32_t group; /* group of the node's own failure domain */
 	lease_lookup_fn lookup;
 	void *lookup_ctx;
 	rpc_call_fn call;
 	void *call_ctx;
 	/*
-	 * Sends a call without waiting for its answer; may be NULL, which
-	 * costs small bursts some of their rate.
+	 * Sends a call without waiting for its answer; may be NULL.  Without
+	 * it, limits with a small burst lose some of their rate.
 	 */
 	void (*notify)(void *, const struct node_id *, const struct rpc_proc *,
 	    const void *);
 	void *notify_ctx;
-	/* Finds a workspace in the node's configuration; 0, or -1 if none. */
+	/*
+	 * Finds a workspace's limit by hash in the node's configuration.
+	 * Returns 0, or -1 if there is none.
+	 */
 	int (*find)(void *, uint64_t, struct limits_ws *);
 	void *find_ctx;
-	void (*kick)(void *); /* an owner did not answer; may be NULL */
+	/* Called when an owner failed or denied owning; may be NULL. */
+	void (*kick)(void *);
 	void *kick_ctx;
-	uint64_t (*clock_us)(void); /* NULL: the clock */
+	uint64_t (*clock_us)(void); /* NULL: clock_us() */
 };
 
-#define LIMITS_TABLE_CHAINS 1024 /* chains of each table */
+#define LIMITS_TABLE_CHAINS 1024 /* hash chains of each table */
 
 struct limits_shard_bucket;
 struct limits_entry;
@@ -74,11 +79,13 @@
 struct limits {
 	struct limits_config cfg;
 	pthread_mutex_t lock; /* guards insertion into the tables */
+	/* The buckets of the shards that this node owns or has owned. */
 	struct limits_shard_bucket *_Atomic shard_buckets[LIMITS_TABLE_CHAINS];
+	/* The loans of this node as an entry node, by workspace. */
 	struct limits_entry *_Atomic entries[LIMITS_TABLE_CHAINS];
 };
 
-/* Procedures for the RPC server; their context is struct limits. */
+/* Procedures of the RPC server.  Their context is struct limits. */
 extern const struct rpc_proc limits_procs[LIMITS_PROC_MAX];
 
 void limits_init(struct limits *, const struct limits_config *);
--- a/src/limits/limits.x
+++ b/src/limits/limits.x
@@ -1,4 +1,4 @@
-/* Messages of limits: an entry borrows tokens from a shard's owner. */
+/* RPC messages by which an entry node borrows tokens from an owner. */
 
 const LIMITS_REPORTS_MAX = 32;
 
@@ -10,8 +10,9 @@
 };
 
 /*
- * What became of a loan: so many tokens were not spent, the others were.  May
- * be told again with more, if a request that had spent one did not run.
+ * Reports the end of a loan: so many of its tokens were not spent, the others
+ * were.  A later report of the same loan may give a higher number if a request
+ * that had spent a token did not run.
  */
 struct limits_report {
 	unsigned hyper loan;
@@ -33,8 +34,8 @@
 	unsigned int tokens;
 	unsigned int life_ms;
 	unsigned int dry_us;
-	unsigned int level;	/* whole tokens left */
-	unsigned int filling;	/* empty since the lease is new, not by use */
+	unsigned int level;	/* whole tokens left in the bucket */
+	unsigned int filling;	/* 1: empty as its lease is new, not by use */
 };
 
 struct limits_report_arg {
--- a/src/limits/limits_bucket.c
+++ b/src/limits/limits_bucket.c
@@ -5,15 +5,16 @@
 
 #include "limits/limits_bucket.h"
 
+/* Units: mt is a thousandth of a token, nt a billionth. */
 #define NT_PER_TOKEN INT64_C(1000000000)
 #define MT_PER_TOKEN 1000.0
-#define RATE_MAX_PER_S 1e9   /* requests a second */
-#define RING_LOANS_MIN 8     /* places of a new ring */
-#define RING_LOANS_MAX 65536 /* loans of one bucket */
-#define CREDIT_LIFETIME_US \
-	1000000 /* after a loan's expiry, to give tokens back */
+#define RATE_MAX_PER_S 1e9   /* requests */
+#define RING_LOANS_MIN 8     /* capacity of a new ring */
+#define RING_LOANS_MAX 65536 /* largest capacity */
+/* Spent tokens can be returned until this long after a loan's expiry. */
+#define CREDIT_LIFETIME_US 1000000
 #define WAIT_MAX_US UINT64_C(3600000000)
-#define PREFETCH_DIVISOR 4 /* of what is left, that a prefetch gets */
+#define PREFETCH_DIVISOR 4 /* a prefetch gets 1/4 of the remaining level */
 
 static void add_inflow(struct limits_bucket *, uint64_t);
 static void clamp_to_burst(struct limits_bucket *);
@@ -23,7 +24,7 @@
 static int loan_push(struct limits_bucket *, uint64_t, uint32_t, uint64_t);
 
 /*
- * Returns into how many shards a limit with this burst is cut.
+ * Returns the number of shards of a limit with this burst.
  */
 uint32_t
 limits_shard_count(uint32_t burst)
@@ -32,7 +33,7 @@
 }
 
 /*
- * Returns the partition that decides for a shard of a workspace.
+ * Returns the partition whose owner holds a shard's bucket.
  */
 uint32_t
 limits_shard_partition(const struct limits_ws *ws, uint32_t shard)
@@ -46,8 +47,8 @@
 }
 
 /*
- * Returns the shard that a partition decides for, or -1 if none of the
- * workspace's lies there.
+ * Returns the shard of a workspace whose bucket lies in a partition, or -1 if
+ * there is none.
  */
 int
 limits_partition_shard(const struct limits_ws *ws, uint32_t part)
@@ -61,8 +62,8 @@
 }
 
 /*
- * Computes a shard's part of a limit.  The parts sum to the whole exactly,
- * the rate in thousandths.
+ * Computes a shard's share of a limit.  The shares sum exactly to the whole;
+ * the rate is rounded down to thousandths first.
  */
 void
 limits_compute_share(
@@ -79,7 +80,7 @@
 }
 
 /*
- * Prepares a bucket that is full or empty at a time (us).
+ * Initialises a bucket, full or empty, at time now_us.
  */
 void
 bucket_init(struct limits_bucket *b, const struct limits_share *share, int full,
@@ -92,7 +93,7 @@
 }
 
 /*
- * Frees what a bucket holds.
+ * Frees the memory of a bucket.
  */
 void
 bucket_finish(struct limits_bucket *b)
@@ -111,7 +112,8 @@
 }
 
 /*
- * Takes credit from the oldest loans until all is within the burst.
+ * Reduces the credit, that of the oldest loans first, until level +
+ * outstanding + credit is within the burst or no credit is left.
  */
 static void
 trim_credit(struct limits_bucket *b)
@@ -133,7 +135,7 @@
 }
 
 /*
- * Forgets the oldest loan, which must be settled.
+ * Removes the oldest loan, which must be settled.
  */
 static void
 drop_oldest_loan(struct limits_bucket *b)
@@ -145,7 +147,8 @@
 }
 
 /*
- * Keeps level + outstanding + credit within the burst.
+ * Reduces the level, then the credit, to keep level + outstanding + credit
+ * within the burst.
  */
 static void
 clamp_to_burst(struct limits_bucket *b)
@@ -160,7 +163,8 @@
 }
 
 /*
- * Adds what has flowed in up to a time (us), while nothing lapsed.
+ * Adds the tokens that flowed in since the last refill until now_us.  No loan
+ * may expire in this time.
  */
 static void
 add_inflow(struct limits_bucket *b, uint64_t now_us)
@@ -183,8 +187,8 @@
 }
 
 /*
- * Brings a bucket up to a time (us): tokens flow in, and loans that were
- * not reported count as spent from their expiry on.
+ * Updates a bucket to time now_us: adds the tokens that flowed in, and counts
+ * loans without a report as spent from their expiry on.
  */
 void
 bucket_refill(struct limits_bucket *b, uint64_t now_us)
@@ -212,8 +216,8 @@
 }
 
 /*
- * Takes up a changed limit.  What is in the bucket stays, but for what no
- * longer fits.
+ * Applies a changed limit.  The bucket keeps its level, credit and loans as
+ * far as they fit the new burst.
  */
 void
 bucket_resize(
@@ -228,9 +232,9 @@
 }
 
 /*
- * Adds a loan at the end of the ring.  Expiries must not run backwards; a
- * loan that would lapse before the newest one is kept as long as that one.
- * Returns 0, or -1 if there are too many.
+ * Appends a loan to the ring.  The ring is ordered by expiry, hence a loan
+ * that would expire before the newest one gets the expiry of that one.
+ * Returns 0, or -1 if there are too many loans.
  */
 static int
 loan_push(
@@ -247,7 +251,7 @@
 			return -1;
 		grown = calloc(cap, sizeof(*grown));
 		if (grown == NULL)
-			err(1, "loan_push");
+			err(1, "cannot grow the ring of rate limit loans");
 		for (i = 0; i < b->count; i++)
 			grown[i] = *loan_at(b, i);
 		free(b->loans);
@@ -263,9 +267,9 @@
 }
 
 /*
- * Lends up to need tokens, and towards want a share of what is left, until
- * a time (us).  A repeated id gets what it got before.  Returns the tokens
- * lent.
+ * Lends up to need tokens, and more towards want from a part of what remains,
+ * until expire_us.  A repeated request with the id of an outstanding loan gets
+ * that loan again.  Returns the tokens lent.
  */
 uint32_t
 bucket_lend(struct limits_bucket *b, uint64_t id, uint32_t need, uint32_t want,
@@ -293,11 +297,11 @@
 }
 
 /*
- * Ends a loan: so many of its tokens were not spent and go back.  Later
- * reports may name more, spent on requests that were then refused unrun;
- * these go back as far as the loan has credit.  Repeated and overtaken
- * reports change nothing.  Returns 0, or -1 if nothing changed or there is
- * no such loan.
+ * Ends a loan and returns its unspent tokens to the bucket.  A later report
+ * may give a higher number, when requests that had spent a token were refused
+ * before they ran; these tokens are returned as far as the loan has credit.
+ * Repeated reports and reports out of order change nothing.  Returns 0, or -1
+ * if nothing changed or there is no such loan.
  */
 int
 bucket_settle_loan(
@@ -331,7 +335,7 @@
 }
 
 /*
- * Returns the whole tokens in the bucket.
+ * Returns the number of whole tokens in the bucket.
  */
 uint32_t
 bucket_level(const struct limits_bucket *b)
@@ -340,8 +344,8 @@
 }
 
 /*
- * Returns after how long (us) the bucket will hold so many tokens, if
- * nothing is lent meanwhile.
+ * Returns the time (us) until the bucket holds so many tokens, if nothing is
+ * lent meanwhile; at most WAIT_MAX_US.
  */
 uint64_t
 bucket_wait_us(const struct limits_bucket *b, uint32_t tokens)
--- a/src/limits/limits_bucket.h
+++ b/src/limits/limits_bucket.h
@@ -6,7 +6,7 @@
 
 #include "limits/limits.h"
 
-/* The part of a limit that one shard's bucket enforces. */
+/* A shard's share of a limit. */
 struct limits_share {
 	uint64_t rate_mt; /* thousandths of a token a second */
 	uint32_t burst;	  /* tokens */
@@ -15,27 +15,28 @@
 struct limits_loan {
 	uint64_t id;
 	uint64_t expire_us;
-	uint32_t tokens;   /* outstanding; 0: reported or lapsed */
+	uint32_t tokens;   /* outstanding; 0: reported or expired */
 	uint32_t unspent;  /* as reported so far */
-	int64_t credit_nt; /* of its spent tokens, what may still go back */
+	int64_t credit_nt; /* spent tokens that can still be returned */
 };
 
 /*
- * A token bucket with loans.  level + outstanding + credit <= burst at all
- * times, so what is spent and not given back later is in any window at most
- * burst + rate x window.  Credit gives way to what flows in, so that a spent
- * token goes back only into room that it left.
+ * A token bucket that lends tokens.  level + outstanding + credit <= burst
+ * holds at all times.  Hence the tokens that are spent and not returned later
+ * are at most burst + rate x window in any window of time.  New tokens displace
+ * credit when the bucket is full, hence a spent token is returned only into
+ * the room that it left.
  */
 struct limits_bucket {
 	struct limits_share share;
 	int64_t level_nt; /* billionths of a token */
 	uint64_t refilled_us;
-	uint64_t outstanding;
+	uint64_t outstanding;	   /* tokens */
 	int64_t credit_nt;	   /* sum over the loans */
-	struct limits_loan *loans; /* ring, by ascending expiry */
-	size_t head;
+	struct limits_loan *loans; /* ring buffer, by ascending expiry */
+	size_t head;		   /* index of the oldest loan */
 	size_t count;
-	size_t settled; /* oldest loans that are all reported or lapsed */
+	size_t settled; /* number of oldest loans all reported or expired */
 	size_t cap;	/* a power of two */
 };
 
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -10,18 +10,18 @@
 
 #define US_PER_MS 1000
 #define US_PER_S 1000000
-#define ADMIT_TIMEOUT_MS 100 /* bound on a request's wait */
-#define ASK_ATTEMPTS 2
-#define SHARD_TIMEOUT_MS 40  /* part of it for one of several shards */
-#define REPORT_TIMEOUT_MS 40 /* bound on a report */
-#define UNREACHABLE_BACKOFF_US \
-	100000			 /* an owner is not asked after a failure */
-#define PREFETCH_MS 200		 /* demand that a dense flow borrows ahead */
-#define PREFETCH_BELOW_MS 100	 /* held demand below which it borrows more */
-#define PREFETCH_BURST_MIN 32	 /* of a shard that is borrowed ahead from */
-#define LOCAL_SHARD_BURST_MIN 64 /* of shards that are used evenly */
-#define PREFETCH_RATE_MIN 20.0	 /* requests a second of a dense flow */
-#define REPORT_DELAY_US 100000	 /* spent loans are reported this late */
+#define ADMIT_TIMEOUT_MS 100 /* longest wait of a request */
+#define ASK_ATTEMPTS 2	     /* calls to one owner */
+#define SHARD_TIMEOUT_MS 40  /* longest wait for one of several shards */
+#define REPORT_TIMEOUT_MS 40
+/* An owner is not asked for this long after a failed call. */
+#define UNREACHABLE_BACKOFF_US 100000
+#define PREFETCH_MS 200		 /* demand of this time is borrowed ahead */
+#define PREFETCH_BELOW_MS 100	 /* borrows when less than this is left */
+#define PREFETCH_BURST_MIN 32	 /* of a shard, in tokens */
+#define LOCAL_SHARD_BURST_MIN 64 /* smaller shards are used evenly */
+#define PREFETCH_RATE_MIN 20.0	 /* requests a second */
+#define REPORT_DELAY_US 100000	 /* for loans that were spent whole */
 
 static int call_owner(struct limits *, struct limits_entry *,
     const struct lease_view *, limits_ask_arg *, limits_ask_res *, uint32_t);
@@ -43,9 +43,9 @@
 static void maintain_entry(struct limits *, struct limits_entry *);
 
 /*
- * Asks an owner, which may be this node.  A datagram may be lost, so that
- * it is sent again; the loan's id keeps that from borrowing twice.  Returns
- * 0, or -1 if there was no answer.
+ * Asks an owner, which may be this node, for a loan.  A datagram can be lost,
+ * hence a call that times out is sent again; the loan's id keeps the owner
+ * from lending twice.  Returns 0, or -1 if the call failed.
  */
 static int
 call_owner(struct limits *l, struct limits_entry *e, const struct lease_view *v,
@@ -76,7 +76,8 @@
 }
 
 /*
- * Borrows from one shard and remembers the answer.  Returns the tokens got.
+ * Borrows tokens from one shard and stores the loan and the state of the
+ * shard.  Returns the tokens borrowed.
  */
 static uint32_t
 borrow_from_shard(struct limits *l, struct limits_entry *e,
@@ -124,9 +125,10 @@
 }
 
 /*
- * Estimates what a shard's bucket holds, and so how good it is to ask.  The
- * shard of the own failure domain is the best, unless buckets are so small
- * that a full one would lose what flows in while others are empty.
+ * Returns a score that ranks shards for borrowing: the estimated level of the
+ * shard's bucket (tokens).  A bonus ranks the shard of the node's own failure
+ * domain first.  The bonus is only a tie-breaker for small buckets, because a
+ * full one would lose the tokens that flow in while others are empty.
  */
 static double
 shard_score(const struct limits *l, const struct limits_entry *e,
@@ -149,8 +151,8 @@
 }
 
 /*
- * Returns the best shard that is neither dry, failed nor marked in tried, or
- * -1.
+ * Returns the shard with the highest score that is not marked in tried and is
+ * neither empty nor unreachable, or -1 if there is none.
  */
 static int
 best_shard(const struct limits *l, const struct limits_entry *e,
@@ -174,8 +176,8 @@
 }
 
 /*
- * Borrows need tokens from as many shards as it takes, the best ones first,
- * and up to want from the first that has them.
+ * Borrows need tokens from as many shards as necessary, the best ones first,
+ * and up to want tokens from the first that has them.
  */
 static void
 borrow_tokens(struct limits *l, struct limits_entry *e,
@@ -206,9 +208,10 @@
 }
 
 /*
- * Tells whether no shard is worth asking now, and why: LIMITS_ADMIT if one
- * is.  A bucket that is empty since its owner is new refuses nobody as over
- * the rate: the request may wait for what flows in.
+ * Returns LIMITS_ADMIT if any shard can be asked now, otherwise the verdict
+ * for a request and the time until a shard can be asked in *retry_ms.  A
+ * bucket that may be empty only because its owner is new gives no
+ * LIMITS_OVER_RATE: the request may wait for the tokens that flow in.
  */
 static enum limits_verdict
 check_shards(const struct limits_entry *e, const struct limits_ws *ws,
@@ -234,7 +237,8 @@
 }
 
 /*
- * Waits until the thread that asks is done, at most us; the lock is held.
+ * Waits until the borrowing thread has finished, at most us.  The caller holds
+ * the lock.
  */
 static void
 wait_for_borrower(struct limits_entry *e, uint64_t us)
@@ -252,8 +256,9 @@
 }
 
 /*
- * Returns how many tokens to borrow ahead of demand: none for a sparse flow,
- * nor from buckets so small that others would miss them.
+ * Returns the number of tokens to borrow ahead of demand.  It is 0 for a low
+ * request rate, and for buckets so small that other nodes would lack the
+ * tokens.
  */
 static uint32_t
 prefetch_tokens(const struct limits_entry *e)
@@ -267,10 +272,10 @@
 
 /*
  * Decides whether a request, or a retry of one that may have run, is within
- * its workspace's limit, and charges a token if so, of the loan that *loan
- * then names.  Blocks up to ADMIT_TIMEOUT_MS when tokens must be borrowed; one
- * thread borrows for all that wait.  If refused, *retry_ms says when (ms) to
- * come back.
+ * its workspace's limit.  If so, spends a token and stores the id of its loan
+ * in *loan.  Blocks up to ADMIT_TIMEOUT_MS when tokens must be borrowed; one
+ * thread borrows for all waiting threads.  If the request is refused,
+ * *retry_ms is the time (ms) after which to retry.
  */
 enum limits_verdict
 limits_admit(struct limits *l, const struct limits_ws *ws, uint64_t *loan,
@@ -310,7 +315,7 @@
 		e->borrowing = 0;
 		pthread_cond_broadcast(&e->borrow_done);
 	}
-	/* Without a loan to come that tells it: the bucket may fill again. */
+	/* No prefetch will carry the reports, hence they are sent now. */
 	send = e->queued_reports > 0 && prefetch_tokens(e) == 0;
 	pthread_mutex_unlock(&e->lock);
 	if (send)
@@ -319,8 +324,8 @@
 }
 
 /*
- * Gives back the token that a request was charged with which was then refused
- * without having run.  What can't be given back stays spent.
+ * Refunds the token of a request that was refused before it ran.  A token that
+ * can no longer be returned stays spent.
  */
 void
 limits_refund(struct limits *l, const struct limits_ws *ws, uint64_t loan)
@@ -337,8 +342,8 @@
 }
 
 /*
- * Sends reports to an owner, which may be this node.  One that is lost
- * leaves its tokens spent.
+ * Sends reports to an owner, which may be this node.  If a report is lost, the
+ * owner counts its tokens as spent.
  */
 static void
 send_reports(struct limits *l, const struct node_id *owner,
@@ -358,7 +363,7 @@
 }
 
 /*
- * Sends all queued reports, with or without waiting for the answers.
+ * Sends all queued reports; waits for the answers if wait is set.
  */
 static void
 flush_reports(struct limits *l, struct limits_entry *e, int wait)
@@ -387,8 +392,8 @@
 }
 
 /*
- * Measures one workspace's demand, gives back what won't be spent, and
- * borrows ahead for a dense flow.
+ * Measures one workspace's demand, returns tokens that will not be spent, and
+ * borrows ahead at a high request rate.
  */
 static void
 maintain_entry(struct limits *l, struct limits_entry *e)
@@ -425,7 +430,8 @@
 }
 
 /*
- * Must be called every LIMITS_TICK_MS, by one control thread.
+ * Maintains all workspaces.  One control thread must call this every
+ * LIMITS_TICK_MS.
  */
 void
 limits_maintain(struct limits *l)
--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -5,60 +5,65 @@
 #include "limits/limits_bucket.h"
 #include "limits/limits_xdr.h"
 
-#define LIMITS_LOAN_MAX_MS 500	   /* life of a prefetched loan */
-#define LIMITS_SHORT_LOAN_MS 150   /* life of tokens for waiting requests */
-#define LIMITS_EXPIRY_MARGIN_MS 50 /* kept longer by the owner: clock speeds \
-				    */
+#define LIMITS_LOAN_MAX_MS 500	 /* longest life; that of prefetched loans */
+#define LIMITS_SHORT_LOAN_MS 150 /* life of loans for waiting requests only */
+/*
+ * An owner waits this long after a loan's life before it counts the loan as
+ * expired, because the clocks of nodes differ in speed.
+ */
+#define LIMITS_EXPIRY_MARGIN_MS 50
 
-#define LIMITS_ACTIVE_LOANS_MAX 8 /* loans that an entry holds of a workspace \
-				   */
-#define LIMITS_ENDED_LOANS_MAX 16 /* ended loans that it remembers */
+#define LIMITS_ACTIVE_LOANS_MAX 8 /* of a workspace on an entry node */
+#define LIMITS_ENDED_LOANS_MAX 16 /* remembered for reports and refunds */
 
+/* A loan with tokens that the entry node can still spend. */
 struct limits_active_loan {
 	uint64_t id;
 	struct node_id owner;
-	uint32_t part;
-	uint32_t tokens; /* 0: the place is free */
+	uint32_t part;	 /* partition of the shard */
+	uint32_t tokens; /* unspent; 0: no loan in this place */
 	uint64_t expire_us;
 };
 
-/* A loan that has ended. */
+/* A loan whose tokens are spent, expired or to be given back. */
 struct limits_ended_loan {
 	struct node_id owner;
-	uint16_t part;
-	uint16_t report_queued; /* its owner is to be told what was not spent */
-	uint32_t unspent;
+	uint16_t part;		/* partition of the shard */
+	uint16_t report_queued; /* 1 until a report of unspent is sent */
+	uint32_t unspent;	/* tokens */
 	uint64_t id;
 };
 
-/* What an entry knows of one workspace. */
+/* The state of one workspace on an entry node. */
 struct limits_entry {
 	struct limits_entry *next;
 	uint64_t hash;
-	pthread_mutex_t lock; /* guards all below */
-	pthread_cond_t borrow_done;
+	pthread_mutex_t lock;	    /* guards all fields below */
+	pthread_cond_t borrow_done; /* signalled when borrowing becomes 0 */
 	struct limits_ws ws;
 	struct limits_active_loan loans[LIMITS_ACTIVE_LOANS_MAX];
-	struct limits_ended_loan
-	    ended[LIMITS_ENDED_LOANS_MAX]; /* newest last */
-	size_t queued_reports;		   /* of them queued */
-	uint64_t oldest_report_us;	   /* when the oldest was queued */
+	/* The newest is the last. */
+	struct limits_ended_loan ended[LIMITS_ENDED_LOANS_MAX];
+	size_t queued_reports;	   /* number of ended with report_queued */
+	uint64_t oldest_report_us; /* when the first of them was queued */
+	/* Each shard's owner is not asked before these times. */
 	uint64_t empty_until_us[LIMITS_SHARDS];
 	uint64_t unreachable_until_us[LIMITS_SHARDS];
-	int owner_is_new[LIMITS_SHARDS];  /* dry, but perhaps not by use */
-	double last_level[LIMITS_SHARDS]; /* tokens left, as last told */
-	uint64_t level_read_us[LIMITS_SHARDS];
-	int borrowing;
-	uint32_t waiting_requests; /* tokens that other threads wait for */
-	uint64_t arrivals;
+	/* 1 if the bucket may be empty only because its lease is new. */
+	int owner_is_new[LIMITS_SHARDS];
+	double last_level[LIMITS_SHARDS]; /* tokens, from the last answer */
+	uint64_t level_read_us[LIMITS_SHARDS]; /* of that answer; 0: none */
+	int borrowing;		   /* 1 while a thread borrows tokens */
+	uint32_t waiting_requests; /* threads that wait for borrow_done */
+	uint64_t arrivals;	   /* requests since demand_measured_us */
 	uint64_t demand_measured_us;
-	double demand_per_s; /* requests a second */
+	double demand_per_s; /* requests; a moving average */
 };
 
 /* limits.c */
 struct limits_entry *limits_entry_get(struct limits *, uint64_t);
 
-/* limits_loans.c: the entry's lock is held */
+/* limits_loans.c; callers hold the lock of the entry */
 void limits_end_loan(
     struct limits_entry *, struct limits_active_loan *, uint64_t);
 uint32_t limits_available_tokens(struct limits_entry *, uint64_t);
--- a/src/limits/limits_loans.c
+++ b/src/limits/limits_loans.c
@@ -4,14 +4,14 @@
 #include "limits/limits_int.h"
 
 #define US_PER_S 1000000
-#define DEMAND_WINDOW_US 400000.0 /* time over which demand is averaged */
-#define RETURN_BEFORE_US 60000	  /* unspent tokens go back before the expiry */
+#define DEMAND_WINDOW_US 400000.0 /* of the moving average */
+#define RETURN_BEFORE_US 60000	  /* unspent tokens go back before expiry */
 
 static void queue_report(
     struct limits_entry *, struct limits_ended_loan *, uint64_t);
 
 /*
- * Queues a report of an ended loan.
+ * Queues a report of an ended loan, unless one is queued already.
  */
 static void
 queue_report(struct limits_entry *e, struct limits_ended_loan *r, uint64_t now)
@@ -24,9 +24,9 @@
 }
 
 /*
- * Ends a loan, so that its tokens can't be spent any more, and queues a
- * report of it.  The oldest ended loan is forgotten; if it was not reported,
- * the owner counts its tokens as spent.
+ * Ends a loan and queues a report of it; its tokens can no longer be spent.
+ * The oldest ended loan is dropped.  If that was not reported, its owner
+ * counts the tokens as spent.
  */
 void
 limits_end_loan(
@@ -47,7 +47,7 @@
 }
 
 /*
- * Returns how many tokens can be spent now; lapsed ones are forgotten.
+ * Returns the number of tokens that can be spent now.  Removes expired loans.
  */
 uint32_t
 limits_available_tokens(struct limits_entry *e, uint64_t now)
@@ -64,8 +64,8 @@
 }
 
 /*
- * Spends a token that has not lapsed, and tells of which loan.  Returns 1,
- * or 0 if there is none.
+ * Spends a token of a loan that has not expired and stores the id of the loan.
+ * Returns 1, or 0 if there is no token.
  */
 int
 limits_spend_token(struct limits_entry *e, uint64_t *loan, uint64_t now)
@@ -83,8 +83,8 @@
 }
 
 /*
- * Gives back a token of a loan that was spent on a request which did not
- * run: to the loan, or if that has ended, to its owner by another report.
+ * Refunds a token that was spent on a request that did not run.  It goes back
+ * to the loan, or if that has ended, to its owner by another report.
  */
 void
 limits_refund_token(struct limits_entry *e, uint64_t loan, uint64_t now)
@@ -112,7 +112,8 @@
 }
 
 /*
- * Keeps a new loan, if need be in place of the one that lapses first.
+ * Stores a new loan.  If there is no free place, the loan that expires first
+ * is ended.
  */
 void
 limits_add_loan(
@@ -131,7 +132,7 @@
 }
 
 /*
- * Returns the oldest loan of which a report is queued, or NULL.
+ * Returns the oldest ended loan with a queued report, or NULL.
  */
 const struct limits_ended_loan *
 limits_first_queued_report(const struct limits_entry *e)
@@ -145,7 +146,8 @@
 }
 
 /*
- * Takes the queued reports for an owner of a partition.  Returns how many.
+ * Removes the queued reports for the owner of a partition and stores them in
+ * out.  Returns their number.
  */
 size_t
 limits_dequeue_reports(struct limits_entry *e, uint32_t part,
@@ -168,7 +170,7 @@
 }
 
 /*
- * Updates the average demand.
+ * Updates the moving average of the demand.
  */
 void
 limits_update_demand(struct limits_entry *e, uint64_t now)
@@ -187,8 +189,8 @@
 }
 
 /*
- * Queues loans that are about to lapse, so that their tokens go back.
- * Returns 1 if there are tokens to give back.
+ * Ends loans that are about to expire, to return their tokens in time.
+ * Returns 1 if a queued report has unspent tokens, otherwise 0.
  */
 int
 limits_end_expiring_loans(struct limits_entry *e, uint64_t now)
@@ -207,7 +209,8 @@
 }
 
 /*
- * Tells whether loans not yet reported could keep the bucket from filling.
+ * Returns 1 if unreported loans may keep the bucket from refilling, otherwise
+ * 0.
  */
 int
 limits_reports_urgent(const struct limits_entry *e)
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -8,12 +8,13 @@
 #include "base/counter.h"
 #include "limits/limits_int.h"
 
-#define EMPTY_WINDOW_US 100000	/* over which refused asks are counted */
-#define RETRY_AFTER_MIN_US 1000 /* before an asker comes back */
+#define EMPTY_WINDOW_US 100000	/* time over which empty_asks are counted */
+#define RETRY_AFTER_MIN_US 1000 /* before an entry node asks again */
 #define RETRY_AFTER_MAX_US 400000
-#define RETRY_AFTER_PER_ASK_US \
-	500		     /* keeps all askers of an overdriven limit apart */
-#define NEW_OWNER_US 1000000 /* a new owner's bucket says little of use */
+/* Spaces out the requests of all entry nodes for an overloaded limit. */
+#define RETRY_AFTER_PER_ASK_US 500
+/* An empty bucket is no sign of use for this long after a new lease. */
+#define NEW_OWNER_US 1000000
 #define US_PER_MS 1000
 
 /* The bucket of one shard. */
@@ -21,11 +22,10 @@
 	struct limits_shard_bucket *next;
 	uint64_t hash;
 	uint32_t part;
-	uint64_t tenure; /* of the lease that the bucket belongs to */
-	uint64_t
-	    empty_since_us; /* when the bucket began, empty; 0: it was full */
+	uint64_t tenure;	 /* of the lease that the bucket belongs to */
+	uint64_t empty_since_us; /* start of an empty bucket; 0: began full */
 	uint64_t window_start_us;
-	uint32_t empty_asks;	      /* in the window so far */
+	uint32_t empty_asks; /* left the bucket empty, in this window */
 	uint32_t previous_empty_asks; /* in the window before */
 	struct limits_bucket bucket;
 	pthread_mutex_t lock; /* guards all but next, hash and part */
@@ -42,7 +42,7 @@
     uint32_t, struct lease_view *, uint64_t, limits_status *);
 
 /*
- * Frees all buckets.
+ * Frees all shard buckets.
  */
 void
 limits_owner_finish(struct limits *l)
@@ -60,7 +60,7 @@
 }
 
 /*
- * Finds a slot in a chain, or NULL.
+ * Returns the shard bucket of a workspace and partition in a chain, or NULL.
  */
 static struct limits_shard_bucket *
 find_shard_bucket(struct limits_shard_bucket *s, uint64_t hash, uint32_t part)
@@ -71,8 +71,9 @@
 }
 
 /*
- * Returns the slot of a workspace in a partition, a new one if need be.
- * Slots are never removed, so that a found one needs no lock to reach.
+ * Returns the shard bucket of a workspace in a partition, a new one if there
+ * was none.  Shard buckets are never removed; hence a lookup takes no lock
+ * unless it inserts.
  */
 static struct limits_shard_bucket *
 get_shard_bucket(struct limits *l, uint64_t hash, uint32_t part)
@@ -88,7 +89,7 @@
 	if (s == NULL) {
 		s = calloc(1, sizeof(*s));
 		if (s == NULL)
-			err(1, "slot_get");
+			err(1, "cannot allocate a rate limit bucket");
 		s->hash = hash;
 		s->part = part;
 		pthread_mutex_init(&s->lock, NULL);
@@ -100,9 +101,11 @@
 }
 
 /*
- * Brings a locked slot to the lease and the limit in force.  A bucket
- * starts empty with the lease, or full if the lease is the first ever.
- * Returns 0, or -1 if the slot already belongs to a newer lease.
+ * Applies the current lease and limit to a locked shard bucket.  With a new
+ * lease the bucket starts empty; it starts full only if the lease is the first
+ * ever and the limit was in the first configuration.  Returns 0, or -1 if the
+ * partition holds no shard of the limit or the bucket belongs to a newer
+ * lease.
  */
 static int
 apply_lease_and_limit(struct limits_shard_bucket *s, const struct lease_view *v,
@@ -131,9 +134,9 @@
 }
 
 /*
- * Counts an ask that left the bucket empty, and tells after how long (us)
- * its asker should come back: when a token is due, but no sooner than all
- * such askers can be served.
+ * Counts a request for a loan that left the bucket empty.  Returns the time
+ * (us) after which the entry node should ask again: when the next token is
+ * due, but late enough to space out the requests of the previous window.
  */
 static uint32_t
 count_empty_ask(struct limits_shard_bucket *s, uint64_t now_us)
@@ -159,8 +162,8 @@
 }
 
 /*
- * Returns the locked slot that this node decides for at a time, or NULL
- * with the reason in *st.
+ * Returns the locked shard bucket if this node owns it at now_us, or NULL with
+ * the reason in *st.
  */
 static struct limits_shard_bucket *
 lock_shard_bucket(struct limits *l, uint64_t hash, uint32_t part,
@@ -189,8 +192,9 @@
 }
 
 /*
- * Lends tokens, if this node is the owner.  No loan outlasts the lease: its
- * life counts from before the entry asked, hence from before now.
+ * Lends tokens if this node is the owner.  No loan outlives the lease: the
+ * entry node counts the loan's life from before it asked, hence from before
+ * now.
  */
 void
 limits_serve_ask(
@@ -231,7 +235,7 @@
 }
 
 /*
- * Takes back what entries did not spend.
+ * Puts the unspent tokens that an entry node reports back into the bucket.
  */
 void
 limits_serve_report(
@@ -256,7 +260,7 @@
 }
 
 /*
- * Prints every bucket that this node has decided for.
+ * Prints every shard bucket that this node owns or has owned.
  */
 void
 limits_owner_dump(struct limits *l, FILE *out)
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -18,18 +18,18 @@
 #define SPENT_MAX 65536
 #define MS 1000
 
-/* Nodes within this process; each owns the partitions of one group. */
+/* Nodes within this process.  Each owns the partitions of one group. */
 static struct limits nodes[NODES];
 static struct limits_ws workspace;
 static atomic_uint_fast64_t now_us;
-static uint64_t lease_until_ms; /* of all leases */
+static uint64_t lease_until_ms; /* end of all leases */
 static uint64_t tenure;
 static int is_first_lease;
 static int unreachable[NODES];
 static int replies_to_lose;
 static int lose_notifications;
 static atomic_int calls;
-static _Thread_local uint64_t admitted_loan; /* of the last request admitted */
+static _Thread_local uint64_t admitted_loan; /* of the last request */
 
 static uint64_t test_clock(void);
 static struct node_id node_id(size_t);
@@ -44,7 +44,7 @@
 static uint64_t refused_within_rate(const struct limits_ws *, int);
 
 /*
- * Returns the time of the tests (us).
+ * Returns the simulated time (us).
  */
 static uint64_t
 test_clock(void)
@@ -53,7 +53,7 @@
 }
 
 /*
- * Returns the name of node i.
+ * Returns the id of node i.
  */
 static struct node_id
 node_id(size_t i)
@@ -64,7 +64,7 @@
 }
 
 /*
- * All nodes have the same configuration, of one workspace.
+ * Finds a workspace in the configuration of all nodes, which has just one.
  */
 static int
 find_workspace(void *ctx, uint64_t hash, struct limits_ws *ws)
@@ -75,7 +75,8 @@
 }
 
 /*
- * Gives each node the partitions of a group; the context is the node.
+ * Looks up a lease: each node owns the partitions of one group.  The context
+ * is the node that asks.
  */
 static void
 lookup(void *ctx, uint32_t part, uint64_t now_ms, struct lease_view *v)
@@ -91,7 +92,7 @@
 }
 
 /*
- * Calls another node directly, unless it is down.
+ * Calls another node directly.  An unreachable node times out.
  */
 static enum rpc_status
 call(void *ctx, const struct node_id *to, const struct rpc_proc *p,
@@ -124,7 +125,8 @@
 }
 
 /*
- * Starts three nodes; a workspace of 30 requests a second, burst 30.
+ * Starts three nodes with a workspace of 30 requests a second and a burst of
+ * 30.
  */
 static int
 setup(void **state)
@@ -155,7 +157,7 @@
 }
 
 /*
- * Ends the nodes.
+ * Frees the nodes.
  */
 static int
 teardown(void **state)
@@ -169,8 +171,9 @@
 }
 
 /*
- * A small workspace, each of whose requests runs at the fourth attempt, the
- * others refused unrun by any node, is never over its rate.
+ * Guards against refunds that do not restore the token.  In a small workspace
+ * each request runs at its fourth attempt and the first three are refused
+ * before they run.  It is never over its rate.
  */
 static void
 test_refund_restores_token(void **state)
@@ -194,9 +197,10 @@
 }
 
 /*
- * Requests through all nodes at five times the rate, half of them found out
- * later not to have run, while reports get lost and the owners' tenure ends
- * now and then: what ran stays within the limit in every window.
+ * Guards against refunds that raise the limit.  Requests arrive through all
+ * nodes at five times the rate, half of them are later found not to have run,
+ * some reports are lost, and the tenure of the owners ends at intervals.  The
+ * requests that ran stay within the limit in every window.
  */
 static void
 test_late_refunds_stay_within_rate(void **state)
@@ -240,8 +244,8 @@
 }
 
 /*
- * Through three nodes at five times its rate, a workspace gets its limit:
- * no more in any window, and not much less in all.
+ * A workspace that sends five times its rate through three nodes gets its
+ * limit: no more in any window, and not much less in total.
  */
 static void
 test_overload_gets_exact_limit(void **state)
@@ -265,8 +269,8 @@
 }
 
 /*
- * At a regular pace within its rate, a workspace is never refused, also when it
- * is small and comes through all nodes in turn.
+ * A workspace at a regular pace within its rate is never refused, even with a
+ * small burst and through all nodes in turn.
  */
 static void
 test_regular_pace_not_refused(void **state)
@@ -299,9 +303,9 @@
 }
 
 /*
- * Runs arrivals at random times at 0.9 of the rate through all nodes, or one,
- * beside one ideal bucket.  Returns how many of 100,000 requests are refused
- * that the ideal one has room for.
+ * Sends requests at random times at 0.9 of the rate through all nodes, or one,
+ * and compares with one ideal bucket.  Returns how many of 100,000 requests
+ * are refused although the ideal bucket has a token.
  */
 static uint64_t
 refused_within_rate(const struct limits_ws *ws, int spread)
@@ -333,8 +337,9 @@
 }
 
 /*
- * Within its rate a workspace is hardly ever refused, also when it is small,
- * and whether its requests come through one node or all.
+ * A workspace within its rate is refused at most 100 times in 100,000
+ * requests, even with a small burst, and whether the requests come through one
+ * node or all.
  */
 static void
 test_random_arrivals_rarely_refused(void **state)
@@ -365,7 +370,8 @@
 }
 
 /*
- * A dense flow costs far fewer calls than requests.
+ * At a high request rate, prefetching makes far fewer calls than there are
+ * requests.
  */
 static void
 test_prefetch_saves_calls(void **state)
@@ -388,8 +394,8 @@
 }
 
 /*
- * With owners gone, the shards left still admit; with all gone, the refusal
- * says so within its bound.
+ * With some owners unreachable, the other shards still admit.  With all
+ * unreachable, requests are refused as unavailable within the time limit.
  */
 static void
 test_unreachable_owners(void **state)
@@ -407,7 +413,7 @@
 	assert_in_range(n, 10, 13);
 	workspace.burst = 2;
 	workspace.rate = 2;
-	workspace.hash = 16 * 3 + 1; /* its one shard is with node 1 */
+	workspace.hash = 16 * 3 + 1; /* node 1 owns its one shard */
 	start_us = now_us;
 	assert_int_equal(
 	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
@@ -423,7 +429,7 @@
 	assert_int_equal(
 	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 	    LIMITS_ADMIT);
-	/* A lost answer is asked for again, and lends once. */
+	/* A call with a lost answer is repeated, and lends once. */
 	replies_to_lose = 1;
 	assert_int_equal(
 	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
@@ -435,7 +441,8 @@
 }
 
 /*
- * No loan outlasts the owner's lease, and none is spent past its life.
+ * No loan outlives the owner's lease, and no token is spent after its loan
+ * expires.
  */
 static void
 test_loans_end_with_lease(void **state)
@@ -466,7 +473,7 @@
 	limits_serve_ask(&nodes[0], &arg, &res);
 	assert_int_equal(res.status, LIMITS_NO_WORKSPACE);
 
-	/* What was borrowed for a dense flow lapses unspent. */
+	/* Tokens that were prefetched expire unspent. */
 	workspace.rate = workspace.burst = 3000;
 	limits_admit(&nodes[0], &workspace, &admitted_loan, &retry);
 	now_us += 2 * (uint64_t)SECOND;
@@ -487,7 +494,7 @@
 }
 
 /*
- * A new owner starts empty, whether or not its buckets were used before.
+ * A new owner's bucket starts empty, whether or not an earlier owner used it.
  */
 static void
 test_new_tenure_starts_empty(void **state)
@@ -503,7 +510,7 @@
 	now_us += 10 * (uint64_t)SECOND;
 	tenure = 2;
 	is_first_lease = 0;
-	for (i = 0; i < NODES; i++) { /* effective_ms is 0: long ago */
+	for (i = 0; i < NODES; i++) { /* effective_ms is 0, long past */
 		workspace.changed_ms = now_us / MS;
 	}
 	for (i = 0; i < 30; i++)
@@ -518,8 +525,9 @@
 }
 
 /*
- * The bucket of a new owner is empty, which is no sign of use: for a second
- * nobody is told to be over the rate, after that whoever is.
+ * The bucket of a new owner is empty, and that is no sign of use.  For one
+ * second no request is refused as over the rate; after that, requests over the
+ * rate are.
  */
 static void
 test_new_owner_not_over_rate(void **state)
@@ -545,7 +553,7 @@
 }
 
 /*
- * Runs many requests of one thread; the context counts those admitted.
+ * Sends 200 requests from one thread.  The context counts those admitted.
  */
 static void *
 admit_many(void *ctx)
@@ -562,7 +570,7 @@
 }
 
 /*
- * Threads that ask at once are all served, and no token is spent twice.
+ * Concurrent threads are all served, and no token is spent twice.
  */
 static void
 test_concurrent_admission(void **state)
--- a/src/limits/test_limits_bucket.c
+++ b/src/limits/test_limits_bucket.c
@@ -11,17 +11,18 @@
 #define MS 1000
 #define SPENT_MAX 65536
 
-/* A loan as the model of its entry sees it. */
+/* A loan in the model of an entry node. */
 struct model_loan {
-	uint64_t id; /* 0: none */
+	uint64_t id; /* 0: no loan */
 	uint64_t expire_us;
-	uint32_t unspent; /* not spent, or spent in vain */
-	uint32_t not_run; /* spent on requests that won't run */
+	uint32_t unspent; /* tokens not spent, or returned later */
+	uint32_t not_run; /* spent on requests that do not run */
 	int spent;
 };
 
 /*
- * Shards' parts sum to the whole, and lie in different groups.
+ * The shares of a limit's shards sum to the whole, and the shards lie in
+ * different groups.
  */
 static void
 test_shares_sum_to_limit(void **state)
@@ -64,7 +65,8 @@
 }
 
 /*
- * Loans: what is out takes room in the bucket until reported or lapsed.
+ * Outstanding tokens take room in the bucket until their loan is reported or
+ * expires.
  */
 static void
 test_loans_reserve_room(void **state)
@@ -85,11 +87,11 @@
 	assert_int_equal(bucket_lend(&b, 2, 9, 9, 400 * MS, 900 * MS), 5);
 	assert_int_equal(bucket_lend(&b, 3, 9, 9, 400 * MS, 900 * MS), 0);
 	assert_int_equal(bucket_wait_us(&b, 1), 100001);
-	/* Lapsed at 0.9 s: 5 tokens by then, and it fills from there on. */
+	/* Loan 2 expires at 0.9 s: level 5, which rises from then on. */
 	bucket_refill(&b, 1100 * MS);
 	assert_int_equal(b.level_nt / 1000000, 7000);
 	assert_int_equal(bucket_settle_loan(&b, 2, 5, 1100 * MS), -1);
-	/* A prefetch gets a part of what is left only. */
+	/* A prefetch gets only a part of what remains. */
 	assert_int_equal(bucket_lend(&b, 4, 1, 50, 1100 * MS, 1600 * MS), 2);
 	share.burst = 3;
 	bucket_resize(&b, &share, 1100 * MS);
@@ -98,8 +100,8 @@
 }
 
 /*
- * Whatever is lent, spent, returned and left to lapse, no window has more
- * than rate x window + burst.
+ * For random loans that are spent, returned or left to expire, no window has
+ * more requests than rate x window + burst.
  */
 static void
 test_no_window_over_limit(void **state)
@@ -123,7 +125,7 @@
 		    (uint32_t)random() % 12, t, expire_us);
 		used = granted > 0 ? (uint32_t)random() % (granted + 1) : 0;
 		assert_true(b.outstanding <= ws.burst);
-		/* Some is spent as late as the loan allows, or at once. */
+		/* Spend as late as the loan allows, or at once. */
 		if (random() % 2 == 0) {
 			t = expire_us > t ? expire_us - 1 : t;
 			bucket_refill(&b, t);
@@ -140,8 +142,8 @@
 }
 
 /*
- * Spends one loan of the next test: some of its tokens on requests that run
- * now, some on ones that turn out later not to have run.
+ * Spends one loan of the next test: some tokens on requests that run now, some
+ * on requests that are later found not to have run.
  */
 static void
 model_spend(struct model_loan *ln, struct limits_bucket *b, uint64_t t,
@@ -164,9 +166,9 @@
 }
 
 /*
- * Tokens of requests that did not run go back late, in any order, some of
- * their reports twice or overtaken; what ran stays within the limit in every
- * window, and more runs than without.
+ * Tokens of requests that did not run are returned late and in any order, with
+ * some reports repeated or out of order.  The requests that ran stay within
+ * the limit in every window, and more of them run than without the returns.
  */
 static void
 test_late_refunds_stay_within_limit(void **state)
@@ -186,7 +188,7 @@
 		bucket_init(&b, &share, 1, 0);
 		memset(loans, 0, sizeof(loans));
 		for (t = n = 0, id = 1; id < 4000;) {
-			/* Long calms fill the bucket, bursts empty it. */
+			/* Long gaps fill the bucket, short ones empty it. */
 			t += (uint64_t)random() %
 			     (random() % 64 > 0 ? 2000 : 600000);
 			ln = &loans[random() % 8];
--- a/src/limits/test_windows.h
+++ b/src/limits/test_windows.h
@@ -6,7 +6,8 @@
 #define SECOND 1000000 /* us */
 
 /*
- * Checks every window that begins and ends with an admitted request.
+ * Checks the limit in every window that begins and ends with an admitted
+ * request.
  */
 static void
 check_windows(const uint64_t *admitted_us, size_t n, const struct limits_ws *ws)
@@ -14,7 +15,7 @@
 	double max_offset = -1e18, tokens;
 	size_t i;
 
-	/* n requests in [i, j] <= rate x (t_j - t_i) + burst, for all i. */
+	/* For all i <= j: requests i to j <= rate x (t_j - t_i) + burst. */
 	for (i = 0; i < n; i++) {
 		tokens = ws->rate * (double)admitted_us[i] / SECOND - (double)i;
 		if (tokens > max_offset)
