limits: token requests in names

It is called a token request now in the names of functions, constants, fields and locals, as in the other folders that borrow tokens from an owner.

--- a/src/limits/limits.c
+++ b/src/limits/limits.c
@@ -9,16 +9,16 @@
 #include "limits/limits_int.h"
 
 static struct limits_entry *find_entry(struct limits_entry *, uint64_t);
-static int handle_loan_request(
+static int handle_token_request(
     void *, const struct sockaddr_in *, const void *, void *);
 static int handle_report(
     void *, const struct sockaddr_in *, const void *, void *);
 
 const struct rpc_proc limits_procs[LIMITS_PROC_MAX] = {
-	[LIMITS_PROC_ASK] = { RPC_BLOCK_LIMITS + 1,
+	[LIMITS_PROC_TOKEN_REQUEST] = { RPC_BLOCK_LIMITS + 1,
 	    (xdrproc_t)xdr_limits_ask_arg, sizeof(limits_ask_arg),
 	    (xdrproc_t)xdr_limits_ask_res, sizeof(limits_ask_res),
-	    handle_loan_request },
+	    handle_token_request },
 	[LIMITS_PROC_REPORT] = { RPC_BLOCK_LIMITS + 2,
 	    (xdrproc_t)xdr_limits_report_arg, sizeof(limits_report_arg),
 	    (xdrproc_t)xdr_limits_report_res, sizeof(limits_report_res),
@@ -106,11 +106,11 @@
  * Handles the RPC by which an entry node borrows tokens.
  */
 static int
-handle_loan_request(
+handle_token_request(
     void *ctx, const struct sockaddr_in *from, const void *arg, void *res)
 {
 	(void)from;
-	limits_serve_ask(ctx, arg, res);
+	limits_serve_token_request(ctx, arg, res);
 	return 0;
 }
 
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -39,8 +39,8 @@
 };
 
 enum limits_proc {
-	LIMITS_PROC_ASK,    /* borrow tokens */
-	LIMITS_PROC_REPORT, /* report unspent tokens of ended loans */
+	LIMITS_PROC_TOKEN_REQUEST, /* borrow tokens */
+	LIMITS_PROC_REPORT,	   /* report unspent tokens of ended loans */
 	LIMITS_PROC_MAX
 };
 
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -11,7 +11,7 @@
 #define US_PER_MS 1000
 #define US_PER_S 1000000
 #define ADMIT_TIMEOUT_MS 100 /* longest wait of a request */
-#define ASK_ATTEMPTS 2	     /* calls to one owner */
+#define REQUEST_ATTEMPTS 2   /* calls to one owner */
 #define SHARD_TIMEOUT_MS 40  /* longest wait for one of several shards */
 #define REPORT_TIMEOUT_MS 40
 /* An owner is not asked for this long after a failed call. */
@@ -62,13 +62,13 @@
 	pthread_mutex_unlock(&e->lock);
 	counter_add(CTR_LOANS_ASKED, 1);
 	if (nodeid_equal(&v->owner, &l->cfg.self)) {
-		limits_serve_ask(l, arg, res);
+		limits_serve_token_request(l, arg, res);
 		return 0;
 	}
-	for (i = 0; i < ASK_ATTEMPTS; i++) {
+	for (i = 0; i < REQUEST_ATTEMPTS; i++) {
 		st = l->cfg.call(l->cfg.call_ctx, &v->owner,
-		    &limits_procs[LIMITS_PROC_ASK], arg, res,
-		    timeout_ms / ASK_ATTEMPTS);
+		    &limits_procs[LIMITS_PROC_TOKEN_REQUEST], arg, res,
+		    timeout_ms / REQUEST_ATTEMPTS);
 		if (st != RPC_TIMEOUT)
 			return st == RPC_DONE ? 0 : -1;
 	}
@@ -87,18 +87,19 @@
 	uint32_t timeout = limits_shard_count(ws->burst) > 1 ? SHARD_TIMEOUT_MS
 							     : ADMIT_TIMEOUT_MS;
 	limits_ask_res res = { 0 };
-	uint64_t asked = l->cfg.clock_us(), now;
+	uint64_t requested_us = l->cfg.clock_us(), now;
 	struct lease_view v;
 	struct limits_active_loan ln;
 	int failed;
 
-	if (asked + US_PER_MS > deadline)
+	if (requested_us + US_PER_MS > deadline)
 		return 0;
-	if (timeout > (deadline - asked) / US_PER_MS)
-		timeout = (uint32_t)((deadline - asked) / US_PER_MS);
+	if (timeout > (deadline - requested_us) / US_PER_MS)
+		timeout = (uint32_t)((deadline - requested_us) / US_PER_MS);
 	arg->part = limits_shard_partition(ws, shard);
 	arg->loan = rand_u64();
-	l->cfg.lookup(l->cfg.lookup_ctx, arg->part, asked / US_PER_MS, &v);
+	l->cfg.lookup(
+	    l->cfg.lookup_ctx, arg->part, requested_us / US_PER_MS, &v);
 	failed = call_owner(l, e, &v, arg, &res, timeout) == -1 ||
 		 (res.status != LIMITS_GRANTED && res.status != LIMITS_DRY);
 	now = l->cfg.clock_us();
@@ -115,7 +116,7 @@
 		ln.owner = v.owner;
 		ln.part = arg->part;
 		ln.tokens = res.tokens;
-		ln.expire_us = asked + (uint64_t)res.life_ms * US_PER_MS;
+		ln.expire_us = requested_us + (uint64_t)res.life_ms * US_PER_MS;
 		limits_add_loan(e, &ln, now);
 	}
 	pthread_mutex_unlock(&e->lock);
@@ -401,7 +402,7 @@
 	uint64_t now = l->cfg.clock_us();
 	struct limits_ws ws;
 	uint32_t want, retry;
-	int send, ask = 0;
+	int send, borrow = 0;
 
 	pthread_mutex_lock(&e->lock);
 	limits_update_demand(e, now);
@@ -416,11 +417,11 @@
 	    limits_available_tokens(e, now) <
 		e->demand_per_s * PREFETCH_BELOW_MS / 1000.0 &&
 	    check_shards(e, &ws, now, &retry) == LIMITS_ADMIT)
-		ask = e->borrowing = 1;
+		borrow = e->borrowing = 1;
 	pthread_mutex_unlock(&e->lock);
 	if (send)
 		flush_reports(l, e, 1);
-	if (!ask)
+	if (!borrow)
 		return;
 	borrow_tokens(l, e, &ws, 0, want);
 	pthread_mutex_lock(&e->lock);
--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -81,7 +81,7 @@
 
 /* limits_owner.c */
 void limits_owner_finish(struct limits *);
-void limits_serve_ask(
+void limits_serve_token_request(
     struct limits *, const limits_ask_arg *, limits_ask_res *);
 void limits_serve_report(
     struct limits *, const limits_report_arg *, limits_report_res *);
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -8,11 +8,13 @@
 #include "base/counter.h"
 #include "limits/limits_int.h"
 
-#define EMPTY_WINDOW_US 100000	/* time over which empty_asks are counted */
+#define EMPTY_WINDOW_US                                                       \
+	100000			/* time over which empty_requests are counted \
+				 */
 #define RETRY_AFTER_MIN_US 1000 /* before an entry node asks again */
 #define RETRY_AFTER_MAX_US 400000
 /* Spaces out the requests of all entry nodes for an overloaded limit. */
-#define RETRY_AFTER_PER_ASK_US 500
+#define RETRY_AFTER_PER_REQUEST_US 500
 /* An empty bucket is no sign of use for this long after a new lease. */
 #define NEW_OWNER_US 1000000
 #define US_PER_MS 1000
@@ -25,8 +27,8 @@
 	uint64_t tenure;	 /* of the lease that the bucket belongs to */
 	uint64_t empty_since_us; /* start of an empty bucket; 0: began full */
 	uint64_t window_start_us;
-	uint32_t empty_asks; /* left the bucket empty, in this window */
-	uint32_t previous_empty_asks; /* in the window before */
+	uint32_t empty_requests; /* left the bucket empty, in this window */
+	uint32_t previous_empty_requests; /* in the window before */
 	struct limits_bucket bucket;
 	pthread_mutex_t lock; /* guards all but next, hash and part */
 };
@@ -37,7 +39,7 @@
     struct limits *, uint64_t, uint32_t);
 static int apply_lease_and_limit(struct limits_shard_bucket *,
     const struct lease_view *, const struct limits_ws *, uint64_t);
-static uint32_t count_empty_ask(struct limits_shard_bucket *, uint64_t);
+static uint32_t count_empty_request(struct limits_shard_bucket *, uint64_t);
 static struct limits_shard_bucket *lock_shard_bucket(struct limits *, uint64_t,
     uint32_t, struct lease_view *, uint64_t, limits_status *);
 
@@ -139,20 +141,21 @@
  * due, but late enough to space out the requests of the previous window.
  */
 static uint32_t
-count_empty_ask(struct limits_shard_bucket *s, uint64_t now_us)
+count_empty_request(struct limits_shard_bucket *s, uint64_t now_us)
 {
 	uint64_t wait = bucket_wait_us(&s->bucket, 1), spacing;
 
 	if (age_at(now_us, s->window_start_us) >= EMPTY_WINDOW_US) {
-		s->previous_empty_asks =
+		s->previous_empty_requests =
 		    age_at(now_us, s->window_start_us) < 2 * EMPTY_WINDOW_US
-			? s->empty_asks
+			? s->empty_requests
 			: 0;
-		s->empty_asks = 0;
+		s->empty_requests = 0;
 		s->window_start_us = now_us;
 	}
-	s->empty_asks++;
-	spacing = (uint64_t)s->previous_empty_asks * RETRY_AFTER_PER_ASK_US;
+	s->empty_requests++;
+	spacing =
+	    (uint64_t)s->previous_empty_requests * RETRY_AFTER_PER_REQUEST_US;
 	if (wait < spacing)
 		wait = spacing;
 	if (wait < RETRY_AFTER_MIN_US)
@@ -197,7 +200,7 @@
  * now.
  */
 void
-limits_serve_ask(
+limits_serve_token_request(
     struct limits *l, const limits_ask_arg *arg, limits_ask_res *res)
 {
 	uint64_t now = l->cfg.clock_us(), life_ms, expire_us;
@@ -225,7 +228,7 @@
 	res->level = bucket_level(&s->bucket);
 	res->life_ms = (u_int)life_ms;
 	if (arg->need > res->tokens || bucket_wait_us(&s->bucket, 1) > 0)
-		res->dry_us = count_empty_ask(s, now);
+		res->dry_us = count_empty_request(s, now);
 	if (arg->need > 0 && res->tokens == 0)
 		res->status = LIMITS_DRY;
 	res->filling =
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -458,19 +458,19 @@
 
 	(void)state;
 	lease_until_ms = now_us / MS + 300;
-	limits_serve_ask(&nodes[0], &arg, &res);
+	limits_serve_token_request(&nodes[0], &arg, &res);
 	assert_int_equal(res.status, LIMITS_GRANTED);
 	assert_int_equal(res.life_ms, 299);
 	now_us += 300 * MS;
-	limits_serve_ask(&nodes[0], &arg, &res);
+	limits_serve_token_request(&nodes[0], &arg, &res);
 	assert_int_equal(res.status, LIMITS_NOT_OWNER);
 	arg.part = LEASE_PARTS;
-	limits_serve_ask(&nodes[0], &arg, &res);
+	limits_serve_token_request(&nodes[0], &arg, &res);
 	assert_int_equal(res.status, LIMITS_NOT_OWNER);
 	arg.part = 0;
 	arg.workspace = 17;
 	lease_until_ms = UINT64_MAX;
-	limits_serve_ask(&nodes[0], &arg, &res);
+	limits_serve_token_request(&nodes[0], &arg, &res);
 	assert_int_equal(res.status, LIMITS_NO_WORKSPACE);
 
 	/* Tokens that were prefetched expire unspent. */
