limits: token requests and grants in comments

Comments said that an entry node asks and an owner lends. They now speak of token requests, loans and grants, like the other folders, and the comment on reports that no prefetch will carry gives its reason again: the bucket can refill.

--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -34,7 +34,7 @@
 enum limits_verdict {
 	LIMITS_ADMIT,
 	LIMITS_OVER_RATE,
-	LIMITS_UNAVAILABLE, /* no owner could be asked in time */
+	LIMITS_UNAVAILABLE, /* no owner was reached in time */
 	LIMITS_VERDICT_MAX
 };
 
--- a/src/limits/limits_bucket.c
+++ b/src/limits/limits_bucket.c
@@ -267,9 +267,9 @@
 }
 
 /*
- * Lends up to need tokens, and more towards want from a part of what remains,
- * until expire_us.  A repeated request with the id of an outstanding loan gets
- * that loan again.  Returns the tokens lent.
+ * Grants a loan until expire_us: up to need tokens, and more towards want from
+ * a part of what remains.  A repeated request with the id of an outstanding
+ * loan gets that loan again.  Returns the tokens granted.
  */
 uint32_t
 bucket_lend(struct limits_bucket *b, uint64_t id, uint32_t need, uint32_t want,
@@ -345,7 +345,7 @@
 
 /*
  * Returns the time (us) until the bucket holds so many tokens, if nothing is
- * lent meanwhile; at most WAIT_MAX_US.
+ * granted meanwhile; at most WAIT_MAX_US.
  */
 uint64_t
 bucket_wait_us(const struct limits_bucket *b, uint32_t tokens)
--- a/src/limits/limits_bucket.h
+++ b/src/limits/limits_bucket.h
@@ -21,7 +21,7 @@
 };
 
 /*
- * A token bucket that lends tokens.  level + outstanding + credit <= burst
+ * A token bucket that grants loans.  level + outstanding + credit <= burst
  * holds at all times.  Hence the tokens that are spent and not returned later
  * are at most burst + rate x window in any window of time.  New tokens displace
  * credit when the bucket is full, hence a spent token is returned only into
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -14,7 +14,7 @@
 #define REQUEST_ATTEMPTS 2   /* calls to one owner */
 #define SHARD_TIMEOUT_MS 40  /* longest wait for one of several shards */
 #define REPORT_TIMEOUT_MS 40
-/* An owner is not asked for this long after a failed call. */
+/* An owner is not called for this long after a failed call. */
 #define UNREACHABLE_BACKOFF_US 100000
 #define PREFETCH_MS 200		 /* demand of this time is borrowed ahead */
 #define PREFETCH_BELOW_MS 100	 /* borrows when less than this is left */
@@ -43,9 +43,9 @@
 static void maintain_entry(struct limits *, struct limits_entry *);
 
 /*
- * Asks an owner, which may be this node, for a loan.  A datagram can be lost,
- * hence a call that times out is sent again; the loan's id keeps the owner
- * from lending twice.  Returns 0, or -1 if the call failed.
+ * Requests a loan from an owner, which may be this node.  A datagram can be
+ * lost, hence a call that times out is sent again; the loan's id keeps the
+ * owner from granting it twice.  Returns 0, or -1 if the call failed.
  */
 static int
 call_owner(struct limits *l, struct limits_entry *e, const struct lease_view *v,
@@ -209,8 +209,8 @@
 }
 
 /*
- * Returns LIMITS_ADMIT if any shard can be asked now, otherwise the verdict
- * for a request and the time until a shard can be asked in *retry_ms.  A
+ * Returns LIMITS_ADMIT if any shard can be called now, otherwise the verdict
+ * for a request and the time until a shard can be called in *retry_ms.  A
  * bucket that may be empty only because its owner is new gives no
  * LIMITS_OVER_RATE: the request may wait for the tokens that flow in.
  */
@@ -316,7 +316,10 @@
 		e->borrowing = 0;
 		pthread_cond_broadcast(&e->borrow_done);
 	}
-	/* No prefetch will carry the reports, hence they are sent now. */
+	/*
+	 * No prefetch will carry the reports.  They are sent now, to let the
+	 * bucket refill.
+	 */
 	send = e->queued_reports > 0 && prefetch_tokens(e) == 0;
 	pthread_mutex_unlock(&e->lock);
 	if (send)
--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -46,7 +46,7 @@
 	struct limits_ended_loan ended[LIMITS_ENDED_LOANS_MAX];
 	size_t queued_reports;	   /* number of ended with report_queued */
 	uint64_t oldest_report_us; /* when the first of them was queued */
-	/* Each shard's owner is not asked before these times. */
+	/* No token request goes to a shard before these times. */
 	uint64_t empty_until_us[LIMITS_SHARDS];
 	uint64_t unreachable_until_us[LIMITS_SHARDS];
 	/* 1 if the bucket may be empty only because its lease is new. */
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -8,10 +8,9 @@
 #include "base/counter.h"
 #include "limits/limits_int.h"
 
-#define EMPTY_WINDOW_US                                                       \
-	100000			/* time over which empty_requests are counted \
-				 */
-#define RETRY_AFTER_MIN_US 1000 /* before an entry node asks again */
+/* Time over which empty_requests are counted. */
+#define EMPTY_WINDOW_US 100000
+#define RETRY_AFTER_MIN_US 1000 /* of an entry node's next request */
 #define RETRY_AFTER_MAX_US 400000
 /* Spaces out the requests of all entry nodes for an overloaded limit. */
 #define RETRY_AFTER_PER_REQUEST_US 500
@@ -137,7 +136,7 @@
 
 /*
  * Counts a request for a loan that left the bucket empty.  Returns the time
- * (us) after which the entry node should ask again: when the next token is
+ * (us) after which the entry node should try again: when the next token is
  * due, but late enough to space out the requests of the previous window.
  */
 static uint32_t
@@ -195,8 +194,8 @@
 }
 
 /*
- * Lends tokens if this node is the owner.  No loan outlives the lease: the
- * entry node counts the loan's life from before it asked, hence from before
+ * Grants a loan if this node is the owner.  No loan outlives the lease: the
+ * entry node counts the loan's life from before its request, hence from before
  * now.
  */
 void
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -76,7 +76,7 @@
 
 /*
  * Looks up a lease: each node owns the partitions of one group.  The context
- * is the node that asks.
+ * is the node that looks it up.
  */
 static void
 lookup(void *ctx, uint32_t part, uint64_t now_ms, struct lease_view *v)
@@ -429,7 +429,7 @@
 	assert_int_equal(
 	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
 	    LIMITS_ADMIT);
-	/* A call with a lost answer is repeated, and lends once. */
+	/* A call with a lost answer is repeated, and granted once. */
 	replies_to_lose = 1;
 	assert_int_equal(
 	    limits_admit(&nodes[0], &workspace, &admitted_loan, &retry),
