--- a/src/relay/copy.c
+++ b/src/relay/copy.c
@@ -10,24 +10,24 @@
  */
 
 #define COPY_TARGET "/cyclamen/config" /* on the port for other nodes */
-#define COPY_MS 800		       /* for the whole answer */
+#define COPY_TIMEOUT_MS 800	       /* for the whole answer */
 #define COPY_BYTES_MAX (16U << 20)     /* far above 1,600 routes of 500 bytes */
 
-static int pick(struct relay *);
-static int on_head(void *, struct h1_xchg *);
-static void on_body(void *, struct h1_xchg *, const char *, size_t);
-static void on_end(void *, struct h1_xchg *);
-static void on_fail(void *, struct h1_xchg *, enum h1_fail);
-static void failed(struct relay *, const char *);
+static int pick_peer(struct relay *);
+static int on_response_head(void *, struct h1_xchg *);
+static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
+static void on_response_end(void *, struct h1_xchg *);
+static void on_exchange_failed(void *, struct h1_xchg *, enum h1_fail);
+static void fail_copy(struct relay *, const char *);
 
-static const struct h1_client_ops copy_ops = { on_head, on_body, on_end,
-	on_fail, NULL };
+static const struct h1_client_ops copy_ops = { on_response_head,
+	on_response_body, on_response_end, on_exchange_failed, NULL };
 
 /*
  * Tells whether another node asks for the configuration.
  */
 int
-copy_asked(const struct h1_conn *conn)
+copy_is_request(const struct h1_conn *conn)
 {
 	const struct h1_head *h = h1_conn_head(conn);
 
@@ -40,7 +40,7 @@
  * Answers with the configuration in force.
  */
 void
-copy_answer(struct relay *r, struct h1_conn *conn)
+copy_send(struct relay *r, struct h1_conn *conn)
 {
 	size_t len;
 	char *p;
@@ -59,13 +59,13 @@
  * by chance, or -1.
  */
 static int
-pick(struct relay *r)
+pick_peer(struct relay *r)
 {
 	uint64_t version = r->config != NULL ? r->config->version : 0;
 	uint64_t now = relay_now(r);
 	const struct fleet_peer *p;
 	uint32_t found = 0;
-	int at = -1;
+	int peer = -1;
 	size_t i;
 
 	for (i = 0; i < r->fleet.count; i++) {
@@ -73,9 +73,9 @@
 		if (p->config_version > version && p->port != 0 &&
 		    fleet_alive(&r->fleet, i, now) &&
 		    relay_random() % ++found == 0)
-			at = (int)i;
+			peer = (int)i;
 	}
-	return at;
+	return peer;
 }
 
 /*
@@ -85,7 +85,7 @@
 void
 relay_ask_config(struct relay *r, relay_config_fn done, void *ctx)
 {
-	static const struct seal_request q = { .method = "GET",
+	static const struct seal_request seal_input = { .method = "GET",
 		.target = COPY_TARGET,
 		.target_len = sizeof(COPY_TARGET) - 1,
 		.id = "",
@@ -93,30 +93,30 @@
 	struct relay_copy *c = &r->copy;
 	char hex[SEAL_HEX];
 	struct h1_text t;
-	int at;
+	int peer;
 
 	if (c->xchg != NULL) {
-		if (relay_now(r) - c->asked_ms < COPY_MS)
+		if (relay_now(r) - c->requested_ms < COPY_TIMEOUT_MS)
 			return;
 		h1_cancel(c->xchg);
-		failed(r, "timeout");
+		fail_copy(r, "timeout");
 	}
-	at = pick(r);
-	if (at < 0)
+	peer = pick_peer(r);
+	if (peer < 0)
 		return;
-	c->peer = at;
-	c->asked_ms = relay_now(r);
+	c->peer = peer;
+	c->requested_ms = relay_now(r);
 	c->done = done;
 	c->ctx = ctx;
 	h1_text_init(&c->body);
 	h1_text_init(&t);
 	h1_text_addf(&t, "GET %s HTTP/1.1\r\nHost: node\r\n", COPY_TARGET);
-	seal_request(&r->seal, &q, hex);
+	seal_request(&r->seal, &seal_input, hex);
 	if (hex[0] != '\0')
 		h1_text_field(&t, RELAY_SEAL, hex);
 	h1_text_add(&t, "\r\n", 2);
 	c->xchg = h1_send(
-	    relay_link(r, at)->pool, &t, 0, 0, UINT64_MAX, &copy_ops, r);
+	    relay_link(r, peer)->pool, &t, 0, 0, UINT64_MAX, &copy_ops, r);
 	h1_text_finish(&t);
 }
 
@@ -124,7 +124,7 @@
  * Gives up what is under way.
  */
 void
-copy_close(struct relay *r)
+copy_cancel(struct relay *r)
 {
 	if (r->copy.xchg == NULL)
 		return;
@@ -137,14 +137,14 @@
  * Ends a question without a configuration.
  */
 static void
-failed(struct relay *r, const char *why)
+fail_copy(struct relay *r, const char *reason)
 {
 	struct relay_copy *c = &r->copy;
 
 	event_log(EVENT_COPY_FAILED, relay_now(r),
 	    "peer=%s why=%s bytes=%zu after_ms=%llu",
-	    r->fleet.peers[c->peer].node, why, c->body.len,
-	    (unsigned long long)(relay_now(r) - c->asked_ms));
+	    r->fleet.peers[c->peer].node, reason, c->body.len,
+	    (unsigned long long)(relay_now(r) - c->requested_ms));
 	c->xchg = NULL;
 	h1_text_finish(&c->body);
 }
@@ -153,11 +153,11 @@
  * Takes the head of the answer: one other than a success has no use.
  */
 static int
-on_head(void *ctx, struct h1_xchg *x)
+on_response_head(void *ctx, struct h1_xchg *x)
 {
 	struct relay *r = ctx;
 
-	r->copy.good = h1_xchg_status(x) == 200;
+	r->copy.valid = h1_xchg_status(x) == 200;
 	return 0;
 }
 
@@ -165,14 +165,14 @@
  * Takes a piece of the answer.
  */
 static void
-on_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
 {
 	struct relay_copy *c = &((struct relay *)ctx)->copy;
 
 	(void)x;
 	if (c->body.len + n > COPY_BYTES_MAX)
-		c->good = 0;
-	if (c->good)
+		c->valid = 0;
+	if (c->valid)
 		h1_text_add(&c->body, p, n);
 }
 
@@ -180,17 +180,17 @@
  * The answer is whole.
  */
 static void
-on_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_xchg *x)
 {
 	struct relay *r = ctx;
 	struct relay_copy *c = &r->copy;
 	struct config *config = NULL;
 
 	(void)x;
-	if (c->good)
+	if (c->valid)
 		config = config_copy_read(c->body.p, c->body.len);
 	if (config == NULL) {
-		failed(r, c->good ? "unreadable" : "refused");
+		fail_copy(r, c->valid ? "unreadable" : "refused");
 		return;
 	}
 	c->xchg = NULL;
@@ -202,8 +202,8 @@
  * There was no whole answer.
  */
 static void
-on_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
 {
 	(void)x;
-	failed(ctx, how == H1_NOT_SENT ? "unreached" : "broken");
+	fail_copy(ctx, failure == H1_NOT_SENT ? "unreached" : "broken");
 }
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -8,22 +8,23 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define BODY_WINDOW 65536 /* bytes of a body that waits for a slot */
-#define OVERDUE_MS 400	  /* past its time, when the entry seems to be dead */
-#define MS_US 1000
+#define BODY_WINDOW_BYTES 65536 /* bytes of a body that waits for a slot */
+#define ABANDON_AFTER_MS \
+	400 /* past its time, when the entry seems to be dead */
+#define US_PER_MS 1000
 
-static void on_head(void *, struct h1_conn *);
-static void on_body(void *, struct h1_conn *, const char *, size_t);
-static void on_end(void *, struct h1_conn *);
-static void on_gone(void *, struct h1_conn *);
-static void on_drained(void *, struct h1_conn *);
+static void on_request_head(void *, struct h1_conn *);
+static void on_request_body(void *, struct h1_conn *, const char *, size_t);
+static void on_request_end(void *, struct h1_conn *);
+static void on_disconnect(void *, struct h1_conn *);
+static void on_response_drained(void *, struct h1_conn *);
 static struct exit_req *exit_new(struct relay *, struct h1_conn *);
 static int read_hop(
     struct exit_req *, const struct h1_head *, char *, struct admission_req *);
-static struct exit_req *of_waiter(struct admission_waiter *);
+static struct exit_req *waiter_request(struct admission_waiter *);
 
-const struct h1_server_ops exit_ops = { on_head, on_body, on_end, on_gone,
-	on_drained };
+const struct h1_server_ops exit_ops = { on_request_head, on_request_body,
+	on_request_end, on_disconnect, on_response_drained };
 
 /*
  * Prepares the state of a new request.
@@ -54,7 +55,7 @@
  * Forgets a request.
  */
 void
-exit_finish(struct exit_req *e)
+exit_free(struct exit_req *e)
 {
 	struct relay *r = e->relay;
 
@@ -75,7 +76,7 @@
  * Returns the request that a waiter is part of.
  */
 static struct exit_req *
-of_waiter(struct admission_waiter *w)
+waiter_request(struct admission_waiter *w)
 {
 	return (
 	    struct exit_req *)((char *)w - offsetof(struct exit_req, waiter));
@@ -91,21 +92,23 @@
 read_hop(struct exit_req *e, const struct h1_head *h, char *service,
     struct admission_req *req)
 {
-	uint64_t left, class, depth, root, idempotent;
-	char text[RELAY_HOP_BYTES], *at = text;
+	uint64_t left_ms, class, depth, root, idempotent;
+	char text[RELAY_HOP_BYTES], *cursor = text;
 
 	if (h1_head_copy(h, RELAY_HOP, text, sizeof(text)) < 0 ||
-	    relay_number(&at, &left) == -1 || relay_number(&at, &class) == -1 ||
-	    relay_number(&at, &depth) == -1 || relay_number(&at, &root) == -1 ||
-	    relay_number(&at, &idempotent) == -1 ||
-	    relay_word(&at, service, FLEET_NAME_BYTES) == -1 ||
-	    relay_word(&at, e->caller, sizeof(e->caller)) == -1 ||
-	    relay_word(&at, e->ws_name, sizeof(e->ws_name)) == -1 ||
+	    relay_read_number(&cursor, &left_ms) == -1 ||
+	    relay_read_number(&cursor, &class) == -1 ||
+	    relay_read_number(&cursor, &depth) == -1 ||
+	    relay_read_number(&cursor, &root) == -1 ||
+	    relay_read_number(&cursor, &idempotent) == -1 ||
+	    relay_read_word(&cursor, service, FLEET_NAME_BYTES) == -1 ||
+	    relay_read_word(&cursor, e->caller, sizeof(e->caller)) == -1 ||
+	    relay_read_word(&cursor, e->ws_name, sizeof(e->ws_name)) == -1 ||
 	    class >= ADMISSION_CLASS_MAX)
 		return -1;
 	if (strcmp(e->ws_name, "-") == 0)
 		e->ws_name[0] = '\0';
-	e->deadline_ms = relay_now(e->relay) + left;
+	e->deadline_ms = relay_now(e->relay) + left_ms;
 	e->idempotent = idempotent != 0;
 	e->class = (uint32_t) class;
 	e->depth = (uint32_t)depth;
@@ -113,7 +116,7 @@
 	req->class = (enum admission_class) class;
 	req->depth = (uint32_t)depth;
 	req->root_hash = root;
-	req->deadline_us = e->deadline_ms * MS_US;
+	req->deadline_us = e->deadline_ms * US_PER_MS;
 	return 0;
 }
 
@@ -121,34 +124,34 @@
  * Decides on a request from another node, or from this one's own entry.
  */
 static void
-on_head(void *ctx, struct h1_conn *conn)
+on_request_head(void *ctx, struct h1_conn *conn)
 {
 	struct relay *r = ctx;
 	const struct h1_head *h = h1_conn_head(conn);
 	struct relay_server *s = &r->server;
 	struct exit_req *e;
-	struct admission_waiter *out;
+	struct admission_waiter *displaced;
 	struct admission_req req;
 	char service[FLEET_NAME_BYTES];
 	enum admission_verdict verdict;
 	enum quarantine_state state;
 
-	if (!sealed_good(r, conn)) {
+	if (!sealed_verify(r, conn)) {
 		e = exit_new(r, conn);
 		relay_id(r, h, e->id);
 		exit_refuse(e, VERDICT_AWAY, "unsealed");
 		return;
 	}
-	if (copy_asked(conn)) {
-		copy_answer(r, conn);
+	if (copy_is_request(conn)) {
+		copy_send(r, conn);
 		return;
 	}
 	e = exit_new(r, conn);
 	r->counters[RELAY_EXIT_REQUESTS]++;
 	relay_id(r, h, e->id);
-	e->whole_id = h1_head_get(h, r->set.names.request_id, &e->whole_id_len);
+	e->full_id = h1_head_get(h, r->set.names.request_id, &e->full_id_len);
 	if (read_hop(e, h, service, &req) == -1) {
-		exit_finish(e);
+		exit_free(e);
 		h1_conn_set_user(conn, NULL);
 		h1_answer(conn, 400, NULL, NULL, 0);
 		return;
@@ -159,23 +162,23 @@
 		exit_refuse(e, VERDICT_AWAY, s->leaving ? "leaving" : "absent");
 		return;
 	}
-	suspect_print(e);
+	suspect_fingerprint(e);
 	state = suspect_state(e);
 	if (state == QUARANTINE_REFUSED) {
 		exit_refuse(e, VERDICT_SUSPECT, "quarantined");
 		return;
 	}
 	if (state == QUARANTINE_STRUCK) {
-		if (r->singles > 0) {
+		if (r->solo_running > 0) {
 			exit_refuse(e, VERDICT_BUSY, "struck");
 			return;
 		}
-		e->single = 1;
-		r->singles++;
+		e->solo = 1;
+		r->solo_running++;
 	}
 	load_tick(r);
-	verdict =
-	    core_offer(&r->core, &req, &e->waiter, &out, relay_now(r) * MS_US);
+	verdict = core_offer(
+	    &r->core, &req, &e->waiter, &displaced, relay_now(r) * US_PER_MS);
 	if (verdict == ADMISSION_RUN) {
 		exit_send(e);
 	} else if (verdict == ADMISSION_WAIT) {
@@ -185,10 +188,11 @@
 		exit_refuse(e, VERDICT_BUSY,
 		    verdict == ADMISSION_DEADLINE ? "deadline" : "overload");
 	}
-	if (out != NULL) {
+	if (displaced != NULL) {
 		load_shed(r);
-		of_waiter(out)->waiting = 0;
-		exit_refuse(of_waiter(out), VERDICT_BUSY, "displaced");
+		waiter_request(displaced)->waiting = 0;
+		exit_refuse(
+		    waiter_request(displaced), VERDICT_BUSY, "displaced");
 	}
 }
 
@@ -202,11 +206,11 @@
 	struct exit_req *e, *best = NULL;
 
 	for (e = r->exits; e != NULL; e = e->next) {
-		if (!e->running || e->whole_id == NULL ||
-		    e->whole_id_len >= len ||
-		    (best != NULL && e->whole_id_len <= best->whole_id_len) ||
-		    isalnum((unsigned char)id[e->whole_id_len]) ||
-		    memcmp(e->whole_id, id, e->whole_id_len) != 0)
+		if (!e->running || e->full_id == NULL ||
+		    e->full_id_len >= len ||
+		    (best != NULL && e->full_id_len <= best->full_id_len) ||
+		    isalnum((unsigned char)id[e->full_id_len]) ||
+		    memcmp(e->full_id, id, e->full_id_len) != 0)
 			continue;
 		best = e;
 	}
@@ -217,7 +221,7 @@
  * Lets requests run for which there is a slot now.
  */
 void
-exit_next(struct relay *r)
+exit_run_queued(struct relay *r)
 {
 	struct admission_waiter *w;
 	struct exit_req *e;
@@ -225,12 +229,12 @@
 	load_tick(r);
 	while (r->server.leaving &&
 	       (w = core_flush(&r->core, ADMISSION_DRAINING)) != NULL) {
-		e = of_waiter(w);
+		e = waiter_request(w);
 		e->waiting = 0;
 		exit_refuse(e, VERDICT_AWAY, "leaving");
 	}
-	while ((w = core_next(&r->core, relay_now(r) * MS_US)) != NULL) {
-		e = of_waiter(w);
+	while ((w = core_next(&r->core, relay_now(r) * US_PER_MS)) != NULL) {
+		e = waiter_request(w);
 		e->waiting = 0;
 		if (w->verdict == ADMISSION_RUN) {
 			exit_send(e);
@@ -245,7 +249,7 @@
  * Takes a piece of the body.
  */
 static void
-on_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
+on_request_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
 {
 	struct relay *r = ctx;
 	struct exit_req *e = h1_conn_user(conn);
@@ -262,7 +266,7 @@
 	cap = e->body.cap;
 	h1_text_add(&e->body, p, n);
 	r->held_bytes += e->body.cap - cap;
-	if (e->body.len > BODY_WINDOW)
+	if (e->body.len > BODY_WINDOW_BYTES)
 		h1_conn_pause(conn);
 }
 
@@ -270,14 +274,14 @@
  * The request is read to its end.
  */
 static void
-on_end(void *ctx, struct h1_conn *conn)
+on_request_end(void *ctx, struct h1_conn *conn)
 {
 	struct exit_req *e = h1_conn_user(conn);
 
 	(void)ctx;
 	if (e == NULL)
 		return;
-	e->body_in = 1;
+	e->body_complete = 1;
 	if (e->xchg != NULL)
 		h1_send_end(e->xchg);
 }
@@ -286,7 +290,7 @@
  * The entry has given the request up: so does the server.
  */
 static void
-on_gone(void *ctx, struct h1_conn *conn)
+on_disconnect(void *ctx, struct h1_conn *conn)
 {
 	struct relay *r = ctx;
 	struct exit_req *e = h1_conn_user(conn);
@@ -300,16 +304,16 @@
 		core_withdraw(&r->core, &e->waiter);
 	if (x != NULL)
 		h1_cancel(x);
-	exit_done(e, ADMISSION_CANCELLED);
-	exit_finish(e);
-	exit_next(r);
+	exit_complete(e, ADMISSION_CANCELLED);
+	exit_free(e);
+	exit_run_queued(r);
 }
 
 /*
  * The entry has read: the answer may go on.
  */
 static void
-on_drained(void *ctx, struct h1_conn *conn)
+on_response_drained(void *ctx, struct h1_conn *conn)
 {
 	struct exit_req *e = h1_conn_user(conn);
 
@@ -335,14 +339,15 @@
 			core_withdraw(&r->core, &e->waiter);
 			e->waiting = 0;
 			exit_refuse(e, VERDICT_BUSY, "deadline");
-		} else if (e->running && now >= e->deadline_ms + OVERDUE_MS) {
+		} else if (e->running &&
+			   now >= e->deadline_ms + ABANDON_AFTER_MS) {
 			conn = e->conn;
 			h1_conn_set_user(conn, e);
-			on_gone(r, conn);
+			on_disconnect(r, conn);
 			h1_conn_set_user(conn, NULL);
 			h1_conn_abort(conn);
 			return; /* the list may have changed */
 		}
 	}
-	exit_next(r);
+	exit_run_queued(r);
 }
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -5,36 +5,40 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define ANSWER_KEPT 16384 /* bytes of an answer sent on in one piece */
-#define IDLE_ANY UINT64_MAX
+#define RESPONSE_BUFFER_BYTES \
+	16384 /* bytes of an answer sent on in one piece */
+#define IDLE_ANY_MS UINT64_MAX
 #define IDLE_UNSAFE_MS 3000 /* an older connection may break */
-#define DOWN_MS 200	    /* a server that takes no connection */
-#define DOWN_DOUBLINGS 3
-#define MS_US 1000
+#define RECONNECT_MS 200    /* a server that takes no connection */
+#define RECONNECT_DOUBLINGS 3
+#define US_PER_MS 1000
 
-static int on_head(void *, struct h1_xchg *);
-static void on_body(void *, struct h1_xchg *, const char *, size_t);
-static void on_end(void *, struct h1_xchg *);
-static void on_fail(void *, struct h1_xchg *, enum h1_fail);
-static void on_drained(void *, struct h1_xchg *);
-static void compose(struct exit_req *, struct h1_text *);
-static void add_exit(struct exit_req *, struct h1_text *, enum relay_verdict);
-static enum relay_verdict judge(struct exit_req *, const struct h1_head *);
-static int is_ours(const struct exit_req *, const struct h1_head *);
-static void server_down(struct relay *);
+static int on_response_head(void *, struct h1_xchg *);
+static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
+static void on_response_end(void *, struct h1_xchg *);
+static void on_exchange_failed(void *, struct h1_xchg *, enum h1_fail);
+static void on_request_drained(void *, struct h1_xchg *);
+static void compose_request_head(struct exit_req *, struct h1_text *);
+static void add_exit_field(
+    struct exit_req *, struct h1_text *, enum relay_verdict);
+static enum relay_verdict classify_response(
+    struct exit_req *, const struct h1_head *);
+static int matches_request(const struct exit_req *, const struct h1_head *);
+static void mark_server_down(struct relay *);
 
 /* Fields between nodes, which no server gets and none can set. */
-static const char *const internal[] = { RELAY_HOP, RELAY_EXIT, RELAY_SEAL,
-	NULL };
+static const char *const internal_fields[] = { RELAY_HOP, RELAY_EXIT,
+	RELAY_SEAL, NULL };
 
-static const struct h1_client_ops server_ops = { on_head, on_body, on_end,
-	on_fail, on_drained };
+static const struct h1_client_ops server_ops = { on_response_head,
+	on_response_body, on_response_end, on_exchange_failed,
+	on_request_drained };
 
 /*
  * Composes the head that goes to the server.
  */
 static void
-compose(struct exit_req *e, struct h1_text *t)
+compose_request_head(struct exit_req *e, struct h1_text *t)
 {
 	const struct relay_names *names = &e->relay->set.names;
 	const struct h1_head *h = h1_conn_head(e->conn);
@@ -43,7 +47,7 @@
 	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
 	h1_text_add(t, h->buf + h->target, h->target_len);
 	h1_text_add(t, " HTTP/1.1\r\n", 11);
-	h1_text_forward(t, h, internal);
+	h1_text_forward(t, h, internal_fields);
 	h1_text_addf(t, "%s: %llu\r\n", names->deadline_ms,
 	    (unsigned long long)(e->deadline_ms > now ? e->deadline_ms - now
 						      : 1));
@@ -72,18 +76,18 @@
 	e->sent_ms = relay_now(r);
 	profile_begin(&r->profile);
 	h1_text_init(&t);
-	compose(e, &t);
+	compose_request_head(e, &t);
 	if (e->body_length != H1_LENGTH_CHUNKED)
 		h1_text_add(&t, e->body.p, e->body.len);
 	e->xchg = h1_send(&r->server_pool, &t, e->body_length,
 	    strcmp(h1_conn_method(e->conn), "HEAD") == 0,
-	    e->idempotent ? IDLE_ANY : IDLE_UNSAFE_MS, &server_ops, e);
+	    e->idempotent ? IDLE_ANY_MS : IDLE_UNSAFE_MS, &server_ops, e);
 	h1_text_finish(&t);
 	if (e->body_length == H1_LENGTH_CHUNKED)
 		h1_send_body(e->xchg, e->body.p, e->body.len);
 	r->held_bytes -= e->body.cap;
 	h1_text_finish(&e->body);
-	if (e->body_in)
+	if (e->body_complete)
 		h1_send_end(e->xchg);
 	h1_conn_resume(e->conn);
 }
@@ -92,7 +96,8 @@
  * Adds this node's word on a request, and the load of its server.
  */
 static void
-add_exit(struct exit_req *e, struct h1_text *t, enum relay_verdict verdict)
+add_exit_field(
+    struct exit_req *e, struct h1_text *t, enum relay_verdict verdict)
 {
 	struct admission_core *c = &e->relay->core;
 
@@ -105,25 +110,25 @@
  * Ends a request's stay at the server.
  */
 void
-exit_done(struct exit_req *e, enum admission_outcome how)
+exit_complete(struct exit_req *e, enum admission_outcome outcome)
 {
 	struct relay *r = e->relay;
 	uint64_t now = relay_now(r);
 
-	if (e->single) {
-		e->single = 0;
-		r->singles--;
+	if (e->solo) {
+		e->solo = 0;
+		r->solo_running--;
 	}
 	if (!e->running)
 		return;
 	e->running = 0;
 	load_tick(r);
 	profile_end(&r->profile);
-	if (how == ADMISSION_SERVED ||
-	    (how != ADMISSION_CANCELLED && !e->call_failed))
-		choice_note(&r->health, how != ADMISSION_SERVED, now);
-	core_done(
-	    &r->core, &e->waiter, how, (now - e->sent_ms) * MS_US, now * MS_US);
+	if (outcome == ADMISSION_SERVED ||
+	    (outcome != ADMISSION_CANCELLED && !e->call_failed))
+		choice_note(&r->health, outcome != ADMISSION_SERVED, now);
+	core_done(&r->core, &e->waiter, outcome, (now - e->sent_ms) * US_PER_MS,
+	    now * US_PER_MS);
 }
 
 /*
@@ -146,10 +151,10 @@
 	    e->id, relay_verdict_names[verdict], reason, r->core.inflight,
 	    r->core.queued, limiter_value(&r->core.limiter), r->server.id);
 	h1_text_init(&fields);
-	add_exit(e, &fields, verdict);
-	exit_done(
+	add_exit_field(e, &fields, verdict);
+	exit_complete(
 	    e, verdict == VERDICT_TURNED ? ADMISSION_SHED : ADMISSION_FAILED);
-	exit_finish(e);
+	exit_free(e);
 	h1_conn_set_user(conn, NULL);
 	h1_answer(
 	    conn, verdict == VERDICT_UNKNOWN ? 502 : 503, &fields, NULL, 0);
@@ -161,7 +166,7 @@
  * Judges an answer by its head.
  */
 static enum relay_verdict
-judge(struct exit_req *e, const struct h1_head *h)
+classify_response(struct exit_req *e, const struct h1_head *h)
 {
 	const struct relay_names *names = &e->relay->set.names;
 	size_t n;
@@ -180,36 +185,37 @@
  * request without an id any answer is its own.
  */
 static int
-is_ours(const struct exit_req *e, const struct h1_head *h)
+matches_request(const struct exit_req *e, const struct h1_head *h)
 {
-	const char *name = e->relay->set.names.request_id, *ours, *its;
-	size_t our_len, its_len;
+	const char *name = e->relay->set.names.request_id, *sent_id,
+		   *received_id;
+	size_t sent_len, received_len;
 
-	ours = h1_head_get(h1_conn_head(e->conn), name, &our_len);
-	if (ours == NULL)
+	sent_id = h1_head_get(h1_conn_head(e->conn), name, &sent_len);
+	if (sent_id == NULL)
 		return 1;
-	its = h1_head_get(h, name, &its_len);
-	return its != NULL && its_len == our_len &&
-	       memcmp(its, ours, our_len) == 0;
+	received_id = h1_head_get(h, name, &received_len);
+	return received_id != NULL && received_len == sent_len &&
+	       memcmp(received_id, sent_id, sent_len) == 0;
 }
 
 /*
  * Takes the head of an answer, if it belongs to this request.
  */
 static int
-on_head(void *ctx, struct h1_xchg *x)
+on_response_head(void *ctx, struct h1_xchg *x)
 {
 	struct exit_req *e = ctx;
 	const struct h1_head *h = h1_xchg_head(x);
 
-	if (!is_ours(e, h)) {
-		e->relay->counters[RELAY_SKIPPED]++;
+	if (!matches_request(e, h)) {
+		e->relay->counters[RELAY_ANSWERS_SKIPPED]++;
 		return 1;
 	}
 	e->status = h1_xchg_status(x);
 	e->answer_length = h1_xchg_length(x);
-	e->verdict = judge(e, h);
-	h1_text_forward(&e->fields, h, internal);
+	e->verdict = classify_response(e, h);
+	h1_text_forward(&e->fields, h, internal_fields);
 	return 0;
 }
 
@@ -217,19 +223,19 @@
  * Takes a piece of an answer's body.
  */
 static void
-on_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
 {
 	struct exit_req *e = ctx;
 
 	if (e->verdict != VERDICT_RAN)
 		return;
-	if (!e->passing && e->answer.len + n <= ANSWER_KEPT) {
+	if (!e->streaming && e->answer.len + n <= RESPONSE_BUFFER_BYTES) {
 		h1_text_add(&e->answer, p, n);
 		return;
 	}
-	if (!e->passing) {
-		e->passing = 1;
-		add_exit(e, &e->fields, VERDICT_RAN);
+	if (!e->streaming) {
+		e->streaming = 1;
+		add_exit_field(e, &e->fields, VERDICT_RAN);
 		h1_answer_head(
 		    e->conn, e->status, &e->fields, e->answer_length);
 		h1_answer_body(e->conn, e->answer.p, e->answer.len);
@@ -244,7 +250,7 @@
  * Takes the end of an answer.
  */
 static void
-on_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_xchg *x)
 {
 	struct exit_req *e = ctx;
 	struct relay *r = e->relay;
@@ -252,61 +258,62 @@
 
 	(void)x;
 	e->xchg = NULL;
-	if (r->server.down_count > 0)
+	if (r->server.connect_failures > 0)
 		event_log(
 		    EVENT_SERVER_UP, relay_now(r), "server=%s", r->server.id);
-	r->server.down_count = 0;
+	r->server.connect_failures = 0;
 	if (e->verdict == VERDICT_TURNED) {
-		r->counters[RELAY_EXIT_SHED]++;
+		r->counters[RELAY_EXIT_SERVER_REJECTED]++;
 		exit_refuse(e, VERDICT_TURNED, "server");
-		exit_next(r);
+		exit_run_queued(r);
 		return;
 	}
 	if (e->verdict != VERDICT_RAN) {
 		exit_refuse(e, VERDICT_UNKNOWN, "answer-invalid");
-		exit_next(r);
+		exit_run_queued(r);
 		return;
 	}
-	suspect_served(e);
+	suspect_note_served(e);
 	r->counters[RELAY_EXIT_SERVED]++;
 	latency_add(&r->ran, relay_now(r) - e->sent_ms);
-	exit_done(e, e->status < 500	? ADMISSION_SERVED
-		     : e->status == 504 ? ADMISSION_TIMEOUT
-					: ADMISSION_FAILED);
-	if (e->passing) {
+	exit_complete(e, e->status < 500    ? ADMISSION_SERVED
+			 : e->status == 504 ? ADMISSION_TIMEOUT
+					    : ADMISSION_FAILED);
+	if (e->streaming) {
 		h1_answer_end(conn);
 	} else {
-		add_exit(e, &e->fields, VERDICT_RAN);
+		add_exit_field(e, &e->fields, VERDICT_RAN);
 		h1_conn_set_user(conn, NULL);
 		h1_answer(
 		    conn, e->status, &e->fields, e->answer.p, e->answer.len);
 	}
 	h1_conn_resume(conn);
-	exit_finish(e);
-	exit_next(r);
+	exit_free(e);
+	exit_run_queued(r);
 }
 
 /*
  * The server takes no connections: it is down, for some time.
  */
 static void
-server_down(struct relay *r)
+mark_server_down(struct relay *r)
 {
 	struct relay_server *s = &r->server;
 	uint64_t now = relay_now(r);
-	int died;
+	int crashed;
 
 	if (s->down_until_ms > now)
 		return;
-	died = s->down_count == 0;
+	crashed = s->connect_failures == 0;
 	s->down_until_ms =
-	    now + ((uint64_t)DOWN_MS
-		      << (s->down_count < DOWN_DOUBLINGS ? s->down_count
-							 : DOWN_DOUBLINGS));
-	s->down_count++;
+	    now + ((uint64_t)RECONNECT_MS
+		      << (s->connect_failures < RECONNECT_DOUBLINGS
+				 ? s->connect_failures
+				 : RECONNECT_DOUBLINGS));
+	s->connect_failures++;
 	event_log(EVENT_SERVER_DOWN, now, "server=%s retry_in_ms=%llu", s->id,
 	    (unsigned long long)(s->down_until_ms - now));
-	suspect_server_down(r, died);
+	suspect_server_down(r, crashed);
 	fleet_beat_all(&r->net, 0);
 }
 
@@ -314,7 +321,7 @@
  * The exchange with the server broke.
  */
 static void
-on_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
 {
 	struct exit_req *e = ctx;
 	struct relay *r = e->relay;
@@ -322,35 +329,35 @@
 
 	(void)x;
 	e->xchg = NULL;
-	if (how == H1_NOT_SENT) {
-		server_down(r);
+	if (failure == H1_NOT_SENT) {
+		mark_server_down(r);
 		exit_refuse(e, VERDICT_AWAY, "no-connection");
-		exit_next(r);
+		exit_run_queued(r);
 		return;
 	}
-	if (how == H1_BROKEN && e->status == 0)
-		suspect_broken(e);
-	if (e->passing) {
+	if (failure == H1_BROKEN && e->status == 0)
+		suspect_note_broken(e);
+	if (e->streaming) {
 		r->counters[RELAY_EXIT_FAILED]++;
 		event_log(EVENT_EXIT_FAILED, relay_now(r),
 		    "id=%s verdict=unknown reason=cut-answer server=%s", e->id,
 		    r->server.id);
-		exit_done(e, ADMISSION_FAILED);
-		exit_finish(e);
+		exit_complete(e, ADMISSION_FAILED);
+		exit_free(e);
 		h1_conn_set_user(conn, NULL);
 		h1_conn_abort(conn);
 	} else {
 		exit_refuse(e, VERDICT_UNKNOWN,
-		    how == H1_BROKEN ? "broken" : "garbled");
+		    failure == H1_BROKEN ? "broken" : "garbled");
 	}
-	exit_next(r);
+	exit_run_queued(r);
 }
 
 /*
  * The server reads again, and so does this node.
  */
 static void
-on_drained(void *ctx, struct h1_xchg *x)
+on_request_drained(void *ctx, struct h1_xchg *x)
 {
 	struct exit_req *e = ctx;
 
--- a/src/relay/probe.c
+++ b/src/relay/probe.c
@@ -10,20 +10,20 @@
  * that leaves isn't healthy.
  */
 
-#define PROBE_MS 100   /* between two questions */
-#define LOAD_NUMBERS 3 /* of which the slots are the last */
-#define PROBES_MAX 5   /* after that the announcement is awaited */
-
-static void on_timer(uv_timer_t *);
-static int on_head(void *, struct h1_xchg *);
-static void on_body(void *, struct h1_xchg *, const char *, size_t);
-static void on_end(void *, struct h1_xchg *);
-static void on_fail(void *, struct h1_xchg *, enum h1_fail);
+#define PROBE_INTERVAL_MS 100 /* between two questions */
+#define LOAD_FIELDS 3	      /* of which the slots are the last */
+#define PROBES_MAX 5	      /* after that the announcement is awaited */
+
+static void on_probe_timer(uv_timer_t *);
+static int on_response_head(void *, struct h1_xchg *);
+static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
+static void on_response_end(void *, struct h1_xchg *);
+static void on_exchange_failed(void *, struct h1_xchg *, enum h1_fail);
 static const char *health_path(const struct relay *);
 static int read_slots(const char *, uint64_t *);
 
-static const struct h1_client_ops probe_ops = { on_head, on_body, on_end,
-	on_fail, NULL };
+static const struct h1_client_ops probe_ops = { on_response_head,
+	on_response_body, on_response_end, on_exchange_failed, NULL };
 
 /*
  * Begins to look for the server.
@@ -33,7 +33,8 @@
 {
 	uv_timer_init(r->loop, &r->probe_timer);
 	r->probe_timer.data = r;
-	uv_timer_start(&r->probe_timer, on_timer, PROBE_MS, PROBE_MS);
+	uv_timer_start(&r->probe_timer, on_probe_timer, PROBE_INTERVAL_MS,
+	    PROBE_INTERVAL_MS);
 }
 
 /*
@@ -55,7 +56,7 @@
  * Asks for the server's health, if it is still unknown.
  */
 static void
-on_timer(uv_timer_t *timer)
+on_probe_timer(uv_timer_t *timer)
 {
 	struct relay *r = timer->data;
 	const char *path = health_path(r);
@@ -80,7 +81,7 @@
 static int
 read_slots(const char *text, uint64_t *slots)
 {
-	char words[64], *at = words;
+	char words[64], *cursor = words;
 	char *c;
 	int i;
 
@@ -88,8 +89,8 @@
 	for (c = words; *c != '\0'; c++)
 		if (*c == ',')
 			*c = ' ';
-	for (i = 0; i < LOAD_NUMBERS; i++)
-		if (relay_number(&at, slots) == -1)
+	for (i = 0; i < LOAD_FIELDS; i++)
+		if (relay_read_number(&cursor, slots) == -1)
 			return -1;
 	return 0;
 }
@@ -99,7 +100,7 @@
  * counts as announced.
  */
 static int
-on_head(void *ctx, struct h1_xchg *x)
+on_response_head(void *ctx, struct h1_xchg *x)
 {
 	struct relay *r = ctx;
 	const struct h1_head *h = h1_xchg_head(x);
@@ -123,7 +124,7 @@
  * A health answer's body says nothing more.
  */
 static void
-on_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
 {
 	(void)ctx;
 	(void)x;
@@ -135,7 +136,7 @@
  * The answer is in.
  */
 static void
-on_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_xchg *x)
 {
 	(void)ctx;
 	(void)x;
@@ -145,9 +146,9 @@
  * There was no answer: the next question may get one.
  */
 static void
-on_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
 {
 	(void)ctx;
 	(void)x;
-	(void)how;
+	(void)failure;
 }
--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -11,13 +11,15 @@
  * messages took.
  */
 
-#define READERS 2
-#define HELPERS 2	 /* other nodes asked where the readers don't help */
-#define AGE_OK_MS 1100	 /* younger proofs need no question */
-#define AGE_READ_MS 2200 /* older ones: this node asks the store itself */
-#define AGAIN_MS 300	 /* between two questions */
+#define READERS_MAX 2
+#define EXTRA_QUERIES 2	  /* other nodes asked where the readers don't help */
+#define QUERY_AGE_MS 1100 /* younger proofs need no question */
+#define STORE_READ_AGE_MS                                                    \
+	2200		      /* older ones: this node asks the store itself \
+			       */
+#define QUERY_INTERVAL_MS 300 /* between two questions */
 
-static void ask(struct relay *, int);
+static void send_query(struct relay *, int);
 
 /*
  * Returns how long ago the configuration in force was surely the newest.
@@ -34,12 +36,12 @@
 int
 relay_reads_store(struct relay *r)
 {
-	int list[READERS];
+	int readers[READERS_MAX];
 	size_t i, n;
 
-	n = fleet_readers(&r->fleet, list, READERS);
+	n = fleet_readers(&r->fleet, readers, READERS_MAX);
 	for (i = 0; i < n; i++)
-		if (list[i] == FLEET_SELF)
+		if (readers[i] == FLEET_SELF)
 			return 1;
 	return 0;
 }
@@ -52,8 +54,8 @@
 int
 relay_must_read(struct relay *r)
 {
-	uint64_t now = relay_now(r), age = now - r->proved_ms;
-	int list[READERS];
+	uint64_t now = relay_now(r), age_ms = now - r->proved_ms;
+	int readers[READERS_MAX];
 	size_t i, n;
 
 	if (r->config == NULL)
@@ -62,27 +64,29 @@
 		if (r->fleet.peers[i].config_version > r->config->version &&
 		    fleet_alive(&r->fleet, i, now))
 			return 1;
-	if (age < AGE_OK_MS)
+	if (age_ms < QUERY_AGE_MS)
 		return 0;
-	if (now - r->doubt_ms >= AGAIN_MS) {
-		n = fleet_readers(&r->fleet, list, READERS);
-		r->doubt_id = relay_random();
-		r->doubt_ms = now;
+	if (now - r->proof_query_ms >= QUERY_INTERVAL_MS) {
+		n = fleet_readers(&r->fleet, readers, READERS_MAX);
+		r->proof_query_id = relay_random();
+		r->proof_query_ms = now;
 		if (n > 0)
-			ask(r, list[relay_random() % n]);
+			send_query(r, readers[relay_random() % n]);
 		/* The store may answer some nodes, and the readers not. */
-		for (i = 0; age >= AGE_READ_MS && i < HELPERS; i++)
+		for (i = 0; age_ms >= STORE_READ_AGE_MS && i < EXTRA_QUERIES;
+		     i++)
 			if (r->fleet.count > 0)
-				ask(r, (int)(relay_random() % r->fleet.count));
+				send_query(
+				    r, (int)(relay_random() % r->fleet.count));
 	}
-	return age >= AGE_READ_MS;
+	return age_ms >= STORE_READ_AGE_MS;
 }
 
 /*
  * Sends the question to a node, given its handle.
  */
 static void
-ask(struct relay *r, int handle)
+send_query(struct relay *r, int handle)
 {
 	struct fleet_msg m;
 
@@ -90,7 +94,7 @@
 		return;
 	memset(&m, 0, sizeof(m));
 	m.kind = FLEET_DOUBT;
-	m.fleet_msg_u.doubt.id = r->doubt_id;
+	m.fleet_msg_u.doubt.id = r->proof_query_id;
 	fleet_send(&r->net, &m, r->fleet.peers[handle].address);
 }
 
@@ -98,7 +102,7 @@
  * Answers a question.
  */
 void
-relay_on_doubt(
+relay_on_proof_query(
     void *ctx, const struct fleet_doubt *d, const struct sockaddr_in *from)
 {
 	struct relay *r = ctx;
@@ -123,8 +127,9 @@
 {
 	struct relay *r = ctx;
 
-	if (p->id != r->doubt_id || r->config == NULL ||
-	    p->config_version != r->config->version || p->age_ms > r->doubt_ms)
+	if (p->id != r->proof_query_id || r->config == NULL ||
+	    p->config_version != r->config->version ||
+	    p->age_ms > r->proof_query_ms)
 		return;
-	relay_proved(r, r->doubt_ms - p->age_ms);
+	relay_proved(r, r->proof_query_ms - p->age_ms);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -12,33 +12,33 @@
 #include "relay/relay_int.h"
 
 #define TICK_MS 10	    /* deadlines are met to this precision */
-#define LINK_IDLE_MS 20000  /* of connections to other nodes */
-#define CONNECT_MS 400	    /* to a node: a lost first packet shows by then */
+#define PEER_IDLE_MS 20000  /* of connections to other nodes */
+#define PEER_CONNECT_MS 400 /* to a node: a lost first packet shows by then */
 #define SERVER_IDLE_MS 9000 /* of connections to the server */
 #define SERVER_CONNECT_MS 300
-#define OWN_DESCRIPTORS 400 /* for other things than callers and nodes */
-#define SLOTS_USED 0.96	    /* of those that a server tells */
+#define RESERVED_DESCRIPTORS 400 /* for other things than callers and nodes */
+#define USABLE_SLOTS_SHARE 0.96	 /* of those that a server tells */
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
-static void fill_beat(void *, struct fleet_beat *);
-static void peer_turned(void *, int);
-static void on_tick(uv_timer_t *);
-static void relay_on_left(void *, const struct fleet_left *);
+static void fill_heartbeat(void *, struct fleet_beat *);
+static void on_peer_changed(void *, int);
+static void on_deadline_tick(uv_timer_t *);
+static void on_left_report(void *, const struct fleet_left *);
 static uint32_t usable_slots(uint32_t);
 
 static const struct fleet_ops fleet_ops = {
-	.fill = fill_beat,
+	.fill = fill_heartbeat,
 	.heard = load_heard,
 	.told = load_told,
-	.turned = peer_turned,
+	.turned = on_peer_changed,
 	.ask = relay_on_ask,
 	.give = relay_on_give,
-	.strike = relay_on_strike,
+	.strike = relay_on_crash_report,
 	.bucket = relay_on_bucket,
-	.doubt = relay_on_doubt,
+	.doubt = relay_on_proof_query,
 	.proof = relay_on_proof,
-	.left = relay_on_left,
+	.left = on_left_report,
 };
 
 static const char *const counter_names[RELAY_COUNTER_MAX] = {
@@ -58,11 +58,11 @@
 	[RELAY_EXIT_SERVED] = "exit_served",
 	[RELAY_EXIT_REFUSED] = "exit_refused",
 	[RELAY_EXIT_FAILED] = "exit_failed",
-	[RELAY_EXIT_SHED] = "exit_shed_by_server",
+	[RELAY_EXIT_SERVER_REJECTED] = "exit_shed_by_server",
 	[RELAY_EXIT_UNSEALED] = "exit_unsealed",
 	[RELAY_THROTTLED] = "throttled",
-	[RELAY_SKIPPED] = "answers_skipped",
-	[RELAY_STRIKES] = "strikes",
+	[RELAY_ANSWERS_SKIPPED] = "answers_skipped",
+	[RELAY_CRASH_REPORTS] = "strikes",
 };
 
 const char *const relay_verdict_names[VERDICT_MAX] = {
@@ -117,9 +117,9 @@
 	probe_init(r);
 	uv_timer_init(loop, &r->tick);
 	r->tick.data = r;
-	conns = settings->descriptors > 2 * OWN_DESCRIPTORS
-		    ? settings->descriptors - OWN_DESCRIPTORS
-		    : OWN_DESCRIPTORS;
+	conns = settings->descriptors > 2 * RESERVED_DESCRIPTORS
+		    ? settings->descriptors - RESERVED_DESCRIPTORS
+		    : RESERVED_DESCRIPTORS;
 	rc = h1_server_init(
 	    &r->entry, loop, &settings->entry, &entry_ops, r, conns / 3);
 	if (rc == 0)
@@ -145,17 +145,17 @@
  * or -1 if there is none that fits.
  */
 int
-relay_word(char **at, char *word, size_t size)
+relay_read_word(char **cursor, char *word, size_t size)
 {
 	size_t n;
 
-	*at += strspn(*at, " ");
-	n = strcspn(*at, " ");
+	*cursor += strspn(*cursor, " ");
+	n = strcspn(*cursor, " ");
 	if (n == 0 || n >= size)
 		return -1;
-	memcpy(word, *at, n);
+	memcpy(word, *cursor, n);
 	word[n] = '\0';
-	*at += n;
+	*cursor += n;
 	return 0;
 }
 
@@ -163,11 +163,11 @@
  * Takes the next word as a whole number.  Returns 0, or -1 if it is none.
  */
 int
-relay_number(char **at, uint64_t *number)
+relay_read_number(char **cursor, uint64_t *number)
 {
 	char word[24], *end;
 
-	if (relay_word(at, word, sizeof(word)) == -1)
+	if (relay_read_word(cursor, word, sizeof(word)) == -1)
 		return -1;
 	*number = strtoull(word, &end, 10);
 	return *end == '\0' ? 0 : -1;
@@ -215,14 +215,14 @@
 	if (r->ticking)
 		return;
 	r->ticking = 1;
-	uv_timer_start(&r->tick, on_tick, TICK_MS, TICK_MS);
+	uv_timer_start(&r->tick, on_deadline_tick, TICK_MS, TICK_MS);
 }
 
 /*
  * Looks after deadlines.
  */
 static void
-on_tick(uv_timer_t *timer)
+on_deadline_tick(uv_timer_t *timer)
 {
 	struct relay *r = timer->data;
 
@@ -241,12 +241,12 @@
 struct relay_link *
 relay_link(struct relay *r, int handle)
 {
-	size_t at = (size_t)handle + 1, count; /* FLEET_SELF is -1 */
+	size_t slot = (size_t)handle + 1, count; /* FLEET_SELF is -1 */
 	struct relay_link *l;
 	struct fleet_peer *p;
 	struct sockaddr_in to;
 
-	if (at >= r->link_count) {
+	if (slot >= r->link_count) {
 		count = r->fleet.count + 1;
 		r->links = reallocarray(r->links, count, sizeof(*r->links));
 		if (r->links == NULL)
@@ -255,7 +255,7 @@
 		    (count - r->link_count) * sizeof(*r->links));
 		r->link_count = count;
 	}
-	l = &r->links[at];
+	l = &r->links[slot];
 	to = r->set.exit;
 	if (handle != FLEET_SELF) {
 		p = &r->fleet.peers[handle];
@@ -278,7 +278,7 @@
 	l->pool = malloc(sizeof(*l->pool));
 	if (l->pool == NULL)
 		err(1, "out of memory");
-	h1_pool_init(l->pool, r->loop, &to, LINK_IDLE_MS, CONNECT_MS);
+	h1_pool_init(l->pool, r->loop, &to, PEER_IDLE_MS, PEER_CONNECT_MS);
 	return l;
 }
 
@@ -309,9 +309,9 @@
  * Returns after how long (ms) a refused caller should come back.
  */
 uint64_t
-relay_comeback(enum comeback why, uint64_t target_ms)
+relay_comeback(enum comeback reason, uint64_t target_ms)
 {
-	return comeback_ms(why, target_ms, relay_random());
+	return comeback_ms(reason, target_ms, relay_random());
 }
 
 /*
@@ -362,7 +362,7 @@
  * Fills in this node's beat.
  */
 static void
-fill_beat(void *ctx, struct fleet_beat *b)
+fill_heartbeat(void *ctx, struct fleet_beat *b)
 {
 	static uint32_t silent[FLEET_SILENT_MAX];
 	struct relay *r = ctx;
@@ -373,12 +373,12 @@
 	b->node = r->set.node;
 	b->zone = r->set.zone;
 	b->incarnation = r->incarnation;
-	b->load.sequence = ++r->beat_sequence;
+	b->load.sequence = ++r->heartbeat_sequence;
 	b->address = ntohl(r->set.advertised.s_addr);
 	b->port = ntohs(r->set.exit.sin_port);
 	b->stopping = (unsigned int)r->stopping;
 	b->load.config_version = r->config != NULL ? r->config->version : 0;
-	b->server.id = s->gone ? "" : s->id;
+	b->server.id = s->departed ? "" : s->id;
 	b->server.service = s->service;
 	b->server.born_ms = s->born_ms;
 	b->server.slots = limiter_value(&r->core.limiter);
@@ -390,11 +390,11 @@
 	b->load.silent.silent_val = silent;
 	b->load.running = r->core.inflight;
 	b->load.waiting = r->core.queued;
-	b->server.away = s->leaving || s->gone	  ? FLEET_LEAVING
-			 : s->down_until_ms > now ? FLEET_DOWN
-						  : 0;
+	b->server.away = s->leaving || s->departed ? FLEET_LEAVING
+			 : s->down_until_ms > now  ? FLEET_DOWN
+						   : 0;
 	load_fill(r, b);
-	sealed_tell(r);
+	sealed_log_rejected(r);
 }
 
 /*
@@ -402,7 +402,7 @@
  * nodes has.  Limits that other nodes own now are given up.
  */
 static void
-peer_turned(void *ctx, int handle)
+on_peer_changed(void *ctx, int handle)
 {
 	struct relay *r = ctx;
 	const struct fleet_peer *p;
@@ -435,7 +435,7 @@
 static uint32_t
 usable_slots(uint32_t slots)
 {
-	uint32_t n = (uint32_t)(slots * SLOTS_USED);
+	uint32_t n = (uint32_t)(slots * USABLE_SLOTS_SHARE);
 
 	return n > 0 ? n : 1;
 }
@@ -449,7 +449,7 @@
 {
 	struct relay_server *s = &r->server;
 	uint64_t now = relay_now(r);
-	int fresh;
+	int changed;
 
 	/* A server that was found by its health has now said who it is. */
 	if (strcmp(a->id, s->id) == 0 && s->born_ms == 0 && s->sequence == 0)
@@ -459,15 +459,15 @@
 		(a->born_ms == s->born_ms && strcmp(a->id, s->id) == 0 &&
 		    a->sequence <= s->sequence)))
 		return 0;
-	fresh = strcmp(a->id, s->id) != 0 || a->born_ms != s->born_ms;
-	if (fresh) {
+	changed = strcmp(a->id, s->id) != 0 || a->born_ms != s->born_ms;
+	if (changed) {
 		snprintf(s->id, sizeof(s->id), "%s", a->id);
 		snprintf(s->service, sizeof(s->service), "%s", a->service);
 		s->born_ms = a->born_ms;
 		s->leaving = 0;
-		s->gone = 0;
+		s->departed = 0;
 		s->down_until_ms = 0;
-		s->down_count = 0;
+		s->connect_failures = 0;
 		s->slots = a->slots;
 		core_reset(&r->core, usable_slots(a->slots), now * MS_PER_S);
 		h1_pool_trim(&r->server_pool, 0);
@@ -486,11 +486,11 @@
 		s->leaving = 1;
 		event_log(EVENT_SERVER_LEAVING, now, "server=%s sequence=%llu",
 		    s->id, (unsigned long long)s->sequence);
-		fresh = 1;
+		changed = 1;
 	}
-	if (fresh)
+	if (changed)
 		fleet_beat_all(&r->net, 0);
-	exit_next(r);
+	exit_run_queued(r);
 	return 1;
 }
 
@@ -503,14 +503,14 @@
 {
 	struct relay_server *s = &r->server;
 
-	if (strcmp(s->id, id) != 0 || s->gone ||
+	if (strcmp(s->id, id) != 0 || s->departed ||
 	    (born_ms != 0 && born_ms != s->born_ms))
 		return;
 	s->leaving = 1;
-	s->gone = 1;
+	s->departed = 1;
 	event_log(EVENT_SERVER_GONE, relay_now(r), "server=%s", s->id);
 	fleet_beat_all(&r->net, 0);
-	exit_next(r);
+	exit_run_queued(r);
 }
 
 /*
@@ -518,7 +518,7 @@
  * it started again.
  */
 static void
-relay_on_left(void *ctx, const struct fleet_left *l)
+on_left_report(void *ctx, const struct fleet_left *l)
 {
 	struct relay *r = ctx;
 	struct relay_server *s = &r->server;
@@ -530,7 +530,7 @@
 	event_log(
 	    EVENT_SERVER_LEAVING, relay_now(r), "server=%s source=node", s->id);
 	fleet_beat_all(&r->net, 0);
-	exit_next(r);
+	exit_run_queued(r);
 }
 
 /*
@@ -562,7 +562,7 @@
 
 	h1_server_finish(&r->entry);
 	h1_server_finish(&r->exit);
-	copy_close(r);
+	copy_cancel(r);
 	fleet_net_close(&r->net);
 	uv_close((uv_handle_t *)&r->tick, NULL);
 	uv_close((uv_handle_t *)&r->throttle_timer, NULL);
@@ -614,11 +614,11 @@
 	uint64_t running, waiting, slots, call_failed;
 	char verdict[16];
 
-	if (relay_word(&text, verdict, sizeof(verdict)) == -1 ||
-	    relay_number(&text, &running) == -1 ||
-	    relay_number(&text, &waiting) == -1 ||
-	    relay_number(&text, &slots) == -1 ||
-	    relay_number(&text, &call_failed) == -1)
+	if (relay_read_word(&text, verdict, sizeof(verdict)) == -1 ||
+	    relay_read_number(&text, &running) == -1 ||
+	    relay_read_number(&text, &waiting) == -1 ||
+	    relay_read_number(&text, &slots) == -1 ||
+	    relay_read_number(&text, &call_failed) == -1)
 		return 0;
 	l->running = (uint32_t)running;
 	l->waiting = (uint32_t)waiting;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -91,11 +91,11 @@
 	RELAY_EXIT_SERVED,
 	RELAY_EXIT_REFUSED,
 	RELAY_EXIT_FAILED,
-	RELAY_EXIT_SHED,
+	RELAY_EXIT_SERVER_REJECTED,
 	RELAY_EXIT_UNSEALED,
-	RELAY_SKIPPED,
+	RELAY_ANSWERS_SKIPPED,
 	RELAY_THROTTLED,
-	RELAY_STRIKES,
+	RELAY_CRASH_REPORTS,
 	RELAY_COUNTER_MAX
 };
 
@@ -108,9 +108,9 @@
 	uint32_t slots;
 	uint64_t cold_until_ms;
 	uint64_t down_until_ms; /* it took no connection lately */
-	uint32_t down_count;
+	uint32_t connect_failures;
 	int leaving;
-	int gone;
+	int departed;
 };
 
 /* What this node knows of the way to another one, from its own requests. */
@@ -141,9 +141,9 @@
 #define RELAY_BROKEN_MAX 64 /* broken exchanges with the server, remembered */
 
 /* A request that was at work when its connection broke. */
-struct relay_broken {
-	struct quarantine_print print;
-	uint64_t at_ms; /* 0: none */
+struct relay_broken_exchange {
+	struct quarantine_print fingerprint;
+	uint64_t broken_ms; /* 0: none */
 };
 
 /* What is left of the retries at one service. */
@@ -167,8 +167,8 @@
 struct relay_copy {
 	struct h1_xchg *xchg; /* NULL: none is under way */
 	int peer;	      /* handle */
-	int good;	      /* so far */
-	uint64_t asked_ms;
+	int valid;	      /* so far */
+	uint64_t requested_ms;
 	struct h1_text body;
 	relay_config_fn done;
 	void *ctx;
@@ -179,16 +179,17 @@
 	struct relay_settings set;
 	struct config *config; /* NULL until one is known */
 	uint64_t proved_ms; /* the configuration was the newest at this time */
-	uint64_t doubt_id;  /* of the question to a reader of the store */
-	uint64_t doubt_ms;  /* when it was sent */
+	uint64_t proof_query_id; /* of the question to a reader of the store */
+	uint64_t proof_query_ms; /* when it was sent */
 	struct relay_copy copy;
 	struct fleet_table fleet;
 	struct fleet_net net;
 	struct seal seal;
-	uint64_t stop_ms;   /* when it was told to stop */
-	uint64_t strangers; /* messages of none of the fleet, as last told */
+	uint64_t stop_ms; /* when it was told to stop */
+	uint64_t
+	    rejected_logged; /* messages of none of the fleet, as last told */
 	uint64_t incarnation;
-	uint64_t beat_sequence;
+	uint64_t heartbeat_sequence;
 	struct h1_server entry;
 	struct h1_server exit;
 	struct h1_pool server_pool;
@@ -199,10 +200,10 @@
 	size_t link_count;
 	struct admission_core core;
 	struct quarantine_table *suspects;
-	uint64_t death; /* the last one of the server */
-	struct relay_broken broken[RELAY_BROKEN_MAX];
-	uint32_t broken_at; /* place of the next one */
-	uint32_t singles;   /* struck requests that run here */
+	uint64_t crash_id; /* the last one of the server */
+	struct relay_broken_exchange broken_exchanges[RELAY_BROKEN_MAX];
+	uint32_t broken_cursor; /* place of the next one */
+	uint32_t solo_running;	/* struck requests that run here */
 	struct quota_owner owner;
 	struct relay_limit *limits;
 	size_t limit_count;
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -106,8 +106,8 @@
 	int running;
 	struct h1_xchg *xchg;
 	char id[RELAY_ID_BYTES];
-	const char *whole_id; /* in the head of the request; NULL: none */
-	size_t whole_id_len;
+	const char *full_id; /* in the head of the request; NULL: none */
+	size_t full_id_len;
 	uint32_t class; /* of the root request */
 	uint32_t depth;
 	uint64_t root_hash;
@@ -118,23 +118,23 @@
 	uint64_t sent_ms;
 	int idempotent;
 	struct h1_text body; /* that waits for a slot */
-	int body_in;
+	int body_complete;
 	uint64_t body_length;
-	int passing;
+	int streaming;
 	unsigned int status;
 	uint64_t answer_length;
 	enum relay_verdict verdict;
 	struct h1_text fields; /* of the answer */
 	struct h1_text answer; /* its body, until it is passed on */
-	struct quarantine_print print;
-	int single; /* was struck before: runs alone */
+	struct quarantine_print fingerprint;
+	int solo; /* was struck before: runs alone */
 };
 
 uint64_t relay_now(const struct relay *);
 void relay_id(const struct relay *, const struct h1_head *, char *);
 uint64_t relay_random(void);
-int relay_word(char **, char *, size_t);
-int relay_number(char **, uint64_t *);
+int relay_read_word(char **, char *, size_t);
+int relay_read_number(char **, uint64_t *);
 void relay_tick_start(struct relay *);
 struct relay_link *relay_link(struct relay *, int);
 struct budget *relay_budget(struct relay *, const char *);
@@ -181,38 +181,38 @@
 void probe_init(struct relay *);
 
 /* proof.c */
-void relay_on_doubt(
+void relay_on_proof_query(
     void *, const struct fleet_doubt *, const struct sockaddr_in *);
 void relay_on_proof(void *, const struct fleet_proof *);
 
 /* copy.c */
 void sealed_parts(const struct relay *, struct h1_conn *, const char *,
     struct seal_request *);
-int sealed_good(struct relay *, struct h1_conn *);
-void sealed_tell(struct relay *);
-int copy_asked(const struct h1_conn *);
-void copy_answer(struct relay *, struct h1_conn *);
-void copy_close(struct relay *);
+int sealed_verify(struct relay *, struct h1_conn *);
+void sealed_log_rejected(struct relay *);
+int copy_is_request(const struct h1_conn *);
+void copy_send(struct relay *, struct h1_conn *);
+void copy_cancel(struct relay *);
 
 /* exit.c */
 extern const struct h1_server_ops exit_ops;
 struct exit_req *exit_parent(const struct relay *, const char *, size_t);
 void exit_tick(struct relay *);
-void exit_next(struct relay *);
+void exit_run_queued(struct relay *);
 
 /* exit_send.c */
 void exit_send(struct exit_req *);
 void exit_refuse(struct exit_req *, enum relay_verdict, const char *);
-void exit_finish(struct exit_req *);
-void exit_done(struct exit_req *, enum admission_outcome);
+void exit_free(struct exit_req *);
+void exit_complete(struct exit_req *, enum admission_outcome);
 
 /* suspect.c */
-void suspect_print(struct exit_req *);
-void suspect_broken(struct exit_req *);
+void suspect_fingerprint(struct exit_req *);
+void suspect_note_broken(struct exit_req *);
 void suspect_init(struct relay *);
 void suspect_server_down(struct relay *, int);
-void suspect_served(struct exit_req *);
+void suspect_note_served(struct exit_req *);
 enum quarantine_state suspect_state(const struct exit_req *);
-void relay_on_strike(void *, const struct fleet_strike *);
+void relay_on_crash_report(void *, const struct fleet_strike *);
 
 #endif
--- a/src/relay/sealed.c
+++ b/src/relay/sealed.c
@@ -31,7 +31,7 @@
  * counts those that don't.
  */
 int
-sealed_good(struct relay *r, struct h1_conn *conn)
+sealed_verify(struct relay *r, struct h1_conn *conn)
 {
 	const struct h1_head *h = h1_conn_head(conn);
 	struct seal_request q;
@@ -55,14 +55,14 @@
  * from one with another key or version.
  */
 void
-sealed_tell(struct relay *r)
+sealed_log_rejected(struct relay *r)
 {
 	uint64_t requests = r->counters[RELAY_EXIT_UNSEALED];
-	uint64_t all = r->net.bad + r->net.unsealed + requests;
+	uint64_t total = r->net.bad + r->net.unsealed + requests;
 
-	if (all == r->strangers)
+	if (total == r->rejected_logged)
 		return;
-	r->strangers = all;
+	r->rejected_logged = total;
 	event_log(EVENT_STRANGERS, relay_now(r),
 	    "unreadable_datagrams=%llu unsealed_datagrams=%llu "
 	    "unsealed_requests=%llu",
--- a/src/relay/suspect.c
+++ b/src/relay/suspect.c
@@ -6,11 +6,11 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define TOGETHER_MS 1500 /* between a broken exchange and a dead server */
+#define CRASH_WINDOW_MS 1500 /* between a broken exchange and a dead server */
 
-static void strike(
+static void record_report(
     struct relay *, const struct quarantine_print *, uint64_t, int);
-static void tell(
+static void broadcast_report(
     struct relay *, const struct quarantine_print *, uint64_t, int);
 
 /*
@@ -30,7 +30,7 @@
  * and caller, and the length of its body.
  */
 void
-suspect_print(struct exit_req *e)
+suspect_fingerprint(struct exit_req *e)
 {
 	const struct h1_head *h = h1_conn_head(e->conn);
 	const char *method = h1_conn_method(e->conn);
@@ -46,8 +46,8 @@
 	XXH3_128bits_update(s, &e->body_length, sizeof(e->body_length));
 	v = XXH3_128bits_digest(s);
 	XXH3_freeState(s);
-	e->print.lo = v.low64;
-	e->print.hi = v.high64;
+	e->fingerprint.lo = v.low64;
+	e->fingerprint.hi = v.high64;
 }
 
 /*
@@ -58,62 +58,64 @@
 {
 	struct relay *r = e->relay;
 
-	return table_state(r->suspects, &e->print, relay_now(r));
+	return table_state(r->suspects, &e->fingerprint, relay_now(r));
 }
 
 /*
  * Notes that a request ran well, and tells the other nodes if that acquits it.
  */
 void
-suspect_served(struct exit_req *e)
+suspect_note_served(struct exit_req *e)
 {
-	uint64_t deaths[QUARANTINE_DEATHS];
+	uint64_t crash_ids[QUARANTINE_DEATHS];
 	struct relay *r = e->relay;
 	size_t n, i;
 
-	n = table_succeed(r->suspects, &e->print, relay_now(r), deaths);
+	n = table_succeed(
+	    r->suspects, &e->fingerprint, relay_now(r), crash_ids);
 	for (i = 0; i < n; i++)
-		tell(r, &e->print, deaths[i], 1);
+		broadcast_report(r, &e->fingerprint, crash_ids[i], 1);
 }
 
 /*
  * Notes that a request was at work when its connection broke.
  */
 void
-suspect_broken(struct exit_req *e)
+suspect_note_broken(struct exit_req *e)
 {
 	struct relay *r = e->relay;
-	struct relay_broken *b = &r->broken[r->broken_at];
+	struct relay_broken_exchange *b =
+	    &r->broken_exchanges[r->broken_cursor];
 
-	b->print = e->print;
-	b->at_ms = relay_now(r);
-	r->broken_at = (r->broken_at + 1) % RELAY_BROKEN_MAX;
+	b->fingerprint = e->fingerprint;
+	b->broken_ms = relay_now(r);
+	r->broken_cursor = (r->broken_cursor + 1) % RELAY_BROKEN_MAX;
 }
 
 /*
  * Adds a strike, or an acquittal, to what is known of a request.
  */
 static void
-strike(struct relay *r, const struct quarantine_print *p, uint64_t death,
-    int acquitted)
+record_report(struct relay *r, const struct quarantine_print *p,
+    uint64_t crash_id, int cleared)
 {
 	uint64_t now = relay_now(r);
 
-	if (!table_strike(r->suspects, p, death, acquitted, now, now))
+	if (!table_strike(r->suspects, p, crash_id, cleared, now, now))
 		return;
-	r->counters[RELAY_STRIKES] += !acquitted;
+	r->counters[RELAY_CRASH_REPORTS] += !cleared;
 	event_log(EVENT_STRIKE, now,
 	    "print=%016llx%016llx death=%016llx acquitted=%d",
 	    (unsigned long long)p->hi, (unsigned long long)p->lo,
-	    (unsigned long long)death, acquitted);
+	    (unsigned long long)crash_id, cleared);
 }
 
 /*
  * Tells a strike or an acquittal to all other nodes.
  */
 static void
-tell(struct relay *r, const struct quarantine_print *p, uint64_t death,
-    int acquitted)
+broadcast_report(struct relay *r, const struct quarantine_print *p,
+    uint64_t crash_id, int cleared)
 {
 	struct fleet_msg m;
 
@@ -121,8 +123,8 @@
 	m.kind = FLEET_STRIKE;
 	m.fleet_msg_u.strike.lo = p->lo;
 	m.fleet_msg_u.strike.hi = p->hi;
-	m.fleet_msg_u.strike.death = death;
-	m.fleet_msg_u.strike.acquitted = (u_int)acquitted;
+	m.fleet_msg_u.strike.death = crash_id;
+	m.fleet_msg_u.strike.acquitted = (u_int)cleared;
 	fleet_send_all(&r->net, &m);
 }
 
@@ -132,21 +134,21 @@
  * was sent to see whether it is back makes no new death.
  */
 void
-suspect_server_down(struct relay *r, int died)
+suspect_server_down(struct relay *r, int crashed)
 {
 	uint64_t now = relay_now(r);
-	struct relay_broken *b;
+	struct relay_broken_exchange *b;
 	uint32_t i;
 
-	if (died)
-		r->death = relay_random() | 1;
+	if (crashed)
+		r->crash_id = relay_random() | 1;
 	for (i = 0; i < RELAY_BROKEN_MAX; i++) {
-		b = &r->broken[i];
-		if (b->at_ms == 0 || now - b->at_ms > TOGETHER_MS)
+		b = &r->broken_exchanges[i];
+		if (b->broken_ms == 0 || now - b->broken_ms > CRASH_WINDOW_MS)
 			continue;
-		strike(r, &b->print, r->death, 0);
-		tell(r, &b->print, r->death, 0);
-		b->at_ms = 0;
+		record_report(r, &b->fingerprint, r->crash_id, 0);
+		broadcast_report(r, &b->fingerprint, r->crash_id, 0);
+		b->broken_ms = 0;
 	}
 }
 
@@ -154,9 +156,9 @@
  * Takes another node's strike.
  */
 void
-relay_on_strike(void *ctx, const struct fleet_strike *s)
+relay_on_crash_report(void *ctx, const struct fleet_strike *s)
 {
 	struct quarantine_print p = { s->lo, s->hi };
 
-	strike(ctx, &p, s->death, s->acquitted != 0);
+	record_report(ctx, &p, s->death, s->acquitted != 0);
 }
--- a/src/relay/test_sealed.c
+++ b/src/relay/test_sealed.c
@@ -12,9 +12,9 @@
 #include "relay/relay_int.h"
 #include "relay/test_pair.h"
 
-#define OLD "old-key-of-a-fleet"
-#define NEW "new-key-of-a-fleet"
-#define HOP "900 0 0 1 0 " SERVICE " web w"
+#define OLD_KEY "old-key-of-a-fleet"
+#define NEW_KEY "new-key-of-a-fleet"
+#define HOP_TEXT "900 0 0 1 0 " SERVICE " web w"
 
 /*
  * Sets the keys of both nodes, each with the one that it takes, too.
@@ -31,7 +31,7 @@
 }
 
 static int
-setup_open(void **state)
+setup_no_key(void **state)
 {
 	return setup_keys(state, "", "", "", "");
 }
@@ -39,20 +39,21 @@
 static int
 setup_keyed(void **state)
 {
-	return setup_keys(state, OLD, "", OLD, "");
+	return setup_keys(state, OLD_KEY, "", OLD_KEY, "");
 }
 
 static int
-setup_changing(void **state)
+setup_key_rotation(void **state)
 {
-	return setup_keys(state, OLD, NEW, NEW, OLD);
+	return setup_keys(state, OLD_KEY, NEW_KEY, NEW_KEY, OLD_KEY);
 }
 
 /*
  * Sends a request to node B's port for other nodes, as who isn't one could.
  */
 static void
-forge(struct caller *c, const char *path, const char *hop, const char *hex)
+send_unauthenticated(
+    struct caller *c, const char *path, const char *hop, const char *hex)
 {
 	struct h1_text t;
 
@@ -77,12 +78,12 @@
  * shows that the requests of the next test would run.
  */
 static void
-test_open(void **state)
+test_no_key_accepts_unsealed(void **state)
 {
 	struct caller c;
 
 	(void)state;
-	forge(&c, "/o/1", HOP, NULL);
+	send_unauthenticated(&c, "/o/1", HOP_TEXT, NULL);
 	assert_int_equal(c.status, 200);
 	assert_int_equal(servers[1].runs, 1);
 }
@@ -92,38 +93,38 @@
  * reach the server, and the configuration isn't given away.
  */
 static void
-test_forged(void **state)
+test_rejects_unsealed_requests(void **state)
 {
 	static const struct seal_request other = { .method = "GET",
 		.target = "/o/2",
 		.target_len = 4,
 		.id = "forged",
 		.id_len = 6,
-		.hop = HOP };
+		.hop = HOP_TEXT };
 	char wrong[SEAL_HEX], moved[SEAL_HEX];
 	struct caller c;
 	struct seal s;
 
 	(void)state;
-	seal_init(&s, NEW, "");
+	seal_init(&s, NEW_KEY, "");
 	seal_request(&s, &other, wrong);
 	seal_request(&nodes[0].seal, &other, moved);
-	forge(&c, "/o/1", HOP, NULL);
+	send_unauthenticated(&c, "/o/1", HOP_TEXT, NULL);
 	assert_int_equal(c.status, 503);
-	forge(&c, "/o/2", HOP, wrong);
+	send_unauthenticated(&c, "/o/2", HOP_TEXT, wrong);
 	assert_int_equal(c.status, 503);
-	forge(&c, "/o/1", HOP, moved);
+	send_unauthenticated(&c, "/o/1", HOP_TEXT, moved);
 	assert_int_equal(c.status, 503);
-	forge(&c, "/o/1", NULL, NULL);
+	send_unauthenticated(&c, "/o/1", NULL, NULL);
 	assert_int_equal(c.status, 503);
-	forge(&c, "/cyclamen/config", NULL, NULL);
+	send_unauthenticated(&c, "/cyclamen/config", NULL, NULL);
 	assert_int_equal(c.status, 503);
 	assert_int_equal(c.body_len, 0);
 	assert_int_equal(servers[1].runs, 0);
 	assert_int_equal(nodes[1].counters[RELAY_EXIT_UNSEALED], 5);
 
 	/* The same with its own seal, as a node sends it, runs. */
-	forge(&c, "/o/2", HOP, moved);
+	send_unauthenticated(&c, "/o/2", HOP_TEXT, moved);
 	assert_int_equal(c.status, 200);
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 200);
@@ -135,7 +136,7 @@
  * A goodbye that no node of the fleet sent changes nothing.
  */
 static void
-test_forged_bye(void **state)
+test_ignores_unsealed_goodbye(void **state)
 {
 	struct fleet_net *to = &nodes[0].net;
 	struct fleet_net from = *to;
@@ -162,7 +163,7 @@
 }
 
 static void
-took(void *ctx, struct config *c, const char *from)
+apply_copied_config(void *ctx, struct config *c, const char *from)
 {
 	assert_string_equal(from, "n1");
 	relay_take_config(ctx, c);
@@ -173,7 +174,7 @@
  * configuration from another.
  */
 static void
-test_changing(void **state)
+test_key_rotation(void **state)
 {
 	struct caller c;
 
@@ -183,7 +184,7 @@
 	relay_take_config(&nodes[1], make_config(2, 0, KEY));
 	while (nodes[0].fleet.peers[0].config_version < 2)
 		uv_run(&loop, UV_RUN_ONCE);
-	relay_ask_config(&nodes[0], took, &nodes[0]);
+	relay_ask_config(&nodes[0], apply_copied_config, &nodes[0]);
 	while (nodes[0].config->version < 2)
 		uv_run(&loop, UV_RUN_ONCE);
 }
@@ -193,13 +194,13 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
-		    test_open, setup_open, teardown),
+		    test_no_key_accepts_unsealed, setup_no_key, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_forged, setup_keyed, teardown),
+		    test_rejects_unsealed_requests, setup_keyed, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_forged_bye, setup_keyed, teardown),
+		    test_ignores_unsealed_goodbye, setup_keyed, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_changing, setup_changing, teardown),
+		    test_key_rotation, setup_key_rotation, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/relay/test_stopping.c
+++ b/src/relay/test_stopping.c
@@ -12,13 +12,14 @@
 #include "relay/relay_int.h"
 #include "relay/test_pair.h"
 
-#define RUN "7fa3" /* id of the request that is at work during the stop */
+#define RUNNING_ID \
+	"7fa3" /* id of the request that is at work during the stop */
 
 /*
  * Sends a request to node B and returns its status.
  */
 static unsigned int
-status_of(const char *path, const char *key, const char *id)
+request_status(const char *path, const char *key, const char *id)
 {
 	struct caller c;
 
@@ -35,7 +36,7 @@
  * them off.  Calls of what is at work are taken to the last.
  */
 static void
-test_last_requests(void **state)
+test_stop_refuses_late_root_requests(void **state)
 {
 	struct caller root;
 	uint64_t began;
@@ -44,20 +45,21 @@
 	ask(&root, "/o/1", KEY);
 	assert_int_equal(root.status, 200);
 	servers[1].deed = HOLD;
-	send_as(&root, 1, "/o/1", KEY, RUN, "");
+	send_as(&root, 1, "/o/1", KEY, RUNNING_ID, "");
 	while (servers[1].held == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
 	servers[1].deed = ANSWER;
 	relay_stop(&nodes[1]);
-	assert_int_equal(status_of("/o/2", KEY, "early"), 200);
+	assert_int_equal(request_status("/o/2", KEY, "early"), 200);
 	nodes[1].set.take_ms = loop_ms(&loop) - nodes[1].stop_ms;
 	began = loop_ms(&loop);
 	while (loop_ms(&loop) <= began)
 		uv_run(&loop, UV_RUN_ONCE);
 	servers[1].runs = 0;
-	assert_int_equal(status_of("/o/3", KEY, "late"), 503);
+	assert_int_equal(request_status("/o/3", KEY, "late"), 503);
 	assert_int_equal(servers[1].runs, 0);
-	assert_int_equal(status_of("/open/1", NULL, RUN ".01"), 200);
+	assert_int_equal(
+	    request_status("/open/1", NULL, RUNNING_ID ".01"), 200);
 	assert_int_equal(servers[1].runs, 1);
 	while (!root.done)
 		uv_run(&loop, UV_RUN_ONCE);
@@ -69,7 +71,7 @@
  * announcement says that it is sound.  The other node remembers.
  */
 static void
-test_forgotten(void **state)
+test_departure_outlives_node_restart(void **state)
 {
 	struct caller c;
 
@@ -79,7 +81,7 @@
 		uv_run(&loop, UV_RUN_ONCE);
 	memset(&nodes[1].server, 0, sizeof(nodes[1].server));
 	nodes[1].incarnation++;
-	nodes[1].beat_sequence = 0;
+	nodes[1].heartbeat_sequence = 0;
 	announce(1, 100, 3, 0);
 	assert_false(nodes[1].server.leaving);
 	while (!nodes[1].server.leaving)
@@ -99,9 +101,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
-		    test_last_requests, setup, teardown),
+		    test_stop_refuses_late_root_requests, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_forgotten, setup, teardown),
+		    test_departure_outlives_node_restart, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/relay/test_suspect.c
+++ b/src/relay/test_suspect.c
@@ -16,7 +16,7 @@
  * The server breaks off a request, and then nothing listens any more.
  */
 static void
-break_down(const char *path)
+crash_server(const char *path)
 {
 	struct caller c;
 
@@ -35,7 +35,7 @@
  * its node tries again after a while.
  */
 static void
-come_back(uint64_t born)
+restart_server(uint64_t born)
 {
 	assert_int_equal(h1_server_init(&servers[1].http, &loop, &server_at[1],
 			     &server_ops, &servers[1], 64),
@@ -54,15 +54,15 @@
  * second death: a request that was at work both times is not refused.
  */
 static void
-test_one_death(void **state)
+test_failed_reconnect_is_no_second_crash(void **state)
 {
 	struct caller c;
 
 	(void)state;
-	break_down("/o/hot");
-	come_back(0);
-	break_down("/o/hot");
-	come_back(0);
+	crash_server("/o/hot");
+	restart_server(0);
+	crash_server("/o/hot");
+	restart_server(0);
 	ask(&c, "/o/hot", KEY);
 	assert_int_equal(c.status, 200);
 	assert_int_equal(servers[1].runs, 1);
@@ -73,24 +73,25 @@
  * after them; once it has run again, all nodes hold it for harmless.
  */
 static void
-test_hot(void **state)
+test_harmless_request_is_cleared(void **state)
 {
-	struct quarantine_print print;
+	struct quarantine_print fingerprint;
 	struct caller c;
 
 	(void)state;
 	ask(&c, "/o/hot", KEY);
 	assert_int_equal(c.status, 200);
-	break_down("/o/hot");
-	come_back(200);
-	break_down("/o/hot");
-	come_back(201);
+	crash_server("/o/hot");
+	restart_server(200);
+	crash_server("/o/hot");
+	restart_server(201);
 	servers[1].deed = HOLD;
 	send_to(&c, 0, "/o/hot", KEY, "");
 	while (servers[1].held == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
-	print = nodes[1].exits->print;
-	assert_int_equal(table_state(nodes[0].suspects, &print, loop_ms(&loop)),
+	fingerprint = nodes[1].exits->fingerprint;
+	assert_int_equal(
+	    table_state(nodes[0].suspects, &fingerprint, loop_ms(&loop)),
 	    QUARANTINE_REFUSED);
 	servers[1].deed = ANSWER;
 	server_end(&servers[1], servers[1].held);
@@ -98,7 +99,7 @@
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(c.status, 200);
 	h1_pool_finish(&c.pool);
-	while (table_state(nodes[0].suspects, &print, loop_ms(&loop)) !=
+	while (table_state(nodes[0].suspects, &fingerprint, loop_ms(&loop)) !=
 	       QUARANTINE_FREE)
 		uv_run(&loop, UV_RUN_ONCE);
 }
@@ -107,15 +108,15 @@
  * One that never ran well is refused after two deaths.
  */
 static void
-test_poison(void **state)
+test_crashing_request_is_refused(void **state)
 {
 	struct caller c;
 
 	(void)state;
-	break_down("/o/poison");
-	come_back(200);
-	break_down("/o/poison");
-	come_back(201);
+	crash_server("/o/poison");
+	restart_server(200);
+	crash_server("/o/poison");
+	restart_server(201);
 	ask(&c, "/o/poison", KEY);
 	assert_int_equal(c.status, 503);
 	assert_int_equal(servers[1].runs, 0);
@@ -126,9 +127,11 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
-		    test_one_death, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_hot, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_poison, setup, teardown),
+		    test_failed_reconnect_is_no_second_crash, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_harmless_request_is_cleared, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_crashing_request_is_refused, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/relay/test_suspend.c
+++ b/src/relay/test_suspend.c
@@ -12,20 +12,20 @@
 #include "relay/relay_int.h"
 #include "relay/test_pair.h"
 
-#define SLEEP_S 10
+#define SUSPEND_S 10
 
-static time_t slept_s;
+static time_t suspended_s;
 
 /*
  * The machine's clocks after it was suspended for a while.
  */
 static int
-later(clockid_t which, struct timespec *ts)
+suspended_clock(clockid_t clock, struct timespec *ts)
 {
-	int rc = clock_gettime(which, ts);
+	int rc = clock_gettime(clock, ts);
 
-	if (which == CLOCK_BOOTTIME)
-		ts->tv_sec += slept_s;
+	if (clock == CLOCK_BOOTTIME)
+		ts->tv_sec += suspended_s;
 	return rc;
 }
 
@@ -35,18 +35,18 @@
  * may have lost it, and a moment after the proof is renewed all is as before.
  */
 static void
-test_suspended(void **state)
+test_suspend_expires_keys_and_ownership(void **state)
 {
 	uint64_t ws = config_ws_hash("w"), now;
 	struct caller c;
 
 	(void)state;
-	loop_clock_use(later);
+	loop_clock_use(suspended_clock);
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 200);
 	now = loop_ms(&loop);
-	slept_s = SLEEP_S;
-	while (loop_ms(&loop) < now + SLEEP_S * 1000)
+	suspended_s = SUSPEND_S;
+	while (loop_ms(&loop) < now + SUSPEND_S * 1000)
 		uv_update_time(&loop);
 	now = loop_ms(&loop);
 	assert_int_not_equal(fleet_owner(&nodes[0].fleet, ws, now), FLEET_SELF);
@@ -68,7 +68,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
-		    test_suspended, setup, teardown),
+		    test_suspend_expires_keys_and_ownership, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
