--- a/src/relay/copy.c
+++ b/src/relay/copy.c
@@ -5,13 +5,16 @@
 #include "relay/relay_int.h"
 
 /*
- * The configuration from node to node.  A node that starts, or that the store
- * doesn't answer while it answers others, asks one that knows a newer version.
+ * Copying the configuration between nodes.  A node requests a newer version
+ * from another node when it starts, or when the store responds to other nodes
+ * but not to this one.
  */
 
-#define COPY_TARGET "/cyclamen/config" /* on the port for other nodes */
-#define COPY_TIMEOUT_MS 800	       /* for the whole answer */
-#define COPY_BYTES_MAX (16U << 20)     /* far above 1,600 routes of 500 bytes */
+/* Served on the port for other nodes. */
+#define COPY_TARGET "/cyclamen/config"
+#define COPY_TIMEOUT_MS 800 /* timeout of the whole exchange */
+/* Far above 1,600 routes of 500 bytes each. */
+#define COPY_BYTES_MAX (16U << 20)
 
 static int pick_peer(struct relay *);
 static int on_response_head(void *, struct h1_xchg *);
@@ -24,7 +27,7 @@
 	on_response_body, on_response_end, on_exchange_failed, NULL };
 
 /*
- * Tells whether another node asks for the configuration.
+ * Returns whether a request from another node is for the configuration.
  */
 int
 copy_is_request(const struct h1_conn *conn)
@@ -37,7 +40,7 @@
 }
 
 /*
- * Answers with the configuration in force.
+ * Responds with the configuration in force.
  */
 void
 copy_send(struct relay *r, struct h1_conn *conn)
@@ -55,8 +58,8 @@
 }
 
 /*
- * Returns a live node that knows a newer configuration than this one, chosen
- * by chance, or -1.
+ * Returns the handle of a random live node that has a newer configuration
+ * than this one, or -1.
  */
 static int
 pick_peer(struct relay *r)
@@ -79,8 +82,9 @@
 }
 
 /*
- * Asks another node for a newer configuration, if one is known to have it.
- * The function gets it, unless it can't be had; it may come later or never.
+ * Requests a newer configuration from another node, if one is known to have
+ * it.  The callback is called with the configuration once it has arrived, and
+ * not at all if the request fails.
  */
 void
 relay_ask_config(struct relay *r, relay_config_fn done, void *ctx)
@@ -121,7 +125,7 @@
 }
 
 /*
- * Gives up what is under way.
+ * Cancels the request in progress, if any.
  */
 void
 copy_cancel(struct relay *r)
@@ -134,7 +138,7 @@
 }
 
 /*
- * Ends a question without a configuration.
+ * Logs why a request for a configuration failed, and ends it.
  */
 static void
 fail_copy(struct relay *r, const char *reason)
@@ -150,7 +154,7 @@
 }
 
 /*
- * Takes the head of the answer: one other than a success has no use.
+ * Checks the response status.  Only the body of a 200 response is used.
  */
 static int
 on_response_head(void *ctx, struct h1_xchg *x)
@@ -162,7 +166,7 @@
 }
 
 /*
- * Takes a piece of the answer.
+ * Appends a part of the response, up to the size limit.
  */
 static void
 on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
@@ -177,7 +181,7 @@
 }
 
 /*
- * The answer is whole.
+ * Parses the complete response and passes the configuration to the callback.
  */
 static void
 on_response_end(void *ctx, struct h1_xchg *x)
@@ -199,7 +203,7 @@
 }
 
 /*
- * There was no whole answer.
+ * Handles an exchange that failed before the end of the response.
  */
 static void
 on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
--- a/src/relay/dump.c
+++ b/src/relay/dump.c
@@ -1,8 +1,8 @@
 #include "relay/relay_int.h"
 
 /*
- * A node's state as text: a section a topic, a line a value, or an object
- * with KEY=VALUE words (see src/dump).
+ * Dump of a node's state as text.  Each topic has a section; each line has a
+ * value, or an object with KEY=VALUE words (see src/dump).
  */
 
 static void dump_node(struct relay *, struct h1_text *);
@@ -12,7 +12,7 @@
 static void dump_limits(struct relay *, struct h1_text *);
 
 /*
- * Returns the name, or a dash in place of an empty one.
+ * Returns the name, or "-" if it is empty.
  */
 static const char *
 or_dash(const char *name)
@@ -21,7 +21,7 @@
 }
 
 /*
- * Adds what the node is and which configuration it has.
+ * Adds the node's identity, configuration and open requests.
  */
 static void
 dump_node(struct relay *r, struct h1_text *t)
@@ -44,7 +44,7 @@
 }
 
 /*
- * Adds the server beside this node.
+ * Adds the state of the server beside this node.
  */
 static void
 dump_server(struct relay *r, struct h1_text *t)
@@ -63,7 +63,7 @@
 }
 
 /*
- * Adds what is known of other nodes.
+ * Adds the state of the other nodes as known here.
  */
 static void
 dump_peers(struct relay *r, struct h1_text *t)
@@ -99,7 +99,8 @@
 }
 
 /*
- * Adds how much of each class of root requests is let in, and why.
+ * Adds the admitted share of each class of root requests, and the
+ * measurements behind it.
  */
 static void
 dump_throttle(const struct relay *r, struct h1_text *t)
@@ -128,7 +129,7 @@
 }
 
 /*
- * Adds the limits of workspaces, and who decides for each.
+ * Adds the limits of workspaces, each with the node that owns it.
  */
 static void
 dump_limits(struct relay *r, struct h1_text *t)
@@ -150,7 +151,7 @@
 }
 
 /*
- * Writes the state of a node.
+ * Writes all sections of the dump.
  */
 void
 relay_dump(struct relay *r, struct h1_text *t)
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -8,9 +8,10 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define BODY_WINDOW_BYTES 65536 /* bytes of a body that waits for a slot */
-#define ABANDON_AFTER_MS \
-	400 /* past its time, when the entry seems to be dead */
+/* Body buffered while the request is queued. */
+#define BODY_WINDOW_BYTES 65536
+/* Time past the deadline after which the entry is assumed to be dead. */
+#define ABANDON_AFTER_MS 400
 #define US_PER_MS 1000
 
 static void on_request_head(void *, struct h1_conn *);
@@ -27,7 +28,7 @@
 	on_request_end, on_disconnect, on_response_drained };
 
 /*
- * Prepares the state of a new request.
+ * Allocates the state of a new request.
  */
 static struct exit_req *
 exit_new(struct relay *r, struct h1_conn *conn)
@@ -52,7 +53,7 @@
 }
 
 /*
- * Forgets a request.
+ * Removes a request from the list and frees it.
  */
 void
 exit_free(struct exit_req *e)
@@ -73,7 +74,7 @@
 }
 
 /*
- * Returns the request that a waiter is part of.
+ * Returns the request that contains a waiter.
  */
 static struct exit_req *
 waiter_request(struct admission_waiter *w)
@@ -83,10 +84,10 @@
 }
 
 /*
- * Reads what the entry says of a request: the time left (ms), its class, its
- * depth and the hash of its root, whether it is idempotent, the service that
- * is meant, the service beside which it began, and its workspace.  Returns 0,
- * or -1 if it can't be read.
+ * Reads the hop field that the entry sends: remaining time (ms), class,
+ * depth, root hash, whether the request is idempotent, target service,
+ * service of the caller, and workspace.  Returns 0, or -1 if the field
+ * is missing or invalid.
  */
 static int
 read_hop(struct exit_req *e, const struct h1_head *h, char *service,
@@ -121,7 +122,8 @@
 }
 
 /*
- * Decides on a request from another node, or from this one's own entry.
+ * Runs, queues or refuses a request from another node or from this node's own
+ * entry.
  */
 static void
 on_request_head(void *ctx, struct h1_conn *conn)
@@ -197,8 +199,9 @@
 }
 
 /*
- * Returns the request at work here that made a call, or NULL: the one with
- * the longest id that the call's id begins with, up to a separator.
+ * Returns the running request that made a call, or NULL.  It is the one with
+ * the longest id that is a prefix of the call's id and is followed there by a
+ * separator.
  */
 struct exit_req *
 exit_parent(const struct relay *r, const char *id, size_t len)
@@ -218,7 +221,8 @@
 }
 
 /*
- * Lets requests run for which there is a slot now.
+ * Sends queued requests to the server while it has free slots.  Refuses
+ * expired ones, and all of them if the server is leaving.
  */
 void
 exit_run_queued(struct relay *r)
@@ -246,7 +250,8 @@
 }
 
 /*
- * Takes a piece of the body.
+ * Forwards a part of the request body, or buffers it while the request is
+ * queued.
  */
 static void
 on_request_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
@@ -271,7 +276,7 @@
 }
 
 /*
- * The request is read to its end.
+ * Handles the end of the request body.
  */
 static void
 on_request_end(void *ctx, struct h1_conn *conn)
@@ -287,7 +292,7 @@
 }
 
 /*
- * The entry has given the request up: so does the server.
+ * Handles a closed connection of the entry: cancels the request.
  */
 static void
 on_disconnect(void *ctx, struct h1_conn *conn)
@@ -310,7 +315,8 @@
 }
 
 /*
- * The entry has read: the answer may go on.
+ * Resumes reading the response when the entry has received what was buffered
+ * for it.
  */
 static void
 on_response_drained(void *ctx, struct h1_conn *conn)
@@ -323,8 +329,8 @@
 }
 
 /*
- * Refuses requests whose time passed while they waited, and gives those up
- * whose entry should have done so long ago.
+ * Refuses queued requests whose deadline has passed, and aborts running ones
+ * that their entry should have cancelled long before.
  */
 void
 exit_tick(struct relay *r)
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -5,11 +5,15 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define RESPONSE_BUFFER_BYTES \
-	16384 /* bytes of an answer sent on in one piece */
+/* Responses up to this size are sent in one piece. */
+#define RESPONSE_BUFFER_BYTES 16384
 #define IDLE_ANY_MS UINT64_MAX
-#define IDLE_UNSAFE_MS 3000 /* an older connection may break */
-#define RECONNECT_MS 200    /* a server that takes no connection */
+/*
+ * For requests that can't be repeated: a connection idle for longer may break.
+ */
+#define IDLE_UNSAFE_MS 3000
+/* First wait before connecting again to a server that refused a connection. */
+#define RECONNECT_MS 200
 #define RECONNECT_DOUBLINGS 3
 #define US_PER_MS 1000
 
@@ -26,7 +30,10 @@
 static int matches_request(const struct exit_req *, const struct h1_head *);
 static void mark_server_down(struct relay *);
 
-/* Fields between nodes, which no server gets and none can set. */
+/*
+ * Header fields between nodes.  They are never passed to or taken from a
+ * server.
+ */
 static const char *const internal_fields[] = { RELAY_HOP, RELAY_EXIT,
 	RELAY_SEAL, NULL };
 
@@ -35,7 +42,7 @@
 	on_request_drained };
 
 /*
- * Composes the head that goes to the server.
+ * Composes the request head for the server.
  */
 static void
 compose_request_head(struct exit_req *e, struct h1_text *t)
@@ -64,7 +71,7 @@
 }
 
 /*
- * Sends a request to the server, which has a slot for it.
+ * Sends a request to the server, which has a free slot.
  */
 void
 exit_send(struct exit_req *e)
@@ -93,7 +100,7 @@
 }
 
 /*
- * Adds this node's word on a request, and the load of its server.
+ * Adds the header field with this node's verdict and the load of its server.
  */
 static void
 add_exit_field(
@@ -107,7 +114,7 @@
 }
 
 /*
- * Ends a request's stay at the server.
+ * Releases the slot of a request and records its outcome.
  */
 void
 exit_complete(struct exit_req *e, enum admission_outcome outcome)
@@ -132,7 +139,7 @@
 }
 
 /*
- * Ends a request without a server's answer.
+ * Refuses or fails a request without a response from the server.
  */
 void
 exit_refuse(struct exit_req *e, enum relay_verdict verdict, const char *reason)
@@ -163,7 +170,7 @@
 }
 
 /*
- * Judges an answer by its head.
+ * Determines the verdict from the head of a response.
  */
 static enum relay_verdict
 classify_response(struct exit_req *e, const struct h1_head *h)
@@ -181,8 +188,8 @@
 }
 
 /*
- * Tells whether an answer bears the id of this request, of any length.  To a
- * request without an id any answer is its own.
+ * Returns whether a response has the id of this request, compared in full.  A
+ * request without an id matches any response.
  */
 static int
 matches_request(const struct exit_req *e, const struct h1_head *h)
@@ -200,7 +207,7 @@
 }
 
 /*
- * Takes the head of an answer, if it belongs to this request.
+ * Handles a response head.  Returns 1 to skip a response to another request.
  */
 static int
 on_response_head(void *ctx, struct h1_xchg *x)
@@ -220,7 +227,8 @@
 }
 
 /*
- * Takes a piece of an answer's body.
+ * Buffers a part of the response body, or forwards it once the response is
+ * larger than the buffer.
  */
 static void
 on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
@@ -247,7 +255,7 @@
 }
 
 /*
- * Takes the end of an answer.
+ * Handles the end of a response.
  */
 static void
 on_response_end(void *ctx, struct h1_xchg *x)
@@ -293,7 +301,8 @@
 }
 
 /*
- * The server takes no connections: it is down, for some time.
+ * Marks the server as down after it refused a connection.  The wait before
+ * the next connection doubles with each failure.
  */
 static void
 mark_server_down(struct relay *r)
@@ -318,7 +327,7 @@
 }
 
 /*
- * The exchange with the server broke.
+ * Handles a failed exchange with the server.
  */
 static void
 on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
@@ -354,7 +363,8 @@
 }
 
 /*
- * The server reads again, and so does this node.
+ * Resumes reading the request when the server has received what was buffered
+ * for it.
  */
 static void
 on_request_drained(void *ctx, struct h1_xchg *x)
--- a/src/relay/probe.c
+++ b/src/relay/probe.c
@@ -4,15 +4,16 @@
 #include "relay/relay_int.h"
 
 /*
- * After a restart a node doesn't know the server beside it until that
- * announces itself, a second or more later.  Meanwhile it asks for the
- * server's health, whose answer names the instance and its slots; a server
- * that leaves isn't healthy.
+ * Health requests to the server beside this node.  After a restart the node
+ * doesn't know the server until it announces itself, a second or more later.
+ * Until then the node sends health requests.  The response contains the
+ * instance id and the slots; a server that is leaving doesn't report itself
+ * as healthy.
  */
 
-#define PROBE_INTERVAL_MS 100 /* between two questions */
-#define LOAD_FIELDS 3	      /* of which the slots are the last */
-#define PROBES_MAX 5	      /* after that the announcement is awaited */
+#define PROBE_INTERVAL_MS 100 /* interval between health requests */
+#define LOAD_FIELDS 3	      /* running, waiting, slots */
+#define PROBES_MAX 5 /* after that the node waits for the announcement */
 
 static void on_probe_timer(uv_timer_t *);
 static int on_response_head(void *, struct h1_xchg *);
@@ -26,7 +27,7 @@
 	on_response_body, on_response_end, on_exchange_failed, NULL };
 
 /*
- * Begins to look for the server.
+ * Starts the timer of health requests.
  */
 void
 probe_init(struct relay *r)
@@ -38,8 +39,8 @@
 }
 
 /*
- * Returns the path of the server's health check, or NULL while it isn't
- * known.
+ * Returns the path of the server's health check, or NULL if the configuration
+ * has none.
  */
 static const char *
 health_path(const struct relay *r)
@@ -53,7 +54,7 @@
 }
 
 /*
- * Asks for the server's health, if it is still unknown.
+ * Sends a health request if the server is still unknown.
  */
 static void
 on_probe_timer(uv_timer_t *timer)
@@ -76,7 +77,8 @@
 }
 
 /*
- * Reads the slots from a load: running, waiting, slots.  Returns 0, or -1.
+ * Reads the slots from a load field, whose numbers are separated by commas.
+ * Returns 0, or -1 if the field is invalid.
  */
 static int
 read_slots(const char *text, uint64_t *slots)
@@ -96,8 +98,8 @@
 }
 
 /*
- * Takes an answer.  A server that says who it is and how many slots it has
- * counts as announced.
+ * Handles a health response.  A server whose response has an instance id and
+ * a number of slots is treated as announced.
  */
 static int
 on_response_head(void *ctx, struct h1_xchg *x)
@@ -121,7 +123,7 @@
 }
 
 /*
- * A health answer's body says nothing more.
+ * Ignores the body of a health response.
  */
 static void
 on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
@@ -133,7 +135,7 @@
 }
 
 /*
- * The answer is in.
+ * Does nothing: the head of the response was enough.
  */
 static void
 on_response_end(void *ctx, struct h1_xchg *x)
@@ -143,7 +145,7 @@
 }
 
 /*
- * There was no answer: the next question may get one.
+ * Ignores a failed request; the timer sends another one.
  */
 static void
 on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -4,25 +4,25 @@
 #include "relay/relay_int.h"
 
 /*
- * How old the configuration in force may be.  A few nodes follow the store
- * closely; the others ask one of them, which costs no call to the store, and
- * where that doesn't help, any nodes.  An answer proves that the version was
- * the newest at the time of the question less the age told, whatever time the
- * messages took.
+ * Age of the configuration in force.  A few nodes, the readers, poll the
+ * store closely.  The others query one of them, which costs no request to the
+ * store, and if that doesn't help, also random nodes.  A response proves that
+ * the version was the newest at the time of the query less the reported age,
+ * no matter how long the messages took.
  */
 
 #define READERS_MAX 2
-#define EXTRA_QUERIES 2	  /* other nodes asked where the readers don't help */
-#define QUERY_AGE_MS 1100 /* younger proofs need no question */
-#define STORE_READ_AGE_MS                                                    \
-	2200		      /* older ones: this node asks the store itself \
-			       */
-#define QUERY_INTERVAL_MS 300 /* between two questions */
+#define EXTRA_QUERIES 2	  /* random nodes queried when the readers don't help */
+#define QUERY_AGE_MS 1100 /* proofs younger than this need no query */
+/* With an older proof this node reads the store itself. */
+#define STORE_READ_AGE_MS 2200
+#define QUERY_INTERVAL_MS 300 /* minimum interval between queries */
 
 static void send_query(struct relay *, int);
 
 /*
- * Returns how long ago the configuration in force was surely the newest.
+ * Returns how many milliseconds ago the configuration in force was last
+ * proved to be the newest.
  */
 uint64_t
 relay_proof_age_ms(const struct relay *r)
@@ -31,7 +31,7 @@
 }
 
 /*
- * Tells whether this node is one of those that follow the store closely.
+ * Returns whether this node is one of the readers.
  */
 int
 relay_reads_store(struct relay *r)
@@ -47,9 +47,9 @@
 }
 
 /*
- * Looks how old the last proof is, and asks a reader if it gets old.
- * Returns 1 if this node should ask the store itself: the readers didn't
- * help, or another node knows a newer version.
+ * Sends a query if the last proof is getting old.  Returns 1 if this node
+ * should read the store itself because the readers didn't help or another
+ * node has a newer version, else 0.
  */
 int
 relay_must_read(struct relay *r)
@@ -72,7 +72,10 @@
 		r->proof_query_ms = now;
 		if (n > 0)
 			send_query(r, readers[relay_random() % n]);
-		/* The store may answer some nodes, and the readers not. */
+		/*
+		 * The store may be reachable for some nodes but not for the
+		 * readers.
+		 */
 		for (i = 0; age_ms >= STORE_READ_AGE_MS && i < EXTRA_QUERIES;
 		     i++)
 			if (r->fleet.count > 0)
@@ -83,7 +86,7 @@
 }
 
 /*
- * Sends the question to a node, given its handle.
+ * Sends the query to the node with a given handle, if it is alive.
  */
 static void
 send_query(struct relay *r, int handle)
@@ -99,7 +102,7 @@
 }
 
 /*
- * Answers a question.
+ * Responds to a query of another node.
  */
 void
 relay_on_proof_query(
@@ -120,7 +123,7 @@
 }
 
 /*
- * Takes an answer to the last question, if it is about the version in force.
+ * Applies a response to the last query if it is about the version in force.
  */
 void
 relay_on_proof(void *ctx, const struct fleet_proof *p)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -11,13 +11,15 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define TICK_MS 10	    /* deadlines are met to this precision */
-#define PEER_IDLE_MS 20000  /* of connections to other nodes */
-#define PEER_CONNECT_MS 400 /* to a node: a lost first packet shows by then */
-#define SERVER_IDLE_MS 9000 /* of connections to the server */
+#define TICK_MS 10	   /* precision of deadlines */
+#define PEER_IDLE_MS 20000 /* idle timeout of connections to other nodes */
+/* Connect timeout to a node: long enough to notice a lost first packet. */
+#define PEER_CONNECT_MS 400
+#define SERVER_IDLE_MS 9000 /* idle timeout of connections to the server */
 #define SERVER_CONNECT_MS 300
-#define RESERVED_DESCRIPTORS 400 /* for other things than callers and nodes */
-#define USABLE_SLOTS_SHARE 0.96	 /* of those that a server tells */
+/* Descriptors not available to callers and nodes. */
+#define RESERVED_DESCRIPTORS 400
+#define USABLE_SLOTS_SHARE 0.96 /* share of the reported slots that is used */
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -75,7 +77,8 @@
 };
 
 /*
- * Returns a counter's name, without unit: all count requests or answers.
+ * Returns a counter's name.  It has no unit, as all counters count requests
+ * or responses.
  */
 const char *
 relay_counter_name(enum relay_counter c)
@@ -84,7 +87,7 @@
 }
 
 /*
- * Prepares a relay and opens its ports.  Returns a libuv error or 0.
+ * Initialises a relay and opens its ports.  Returns 0 or a libuv error.
  */
 int
 relay_init(
@@ -105,7 +108,7 @@
 	    (uint64_t)ts.tv_sec * MS_PER_S + (uint64_t)(ts.tv_nsec / NS_PER_MS);
 	fleet_table_init(&r->fleet, settings->node, loop_ms(loop));
 	core_init(&r->core, loop_ms(loop) * MS_PER_S);
-	/* Servers tell their slots, and queue by themselves what is more. */
+	/* Servers report their slots, and queue the requests beyond them. */
 	r->core.limiter.fixed = 1;
 	r->core.slots_known = 1;
 	quota_owner_init(&r->owner);
@@ -141,8 +144,8 @@
 }
 
 /*
- * Takes the next word, up to a space, from text that it moves on.  Returns 0,
- * or -1 if there is none that fits.
+ * Copies the next word, up to a space, and advances the cursor past it.
+ * Returns 0, or -1 if there is no word or it doesn't fit.
  */
 int
 relay_read_word(char **cursor, char *word, size_t size)
@@ -160,7 +163,8 @@
 }
 
 /*
- * Takes the next word as a whole number.  Returns 0, or -1 if it is none.
+ * Reads the next word as an unsigned decimal number.  Returns 0, or -1 if it
+ * isn't one.
  */
 int
 relay_read_number(char **cursor, uint64_t *number)
@@ -174,8 +178,8 @@
 }
 
 /*
- * Copies a request's id into RELAY_ID_BYTES for log lines; a longer one is
- * cut.  Without one it is empty.
+ * Copies a request's id for log lines into a buffer of RELAY_ID_BYTES.  A
+ * longer id is truncated; without one the buffer is empty.
  */
 void
 relay_id(const struct relay *r, const struct h1_head *h, char *id)
@@ -194,8 +198,8 @@
 }
 
 /*
- * Returns a random number.  The generator is the library's own, which asks
- * the system once, and not at each number.
+ * Returns a random number.  The generator runs within the library, which
+ * reads a seed from the system once rather than for each number.
  */
 uint64_t
 relay_random(void)
@@ -207,7 +211,7 @@
 }
 
 /*
- * Keeps the timer of deadlines running while there are requests.
+ * Starts the deadline timer, which runs while there are requests.
  */
 void
 relay_tick_start(struct relay *r)
@@ -219,7 +223,7 @@
 }
 
 /*
- * Looks after deadlines.
+ * Handles expired deadlines, and stops the timer when no request is left.
  */
 static void
 on_deadline_tick(uv_timer_t *timer)
@@ -236,7 +240,8 @@
 }
 
 /*
- * Returns what is known of the way to a node, given its handle.
+ * Returns the link to a node with a given handle, after creating it or
+ * updating its address.
  */
 struct relay_link *
 relay_link(struct relay *r, int handle)
@@ -270,8 +275,8 @@
 		return l;
 	}
 	/*
-	 * A node that moved: exchanges under way keep the old pool, which is
-	 * small and stays allocated.
+	 * The node's address has changed.  Exchanges in progress still use
+	 * the old pool, so it isn't freed; it is small.
 	 */
 	if (l->pool != NULL)
 		h1_pool_finish(l->pool);
@@ -306,7 +311,7 @@
 }
 
 /*
- * Returns after how long (ms) a refused caller should come back.
+ * Returns after how many milliseconds a refused caller should retry.
  */
 uint64_t
 relay_comeback(enum comeback reason, uint64_t target_ms)
@@ -315,7 +320,7 @@
 }
 
 /*
- * Takes a configuration into force; the one before is freed.
+ * Applies a configuration and frees the previous one.
  */
 void
 relay_take_config(struct relay *r, struct config *c)
@@ -340,7 +345,7 @@
 }
 
 /*
- * The configuration in force was the newest at a time (ms).
+ * Records that the configuration in force was the newest at a given time.
  */
 void
 relay_proved(struct relay *r, uint64_t at_ms)
@@ -350,7 +355,7 @@
 }
 
 /*
- * Tells whether callers may come.
+ * Returns whether the node is ready for requests of callers.
  */
 int
 relay_ready(const struct relay *r)
@@ -359,7 +364,7 @@
 }
 
 /*
- * Fills in this node's beat.
+ * Fills in this node's heartbeat.
  */
 static void
 fill_heartbeat(void *ctx, struct fleet_beat *b)
@@ -398,8 +403,8 @@
 }
 
 /*
- * Notes that a node or its server has changed, or only that the set of live
- * nodes has.  Limits that other nodes own now are given up.
+ * Handles a change of a node or its server, or, if the handle is negative,
+ * only of the set of live nodes.  Drops the limits that other nodes own now.
  */
 static void
 on_peer_changed(void *ctx, int handle)
@@ -429,8 +434,8 @@
 }
 
 /*
- * Returns how many of a server's slots are used: some servers are slow when
- * they are nearly full.
+ * Returns how many of a server's slots are used.  Some servers are slow when
+ * nearly all their slots are busy.
  */
 static uint32_t
 usable_slots(uint32_t slots)
@@ -441,8 +446,8 @@
 }
 
 /*
- * Takes an announcement of the server beside this node.  Returns 1 if it is
- * news, 0 if it is out of date.
+ * Applies an announcement of the server beside this node.  Returns 1, or 0 if
+ * the announcement is out of date.
  */
 int
 relay_announced(struct relay *r, const struct relay_announce *a)
@@ -451,7 +456,10 @@
 	uint64_t now = relay_now(r);
 	int changed;
 
-	/* A server that was found by its health has now said who it is. */
+	/*
+	 * This server was found by a health request, which doesn't give its
+	 * start time.
+	 */
 	if (strcmp(a->id, s->id) == 0 && s->born_ms == 0 && s->sequence == 0)
 		s->born_ms = a->born_ms;
 	if (s->id[0] != '\0' &&
@@ -495,8 +503,8 @@
 }
 
 /*
- * The server beside this node says that it ends.  A goodbye of an earlier
- * incarnation is passed over; born_ms is 0 if it didn't say.
+ * Handles the goodbye of the server beside this node.  A goodbye of an
+ * earlier incarnation is ignored; born_ms is 0 if the server didn't send it.
  */
 void
 relay_left(struct relay *r, const char *id, uint64_t born_ms)
@@ -514,8 +522,8 @@
 }
 
 /*
- * Another node remembers that the server said that it ends, to this node before
- * it started again.
+ * Handles a report from another node that the server had announced its
+ * departure before this node restarted.
  */
 static void
 on_left_report(void *ctx, const struct fleet_left *l)
@@ -534,7 +542,8 @@
 }
 
 /*
- * Begins a graceful stop: callers are sent away, what is under way ends.
+ * Begins a graceful stop: each connection is closed after its next response,
+ * and requests in progress are completed.
  */
 void
 relay_stop(struct relay *r)
@@ -552,8 +561,9 @@
 }
 
 /*
- * Closes all that is open; requests under way are given up.  The loop must run
- * until it has let go of everything before relay_finish().
+ * Closes all ports, connections and timers, and drops requests in progress.
+ * The loop must run until all handles are closed before relay_finish() is
+ * called.
  */
 void
 relay_close(struct relay *r)
@@ -574,7 +584,7 @@
 }
 
 /*
- * Frees what a closed relay holds.
+ * Frees the memory of a closed relay.
  */
 void
 relay_finish(struct relay *r)
@@ -594,7 +604,7 @@
 }
 
 /*
- * Tells whether a request is still under way.
+ * Returns whether a request is still in progress.
  */
 int
 relay_busy(const struct relay *r)
@@ -604,8 +614,8 @@
 }
 
 /*
- * Takes the exit's field in an answer: the load of its server.  Returns 1 if
- * a call failed that the server made for the request, else 0.
+ * Reads the exit's header field of a response and stores the server's load.
+ * Returns 1 if a call that the server made for the request failed, else 0.
  */
 int
 relay_told(struct relay *r, int handle, char *text)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -21,23 +21,24 @@
 #include "throttle/throttle.h"
 
 /*
- * The path of requests on one event loop.  The entry takes requests from
- * callers beside this node and forwards them to the node of a backend server;
- * the exit stands before the server beside this node.
+ * Forwarding of requests on one event loop.  The entry accepts requests from
+ * callers beside this node and forwards them to the node of a backend server.
+ * The exit receives requests from other nodes and passes them to the server
+ * beside this node.
  */
 
-/* Header fields that callers and backend servers speak. */
+/* Names of the header fields exchanged with callers and backend servers. */
 struct relay_names {
-	const char *request_id;	 /* echoed in answers */
-	const char *deadline_ms; /* how much longer the caller waits */
-	const char *key;	 /* of a workspace */
-	const char *workspace;	 /* for the server, instead of the key */
-	const char *caller;	 /* service beside which a request began */
-	const char *expect;	 /* instance that the request is meant for */
-	const char *not_run;	 /* in a refusal by the server */
-	const char *signature;	 /* of an answer of the server */
-	const char *load;	 /* of the server: running, waiting, slots */
-	const char *instance;	 /* of the server, in its health answer */
+	const char *request_id;	 /* echoed in responses */
+	const char *deadline_ms; /* time that the caller still waits */
+	const char *key;	 /* API key of a workspace */
+	const char *workspace;	 /* sent to the server in place of the key */
+	const char *caller;	 /* service of the caller */
+	const char *expect;	 /* server instance the request is meant for */
+	const char *not_run;   /* marks a rejection: the request did not run */
+	const char *signature; /* in every successful response of a server */
+	const char *load;      /* server's running, waiting, slots */
+	const char *instance;  /* server's id in health responses */
 };
 
 struct relay_settings {
@@ -45,22 +46,28 @@
 	char node[FLEET_NAME_BYTES];
 	char zone[FLEET_NAME_BYTES];
 	char service[FLEET_NAME_BYTES]; /* of the server beside this node */
-	struct sockaddr_in entry;	/* for callers beside this node */
-	struct sockaddr_in exit;	/* for requests from other nodes */
-	struct in_addr advertised; /* address of the exit, told to others */
-	struct sockaddr_in server; /* the backend server */
-	struct sockaddr_in fleet;  /* for datagrams between nodes */
-	uint64_t fresh_ms;  /* keys are refused on an older configuration */
-	double quota_share; /* tolerance of limits, in part and constant */
+	struct sockaddr_in entry;  /* listens for callers beside this node */
+	struct sockaddr_in exit;   /* listens for requests from other nodes */
+	struct in_addr advertised; /* address of the exit in heartbeats */
+	struct sockaddr_in server; /* the backend server beside this node */
+	struct sockaddr_in fleet;  /* datagrams between nodes */
+	/* API keys are refused when the configuration is older than this */
+	uint64_t fresh_ms;
+	/* Excess allowed over a rate limit, as a share and as a constant. */
+	double quota_share;
 	double quota_constant;
-	double retry_ratio;    /* extra arrivals at a service to requests */
-	double retry_slack;    /* more of them, over the whole fleet */
-	uint64_t leave_ms;     /* callers still come so long after a stop */
-	uint64_t take_ms;      /* and root requests are taken so long */
-	uint64_t memory_bytes; /* that the process may use */
+	/* Allowed ratio of retries to requests at a service. */
+	double retry_ratio;
+	double retry_slack; /* additional retries, summed over the fleet */
+	/* After a stop, callers are still accepted this long. */
+	uint64_t leave_ms;
+	/* After a stop, root requests are still accepted this long. */
+	uint64_t take_ms;
+	uint64_t memory_bytes; /* memory that the process may use */
 	uint32_t descriptors;
-	char fleet_key[SEAL_KEY_BYTES]; /* that all nodes know; or empty */
-	char other_key[SEAL_KEY_BYTES]; /* taken, too, while it is changed */
+	char fleet_key[SEAL_KEY_BYTES]; /* shared by all nodes; empty: none */
+	/* Also accepted during key rotation; empty: none. */
+	char other_key[SEAL_KEY_BYTES];
 };
 
 /* An announcement by the backend server beside this node. */
@@ -99,75 +106,88 @@
 	RELAY_COUNTER_MAX
 };
 
-/* The backend server beside this node, as it announced itself. */
+/*
+ * State of the backend server beside this node, from its announcements and
+ * from the connections to it.
+ */
 struct relay_server {
-	char id[FLEET_NAME_BYTES]; /* empty: none */
+	char id[FLEET_NAME_BYTES]; /* empty: no server is known */
 	char service[FLEET_NAME_BYTES];
 	uint64_t born_ms;
 	uint64_t sequence;
 	uint32_t slots;
 	uint64_t cold_until_ms;
-	uint64_t down_until_ms; /* it took no connection lately */
+	/* The server refused a connection: no requests before this time. */
+	uint64_t down_until_ms;
 	uint32_t connect_failures;
 	int leaving;
 	int departed;
 };
 
-/* What this node knows of the way to another one, from its own requests. */
+/* What this node has learned about another node from its own requests to it. */
 struct relay_link {
 	struct h1_pool *pool;
 	uint32_t address;
 	uint16_t port;
 	uint32_t inflight;
-	uint32_t sent_since; /* the load below was told */
+	/* Requests sent since the load below was reported. */
+	uint32_t sent_since;
 	uint32_t running, waiting, slots;
 	uint64_t told_ms;
-	int calls[FLEET_CALLS_MAX]; /* services that its server calls */
+	int calls[FLEET_CALLS_MAX]; /* services that the node's server calls */
 	uint32_t call_count;
-	int demands[FLEET_DEMANDS_MAX]; /* services it is asked for */
+	/* Services that the node's callers request. */
+	int demands[FLEET_DEMANDS_MAX];
 	uint32_t demand_count;
 	float demands_per_s[FLEET_DEMANDS_MAX][THROTTLE_CLASSES];
 	struct choice_health health;
-	uint64_t avoid_ms;  /* not to be used until then */
-	uint32_t avoid_run; /* failures to connect, one after the other */
+	uint64_t avoid_ms;  /* the node is not chosen before this time */
+	uint32_t avoid_run; /* consecutive failures to connect */
 };
 
 #define RELAY_SUMS 7
-#define RELAY_RANKS 64 /* different pairs of priorities */
+#define RELAY_RANKS 64 /* maximum of distinct priority pairs */
 
 struct entry_req;
 struct exit_req;
 
-#define RELAY_BROKEN_MAX 64 /* broken exchanges with the server, remembered */
+/* Broken exchanges with the server that are remembered. */
+#define RELAY_BROKEN_MAX 64
 
-/* A request that was at work when its connection broke. */
+/* A request that was running on the server when its connection broke. */
 struct relay_broken_exchange {
 	struct quarantine_print fingerprint;
-	uint64_t broken_ms; /* 0: none */
+	uint64_t broken_ms; /* 0: unused slot */
 };
 
-/* What is left of the retries at one service. */
+/* The remaining retry budget of one service. */
 struct relay_budget {
 	char service[FLEET_NAME_BYTES];
 	struct budget budget;
 };
 
-/* A workspace's tokens at this node, and who waits for them. */
+/*
+ * Rate limit tokens of a workspace at this node, and the requests that wait
+ * for them.
+ */
 struct relay_limit {
 	uint64_t ws;
 	struct quota_stock stock;
-	struct entry_req *waiting; /* first come first */
+	struct entry_req *waiting; /* in order of arrival */
 	uint32_t waiting_count;
 };
 
-/* Takes a configuration that a node, given by its name, had; owns it then. */
+/*
+ * Receives a configuration, and the name of the node that sent it.  The
+ * callee owns the configuration.
+ */
 typedef void (*relay_config_fn)(void *, struct config *, const char *);
 
-/* A question to another node for its configuration. */
+/* A request to another node for its configuration. */
 struct relay_copy {
-	struct h1_xchg *xchg; /* NULL: none is under way */
-	int peer;	      /* handle */
-	int valid;	      /* so far */
+	struct h1_xchg *xchg; /* NULL: no request in progress */
+	int peer;	      /* handle of the node asked */
+	int valid;	      /* no error so far */
 	uint64_t requested_ms;
 	struct h1_text body;
 	relay_config_fn done;
@@ -177,17 +197,17 @@
 struct relay {
 	uv_loop_t *loop;
 	struct relay_settings set;
-	struct config *config; /* NULL until one is known */
-	uint64_t proved_ms; /* the configuration was the newest at this time */
-	uint64_t proof_query_id; /* of the question to a reader of the store */
-	uint64_t proof_query_ms; /* when it was sent */
+	struct config *config; /* NULL until one has been received */
+	/* Last time at which the configuration was known to be the newest. */
+	uint64_t proved_ms;
+	uint64_t proof_query_id; /* id of the last proof query */
+	uint64_t proof_query_ms; /* time of the last proof query */
 	struct relay_copy copy;
 	struct fleet_table fleet;
 	struct fleet_net net;
 	struct seal seal;
-	uint64_t stop_ms; /* when it was told to stop */
-	uint64_t
-	    rejected_logged; /* messages of none of the fleet, as last told */
+	uint64_t stop_ms;	  /* time at which the stop began */
+	uint64_t rejected_logged; /* rejected messages as last logged */
 	uint64_t incarnation;
 	uint64_t heartbeat_sequence;
 	struct h1_server entry;
@@ -195,41 +215,48 @@
 	struct h1_pool server_pool;
 	struct relay_server server;
 	uv_timer_t probe_timer;
-	uint32_t probes;	  /* of the server's health, since the start */
-	struct relay_link *links; /* by the peer's handle, after one for self */
+	uint32_t probes; /* health requests sent to the server */
+	/* Indexed by peer handle + 1; the first is this node itself. */
+	struct relay_link *links;
 	size_t link_count;
 	struct admission_core core;
 	struct quarantine_table *suspects;
-	uint64_t crash_id; /* the last one of the server */
+	uint64_t crash_id; /* id of the server's last crash */
 	struct relay_broken_exchange broken_exchanges[RELAY_BROKEN_MAX];
-	uint32_t broken_cursor; /* place of the next one */
-	uint32_t solo_running;	/* struck requests that run here */
+	uint32_t broken_cursor; /* index of the next entry to overwrite */
+	uint32_t solo_running;	/* running requests that have a crash report */
 	struct quota_owner owner;
 	struct relay_limit *limits;
 	size_t limit_count;
 	struct relay_budget *budgets;
 	size_t budget_count;
-	struct entry_req *entries; /* all open ones */
+	struct entry_req *entries; /* all open requests */
 	struct exit_req *exits;
 	uv_timer_t tick;
 	int ticking;
 	int stopping;
-	uint64_t held_bytes; /* of bodies, in all requests */
+	/* Memory used for buffered bodies of all requests. */
+	uint64_t held_bytes;
 	struct throttle throttle;
 	uv_timer_t throttle_timer;
-	double busy; /* decaying share of the slots in use or waited for */
-	double shed_per_s; /* decaying rate of arrivals that were refused */
-	uint64_t busy_ms;  /* of these two */
-	struct profile profile;	     /* of the server beside this node */
-	struct choice_health health; /* of that server */
-	struct demand demand;	     /* of the callers of this node */
-	uint32_t ranks[RELAY_RANKS]; /* of importance, as configured */
+	/*
+	 * Decaying average of running and queued requests, relative to the
+	 * slots.
+	 */
+	double busy;
+	double shed_per_s;	/* decaying average rate of refused arrivals */
+	uint64_t busy_ms;	/* last update of the two averages */
+	struct profile profile; /* of the server beside this node */
+	struct choice_health health; /* failure share of that server */
+	struct demand demand;	     /* requests of this node's callers */
+	/* Distinct priorities of the configuration. */
+	uint32_t ranks[RELAY_RANKS];
 	uint32_t rank_count;
 	uint64_t counters[RELAY_COUNTER_MAX];
-	uint64_t summed[RELAY_SUMS]; /* counters at the last line of sums */
-	uint64_t steps;		     /* of the throttle */
-	struct latency answered;     /* by the entry, of the server's answers */
-	struct latency ran;	     /* at the server beside this node */
+	uint64_t summed[RELAY_SUMS]; /* counters at the last summary line */
+	uint64_t steps;		     /* steps of the throttle */
+	struct latency answered;     /* response times measured at the entry */
+	struct latency ran; /* run times on the server beside this node */
 };
 
 int relay_init(struct relay *, uv_loop_t *, const struct relay_settings *);
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -5,29 +5,28 @@
 #include "relay/relay.h"
 
 #define RELAY_TRIED_MAX 6
-#define RELAY_ID_BYTES 160 /* of a request's id in log lines */
-#define RELAY_NO_LINK (-3)
-
+#define RELAY_ID_BYTES 160 /* length limit of a request id in log lines */
 /* Header fields between the entry and the exit. */
+#define RELAY_NO_LINK (-3)
 #define RELAY_HOP "Cyclamen-Hop"
 #define RELAY_EXIT "Cyclamen-Exit"
 #define RELAY_SEAL "Cyclamen-Seal"
-#define RELAY_HOP_BYTES 320 /* three names of 63 and numbers */
+#define RELAY_HOP_BYTES 320 /* three names of 63 bytes, and numbers */
 
-/* What the exit says of a request. */
+/* The exit's verdict on a request. */
 enum relay_verdict {
-	VERDICT_RAN,	 /* the server answered */
-	VERDICT_UNKNOWN, /* it may have run */
-	VERDICT_TURNED,	 /* the server refused it, not run */
-	VERDICT_BUSY,	 /* the exit refused it: overload */
-	VERDICT_AWAY,	 /* no such server here, or not any more */
-	VERDICT_SUSPECT, /* it killed servers */
+	VERDICT_RAN,	 /* the server responded */
+	VERDICT_UNKNOWN, /* the request may have run */
+	VERDICT_TURNED,	 /* the server rejected it; it did not run */
+	VERDICT_BUSY,	 /* the exit refused it because of overload */
+	VERDICT_AWAY,	 /* the server is absent, leaving or down */
+	VERDICT_SUSPECT, /* quarantined: servers crashed while running it */
 	VERDICT_MAX
 };
 
 extern const char *const relay_verdict_names[VERDICT_MAX];
 
-/* Why the entry ended a request without a server's answer. */
+/* Why the entry ended a request without a response from a server. */
 enum entry_end {
 	END_NO_CONFIG,
 	END_NO_ROUTE,
@@ -47,9 +46,9 @@
 };
 
 enum entry_state {
-	ENTRY_TOKEN,  /* waits for a token of its workspace's limit */
-	ENTRY_SENT,   /* an attempt is under way */
-	ENTRY_ANSWER, /* the server's answer goes to the caller */
+	ENTRY_TOKEN,  /* waits for a rate limit token of its workspace */
+	ENTRY_SENT,   /* an attempt is in progress */
+	ENTRY_ANSWER, /* the server's response is being passed to the caller */
 	ENTRY_DONE
 };
 
@@ -61,38 +60,42 @@
 	struct entry_req *next_waiting;
 	enum entry_state state;
 	char id[RELAY_ID_BYTES];
-	char service[FLEET_NAME_BYTES];	   /* that is to run it */
+	char service[FLEET_NAME_BYTES];	   /* service that runs the request */
 	char ws_name[CONFIG_NAME_MAX + 1]; /* empty: no workspace */
 	uint64_t ws;
 	struct quota_limit limit;
 	uint64_t began_ms;
-	uint64_t deadline_ms; /* of the caller */
-	uint64_t end_ms;      /* an answer goes out by then */
-	uint64_t target_ms; /* an answer within this time is in time; 0: any */
-	uint32_t class;	    /* of the root request */
-	uint32_t depth;	    /* 0: a root request */
-	uint64_t root_hash; /* the same for all calls of a root request */
-	int chained;	    /* a call whose run is known */
-	int call_failed;    /* one that the server made for this request */
-	uint32_t arrivals;  /* at servers */
+	uint64_t deadline_ms; /* deadline of the caller */
+	uint64_t end_ms;      /* a response is sent by this time */
+	/* Responses within this time are in time; 0: no target. */
+	uint64_t target_ms;
+	uint32_t class; /* class of the root request */
+	uint32_t depth; /* depth in the call chain; 0: a root request */
+	/* Same for a root request and all calls made for it. */
+	uint64_t root_hash;
+	int chained; /* a call made by a request that runs here */
+	/* A call that the server made for this request failed. */
+	int call_failed;
+	uint32_t arrivals; /* attempts that reached a server */
 	uint32_t arrivals_max;
-	uint32_t tries; /* of nodes */
+	uint32_t tries; /* nodes tried */
 	int idempotent;
 	int took_token;
 	int maybe_run;
 	int tried[RELAY_TRIED_MAX];
-	int link; /* of the attempt under way */
+	int link; /* handle of the node of the current attempt */
 	struct h1_xchg *xchg;
-	char *body; /* as read so far, for the present and later attempts */
+	/* As read so far; kept for the current and later attempts. */
+	char *body;
 	size_t body_len, body_cap;
-	uint64_t body_length; /* as told */
+	uint64_t body_length; /* length declared in the head */
 	int body_in;
-	int body_lost; /* too long to be kept for another attempt */
+	int body_lost; /* too long to be buffered for another attempt */
 	unsigned int status;
-	struct h1_text fields; /* of the answer */
-	struct h1_text answer; /* its body, until it is passed on */
+	struct h1_text fields; /* header fields of the response */
+	struct h1_text answer; /* response body, buffered until it is sent */
 	uint64_t answer_length;
-	int passing; /* the answer's head is out */
+	int passing; /* the response head has been sent */
 	enum relay_verdict verdict;
 };
 
@@ -102,32 +105,35 @@
 	struct h1_conn *conn;
 	struct exit_req *next, *prev;
 	struct admission_waiter waiter;
-	int waiting; /* for a slot */
+	int waiting; /* queued for a slot */
 	int running;
 	struct h1_xchg *xchg;
 	char id[RELAY_ID_BYTES];
-	const char *full_id; /* in the head of the request; NULL: none */
+	/* Untruncated id in the request head; NULL: none. */
+	const char *full_id;
 	size_t full_id_len;
-	uint32_t class; /* of the root request */
+	uint32_t class; /* class of the root request */
 	uint32_t depth;
 	uint64_t root_hash;
-	int call_failed; /* one that its run made */
+	/* A call that the server made for this request failed. */
+	int call_failed;
 	char caller[FLEET_NAME_BYTES];
 	char ws_name[CONFIG_NAME_MAX + 1];
-	uint64_t deadline_ms; /* on this node's clock */
+	uint64_t deadline_ms; /* in this node's time */
 	uint64_t sent_ms;
 	int idempotent;
-	struct h1_text body; /* that waits for a slot */
+	struct h1_text body; /* body buffered until a slot is free */
 	int body_complete;
 	uint64_t body_length;
 	int streaming;
 	unsigned int status;
 	uint64_t answer_length;
 	enum relay_verdict verdict;
-	struct h1_text fields; /* of the answer */
-	struct h1_text answer; /* its body, until it is passed on */
+	struct h1_text fields; /* header fields of the response */
+	struct h1_text answer; /* response body, buffered until it is sent */
 	struct quarantine_print fingerprint;
-	int solo; /* was struck before: runs alone */
+	/* Has a crash report: at most one such request runs at a time. */
+	int solo;
 };
 
 uint64_t relay_now(const struct relay *);
@@ -185,11 +191,13 @@
     void *, const struct fleet_doubt *, const struct sockaddr_in *);
 void relay_on_proof(void *, const struct fleet_proof *);
 
-/* copy.c */
+/* sealed.c */
 void sealed_parts(const struct relay *, struct h1_conn *, const char *,
     struct seal_request *);
 int sealed_verify(struct relay *, struct h1_conn *);
 void sealed_log_rejected(struct relay *);
+
+/* copy.c */
 int copy_is_request(const struct h1_conn *);
 void copy_send(struct relay *, struct h1_conn *);
 void copy_cancel(struct relay *);
--- a/src/relay/sealed.c
+++ b/src/relay/sealed.c
@@ -4,12 +4,12 @@
 #include "relay/relay_int.h"
 
 /*
- * Seals on what nodes ask of each other by HTTP: only who knows the fleet's
- * key may use the port for other nodes.
+ * Seals on HTTP requests between nodes.  Only nodes that have the fleet's key
+ * may use the port for other nodes.
  */
 
 /*
- * Names the parts of a forwarded request that its seal covers.
+ * Fills in the parts of a forwarded request that its seal covers.
  */
 void
 sealed_parts(const struct relay *r, struct h1_conn *conn, const char *hop,
@@ -27,8 +27,8 @@
 }
 
 /*
- * Tells whether a request on the port for other nodes bears a good seal, and
- * counts those that don't.
+ * Returns whether a request on the port for other nodes has a valid seal, and
+ * counts it if it doesn't.
  */
 int
 sealed_verify(struct relay *r, struct h1_conn *conn)
@@ -51,8 +51,9 @@
 }
 
 /*
- * Logs what came since the last time from who is no node of this fleet, or
- * from one with another key or version.
+ * Logs the counts of rejected messages if there were any since the last call.
+ * They came from outside the fleet, or from a node with another key or
+ * version.
  */
 void
 sealed_log_rejected(struct relay *r)
--- a/src/relay/suspect.c
+++ b/src/relay/suspect.c
@@ -6,7 +6,8 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define CRASH_WINDOW_MS 1500 /* between a broken exchange and a dead server */
+/* Longest time between a broken exchange and the detection of the crash. */
+#define CRASH_WINDOW_MS 1500
 
 static void record_report(
     struct relay *, const struct quarantine_print *, uint64_t, int);
@@ -14,8 +15,8 @@
     struct relay *, const struct quarantine_print *, uint64_t, int);
 
 /*
- * Begins to note which requests run well, so that a server's death makes none
- * of them suspect alone.
+ * Allocates the table of suspect requests.  It also records the requests that
+ * ran without a crash; a single crash doesn't make those suspect.
  */
 void
 suspect_init(struct relay *r)
@@ -26,8 +27,8 @@
 }
 
 /*
- * Computes what makes a request the same as another one: its method, target
- * and caller, and the length of its body.
+ * Computes the fingerprint of a request from its method, target, caller and
+ * body length.  Requests with the same fingerprint are treated as the same.
  */
 void
 suspect_fingerprint(struct exit_req *e)
@@ -51,7 +52,7 @@
 }
 
 /*
- * Returns what is known of a request.
+ * Returns the quarantine state of a request.
  */
 enum quarantine_state
 suspect_state(const struct exit_req *e)
@@ -62,7 +63,8 @@
 }
 
 /*
- * Notes that a request ran well, and tells the other nodes if that acquits it.
+ * Records that a request ran without a crash.  If that clears it of crash
+ * reports, this is sent to the other nodes.
  */
 void
 suspect_note_served(struct exit_req *e)
@@ -78,7 +80,7 @@
 }
 
 /*
- * Notes that a request was at work when its connection broke.
+ * Records that a request was running when its connection broke.
  */
 void
 suspect_note_broken(struct exit_req *e)
@@ -93,7 +95,7 @@
 }
 
 /*
- * Adds a strike, or an acquittal, to what is known of a request.
+ * Records a crash report on a request, or that it is cleared of one.
  */
 static void
 record_report(struct relay *r, const struct quarantine_print *p,
@@ -111,7 +113,8 @@
 }
 
 /*
- * Tells a strike or an acquittal to all other nodes.
+ * Sends a crash report, or that a request is cleared of it, to all other
+ * nodes.
  */
 static void
 broadcast_report(struct relay *r, const struct quarantine_print *p,
@@ -129,9 +132,10 @@
 }
 
 /*
- * The server takes no connection: what was at work on it is suspect, here and
- * at all other nodes.  It has died once for as long as it doesn't answer; what
- * was sent to see whether it is back makes no new death.
+ * Handles a server that refuses connections: the requests that were running
+ * on it become suspect, here and at all other nodes.  A server counts as
+ * crashed once until it responds again, so that requests sent to check on it
+ * don't count as a new crash.
  */
 void
 suspect_server_down(struct relay *r, int crashed)
@@ -153,7 +157,7 @@
 }
 
 /*
- * Takes another node's strike.
+ * Handles a crash report of another node.
  */
 void
 relay_on_crash_report(void *ctx, const struct fleet_strike *s)
--- a/src/relay/test_sealed.c
+++ b/src/relay/test_sealed.c
@@ -17,7 +17,7 @@
 #define HOP_TEXT "900 0 0 1 0 " SERVICE " web w"
 
 /*
- * Sets the keys of both nodes, each with the one that it takes, too.
+ * Sets the keys of both nodes; a2 and b2 are the additionally accepted keys.
  */
 static int
 setup_keys(
@@ -49,7 +49,7 @@
 }
 
 /*
- * Sends a request to node B's port for other nodes, as who isn't one could.
+ * Sends a request to node B's port for other nodes from outside the fleet.
  */
 static void
 send_unauthenticated(
@@ -74,8 +74,8 @@
 }
 
 /*
- * Without a key a forged request runs: that is what the key is for, and it
- * shows that the requests of the next test would run.
+ * Without a fleet key an unsealed request runs.  This shows that the requests
+ * of the next test are refused only because of their seals.
  */
 static void
 test_no_key_accepts_unsealed(void **state)
@@ -89,8 +89,8 @@
 }
 
 /*
- * With a key, a request that doesn't come from a node of the fleet doesn't
- * reach the server, and the configuration isn't given away.
+ * With a fleet key, a request without a valid seal doesn't reach the server,
+ * and doesn't get the configuration.
  */
 static void
 test_rejects_unsealed_requests(void **state)
@@ -123,7 +123,10 @@
 	assert_int_equal(servers[1].runs, 0);
 	assert_int_equal(nodes[1].counters[RELAY_EXIT_UNSEALED], 5);
 
-	/* The same with its own seal, as a node sends it, runs. */
+	/*
+	 * The same request with its own seal runs, and so does one through
+	 * node A.
+	 */
 	send_unauthenticated(&c, "/o/2", HOP_TEXT, moved);
 	assert_int_equal(c.status, 200);
 	ask(&c, "/o/1", KEY);
@@ -133,7 +136,7 @@
 }
 
 /*
- * A goodbye that no node of the fleet sent changes nothing.
+ * An unsealed goodbye is counted and otherwise ignored.
  */
 static void
 test_ignores_unsealed_goodbye(void **state)
@@ -170,8 +173,8 @@
 }
 
 /*
- * While a key is changed node by node, requests go on, and a node gets its
- * configuration from another.
+ * While the key is rotated node by node, requests still run, and a node can
+ * copy the configuration from another.
  */
 static void
 test_key_rotation(void **state)
--- a/src/relay/test_stopping.c
+++ b/src/relay/test_stopping.c
@@ -12,8 +12,7 @@
 #include "relay/relay_int.h"
 #include "relay/test_pair.h"
 
-#define RUNNING_ID \
-	"7fa3" /* id of the request that is at work during the stop */
+#define RUNNING_ID "7fa3" /* id of the request that runs during the stop */
 
 /*
  * Sends a request to node B and returns its status.
@@ -31,9 +30,10 @@
 }
 
 /*
- * A node that stops goes on taking requests, as callers still come; but near
- * its end it refuses those that might not end before, rather than to break
- * them off.  Calls of what is at work are taken to the last.
+ * A stopping node still accepts requests, as callers still send them.  Near
+ * its end it refuses root requests that might not finish in time, instead of
+ * breaking them off.  Calls made by a running request are accepted until the
+ * end.
  */
 static void
 test_stop_refuses_late_root_requests(void **state)
@@ -67,8 +67,9 @@
 }
 
 /*
- * A server said that it ends; then its node starts again, and a late
- * announcement says that it is sound.  The other node remembers.
+ * A server announces its departure, its node restarts, and a delayed
+ * announcement presents the server as healthy.  The other node still knows of
+ * the departure and reports it.
  */
 static void
 test_departure_outlives_node_restart(void **state)
@@ -89,7 +90,7 @@
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 503);
 	assert_int_equal(servers[1].runs, 0);
-	announce(1, 300, 1, 0); /* it started again */
+	announce(1, 300, 1, 0); /* the server has restarted */
 	while (nodes[0].fleet.peers[0].server.leaving)
 		uv_run(&loop, UV_RUN_ONCE);
 	ask(&c, "/o/1", KEY);
--- a/src/relay/test_suspect.c
+++ b/src/relay/test_suspect.c
@@ -13,7 +13,7 @@
 #include "relay/test_pair.h"
 
 /*
- * The server breaks off a request, and then nothing listens any more.
+ * The server breaks off a request and stops listening.
  */
 static void
 crash_server(const char *path)
@@ -31,8 +31,8 @@
 }
 
 /*
- * The server listens again.  It may say so, in its next incarnation; otherwise
- * its node tries again after a while.
+ * The server listens again.  Unless born is 0, it announces itself as a new
+ * incarnation; otherwise its node tries to connect again after a wait.
  */
 static void
 restart_server(uint64_t born)
@@ -50,8 +50,8 @@
 }
 
 /*
- * What is sent to see whether a dead server is back, and breaks, too, is no
- * second death: a request that was at work both times is not refused.
+ * A request that breaks when it is sent to check on a crashed server is not a
+ * second crash: a request that was running both times is not refused.
  */
 static void
 test_failed_reconnect_is_no_second_crash(void **state)
@@ -69,8 +69,8 @@
 }
 
 /*
- * A request that ran well before the deaths of two servers is not refused
- * after them; once it has run again, all nodes hold it for harmless.
+ * A request that had run before two crashes is not refused by its node after
+ * them.  Once it has run again, all nodes clear it.
  */
 static void
 test_harmless_request_is_cleared(void **state)
@@ -105,7 +105,7 @@
 }
 
 /*
- * One that never ran well is refused after two deaths.
+ * A request that never ran without a crash is refused after two crashes.
  */
 static void
 test_crashing_request_is_refused(void **state)
--- a/src/relay/test_suspend.c
+++ b/src/relay/test_suspend.c
@@ -17,7 +17,7 @@
 static time_t suspended_s;
 
 /*
- * The machine's clocks after it was suspended for a while.
+ * Returns the machine's clocks as if it had been suspended for suspended_s.
  */
 static int
 suspended_clock(clockid_t clock, struct timespec *ts)
@@ -30,9 +30,10 @@
 }
 
 /*
- * A suspended machine's loop doesn't count the time.  Still, a key that may
- * have been withdrawn meanwhile works for nobody, no limit is decided by who
- * may have lost it, and a moment after the proof is renewed all is as before.
+ * The loop's own time doesn't advance while the machine is suspended.  After
+ * it, a key that may have been revoked meanwhile is refused, and nodes that
+ * may have lost the ownership of a limit don't decide on it.  Once the proof
+ * is renewed, requests run again and no node stays isolated.
  */
 static void
 test_suspend_expires_keys_and_ownership(void **state)
