--- a/src/relay/budget.c
+++ b/src/relay/budget.c
@@ -3,13 +3,15 @@
 
 #include "relay/budget.h"
 
-#define EARN_SHARE 0.6	/* of the repeats allowed: what calls repeat counts */
-#define SLACK_SHARE 0.7 /* of the slack in repeats, for all nodes together */
-#define KEPT_SHARE 0.5	/* of what was earned lately: of about 0.7 s */
-#define HALF_MS 1000.0	/* after which what was counted counts half */
+#define CALL_RETRY_SHARE \
+	0.6 /* of the repeats allowed: what calls repeat counts */
+#define FLEET_SLACK_SHARE \
+	0.7		/* of the slack in repeats, for all nodes together */
+#define SAVED_SHARE 0.5 /* of what was earned lately: of about 0.7 s */
+#define HALF_LIFE_MS 1000.0 /* after which what was counted counts half */
 
 static void decay(struct budget *, uint64_t);
-static int is_chosen(const struct budget *, const struct budget_ask *);
+static int is_within_budget(const struct budget *, const struct budget_ask *);
 
 /*
  * Begins with one repeat.
@@ -27,15 +29,15 @@
 static void
 decay(struct budget *b, uint64_t now)
 {
-	double left = exp2(-(double)(now - b->at_ms) / HALF_MS);
+	double remaining = exp2(-(double)(now - b->at_ms) / HALF_LIFE_MS);
 	int i;
 
 	if (now == b->at_ms)
 		return;
 	b->at_ms = now;
-	b->earned *= left;
+	b->earned *= remaining;
 	for (i = 0; i < ADMISSION_CLASS_MAX; i++)
-		b->wanted[i] *= left;
+		b->wanted[i] *= remaining;
 }
 
 /*
@@ -46,8 +48,8 @@
 budget_earn(struct budget *b, double ratio, uint64_t now)
 {
 	decay(b, now);
-	b->tokens += ratio * EARN_SHARE;
-	b->earned += ratio * EARN_SHARE;
+	b->tokens += ratio * CALL_RETRY_SHARE;
+	b->earned += ratio * CALL_RETRY_SHARE;
 }
 
 /*
@@ -57,15 +59,15 @@
  * several repeats is of no use with some of them.
  */
 static int
-is_chosen(const struct budget *b, const struct budget_ask *ask)
+is_within_budget(const struct budget *b, const struct budget_ask *ask)
 {
-	double left = b->earned + 1; /* and what was saved up */
+	double available = b->earned + 1; /* and what was saved up */
 	uint32_t c;
 
 	for (c = 0; c < ask->class; c++)
-		left -= b->wanted[c];
+		available -= b->wanted[c];
 	return ldexp((double)ask->root_hash, -64) * b->wanted[ask->class] <=
-	       left;
+	       available;
 }
 
 /*
@@ -76,13 +78,14 @@
 int
 budget_spend(struct budget *b, const struct budget_ask *ask)
 {
-	double most = fmax(1, ask->slack * SLACK_SHARE / ask->nodes);
+	double tokens_max =
+	    fmax(1, ask->slack * FLEET_SLACK_SHARE / ask->nodes);
 
 	decay(b, ask->now_ms);
-	most += b->earned * KEPT_SHARE;
+	tokens_max += b->earned * SAVED_SHARE;
 	b->wanted[ask->class]++;
-	b->tokens = fmin(b->tokens, most);
-	if (b->tokens < 1 || !is_chosen(b, ask))
+	b->tokens = fmin(b->tokens, tokens_max);
+	if (b->tokens < 1 || !is_within_budget(b, ask))
 		return 0;
 	b->tokens--;
 	return 1;
--- a/src/relay/choice.c
+++ b/src/relay/choice.c
@@ -4,14 +4,14 @@
 
 #include "relay/choice.h"
 
-#define FAR_COST 0.3	 /* another zone: worth that much of the slots */
-#define COLD_COST 0.6	 /* a server that started just now */
-#define AVOID_COST 100.0 /* only where nothing else takes requests */
-#define FAIL_COST 3.0	 /* of a server that fails every attempt */
-#define JITTER 0.04	 /* so that entries don't all take the same one */
-#define FAIL_WEIGHT 0.1	 /* of a failed attempt in the share */
-#define GOOD_WEIGHT 0.02 /* of one that went well */
-#define FORGET_MS 2000.0 /* a server that gets nothing is tried again */
+#define OTHER_ZONE_COST 0.3    /* another zone: worth that much of the slots */
+#define COLD_COST 0.6	       /* a server that started just now */
+#define UNREACHABLE_COST 100.0 /* only where nothing else takes requests */
+#define FAILURE_COST 3.0       /* of a server that fails every attempt */
+#define JITTER_COST 0.04       /* so that entries don't all take the same one */
+#define FAILURE_WEIGHT 0.1     /* of a failed attempt in the share */
+#define SUCCESS_WEIGHT 0.02    /* of one that went well */
+#define HALF_LIFE_MS 2000.0    /* a server that gets nothing is tried again */
 
 /*
  * Returns the share of attempts that fail at a server.  What was seen counts
@@ -20,7 +20,7 @@
 double
 choice_failing(const struct choice_health *h, uint64_t now)
 {
-	return h->failing * exp2(-(double)(now - h->at_ms) / FORGET_MS);
+	return h->failing * exp2(-(double)(now - h->at_ms) / HALF_LIFE_MS);
 }
 
 /*
@@ -29,7 +29,7 @@
 void
 choice_note(struct choice_health *h, int failed, uint64_t now)
 {
-	double weight = failed ? FAIL_WEIGHT : GOOD_WEIGHT;
+	double weight = failed ? FAILURE_WEIGHT : SUCCESS_WEIGHT;
 
 	h->failing = choice_failing(h, now) * (1 - weight);
 	if (failed)
@@ -44,15 +44,15 @@
 double
 choice_cost(const struct choice *c, double noise)
 {
-	double cost = c->load + noise * JITTER;
+	double cost = c->load + noise * JITTER_COST;
 
-	cost += FAIL_COST * c->failing;
+	cost += FAILURE_COST * c->failing;
 	if (!c->near)
-		cost += FAR_COST;
+		cost += OTHER_ZONE_COST;
 	if (c->cold)
 		cost += COLD_COST;
 	if (c->avoid)
-		cost += AVOID_COST;
+		cost += UNREACHABLE_COST;
 	return cost;
 }
 
@@ -60,16 +60,16 @@
  * Returns the index of the cheapest server, or -1 if there is none.
  */
 int
-choice_best(const struct choice *list, size_t n, uint64_t rnd)
+choice_best(const struct choice *list, size_t n, uint64_t seed)
 {
-	unsigned short draw[3] = { (unsigned short)rnd,
-		(unsigned short)(rnd >> 16), (unsigned short)(rnd >> 32) };
+	unsigned short rand_state[3] = { (unsigned short)seed,
+		(unsigned short)(seed >> 16), (unsigned short)(seed >> 32) };
 	double cost, best_cost = 0;
 	int best = -1;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		cost = choice_cost(&list[i], erand48(draw));
+		cost = choice_cost(&list[i], erand48(rand_state));
 		if (best != -1 && cost >= best_cost)
 			continue;
 		best = (int)i;
--- a/src/relay/comeback.c
+++ b/src/relay/comeback.c
@@ -1,18 +1,18 @@
 #include "relay/comeback.h"
 
-#define OF_TARGET 0.5 /* leaves as much for the answer to be in time */
+#define TARGET_SHARE 0.5 /* leaves as much for the answer to be in time */
 
 /*
  * Times are drawn from a range, so that callers refused together don't return
  * together (thundering herd).
  */
-struct range {
+struct delay_range {
 	uint64_t min_ms;
 	uint64_t spread_ms;
 };
 
 /* A slot is free within a run or so, an overload lasts for seconds. */
-static const struct range ranges[COMEBACK_MAX] = {
+static const struct delay_range delay_ranges[COMEBACK_MAX] = {
 	[COMEBACK_FULL] = { 150, 350 },
 	[COMEBACK_THROTTLED] = { 600, 1000 },
 	[COMEBACK_OVER_RATE] = { 300, 700 },
@@ -28,15 +28,16 @@
  * whole range shrinks until all who come back can still be in time.
  */
 uint64_t
-comeback_ms(enum comeback why, uint64_t target_ms, uint64_t rnd)
+comeback_ms(enum comeback reason, uint64_t target_ms, uint64_t rnd)
 {
-	const struct range *r = &ranges[why];
-	uint64_t ms = r->min_ms + (r->spread_ms > 0 ? rnd % r->spread_ms : 0);
-	double most = OF_TARGET * (double)target_ms;
-	double longest = (double)(r->min_ms + r->spread_ms);
+	const struct delay_range *r = &delay_ranges[reason];
+	uint64_t delay_ms =
+	    r->min_ms + (r->spread_ms > 0 ? rnd % r->spread_ms : 0);
+	double limit_ms = TARGET_SHARE * (double)target_ms;
+	double longest_ms = (double)(r->min_ms + r->spread_ms);
 
-	if (target_ms == 0 || longest <= most)
-		return ms;
-	ms = (uint64_t)((double)ms * most / longest);
-	return ms > 0 ? ms : 1;
+	if (target_ms == 0 || longest_ms <= limit_ms)
+		return delay_ms;
+	delay_ms = (uint64_t)((double)delay_ms * limit_ms / longest_ms);
+	return delay_ms > 0 ? delay_ms : 1;
 }
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -7,36 +7,38 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define BODY_KEPT 393216    /* bytes of a body kept for another attempt */
-#define HELD_SHARE 4	    /* of the memory, that bodies may take */
-#define TIMEOUT_GRACE_MS 30 /* for the server's own answer at its deadline */
-#define SPLIT_BITS 32
-
-static int is_too_late(const struct relay *);
-static void on_head(void *, struct h1_conn *);
-static void on_body(void *, struct h1_conn *, const char *, size_t);
-static void on_end(void *, struct h1_conn *);
-static void on_gone(void *, struct h1_conn *);
-static void on_drained(void *, struct h1_conn *);
+#define BODY_RETAINED_MAX_BYTES \
+	393216		      /* bytes of a body kept for another attempt */
+#define BODY_MEMORY_DIVISOR 4 /* of the memory, that bodies may take */
+#define TIMEOUT_GRACE_MS 30   /* for the server's own answer at its deadline */
+#define RANDOM_BITS 32
+
+static int is_past_stop_limit(const struct relay *);
+static void on_request_headers(void *, struct h1_conn *);
+static void on_request_body(void *, struct h1_conn *, const char *, size_t);
+static void on_request_end(void *, struct h1_conn *);
+static void on_caller_disconnect(void *, struct h1_conn *);
+static void on_caller_drained(void *, struct h1_conn *);
 static struct entry_req *entry_new(struct relay *, struct h1_conn *);
-static const struct config_route *entry_route(
+static const struct config_route *find_route(
     struct relay *, const struct h1_head *);
-static enum entry_end entry_workspace(
+static enum entry_end resolve_workspace(
     struct entry_req *, const struct config_route *, const struct h1_head *);
-static void entry_split(struct entry_req *, const struct config_route *);
-static void entry_call(struct entry_req *, const struct h1_head *);
+static void choose_split_service(
+    struct entry_req *, const struct config_route *);
+static void attach_to_parent(struct entry_req *, const struct h1_head *);
 
-const struct h1_server_ops entry_ops = { on_head, on_body, on_end, on_gone,
-	on_drained };
+const struct h1_server_ops entry_ops = { on_request_headers, on_request_body,
+	on_request_end, on_caller_disconnect, on_caller_drained };
 
 /* How a request without a server's answer ends. */
-struct end_desc {
+struct failure_desc {
 	unsigned int status;
 	enum relay_counter counter;
 	const char *reason;
 };
 
-static const struct end_desc ends[END_MAX] = {
+static const struct failure_desc failure_descs[END_MAX] = {
 	[END_NO_CONFIG] = { 503, RELAY_REFUSED, "no-configuration" },
 	[END_NO_ROUTE] = { 404, RELAY_NO_ROUTE, "no-route" },
 	[END_NO_KEY] = { 401, RELAY_NO_KEY, "no-key" },
@@ -110,26 +112,26 @@
 entry_call_ended(struct entry_req *e, int refused, int failed)
 {
 	struct relay *r = e->relay;
-	struct exit_req *run = NULL;
+	struct exit_req *parent = NULL;
 	const char *id;
 	size_t len;
 
 	profile_call_ended(&r->profile, refused);
 	id = h1_head_get(h1_conn_head(e->conn), r->set.names.request_id, &len);
 	if (failed && id != NULL)
-		run = exit_parent(r, id, len);
-	if (run != NULL)
-		run->call_failed = 1;
+		parent = exit_parent(r, id, len);
+	if (parent != NULL)
+		parent->call_failed = 1;
 }
 
 /*
  * Tells whether a request ends since no node had a server or a slot for it.
  */
 static int
-found_no_room(const struct entry_req *e, enum entry_end how)
+is_capacity_failure(const struct entry_req *e, enum entry_end cause)
 {
-	return how == END_NO_SERVER ||
-	       (how == END_OVERLOAD &&
+	return cause == END_NO_SERVER ||
+	       (cause == END_OVERLOAD &&
 		   (e->verdict == VERDICT_BUSY || e->verdict == VERDICT_AWAY));
 }
 
@@ -138,9 +140,9 @@
  * caller is told when to come back (ms; 0: not told).
  */
 void
-entry_end(struct entry_req *e, enum entry_end how, uint64_t again_ms)
+entry_end(struct entry_req *e, enum entry_end cause, uint64_t retry_after_ms)
 {
-	const struct end_desc *d = &ends[how];
+	const struct failure_desc *d = &failure_descs[cause];
 	struct relay *r = e->relay;
 	struct h1_conn *conn = e->conn;
 	struct h1_text fields;
@@ -154,8 +156,8 @@
 	if (!e->maybe_run)
 		entry_token_back(e);
 	if (e->depth > 0)
-		entry_call_ended(e, found_no_room(e, how), 1);
-	else if (how == END_OVER_RATE)
+		entry_call_ended(e, is_capacity_failure(e, cause), 1);
+	else if (cause == END_OVER_RATE)
 		load_over_rate(r, e->service, e->class);
 	r->counters[d->counter]++;
 	event_log(status == 502 || status == 504 ? EVENT_FAILED : EVENT_REFUSED,
@@ -166,7 +168,7 @@
 	    e->id, e->service, status, d->reason,
 	    (unsigned long long)(relay_now(r) - e->began_ms), e->tries,
 	    e->arrivals, e->class, e->ws_name[0] != '\0' ? e->ws_name : "-",
-	    (unsigned long long)again_ms,
+	    (unsigned long long)retry_after_ms,
 	    (unsigned long long)(r->config != NULL ? r->config->version : 0));
 	if (e->passing) {
 		entry_finish(e);
@@ -181,9 +183,9 @@
 		h1_text_add(&fields, id, id_len);
 		h1_text_add(&fields, "\r\n", 2);
 	}
-	if (again_ms > 0 && (status == 503 || status == 429))
-		h1_text_addf(
-		    &fields, "Retry-After: %.3f\r\n", (double)again_ms / 1000);
+	if (retry_after_ms > 0 && (status == 503 || status == 429))
+		h1_text_addf(&fields, "Retry-After: %.3f\r\n",
+		    (double)retry_after_ms / 1000);
 	entry_finish(e);
 	h1_conn_set_user(conn, NULL);
 	h1_answer(conn, status, &fields, NULL, 0);
@@ -194,11 +196,11 @@
  * Finds the route of a request.
  */
 static const struct config_route *
-entry_route(struct relay *r, const struct h1_head *h)
+find_route(struct relay *r, const struct h1_head *h)
 {
 	char host[CONFIG_HOST_MAX + 1], path[1024];
 	size_t i, n = h->target_len;
-	int at;
+	int route_index;
 
 	if (h1_head_copy(h, "Host", host, sizeof(host)) < 1)
 		return NULL;
@@ -209,8 +211,8 @@
 		n = sizeof(path) - 1;
 	memcpy(path, h->buf + h->target, n);
 	path[n] = '\0';
-	at = config_route_match(r->config, host, path);
-	return at < 0 ? NULL : &r->config->routes[at];
+	route_index = config_route_match(r->config, host, path);
+	return route_index < 0 ? NULL : &r->config->routes[route_index];
 }
 
 /*
@@ -218,7 +220,7 @@
  * is well.
  */
 static enum entry_end
-entry_workspace(struct entry_req *e, const struct config_route *route,
+resolve_workspace(struct entry_req *e, const struct config_route *route,
     const struct h1_head *h)
 {
 	struct relay *r = e->relay;
@@ -249,22 +251,22 @@
  * Chooses the service of a route that is split, by weight.
  */
 static void
-entry_split(struct entry_req *e, const struct config_route *route)
+choose_split_service(struct entry_req *e, const struct config_route *route)
 {
-	uint64_t sum = 0, at;
+	uint64_t weight_sum = 0, draw;
 	uint32_t i;
 
 	for (i = 0; i < route->part_count; i++)
-		sum += route->parts[i].weight;
-	if (sum == 0) {
+		weight_sum += route->parts[i].weight;
+	if (weight_sum == 0) {
 		snprintf(e->service, sizeof(e->service), "%s", route->service);
 		return;
 	}
-	at = (relay_random() >> SPLIT_BITS) * sum >> SPLIT_BITS;
+	draw = (relay_random() >> RANDOM_BITS) * weight_sum >> RANDOM_BITS;
 	for (i = 0; i + 1 < route->part_count; i++) {
-		if (at < route->parts[i].weight)
+		if (draw < route->parts[i].weight)
 			break;
-		at -= route->parts[i].weight;
+		draw -= route->parts[i].weight;
 	}
 	snprintf(e->service, sizeof(e->service), "%s", route->parts[i].service);
 }
@@ -275,21 +277,21 @@
  * calls go first, as work was done for them already.
  */
 static void
-entry_call(struct entry_req *e, const struct h1_head *h)
+attach_to_parent(struct entry_req *e, const struct h1_head *h)
 {
 	struct relay *r = e->relay;
-	const struct exit_req *run = NULL;
+	const struct exit_req *parent = NULL;
 	const char *id;
 	size_t len;
 
 	id = h1_head_get(h, r->set.names.request_id, &len);
 	if (id != NULL)
-		run = exit_parent(r, id, len);
-	e->chained = run != NULL;
-	e->depth = run != NULL ? run->depth + 1 : 1;
-	e->class = run != NULL ? run->class : ADMISSION_CRITICAL;
-	if (run != NULL)
-		e->root_hash = run->root_hash;
+		parent = exit_parent(r, id, len);
+	e->chained = parent != NULL;
+	e->depth = parent != NULL ? parent->depth + 1 : 1;
+	e->class = parent != NULL ? parent->class : ADMISSION_CRITICAL;
+	if (parent != NULL)
+		e->root_hash = parent->root_hash;
 }
 
 /*
@@ -297,7 +299,7 @@
  * runs that are at work are part of what still has to end.
  */
 static int
-is_too_late(const struct relay *r)
+is_past_stop_limit(const struct relay *r)
 {
 	return r->stopping && relay_now(r) - r->stop_ms > r->set.take_ms;
 }
@@ -306,14 +308,14 @@
  * Decides on a request whose head is in.
  */
 static void
-on_head(void *ctx, struct h1_conn *conn)
+on_request_headers(void *ctx, struct h1_conn *conn)
 {
 	struct relay *r = ctx;
 	const struct h1_head *h = h1_conn_head(conn);
 	const struct config_route *route;
 	struct entry_req *e = entry_new(r, conn);
-	enum entry_end bad;
-	uint64_t left;
+	enum entry_end cause;
+	uint64_t remaining_ms;
 
 	relay_id(r, h, e->id);
 	if (r->config == NULL) {
@@ -321,27 +323,27 @@
 		    relay_comeback(COMEBACK_NO_CONFIG, e->target_ms));
 		return;
 	}
-	route = entry_route(r, h);
+	route = find_route(r, h);
 	if (route == NULL) {
 		entry_end(e, END_NO_ROUTE, 0);
 		return;
 	}
 	e->target_ms = route->target_ms;
 	e->class = load_class(r, 0, route->priority);
-	bad = entry_workspace(e, route, h);
-	if (bad != END_MAX) {
+	cause = resolve_workspace(e, route, h);
+	if (cause != END_MAX) {
 		entry_end(
-		    e, bad, relay_comeback(COMEBACK_REFUSED, e->target_ms));
+		    e, cause, relay_comeback(COMEBACK_REFUSED, e->target_ms));
 		return;
 	}
 	e->root_hash = relay_random();
 	if (route->open)
-		entry_call(e, h);
+		attach_to_parent(e, h);
 	r->counters[e->depth > 0 ? RELAY_CALLS : RELAY_REQUESTS]++;
-	entry_split(e, route);
+	choose_split_service(e, route);
 	if (e->depth > 0) {
 		profile_called(&r->profile, e->service, e->chained);
-	} else if (is_too_late(r)) {
+	} else if (is_past_stop_limit(r)) {
 		entry_end(e, END_LEAVING,
 		    relay_comeback(COMEBACK_FULL, e->target_ms));
 		return;
@@ -352,11 +354,12 @@
 	}
 	e->idempotent = route->idempotent;
 	e->arrivals_max = route->retries + 1;
-	left = h1_head_number(h, r->set.names.deadline_ms, route->deadline_ms);
-	e->deadline_ms = e->began_ms + left;
-	if (left > route->deadline_ms)
-		left = route->deadline_ms;
-	e->end_ms = e->began_ms + left;
+	remaining_ms =
+	    h1_head_number(h, r->set.names.deadline_ms, route->deadline_ms);
+	e->deadline_ms = e->began_ms + remaining_ms;
+	if (remaining_ms > route->deadline_ms)
+		remaining_ms = route->deadline_ms;
+	e->end_ms = e->began_ms + remaining_ms;
 	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
 	budget_earn(
 	    relay_budget(r, e->service), r->set.retry_ratio, relay_now(r));
@@ -368,7 +371,7 @@
  * Keeps a piece of the body and passes it on.
  */
 static void
-on_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
+on_request_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
 {
 	struct relay *r = ctx;
 	struct entry_req *e = h1_conn_user(conn);
@@ -380,8 +383,8 @@
 		entry_forward_body(e, p, n);
 	if (e->body_lost)
 		return;
-	if (e->body_len + n > BODY_KEPT ||
-	    r->held_bytes + n > r->set.memory_bytes / HELD_SHARE) {
+	if (e->body_len + n > BODY_RETAINED_MAX_BYTES ||
+	    r->held_bytes + n > r->set.memory_bytes / BODY_MEMORY_DIVISOR) {
 		/* Too much to keep: this attempt is the only one. */
 		if (e->xchg != NULL) {
 			e->body_lost = 1;
@@ -411,7 +414,7 @@
  * The request is read to its end.
  */
 static void
-on_end(void *ctx, struct h1_conn *conn)
+on_request_end(void *ctx, struct h1_conn *conn)
 {
 	struct entry_req *e = h1_conn_user(conn);
 
@@ -427,7 +430,7 @@
  * The caller has left: nobody wants the answer.
  */
 static void
-on_gone(void *ctx, struct h1_conn *conn)
+on_caller_disconnect(void *ctx, struct h1_conn *conn)
 {
 	struct relay *r = ctx;
 	struct entry_req *e = h1_conn_user(conn);
@@ -447,7 +450,7 @@
  * The caller has read: the answer may go on.
  */
 static void
-on_drained(void *ctx, struct h1_conn *conn)
+on_caller_drained(void *ctx, struct h1_conn *conn)
 {
 	struct entry_req *e = h1_conn_user(conn);
 
--- a/src/relay/entry_limit.c
+++ b/src/relay/entry_limit.c
@@ -6,24 +6,24 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define ASK_MS 60  /* for the owner's answer to a question */
-#define ASKS_MAX 2 /* after that the reserve is used */
+#define REPLY_TIMEOUT_MS 60 /* for the owner's answer to a question */
+#define REQUESTS_MAX 2	    /* after that the reserve is used */
 #define US_PER_MS 1000
 
-static struct relay_limit *limit_of(struct relay *, uint64_t);
-static void ask(struct relay *, struct relay_limit *);
-static void received(
+static struct relay_limit *get_limit(struct relay *, uint64_t);
+static void request_tokens(struct relay *, struct relay_limit *);
+static void apply_grant(
     struct relay *, struct relay_limit *, const struct quota_grant *);
-static void without_owner(struct relay *, struct relay_limit *);
-static struct entry_req *take_waiting(struct relay_limit *);
-static struct quota_grant lend(
+static void use_reserve(struct relay *, struct relay_limit *);
+static struct entry_req *dequeue_request(struct relay_limit *);
+static struct quota_grant grant_tokens(
     struct relay *, uint64_t, uint64_t, uint32_t, uint32_t);
 
 /*
  * Finds what this node holds of a workspace's tokens.
  */
 static struct relay_limit *
-limit_of(struct relay *r, uint64_t ws)
+get_limit(struct relay *r, uint64_t ws)
 {
 	struct relay_limit *l;
 	size_t i;
@@ -50,11 +50,11 @@
 {
 	struct relay *r = e->relay;
 	struct relay_limit *l;
-	struct entry_req **at;
+	struct entry_req **link;
 
 	if (e->ws_name[0] == '\0' || e->limit.rate <= 0)
 		return 0;
-	l = limit_of(r, e->ws);
+	l = get_limit(r, e->ws);
 	switch (quota_take(&l->stock, relay_now(r))) {
 	case QUOTA_TAKEN:
 		e->took_token = 1;
@@ -68,13 +68,13 @@
 		break;
 	}
 	e->state = ENTRY_TOKEN;
-	for (at = &l->waiting; *at != NULL; at = &(*at)->next_waiting)
+	for (link = &l->waiting; *link != NULL; link = &(*link)->next_waiting)
 		;
-	*at = e;
+	*link = e;
 	e->next_waiting = NULL;
 	l->waiting_count++;
 	if (l->stock.ask_id == 0)
-		ask(r, l);
+		request_tokens(r, l);
 	return 1;
 }
 
@@ -85,15 +85,15 @@
 entry_limit_leave(struct entry_req *e)
 {
 	struct relay_limit *l;
-	struct entry_req **at;
+	struct entry_req **link;
 
 	if (e->state != ENTRY_TOKEN)
 		return;
-	l = limit_of(e->relay, e->ws);
-	for (at = &l->waiting; *at != NULL; at = &(*at)->next_waiting) {
-		if (*at != e)
+	l = get_limit(e->relay, e->ws);
+	for (link = &l->waiting; *link != NULL; link = &(*link)->next_waiting) {
+		if (*link != e)
 			continue;
-		*at = e->next_waiting;
+		*link = e->next_waiting;
 		l->waiting_count--;
 		break;
 	}
@@ -109,14 +109,14 @@
 	if (!e->took_token)
 		return;
 	e->took_token = 0;
-	quota_return(&limit_of(e->relay, e->ws)->stock, relay_now(e->relay));
+	quota_return(&get_limit(e->relay, e->ws)->stock, relay_now(e->relay));
 }
 
 /*
  * Takes the first request from those that wait.
  */
 static struct entry_req *
-take_waiting(struct relay_limit *l)
+dequeue_request(struct relay_limit *l)
 {
 	struct entry_req *e = l->waiting;
 
@@ -132,7 +132,8 @@
  * Lends tokens of a limit that this node owns.
  */
 static struct quota_grant
-lend(struct relay *r, uint64_t ws, uint64_t id, uint32_t need, uint32_t want)
+grant_tokens(
+    struct relay *r, uint64_t ws, uint64_t id, uint32_t need, uint32_t want)
 {
 	struct quota_grant g = { 0, 0, 0, 0 };
 	uint64_t now = relay_now(r);
@@ -161,7 +162,7 @@
  * Asks the owner of a limit for tokens.
  */
 static void
-ask(struct relay *r, struct relay_limit *l)
+request_tokens(struct relay *r, struct relay_limit *l)
 {
 	struct quota_grant g;
 	struct fleet_msg m;
@@ -173,7 +174,7 @@
 	if (owner == FLEET_SELF && r->stopping)
 		owner = fleet_successor(&r->fleet, l->ws);
 	if (owner == FLEET_NONE) {
-		without_owner(r, l);
+		use_reserve(r, l);
 		return;
 	}
 	if (l->stock.ask_id == 0)
@@ -181,8 +182,8 @@
 	l->stock.asked_ms = relay_now(r);
 	l->stock.asks++;
 	if (owner == FLEET_SELF) {
-		g = lend(r, l->ws, l->stock.ask_id, need, want);
-		received(r, l, &g);
+		g = grant_tokens(r, l->ws, l->stock.ask_id, need, want);
+		apply_grant(r, l, &g);
 		return;
 	}
 	memset(&m, 0, sizeof(m));
@@ -200,34 +201,34 @@
  * no more.
  */
 static void
-received(struct relay *r, struct relay_limit *l, const struct quota_grant *g)
+apply_grant(struct relay *r, struct relay_limit *l, const struct quota_grant *g)
 {
 	struct entry_req *e;
 	uint64_t ws = l->ws;
 
 	quota_receive(&l->stock, g, relay_now(r));
 	if (!g->owner) {
-		without_owner(r, l);
+		use_reserve(r, l);
 		return;
 	}
 	while (l->waiting != NULL && l->stock.tokens > 0) {
 		l->stock.tokens--;
-		e = take_waiting(l);
+		e = dequeue_request(l);
 		e->took_token = 1;
 		entry_start(e);
-		l = limit_of(r, ws);
+		l = get_limit(r, ws);
 	}
 	if (l->waiting == NULL)
 		return;
 	if (g->tokens > 0) {
 		if (l->stock.ask_id == 0)
-			ask(r, l);
+			request_tokens(r, l);
 		return;
 	}
-	while ((e = take_waiting(l)) != NULL) {
+	while ((e = dequeue_request(l)) != NULL) {
 		entry_end(e, END_OVER_RATE,
 		    relay_comeback(COMEBACK_OVER_RATE, e->target_ms));
-		l = limit_of(r, ws);
+		l = get_limit(r, ws);
 	}
 }
 
@@ -235,14 +236,14 @@
  * Serves those that wait from the reserve.
  */
 static void
-without_owner(struct relay *r, struct relay_limit *l)
+use_reserve(struct relay *r, struct relay_limit *l)
 {
 	struct entry_req *e;
 	uint64_t ws = l->ws;
 
 	l->stock.ask_id = 0;
 	l->stock.asks = 0;
-	while ((e = take_waiting(l)) != NULL) {
+	while ((e = dequeue_request(l)) != NULL) {
 		if (quota_reserve(&l->stock, &e->limit, r->set.quota_share,
 			r->set.quota_constant, fleet_size(&r->fleet),
 			relay_now(r)))
@@ -250,7 +251,7 @@
 		else
 			entry_end(e, END_NO_OWNER,
 			    relay_comeback(COMEBACK_NO_OWNER, e->target_ms));
-		l = limit_of(r, ws);
+		l = get_limit(r, ws);
 	}
 }
 
@@ -266,12 +267,12 @@
 	for (i = 0; i < r->limit_count; i++) {
 		l = &r->limits[i];
 		if (l->stock.ask_id == 0 ||
-		    relay_now(r) - l->stock.asked_ms < ASK_MS)
+		    relay_now(r) - l->stock.asked_ms < REPLY_TIMEOUT_MS)
 			continue;
-		if (l->stock.asks < ASKS_MAX)
-			ask(r, l);
+		if (l->stock.asks < REQUESTS_MAX)
+			request_tokens(r, l);
 		else
-			without_owner(r, l);
+			use_reserve(r, l);
 	}
 }
 
@@ -334,7 +335,7 @@
 	struct quota_grant g;
 	struct fleet_msg m;
 
-	g = lend(r, a->workspace, a->id, a->need, a->want);
+	g = grant_tokens(r, a->workspace, a->id, a->need, a->want);
 	memset(&m, 0, sizeof(m));
 	m.kind = FLEET_GIVE;
 	m.fleet_msg_u.give.workspace = a->workspace;
@@ -352,9 +353,9 @@
 relay_on_give(void *ctx, const struct fleet_give *a)
 {
 	struct relay *r = ctx;
-	struct relay_limit *l = limit_of(r, a->workspace);
+	struct relay_limit *l = get_limit(r, a->workspace);
 	struct quota_grant g = { a->tokens, a->wait_ms, (int)a->owner, 0 };
 
 	if (l->stock.ask_id == a->id)
-		received(r, l, &g);
+		apply_grant(r, l, &g);
 }
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -6,28 +6,29 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define ANSWER_KEPT 65536 /* bytes of an answer kept until it is whole */
-#define CHOICES_MAX 128
-#define AVOID_MS 300 /* a node that took no connection */
+#define ANSWER_BUFFER_BYTES \
+	65536 /* bytes of an answer kept until it is whole */
+#define CANDIDATES_MAX 128
+#define AVOID_MIN_MS 300 /* a node that took no connection */
 #define AVOID_MAX_MS 3000
-#define TRIES_MAX 4    /* nodes asked for one request */
-#define LEFT_MIN_MS 20 /* less time isn't worth another attempt */
-#define IDLE_ANY UINT64_MAX
-#define IDLE_UNSAFE_MS 4000 /* an older connection may break */
-
-static int on_head(void *, struct h1_xchg *);
-static void on_body(void *, struct h1_xchg *, const char *, size_t);
-static void on_end(void *, struct h1_xchg *);
-static void on_fail(void *, struct h1_xchg *, enum h1_fail);
-static void on_drained(void *, struct h1_xchg *);
-static void attempt_over(struct entry_req *, int);
-static void again(struct entry_req *);
-static int may_repeat(struct entry_req *);
-static void pass_head(struct entry_req *);
-static void compose(struct entry_req *, struct h1_text *);
-
-static const struct h1_client_ops attempt_ops = { on_head, on_body, on_end,
-	on_fail, on_drained };
+#define ATTEMPTS_MAX 4	     /* nodes asked for one request */
+#define RETRY_TIME_MIN_MS 20 /* less time isn't worth another attempt */
+#define IDLE_UNLIMITED_MS UINT64_MAX
+#define IDLE_NON_IDEMPOTENT_MS 4000 /* an older connection may break */
+
+static int on_response_headers(void *, struct h1_xchg *);
+static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
+static void on_response_end(void *, struct h1_xchg *);
+static void on_attempt_fail(void *, struct h1_xchg *, enum h1_fail);
+static void on_node_drained(void *, struct h1_xchg *);
+static void record_attempt(struct entry_req *, int);
+static void retry(struct entry_req *);
+static int acquire_retry(struct entry_req *);
+static void start_streaming(struct entry_req *);
+static void compose_request(struct entry_req *, struct h1_text *);
+
+static const struct h1_client_ops attempt_ops = { on_response_headers,
+	on_response_body, on_response_end, on_attempt_fail, on_node_drained };
 
 /*
  * Chooses a node for the next attempt.  Returns its handle, or RELAY_NO_LINK.
@@ -35,17 +36,17 @@
 int
 entry_pick(struct entry_req *e)
 {
-	struct choice list[CHOICES_MAX];
+	struct choice list[CANDIDATES_MAX];
 	struct relay *r = e->relay;
 	const struct fleet_peer *p;
 	struct relay_link *l;
 	struct choice *c;
 	uint64_t now = relay_now(r);
-	uint32_t slots, i, busy;
+	uint32_t slots, i, outstanding;
 	size_t n = 0;
 	int h, best, count = (int)r->fleet.count;
 
-	for (h = FLEET_SELF; h < count && n < CHOICES_MAX; h++) {
+	for (h = FLEET_SELF; h < count && n < CANDIDATES_MAX; h++) {
 		for (i = 0; i < e->tries && i < RELAY_TRIED_MAX; i++)
 			if (e->tried[i] == h)
 				break;
@@ -60,7 +61,7 @@
 			    strcmp(r->server.service, e->service) != 0)
 				continue;
 			slots = limiter_value(&r->core.limiter);
-			busy = r->core.inflight + r->core.queued;
+			outstanding = r->core.inflight + r->core.queued;
 			c->near = 1;
 			c->cold = r->server.cold_until_ms > now;
 			l = relay_link(r, h);
@@ -72,21 +73,21 @@
 				continue;
 			l = relay_link(r, h);
 			slots = p->server.slots;
-			busy = p->server.running + p->server.waiting;
+			outstanding = p->server.running + p->server.waiting;
 			if (l->told_ms > p->heard_ms) {
 				slots = l->slots;
-				busy = l->running + l->waiting;
+				outstanding = l->running + l->waiting;
 			}
-			busy += l->sent_since;
-			if (busy < l->inflight)
-				busy = l->inflight;
+			outstanding += l->sent_since;
+			if (outstanding < l->inflight)
+				outstanding = l->inflight;
 			c->near = strcmp(p->zone, r->set.zone) == 0;
 			c->cold = p->server.cold_until_ms > now;
 			c->avoid = !fleet_alive(&r->fleet, (size_t)h, now);
 		}
 		c->avoid |= l->avoid_ms > now;
 		c->failing = choice_failing(&l->health, now);
-		c->load = slots > 0 ? (double)busy / slots : 2;
+		c->load = slots > 0 ? (double)outstanding / slots : 2;
 		n++;
 	}
 	best = choice_best(list, n, relay_random());
@@ -100,7 +101,7 @@
 add_hop(struct entry_req *e, struct h1_text *t)
 {
 	uint64_t now = relay_now(e->relay);
-	struct seal_request q;
+	struct seal_request parts;
 	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX];
 
 	snprintf(hop, sizeof(hop), "%llu %u %u %llu %d %s %s %s",
@@ -109,8 +110,8 @@
 	    e->service, e->relay->set.service,
 	    e->ws_name[0] != '\0' ? e->ws_name : "-");
 	h1_text_field(t, RELAY_HOP, hop);
-	sealed_parts(e->relay, e->conn, hop, &q);
-	seal_request(&e->relay->seal, &q, hex);
+	sealed_parts(e->relay, e->conn, hop, &parts);
+	seal_request(&e->relay->seal, &parts, hex);
 	if (hex[0] != '\0')
 		h1_text_field(t, RELAY_SEAL, hex);
 }
@@ -119,7 +120,7 @@
  * Composes the head that goes to the exit.
  */
 static void
-compose(struct entry_req *e, struct h1_text *t)
+compose_request(struct entry_req *e, struct h1_text *t)
 {
 	const struct relay_names *names = &e->relay->set.names;
 	const struct h1_head *h = h1_conn_head(e->conn);
@@ -166,13 +167,14 @@
 	l->inflight++;
 	l->sent_since++;
 	h1_text_init(&t);
-	compose(e, &t);
+	compose_request(e, &t);
 	if (e->body_len > 0 && e->body_length != H1_LENGTH_CHUNKED) {
 		h1_text_add(&t, e->body, e->body_len);
 	}
 	e->xchg = h1_send(l->pool, &t, e->body_length,
 	    strcmp(h1_conn_method(e->conn), "HEAD") == 0,
-	    e->idempotent ? IDLE_ANY : IDLE_UNSAFE_MS, &attempt_ops, e);
+	    e->idempotent ? IDLE_UNLIMITED_MS : IDLE_NON_IDEMPOTENT_MS,
+	    &attempt_ops, e);
 	h1_text_finish(&t);
 	if (e->body_len > 0 && e->body_length == H1_LENGTH_CHUNKED)
 		h1_send_body(e->xchg, e->body, e->body_len);
@@ -196,7 +198,7 @@
  * The node reads again, and so does this one.
  */
 static void
-on_drained(void *ctx, struct h1_xchg *x)
+on_node_drained(void *ctx, struct h1_xchg *x)
 {
 	struct entry_req *e = ctx;
 
@@ -208,7 +210,7 @@
  * Notes how an attempt ended, for the choice of later ones.
  */
 static void
-attempt_over(struct entry_req *e, int failed)
+record_attempt(struct entry_req *e, int failed)
 {
 	struct relay_link *l;
 
@@ -231,7 +233,7 @@
 
 	if (x == NULL)
 		return;
-	attempt_over(e, 0);
+	record_attempt(e, 0);
 	h1_cancel(x);
 }
 
@@ -250,7 +252,7 @@
  * Takes the head of an answer.
  */
 static int
-on_head(void *ctx, struct h1_xchg *x)
+on_response_headers(void *ctx, struct h1_xchg *x)
 {
 	struct entry_req *e = ctx;
 	static const char *const skip[] = { RELAY_EXIT, NULL };
@@ -279,7 +281,7 @@
  * Sends the head of a long answer, and what there is of its body.
  */
 static void
-pass_head(struct entry_req *e)
+start_streaming(struct entry_req *e)
 {
 	e->passing = 1;
 	e->state = ENTRY_ANSWER;
@@ -293,18 +295,18 @@
  * whole, since a broken one can then be asked for again.
  */
 static void
-on_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
 {
 	struct entry_req *e = ctx;
 
 	if (e->verdict != VERDICT_RAN)
 		return;
-	if (!e->passing && e->answer.len + n <= ANSWER_KEPT) {
+	if (!e->passing && e->answer.len + n <= ANSWER_BUFFER_BYTES) {
 		h1_text_add(&e->answer, p, n);
 		return;
 	}
 	if (!e->passing)
-		pass_head(e);
+		start_streaming(e);
 	h1_answer_body(e->conn, p, n);
 	if (h1_conn_queued(e->conn) > H1_QUEUE_HIGH)
 		h1_xchg_pause(x);
@@ -315,7 +317,7 @@
  * have run it, and takes that from the budget of retries.
  */
 static int
-may_repeat(struct entry_req *e)
+acquire_retry(struct entry_req *e)
 {
 	struct relay *r = e->relay;
 	struct budget_ask ask = {
@@ -327,7 +329,7 @@
 	};
 
 	if (e->arrivals >= e->arrivals_max ||
-	    ask.now_ms + LEFT_MIN_MS > e->end_ms)
+	    ask.now_ms + RETRY_TIME_MIN_MS > e->end_ms)
 		return 0;
 	return budget_spend(relay_budget(r, e->service), &ask);
 }
@@ -336,7 +338,7 @@
  * Sends a request to another node.
  */
 static void
-again(struct entry_req *e)
+retry(struct entry_req *e)
 {
 	struct relay *r = e->relay;
 
@@ -352,7 +354,7 @@
  * Takes the end of an answer: the server's, or the exit's refusal.
  */
 static void
-on_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_xchg *x)
 {
 	struct entry_req *e = ctx;
 	struct relay *r = e->relay;
@@ -360,11 +362,11 @@
 	uint64_t now = relay_now(r);
 
 	(void)x;
-	attempt_over(e, e->verdict == VERDICT_UNKNOWN ||
-			    e->verdict == VERDICT_AWAY ||
-			    e->verdict == VERDICT_TURNED ||
-			    (e->verdict == VERDICT_RAN && e->status >= 500 &&
-				!e->call_failed));
+	record_attempt(e, e->verdict == VERDICT_UNKNOWN ||
+			      e->verdict == VERDICT_AWAY ||
+			      e->verdict == VERDICT_TURNED ||
+			      (e->verdict == VERDICT_RAN && e->status >= 500 &&
+				  !e->call_failed));
 	switch (e->verdict) {
 	case VERDICT_RAN:
 		latency_add(&r->answered, now - e->began_ms);
@@ -390,17 +392,17 @@
 		return;
 	case VERDICT_TURNED:
 		e->arrivals++;
-		if (!e->body_lost && may_repeat(e))
-			again(e);
+		if (!e->body_lost && acquire_retry(e))
+			retry(e);
 		else
 			entry_end(e, END_OVERLOAD,
 			    relay_comeback(COMEBACK_FULL, e->target_ms));
 		return;
 	case VERDICT_BUSY:
 	case VERDICT_AWAY:
-		if (e->tries < TRIES_MAX && !e->body_lost &&
-		    now + LEFT_MIN_MS < e->end_ms)
-			again(e);
+		if (e->tries < ATTEMPTS_MAX && !e->body_lost &&
+		    now + RETRY_TIME_MIN_MS < e->end_ms)
+			retry(e);
 		else
 			entry_end(e, END_OVERLOAD,
 			    relay_comeback(COMEBACK_FULL, e->target_ms));
@@ -414,8 +416,8 @@
 	}
 	e->arrivals++;
 	e->maybe_run = 1;
-	if (e->idempotent && !e->body_lost && may_repeat(e))
-		again(e);
+	if (e->idempotent && !e->body_lost && acquire_retry(e))
+		retry(e);
 	else
 		entry_end(e, END_BROKEN, 0);
 }
@@ -424,34 +426,35 @@
  * An attempt broke off.
  */
 static void
-on_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+on_attempt_fail(void *ctx, struct h1_xchg *x, enum h1_fail failure)
 {
 	struct entry_req *e = ctx;
 	struct relay *r = e->relay;
 	struct relay_link *l = relay_link(r, e->link);
-	uint64_t pause, now = relay_now(r);
+	uint64_t avoid_for_ms, now = relay_now(r);
 
 	(void)x;
-	if (how == H1_NOT_SENT) {
-		pause = (uint64_t)AVOID_MS
-			<< (l->avoid_run < 4 ? l->avoid_run : 4);
+	if (failure == H1_NOT_SENT) {
+		avoid_for_ms = (uint64_t)AVOID_MIN_MS
+			       << (l->avoid_run < 4 ? l->avoid_run : 4);
 		l->avoid_ms =
-		    now + (pause < AVOID_MAX_MS ? pause : AVOID_MAX_MS);
+		    now +
+		    (avoid_for_ms < AVOID_MAX_MS ? avoid_for_ms : AVOID_MAX_MS);
 		l->avoid_run++;
-		attempt_over(e, 0);
-		if (e->tries < TRIES_MAX && !e->body_lost &&
-		    now + LEFT_MIN_MS < e->end_ms)
-			again(e);
+		record_attempt(e, 0);
+		if (e->tries < ATTEMPTS_MAX && !e->body_lost &&
+		    now + RETRY_TIME_MIN_MS < e->end_ms)
+			retry(e);
 		else
 			entry_end(e, END_NO_SERVER,
 			    relay_comeback(COMEBACK_FULL, e->target_ms));
 		return;
 	}
-	attempt_over(e, 1);
+	record_attempt(e, 1);
 	e->arrivals++;
 	e->maybe_run = 1;
-	if (!e->passing && e->idempotent && !e->body_lost && may_repeat(e))
-		again(e);
+	if (!e->passing && e->idempotent && !e->body_lost && acquire_retry(e))
+		retry(e);
 	else
 		entry_end(e, END_BROKEN, 0);
 }
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -6,25 +6,26 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define STEP_MS 100 /* between two steps of the throttle */
-#define BUSY_S 0.25 /* time constant of the measured load */
+#define STEP_MS 100		  /* between two steps of the throttle */
+#define LOAD_TIME_CONSTANT_S 0.25 /* time constant of the measured load */
 #define MS_PER_S 1000.0
-#define THOUSAND 1000.0 /* loads and calls are told in thousandths */
+#define PER_THOUSAND 1000.0 /* loads and calls are told in thousandths */
 #define US_PER_S 1000000.0
 #define RANK_SHIFT 16
-#define STEPS_PER_SUM 10 /* steps between two lines about successes */
-
-static void on_step(uv_timer_t *);
-static void log_sums(struct relay *);
-static void log_limits(struct relay *);
-static double offered(const struct relay *);
-static void take_calls(struct relay *, int, const char *, double);
-static void sum_own(struct relay *);
-static void sum_unseen(struct relay *, const struct fleet_peer *);
-static void pass_over_unrouted(struct relay *);
+#define STEPS_PER_SUMMARY 10 /* steps between two lines about successes */
+
+static void on_throttle_timer(uv_timer_t *);
+static void log_summary(struct relay *);
+static void log_limiting_services(struct relay *);
+static double offered_load(const struct relay *);
+static void add_calls(struct relay *, int, const char *, double);
+static void add_own_load(struct relay *);
+static void keep_unheard_service_open(
+    struct relay *, const struct fleet_peer *);
+static void keep_unrouted_services_open(struct relay *);
 static void sum_loads(struct relay *);
-static int rank_cmp(const void *, const void *);
-static void rank_add(struct relay *, uint32_t);
+static int compare_ranks(const void *, const void *);
+static void add_rank(struct relay *, uint32_t);
 
 /*
  * Begins to measure loads and to adapt the throttle.
@@ -37,7 +38,7 @@
 	demand_init(&r->demand);
 	uv_timer_init(r->loop, &r->throttle_timer);
 	r->throttle_timer.data = r;
-	uv_timer_start(&r->throttle_timer, on_step, STEP_MS, STEP_MS);
+	uv_timer_start(&r->throttle_timer, on_throttle_timer, STEP_MS, STEP_MS);
 }
 
 /*
@@ -48,16 +49,16 @@
 load_tick(struct relay *r)
 {
 	uint64_t now = relay_now(r);
-	double passed = (double)(now - r->busy_ms) / MS_PER_S;
-	double keep = exp(-passed / BUSY_S), busy = 0;
+	double elapsed_s = (double)(now - r->busy_ms) / MS_PER_S;
+	double old_weight = exp(-elapsed_s / LOAD_TIME_CONSTANT_S), load = 0;
 
 	if (r->server.slots > 0)
-		busy = (double)(r->core.inflight + r->core.queued) /
+		load = (double)(r->core.inflight + r->core.queued) /
 		       limiter_value(&r->core.limiter);
-	r->busy = r->busy * keep + busy * (1 - keep);
-	r->shed_per_s *= keep;
+	r->busy = r->busy * old_weight + load * (1 - old_weight);
+	r->shed_per_s *= old_weight;
 	r->busy_ms = now;
-	profile_age(&r->profile, r->core.inflight, passed);
+	profile_age(&r->profile, r->core.inflight, elapsed_s);
 }
 
 /*
@@ -65,7 +66,7 @@
  * of its slots: what is in them or waits, and what was refused here.
  */
 static double
-offered(const struct relay *r)
+offered_load(const struct relay *r)
 {
 	if (r->server.slots == 0)
 		return 0;
@@ -80,7 +81,7 @@
 load_shed(struct relay *r)
 {
 	load_tick(r);
-	r->shed_per_s += 1 / BUSY_S;
+	r->shed_per_s += 1 / LOAD_TIME_CONSTANT_S;
 }
 
 /*
@@ -98,16 +99,17 @@
 	uint32_t i, k, n = 0;
 
 	load_tick(r);
-	b->load.offered = (unsigned int)(offered(r) * THOUSAND);
+	b->load.offered = (unsigned int)(offered_load(r) * PER_THOUSAND);
 	b->load.run_us = (unsigned int)(profile_run_s(p) * US_PER_S);
 	b->load.failing =
-	    (unsigned int)(choice_failing(&r->health, relay_now(r)) * THOUSAND);
-	b->load.chained = (unsigned int)(p->chained * THOUSAND);
+	    (unsigned int)(choice_failing(&r->health, relay_now(r)) *
+			   PER_THOUSAND);
+	b->load.chained = (unsigned int)(p->chained * PER_THOUSAND);
 	if (profile_known(p))
 		n = p->call_count;
 	for (i = 0; i < n; i++) {
 		calls[i] = r->profile.calls[i].service;
-		per_1000[i] = (u_int)(profile_per_run(p, i) * THOUSAND);
+		per_1000[i] = (u_int)(profile_per_run(p, i) * PER_THOUSAND);
 	}
 	b->calls.calls_val = calls;
 	b->load.calls_per_1000.calls_per_1000_val = per_1000;
@@ -166,9 +168,10 @@
 	     i++)
 		if (l->calls[i] >= 0)
 			throttle_calls(&r->throttle, caller, l->calls[i],
-			    m->calls_per_1000.calls_per_1000_val[i] / THOUSAND);
+			    m->calls_per_1000.calls_per_1000_val[i] /
+				PER_THOUSAND);
 	if (l->call_count > 0)
-		throttle_chained(&r->throttle, m->chained / THOUSAND);
+		throttle_chained(&r->throttle, m->chained / PER_THOUSAND);
 	for (i = 0; i < m->demands.demands_len &&
 		    i < l->demand_count * THROTTLE_CLASSES;
 	     i++)
@@ -180,7 +183,7 @@
  * Takes how many calls a run at one service makes to another.
  */
 static void
-take_calls(struct relay *r, int caller, const char *service, double per_run)
+add_calls(struct relay *r, int caller, const char *service, double per_run)
 {
 	int h = throttle_service(&r->throttle, service);
 
@@ -192,7 +195,7 @@
  * Sums what this node's server does and what this node's callers ask.
  */
 static void
-sum_own(struct relay *r)
+add_own_load(struct relay *r)
 {
 	const struct demand_row *row;
 	struct throttle_server own;
@@ -211,14 +214,14 @@
 		return;
 	own.slots = limiter_value(&r->core.limiter);
 	own.run_s = profile_run_s(&r->profile);
-	own.offered = offered(r);
+	own.offered = offered_load(r);
 	own.failing = choice_failing(&r->health, relay_now(r));
 	throttle_server(&r->throttle, h, &own);
 	if (r->profile.call_count > 0)
 		throttle_chained(&r->throttle, r->profile.chained);
 	for (i = 0; profile_known(&r->profile) && i < r->profile.call_count;
 	     i++)
-		take_calls(r, h, r->profile.calls[i].service,
+		add_calls(r, h, r->profile.calls[i].service,
 		    profile_per_run(&r->profile, i));
 }
 
@@ -227,7 +230,7 @@
  * others do: what this one's callers ask for may well reach it.
  */
 static void
-sum_unseen(struct relay *r, const struct fleet_peer *p)
+keep_unheard_service_open(struct relay *r, const struct fleet_peer *p)
 {
 	int h;
 
@@ -243,7 +246,7 @@
  * runs called there, they call elsewhere now.
  */
 static void
-pass_over_unrouted(struct relay *r)
+keep_unrouted_services_open(struct relay *r)
 {
 	const struct throttle_service *s;
 	uint32_t i;
@@ -273,11 +276,11 @@
 	int h;
 
 	throttle_begin(&r->throttle);
-	sum_own(r);
+	add_own_load(r);
 	for (i = 0; i < r->fleet.count; i++) {
 		p = &r->fleet.peers[i];
 		if (!fleet_alive(&r->fleet, i, now)) {
-			sum_unseen(r, p);
+			keep_unheard_service_open(r, p);
 			continue;
 		}
 		l = relay_link(r, (int)i);
@@ -303,29 +306,30 @@
  * each success.
  */
 static void
-log_sums(struct relay *r)
+log_summary(struct relay *r)
 {
-	static const enum relay_counter summed[RELAY_SUMS] = { RELAY_SERVED,
-		RELAY_FAILED, RELAY_REFUSED, RELAY_THROTTLED, RELAY_OVER_RATE,
-		RELAY_EXIT_SERVED, RELAY_EXIT_REFUSED };
-	uint64_t n[RELAY_SUMS], all = 0;
+	static const enum relay_counter summary_counters[RELAY_SUMS] = {
+		RELAY_SERVED, RELAY_FAILED, RELAY_REFUSED, RELAY_THROTTLED,
+		RELAY_OVER_RATE, RELAY_EXIT_SERVED, RELAY_EXIT_REFUSED
+	};
+	uint64_t delta[RELAY_SUMS], total = 0;
 	int i;
 
 	for (i = 0; i < RELAY_SUMS; i++) {
-		n[i] = r->counters[summed[i]] - r->summed[i];
-		r->summed[i] = r->counters[summed[i]];
-		all += n[i];
+		delta[i] = r->counters[summary_counters[i]] - r->summed[i];
+		r->summed[i] = r->counters[summary_counters[i]];
+		total += delta[i];
 	}
-	if (all == 0)
+	if (total == 0)
 		return;
 	event_log(EVENT_SERVED, relay_now(r),
 	    "answers=%llu failed=%llu refused=%llu throttled=%llu "
 	    "over_rate=%llu server_answers=%llu server_refusals=%llu "
 	    "offered=%.2f run_ms=%.1f",
-	    (unsigned long long)n[0], (unsigned long long)n[1],
-	    (unsigned long long)n[2], (unsigned long long)n[3],
-	    (unsigned long long)n[4], (unsigned long long)n[5],
-	    (unsigned long long)n[6], offered(r),
+	    (unsigned long long)delta[0], (unsigned long long)delta[1],
+	    (unsigned long long)delta[2], (unsigned long long)delta[3],
+	    (unsigned long long)delta[4], (unsigned long long)delta[5],
+	    (unsigned long long)delta[6], offered_load(r),
 	    profile_run_s(&r->profile) * MS_PER_S);
 }
 
@@ -333,7 +337,7 @@
  * Logs the services whose load cuts root requests now, and what that rests on.
  */
 static void
-log_limits(struct relay *r)
+log_limiting_services(struct relay *r)
 {
 	const struct throttle_service *s;
 	uint32_t i;
@@ -354,18 +358,18 @@
  * Adapts the throttle.
  */
 static void
-on_step(uv_timer_t *timer)
+on_throttle_timer(uv_timer_t *timer)
 {
 	struct relay *r = timer->data;
 
 	load_tick(r);
 	demand_age(&r->demand, STEP_MS / MS_PER_S);
 	sum_loads(r);
-	pass_over_unrouted(r);
+	keep_unrouted_services_open(r);
 	throttle_step(&r->throttle, STEP_MS / MS_PER_S);
-	if (++r->steps % STEPS_PER_SUM == 0) {
-		log_sums(r);
-		log_limits(r);
+	if (++r->steps % STEPS_PER_SUMMARY == 0) {
+		log_summary(r);
+		log_limiting_services(r);
 	}
 }
 
@@ -405,7 +409,7 @@
  * Orders ranks of importance.
  */
 static int
-rank_cmp(const void *a, const void *b)
+compare_ranks(const void *a, const void *b)
 {
 	uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
 
@@ -416,7 +420,7 @@
  * Adds a rank, if it is new and there is room.
  */
 static void
-rank_add(struct relay *r, uint32_t rank)
+add_rank(struct relay *r, uint32_t rank)
 {
 	uint32_t i;
 
@@ -442,12 +446,12 @@
 		if (c->routes[i].open)
 			continue;
 		if (c->ws_count == 0)
-			rank_add(r, c->routes[i].priority);
+			add_rank(r, c->routes[i].priority);
 		for (j = 0; j < c->ws_count; j++)
-			rank_add(r, c->workspaces[j].priority << RANK_SHIFT |
+			add_rank(r, c->workspaces[j].priority << RANK_SHIFT |
 					c->routes[i].priority);
 	}
-	qsort(r->ranks, r->rank_count, sizeof(*r->ranks), rank_cmp);
+	qsort(r->ranks, r->rank_count, sizeof(*r->ranks), compare_ranks);
 }
 
 /*
--- a/src/relay/test_load.c
+++ b/src/relay/test_load.c
@@ -16,7 +16,7 @@
  * Tells whether a node lets in few of the roots that need the service.
  */
 static int
-is_closed(struct relay *r)
+is_limiting(struct relay *r)
 {
 	return r->throttle.services[throttle_service(&r->throttle, SERVICE)]
 		   .limits != 0;
@@ -27,21 +27,21 @@
  * it are refused, and no more when it is back.
  */
 static void
-test_away(void **state)
+test_roots_refused_without_server(void **state)
 {
 	struct caller c;
 
 	(void)state;
 	while (nodes[0].steps < 2)
 		uv_run(&loop, UV_RUN_ONCE);
-	assert_false(is_closed(&nodes[0]));
+	assert_false(is_limiting(&nodes[0]));
 	announce(1, 100, 2, 1);
-	while (!is_closed(&nodes[0]))
+	while (!is_limiting(&nodes[0]))
 		uv_run(&loop, UV_RUN_ONCE);
 	ask(&c, "/s/away", KEY);
 	assert_int_equal(c.status, 503);
 	announce(1, 200, 1, 0);
-	while (is_closed(&nodes[0]))
+	while (is_limiting(&nodes[0]))
 		uv_run(&loop, UV_RUN_ONCE);
 	ask(&c, "/s/back", KEY);
 	assert_int_equal(c.status, 200);
@@ -51,7 +51,7 @@
  * What was called before the configuration moved is not needed any more.
  */
 static void
-test_moved(void **state)
+test_unrouted_service_does_not_limit(void **state)
 {
 	struct config *c = make_config(2, 0, KEY);
 	size_t i;
@@ -60,13 +60,13 @@
 	while (nodes[0].steps < 2)
 		uv_run(&loop, UV_RUN_ONCE);
 	announce(1, 100, 2, 1);
-	while (!is_closed(&nodes[0]))
+	while (!is_limiting(&nodes[0]))
 		uv_run(&loop, UV_RUN_ONCE);
 	for (i = 0; i < c->route_count; i++)
 		snprintf(c->routes[i].service, sizeof(c->routes[i].service),
 		    "elsewhere");
 	relay_take_config(&nodes[0], c);
-	while (is_closed(&nodes[0]))
+	while (is_limiting(&nodes[0]))
 		uv_run(&loop, UV_RUN_ONCE);
 }
 
@@ -74,8 +74,10 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(test_away, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_moved, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_roots_refused_without_server, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_unrouted_service_does_not_limit, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/relay/test_pair.h
+++ b/src/relay/test_pair.h
@@ -10,8 +10,8 @@
 #define ALARM_S 60
 #define SERVICE "orders"
 #define KEY "key-1"
-#define FRESH_MS 4000
-#define TAKE_MS 60000
+#define CONFIG_FRESH_MS 4000
+#define ACCEPT_ROOTS_MS 60000
 
 /* What a server does with a request. */
 enum deed {
@@ -28,8 +28,8 @@
 	struct h1_server http;
 	enum deed deed;
 	int runs;
-	int health; /* the last request asked for it */
-	int gone;   /* connections that broke while a request was held */
+	int health;	 /* the last request asked for it */
+	int disconnects; /* connections that broke while a request was held */
 	char id[256];
 	char seen[1024]; /* names and values of the last request */
 	struct h1_conn *held;
@@ -57,7 +57,7 @@
 	"Caller", "Expect", "Not-Run", "Stamp", "Load", "Instance" };
 
 static void
-server_head(void *ctx, struct h1_conn *conn)
+on_server_headers(void *ctx, struct h1_conn *conn)
 {
 	struct server *s = ctx;
 	const struct h1_head *h = h1_conn_head(conn);
@@ -125,20 +125,20 @@
 }
 
 static void
-server_gone(void *ctx, struct h1_conn *conn)
+on_server_disconnect(void *ctx, struct h1_conn *conn)
 {
 	struct server *s = ctx;
 
-	s->gone++;
+	s->disconnects++;
 	if (s->held == conn)
 		s->held = NULL;
 }
 
-static const struct h1_server_ops server_ops = { server_head, NULL, server_end,
-	server_gone, NULL };
+static const struct h1_server_ops server_ops = { on_server_headers, NULL,
+	server_end, on_server_disconnect, NULL };
 
 static int
-caller_head(void *ctx, struct h1_xchg *x)
+on_caller_headers(void *ctx, struct h1_xchg *x)
 {
 	struct caller *c = ctx;
 
@@ -150,7 +150,7 @@
 }
 
 static void
-caller_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_caller_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
 {
 	struct caller *c = ctx;
 
@@ -161,40 +161,40 @@
 }
 
 static void
-caller_end(void *ctx, struct h1_xchg *x)
+on_caller_end(void *ctx, struct h1_xchg *x)
 {
 	(void)x;
 	((struct caller *)ctx)->done = 1;
 }
 
 static void
-caller_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+on_caller_fail(void *ctx, struct h1_xchg *x, enum h1_fail failure)
 {
 	(void)x;
 	((struct caller *)ctx)->done = 2;
-	((struct caller *)ctx)->fail = how;
+	((struct caller *)ctx)->fail = failure;
 }
 
-static const struct h1_client_ops caller_ops = { caller_head, caller_body,
-	caller_end, caller_fail, NULL };
+static const struct h1_client_ops caller_ops = { on_caller_headers,
+	on_caller_body, on_caller_end, on_caller_fail, NULL };
 
 /*
  * Finds ports that are free at both addresses; they are taken soon after.
  */
 static void
-free_ports(uint16_t *ports, int n)
+find_free_ports(uint16_t *ports, int n)
 {
 	uv_tcp_t probes[8];
-	struct sockaddr_in at;
+	struct sockaddr_in addr;
 	int i, len;
 
 	for (i = 0; i < n; i++) {
-		uv_ip4_addr("127.0.0.1", 0, &at);
-		len = sizeof(at);
+		uv_ip4_addr("127.0.0.1", 0, &addr);
+		len = sizeof(addr);
 		uv_tcp_init(&loop, &probes[i]);
-		uv_tcp_bind(&probes[i], (struct sockaddr *)&at, 0);
-		uv_tcp_getsockname(&probes[i], (struct sockaddr *)&at, &len);
-		ports[i] = ntohs(at.sin_port);
+		uv_tcp_bind(&probes[i], (struct sockaddr *)&addr, 0);
+		uv_tcp_getsockname(&probes[i], (struct sockaddr *)&addr, &len);
+		ports[i] = ntohs(addr.sin_port);
 	}
 	for (i = 0; i < n; i++)
 		uv_close((uv_handle_t *)&probes[i], NULL);
@@ -265,7 +265,7 @@
 	(void)state;
 	alarm(ALARM_S);
 	uv_loop_init(&loop);
-	free_ports(ports, 5);
+	find_free_ports(ports, 5);
 	memset(servers, 0, sizeof(servers));
 	for (i = 0; i < 2; i++) {
 		memset(&set, 0, sizeof(set));
@@ -279,13 +279,13 @@
 		set.advertised = set.exit.sin_addr;
 		uv_ip4_addr(ips[i], ports[2], &set.server);
 		uv_ip4_addr(ips[i], ports[3], &set.fleet);
-		set.fresh_ms = FRESH_MS;
+		set.fresh_ms = CONFIG_FRESH_MS;
 		set.quota_share = 0.1;
 		set.quota_constant = 20;
 		set.retry_ratio = 0.2;
 		set.retry_slack = 4;
 		set.memory_bytes = 64 << 20;
-		set.take_ms = TAKE_MS;
+		set.take_ms = ACCEPT_ROOTS_MS;
 		set.descriptors = 1000;
 		snprintf(set.fleet_key, sizeof(set.fleet_key), "%s",
 		    fleet_keys[i][0]);
@@ -328,7 +328,7 @@
 
 static void
 send_as(struct caller *c, int node, const char *path, const char *key,
-    const char *id, const char *more)
+    const char *id, const char *extra_fields)
 {
 	struct h1_text t;
 
@@ -338,7 +338,7 @@
 	h1_text_addf(&t,
 	    "GET %s HTTP/1.1\r\nHost: H:80\r\nDeadline: 2000\r\n"
 	    "Id: %s\r\n%s",
-	    path, id, more);
+	    path, id, extra_fields);
 	if (key != NULL)
 		h1_text_field(&t, "Key", key);
 	h1_text_add(&t, "\r\n", 2);
@@ -348,9 +348,9 @@
 
 static void
 send_to(struct caller *c, int node, const char *path, const char *key,
-    const char *more)
+    const char *extra_fields)
 {
-	send_as(c, node, path, key, long_id, more);
+	send_as(c, node, path, key, long_id, extra_fields);
 }
 
 static void
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -24,7 +24,7 @@
 	int runs;
 };
 
-static const struct answer_case answers[] = {
+static const struct answer_case answer_cases[] = {
 	{ "answer", ANSWER, 200, "/o/1", "mine", 1 },
 	{ "failure of the server", FAIL, 500, "/o/1", "bad", 1 },
 	{ "refusal, not run", TURN, 503, "/o/1", "", 0 },
@@ -42,15 +42,15 @@
  * that is true.
  */
 static void
-test_answers(void **state)
+test_caller_gets_own_answer(void **state)
 {
 	const struct answer_case *a;
 	struct caller c;
 	size_t i;
 
 	(void)state;
-	for (i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
-		a = &answers[i];
+	for (i = 0; i < sizeof(answer_cases) / sizeof(answer_cases[0]); i++) {
+		a = &answer_cases[i];
 		print_message("%s\n", a->name);
 		servers[1].deed = a->deed;
 		servers[1].runs = 0;
@@ -69,7 +69,7 @@
  * whatever the caller claims.
  */
 static void
-test_fields(void **state)
+test_header_fields_to_server(void **state)
 {
 	struct caller c;
 
@@ -94,7 +94,7 @@
  * Keys are held to the configuration in force, and to one that isn't old.
  */
 static void
-test_keys(void **state)
+test_key_checks(void **state)
 {
 	struct caller c;
 
@@ -118,7 +118,7 @@
 	assert_int_equal(c.status, 503);
 	ask(&c, "/open/1", NULL);
 	assert_int_equal(c.status, 200);
-	nodes[0].set.fresh_ms = FRESH_MS;
+	nodes[0].set.fresh_ms = CONFIG_FRESH_MS;
 }
 
 /*
@@ -127,7 +127,7 @@
  * one that comes late changes nothing.
  */
 static void
-test_leaving(void **state)
+test_leaving_server_gets_nothing(void **state)
 {
 	struct caller c;
 
@@ -153,7 +153,7 @@
  * A caller that leaves takes its work at the server with it.
  */
 static void
-test_caller_gone(void **state)
+test_caller_disconnect_cancels_run(void **state)
 {
 	struct caller c;
 
@@ -163,7 +163,7 @@
 	while (servers[1].held == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
 	h1_cancel(c.xchg);
-	while (servers[1].gone == 0)
+	while (servers[1].disconnects == 0)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_null(nodes[0].entries);
 	assert_null(nodes[1].exits);
@@ -176,7 +176,7 @@
  * the first breaks; one that may not goes to one only.
  */
 static void
-test_two_servers(void **state)
+test_retry_on_second_server(void **state)
 {
 	struct caller c;
 	int i, runs;
@@ -208,7 +208,7 @@
  * A workspace over its rate is refused at the entry, one within it is not.
  */
 static void
-test_rate(void **state)
+test_workspace_rate(void **state)
 {
 	struct caller c;
 	int i, ok = 0, over = 0;
@@ -235,7 +235,7 @@
  * no more than were left.
  */
 static void
-test_hand_over(void **state)
+test_limit_owner_stops(void **state)
 {
 	uint64_t ws = config_ws_hash("w");
 	struct quota_bucket *b = NULL;
@@ -280,7 +280,7 @@
  * leaves; the announcement that follows is of the same incarnation.
  */
 static void
-test_probe(void **state)
+test_health_probe(void **state)
 {
 	struct config *c = make_config(2, 0, KEY);
 	uint64_t began = loop_ms(&loop);
@@ -314,7 +314,7 @@
  * that follows it closely says that their version is the newest.
  */
 static void
-test_proof(void **state)
+test_version_proof(void **state)
 {
 	uint64_t before;
 	int i, reader;
@@ -349,19 +349,19 @@
  * that one's word is as good.
  */
 static void
-test_proof_by_others(void **state)
+test_version_proof_by_non_reader(void **state)
 {
 	struct fleet_table *t = &nodes[0].fleet;
-	int list[2], h, others = 1;
+	int list[2], h, live_reader = 1;
 	char name[16];
 
 	(void)state;
 	/* Silent nodes, until both readers are among them. */
-	while (others) {
+	while (live_reader) {
 		snprintf(name, sizeof(name), "silent-%zu", t->count);
 		h = fleet_learn(t, name, 0x7f000063, loop_ms(&loop));
 		t->peers[h].heard_ms = loop_ms(&loop);
-		others =
+		live_reader =
 		    fleet_readers(t, list, 2) < 2 || list[0] < 1 || list[1] < 1;
 	}
 	nodes[0].proved_ms = 0;
@@ -382,14 +382,14 @@
 };
 
 static void
-take_copy(void *ctx, struct config *c, const char *node)
+store_copy(void *ctx, struct config *c, const char *node)
 {
-	struct copied *got = ctx;
+	struct copied *copied = ctx;
 
-	config_free(got->config);
-	got->config = c;
-	snprintf(got->node, sizeof(got->node), "%s", node);
-	got->count++;
+	config_free(copied->config);
+	copied->config = c;
+	snprintf(copied->node, sizeof(copied->node), "%s", node);
+	copied->count++;
 }
 
 /*
@@ -397,25 +397,25 @@
  * version from the first, and asks nobody where none is newer.
  */
 static void
-test_copy(void **state)
+test_copy_config_from_peer(void **state)
 {
-	struct copied got = { NULL, "", 0 };
+	struct copied copied = { NULL, "", 0 };
 	struct caller c;
 
 	(void)state;
-	relay_ask_config(&nodes[0], take_copy, &got);
+	relay_ask_config(&nodes[0], store_copy, &copied);
 	assert_null(nodes[0].copy.xchg);
 	relay_take_config(&nodes[1], make_config(2, 0, "key-2"));
 	while (nodes[0].fleet.peers[0].config_version < 2)
 		uv_run(&loop, UV_RUN_ONCE);
-	relay_ask_config(&nodes[0], take_copy, &got);
-	relay_ask_config(&nodes[0], take_copy, &got); /* one at a time */
-	while (got.count == 0)
+	relay_ask_config(&nodes[0], store_copy, &copied);
+	relay_ask_config(&nodes[0], store_copy, &copied); /* one at a time */
+	while (copied.count == 0)
 		uv_run(&loop, UV_RUN_ONCE);
-	assert_int_equal(got.count, 1);
-	assert_int_equal(got.config->version, 2);
-	assert_string_equal(got.node, "n1");
-	relay_take_config(&nodes[0], got.config);
+	assert_int_equal(copied.count, 1);
+	assert_int_equal(copied.config->version, 2);
+	assert_string_equal(copied.node, "n1");
+	relay_take_config(&nodes[0], copied.config);
 	ask(&c, "/o/1", "key-2");
 	assert_int_equal(c.status, 200);
 	ask(&c, "/o/1", KEY);
@@ -424,18 +424,18 @@
 	config_free(nodes[1].config);
 	nodes[1].config = NULL;
 	nodes[0].fleet.peers[0].config_version = 3;
-	relay_ask_config(&nodes[0], take_copy, &got);
+	relay_ask_config(&nodes[0], store_copy, &copied);
 	assert_non_null(nodes[0].copy.xchg);
 	while (nodes[0].copy.xchg != NULL)
 		uv_run(&loop, UV_RUN_ONCE);
-	assert_int_equal(got.count, 1);
+	assert_int_equal(copied.count, 1);
 }
 
 /*
  * A request at work on two servers when they died is refused everywhere.
  */
 static void
-test_crash(void **state)
+test_crashing_request_refused(void **state)
 {
 	struct caller c;
 	int i;
@@ -472,7 +472,7 @@
  * A node that stops is not ready, and answers what still comes.
  */
 static void
-test_stop(void **state)
+test_stopping_node(void **state)
 {
 	struct caller c;
 
@@ -492,7 +492,7 @@
  * that all let in the same share.
  */
 static void
-test_demand_told(void **state)
+test_demand_reported(void **state)
 {
 	struct relay *other = &nodes[1];
 	struct caller c;
@@ -517,18 +517,18 @@
  * along the chain; one that nobody here made goes first.
  */
 static void
-test_chain(void **state)
+test_call_priority_follows_parent(void **state)
 {
 	static const struct {
 		const char *id;
-		int part;
-	} rows[] = {
+		int is_child;
+	} cases[] = {
 		{ "7fa3.01", 1 }, /* made by the run */
 		{ "7fa301", 0 },  /* another id that begins alike */
 		{ "7fa3", 0 },	  /* the same id */
 	};
 	enum {
-		ROWS = sizeof(rows) / sizeof(rows[0])
+		ROWS = sizeof(cases) / sizeof(cases[0])
 	};
 	struct caller root, call[ROWS];
 	const struct exit_req *run, *e;
@@ -545,16 +545,17 @@
 	nodes[1].exits->depth = 3;
 	for (i = 0; i < ROWS; i++) {
 		e = nodes[1].exits;
-		send_as(&call[i], 1, "/open/1", NULL, rows[i].id, "");
+		send_as(&call[i], 1, "/open/1", NULL, cases[i].id, "");
 		while (nodes[1].exits == e)
 			uv_run(&loop, UV_RUN_ONCE);
 		e = nodes[1].exits;
 		assert_int_equal(e->class,
-		    rows[i].part ? ADMISSION_NORMAL : ADMISSION_CRITICAL);
-		assert_int_equal(e->depth, rows[i].part ? 4 : 1);
-		assert_int_equal(e->root_hash == run->root_hash, rows[i].part);
+		    cases[i].is_child ? ADMISSION_NORMAL : ADMISSION_CRITICAL);
+		assert_int_equal(e->depth, cases[i].is_child ? 4 : 1);
 		assert_int_equal(
-		    nodes[1].profile.chained > chained, rows[i].part);
+		    e->root_hash == run->root_hash, cases[i].is_child);
+		assert_int_equal(
+		    nodes[1].profile.chained > chained, cases[i].is_child);
 		chained = nodes[1].profile.chained;
 	}
 	for (i = 0; i < ROWS; i++) {
@@ -573,7 +574,7 @@
  * for less capacity than there is.
  */
 static void
-test_call_failed(void **state)
+test_failed_call_not_server_failure(void **state)
 {
 	struct caller root, call, next;
 	struct h1_text t;
@@ -617,7 +618,7 @@
  * is asked for.
  */
 static void
-test_dump(void **state)
+test_dump_text_and_json(void **state)
 {
 	struct h1_text t;
 	struct caller c;
@@ -649,30 +650,42 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(test_answers, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_fields, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_keys, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_leaving, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_caller_gone, setup, teardown),
+		    test_caller_gets_own_answer, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_header_fields_to_server, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_key_checks, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_leaving_server_gets_nothing, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_caller_disconnect_cancels_run, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_retry_on_second_server, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_workspace_rate, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_limit_owner_stops, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_version_proof, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_version_proof_by_non_reader, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_copy_config_from_peer, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_health_probe, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_crashing_request_refused, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_two_servers, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_rate, setup, teardown),
+		    test_stopping_node, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_hand_over, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_proof, setup, teardown),
+		    test_demand_reported, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_proof_by_others, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_copy, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_probe, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_crash, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_stop, setup, teardown),
+		    test_call_priority_follows_parent, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_demand_told, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_chain, setup, teardown),
+		    test_failed_call_not_server_failure, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_call_failed, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_dump, setup, teardown),
+		    test_dump_text_and_json, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
