relay: reword comments of the entry side

Comments of the entry, the load measurement, the choice of a server, the retry budget, the delay of retries and their tests named no subject or spoke in figures. They are now whole sentences or noun phrases that give the reason, the unit and the special values. Log lines and reasons are unchanged. No code changed.

--- a/src/relay/budget.c
+++ b/src/relay/budget.c
@@ -3,18 +3,16 @@
 
 #include "relay/budget.h"
 
-#define CALL_RETRY_SHARE \
-	0.6 /* of the repeats allowed: what calls repeat counts */
-#define FLEET_SLACK_SHARE \
-	0.7		/* of the slack in repeats, for all nodes together */
-#define SAVED_SHARE 0.5 /* of what was earned lately: of about 0.7 s */
-#define HALF_LIFE_MS 1000.0 /* after which what was counted counts half */
+#define CALL_RETRY_SHARE 0.6  /* of the ratio; nested calls may also retry */
+#define FLEET_SLACK_SHARE 0.7 /* of the slack, for all nodes together */
+#define SAVED_SHARE 0.5	      /* of earned: what about 0.7 s of requests earn */
+#define HALF_LIFE_MS 1000.0   /* of earned and wanted */
 
 static void decay(struct budget *, uint64_t);
 static int is_within_budget(const struct budget *, const struct budget_ask *);
 
 /*
- * Begins with one repeat.
+ * Initialises a budget with one retry.
  */
 void
 budget_init(struct budget *b)
@@ -24,7 +22,7 @@
 }
 
 /*
- * Lets what was counted lose weight.
+ * Decays the recent counts to the given time.
  */
 static void
 decay(struct budget *b, uint64_t now)
@@ -41,8 +39,8 @@
 }
 
 /*
- * A request for the service came at a time (ms); ratio is that of repeats to
- * requests which all nodes together may have.
+ * Adds the share of retries that one request to the service allows.  ratio is
+ * the allowed number of retries per request over all nodes; now is in ms.
  */
 void
 budget_earn(struct budget *b, double ratio, uint64_t now)
@@ -53,15 +51,16 @@
 }
 
 /*
- * Tells whether a repeat is among those that the budget suffices for: the more
- * important classes first, and of the one that doesn't get all it wants, the
- * same root requests at all nodes and in all calls.  A root request that needs
- * several repeats is of no use with some of them.
+ * Returns 1 if the recently earned retries suffice for a request of this class
+ * and root hash.  More important classes are served first.  Within the class
+ * that gets only a part of what it wants, the root hash selects the requests,
+ * so all nodes and all calls select the same root requests: a root request
+ * that needs several retries fails unless it gets all of them.
  */
 static int
 is_within_budget(const struct budget *b, const struct budget_ask *ask)
 {
-	double available = b->earned + 1; /* and what was saved up */
+	double available = b->earned + 1; /* plus saved tokens */
 	uint32_t c;
 
 	for (c = 0; c < ask->class; c++)
@@ -71,9 +70,9 @@
 }
 
 /*
- * Takes one repeat.  Returns 1, or 0 if there is none left, or none for a
- * request of this rank.  So many nodes share the slack of repeats that are
- * allowed beside the ratio, and each may save up its part.
+ * Takes one retry from the budget.  Returns 1, or 0 if no retry is left or
+ * none for a request of this class.  The nodes share the slack equally, and
+ * each can save up its part.
  */
 int
 budget_spend(struct budget *b, const struct budget_ask *ask)
--- a/src/relay/budget.h
+++ b/src/relay/budget.h
@@ -6,24 +6,24 @@
 #include "admission/admission_core.h"
 
 /*
- * How many requests one node may send to a second server, so that all nodes
- * together stay within a share of the requests to a service (retry storm).
- * Pure: no clock, no lock.
+ * Retry budget of one node for one service.  It limits retries on a second
+ * server, to keep those of all nodes within a share of the service's requests
+ * and so to prevent a retry storm.  The functions use no clock and no lock.
  */
 
 struct budget {
-	double tokens;			    /* repeats that are left */
-	double earned;			    /* repeats lately, decaying */
-	double wanted[ADMISSION_CLASS_MAX]; /* the same, asked for */
+	double tokens;			    /* retries available */
+	double earned;			    /* recently allowed, decaying */
+	double wanted[ADMISSION_CLASS_MAX]; /* recently requested, decaying */
 	uint64_t at_ms;
 };
 
-/* What asks for a repeat. */
+/* A request for permission to retry. */
 struct budget_ask {
-	uint32_t class;	    /* 0: most important */
-	uint64_t root_hash; /* the same for all calls of a root request */
-	double slack;	    /* repeats beside the ratio, over the fleet */
-	uint32_t nodes;	    /* that share it */
+	uint32_t class;	    /* priority class; 0 is the highest */
+	uint64_t root_hash; /* equal in all calls of one root request */
+	double slack;	    /* retries allowed beyond the ratio, fleet-wide */
+	uint32_t nodes;	    /* nodes that share the slack */
 	uint64_t now_ms;
 };
 
--- a/src/relay/choice.c
+++ b/src/relay/choice.c
@@ -4,18 +4,19 @@
 
 #include "relay/choice.h"
 
-#define OTHER_ZONE_COST 0.3    /* another zone: worth that much of the slots */
-#define COLD_COST 0.6	       /* a server that started just now */
-#define UNREACHABLE_COST 100.0 /* only where nothing else takes requests */
-#define FAILURE_COST 3.0       /* of a server that fails every attempt */
-#define JITTER_COST 0.04       /* so that entries don't all take the same one */
-#define FAILURE_WEIGHT 0.1     /* of a failed attempt in the share */
-#define SUCCESS_WEIGHT 0.02    /* of one that went well */
-#define HALF_LIFE_MS 2000.0    /* a server that gets nothing is tried again */
+/* Costs are in units of the share of slots in use. */
+#define OTHER_ZONE_COST 0.3    /* for a server in another zone */
+#define COLD_COST 0.6	       /* for a server that started recently */
+#define UNREACHABLE_COST 100.0 /* chosen only as a last resort */
+#define FAILURE_COST 3.0       /* for a server that fails every attempt */
+#define JITTER_COST 0.04       /* spreads the choices of different entries */
+#define FAILURE_WEIGHT 0.1     /* of a failed attempt in the average */
+#define SUCCESS_WEIGHT 0.02    /* of a successful attempt */
+#define HALF_LIFE_MS 2000.0    /* lets an avoided server be tried again */
 
 /*
- * Returns the share of attempts that fail at a server.  What was seen counts
- * half after a while, or a server that is sound again would stay avoided.
+ * Returns the share of attempts that fail at a server.  The share decays over
+ * time, or else a server that has recovered would still be avoided.
  */
 double
 choice_failing(const struct choice_health *h, uint64_t now)
@@ -24,7 +25,7 @@
 }
 
 /*
- * Notes how an attempt ended.
+ * Records the result of an attempt.
  */
 void
 choice_note(struct choice_health *h, int failed, uint64_t now)
@@ -38,8 +39,8 @@
 }
 
 /*
- * Returns what it costs to send a request to a server, as a share of its
- * slots in use; noise is from 0 to 1.
+ * Returns the cost of sending a request to a server, in units of the share of
+ * its slots in use.  noise is between 0 and 1.
  */
 double
 choice_cost(const struct choice *c, double noise)
@@ -57,7 +58,8 @@
 }
 
 /*
- * Returns the index of the cheapest server, or -1 if there is none.
+ * Returns the index of the server with the lowest cost, or -1 if the list is
+ * empty.
  */
 int
 choice_best(const struct choice *list, size_t n, uint64_t seed)
--- a/src/relay/choice.h
+++ b/src/relay/choice.h
@@ -5,22 +5,23 @@
 #include <stdint.h>
 
 /*
- * Which server a request goes to.  Pure: no clock, no lock.
+ * Selection of the server for a request.  The functions use no clock and no
+ * lock.
  */
 
-/* A server that a request could go to. */
+/* A candidate server. */
 struct choice {
-	double load;	/* outstanding work to slots */
-	double failing; /* share of attempts */
-	int handle;	/* of its node */
-	int near;	/* same zone */
-	int cold;	/* slow since just started */
-	int avoid;	/* hasn't been reached lately */
+	double load;	/* outstanding requests per slot */
+	double failing; /* recent share of failed attempts */
+	int handle;	/* of the server's node */
+	int near;	/* in the same zone as this node */
+	int cold;	/* recently started, still slow */
+	int avoid;	/* node was recently unreachable */
 };
 
-/* What is known of a server's failures. */
+/* Failure statistics of a server. */
 struct choice_health {
-	double failing; /* decaying share of attempts, when last noted */
+	double failing; /* share of failed attempts as of at_ms */
 	uint64_t at_ms;
 };
 
--- a/src/relay/comeback.c
+++ b/src/relay/comeback.c
@@ -1,17 +1,17 @@
 #include "relay/comeback.h"
 
-#define TARGET_SHARE 0.5 /* leaves as much for the answer to be in time */
+#define TARGET_SHARE 0.5 /* the rest of the target is left for the retry */
 
 /*
- * Times are drawn from a range, so that callers refused together don't return
- * together (thundering herd).
+ * Delays are random within a range.  Otherwise callers that were refused
+ * together would also retry together (thundering herd).
  */
 struct delay_range {
 	uint64_t min_ms;
 	uint64_t spread_ms;
 };
 
-/* A slot is free within a run or so, an overload lasts for seconds. */
+/* A slot is usually free after about one run; an overload lasts seconds. */
 static const struct delay_range delay_ranges[COMEBACK_MAX] = {
 	[COMEBACK_FULL] = { 150, 350 },
 	[COMEBACK_THROTTLED] = { 600, 1000 },
@@ -23,9 +23,10 @@
 };
 
 /*
- * Returns after how long (ms) a refused caller should come back, given the
- * time within which it wants its answer (0: any) and a random number.  The
- * whole range shrinks until all who come back can still be in time.
+ * Returns the delay (ms) after which a refused caller should retry.  target_ms
+ * is the caller's target latency (0: none) and rnd a random number.  If the
+ * delay could exceed half of the target, the whole range is scaled down to
+ * fit, and every retry can still meet it.
  */
 uint64_t
 comeback_ms(enum comeback reason, uint64_t target_ms, uint64_t rnd)
--- a/src/relay/comeback.h
+++ b/src/relay/comeback.h
@@ -4,17 +4,18 @@
 #include <stdint.h>
 
 /*
- * When a caller whose request was refused should come back.
+ * Delay after which a caller should retry a refused request.
  */
 
+/* Why the request was refused. */
 enum comeback {
-	COMEBACK_FULL,	    /* all servers asked were full */
-	COMEBACK_THROTTLED, /* a service below is overloaded */
+	COMEBACK_FULL,	    /* every server tried had no free slot */
+	COMEBACK_THROTTLED, /* a downstream service is overloaded */
 	COMEBACK_OVER_RATE,
-	COMEBACK_NO_OWNER,  /* nobody decides for the limit now */
-	COMEBACK_NO_CONFIG, /* the node has just started */
-	COMEBACK_REFUSED,   /* the configuration doesn't allow it, or is old */
-	COMEBACK_TIMEOUT,   /* nobody took it in time */
+	COMEBACK_NO_OWNER,  /* the workspace's limit has no owner */
+	COMEBACK_NO_CONFIG, /* the node has no configuration yet */
+	COMEBACK_REFUSED,   /* not allowed, or configuration stale */
+	COMEBACK_TIMEOUT,   /* no server accepted it in time */
 	COMEBACK_MAX
 };
 
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -7,10 +7,9 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define BODY_RETAINED_MAX_BYTES \
-	393216		      /* bytes of a body kept for another attempt */
-#define BODY_MEMORY_DIVISOR 4 /* of the memory, that bodies may take */
-#define TIMEOUT_GRACE_MS 30   /* for the server's own answer at its deadline */
+#define BODY_RETAINED_MAX_BYTES 393216 /* of one body, for retries */
+#define BODY_MEMORY_DIVISOR 4	       /* bodies may use 1/4 of the memory */
+#define TIMEOUT_GRACE_MS 30 /* lets the server's own timeout answer arrive */
 #define RANDOM_BITS 32
 
 static int is_past_stop_limit(const struct relay *);
@@ -31,7 +30,7 @@
 const struct h1_server_ops entry_ops = { on_request_headers, on_request_body,
 	on_request_end, on_caller_disconnect, on_caller_drained };
 
-/* How a request without a server's answer ends. */
+/* Status, counter and reason of a failure. */
 struct failure_desc {
 	unsigned int status;
 	enum relay_counter counter;
@@ -56,7 +55,7 @@
 };
 
 /*
- * Prepares the state of a new request.
+ * Allocates the state of a new request.
  */
 static struct entry_req *
 entry_new(struct relay *r, struct h1_conn *conn)
@@ -82,7 +81,7 @@
 }
 
 /*
- * Forgets a request; the connection goes its own way.
+ * Frees a request.  Its connection stays open.
  */
 void
 entry_finish(struct entry_req *e)
@@ -105,8 +104,9 @@
 }
 
 /*
- * A call of the server beside this node has ended.  Where it failed, the run
- * that made it will, too, which is no failure of the server.
+ * Records the result of a call by the local server.  A failed call also marks
+ * the run that made it: the run is expected to fail, and this must not count
+ * as a failure of the server.
  */
 void
 entry_call_ended(struct entry_req *e, int refused, int failed)
@@ -125,7 +125,8 @@
 }
 
 /*
- * Tells whether a request ends since no node had a server or a slot for it.
+ * Returns 1 if a request failed because no node had a server or a free slot
+ * for it.
  */
 static int
 is_capacity_failure(const struct entry_req *e, enum entry_end cause)
@@ -136,8 +137,8 @@
 }
 
 /*
- * Ends a request without a server's answer.  If it can't have run, its
- * caller is told when to come back (ms; 0: not told).
+ * Answers a request with an error.  If the request can't have run, the answer
+ * tells the caller to retry after retry_after_ms (0: no such field).
  */
 void
 entry_end(struct entry_req *e, enum entry_end cause, uint64_t retry_after_ms)
@@ -150,7 +151,7 @@
 	size_t id_len;
 	unsigned int status = d->status;
 
-	/* What may have run can't be refused any more. */
+	/* A request that may have run can't be reported as refused. */
 	if (e->maybe_run && (status == 503 || status == 429))
 		status = 502;
 	if (!e->maybe_run)
@@ -193,7 +194,7 @@
 }
 
 /*
- * Finds the route of a request.
+ * Returns the route of a request, or NULL if none matches.
  */
 static const struct config_route *
 find_route(struct relay *r, const struct h1_head *h)
@@ -216,8 +217,7 @@
 }
 
 /*
- * Finds the workspace whose key came with a request.  Returns END_MAX if all
- * is well.
+ * Finds the workspace of a request by its key.  Returns END_MAX on success.
  */
 static enum entry_end
 resolve_workspace(struct entry_req *e, const struct config_route *route,
@@ -230,7 +230,7 @@
 
 	if (route->open || r->config->ws_count == 0)
 		return END_MAX;
-	/* On an old configuration the key may be withdrawn, or be granted. */
+	/* A stale configuration may hold revoked keys or lack new ones. */
 	if (relay_now(r) - r->proved_ms > r->set.fresh_ms)
 		return END_STALE;
 	if (h1_head_copy(h, r->set.names.key, key, sizeof(key)) < 1)
@@ -248,7 +248,7 @@
 }
 
 /*
- * Chooses the service of a route that is split, by weight.
+ * Chooses the service of a request; on a split route at random by weight.
  */
 static void
 choose_split_service(struct entry_req *e, const struct config_route *route)
@@ -272,9 +272,10 @@
 }
 
 /*
- * Takes a call of the server beside this node for part of the request that it
- * is at work on: a chain ranks alike at every depth.  Where that isn't known,
- * calls go first, as work was done for them already.
+ * Gives a call by the local server the class and root hash of the run that
+ * made it, because all calls of a root request share its priority.  If the run
+ * isn't known, the call gets the most important class, since work has already
+ * been done for it.
  */
 static void
 attach_to_parent(struct entry_req *e, const struct h1_head *h)
@@ -295,8 +296,9 @@
 }
 
 /*
- * Tells whether this node ends so soon that a root request might not.  Calls of
- * runs that are at work are part of what still has to end.
+ * Returns 1 if this node is stopping and a new root request might not finish
+ * in time.  Calls by runs in progress are still accepted, as those runs have
+ * to finish.
  */
 static int
 is_past_stop_limit(const struct relay *r)
@@ -305,7 +307,8 @@
 }
 
 /*
- * Decides on a request whose head is in.
+ * Handles the headers of a request: admits the request or answers with an
+ * error.
  */
 static void
 on_request_headers(void *ctx, struct h1_conn *conn)
@@ -368,7 +371,7 @@
 }
 
 /*
- * Keeps a piece of the body and passes it on.
+ * Retains a piece of the request body for retries and forwards it.
  */
 static void
 on_request_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
@@ -385,7 +388,7 @@
 		return;
 	if (e->body_len + n > BODY_RETAINED_MAX_BYTES ||
 	    r->held_bytes + n > r->set.memory_bytes / BODY_MEMORY_DIVISOR) {
-		/* Too much to keep: this attempt is the only one. */
+		/* Too large to retain: the request can't be retried. */
 		if (e->xchg != NULL) {
 			e->body_lost = 1;
 			r->held_bytes -= e->body_cap;
@@ -411,7 +414,7 @@
 }
 
 /*
- * The request is read to its end.
+ * Handles the end of the request body.
  */
 static void
 on_request_end(void *ctx, struct h1_conn *conn)
@@ -427,7 +430,7 @@
 }
 
 /*
- * The caller has left: nobody wants the answer.
+ * Cancels the request of a caller that disconnected.
  */
 static void
 on_caller_disconnect(void *ctx, struct h1_conn *conn)
@@ -447,7 +450,7 @@
 }
 
 /*
- * The caller has read: the answer may go on.
+ * Resumes the answer when the caller has read what was buffered.
  */
 static void
 on_caller_drained(void *ctx, struct h1_conn *conn)
@@ -460,7 +463,7 @@
 }
 
 /*
- * Ends requests whose time is over.
+ * Ends requests that have run out of time.
  */
 void
 entry_tick(struct relay *r)
--- a/src/relay/entry_limit.c
+++ b/src/relay/entry_limit.c
@@ -6,8 +6,8 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define REPLY_TIMEOUT_MS 60 /* for the owner's answer to a question */
-#define REQUESTS_MAX 2	    /* after that the reserve is used */
+#define REPLY_TIMEOUT_MS 60 /* of a token request to the owner */
+#define REQUESTS_MAX 2	    /* then the reserve is used */
 #define US_PER_MS 1000
 
 static struct relay_limit *get_limit(struct relay *, uint64_t);
@@ -20,7 +20,8 @@
     struct relay *, uint64_t, uint64_t, uint32_t, uint32_t);
 
 /*
- * Finds what this node holds of a workspace's tokens.
+ * Returns the tokens of a workspace at this node; adds an empty record if
+ * there is none.
  */
 static struct relay_limit *
 get_limit(struct relay *r, uint64_t ws)
@@ -42,8 +43,8 @@
 }
 
 /*
- * Holds a request to its workspace's limit.  Returns 0 if it may go on now,
- * 1 if it waits for a token or has ended.
+ * Applies the workspace's limit to a request.  Returns 0 if the request may
+ * proceed now, 1 if it waits for a token or has ended.
  */
 int
 entry_limit(struct entry_req *e)
@@ -79,7 +80,7 @@
 }
 
 /*
- * Removes a request from those that wait for a token.
+ * Removes a request from the queue for tokens.
  */
 void
 entry_limit_leave(struct entry_req *e)
@@ -101,7 +102,7 @@
 }
 
 /*
- * Gives a token back whose request did not run.
+ * Returns the token of a request that didn't run.
  */
 void
 entry_token_back(struct entry_req *e)
@@ -113,7 +114,7 @@
 }
 
 /*
- * Takes the first request from those that wait.
+ * Removes and returns the first request in the queue for tokens, or NULL.
  */
 static struct entry_req *
 dequeue_request(struct relay_limit *l)
@@ -129,7 +130,8 @@
 }
 
 /*
- * Lends tokens of a limit that this node owns.
+ * Grants tokens of a limit that this node owns.  The grant is empty if this
+ * node is not the owner.
  */
 static struct quota_grant
 grant_tokens(
@@ -159,7 +161,7 @@
 }
 
 /*
- * Asks the owner of a limit for tokens.
+ * Requests tokens from the owner of a limit.
  */
 static void
 request_tokens(struct relay *r, struct relay_limit *l)
@@ -197,8 +199,8 @@
 }
 
 /*
- * Lets requests go on that got a token, and refuses the others if there are
- * no more.
+ * Sends the requests that get a token from a grant, and refuses the rest if
+ * the owner has no more tokens.
  */
 static void
 apply_grant(struct relay *r, struct relay_limit *l, const struct quota_grant *g)
@@ -233,7 +235,7 @@
 }
 
 /*
- * Serves those that wait from the reserve.
+ * Serves the waiting requests from the reserve.
  */
 static void
 use_reserve(struct relay *r, struct relay_limit *l)
@@ -256,7 +258,7 @@
 }
 
 /*
- * Repeats questions that were not answered, and then does without.
+ * Repeats unanswered token requests; uses the reserve after too many.
  */
 void
 entry_limit_tick(struct relay *r)
@@ -277,8 +279,8 @@
 }
 
 /*
- * Hands the buckets that this node owns to their next owners, which then need
- * not hold back.  This node lends no more.
+ * Transfers the buckets that this node owns to their next owners, so that
+ * those can grant tokens at once.  This node grants no more tokens.
  */
 void
 relay_hand_over(struct relay *r)
@@ -306,7 +308,7 @@
 }
 
 /*
- * Takes over a bucket of a node that stops.
+ * Accepts a bucket from a node that is stopping.
  */
 void
 relay_on_bucket(void *ctx, const struct fleet_bucket *m)
@@ -325,7 +327,7 @@
 }
 
 /*
- * Answers another node's question.
+ * Answers another node's token request.
  */
 void
 relay_on_ask(
@@ -347,7 +349,7 @@
 }
 
 /*
- * Takes the owner's answer; one that is late or repeated changes nothing.
+ * Applies the owner's answer.  A late or duplicate answer is ignored.
  */
 void
 relay_on_give(void *ctx, const struct fleet_give *a)
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -6,15 +6,14 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define ANSWER_BUFFER_BYTES \
-	65536 /* bytes of an answer kept until it is whole */
+#define ANSWER_BUFFER_BYTES 65536 /* longer answers are streamed */
 #define CANDIDATES_MAX 128
-#define AVOID_MIN_MS 300 /* a node that took no connection */
+#define AVOID_MIN_MS 300 /* after a failed connection; doubles each time */
 #define AVOID_MAX_MS 3000
-#define ATTEMPTS_MAX 4	     /* nodes asked for one request */
-#define RETRY_TIME_MIN_MS 20 /* less time isn't worth another attempt */
+#define ATTEMPTS_MAX 4	     /* nodes tried for one request */
+#define RETRY_TIME_MIN_MS 20 /* least time left for another attempt */
 #define IDLE_UNLIMITED_MS UINT64_MAX
-#define IDLE_NON_IDEMPOTENT_MS 4000 /* an older connection may break */
+#define IDLE_NON_IDEMPOTENT_MS 4000 /* older connections may break */
 
 static int on_response_headers(void *, struct h1_xchg *);
 static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
@@ -31,7 +30,8 @@
 	on_response_body, on_response_end, on_attempt_fail, on_node_drained };
 
 /*
- * Chooses a node for the next attempt.  Returns its handle, or RELAY_NO_LINK.
+ * Chooses a node for the next attempt.  Returns its handle, or RELAY_NO_LINK
+ * if there is none.
  */
 int
 entry_pick(struct entry_req *e)
@@ -95,7 +95,7 @@
 }
 
 /*
- * Writes what the exit must know of a request, and the seal on it.
+ * Adds the header fields for the exit: the hop field and its seal.
  */
 static void
 add_hop(struct entry_req *e, struct h1_text *t)
@@ -117,7 +117,7 @@
 }
 
 /*
- * Composes the head that goes to the exit.
+ * Composes the request head for the exit.
  */
 static void
 compose_request(struct entry_req *e, struct h1_text *t)
@@ -142,7 +142,7 @@
 }
 
 /*
- * Sends a request to a node, or ends it if there is none for it.
+ * Sends a request to a node.  Ends the request if no node is left.
  */
 void
 entry_start(struct entry_req *e)
@@ -184,7 +184,8 @@
 }
 
 /*
- * Passes a piece of the body on; the caller is held back if the node is slow.
+ * Forwards a piece of the body.  Pauses reading from the caller while the node
+ * is slow.
  */
 void
 entry_forward_body(struct entry_req *e, const char *p, size_t n)
@@ -195,7 +196,7 @@
 }
 
 /*
- * The node reads again, and so does this one.
+ * Resumes reading from the caller when the node has caught up.
  */
 static void
 on_node_drained(void *ctx, struct h1_xchg *x)
@@ -207,7 +208,7 @@
 }
 
 /*
- * Notes how an attempt ended, for the choice of later ones.
+ * Records the result of an attempt for the choice of later nodes.
  */
 static void
 record_attempt(struct entry_req *e, int failed)
@@ -224,7 +225,7 @@
 }
 
 /*
- * Gives an attempt up that is under way.
+ * Cancels the current attempt.
  */
 void
 entry_stop_attempt(struct entry_req *e)
@@ -238,8 +239,8 @@
 }
 
 /*
- * No answer came in time.  The connection may be dead without a reset, and so
- * may the idle ones to that node: they aren't used again.
+ * Closes the idle connections to a node that didn't answer in time.  They may
+ * be dead without a reset, like the one of the attempt.
  */
 void
 entry_silent(struct entry_req *e)
@@ -249,7 +250,7 @@
 }
 
 /*
- * Takes the head of an answer.
+ * Handles the headers of a response: reads the verdict of the exit.
  */
 static int
 on_response_headers(void *ctx, struct h1_xchg *x)
@@ -278,7 +279,7 @@
 }
 
 /*
- * Sends the head of a long answer, and what there is of its body.
+ * Sends the head of a long answer to the caller, and the body so far.
  */
 static void
 start_streaming(struct entry_req *e)
@@ -291,8 +292,8 @@
 }
 
 /*
- * Takes a piece of an answer's body.  Short answers are kept until they are
- * whole, since a broken one can then be asked for again.
+ * Handles a piece of the response body.  Short answers are buffered until
+ * complete, so that a request whose answer breaks off can be retried.
  */
 static void
 on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
@@ -313,8 +314,8 @@
 }
 
 /*
- * Tells whether a request may be sent to another server after one that may
- * have run it, and takes that from the budget of retries.
+ * Returns 1 if a request that reached a server may be sent to another one, and
+ * charges the retry budget.
  */
 static int
 acquire_retry(struct entry_req *e)
@@ -335,7 +336,7 @@
 }
 
 /*
- * Sends a request to another node.
+ * Retries a request on another node.
  */
 static void
 retry(struct entry_req *e)
@@ -351,7 +352,8 @@
 }
 
 /*
- * Takes the end of an answer: the server's, or the exit's refusal.
+ * Handles the end of a response, which is the server's answer or a refusal by
+ * the exit.
  */
 static void
 on_response_end(void *ctx, struct h1_xchg *x)
@@ -423,7 +425,7 @@
 }
 
 /*
- * An attempt broke off.
+ * Handles an attempt that failed before the end of the response.
  */
 static void
 on_attempt_fail(void *ctx, struct h1_xchg *x, enum h1_fail failure)
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -6,13 +6,13 @@
 #include "event/event.h"
 #include "relay/relay_int.h"
 
-#define STEP_MS 100		  /* between two steps of the throttle */
-#define LOAD_TIME_CONSTANT_S 0.25 /* time constant of the measured load */
+#define STEP_MS 100		  /* interval of the throttle's steps */
+#define LOAD_TIME_CONSTANT_S 0.25 /* of the measured load */
 #define MS_PER_S 1000.0
-#define PER_THOUSAND 1000.0 /* loads and calls are told in thousandths */
+#define PER_THOUSAND 1000.0 /* loads and calls are sent in thousandths */
 #define US_PER_S 1000000.0
 #define RANK_SHIFT 16
-#define STEPS_PER_SUMMARY 10 /* steps between two lines about successes */
+#define STEPS_PER_SUMMARY 10 /* steps between two summary log lines */
 
 static void on_throttle_timer(uv_timer_t *);
 static void log_summary(struct relay *);
@@ -28,7 +28,7 @@
 static void add_rank(struct relay *, uint32_t);
 
 /*
- * Begins to measure loads and to adapt the throttle.
+ * Starts load measurement and the throttle timer.
  */
 void
 load_init(struct relay *r)
@@ -42,8 +42,8 @@
 }
 
 /*
- * Brings the measured load of the server beside this node up to now, before
- * it changes.
+ * Updates the measured load of the local server to the current time.  To be
+ * called before the load changes.
  */
 void
 load_tick(struct relay *r)
@@ -62,8 +62,8 @@
 }
 
 /*
- * Returns the work that arrives for the server beside this node, as a share
- * of its slots: what is in them or waits, and what was refused here.
+ * Returns the work offered to the local server as a share of its slots:
+ * requests running, waiting and refused here.
  */
 static double
 offered_load(const struct relay *r)
@@ -75,7 +75,7 @@
 }
 
 /*
- * A request was refused here.
+ * Records that this node refused a request.
  */
 void
 load_shed(struct relay *r)
@@ -85,8 +85,8 @@
 }
 
 /*
- * Fills the load and the calls of the server into this node's beat, and what
- * callers ask of this node.
+ * Fills a heartbeat with the local server's load and calls, and the demand of
+ * this node's callers.
  */
 void
 load_fill(struct relay *r, struct fleet_beat *b)
@@ -129,8 +129,8 @@
 }
 
 /*
- * Takes which services another node's server calls, and which ones that node
- * is asked for.
+ * Stores the services that another node's server calls and the services that
+ * the node's callers request, as listed in its heartbeat.
  */
 void
 load_heard(void *ctx, int handle, const struct fleet_beat *b)
@@ -151,7 +151,8 @@
 }
 
 /*
- * Takes the numbers that go with these services.
+ * Stores the rates that belong to the services of the node's last full
+ * heartbeat.
  */
 void
 load_told(void *ctx, int handle, const struct fleet_load *m)
@@ -180,7 +181,7 @@
 }
 
 /*
- * Takes how many calls a run at one service makes to another.
+ * Adds the calls per run from one service to another to the throttle.
  */
 static void
 add_calls(struct relay *r, int caller, const char *service, double per_run)
@@ -192,7 +193,8 @@
 }
 
 /*
- * Sums what this node's server does and what this node's callers ask.
+ * Adds the local server's load and the demand of the local callers to the
+ * throttle.
  */
 static void
 add_own_load(struct relay *r)
@@ -226,8 +228,8 @@
 }
 
 /*
- * Counts the server beside a node that this one doesn't hear, but that most
- * others do: what this one's callers ask for may well reach it.
+ * Keeps the service of an unreachable peer open.  The peer is unreachable for
+ * this node but not for most others, so requests may still reach its server.
  */
 static void
 keep_unheard_service_open(struct relay *r, const struct fleet_peer *p)
@@ -242,8 +244,8 @@
 }
 
 /*
- * Passes over services without servers to which no route leads any more: what
- * runs called there, they call elsewhere now.
+ * Keeps services open that have no servers and no route any more.  Runs that
+ * used to call them now call other services.
  */
 static void
 keep_unrouted_services_open(struct relay *r)
@@ -261,7 +263,7 @@
 }
 
 /*
- * Sums what the servers of each service do, and what callers ask of all
+ * Sums the server loads and the callers' demand per service over all reachable
  * nodes.
  */
 static void
@@ -302,7 +304,7 @@
 }
 
 /*
- * Logs what was answered since the last such line, in place of a line for
+ * Logs the number of answers since the last summary.  There is no log line for
  * each success.
  */
 static void
@@ -334,7 +336,8 @@
 }
 
 /*
- * Logs the services whose load cuts root requests now, and what that rests on.
+ * Logs each service whose load currently limits root requests, with the values
+ * behind the limit.
  */
 static void
 log_limiting_services(struct relay *r)
@@ -355,7 +358,7 @@
 }
 
 /*
- * Adapts the throttle.
+ * Runs one step of the throttle.
  */
 static void
 on_throttle_timer(uv_timer_t *timer)
@@ -374,7 +377,7 @@
 }
 
 /*
- * Tells whether a root request to a service may come in.
+ * Returns 1 if the throttle admits a root request to a service, else 0.
  */
 int
 load_admits(struct relay *r, const char *service, uint32_t class)
@@ -394,7 +397,7 @@
 }
 
 /*
- * A root request that was let in is over its workspace's rate.
+ * Records that an admitted root request exceeded its workspace's rate.
  */
 void
 load_over_rate(struct relay *r, const char *service, uint32_t class)
@@ -406,7 +409,7 @@
 }
 
 /*
- * Orders ranks of importance.
+ * Compares two priority ranks.
  */
 static int
 compare_ranks(const void *a, const void *b)
@@ -417,7 +420,7 @@
 }
 
 /*
- * Adds a rank, if it is new and there is room.
+ * Adds a priority rank unless it is known or the table is full.
  */
 static void
 add_rank(struct relay *r, uint32_t rank)
@@ -432,8 +435,8 @@
 }
 
 /*
- * Collects the ranks of importance in the configuration: a workspace's
- * priority goes before a route's.
+ * Collects the priority ranks of the configuration.  A rank is ordered by the
+ * workspace's priority first, then by the route's.
  */
 void
 load_ranks(struct relay *r)
@@ -455,8 +458,8 @@
 }
 
 /*
- * Returns the class of a request, by the place of its rank among all; where
- * there are more ranks than classes, neighbours share one.
+ * Returns the class of a request, which is the position of its rank among all
+ * ranks.  If there are more ranks than classes, adjacent ranks share a class.
  */
 uint32_t
 load_class(const struct relay *r, uint32_t ws_priority, uint32_t priority)
--- a/src/relay/test_choice.c
+++ b/src/relay/test_choice.c
@@ -15,7 +15,7 @@
 #define WINDOW_S 10
 #define NODE_COUNT 15
 
-/* Three servers, and which of them must get the request. */
+/* Three candidate servers and the index of the one to choose. */
 struct choice_case {
 	const char *name;
 	struct choice list[SERVER_COUNT];
@@ -23,7 +23,7 @@
 };
 
 static const struct choice_case choice_cases[] = {
-	{ "least outstanding",
+	{ "server with the least outstanding work",
 	    { { 0.5, 0, 0, 1, 0, 0 }, { 0.2, 0, 1, 1, 0, 0 },
 		{ 0.9, 0, 2, 1, 0, 0 } },
 	    1 },
@@ -35,22 +35,22 @@
 	    { { 0.9, 0, 0, 1, 0, 0 }, { 0.2, 0, 1, 0, 0, 0 },
 		{ 0.6, 0, 2, 0, 0, 0 } },
 	    1 },
-	{ "grey server: quick failures don't draw requests",
+	{ "grey failure: a quickly failing server isn't preferred",
 	    { { 0, 0.5, 0, 1, 0, 0 }, { 0.7, 0, 1, 1, 0, 0 },
 		{ 0.8, 0, 2, 1, 0, 0 } },
 	    1 },
-	{ "cold server",
+	{ "recently started server is avoided",
 	    { { 0, 0, 0, 1, 1, 0 }, { 0.4, 0, 1, 1, 0, 0 },
 		{ 0.5, 0, 2, 1, 0, 0 } },
 	    1 },
-	{ "one that can't be reached only where nothing else is left",
+	{ "unreachable server only as a last resort",
 	    { { 0, 0, 0, 1, 0, 1 }, { 3, 0.9, 1, 0, 1, 0 },
 		{ 5, 0.9, 2, 0, 1, 0 } },
 	    1 },
 };
 
 /*
- * Each row's server is chosen whatever the noise.
+ * The expected server is chosen whatever the random seed.
  */
 static void
 test_best_server(void **state)
@@ -71,8 +71,8 @@
 }
 
 /*
- * Grey server: failures show after a few attempts, and once it is sound again
- * it is tried again, though nothing was sent there meanwhile.
+ * Grey failure: a failing server is noticed after a few attempts.  Its failure
+ * share decays without traffic, so a recovered server is tried again.
  */
 static void
 test_failures_fade(void **state)
@@ -92,7 +92,7 @@
 }
 
 /*
- * Servers that are alike get alike: entries don't all take the first.
+ * Equal servers get about equal shares of the requests.
  */
 static void
 test_equal_servers_share_load(void **state)
@@ -112,8 +112,8 @@
 }
 
 /*
- * Thundering herd: callers refused together return over at least as long as
- * a run takes, and none of them at once.
+ * Thundering herd: the delays of callers refused together differ by at least
+ * the time of a run, and none is zero.
  */
 static void
 test_retry_after_spread(void **state)
@@ -133,8 +133,8 @@
 }
 
 /*
- * Refused look-ups that come back too late for their aim: whoever returns can
- * still be served within half of it, and all return over as long a time.
+ * With a target latency every delay is at most half of it, so that retries can
+ * still meet the target.  The delays remain spread out.
  */
 static void
 test_retry_after_within_target(void **state)
@@ -163,8 +163,8 @@
 }
 
 /*
- * Retry storm: every request fails for a while at every node, and all repeats
- * that the budgets give stay within what the fleet may have.
+ * Retry storm: while every request fails at every node, the retries of all
+ * nodes stay within the fleet's budget.
  */
 static void
 test_budget_limits_retry_storm(void **state)
@@ -177,7 +177,7 @@
 	(void)state;
 	for (node = 0; node < NODE_COUNT; node++) {
 		budget_init(&b[node]);
-		for (i = 0; i < 1000; i++) /* a calm time before */
+		for (i = 0; i < 1000; i++) /* requests without failures */
 			budget_earn(&b[node], RETRY_RATIO, 0);
 	}
 	for (i = 0; i < WINDOW_S * 100; i++) {
@@ -193,9 +193,9 @@
 }
 
 /*
- * Where a service's servers turn away more than may be repeated (priority
- * inversion): what is left goes to the more important classes, and in the one
- * that gets a part to the same root requests, not to some calls of each.
+ * Priority inversion: if more requests fail than the budget can retry, retries
+ * go to the more important classes first.  In the class that gets a part, they
+ * go to the same root requests each time.
  */
 static void
 test_budget_prefers_important(void **state)
@@ -207,7 +207,7 @@
 
 	(void)state;
 	budget_init(&b);
-	/* 1 of 10 calls is of the first class, 2 of the second; half fail. */
+	/* Class 0: 1 of 10 calls, class 1: 2 of 10.  Half of the calls fail. */
 	for (i = 0; i < 40000; i++) {
 		ask.now_ms = i * 5;
 		budget_earn(&b, RETRY_RATIO, ask.now_ms);
@@ -222,7 +222,7 @@
 		low += ask.class == 1 && ask.root_hash < UINT64_MAX / 4;
 		high += ask.class == 1 && ask.root_hash > UINT64_MAX / 4 * 3;
 	}
-	/* 0.12 repeats a call: 0.05 for the first class, 0.07 of 0.1. */
+	/* 0.12 retries per call: 0.05 for class 0; 0.07 of 0.1 for class 1. */
 	assert_true(granted[0] >= requested[0] * 85 / 100);
 	assert_true(granted[1] >= requested[1] / 2 &&
 		    granted[1] <= requested[1] * 3 / 4);
--- a/src/relay/test_load.c
+++ b/src/relay/test_load.c
@@ -13,7 +13,7 @@
 #include "relay/test_pair.h"
 
 /*
- * Tells whether a node lets in few of the roots that need the service.
+ * Returns 1 if a node's throttle limits root requests because of the service.
  */
 static int
 is_limiting(struct relay *r)
@@ -23,8 +23,8 @@
 }
 
 /*
- * Cascading failure: once the only server of a service leaves, roots that need
- * it are refused, and no more when it is back.
+ * Cascading failure: root requests are refused once the only server of a
+ * service they need has left, and admitted again when it is back.
  */
 static void
 test_roots_refused_without_server(void **state)
@@ -48,7 +48,8 @@
 }
 
 /*
- * What was called before the configuration moved is not needed any more.
+ * A service without servers stops limiting root requests when no route of the
+ * configuration leads to it.
  */
 static void
 test_unrouted_service_does_not_limit(void **state)
--- a/src/relay/test_pair.h
+++ b/src/relay/test_pair.h
@@ -2,9 +2,9 @@
 #define RELAY_TEST_PAIR_H
 
 /*
- * Two nodes and their servers on one loop, on two loopback addresses.  The
- * callers use node A; the server of the service is beside node B, in some
- * cases another one beside A.
+ * Test set-up: two nodes with a server each, on one event loop and two loopback
+ * addresses.  Callers use node 0.  The service runs at node 1, and in some
+ * tests also at node 0.
  */
 
 #define ALARM_S 60
@@ -13,7 +13,7 @@
 #define CONFIG_FRESH_MS 4000
 #define ACCEPT_ROOTS_MS 60000
 
-/* What a server does with a request. */
+/* How a test server handles a request. */
 enum deed {
 	ANSWER,
 	HOLD,
@@ -28,10 +28,10 @@
 	struct h1_server http;
 	enum deed deed;
 	int runs;
-	int health;	 /* the last request asked for it */
-	int disconnects; /* connections that broke while a request was held */
+	int health;	 /* the last request was a health check */
+	int disconnects; /* connections closed so far */
 	char id[256];
-	char seen[1024]; /* names and values of the last request */
+	char seen[1024]; /* header fields of the last request */
 	struct h1_conn *held;
 };
 
@@ -102,7 +102,7 @@
 		h1_answer(conn, 503, &t, NULL, 0);
 		break;
 	case OTHERS_FIRST:
-		/* The late second answer of the request before, then ours. */
+		/* A late answer to an earlier request precedes this one. */
 		h1_text_finish(&t);
 		s->id[strlen(s->id) - 1] ^= 1;
 		h1_text_field(&t, "Id", s->id);
@@ -179,7 +179,7 @@
 	on_caller_body, on_caller_end, on_caller_fail, NULL };
 
 /*
- * Finds ports that are free at both addresses; they are taken soon after.
+ * Finds free ports and closes them again, for use soon after.
  */
 static void
 find_free_ports(uint16_t *ports, int n)
@@ -202,8 +202,9 @@
 }
 
 /*
- * Makes a configuration: "/o/" isn't idempotent, "/s/" is, "/open/" takes
- * requests without a key, and one workspace has a rate.
+ * Builds a configuration with one workspace and key.  The route "/o/" isn't
+ * idempotent, "/s/" is, and "/open/" needs no key.  rate is the limit of the
+ * workspace.
  */
 static struct config *
 make_config(uint64_t version, double rate, const char *key)
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -14,7 +14,7 @@
 #include "relay/relay_int.h"
 #include "relay/test_pair.h"
 
-/* What a server does, and what the caller of a route gets. */
+/* A server's behaviour and the resulting answer to the caller. */
 struct answer_case {
 	const char *name;
 	enum deed deed;
@@ -30,16 +30,16 @@
 	{ "refusal, not run", TURN, 503, "/o/1", "", 0 },
 	{ "another request's answer first", OTHERS_FIRST, 200, "/o/1", "mine",
 	    1 },
-	{ "success without a stamp", NO_STAMP, 502, "/o/1", "", 1 },
+	{ "success without a signature", NO_STAMP, 502, "/o/1", "", 1 },
 	{ "broken exchange", BREAK, 502, "/o/1", "", 1 },
-	{ "broken, may be repeated, no other server", BREAK, 502, "/s/1", "",
-	    1 },
+	{ "broken exchange, idempotent, no other server", BREAK, 502, "/s/1",
+	    "", 1 },
 	{ "no answer in time", HOLD, 504, "/o/1", "", 1 },
 };
 
 /*
- * Whatever the server does, the caller gets its own answer, or a failure
- * that is true.
+ * The caller gets its own answer or an accurate error, whatever the server
+ * does.
  */
 static void
 test_caller_gets_own_answer(void **state)
@@ -65,8 +65,8 @@
 }
 
 /*
- * The server learns the workspace and where the request began, never the key,
- * whatever the caller claims.
+ * The server gets the workspace and the caller's service in header fields, but
+ * never the key.  Forged fields of the caller are dropped.
  */
 static void
 test_header_fields_to_server(void **state)
@@ -91,7 +91,8 @@
 }
 
 /*
- * Keys are held to the configuration in force, and to one that isn't old.
+ * Keys are checked against the current configuration and refused if the
+ * configuration is stale.
  */
 static void
 test_key_checks(void **state)
@@ -122,9 +123,9 @@
 }
 
 /*
- * From its acknowledgement on, a leaving server gets nothing more, not even
- * what waited for it; a new incarnation does, and an announcement of the old
- * one that comes late changes nothing.
+ * A leaving server gets no more requests once its announcement is
+ * acknowledged, not even waiting ones.  A new incarnation does.  A late
+ * announcement of the old one has no effect.
  */
 static void
 test_leaving_server_gets_nothing(void **state)
@@ -150,7 +151,7 @@
 }
 
 /*
- * A caller that leaves takes its work at the server with it.
+ * A caller's disconnection cancels its request at the server.
  */
 static void
 test_caller_disconnect_cancels_run(void **state)
@@ -172,8 +173,8 @@
 }
 
 /*
- * Of two servers, a request that may be repeated goes to the other one when
- * the first breaks; one that may not goes to one only.
+ * An idempotent request is retried on the second server if the first one
+ * breaks off.  Another request is sent to one server only.
  */
 static void
 test_retry_on_second_server(void **state)
@@ -193,7 +194,7 @@
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 502);
 	assert_int_equal(servers[0].runs + servers[1].runs, runs + 1);
-	/* The budget of repeats is used up long before every one is one. */
+	/* The retry budget is too small to retry every request. */
 	runs = servers[0].runs + servers[1].runs;
 	for (i = 0; i < 50; i++) {
 		ask(&c, "/s/1", KEY);
@@ -205,7 +206,8 @@
 }
 
 /*
- * A workspace over its rate is refused at the entry, one within it is not.
+ * The entry refuses requests over the rate of their workspace and admits those
+ * within it.
  */
 static void
 test_workspace_rate(void **state)
@@ -216,7 +218,7 @@
 	(void)state;
 	for (i = 0; i < 2; i++)
 		relay_take_config(&nodes[i], make_config(2, 10, KEY));
-	/* Nobody can have lent tokens before this node was alone with it. */
+	/* The owner may grant at once, as no other owner granted before. */
 	nodes[0].fleet.turned_ms = nodes[1].fleet.turned_ms = 0;
 	for (i = 0; i < 40; i++) {
 		ask(&c, "/o/1", KEY);
@@ -231,8 +233,8 @@
 }
 
 /*
- * The owner of a limit stops: the next one has its tokens and lends at once,
- * no more than were left.
+ * When the owner of a limit stops, the next owner inherits its tokens and
+ * grants them at once, but no more than were left.
  */
 static void
 test_limit_owner_stops(void **state)
@@ -276,8 +278,8 @@
 }
 
 /*
- * A node that doesn't know its server finds it by its health, unless it
- * leaves; the announcement that follows is of the same incarnation.
+ * A node that doesn't know its server finds it by a health check, unless the
+ * server is leaving.  A later announcement is taken for the same incarnation.
  */
 static void
 test_health_probe(void **state)
@@ -303,15 +305,15 @@
 	nodes[0].core.inflight = 3;
 	announce(0, 100, 1, 0);
 	assert_int_equal(nodes[0].server.born_ms, 100);
-	assert_int_equal(nodes[0].core.inflight, 3); /* not started over */
+	assert_int_equal(nodes[0].core.inflight, 3); /* not reset */
 	announce(0, 100, 2, 1);
 	assert_true(nodes[0].server.leaving);
 	nodes[0].core.inflight = 0;
 }
 
 /*
- * A node that hears nothing from the store goes on with keys as long as one
- * that follows it closely says that their version is the newest.
+ * A node that gets no answer from the store still accepts keys while a reader
+ * of the store confirms that its version is the newest.
  */
 static void
 test_version_proof(void **state)
@@ -333,7 +335,7 @@
 	}
 	assert_true(nodes[1 - reader].proved_ms <= loop_ms(&loop));
 	assert_true(nodes[1 - reader].proved_ms + 50 >= before);
-	/* Not so where the other one has an older version. */
+	/* The other node's report doesn't count if its version is older. */
 	relay_take_config(&nodes[1 - reader], make_config(3, 0, KEY));
 	nodes[1 - reader].proved_ms = 0;
 	before = loop_ms(&loop);
@@ -345,8 +347,8 @@
 }
 
 /*
- * The store answers none of those that follow it closely, but another node:
- * that one's word is as good.
+ * If the readers get no answer from the store, the confirmation of any other
+ * node that does is accepted.
  */
 static void
 test_version_proof_by_non_reader(void **state)
@@ -356,7 +358,7 @@
 	char name[16];
 
 	(void)state;
-	/* Silent nodes, until both readers are among them. */
+	/* Add silent nodes until both readers are silent ones. */
 	while (live_reader) {
 		snprintf(name, sizeof(name), "silent-%zu", t->count);
 		h = fleet_learn(t, name, 0x7f000063, loop_ms(&loop));
@@ -374,7 +376,7 @@
 	}
 }
 
-/* What a node got from another one. */
+/* Configuration copied from another node. */
 struct copied {
 	struct config *config;
 	char node[16];
@@ -393,8 +395,8 @@
 }
 
 /*
- * The store answers one node and not the other one: that one gets the newer
- * version from the first, and asks nobody where none is newer.
+ * A node that can't reach the store gets a newer configuration from a peer.
+ * It asks no peer if none has a newer one.
  */
 static void
 test_copy_config_from_peer(void **state)
@@ -420,7 +422,7 @@
 	assert_int_equal(c.status, 200);
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 401);
-	/* Not known any more when the question arrives. */
+	/* The peer has lost its configuration when the request arrives. */
 	config_free(nodes[1].config);
 	nodes[1].config = NULL;
 	nodes[0].fleet.peers[0].config_version = 3;
@@ -432,7 +434,8 @@
 }
 
 /*
- * A request at work on two servers when they died is refused everywhere.
+ * A request that was running on two servers when they crashed is refused at
+ * every node.
  */
 static void
 test_crashing_request_refused(void **state)
@@ -445,7 +448,7 @@
 		servers[1].deed = BREAK;
 		ask(&c, "/o/kill", KEY);
 		assert_int_equal(c.status, 502);
-		/* The server is gone: nothing listens any more. */
+		/* Crash of the server: it stops listening. */
 		h1_server_finish(&servers[1].http);
 		h1_pool_trim(&nodes[1].server_pool, 0);
 		ask(&c, "/o/other", KEY);
@@ -469,7 +472,7 @@
 }
 
 /*
- * A node that stops is not ready, and answers what still comes.
+ * A stopping node is not ready but still answers requests.
  */
 static void
 test_stopping_node(void **state)
@@ -488,8 +491,8 @@
 }
 
 /*
- * Nodes tell each other what callers ask of them, and what a run costs, so
- * that all let in the same share.
+ * Nodes report their callers' demand and the cost of runs to each other, so
+ * that all nodes admit the same share.
  */
 static void
 test_demand_reported(void **state)
@@ -504,7 +507,7 @@
 		ask(&c, "/o/1", KEY);
 		assert_int_equal(c.status, 200);
 	} while (other->throttle.services[h].demand[0] <= 0);
-	servers[1].deed = HOLD; /* a run that takes its time */
+	servers[1].deed = HOLD; /* a long run */
 	ask(&c, "/o/1", KEY);
 	h = throttle_service(&nodes[0].throttle, SERVICE);
 	while (nodes[0].throttle.services[h].runs_per_s <= 0)
@@ -513,8 +516,8 @@
 }
 
 /*
- * Priority inversion: a call ranks with the request whose run made it, all
- * along the chain; one that nobody here made goes first.
+ * Priority inversion: a call gets the class of the run that made it, at every
+ * depth.  A call whose run is unknown gets the most important class.
  */
 static void
 test_call_priority_follows_parent(void **state)
@@ -523,8 +526,8 @@
 		const char *id;
 		int is_child;
 	} cases[] = {
-		{ "7fa3.01", 1 }, /* made by the run */
-		{ "7fa301", 0 },  /* another id that begins alike */
+		{ "7fa3.01", 1 }, /* call made by the run */
+		{ "7fa301", 0 },  /* unrelated id with the same prefix */
 		{ "7fa3", 0 },	  /* the same id */
 	};
 	enum {
@@ -569,9 +572,9 @@
 }
 
 /*
- * Metastable failure: calls that are refused below fail the runs above.  That
- * is no failure of their servers, which would be avoided for it, and taken
- * for less capacity than there is.
+ * Metastable failure: a run fails because a call that it made was refused.  If
+ * that counted as a failure of the run's server, the server would be avoided
+ * and its capacity underestimated.
  */
 static void
 test_failed_call_not_server_failure(void **state)
@@ -584,7 +587,7 @@
 	send_as(&root, 0, "/o/1", KEY, "7fa3", "");
 	while (servers[1].held == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
-	/* Its call fails: the server is leaving, and there is no other. */
+	/* The call fails, as the only server is leaving. */
 	announce(1, 100, 2, 1);
 	send_as(&call, 1, "/open/1", NULL, "7fa3.01", "");
 	while (!call.done)
@@ -601,7 +604,7 @@
 	assert_true(choice_failing(&nodes[1].health, loop_ms(&loop)) <= 0);
 	assert_true(choice_failing(&relay_link(&nodes[0], 0)->health,
 			loop_ms(&loop)) <= 0);
-	/* Without such a call it is. */
+	/* Without a failed call it counts as a server failure. */
 	announce(1, 200, 1, 0);
 	servers[1].deed = FAIL;
 	ask(&next, "/o/1", KEY);
@@ -614,8 +617,7 @@
 }
 
 /*
- * The dump names the server, the peers and the limits, and is JSON where that
- * is asked for.
+ * The dump lists the server, the peers and the limits, and converts to JSON.
  */
 static void
 test_dump_text_and_json(void **state)
