--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -5,11 +5,11 @@
 #include "admission/admission.h"
 #include "base/clock.h"
 
-static void advance(struct admission *);
+static void dispatch_waiting(struct admission *);
 static void refuse_waiting(struct admission *, enum admission_verdict);
-static void settle(struct admission_waiter *);
-static void wait_until(struct admission_ticket *, uint64_t);
-static enum admission_verdict wait_turn(struct admission_ticket *);
+static void wake_waiter(struct admission_waiter *);
+static void wait_for_signal(struct admission_ticket *, uint64_t);
+static enum admission_verdict wait_for_verdict(struct admission_ticket *);
 
 static const char *const class_names[ADMISSION_CLASS_MAX] = {
 	[ADMISSION_CRITICAL] = "critical",
@@ -53,11 +53,11 @@
  * queue is first come, first served, without a level or a look at deadlines.
  */
 void
-admission_set_policy(struct admission *a, int on)
+admission_set_policy(struct admission *a, int enabled)
 {
 	pthread_mutex_lock(&a->lock);
-	a->core.limiter.fixed = !on;
-	a->core.unordered = !on;
+	a->core.limiter.fixed = !enabled;
+	a->core.fifo = !enabled;
 	pthread_mutex_unlock(&a->lock);
 }
 
@@ -72,7 +72,7 @@
 	core_reset(&a->core, slots, clock_us());
 	if (slots == 0)
 		refuse_waiting(a, ADMISSION_NO_SERVER);
-	advance(a);
+	dispatch_waiting(a);
 	pthread_mutex_unlock(&a->lock);
 }
 
@@ -84,7 +84,7 @@
 {
 	pthread_mutex_lock(&a->lock);
 	limiter_set_slots(&a->core.limiter, slots);
-	advance(a);
+	dispatch_waiting(a);
 	pthread_mutex_unlock(&a->lock);
 }
 
@@ -124,16 +124,16 @@
 admission_enter(struct admission *a, const struct admission_req *req,
     struct admission_ticket *t)
 {
-	struct admission_waiter *out;
+	struct admission_waiter *evicted;
 	enum admission_verdict v;
 
 	t->admission = a;
 	pthread_mutex_lock(&a->lock);
-	v = core_offer(&a->core, req, &t->waiter, &out, clock_us());
-	if (out != NULL)
-		settle(out);
+	v = core_offer(&a->core, req, &t->waiter, &evicted, clock_us());
+	if (evicted != NULL)
+		wake_waiter(evicted);
 	if (v == ADMISSION_WAIT)
-		v = wait_turn(t);
+		v = wait_for_verdict(t);
 	a->counts[req->class][v]++;
 	pthread_mutex_unlock(&a->lock);
 	return v;
@@ -143,14 +143,14 @@
  * Gives the place back after the server worked for service_us.
  */
 void
-admission_leave(
-    struct admission_ticket *t, enum admission_outcome how, uint64_t service_us)
+admission_leave(struct admission_ticket *t, enum admission_outcome outcome,
+    uint64_t service_us)
 {
 	struct admission *a = t->admission;
 
 	pthread_mutex_lock(&a->lock);
-	core_done(&a->core, &t->waiter, how, service_us, clock_us());
-	advance(a);
+	core_done(&a->core, &t->waiter, outcome, service_us, clock_us());
+	dispatch_waiting(a);
 	pthread_mutex_unlock(&a->lock);
 }
 
@@ -164,7 +164,7 @@
 	uint32_t n;
 
 	pthread_mutex_lock(&a->lock);
-	n = a->core.queued + a->core.inflight + a->core.stale;
+	n = a->core.queued + a->core.inflight + a->core.stale_inflight;
 	pthread_mutex_unlock(&a->lock);
 	return n;
 }
@@ -203,9 +203,9 @@
 	fprintf(out,
 	    "admission slots=%u limit=%u inflight=%u stale=%u queued=%u "
 	    "level=%u service_us=%u draining=%d stopping=%d\n",
-	    a->core.limiter.slots, load.limit, load.inflight, a->core.stale,
-	    load.queued, load.level, load.service_us, a->core.draining,
-	    a->core.stopping);
+	    a->core.limiter.slots, load.limit, load.inflight,
+	    a->core.stale_inflight, load.queued, load.level, load.service_us,
+	    a->core.draining, a->core.stopping);
 	pthread_mutex_unlock(&a->lock);
 	for (c = 0; c < ADMISSION_CLASS_MAX; c++) {
 		fprintf(out, "admission class=%s", class_names[c]);
@@ -232,13 +232,13 @@
  * Wakes every waiter whose fate is decided.
  */
 static void
-advance(struct admission *a)
+dispatch_waiting(struct admission *a)
 {
 	struct admission_waiter *w;
 	uint64_t now = clock_us();
 
 	while ((w = core_next(&a->core, now)) != NULL)
-		settle(w);
+		wake_waiter(w);
 }
 
 /*
@@ -250,14 +250,14 @@
 	struct admission_waiter *w;
 
 	while ((w = core_flush(&a->core, v)) != NULL)
-		settle(w);
+		wake_waiter(w);
 }
 
 /*
  * Wakes the thread of a waiter, whose verdict is in place.
  */
 static void
-settle(struct admission_waiter *w)
+wake_waiter(struct admission_waiter *w)
 {
 	struct admission_ticket *t = (struct admission_ticket *)w;
 
@@ -268,23 +268,24 @@
  * Waits in the queue, with the lock held, for a verdict.
  */
 static enum admission_verdict
-wait_turn(struct admission_ticket *t)
+wait_for_verdict(struct admission_ticket *t)
 {
 	struct admission_core *c = &t->admission->core;
 	struct admission_waiter *w = &t->waiter;
 	pthread_condattr_t attr;
-	uint64_t now = clock_us(), need;
+	uint64_t now = clock_us(), min_service_us;
 
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&t->cond, &attr);
 	pthread_condattr_destroy(&attr);
 	while (w->verdict == ADMISSION_WAIT) {
-		need = limiter_need_us(&c->limiter, now);
-		if (now + need >= w->deadline_us)
+		min_service_us = limiter_min_service_us(&c->limiter, now);
+		if (now + min_service_us >= w->deadline_us)
 			core_withdraw(c, w);
 		else
-			wait_until(t, w->deadline_us - need - now);
+			wait_for_signal(
+			    t, w->deadline_us - min_service_us - now);
 		now = clock_us();
 	}
 	pthread_cond_destroy(&t->cond);
@@ -295,14 +296,14 @@
  * Waits at most this long (us) to be woken.
  */
 static void
-wait_until(struct admission_ticket *t, uint64_t left_us)
+wait_for_signal(struct admission_ticket *t, uint64_t timeout_us)
 {
 	struct timespec ts;
 	uint64_t ns;
 
 	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ns = (uint64_t)ts.tv_nsec + left_us % 1000000 * 1000;
-	ts.tv_sec += (time_t)(left_us / 1000000 + ns / 1000000000);
+	ns = (uint64_t)ts.tv_nsec + timeout_us % 1000000 * 1000;
+	ts.tv_sec += (time_t)(timeout_us / 1000000 + ns / 1000000000);
 	ts.tv_nsec = (long)(ns % 1000000000);
 	pthread_cond_timedwait(&t->cond, &t->admission->lock, &ts);
 }
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -44,7 +44,7 @@
 
 /* Overload further down, as a route's answers tell it to an entry. */
 struct admission_echo {
-	atomic_uint_fast64_t heard; /* time, share, level; 0 for none */
+	atomic_uint_fast64_t last_report; /* time, share, level; 0 for none */
 };
 
 void admission_init(struct admission *);
--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -51,8 +51,8 @@
 
 enum limiter_phase {
 	LIMITER_STEADY,
-	LIMITER_TRY_UP,
-	LIMITER_TRY_DOWN,
+	LIMITER_TRIAL_UP,
+	LIMITER_TRIAL_DOWN,
 	LIMITER_PHASE_MAX
 };
 
@@ -70,31 +70,33 @@
 	double limit;
 	uint32_t slots;
 	enum limiter_phase phase;
-	struct limiter_window win;
-	double base_us; /* latency at which the limit was last in order */
-	double ref_us;	/* latency and limit before the running trial */
+	struct limiter_window window;
+	double
+	    base_latency_us; /* latency at which the limit was last in order */
+	double ref_latency_us; /* latency and limit before the running trial */
 	double ref_limit;
-	double ref_var; /* squared standard error of log(ref_us) */
+	double ref_log_variance; /* squared standard error of
+				    log(ref_latency_us) */
 	double mean_us; /* decaying mean and deviation of service times */
 	double dev_us;
-	uint64_t seen_us;      /* the last service time was seen then */
-	uint64_t hold_us;      /* no try upwards until then */
-	uint64_t hold_max_us;  /* grows with each try that failed */
-	uint64_t blameless_us; /* until then timeouts aren't its doing */
-	int ramping;	       /* no try has failed since the cold start */
-	int stalled;	       /* in the last window most timed out */
-	int look_down; /* a try upwards has failed since the last one down */
-	int fixed;     /* the policy is off: the limit is the slots */
+	uint64_t last_sample_us;    /* the last service time was seen then */
+	uint64_t next_raise_us;	    /* no try upwards until then */
+	uint64_t raise_delay_us;    /* grows with each try that failed */
+	uint64_t timeout_exempt_us; /* until then timeouts aren't its doing */
+	int ramping;		    /* no try has failed since the cold start */
+	int stalled;		    /* in the last window most timed out */
+	int try_cut; /* a try upwards has failed since the last one down */
+	int fixed;   /* the policy is off: the limit is the slots */
 };
 
 struct level {
-	uint32_t cur; /* the least important rank that is let in */
+	uint32_t max_rank; /* the least important rank that is let in */
 	uint32_t step;
-	uint64_t tick_us;
+	uint64_t last_tick_us;
 	double arrived[ADMISSION_LEVELS]; /* decaying counts by rank */
 	double served;
 	uint32_t dropped; /* since the last tick */
-	uint32_t waits;
+	uint32_t wait_count;
 	uint64_t wait_sum_us;
 };
 
@@ -115,29 +117,29 @@
 	struct level level;
 	struct admission_waiter *queue[ADMISSION_QUEUE_MAX];
 	uint32_t queued;
-	uint32_t inflight; /* of the server's present incarnation */
-	uint32_t stale;	   /* of earlier incarnations */
+	uint32_t inflight;	 /* of the server's present incarnation */
+	uint32_t stale_inflight; /* of earlier incarnations */
 	uint64_t epoch;
 	uint64_t seq;
 	int draining;
 	int stopping;
-	int unordered;	 /* the policy is off: first come, first served */
+	int fifo;	 /* the policy is off: first come, first served */
 	int slots_known; /* the server tells them: a free one is used */
 };
 
 void limiter_init(struct limiter *, uint32_t, uint64_t);
 void limiter_set_slots(struct limiter *, uint32_t);
 uint32_t limiter_value(const struct limiter *);
-uint64_t limiter_need_us(const struct limiter *, uint64_t);
-void limiter_saturated(struct limiter *);
-void limiter_done(
+uint64_t limiter_min_service_us(const struct limiter *, uint64_t);
+void limiter_note_saturated(struct limiter *);
+void limiter_record_end(
     struct limiter *, enum admission_outcome, uint64_t, uint32_t, uint64_t);
 
 void level_init(struct level *, uint64_t);
-void level_arrive(struct level *, uint32_t);
-void level_drop(struct level *);
-void level_run(struct level *, uint64_t);
-void level_serve(struct level *);
+void level_record_arrival(struct level *, uint32_t);
+void level_record_drop(struct level *);
+void level_record_start(struct level *, uint64_t);
+void level_record_end(struct level *);
 void level_tick(struct level *, double, uint64_t);
 
 uint64_t admission_order(const struct admission_req *);
--- a/src/admission/core.c
+++ b/src/admission/core.c
@@ -8,21 +8,24 @@
 #define ORDER_HASH_SHIFT 4 /* of the root hash, to make room */
 #define ORDER_RANK_SHIFT 54
 #define RANK_CLASS_SHIFT (ORDER_CLASS_SHIFT - ORDER_RANK_SHIFT)
-#define BANDS 4
-#define QUEUE_ENTRY sizeof(void *)
-#define QUEUE_MIN 16 /* waiting requests, also for the smallest limit */
+#define DEPTH_BANDS 4
+#define QUEUE_ENTRY_BYTES sizeof(void *)
+#define QUEUE_CAPACITY_MIN \
+	16 /* waiting requests, also for the smallest limit */
 
-static int shed(const struct admission_core *, const struct admission_req *);
-static uint32_t queue_cap(const struct admission_core *);
-static uint32_t queue_place(
+static int rejected_by_level(
+    const struct admission_core *, const struct admission_req *);
+static uint32_t queue_capacity(const struct admission_core *);
+static uint32_t queue_position(
     const struct admission_core *, const struct admission_waiter *);
 static void queue_remove(struct admission_core *, uint32_t);
-static void run(struct admission_core *, struct admission_waiter *, uint64_t);
-static int doomed(const struct admission_core *,
+static void start_request(
+    struct admission_core *, struct admission_waiter *, uint64_t);
+static int misses_deadline(const struct admission_core *,
     const struct admission_waiter *, uint32_t, uint64_t);
 
 /* Depth at which each band begins; the deepest is the most important. */
-static const uint32_t band_depth[BANDS] = { 8, 3, 1, 0 };
+static const uint32_t band_depth[DEPTH_BANDS] = { 8, 3, 1, 0 };
 
 /*
  * Returns a request's place in the order of importance, lowest first: its
@@ -68,7 +71,7 @@
 core_reset(struct admission_core *c, uint32_t slots, uint64_t now_us)
 {
 	limiter_init(&c->limiter, slots, now_us);
-	c->stale += c->inflight;
+	c->stale_inflight += c->inflight;
 	c->inflight = 0;
 	c->epoch++;
 	c->draining = 0;
@@ -80,46 +83,47 @@
  */
 enum admission_verdict
 core_offer(struct admission_core *c, const struct admission_req *req,
-    struct admission_waiter *w, struct admission_waiter **out, uint64_t now_us)
+    struct admission_waiter *w, struct admission_waiter **evicted,
+    uint64_t now_us)
 {
-	uint32_t at;
+	uint32_t position;
 
-	*out = NULL;
+	*evicted = NULL;
 	if (c->stopping || c->draining || c->limiter.slots == 0)
 		return c->stopping   ? ADMISSION_STOPPING
 		       : c->draining ? ADMISSION_DRAINING
 				     : ADMISSION_NO_SERVER;
 	level_tick(&c->level, c->limiter.mean_us, now_us);
-	w->order = c->unordered ? 0 : admission_order(req);
+	w->order = c->fifo ? 0 : admission_order(req);
 	w->class = req->class;
 	w->seq = c->seq++;
 	w->deadline_us = req->deadline_us;
 	w->enter_us = now_us;
-	level_arrive(&c->level, admission_rank(req));
+	level_record_arrival(&c->level, admission_rank(req));
 	if (c->queued == 0 && c->inflight < limiter_value(&c->limiter)) {
-		if (doomed(c, w, 0, now_us))
+		if (misses_deadline(c, w, 0, now_us))
 			return ADMISSION_DEADLINE;
-		run(c, w, now_us);
+		start_request(c, w, now_us);
 		return ADMISSION_RUN;
 	}
-	limiter_saturated(&c->limiter);
-	if (!c->unordered && shed(c, req))
+	limiter_note_saturated(&c->limiter);
+	if (!c->fifo && rejected_by_level(c, req))
 		return ADMISSION_OVERLOAD;
-	at = queue_place(c, w);
-	if (doomed(c, w, c->queued - at, now_us))
+	position = queue_position(c, w);
+	if (misses_deadline(c, w, c->queued - position, now_us))
 		return ADMISSION_DEADLINE;
-	if (c->queued >= queue_cap(c)) {
-		level_drop(&c->level);
-		if (at == 0)
+	if (c->queued >= queue_capacity(c)) {
+		level_record_drop(&c->level);
+		if (position == 0)
 			return ADMISSION_OVERLOAD;
-		*out = c->queue[0];
-		(*out)->verdict = ADMISSION_OVERLOAD;
+		*evicted = c->queue[0];
+		(*evicted)->verdict = ADMISSION_OVERLOAD;
 		queue_remove(c, 0);
-		at--;
+		position--;
 	}
-	memmove(
-	    &c->queue[at + 1], &c->queue[at], (c->queued - at) * QUEUE_ENTRY);
-	c->queue[at] = w;
+	memmove(&c->queue[position + 1], &c->queue[position],
+	    (c->queued - position) * QUEUE_ENTRY_BYTES);
+	c->queue[position] = w;
 	c->queued++;
 	w->verdict = ADMISSION_WAIT;
 	return ADMISSION_WAIT;
@@ -138,12 +142,12 @@
 	if (c->queued == 0 || c->inflight >= limiter_value(&c->limiter))
 		return NULL;
 	w = c->queue[--c->queued];
-	if (doomed(c, w, 0, now_us)) {
-		level_drop(&c->level);
+	if (misses_deadline(c, w, 0, now_us)) {
+		level_record_drop(&c->level);
 		w->verdict = ADMISSION_DEADLINE;
 		return w;
 	}
-	run(c, w, now_us);
+	start_request(c, w, now_us);
 	w->verdict = ADMISSION_RUN;
 	return w;
 }
@@ -175,26 +179,27 @@
 		if (c->queue[i] != w)
 			continue;
 		queue_remove(c, i);
-		level_drop(&c->level);
+		level_record_drop(&c->level);
 		w->verdict = ADMISSION_DEADLINE;
 		return;
 	}
 }
 
 /*
- * Frees the place of a request whose work has ended after took_us.
+ * Frees the place of a request whose work has ended after service_us.
  */
 void
 core_done(struct admission_core *c, const struct admission_waiter *w,
-    enum admission_outcome how, uint64_t took_us, uint64_t now_us)
+    enum admission_outcome outcome, uint64_t service_us, uint64_t now_us)
 {
 	if (w->epoch != c->epoch) {
-		c->stale--;
+		c->stale_inflight--;
 		return;
 	}
-	limiter_done(&c->limiter, how, took_us, c->inflight, now_us);
+	limiter_record_end(
+	    &c->limiter, outcome, service_us, c->inflight, now_us);
 	c->inflight--;
-	level_serve(&c->level);
+	level_record_end(&c->level);
 }
 
 /*
@@ -206,7 +211,7 @@
 {
 	if (c->queued == 0 && c->inflight < limiter_value(&c->limiter))
 		return ADMISSION_LEVEL_ALL;
-	return c->level.cur;
+	return c->level.max_rank;
 }
 
 /*
@@ -216,9 +221,10 @@
  * attempts of their callers.
  */
 static int
-shed(const struct admission_core *c, const struct admission_req *req)
+rejected_by_level(
+    const struct admission_core *c, const struct admission_req *req)
 {
-	uint32_t level = c->level.cur;
+	uint32_t level = c->level.max_rank;
 
 	if (req->class <= ADMISSION_HIGH)
 		return req->class > level >> RANK_CLASS_SHIFT;
@@ -229,14 +235,14 @@
  * Returns how many may wait: about one service time's worth.
  */
 static uint32_t
-queue_cap(const struct admission_core *c)
+queue_capacity(const struct admission_core *c)
 {
 	uint32_t n = limiter_value(&c->limiter);
 
-	if (c->unordered)
+	if (c->fifo)
 		return ADMISSION_QUEUE_MAX;
-	if (n < QUEUE_MIN)
-		return QUEUE_MIN;
+	if (n < QUEUE_CAPACITY_MIN)
+		return QUEUE_CAPACITY_MIN;
 	return n < ADMISSION_QUEUE_MAX ? n : ADMISSION_QUEUE_MAX;
 }
 
@@ -245,7 +251,7 @@
  * important last.
  */
 static uint32_t
-queue_place(const struct admission_core *c, const struct admission_waiter *w)
+queue_position(const struct admission_core *c, const struct admission_waiter *w)
 {
 	uint32_t lo = 0, hi = c->queued, mid;
 
@@ -265,23 +271,24 @@
  * Removes the waiter at an index.
  */
 static void
-queue_remove(struct admission_core *c, uint32_t at)
+queue_remove(struct admission_core *c, uint32_t position)
 {
 	c->queued--;
-	memmove(
-	    &c->queue[at], &c->queue[at + 1], (c->queued - at) * QUEUE_ENTRY);
+	memmove(&c->queue[position], &c->queue[position + 1],
+	    (c->queued - position) * QUEUE_ENTRY_BYTES);
 }
 
 /*
  * Gives a place to a request.
  */
 static void
-run(struct admission_core *c, struct admission_waiter *w, uint64_t now_us)
+start_request(
+    struct admission_core *c, struct admission_waiter *w, uint64_t now_us)
 {
 	c->inflight++;
 	w->epoch = c->epoch;
 	w->start_us = now_us;
-	level_run(&c->level, age_at(now_us, w->enter_us));
+	level_record_start(&c->level, age_at(now_us, w->enter_us));
 }
 
 /*
@@ -291,17 +298,18 @@
  * that differ much says little of one of them.
  */
 static int
-doomed(const struct admission_core *c, const struct admission_waiter *w,
-    uint32_t ahead, uint64_t now_us)
+misses_deadline(const struct admission_core *c,
+    const struct admission_waiter *w, uint32_t ahead, uint64_t now_us)
 {
-	uint64_t need = limiter_need_us(&c->limiter, now_us);
+	uint64_t min_service_us = limiter_min_service_us(&c->limiter, now_us);
 	uint32_t limit = limiter_value(&c->limiter);
 
 	if (now_us >= w->deadline_us)
 		return 1;
-	if (c->inflight == 0 || c->unordered || limit == 0)
+	if (c->inflight == 0 || c->fifo || limit == 0)
 		return 0;
 	if (c->slots_known && c->inflight < limit)
 		return 0;
-	return now_us + need + need * ahead / limit > w->deadline_us;
+	return now_us + min_service_us + min_service_us * ahead / limit >
+	       w->deadline_us;
 }
--- a/src/admission/echo.c
+++ b/src/admission/echo.c
@@ -12,13 +12,13 @@
  * tell a level.
  */
 
-#define ECHO_AGE_MS 1000    /* a level heard earlier is forgotten */
-#define ECHO_PROBE_SHARE 32 /* one in 32 is sent against the level */
-#define ECHO_SHARE_SHIFT 8
-#define ECHO_SHARE_ALL 65535U
-#define ECHO_SHARE_LEAST 61600U /* 94% of the answers */
-#define ECHO_SHARE_WEIGHT 32	/* an answer counts one in 32 */
-#define ECHO_TIME_SHIFT 24
+#define REPORT_MAX_AGE_MS 1000 /* a level heard earlier is forgotten */
+#define PROBE_ONE_IN 32	       /* one in 32 is sent against the level */
+#define SHARE_SHIFT 8
+#define SHARE_MAX 65535U
+#define SHED_SHARE_MIN 61600U	/* 94% of the answers */
+#define SHARE_WEIGHT_DIVISOR 32 /* an answer counts one in 32 */
+#define TIME_SHIFT 24
 #define US_PER_MS 1000
 #define CHAIN_CLASS_SHIFT 6
 #define CHAIN_HASH_SHIFT 58
@@ -26,9 +26,9 @@
 #define LEVEL_CLASS_SHIFT 8
 #define LEVEL_BAND_SHIFT 6
 
-static uint64_t pack(uint64_t, uint32_t, uint32_t);
-static uint32_t level_of(uint64_t);
-static uint32_t share_of(uint64_t);
+static uint64_t pack_report(uint64_t, uint32_t, uint32_t);
+static uint32_t unpack_level(uint64_t);
+static uint32_t unpack_share(uint64_t);
 
 /*
  * Returns a request's place in the order of classes and root hashes.
@@ -47,13 +47,13 @@
 uint32_t
 admission_chain_level(uint32_t level, const struct admission_req *call)
 {
-	uint32_t mine = admission_rank(call) >> LEVEL_BAND_SHIFT & 3;
+	uint32_t call_band = admission_rank(call) >> LEVEL_BAND_SHIFT & 3;
 	uint32_t band = level >> LEVEL_BAND_SHIFT & 3;
 	uint32_t chain = level >> LEVEL_CLASS_SHIFT << CHAIN_CLASS_SHIFT;
 
-	if (band > mine)
+	if (band > call_band)
 		return chain | CHAIN_HASH_MAX;
-	if (band < mine)
+	if (band < call_band)
 		return chain > 0 ? chain - 1 : 0;
 	return chain | (level & CHAIN_HASH_MAX);
 }
@@ -64,7 +64,7 @@
 void
 admission_echo_init(struct admission_echo *e)
 {
-	atomic_init(&e->heard, 0);
+	atomic_init(&e->last_report, 0);
 }
 
 /*
@@ -74,9 +74,9 @@
 uint32_t
 admission_echo_level(const struct admission_echo *e)
 {
-	uint64_t was = atomic_load(&e->heard);
+	uint64_t packed = atomic_load(&e->last_report);
 
-	return was == 0 ? ADMISSION_CHAIN_ALL : level_of(was);
+	return packed == 0 ? ADMISSION_CHAIN_ALL : unpack_level(packed);
 }
 
 /*
@@ -86,16 +86,16 @@
 void
 admission_echo_heard(struct admission_echo *e, uint32_t level, uint64_t now_us)
 {
-	uint64_t was = atomic_load(&e->heard);
+	uint64_t packed = atomic_load(&e->last_report);
 	uint32_t share;
 
 	if (level > ADMISSION_CHAIN_ALL)
 		return;
 	do {
-		share = share_of(was);
-		share += (ECHO_SHARE_ALL - share) / ECHO_SHARE_WEIGHT;
-	} while (!atomic_compare_exchange_weak(
-	    &e->heard, &was, pack(now_us / US_PER_MS, share, level)));
+		share = unpack_share(packed);
+		share += (SHARE_MAX - share) / SHARE_WEIGHT_DIVISOR;
+	} while (!atomic_compare_exchange_weak(&e->last_report, &packed,
+	    pack_report(now_us / US_PER_MS, share, level)));
 }
 
 /*
@@ -105,16 +105,18 @@
 void
 admission_echo_served(struct admission_echo *e, const struct admission_req *req)
 {
-	uint64_t was = atomic_load(&e->heard);
+	uint64_t packed = atomic_load(&e->last_report);
 	uint32_t rank = admission_chain_rank(req), share, level;
 
 	do {
-		if (was == 0)
+		if (packed == 0)
 			return;
-		share = share_of(was) - share_of(was) / ECHO_SHARE_WEIGHT;
-		level = level_of(was) > rank ? level_of(was) : rank;
-	} while (!atomic_compare_exchange_weak(
-	    &e->heard, &was, pack(was >> ECHO_TIME_SHIFT, share, level)));
+		share = unpack_share(packed) -
+			unpack_share(packed) / SHARE_WEIGHT_DIVISOR;
+		level =
+		    unpack_level(packed) > rank ? unpack_level(packed) : rank;
+	} while (!atomic_compare_exchange_weak(&e->last_report, &packed,
+	    pack_report(packed >> TIME_SHIFT, share, level)));
 }
 
 /*
@@ -126,14 +128,14 @@
 admission_echo_check(const struct admission_echo *e,
     const struct admission_req *req, uint64_t now_us, uint64_t rnd)
 {
-	uint64_t was = atomic_load(&e->heard);
+	uint64_t packed = atomic_load(&e->last_report);
 
-	if (was == 0 ||
-	    now_us / US_PER_MS > (was >> ECHO_TIME_SHIFT) + ECHO_AGE_MS ||
-	    share_of(was) < ECHO_SHARE_LEAST ||
-	    admission_chain_rank(req) <= level_of(was))
+	if (packed == 0 ||
+	    now_us / US_PER_MS > (packed >> TIME_SHIFT) + REPORT_MAX_AGE_MS ||
+	    unpack_share(packed) < SHED_SHARE_MIN ||
+	    admission_chain_rank(req) <= unpack_level(packed))
 		return ADMISSION_HINT_SEND;
-	if (rnd % ECHO_PROBE_SHARE == 0)
+	if (rnd % PROBE_ONE_IN == 0)
 		return ADMISSION_HINT_PROBE;
 	return ADMISSION_HINT_SHED;
 }
@@ -143,26 +145,25 @@
  * share of answers that tell one, and the level.
  */
 static uint64_t
-pack(uint64_t heard_ms, uint32_t share, uint32_t level)
+pack_report(uint64_t report_ms, uint32_t share, uint32_t level)
 {
-	return heard_ms << ECHO_TIME_SHIFT |
-	       (uint64_t)share << ECHO_SHARE_SHIFT | level;
+	return report_ms << TIME_SHIFT | (uint64_t)share << SHARE_SHIFT | level;
 }
 
 /*
  * Returns the level in that word.
  */
 static uint32_t
-level_of(uint64_t heard)
+unpack_level(uint64_t packed)
 {
-	return heard & ADMISSION_CHAIN_ALL;
+	return packed & ADMISSION_CHAIN_ALL;
 }
 
 /*
  * Returns the share in that word.
  */
 static uint32_t
-share_of(uint64_t heard)
+unpack_share(uint64_t packed)
 {
-	return heard >> ECHO_SHARE_SHIFT & ECHO_SHARE_ALL;
+	return packed >> SHARE_SHIFT & SHARE_MAX;
 }
--- a/src/admission/level.c
+++ b/src/admission/level.c
@@ -8,16 +8,16 @@
  * what the server could serve; each calm tick raises it, by growing steps.
  */
 
-#define TICK_US 50000
-#define TICKS_MAX 40	     /* a longer pause counts as this many */
-#define WAIT_TARGET_US 20000 /* mean wait that is no overload yet */
-#define DECAY 0.5	     /* of the counts, each tick */
-#define STEP_FIRST 2
-#define STEP_LAST 256
-#define FIT_MARGIN 1.05 /* let in a little more than was served */
+#define PERIOD_US 50000
+#define CATCH_UP_PERIODS_MAX 40 /* a longer pause counts as this many */
+#define WAIT_TARGET_US 20000	/* mean wait that is no overload yet */
+#define PERIOD_DECAY 0.5	/* of the counts, each tick */
+#define RAISE_STEP_MIN 2
+#define RAISE_STEP_MAX 256
+#define CAPACITY_MARGIN 1.05 /* let in a little more than was served */
 
-static void tick(struct level *, double);
-static uint32_t fit(const struct level *);
+static void end_period(struct level *, double);
+static uint32_t rank_within_capacity(const struct level *);
 
 /*
  * Begins with nothing shed.
@@ -26,16 +26,16 @@
 level_init(struct level *lv, uint64_t now_us)
 {
 	memset(lv, 0, sizeof(*lv));
-	lv->cur = ADMISSION_LEVEL_ALL;
-	lv->step = STEP_FIRST;
-	lv->tick_us = now_us;
+	lv->max_rank = ADMISSION_LEVEL_ALL;
+	lv->step = RAISE_STEP_MIN;
+	lv->last_tick_us = now_us;
 }
 
 /*
  * Counts an arrival of this rank, let in or not.
  */
 void
-level_arrive(struct level *lv, uint32_t rank)
+level_record_arrival(struct level *lv, uint32_t rank)
 {
 	lv->arrived[rank]++;
 }
@@ -44,7 +44,7 @@
  * Counts a request that was let in and then dropped from the queue.
  */
 void
-level_drop(struct level *lv)
+level_record_drop(struct level *lv)
 {
 	lv->dropped++;
 }
@@ -53,9 +53,9 @@
  * Counts a request that runs after this wait.
  */
 void
-level_run(struct level *lv, uint64_t wait_us)
+level_record_start(struct level *lv, uint64_t wait_us)
 {
-	lv->waits++;
+	lv->wait_count++;
 	lv->wait_sum_us += wait_us;
 }
 
@@ -63,7 +63,7 @@
  * Counts a request that the server has ended.
  */
 void
-level_serve(struct level *lv)
+level_record_end(struct level *lv)
 {
 	lv->served++;
 }
@@ -75,52 +75,54 @@
 void
 level_tick(struct level *lv, double mean_us, uint64_t now_us)
 {
-	double target = mean_us / 2;
+	double target_us = mean_us / 2;
 	int n;
 
-	if (now_us < lv->tick_us + TICK_US)
+	if (now_us < lv->last_tick_us + PERIOD_US)
 		return;
-	if (target < WAIT_TARGET_US)
-		target = WAIT_TARGET_US;
-	for (n = 0; now_us >= lv->tick_us + TICK_US && n < TICKS_MAX; n++) {
-		tick(lv, target);
-		lv->tick_us += TICK_US;
+	if (target_us < WAIT_TARGET_US)
+		target_us = WAIT_TARGET_US;
+	for (n = 0;
+	     now_us >= lv->last_tick_us + PERIOD_US && n < CATCH_UP_PERIODS_MAX;
+	     n++) {
+		end_period(lv, target_us);
+		lv->last_tick_us += PERIOD_US;
 	}
-	if (n == TICKS_MAX)
-		lv->tick_us = now_us;
+	if (n == CATCH_UP_PERIODS_MAX)
+		lv->last_tick_us = now_us;
 }
 
 /*
  * Ends one period.
  */
 static void
-tick(struct level *lv, double target_us)
+end_period(struct level *lv, double target_us)
 {
-	uint32_t i, to;
-	int busy;
+	uint32_t i, target_rank;
+	int overloaded;
 
-	busy =
-	    lv->dropped > 0 ||
-	    (lv->waits > 0 && (double)lv->wait_sum_us / lv->waits > target_us);
-	if (busy) {
-		to = fit(lv);
-		if (to < lv->cur)
-			lv->cur = to;
-		else if (lv->cur > 0)
-			lv->cur--;
-		lv->step = STEP_FIRST;
+	overloaded = lv->dropped > 0 ||
+		     (lv->wait_count > 0 &&
+			 (double)lv->wait_sum_us / lv->wait_count > target_us);
+	if (overloaded) {
+		target_rank = rank_within_capacity(lv);
+		if (target_rank < lv->max_rank)
+			lv->max_rank = target_rank;
+		else if (lv->max_rank > 0)
+			lv->max_rank--;
+		lv->step = RAISE_STEP_MIN;
 	} else {
-		lv->cur += lv->step;
-		if (lv->cur > ADMISSION_LEVEL_ALL)
-			lv->cur = ADMISSION_LEVEL_ALL;
-		if (lv->step < STEP_LAST)
+		lv->max_rank += lv->step;
+		if (lv->max_rank > ADMISSION_LEVEL_ALL)
+			lv->max_rank = ADMISSION_LEVEL_ALL;
+		if (lv->step < RAISE_STEP_MAX)
 			lv->step *= 2;
 	}
 	for (i = 0; i < ADMISSION_LEVELS; i++)
-		lv->arrived[i] *= DECAY;
-	lv->served *= DECAY;
+		lv->arrived[i] *= PERIOD_DECAY;
+	lv->served *= PERIOD_DECAY;
 	lv->dropped = 0;
-	lv->waits = 0;
+	lv->wait_count = 0;
 	lv->wait_sum_us = 0;
 }
 
@@ -129,14 +131,14 @@
  * could serve.
  */
 static uint32_t
-fit(const struct level *lv)
+rank_within_capacity(const struct level *lv)
 {
-	double room = lv->served * FIT_MARGIN;
+	double capacity = lv->served * CAPACITY_MARGIN;
 	uint32_t i;
 
 	for (i = 0; i < ADMISSION_LEVELS; i++) {
-		room -= lv->arrived[i];
-		if (room < 0)
+		capacity -= lv->arrived[i];
+		if (capacity < 0)
 			break;
 	}
 	return i == 0 ? 0 : i - 1;
--- a/src/admission/limiter.c
+++ b/src/admission/limiter.c
@@ -11,58 +11,60 @@
  * that has taken too much at once is relieved.
  */
 
-#define COLD_SHARE 4   /* a cold server starts with 1/4 of its slots */
-#define FLOOR_SHARE 16 /* the limit stays above 1/16 of the slots */
-#define FLOOR_LEAST 4  /* too few to tell a trend from chance */
-#define STEP_RAMP 1.8  /* until the first try has failed */
-#define STEP_UP 1.4
-#define STEP_DOWN 0.6
-#define STEP_LOOK_DOWN 0.75 /* after a failed try upwards */
-#define SHED_CUT 0.9
-#define TIMEOUT_CUT 0.75
-#define TIMEOUT_SHARE 8	    /* one in 8 timed out: cut */
-#define STALL_SHARE 2	    /* half timed out: the server stalls */
-#define RAMP_ELASTICITY 1.0 /* growth of latency over that of the limit */
-#define UP_ELASTICITY 0.8
-#define DOWN_ELASTICITY 0.5
-#define RAISED_LATENCY 1.4 /* over the base: worth a step down */
-#define MUCH_QUICKER 0.45  /* than the window before, by no step of ours */
-#define BASE_FALL 0.3	   /* weight of a window below or above the base */
-#define BASE_RISE 0.1
+#define COLD_SLOTS_DIVISOR 4 /* a cold server starts with 1/4 of its slots */
+#define MIN_LIMIT_DIVISOR 16 /* the limit stays above 1/16 of the slots */
+#define MIN_LIMIT 4	     /* too few to tell a trend from chance */
+#define RAMP_FACTOR 1.8	     /* until the first try has failed */
+#define RAISE_FACTOR 1.4
+#define CUT_FACTOR 0.6
+#define PROBE_CUT_FACTOR 0.75 /* after a failed try upwards */
+#define SHED_CUT_FACTOR 0.9
+#define TIMEOUT_CUT_FACTOR 0.75
+#define TIMEOUT_SHARE_DIVISOR 8 /* one in 8 timed out: cut */
+#define STALL_SHARE_DIVISOR 2	/* half timed out: the server stalls */
+#define RAMP_ELASTICITY 1.0	/* growth of latency over that of the limit */
+#define RAISE_ELASTICITY 0.8
+#define CUT_ELASTICITY 0.5
+#define RAISED_LATENCY_RATIO 1.4 /* over the base: worth a step down */
+#define RECOVERY_LATENCY_RATIO \
+	0.45		     /* than the window before, by no step of ours */
+#define BASE_FALL_WEIGHT 0.3 /* weight of a window below or above the base */
+#define BASE_RISE_WEIGHT 0.1
 #define WINDOW_MIN_US 50000
 #define WINDOW_MAX_US 1000000
-#define WINDOW_RAMP 64 /* served requests */
-#define RAMP_STEP_US 250000
-#define WINDOW_SERVED 128
-#define WINDOW_LEAST 16
-#define WINDOW_LIMITS 16 /* times the limit, where that is fewer */
-#define RAMP_LIMITS 4
+#define RAMP_WINDOW_REQUESTS 64 /* served requests */
+#define RAMP_STEP_MAX_US 250000
+#define WINDOW_REQUESTS 128
+#define WINDOW_MIN_REQUESTS 16
+#define WINDOW_LIMIT_MULTIPLE 16 /* times the limit, where that is fewer */
+#define RAMP_LIMIT_MULTIPLE 4
 #define SETTLE_LATENCIES 2 /* until a changed limit shows */
-#define HOLD_FIRST_US 200000
-#define HOLD_LAST_US 3200000
-#define BLAMELESS_US 4000000 /* after a step down that brought nothing */
+#define RAISE_DELAY_MIN_US 200000
+#define RAISE_DELAY_MAX_US 3200000
+#define TIMEOUT_EXEMPT_US 4000000 /* after a step down that brought nothing */
 #define MEAN_WEIGHT 0.05
-#define MEAN_HALF_US 1000000 /* without news, the mean halves in this time */
+#define MEAN_HALF_LIFE_US \
+	1000000 /* without news, the mean halves in this time */
 
 static void window_begin(struct limiter *, uint64_t);
-static void change(struct limiter *, double, enum limiter_phase, uint64_t);
-static void note_time(struct limiter *, double, uint64_t);
+static void set_limit(struct limiter *, double, enum limiter_phase, uint64_t);
+static void record_service_time(struct limiter *, double, uint64_t);
 static uint64_t settle_us(const struct limiter *);
-static int settled(const struct limiter *, uint64_t);
-static int ended(const struct limiter *, uint64_t);
+static int window_started(const struct limiter *, uint64_t);
+static int window_complete(const struct limiter *, uint64_t);
 static double window_latency(const struct limiter *, double *);
-static void judge_steady(struct limiter *, uint64_t);
-static void judge_timeouts(struct limiter *, int, uint64_t);
-static void judge_up(struct limiter *, uint64_t);
-static void judge_down(struct limiter *, uint64_t);
-static void climb(struct limiter *, double);
-static void fail_try(struct limiter *, uint64_t);
-static double floor_of(const struct limiter *);
-
-static void (*const judges[LIMITER_PHASE_MAX])(struct limiter *, uint64_t) = {
-	[LIMITER_STEADY] = judge_steady,
-	[LIMITER_TRY_UP] = judge_up,
-	[LIMITER_TRY_DOWN] = judge_down,
+static void evaluate_steady(struct limiter *, uint64_t);
+static void evaluate_timeouts(struct limiter *, int, uint64_t);
+static void evaluate_trial_up(struct limiter *, uint64_t);
+static void evaluate_trial_down(struct limiter *, uint64_t);
+static void restart_ramp(struct limiter *, double);
+static void delay_next_raise(struct limiter *, uint64_t);
+static double min_limit(const struct limiter *);
+
+static void (*const evaluate[LIMITER_PHASE_MAX])(struct limiter *, uint64_t) = {
+	[LIMITER_STEADY] = evaluate_steady,
+	[LIMITER_TRIAL_UP] = evaluate_trial_up,
+	[LIMITER_TRIAL_DOWN] = evaluate_trial_down,
 };
 
 /*
@@ -76,9 +78,10 @@
 	memset(l, 0, sizeof(*l));
 	l->fixed = fixed;
 	l->slots = slots;
-	l->limit = fmax(floor_of(l), floor((double)slots / COLD_SHARE));
+	l->limit =
+	    fmax(min_limit(l), floor((double)slots / COLD_SLOTS_DIVISOR));
 	l->ramping = 1;
-	l->hold_max_us = HOLD_FIRST_US;
+	l->raise_delay_us = RAISE_DELAY_MIN_US;
 	window_begin(l, now_us);
 }
 
@@ -91,8 +94,8 @@
 	l->slots = slots;
 	if (l->limit > slots)
 		l->limit = slots;
-	if (l->limit < floor_of(l))
-		l->limit = floor_of(l);
+	if (l->limit < min_limit(l))
+		l->limit = min_limit(l);
 }
 
 /*
@@ -112,23 +115,24 @@
  * served, so that an old slowness can't refuse for ever.
  */
 uint64_t
-limiter_need_us(const struct limiter *l, uint64_t now_us)
+limiter_min_service_us(const struct limiter *l, uint64_t now_us)
 {
-	double need = fmax(l->mean_us - l->dev_us, l->mean_us / 4);
-	uint64_t age = now_us > l->seen_us ? now_us - l->seen_us : 0;
+	double min_us = fmax(l->mean_us - l->dev_us, l->mean_us / 4);
+	uint64_t idle_us =
+	    now_us > l->last_sample_us ? now_us - l->last_sample_us : 0;
 
-	if (age > MEAN_HALF_US)
-		need *= exp2(-(double)age / MEAN_HALF_US);
-	return (uint64_t)need;
+	if (idle_us > MEAN_HALF_LIFE_US)
+		min_us *= exp2(-(double)idle_us / MEAN_HALF_LIFE_US);
+	return (uint64_t)min_us;
 }
 
 /*
  * Notes that a request found no free place: the limit binds.
  */
 void
-limiter_saturated(struct limiter *l)
+limiter_note_saturated(struct limiter *l)
 {
-	l->win.saturated = 1;
+	l->window.saturated = 1;
 }
 
 /*
@@ -136,28 +140,28 @@
  * then, and the time.
  */
 void
-limiter_done(struct limiter *l, enum admission_outcome how, uint64_t took_us,
-    uint32_t inflight, uint64_t now_us)
+limiter_record_end(struct limiter *l, enum admission_outcome outcome,
+    uint64_t service_us, uint32_t inflight, uint64_t now_us)
 {
-	double took = (double)took_us;
+	double sample_us = (double)service_us;
 
-	if (how == ADMISSION_SHED && settled(l, now_us)) {
-		fail_try(l, now_us);
-		change(l, fmin(l->limit, inflight) * SHED_CUT, LIMITER_STEADY,
-		    now_us);
+	if (outcome == ADMISSION_SHED && window_started(l, now_us)) {
+		delay_next_raise(l, now_us);
+		set_limit(l, fmin(l->limit, inflight) * SHED_CUT_FACTOR,
+		    LIMITER_STEADY, now_us);
 		return;
 	}
-	if (how != ADMISSION_SERVED && how != ADMISSION_TIMEOUT)
+	if (outcome != ADMISSION_SERVED && outcome != ADMISSION_TIMEOUT)
 		return;
-	note_time(l, took, now_us);
-	if (!settled(l, now_us))
+	record_service_time(l, sample_us, now_us);
+	if (!window_started(l, now_us))
 		return;
-	l->win.sum_us += took;
-	l->win.sum_sq += took * took;
-	l->win.served++;
-	l->win.timeouts += how == ADMISSION_TIMEOUT;
-	if (ended(l, now_us))
-		judges[l->phase](l, now_us);
+	l->window.sum_us += sample_us;
+	l->window.sum_sq += sample_us * sample_us;
+	l->window.served++;
+	l->window.timeouts += outcome == ADMISSION_TIMEOUT;
+	if (window_complete(l, now_us))
+		evaluate[l->phase](l, now_us);
 }
 
 /*
@@ -166,15 +170,15 @@
  * are the short ones.
  */
 static void
-note_time(struct limiter *l, double took, uint64_t now_us)
+record_service_time(struct limiter *l, double sample_us, uint64_t now_us)
 {
 	if (l->mean_us <= 0) {
-		l->mean_us = took;
+		l->mean_us = sample_us;
 		window_begin(l, now_us + settle_us(l));
 	}
-	l->dev_us += MEAN_WEIGHT * (fabs(took - l->mean_us) - l->dev_us);
-	l->mean_us += MEAN_WEIGHT * (took - l->mean_us);
-	l->seen_us = now_us;
+	l->dev_us += MEAN_WEIGHT * (fabs(sample_us - l->mean_us) - l->dev_us);
+	l->mean_us += MEAN_WEIGHT * (sample_us - l->mean_us);
+	l->last_sample_us = now_us;
 }
 
 /*
@@ -183,8 +187,8 @@
 static void
 window_begin(struct limiter *l, uint64_t now_us)
 {
-	memset(&l->win, 0, sizeof(l->win));
-	l->win.start_us = now_us;
+	memset(&l->window, 0, sizeof(l->window));
+	l->window.start_us = now_us;
 }
 
 /*
@@ -192,10 +196,10 @@
  * requests admitted under the old one are through.
  */
 static void
-change(
+set_limit(
     struct limiter *l, double limit, enum limiter_phase phase, uint64_t now_us)
 {
-	l->limit = fmin(fmax(floor(limit), floor_of(l)), l->slots);
+	l->limit = fmin(fmax(floor(limit), min_limit(l)), l->slots);
 	l->phase = phase;
 	window_begin(l, now_us + settle_us(l));
 }
@@ -209,16 +213,17 @@
 {
 	double us = SETTLE_LATENCIES * l->mean_us;
 
-	return (uint64_t)fmin(us, l->ramping ? RAMP_STEP_US : WINDOW_MAX_US);
+	return (uint64_t)fmin(
+	    us, l->ramping ? RAMP_STEP_MAX_US : WINDOW_MAX_US);
 }
 
 /*
  * Tells whether the window has begun.
  */
 static int
-settled(const struct limiter *l, uint64_t now_us)
+window_started(const struct limiter *l, uint64_t now_us)
 {
-	return now_us >= l->win.start_us;
+	return now_us >= l->window.start_us;
 }
 
 /*
@@ -226,21 +231,22 @@
  * ramps up, a step that shows no harm for some time is taken for harmless.
  */
 static int
-ended(const struct limiter *l, uint64_t now_us)
+window_complete(const struct limiter *l, uint64_t now_us)
 {
-	double enough = l->ramping
-			    ? fmin(WINDOW_RAMP, RAMP_LIMITS * l->limit)
-			    : fmin(WINDOW_SERVED, WINDOW_LIMITS * l->limit);
+	double wanted =
+	    l->ramping
+		? fmin(RAMP_WINDOW_REQUESTS, RAMP_LIMIT_MULTIPLE * l->limit)
+		: fmin(WINDOW_REQUESTS, WINDOW_LIMIT_MULTIPLE * l->limit);
 
-	enough = fmax(enough, WINDOW_LEAST);
-	if (l->ramping && now_us >= l->win.start_us + RAMP_STEP_US)
+	wanted = fmax(wanted, WINDOW_MIN_REQUESTS);
+	if (l->ramping && now_us >= l->window.start_us + RAMP_STEP_MAX_US)
 		return 1;
-	if (now_us < l->win.start_us + WINDOW_MIN_US)
+	if (now_us < l->window.start_us + WINDOW_MIN_US)
 		return 0;
-	if (l->win.served >= enough)
+	if (l->window.served >= wanted)
 		return 1;
-	return l->win.served >= WINDOW_LEAST &&
-	       now_us >= l->win.start_us + WINDOW_MAX_US;
+	return l->window.served >= WINDOW_MIN_REQUESTS &&
+	       now_us >= l->window.start_us + WINDOW_MAX_US;
 }
 
 /*
@@ -250,11 +256,11 @@
 static double
 window_latency(const struct limiter *l, double *var)
 {
-	double n = l->win.served, mean = l->win.sum_us / n;
+	double n = l->window.served, mean = l->window.sum_us / n;
 
 	if (mean < 1)
 		mean = 1;
-	*var = fmax(0, l->win.sum_sq / n - mean * mean) / (mean * mean) / n;
+	*var = fmax(0, l->window.sum_sq / n - mean * mean) / (mean * mean) / n;
 	return mean;
 }
 
@@ -265,46 +271,53 @@
  * and after one that failed a step down, for it may stand too high already.
  */
 static void
-judge_steady(struct limiter *l, uint64_t now_us)
+evaluate_steady(struct limiter *l, uint64_t now_us)
 {
-	int binds = l->win.saturated;
-	double lat = window_latency(l, &l->ref_var), step;
-
-	if (l->base_us <= 0)
-		l->base_us = lat;
-	if (l->limit >= l->ref_limit && lat < l->ref_us * MUCH_QUICKER)
-		climb(l, lat);
-	l->ref_us = lat;
+	int limit_binds = l->window.saturated;
+	double latency_us = window_latency(l, &l->ref_log_variance), factor;
+
+	if (l->base_latency_us <= 0)
+		l->base_latency_us = latency_us;
+	if (l->limit >= l->ref_limit &&
+	    latency_us < l->ref_latency_us * RECOVERY_LATENCY_RATIO)
+		restart_ramp(l, latency_us);
+	l->ref_latency_us = latency_us;
 	l->ref_limit = l->limit;
-	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served) {
-		l->stalled = l->win.timeouts * STALL_SHARE > l->win.served;
-		judge_timeouts(l, binds && now_us >= l->blameless_us, now_us);
+	if (l->window.timeouts * TIMEOUT_SHARE_DIVISOR > l->window.served) {
+		l->stalled =
+		    l->window.timeouts * STALL_SHARE_DIVISOR > l->window.served;
+		evaluate_timeouts(
+		    l, limit_binds && now_us >= l->timeout_exempt_us, now_us);
 		return;
 	}
 	if (l->stalled)
-		climb(l, lat);
-	if (binds && l->limit > floor_of(l) &&
-	    log(lat / l->base_us) > log(RAISED_LATENCY) + sqrt(l->ref_var)) {
-		change(l, l->limit * STEP_DOWN, LIMITER_TRY_DOWN, now_us);
+		restart_ramp(l, latency_us);
+	if (limit_binds && l->limit > min_limit(l) &&
+	    log(latency_us / l->base_latency_us) >
+		log(RAISED_LATENCY_RATIO) + sqrt(l->ref_log_variance)) {
+		set_limit(l, l->limit * CUT_FACTOR, LIMITER_TRIAL_DOWN, now_us);
 		return;
 	}
-	l->base_us +=
-	    (lat < l->base_us ? BASE_FALL : BASE_RISE) * (lat - l->base_us);
-	if (!binds || now_us < l->hold_us) {
+	l->base_latency_us +=
+	    (latency_us < l->base_latency_us ? BASE_FALL_WEIGHT
+					     : BASE_RISE_WEIGHT) *
+	    (latency_us - l->base_latency_us);
+	if (!limit_binds || now_us < l->next_raise_us) {
 		window_begin(l, now_us);
 		return;
 	}
-	if (l->look_down) {
-		l->look_down = 0;
-		change(l, l->limit * STEP_LOOK_DOWN, LIMITER_TRY_DOWN, now_us);
+	if (l->try_cut) {
+		l->try_cut = 0;
+		set_limit(
+		    l, l->limit * PROBE_CUT_FACTOR, LIMITER_TRIAL_DOWN, now_us);
 		return;
 	}
 	if (l->limit >= l->slots) {
 		window_begin(l, now_us);
 		return;
 	}
-	step = l->ramping ? STEP_RAMP : STEP_UP;
-	change(l, ceil(l->limit * step), LIMITER_TRY_UP, now_us);
+	factor = l->ramping ? RAMP_FACTOR : RAISE_FACTOR;
+	set_limit(l, ceil(l->limit * factor), LIMITER_TRIAL_UP, now_us);
 }
 
 /*
@@ -312,44 +325,45 @@
  * tries a step down if the limit may be to blame.
  */
 static void
-judge_timeouts(struct limiter *l, int blamed, uint64_t now_us)
+evaluate_timeouts(struct limiter *l, int limit_suspect, uint64_t now_us)
 {
-	if (!blamed) {
-		change(l, l->limit, LIMITER_STEADY, now_us);
+	if (!limit_suspect) {
+		set_limit(l, l->limit, LIMITER_STEADY, now_us);
 		return;
 	}
-	if (!l->stalled && l->limit > floor_of(l)) {
-		change(l, l->limit * STEP_DOWN, LIMITER_TRY_DOWN, now_us);
+	if (!l->stalled && l->limit > min_limit(l)) {
+		set_limit(l, l->limit * CUT_FACTOR, LIMITER_TRIAL_DOWN, now_us);
 		return;
 	}
-	fail_try(l, now_us);
-	change(l, l->limit * TIMEOUT_CUT, LIMITER_STEADY, now_us);
+	delay_next_raise(l, now_us);
+	set_limit(l, l->limit * TIMEOUT_CUT_FACTOR, LIMITER_STEADY, now_us);
 }
 
 /*
  * Ends a try upwards: undone if the latency took what the limit gave.
  */
 static void
-judge_up(struct limiter *l, uint64_t now_us)
+evaluate_trial_up(struct limiter *l, uint64_t now_us)
 {
 	double gain = log(l->limit / l->ref_limit), var;
-	double rise = log(window_latency(l, &var) / l->ref_us);
+	double rise = log(window_latency(l, &var) / l->ref_latency_us);
 
 	if (l->ramping)
-		gain = gain * RAMP_ELASTICITY + sqrt(var + l->ref_var);
+		gain = gain * RAMP_ELASTICITY + sqrt(var + l->ref_log_variance);
 	else
-		gain *= UP_ELASTICITY;
-	if (l->win.served < WINDOW_LEAST)
+		gain *= RAISE_ELASTICITY;
+	if (l->window.served < WINDOW_MIN_REQUESTS)
 		rise = 0;
-	if (l->win.timeouts * TIMEOUT_SHARE > l->win.served || rise > gain) {
-		fail_try(l, now_us);
-		l->look_down = 1;
-		change(l, l->ref_limit, LIMITER_STEADY, now_us);
+	if (l->window.timeouts * TIMEOUT_SHARE_DIVISOR > l->window.served ||
+	    rise > gain) {
+		delay_next_raise(l, now_us);
+		l->try_cut = 1;
+		set_limit(l, l->ref_limit, LIMITER_STEADY, now_us);
 		return;
 	}
-	l->hold_max_us = HOLD_FIRST_US;
+	l->raise_delay_us = RAISE_DELAY_MIN_US;
 	l->phase = LIMITER_STEADY;
-	judge_steady(l, now_us);
+	evaluate_steady(l, now_us);
 }
 
 /*
@@ -357,55 +371,55 @@
  * explains.  If not, the server's present latency is the new base.
  */
 static void
-judge_down(struct limiter *l, uint64_t now_us)
+evaluate_trial_down(struct limiter *l, uint64_t now_us)
 {
 	double cut = log(l->limit / l->ref_limit), var;
-	double lat = window_latency(l, &var);
+	double latency_us = window_latency(l, &var);
 
-	if (log(lat / l->ref_us) >
-	    DOWN_ELASTICITY * cut - sqrt(var + l->ref_var)) {
-		l->base_us = fmax(l->ref_us, lat);
-		l->blameless_us = now_us + BLAMELESS_US;
-		change(l, l->ref_limit, LIMITER_STEADY, now_us);
+	if (log(latency_us / l->ref_latency_us) >
+	    CUT_ELASTICITY * cut - sqrt(var + l->ref_log_variance)) {
+		l->base_latency_us = fmax(l->ref_latency_us, latency_us);
+		l->timeout_exempt_us = now_us + TIMEOUT_EXEMPT_US;
+		set_limit(l, l->ref_limit, LIMITER_STEADY, now_us);
 		return;
 	}
-	fail_try(l, now_us);
+	delay_next_raise(l, now_us);
 	l->phase = LIMITER_STEADY;
-	judge_steady(l, now_us);
+	evaluate_steady(l, now_us);
 }
 
 /*
  * Notes that what held the server up is gone: the limit climbs as from cold.
  */
 static void
-climb(struct limiter *l, double lat)
+restart_ramp(struct limiter *l, double latency_us)
 {
 	l->stalled = 0;
 	l->ramping = 1;
-	l->hold_us = 0;
-	l->hold_max_us = HOLD_FIRST_US;
-	l->look_down = 0;
-	l->base_us = lat;
+	l->next_raise_us = 0;
+	l->raise_delay_us = RAISE_DELAY_MIN_US;
+	l->try_cut = 0;
+	l->base_latency_us = latency_us;
 }
 
 /*
  * Notes that the limit was too high: the next try upwards waits longer.
  */
 static void
-fail_try(struct limiter *l, uint64_t now_us)
+delay_next_raise(struct limiter *l, uint64_t now_us)
 {
 	l->ramping = 0;
-	l->hold_us = now_us + l->hold_max_us;
-	if (l->hold_max_us < HOLD_LAST_US)
-		l->hold_max_us *= 2;
+	l->next_raise_us = now_us + l->raise_delay_us;
+	if (l->raise_delay_us < RAISE_DELAY_MAX_US)
+		l->raise_delay_us *= 2;
 }
 
 /*
  * Returns the lowest limit for this server.
  */
 static double
-floor_of(const struct limiter *l)
+min_limit(const struct limiter *l)
 {
-	return fmax(
-	    floor((double)l->slots / FLOOR_SHARE), fmin(l->slots, FLOOR_LEAST));
+	return fmax(floor((double)l->slots / MIN_LIMIT_DIVISOR),
+	    fmin(l->slots, MIN_LIMIT));
 }
--- a/src/admission/load.c
+++ b/src/admission/load.c
@@ -3,8 +3,8 @@
 
 #include "admission/admission.h"
 
-#define LEVEL_AGE_US 1000000 /* a level heard earlier is forgotten */
-#define PROBE_SHARE 32	     /* one in 32 is sent against the level */
+#define LEVEL_MAX_AGE_US 1000000 /* a level heard earlier is forgotten */
+#define PROBE_ONE_IN 32		 /* one in 32 is sent against the level */
 #define LOAD_FIELDS 5
 
 /*
@@ -52,10 +52,10 @@
 admission_precheck(const struct admission_load *load, uint64_t heard_us,
     uint32_t rank, uint64_t now_us, uint64_t rnd)
 {
-	if (heard_us == 0 || now_us > heard_us + LEVEL_AGE_US ||
+	if (heard_us == 0 || now_us > heard_us + LEVEL_MAX_AGE_US ||
 	    rank <= load->level)
 		return ADMISSION_HINT_SEND;
-	if (rnd % PROBE_SHARE == 0)
+	if (rnd % PROBE_ONE_IN == 0)
 		return ADMISSION_HINT_PROBE;
 	return ADMISSION_HINT_SHED;
 }
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -11,11 +11,11 @@
 #include "base/clock.h"
 
 #define SLOTS 16
-#define LIMIT (SLOTS / 4)
-#define SECOND 1000000
+#define COLD_LIMIT (SLOTS / 4)
+#define SECOND_US 1000000
 #define CALLERS 32
-#define CALLS 200
-#define CALLS_COST 1000000
+#define CALLS_PER_CALLER 200
+#define COST_CALLS 1000000
 #define ANSWERS 200
 #define POLL_US 1000
 
@@ -25,10 +25,10 @@
 	struct admission_req req;
 	struct admission_ticket ticket;
 	enum admission_verdict verdict;
-	int leaves;
+	int leave_at_once;
 };
 
-static atomic_int running, most;
+static atomic_int running, max_running;
 
 /*
  * Returns a request of a class that has some seconds left.
@@ -37,7 +37,7 @@
 request(enum admission_class class, uint32_t depth, uint64_t hash)
 {
 	struct admission_req r = { class, depth, hash,
-		clock_us() + 10 * SECOND };
+		clock_us() + 10 * SECOND_US };
 
 	return r;
 }
@@ -46,12 +46,12 @@
  * Enters once and keeps the place, or gives it back at once.
  */
 static void *
-call(void *arg)
+enter_once(void *arg)
 {
 	struct caller *c = arg;
 
 	c->verdict = admission_enter(c->a, &c->req, &c->ticket);
-	if (c->verdict == ADMISSION_RUN && c->leaves)
+	if (c->verdict == ADMISSION_RUN && c->leave_at_once)
 		admission_leave(&c->ticket, ADMISSION_SERVED, 1000);
 	return NULL;
 }
@@ -60,16 +60,16 @@
  * Starts a caller and waits until it is counted as busy.
  */
 static void
-call_start(struct caller *c, struct admission *a, enum admission_class class,
-    int leaves)
+start_caller(struct caller *c, struct admission *a, enum admission_class class,
+    int leave_at_once)
 {
 	uint32_t n = admission_busy(a);
 
 	memset(c, 0, sizeof(*c));
 	c->a = a;
-	c->leaves = leaves;
+	c->leave_at_once = leave_at_once;
 	c->req = request(class, 0, 0);
-	assert_int_equal(pthread_create(&c->thread, NULL, call, c), 0);
+	assert_int_equal(pthread_create(&c->thread, NULL, enter_once, c), 0);
 	while (admission_busy(a) <= n)
 		usleep(POLL_US);
 }
@@ -78,19 +78,19 @@
  * Enters and leaves many times, keeping count of how many run at once.
  */
 static void *
-call_often(void *arg)
+enter_repeatedly(void *arg)
 {
 	struct admission_ticket t;
 	struct admission_req r;
 	int i, n;
 
-	for (i = 0; i < CALLS; i++) {
+	for (i = 0; i < CALLS_PER_CALLER; i++) {
 		r = request((enum admission_class)(i % 4), 0, (uint64_t)i);
 		if (admission_enter(arg, &r, &t) != ADMISSION_RUN)
 			continue;
 		n = atomic_fetch_add(&running, 1) + 1;
-		if (n > atomic_load(&most))
-			atomic_store(&most, n);
+		if (n > atomic_load(&max_running))
+			atomic_store(&max_running, n);
 		atomic_fetch_sub(&running, 1);
 		admission_leave(&t, ADMISSION_SERVED, 100);
 	}
@@ -101,7 +101,7 @@
  * However many callers come, no more run at once than the server has slots.
  */
 static void
-test_never_above_slots(void **state)
+test_inflight_never_exceeds_slots(void **state)
 {
 	pthread_t th[CALLERS];
 	struct admission a;
@@ -112,10 +112,10 @@
 	admission_server_reset(&a, SLOTS);
 	for (i = 0; i < CALLERS; i++)
 		assert_int_equal(
-		    pthread_create(&th[i], NULL, call_often, &a), 0);
+		    pthread_create(&th[i], NULL, enter_repeatedly, &a), 0);
 	for (i = 0; i < CALLERS; i++)
 		pthread_join(th[i], NULL);
-	assert_true(atomic_load(&most) <= SLOTS);
+	assert_true(atomic_load(&max_running) <= SLOTS);
 	assert_int_equal(admission_busy(&a), 0);
 	admission_finish(&a);
 }
@@ -124,7 +124,7 @@
 	EVENT_LEAVE,
 	EVENT_DRAIN,
 	EVENT_STOP,
-	EVENT_GONE,
+	EVENT_SERVER_DOWN,
 	EVENT_RESET,
 	EVENT_NONE
 };
@@ -134,22 +134,23 @@
  * how many are busy at last, when something happens.
  */
 static void
-test_events(void **state)
+test_server_events(void **state)
 {
 	static const struct {
 		enum event event;
 		uint64_t left_us;
 		enum admission_verdict waiting, next;
 	} cases[] = {
-		{ EVENT_LEAVE, SECOND, ADMISSION_RUN, ADMISSION_RUN },
-		{ EVENT_DRAIN, SECOND, ADMISSION_DRAINING, ADMISSION_DRAINING },
-		{ EVENT_STOP, SECOND, ADMISSION_RUN, ADMISSION_STOPPING },
-		{ EVENT_GONE, SECOND, ADMISSION_NO_SERVER,
+		{ EVENT_LEAVE, SECOND_US, ADMISSION_RUN, ADMISSION_RUN },
+		{ EVENT_DRAIN, SECOND_US, ADMISSION_DRAINING,
+		    ADMISSION_DRAINING },
+		{ EVENT_STOP, SECOND_US, ADMISSION_RUN, ADMISSION_STOPPING },
+		{ EVENT_SERVER_DOWN, SECOND_US, ADMISSION_NO_SERVER,
 		    ADMISSION_NO_SERVER },
-		{ EVENT_RESET, SECOND, ADMISSION_RUN, ADMISSION_RUN },
+		{ EVENT_RESET, SECOND_US, ADMISSION_RUN, ADMISSION_RUN },
 		{ EVENT_NONE, 50000, ADMISSION_DEADLINE, ADMISSION_RUN },
 	};
-	struct caller c[LIMIT + 1];
+	struct caller c[COLD_LIMIT + 1];
 	struct admission_ticket t;
 	struct admission_req r;
 	struct admission a;
@@ -160,15 +161,15 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		admission_init(&a);
 		admission_server_reset(&a, SLOTS);
-		for (j = 0; j < LIMIT; j++)
-			call_start(&c[j], &a, ADMISSION_LOW, 0);
-		memset(&c[LIMIT], 0, sizeof(c[LIMIT]));
-		call_start(&c[LIMIT], &a, ADMISSION_NORMAL, 1);
+		for (j = 0; j < COLD_LIMIT; j++)
+			start_caller(&c[j], &a, ADMISSION_LOW, 0);
+		memset(&c[COLD_LIMIT], 0, sizeof(c[COLD_LIMIT]));
+		start_caller(&c[COLD_LIMIT], &a, ADMISSION_NORMAL, 1);
 		if (cases[i].event == EVENT_DRAIN)
 			admission_drain(&a);
 		if (cases[i].event == EVENT_STOP)
 			admission_stop(&a);
-		if (cases[i].event == EVENT_GONE)
+		if (cases[i].event == EVENT_SERVER_DOWN)
 			admission_server_reset(&a, 0);
 		if (cases[i].event == EVENT_RESET)
 			admission_server_reset(&a, SLOTS);
@@ -178,14 +179,15 @@
 			assert_int_equal(
 			    admission_enter(&a, &r, &t), ADMISSION_DEADLINE);
 		}
-		for (j = 0; j < LIMIT; j++) {
+		for (j = 0; j < COLD_LIMIT; j++) {
 			pthread_join(c[j].thread, NULL);
 			assert_int_equal(c[j].verdict, ADMISSION_RUN);
 			admission_leave(&c[j].ticket, ADMISSION_SERVED, 1000);
 		}
-		pthread_join(c[LIMIT].thread, NULL);
+		pthread_join(c[COLD_LIMIT].thread, NULL);
 		if (cases[i].event != EVENT_NONE)
-			assert_int_equal(c[LIMIT].verdict, cases[i].waiting);
+			assert_int_equal(
+			    c[COLD_LIMIT].verdict, cases[i].waiting);
 		r = request(ADMISSION_NORMAL, 0, 0);
 		assert_int_equal(admission_enter(&a, &r, &t), cases[i].next);
 		if (cases[i].next == ADMISSION_RUN)
@@ -199,9 +201,9 @@
  * A request of a dead server frees no place of the new one.
  */
 static void
-test_old_place_stays_old(void **state)
+test_stale_request_frees_no_place(void **state)
 {
-	struct admission_waiter old[SLOTS], w[LIMIT + 1], *out;
+	struct admission_waiter old[SLOTS], w[COLD_LIMIT + 1], *evicted;
 	struct admission_req r = request(ADMISSION_HIGH, 0, 0);
 	static struct admission_core c;
 	int i;
@@ -209,16 +211,18 @@
 	(void)state;
 	core_init(&c, 1);
 	core_reset(&c, SLOTS, 1);
-	assert_int_equal(core_offer(&c, &r, &old[0], &out, 1), ADMISSION_RUN);
+	assert_int_equal(
+	    core_offer(&c, &r, &old[0], &evicted, 1), ADMISSION_RUN);
 	core_reset(&c, SLOTS, 2);
-	for (i = 0; i < LIMIT; i++)
+	for (i = 0; i < COLD_LIMIT; i++)
 		assert_int_equal(
-		    core_offer(&c, &r, &w[i], &out, 3), ADMISSION_RUN);
-	assert_int_equal(core_offer(&c, &r, &w[i], &out, 4), ADMISSION_WAIT);
+		    core_offer(&c, &r, &w[i], &evicted, 3), ADMISSION_RUN);
+	assert_int_equal(
+	    core_offer(&c, &r, &w[i], &evicted, 4), ADMISSION_WAIT);
 	core_done(&c, &old[0], ADMISSION_FAILED, 3, 5);
 	assert_null(core_next(&c, 6));
 	core_done(&c, &w[0], ADMISSION_SERVED, 3, 7);
-	assert_ptr_equal(core_next(&c, 8), &w[LIMIT]);
+	assert_ptr_equal(core_next(&c, 8), &w[COLD_LIMIT]);
 }
 
 /*
@@ -226,7 +230,7 @@
  * queue gives up the least important first.
  */
 static void
-test_order(void **state)
+test_importance_order(void **state)
 {
 	static const struct admission_req rows[] = {
 		{ ADMISSION_CRITICAL, 9, 5, 0 },
@@ -256,10 +260,10 @@
  * and refuses one that is less.
  */
 static void
-test_eviction(void **state)
+test_full_queue_evicts_least_important(void **state)
 {
 	static struct admission_core c;
-	struct admission_waiter w[64], *out;
+	struct admission_waiter w[64], *evicted;
 	struct admission_req r = request(ADMISSION_NORMAL, 0, 0);
 	enum admission_verdict v = ADMISSION_RUN;
 	int n = 0;
@@ -268,15 +272,16 @@
 	core_init(&c, 1);
 	core_reset(&c, SLOTS, 1);
 	while (v != ADMISSION_OVERLOAD)
-		v = core_offer(&c, &r, &w[n++], &out, 1);
-	assert_int_equal(n, LIMIT + 16 + 1);
+		v = core_offer(&c, &r, &w[n++], &evicted, 1);
+	assert_int_equal(n, COLD_LIMIT + 16 + 1);
 	r.class = ADMISSION_LOW;
 	assert_int_equal(
-	    core_offer(&c, &r, &w[n], &out, 1), ADMISSION_OVERLOAD);
+	    core_offer(&c, &r, &w[n], &evicted, 1), ADMISSION_OVERLOAD);
 	r.class = ADMISSION_CRITICAL;
-	assert_int_equal(core_offer(&c, &r, &w[n], &out, 1), ADMISSION_WAIT);
-	assert_ptr_equal(out, &w[n - 2]);
-	assert_int_equal(out->verdict, ADMISSION_OVERLOAD);
+	assert_int_equal(
+	    core_offer(&c, &r, &w[n], &evicted, 1), ADMISSION_WAIT);
+	assert_ptr_equal(evicted, &w[n - 2]);
+	assert_int_equal(evicted->verdict, ADMISSION_OVERLOAD);
 	core_done(&c, &w[0], ADMISSION_SERVED, 3, 2);
 	assert_ptr_equal(core_next(&c, 2), &w[n]);
 }
@@ -286,7 +291,7 @@
  * ones, and any rank of the others.
  */
 static void
-test_level_of_classes(void **state)
+test_level_sheds_whole_important_classes(void **state)
 {
 	static const struct {
 		uint32_t level;
@@ -300,7 +305,7 @@
 		{ ADMISSION_NORMAL << 8, ADMISSION_NORMAL, ADMISSION_OVERLOAD },
 	};
 	static struct admission_core c;
-	struct admission_waiter w[LIMIT + 1], *out;
+	struct admission_waiter w[COLD_LIMIT + 1], *evicted;
 	struct admission_req r;
 	size_t i, n;
 
@@ -309,11 +314,11 @@
 		core_init(&c, 1);
 		core_reset(&c, SLOTS, 1);
 		r = request(rows[i].class, 0, UINT64_MAX);
-		for (n = 0; n < LIMIT; n++)
-			core_offer(&c, &r, &w[n], &out, 1);
-		c.level.cur = rows[i].level;
+		for (n = 0; n < COLD_LIMIT; n++)
+			core_offer(&c, &r, &w[n], &evicted, 1);
+		c.level.max_rank = rows[i].level;
 		assert_int_equal(
-		    core_offer(&c, &r, &w[n], &out, 1), rows[i].verdict);
+		    core_offer(&c, &r, &w[n], &evicted, 1), rows[i].verdict);
 	}
 }
 
@@ -321,7 +326,7 @@
  * What an entry makes of a level, by rank, age and chance.
  */
 static void
-test_precheck(void **state)
+test_precheck_rank_age_and_probe(void **state)
 {
 	static const struct {
 		uint64_t heard_us, now_us, rnd;
@@ -348,47 +353,47 @@
  * The load header survives a round trip, and nothing else is taken for one.
  */
 static void
-test_load_text(void **state)
+test_load_header_round_trip(void **state)
 {
 	static const char *const bad[] = { "", "1,2,3,4", "1,2,3,4,5,6",
 		"1024,2,3,4,5", "-1,2,3,4,5", "1,2,3,4,x", "1,,3,4,5",
 		"1,2,3,4,4294967296", "1, 2,3,4,5" };
-	struct admission_load in = { 1023, 2, 3, 4, 4294967295U }, out;
+	struct admission_load in = { 1023, 2, 3, 4, 4294967295U }, parsed;
 	char buf[ADMISSION_LOAD_TEXT];
 	size_t i;
 
 	(void)state;
 	admission_load_format(&in, buf);
-	assert_int_equal(admission_load_parse(&out, buf), 0);
-	assert_memory_equal(&in, &out, sizeof(in));
+	assert_int_equal(admission_load_parse(&parsed, buf), 0);
+	assert_memory_equal(&in, &parsed, sizeof(in));
 	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
-		assert_int_equal(admission_load_parse(&out, bad[i]), -1);
+		assert_int_equal(admission_load_parse(&parsed, bad[i]), -1);
 }
 
 /*
  * Prints what one decision costs, an offer and a leave, at a busy server.
  */
 static void
-test_cost(void **state)
+test_decision_cost(void **state)
 {
 	static struct admission_core c;
 	struct admission_req r = { ADMISSION_NORMAL, 0, 0, 1ULL << 40 };
-	struct admission_waiter w[SLOTS], *out;
+	struct admission_waiter w[SLOTS], *evicted;
 	uint64_t i, t;
 
 	(void)state;
 	core_init(&c, 1);
 	core_reset(&c, SLOTS, 1);
 	t = clock_us();
-	for (i = 0; i < CALLS_COST; i++) {
+	for (i = 0; i < COST_CALLS; i++) {
 		r.root_hash = i * 0x9e3779b97f4a7c15ULL;
 		assert_int_equal(
-		    core_offer(&c, &r, &w[0], &out, i), ADMISSION_RUN);
+		    core_offer(&c, &r, &w[0], &evicted, i), ADMISSION_RUN);
 		core_done(&c, &w[0], ADMISSION_SERVED, 3, i);
 		assert_null(core_next(&c, i));
 	}
 	t = clock_us() - t;
-	print_message("%.0f ns a request\n", (double)t * 1e3 / CALLS_COST);
+	print_message("%.0f ns a request\n", (double)t * 1e3 / COST_CALLS);
 }
 
 /*
@@ -397,7 +402,7 @@
  * of the answers tell no level.
  */
 static void
-test_echo(void **state)
+test_downstream_level_check(void **state)
 {
 	static const struct {
 		struct admission_req call; /* that the level was told to */
@@ -436,25 +441,26 @@
 		admission_echo_init(&e);
 		req.class = rows[i].class;
 		req.root_hash = rows[i].hash << 58;
-		assert_int_equal(admission_echo_check(&e, &req, SECOND, 1),
+		assert_int_equal(admission_echo_check(&e, &req, SECOND_US, 1),
 		    ADMISSION_HINT_SEND);
 		for (j = 0; j < ANSWERS; j++)
-			admission_echo_heard(&e, rows[i].chain, SECOND);
+			admission_echo_heard(&e, rows[i].chain, SECOND_US);
 		assert_int_equal(
-		    admission_echo_check(&e, &req, SECOND, 1), rows[i].hint);
-		assert_int_not_equal(admission_echo_check(&e, &req, SECOND, 32),
+		    admission_echo_check(&e, &req, SECOND_US, 1), rows[i].hint);
+		assert_int_not_equal(
+		    admission_echo_check(&e, &req, SECOND_US, 32),
 		    ADMISSION_HINT_SHED);
 		assert_int_equal(
-		    admission_echo_check(&e, &req, 2 * SECOND + 1000, 1),
+		    admission_echo_check(&e, &req, 2 * SECOND_US + 1000, 1),
 		    ADMISSION_HINT_SEND);
 		admission_echo_served(&e, &req);
-		assert_int_equal(admission_echo_check(&e, &req, SECOND, 1),
+		assert_int_equal(admission_echo_check(&e, &req, SECOND_US, 1),
 		    ADMISSION_HINT_SEND);
 		for (j = 0; j < ANSWERS; j++) {
 			admission_echo_served(&e, &rows[0].call);
-			admission_echo_heard(&e, rows[i].chain, SECOND);
+			admission_echo_heard(&e, rows[i].chain, SECOND_US);
 		}
-		assert_int_equal(admission_echo_check(&e, &req, SECOND, 1),
+		assert_int_equal(admission_echo_check(&e, &req, SECOND_US, 1),
 		    ADMISSION_HINT_SEND);
 	}
 }
@@ -464,24 +470,26 @@
  * idle gets a request whatever the estimate.
  */
 static void
-test_estimate(void **state)
+test_service_estimate_fades(void **state)
 {
 	static struct admission_core c;
-	struct admission_req r = { ADMISSION_LOW, 0, 0, SECOND + 1000 };
-	struct admission_waiter w[2], *out;
+	struct admission_req r = { ADMISSION_LOW, 0, 0, SECOND_US + 1000 };
+	struct admission_waiter w[2], *evicted;
 	uint64_t need;
 
 	(void)state;
 	core_init(&c, 1);
 	core_reset(&c, SLOTS, 1);
-	limiter_done(&c.limiter, ADMISSION_SERVED, SECOND, 1, SECOND);
-	need = limiter_need_us(&c.limiter, SECOND);
-	assert_true(need > SECOND / 2);
-	assert_true(limiter_need_us(&c.limiter, 6 * SECOND) <= need / 16);
+	limiter_record_end(
+	    &c.limiter, ADMISSION_SERVED, SECOND_US, 1, SECOND_US);
+	need = limiter_min_service_us(&c.limiter, SECOND_US);
+	assert_true(need > SECOND_US / 2);
+	assert_true(
+	    limiter_min_service_us(&c.limiter, 6 * SECOND_US) <= need / 16);
 	assert_int_equal(
-	    core_offer(&c, &r, &w[0], &out, SECOND), ADMISSION_RUN);
+	    core_offer(&c, &r, &w[0], &evicted, SECOND_US), ADMISSION_RUN);
 	assert_int_equal(
-	    core_offer(&c, &r, &w[1], &out, SECOND), ADMISSION_DEADLINE);
+	    core_offer(&c, &r, &w[1], &evicted, SECOND_US), ADMISSION_DEADLINE);
 }
 
 /*
@@ -489,10 +497,10 @@
  * for its deadline while there is a free slot, if the slots are known.
  */
 static void
-test_known_slots(void **state)
+test_known_slots_ignore_estimate(void **state)
 {
 	static struct admission_core c;
-	struct admission_waiter w[3], *out;
+	struct admission_waiter w[3], *evicted;
 	struct admission_req quick = { ADMISSION_HIGH, 0, 0, 0 };
 	int i, known;
 
@@ -502,23 +510,25 @@
 		c.limiter.fixed = 1;
 		c.slots_known = known;
 		core_reset(&c, 2, 0);
-		quick.deadline_us = 10 * SECOND;
+		quick.deadline_us = 10 * SECOND_US;
 		for (i = 0; i < 50; i++) {
 			assert_int_equal(
-			    core_offer(&c, &quick, &w[0], &out, SECOND),
+			    core_offer(&c, &quick, &w[0], &evicted, SECOND_US),
 			    ADMISSION_RUN);
-			core_done(
-			    &c, &w[0], ADMISSION_SERVED, 2 * SECOND, SECOND);
+			core_done(&c, &w[0], ADMISSION_SERVED, 2 * SECOND_US,
+			    SECOND_US);
 		}
 		assert_int_equal(
-		    core_offer(&c, &quick, &w[0], &out, SECOND), ADMISSION_RUN);
-		quick.deadline_us = SECOND + SECOND / 5;
-		assert_int_equal(core_offer(&c, &quick, &w[1], &out, SECOND),
+		    core_offer(&c, &quick, &w[0], &evicted, SECOND_US),
+		    ADMISSION_RUN);
+		quick.deadline_us = SECOND_US + SECOND_US / 5;
+		assert_int_equal(
+		    core_offer(&c, &quick, &w[1], &evicted, SECOND_US),
 		    known ? ADMISSION_RUN : ADMISSION_DEADLINE);
 		/* No slot is free: it would wait in vain. */
 		if (known)
 			assert_int_equal(
-			    core_offer(&c, &quick, &w[2], &out, SECOND),
+			    core_offer(&c, &quick, &w[2], &evicted, SECOND_US),
 			    ADMISSION_DEADLINE);
 	}
 }
@@ -527,18 +537,18 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_never_above_slots),
-		cmocka_unit_test(test_events),
-		cmocka_unit_test(test_old_place_stays_old),
-		cmocka_unit_test(test_order),
-		cmocka_unit_test(test_eviction),
-		cmocka_unit_test(test_level_of_classes),
-		cmocka_unit_test(test_precheck),
-		cmocka_unit_test(test_load_text),
-		cmocka_unit_test(test_cost),
-		cmocka_unit_test(test_echo),
-		cmocka_unit_test(test_estimate),
-		cmocka_unit_test(test_known_slots),
+		cmocka_unit_test(test_inflight_never_exceeds_slots),
+		cmocka_unit_test(test_server_events),
+		cmocka_unit_test(test_stale_request_frees_no_place),
+		cmocka_unit_test(test_importance_order),
+		cmocka_unit_test(test_full_queue_evicts_least_important),
+		cmocka_unit_test(test_level_sheds_whole_important_classes),
+		cmocka_unit_test(test_precheck_rank_age_and_probe),
+		cmocka_unit_test(test_load_header_round_trip),
+		cmocka_unit_test(test_decision_cost),
+		cmocka_unit_test(test_downstream_level_check),
+		cmocka_unit_test(test_service_estimate_fades),
+		cmocka_unit_test(test_known_slots_ignore_estimate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/admission/test_policy.c
+++ b/src/admission/test_policy.c
@@ -14,11 +14,11 @@
  */
 
 #define STEP_US 500
-#define RUN_MAX 16384
+#define REQUESTS_MAX 16384
 #define TIERS_MAX 4
 #define RETRY_STEPS 200
-#define ATTEMPTS 3
-#define SECONDS 10
+#define ATTEMPTS_MAX 3
+#define RUN_SECONDS 10
 #define SEED 1
 #define SEEDS 5
 
@@ -26,9 +26,9 @@
 	RULE_OFF,
 	RULE_AIMD,
 	RULE_GRADIENT,
-	RULE_UNCHAINED, /* the one chosen, but each call has its own hash */
-	RULE_UNTOLD,	/* it, without overload told up the chain */
-	RULE_TRIAL,	/* the one chosen */
+	RULE_NO_CHAIN_HASH, /* the one chosen, but each call has its own hash */
+	RULE_NO_CHAIN_LEVEL, /* it, without overload told up the chain */
+	RULE_TRIAL,	     /* the one chosen */
 	RULE_MAX
 };
 
@@ -44,9 +44,9 @@
 	double mean_us;	 /* of exponential service times */
 	uint64_t deadline_us;
 	double load;	     /* offered, as a share of capacity */
-	double slow;	     /* the last is this much slower in the trouble */
-	double surge;	     /* load is this many times more in the trouble */
-	int from, to;	     /* seconds of the trouble */
+	double slow_factor;  /* the last is this much slower in the trouble */
+	double surge_factor; /* load is this many times more in the trouble */
+	int disturbed_from_s, disturbed_to_s; /* seconds of the trouble */
 	double cold_s;	     /* service time falls from 5x to 1x in this time */
 	int tiers;	     /* servers in the row */
 	int calls;	     /* made by each request to the next, in turn */
@@ -57,16 +57,16 @@
 enum phase {
 	PHASE_FREE,
 	PHASE_QUEUED,
-	PHASE_WORKS,
-	PHASE_CALLS, /* keeps its place and waits for the next server */
+	PHASE_RUNNING,
+	PHASE_CALLING, /* keeps its place and waits for the next server */
 };
 
-struct item {
+struct sim_request {
 	struct admission_waiter w; /* first, to be found by its waiter */
 	double work;
 	uint64_t hash;
-	struct item *parent;
-	struct item *child;
+	struct sim_request *parent;
+	struct sim_request *child;
 	int tier;
 	int attempt;
 	int calls;
@@ -75,31 +75,32 @@
 };
 
 /* Limit state of the rules that are weighed against the one chosen. */
-struct other {
-	double lim, base, win_us;
-	int win_n;
+struct baseline {
+	double limit, base_latency_us, window_sum_us;
+	int window_count;
 };
 
 struct sim {
 	const struct model *m;
 	struct admission_core core[TIERS_MAX];
-	struct other other[TIERS_MAX];
+	struct baseline baseline[TIERS_MAX];
 	struct admission_echo echo[TIERS_MAX];
-	uint32_t top; /* items in use are below this */
+	uint32_t used; /* items in use are below this */
 	double slots[TIERS_MAX];
-	struct item items[RUN_MAX];
-	uint32_t retry[RETRY_STEPS][ATTEMPTS][ADMISSION_CLASS_MAX];
+	struct sim_request requests[REQUESTS_MAX];
+	uint32_t retry[RETRY_STEPS][ATTEMPTS_MAX][ADMISSION_CLASS_MAX];
 	uint32_t step;
 	uint64_t now;
 	uint64_t rnd;
 	enum rule rule;
-	uint32_t good[SECONDS];
-	uint32_t came[2][ADMISSION_CLASS_MAX]; /* first two seconds, rest */
-	uint32_t served[2][ADMISSION_CLASS_MAX];
+	uint32_t good_count[RUN_SECONDS];
+	uint32_t arrived[2][ADMISSION_CLASS_MAX]; /* first two seconds, rest */
+	uint32_t served_count[2][ADMISSION_CLASS_MAX];
 	uint32_t wasted; /* served by the first tier for nothing */
 };
 
-static void item_end(struct sim *, struct item *, enum admission_outcome);
+static void request_end(
+    struct sim *, struct sim_request *, enum admission_outcome);
 
 /*
  * Returns the next number of a seeded sequence, in (0, 1).
@@ -115,45 +116,48 @@
  * Moves the limit by a rule that isn't the one chosen.
  */
 static void
-rule_move(struct sim *s, int tier, enum admission_outcome how, double took)
+baseline_update(
+    struct sim *s, int tier, enum admission_outcome outcome, double service_us)
 {
-	struct other *o = &s->other[tier];
+	struct baseline *o = &s->baseline[tier];
 
-	if (s->rule == RULE_OFF || s->rule >= RULE_UNCHAINED)
+	if (s->rule == RULE_OFF || s->rule >= RULE_NO_CHAIN_HASH)
 		return;
 	if (s->rule == RULE_AIMD)
-		o->lim += how == ADMISSION_SERVED ? 1 / o->lim : -o->lim * 0.1;
-	o->win_us += took;
-	if (s->rule != RULE_AIMD && ++o->win_n == 64) {
-		took = o->win_us / 64;
-		o->win_n = 0;
-		o->win_us = 0;
-		if (o->base == 0 || took < o->base)
-			o->base = took;
-		o->base += (took - o->base) * 0.02;
-		o->lim *= fmax(0.5, fmin(1, 1.2 * o->base / took));
-		o->lim += sqrt(o->lim);
+		o->limit += outcome == ADMISSION_SERVED ? 1 / o->limit
+							: -o->limit * 0.1;
+	o->window_sum_us += service_us;
+	if (s->rule != RULE_AIMD && ++o->window_count == 64) {
+		service_us = o->window_sum_us / 64;
+		o->window_count = 0;
+		o->window_sum_us = 0;
+		if (o->base_latency_us == 0 || service_us < o->base_latency_us)
+			o->base_latency_us = service_us;
+		o->base_latency_us += (service_us - o->base_latency_us) * 0.02;
+		o->limit *=
+		    fmax(0.5, fmin(1, 1.2 * o->base_latency_us / service_us));
+		o->limit += sqrt(o->limit);
 	}
-	o->lim = fmin(s->slots[tier], fmax(1, o->lim));
-	s->core[tier].limiter.slots = (uint32_t)o->lim;
+	o->limit = fmin(s->slots[tier], fmax(1, o->limit));
+	s->core[tier].limiter.slots = (uint32_t)o->limit;
 }
 
 /*
  * Sends a request to a server.
  */
 static void
-offer(struct sim *s, struct item *parent, int tier, int attempt,
+offer(struct sim *s, struct sim_request *parent, int tier, int attempt,
     const struct admission_req *req)
 {
-	struct admission_waiter *out;
-	struct item *it = s->items;
+	struct admission_waiter *evicted;
+	struct sim_request *it = s->requests;
 	enum admission_verdict v;
 
 	while (it->phase != PHASE_FREE)
 		it++;
-	assert_true(it < s->items + RUN_MAX);
-	if (it == s->items + s->top)
-		s->top++;
+	assert_true(it < s->requests + REQUESTS_MAX);
+	if (it == s->requests + s->used)
+		s->used++;
 	memset(it, 0, sizeof(*it));
 	it->phase = PHASE_QUEUED;
 	it->hash = req->root_hash;
@@ -170,16 +174,16 @@
 	    admission_echo_check(&s->echo[tier], req, s->now,
 		(uint64_t)(rnd(s) * 1e9)) == ADMISSION_HINT_SHED) {
 		it->level = admission_echo_level(&s->echo[tier]);
-		item_end(s, it, ADMISSION_FAILED);
+		request_end(s, it, ADMISSION_FAILED);
 		return;
 	}
-	v = core_offer(&s->core[tier], req, &it->w, &out, s->now);
-	if (out != NULL)
-		item_end(s, (struct item *)out, ADMISSION_FAILED);
+	v = core_offer(&s->core[tier], req, &it->w, &evicted, s->now);
+	if (evicted != NULL)
+		request_end(s, (struct sim_request *)evicted, ADMISSION_FAILED);
 	if (v == ADMISSION_RUN)
-		it->phase = PHASE_WORKS;
+		it->phase = PHASE_RUNNING;
 	else if (v != ADMISSION_WAIT)
-		item_end(s, it, ADMISSION_FAILED);
+		request_end(s, it, ADMISSION_FAILED);
 }
 
 /*
@@ -193,7 +197,7 @@
 
 	req.root_hash = (uint64_t)(rnd(s) * 0x1p63) << 1;
 	req.deadline_us = s->now + s->m->deadline_us;
-	s->came[s->now >= 2000000][class] += attempt == 0;
+	s->arrived[s->now >= 2000000][class] += attempt == 0;
 	offer(s, NULL, 0, attempt, &req);
 	return log(rnd(s));
 }
@@ -202,18 +206,18 @@
  * A request that has done its own work calls the next server, or is done.
  */
 static void
-item_next(struct sim *s, struct item *it)
+request_continue(struct sim *s, struct sim_request *it)
 {
 	struct admission_req req = { it->w.class, (uint32_t)it->tier + 1,
 		it->hash, it->w.deadline_us };
 
 	if (it->calls == 0) {
-		item_end(s, it, ADMISSION_SERVED);
+		request_end(s, it, ADMISSION_SERVED);
 		return;
 	}
 	it->calls--;
-	it->phase = PHASE_CALLS;
-	if (s->rule == RULE_UNCHAINED)
+	it->phase = PHASE_CALLING;
+	if (s->rule == RULE_NO_CHAIN_HASH)
 		req.root_hash = (uint64_t)(rnd(s) * 0x1p63) << 1;
 	offer(s, it, it->tier + 1, 0, &req);
 }
@@ -223,7 +227,8 @@
  * those below it, let requests in.
  */
 static void
-tell_level(struct sim *s, const struct item *it, struct item *parent)
+report_level(
+    struct sim *s, const struct sim_request *it, struct sim_request *parent)
 {
 	struct admission_req req = { it->w.class, (uint32_t)it->tier, it->hash,
 		0 };
@@ -240,48 +245,49 @@
  * on or fails; its caller sends a failed root again.
  */
 static void
-item_end(struct sim *s, struct item *it, enum admission_outcome how)
+request_end(
+    struct sim *s, struct sim_request *it, enum admission_outcome outcome)
 {
-	enum phase was = it->phase;
-	struct item *parent = it->parent;
-	double took = (double)(s->now - it->w.start_us);
+	enum phase old_phase = it->phase;
+	struct sim_request *parent = it->parent;
+	double service_us = (double)(s->now - it->w.start_us);
 
 	it->phase = PHASE_FREE;
 	if (it->child != NULL) {
 		it->child->parent = NULL;
 		if (it->child->phase == PHASE_QUEUED)
 			core_withdraw(&s->core[it->tier + 1], &it->child->w);
-		item_end(s, it->child, ADMISSION_CANCELLED);
+		request_end(s, it->child, ADMISSION_CANCELLED);
 	}
-	if (was > PHASE_QUEUED) {
-		core_done(
-		    &s->core[it->tier], &it->w, how, (uint64_t)took, s->now);
-		if (how != ADMISSION_CANCELLED)
-			rule_move(s, it->tier, how, took);
+	if (old_phase > PHASE_QUEUED) {
+		core_done(&s->core[it->tier], &it->w, outcome,
+		    (uint64_t)service_us, s->now);
+		if (outcome != ADMISSION_CANCELLED)
+			baseline_update(s, it->tier, outcome, service_us);
 	}
-	if (was > PHASE_QUEUED && it->level != ADMISSION_CHAIN_NONE)
+	if (old_phase > PHASE_QUEUED && it->level != ADMISSION_CHAIN_NONE)
 		admission_echo_heard(&s->echo[it->tier], it->level, s->now);
-	else if (how == ADMISSION_SERVED)
+	else if (outcome == ADMISSION_SERVED)
 		admission_echo_served(&s->echo[it->tier],
 		    &(struct admission_req){ it->w.class, 0, it->hash, 0 });
 	if (parent != NULL) {
 		parent->child = NULL;
-		tell_level(s, it, parent);
-		if (how == ADMISSION_SERVED)
-			item_next(s, parent);
+		report_level(s, it, parent);
+		if (outcome == ADMISSION_SERVED)
+			request_continue(s, parent);
 		else
-			item_end(s, parent, ADMISSION_FAILED);
+			request_end(s, parent, ADMISSION_FAILED);
 		return;
 	}
 	if (it->tier > 0)
 		return;
-	if (how == ADMISSION_SERVED) {
-		s->good[s->now / 1000000]++;
-		s->served[s->now >= 2000000][it->w.class]++;
+	if (outcome == ADMISSION_SERVED) {
+		s->good_count[s->now / 1000000]++;
+		s->served_count[s->now >= 2000000][it->w.class]++;
 		return;
 	}
-	s->wasted += was > PHASE_QUEUED;
-	if (it->attempt + 1 < ATTEMPTS)
+	s->wasted += old_phase > PHASE_QUEUED;
+	if (it->attempt + 1 < ATTEMPTS_MAX)
 		s->retry[(s->step + RETRY_STEPS - 1) % RETRY_STEPS]
 			[it->attempt + 1][it->w.class]++;
 }
@@ -290,36 +296,37 @@
  * A server works for one step, and its queue moves on.
  */
 static void
-work(struct sim *s, int tier, double slow)
+step_server(struct sim *s, int tier, double slow_factor)
 {
 	const struct model *m = s->m;
-	double n = 0, did = STEP_US / slow;
+	double n = 0, progress_us = STEP_US / slow_factor;
 	struct admission_waiter *w;
-	struct item *it;
+	struct sim_request *it;
 
-	for (it = s->items; it < s->items + s->top; it++)
-		n += it->phase == PHASE_WORKS && it->tier == tier;
+	for (it = s->requests; it < s->requests + s->used; it++)
+		n += it->phase == PHASE_RUNNING && it->tier == tier;
 	if (tier == m->tiers - 1 && n > m->parallel)
-		did *= m->parallel / n / (1 + m->thrash * (n - m->parallel));
-	for (it = s->items; it < s->items + s->top; it++) {
-		if (it->phase < PHASE_WORKS || it->tier != tier)
+		progress_us *=
+		    m->parallel / n / (1 + m->thrash * (n - m->parallel));
+	for (it = s->requests; it < s->requests + s->used; it++) {
+		if (it->phase < PHASE_RUNNING || it->tier != tier)
 			continue;
 		if (s->now >= it->w.deadline_us) {
-			item_end(s, it, ADMISSION_TIMEOUT);
+			request_end(s, it, ADMISSION_TIMEOUT);
 			continue;
 		}
-		if (it->phase == PHASE_CALLS)
+		if (it->phase == PHASE_CALLING)
 			continue;
-		it->work -= did;
+		it->work -= progress_us;
 		if (it->work <= 0)
-			item_next(s, it);
+			request_continue(s, it);
 	}
 	while ((w = core_next(&s->core[tier], s->now)) != NULL) {
-		it = (struct item *)w;
+		it = (struct sim_request *)w;
 		if (w->verdict == ADMISSION_RUN)
-			it->phase = PHASE_WORKS;
+			it->phase = PHASE_RUNNING;
 		else
-			item_end(s, it, ADMISSION_FAILED);
+			request_end(s, it, ADMISSION_FAILED);
 	}
 }
 
@@ -349,10 +356,10 @@
 			s->slots[t] = fmax(
 			    8, 3 * capacity(m) * m->mean_us * 4 * m->tiers);
 		core_init(&s->core[t], 0);
-		s->core[t].unordered = s->rule == RULE_OFF;
-		s->core[t].limiter.fixed = s->rule < RULE_UNCHAINED;
+		s->core[t].fifo = s->rule == RULE_OFF;
+		s->core[t].limiter.fixed = s->rule < RULE_NO_CHAIN_HASH;
 		core_reset(&s->core[t], (uint32_t)s->slots[t], 0);
-		s->other[t].lim = s->slots[t] / 4.0;
+		s->baseline[t].limit = s->slots[t] / 4.0;
 	}
 }
 
@@ -360,12 +367,12 @@
  * Turns a number in (0, 1) into a class.
  */
 static enum admission_class
-class_of(double at)
+class_of(double uniform)
 {
-	static const double below[] = { 0.1, 0.3, 0.7 };
+	static const double upper_bounds[] = { 0.1, 0.3, 0.7 };
 	int c = 0;
 
-	while (c < ADMISSION_LOW && at > below[c])
+	while (c < ADMISSION_LOW && uniform > upper_bounds[c])
 		c++;
 	return (enum admission_class)c;
 }
@@ -377,24 +384,26 @@
 simulate(const struct model *m, enum rule rule, uint64_t seed)
 {
 	struct sim *s = calloc(1, sizeof(*s));
-	double due = 0, sec, slow, rate;
-	int a, j, trouble;
+	double due = 0, sec, slow_factor, rate;
+	int a, j, disturbed;
 
 	assert_non_null(s);
 	s->m = m;
 	s->rnd = seed;
 	s->rule = rule;
 	servers_init(s);
-	for (; s->now < (uint64_t)SECONDS * 1000000; s->now += STEP_US) {
+	for (; s->now < (uint64_t)RUN_SECONDS * 1000000; s->now += STEP_US) {
 		sec = (double)s->now / 1e6;
-		trouble = sec >= m->from && sec < m->to;
-		slow = trouble ? m->slow : 1;
+		disturbed =
+		    sec >= m->disturbed_from_s && sec < m->disturbed_to_s;
+		slow_factor = disturbed ? m->slow_factor : 1;
 		if (sec < m->cold_s)
-			slow *= 1 + 4 * (1 - sec / m->cold_s);
-		rate = m->load * capacity(m) * (trouble ? m->surge : 1);
+			slow_factor *= 1 + 4 * (1 - sec / m->cold_s);
+		rate =
+		    m->load * capacity(m) * (disturbed ? m->surge_factor : 1);
 		for (due += rate * STEP_US; due > 0;)
 			due += arrive(s, 0, class_of(rnd(s)));
-		for (a = 1; a < ATTEMPTS; a++) {
+		for (a = 1; a < ATTEMPTS_MAX; a++) {
 			for (j = 0; j < ADMISSION_CLASS_MAX; j++) {
 				for (; s->retry[s->step][a][j] > 0;
 				     s->retry[s->step][a][j]--)
@@ -402,7 +411,7 @@
 			}
 		}
 		for (j = 0; j < m->tiers; j++)
-			work(s, j, j == m->tiers - 1 ? slow : 1);
+			step_server(s, j, j == m->tiers - 1 ? slow_factor : 1);
 		s->step = (s->step + 1) % RETRY_STEPS;
 	}
 	return s;
@@ -412,14 +421,14 @@
  * Returns goodput between two seconds as a share of capacity.
  */
 static double
-goodput(const struct sim *s, int from, int to)
+goodput(const struct sim *s, int from_s, int to_s)
 {
 	double n = 0;
 	int i;
 
-	for (i = from; i < to; i++)
-		n += s->good[i];
-	return n / capacity(s->m) / 1e6 / (to - from);
+	for (i = from_s; i < to_s; i++)
+		n += s->good_count[i];
+	return n / capacity(s->m) / 1e6 / (to_s - from_s);
 }
 
 static const struct model models[] = {
@@ -474,17 +483,17 @@
  * seconds to recover.
  */
 static double
-calm(const struct sim *s)
+steady_goodput(const struct sim *s)
 {
-	int to = s->m->to > 0 ? s->m->to + 2 : 2;
+	int start_s = s->m->disturbed_to_s > 0 ? s->m->disturbed_to_s + 2 : 2;
 
-	return goodput(s, to, SECONDS);
+	return goodput(s, start_s, RUN_SECONDS);
 }
 
 /* What a model came to, summed over the seeds. */
 struct result {
-	double good; /* once calm, and in all seconds */
-	double all;
+	double steady; /* once calm, and in all seconds */
+	double overall;
 	double critical;
 	double wasted;
 };
@@ -493,16 +502,16 @@
  * Adds one run of n to a result.
  */
 static void
-result_add(struct result *r, const struct sim *s, double n)
+add_result(struct result *r, const struct sim *s, double n)
 {
 
-	r->good += calm(s) / n;
-	r->all += goodput(s, 0, SECONDS) / n;
-	r->critical +=
-	    (double)(s->served[0][ADMISSION_CRITICAL] +
-		     s->served[1][ADMISSION_CRITICAL]) /
-	    (s->came[0][ADMISSION_CRITICAL] + s->came[1][ADMISSION_CRITICAL]) /
-	    n;
+	r->steady += steady_goodput(s) / n;
+	r->overall += goodput(s, 0, RUN_SECONDS) / n;
+	r->critical += (double)(s->served_count[0][ADMISSION_CRITICAL] +
+				s->served_count[1][ADMISSION_CRITICAL]) /
+		       (s->arrived[0][ADMISSION_CRITICAL] +
+			   s->arrived[1][ADMISSION_CRITICAL]) /
+		       n;
 	r->wasted += s->wasted / n;
 }
 
@@ -512,7 +521,7 @@
  * share of critical requests served, and requests served for nothing.
  */
 static void
-test_models(void **state)
+test_goodput_and_critical_share(void **state)
 {
 	const struct model *m;
 	struct result sum;
@@ -530,15 +539,15 @@
 			seeds = r == RULE_TRIAL ? SEEDS : 1;
 			for (seed = 1; seed <= seeds; seed++) {
 				s = simulate(m, (enum rule)r, seed);
-				result_add(&sum, s, (double)seeds);
+				add_result(&sum, s, (double)seeds);
 				free(s);
 			}
 			print_message(" | %s %.2f %.2f %.3f %.0f",
-			    rule_names[r], sum.good, sum.all, sum.critical,
-			    sum.wasted);
+			    rule_names[r], sum.steady, sum.overall,
+			    sum.critical, sum.wasted);
 		}
 		print_message("\n");
-		if (sum.good < m->good_min || sum.critical < m->critical_min)
+		if (sum.steady < m->good_min || sum.critical < m->critical_min)
 			bad++;
 	}
 	assert_int_equal(bad, 0);
@@ -549,7 +558,7 @@
  * overload that the critical class alone doesn't cause, it loses first.
  */
 static void
-test_classes(void **state)
+test_low_class_shed_first(void **state)
 {
 	static const struct {
 		int model;
@@ -568,8 +577,8 @@
 	(void)state;
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		s = simulate(&models[rows[i].model], RULE_TRIAL, SEED);
-		got = (double)s->served[1][rows[i].class] /
-		      s->came[1][rows[i].class];
+		got = (double)s->served_count[1][rows[i].class] /
+		      s->arrived[1][rows[i].class];
 		assert_true(got >= rows[i].least && got <= rows[i].most);
 		free(s);
 	}
@@ -580,7 +589,7 @@
  * gives what is asked of it within two seconds.
  */
 static void
-test_return(void **state)
+test_recovery_after_long_slowness(void **state)
 {
 	static const struct model m = { "long slowness", 25, 25, 0, 300e3,
 		1900000, .6, 5, 1, 2, 8, 0, 1, 0, 0, 0 };
@@ -591,7 +600,8 @@
 	(void)state;
 	for (seed = 1; seed <= SEEDS; seed++) {
 		s = simulate(&m, RULE_TRIAL, seed);
-		good += goodput(s, m.to, m.to + 2) / SEEDS;
+		good +=
+		    goodput(s, m.disturbed_to_s, m.disturbed_to_s + 2) / SEEDS;
 		free(s);
 	}
 	print_message("two seconds after a slowness: %.2f\n", good);
@@ -602,9 +612,9 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_models),
-		cmocka_unit_test(test_classes),
-		cmocka_unit_test(test_return),
+		cmocka_unit_test(test_goodput_and_critical_share),
+		cmocka_unit_test(test_low_class_shed_first),
+		cmocka_unit_test(test_recovery_after_long_slowness),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
