--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -29,7 +29,8 @@
 };
 
 /*
- * Prepares admission to a server that hasn't been announced yet.
+ * Initialises admission control for a backend server that has not reported
+ * its slots yet.
  */
 void
 admission_init(struct admission *a)
@@ -40,7 +41,8 @@
 }
 
 /*
- * Releases what admission_init() took.  Nothing may be in flight.
+ * Frees the resources of admission_init().  No request may be waiting or in
+ * flight.
  */
 void
 admission_finish(struct admission *a)
@@ -49,8 +51,10 @@
 }
 
 /*
- * Turns the policy on or off.  Off, the limit is the announced slots and the
- * queue is first come, first served, without a level or a look at deadlines.
+ * Turns the admission policy on or off.  While it is off, the limit equals
+ * the reported slots, the queue is first come, first served, and arrivals
+ * are refused neither by the admission level nor by the estimated service
+ * time.
  */
 void
 admission_set_policy(struct admission *a, int enabled)
@@ -62,8 +66,9 @@
 }
 
 /*
- * Starts over for a new incarnation of the server with this many slots; 0
- * for a server that has gone.  Requests that wait stay for the new one.
+ * Restarts admission control for a new incarnation of the server with this
+ * many slots, or 0 if the server is down.  Waiting requests stay queued for
+ * the new incarnation; without a server they are refused.
  */
 void
 admission_server_reset(struct admission *a, uint32_t slots)
@@ -77,7 +82,7 @@
 }
 
 /*
- * Takes a changed number of slots from the running server.
+ * Applies a changed number of slots of the running server.
  */
 void
 admission_set_slots(struct admission *a, uint32_t slots)
@@ -89,8 +94,8 @@
 }
 
 /*
- * The server takes no new work: refuses all that wait and all that come,
- * until the next reset.
+ * Refuses all waiting and all new requests until the next reset, because the
+ * server accepts no new work.
  */
 void
 admission_drain(struct admission *a)
@@ -102,8 +107,8 @@
 }
 
 /*
- * The node stops: refuses all that come from now on.  Those that wait were
- * accepted before, so they still run.
+ * Refuses all new requests because the node stops.  Waiting requests were
+ * accepted before and still run.
  */
 void
 admission_stop(struct admission *a)
@@ -114,11 +119,11 @@
 }
 
 /*
- * Asks for a place at the server and blocks the calling thread until it has
- * one or is refused.  After ADMISSION_RUN the ticket must be given back by
+ * Requests a place at the server.  Blocks the calling thread until the
+ * request may run or is refused.  After ADMISSION_RUN the caller must call
  * admission_leave() exactly once, when the server has really stopped working
- * on the request; after any other verdict the ticket is void and the request
- * was not run.
+ * on the request.  After any other verdict the request was not run and the
+ * ticket is invalid.
  */
 enum admission_verdict
 admission_enter(struct admission *a, const struct admission_req *req,
@@ -140,7 +145,7 @@
 }
 
 /*
- * Gives the place back after the server worked for service_us.
+ * Releases the place of a request on which the server worked for service_us.
  */
 void
 admission_leave(struct admission_ticket *t, enum admission_outcome outcome,
@@ -155,8 +160,9 @@
 }
 
 /*
- * Returns how many requests wait or are in flight, also at earlier
- * incarnations of the server; a graceful stop ends at 0.
+ * Returns the number of requests that wait or are in flight, including those
+ * in flight at earlier incarnations of the server.  A graceful stop waits
+ * until it is 0.
  */
 uint32_t
 admission_busy(struct admission *a)
@@ -170,7 +176,7 @@
 }
 
 /*
- * Fills in what the next answer tells about this server.
+ * Fills in the load that the node reports with its next answer.
  */
 void
 admission_load(struct admission *a, struct admission_load *load)
@@ -188,7 +194,7 @@
 }
 
 /*
- * Prints the state as readable text.
+ * Writes the admission state to out as text.
  */
 void
 admission_dump(struct admission *a, FILE *out)
@@ -219,8 +225,8 @@
 }
 
 /*
- * Returns the word for a verdict; for a refusal it is the reason that the
- * caller is told.
+ * Returns the name of a verdict.  The name of a refusal is also the reason
+ * that is sent to the caller.
  */
 const char *
 admission_verdict_name(enum admission_verdict v)
@@ -229,7 +235,8 @@
 }
 
 /*
- * Wakes every waiter whose fate is decided.
+ * Starts or refuses each waiting request that can be decided now, and wakes
+ * its thread.
  */
 static void
 dispatch_waiting(struct admission *a)
@@ -242,7 +249,7 @@
 }
 
 /*
- * Refuses all that wait.
+ * Refuses all waiting requests with this verdict.
  */
 static void
 refuse_waiting(struct admission *a, enum admission_verdict v)
@@ -254,7 +261,7 @@
 }
 
 /*
- * Wakes the thread of a waiter, whose verdict is in place.
+ * Wakes the thread of a waiter whose verdict has been set.
  */
 static void
 wake_waiter(struct admission_waiter *w)
@@ -265,7 +272,9 @@
 }
 
 /*
- * Waits in the queue, with the lock held, for a verdict.
+ * Blocks until the queued request has a verdict.  Withdraws the request as
+ * soon as the time left is not longer than its estimated service time.  The
+ * caller holds the lock.
  */
 static enum admission_verdict
 wait_for_verdict(struct admission_ticket *t)
@@ -293,7 +302,7 @@
 }
 
 /*
- * Waits at most this long (us) to be woken.
+ * Waits for a signal on the ticket for at most timeout_us.
  */
 static void
 wait_for_signal(struct admission_ticket *t, uint64_t timeout_us)
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -8,17 +8,17 @@
 
 #include "admission/admission_core.h"
 
-#define ADMISSION_CHAIN_ALL 255U  /* a chain level that sheds nothing */
-#define ADMISSION_CHAIN_NONE 256U /* no inner call has told one */
-#define ADMISSION_LOAD_TEXT 64 /* bytes that admission_load_format() writes */
+#define ADMISSION_CHAIN_ALL 255U  /* chain level that sheds nothing */
+#define ADMISSION_CHAIN_NONE 256U /* no inner call reported a level */
+#define ADMISSION_LOAD_TEXT 64	  /* bytes, buffer of admission_load_format() */
 
-/* What an exit tells about itself on every answer. */
+/* Load that an exit node reports with every answer. */
 struct admission_load {
-	uint32_t level; /* ranks above it are being shed */
+	uint32_t level; /* least important rank admitted */
 	uint32_t inflight;
 	uint32_t limit;
 	uint32_t queued;
-	uint32_t service_us; /* decaying mean */
+	uint32_t service_us; /* decaying mean service time */
 };
 
 struct admission {
@@ -27,24 +27,25 @@
 	uint64_t counts[ADMISSION_CLASS_MAX][ADMISSION_VERDICT_MAX];
 };
 
-/* Held by the thread that serves the request, from enter to leave. */
+/* State of one request from admission_enter() to admission_leave(). */
 struct admission_ticket {
-	struct admission_waiter waiter;
+	struct admission_waiter waiter; /* first: cast back to the ticket */
 	struct admission *admission;
 	pthread_cond_t cond;
 };
 
-/* What an entry makes of the level it last heard from an exit. */
+/* Decision of an entry node, from the level that was last reported to it. */
 enum admission_hint {
 	ADMISSION_HINT_SEND,
-	ADMISSION_HINT_PROBE, /* expected to be shed; sent to learn */
+	ADMISSION_HINT_PROBE, /* send despite the level, to refresh it */
 	ADMISSION_HINT_SHED,
 	ADMISSION_HINT_MAX
 };
 
-/* Overload further down, as a route's answers tell it to an entry. */
+/* Overload further down the call chain, as reported by a route's answers. */
 struct admission_echo {
-	atomic_uint_fast64_t last_report; /* time, share, level; 0 for none */
+	/* Time, share and level in one word; 0 if there is no report. */
+	atomic_uint_fast64_t last_report;
 };
 
 void admission_init(struct admission *);
--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -4,15 +4,15 @@
 #include <stdint.h>
 
 /*
- * The pure part of admission: no clock, no lock, no thread.  All times are
- * microseconds of one clock, passed in.
+ * The decisions of admission control, without clocks, locks or threads.  All
+ * times are passed in, in microseconds of one clock.
  */
 
 #define ADMISSION_LEVELS 1024 /* ranks: 2 bits class, 2 depth, 6 hash */
-#define ADMISSION_LEVEL_ALL (ADMISSION_LEVELS - 1) /* nothing is shed */
+#define ADMISSION_LEVEL_ALL (ADMISSION_LEVELS - 1) /* sheds nothing */
 #define ADMISSION_QUEUE_MAX 1024		   /* waiting requests */
 
-/* In order of importance; the same order as in a configuration. */
+/* Most important first; the configuration uses the same order. */
 enum admission_class {
 	ADMISSION_CRITICAL,
 	ADMISSION_HIGH,
@@ -32,21 +32,21 @@
 	ADMISSION_VERDICT_MAX
 };
 
-/* How the work of an admitted request ended. */
+/* Result of an admitted request. */
 enum admission_outcome {
 	ADMISSION_SERVED,
-	ADMISSION_FAILED,    /* the server answered with an error or broke */
-	ADMISSION_SHED,	     /* the server refused it, not run */
-	ADMISSION_TIMEOUT,   /* it ran past its deadline */
-	ADMISSION_CANCELLED, /* the caller left; says nothing on the server */
+	ADMISSION_FAILED,    /* the server returned an error or failed */
+	ADMISSION_SHED,	     /* the server refused it without running it */
+	ADMISSION_TIMEOUT,   /* it exceeded its deadline */
+	ADMISSION_CANCELLED, /* the caller disconnected; ignored by limiter */
 	ADMISSION_OUTCOME_MAX
 };
 
 struct admission_req {
 	enum admission_class class;
 	uint32_t depth;	      /* 0 for a root request */
-	uint64_t root_hash;   /* evenly spread, the same along a chain */
-	uint64_t deadline_us; /* on the node's clock */
+	uint64_t root_hash;   /* evenly distributed, equal along a chain */
+	uint64_t deadline_us; /* by the node's clock */
 };
 
 enum limiter_phase {
@@ -56,14 +56,14 @@
 	LIMITER_PHASE_MAX
 };
 
-/* What was seen since the window began. */
+/* Samples since the window began. */
 struct limiter_window {
 	uint64_t start_us;
-	double sum_us; /* service times, and their squares */
+	double sum_us; /* of service times, and of their squares */
 	double sum_sq;
 	uint32_t served;
 	uint32_t timeouts;
-	int saturated;
+	int saturated; /* a request found no free place */
 };
 
 struct limiter {
@@ -71,43 +71,41 @@
 	uint32_t slots;
 	enum limiter_phase phase;
 	struct limiter_window window;
-	double
-	    base_latency_us; /* latency at which the limit was last in order */
-	double ref_latency_us; /* latency and limit before the running trial */
+	double base_latency_us; /* when the limit was last not too high */
+	double ref_latency_us;	/* of the window before the current trial */
 	double ref_limit;
-	double ref_log_variance; /* squared standard error of
-				    log(ref_latency_us) */
+	double ref_log_variance; /* squared standard error of log latency */
 	double mean_us; /* decaying mean and deviation of service times */
 	double dev_us;
-	uint64_t last_sample_us;    /* the last service time was seen then */
-	uint64_t next_raise_us;	    /* no try upwards until then */
-	uint64_t raise_delay_us;    /* grows with each try that failed */
-	uint64_t timeout_exempt_us; /* until then timeouts aren't its doing */
-	int ramping;		    /* no try has failed since the cold start */
-	int stalled;		    /* in the last window most timed out */
-	int try_cut; /* a try upwards has failed since the last one down */
-	int fixed;   /* the policy is off: the limit is the slots */
+	uint64_t last_sample_us; /* when the last service time was recorded */
+	uint64_t next_raise_us;	 /* no trial up before this time */
+	uint64_t raise_delay_us; /* doubles when the limit was too high */
+	uint64_t timeout_exempt_us; /* no cut for timeouts until then */
+	int ramping; /* no trial has failed since the ramp began */
+	int stalled; /* most requests of the last window timed out */
+	int try_cut; /* a trial up failed; try down next */
+	int fixed;   /* policy off: the limit equals the slots */
 };
 
 struct level {
-	uint32_t max_rank; /* the least important rank that is let in */
-	uint32_t step;
+	uint32_t max_rank; /* least important rank admitted */
+	uint32_t step;	   /* of the next raise, in ranks */
 	uint64_t last_tick_us;
 	double arrived[ADMISSION_LEVELS]; /* decaying counts by rank */
-	double served;
-	uint32_t dropped; /* since the last tick */
+	double served;			  /* decaying count */
+	uint32_t dropped; /* since the last tick, as are the fields below */
 	uint32_t wait_count;
 	uint64_t wait_sum_us;
 };
 
-/* One request from its arrival until it leaves. */
+/* One request from its arrival to its end. */
 struct admission_waiter {
-	uint64_t order; /* lowest first */
+	uint64_t order; /* of importance, lowest first */
 	uint64_t seq;
 	uint64_t deadline_us;
 	uint64_t enter_us;
 	uint64_t start_us;
-	uint64_t epoch;
+	uint64_t epoch; /* incarnation of the server that runs it */
 	enum admission_class class;
 	enum admission_verdict verdict;
 };
@@ -117,14 +115,14 @@
 	struct level level;
 	struct admission_waiter *queue[ADMISSION_QUEUE_MAX];
 	uint32_t queued;
-	uint32_t inflight;	 /* of the server's present incarnation */
-	uint32_t stale_inflight; /* of earlier incarnations */
-	uint64_t epoch;
-	uint64_t seq;
+	uint32_t inflight;	 /* at the server's current incarnation */
+	uint32_t stale_inflight; /* in flight at earlier incarnations */
+	uint64_t epoch;		 /* counts incarnations of the server */
+	uint64_t seq;		 /* of the next arrival */
 	int draining;
 	int stopping;
-	int fifo;	 /* the policy is off: first come, first served */
-	int slots_known; /* the server tells them: a free one is used */
+	int fifo;	 /* policy off: first come, first served */
+	int slots_known; /* reported by the server; use any free one */
 };
 
 void limiter_init(struct limiter *, uint32_t, uint64_t);
--- a/src/admission/core.c
+++ b/src/admission/core.c
@@ -5,13 +5,12 @@
 
 #define ORDER_CLASS_SHIFT 62
 #define ORDER_BAND_SHIFT 60
-#define ORDER_HASH_SHIFT 4 /* of the root hash, to make room */
+#define ORDER_HASH_SHIFT 4 /* leaves the top 4 bits for class and band */
 #define ORDER_RANK_SHIFT 54
 #define RANK_CLASS_SHIFT (ORDER_CLASS_SHIFT - ORDER_RANK_SHIFT)
 #define DEPTH_BANDS 4
 #define QUEUE_ENTRY_BYTES sizeof(void *)
-#define QUEUE_CAPACITY_MIN \
-	16 /* waiting requests, also for the smallest limit */
+#define QUEUE_CAPACITY_MIN 16 /* requests, even for lower limits */
 
 static int rejected_by_level(
     const struct admission_core *, const struct admission_req *);
@@ -24,13 +23,15 @@
 static int misses_deadline(const struct admission_core *,
     const struct admission_waiter *, uint32_t, uint64_t);
 
-/* Depth at which each band begins; the deepest is the most important. */
+/* Lowest depth of each band; the deepest band is the most important. */
 static const uint32_t band_depth[DEPTH_BANDS] = { 8, 3, 1, 0 };
 
 /*
- * Returns a request's place in the order of importance, lowest first: its
- * class, then how deep in its chain it is (deeper ones have more work behind
- * them), then the hash of its root, so that a chain ranks alike everywhere.
+ * Returns the position of a request in the order of importance; the lowest
+ * is the most important.  The class counts first, then the depth in the call
+ * chain, because more work has already been done for a deeper request, then
+ * the hash of the root request, so that all requests of a chain rank alike
+ * on every node.
  */
 uint64_t
 admission_order(const struct admission_req *req)
@@ -44,7 +45,8 @@
 }
 
 /*
- * Returns the coarse order, which is compared with admission levels.
+ * Returns the rank of a request: its order with fewer bits, for comparison
+ * with admission levels.
  */
 uint32_t
 admission_rank(const struct admission_req *req)
@@ -53,7 +55,7 @@
 }
 
 /*
- * Prepares a core that has no server yet.
+ * Initialises a core that has no server yet.
  */
 void
 core_init(struct admission_core *c, uint64_t now_us)
@@ -64,8 +66,8 @@
 }
 
 /*
- * Starts over for a new incarnation of the server.  What is in flight
- * belongs to the old one and takes no place of the new one.
+ * Restarts the core for a new incarnation of the server.  Requests in flight
+ * belong to the old incarnation and use no place of the new one.
  */
 void
 core_reset(struct admission_core *c, uint32_t slots, uint64_t now_us)
@@ -78,8 +80,9 @@
 }
 
 /*
- * Decides on an arrival.  On ADMISSION_WAIT the waiter is queued, and *out
- * may be set to one that was evicted for it, with its verdict in place.
+ * Decides on a new request.  On ADMISSION_WAIT the waiter is queued.
+ * *evicted is set to the waiter that was removed from the full queue to make
+ * room, with its verdict set, or to NULL.
  */
 enum admission_verdict
 core_offer(struct admission_core *c, const struct admission_req *req,
@@ -130,8 +133,9 @@
 }
 
 /*
- * Takes the next request from the queue whose fate is decided: it may run
- * now, or its deadline is out of reach.  Returns NULL if all others wait.
+ * Removes the next waiter that can be decided from the queue and sets its
+ * verdict: it runs, or it would miss its deadline.  Returns NULL if the
+ * queue is empty or no place is free.
  */
 struct admission_waiter *
 core_next(struct admission_core *c, uint64_t now_us)
@@ -153,7 +157,8 @@
 }
 
 /*
- * Takes any request from the queue to refuse it; NULL if there is none.
+ * Removes a waiter from the queue and sets this verdict.  Returns NULL if
+ * the queue is empty.
  */
 struct admission_waiter *
 core_flush(struct admission_core *c, enum admission_verdict verdict)
@@ -168,7 +173,7 @@
 }
 
 /*
- * Removes a request from the queue whose deadline passed while it waited.
+ * Removes a waiter from the queue because its deadline can no longer be met.
  */
 void
 core_withdraw(struct admission_core *c, struct admission_waiter *w)
@@ -186,7 +191,7 @@
 }
 
 /*
- * Frees the place of a request whose work has ended after service_us.
+ * Frees the place of a request that ended after service_us.
  */
 void
 core_done(struct admission_core *c, const struct admission_waiter *w,
@@ -203,8 +208,8 @@
 }
 
 /*
- * Returns the level to be told: none while there is a free place, for then
- * nothing is refused here.
+ * Returns the admission level to report.  Nothing is refused while a place
+ * is free, so the level is then ADMISSION_LEVEL_ALL.
  */
 uint32_t
 core_level(const struct admission_core *c)
@@ -215,10 +220,10 @@
 }
 
 /*
- * Tells whether the level refuses a request at once.  Of the two important
- * classes it refuses none while it lets some of their class in: they wait
- * for as long as there is room, so that a short trouble doesn't use up the
- * attempts of their callers.
+ * Returns whether the admission level refuses a request at once.  Requests
+ * of the critical and high classes are refused only if the level excludes
+ * their whole class.  Otherwise they wait while the queue has room, so that
+ * a short overload does not use up the attempts of their callers.
  */
 static int
 rejected_by_level(
@@ -232,7 +237,8 @@
 }
 
 /*
- * Returns how many may wait: about one service time's worth.
+ * Returns the number of requests that may wait: as many as the limit, which
+ * takes about one service time to serve.
  */
 static uint32_t
 queue_capacity(const struct admission_core *c)
@@ -247,8 +253,8 @@
 }
 
 /*
- * Returns the index for a waiter in the queue, which is sorted with the most
- * important last.
+ * Returns the index at which to insert a waiter.  The queue is sorted with
+ * the most important request last.
  */
 static uint32_t
 queue_position(const struct admission_core *c, const struct admission_waiter *w)
@@ -268,7 +274,7 @@
 }
 
 /*
- * Removes the waiter at an index.
+ * Removes the waiter at an index of the queue.
  */
 static void
 queue_remove(struct admission_core *c, uint32_t position)
@@ -279,7 +285,7 @@
 }
 
 /*
- * Gives a place to a request.
+ * Marks a request as in flight and records its waiting time.
  */
 static void
 start_request(
@@ -292,10 +298,11 @@
 }
 
 /*
- * Tells whether a request can't end in time with this many to run before
- * it.  One is always let through to an idle server, to measure it anew.
- * Where the slots are known, all are used: the mean over kinds of requests
- * that differ much says little of one of them.
+ * Returns whether a request is expected to miss its deadline when this many
+ * requests run before it. Until its deadline has passed, a request is always
+ * admitted to an idle server, so that the service time is measured again. If
+ * the server reports its slots, a free slot is always used: a mean over very
+ * different kinds of requests predicts the time of a single one badly.
  */
 static int
 misses_deadline(const struct admission_core *c,
--- a/src/admission/echo.c
+++ b/src/admission/echo.c
@@ -1,23 +1,23 @@
 #include "admission/admission.h"
 
 /*
- * What an entry knows of overload further down the chain of a route.  A
- * request whose inner call would be shed is refused before its first server
- * works on it.  The level told up the chain is one of class and root hash
- * only, since the depth at which it holds differs from the depth at which it
- * is used.
+ * Overload that the answers of a route report from further down the call
+ * chain.  An entry node refuses a request whose inner calls would be shed,
+ * before the first server works on it.  The chain level consists of class
+ * and root hash only, because the depth at which it was reported differs
+ * from the depth at which it is applied.
  *
- * Not every request of a route need make inner calls, and the entry can't
- * tell which will.  So it sheds only on routes nearly all of whose answers
- * tell a level.
+ * Not every request of a route makes inner calls, and the entry node cannot
+ * predict which will.  It therefore sheds only on routes where nearly all
+ * answers report a level.
  */
 
-#define REPORT_MAX_AGE_MS 1000 /* a level heard earlier is forgotten */
-#define PROBE_ONE_IN 32	       /* one in 32 is sent against the level */
+#define REPORT_MAX_AGE_MS 1000 /* an older level is ignored */
+#define PROBE_ONE_IN 32	       /* one in 32 is sent despite the level */
 #define SHARE_SHIFT 8
 #define SHARE_MAX 65535U
-#define SHED_SHARE_MIN 61600U	/* 94% of the answers */
-#define SHARE_WEIGHT_DIVISOR 32 /* an answer counts one in 32 */
+#define SHED_SHARE_MIN 61600U	/* 94% of answers report a level */
+#define SHARE_WEIGHT_DIVISOR 32 /* weight of an answer: 1/32 */
 #define TIME_SHIFT 24
 #define US_PER_MS 1000
 #define CHAIN_CLASS_SHIFT 6
@@ -31,7 +31,7 @@
 static uint32_t unpack_share(uint64_t);
 
 /*
- * Returns a request's place in the order of classes and root hashes.
+ * Returns the rank of a request by class and root hash only.
  */
 uint32_t
 admission_chain_rank(const struct admission_req *req)
@@ -41,8 +41,9 @@
 }
 
 /*
- * Turns the level that a server has told in its answer to an inner call into
- * one for the chain: the last request of that call's depth that it lets in.
+ * Converts the admission level that a server reported in its answer to an
+ * inner call into a chain level: the rank of the least important request at
+ * that call's depth that the server admits.
  */
 uint32_t
 admission_chain_level(uint32_t level, const struct admission_req *call)
@@ -59,7 +60,7 @@
 }
 
 /*
- * Begins with no level known.
+ * Initialises the state with no level reported.
  */
 void
 admission_echo_init(struct admission_echo *e)
@@ -68,8 +69,9 @@
 }
 
 /*
- * Returns the level last heard, to be told further up with a refusal that
- * it has caused.
+ * Returns the chain level that was last reported, or ADMISSION_CHAIN_ALL if
+ * there is none.  The caller reports it further up the chain with a refusal
+ * that this level caused.
  */
 uint32_t
 admission_echo_level(const struct admission_echo *e)
@@ -80,8 +82,8 @@
 }
 
 /*
- * Takes the chain level that an answer has told: the least of those told by
- * the inner calls made for it.
+ * Records the chain level of an answer: the lowest of the levels reported by
+ * the inner calls of that request.
  */
 void
 admission_echo_heard(struct admission_echo *e, uint32_t level, uint64_t now_us)
@@ -99,8 +101,9 @@
 }
 
 /*
- * Notes that a request was served whole without telling a level: at least
- * what is as important passes.
+ * Records that a request was served completely and its answer reported no
+ * level.  Requests of the same or higher importance are then admitted as
+ * well.
  */
 void
 admission_echo_served(struct admission_echo *e, const struct admission_req *req)
@@ -120,9 +123,8 @@
 }
 
 /*
- * Decides at an entry whether a request is worth sending, given what its
- * route's answers have told of overload below.  The last argument is a
- * random number.
+ * Decides at an entry node whether to send a request, given the overload
+ * that answers of its route reported.  rnd is a random number.
  */
 enum admission_hint
 admission_echo_check(const struct admission_echo *e,
@@ -141,8 +143,8 @@
 }
 
 /*
- * Returns what is remembered in one word: when (ms) the level was heard, the
- * share of answers that tell one, and the level.
+ * Packs a report into one word: when the level was reported (ms), the share
+ * of answers that report a level, and the level.
  */
 static uint64_t
 pack_report(uint64_t report_ms, uint32_t share, uint32_t level)
@@ -151,7 +153,7 @@
 }
 
 /*
- * Returns the level in that word.
+ * Returns the chain level of a packed report.
  */
 static uint32_t
 unpack_level(uint64_t packed)
@@ -160,7 +162,7 @@
 }
 
 /*
- * Returns the share in that word.
+ * Returns the share of answers that report a level, of SHARE_MAX.
  */
 static uint32_t
 unpack_share(uint64_t packed)
--- a/src/admission/level.c
+++ b/src/admission/level.c
@@ -3,24 +3,25 @@
 #include "admission/admission_core.h"
 
 /*
- * The admission level, after DAGOR: the rank down to which requests are let
- * in when there is no free place.  Each tick that saw queueing lowers it to
- * what the server could serve; each calm tick raises it, by growing steps.
+ * The admission level, after DAGOR: the least important rank that is
+ * admitted while no place is free.  Each period with queueing lowers the
+ * level to what the server could serve.  Each period without raises it, in
+ * steps that double.
  */
 
 #define PERIOD_US 50000
 #define CATCH_UP_PERIODS_MAX 40 /* a longer pause counts as this many */
-#define WAIT_TARGET_US 20000	/* mean wait that is no overload yet */
-#define PERIOD_DECAY 0.5	/* of the counts, each tick */
+#define WAIT_TARGET_US 20000	/* a lower mean wait is no overload */
+#define PERIOD_DECAY 0.5	/* factor on the counts, each period */
 #define RAISE_STEP_MIN 2
 #define RAISE_STEP_MAX 256
-#define CAPACITY_MARGIN 1.05 /* let in a little more than was served */
+#define CAPACITY_MARGIN 1.05 /* admit slightly more than was served */
 
 static void end_period(struct level *, double);
 static uint32_t rank_within_capacity(const struct level *);
 
 /*
- * Begins with nothing shed.
+ * Initialises the level to shed nothing.
  */
 void
 level_init(struct level *lv, uint64_t now_us)
@@ -32,7 +33,7 @@
 }
 
 /*
- * Counts an arrival of this rank, let in or not.
+ * Counts an arriving request of this rank, whether admitted or not.
  */
 void
 level_record_arrival(struct level *lv, uint32_t rank)
@@ -41,7 +42,8 @@
 }
 
 /*
- * Counts a request that was let in and then dropped from the queue.
+ * Counts a request that was dropped from the queue, or refused because the
+ * queue was full.
  */
 void
 level_record_drop(struct level *lv)
@@ -50,7 +52,7 @@
 }
 
 /*
- * Counts a request that runs after this wait.
+ * Counts a request that starts to run after waiting for wait_us.
  */
 void
 level_record_start(struct level *lv, uint64_t wait_us)
@@ -60,7 +62,7 @@
 }
 
 /*
- * Counts a request that the server has ended.
+ * Counts a request that has ended at the server.
  */
 void
 level_record_end(struct level *lv)
@@ -69,8 +71,8 @@
 }
 
 /*
- * Moves the level if its period is over.  Waits of up to half the mean
- * service time (us) are no overload.
+ * Adjusts the level for each period that has ended.  Mean waits of up to
+ * half the mean service time mean_us are no overload.
  */
 void
 level_tick(struct level *lv, double mean_us, uint64_t now_us)
@@ -93,7 +95,7 @@
 }
 
 /*
- * Ends one period.
+ * Moves the level at the end of a period and decays the counts.
  */
 static void
 end_period(struct level *lv, double target_us)
@@ -127,8 +129,8 @@
 }
 
 /*
- * Returns the rank down to which arrivals were no more than the server
- * could serve.
+ * Returns the least important rank up to which all arrivals together were no
+ * more than the server could serve.
  */
 static uint32_t
 rank_within_capacity(const struct level *lv)
--- a/src/admission/limiter.c
+++ b/src/admission/limiter.c
@@ -4,47 +4,46 @@
 #include "admission/admission_core.h"
 
 /*
- * The concurrency limit.  It moves by trials: the latency of a window at the
- * old limit is compared with one at the new limit.  A step up is kept only
- * if it bought throughput, a step down only if it bought latency.  So a
- * server that is slow for a reason of its own keeps its slots, while one
- * that has taken too much at once is relieved.
+ * The concurrency limit.  It changes by trials: the latency of a window at
+ * the old limit is compared with that of a window at the new limit.  A raise
+ * is retained only if it increased throughput, a cut only if it reduced
+ * latency.  A server that is slow for reasons other than concurrency thus
+ * keeps its limit, while the limit of an overloaded server falls.
  */
 
-#define COLD_SLOTS_DIVISOR 4 /* a cold server starts with 1/4 of its slots */
-#define MIN_LIMIT_DIVISOR 16 /* the limit stays above 1/16 of the slots */
-#define MIN_LIMIT 4	     /* too few to tell a trend from chance */
-#define RAMP_FACTOR 1.8	     /* until the first try has failed */
+#define COLD_SLOTS_DIVISOR 4 /* a cold start uses 1/4 of the slots */
+#define MIN_LIMIT_DIVISOR 16 /* lowest limit: 1/16 of the slots */
+#define MIN_LIMIT 4	     /* a lower one cannot tell trend from chance */
+#define RAMP_FACTOR 1.8	     /* until the first trial fails */
 #define RAISE_FACTOR 1.4
 #define CUT_FACTOR 0.6
-#define PROBE_CUT_FACTOR 0.75 /* after a failed try upwards */
+#define PROBE_CUT_FACTOR 0.75 /* after a failed trial up */
 #define SHED_CUT_FACTOR 0.9
 #define TIMEOUT_CUT_FACTOR 0.75
-#define TIMEOUT_SHARE_DIVISOR 8 /* one in 8 timed out: cut */
-#define STALL_SHARE_DIVISOR 2	/* half timed out: the server stalls */
-#define RAMP_ELASTICITY 1.0	/* growth of latency over that of the limit */
+#define TIMEOUT_SHARE_DIVISOR 8 /* above 1/8 timed out: react */
+#define STALL_SHARE_DIVISOR 2	/* above 1/2: the server stalls */
+#define RAMP_ELASTICITY 1.0	/* log latency growth per log limit growth */
 #define RAISE_ELASTICITY 0.8
 #define CUT_ELASTICITY 0.5
-#define RAISED_LATENCY_RATIO 1.4 /* over the base: worth a step down */
-#define RECOVERY_LATENCY_RATIO \
-	0.45		     /* than the window before, by no step of ours */
-#define BASE_FALL_WEIGHT 0.3 /* weight of a window below or above the base */
+#define RAISED_LATENCY_RATIO 1.4 /* of the base: starts a trial down */
+/* Latency relative to the window before, without a cut: recovered. */
+#define RECOVERY_LATENCY_RATIO 0.45
+#define BASE_FALL_WEIGHT 0.3 /* of a window below or above the base */
 #define BASE_RISE_WEIGHT 0.1
 #define WINDOW_MIN_US 50000
 #define WINDOW_MAX_US 1000000
-#define RAMP_WINDOW_REQUESTS 64 /* served requests */
+#define RAMP_WINDOW_REQUESTS 64 /* requests ended in a window */
 #define RAMP_STEP_MAX_US 250000
 #define WINDOW_REQUESTS 128
 #define WINDOW_MIN_REQUESTS 16
-#define WINDOW_LIMIT_MULTIPLE 16 /* times the limit, where that is fewer */
+#define WINDOW_LIMIT_MULTIPLE 16 /* requests per unit of limit, if fewer */
 #define RAMP_LIMIT_MULTIPLE 4
-#define SETTLE_LATENCIES 2 /* until a changed limit shows */
+#define SETTLE_LATENCIES 2 /* until a changed limit takes effect */
 #define RAISE_DELAY_MIN_US 200000
 #define RAISE_DELAY_MAX_US 3200000
-#define TIMEOUT_EXEMPT_US 4000000 /* after a step down that brought nothing */
+#define TIMEOUT_EXEMPT_US 4000000 /* after a failed trial down */
 #define MEAN_WEIGHT 0.05
-#define MEAN_HALF_LIFE_US \
-	1000000 /* without news, the mean halves in this time */
+#define MEAN_HALF_LIFE_US 1000000 /* while nothing is served */
 
 static void window_begin(struct limiter *, uint64_t);
 static void set_limit(struct limiter *, double, enum limiter_phase, uint64_t);
@@ -68,7 +67,8 @@
 };
 
 /*
- * Starts over for a server that has just appeared with this many slots.
+ * Resets the limiter for a server that has just started with this many
+ * slots.
  */
 void
 limiter_init(struct limiter *l, uint32_t slots, uint64_t now_us)
@@ -86,7 +86,7 @@
 }
 
 /*
- * Takes a changed number of slots from a server that is running.
+ * Applies a changed number of slots of a running server.
  */
 void
 limiter_set_slots(struct limiter *l, uint32_t slots)
@@ -99,7 +99,7 @@
 }
 
 /*
- * Returns how many requests may be in flight at once; 0 without a server.
+ * Returns how many requests may be in flight at once, or 0 without a server.
  */
 uint32_t
 limiter_value(const struct limiter *l)
@@ -110,9 +110,9 @@
 }
 
 /*
- * Returns the time (us) below which a request can't be expected to end: the
- * mean less the deviation of service times.  It fades when nothing is
- * served, so that an old slowness can't refuse for ever.
+ * Returns the shortest time (us) in which a request is expected to end: the
+ * mean service time less its deviation.  The estimate decays while nothing
+ * is served, so that an old slow period cannot refuse requests for ever.
  */
 uint64_t
 limiter_min_service_us(const struct limiter *l, uint64_t now_us)
@@ -127,7 +127,7 @@
 }
 
 /*
- * Notes that a request found no free place: the limit binds.
+ * Records that a request found no free place, so that the limit binds.
  */
 void
 limiter_note_saturated(struct limiter *l)
@@ -136,8 +136,8 @@
 }
 
 /*
- * Takes the end of one request: how, after how long, how many were in flight
- * then, and the time.
+ * Records the end of a request that ran for service_us, with the number in
+ * flight at that time, and evaluates the window if it is complete.
  */
 void
 limiter_record_end(struct limiter *l, enum admission_outcome outcome,
@@ -165,9 +165,9 @@
 }
 
 /*
- * Adds a service time to the decaying mean and deviation.  The first window
- * begins once the first requests are through, for those that end soonest
- * are the short ones.
+ * Adds a service time to the decaying mean and deviation.  The first sample
+ * delays the first window until the first requests have ended, because the
+ * requests that end soonest are the short ones.
  */
 static void
 record_service_time(struct limiter *l, double sample_us, uint64_t now_us)
@@ -182,7 +182,7 @@
 }
 
 /*
- * Begins to count anew.
+ * Clears the window and starts it at now_us, which may be in the future.
  */
 static void
 window_begin(struct limiter *l, uint64_t now_us)
@@ -192,8 +192,8 @@
 }
 
 /*
- * Sets the limit, within its bounds, and opens a window that begins once the
- * requests admitted under the old one are through.
+ * Sets the limit within its bounds.  The next window begins once the
+ * requests that were admitted under the old limit have ended.
  */
 static void
 set_limit(
@@ -205,8 +205,8 @@
 }
 
 /*
- * Returns how long requests that were admitted under another limit still
- * end.  A server that ramps up isn't kept waiting for all of them.
+ * Returns how long to wait for requests that were admitted under the old
+ * limit.  A ramp does not wait for all of them.
  */
 static uint64_t
 settle_us(const struct limiter *l)
@@ -218,7 +218,7 @@
 }
 
 /*
- * Tells whether the window has begun.
+ * Returns whether the window has begun.
  */
 static int
 window_started(const struct limiter *l, uint64_t now_us)
@@ -227,8 +227,9 @@
 }
 
 /*
- * Tells whether the window has seen enough to be judged.  While the limit
- * ramps up, a step that shows no harm for some time is taken for harmless.
+ * Returns whether the window has enough samples to be evaluated.  During a
+ * ramp, a step without a sign of harm for RAMP_STEP_MAX_US counts as
+ * harmless.
  */
 static int
 window_complete(const struct limiter *l, uint64_t now_us)
@@ -250,7 +251,7 @@
 }
 
 /*
- * Returns the mean latency of the window and sets *var to the squared
+ * Returns the mean latency of the window (us) and sets *var to the squared
  * standard error of its logarithm.
  */
 static double
@@ -265,10 +266,11 @@
 }
 
 /*
- * Ends a window without a trial: cuts after timeouts, unless a step down has
- * lately shown that the server is slow for a reason of its own, and tries a
- * step down if the latency has risen.  If the limit binds, it tries a step up,
- * and after one that failed a step down, for it may stand too high already.
+ * Evaluates a window outside a trial.  Many timeouts cut the limit, unless a
+ * trial down has recently shown that the limit is not their cause.  A raised
+ * latency starts a trial down.  If the limit binds, a trial up is started,
+ * or after a failed trial up a trial down, because the limit may already be
+ * too high.
  */
 static void
 evaluate_steady(struct limiter *l, uint64_t now_us)
@@ -321,8 +323,9 @@
 }
 
 /*
- * Takes a window of many timeouts: cuts at once where most timed out, or else
- * tries a step down if the limit may be to blame.
+ * Handles a window with many timeouts: cuts the limit at once if most
+ * requests timed out, else starts a trial down.  The limit stays if it is
+ * not suspected as the cause.
  */
 static void
 evaluate_timeouts(struct limiter *l, int limit_suspect, uint64_t now_us)
@@ -340,7 +343,8 @@
 }
 
 /*
- * Ends a try upwards: undone if the latency took what the limit gave.
+ * Ends a trial up and restores the limit if the latency grew too much for
+ * the raise to increase throughput.
  */
 static void
 evaluate_trial_up(struct limiter *l, uint64_t now_us)
@@ -367,8 +371,9 @@
 }
 
 /*
- * Ends a try downwards: kept only if the latency fell by more than chance
- * explains.  If not, the server's present latency is the new base.
+ * Ends a trial down.  The lower limit is retained only if the latency fell
+ * by more than chance explains.  If not, the server's current latency
+ * becomes the new base.
  */
 static void
 evaluate_trial_down(struct limiter *l, uint64_t now_us)
@@ -389,7 +394,8 @@
 }
 
 /*
- * Notes that what held the server up is gone: the limit climbs as from cold.
+ * Ramps the limit up as after a cold start, because the cause of the
+ * slowness has ended.
  */
 static void
 restart_ramp(struct limiter *l, double latency_us)
@@ -403,7 +409,8 @@
 }
 
 /*
- * Notes that the limit was too high: the next try upwards waits longer.
+ * Records that the limit was too high and delays the next trial up, for
+ * longer each time.
  */
 static void
 delay_next_raise(struct limiter *l, uint64_t now_us)
--- a/src/admission/load.c
+++ b/src/admission/load.c
@@ -3,12 +3,13 @@
 
 #include "admission/admission.h"
 
-#define LEVEL_MAX_AGE_US 1000000 /* a level heard earlier is forgotten */
-#define PROBE_ONE_IN 32		 /* one in 32 is sent against the level */
+#define LEVEL_MAX_AGE_US 1000000 /* an older level is ignored */
+#define PROBE_ONE_IN 32		 /* one in 32 is sent despite the level */
 #define LOAD_FIELDS 5
 
 /*
- * Writes the load as header text into ADMISSION_LOAD_TEXT bytes.
+ * Writes the load as header text into buf, which holds ADMISSION_LOAD_TEXT
+ * bytes.
  */
 void
 admission_load_format(const struct admission_load *load, char *buf)
@@ -18,7 +19,8 @@
 }
 
 /*
- * Reads the load from header text.  Returns 0, or -1 if it isn't whole.
+ * Parses the load from header text.  Returns 0, or -1 if the text is
+ * malformed.
  */
 int
 admission_load_parse(struct admission_load *load, const char *text)
@@ -44,9 +46,9 @@
 }
 
 /*
- * Decides at an entry, before any work is done, whether a request of this
- * rank is worth sending to an exit whose load was heard at heard_us (0 for
- * never).  The last argument is a random number.
+ * Decides at an entry node, before any work is done, whether to send a
+ * request of this rank to an exit node whose load was received at heard_us
+ * (0 for never).  rnd is a random number.
  */
 enum admission_hint
 admission_precheck(const struct admission_load *load, uint64_t heard_us,
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -31,7 +31,7 @@
 static atomic_int running, max_running;
 
 /*
- * Returns a request of a class that has some seconds left.
+ * Returns a request of a class whose deadline is 10 seconds away.
  */
 static struct admission_req
 request(enum admission_class class, uint32_t depth, uint64_t hash)
@@ -43,7 +43,8 @@
 }
 
 /*
- * Enters once and keeps the place, or gives it back at once.
+ * Thread: enters once and holds the place, or leaves at once if
+ * leave_at_once is set.
  */
 static void *
 enter_once(void *arg)
@@ -57,7 +58,8 @@
 }
 
 /*
- * Starts a caller and waits until it is counted as busy.
+ * Starts a caller thread and waits until its request is counted as
+ * outstanding.
  */
 static void
 start_caller(struct caller *c, struct admission *a, enum admission_class class,
@@ -75,7 +77,8 @@
 }
 
 /*
- * Enters and leaves many times, keeping count of how many run at once.
+ * Thread: enters and leaves many times and records the highest number of
+ * requests that run at once.
  */
 static void *
 enter_repeatedly(void *arg)
@@ -98,7 +101,8 @@
 }
 
 /*
- * However many callers come, no more run at once than the server has slots.
+ * Guards against more requests in flight than the server has slots, with
+ * many concurrent callers.
  */
 static void
 test_inflight_never_exceeds_slots(void **state)
@@ -130,8 +134,8 @@
 };
 
 /*
- * What becomes of a request that waits, of one that comes afterwards, and of
- * how many are busy at last, when something happens.
+ * Checks the verdicts of a waiting and of a later request after each event
+ * at the server or node, and that no request is outstanding at the end.
  */
 static void
 test_server_events(void **state)
@@ -198,7 +202,8 @@
 }
 
 /*
- * A request of a dead server frees no place of the new one.
+ * Guards against a request of a crashed server incarnation freeing a place
+ * of the new one.
  */
 static void
 test_stale_request_frees_no_place(void **state)
@@ -226,8 +231,8 @@
 }
 
 /*
- * The order of importance: class, then depth, then the root's hash, and the
- * queue gives up the least important first.
+ * Requests are ordered by class, then by depth, then by the hash of the
+ * root, and ranks follow the same order.
  */
 static void
 test_importance_order(void **state)
@@ -256,8 +261,8 @@
 }
 
 /*
- * A full queue evicts its least important for one that is more important,
- * and refuses one that is less.
+ * A full queue evicts its least important request for a more important one
+ * and refuses a less important one.
  */
 static void
 test_full_queue_evicts_least_important(void **state)
@@ -287,8 +292,8 @@
 }
 
 /*
- * Where no place is free, the level refuses whole classes of the important
- * ones, and any rank of the others.
+ * With no free place, the level refuses critical and high requests only by
+ * whole classes, and any rank of the other classes.
  */
 static void
 test_level_sheds_whole_important_classes(void **state)
@@ -323,7 +328,8 @@
 }
 
 /*
- * What an entry makes of a level, by rank, age and chance.
+ * Checks the decision of an entry node for a level, by the rank, the age of
+ * the level and the random number.
  */
 static void
 test_precheck_rank_age_and_probe(void **state)
@@ -350,7 +356,8 @@
 }
 
 /*
- * The load header survives a round trip, and nothing else is taken for one.
+ * A formatted load header parses to the same load, and malformed headers are
+ * rejected.
  */
 static void
 test_load_header_round_trip(void **state)
@@ -371,7 +378,7 @@
 }
 
 /*
- * Prints what one decision costs, an offer and a leave, at a busy server.
+ * Prints the time of one decision, an offer and an end, at an idle server.
  */
 static void
 test_decision_cost(void **state)
@@ -393,37 +400,37 @@
 		assert_null(core_next(&c, i));
 	}
 	t = clock_us() - t;
-	print_message("%.0f ns a request\n", (double)t * 1e3 / COST_CALLS);
+	print_message("%.0f ns per request\n", (double)t * 1e3 / COST_CALLS);
 }
 
 /*
- * What a server's level means for the chain, by the depth of the call that
- * was answered with it, and what an entry makes of that; nothing where half
- * of the answers tell no level.
+ * Checks the conversion of a server's level to a chain level by the depth of
+ * the answered call, and the decision of an entry node on it.  Nothing is
+ * shed where half of the answers report no level.
  */
 static void
 test_downstream_level_check(void **state)
 {
 	static const struct {
-		struct admission_req call; /* that the level was told to */
-		uint64_t hash;		   /* of a request at the entry */
+		struct admission_req call; /* answered with the level */
+		uint64_t hash;		   /* of a request at the entry node */
 		uint32_t level, chain;
 		enum admission_class class; /* of that request */
 		enum admission_hint hint;
 	} rows[] = {
-		/* all is let in */
+		/* All requests are admitted. */
 		{ { 2, 1, 0, 0 }, 63, 1023, 255, 3, ADMISSION_HINT_SEND },
-		/* half of the calls of class 2 at that depth */
+		/* Half of the calls of class 2 at that depth are admitted. */
 		{ { 2, 1, 0, 0 }, 31, 2 << 8 | 2 << 6 | 31, 2 << 6 | 31, 2,
 		    ADMISSION_HINT_SEND },
 		{ { 2, 1, 0, 0 }, 32, 2 << 8 | 2 << 6 | 31, 2 << 6 | 31, 2,
 		    ADMISSION_HINT_SHED },
 		{ { 2, 1, 0, 0 }, 63, 2 << 8 | 2 << 6 | 31, 2 << 6 | 31, 1,
 		    ADMISSION_HINT_SEND },
-		/* only roots of class 2 are shed: calls pass */
+		/* Only roots of class 2 are shed; calls are admitted. */
 		{ { 2, 1, 0, 0 }, 63, 2 << 8 | 3 << 6 | 5, 2 << 6 | 63, 2,
 		    ADMISSION_HINT_SEND },
-		/* only deeper calls of class 2 pass: none at this depth */
+		/* Deeper calls of class 2 are admitted, none at this depth. */
 		{ { 2, 1, 0, 0 }, 0, 2 << 8 | 1 << 6 | 5, 1 << 6 | 63, 2,
 		    ADMISSION_HINT_SHED },
 		{ { 0, 1, 0, 0 }, 0, 5, 0, 0, ADMISSION_HINT_SEND },
@@ -466,8 +473,9 @@
 }
 
 /*
- * Without news an estimate of the service time fades, and a server that is
- * idle gets a request whatever the estimate.
+ * Guards against an old estimate of the service time refusing requests for
+ * ever: it decays while nothing is served, and an idle server gets a request
+ * whatever the estimate.
  */
 static void
 test_service_estimate_fades(void **state)
@@ -493,8 +501,9 @@
 }
 
 /*
- * Mixed kinds on one server: the mean of the slow ones refuses no quick one
- * for its deadline while there is a free slot, if the slots are known.
+ * Guards against the mean time of slow requests refusing a quick one for its
+ * deadline while a slot is free, on a server that reports its slots and runs
+ * both kinds.
  */
 static void
 test_known_slots_ignore_estimate(void **state)
@@ -525,7 +534,7 @@
 		assert_int_equal(
 		    core_offer(&c, &quick, &w[1], &evicted, SECOND_US),
 		    known ? ADMISSION_RUN : ADMISSION_DEADLINE);
-		/* No slot is free: it would wait in vain. */
+		/* No slot is free, so it would miss its deadline. */
 		if (known)
 			assert_int_equal(
 			    core_offer(&c, &quick, &w[2], &evicted, SECOND_US),
--- a/src/admission/test_policy.c
+++ b/src/admission/test_policy.c
@@ -10,7 +10,8 @@
 #include "admission/admission.h"
 
 /*
- * The pure core against simulated servers, in steps of simulated time.
+ * Runs the admission core against simulated servers, in fixed steps of
+ * simulated time.
  */
 
 #define STEP_US 500
@@ -26,43 +27,43 @@
 	RULE_OFF,
 	RULE_AIMD,
 	RULE_GRADIENT,
-	RULE_NO_CHAIN_HASH, /* the one chosen, but each call has its own hash */
-	RULE_NO_CHAIN_LEVEL, /* it, without overload told up the chain */
-	RULE_TRIAL,	     /* the one chosen */
+	RULE_NO_CHAIN_HASH,  /* in use, but a hash per call */
+	RULE_NO_CHAIN_LEVEL, /* in use, no chain level */
+	RULE_TRIAL,	     /* the rule in use */
 	RULE_MAX
 };
 
 static const char *const rule_names[RULE_MAX] = { "off", "aimd", "gradient",
-	"unchained", "untold", "trial" };
+	"no-chain-hash", "no-chain-level", "trial" };
 
-/* Servers in a row, their load and their trouble, and what must come of it. */
+/* A row of servers, its load and disturbance, and the required results. */
 struct model {
 	const char *name;
 	double slots;	 /* of the last server */
-	double parallel; /* requests that it runs at full speed at once */
+	double parallel; /* requests that run at full speed at once */
 	double thrash;	 /* share of speed lost per request above that */
 	double mean_us;	 /* of exponential service times */
 	uint64_t deadline_us;
 	double load;	     /* offered, as a share of capacity */
-	double slow_factor;  /* the last is this much slower in the trouble */
-	double surge_factor; /* load is this many times more in the trouble */
-	int disturbed_from_s, disturbed_to_s; /* seconds of the trouble */
+	double slow_factor;  /* slowdown of the last server while disturbed */
+	double surge_factor; /* on the load, while disturbed */
+	int disturbed_from_s, disturbed_to_s; /* seconds */
 	double cold_s;	     /* service time falls from 5x to 1x in this time */
 	int tiers;	     /* servers in the row */
-	int calls;	     /* made by each request to the next, in turn */
-	double good_min;     /* goodput from second 2 on, less the trouble */
-	double critical_min; /* share of the critical requests served */
+	int calls;	     /* sequential calls of each request to the next */
+	double good_min;     /* steady goodput, as a share of capacity */
+	double critical_min; /* share of critical requests served */
 };
 
 enum phase {
 	PHASE_FREE,
 	PHASE_QUEUED,
 	PHASE_RUNNING,
-	PHASE_CALLING, /* keeps its place and waits for the next server */
+	PHASE_CALLING, /* holds its place, waits for the next server */
 };
 
 struct sim_request {
-	struct admission_waiter w; /* first, to be found by its waiter */
+	struct admission_waiter w; /* first: cast back to the request */
 	double work;
 	uint64_t hash;
 	struct sim_request *parent;
@@ -70,11 +71,11 @@
 	int tier;
 	int attempt;
 	int calls;
-	uint32_t level; /* told by the calls that failed */
+	uint32_t level; /* lowest chain level reported by its calls */
 	enum phase phase;
 };
 
-/* Limit state of the rules that are weighed against the one chosen. */
+/* State of a baseline rule, for comparison with the rule in use. */
 struct baseline {
 	double limit, base_latency_us, window_sum_us;
 	int window_count;
@@ -85,7 +86,7 @@
 	struct admission_core core[TIERS_MAX];
 	struct baseline baseline[TIERS_MAX];
 	struct admission_echo echo[TIERS_MAX];
-	uint32_t used; /* items in use are below this */
+	uint32_t used; /* all entries in use are below this index */
 	double slots[TIERS_MAX];
 	struct sim_request requests[REQUESTS_MAX];
 	uint32_t retry[RETRY_STEPS][ATTEMPTS_MAX][ADMISSION_CLASS_MAX];
@@ -94,16 +95,17 @@
 	uint64_t rnd;
 	enum rule rule;
 	uint32_t good_count[RUN_SECONDS];
-	uint32_t arrived[2][ADMISSION_CLASS_MAX]; /* first two seconds, rest */
+	/* Root requests: [0] in the first two seconds, [1] afterwards. */
+	uint32_t arrived[2][ADMISSION_CLASS_MAX];
 	uint32_t served_count[2][ADMISSION_CLASS_MAX];
-	uint32_t wasted; /* served by the first tier for nothing */
+	uint32_t wasted; /* run by the first tier, then failed */
 };
 
 static void request_end(
     struct sim *, struct sim_request *, enum admission_outcome);
 
 /*
- * Returns the next number of a seeded sequence, in (0, 1).
+ * Returns the next number of a seeded pseudo-random sequence, in (0, 1).
  */
 static double
 rnd(struct sim *s)
@@ -113,7 +115,7 @@
 }
 
 /*
- * Moves the limit by a rule that isn't the one chosen.
+ * Updates the limit of a baseline rule after a request has ended.
  */
 static void
 baseline_update(
@@ -143,7 +145,8 @@
 }
 
 /*
- * Sends a request to a server.
+ * Sends a request to a server, as a root request or as an inner call of
+ * parent.
  */
 static void
 offer(struct sim *s, struct sim_request *parent, int tier, int attempt,
@@ -187,8 +190,8 @@
 }
 
 /*
- * A new root request arrives; returns how much of the arrivals due is used
- * up.
+ * Sends a new root request.  Returns its interarrival time, negated, in
+ * units of the mean.
  */
 static double
 arrive(struct sim *s, int attempt, enum admission_class class)
@@ -203,7 +206,7 @@
 }
 
 /*
- * A request that has done its own work calls the next server, or is done.
+ * Makes the next inner call of a request whose own work is done, or ends it.
  */
 static void
 request_continue(struct sim *s, struct sim_request *it)
@@ -223,8 +226,8 @@
 }
 
 /*
- * An answer to an inner call tells its caller how far down the server, and
- * those below it, let requests in.
+ * Reports to the caller of an inner call the chain level of the server that
+ * answered and of the servers below it.
  */
 static void
 report_level(
@@ -241,8 +244,8 @@
 }
 
 /*
- * A request is over, and what it has called is cancelled.  Its parent goes
- * on or fails; its caller sends a failed root again.
+ * Ends a request and cancels its inner call.  Its parent continues or fails;
+ * a failed root request is retried.
  */
 static void
 request_end(
@@ -293,7 +296,7 @@
 }
 
 /*
- * A server works for one step, and its queue moves on.
+ * Runs a server for one step and then dispatches its queue.
  */
 static void
 step_server(struct sim *s, int tier, double slow_factor)
@@ -331,7 +334,8 @@
 }
 
 /*
- * Returns how many roots the last server can serve in a microsecond.
+ * Returns the number of root requests that the last server can serve per
+ * microsecond.
  */
 static double
 capacity(const struct model *m)
@@ -341,8 +345,8 @@
 }
 
 /*
- * Prepares the servers: the last is the one with the model's slots, those
- * before it have room for three times its load.
+ * Initialises the servers.  The last one has the model's slots; those before
+ * it have room for three times its load.
  */
 static void
 servers_init(struct sim *s)
@@ -364,7 +368,7 @@
 }
 
 /*
- * Turns a number in (0, 1) into a class.
+ * Maps a number in (0, 1) to a class.
  */
 static enum admission_class
 class_of(double uniform)
@@ -378,7 +382,7 @@
 }
 
 /*
- * Runs a model under a rule; returns the sim, to be freed.
+ * Simulates a model under a rule.  The caller frees the result.
  */
 static struct sim *
 simulate(const struct model *m, enum rule rule, uint64_t seed)
@@ -418,7 +422,7 @@
 }
 
 /*
- * Returns goodput between two seconds as a share of capacity.
+ * Returns the goodput between two seconds as a share of capacity.
  */
 static double
 goodput(const struct sim *s, int from_s, int to_s)
@@ -454,8 +458,8 @@
 	    .98 },
 	{ "thrash 4x", 65, 16, .02, 20e3, 500000, 4, 1, 1, 0, 0, 0, 1, 0, .9,
 	    .98 },
-	{ "thrash, hurry", 65, 16, .02, 20e3, 120000, 2, 1, 1, 0, 0, 0, 1, 0,
-	    .8, .98 },
+	{ "thrash, short deadline", 65, 16, .02, 20e3, 120000, 2, 1, 1, 0, 0, 0,
+	    1, 0, .8, .98 },
 	{ "slow 5x", 65, 65, 0, 20e3, 500000, .9, 5, 1, 3, 6, 0, 1, 0, .87,
 	    .97 },
 	{ "sharing, slow 5x", 65, 16, 0, 20e3, 500000, .9, 5, 1, 3, 6, 0, 1, 0,
@@ -479,7 +483,7 @@
 };
 
 /*
- * Returns goodput after the start and outside the trouble, leaving two
+ * Returns the goodput after the start and after the disturbance, leaving two
  * seconds to recover.
  */
 static double
@@ -490,16 +494,16 @@
 	return goodput(s, start_s, RUN_SECONDS);
 }
 
-/* What a model came to, summed over the seeds. */
+/* Result of a model, as the mean over the seeds. */
 struct result {
-	double steady; /* once calm, and in all seconds */
+	double steady; /* goodput, in steady state and overall */
 	double overall;
 	double critical;
 	double wasted;
 };
 
 /*
- * Adds one run of n to a result.
+ * Adds the measures of one of n runs to a result.
  */
 static void
 add_result(struct result *r, const struct sim *s, double n)
@@ -516,9 +520,10 @@
 }
 
 /*
- * Each model under each rule; the mean of several seeds of the one chosen
- * must hold the bounds.  Prints goodput once calm and in all seconds, the
- * share of critical requests served, and requests served for nothing.
+ * Simulates each model under each rule.  The mean over several seeds of the
+ * rule in use must hold the bounds of the model.  Prints the goodput in
+ * steady state and over the whole run, the share of critical requests
+ * served, and the number of requests served in vain.
  */
 static void
 test_goodput_and_critical_share(void **state)
@@ -554,8 +559,8 @@
 }
 
 /*
- * Without overload the lowest class is served like the others, and in an
- * overload that the critical class alone doesn't cause, it loses first.
+ * Without overload the low class is served like the others.  In an overload
+ * that the critical class alone does not cause, the low class is shed first.
  */
 static void
 test_low_class_shed_first(void **state)
@@ -585,8 +590,9 @@
 }
 
 /*
- * After a slowness so long that requests ran past their deadlines, a service
- * gives what is asked of it within two seconds.
+ * Guards against a slow recovery: after a slowness so long that requests
+ * exceeded their deadlines, a server must serve its full load in the next
+ * two seconds.
  */
 static void
 test_recovery_after_long_slowness(void **state)
@@ -604,7 +610,8 @@
 		    goodput(s, m.disturbed_to_s, m.disturbed_to_s + 2) / SEEDS;
 		free(s);
 	}
-	print_message("two seconds after a slowness: %.2f\n", good);
+	print_message(
+	    "goodput in the two seconds after a slowness: %.2f\n", good);
 	assert_true(good >= .99 * m.load);
 }
 
