--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -60,7 +60,7 @@
 admission_set_policy(struct admission *a, int enabled)
 {
 	pthread_mutex_lock(&a->lock);
-	a->core.limiter.fixed = !enabled;
+	a->core.limiter.fixed_to_slots = !enabled;
 	a->core.fifo = !enabled;
 	pthread_mutex_unlock(&a->lock);
 }
@@ -154,7 +154,7 @@
 	struct admission *a = t->admission;
 
 	pthread_mutex_lock(&a->lock);
-	core_done(&a->core, &t->waiter, outcome, service_us, clock_us());
+	core_release(&a->core, &t->waiter, outcome, service_us, clock_us());
 	dispatch_waiting(a);
 	pthread_mutex_unlock(&a->lock);
 }
@@ -165,7 +165,7 @@
  * until it is 0.
  */
 uint32_t
-admission_busy(struct admission *a)
+admission_outstanding(struct admission *a)
 {
 	uint32_t n;
 
@@ -256,7 +256,7 @@
 {
 	struct admission_waiter *w;
 
-	while ((w = core_flush(&a->core, v)) != NULL)
+	while ((w = core_refuse_next(&a->core, v)) != NULL)
 		wake_waiter(w);
 }
 
@@ -291,7 +291,7 @@
 	while (w->verdict == ADMISSION_WAIT) {
 		min_service_us = limiter_min_service_us(&c->limiter, now);
 		if (now + min_service_us >= w->deadline_us)
-			core_withdraw(c, w);
+			core_expire(c, w);
 		else
 			wait_for_signal(
 			    t, w->deadline_us - min_service_us - now);
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -8,9 +8,11 @@
 
 #include "admission/admission_core.h"
 
-#define ADMISSION_CHAIN_ALL 255U  /* chain level that sheds nothing */
-#define ADMISSION_CHAIN_NONE 256U /* no inner call reported a level */
-#define ADMISSION_LOAD_TEXT 64	  /* bytes, buffer of admission_load_format() */
+#define ADMISSION_CHAIN_LEVEL_ALL 255U	   /* chain level that sheds nothing */
+#define ADMISSION_CHAIN_LEVEL_UNKNOWN 256U /* no inner call reported a level \
+					    */
+#define ADMISSION_LOAD_TEXT_BYTES \
+	64 /* bytes, buffer of admission_load_format() */
 
 /* Load that an exit node reports with every answer. */
 struct admission_load {
@@ -43,7 +45,7 @@
 };
 
 /* Overload further down the call chain, as reported by a route's answers. */
-struct admission_echo {
+struct admission_downstream {
 	/* Time, share and level in one word; 0 if there is no report. */
 	atomic_uint_fast64_t last_report;
 };
@@ -61,7 +63,7 @@
 void admission_leave(
     struct admission_ticket *, enum admission_outcome, uint64_t);
 
-uint32_t admission_busy(struct admission *);
+uint32_t admission_outstanding(struct admission *);
 void admission_load(struct admission *, struct admission_load *);
 void admission_dump(struct admission *, FILE *);
 
@@ -73,12 +75,14 @@
 
 uint32_t admission_chain_rank(const struct admission_req *);
 uint32_t admission_chain_level(uint32_t, const struct admission_req *);
-void admission_echo_init(struct admission_echo *);
-uint32_t admission_echo_level(const struct admission_echo *);
-void admission_echo_heard(struct admission_echo *, uint32_t, uint64_t);
-void admission_echo_served(
-    struct admission_echo *, const struct admission_req *);
-enum admission_hint admission_echo_check(const struct admission_echo *,
-    const struct admission_req *, uint64_t, uint64_t);
+void admission_downstream_init(struct admission_downstream *);
+uint32_t admission_downstream_level(const struct admission_downstream *);
+void admission_downstream_reported(
+    struct admission_downstream *, uint32_t, uint64_t);
+void admission_downstream_served(
+    struct admission_downstream *, const struct admission_req *);
+enum admission_hint admission_downstream_check(
+    const struct admission_downstream *, const struct admission_req *, uint64_t,
+    uint64_t);
 
 #endif
--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -8,9 +8,9 @@
  * times are passed in, in microseconds of one clock.
  */
 
-#define ADMISSION_LEVELS 1024 /* ranks: 2 bits class, 2 depth, 6 hash */
-#define ADMISSION_LEVEL_ALL (ADMISSION_LEVELS - 1) /* sheds nothing */
-#define ADMISSION_QUEUE_MAX 1024		   /* waiting requests */
+#define ADMISSION_RANK_COUNT 1024 /* ranks: 2 bits class, 2 depth, 6 hash */
+#define ADMISSION_LEVEL_ALL (ADMISSION_RANK_COUNT - 1) /* sheds nothing */
+#define ADMISSION_QUEUE_MAX 1024		       /* waiting requests */
 
 /* Most important first; the configuration uses the same order. */
 enum admission_class {
@@ -36,7 +36,7 @@
 enum admission_outcome {
 	ADMISSION_SERVED,
 	ADMISSION_FAILED,    /* the server returned an error or failed */
-	ADMISSION_SHED,	     /* the server refused it without running it */
+	ADMISSION_REJECTED,  /* the server refused it without running it */
 	ADMISSION_TIMEOUT,   /* it exceeded its deadline */
 	ADMISSION_CANCELLED, /* the caller disconnected; ignored by limiter */
 	ADMISSION_OUTCOME_MAX
@@ -81,18 +81,18 @@
 	uint64_t next_raise_us;	 /* no trial up before this time */
 	uint64_t raise_delay_us; /* doubles when the limit was too high */
 	uint64_t timeout_exempt_us; /* no cut for timeouts until then */
-	int ramping; /* no trial has failed since the ramp began */
-	int stalled; /* most requests of the last window timed out */
-	int try_cut; /* a trial up failed; try down next */
-	int fixed;   /* policy off: the limit equals the slots */
+	int ramping;	    /* no trial has failed since the ramp began */
+	int stalled;	    /* most requests of the last window timed out */
+	int try_cut;	    /* a trial up failed; try down next */
+	int fixed_to_slots; /* policy off: the limit equals the slots */
 };
 
 struct level {
 	uint32_t max_rank; /* least important rank admitted */
 	uint32_t step;	   /* of the next raise, in ranks */
 	uint64_t last_tick_us;
-	double arrived[ADMISSION_LEVELS]; /* decaying counts by rank */
-	double served;			  /* decaying count */
+	double arrived[ADMISSION_RANK_COUNT]; /* decaying counts by rank */
+	double served;			      /* decaying count */
 	uint32_t dropped; /* since the last tick, as are the fields below */
 	uint32_t wait_count;
 	uint64_t wait_sum_us;
@@ -149,11 +149,11 @@
     const struct admission_req *, struct admission_waiter *,
     struct admission_waiter **, uint64_t);
 struct admission_waiter *core_next(struct admission_core *, uint64_t);
-struct admission_waiter *core_flush(
+struct admission_waiter *core_refuse_next(
     struct admission_core *, enum admission_verdict);
 uint32_t core_level(const struct admission_core *);
-void core_withdraw(struct admission_core *, struct admission_waiter *);
-void core_done(struct admission_core *, const struct admission_waiter *,
+void core_expire(struct admission_core *, struct admission_waiter *);
+void core_release(struct admission_core *, const struct admission_waiter *,
     enum admission_outcome, uint64_t, uint64_t);
 
 #endif
--- a/src/admission/core.c
+++ b/src/admission/core.c
@@ -161,7 +161,7 @@
  * the queue is empty.
  */
 struct admission_waiter *
-core_flush(struct admission_core *c, enum admission_verdict verdict)
+core_refuse_next(struct admission_core *c, enum admission_verdict verdict)
 {
 	struct admission_waiter *w;
 
@@ -176,7 +176,7 @@
  * Removes a waiter from the queue because its deadline can no longer be met.
  */
 void
-core_withdraw(struct admission_core *c, struct admission_waiter *w)
+core_expire(struct admission_core *c, struct admission_waiter *w)
 {
 	uint32_t i;
 
@@ -194,7 +194,7 @@
  * Frees the place of a request that ended after service_us.
  */
 void
-core_done(struct admission_core *c, const struct admission_waiter *w,
+core_release(struct admission_core *c, const struct admission_waiter *w,
     enum admission_outcome outcome, uint64_t service_us, uint64_t now_us)
 {
 	if (w->epoch != c->epoch) {
--- a/src/admission/echo.c
+++ b/src/admission/echo.c
@@ -63,22 +63,22 @@
  * Initialises the state with no level reported.
  */
 void
-admission_echo_init(struct admission_echo *e)
+admission_downstream_init(struct admission_downstream *e)
 {
 	atomic_init(&e->last_report, 0);
 }
 
 /*
- * Returns the chain level that was last reported, or ADMISSION_CHAIN_ALL if
- * there is none.  The caller reports it further up the chain with a refusal
+ * Returns the chain level that was last reported, or ADMISSION_CHAIN_LEVEL_ALL
+ * if there is none.  The caller reports it further up the chain with a refusal
  * that this level caused.
  */
 uint32_t
-admission_echo_level(const struct admission_echo *e)
+admission_downstream_level(const struct admission_downstream *e)
 {
 	uint64_t packed = atomic_load(&e->last_report);
 
-	return packed == 0 ? ADMISSION_CHAIN_ALL : unpack_level(packed);
+	return packed == 0 ? ADMISSION_CHAIN_LEVEL_ALL : unpack_level(packed);
 }
 
 /*
@@ -86,12 +86,13 @@
  * the inner calls of that request.
  */
 void
-admission_echo_heard(struct admission_echo *e, uint32_t level, uint64_t now_us)
+admission_downstream_reported(
+    struct admission_downstream *e, uint32_t level, uint64_t now_us)
 {
 	uint64_t packed = atomic_load(&e->last_report);
 	uint32_t share;
 
-	if (level > ADMISSION_CHAIN_ALL)
+	if (level > ADMISSION_CHAIN_LEVEL_ALL)
 		return;
 	do {
 		share = unpack_share(packed);
@@ -106,7 +107,8 @@
  * well.
  */
 void
-admission_echo_served(struct admission_echo *e, const struct admission_req *req)
+admission_downstream_served(
+    struct admission_downstream *e, const struct admission_req *req)
 {
 	uint64_t packed = atomic_load(&e->last_report);
 	uint32_t rank = admission_chain_rank(req), share, level;
@@ -127,7 +129,7 @@
  * that answers of its route reported.  rnd is a random number.
  */
 enum admission_hint
-admission_echo_check(const struct admission_echo *e,
+admission_downstream_check(const struct admission_downstream *e,
     const struct admission_req *req, uint64_t now_us, uint64_t rnd)
 {
 	uint64_t packed = atomic_load(&e->last_report);
@@ -158,7 +160,7 @@
 static uint32_t
 unpack_level(uint64_t packed)
 {
-	return packed & ADMISSION_CHAIN_ALL;
+	return packed & ADMISSION_CHAIN_LEVEL_ALL;
 }
 
 /*
--- a/src/admission/level.c
+++ b/src/admission/level.c
@@ -120,7 +120,7 @@
 		if (lv->step < RAISE_STEP_MAX)
 			lv->step *= 2;
 	}
-	for (i = 0; i < ADMISSION_LEVELS; i++)
+	for (i = 0; i < ADMISSION_RANK_COUNT; i++)
 		lv->arrived[i] *= PERIOD_DECAY;
 	lv->served *= PERIOD_DECAY;
 	lv->dropped = 0;
@@ -138,7 +138,7 @@
 	double capacity = lv->served * CAPACITY_MARGIN;
 	uint32_t i;
 
-	for (i = 0; i < ADMISSION_LEVELS; i++) {
+	for (i = 0; i < ADMISSION_RANK_COUNT; i++) {
 		capacity -= lv->arrived[i];
 		if (capacity < 0)
 			break;
--- a/src/admission/limiter.c
+++ b/src/admission/limiter.c
@@ -73,10 +73,10 @@
 void
 limiter_init(struct limiter *l, uint32_t slots, uint64_t now_us)
 {
-	int fixed = l->fixed;
+	int fixed = l->fixed_to_slots;
 
 	memset(l, 0, sizeof(*l));
-	l->fixed = fixed;
+	l->fixed_to_slots = fixed;
 	l->slots = slots;
 	l->limit =
 	    fmax(min_limit(l), floor((double)slots / COLD_SLOTS_DIVISOR));
@@ -104,7 +104,7 @@
 uint32_t
 limiter_value(const struct limiter *l)
 {
-	if (l->fixed || l->slots == 0)
+	if (l->fixed_to_slots || l->slots == 0)
 		return l->slots;
 	return (uint32_t)l->limit;
 }
@@ -145,7 +145,7 @@
 {
 	double sample_us = (double)service_us;
 
-	if (outcome == ADMISSION_SHED && window_started(l, now_us)) {
+	if (outcome == ADMISSION_REJECTED && window_started(l, now_us)) {
 		delay_next_raise(l, now_us);
 		set_limit(l, fmin(l->limit, inflight) * SHED_CUT_FACTOR,
 		    LIMITER_STEADY, now_us);
--- a/src/admission/load.c
+++ b/src/admission/load.c
@@ -8,13 +8,13 @@
 #define LOAD_FIELDS 5
 
 /*
- * Writes the load as header text into buf, which holds ADMISSION_LOAD_TEXT
- * bytes.
+ * Writes the load as header text into buf, which holds
+ * ADMISSION_LOAD_TEXT_BYTES bytes.
  */
 void
 admission_load_format(const struct admission_load *load, char *buf)
 {
-	snprintf(buf, ADMISSION_LOAD_TEXT, "%u,%u,%u,%u,%u", load->level,
+	snprintf(buf, ADMISSION_LOAD_TEXT_BYTES, "%u,%u,%u,%u,%u", load->level,
 	    load->inflight, load->limit, load->queued, load->service_us);
 }
 
@@ -42,7 +42,7 @@
 		}
 		*fields[i] = (uint32_t)v;
 	}
-	return *text == '\0' && load->level < ADMISSION_LEVELS ? 0 : -1;
+	return *text == '\0' && load->level < ADMISSION_RANK_COUNT ? 0 : -1;
 }
 
 /*
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -65,14 +65,14 @@
 start_caller(struct caller *c, struct admission *a, enum admission_class class,
     int leave_at_once)
 {
-	uint32_t n = admission_busy(a);
+	uint32_t n = admission_outstanding(a);
 
 	memset(c, 0, sizeof(*c));
 	c->a = a;
 	c->leave_at_once = leave_at_once;
 	c->req = request(class, 0, 0);
 	assert_int_equal(pthread_create(&c->thread, NULL, enter_once, c), 0);
-	while (admission_busy(a) <= n)
+	while (admission_outstanding(a) <= n)
 		usleep(POLL_US);
 }
 
@@ -120,7 +120,7 @@
 	for (i = 0; i < CALLERS; i++)
 		pthread_join(th[i], NULL);
 	assert_true(atomic_load(&max_running) <= SLOTS);
-	assert_int_equal(admission_busy(&a), 0);
+	assert_int_equal(admission_outstanding(&a), 0);
 	admission_finish(&a);
 }
 
@@ -196,7 +196,7 @@
 		assert_int_equal(admission_enter(&a, &r, &t), cases[i].next);
 		if (cases[i].next == ADMISSION_RUN)
 			admission_leave(&t, ADMISSION_SERVED, 1000);
-		assert_int_equal(admission_busy(&a), 0);
+		assert_int_equal(admission_outstanding(&a), 0);
 		admission_finish(&a);
 	}
 }
@@ -224,9 +224,9 @@
 		    core_offer(&c, &r, &w[i], &evicted, 3), ADMISSION_RUN);
 	assert_int_equal(
 	    core_offer(&c, &r, &w[i], &evicted, 4), ADMISSION_WAIT);
-	core_done(&c, &old[0], ADMISSION_FAILED, 3, 5);
+	core_release(&c, &old[0], ADMISSION_FAILED, 3, 5);
 	assert_null(core_next(&c, 6));
-	core_done(&c, &w[0], ADMISSION_SERVED, 3, 7);
+	core_release(&c, &w[0], ADMISSION_SERVED, 3, 7);
 	assert_ptr_equal(core_next(&c, 8), &w[COLD_LIMIT]);
 }
 
@@ -287,7 +287,7 @@
 	    core_offer(&c, &r, &w[n], &evicted, 1), ADMISSION_WAIT);
 	assert_ptr_equal(evicted, &w[n - 2]);
 	assert_int_equal(evicted->verdict, ADMISSION_OVERLOAD);
-	core_done(&c, &w[0], ADMISSION_SERVED, 3, 2);
+	core_release(&c, &w[0], ADMISSION_SERVED, 3, 2);
 	assert_ptr_equal(core_next(&c, 2), &w[n]);
 }
 
@@ -366,7 +366,7 @@
 		"1024,2,3,4,5", "-1,2,3,4,5", "1,2,3,4,x", "1,,3,4,5",
 		"1,2,3,4,4294967296", "1, 2,3,4,5" };
 	struct admission_load in = { 1023, 2, 3, 4, 4294967295U }, parsed;
-	char buf[ADMISSION_LOAD_TEXT];
+	char buf[ADMISSION_LOAD_TEXT_BYTES];
 	size_t i;
 
 	(void)state;
@@ -396,7 +396,7 @@
 		r.root_hash = i * 0x9e3779b97f4a7c15ULL;
 		assert_int_equal(
 		    core_offer(&c, &r, &w[0], &evicted, i), ADMISSION_RUN);
-		core_done(&c, &w[0], ADMISSION_SERVED, 3, i);
+		core_release(&c, &w[0], ADMISSION_SERVED, 3, i);
 		assert_null(core_next(&c, i));
 	}
 	t = clock_us() - t;
@@ -436,7 +436,7 @@
 		{ { 0, 1, 0, 0 }, 0, 5, 0, 0, ADMISSION_HINT_SEND },
 	};
 	struct admission_req req = { 0, 0, 0, 0 };
-	struct admission_echo e;
+	struct admission_downstream e;
 	size_t i;
 	int j;
 
@@ -445,29 +445,35 @@
 		assert_int_equal(
 		    admission_chain_level(rows[i].level, &rows[i].call),
 		    rows[i].chain);
-		admission_echo_init(&e);
+		admission_downstream_init(&e);
 		req.class = rows[i].class;
 		req.root_hash = rows[i].hash << 58;
-		assert_int_equal(admission_echo_check(&e, &req, SECOND_US, 1),
+		assert_int_equal(
+		    admission_downstream_check(&e, &req, SECOND_US, 1),
 		    ADMISSION_HINT_SEND);
 		for (j = 0; j < ANSWERS; j++)
-			admission_echo_heard(&e, rows[i].chain, SECOND_US);
+			admission_downstream_reported(
+			    &e, rows[i].chain, SECOND_US);
 		assert_int_equal(
-		    admission_echo_check(&e, &req, SECOND_US, 1), rows[i].hint);
+		    admission_downstream_check(&e, &req, SECOND_US, 1),
+		    rows[i].hint);
 		assert_int_not_equal(
-		    admission_echo_check(&e, &req, SECOND_US, 32),
+		    admission_downstream_check(&e, &req, SECOND_US, 32),
 		    ADMISSION_HINT_SHED);
-		assert_int_equal(
-		    admission_echo_check(&e, &req, 2 * SECOND_US + 1000, 1),
+		assert_int_equal(admission_downstream_check(
+				     &e, &req, 2 * SECOND_US + 1000, 1),
 		    ADMISSION_HINT_SEND);
-		admission_echo_served(&e, &req);
-		assert_int_equal(admission_echo_check(&e, &req, SECOND_US, 1),
+		admission_downstream_served(&e, &req);
+		assert_int_equal(
+		    admission_downstream_check(&e, &req, SECOND_US, 1),
 		    ADMISSION_HINT_SEND);
 		for (j = 0; j < ANSWERS; j++) {
-			admission_echo_served(&e, &rows[0].call);
-			admission_echo_heard(&e, rows[i].chain, SECOND_US);
+			admission_downstream_served(&e, &rows[0].call);
+			admission_downstream_reported(
+			    &e, rows[i].chain, SECOND_US);
 		}
-		assert_int_equal(admission_echo_check(&e, &req, SECOND_US, 1),
+		assert_int_equal(
+		    admission_downstream_check(&e, &req, SECOND_US, 1),
 		    ADMISSION_HINT_SEND);
 	}
 }
@@ -516,7 +522,7 @@
 	(void)state;
 	for (known = 0; known < 2; known++) {
 		core_init(&c, 0);
-		c.limiter.fixed = 1;
+		c.limiter.fixed_to_slots = 1;
 		c.slots_known = known;
 		core_reset(&c, 2, 0);
 		quick.deadline_us = 10 * SECOND_US;
@@ -524,7 +530,7 @@
 			assert_int_equal(
 			    core_offer(&c, &quick, &w[0], &evicted, SECOND_US),
 			    ADMISSION_RUN);
-			core_done(&c, &w[0], ADMISSION_SERVED, 2 * SECOND_US,
+			core_release(&c, &w[0], ADMISSION_SERVED, 2 * SECOND_US,
 			    SECOND_US);
 		}
 		assert_int_equal(
--- a/src/admission/test_policy.c
+++ b/src/admission/test_policy.c
@@ -85,7 +85,7 @@
 	const struct model *m;
 	struct admission_core core[TIERS_MAX];
 	struct baseline baseline[TIERS_MAX];
-	struct admission_echo echo[TIERS_MAX];
+	struct admission_downstream echo[TIERS_MAX];
 	uint32_t used; /* all entries in use are below this index */
 	double slots[TIERS_MAX];
 	struct sim_request requests[REQUESTS_MAX];
@@ -169,14 +169,14 @@
 	it->attempt = attempt;
 	it->calls = tier + 1 < s->m->tiers ? s->m->calls : 0;
 	it->work = -log(rnd(s)) * s->m->mean_us;
-	it->level = ADMISSION_CHAIN_NONE;
+	it->level = ADMISSION_CHAIN_LEVEL_UNKNOWN;
 	it->w.class = req->class;
 	if (parent != NULL)
 		parent->child = it;
 	if (s->rule == RULE_TRIAL &&
-	    admission_echo_check(&s->echo[tier], req, s->now,
+	    admission_downstream_check(&s->echo[tier], req, s->now,
 		(uint64_t)(rnd(s) * 1e9)) == ADMISSION_HINT_SHED) {
-		it->level = admission_echo_level(&s->echo[tier]);
+		it->level = admission_downstream_level(&s->echo[tier]);
 		request_end(s, it, ADMISSION_FAILED);
 		return;
 	}
@@ -259,19 +259,21 @@
 	if (it->child != NULL) {
 		it->child->parent = NULL;
 		if (it->child->phase == PHASE_QUEUED)
-			core_withdraw(&s->core[it->tier + 1], &it->child->w);
+			core_expire(&s->core[it->tier + 1], &it->child->w);
 		request_end(s, it->child, ADMISSION_CANCELLED);
 	}
 	if (old_phase > PHASE_QUEUED) {
-		core_done(&s->core[it->tier], &it->w, outcome,
+		core_release(&s->core[it->tier], &it->w, outcome,
 		    (uint64_t)service_us, s->now);
 		if (outcome != ADMISSION_CANCELLED)
 			baseline_update(s, it->tier, outcome, service_us);
 	}
-	if (old_phase > PHASE_QUEUED && it->level != ADMISSION_CHAIN_NONE)
-		admission_echo_heard(&s->echo[it->tier], it->level, s->now);
+	if (old_phase > PHASE_QUEUED &&
+	    it->level != ADMISSION_CHAIN_LEVEL_UNKNOWN)
+		admission_downstream_reported(
+		    &s->echo[it->tier], it->level, s->now);
 	else if (outcome == ADMISSION_SERVED)
-		admission_echo_served(&s->echo[it->tier],
+		admission_downstream_served(&s->echo[it->tier],
 		    &(struct admission_req){ it->w.class, 0, it->hash, 0 });
 	if (parent != NULL) {
 		parent->child = NULL;
@@ -361,7 +363,8 @@
 			    8, 3 * capacity(m) * m->mean_us * 4 * m->tiers);
 		core_init(&s->core[t], 0);
 		s->core[t].fifo = s->rule == RULE_OFF;
-		s->core[t].limiter.fixed = s->rule < RULE_NO_CHAIN_HASH;
+		s->core[t].limiter.fixed_to_slots =
+		    s->rule < RULE_NO_CHAIN_HASH;
 		core_reset(&s->core[t], (uint32_t)s->slots[t], 0);
 		s->baseline[t].limit = s->slots[t] / 4.0;
 	}
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -39,7 +39,7 @@
 	unsigned int silent<FLEET_SILENT_MAX>;
 	/* Calls of 1000 runs to each service that the server calls. */
 	unsigned int calls_per_1000<FLEET_CALLS_MAX>;
-	/* Root requests for each service asked for, by class: demand_code(). */
+	/* Root requests for each service asked for, by class: demand_encode_rate(). */
 	opaque demands<FLEET_RATES_MAX>;
 };
 
--- a/src/limits/limits.c
+++ b/src/limits/limits.c
@@ -16,9 +16,10 @@
 
 const struct rpc_proc limits_procs[LIMITS_PROC_MAX] = {
 	[LIMITS_PROC_TOKEN_REQUEST] = { RPC_BLOCK_LIMITS + 1,
-	    (xdrproc_t)xdr_limits_ask_arg, sizeof(limits_ask_arg),
-	    (xdrproc_t)xdr_limits_ask_res, sizeof(limits_ask_res),
-	    handle_token_request },
+	    (xdrproc_t)xdr_limits_token_request_arg,
+	    sizeof(limits_token_request_arg),
+	    (xdrproc_t)xdr_limits_token_request_res,
+	    sizeof(limits_token_request_res), handle_token_request },
 	[LIMITS_PROC_REPORT] = { RPC_BLOCK_LIMITS + 2,
 	    (xdrproc_t)xdr_limits_report_arg, sizeof(limits_report_arg),
 	    (xdrproc_t)xdr_limits_report_res, sizeof(limits_report_res),
@@ -143,7 +144,7 @@
 			    "demand=%.1f\n",
 			    e->hash,
 			    limits_available_tokens(e, l->cfg.clock_us()),
-			    e->demand_per_s);
+			    e->demand_rate_per_s);
 			pthread_mutex_unlock(&e->lock);
 		}
 	limits_owner_dump(l, out);
--- a/src/limits/limits.h
+++ b/src/limits/limits.h
@@ -15,12 +15,12 @@
  * the shard's bucket.  Entry nodes borrow tokens from the owners and admit
  * requests from these loans.
  */
-#define LIMITS_SHARDS 3		  /* shards of a split limit */
-#define LIMITS_SHARD_BURST_MIN 30 /* tokens; smaller limits aren't split */
-#define LIMITS_TICK_MS 20	  /* interval of limits_maintain() */
+#define LIMITS_SHARDS 3		       /* shards of a split limit */
+#define LIMITS_SHARD_BURST_MIN 30      /* tokens; smaller limits aren't split */
+#define LIMITS_MAINTAIN_INTERVAL_MS 20 /* interval of limits_maintain() */
 
 /* The limit of a workspace in a configuration. */
-struct limits_ws {
+struct limits_workspace {
 	uint64_t hash; /* of the workspace's name */
 	double rate;   /* requests a second */
 	uint32_t burst;
@@ -47,7 +47,7 @@
 /* Parameters and callbacks of the limits of a node. */
 struct limits_config {
 	struct node_id self;
-	uint32_t group; /* group of the node's own failure domain */
+	uint32_t local_group; /* group of the node's own failure domain */
 	lease_lookup_fn lookup;
 	void *lookup_ctx;
 	rpc_call_fn call;
@@ -63,11 +63,11 @@
 	 * Finds a workspace's limit by hash in the node's configuration.
 	 * Returns 0, or -1 if there is none.
 	 */
-	int (*find)(void *, uint64_t, struct limits_ws *);
-	void *find_ctx;
+	int (*find_limit)(void *, uint64_t, struct limits_workspace *);
+	void *find_limit_ctx;
 	/* Called when an owner failed or denied owning; may be NULL. */
-	void (*kick)(void *);
-	void *kick_ctx;
+	void (*on_owner_failure)(void *);
+	void *on_owner_failure_ctx;
 	uint64_t (*clock_us)(void); /* NULL: clock_us() */
 };
 
@@ -91,8 +91,8 @@
 void limits_init(struct limits *, const struct limits_config *);
 void limits_finish(struct limits *);
 enum limits_verdict limits_admit(
-    struct limits *, const struct limits_ws *, uint64_t *, uint32_t *);
-void limits_refund(struct limits *, const struct limits_ws *, uint64_t);
+    struct limits *, const struct limits_workspace *, uint64_t *, uint32_t *);
+void limits_refund(struct limits *, const struct limits_workspace *, uint64_t);
 void limits_maintain(struct limits *);
 void limits_dump(struct limits *, FILE *);
 
--- a/src/limits/limits.x
+++ b/src/limits/limits.x
@@ -4,7 +4,7 @@
 
 enum limits_status {
 	LIMITS_GRANTED = 0,
-	LIMITS_DRY = 1,		/* not enough tokens */
+	LIMITS_EMPTY = 1,		/* not enough tokens */
 	LIMITS_NOT_OWNER = 2,
 	LIMITS_NO_WORKSPACE = 3	/* not in the owner's configuration */
 };
@@ -19,7 +19,7 @@
 	unsigned int unspent;
 };
 
-struct limits_ask_arg {
+struct limits_token_request_arg {
 	unsigned hyper workspace;
 	unsigned int part;
 	unsigned hyper loan;
@@ -29,13 +29,13 @@
 	limits_report reports<LIMITS_REPORTS_MAX>;
 };
 
-struct limits_ask_res {
+struct limits_token_request_res {
 	limits_status status;
 	unsigned int tokens;
 	unsigned int life_ms;
-	unsigned int dry_us;
+	unsigned int retry_after_us;
 	unsigned int level;	/* whole tokens left in the bucket */
-	unsigned int filling;	/* 1: empty as its lease is new, not by use */
+	unsigned int bucket_is_new;	/* 1: empty as its lease is new, not by use */
 };
 
 struct limits_report_arg {
--- a/src/limits/limits_bucket.c
+++ b/src/limits/limits_bucket.c
@@ -36,7 +36,7 @@
  * Returns the partition whose owner holds a shard's bucket.
  */
 uint32_t
-limits_shard_partition(const struct limits_ws *ws, uint32_t shard)
+limits_shard_partition(const struct limits_workspace *ws, uint32_t shard)
 {
 	uint32_t group = shard;
 
@@ -51,7 +51,7 @@
  * there is none.
  */
 int
-limits_partition_shard(const struct limits_ws *ws, uint32_t part)
+limits_partition_shard(const struct limits_workspace *ws, uint32_t part)
 {
 	uint32_t i;
 
@@ -67,7 +67,7 @@
  */
 void
 limits_compute_share(
-    const struct limits_ws *ws, uint32_t shard, struct limits_share *s)
+    const struct limits_workspace *ws, uint32_t shard, struct limits_share *s)
 {
 	uint32_t n = limits_shard_count(ws->burst);
 	uint64_t rate = 0;
@@ -272,7 +272,7 @@
  * loan gets that loan again.  Returns the tokens granted.
  */
 uint32_t
-bucket_lend(struct limits_bucket *b, uint64_t id, uint32_t need, uint32_t want,
+bucket_grant(struct limits_bucket *b, uint64_t id, uint32_t need, uint32_t want,
     uint64_t now_us, uint64_t expire_us)
 {
 	uint64_t level, granted, ahead;
--- a/src/limits/limits_bucket.h
+++ b/src/limits/limits_bucket.h
@@ -41,10 +41,10 @@
 };
 
 uint32_t limits_shard_count(uint32_t);
-uint32_t limits_shard_partition(const struct limits_ws *, uint32_t);
-int limits_partition_shard(const struct limits_ws *, uint32_t);
+uint32_t limits_shard_partition(const struct limits_workspace *, uint32_t);
+int limits_partition_shard(const struct limits_workspace *, uint32_t);
 void limits_compute_share(
-    const struct limits_ws *, uint32_t, struct limits_share *);
+    const struct limits_workspace *, uint32_t, struct limits_share *);
 
 void bucket_init(
     struct limits_bucket *, const struct limits_share *, int, uint64_t);
@@ -52,7 +52,7 @@
 void bucket_resize(
     struct limits_bucket *, const struct limits_share *, uint64_t);
 void bucket_refill(struct limits_bucket *, uint64_t);
-uint32_t bucket_lend(
+uint32_t bucket_grant(
     struct limits_bucket *, uint64_t, uint32_t, uint32_t, uint64_t, uint64_t);
 int bucket_settle_loan(struct limits_bucket *, uint64_t, uint32_t, uint64_t);
 uint32_t bucket_level(const struct limits_bucket *);
--- a/src/limits/limits_entry.c
+++ b/src/limits/limits_entry.c
@@ -24,22 +24,24 @@
 #define REPORT_DELAY_US 100000	 /* for loans that were spent whole */
 
 static int call_owner(struct limits *, struct limits_entry *,
-    const struct lease_view *, limits_ask_arg *, limits_ask_res *, uint32_t);
+    const struct lease_view *, limits_token_request_arg *,
+    limits_token_request_res *, uint32_t);
 static uint32_t borrow_from_shard(struct limits *, struct limits_entry *,
-    const struct limits_ws *, uint32_t, limits_ask_arg *, uint64_t);
+    const struct limits_workspace *, uint32_t, limits_token_request_arg *,
+    uint64_t);
 static void borrow_tokens(struct limits *, struct limits_entry *,
-    const struct limits_ws *, uint32_t, uint32_t);
+    const struct limits_workspace *, uint32_t, uint32_t);
 static enum limits_verdict check_shards(const struct limits_entry *,
-    const struct limits_ws *, uint64_t, uint32_t *);
+    const struct limits_workspace *, uint64_t, uint32_t *);
 static void wait_for_borrower(struct limits_entry *, uint64_t);
 static uint32_t prefetch_tokens(const struct limits_entry *);
 static void send_reports(
     struct limits *, const struct node_id *, const limits_report_arg *, int);
 static void flush_reports(struct limits *, struct limits_entry *, int);
 static double shard_score(const struct limits *, const struct limits_entry *,
-    const struct limits_ws *, uint32_t, uint64_t);
+    const struct limits_workspace *, uint32_t, uint64_t);
 static int best_shard(const struct limits *, const struct limits_entry *,
-    const struct limits_ws *, const int *, uint64_t);
+    const struct limits_workspace *, const int *, uint64_t);
 static void maintain_entry(struct limits *, struct limits_entry *);
 
 /*
@@ -49,7 +51,8 @@
  */
 static int
 call_owner(struct limits *l, struct limits_entry *e, const struct lease_view *v,
-    limits_ask_arg *arg, limits_ask_res *res, uint32_t timeout_ms)
+    limits_token_request_arg *arg, limits_token_request_res *res,
+    uint32_t timeout_ms)
 {
 	enum rpc_status st;
 	int i;
@@ -81,12 +84,12 @@
  */
 static uint32_t
 borrow_from_shard(struct limits *l, struct limits_entry *e,
-    const struct limits_ws *ws, uint32_t shard, limits_ask_arg *arg,
-    uint64_t deadline)
+    const struct limits_workspace *ws, uint32_t shard,
+    limits_token_request_arg *arg, uint64_t deadline)
 {
 	uint32_t timeout = limits_shard_count(ws->burst) > 1 ? SHARD_TIMEOUT_MS
 							     : ADMIT_TIMEOUT_MS;
-	limits_ask_res res = { 0 };
+	limits_token_request_res res = { 0 };
 	uint64_t requested_us = l->cfg.clock_us(), now;
 	struct lease_view v;
 	struct limits_active_loan ln;
@@ -101,14 +104,14 @@
 	l->cfg.lookup(
 	    l->cfg.lookup_ctx, arg->part, requested_us / US_PER_MS, &v);
 	failed = call_owner(l, e, &v, arg, &res, timeout) == -1 ||
-		 (res.status != LIMITS_GRANTED && res.status != LIMITS_DRY);
+		 (res.status != LIMITS_GRANTED && res.status != LIMITS_EMPTY);
 	now = l->cfg.clock_us();
 	pthread_mutex_lock(&e->lock);
 	if (failed)
 		e->unreachable_until_us[shard] = now + UNREACHABLE_BACKOFF_US;
-	else if (res.dry_us > 0)
-		e->empty_until_us[shard] = now + res.dry_us;
-	e->owner_is_new[shard] = !failed && res.filling;
+	else if (res.retry_after_us > 0)
+		e->empty_until_us[shard] = now + res.retry_after_us;
+	e->owner_is_new[shard] = !failed && res.bucket_is_new;
 	e->last_level[shard] = failed ? 0 : res.level;
 	e->level_read_us[shard] = now;
 	if (!failed && res.tokens > 0) {
@@ -120,8 +123,8 @@
 		limits_add_loan(e, &ln, now);
 	}
 	pthread_mutex_unlock(&e->lock);
-	if (failed && l->cfg.kick != NULL)
-		l->cfg.kick(l->cfg.kick_ctx);
+	if (failed && l->cfg.on_owner_failure != NULL)
+		l->cfg.on_owner_failure(l->cfg.on_owner_failure_ctx);
 	return failed ? 0 : res.tokens;
 }
 
@@ -133,7 +136,7 @@
  */
 static double
 shard_score(const struct limits *l, const struct limits_entry *e,
-    const struct limits_ws *ws, uint32_t shard, uint64_t now)
+    const struct limits_workspace *ws, uint32_t shard, uint64_t now)
 {
 	struct limits_share share;
 	double level;
@@ -145,7 +148,7 @@
 		    level, e->last_level[shard] +
 			       (double)age_at(now, e->level_read_us[shard]) *
 				   (double)share.rate_mt / (US_PER_S * 1e3));
-	if (shard == l->cfg.group % limits_shard_count(ws->burst))
+	if (shard == l->cfg.local_group % limits_shard_count(ws->burst))
 		level +=
 		    share.burst >= LOCAL_SHARD_BURST_MIN ? UINT32_MAX : 0.5;
 	return level;
@@ -157,7 +160,7 @@
  */
 static int
 best_shard(const struct limits *l, const struct limits_entry *e,
-    const struct limits_ws *ws, const int *tried, uint64_t now)
+    const struct limits_workspace *ws, const int *tried, uint64_t now)
 {
 	uint32_t n = limits_shard_count(ws->burst), i;
 	double score, best_score = -1;
@@ -182,13 +185,13 @@
  */
 static void
 borrow_tokens(struct limits *l, struct limits_entry *e,
-    const struct limits_ws *ws, uint32_t need, uint32_t want)
+    const struct limits_workspace *ws, uint32_t need, uint32_t want)
 {
 	uint64_t now = l->cfg.clock_us();
 	uint64_t deadline = now + ADMIT_TIMEOUT_MS * US_PER_MS;
 	limits_report reports[LIMITS_REPORTS_MAX];
 	int tried[LIMITS_SHARDS] = { 0 }, shard;
-	limits_ask_arg arg;
+	limits_token_request_arg arg;
 	uint32_t got;
 
 	memset(&arg, 0, sizeof(arg));
@@ -215,7 +218,7 @@
  * LIMITS_OVER_RATE: the request may wait for the tokens that flow in.
  */
 static enum limits_verdict
-check_shards(const struct limits_entry *e, const struct limits_ws *ws,
+check_shards(const struct limits_entry *e, const struct limits_workspace *ws,
     uint64_t now, uint32_t *retry_ms)
 {
 	uint32_t n = limits_shard_count(ws->burst), i;
@@ -266,9 +269,10 @@
 {
 	uint32_t burst = e->ws.burst / limits_shard_count(e->ws.burst);
 
-	if (e->demand_per_s < PREFETCH_RATE_MIN || burst < PREFETCH_BURST_MIN)
+	if (e->demand_rate_per_s < PREFETCH_RATE_MIN ||
+	    burst < PREFETCH_BURST_MIN)
 		return 0;
-	return (uint32_t)(e->demand_per_s * PREFETCH_MS / 1000.0);
+	return (uint32_t)(e->demand_rate_per_s * PREFETCH_MS / 1000.0);
 }
 
 /*
@@ -279,8 +283,8 @@
  * *retry_ms is the time (ms) after which to retry.
  */
 enum limits_verdict
-limits_admit(struct limits *l, const struct limits_ws *ws, uint64_t *loan,
-    uint32_t *retry_ms)
+limits_admit(struct limits *l, const struct limits_workspace *ws,
+    uint64_t *loan, uint32_t *retry_ms)
 {
 	struct limits_entry *e = limits_entry_get(l, ws->hash);
 	uint64_t now = l->cfg.clock_us();
@@ -332,7 +336,8 @@
  * can no longer be returned stays spent.
  */
 void
-limits_refund(struct limits *l, const struct limits_ws *ws, uint64_t loan)
+limits_refund(
+    struct limits *l, const struct limits_workspace *ws, uint64_t loan)
 {
 	struct limits_entry *e = limits_entry_get(l, ws->hash);
 	int send;
@@ -403,7 +408,7 @@
 maintain_entry(struct limits *l, struct limits_entry *e)
 {
 	uint64_t now = l->cfg.clock_us();
-	struct limits_ws ws;
+	struct limits_workspace ws;
 	uint32_t want, retry;
 	int send, borrow = 0;
 
@@ -418,7 +423,7 @@
 	want = prefetch_tokens(e);
 	if (!e->borrowing && want > 0 &&
 	    limits_available_tokens(e, now) <
-		e->demand_per_s * PREFETCH_BELOW_MS / 1000.0 &&
+		e->demand_rate_per_s * PREFETCH_BELOW_MS / 1000.0 &&
 	    check_shards(e, &ws, now, &retry) == LIMITS_ADMIT)
 		borrow = e->borrowing = 1;
 	pthread_mutex_unlock(&e->lock);
@@ -435,7 +440,7 @@
 
 /*
  * Maintains all workspaces.  One control thread must call this every
- * LIMITS_TICK_MS.
+ * LIMITS_MAINTAIN_INTERVAL_MS.
  */
 void
 limits_maintain(struct limits *l)
--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -40,7 +40,7 @@
 	uint64_t hash;
 	pthread_mutex_t lock;	    /* guards all fields below */
 	pthread_cond_t borrow_done; /* signalled when borrowing becomes 0 */
-	struct limits_ws ws;
+	struct limits_workspace ws;
 	struct limits_active_loan loans[LIMITS_ACTIVE_LOANS_MAX];
 	/* The newest is the last. */
 	struct limits_ended_loan ended[LIMITS_ENDED_LOANS_MAX];
@@ -57,7 +57,7 @@
 	uint32_t waiting_requests; /* threads that wait for borrow_done */
 	uint64_t arrivals;	   /* requests since demand_measured_us */
 	uint64_t demand_measured_us;
-	double demand_per_s; /* requests; a moving average */
+	double demand_rate_per_s; /* requests; a moving average */
 };
 
 /* limits.c */
@@ -81,8 +81,8 @@
 
 /* limits_owner.c */
 void limits_owner_finish(struct limits *);
-void limits_serve_token_request(
-    struct limits *, const limits_ask_arg *, limits_ask_res *);
+void limits_serve_token_request(struct limits *,
+    const limits_token_request_arg *, limits_token_request_res *);
 void limits_serve_report(
     struct limits *, const limits_report_arg *, limits_report_res *);
 void limits_owner_dump(struct limits *, FILE *);
--- a/src/limits/limits_loans.c
+++ b/src/limits/limits_loans.c
@@ -182,8 +182,8 @@
 		return;
 	}
 	weight = dt < DEMAND_WINDOW_US ? dt / DEMAND_WINDOW_US : 1;
-	e->demand_per_s *= 1 - weight;
-	e->demand_per_s += weight * (double)e->arrivals * US_PER_S / dt;
+	e->demand_rate_per_s *= 1 - weight;
+	e->demand_rate_per_s += weight * (double)e->arrivals * US_PER_S / dt;
 	e->arrivals = 0;
 	e->demand_measured_us = now;
 }
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -37,7 +37,7 @@
 static struct limits_shard_bucket *get_shard_bucket(
     struct limits *, uint64_t, uint32_t);
 static int apply_lease_and_limit(struct limits_shard_bucket *,
-    const struct lease_view *, const struct limits_ws *, uint64_t);
+    const struct lease_view *, const struct limits_workspace *, uint64_t);
 static uint32_t count_empty_request(struct limits_shard_bucket *, uint64_t);
 static struct limits_shard_bucket *lock_shard_bucket(struct limits *, uint64_t,
     uint32_t, struct lease_view *, uint64_t, limits_status *);
@@ -110,7 +110,7 @@
  */
 static int
 apply_lease_and_limit(struct limits_shard_bucket *s, const struct lease_view *v,
-    const struct limits_ws *ws, uint64_t now_us)
+    const struct limits_workspace *ws, uint64_t now_us)
 {
 	struct limits_share share;
 	uint64_t start_ms;
@@ -171,7 +171,7 @@
 lock_shard_bucket(struct limits *l, uint64_t hash, uint32_t part,
     struct lease_view *v, uint64_t now_us, limits_status *st)
 {
-	struct limits_ws ws;
+	struct limits_workspace ws;
 	struct limits_shard_bucket *s;
 
 	*st = LIMITS_NOT_OWNER;
@@ -180,7 +180,7 @@
 	l->cfg.lookup(l->cfg.lookup_ctx, part, now_us / US_PER_MS, v);
 	if (v->until_ms <= now_us / US_PER_MS + 1)
 		return NULL;
-	if (l->cfg.find(l->cfg.find_ctx, hash, &ws) == -1 ||
+	if (l->cfg.find_limit(l->cfg.find_limit_ctx, hash, &ws) == -1 ||
 	    limits_partition_shard(&ws, part) == -1) {
 		*st = LIMITS_NO_WORKSPACE;
 		return NULL;
@@ -199,8 +199,8 @@
  * now.
  */
 void
-limits_serve_token_request(
-    struct limits *l, const limits_ask_arg *arg, limits_ask_res *res)
+limits_serve_token_request(struct limits *l,
+    const limits_token_request_arg *arg, limits_token_request_res *res)
 {
 	uint64_t now = l->cfg.clock_us(), life_ms, expire_us;
 	struct lease_view v;
@@ -221,16 +221,16 @@
 	for (i = 0; i < arg->reports.reports_len; i++)
 		bucket_settle_loan(&s->bucket, arg->reports.reports_val[i].loan,
 		    arg->reports.reports_val[i].unspent, now);
-	res->tokens = bucket_lend(
+	res->tokens = bucket_grant(
 	    &s->bucket, arg->loan, arg->need, arg->want, now, expire_us);
 	res->status = LIMITS_GRANTED;
 	res->level = bucket_level(&s->bucket);
 	res->life_ms = (u_int)life_ms;
 	if (arg->need > res->tokens || bucket_wait_us(&s->bucket, 1) > 0)
-		res->dry_us = count_empty_request(s, now);
+		res->retry_after_us = count_empty_request(s, now);
 	if (arg->need > 0 && res->tokens == 0)
-		res->status = LIMITS_DRY;
-	res->filling =
+		res->status = LIMITS_EMPTY;
+	res->bucket_is_new =
 	    s->empty_since_us != 0 && now < s->empty_since_us + NEW_OWNER_US;
 	pthread_mutex_unlock(&s->lock);
 	counter_add(CTR_LOANS_GRANTED, res->tokens);
--- a/src/limits/limits_xdr.c
+++ b/src/limits/limits_xdr.c
@@ -28,7 +28,7 @@
 }
 
 bool_t
-xdr_limits_ask_arg (XDR *xdrs, limits_ask_arg *objp)
+xdr_limits_token_request_arg (XDR *xdrs, limits_token_request_arg *objp)
 {
 	register int32_t *buf;
 
@@ -104,7 +104,7 @@
 }
 
 bool_t
-xdr_limits_ask_res (XDR *xdrs, limits_ask_res *objp)
+xdr_limits_token_request_res (XDR *xdrs, limits_token_request_res *objp)
 {
 	register int32_t *buf;
 
@@ -118,18 +118,18 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->life_ms))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->dry_us))
+			 if (!xdr_u_int (xdrs, &objp->retry_after_us))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->level))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->filling))
+			 if (!xdr_u_int (xdrs, &objp->bucket_is_new))
 				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->tokens);
 			IXDR_PUT_U_LONG(buf, objp->life_ms);
-			IXDR_PUT_U_LONG(buf, objp->dry_us);
+			IXDR_PUT_U_LONG(buf, objp->retry_after_us);
 			IXDR_PUT_U_LONG(buf, objp->level);
-			IXDR_PUT_U_LONG(buf, objp->filling);
+			IXDR_PUT_U_LONG(buf, objp->bucket_is_new);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -141,18 +141,18 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->life_ms))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->dry_us))
+			 if (!xdr_u_int (xdrs, &objp->retry_after_us))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->level))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->filling))
+			 if (!xdr_u_int (xdrs, &objp->bucket_is_new))
 				 return FALSE;
 		} else {
 			objp->tokens = IXDR_GET_U_LONG(buf);
 			objp->life_ms = IXDR_GET_U_LONG(buf);
-			objp->dry_us = IXDR_GET_U_LONG(buf);
+			objp->retry_after_us = IXDR_GET_U_LONG(buf);
 			objp->level = IXDR_GET_U_LONG(buf);
-			objp->filling = IXDR_GET_U_LONG(buf);
+			objp->bucket_is_new = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -163,11 +163,11 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->life_ms))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->dry_us))
+	 if (!xdr_u_int (xdrs, &objp->retry_after_us))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->level))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->filling))
+	 if (!xdr_u_int (xdrs, &objp->bucket_is_new))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/limits/limits_xdr.h
+++ b/src/limits/limits_xdr.h
@@ -18,7 +18,7 @@
 
 enum limits_status {
 	LIMITS_GRANTED = 0,
-	LIMITS_DRY = 1,
+	LIMITS_EMPTY = 1,
 	LIMITS_NOT_OWNER = 2,
 	LIMITS_NO_WORKSPACE = 3,
 };
@@ -30,7 +30,7 @@
 };
 typedef struct limits_report limits_report;
 
-struct limits_ask_arg {
+struct limits_token_request_arg {
 	u_quad_t workspace;
 	u_int part;
 	u_quad_t loan;
@@ -42,17 +42,17 @@
 		limits_report *reports_val;
 	} reports;
 };
-typedef struct limits_ask_arg limits_ask_arg;
+typedef struct limits_token_request_arg limits_token_request_arg;
 
-struct limits_ask_res {
+struct limits_token_request_res {
 	limits_status status;
 	u_int tokens;
 	u_int life_ms;
-	u_int dry_us;
+	u_int retry_after_us;
 	u_int level;
-	u_int filling;
+	u_int bucket_is_new;
 };
-typedef struct limits_ask_res limits_ask_res;
+typedef struct limits_token_request_res limits_token_request_res;
 
 struct limits_report_arg {
 	u_quad_t workspace;
@@ -74,16 +74,16 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_limits_status (XDR *, limits_status*);
 extern  bool_t xdr_limits_report (XDR *, limits_report*);
-extern  bool_t xdr_limits_ask_arg (XDR *, limits_ask_arg*);
-extern  bool_t xdr_limits_ask_res (XDR *, limits_ask_res*);
+extern  bool_t xdr_limits_token_request_arg (XDR *, limits_token_request_arg*);
+extern  bool_t xdr_limits_token_request_res (XDR *, limits_token_request_res*);
 extern  bool_t xdr_limits_report_arg (XDR *, limits_report_arg*);
 extern  bool_t xdr_limits_report_res (XDR *, limits_report_res*);
 
 #else /* K&R C */
 extern bool_t xdr_limits_status ();
 extern bool_t xdr_limits_report ();
-extern bool_t xdr_limits_ask_arg ();
-extern bool_t xdr_limits_ask_res ();
+extern bool_t xdr_limits_token_request_arg ();
+extern bool_t xdr_limits_token_request_res ();
 extern bool_t xdr_limits_report_arg ();
 extern bool_t xdr_limits_report_res ();
 
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -20,7 +20,7 @@
 
 /* Nodes within this process.  Each owns the partitions of one group. */
 static struct limits nodes[NODES];
-static struct limits_ws workspace;
+static struct limits_workspace workspace;
 static atomic_uint_fast64_t now_us;
 static uint64_t lease_until_ms; /* end of all leases */
 static uint64_t tenure;
@@ -33,7 +33,7 @@
 
 static uint64_t test_clock(void);
 static struct node_id node_id(size_t);
-static int find_workspace(void *, uint64_t, struct limits_ws *);
+static int find_workspace(void *, uint64_t, struct limits_workspace *);
 static void lookup(void *, uint32_t, uint64_t, struct lease_view *);
 static enum rpc_status call(void *, const struct node_id *,
     const struct rpc_proc *, const void *, void *, uint32_t);
@@ -41,7 +41,7 @@
     void *, const struct node_id *, const struct rpc_proc *, const void *);
 static int setup(void **);
 static int teardown(void **);
-static uint64_t refused_within_rate(const struct limits_ws *, int);
+static uint64_t refused_within_rate(const struct limits_workspace *, int);
 
 /*
  * Returns the simulated time (us).
@@ -67,7 +67,7 @@
  * Finds a workspace in the configuration of all nodes, which has just one.
  */
 static int
-find_workspace(void *ctx, uint64_t hash, struct limits_ws *ws)
+find_workspace(void *ctx, uint64_t hash, struct limits_workspace *ws)
 {
 	(void)ctx;
 	*ws = workspace;
@@ -134,12 +134,12 @@
 	struct limits_config cfg = { .lookup = lookup,
 		.call = call,
 		.notify = notify,
-		.find = find_workspace,
+		.find_limit = find_workspace,
 		.clock_us = test_clock };
 	size_t i;
 
 	(void)state;
-	workspace = (struct limits_ws){ 16, 30, 30, 0 };
+	workspace = (struct limits_workspace){ 16, 30, 30, 0 };
 	now_us = 1000 * SECOND;
 	lease_until_ms = UINT64_MAX;
 	tenure = 1;
@@ -149,7 +149,7 @@
 	memset(unreachable, 0, sizeof(unreachable));
 	for (i = 0; i < NODES; i++) {
 		cfg.self = node_id(i);
-		cfg.group = (uint32_t)i;
+		cfg.local_group = (uint32_t)i;
 		cfg.lookup_ctx = &nodes[i];
 		limits_init(&nodes[i], &cfg);
 	}
@@ -308,7 +308,7 @@
  * are refused although the ideal bucket has a token.
  */
 static uint64_t
-refused_within_rate(const struct limits_ws *ws, int spread)
+refused_within_rate(const struct limits_workspace *ws, int spread)
 {
 	uint64_t refused = 0, t = now_us, tick = now_us;
 	double level = ws->burst, gap_us;
@@ -320,7 +320,7 @@
 		gap_us = -log(((double)random() + 1) / 2147483649.0);
 		gap_us *= SECOND / (ws->rate * 0.9);
 		t += (uint64_t)gap_us;
-		for (; tick < t; tick += LIMITS_TICK_MS * MS) {
+		for (; tick < t; tick += LIMITS_MAINTAIN_INTERVAL_MS * MS) {
 			now_us = tick;
 			for (k = 0; k < NODES; k++)
 				limits_maintain(&nodes[k]);
@@ -447,13 +447,13 @@
 static void
 test_loans_end_with_lease(void **state)
 {
-	limits_ask_arg arg = { .workspace = 16,
+	limits_token_request_arg arg = { .workspace = 16,
 		.part = 0,
 		.loan = 5,
 		.need = 1,
 		.want = 1,
 		.life_ms = 400 };
-	limits_ask_res res;
+	limits_token_request_res res;
 	uint32_t retry;
 
 	(void)state;
--- a/src/limits/test_limits_bucket.c
+++ b/src/limits/test_limits_bucket.c
@@ -33,7 +33,7 @@
 	} cases[] = { { 50, 100, 3 }, { 0.5, 2, 1 }, { 10, 29, 1 },
 		{ 10, 30, 3 }, { 0.001, 31, 3 }, { 1e6, 32, 3 }, { 0, 1, 1 },
 		{ -1, 0, 1 } };
-	struct limits_ws ws = { 12345, 0, 0, 0 };
+	struct limits_workspace ws = { 12345, 0, 0, 0 };
 	struct limits_share s;
 	uint64_t rate, burst;
 	size_t i;
@@ -76,23 +76,23 @@
 
 	(void)state;
 	bucket_init(&b, &share, 1, 0);
-	assert_int_equal(bucket_lend(&b, 1, 8, 8, 0, 500 * MS), 8);
-	assert_int_equal(bucket_lend(&b, 1, 8, 8, 0, 500 * MS), 8);
+	assert_int_equal(bucket_grant(&b, 1, 8, 8, 0, 500 * MS), 8);
+	assert_int_equal(bucket_grant(&b, 1, 8, 8, 0, 500 * MS), 8);
 	assert_int_equal(b.outstanding, 8);
 	bucket_refill(&b, 400 * MS);
 	assert_int_equal(b.level_nt / 1000000000, 2);
 	assert_int_equal(bucket_settle_loan(&b, 1, 3, 400 * MS), 0);
 	assert_int_equal(bucket_settle_loan(&b, 1, 3, 400 * MS), -1);
 	assert_int_equal(b.level_nt / 1000000000, 5);
-	assert_int_equal(bucket_lend(&b, 2, 9, 9, 400 * MS, 900 * MS), 5);
-	assert_int_equal(bucket_lend(&b, 3, 9, 9, 400 * MS, 900 * MS), 0);
+	assert_int_equal(bucket_grant(&b, 2, 9, 9, 400 * MS, 900 * MS), 5);
+	assert_int_equal(bucket_grant(&b, 3, 9, 9, 400 * MS, 900 * MS), 0);
 	assert_int_equal(bucket_wait_us(&b, 1), 100001);
 	/* Loan 2 expires at 0.9 s: level 5, which rises from then on. */
 	bucket_refill(&b, 1100 * MS);
 	assert_int_equal(b.level_nt / 1000000, 7000);
 	assert_int_equal(bucket_settle_loan(&b, 2, 5, 1100 * MS), -1);
 	/* A prefetch gets only a part of what remains. */
-	assert_int_equal(bucket_lend(&b, 4, 1, 50, 1100 * MS, 1600 * MS), 2);
+	assert_int_equal(bucket_grant(&b, 4, 1, 50, 1100 * MS, 1600 * MS), 2);
 	share.burst = 3;
 	bucket_resize(&b, &share, 1100 * MS);
 	assert_int_equal(b.level_nt / 1000000000, 1);
@@ -106,7 +106,7 @@
 static void
 test_no_window_over_limit(void **state)
 {
-	struct limits_ws ws = { 1, 37.5, 11, 0 };
+	struct limits_workspace ws = { 1, 37.5, 11, 0 };
 	static uint64_t spent[SPENT_MAX];
 	struct limits_share share;
 	struct limits_bucket b;
@@ -121,7 +121,7 @@
 	for (i = 1; i < 5000; i++) {
 		t += (uint64_t)random() % 60000;
 		expire_us = t + (uint64_t)random() % 100000;
-		granted = bucket_lend(&b, i, (uint32_t)random() % 6,
+		granted = bucket_grant(&b, i, (uint32_t)random() % 6,
 		    (uint32_t)random() % 12, t, expire_us);
 		used = granted > 0 ? (uint32_t)random() % (granted + 1) : 0;
 		assert_true(b.outstanding <= ws.burst);
@@ -173,7 +173,7 @@
 static void
 test_late_refunds_stay_within_limit(void **state)
 {
-	struct limits_ws ws = { 1, 37.5, 11, 0 };
+	struct limits_workspace ws = { 1, 37.5, 11, 0 };
 	static uint64_t run_us[SPENT_MAX];
 	struct model_loan loans[8], *ln;
 	struct limits_share share;
@@ -195,7 +195,7 @@
 			if (ln->id == 0) {
 				ln->id = id++;
 				ln->expire_us = t + (uint64_t)random() % 100000;
-				ln->unspent = bucket_lend(
+				ln->unspent = bucket_grant(
 				    &b, ln->id, 4, 4, t, ln->expire_us);
 			} else if (!ln->spent) {
 				model_spend(ln, &b, t, run_us, &n);
--- a/src/limits/test_windows.h
+++ b/src/limits/test_windows.h
@@ -10,7 +10,8 @@
  * request.
  */
 static void
-check_windows(const uint64_t *admitted_us, size_t n, const struct limits_ws *ws)
+check_windows(
+    const uint64_t *admitted_us, size_t n, const struct limits_workspace *ws)
 {
 	double max_offset = -1e18, tokens;
 	size_t i;
--- a/src/model/caller.c
+++ b/src/model/caller.c
@@ -163,8 +163,10 @@
 		return;
 	}
 	if (how != VERDICT_SERVED || w->now_us > q->due_us) {
-		c->refused += how == VERDICT_BUSY || how == VERDICT_TURNED;
-		c->failed += how != VERDICT_BUSY && how != VERDICT_TURNED;
+		c->refused +=
+		    how == VERDICT_OVERLOADED || how == VERDICT_REJECTED;
+		c->failed +=
+		    how != VERDICT_OVERLOADED && how != VERDICT_REJECTED;
 		return;
 	}
 	if (took <= k->target_ms * US_PER_MS) {
@@ -180,21 +182,21 @@
  * A caller gets its answer: it is content, comes back, or gives up.
  */
 void
-caller_answered(
-    struct world *w, struct request *q, enum verdict how, enum comeback why)
+caller_answered(struct world *w, struct request *q, enum verdict how,
+    enum retry_after_reason why)
 {
 	const struct model_kind *k = &w->load->kinds[q->kind];
 	uint64_t left = q->due_us > w->now_us ? q->due_us - w->now_us : 0, in;
-	int refused = how == VERDICT_BUSY || how == VERDICT_TURNED;
+	int refused = how == VERDICT_OVERLOADED || how == VERDICT_REJECTED;
 	struct model_second *s;
 
 	if (how != VERDICT_SERVED)
 		w->res->wasted_s += q->spent_us / US_PER_S;
 	if (how != VERDICT_SERVED && q->again > 0 && left > LEFT_MIN_US &&
 	    (refused || k->idempotent)) {
-		in = refused
-			 ? comeback_ms(why, k->target_ms, g_rand_int(w->rnd))
-			 : AFTER_FAILURE_MS;
+		in = refused ? retry_after_delay_ms(
+				   why, k->target_ms, g_rand_int(w->rnd))
+			     : AFTER_FAILURE_MS;
 		in *= US_PER_MS;
 		in = (uint64_t)fmin((double)in, (double)left / LEFT_SHARE);
 		if (q->rude > 0)
--- a/src/model/entry.c
+++ b/src/model/entry.c
@@ -7,7 +7,8 @@
 
 static void forward(struct world *, struct request *);
 static int pick(struct world *, struct request *);
-static void end(struct world *, struct request *, enum verdict, enum comeback);
+static void end(
+    struct world *, struct request *, enum verdict, enum retry_after_reason);
 static int throttled(struct world *, struct request *);
 static void over_rate(struct world *, struct request *);
 static int has_token(struct world *, struct request *);
@@ -27,12 +28,13 @@
  * Ends a request at its entry, and tells its caller or the run that made it.
  */
 static void
-end(struct world *w, struct request *q, enum verdict how, enum comeback why)
+end(struct world *w, struct request *q, enum verdict how,
+    enum retry_after_reason why)
 {
 	handle parent = q->parent;
 	struct request *run;
 	double spent = q->spent_us;
-	int refused = how == VERDICT_BUSY;
+	int refused = how == VERDICT_OVERLOADED;
 
 	q->entry_over = 1;
 	if (parent == 0) {
@@ -66,12 +68,12 @@
 	int h = throttle_service(&n->throttle, service);
 
 	if (row != NULL)
-		row->counts[k->class].asked++;
+		row->counts[k->class].requested_count++;
 	if (w->load->policies.throttle &&
-	    draw(w) >= throttle_share(&n->throttle, h, k->class))
+	    draw(w) >= throttle_admitted_share(&n->throttle, h, k->class))
 		return 1;
 	if (row != NULL)
-		row->counts[k->class].let_in++;
+		row->counts[k->class].admitted_count++;
 	return 0;
 }
 
@@ -86,8 +88,8 @@
 	    &w->nodes[q->entry].demand, w->load->services[k->service].name);
 
 	if (row != NULL)
-		row->counts[k->class].over++;
-	end(w, q, VERDICT_BUSY, COMEBACK_OVER_RATE);
+		row->counts[k->class].over_rate_count++;
+	end(w, q, VERDICT_OVERLOADED, RETRY_AFTER_OVER_RATE);
 }
 
 /*
@@ -97,19 +99,19 @@
 static int
 has_token(struct world *w, struct request *q)
 {
-	struct quota_stock *s;
+	struct quota_cache *s;
 
 	if (q->space < 0 || !w->load->policies.limits ||
 	    w->load->spaces[q->space].rate <= 0)
 		return 1;
 	s = &w->nodes[q->entry].stocks[q->space];
-	switch (quota_take(s, now_ms(w))) {
-	case QUOTA_TAKEN:
+	switch (quota_acquire(s, now_ms(w))) {
+	case QUOTA_ACQUIRED:
 		return 1;
-	case QUOTA_OVER:
+	case QUOTA_EXHAUSTED:
 		over_rate(w, q);
 		return -1;
-	case QUOTA_ASK:
+	case QUOTA_ASK_OWNER:
 	case QUOTA_VERDICT_MAX:
 		break;
 	}
@@ -130,7 +132,7 @@
 	uint64_t left;
 
 	if (n->down || w->now_us >= q->due_us) {
-		end(w, q, VERDICT_LATE, COMEBACK_TIMEOUT);
+		end(w, q, VERDICT_LATE, RETRY_AFTER_TIMEOUT);
 		return;
 	}
 	left = q->due_us - w->now_us;
@@ -138,13 +140,14 @@
 		left = k->timeout_ms * US_PER_MS;
 	q->end_us = w->now_us + left;
 	if (q->parent != 0) {
-		profile_called(&n->profile, service, w->load->policies.chains);
+		profile_call_started(
+		    &n->profile, service, w->load->policies.chains);
 	} else if (throttled(w, q)) {
-		end(w, q, VERDICT_BUSY, COMEBACK_THROTTLED);
+		end(w, q, VERDICT_OVERLOADED, RETRY_AFTER_THROTTLED);
 		return;
 	}
 	queue_add(w, left, EVENT_TIMEOUT, request_handle(q, w), 0);
-	budget_earn(&n->budgets[k->service], w->load->retry_ratio,
+	budget_add_request(&n->budgets[k->service], w->load->retry_ratio,
 	    w->now_us / US_PER_MS);
 	if (q->parent != 0 || has_token(w, q) == 1)
 		forward(w, q);
@@ -158,7 +161,7 @@
 {
 	const struct model_space *space = &w->load->spaces[q->space];
 	struct quota_limit limit = { space->rate, space->burst };
-	struct quota_stock *s = &w->nodes[q->entry].stocks[q->space];
+	struct quota_cache *s = &w->nodes[q->entry].stocks[q->space];
 	struct node *owner;
 	struct quota_grant g;
 	uint32_t need, want, i;
@@ -166,10 +169,11 @@
 	for (i = (uint32_t)q->space; w->nodes[i % w->node_count].down;)
 		i++;
 	owner = &w->nodes[i % w->node_count];
-	quota_want(s, 1, &need, &want);
-	g = quota_owner_lend(&owner->owner, (uint64_t)q->space + 1, &limit,
-	    g_rand_int(w->rnd) | 1, need, want, 0, now_ms(w) + QUOTA_WINDOW_MS);
-	quota_receive(s, &g, now_ms(w));
+	quota_size_request(s, 1, &need, &want);
+	g = quota_owner_grant_tokens(&owner->owner, (uint64_t)q->space + 1,
+	    &limit, g_rand_int(w->rnd) | 1, need, want, 0,
+	    now_ms(w) + QUOTA_WINDOW_MS);
+	quota_accept_grant(s, &g, now_ms(w));
 	if (s->tokens > 0) {
 		s->tokens--;
 		forward(w, q);
@@ -205,10 +209,11 @@
 		c = &list[count++];
 		memset(c, 0, sizeof(*c));
 		c->handle = (int)i;
-		c->near = to->zone == n->zone || !w->load->policies.near_first;
-		c->avoid = !loads_alive(w, n, (int)i);
-		c->failing = choice_failing(&l->health, now_ms(w));
-		busy = l->running + l->waiting + l->sent_since;
+		c->same_zone =
+		    to->zone == n->zone || !w->load->policies.near_first;
+		c->unreachable = !loads_alive(w, n, (int)i);
+		c->failure_share = choice_failure_share(&l->health, now_ms(w));
+		busy = l->running + l->waiting + l->sent_since_report;
 		if (to == n)
 			busy = n->core.inflight + n->core.queued;
 		if (busy < l->inflight)
@@ -229,7 +234,7 @@
 	int to = pick(w, q);
 
 	if (to < 0) {
-		end(w, q, VERDICT_BUSY, COMEBACK_FULL);
+		end(w, q, VERDICT_OVERLOADED, RETRY_AFTER_SERVERS_FULL);
 		return;
 	}
 	q->tried[q->tries++] = to;
@@ -237,7 +242,7 @@
 	q->at_exit = 1;
 	l = &w->nodes[q->entry].links[to];
 	l->inflight++;
-	l->sent_since++;
+	l->sent_since_report++;
 	queue_add(
 	    w, hop_us(w, q->entry, to), EVENT_AT_EXIT, request_handle(q, w), 0);
 }
@@ -251,7 +256,7 @@
 	struct link *l = &w->nodes[q->entry].links[q->exit];
 
 	l->inflight--;
-	choice_note(&l->health, failed, now_ms(w));
+	choice_record_attempt(&l->health, failed, now_ms(w));
 }
 
 /*
@@ -261,17 +266,17 @@
 may_repeat(struct world *w, struct request *q)
 {
 	struct node *n = &w->nodes[q->entry];
-	struct budget_ask ask = {
+	struct budget_query ask = {
 		.class = (uint32_t)q->class,
 		.root_hash = q->root_hash,
-		.slack = w->load->retry_slack,
-		.nodes = w->node_count,
+		.fleet_slack = w->load->retry_slack,
+		.node_count = w->node_count,
 		.now_ms = w->now_us / US_PER_MS,
 	};
 
 	return w->load->policies.retries && q->arrivals < 2 &&
 	       q->tries < TRIES_MAX && w->now_us + LEFT_MIN_US < q->end_us &&
-	       budget_spend(&n->budgets[kind_of(w, q)->service], &ask);
+	       budget_take_retry(&n->budgets[kind_of(w, q)->service], &ask);
 }
 
 /*
@@ -285,30 +290,30 @@
 
 	l->running = to->core.inflight;
 	l->waiting = to->core.queued;
-	l->sent_since = 0;
+	l->sent_since_report = 0;
 	l->told_us = w->now_us;
 	attempt_over(w, q,
-	    q->verdict != VERDICT_SERVED && q->verdict != VERDICT_BUSY &&
+	    q->verdict != VERDICT_SERVED && q->verdict != VERDICT_OVERLOADED &&
 		!q->call_failed);
 	switch (q->verdict) {
 	case VERDICT_SERVED:
 	case VERDICT_FAILED:
 	case VERDICT_LATE:
-		end(w, q, q->verdict, COMEBACK_TIMEOUT);
+		end(w, q, q->verdict, RETRY_AFTER_TIMEOUT);
 		return;
-	case VERDICT_TURNED:
+	case VERDICT_REJECTED:
 		q->arrivals++;
 		if (may_repeat(w, q))
 			forward(w, q);
 		else
-			end(w, q, VERDICT_TURNED, COMEBACK_FULL);
+			end(w, q, VERDICT_REJECTED, RETRY_AFTER_SERVERS_FULL);
 		return;
-	case VERDICT_BUSY:
-	case VERDICT_AWAY:
+	case VERDICT_OVERLOADED:
+	case VERDICT_UNAVAILABLE:
 		if (q->tries < TRIES_MAX && w->now_us + LEFT_MIN_US < q->end_us)
 			forward(w, q);
 		else
-			end(w, q, VERDICT_BUSY, COMEBACK_FULL);
+			end(w, q, VERDICT_OVERLOADED, RETRY_AFTER_SERVERS_FULL);
 		return;
 	}
 }
@@ -324,5 +329,6 @@
 		queue_add(w, hop_us(w, q->entry, q->exit), EVENT_CANCEL,
 		    request_handle(q, w), 0);
 	}
-	end(w, q, q->at_exit ? VERDICT_LATE : VERDICT_BUSY, COMEBACK_TIMEOUT);
+	end(w, q, q->at_exit ? VERDICT_LATE : VERDICT_OVERLOADED,
+	    RETRY_AFTER_TIMEOUT);
 }
--- a/src/model/exit.c
+++ b/src/model/exit.c
@@ -50,7 +50,7 @@
 		return;
 	}
 	if (n->down) {
-		answer(w, q, VERDICT_AWAY);
+		answer(w, q, VERDICT_UNAVAILABLE);
 		return;
 	}
 	if (q->parent != 0 && (run == NULL || !run->running)) {
@@ -76,13 +76,13 @@
 		break;
 	default:
 		shed(w, n);
-		answer(w, q, VERDICT_BUSY);
+		answer(w, q, VERDICT_OVERLOADED);
 	}
 	if (out == NULL)
 		return;
 	shed(w, n);
 	((struct request *)out)->waiting = 0;
-	answer(w, (struct request *)out, VERDICT_BUSY);
+	answer(w, (struct request *)out, VERDICT_OVERLOADED);
 }
 
 /*
@@ -98,11 +98,11 @@
 	q->waiting = 0;
 	q->running = 1;
 	q->run_us = w->now_us;
-	profile_begin(&n->profile);
+	profile_run_started(&n->profile);
 	ms *= trouble(w, TROUBLE_SLOW, n->service, n->index);
 	q->verdict = VERDICT_SERVED;
 	if (draw(w) < trouble(w, TROUBLE_SHED, n->service, n->index)) {
-		q->verdict = VERDICT_TURNED;
+		q->verdict = VERDICT_REJECTED;
 		ms = REFUSE_MS;
 	}
 	queue_add(w, (uint64_t)(ms * US_PER_MS), EVENT_WORKED,
@@ -119,9 +119,9 @@
 	static const enum admission_outcome outcomes[] = {
 		[VERDICT_SERVED] = ADMISSION_SERVED,
 		[VERDICT_FAILED] = ADMISSION_FAILED,
-		[VERDICT_TURNED] = ADMISSION_SHED,
-		[VERDICT_BUSY] = ADMISSION_FAILED,
-		[VERDICT_AWAY] = ADMISSION_FAILED,
+		[VERDICT_REJECTED] = ADMISSION_REJECTED,
+		[VERDICT_OVERLOADED] = ADMISSION_FAILED,
+		[VERDICT_UNAVAILABLE] = ADMISSION_FAILED,
 		[VERDICT_LATE] = ADMISSION_CANCELLED,
 	};
 	struct node *n = &w->nodes[q->exit];
@@ -131,10 +131,11 @@
 	q->running = 0;
 	q->spent_us += took;
 	w->res->work_s += took / US_PER_S;
-	profile_end(&n->profile);
+	profile_run_ended(&n->profile);
 	if (how == VERDICT_SERVED || (how != VERDICT_LATE && !q->call_failed))
-		choice_note(&n->health, how != VERDICT_SERVED, now_ms(w));
-	core_done(
+		choice_record_attempt(
+		    &n->health, how != VERDICT_SERVED, now_ms(w));
+	core_release(
 	    &n->core, &q->waiter, outcomes[how], (uint64_t)took, w->now_us);
 	answer(w, q, how);
 	next_waiting(w, n);
@@ -197,8 +198,8 @@
 void
 exit_worked(struct world *w, struct request *q)
 {
-	if (q->verdict == VERDICT_TURNED)
-		run_end(w, q, VERDICT_TURNED);
+	if (q->verdict == VERDICT_REJECTED)
+		run_end(w, q, VERDICT_REJECTED);
 	else
 		run_next(w, q);
 }
@@ -232,7 +233,7 @@
 	if (!q->at_exit)
 		return;
 	if (q->waiting) {
-		core_withdraw(&n->core, &q->waiter);
+		core_expire(&n->core, &q->waiter);
 		q->waiting = 0;
 		answer(w, q, VERDICT_LATE);
 	} else if (q->running) {
@@ -258,7 +259,7 @@
 		}
 		q->waiting = 0;
 		shed(w, n);
-		answer(w, q, VERDICT_BUSY);
+		answer(w, q, VERDICT_OVERLOADED);
 	}
 }
 
@@ -273,9 +274,9 @@
 	uint32_t i;
 
 	n->down = 1;
-	while ((a = core_flush(&n->core, ADMISSION_STOPPING)) != NULL) {
+	while ((a = core_refuse_next(&n->core, ADMISSION_STOPPING)) != NULL) {
 		((struct request *)a)->waiting = 0;
-		answer(w, (struct request *)a, VERDICT_AWAY);
+		answer(w, (struct request *)a, VERDICT_UNAVAILABLE);
 	}
 	for (i = 0; i < w->request_count; i++) {
 		q = w->requests[i];
--- a/src/model/loads.c
+++ b/src/model/loads.c
@@ -37,7 +37,7 @@
 	n->busy = n->busy * keep + busy * (1 - keep);
 	n->shed_per_s *= keep;
 	n->busy_us = w->now_us;
-	profile_age(&n->profile, n->core.inflight, passed);
+	profile_update(&n->profile, n->core.inflight, passed);
 }
 
 /*
@@ -46,7 +46,8 @@
 double
 loads_offered(const struct node *n)
 {
-	return n->busy + n->shed_per_s / BUSY_S * profile_run_s(&n->profile) /
+	return n->busy + n->shed_per_s / BUSY_S *
+			     profile_mean_run_s(&n->profile) /
 			     limiter_value(&n->core.limiter);
 }
 
@@ -86,20 +87,21 @@
 		l->slots = limiter_value(&n->core.limiter);
 		l->running = n->core.inflight;
 		l->waiting = n->core.queued;
-		l->sent_since = 0;
+		l->sent_since_report = 0;
 		l->offered = loads_offered(n);
-		l->run_s = profile_run_s(&n->profile);
-		l->told_failing = choice_failing(&n->health, now_ms(w));
+		l->run_s = profile_mean_run_s(&n->profile);
+		l->told_failing = choice_failure_share(&n->health, now_ms(w));
 		l->demand = n->demand;
 		if (n->profile.call_count > 0)
-			throttle_chained(&to->throttle, n->profile.chained);
-		for (k = 0;
-		     profile_known(&n->profile) && k < n->profile.call_count;
+			throttle_record_chained(
+			    &to->throttle, n->profile.chained_share);
+		for (k = 0; profile_calls_known(&n->profile) &&
+			    k < n->profile.call_count;
 		     k++) {
 			h = throttle_service(
 			    &to->throttle, n->profile.calls[k].service);
-			throttle_calls(&to->throttle, n->service, h,
-			    profile_per_run(&n->profile, k));
+			throttle_record_calls(&to->throttle, n->service, h,
+			    profile_calls_per_run(&n->profile, k));
 		}
 	}
 }
@@ -119,9 +121,9 @@
 	int h;
 
 	loads_measure(w, n);
-	demand_age(&n->demand, STEP_S);
+	demand_update_rates(&n->demand, STEP_S);
 	n->links[at].demand = n->demand;
-	throttle_begin(&n->throttle);
+	throttle_begin_update(&n->throttle);
 	for (i = 0; i < w->node_count; i++) {
 		l = &n->links[i];
 		if (!loads_alive(w, n, (int)i) || l->slots == 0)
@@ -130,17 +132,18 @@
 			row = &l->demand.rows[j];
 			h = throttle_service(&n->throttle, row->service);
 			for (k = 0; k < THROTTLE_CLASSES; k++)
-				throttle_demand(
-				    &n->throttle, h, k, demand_per_s(row, k));
+				throttle_add_demand(&n->throttle, h, k,
+				    demand_rate_per_s(row, k));
 		}
 		m.slots = l->slots;
-		m.run_s = l->run_s;
-		m.offered = l->offered;
-		m.failing = l->told_failing;
+		m.mean_run_s = l->run_s;
+		m.offered_load = l->offered;
+		m.failure_share = l->told_failing;
 		throttle_server(&n->throttle, w->nodes[i].service, &m);
 	}
-	throttle_step(&n->throttle, STEP_S);
+	throttle_update_shares(&n->throttle, STEP_S);
 	s = second_of(w, w->now_us);
 	for (i = 0; s != NULL && i < n->throttle.count; i++)
-		s->busiest = fmax(s->busiest, n->throttle.services[i].offered);
+		s->busiest =
+		    fmax(s->busiest, n->throttle.services[i].offered_load);
 }
--- a/src/model/world.c
+++ b/src/model/world.c
@@ -308,7 +308,7 @@
 			n->speed = s->speeds[j % s->speed_count];
 			n->links = g_new0(struct link, w->node_count);
 			core_init(&n->core, 0);
-			n->core.limiter.fixed = 1;
+			n->core.limiter.fixed_to_slots = 1;
 			n->core.slots_known = 1;
 			core_reset(&n->core, s->slots, 0);
 			quota_owner_init(&n->owner);
--- a/src/model/world.h
+++ b/src/model/world.h
@@ -20,11 +20,11 @@
 /* What comes back from an exit. */
 enum verdict {
 	VERDICT_SERVED,
-	VERDICT_FAILED, /* the server's own failure */
-	VERDICT_TURNED, /* by the server, not run */
-	VERDICT_BUSY,	/* by the exit */
-	VERDICT_AWAY,	/* no server there */
-	VERDICT_LATE	/* its time is over */
+	VERDICT_FAILED,	     /* the server's own failure */
+	VERDICT_REJECTED,    /* by the server, not run */
+	VERDICT_OVERLOADED,  /* by the exit */
+	VERDICT_UNAVAILABLE, /* no server there */
+	VERDICT_LATE	     /* its time is over */
 };
 
 /* A request, or 0: index and generation in the table of requests. */
@@ -69,7 +69,7 @@
 	uint64_t heard_us; /* 0: never */
 	uint64_t told_us;
 	uint32_t running, waiting, slots;
-	uint32_t sent_since, inflight;
+	uint32_t sent_since_report, inflight;
 	struct choice_health health;
 	double offered, run_s, told_failing;
 	struct demand demand;
@@ -88,7 +88,7 @@
 	struct choice_health health; /* of its server */
 	struct budget budgets[MODEL_SERVICES];
 	struct quota_owner owner;
-	struct quota_stock stocks[MODEL_SPACES];
+	struct quota_cache stocks[MODEL_SPACES];
 	struct link *links; /* by node */
 	double busy;	    /* decaying share of slots in use or waited for */
 	double shed_per_s;
@@ -154,7 +154,7 @@
 /* caller.c */
 void caller_ask(struct world *, int);
 void caller_answered(
-    struct world *, struct request *, enum verdict, enum comeback);
+    struct world *, struct request *, enum verdict, enum retry_after_reason);
 
 /* entry.c */
 void entry_take(struct world *, struct request *);
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -35,8 +35,8 @@
 	if (v->retries_left > c->cx.retries)
 		v->retries_left = c->cx.retries;
 	s = head_get(h, "Cyclamen-Chain-Level");
-	v->chain_level =
-	    s != NULL ? (uint32_t)strtoul(s, NULL, 10) : ADMISSION_CHAIN_NONE;
+	v->chain_level = s != NULL ? (uint32_t)strtoul(s, NULL, 10)
+				   : ADMISSION_CHAIN_LEVEL_UNKNOWN;
 	v->inner_failed = head_get(h, "Cyclamen-Inner") != NULL;
 	s = head_get(h, "Cyclamen-Death");
 	v->death = s != NULL ? strtoull(s, NULL, 16) : 0;
@@ -203,7 +203,7 @@
 	c->cx.retries = retry_lend_attempt(&c->chain);
 	c->unsent = c->wrong = 0;
 	memset(&c->verdict, 0, sizeof(c->verdict));
-	c->verdict.chain_level = ADMISSION_CHAIN_NONE;
+	c->verdict.chain_level = ADMISSION_CHAIN_LEVEL_UNKNOWN;
 	answer_reset(&c->answer);
 	route_begin(&c->node->routes, &t->id, begin / 1000);
 	if (t->local)
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -23,7 +23,7 @@
 	struct node *node;
 	struct request *req;
 	struct config_route route;
-	struct limits_ws limit;
+	struct limits_workspace limit;
 	uint64_t loan; /* that a token was charged to, or 0 */
 	struct context cx;
 	struct quarantine_print print; /* of this very request */
@@ -52,7 +52,7 @@
 void call_forward(struct call *);
 int call_choose(struct call *, struct target *, enum route_reason *);
 void call_request(const struct call *, struct admission_req *);
-struct admission_echo *call_echo(struct call *);
+struct admission_downstream *call_echo(struct call *);
 void call_observe(struct call *, const struct target *, uint64_t);
 void call_attempt(struct call *, const struct target *);
 
--- a/src/node/choose.c
+++ b/src/node/choose.c
@@ -204,18 +204,18 @@
 static void
 note_levels(struct call *c, const struct admission_load *load)
 {
-	struct admission_echo *e = call_echo(c);
+	struct admission_downstream *e = call_echo(c);
 	uint32_t level = c->verdict.chain_level;
 	struct admission_req ar;
 
 	call_request(c, &ar);
-	if (level != ADMISSION_CHAIN_NONE)
-		admission_echo_heard(e, level, clock_us());
+	if (level != ADMISSION_CHAIN_LEVEL_UNKNOWN)
+		admission_downstream_reported(e, level, clock_us());
 	else if (c->verdict.outcome == OUTCOME_DONE)
-		admission_echo_served(e, &ar);
+		admission_downstream_served(e, &ar);
 	if (c->parent == NULL)
 		return;
-	if (level != ADMISSION_CHAIN_NONE)
+	if (level != ADMISSION_CHAIN_LEVEL_UNKNOWN)
 		parent_note_level(c->parent, level);
 	if (load != NULL)
 		parent_note_level(
--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -93,7 +93,7 @@
  * Finds a workspace's limit in the configuration in force.
  */
 static int
-find_ws(void *ctx, uint64_t hash, struct limits_ws *out)
+find_ws(void *ctx, uint64_t hash, struct limits_workspace *out)
 {
 	struct node *n = ctx;
 	const struct config *c;
@@ -241,12 +241,12 @@
 		.lookup_ctx = &n->lease,
 		.call = rpc_client_call,
 		.call_ctx = &n->rpc_client,
-		.find = find_ws,
-		.find_ctx = n,
+		.find_limit = find_ws,
+		.find_limit_ctx = n,
 		.notify = notify,
 		.notify_ctx = n,
-		.kick = kick_leases,
-		.kick_ctx = n };
+		.on_owner_failure = kick_leases,
+		.on_owner_failure_ctx = n };
 	struct once_config oc = { .self = n->id,
 		.lookup = lease_service_lookup,
 		.lookup_ctx = &n->lease,
@@ -264,7 +264,7 @@
 	parents_init(&n->parents);
 	for (i = 0; i < NODE_BUDGETS; i++) {
 		retry_budget_init(&n->budgets[i], clock_ms());
-		admission_echo_init(&n->echoes[i]);
+		admission_downstream_init(&n->echoes[i]);
 	}
 	quarantine_init(&n->quarantine, tell_members, n);
 	limits_init(&n->limits, &lc);
@@ -279,7 +279,7 @@
 }
 
 /*
- * Does what duties need from time to time, every LIMITS_TICK_MS.
+ * Does what duties need from time to time, every LIMITS_MAINTAIN_INTERVAL_MS.
  */
 void
 duties_tick(struct node *n)
@@ -295,7 +295,7 @@
 void
 duties_regroup(struct node *n)
 {
-	n->limits.cfg.group = own_group(n);
+	n->limits.cfg.local_group = own_group(n);
 }
 
 /*
--- a/src/node/exit.c
+++ b/src/node/exit.c
@@ -83,7 +83,7 @@
 {
 	head_addf(h, "Cyclamen-Retries-Left", "%u", v->retries_left);
 	head_add(h, "Cyclamen-Load", v->load);
-	if (v->chain_level != ADMISSION_CHAIN_NONE)
+	if (v->chain_level != ADMISSION_CHAIN_LEVEL_UNKNOWN)
 		head_addf(h, "Cyclamen-Chain-Level", "%u", v->chain_level);
 	if (v->inner_failed)
 		head_add(h, "Cyclamen-Inner", "failed");
@@ -256,7 +256,7 @@
 	if (end != EXCHANGE_WHOLE || !r->refused)
 		return end_rows[end].served;
 	not_run(v, REASON_OVERLOAD);
-	return ADMISSION_SHED;
+	return ADMISSION_REJECTED;
 }
 
 /*
@@ -406,7 +406,7 @@
 
 	memset(v, 0, sizeof(*v));
 	v->retries_left = cx->retries;
-	v->chain_level = ADMISSION_CHAIN_NONE;
+	v->chain_level = ADMISSION_CHAIN_LEVEL_UNKNOWN;
 	counter_add(CTR_REQ_EXIT, 1);
 	server_get(&n->server, clock_ms(), &a);
 	if (a.server.state == MEMBER_SERVER_NONE ||
--- a/src/node/forward.c
+++ b/src/node/forward.c
@@ -39,7 +39,7 @@
 /*
  * Returns what is known of overload further down a route.
  */
-struct admission_echo *
+struct admission_downstream *
 call_echo(struct call *c)
 {
 	return &c->node->echoes[route_slot(c)];
@@ -52,17 +52,17 @@
 int
 call_is_doomed(struct call *c)
 {
-	struct admission_echo *e = call_echo(c);
+	struct admission_downstream *e = call_echo(c);
 	struct admission_req ar;
 
 	if (!settings_policy_on(&c->node->settings, POLICY_PRECHECK))
 		return 0;
 	call_request(c, &ar);
-	if (admission_echo_check(e, &ar, clock_us(), rand_u64()) !=
+	if (admission_downstream_check(e, &ar, clock_us(), rand_u64()) !=
 	    ADMISSION_HINT_SHED)
 		return 0;
 	if (c->parent != NULL)
-		parent_note_level(c->parent, admission_echo_level(e));
+		parent_note_level(c->parent, admission_downstream_level(e));
 	return 1;
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -9,7 +9,7 @@
 
 #include "node/node.h"
 
-#define TICK_US 20000 /* LIMITS_TICK_MS */
+#define TICK_US 20000 /* LIMITS_MAINTAIN_INTERVAL_MS */
 #define SLOW_TICKS 5
 #define PEER_CONNS_MAX 256
 #define PEER_IDLE_MS 2000 /* shorter than a peer keeps them open */
@@ -291,7 +291,7 @@
 	lease_service_leave(&n->lease, LEAVE_LEASES_MS);
 	member_leave(&n->member);
 	lease_service_left(&n->lease, LEAVE_LEASES_MS);
-	while (clock_ms() < until && admission_busy(&n->admission) > 0)
+	while (clock_ms() < until && admission_outstanding(&n->admission) > 0)
 		usleep(STOP_CHECK_US);
 	now = clock_ms();
 	wait_quiet(n,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -63,7 +63,7 @@
 	struct route_book routes;
 	struct retry_budget budgets[NODE_BUDGETS];
 	atomic_ullong limit_missed_ms[NODE_BUDGETS]; /* by workspace */
-	struct admission_echo echoes[NODE_BUDGETS];
+	struct admission_downstream echoes[NODE_BUDGETS];
 	struct parents parents;
 	struct mg_context *ports[PORT_MAX];
 	pthread_t ticker;
@@ -84,10 +84,11 @@
 	enum outcome outcome;
 	enum reason reason;
 	uint32_t retries_left;
-	uint32_t chain_level; /* told by inner calls, or ADMISSION_CHAIN_NONE */
+	uint32_t chain_level; /* told by inner calls, or
+				 ADMISSION_CHAIN_LEVEL_UNKNOWN */
 	int inner_failed;     /* an inner call brought no good answer */
 	uint64_t death;	      /* of the server, that struck the request, or 0 */
-	char load[ADMISSION_LOAD_TEXT];
+	char load[ADMISSION_LOAD_TEXT_BYTES];
 };
 
 int node_init(struct node *, const struct settings *);
--- a/src/once/test_fleet.c
+++ b/src/once/test_fleet.c
@@ -54,7 +54,7 @@
 static uint64_t log_first, log_next, now_us, log_down_until;
 static uint64_t incarnations, first_at[IDS], firsts, admits, terms;
 static struct late lates[LATE_MAX];
-static struct limits_ws workspace;
+static struct limits_workspace workspace;
 static int cut[NODES][NODES], nested;
 static double most; /* of admitted - rate x time */
 
@@ -199,7 +199,7 @@
 
 /* All nodes have the same configuration. */
 static int
-find_ws(void *ctx, uint64_t hash, struct limits_ws *ws)
+find_ws(void *ctx, uint64_t hash, struct limits_workspace *ws)
 {
 	(void)ctx;
 	*ws = workspace;
@@ -214,7 +214,7 @@
 		.lookup_ctx = n,
 		.call = call,
 		.call_ctx = n,
-		.find = find_ws,
+		.find_limit = find_ws,
 		.clock_us = sim_us };
 	struct once_config oc = { .lookup = lookup,
 		.lookup_ctx = n,
@@ -486,7 +486,7 @@
 	now_us = log_first = log_next = log_down_until = 0;
 	admits = firsts = terms = 0;
 	most = 0;
-	workspace = (struct limits_ws){ 16 * 3, 4, 6, 0 };
+	workspace = (struct limits_workspace){ 16 * 3, 4, 6, 0 };
 	memset(first_at, 0, sizeof(first_at));
 	memset(cut, 0, sizeof(cut));
 	for (i = 0; i < NODES; i++)
--- a/src/options/options.c
+++ b/src/options/options.c
@@ -93,7 +93,7 @@
 	    "port for datagrams between nodes" },
 	{ "fleet-key", KIND_KEY, 0, AT(relay.fleet_key),
 	    "known to all nodes, which take messages with its seal only" },
-	{ "fleet-key-other", KIND_KEY, 0, AT(relay.other_key),
+	{ "fleet-key-other", KIND_KEY, 0, AT(relay.previous_key),
 	    "another one whose seals are taken, too" },
 	{ "metrics-port", KIND_PORT, 0, AT(metrics), "port for metrics" },
 	{ "revoke", KIND_TIME, 1, AT(relay.fresh_ms),
@@ -294,7 +294,8 @@
 		if (settings[n].required && !seen[n])
 			finds_add(finds, &msgs[FIND_REQUIRED], settings[n].name,
 			    "%s", settings[n].help);
-	if (set->relay.other_key[0] != '\0' && set->relay.fleet_key[0] == '\0')
+	if (set->relay.previous_key[0] != '\0' &&
+	    set->relay.fleet_key[0] == '\0')
 		finds_add(
 		    finds, &msgs[FIND_OTHER_KEY], "fleet-key-other", "%s", "");
 	set->relay.fleet.sin_addr = set->relay.exit.sin_addr;
@@ -303,13 +304,13 @@
 		set->relay.advertised = set->relay.exit.sin_addr;
 	set->relay.fresh_ms =
 	    (uint64_t)((double)set->relay.fresh_ms * FRESH_SHARE);
-	set->relay.leave_ms = LEAVE_MS;
+	set->relay.accept_calls_ms = LEAVE_MS;
 	set->end_ms =
 	    set->grace_ms > END_MARGIN_MS ? set->grace_ms - END_MARGIN_MS : 0;
-	set->relay.take_ms = set->end_ms > LEAVE_MS + LAST_RUN_MS
-				 ? set->end_ms - LAST_RUN_MS
-			     : set->end_ms < LEAVE_MS ? set->end_ms
-						      : LEAVE_MS;
+	set->relay.accept_root_ms = set->end_ms > LEAVE_MS + LAST_RUN_MS
+					? set->end_ms - LAST_RUN_MS
+				    : set->end_ms < LEAVE_MS ? set->end_ms
+							     : LEAVE_MS;
 	return finds->errors > 0 ? -1 : 0;
 }
 
--- a/src/options/test_options.c
+++ b/src/options/test_options.c
@@ -36,7 +36,7 @@
 	assert_int_equal(options_read(&set, n, good, none, &finds), 0);
 	assert_int_equal(set.grace_ms, 6000);
 	assert_int_equal(set.end_ms, 5000);
-	assert_int_equal(set.relay.take_ms, 3500);
+	assert_int_equal(set.relay.accept_root_ms, 3500);
 	assert_true(set.relay.fresh_ms < 5000);
 	assert_string_equal(set.relay.node, "n1");
 	assert_int_equal(
--- a/src/quota/quota_owner.c
+++ b/src/quota/quota_owner.c
@@ -45,9 +45,9 @@
 	size_t i;
 
 	for (i = 0; i < o->count; i++)
-		if (o->list[i].ws != 0)
-			bucket_finish(&o->list[i].bucket);
-	free(o->list);
+		if (o->owned_buckets[i].ws != 0)
+			bucket_finish(&o->owned_buckets[i].bucket);
+	free(o->owned_buckets);
 	quota_owner_init(o);
 }
 
@@ -55,15 +55,15 @@
  * Drops the bucket of a workspace that another node owns now.
  */
 void
-quota_owner_drop(struct quota_owner *o, uint64_t ws)
+quota_owner_drop_bucket(struct quota_owner *o, uint64_t ws)
 {
 	size_t i;
 
 	for (i = 0; i < o->count; i++) {
-		if (o->list[i].ws != ws)
+		if (o->owned_buckets[i].ws != ws)
 			continue;
-		bucket_finish(&o->list[i].bucket);
-		o->list[i].ws = 0;
+		bucket_finish(&o->owned_buckets[i].bucket);
+		o->owned_buckets[i].ws = 0;
 	}
 }
 
@@ -81,24 +81,26 @@
 	size_t i;
 
 	for (i = 0; i < o->count; i++) {
-		b = &o->list[i];
+		b = &o->owned_buckets[i];
 		if (b->ws == ws && now_ms - b->last_used_ms < BUCKET_IDLE_MS)
 			return b;
 		if (b->ws == ws) {
-			quota_owner_drop(o, ws);
+			quota_owner_drop_bucket(o, ws);
 			slot = b;
 		} else if (b->ws == 0) {
 			slot = b;
 		}
 	}
-	if (slot == NULL && o->count == o->cap) {
-		o->cap = o->cap == 0 ? 8 : o->cap * 2;
-		o->list = reallocarray(o->list, o->cap, sizeof(*o->list));
-		if (o->list == NULL)
+	if (slot == NULL && o->count == o->bucket_capacity) {
+		o->bucket_capacity =
+		    o->bucket_capacity == 0 ? 8 : o->bucket_capacity * 2;
+		o->owned_buckets = reallocarray(o->owned_buckets,
+		    o->bucket_capacity, sizeof(*o->owned_buckets));
+		if (o->owned_buckets == NULL)
 			err(1, "out of memory");
 	}
 	if (slot == NULL)
-		slot = &o->list[o->count++];
+		slot = &o->owned_buckets[o->count++];
 	memset(slot, 0, sizeof(*slot));
 	slot->ws = ws;
 	slot->owned_since_ms = members_changed_ms;
@@ -112,14 +114,14 @@
  * tokens.
  */
 void
-quota_owner_inherit(struct quota_owner *o, uint64_t ws,
+quota_owner_adopt_bucket(struct quota_owner *o, uint64_t ws,
     const struct quota_limit *limit, uint32_t level, uint64_t now_ms)
 {
 	struct quota_bucket *b;
 	struct limits_share share;
 
 	limit_to_share(limit, &share);
-	quota_owner_drop(o, ws);
+	quota_owner_drop_bucket(o, ws);
 	b = find_bucket(o, ws, &share, now_ms, now_ms);
 	b->owned_since_ms =
 	    now_ms > TAKEOVER_DELAY_MS ? now_ms - TAKEOVER_DELAY_MS : 0;
@@ -135,7 +137,7 @@
  * time when the set of live nodes, and with it the ownership, last changed.
  */
 struct quota_grant
-quota_owner_lend(struct quota_owner *o, uint64_t ws,
+quota_owner_grant_tokens(struct quota_owner *o, uint64_t ws,
     const struct quota_limit *limit, uint64_t id, uint32_t needed,
     uint32_t wanted, uint64_t members_changed_ms, uint64_t now_ms)
 {
@@ -145,13 +147,13 @@
 
 	limit_to_share(limit, &share);
 	b = find_bucket(o, ws, &share, members_changed_ms, now_ms);
-	g.fresh = b->last_used_ms == 0;
+	g.is_new_bucket = b->last_used_ms == 0;
 	b->last_used_ms = now_ms;
 	if (now_ms - b->owned_since_ms < TAKEOVER_DELAY_MS)
 		return g;
 	bucket_resize(&b->bucket, &share, now_ms * US_PER_MS);
-	g.owner = 1;
-	g.tokens = bucket_lend(&b->bucket, id, needed, wanted,
+	g.is_owner = 1;
+	g.tokens = bucket_grant(&b->bucket, id, needed, wanted,
 	    now_ms * US_PER_MS, (now_ms + GRANT_LIFETIME_MS) * US_PER_MS);
 	if (g.tokens == 0)
 		g.wait_ms =
--- a/src/quota/quota_stock.c
+++ b/src/quota/quota_stock.c
@@ -13,69 +13,70 @@
  * Takes a token for one request, or returns what to do without one.
  */
 enum quota_verdict
-quota_take(struct quota_stock *s, uint64_t now_ms)
+quota_acquire(struct quota_cache *s, uint64_t now_ms)
 {
 	double gap_s = (double)(now_ms - s->last_demand_ms) / MS_PER_S;
 
-	s->per_s *= exp(-gap_s / DEMAND_TIME_CONSTANT_S);
-	s->per_s += 1 / DEMAND_TIME_CONSTANT_S;
+	s->mean_demand_per_s *= exp(-gap_s / DEMAND_TIME_CONSTANT_S);
+	s->mean_demand_per_s += 1 / DEMAND_TIME_CONSTANT_S;
 	s->last_demand_ms = now_ms;
-	if (now_ms >= s->expire_ms)
+	if (now_ms >= s->tokens_expire_ms)
 		s->tokens = 0;
 	if (s->tokens > 0) {
 		s->tokens--;
-		return QUOTA_TAKEN;
+		return QUOTA_ACQUIRED;
 	}
-	return now_ms < s->refused_until_ms ? QUOTA_OVER : QUOTA_ASK;
+	return now_ms < s->no_tokens_until_ms ? QUOTA_EXHAUSTED
+					      : QUOTA_ASK_OWNER;
 }
 
 /*
  * Computes how many tokens to request while the given number of requests wait.
  */
 void
-quota_want(const struct quota_stock *s, uint32_t waiting, uint32_t *needed,
-    uint32_t *wanted)
+quota_size_request(const struct quota_cache *s, uint32_t waiting,
+    uint32_t *needed, uint32_t *wanted)
 {
 	*needed = waiting > 0 ? waiting : 1;
-	*wanted = *needed + (uint32_t)(s->per_s * PREFETCH_S);
+	*wanted = *needed + (uint32_t)(s->mean_demand_per_s * PREFETCH_S);
 }
 
 /*
  * Applies the owner's answer.
  */
 void
-quota_receive(
-    struct quota_stock *s, const struct quota_grant *g, uint64_t now_ms)
+quota_accept_grant(
+    struct quota_cache *s, const struct quota_grant *g, uint64_t now_ms)
 {
 	uint32_t wait_ms =
 	    g->wait_ms < REFUSAL_MS_MAX ? g->wait_ms : REFUSAL_MS_MAX;
 
-	s->ask_id = 0;
-	s->asks = 0;
-	if (!g->owner)
+	s->token_request_id = 0;
+	s->request_sends = 0;
+	if (!g->is_owner)
 		return;
 	if (g->tokens == 0) {
-		s->refused_until_ms = now_ms + wait_ms;
+		s->no_tokens_until_ms = now_ms + wait_ms;
 		return;
 	}
-	if (now_ms >= s->expire_ms)
+	if (now_ms >= s->tokens_expire_ms)
 		s->tokens = 0;
 	s->tokens += g->tokens;
-	s->expire_ms = now_ms + TOKEN_LIFETIME_MS;
-	s->refused_until_ms = 0;
+	s->tokens_expire_ms = now_ms + TOKEN_LIFETIME_MS;
+	s->no_tokens_until_ms = 0;
 }
 
 /*
  * Returns the token of a request that didn't run to the cache.
  */
 void
-quota_return(struct quota_stock *s, uint64_t now_ms)
+quota_return_token(struct quota_cache *s, uint64_t now_ms)
 {
-	if (now_ms >= s->expire_ms)
+	if (now_ms >= s->tokens_expire_ms)
 		s->tokens = 0;
 	s->tokens++;
-	s->expire_ms = now_ms + TOKEN_LIFETIME_MS;
-	s->refused_until_ms = 0;
+	s->tokens_expire_ms = now_ms + TOKEN_LIFETIME_MS;
+	s->no_tokens_until_ms = 0;
 }
 
 /*
@@ -85,25 +86,25 @@
  * used up.
  */
 int
-quota_reserve(struct quota_stock *s, const struct quota_limit *limit,
+quota_acquire_reserve(struct quota_cache *s, const struct quota_limit *limit,
     double share, double constant, uint32_t nodes, uint64_t now_ms)
 {
 	double total, node_part;
 
-	if (now_ms - s->reserve_ms >= QUOTA_WINDOW_MS) {
-		s->reserve_before =
-		    now_ms - s->reserve_ms < 2 * (uint64_t)QUOTA_WINDOW_MS
-			? s->reserve_used
-			: 0;
-		s->reserve_used = 0;
-		s->reserve_ms = now_ms;
+	if (now_ms - s->reserve_window_start_ms >= QUOTA_WINDOW_MS) {
+		s->reserve_prior_tokens = now_ms - s->reserve_window_start_ms <
+						  2 * (uint64_t)QUOTA_WINDOW_MS
+					      ? s->reserve_used_tokens
+					      : 0;
+		s->reserve_used_tokens = 0;
+		s->reserve_window_start_ms = now_ms;
 	}
 	total =
 	    (limit->rate * QUOTA_WINDOW_MS / MS_PER_S + limit->burst) * share +
 	    constant;
 	node_part = floor(total / nodes);
-	if (s->reserve_used + s->reserve_before + 1 > node_part)
+	if (s->reserve_used_tokens + s->reserve_prior_tokens + 1 > node_part)
 		return 0;
-	s->reserve_used++;
+	s->reserve_used_tokens++;
 	return 1;
 }
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -60,7 +60,7 @@
 {
 	static uint32_t per_ms[SERIES_MS];
 	struct quota_owner owners[2];
-	struct quota_stock stocks[NODES];
+	struct quota_cache stocks[NODES];
 	struct quota_grant g;
 	uint64_t now, members_changed_ms = 0, id = 1;
 	uint32_t need, want, total = 0;
@@ -74,34 +74,34 @@
 		/* Owner 0 until 10 s, 1 until 20 s, none until 21 s. */
 		n = now < 20000 ? 0 : now < 30000 ? 1 : now < 31000 ? -1 : 0;
 		if (n != owner) {
-			quota_owner_drop(&owners[0], WORKSPACE);
-			quota_owner_drop(&owners[1], WORKSPACE);
+			quota_owner_drop_bucket(&owners[0], WORKSPACE);
+			quota_owner_drop_bucket(&owners[1], WORKSPACE);
 			members_changed_ms = now;
 			owner = n;
 		}
 		for (n = 0; n < NODES; n++) {
 			if ((now + (uint64_t)n * 7) % 50 != 0)
 				continue; /* 20 requests per second and node */
-			if (quota_take(&stocks[n], now) == QUOTA_TAKEN) {
+			if (quota_acquire(&stocks[n], now) == QUOTA_ACQUIRED) {
 				per_ms[now - 10000]++;
 				continue;
 			}
 			if (owner >= 0) {
-				quota_want(&stocks[n], 1, &need, &want);
-				g = quota_owner_lend(&owners[owner], WORKSPACE,
-				    &limit, id++, need, want,
+				quota_size_request(&stocks[n], 1, &need, &want);
+				g = quota_owner_grant_tokens(&owners[owner],
+				    WORKSPACE, &limit, id++, need, want,
 				    members_changed_ms, now);
-				quota_receive(&stocks[n], &g, now);
-				if (quota_take(&stocks[n], now) ==
-				    QUOTA_TAKEN) {
+				quota_accept_grant(&stocks[n], &g, now);
+				if (quota_acquire(&stocks[n], now) ==
+				    QUOTA_ACQUIRED) {
 					per_ms[now - 10000]++;
 					continue;
 				}
-				if (g.owner)
+				if (g.is_owner)
 					continue;
 			}
 			per_ms[now - 10000] +=
-			    (uint32_t)quota_reserve(&stocks[n], &limit,
+			    (uint32_t)quota_acquire_reserve(&stocks[n], &limit,
 				TOLERANCE_SHARE, TOLERANCE_TOKENS, NODES, now);
 		}
 	}
@@ -124,7 +124,7 @@
 test_low_rate_is_not_refused(void **state)
 {
 	static const struct quota_limit small = { 5, 5 };
-	struct quota_stock stocks[NODES];
+	struct quota_cache stocks[NODES];
 	struct quota_owner owner;
 	struct quota_grant g;
 	uint32_t need, want, refused = 0, asked = 0;
@@ -137,13 +137,13 @@
 	for (now = 20000; now < 40000; now += 250) {
 		n = (int)(now / 250 * 7 % NODES);
 		asked++;
-		if (quota_take(&stocks[n], now) == QUOTA_TAKEN)
+		if (quota_acquire(&stocks[n], now) == QUOTA_ACQUIRED)
 			continue;
-		quota_want(&stocks[n], 1, &need, &want);
-		g = quota_owner_lend(
+		quota_size_request(&stocks[n], 1, &need, &want);
+		g = quota_owner_grant_tokens(
 		    &owner, WORKSPACE, &small, now, need, want, 0, now);
-		quota_receive(&stocks[n], &g, now);
-		refused += quota_take(&stocks[n], now) != QUOTA_TAKEN;
+		quota_accept_grant(&stocks[n], &g, now);
+		refused += quota_acquire(&stocks[n], now) != QUOTA_ACQUIRED;
 	}
 	print_message("%u of %u refused\n", refused, asked);
 	assert_int_equal(refused, 0);
@@ -161,15 +161,18 @@
 
 	(void)state;
 	quota_owner_init(&o);
-	a = quota_owner_lend(&o, WORKSPACE, &limit, 1, 10, 10, 0, 10000);
-	b = quota_owner_lend(&o, WORKSPACE, &limit, 1, 10, 10, 0, 10010);
+	a = quota_owner_grant_tokens(
+	    &o, WORKSPACE, &limit, 1, 10, 10, 0, 10000);
+	b = quota_owner_grant_tokens(
+	    &o, WORKSPACE, &limit, 1, 10, 10, 0, 10010);
 	assert_int_equal(a.tokens, 10);
 	assert_int_equal(b.tokens, 10);
-	b = quota_owner_lend(&o, WORKSPACE, &limit, 2, 40, 40, 0, 10010);
+	b = quota_owner_grant_tokens(
+	    &o, WORKSPACE, &limit, 2, 40, 40, 0, 10010);
 	assert_int_equal(b.tokens, 30);
-	b = quota_owner_lend(&o, WORKSPACE, &limit, 3, 1, 1, 0, 10011);
+	b = quota_owner_grant_tokens(&o, WORKSPACE, &limit, 3, 1, 1, 0, 10011);
 	assert_int_equal(b.tokens, 0);
-	assert_int_equal(b.owner, 1);
+	assert_int_equal(b.is_owner, 1);
 	assert_true(b.wait_ms > 0);
 	quota_owner_finish(&o);
 }
@@ -185,10 +188,12 @@
 
 	(void)state;
 	quota_owner_init(&o);
-	g = quota_owner_lend(&o, WORKSPACE, &limit, 1, 1, 1, 10000, 10100);
-	assert_int_equal(g.owner, 0);
-	g = quota_owner_lend(&o, WORKSPACE, &limit, 2, 1, 1, 10000, 12000);
-	assert_int_equal(g.owner, 1);
+	g = quota_owner_grant_tokens(
+	    &o, WORKSPACE, &limit, 1, 1, 1, 10000, 10100);
+	assert_int_equal(g.is_owner, 0);
+	g = quota_owner_grant_tokens(
+	    &o, WORKSPACE, &limit, 2, 1, 1, 10000, 12000);
+	assert_int_equal(g.is_owner, 1);
 	assert_int_equal(g.tokens, 1);
 	quota_owner_finish(&o);
 }
@@ -219,8 +224,8 @@
 				continue;
 			if (owner == 1 && now < 20500)
 				continue;
-			g = quota_owner_lend(&owners[owner], WORKSPACE, &large,
-			    id++, 5, 5, owner == 0 ? 0 : 20500, now);
+			g = quota_owner_grant_tokens(&owners[owner], WORKSPACE,
+			    &large, id++, 5, 5, owner == 0 ? 0 : 20500, now);
 			per_ms[now - 20000] += g.tokens;
 		}
 	}
@@ -246,9 +251,10 @@
 
 	(void)state;
 	quota_owner_init(&o);
-	quota_owner_lend(&o, WORKSPACE, &limit, 1, 1, 1, 0, 10000);
+	quota_owner_grant_tokens(&o, WORKSPACE, &limit, 1, 1, 1, 0, 10000);
 	for (now = 10001; now < 15001; now += 10) {
-		g = quota_owner_lend(&o, WORKSPACE, &low, now, 1, 1, 0, now);
+		g = quota_owner_grant_tokens(
+		    &o, WORKSPACE, &low, now, 1, 1, 0, now);
 		granted += g.tokens;
 	}
 	assert_true(granted <= 2 * 5 + 2);
@@ -261,16 +267,16 @@
 static void
 test_returned_token_is_reused(void **state)
 {
-	struct quota_stock s;
+	struct quota_cache s;
 	struct quota_grant none = { 0, 50, 1, 0 };
 
 	(void)state;
 	memset(&s, 0, sizeof(s));
-	quota_receive(&s, &none, 10000);
-	assert_int_equal(quota_take(&s, 10001), QUOTA_OVER);
-	quota_return(&s, 10002);
-	assert_int_equal(quota_take(&s, 10003), QUOTA_TAKEN);
-	assert_int_equal(quota_take(&s, 10004), QUOTA_ASK);
+	quota_accept_grant(&s, &none, 10000);
+	assert_int_equal(quota_acquire(&s, 10001), QUOTA_EXHAUSTED);
+	quota_return_token(&s, 10002);
+	assert_int_equal(quota_acquire(&s, 10003), QUOTA_ACQUIRED);
+	assert_int_equal(quota_acquire(&s, 10004), QUOTA_ASK_OWNER);
 }
 
 /*
@@ -282,21 +288,21 @@
 test_reserve_at_fleet_restart(void **state)
 {
 	const struct quota_limit big = { 470, 470 };
-	static struct quota_stock stocks[RESTARTED_NODES];
+	static struct quota_cache stocks[RESTARTED_NODES];
 	uint32_t granted = 0, n, i;
 
 	(void)state;
 	for (n = 0; n < RESTARTED_NODES; n++)
 		for (i = 0; i < 100; i++)
-			granted += (uint32_t)quota_reserve(&stocks[n], &big,
-			    TOLERANCE_SHARE, TOLERANCE_TOKENS,
+			granted += (uint32_t)quota_acquire_reserve(&stocks[n],
+			    &big, TOLERANCE_SHARE, TOLERANCE_TOKENS,
 			    FLEET_SIZE_UNKNOWN, 20000 + i);
 	assert_int_equal(granted, 0);
 	for (n = 0; n < RESTARTED_NODES; n++)
 		for (i = 0; i < 100; i++)
-			granted += (uint32_t)quota_reserve(&stocks[n], &big,
-			    TOLERANCE_SHARE, TOLERANCE_TOKENS, RESTARTED_NODES,
-			    20100 + i);
+			granted += (uint32_t)quota_acquire_reserve(&stocks[n],
+			    &big, TOLERANCE_SHARE, TOLERANCE_TOKENS,
+			    RESTARTED_NODES, 20100 + i);
 	assert_true(granted > 0);
 	assert_true(
 	    granted <= (470 * 5 + 470) * TOLERANCE_SHARE + TOLERANCE_TOKENS);
--- a/src/relay/budget.c
+++ b/src/relay/budget.c
@@ -9,7 +9,7 @@
 #define HALF_LIFE_MS 1000.0   /* of earned and wanted */
 
 static void decay(struct budget *, uint64_t);
-static int is_within_budget(const struct budget *, const struct budget_ask *);
+static int is_within_budget(const struct budget *, const struct budget_query *);
 
 /*
  * Initialises a budget with one retry.
@@ -27,15 +27,15 @@
 static void
 decay(struct budget *b, uint64_t now)
 {
-	double remaining = exp2(-(double)(now - b->at_ms) / HALF_LIFE_MS);
+	double remaining = exp2(-(double)(now - b->updated_ms) / HALF_LIFE_MS);
 	int i;
 
-	if (now == b->at_ms)
+	if (now == b->updated_ms)
 		return;
-	b->at_ms = now;
-	b->earned *= remaining;
+	b->updated_ms = now;
+	b->recent_earned *= remaining;
 	for (i = 0; i < ADMISSION_CLASS_MAX; i++)
-		b->wanted[i] *= remaining;
+		b->recent_requested[i] *= remaining;
 }
 
 /*
@@ -43,11 +43,11 @@
  * the allowed number of retries per request over all nodes; now is in ms.
  */
 void
-budget_earn(struct budget *b, double ratio, uint64_t now)
+budget_add_request(struct budget *b, double ratio, uint64_t now)
 {
 	decay(b, now);
 	b->tokens += ratio * CALL_RETRY_SHARE;
-	b->earned += ratio * CALL_RETRY_SHARE;
+	b->recent_earned += ratio * CALL_RETRY_SHARE;
 }
 
 /*
@@ -58,14 +58,15 @@
  * that needs several retries fails unless it gets all of them.
  */
 static int
-is_within_budget(const struct budget *b, const struct budget_ask *ask)
+is_within_budget(const struct budget *b, const struct budget_query *ask)
 {
-	double available = b->earned + 1; /* plus saved tokens */
+	double available = b->recent_earned + 1; /* plus saved tokens */
 	uint32_t c;
 
 	for (c = 0; c < ask->class; c++)
-		available -= b->wanted[c];
-	return ldexp((double)ask->root_hash, -64) * b->wanted[ask->class] <=
+		available -= b->recent_requested[c];
+	return ldexp((double)ask->root_hash, -64) *
+		   b->recent_requested[ask->class] <=
 	       available;
 }
 
@@ -75,14 +76,14 @@
  * each can save up its part.
  */
 int
-budget_spend(struct budget *b, const struct budget_ask *ask)
+budget_take_retry(struct budget *b, const struct budget_query *ask)
 {
 	double tokens_max =
-	    fmax(1, ask->slack * FLEET_SLACK_SHARE / ask->nodes);
+	    fmax(1, ask->fleet_slack * FLEET_SLACK_SHARE / ask->node_count);
 
 	decay(b, ask->now_ms);
-	tokens_max += b->earned * SAVED_SHARE;
-	b->wanted[ask->class]++;
+	tokens_max += b->recent_earned * SAVED_SHARE;
+	b->recent_requested[ask->class]++;
 	b->tokens = fmin(b->tokens, tokens_max);
 	if (b->tokens < 1 || !is_within_budget(b, ask))
 		return 0;
--- a/src/relay/budget.h
+++ b/src/relay/budget.h
@@ -12,23 +12,24 @@
  */
 
 struct budget {
-	double tokens;			    /* retries available */
-	double earned;			    /* recently allowed, decaying */
-	double wanted[ADMISSION_CLASS_MAX]; /* recently requested, decaying */
-	uint64_t at_ms;
+	double tokens;	      /* retries available */
+	double recent_earned; /* recently allowed, decaying */
+	double recent_requested[ADMISSION_CLASS_MAX]; /* recently requested,
+							 decaying */
+	uint64_t updated_ms;
 };
 
 /* A request for permission to retry. */
-struct budget_ask {
-	uint32_t class;	    /* priority class; 0 is the highest */
-	uint64_t root_hash; /* equal in all calls of one root request */
-	double slack;	    /* retries allowed beyond the ratio, fleet-wide */
-	uint32_t nodes;	    /* nodes that share the slack */
+struct budget_query {
+	uint32_t class;	     /* priority class; 0 is the highest */
+	uint64_t root_hash;  /* equal in all calls of one root request */
+	double fleet_slack;  /* retries allowed beyond the ratio, fleet-wide */
+	uint32_t node_count; /* nodes that share the slack */
 	uint64_t now_ms;
 };
 
 void budget_init(struct budget *);
-void budget_earn(struct budget *, double, uint64_t);
-int budget_spend(struct budget *, const struct budget_ask *);
+void budget_add_request(struct budget *, double, uint64_t);
+int budget_take_retry(struct budget *, const struct budget_query *);
 
 #endif
--- a/src/relay/choice.c
+++ b/src/relay/choice.c
@@ -19,23 +19,24 @@
  * time, or else a server that has recovered would still be avoided.
  */
 double
-choice_failing(const struct choice_health *h, uint64_t now)
+choice_failure_share(const struct choice_health *h, uint64_t now)
 {
-	return h->failing * exp2(-(double)(now - h->at_ms) / HALF_LIFE_MS);
+	return h->failure_share *
+	       exp2(-(double)(now - h->updated_ms) / HALF_LIFE_MS);
 }
 
 /*
  * Records the result of an attempt.
  */
 void
-choice_note(struct choice_health *h, int failed, uint64_t now)
+choice_record_attempt(struct choice_health *h, int failed, uint64_t now)
 {
 	double weight = failed ? FAILURE_WEIGHT : SUCCESS_WEIGHT;
 
-	h->failing = choice_failing(h, now) * (1 - weight);
+	h->failure_share = choice_failure_share(h, now) * (1 - weight);
 	if (failed)
-		h->failing += weight;
-	h->at_ms = now;
+		h->failure_share += weight;
+	h->updated_ms = now;
 }
 
 /*
@@ -47,12 +48,12 @@
 {
 	double cost = c->load + noise * JITTER_COST;
 
-	cost += FAILURE_COST * c->failing;
-	if (!c->near)
+	cost += FAILURE_COST * c->failure_share;
+	if (!c->same_zone)
 		cost += OTHER_ZONE_COST;
-	if (c->cold)
+	if (c->recently_started)
 		cost += COLD_COST;
-	if (c->avoid)
+	if (c->unreachable)
 		cost += UNREACHABLE_COST;
 	return cost;
 }
--- a/src/relay/choice.h
+++ b/src/relay/choice.h
@@ -11,22 +11,22 @@
 
 /* A candidate server. */
 struct choice {
-	double load;	/* outstanding requests per slot */
-	double failing; /* recent share of failed attempts */
-	int handle;	/* of the server's node */
-	int near;	/* in the same zone as this node */
-	int cold;	/* recently started, still slow */
-	int avoid;	/* node was recently unreachable */
+	double load;	      /* outstanding requests per slot */
+	double failure_share; /* recent share of failed attempts */
+	int handle;	      /* of the server's node */
+	int same_zone;	      /* in the same zone as this node */
+	int recently_started; /* recently started, still slow */
+	int unreachable;      /* node was recently unreachable */
 };
 
 /* Failure statistics of a server. */
 struct choice_health {
-	double failing; /* share of failed attempts as of at_ms */
-	uint64_t at_ms;
+	double failure_share; /* share of failed attempts as of at_ms */
+	uint64_t updated_ms;
 };
 
-double choice_failing(const struct choice_health *, uint64_t);
-void choice_note(struct choice_health *, int, uint64_t);
+double choice_failure_share(const struct choice_health *, uint64_t);
+void choice_record_attempt(struct choice_health *, int, uint64_t);
 double choice_cost(const struct choice *, double);
 int choice_best(const struct choice *, size_t, uint64_t);
 
--- a/src/relay/comeback.c
+++ b/src/relay/comeback.c
@@ -12,14 +12,14 @@
 };
 
 /* A slot is usually free after about one run; an overload lasts seconds. */
-static const struct delay_range delay_ranges[COMEBACK_MAX] = {
-	[COMEBACK_FULL] = { 150, 350 },
-	[COMEBACK_THROTTLED] = { 600, 1000 },
-	[COMEBACK_OVER_RATE] = { 300, 700 },
-	[COMEBACK_NO_OWNER] = { 300, 0 },
-	[COMEBACK_NO_CONFIG] = { 300, 0 },
-	[COMEBACK_REFUSED] = { 500, 0 },
-	[COMEBACK_TIMEOUT] = { 200, 0 },
+static const struct delay_range delay_ranges[RETRY_AFTER_MAX] = {
+	[RETRY_AFTER_SERVERS_FULL] = { 150, 350 },
+	[RETRY_AFTER_THROTTLED] = { 600, 1000 },
+	[RETRY_AFTER_OVER_RATE] = { 300, 700 },
+	[RETRY_AFTER_NO_LIMIT_OWNER] = { 300, 0 },
+	[RETRY_AFTER_NO_CONFIG] = { 300, 0 },
+	[RETRY_AFTER_REFUSED] = { 500, 0 },
+	[RETRY_AFTER_TIMEOUT] = { 200, 0 },
 };
 
 /*
@@ -29,7 +29,8 @@
  * fit, and every retry can still meet it.
  */
 uint64_t
-comeback_ms(enum comeback reason, uint64_t target_ms, uint64_t rnd)
+retry_after_delay_ms(
+    enum retry_after_reason reason, uint64_t target_ms, uint64_t rnd)
 {
 	const struct delay_range *r = &delay_ranges[reason];
 	uint64_t delay_ms =
--- a/src/relay/copy.c
+++ b/src/relay/copy.c
@@ -87,7 +87,7 @@
  * not at all if the request fails.
  */
 void
-relay_ask_config(struct relay *r, relay_config_fn done, void *ctx)
+relay_request_config(struct relay *r, relay_config_fn done, void *ctx)
 {
 	static const struct seal_request seal_input = { .method = "GET",
 		.target = COPY_TARGET,
--- a/src/relay/dump.c
+++ b/src/relay/dump.c
@@ -40,7 +40,7 @@
 		    r->config->key_count);
 	h1_text_addf(t, "# requests\nentries %u\nexits %u\nheld bytes %llu\n",
 	    h1_server_busy(&r->entry), h1_server_busy(&r->exit),
-	    (unsigned long long)r->held_bytes);
+	    (unsigned long long)r->buffered_bytes);
 }
 
 /*
@@ -59,7 +59,8 @@
 	    s->slots, limiter_value(&r->core.limiter), r->core.inflight,
 	    r->core.queued);
 	h1_text_addf(t, "run seconds %.4f\nfailing %.3f\n",
-	    profile_run_s(&r->profile), choice_failing(&r->health, now));
+	    profile_mean_run_s(&r->profile),
+	    choice_failure_share(&r->health, now));
 }
 
 /*
@@ -93,8 +94,8 @@
 		    or_dash(p->server.service), or_dash(p->server.id),
 		    p->server.leaving, p->server.running, p->server.waiting,
 		    p->server.slots, p->server.offered,
-		    choice_failing(&l->health, now), l->inflight,
-		    l->avoid_ms > now);
+		    choice_failure_share(&l->health, now), l->inflight,
+		    l->avoid_until_ms > now);
 	}
 }
 
@@ -114,17 +115,17 @@
 		h1_text_addf(t,
 		    "service %s limits=%d offered=%.3f expected=%.3f trim=%.2f "
 		    "slots=%.0f runs_per_s=%.1f",
-		    s->name, s->limits, s->offered, s->expected, s->trim,
-		    s->slots, s->runs_per_s);
+		    s->name, s->is_limiting, s->offered_load, s->expected_load,
+		    s->capacity_factor, s->slots, s->capacity_runs_per_s);
 		for (k = 0; k < THROTTLE_CLASSES; k++)
 			h1_text_addf(t, " share_%u=%.3f asked_per_s_%u=%.1f", k,
-			    s->share[k], k, s->demand[k]);
+			    s->admitted_share[k], k, s->demand[k]);
 		h1_text_addf(t, "\n");
 		for (k = 0; k < s->call_count; k++)
 			h1_text_addf(t, "calls %s to=%s per_run=%.3f\n",
 			    s->name,
 			    r->throttle.services[s->calls[k].service].name,
-			    s->calls[k].per_run);
+			    s->calls[k].calls_per_run);
 	}
 }
 
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -21,7 +21,7 @@
 static struct entry_req *entry_new(struct relay *, struct h1_conn *);
 static const struct config_route *find_route(
     struct relay *, const struct h1_head *);
-static enum entry_end resolve_workspace(
+static enum entry_fail resolve_workspace(
     struct entry_req *, const struct config_route *, const struct h1_head *);
 static void choose_split_service(
     struct entry_req *, const struct config_route *);
@@ -37,21 +37,23 @@
 	const char *reason;
 };
 
-static const struct failure_desc failure_descs[END_MAX] = {
-	[END_NO_CONFIG] = { 503, RELAY_REFUSED, "no-configuration" },
-	[END_NO_ROUTE] = { 404, RELAY_NO_ROUTE, "no-route" },
-	[END_NO_KEY] = { 401, RELAY_NO_KEY, "no-key" },
-	[END_STALE] = { 503, RELAY_STALE, "configuration-stale" },
-	[END_OVER_RATE] = { 429, RELAY_OVER_RATE, "over-rate" },
-	[END_NO_OWNER] = { 503, RELAY_REFUSED, "limit-unknown" },
-	[END_THROTTLED] = { 503, RELAY_THROTTLED, "overload-below" },
-	[END_NO_SERVER] = { 503, RELAY_REFUSED, "no-server" },
-	[END_OVERLOAD] = { 503, RELAY_REFUSED, "overload" },
-	[END_TIMEOUT_UNSENT] = { 503, RELAY_TIMEOUTS, "timeout-not-run" },
-	[END_TIMEOUT] = { 504, RELAY_TIMEOUTS, "timeout" },
-	[END_BROKEN] = { 502, RELAY_FAILED, "broken-exchange" },
-	[END_SUSPECT] = { 503, RELAY_REFUSED, "crashes-servers" },
-	[END_LEAVING] = { 503, RELAY_REFUSED, "node-leaving" },
+static const struct failure_desc failure_descs[ENTRY_FAIL_MAX] = {
+	[ENTRY_FAIL_NO_CONFIG] = { 503, RELAY_REFUSED, "no-configuration" },
+	[ENTRY_FAIL_NO_ROUTE] = { 404, RELAY_NO_ROUTE, "no-route" },
+	[ENTRY_FAIL_NO_KEY] = { 401, RELAY_NO_KEY, "no-key" },
+	[ENTRY_FAIL_STALE_CONFIG] = { 503, RELAY_CONFIG_STALE,
+	    "configuration-stale" },
+	[ENTRY_FAIL_OVER_RATE] = { 429, RELAY_OVER_RATE, "over-rate" },
+	[ENTRY_FAIL_NO_LIMIT_OWNER] = { 503, RELAY_REFUSED, "limit-unknown" },
+	[ENTRY_FAIL_THROTTLED] = { 503, RELAY_THROTTLED, "overload-below" },
+	[ENTRY_FAIL_NO_SERVER] = { 503, RELAY_REFUSED, "no-server" },
+	[ENTRY_FAIL_OVERLOAD] = { 503, RELAY_REFUSED, "overload" },
+	[ENTRY_FAIL_TIMEOUT_UNSENT] = { 503, RELAY_TIMEOUTS,
+	    "timeout-not-run" },
+	[ENTRY_FAIL_TIMEOUT] = { 504, RELAY_TIMEOUTS, "timeout" },
+	[ENTRY_FAIL_BROKEN_EXCHANGE] = { 502, RELAY_FAILED, "broken-exchange" },
+	[ENTRY_FAIL_SUSPECT] = { 503, RELAY_REFUSED, "crashes-servers" },
+	[ENTRY_FAIL_STOPPING] = { 503, RELAY_REFUSED, "node-leaving" },
 };
 
 /*
@@ -67,8 +69,8 @@
 		err(1, "out of memory");
 	e->relay = r;
 	e->conn = conn;
-	e->link = RELAY_NO_LINK;
-	e->began_ms = relay_now(r);
+	e->attempt_node = RELAY_NO_LINK;
+	e->started_ms = relay_now(r);
 	e->next = r->entries;
 	if (e->next != NULL)
 		e->next->prev = e;
@@ -88,15 +90,15 @@
 {
 	struct relay *r = e->relay;
 
-	entry_limit_leave(e);
-	entry_stop_attempt(e);
+	entry_leave_token_queue(e);
+	entry_cancel_attempt(e);
 	if (e->prev != NULL)
 		e->prev->next = e->next;
 	else
 		r->entries = e->next;
 	if (e->next != NULL)
 		e->next->prev = e->prev;
-	r->held_bytes -= e->body_cap;
+	r->buffered_bytes -= e->body_cap;
 	free(e->body);
 	h1_text_finish(&e->fields);
 	h1_text_finish(&e->answer);
@@ -109,7 +111,7 @@
  * as a failure of the server.
  */
 void
-entry_call_ended(struct entry_req *e, int refused, int failed)
+entry_record_call_result(struct entry_req *e, int refused, int failed)
 {
 	struct relay *r = e->relay;
 	struct exit_req *parent = NULL;
@@ -129,11 +131,12 @@
  * for it.
  */
 static int
-is_capacity_failure(const struct entry_req *e, enum entry_end cause)
+is_capacity_failure(const struct entry_req *e, enum entry_fail cause)
 {
-	return cause == END_NO_SERVER ||
-	       (cause == END_OVERLOAD &&
-		   (e->verdict == VERDICT_BUSY || e->verdict == VERDICT_AWAY));
+	return cause == ENTRY_FAIL_NO_SERVER ||
+	       (cause == ENTRY_FAIL_OVERLOAD &&
+		   (e->verdict == VERDICT_OVERLOADED ||
+		       e->verdict == VERDICT_UNAVAILABLE));
 }
 
 /*
@@ -141,7 +144,7 @@
  * tells the caller to retry after retry_after_ms (0: no such field).
  */
 void
-entry_end(struct entry_req *e, enum entry_end cause, uint64_t retry_after_ms)
+entry_fail(struct entry_req *e, enum entry_fail cause, uint64_t retry_after_ms)
 {
 	const struct failure_desc *d = &failure_descs[cause];
 	struct relay *r = e->relay;
@@ -152,14 +155,14 @@
 	unsigned int status = d->status;
 
 	/* A request that may have run can't be reported as refused. */
-	if (e->maybe_run && (status == 503 || status == 429))
+	if (e->may_have_run && (status == 503 || status == 429))
 		status = 502;
-	if (!e->maybe_run)
-		entry_token_back(e);
+	if (!e->may_have_run)
+		entry_return_token(e);
 	if (e->depth > 0)
-		entry_call_ended(e, is_capacity_failure(e, cause), 1);
-	else if (cause == END_OVER_RATE)
-		load_over_rate(r, e->service, e->class);
+		entry_record_call_result(e, is_capacity_failure(e, cause), 1);
+	else if (cause == ENTRY_FAIL_OVER_RATE)
+		load_record_over_rate(r, e->service, e->class);
 	r->counters[d->counter]++;
 	event_log(status == 502 || status == 504 ? EVENT_FAILED : EVENT_REFUSED,
 	    relay_now(r),
@@ -167,11 +170,12 @@
 	    "arrivals=%u class=%u workspace=%s retry_after_ms=%llu "
 	    "config=%llu",
 	    e->id, e->service, status, d->reason,
-	    (unsigned long long)(relay_now(r) - e->began_ms), e->tries,
-	    e->arrivals, e->class, e->ws_name[0] != '\0' ? e->ws_name : "-",
+	    (unsigned long long)(relay_now(r) - e->started_ms),
+	    e->attempt_count, e->arrivals, e->class,
+	    e->ws_name[0] != '\0' ? e->ws_name : "-",
 	    (unsigned long long)retry_after_ms,
 	    (unsigned long long)(r->config != NULL ? r->config->version : 0));
-	if (e->passing) {
+	if (e->answer_started) {
 		entry_finish(e);
 		h1_conn_abort(conn);
 		return;
@@ -217,9 +221,10 @@
 }
 
 /*
- * Finds the workspace of a request by its key.  Returns END_MAX on success.
+ * Finds the workspace of a request by its key.  Returns ENTRY_FAIL_MAX on
+ * success.
  */
-static enum entry_end
+static enum entry_fail
 resolve_workspace(struct entry_req *e, const struct config_route *route,
     const struct h1_head *h)
 {
@@ -229,22 +234,22 @@
 	char key[CONFIG_KEY_MAX + 1];
 
 	if (route->open || r->config->ws_count == 0)
-		return END_MAX;
+		return ENTRY_FAIL_MAX;
 	/* A stale configuration may hold revoked keys or lack new ones. */
-	if (relay_now(r) - r->proved_ms > r->set.fresh_ms)
-		return END_STALE;
+	if (relay_now(r) - r->config_proved_ms > r->set.fresh_ms)
+		return ENTRY_FAIL_STALE_CONFIG;
 	if (h1_head_copy(h, r->set.names.key, key, sizeof(key)) < 1)
-		return END_NO_KEY;
+		return ENTRY_FAIL_NO_KEY;
 	k = config_key_find(r->config, key);
 	if (k == NULL)
-		return END_NO_KEY;
+		return ENTRY_FAIL_NO_KEY;
 	w = &r->config->workspaces[k->ws];
 	snprintf(e->ws_name, sizeof(e->ws_name), "%s", w->name);
-	e->ws = w->hash;
+	e->ws_hash = w->hash;
 	e->limit.rate = w->rate;
 	e->limit.burst = w->burst;
-	e->class = load_class(r, w->priority, route->priority);
-	return END_MAX;
+	e->class = load_find_class(r, w->priority, route->priority);
+	return ENTRY_FAIL_MAX;
 }
 
 /*
@@ -288,7 +293,7 @@
 	id = h1_head_get(h, r->set.names.request_id, &len);
 	if (id != NULL)
 		parent = exit_parent(r, id, len);
-	e->chained = parent != NULL;
+	e->parent_known = parent != NULL;
 	e->depth = parent != NULL ? parent->depth + 1 : 1;
 	e->class = parent != NULL ? parent->class : ADMISSION_CRITICAL;
 	if (parent != NULL)
@@ -303,7 +308,8 @@
 static int
 is_past_stop_limit(const struct relay *r)
 {
-	return r->stopping && relay_now(r) - r->stop_ms > r->set.take_ms;
+	return r->stopping &&
+	       relay_now(r) - r->stop_began_ms > r->set.accept_root_ms;
 }
 
 /*
@@ -317,26 +323,26 @@
 	const struct h1_head *h = h1_conn_head(conn);
 	const struct config_route *route;
 	struct entry_req *e = entry_new(r, conn);
-	enum entry_end cause;
+	enum entry_fail cause;
 	uint64_t remaining_ms;
 
-	relay_id(r, h, e->id);
+	relay_copy_request_id(r, h, e->id);
 	if (r->config == NULL) {
-		entry_end(e, END_NO_CONFIG,
-		    relay_comeback(COMEBACK_NO_CONFIG, e->target_ms));
+		entry_fail(e, ENTRY_FAIL_NO_CONFIG,
+		    relay_retry_after_ms(RETRY_AFTER_NO_CONFIG, e->target_ms));
 		return;
 	}
 	route = find_route(r, h);
 	if (route == NULL) {
-		entry_end(e, END_NO_ROUTE, 0);
+		entry_fail(e, ENTRY_FAIL_NO_ROUTE, 0);
 		return;
 	}
 	e->target_ms = route->target_ms;
-	e->class = load_class(r, 0, route->priority);
+	e->class = load_find_class(r, 0, route->priority);
 	cause = resolve_workspace(e, route, h);
-	if (cause != END_MAX) {
-		entry_end(
-		    e, cause, relay_comeback(COMEBACK_REFUSED, e->target_ms));
+	if (cause != ENTRY_FAIL_MAX) {
+		entry_fail(e, cause,
+		    relay_retry_after_ms(RETRY_AFTER_REFUSED, e->target_ms));
 		return;
 	}
 	e->root_hash = relay_random();
@@ -345,29 +351,30 @@
 	r->counters[e->depth > 0 ? RELAY_CALLS : RELAY_REQUESTS]++;
 	choose_split_service(e, route);
 	if (e->depth > 0) {
-		profile_called(&r->profile, e->service, e->chained);
+		profile_call_started(&r->profile, e->service, e->parent_known);
 	} else if (is_past_stop_limit(r)) {
-		entry_end(e, END_LEAVING,
-		    relay_comeback(COMEBACK_FULL, e->target_ms));
+		entry_fail(e, ENTRY_FAIL_STOPPING,
+		    relay_retry_after_ms(
+			RETRY_AFTER_SERVERS_FULL, e->target_ms));
 		return;
-	} else if (!load_admits(r, e->service, e->class)) {
-		entry_end(e, END_THROTTLED,
-		    relay_comeback(COMEBACK_THROTTLED, e->target_ms));
+	} else if (!load_admit_root(r, e->service, e->class)) {
+		entry_fail(e, ENTRY_FAIL_THROTTLED,
+		    relay_retry_after_ms(RETRY_AFTER_THROTTLED, e->target_ms));
 		return;
 	}
 	e->idempotent = route->idempotent;
 	e->arrivals_max = route->retries + 1;
 	remaining_ms =
 	    h1_head_number(h, r->set.names.deadline_ms, route->deadline_ms);
-	e->deadline_ms = e->began_ms + remaining_ms;
+	e->deadline_ms = e->started_ms + remaining_ms;
 	if (remaining_ms > route->deadline_ms)
 		remaining_ms = route->deadline_ms;
-	e->end_ms = e->began_ms + remaining_ms;
-	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
-	budget_earn(
+	e->answer_by_ms = e->started_ms + remaining_ms;
+	e->content_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
+	budget_add_request(
 	    relay_budget(r, e->service), r->set.retry_ratio, relay_now(r));
-	if (entry_limit(e) == 0)
-		entry_start(e);
+	if (entry_acquire_token(e) == 0)
+		entry_send_attempt(e);
 }
 
 /*
@@ -384,14 +391,14 @@
 		return;
 	if (e->xchg != NULL)
 		entry_forward_body(e, p, n);
-	if (e->body_lost)
+	if (e->body_discarded)
 		return;
 	if (e->body_len + n > BODY_RETAINED_MAX_BYTES ||
-	    r->held_bytes + n > r->set.memory_bytes / BODY_MEMORY_DIVISOR) {
+	    r->buffered_bytes + n > r->set.memory_bytes / BODY_MEMORY_DIVISOR) {
 		/* Too large to retain: the request can't be retried. */
 		if (e->xchg != NULL) {
-			e->body_lost = 1;
-			r->held_bytes -= e->body_cap;
+			e->body_discarded = 1;
+			r->buffered_bytes -= e->body_cap;
 			free(e->body);
 			e->body = NULL;
 			e->body_len = e->body_cap = 0;
@@ -403,7 +410,7 @@
 		cap = e->body_cap == 0 ? 4096 : e->body_cap;
 		while (cap < e->body_len + n)
 			cap *= 2;
-		r->held_bytes += cap - e->body_cap;
+		r->buffered_bytes += cap - e->body_cap;
 		e->body = realloc(e->body, cap);
 		if (e->body == NULL)
 			err(1, "out of memory");
@@ -424,7 +431,7 @@
 	(void)ctx;
 	if (e == NULL)
 		return;
-	e->body_in = 1;
+	e->body_complete = 1;
 	if (e->xchg != NULL)
 		h1_send_end(e->xchg);
 }
@@ -440,12 +447,12 @@
 
 	if (e == NULL)
 		return;
-	r->counters[RELAY_GONE]++;
+	r->counters[RELAY_CALLER_DISCONNECTED]++;
 	event_log(EVENT_CALLER_GONE, relay_now(r),
 	    "id=%s service=%s age_ms=%llu state=%d", e->id, e->service,
-	    (unsigned long long)(relay_now(r) - e->began_ms), (int)e->state);
-	if (!e->maybe_run && e->xchg == NULL)
-		entry_token_back(e);
+	    (unsigned long long)(relay_now(r) - e->started_ms), (int)e->state);
+	if (!e->may_have_run && e->xchg == NULL)
+		entry_return_token(e);
 	entry_finish(e);
 }
 
@@ -466,22 +473,25 @@
  * Ends requests that have run out of time.
  */
 void
-entry_tick(struct relay *r)
+entry_fail_overdue(struct relay *r)
 {
 	struct entry_req *e, *next;
 	uint64_t now = relay_now(r);
 
 	for (e = r->entries; e != NULL; e = next) {
 		next = e->next;
-		if (e->passing)
+		if (e->answer_started)
 			continue;
-		if (e->xchg != NULL && now >= e->end_ms + TIMEOUT_GRACE_MS)
-			entry_silent(e);
-		if (now >= e->end_ms + (e->xchg != NULL ? TIMEOUT_GRACE_MS : 0))
-			entry_end(e,
-			    e->maybe_run || e->xchg != NULL
-				? END_TIMEOUT
-				: END_TIMEOUT_UNSENT,
-			    relay_comeback(COMEBACK_TIMEOUT, e->target_ms));
+		if (e->xchg != NULL &&
+		    now >= e->answer_by_ms + TIMEOUT_GRACE_MS)
+			entry_close_idle(e);
+		if (now >=
+		    e->answer_by_ms + (e->xchg != NULL ? TIMEOUT_GRACE_MS : 0))
+			entry_fail(e,
+			    e->may_have_run || e->xchg != NULL
+				? ENTRY_FAIL_TIMEOUT
+				: ENTRY_FAIL_TIMEOUT_UNSENT,
+			    relay_retry_after_ms(
+				RETRY_AFTER_TIMEOUT, e->target_ms));
 	}
 }
--- a/src/relay/entry_limit.c
+++ b/src/relay/entry_limit.c
@@ -47,7 +47,7 @@
  * proceed now, 1 if it waits for a token or has ended.
  */
 int
-entry_limit(struct entry_req *e)
+entry_acquire_token(struct entry_req *e)
 {
 	struct relay *r = e->relay;
 	struct relay_limit *l;
@@ -55,26 +55,26 @@
 
 	if (e->ws_name[0] == '\0' || e->limit.rate <= 0)
 		return 0;
-	l = get_limit(r, e->ws);
-	switch (quota_take(&l->stock, relay_now(r))) {
-	case QUOTA_TAKEN:
-		e->took_token = 1;
+	l = get_limit(r, e->ws_hash);
+	switch (quota_acquire(&l->stock, relay_now(r))) {
+	case QUOTA_ACQUIRED:
+		e->has_token = 1;
 		return 0;
-	case QUOTA_OVER:
-		entry_end(e, END_OVER_RATE,
-		    relay_comeback(COMEBACK_OVER_RATE, e->target_ms));
+	case QUOTA_EXHAUSTED:
+		entry_fail(e, ENTRY_FAIL_OVER_RATE,
+		    relay_retry_after_ms(RETRY_AFTER_OVER_RATE, e->target_ms));
 		return 1;
-	case QUOTA_ASK:
+	case QUOTA_ASK_OWNER:
 	case QUOTA_VERDICT_MAX:
 		break;
 	}
-	e->state = ENTRY_TOKEN;
+	e->state = ENTRY_WAITING_TOKEN;
 	for (link = &l->waiting; *link != NULL; link = &(*link)->next_waiting)
 		;
 	*link = e;
 	e->next_waiting = NULL;
 	l->waiting_count++;
-	if (l->stock.ask_id == 0)
+	if (l->stock.token_request_id == 0)
 		request_tokens(r, l);
 	return 1;
 }
@@ -83,14 +83,14 @@
  * Removes a request from the queue for tokens.
  */
 void
-entry_limit_leave(struct entry_req *e)
+entry_leave_token_queue(struct entry_req *e)
 {
 	struct relay_limit *l;
 	struct entry_req **link;
 
-	if (e->state != ENTRY_TOKEN)
+	if (e->state != ENTRY_WAITING_TOKEN)
 		return;
-	l = get_limit(e->relay, e->ws);
+	l = get_limit(e->relay, e->ws_hash);
 	for (link = &l->waiting; *link != NULL; link = &(*link)->next_waiting) {
 		if (*link != e)
 			continue;
@@ -105,12 +105,13 @@
  * Returns the token of a request that didn't run.
  */
 void
-entry_token_back(struct entry_req *e)
+entry_return_token(struct entry_req *e)
 {
-	if (!e->took_token)
+	if (!e->has_token)
 		return;
-	e->took_token = 0;
-	quota_return(&get_limit(e->relay, e->ws)->stock, relay_now(e->relay));
+	e->has_token = 0;
+	quota_return_token(
+	    &get_limit(e->relay, e->ws_hash)->stock, relay_now(e->relay));
 }
 
 /*
@@ -125,7 +126,7 @@
 		return NULL;
 	l->waiting = e->next_waiting;
 	l->waiting_count--;
-	e->state = ENTRY_SENT;
+	e->state = ENTRY_ATTEMPTING;
 	return e;
 }
 
@@ -145,14 +146,14 @@
 	i = r->config == NULL ? -1 : config_ws_find(r->config, ws);
 	if (i < 0 || r->stopping ||
 	    fleet_owner(&r->fleet, ws, now) != FLEET_SELF) {
-		quota_owner_drop(&r->owner, ws);
+		quota_owner_drop_bucket(&r->owner, ws);
 		return g;
 	}
 	limit.rate = r->config->workspaces[i].rate;
 	limit.burst = r->config->workspaces[i].burst;
-	g = quota_owner_lend(
+	g = quota_owner_grant_tokens(
 	    &r->owner, ws, &limit, id, need, want, r->fleet.turned_ms, now);
-	if (g.fresh)
+	if (g.is_new_bucket)
 		event_log(EVENT_LIMIT_OWNED, now,
 		    "workspace=%s rate=%.1f burst=%u nodes_changed_ms=%llu",
 		    r->config->workspaces[i].name, limit.rate, limit.burst,
@@ -171,7 +172,7 @@
 	uint32_t need, want;
 	int owner;
 
-	quota_want(&l->stock, l->waiting_count, &need, &want);
+	quota_size_request(&l->stock, l->waiting_count, &need, &want);
 	owner = fleet_owner(&r->fleet, l->ws, relay_now(r));
 	if (owner == FLEET_SELF && r->stopping)
 		owner = fleet_successor(&r->fleet, l->ws);
@@ -179,19 +180,20 @@
 		use_reserve(r, l);
 		return;
 	}
-	if (l->stock.ask_id == 0)
-		l->stock.ask_id = relay_random() | 1;
-	l->stock.asked_ms = relay_now(r);
-	l->stock.asks++;
+	if (l->stock.token_request_id == 0)
+		l->stock.token_request_id = relay_random() | 1;
+	l->stock.token_requested_ms = relay_now(r);
+	l->stock.request_sends++;
 	if (owner == FLEET_SELF) {
-		g = grant_tokens(r, l->ws, l->stock.ask_id, need, want);
+		g = grant_tokens(
+		    r, l->ws, l->stock.token_request_id, need, want);
 		apply_grant(r, l, &g);
 		return;
 	}
 	memset(&m, 0, sizeof(m));
 	m.kind = FLEET_ASK;
 	m.fleet_msg_u.ask.workspace = l->ws;
-	m.fleet_msg_u.ask.id = l->stock.ask_id;
+	m.fleet_msg_u.ask.id = l->stock.token_request_id;
 	m.fleet_msg_u.ask.need = need;
 	m.fleet_msg_u.ask.want = want;
 	fleet_send(&r->net, &m, r->fleet.peers[owner].address);
@@ -208,28 +210,28 @@
 	struct entry_req *e;
 	uint64_t ws = l->ws;
 
-	quota_receive(&l->stock, g, relay_now(r));
-	if (!g->owner) {
+	quota_accept_grant(&l->stock, g, relay_now(r));
+	if (!g->is_owner) {
 		use_reserve(r, l);
 		return;
 	}
 	while (l->waiting != NULL && l->stock.tokens > 0) {
 		l->stock.tokens--;
 		e = dequeue_request(l);
-		e->took_token = 1;
-		entry_start(e);
+		e->has_token = 1;
+		entry_send_attempt(e);
 		l = get_limit(r, ws);
 	}
 	if (l->waiting == NULL)
 		return;
 	if (g->tokens > 0) {
-		if (l->stock.ask_id == 0)
+		if (l->stock.token_request_id == 0)
 			request_tokens(r, l);
 		return;
 	}
 	while ((e = dequeue_request(l)) != NULL) {
-		entry_end(e, END_OVER_RATE,
-		    relay_comeback(COMEBACK_OVER_RATE, e->target_ms));
+		entry_fail(e, ENTRY_FAIL_OVER_RATE,
+		    relay_retry_after_ms(RETRY_AFTER_OVER_RATE, e->target_ms));
 		l = get_limit(r, ws);
 	}
 }
@@ -243,16 +245,17 @@
 	struct entry_req *e;
 	uint64_t ws = l->ws;
 
-	l->stock.ask_id = 0;
-	l->stock.asks = 0;
+	l->stock.token_request_id = 0;
+	l->stock.request_sends = 0;
 	while ((e = dequeue_request(l)) != NULL) {
-		if (quota_reserve(&l->stock, &e->limit, r->set.quota_share,
-			r->set.quota_constant, fleet_size(&r->fleet),
-			relay_now(r)))
-			entry_start(e);
+		if (quota_acquire_reserve(&l->stock, &e->limit,
+			r->set.quota_share, r->set.quota_constant,
+			fleet_size(&r->fleet), relay_now(r)))
+			entry_send_attempt(e);
 		else
-			entry_end(e, END_NO_OWNER,
-			    relay_comeback(COMEBACK_NO_OWNER, e->target_ms));
+			entry_fail(e, ENTRY_FAIL_NO_LIMIT_OWNER,
+			    relay_retry_after_ms(
+				RETRY_AFTER_NO_LIMIT_OWNER, e->target_ms));
 		l = get_limit(r, ws);
 	}
 }
@@ -261,17 +264,18 @@
  * Repeats unanswered token requests; uses the reserve after too many.
  */
 void
-entry_limit_tick(struct relay *r)
+entry_retry_token_requests(struct relay *r)
 {
 	struct relay_limit *l;
 	size_t i;
 
 	for (i = 0; i < r->limit_count; i++) {
 		l = &r->limits[i];
-		if (l->stock.ask_id == 0 ||
-		    relay_now(r) - l->stock.asked_ms < REPLY_TIMEOUT_MS)
+		if (l->stock.token_request_id == 0 ||
+		    relay_now(r) - l->stock.token_requested_ms <
+			REPLY_TIMEOUT_MS)
 			continue;
-		if (l->stock.asks < REQUESTS_MAX)
+		if (l->stock.request_sends < REQUESTS_MAX)
 			request_tokens(r, l);
 		else
 			use_reserve(r, l);
@@ -283,7 +287,7 @@
  * those can grant tokens at once.  This node grants no more tokens.
  */
 void
-relay_hand_over(struct relay *r)
+relay_transfer_buckets(struct relay *r)
 {
 	struct quota_bucket *b;
 	struct fleet_msg m;
@@ -292,7 +296,7 @@
 	int next;
 
 	for (i = 0; i < r->owner.count; i++) {
-		b = &r->owner.list[i];
+		b = &r->owner.owned_buckets[i];
 		if (b->ws == 0)
 			continue;
 		next = fleet_successor(&r->fleet, b->ws);
@@ -303,7 +307,7 @@
 		m.fleet_msg_u.bucket.level = bucket_level(&b->bucket);
 		if (next >= 0)
 			fleet_send(&r->net, &m, r->fleet.peers[next].address);
-		quota_owner_drop(&r->owner, b->ws);
+		quota_owner_drop_bucket(&r->owner, b->ws);
 	}
 }
 
@@ -311,7 +315,7 @@
  * Accepts a bucket from a node that is stopping.
  */
 void
-relay_on_bucket(void *ctx, const struct fleet_bucket *m)
+relay_on_bucket_transfer(void *ctx, const struct fleet_bucket *m)
 {
 	struct relay *r = ctx;
 	struct quota_limit limit;
@@ -322,7 +326,7 @@
 		return;
 	limit.rate = r->config->workspaces[i].rate;
 	limit.burst = r->config->workspaces[i].burst;
-	quota_owner_inherit(
+	quota_owner_adopt_bucket(
 	    &r->owner, m->workspace, &limit, m->level, relay_now(r));
 }
 
@@ -330,7 +334,7 @@
  * Answers another node's token request.
  */
 void
-relay_on_ask(
+relay_on_token_request(
     void *ctx, const struct fleet_ask *a, const struct sockaddr_in *from)
 {
 	struct relay *r = ctx;
@@ -343,7 +347,7 @@
 	m.fleet_msg_u.give.workspace = a->workspace;
 	m.fleet_msg_u.give.id = a->id;
 	m.fleet_msg_u.give.tokens = g.tokens;
-	m.fleet_msg_u.give.owner = (unsigned int)g.owner;
+	m.fleet_msg_u.give.owner = (unsigned int)g.is_owner;
 	m.fleet_msg_u.give.wait_ms = g.wait_ms;
 	fleet_send(&r->net, &m, ntohl(from->sin_addr.s_addr));
 }
@@ -352,12 +356,12 @@
  * Applies the owner's answer.  A late or duplicate answer is ignored.
  */
 void
-relay_on_give(void *ctx, const struct fleet_give *a)
+relay_on_token_grant(void *ctx, const struct fleet_give *a)
 {
 	struct relay *r = ctx;
 	struct relay_limit *l = get_limit(r, a->workspace);
 	struct quota_grant g = { a->tokens, a->wait_ms, (int)a->owner, 0 };
 
-	if (l->stock.ask_id == a->id)
+	if (l->stock.token_request_id == a->id)
 		apply_grant(r, l, &g);
 }
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -34,7 +34,7 @@
  * if there is none.
  */
 int
-entry_pick(struct entry_req *e)
+entry_choose_node(struct entry_req *e)
 {
 	struct choice list[CANDIDATES_MAX];
 	struct relay *r = e->relay;
@@ -47,10 +47,10 @@
 	int h, best, count = (int)r->fleet.count;
 
 	for (h = FLEET_SELF; h < count && n < CANDIDATES_MAX; h++) {
-		for (i = 0; i < e->tries && i < RELAY_TRIED_MAX; i++)
-			if (e->tried[i] == h)
+		for (i = 0; i < e->attempt_count && i < RELAY_TRIED_MAX; i++)
+			if (e->tried_nodes[i] == h)
 				break;
-		if (i < e->tries && i < RELAY_TRIED_MAX)
+		if (i < e->attempt_count && i < RELAY_TRIED_MAX)
 			continue;
 		c = &list[n];
 		memset(c, 0, sizeof(*c));
@@ -62,8 +62,8 @@
 				continue;
 			slots = limiter_value(&r->core.limiter);
 			outstanding = r->core.inflight + r->core.queued;
-			c->near = 1;
-			c->cold = r->server.cold_until_ms > now;
+			c->same_zone = 1;
+			c->recently_started = r->server.cold_until_ms > now;
 			l = relay_link(r, h);
 		} else {
 			p = &r->fleet.peers[h];
@@ -74,19 +74,20 @@
 			l = relay_link(r, h);
 			slots = p->server.slots;
 			outstanding = p->server.running + p->server.waiting;
-			if (l->told_ms > p->heard_ms) {
+			if (l->load_reported_ms > p->heard_ms) {
 				slots = l->slots;
 				outstanding = l->running + l->waiting;
 			}
-			outstanding += l->sent_since;
+			outstanding += l->sent_since_report;
 			if (outstanding < l->inflight)
 				outstanding = l->inflight;
-			c->near = strcmp(p->zone, r->set.zone) == 0;
-			c->cold = p->server.cold_until_ms > now;
-			c->avoid = !fleet_alive(&r->fleet, (size_t)h, now);
+			c->same_zone = strcmp(p->zone, r->set.zone) == 0;
+			c->recently_started = p->server.cold_until_ms > now;
+			c->unreachable =
+			    !fleet_alive(&r->fleet, (size_t)h, now);
 		}
-		c->avoid |= l->avoid_ms > now;
-		c->failing = choice_failing(&l->health, now);
+		c->unreachable |= l->avoid_until_ms > now;
+		c->failure_share = choice_failure_share(&l->health, now);
 		c->load = slots > 0 ? (double)outstanding / slots : 2;
 		n++;
 	}
@@ -105,12 +106,13 @@
 	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX];
 
 	snprintf(hop, sizeof(hop), "%llu %u %u %llu %d %s %s %s",
-	    (unsigned long long)(e->end_ms > now ? e->end_ms - now : 1),
+	    (unsigned long long)(e->answer_by_ms > now ? e->answer_by_ms - now
+						       : 1),
 	    e->class, e->depth, (unsigned long long)e->root_hash, e->idempotent,
 	    e->service, e->relay->set.service,
 	    e->ws_name[0] != '\0' ? e->ws_name : "-");
 	h1_text_field(t, RELAY_HOP, hop);
-	sealed_parts(e->relay, e->conn, hop, &parts);
+	sealed_request_parts(e->relay, e->conn, hop, &parts);
 	seal_request(&e->relay->seal, &parts, hex);
 	if (hex[0] != '\0')
 		h1_text_field(t, RELAY_SEAL, hex);
@@ -122,22 +124,22 @@
 static void
 compose_request(struct entry_req *e, struct h1_text *t)
 {
-	const struct relay_names *names = &e->relay->set.names;
+	const struct relay_header_names *names = &e->relay->set.names;
 	const struct h1_head *h = h1_conn_head(e->conn);
 	const char *const skip[] = { names->key, names->deadline_ms,
-		names->workspace, names->caller, names->expect, RELAY_HOP,
-		RELAY_EXIT, RELAY_SEAL, NULL };
+		names->workspace, names->caller, names->expected_instance,
+		RELAY_HOP, RELAY_EXIT, RELAY_SEAL, NULL };
 
 	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
 	h1_text_add(t, h->buf + h->target, h->target_len);
 	h1_text_add(t, " HTTP/1.1\r\n", 11);
 	h1_text_forward(t, h, skip);
 	add_hop(e, t);
-	if (e->body_length == H1_LENGTH_CHUNKED)
+	if (e->content_length == H1_LENGTH_CHUNKED)
 		h1_text_field(t, "Transfer-Encoding", "chunked");
-	else if (e->body_length > 0 || h1_conn_length(e->conn) > 0)
+	else if (e->content_length > 0 || h1_conn_length(e->conn) > 0)
 		h1_text_addf(t, "Content-Length: %llu\r\n",
-		    (unsigned long long)e->body_length);
+		    (unsigned long long)e->content_length);
 	h1_text_add(t, "\r\n", 2);
 }
 
@@ -145,40 +147,43 @@
  * Sends a request to a node.  Ends the request if no node is left.
  */
 void
-entry_start(struct entry_req *e)
+entry_send_attempt(struct entry_req *e)
 {
 	struct relay *r = e->relay;
 	struct relay_link *l;
 	struct h1_text t;
-	int h = entry_pick(e);
+	int h = entry_choose_node(e);
 
 	if (h == RELAY_NO_LINK) {
-		entry_end(e, e->tries > 0 ? END_OVERLOAD : END_NO_SERVER,
-		    relay_comeback(COMEBACK_FULL, e->target_ms));
+		entry_fail(e,
+		    e->attempt_count > 0 ? ENTRY_FAIL_OVERLOAD
+					 : ENTRY_FAIL_NO_SERVER,
+		    relay_retry_after_ms(
+			RETRY_AFTER_SERVERS_FULL, e->target_ms));
 		return;
 	}
-	e->state = ENTRY_SENT;
-	if (e->tries < RELAY_TRIED_MAX)
-		e->tried[e->tries] = h;
-	e->tries++;
-	e->link = h;
+	e->state = ENTRY_ATTEMPTING;
+	if (e->attempt_count < RELAY_TRIED_MAX)
+		e->tried_nodes[e->attempt_count] = h;
+	e->attempt_count++;
+	e->attempt_node = h;
 	e->verdict = VERDICT_UNKNOWN;
 	l = relay_link(r, h);
 	l->inflight++;
-	l->sent_since++;
+	l->sent_since_report++;
 	h1_text_init(&t);
 	compose_request(e, &t);
-	if (e->body_len > 0 && e->body_length != H1_LENGTH_CHUNKED) {
+	if (e->body_len > 0 && e->content_length != H1_LENGTH_CHUNKED) {
 		h1_text_add(&t, e->body, e->body_len);
 	}
-	e->xchg = h1_send(l->pool, &t, e->body_length,
+	e->xchg = h1_send(l->pool, &t, e->content_length,
 	    strcmp(h1_conn_method(e->conn), "HEAD") == 0,
 	    e->idempotent ? IDLE_UNLIMITED_MS : IDLE_NON_IDEMPOTENT_MS,
 	    &attempt_ops, e);
 	h1_text_finish(&t);
-	if (e->body_len > 0 && e->body_length == H1_LENGTH_CHUNKED)
+	if (e->body_len > 0 && e->content_length == H1_LENGTH_CHUNKED)
 		h1_send_body(e->xchg, e->body, e->body_len);
-	if (e->body_in)
+	if (e->body_complete)
 		h1_send_end(e->xchg);
 	h1_conn_resume(e->conn);
 }
@@ -215,12 +220,12 @@
 {
 	struct relay_link *l;
 
-	if (e->link == RELAY_NO_LINK)
+	if (e->attempt_node == RELAY_NO_LINK)
 		return;
-	l = relay_link(e->relay, e->link);
+	l = relay_link(e->relay, e->attempt_node);
 	l->inflight--;
-	choice_note(&l->health, failed, relay_now(e->relay));
-	e->link = RELAY_NO_LINK;
+	choice_record_attempt(&l->health, failed, relay_now(e->relay));
+	e->attempt_node = RELAY_NO_LINK;
 	e->xchg = NULL;
 }
 
@@ -228,7 +233,7 @@
  * Cancels the current attempt.
  */
 void
-entry_stop_attempt(struct entry_req *e)
+entry_cancel_attempt(struct entry_req *e)
 {
 	struct h1_xchg *x = e->xchg;
 
@@ -243,10 +248,10 @@
  * be dead without a reset, like the one of the attempt.
  */
 void
-entry_silent(struct entry_req *e)
+entry_close_idle(struct entry_req *e)
 {
-	if (e->link != RELAY_NO_LINK)
-		h1_pool_trim(relay_link(e->relay, e->link)->pool, 0);
+	if (e->attempt_node != RELAY_NO_LINK)
+		h1_pool_trim(relay_link(e->relay, e->attempt_node)->pool, 0);
 }
 
 /*
@@ -268,7 +273,8 @@
 			if (h1_name_is(text, strcspn(text, " "),
 				relay_verdict_names[i]))
 				e->verdict = (enum relay_verdict)i;
-		e->call_failed = relay_told(e->relay, e->link, text);
+		e->call_failed =
+		    relay_apply_exit_header(e->relay, e->attempt_node, text);
 	}
 	e->status = h1_xchg_status(x);
 	e->answer_length = h1_xchg_length(x);
@@ -284,8 +290,8 @@
 static void
 start_streaming(struct entry_req *e)
 {
-	e->passing = 1;
-	e->state = ENTRY_ANSWER;
+	e->answer_started = 1;
+	e->state = ENTRY_ANSWERING;
 	h1_answer_head(e->conn, e->status, &e->fields, e->answer_length);
 	h1_answer_body(e->conn, e->answer.p, e->answer.len);
 	h1_text_finish(&e->answer);
@@ -302,11 +308,11 @@
 
 	if (e->verdict != VERDICT_RAN)
 		return;
-	if (!e->passing && e->answer.len + n <= ANSWER_BUFFER_BYTES) {
+	if (!e->answer_started && e->answer.len + n <= ANSWER_BUFFER_BYTES) {
 		h1_text_add(&e->answer, p, n);
 		return;
 	}
-	if (!e->passing)
+	if (!e->answer_started)
 		start_streaming(e);
 	h1_answer_body(e->conn, p, n);
 	if (h1_conn_queued(e->conn) > H1_QUEUE_HIGH)
@@ -321,18 +327,18 @@
 acquire_retry(struct entry_req *e)
 {
 	struct relay *r = e->relay;
-	struct budget_ask ask = {
+	struct budget_query ask = {
 		.class = e->class,
 		.root_hash = e->root_hash,
-		.slack = r->set.retry_slack,
-		.nodes = fleet_size(&r->fleet),
+		.fleet_slack = r->set.retry_slack,
+		.node_count = fleet_size(&r->fleet),
 		.now_ms = relay_now(r),
 	};
 
 	if (e->arrivals >= e->arrivals_max ||
-	    ask.now_ms + RETRY_TIME_MIN_MS > e->end_ms)
+	    ask.now_ms + RETRY_TIME_MIN_MS > e->answer_by_ms)
 		return 0;
-	return budget_spend(relay_budget(r, e->service), &ask);
+	return budget_take_retry(relay_budget(r, e->service), &ask);
 }
 
 /*
@@ -346,9 +352,9 @@
 	r->counters[RELAY_RETRIES]++;
 	event_log(EVENT_REPEATED, relay_now(r),
 	    "id=%s service=%s verdict=%s tries=%u arrivals=%u maybe_run=%d",
-	    e->id, e->service, relay_verdict_names[e->verdict], e->tries,
-	    e->arrivals, e->maybe_run);
-	entry_start(e);
+	    e->id, e->service, relay_verdict_names[e->verdict],
+	    e->attempt_count, e->arrivals, e->may_have_run);
+	entry_send_attempt(e);
 }
 
 /*
@@ -365,15 +371,15 @@
 
 	(void)x;
 	record_attempt(e, e->verdict == VERDICT_UNKNOWN ||
-			      e->verdict == VERDICT_AWAY ||
-			      e->verdict == VERDICT_TURNED ||
+			      e->verdict == VERDICT_UNAVAILABLE ||
+			      e->verdict == VERDICT_REJECTED ||
 			      (e->verdict == VERDICT_RAN && e->status >= 500 &&
 				  !e->call_failed));
 	switch (e->verdict) {
 	case VERDICT_RAN:
-		latency_add(&r->answered, now - e->began_ms);
+		latency_add(&r->entry_latency, now - e->started_ms);
 		if (e->depth > 0)
-			entry_call_ended(e, 0, e->status >= 400);
+			entry_record_call_result(e, 0, e->status >= 400);
 		r->counters[e->status < 500 ? RELAY_SERVED : RELAY_FAILED]++;
 		if (e->status >= 500)
 			event_log(EVENT_FAILED, now,
@@ -381,10 +387,11 @@
 			    "age_ms=%llu tries=%u",
 			    e->id, e->service, e->status,
 			    e->call_failed ? "call-failed" : "server",
-			    (unsigned long long)(now - e->began_ms), e->tries);
-		if (!e->passing)
+			    (unsigned long long)(now - e->started_ms),
+			    e->attempt_count);
+		if (!e->answer_started)
 			h1_conn_set_user(conn, NULL);
-		if (e->passing)
+		if (e->answer_started)
 			h1_answer_end(conn);
 		else
 			h1_answer(conn, e->status, &e->fields, e->answer.p,
@@ -392,36 +399,38 @@
 		h1_conn_resume(conn);
 		entry_finish(e);
 		return;
-	case VERDICT_TURNED:
+	case VERDICT_REJECTED:
 		e->arrivals++;
-		if (!e->body_lost && acquire_retry(e))
+		if (!e->body_discarded && acquire_retry(e))
 			retry(e);
 		else
-			entry_end(e, END_OVERLOAD,
-			    relay_comeback(COMEBACK_FULL, e->target_ms));
+			entry_fail(e, ENTRY_FAIL_OVERLOAD,
+			    relay_retry_after_ms(
+				RETRY_AFTER_SERVERS_FULL, e->target_ms));
 		return;
-	case VERDICT_BUSY:
-	case VERDICT_AWAY:
-		if (e->tries < ATTEMPTS_MAX && !e->body_lost &&
-		    now + RETRY_TIME_MIN_MS < e->end_ms)
+	case VERDICT_OVERLOADED:
+	case VERDICT_UNAVAILABLE:
+		if (e->attempt_count < ATTEMPTS_MAX && !e->body_discarded &&
+		    now + RETRY_TIME_MIN_MS < e->answer_by_ms)
 			retry(e);
 		else
-			entry_end(e, END_OVERLOAD,
-			    relay_comeback(COMEBACK_FULL, e->target_ms));
+			entry_fail(e, ENTRY_FAIL_OVERLOAD,
+			    relay_retry_after_ms(
+				RETRY_AFTER_SERVERS_FULL, e->target_ms));
 		return;
 	case VERDICT_SUSPECT:
-		entry_end(e, END_SUSPECT, 0);
+		entry_fail(e, ENTRY_FAIL_SUSPECT, 0);
 		return;
 	case VERDICT_UNKNOWN:
 	case VERDICT_MAX:
 		break;
 	}
 	e->arrivals++;
-	e->maybe_run = 1;
-	if (e->idempotent && !e->body_lost && acquire_retry(e))
+	e->may_have_run = 1;
+	if (e->idempotent && !e->body_discarded && acquire_retry(e))
 		retry(e);
 	else
-		entry_end(e, END_BROKEN, 0);
+		entry_fail(e, ENTRY_FAIL_BROKEN_EXCHANGE, 0);
 }
 
 /*
@@ -432,31 +441,35 @@
 {
 	struct entry_req *e = ctx;
 	struct relay *r = e->relay;
-	struct relay_link *l = relay_link(r, e->link);
+	struct relay_link *l = relay_link(r, e->attempt_node);
 	uint64_t avoid_for_ms, now = relay_now(r);
 
 	(void)x;
 	if (failure == H1_NOT_SENT) {
-		avoid_for_ms = (uint64_t)AVOID_MIN_MS
-			       << (l->avoid_run < 4 ? l->avoid_run : 4);
-		l->avoid_ms =
+		avoid_for_ms =
+		    (uint64_t)AVOID_MIN_MS
+		    << (l->connect_failure_run < 4 ? l->connect_failure_run
+						   : 4);
+		l->avoid_until_ms =
 		    now +
 		    (avoid_for_ms < AVOID_MAX_MS ? avoid_for_ms : AVOID_MAX_MS);
-		l->avoid_run++;
+		l->connect_failure_run++;
 		record_attempt(e, 0);
-		if (e->tries < ATTEMPTS_MAX && !e->body_lost &&
-		    now + RETRY_TIME_MIN_MS < e->end_ms)
+		if (e->attempt_count < ATTEMPTS_MAX && !e->body_discarded &&
+		    now + RETRY_TIME_MIN_MS < e->answer_by_ms)
 			retry(e);
 		else
-			entry_end(e, END_NO_SERVER,
-			    relay_comeback(COMEBACK_FULL, e->target_ms));
+			entry_fail(e, ENTRY_FAIL_NO_SERVER,
+			    relay_retry_after_ms(
+				RETRY_AFTER_SERVERS_FULL, e->target_ms));
 		return;
 	}
 	record_attempt(e, 1);
 	e->arrivals++;
-	e->maybe_run = 1;
-	if (!e->passing && e->idempotent && !e->body_lost && acquire_retry(e))
+	e->may_have_run = 1;
+	if (!e->answer_started && e->idempotent && !e->body_discarded &&
+	    acquire_retry(e))
 		retry(e);
 	else
-		entry_end(e, END_BROKEN, 0);
+		entry_fail(e, ENTRY_FAIL_BROKEN_EXCHANGE, 0);
 }
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -66,7 +66,7 @@
 		r->exits = e->next;
 	if (e->next != NULL)
 		e->next->prev = e->prev;
-	r->held_bytes -= e->body.cap;
+	r->buffered_bytes -= e->body.cap;
 	h1_text_finish(&e->body);
 	h1_text_finish(&e->fields);
 	h1_text_finish(&e->answer);
@@ -140,8 +140,8 @@
 
 	if (!sealed_verify(r, conn)) {
 		e = exit_new(r, conn);
-		relay_id(r, h, e->id);
-		exit_refuse(e, VERDICT_AWAY, "unsealed");
+		relay_copy_request_id(r, h, e->id);
+		exit_refuse(e, VERDICT_UNAVAILABLE, "unsealed");
 		return;
 	}
 	if (copy_is_request(conn)) {
@@ -150,7 +150,7 @@
 	}
 	e = exit_new(r, conn);
 	r->counters[RELAY_EXIT_REQUESTS]++;
-	relay_id(r, h, e->id);
+	relay_copy_request_id(r, h, e->id);
 	e->full_id = h1_head_get(h, r->set.names.request_id, &e->full_id_len);
 	if (read_hop(e, h, service, &req) == -1) {
 		exit_free(e);
@@ -161,7 +161,8 @@
 	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
 	if (s->id[0] == '\0' || s->leaving || s->down_until_ms > relay_now(r) ||
 	    strcmp(service, s->service) != 0) {
-		exit_refuse(e, VERDICT_AWAY, s->leaving ? "leaving" : "absent");
+		exit_refuse(
+		    e, VERDICT_UNAVAILABLE, s->leaving ? "leaving" : "absent");
 		return;
 	}
 	suspect_fingerprint(e);
@@ -172,13 +173,13 @@
 	}
 	if (state == QUARANTINE_STRUCK) {
 		if (r->solo_running > 0) {
-			exit_refuse(e, VERDICT_BUSY, "struck");
+			exit_refuse(e, VERDICT_OVERLOADED, "struck");
 			return;
 		}
 		e->solo = 1;
 		r->solo_running++;
 	}
-	load_tick(r);
+	load_update(r);
 	verdict = core_offer(
 	    &r->core, &req, &e->waiter, &displaced, relay_now(r) * US_PER_MS);
 	if (verdict == ADMISSION_RUN) {
@@ -186,15 +187,15 @@
 	} else if (verdict == ADMISSION_WAIT) {
 		e->waiting = 1;
 	} else {
-		load_shed(r);
-		exit_refuse(e, VERDICT_BUSY,
+		load_record_refusal(r);
+		exit_refuse(e, VERDICT_OVERLOADED,
 		    verdict == ADMISSION_DEADLINE ? "deadline" : "overload");
 	}
 	if (displaced != NULL) {
-		load_shed(r);
+		load_record_refusal(r);
 		waiter_request(displaced)->waiting = 0;
 		exit_refuse(
-		    waiter_request(displaced), VERDICT_BUSY, "displaced");
+		    waiter_request(displaced), VERDICT_OVERLOADED, "displaced");
 	}
 }
 
@@ -230,12 +231,12 @@
 	struct admission_waiter *w;
 	struct exit_req *e;
 
-	load_tick(r);
+	load_update(r);
 	while (r->server.leaving &&
-	       (w = core_flush(&r->core, ADMISSION_DRAINING)) != NULL) {
+	       (w = core_refuse_next(&r->core, ADMISSION_DRAINING)) != NULL) {
 		e = waiter_request(w);
 		e->waiting = 0;
-		exit_refuse(e, VERDICT_AWAY, "leaving");
+		exit_refuse(e, VERDICT_UNAVAILABLE, "leaving");
 	}
 	while ((w = core_next(&r->core, relay_now(r) * US_PER_MS)) != NULL) {
 		e = waiter_request(w);
@@ -244,8 +245,8 @@
 			exit_send(e);
 			continue;
 		}
-		load_shed(r);
-		exit_refuse(e, VERDICT_BUSY, "deadline");
+		load_record_refusal(r);
+		exit_refuse(e, VERDICT_OVERLOADED, "deadline");
 	}
 }
 
@@ -270,7 +271,7 @@
 	}
 	cap = e->body.cap;
 	h1_text_add(&e->body, p, n);
-	r->held_bytes += e->body.cap - cap;
+	r->buffered_bytes += e->body.cap - cap;
 	if (e->body.len > BODY_WINDOW_BYTES)
 		h1_conn_pause(conn);
 }
@@ -306,7 +307,7 @@
 	x = e->xchg;
 	e->xchg = NULL;
 	if (e->waiting)
-		core_withdraw(&r->core, &e->waiter);
+		core_expire(&r->core, &e->waiter);
 	if (x != NULL)
 		h1_cancel(x);
 	exit_complete(e, ADMISSION_CANCELLED);
@@ -342,9 +343,9 @@
 	for (e = r->exits; e != NULL; e = next) {
 		next = e->next;
 		if (e->waiting && now >= e->deadline_ms) {
-			core_withdraw(&r->core, &e->waiter);
+			core_expire(&r->core, &e->waiter);
 			e->waiting = 0;
-			exit_refuse(e, VERDICT_BUSY, "deadline");
+			exit_refuse(e, VERDICT_OVERLOADED, "deadline");
 		} else if (e->running &&
 			   now >= e->deadline_ms + ABANDON_AFTER_MS) {
 			conn = e->conn;
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -47,7 +47,7 @@
 static void
 compose_request_head(struct exit_req *e, struct h1_text *t)
 {
-	const struct relay_names *names = &e->relay->set.names;
+	const struct relay_header_names *names = &e->relay->set.names;
 	const struct h1_head *h = h1_conn_head(e->conn);
 	uint64_t now = relay_now(e->relay);
 
@@ -58,7 +58,7 @@
 	h1_text_addf(t, "%s: %llu\r\n", names->deadline_ms,
 	    (unsigned long long)(e->deadline_ms > now ? e->deadline_ms - now
 						      : 1));
-	h1_text_field(t, names->expect, e->relay->server.id);
+	h1_text_field(t, names->expected_instance, e->relay->server.id);
 	h1_text_field(t, names->caller, e->caller);
 	if (e->ws_name[0] != '\0')
 		h1_text_field(t, names->workspace, e->ws_name);
@@ -81,7 +81,7 @@
 
 	e->running = 1;
 	e->sent_ms = relay_now(r);
-	profile_begin(&r->profile);
+	profile_run_started(&r->profile);
 	h1_text_init(&t);
 	compose_request_head(e, &t);
 	if (e->body_length != H1_LENGTH_CHUNKED)
@@ -92,7 +92,7 @@
 	h1_text_finish(&t);
 	if (e->body_length == H1_LENGTH_CHUNKED)
 		h1_send_body(e->xchg, e->body.p, e->body.len);
-	r->held_bytes -= e->body.cap;
+	r->buffered_bytes -= e->body.cap;
 	h1_text_finish(&e->body);
 	if (e->body_complete)
 		h1_send_end(e->xchg);
@@ -129,13 +129,14 @@
 	if (!e->running)
 		return;
 	e->running = 0;
-	load_tick(r);
-	profile_end(&r->profile);
+	load_update(r);
+	profile_run_ended(&r->profile);
 	if (outcome == ADMISSION_SERVED ||
 	    (outcome != ADMISSION_CANCELLED && !e->call_failed))
-		choice_note(&r->health, outcome != ADMISSION_SERVED, now);
-	core_done(&r->core, &e->waiter, outcome, (now - e->sent_ms) * US_PER_MS,
-	    now * US_PER_MS);
+		choice_record_attempt(
+		    &r->health, outcome != ADMISSION_SERVED, now);
+	core_release(&r->core, &e->waiter, outcome,
+	    (now - e->sent_ms) * US_PER_MS, now * US_PER_MS);
 }
 
 /*
@@ -159,8 +160,8 @@
 	    r->core.queued, limiter_value(&r->core.limiter), r->server.id);
 	h1_text_init(&fields);
 	add_exit_field(e, &fields, verdict);
-	exit_complete(
-	    e, verdict == VERDICT_TURNED ? ADMISSION_SHED : ADMISSION_FAILED);
+	exit_complete(e, verdict == VERDICT_REJECTED ? ADMISSION_REJECTED
+						     : ADMISSION_FAILED);
 	exit_free(e);
 	h1_conn_set_user(conn, NULL);
 	h1_answer(
@@ -175,11 +176,11 @@
 static enum relay_verdict
 classify_response(struct exit_req *e, const struct h1_head *h)
 {
-	const struct relay_names *names = &e->relay->set.names;
+	const struct relay_header_names *names = &e->relay->set.names;
 	size_t n;
 
-	if (h1_head_get(h, names->not_run, &n) != NULL || e->status == 421)
-		return VERDICT_TURNED;
+	if (h1_head_get(h, names->not_executed, &n) != NULL || e->status == 421)
+		return VERDICT_REJECTED;
 	if (h1_head_get(h, "Content-Encoding", &n) != NULL)
 		return VERDICT_UNKNOWN;
 	if (e->status < 400 && h1_head_get(h, names->signature, &n) == NULL)
@@ -270,9 +271,9 @@
 		event_log(
 		    EVENT_SERVER_UP, relay_now(r), "server=%s", r->server.id);
 	r->server.connect_failures = 0;
-	if (e->verdict == VERDICT_TURNED) {
+	if (e->verdict == VERDICT_REJECTED) {
 		r->counters[RELAY_EXIT_SERVER_REJECTED]++;
-		exit_refuse(e, VERDICT_TURNED, "server");
+		exit_refuse(e, VERDICT_REJECTED, "server");
 		exit_run_queued(r);
 		return;
 	}
@@ -283,7 +284,7 @@
 	}
 	suspect_note_served(e);
 	r->counters[RELAY_EXIT_SERVED]++;
-	latency_add(&r->ran, relay_now(r) - e->sent_ms);
+	latency_add(&r->server_latency, relay_now(r) - e->sent_ms);
 	exit_complete(e, e->status < 500    ? ADMISSION_SERVED
 			 : e->status == 504 ? ADMISSION_TIMEOUT
 					    : ADMISSION_FAILED);
@@ -340,7 +341,7 @@
 	e->xchg = NULL;
 	if (failure == H1_NOT_SENT) {
 		mark_server_down(r);
-		exit_refuse(e, VERDICT_AWAY, "no-connection");
+		exit_refuse(e, VERDICT_UNAVAILABLE, "no-connection");
 		exit_run_queued(r);
 		return;
 	}
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -46,19 +46,19 @@
  * called before the load changes.
  */
 void
-load_tick(struct relay *r)
+load_update(struct relay *r)
 {
 	uint64_t now = relay_now(r);
-	double elapsed_s = (double)(now - r->busy_ms) / MS_PER_S;
+	double elapsed_s = (double)(now - r->rates_updated_ms) / MS_PER_S;
 	double old_weight = exp(-elapsed_s / LOAD_TIME_CONSTANT_S), load = 0;
 
 	if (r->server.slots > 0)
 		load = (double)(r->core.inflight + r->core.queued) /
 		       limiter_value(&r->core.limiter);
-	r->busy = r->busy * old_weight + load * (1 - old_weight);
+	r->utilization = r->utilization * old_weight + load * (1 - old_weight);
 	r->shed_per_s *= old_weight;
-	r->busy_ms = now;
-	profile_age(&r->profile, r->core.inflight, elapsed_s);
+	r->rates_updated_ms = now;
+	profile_update(&r->profile, r->core.inflight, elapsed_s);
 }
 
 /*
@@ -70,17 +70,18 @@
 {
 	if (r->server.slots == 0)
 		return 0;
-	return r->busy + r->shed_per_s * profile_run_s(&r->profile) /
-			     limiter_value(&r->core.limiter);
+	return r->utilization + r->shed_per_s *
+				    profile_mean_run_s(&r->profile) /
+				    limiter_value(&r->core.limiter);
 }
 
 /*
  * Records that this node refused a request.
  */
 void
-load_shed(struct relay *r)
+load_record_refusal(struct relay *r)
 {
-	load_tick(r);
+	load_update(r);
 	r->shed_per_s += 1 / LOAD_TIME_CONSTANT_S;
 }
 
@@ -89,7 +90,7 @@
  * this node's callers.
  */
 void
-load_fill(struct relay *r, struct fleet_beat *b)
+load_fill_heartbeat(struct relay *r, struct fleet_beat *b)
 {
 	static fleet_name calls[FLEET_CALLS_MAX], demands[FLEET_DEMANDS_MAX];
 	static u_int per_1000[FLEET_CALLS_MAX];
@@ -98,18 +99,19 @@
 	struct demand_row *row;
 	uint32_t i, k, n = 0;
 
-	load_tick(r);
+	load_update(r);
 	b->load.offered = (unsigned int)(offered_load(r) * PER_THOUSAND);
-	b->load.run_us = (unsigned int)(profile_run_s(p) * US_PER_S);
+	b->load.run_us = (unsigned int)(profile_mean_run_s(p) * US_PER_S);
 	b->load.failing =
-	    (unsigned int)(choice_failing(&r->health, relay_now(r)) *
+	    (unsigned int)(choice_failure_share(&r->health, relay_now(r)) *
 			   PER_THOUSAND);
-	b->load.chained = (unsigned int)(p->chained * PER_THOUSAND);
-	if (profile_known(p))
+	b->load.chained = (unsigned int)(p->chained_share * PER_THOUSAND);
+	if (profile_calls_known(p))
 		n = p->call_count;
 	for (i = 0; i < n; i++) {
 		calls[i] = r->profile.calls[i].service;
-		per_1000[i] = (u_int)(profile_per_run(p, i) * PER_THOUSAND);
+		per_1000[i] =
+		    (u_int)(profile_calls_per_run(p, i) * PER_THOUSAND);
 	}
 	b->calls.calls_val = calls;
 	b->load.calls_per_1000.calls_per_1000_val = per_1000;
@@ -120,7 +122,7 @@
 		demands[i] = row->service;
 		for (k = 0; k < THROTTLE_CLASSES; k++)
 			rates[i * THROTTLE_CLASSES + k] =
-			    (char)demand_code(demand_per_s(row, k));
+			    (char)demand_encode_rate(demand_rate_per_s(row, k));
 	}
 	b->demands.demands_val = demands;
 	b->demands.demands_len = n;
@@ -133,7 +135,7 @@
  * the node's callers request, as listed in its heartbeat.
  */
 void
-load_heard(void *ctx, int handle, const struct fleet_beat *b)
+load_on_heartbeat(void *ctx, int handle, const struct fleet_beat *b)
 {
 	struct relay *r = ctx;
 	struct relay_link *l = relay_link(r, handle);
@@ -155,7 +157,7 @@
  * heartbeat.
  */
 void
-load_told(void *ctx, int handle, const struct fleet_load *m)
+load_on_report(void *ctx, int handle, const struct fleet_load *m)
 {
 	struct relay *r = ctx;
 	struct relay_link *l = relay_link(r, handle);
@@ -168,16 +170,18 @@
 		    i < l->call_count && caller >= 0;
 	     i++)
 		if (l->calls[i] >= 0)
-			throttle_calls(&r->throttle, caller, l->calls[i],
+			throttle_record_calls(&r->throttle, caller, l->calls[i],
 			    m->calls_per_1000.calls_per_1000_val[i] /
 				PER_THOUSAND);
 	if (l->call_count > 0)
-		throttle_chained(&r->throttle, m->chained / PER_THOUSAND);
+		throttle_record_chained(
+		    &r->throttle, m->chained / PER_THOUSAND);
 	for (i = 0; i < m->demands.demands_len &&
 		    i < l->demand_count * THROTTLE_CLASSES;
 	     i++)
 		l->demands_per_s[i / THROTTLE_CLASSES][i % THROTTLE_CLASSES] =
-		    (float)demand_decode((uint8_t)m->demands.demands_val[i]);
+		    (float)demand_decode_rate(
+			(uint8_t)m->demands.demands_val[i]);
 }
 
 /*
@@ -189,7 +193,7 @@
 	int h = throttle_service(&r->throttle, service);
 
 	if (h >= 0)
-		throttle_calls(&r->throttle, caller, h, per_run);
+		throttle_record_calls(&r->throttle, caller, h, per_run);
 }
 
 /*
@@ -208,23 +212,23 @@
 		row = &r->demand.rows[i];
 		h = throttle_service(&r->throttle, row->service);
 		for (k = 0; h >= 0 && k < THROTTLE_CLASSES; k++)
-			throttle_demand(
-			    &r->throttle, h, k, demand_per_s(row, k));
+			throttle_add_demand(
+			    &r->throttle, h, k, demand_rate_per_s(row, k));
 	}
 	if (r->server.id[0] == '\0' || r->server.leaving ||
 	    (h = throttle_service(&r->throttle, r->server.service)) < 0)
 		return;
 	own.slots = limiter_value(&r->core.limiter);
-	own.run_s = profile_run_s(&r->profile);
-	own.offered = offered_load(r);
-	own.failing = choice_failing(&r->health, relay_now(r));
+	own.mean_run_s = profile_mean_run_s(&r->profile);
+	own.offered_load = offered_load(r);
+	own.failure_share = choice_failure_share(&r->health, relay_now(r));
 	throttle_server(&r->throttle, h, &own);
 	if (r->profile.call_count > 0)
-		throttle_chained(&r->throttle, r->profile.chained);
-	for (i = 0; profile_known(&r->profile) && i < r->profile.call_count;
-	     i++)
+		throttle_record_chained(&r->throttle, r->profile.chained_share);
+	for (i = 0;
+	     profile_calls_known(&r->profile) && i < r->profile.call_count; i++)
 		add_calls(r, h, r->profile.calls[i].service,
-		    profile_per_run(&r->profile, i));
+		    profile_calls_per_run(&r->profile, i));
 }
 
 /*
@@ -240,7 +244,7 @@
 		return;
 	h = throttle_service(&r->throttle, p->server.service);
 	if (h >= 0)
-		throttle_keep_open(&r->throttle, h);
+		throttle_assume_reachable(&r->throttle, h);
 }
 
 /*
@@ -255,10 +259,10 @@
 
 	for (i = 0; i < r->throttle.count; i++) {
 		s = &r->throttle.services[i];
-		if (s->had_servers && !s->keep_open &&
+		if (s->had_server && !s->assumed_reachable &&
 		    (r->config == NULL ||
 			!config_routes_to(r->config, s->name)))
-			throttle_keep_open(&r->throttle, (int)i);
+			throttle_assume_reachable(&r->throttle, (int)i);
 	}
 }
 
@@ -277,7 +281,7 @@
 	size_t i;
 	int h;
 
-	throttle_begin(&r->throttle);
+	throttle_begin_update(&r->throttle);
 	add_own_load(r);
 	for (i = 0; i < r->fleet.count; i++) {
 		p = &r->fleet.peers[i];
@@ -289,15 +293,15 @@
 		for (j = 0; j < l->demand_count; j++)
 			for (k = 0; l->demands[j] >= 0 && k < THROTTLE_CLASSES;
 			     k++)
-				throttle_demand(&r->throttle, l->demands[j], k,
-				    l->demands_per_s[j][k]);
+				throttle_add_demand(&r->throttle, l->demands[j],
+				    k, l->demands_per_s[j][k]);
 		if (p->server.id[0] == '\0' || p->server.leaving)
 			continue;
 		h = throttle_service(&r->throttle, p->server.service);
 		m.slots = p->server.slots;
-		m.run_s = p->server.run_s;
-		m.offered = p->server.offered;
-		m.failing = p->server.failing;
+		m.mean_run_s = p->server.run_s;
+		m.offered_load = p->server.offered;
+		m.failure_share = p->server.failing;
 		if (h >= 0)
 			throttle_server(&r->throttle, h, &m);
 	}
@@ -310,16 +314,17 @@
 static void
 log_summary(struct relay *r)
 {
-	static const enum relay_counter summary_counters[RELAY_SUMS] = {
-		RELAY_SERVED, RELAY_FAILED, RELAY_REFUSED, RELAY_THROTTLED,
-		RELAY_OVER_RATE, RELAY_EXIT_SERVED, RELAY_EXIT_REFUSED
-	};
-	uint64_t delta[RELAY_SUMS], total = 0;
+	static const enum relay_counter
+	    summary_counters[RELAY_LOGGED_COUNTERS] = { RELAY_SERVED,
+		    RELAY_FAILED, RELAY_REFUSED, RELAY_THROTTLED,
+		    RELAY_OVER_RATE, RELAY_EXIT_SERVED, RELAY_EXIT_REFUSED };
+	uint64_t delta[RELAY_LOGGED_COUNTERS], total = 0;
 	int i;
 
-	for (i = 0; i < RELAY_SUMS; i++) {
-		delta[i] = r->counters[summary_counters[i]] - r->summed[i];
-		r->summed[i] = r->counters[summary_counters[i]];
+	for (i = 0; i < RELAY_LOGGED_COUNTERS; i++) {
+		delta[i] =
+		    r->counters[summary_counters[i]] - r->counters_logged[i];
+		r->counters_logged[i] = r->counters[summary_counters[i]];
 		total += delta[i];
 	}
 	if (total == 0)
@@ -332,7 +337,7 @@
 	    (unsigned long long)delta[2], (unsigned long long)delta[3],
 	    (unsigned long long)delta[4], (unsigned long long)delta[5],
 	    (unsigned long long)delta[6], offered_load(r),
-	    profile_run_s(&r->profile) * MS_PER_S);
+	    profile_mean_run_s(&r->profile) * MS_PER_S);
 }
 
 /*
@@ -347,13 +352,15 @@
 
 	for (i = 0; i < r->throttle.count; i++) {
 		s = &r->throttle.services[i];
-		if (!s->limits)
+		if (!s->is_limiting)
 			continue;
 		event_log(EVENT_THROTTLE, relay_now(r),
 		    "service=%s offered=%.2f expected=%.2f trim=%.2f "
 		    "slots=%.0f runs_per_s=%.0f shares=%.2f,%.2f,%.2f,%.2f",
-		    s->name, s->offered, s->expected, s->trim, s->slots,
-		    s->runs_per_s, s->cut[0], s->cut[1], s->cut[2], s->cut[3]);
+		    s->name, s->offered_load, s->expected_load,
+		    s->capacity_factor, s->slots, s->capacity_runs_per_s,
+		    s->own_admitted_share[0], s->own_admitted_share[1],
+		    s->own_admitted_share[2], s->own_admitted_share[3]);
 	}
 }
 
@@ -365,12 +372,12 @@
 {
 	struct relay *r = timer->data;
 
-	load_tick(r);
-	demand_age(&r->demand, STEP_MS / MS_PER_S);
+	load_update(r);
+	demand_update_rates(&r->demand, STEP_MS / MS_PER_S);
 	sum_loads(r);
 	keep_unrouted_services_open(r);
-	throttle_step(&r->throttle, STEP_MS / MS_PER_S);
-	if (++r->steps % STEPS_PER_SUMMARY == 0) {
+	throttle_update_shares(&r->throttle, STEP_MS / MS_PER_S);
+	if (++r->throttle_steps % STEPS_PER_SUMMARY == 0) {
 		log_summary(r);
 		log_limiting_services(r);
 	}
@@ -380,19 +387,20 @@
  * Returns 1 if the throttle admits a root request to a service, else 0.
  */
 int
-load_admits(struct relay *r, const char *service, uint32_t class)
+load_admit_root(struct relay *r, const char *service, uint32_t class)
 {
 	struct demand_row *row = demand_row(&r->demand, service);
 	int h = throttle_service(&r->throttle, service);
-	double share = h < 0 ? 1 : throttle_share(&r->throttle, h, class);
+	double share =
+	    h < 0 ? 1 : throttle_admitted_share(&r->throttle, h, class);
 
 	if (row != NULL)
-		row->counts[class].asked++;
+		row->counts[class].requested_count++;
 	if (share < 1 &&
 	    (double)(relay_random() >> 40) / (double)(1 << 24) >= share)
 		return 0;
 	if (row != NULL)
-		row->counts[class].let_in++;
+		row->counts[class].admitted_count++;
 	return 1;
 }
 
@@ -400,12 +408,12 @@
  * Records that an admitted root request exceeded its workspace's rate.
  */
 void
-load_over_rate(struct relay *r, const char *service, uint32_t class)
+load_record_over_rate(struct relay *r, const char *service, uint32_t class)
 {
 	struct demand_row *row = demand_row(&r->demand, service);
 
 	if (row != NULL)
-		row->counts[class].over++;
+		row->counts[class].over_rate_count++;
 }
 
 /*
@@ -427,11 +435,11 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < r->rank_count; i++)
-		if (r->ranks[i] == rank)
+	for (i = 0; i < r->priority_count; i++)
+		if (r->priorities[i] == rank)
 			return;
-	if (r->rank_count < RELAY_RANKS)
-		r->ranks[r->rank_count++] = rank;
+	if (r->priority_count < RELAY_RANKS)
+		r->priorities[r->priority_count++] = rank;
 }
 
 /*
@@ -439,12 +447,12 @@
  * workspace's priority first, then by the route's.
  */
 void
-load_ranks(struct relay *r)
+load_collect_ranks(struct relay *r)
 {
 	const struct config *c = r->config;
 	size_t i, j;
 
-	r->rank_count = 0;
+	r->priority_count = 0;
 	for (i = 0; i < c->route_count; i++) {
 		if (c->routes[i].open)
 			continue;
@@ -454,7 +462,8 @@
 			add_rank(r, c->workspaces[j].priority << RANK_SHIFT |
 					c->routes[i].priority);
 	}
-	qsort(r->ranks, r->rank_count, sizeof(*r->ranks), compare_ranks);
+	qsort(r->priorities, r->priority_count, sizeof(*r->priorities),
+	    compare_ranks);
 }
 
 /*
@@ -462,14 +471,14 @@
  * ranks.  If there are more ranks than classes, adjacent ranks share a class.
  */
 uint32_t
-load_class(const struct relay *r, uint32_t ws_priority, uint32_t priority)
+load_find_class(const struct relay *r, uint32_t ws_priority, uint32_t priority)
 {
 	uint32_t rank = ws_priority << RANK_SHIFT | priority, i;
 
-	for (i = 0; i < r->rank_count && r->ranks[i] < rank; i++)
+	for (i = 0; i < r->priority_count && r->priorities[i] < rank; i++)
 		;
-	if (r->rank_count <= ADMISSION_CLASS_MAX)
+	if (r->priority_count <= ADMISSION_CLASS_MAX)
 		return i < ADMISSION_CLASS_MAX ? i : ADMISSION_CLASS_MAX - 1;
-	i = i * ADMISSION_CLASS_MAX / r->rank_count;
+	i = i * ADMISSION_CLASS_MAX / r->priority_count;
 	return i < ADMISSION_CLASS_MAX ? i : ADMISSION_CLASS_MAX - 1;
 }
--- a/src/relay/probe.c
+++ b/src/relay/probe.c
@@ -63,13 +63,13 @@
 	const char *path = health_path(r);
 	struct h1_text t;
 
-	if (r->server.id[0] != '\0' || r->probes == PROBES_MAX) {
+	if (r->server.id[0] != '\0' || r->probe_count == PROBES_MAX) {
 		uv_timer_stop(timer);
 		return;
 	}
 	if (path == NULL)
 		return;
-	r->probes++;
+	r->probe_count++;
 	h1_text_init(&t);
 	h1_text_addf(&t, "GET %s HTTP/1.1\r\nHost: health\r\n\r\n", path);
 	h1_send(&r->server_pool, &t, 0, 0, UINT64_MAX, &probe_ops, r);
@@ -118,7 +118,7 @@
 		return 0;
 	snprintf(a.service, sizeof(a.service), "%s", r->set.service);
 	a.slots = (uint32_t)slots;
-	(void)relay_announced(r, &a);
+	(void)relay_apply_announcement(r, &a);
 	return 0;
 }
 
--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -27,7 +27,7 @@
 uint64_t
 relay_proof_age_ms(const struct relay *r)
 {
-	return relay_now(r) - r->proved_ms;
+	return relay_now(r) - r->config_proved_ms;
 }
 
 /*
@@ -52,9 +52,9 @@
  * node has a newer version, else 0.
  */
 int
-relay_must_read(struct relay *r)
+relay_needs_store_read(struct relay *r)
 {
-	uint64_t now = relay_now(r), age_ms = now - r->proved_ms;
+	uint64_t now = relay_now(r), age_ms = now - r->config_proved_ms;
 	int readers[READERS_MAX];
 	size_t i, n;
 
@@ -111,14 +111,14 @@
 	struct relay *r = ctx;
 	struct fleet_msg m;
 
-	if (r->config == NULL || r->proved_ms == 0)
+	if (r->config == NULL || r->config_proved_ms == 0)
 		return;
 	memset(&m, 0, sizeof(m));
 	m.kind = FLEET_PROOF;
 	m.fleet_msg_u.proof.id = d->id;
 	m.fleet_msg_u.proof.config_version = r->config->version;
 	m.fleet_msg_u.proof.age_ms =
-	    (unsigned int)(relay_now(r) - r->proved_ms);
+	    (unsigned int)(relay_now(r) - r->config_proved_ms);
 	fleet_send(&r->net, &m, ntohl(from->sin_addr.s_addr));
 }
 
@@ -134,5 +134,5 @@
 	    p->config_version != r->config->version ||
 	    p->age_ms > r->proof_query_ms)
 		return;
-	relay_proved(r, r->proof_query_ms - p->age_ms);
+	relay_config_proved(r, r->proof_query_ms - p->age_ms);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -31,13 +31,13 @@
 
 static const struct fleet_ops fleet_ops = {
 	.fill = fill_heartbeat,
-	.heard = load_heard,
-	.told = load_told,
+	.heard = load_on_heartbeat,
+	.told = load_on_report,
 	.turned = on_peer_changed,
-	.ask = relay_on_ask,
-	.give = relay_on_give,
+	.ask = relay_on_token_request,
+	.give = relay_on_token_grant,
 	.strike = relay_on_crash_report,
-	.bucket = relay_on_bucket,
+	.bucket = relay_on_bucket_transfer,
 	.doubt = relay_on_proof_query,
 	.proof = relay_on_proof,
 	.left = on_left_report,
@@ -53,9 +53,9 @@
 	[RELAY_NO_ROUTE] = "no_route",
 	[RELAY_NO_KEY] = "no_key",
 	[RELAY_OVER_RATE] = "over_rate",
-	[RELAY_STALE] = "config_stale",
+	[RELAY_CONFIG_STALE] = "config_stale",
 	[RELAY_RETRIES] = "retries",
-	[RELAY_GONE] = "caller_gone",
+	[RELAY_CALLER_DISCONNECTED] = "caller_gone",
 	[RELAY_EXIT_REQUESTS] = "exit_requests",
 	[RELAY_EXIT_SERVED] = "exit_served",
 	[RELAY_EXIT_REFUSED] = "exit_refused",
@@ -70,9 +70,9 @@
 const char *const relay_verdict_names[VERDICT_MAX] = {
 	[VERDICT_RAN] = "ran",
 	[VERDICT_UNKNOWN] = "unknown",
-	[VERDICT_TURNED] = "turned",
-	[VERDICT_BUSY] = "busy",
-	[VERDICT_AWAY] = "away",
+	[VERDICT_REJECTED] = "turned",
+	[VERDICT_OVERLOADED] = "busy",
+	[VERDICT_UNAVAILABLE] = "away",
 	[VERDICT_SUSPECT] = "suspect",
 };
 
@@ -109,10 +109,10 @@
 	fleet_table_init(&r->fleet, settings->node, loop_ms(loop));
 	core_init(&r->core, loop_ms(loop) * MS_PER_S);
 	/* Servers report their slots, and queue the requests beyond them. */
-	r->core.limiter.fixed = 1;
+	r->core.limiter.fixed_to_slots = 1;
 	r->core.slots_known = 1;
 	quota_owner_init(&r->owner);
-	seal_init(&r->seal, settings->fleet_key, settings->other_key);
+	seal_init(&r->seal, settings->fleet_key, settings->previous_key);
 	suspect_init(r);
 	h1_pool_init(&r->server_pool, loop, &settings->server, SERVER_IDLE_MS,
 	    SERVER_CONNECT_MS);
@@ -182,7 +182,7 @@
  * longer id is truncated; without one the buffer is empty.
  */
 void
-relay_id(const struct relay *r, const struct h1_head *h, char *id)
+relay_copy_request_id(const struct relay *r, const struct h1_head *h, char *id)
 {
 	const char *v;
 	size_t n;
@@ -230,8 +230,8 @@
 {
 	struct relay *r = timer->data;
 
-	entry_limit_tick(r);
-	entry_tick(r);
+	entry_retry_token_requests(r);
+	entry_fail_overdue(r);
 	exit_tick(r);
 	if (r->entries != NULL || r->exits != NULL)
 		return;
@@ -314,23 +314,23 @@
  * Returns after how many milliseconds a refused caller should retry.
  */
 uint64_t
-relay_comeback(enum comeback reason, uint64_t target_ms)
+relay_retry_after_ms(enum retry_after_reason reason, uint64_t target_ms)
 {
-	return comeback_ms(reason, target_ms, relay_random());
+	return retry_after_delay_ms(reason, target_ms, relay_random());
 }
 
 /*
  * Applies a configuration and frees the previous one.
  */
 void
-relay_take_config(struct relay *r, struct config *c)
+relay_apply_config(struct relay *r, struct config *c)
 {
 	struct h1_limits *l;
 
 	if (r->config != NULL)
 		config_free(r->config);
 	r->config = c;
-	load_ranks(r);
+	load_collect_ranks(r);
 	l = &r->entry.limits;
 	if (c->caps.head_bytes > 0)
 		l->head_bytes = c->caps.head_bytes;
@@ -348,10 +348,10 @@
  * Records that the configuration in force was the newest at a given time.
  */
 void
-relay_proved(struct relay *r, uint64_t at_ms)
+relay_config_proved(struct relay *r, uint64_t at_ms)
 {
-	if (at_ms > r->proved_ms)
-		r->proved_ms = at_ms;
+	if (at_ms > r->config_proved_ms)
+		r->config_proved_ms = at_ms;
 }
 
 /*
@@ -398,7 +398,7 @@
 	b->server.away = s->leaving || s->departed ? FLEET_LEAVING
 			 : s->down_until_ms > now  ? FLEET_DOWN
 						   : 0;
-	load_fill(r, b);
+	load_fill_heartbeat(r, b);
 	sealed_log_rejected(r);
 }
 
@@ -415,17 +415,18 @@
 	size_t i;
 
 	for (i = 0; i < r->owner.count; i++)
-		if (r->owner.list[i].ws != 0 &&
-		    fleet_owner(&r->fleet, r->owner.list[i].ws, relay_now(r)) !=
-			FLEET_SELF)
-			quota_owner_drop(&r->owner, r->owner.list[i].ws);
+		if (r->owner.owned_buckets[i].ws != 0 &&
+		    fleet_owner(&r->fleet, r->owner.owned_buckets[i].ws,
+			relay_now(r)) != FLEET_SELF)
+			quota_owner_drop_bucket(
+			    &r->owner, r->owner.owned_buckets[i].ws);
 	if (handle < 0)
 		return;
 	p = &r->fleet.peers[handle];
 	l = relay_link(r, handle);
-	l->avoid_ms = 0;
-	l->avoid_run = 0;
-	l->told_ms = 0;
+	l->avoid_until_ms = 0;
+	l->connect_failure_run = 0;
+	l->load_reported_ms = 0;
 	event_log(EVENT_PEER_CHANGED, relay_now(r),
 	    "peer=%s incarnation=%llu stopping=%d service=%s server=%s "
 	    "server_leaving=%d",
@@ -450,7 +451,7 @@
  * the announcement is out of date.
  */
 int
-relay_announced(struct relay *r, const struct relay_announce *a)
+relay_apply_announcement(struct relay *r, const struct relay_announce *a)
 {
 	struct relay_server *s = &r->server;
 	uint64_t now = relay_now(r);
@@ -507,7 +508,7 @@
  * earlier incarnation is ignored; born_ms is 0 if the server didn't send it.
  */
 void
-relay_left(struct relay *r, const char *id, uint64_t born_ms)
+relay_server_departed(struct relay *r, const char *id, uint64_t born_ms)
 {
 	struct relay_server *s = &r->server;
 
@@ -551,11 +552,11 @@
 	if (r->stopping)
 		return;
 	r->stopping = 1;
-	r->stop_ms = relay_now(r);
+	r->stop_began_ms = relay_now(r);
 	h1_server_closing(&r->entry);
 	h1_server_closing(&r->exit);
 	fleet_beat_all(&r->net, 0);
-	relay_hand_over(r);
+	relay_transfer_buckets(r);
 	event_log(EVENT_STOPPING, relay_now(r), "entries=%u exits=%u",
 	    h1_server_busy(&r->entry), h1_server_busy(&r->exit));
 }
@@ -607,7 +608,7 @@
  * Returns whether a request is still in progress.
  */
 int
-relay_busy(const struct relay *r)
+relay_has_requests(const struct relay *r)
 {
 	return r->entries != NULL || r->exits != NULL ||
 	       h1_server_busy(&r->entry) > 0;
@@ -618,7 +619,7 @@
  * Returns 1 if a call that the server made for the request failed, else 0.
  */
 int
-relay_told(struct relay *r, int handle, char *text)
+relay_apply_exit_header(struct relay *r, int handle, char *text)
 {
 	struct relay_link *l = relay_link(r, handle);
 	uint64_t running, waiting, slots, call_failed;
@@ -633,8 +634,8 @@
 	l->running = (uint32_t)running;
 	l->waiting = (uint32_t)waiting;
 	l->slots = (uint32_t)slots;
-	l->sent_since = 0;
-	l->told_ms = relay_now(r);
-	l->avoid_run = 0;
+	l->sent_since_report = 0;
+	l->load_reported_ms = relay_now(r);
+	l->connect_failure_run = 0;
 	return call_failed != 0;
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -28,21 +28,23 @@
  */
 
 /* Names of the header fields exchanged with callers and backend servers. */
-struct relay_names {
+struct relay_header_names {
 	const char *request_id;	 /* echoed in responses */
 	const char *deadline_ms; /* time that the caller still waits */
 	const char *key;	 /* API key of a workspace */
 	const char *workspace;	 /* sent to the server in place of the key */
 	const char *caller;	 /* service of the caller */
-	const char *expect;	 /* server instance the request is meant for */
-	const char *not_run;   /* marks a rejection: the request did not run */
+	const char
+	    *expected_instance; /* server instance the request is meant for */
+	const char
+	    *not_executed;     /* marks a rejection: the request did not run */
 	const char *signature; /* in every successful response of a server */
 	const char *load;      /* server's running, waiting, slots */
 	const char *instance;  /* server's id in health responses */
 };
 
 struct relay_settings {
-	struct relay_names names;
+	struct relay_header_names names;
 	char node[FLEET_NAME_BYTES];
 	char zone[FLEET_NAME_BYTES];
 	char service[FLEET_NAME_BYTES]; /* of the server beside this node */
@@ -60,14 +62,14 @@
 	double retry_ratio;
 	double retry_slack; /* additional retries, summed over the fleet */
 	/* After a stop, callers are still accepted this long. */
-	uint64_t leave_ms;
+	uint64_t accept_calls_ms;
 	/* After a stop, root requests are still accepted this long. */
-	uint64_t take_ms;
+	uint64_t accept_root_ms;
 	uint64_t memory_bytes; /* memory that the process may use */
 	uint32_t descriptors;
 	char fleet_key[SEAL_KEY_BYTES]; /* shared by all nodes; empty: none */
 	/* Also accepted during key rotation; empty: none. */
-	char other_key[SEAL_KEY_BYTES];
+	char previous_key[SEAL_KEY_BYTES];
 };
 
 /* An announcement by the backend server beside this node. */
@@ -91,9 +93,9 @@
 	RELAY_NO_ROUTE,
 	RELAY_NO_KEY,
 	RELAY_OVER_RATE,
-	RELAY_STALE,
+	RELAY_CONFIG_STALE,
 	RELAY_RETRIES,
-	RELAY_GONE,
+	RELAY_CALLER_DISCONNECTED,
 	RELAY_EXIT_REQUESTS,
 	RELAY_EXIT_SERVED,
 	RELAY_EXIT_REFUSED,
@@ -131,9 +133,9 @@
 	uint16_t port;
 	uint32_t inflight;
 	/* Requests sent since the load below was reported. */
-	uint32_t sent_since;
+	uint32_t sent_since_report;
 	uint32_t running, waiting, slots;
-	uint64_t told_ms;
+	uint64_t load_reported_ms;
 	int calls[FLEET_CALLS_MAX]; /* services that the node's server calls */
 	uint32_t call_count;
 	/* Services that the node's callers request. */
@@ -141,11 +143,11 @@
 	uint32_t demand_count;
 	float demands_per_s[FLEET_DEMANDS_MAX][THROTTLE_CLASSES];
 	struct choice_health health;
-	uint64_t avoid_ms;  /* the node is not chosen before this time */
-	uint32_t avoid_run; /* consecutive failures to connect */
+	uint64_t avoid_until_ms; /* the node is not chosen before this time */
+	uint32_t connect_failure_run; /* consecutive failures to connect */
 };
 
-#define RELAY_SUMS 7
+#define RELAY_LOGGED_COUNTERS 7
 #define RELAY_RANKS 64 /* maximum of distinct priority pairs */
 
 struct entry_req;
@@ -172,7 +174,7 @@
  */
 struct relay_limit {
 	uint64_t ws;
-	struct quota_stock stock;
+	struct quota_cache stock;
 	struct entry_req *waiting; /* in order of arrival */
 	uint32_t waiting_count;
 };
@@ -199,14 +201,14 @@
 	struct relay_settings set;
 	struct config *config; /* NULL until one has been received */
 	/* Last time at which the configuration was known to be the newest. */
-	uint64_t proved_ms;
+	uint64_t config_proved_ms;
 	uint64_t proof_query_id; /* id of the last proof query */
 	uint64_t proof_query_ms; /* time of the last proof query */
 	struct relay_copy copy;
 	struct fleet_table fleet;
 	struct fleet_net net;
 	struct seal seal;
-	uint64_t stop_ms;	  /* time at which the stop began */
+	uint64_t stop_began_ms;	  /* time at which the stop began */
 	uint64_t rejected_logged; /* rejected messages as last logged */
 	uint64_t incarnation;
 	uint64_t heartbeat_sequence;
@@ -215,7 +217,7 @@
 	struct h1_pool server_pool;
 	struct relay_server server;
 	uv_timer_t probe_timer;
-	uint32_t probes; /* health requests sent to the server */
+	uint32_t probe_count; /* health requests sent to the server */
 	/* Indexed by peer handle + 1; the first is this node itself. */
 	struct relay_link *links;
 	size_t link_count;
@@ -236,42 +238,44 @@
 	int ticking;
 	int stopping;
 	/* Memory used for buffered bodies of all requests. */
-	uint64_t held_bytes;
+	uint64_t buffered_bytes;
 	struct throttle throttle;
 	uv_timer_t throttle_timer;
 	/*
 	 * Decaying average of running and queued requests, relative to the
 	 * slots.
 	 */
-	double busy;
-	double shed_per_s;	/* decaying average rate of refused arrivals */
-	uint64_t busy_ms;	/* last update of the two averages */
-	struct profile profile; /* of the server beside this node */
+	double utilization;
+	double shed_per_s; /* decaying average rate of refused arrivals */
+	uint64_t rates_updated_ms;   /* last update of the two averages */
+	struct profile profile;	     /* of the server beside this node */
 	struct choice_health health; /* failure share of that server */
 	struct demand demand;	     /* requests of this node's callers */
 	/* Distinct priorities of the configuration. */
-	uint32_t ranks[RELAY_RANKS];
-	uint32_t rank_count;
+	uint32_t priorities[RELAY_RANKS];
+	uint32_t priority_count;
 	uint64_t counters[RELAY_COUNTER_MAX];
-	uint64_t summed[RELAY_SUMS]; /* counters at the last summary line */
-	uint64_t steps;		     /* steps of the throttle */
-	struct latency answered;     /* response times measured at the entry */
-	struct latency ran; /* run times on the server beside this node */
+	uint64_t counters_logged[RELAY_LOGGED_COUNTERS]; /* counters at the last
+							    summary line */
+	uint64_t throttle_steps;      /* steps of the throttle */
+	struct latency entry_latency; /* response times measured at the entry */
+	struct latency
+	    server_latency; /* run times on the server beside this node */
 };
 
 int relay_init(struct relay *, uv_loop_t *, const struct relay_settings *);
-void relay_take_config(struct relay *, struct config *);
-void relay_proved(struct relay *, uint64_t);
+void relay_apply_config(struct relay *, struct config *);
+void relay_config_proved(struct relay *, uint64_t);
 int relay_reads_store(struct relay *);
 uint64_t relay_proof_age_ms(const struct relay *);
-int relay_must_read(struct relay *);
-void relay_ask_config(struct relay *, relay_config_fn, void *);
-int relay_announced(struct relay *, const struct relay_announce *);
-void relay_left(struct relay *, const char *, uint64_t);
+int relay_needs_store_read(struct relay *);
+void relay_request_config(struct relay *, relay_config_fn, void *);
+int relay_apply_announcement(struct relay *, const struct relay_announce *);
+void relay_server_departed(struct relay *, const char *, uint64_t);
 void relay_stop(struct relay *);
 void relay_close(struct relay *);
 void relay_finish(struct relay *);
-int relay_busy(const struct relay *);
+int relay_has_requests(const struct relay *);
 int relay_ready(const struct relay *);
 const char *relay_counter_name(enum relay_counter);
 void relay_dump(struct relay *, struct h1_text *);
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -15,40 +15,41 @@
 
 /* The exit's verdict on a request. */
 enum relay_verdict {
-	VERDICT_RAN,	 /* the server responded */
-	VERDICT_UNKNOWN, /* the request may have run */
-	VERDICT_TURNED,	 /* the server rejected it; it did not run */
-	VERDICT_BUSY,	 /* the exit refused it because of overload */
-	VERDICT_AWAY,	 /* the server is absent, leaving or down */
-	VERDICT_SUSPECT, /* quarantined: servers crashed while running it */
+	VERDICT_RAN,	     /* the server responded */
+	VERDICT_UNKNOWN,     /* the request may have run */
+	VERDICT_REJECTED,    /* the server rejected it; it did not run */
+	VERDICT_OVERLOADED,  /* the exit refused it because of overload */
+	VERDICT_UNAVAILABLE, /* the server is absent, leaving or down */
+	VERDICT_SUSPECT,     /* quarantined: servers crashed while running it */
 	VERDICT_MAX
 };
 
 extern const char *const relay_verdict_names[VERDICT_MAX];
 
 /* Why the entry ended a request without a response from a server. */
-enum entry_end {
-	END_NO_CONFIG,
-	END_NO_ROUTE,
-	END_NO_KEY,
-	END_STALE,
-	END_OVER_RATE,
-	END_NO_OWNER,
-	END_THROTTLED,
-	END_NO_SERVER,
-	END_OVERLOAD,
-	END_TIMEOUT_UNSENT,
-	END_TIMEOUT,
-	END_BROKEN,
-	END_SUSPECT,
-	END_LEAVING,
-	END_MAX
+enum entry_fail {
+	ENTRY_FAIL_NO_CONFIG,
+	ENTRY_FAIL_NO_ROUTE,
+	ENTRY_FAIL_NO_KEY,
+	ENTRY_FAIL_STALE_CONFIG,
+	ENTRY_FAIL_OVER_RATE,
+	ENTRY_FAIL_NO_LIMIT_OWNER,
+	ENTRY_FAIL_THROTTLED,
+	ENTRY_FAIL_NO_SERVER,
+	ENTRY_FAIL_OVERLOAD,
+	ENTRY_FAIL_TIMEOUT_UNSENT,
+	ENTRY_FAIL_TIMEOUT,
+	ENTRY_FAIL_BROKEN_EXCHANGE,
+	ENTRY_FAIL_SUSPECT,
+	ENTRY_FAIL_STOPPING,
+	ENTRY_FAIL_MAX
 };
 
 enum entry_state {
-	ENTRY_TOKEN,  /* waits for a rate limit token of its workspace */
-	ENTRY_SENT,   /* an attempt is in progress */
-	ENTRY_ANSWER, /* the server's response is being passed to the caller */
+	ENTRY_WAITING_TOKEN, /* waits for a rate limit token of its workspace */
+	ENTRY_ATTEMPTING,    /* an attempt is in progress */
+	ENTRY_ANSWERING, /* the server's response is being passed to the caller
+			  */
 	ENTRY_DONE
 };
 
@@ -62,40 +63,40 @@
 	char id[RELAY_ID_BYTES];
 	char service[FLEET_NAME_BYTES];	   /* service that runs the request */
 	char ws_name[CONFIG_NAME_MAX + 1]; /* empty: no workspace */
-	uint64_t ws;
+	uint64_t ws_hash;
 	struct quota_limit limit;
-	uint64_t began_ms;
-	uint64_t deadline_ms; /* deadline of the caller */
-	uint64_t end_ms;      /* a response is sent by this time */
+	uint64_t started_ms;
+	uint64_t deadline_ms;  /* deadline of the caller */
+	uint64_t answer_by_ms; /* a response is sent by this time */
 	/* Responses within this time are in time; 0: no target. */
 	uint64_t target_ms;
 	uint32_t class; /* class of the root request */
 	uint32_t depth; /* depth in the call chain; 0: a root request */
 	/* Same for a root request and all calls made for it. */
 	uint64_t root_hash;
-	int chained; /* a call made by a request that runs here */
+	int parent_known; /* a call made by a request that runs here */
 	/* A call that the server made for this request failed. */
 	int call_failed;
 	uint32_t arrivals; /* attempts that reached a server */
 	uint32_t arrivals_max;
-	uint32_t tries; /* nodes tried */
+	uint32_t attempt_count; /* nodes tried */
 	int idempotent;
-	int took_token;
-	int maybe_run;
-	int tried[RELAY_TRIED_MAX];
-	int link; /* handle of the node of the current attempt */
+	int has_token;
+	int may_have_run;
+	int tried_nodes[RELAY_TRIED_MAX];
+	int attempt_node; /* handle of the node of the current attempt */
 	struct h1_xchg *xchg;
 	/* As read so far; kept for the current and later attempts. */
 	char *body;
 	size_t body_len, body_cap;
-	uint64_t body_length; /* length declared in the head */
-	int body_in;
-	int body_lost; /* too long to be buffered for another attempt */
+	uint64_t content_length; /* length declared in the head */
+	int body_complete;
+	int body_discarded; /* too long to be buffered for another attempt */
 	unsigned int status;
 	struct h1_text fields; /* header fields of the response */
 	struct h1_text answer; /* response body, buffered until it is sent */
 	uint64_t answer_length;
-	int passing; /* the response head has been sent */
+	int answer_started; /* the response head has been sent */
 	enum relay_verdict verdict;
 };
 
@@ -137,51 +138,53 @@
 };
 
 uint64_t relay_now(const struct relay *);
-void relay_id(const struct relay *, const struct h1_head *, char *);
+void relay_copy_request_id(
+    const struct relay *, const struct h1_head *, char *);
 uint64_t relay_random(void);
 int relay_read_word(char **, char *, size_t);
 int relay_read_number(char **, uint64_t *);
 void relay_tick_start(struct relay *);
 struct relay_link *relay_link(struct relay *, int);
 struct budget *relay_budget(struct relay *, const char *);
-uint64_t relay_comeback(enum comeback, uint64_t);
-int relay_told(struct relay *, int, char *);
+uint64_t relay_retry_after_ms(enum retry_after_reason, uint64_t);
+int relay_apply_exit_header(struct relay *, int, char *);
 
 /* load.c */
 void load_init(struct relay *);
-void load_fill(struct relay *, struct fleet_beat *);
-void load_heard(void *, int, const struct fleet_beat *);
-void load_told(void *, int, const struct fleet_load *);
-void load_tick(struct relay *);
-void load_shed(struct relay *);
-int load_admits(struct relay *, const char *, uint32_t);
-void load_over_rate(struct relay *, const char *, uint32_t);
-void load_ranks(struct relay *);
-uint32_t load_class(const struct relay *, uint32_t, uint32_t);
+void load_fill_heartbeat(struct relay *, struct fleet_beat *);
+void load_on_heartbeat(void *, int, const struct fleet_beat *);
+void load_on_report(void *, int, const struct fleet_load *);
+void load_update(struct relay *);
+void load_record_refusal(struct relay *);
+int load_admit_root(struct relay *, const char *, uint32_t);
+void load_record_over_rate(struct relay *, const char *, uint32_t);
+void load_collect_ranks(struct relay *);
+uint32_t load_find_class(const struct relay *, uint32_t, uint32_t);
 
 /* entry.c */
 extern const struct h1_server_ops entry_ops;
 void entry_finish(struct entry_req *);
-void entry_end(struct entry_req *, enum entry_end, uint64_t);
-void entry_tick(struct relay *);
-void entry_call_ended(struct entry_req *, int, int);
+void entry_fail(struct entry_req *, enum entry_fail, uint64_t);
+void entry_fail_overdue(struct relay *);
+void entry_record_call_result(struct entry_req *, int, int);
 
 /* entry_send.c */
-void entry_start(struct entry_req *);
+void entry_send_attempt(struct entry_req *);
 void entry_forward_body(struct entry_req *, const char *, size_t);
-void entry_stop_attempt(struct entry_req *);
-void entry_silent(struct entry_req *);
-int entry_pick(struct entry_req *);
-
-/* entry_limit.c */
-int entry_limit(struct entry_req *);
-void entry_limit_leave(struct entry_req *);
-void entry_limit_tick(struct relay *);
-void entry_token_back(struct entry_req *);
-void relay_on_ask(void *, const struct fleet_ask *, const struct sockaddr_in *);
-void relay_on_give(void *, const struct fleet_give *);
-void relay_on_bucket(void *, const struct fleet_bucket *);
-void relay_hand_over(struct relay *);
+void entry_cancel_attempt(struct entry_req *);
+void entry_close_idle(struct entry_req *);
+int entry_choose_node(struct entry_req *);
+
+/* entry_acquire_token.c */
+int entry_acquire_token(struct entry_req *);
+void entry_leave_token_queue(struct entry_req *);
+void entry_retry_token_requests(struct relay *);
+void entry_return_token(struct entry_req *);
+void relay_on_token_request(
+    void *, const struct fleet_ask *, const struct sockaddr_in *);
+void relay_on_token_grant(void *, const struct fleet_give *);
+void relay_on_bucket_transfer(void *, const struct fleet_bucket *);
+void relay_transfer_buckets(struct relay *);
 
 /* probe.c */
 void probe_init(struct relay *);
@@ -192,7 +195,7 @@
 void relay_on_proof(void *, const struct fleet_proof *);
 
 /* sealed.c */
-void sealed_parts(const struct relay *, struct h1_conn *, const char *,
+void sealed_request_parts(const struct relay *, struct h1_conn *, const char *,
     struct seal_request *);
 int sealed_verify(struct relay *, struct h1_conn *);
 void sealed_log_rejected(struct relay *);
--- a/src/relay/sealed.c
+++ b/src/relay/sealed.c
@@ -12,8 +12,8 @@
  * Fills in the parts of a forwarded request that its seal covers.
  */
 void
-sealed_parts(const struct relay *r, struct h1_conn *conn, const char *hop,
-    struct seal_request *q)
+sealed_request_parts(const struct relay *r, struct h1_conn *conn,
+    const char *hop, struct seal_request *q)
 {
 	const struct h1_head *h = h1_conn_head(conn);
 
@@ -43,7 +43,7 @@
 		hop[0] = '\0';
 	if (h1_head_copy(h, RELAY_SEAL, hex, sizeof(hex)) < 0)
 		hex[0] = '\0';
-	sealed_parts(r, conn, hop, &q);
+	sealed_request_parts(r, conn, hop, &q);
 	if (seal_request_good(&r->seal, &q, hex))
 		return 1;
 	r->counters[RELAY_EXIT_UNSEALED]++;
--- a/src/relay/test_choice.c
+++ b/src/relay/test_choice.c
@@ -82,13 +82,13 @@
 
 	(void)state;
 	for (i = 0; i < 20; i++)
-		choice_note(&h, i % 2, 1000 + (uint64_t)i);
-	assert_true(choice_failing(&h, 1020) > 0.3);
-	assert_true(choice_failing(&h, 1020) < 0.9);
-	assert_true(choice_failing(&h, 9000) < 0.05);
+		choice_record_attempt(&h, i % 2, 1000 + (uint64_t)i);
+	assert_true(choice_failure_share(&h, 1020) > 0.3);
+	assert_true(choice_failure_share(&h, 1020) < 0.9);
+	assert_true(choice_failure_share(&h, 9000) < 0.05);
 	for (i = 0; i < 100; i++)
-		choice_note(&h, 0, 9000);
-	assert_true(choice_failing(&h, 9000) < 0.01);
+		choice_record_attempt(&h, 0, 9000);
+	assert_true(choice_failure_share(&h, 9000) < 0.01);
 }
 
 /*
@@ -122,14 +122,16 @@
 
 	(void)state;
 	for (rnd = 0; rnd < SAMPLE_COUNT; rnd++) {
-		ms = comeback_ms(COMEBACK_THROTTLED, 0, rnd * 2654435761u);
+		ms = retry_after_delay_ms(
+		    RETRY_AFTER_THROTTLED, 0, rnd * 2654435761u);
 		least = ms < least ? ms : least;
 		most = ms > most ? ms : most;
 	}
 	assert_true(least >= 500);
 	assert_true(most - least >= 900);
-	for (rnd = 0; rnd < COMEBACK_MAX; rnd++)
-		assert_true(comeback_ms((enum comeback)rnd, 0, 0) > 0);
+	for (rnd = 0; rnd < RETRY_AFTER_MAX; rnd++)
+		assert_true(retry_after_delay_ms(
+				(enum retry_after_reason)rnd, 0, 0) > 0);
 }
 
 /*
@@ -141,23 +143,24 @@
 {
 	static const uint64_t targets[] = { 200, 600, 1500, 5000 };
 	uint64_t ms, least, most, rnd;
-	enum comeback reason;
+	enum retry_after_reason reason;
 	size_t i;
 
 	(void)state;
 	for (i = 0; i < sizeof(targets) / sizeof(targets[0]); i++)
-		for (reason = 0; reason < COMEBACK_MAX; reason++) {
+		for (reason = 0; reason < RETRY_AFTER_MAX; reason++) {
 			least = UINT64_MAX;
 			most = 0;
 			for (rnd = 0; rnd < SAMPLE_COUNT; rnd++) {
-				ms = comeback_ms(
+				ms = retry_after_delay_ms(
 				    reason, targets[i], rnd * 2654435761u);
 				least = ms < least ? ms : least;
 				most = ms > most ? ms : most;
 			}
 			assert_true(least > 0);
 			assert_true(most <= targets[i] / 2);
-			if (reason == COMEBACK_THROTTLED && targets[i] <= 1500)
+			if (reason == RETRY_AFTER_THROTTLED &&
+			    targets[i] <= 1500)
 				assert_true(most - least >= targets[i] / 4);
 		}
 }
@@ -169,7 +172,8 @@
 static void
 test_budget_limits_retry_storm(void **state)
 {
-	struct budget_ask ask = { .slack = RETRY_SLACK, .nodes = NODE_COUNT };
+	struct budget_query ask = { .fleet_slack = RETRY_SLACK,
+		.node_count = NODE_COUNT };
 	struct budget b[NODE_COUNT];
 	uint32_t repeats = 0, requests = 0;
 	int node, i;
@@ -178,14 +182,14 @@
 	for (node = 0; node < NODE_COUNT; node++) {
 		budget_init(&b[node]);
 		for (i = 0; i < 1000; i++) /* requests without failures */
-			budget_earn(&b[node], RETRY_RATIO, 0);
+			budget_add_request(&b[node], RETRY_RATIO, 0);
 	}
 	for (i = 0; i < WINDOW_S * 100; i++) {
 		ask.now_ms = (uint64_t)i * 10;
 		for (node = 0; node < NODE_COUNT; node++) {
 			requests++;
-			budget_earn(&b[node], RETRY_RATIO, ask.now_ms);
-			repeats += (uint32_t)budget_spend(&b[node], &ask);
+			budget_add_request(&b[node], RETRY_RATIO, ask.now_ms);
+			repeats += (uint32_t)budget_take_retry(&b[node], &ask);
 		}
 	}
 	assert_true(repeats <= requests * RETRY_RATIO + RETRY_SLACK);
@@ -200,7 +204,8 @@
 static void
 test_budget_prefers_important(void **state)
 {
-	struct budget_ask ask = { .slack = RETRY_SLACK, .nodes = NODE_COUNT };
+	struct budget_query ask = { .fleet_slack = RETRY_SLACK,
+		.node_count = NODE_COUNT };
 	uint32_t requested[3] = { 0 }, granted[3] = { 0 }, i, low = 0, high = 0;
 	const uint64_t step = UINT64_MAX / 97;
 	struct budget b;
@@ -210,13 +215,13 @@
 	/* Class 0: 1 of 10 calls, class 1: 2 of 10.  Half of the calls fail. */
 	for (i = 0; i < 40000; i++) {
 		ask.now_ms = i * 5;
-		budget_earn(&b, RETRY_RATIO, ask.now_ms);
+		budget_add_request(&b, RETRY_RATIO, ask.now_ms);
 		if (i % 2 == 0)
 			continue;
 		ask.class = i % 20 < 2 ? 0 : i % 20 < 6 ? 1 : 2;
 		ask.root_hash = step * (i * 31 % 97);
 		requested[ask.class]++;
-		if (budget_spend(&b, &ask) == 0)
+		if (budget_take_retry(&b, &ask) == 0)
 			continue;
 		granted[ask.class]++;
 		low += ask.class == 1 && ask.root_hash < UINT64_MAX / 4;
--- a/src/relay/test_load.c
+++ b/src/relay/test_load.c
@@ -19,7 +19,7 @@
 is_limiting(struct relay *r)
 {
 	return r->throttle.services[throttle_service(&r->throttle, SERVICE)]
-		   .limits != 0;
+		   .is_limiting != 0;
 }
 
 /*
@@ -32,7 +32,7 @@
 	struct caller c;
 
 	(void)state;
-	while (nodes[0].steps < 2)
+	while (nodes[0].throttle_steps < 2)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_false(is_limiting(&nodes[0]));
 	announce(1, 100, 2, 1);
@@ -58,7 +58,7 @@
 	size_t i;
 
 	(void)state;
-	while (nodes[0].steps < 2)
+	while (nodes[0].throttle_steps < 2)
 		uv_run(&loop, UV_RUN_ONCE);
 	announce(1, 100, 2, 1);
 	while (!is_limiting(&nodes[0]))
@@ -66,7 +66,7 @@
 	for (i = 0; i < c->route_count; i++)
 		snprintf(c->routes[i].service, sizeof(c->routes[i].service),
 		    "elsewhere");
-	relay_take_config(&nodes[0], c);
+	relay_apply_config(&nodes[0], c);
 	while (is_limiting(&nodes[0]))
 		uv_run(&loop, UV_RUN_ONCE);
 }
--- a/src/relay/test_pair.h
+++ b/src/relay/test_pair.h
@@ -14,25 +14,25 @@
 #define ACCEPT_ROOTS_MS 60000
 
 /* How a test server handles a request. */
-enum deed {
-	ANSWER,
-	HOLD,
-	BREAK,
-	TURN,
-	OTHERS_FIRST,
-	NO_STAMP,
-	FAIL
+enum server_behavior {
+	SERVER_ANSWERS,
+	SERVER_HOLDS,
+	SERVER_BREAKS,
+	SERVER_REJECTS,
+	SERVER_ANSWERS_OTHER_FIRST,
+	SERVER_OMITS_STAMP,
+	SERVER_FAILS
 };
 
 struct server {
 	struct h1_server http;
-	enum deed deed;
+	enum server_behavior server_behavior;
 	int runs;
 	int health;	 /* the last request was a health check */
 	int disconnects; /* connections closed so far */
 	char id[256];
-	char seen[1024]; /* header fields of the last request */
-	struct h1_conn *held;
+	char last_head[1024]; /* header fields of the last request */
+	struct h1_conn *held_conn;
 };
 
 struct caller {
@@ -49,12 +49,13 @@
 static uv_loop_t loop;
 static struct relay nodes[2];
 static struct server servers[2];
-static struct sockaddr_in server_at[2];
+static struct sockaddr_in server_addrs[2];
 static char long_id[200];
 static const char *fleet_keys[2][2] = { { "", "" }, { "", "" } };
 
-static const struct relay_names names = { "Id", "Deadline", "Key", "Workspace",
-	"Caller", "Expect", "Not-Run", "Stamp", "Load", "Instance" };
+static const struct relay_header_names names = { "Id", "Deadline", "Key",
+	"Workspace", "Caller", "Expect", "Not-Run", "Stamp", "Load",
+	"Instance" };
 
 static void
 on_server_headers(void *ctx, struct h1_conn *conn)
@@ -63,10 +64,11 @@
 	const struct h1_head *h = h1_conn_head(conn);
 
 	s->health = strncmp(h->buf + h->target, "/health", 7) == 0;
-	s->runs += s->deed != TURN && !s->health;
+	s->runs += s->server_behavior != SERVER_REJECTS && !s->health;
 	if (h1_head_copy(h, "Id", s->id, sizeof(s->id)) < 0)
 		s->id[0] = '\0';
-	snprintf(s->seen, sizeof(s->seen), "%.*s", (int)h->len, h->buf);
+	snprintf(
+	    s->last_head, sizeof(s->last_head), "%.*s", (int)h->len, h->buf);
 }
 
 static void
@@ -79,29 +81,30 @@
 	if (s->health) {
 		h1_text_field(&t, "Instance", "i-0");
 		h1_text_field(&t, "Load", "1,0,7");
-		h1_answer(conn, s->deed == FAIL ? 503 : 200, &t, NULL, 0);
+		h1_answer(conn, s->server_behavior == SERVER_FAILS ? 503 : 200,
+		    &t, NULL, 0);
 		h1_text_finish(&t);
 		return;
 	}
 	h1_text_field(&t, "Id", s->id);
-	switch (s->deed) {
-	case ANSWER:
+	switch (s->server_behavior) {
+	case SERVER_ANSWERS:
 		h1_text_field(&t, "Cyclamen-Exit", "busy 0 0 0");
 		h1_text_field(&t, "Stamp", "s");
 		h1_answer(conn, 200, &t, "mine", 4);
 		break;
-	case FAIL:
+	case SERVER_FAILS:
 		h1_text_field(&t, "Stamp", "s");
 		h1_answer(conn, 500, &t, "bad", 3);
 		break;
-	case NO_STAMP:
+	case SERVER_OMITS_STAMP:
 		h1_answer(conn, 200, &t, "mine", 4);
 		break;
-	case TURN:
+	case SERVER_REJECTS:
 		h1_text_field(&t, "Not-Run", "1");
 		h1_answer(conn, 503, &t, NULL, 0);
 		break;
-	case OTHERS_FIRST:
+	case SERVER_ANSWERS_OTHER_FIRST:
 		/* A late answer to an earlier request precedes this one. */
 		h1_text_finish(&t);
 		s->id[strlen(s->id) - 1] ^= 1;
@@ -114,11 +117,11 @@
 		h1_text_field(&t, "Stamp", "s");
 		h1_answer(conn, 200, &t, "mine", 4);
 		break;
-	case BREAK:
+	case SERVER_BREAKS:
 		h1_conn_abort(conn);
 		break;
-	case HOLD:
-		s->held = conn;
+	case SERVER_HOLDS:
+		s->held_conn = conn;
 		break;
 	}
 	h1_text_finish(&t);
@@ -130,8 +133,8 @@
 	struct server *s = ctx;
 
 	s->disconnects++;
-	if (s->held == conn)
-		s->held = NULL;
+	if (s->held_conn == conn)
+		s->held_conn = NULL;
 }
 
 static const struct h1_server_ops server_ops = { on_server_headers, NULL,
@@ -252,7 +255,7 @@
 	a.sequence = sequence;
 	a.slots = 10;
 	a.draining = draining;
-	relay_announced(&nodes[node], &a);
+	relay_apply_announcement(&nodes[node], &a);
 }
 
 static int
@@ -286,20 +289,20 @@
 		set.retry_ratio = 0.2;
 		set.retry_slack = 4;
 		set.memory_bytes = 64 << 20;
-		set.take_ms = ACCEPT_ROOTS_MS;
+		set.accept_root_ms = ACCEPT_ROOTS_MS;
 		set.descriptors = 1000;
 		snprintf(set.fleet_key, sizeof(set.fleet_key), "%s",
 		    fleet_keys[i][0]);
-		snprintf(set.other_key, sizeof(set.other_key), "%s",
+		snprintf(set.previous_key, sizeof(set.previous_key), "%s",
 		    fleet_keys[i][1]);
-		server_at[i] = set.server;
+		server_addrs[i] = set.server;
 		assert_int_equal(h1_server_init(&servers[i].http, &loop,
 				     &set.server, &server_ops, &servers[i], 64),
 		    0);
 		assert_int_equal(relay_init(&nodes[i], &loop, &set), 0);
 		fleet_listed(&nodes[i].fleet);
-		relay_take_config(&nodes[i], make_config(1, 0, KEY));
-		relay_proved(&nodes[i], loop_ms(&loop));
+		relay_apply_config(&nodes[i], make_config(1, 0, KEY));
+		relay_config_proved(&nodes[i], loop_ms(&loop));
 	}
 	fleet_learn(&nodes[0].fleet, "n1", ntohl(inet_addr(ips[1])), 1);
 	fleet_learn(&nodes[1].fleet, "n0", ntohl(inet_addr(ips[0])), 1);
@@ -328,7 +331,7 @@
 }
 
 static void
-send_as(struct caller *c, int node, const char *path, const char *key,
+send_with_id(struct caller *c, int node, const char *path, const char *key,
     const char *id, const char *extra_fields)
 {
 	struct h1_text t;
@@ -351,7 +354,7 @@
 send_to(struct caller *c, int node, const char *path, const char *key,
     const char *extra_fields)
 {
-	send_as(c, node, path, key, long_id, extra_fields);
+	send_with_id(c, node, path, key, long_id, extra_fields);
 }
 
 static void
