--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -17,7 +17,7 @@
 /* A server's behaviour and the resulting answer to the caller. */
 struct answer_case {
 	const char *name;
-	enum deed deed;
+	enum server_behavior server_behavior;
 	unsigned int status;
 	const char *path;
 	const char *body;
@@ -25,16 +25,17 @@
 };
 
 static const struct answer_case answer_cases[] = {
-	{ "answer", ANSWER, 200, "/o/1", "mine", 1 },
-	{ "failure of the server", FAIL, 500, "/o/1", "bad", 1 },
-	{ "refusal, not run", TURN, 503, "/o/1", "", 0 },
-	{ "another request's answer first", OTHERS_FIRST, 200, "/o/1", "mine",
+	{ "answer", SERVER_ANSWERS, 200, "/o/1", "mine", 1 },
+	{ "failure of the server", SERVER_FAILS, 500, "/o/1", "bad", 1 },
+	{ "refusal, not run", SERVER_REJECTS, 503, "/o/1", "", 0 },
+	{ "another request's answer first", SERVER_ANSWERS_OTHER_FIRST, 200,
+	    "/o/1", "mine", 1 },
+	{ "success without a signature", SERVER_OMITS_STAMP, 502, "/o/1", "",
 	    1 },
-	{ "success without a signature", NO_STAMP, 502, "/o/1", "", 1 },
-	{ "broken exchange", BREAK, 502, "/o/1", "", 1 },
-	{ "broken exchange, idempotent, no other server", BREAK, 502, "/s/1",
-	    "", 1 },
-	{ "no answer in time", HOLD, 504, "/o/1", "", 1 },
+	{ "broken exchange", SERVER_BREAKS, 502, "/o/1", "", 1 },
+	{ "broken exchange, idempotent, no other server", SERVER_BREAKS, 502,
+	    "/s/1", "", 1 },
+	{ "no answer in time", SERVER_HOLDS, 504, "/o/1", "", 1 },
 };
 
 /*
@@ -52,7 +53,7 @@
 	for (i = 0; i < sizeof(answer_cases) / sizeof(answer_cases[0]); i++) {
 		a = &answer_cases[i];
 		print_message("%s\n", a->name);
-		servers[1].deed = a->deed;
+		servers[1].server_behavior = a->server_behavior;
 		servers[1].runs = 0;
 		ask(&c, a->path, KEY);
 		assert_int_equal(c.done, 1);
@@ -60,7 +61,7 @@
 		assert_int_equal(c.body_len, strlen(a->body));
 		assert_memory_equal(c.body, a->body, c.body_len);
 		assert_int_equal(servers[1].runs, a->runs);
-		relay_proved(&nodes[0], loop_ms(&loop));
+		relay_config_proved(&nodes[0], loop_ms(&loop));
 	}
 }
 
@@ -80,13 +81,13 @@
 	while (!c.done)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(c.status, 200);
-	assert_null(strstr(servers[1].seen, "forged"));
-	assert_null(strstr(servers[1].seen, KEY));
-	assert_null(strstr(servers[1].seen, "Cyclamen"));
-	assert_non_null(strstr(servers[1].seen, "Workspacew"));
-	assert_non_null(strstr(servers[1].seen, "Callerweb"));
-	assert_non_null(strstr(servers[1].seen, "Expecti-1"));
-	assert_non_null(strstr(servers[1].seen, "Otherkept"));
+	assert_null(strstr(servers[1].last_head, "forged"));
+	assert_null(strstr(servers[1].last_head, KEY));
+	assert_null(strstr(servers[1].last_head, "Cyclamen"));
+	assert_non_null(strstr(servers[1].last_head, "Workspacew"));
+	assert_non_null(strstr(servers[1].last_head, "Callerweb"));
+	assert_non_null(strstr(servers[1].last_head, "Expecti-1"));
+	assert_non_null(strstr(servers[1].last_head, "Otherkept"));
 	h1_pool_finish(&c.pool);
 }
 
@@ -108,13 +109,13 @@
 	assert_int_equal(c.status, 404);
 	ask(&c, "/open/1", NULL);
 	assert_int_equal(c.status, 200);
-	relay_take_config(&nodes[0], make_config(2, 0, "key-2"));
+	relay_apply_config(&nodes[0], make_config(2, 0, "key-2"));
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 401);
 	ask(&c, "/o/1", "key-2");
 	assert_int_equal(c.status, 200);
 	nodes[0].set.fresh_ms = 0;
-	nodes[0].proved_ms = 0;
+	nodes[0].config_proved_ms = 0;
 	ask(&c, "/o/1", "key-2");
 	assert_int_equal(c.status, 503);
 	ask(&c, "/open/1", NULL);
@@ -142,10 +143,10 @@
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 200);
 	announce(1, 100, 9, 1);
-	relay_left(&nodes[1], "i-1", 100);
+	relay_server_departed(&nodes[1], "i-1", 100);
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 200);
-	relay_left(&nodes[1], "i-1", 200);
+	relay_server_departed(&nodes[1], "i-1", 200);
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 503);
 }
@@ -159,9 +160,9 @@
 	struct caller c;
 
 	(void)state;
-	servers[1].deed = HOLD;
+	servers[1].server_behavior = SERVER_HOLDS;
 	send_to(&c, 0, "/o/1", KEY, "");
-	while (servers[1].held == NULL)
+	while (servers[1].held_conn == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
 	h1_cancel(c.xchg);
 	while (servers[1].disconnects == 0)
@@ -185,7 +186,7 @@
 	(void)state;
 	snprintf(nodes[0].set.service, sizeof(nodes[0].set.service), SERVICE);
 	announce(0, 100, 1, 0);
-	servers[0].deed = servers[1].deed = BREAK;
+	servers[0].server_behavior = servers[1].server_behavior = SERVER_BREAKS;
 	ask(&c, "/s/1", KEY);
 	assert_int_equal(c.status, 502);
 	assert_int_equal(servers[0].runs, 1);
@@ -198,7 +199,7 @@
 	runs = servers[0].runs + servers[1].runs;
 	for (i = 0; i < 50; i++) {
 		ask(&c, "/s/1", KEY);
-		relay_proved(&nodes[0], loop_ms(&loop));
+		relay_config_proved(&nodes[0], loop_ms(&loop));
 	}
 	runs = servers[0].runs + servers[1].runs - runs;
 	print_message("%d runs of 50 requests\n", runs);
@@ -217,7 +218,7 @@
 
 	(void)state;
 	for (i = 0; i < 2; i++)
-		relay_take_config(&nodes[i], make_config(2, 10, KEY));
+		relay_apply_config(&nodes[i], make_config(2, 10, KEY));
 	/* The owner may grant at once, as no other owner granted before. */
 	nodes[0].fleet.turned_ms = nodes[1].fleet.turned_ms = 0;
 	for (i = 0; i < 40; i++) {
@@ -246,7 +247,7 @@
 
 	(void)state;
 	for (i = 0; i < 2; i++)
-		relay_take_config(&nodes[i], make_config(2, 10, KEY));
+		relay_apply_config(&nodes[i], make_config(2, 10, KEY));
 	nodes[0].fleet.turned_ms = nodes[1].fleet.turned_ms = 0;
 	owner = fleet_owner(&nodes[0].fleet, ws, loop_ms(&loop)) == FLEET_SELF
 		    ? 0
@@ -262,7 +263,7 @@
 	while (b == NULL) {
 		uv_run(&loop, UV_RUN_ONCE);
 		if (nodes[1 - owner].owner.count > 0)
-			b = &nodes[1 - owner].owner.list[0];
+			b = &nodes[1 - owner].owner.owned_buckets[0];
 	}
 	assert_int_equal(b->ws, ws);
 	for (i = 0; i < 8; i++) {
@@ -292,12 +293,12 @@
 	c->health_count = 1;
 	snprintf(c->health[0].service, sizeof(c->health[0].service), "web");
 	snprintf(c->health[0].path, sizeof(c->health[0].path), "/health");
-	servers[0].deed = FAIL;
-	relay_take_config(&nodes[0], c);
-	while (nodes[0].probes < 2)
+	servers[0].server_behavior = SERVER_FAILS;
+	relay_apply_config(&nodes[0], c);
+	while (nodes[0].probe_count < 2)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_string_equal(nodes[0].server.id, "");
-	servers[0].deed = ANSWER;
+	servers[0].server_behavior = SERVER_ANSWERS;
 	while (nodes[0].server.id[0] == '\0' && loop_ms(&loop) < began + 5000)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_string_equal(nodes[0].server.id, "i-0");
@@ -326,24 +327,24 @@
 	for (i = 0; i < 2; i++)
 		if (relay_reads_store(&nodes[i]))
 			reader = i;
-	nodes[1 - reader].proved_ms = 0;
+	nodes[1 - reader].config_proved_ms = 0;
 	before = loop_ms(&loop);
-	relay_proved(&nodes[reader], before);
-	while (nodes[1 - reader].proved_ms == 0) {
-		assert_true(relay_must_read(&nodes[1 - reader]));
+	relay_config_proved(&nodes[reader], before);
+	while (nodes[1 - reader].config_proved_ms == 0) {
+		assert_true(relay_needs_store_read(&nodes[1 - reader]));
 		uv_run(&loop, UV_RUN_ONCE);
 	}
-	assert_true(nodes[1 - reader].proved_ms <= loop_ms(&loop));
-	assert_true(nodes[1 - reader].proved_ms + 50 >= before);
+	assert_true(nodes[1 - reader].config_proved_ms <= loop_ms(&loop));
+	assert_true(nodes[1 - reader].config_proved_ms + 50 >= before);
 	/* The other node's report doesn't count if its version is older. */
-	relay_take_config(&nodes[1 - reader], make_config(3, 0, KEY));
-	nodes[1 - reader].proved_ms = 0;
+	relay_apply_config(&nodes[1 - reader], make_config(3, 0, KEY));
+	nodes[1 - reader].config_proved_ms = 0;
 	before = loop_ms(&loop);
 	while (loop_ms(&loop) < before + 700) {
-		relay_must_read(&nodes[1 - reader]);
+		relay_needs_store_read(&nodes[1 - reader]);
 		uv_run(&loop, UV_RUN_ONCE);
 	}
-	assert_int_equal(nodes[1 - reader].proved_ms, 0);
+	assert_int_equal(nodes[1 - reader].config_proved_ms, 0);
 }
 
 /*
@@ -366,12 +367,12 @@
 		live_reader =
 		    fleet_readers(t, list, 2) < 2 || list[0] < 1 || list[1] < 1;
 	}
-	nodes[0].proved_ms = 0;
-	while (nodes[0].proved_ms == 0) {
+	nodes[0].config_proved_ms = 0;
+	while (nodes[0].config_proved_ms == 0) {
 		for (h = 1; h < (int)t->count; h++)
 			t->peers[h].heard_ms = loop_ms(&loop);
-		relay_proved(&nodes[1], loop_ms(&loop));
-		assert_true(relay_must_read(&nodes[0]));
+		relay_config_proved(&nodes[1], loop_ms(&loop));
+		assert_true(relay_needs_store_read(&nodes[0]));
 		uv_run(&loop, UV_RUN_ONCE);
 	}
 }
@@ -405,19 +406,20 @@
 	struct caller c;
 
 	(void)state;
-	relay_ask_config(&nodes[0], store_copy, &copied);
+	relay_request_config(&nodes[0], store_copy, &copied);
 	assert_null(nodes[0].copy.xchg);
-	relay_take_config(&nodes[1], make_config(2, 0, "key-2"));
+	relay_apply_config(&nodes[1], make_config(2, 0, "key-2"));
 	while (nodes[0].fleet.peers[0].config_version < 2)
 		uv_run(&loop, UV_RUN_ONCE);
-	relay_ask_config(&nodes[0], store_copy, &copied);
-	relay_ask_config(&nodes[0], store_copy, &copied); /* one at a time */
+	relay_request_config(&nodes[0], store_copy, &copied);
+	relay_request_config(
+	    &nodes[0], store_copy, &copied); /* one at a time */
 	while (copied.count == 0)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(copied.count, 1);
 	assert_int_equal(copied.config->version, 2);
 	assert_string_equal(copied.node, "n1");
-	relay_take_config(&nodes[0], copied.config);
+	relay_apply_config(&nodes[0], copied.config);
 	ask(&c, "/o/1", "key-2");
 	assert_int_equal(c.status, 200);
 	ask(&c, "/o/1", KEY);
@@ -426,7 +428,7 @@
 	config_free(nodes[1].config);
 	nodes[1].config = NULL;
 	nodes[0].fleet.peers[0].config_version = 3;
-	relay_ask_config(&nodes[0], store_copy, &copied);
+	relay_request_config(&nodes[0], store_copy, &copied);
 	assert_non_null(nodes[0].copy.xchg);
 	while (nodes[0].copy.xchg != NULL)
 		uv_run(&loop, UV_RUN_ONCE);
@@ -445,7 +447,7 @@
 
 	(void)state;
 	for (i = 0; i < 2; i++) {
-		servers[1].deed = BREAK;
+		servers[1].server_behavior = SERVER_BREAKS;
 		ask(&c, "/o/kill", KEY);
 		assert_int_equal(c.status, 502);
 		/* Crash of the server: it stops listening. */
@@ -455,14 +457,14 @@
 		assert_int_equal(c.status, 503);
 		uv_run(&loop, UV_RUN_NOWAIT);
 		assert_int_equal(
-		    h1_server_init(&servers[1].http, &loop, &server_at[1],
+		    h1_server_init(&servers[1].http, &loop, &server_addrs[1],
 			&server_ops, &servers[1], 64),
 		    0);
 		announce(1, 200 + (uint64_t)i, 1, 0);
 		while (nodes[0].fleet.peers[0].server.leaving)
 			uv_run(&loop, UV_RUN_ONCE);
 	}
-	servers[1].deed = ANSWER;
+	servers[1].server_behavior = SERVER_ANSWERS;
 	servers[1].runs = 0;
 	ask(&c, "/o/kill", KEY);
 	assert_int_equal(c.status, 503);
@@ -507,10 +509,10 @@
 		ask(&c, "/o/1", KEY);
 		assert_int_equal(c.status, 200);
 	} while (other->throttle.services[h].demand[0] <= 0);
-	servers[1].deed = HOLD; /* a long run */
+	servers[1].server_behavior = SERVER_HOLDS; /* a long run */
 	ask(&c, "/o/1", KEY);
 	h = throttle_service(&nodes[0].throttle, SERVICE);
-	while (nodes[0].throttle.services[h].runs_per_s <= 0)
+	while (nodes[0].throttle.services[h].capacity_runs_per_s <= 0)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_true(nodes[0].throttle.services[h].slots >= 1);
 }
@@ -539,8 +541,8 @@
 	size_t i;
 
 	(void)state;
-	servers[1].deed = HOLD;
-	send_as(&root, 0, "/o/1", KEY, "7fa3", "");
+	servers[1].server_behavior = SERVER_HOLDS;
+	send_with_id(&root, 0, "/o/1", KEY, "7fa3", "");
 	while (nodes[1].exits == NULL || !nodes[1].exits->running)
 		uv_run(&loop, UV_RUN_ONCE);
 	run = nodes[1].exits;
@@ -548,7 +550,7 @@
 	nodes[1].exits->depth = 3;
 	for (i = 0; i < ROWS; i++) {
 		e = nodes[1].exits;
-		send_as(&call[i], 1, "/open/1", NULL, cases[i].id, "");
+		send_with_id(&call[i], 1, "/open/1", NULL, cases[i].id, "");
 		while (nodes[1].exits == e)
 			uv_run(&loop, UV_RUN_ONCE);
 		e = nodes[1].exits;
@@ -557,9 +559,9 @@
 		assert_int_equal(e->depth, cases[i].is_child ? 4 : 1);
 		assert_int_equal(
 		    e->root_hash == run->root_hash, cases[i].is_child);
-		assert_int_equal(
-		    nodes[1].profile.chained > chained, cases[i].is_child);
-		chained = nodes[1].profile.chained;
+		assert_int_equal(nodes[1].profile.chained_share > chained,
+		    cases[i].is_child);
+		chained = nodes[1].profile.chained_share;
 	}
 	for (i = 0; i < ROWS; i++) {
 		while (!call[i].done)
@@ -583,34 +585,35 @@
 	struct h1_text t;
 
 	(void)state;
-	servers[1].deed = HOLD;
-	send_as(&root, 0, "/o/1", KEY, "7fa3", "");
-	while (servers[1].held == NULL)
+	servers[1].server_behavior = SERVER_HOLDS;
+	send_with_id(&root, 0, "/o/1", KEY, "7fa3", "");
+	while (servers[1].held_conn == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
 	/* The call fails, as the only server is leaving. */
 	announce(1, 100, 2, 1);
-	send_as(&call, 1, "/open/1", NULL, "7fa3.01", "");
+	send_with_id(&call, 1, "/open/1", NULL, "7fa3.01", "");
 	while (!call.done)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(call.status, 503);
 	h1_text_init(&t);
 	h1_text_field(&t, "Id", "7fa3");
 	h1_text_field(&t, "Stamp", "s");
-	h1_answer(servers[1].held, 500, &t, "bad", 3);
+	h1_answer(servers[1].held_conn, 500, &t, "bad", 3);
 	h1_text_finish(&t);
 	while (!root.done)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(root.status, 500);
-	assert_true(choice_failing(&nodes[1].health, loop_ms(&loop)) <= 0);
-	assert_true(choice_failing(&relay_link(&nodes[0], 0)->health,
+	assert_true(
+	    choice_failure_share(&nodes[1].health, loop_ms(&loop)) <= 0);
+	assert_true(choice_failure_share(&relay_link(&nodes[0], 0)->health,
 			loop_ms(&loop)) <= 0);
 	/* Without a failed call it counts as a server failure. */
 	announce(1, 200, 1, 0);
-	servers[1].deed = FAIL;
+	servers[1].server_behavior = SERVER_FAILS;
 	ask(&next, "/o/1", KEY);
 	assert_int_equal(next.status, 500);
-	assert_true(choice_failing(&nodes[1].health, loop_ms(&loop)) > 0);
-	assert_true(choice_failing(
+	assert_true(choice_failure_share(&nodes[1].health, loop_ms(&loop)) > 0);
+	assert_true(choice_failure_share(
 			&relay_link(&nodes[0], 0)->health, loop_ms(&loop)) > 0);
 	h1_pool_finish(&root.pool);
 	h1_pool_finish(&call.pool);
--- a/src/relay/test_sealed.c
+++ b/src/relay/test_sealed.c
@@ -132,7 +132,7 @@
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 200);
 	assert_int_equal(servers[1].runs, 2);
-	assert_null(strstr(servers[1].seen, "Cyclamen"));
+	assert_null(strstr(servers[1].last_head, "Cyclamen"));
 }
 
 /*
@@ -169,7 +169,7 @@
 apply_copied_config(void *ctx, struct config *c, const char *from)
 {
 	assert_string_equal(from, "n1");
-	relay_take_config(ctx, c);
+	relay_apply_config(ctx, c);
 }
 
 /*
@@ -184,10 +184,10 @@
 	(void)state;
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 200);
-	relay_take_config(&nodes[1], make_config(2, 0, KEY));
+	relay_apply_config(&nodes[1], make_config(2, 0, KEY));
 	while (nodes[0].fleet.peers[0].config_version < 2)
 		uv_run(&loop, UV_RUN_ONCE);
-	relay_ask_config(&nodes[0], apply_copied_config, &nodes[0]);
+	relay_request_config(&nodes[0], apply_copied_config, &nodes[0]);
 	while (nodes[0].config->version < 2)
 		uv_run(&loop, UV_RUN_ONCE);
 }
--- a/src/relay/test_stopping.c
+++ b/src/relay/test_stopping.c
@@ -22,7 +22,7 @@
 {
 	struct caller c;
 
-	send_as(&c, 1, path, key, id, "");
+	send_with_id(&c, 1, path, key, id, "");
 	while (!c.done)
 		uv_run(&loop, UV_RUN_ONCE);
 	h1_pool_finish(&c.pool);
@@ -44,14 +44,14 @@
 	(void)state;
 	ask(&root, "/o/1", KEY);
 	assert_int_equal(root.status, 200);
-	servers[1].deed = HOLD;
-	send_as(&root, 1, "/o/1", KEY, RUNNING_ID, "");
-	while (servers[1].held == NULL)
+	servers[1].server_behavior = SERVER_HOLDS;
+	send_with_id(&root, 1, "/o/1", KEY, RUNNING_ID, "");
+	while (servers[1].held_conn == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
-	servers[1].deed = ANSWER;
+	servers[1].server_behavior = SERVER_ANSWERS;
 	relay_stop(&nodes[1]);
 	assert_int_equal(request_status("/o/2", KEY, "early"), 200);
-	nodes[1].set.take_ms = loop_ms(&loop) - nodes[1].stop_ms;
+	nodes[1].set.accept_root_ms = loop_ms(&loop) - nodes[1].stop_began_ms;
 	began = loop_ms(&loop);
 	while (loop_ms(&loop) <= began)
 		uv_run(&loop, UV_RUN_ONCE);
--- a/src/relay/test_suspect.c
+++ b/src/relay/test_suspect.c
@@ -20,7 +20,7 @@
 {
 	struct caller c;
 
-	servers[1].deed = BREAK;
+	servers[1].server_behavior = SERVER_BREAKS;
 	ask(&c, path, KEY);
 	assert_int_equal(c.status, 502);
 	h1_server_finish(&servers[1].http);
@@ -37,15 +37,15 @@
 static void
 restart_server(uint64_t born)
 {
-	assert_int_equal(h1_server_init(&servers[1].http, &loop, &server_at[1],
-			     &server_ops, &servers[1], 64),
+	assert_int_equal(h1_server_init(&servers[1].http, &loop,
+			     &server_addrs[1], &server_ops, &servers[1], 64),
 	    0);
 	if (born != 0)
 		announce(1, born, 1, 0);
 	while (nodes[1].server.down_until_ms > loop_ms(&loop) ||
 	       nodes[0].fleet.peers[0].server.leaving)
 		uv_run(&loop, UV_RUN_ONCE);
-	servers[1].deed = ANSWER;
+	servers[1].server_behavior = SERVER_ANSWERS;
 	servers[1].runs = 0;
 }
 
@@ -85,16 +85,16 @@
 	restart_server(200);
 	crash_server("/o/hot");
 	restart_server(201);
-	servers[1].deed = HOLD;
+	servers[1].server_behavior = SERVER_HOLDS;
 	send_to(&c, 0, "/o/hot", KEY, "");
-	while (servers[1].held == NULL)
+	while (servers[1].held_conn == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
 	fingerprint = nodes[1].exits->fingerprint;
 	assert_int_equal(
 	    table_state(nodes[0].suspects, &fingerprint, loop_ms(&loop)),
 	    QUARANTINE_REFUSED);
-	servers[1].deed = ANSWER;
-	server_end(&servers[1], servers[1].held);
+	servers[1].server_behavior = SERVER_ANSWERS;
+	server_end(&servers[1], servers[1].held_conn);
 	while (!c.done)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(c.status, 200);
--- a/src/relay/test_suspend.c
+++ b/src/relay/test_suspend.c
@@ -56,7 +56,7 @@
 	assert_int_equal(c.status, 503);
 	assert_int_equal(servers[1].runs, 1);
 	do {
-		relay_proved(&nodes[0], loop_ms(&loop));
+		relay_config_proved(&nodes[0], loop_ms(&loop));
 		ask(&c, "/o/1", KEY);
 	} while (c.status != 200);
 	assert_false(nodes[0].fleet.peers[0].gone);
--- a/src/retry/parents.c
+++ b/src/retry/parents.c
@@ -53,7 +53,7 @@
 	retry_chain_init(&p->chain, lent);
 	pthread_mutex_init(&p->lock, NULL);
 	atomic_init(&p->refs, 1);
-	atomic_init(&p->chain_level, ADMISSION_CHAIN_NONE);
+	atomic_init(&p->chain_level, ADMISSION_CHAIN_LEVEL_UNKNOWN);
 	st = stripe_of(ps, p->token);
 	pthread_mutex_lock(&st->lock);
 	p->next = st->head;
@@ -193,7 +193,7 @@
 
 /*
  * Returns the least chain level that its inner calls were told, or
- * ADMISSION_CHAIN_NONE.
+ * ADMISSION_CHAIN_LEVEL_UNKNOWN.
  */
 uint32_t
 parent_chain_level(const struct parent *p)
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -309,7 +309,7 @@
 		parent_put(parents_get(&ps, text));
 	t = clock_us() - t;
 	print_message("%.0f ns a lookup\n", (double)t * 1e3 / LOOKUPS);
-	assert_int_equal(parent_chain_level(p), ADMISSION_CHAIN_NONE);
+	assert_int_equal(parent_chain_level(p), ADMISSION_CHAIN_LEVEL_UNKNOWN);
 	parent_note_level(held, 70);
 	parent_note_level(held, 90);
 	assert_int_equal(parent_chain_level(p), 70);
--- a/src/throttle/demand.c
+++ b/src/throttle/demand.c
@@ -42,12 +42,13 @@
 		if (strcmp(r->service, service) == 0)
 			return r;
 		for (requested = 0, k = 0; k < THROTTLE_CLASSES; k++)
-			requested += r->asked_per_s[k] + r->counts[k].asked;
+			requested += r->requested_per_s[k] +
+				     r->counts[k].requested_count;
 		if (requested < IDLE_ROW_MAX)
 			free_row = r;
 	}
 	if (free_row == NULL) {
-		if (d->count == DEMAND_MAX)
+		if (d->count == DEMAND_SERVICES_MAX)
 			return NULL;
 		free_row = &d->rows[d->count++];
 	}
@@ -69,7 +70,7 @@
  * Ends a step of the given length: updates the rates and resets the counts.
  */
 void
-demand_age(struct demand *d, double seconds)
+demand_update_rates(struct demand *d, double seconds)
 {
 	double old_weight = exp(-seconds / RATE_TIME_CONSTANT_S);
 	struct demand_row *r;
@@ -78,12 +79,12 @@
 	for (i = 0; i < d->count; i++) {
 		r = &d->rows[i];
 		for (k = 0; k < THROTTLE_CLASSES; k++) {
-			update_rate(&r->asked_per_s[k], r->counts[k].asked,
-			    old_weight, seconds);
-			update_rate(&r->let_in_per_s[k], r->counts[k].let_in,
-			    old_weight, seconds);
-			update_rate(&r->over_per_s[k], r->counts[k].over,
-			    old_weight, seconds);
+			update_rate(&r->requested_per_s[k],
+			    r->counts[k].requested_count, old_weight, seconds);
+			update_rate(&r->admitted_per_s[k],
+			    r->counts[k].admitted_count, old_weight, seconds);
+			update_rate(&r->over_rate_per_s[k],
+			    r->counts[k].over_rate_count, old_weight, seconds);
 		}
 		memset(r->counts, 0, sizeof(r->counts));
 	}
@@ -94,21 +95,21 @@
  * their workspaces.
  */
 double
-demand_per_s(const struct demand_row *r, uint32_t class)
+demand_rate_per_s(const struct demand_row *r, uint32_t class)
 {
 	double within_share = 1;
 
-	if (r->let_in_per_s[class] > 0)
-		within_share -=
-		    fmin(1, r->over_per_s[class] / r->let_in_per_s[class]);
-	return r->asked_per_s[class] * within_share;
+	if (r->admitted_per_s[class] > 0)
+		within_share -= fmin(
+		    1, r->over_rate_per_s[class] / r->admitted_per_s[class]);
+	return r->requested_per_s[class] * within_share;
 }
 
 /*
  * Encodes a rate per second as a byte.
  */
 uint8_t
-demand_code(double per_s)
+demand_encode_rate(double per_s)
 {
 	return (uint8_t)fmin(
 	    CODE_MAX, round(CODE_STEPS_PER_DOUBLING *
@@ -119,7 +120,7 @@
  * Returns the rate per second that a byte encodes.
  */
 double
-demand_decode(uint8_t code)
+demand_decode_rate(uint8_t code)
 {
 	return (exp2(code / CODE_STEPS_PER_DOUBLING) - 1) * CODE_UNIT_PER_S;
 }
--- a/src/throttle/profile.c
+++ b/src/throttle/profile.c
@@ -32,7 +32,7 @@
  * its end, because its calls come in between.
  */
 void
-profile_begin(struct profile *p)
+profile_run_started(struct profile *p)
 {
 	p->runs += RUN_START_SHARE;
 }
@@ -41,7 +41,7 @@
  * Records the end of a run.
  */
 void
-profile_end(struct profile *p)
+profile_run_ended(struct profile *p)
 {
 	p->runs += 1 - RUN_START_SHARE;
 	p->ended_runs++;
@@ -54,29 +54,30 @@
  * did, and the calls would be attributed to the few runs counted since.
  */
 void
-profile_called(struct profile *p, const char *service, int run_known)
+profile_call_started(struct profile *p, const char *service, int run_known)
 {
 	struct profile_call *c;
 	uint32_t i;
 
-	p->chained += CALL_SHARE_WEIGHT * ((run_known ? 1 : 0) - p->chained);
+	p->chained_share +=
+	    CALL_SHARE_WEIGHT * ((run_known ? 1 : 0) - p->chained_share);
 	for (i = 0; i < p->call_count; i++)
 		if (strcmp(p->calls[i].service, service) == 0)
 			break;
-	if (i == PROFILE_CALLS)
+	if (i == PROFILE_CALLS_MAX)
 		return;
 	c = &p->calls[i];
 	if (i == p->call_count) {
 		p->call_count++;
 		snprintf(c->service, sizeof(c->service), "%s", service);
 		c->count = 0;
-		c->usual = 0;
-		c->tied = 0;
+		c->usual_per_run = 0;
+		c->only_known_runs = 0;
 	}
-	if (run_known && !c->tied)
+	if (run_known && !c->only_known_runs)
 		c->count = 0;
-	c->tied |= run_known;
-	c->count += run_known || !c->tied;
+	c->only_known_runs |= run_known;
+	c->count += run_known || !c->only_known_runs;
 }
 
 /*
@@ -104,15 +105,15 @@
  * were in use.  With too few runs, the last known means stay.
  */
 void
-profile_age(struct profile *p, uint32_t held_slots, double seconds)
+profile_update(struct profile *p, uint32_t held_slots, double seconds)
 {
 	double decay = exp(-seconds / RUN_TIME_CONSTANT_S), current;
 	struct profile_call *c;
 	uint32_t i;
 
-	p->held_s += held_slots * seconds;
+	p->slot_s += held_slots * seconds;
 	if (p->ended_runs >= ENDED_RUNS_MIN || held_slots > 0) {
-		p->held_s *= decay;
+		p->slot_s *= decay;
 		p->ended_runs *= decay;
 	}
 	if (p->runs < KNOWN_RUNS_MIN)
@@ -120,12 +121,13 @@
 	for (i = 0; i < p->call_count; i++) {
 		c = &p->calls[i];
 		current = current_per_run(p, i);
-		if (c->usual <= 0)
-			c->usual = current;
-		else if (current > c->usual ||
+		if (c->usual_per_run <= 0)
+			c->usual_per_run = current;
+		else if (current > c->usual_per_run ||
 			 p->refused_share < REFUSED_SHARE_MIN)
-			c->usual += (current - c->usual) *
-				    fmin(1, seconds / USUAL_TIME_CONSTANT_S);
+			c->usual_per_run +=
+			    (current - c->usual_per_run) *
+			    fmin(1, seconds / USUAL_TIME_CONSTANT_S);
 	}
 	decay = exp(-seconds / CALLS_TIME_CONSTANT_S);
 	if (p->runs * decay < KNOWN_RUNS_MIN)
@@ -141,9 +143,9 @@
  * end.
  */
 double
-profile_run_s(const struct profile *p)
+profile_mean_run_s(const struct profile *p)
 {
-	return p->ended_runs > 0 ? p->held_s / p->ended_runs : 0;
+	return p->ended_runs > 0 ? p->slot_s / p->ended_runs : 0;
 }
 
 /*
@@ -152,20 +154,20 @@
  * refusals is returned if it is higher.
  */
 double
-profile_per_run(const struct profile *p, uint32_t call)
+profile_calls_per_run(const struct profile *p, uint32_t call)
 {
 	double current = current_per_run(p, call);
 
 	return p->refused_share < REFUSED_SHARE_MIN
 		   ? current
-		   : fmax(current, p->calls[call].usual);
+		   : fmax(current, p->calls[call].usual_per_run);
 }
 
 /*
  * Returns whether enough runs were measured for reliable calls per run.
  */
 int
-profile_known(const struct profile *p)
+profile_calls_known(const struct profile *p)
 {
 	return p->runs >= KNOWN_RUNS_MIN;
 }
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -14,10 +14,10 @@
 #define STEP_S 0.1
 #define KINDS 3
 #define STEPS 300
-#define OVERLOAD (1.02 / THROTTLE_TARGET) /* counts as overload */
-#define ROOTS_PER_S 3000.0		  /* requested without a surge */
-#define MID_CALLS 2.0			  /* per run of the root service */
-#define DEEP_CALLS 4.0			  /* per run of the middle service */
+#define OVERLOAD (1.02 / THROTTLE_TARGET_LOAD) /* counts as overload */
+#define ROOTS_PER_S 3000.0		       /* requested without a surge */
+#define MID_CALLS 2.0			       /* per run of the root service */
+#define DEEP_CALLS 4.0	 /* per run of the middle service */
 #define RETRY_STEPS 10	 /* until the only retry of a refused caller */
 #define LOAD_WEIGHT 0.33 /* of the newest step in the measured load */
 
@@ -126,16 +126,17 @@
 	for (k = 0; k < KINDS; k++) {
 		class = l->kinds[k].class;
 		new_per_s = ROOTS_PER_S * surge * l->kinds[k].work / total;
-		s->shares[step][k] = throttle_share(&s->th, s->root, class);
+		s->shares[step][k] =
+		    throttle_admitted_share(&s->th, s->root, class);
 		s->requested[step][k] = new_per_s;
 		if (f->retry && earlier >= 0)
 			s->requested[step][k] += ROOTS_PER_S *
 						 l->kinds[k].work / total *
 						 (1 - s->shares[earlier][k]);
-		row->counts[class].asked +=
+		row->counts[class].requested_count +=
 		    (uint32_t)(s->requested[step][k] * STEP_S);
 	}
-	demand_age(&s->demand, STEP_S);
+	demand_update_rates(&s->demand, STEP_S);
 }
 
 /*
@@ -167,13 +168,13 @@
 
 	memset(&s, 0, sizeof(s));
 	throttle_init(&s.th);
-	s.th.chained = f->chained;
+	s.th.chained_share = f->chained;
 	demand_init(&s.demand);
 	s.root = throttle_service(&s.th, "catalogue");
 	mid = throttle_service(&s.th, "artwork");
 	s.deep = throttle_service(&s.th, "pricing");
-	throttle_calls(&s.th, s.root, mid, MID_CALLS);
-	throttle_calls(&s.th, mid, s.deep, DEEP_CALLS);
+	throttle_record_calls(&s.th, s.root, mid, MID_CALLS);
+	throttle_record_calls(&s.th, mid, s.deep, DEEP_CALLS);
 	for (k = 0; k < KINDS; k++)
 		total += l->kinds[k].work;
 	*r = (struct result){ { 0 }, 0, 0, 0 };
@@ -185,24 +186,24 @@
 		load += LOAD_WEIGHT * (s.offered[step] - load);
 		if (step % f->report_steps == 0) {
 			for (k = 0; k < KINDS; k++)
-				reported[k] = demand_per_s(
+				reported[k] = demand_rate_per_s(
 				    demand_row(&s.demand, "catalogue"),
 				    l->kinds[k].class);
 			reported_load = load;
 		}
-		throttle_begin(&s.th);
+		throttle_begin_update(&s.th);
 		for (k = 0; k < KINDS; k++)
-			throttle_demand(
+			throttle_add_demand(
 			    &s.th, s.root, l->kinds[k].class, reported[k]);
 		/* One slot, whose capacity is the total work. */
 		add_server(&s.th, s.deep, 1,
 		    total / (ROOTS_PER_S * MID_CALLS * DEEP_CALLS) / f->cost,
 		    reported_load);
-		throttle_step(&s.th, STEP_S);
+		throttle_update_shares(&s.th, STEP_S);
 		if (surge > 1 && t >= l->start_s + 2) {
 			surge_steps++;
-			r->overload +=
-			    s.offered[step] > throttle_target(&s.th) * OVERLOAD;
+			r->overload += s.offered[step] >
+				       throttle_target_load(&s.th) * OVERLOAD;
 			r->use += s.offered[step] < 1 ? s.offered[step] : 1;
 			for (k = 0; k < KINDS; k++)
 				r->admitted[l->kinds[k].class] +=
@@ -301,16 +302,17 @@
 		throttle_init(&th);
 		a = throttle_service(&th, "a");
 		for (n = 0; n < 3; n++) {
-			throttle_begin(&th);
-			throttle_demand(&th, a, 0, 300);
+			throttle_begin_update(&th);
+			throttle_add_demand(&th, a, 0, 300);
 			for (k = 0; k < 3; k++) {
-				s.failing = rows[i].failing[k];
+				s.failure_share = rows[i].failing[k];
 				throttle_server(&th, a, &s);
 			}
-			throttle_step(&th, STEP_S);
+			throttle_update_shares(&th, STEP_S);
 		}
-		assert_true(throttle_share(&th, a, 0) >= rows[i].least);
-		assert_true(throttle_share(&th, a, 0) <= rows[i].most);
+		assert_true(
+		    throttle_admitted_share(&th, a, 0) >= rows[i].least);
+		assert_true(throttle_admitted_share(&th, a, 0) <= rows[i].most);
 	}
 }
 
@@ -328,19 +330,19 @@
 	a = throttle_service(&th, "a");
 	b = throttle_service(&th, "b");
 	c = throttle_service(&th, "c");
-	throttle_calls(&th, a, b, 1);
-	throttle_calls(&th, b, a, 0.5); /* cycles must end */
+	throttle_record_calls(&th, a, b, 1);
+	throttle_record_calls(&th, b, a, 0.5); /* cycles must end */
 	for (i = 0; i < 20; i++) {
-		throttle_begin(&th);
-		throttle_demand(&th, a, 3, 100);
-		throttle_demand(&th, b, 3, 100);
-		throttle_demand(&th, c, 3, 100);
+		throttle_begin_update(&th);
+		throttle_add_demand(&th, a, 3, 100);
+		throttle_add_demand(&th, b, 3, 100);
+		throttle_add_demand(&th, c, 3, 100);
 		add_server(&th, b, 10, 0.1, 2);
-		throttle_step(&th, STEP_S);
+		throttle_update_shares(&th, STEP_S);
 	}
-	assert_true(throttle_share(&th, a, 3) < 0.5);
-	assert_true(throttle_share(&th, b, 3) < 0.5);
-	assert_true(throttle_share(&th, c, 3) >= 1);
+	assert_true(throttle_admitted_share(&th, a, 3) < 0.5);
+	assert_true(throttle_admitted_share(&th, b, 3) < 0.5);
+	assert_true(throttle_admitted_share(&th, c, 3) >= 1);
 }
 
 /*
@@ -370,13 +372,13 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		throttle_init(&th);
 		a = throttle_service(&th, "a");
-		throttle_begin(&th);
+		throttle_begin_update(&th);
 		for (k = 0; k < THROTTLE_CLASSES; k++)
-			throttle_demand(&th, a, k, 100);
+			throttle_add_demand(&th, a, k, 100);
 		add_server(&th, a, rows[i].room / 10, 0.1, 0.9);
-		throttle_step(&th, STEP_S);
+		throttle_update_shares(&th, STEP_S);
 		for (k = 0; k < THROTTLE_CLASSES; k++) {
-			share = throttle_share(&th, a, k);
+			share = throttle_admitted_share(&th, a, k);
 			assert_true(share >= rows[i].least[k]);
 			assert_true(share <= rows[i].most[k]);
 		}
@@ -393,9 +395,9 @@
 		double reported[2]; /* by two alternating servers */
 		double least, most;
 	} rows[] = {
-		{ { 0, 0 }, THROTTLE_TARGET, THROTTLE_TARGET },
-		{ { 1, 1 }, THROTTLE_TARGET_CHAINED - 0.001,
-		    THROTTLE_TARGET_CHAINED },
+		{ { 0, 0 }, THROTTLE_TARGET_LOAD, THROTTLE_TARGET_LOAD },
+		{ { 1, 1 }, THROTTLE_TARGET_LOAD_CHAINED - 0.001,
+		    THROTTLE_TARGET_LOAD_CHAINED },
 		{ { 0, 1 }, 1.05, 1.08 },
 	};
 	struct throttle th;
@@ -406,9 +408,9 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		throttle_init(&th);
 		for (n = 0; n < 200; n++)
-			throttle_chained(&th, rows[i].reported[n % 2]);
-		assert_true(throttle_target(&th) >= rows[i].least);
-		assert_true(throttle_target(&th) <= rows[i].most);
+			throttle_record_chained(&th, rows[i].reported[n % 2]);
+		assert_true(throttle_target_load(&th) >= rows[i].least);
+		assert_true(throttle_target_load(&th) <= rows[i].most);
 	}
 }
 
@@ -427,17 +429,17 @@
 	a = throttle_service(&th, "a");
 	b = throttle_service(&th, "b");
 	c = throttle_service(&th, "c");
-	throttle_calls(&th, a, b, 1);
-	throttle_calls(&th, a, c, 1);
-	throttle_begin(&th);
-	throttle_demand(&th, a, 0, 100);
+	throttle_record_calls(&th, a, b, 1);
+	throttle_record_calls(&th, a, c, 1);
+	throttle_begin_update(&th);
+	throttle_add_demand(&th, a, 0, 100);
 	add_server(&th, b, 5, 0.1, 0.9); /* capacity for half */
 	add_server(&th, c, 8, 0.1, 0.4); /* capacity for four fifths */
-	throttle_step(&th, STEP_S);
-	assert_true(throttle_share(&th, a, 0) > 0.4);
-	assert_true(throttle_share(&th, a, 0) < 0.5);
-	assert_true(th.services[b].limits);
-	assert_false(th.services[c].limits);
+	throttle_update_shares(&th, STEP_S);
+	assert_true(throttle_admitted_share(&th, a, 0) > 0.4);
+	assert_true(throttle_admitted_share(&th, a, 0) < 0.5);
+	assert_true(th.services[b].is_limiting);
+	assert_false(th.services[c].is_limiting);
 }
 
 /*
@@ -452,7 +454,7 @@
 
 	(void)state;
 	throttle_init(&th);
-	for (i = 0; i < THROTTLE_SERVICES; i++) {
+	for (i = 0; i < THROTTLE_SERVICES_MAX; i++) {
 		snprintf(name, sizeof(name), "s%d", i);
 		assert_int_equal(throttle_service(&th, name), i);
 	}
@@ -470,15 +472,15 @@
 	int i, c, refused;
 
 	for (i = 0; i < runs; i++) {
-		profile_begin(p);
+		profile_run_started(p);
 		for (refused = c = 0; c < calls_per_run && !refused; c++) {
 			refused =
 			    refuse_every > 0 && ++made % refuse_every == 0;
-			profile_called(p, "pricing", 1);
+			profile_call_started(p, "pricing", 1);
 			profile_call_ended(p, refused);
 		}
-		profile_end(p);
-		profile_age(p, 8, 0.01);
+		profile_run_ended(p);
+		profile_update(p, 8, 0.01);
 	}
 }
 
@@ -493,19 +495,19 @@
 
 	(void)state;
 	profile_init(&p);
-	assert_false(profile_known(&p));
-	assert_true(profile_run_s(&p) <= 0);
+	assert_false(profile_calls_known(&p));
+	assert_true(profile_mean_run_s(&p) <= 0);
 	simulate_runs(&p, 300, 4, 0);
-	assert_true(profile_known(&p));
-	assert_true(profile_per_run(&p, 0) > 3.9);
-	assert_true(profile_per_run(&p, 0) < 4.1);
+	assert_true(profile_calls_known(&p));
+	assert_true(profile_calls_per_run(&p, 0) > 3.9);
+	assert_true(profile_calls_per_run(&p, 0) < 4.1);
 	/* Little's law: 8 slots held, 100 runs ended per second. */
-	assert_true(profile_run_s(&p) > 0.075);
-	assert_true(profile_run_s(&p) < 0.085);
+	assert_true(profile_mean_run_s(&p) > 0.075);
+	assert_true(profile_mean_run_s(&p) < 0.085);
 	simulate_runs(&p, 300, 4, 2); /* every second call refused */
-	assert_true(profile_per_run(&p, 0) > 3.7);
+	assert_true(profile_calls_per_run(&p, 0) > 3.7);
 	simulate_runs(&p, 600, 1, 0); /* fewer calls, none refused */
-	assert_true(profile_per_run(&p, 0) < 1.2);
+	assert_true(profile_calls_per_run(&p, 0) < 1.2);
 }
 
 /*
@@ -528,19 +530,19 @@
 	for (k = 0; k < sizeof(rows) / sizeof(rows[0]); k++) {
 		profile_init(&p);
 		for (i = 0; i < 200; i++)
-			profile_called(&p, "pricing", 0);
+			profile_call_started(&p, "pricing", 0);
 		for (i = 0; i < 100; i++) {
-			profile_begin(&p);
-			profile_called(&p, "pricing", rows[k].known);
-			profile_called(&p, "pricing", rows[k].known);
-			profile_called(&p, "pricing", rows[k].known);
-			profile_called(&p, "pricing", rows[k].known);
-			profile_called(&p, "pricing", 0);
-			profile_end(&p);
-			profile_age(&p, 8, 0.01);
+			profile_run_started(&p);
+			profile_call_started(&p, "pricing", rows[k].known);
+			profile_call_started(&p, "pricing", rows[k].known);
+			profile_call_started(&p, "pricing", rows[k].known);
+			profile_call_started(&p, "pricing", rows[k].known);
+			profile_call_started(&p, "pricing", 0);
+			profile_run_ended(&p);
+			profile_update(&p, 8, 0.01);
 		}
-		assert_true(profile_per_run(&p, 0) > 3.5);
-		assert_true(profile_per_run(&p, 0) < rows[k].most);
+		assert_true(profile_calls_per_run(&p, 0) > 3.5);
+		assert_true(profile_calls_per_run(&p, 0) < rows[k].most);
 	}
 }
 
@@ -557,8 +559,8 @@
 	profile_init(&p);
 	simulate_runs(&p, 300, 0, 0);
 	for (i = 0; i < 100; i++)
-		profile_age(&p, 8, 0.01);
-	assert_true(profile_run_s(&p) > 0.12);
+		profile_update(&p, 8, 0.01);
+	assert_true(profile_mean_run_s(&p) > 0.12);
 }
 
 /*
@@ -576,20 +578,20 @@
 	demand_init(&d);
 	for (i = 0; i < 1000; i++) {
 		r = demand_row(&d, "catalogue");
-		r->counts[2].asked += 20;
-		r->counts[2].let_in += 12;
-		r->counts[2].over += 8;
-		demand_age(&d, 0.1);
+		r->counts[2].requested_count += 20;
+		r->counts[2].admitted_count += 12;
+		r->counts[2].over_rate_count += 8;
+		demand_update_rates(&d, 0.1);
 	}
-	assert_true(demand_per_s(r, 2) > 65);
-	assert_true(demand_per_s(r, 2) < 68);
-	assert_true(demand_per_s(r, 1) <= 0);
-	for (i = 1; i < DEMAND_MAX; i++) {
+	assert_true(demand_rate_per_s(r, 2) > 65);
+	assert_true(demand_rate_per_s(r, 2) < 68);
+	assert_true(demand_rate_per_s(r, 1) <= 0);
+	for (i = 1; i < DEMAND_SERVICES_MAX; i++) {
 		snprintf(name, sizeof(name), "s%d", i);
-		demand_row(&d, name)->counts[0].asked = 1;
+		demand_row(&d, name)->counts[0].requested_count = 1;
 	}
 	assert_null(demand_row(&d, "one too many"));
-	demand_age(&d, 100);
+	demand_update_rates(&d, 100);
 	assert_non_null(demand_row(&d, "in place of a forgotten one"));
 }
 
@@ -603,16 +605,17 @@
 	int code, i;
 
 	(void)state;
-	assert_int_equal(demand_code(0), 0);
-	assert_int_equal(demand_code(-1), 0);
-	assert_true(demand_decode(0) <= 0);
-	assert_int_equal(demand_code(1e9), 255);
+	assert_int_equal(demand_encode_rate(0), 0);
+	assert_int_equal(demand_encode_rate(-1), 0);
+	assert_true(demand_decode_rate(0) <= 0);
+	assert_int_equal(demand_encode_rate(1e9), 255);
 	for (code = 0; code < 256; code++)
 		assert_int_equal(
-		    demand_code(demand_decode((uint8_t)code)), code);
+		    demand_encode_rate(demand_decode_rate((uint8_t)code)),
+		    code);
 	for (i = 0; i < 1660; i++) {
 		v = 0.001 * pow(1.01, i); /* up to 15,000 */
-		decoded = demand_decode(demand_code(v));
+		decoded = demand_decode_rate(demand_encode_rate(v));
 		assert_true(decoded >= v * 0.974 - 0.002);
 		assert_true(decoded <= v * 1.026 + 0.002);
 	}
@@ -647,24 +650,26 @@
 	heavy = throttle_service(&t, "catalogue");
 	rare = throttle_service(&t, "orders");
 	proofs = throttle_service(&t, "proofs");
-	throttle_calls(&t, heavy, proofs, 2);
-	throttle_calls(&t, rare, proofs, 0.3);
+	throttle_record_calls(&t, heavy, proofs, 2);
+	throttle_record_calls(&t, rare, proofs, 0.3);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-		throttle_begin(&t);
+		throttle_begin_update(&t);
 		add_server(&t, heavy, 100, 0.1, 0.1);
 		add_server(&t, rare, 100, 0.1, 0.1);
 		if (rows[i].servers)
 			add_server(&t, proofs, 100, 0.02, 0.1);
 		if (rows[i].reported_elsewhere)
-			throttle_keep_open(&t, proofs);
-		throttle_demand(&t, heavy, 1, 50);
-		throttle_demand(&t, rare, 0, 50);
-		throttle_step(&t, STEP_S);
-		assert_true(throttle_share(&t, heavy, 1) <= rows[i].most);
-		assert_true(throttle_share(&t, heavy, 1) >= rows[i].least);
-		assert_true(throttle_share(&t, rare, 0) >= 1);
-		assert_true(throttle_share(&t, proofs, 2) >= 1);
-		assert_true(t.services[proofs].trim <= 1);
+			throttle_assume_reachable(&t, proofs);
+		throttle_add_demand(&t, heavy, 1, 50);
+		throttle_add_demand(&t, rare, 0, 50);
+		throttle_update_shares(&t, STEP_S);
+		assert_true(
+		    throttle_admitted_share(&t, heavy, 1) <= rows[i].most);
+		assert_true(
+		    throttle_admitted_share(&t, heavy, 1) >= rows[i].least);
+		assert_true(throttle_admitted_share(&t, rare, 0) >= 1);
+		assert_true(throttle_admitted_share(&t, proofs, 2) >= 1);
+		assert_true(t.services[proofs].capacity_factor <= 1);
 	}
 }
 
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -42,9 +42,9 @@
 
 /* Arrivals at one service. */
 struct arrivals {
-	double runs_per_root[THROTTLE_SERVICES]; /* by root service */
-	double runs_per_s[THROTTLE_CLASSES];	 /* by class */
-	double roots_per_s[THROTTLE_CLASSES];	 /* whose trees reach it */
+	double runs_per_root[THROTTLE_SERVICES_MAX]; /* by root service */
+	double runs_per_s[THROTTLE_CLASSES];	     /* by class */
+	double roots_per_s[THROTTLE_CLASSES];	     /* whose trees reach it */
 };
 
 static void compute_runs(const struct throttle *, double *);
@@ -80,14 +80,14 @@
 	for (i = 0; i < t->count; i++)
 		if (strcmp(t->services[i].name, name) == 0)
 			return (int)i;
-	if (t->count == THROTTLE_SERVICES)
+	if (t->count == THROTTLE_SERVICES_MAX)
 		return -1;
 	s = &t->services[t->count++];
 	memset(s, 0, sizeof(*s));
 	snprintf(s->name, THROTTLE_NAME_BYTES, "%s", name);
-	s->trim = 1;
+	s->capacity_factor = 1;
 	for (k = 0; k < THROTTLE_CLASSES; k++)
-		s->share[k] = 1;
+		s->admitted_share[k] = 1;
 	return (int)i;
 }
 
@@ -96,7 +96,7 @@
  * service to.  The reports of all its servers are averaged.
  */
 void
-throttle_calls(struct throttle *t, int from, int to, double per_run)
+throttle_record_calls(struct throttle *t, int from, int to, double per_run)
 {
 	struct throttle_service *s = &t->services[from];
 	uint32_t i;
@@ -104,15 +104,15 @@
 	for (i = 0; i < s->call_count; i++)
 		if (s->calls[i].service == to)
 			break;
-	if (i == THROTTLE_CALLS)
+	if (i == THROTTLE_CALLS_MAX)
 		return;
 	if (i == s->call_count) {
 		s->call_count++;
 		s->calls[i].service = to;
-		s->calls[i].per_run = per_run;
+		s->calls[i].calls_per_run = per_run;
 	}
-	s->calls[i].per_run +=
-	    CALLS_REPORT_WEIGHT * (per_run - s->calls[i].per_run);
+	s->calls[i].calls_per_run +=
+	    CALLS_REPORT_WEIGHT * (per_run - s->calls[i].calls_per_run);
 }
 
 /*
@@ -120,19 +120,20 @@
  * chain.  The reports of all calling servers are averaged.
  */
 void
-throttle_chained(struct throttle *t, double share)
+throttle_record_chained(struct throttle *t, double share)
 {
-	t->chained += CHAINED_REPORT_WEIGHT * (share - t->chained);
+	t->chained_share += CHAINED_REPORT_WEIGHT * (share - t->chained_share);
 }
 
 /*
  * Returns the target load of a service, as a share of its slots.
  */
 double
-throttle_target(const struct throttle *t)
+throttle_target_load(const struct throttle *t)
 {
-	return THROTTLE_TARGET +
-	       (THROTTLE_TARGET_CHAINED - THROTTLE_TARGET) * t->chained;
+	return THROTTLE_TARGET_LOAD +
+	       (THROTTLE_TARGET_LOAD_CHAINED - THROTTLE_TARGET_LOAD) *
+		   t->chained_share;
 }
 
 /*
@@ -140,7 +141,7 @@
  * adds anew.
  */
 void
-throttle_begin(struct throttle *t)
+throttle_begin_update(struct throttle *t)
 {
 	struct throttle_service *s;
 	uint32_t i;
@@ -149,11 +150,11 @@
 		s = &t->services[i];
 		memset(s->demand, 0, sizeof(s->demand));
 		s->slots = 0;
-		s->runs_per_s = 0;
-		s->offered = 0;
-		s->soundest = s->soundest_now;
-		s->soundest_now = 1;
-		s->keep_open = 0;
+		s->capacity_runs_per_s = 0;
+		s->offered_load = 0;
+		s->lowest_failure_share = s->next_lowest_failure_share;
+		s->next_lowest_failure_share = 1;
+		s->assumed_reachable = 0;
 	}
 }
 
@@ -162,7 +163,8 @@
  * admitted or not.
  */
 void
-throttle_demand(struct throttle *t, int service, uint32_t class, double per_s)
+throttle_add_demand(
+    struct throttle *t, int service, uint32_t class, double per_s)
 {
 	t->services[service].demand[class] += per_s;
 }
@@ -176,15 +178,18 @@
     struct throttle *t, int service, const struct throttle_server *server)
 {
 	struct throttle_service *s = &t->services[service];
-	double excess = fmax(0, server->failing - s->soundest);
+	double excess =
+	    fmax(0, server->failure_share - s->lowest_failure_share);
 
-	s->had_servers = s->keep_open = 1;
+	s->had_server = s->assumed_reachable = 1;
 	s->slots += server->slots;
-	s->offered += server->offered * server->slots;
-	s->soundest_now = fmin(s->soundest_now, server->failing);
-	if (server->run_s > 0)
-		s->runs_per_s += server->slots / server->run_s *
-				 fmax(0, 1 - AVOIDANCE_PER_FAILURE * excess);
+	s->offered_load += server->offered_load * server->slots;
+	s->next_lowest_failure_share =
+	    fmin(s->next_lowest_failure_share, server->failure_share);
+	if (server->mean_run_s > 0)
+		s->capacity_runs_per_s +=
+		    server->slots / server->mean_run_s *
+		    fmax(0, 1 - AVOIDANCE_PER_FAILURE * excess);
 }
 
 /*
@@ -192,9 +197,9 @@
  * other nodes know one, or no request is sent there.
  */
 void
-throttle_keep_open(struct throttle *t, int service)
+throttle_assume_reachable(struct throttle *t, int service)
 {
-	t->services[service].keep_open = 1;
+	t->services[service].assumed_reachable = 1;
 }
 
 /*
@@ -204,7 +209,8 @@
 static double
 max_runs_per_s(const struct throttle *t, const struct throttle_service *s)
 {
-	return throttle_target(t) * s->trim * s->runs_per_s;
+	return throttle_target_load(t) * s->capacity_factor *
+	       s->capacity_runs_per_s;
 }
 
 /*
@@ -216,17 +222,20 @@
     struct throttle_service *s, double target, double seconds)
 {
 	double error = fmax(-CORRECTION_ERROR_MAX,
-	    fmin(CORRECTION_ERROR_MAX, s->offered / target - 1));
+	    fmin(CORRECTION_ERROR_MAX, s->offered_load / target - 1));
 
-	if (s->limits || error > 0) {
-		s->bound_s += seconds;
-		if (s->bound_s > CORRECTION_DELAY_S)
-			s->trim *= exp(-CORRECTION_PER_S * error * seconds);
+	if (s->is_limiting || error > 0) {
+		s->limiting_s += seconds;
+		if (s->limiting_s > CORRECTION_DELAY_S)
+			s->capacity_factor *=
+			    exp(-CORRECTION_PER_S * error * seconds);
 	} else {
-		s->bound_s = 0;
-		s->trim += (1 - s->trim) * CORRECTION_DECAY_PER_S * seconds;
+		s->limiting_s = 0;
+		s->capacity_factor +=
+		    (1 - s->capacity_factor) * CORRECTION_DECAY_PER_S * seconds;
 	}
-	s->trim = fmax(CAPACITY_FACTOR_MIN, fmin(CAPACITY_FACTOR_MAX, s->trim));
+	s->capacity_factor = fmax(
+	    CAPACITY_FACTOR_MIN, fmin(CAPACITY_FACTOR_MAX, s->capacity_factor));
 }
 
 /*
@@ -236,7 +245,7 @@
 static void
 compute_runs(const struct throttle *t, double *runs_per_s)
 {
-	double level[THROTTLE_SERVICES], next[THROTTLE_SERVICES];
+	double level[THROTTLE_SERVICES_MAX], next[THROTTLE_SERVICES_MAX];
 	const struct throttle_service *s;
 	double total = 1;
 	uint32_t i, k, depth;
@@ -244,8 +253,8 @@
 	for (i = 0; i < t->count; i++) {
 		level[i] = 0;
 		for (k = 0; k < THROTTLE_CLASSES; k++)
-			level[i] +=
-			    t->services[i].demand[k] * t->services[i].share[k];
+			level[i] += t->services[i].demand[k] *
+				    t->services[i].admitted_share[k];
 		runs_per_s[i] = level[i];
 	}
 	for (depth = 0; depth < CALL_DEPTH_MAX && total > 0; depth++) {
@@ -254,7 +263,7 @@
 			s = &t->services[i];
 			for (k = 0; k < s->call_count; k++)
 				next[s->calls[k].service] +=
-				    level[i] * s->calls[k].per_run;
+				    level[i] * s->calls[k].calls_per_run;
 		}
 		for (total = 0, i = 0; i < t->count; i++) {
 			level[i] = next[i];
@@ -271,7 +280,8 @@
 static void
 compute_arrivals(const struct throttle *t, int service, struct arrivals *a)
 {
-	double level[THROTTLE_SERVICES] = { 0 }, next[THROTTLE_SERVICES];
+	double level[THROTTLE_SERVICES_MAX] = { 0 },
+	       next[THROTTLE_SERVICES_MAX];
 	const struct throttle_service *s;
 	double total = 1;
 	uint32_t i, k, depth;
@@ -283,7 +293,7 @@
 		for (total = 0, i = 0; i < t->count; i++) {
 			s = &t->services[i];
 			for (next[i] = 0, k = 0; k < s->call_count; k++)
-				next[i] += s->calls[k].per_run *
+				next[i] += s->calls[k].calls_per_run *
 					   level[s->calls[k].service];
 			total += next[i];
 		}
@@ -297,9 +307,11 @@
 		if (a->runs_per_root[i] < REACHED_RUNS_PER_ROOT)
 			continue;
 		for (k = 0; k < THROTTLE_CLASSES; k++) {
-			a->roots_per_s[k] += s->demand[k] * s->share[k];
-			a->runs_per_s[k] +=
-			    s->demand[k] * s->share[k] * a->runs_per_root[i];
+			a->roots_per_s[k] +=
+			    s->demand[k] * s->admitted_share[k];
+			a->runs_per_s[k] += s->demand[k] *
+					    s->admitted_share[k] *
+					    a->runs_per_root[i];
 		}
 	}
 }
@@ -358,13 +370,13 @@
 		    fmin(SHARE_FLOOR_MAX,
 			SHARE_FLOOR_OF_MEAN * admitted / roots));
 	}
-	s->limits = 1;
-	memcpy(s->cut, share, sizeof(s->cut));
+	s->is_limiting = 1;
+	memcpy(s->own_admitted_share, share, sizeof(s->own_admitted_share));
 	for (i = 0; i < t->count; i++)
 		for (k = 0; a.runs_per_root[i] >= REACHED_RUNS_PER_ROOT &&
 			    k < THROTTLE_CLASSES;
 		     k++)
-			t->services[i].share[k] *= share[k];
+			t->services[i].admitted_share[k] *= share[k];
 }
 
 /*
@@ -380,15 +392,15 @@
 	uint32_t i, k;
 
 	compute_arrivals(t, service, &a);
-	s->limits = 1;
+	s->is_limiting = 1;
 	for (k = 0; k < THROTTLE_CLASSES; k++)
-		s->cut[k] = SHARE_FLOOR_MIN;
+		s->own_admitted_share[k] = SHARE_FLOOR_MIN;
 	for (i = 0; i < t->count; i++)
 		for (k = 0; (int)i != service &&
 			    a.runs_per_root[i] >= REQUIRED_RUNS_PER_ROOT &&
 			    k < THROTTLE_CLASSES;
 		     k++)
-			t->services[i].share[k] *= SHARE_FLOOR_MIN;
+			t->services[i].admitted_share[k] *= SHARE_FLOOR_MIN;
 }
 
 /*
@@ -399,16 +411,16 @@
 static int
 most_overloaded(struct throttle *t, const int *done)
 {
-	double runs_per_s[THROTTLE_SERVICES], overload, highest = 1;
+	double runs_per_s[THROTTLE_SERVICES_MAX], overload, highest = 1;
 	uint32_t i;
 	int service = -1;
 
 	compute_runs(t, runs_per_s);
 	for (i = 0; i < t->count; i++) {
-		if (done[i] || t->services[i].runs_per_s <= 0)
+		if (done[i] || t->services[i].capacity_runs_per_s <= 0)
 			continue;
-		t->services[i].expected =
-		    runs_per_s[i] / t->services[i].runs_per_s;
+		t->services[i].expected_load =
+		    runs_per_s[i] / t->services[i].capacity_runs_per_s;
 		overload = runs_per_s[i] / max_runs_per_s(t, &t->services[i]);
 		if (overload <= highest)
 			continue;
@@ -422,9 +434,9 @@
  * Recomputes all shares.  The previous update was the given seconds ago.
  */
 void
-throttle_step(struct throttle *t, double seconds)
+throttle_update_shares(struct throttle *t, double seconds)
 {
-	int done[THROTTLE_SERVICES] = { 0 };
+	int done[THROTTLE_SERVICES_MAX] = { 0 };
 	struct throttle_service *s;
 	uint32_t i, k;
 	int service;
@@ -432,15 +444,17 @@
 	for (i = 0; i < t->count; i++) {
 		s = &t->services[i];
 		if (s->slots > 0) {
-			s->offered /= s->slots;
-			adjust_capacity_factor(s, throttle_target(t), seconds);
+			s->offered_load /= s->slots;
+			adjust_capacity_factor(
+			    s, throttle_target_load(t), seconds);
 		}
-		s->limits = 0;
+		s->is_limiting = 0;
 		for (k = 0; k < THROTTLE_CLASSES; k++)
-			s->share[k] = 1;
+			s->admitted_share[k] = 1;
 	}
 	for (i = 0; i < t->count; i++)
-		if (t->services[i].had_servers && !t->services[i].keep_open)
+		if (t->services[i].had_server &&
+		    !t->services[i].assumed_reachable)
 			restrict_roots(t, (int)i);
 	while ((service = most_overloaded(t, done)) >= 0) {
 		done[service] = 1;
@@ -452,7 +466,7 @@
  * Returns the admitted share of a class of root requests to a service.
  */
 double
-throttle_share(const struct throttle *t, int service, uint32_t class)
+throttle_admitted_share(const struct throttle *t, int service, uint32_t class)
 {
-	return t->services[service].share[class];
+	return t->services[service].admitted_share[class];
 }
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -14,9 +14,9 @@
  */
 
 #define THROTTLE_NAME_BYTES 64
-#define THROTTLE_SERVICES 128
+#define THROTTLE_SERVICES_MAX 128
 #define THROTTLE_CLASSES 4
-#define THROTTLE_CALLS 8 /* recorded callees of one service */
+#define THROTTLE_CALLS_MAX 8 /* recorded callees of one service */
 
 /*
  * Target load of a service: arriving work as a share of its slots.  Without
@@ -26,21 +26,21 @@
  * important first.  A target above capacity then keeps the slots full, but the
  * higher it is, the more work is wasted before a call is refused.
  */
-#define THROTTLE_TARGET 0.93
-#define THROTTLE_TARGET_CHAINED 1.2
+#define THROTTLE_TARGET_LOAD 0.93
+#define THROTTLE_TARGET_LOAD_CHAINED 1.2
 
 /* Measured calls of one service to another. */
 struct throttle_call {
-	int service;	/* handle of the callee */
-	double per_run; /* mean calls per run of the caller */
+	int service;	      /* handle of the callee */
+	double calls_per_run; /* mean calls per run of the caller */
 };
 
 /* Measured state of one server. */
 struct throttle_server {
 	double slots;
-	double run_s;	/* mean time a run holds a slot; 0: unknown */
-	double offered; /* arriving work, as a share of the slots */
-	double failing; /* share of its runs that fail */
+	double mean_run_s;    /* mean time a run holds a slot; 0: unknown */
+	double offered_load;  /* arriving work, as a share of the slots */
+	double failure_share; /* share of its runs that fail */
 };
 
 /* Demand, capacity and admitted shares of one service. */
@@ -48,38 +48,42 @@
 	char name[THROTTLE_NAME_BYTES];
 	double demand[THROTTLE_CLASSES]; /* requested roots per second */
 	double slots;			 /* of all its servers */
-	double runs_per_s;   /* capacity with all usable slots in use */
-	double soundest;     /* lowest failure share of a server */
-	double soundest_now; /* the same, of the servers added so far */
-	double offered;	     /* measured load, as a share of the slots */
-	double trim;	     /* correction factor of the capacity */
-	double share[THROTTLE_CLASSES]; /* admitted share of root requests */
-	int limits;	 /* 1: its load reduces admitted shares */
-	int had_servers; /* 1: at least one server was ever added */
-	int keep_open;	 /* 1: a server is known or assumed to exist */
-	double expected; /* load before its own limit, as part of capacity */
-	double cut[THROTTLE_CLASSES]; /* share admitted by its own limit */
-	double bound_s;		      /* time at or above its limit */
-	struct throttle_call calls[THROTTLE_CALLS];
+	double capacity_runs_per_s;  /* capacity with all usable slots in use */
+	double lowest_failure_share; /* lowest failure share of a server */
+	double next_lowest_failure_share; /* the same, of the servers added so
+					     far */
+	double offered_load;	/* measured load, as a share of the slots */
+	double capacity_factor; /* correction factor of the capacity */
+	double admitted_share[THROTTLE_CLASSES]; /* admitted share of root
+						    requests */
+	int is_limiting;       /* 1: its load reduces admitted shares */
+	int had_server;	       /* 1: at least one server was ever added */
+	int assumed_reachable; /* 1: a server is known or assumed to exist */
+	double
+	    expected_load; /* load before its own limit, as part of capacity */
+	double own_admitted_share[THROTTLE_CLASSES]; /* share admitted by its
+							own limit */
+	double limiting_s; /* time at or above its limit */
+	struct throttle_call calls[THROTTLE_CALLS_MAX];
 	uint32_t call_count;
 };
 
 struct throttle {
-	struct throttle_service services[THROTTLE_SERVICES];
+	struct throttle_service services[THROTTLE_SERVICES_MAX];
 	uint32_t count;
-	double chained; /* share of calls that belong to a known chain */
+	double chained_share; /* share of calls that belong to a known chain */
 };
 
 void throttle_init(struct throttle *);
 int throttle_service(struct throttle *, const char *);
-void throttle_calls(struct throttle *, int, int, double);
-void throttle_chained(struct throttle *, double);
-double throttle_target(const struct throttle *);
-void throttle_begin(struct throttle *);
-void throttle_demand(struct throttle *, int, uint32_t, double);
+void throttle_record_calls(struct throttle *, int, int, double);
+void throttle_record_chained(struct throttle *, double);
+double throttle_target_load(const struct throttle *);
+void throttle_begin_update(struct throttle *);
+void throttle_add_demand(struct throttle *, int, uint32_t, double);
 void throttle_server(struct throttle *, int, const struct throttle_server *);
-void throttle_keep_open(struct throttle *, int);
-void throttle_step(struct throttle *, double);
-double throttle_share(const struct throttle *, int, uint32_t);
+void throttle_assume_reachable(struct throttle *, int);
+void throttle_update_shares(struct throttle *, double);
+double throttle_admitted_share(const struct throttle *, int, uint32_t);
 
 #endif
--- a/tests/measure/control.c
+++ b/tests/measure/control.c
@@ -26,7 +26,7 @@
 
 static struct node_id node(size_t);
 static void lookup(void *, uint32_t, uint64_t, struct lease_view *);
-static int find_ws(void *, uint64_t, struct limits_ws *);
+static int find_ws(void *, uint64_t, struct limits_workspace *);
 static uint64_t fake_us(void);
 static void measure_leases(void);
 static void measure_decisions(void);
@@ -38,7 +38,7 @@
 
 static struct limits limits[2];
 static struct once once[2];
-static struct limits_ws workspace = { 1, 1e6, 3000000, 0 };
+static struct limits_workspace workspace = { 1, 1e6, 3000000, 0 };
 static uint64_t now_us, calls;
 
 /*
@@ -75,7 +75,7 @@
  * Finds any workspace.
  */
 static int
-find_ws(void *ctx, uint64_t hash, struct limits_ws *ws)
+find_ws(void *ctx, uint64_t hash, struct limits_workspace *ws)
 {
 	(void)ctx;
 	*ws = workspace;
@@ -210,7 +210,7 @@
 		.call = call,
 		.find = find_ws,
 		.clock_us = fake_us };
-	struct limits_ws ws = workspace;
+	struct limits_workspace ws = workspace;
 	uint64_t began, i, loan;
 	uint32_t retry;
 	size_t base;
@@ -265,7 +265,8 @@
 		now_us += (uint64_t)(1e6 / rate);
 		while (tick < now_us) {
 			limits_maintain(&limits[1]);
-			tick = now_us + (uint64_t)LIMITS_TICK_MS * 1000;
+			tick = now_us +
+			       (uint64_t)LIMITS_MAINTAIN_INTERVAL_MS * 1000;
 		}
 		began = clock_us();
 		limits_admit(&limits[1], &workspace, &loan, &retry);
