--- a/src/model/world.h
+++ b/src/model/world.h
@@ -7,7 +7,7 @@
 #include "quota/quota.h"
 #include "relay/budget.h"
 #include "relay/choice.h"
-#include "relay/comeback.h"
+#include "relay/retry_after.h"
 #include "throttle/demand.h"
 #include "throttle/profile.h"
 #include "throttle/throttle.h"
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -1,7 +1,7 @@
 #ifndef RELAY_RELAY_INT_H
 #define RELAY_RELAY_INT_H
 
-#include "relay/comeback.h"
+#include "relay/retry_after.h"
 #include "relay/relay.h"
 
 #define RELAY_TRIED_MAX 6
--- a/src/relay/comeback.c
+++ b/src/relay/retry_after.c
@@ -1,4 +1,4 @@
-#include "relay/comeback.h"
+#include "relay/retry_after.h"
 
 #define TARGET_SHARE 0.5 /* the rest of the target is left for the retry */
 
--- a/src/relay/test_choice.c
+++ b/src/relay/test_choice.c
@@ -6,7 +6,7 @@
 
 #include "relay/budget.h"
 #include "relay/choice.h"
-#include "relay/comeback.h"
+#include "relay/retry_after.h"
 
 #define SAMPLE_COUNT 4000
 #define SERVER_COUNT 3
