src/route: Names in the usual terms of the field

Constants, static functions, locals, test functions and the fields that only this folder uses now name what they hold, with the unit at the end. No code changed.

--- a/src/route/book.c
+++ b/src/route/book.c
@@ -5,12 +5,12 @@
 
 #include "route/route.h"
 
-#define MIX 0x9e3779b97f4a7c15ULL
+#define HASH_MULTIPLIER 0x9e3779b97f4a7c15ULL
 
-static uint64_t key_of(const struct node_id *);
+static uint64_t server_key(const struct node_id *);
 static struct route_bucket *bucket_of(const struct route_book *, uint64_t);
-static struct route_stat *find(struct route_bucket *, uint64_t);
-static struct route_stat *find_or_make(struct route_bucket *, uint64_t);
+static struct route_stat *find_stat(struct route_bucket *, uint64_t);
+static struct route_stat *find_or_add(struct route_bucket *, uint64_t);
 
 /*
  * Prepares an empty book.  Exits the process if memory is exhausted.
@@ -48,14 +48,14 @@
 void
 route_begin(struct route_book *b, const struct node_id *id, uint64_t now_ms)
 {
-	uint64_t key = key_of(id);
+	uint64_t key = server_key(id);
 	struct route_bucket *bk = bucket_of(b, key);
 	struct route_stat *s;
 
 	pthread_mutex_lock(&bk->lock);
-	s = find_or_make(bk, key);
+	s = find_or_add(bk, key);
 	s->inflight++;
-	s->used_ms = now_ms;
+	s->last_used_ms = now_ms;
 	pthread_mutex_unlock(&bk->lock);
 }
 
@@ -65,18 +65,18 @@
  */
 void
 route_observe(struct route_book *b, const struct node_id *id,
-    enum route_outcome how, uint64_t latency_us,
+    enum route_outcome outcome, uint64_t latency_us,
     const struct admission_load *load, uint64_t now_ms)
 {
-	uint64_t key = key_of(id);
+	uint64_t key = server_key(id);
 	struct route_bucket *bk = bucket_of(b, key);
 	struct route_stat *s;
 
 	pthread_mutex_lock(&bk->lock);
-	s = find_or_make(bk, key);
+	s = find_or_add(bk, key);
 	if (s->inflight > 0)
 		s->inflight--;
-	route_stat_update(s, how, latency_us, load, now_ms);
+	route_stat_update(s, outcome, latency_us, load, now_ms);
 	pthread_mutex_unlock(&bk->lock);
 }
 
@@ -87,12 +87,12 @@
 route_book_get(
     struct route_book *b, const struct node_id *id, struct route_stat *out)
 {
-	uint64_t key = key_of(id);
+	uint64_t key = server_key(id);
 	struct route_bucket *bk = bucket_of(b, key);
 	struct route_stat *s;
 
 	pthread_mutex_lock(&bk->lock);
-	s = find(bk, key);
+	s = find_stat(bk, key);
 	if (s != NULL)
 		*out = *s;
 	else
@@ -109,11 +109,11 @@
     size_t count, const struct route_query *q, enum route_reason *why)
 {
 	struct route_stat *stats;
-	size_t i, from = 0;
-	int at;
+	size_t i, first = 0;
+	int chosen;
 
 	if (count > ROUTE_CANDIDATES_MAX) {
-		from = (q->rnd >> 32) % (count - ROUTE_CANDIDATES_MAX + 1);
+		first = (q->rnd >> 32) % (count - ROUTE_CANDIDATES_MAX + 1);
 		count = ROUTE_CANDIDATES_MAX;
 	}
 	/* On the heap: a thread's stack stays resident once it was used. */
@@ -121,10 +121,10 @@
 	if (stats == NULL)
 		err(1, "route_pick");
 	for (i = 0; i < count; i++)
-		route_book_get(b, &cand[from + i].id, &stats[i]);
-	at = route_choose(cand + from, stats, count, q, why);
+		route_book_get(b, &cand[first + i].id, &stats[i]);
+	chosen = route_choose(cand + first, stats, count, q, why);
 	free(stats);
-	return at < 0 ? at : (int)from + at;
+	return chosen < 0 ? chosen : (int)first + chosen;
 }
 
 /*
@@ -147,10 +147,11 @@
 		    "ejections=%u ejected_ms=%" PRIu64 " returning=%d "
 		    "leaving=%d\n",
 		    name, cand[i].slots, s.inflight, s.load.inflight,
-		    s.load.limit, s.load.level, s.latency_us, s.good, s.bad,
-		    s.streak, s.ejections,
+		    s.load.limit, s.load.level, s.latency_us, s.successes,
+		    s.failures, s.streak, s.ejections,
 		    s.ejected_ms > now_ms ? s.ejected_ms - now_ms : 0,
-		    s.returning, cand[i].leaving || now_ms < s.leaving_ms);
+		    s.needs_probe,
+		    cand[i].leaving || now_ms < s.leaving_until_ms);
 	}
 }
 
@@ -158,13 +159,13 @@
  * Returns a hash of a server's name, never 0.
  */
 static uint64_t
-key_of(const struct node_id *id)
+server_key(const struct node_id *id)
 {
 	uint64_t h = id->incarnation;
 
-	h ^= ((uint64_t)id->addr << 16 | id->rpc_port) * MIX;
+	h ^= ((uint64_t)id->addr << 16 | id->rpc_port) * HASH_MULTIPLIER;
 	h ^= h >> 31;
-	h *= MIX;
+	h *= HASH_MULTIPLIER;
 	h ^= h >> 29;
 	return h != 0 ? h : 1;
 }
@@ -182,7 +183,7 @@
  * Returns the server with this key, or NULL.
  */
 static struct route_stat *
-find(struct route_bucket *bk, uint64_t key)
+find_stat(struct route_bucket *bk, uint64_t key)
 {
 	size_t i;
 
@@ -198,9 +199,9 @@
  * used, if need be; one with requests in flight is replaced last.
  */
 static struct route_stat *
-find_or_make(struct route_bucket *bk, uint64_t key)
+find_or_add(struct route_bucket *bk, uint64_t key)
 {
-	struct route_stat *s = find(bk, key), *w;
+	struct route_stat *s = find_stat(bk, key), *w;
 	size_t i;
 
 	if (s != NULL)
@@ -208,8 +209,9 @@
 	s = &bk->ways[0];
 	for (i = 1; i < ROUTE_WAYS; i++) {
 		w = &bk->ways[i];
-		if (!w->inflight != !s->inflight ? w->inflight == 0
-						 : w->used_ms < s->used_ms)
+		if (!w->inflight != !s->inflight
+			? w->inflight == 0
+			: w->last_used_ms < s->last_used_ms)
 			s = w;
 	}
 	memset(s, 0, sizeof(*s));
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -33,21 +33,21 @@
 };
 
 /* Where a server is, seen from here. */
-enum route_near {
+enum route_proximity {
 	ROUTE_ELSEWHERE,
 	ROUTE_SAME_REGION,
 	ROUTE_SAME_DOMAIN,
-	ROUTE_NEAR_MAX
+	ROUTE_PROXIMITY_MAX
 };
 
 /* A server of the service, as membership knows it. */
 struct route_candidate {
 	struct node_id id;
-	uint64_t since_ms; /* when its incarnation was first heard of */
-	uint64_t heard_ms; /* of the load below; 0 for none */
+	uint64_t since_ms;	   /* when its incarnation was first heard of */
+	uint64_t load_reported_ms; /* of the load below; 0 for none */
 	struct admission_load load;
 	uint32_t slots;
-	enum route_near near;
+	enum route_proximity near;
 	int leaving; /* drains, stops, or is held to be dead */
 	int suspect; /* may be dead, may still refute it */
 	int tried;   /* an earlier attempt of this request went there */
@@ -56,21 +56,21 @@
 /* What this node has seen of a server itself. */
 struct route_stat {
 	uint64_t key; /* hash of the server's name; 0 for none */
-	uint64_t used_ms;
-	uint64_t heard_ms; /* of the load below; 0 for none */
+	uint64_t last_used_ms;
+	uint64_t load_reported_ms; /* of the load below; 0 for none */
 	struct admission_load load;
-	int returning;	   /* was ejected and hasn't succeeded since */
+	int needs_probe;   /* was ejected and hasn't succeeded since */
 	uint32_t inflight; /* sent from here and not ended */
-	uint32_t inflight_heard;
+	uint32_t inflight_at_report;
 	uint32_t streak; /* failures since the last success */
 	uint32_t ejections;
-	uint64_t ejected_ms;  /* ejected until then */
-	uint64_t returned_ms; /* first success after the ejection */
-	uint64_t leaving_ms;  /* refused as leaving until then */
-	uint64_t answer_ms;   /* last answer of any kind */
-	uint64_t decay_ms;
-	double good; /* decaying counts */
-	double bad;
+	uint64_t ejected_ms;	   /* ejected until then */
+	uint64_t readmitted_ms;	   /* first success after the ejection */
+	uint64_t leaving_until_ms; /* refused as leaving until then */
+	uint64_t last_answer_ms;   /* last answer of any kind */
+	uint64_t decayed_ms;
+	double successes; /* decaying counts */
+	double failures;
 	double latency_us; /* decaying mean of the served ones */
 };
 
--- a/src/route/stat.c
+++ b/src/route/stat.c
@@ -6,32 +6,34 @@
  * What the ends of requests say about a server, and when that ejects it.
  */
 
-#define STREAK_EJECTS 5
-#define RATIO_EJECTS 0.5
-#define RATIO_SAMPLES 10 /* decayed requests before the ratio counts */
+#define EJECT_CONSECUTIVE_FAILURES 5
+#define EJECT_FAILURE_SHARE 0.5
+#define EJECT_SHARE_MIN_COUNT                          \
+	10 /* decayed requests before the ratio counts \
+	    */
 #define EJECT_FIRST_MS 1000
-#define EJECT_LAST_MS 30000
-#define EJECT_FORGET_MS 60000 /* without a new ejection */
-#define LEAVING_MS 2000	      /* until membership has heard of it as well */
-#define COUNT_HALF_MS 5000
-#define LATENCY_WEIGHT 0.1
+#define EJECT_MAX_MS 30000
+#define EJECT_RESET_MS 60000 /* without a new ejection */
+#define LEAVING_HOLD_MS 2000 /* until membership has heard of it as well */
+#define COUNT_HALF_LIFE_MS 5000
+#define LATENCY_MEAN_WEIGHT 0.1
 
-static void decay(struct route_stat *, uint64_t);
-static void succeed(struct route_stat *, uint64_t, uint64_t);
-static void fail(struct route_stat *, uint64_t, uint64_t);
-static void time_out(struct route_stat *, uint64_t, uint64_t);
-static void refuse(struct route_stat *, uint64_t, uint64_t);
-static void leave(struct route_stat *, uint64_t, uint64_t);
+static void decay_counts(struct route_stat *, uint64_t);
+static void record_success(struct route_stat *, uint64_t, uint64_t);
+static void record_failure(struct route_stat *, uint64_t, uint64_t);
+static void record_timeout(struct route_stat *, uint64_t, uint64_t);
+static void record_no_connection(struct route_stat *, uint64_t, uint64_t);
+static void record_leaving(struct route_stat *, uint64_t, uint64_t);
 static void eject(struct route_stat *, uint64_t);
 
 static void (*const updates[ROUTE_OUTCOME_MAX])(
     struct route_stat *, uint64_t, uint64_t) = {
-	[ROUTE_SERVED] = succeed,
+	[ROUTE_SERVED] = record_success,
 	[ROUTE_SHED] = NULL,
-	[ROUTE_LEAVING] = leave,
-	[ROUTE_FAILED] = fail,
-	[ROUTE_TIMEOUT] = time_out,
-	[ROUTE_REFUSED] = refuse,
+	[ROUTE_LEAVING] = record_leaving,
+	[ROUTE_FAILED] = record_failure,
+	[ROUTE_TIMEOUT] = record_timeout,
+	[ROUTE_REFUSED] = record_no_connection,
 	[ROUTE_CANCELLED] = NULL,
 };
 
@@ -40,18 +42,18 @@
  * load told in the answer (or NULL), and the time.
  */
 void
-route_stat_update(struct route_stat *s, enum route_outcome how,
+route_stat_update(struct route_stat *s, enum route_outcome outcome,
     uint64_t latency_us, const struct admission_load *load, uint64_t now_ms)
 {
-	decay(s, now_ms);
-	s->used_ms = now_ms;
-	if (updates[how] != NULL)
-		updates[how](s, latency_us, now_ms);
+	decay_counts(s, now_ms);
+	s->last_used_ms = now_ms;
+	if (updates[outcome] != NULL)
+		updates[outcome](s, latency_us, now_ms);
 	if (load != NULL) {
 		s->load = *load;
-		s->heard_ms = now_ms;
-		s->inflight_heard = s->inflight;
-		s->answer_ms = now_ms;
+		s->load_reported_ms = now_ms;
+		s->inflight_at_report = s->inflight;
+		s->last_answer_ms = now_ms;
 	}
 }
 
@@ -59,17 +61,17 @@
  * Lets the counts fade, and old ejections be forgotten.
  */
 static void
-decay(struct route_stat *s, uint64_t now_ms)
+decay_counts(struct route_stat *s, uint64_t now_ms)
 {
-	double f;
+	double factor;
 
-	if (now_ms <= s->decay_ms)
+	if (now_ms <= s->decayed_ms)
 		return;
-	f = exp2(-(double)(now_ms - s->decay_ms) / COUNT_HALF_MS);
-	s->good *= f;
-	s->bad *= f;
-	s->decay_ms = now_ms;
-	if (now_ms > s->ejected_ms + EJECT_FORGET_MS)
+	factor = exp2(-(double)(now_ms - s->decayed_ms) / COUNT_HALF_LIFE_MS);
+	s->successes *= factor;
+	s->failures *= factor;
+	s->decayed_ms = now_ms;
+	if (now_ms > s->ejected_ms + EJECT_RESET_MS)
 		s->ejections = 0;
 }
 
@@ -77,18 +79,19 @@
  * The server has answered whole and well.
  */
 static void
-succeed(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
+record_success(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
 {
-	s->good++;
+	s->successes++;
 	s->streak = 0;
-	s->answer_ms = now_ms;
+	s->last_answer_ms = now_ms;
 	if (s->latency_us == 0)
 		s->latency_us = (double)latency_us;
-	s->latency_us += LATENCY_WEIGHT * ((double)latency_us - s->latency_us);
-	if (s->returning && now_ms >= s->ejected_ms) {
-		s->returning = 0;
-		s->returned_ms = now_ms;
-		s->bad = 0;
+	s->latency_us +=
+	    LATENCY_MEAN_WEIGHT * ((double)latency_us - s->latency_us);
+	if (s->needs_probe && now_ms >= s->ejected_ms) {
+		s->needs_probe = 0;
+		s->readmitted_ms = now_ms;
+		s->failures = 0;
 	}
 }
 
@@ -96,14 +99,15 @@
  * The server has answered with an error, or broken off.
  */
 static void
-fail(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
+record_failure(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
 {
 	(void)latency_us;
-	s->bad++;
+	s->failures++;
 	s->streak++;
-	if (s->returning || s->streak >= STREAK_EJECTS ||
-	    (s->good + s->bad >= RATIO_SAMPLES &&
-		s->bad >= RATIO_EJECTS * (s->good + s->bad)))
+	if (s->needs_probe || s->streak >= EJECT_CONSECUTIVE_FAILURES ||
+	    (s->successes + s->failures >= EJECT_SHARE_MIN_COUNT &&
+		s->failures >=
+		    EJECT_FAILURE_SHARE * (s->successes + s->failures)))
 		eject(s, now_ms);
 }
 
@@ -113,20 +117,20 @@
  * the others would get its load.
  */
 static void
-time_out(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
+record_timeout(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
 {
-	if (s->answer_ms + latency_us / 1000 < now_ms)
-		fail(s, latency_us, now_ms);
+	if (s->last_answer_ms + latency_us / 1000 < now_ms)
+		record_failure(s, latency_us, now_ms);
 }
 
 /*
  * Nothing listens there.
  */
 static void
-refuse(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
+record_no_connection(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
 {
 	(void)latency_us;
-	s->bad++;
+	s->failures++;
 	s->streak++;
 	eject(s, now_ms);
 }
@@ -135,11 +139,11 @@
  * The server takes no new work; others will hear of it by membership soon.
  */
 static void
-leave(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
+record_leaving(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
 {
 	(void)latency_us;
-	s->answer_ms = now_ms;
-	s->leaving_ms = now_ms + LEAVING_MS;
+	s->last_answer_ms = now_ms;
+	s->leaving_until_ms = now_ms + LEAVING_HOLD_MS;
 }
 
 /*
@@ -154,10 +158,10 @@
 
 	if (now_ms < s->ejected_ms)
 		return;
-	for (i = 0; i < s->ejections && ms < EJECT_LAST_MS; i++)
+	for (i = 0; i < s->ejections && ms < EJECT_MAX_MS; i++)
 		ms *= 2;
 	s->ejections++;
-	s->ejected_ms = now_ms + (ms < EJECT_LAST_MS ? ms : EJECT_LAST_MS);
-	s->returning = 1;
+	s->ejected_ms = now_ms + (ms < EJECT_MAX_MS ? ms : EJECT_MAX_MS);
+	s->needs_probe = 1;
 	s->streak = 0;
 }
--- a/src/route/test_balance.c
+++ b/src/route/test_balance.c
@@ -16,62 +16,65 @@
 #define SERVERS 6 /* two in each of three domains */
 #define ENTRIES 6
 #define SLOTS 20
-#define QUEUE 20
-#define MEAN_MS 20.0
+#define QUEUE_LENGTH 20
+#define MEAN_WORK_MS 20.0
 #define DEADLINE_MS 300
-#define STEPS 20000
-#define TROUBLE_FROM 5000
-#define TROUBLE_TO 12000
-#define WARM_MS 100000 /* the clock at the start: all servers are old */
-#define FLIGHTS 4096
-#define LATENCIES 400
+#define DURATION_MS 20000
+#define DISTURBANCE_START_MS 5000
+#define DISTURBANCE_END_MS 12000
+#define CLOCK_START_MS                                        \
+	100000 /* the clock at the start: all servers are old \
+		*/
+#define REQUESTS_MAX 4096
+#define LATENCY_MAX_MS 400
 
-enum rule {
-	RULE_RANDOM,
-	RULE_LEAST,
-	RULE_CHOSEN,
-	RULE_MAX
+enum strategy {
+	STRATEGY_RANDOM,
+	STRATEGY_LEAST_LOADED,
+	STRATEGY_ROUTE_CHOOSE,
+	STRATEGY_MAX
 };
 
-static const char *const rule_names[RULE_MAX] = { "random", "least", "chosen" };
+static const char *const strategy_names[STRATEGY_MAX] = { "random", "least",
+	"chosen" };
 
-enum trouble {
-	TROUBLE_NONE,
-	TROUBLE_SLOW,  /* a server takes five times as long */
-	TROUBLE_FAILS, /* it fails everything at once */
-	TROUBLE_DEAD,  /* nothing listens; it returns later */
-	TROUBLE_HALF,  /* it fails half at once */
-	TROUBLE_MAX
+enum disturbance {
+	DISTURBANCE_NONE,
+	DISTURBANCE_SLOW,	/* a server takes five times as long */
+	DISTURBANCE_FAILS_ALL,	/* it fails everything at once */
+	DISTURBANCE_DOWN,	/* nothing listens; it returns later */
+	DISTURBANCE_FAILS_HALF, /* it fails half at once */
+	DISTURBANCE_MAX
 };
 
-struct scene {
+struct scenario {
 	const char *name;
 	double load; /* share of the capacity of all */
 	double skew; /* the first domain's entries get this many times more */
-	double good_min;
-	enum trouble trouble;
-	uint32_t p99_max; /* ms */
+	double served_share_min;
+	enum disturbance disturbance;
+	uint32_t p99_ms_max;
 };
 
-struct flight {
-	double work;
-	uint32_t start;
+struct request {
+	double work_ms;
+	uint32_t start_ms;
 	int entry;
 	int server; /* -1 if free */
-	int runs;
+	int running;
 };
 
 struct sim {
-	const struct scene *sc;
-	enum rule rule;
+	const struct scenario *scenario;
+	enum strategy strategy;
 	uint64_t rnd;
-	uint32_t now;
+	uint32_t now_ms;
 	struct route_candidate cand[ENTRIES][SERVERS];
 	struct route_stat stat[ENTRIES][SERVERS];
-	struct flight flights[FLIGHTS];
-	uint32_t runs[SERVERS], waits[SERVERS];
-	uint32_t came, good, far;
-	uint32_t latency[LATENCIES];
+	struct request requests[REQUESTS_MAX];
+	uint32_t running[SERVERS], waiting[SERVERS];
+	uint32_t requested, served, remote;
+	uint32_t latency[LATENCY_MAX_MS];
 };
 
 /*
@@ -99,26 +102,27 @@
  * Tells whether a server is in this trouble now.
  */
 static int
-troubled(const struct sim *s, int server, enum trouble t)
+is_disturbed(const struct sim *s, int server, enum disturbance d)
 {
-	return server == 0 && s->sc->trouble == t && s->now >= TROUBLE_FROM &&
-	       s->now < TROUBLE_TO;
+	return server == 0 && s->scenario->disturbance == d &&
+	       s->now_ms >= DISTURBANCE_START_MS &&
+	       s->now_ms < DISTURBANCE_END_MS;
 }
 
 /*
  * Chooses a server by the rule that is looked at.
  */
 static int
-choose(struct sim *s, int e)
+choose_server(struct sim *s, int e)
 {
-	struct route_query q = { WARM_MS + s->now, rnd(s), 0, 1 };
+	struct route_query q = { CLOCK_START_MS + s->now_ms, rnd(s), 0, 1 };
 	const struct route_stat *st = s->stat[e];
 	enum route_reason why;
 	int i, best = 0;
 
-	if (s->rule == RULE_CHOSEN)
+	if (s->strategy == STRATEGY_ROUTE_CHOOSE)
 		return route_choose(s->cand[e], st, SERVERS, &q, &why);
-	if (s->rule == RULE_RANDOM)
+	if (s->strategy == STRATEGY_RANDOM)
 		return (int)(q.rnd % SERVERS);
 	for (i = 1; i < SERVERS; i++) {
 		if (st[i].load.inflight + st[i].inflight <
@@ -132,51 +136,59 @@
  * A request is over; its entry learns how it went.
  */
 static void
-end(struct sim *s, int e, int server, enum route_outcome how, uint32_t took)
+finish_request(struct sim *s, int e, int server, enum route_outcome outcome,
+    uint32_t latency_ms)
 {
-	struct admission_load load = { ADMISSION_LEVEL_ALL, s->runs[server],
-		SLOTS, s->waits[server], 0 };
+	struct admission_load load = { ADMISSION_LEVEL_ALL, s->running[server],
+		SLOTS, s->waiting[server], 0 };
 
 	s->stat[e][server].inflight--;
-	route_stat_update(&s->stat[e][server], how, took * 1000ULL,
-	    how == ROUTE_REFUSED ? NULL : &load, WARM_MS + s->now);
-	if (how != ROUTE_SERVED)
+	route_stat_update(&s->stat[e][server], outcome, latency_ms * 1000ULL,
+	    outcome == ROUTE_REFUSED ? NULL : &load,
+	    CLOCK_START_MS + s->now_ms);
+	if (outcome != ROUTE_SERVED)
 		return;
-	s->good++;
-	s->latency[took < LATENCIES ? took : LATENCIES - 1]++;
+	s->served++;
+	s->latency[latency_ms < LATENCY_MAX_MS ? latency_ms
+					       : LATENCY_MAX_MS - 1]++;
 }
 
 /*
  * An entry sends a request, and once more if it was refused unrun.
  */
 static void
-send_one(struct sim *s, int e, int again)
+send_request(struct sim *s, int e, int is_retry)
 {
-	struct flight *f = s->flights;
-	int at = choose(s, e);
+	struct request *req = s->requests;
+	int server = choose_server(s, e);
 
-	s->came += !again;
-	if (at < 0)
+	s->requested += !is_retry;
+	if (server < 0)
 		return;
-	s->far += at / 2 != e / 2;
-	s->stat[e][at].inflight++;
-	if (troubled(s, at, TROUBLE_FAILS) ||
-	    (troubled(s, at, TROUBLE_HALF) && rnd(s) % 2 == 0)) {
-		end(s, e, at, ROUTE_FAILED, 1);
+	s->remote += server / 2 != e / 2;
+	s->stat[e][server].inflight++;
+	if (is_disturbed(s, server, DISTURBANCE_FAILS_ALL) ||
+	    (is_disturbed(s, server, DISTURBANCE_FAILS_HALF) &&
+		rnd(s) % 2 == 0)) {
+		finish_request(s, e, server, ROUTE_FAILED, 1);
 		return;
 	}
-	if (troubled(s, at, TROUBLE_DEAD) || s->waits[at] >= QUEUE) {
-		end(s, e, at,
-		    s->waits[at] >= QUEUE ? ROUTE_SHED : ROUTE_REFUSED, 1);
-		if (!again)
-			send_one(s, e, 1);
+	if (is_disturbed(s, server, DISTURBANCE_DOWN) ||
+	    s->waiting[server] >= QUEUE_LENGTH) {
+		finish_request(s, e, server,
+		    s->waiting[server] >= QUEUE_LENGTH ? ROUTE_SHED
+						       : ROUTE_REFUSED,
+		    1);
+		if (!is_retry)
+			send_request(s, e, 1);
 		return;
 	}
-	while (f->server >= 0)
-		f++;
-	assert_true(f < s->flights + FLIGHTS);
-	*f = (struct flight){ exponential(s) * MEAN_MS, s->now, e, at, 0 };
-	s->waits[at]++;
+	while (req->server >= 0)
+		req++;
+	assert_true(req < s->requests + REQUESTS_MAX);
+	*req = (struct request){ exponential(s) * MEAN_WORK_MS, s->now_ms, e,
+		server, 0 };
+	s->waiting[server]++;
 }
 
 /*
@@ -184,30 +196,32 @@
  * the table.
  */
 static void
-work(struct sim *s)
+run_servers(struct sim *s)
 {
-	struct flight *f;
-	int at;
+	struct request *req;
+	int server;
 
-	for (f = s->flights; f < s->flights + FLIGHTS; f++) {
-		if ((at = f->server) < 0)
+	for (req = s->requests; req < s->requests + REQUESTS_MAX; req++) {
+		if ((server = req->server) < 0)
 			continue;
-		if (!f->runs && s->runs[at] < SLOTS) {
-			f->runs = 1;
-			s->runs[at]++;
-			s->waits[at]--;
+		if (!req->running && s->running[server] < SLOTS) {
+			req->running = 1;
+			s->running[server]++;
+			s->waiting[server]--;
 		}
-		if (f->runs)
-			f->work -= troubled(s, at, TROUBLE_SLOW) ? 0.2 : 1;
-		if (f->work > 0 && s->now - f->start < DEADLINE_MS)
+		if (req->running)
+			req->work_ms -=
+			    is_disturbed(s, server, DISTURBANCE_SLOW) ? 0.2 : 1;
+		if (req->work_ms > 0 && s->now_ms - req->start_ms < DEADLINE_MS)
 			continue;
-		if (f->runs)
-			s->runs[at]--;
+		if (req->running)
+			s->running[server]--;
 		else
-			s->waits[at]--;
-		f->server = -1;
-		end(s, f->entry, at, f->work > 0 ? ROUTE_TIMEOUT : ROUTE_SERVED,
-		    s->now - f->start);
+			s->waiting[server]--;
+		req->server = -1;
+		finish_request(s, req->entry, server,
+		    req->work_ms > 0 ? ROUTE_TIMEOUT : ROUTE_SERVED,
+		    s->now_ms - req->start_ms);
 	}
 }
 
@@ -216,20 +230,20 @@
  * that 99 in 100 of those had at most, and the share sent to other domains.
  */
 static void
-simulate(const struct scene *sc, enum rule rule, double *good, uint32_t *p99,
-    double *far)
+simulate(const struct scenario *scenario, enum strategy strategy,
+    double *served, uint32_t *p99_ms, double *remote)
 {
 	struct sim *s = calloc(1, sizeof(*s));
 	double due[ENTRIES] = { 0 }, rate;
-	uint32_t seen = 0;
+	uint32_t counted = 0;
 	int e, i;
 
 	assert_non_null(s);
-	s->sc = sc;
-	s->rule = rule;
+	s->scenario = scenario;
+	s->strategy = strategy;
 	s->rnd = 88172645463325252ULL;
-	for (i = 0; i < FLIGHTS; i++)
-		s->flights[i].server = -1;
+	for (i = 0; i < REQUESTS_MAX; i++)
+		s->requests[i].server = -1;
 	for (e = 0; e < ENTRIES; e++) {
 		for (i = 0; i < SERVERS; i++) {
 			s->cand[e][i].slots = SLOTS;
@@ -237,56 +251,61 @@
 							    : ROUTE_SAME_REGION;
 		}
 	}
-	for (; s->now < STEPS; s->now++) {
+	for (; s->now_ms < DURATION_MS; s->now_ms++) {
 		for (e = 0; e < ENTRIES; e++) {
-			rate = sc->load * SERVERS * SLOTS / MEAN_MS / ENTRIES;
-			rate *= 3 * (e < 2 ? sc->skew : 1) / (2 + sc->skew);
+			rate = scenario->load * SERVERS * SLOTS / MEAN_WORK_MS /
+			       ENTRIES;
+			rate *= 3 * (e < 2 ? scenario->skew : 1) /
+				(2 + scenario->skew);
 			for (due[e] += rate; due[e] > 0;) {
-				send_one(s, e, 0);
+				send_request(s, e, 0);
 				due[e] -= exponential(s);
 			}
 		}
-		work(s);
+		run_servers(s);
 	}
-	for (i = 0; i < LATENCIES && seen * 100.0 < s->good * 99.0; i++)
-		seen += s->latency[i];
-	*p99 = (uint32_t)i;
-	*good = (double)s->good / s->came;
-	*far = (double)s->far / s->came;
+	for (i = 0; i < LATENCY_MAX_MS && counted * 100.0 < s->served * 99.0;
+	     i++)
+		counted += s->latency[i];
+	*p99_ms = (uint32_t)i;
+	*served = (double)s->served / s->requested;
+	*remote = (double)s->remote / s->requested;
 	free(s);
 }
 
-static const struct scene scenes[] = {
-	{ "calm", .6, 1, .999, TROUBLE_NONE, 110 },
-	{ "full", .95, 1, .995, TROUBLE_NONE, 140 },
-	{ "one domain gets 3x", .6, 3, .99, TROUBLE_NONE, 130 },
-	{ "one slow 5x", .6, 1, .995, TROUBLE_SLOW, 130 },
-	{ "one fails all", .6, 1, .995, TROUBLE_FAILS, 130 },
-	{ "one fails half", .6, 1, .99, TROUBLE_HALF, 130 },
-	{ "one dies", .6, 1, .995, TROUBLE_DEAD, 130 },
+static const struct scenario scenarios[] = {
+	{ "calm", .6, 1, .999, DISTURBANCE_NONE, 110 },
+	{ "full", .95, 1, .995, DISTURBANCE_NONE, 140 },
+	{ "one domain gets 3x", .6, 3, .99, DISTURBANCE_NONE, 130 },
+	{ "one slow 5x", .6, 1, .995, DISTURBANCE_SLOW, 130 },
+	{ "one fails all", .6, 1, .995, DISTURBANCE_FAILS_ALL, 130 },
+	{ "one fails half", .6, 1, .99, DISTURBANCE_FAILS_HALF, 130 },
+	{ "one dies", .6, 1, .995, DISTURBANCE_DOWN, 130 },
 };
 
 /*
  * Each scene under each rule; the one chosen must hold its bounds.
  */
 static void
-test_scenes(void **state)
+test_choice_meets_bounds_in_all_scenarios(void **state)
 {
-	double good = 0, far = 0;
-	uint32_t p99 = 0;
+	double served = 0, remote = 0;
+	uint32_t p99_ms = 0;
 	size_t i;
 	int r, bad = 0;
 
 	(void)state;
-	for (i = 0; i < sizeof(scenes) / sizeof(scenes[0]); i++) {
-		print_message("%-19s", scenes[i].name);
-		for (r = 0; r < RULE_MAX; r++) {
-			simulate(&scenes[i], (enum rule)r, &good, &p99, &far);
+	for (i = 0; i < sizeof(scenarios) / sizeof(scenarios[0]); i++) {
+		print_message("%-19s", scenarios[i].name);
+		for (r = 0; r < STRATEGY_MAX; r++) {
+			simulate(&scenarios[i], (enum strategy)r, &served,
+			    &p99_ms, &remote);
 			print_message(" | %s %.4f %u ms far %.2f",
-			    rule_names[r], good, p99, far);
+			    strategy_names[r], served, p99_ms, remote);
 		}
 		print_message("\n");
-		bad += good < scenes[i].good_min || p99 > scenes[i].p99_max;
+		bad += served < scenarios[i].served_share_min ||
+		       p99_ms > scenarios[i].p99_ms_max;
 	}
 	assert_int_equal(bad, 0);
 }
@@ -295,7 +314,7 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_scenes),
+		cmocka_unit_test(test_choice_meets_bounds_in_all_scenarios),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -19,65 +19,76 @@
 	const char *name;
 	struct route_candidate cand;
 	struct route_stat stat;
-	double least, most;
+	double min_share, max_share;
 	int may_probe;
 };
 
 static const struct rule rules[] = {
-	{ "equal", { .slots = 50 }, { .good = 10 }, .22, .28, 1 },
+	{ "equal", { .slots = 50 }, { .successes = 10 }, .22, .28, 1 },
 	{ "leaving", { .slots = 50, .leaving = 1 }, { 0 }, 0, 0, 1 },
-	{ "suspect", { .slots = 50, .suspect = 1 }, { .good = 10 }, 0, 0, 1 },
+	{ "suspect", { .slots = 50, .suspect = 1 }, { .successes = 10 }, 0, 0,
+	    1 },
 	{ "suspect in the own domain",
 	    { .slots = 50, .suspect = 1, .near = ROUTE_SAME_DOMAIN },
-	    { .good = 10 }, 0, 0, 1 },
-	{ "refused as leaving", { .slots = 50 }, { .leaving_ms = NOW + 1 }, 0,
-	    0, 1 },
+	    { .successes = 10 }, 0, 0, 1 },
+	{ "refused as leaving", { .slots = 50 },
+	    { .leaving_until_ms = NOW + 1 }, 0, 0, 1 },
 	{ "tried", { .slots = 50, .tried = 1 }, { 0 }, 0, 0, 1 },
 	{ "no slots", { .slots = 0 }, { 0 }, 0, 0, 1 },
-	{ "ejected", { .slots = 50 }, { .ejected_ms = NOW + 1, .returning = 1 },
-	    0, 0, 1 },
-	{ "returns", { .slots = 50 }, { .ejected_ms = NOW - 1, .returning = 1 },
-	    .1, .15, 1 },
+	{ "ejected", { .slots = 50 },
+	    { .ejected_ms = NOW + 1, .needs_probe = 1 }, 0, 0, 1 },
+	{ "returns", { .slots = 50 },
+	    { .ejected_ms = NOW - 1, .needs_probe = 1 }, .1, .15, 1 },
 	{ "returns, no probe", { .slots = 50 },
-	    { .ejected_ms = NOW - 1, .returning = 1 }, 0, 0, 0 },
+	    { .ejected_ms = NOW - 1, .needs_probe = 1 }, 0, 0, 0 },
 	{ "returns late", { .slots = 50 },
-	    { .ejected_ms = NOW - 6000, .returning = 1 }, .1, .15, 0 },
+	    { .ejected_ms = NOW - 6000, .needs_probe = 1 }, .1, .15, 0 },
 	{ "probe is out", { .slots = 50 },
-	    { .ejected_ms = NOW - 1, .returning = 1, .inflight = 1 }, 0, 0, 1 },
-	{ "cold", { .slots = 50, .since_ms = NOW - 100 }, { .good = 10 }, 0,
-	    .01, 1 },
+	    { .ejected_ms = NOW - 1, .needs_probe = 1, .inflight = 1 }, 0, 0,
+	    1 },
+	{ "cold", { .slots = 50, .since_ms = NOW - 100 }, { .successes = 10 },
+	    0, .01, 1 },
 	{ "busy", { .slots = 50 }, { .inflight = 20 }, 0, .01, 1 },
 	{ "told busy", { .slots = 50 },
-	    { .heard_ms = NOW, .load = { 1023, 20, 50, 0, 0 } }, 0, .01, 1 },
-	{ "told busy long ago", { .slots = 50 },
-	    { .heard_ms = NOW - 20000, .load = { 0, 20, 50, 9, 0 } }, .22, .51,
+	    { .load_reported_ms = NOW, .load = { 1023, 20, 50, 0, 0 } }, 0, .01,
 	    1 },
+	{ "told busy long ago", { .slots = 50 },
+	    { .load_reported_ms = NOW - 20000, .load = { 0, 20, 50, 9, 0 } },
+	    .22, .51, 1 },
 	{ "gossip says busy",
-	    { .slots = 50, .heard_ms = NOW, .load = { 1023, 20, 50, 0, 0 } },
+	    { .slots = 50,
+		.load_reported_ms = NOW,
+		.load = { 1023, 20, 50, 0, 0 } },
 	    { 0 }, 0, .01, 1 },
 	{ "sheds", { .slots = 50 },
-	    { .heard_ms = NOW, .load = { 499, 0, 50, 0, 0 } }, 0, .03, 1 },
+	    { .load_reported_ms = NOW, .load = { 499, 0, 50, 0, 0 } }, 0, .03,
+	    1 },
 	{ "larger and as busy", { .slots = 100 }, { .inflight = 1 }, .22, .51,
 	    1 },
 	{ "fails fast", { .slots = 50 },
-	    { .bad = 5, .good = 10, .latency_us = 100, .used_ms = NOW }, 0, .01,
-	    1 },
-	{ "fails fast, as slow else", { .slots = 50 }, { .bad = 5, .good = 10 },
+	    { .failures = 5,
+		.successes = 10,
+		.latency_us = 100,
+		.last_used_ms = NOW },
 	    0, .01, 1 },
+	{ "fails fast, as slow else", { .slots = 50 },
+	    { .failures = 5, .successes = 10 }, 0, .01, 1 },
 	{ "slow", { .slots = 50 },
-	    { .latency_us = 90000, .good = 10, .used_ms = NOW }, 0, .01, 1 },
+	    { .latency_us = 90000, .successes = 10, .last_used_ms = NOW }, 0,
+	    .01, 1 },
 	{ "slow long ago", { .slots = 50 },
-	    { .latency_us = 90000, .used_ms = NOW - 60000 }, .1, .51, 1 },
+	    { .latency_us = 90000, .last_used_ms = NOW - 60000 }, .1, .51, 1 },
 	{ "own domain", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
-	    { .good = 10 }, 1, 1, 1 },
+	    { .successes = 10 }, 1, 1, 1 },
 	{ "own domain, busy", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
 	    { .inflight = 40 }, 0, 0, 1 },
 	{ "own region", { .slots = 50, .near = ROUTE_SAME_REGION },
-	    { .good = 10 }, 1, 1, 1 },
+	    { .successes = 10 }, 1, 1, 1 },
 	{ "own region, busy", { .slots = 50, .near = ROUTE_SAME_REGION },
 	    { .inflight = 40 }, 0, 0, 1 },
 	{ "own region, slow", { .slots = 50, .near = ROUTE_SAME_REGION },
-	    { .latency_us = 90000, .good = 10, .used_ms = NOW }, 0, .01, 1 },
+	    { .latency_us = 90000, .successes = 10, .last_used_ms = NOW }, 0,
+	    .01, 1 },
 };
 
 /*
@@ -85,8 +96,8 @@
  * (-1).
  */
 static double
-share(const struct route_candidate *cand, const struct route_stat *stat,
-    int may_probe, int which)
+chosen_share_of(const struct route_candidate *cand,
+    const struct route_stat *stat, int may_probe, int index)
 {
 	struct route_query q = { NOW, 88172645463325252ULL, 500, may_probe };
 	enum route_reason why;
@@ -96,7 +107,7 @@
 		q.rnd ^= q.rnd << 13;
 		q.rnd ^= q.rnd >> 7;
 		q.rnd ^= q.rnd << 17;
-		n += route_choose(cand, stat, SERVERS, &q, &why) == which;
+		n += route_choose(cand, stat, SERVERS, &q, &why) == index;
 	}
 	return (double)n / DRAWS;
 }
@@ -105,7 +116,7 @@
  * Fills in a service of equal, healthy servers elsewhere.
  */
 static void
-service(struct route_candidate *cand, struct route_stat *stat)
+init_service(struct route_candidate *cand, struct route_stat *stat)
 {
 	int i;
 
@@ -113,7 +124,7 @@
 	memset(stat, 0, SERVERS * sizeof(*stat));
 	for (i = 0; i < SERVERS; i++) {
 		cand[i].slots = 50;
-		stat[i].good = 10;
+		stat[i].successes = 10;
 		stat[i].latency_us = 10000;
 	}
 }
@@ -122,26 +133,27 @@
  * Each rule: how often the server that it is about is chosen.
  */
 static void
-test_rules(void **state)
+test_choice_by_server_state(void **state)
 {
 	struct route_candidate cand[SERVERS];
 	struct route_stat stat[SERVERS];
 	const struct rule *r;
-	double got;
+	double chosen_share;
 	size_t i;
 	int bad = 0;
 
 	(void)state;
 	for (i = 0; i < sizeof(rules) / sizeof(rules[0]); i++) {
 		r = &rules[i];
-		service(cand, stat);
+		init_service(cand, stat);
 		cand[0] = r->cand;
 		stat[0] = r->stat;
 		if (stat[0].latency_us == 0)
 			stat[0].latency_us = 10000;
-		got = share(cand, stat, r->may_probe, 0);
-		if (got < r->least || got > r->most) {
-			print_message("%s: %.3f\n", r->name, got);
+		chosen_share = chosen_share_of(cand, stat, r->may_probe, 0);
+		if (chosen_share < r->min_share ||
+		    chosen_share > r->max_share) {
+			print_message("%s: %.3f\n", r->name, chosen_share);
 			bad++;
 		}
 	}
@@ -154,48 +166,48 @@
  * shed.
  */
 static void
-test_all_bad(void **state)
+test_all_servers_degraded(void **state)
 {
 	struct route_candidate cand[SERVERS];
 	struct route_stat stat[SERVERS];
 	int i;
 
 	(void)state;
-	service(cand, stat);
+	init_service(cand, stat);
 	for (i = 0; i < SERVERS; i++) {
 		stat[i].ejected_ms = NOW + 1 + (uint64_t)i;
-		stat[i].returning = 1;
+		stat[i].needs_probe = 1;
 	}
-	assert_true(share(cand, stat, 0, 0) > .4);
-	assert_true(share(cand, stat, 0, 1) > .4);
-	assert_true(share(cand, stat, 0, 3) <= 0);
-	service(cand, stat);
+	assert_true(chosen_share_of(cand, stat, 0, 0) > .4);
+	assert_true(chosen_share_of(cand, stat, 0, 1) > .4);
+	assert_true(chosen_share_of(cand, stat, 0, 3) <= 0);
+	init_service(cand, stat);
 	for (i = 0; i < SERVERS; i++)
 		cand[i].leaving = 1;
-	assert_true(share(cand, stat, 0, -1) >= 1);
-	service(cand, stat);
+	assert_true(chosen_share_of(cand, stat, 0, -1) >= 1);
+	init_service(cand, stat);
 	for (i = 0; i < SERVERS; i++)
 		cand[i].suspect = 1;
-	assert_true(share(cand, stat, 0, -1) <= 0);
-	service(cand, stat);
+	assert_true(chosen_share_of(cand, stat, 0, -1) <= 0);
+	init_service(cand, stat);
 	for (i = 0; i < SERVERS; i++) {
-		stat[i].heard_ms = NOW;
+		stat[i].load_reported_ms = NOW;
 		stat[i].load.level = 100;
 	}
-	assert_true(share(cand, stat, 0, -1) > .9);
+	assert_true(chosen_share_of(cand, stat, 0, -1) > .9);
 }
 
 /*
  * What a run of outcomes does to a server: ejected for how long at the last.
  */
 static void
-test_ejection(void **state)
+test_ejection_after_outcomes(void **state)
 {
 	static const struct {
-		const char *runs; /* s served, f failed, t timeout, T timeout
-				   * while it answers others, r refused, o shed,
-				   * w one second */
-		uint64_t left_ms;
+		const char *outcomes; /* s served, f failed, t timeout, T
+				       * timeout while it answers others, r
+				       * refused, o shed, w one second */
+		uint64_t remaining_ms;
 		uint32_t ejections;
 	} cases[] = {
 		{ "ssssffff", 0, 0 },
@@ -220,9 +232,9 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		memset(&s, 0, sizeof(s));
 		now = NOW;
-		for (p = cases[i].runs; *p != '\0'; p++) {
+		for (p = cases[i].outcomes; *p != '\0'; p++) {
 			if (*p == 'T')
-				s.answer_ms = now;
+				s.last_answer_ms = now;
 			if (*p == 'w')
 				now += 1000;
 			else
@@ -236,7 +248,7 @@
 		}
 		assert_int_equal(s.ejections, cases[i].ejections);
 		assert_int_equal(s.ejected_ms > now ? s.ejected_ms - now : 0,
-		    cases[i].left_ms);
+		    cases[i].remaining_ms);
 	}
 }
 
@@ -245,28 +257,28 @@
  * how many requests it ruins in ten seconds at 1,000 a second.
  */
 static void
-test_fails_fast(void **state)
+test_fast_failing_server_is_avoided(void **state)
 {
 	struct route_candidate cand[SERVERS];
 	struct route_stat stat[SERVERS], unused[SERVERS];
 	struct route_query q = { NOW, 1, 500, 1 };
 	enum route_reason why;
-	int at, i, ruined = 0;
+	int chosen, i, failed = 0;
 
 	(void)state;
-	service(cand, stat);
-	service(cand, unused);
+	init_service(cand, stat);
+	init_service(cand, unused);
 	for (i = 0; i < 10000; i++, q.now_ms = NOW + (uint64_t)i) {
 		q.rnd = q.rnd * 6364136223846793005ULL + 1442695040888963407ULL;
-		at = route_choose(cand, stat, SERVERS, &q, &why);
-		assert_true(at >= 0);
-		route_stat_update(&stat[at],
-		    at == 0 ? ROUTE_FAILED : ROUTE_SERVED,
-		    at == 0 ? 100 : 10000, NULL, q.now_ms);
-		ruined += at == 0;
+		chosen = route_choose(cand, stat, SERVERS, &q, &why);
+		assert_true(chosen >= 0);
+		route_stat_update(&stat[chosen],
+		    chosen == 0 ? ROUTE_FAILED : ROUTE_SERVED,
+		    chosen == 0 ? 100 : 10000, NULL, q.now_ms);
+		failed += chosen == 0;
 	}
-	print_message("%d of 10000 ruined\n", ruined);
-	assert_true(ruined < 20);
+	print_message("%d of 10000 ruined\n", failed);
+	assert_true(failed < 20);
 }
 
 /*
@@ -274,7 +286,7 @@
  * what one choice costs.
  */
 static void
-test_book(void **state)
+test_stats_per_server(void **state)
 {
 	static struct route_candidate cand[MEMBERS];
 	struct route_query q = { NOW, 1, 500, 1 };
@@ -317,12 +329,12 @@
  * Sends and ends requests at a few servers, over and over.
  */
 static void *
-send_often(void *arg)
+send_requests(void *arg)
 {
 	struct route_candidate cand[SERVERS] = { 0 };
 	struct route_query q = { NOW, 1, 500, 1 };
 	enum route_reason why;
-	int i, at;
+	int i, chosen;
 
 	for (i = 0; i < SERVERS; i++) {
 		cand[i].id.rpc_port = (uint16_t)(i + 1);
@@ -330,10 +342,10 @@
 	}
 	for (i = 0; i < DRAWS; i++) {
 		q.rnd = q.rnd * 6364136223846793005ULL + 1442695040888963407ULL;
-		at = route_pick(arg, cand, SERVERS, &q, &why);
-		assert_true(at >= 0);
-		route_begin(arg, &cand[at].id, NOW);
-		route_observe(arg, &cand[at].id,
+		chosen = route_pick(arg, cand, SERVERS, &q, &why);
+		assert_true(chosen >= 0);
+		route_begin(arg, &cand[chosen].id, NOW);
+		route_observe(arg, &cand[chosen].id,
 		    i % 7 == 0 ? ROUTE_FAILED : ROUTE_SERVED, 1000, NULL, NOW);
 	}
 	return NULL;
@@ -343,7 +355,7 @@
  * Threads that use one book at once lose no request.
  */
 static void
-test_threads(void **state)
+test_concurrent_updates(void **state)
 {
 	pthread_t th[THREADS];
 	struct route_book b;
@@ -354,7 +366,7 @@
 	(void)state;
 	route_book_init(&b);
 	for (i = 0; i < THREADS; i++)
-		pthread_create(&th[i], NULL, send_often, &b);
+		pthread_create(&th[i], NULL, send_requests, &b);
 	for (i = 0; i < THREADS; i++)
 		pthread_join(th[i], NULL);
 	for (i = 0; i < SERVERS; i++) {
@@ -369,12 +381,12 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_rules),
-		cmocka_unit_test(test_all_bad),
-		cmocka_unit_test(test_ejection),
-		cmocka_unit_test(test_fails_fast),
-		cmocka_unit_test(test_book),
-		cmocka_unit_test(test_threads),
+		cmocka_unit_test(test_choice_by_server_state),
+		cmocka_unit_test(test_all_servers_degraded),
+		cmocka_unit_test(test_ejection_after_outcomes),
+		cmocka_unit_test(test_fast_failing_server_is_avoided),
+		cmocka_unit_test(test_stats_per_server),
+		cmocka_unit_test(test_concurrent_updates),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
