src/retry: Names in the usual terms of the field

Private names were vague (take, was, again, dead, part, broke). Static functions, locals, constants, test functions and the fields that only this folder uses now say what they are; lent is granted. No code changed.

--- a/src/retry/chain.c
+++ b/src/retry/chain.c
@@ -6,12 +6,12 @@
  * that the root began with or, once answers are lost, to less.
  */
 
-#define CLOSED UINT32_MAX
+#define CHAIN_CLOSED UINT32_MAX
 
-static uint32_t take(struct retry_chain *, uint32_t (*)(uint32_t));
-static uint32_t half(uint32_t);
+static uint32_t acquire(struct retry_chain *, uint32_t (*)(uint32_t));
+static uint32_t half_rounded_up(uint32_t);
 static uint32_t all_but_one(uint32_t);
-static uint32_t one(uint32_t);
+static uint32_t at_most_one(uint32_t);
 
 /*
  * Begins with this many retries, RETRY_MAX at most.
@@ -30,7 +30,7 @@
 uint32_t
 retry_lend_call(struct retry_chain *c)
 {
-	return take(c, half);
+	return acquire(c, half_rounded_up);
 }
 
 /*
@@ -41,7 +41,7 @@
 uint32_t
 retry_lend_attempt(struct retry_chain *c)
 {
-	return take(c, all_but_one);
+	return acquire(c, all_but_one);
 }
 
 /*
@@ -50,14 +50,15 @@
  * lost answer this isn't called.
  */
 void
-retry_return(struct retry_chain *c, uint32_t lent, uint32_t left)
+retry_return(struct retry_chain *c, uint32_t granted, uint32_t left)
 {
-	uint32_t was = atomic_load(&c->left);
+	uint32_t current = atomic_load(&c->left);
 
-	if (left > lent)
-		left = lent;
-	while (was != CLOSED &&
-	       !atomic_compare_exchange_weak(&c->left, &was, was + left))
+	if (left > granted)
+		left = granted;
+	while (
+	    current != CHAIN_CLOSED &&
+	    !atomic_compare_exchange_weak(&c->left, &current, current + left))
 		;
 }
 
@@ -67,7 +68,7 @@
 int
 retry_spend(struct retry_chain *c)
 {
-	return (int)take(c, one);
+	return (int)acquire(c, at_most_one);
 }
 
 /*
@@ -78,24 +79,25 @@
 uint32_t
 retry_chain_close(struct retry_chain *c)
 {
-	uint32_t was = atomic_exchange(&c->left, CLOSED);
+	uint32_t current = atomic_exchange(&c->left, CHAIN_CLOSED);
 
-	return was == CLOSED ? 0 : was;
+	return current == CHAIN_CLOSED ? 0 : current;
 }
 
 /*
  * Takes as many as the share function says of those left.
  */
 static uint32_t
-take(struct retry_chain *c, uint32_t (*share)(uint32_t))
+acquire(struct retry_chain *c, uint32_t (*amount)(uint32_t))
 {
-	uint32_t was = atomic_load(&c->left), n;
+	uint32_t current = atomic_load(&c->left), n;
 
 	do {
-		if (was == CLOSED)
+		if (current == CHAIN_CLOSED)
 			return 0;
-		n = share(was);
-	} while (!atomic_compare_exchange_weak(&c->left, &was, was - n));
+		n = amount(current);
+	} while (
+	    !atomic_compare_exchange_weak(&c->left, &current, current - n));
 	return n;
 }
 
@@ -103,7 +105,7 @@
  * Returns half, rounded up.
  */
 static uint32_t
-half(uint32_t left)
+half_rounded_up(uint32_t left)
 {
 	return (left + 1) / 2;
 }
@@ -121,7 +123,7 @@
  * Returns one, if there is one.
  */
 static uint32_t
-one(uint32_t left)
+at_most_one(uint32_t left)
 {
 	return left > 0;
 }
--- a/src/retry/decide.c
+++ b/src/retry/decide.c
@@ -4,21 +4,21 @@
  * Whether an attempt that brought no answer is followed by another.
  */
 
-#define SUCCESS_MILLI 100 /* a success earns a tenth of a retry */
-#define RETRY_MILLI 1000
-#define BUDGET_MAX_MILLI 10000
-#define FLOOR_PERIOD_MS 2000 /* one retry in this time is always there */
-#define OVERLOADS_MAX 1	     /* other servers tried after RETRY_OVERLOAD */
+#define SUCCESS_MILLI_RETRIES 100 /* a success earns a tenth of a retry */
+#define ONE_RETRY_MILLI 1000
+#define BUDGET_MAX_MILLI_RETRIES 10000
+#define FLOOR_PERIOD_MS 2000   /* one retry in this time is always there */
+#define OVERLOAD_RETRIES_MAX 1 /* other servers tried after RETRY_OVERLOAD */
 #define BACKOFF_FIRST_MS 10
-#define BACKOFF_LAST_MS 320
+#define BACKOFF_MAX_MS 320
 
-static uint32_t backoff(const struct retry_case *);
-static void earn(struct retry_budget *, int64_t);
+static uint32_t random_backoff_ms(const struct retry_case *);
+static void add_to_budget(struct retry_budget *, int64_t);
 
 struct rule {
-	int again;
+	int retryable;
 	int budgeted; /* adds load where there may be too much already */
-	int waits;
+	int delayed;
 };
 
 static const struct rule rules[RETRY_REASON_MAX] = {
@@ -38,8 +38,8 @@
 void
 retry_budget_init(struct retry_budget *b, uint64_t now_ms)
 {
-	atomic_init(&b->milli, BUDGET_MAX_MILLI);
-	atomic_init(&b->floor_ms, now_ms);
+	atomic_init(&b->milli_retries, BUDGET_MAX_MILLI_RETRIES);
+	atomic_init(&b->floor_granted_ms, now_ms);
 }
 
 /*
@@ -48,7 +48,7 @@
 void
 retry_budget_success(struct retry_budget *b)
 {
-	earn(b, SUCCESS_MILLI);
+	add_to_budget(b, SUCCESS_MILLI_RETRIES);
 }
 
 /*
@@ -57,18 +57,19 @@
 int
 retry_budget_spend(struct retry_budget *b, uint64_t now_ms)
 {
-	uint_fast64_t last = atomic_load(&b->floor_ms);
-	int_fast64_t was;
+	uint_fast64_t last_ms = atomic_load(&b->floor_granted_ms);
+	int_fast64_t current;
 
-	if (now_ms >= last + FLOOR_PERIOD_MS &&
-	    atomic_compare_exchange_strong(&b->floor_ms, &last, now_ms))
-		earn(b, RETRY_MILLI);
-	was = atomic_load(&b->milli);
+	if (now_ms >= last_ms + FLOOR_PERIOD_MS &&
+	    atomic_compare_exchange_strong(
+		&b->floor_granted_ms, &last_ms, now_ms))
+		add_to_budget(b, ONE_RETRY_MILLI);
+	current = atomic_load(&b->milli_retries);
 	do {
-		if (was < RETRY_MILLI)
+		if (current < ONE_RETRY_MILLI)
 			return 0;
-	} while (
-	    !atomic_compare_exchange_weak(&b->milli, &was, was - RETRY_MILLI));
+	} while (!atomic_compare_exchange_weak(
+	    &b->milli_retries, &current, current - ONE_RETRY_MILLI));
 	return 1;
 }
 
@@ -85,10 +86,10 @@
 {
 	const struct rule *r = &rules[q->reason];
 
-	*delay_ms = r->waits ? backoff(q) : 0;
-	if (!r->again || q->struck || (!q->not_run && !q->idempotent))
+	*delay_ms = r->delayed ? random_backoff_ms(q) : 0;
+	if (!r->retryable || q->struck || (!q->not_run && !q->idempotent))
 		return RETRY_GIVE_UP;
-	if (q->reason == RETRY_OVERLOAD && q->overloads > OVERLOADS_MAX)
+	if (q->reason == RETRY_OVERLOAD && q->overloads > OVERLOAD_RETRIES_MAX)
 		return RETRY_GIVE_UP;
 	if ((uint64_t)*delay_ms * 1000 + q->expected_us >= q->left_us)
 		return RETRY_GIVE_UP;
@@ -98,7 +99,7 @@
 		retry_return(c, 1, 1);
 		return RETRY_GIVE_UP;
 	}
-	return r->waits ? RETRY_LATER : RETRY_NOW;
+	return r->delayed ? RETRY_LATER : RETRY_NOW;
 }
 
 /*
@@ -106,11 +107,11 @@
  * attempt, so that callers that failed together don't come back together.
  */
 static uint32_t
-backoff(const struct retry_case *q)
+random_backoff_ms(const struct retry_case *q)
 {
 	uint32_t ms = BACKOFF_FIRST_MS, i;
 
-	for (i = 1; i < q->attempts && ms < BACKOFF_LAST_MS; i++)
+	for (i = 1; i < q->attempts && ms < BACKOFF_MAX_MS; i++)
 		ms *= 2;
 	return (uint32_t)(q->rnd % (ms + 1));
 }
@@ -119,13 +120,14 @@
  * Adds to the budget, up to its bound.
  */
 static void
-earn(struct retry_budget *b, int64_t milli)
+add_to_budget(struct retry_budget *b, int64_t milli)
 {
-	int_fast64_t was = atomic_load(&b->milli), to;
+	int_fast64_t current = atomic_load(&b->milli_retries), sum;
 
 	do {
-		to = was + milli;
-		if (to > BUDGET_MAX_MILLI)
-			to = BUDGET_MAX_MILLI;
-	} while (!atomic_compare_exchange_weak(&b->milli, &was, to));
+		sum = current + milli;
+		if (sum > BUDGET_MAX_MILLI_RETRIES)
+			sum = BUDGET_MAX_MILLI_RETRIES;
+	} while (
+	    !atomic_compare_exchange_weak(&b->milli_retries, &current, sum));
 }
--- a/src/retry/parents.c
+++ b/src/retry/parents.c
@@ -40,9 +40,10 @@
  * is exhausted.
  */
 struct parent *
-parents_add(struct parents *ps, const struct parent_context *ctx, uint32_t lent)
+parents_add(
+    struct parents *ps, const struct parent_context *ctx, uint32_t granted)
 {
-	struct parents_stripe *st;
+	struct parents_stripe *stripe;
 	struct parent *p;
 
 	p = calloc(1, sizeof(*p));
@@ -50,16 +51,16 @@
 		err(1, "parents_add");
 	randombytes_buf(p->token, sizeof(p->token));
 	p->context = *ctx;
-	retry_chain_init(&p->chain, lent);
+	retry_chain_init(&p->chain, granted);
 	pthread_mutex_init(&p->lock, NULL);
 	atomic_init(&p->refs, 1);
 	atomic_init(&p->chain_level, ADMISSION_CHAIN_LEVEL_UNKNOWN);
-	st = stripe_of(ps, p->token);
-	pthread_mutex_lock(&st->lock);
-	p->next = st->head;
-	st->head = p;
-	st->count++;
-	pthread_mutex_unlock(&st->lock);
+	stripe = stripe_of(ps, p->token);
+	pthread_mutex_lock(&stripe->lock);
+	p->next = stripe->head;
+	stripe->head = p;
+	stripe->count++;
+	pthread_mutex_unlock(&stripe->lock);
 	return p;
 }
 
@@ -71,20 +72,20 @@
 uint32_t
 parents_end(struct parents *ps, struct parent *p)
 {
-	struct parents_stripe *st = stripe_of(ps, p->token);
-	struct parent **at;
+	struct parents_stripe *stripe = stripe_of(ps, p->token);
+	struct parent **link;
 	uint32_t left;
 
-	pthread_mutex_lock(&st->lock);
-	for (at = &st->head; *at != NULL; at = &(*at)->next) {
-		if (*at != p)
+	pthread_mutex_lock(&stripe->lock);
+	for (link = &stripe->head; *link != NULL; link = &(*link)->next) {
+		if (*link != p)
 			continue;
-		*at = p->next;
-		st->count--;
+		*link = p->next;
+		stripe->count--;
 		break;
 	}
-	pthread_mutex_unlock(&st->lock);
-	atomic_store(&p->dead, 1);
+	pthread_mutex_unlock(&stripe->lock);
+	atomic_store(&p->ended, 1);
 	left = retry_chain_close(&p->chain);
 	parent_put(p);
 	return left;
@@ -99,7 +100,7 @@
 parents_get(struct parents *ps, const char *text)
 {
 	unsigned char token[PARENT_TOKEN_BYTES];
-	struct parents_stripe *st;
+	struct parents_stripe *stripe;
 	struct parent *p;
 	size_t len;
 
@@ -108,15 +109,15 @@
 		NULL, &len, NULL) != 0 ||
 	    len != sizeof(token))
 		return NULL;
-	st = stripe_of(ps, token);
-	pthread_mutex_lock(&st->lock);
-	for (p = st->head; p != NULL; p = p->next) {
+	stripe = stripe_of(ps, token);
+	pthread_mutex_lock(&stripe->lock);
+	for (p = stripe->head; p != NULL; p = p->next) {
 		if (sodium_memcmp(p->token, token, sizeof(token)) == 0)
 			break;
 	}
 	if (p != NULL)
 		atomic_fetch_add(&p->refs, 1);
-	pthread_mutex_unlock(&st->lock);
+	pthread_mutex_unlock(&stripe->lock);
 	return p;
 }
 
@@ -140,8 +141,8 @@
 parent_call_failed(struct parent *p, uint64_t call)
 {
 	pthread_mutex_lock(&p->lock);
-	if (p->failed_count < PARENT_FAILED_MAX)
-		p->failed[p->failed_count++] = call;
+	if (p->failed_call_count < PARENT_FAILED_CALLS_MAX)
+		p->failed_calls[p->failed_call_count++] = call;
 	pthread_mutex_unlock(&p->lock);
 }
 
@@ -153,14 +154,15 @@
 parent_call_repeats(struct parent *p, uint64_t call)
 {
 	uint32_t i;
-	int repeats;
+	int is_retry;
 
 	pthread_mutex_lock(&p->lock);
-	for (i = 0; i < p->failed_count && p->failed[i] != call; i++)
+	for (i = 0; i < p->failed_call_count && p->failed_calls[i] != call; i++)
 		;
-	repeats = i < p->failed_count || p->failed_count == PARENT_FAILED_MAX;
+	is_retry = i < p->failed_call_count ||
+		   p->failed_call_count == PARENT_FAILED_CALLS_MAX;
 	pthread_mutex_unlock(&p->lock);
-	return repeats;
+	return is_retry;
 }
 
 /*
@@ -173,7 +175,7 @@
 	int failed;
 
 	pthread_mutex_lock(&p->lock);
-	failed = p->failed_count > 0;
+	failed = p->failed_call_count > 0;
 	pthread_mutex_unlock(&p->lock);
 	return failed;
 }
@@ -184,10 +186,10 @@
 void
 parent_note_level(struct parent *p, uint32_t level)
 {
-	unsigned int was = atomic_load(&p->chain_level);
+	unsigned int current = atomic_load(&p->chain_level);
 
-	while (level < was &&
-	       !atomic_compare_exchange_weak(&p->chain_level, &was, level))
+	while (level < current &&
+	       !atomic_compare_exchange_weak(&p->chain_level, &current, level))
 		;
 }
 
@@ -205,9 +207,9 @@
  * Tells whether the request has ended, so that work for it is wasted.
  */
 int
-parent_is_dead(const struct parent *p)
+parent_has_ended(const struct parent *p)
 {
-	return atomic_load(&p->dead);
+	return atomic_load(&p->ended);
 }
 
 /*
--- a/src/retry/parents.h
+++ b/src/retry/parents.h
@@ -14,7 +14,9 @@
 #define PARENT_TOKEN_TEXT 33	/* hexadecimal, with its end */
 #define PARENT_WORKSPACE_MAX 64 /* bytes of a name, with its end */
 #define PARENTS_STRIPES 64
-#define PARENT_FAILED_MAX 32 /* failed inner calls that are remembered */
+#define PARENT_FAILED_CALLS_MAX                      \
+	32 /* failed inner calls that are remembered \
+	    */
 
 /* What inner calls inherit from the request they are made for. */
 struct parent_context {
@@ -37,10 +39,10 @@
 	struct parent_context context;
 	struct retry_chain chain;
 	pthread_mutex_t lock; /* of the failed calls */
-	uint64_t failed[PARENT_FAILED_MAX];
-	uint32_t failed_count;
+	uint64_t failed_calls[PARENT_FAILED_CALLS_MAX];
+	uint32_t failed_call_count;
 	atomic_uint refs;
-	atomic_int dead;
+	atomic_int ended;
 	atomic_uint chain_level; /* least told by its inner calls */
 };
 
@@ -66,7 +68,7 @@
 void parent_note_level(struct parent *, uint32_t);
 uint32_t parent_chain_level(const struct parent *);
 int parent_has_failed_calls(struct parent *);
-int parent_is_dead(const struct parent *);
+int parent_has_ended(const struct parent *);
 void parent_token_format(const struct parent *, char *);
 uint32_t parents_count(struct parents *);
 
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -16,8 +16,8 @@
 
 /* A route's share of retries in its traffic, held per node. */
 struct retry_budget {
-	atomic_int_fast64_t milli; /* thousandths of a retry */
-	atomic_uint_fast64_t floor_ms;
+	atomic_int_fast64_t milli_retries; /* thousandths of a retry */
+	atomic_uint_fast64_t floor_granted_ms;
 };
 
 /* Why an attempt has not brought an answer. */
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -13,7 +13,7 @@
 #define DEPTH_MIN 4
 #define DEPTH_MAX 18
 #define THREADS 8
-#define ROUNDS 20000
+#define GRANTS 20000
 #define LOOKUPS 200000
 
 /* A tree of calls that fail at random at every level. */
@@ -29,7 +29,7 @@
  * Returns the next number of a seeded sequence, below n.
  */
 static uint32_t
-draw(struct tree *t, uint32_t n)
+random_below(struct tree *t, uint32_t n)
 {
 	t->rnd = t->rnd * 6364136223846793005ULL + 1442695040888963407ULL;
 	return (uint32_t)(t->rnd >> 33) % n;
@@ -40,38 +40,40 @@
  * what is left of the retries it was lent.
  */
 static uint32_t
-call(struct tree *t, uint32_t lent, uint32_t depth)
+simulate_call(struct tree *t, uint32_t granted, uint32_t depth)
 {
-	struct retry_chain own, at_server;
-	uint32_t loan, left, i, part[3] = { 0 };
+	struct retry_chain caller_chain, server_chain;
+	uint32_t attempt_grant, left, i, call_grants[3] = { 0 };
 
-	retry_chain_init(&own, lent);
+	retry_chain_init(&caller_chain, granted);
 	for (;;) {
-		loan = retry_lend_attempt(&own);
-		retry_chain_init(&at_server, loan);
+		attempt_grant = retry_lend_attempt(&caller_chain);
+		retry_chain_init(&server_chain, attempt_grant);
 		if (depth > 1) {
 			for (i = 0; i < t->width; i++)
-				part[i] = retry_lend_call(&at_server);
+				call_grants[i] = retry_lend_call(&server_chain);
 			for (i = 0; i < t->width; i++) {
-				left = call(t, part[i], depth - 1);
-				if (draw(t, 8) >= t->fail_in_8)
-					retry_return(&at_server, part[i], left);
+				left =
+				    simulate_call(t, call_grants[i], depth - 1);
+				if (random_below(t, 8) >= t->fail_in_8)
+					retry_return(&server_chain,
+					    call_grants[i], left);
 			}
 		}
-		left = retry_chain_close(&at_server);
-		retry_return(&at_server, RETRY_MAX, RETRY_MAX);
-		assert_int_equal(retry_lend_call(&at_server), 0);
-		if (draw(t, 8) >= t->fail_in_8) {
-			retry_return(&own, loan, left);
+		left = retry_chain_close(&server_chain);
+		retry_return(&server_chain, RETRY_MAX, RETRY_MAX);
+		assert_int_equal(retry_lend_call(&server_chain), 0);
+		if (random_below(t, 8) >= t->fail_in_8) {
+			retry_return(&caller_chain, attempt_grant, left);
 			break;
 		}
-		if (draw(t, 2) == 0)
-			retry_return(&own, loan, left);
-		if (!retry_spend(&own))
+		if (random_below(t, 2) == 0)
+			retry_return(&caller_chain, attempt_grant, left);
+		if (!retry_spend(&caller_chain))
 			break;
 		t->retries++;
 	}
-	return retry_chain_close(&own);
+	return retry_chain_close(&caller_chain);
 }
 
 /*
@@ -79,40 +81,41 @@
  * its root had, and all of them can be used.
  */
 static void
-test_bound_of_tree(void **state)
+test_tree_never_exceeds_root_retries(void **state)
 {
 	struct tree t = { 42, 0, 0, 0, 0 };
-	uint32_t i, root, used_up = 0;
+	uint32_t i, root, fully_used = 0;
 
 	(void)state;
 	for (i = 0; i < TREES; i++) {
-		t.depth = DEPTH_MIN + draw(&t, DEPTH_MAX - DEPTH_MIN + 1);
-		t.width = t.depth <= 6 ? 1 + draw(&t, 3) : 1;
-		t.fail_in_8 = draw(&t, 8);
+		t.depth =
+		    DEPTH_MIN + random_below(&t, DEPTH_MAX - DEPTH_MIN + 1);
+		t.width = t.depth <= 6 ? 1 + random_below(&t, 3) : 1;
+		t.fail_in_8 = random_below(&t, 8);
 		t.retries = 0;
-		root = draw(&t, RETRY_MAX + 1);
-		call(&t, root, t.depth);
+		root = random_below(&t, RETRY_MAX + 1);
+		simulate_call(&t, root, t.depth);
 		assert_true(t.retries <= root);
-		used_up += root > 0 && t.retries == root;
+		fully_used += root > 0 && t.retries == root;
 	}
-	print_message("%u of %d trees used all\n", used_up, TREES);
-	assert_true(used_up > TREES / 20);
+	print_message("%u of %d trees used all\n", fully_used, TREES);
+	assert_true(fully_used > TREES / 20);
 }
 
 /*
  * An answer that claims more than was lent is worth the loan at most.
  */
 static void
-test_return_is_clamped(void **state)
+test_return_is_clamped_to_grant(void **state)
 {
 	struct retry_chain c;
-	uint32_t lent;
+	uint32_t granted;
 
 	(void)state;
 	retry_chain_init(&c, 4);
-	lent = retry_lend_attempt(&c);
-	assert_int_equal(lent, 3);
-	retry_return(&c, lent, 1000);
+	granted = retry_lend_attempt(&c);
+	assert_int_equal(granted, 3);
+	retry_return(&c, granted, 1000);
 	assert_int_equal(retry_chain_close(&c), 4);
 }
 
@@ -121,7 +124,7 @@
  * an attempt shares with what is kept.
  */
 static void
-test_split(void **state)
+test_grants_to_calls_and_attempts(void **state)
 {
 	static const struct {
 		uint32_t left, calls[4], attempt;
@@ -150,12 +153,12 @@
  * Every reason, with and without the chance that it ran.
  */
 static void
-test_decisions(void **state)
+test_verdict_for_each_reason(void **state)
 {
 	static const struct {
 		struct retry_case q;
 		uint32_t left;
-		int broke; /* the route's budget is used up */
+		int budget_empty; /* the route's budget is used up */
 		enum retry_verdict verdict;
 	} rows[] = {
 		{ { RETRY_NO_CONNECTION, 1, 0, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
@@ -208,7 +211,7 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		retry_chain_init(&c, rows[i].left);
 		retry_budget_init(&b, 5000);
-		while (rows[i].broke && retry_budget_spend(&b, 5000))
+		while (rows[i].budget_empty && retry_budget_spend(&b, 5000))
 			;
 		v = retry_decide(&rows[i].q, &c, &b, 5000, &delay);
 		assert_int_equal(v, rows[i].verdict);
@@ -222,7 +225,7 @@
  * while it works they may be a tenth.
  */
 static void
-test_budget(void **state)
+test_budget_limits_retry_rate(void **state)
 {
 	struct retry_budget b;
 	uint64_t now;
@@ -245,12 +248,12 @@
  * Looks a request up, lends and returns, over and over, until it is dead.
  */
 static void *
-borrow(void *arg)
+grant_and_return(void *arg)
 {
 	struct retry_chain *c = arg;
 	uint32_t i, n;
 
-	for (i = 0; i < ROUNDS; i++) {
+	for (i = 0; i < GRANTS; i++) {
 		n = retry_lend_call(c);
 		retry_return(c, n, n);
 	}
@@ -261,7 +264,7 @@
  * Threads that lend and return at once neither lose nor gain a retry.
  */
 static void
-test_threads(void **state)
+test_concurrent_grants(void **state)
 {
 	pthread_t th[THREADS];
 	struct retry_chain c;
@@ -270,7 +273,7 @@
 	(void)state;
 	retry_chain_init(&c, RETRY_MAX);
 	for (i = 0; i < THREADS; i++)
-		pthread_create(&th[i], NULL, borrow, &c);
+		pthread_create(&th[i], NULL, grant_and_return, &c);
 	for (i = 0; i < THREADS; i++)
 		pthread_join(th[i], NULL);
 	assert_int_equal(retry_chain_close(&c), RETRY_MAX);
@@ -281,14 +284,14 @@
  * it sees it dead.  Text that is no token finds nothing.
  */
 static void
-test_parents(void **state)
+test_token_valid_until_request_ends(void **state)
 {
 	static const char *const bad[] = { "", "00", "zz",
 		"00000000000000000000000000000000",
 		"0000000000000000000000000000000g",
 		"000000000000000000000000000000000" };
 	struct parent_context ctx = { .root_hash = 7, .workspace = "acme" };
-	struct parent *p, *held;
+	struct parent *p, *found;
 	struct parents ps;
 	char text[PARENT_TOKEN_TEXT];
 	uint64_t t;
@@ -300,26 +303,26 @@
 	parent_token_format(p, text);
 	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
 		assert_null(parents_get(&ps, bad[i]));
-	held = parents_get(&ps, text);
-	assert_ptr_equal(held, p);
-	assert_string_equal(held->context.workspace, "acme");
-	assert_int_equal(retry_lend_call(&held->chain), 2);
+	found = parents_get(&ps, text);
+	assert_ptr_equal(found, p);
+	assert_string_equal(found->context.workspace, "acme");
+	assert_int_equal(retry_lend_call(&found->chain), 2);
 	t = clock_us();
 	for (i = 0; i < LOOKUPS; i++)
 		parent_put(parents_get(&ps, text));
 	t = clock_us() - t;
 	print_message("%.0f ns a lookup\n", (double)t * 1e3 / LOOKUPS);
 	assert_int_equal(parent_chain_level(p), ADMISSION_CHAIN_LEVEL_UNKNOWN);
-	parent_note_level(held, 70);
-	parent_note_level(held, 90);
+	parent_note_level(found, 70);
+	parent_note_level(found, 90);
 	assert_int_equal(parent_chain_level(p), 70);
-	assert_false(parent_is_dead(held));
+	assert_false(parent_has_ended(found));
 	assert_int_equal(parents_count(&ps), 1);
 	assert_int_equal(parents_end(&ps, p), 1);
 	assert_null(parents_get(&ps, text));
-	assert_true(parent_is_dead(held));
-	assert_int_equal(retry_lend_call(&held->chain), 0);
-	parent_put(held);
+	assert_true(parent_has_ended(found));
+	assert_int_equal(retry_lend_call(&found->chain), 0);
+	parent_put(found);
 	assert_int_equal(parents_count(&ps), 0);
 	parents_finish(&ps);
 }
@@ -328,13 +331,13 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_bound_of_tree),
-		cmocka_unit_test(test_return_is_clamped),
-		cmocka_unit_test(test_split),
-		cmocka_unit_test(test_decisions),
-		cmocka_unit_test(test_budget),
-		cmocka_unit_test(test_threads),
-		cmocka_unit_test(test_parents),
+		cmocka_unit_test(test_tree_never_exceeds_root_retries),
+		cmocka_unit_test(test_return_is_clamped_to_grant),
+		cmocka_unit_test(test_grants_to_calls_and_attempts),
+		cmocka_unit_test(test_verdict_for_each_reason),
+		cmocka_unit_test(test_budget_limits_retry_rate),
+		cmocka_unit_test(test_concurrent_grants),
+		cmocka_unit_test(test_token_valid_until_request_ends),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
