src/route: Comments and texts in plain terms

Comments about what was told, heard or heeded hung on clause chains. They are reworded as plain sentences with their reasons kept. Row labels and printed figures of the tests and two allocation errors are reworded. No code changed.

--- a/src/route/book.c
+++ b/src/route/book.c
@@ -13,7 +13,8 @@
 static struct route_stat *find_or_add(struct route_bucket *, uint64_t);
 
 /*
- * Prepares an empty book.  Exits the process if memory is exhausted.
+ * Initialises an empty table of observations.  Exits the process if memory
+ * is exhausted.
  */
 void
 route_book_init(struct route_book *b)
@@ -22,13 +23,13 @@
 
 	b->buckets = calloc(ROUTE_BUCKETS, sizeof(*b->buckets));
 	if (b->buckets == NULL)
-		err(1, "route_book_init");
+		err(1, "cannot allocate the table of server observations");
 	for (i = 0; i < ROUTE_BUCKETS; i++)
 		pthread_mutex_init(&b->buckets[i].lock, NULL);
 }
 
 /*
- * Releases a book that no thread uses any more.
+ * Frees the table.  No thread may use it any more.
  */
 void
 route_book_finish(struct route_book *b)
@@ -42,8 +43,8 @@
 }
 
 /*
- * Notes that a request is being sent to a server.  Each call is followed by
- * one of route_observe().
+ * Records that a request is being sent to a server.  Each call must be
+ * followed by one call of route_observe().
  */
 void
 route_begin(struct route_book *b, const struct node_id *id, uint64_t now_ms)
@@ -60,8 +61,8 @@
 }
 
 /*
- * Notes how a request to a server ended, after which latency (us), and the
- * load that the answer told, or NULL.
+ * Records the outcome of a request to a server, its latency, and the load
+ * that the answer reported, or NULL.
  */
 void
 route_observe(struct route_book *b, const struct node_id *id,
@@ -81,7 +82,7 @@
 }
 
 /*
- * Copies what is known of a server; all zero if nothing is.
+ * Copies the observations of a server; all zero if there are none.
  */
 void
 route_book_get(
@@ -101,8 +102,9 @@
 }
 
 /*
- * Chooses a server by what the book knows.  Returns an index, or -1 with the
- * reason.  Of more than ROUTE_CANDIDATES_MAX, a random run is looked at.
+ * Chooses a server by the table's observations.  Returns its index, or -1
+ * with the reason.  If there are more than ROUTE_CANDIDATES_MAX candidates,
+ * considers a random contiguous range of them.
  */
 int
 route_pick(struct route_book *b, const struct route_candidate *cand,
@@ -116,10 +118,10 @@
 		first = (q->rnd >> 32) % (count - ROUTE_CANDIDATES_MAX + 1);
 		count = ROUTE_CANDIDATES_MAX;
 	}
-	/* On the heap: a thread's stack stays resident once it was used. */
+	/* On the heap, because used stack pages of a thread stay resident. */
 	stats = calloc(count + 1, sizeof(*stats));
 	if (stats == NULL)
-		err(1, "route_pick");
+		err(1, "cannot allocate the observations of candidates");
 	for (i = 0; i < count; i++)
 		route_book_get(b, &cand[first + i].id, &stats[i]);
 	chosen = route_choose(cand + first, stats, count, q, why);
@@ -128,7 +130,7 @@
 }
 
 /*
- * Prints a line for each candidate.
+ * Prints one line per candidate.
  */
 void
 route_dump(struct route_book *b, const struct route_candidate *cand,
@@ -156,7 +158,7 @@
 }
 
 /*
- * Returns a hash of a server's name, never 0.
+ * Returns a hash of a server's id, never 0.
  */
 static uint64_t
 server_key(const struct node_id *id)
@@ -180,7 +182,7 @@
 }
 
 /*
- * Returns the server with this key, or NULL.
+ * Returns the observations with this key, or NULL.
  */
 static struct route_stat *
 find_stat(struct route_bucket *bk, uint64_t key)
@@ -195,8 +197,9 @@
 }
 
 /*
- * Returns the server with this key, in the place of the one least recently
- * used, if need be; one with requests in flight is replaced last.
+ * Returns the observations with this key.  If there are none, replaces the
+ * least recently used entry of the bucket, preferably one without requests
+ * in flight.
  */
 static struct route_stat *
 find_or_add(struct route_bucket *bk, uint64_t key)
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -3,35 +3,39 @@
 #include "route/route.h"
 
 /*
- * The choice of a server: the cheaper of two random candidates in the own
- * failure domain, or further away where that is busy and the others aren't.
+ * Server selection by power of two choices.  The cheaper of two random
+ * candidates in this node's failure domain is chosen.  If it is overloaded
+ * or slow, a sufficiently cheaper candidate further away is chosen instead.
  */
 
-#define SLOW_START_MS                                          \
-	5000 /* a new or returned server ramps up in this time \
-	      */
-#define SLOW_START_MIN_WEIGHT 0.1 /* where its ramp begins */
-#define LOAD_HALF_LIFE_MS 500 /* a told load is half worth after this time */
-#define LOAD_MAX_AGE_MS 1000  /* a told limit or level is forgotten */
-#define PROBE_ONE_IN 8	      /* one in 8 may be a returning server's probe */
-#define PROBE_OVERDUE_MS 5000 /* then any request may be one */
-#define NEAR_USAGE_MAX 0.75   /* share of its capacity in use */
-#define NEAR_SLOWNESS_MAX 1.5 /* times the mean slowness */
-#define FAR_COST_RATIO 0.9    /* cost against that of a nearer one */
+/* A new or readmitted server ramps up to its full weight in this time. */
+#define SLOW_START_MS 5000
+#define SLOW_START_MIN_WEIGHT 0.1 /* at the start of the ramp */
+#define LOAD_HALF_LIFE_MS 500	  /* of a reported load */
+#define LOAD_MAX_AGE_MS 1000	  /* of a reported limit that is used */
+/* One request in this many may probe a server after its ejection. */
+#define PROBE_ONE_IN 8
+/* This long after an ejection any request may be the probe. */
+#define PROBE_OVERDUE_MS 5000
+/* Bounds beyond which servers further away are considered. */
+#define NEAR_USAGE_MAX 0.75   /* share of the capacity in use */
+#define NEAR_SLOWNESS_MAX 1.5 /* multiple of the mean latency */
+/* A server further away must cost less than this share of the nearer one. */
+#define FAR_COST_RATIO 0.9
 #define ANY_PROXIMITY ((1U << ROUTE_PROXIMITY_MAX) - 1)
-#define SUCCESS_SHARE_MIN 0.05
-#define LATENCY_DEFAULT_US 10000
-#define LATENCY_HALF_LIFE_MS 5000
-#define LATENCY_RATIO_MIN 0.5 /* of the mean: quickness counts no further */
-#define EQUAL_COST_RATIO 0.95 /* costs closer than this are equal */
+#define SUCCESS_SHARE_MIN 0.05	  /* bounds the slowness of a failing server */
+#define LATENCY_DEFAULT_US 10000  /* while no latency is known */
+#define LATENCY_HALF_LIFE_MS 5000 /* of an unused server's latency */
+#define LATENCY_RATIO_MIN 0.5 /* of the mean; lower latencies count as this */
+#define EQUAL_COST_RATIO 0.95 /* smaller differences in cost are ignored */
 
-/* Why a candidate may be chosen; lower states are better. */
+/* Whether a candidate may be chosen; lower states are preferred. */
 enum cand_state {
 	CAND_READY,
-	CAND_SHEDS,   /* it would shed this rank */
-	CAND_SUSPECT, /* usable where no other takes requests */
-	CAND_PROBE,   /* returns from an ejection, free for its one probe */
-	CAND_EJECTED, /* but usable where more than half are ejected */
+	CAND_SHEDS,   /* expected to shed this rank */
+	CAND_SUSPECT, /* used if no candidate is ready */
+	CAND_PROBE,   /* ejection is over; may receive one probe */
+	CAND_EJECTED, /* used last; see limit_ejections() */
 	CAND_UNUSABLE,
 	CAND_STATE_MAX
 };
@@ -42,7 +46,7 @@
 	const struct route_query *query;
 	size_t count;
 	unsigned char states[ROUTE_CANDIDATES_MAX];
-	double latency_us; /* mean of the known ones */
+	double latency_us; /* mean of the known latencies */
 };
 
 static enum cand_state state_of(const struct selection *, size_t);
@@ -64,8 +68,9 @@
 static double mean_latency_us(const struct selection *);
 
 /*
- * Chooses among candidates, whose own observations stand at the same index
- * (at most ROUTE_CANDIDATES_MAX).  Returns an index, or -1 with the reason.
+ * Chooses among at most ROUTE_CANDIDATES_MAX candidates.  The observations
+ * of a candidate have the same index as the candidate.  Returns an index, or
+ * -1 with the reason.
  */
 int
 route_choose(const struct route_candidate *cand, const struct route_stat *stat,
@@ -101,7 +106,7 @@
 }
 
 /*
- * Tells what stands against a candidate.
+ * Returns the state of a candidate for this request.
  */
 static enum cand_state
 state_of(const struct selection *c, size_t i)
@@ -131,8 +136,8 @@
 }
 
 /*
- * Heeds the ejections of at most half of the service, the latest ending
- * first; the rest take requests again.
+ * Enforces the ejections of at most half of the servers, those that end
+ * last.  The other ejected servers become ready again.
  */
 static void
 limit_ejections(struct selection *c)
@@ -164,9 +169,10 @@
 }
 
 /*
- * Returns the requests that a server was last heard to hold, from its own
- * answers or from gossip, whichever is newer, less what age makes of it; and
- * what this node has sent since.  Sets the level told and when it was heard.
+ * Estimates the requests that a server holds: its last reported load,
+ * decayed by age, plus those that this node has sent since.  The report
+ * comes from the server's answers or from gossip, whichever is newer.  Sets
+ * the reported level and the time of the report.
  */
 static double
 estimated_load(
@@ -196,7 +202,8 @@
 }
 
 /*
- * Returns the share of its capacity that a new or returned server may use.
+ * Returns the share of its capacity that a server may use.  It is below 1
+ * for a new or readmitted server.
  */
 static double
 slow_start_weight(const struct selection *c, size_t i)
@@ -214,7 +221,7 @@
 }
 
 /*
- * Returns the share of a server's capacity that would be in use with this
+ * Returns the share of a server's capacity that is in use if it gets this
  * request.
  */
 static double
@@ -238,8 +245,8 @@
 }
 
 /*
- * Returns a server's latency (us) over the square of its share of successes,
- * so that one that fails fast doesn't look quick.
+ * Returns a server's latency (us) divided by the square of its success
+ * share.  The division keeps a server that fails fast from appearing fast.
  */
 static double
 slowness(const struct selection *c, size_t i)
@@ -260,7 +267,7 @@
 }
 
 /*
- * Returns what sending to a server costs: its slowness times its usage.
+ * Returns the cost of sending a request to a server: slowness times usage.
  */
 static double
 cost(const struct selection *c, size_t i)
@@ -269,7 +276,7 @@
 }
 
 /*
- * Returns the mean latency of the candidates that have one.
+ * Returns the mean latency of the candidates with a known latency.
  */
 static double
 mean_latency_us(const struct selection *c)
@@ -287,7 +294,7 @@
 }
 
 /*
- * Counts candidates of a state at the distances of a bit mask.
+ * Counts the candidates in a state whose proximity is in a bit mask.
  */
 static size_t
 count_in_state(
@@ -302,7 +309,8 @@
 }
 
 /*
- * Returns the index of the nth such candidate, which must exist.
+ * Returns the index of the nth such candidate, counted from 0.  It must
+ * exist.
  */
 static size_t
 nth_in_state(const struct selection *c, enum cand_state state,
@@ -321,7 +329,7 @@
 }
 
 /*
- * Returns the cheaper of two random ones, or -1 if there is none.
+ * Returns the cheaper of two random such candidates, or -1 if there is none.
  */
 static int
 better_of_two(const struct selection *c, enum cand_state state,
@@ -339,7 +347,8 @@
 }
 
 /*
- * Tells whether a candidate has room and is about as quick as the others.
+ * Reports whether a candidate has spare capacity and is not much slower than
+ * the mean.
  */
 static int
 is_acceptable(const struct selection *c, size_t i)
@@ -349,8 +358,10 @@
 }
 
 /*
- * Returns the better of two in the own domain, or of two further away, the
- * own region first, if there is none or it is busy or slow and theirs aren't.
+ * Returns the better of two candidates in this node's domain, or -1 if there
+ * is no candidate in this state.  Considers the own region and then other
+ * regions while no acceptable candidate is found.  A candidate further away
+ * must be cheaper by FAR_COST_RATIO.
  */
 static int
 cheapest_by_proximity(
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -9,30 +9,30 @@
 #include "admission/admission.h"
 #include "base/nodeid.h"
 
-#define ROUTE_CANDIDATES_MAX 128 /* looked at for one choice */
+#define ROUTE_CANDIDATES_MAX 128 /* considered per choice */
 #define ROUTE_BUCKETS 1024
-#define ROUTE_WAYS 8
+#define ROUTE_WAYS 8 /* servers per bucket */
 
-/* How a request that was sent to a server ended, seen from the entry. */
+/* The result of an attempt at a server, as the entry node sees it. */
 enum route_outcome {
 	ROUTE_SERVED,
-	ROUTE_SHED,	 /* refused, not run: overload */
-	ROUTE_LEAVING,	 /* refused, not run: draining, stopping, no server */
-	ROUTE_FAILED,	 /* an error or a broken exchange */
-	ROUTE_TIMEOUT,	 /* no answer by the deadline */
-	ROUTE_REFUSED,	 /* no connection */
-	ROUTE_CANCELLED, /* the caller left; says nothing on the server */
+	ROUTE_SHED,	 /* rejected because of overload, not run */
+	ROUTE_LEAVING,	 /* not run: server drains, stops or is absent */
+	ROUTE_FAILED,	 /* error status or broken exchange */
+	ROUTE_TIMEOUT,	 /* no answer before the deadline */
+	ROUTE_REFUSED,	 /* no connection to the server */
+	ROUTE_CANCELLED, /* caller disconnected; not counted */
 	ROUTE_OUTCOME_MAX
 };
 
 enum route_reason {
 	ROUTE_CHOSEN,
-	ROUTE_NO_SERVER, /* none that could take it */
-	ROUTE_OVERLOAD,	 /* every server that could take it sheds this rank */
+	ROUTE_NO_SERVER, /* no server can accept the request */
+	ROUTE_OVERLOAD,	 /* all usable servers shed this rank */
 	ROUTE_REASON_MAX
 };
 
-/* Where a server is, seen from here. */
+/* How close a server is to this node. */
 enum route_proximity {
 	ROUTE_ELSEWHERE,
 	ROUTE_SAME_REGION,
@@ -40,45 +40,45 @@
 	ROUTE_PROXIMITY_MAX
 };
 
-/* A server of the service, as membership knows it. */
+/* A server of the service, as described by membership. */
 struct route_candidate {
 	struct node_id id;
-	uint64_t since_ms;	   /* when its incarnation was first heard of */
-	uint64_t load_reported_ms; /* of the load below; 0 for none */
+	uint64_t since_ms; /* first report of this incarnation; 0 if unknown */
+	uint64_t load_reported_ms; /* time of the load report; 0 if none */
 	struct admission_load load;
-	uint32_t slots;
+	uint32_t slots; /* requests that it runs at once */
 	enum route_proximity near;
-	int leaving; /* drains, stops, or is held to be dead */
-	int suspect; /* may be dead, may still refute it */
-	int tried;   /* an earlier attempt of this request went there */
+	int leaving; /* drains, stops or is considered dead */
+	int suspect; /* may be dead, but can still refute it */
+	int tried;   /* an earlier attempt of this request used it */
 };
 
-/* What this node has seen of a server itself. */
+/* This node's own observations of a server. */
 struct route_stat {
-	uint64_t key; /* hash of the server's name; 0 for none */
+	uint64_t key; /* hash of the server's id; 0 for a free entry */
 	uint64_t last_used_ms;
-	uint64_t load_reported_ms; /* of the load below; 0 for none */
+	uint64_t load_reported_ms; /* time of the load report; 0 if none */
 	struct admission_load load;
-	int needs_probe;   /* was ejected and hasn't succeeded since */
-	uint32_t inflight; /* sent from here and not ended */
-	uint32_t inflight_at_report;
-	uint32_t streak; /* failures since the last success */
-	uint32_t ejections;
-	uint64_t ejected_ms;	   /* ejected until then */
-	uint64_t readmitted_ms;	   /* first success after the ejection */
-	uint64_t leaving_until_ms; /* refused as leaving until then */
-	uint64_t last_answer_ms;   /* last answer of any kind */
-	uint64_t decayed_ms;
-	double successes; /* decaying counts */
-	double failures;
-	double latency_us; /* decaying mean of the served ones */
+	int needs_probe;	     /* no success since its last ejection */
+	uint32_t inflight;	     /* attempts sent by this node, not ended */
+	uint32_t inflight_at_report; /* value of inflight at the load report */
+	uint32_t streak;	     /* failures since the last success */
+	uint32_t ejections;	     /* recent count; sets the next duration */
+	uint64_t ejected_ms;	     /* end of the last ejection */
+	uint64_t readmitted_ms;	     /* first success after an ejection */
+	uint64_t leaving_until_ms;   /* end of its exclusion as leaving */
+	uint64_t last_answer_ms; /* includes answers that reject a request */
+	uint64_t decayed_ms;	 /* last decay of the counts */
+	double successes;	 /* exponentially decaying count */
+	double failures;	 /* exponentially decaying count */
+	double latency_us;	 /* moving mean of the served requests */
 };
 
 struct route_query {
 	uint64_t now_ms;
-	uint64_t rnd;
+	uint64_t rnd;  /* random bits */
 	uint32_t rank; /* from admission_rank() */
-	int may_probe; /* can be tried again if a returning server fails */
+	int may_probe; /* can be retried if a probed server fails */
 };
 
 struct route_bucket {
@@ -86,7 +86,7 @@
 	struct route_stat ways[ROUTE_WAYS];
 };
 
-/* Observations of all servers, safe to use from any thread. */
+/* Observations of all servers.  Any thread may use it. */
 struct route_book {
 	struct route_bucket *buckets;
 };
--- a/src/route/stat.c
+++ b/src/route/stat.c
@@ -3,18 +3,18 @@
 #include "route/route.h"
 
 /*
- * What the ends of requests say about a server, and when that ejects it.
+ * Updates the observations of a server by request outcomes, and ejects
+ * servers that fail.
  */
 
 #define EJECT_CONSECUTIVE_FAILURES 5
 #define EJECT_FAILURE_SHARE 0.5
-#define EJECT_SHARE_MIN_COUNT                          \
-	10 /* decayed requests before the ratio counts \
-	    */
+/* Decayed count of requests from which the share is used. */
+#define EJECT_SHARE_MIN_COUNT 10
 #define EJECT_FIRST_MS 1000
 #define EJECT_MAX_MS 30000
-#define EJECT_RESET_MS 60000 /* without a new ejection */
-#define LEAVING_HOLD_MS 2000 /* until membership has heard of it as well */
+#define EJECT_RESET_MS 60000 /* after an ejection; resets the backoff */
+#define LEAVING_HOLD_MS 2000 /* until membership reports it */
 #define COUNT_HALF_LIFE_MS 5000
 #define LATENCY_MEAN_WEIGHT 0.1
 
@@ -38,8 +38,8 @@
 };
 
 /*
- * Takes the end of one request: how, after which latency (us), with which
- * load told in the answer (or NULL), and the time.
+ * Records the outcome of a request, its latency, and the load that the
+ * answer reported, or NULL.
  */
 void
 route_stat_update(struct route_stat *s, enum route_outcome outcome,
@@ -58,7 +58,7 @@
 }
 
 /*
- * Lets the counts fade, and old ejections be forgotten.
+ * Decays the counts, and resets the ejection backoff after EJECT_RESET_MS.
  */
 static void
 decay_counts(struct route_stat *s, uint64_t now_ms)
@@ -76,7 +76,7 @@
 }
 
 /*
- * The server has answered whole and well.
+ * Records a complete, successful answer.
  */
 static void
 record_success(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
@@ -96,7 +96,7 @@
 }
 
 /*
- * The server has answered with an error, or broken off.
+ * Records an error answer or a broken exchange.
  */
 static void
 record_failure(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
@@ -112,9 +112,10 @@
 }
 
 /*
- * No answer in time.  That counts against the server only if it has sent no
- * other answer since: one that is merely overloaded must not be ejected, for
- * the others would get its load.
+ * Records a request without an answer before its deadline.  It is a failure
+ * only if the server has sent no other answer since the request was sent.
+ * Ejecting a server that is merely overloaded would move its load to the
+ * others.
  */
 static void
 record_timeout(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
@@ -124,7 +125,7 @@
 }
 
 /*
- * Nothing listens there.
+ * Records that no connection could be made.
  */
 static void
 record_no_connection(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
@@ -136,7 +137,8 @@
 }
 
 /*
- * The server takes no new work; others will hear of it by membership soon.
+ * Records that the server accepts no new requests.  Excludes it for
+ * LEAVING_HOLD_MS, until membership reports that.
  */
 static void
 record_leaving(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
@@ -147,8 +149,9 @@
 }
 
 /*
- * Ejects the server for a time that grows; failures of requests that were
- * sent before the ejection don't lengthen it.
+ * Ejects the server for a time that doubles with each ejection, up to
+ * EJECT_MAX_MS.  Failures during an ejection are of requests sent before it
+ * and do not extend it.
  */
 static void
 eject(struct route_stat *s, uint64_t now_ms)
--- a/src/route/test_balance.c
+++ b/src/route/test_balance.c
@@ -9,8 +9,9 @@
 #include "route/route.h"
 
 /*
- * Entries that send to simulated servers, each by what it has seen itself,
- * in steps of a millisecond.
+ * Simulates entries that send requests to servers, in steps of 1 ms.  Each
+ * entry chooses by its own observations.  Compares route_choose() with random
+ * and least-loaded choice.
  */
 
 #define SERVERS 6 /* two in each of three domains */
@@ -22,10 +23,9 @@
 #define DURATION_MS 20000
 #define DISTURBANCE_START_MS 5000
 #define DISTURBANCE_END_MS 12000
-#define CLOCK_START_MS                                        \
-	100000 /* the clock at the start: all servers are old \
-		*/
-#define REQUESTS_MAX 4096
+/* Late enough that no server is in its slow start. */
+#define CLOCK_START_MS 100000
+#define REQUESTS_MAX 4096 /* in flight */
 #define LATENCY_MAX_MS 400
 
 enum strategy {
@@ -35,22 +35,22 @@
 	STRATEGY_MAX
 };
 
-static const char *const strategy_names[STRATEGY_MAX] = { "random", "least",
-	"chosen" };
+static const char *const strategy_names[STRATEGY_MAX] = { "random",
+	"least loaded", "route_choose" };
 
 enum disturbance {
 	DISTURBANCE_NONE,
-	DISTURBANCE_SLOW,	/* a server takes five times as long */
-	DISTURBANCE_FAILS_ALL,	/* it fails everything at once */
-	DISTURBANCE_DOWN,	/* nothing listens; it returns later */
-	DISTURBANCE_FAILS_HALF, /* it fails half at once */
+	DISTURBANCE_SLOW,	/* a server needs five times as long */
+	DISTURBANCE_FAILS_ALL,	/* it fails all requests within 1 ms */
+	DISTURBANCE_DOWN,	/* it refuses connections */
+	DISTURBANCE_FAILS_HALF, /* it fails half of them within 1 ms */
 	DISTURBANCE_MAX
 };
 
 struct scenario {
 	const char *name;
-	double load; /* share of the capacity of all */
-	double skew; /* the first domain's entries get this many times more */
+	double load; /* share of the capacity of all servers */
+	double skew; /* factor on the load of the first domain's entries */
 	double served_share_min;
 	enum disturbance disturbance;
 	uint32_t p99_ms_max;
@@ -60,7 +60,7 @@
 	double work_ms;
 	uint32_t start_ms;
 	int entry;
-	int server; /* -1 if free */
+	int server; /* -1 if this table entry is free */
 	int running;
 };
 
@@ -90,7 +90,7 @@
 }
 
 /*
- * Returns minus the logarithm of a random number in (0, 1).
+ * Returns an exponentially distributed random number of mean 1.
  */
 static double
 exponential(struct sim *s)
@@ -99,7 +99,7 @@
 }
 
 /*
- * Tells whether a server is in this trouble now.
+ * Reports whether a server has this disturbance now.
  */
 static int
 is_disturbed(const struct sim *s, int server, enum disturbance d)
@@ -110,7 +110,7 @@
 }
 
 /*
- * Chooses a server by the rule that is looked at.
+ * Chooses a server by the strategy under test.
  */
 static int
 choose_server(struct sim *s, int e)
@@ -133,7 +133,7 @@
 }
 
 /*
- * A request is over; its entry learns how it went.
+ * Ends a request and records its outcome at its entry.
  */
 static void
 finish_request(struct sim *s, int e, int server, enum route_outcome outcome,
@@ -154,7 +154,8 @@
 }
 
 /*
- * An entry sends a request, and once more if it was refused unrun.
+ * Sends a request from an entry, and retries it once if it was rejected
+ * without being run.
  */
 static void
 send_request(struct sim *s, int e, int is_retry)
@@ -192,8 +193,8 @@
 }
 
 /*
- * All servers work for a millisecond; places go to whoever comes first in
- * the table.
+ * Runs all servers for 1 ms.  Free slots go to the first waiting requests in
+ * table order.
  */
 static void
 run_servers(struct sim *s)
@@ -226,8 +227,9 @@
 }
 
 /*
- * Runs a scene under a rule.  Sets the share served in time, the latency (ms)
- * that 99 in 100 of those had at most, and the share sent to other domains.
+ * Simulates a scenario with a strategy.  Sets the share of requests that
+ * were served in time, the 99th percentile of their latency, and the share
+ * of attempts per request that went to other domains.
  */
 static void
 simulate(const struct scenario *scenario, enum strategy strategy,
@@ -274,17 +276,18 @@
 }
 
 static const struct scenario scenarios[] = {
-	{ "calm", .6, 1, .999, DISTURBANCE_NONE, 110 },
-	{ "full", .95, 1, .995, DISTURBANCE_NONE, 140 },
+	{ "60% load", .6, 1, .999, DISTURBANCE_NONE, 110 },
+	{ "95% load", .95, 1, .995, DISTURBANCE_NONE, 140 },
 	{ "one domain gets 3x", .6, 3, .99, DISTURBANCE_NONE, 130 },
-	{ "one slow 5x", .6, 1, .995, DISTURBANCE_SLOW, 130 },
+	{ "one 5x slower", .6, 1, .995, DISTURBANCE_SLOW, 130 },
 	{ "one fails all", .6, 1, .995, DISTURBANCE_FAILS_ALL, 130 },
 	{ "one fails half", .6, 1, .99, DISTURBANCE_FAILS_HALF, 130 },
-	{ "one dies", .6, 1, .995, DISTURBANCE_DOWN, 130 },
+	{ "one down", .6, 1, .995, DISTURBANCE_DOWN, 130 },
 };
 
 /*
- * Each scene under each rule; the one chosen must hold its bounds.
+ * Prints the figures of each strategy in each scenario.  Those of
+ * route_choose() must meet the bounds.
  */
 static void
 test_choice_meets_bounds_in_all_scenarios(void **state)
@@ -300,7 +303,7 @@
 		for (r = 0; r < STRATEGY_MAX; r++) {
 			simulate(&scenarios[i], (enum strategy)r, &served,
 			    &p99_ms, &remote);
-			print_message(" | %s %.4f %u ms far %.2f",
+			print_message(" | %s %.4f %u ms remote %.2f",
 			    strategy_names[r], served, p99_ms, remote);
 		}
 		print_message("\n");
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -14,7 +14,7 @@
 #define PICKS 200000
 #define THREADS 8
 
-/* How often (share) the first of four equal servers may be chosen. */
+/* Bounds on the share of requests that the first of four servers gets. */
 struct rule {
 	const char *name;
 	struct route_candidate cand;
@@ -37,25 +37,25 @@
 	{ "no slots", { .slots = 0 }, { 0 }, 0, 0, 1 },
 	{ "ejected", { .slots = 50 },
 	    { .ejected_ms = NOW + 1, .needs_probe = 1 }, 0, 0, 1 },
-	{ "returns", { .slots = 50 },
+	{ "ejection over", { .slots = 50 },
 	    { .ejected_ms = NOW - 1, .needs_probe = 1 }, .1, .15, 1 },
-	{ "returns, no probe", { .slots = 50 },
+	{ "ejection over, request may not probe", { .slots = 50 },
 	    { .ejected_ms = NOW - 1, .needs_probe = 1 }, 0, 0, 0 },
-	{ "returns late", { .slots = 50 },
+	{ "ejection long over, request may not probe", { .slots = 50 },
 	    { .ejected_ms = NOW - 6000, .needs_probe = 1 }, .1, .15, 0 },
-	{ "probe is out", { .slots = 50 },
+	{ "probe in flight", { .slots = 50 },
 	    { .ejected_ms = NOW - 1, .needs_probe = 1, .inflight = 1 }, 0, 0,
 	    1 },
-	{ "cold", { .slots = 50, .since_ms = NOW - 100 }, { .successes = 10 },
-	    0, .01, 1 },
-	{ "busy", { .slots = 50 }, { .inflight = 20 }, 0, .01, 1 },
-	{ "told busy", { .slots = 50 },
+	{ "slow start", { .slots = 50, .since_ms = NOW - 100 },
+	    { .successes = 10 }, 0, .01, 1 },
+	{ "loaded", { .slots = 50 }, { .inflight = 20 }, 0, .01, 1 },
+	{ "reports high load", { .slots = 50 },
 	    { .load_reported_ms = NOW, .load = { 1023, 20, 50, 0, 0 } }, 0, .01,
 	    1 },
-	{ "told busy long ago", { .slots = 50 },
+	{ "reported high load long ago", { .slots = 50 },
 	    { .load_reported_ms = NOW - 20000, .load = { 0, 20, 50, 9, 0 } },
 	    .22, .51, 1 },
-	{ "gossip says busy",
+	{ "gossip reports high load",
 	    { .slots = 50,
 		.load_reported_ms = NOW,
 		.load = { 1023, 20, 50, 0, 0 } },
@@ -63,15 +63,15 @@
 	{ "sheds", { .slots = 50 },
 	    { .load_reported_ms = NOW, .load = { 499, 0, 50, 0, 0 } }, 0, .03,
 	    1 },
-	{ "larger and as busy", { .slots = 100 }, { .inflight = 1 }, .22, .51,
-	    1 },
+	{ "larger, one request in flight", { .slots = 100 }, { .inflight = 1 },
+	    .22, .51, 1 },
 	{ "fails fast", { .slots = 50 },
 	    { .failures = 5,
 		.successes = 10,
 		.latency_us = 100,
 		.last_used_ms = NOW },
 	    0, .01, 1 },
-	{ "fails fast, as slow else", { .slots = 50 },
+	{ "fails, equal latency", { .slots = 50 },
 	    { .failures = 5, .successes = 10 }, 0, .01, 1 },
 	{ "slow", { .slots = 50 },
 	    { .latency_us = 90000, .successes = 10, .last_used_ms = NOW }, 0,
@@ -80,11 +80,11 @@
 	    { .latency_us = 90000, .last_used_ms = NOW - 60000 }, .1, .51, 1 },
 	{ "own domain", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
 	    { .successes = 10 }, 1, 1, 1 },
-	{ "own domain, busy", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
+	{ "own domain, loaded", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
 	    { .inflight = 40 }, 0, 0, 1 },
 	{ "own region", { .slots = 50, .near = ROUTE_SAME_REGION },
 	    { .successes = 10 }, 1, 1, 1 },
-	{ "own region, busy", { .slots = 50, .near = ROUTE_SAME_REGION },
+	{ "own region, loaded", { .slots = 50, .near = ROUTE_SAME_REGION },
 	    { .inflight = 40 }, 0, 0, 1 },
 	{ "own region, slow", { .slots = 50, .near = ROUTE_SAME_REGION },
 	    { .latency_us = 90000, .successes = 10, .last_used_ms = NOW }, 0,
@@ -92,8 +92,8 @@
 };
 
 /*
- * Chooses many times and returns the share of one index, or of refusals
- * (-1).
+ * Chooses many times and returns the share of choices of one index, or of
+ * rejections for -1.
  */
 static double
 chosen_share_of(const struct route_candidate *cand,
@@ -113,7 +113,7 @@
 }
 
 /*
- * Fills in a service of equal, healthy servers elsewhere.
+ * Initialises a service of equal, healthy servers in another region.
  */
 static void
 init_service(struct route_candidate *cand, struct route_stat *stat)
@@ -130,7 +130,8 @@
 }
 
 /*
- * Each rule: how often the server that it is about is chosen.
+ * For each rule, the first server gets the share of requests that its state
+ * allows.
  */
 static void
 test_choice_by_server_state(void **state)
@@ -161,9 +162,9 @@
 }
 
 /*
- * However many are ejected, at least half of the service takes requests, as
- * do suspects if there are no others, and nothing is sent if all leave or all
- * shed.
+ * At least half of the service stays usable, however many servers are
+ * ejected.  Suspect servers are used if there are no others.  Nothing is
+ * sent if all servers leave, and most requests are rejected if all shed.
  */
 static void
 test_all_servers_degraded(void **state)
@@ -198,15 +199,17 @@
 }
 
 /*
- * What a run of outcomes does to a server: ejected for how long at the last.
+ * Sequences of outcomes cause the expected number of ejections and leave the
+ * expected time until the last one ends.
  */
 static void
 test_ejection_after_outcomes(void **state)
 {
 	static const struct {
-		const char *outcomes; /* s served, f failed, t timeout, T
-				       * timeout while it answers others, r
-				       * refused, o shed, w one second */
+		const char *outcomes; /* s served, f failed, t timeout,
+				       * T timeout while other requests
+				       * are answered, r no connection,
+				       * o shed, w waits 1 s */
 		uint64_t remaining_ms;
 		uint32_t ejections;
 	} cases[] = {
@@ -253,8 +256,9 @@
 }
 
 /*
- * One of four servers fails every request in no time while the others work:
- * how many requests it ruins in ten seconds at 1,000 a second.
+ * One of four servers fails every request at once.  Guards against routing
+ * that sends it ever more requests because it answers fast: of 10,000
+ * requests in ten seconds, fewer than 20 may fail.
  */
 static void
 test_fast_failing_server_is_avoided(void **state)
@@ -277,13 +281,13 @@
 		    chosen == 0 ? 100 : 10000, NULL, q.now_ms);
 		failed += chosen == 0;
 	}
-	print_message("%d of 10000 ruined\n", failed);
+	print_message("%d of 10000 requests failed\n", failed);
 	assert_true(failed < 20);
 }
 
 /*
- * The book keeps 1,600 servers apart, and counts what is in flight.  Prints
- * what one choice costs.
+ * The table distinguishes 1,600 servers and counts their requests in flight.
+ * Prints the time of one choice.
  */
 static void
 test_stats_per_server(void **state)
@@ -321,12 +325,13 @@
 		assert_true(route_pick(&b, cand + 1, 22, &q, &why) >= 0);
 	}
 	t = clock_us() - t;
-	print_message("%.0f ns a choice of 22\n", (double)t * 1e3 / PICKS);
+	print_message(
+	    "%.0f ns per choice among 22 servers\n", (double)t * 1e3 / PICKS);
 	route_book_finish(&b);
 }
 
 /*
- * Sends and ends requests at a few servers, over and over.
+ * Sends and ends requests at a few servers many times.
  */
 static void *
 send_requests(void *arg)
@@ -352,7 +357,8 @@
 }
 
 /*
- * Threads that use one book at once lose no request.
+ * Threads that use one table concurrently lose no update of the requests in
+ * flight.
  */
 static void
 test_concurrent_updates(void **state)
