src/retry: Comments and texts in plain terms

Comments spoke of lending, numbers told and requests seen dead. They are reworded as plain sentences with their reasons kept. Two texts that tests print and one allocation error are reworded. No code changed.

--- a/src/retry/chain.c
+++ b/src/retry/chain.c
@@ -1,9 +1,9 @@
 #include "retry/retry.h"
 
 /*
- * The bound on retries over a whole chain.  At any time the numbers left in
- * all chains of a tree, those lent out and those spent sum to the number
- * that the root began with or, once answers are lost, to less.
+ * Bounds the retries of a whole call tree.  At any time the retries left in
+ * its chains, those granted and not returned, and those spent add up to the
+ * number at the root.  The sum is smaller after an answer was lost.
  */
 
 #define CHAIN_CLOSED UINT32_MAX
@@ -14,7 +14,7 @@
 static uint32_t at_most_one(uint32_t);
 
 /*
- * Begins with this many retries, RETRY_MAX at most.
+ * Initialises a chain with this many retries, at most RETRY_MAX.
  */
 void
 retry_chain_init(struct retry_chain *c, uint32_t left)
@@ -23,9 +23,9 @@
 }
 
 /*
- * Lends to an inner call: half of what is left, rounded up.  More inner
- * calls may run beside it, and a late one should find something, but the
- * last retry goes down the chain, where repeating costs least.
+ * Grants an inner call half of the remaining retries, rounded up.  The rest
+ * is for other inner calls, concurrent or later.  The last retry goes down
+ * the chain, where a retry repeats the least work.
  */
 uint32_t
 retry_lend_call(struct retry_chain *c)
@@ -34,9 +34,9 @@
 }
 
 /*
- * Lends to one attempt at a server: all but one, which is kept for the loss
- * of the answer; the last one is lent as well, since every answer that isn't
- * lost brings it back.
+ * Grants an attempt at a server all remaining retries but one, which is for
+ * the loss of the answer.  The last retry is granted as well, since every
+ * answer that is not lost returns it.
  */
 uint32_t
 retry_lend_attempt(struct retry_chain *c)
@@ -45,9 +45,10 @@
 }
 
 /*
- * Takes back what an answer says is left of a loan; more than was lent isn't
- * believed.  For an attempt that was never sent, all of it is left.  For a
- * lost answer this isn't called.
+ * Returns the unused retries of a grant, as reported by the answer.  More
+ * than was granted is not accepted.  For an attempt that was not sent, the
+ * whole grant is returned.  If the answer was lost, this must not be
+ * called.
  */
 void
 retry_return(struct retry_chain *c, uint32_t granted, uint32_t left)
@@ -63,7 +64,7 @@
 }
 
 /*
- * Takes one retry for use; returns 0 if there is none.
+ * Spends one retry.  Returns 0 if there is none.
  */
 int
 retry_spend(struct retry_chain *c)
@@ -72,9 +73,9 @@
 }
 
 /*
- * Ends the chain and returns what is left, to be told in the answer.  From
- * then on nothing can be lent from it or returned to it, so that no retry is
- * counted both here and further up.
+ * Closes the chain and returns the remaining retries, which the answer
+ * reports.  A closed chain grants nothing and ignores returns, so no retry
+ * is counted both here and further up the chain.
  */
 uint32_t
 retry_chain_close(struct retry_chain *c)
@@ -85,7 +86,8 @@
 }
 
 /*
- * Takes as many as the share function says of those left.
+ * Subtracts and returns the amount that the function computes from the
+ * remaining retries.  Returns 0 if the chain is closed.
  */
 static uint32_t
 acquire(struct retry_chain *c, uint32_t (*amount)(uint32_t))
@@ -102,7 +104,7 @@
 }
 
 /*
- * Returns half, rounded up.
+ * Returns half of the remaining retries, rounded up.
  */
 static uint32_t
 half_rounded_up(uint32_t left)
@@ -111,7 +113,7 @@
 }
 
 /*
- * Returns all but one, or the only one.
+ * Returns all remaining retries but one, or the only one.
  */
 static uint32_t
 all_but_one(uint32_t left)
@@ -120,7 +122,7 @@
 }
 
 /*
- * Returns one, if there is one.
+ * Returns 1, or 0 if no retry remains.
  */
 static uint32_t
 at_most_one(uint32_t left)
--- a/src/retry/decide.c
+++ b/src/retry/decide.c
@@ -1,14 +1,14 @@
 #include "retry/retry.h"
 
 /*
- * Whether an attempt that brought no answer is followed by another.
+ * Decides whether a failed attempt is retried, and when.
  */
 
-#define SUCCESS_MILLI_RETRIES 100 /* a success earns a tenth of a retry */
+#define SUCCESS_MILLI_RETRIES 100 /* added per served request */
 #define ONE_RETRY_MILLI 1000
 #define BUDGET_MAX_MILLI_RETRIES 10000
-#define FLOOR_PERIOD_MS 2000   /* one retry in this time is always there */
-#define OVERLOAD_RETRIES_MAX 1 /* other servers tried after RETRY_OVERLOAD */
+#define FLOOR_PERIOD_MS 2000   /* one retry per period is guaranteed */
+#define OVERLOAD_RETRIES_MAX 1 /* after RETRY_OVERLOAD, per request */
 #define BACKOFF_FIRST_MS 10
 #define BACKOFF_MAX_MS 320
 
@@ -17,8 +17,8 @@
 
 struct rule {
 	int retryable;
-	int budgeted; /* adds load where there may be too much already */
-	int delayed;
+	int budgeted; /* may add to an overload, so uses the budget */
+	int delayed;  /* by a random backoff */
 };
 
 static const struct rule rules[RETRY_REASON_MAX] = {
@@ -33,7 +33,8 @@
 };
 
 /*
- * Begins a budget, full, so that a rare failure on a quiet route is retried.
+ * Initialises a full budget, so that a rare failure on a route with little
+ * traffic is retried.
  */
 void
 retry_budget_init(struct retry_budget *b, uint64_t now_ms)
@@ -43,7 +44,7 @@
 }
 
 /*
- * Notes a request that was served.
+ * Adds SUCCESS_MILLI_RETRIES to the budget for a served request.
  */
 void
 retry_budget_success(struct retry_budget *b)
@@ -52,7 +53,7 @@
 }
 
 /*
- * Takes one retry from the budget; returns 0 if it has none.
+ * Spends one retry of the budget.  Returns 0 if it has none.
  */
 int
 retry_budget_spend(struct retry_budget *b, uint64_t now_ms)
@@ -74,11 +75,11 @@
 }
 
 /*
- * Decides what follows an attempt that brought no answer.  Unless it says
- * RETRY_GIVE_UP, one retry has been taken from the chain, and one from the
- * route's budget where the retry adds load.  Sets the delay (ms) for
- * RETRY_LATER.  The loan of the attempt must have been returned before, if
- * it is to be.
+ * Decides whether a failed attempt is retried.  Unless it returns
+ * RETRY_GIVE_UP, it has spent one retry of the chain, and one of the route's
+ * budget if the retry adds load.  Sets the delay (ms) for RETRY_LATER.  The
+ * caller must have returned the unused grant of the attempt before, if it is
+ * to be returned.
  */
 enum retry_verdict
 retry_decide(const struct retry_case *q, struct retry_chain *c,
@@ -103,8 +104,9 @@
 }
 
 /*
- * Returns a delay (ms) between nothing and a bound that doubles with each
- * attempt, so that callers that failed together don't come back together.
+ * Returns a random delay (ms) up to a bound that doubles with each attempt.
+ * The randomness spreads the retries of callers that failed at the same
+ * time.
  */
 static uint32_t
 random_backoff_ms(const struct retry_case *q)
@@ -117,7 +119,7 @@
 }
 
 /*
- * Adds to the budget, up to its bound.
+ * Adds to the budget, up to its maximum.
  */
 static void
 add_to_budget(struct retry_budget *b, int64_t milli)
--- a/src/retry/parents.c
+++ b/src/retry/parents.c
@@ -9,7 +9,7 @@
     struct parents *, const unsigned char *);
 
 /*
- * Prepares an empty table.
+ * Initialises an empty table.
  */
 void
 parents_init(struct parents *ps)
@@ -22,8 +22,8 @@
 }
 
 /*
- * Releases a table that no thread uses any more.  All parents must have been
- * ended.
+ * Frees the table.  No thread may use it any more, and all parents must have
+ * been ended.
  */
 void
 parents_finish(struct parents *ps)
@@ -36,8 +36,8 @@
 
 /*
  * Adds a request that is about to be sent to the local server, with the
- * retries lent to it, under a token of its own.  Exits the process if memory
- * is exhausted.
+ * retries granted to it, under a new random token.  Exits the process if
+ * memory is exhausted.
  */
 struct parent *
 parents_add(
@@ -48,7 +48,7 @@
 
 	p = calloc(1, sizeof(*p));
 	if (p == NULL)
-		err(1, "parents_add");
+		err(1, "cannot allocate a parent request");
 	randombytes_buf(p->token, sizeof(p->token));
 	p->context = *ctx;
 	retry_chain_init(&p->chain, granted);
@@ -65,9 +65,9 @@
 }
 
 /*
- * Ends a request: its token is unknown from now on, and inner calls still in
- * flight see it dead.  Returns the retries left, for its answer.  The parent
- * must not be used by the caller afterwards.
+ * Ends a request.  Its token becomes unknown, and inner calls in flight see
+ * that it has ended.  Returns the remaining retries for its answer.  The
+ * caller must not use the parent afterwards.
  */
 uint32_t
 parents_end(struct parents *ps, struct parent *p)
@@ -92,9 +92,9 @@
 }
 
 /*
- * Returns the live request with this token (hexadecimal text) with a
- * reference to be put by parent_put(), or NULL.  Tokens are compared in
- * constant time.
+ * Returns the running request with this token (hexadecimal text), or NULL.
+ * The caller must release the reference with parent_put().  Tokens are
+ * compared in constant time.
  */
 struct parent *
 parents_get(struct parents *ps, const char *text)
@@ -122,7 +122,7 @@
 }
 
 /*
- * Gives a reference back.
+ * Releases a reference.
  */
 void
 parent_put(struct parent *p)
@@ -134,8 +134,7 @@
 }
 
 /*
- * Remembers an inner call, by a hash of what it asked for, that brought no
- * good answer.
+ * Stores the request hash of an inner call that failed.
  */
 void
 parent_call_failed(struct parent *p, uint64_t call)
@@ -147,8 +146,9 @@
 }
 
 /*
- * Tells whether an inner call is one that failed before, and so a retry by
- * the server itself.  Once no more can be remembered, any call may be one.
+ * Reports whether an inner call failed before and so is a retry by the
+ * server itself.  When the store of failed calls is full, every call counts
+ * as a retry.
  */
 int
 parent_call_repeats(struct parent *p, uint64_t call)
@@ -166,8 +166,8 @@
 }
 
 /*
- * Tells whether an inner call has brought no good answer, so that a failure
- * of the request says nothing of its own server.
+ * Reports whether an inner call has failed.  A failure of the request then
+ * says nothing about its own server.
  */
 int
 parent_has_failed_calls(struct parent *p)
@@ -181,7 +181,7 @@
 }
 
 /*
- * Notes the chain level that the answer to an inner call has told.
+ * Records the chain level that the answer to an inner call reported.
  */
 void
 parent_note_level(struct parent *p, uint32_t level)
@@ -194,7 +194,7 @@
 }
 
 /*
- * Returns the least chain level that its inner calls were told, or
+ * Returns the minimum chain level reported to the inner calls, or
  * ADMISSION_CHAIN_LEVEL_UNKNOWN.
  */
 uint32_t
@@ -204,7 +204,7 @@
 }
 
 /*
- * Tells whether the request has ended, so that work for it is wasted.
+ * Reports whether the request has ended.  Work for it is then wasted.
  */
 int
 parent_has_ended(const struct parent *p)
@@ -222,7 +222,7 @@
 }
 
 /*
- * Returns how many requests run at the local server.
+ * Returns the number of requests that the local server is running.
  */
 uint32_t
 parents_count(struct parents *ps)
--- a/src/retry/parents.h
+++ b/src/retry/parents.h
@@ -11,39 +11,37 @@
 #include "retry/retry.h"
 
 #define PARENT_TOKEN_BYTES 16
-#define PARENT_TOKEN_TEXT 33	/* hexadecimal, with its end */
-#define PARENT_WORKSPACE_MAX 64 /* bytes of a name, with its end */
+#define PARENT_TOKEN_TEXT 33	/* hexadecimal, with the final NUL */
+#define PARENT_WORKSPACE_MAX 64 /* bytes of a name, with the final NUL */
 #define PARENTS_STRIPES 64
-#define PARENT_FAILED_CALLS_MAX                      \
-	32 /* failed inner calls that are remembered \
-	    */
+#define PARENT_FAILED_CALLS_MAX 32 /* stored per request */
 
-/* What inner calls inherit from the request they are made for. */
+/* Attributes that inner calls inherit from the request being run. */
 struct parent_context {
 	uint64_t root_hash;
 	uint64_t root_print[2]; /* fingerprint of the root request */
-	uint64_t key_tag;	/* of the key that the chain began with, or 0 */
+	uint64_t key_tag;	/* tag of the root request's API key, or 0 */
 	uint64_t deadline_us;
 	enum admission_class class;
 	uint32_t depth;
-	char workspace[PARENT_WORKSPACE_MAX]; /* empty on open routes */
+	char workspace[PARENT_WORKSPACE_MAX]; /* empty without API key */
 };
 
 /*
- * A request that runs at the local server now.  The chain holds the retries
- * lent to it.  It stays readable until the last reference is put.
+ * A request that the local server is running.  The chain holds the retries
+ * granted to it.  The struct is freed when the last reference is released.
  */
 struct parent {
 	struct parent *next;
 	unsigned char token[PARENT_TOKEN_BYTES];
 	struct parent_context context;
 	struct retry_chain chain;
-	pthread_mutex_t lock; /* of the failed calls */
-	uint64_t failed_calls[PARENT_FAILED_CALLS_MAX];
+	pthread_mutex_t lock; /* protects the failed calls */
+	uint64_t failed_calls[PARENT_FAILED_CALLS_MAX]; /* request hashes */
 	uint32_t failed_call_count;
 	atomic_uint refs;
 	atomic_int ended;
-	atomic_uint chain_level; /* least told by its inner calls */
+	atomic_uint chain_level; /* minimum reported to its inner calls */
 };
 
 struct parents_stripe {
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -4,51 +4,52 @@
 #include <stdatomic.h>
 #include <stdint.h>
 
-#define RETRY_MAX 10 /* the largest bound that a route may set */
+#define RETRY_MAX 10 /* largest bound that a route may set */
 
 /*
- * The retries that one request, or the work for one request, may still use.
- * What it lends is gone from here until it is returned.
+ * The retries that one request, or the work for it at a server, may still
+ * use.  Granted retries are subtracted until they are returned.
  */
 struct retry_chain {
 	atomic_uint left;
 };
 
-/* A route's share of retries in its traffic, held per node. */
+/* Limits the share of retries in a route's traffic, per node. */
 struct retry_budget {
-	atomic_int_fast64_t milli_retries; /* thousandths of a retry */
-	atomic_uint_fast64_t floor_granted_ms;
+	atomic_int_fast64_t milli_retries;
+	atomic_uint_fast64_t floor_granted_ms; /* last guaranteed retry */
 };
 
-/* Why an attempt has not brought an answer. */
+/* Why an attempt brought no usable answer. */
 enum retry_reason {
-	RETRY_FINAL, /* another attempt would be refused alike */
+	RETRY_FINAL, /* a retry would be rejected for the same reason */
 	RETRY_NO_CONNECTION,
 	RETRY_LEAVING,	     /* the server drains or its node stops */
-	RETRY_OVERLOAD,	     /* this server sheds */
-	RETRY_OVERLOAD_ALL,  /* every server of the service sheds */
-	RETRY_BROKEN,	     /* the answer was lost, cut or garbled */
-	RETRY_SERVER_FAILED, /* the server or its node reports a failure */
+	RETRY_OVERLOAD,	     /* this server sheds the request */
+	RETRY_OVERLOAD_ALL,  /* every server of the service sheds it */
+	RETRY_BROKEN,	     /* the answer was lost, truncated or malformed */
+	RETRY_SERVER_FAILED, /* reported by the server or its node */
 	RETRY_DEADLINE,
 	RETRY_REASON_MAX
 };
 
+/* A failed attempt and its request. */
 struct retry_case {
 	enum retry_reason reason;
-	int not_run;	/* certainly */
-	int idempotent; /* may run more than once */
-	int struck;	/* was in flight when a server died */
-	uint32_t attempts;
+	int not_run;	      /* the request was certainly not run */
+	int idempotent;	      /* the request may run more than once */
+	int struck;	      /* a server crashed while it was in flight */
+	uint32_t attempts;    /* including the failed one */
 	uint32_t overloads;   /* attempts that ended in RETRY_OVERLOAD */
 	uint64_t left_us;     /* until the deadline */
-	uint64_t expected_us; /* that an attempt takes, or 0 */
+	uint64_t expected_us; /* duration of an attempt; 0 if unknown */
 	uint64_t rnd;
 };
 
 enum retry_verdict {
 	RETRY_GIVE_UP,
 	RETRY_NOW,   /* at another server */
-	RETRY_LATER, /* after the delay given */
+	RETRY_LATER, /* after the returned delay */
 	RETRY_VERDICT_MAX
 };
 
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -16,7 +16,7 @@
 #define GRANTS 20000
 #define LOOKUPS 200000
 
-/* A tree of calls that fail at random at every level. */
+/* A call tree whose calls fail at random at every level. */
 struct tree {
 	uint64_t rnd;
 	uint32_t depth;
@@ -36,8 +36,8 @@
 }
 
 /*
- * One call with its attempts and, at the server, its inner calls.  Returns
- * what is left of the retries it was lent.
+ * Simulates one call with its attempts and, at the server, its inner calls.
+ * Returns the unused retries of its grant.
  */
 static uint32_t
 simulate_call(struct tree *t, uint32_t granted, uint32_t depth)
@@ -77,8 +77,8 @@
 }
 
 /*
- * Whatever fails at whatever depth, a whole tree uses no more retries than
- * its root had, and all of them can be used.
+ * A call tree uses at most the retries of its root, whatever fails at
+ * whatever depth.  Some trees use all of them.
  */
 static void
 test_tree_never_exceeds_root_retries(void **state)
@@ -98,12 +98,14 @@
 		assert_true(t.retries <= root);
 		fully_used += root > 0 && t.retries == root;
 	}
-	print_message("%u of %d trees used all\n", fully_used, TREES);
+	print_message(
+	    "%u of %d call trees used all their retries\n", fully_used, TREES);
 	assert_true(fully_used > TREES / 20);
 }
 
 /*
- * An answer that claims more than was lent is worth the loan at most.
+ * An answer that reports more retries than were granted returns the grant at
+ * most.
  */
 static void
 test_return_is_clamped_to_grant(void **state)
@@ -120,8 +122,8 @@
 }
 
 /*
- * How one hop's number is split among calls that run side by side, and how
- * an attempt shares with what is kept.
+ * Grants to consecutive inner calls, and to an attempt, by the number of
+ * retries left.
  */
 static void
 test_grants_to_calls_and_attempts(void **state)
@@ -150,7 +152,8 @@
 }
 
 /*
- * Every reason, with and without the chance that it ran.
+ * The verdict for every reason, for requests that may have run and for those
+ * that did not.
  */
 static void
 test_verdict_for_each_reason(void **state)
@@ -158,7 +161,7 @@
 	static const struct {
 		struct retry_case q;
 		uint32_t left;
-		int budget_empty; /* the route's budget is used up */
+		int budget_empty;
 		enum retry_verdict verdict;
 	} rows[] = {
 		{ { RETRY_NO_CONNECTION, 1, 0, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
@@ -197,7 +200,7 @@
 		    RETRY_GIVE_UP },
 		{ { RETRY_FINAL, 1, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
 		    RETRY_GIVE_UP },
-		/* a reason that was never set */
+		/* The reason was never set. */
 		{ { .not_run = 1, .idempotent = 1, .left_us = 9999999 }, 9, 0,
 		    RETRY_GIVE_UP },
 	};
@@ -221,8 +224,8 @@
 }
 
 /*
- * While everything fails, a route's retries die down to one in two seconds;
- * while it works they may be a tenth.
+ * While every request fails, a route's retries fall to one in two seconds.
+ * While requests succeed, a tenth of them may be retried.
  */
 static void
 test_budget_limits_retry_rate(void **state)
@@ -245,7 +248,7 @@
 }
 
 /*
- * Looks a request up, lends and returns, over and over, until it is dead.
+ * Grants and returns retries of a shared chain many times.
  */
 static void *
 grant_and_return(void *arg)
@@ -261,7 +264,8 @@
 }
 
 /*
- * Threads that lend and return at once neither lose nor gain a retry.
+ * Threads that grant and return concurrently neither lose nor create a
+ * retry.
  */
 static void
 test_concurrent_grants(void **state)
@@ -280,8 +284,9 @@
 }
 
 /*
- * A token finds its request while that lives and not afterwards; who holds
- * it sees it dead.  Text that is no token finds nothing.
+ * A token finds its request until that ends.  A reference held beyond that
+ * shows that the request has ended.  Malformed and unknown tokens find
+ * nothing.
  */
 static void
 test_token_valid_until_request_ends(void **state)
@@ -311,7 +316,7 @@
 	for (i = 0; i < LOOKUPS; i++)
 		parent_put(parents_get(&ps, text));
 	t = clock_us() - t;
-	print_message("%.0f ns a lookup\n", (double)t * 1e3 / LOOKUPS);
+	print_message("%.0f ns per lookup\n", (double)t * 1e3 / LOOKUPS);
 	assert_int_equal(parent_chain_level(p), ADMISSION_CHAIN_LEVEL_UNKNOWN);
 	parent_note_level(found, 70);
 	parent_note_level(found, 90);
