--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -5,23 +5,25 @@
 #include "fleet/fleet.h"
 
 #define DATAGRAM_BYTES 1400
-#define WHOLE_EVERY 8 /* beats; the others tell only the load */
-#define WHOLE_MORE 2  /* after a change, as datagrams may be lost */
-#define LOST_BEATS 8  /* of which one goes to nodes that fell silent, too */
-#define PAUSE_BEATS 3 /* beats late by which a pause of the process is seen */
-
-static void on_alloc(uv_handle_t *, size_t, uv_buf_t *);
+#define FULL_HEARTBEAT_EVERY 8	 /* beats; the others tell only the load */
+#define FULL_HEARTBEAT_REPEATS 2 /* after a change, as datagrams may be lost \
+				  */
+#define PROBE_EVERY 8 /* of which one goes to nodes that fell silent, too */
+#define PAUSE_HEARTBEATS \
+	3 /* beats late by which a pause of the process is seen */
+
+static void provide_buffer(uv_handle_t *, size_t, uv_buf_t *);
 static void on_datagram(uv_udp_t *, ssize_t, const uv_buf_t *,
     const struct sockaddr *, unsigned int);
-static void on_timer(uv_timer_t *);
-static void beat_or_pulse(struct fleet_net *);
-static void look_for_pause(struct fleet_net *);
-static void tick(struct fleet_net *);
-static void beat_lost(struct fleet_net *);
-static void take(
+static void on_heartbeat_timer(uv_timer_t *);
+static void send_heartbeat(struct fleet_net *);
+static void detect_pause(struct fleet_net *);
+static void update_members(struct fleet_net *);
+static void probe_silent_nodes(struct fleet_net *);
+static void dispatch(
     struct fleet_net *, const struct fleet_msg *, const struct sockaddr_in *);
-static void take_beat(struct fleet_net *, const struct fleet_beat *);
-static void tell_left(struct fleet_net *, const struct fleet_beat *);
+static void receive_heartbeat(struct fleet_net *, const struct fleet_beat *);
+static void send_departure(struct fleet_net *, const struct fleet_beat *);
 static size_t encode(
     const struct fleet_net *, const struct fleet_msg *, char *);
 static void send_bytes(struct fleet_net *, const char *, size_t, uint32_t);
@@ -34,7 +36,7 @@
  */
 int
 fleet_net_init(struct fleet_net *n, uv_loop_t *loop,
-    const struct sockaddr_in *at, struct fleet_table *table,
+    const struct sockaddr_in *bind_address, struct fleet_table *table,
     const struct seal *seal, const struct fleet_ops *ops, void *ctx)
 {
 	int rc;
@@ -45,16 +47,16 @@
 	n->seal = seal;
 	n->ops = ops;
 	n->ctx = ctx;
-	n->port = ntohs(at->sin_port);
+	n->port = ntohs(bind_address->sin_port);
 	n->ticked_ms = loop_ms(loop);
 	uv_udp_init(loop, &n->udp);
 	n->udp.data = n;
-	rc = uv_udp_bind(&n->udp, (const struct sockaddr *)at, 0);
+	rc = uv_udp_bind(&n->udp, (const struct sockaddr *)bind_address, 0);
 	if (rc == 0)
-		rc = uv_udp_recv_start(&n->udp, on_alloc, on_datagram);
+		rc = uv_udp_recv_start(&n->udp, provide_buffer, on_datagram);
 	uv_timer_init(loop, &n->timer);
 	n->timer.data = n;
-	uv_timer_start(&n->timer, on_timer, 1, 0);
+	uv_timer_start(&n->timer, on_heartbeat_timer, 1, 0);
 	return rc;
 }
 
@@ -72,7 +74,7 @@
  * Gives libuv the common buffer.
  */
 static void
-on_alloc(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
+provide_buffer(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
 {
 	(void)handle;
 	(void)hint;
@@ -84,18 +86,18 @@
  * Sends a beat to all and looks who is silent.
  */
 static void
-on_timer(uv_timer_t *timer)
+on_heartbeat_timer(uv_timer_t *timer)
 {
 	struct fleet_net *n = timer->data;
-	uint64_t every = fleet_interval_ms(n->table);
+	uint64_t interval_ms = fleet_interval_ms(n->table);
 
-	look_for_pause(n);
+	detect_pause(n);
 	n->ticked_ms = loop_ms(n->loop);
-	tick(n);
-	beat_or_pulse(n);
-	if (++n->beats % LOST_BEATS == 0)
-		beat_lost(n);
-	uv_timer_start(&n->timer, on_timer, every, 0);
+	update_members(n);
+	send_heartbeat(n);
+	if (++n->beats % PROBE_EVERY == 0)
+		probe_silent_nodes(n);
+	uv_timer_start(&n->timer, on_heartbeat_timer, interval_ms, 0);
 }
 
 /*
@@ -104,15 +106,15 @@
  * the machine, which timers don't count, it may be a datagram.
  */
 static void
-look_for_pause(struct fleet_net *n)
+detect_pause(struct fleet_net *n)
 {
-	uint64_t now = loop_ms(n->loop), for_ms = now - n->ticked_ms;
+	uint64_t now = loop_ms(n->loop), elapsed_ms = now - n->ticked_ms;
 
-	if (for_ms <= fleet_interval_ms(n->table) * PAUSE_BEATS)
+	if (elapsed_ms <= fleet_interval_ms(n->table) * PAUSE_HEARTBEATS)
 		return;
-	fleet_paused(n->table, for_ms, now);
+	fleet_paused(n->table, elapsed_ms, now);
 	n->ticked_ms = now;
-	tick(n);
+	update_members(n);
 }
 
 /*
@@ -120,7 +122,7 @@
  * load alone otherwise.
  */
 static void
-beat_or_pulse(struct fleet_net *n)
+send_heartbeat(struct fleet_net *n)
 {
 	struct fleet_msg m, pulse;
 	uint64_t print;
@@ -130,9 +132,9 @@
 	n->ops->fill(n->ctx, &m.fleet_msg_u.beat);
 	print = fleet_print(&m.fleet_msg_u.beat);
 	if (print != n->print)
-		n->wholes = 1 + WHOLE_MORE;
+		n->wholes = 1 + FULL_HEARTBEAT_REPEATS;
 	n->print = print;
-	if (n->wholes > 0 || n->beats % WHOLE_EVERY == 0) {
+	if (n->wholes > 0 || n->beats % FULL_HEARTBEAT_EVERY == 0) {
 		n->wholes -= n->wholes > 0;
 		fleet_send_all(n, &m);
 		return;
@@ -149,7 +151,7 @@
  * Looks who is silent, and tells the owner if that changes who is alive.
  */
 static void
-tick(struct fleet_net *n)
+update_members(struct fleet_net *n)
 {
 	uint64_t before = n->table->live_print;
 
@@ -163,7 +165,7 @@
  * have healed.
  */
 static void
-beat_lost(struct fleet_net *n)
+probe_silent_nodes(struct fleet_net *n)
 {
 	const struct fleet_peer *p;
 	size_t i;
@@ -191,7 +193,7 @@
 	(void)flags;
 	if (len <= 0 || from == NULL)
 		return;
-	look_for_pause(n);
+	detect_pause(n);
 	size = seal_open(n->seal, buf->base, (size_t)len);
 	if (size == 0) {
 		n->unsealed++;
@@ -200,7 +202,7 @@
 	memset(&m, 0, sizeof(m));
 	xdrmem_create(&x, buf->base, (unsigned int)size, XDR_DECODE);
 	if (xdr_fleet_msg(&x, &m))
-		take(n, &m, (const struct sockaddr_in *)from);
+		dispatch(n, &m, (const struct sockaddr_in *)from);
 	else
 		n->bad++;
 	xdr_destroy(&x);
@@ -211,14 +213,14 @@
  * Hands a message to whom it concerns.
  */
 static void
-take(struct fleet_net *n, const struct fleet_msg *m,
+dispatch(struct fleet_net *n, const struct fleet_msg *m,
     const struct sockaddr_in *from)
 {
 	int i;
 
 	switch (m->kind) {
 	case FLEET_BEAT:
-		take_beat(n, &m->fleet_msg_u.beat);
+		receive_heartbeat(n, &m->fleet_msg_u.beat);
 		break;
 	case FLEET_PULSE:
 		i = fleet_pulsed(n->table, &m->fleet_msg_u.pulse,
@@ -228,7 +230,7 @@
 		break;
 	case FLEET_BYE:
 		fleet_said_bye(n->table, &m->fleet_msg_u.bye, loop_ms(n->loop));
-		tick(n);
+		update_members(n);
 		break;
 	case FLEET_ASK:
 		n->ops->ask(n->ctx, &m->fleet_msg_u.ask, from);
@@ -258,7 +260,7 @@
  * Takes a beat, and answers the first one of a node at once.
  */
 static void
-take_beat(struct fleet_net *n, const struct fleet_beat *b)
+receive_heartbeat(struct fleet_net *n, const struct fleet_beat *b)
 {
 	uint64_t now = loop_ms(n->loop), before = 0;
 	int i, changed;
@@ -273,11 +275,11 @@
 		fleet_beat_one(n, b->address);
 	if (b->server.away != FLEET_LEAVING &&
 	    fleet_has_left(&n->table->peers[i], &b->server))
-		tell_left(n, b);
+		send_departure(n, b);
 	n->ops->heard(n->ctx, i, b);
 	n->ops->told(n->ctx, i, &b->load);
 	if (changed) {
-		tick(n);
+		update_members(n);
 		n->ops->turned(n->ctx, i);
 	}
 }
@@ -286,7 +288,7 @@
  * Tells a node that the server which it takes for sound said that it ends.
  */
 static void
-tell_left(struct fleet_net *n, const struct fleet_beat *b)
+send_departure(struct fleet_net *n, const struct fleet_beat *b)
 {
 	struct fleet_msg m;
 
@@ -369,7 +371,7 @@
 	m.kind = bye ? FLEET_BYE : FLEET_BEAT;
 	n->ops->fill(n->ctx, &m.fleet_msg_u.beat);
 	n->print = fleet_print(&m.fleet_msg_u.beat);
-	n->wholes = WHOLE_MORE;
+	n->wholes = FULL_HEARTBEAT_REPEATS;
 	fleet_send_all(n, &m);
 }
 
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -6,31 +6,36 @@
 
 #include "fleet/fleet.h"
 
-#define BEAT_MS 250	    /* between two beats in a small fleet */
-#define BEAT_PEER_MS 6	    /* more for each peer, to bound the traffic */
-#define MISSED_BEATS 4	    /* after which a node is taken to be dead */
+#define HEARTBEAT_MS 250    /* between two beats in a small fleet */
+#define HEARTBEAT_PEER_MS 6 /* more for each peer, to bound the traffic */
+#define MISSED_HEARTBEATS 4 /* after which a node is taken to be dead */
 #define MISSED_SLACK_MS 200 /* for late timers and datagrams */
-#define READER_SLOT 1	    /* what the first reader of the store is owner of */
-#define FORGET_MS 20000	    /* a silent node no longer counts in the quorum */
-#define FORGET_ALONE_MS 60000 /* where a quorum was lost: longer than cuts */
-#define JUDGE_BEATS 2  /* after a pause, until all have told their part */
-#define RETURN_MS 5000 /* heard by most for so long, it decides again */
+#define FIRST_READER_KEY 1  /* what the first reader of the store is owner of \
+			     */
+#define FORGET_AFTER_MS 20000 /* a silent node no longer counts in the quorum \
+			       */
+#define FORGET_NO_QUORUM_MS \
+	60000 /* where a quorum was lost: longer than cuts */
+#define PAUSE_ISOLATION_HEARTBEATS \
+	2		     /* after a pause, until all have told their part */
+#define REJOIN_AFTER_MS 5000 /* heard by most for so long, it decides again */
 #define PER_THOUSAND 1000.0
 #define US_PER_S 1000000.0
-#define STALE_MS 1000 /* an old incarnation silent for that long is gone */
+#define RESTART_SILENCE_MS \
+	1000 /* an old incarnation silent for that long is gone */
 
 static uint64_t owner_weight(uint64_t, uint64_t);
-static int heaviest(const struct fleet_table *, uint64_t, int);
-static void copy_name(char *, const char *);
-static void take_load(struct fleet_table *, struct fleet_peer *,
+static int highest_weight_node(const struct fleet_table *, uint64_t, int);
+static void copy_node_name(char *, const char *);
+static void apply_load(struct fleet_table *, struct fleet_peer *,
     const struct fleet_load *, uint64_t);
-static uint64_t print_name(uint64_t, const char *);
+static uint64_t digest_name(uint64_t, const char *);
 static int hash_cmp(const void *, const void *);
-static uint32_t votes_for(const uint32_t *, size_t, uint64_t);
-static void count_votes(struct fleet_table *, uint64_t);
-static void judge_self(struct fleet_table *, int, int, uint64_t);
-static uint64_t forget_ms(const struct fleet_peer *, int);
-static uint64_t dead_ms(const struct fleet_table *);
+static uint32_t count_occurrences(const uint32_t *, size_t, uint64_t);
+static void update_isolation(struct fleet_table *, uint64_t);
+static void update_own_isolation(struct fleet_table *, int, int, uint64_t);
+static uint64_t forget_after_ms(const struct fleet_peer *, int);
+static uint64_t dead_after_ms(const struct fleet_table *);
 
 /*
  * Prepares a table that holds only this node, of that name, which starts now.
@@ -39,9 +44,9 @@
 fleet_table_init(struct fleet_table *t, const char *node, uint64_t now)
 {
 	memset(t, 0, sizeof(*t));
-	copy_name(t->node, node);
+	copy_node_name(t->node, node);
 	t->hash = XXH3_64bits(t->node, strlen(t->node));
-	t->interval_ms = BEAT_MS;
+	t->interval_ms = HEARTBEAT_MS;
 	t->turned_ms = now;
 }
 
@@ -60,7 +65,7 @@
  * Copies a name into a field of FLEET_NAME_BYTES, cutting what is too long.
  */
 static void
-copy_name(char *dst, const char *src)
+copy_node_name(char *dst, const char *src)
 {
 	snprintf(dst, FLEET_NAME_BYTES, "%s", src);
 }
@@ -116,13 +121,13 @@
 	}
 	p = &t->peers[t->count];
 	memset(p, 0, sizeof(*p));
-	copy_name(p->node, node);
+	copy_node_name(p->node, node);
 	p->hash = XXH3_64bits(p->node, strlen(p->node));
 	p->address = address;
 	p->learned_ms = now;
-	t->interval_ms = BEAT_MS;
-	if (t->count * BEAT_PEER_MS > BEAT_MS)
-		t->interval_ms = t->count * BEAT_PEER_MS;
+	t->interval_ms = HEARTBEAT_MS;
+	if (t->count * HEARTBEAT_PEER_MS > HEARTBEAT_MS)
+		t->interval_ms = t->count * HEARTBEAT_PEER_MS;
 	return (int)t->count++;
 }
 
@@ -145,7 +150,7 @@
 		return i;
 	p = &t->peers[i];
 	if (p->heard_ms != 0 && b->incarnation < p->incarnation &&
-	    now - p->heard_ms < STALE_MS)
+	    now - p->heard_ms < RESTART_SILENCE_MS)
 		return FLEET_NONE;
 	if (p->heard_ms != 0 && b->incarnation == p->incarnation &&
 	    b->load.sequence <= p->sequence)
@@ -157,21 +162,21 @@
 		   s->born_ms != b->server.born_ms ||
 		   s->leaving != (int)b->server.away;
 	fleet_note_left(p, b);
-	copy_name(p->zone, b->zone);
+	copy_node_name(p->zone, b->zone);
 	p->incarnation = b->incarnation;
 	p->print = fleet_print(b);
 	p->address = b->address;
 	p->port = (uint16_t)b->port;
 	p->stopping = (int)b->stopping;
 	p->gone = 0;
-	copy_name(s->id, b->server.id);
-	copy_name(s->service, b->server.service);
+	copy_node_name(s->id, b->server.id);
+	copy_node_name(s->service, b->server.service);
 	s->born_ms = b->server.born_ms;
 	s->slots = b->server.slots;
 	s->cold_until_ms = b->server.cold_ms > 0 ? now + b->server.cold_ms : 0;
 	s->leaving =
 	    fleet_has_left(p, &b->server) ? FLEET_LEAVING : (int)b->server.away;
-	take_load(t, p, &b->load, now);
+	apply_load(t, p, &b->load, now);
 	return i;
 }
 
@@ -179,7 +184,7 @@
  * Takes what changes all the time.
  */
 static void
-take_load(struct fleet_table *t, struct fleet_peer *p,
+apply_load(struct fleet_table *t, struct fleet_peer *p,
     const struct fleet_load *l, uint64_t now)
 {
 	struct fleet_server *s = &p->server;
@@ -228,7 +233,7 @@
 		p->config_version = m->load.config_version;
 		return FLEET_NONE;
 	}
-	take_load(t, p, &m->load, now);
+	apply_load(t, p, &m->load, now);
 	return (int)i;
 }
 
@@ -244,15 +249,15 @@
 	uint64_t print = XXH3_64bits(numbers, sizeof(numbers));
 	u_int i;
 
-	print = print_name(print, b->node);
-	print = print_name(print, b->zone);
-	print = print_name(print, s->id);
-	print = print_name(print, s->service);
+	print = digest_name(print, b->node);
+	print = digest_name(print, b->zone);
+	print = digest_name(print, s->id);
+	print = digest_name(print, s->service);
 	for (i = 0; i < b->calls.calls_len; i++)
-		print = print_name(print, b->calls.calls_val[i]);
-	print = print_name(print, "");
+		print = digest_name(print, b->calls.calls_val[i]);
+	print = digest_name(print, "");
 	for (i = 0; i < b->demands.demands_len; i++)
-		print = print_name(print, b->demands.demands_val[i]);
+		print = digest_name(print, b->demands.demands_val[i]);
 	return print;
 }
 
@@ -260,7 +265,7 @@
  * Adds a name to a hash.
  */
 static uint64_t
-print_name(uint64_t print, const char *name)
+digest_name(uint64_t print, const char *name)
 {
 	return XXH3_64bits_withSeed(name, strlen(name) + 1, print);
 }
@@ -290,16 +295,17 @@
 {
 	const struct fleet_peer *p = &t->peers[i];
 
-	return !p->gone && p->heard_ms != 0 && now - p->heard_ms < dead_ms(t);
+	return !p->gone && p->heard_ms != 0 &&
+	       now - p->heard_ms < dead_after_ms(t);
 }
 
 /*
  * Returns after how long a silent node is taken to be dead.
  */
 static uint64_t
-dead_ms(const struct fleet_table *t)
+dead_after_ms(const struct fleet_table *t)
 {
-	return t->interval_ms * MISSED_BEATS + MISSED_SLACK_MS;
+	return t->interval_ms * MISSED_HEARTBEATS + MISSED_SLACK_MS;
 }
 
 /*
@@ -342,9 +348,9 @@
  * Returns a node's weight in the choice of an owner.
  */
 static uint64_t
-owner_weight(uint64_t node, uint64_t what)
+owner_weight(uint64_t node, uint64_t key)
 {
-	uint64_t pair[2] = { node, what };
+	uint64_t pair[2] = { node, key };
 
 	return XXH3_64bits(pair, sizeof(pair));
 }
@@ -383,7 +389,7 @@
  * Counts how often a node stands in an ordered list of hashes.
  */
 static uint32_t
-votes_for(const uint32_t *list, size_t n, uint64_t node)
+count_occurrences(const uint32_t *list, size_t n, uint64_t node)
 {
 	uint32_t hash = (uint32_t)node, votes = 0;
 	size_t lo = 0, hi = n, mid;
@@ -407,14 +413,15 @@
  * time have none.  After a cut or a start, all come in at once.
  */
 static void
-judge_self(struct fleet_table *t, int heard, int quorum, uint64_t now)
+update_own_isolation(
+    struct fleet_table *t, int majority_hears, int quorum, uint64_t now)
 {
 	if (!quorum)
 		t->was_in = 0;
-	if (!heard)
+	if (!majority_hears)
 		t->unheard_ms = now;
-	t->out = !heard || now < t->judged_ms ||
-		 (t->was_in && t->out && now - t->unheard_ms < RETURN_MS);
+	t->out = !majority_hears || now < t->judged_ms ||
+		 (t->was_in && t->out && now - t->unheard_ms < REJOIN_AFTER_MS);
 	if (!t->out)
 		t->was_in = 1;
 }
@@ -426,7 +433,7 @@
  * owns what it owned, and no other one takes that over beside it.
  */
 static void
-count_votes(struct fleet_table *t, uint64_t now)
+update_isolation(struct fleet_table *t, uint64_t now)
 {
 	uint32_t *list, voters = 1, votes, known = fleet_size(t);
 	const struct fleet_peer *p;
@@ -445,12 +452,12 @@
 	}
 	qsort(list, n, sizeof(*list), hash_cmp);
 	for (i = 0; i < t->count; i++) {
-		votes = votes_for(list, n, t->peers[i].hash);
+		votes = count_occurrences(list, n, t->peers[i].hash);
 		votes += !fleet_alive(t, i, now);
 		t->peers[i].out = t->peers[i].says_out || votes > known / 2;
 	}
-	votes = votes_for(list, n, t->hash);
-	judge_self(t, votes < voters && voters - votes > known / 2,
+	votes = count_occurrences(list, n, t->hash);
+	update_own_isolation(t, votes < voters && voters - votes > known / 2,
 	    voters > known / 2, now);
 	free(list);
 }
@@ -461,7 +468,7 @@
  * itself.
  */
 static int
-heaviest(const struct fleet_table *t, uint64_t what, int self)
+highest_weight_node(const struct fleet_table *t, uint64_t key, int self)
 {
 	uint64_t w, best = 0;
 	const struct fleet_peer *p;
@@ -469,14 +476,14 @@
 	size_t i;
 
 	if (self && !t->out) {
-		best = owner_weight(t->hash, what);
+		best = owner_weight(t->hash, key);
 		owner = FLEET_SELF;
 	}
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
 		if (p->stopping || p->gone || p->out || p->heard_ms == 0)
 			continue;
-		w = owner_weight(p->hash, what);
+		w = owner_weight(p->hash, key);
 		if (w <= best)
 			continue;
 		best = w;
@@ -490,11 +497,11 @@
  * FLEET_NONE without a quorum.
  */
 int
-fleet_owner(const struct fleet_table *t, uint64_t what, uint64_t now)
+fleet_owner(const struct fleet_table *t, uint64_t key, uint64_t now)
 {
 	if (!fleet_quorum(t, now))
 		return FLEET_NONE;
-	return heaviest(t, what, 1);
+	return highest_weight_node(t, key, 1);
 }
 
 /*
@@ -502,9 +509,9 @@
  * FLEET_NONE.
  */
 int
-fleet_successor(const struct fleet_table *t, uint64_t what)
+fleet_successor(const struct fleet_table *t, uint64_t key)
 {
-	return heaviest(t, what, 0);
+	return highest_weight_node(t, key, 0);
 }
 
 /*
@@ -512,13 +519,13 @@
  * wherever the same nodes are alive.  Returns their number.
  */
 size_t
-fleet_readers(const struct fleet_table *t, int *list, size_t most)
+fleet_readers(const struct fleet_table *t, int *list, size_t max)
 {
 	size_t n, i;
 	int h;
 
-	for (n = 0; n < most; n++) {
-		h = heaviest(t, READER_SLOT + n, 1);
+	for (n = 0; n < max; n++) {
+		h = highest_weight_node(t, FIRST_READER_KEY + n, 1);
 		for (i = 0; i < n; i++)
 			if (list[i] == h)
 				return n;
@@ -533,9 +540,10 @@
  * the whole.  Nodes that never were heard may have been removed long ago.
  */
 static uint64_t
-forget_ms(const struct fleet_peer *p, int quorum)
+forget_after_ms(const struct fleet_peer *p, int quorum)
 {
-	return quorum || p->heard_ms == 0 ? FORGET_MS : FORGET_ALONE_MS;
+	return quorum || p->heard_ms == 0 ? FORGET_AFTER_MS
+					  : FORGET_NO_QUORUM_MS;
 }
 
 /*
@@ -554,10 +562,10 @@
 		p = &t->peers[i];
 		if (!p->gone &&
 		    now - (p->heard_ms != 0 ? p->heard_ms : p->learned_ms) >
-			forget_ms(p, quorum))
+			forget_after_ms(p, quorum))
 			p->gone = 1;
 	}
-	count_votes(t, now);
+	update_isolation(t, now);
 	print = (uint64_t)t->out;
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
@@ -577,19 +585,20 @@
  * think.
  */
 void
-fleet_paused(struct fleet_table *t, uint64_t for_ms, uint64_t now)
+fleet_paused(struct fleet_table *t, uint64_t pause_ms, uint64_t now)
 {
 	struct fleet_peer *p;
 	size_t i;
 
-	if (for_ms >= dead_ms(t))
-		t->judged_ms = now + JUDGE_BEATS * t->interval_ms;
+	if (pause_ms >= dead_after_ms(t))
+		t->judged_ms =
+		    now + PAUSE_ISOLATION_HEARTBEATS * t->interval_ms;
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
 		if (p->heard_ms == 0)
 			continue;
 		/* Heard after the pause is counted from: no later than now. */
-		p->heard_ms += for_ms;
+		p->heard_ms += pause_ms;
 		if (p->heard_ms > now)
 			p->heard_ms = now;
 	}
--- a/src/fleet/seal.c
+++ b/src/fleet/seal.c
@@ -6,18 +6,18 @@
 #define KIND_DATAGRAM 1 /* so that no seal of one kind serves for another */
 #define KIND_REQUEST 2
 
-static void hash(const char *, unsigned char *);
-static void part(crypto_generichash_state *, const char *, size_t);
-static void of_datagram(
+static void derive_key(const char *, unsigned char *);
+static void hash_part(crypto_generichash_state *, const char *, size_t);
+static void compute_datagram_mac(
     const unsigned char *, const char *, size_t, unsigned char *);
-static void of_request(
+static void compute_request_mac(
     const unsigned char *, const struct seal_request *, char *);
 
 /*
  * Makes a key of a text of any length.
  */
 static void
-hash(const char *text, unsigned char *key)
+derive_key(const char *text, unsigned char *key)
 {
 	crypto_generichash(key, SEAL_KEY_HASH, (const unsigned char *)text,
 	    strlen(text), NULL, 0);
@@ -28,21 +28,22 @@
  * text means that there is none.
  */
 void
-seal_init(struct seal *s, const char *secret, const char *other)
+seal_init(struct seal *s, const char *secret_key, const char *previous_key)
 {
 	memset(s, 0, sizeof(*s));
-	s->keyed = secret[0] != '\0';
+	s->keyed = secret_key[0] != '\0';
 	if (!s->keyed)
 		return;
-	hash(secret, s->key[0]);
-	hash(other[0] != '\0' ? other : secret, s->key[1]);
+	derive_key(secret_key, s->key[0]);
+	derive_key(
+	    previous_key[0] != '\0' ? previous_key : secret_key, s->key[1]);
 }
 
 /*
  * Adds a part with its length, so that no two lists of parts hash alike.
  */
 static void
-part(crypto_generichash_state *st, const char *p, size_t len)
+hash_part(crypto_generichash_state *st, const char *p, size_t len)
 {
 	unsigned char n[4] = { (unsigned char)(len >> 24),
 		(unsigned char)(len >> 16), (unsigned char)(len >> 8),
@@ -56,7 +57,7 @@
  * Computes the seal of a datagram with a key.
  */
 static void
-of_datagram(
+compute_datagram_mac(
     const unsigned char *key, const char *p, size_t len, unsigned char *mac)
 {
 	static const unsigned char kind = KIND_DATAGRAM;
@@ -64,7 +65,7 @@
 
 	crypto_generichash_init(&st, key, SEAL_KEY_HASH, SEAL_BYTES);
 	crypto_generichash_update(&st, &kind, sizeof(kind));
-	part(&st, p, len);
+	hash_part(&st, p, len);
 	crypto_generichash_final(&st, mac, SEAL_BYTES);
 }
 
@@ -72,7 +73,8 @@
  * Computes the seal of a request with a key, as SEAL_HEX bytes of text.
  */
 static void
-of_request(const unsigned char *key, const struct seal_request *q, char *hex)
+compute_request_mac(
+    const unsigned char *key, const struct seal_request *q, char *hex)
 {
 	static const unsigned char kind = KIND_REQUEST;
 	crypto_generichash_state st;
@@ -80,10 +82,10 @@
 
 	crypto_generichash_init(&st, key, SEAL_KEY_HASH, SEAL_BYTES);
 	crypto_generichash_update(&st, &kind, sizeof(kind));
-	part(&st, q->method, strlen(q->method));
-	part(&st, q->target, q->target_len);
-	part(&st, q->id, q->id_len);
-	part(&st, q->hop, strlen(q->hop));
+	hash_part(&st, q->method, strlen(q->method));
+	hash_part(&st, q->target, q->target_len);
+	hash_part(&st, q->id, q->id_len);
+	hash_part(&st, q->hop, strlen(q->hop));
 	crypto_generichash_final(&st, mac, sizeof(mac));
 	sodium_bin2hex(hex, SEAL_HEX, mac, sizeof(mac));
 }
@@ -97,7 +99,7 @@
 {
 	if (!s->keyed)
 		return len;
-	of_datagram(s->key[0], p, len, (unsigned char *)p + len);
+	compute_datagram_mac(s->key[0], p, len, (unsigned char *)p + len);
 	return len + SEAL_BYTES;
 }
 
@@ -108,7 +110,7 @@
 size_t
 seal_open(const struct seal *s, const char *p, size_t len)
 {
-	unsigned char want[SEAL_BYTES];
+	unsigned char expected[SEAL_BYTES];
 	size_t i;
 
 	if (!s->keyed)
@@ -116,8 +118,9 @@
 	if (len <= SEAL_BYTES)
 		return 0;
 	for (i = 0; i < SEAL_KEYS; i++) {
-		of_datagram(s->key[i], p, len - SEAL_BYTES, want);
-		if (sodium_memcmp(want, p + len - SEAL_BYTES, SEAL_BYTES) == 0)
+		compute_datagram_mac(s->key[i], p, len - SEAL_BYTES, expected);
+		if (sodium_memcmp(expected, p + len - SEAL_BYTES, SEAL_BYTES) ==
+		    0)
 			return len - SEAL_BYTES;
 	}
 	return 0;
@@ -132,7 +135,7 @@
 {
 	hex[0] = '\0';
 	if (s->keyed)
-		of_request(s->key[0], q, hex);
+		compute_request_mac(s->key[0], q, hex);
 }
 
 /*
@@ -143,15 +146,15 @@
 seal_request_good(
     const struct seal *s, const struct seal_request *q, const char *hex)
 {
-	char want[SEAL_HEX];
+	char expected[SEAL_HEX];
 	size_t i;
 
 	if (!s->keyed)
 		return 1;
 	for (i = 0; i < SEAL_KEYS; i++) {
-		of_request(s->key[i], q, want);
+		compute_request_mac(s->key[i], q, expected);
 		if (strlen(hex) == SEAL_HEX - 1 &&
-		    sodium_memcmp(hex, want, SEAL_HEX - 1) == 0)
+		    sodium_memcmp(hex, expected, SEAL_HEX - 1) == 0)
 			return 1;
 	}
 	return 0;
--- a/src/fleet/test_left.c
+++ b/src/fleet/test_left.c
@@ -10,7 +10,7 @@
 #define STEPS 4
 
 /* Beats of one node in order; is its server taken for leaving after each? */
-struct step {
+struct heartbeat_step {
 	uint64_t incarnation; /* of the node; 0: no more beats */
 	char *server;
 	uint64_t born_ms;
@@ -20,7 +20,7 @@
 
 static const struct {
 	const char *name;
-	struct step steps[STEPS];
+	struct heartbeat_step steps[STEPS];
 } rows[] = {
 	{ "node starts again while its server leaves",
 	    { { 5, "i-1", 100, 0, 0 }, { 5, "i-1", 100, FLEET_LEAVING, 1 },
@@ -50,10 +50,10 @@
  * node has forgotten.
  */
 static void
-test_left(void **state)
+test_departed_server(void **state)
 {
 	char node[] = "b", zone[] = "z", service[] = "s";
-	const struct step *s;
+	const struct heartbeat_step *s;
 	struct fleet_table t;
 	struct fleet_beat b;
 	size_t i, k;
@@ -91,7 +91,7 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_left),
+		cmocka_unit_test(test_departed_server),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/fleet/test_seal.c
+++ b/src/fleet/test_seal.c
@@ -8,28 +8,29 @@
 
 #include "fleet/seal.h"
 
-#define OLD "old-key-of-a-fleet"
-#define NEW "new-key-of-a-fleet"
+#define OLD_KEY "old-key-of-a-fleet"
+#define NEW_KEY "new-key-of-a-fleet"
 
 /*
  * Which keys take whose seals, also while a key is changed node by node.
  */
 static void
-test_keys(void **state)
+test_key_rotation(void **state)
 {
 	static const struct {
-		const char *sealer[2], *taker[2];
-		int good;
+		const char *sender[2], *receiver[2];
+		int valid;
 	} rows[] = {
-		{ { OLD, "" }, { OLD, "" }, 1 },
-		{ { OLD, "" }, { NEW, "" }, 0 },
-		{ { "", "" }, { OLD, "" }, 0 },
+		{ { OLD_KEY, "" }, { OLD_KEY, "" }, 1 },
+		{ { OLD_KEY, "" }, { NEW_KEY, "" }, 0 },
+		{ { "", "" }, { OLD_KEY, "" }, 0 },
 		{ { "", "" }, { "", "" }, 1 },
-		{ { OLD, NEW }, { OLD, "" }, 1 },  /* first round */
-		{ { OLD, NEW }, { NEW, OLD }, 1 }, /* second round */
-		{ { NEW, OLD }, { OLD, NEW }, 1 },
-		{ { NEW, "" }, { NEW, OLD }, 1 }, /* third round */
-		{ { OLD, NEW }, { NEW, "" }, 0 },
+		{ { OLD_KEY, NEW_KEY }, { OLD_KEY, "" }, 1 }, /* first round */
+		{ { OLD_KEY, NEW_KEY }, { NEW_KEY, OLD_KEY },
+		    1 }, /* second round */
+		{ { NEW_KEY, OLD_KEY }, { OLD_KEY, NEW_KEY }, 1 },
+		{ { NEW_KEY, "" }, { NEW_KEY, OLD_KEY }, 1 }, /* third round */
+		{ { OLD_KEY, NEW_KEY }, { NEW_KEY, "" }, 0 },
 	};
 	static const struct seal_request q = { .method = "POST",
 		.target = "/o/1",
@@ -43,14 +44,15 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-		seal_init(&from, rows[i].sealer[0], rows[i].sealer[1]);
-		seal_init(&to, rows[i].taker[0], rows[i].taker[1]);
+		seal_init(&from, rows[i].sender[0], rows[i].sender[1]);
+		seal_init(&to, rows[i].receiver[0], rows[i].receiver[1]);
 		snprintf(buf, sizeof(buf), "datagram");
 		len = seal_datagram(&from, buf, 8);
 		assert_int_equal(
-		    seal_open(&to, buf, len), rows[i].good ? 8 : 0);
+		    seal_open(&to, buf, len), rows[i].valid ? 8 : 0);
 		seal_request(&from, &q, hex);
-		assert_int_equal(seal_request_good(&to, &q, hex), rows[i].good);
+		assert_int_equal(
+		    seal_request_good(&to, &q, hex), rows[i].valid);
 	}
 }
 
@@ -58,14 +60,14 @@
  * A datagram of which any bit was changed, or that was cut, is none of ours.
  */
 static void
-test_datagram(void **state)
+test_datagram_altered(void **state)
 {
 	char buf[13 + SEAL_BYTES];
 	struct seal s;
 	size_t len, i;
 
 	(void)state;
-	seal_init(&s, OLD, "");
+	seal_init(&s, OLD_KEY, "");
 	snprintf(buf, sizeof(buf), "twelve bytes");
 	len = seal_datagram(&s, buf, 12);
 	assert_int_equal(len, 12 + SEAL_BYTES);
@@ -84,7 +86,7 @@
  * other.
  */
 static void
-test_request(void **state)
+test_request_parts(void **state)
 {
 	static const struct seal_request rows[] = {
 		{ "GET", "/o/12", 5, "r1", 2, "9 0" },
@@ -101,7 +103,7 @@
 	size_t i, j, n = sizeof(rows) / sizeof(rows[0]);
 
 	(void)state;
-	seal_init(&s, OLD, "");
+	seal_init(&s, OLD_KEY, "");
 	for (i = 0; i < n; i++) {
 		seal_request(&s, &rows[i], hex);
 		assert_int_equal(strlen(hex), SEAL_HEX - 1);
@@ -118,9 +120,9 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_keys),
-		cmocka_unit_test(test_datagram),
-		cmocka_unit_test(test_request),
+		cmocka_unit_test(test_key_rotation),
+		cmocka_unit_test(test_datagram_altered),
+		cmocka_unit_test(test_request_parts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/fleet/test_table.c
+++ b/src/fleet/test_table.c
@@ -9,14 +9,14 @@
 
 #define NODES 15
 #define LIMITS 200
-#define START 500 /* of this node, ms */
-#define BEAT_MS 250
-#define HOLD_MS 800 /* after which a new owner lends */
+#define START_MS 500 /* of this node, ms */
+#define HEARTBEAT_MS 250
+#define GRANT_DELAY_MS 800 /* after which a new owner lends */
 #define CUT_FROM_MS 4000
-#define ENDS_MS 17800
+#define CUT_END_MS 17800
 
 static struct fleet_beat
-beat(char *name, uint64_t incarnation, uint64_t sequence)
+make_heartbeat(char *name, uint64_t incarnation, uint64_t sequence)
 {
 	struct fleet_beat b;
 
@@ -33,10 +33,10 @@
 }
 
 static void
-hear(
+receive_heartbeat(
     struct fleet_table *t, char *name, uint64_t inc, uint64_t seq, uint64_t now)
 {
-	struct fleet_beat b = beat(name, inc, seq);
+	struct fleet_beat b = make_heartbeat(name, inc, seq);
 	int changed;
 
 	(void)fleet_heard(t, &b, now, &changed);
@@ -46,7 +46,7 @@
  * Beats out of order, of earlier incarnations and after a goodbye.
  */
 static void
-test_order(void **state)
+test_heartbeat_order(void **state)
 {
 	static const struct {
 		uint64_t inc, seq, now;
@@ -68,17 +68,17 @@
 	size_t i;
 
 	(void)state;
-	fleet_table_init(&t, "a", START);
+	fleet_table_init(&t, "a", START_MS);
 	fleet_listed(&t);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-		b = beat(name, rows[i].inc, rows[i].seq);
+		b = make_heartbeat(name, rows[i].inc, rows[i].seq);
 		h = fleet_heard(&t, &b, rows[i].now, &changed);
 		assert_int_equal(h >= 0, rows[i].taken);
 		assert_int_equal(changed, rows[i].changed);
 	}
 	fleet_said_bye(&t, &b, 4100);
 	assert_false(fleet_alive(&t, 0, 4100));
-	hear(&t, name, 7, 1, 4200);
+	receive_heartbeat(&t, name, 7, 1, 4200);
 	assert_true(fleet_alive(&t, 0, 4200));
 	fleet_table_finish(&t);
 }
@@ -88,7 +88,7 @@
  * is no more than a sign of life.
  */
 static void
-test_pulse(void **state)
+test_load_heartbeat(void **state)
 {
 	char name[] = "b", more[] = "c";
 	struct fleet_pulse m;
@@ -97,9 +97,9 @@
 	int changed;
 
 	(void)state;
-	fleet_table_init(&t, "a", START);
+	fleet_table_init(&t, "a", START_MS);
 	fleet_listed(&t);
-	b = beat(name, 5, 1);
+	b = make_heartbeat(name, 5, 1);
 	memset(&m, 0, sizeof(m));
 	m.incarnation = 5;
 	m.print = fleet_print(&b);
@@ -133,11 +133,11 @@
  * What a beat tells beside the load gives it another print.
  */
 static void
-test_print(void **state)
+test_heartbeat_digest(void **state)
 {
 	char name[] = "b", called[] = "deep";
 	fleet_name calls[] = { called };
-	struct fleet_beat b = beat(name, 5, 1);
+	struct fleet_beat b = make_heartbeat(name, 5, 1);
 	uint64_t print = fleet_print(&b);
 
 	(void)state;
@@ -161,7 +161,7 @@
  * A node's own beat, sent back to it, names no peer.
  */
 static void
-test_self(void **state)
+test_own_heartbeat(void **state)
 {
 	struct fleet_table t;
 	struct fleet_beat b;
@@ -169,9 +169,9 @@
 	int changed;
 
 	(void)state;
-	fleet_table_init(&t, "a", START);
+	fleet_table_init(&t, "a", START_MS);
 	fleet_listed(&t);
-	b = beat(name, 1, 1);
+	b = make_heartbeat(name, 1, 1);
 	assert_int_equal(fleet_heard(&t, &b, 1, &changed), FLEET_SELF);
 	assert_int_equal(t.count, 0);
 	fleet_table_finish(&t);
@@ -182,40 +182,40 @@
  * nodes agree on them, and few change when one node goes.
  */
 static void
-test_owner(void **state)
+test_owner_quorum(void **state)
 {
 	static char names[NODES][16];
 	struct fleet_table t[2];
-	int i, n, owner, mine = 0, same = 0;
+	int i, n, owner, owned_here = 0, agreed = 0;
 
 	(void)state;
 	for (i = 0; i < NODES; i++)
 		snprintf(names[i], sizeof(names[i]), "n%d", i);
 	for (n = 0; n < 2; n++) {
-		fleet_table_init(&t[n], names[n], START);
+		fleet_table_init(&t[n], names[n], START_MS);
 		fleet_listed(&t[n]);
 		for (i = 0; i < NODES; i++)
 			if (i != n)
-				hear(&t[n], names[i], 1, 1, 1000);
+				receive_heartbeat(&t[n], names[i], 1, 1, 1000);
 	}
 	for (i = 1; i <= LIMITS; i++) {
 		owner = fleet_owner(&t[0], (uint64_t)i, 1000);
-		mine += owner == FLEET_SELF;
+		owned_here += owner == FLEET_SELF;
 		n = fleet_owner(&t[1], (uint64_t)i, 1000);
-		same +=
+		agreed +=
 		    strcmp(
 			owner == FLEET_SELF ? names[0] : t[0].peers[owner].node,
 			n == FLEET_SELF ? names[1] : t[1].peers[n].node) == 0;
 	}
-	assert_int_equal(same, LIMITS);
-	print_message("%d of %d own limits\n", mine, LIMITS);
-	assert_true(mine > 0);
-	assert_true(mine < LIMITS / 4);
+	assert_int_equal(agreed, LIMITS);
+	print_message("%d of %d own limits\n", owned_here, LIMITS);
+	assert_true(owned_here > 0);
+	assert_true(owned_here < LIMITS / 4);
 	/* All but six others fall silent: seven of fifteen are no quorum. */
 	for (i = 1; i <= 6; i++)
-		hear(&t[0], names[i], 1, 2, 5000);
+		receive_heartbeat(&t[0], names[i], 1, 2, 5000);
 	assert_int_equal(fleet_owner(&t[0], 1, 5000), FLEET_NONE);
-	hear(&t[0], names[7], 1, 2, 5000);
+	receive_heartbeat(&t[0], names[7], 1, 2, 5000);
 	assert_true(fleet_owner(&t[0], 1, 5000) != FLEET_NONE);
 	fleet_table_finish(&t[0]);
 	fleet_table_finish(&t[1]);
@@ -226,12 +226,12 @@
  * node that is cut off at its start decides nothing alone.
  */
 static void
-test_cut_off_at_start(void **state)
+test_unheard_peers_at_start(void **state)
 {
 	struct fleet_table t;
 
 	(void)state;
-	fleet_table_init(&t, "a", START);
+	fleet_table_init(&t, "a", START_MS);
 	fleet_listed(&t);
 	fleet_learn(&t, "b", 1, 1000);
 	fleet_learn(&t, "c", 2, 1000);
@@ -244,16 +244,16 @@
  * nodes it decides for no limit, and what others lent before is unknown.
  */
 static void
-test_alone_at_start(void **state)
+test_no_owner_before_node_list(void **state)
 {
 	struct fleet_table t;
 
 	(void)state;
-	fleet_table_init(&t, "a", START);
-	assert_int_equal(fleet_owner(&t, 1, START), FLEET_NONE);
-	assert_int_equal(t.turned_ms, START);
+	fleet_table_init(&t, "a", START_MS);
+	assert_int_equal(fleet_owner(&t, 1, START_MS), FLEET_NONE);
+	assert_int_equal(t.turned_ms, START_MS);
 	fleet_listed(&t);
-	assert_int_equal(fleet_owner(&t, 1, START), FLEET_SELF);
+	assert_int_equal(fleet_owner(&t, 1, START_MS), FLEET_SELF);
 	fleet_table_finish(&t);
 }
 
@@ -262,7 +262,7 @@
  * started doesn't know: not before another one tells it, or the list is read.
  */
 static void
-test_size_at_start(void **state)
+test_fleet_size_at_start(void **state)
 {
 	struct fleet_beat b;
 	struct fleet_table t;
@@ -270,22 +270,22 @@
 	int changed, i;
 
 	(void)state;
-	fleet_table_init(&t, "a", START);
+	fleet_table_init(&t, "a", START_MS);
 	assert_int_equal(fleet_size(&t), FLEET_SIZE_UNKNOWN);
 	for (i = 0; i < 8; i++) {
 		snprintf(names[i], sizeof(names[i]), "n%d", i);
-		b = beat(names[i], 1, 1);
+		b = make_heartbeat(names[i], 1, 1);
 		fleet_heard(&t, &b, 1000, &changed);
 	}
 	/* These have just started, too. */
 	assert_int_equal(fleet_size(&t), FLEET_SIZE_UNKNOWN);
 	assert_false(fleet_quorum(&t, 1000));
-	b = beat(names[0], 1, 2);
+	b = make_heartbeat(names[0], 1, 2);
 	b.load.nodes = 17;
 	fleet_heard(&t, &b, 1000, &changed);
 	assert_int_equal(fleet_size(&t), 17);
 	assert_true(fleet_quorum(&t, 1000)); /* nine of 17 */
-	b = beat(names[1], 1, 2);
+	b = make_heartbeat(names[1], 1, 2);
 	b.load.nodes = 18;
 	fleet_heard(&t, &b, 1000, &changed);
 	assert_false(fleet_quorum(&t, 1000));
@@ -300,33 +300,34 @@
  * in the end.
  */
 static void
-test_divided_for_long(void **state)
+test_long_partition(void **state)
 {
 	static char names[NODES][16];
 	struct fleet_table t;
 	uint64_t now;
-	int i, alive, part;
+	int i, alive, larger_part;
 
 	(void)state;
-	for (part = 0; part < 2; part++) {
-		alive = part == 0 ? 5 : 9; /* others, of 14 */
-		fleet_table_init(&t, "a", START);
+	for (larger_part = 0; larger_part < 2; larger_part++) {
+		alive = larger_part == 0 ? 5 : 9; /* others, of 14 */
+		fleet_table_init(&t, "a", START_MS);
 		fleet_listed(&t);
 		for (now = 1000; now < 60000; now += 250) {
 			for (i = 0; i < NODES - 1; i++) {
 				snprintf(names[i], sizeof(names[i]), "n%d", i);
 				if (now < 2000 || i < alive)
-					hear(&t, names[i], 1, now, now);
+					receive_heartbeat(
+					    &t, names[i], 1, now, now);
 			}
 			fleet_tick(&t, now);
 			if (now < 2000 || now > 5000)
 				assert_int_equal(fleet_quorum(&t, now),
-				    now < 2000 || part == 1);
+				    now < 2000 || larger_part == 1);
 		}
-		assert_int_equal(fleet_size(&t), part == 0 ? 15 : 10);
+		assert_int_equal(fleet_size(&t), larger_part == 0 ? 15 : 10);
 		for (; now < 70000; now += 250) {
 			for (i = 0; i < alive; i++)
-				hear(&t, names[i], 1, now, now);
+				receive_heartbeat(&t, names[i], 1, now, now);
 			fleet_tick(&t, now);
 		}
 		assert_true(fleet_quorum(&t, now));
@@ -337,22 +338,27 @@
 /* Which directed links between nodes are broken, from some time on. */
 struct cut {
 	const char *name;
-	int first;	   /* listeners that don't hear node 0, of the others */
-	int deaf;	   /* node 0 hears nobody */
-	int wild;	   /* of 100 other links, broken by chance */
-	uint64_t every_ms; /* only two thirds of so long; 0: all the time */
-	int owned; /* limits with an owner in the end, of 100, at least */
-	int turns; /* of the owner of a limit of node 0, at most */
+	int node0_unheard_by; /* listeners that don't hear node 0, of the others
+			       */
+	int node0_deaf;	      /* node 0 hears nobody */
+	int broken_percent;   /* of 100 other links, broken by chance */
+	uint64_t
+	    cut_period_ms;     /* only two thirds of so long; 0: all the time */
+	int min_owned_percent; /* limits with an owner in the end, of 100, at
+				  least */
+	int max_owner_changes; /* of the owner of a limit of node 0, at most */
 };
 
 static int
 is_cut(const struct cut *c, int from, int to, uint64_t now)
 {
 	if (now < CUT_FROM_MS ||
-	    (c->every_ms > 0 && now % c->every_ms * 3 >= c->every_ms * 2))
+	    (c->cut_period_ms > 0 &&
+		now % c->cut_period_ms * 3 >= c->cut_period_ms * 2))
 		return 0;
-	return (from == 0 && to <= c->first) || (c->deaf && to == 0) ||
-	       (from * 31 + to * 17) % 100 < c->wild;
+	return (from == 0 && to <= c->node0_unheard_by) ||
+	       (c->node0_deaf && to == 0) ||
+	       (from * 31 + to * 17) % 100 < c->broken_percent;
 }
 
 /* Nodes that tell each other all they know. */
@@ -370,7 +376,7 @@
 
 	for (i = 0; i < NODES; i++) {
 		snprintf(ns->names[i], sizeof(ns->names[i]), "n%d", i);
-		fleet_table_init(&ns->tables[i], ns->names[i], START);
+		fleet_table_init(&ns->tables[i], ns->names[i], START_MS);
 		fleet_listed(&ns->tables[i]);
 	}
 }
@@ -379,12 +385,12 @@
  * Each node sends a beat to all, then looks who is silent.
  */
 static void
-nodes_beat(struct nodes *ns, const struct cut *c, uint64_t now)
+exchange_heartbeats(struct nodes *ns, const struct cut *c, uint64_t now)
 {
 	int i, k, changed;
 
 	for (i = 0; i < NODES; i++) {
-		ns->beats[i] = beat(ns->names[i], 1, now);
+		ns->beats[i] = make_heartbeat(ns->names[i], 1, now);
 		ns->beats[i].load.out = (u_int)ns->tables[i].out;
 		ns->beats[i].load.silent.silent_val = ns->silent[i];
 		ns->beats[i].load.silent.silent_len =
@@ -403,18 +409,18 @@
  * Returns the node that lends for a limit, or -1; there is never a second.
  */
 static int
-nodes_lender(const struct nodes *ns, uint64_t limit, uint64_t now)
+granting_node(const struct nodes *ns, uint64_t limit, uint64_t now)
 {
-	int i, lender = -1;
+	int i, granter = -1;
 
 	for (i = 0; i < NODES; i++) {
 		if (fleet_owner(&ns->tables[i], limit, now) != FLEET_SELF ||
-		    now - ns->tables[i].turned_ms < HOLD_MS)
+		    now - ns->tables[i].turned_ms < GRANT_DELAY_MS)
 			continue;
-		assert_int_equal(lender, -1);
-		lender = i;
+		assert_int_equal(granter, -1);
+		granter = i;
 	}
-	return lender;
+	return granter;
 }
 
 /*
@@ -423,7 +429,7 @@
  * now and then, limits don't move to and fro.
  */
 static void
-test_one_owner(void **state)
+test_single_owner_broken_links(void **state)
 {
 	static const struct cut rows[] = {
 		{ "whole", 0, 0, 0, 0, 100, 0 },
@@ -437,33 +443,34 @@
 		{ "all links, at times", NODES, 0, 100, 6000, 100, 1 },
 	};
 	static struct nodes ns;
-	uint64_t now, limit, of_first;
-	int owned, turns, lender, last;
+	uint64_t now, limit, first_limit;
+	int owned, owner_changes, granter, last;
 	size_t row;
 
 	(void)state;
 	for (row = 0; row < sizeof(rows) / sizeof(rows[0]); row++) {
 		nodes_init(&ns);
-		of_first = 0;
-		turns = last = owned = 0;
-		for (now = 1000; now < ENDS_MS; now += BEAT_MS) {
-			nodes_beat(&ns, &rows[row], now);
+		first_limit = 0;
+		owner_changes = last = owned = 0;
+		for (now = 1000; now < CUT_END_MS; now += HEARTBEAT_MS) {
+			exchange_heartbeats(&ns, &rows[row], now);
 			for (owned = 0, limit = 1; limit <= LIMITS; limit++) {
-				lender = nodes_lender(&ns, limit, now);
-				owned += lender >= 0;
-				if (now < CUT_FROM_MS && lender == 0)
-					of_first = limit;
-				if (limit == of_first && lender >= 0) {
-					turns += lender != last;
-					last = lender;
+				granter = granting_node(&ns, limit, now);
+				owned += granter >= 0;
+				if (now < CUT_FROM_MS && granter == 0)
+					first_limit = limit;
+				if (limit == first_limit && granter >= 0) {
+					owner_changes += granter != last;
+					last = granter;
 				}
 			}
 		}
 		print_message("%-26s %d of %d limits owned, %d turns\n",
-		    rows[row].name, owned, LIMITS, turns);
-		assert_true(of_first > 0);
-		assert_true(turns <= rows[row].turns);
-		assert_true(owned >= LIMITS * rows[row].owned / 100);
+		    rows[row].name, owned, LIMITS, owner_changes);
+		assert_true(first_limit > 0);
+		assert_true(owner_changes <= rows[row].max_owner_changes);
+		assert_true(
+		    owned >= LIMITS * rows[row].min_owned_percent / 100);
 		for (last = 0; last < NODES; last++)
 			fleet_table_finish(&ns.tables[last]);
 	}
@@ -475,7 +482,7 @@
  * last tick and the pause is not dead, either.
  */
 static void
-test_out_after_pause(void **state)
+test_isolated_after_pause(void **state)
 {
 	static const struct {
 		uint64_t for_ms, later;
@@ -495,12 +502,12 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-		fleet_table_init(&t, "a", START);
+		fleet_table_init(&t, "a", START_MS);
 		fleet_listed(&t);
-		hear(&t, name, 1, 1, 1000);
+		receive_heartbeat(&t, name, 1, 1, 1000);
 		fleet_tick(&t, 1000);
 		assert_false(t.out);
-		hear(&t, name, 1, 2, 1200);
+		receive_heartbeat(&t, name, 1, 2, 1200);
 		now = 1000 + rows[i].for_ms;
 		fleet_paused(&t, rows[i].for_ms, now);
 		fleet_tick(&t, now);
@@ -521,15 +528,15 @@
  * A pause of this process is no evidence against others; their silence is.
  */
 static void
-test_pause(void **state)
+test_pause_no_peer_evidence(void **state)
 {
 	struct fleet_table t;
 	char name[] = "b";
 
 	(void)state;
-	fleet_table_init(&t, "a", START);
+	fleet_table_init(&t, "a", START_MS);
 	fleet_listed(&t);
-	hear(&t, name, 1, 1, 1000);
+	receive_heartbeat(&t, name, 1, 1, 1000);
 	fleet_paused(&t, 10000, 11000);
 	assert_true(fleet_alive(&t, 0, 11050));
 	assert_false(fleet_alive(&t, 0, 13000));
@@ -542,18 +549,18 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_order),
-		cmocka_unit_test(test_pulse),
-		cmocka_unit_test(test_print),
-		cmocka_unit_test(test_self),
-		cmocka_unit_test(test_owner),
-		cmocka_unit_test(test_cut_off_at_start),
-		cmocka_unit_test(test_alone_at_start),
-		cmocka_unit_test(test_size_at_start),
-		cmocka_unit_test(test_divided_for_long),
-		cmocka_unit_test(test_one_owner),
-		cmocka_unit_test(test_out_after_pause),
-		cmocka_unit_test(test_pause),
+		cmocka_unit_test(test_heartbeat_order),
+		cmocka_unit_test(test_load_heartbeat),
+		cmocka_unit_test(test_heartbeat_digest),
+		cmocka_unit_test(test_own_heartbeat),
+		cmocka_unit_test(test_owner_quorum),
+		cmocka_unit_test(test_unheard_peers_at_start),
+		cmocka_unit_test(test_no_owner_before_node_list),
+		cmocka_unit_test(test_fleet_size_at_start),
+		cmocka_unit_test(test_long_partition),
+		cmocka_unit_test(test_single_owner_broken_links),
+		cmocka_unit_test(test_isolated_after_pause),
+		cmocka_unit_test(test_pause_no_peer_evidence),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
