event: name rate limits, counters and tests after what they do

Private names such as put, descs, day_ms and lines_lost_told were vague. They now say that a line is appended, that the clock offset is kept and how many dropped lines were reported; tests say what they check. No code changed.

--- a/src/event/event.c
+++ b/src/event/event.c
@@ -10,8 +10,8 @@
 
 #define BUFFER_BYTES 65536 /* lines waiting for a slow reader */
 #define LINE_BYTES 512
-#define PERIOD_MS 1000
-#define LINES_MAX 20 /* of one event within one period */
+#define RATE_PERIOD_MS 1000
+#define RATE_LINES_MAX 20 /* of one event within one period */
 
 struct event_desc {
 	const char *severity;
@@ -25,9 +25,9 @@
 	uint32_t suppressed;
 };
 
-static void put(const char *, size_t);
+static void append_line(const char *, size_t);
 
-static const struct event_desc descs[EVENT_MAX] = {
+static const struct event_desc event_descs[EVENT_MAX] = {
 	[EVENT_START] = { "info", "start" },
 	[EVENT_READY] = { "info", "ready" },
 	[EVENT_STOPPING] = { "info", "stopping" },
@@ -65,10 +65,10 @@
 static struct event_rate rates[EVENT_MAX];
 static char buffer[BUFFER_BYTES];
 static size_t buffer_len;
-static uint64_t lines_lost;
-static uint64_t lines_lost_told;
-static uint64_t day_ms; /* the time of day less the caller's clock */
-static int quiet;
+static uint64_t lines_dropped;
+static uint64_t lines_dropped_reported;
+static uint64_t clock_offset_ms; /* the time of day less the caller's clock */
+static int discard_lines;
 
 /*
  * Names the node in each line.  The caller's clock shows now; lines have the
@@ -76,15 +76,15 @@
  * becomes non-blocking.  A quiet process writes nothing.
  */
 void
-event_init(const char *node, int be_quiet, uint64_t now)
+event_init(const char *node, int discard, uint64_t now)
 {
 	struct timespec ts;
 	int flags = fcntl(STDOUT_FILENO, F_GETFL);
 
 	snprintf(node_name, sizeof(node_name), "%s", node);
-	quiet = be_quiet;
+	discard_lines = discard;
 	clock_gettime(CLOCK_REALTIME, &ts);
-	day_ms =
+	clock_offset_ms =
 	    (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000 - now;
 	if (flags != -1)
 		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
@@ -94,12 +94,12 @@
  * Adds a line to the buffer, or drops it whole.
  */
 static void
-put(const char *p, size_t n)
+append_line(const char *p, size_t n)
 {
 	if (buffer_len + n > sizeof(buffer))
 		event_flush();
 	if (buffer_len + n > sizeof(buffer)) {
-		lines_lost++;
+		lines_dropped++;
 		return;
 	}
 	memcpy(buffer + buffer_len, p, n);
@@ -108,45 +108,47 @@
 
 /*
  * Logs an event at a time (ms) with its fields, key=value.  At most
- * LINES_MAX lines of an event are written in a period, the rest is counted.
+ * RATE_LINES_MAX lines of an event are written in a period, the rest is
+ * counted.
  */
 void
 event_log(enum event e, uint64_t now, const char *fmt, ...)
 {
 	struct event_rate *r = &rates[e];
-	uint64_t at = day_ms + now;
+	uint64_t time_ms = clock_offset_ms + now;
 	char line[LINE_BYTES];
 	size_t n;
 	va_list ap;
 
-	if (quiet)
+	if (discard_lines)
 		return;
-	if (now - r->start_ms >= PERIOD_MS) {
+	if (now - r->start_ms >= RATE_PERIOD_MS) {
 		if (r->suppressed > 0) {
 			n = (size_t)snprintf(line, sizeof(line),
 			    "t=%llu node=%s level=%s event=%s suppressed=%u\n",
-			    (unsigned long long)at, node_name,
-			    descs[e].severity, descs[e].name, r->suppressed);
-			put(line, n);
+			    (unsigned long long)time_ms, node_name,
+			    event_descs[e].severity, event_descs[e].name,
+			    r->suppressed);
+			append_line(line, n);
 		}
 		r->start_ms = now;
 		r->lines = 0;
 		r->suppressed = 0;
 	}
-	if (++r->lines > LINES_MAX) {
+	if (++r->lines > RATE_LINES_MAX) {
 		r->suppressed++;
 		return;
 	}
 	n = (size_t)snprintf(line, sizeof(line),
-	    "t=%llu node=%s level=%s event=%s ", (unsigned long long)at,
-	    node_name, descs[e].severity, descs[e].name);
+	    "t=%llu node=%s level=%s event=%s ", (unsigned long long)time_ms,
+	    node_name, event_descs[e].severity, event_descs[e].name);
 	va_start(ap, fmt);
 	n += (size_t)vsnprintf(line + n, sizeof(line) - n, fmt, ap);
 	va_end(ap);
 	if (n > sizeof(line) - 2)
 		n = sizeof(line) - 2;
 	line[n++] = '\n';
-	put(line, n);
+	append_line(line, n);
 }
 
 /*
@@ -158,14 +160,15 @@
 	char line[LINE_BYTES];
 	ssize_t n;
 
-	if (lines_lost > lines_lost_told &&
+	if (lines_dropped > lines_dropped_reported &&
 	    buffer_len + sizeof(line) < sizeof(buffer)) {
 		n = snprintf(line, sizeof(line),
 		    "node=%s level=%s event=%s total=%llu\n", node_name,
-		    descs[EVENT_DROPPED].severity, descs[EVENT_DROPPED].name,
-		    (unsigned long long)lines_lost);
-		lines_lost_told = lines_lost;
-		put(line, (size_t)n);
+		    event_descs[EVENT_DROPPED].severity,
+		    event_descs[EVENT_DROPPED].name,
+		    (unsigned long long)lines_dropped);
+		lines_dropped_reported = lines_dropped;
+		append_line(line, (size_t)n);
 	}
 	if (buffer_len == 0)
 		return;
@@ -184,5 +187,5 @@
 uint64_t
 event_dropped(void)
 {
-	return lines_lost;
+	return lines_dropped;
 }
--- a/src/event/test_event.c
+++ b/src/event/test_event.c
@@ -12,25 +12,25 @@
 
 #include "event/event.h"
 
-#define PIPE_READ 65536
-#define REFUSALS 10000 /* a second */
-#define SECONDS 30
+#define READ_BYTES 65536
+#define EVENTS_PER_S 10000 /* a second */
+#define RUN_S 30
 
-static int reader = -1;
+static int pipe_reader = -1;
 
 /*
  * Makes standard output a pipe; what cmocka prints goes to standard error.
  */
 static void
-make_pipe(void)
+redirect_stdout(void)
 {
 	int fds[2];
 
 	assert_int_equal(pipe(fds), 0);
 	assert_true(dup2(fds[1], STDOUT_FILENO) >= 0);
 	close(fds[1]);
-	reader = fds[0];
-	assert_int_equal(fcntl(reader, F_SETFL, O_NONBLOCK), 0);
+	pipe_reader = fds[0];
+	assert_int_equal(fcntl(pipe_reader, F_SETFL, O_NONBLOCK), 0);
 	event_init("n1", 0, 0);
 }
 
@@ -45,7 +45,7 @@
 
 	for (;;) {
 		event_flush();
-		n = read(reader, buf + len, size - 1 - len);
+		n = read(pipe_reader, buf + len, size - 1 - len);
 		if (n <= 0)
 			break;
 		len += (size_t)n;
@@ -58,9 +58,9 @@
  * A line has the time, the node, the level, the event and its fields.
  */
 static void
-test_line(void **state)
+test_line_format(void **state)
 {
-	char buf[PIPE_READ], *rest;
+	char buf[READ_BYTES], *rest;
 	uint64_t t, day = (uint64_t)time(NULL) * 1000;
 
 	(void)state;
@@ -76,9 +76,9 @@
  * Of many events of one kind some are printed and the rest is counted.
  */
 static void
-test_rate(void **state)
+test_rate_limit(void **state)
 {
-	char buf[PIPE_READ];
+	char buf[READ_BYTES];
 	int i, lines = 0;
 	char *p;
 
@@ -98,17 +98,17 @@
  * Nobody reads: no event waits, and lines that don't fit are counted.
  */
 static void
-test_nobody_reads(void **state)
+test_unread_pipe(void **state)
 {
 	struct timespec a, b;
-	char buf[4 * PIPE_READ];
+	char buf[4 * READ_BYTES];
 	uint64_t i, now;
 	double s;
 
 	(void)state;
 	clock_gettime(CLOCK_MONOTONIC, &a);
-	for (i = 0; i < (uint64_t)REFUSALS * SECONDS; i++) {
-		now = 10000 + i * 1000 / REFUSALS;
+	for (i = 0; i < (uint64_t)EVENTS_PER_S * RUN_S; i++) {
+		now = 10000 + i * 1000 / EVENTS_PER_S;
 		event_log((enum event)(i % EVENT_MAX), now,
 		    "id=%llu reason=overload service=orders age_ms=1",
 		    (unsigned long long)i);
@@ -118,9 +118,9 @@
 	clock_gettime(CLOCK_MONOTONIC, &b);
 	s = (double)(b.tv_sec - a.tv_sec) +
 	    (double)(b.tv_nsec - a.tv_nsec) / 1e9;
-	fprintf(stderr, "%.3f s for %d s of events\n", s, SECONDS);
+	fprintf(stderr, "%.3f s for %d s of events\n", s, RUN_S);
 	assert_true(event_dropped() > 0);
-	assert_true(s < SECONDS / 10.0);
+	assert_true(s < RUN_S / 10.0);
 	drain(buf, sizeof(buf));
 	event_log(EVENT_READY, 100000, "config=1");
 	drain(buf, sizeof(buf));
@@ -131,13 +131,13 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_line),
-		cmocka_unit_test(test_rate),
-		cmocka_unit_test(test_nobody_reads),
+		cmocka_unit_test(test_line_format),
+		cmocka_unit_test(test_rate_limit),
+		cmocka_unit_test(test_unread_pipe),
 	};
 	int rc, out = dup(STDOUT_FILENO);
 
-	make_pipe();
+	redirect_stdout();
 	/* cmocka prints through stdio, which must not fill the pipe. */
 	stdout = fdopen(out, "w");
 	rc = cmocka_run_group_tests(tests, NULL, NULL);
