fleet: describe heartbeats, isolation and seals in plain terms

Comments spoke of beats, pulses, nodes that are out or judged, prints and what a node is told. Header, message file, code and tests now say heartbeat, load heartbeat, digest, isolated node, departed server and seal, each with its meaning and unit. Labels that the table test prints were reworded, too. No code changed.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -10,65 +10,67 @@
 #include "fleet/seal.h"
 
 #define FLEET_NAME_BYTES (FLEET_NAME_MAX + 1)
-#define FLEET_SELF (-1) /* in place of a peer's handle */
+/* Returned in place of a peer's handle. */
+#define FLEET_SELF (-1)
 #define FLEET_NONE (-2)
 #define FLEET_SIZE_UNKNOWN UINT32_MAX
 
-/* A backend server, as its node told. */
+/* A backend server as reported by its node. */
 struct fleet_server {
 	char id[FLEET_NAME_BYTES]; /* empty: the node has no server */
 	char service[FLEET_NAME_BYTES];
-	uint64_t born_ms;
+	uint64_t born_ms; /* start of its process, Unix time; 0: unknown */
 	uint32_t slots;
 	uint64_t cold_until_ms; /* on this node's clock */
 	uint32_t running;
 	uint32_t waiting;
-	double offered; /* work that arrives, as a share of its slots */
-	double run_s;	/* mean time of a run; 0: not known */
-	double failing; /* share of its runs */
-	int leaving;
+	double offered; /* arriving work as a share of its slots */
+	double run_s;	/* mean duration of a run; 0: unknown */
+	double failing; /* share of its runs that fail */
+	int leaving;	/* 0, FLEET_DOWN or FLEET_LEAVING */
 };
 
 /* Another node. */
 struct fleet_peer {
 	char node[FLEET_NAME_BYTES];
 	char zone[FLEET_NAME_BYTES];
-	uint64_t hash; /* of the name */
+	uint64_t hash; /* of the node's name */
 	uint64_t incarnation;
-	uint64_t sequence;
-	uint32_t address; /* IPv4, host order */
-	uint16_t port;	  /* for forwarded requests; 0 until heard */
+	uint64_t sequence; /* of the last heartbeat */
+	uint32_t address;  /* IPv4, host order */
+	uint16_t port;	   /* for forwarded requests; 0: not reported yet */
 	uint64_t learned_ms;
-	uint64_t heard_ms; /* 0: never */
+	uint64_t heard_ms; /* time of the last heartbeat; 0: none yet */
 	uint64_t config_version;
-	uint64_t print; /* of the last whole beat */
+	uint64_t print; /* digest of the last full heartbeat */
 	int stopping;
-	int gone;     /* it said goodbye, or hasn't been heard of for long */
-	int says_out; /* it decides for no limit */
-	int out;      /* so it says, or most nodes don't hear it */
-	uint32_t silent[FLEET_SILENT_MAX]; /* nodes that it doesn't hear */
+	int gone;     /* sent a goodbye or has long been silent */
+	int says_out; /* the peer reports that it is isolated */
+	int out;      /* isolated by its own report or by majority vote */
+	/* Hashes of the nodes from which the peer gets no heartbeats. */
+	uint32_t silent[FLEET_SILENT_MAX];
 	uint32_t silent_count;
 	struct fleet_server server;
-	/* The last server beside it that said that it ends. */
+	/* The last server of the node that announced its shutdown. */
 	char left_id[FLEET_NAME_BYTES];
 	uint64_t left_born_ms;
 };
 
-/* Who is there, as this node knows.  Handles stay valid for good. */
+/* The known nodes.  Handles of peers stay valid until the table is freed. */
 struct fleet_table {
 	struct fleet_peer *peers;
 	size_t count, cap;
-	char node[FLEET_NAME_BYTES];
-	uint64_t hash;
-	uint64_t interval_ms; /* of beats */
-	uint64_t turned_ms;   /* when the set of live nodes last changed */
-	uint64_t live_print;  /* a hash over that set */
-	int listed;	      /* the store's list of nodes was read */
-	uint32_t told_size;   /* most nodes that another one knew of */
-	int out;	      /* most nodes don't hear this one, or lately */
-	int was_in;	      /* it was not out since there was a quorum */
-	uint64_t unheard_ms;  /* when most nodes last didn't hear it */
-	uint64_t judged_ms;   /* after a pause, when it can know again */
+	char node[FLEET_NAME_BYTES]; /* name of this node */
+	uint64_t hash;		     /* of the name of this node */
+	uint64_t interval_ms;	     /* between two heartbeats */
+	uint64_t turned_ms;	     /* last change of the set of live nodes */
+	uint64_t live_print;	     /* digest of that set */
+	int listed;	     /* the node list of the store has been read */
+	uint32_t told_size;  /* largest fleet size that a peer reported */
+	int out;	     /* this node is isolated: it owns no limits */
+	int was_in;	     /* has taken part in ownership since the quorum */
+	uint64_t unheard_ms; /* last time that no majority heard this node */
+	uint64_t judged_ms;  /* isolated until this time, after a pause */
 };
 
 void fleet_table_init(struct fleet_table *, const char *, uint64_t);
@@ -97,13 +99,16 @@
 void fleet_paused(struct fleet_table *, uint64_t, uint64_t);
 uint64_t fleet_interval_ms(const struct fleet_table *);
 
-/* What the owner of a fleet socket hears; all get the context given there. */
+/* Callbacks of a fleet socket.  Each gets the context of fleet_net_init(). */
 struct fleet_ops {
-	void (*fill)(void *, struct fleet_beat *); /* this node's own beat */
-	void (*heard)(void *, int, const struct fleet_beat *); /* a whole one */
-	void (*told)(
-	    void *, int, const struct fleet_load *); /* after it, too */
-	void (*turned)(void *, int); /* a peer, or FLEET_NONE: who is alive */
+	/* Fills in this node's own full heartbeat. */
+	void (*fill)(void *, struct fleet_beat *);
+	/* A peer, given by its handle, sent a full heartbeat. */
+	void (*heard)(void *, int, const struct fleet_beat *);
+	/* A peer reported its load, in a full or in a load heartbeat. */
+	void (*told)(void *, int, const struct fleet_load *);
+	/* The live nodes or one peer changed: its handle, or FLEET_NONE. */
+	void (*turned)(void *, int);
 	void (*ask)(
 	    void *, const struct fleet_ask *, const struct sockaddr_in *);
 	void (*give)(void *, const struct fleet_give *);
@@ -115,7 +120,7 @@
 	void (*left)(void *, const struct fleet_left *);
 };
 
-/* The socket over which nodes talk. */
+/* The UDP socket through which nodes exchange messages. */
 struct fleet_net {
 	uv_loop_t *loop;
 	uv_udp_t udp;
@@ -125,12 +130,12 @@
 	const struct seal *seal;
 	const struct fleet_ops *ops;
 	void *ctx;
-	uint64_t ticked_ms;
-	uint64_t beats;	   /* sent to all */
-	uint64_t print;	   /* of the last whole one */
-	uint32_t wholes;   /* that are still to come, since much has changed */
-	uint64_t bad;	   /* datagrams that could not be read */
-	uint64_t unsealed; /* datagrams without the seal of the fleet's key */
+	uint64_t ticked_ms; /* last time the live nodes were updated */
+	uint64_t beats;	    /* heartbeats sent to all nodes */
+	uint64_t print;	    /* digest of the last full heartbeat */
+	uint32_t wholes;    /* full heartbeats still due after a change */
+	uint64_t bad;	    /* datagrams that could not be decoded */
+	uint64_t unsealed;  /* datagrams without a valid seal */
 };
 
 int fleet_net_init(struct fleet_net *, uv_loop_t *, const struct sockaddr_in *,
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -1,49 +1,49 @@
 /*
- * What nodes tell each other in datagrams.
+ * Messages that nodes exchange in datagrams.
  */
 
 const FLEET_NAME_MAX = 63;
 const FLEET_CALLS_MAX = 8;
 const FLEET_DEMANDS_MAX = 8;
 const FLEET_CLASSES = 4;
-const FLEET_RATES_MAX = 32;	/* services by classes */
+const FLEET_RATES_MAX = 32;	/* services times classes */
 const FLEET_SILENT_MAX = 32;
-const FLEET_DOWN = 1;	/* a server that took no connection lately */
-const FLEET_LEAVING = 2;	/* one that said that it ends */
+const FLEET_DOWN = 1;	/* server accepted no connection lately */
+const FLEET_LEAVING = 2;	/* server announced its shutdown */
 
 typedef string fleet_name<FLEET_NAME_MAX>;
 
-/* The backend server beside a node, as it announced itself. */
+/* The backend server of a node as it announced itself. */
 struct fleet_server_state {
 	fleet_name id;
 	fleet_name service;
 	unsigned hyper born_ms;
 	unsigned int slots;
-	unsigned int cold_ms;	 /* how much longer it is slow */
-	unsigned int away;	 /* FLEET_DOWN or FLEET_LEAVING */
+	unsigned int cold_ms;	 /* rest of its warm-up */
+	unsigned int away;	 /* 0, FLEET_DOWN or FLEET_LEAVING */
 };
 
-/* What changes all the time. */
+/* The part of a heartbeat that changes all the time. */
 struct fleet_load {
 	unsigned hyper sequence;
 	unsigned hyper config_version;
-	unsigned int out;	 /* 1: it decides for no limit */
-	unsigned int nodes;	 /* that the sender knows of; 0: not yet */
+	unsigned int out;	 /* 1: isolated, owns no limits */
+	unsigned int nodes;	 /* known to the sender; 0: not known yet */
 	unsigned int running;
 	unsigned int waiting;
-	unsigned int offered;	 /* work, in thousandths of the slots */
-	unsigned int run_us;	 /* mean time of a run; 0: not known */
-	unsigned int failing;	 /* of 1000 runs */
-	unsigned int chained;	 /* of 1000 calls, those whose run is known */
-	/* Nodes that it doesn't hear, by the hash of their name. */
+	unsigned int offered;	 /* arriving work, 1/1000 of the slots */
+	unsigned int run_us;	 /* mean duration of a run; 0: unknown */
+	unsigned int failing;	 /* failed runs of 1000 */
+	unsigned int chained;	 /* calls of 1000 with a known run */
+	/* Name hashes of nodes whose heartbeats do not arrive. */
 	unsigned int silent<FLEET_SILENT_MAX>;
-	/* Calls of 1000 runs to each service that the server calls. */
+	/* Calls per 1000 runs to each downstream service. */
 	unsigned int calls_per_1000<FLEET_CALLS_MAX>;
-	/* Root requests for each service asked for, by class: demand_encode_rate(). */
+	/* Root requests per service and class, encoded by demand_encode_rate(). */
 	opaque demands<FLEET_RATES_MAX>;
 };
 
-/* A node's sign of life, with all that it tells of itself. */
+/* A full heartbeat with the whole state of the sender. */
 struct fleet_beat {
 	fleet_name node;
 	fleet_name zone;
@@ -52,19 +52,19 @@
 	unsigned int port;	 /* for forwarded requests */
 	unsigned int stopping;
 	fleet_server_state server;
-	fleet_name calls<FLEET_CALLS_MAX>;     /* services, see the load */
-	fleet_name demands<FLEET_DEMANDS_MAX>; /* services, see the load */
+	fleet_name calls<FLEET_CALLS_MAX>;     /* services, as in the load */
+	fleet_name demands<FLEET_DEMANDS_MAX>; /* services, as in the load */
 	fleet_load load;
 };
 
-/* A sign of life where the rest is as in the last whole beat. */
+/* A load heartbeat: the rest is as in the last full heartbeat. */
 struct fleet_pulse {
 	unsigned hyper incarnation;
-	unsigned hyper print;	 /* of that beat */
+	unsigned hyper print;	 /* digest of that heartbeat */
 	fleet_load load;
 };
 
-/* Asks the owner of a limit for tokens. */
+/* A token request to the owner of a limit. */
 struct fleet_ask {
 	unsigned hyper workspace;
 	unsigned hyper id;
@@ -72,33 +72,37 @@
 	unsigned int want;
 };
 
+/* The answer to a token request. */
 struct fleet_give {
 	unsigned hyper workspace;
 	unsigned hyper id;
 	unsigned int tokens;
-	unsigned int owner;	 /* 0: ask another */
-	unsigned int wait_ms;	 /* until there are tokens again */
+	unsigned int owner;	 /* 0: the sender does not own the limit */
+	unsigned int wait_ms;	 /* until tokens are available again */
 };
 
-/* A limit's bucket, from an owner that stops to the next one. */
+/* Transfers the bucket of a limit from a stopping owner to its successor. */
 struct fleet_bucket {
 	unsigned hyper workspace;
 	unsigned int level;	 /* whole tokens */
 };
 
-/* Asks a node that reads the store how new its configuration is. */
+/* A proof query to a store reader: how recent is its configuration? */
 struct fleet_doubt {
 	unsigned hyper id;
 };
 
-/* This version was the newest so long before the answer. */
+/* States that a version was the newest one age_ms before this answer. */
 struct fleet_proof {
 	unsigned hyper id;
 	unsigned hyper config_version;
 	unsigned int age_ms;
 };
 
-/* A request was at work on a server when that died, or has run well since. */
+/*
+ * A crash report: a server crashed while it ran the request with this
+ * fingerprint, or the request has run without a crash since.
+ */
 struct fleet_strike {
 	unsigned hyper lo;
 	unsigned hyper hi;
@@ -106,7 +110,7 @@
 	unsigned int acquitted;
 };
 
-/* A server said to its node, before that started again, that it ends. */
+/* Reminds a restarted node that its server had announced its shutdown. */
 struct fleet_left {
 	fleet_name server;
 	unsigned hyper born_ms;
--- a/src/fleet/fleet_left.c
+++ b/src/fleet/fleet_left.c
@@ -4,14 +4,15 @@
 #include "fleet/fleet.h"
 
 /*
- * Servers that said to the node beside them that they end.  A node that starts
- * again has forgotten that; the others haven't, and a late announcement by the
- * server may say otherwise.
+ * Remembers the servers that announced their shutdown to their node.  A node
+ * loses this state in a restart and may then receive a late announcement that
+ * shows the server as available.  The other nodes remind it.
  */
 
 /*
- * Notes from a beat, before it is taken, that the server beside a node ends:
- * it says so, or it is gone while the node itself goes on.
+ * Notes before a heartbeat is applied that the server of a node shuts down: the
+ * heartbeat says so, or the server is absent from it although the node has not
+ * restarted.
  */
 void
 fleet_note_left(struct fleet_peer *p, const struct fleet_beat *b)
@@ -29,8 +30,9 @@
 }
 
 /*
- * Tells whether two ids and times of birth (Unix ms, 0: not known) are those of
- * one server process.  One that starts again under its id was born later.
+ * Returns whether two ids and start times (Unix ms, 0: unknown) belong to one
+ * server process.  A process restarted under the same id has a later start
+ * time.
  */
 int
 fleet_same_server(
@@ -41,7 +43,7 @@
 }
 
 /*
- * Tells whether a server beside a node has said before that it ends.
+ * Returns whether a server of a node has announced its shutdown before.
  */
 int
 fleet_has_left(const struct fleet_peer *p, const struct fleet_server_state *s)
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -5,12 +5,14 @@
 #include "fleet/fleet.h"
 
 #define DATAGRAM_BYTES 1400
-#define FULL_HEARTBEAT_EVERY 8	 /* beats; the others tell only the load */
-#define FULL_HEARTBEAT_REPEATS 2 /* after a change, as datagrams may be lost \
-				  */
-#define PROBE_EVERY 8 /* of which one goes to nodes that fell silent, too */
-#define PAUSE_HEARTBEATS \
-	3 /* beats late by which a pause of the process is seen */
+/* Every nth heartbeat is a full one; the others carry only the load. */
+#define FULL_HEARTBEAT_EVERY 8
+/* More full heartbeats after a change, since datagrams may be lost. */
+#define FULL_HEARTBEAT_REPEATS 2
+/* Every nth heartbeat also goes to nodes that have long been silent. */
+#define PROBE_EVERY 8
+/* More intervals than this without an update mean a paused process. */
+#define PAUSE_HEARTBEATS 3
 
 static void provide_buffer(uv_handle_t *, size_t, uv_buf_t *);
 static void on_datagram(uv_udp_t *, ssize_t, const uv_buf_t *,
@@ -28,11 +30,11 @@
     const struct fleet_net *, const struct fleet_msg *, char *);
 static void send_bytes(struct fleet_net *, const char *, size_t, uint32_t);
 
-/* The one loop reads into this and uses the bytes before it reads again. */
+/* Receive buffer of the only loop; processed before the next read. */
 static char datagram[DATAGRAM_BYTES + SEAL_BYTES];
 
 /*
- * Opens the socket and begins to send beats.  Returns a libuv error or 0.
+ * Opens the socket and starts to send heartbeats.  Returns a libuv error or 0.
  */
 int
 fleet_net_init(struct fleet_net *n, uv_loop_t *loop,
@@ -61,7 +63,7 @@
 }
 
 /*
- * Closes the socket.
+ * Closes the socket and stops the heartbeat timer.
  */
 void
 fleet_net_close(struct fleet_net *n)
@@ -71,7 +73,7 @@
 }
 
 /*
- * Gives libuv the common buffer.
+ * Gives libuv the shared receive buffer.
  */
 static void
 provide_buffer(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
@@ -83,7 +85,7 @@
 }
 
 /*
- * Sends a beat to all and looks who is silent.
+ * Updates the live nodes and sends a heartbeat to all nodes.
  */
 static void
 on_heartbeat_timer(uv_timer_t *timer)
@@ -101,9 +103,10 @@
 }
 
 /*
- * Sees that this process stood still, before anything that came meanwhile is
- * taken.  After a stop the timer is the first to know, after a suspension of
- * the machine, which timers don't count, it may be a datagram.
+ * Detects that this process was paused, before anything that arrived during the
+ * pause is processed.  After SIGSTOP the heartbeat timer fires first.  After a
+ * suspension of the machine, which timers don't count, a datagram may arrive
+ * first.
  */
 static void
 detect_pause(struct fleet_net *n)
@@ -118,8 +121,8 @@
 }
 
 /*
- * Sends a whole beat to all if there is news or it is time for one, and the
- * load alone otherwise.
+ * Sends a full heartbeat to all nodes if the state has changed or a full one is
+ * due, and a load heartbeat otherwise.
  */
 static void
 send_heartbeat(struct fleet_net *n)
@@ -148,7 +151,8 @@
 }
 
 /*
- * Looks who is silent, and tells the owner if that changes who is alive.
+ * Updates the live nodes and notifies the owner of the socket if their set has
+ * changed.
  */
 static void
 update_members(struct fleet_net *n)
@@ -161,8 +165,8 @@
 }
 
 /*
- * Sends a beat to nodes that fell silent long ago: a cut between the two may
- * have healed.
+ * Sends a heartbeat to the nodes that have long been silent: the partition
+ * between them and this node may have healed.
  */
 static void
 probe_silent_nodes(struct fleet_net *n)
@@ -178,8 +182,8 @@
 }
 
 /*
- * Takes a datagram; one that can't be read, or that isn't of this fleet, is
- * counted.
+ * Verifies, decodes and dispatches a datagram.  Counts those that cannot be
+ * decoded and those without a valid seal.
  */
 static void
 on_datagram(uv_udp_t *udp, ssize_t len, const uv_buf_t *buf,
@@ -210,7 +214,7 @@
 }
 
 /*
- * Hands a message to whom it concerns.
+ * Passes a message to its handler.
  */
 static void
 dispatch(struct fleet_net *n, const struct fleet_msg *m,
@@ -257,7 +261,7 @@
 }
 
 /*
- * Takes a beat, and answers the first one of a node at once.
+ * Applies a full heartbeat and replies to the first one of a node at once.
  */
 static void
 receive_heartbeat(struct fleet_net *n, const struct fleet_beat *b)
@@ -285,7 +289,8 @@
 }
 
 /*
- * Tells a node that the server which it takes for sound said that it ends.
+ * Reminds a restarted node, whose heartbeat shows its server as available, that
+ * the server announced its shutdown.
  */
 static void
 send_departure(struct fleet_net *n, const struct fleet_beat *b)
@@ -300,7 +305,7 @@
 }
 
 /*
- * Encodes a message and seals it.  Returns its length, or 0 if it is too long.
+ * Encodes and seals a message.  Returns its length, or 0 if it is too long.
  */
 static size_t
 encode(const struct fleet_net *n, const struct fleet_msg *m, char *buf)
@@ -316,7 +321,8 @@
 }
 
 /*
- * Sends a datagram; a lost one is as good as one lost on the way.
+ * Sends a datagram without waiting.  A failure is ignored, since datagrams may
+ * be lost on the way as well.
  */
 static void
 send_bytes(struct fleet_net *n, const char *p, size_t len, uint32_t address)
@@ -346,7 +352,7 @@
 }
 
 /*
- * Sends a message to all nodes that are not gone.
+ * Sends a message to all nodes that have not departed.
  */
 void
 fleet_send_all(struct fleet_net *n, const struct fleet_msg *m)
@@ -360,7 +366,7 @@
 }
 
 /*
- * Sends this node's beat to all, or its goodbye.
+ * Sends a full heartbeat, or a goodbye, to all nodes.
  */
 void
 fleet_beat_all(struct fleet_net *n, int bye)
@@ -376,7 +382,7 @@
 }
 
 /*
- * Sends this node's beat to one address.
+ * Sends a full heartbeat to one address.
  */
 void
 fleet_beat_one(struct fleet_net *n, uint32_t address)
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -6,23 +6,23 @@
 
 #include "fleet/fleet.h"
 
-#define HEARTBEAT_MS 250    /* between two beats in a small fleet */
-#define HEARTBEAT_PEER_MS 6 /* more for each peer, to bound the traffic */
-#define MISSED_HEARTBEATS 4 /* after which a node is taken to be dead */
+#define HEARTBEAT_MS 250    /* heartbeat interval of a small fleet */
+#define HEARTBEAT_PEER_MS 6 /* least interval per peer; bounds the traffic */
+#define MISSED_HEARTBEATS 4 /* intervals after which a node counts as dead */
 #define MISSED_SLACK_MS 200 /* for late timers and datagrams */
-#define FIRST_READER_KEY 1  /* what the first reader of the store is owner of \
-			     */
-#define FORGET_AFTER_MS 20000 /* a silent node no longer counts in the quorum \
-			       */
-#define FORGET_NO_QUORUM_MS \
-	60000 /* where a quorum was lost: longer than cuts */
-#define PAUSE_ISOLATION_HEARTBEATS \
-	2		     /* after a pause, until all have told their part */
-#define REJOIN_AFTER_MS 5000 /* heard by most for so long, it decides again */
+#define FIRST_READER_KEY 1  /* its owner is the first reader of the store */
+/* Silence after which a node no longer counts in the quorum. */
+#define FORGET_AFTER_MS 20000
+/* The same without a quorum: longer than network partitions last. */
+#define FORGET_NO_QUORUM_MS 60000
+/* Isolation after a pause, until all nodes have sent a heartbeat. */
+#define PAUSE_ISOLATION_HEARTBEATS 2
+/* Heard by a majority for this long, an isolated node owns limits again. */
+#define REJOIN_AFTER_MS 5000
 #define PER_THOUSAND 1000.0
 #define US_PER_S 1000000.0
-#define RESTART_SILENCE_MS \
-	1000 /* an old incarnation silent for that long is gone */
+/* A lower incarnation is accepted after this silence of a higher one. */
+#define RESTART_SILENCE_MS 1000
 
 static uint64_t owner_weight(uint64_t, uint64_t);
 static int highest_weight_node(const struct fleet_table *, uint64_t, int);
@@ -38,7 +38,8 @@
 static uint64_t dead_after_ms(const struct fleet_table *);
 
 /*
- * Prepares a table that holds only this node, of that name, which starts now.
+ * Initialises a table that holds only this node, under the given name, started
+ * now.
  */
 void
 fleet_table_init(struct fleet_table *t, const char *node, uint64_t now)
@@ -51,7 +52,7 @@
 }
 
 /*
- * Frees the table.
+ * Frees the table's memory.
  */
 void
 fleet_table_finish(struct fleet_table *t)
@@ -62,7 +63,8 @@
 }
 
 /*
- * Copies a name into a field of FLEET_NAME_BYTES, cutting what is too long.
+ * Copies a name into a field of FLEET_NAME_BYTES and truncates it if it is too
+ * long.
  */
 static void
 copy_node_name(char *dst, const char *src)
@@ -71,7 +73,7 @@
 }
 
 /*
- * Returns the handle of the node of a name, or FLEET_NONE.
+ * Returns the handle of a node, or FLEET_NONE if its name is unknown.
  */
 int
 fleet_find(const struct fleet_table *t, const char *node)
@@ -85,7 +87,7 @@
 }
 
 /*
- * All nodes in the store's list have been learned.
+ * Records that all nodes of the store's list have been added.
  */
 void
 fleet_listed(struct fleet_table *t)
@@ -94,8 +96,8 @@
 }
 
 /*
- * Notes that a node is said to exist at an address.  Returns its handle, or
- * FLEET_SELF.
+ * Adds a node that is reported at an address, if it is new.  Returns its
+ * handle, or FLEET_SELF for this node.
  */
 int
 fleet_learn(
@@ -132,9 +134,9 @@
 }
 
 /*
- * Takes a beat.  Returns the sender's handle, FLEET_SELF for this node's own
- * and FLEET_NONE for one that is out of date.  Sets *changed if it tells of
- * another incarnation, server or state than known before.
+ * Applies a full heartbeat.  Returns the sender's handle, FLEET_SELF if this
+ * node sent it, or FLEET_NONE if it is outdated.  Sets *changed if the sender,
+ * its incarnation, its server or either one's state differs from before.
  */
 int
 fleet_heard(struct fleet_table *t, const struct fleet_beat *b, uint64_t now,
@@ -181,7 +183,7 @@
 }
 
 /*
- * Takes what changes all the time.
+ * Applies the load that a heartbeat reports.
  */
 static void
 apply_load(struct fleet_table *t, struct fleet_peer *p,
@@ -208,8 +210,9 @@
 }
 
 /*
- * Takes a pulse that came from an address.  Returns the sender's handle, or
- * FLEET_NONE if its last whole beat isn't known, or if it is out of date.
+ * Applies a load heartbeat that came from an address.  Returns the sender's
+ * handle, or FLEET_NONE if the heartbeat is outdated or the full heartbeat that
+ * it refers to has not arrived.
  */
 int
 fleet_pulsed(struct fleet_table *t, const struct fleet_pulse *m,
@@ -228,7 +231,7 @@
 	    m->load.sequence <= p->sequence)
 		return FLEET_NONE;
 	if (p->print != m->print) {
-		/* A whole beat was lost: it lives, and tells more soon. */
+		/* A full heartbeat was lost; the next one follows soon. */
 		p->heard_ms = now;
 		p->config_version = m->load.config_version;
 		return FLEET_NONE;
@@ -238,7 +241,8 @@
 }
 
 /*
- * Computes a hash over all that a beat tells beside the load.
+ * Computes a digest of a full heartbeat without its load and the warm-up of the
+ * server.
  */
 uint64_t
 fleet_print(const struct fleet_beat *b)
@@ -262,7 +266,7 @@
 }
 
 /*
- * Adds a name to a hash.
+ * Adds a name to a digest.
  */
 static uint64_t
 digest_name(uint64_t print, const char *name)
@@ -271,7 +275,7 @@
 }
 
 /*
- * Takes a node's goodbye: it no longer counts, until it is heard again.
+ * Applies a node's goodbye: the node no longer counts until its next heartbeat.
  */
 void
 fleet_said_bye(struct fleet_table *t, const struct fleet_beat *b, uint64_t now)
@@ -288,7 +292,7 @@
 }
 
 /*
- * Tells whether a node gave a sign of life not long ago.
+ * Returns whether a recent heartbeat of a node has arrived.
  */
 int
 fleet_alive(const struct fleet_table *t, size_t i, uint64_t now)
@@ -300,7 +304,7 @@
 }
 
 /*
- * Returns after how long a silent node is taken to be dead.
+ * Returns the time without heartbeats after which a node counts as dead.
  */
 static uint64_t
 dead_after_ms(const struct fleet_table *t)
@@ -309,8 +313,8 @@
 }
 
 /*
- * Tells whether more than half of the nodes that are known are alive, so
- * that no two parts of a divided fleet decide for the same limit.
+ * Returns whether more than half of the known nodes are alive.  At most one
+ * part of a partitioned fleet can have this quorum and own limits.
  */
 int
 fleet_quorum(const struct fleet_table *t, uint64_t now)
@@ -324,10 +328,10 @@
 }
 
 /*
- * Returns how many nodes are known, this one among them.  A node that has
- * just started knows few or none: until it has read the list of nodes it goes
- * by what others tell, and has FLEET_SIZE_UNKNOWN before that, with which its
- * part of anything is nothing.
+ * Returns the number of known nodes, including this one.  Until a started node
+ * has read the node list, it uses the largest size that a peer reported.
+ * Before the first report the size is FLEET_SIZE_UNKNOWN, with which this
+ * node's share of anything is nothing.
  */
 uint32_t
 fleet_size(const struct fleet_table *t)
@@ -345,7 +349,7 @@
 }
 
 /*
- * Returns a node's weight in the choice of an owner.
+ * Returns a node's rendezvous weight for a key.
  */
 static uint64_t
 owner_weight(uint64_t node, uint64_t key)
@@ -356,8 +360,8 @@
 }
 
 /*
- * Lists nodes that this one doesn't hear any more, though they said no
- * goodbye, into FLEET_SILENT_MAX.  Returns their number.
+ * Fills a list of FLEET_SILENT_MAX entries with the name hashes of nodes that
+ * have fallen silent without a goodbye.  Returns their number.
  */
 uint32_t
 fleet_silent(const struct fleet_table *t, uint64_t now, uint32_t *list)
@@ -375,7 +379,7 @@
 }
 
 /*
- * Orders hashes.
+ * Compares two hashes for qsort().
  */
 static int
 hash_cmp(const void *a, const void *b)
@@ -386,7 +390,7 @@
 }
 
 /*
- * Counts how often a node stands in an ordered list of hashes.
+ * Counts the occurrences of a node's hash in a sorted list.
  */
 static uint32_t
 count_occurrences(const uint32_t *list, size_t n, uint64_t node)
@@ -407,10 +411,11 @@
 }
 
 /*
- * Decides whether this node takes part in the choice of owners.  One that most
- * nodes stop to hear while it hears them has a bad link: it stays out until
- * that is well for some time, since limits that change their owner all the
- * time have none.  After a cut or a start, all come in at once.
+ * Decides whether this node may own limits.  A node that a majority stops
+ * hearing while it still hears them has a bad link.  It stays isolated until
+ * the link has worked for REJOIN_AFTER_MS, since a limit whose owner keeps
+ * changing has no effective owner.  After a partition or a start, all nodes
+ * join at once.
  */
 static void
 update_own_isolation(
@@ -427,10 +432,10 @@
 }
 
 /*
- * Finds the nodes that more than half of all don't hear.  This one counts as
- * such a node unless more than half of all hear it, as far as it knows.  So
- * where some nodes can't hear others, one that only a few don't hear still
- * owns what it owned, and no other one takes that over beside it.
+ * Isolates each peer that more than half of all nodes don't hear.  This node
+ * isolates itself unless, as far as it knows, more than half of all nodes hear
+ * it.  Thus a node that only a few don't hear keeps its limits, and no second
+ * node takes them over.
  */
 static void
 update_isolation(struct fleet_table *t, uint64_t now)
@@ -463,9 +468,8 @@
 }
 
 /*
- * Returns the node with the greatest weight (rendezvous hashing) of those that
- * most nodes hear, or FLEET_NONE; this node counts only if it may be chosen
- * itself.
+ * Returns the node with the highest rendezvous weight among those that are not
+ * isolated, or FLEET_NONE.  This node is a candidate only if self is set.
  */
 static int
 highest_weight_node(const struct fleet_table *t, uint64_t key, int self)
@@ -493,8 +497,8 @@
 }
 
 /*
- * Returns which live node decides for a limit: a handle, FLEET_SELF, or
- * FLEET_NONE without a quorum.
+ * Returns the live node that owns a limit: a handle, FLEET_SELF, or FLEET_NONE
+ * without a quorum.
  */
 int
 fleet_owner(const struct fleet_table *t, uint64_t key, uint64_t now)
@@ -505,7 +509,7 @@
 }
 
 /*
- * Returns which other node decides for a limit once this one has stopped, or
+ * Returns the node that owns a limit after this node has stopped, or
  * FLEET_NONE.
  */
 int
@@ -515,8 +519,9 @@
 }
 
 /*
- * Lists the nodes that follow the store closely for all others, the same ones
- * wherever the same nodes are alive.  Returns their number.
+ * Lists the nodes that follow the store closely on behalf of all others.  Nodes
+ * that see the same live nodes get the same list.  Returns the number of
+ * readers.
  */
 size_t
 fleet_readers(const struct fleet_table *t, int *list, size_t max)
@@ -535,9 +540,10 @@
 }
 
 /*
- * Returns for how long a silent node counts as known.  The smaller part of a
- * divided fleet keeps the larger one for longer, or it would take itself for
- * the whole.  Nodes that never were heard may have been removed long ago.
+ * Returns how long a silent node counts as known.  The minority of a
+ * partitioned fleet remembers the majority for longer, or it would take itself
+ * for the whole fleet.  Nodes that were never heard may have been removed long
+ * ago.
  */
 static uint64_t
 forget_after_ms(const struct fleet_peer *p, int quorum)
@@ -547,8 +553,8 @@
 }
 
 /*
- * Forgets nodes that have been silent for long, and notes when the set of
- * live nodes changes.
+ * Marks nodes as departed that have long been silent, updates the isolation of
+ * all nodes and records when the set of live nodes changes.
  */
 void
 fleet_tick(struct fleet_table *t, uint64_t now)
@@ -579,10 +585,10 @@
 }
 
 /*
- * Takes note that this process stood still until now: what was not heard
- * meanwhile is no evidence against others.  But they may have taken it for
- * dead; so it decides for no limit until it has heard from them what they
- * think.
+ * Accounts for a pause of this process that ends now.  The silence of other
+ * nodes during the pause does not count against them.  But they may have
+ * declared this node dead, so it stays isolated until their next heartbeats
+ * have arrived.
  */
 void
 fleet_paused(struct fleet_table *t, uint64_t pause_ms, uint64_t now)
@@ -597,7 +603,7 @@
 		p = &t->peers[i];
 		if (p->heard_ms == 0)
 			continue;
-		/* Heard after the pause is counted from: no later than now. */
+		/* A heartbeat may have come after the pause began. */
 		p->heard_ms += pause_ms;
 		if (p->heard_ms > now)
 			p->heard_ms = now;
@@ -605,7 +611,7 @@
 }
 
 /*
- * Returns the time between two beats.
+ * Returns the time between two heartbeats.
  */
 uint64_t
 fleet_interval_ms(const struct fleet_table *t)
--- a/src/fleet/seal.c
+++ b/src/fleet/seal.c
@@ -3,7 +3,8 @@
 #include <sodium.h>
 #include <string.h>
 
-#define KIND_DATAGRAM 1 /* so that no seal of one kind serves for another */
+/* The kind is hashed first: a seal of one kind must not fit another. */
+#define KIND_DATAGRAM 1
 #define KIND_REQUEST 2
 
 static void derive_key(const char *, unsigned char *);
@@ -14,7 +15,7 @@
     const unsigned char *, const struct seal_request *, char *);
 
 /*
- * Makes a key of a text of any length.
+ * Derives a key of fixed length from a text of any length.
  */
 static void
 derive_key(const char *text, unsigned char *key)
@@ -24,8 +25,8 @@
 }
 
 /*
- * Takes the fleet's key, and another one whose seals are good, too; an empty
- * text means that there is none.
+ * Sets the fleet key and a second key, whose seals are accepted during a key
+ * rotation.  An empty text means no key.
  */
 void
 seal_init(struct seal *s, const char *secret_key, const char *previous_key)
@@ -40,7 +41,8 @@
 }
 
 /*
- * Adds a part with its length, so that no two lists of parts hash alike.
+ * Adds a part with its length in front, so that different lists of parts never
+ * hash alike.
  */
 static void
 hash_part(crypto_generichash_state *st, const char *p, size_t len)
@@ -54,7 +56,7 @@
 }
 
 /*
- * Computes the seal of a datagram with a key.
+ * Computes the MAC of a datagram with one key.
  */
 static void
 compute_datagram_mac(
@@ -70,7 +72,8 @@
 }
 
 /*
- * Computes the seal of a request with a key, as SEAL_HEX bytes of text.
+ * Computes the MAC of a request with one key, as SEAL_HEX bytes of hexadecimal
+ * text.
  */
 static void
 compute_request_mac(
@@ -91,8 +94,8 @@
 }
 
 /*
- * Puts the seal behind a datagram, where SEAL_BYTES must be free.  Returns the
- * new length, which is the old one without a key.
+ * Appends the seal to a datagram, whose buffer must have SEAL_BYTES free.
+ * Returns the new length, which is the old one without a key.
  */
 size_t
 seal_datagram(const struct seal *s, char *p, size_t len)
@@ -105,7 +108,7 @@
 
 /*
  * Returns the length of a datagram without its seal, or 0 if the seal is
- * missing or of no key that is taken.
+ * missing or fits none of the accepted keys.
  */
 size_t
 seal_open(const struct seal *s, const char *p, size_t len)
@@ -127,8 +130,8 @@
 }
 
 /*
- * Writes the seal of a request as SEAL_HEX bytes of text, or an empty text
- * without a key.
+ * Writes the seal of a request as SEAL_HEX bytes of hexadecimal text, or an
+ * empty text without a key.
  */
 void
 seal_request(const struct seal *s, const struct seal_request *q, char *hex)
@@ -139,8 +142,8 @@
 }
 
 /*
- * Tells whether a request bears the seal of a key that is taken; without a key
- * each does.
+ * Returns whether a request has a seal by one of the accepted keys.  Without a
+ * key every request passes.
  */
 int
 seal_request_good(
--- a/src/fleet/seal.h
+++ b/src/fleet/seal.h
@@ -3,23 +3,24 @@
 
 #include <stddef.h>
 
-#define SEAL_KEY_MIN 16	  /* characters: 128 bits if each holds a byte */
+#define SEAL_KEY_MIN 16	  /* characters: 128 bits if each carries a byte */
 #define SEAL_KEY_BYTES 65 /* with the NUL: 32 bytes in hexadecimal */
-#define SEAL_BYTES 16	  /* of a datagram's seal: 128 bits */
-#define SEAL_HEX (2 * SEAL_BYTES + 1)
-#define SEAL_KEYS 2 /* that are taken; the first one seals */
+#define SEAL_BYTES 16	  /* MAC of a datagram: 128 bits */
+#define SEAL_HEX (2 * SEAL_BYTES + 1) /* with the NUL */
+#define SEAL_KEYS 2		      /* accepted keys; the first one seals */
 #define SEAL_KEY_HASH 32
 
 /*
- * Proof that a message between nodes comes from one that knows the fleet's
- * key: a keyed hash.  Without a key nothing is sealed and everything is taken.
+ * Keys of the MAC (keyed hash) that proves that a message between nodes comes
+ * from a holder of the fleet key.  Without a key, messages are sent unsealed
+ * and all are accepted.
  */
 struct seal {
 	int keyed;
 	unsigned char key[SEAL_KEYS][SEAL_KEY_HASH];
 };
 
-/* What the seal of a forwarded request covers; the body is not in it. */
+/* The parts of a forwarded request that its seal covers; not the body. */
 struct seal_request {
 	const char *method;
 	const char *target;
--- a/src/fleet/test_left.c
+++ b/src/fleet/test_left.c
@@ -9,9 +9,9 @@
 
 #define STEPS 4
 
-/* Beats of one node in order; is its server taken for leaving after each? */
+/* Heartbeats of one node in order, and whether its server counts as leaving. */
 struct heartbeat_step {
-	uint64_t incarnation; /* of the node; 0: no more beats */
+	uint64_t incarnation; /* of the node; 0: end of the steps */
 	char *server;
 	uint64_t born_ms;
 	unsigned int away;
@@ -22,32 +22,33 @@
 	const char *name;
 	struct heartbeat_step steps[STEPS];
 } rows[] = {
-	{ "node starts again while its server leaves",
+	{ "node restarts while its server leaves",
 	    { { 5, "i-1", 100, 0, 0 }, { 5, "i-1", 100, FLEET_LEAVING, 1 },
 		{ 6, "", 0, 0, 0 }, { 6, "i-1", 100, 0, 1 } } },
-	{ "found by its health, which tells no birth",
+	{ "found by its health check, without a start time",
 	    { { 5, "i-1", 100, FLEET_LEAVING, 1 }, { 6, "i-1", 0, 0, 1 },
 		{ 6, "i-1", 100, 0, 1 } } },
-	{ "server gone, then an announcement late",
+	{ "server departed, then a late announcement",
 	    { { 5, "i-1", 100, 0, 0 }, { 5, "", 0, FLEET_LEAVING, 0 },
 		{ 6, "i-1", 100, 0, 1 } } },
-	{ "server starts again under its id",
+	{ "server restarts under its id",
 	    { { 5, "i-1", 100, FLEET_LEAVING, 1 }, { 6, "", 0, 0, 0 },
 		{ 6, "i-1", 200, 0, 0 } } },
-	{ "another server in its place",
+	{ "replaced by another server",
 	    { { 5, "i-1", 100, FLEET_LEAVING, 1 }, { 5, "", 0, 0, 0 },
 		{ 5, "i-2", 150, 0, 0 } } },
 	{ "down is not leaving",
 	    { { 5, "i-1", 100, FLEET_DOWN, 1 }, { 5, "i-1", 100, 0, 0 },
 		{ 6, "", 0, 0, 0 }, { 6, "i-1", 100, 0, 0 } } },
-	{ "a node that starts again doesn't know its server yet",
+	{ "restarted node does not know its server yet",
 	    { { 5, "i-1", 100, 0, 0 }, { 6, "", 0, 0, 0 },
 		{ 6, "i-1", 100, 0, 0 } } },
 };
 
 /*
- * A server that said that it ends is not taken for sound again, whatever its
- * node has forgotten.
+ * A server that announced its shutdown must not be used again when its node
+ * restarts and a late announcement or health check shows the server as
+ * available.
  */
 static void
 test_departed_server(void **state)
--- a/src/fleet/test_seal.c
+++ b/src/fleet/test_seal.c
@@ -12,7 +12,8 @@
 #define NEW_KEY "new-key-of-a-fleet"
 
 /*
- * Which keys take whose seals, also while a key is changed node by node.
+ * Seals under either of two keys are accepted, so that the fleet key can be
+ * changed node by node.
  */
 static void
 test_key_rotation(void **state)
@@ -25,11 +26,12 @@
 		{ { OLD_KEY, "" }, { NEW_KEY, "" }, 0 },
 		{ { "", "" }, { OLD_KEY, "" }, 0 },
 		{ { "", "" }, { "", "" }, 1 },
-		{ { OLD_KEY, NEW_KEY }, { OLD_KEY, "" }, 1 }, /* first round */
+		{ { OLD_KEY, NEW_KEY }, { OLD_KEY, "" },
+		    1 }, /* first step of a rotation */
 		{ { OLD_KEY, NEW_KEY }, { NEW_KEY, OLD_KEY },
-		    1 }, /* second round */
+		    1 }, /* second step */
 		{ { NEW_KEY, OLD_KEY }, { OLD_KEY, NEW_KEY }, 1 },
-		{ { NEW_KEY, "" }, { NEW_KEY, OLD_KEY }, 1 }, /* third round */
+		{ { NEW_KEY, "" }, { NEW_KEY, OLD_KEY }, 1 }, /* third step */
 		{ { OLD_KEY, NEW_KEY }, { NEW_KEY, "" }, 0 },
 	};
 	static const struct seal_request q = { .method = "POST",
@@ -57,7 +59,7 @@
 }
 
 /*
- * A datagram of which any bit was changed, or that was cut, is none of ours.
+ * A datagram with any bit flipped, or truncated to any length, is rejected.
  */
 static void
 test_datagram_altered(void **state)
@@ -82,8 +84,8 @@
 }
 
 /*
- * The seal of a request is good for it alone, and parts don't run into each
- * other.
+ * The seal of a request fits no other request, also where the same characters
+ * are split into parts at another place.
  */
 static void
 test_request_parts(void **state)
--- a/src/fleet/test_table.c
+++ b/src/fleet/test_table.c
@@ -9,9 +9,9 @@
 
 #define NODES 15
 #define LIMITS 200
-#define START_MS 500 /* of this node, ms */
+#define START_MS 500 /* start of this node */
 #define HEARTBEAT_MS 250
-#define GRANT_DELAY_MS 800 /* after which a new owner lends */
+#define GRANT_DELAY_MS 800 /* before a new owner grants tokens */
 #define CUT_FROM_MS 4000
 #define CUT_END_MS 17800
 
@@ -43,7 +43,7 @@
 }
 
 /*
- * Beats out of order, of earlier incarnations and after a goodbye.
+ * Heartbeats out of order, of earlier incarnations and after a goodbye.
  */
 static void
 test_heartbeat_order(void **state)
@@ -53,13 +53,13 @@
 		int taken, changed;
 	} rows[] = {
 		{ 5, 1, 1000, 1, 1 }, /* first heard */
-		{ 5, 2, 1100, 1, 0 }, /* nothing new */
-		{ 5, 2, 1150, 0, 0 }, /* repeated */
-		{ 5, 1, 1160, 0, 0 }, /* overtaken */
+		{ 5, 2, 1100, 1, 0 }, /* unchanged */
+		{ 5, 2, 1150, 0, 0 }, /* duplicated */
+		{ 5, 1, 1160, 0, 0 }, /* reordered */
 		{ 4, 9, 1200, 0, 0 }, /* of an earlier incarnation */
 		{ 6, 1, 1300, 1, 1 }, /* restarted */
 		{ 5, 3, 1400, 0, 0 }, /* late from before the restart */
-		{ 4, 1, 4000, 1, 1 }, /* its clock went back, long silent */
+		{ 4, 1, 4000, 1, 1 }, /* its clock was set back; long silence */
 	};
 	struct fleet_table t;
 	struct fleet_beat b;
@@ -84,8 +84,8 @@
 }
 
 /*
- * A pulse is a sign of life and tells the load; one whose whole beat was lost
- * is no more than a sign of life.
+ * A load heartbeat shows that its sender is alive and updates the load.  If the
+ * full heartbeat before it was lost, the reported load is ignored.
  */
 static void
 test_load_heartbeat(void **state)
@@ -113,7 +113,7 @@
 	assert_int_equal(t.peers[0].server.running, 7);
 	assert_int_equal(fleet_pulsed(&t, &m, 1, 1200), FLEET_NONE);
 	assert_int_equal(t.peers[0].heard_ms, 1100);
-	/* Another server beside that node, and the beat that told it lost. */
+	/* The full heartbeat that reports a new server was lost. */
 	b.server.id = more;
 	m.print = fleet_print(&b);
 	m.load.sequence = 4;
@@ -130,7 +130,7 @@
 }
 
 /*
- * What a beat tells beside the load gives it another print.
+ * The digest of a heartbeat covers all but its load and the warm-up.
  */
 static void
 test_heartbeat_digest(void **state)
@@ -158,7 +158,7 @@
 }
 
 /*
- * A node's own beat, sent back to it, names no peer.
+ * A node's own heartbeat, sent back to it, adds no peer.
  */
 static void
 test_own_heartbeat(void **state)
@@ -178,8 +178,9 @@
 }
 
 /*
- * In a divided fleet only the larger part has owners; in a whole one all
- * nodes agree on them, and few change when one node goes.
+ * In a partitioned fleet only the larger part has owners.  In a whole one all
+ * nodes agree on the owners.  Each owns only a small share of the limits, so
+ * few limits change their owner when a node stops.
  */
 static void
 test_owner_quorum(void **state)
@@ -208,10 +209,11 @@
 			n == FLEET_SELF ? names[1] : t[1].peers[n].node) == 0;
 	}
 	assert_int_equal(agreed, LIMITS);
-	print_message("%d of %d own limits\n", owned_here, LIMITS);
+	print_message(
+	    "%d of %d limits owned by this node\n", owned_here, LIMITS);
 	assert_true(owned_here > 0);
 	assert_true(owned_here < LIMITS / 4);
-	/* All but six others fall silent: seven of fifteen are no quorum. */
+	/* All but six peers fall silent: seven of 15 nodes are no quorum. */
 	for (i = 1; i <= 6; i++)
 		receive_heartbeat(&t[0], names[i], 1, 2, 5000);
 	assert_int_equal(fleet_owner(&t[0], 1, 5000), FLEET_NONE);
@@ -222,8 +224,8 @@
 }
 
 /*
- * A node that the store lists but nobody hears counts as known, so that a
- * node that is cut off at its start decides nothing alone.
+ * Listed nodes that were never heard count as known, so that a node which is
+ * cut off at its start owns nothing.
  */
 static void
 test_unheard_peers_at_start(void **state)
@@ -240,8 +242,9 @@
 }
 
 /*
- * A node that has just started knows nobody: until it has read the list of
- * nodes it decides for no limit, and what others lent before is unknown.
+ * A node that has just started owns no limit before it has read the node list,
+ * and its set of live nodes counts as changed at the start, since it doesn't
+ * know what an earlier owner granted.
  */
 static void
 test_no_owner_before_node_list(void **state)
@@ -258,8 +261,8 @@
 }
 
 /*
- * What all nodes share is divided by their number, which a node that has just
- * started doesn't know: not before another one tells it, or the list is read.
+ * What the nodes share is divided by their number.  A started node doesn't know
+ * it before a peer reports it or the node list has been read.
  */
 static void
 test_fleet_size_at_start(void **state)
@@ -277,7 +280,7 @@
 		b = make_heartbeat(names[i], 1, 1);
 		fleet_heard(&t, &b, 1000, &changed);
 	}
-	/* These have just started, too. */
+	/* The peers have just started, too. */
 	assert_int_equal(fleet_size(&t), FLEET_SIZE_UNKNOWN);
 	assert_false(fleet_quorum(&t, 1000));
 	b = make_heartbeat(names[0], 1, 2);
@@ -295,9 +298,9 @@
 }
 
 /*
- * The smaller part of a divided fleet doesn't forget the larger one and
- * decide by itself; where most of a fleet is lost for good, the rest does so
- * in the end.
+ * The minority of a partitioned fleet must not soon forget the majority and own
+ * limits on its own.  Where most nodes are lost for good, the rest reaches a
+ * quorum in the end.
  */
 static void
 test_long_partition(void **state)
@@ -335,18 +338,16 @@
 	}
 }
 
-/* Which directed links between nodes are broken, from some time on. */
+/* The directed links that are broken from CUT_FROM_MS on. */
 struct cut {
 	const char *name;
-	int node0_unheard_by; /* listeners that don't hear node 0, of the others
-			       */
-	int node0_deaf;	      /* node 0 hears nobody */
-	int broken_percent;   /* of 100 other links, broken by chance */
-	uint64_t
-	    cut_period_ms;     /* only two thirds of so long; 0: all the time */
-	int min_owned_percent; /* limits with an owner in the end, of 100, at
-				  least */
-	int max_owner_changes; /* of the owner of a limit of node 0, at most */
+	int node0_unheard_by; /* number of nodes that don't hear node 0 */
+	int node0_deaf;	      /* node 0 hears no other node */
+	int broken_percent;   /* share of all links that are broken */
+	/* Links are broken for two thirds of this period; 0: always. */
+	uint64_t cut_period_ms;
+	int min_owned_percent; /* share of limits with an owner at the end */
+	int max_owner_changes; /* of a limit that node 0 owned at first */
 };
 
 static int
@@ -361,7 +362,7 @@
 	       (from * 31 + to * 17) % 100 < c->broken_percent;
 }
 
-/* Nodes that tell each other all they know. */
+/* Nodes that send heartbeats to each other. */
 struct nodes {
 	struct fleet_table tables[NODES];
 	struct fleet_beat beats[NODES];
@@ -382,7 +383,7 @@
 }
 
 /*
- * Each node sends a beat to all, then looks who is silent.
+ * Lets each node send a heartbeat to all others, then update its live nodes.
  */
 static void
 exchange_heartbeats(struct nodes *ns, const struct cut *c, uint64_t now)
@@ -406,7 +407,8 @@
 }
 
 /*
- * Returns the node that lends for a limit, or -1; there is never a second.
+ * Returns the node that grants tokens of a limit, or -1.  Fails the test if
+ * there is a second one.
  */
 static int
 granting_node(const struct nodes *ns, uint64_t limit, uint64_t now)
@@ -424,23 +426,23 @@
 }
 
 /*
- * Split brain: however links are broken one way, no two nodes lend for the
- * same limit.  One that only a few don't hear goes on, and where a link fails
- * now and then, limits don't move to and fro.
+ * Guards against split brain: whichever directed links are broken, no two nodes
+ * grant tokens of the same limit.  A node that only a few don't hear keeps its
+ * limits, and limits don't move back and forth with an intermittent link.
  */
 static void
 test_single_owner_broken_links(void **state)
 {
 	static const struct cut rows[] = {
-		{ "whole", 0, 0, 0, 0, 100, 0 },
-		{ "dead", NODES, 1, 0, 0, 100, 1 },
-		{ "few don't hear one", 5, 0, 0, 0, 100, 0 },
-		{ "most don't hear one", 9, 0, 0, 0, 100, 1 },
-		{ "one hears nobody", 0, 1, 0, 0, 85, 1 },
-		{ "nobody hears one, at times", NODES, 0, 0, 2500, 100, 1 },
-		{ "a fifth of the links", 0, 0, 20, 0, 85, 1 },
-		{ "half of the links", 0, 0, 50, 0, 0, 1 },
-		{ "all links, at times", NODES, 0, 100, 6000, 100, 1 },
+		{ "no broken links", 0, 0, 0, 0, 100, 0 },
+		{ "node 0 dead", NODES, 1, 0, 0, 100, 1 },
+		{ "few don't hear node 0", 5, 0, 0, 0, 100, 0 },
+		{ "most don't hear node 0", 9, 0, 0, 0, 100, 1 },
+		{ "node 0 hears nobody", 0, 1, 0, 0, 85, 1 },
+		{ "node 0 unheard at times", NODES, 0, 0, 2500, 100, 1 },
+		{ "20 % of the links broken", 0, 0, 20, 0, 85, 1 },
+		{ "50 % of the links broken", 0, 0, 50, 0, 0, 1 },
+		{ "all links broken at times", NODES, 0, 100, 6000, 100, 1 },
 	};
 	static struct nodes ns;
 	uint64_t now, limit, first_limit;
@@ -465,7 +467,7 @@
 				}
 			}
 		}
-		print_message("%-26s %d of %d limits owned, %d turns\n",
+		print_message("%-26s %d of %d limits owned, %d owner changes\n",
 		    rows[row].name, owned, LIMITS, owner_changes);
 		assert_true(first_limit > 0);
 		assert_true(owner_changes <= rows[row].max_owner_changes);
@@ -477,9 +479,9 @@
 }
 
 /*
- * After a pause in which others may have taken it for dead, a node decides for
- * no limit until it could hear what they think.  Who was heard between the
- * last tick and the pause is not dead, either.
+ * After a pause in which others may have declared it dead, a node owns no limit
+ * until the heartbeats of the others could arrive.  Nodes heard between the
+ * last update and the pause still count as alive.
  */
 static void
 test_isolated_after_pause(void **state)
@@ -525,7 +527,8 @@
 }
 
 /*
- * A pause of this process is no evidence against others; their silence is.
+ * A pause of this process is no evidence against other nodes; their silence
+ * after it is.
  */
 static void
 test_pause_no_peer_evidence(void **state)
