event: describe buffering, rate limit and clock in plain terms

Comments on the log buffer, the limit of lines per event and the clock of the caller read badly. They now say what is written, what is dropped and counted, and from which clock times come. No code changed.

--- a/src/event/event.c
+++ b/src/event/event.c
@@ -8,17 +8,17 @@
 
 #include "event/event.h"
 
-#define BUFFER_BYTES 65536 /* lines waiting for a slow reader */
+#define BUFFER_BYTES 65536 /* holds lines for a slow reader */
 #define LINE_BYTES 512
 #define RATE_PERIOD_MS 1000
-#define RATE_LINES_MAX 20 /* of one event within one period */
+#define RATE_LINES_MAX 20 /* of one event in one period */
 
 struct event_desc {
 	const char *severity;
 	const char *name;
 };
 
-/* How often an event came in the present period. */
+/* Lines of an event in the current period. */
 struct event_rate {
 	uint64_t start_ms;
 	uint32_t lines;
@@ -67,13 +67,14 @@
 static size_t buffer_len;
 static uint64_t lines_dropped;
 static uint64_t lines_dropped_reported;
-static uint64_t clock_offset_ms; /* the time of day less the caller's clock */
+static uint64_t clock_offset_ms; /* Unix time minus the caller's clock */
 static int discard_lines;
 
 /*
- * Names the node in each line.  The caller's clock shows now; lines have the
- * time of day, so that those of several nodes can be joined.  Standard output
- * becomes non-blocking.  A quiet process writes nothing.
+ * Sets the node name for all lines and the origin of the caller's clock, which
+ * shows now.  Lines carry the time of day, so that the logs of several nodes
+ * can be merged.  Makes standard output non-blocking.  If discard is set, no
+ * lines are written.
  */
 void
 event_init(const char *node, int discard, uint64_t now)
@@ -91,7 +92,7 @@
 }
 
 /*
- * Adds a line to the buffer, or drops it whole.
+ * Appends a line to the buffer, or drops all of it if it does not fit.
  */
 static void
 append_line(const char *p, size_t n)
@@ -107,9 +108,9 @@
 }
 
 /*
- * Logs an event at a time (ms) with its fields, key=value.  At most
- * RATE_LINES_MAX lines of an event are written in a period, the rest is
- * counted.
+ * Logs an event at a time of the caller's clock (ms) with its key=value fields.
+ * Writes at most RATE_LINES_MAX lines of an event per period and counts the
+ * suppressed rest.
  */
 void
 event_log(enum event e, uint64_t now, const char *fmt, ...)
@@ -152,7 +153,7 @@
 }
 
 /*
- * Writes what standard output takes without waiting.
+ * Writes as much of the buffer as standard output accepts without blocking.
  */
 void
 event_flush(void)
@@ -174,7 +175,7 @@
 		return;
 	n = write(STDOUT_FILENO, buffer, buffer_len);
 	if (n < 0 && errno != EAGAIN && errno != EINTR)
-		n = (ssize_t)buffer_len; /* nobody will ever read it */
+		n = (ssize_t)buffer_len; /* nothing can read it: discard */
 	if (n <= 0)
 		return;
 	buffer_len -= (size_t)n;
@@ -182,7 +183,7 @@
 }
 
 /*
- * Returns how many lines were dropped since the start.
+ * Returns the number of lines dropped since the start.
  */
 uint64_t
 event_dropped(void)
--- a/src/event/event.h
+++ b/src/event/event.h
@@ -5,9 +5,10 @@
 #include <stdint.h>
 
 /*
- * Structured log lines on standard output, one an event.  Each event stands
- * in event.c's table with its severity and name.  Lines go through a buffer
- * of fixed size and never block; what doesn't fit is dropped and counted.
+ * Structured log lines on standard output, one per event.  The table in
+ * event.c gives each event's severity and name.  Lines pass through a buffer
+ * of fixed size, and logging never blocks: lines that don't fit are dropped
+ * and counted.
  */
 enum event {
 	EVENT_START,
--- a/src/event/test_event.c
+++ b/src/event/test_event.c
@@ -13,13 +13,14 @@
 #include "event/event.h"
 
 #define READ_BYTES 65536
-#define EVENTS_PER_S 10000 /* a second */
+#define EVENTS_PER_S 10000
 #define RUN_S 30
 
 static int pipe_reader = -1;
 
 /*
- * Makes standard output a pipe; what cmocka prints goes to standard error.
+ * Redirects standard output to a pipe.  cmocka's output goes to the original
+ * standard output.
  */
 static void
 redirect_stdout(void)
@@ -35,7 +36,7 @@
 }
 
 /*
- * Reads all lines that are in the pipe.
+ * Reads all lines from the pipe into a buffer.  Returns their length.
  */
 static size_t
 drain(char *buf, size_t size)
@@ -55,7 +56,7 @@
 }
 
 /*
- * A line has the time, the node, the level, the event and its fields.
+ * A line contains the time, the node, the level, the event and its fields.
  */
 static void
 test_line_format(void **state)
@@ -73,7 +74,8 @@
 }
 
 /*
- * Of many events of one kind some are printed and the rest is counted.
+ * Of many events of one kind in a period, the first lines are written and the
+ * rest is counted.
  */
 static void
 test_rate_limit(void **state)
@@ -95,7 +97,8 @@
 }
 
 /*
- * Nobody reads: no event waits, and lines that don't fit are counted.
+ * Logging must not block when nobody reads the pipe; lines that don't fit are
+ * counted as dropped.
  */
 static void
 test_unread_pipe(void **state)
@@ -138,7 +141,7 @@
 	int rc, out = dup(STDOUT_FILENO);
 
 	redirect_stdout();
-	/* cmocka prints through stdio, which must not fill the pipe. */
+	/* The output of cmocka must not fill the pipe. */
 	stdout = fdopen(out, "w");
 	rc = cmocka_run_group_tests(tests, NULL, NULL);
 	fflush(stdout);
