fleet: name digests, previous values and test rows after their meaning

Locals called print, before and more, and test columns called taken, later and out, said little at their use. They are now digest, previous_heard_ms, new_server, accepted, later_ms and stays_isolated. No code changed.

--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -128,15 +128,15 @@
 send_heartbeat(struct fleet_net *n)
 {
 	struct fleet_msg m, pulse;
-	uint64_t print;
+	uint64_t digest;
 
 	memset(&m, 0, sizeof(m));
 	m.kind = FLEET_BEAT;
 	n->ops->fill(n->ctx, &m.fleet_msg_u.beat);
-	print = fleet_print(&m.fleet_msg_u.beat);
-	if (print != n->print)
+	digest = fleet_print(&m.fleet_msg_u.beat);
+	if (digest != n->print)
 		n->wholes = 1 + FULL_HEARTBEAT_REPEATS;
-	n->print = print;
+	n->print = digest;
 	if (n->wholes > 0 || n->beats % FULL_HEARTBEAT_EVERY == 0) {
 		n->wholes -= n->wholes > 0;
 		fleet_send_all(n, &m);
@@ -145,7 +145,7 @@
 	memset(&pulse, 0, sizeof(pulse));
 	pulse.kind = FLEET_PULSE;
 	pulse.fleet_msg_u.pulse.incarnation = m.fleet_msg_u.beat.incarnation;
-	pulse.fleet_msg_u.pulse.print = print;
+	pulse.fleet_msg_u.pulse.print = digest;
 	pulse.fleet_msg_u.pulse.load = m.fleet_msg_u.beat.load;
 	fleet_send_all(n, &pulse);
 }
@@ -157,10 +157,10 @@
 static void
 update_members(struct fleet_net *n)
 {
-	uint64_t before = n->table->live_print;
+	uint64_t previous_digest = n->table->live_print;
 
 	fleet_tick(n->table, loop_ms(n->loop));
-	if (n->table->live_print != before)
+	if (n->table->live_print != previous_digest)
 		n->ops->turned(n->ctx, FLEET_NONE);
 }
 
@@ -266,16 +266,16 @@
 static void
 receive_heartbeat(struct fleet_net *n, const struct fleet_beat *b)
 {
-	uint64_t now = loop_ms(n->loop), before = 0;
+	uint64_t now = loop_ms(n->loop), previous_heard_ms = 0;
 	int i, changed;
 
 	i = fleet_find(n->table, b->node);
 	if (i >= 0 && n->table->peers[i].incarnation == b->incarnation)
-		before = n->table->peers[i].heard_ms;
+		previous_heard_ms = n->table->peers[i].heard_ms;
 	i = fleet_heard(n->table, b, now, &changed);
 	if (i < 0)
 		return;
-	if (before == 0)
+	if (previous_heard_ms == 0)
 		fleet_beat_one(n, b->address);
 	if (b->server.away != FLEET_LEAVING &&
 	    fleet_has_left(&n->table->peers[i], &b->server))
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -250,28 +250,28 @@
 	const struct fleet_server_state *s = &b->server;
 	const uint64_t numbers[] = { b->incarnation, b->address, b->port,
 		b->stopping, s->born_ms, s->slots, s->away };
-	uint64_t print = XXH3_64bits(numbers, sizeof(numbers));
+	uint64_t digest = XXH3_64bits(numbers, sizeof(numbers));
 	u_int i;
 
-	print = digest_name(print, b->node);
-	print = digest_name(print, b->zone);
-	print = digest_name(print, s->id);
-	print = digest_name(print, s->service);
+	digest = digest_name(digest, b->node);
+	digest = digest_name(digest, b->zone);
+	digest = digest_name(digest, s->id);
+	digest = digest_name(digest, s->service);
 	for (i = 0; i < b->calls.calls_len; i++)
-		print = digest_name(print, b->calls.calls_val[i]);
-	print = digest_name(print, "");
+		digest = digest_name(digest, b->calls.calls_val[i]);
+	digest = digest_name(digest, "");
 	for (i = 0; i < b->demands.demands_len; i++)
-		print = digest_name(print, b->demands.demands_val[i]);
-	return print;
+		digest = digest_name(digest, b->demands.demands_val[i]);
+	return digest;
 }
 
 /*
  * Adds a name to a digest.
  */
 static uint64_t
-digest_name(uint64_t print, const char *name)
+digest_name(uint64_t digest, const char *name)
 {
-	return XXH3_64bits_withSeed(name, strlen(name) + 1, print);
+	return XXH3_64bits_withSeed(name, strlen(name) + 1, digest);
 }
 
 /*
@@ -561,7 +561,7 @@
 {
 	int quorum = fleet_quorum(t, now);
 	struct fleet_peer *p;
-	uint64_t print;
+	uint64_t digest;
 	size_t i;
 
 	for (i = 0; i < t->count; i++) {
@@ -572,14 +572,14 @@
 			p->gone = 1;
 	}
 	update_isolation(t, now);
-	print = (uint64_t)t->out;
+	digest = (uint64_t)t->out;
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
 		if (p->heard_ms != 0 && !p->gone && !p->out && !p->stopping)
-			print += owner_weight(p->hash, p->incarnation);
+			digest += owner_weight(p->hash, p->incarnation);
 	}
-	if (print != t->live_print) {
-		t->live_print = print;
+	if (digest != t->live_print) {
+		t->live_print = digest;
 		t->turned_ms = now;
 	}
 }
--- a/src/fleet/test_table.c
+++ b/src/fleet/test_table.c
@@ -50,7 +50,7 @@
 {
 	static const struct {
 		uint64_t inc, seq, now;
-		int taken, changed;
+		int accepted, changed;
 	} rows[] = {
 		{ 5, 1, 1000, 1, 1 }, /* first heard */
 		{ 5, 2, 1100, 1, 0 }, /* unchanged */
@@ -73,7 +73,7 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		b = make_heartbeat(name, rows[i].inc, rows[i].seq);
 		h = fleet_heard(&t, &b, rows[i].now, &changed);
-		assert_int_equal(h >= 0, rows[i].taken);
+		assert_int_equal(h >= 0, rows[i].accepted);
 		assert_int_equal(changed, rows[i].changed);
 	}
 	fleet_said_bye(&t, &b, 4100);
@@ -90,7 +90,7 @@
 static void
 test_load_heartbeat(void **state)
 {
-	char name[] = "b", more[] = "c";
+	char name[] = "b", new_server[] = "c";
 	struct fleet_pulse m;
 	struct fleet_table t;
 	struct fleet_beat b;
@@ -114,7 +114,7 @@
 	assert_int_equal(fleet_pulsed(&t, &m, 1, 1200), FLEET_NONE);
 	assert_int_equal(t.peers[0].heard_ms, 1100);
 	/* The full heartbeat that reports a new server was lost. */
-	b.server.id = more;
+	b.server.id = new_server;
 	m.print = fleet_print(&b);
 	m.load.sequence = 4;
 	m.load.running = 0;
@@ -138,23 +138,23 @@
 	char name[] = "b", called[] = "deep";
 	fleet_name calls[] = { called };
 	struct fleet_beat b = make_heartbeat(name, 5, 1);
-	uint64_t print = fleet_print(&b);
+	uint64_t digest = fleet_print(&b);
 
 	(void)state;
 	b.load.sequence = 9;
 	b.load.running = 3;
 	b.server.cold_ms = 100;
-	assert_true(fleet_print(&b) == print);
+	assert_true(fleet_print(&b) == digest);
 	b.server.away = 1;
-	assert_true(fleet_print(&b) != print);
+	assert_true(fleet_print(&b) != digest);
 	b.server.away = 0;
 	b.calls.calls_val = calls;
 	b.calls.calls_len = 1;
-	assert_true(fleet_print(&b) != print);
+	assert_true(fleet_print(&b) != digest);
 	b.demands.demands_val = calls;
 	b.demands.demands_len = 1;
 	b.calls.calls_len = 0;
-	assert_true(fleet_print(&b) != print);
+	assert_true(fleet_print(&b) != digest);
 }
 
 /*
@@ -487,8 +487,8 @@
 test_isolated_after_pause(void **state)
 {
 	static const struct {
-		uint64_t for_ms, later;
-		int out;
+		uint64_t pause_ms, later_ms;
+		int stays_isolated;
 	} rows[] = {
 		{ 900, 0, 0 },
 		{ 1190, 0, 0 },
@@ -510,18 +510,18 @@
 		fleet_tick(&t, 1000);
 		assert_false(t.out);
 		receive_heartbeat(&t, name, 1, 2, 1200);
-		now = 1000 + rows[i].for_ms;
-		fleet_paused(&t, rows[i].for_ms, now);
+		now = 1000 + rows[i].pause_ms;
+		fleet_paused(&t, rows[i].pause_ms, now);
 		fleet_tick(&t, now);
 		assert_true(fleet_alive(&t, 0, now));
-		now += rows[i].later;
+		now += rows[i].later_ms;
 		fleet_tick(&t, now);
-		assert_int_equal(t.out, rows[i].out);
+		assert_int_equal(t.out, rows[i].stays_isolated);
 		assert_false(t.peers[0].gone);
-		assert_true(
-		    rows[i].out || fleet_owner(&t, 7, now) != FLEET_NONE);
-		assert_true(
-		    !rows[i].out || fleet_owner(&t, 7, now) != FLEET_SELF);
+		assert_true(rows[i].stays_isolated ||
+			    fleet_owner(&t, 7, now) != FLEET_NONE);
+		assert_true(!rows[i].stays_isolated ||
+			    fleet_owner(&t, 7, now) != FLEET_SELF);
 		fleet_table_finish(&t);
 	}
 }
