--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -34,12 +34,12 @@
 
 enum lease_result {
 	LEASE_ACCEPTED,
-	LEASE_LOST,	/* another claim came first in the log */
-	LEASE_BUFFERED, /* can't be judged before a snapshot is read */
-	LEASE_BAD,	/* malformed: dropped */
+	LEASE_SUPERSEDED, /* another claim came first in the log */
+	LEASE_BUFFERED,	  /* can't be judged before a snapshot is read */
+	LEASE_MALFORMED,  /* malformed: dropped */
 	LEASE_SNAPSHOT,
 	LEASE_RESET,
-	LEASE_OLD, /* already applied */
+	LEASE_STALE, /* already applied */
 	LEASE_RESULT_MAX
 };
 
@@ -53,11 +53,11 @@
 };
 
 /* This node's own appends; they outlive a table that lost its records. */
-struct lease_own {
-	uint64_t prev; /* term that the newest of them would replace */
-	int inflight;  /* it has not ended */
-	int unsure;    /* one has ended, and may still be written */
-	int stopped;   /* it hands over: this node no longer acts */
+struct lease_appends {
+	uint64_t replaced_term; /* term that the newest of them would replace */
+	int in_flight;		/* it has not ended */
+	int maybe_written;	/* one has ended, and may still be written */
+	int stopped;		/* it hands over: this node no longer acts */
 };
 
 /* What the log says of one partition, and what this node has promised. */
@@ -67,13 +67,14 @@
 	struct node_id owner;
 	struct node_id standby;
 	enum lease_kind kind;
-	uint64_t effective_ms;	  /* the owner may act from here on */
-	uint64_t noted_ms;	  /* or here, on what only counts once noted */
-	uint64_t seen_ms;	  /* when this term was read */
-	uint64_t promise_sent_ms; /* newest promise of the standby */
+	uint64_t effective_ms;		  /* the owner may act from here on */
+	uint64_t replicated_effective_ms; /* or here, on what only counts once
+					     noted */
+	uint64_t read_ms;		  /* when this term was read */
+	uint64_t promise_sent_ms;	  /* newest promise of the standby */
 	int promised;
 	int first; /* tenure began with the first claim ever */
-	struct lease_own own;
+	struct lease_appends appends;
 	uint64_t hint_term; /* newer term that a peer knows of */
 	struct node_id hint_owner;
 	struct node_id hint_standby;
@@ -87,17 +88,18 @@
 struct lease_table {
 	struct node_id self;
 	uint64_t long_ms;
-	uint64_t start; /* offset from which all records were read */
-	uint64_t next;	/* offset of the next record to apply */
+	uint64_t read_from; /* offset from which all records were read */
+	uint64_t next;	    /* offset of the next record to apply */
 	int complete;
-	int proved;
-	uint64_t read_sent_ms;	/* when the newest proving read was sent */
-	uint64_t reached_ms;	/* first proving read while incomplete */
-	uint64_t snapshot_next; /* position described by the last snapshot */
-	uint64_t snapshot_ms;	/* when it was read */
+	int has_read_proof;
+	uint64_t read_sent_ms;	 /* when the newest proving read was sent */
+	uint64_t end_reached_ms; /* first proving read while incomplete */
+	uint64_t
+	    snapshot_next_offset;  /* position described by the last snapshot */
+	uint64_t snapshot_read_ms; /* when it was read */
 	int snapshot_seen;
-	uint64_t bad;
-	uint64_t lost;
+	uint64_t malformed_count;
+	uint64_t superseded_count;
 	struct lease_entry part[LEASE_PARTS];
 	struct lease_pending *pending;
 	size_t pending_count;
@@ -131,13 +133,13 @@
 void lease_promise(struct lease_table *, uint32_t, uint64_t, uint64_t);
 int lease_may_promise(
     const struct lease_table *, uint32_t, uint64_t, const struct node_id *);
-void lease_hint(struct lease_table *, uint32_t, uint64_t,
+void lease_add_hint(struct lease_table *, uint32_t, uint64_t,
     const struct node_id *, const struct node_id *);
 uint64_t lease_held(const struct lease_table *, uint32_t, uint64_t);
-uint64_t lease_noted(const struct lease_table *, uint32_t, uint64_t);
+uint64_t lease_replicated_until(const struct lease_table *, uint32_t, uint64_t);
 void lease_view(
     const struct lease_table *, uint32_t, uint64_t, struct lease_view *);
-int lease_wants_reset(const struct lease_table *, uint64_t);
+int lease_reset_due(const struct lease_table *, uint64_t);
 const char *lease_kind_name(enum lease_kind);
 
 /* lease_json.c: records of the stream */
@@ -146,13 +148,14 @@
 char *lease_reset_encode(void);
 
 /* lease_decide.c: which claims this node appends now */
-#define LEASE_FRESH_MS 10000	 /* age of the last read to decide on */
-#define LEASE_SETTLE_MS 2000	 /* members find each other meanwhile */
-#define LEASE_RANK_MS 3000	 /* head start of each better candidate */
-#define LEASE_DEAD_MS 15000	 /* silence before anyone takes over */
-#define LEASE_IDLE_MS 60000	 /* the same with a standby that does nothing */
-#define LEASE_REBALANCE_MS 10000 /* between two moves by one owner */
-#define LEASE_STABLE_MS 30000	 /* age of a member that gets moves */
+#define LEASE_READ_AGE_MAX_MS 10000 /* age of the last read to decide on */
+#define LEASE_DISCOVERY_MS 2000	    /* members find each other meanwhile */
+#define LEASE_RANK_DELAY_MS 3000    /* head start of each better candidate */
+#define LEASE_OWNER_DEAD_MS 15000   /* silence before anyone takes over */
+#define LEASE_STANDBY_IDLE_MS \
+	60000 /* the same with a standby that does nothing */
+#define LEASE_REBALANCE_INTERVAL_MS 10000 /* between two moves by one owner */
+#define LEASE_STABLE_MS 30000		  /* age of a member that gets moves */
 
 struct lease_member {
 	struct node_id id;
@@ -165,9 +168,10 @@
 };
 
 struct lease_decider {
-	uint64_t dead_ms[LEASE_PARTS]; /* owner seen dead since; 0: alive */
-	uint64_t moved_ms;
-	int moved;
+	uint64_t owner_dead_since_ms[LEASE_PARTS]; /* owner seen dead since; 0:
+						      alive */
+	uint64_t last_move_ms;
+	int has_moved;
 	int stopping; /* this node is to hand everything over */
 };
 
--- a/src/lease/lease_decide.c
+++ b/src/lease/lease_decide.c
@@ -4,14 +4,14 @@
 #include "lease/lease.h"
 
 #define DOMAINS_MAX 64
-#define DOMAIN_MATCH (UINT64_C(1) << 63)
-#define REGION_MATCH (UINT64_C(1) << 62)
+#define DOMAIN_MATCH_BIT (UINT64_C(1) << 63)
+#define REGION_MATCH_BIT (UINT64_C(1) << 62)
 
 /* One round of decisions. */
 struct round {
-	struct lease_decider *d;
-	const struct lease_table *t;
-	const struct lease_inputs *in;
+	struct lease_decider *decider;
+	const struct lease_table *table;
+	const struct lease_inputs *inputs;
 	uint32_t domains[DOMAINS_MAX];
 	size_t domain_count;
 	const struct lease_member *self;
@@ -21,40 +21,40 @@
 };
 
 /* Where an owner or a standby should be. */
-struct want {
+struct placement {
 	uint32_t domain;
-	int apart; /* in any domain but that one */
+	int other_domain; /* in any domain but that one */
 	uint32_t region;
 };
 
-static void round_domains(struct round *);
+static void collect_domains(struct round *);
 static void add_domain(struct round *, uint32_t);
-static const struct lease_member *find(
+static const struct lease_member *find_member(
     const struct round *, const struct node_id *);
 static int is_alive(const struct round *, const struct node_id *);
-static struct want home(const struct round *, uint32_t);
-static struct want apart_from(const struct lease_member *);
-static uint64_t score(
-    uint32_t, const struct want *, const struct lease_member *);
-static const struct lease_member *pick(const struct round *, uint32_t,
-    const struct want *, uint64_t, const struct node_id *,
+static struct placement owner_placement(const struct round *, uint32_t);
+static struct placement standby_placement(const struct lease_member *);
+static uint64_t member_score(
+    uint32_t, const struct placement *, const struct lease_member *);
+static const struct lease_member *pick_member(const struct round *, uint32_t,
+    const struct placement *, uint64_t, const struct node_id *,
     const struct node_id *);
-static uint64_t rank(const struct round *, uint32_t);
-static void claim(
+static uint64_t count_better_members(const struct round *, uint32_t);
+static void add_claim(
     struct round *, uint32_t, const struct node_id *, const struct node_id *);
 static void claim_self(struct round *, uint32_t);
-static int is_ready(const struct round *, uint32_t);
-static void name_standby(struct round *, uint32_t);
-static void leave(struct round *, uint32_t, const struct lease_member *);
+static int standby_is_ready(const struct round *, uint32_t);
+static void replace_standby(struct round *, uint32_t);
+static void hand_over(struct round *, uint32_t, const struct lease_member *);
 static int move_standby(struct round *, uint32_t, const struct lease_member *);
 static int move_owner(struct round *, uint32_t, const struct lease_member *,
     const struct lease_member *);
 static void rebalance(struct round *, uint32_t, const struct lease_member *);
-static void decide_own(struct round *, uint32_t);
+static void decide_owned(struct round *, uint32_t);
 static void decide_vacant(struct round *, uint32_t);
-static void decide_dead(struct round *, uint32_t);
+static void decide_dead_owner(struct round *, uint32_t);
 static void decide_part(struct round *, uint32_t);
-static int in_minority(const struct round *);
+static int sees_minority(const struct round *);
 
 static const struct node_id no_node;
 
@@ -93,34 +93,34 @@
  * that are preferred, or with any if there are none.
  */
 static void
-round_domains(struct round *r)
+collect_domains(struct round *r)
 {
 	const struct lease_member *m;
 	size_t i;
 
-	for (i = 0; i < r->in->count; i++) {
-		m = &r->in->members[i];
+	for (i = 0; i < r->inputs->count; i++) {
+		m = &r->inputs->members[i];
 		if (m->alive && m->preferred)
 			add_domain(r, m->domain);
 	}
 	if (r->domain_count > 0)
 		return;
-	for (i = 0; i < r->in->count; i++)
-		if (r->in->members[i].alive)
-			add_domain(r, r->in->members[i].domain);
+	for (i = 0; i < r->inputs->count; i++)
+		if (r->inputs->members[i].alive)
+			add_domain(r, r->inputs->members[i].domain);
 }
 
 /*
  * Finds a member by its name, or NULL.
  */
 static const struct lease_member *
-find(const struct round *r, const struct node_id *id)
+find_member(const struct round *r, const struct node_id *id)
 {
 	size_t i;
 
-	for (i = 0; i < r->in->count; i++)
-		if (nodeid_equal(&r->in->members[i].id, id))
-			return &r->in->members[i];
+	for (i = 0; i < r->inputs->count; i++)
+		if (nodeid_equal(&r->inputs->members[i].id, id))
+			return &r->inputs->members[i];
 	return NULL;
 }
 
@@ -130,7 +130,7 @@
 static int
 is_alive(const struct round *r, const struct node_id *id)
 {
-	const struct lease_member *m = find(r, id);
+	const struct lease_member *m = find_member(r, id);
 
 	return m != NULL && m->alive;
 }
@@ -138,11 +138,11 @@
 /*
  * Returns where a partition's owner should be.
  */
-static struct want
-home(const struct round *r, uint32_t part)
+static struct placement
+owner_placement(const struct round *r, uint32_t part)
 {
 	uint32_t group = part / LEASE_GROUP_PARTS;
-	struct want w = { .domain = r->domains[group % r->domain_count] };
+	struct placement w = { .domain = r->domains[group % r->domain_count] };
 
 	return w;
 }
@@ -151,10 +151,10 @@
  * Returns where an owner's standby should be: in another failure domain, so
  * that the loss of one leaves either, but in the same region.
  */
-static struct want
-apart_from(const struct lease_member *owner)
+static struct placement
+standby_placement(const struct lease_member *owner)
 {
-	struct want w = { owner->domain, 1, owner->region };
+	struct placement w = { owner->domain, 1, owner->region };
 
 	return w;
 }
@@ -164,15 +164,16 @@
  * rendezvous hashing.
  */
 static uint64_t
-score(uint32_t part, const struct want *w, const struct lease_member *m)
+member_score(
+    uint32_t part, const struct placement *w, const struct lease_member *m)
 {
 	uint64_t key[4] = { part, m->id.addr, m->id.rpc_port,
 		m->id.incarnation };
 	uint64_t h = XXH3_64bits(key, sizeof(key)) >> 2;
 
-	if ((m->domain == w->domain) != w->apart)
-		h |= DOMAIN_MATCH;
-	return m->region == w->region ? h | REGION_MATCH : h;
+	if ((m->domain == w->domain) != w->other_domain)
+		h |= DOMAIN_MATCH_BIT;
+	return m->region == w->region ? h | REGION_MATCH_BIT : h;
 }
 
 /*
@@ -180,19 +181,21 @@
  * NULL.
  */
 static const struct lease_member *
-pick(const struct round *r, uint32_t part, const struct want *w,
-    uint64_t age_ms, const struct node_id *not1, const struct node_id *not2)
+pick_member(const struct round *r, uint32_t part, const struct placement *w,
+    uint64_t age_ms, const struct node_id *exclude1,
+    const struct node_id *exclude2)
 {
 	const struct lease_member *m, *best = NULL;
 	uint64_t s, top = 0;
 	size_t i;
 
-	for (i = 0; i < r->in->count; i++) {
-		m = &r->in->members[i];
+	for (i = 0; i < r->inputs->count; i++) {
+		m = &r->inputs->members[i];
 		if (!m->alive || m->leaving || m->age_ms < age_ms ||
-		    nodeid_equal(&m->id, not1) || nodeid_equal(&m->id, not2))
+		    nodeid_equal(&m->id, exclude1) ||
+		    nodeid_equal(&m->id, exclude2))
 			continue;
-		s = score(part, w, m);
+		s = member_score(part, w, m);
 		if (best == NULL || s > top) {
 			best = m;
 			top = s;
@@ -205,16 +208,16 @@
  * Returns how many live members come before this node for a partition.
  */
 static uint64_t
-rank(const struct round *r, uint32_t part)
+count_better_members(const struct round *r, uint32_t part)
 {
-	struct want w = home(r, part);
-	uint64_t own = score(part, &w, r->self), n = 0;
+	struct placement w = owner_placement(r, part);
+	uint64_t own = member_score(part, &w, r->self), n = 0;
 	const struct lease_member *m;
 	size_t i;
 
-	for (i = 0; i < r->in->count; i++) {
-		m = &r->in->members[i];
-		if (m->alive && !m->leaving && score(part, &w, m) > own)
+	for (i = 0; i < r->inputs->count; i++) {
+		m = &r->inputs->members[i];
+		if (m->alive && !m->leaving && member_score(part, &w, m) > own)
 			n++;
 	}
 	return n;
@@ -224,10 +227,10 @@
  * Adds a claim on the term in force, if there is room in this round.
  */
 static void
-claim(struct round *r, uint32_t part, const struct node_id *owner,
+add_claim(struct round *r, uint32_t part, const struct node_id *owner,
     const struct node_id *standby)
 {
-	const struct lease_entry *e = &r->t->part[part];
+	const struct lease_entry *e = &r->table->part[part];
 	struct lease_claim *c;
 
 	if (r->count == r->max)
@@ -236,7 +239,7 @@
 	c->part = part;
 	c->prev = e->term;
 	c->term = e->term + 1;
-	c->by = r->t->self;
+	c->by = r->table->self;
 	c->owner = *owner;
 	c->standby = *standby;
 }
@@ -247,51 +250,52 @@
 static void
 claim_self(struct round *r, uint32_t part)
 {
-	const struct want w = apart_from(r->self);
+	const struct placement w = standby_placement(r->self);
 	const struct lease_member *m;
 
-	m = pick(r, part, &w, 0, &r->t->self, &no_node);
-	claim(r, part, &r->t->self, m != NULL ? &m->id : &no_node);
+	m = pick_member(r, part, &w, 0, &r->table->self, &no_node);
+	add_claim(r, part, &r->table->self, m != NULL ? &m->id : &no_node);
 }
 
 /*
  * Tells whether the standby of an own partition could act at once.
  */
 static int
-is_ready(const struct round *r, uint32_t part)
+standby_is_ready(const struct round *r, uint32_t part)
 {
-	return r->in->ready == NULL || r->in->ready(r->in->ready_ctx, part);
+	return r->inputs->ready == NULL ||
+	       r->inputs->ready(r->inputs->ready_ctx, part);
 }
 
 /*
  * Names a new standby for an own partition, if there is a candidate.
  */
 static void
-name_standby(struct round *r, uint32_t part)
+replace_standby(struct round *r, uint32_t part)
 {
-	const struct lease_entry *e = &r->t->part[part];
-	const struct want w = apart_from(r->self);
+	const struct lease_entry *e = &r->table->part[part];
+	const struct placement w = standby_placement(r->self);
 	const struct lease_member *m;
 
-	m = pick(r, part, &w, 0, &r->t->self, &e->standby);
+	m = pick_member(r, part, &w, 0, &r->table->self, &e->standby);
 	if (m != NULL)
-		claim(r, part, &r->t->self, &m->id);
+		add_claim(r, part, &r->table->self, &m->id);
 }
 
 /*
  * Hands an own partition to its standby before a planned stop.
  */
 static void
-leave(struct round *r, uint32_t part, const struct lease_member *standby)
+hand_over(struct round *r, uint32_t part, const struct lease_member *standby)
 {
-	const struct lease_entry *e = &r->t->part[part];
-	const struct want w = apart_from(standby);
+	const struct lease_entry *e = &r->table->part[part];
+	const struct placement w = standby_placement(standby);
 	const struct lease_member *m;
 
-	if (!is_ready(r, part))
+	if (!standby_is_ready(r, part))
 		return;
-	m = pick(r, part, &w, 0, &r->t->self, &e->standby);
-	claim(r, part, &e->standby, m != NULL ? &m->id : &no_node);
+	m = pick_member(r, part, &w, 0, &r->table->self, &e->standby);
+	add_claim(r, part, &e->standby, m != NULL ? &m->id : &no_node);
 }
 
 /*
@@ -301,15 +305,16 @@
 static int
 move_standby(struct round *r, uint32_t part, const struct lease_member *standby)
 {
-	const struct want w = apart_from(r->self);
+	const struct placement w = standby_placement(r->self);
 	const struct lease_member *m;
 
 	if (standby->domain != r->self->domain)
 		return 0;
-	m = pick(r, part, &w, LEASE_STABLE_MS, &r->t->self, &no_node);
+	m = pick_member(
+	    r, part, &w, LEASE_STABLE_MS, &r->table->self, &no_node);
 	if (m == NULL || m->domain == r->self->domain)
 		return 0;
-	claim(r, part, &r->t->self, &m->id);
+	add_claim(r, part, &r->table->self, &m->id);
 	return 1;
 }
 
@@ -322,9 +327,9 @@
     const struct lease_member *standby)
 {
 	if (to != standby)
-		claim(r, part, &r->t->self, &to->id);
-	else if (is_ready(r, part))
-		claim(r, part, &to->id, &r->t->self);
+		add_claim(r, part, &r->table->self, &to->id);
+	else if (standby_is_ready(r, part))
+		add_claim(r, part, &to->id, &r->table->self);
 	else
 		return 0;
 	return 1;
@@ -337,41 +342,42 @@
 static void
 rebalance(struct round *r, uint32_t part, const struct lease_member *standby)
 {
-	const struct lease_entry *e = &r->t->part[part];
+	const struct lease_entry *e = &r->table->part[part];
 	const struct lease_member *m;
-	uint64_t now = r->in->now_ms;
-	struct want w = home(r, part);
+	uint64_t now = r->inputs->now_ms;
+	struct placement w = owner_placement(r, part);
 	int moved;
 
-	if ((r->d->moved && now - r->d->moved_ms < LEASE_REBALANCE_MS) ||
-	    now - e->seen_ms < LEASE_REBALANCE_MS)
+	if ((r->decider->has_moved &&
+		now - r->decider->last_move_ms < LEASE_REBALANCE_INTERVAL_MS) ||
+	    now - e->read_ms < LEASE_REBALANCE_INTERVAL_MS)
 		return;
 	if (r->domain_count < LEASE_GROUPS)
 		w.domain = r->self->domain;
-	m = pick(r, part, &w, LEASE_STABLE_MS, &no_node, &no_node);
+	m = pick_member(r, part, &w, LEASE_STABLE_MS, &no_node, &no_node);
 	if (m == NULL)
 		return;
 	moved = m == r->self ? move_standby(r, part, standby)
 			     : move_owner(r, part, m, standby);
 	if (!moved)
 		return;
-	r->d->moved = 1;
-	r->d->moved_ms = now;
+	r->decider->has_moved = 1;
+	r->decider->last_move_ms = now;
 }
 
 /*
  * Decides on a partition of this node's own.
  */
 static void
-decide_own(struct round *r, uint32_t part)
+decide_owned(struct round *r, uint32_t part)
 {
-	const struct lease_entry *e = &r->t->part[part];
-	const struct lease_member *s = find(r, &e->standby);
+	const struct lease_entry *e = &r->table->part[part];
+	const struct lease_member *s = find_member(r, &e->standby);
 
 	if (s == NULL || !s->alive || s->leaving)
-		name_standby(r, part);
-	else if (r->d->stopping)
-		leave(r, part, s);
+		replace_standby(r, part);
+	else if (r->decider->stopping)
+		hand_over(r, part, s);
 	else
 		rebalance(r, part, s);
 }
@@ -384,14 +390,15 @@
 static void
 decide_vacant(struct round *r, uint32_t part)
 {
-	uint64_t now = r->in->now_ms, waited;
+	uint64_t now = r->inputs->now_ms, waited;
 
-	if (r->d->dead_ms[part] == 0)
-		r->d->dead_ms[part] = now;
-	waited = now - r->d->dead_ms[part];
-	if (waited < LEASE_SETTLE_MS)
+	if (r->decider->owner_dead_since_ms[part] == 0)
+		r->decider->owner_dead_since_ms[part] = now;
+	waited = now - r->decider->owner_dead_since_ms[part];
+	if (waited < LEASE_DISCOVERY_MS)
 		return;
-	if (waited >= LEASE_SETTLE_MS + rank(r, part) * LEASE_RANK_MS)
+	if (waited >= LEASE_DISCOVERY_MS +
+			  count_better_members(r, part) * LEASE_RANK_DELAY_MS)
 		claim_self(r, part);
 }
 
@@ -400,22 +407,23 @@
  * anyone else only after both have long been silent.
  */
 static void
-decide_dead(struct round *r, uint32_t part)
+decide_dead_owner(struct round *r, uint32_t part)
 {
-	const struct lease_entry *e = &r->t->part[part];
+	const struct lease_entry *e = &r->table->part[part];
 	uint64_t wait;
 
-	if (r->d->dead_ms[part] == 0)
-		r->d->dead_ms[part] = r->in->now_ms;
-	if (nodeid_equal(&e->standby, &r->t->self)) {
+	if (r->decider->owner_dead_since_ms[part] == 0)
+		r->decider->owner_dead_since_ms[part] = r->inputs->now_ms;
+	if (nodeid_equal(&e->standby, &r->table->self)) {
 		claim_self(r, part);
 		return;
 	}
-	wait = is_alive(r, &e->standby) ? LEASE_IDLE_MS : LEASE_DEAD_MS;
-	if (r->in->now_ms - r->d->dead_ms[part] < wait)
+	wait = is_alive(r, &e->standby) ? LEASE_STANDBY_IDLE_MS
+					: LEASE_OWNER_DEAD_MS;
+	if (r->inputs->now_ms - r->decider->owner_dead_since_ms[part] < wait)
 		return;
-	wait += rank(r, part) * LEASE_RANK_MS;
-	if (r->in->now_ms - r->d->dead_ms[part] >= wait)
+	wait += count_better_members(r, part) * LEASE_RANK_DELAY_MS;
+	if (r->inputs->now_ms - r->decider->owner_dead_since_ms[part] >= wait)
 		claim_self(r, part);
 }
 
@@ -425,25 +433,25 @@
 static void
 decide_part(struct round *r, uint32_t part)
 {
-	const struct lease_entry *e = &r->t->part[part];
+	const struct lease_entry *e = &r->table->part[part];
 
 	if (e->hint_term > e->term)
 		return;
-	if (nodeid_equal(&e->owner, &r->t->self)) {
-		r->d->dead_ms[part] = 0;
-		decide_own(r, part);
+	if (nodeid_equal(&e->owner, &r->table->self)) {
+		r->decider->owner_dead_since_ms[part] = 0;
+		decide_owned(r, part);
 		return;
 	}
 	if (!nodeid_is_none(&e->owner) && is_alive(r, &e->owner)) {
-		r->d->dead_ms[part] = 0;
+		r->decider->owner_dead_since_ms[part] = 0;
 		return;
 	}
-	if (r->d->stopping)
+	if (r->decider->stopping)
 		return;
 	if (nodeid_is_none(&e->owner))
 		decide_vacant(r, part);
 	else
-		decide_dead(r, part);
+		decide_dead_owner(r, part);
 }
 
 /*
@@ -452,13 +460,13 @@
  * reach them.
  */
 static int
-in_minority(const struct round *r)
+sees_minority(const struct round *r)
 {
 	const struct lease_member *m;
 	size_t i, known = 0, alive = 0;
 
-	for (i = 0; i < r->in->count; i++) {
-		m = &r->in->members[i];
+	for (i = 0; i < r->inputs->count; i++) {
+		m = &r->inputs->members[i];
 		known += m->alive || !m->leaving;
 		alive += m->alive != 0;
 	}
@@ -475,15 +483,17 @@
 lease_decide(struct lease_decider *d, const struct lease_table *t,
     const struct lease_inputs *in, struct lease_claim *out, size_t max)
 {
-	struct round r = { .d = d, .t = t, .in = in, .out = out, .max = max };
+	struct round r = {
+		.decider = d, .table = t, .inputs = in, .out = out, .max = max
+	};
 	uint32_t part;
 
-	if (!t->complete || !t->proved ||
-	    in->now_ms - t->read_sent_ms >= LEASE_FRESH_MS)
+	if (!t->complete || !t->has_read_proof ||
+	    in->now_ms - t->read_sent_ms >= LEASE_READ_AGE_MAX_MS)
 		return 0;
-	r.self = find(&r, &t->self);
-	round_domains(&r);
-	if (r.self == NULL || r.domain_count == 0 || in_minority(&r))
+	r.self = find_member(&r, &t->self);
+	collect_domains(&r);
+	if (r.self == NULL || r.domain_count == 0 || sees_minority(&r))
 		return 0;
 	for (part = 0; part < LEASE_PARTS; part++)
 		decide_part(&r, part);
--- a/src/lease/lease_internal.h
+++ b/src/lease/lease_internal.h
@@ -14,7 +14,7 @@
 };
 
 enum lease_record_type {
-	LEASE_RECORD_BAD,
+	LEASE_RECORD_MALFORMED,
 	LEASE_RECORD_CLAIM,
 	LEASE_RECORD_SNAPSHOT,
 	LEASE_RECORD_RESET
--- a/src/lease/lease_json.c
+++ b/src/lease/lease_json.c
@@ -9,11 +9,11 @@
 
 static json_t *node_json(const struct node_id *);
 static int node_parse(json_t *, struct node_id *);
-static int number(json_t *, uint64_t *);
+static int number_parse(json_t *, uint64_t *);
 static int claim_parse(json_t *, struct lease_claim *);
 static int state_parse(json_t *, struct lease_state *);
 static int snapshot_parse(json_t *, struct lease_record *);
-static char *encode(json_t *);
+static char *encode_json(json_t *);
 
 /*
  * Encodes a node's name as text, or null for none.
@@ -69,7 +69,7 @@
  * Reads a number that isn't negative.  Returns 0, or -1.
  */
 static int
-number(json_t *j, uint64_t *v)
+number_parse(json_t *j, uint64_t *v)
 {
 	if (!json_is_integer(j) || json_integer_value(j) < 0)
 		return -1;
@@ -85,10 +85,10 @@
 {
 	uint64_t part;
 
-	if (number(json_object_get(j, "part"), &part) == -1 ||
+	if (number_parse(json_object_get(j, "part"), &part) == -1 ||
 	    part >= LEASE_PARTS ||
-	    number(json_object_get(j, "prev"), &c->prev) == -1 ||
-	    number(json_object_get(j, "term"), &c->term) == -1 ||
+	    number_parse(json_object_get(j, "prev"), &c->prev) == -1 ||
+	    number_parse(json_object_get(j, "term"), &c->term) == -1 ||
 	    c->term != c->prev + 1 ||
 	    node_parse(json_object_get(j, "by"), &c->by) == -1 ||
 	    node_parse(json_object_get(j, "owner"), &c->owner) == -1 ||
@@ -107,9 +107,9 @@
 static int
 state_parse(json_t *j, struct lease_state *s)
 {
-	if (number(json_object_get(j, "term"), &s->term) == -1 ||
-	    number(json_object_get(j, "tenure"), &s->tenure) == -1 ||
-	    number(json_object_get(j, "wait_ms"), &s->wait_ms) == -1 ||
+	if (number_parse(json_object_get(j, "term"), &s->term) == -1 ||
+	    number_parse(json_object_get(j, "tenure"), &s->tenure) == -1 ||
+	    number_parse(json_object_get(j, "wait_ms"), &s->wait_ms) == -1 ||
 	    node_parse(json_object_get(j, "owner"), &s->owner) == -1 ||
 	    node_parse(json_object_get(j, "standby"), &s->standby) == -1)
 		return -1;
@@ -126,7 +126,7 @@
 	json_t *parts = json_object_get(j, "parts");
 	size_t i;
 
-	if (number(json_object_get(j, "next"), &r->next) == -1 ||
+	if (number_parse(json_object_get(j, "next"), &r->next) == -1 ||
 	    json_array_size(parts) != LEASE_PARTS)
 		return -1;
 	for (i = 0; i < LEASE_PARTS; i++)
@@ -145,15 +145,16 @@
 
 	memset(r, 0, sizeof(*r));
 	if (!json_is_object(j))
-		r->type = LEASE_RECORD_BAD;
+		r->type = LEASE_RECORD_MALFORMED;
 	else if (json_is_true(json_object_get(j, "reset")))
 		r->type = LEASE_RECORD_RESET;
 	else if (json_is_true(json_object_get(j, "snapshot")))
 		r->type = snapshot_parse(j, r) == 0 ? LEASE_RECORD_SNAPSHOT
-						    : LEASE_RECORD_BAD;
+						    : LEASE_RECORD_MALFORMED;
 	else
-		r->type = claim_parse(j, &r->claim) == 0 ? LEASE_RECORD_CLAIM
-							 : LEASE_RECORD_BAD;
+		r->type = claim_parse(j, &r->claim) == 0
+			      ? LEASE_RECORD_CLAIM
+			      : LEASE_RECORD_MALFORMED;
 	json_decref(j);
 }
 
@@ -162,7 +163,7 @@
  * memory is exhausted.
  */
 static char *
-encode(json_t *j)
+encode_json(json_t *j)
 {
 	char *s = json_dumps(j, JSON_COMPACT);
 
@@ -178,7 +179,7 @@
 char *
 lease_claim_encode(const struct lease_claim *c)
 {
-	return encode(json_pack("{s:I,s:I,s:I,s:o,s:o,s:o}", "part",
+	return encode_json(json_pack("{s:I,s:I,s:I,s:o,s:o,s:o}", "part",
 	    (json_int_t)c->part, "prev", (json_int_t)c->prev, "term",
 	    (json_int_t)c->term, "by", node_json(&c->by), "owner",
 	    node_json(&c->owner), "standby", node_json(&c->standby)));
@@ -206,7 +207,7 @@
 			node_json(&e->owner), "standby",
 			node_json(&e->standby)));
 	}
-	return encode(json_pack("{s:b,s:I,s:o}", "snapshot", 1, "next",
+	return encode_json(json_pack("{s:b,s:I,s:o}", "snapshot", 1, "next",
 	    (json_int_t)t->next, "parts", parts));
 }
 
@@ -216,5 +217,5 @@
 char *
 lease_reset_encode(void)
 {
-	return encode(json_pack("{s:b}", "reset", 1));
+	return encode_json(json_pack("{s:b}", "reset", 1));
 }
--- a/src/lease/lease_rpc.c
+++ b/src/lease/lease_rpc.c
@@ -5,31 +5,31 @@
 #include "lease/lease_service.h"
 #include "lease/lease_xdr.h"
 
-#define BEAT_TIMEOUT_MS 300
+#define HEARTBEAT_TIMEOUT_MS 300
 #define PAGE_TIMEOUT_MS 300
 
-static int handle_beat(
+static int handle_heartbeat(
     void *, const struct sockaddr_in *, const void *, void *);
-static int handle_page(
+static int handle_table_page(
     void *, const struct sockaddr_in *, const void *, void *);
 static lease_node node_pack(const struct node_id *);
 static struct node_id node_unpack(const lease_node *);
-static size_t collect(
+static size_t take_shared_standby(
     struct lease_service *, uint64_t *, struct node_id *, lease_beat_item *);
-static void send_beat(
+static void send_heartbeat(
     struct lease_service *, const struct node_id *, lease_beat_item *, size_t);
 static int fetch_page(struct lease_service *, const struct node_id *, u_int);
 static int pick_peer(struct lease_service *, struct node_id *);
 
 const struct rpc_proc lease_procs[LEASE_PROC_MAX] = {
-	[LEASE_PROC_BEAT] = { RPC_BLOCK_LEASE + 1,
+	[LEASE_PROC_HEARTBEAT] = { RPC_BLOCK_LEASE + 1,
 	    (xdrproc_t)xdr_lease_beat_arg, sizeof(lease_beat_arg),
 	    (xdrproc_t)xdr_lease_beat_res, sizeof(lease_beat_res),
-	    handle_beat },
+	    handle_heartbeat },
 	[LEASE_PROC_PAGE] = { RPC_BLOCK_LEASE + 2,
 	    (xdrproc_t)xdr_lease_page_arg, sizeof(lease_page_arg),
 	    (xdrproc_t)xdr_lease_page_res, sizeof(lease_page_res),
-	    handle_page },
+	    handle_table_page },
 };
 
 /*
@@ -59,7 +59,7 @@
  * standby, has begun no takeover.
  */
 static int
-handle_beat(
+handle_heartbeat(
     void *ctx, const struct sockaddr_in *from, const void *argp, void *resp)
 {
 	struct lease_service *s = ctx;
@@ -75,7 +75,7 @@
 	if (!nodeid_equal(&standby, &s->cfg.self))
 		return 0;
 	rcu_read_lock();
-	t = rcu_dereference(s->view);
+	t = rcu_dereference(s->published);
 	for (i = 0; i < arg->items.items_len; i++)
 		if (lease_may_promise(t, arg->items.items_val[i].part,
 			arg->items.items_val[i].term, &owner))
@@ -89,7 +89,7 @@
  * empty page.  The answer is freed by the server.
  */
 static int
-handle_page(
+handle_table_page(
     void *ctx, const struct sockaddr_in *from, const void *argp, void *resp)
 {
 	struct lease_service *s = ctx;
@@ -122,22 +122,22 @@
  * one.  Returns how many items were written; 0 if the set is empty.
  */
 static size_t
-collect(struct lease_service *s, uint64_t *left, struct node_id *standby,
-    lease_beat_item *items)
+take_shared_standby(struct lease_service *s, uint64_t *remaining,
+    struct node_id *standby, lease_beat_item *items)
 {
 	const struct lease_entry *e;
 	size_t n = 0;
 	u_int i;
 
 	for (i = 0; i < LEASE_PARTS; i++) {
-		if ((*left & UINT64_C(1) << i) == 0)
+		if ((*remaining & UINT64_C(1) << i) == 0)
 			continue;
 		e = &s->table.part[i];
 		if (n == 0)
 			*standby = e->standby;
 		else if (!nodeid_equal(&e->standby, standby))
 			continue;
-		*left &= ~(UINT64_C(1) << i);
+		*remaining &= ~(UINT64_C(1) << i);
 		items[n].part = i;
 		items[n++].term = e->term;
 	}
@@ -148,7 +148,7 @@
  * Asks one standby for its promises, and counts them from before asking.
  */
 static void
-send_beat(struct lease_service *s, const struct node_id *standby,
+send_heartbeat(struct lease_service *s, const struct node_id *standby,
     lease_beat_item *items, size_t n)
 {
 	lease_beat_arg arg;
@@ -162,8 +162,9 @@
 	arg.items.items_len = (u_int)n;
 	arg.items.items_val = items;
 	sent = clock_ms();
-	if (s->cfg.call(s->cfg.call_ctx, standby, &lease_procs[LEASE_PROC_BEAT],
-		&arg, &res, BEAT_TIMEOUT_MS) != RPC_DONE)
+	if (s->cfg.call(s->cfg.call_ctx, standby,
+		&lease_procs[LEASE_PROC_HEARTBEAT], &arg, &res,
+		HEARTBEAT_TIMEOUT_MS) != RPC_DONE)
 		return;
 	pthread_mutex_lock(&s->lock);
 	for (i = 0; i < n; i++)
@@ -178,12 +179,12 @@
  * Asks the standbys of all own partitions for their promises.
  */
 void
-lease_send_beats(struct lease_service *s)
+lease_send_heartbeats(struct lease_service *s)
 {
 	lease_beat_item items[LEASE_PARTS];
 	const struct lease_entry *e;
 	struct node_id standby;
-	uint64_t left = 0;
+	uint64_t remaining = 0;
 	size_t n;
 	int i;
 
@@ -192,11 +193,11 @@
 		e = &s->table.part[i];
 		if (nodeid_equal(&e->owner, &s->cfg.self) &&
 		    !nodeid_is_none(&e->standby))
-			left |= UINT64_C(1) << i;
+			remaining |= UINT64_C(1) << i;
 	}
-	while ((n = collect(s, &left, &standby, items)) > 0) {
+	while ((n = take_shared_standby(s, &remaining, &standby, items)) > 0) {
 		pthread_mutex_unlock(&s->lock);
-		send_beat(s, &standby, items, n);
+		send_heartbeat(s, &standby, items, n);
 		lease_publish(s);
 		pthread_mutex_lock(&s->lock);
 	}
@@ -225,7 +226,8 @@
 		row = &res.rows.rows_val[i];
 		owner = node_unpack(&row->owner);
 		standby = node_unpack(&row->standby);
-		lease_hint(&s->table, from + i, row->term, &owner, &standby);
+		lease_add_hint(
+		    &s->table, from + i, row->term, &owner, &standby);
 	}
 	pthread_mutex_unlock(&s->lock);
 	xdr_free((xdrproc_t)xdr_lease_page_res, &res);
@@ -261,7 +263,7 @@
  * be read.
  */
 void
-lease_fetch_pages(struct lease_service *s)
+lease_fetch_peer_table(struct lease_service *s)
 {
 	struct node_id peer;
 	u_int from;
@@ -272,6 +274,6 @@
 		if (fetch_page(s, &peer, from) == -1)
 			return;
 	pthread_mutex_lock(&s->lock);
-	s->paged = 1;
+	s->peer_table_read = 1;
 	pthread_mutex_unlock(&s->lock);
 }
--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -11,37 +11,37 @@
 #include "lease/lease_service.h"
 
 #define POLL_MS 500	    /* reads by nodes with a part in the leases */
-#define POLL_EXPECT_MS 50   /* by a standby that others take for owner */
+#define POLL_URGENT_MS 50   /* by a standby that others take for owner */
 #define POLL_WATCH_MS 1000  /* reads by others while an owner is gone */
 #define POLL_IDLE_MS 5000   /* reads by others */
 #define POLL_JITTER_MS 1000 /* keeps those others apart */
-#define BEAT_MS 500
-#define READ_MAX 500	     /* records of one read */
+#define HEARTBEAT_INTERVAL_MS 500
+#define READ_RECORDS_MAX 500 /* records of one read */
 #define READ_TIMEOUT_MS 3000 /* a slow log is better than none */
 #define APPEND_TIMEOUT_MS 3000
-#define CLAIMS_MAX 8	      /* appended in one round */
-#define SNAPSHOT_SHARE 4      /* of the log's retention */
-#define SNAPSHOT_MIN_MS 10000 /* between two */
+#define CLAIMS_MAX 8		       /* appended in one round */
+#define SNAPSHOT_RETENTION_DIVISOR 4   /* of the log's retention */
+#define SNAPSHOT_INTERVAL_MIN_MS 10000 /* between two */
 #define SNAPSHOT_STEP_MS 1000 /* between the nodes that might write one */
 
-static void *run_log(void *);
-static void *run_beats(void *);
+static void *run_log_thread(void *);
+static void *run_heartbeat_thread(void *);
 static void sleep_ms(struct lease_service *, uint64_t);
-static int has_part(struct lease_service *);
+static int may_hold_lease(struct lease_service *);
 static uint64_t poll_ms(struct lease_service *);
 static int wait_poll(struct lease_service *, uint64_t);
-static void log_result(const struct lease_service *, enum lease_result,
+static void log_apply_result(const struct lease_service *, enum lease_result,
     const struct logsvc_record *);
 static int apply_batch(
     struct lease_service *, const struct logsvc_batch *, uint64_t);
 static int read_stream(struct lease_service *);
-static int append(struct lease_service *, const char *);
+static int append_record(struct lease_service *, const char *);
 static int append_claim(struct lease_service *, const struct lease_claim *);
-static size_t decide(struct lease_service *);
+static size_t decide_and_append(struct lease_service *);
 static int snapshot_due(struct lease_service *, uint64_t);
-static int write_table(struct lease_service *);
-static size_t parts(struct lease_service *);
-static size_t owned(const struct lease_table *);
+static int write_table_record(struct lease_service *);
+static size_t count_held(struct lease_service *);
+static size_t count_owned(const struct lease_table *);
 
 /*
  * Starts the threads that read the stream and keep this node's leases.
@@ -63,15 +63,16 @@
 	    cfg->long_ms != 0 ? cfg->long_ms : LEASE_LONG_MS);
 	lease_decider_init(&s->decider);
 	s->members = calloc(LEASE_MEMBERS_MAX, sizeof(*s->members));
-	s->view = malloc(sizeof(*s->view));
-	if (s->members == NULL || s->view == NULL)
+	s->published = malloc(sizeof(*s->published));
+	if (s->members == NULL || s->published == NULL)
 		err(1, "lease_service_init");
-	*s->view = s->table;
+	*s->published = s->table;
 	s->started_ms = clock_ms();
 	s->jitter_ms = rand_u64() % (LEASE_PARTS * SNAPSHOT_STEP_MS);
-	if (pthread_create(&s->log_thread, NULL, run_log, s) != 0)
+	if (pthread_create(&s->log_thread, NULL, run_log_thread, s) != 0)
 		return -1;
-	if (pthread_create(&s->beat_thread, NULL, run_beats, s) != 0)
+	if (pthread_create(
+		&s->heartbeat_thread, NULL, run_heartbeat_thread, s) != 0)
 		return -1;
 	return 0;
 }
@@ -87,9 +88,9 @@
 	pthread_cond_broadcast(&s->wake);
 	pthread_mutex_unlock(&s->lock);
 	pthread_join(s->log_thread, NULL);
-	pthread_join(s->beat_thread, NULL);
+	pthread_join(s->heartbeat_thread, NULL);
 	synchronize_rcu();
-	free(s->view);
+	free(s->published);
 	free(s->members);
 	lease_finish(&s->table);
 	pthread_cond_destroy(&s->wake);
@@ -110,8 +111,8 @@
 	pthread_mutex_lock(&s->lock);
 	*fresh = s->table;
 	fresh->pending = NULL;
-	old = s->view;
-	rcu_assign_pointer(s->view, fresh);
+	old = s->published;
+	rcu_assign_pointer(s->published, fresh);
 	pthread_mutex_unlock(&s->lock);
 	synchronize_rcu();
 	free(old);
@@ -128,7 +129,7 @@
 	struct lease_service *s = ctx;
 
 	rcu_read_lock();
-	lease_view(rcu_dereference(s->view), part, now_ms, v);
+	lease_view(rcu_dereference(s->published), part, now_ms, v);
 	rcu_read_unlock();
 }
 
@@ -139,7 +140,7 @@
 lease_service_kick(struct lease_service *s)
 {
 	pthread_mutex_lock(&s->lock);
-	s->kicked = 1;
+	s->poll_soon = 1;
 	pthread_cond_broadcast(&s->wake);
 	pthread_mutex_unlock(&s->lock);
 }
@@ -152,7 +153,7 @@
 lease_service_expect(struct lease_service *s)
 {
 	pthread_mutex_lock(&s->lock);
-	s->expecting = 1;
+	s->poll_now = 1;
 	pthread_cond_broadcast(&s->wake);
 	pthread_mutex_unlock(&s->lock);
 }
@@ -169,9 +170,9 @@
 
 	pthread_mutex_lock(&s->lock);
 	s->decider.stopping = 1;
-	s->kicked = 1;
+	s->poll_soon = 1;
 	pthread_cond_broadcast(&s->wake);
-	while ((n = owned(&s->table)) > 0 && clock_ms() < end)
+	while ((n = count_owned(&s->table)) > 0 && clock_ms() < end)
 		sleep_ms(s, POLL_MS / 10);
 	pthread_mutex_unlock(&s->lock);
 	return n == 0 ? 0 : -1;
@@ -188,8 +189,8 @@
 	size_t n;
 
 	pthread_mutex_lock(&s->lock);
-	while ((n = parts(s)) > 0 && clock_ms() < end)
-		sleep_ms(s, POLL_EXPECT_MS);
+	while ((n = count_held(s)) > 0 && clock_ms() < end)
+		sleep_ms(s, POLL_URGENT_MS);
 	pthread_mutex_unlock(&s->lock);
 	return n == 0 ? 0 : -1;
 }
@@ -204,7 +205,8 @@
 	int ready;
 
 	pthread_mutex_lock(&s->lock);
-	ready = (s->table.complete && s->table.proved) || s->paged;
+	ready = (s->table.complete && s->table.has_read_proof) ||
+		s->peer_table_read;
 	pthread_mutex_unlock(&s->lock);
 	return ready;
 }
@@ -238,7 +240,7 @@
  * Returns how many partitions the table gives to its own node.
  */
 static size_t
-owned(const struct lease_table *t)
+count_owned(const struct lease_table *t)
 {
 	size_t n = 0;
 	int i;
@@ -254,7 +256,7 @@
  * is held.
  */
 static size_t
-parts(struct lease_service *s)
+count_held(struct lease_service *s)
 {
 	const struct lease_entry *e;
 	size_t n = 0;
@@ -291,11 +293,11 @@
  * the lock is held.
  */
 static int
-has_part(struct lease_service *s)
+may_hold_lease(struct lease_service *s)
 {
 	int i;
 
-	if (parts(s) > 0)
+	if (count_held(s) > 0)
 		return 1;
 	for (i = 0; i < LEASE_PARTS; i++)
 		if (nodeid_is_none(&s->table.part[i].owner))
@@ -314,14 +316,14 @@
 	uint64_t jitter = s->jitter_ms % POLL_JITTER_MS;
 	int i;
 
-	if (s->expecting || (s->decider.stopping && parts(s) > 0))
-		return POLL_EXPECT_MS;
-	if (!s->table.complete || has_part(s))
+	if (s->poll_now || (s->decider.stopping && count_held(s) > 0))
+		return POLL_URGENT_MS;
+	if (!s->table.complete || may_hold_lease(s))
 		return POLL_MS;
-	if (s->kicked)
+	if (s->poll_soon)
 		return POLL_WATCH_MS + jitter;
 	for (i = 0; i < LEASE_PARTS; i++)
-		if (s->decider.dead_ms[i] != 0)
+		if (s->decider.owner_dead_since_ms[i] != 0)
 			return POLL_WATCH_MS + jitter;
 	return POLL_IDLE_MS + jitter;
 }
@@ -344,8 +346,8 @@
 			break;
 		sleep_ms(s, due - now);
 	}
-	s->kicked = 0;
-	s->expecting = 0;
+	s->poll_soon = 0;
+	s->poll_now = 0;
 	stop = s->stop;
 	pthread_mutex_unlock(&s->lock);
 	return stop;
@@ -355,10 +357,10 @@
  * Logs what a record changed.
  */
 static void
-log_result(const struct lease_service *s, enum lease_result res,
+log_apply_result(const struct lease_service *s, enum lease_result res,
     const struct logsvc_record *rec)
 {
-	if (res == LEASE_BAD) {
+	if (res == LEASE_MALFORMED) {
 		counter_add(CTR_LOG_BAD_RECORDS, 1);
 		logline(LOG_WARNING, "lease-bad-record", "offset=%" PRIu64,
 		    rec->offset);
@@ -388,10 +390,10 @@
 		    "had=%" PRIu64 " next=%" PRIu64, s->table.next, b->next);
 		return -1;
 	}
-	s->first = b->first;
+	s->log_start = b->first;
 	lease_first(&s->table, b->first);
 	for (i = 0; i < b->count; i++)
-		log_result(s,
+		log_apply_result(s,
 		    lease_apply(&s->table, b->list[i].data, b->list[i].len,
 			b->list[i].offset, now),
 		    &b->list[i]);
@@ -419,7 +421,7 @@
 		memset(&b, 0, sizeof(b));
 		sent = clock_ms();
 		if (s->cfg.log.read(s->cfg.log.ctx, LEASE_STREAM, next,
-			READ_MAX, 0, READ_TIMEOUT_MS, &b) != LOGSVC_OK)
+			READ_RECORDS_MAX, 0, READ_TIMEOUT_MS, &b) != LOGSVC_OK)
 			return -1;
 		pthread_mutex_lock(&s->lock);
 		end = apply_batch(s, &b, sent);
@@ -437,7 +439,7 @@
  * can't be.
  */
 static int
-append(struct lease_service *s, const char *text)
+append_record(struct lease_service *s, const char *text)
 {
 	enum logsvc_status st;
 	uint64_t offset;
@@ -465,7 +467,7 @@
 	pthread_mutex_unlock(&s->lock);
 	lease_publish(s);
 	text = lease_claim_encode(c);
-	written = append(s, text);
+	written = append_record(s, text);
 	free(text);
 	pthread_mutex_lock(&s->lock);
 	lease_append_end(&s->table, c, written);
@@ -481,7 +483,7 @@
  * Decides and appends.  Returns how many claims may have been written.
  */
 static size_t
-decide(struct lease_service *s)
+decide_and_append(struct lease_service *s)
 {
 	struct lease_claim claims[CLAIMS_MAX];
 	struct lease_inputs in;
@@ -512,23 +514,24 @@
 snapshot_due(struct lease_service *s, uint64_t now_ms)
 {
 	const struct lease_table *t = &s->table;
-	uint64_t since = t->snapshot_seen ? t->snapshot_ms : s->started_ms;
+	uint64_t since = t->snapshot_seen ? t->snapshot_read_ms : s->started_ms;
 	uint64_t due, turn = LEASE_PARTS * SNAPSHOT_STEP_MS + s->jitter_ms;
 	uint64_t i;
 
-	if (!t->complete || !t->proved || t->next == 0)
+	if (!t->complete || !t->has_read_proof || t->next == 0)
 		return 0;
-	if (s->first <= (t->snapshot_seen ? t->snapshot_next : 0))
-		s->unsafe_ms = 0;
-	else if (s->unsafe_ms == 0)
-		s->unsafe_ms = now_ms;
+	if (s->log_start <= (t->snapshot_seen ? t->snapshot_next_offset : 0))
+		s->unreadable_since_ms = 0;
+	else if (s->unreadable_since_ms == 0)
+		s->unreadable_since_ms = now_ms;
 	for (i = LEASE_PARTS; i > 0; i--)
 		if (nodeid_equal(&t->part[i - 1].owner, &t->self))
 			turn = (i - 1) * SNAPSHOT_STEP_MS;
-	due = s->cfg.retention_ms / SNAPSHOT_SHARE;
-	due = since + (due > SNAPSHOT_MIN_MS ? due : SNAPSHOT_MIN_MS);
-	if (s->unsafe_ms != 0 && s->unsafe_ms < due)
-		due = s->unsafe_ms;
+	due = s->cfg.retention_ms / SNAPSHOT_RETENTION_DIVISOR;
+	due = since +
+	      (due > SNAPSHOT_INTERVAL_MIN_MS ? due : SNAPSHOT_INTERVAL_MIN_MS);
+	if (s->unreadable_since_ms != 0 && s->unreadable_since_ms < due)
+		due = s->unreadable_since_ms;
 	return now_ms >= due + turn;
 }
 
@@ -537,7 +540,7 @@
  * 1 if a record may have been written.
  */
 static int
-write_table(struct lease_service *s)
+write_table_record(struct lease_service *s)
 {
 	uint64_t now = clock_ms();
 	char *text = NULL;
@@ -545,14 +548,14 @@
 
 	pthread_mutex_lock(&s->lock);
 	if (now > s->jitter_ms &&
-	    lease_wants_reset(&s->table, now - s->jitter_ms))
+	    lease_reset_due(&s->table, now - s->jitter_ms))
 		text = lease_reset_encode();
 	else if (snapshot_due(s, now))
 		text = lease_snapshot_encode(&s->table, now);
 	pthread_mutex_unlock(&s->lock);
 	if (text == NULL)
 		return 0;
-	written = append(s, text);
+	written = append_record(s, text);
 	free(text);
 	return written;
 }
@@ -561,7 +564,7 @@
  * Reads, decides and appends until the service stops.
  */
 static void *
-run_log(void *ctx)
+run_log_thread(void *ctx)
 {
 	struct lease_service *s = ctx;
 	uint64_t last;
@@ -573,9 +576,10 @@
 		last = clock_ms();
 		ok = read_stream(s) == 0;
 		if (!ok || !s->table.complete)
-			lease_fetch_pages(s);
+			lease_fetch_peer_table(s);
 		lease_publish(s);
-		done = ok ? decide(s) + (size_t)write_table(s) : 0;
+		done = ok ? decide_and_append(s) + (size_t)write_table_record(s)
+			  : 0;
 		if (done > 0)
 			last = 0; /* read back at once what was appended */
 	} while (!wait_poll(s, last));
@@ -587,17 +591,17 @@
  * Sends heartbeats until the service stops.
  */
 static void *
-run_beats(void *ctx)
+run_heartbeat_thread(void *ctx)
 {
 	struct lease_service *s = ctx;
 	int stop = 0;
 
 	rcu_register_thread();
 	while (!stop) {
-		lease_send_beats(s);
+		lease_send_heartbeats(s);
 		pthread_mutex_lock(&s->lock);
 		if (!s->stop)
-			sleep_ms(s, BEAT_MS);
+			sleep_ms(s, HEARTBEAT_INTERVAL_MS);
 		stop = s->stop;
 		pthread_mutex_unlock(&s->lock);
 	}
--- a/src/lease/lease_service.h
+++ b/src/lease/lease_service.h
@@ -11,7 +11,7 @@
 #define LEASE_MEMBERS_MAX 4096 /* members that decisions look at */
 
 enum lease_proc {
-	LEASE_PROC_BEAT,
+	LEASE_PROC_HEARTBEAT,
 	LEASE_PROC_PAGE,
 	LEASE_PROC_MAX
 };
@@ -38,17 +38,18 @@
 	struct lease_table table;
 	struct lease_decider decider;
 	struct lease_member *members;
-	uint64_t first; /* oldest offset kept, as last read */
+	uint64_t log_start; /* oldest offset kept, as last read */
 	uint64_t started_ms;
-	uint64_t unsafe_ms; /* since newcomers could not read the table */
+	uint64_t
+	    unreadable_since_ms; /* since newcomers could not read the table */
 	uint64_t jitter_ms;
-	int kicked;
-	int paged;     /* a peer has told where the partitions are */
-	int expecting; /* asked as the owner while the standby */
+	int poll_soon;
+	int peer_table_read; /* a peer has told where the partitions are */
+	int poll_now;	     /* asked as the owner while the standby */
 	int stop;
 	pthread_t log_thread;
-	pthread_t beat_thread;
-	struct lease_table *view; /* RCU */
+	pthread_t heartbeat_thread;
+	struct lease_table *published; /* RCU */
 };
 
 /* Procedures for the RPC server; their context is the service. */
@@ -65,8 +66,8 @@
 void lease_service_dump(struct lease_service *, FILE *);
 
 /* lease_rpc.c */
-void lease_send_beats(struct lease_service *);
-void lease_fetch_pages(struct lease_service *);
+void lease_send_heartbeats(struct lease_service *);
+void lease_fetch_peer_table(struct lease_service *);
 void lease_publish(struct lease_service *);
 
 #endif
--- a/src/lease/lease_table.c
+++ b/src/lease/lease_table.c
@@ -5,35 +5,39 @@
 #include "lease/lease.h"
 #include "lease/lease_internal.h"
 
-#define PENDING_MAX 4096 /* claims kept while no snapshot was read */
-#define DRIFT_SHARE 100	 /* clocks differ by less than 1/100 of a wait */
+#define PENDING_CLAIMS_MAX 4096 /* claims kept while no snapshot was read */
+#define CLOCK_DRIFT_DIVISOR                               \
+	100 /* clocks differ by less than 1/100 of a wait \
+	     */
 
 static uint64_t wait_none(const struct lease_table *);
 static uint64_t wait_handover(const struct lease_table *);
 static uint64_t wait_term(const struct lease_table *);
 static uint64_t wait_long(const struct lease_table *);
 static uint64_t max_u64(uint64_t, uint64_t);
-static void forget(struct lease_table *, uint64_t);
-static enum lease_kind classify(
+static void restart_table(struct lease_table *, uint64_t);
+static enum lease_kind classify_claim(
     const struct lease_entry *, const struct lease_claim *);
-static int is_succession(
+static int promotes_standby(
     const struct lease_entry *, const struct lease_claim *, enum lease_kind);
-static int is_pending(const struct lease_entry *, uint64_t);
-static int is_stopped(const struct lease_entry *);
-static uint64_t proved_until(
+static int may_replace_term(const struct lease_entry *, uint64_t);
+static int has_stopped(const struct lease_entry *);
+static uint64_t owned_until(
     const struct lease_table *, const struct lease_entry *);
 static enum lease_result apply_claim(
     struct lease_table *, const struct lease_claim *, uint64_t);
 static enum lease_result buffer_claim(
     struct lease_table *, const struct lease_claim *, uint64_t);
-static void new_term(struct lease_entry *, uint64_t, uint64_t);
+static void start_term(struct lease_entry *, uint64_t, uint64_t);
 static enum lease_result apply_snapshot(
     struct lease_table *, const struct lease_record *, uint64_t, uint64_t);
-static void adopt(struct lease_entry *, const struct lease_state *, uint64_t);
+static void load_state(
+    struct lease_entry *, const struct lease_state *, uint64_t);
 static enum lease_result apply_reset(struct lease_table *, uint64_t, uint64_t);
 
 /* How long after a claim was read its owner may act. */
-static uint64_t (*const waits[LEASE_KIND_MAX])(const struct lease_table *) = {
+static uint64_t (*const effective_delay_ms[LEASE_KIND_MAX])(
+    const struct lease_table *) = {
 	[LEASE_FIRST] = wait_none,
 	[LEASE_VACANT] = wait_none,
 	[LEASE_STANDBY_CHANGE] = wait_none,
@@ -96,7 +100,7 @@
 static uint64_t
 wait_long(const struct lease_table *t)
 {
-	return t->long_ms + t->long_ms / DRIFT_SHARE + LEASE_TERM_MS +
+	return t->long_ms + t->long_ms / CLOCK_DRIFT_DIVISOR + LEASE_TERM_MS +
 	       LEASE_MARGIN_MS;
 }
 
@@ -137,7 +141,7 @@
  * appended itself, and what peers said, is kept.
  */
 static void
-forget(struct lease_table *t, uint64_t start)
+restart_table(struct lease_table *t, uint64_t start)
 {
 	struct lease_entry *e, old;
 	int i;
@@ -146,15 +150,15 @@
 		e = &t->part[i];
 		old = *e;
 		memset(e, 0, sizeof(*e));
-		e->own = old.own;
+		e->appends = old.appends;
 		e->hint_term = old.hint_term;
 		e->hint_owner = old.hint_owner;
 		e->hint_standby = old.hint_standby;
 	}
-	t->start = t->next = start;
+	t->read_from = t->next = start;
 	t->complete = 0;
-	t->proved = 0;
-	t->reached_ms = 0;
+	t->has_read_proof = 0;
+	t->end_reached_ms = 0;
 	t->pending_count = 0;
 }
 
@@ -167,14 +171,14 @@
 lease_first(struct lease_table *t, uint64_t first)
 {
 	if (first > t->next)
-		forget(t, first);
+		restart_table(t, first);
 }
 
 /*
  * Tells how a claim that compares equal relates to the term in force.
  */
 static enum lease_kind
-classify(const struct lease_entry *e, const struct lease_claim *c)
+classify_claim(const struct lease_entry *e, const struct lease_claim *c)
 {
 	if (nodeid_is_none(&e->owner))
 		return e->term == 0 ? LEASE_FIRST : LEASE_VACANT;
@@ -191,7 +195,7 @@
  * Tells whether a claim makes the standby the owner.
  */
 static int
-is_succession(const struct lease_entry *e, const struct lease_claim *c,
+promotes_standby(const struct lease_entry *e, const struct lease_claim *c,
     enum lease_kind kind)
 {
 	return (kind == LEASE_HANDOVER || kind == LEASE_TAKEOVER) &&
@@ -202,28 +206,29 @@
  * Tells whether an append of this node's own may yet replace a term.
  */
 static int
-is_pending(const struct lease_entry *e, uint64_t term)
+may_replace_term(const struct lease_entry *e, uint64_t term)
 {
-	return (e->own.inflight || e->own.unsure) && e->own.prev == term;
+	return (e->appends.in_flight || e->appends.maybe_written) &&
+	       e->appends.replaced_term == term;
 }
 
 /*
  * Tells whether this node has given up the term in force.
  */
 static int
-is_stopped(const struct lease_entry *e)
+has_stopped(const struct lease_entry *e)
 {
-	return e->own.stopped && e->own.prev == e->term;
+	return e->appends.stopped && e->appends.replaced_term == e->term;
 }
 
 /*
  * Puts a new term in force; promises for the old one are void.
  */
 static void
-new_term(struct lease_entry *e, uint64_t term, uint64_t now_ms)
+start_term(struct lease_entry *e, uint64_t term, uint64_t now_ms)
 {
 	e->term = term;
-	e->seen_ms = now_ms;
+	e->read_ms = now_ms;
 	e->promised = 0;
 }
 
@@ -238,24 +243,25 @@
 	uint64_t from;
 
 	if (c->prev != e->term) {
-		t->lost++;
-		return LEASE_LOST;
+		t->superseded_count++;
+		return LEASE_SUPERSEDED;
 	}
-	kind = classify(e, c);
+	kind = classify_claim(e, c);
 	/* A claim on a lease not yet in effect waits as long as that one. */
 	if (kind != LEASE_STANDBY_CHANGE) {
-		from = now_ms + waits[kind](t);
+		from = now_ms + effective_delay_ms[kind](t);
 		e->effective_ms = max_u64(e->effective_ms, from);
-		if (is_succession(e, c, kind))
+		if (promotes_standby(e, c, kind))
 			from = now_ms;
-		e->noted_ms = max_u64(e->noted_ms, from);
+		e->replicated_effective_ms =
+		    max_u64(e->replicated_effective_ms, from);
 		e->tenure = c->term;
 		e->first = kind == LEASE_FIRST;
 	}
 	e->kind = kind;
 	e->owner = c->owner;
 	e->standby = c->standby;
-	new_term(e, c->term, now_ms);
+	start_term(e, c->term, now_ms);
 	return LEASE_ACCEPTED;
 }
 
@@ -267,9 +273,9 @@
 buffer_claim(
     struct lease_table *t, const struct lease_claim *c, uint64_t offset)
 {
-	if (t->pending_count == PENDING_MAX) {
+	if (t->pending_count == PENDING_CLAIMS_MAX) {
 		t->pending_count = 0;
-		t->start = offset + 1;
+		t->read_from = offset + 1;
 		return LEASE_BUFFERED;
 	}
 	if (t->pending_count == t->pending_cap) {
@@ -288,7 +294,7 @@
  * Takes one partition over from a snapshot read at now_ms.
  */
 static void
-adopt(struct lease_entry *e, const struct lease_state *s, uint64_t now_ms)
+load_state(struct lease_entry *e, const struct lease_state *s, uint64_t now_ms)
 {
 	e->tenure = s->tenure;
 	e->first = s->first;
@@ -296,8 +302,8 @@
 	e->standby = s->standby;
 	e->kind = LEASE_SLOW_TAKEOVER;
 	e->effective_ms = now_ms + s->wait_ms;
-	e->noted_ms = e->effective_ms;
-	new_term(e, s->term, now_ms);
+	e->replicated_effective_ms = e->effective_ms;
+	start_term(e, s->term, now_ms);
 }
 
 /*
@@ -314,21 +320,21 @@
 	size_t i;
 
 	if (r->next > offset)
-		return LEASE_BAD;
-	if (!t->complete && r->next < t->start)
-		return LEASE_OLD;
+		return LEASE_MALFORMED;
+	if (!t->complete && r->next < t->read_from)
+		return LEASE_STALE;
 	t->snapshot_seen = 1;
-	t->snapshot_next = r->next;
-	t->snapshot_ms = now_ms;
+	t->snapshot_next_offset = r->next;
+	t->snapshot_read_ms = now_ms;
 	for (i = 0; i < LEASE_PARTS; i++) {
 		e = &t->part[i];
 		eff = now_ms + r->state[i].wait_ms;
 		if (!t->complete)
-			adopt(e, &r->state[i], now_ms);
+			load_state(e, &r->state[i], now_ms);
 		else if (e->term == r->state[i].term && eff < e->effective_ms) {
 			e->effective_ms = eff;
-			if (e->noted_ms > eff)
-				e->noted_ms = eff;
+			if (e->replicated_effective_ms > eff)
+				e->replicated_effective_ms = eff;
 		}
 	}
 	if (t->complete)
@@ -361,8 +367,8 @@
 		e->kind = LEASE_SLOW_TAKEOVER;
 		e->effective_ms =
 		    max_u64(e->effective_ms, now_ms + wait_long(t));
-		e->noted_ms = e->effective_ms;
-		new_term(e, offset + 1, now_ms);
+		e->replicated_effective_ms = e->effective_ms;
+		start_term(e, offset + 1, now_ms);
 	}
 	t->complete = 1;
 	t->pending_count = 0;
@@ -379,10 +385,10 @@
     uint64_t offset, uint64_t now_ms)
 {
 	struct lease_record r;
-	enum lease_result res = LEASE_BAD;
+	enum lease_result res = LEASE_MALFORMED;
 
 	if (offset < t->next)
-		return LEASE_OLD;
+		return LEASE_STALE;
 	lease_first(t, offset);
 	t->next = offset + 1;
 	lease_record_decode(&r, data, len);
@@ -393,8 +399,8 @@
 		res = apply_snapshot(t, &r, offset, now_ms);
 	else if (r.type == LEASE_RECORD_RESET)
 		res = apply_reset(t, offset, now_ms);
-	if (res == LEASE_BAD)
-		t->bad++;
+	if (res == LEASE_MALFORMED)
+		t->malformed_count++;
 	return res;
 }
 
@@ -406,13 +412,13 @@
 lease_read_proof(struct lease_table *t, uint64_t sent_ms)
 {
 	if (!t->complete) {
-		if (t->reached_ms == 0)
-			t->reached_ms = sent_ms;
+		if (t->end_reached_ms == 0)
+			t->end_reached_ms = sent_ms;
 		return;
 	}
-	if (t->proved && sent_ms <= t->read_sent_ms)
+	if (t->has_read_proof && sent_ms <= t->read_sent_ms)
 		return;
-	t->proved = 1;
+	t->has_read_proof = 1;
 	t->read_sent_ms = sent_ms;
 }
 
@@ -429,13 +435,13 @@
 
 	if (!t->complete || c->prev != e->term)
 		return -1;
-	if (e->own.prev != c->prev)
-		memset(&e->own, 0, sizeof(e->own));
-	e->own.prev = c->prev;
-	e->own.inflight = 1;
+	if (e->appends.replaced_term != c->prev)
+		memset(&e->appends, 0, sizeof(e->appends));
+	e->appends.replaced_term = c->prev;
+	e->appends.in_flight = 1;
 	if (nodeid_equal(&e->owner, &t->self) &&
 	    !nodeid_equal(&c->owner, &t->self))
-		e->own.stopped = 1;
+		e->appends.stopped = 1;
 	return 0;
 }
 
@@ -448,15 +454,15 @@
 lease_append_end(
     struct lease_table *t, const struct lease_claim *c, int written)
 {
-	struct lease_own *o = &t->part[c->part].own;
+	struct lease_appends *a = &t->part[c->part].appends;
 
-	if (o->prev != c->prev)
+	if (a->replaced_term != c->prev)
 		return;
-	o->inflight = 0;
+	a->in_flight = 0;
 	if (written)
-		o->unsure = 1;
-	if (!o->unsure)
-		o->stopped = 0;
+		a->maybe_written = 1;
+	if (!a->maybe_written)
+		a->stopped = 0;
 }
 
 /*
@@ -490,7 +496,7 @@
 	if (part >= LEASE_PARTS)
 		return 0;
 	e = &t->part[part];
-	if (term < e->term || term < e->hint_term || is_pending(e, term))
+	if (term < e->term || term < e->hint_term || may_replace_term(e, term))
 		return 0;
 	if (term > e->term)
 		return 1;
@@ -503,7 +509,7 @@
  * a newer term ends this node's authority; it never gives any.
  */
 void
-lease_hint(struct lease_table *t, uint32_t part, uint64_t term,
+lease_add_hint(struct lease_table *t, uint32_t part, uint64_t term,
     const struct node_id *owner, const struct node_id *standby)
 {
 	struct lease_entry *e;
@@ -523,15 +529,15 @@
  * partition, by its newest read or promise, or 0.
  */
 static uint64_t
-proved_until(const struct lease_table *t, const struct lease_entry *e)
+owned_until(const struct lease_table *t, const struct lease_entry *e)
 {
 	uint64_t until, promise;
 
-	if (!t->complete || !t->proved || !nodeid_equal(&e->owner, &t->self) ||
-	    e->hint_term > e->term)
+	if (!t->complete || !t->has_read_proof ||
+	    !nodeid_equal(&e->owner, &t->self) || e->hint_term > e->term)
 		return 0;
 	until = t->read_sent_ms + LEASE_TERM_MS;
-	if (e->promised && !is_pending(e, e->term)) {
+	if (e->promised && !may_replace_term(e, e->term)) {
 		promise = e->promise_sent_ms + LEASE_TERM_MS;
 		if (promise > t->read_sent_ms + t->long_ms)
 			promise = t->read_sent_ms + t->long_ms;
@@ -548,9 +554,9 @@
 lease_held(const struct lease_table *t, uint32_t part, uint64_t now_ms)
 {
 	const struct lease_entry *e = &t->part[part];
-	uint64_t until = proved_until(t, e);
+	uint64_t until = owned_until(t, e);
 
-	if (is_stopped(e) || now_ms < e->effective_ms)
+	if (has_stopped(e) || now_ms < e->effective_ms)
 		return 0;
 	return now_ms < until ? until : 0;
 }
@@ -561,13 +567,14 @@
  * need not wait for the one before, and goes on while it hands over.
  */
 uint64_t
-lease_noted(const struct lease_table *t, uint32_t part, uint64_t now_ms)
+lease_replicated_until(
+    const struct lease_table *t, uint32_t part, uint64_t now_ms)
 {
 	const struct lease_entry *e = &t->part[part];
-	uint64_t until = proved_until(t, e);
+	uint64_t until = owned_until(t, e);
 
-	if ((is_stopped(e) && nodeid_is_none(&e->standby)) ||
-	    now_ms < e->noted_ms)
+	if ((has_stopped(e) && nodeid_is_none(&e->standby)) ||
+	    now_ms < e->replicated_effective_ms)
 		return 0;
 	return now_ms < until ? until : 0;
 }
@@ -595,7 +602,7 @@
 	v->effective_ms = e->effective_ms;
 	v->first = e->first;
 	v->until_ms = lease_held(t, part, now_ms);
-	v->noted_until_ms = lease_noted(t, part, now_ms);
+	v->noted_until_ms = lease_replicated_until(t, part, now_ms);
 }
 
 /*
@@ -603,8 +610,8 @@
  * not come, so that the leases have to be started over.
  */
 int
-lease_wants_reset(const struct lease_table *t, uint64_t now_ms)
+lease_reset_due(const struct lease_table *t, uint64_t now_ms)
 {
-	return !t->complete && t->reached_ms != 0 &&
-	       now_ms >= t->reached_ms + LEASE_RESET_WAIT_MS;
+	return !t->complete && t->end_reached_ms != 0 &&
+	       now_ms >= t->end_reached_ms + LEASE_RESET_WAIT_MS;
 }
--- a/src/lease/test_lease.c
+++ b/src/lease/test_lease.c
@@ -11,19 +11,19 @@
 #define LONG_WAIT (LONG_MS + LONG_MS / 100 + LEASE_TERM_MS + LEASE_MARGIN_MS)
 #define TERM_WAIT (LEASE_TERM_MS + LEASE_MARGIN_MS)
 
-static struct node_id node(int);
-static enum lease_result apply(
+static struct node_id make_node_id(int);
+static enum lease_result apply_record(
     struct lease_table *, char *, uint64_t, uint64_t);
-static struct lease_claim make(uint64_t, int, int, int);
-static enum lease_result put(
+static struct lease_claim make_claim(uint64_t, int, int, int);
+static enum lease_result apply_claim(
     struct lease_table *, const struct lease_claim *, uint64_t);
-static void own(struct lease_table *, int);
+static void init_owned_table(struct lease_table *, int);
 
 /*
  * Returns the name of node i; 0 is none.
  */
 static struct node_id
-node(int i)
+make_node_id(int i)
 {
 	struct node_id id = { 0, 0, 0 };
 
@@ -39,7 +39,7 @@
  * Applies an encoded record and frees it.
  */
 static enum lease_result
-apply(struct lease_table *t, char *text, uint64_t offset, uint64_t now)
+apply_record(struct lease_table *t, char *text, uint64_t offset, uint64_t now)
 {
 	enum lease_result res;
 
@@ -52,10 +52,10 @@
  * Builds a claim on partition 0.
  */
 static struct lease_claim
-make(uint64_t prev, int by, int owner, int standby)
+make_claim(uint64_t prev, int by, int owner, int standby)
 {
-	struct lease_claim c = { 0, prev, prev + 1, node(by), node(owner),
-		node(standby) };
+	struct lease_claim c = { 0, prev, prev + 1, make_node_id(by),
+		make_node_id(owner), make_node_id(standby) };
 
 	return c;
 }
@@ -64,9 +64,9 @@
  * Applies a claim as the next record.
  */
 static enum lease_result
-put(struct lease_table *t, const struct lease_claim *c, uint64_t now)
+apply_claim(struct lease_table *t, const struct lease_claim *c, uint64_t now)
 {
-	return apply(t, lease_claim_encode(c), t->next, now);
+	return apply_record(t, lease_claim_encode(c), t->next, now);
 }
 
 /*
@@ -74,20 +74,20 @@
  * node 2 is its standby since 0 ms.
  */
 static void
-own(struct lease_table *t, int self)
+init_owned_table(struct lease_table *t, int self)
 {
-	struct node_id id = node(self);
-	struct lease_claim c = make(0, 1, 1, 2);
+	struct node_id id = make_node_id(self);
+	struct lease_claim c = make_claim(0, 1, 1, 2);
 
 	lease_init(t, &id, LONG_MS);
-	assert_int_equal(put(t, &c, 0), LEASE_ACCEPTED);
+	assert_int_equal(apply_claim(t, &c, 0), LEASE_ACCEPTED);
 }
 
 /*
  * Each kind of claim is told by who made it, and waits its time.
  */
 static void
-test_kinds(void **state)
+test_claim_kinds_and_delays(void **state)
 {
 	static const struct {
 		uint64_t prev;
@@ -103,11 +103,11 @@
 		{ 1, 2, 3, 2, LEASE_ACCEPTED, LEASE_SLOW_TAKEOVER, LONG_WAIT },
 		{ 1, 3, 3, 4, LEASE_ACCEPTED, LEASE_SLOW_TAKEOVER, LONG_WAIT },
 		{ 1, 3, 2, 4, LEASE_ACCEPTED, LEASE_SLOW_TAKEOVER, LONG_WAIT },
-		{ 0, 3, 3, 4, LEASE_LOST, LEASE_FIRST, 0 },
-		{ 2, 2, 2, 4, LEASE_LOST, LEASE_FIRST, 0 },
-		{ 1, 2, 2, 2, LEASE_BAD, LEASE_FIRST, 0 },
-		{ 1, 0, 2, 3, LEASE_BAD, LEASE_FIRST, 0 },
-		{ 1, 2, 0, 3, LEASE_BAD, LEASE_FIRST, 0 },
+		{ 0, 3, 3, 4, LEASE_SUPERSEDED, LEASE_FIRST, 0 },
+		{ 2, 2, 2, 4, LEASE_SUPERSEDED, LEASE_FIRST, 0 },
+		{ 1, 2, 2, 2, LEASE_MALFORMED, LEASE_FIRST, 0 },
+		{ 1, 0, 2, 3, LEASE_MALFORMED, LEASE_FIRST, 0 },
+		{ 1, 2, 0, 3, LEASE_MALFORMED, LEASE_FIRST, 0 },
 	};
 	struct lease_table t;
 	struct lease_claim c;
@@ -115,16 +115,17 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		own(&t, 9);
-		c = make(cases[i].prev, cases[i].by, cases[i].owner,
+		init_owned_table(&t, 9);
+		c = make_claim(cases[i].prev, cases[i].by, cases[i].owner,
 		    cases[i].standby);
-		assert_int_equal(put(&t, &c, 1000), cases[i].res);
+		assert_int_equal(apply_claim(&t, &c, 1000), cases[i].res);
 		assert_int_equal(t.part[0].kind, cases[i].kind);
 		if (cases[i].wait != 0)
 			assert_int_equal(
 			    t.part[0].effective_ms, 1000 + cases[i].wait);
-		assert_int_equal(put(&t, &c, 2000),
-		    cases[i].res == LEASE_ACCEPTED ? LEASE_LOST : cases[i].res);
+		assert_int_equal(apply_claim(&t, &c, 2000),
+		    cases[i].res == LEASE_ACCEPTED ? LEASE_SUPERSEDED
+						   : cases[i].res);
 		lease_finish(&t);
 	}
 }
@@ -134,15 +135,16 @@
  * the first owner may still live on promises.
  */
 static void
-test_waits_add_up(void **state)
+test_takeover_keeps_earlier_delay(void **state)
 {
-	struct lease_claim slow = make(1, 3, 3, 4), quick = make(2, 4, 4, 5);
+	struct lease_claim slow = make_claim(1, 3, 3, 4),
+			   quick = make_claim(2, 4, 4, 5);
 	struct lease_table t;
 
 	(void)state;
-	own(&t, 4);
-	put(&t, &slow, 1000);
-	put(&t, &quick, 2000);
+	init_owned_table(&t, 4);
+	apply_claim(&t, &slow, 1000);
+	apply_claim(&t, &quick, 2000);
 	assert_int_equal(t.part[0].kind, LEASE_TAKEOVER);
 	assert_int_equal(t.part[0].effective_ms, 1000 + LONG_WAIT);
 	lease_read_proof(&t, 5000);
@@ -154,13 +156,13 @@
  * An owner acts on reads, then on promises, and on neither for too long.
  */
 static void
-test_authority(void **state)
+test_owner_validity(void **state)
 {
-	struct lease_claim c = make(1, 1, 1, 3);
+	struct lease_claim c = make_claim(1, 1, 1, 3);
 	struct lease_table t;
 
 	(void)state;
-	own(&t, 1);
+	init_owned_table(&t, 1);
 	assert_int_equal(lease_held(&t, 0, 10), 0);
 	lease_read_proof(&t, 1000);
 	assert_int_equal(lease_held(&t, 0, 2999), 3000);
@@ -185,7 +187,7 @@
 	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
 
 	/* Read back, it counts again, for the new term only. */
-	put(&t, &c, LONG_MS);
+	apply_claim(&t, &c, LONG_MS);
 	lease_promise(&t, 0, 1, LONG_MS);
 	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
 	lease_promise(&t, 0, 2, LONG_MS);
@@ -198,14 +200,14 @@
  * was surely not written.
  */
 static void
-test_promises(void **state)
+test_standby_promises(void **state)
 {
-	struct lease_claim c = make(1, 2, 2, 3);
-	struct node_id owner = node(1), other = node(5);
+	struct lease_claim c = make_claim(1, 2, 2, 3);
+	struct node_id owner = make_node_id(1), other = make_node_id(5);
 	struct lease_table t;
 
 	(void)state;
-	own(&t, 2);
+	init_owned_table(&t, 2);
 	assert_true(lease_may_promise(&t, 0, 1, &owner));
 	assert_false(lease_may_promise(&t, 0, 1, &other));
 	assert_false(lease_may_promise(&t, LEASE_PARTS, 1, &owner));
@@ -220,8 +222,8 @@
 	lease_first(&t, 50);
 	assert_false(lease_may_promise(&t, 0, 1, &owner));
 	lease_finish(&t);
-	own(&t, 2);
-	lease_hint(&t, 0, 2, &other, &owner);
+	init_owned_table(&t, 2);
+	lease_add_hint(&t, 0, 2, &other, &owner);
 	assert_false(lease_may_promise(&t, 0, 1, &owner));
 	lease_finish(&t);
 }
@@ -231,13 +233,13 @@
  * again only if it surely was not.
  */
 static void
-test_handover_stops(void **state)
+test_handover_stops_owner(void **state)
 {
-	struct lease_claim c = make(1, 1, 2, 3);
+	struct lease_claim c = make_claim(1, 1, 2, 3);
 	struct lease_table t;
 
 	(void)state;
-	own(&t, 1);
+	init_owned_table(&t, 1);
 	lease_read_proof(&t, 1000);
 	lease_append_begin(&t, &c);
 	assert_int_equal(lease_held(&t, 0, 1001), 0);
@@ -255,17 +257,17 @@
  * waits like the loans.
  */
 static void
-test_noted(void **state)
+test_replicated_validity(void **state)
 {
-	struct lease_claim to_standby = make(1, 1, 2, 3);
-	struct lease_claim to_other = make(1, 1, 3, 2);
-	struct lease_claim takeover = make(1, 2, 2, 3);
-	struct lease_claim alone = make(1, 1, 1, 0);
-	struct lease_claim to_nobody = make(2, 1, 2, 0);
+	struct lease_claim to_standby = make_claim(1, 1, 2, 3);
+	struct lease_claim to_other = make_claim(1, 1, 3, 2);
+	struct lease_claim takeover = make_claim(1, 2, 2, 3);
+	struct lease_claim alone = make_claim(1, 1, 1, 0);
+	struct lease_claim handover_alone = make_claim(2, 1, 2, 0);
 	const struct {
 		int self;
 		const struct lease_claim *claim;
-		uint64_t at;
+		uint64_t now_ms;
 		uint64_t want;
 	} cases[] = {
 		{ 2, &to_standby, 1000, 3000 },
@@ -279,22 +281,22 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-		own(&t, cases[i].self);
-		put(&t, cases[i].claim, 1000);
+		init_owned_table(&t, cases[i].self);
+		apply_claim(&t, cases[i].claim, 1000);
 		lease_read_proof(&t, 1000);
-		assert_int_equal(
-		    lease_noted(&t, 0, cases[i].at), cases[i].want);
+		assert_int_equal(lease_replicated_until(&t, 0, cases[i].now_ms),
+		    cases[i].want);
 		lease_finish(&t);
 	}
-	own(&t, 1);
+	init_owned_table(&t, 1);
 	lease_read_proof(&t, 1000);
 	lease_append_begin(&t, &to_standby);
 	assert_int_equal(lease_held(&t, 0, 1001), 0);
-	assert_int_equal(lease_noted(&t, 0, 1001), 3000);
+	assert_int_equal(lease_replicated_until(&t, 0, 1001), 3000);
 	lease_append_end(&t, &to_standby, 0);
-	put(&t, &alone, 1000);
-	lease_append_begin(&t, &to_nobody);
-	assert_int_equal(lease_noted(&t, 0, 1001), 0);
+	apply_claim(&t, &alone, 1000);
+	lease_append_begin(&t, &handover_alone);
+	assert_int_equal(lease_replicated_until(&t, 0, 1001), 0);
 	lease_finish(&t);
 }
 
@@ -302,24 +304,25 @@
  * What a peer says can end authority and show the way, but give none.
  */
 static void
-test_hints(void **state)
+test_peer_hints_end_authority(void **state)
 {
-	struct node_id a = node(5), b = node(6), self = node(1);
+	struct node_id a = make_node_id(5), b = make_node_id(6),
+		       self = make_node_id(1);
 	struct lease_table t;
 	struct lease_view v;
 
 	(void)state;
-	own(&t, 1);
+	init_owned_table(&t, 1);
 	lease_read_proof(&t, 1000);
-	lease_hint(&t, 0, 1, &a, &b);
+	lease_add_hint(&t, 0, 1, &a, &b);
 	assert_int_equal(lease_held(&t, 0, 1001), 3000);
-	lease_hint(&t, 0, 5, &a, &b);
-	lease_hint(&t, 0, 4, &b, &a);
+	lease_add_hint(&t, 0, 5, &a, &b);
+	lease_add_hint(&t, 0, 4, &b, &a);
 	assert_int_equal(lease_held(&t, 0, 1001), 0);
 	lease_view(&t, 0, 1001, &v);
 	assert_true(nodeid_equal(&v.owner, &a));
 	assert_int_equal(v.term, 5);
-	lease_hint(&t, 1, 3, &self, &a);
+	lease_add_hint(&t, 1, 3, &self, &a);
 	assert_int_equal(lease_held(&t, 1, 1001), 0);
 	lease_finish(&t);
 }
@@ -329,29 +332,30 @@
  * they compare with; one that is too old won't do.
  */
 static void
-test_snapshot(void **state)
+test_incomplete_table_loads_snapshot(void **state)
 {
-	struct lease_claim c2 = make(1, 1, 1, 3), c3 = make(2, 1, 1, 4);
+	struct lease_claim c2 = make_claim(1, 1, 1, 3),
+			   c3 = make_claim(2, 1, 1, 4);
 	struct lease_table t, late;
-	struct node_id self = node(3), owner = node(1);
+	struct node_id self = make_node_id(3), owner = make_node_id(1);
 	char *old, *good;
 
 	(void)state;
-	own(&t, 2);
+	init_owned_table(&t, 2);
 	t.part[0].effective_ms = 900;
 	old = lease_snapshot_encode(&t, 500);
-	put(&t, &c2, 500);
+	apply_claim(&t, &c2, 500);
 	good = lease_snapshot_encode(&t, 500);
-	put(&t, &c3, 500);
+	apply_claim(&t, &c3, 500);
 
 	lease_init(&late, &self, LONG_MS);
 	lease_first(&late, 2);
 	lease_read_proof(&late, 10);
 	assert_int_equal(lease_held(&late, 0, 11), 0);
-	assert_int_equal(
-	    apply(&late, lease_claim_encode(&c3), 2, 5000), LEASE_BUFFERED);
-	assert_int_equal(apply(&late, old, 3, 5000), LEASE_OLD);
-	assert_int_equal(apply(&late, good, 4, 5000), LEASE_SNAPSHOT);
+	assert_int_equal(apply_record(&late, lease_claim_encode(&c3), 2, 5000),
+	    LEASE_BUFFERED);
+	assert_int_equal(apply_record(&late, old, 3, 5000), LEASE_STALE);
+	assert_int_equal(apply_record(&late, good, 4, 5000), LEASE_SNAPSHOT);
 	assert_true(late.complete);
 	assert_int_equal(late.part[0].term, 3);
 	assert_true(nodeid_equal(&late.part[0].owner, &owner));
@@ -372,32 +376,32 @@
  * and after the long wait.
  */
 static void
-test_reset(void **state)
+test_reset_without_snapshot(void **state)
 {
-	struct node_id self = node(3);
+	struct node_id self = make_node_id(3);
 	struct lease_claim c;
 	struct lease_table t;
 
 	(void)state;
 	lease_init(&t, &self, LONG_MS);
 	lease_first(&t, 40);
-	c = make(0, 3, 3, 4);
+	c = make_claim(0, 3, 3, 4);
 	assert_int_equal(lease_append_begin(&t, &c), -1);
 	lease_read_proof(&t, 1000);
-	assert_false(lease_wants_reset(&t, 1000 + LEASE_RESET_WAIT_MS - 1));
-	assert_true(lease_wants_reset(&t, 1000 + LEASE_RESET_WAIT_MS));
+	assert_false(lease_reset_due(&t, 1000 + LEASE_RESET_WAIT_MS - 1));
+	assert_true(lease_reset_due(&t, 1000 + LEASE_RESET_WAIT_MS));
 	assert_int_equal(
-	    apply(&t, lease_reset_encode(), 40, 2000), LEASE_RESET);
-	assert_int_equal(put(&t, &c, 2000), LEASE_LOST);
-	c = make(41, 3, 3, 4);
-	assert_int_equal(put(&t, &c, 2000), LEASE_ACCEPTED);
+	    apply_record(&t, lease_reset_encode(), 40, 2000), LEASE_RESET);
+	assert_int_equal(apply_claim(&t, &c, 2000), LEASE_SUPERSEDED);
+	c = make_claim(41, 3, 3, 4);
+	assert_int_equal(apply_claim(&t, &c, 2000), LEASE_ACCEPTED);
 	assert_int_equal(t.part[0].kind, LEASE_VACANT);
 	assert_false(t.part[0].first);
 	assert_int_equal(t.part[0].effective_ms, 2000 + LONG_WAIT);
 	lease_finish(&t);
-	own(&t, 1);
+	init_owned_table(&t, 1);
 	lease_read_proof(&t, 100);
-	apply(&t, lease_reset_encode(), 1, 100);
+	apply_record(&t, lease_reset_encode(), 1, 100);
 	assert_int_equal(lease_held(&t, 0, 101), 0);
 	lease_finish(&t);
 }
@@ -407,7 +411,7 @@
  * do no harm.
  */
 static void
-test_bad_records(void **state)
+test_malformed_records_counted(void **state)
 {
 	static const char *const bad[] = { "", "{", "[]", "7", "{\"part\":0}",
 		"{\"snapshot\":true}", "{\"snapshot\":true,\"parts\":[]}",
@@ -420,21 +424,21 @@
 		"{\"part\":0,\"prev\":-1,\"term\":0,\"by\":\"1.2.3.4:5/6\","
 		"\"owner\":\"1.2.3.4:5/6\",\"standby\":null}" };
 	size_t i, n = sizeof(bad) / sizeof(bad[0]), len;
-	struct lease_claim c = make(1, 1, 1, 3);
+	struct lease_claim c = make_claim(1, 1, 1, 3);
 	struct lease_table t;
 	char buf[64];
 	char *text;
 
 	(void)state;
-	own(&t, 1);
+	init_owned_table(&t, 1);
 	for (i = 0; i < n; i++)
 		assert_int_equal(
 		    lease_apply(&t, bad[i], strlen(bad[i]), t.next, 5),
-		    LEASE_BAD);
+		    LEASE_MALFORMED);
 	text = lease_claim_encode(&c);
 	for (len = 0; len < strlen(text); len++)
 		assert_int_equal(
-		    lease_apply(&t, text, len, t.next, 5), LEASE_BAD);
+		    lease_apply(&t, text, len, t.next, 5), LEASE_MALFORMED);
 	n += len;
 	free(text);
 	srandom(7);
@@ -443,7 +447,7 @@
 			buf[len] = (char)random();
 		lease_apply(&t, buf, sizeof(buf), t.next, 5);
 	}
-	assert_int_equal(t.bad, n + i);
+	assert_int_equal(t.malformed_count, n + i);
 	assert_int_equal(t.part[0].term, 1);
 	lease_finish(&t);
 }
@@ -453,10 +457,10 @@
  * among six members in three domains.
  */
 static void
-test_decisions(void **state)
+test_decisions_on_member_state(void **state)
 {
 	static const struct {
-		const char *what;
+		const char *name;
 		int self, owner, standby;
 		int dead, dead2; /* members that are not alive */
 		int leaving, stopping;
@@ -486,7 +490,7 @@
 	(void)state;
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		for (j = 0; j < 6; j++) {
-			m[j].id = node((int)j + 1);
+			m[j].id = make_node_id((int)j + 1);
 			m[j].domain = (uint32_t)(j / 2);
 			m[j].region = m[j].preferred = 1;
 			m[j].alive = (int)j + 1 != cases[i].dead &&
@@ -494,13 +498,13 @@
 			m[j].leaving = (int)j + 1 == cases[i].leaving;
 			m[j].age_ms = 1000;
 		}
-		self = node(cases[i].self);
+		self = make_node_id(cases[i].self);
 		lease_init(&t, &self, LONG_MS);
 		for (j = 0; j < LEASE_PARTS; j++) {
-			c[0] = make(0, cases[i].owner, cases[i].owner,
+			c[0] = make_claim(0, cases[i].owner, cases[i].owner,
 			    cases[i].standby);
 			c[0].part = (uint32_t)j;
-			put(&t, &c[0], 1);
+			apply_claim(&t, &c[0], 1);
 		}
 		lease_decider_init(&d);
 		d.stopping = cases[i].stopping;
@@ -513,7 +517,7 @@
 			n = lease_decide(&d, &t, &in, c, LEASE_PARTS);
 		}
 		if (n != (size_t)cases[i].claims * LEASE_PARTS)
-			fail_msg("%s: %zu claims", cases[i].what, n);
+			fail_msg("%s: %zu claims", cases[i].name, n);
 		for (k = 0; k < n; k++) {
 			assert_int_equal(
 			    nodeid_equal(&c[k].owner, &self), cases[i].by_self);
@@ -531,7 +535,7 @@
  * the members, and else claims nothing.
  */
 static void
-test_minority(void **state)
+test_minority_claims_nothing(void **state)
 {
 	struct lease_member m[6];
 	struct lease_inputs in = { m, 6, NULL, NULL, 1000 };
@@ -543,7 +547,7 @@
 	(void)state;
 	for (alive = 1; alive <= 5; alive++) {
 		for (i = 0; i < 6; i++) {
-			m[i].id = node(i + 1);
+			m[i].id = make_node_id(i + 1);
 			m[i].domain = (uint32_t)(i / 2);
 			m[i].region = m[i].preferred = 1;
 			m[i].alive = i != 0 && i <= alive;
@@ -551,8 +555,8 @@
 			m[i].age_ms = 1000;
 		}
 		lease_init(&t, &m[1].id, LONG_MS);
-		c[0] = make(0, 1, 1, 2);
-		put(&t, &c[0], 1);
+		c[0] = make_claim(0, 1, 1, 2);
+		apply_claim(&t, &c[0], 1);
 		lease_decider_init(&d);
 		lease_read_proof(&t, 1000);
 		assert_int_equal(
@@ -567,7 +571,7 @@
  * Owners are in the preferred region, if there is one.
  */
 static void
-cold_start(int preferred)
+check_cold_start(int preferred)
 {
 	struct lease_member m[6];
 	struct lease_inputs in = { m, 6, NULL, NULL, 1000 };
@@ -578,7 +582,7 @@
 	uint32_t owner, standby, domain;
 
 	for (i = 0; i < 6; i++) {
-		m[i].id = node((int)i + 1);
+		m[i].id = make_node_id((int)i + 1);
 		m[i].domain = (uint32_t)(i / 2);
 		m[i].region = 1 + (i < 4);
 		m[i].preferred = preferred && i < 4;
@@ -596,15 +600,16 @@
 	for (i = 0; i < 6; i++) {
 		assert_int_equal(
 		    lease_decide(&d[i], &t[i], &in, c, LEASE_PARTS), 0);
-		lease_read_proof(&t[i], 1000 + LEASE_SETTLE_MS);
+		lease_read_proof(&t[i], 1000 + LEASE_DISCOVERY_MS);
 	}
-	in.now_ms = 1000 + LEASE_SETTLE_MS;
+	in.now_ms = 1000 + LEASE_DISCOVERY_MS;
 	for (i = 0; i < 6; i++) {
 		n = lease_decide(&d[i], &t[i], &in, c, LEASE_PARTS);
 		for (k = 0; k < n; k++)
 			for (j = 0; j < 6; j++)
 				assert_int_equal(
-				    put(&t[j], &c[k], 1000), LEASE_ACCEPTED);
+				    apply_claim(&t[j], &c[k], 1000),
+				    LEASE_ACCEPTED);
 	}
 	for (i = 0; i < LEASE_PARTS; i++) {
 		owner = t[0].part[i].owner.addr - 0x7f000001;
@@ -627,30 +632,30 @@
  * A cold start with and without a preferred region.
  */
 static void
-test_cold_start(void **state)
+test_cold_start_places_leases(void **state)
 {
 	(void)state;
-	cold_start(0);
-	cold_start(1);
+	check_cold_start(0);
+	check_cold_start(1);
 }
 
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_kinds),
-		cmocka_unit_test(test_waits_add_up),
-		cmocka_unit_test(test_authority),
-		cmocka_unit_test(test_promises),
-		cmocka_unit_test(test_handover_stops),
-		cmocka_unit_test(test_noted),
-		cmocka_unit_test(test_hints),
-		cmocka_unit_test(test_snapshot),
-		cmocka_unit_test(test_reset),
-		cmocka_unit_test(test_bad_records),
-		cmocka_unit_test(test_decisions),
-		cmocka_unit_test(test_minority),
-		cmocka_unit_test(test_cold_start),
+		cmocka_unit_test(test_claim_kinds_and_delays),
+		cmocka_unit_test(test_takeover_keeps_earlier_delay),
+		cmocka_unit_test(test_owner_validity),
+		cmocka_unit_test(test_standby_promises),
+		cmocka_unit_test(test_handover_stops_owner),
+		cmocka_unit_test(test_replicated_validity),
+		cmocka_unit_test(test_peer_hints_end_authority),
+		cmocka_unit_test(test_incomplete_table_loads_snapshot),
+		cmocka_unit_test(test_reset_without_snapshot),
+		cmocka_unit_test(test_malformed_records_counted),
+		cmocka_unit_test(test_decisions_on_member_state),
+		cmocka_unit_test(test_minority_claims_nothing),
+		cmocka_unit_test(test_cold_start_places_leases),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/lease/test_lease_service.c
+++ b/src/lease/test_lease_service.c
@@ -20,30 +20,30 @@
 static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
 static char *records[RECORDS_MAX];
 static uint64_t log_next;
-static atomic_int log_down, lose_acks;
+static atomic_int log_unavailable, acks_to_lose;
 static struct lease_service nodes[NODES];
-static atomic_int up[NODES], leaving[NODES];
+static atomic_int running[NODES], leaving[NODES];
 
-static struct node_id node(size_t);
+static struct node_id make_node_id(size_t);
 static enum logsvc_status log_append(
     void *, const char *, const char *, size_t, uint32_t, uint64_t *);
 static enum logsvc_status log_read(void *, const char *, uint64_t, uint32_t,
     uint32_t, uint32_t, struct logsvc_batch *);
-static size_t members(void *, struct lease_member *, size_t);
-static enum rpc_status call(void *, const struct node_id *,
+static size_t list_members(void *, struct lease_member *, size_t);
+static enum rpc_status call_node(void *, const struct node_id *,
     const struct rpc_proc *, const void *, void *, uint32_t);
-static void start(size_t);
-static void stop(size_t);
-static int owned_by(size_t, int);
-static int all_owned(size_t);
-static int none_owned(size_t);
+static void start_node(size_t);
+static void stop_node(size_t);
+static int check_owners(size_t, int);
+static int all_partitions_owned(size_t);
+static int owns_no_partition(size_t);
 static int wait_for(int (*)(size_t), size_t);
 
 /*
  * Returns the name of node i.
  */
 static struct node_id
-node(size_t i)
+make_node_id(size_t i)
 {
 	struct node_id id = { 0x7f000001, (uint16_t)(7000 + i), 1 };
 
@@ -60,14 +60,15 @@
 	(void)ctx;
 	(void)stream;
 	(void)timeout_ms;
-	if (log_down)
+	if (log_unavailable)
 		return LOGSVC_UNAVAILABLE;
 	pthread_mutex_lock(&log_lock);
 	assert_true(log_next < RECORDS_MAX);
 	*offset = log_next;
 	records[log_next++] = strndup(data, len);
 	pthread_mutex_unlock(&log_lock);
-	return atomic_fetch_sub(&lose_acks, 1) > 0 ? LOGSVC_UNKNOWN : LOGSVC_OK;
+	return atomic_fetch_sub(&acks_to_lose, 1) > 0 ? LOGSVC_UNKNOWN
+						      : LOGSVC_OK;
 }
 
 /*
@@ -83,7 +84,7 @@
 	(void)stream;
 	(void)wait_ms;
 	(void)timeout_ms;
-	if (log_down)
+	if (log_unavailable)
 		return LOGSVC_UNAVAILABLE;
 	pthread_mutex_lock(&log_lock);
 	b->first = 0;
@@ -105,7 +106,7 @@
  * Lists the nodes that run; each is in the same failure domain.
  */
 static size_t
-members(void *ctx, struct lease_member *m, size_t max)
+list_members(void *ctx, struct lease_member *m, size_t max)
 {
 	size_t i;
 
@@ -113,8 +114,8 @@
 	(void)max;
 	for (i = 0; i < NODES; i++) {
 		memset(&m[i], 0, sizeof(m[i]));
-		m[i].id = node(i);
-		m[i].alive = up[i];
+		m[i].id = make_node_id(i);
+		m[i].alive = running[i];
 		m[i].leaving = leaving[i];
 	}
 	return NODES;
@@ -124,14 +125,14 @@
  * Calls another node's procedure directly.
  */
 static enum rpc_status
-call(void *ctx, const struct node_id *to, const struct rpc_proc *p,
+call_node(void *ctx, const struct node_id *to, const struct rpc_proc *p,
     const void *arg, void *res, uint32_t timeout_ms)
 {
 	size_t i = to->rpc_port - 7000U;
 
 	(void)ctx;
 	(void)timeout_ms;
-	if (!up[i])
+	if (!running[i])
 		return RPC_UNREACHABLE;
 	return p->handle(&nodes[i], NULL, arg, res) == 0 ? RPC_DONE
 							 : RPC_TIMEOUT;
@@ -141,29 +142,29 @@
  * Starts a node.
  */
 static void
-start(size_t i)
+start_node(size_t i)
 {
-	struct lease_config cfg = { .self = node(i),
-		.call = call,
-		.members = members,
+	struct lease_config cfg = { .self = make_node_id(i),
+		.call = call_node,
+		.members = list_members,
 		.retention_ms = 3600000 };
 
 	cfg.log.append = log_append;
 	cfg.log.read = log_read;
 	leaving[i] = 0;
 	assert_int_equal(lease_service_init(&nodes[i], &cfg), 0);
-	up[i] = 1;
+	running[i] = 1;
 }
 
 /*
  * Ends a node without notice.
  */
 static void
-stop(size_t i)
+stop_node(size_t i)
 {
 	struct timespec ts = { 0, 100000000 };
 
-	up[i] = 0;
+	running[i] = 0;
 	nanosleep(&ts, NULL); /* calls under way end */
 	lease_service_finish(&nodes[i]);
 }
@@ -173,48 +174,48 @@
  * many by node i.
  */
 static int
-owned_by(size_t i, int count)
+check_owners(size_t i, int count)
 {
 	struct lease_view v;
-	int held, mine = 0;
+	int owners, owned = 0;
 	uint32_t part;
 	size_t k;
 
 	for (part = 0; part < LEASE_PARTS; part++) {
-		held = 0;
+		owners = 0;
 		for (k = 0; k < NODES; k++) {
-			if (!up[k])
+			if (!running[k])
 				continue;
 			lease_service_lookup(&nodes[k], part, clock_ms(), &v);
 			if (v.until_ms != 0)
-				held++;
+				owners++;
 			if (k == i &&
 			    nodeid_equal(&v.owner, &nodes[i].cfg.self))
-				mine++;
+				owned++;
 		}
-		assert_in_range(held, 0, 1);
-		if (count < 0 && held == 0)
+		assert_in_range(owners, 0, 1);
+		if (count < 0 && owners == 0)
 			return 0;
 	}
-	return count < 0 || mine == count;
+	return count < 0 || owned == count;
 }
 
 /*
  * Tells whether every partition is held.
  */
 static int
-all_owned(size_t i)
+all_partitions_owned(size_t i)
 {
-	return owned_by(i, -1);
+	return check_owners(i, -1);
 }
 
 /*
  * Tells whether a node owns nothing.
  */
 static int
-none_owned(size_t i)
+owns_no_partition(size_t i)
 {
-	return owned_by(i, 0);
+	return check_owners(i, 0);
 }
 
 /*
@@ -236,7 +237,7 @@
  * the term, hand over at a planned stop, and take over after a death.
  */
 static void
-test_life(void **state)
+test_outage_handover_and_crash(void **state)
 {
 	struct timespec ts = { 0, 50000000 };
 	struct lease_view v;
@@ -244,44 +245,45 @@
 	size_t i;
 
 	(void)state;
-	lose_acks = 5;
+	acks_to_lose = 5;
 	for (i = 0; i < NODES; i++)
-		start(i);
-	assert_true(wait_for(all_owned, 0));
+		start_node(i);
+	assert_true(wait_for(all_partitions_owned, 0));
 
-	log_down = 1;
+	log_unavailable = 1;
 	end = clock_ms() + LEASE_TERM_MS + 1500;
 	while (clock_ms() < end) {
-		assert_true(all_owned(0));
+		assert_true(all_partitions_owned(0));
 		nanosleep(&ts, NULL);
 	}
 	/* A newcomer finds the owners through its peers. */
-	stop(2);
-	start(2);
+	stop_node(2);
+	start_node(2);
 	end = clock_ms() + WAIT_MS;
 	do {
 		nanosleep(&ts, NULL);
 		lease_service_lookup(&nodes[2], 47, clock_ms(), &v);
 	} while (v.owner.addr == 0 && clock_ms() < end);
 	assert_int_not_equal(v.owner.addr, 0);
-	log_down = 0;
-	assert_true(wait_for(all_owned, 0));
+	log_unavailable = 0;
+	assert_true(wait_for(all_partitions_owned, 0));
 
 	leaving[0] = 1;
 	assert_int_equal(lease_service_leave(&nodes[0], WAIT_MS), 0);
-	assert_true(none_owned(0));
-	assert_true(wait_for(all_owned, 1));
-	stop(0);
-	assert_true(wait_for(all_owned, 1));
-	stop(1);
-	assert_true(wait_for(all_owned, 2));
-	stop(2);
+	assert_true(owns_no_partition(0));
+	assert_true(wait_for(all_partitions_owned, 1));
+	stop_node(0);
+	assert_true(wait_for(all_partitions_owned, 1));
+	stop_node(1);
+	assert_true(wait_for(all_partitions_owned, 2));
+	stop_node(2);
 }
 
 int
 main(void)
 {
-	const struct CMUnitTest tests[] = { cmocka_unit_test(test_life) };
+	const struct CMUnitTest tests[] = { cmocka_unit_test(
+	    test_outage_handover_and_crash) };
 	int failed;
 
 	rcu_register_thread();
