--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -7,79 +7,87 @@
 #include "base/nodeid.h"
 
 /*
- * Leases on partitions, decided by the order of the log stream "leases".
- * docs/LEASES.md argues why no two nodes act for a partition at once.
+ * Leases on partitions. The order of the records in the log stream "leases"
+ * decides which claim succeeds. docs/LEASES.md shows why no two nodes act for
+ * a partition at the same time.
  */
 #define LEASE_STREAM "leases"
 #define LEASE_PARTS 48
 #define LEASE_GROUPS 3
 #define LEASE_GROUP_PARTS (LEASE_PARTS / LEASE_GROUPS)
 
-#define LEASE_TERM_MS 2000	  /* authority after a proof was asked for */
-#define LEASE_MARGIN_MS 200	  /* allowance for clocks of unequal speed */
-#define LEASE_HANDOVER_MS 700	  /* the old owner's loans lapse meanwhile */
-#define LEASE_LONG_MS 600000	  /* wait after owner and standby are gone */
-#define LEASE_RESET_WAIT_MS 30000 /* how long to look for a snapshot */
-#define LEASE_CLAIM_BYTES 512	  /* an encoded claim fits */
+#define LEASE_TERM_MS                                                         \
+	2000		    /* authority after a read or promise is requested \
+			     */
+#define LEASE_MARGIN_MS 200 /* allowance for clock drift */
+#define LEASE_HANDOVER_MS 700 /* until the old owner's loans have expired */
+/*
+ * Limit of an owner's authority by promises after its last read. A takeover
+ * by a node other than the standby waits for it.
+ */
+#define LEASE_LONG_MS 600000
+#define LEASE_RESET_WAIT_MS 30000 /* wait for a snapshot */
+#define LEASE_CLAIM_BYTES 512	  /* limit of an encoded claim */
 
 enum lease_kind {
-	LEASE_FIRST,	      /* never owned before */
-	LEASE_VACANT,	      /* no owner since the table was reset */
+	LEASE_FIRST,	      /* first claim of the partition */
+	LEASE_VACANT,	      /* first claim after a reset */
 	LEASE_STANDBY_CHANGE, /* the owner names another standby */
 	LEASE_HANDOVER,	      /* the owner names another owner */
-	LEASE_TAKEOVER,	      /* by the standby */
-	LEASE_SLOW_TAKEOVER,  /* by anyone else */
+	LEASE_TAKEOVER,	      /* the standby claims ownership */
+	LEASE_SLOW_TAKEOVER,  /* any other claim */
 	LEASE_KIND_MAX
 };
 
 enum lease_result {
 	LEASE_ACCEPTED,
-	LEASE_SUPERSEDED, /* another claim came first in the log */
-	LEASE_BUFFERED,	  /* can't be judged before a snapshot is read */
-	LEASE_MALFORMED,  /* malformed: dropped */
+	LEASE_SUPERSEDED, /* an earlier claim replaced the term */
+	LEASE_BUFFERED,	  /* waits for a snapshot */
+	LEASE_MALFORMED,  /* dropped */
 	LEASE_SNAPSHOT,
 	LEASE_RESET,
-	LEASE_STALE, /* already applied */
+	LEASE_STALE, /* applied already, or a snapshot that is too old */
 	LEASE_RESULT_MAX
 };
 
 struct lease_claim {
 	uint32_t part;
-	uint64_t prev;
+	uint64_t prev; /* term that the claim replaces */
 	uint64_t term;
-	struct node_id by;
+	struct node_id by; /* node that made the claim */
 	struct node_id owner;
 	struct node_id standby;
 };
 
-/* This node's own appends; they outlive a table that lost its records. */
+/* This node's claims on a partition; retained when the table restarts. */
 struct lease_appends {
-	uint64_t replaced_term; /* term that the newest of them would replace */
-	int in_flight;		/* it has not ended */
-	int maybe_written;	/* one has ended, and may still be written */
-	int stopped;		/* it hands over: this node no longer acts */
+	uint64_t replaced_term; /* term that the claims replace */
+	int in_flight;		/* an append has not ended */
+	int maybe_written;	/* an ended append may be written */
+	int stopped;		/* by a handover: no longer acts as owner */
 };
 
-/* What the log says of one partition, and what this node has promised. */
+/* State of one partition: from the log, the standby and other peers. */
 struct lease_entry {
 	uint64_t term;
-	uint64_t tenure; /* term with which the owner's time began */
+	uint64_t tenure; /* term in which the owner became owner */
 	struct node_id owner;
 	struct node_id standby;
 	enum lease_kind kind;
-	uint64_t effective_ms;		  /* the owner may act from here on */
-	uint64_t replicated_effective_ms; /* or here, on what only counts once
-					     noted */
-	uint64_t read_ms;		  /* when this term was read */
-	uint64_t promise_sent_ms;	  /* newest promise of the standby */
-	int promised;
-	int first; /* tenure began with the first claim ever */
+	uint64_t effective_ms; /* the owner may act from then on */
+	/* The same for decisions that the standby must record first. */
+	uint64_t replicated_effective_ms;
+	uint64_t read_ms;	  /* time when this term was read */
+	uint64_t promise_sent_ms; /* time when the promise was requested */
+	int promised; /* the standby has made a promise for this term */
+	int first;    /* tenure began with LEASE_FIRST */
 	struct lease_appends appends;
-	uint64_t hint_term; /* newer term that a peer knows of */
+	uint64_t hint_term; /* newest term reported by a peer; 0: none */
 	struct node_id hint_owner;
 	struct node_id hint_standby;
 };
 
+/* A claim that waits for a snapshot. */
 struct lease_pending {
 	uint64_t offset;
 	struct lease_claim claim;
@@ -87,16 +95,16 @@
 
 struct lease_table {
 	struct node_id self;
-	uint64_t long_ms;
-	uint64_t read_from; /* offset from which all records were read */
-	uint64_t next;	    /* offset of the next record to apply */
-	int complete;
-	int has_read_proof;
-	uint64_t read_sent_ms;	 /* when the newest proving read was sent */
-	uint64_t end_reached_ms; /* first proving read while incomplete */
-	uint64_t
-	    snapshot_next_offset;  /* position described by the last snapshot */
-	uint64_t snapshot_read_ms; /* when it was read */
+	uint64_t long_ms;	 /* see LEASE_LONG_MS */
+	uint64_t read_from;	 /* offset of the first record read */
+	uint64_t next;		 /* offset of the next record to apply */
+	int complete;		 /* the state of all partitions is known */
+	int has_read_proof;	 /* a read has reached the end of the stream */
+	uint64_t read_sent_ms;	 /* of the newest such read */
+	uint64_t end_reached_ms; /* first such read while incomplete; 0: none */
+	/* Position that the last snapshot describes. */
+	uint64_t snapshot_next_offset;
+	uint64_t snapshot_read_ms; /* time when it was read */
 	int snapshot_seen;
 	uint64_t malformed_count;
 	uint64_t superseded_count;
@@ -106,19 +114,21 @@
 	size_t pending_cap;
 };
 
-/* What request threads need to know of a partition. */
+/* State of a partition for request threads. */
 struct lease_view {
 	struct node_id owner;
 	struct node_id standby;
 	uint64_t term;
 	uint64_t tenure;
-	uint64_t effective_ms;
-	uint64_t until_ms; /* this node is the owner up to here; 0 if not */
-	uint64_t noted_until_ms; /* see lease_noted() */
-	int first;
+	uint64_t effective_ms; /* the owner may act from then on */
+	/* This node may act as the owner until then; 0: it may not. */
+	uint64_t until_ms;
+	/* The same for decisions that the standby must record first. */
+	uint64_t noted_until_ms;
+	int first; /* tenure began with LEASE_FIRST */
 };
 
-/* How other duties look partitions up; the last argument is clock_ms(). */
+/* Looks up a partition by number at a time of clock_ms(). */
 typedef void (*lease_lookup_fn)(
     void *, uint32_t, uint64_t, struct lease_view *);
 
@@ -142,46 +152,47 @@
 int lease_reset_due(const struct lease_table *, uint64_t);
 const char *lease_kind_name(enum lease_kind);
 
-/* lease_json.c: records of the stream */
+/* lease_json.c: encoding of records */
 char *lease_claim_encode(const struct lease_claim *);
 char *lease_snapshot_encode(const struct lease_table *, uint64_t);
 char *lease_reset_encode(void);
 
-/* lease_decide.c: which claims this node appends now */
-#define LEASE_READ_AGE_MAX_MS 10000 /* age of the last read to decide on */
-#define LEASE_DISCOVERY_MS 2000	    /* members find each other meanwhile */
-#define LEASE_RANK_DELAY_MS 3000    /* head start of each better candidate */
-#define LEASE_OWNER_DEAD_MS 15000   /* silence before anyone takes over */
-#define LEASE_STANDBY_IDLE_MS \
-	60000 /* the same with a standby that does nothing */
-#define LEASE_REBALANCE_INTERVAL_MS 10000 /* between two moves by one owner */
-#define LEASE_STABLE_MS 30000		  /* age of a member that gets moves */
+/* lease_decide.c: decisions on claims */
+#define LEASE_READ_AGE_MAX_MS 10000 /* no decision on an older read */
+#define LEASE_DISCOVERY_MS 2000	    /* for members to find each other */
+#define LEASE_RANK_DELAY_MS 3000    /* delay per better candidate */
+#define LEASE_OWNER_DEAD_MS 15000   /* takeover if owner and standby are dead */
+/* Takeover if the standby is alive but does not take over. */
+#define LEASE_STANDBY_IDLE_MS 60000
+#define LEASE_REBALANCE_INTERVAL_MS 10000 /* between moves by one owner */
+#define LEASE_STABLE_MS 30000		  /* age of a target of moves */
 
 struct lease_member {
 	struct node_id id;
 	uint32_t domain;
 	uint32_t region;
-	int preferred; /* owners are chosen here while there are any such */
+	int preferred; /* owners are placed here if any such is alive */
 	int alive;
 	int leaving;
-	uint64_t age_ms; /* for how long it has been alive */
+	uint64_t age_ms; /* time since it became alive */
 };
 
+/* State that decisions keep between calls. */
 struct lease_decider {
-	uint64_t owner_dead_since_ms[LEASE_PARTS]; /* owner seen dead since; 0:
-						      alive */
+	/* Time since when there is no live owner; 0: there is one. */
+	uint64_t owner_dead_since_ms[LEASE_PARTS];
 	uint64_t last_move_ms;
 	int has_moved;
-	int stopping; /* this node is to hand everything over */
+	int stopping; /* hand over all partitions, claim none */
 };
 
-/* Whether the standby of a partition has all that it needs to take over. */
+/* Tells if the standby of a partition has the state to take over. */
 typedef int (*lease_ready_fn)(void *, uint32_t);
 
 struct lease_inputs {
 	const struct lease_member *members;
 	size_t count;
-	lease_ready_fn ready; /* NULL: always */
+	lease_ready_fn ready; /* NULL: standbys are always ready */
 	void *ready_ctx;
 	uint64_t now_ms;
 };
--- a/src/lease/lease.x
+++ b/src/lease/lease.x
@@ -1,4 +1,4 @@
-/* Messages of leases: heartbeats to standbys, and the table for newcomers. */
+/* Messages of leases: heartbeats to standbys and pages of the table. */
 
 const LEASE_PARTS_MAX = 48;
 const LEASE_PAGE = 24;
@@ -20,7 +20,7 @@
 	lease_beat_item items<LEASE_PARTS_MAX>;
 };
 
-/* Bit i says that part i of the argument is promised. */
+/* Bit i is set if the standby gives its promise for item i. */
 struct lease_beat_res {
 	unsigned hyper promised;
 };
--- a/src/lease/lease_decide.c
+++ b/src/lease/lease_decide.c
@@ -7,7 +7,7 @@
 #define DOMAIN_MATCH_BIT (UINT64_C(1) << 63)
 #define REGION_MATCH_BIT (UINT64_C(1) << 62)
 
-/* One round of decisions. */
+/* State of one lease_decide() call. */
 struct round {
 	struct lease_decider *decider;
 	const struct lease_table *table;
@@ -20,10 +20,10 @@
 	size_t max;
 };
 
-/* Where an owner or a standby should be. */
+/* Preferred placement of an owner or a standby. */
 struct placement {
 	uint32_t domain;
-	int other_domain; /* in any domain but that one */
+	int other_domain; /* any domain except this one is preferred */
 	uint32_t region;
 };
 
@@ -59,7 +59,7 @@
 static const struct node_id no_node;
 
 /*
- * Prepares the memory that decisions need between two rounds.
+ * Initializes the state that lease_decide() keeps between calls.
  */
 void
 lease_decider_init(struct lease_decider *d)
@@ -68,7 +68,8 @@
 }
 
 /*
- * Adds a failure domain to those of the round, in ascending order.
+ * Adds a failure domain to the sorted list of the round, unless it is listed
+ * already or the list is full.
  */
 static void
 add_domain(struct round *r, uint32_t domain)
@@ -88,9 +89,10 @@
 }
 
 /*
- * Collects the distinct failure domains that may hold owners, so that all
- * nodes with the same members number them alike: those with live members
- * that are preferred, or with any if there are none.
+ * Collects the failure domains that may hold owners: those of the live
+ * preferred members, or of all live members if no preferred member is alive.
+ * The list is sorted, so nodes that see the same members number the domains
+ * alike.
  */
 static void
 collect_domains(struct round *r)
@@ -111,7 +113,7 @@
 }
 
 /*
- * Finds a member by its name, or NULL.
+ * Returns the member with the given id, or NULL if there is none.
  */
 static const struct lease_member *
 find_member(const struct round *r, const struct node_id *id)
@@ -125,7 +127,7 @@
 }
 
 /*
- * Tells whether a node is a live member.
+ * Returns 1 if a node is a live member, 0 if not.
  */
 static int
 is_alive(const struct round *r, const struct node_id *id)
@@ -136,7 +138,8 @@
 }
 
 /*
- * Returns where a partition's owner should be.
+ * Returns the preferred placement of a partition's owner: the failure domain
+ * assigned to the partition's group.
  */
 static struct placement
 owner_placement(const struct round *r, uint32_t part)
@@ -148,8 +151,9 @@
 }
 
 /*
- * Returns where an owner's standby should be: in another failure domain, so
- * that the loss of one leaves either, but in the same region.
+ * Returns the preferred placement of the standby of an owner: another failure
+ * domain, so that the loss of one domain leaves one of the two, and the same
+ * region.
  */
 static struct placement
 standby_placement(const struct lease_member *owner)
@@ -160,8 +164,8 @@
 }
 
 /*
- * Weighs a member for a partition: by where it should be first, then by
- * rendezvous hashing.
+ * Returns the score of a member for a partition. Region and failure domain
+ * decide first, in this order; rendezvous hashing breaks ties.
  */
 static uint64_t
 member_score(
@@ -177,8 +181,9 @@
 }
 
 /*
- * Picks the best live member of at least an age (ms) but for two nodes, or
- * NULL.
+ * Returns the live member with the highest score that is not leaving and has
+ * been alive for at least age_ms, or NULL if there is none. The members
+ * exclude1 and exclude2 are skipped.
  */
 static const struct lease_member *
 pick_member(const struct round *r, uint32_t part, const struct placement *w,
@@ -205,7 +210,8 @@
 }
 
 /*
- * Returns how many live members come before this node for a partition.
+ * Returns the number of live members that are not leaving and have a higher
+ * score than this node as the owner of a partition.
  */
 static uint64_t
 count_better_members(const struct round *r, uint32_t part)
@@ -224,7 +230,8 @@
 }
 
 /*
- * Adds a claim on the term in force, if there is room in this round.
+ * Adds a claim that replaces the current term of a partition. Does nothing if
+ * the output of the round is full.
  */
 static void
 add_claim(struct round *r, uint32_t part, const struct node_id *owner,
@@ -245,7 +252,7 @@
 }
 
 /*
- * Claims a partition for this node, with the best standby.
+ * Claims a partition for this node, with the best candidate as its standby.
  */
 static void
 claim_self(struct round *r, uint32_t part)
@@ -258,7 +265,8 @@
 }
 
 /*
- * Tells whether the standby of an own partition could act at once.
+ * Returns 1 if the standby of a partition that this node owns has all the
+ * state that it needs to take over, 0 if not.
  */
 static int
 standby_is_ready(const struct round *r, uint32_t part)
@@ -268,7 +276,8 @@
 }
 
 /*
- * Names a new standby for an own partition, if there is a candidate.
+ * Names a new standby for a partition that this node owns, if there is a
+ * candidate.
  */
 static void
 replace_standby(struct round *r, uint32_t part)
@@ -283,7 +292,8 @@
 }
 
 /*
- * Hands an own partition to its standby before a planned stop.
+ * Hands a partition that this node owns over to its standby before a planned
+ * stop, once the standby is ready.
  */
 static void
 hand_over(struct round *r, uint32_t part, const struct lease_member *standby)
@@ -299,8 +309,9 @@
 }
 
 /*
- * Names a standby in another failure domain where the present one is in the
- * own and a better one can be had.  Returns 1 if it did.
+ * Moves the standby of a partition that this node owns out of this node's
+ * failure domain, if a stable member of another domain is available. Returns
+ * 1 if a claim was made, 0 if not.
  */
 static int
 move_standby(struct round *r, uint32_t part, const struct lease_member *standby)
@@ -319,8 +330,9 @@
 }
 
 /*
- * Moves an own partition a step towards the member that should own it: first
- * that one becomes the standby, then the owner.  Returns 1 if it did.
+ * Moves a partition that this node owns one step towards its preferred owner:
+ * the preferred owner first becomes the standby, and the owner in a later
+ * step. Returns 1 if a claim was made, 0 if not.
  */
 static int
 move_owner(struct round *r, uint32_t part, const struct lease_member *to,
@@ -336,8 +348,10 @@
 }
 
 /*
- * Moves an own partition a step, but one at a time, to where it should be.
- * With a whole domain gone, owners stay until it is back.
+ * Moves a partition that this node owns one step towards its preferred
+ * placement. An owner makes at most one move per LEASE_REBALANCE_INTERVAL_MS.
+ * While fewer domains than partition groups are alive, owners stay in their
+ * domains.
  */
 static void
 rebalance(struct round *r, uint32_t part, const struct lease_member *standby)
@@ -366,7 +380,7 @@
 }
 
 /*
- * Decides on a partition of this node's own.
+ * Decides on a partition that this node owns.
  */
 static void
 decide_owned(struct round *r, uint32_t part)
@@ -383,9 +397,9 @@
 }
 
 /*
- * Decides on a partition without an owner: the best candidate claims it once
- * the members have had time to find each other, each further one a while
- * later.
+ * Decides on a partition without an owner. The best candidate claims it after
+ * LEASE_DISCOVERY_MS; each further candidate waits LEASE_RANK_DELAY_MS
+ * longer.
  */
 static void
 decide_vacant(struct round *r, uint32_t part)
@@ -403,8 +417,10 @@
 }
 
 /*
- * Decides on a partition whose owner is dead: its standby takes over, and
- * anyone else only after both have long been silent.
+ * Decides on a partition whose owner is dead. The standby claims it at once.
+ * Another node claims it LEASE_OWNER_DEAD_MS after the owner was seen dead if
+ * the standby is dead too, or LEASE_STANDBY_IDLE_MS after it if the standby is
+ * alive but idle. Each further candidate waits LEASE_RANK_DELAY_MS longer.
  */
 static void
 decide_dead_owner(struct round *r, uint32_t part)
@@ -455,9 +471,9 @@
 }
 
 /*
- * Tells whether this node sees less than half of the members.  Cut off with
- * its domain, but not from the log, it would take leases to where most can't
- * reach them.
+ * Returns 1 if this node sees less than half of the known members alive. A
+ * node that is cut off with its failure domain, but still reaches the log,
+ * must not claim leases: most nodes could not reach it as the owner.
  */
 static int
 sees_minority(const struct round *r)
@@ -474,10 +490,11 @@
 }
 
 /*
- * Decides which claims this node should append now, at most max of them.
- * Nothing is decided on a table that isn't fresh, or without half of the
- * members.  The members must include
- * this node.  Returns how many claims were written to out.
+ * Decides which claims this node should append now, and writes at most max of
+ * them to out. Makes no decision if the table is incomplete, if its last read
+ * is older than LEASE_READ_AGE_MAX_MS, or if less than half of the members
+ * are alive. The members must include this node. Returns the number of
+ * claims.
  */
 size_t
 lease_decide(struct lease_decider *d, const struct lease_table *t,
--- a/src/lease/lease_internal.h
+++ b/src/lease/lease_internal.h
@@ -6,9 +6,9 @@
 /* One partition in a snapshot. */
 struct lease_state {
 	uint64_t term;
-	uint64_t tenure;
-	uint64_t wait_ms; /* until the owner may act */
-	int first;
+	uint64_t tenure;  /* term in which the owner became owner */
+	uint64_t wait_ms; /* time until the owner may act */
+	int first;	  /* tenure began with LEASE_FIRST */
 	struct node_id owner;
 	struct node_id standby;
 };
@@ -23,7 +23,7 @@
 struct lease_record {
 	enum lease_record_type type;
 	struct lease_claim claim;
-	uint64_t next;
+	uint64_t next; /* offset up to which a snapshot describes the log */
 	struct lease_state state[LEASE_PARTS];
 };
 
--- a/src/lease/lease_json.c
+++ b/src/lease/lease_json.c
@@ -16,7 +16,7 @@
 static char *encode_json(json_t *);
 
 /*
- * Encodes a node's name as text, or null for none.
+ * Encodes a node's id as text, or as null if there is no node.
  */
 static json_t *
 node_json(const struct node_id *id)
@@ -30,7 +30,7 @@
 }
 
 /*
- * Parses what node_json() made.  Returns 0, or -1 if it is malformed.
+ * Parses the result of node_json(). Returns 0, or -1 if it is malformed.
  */
 static int
 node_parse(json_t *j, struct node_id *id)
@@ -66,7 +66,8 @@
 }
 
 /*
- * Reads a number that isn't negative.  Returns 0, or -1.
+ * Parses an integer that is not negative. Returns 0, or -1 if it is
+ * malformed.
  */
 static int
 number_parse(json_t *j, uint64_t *v)
@@ -78,7 +79,7 @@
 }
 
 /*
- * Reads a claim.  Returns 0, or -1 if it is malformed.
+ * Parses a claim. Returns 0, or -1 if it is malformed.
  */
 static int
 claim_parse(json_t *j, struct lease_claim *c)
@@ -102,7 +103,7 @@
 }
 
 /*
- * Reads one partition of a snapshot.  Returns 0, or -1 if it is malformed.
+ * Parses one partition of a snapshot. Returns 0, or -1 if it is malformed.
  */
 static int
 state_parse(json_t *j, struct lease_state *s)
@@ -118,7 +119,7 @@
 }
 
 /*
- * Reads a snapshot.  Returns 0, or -1 if it is malformed.
+ * Parses a snapshot. Returns 0, or -1 if it is malformed.
  */
 static int
 snapshot_parse(json_t *j, struct lease_record *r)
@@ -136,7 +137,8 @@
 }
 
 /*
- * Decodes a record of the stream; its type tells if it was malformed.
+ * Decodes a record of the stream. A malformed record gets the type
+ * LEASE_RECORD_MALFORMED.
  */
 void
 lease_record_decode(struct lease_record *r, const char *data, size_t len)
@@ -159,8 +161,8 @@
 }
 
 /*
- * Turns JSON into text to be freed by the caller.  Exits the process if
- * memory is exhausted.
+ * Encodes JSON as text and releases it; the caller frees the text. Exits the
+ * process if memory is exhausted.
  */
 static char *
 encode_json(json_t *j)
@@ -169,12 +171,12 @@
 
 	json_decref(j);
 	if (s == NULL)
-		errx(1, "lease encode: out of memory");
+		errx(1, "lease: out of memory while encoding a record");
 	return s;
 }
 
 /*
- * Encodes a claim; the caller frees it.
+ * Encodes a claim as text; the caller frees it.
  */
 char *
 lease_claim_encode(const struct lease_claim *c)
@@ -186,8 +188,8 @@
 }
 
 /*
- * Encodes the whole table as it stands at a time (ms); the caller frees it.
- * The table must be complete.
+ * Encodes the whole table as of now_ms as a snapshot; the caller frees the
+ * text. The table must be complete.
  */
 char *
 lease_snapshot_encode(const struct lease_table *t, uint64_t now_ms)
@@ -212,7 +214,7 @@
 }
 
 /*
- * Encodes the record that starts all leases over; the caller frees it.
+ * Encodes the record that resets all leases; the caller frees the text.
  */
 char *
 lease_reset_encode(void)
--- a/src/lease/lease_rpc.c
+++ b/src/lease/lease_rpc.c
@@ -33,7 +33,7 @@
 };
 
 /*
- * Converts a node's name for a message.
+ * Converts a node's id to its form in messages.
  */
 static lease_node
 node_pack(const struct node_id *id)
@@ -44,7 +44,7 @@
 }
 
 /*
- * Converts a node's name from a message.
+ * Converts a node's id from its form in messages.
  */
 static struct node_id
 node_unpack(const lease_node *n)
@@ -55,8 +55,8 @@
 }
 
 /*
- * Answers an owner's heartbeat: for which of its partitions this node, the
- * standby, has begun no takeover.
+ * Handles an owner's heartbeat. The result tells for which of the listed
+ * partitions this node, the standby, promises that it has begun no takeover.
  */
 static int
 handle_heartbeat(
@@ -85,8 +85,9 @@
 }
 
 /*
- * Answers a newcomer with a page of the table; a part outside it gets an
- * empty page.  The answer is freed by the server.
+ * Returns a page of the table to a peer whose own table is incomplete or out
+ * of date. The page is empty if the first partition is out of range. The RPC
+ * server frees the result.
  */
 static int
 handle_table_page(
@@ -118,8 +119,9 @@
 }
 
 /*
- * Takes from a set of partitions those with the same standby as its first
- * one.  Returns how many items were written; 0 if the set is empty.
+ * Removes from a set of partitions the first one and all others with the same
+ * standby, and writes them to items. Returns the number of items; 0 if the
+ * set is empty.
  */
 static size_t
 take_shared_standby(struct lease_service *s, uint64_t *remaining,
@@ -145,7 +147,8 @@
 }
 
 /*
- * Asks one standby for its promises, and counts them from before asking.
+ * Sends a heartbeat to one standby and records its promises. They count from
+ * the time before the call was sent.
  */
 static void
 send_heartbeat(struct lease_service *s, const struct node_id *standby,
@@ -176,7 +179,7 @@
 }
 
 /*
- * Asks the standbys of all own partitions for their promises.
+ * Sends heartbeats to the standbys of all partitions that this node owns.
  */
 void
 lease_send_heartbeats(struct lease_service *s)
@@ -205,8 +208,8 @@
 }
 
 /*
- * Fetches one page of a peer's table as hints.  Returns 0, or -1 if the
- * peer did not answer.
+ * Fetches one page of a peer's table and adds its rows as hints. Returns 0,
+ * or -1 if the peer did not answer.
  */
 static int
 fetch_page(struct lease_service *s, const struct node_id *peer, u_int from)
@@ -235,7 +238,7 @@
 }
 
 /*
- * Picks a random live peer.  Returns 0, or -1 if there is none.
+ * Picks a random live peer. Returns 0, or -1 if there is none.
  */
 static int
 pick_peer(struct lease_service *s, struct node_id *peer)
@@ -259,8 +262,8 @@
 }
 
 /*
- * Learns from a random peer where the partitions are, while the log can't
- * be read.
+ * Fetches the table of a random live peer, to learn the owners of the
+ * partitions while the log is unavailable or the own table is incomplete.
  */
 void
 lease_fetch_peer_table(struct lease_service *s)
--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -10,19 +10,21 @@
 #include "base/logline.h"
 #include "lease/lease_service.h"
 
-#define POLL_MS 500	    /* reads by nodes with a part in the leases */
-#define POLL_URGENT_MS 50   /* by a standby that others take for owner */
-#define POLL_WATCH_MS 1000  /* reads by others while an owner is gone */
-#define POLL_IDLE_MS 5000   /* reads by others */
-#define POLL_JITTER_MS 1000 /* keeps those others apart */
+/* Intervals between two reads of the stream, by the role of the node. */
+#define POLL_MS 500	    /* nodes that are or may become owner or standby */
+#define POLL_URGENT_MS 50   /* stopping nodes; standbys asked as owner */
+#define POLL_WATCH_MS 1000  /* other nodes while an owner is unreachable */
+#define POLL_IDLE_MS 5000   /* other nodes */
+#define POLL_JITTER_MS 1000 /* spreads the reads of other nodes */
 #define HEARTBEAT_INTERVAL_MS 500
-#define READ_RECORDS_MAX 500 /* records of one read */
-#define READ_TIMEOUT_MS 3000 /* a slow log is better than none */
+#define READ_RECORDS_MAX 500 /* records per read */
+#define READ_TIMEOUT_MS 3000 /* long, to tolerate a slow log */
 #define APPEND_TIMEOUT_MS 3000
-#define CLAIMS_MAX 8		       /* appended in one round */
-#define SNAPSHOT_RETENTION_DIVISOR 4   /* of the log's retention */
-#define SNAPSHOT_INTERVAL_MIN_MS 10000 /* between two */
-#define SNAPSHOT_STEP_MS 1000 /* between the nodes that might write one */
+#define CLAIMS_MAX 8 /* appended per round */
+/* The interval between snapshots is 1/4 of the log's retention or longer. */
+#define SNAPSHOT_RETENTION_DIVISOR 4
+#define SNAPSHOT_INTERVAL_MIN_MS 10000 /* with a short retention */
+#define SNAPSHOT_STEP_MS 1000	       /* between turns of nodes to write one */
 
 static void *run_log_thread(void *);
 static void *run_heartbeat_thread(void *);
@@ -44,7 +46,7 @@
 static size_t count_owned(const struct lease_table *);
 
 /*
- * Starts the threads that read the stream and keep this node's leases.
+ * Starts the threads that read the stream and maintain this node's leases.
  * Returns 0, or -1 if a thread can't be started.
  */
 int
@@ -65,7 +67,7 @@
 	s->members = calloc(LEASE_MEMBERS_MAX, sizeof(*s->members));
 	s->published = malloc(sizeof(*s->published));
 	if (s->members == NULL || s->published == NULL)
-		err(1, "lease_service_init");
+		err(1, "lease: cannot allocate the service");
 	*s->published = s->table;
 	s->started_ms = clock_ms();
 	s->jitter_ms = rand_u64() % (LEASE_PARTS * SNAPSHOT_STEP_MS);
@@ -78,7 +80,8 @@
 }
 
 /*
- * Stops the threads and frees all.  The RPC server must not call any more.
+ * Stops the threads and frees the service. The RPC server must no longer call
+ * its procedures.
  */
 void
 lease_service_finish(struct lease_service *s)
@@ -98,8 +101,8 @@
 }
 
 /*
- * Makes the table visible to request threads.  When it returns, none of
- * them uses an older one.
+ * Publishes a copy of the table to the request threads. On return no thread
+ * uses an older copy.
  */
 void
 lease_publish(struct lease_service *s)
@@ -107,7 +110,7 @@
 	struct lease_table *fresh = malloc(sizeof(*fresh)), *old;
 
 	if (fresh == NULL)
-		err(1, "lease_publish");
+		err(1, "lease: cannot allocate a copy of the table");
 	pthread_mutex_lock(&s->lock);
 	*fresh = s->table;
 	fresh->pending = NULL;
@@ -119,8 +122,8 @@
 }
 
 /*
- * Describes a partition (lease_lookup_fn).  Takes no lock; the thread must
- * be registered with RCU.
+ * Describes a partition (lease_lookup_fn). Takes no lock; the calling thread
+ * must be registered with RCU.
  */
 void
 lease_service_lookup(
@@ -134,7 +137,7 @@
 }
 
 /*
- * Has the stream read soon, when an owner turned out to be gone.
+ * Requests an early read of the stream. Called when an owner is unreachable.
  */
 void
 lease_service_kick(struct lease_service *s)
@@ -146,8 +149,9 @@
 }
 
 /*
- * Has the stream read at once, when this node, a standby, was taken for the
- * owner: a claim on its behalf may be in the log.
+ * Requests an immediate read of the stream. Called when a request for the
+ * owner reaches this node, the standby: a claim that makes it the owner may
+ * be in the log.
  */
 void
 lease_service_expect(struct lease_service *s)
@@ -159,8 +163,8 @@
 }
 
 /*
- * Hands all partitions over before a planned stop.  Waits up to timeout_ms;
- * returns 0, or -1 if this node still owns some.
+ * Hands all partitions over before a planned stop. Waits up to timeout_ms.
+ * Returns 0, or -1 if this node still owns partitions.
  */
 int
 lease_service_leave(struct lease_service *s, uint32_t timeout_ms)
@@ -179,8 +183,8 @@
 }
 
 /*
- * Waits up to timeout_ms until this node, which is known to leave, is no
- * owner and no standby any more.  Returns 0, or -1 if it still is.
+ * Waits up to timeout_ms until this leaving node is neither owner nor standby
+ * of any partition. Returns 0, or -1 if it still is.
  */
 int
 lease_service_left(struct lease_service *s, uint32_t timeout_ms)
@@ -196,8 +200,9 @@
 }
 
 /*
- * Tells whether requests can be led to the owners: the table is whole, or a
- * peer has shown its own while the log can't be read.
+ * Returns 1 if requests can be routed to the owners of partitions: the table
+ * is complete and a read has reached the end of the log, or a peer has
+ * reported its table. Returns 0 if not.
  */
 int
 lease_service_ready(struct lease_service *s)
@@ -212,8 +217,9 @@
 }
 
 /*
- * Prints every partition: term, owner, standby and for how long (ms) this
- * node's authority still lasts.
+ * Prints one line per partition: its term, owner and standby, for how long
+ * (ms) this node's authority lasts, and the time (ms) until the lease takes
+ * effect.
  */
 void
 lease_service_dump(struct lease_service *s, FILE *out)
@@ -237,7 +243,7 @@
 }
 
 /*
- * Returns how many partitions the table gives to its own node.
+ * Returns the number of partitions that the table's own node owns.
  */
 static size_t
 count_owned(const struct lease_table *t)
@@ -252,8 +258,8 @@
 }
 
 /*
- * Returns how many partitions this node is the owner or standby of; the lock
- * is held.
+ * Returns the number of partitions that this node is the owner or standby of.
+ * The lock must be held.
  */
 static size_t
 count_held(struct lease_service *s)
@@ -271,7 +277,8 @@
 }
 
 /*
- * Waits until woken, at most ms; the lock is held.
+ * Waits until the service is woken up, at most ms milliseconds. The lock must
+ * be held.
  */
 static void
 sleep_ms(struct lease_service *s, uint64_t ms)
@@ -289,8 +296,8 @@
 }
 
 /*
- * Tells whether this node has a part in the leases or may soon have one;
- * the lock is held.
+ * Returns 1 if this node is an owner or standby, or may become one because a
+ * partition has no owner; 0 if not. The lock must be held.
  */
 static int
 may_hold_lease(struct lease_service *s)
@@ -306,9 +313,9 @@
 }
 
 /*
- * Returns how long to wait between two reads; the lock is held.  Most nodes
- * only have to know where the owners are, and must not flood the log when
- * one is gone.
+ * Returns the interval (ms) between two reads. The lock must be held. Nodes
+ * without leases poll less often, also when an owner is unreachable, to limit
+ * the load on the log.
  */
 static uint64_t
 poll_ms(struct lease_service *s)
@@ -329,8 +336,8 @@
 }
 
 /*
- * Waits until the next read is due, counted from the last one.  Returns 1
- * if the service is to stop.
+ * Waits until the next read is due; last_ms is the time of the last one.
+ * Returns 1 if the service is to stop, 0 if not.
  */
 static int
 wait_poll(struct lease_service *s, uint64_t last_ms)
@@ -354,7 +361,7 @@
 }
 
 /*
- * Logs what a record changed.
+ * Logs the result of applying a record.
  */
 static void
 log_apply_result(const struct lease_service *s, enum lease_result res,
@@ -374,8 +381,9 @@
 }
 
 /*
- * Applies what a read sent at sent_ms brought.  Returns 1 if the stream's
- * end was reached, 0 if there is more, -1 if the log went backwards.
+ * Applies the records of a read that was sent at sent_ms. Returns 1 if the
+ * end of the stream was reached, 0 if there are more records, or -1 if the
+ * end of the log is before records that were already applied.
  */
 static int
 apply_batch(
@@ -404,7 +412,7 @@
 }
 
 /*
- * Reads the stream to its end.  Returns 0, or -1 if that failed.
+ * Reads the stream to its end. Returns 0, or -1 if a read failed.
  */
 static int
 read_stream(struct lease_service *s)
@@ -435,8 +443,8 @@
 }
 
 /*
- * Appends a record.  Returns 1 if it is or may yet be in the log, 0 if it
- * can't be.
+ * Appends a record. Returns 1 if the record is or may still be written to the
+ * log, 0 if it can't be.
  */
 static int
 append_record(struct lease_service *s, const char *text)
@@ -450,7 +458,8 @@
 }
 
 /*
- * Appends a claim.  Before, all threads see that it has begun.
+ * Appends a claim. The request threads see that the append has begun before
+ * the claim is sent. Returns 1 if it is or may still be written, 0 if not.
  */
 static int
 append_claim(struct lease_service *s, const struct lease_claim *c)
@@ -480,7 +489,8 @@
 }
 
 /*
- * Decides and appends.  Returns how many claims may have been written.
+ * Decides on claims and appends them. Returns the number of claims that may
+ * have been written.
  */
 static size_t
 decide_and_append(struct lease_service *s)
@@ -507,8 +517,9 @@
 }
 
 /*
- * Tells whether this node should write a snapshot; the lock is held.  Nodes
- * take turns: owners first, by partition, then the others at random.
+ * Returns 1 if this node should write a snapshot now, 0 if not. The lock must
+ * be held. To avoid duplicates, nodes wait for different times: owners by the
+ * number of their first partition, other nodes longer and at random.
  */
 static int
 snapshot_due(struct lease_service *s, uint64_t now_ms)
@@ -536,8 +547,8 @@
 }
 
 /*
- * Writes a snapshot, or starts all leases over, where that is due.  Returns
- * 1 if a record may have been written.
+ * Writes a snapshot of the table, or a reset, if one is due. Returns 1 if a
+ * record may have been written, 0 if not.
  */
 static int
 write_table_record(struct lease_service *s)
@@ -561,7 +572,7 @@
 }
 
 /*
- * Reads, decides and appends until the service stops.
+ * Reads the stream, decides and appends until the service stops.
  */
 static void *
 run_log_thread(void *ctx)
@@ -581,7 +592,7 @@
 		done = ok ? decide_and_append(s) + (size_t)write_table_record(s)
 			  : 0;
 		if (done > 0)
-			last = 0; /* read back at once what was appended */
+			last = 0; /* read the appended records at once */
 	} while (!wait_poll(s, last));
 	rcu_unregister_thread();
 	return NULL;
--- a/src/lease/lease_service.h
+++ b/src/lease/lease_service.h
@@ -8,7 +8,7 @@
 #include "logsvc/logsvc.h"
 #include "rpc/rpc.h"
 
-#define LEASE_MEMBERS_MAX 4096 /* members that decisions look at */
+#define LEASE_MEMBERS_MAX 4096 /* members considered by decisions */
 
 enum lease_proc {
 	LEASE_PROC_HEARTBEAT,
@@ -16,40 +16,40 @@
 	LEASE_PROC_MAX
 };
 
-/* What the service needs from its surroundings. */
+/* Settings and callbacks of the service. */
 struct lease_config {
 	struct node_id self;
 	struct logsvc log;
 	rpc_call_fn call;
 	void *call_ctx;
-	/* Writes up to max members, this node among them; returns how many. */
+	/* Lists up to max members with this node; returns their number. */
 	size_t (*members)(void *, struct lease_member *, size_t);
 	void *members_ctx;
 	lease_ready_fn ready;
 	void *ready_ctx;
 	uint64_t long_ms;      /* 0: LEASE_LONG_MS */
-	uint64_t retention_ms; /* for how long the log keeps records */
+	uint64_t retention_ms; /* retention of records in the log */
 };
 
 struct lease_service {
 	struct lease_config cfg;
-	pthread_mutex_t lock; /* guards all below but view */
+	pthread_mutex_t lock; /* guards all fields below except published */
 	pthread_cond_t wake;
 	struct lease_table table;
 	struct lease_decider decider;
 	struct lease_member *members;
-	uint64_t log_start; /* oldest offset kept, as last read */
+	uint64_t log_start; /* oldest offset in the log at the last read */
 	uint64_t started_ms;
-	uint64_t
-	    unreadable_since_ms; /* since newcomers could not read the table */
-	uint64_t jitter_ms;
-	int poll_soon;
-	int peer_table_read; /* a peer has told where the partitions are */
-	int poll_now;	     /* asked as the owner while the standby */
+	/* Time since when a new node can't rebuild the table; 0: it can. */
+	uint64_t unreadable_since_ms;
+	uint64_t jitter_ms;  /* random delay of this node */
+	int poll_soon;	     /* an owner is unreachable */
+	int peer_table_read; /* a peer has reported its table */
+	int poll_now;	     /* got a request for the owner as the standby */
 	int stop;
 	pthread_t log_thread;
 	pthread_t heartbeat_thread;
-	struct lease_table *published; /* RCU */
+	struct lease_table *published; /* copy for request threads, under RCU */
 };
 
 /* Procedures for the RPC server; their context is the service. */
--- a/src/lease/lease_table.c
+++ b/src/lease/lease_table.c
@@ -5,10 +5,9 @@
 #include "lease/lease.h"
 #include "lease/lease_internal.h"
 
-#define PENDING_CLAIMS_MAX 4096 /* claims kept while no snapshot was read */
-#define CLOCK_DRIFT_DIVISOR                               \
-	100 /* clocks differ by less than 1/100 of a wait \
-	     */
+#define PENDING_CLAIMS_MAX 4096 /* buffered until a snapshot is read */
+/* Clocks drift apart by less than 1/100 of a delay. */
+#define CLOCK_DRIFT_DIVISOR 100
 
 static uint64_t wait_none(const struct lease_table *);
 static uint64_t wait_handover(const struct lease_table *);
@@ -35,7 +34,7 @@
     struct lease_entry *, const struct lease_state *, uint64_t);
 static enum lease_result apply_reset(struct lease_table *, uint64_t, uint64_t);
 
-/* How long after a claim was read its owner may act. */
+/* Delay from the read of a claim until its owner may act. */
 static uint64_t (*const effective_delay_ms[LEASE_KIND_MAX])(
     const struct lease_table *) = {
 	[LEASE_FIRST] = wait_none,
@@ -56,7 +55,7 @@
 };
 
 /*
- * Returns the name under which a kind of claim is logged.
+ * Returns the name of a kind of claim for log lines.
  */
 const char *
 lease_kind_name(enum lease_kind kind)
@@ -65,7 +64,7 @@
 }
 
 /*
- * Nobody acted before, or the same node goes on.
+ * No delay: there was no owner before, or the owner stays the same.
  */
 static uint64_t
 wait_none(const struct lease_table *t)
@@ -75,7 +74,8 @@
 }
 
 /*
- * The old owner stopped before it appended; its loans still lapse.
+ * Delay of a handover. The old owner stopped before it appended the claim,
+ * but the loans that it granted must expire.
  */
 static uint64_t
 wait_handover(const struct lease_table *t)
@@ -85,7 +85,8 @@
 }
 
 /*
- * The old owner's newest proof, by read or by promise, lapses.
+ * Delay of a takeover by the standby: the old owner's newest read or promise
+ * must expire.
  */
 static uint64_t
 wait_term(const struct lease_table *t)
@@ -95,7 +96,9 @@
 }
 
 /*
- * The old owner may live on promises for this long after its last read.
+ * Delay of a takeover by another node: the old owner may rely on promises for
+ * up to long_ms after its last read. The clocks of the two nodes may drift
+ * apart meanwhile.
  */
 static uint64_t
 wait_long(const struct lease_table *t)
@@ -114,8 +117,8 @@
 }
 
 /*
- * Prepares an empty table for a node.  long_ms is LEASE_LONG_MS but in
- * tests, and the same on all nodes.
+ * Initializes an empty table for a node. long_ms must be the same on all
+ * nodes; it is LEASE_LONG_MS except in tests.
  */
 void
 lease_init(struct lease_table *t, const struct node_id *self, uint64_t long_ms)
@@ -127,7 +130,7 @@
 }
 
 /*
- * Frees what a table holds.
+ * Frees the memory of a table.
  */
 void
 lease_finish(struct lease_table *t)
@@ -137,8 +140,8 @@
 }
 
 /*
- * Drops all that was read and starts over at an offset.  What this node has
- * appended itself, and what peers said, is kept.
+ * Clears all state that was read from the log and restarts the table at an
+ * offset. This node's own appends and the hints of peers are retained.
  */
 static void
 restart_table(struct lease_table *t, uint64_t start)
@@ -163,9 +166,9 @@
 }
 
 /*
- * Takes note of the oldest offset that the log still keeps, before the
- * records of a read are applied.  If records were lost in between, the
- * table starts over and waits for a snapshot.
+ * Sets the oldest offset that the log still retains. Must be called before
+ * the records of a read are applied. If the log has dropped records that were
+ * not applied yet, the table is restarted and waits for a snapshot.
  */
 void
 lease_first(struct lease_table *t, uint64_t first)
@@ -175,7 +178,7 @@
 }
 
 /*
- * Tells how a claim that compares equal relates to the term in force.
+ * Returns the kind of a claim that replaces the current term.
  */
 static enum lease_kind
 classify_claim(const struct lease_entry *e, const struct lease_claim *c)
@@ -192,7 +195,7 @@
 }
 
 /*
- * Tells whether a claim makes the standby the owner.
+ * Returns 1 if a claim makes the standby the owner, 0 if not.
  */
 static int
 promotes_standby(const struct lease_entry *e, const struct lease_claim *c,
@@ -203,7 +206,7 @@
 }
 
 /*
- * Tells whether an append of this node's own may yet replace a term.
+ * Returns 1 if an append by this node may still replace a term, 0 if not.
  */
 static int
 may_replace_term(const struct lease_entry *e, uint64_t term)
@@ -213,7 +216,8 @@
 }
 
 /*
- * Tells whether this node has given up the term in force.
+ * Returns 1 if this node has given up the current term by a handover, 0 if
+ * not.
  */
 static int
 has_stopped(const struct lease_entry *e)
@@ -222,7 +226,7 @@
 }
 
 /*
- * Puts a new term in force; promises for the old one are void.
+ * Starts a new term. Promises for the old term become void.
  */
 static void
 start_term(struct lease_entry *e, uint64_t term, uint64_t now_ms)
@@ -233,7 +237,7 @@
 }
 
 /*
- * Applies a claim, read at now_ms, by compare-and-set on the term.
+ * Applies a claim that was read at now_ms, by compare-and-set on the term.
  */
 static enum lease_result
 apply_claim(struct lease_table *t, const struct lease_claim *c, uint64_t now_ms)
@@ -247,7 +251,7 @@
 		return LEASE_SUPERSEDED;
 	}
 	kind = classify_claim(e, c);
-	/* A claim on a lease not yet in effect waits as long as that one. */
+	/* An earlier delay that has not ended yet still applies. */
 	if (kind != LEASE_STANDBY_CHANGE) {
 		from = now_ms + effective_delay_ms[kind](t);
 		e->effective_ms = max_u64(e->effective_ms, from);
@@ -266,8 +270,9 @@
 }
 
 /*
- * Keeps a claim until a snapshot tells what it compares with.  Past the
- * bound all are dropped, and only a later snapshot will do.
+ * Buffers a claim until a snapshot gives the term that the claim is compared
+ * with. If the buffer is full, all buffered claims are dropped; the table
+ * then needs a snapshot of a later position.
  */
 static enum lease_result
 buffer_claim(
@@ -283,7 +288,7 @@
 		t->pending = reallocarray(
 		    t->pending, t->pending_cap, sizeof(*t->pending));
 		if (t->pending == NULL)
-			err(1, "lease_apply");
+			err(1, "lease: cannot buffer a claim");
 	}
 	t->pending[t->pending_count].offset = offset;
 	t->pending[t->pending_count++].claim = *c;
@@ -291,7 +296,7 @@
 }
 
 /*
- * Takes one partition over from a snapshot read at now_ms.
+ * Loads one partition from a snapshot that was read at now_ms.
  */
 static void
 load_state(struct lease_entry *e, const struct lease_state *s, uint64_t now_ms)
@@ -307,9 +312,10 @@
 }
 
 /*
- * Applies a snapshot.  An incomplete table takes it whole and replays the
- * claims that came after the position it describes.  A complete one only
- * learns that a lease took effect earlier than it could know by itself.
+ * Applies a snapshot. An incomplete table loads it whole and replays the
+ * buffered claims from the position of the snapshot on. A complete table only
+ * lowers the time at which a lease takes effect: the writer may have read the
+ * claim earlier than this node.
  */
 static enum lease_result
 apply_snapshot(struct lease_table *t, const struct lease_record *r,
@@ -348,9 +354,10 @@
 }
 
 /*
- * Starts all leases over: no owners, and terms above any that can have
- * been, since each one took a record of its own.  Whoever still acts by a
- * lost record does so for less than the long wait.
+ * Applies a reset: no partition has an owner, and all terms are higher than
+ * any earlier term. offset + 1 is such a term, because each earlier term took
+ * one record of the log. A node that still acts on a lost record stops before
+ * the long delay ends.
  */
 static enum lease_result
 apply_reset(struct lease_table *t, uint64_t offset, uint64_t now_ms)
@@ -376,8 +383,8 @@
 }
 
 /*
- * Applies the record at an offset, read at now_ms.  Records must come in
- * order; a gap makes the table start over.  A malformed record is dropped
+ * Applies the record at an offset, which was read at now_ms. Records must be
+ * applied in order; a gap restarts the table. A malformed record is dropped
  * and counted.
  */
 enum lease_result
@@ -405,8 +412,8 @@
 }
 
 /*
- * Takes note that a read sent at sent_ms reached the end of the stream, and
- * that all its records were applied.
+ * Records that a read sent at sent_ms reached the end of the stream and that
+ * all its records were applied.
  */
 void
 lease_read_proof(struct lease_table *t, uint64_t sent_ms)
@@ -423,10 +430,11 @@
 }
 
 /*
- * Must come before an own claim is appended: from here on this node neither
- * gives nor counts promises for the term that the claim replaces, and if
- * the claim gives the partition away, it no longer acts.  Returns 0, or -1
- * if the claim is out of date and must not be appended.
+ * Must be called before a claim of this node is appended. From then on this
+ * node neither gives nor counts promises for the term that the claim
+ * replaces. If the claim gives the partition to another node, this node also
+ * stops acting as the owner. Returns 0, or -1 if the claim is out of date and
+ * must not be appended.
  */
 int
 lease_append_begin(struct lease_table *t, const struct lease_claim *c)
@@ -446,9 +454,10 @@
 }
 
 /*
- * Must follow when the append has ended.  written is 0 only if the record
- * can't be in the log, now or later; otherwise only a newer term read from
- * the log ends the abstention.
+ * Must be called when the append of a claim has ended. written is 0 only if
+ * the record can neither be in the log nor be written later. Otherwise the
+ * restrictions of lease_append_begin() last until a newer term is read from
+ * the log.
  */
 void
 lease_append_end(
@@ -466,7 +475,8 @@
 }
 
 /*
- * Takes note of the standby's promise for a term, asked for at sent_ms.
+ * Records the standby's promise for a term. sent_ms is the time at which this
+ * node asked for it.
  */
 void
 lease_promise(
@@ -483,9 +493,10 @@
 }
 
 /*
- * Tells whether this node may promise an owner not to have begun a takeover
- * of a term in which it is the standby.  A term newer than this node's
- * table is taken on the owner's word: a takeover needs it read first.
+ * Returns 1 if this node may promise an owner that it has begun no takeover
+ * of a term in which it is the standby, 0 if not. A term newer than this
+ * node's table is accepted without a check of owner and standby: this node
+ * can't take it over before it has read it.
  */
 int
 lease_may_promise(const struct lease_table *t, uint32_t part, uint64_t term,
@@ -505,8 +516,9 @@
 }
 
 /*
- * Takes note of what a peer's table says.  It tells where requests go, and
- * a newer term ends this node's authority; it never gives any.
+ * Records the state of a partition as reported by a peer. A newer term
+ * redirects requests and ends this node's authority. A hint never gives
+ * authority.
  */
 void
 lease_add_hint(struct lease_table *t, uint32_t part, uint64_t term,
@@ -525,8 +537,8 @@
 }
 
 /*
- * Returns the time (ms) up to which this node is known to be the owner of a
- * partition, by its newest read or promise, or 0.
+ * Returns the time (ms) until which the newest read or promise proves that
+ * this node is the owner of a partition, or 0 if it is not.
  */
 static uint64_t
 owned_until(const struct lease_table *t, const struct lease_entry *e)
@@ -547,8 +559,8 @@
 }
 
 /*
- * Returns the time (ms) up to which this node may decide for a partition,
- * or 0 if it may not at now_ms.
+ * Returns the time (ms) until which this node may decide for a partition as
+ * its owner, or 0 if it may not at now_ms.
  */
 uint64_t
 lease_held(const struct lease_table *t, uint32_t part, uint64_t now_ms)
@@ -562,9 +574,10 @@
 }
 
 /*
- * The same for decisions that count only once the standby has noted them,
- * and that a successor knows if it was sent all earlier ones: such an owner
- * need not wait for the one before, and goes on while it hands over.
+ * Like lease_held(), for decisions that take effect only after the standby has
+ * recorded them. A standby that was sent all decisions of its predecessor need
+ * not wait for the old authority to expire when it becomes the owner. An owner
+ * with a standby goes on deciding during its handover.
  */
 uint64_t
 lease_replicated_until(
@@ -580,7 +593,7 @@
 }
 
 /*
- * Describes a partition as it stands at now_ms.
+ * Describes a partition as of now_ms.
  */
 void
 lease_view(const struct lease_table *t, uint32_t part, uint64_t now_ms,
@@ -606,8 +619,8 @@
 }
 
 /*
- * Tells whether the table has waited long enough for a snapshot that will
- * not come, so that the leases have to be started over.
+ * Returns 1 if the table has waited LEASE_RESET_WAIT_MS for a snapshot in
+ * vain and the leases must be reset, 0 if not.
  */
 int
 lease_reset_due(const struct lease_table *t, uint64_t now_ms)
--- a/src/lease/test_lease.c
+++ b/src/lease/test_lease.c
@@ -20,7 +20,7 @@
 static void init_owned_table(struct lease_table *, int);
 
 /*
- * Returns the name of node i; 0 is none.
+ * Returns the id of node i, or no node for 0.
  */
 static struct node_id
 make_node_id(int i)
@@ -49,7 +49,7 @@
 }
 
 /*
- * Builds a claim on partition 0.
+ * Returns a claim on partition 0.
  */
 static struct lease_claim
 make_claim(uint64_t prev, int by, int owner, int standby)
@@ -70,8 +70,8 @@
 }
 
 /*
- * Prepares the table of node self, in which node 1 owns partition 0 and
- * node 2 is its standby since 0 ms.
+ * Initializes the table of node self. Node 1 owns partition 0 since 0 ms, and
+ * node 2 is its standby.
  */
 static void
 init_owned_table(struct lease_table *t, int self)
@@ -84,7 +84,8 @@
 }
 
 /*
- * Each kind of claim is told by who made it, and waits its time.
+ * The kind of a claim follows from its claimant, owner and standby, and sets
+ * the delay before the new owner may act.
  */
 static void
 test_claim_kinds_and_delays(void **state)
@@ -131,8 +132,8 @@
 }
 
 /*
- * A quick takeover from a lease not yet in effect waits for that one too:
- * the first owner may still live on promises.
+ * A takeover of a lease that is not in effect yet also waits for that lease,
+ * because the first owner may still rely on promises.
  */
 static void
 test_takeover_keeps_earlier_delay(void **state)
@@ -153,7 +154,8 @@
 }
 
 /*
- * An owner acts on reads, then on promises, and on neither for too long.
+ * The authority of an owner rests on reads, and on promises for at most
+ * LONG_MS after the last read.
  */
 static void
 test_owner_validity(void **state)
@@ -175,7 +177,7 @@
 	assert_int_equal(lease_held(&t, 0, 1000 + LONG_MS - 1), 1000 + LONG_MS);
 	assert_int_equal(lease_held(&t, 0, 1000 + LONG_MS), 0);
 
-	/* An own append that may be written makes promises worthless. */
+	/* Promises don't count while an own append may be written. */
 	assert_int_equal(lease_append_begin(&t, &c), 0);
 	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
 	lease_append_end(&t, &c, 0);
@@ -186,7 +188,7 @@
 	lease_append_end(&t, &c, 0);
 	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
 
-	/* Read back, it counts again, for the new term only. */
+	/* Once it is read, promises for the new term count. */
 	apply_claim(&t, &c, LONG_MS);
 	lease_promise(&t, 0, 1, LONG_MS);
 	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
@@ -196,8 +198,8 @@
 }
 
 /*
- * A standby promises until it has begun a takeover, and again only if that
- * was surely not written.
+ * A standby promises until it has begun a takeover. It promises again only if
+ * the takeover certainly was not written.
  */
 static void
 test_standby_promises(void **state)
@@ -229,8 +231,8 @@
 }
 
 /*
- * An owner that hands over stops before the record is written, and acts
- * again only if it surely was not.
+ * An owner stops acting before it appends a handover. It acts again only if
+ * the record certainly was not written.
  */
 static void
 test_handover_stops_owner(void **state)
@@ -252,9 +254,10 @@
 }
 
 /*
- * Where the standby has to note decisions, an owner goes on while it hands
- * over to it, and the standby acts as soon as it has read that.  Anyone else
- * waits like the loans.
+ * For decisions that the standby has to record, an owner goes on deciding
+ * during its handover, and the standby decides as soon as it has read the
+ * handover or its own takeover. Another new owner waits until the loans have
+ * expired.
  */
 static void
 test_replicated_validity(void **state)
@@ -301,7 +304,8 @@
 }
 
 /*
- * What a peer says can end authority and show the way, but give none.
+ * A peer's hint can end authority and redirect requests, but gives no
+ * authority.
  */
 static void
 test_peer_hints_end_authority(void **state)
@@ -328,8 +332,8 @@
 }
 
 /*
- * A newcomer to an aged stream buffers claims until a snapshot tells what
- * they compare with; one that is too old won't do.
+ * A table that starts after the first record buffers claims until it reads a
+ * snapshot of a position that is recent enough.
  */
 static void
 test_incomplete_table_loads_snapshot(void **state)
@@ -363,7 +367,7 @@
 	assert_true(late.part[0].first);
 	assert_int_equal(late.part[1].term, 0);
 
-	/* Records lost under way: no authority and a new start. */
+	/* A gap in the records restarts the table. */
 	lease_first(&late, 9);
 	assert_false(late.complete);
 	assert_int_equal(late.part[0].term, 0);
@@ -372,8 +376,8 @@
 }
 
 /*
- * Without a snapshot, the leases start over with terms above all others,
- * and after the long wait.
+ * If no snapshot is found, the leases are reset: terms are higher than all
+ * earlier ones, and new owners wait for the long delay.
  */
 static void
 test_reset_without_snapshot(void **state)
@@ -407,8 +411,8 @@
 }
 
 /*
- * Malformed records are dropped and counted; random bytes and cut records
- * do no harm.
+ * Malformed records, truncated records and random bytes are dropped and
+ * counted, and change no lease.
  */
 static void
 test_malformed_records_counted(void **state)
@@ -453,8 +457,8 @@
 }
 
 /*
- * Decisions of node 1 on partition 0, whose owner and standby are given,
- * among six members in three domains.
+ * Decisions of node self among six members in three failure domains, for
+ * given owners, standbys and member states.
  */
 static void
 test_decisions_on_member_state(void **state)
@@ -462,9 +466,9 @@
 	static const struct {
 		const char *name;
 		int self, owner, standby;
-		int dead, dead2; /* members that are not alive */
+		int dead, dead2; /* numbers of dead members; 0: none */
 		int leaving, stopping;
-		uint64_t after; /* ms in this state before the decision */
+		uint64_t after; /* ms between two decisions; 0: only one */
 		int claims, by_self;
 	} cases[] = {
 		{ "owner lives", 3, 1, 2, 0, 0, 0, 0, 0, 0, 0 },
@@ -531,8 +535,8 @@
 }
 
 /*
- * A standby that sees its owner dead takes over if it sees at least half of
- * the members, and else claims nothing.
+ * A standby takes over from a dead owner only if it sees at least half of the
+ * members alive.
  */
 static void
 test_minority_claims_nothing(void **state)
@@ -566,9 +570,9 @@
 }
 
 /*
- * Members that decide by turns give every partition one owner, in the
- * failure domain of its group, and a standby in another domain of its region.
- * Owners are in the preferred region, if there is one.
+ * Nodes that decide in turn give each partition one owner in the failure
+ * domain of its group, and a standby in another domain of the same region
+ * where there is one. Owners are in the preferred region, if there is one.
  */
 static void
 check_cold_start(int preferred)
@@ -593,7 +597,7 @@
 		lease_decider_init(&d[i]);
 		lease_read_proof(&t[i], 1000);
 	}
-	/* Nobody claims before all can have found each other. */
+	/* No node claims before LEASE_DISCOVERY_MS has passed. */
 	in.count = 1;
 	assert_int_equal(lease_decide(&d[0], &t[0], &in, c, LEASE_PARTS), 0);
 	in.count = 6;
@@ -629,7 +633,7 @@
 }
 
 /*
- * A cold start with and without a preferred region.
+ * A cold start places the leases, with and without a preferred region.
  */
 static void
 test_cold_start_places_leases(void **state)
--- a/src/lease/test_lease_service.c
+++ b/src/lease/test_lease_service.c
@@ -16,7 +16,7 @@
 #define RECORDS_MAX 4096
 #define WAIT_MS 15000
 
-/* A log, members and calls within this process. */
+/* In-process log, membership and RPC calls. */
 static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
 static char *records[RECORDS_MAX];
 static uint64_t log_next;
@@ -40,7 +40,7 @@
 static int wait_for(int (*)(size_t), size_t);
 
 /*
- * Returns the name of node i.
+ * Returns the id of node i.
  */
 static struct node_id
 make_node_id(size_t i)
@@ -51,7 +51,8 @@
 }
 
 /*
- * Appends to the log; the answer may be lost.
+ * Appends to the log. The status is unknown while acknowledgements are to be
+ * lost.
  */
 static enum logsvc_status
 log_append(void *ctx, const char *stream, const char *data, size_t len,
@@ -103,7 +104,7 @@
 }
 
 /*
- * Lists the nodes that run; each is in the same failure domain.
+ * Lists all nodes, alive if running. All are in the same failure domain.
  */
 static size_t
 list_members(void *ctx, struct lease_member *m, size_t max)
@@ -157,7 +158,7 @@
 }
 
 /*
- * Ends a node without notice.
+ * Stops a node without a handover.
  */
 static void
 stop_node(size_t i)
@@ -165,13 +166,14 @@
 	struct timespec ts = { 0, 100000000 };
 
 	running[i] = 0;
-	nanosleep(&ts, NULL); /* calls under way end */
+	nanosleep(&ts, NULL); /* calls in flight end */
 	lease_service_finish(&nodes[i]);
 }
 
 /*
- * Tells whether every partition is held by one running node, or in all so
- * many by node i.
+ * Asserts that no partition has two acting owners. If count is negative,
+ * returns 1 if every partition has one; else returns 1 if node i owns count
+ * partitions.
  */
 static int
 check_owners(size_t i, int count)
@@ -201,7 +203,7 @@
 }
 
 /*
- * Tells whether every partition is held.
+ * Returns 1 if every partition has an acting owner.
  */
 static int
 all_partitions_owned(size_t i)
@@ -210,7 +212,7 @@
 }
 
 /*
- * Tells whether a node owns nothing.
+ * Returns 1 if a node owns no partition.
  */
 static int
 owns_no_partition(size_t i)
@@ -219,7 +221,8 @@
 }
 
 /*
- * Waits until a condition on a node holds.  Returns 1 if it does.
+ * Waits until a condition on a node holds. Returns 1 if it does, 0 after
+ * WAIT_MS.
  */
 static int
 wait_for(int (*cond)(size_t), size_t i)
@@ -233,8 +236,9 @@
 }
 
 /*
- * Three nodes share the partitions, ride out an outage of the log beyond
- * the term, hand over at a planned stop, and take over after a death.
+ * Three nodes share the partitions, keep them through a log outage that is
+ * longer than a term, hand over before a planned stop, and take over from
+ * crashed nodes.
  */
 static void
 test_outage_handover_and_crash(void **state)
@@ -256,7 +260,7 @@
 		assert_true(all_partitions_owned(0));
 		nanosleep(&ts, NULL);
 	}
-	/* A newcomer finds the owners through its peers. */
+	/* A node started during the outage learns the owners from a peer. */
 	stop_node(2);
 	start_node(2);
 	end = clock_ms() + WAIT_MS;
