limits: a field's new name in the measurement of the control plane too

tests/measure is built by no test target, so that the rename of find to find_limit had missed its initialiser; the lint step found it. No code changed.

--- a/tests/measure/control.c
+++ b/tests/measure/control.c
@@ -208,7 +208,7 @@
 		.lookup = lookup,
 		.lookup_ctx = &limits[1],
 		.call = call,
-		.find = find_ws,
+		.find_limit = find_ws,
 		.clock_us = fake_us };
 	struct limits_workspace ws = workspace;
 	uint64_t began, i, loan;
@@ -249,7 +249,7 @@
 		.lookup = lookup,
 		.lookup_ctx = &limits[1],
 		.call = call,
-		.find = find_ws,
+		.find_limit = find_ws,
 		.clock_us = fake_us };
 	uint64_t began, tick = 0, spent = 0;
 	size_t i, n = 20000;
