follow: rename private identifiers

Callbacks and states of the follower had names such as take, doubt, on_doubt_read, config_works or absent, which only its author could place. They now name the request, the reply or the state they stand for (apply_record, on_short_read_reply, registration_needed), and timeouts say what they limit. The tests follow, and test functions are named after what they check. No code changed.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -7,32 +7,36 @@
 #include "event/event.h"
 #include "follow/follow.h"
 
-#define WAIT_MS 1000	   /* for a record: longer leaves keys in doubt */
-#define WAIT_LONG_MS 15000 /* where other nodes follow closely */
-#define DOUBT_MS 200   /* between two looks whether the store must be asked */
-#define LATE_MS 900    /* after which an answer is not awaited any more */
-#define NEWEST_MS 1200 /* for an answer */
-#define APPEND_MS 1500
-#define RETRY_MS 60 /* after a failure, doubled with each more */
+#define CLOSE_READ_WAIT_MS 1000 /* for a record: longer leaves keys in doubt \
+				 */
+#define LONG_READ_WAIT_MS 15000 /* where other nodes follow closely */
+#define SHORT_READ_CHECK_MS \
+	200 /* between two looks whether the store must be asked */
+#define READ_GRACE_MS 900 /* after which an answer is not awaited any more */
+#define NEWEST_TIMEOUT_MS 1200 /* for an answer */
+#define APPEND_TIMEOUT_MS 1500
+#define CONFIG_RETRY_MS 60 /* after a failure, doubled with each more */
 #define RETRY_DOUBLINGS 3
-#define CALM_DOUBLINGS 5 /* where others tell that there is nothing new */
+#define OUTAGE_RETRY_DOUBLINGS \
+	5 /* where others tell that there is nothing new */
 #define NODES_RETRY_MS 200
 
-static void ask_config(uv_timer_t *);
-static void on_newest(void *, const struct store_reply *);
-static void on_read(void *, const struct store_reply *);
-static void config_failed(struct follow *, const struct store_reply *);
-static void config_works(struct follow *);
-static void take(struct follow *, const struct store_record *);
-static void take_all(struct follow *, const struct store_reply *, uint64_t);
-static void on_doubt(uv_timer_t *);
-static void on_doubt_read(void *, const struct store_reply *);
-static void ask_nodes(uv_timer_t *);
-static void on_entered(void *, const struct store_reply *);
-static void on_listed(void *, const struct store_reply *);
-static void nodes_failed(struct follow *);
-static uint64_t pause_ms(uint64_t, uint32_t, uint32_t);
-static int is_calm(const struct follow *);
+static void request_config(uv_timer_t *);
+static void on_newest_reply(void *, const struct store_reply *);
+static void on_read_reply(void *, const struct store_reply *);
+static void retry_config(struct follow *, const struct store_reply *);
+static void resume_config(struct follow *);
+static void apply_record(struct follow *, const struct store_record *);
+static void apply_records(
+    struct follow *, const struct store_reply *, uint64_t);
+static void on_short_read_timer(uv_timer_t *);
+static void on_short_read_reply(void *, const struct store_reply *);
+static void request_node_list(uv_timer_t *);
+static void on_register_reply(void *, const struct store_reply *);
+static void on_node_list_reply(void *, const struct store_reply *);
+static void retry_node_list(struct follow *);
+static uint64_t retry_delay_ms(uint64_t, uint32_t, uint32_t);
+static int is_outage_tolerable(const struct follow *);
 
 static const char *const status_names[STORE_STATUS_MAX] = {
 	[STORE_OK] = "ok",
@@ -57,11 +61,11 @@
 	f->ops = ops;
 	f->ctx = ctx;
 	f->config_key = config_key;
-	f->node = node;
+	f->node_name = node;
 	uv_timer_init(loop, &f->config_timer);
 	f->config_timer.data = f;
-	uv_timer_init(loop, &f->doubt_timer);
-	f->doubt_timer.data = f;
+	uv_timer_init(loop, &f->short_read_timer);
+	f->short_read_timer.data = f;
 	uv_timer_init(loop, &f->nodes_timer);
 	f->nodes_timer.data = f;
 }
@@ -76,9 +80,10 @@
 
 	a.s_addr = htonl(address);
 	inet_ntop(AF_INET, &a, f->address, sizeof(f->address));
-	uv_timer_start(&f->config_timer, ask_config, 0, 0);
-	uv_timer_start(&f->nodes_timer, ask_nodes, 0, 0);
-	uv_timer_start(&f->doubt_timer, on_doubt, DOUBT_MS, DOUBT_MS);
+	uv_timer_start(&f->config_timer, request_config, 0, 0);
+	uv_timer_start(&f->nodes_timer, request_node_list, 0, 0);
+	uv_timer_start(&f->short_read_timer, on_short_read_timer,
+	    SHORT_READ_CHECK_MS, SHORT_READ_CHECK_MS);
 }
 
 /*
@@ -88,35 +93,37 @@
  * store doesn't answer.
  */
 static void
-on_doubt(uv_timer_t *timer)
+on_short_read_timer(uv_timer_t *timer)
 {
 	struct follow *f = timer->data;
 
-	f->doubtful = f->ops->doubt(f->ctx);
-	if (f->doubtful && f->lost)
+	f->query_needed = f->ops->doubt(f->ctx);
+	if (f->query_needed && f->store_lost)
 		f->ops->ask(f->ctx);
-	if (f->doubting || f->phase != FOLLOW_READ || f->wait_ms == 0)
+	if (f->short_read_pending || f->phase != FOLLOW_READ ||
+	    f->read_wait_ms == 0)
 		return;
-	if (!f->doubtful &&
-	    (f->wait_ms < WAIT_LONG_MS || !f->ops->close(f->ctx)))
+	if (!f->query_needed &&
+	    (f->read_wait_ms < LONG_READ_WAIT_MS || !f->ops->close(f->ctx)))
 		return;
-	f->doubting = 1;
-	f->doubt_wait_ms = f->doubtful ? 0 : WAIT_MS;
-	f->store->read(f->store_ctx, STORE_CONFIG, f->next, f->doubt_wait_ms,
-	    f->doubt_wait_ms + LATE_MS, on_doubt_read, f);
+	f->short_read_pending = 1;
+	f->short_read_wait_ms = f->query_needed ? 0 : CLOSE_READ_WAIT_MS;
+	f->store->read(f->store_ctx, STORE_CONFIG, f->next_offset,
+	    f->short_read_wait_ms, f->short_read_wait_ms + READ_GRACE_MS,
+	    on_short_read_reply, f);
 }
 
 /*
  * Takes the answer to a short question.
  */
 static void
-on_doubt_read(void *ctx, const struct store_reply *rep)
+on_short_read_reply(void *ctx, const struct store_reply *reply)
 {
 	struct follow *f = ctx;
 
-	f->doubting = 0;
-	if (rep->status == STORE_OK)
-		take_all(f, rep, f->doubt_wait_ms);
+	f->short_read_pending = 0;
+	if (reply->status == STORE_OK)
+		apply_records(f, reply, f->short_read_wait_ms);
 }
 
 /*
@@ -135,9 +142,9 @@
  * double the pause.
  */
 static uint64_t
-pause_ms(uint64_t first, uint32_t fails, uint32_t doublings)
+retry_delay_ms(uint64_t first_ms, uint32_t failures, uint32_t doublings)
 {
-	return first << (fails < doublings ? fails : doublings);
+	return first_ms << (failures < doublings ? failures : doublings);
 }
 
 /*
@@ -145,9 +152,9 @@
  * answers for it, and nothing newer is known.
  */
 static int
-is_calm(const struct follow *f)
+is_outage_tolerable(const struct follow *f)
 {
-	return f->version > 0 && f->phase == FOLLOW_READ && !f->doubtful &&
+	return f->version > 0 && f->phase == FOLLOW_READ && !f->query_needed &&
 	       !f->ops->close(f->ctx);
 }
 
@@ -155,44 +162,45 @@
  * Asks for the newest configuration, or for the next one.
  */
 static void
-ask_config(uv_timer_t *timer)
+request_config(uv_timer_t *timer)
 {
 	struct follow *f = timer->data;
 
 	if (f->phase == FOLLOW_NEWEST) {
-		f->store->newest(
-		    f->store_ctx, STORE_CONFIG, NULL, NEWEST_MS, on_newest, f);
+		f->store->newest(f->store_ctx, STORE_CONFIG, NULL,
+		    NEWEST_TIMEOUT_MS, on_newest_reply, f);
 		return;
 	}
 	/* After a failure a short question shows sooner that all is well. */
-	f->wait_ms = f->config_fails > 0     ? 0
-		     : f->ops->close(f->ctx) ? WAIT_MS
-					     : WAIT_LONG_MS;
-	f->store->read(f->store_ctx, STORE_CONFIG, f->next, f->wait_ms,
-	    f->wait_ms + LATE_MS, on_read, f);
+	f->read_wait_ms = f->config_failures > 0  ? 0
+			  : f->ops->close(f->ctx) ? CLOSE_READ_WAIT_MS
+						  : LONG_READ_WAIT_MS;
+	f->store->read(f->store_ctx, STORE_CONFIG, f->next_offset,
+	    f->read_wait_ms, f->read_wait_ms + READ_GRACE_MS, on_read_reply, f);
 }
 
 /*
  * Tries again after a failure.
  */
 static void
-config_failed(struct follow *f, const struct store_reply *rep)
+retry_config(struct follow *f, const struct store_reply *reply)
 {
-	if (!f->lost) {
-		f->lost = 1;
+	if (!f->store_lost) {
+		f->store_lost = 1;
 		event_log(EVENT_STORE_LOST, loop_ms(f->loop),
 		    "status=%s phase=%d version=%llu next=%llu",
-		    status_names[rep->status], (int)f->phase,
+		    status_names[reply->status], (int)f->phase,
 		    (unsigned long long)f->version,
-		    (unsigned long long)f->next);
+		    (unsigned long long)f->next_offset);
 	}
-	if (rep->status == STORE_TRIMMED)
+	if (reply->status == STORE_TRIMMED)
 		f->phase = FOLLOW_NEWEST;
-	uv_timer_start(&f->config_timer, ask_config,
-	    pause_ms(RETRY_MS, f->config_fails,
-		is_calm(f) ? CALM_DOUBLINGS : RETRY_DOUBLINGS),
+	uv_timer_start(&f->config_timer, request_config,
+	    retry_delay_ms(CONFIG_RETRY_MS, f->config_failures,
+		is_outage_tolerable(f) ? OUTAGE_RETRY_DOUBLINGS
+				       : RETRY_DOUBLINGS),
 	    0);
-	f->config_fails++;
+	f->config_failures++;
 	f->ops->ask(f->ctx);
 }
 
@@ -200,15 +208,15 @@
  * Notes that the store answers, and asks on.
  */
 static void
-config_works(struct follow *f)
+resume_config(struct follow *f)
 {
-	if (f->lost)
+	if (f->store_lost)
 		event_log(EVENT_STORE_BACK, loop_ms(f->loop),
 		    "version=%llu failures=%u", (unsigned long long)f->version,
-		    f->config_fails);
-	f->lost = 0;
-	f->config_fails = 0;
-	uv_timer_start(&f->config_timer, ask_config, 0, 0);
+		    f->config_failures);
+	f->store_lost = 0;
+	f->config_failures = 0;
+	uv_timer_start(&f->config_timer, request_config, 0, 0);
 }
 
 /*
@@ -216,26 +224,26 @@
  * older than what is in force, changes nothing.
  */
 static void
-take(struct follow *f, const struct store_record *rec)
+apply_record(struct follow *f, const struct store_record *record)
 {
 	uint64_t now = loop_ms(f->loop);
 	struct finds finds;
 	struct config *c;
 
-	if (rec->value == NULL || rec->key_len != strlen(f->config_key) ||
-	    memcmp(rec->key, f->config_key, rec->key_len) != 0)
+	if (record->value == NULL || record->key_len != strlen(f->config_key) ||
+	    memcmp(record->key, f->config_key, record->key_len) != 0)
 		return;
 	finds_init(&finds);
-	c = f->ops->decode(f->ctx, rec->value, rec->value_len, &finds);
+	c = f->ops->decode(f->ctx, record->value, record->value_len, &finds);
 	if (c == NULL) {
 		f->bad_records++;
 		event_log(EVENT_CONFIG_BAD, now,
 		    "offset=%llu findings=%zu first=\"%s\" at=%s",
-		    (unsigned long long)rec->offset, finds.count,
+		    (unsigned long long)record->offset, finds.count,
 		    finds.count > 0 ? finds.list[0].text : "",
 		    finds.count > 0 ? finds.list[0].place : "/");
 	} else {
-		follow_offer(f, c, "store", rec->offset);
+		follow_offer(f, c, "store", record->offset);
 	}
 	finds_finish(&finds);
 }
@@ -274,43 +282,44 @@
  * Takes the newest record of each key.
  */
 static void
-on_newest(void *ctx, const struct store_reply *rep)
+on_newest_reply(void *ctx, const struct store_reply *reply)
 {
 	struct follow *f = ctx;
 	size_t i;
 
-	if (rep->status != STORE_OK) {
-		config_failed(f, rep);
+	if (reply->status != STORE_OK) {
+		retry_config(f, reply);
 		return;
 	}
-	for (i = 0; i < rep->count; i++)
-		take(f, &rep->records[i]);
-	f->next = rep->end;
+	for (i = 0; i < reply->count; i++)
+		apply_record(f, &reply->records[i]);
+	f->next_offset = reply->end;
 	f->phase = FOLLOW_READ;
 	if (f->version > 0)
-		f->ops->proved(f->ctx, rep->asked_ms);
-	config_works(f);
+		f->ops->proved(f->ctx, reply->asked_ms);
+	resume_config(f);
 }
 
 /*
  * Takes records from an answer to a question that waited for so long.
  */
 static void
-take_all(struct follow *f, const struct store_reply *rep, uint64_t wait_ms)
+apply_records(
+    struct follow *f, const struct store_reply *reply, uint64_t wait_ms)
 {
-	uint64_t next = f->next;
+	uint64_t next = f->next_offset;
 	size_t i;
 
-	for (i = 0; i < rep->count; i++) {
-		take(f, &rep->records[i]);
-		next = rep->records[i].offset + 1;
+	for (i = 0; i < reply->count; i++) {
+		apply_record(f, &reply->records[i]);
+		next = reply->records[i].offset + 1;
 	}
-	if (next > f->next)
-		f->next = next;
-	if (f->version > 0 && f->next >= rep->end)
-		f->ops->proved(f->ctx, rep->count > 0
-					   ? rep->asked_ms
-					   : follow_proof(rep->asked_ms,
+	if (next > f->next_offset)
+		f->next_offset = next;
+	if (f->version > 0 && f->next_offset >= reply->end)
+		f->ops->proved(f->ctx, reply->count > 0
+					   ? reply->asked_ms
+					   : follow_proof(reply->asked_ms,
 						 wait_ms, loop_ms(f->loop)));
 }
 
@@ -318,16 +327,16 @@
  * Takes records that came after.
  */
 static void
-on_read(void *ctx, const struct store_reply *rep)
+on_read_reply(void *ctx, const struct store_reply *reply)
 {
 	struct follow *f = ctx;
 
-	if (rep->status != STORE_OK) {
-		config_failed(f, rep);
+	if (reply->status != STORE_OK) {
+		retry_config(f, reply);
 		return;
 	}
-	take_all(f, rep, f->wait_ms);
-	config_works(f);
+	apply_records(f, reply, f->read_wait_ms);
+	resume_config(f);
 }
 
 /*
@@ -336,92 +345,95 @@
  * one sees the other.
  */
 static void
-ask_nodes(uv_timer_t *timer)
+request_node_list(uv_timer_t *timer)
 {
 	struct follow *f = timer->data;
 
-	if (f->absent)
-		f->store->append(f->store_ctx, STORE_NODES, f->node, f->address,
-		    strlen(f->address), APPEND_MS, on_entered, f);
+	if (f->registration_needed)
+		f->store->append(f->store_ctx, STORE_NODES, f->node_name,
+		    f->address, strlen(f->address), APPEND_TIMEOUT_MS,
+		    on_register_reply, f);
 	else
-		f->store->newest(
-		    f->store_ctx, STORE_NODES, NULL, NEWEST_MS, on_listed, f);
+		f->store->newest(f->store_ctx, STORE_NODES, NULL,
+		    NEWEST_TIMEOUT_MS, on_node_list_reply, f);
 }
 
 /*
  * Tries again after a failure.
  */
 static void
-nodes_failed(struct follow *f)
+retry_node_list(struct follow *f)
 {
-	uv_timer_start(&f->nodes_timer, ask_nodes,
-	    pause_ms(NODES_RETRY_MS, f->nodes_fails, RETRY_DOUBLINGS), 0);
-	f->nodes_fails++;
+	uv_timer_start(&f->nodes_timer, request_node_list,
+	    retry_delay_ms(NODES_RETRY_MS, f->nodes_failures, RETRY_DOUBLINGS),
+	    0);
+	f->nodes_failures++;
 }
 
 /*
  * This node is in the list, or the store gave no answer.
  */
 static void
-on_entered(void *ctx, const struct store_reply *rep)
+on_register_reply(void *ctx, const struct store_reply *reply)
 {
 	struct follow *f = ctx;
 
-	if (rep->status != STORE_OK) {
-		nodes_failed(f);
+	if (reply->status != STORE_OK) {
+		retry_node_list(f);
 		return;
 	}
-	f->absent = 0;
-	f->entered = 1;
-	uv_timer_start(&f->nodes_timer, ask_nodes, 0, 0);
+	f->registration_needed = 0;
+	f->registered = 1;
+	uv_timer_start(&f->nodes_timer, request_node_list, 0, 0);
 }
 
 /*
  * Takes the list of nodes.
  */
 static void
-on_listed(void *ctx, const struct store_reply *rep)
+on_node_list_reply(void *ctx, const struct store_reply *reply)
 {
 	struct follow *f = ctx;
 	char name[CONFIG_NAME_MAX + 1], text[16];
 	struct in_addr a;
 	size_t i;
 
-	if (rep->status != STORE_OK) {
-		nodes_failed(f);
+	if (reply->status != STORE_OK) {
+		retry_node_list(f);
 		return;
 	}
-	for (i = 0; i < rep->count; i++) {
-		const struct store_record *rec = &rep->records[i];
+	for (i = 0; i < reply->count; i++) {
+		const struct store_record *record = &reply->records[i];
 
-		if (rec->value == NULL || rec->value_len >= sizeof(text) ||
-		    rec->key_len >= sizeof(name)) {
+		if (record->value == NULL ||
+		    record->value_len >= sizeof(text) ||
+		    record->key_len >= sizeof(name)) {
 			f->bad_records++;
 			continue;
 		}
-		snprintf(
-		    name, sizeof(name), "%.*s", (int)rec->key_len, rec->key);
-		snprintf(text, sizeof(text), "%.*s", (int)rec->value_len,
-		    rec->value);
-		if (strcmp(name, f->node) == 0)
-			f->entered |= strcmp(text, f->address) == 0;
+		snprintf(name, sizeof(name), "%.*s", (int)record->key_len,
+		    record->key);
+		snprintf(text, sizeof(text), "%.*s", (int)record->value_len,
+		    record->value);
+		if (strcmp(name, f->node_name) == 0)
+			f->registered |= strcmp(text, f->address) == 0;
 		else if (inet_pton(AF_INET, text, &a) == 1)
 			f->ops->node(f->ctx, name, ntohl(a.s_addr));
 		else
 			f->bad_records++;
 	}
-	if (rep->more && rep->count > 0) {
+	if (reply->more && reply->count > 0) {
 		snprintf(name, sizeof(name), "%.*s",
-		    (int)rep->records[rep->count - 1].key_len,
-		    rep->records[rep->count - 1].key);
-		f->store->newest(
-		    f->store_ctx, STORE_NODES, name, NEWEST_MS, on_listed, f);
+		    (int)reply->records[reply->count - 1].key_len,
+		    reply->records[reply->count - 1].key);
+		f->store->newest(f->store_ctx, STORE_NODES, name,
+		    NEWEST_TIMEOUT_MS, on_node_list_reply, f);
 		return;
 	}
-	if (f->entered) {
+	if (f->registered) {
 		f->ops->listed(f->ctx);
 		return;
 	}
-	f->absent = 1;
-	uv_timer_start(&f->nodes_timer, ask_nodes, 0, 0);
+	f->registration_needed = 1;
+	uv_timer_start(&f->nodes_timer, request_node_list, 0, 0);
 }
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -40,24 +40,24 @@
 	void *store_ctx;
 	const struct follow_ops *ops;
 	void *ctx;
-	const char *node; /* this node's name and address, to be entered */
+	const char *node_name; /* this node's name and address, to be entered */
 	char address[16];
 	const char *config_key;
 	uv_timer_t config_timer;
 	uv_timer_t nodes_timer;
-	uv_timer_t doubt_timer;
+	uv_timer_t short_read_timer;
 	enum follow_phase phase;
-	uint64_t next;		/* offset to read from */
-	uint64_t wait_ms;	/* of the question under way */
-	int doubting;		/* a short question is under way, too */
-	uint64_t doubt_wait_ms; /* of that one */
-	int doubtful;		/* there was a reason at the last look */
-	uint64_t version;	/* in force; 0: none */
-	uint32_t config_fails;	/* in a row */
-	uint32_t nodes_fails;
-	int entered; /* this node is in the store's list */
-	int absent;  /* it was not, when that was read */
-	int lost;
+	uint64_t next_offset;	     /* offset to read from */
+	uint64_t read_wait_ms;	     /* of the question under way */
+	int short_read_pending;	     /* a short question is under way, too */
+	uint64_t short_read_wait_ms; /* of that one */
+	int query_needed;	     /* there was a reason at the last look */
+	uint64_t version;	     /* in force; 0: none */
+	uint32_t config_failures;    /* in a row */
+	uint32_t nodes_failures;
+	int registered;		 /* this node is in the store's list */
+	int registration_needed; /* it was not, when that was read */
+	int store_lost;
 	uint64_t bad_records;
 };
 
--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -18,22 +18,22 @@
 #define ALARM_S 20
 #define RECORDS_MAX 3
 
-enum question {
+enum query_kind {
 	NEWEST,
 	READ
 };
 
 struct step {
-	enum question asked;
+	enum query_kind query;
 	enum store_status status;
 	uint64_t from; /* of a READ */
 	const char *values[RECORDS_MAX];
 	uint64_t end;
 	uint64_t version; /* in force after the answer */
-	int proves;	  /* the answer proves it to be the newest */
+	int is_proof;	  /* the answer proves it to be the newest */
 };
 
-static const struct step story[] = {
+static const struct step steps[] = {
 	{ NEWEST, STORE_UNKNOWN, 0, { NULL }, 0, 0, 0 }, /* lost answer */
 	{ NEWEST, STORE_REFUSED, 0, { NULL }, 0, 4, 0 }, /* from a node */
 	{ NEWEST, STORE_OK, 0, { "5" }, 8, 5, 1 },
@@ -49,44 +49,44 @@
 };
 
 /* What another node offers at each failure of the store. */
-static const uint64_t copies[] = { 0, 4, 6, 11 };
+static const uint64_t peer_versions[] = { 0, 4, 6, 11 };
 
-#define STEPS (sizeof(story) / sizeof(story[0]))
+#define STEP_COUNT (sizeof(steps) / sizeof(steps[0]))
 
 /* A store that answers from the list, and what the follower said. */
 struct world {
 	uv_loop_t loop;
 	uv_timer_t timer;
 	struct follow follow;
-	size_t at;
-	store_fn done;
-	void *done_ctx;
+	size_t step;
+	store_fn reply_fn;
+	void *reply_ctx;
 	uint64_t version;
-	int proofs, proofs_due;
-	int takes;
-	size_t asks;
+	int proofs, proofs_expected;
+	int configs_accepted;
+	size_t peer_queries;
 	int appends;
 	char appended[32];
-	int doubts;
-	int listed;
-	int lists_read;
+	int store_checks;
+	int list_events;
+	int lists_completed;
 	struct store_reply nodes;
 };
 
 static void
-check(struct world *w)
+check_step(struct world *w)
 {
-	if (w->at == 0)
+	if (w->step == 0)
 		return;
-	assert_int_equal(w->version, story[w->at - 1].version);
-	assert_int_equal(w->proofs, w->proofs_due);
+	assert_int_equal(w->version, steps[w->step - 1].version);
+	assert_int_equal(w->proofs, w->proofs_expected);
 }
 
 static void
-answer(uv_timer_t *timer)
+answer_step(uv_timer_t *timer)
 {
 	struct world *w = timer->data;
-	const struct step *s = &story[w->at++];
+	const struct step *s = &steps[w->step++];
 	struct store_record recs[RECORDS_MAX];
 	struct store_reply rep;
 	int i;
@@ -105,28 +105,29 @@
 		recs[i].offset = s->from + (uint64_t)i;
 		rep.count++;
 	}
-	w->proofs_due += s->proves;
-	w->done(w->done_ctx, &rep);
-	if (w->at == STEPS)
+	w->proofs_expected += s->is_proof;
+	w->reply_fn(w->reply_ctx, &rep);
+	if (w->step == STEP_COUNT)
 		uv_stop(&w->loop);
 }
 
 static void
-ask(struct world *w, enum question q, uint64_t from, store_fn done, void *ctx)
+expect_query(
+    struct world *w, enum query_kind q, uint64_t from, store_fn done, void *ctx)
 {
-	check(w);
-	if (w->at == STEPS)
+	check_step(w);
+	if (w->step == STEP_COUNT)
 		return;
-	assert_int_equal(q, story[w->at].asked);
+	assert_int_equal(q, steps[w->step].query);
 	if (q == READ)
-		assert_int_equal(from, story[w->at].from);
-	w->done = done;
-	w->done_ctx = ctx;
-	uv_timer_start(&w->timer, answer, 1, 0);
+		assert_int_equal(from, steps[w->step].from);
+	w->reply_fn = done;
+	w->reply_ctx = ctx;
+	uv_timer_start(&w->timer, answer_step, 1, 0);
 }
 
 static void
-newest(void *ctx, enum store_log log, const char *after, uint64_t timeout,
+fake_newest(void *ctx, enum store_log log, const char *after, uint64_t timeout,
     store_fn done, void *done_ctx)
 {
 	struct world *w = ctx;
@@ -134,24 +135,24 @@
 	(void)after;
 	(void)timeout;
 	if (log == STORE_NODES) {
-		w->listed++;
+		w->list_events++;
 		done(done_ctx, &w->nodes);
 		return;
 	}
-	ask(w, NEWEST, 0, done, done_ctx);
+	expect_query(w, NEWEST, 0, done, done_ctx);
 }
 
 static void
-read_log(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
+fake_read(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
     uint64_t timeout, store_fn done, void *done_ctx)
 {
 	assert_int_equal(log, STORE_CONFIG);
 	assert_true(timeout > wait);
-	ask(ctx, READ, from, done, done_ctx);
+	expect_query(ctx, READ, from, done, done_ctx);
 }
 
 static void
-append(void *ctx, enum store_log log, const char *key, const char *value,
+fake_append(void *ctx, enum store_log log, const char *key, const char *value,
     size_t len, uint64_t timeout, store_fn done, void *done_ctx)
 {
 	struct world *w = ctx;
@@ -166,10 +167,11 @@
 	done(done_ctx, &rep);
 }
 
-static const struct store_ops store_ops = { newest, read_log, append };
+static const struct store_ops store_ops = { fake_newest, fake_read,
+	fake_append };
 
 static struct config *
-decode(void *ctx, const char *text, size_t len, struct finds *finds)
+decode_version(void *ctx, const char *text, size_t len, struct finds *finds)
 {
 	struct config *c;
 
@@ -183,53 +185,53 @@
 }
 
 static void
-take(void *ctx, struct config *c)
+accept_config(void *ctx, struct config *c)
 {
 	struct world *w = ctx;
 
 	assert_true(c->version > w->version);
 	w->version = c->version;
-	w->takes++;
+	w->configs_accepted++;
 	config_free(c);
 }
 
 static void
-proved(void *ctx, uint64_t at)
+count_proof(void *ctx, uint64_t proof_ms)
 {
-	(void)at;
+	(void)proof_ms;
 	((struct world *)ctx)->proofs++;
 }
 
 static void
-node(void *ctx, const char *name, uint32_t address)
+check_node(void *ctx, const char *name, uint32_t address)
 {
 	struct world *w = ctx;
 
 	assert_string_equal(name, "n2");
 	assert_int_equal(address, 0x7f000002);
-	w->listed += 100;
+	w->list_events += 100;
 }
 
 static void
-listed(void *ctx)
+count_list(void *ctx)
 {
 	struct world *w = ctx;
 
-	assert_true(w->listed > 100);
-	w->lists_read++;
+	assert_true(w->list_events > 100);
+	w->lists_completed++;
 }
 
 static int
-reads_closely(void *ctx)
+is_close_follower(void *ctx)
 {
 	(void)ctx;
 	return 1;
 }
 
 static int
-doubt(void *ctx)
+count_store_check(void *ctx)
 {
-	((struct world *)ctx)->doubts++;
+	((struct world *)ctx)->store_checks++;
 	return 0;
 }
 
@@ -237,17 +239,18 @@
  * Another node's configuration comes while the store doesn't answer.
  */
 static void
-ask_nodes(void *ctx)
+offer_peer_config(void *ctx)
 {
 	struct world *w = ctx;
 	struct config *c = calloc(1, sizeof(*c));
 
-	c->version = copies[w->asks++];
+	c->version = peer_versions[w->peer_queries++];
 	follow_offer(&w->follow, c, "n2", 0);
 }
 
-static const struct follow_ops follow_ops = { decode, take, proved,
-	reads_closely, doubt, ask_nodes, node, listed };
+static const struct follow_ops follow_ops = { decode_version, accept_config,
+	count_proof, is_close_follower, count_store_check, offer_peer_config,
+	check_node, count_list };
 
 static void
 close_all(uv_handle_t *h, void *arg)
@@ -279,7 +282,7 @@
  * never goes back, and is held for the newest only when that is proved.
  */
 static void
-test_story(void **state)
+test_version_never_decreases(void **state)
 {
 	struct store_record list[2] = {
 		{ "n2", 2, "127.0.0.2", 9, 0 },
@@ -291,15 +294,17 @@
 	alarm(ALARM_S);
 	world_start(&w, list, 0x7f000001);
 	uv_run(&w.loop, UV_RUN_DEFAULT);
-	check(&w);
-	assert_int_equal(w.at, STEPS);
-	assert_int_equal(w.takes, 7);
-	assert_int_equal(w.asks, sizeof(copies) / sizeof(copies[0]));
+	check_step(&w);
+	assert_int_equal(w.step, STEP_COUNT);
+	assert_int_equal(w.configs_accepted, 7);
+	assert_int_equal(
+	    w.peer_queries, sizeof(peer_versions) / sizeof(peer_versions[0]));
 	assert_int_equal(w.follow.bad_records, 3);
 	assert_int_equal(w.appends, 2);
 	assert_string_equal(w.appended, "n1=127.0.0.1");
-	assert_int_equal(w.listed, 202); /* before it was entered, and after */
-	assert_int_equal(w.lists_read, 1);
+	assert_int_equal(
+	    w.list_events, 202); /* before it was entered, and after */
+	assert_int_equal(w.lists_completed, 1);
 	uv_walk(&w.loop, close_all, NULL);
 	uv_run(&w.loop, UV_RUN_DEFAULT);
 	uv_loop_close(&w.loop);
@@ -311,11 +316,11 @@
  * that has moved is entered anew.
  */
 static void
-test_starts_again(void **state)
+test_restart_skips_registration(void **state)
 {
 	static const struct {
 		uint32_t address;
-		int appends, looks;
+		int appends, list_reads;
 	} rows[] = {
 		{ 0x7f000001, 0, 1 },
 		{ 0x7f000009, 2, 2 },
@@ -331,10 +336,10 @@
 	alarm(ALARM_S);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		world_start(&w, list, rows[i].address);
-		while (w.lists_read == 0)
+		while (w.lists_completed == 0)
 			uv_run(&w.loop, UV_RUN_ONCE);
 		assert_int_equal(w.appends, rows[i].appends);
-		assert_int_equal(w.listed % 100, rows[i].looks);
+		assert_int_equal(w.list_events % 100, rows[i].list_reads);
 		uv_walk(&w.loop, close_all, NULL);
 		uv_run(&w.loop, UV_RUN_DEFAULT);
 		uv_loop_close(&w.loop);
@@ -342,8 +347,8 @@
 }
 
 static void
-lost_newest(void *ctx, enum store_log log, const char *after, uint64_t timeout,
-    store_fn done, void *done_ctx)
+refused_newest(void *ctx, enum store_log log, const char *after,
+    uint64_t timeout, store_fn done, void *done_ctx)
 {
 	struct store_reply rep;
 
@@ -357,18 +362,19 @@
 }
 
 static void
-lost_read(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
+refused_read(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
     uint64_t timeout, store_fn done, void *done_ctx)
 {
 	(void)from;
 	(void)wait;
-	lost_newest(ctx, log, NULL, timeout, done, done_ctx);
+	refused_newest(ctx, log, NULL, timeout, done, done_ctx);
 }
 
-static const struct store_ops lost_ops = { lost_newest, lost_read, append };
+static const struct store_ops refused_store = { refused_newest, refused_read,
+	fake_append };
 
 static void
-ask_nobody(void *ctx)
+ignore_peer_query(void *ctx)
 {
 	(void)ctx;
 }
@@ -378,10 +384,11 @@
  * configuration is.
  */
 static void
-test_lost(void **state)
+test_proof_queries_during_outage(void **state)
 {
-	static const struct follow_ops ops = { decode, take, proved,
-		reads_closely, doubt, ask_nobody, node, listed };
+	static const struct follow_ops ops = { decode_version, accept_config,
+		count_proof, is_close_follower, count_store_check,
+		ignore_peer_query, check_node, count_list };
 	enum follow_phase phase;
 	struct world w;
 
@@ -390,11 +397,11 @@
 		alarm(ALARM_S);
 		memset(&w, 0, sizeof(w));
 		uv_loop_init(&w.loop);
-		follow_init(&w.follow, &w.loop, &lost_ops, &w, &ops, &w,
+		follow_init(&w.follow, &w.loop, &refused_store, &w, &ops, &w,
 		    "config", "n1");
 		w.follow.phase = phase;
 		follow_start(&w.follow, 0x7f000001);
-		while (w.doubts < 3)
+		while (w.store_checks < 3)
 			uv_run(&w.loop, UV_RUN_ONCE);
 		uv_walk(&w.loop, close_all, NULL);
 		uv_run(&w.loop, UV_RUN_DEFAULT);
@@ -403,13 +410,13 @@
 }
 
 /* A store that keeps long questions, and counts. */
-struct counts {
+struct read_counts {
 	struct world w;
-	int closely, doubtful;
-	int long_reads, close_reads, short_reads, copies;
-	int fails, failing;
-	int looks;	/* copies asked for without a failure */
-	uint64_t pause; /* after the last failure */
+	int close_follower, query_needed;
+	int long_reads, close_reads, short_reads, peer_queries;
+	int refuse_reads, refusing;
+	int queries_while_idle;	 /* copies asked for without a failure */
+	uint64_t retry_delay_ms; /* after the last failure */
 };
 
 static void
@@ -434,7 +441,7 @@
 counted_read(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
     uint64_t timeout, store_fn done, void *done_ctx)
 {
-	struct counts *c = ctx;
+	struct read_counts *c = ctx;
 	struct store_reply rep;
 
 	(void)log;
@@ -446,65 +453,66 @@
 	c->long_reads += wait > 1000;
 	c->close_reads += wait == 1000;
 	c->short_reads += wait == 0;
-	if (c->fails)
+	if (c->refuse_reads)
 		rep.status = STORE_REFUSED;
-	c->failing = c->fails;
-	if (c->fails || wait <= 1000)
+	c->refusing = c->refuse_reads;
+	if (c->refuse_reads || wait <= 1000)
 		done(done_ctx, &rep);
-	c->failing = 0;
+	c->refusing = 0;
 }
 
 static int
-counted_close(void *ctx)
+counted_is_close(void *ctx)
 {
-	return ((struct counts *)ctx)->closely;
+	return ((struct read_counts *)ctx)->close_follower;
 }
 
 static int
-counted_doubt(void *ctx)
+counted_query_needed(void *ctx)
 {
-	return ((struct counts *)ctx)->doubtful;
+	return ((struct read_counts *)ctx)->query_needed;
 }
 
 static void
-counted_ask(void *ctx)
+counted_peer_query(void *ctx)
 {
-	struct counts *c = ctx;
+	struct read_counts *c = ctx;
 
-	c->copies++;
-	c->looks += !c->failing;
+	c->peer_queries++;
+	c->queries_while_idle += !c->refusing;
 	/* After a failure, the pause has just begun. */
-	if (c->failing)
-		c->pause = uv_timer_get_due_in(&c->w.follow.config_timer);
+	if (c->refusing)
+		c->retry_delay_ms =
+		    uv_timer_get_due_in(&c->w.follow.config_timer);
 }
 
 static void
-counted_proved(void *ctx, uint64_t at)
+counted_proof(void *ctx, uint64_t proof_ms)
 {
-	(void)at;
-	((struct counts *)ctx)->w.proofs++;
+	(void)proof_ms;
+	((struct read_counts *)ctx)->w.proofs++;
 }
 
 static void
-counted_take(void *ctx, struct config *c)
+counted_config(void *ctx, struct config *c)
 {
-	take(&((struct counts *)ctx)->w, c);
+	accept_config(&((struct read_counts *)ctx)->w, c);
 }
 
 static void
-counted_listed(void *ctx)
+counted_list(void *ctx)
 {
 	(void)ctx;
 }
 
 static const struct store_ops counted_store = { counted_newest, counted_read,
-	append };
-static const struct follow_ops counted_ops = { decode, counted_take,
-	counted_proved, counted_close, counted_doubt, counted_ask, node,
-	counted_listed };
+	fake_append };
+static const struct follow_ops counted_ops = { decode_version, counted_config,
+	counted_proof, counted_is_close, counted_query_needed,
+	counted_peer_query, check_node, counted_list };
 
 static void
-count_start(struct counts *c)
+count_start(struct read_counts *c)
 {
 	alarm(ALARM_S);
 	memset(c, 0, sizeof(*c));
@@ -517,17 +525,17 @@
 }
 
 static void
-count_for(struct counts *c, uint64_t ms)
+count_during(struct read_counts *c, uint64_t ms)
 {
 	uint64_t end = loop_ms(&c->w.loop) + ms;
 
-	c->copies = c->short_reads = c->close_reads = 0;
+	c->peer_queries = c->short_reads = c->close_reads = 0;
 	while (loop_ms(&c->w.loop) < end)
 		uv_run(&c->w.loop, UV_RUN_ONCE);
 }
 
 static void
-count_end(struct counts *c)
+count_end(struct read_counts *c)
 {
 	uv_walk(&c->w.loop, close_all, NULL);
 	uv_run(&c->w.loop, UV_RUN_DEFAULT);
@@ -539,15 +547,15 @@
  * doesn't wait for the end of that: all others would ask the store themselves.
  */
 static void
-test_becomes_reader(void **state)
+test_close_reads_during_long_read(void **state)
 {
-	struct counts c;
+	struct read_counts c;
 
 	(void)state;
 	count_start(&c);
-	count_for(&c, 500);
+	count_during(&c, 500);
 	assert_int_equal(c.close_reads + c.short_reads, 0);
-	c.closely = 1;
+	c.close_follower = 1;
 	c.w.proofs = 0;
 	while (c.close_reads < 2 || c.w.proofs < 2)
 		uv_run(&c.w.loop, UV_RUN_ONCE);
@@ -560,13 +568,13 @@
  * Asks until the store was asked once more, and returns the pause after that.
  */
 static uint64_t
-next_pause(struct counts *c)
+next_retry_delay(struct read_counts *c)
 {
 	int before = c->short_reads;
 
 	while (c->short_reads == before)
 		uv_run(&c->w.loop, UV_RUN_ONCE);
-	return c->pause;
+	return c->retry_delay_ms;
 }
 
 /*
@@ -574,27 +582,27 @@
  * often where they don't; and then they are asked for what is newer.
  */
 static void
-test_lost_calmly(void **state)
+test_retry_delay_during_outage(void **state)
 {
-	struct counts c;
+	struct read_counts c;
 
 	(void)state;
 	count_start(&c);
-	c.fails = 1;
-	c.w.follow.wait_ms = 0;
+	c.refuse_reads = 1;
+	c.w.follow.read_wait_ms = 0;
 	c.w.follow.version = 5;
-	c.w.follow.config_fails = 5;
-	c.w.follow.lost = 1;
+	c.w.follow.config_failures = 5;
+	c.w.follow.store_lost = 1;
 	uv_timer_start(
 	    &c.w.follow.config_timer, c.w.follow.config_timer.timer_cb, 0, 0);
-	assert_int_equal(next_pause(&c), 1920);
-	assert_int_equal(next_pause(&c), 1920);
-	assert_int_equal(c.looks, 0);
-	c.doubtful = 1;
-	while (c.looks < 3)
+	assert_int_equal(next_retry_delay(&c), 1920);
+	assert_int_equal(next_retry_delay(&c), 1920);
+	assert_int_equal(c.queries_while_idle, 0);
+	c.query_needed = 1;
+	while (c.queries_while_idle < 3)
 		uv_run(&c.w.loop, UV_RUN_ONCE);
-	assert_int_equal(next_pause(&c), 480);
-	assert_int_equal(next_pause(&c), 480);
+	assert_int_equal(next_retry_delay(&c), 480);
+	assert_int_equal(next_retry_delay(&c), 480);
 	count_end(&c);
 }
 
@@ -602,10 +610,10 @@
  * An empty answer proves as much as the store can have known.
  */
 static void
-test_proof(void **state)
+test_proof_time(void **state)
 {
 	static const struct {
-		uint64_t asked, wait, now, proof;
+		uint64_t sent_ms, wait_ms, now_ms, proof_ms;
 	} rows[] = {
 		{ 1000, 1500, 2510, 2500 }, /* waited all the time */
 		{ 1000, 1500, 4000, 2500 }, /* and was late itself */
@@ -616,21 +624,21 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
-		assert_int_equal(
-		    follow_proof(rows[i].asked, rows[i].wait, rows[i].now),
-		    rows[i].proof);
+		assert_int_equal(follow_proof(rows[i].sent_ms, rows[i].wait_ms,
+				     rows[i].now_ms),
+		    rows[i].proof_ms);
 }
 
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_story),
-		cmocka_unit_test(test_starts_again),
-		cmocka_unit_test(test_lost),
-		cmocka_unit_test(test_becomes_reader),
-		cmocka_unit_test(test_lost_calmly),
-		cmocka_unit_test(test_proof),
+		cmocka_unit_test(test_version_never_decreases),
+		cmocka_unit_test(test_restart_skips_registration),
+		cmocka_unit_test(test_proof_queries_during_outage),
+		cmocka_unit_test(test_close_reads_during_long_read),
+		cmocka_unit_test(test_retry_delay_during_outage),
+		cmocka_unit_test(test_proof_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
