publish: rename private identifiers

Names such as sighted, written, verdict, text_of or pause_next did not say which thing they meant. The publisher now speaks of the append state, the status of an outcome and the retry delay; the reader has found its publication, and knows that the log was trimmed. Times carry their unit. The tests follow. No code changed.

--- a/src/publish/edit.c
+++ b/src/publish/edit.c
@@ -3,38 +3,38 @@
 
 #include "publish/publish.h"
 
-enum edit_find {
-	FIND_NO_WORKSPACE,
-	FIND_KEY_EXISTS,
-	FIND_NO_KEY,
-	EDIT_FIND_MAX
+enum edit_finding {
+	FINDING_NO_WORKSPACE,
+	FINDING_KEY_EXISTS,
+	FINDING_NO_KEY,
+	EDIT_FINDING_MAX
 };
 
-static const struct find_msg msgs[EDIT_FIND_MAX] = {
-	[FIND_NO_WORKSPACE] = { FIND_ERROR, "no such workspace" },
-	[FIND_KEY_EXISTS] = { FIND_ERROR, "key id is in use" },
-	[FIND_NO_KEY] = { FIND_ERROR, "no such key" },
+static const struct find_msg msgs[EDIT_FINDING_MAX] = {
+	[FINDING_NO_WORKSPACE] = { FIND_ERROR, "no such workspace" },
+	[FINDING_KEY_EXISTS] = { FIND_ERROR, "key id is in use" },
+	[FINDING_NO_KEY] = { FIND_ERROR, "no such key" },
 };
 
-static json_t *keys_of(const json_t *, const char *);
-static int key_index(const json_t *, const char *);
-static char *text_of(json_t *);
+static json_t *find_workspace_keys(const json_t *, const char *);
+static int find_key_index(const json_t *, const char *);
+static char *print_and_release(json_t *);
 
 /*
  * Returns the keys of a workspace, or NULL.
  */
 static json_t *
-keys_of(const json_t *root, const char *ws)
+find_workspace_keys(const json_t *root, const char *ws)
 {
 	const char *name;
-	json_t *o;
+	json_t *item;
 	size_t i;
 
-	json_array_foreach(json_object_get(root, "workspaces"), i, o)
+	json_array_foreach(json_object_get(root, "workspaces"), i, item)
 	{
-		name = json_string_value(json_object_get(o, "name"));
+		name = json_string_value(json_object_get(item, "name"));
 		if (name != NULL && strcmp(name, ws) == 0)
-			return json_object_get(o, "keys");
+			return json_object_get(item, "keys");
 	}
 	return NULL;
 }
@@ -43,16 +43,16 @@
  * Returns the index of the key with an id, or -1.
  */
 static int
-key_index(const json_t *keys, const char *id)
+find_key_index(const json_t *keys, const char *id)
 {
-	const char *s;
-	json_t *o;
+	const char *item_id;
+	json_t *item;
 	size_t i;
 
-	json_array_foreach(keys, i, o)
+	json_array_foreach(keys, i, item)
 	{
-		s = json_string_value(json_object_get(o, "id"));
-		if (s != NULL && strcmp(s, id) == 0)
+		item_id = json_string_value(json_object_get(item, "id"));
+		if (item_id != NULL && strcmp(item_id, id) == 0)
 			return (int)i;
 	}
 	return -1;
@@ -62,7 +62,7 @@
  * Prints a configuration as text and gives it up.
  */
 static char *
-text_of(json_t *root)
+print_and_release(json_t *root)
 {
 	char *text = json_dumps(root, JSON_COMPACT);
 
@@ -76,19 +76,20 @@
  */
 char *
 publish_grant(const char *text, const char *ws, const char *id,
-    const char *hash, struct finds *fs)
+    const char *hash, struct finds *findings)
 {
-	json_t *root = json_loads(text, 0, NULL), *keys = keys_of(root, ws);
+	json_t *root = json_loads(text, 0, NULL),
+	       *keys = find_workspace_keys(root, ws);
 
 	if (keys == NULL)
-		finds_add(
-		    fs, &msgs[FIND_NO_WORKSPACE], "/workspaces", "%s", ws);
-	else if (key_index(keys, id) != -1)
-		finds_add(fs, &msgs[FIND_KEY_EXISTS], "/workspaces",
+		finds_add(findings, &msgs[FINDING_NO_WORKSPACE], "/workspaces",
+		    "%s", ws);
+	else if (find_key_index(keys, id) != -1)
+		finds_add(findings, &msgs[FINDING_KEY_EXISTS], "/workspaces",
 		    "%s of %s; withdraw it first or choose another id", id, ws);
 	else if (json_array_append_new(
 		     keys, json_pack("{s:s,s:s}", "id", id, "hash", hash)) == 0)
-		return text_of(root);
+		return print_and_release(root);
 	json_decref(root);
 	return NULL;
 }
@@ -99,21 +100,22 @@
  */
 char *
 publish_withdraw(
-    const char *text, const char *ws, const char *id, struct finds *fs)
+    const char *text, const char *ws, const char *id, struct finds *findings)
 {
-	json_t *root = json_loads(text, 0, NULL), *keys = keys_of(root, ws);
-	int i = key_index(keys, id), found = i != -1;
+	json_t *root = json_loads(text, 0, NULL),
+	       *keys = find_workspace_keys(root, ws);
+	int i = find_key_index(keys, id), found = i != -1;
 
 	if (keys == NULL)
-		finds_add(
-		    fs, &msgs[FIND_NO_WORKSPACE], "/workspaces", "%s", ws);
+		finds_add(findings, &msgs[FINDING_NO_WORKSPACE], "/workspaces",
+		    "%s", ws);
 	else if (!found)
-		finds_add(
-		    fs, &msgs[FIND_NO_KEY], "/workspaces", "%s of %s", id, ws);
-	for (; i != -1; i = key_index(keys, id))
+		finds_add(findings, &msgs[FINDING_NO_KEY], "/workspaces",
+		    "%s of %s", id, ws);
+	for (; i != -1; i = find_key_index(keys, id))
 		json_array_remove(keys, (size_t)i);
 	if (found)
-		return text_of(root);
+		return print_and_release(root);
 	json_decref(root);
 	return NULL;
 }
--- a/src/publish/publish.c
+++ b/src/publish/publish.c
@@ -5,26 +5,27 @@
 
 #define STREAM "config"
 #define CALL_TIMEOUT_MS 3000
-#define PAUSE_FIRST_MS 50
-#define PAUSE_MAX_MS 1000
+#define RETRY_FIRST_MS 50
+#define RETRY_MAX_MS 1000
 
 /* What is known of the record's way into the log. */
-enum written {
-	WRITTEN_NO,
-	WRITTEN_MAYBE,
-	WRITTEN_YES,
-	WRITTEN_MAX
+enum append_state {
+	APPEND_NOT_WRITTEN,
+	APPEND_MAYBE_WRITTEN,
+	APPEND_WRITTEN,
+	APPEND_STATE_MAX
 };
 
-static enum publish_status verdict(
+static enum publish_status decide_status(
     const struct publish_reader *, uint64_t, uint64_t *);
-static enum publish_status sighted_verdict(
+static enum publish_status found_status(
     const struct publish_reader *, uint64_t *);
-static void append(struct publish_reader *, const char *, enum written *);
-static uint32_t pause_next(uint32_t);
+static void append_record(
+    struct publish_reader *, const char *, enum append_state *);
+static uint32_t next_retry_delay(uint32_t);
 
 /* What a sighting of the publication means. */
-static const enum publish_status sighted_status[CONFIG_OUTCOME_MAX] = {
+static const enum publish_status status_of_outcome[CONFIG_OUTCOME_MAX] = {
 	[CONFIG_TAKEN] = PUBLISH_WON,
 	[CONFIG_CONFIRMED] = PUBLISH_INVALID,
 	[CONFIG_LOST] = PUBLISH_LOST,
@@ -34,21 +35,21 @@
 };
 
 /* How it ends if the time is over. */
-static const enum publish_status late_status[WRITTEN_MAX] = {
-	[WRITTEN_NO] = PUBLISH_UNAVAILABLE,
-	[WRITTEN_MAYBE] = PUBLISH_UNKNOWN,
-	[WRITTEN_YES] = PUBLISH_UNKNOWN,
+static const enum publish_status status_at_timeout[APPEND_STATE_MAX] = {
+	[APPEND_NOT_WRITTEN] = PUBLISH_UNAVAILABLE,
+	[APPEND_MAYBE_WRITTEN] = PUBLISH_UNKNOWN,
+	[APPEND_WRITTEN] = PUBLISH_UNKNOWN,
 };
 
 /*
  * Decides from a sighting of the publication.
  */
 static enum publish_status
-sighted_verdict(const struct publish_reader *r, uint64_t *version)
+found_status(const struct publish_reader *r, uint64_t *version)
 {
 	if (r->outcome == CONFIG_TAKEN)
-		*version = r->version;
-	return sighted_status[r->outcome];
+		*version = r->published_version;
+	return status_of_outcome[r->outcome];
 }
 
 /*
@@ -58,16 +59,17 @@
  * it may have won before, in an earlier run with the same id.
  */
 static enum publish_status
-verdict(const struct publish_reader *r, uint64_t base, uint64_t *version)
+decide_status(const struct publish_reader *r, uint64_t base, uint64_t *version)
 {
 	*version = publish_version(r);
-	if (r->sighted)
-		return sighted_verdict(r, version);
+	if (r->found)
+		return found_status(r, version);
 	if (!r->state.synced)
 		return PUBLISH_UNSYNCED;
 	if (*version == base)
 		return PUBLISH_PENDING;
-	return r->dropped && *version > base ? PUBLISH_UNKNOWN : PUBLISH_LOST;
+	return r->log_trimmed && *version > base ? PUBLISH_UNKNOWN
+						 : PUBLISH_LOST;
 }
 
 /*
@@ -75,31 +77,32 @@
  * again after a lost answer is safe: the same base can't be taken twice.
  */
 static void
-append(struct publish_reader *r, const char *record, enum written *w)
+append_record(
+    struct publish_reader *r, const char *record, enum append_state *state)
 {
 	const struct logsvc *log = &r->env->log;
 	enum logsvc_status st;
 	uint64_t offset;
 
-	if (*w == WRITTEN_YES)
+	if (*state == APPEND_WRITTEN)
 		return;
 	st = log->append(
 	    log->ctx, STREAM, record, strlen(record), CALL_TIMEOUT_MS, &offset);
 	if (st == LOGSVC_OK)
-		*w = WRITTEN_YES;
+		*state = APPEND_WRITTEN;
 	else if (st == LOGSVC_UNKNOWN)
-		*w = WRITTEN_MAYBE;
+		*state = APPEND_MAYBE_WRITTEN;
 }
 
 /*
  * Returns the pause (ms) that follows one.
  */
 static uint32_t
-pause_next(uint32_t pause)
+next_retry_delay(uint32_t delay_ms)
 {
-	if (pause == 0)
-		return PAUSE_FIRST_MS;
-	return pause * 2 < PAUSE_MAX_MS ? pause * 2 : PAUSE_MAX_MS;
+	if (delay_ms == 0)
+		return RETRY_FIRST_MS;
+	return delay_ms * 2 < RETRY_MAX_MS ? delay_ms * 2 : RETRY_MAX_MS;
 }
 
 /*
@@ -113,9 +116,9 @@
     struct publish_reader *r, const struct publication *p, uint64_t *version)
 {
 	const struct publish_env *env = r->env;
-	uint64_t end = env->now(env->ctx) + p->timeout;
-	uint32_t pause = 0;
-	enum written w = WRITTEN_NO;
+	uint64_t end_ms = env->now(env->ctx) + p->timeout;
+	uint32_t delay_ms = 0;
+	enum append_state state = APPEND_NOT_WRITTEN;
 	enum publish_status st;
 	char *record;
 
@@ -126,16 +129,16 @@
 	}
 	for (;;) {
 		if (publish_catch_up(r, CALL_TIMEOUT_MS) == LOGSVC_OK) {
-			st = verdict(r, p->base, version);
+			st = decide_status(r, p->base, version);
 			if (st != PUBLISH_PENDING)
 				break;
-			append(r, record, &w);
+			append_record(r, record, &state);
 		}
-		st = late_status[w];
-		if (env->now(env->ctx) >= end)
+		st = status_at_timeout[state];
+		if (env->now(env->ctx) >= end_ms)
 			break;
-		env->sleep(env->ctx, pause);
-		pause = pause_next(pause);
+		env->sleep(env->ctx, delay_ms);
+		delay_ms = next_retry_delay(delay_ms);
 	}
 	free(record);
 	return st;
--- a/src/publish/publish.h
+++ b/src/publish/publish.h
@@ -29,10 +29,10 @@
 	const struct publish_env *env;
 	struct config_state state;
 	char id[PUBLISH_ID_BYTES];
-	int sighted;
+	int found;
 	enum config_outcome outcome; /* of the publication, if sighted */
-	uint64_t version;	     /* that the publication made, if taken */
-	int dropped;		     /* the log's oldest records are gone */
+	uint64_t published_version;  /* that the publication made, if taken */
+	int log_trimmed;	     /* the log's oldest records are gone */
 };
 
 enum publish_status {
--- a/src/publish/reader.c
+++ b/src/publish/reader.c
@@ -5,10 +5,11 @@
 #include "publish/publish.h"
 
 #define STREAM "config"
-#define READ_MAX 100 /* records a read */
+#define READ_MAX_RECORDS 100 /* records a read */
 
-static int is_watched(const struct publish_reader *, const char *, size_t);
-static void record_apply(struct publish_reader *, const struct logsvc_record *);
+static int is_own_publication(
+    const struct publish_reader *, const char *, size_t);
+static void apply_record(struct publish_reader *, const struct logsvc_record *);
 
 /*
  * Writes a random publication id into PUBLISH_ID_BYTES bytes.
@@ -58,14 +59,14 @@
  * Tells whether a record is the publication that is watched for.
  */
 static int
-is_watched(const struct publish_reader *r, const char *data, size_t len)
+is_own_publication(const struct publish_reader *r, const char *data, size_t len)
 {
 	json_t *o = json_loadb(data, len, 0, NULL);
 	const char *id = json_string_value(json_object_get(o, "id"));
-	int yes = id != NULL && strcmp(id, r->id) == 0;
+	int matches = id != NULL && strcmp(id, r->id) == 0;
 
 	json_decref(o);
-	return yes;
+	return matches;
 }
 
 /*
@@ -73,52 +74,52 @@
  * for, at most one can be taken, and that one counts.
  */
 static void
-record_apply(struct publish_reader *r, const struct logsvc_record *rec)
+apply_record(struct publish_reader *r, const struct logsvc_record *record)
 {
-	enum config_outcome out;
+	enum config_outcome outcome;
 	struct config *old;
 	struct finds fs;
 
 	finds_init(&fs);
-	out = config_state_apply(
-	    &r->state, rec->offset, rec->data, rec->len, &old, &fs);
+	outcome = config_state_apply(
+	    &r->state, record->offset, record->data, record->len, &old, &fs);
 	config_free(old);
 	finds_finish(&fs);
-	if (!is_watched(r, rec->data, rec->len))
+	if (!is_own_publication(r, record->data, record->len))
 		return;
-	if (r->sighted && r->outcome == CONFIG_TAKEN)
+	if (r->found && r->outcome == CONFIG_TAKEN)
 		return;
-	r->sighted = 1;
-	r->outcome = out;
-	r->version = publish_version(r);
+	r->found = 1;
+	r->outcome = outcome;
+	r->published_version = publish_version(r);
 }
 
 /*
  * Reads the stream to its end, within the timeout (ms).
  */
 enum logsvc_status
-publish_catch_up(struct publish_reader *r, uint32_t timeout)
+publish_catch_up(struct publish_reader *r, uint32_t timeout_ms)
 {
 	const struct publish_env *env = r->env;
-	uint64_t now = env->now(env->ctx), end = now + timeout;
-	struct logsvc_batch b;
+	uint64_t now_ms = env->now(env->ctx), end_ms = now_ms + timeout_ms;
+	struct logsvc_batch batch;
 	enum logsvc_status st;
 	size_t i;
 	int done;
 
-	for (done = 0; !done; now = env->now(env->ctx)) {
-		if (now >= end)
+	for (done = 0; !done; now_ms = env->now(env->ctx)) {
+		if (now_ms >= end_ms)
 			return LOGSVC_UNAVAILABLE;
 		st = env->log.read(env->log.ctx, STREAM, r->state.next,
-		    READ_MAX, 0, (uint32_t)(end - now), &b);
+		    READ_MAX_RECORDS, 0, (uint32_t)(end_ms - now_ms), &batch);
 		if (st != LOGSVC_OK)
 			return st;
-		config_state_gap(&r->state, b.first, b.next);
-		r->dropped = r->dropped || b.first > 0;
-		for (i = 0; i < b.count; i++)
-			record_apply(r, &b.list[i]);
-		done = b.count == 0 || r->state.next >= b.next;
-		logsvc_batch_finish(&b);
+		config_state_gap(&r->state, batch.first, batch.next);
+		r->log_trimmed = r->log_trimmed || batch.first > 0;
+		for (i = 0; i < batch.count; i++)
+			apply_record(r, &batch.list[i]);
+		done = batch.count == 0 || r->state.next >= batch.next;
+		logsvc_batch_finish(&batch);
 	}
 	return LOGSVC_OK;
 }
--- a/src/publish/test_publish.c
+++ b/src/publish/test_publish.c
@@ -12,8 +12,8 @@
 #define RECORD_BYTES 1024
 #define STEPS_MAX 4
 #define TIMEOUT_MS 5000
-#define GARBAGE_ROUNDS 50
-#define GARBAGE_SEED 1
+#define CORRUPT_ROUNDS 50
+#define CORRUPT_SEED 1
 #define ID_A "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 #define ID_B "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
 
@@ -21,7 +21,7 @@
 	"00000000000000000000000000000000" \
 	"00000000000000000000000000000000"
 
-static const char conf[] =
+static const char config_json[] =
     "{\"routes\":[],\"workspaces\":[{\"name\":\"w\",\"rate\":1,\"burst\":1,"
     "\"keys\":[{\"id\":\"k\",\"hash\":\"" HASH0 "\"}]}]}";
 
@@ -38,7 +38,7 @@
 	STEP_MAX
 };
 
-struct fake {
+struct fake_log {
 	char records[RECORDS_MAX][RECORD_BYTES];
 	uint64_t first;
 	uint64_t next;
@@ -54,7 +54,7 @@
  * Writes a record.
  */
 static void
-fake_write(struct fake *f, const char *data)
+fake_write(struct fake_log *f, const char *data)
 {
 	assert_true(f->next < RECORDS_MAX);
 	assert_true(strlen(data) < RECORD_BYTES);
@@ -65,9 +65,9 @@
  * Writes a publication of another operator.
  */
 static void
-fake_rival(struct fake *f, uint64_t base)
+fake_write_competing(struct fake_log *f, uint64_t base)
 {
-	char *rec = config_publication(conf, base, ID_B, "rival");
+	char *rec = config_publication(config_json, base, ID_B, "rival");
 
 	fake_write(f, rec);
 	free(rec);
@@ -80,7 +80,7 @@
 fake_append(void *ctx, const char *stream, const char *data, size_t len,
     uint32_t timeout, uint64_t *offset)
 {
-	struct fake *f = ctx;
+	struct fake_log *f = ctx;
 	enum step s =
 	    f->steps[f->step < STEPS_MAX - 1 ? f->step : STEPS_MAX - 1];
 
@@ -103,7 +103,7 @@
 		return LOGSVC_UNKNOWN;
 	}
 	if (s == STEP_RACE || s == STEP_RACE_LOST)
-		fake_rival(f, 0);
+		fake_write_competing(f, 0);
 	fake_write(f, data);
 	*offset = f->next - 1;
 	if (s == STEP_ANSWER_LOST || s == STEP_RACE_LOST)
@@ -118,7 +118,7 @@
 fake_read(void *ctx, const char *stream, uint64_t from, uint32_t max,
     uint32_t wait, uint32_t timeout, struct logsvc_batch *b)
 {
-	struct fake *f = ctx;
+	struct fake_log *f = ctx;
 	uint64_t i;
 
 	(void)stream;
@@ -146,13 +146,13 @@
 static uint64_t
 fake_now(void *ctx)
 {
-	return ((struct fake *)ctx)->now;
+	return ((struct fake_log *)ctx)->now;
 }
 
 static void
 fake_sleep(void *ctx, uint32_t ms)
 {
-	((struct fake *)ctx)->now += ms;
+	((struct fake_log *)ctx)->now += ms;
 }
 
 /*
@@ -160,7 +160,7 @@
  * dropped.
  */
 static void
-fake_init(struct fake *f, struct publish_env *env, const enum step *steps,
+fake_init(struct fake_log *f, struct publish_env *env, const enum step *steps,
     uint64_t versions, uint64_t dropped)
 {
 	uint64_t v;
@@ -168,7 +168,7 @@
 	memset(f, 0, sizeof(*f));
 	f->steps = steps;
 	for (v = 0; v < versions; v++)
-		fake_rival(f, v);
+		fake_write_competing(f, v);
 	f->first = dropped;
 	env->log.append = fake_append;
 	env->log.read = fake_read;
@@ -225,11 +225,11 @@
 static void
 test_publish_outcomes(void **state)
 {
-	struct publication p = { conf, "test", 0, TIMEOUT_MS };
-	struct publish_reader r, again;
+	struct publication p = { config_json, "test", 0, TIMEOUT_MS };
+	struct publish_reader r, retry;
 	struct publish_env env;
 	enum publish_status st;
-	struct fake f;
+	struct fake_log f;
 	uint64_t version;
 	size_t i;
 
@@ -249,13 +249,13 @@
 		assert_int_equal(version, cases[i].version);
 		assert_int_equal(f.next, cases[i].next);
 		f.reads_fail = 0;
-		publish_reader_init(&again, &env, ID_A);
+		publish_reader_init(&retry, &env, ID_A);
 		if (st == PUBLISH_WON || st == PUBLISH_LOST) {
-			assert_int_equal(publish_run(&again, &p, &version), st);
+			assert_int_equal(publish_run(&retry, &p, &version), st);
 			assert_int_equal(version, cases[i].version);
 			assert_int_equal(f.next, cases[i].next);
 		}
-		publish_reader_finish(&again);
+		publish_reader_finish(&retry);
 		publish_reader_finish(&r);
 	}
 }
@@ -268,21 +268,21 @@
 test_publish_after_snapshot(void **state)
 {
 	static const enum step steps[STEPS_MAX] = { STEP_OK };
-	struct publication p = { conf, "test", 2, TIMEOUT_MS };
+	struct publication p = { config_json, "test", 2, TIMEOUT_MS };
 	struct publish_reader r;
 	struct publish_env env;
-	struct fake f;
+	struct fake_log f;
 	uint64_t version = 0;
-	char *snap;
+	char *snapshot;
 
 	(void)state;
 	fake_init(&f, &env, steps, 3, 0);
 	publish_reader_init(&r, &env, ID_A);
 	assert_int_equal(publish_catch_up(&r, TIMEOUT_MS), LOGSVC_OK);
 	assert_int_equal(publish_version(&r), 3);
-	snap = config_snapshot(r.state.cur, ID_B);
-	fake_write(&f, snap);
-	free(snap);
+	snapshot = config_snapshot(r.state.cur, ID_B);
+	fake_write(&f, snapshot);
+	free(snapshot);
 	publish_reader_finish(&r);
 	f.first = 3;
 	publish_reader_init(&r, &env, ID_A);
@@ -310,25 +310,26 @@
  * force wins, and a reader survives it.
  */
 static void
-test_publish_amid_garbage(void **state)
+test_publish_among_corrupt_records(void **state)
 {
 	static const enum step steps[STEPS_MAX] = { STEP_OK };
-	struct publication p = { conf, "test", 0, TIMEOUT_MS };
-	char *good = config_publication(conf, 0, ID_B, "rival");
+	struct publication p = { config_json, "test", 0, TIMEOUT_MS };
+	char *valid = config_publication(config_json, 0, ID_B, "rival");
 	struct publish_reader r;
 	struct publish_env env;
-	uint32_t seed, round, i, cuts;
+	uint32_t seed, round, i, changes;
 	uint64_t version;
-	struct fake f;
-	size_t len = strlen(good);
+	struct fake_log f;
+	size_t len = strlen(valid);
 
 	(void)state;
-	for (round = 0; round < GARBAGE_ROUNDS; round++) {
-		seed = GARBAGE_SEED + round;
+	for (round = 0; round < CORRUPT_ROUNDS; round++) {
+		seed = CORRUPT_SEED + round;
 		fake_init(&f, &env, steps, 0, 0);
 		for (i = 0; i < RECORDS_MAX - 1; i++) {
-			fake_write(&f, good);
-			for (cuts = rand_next(&seed) % 4 + 1; cuts > 0; cuts--)
+			fake_write(&f, valid);
+			for (changes = rand_next(&seed) % 4 + 1; changes > 0;
+			     changes--)
 				f.records[i][rand_next(&seed) % len] =
 				    (char)(rand_next(&seed) % 96 + 32);
 			if (rand_next(&seed) % 3 == 0)
@@ -341,7 +342,7 @@
 		assert_int_equal(version, p.base + 1);
 		publish_reader_finish(&r);
 	}
-	free(good);
+	free(valid);
 }
 
 static const struct {
@@ -363,34 +364,34 @@
  * Keys are added to and taken from a checked configuration.
  */
 static void
-test_edits(void **state)
+test_key_edits(void **state)
 {
 	const char *hash = "11111111111111111111111111111111"
 			   "11111111111111111111111111111111";
 	struct config *c;
-	struct finds fs;
+	struct finds findings;
 	char *text;
 	size_t i;
 
 	(void)state;
 	for (i = 0; i < sizeof(edits) / sizeof(edits[0]); i++) {
-		finds_init(&fs);
+		finds_init(&findings);
 		if (edits[i].withdraw)
 			text = publish_withdraw(
-			    conf, edits[i].ws, edits[i].id, &fs);
+			    config_json, edits[i].ws, edits[i].id, &findings);
 		else
-			text = publish_grant(
-			    conf, edits[i].ws, edits[i].id, hash, &fs);
-		assert_int_equal(fs.errors, edits[i].errors);
+			text = publish_grant(config_json, edits[i].ws,
+			    edits[i].id, hash, &findings);
+		assert_int_equal(findings.errors, edits[i].errors);
 		assert_int_equal(text == NULL, edits[i].errors > 0);
 		if (text != NULL) {
-			c = config_new(text, strlen(text), 1, &fs);
+			c = config_new(text, strlen(text), 1, &findings);
 			assert_non_null(c);
 			assert_int_equal(c->key_count, edits[i].keys);
 			config_free(c);
 		}
 		free(text);
-		finds_finish(&fs);
+		finds_finish(&findings);
 	}
 }
 
@@ -398,20 +399,20 @@
  * Where one id names two keys, both are withdrawn.
  */
 static void
-test_withdraw_takes_all(void **state)
+test_withdraw_removes_duplicates(void **state)
 {
-	struct finds fs;
+	struct finds findings;
 	char *text;
 
 	(void)state;
-	finds_init(&fs);
+	finds_init(&findings);
 	text = publish_withdraw("{\"workspaces\":[{\"name\":\"w\",\"keys\":"
 				"[{\"id\":\"k\"},{\"id\":\"k\"}]}]}",
-	    "w", "k", &fs);
+	    "w", "k", &findings);
 	assert_string_equal(
 	    text, "{\"workspaces\":[{\"name\":\"w\",\"keys\":[]}]}");
 	free(text);
-	finds_finish(&fs);
+	finds_finish(&findings);
 }
 
 int
@@ -420,9 +421,9 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_publish_outcomes),
 		cmocka_unit_test(test_publish_after_snapshot),
-		cmocka_unit_test(test_publish_amid_garbage),
-		cmocka_unit_test(test_edits),
-		cmocka_unit_test(test_withdraw_takes_all),
+		cmocka_unit_test(test_publish_among_corrupt_records),
+		cmocka_unit_test(test_key_edits),
+		cmocka_unit_test(test_withdraw_removes_duplicates),
 	};
 
 	if (sodium_init() == -1)
