follow: reword comments

The comments spoke of questions, doubts, looks and nodes that stand in a list, and some said nothing beside the function's name. They now use requests, replies, short and long reads, registration and proofs, name the subject, and keep each reason: why a close read waits one second, why a short read runs beside a long one, why the list of nodes is read again after a registration. The heads of the tests say which failure they guard against. No code changed.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -7,19 +7,20 @@
 #include "event/event.h"
 #include "follow/follow.h"
 
-#define CLOSE_READ_WAIT_MS 1000 /* for a record: longer leaves keys in doubt \
-				 */
-#define LONG_READ_WAIT_MS 15000 /* where other nodes follow closely */
-#define SHORT_READ_CHECK_MS \
-	200 /* between two looks whether the store must be asked */
-#define READ_GRACE_MS 900 /* after which an answer is not awaited any more */
-#define NEWEST_TIMEOUT_MS 1200 /* for an answer */
+/*
+ * Wait time of a close read.  With a longer one the last proof that the
+ * configuration is the newest gets too old for access keys to be trusted.
+ */
+#define CLOSE_READ_WAIT_MS 1000
+#define LONG_READ_WAIT_MS 15000 /* while other nodes read closely */
+#define SHORT_READ_CHECK_MS 200 /* between checks whether to read at once */
+#define READ_GRACE_MS 900	/* added to the wait time as a read's timeout */
+#define NEWEST_TIMEOUT_MS 1200
 #define APPEND_TIMEOUT_MS 1500
-#define CONFIG_RETRY_MS 60 /* after a failure, doubled with each more */
+#define CONFIG_RETRY_MS 60 /* first delay, doubled with each failure */
 #define RETRY_DOUBLINGS 3
-#define OUTAGE_RETRY_DOUBLINGS \
-	5 /* where others tell that there is nothing new */
-#define NODES_RETRY_MS 200
+#define OUTAGE_RETRY_DOUBLINGS 5 /* while an outage does no harm */
+#define NODES_RETRY_MS 200	 /* first delay, doubled with each failure */
 
 static void request_config(uv_timer_t *);
 static void on_newest_reply(void *, const struct store_reply *);
@@ -46,8 +47,9 @@
 };
 
 /*
- * Prepares a follower; configurations stand under a key, and this node is
- * entered under its name.
+ * Initializes a follower.  config_key is the key of configurations in the
+ * store, and node is the name under which this node is registered.  Both must
+ * outlive the follower.
  */
 void
 follow_init(struct follow *f, uv_loop_t *loop, const struct store_ops *store,
@@ -71,7 +73,8 @@
 }
 
 /*
- * Begins to follow; this node is at an address (IPv4, host order).
+ * Starts to follow the store.  address is the IPv4 address of this node in
+ * host order.
  */
 void
 follow_start(struct follow *f, uint32_t address)
@@ -87,10 +90,11 @@
 }
 
 /*
- * Asks the store beside the long question, if there is a reason to: that one
- * may hang on a dead connection, or be from before this node had to follow
- * closely.  The owner looks for a reason, and asks other nodes, also while the
- * store doesn't answer.
+ * Checks whether the store must be read at once, and starts a short read
+ * beside the long one if so.  The long read may hang on a dead connection, or
+ * may have started before this node became a close reader.  The check also
+ * runs during an outage of the store, because the owner queries its peers in
+ * that callback.
  */
 static void
 on_short_read_timer(uv_timer_t *timer)
@@ -114,7 +118,7 @@
 }
 
 /*
- * Takes the answer to a short question.
+ * Handles the reply to a short read.
  */
 static void
 on_short_read_reply(void *ctx, const struct store_reply *reply)
@@ -127,9 +131,10 @@
 }
 
 /*
- * Returns at what time an answer without records was surely true.  The store
- * holds a question back for wait_ms, so an answer that took as long was made
- * at the end of that time; one that came sooner was made after the question.
+ * Returns the latest time at which a reply without records was certainly true.
+ * The store delays an empty reply by wait_ms.  A reply that took at least as
+ * long was made at the end of that time; one that came sooner was made after
+ * the request was sent.
  */
 uint64_t
 follow_proof(uint64_t asked_ms, uint64_t wait_ms, uint64_t now_ms)
@@ -138,8 +143,8 @@
 }
 
 /*
- * Returns how long to pause after so many failures in a row, of which so many
- * double the pause.
+ * Returns the delay before the next retry.  The delay doubles with each of the
+ * first failures, as often as doublings says.
  */
 static uint64_t
 retry_delay_ms(uint64_t first_ms, uint32_t failures, uint32_t doublings)
@@ -148,8 +153,9 @@
 }
 
 /*
- * Tells whether it is of no harm that the store doesn't answer: another node
- * answers for it, and nothing newer is known.
+ * Returns 1 if an outage of the store does no harm: other nodes read the store
+ * closely, this node has a configuration, and no reason to read the store is
+ * known.
  */
 static int
 is_outage_tolerable(const struct follow *f)
@@ -159,7 +165,7 @@
 }
 
 /*
- * Asks for the newest configuration, or for the next one.
+ * Requests the newest configuration or, once that is known, the next records.
  */
 static void
 request_config(uv_timer_t *timer)
@@ -171,7 +177,7 @@
 		    NEWEST_TIMEOUT_MS, on_newest_reply, f);
 		return;
 	}
-	/* After a failure a short question shows sooner that all is well. */
+	/* After a failure a read without a wait detects recovery sooner. */
 	f->read_wait_ms = f->config_failures > 0  ? 0
 			  : f->ops->close(f->ctx) ? CLOSE_READ_WAIT_MS
 						  : LONG_READ_WAIT_MS;
@@ -180,7 +186,7 @@
 }
 
 /*
- * Tries again after a failure.
+ * Logs the start of an outage, schedules a retry, and queries the peers.
  */
 static void
 retry_config(struct follow *f, const struct store_reply *reply)
@@ -205,7 +211,7 @@
 }
 
 /*
- * Notes that the store answers, and asks on.
+ * Logs the end of an outage and sends the next request.
  */
 static void
 resume_config(struct follow *f)
@@ -220,8 +226,9 @@
 }
 
 /*
- * Takes a record of the configuration's log.  One that can't be read, or is
- * older than what is in force, changes nothing.
+ * Offers the configuration in a record of the log.  A record with another key,
+ * an invalid one, or one that is not newer than the version in force changes
+ * nothing.
  */
 static void
 apply_record(struct follow *f, const struct store_record *record)
@@ -249,8 +256,9 @@
 }
 
 /*
- * Takes a configuration if it is newer than what is in force, or frees it.
- * Its source is the store, with its offset there, or a node's name.
+ * Puts a configuration into force if it is newer than the current one, or else
+ * frees it.  source is "store", with the offset of the record, or the name of
+ * the node that sent it.
  */
 void
 follow_offer(
@@ -279,7 +287,7 @@
 }
 
 /*
- * Takes the newest record of each key.
+ * Applies the newest record of each key.
  */
 static void
 on_newest_reply(void *ctx, const struct store_reply *reply)
@@ -301,7 +309,7 @@
 }
 
 /*
- * Takes records from an answer to a question that waited for so long.
+ * Applies the records of a reply to a read with the given wait time.
  */
 static void
 apply_records(
@@ -324,7 +332,7 @@
 }
 
 /*
- * Takes records that came after.
+ * Applies the records of a reply and sends the next request.
  */
 static void
 on_read_reply(void *ctx, const struct store_reply *reply)
@@ -340,9 +348,9 @@
 }
 
 /*
- * Reads the list of nodes.  A node that doesn't stand there is entered, and
- * reads it again: in this order, of two that start together at least the later
- * one sees the other.
+ * Reads the list of nodes, or registers this node if the list lacks it.  The
+ * list is read again after the registration: in this order, of two nodes that
+ * start together at least the later one sees the other.
  */
 static void
 request_node_list(uv_timer_t *timer)
@@ -359,7 +367,7 @@
 }
 
 /*
- * Tries again after a failure.
+ * Schedules a retry after a failed request for the list of nodes.
  */
 static void
 retry_node_list(struct follow *f)
@@ -371,7 +379,8 @@
 }
 
 /*
- * This node is in the list, or the store gave no answer.
+ * Reads the list of nodes again if the registration succeeded, or else
+ * retries.
  */
 static void
 on_register_reply(void *ctx, const struct store_reply *reply)
@@ -388,7 +397,8 @@
 }
 
 /*
- * Takes the list of nodes.
+ * Reports the nodes of a part of the list and requests the next part.  At the
+ * end of the list, registers this node if it is not listed with its address.
  */
 static void
 on_node_list_reply(void *ctx, const struct store_reply *reply)
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -7,57 +7,63 @@
 #include "config/config.h"
 #include "store/store.h"
 
-/* What a follower tells its owner; all get the context given there. */
+/*
+ * Callbacks of a follower.  Each gets the context that was given to
+ * follow_init().
+ */
 struct follow_ops {
-	/* Reads a configuration; NULL with findings if it is invalid. */
+	/* Parses a configuration.  Returns NULL with findings if invalid. */
 	struct config *(*decode)(void *, const char *, size_t, struct finds *);
-	/* A newer configuration, which the owner takes over. */
+	/* Puts a newer configuration into force and takes ownership of it. */
 	void (*take)(void *, struct config *);
-	/* The configuration in force was the newest at this time (ms). */
+	/* Records that the configuration was the newest at a time (ms). */
 	void (*proved)(void *, uint64_t);
-	/* Whether this node follows the store closely, for others, too. */
+	/* Returns 1 if this node reads the store closely for other nodes. */
 	int (*close)(void *);
-	/* Whether there is a reason to ask the store now. */
+	/* Returns 1 if the store must be read now.  Called periodically. */
 	int (*doubt)(void *);
-	/* The store doesn't answer: another node may have newer ones. */
+	/* Requests a newer configuration from a peer: the store is down. */
 	void (*ask)(void *);
-	/* A node is said to be at an address (IPv4, host order). */
+	/* Adds a node of the store's list, with its IPv4 host-order address. */
 	void (*node)(void *, const char *, uint32_t);
-	/* All nodes of the list were named. */
+	/* Called when the whole list of nodes was read. */
 	void (*listed)(void *);
 };
 
 enum follow_phase {
-	FOLLOW_NEWEST, /* learn the newest of each key */
-	FOLLOW_READ,   /* wait for records after it */
+	FOLLOW_NEWEST, /* read the newest record of each key */
+	FOLLOW_READ,   /* wait for later records */
 	FOLLOW_PHASE_MAX
 };
 
-/* Follows the store: configurations, and the nodes at the start. */
+/*
+ * Follows the configuration log of the store.  At the start it also registers
+ * this node in the store's list of nodes and reads that list.
+ */
 struct follow {
 	uv_loop_t *loop;
 	const struct store_ops *store;
 	void *store_ctx;
 	const struct follow_ops *ops;
 	void *ctx;
-	const char *node_name; /* this node's name and address, to be entered */
-	char address[16];
+	const char *node_name; /* key of this node in the list of nodes */
+	char address[16];      /* IPv4 address registered for this node */
 	const char *config_key;
 	uv_timer_t config_timer;
 	uv_timer_t nodes_timer;
 	uv_timer_t short_read_timer;
 	enum follow_phase phase;
-	uint64_t next_offset;	     /* offset to read from */
-	uint64_t read_wait_ms;	     /* of the question under way */
-	int short_read_pending;	     /* a short question is under way, too */
-	uint64_t short_read_wait_ms; /* of that one */
-	int query_needed;	     /* there was a reason at the last look */
-	uint64_t version;	     /* in force; 0: none */
-	uint32_t config_failures;    /* in a row */
-	uint32_t nodes_failures;
-	int registered;		 /* this node is in the store's list */
-	int registration_needed; /* it was not, when that was read */
-	int store_lost;
+	uint64_t next_offset;	     /* first offset of the next read */
+	uint64_t read_wait_ms;	     /* wait time of the current read */
+	int short_read_pending;	     /* a second, short read is in flight */
+	uint64_t short_read_wait_ms; /* wait time of the short read */
+	int query_needed;	     /* the last check found a need to read */
+	uint64_t version;	     /* in force; 0 if none */
+	uint32_t config_failures;    /* consecutive */
+	uint32_t nodes_failures;     /* consecutive */
+	int registered;		     /* the list has this node and address */
+	int registration_needed;     /* the list was read and lacks this node */
+	int store_lost; /* the last request for configurations failed */
 	uint64_t bad_records;
 };
 
--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -11,8 +11,8 @@
 #include "follow/follow.h"
 
 /*
- * The follower against a store whose answers are listed: one row a question
- * about configurations.
+ * Tests of the follower.  The first one runs against a store that replies to
+ * each request for configurations with the next row of a table.
  */
 
 #define ALARM_S 20
@@ -26,21 +26,21 @@
 struct step {
 	enum query_kind query;
 	enum store_status status;
-	uint64_t from; /* of a READ */
+	uint64_t from; /* expected offset of a READ */
 	const char *values[RECORDS_MAX];
 	uint64_t end;
-	uint64_t version; /* in force after the answer */
-	int is_proof;	  /* the answer proves it to be the newest */
+	uint64_t version; /* in force after the reply */
+	int is_proof;	  /* the reply proves that version newest */
 };
 
 static const struct step steps[] = {
-	{ NEWEST, STORE_UNKNOWN, 0, { NULL }, 0, 0, 0 }, /* lost answer */
-	{ NEWEST, STORE_REFUSED, 0, { NULL }, 0, 4, 0 }, /* from a node */
+	{ NEWEST, STORE_UNKNOWN, 0, { NULL }, 0, 0, 0 }, /* reply lost */
+	{ NEWEST, STORE_REFUSED, 0, { NULL }, 0, 4, 0 }, /* from a peer */
 	{ NEWEST, STORE_OK, 0, { "5" }, 8, 5, 1 },
 	{ READ, STORE_OK, 8, { NULL }, 8, 5, 1 },	/* nothing new */
-	{ READ, STORE_OK, 8, { "7", "6" }, 10, 7, 1 },	/* an old one late */
-	{ READ, STORE_UNKNOWN, 10, { NULL }, 0, 7, 0 }, /* hangs */
-	{ READ, STORE_OK, 10, { "what" }, 11, 7, 1 },	/* unreadable */
+	{ READ, STORE_OK, 8, { "7", "6" }, 10, 7, 1 },	/* older record late */
+	{ READ, STORE_UNKNOWN, 10, { NULL }, 0, 7, 0 }, /* request hangs */
+	{ READ, STORE_OK, 10, { "what" }, 11, 7, 1 },	/* not a version */
 	{ READ, STORE_OK, 11, { "9" }, 13, 9, 0 },	/* more to come */
 	{ READ, STORE_OK, 12, { "10" }, 13, 10, 1 },
 	{ READ, STORE_TRIMMED, 13, { NULL }, 0, 11, 0 },
@@ -48,12 +48,12 @@
 	{ READ, STORE_OK, 40, { NULL }, 40, 12, 1 },
 };
 
-/* What another node offers at each failure of the store. */
+/* Version that a peer offers at each failure of the store. */
 static const uint64_t peer_versions[] = { 0, 4, 6, 11 };
 
 #define STEP_COUNT (sizeof(steps) / sizeof(steps[0]))
 
-/* A store that answers from the list, and what the follower said. */
+/* The store that replies from the table, and counts of callbacks. */
 struct world {
 	uv_loop_t loop;
 	uv_timer_t timer;
@@ -68,11 +68,14 @@
 	int appends;
 	char appended[32];
 	int store_checks;
-	int list_events;
+	int list_events; /* 1 for each list request, 100 for each node */
 	int lists_completed;
 	struct store_reply nodes;
 };
 
+/*
+ * Checks the version in force and the proofs after the last reply.
+ */
 static void
 check_step(struct world *w)
 {
@@ -82,6 +85,9 @@
 	assert_int_equal(w->proofs, w->proofs_expected);
 }
 
+/*
+ * Replies to the pending request with the next row of the table.
+ */
 static void
 answer_step(uv_timer_t *timer)
 {
@@ -111,6 +117,9 @@
 		uv_stop(&w->loop);
 }
 
+/*
+ * Checks that a request is the one of the next row, and schedules the reply.
+ */
 static void
 expect_query(
     struct world *w, enum query_kind q, uint64_t from, store_fn done, void *ctx)
@@ -236,7 +245,7 @@
 }
 
 /*
- * Another node's configuration comes while the store doesn't answer.
+ * Offers the configuration of a peer while the store fails.
  */
 static void
 offer_peer_config(void *ctx)
@@ -261,7 +270,7 @@
 }
 
 /*
- * Starts a follower at an address, of a store that lists two nodes.
+ * Starts a follower with an address on a store that lists two nodes.
  */
 static void
 world_start(struct world *w, struct store_record *list, uint32_t address)
@@ -279,7 +288,7 @@
 
 /*
  * Lost, refused, late, unreadable and trimmed records: the version in force
- * never goes back, and is held for the newest only when that is proved.
+ * never decreases, and counts as the newest only where a reply proves it.
  */
 static void
 test_version_never_decreases(void **state)
@@ -303,7 +312,7 @@
 	assert_int_equal(w.appends, 2);
 	assert_string_equal(w.appended, "n1=127.0.0.1");
 	assert_int_equal(
-	    w.list_events, 202); /* before it was entered, and after */
+	    w.list_events, 202); /* before and after registration */
 	assert_int_equal(w.lists_completed, 1);
 	uv_walk(&w.loop, close_all, NULL);
 	uv_run(&w.loop, UV_RUN_DEFAULT);
@@ -311,9 +320,9 @@
 }
 
 /*
- * A node that starts again stands in the list, which it knows at the first
- * look: entries are slow where many are made while the store is slow.  One
- * that has moved is entered anew.
+ * A restarted node finds itself in the list at the first read and appends
+ * nothing: appends are slow when many nodes register while the store is slow.
+ * A node whose address has changed is registered again.
  */
 static void
 test_restart_skips_registration(void **state)
@@ -380,8 +389,8 @@
 }
 
 /*
- * While the store refuses this node, other nodes are still asked how new the
- * configuration is.
+ * While the store refuses the requests of this node, the periodic check goes
+ * on.  The owner queries the peers for a configuration proof in that callback.
  */
 static void
 test_proof_queries_during_outage(void **state)
@@ -409,14 +418,14 @@
 	}
 }
 
-/* A store that keeps long questions, and counts. */
+/* A store that never replies to long reads, and counts all reads. */
 struct read_counts {
 	struct world w;
 	int close_follower, query_needed;
 	int long_reads, close_reads, short_reads, peer_queries;
 	int refuse_reads, refusing;
-	int queries_while_idle;	 /* copies asked for without a failure */
-	uint64_t retry_delay_ms; /* after the last failure */
+	int queries_while_idle;	 /* peer queries outside a refused read */
+	uint64_t retry_delay_ms; /* set by the last refused read */
 };
 
 static void
@@ -480,7 +489,7 @@
 
 	c->peer_queries++;
 	c->queries_while_idle += !c->refusing;
-	/* After a failure, the pause has just begun. */
+	/* The retry timer was started just before this callback. */
 	if (c->refusing)
 		c->retry_delay_ms =
 		    uv_timer_get_due_in(&c->w.follow.config_timer);
@@ -511,6 +520,9 @@
 	counted_proof, counted_is_close, counted_query_needed,
 	counted_peer_query, check_node, counted_list };
 
+/*
+ * Starts a follower and runs the loop until its first long read.
+ */
 static void
 count_start(struct read_counts *c)
 {
@@ -524,6 +536,10 @@
 		uv_run(&c->w.loop, UV_RUN_ONCE);
 }
 
+/*
+ * Resets the counts of short and close reads and peer queries, and runs the
+ * loop for some time.
+ */
 static void
 count_during(struct read_counts *c, uint64_t ms)
 {
@@ -543,8 +559,9 @@
 }
 
 /*
- * A node that has to follow closely while its long question is under way
- * doesn't wait for the end of that: all others would ask the store themselves.
+ * A node that becomes a close reader during a long read starts close reads at
+ * once.  If it waited for the end of the long read, all other nodes would read
+ * the store themselves.
  */
 static void
 test_close_reads_during_long_read(void **state)
@@ -565,7 +582,7 @@
 }
 
 /*
- * Asks until the store was asked once more, and returns the pause after that.
+ * Runs the loop until the next read and returns the retry delay after it.
  */
 static uint64_t
 next_retry_delay(struct read_counts *c)
@@ -578,8 +595,9 @@
 }
 
 /*
- * A store that doesn't answer is asked seldom as long as others answer for it,
- * often where they don't; and then they are asked for what is newer.
+ * A store that fails is retried rarely while peers prove the configuration,
+ * and often when they do not.  In that case the peers are also queried for a
+ * newer configuration.
  */
 static void
 test_retry_delay_during_outage(void **state)
@@ -607,7 +625,8 @@
 }
 
 /*
- * An empty answer proves as much as the store can have known.
+ * A reply without records proves the version only up to the time at which the
+ * store can have made the reply.
  */
 static void
 test_proof_time(void **state)
@@ -615,9 +634,9 @@
 	static const struct {
 		uint64_t sent_ms, wait_ms, now_ms, proof_ms;
 	} rows[] = {
-		{ 1000, 1500, 2510, 2500 }, /* waited all the time */
-		{ 1000, 1500, 4000, 2500 }, /* and was late itself */
-		{ 1000, 1500, 1010, 1000 }, /* answered at once */
+		{ 1000, 1500, 2510, 2500 }, /* reply after the whole wait */
+		{ 1000, 1500, 4000, 2500 }, /* and the reply was late */
+		{ 1000, 1500, 1010, 1000 }, /* reply before the wait ended */
 		{ 1000, 0, 1004, 1000 },
 	};
 	size_t i;
