publish: reword comments

The comments told of sightings, of a record's way into the log and of what became of a publication. They now say which status a publication has, that it was read back or not, why a repeated append is safe and why a trimmed log leaves the outcome unknown. Fields of the reader and the statuses have a meaning each. Test heads name the failure that they guard against. No code changed.

--- a/src/publish/edit.c
+++ b/src/publish/edit.c
@@ -21,7 +21,8 @@
 static char *print_and_release(json_t *);
 
 /*
- * Returns the keys of a workspace, or NULL.
+ * Returns the keys of a workspace, or NULL if the workspace or its keys are
+ * missing.
  */
 static json_t *
 find_workspace_keys(const json_t *root, const char *ws)
@@ -40,7 +41,7 @@
 }
 
 /*
- * Returns the index of the key with an id, or -1.
+ * Returns the index of the first key with an id, or -1.
  */
 static int
 find_key_index(const json_t *keys, const char *id)
@@ -59,7 +60,7 @@
 }
 
 /*
- * Prints a configuration as text and gives it up.
+ * Returns a configuration as JSON text and releases it.
  */
 static char *
 print_and_release(json_t *root)
@@ -71,8 +72,8 @@
 }
 
 /*
- * Returns a configuration with one more key, given by its hash, or NULL with
- * a finding.  The caller frees it.
+ * Returns a configuration with one key added, given by its hash, or NULL with
+ * a finding.  The caller frees the text.
  */
 char *
 publish_grant(const char *text, const char *ws, const char *id,
@@ -95,8 +96,8 @@
 }
 
 /*
- * Returns a configuration without any key that has an id, or NULL with a
- * finding.  The caller frees it.
+ * Returns a configuration without the keys that have an id, or NULL with a
+ * finding.  The caller frees the text.
  */
 char *
 publish_withdraw(
--- a/src/publish/publish.c
+++ b/src/publish/publish.c
@@ -8,7 +8,7 @@
 #define RETRY_FIRST_MS 50
 #define RETRY_MAX_MS 1000
 
-/* What is known of the record's way into the log. */
+/* Whether the record is known to be in the log. */
 enum append_state {
 	APPEND_NOT_WRITTEN,
 	APPEND_MAYBE_WRITTEN,
@@ -24,7 +24,7 @@
     struct publish_reader *, const char *, enum append_state *);
 static uint32_t next_retry_delay(uint32_t);
 
-/* What a sighting of the publication means. */
+/* Status of a publication that was read back, by its outcome. */
 static const enum publish_status status_of_outcome[CONFIG_OUTCOME_MAX] = {
 	[CONFIG_TAKEN] = PUBLISH_WON,
 	[CONFIG_CONFIRMED] = PUBLISH_INVALID,
@@ -34,7 +34,7 @@
 	[CONFIG_UNSYNCED] = PUBLISH_UNKNOWN,
 };
 
-/* How it ends if the time is over. */
+/* Status of a publication that was not read back in time. */
 static const enum publish_status status_at_timeout[APPEND_STATE_MAX] = {
 	[APPEND_NOT_WRITTEN] = PUBLISH_UNAVAILABLE,
 	[APPEND_MAYBE_WRITTEN] = PUBLISH_UNKNOWN,
@@ -42,7 +42,8 @@
 };
 
 /*
- * Decides from a sighting of the publication.
+ * Returns the status of a publication that was read back.  Sets the version if
+ * it was accepted.
  */
 static enum publish_status
 found_status(const struct publish_reader *r, uint64_t *version)
@@ -53,10 +54,11 @@
 }
 
 /*
- * Decides from a stream read to its end what became of the publication; sets
- * the version that it made or that it lost to.  A record not seen yet can
- * only lose once its base is no longer in force.  Where old records are gone
- * it may have won before, in an earlier run with the same id.
+ * Returns the status of the publication after the stream was read to its end.
+ * Sets the version that the publication created, or else the version in force.
+ * Once its base is no longer in force, a record that was not read back can
+ * only lose.  If old records were deleted, it may have been accepted before,
+ * in an earlier run with the same id.
  */
 static enum publish_status
 decide_status(const struct publish_reader *r, uint64_t base, uint64_t *version)
@@ -73,8 +75,9 @@
 }
 
 /*
- * Appends the record, unless it stands in the log already.  To append it
- * again after a lost answer is safe: the same base can't be taken twice.
+ * Appends the record unless it is known to be in the log.  A repeated append
+ * after a lost reply is safe: no two publications with the same base are
+ * accepted.
  */
 static void
 append_record(
@@ -95,7 +98,7 @@
 }
 
 /*
- * Returns the pause (ms) that follows one.
+ * Returns the delay (ms) after a delay: double, up to the maximum.
  */
 static uint32_t
 next_retry_delay(uint32_t delay_ms)
@@ -106,10 +109,10 @@
 }
 
 /*
- * Publishes a configuration under the reader's id and finds out by reading
- * back what became of it.  Sets the version that it made, or that is in
- * force instead.  Tries again until the timeout; safe to run again with the
- * same id and base.
+ * Publishes a configuration under the id of the reader and reads the stream
+ * back to learn the outcome.  Sets the version that was created, or else the
+ * version in force.  Retries until the timeout.  A repeated run with the same
+ * id and base is safe.
  */
 enum publish_status
 publish_run(
--- a/src/publish/publish.h
+++ b/src/publish/publish.h
@@ -8,11 +8,11 @@
 #include "config/config.h"
 #include "logsvc/logsvc.h"
 
-#define PUBLISH_ID_BYTES (CONFIG_ID_HEX + 1) /* an id with its NUL */
+#define PUBLISH_ID_BYTES (CONFIG_ID_HEX + 1) /* with the NUL */
 
 /*
- * What the publisher uses of the world: the log, a clock (ms) and a sleep
- * (ms), so that tests can stand in.
+ * Environment of the publisher: the log, a clock (ms) and a sleep (ms).  Tests
+ * replace it.
  */
 struct publish_env {
 	struct logsvc log;
@@ -22,35 +22,35 @@
 };
 
 /*
- * A reader of the stream of publications.  It works out the version in force
- * as the nodes do, and what became of the publication with one id.
+ * A reader of the stream of publications.  It determines the version in force
+ * by the same rules as the nodes, and the outcome of the publication with id.
  */
 struct publish_reader {
 	const struct publish_env *env;
 	struct config_state state;
 	char id[PUBLISH_ID_BYTES];
-	int found;
-	enum config_outcome outcome; /* of the publication, if sighted */
-	uint64_t published_version;  /* that the publication made, if taken */
-	int log_trimmed;	     /* the log's oldest records are gone */
+	int found;		     /* a publication with id was read */
+	enum config_outcome outcome; /* of that publication, if found */
+	uint64_t published_version;  /* created by it if it was accepted */
+	int log_trimmed;	     /* the oldest records were deleted */
 };
 
 enum publish_status {
-	PUBLISH_WON,
-	PUBLISH_LOST,	     /* another version is in force */
+	PUBLISH_WON,	     /* the configuration came into force */
+	PUBLISH_LOST,	     /* its base is not the version in force */
 	PUBLISH_INVALID,     /* the nodes reject the record */
 	PUBLISH_UNAVAILABLE, /* nothing was written */
-	PUBLISH_UNSYNCED,    /* the log doesn't tell the version in force */
-	PUBLISH_UNKNOWN,     /* it may have been written */
+	PUBLISH_UNSYNCED,    /* the version in force is unknown */
+	PUBLISH_UNKNOWN,     /* it may have been written or accepted */
 	PUBLISH_PENDING,     /* not written yet */
 	PUBLISH_STATUS_MAX
 };
 
-/* A configuration to publish and the version it was made from. */
+/* A configuration to publish. */
 struct publication {
 	const char *text;
 	const char *author;
-	uint64_t base;
+	uint64_t base;	  /* version that the text was made from */
 	uint32_t timeout; /* ms */
 };
 
--- a/src/publish/reader.c
+++ b/src/publish/reader.c
@@ -5,7 +5,7 @@
 #include "publish/publish.h"
 
 #define STREAM "config"
-#define READ_MAX_RECORDS 100 /* records a read */
+#define READ_MAX_RECORDS 100 /* in one read */
 
 static int is_own_publication(
     const struct publish_reader *, const char *, size_t);
@@ -24,8 +24,8 @@
 }
 
 /*
- * Prepares a reader at the start of the stream that watches for the
- * publication with an id.
+ * Initializes a reader at the start of the stream.  It looks for the
+ * publication with id.
  */
 void
 publish_reader_init(
@@ -38,7 +38,7 @@
 }
 
 /*
- * Frees what a reader holds.
+ * Releases the resources of a reader.
  */
 void
 publish_reader_finish(struct publish_reader *r)
@@ -56,7 +56,7 @@
 }
 
 /*
- * Tells whether a record is the publication that is watched for.
+ * Returns 1 if a record is the publication with the id of the reader.
  */
 static int
 is_own_publication(const struct publish_reader *r, const char *data, size_t len)
@@ -70,8 +70,9 @@
 }
 
 /*
- * Decides one record.  Of several copies of the publication that is watched
- * for, at most one can be taken, and that one counts.
+ * Applies a record to the state.  If the stream has several copies of the
+ * publication with the id of the reader, at most one is accepted, and its
+ * outcome is kept.
  */
 static void
 apply_record(struct publish_reader *r, const struct logsvc_record *record)
@@ -95,7 +96,7 @@
 }
 
 /*
- * Reads the stream to its end, within the timeout (ms).
+ * Reads the stream to its end within the timeout (ms).
  */
 enum logsvc_status
 publish_catch_up(struct publish_reader *r, uint32_t timeout_ms)
--- a/src/publish/test_publish.c
+++ b/src/publish/test_publish.c
@@ -25,16 +25,16 @@
     "{\"routes\":[],\"workspaces\":[{\"name\":\"w\",\"rate\":1,\"burst\":1,"
     "\"keys\":[{\"id\":\"k\",\"hash\":\"" HASH0 "\"}]}]}";
 
-/* What the log does with one append. */
+/* Behavior of the log at one append. */
 enum step {
 	STEP_OK,
 	STEP_REFUSED,
 	STEP_UNAVAILABLE,
-	STEP_ANSWER_LOST,  /* written, no answer */
-	STEP_REQUEST_LOST, /* not written, no answer */
-	STEP_LATE,	   /* no answer, written before the next append */
-	STEP_RACE,	   /* another operator's is written first */
-	STEP_RACE_LOST,	   /* the same, and no answer */
+	STEP_ANSWER_LOST,  /* written, no reply */
+	STEP_REQUEST_LOST, /* not written, no reply */
+	STEP_LATE,	   /* no reply, written before the next append */
+	STEP_RACE,	   /* a competing publication is written first */
+	STEP_RACE_LOST,	   /* the same, no reply */
 	STEP_MAX
 };
 
@@ -44,14 +44,14 @@
 	uint64_t next;
 	const enum step *steps;
 	size_t step;
-	int outage_after; /* appends after which reads fail; 0 is never */
-	int reads_fail;	  /* reads that fail then */
-	char late[RECORD_BYTES]; /* empty if there is none */
+	int outage_after;	 /* appends before reads fail; 0 is never */
+	int reads_fail;		 /* number of reads that fail */
+	char late[RECORD_BYTES]; /* delayed record; empty if none */
 	uint64_t now;
 };
 
 /*
- * Writes a record.
+ * Writes a record to the log.
  */
 static void
 fake_write(struct fake_log *f, const char *data)
@@ -74,7 +74,7 @@
 }
 
 /*
- * Appends as the next step says.
+ * Appends a record, or fails, as the next step defines.
  */
 static enum logsvc_status
 fake_append(void *ctx, const char *stream, const char *data, size_t len,
@@ -112,7 +112,7 @@
 }
 
 /*
- * Reads two records at most, so that a stream takes several reads.
+ * Returns at most two records, to make a stream take several reads.
  */
 static enum logsvc_status
 fake_read(void *ctx, const char *stream, uint64_t from, uint32_t max,
@@ -156,8 +156,8 @@
 }
 
 /*
- * Prepares a log with a number of publications, of which the oldest are
- * dropped.
+ * Initializes a log with a number of publications, of which the oldest are
+ * deleted.
  */
 static void
 fake_init(struct fake_log *f, struct publish_env *env, const enum step *steps,
@@ -188,7 +188,7 @@
 	int reads_fail;
 	enum publish_status status;
 	uint64_t version;
-	uint64_t next; /* records in the log afterwards */
+	uint64_t next; /* records in the log at the end */
 } cases[] = {
 	{ "first", { STEP_OK }, 0, 0, 0, 0, 0, PUBLISH_WON, 1, 1 },
 	{ "fourth", { STEP_OK }, 3, 0, 3, 0, 0, PUBLISH_WON, 4, 4 },
@@ -219,8 +219,9 @@
 };
 
 /*
- * However the log behaves, the publisher says what became of its record, and
- * one record at most is taken.
+ * Whichever appends and reads of the log fail, the publisher reports the
+ * outcome of its publication correctly, and at most one copy is accepted.  A
+ * second run with the same id reports the same outcome.
  */
 static void
 test_publish_outcomes(void **state)
@@ -261,8 +262,8 @@
 }
 
 /*
- * A snapshot tells the version in force where old records are gone; whether
- * an old publication won can then no longer be told.
+ * Where old records were deleted, the version in force comes from a snapshot.
+ * Whether an old publication was accepted can then no longer be determined.
  */
 static void
 test_publish_after_snapshot(void **state)
@@ -295,8 +296,8 @@
 }
 
 /*
- * Returns the next number of a simple generator, so that a run can be
- * repeated.
+ * Returns the next number of a linear congruential generator, to make a run
+ * repeatable.
  */
 static uint32_t
 rand_next(uint32_t *seed)
@@ -306,8 +307,8 @@
 }
 
 /*
- * Whatever else stands in the stream, a publication from the version in
- * force wins, and a reader survives it.
+ * Corrupt records in the stream do not stop the reader, and a publication
+ * based on the version in force is accepted.
  */
 static void
 test_publish_among_corrupt_records(void **state)
@@ -350,7 +351,7 @@
 	const char *id;
 	int withdraw;
 	size_t errors;
-	size_t keys; /* afterwards */
+	size_t keys; /* after the edit */
 } edits[] = {
 	{ "w", "k2", 0, 0, 2 },
 	{ "w", "k", 0, 1, 0 },
@@ -361,7 +362,7 @@
 };
 
 /*
- * Keys are added to and taken from a checked configuration.
+ * Adds keys to a valid configuration and removes them.
  */
 static void
 test_key_edits(void **state)
@@ -396,7 +397,7 @@
 }
 
 /*
- * Where one id names two keys, both are withdrawn.
+ * All keys that share an id are removed together.
  */
 static void
 test_withdraw_removes_duplicates(void **state)
