store: reword comments

The header did not say what the parameters of the three calls are, and its fields were riddles ("of the newest of each key, after the last one"). It now describes the calls as asynchronous requests with their parameters, and says what each status means for the request. No code changed.

--- a/src/store/store.h
+++ b/src/store/store.h
@@ -5,29 +5,30 @@
 #include <stdint.h>
 
 /*
- * A log of keyed records that outlives all nodes, without blocking.  Calls
- * return at once; each ends in exactly one callback, unless it is cancelled.
+ * Asynchronous interface to logs of keyed records that outlive all nodes.  A
+ * call does not block.  It ends in exactly one callback unless it is
+ * cancelled.
  */
 
-/* The logs that nodes use. */
+/* Logs that nodes use. */
 enum store_log {
 	STORE_CONFIG, /* configurations, written by operators */
-	STORE_NODES,  /* addresses of nodes, by name */
+	STORE_NODES,  /* IPv4 addresses of nodes, by node name */
 	STORE_LOG_MAX
 };
 
 enum store_status {
 	STORE_OK,
-	STORE_TRIMMED, /* the records asked for are gone: start anew */
-	STORE_REFUSED, /* nothing was done */
-	STORE_UNKNOWN, /* no answer: it may have been done */
+	STORE_TRIMMED, /* the records were deleted: read the newest again */
+	STORE_REFUSED, /* the request had no effect */
+	STORE_UNKNOWN, /* no reply: the request may have had effect */
 	STORE_STATUS_MAX
 };
 
 struct store_record {
 	const char *key;
 	size_t key_len;
-	const char *value; /* NULL: the key was removed */
+	const char *value; /* NULL if the key was removed */
 	size_t value_len;
 	uint64_t offset;
 };
@@ -37,20 +38,29 @@
 	const struct store_record *records;
 	size_t count;
 	uint64_t end;	   /* offset after the newest record */
-	uint64_t asked_ms; /* when the question was sent */
-	int more;	   /* of the newest of each key, after the last one */
+	uint64_t asked_ms; /* time when the request was sent */
+	int more;	   /* keys remain; in newest records only */
 };
 
 typedef void (*store_fn)(void *, const struct store_reply *);
 
 struct store_ops {
-	/* The newest record of each key, after a key if one is given. */
+	/*
+	 * Reads the newest record of each key: context, log, the key after
+	 * which to start or NULL, timeout (ms), callback and its context.
+	 */
 	void (*newest)(
 	    void *, enum store_log, const char *, uint64_t, store_fn, void *);
-	/* Records from an offset, waiting so long (ms) for the first. */
+	/*
+	 * Reads records: context, log, first offset, time (ms) to wait for a
+	 * first record, timeout (ms), callback and its context.
+	 */
 	void (*read)(void *, enum store_log, uint64_t, uint64_t, uint64_t,
 	    store_fn, void *);
-	/* Appends one record of a key. */
+	/*
+	 * Appends a record: context, log, key, value and its length, timeout
+	 * (ms), callback and its context.
+	 */
 	void (*append)(void *, enum store_log, const char *, const char *,
 	    size_t, uint64_t, store_fn, void *);
 };
