quarantine: reword the comments

The comments told of strikes, news and acquittals, which are words of this project only. They now speak of crash reports, clearances and suspects, and say what each function returns or stores. No code changed.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -2,12 +2,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define XXH_STATIC_LINKING_ONLY /* for a state on the stack */
+#define XXH_STATIC_LINKING_ONLY /* defines XXH3_state_t */
 #include <xxhash.h>
 
 #include "quarantine/quarantine.h"
 
-#define BROKEN_MS 3000 /* from a broken exchange until its death is known */
+/* A failed run is charged with a crash reported within this time. */
+#define BROKEN_MS 3000
 
 static void note_broken(
     struct quarantine *, const struct quarantine_run *, uint64_t);
@@ -17,9 +18,10 @@
 static int runs_struck(const struct quarantine *, uint64_t);
 
 /*
- * Computes the fingerprint of a request: XXH3 of 128 bits over the
- * workspace's name, method and target with its query, each with its length,
- * and the body.
+ * Computes the fingerprint of a request: a 128-bit XXH3 hash of the
+ * workspace name, the method, the target with its query, and the body.  Each
+ * of the first three is preceded by its length, so moving text from one part
+ * to the next changes the hash.
  */
 void
 quarantine_print(struct quarantine_print *p, const char *workspace,
@@ -44,8 +46,9 @@
 }
 
 /*
- * Prepares an empty quarantine that tells its news by the callback.  Exits
- * the process if memory is exhausted.
+ * Initialises an empty quarantine.  Crash reports and clearances are sent to
+ * the other members through the callback.  Exits the process if memory is
+ * exhausted.
  */
 void
 quarantine_init(struct quarantine *q, quarantine_tell_fn tell, void *ctx)
@@ -61,7 +64,7 @@
 }
 
 /*
- * Releases a quarantine that no thread uses any more.
+ * Frees a quarantine.  No thread may use it any more.
  */
 void
 quarantine_finish(struct quarantine *q)
@@ -72,9 +75,10 @@
 }
 
 /*
- * Tells an entry how to treat a request: run it as any other; run it without
- * retries and only at the server that quarantine_pin() names; or refuse it,
- * as not run.
+ * Returns how an entry has to treat a request: QUARANTINE_FREE to run it
+ * normally, QUARANTINE_STRUCK to run it without retries and only at the
+ * server that quarantine_pin() returns, QUARANTINE_REFUSED to refuse it as
+ * not run.
  */
 enum quarantine_state
 quarantine_check(
@@ -90,9 +94,9 @@
 }
 
 /*
- * Names the one server at which a struck request may run, by rendezvous
- * hash, so that all entries name the same.  Returns an index into ids, of
- * those whose usable flag is set, or -1.
+ * Chooses the one server at which a suspect request may run.  Rendezvous
+ * hashing makes all entries choose the same server.  Returns an index into
+ * ids of a server whose usable flag is set, or -1 if there is none.
  */
 int
 quarantine_pin(const struct quarantine_print *p, const struct node_id *ids,
@@ -119,8 +123,8 @@
 }
 
 /*
- * Notes at an entry that a request was answered whole.  It needn't be told:
- * the exit that ran it does that.
+ * Records at an entry that a request was answered completely.  It is not
+ * broadcast, because the exit that ran the request does that.
  */
 void
 quarantine_served(
@@ -134,11 +138,12 @@
 }
 
 /*
- * Asks, at the exit, to run a request with these fingerprints (its own
- * first).  Returns 0, and quarantine_end() must follow; or -1 if it is in
- * quarantine, or struck while a copy of it runs here: then it is refused as
- * not run; or 1 if it is struck while another struck one runs here: then it
- * waits, since of two that a death strikes again one is innocent.
+ * Registers a run of a request at the exit.  Its own fingerprint comes first
+ * in prints.  Returns 0 if the request may run; quarantine_end() must
+ * follow.  Returns -1 if the request is in quarantine, or is suspect while a
+ * copy of it runs here; it is then refused as not run.  Returns 1 if it is
+ * suspect while another suspect request runs here; it then has to wait,
+ * since a crash during both would also be charged to the innocent one.
  */
 int
 quarantine_begin(struct quarantine *q, struct quarantine_run *run,
@@ -176,8 +181,9 @@
 }
 
 /*
- * Notes how a request that quarantine_begin() let run has ended.  One that ran
- * to its end acquits its own fingerprint, not its root's.
+ * Records the result of a request that quarantine_begin() let run.  A
+ * complete response clears the request's own fingerprint, but not that of
+ * its root request.
  */
 void
 quarantine_end(struct quarantine *q, struct quarantine_run *run,
@@ -199,9 +205,10 @@
 }
 
 /*
- * The local server has died: strikes all that was in flight, also what has
- * broken off just now, and tells the others.  The death is a random number
- * other than 0.  Returns how many fingerprints were struck.
+ * Reports a crash of the local server.  Adds a crash report for every
+ * request in flight and for every request that failed within the last
+ * BROKEN_MS, and broadcasts the reports.  The crash id is random and not 0.
+ * Returns the number of fingerprints that were reported.
  */
 size_t
 quarantine_death(struct quarantine *q, uint64_t death, uint64_t now_ms)
@@ -236,7 +243,8 @@
 }
 
 /*
- * Takes a strike or an acquittal told by a peer, of a death age_ms ago.
+ * Merges a peer's crash report or clearance for a crash that happened age_ms
+ * ago.
  */
 void
 quarantine_merge(struct quarantine *q, const struct quarantine_print *p,
@@ -250,9 +258,10 @@
 }
 
 /*
- * Hands strikes to a callback, from a place in the table on, until at least
- * room of them, less one suspect's, have been handed over.  Returns the
- * place to go on at, or 0 at the end.
+ * Passes crash reports to a callback, from a position in the table on, and
+ * stops when there may be no room left for those of another suspect.  The
+ * caller can store room reports.  Returns the position of the next page, or
+ * 0 at the end of the table.
  */
 uint32_t
 quarantine_page(struct quarantine *q, uint32_t from, uint64_t now_ms,
@@ -283,7 +292,7 @@
 }
 
 /*
- * Prints the state and every request that is refused or struck.
+ * Writes the counters and every request that is suspect or refused.
  */
 void
 quarantine_dump(struct quarantine *q, uint64_t now_ms, FILE *out)
@@ -316,8 +325,8 @@
 }
 
 /*
- * Remembers a request that broke off, until it is known whether the server
- * has died.
+ * Stores the fingerprints of a request that failed, in case a crash of the
+ * server is reported soon after.
  */
 static void
 note_broken(
@@ -334,8 +343,8 @@
 }
 
 /*
- * Strikes fingerprints for a death and copies to told those that weren't
- * struck by it before.  Returns their number.
+ * Adds crash reports for the fingerprints and copies those that had no
+ * report of this crash yet to told.  Returns the number copied.
  */
 static size_t
 strike_all(struct quarantine *q, const struct quarantine_print *prints,
@@ -353,7 +362,8 @@
 }
 
 /*
- * Tells whether a request with this fingerprint runs here now.
+ * Returns whether a request with this fingerprint runs here now, itself or
+ * as a root request.
  */
 static int
 beside(const struct quarantine *q, const struct quarantine_print *p)
@@ -372,7 +382,7 @@
 }
 
 /*
- * Tells whether a request that is struck itself runs here now.
+ * Returns whether a request whose own fingerprint is suspect runs here now.
  */
 static int
 runs_struck(const struct quarantine *q, uint64_t now_ms)
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -10,8 +10,8 @@
 #include "quarantine/quarantine_core.h"
 #include "rpc/rpc.h"
 
-#define QUARANTINE_RUN_PRINTS 2	  /* a request's own, and its root's */
-#define QUARANTINE_BROKEN_MAX 256 /* broken off, the death not yet known */
+#define QUARANTINE_RUN_PRINTS 2	  /* its own and its root request's */
+#define QUARANTINE_BROKEN_MAX 256 /* failed runs, crash not reported yet */
 
 enum quarantine_proc {
 	QUARANTINE_PROC_NEWS,
@@ -19,30 +19,31 @@
 	QUARANTINE_PROC_MAX
 };
 
-/* How a request at the local server ended. */
+/* The result of a request at the local server. */
 enum quarantine_end {
-	QUARANTINE_WHOLE,  /* answered whole, whatever the answer */
-	QUARANTINE_BROKEN, /* the exchange broke off or was refused */
-	QUARANTINE_NOTHING /* cancelled, or never sent: says nothing */
+	QUARANTINE_WHOLE,  /* complete response of any status */
+	QUARANTINE_BROKEN, /* the exchange failed or was refused */
+	QUARANTINE_NOTHING /* cancelled or never sent: no evidence */
 };
 
-/* A request that runs at the local server; held by its thread. */
+/* A request that runs at the local server; owned by its thread. */
 struct quarantine_run {
 	struct quarantine_run *next;
 	struct quarantine_run *prev;
 	struct quarantine_print prints[QUARANTINE_RUN_PRINTS];
 	uint32_t count;
-	uint64_t death; /* that struck it already, or 0 */
+	uint64_t death; /* last crash reported against it, or 0 */
 };
 
+/* A request whose exchange failed before a crash was reported. */
 struct quarantine_broken {
 	struct quarantine_print print;
 	uint64_t at_ms;
 };
 
 /*
- * Sends one message to all other members; it must not block for long and
- * may lose some.
+ * Sends one message to all other members.  It must not block for long.  It
+ * may lose messages, since quarantine_sync() fetches what was missed.
  */
 typedef void (*quarantine_tell_fn)(
     void *, const struct rpc_proc *, const void *);
@@ -50,16 +51,16 @@
 struct quarantine {
 	pthread_mutex_t lock;
 	struct quarantine_table *table;
-	struct quarantine_run runs; /* head of a ring */
+	struct quarantine_run runs; /* head of a circular list */
 	struct quarantine_broken broken[QUARANTINE_BROKEN_MAX];
 	uint32_t broken_next;
 	quarantine_tell_fn tell;
 	void *tell_ctx;
-	uint64_t deaths; /* of the local server */
+	uint64_t deaths; /* crashes of the local server */
 	uint64_t refused;
 };
 
-/* To be registered with the RPC server, the quarantine as context. */
+/* Procedures for the RPC server; their context is struct quarantine. */
 extern const struct rpc_proc quarantine_procs[QUARANTINE_PROC_MAX];
 
 void quarantine_print(struct quarantine_print *, const char *, const char *,
@@ -81,7 +82,7 @@
     struct quarantine *, rpc_call_fn, void *, const struct node_id *);
 void quarantine_dump(struct quarantine *, uint64_t, FILE *);
 
-/* For the handlers of messages. */
+/* Used by the message handlers. */
 void quarantine_merge(struct quarantine *, const struct quarantine_print *,
     uint64_t, int, uint64_t, uint64_t);
 uint32_t quarantine_page(struct quarantine *, uint32_t, uint64_t,
--- a/src/quarantine/quarantine.x
+++ b/src/quarantine/quarantine.x
@@ -1,4 +1,4 @@
-/* Messages of the quarantine: strikes, acquittals, and all for newcomers. */
+/* Quarantine messages: crash reports, clearances, and pages of the table. */
 
 const QUARANTINE_NEWS_PRINTS = 60;
 const QUARANTINE_PAGE = 30;
@@ -9,8 +9,8 @@
 };
 
 /*
- * The server death that these requests were in flight at; or that they are
- * acquitted of, having run to their end since.
+ * Reports a server crash during which these requests were in flight, or
+ * clears the requests of it because they have run without a crash since.
  */
 struct quarantine_news_arg {
 	unsigned hyper death;
@@ -34,7 +34,7 @@
 	unsigned int age_ms;
 };
 
-/* The next page begins at next; 0 ends the table. */
+/* next is the position of the next page, or 0 after the last page. */
 struct quarantine_page_res {
 	unsigned int next;
 	quarantine_row_msg rows<QUARANTINE_PAGE>;
--- a/src/quarantine/quarantine_core.h
+++ b/src/quarantine/quarantine_core.h
@@ -5,17 +5,17 @@
 #include <stdint.h>
 
 /*
- * The pure part of the quarantine: no clock, no lock.  Times are
- * milliseconds of one clock, passed in.
+ * The quarantine table.  It reads no clock and takes no lock: callers pass
+ * in times, in milliseconds of one clock, and serialise access.
  */
 
-#define QUARANTINE_MS 600000 /* how long a strike counts */
+#define QUARANTINE_MS 600000 /* after which a crash report expires */
 #define QUARANTINE_SETS 512
 #define QUARANTINE_WAYS 8
-#define QUARANTINE_DEATHS 4 /* remembered for one fingerprint */
-#define QUARANTINE_PROVEN 8192
+#define QUARANTINE_DEATHS 4    /* stored per fingerprint */
+#define QUARANTINE_PROVEN 8192 /* slots for recent successes */
 
-/* The fingerprint of a request: the same for each copy of it. */
+/* The fingerprint of a request; all copies of a request share it. */
 struct quarantine_print {
 	uint64_t lo;
 	uint64_t hi;
@@ -23,25 +23,26 @@
 
 enum quarantine_state {
 	QUARANTINE_FREE,
-	QUARANTINE_STRUCK,  /* in flight at one death: one run at a time */
-	QUARANTINE_REFUSED, /* in flight at as many as it takes */
+	QUARANTINE_STRUCK,  /* in flight at one crash: one run at a time */
+	QUARANTINE_REFUSED, /* in flight at enough crashes */
 	QUARANTINE_STATE_MAX
 };
 
-/* A server's death that a request was in flight at. */
+/* A server crash during which a request was in flight. */
 struct quarantine_strike {
-	uint64_t death; /* random; 0 for none */
+	uint64_t death; /* random id of the crash; 0: free slot */
 	uint64_t at_ms;
-	int acquitted; /* the request has run to its end since */
+	int acquitted; /* the request has since run without a crash */
 };
 
+/* A request that may crash servers. */
 struct quarantine_suspect {
 	struct quarantine_print print;
-	uint64_t touched_ms; /* 0 for a free place */
+	uint64_t touched_ms; /* last change; 0: free slot */
 	struct quarantine_strike strikes[QUARANTINE_DEATHS];
 };
 
-/* A fingerprint that ran to its end not long ago. */
+/* The last successful run of a request. */
 struct quarantine_proof {
 	uint64_t lo;
 	uint64_t at_ms;
@@ -50,7 +51,7 @@
 struct quarantine_table {
 	struct quarantine_suspect sets[QUARANTINE_SETS][QUARANTINE_WAYS];
 	struct quarantine_proof proven[QUARANTINE_PROVEN];
-	uint32_t suspects; /* places in use */
+	uint32_t suspects; /* slots in use */
 };
 
 int table_strike(struct quarantine_table *, const struct quarantine_print *,
--- a/src/quarantine/quarantine_rpc.c
+++ b/src/quarantine/quarantine_rpc.c
@@ -24,15 +24,16 @@
 	    handle_page },
 };
 
-/* A page being filled. */
+/* The response that handle_page() fills. */
 struct page {
 	uint64_t now_ms;
 	quarantine_page_res *res;
 };
 
 /*
- * Tells all other members that requests were in flight at a death, or are
- * acquitted of it, in as many messages as that takes.
+ * Reports to all other members that requests were in flight at a crash, or
+ * clears the requests of it.  Sends as many messages as the fingerprints
+ * need.
  */
 void
 quarantine_tell(struct quarantine *q, uint64_t death, int acquitted,
@@ -59,9 +60,10 @@
 }
 
 /*
- * Fetches all that a peer knows and merges it: for a node that has just
- * started, and now and then against lost messages.  Blocks up to 300 ms a
- * page.  Returns 0, or -1 if the peer didn't answer to the end.
+ * Fetches all crash reports and clearances of a peer and merges them.  A
+ * node does this when it starts, and periodically to make up for lost
+ * messages.  Blocks for up to 300 ms per page.  Returns 0, or -1 if the peer
+ * failed to answer a request for a page.
  */
 int
 quarantine_sync(struct quarantine *q, rpc_call_fn call, void *ctx,
@@ -94,7 +96,7 @@
 }
 
 /*
- * Merges what a peer tells.
+ * Merges the crash reports or clearances that a peer has sent.
  */
 static int
 handle_news(
@@ -118,7 +120,7 @@
 }
 
 /*
- * Answers a page of all strikes known here.
+ * Returns one page of the crash reports and clearances known here.
  */
 static int
 handle_page(
@@ -138,7 +140,7 @@
 }
 
 /*
- * Adds one strike to a page.
+ * Appends one crash report or clearance to a page.
  */
 static void
 add_row(void *ctx, const struct quarantine_print *p,
--- a/src/quarantine/table.c
+++ b/src/quarantine/table.c
@@ -3,14 +3,14 @@
 #include "quarantine/quarantine_core.h"
 
 /*
- * Strikes by fingerprint.  A strike is a pair of a fingerprint and a death;
- * adding one is idempotent, and an acquittal from that death outweighs the
- * strike in whichever order they come.  So nodes that merge each other's
- * news agree.
+ * Crash reports by fingerprint.  A report is a pair of a fingerprint and a
+ * crash id.  Adding a report is idempotent, and a clearance overrides the
+ * report of the same crash in whichever order they arrive.  Nodes that merge
+ * each other's messages therefore reach the same state.
  */
 
 #define STRIKES_REFUSE 2
-#define STRIKES_REFUSE_PROVEN 3 /* of a request that has run well */
+#define STRIKES_REFUSE_PROVEN 3 /* with a recent successful run */
 
 static struct quarantine_suspect *find(
     const struct quarantine_table *, const struct quarantine_print *);
@@ -22,8 +22,8 @@
 static uint64_t weigh(const struct quarantine_suspect *, uint64_t);
 
 /*
- * Adds a strike, or an acquittal, for a death at at_ms.  Returns 1 if that
- * was news, else 0.
+ * Adds a crash report, or a clearance, for a crash at at_ms.  Returns 1 if
+ * it changed the table, else 0.
  */
 int
 table_strike(struct quarantine_table *t, const struct quarantine_print *p,
@@ -48,9 +48,9 @@
 }
 
 /*
- * Notes that a request ran to its end: that acquits it of all deaths known
- * so far.  Writes those that it wasn't acquitted of before into deaths (room
- * for QUARANTINE_DEATHS) and returns their number.
+ * Records that a request ran without a crash, which clears it of all crashes
+ * known so far.  Writes the crash ids that it was not cleared of before into
+ * deaths, which has room for QUARANTINE_DEATHS, and returns their number.
  */
 size_t
 table_succeed(struct quarantine_table *t, const struct quarantine_print *p,
@@ -77,7 +77,7 @@
 }
 
 /*
- * Tells how a request with this fingerprint is to be treated now.
+ * Returns how a request with this fingerprint has to be treated now.
  */
 enum quarantine_state
 table_state(const struct quarantine_table *t, const struct quarantine_print *p,
@@ -100,8 +100,9 @@
 }
 
 /*
- * Tells whether a request with this fingerprint ran to its end here not long
- * ago.  A poisonous one never does.
+ * Returns whether a request with this fingerprint ran without a crash here
+ * within the last QUARANTINE_MS.  A request that crashes its server never
+ * does.
  */
 int
 table_proven(const struct quarantine_table *t, const struct quarantine_print *p,
@@ -132,8 +133,9 @@
 }
 
 /*
- * Makes a place for a new suspect: a free one, or that of the one with the
- * fewest strikes, and of those the one longest untouched.
+ * Allocates a slot for a new suspect.  Takes a free slot, or else replaces
+ * the suspect with the fewest active reports; of several, the least recently
+ * changed one.
  */
 static struct quarantine_suspect *
 make(struct quarantine_table *t, const struct quarantine_print *p,
@@ -159,8 +161,8 @@
 }
 
 /*
- * Returns the place of this death, or one to put it in: a free one, one that
- * no longer counts, or the oldest.
+ * Returns the slot of the report of this crash, or the one to store it in: a
+ * free slot, that of an inactive report, or that of the oldest report.
  */
 static struct quarantine_strike *
 place_for(struct quarantine_suspect *s, uint64_t death, uint64_t now_ms)
@@ -183,7 +185,7 @@
 }
 
 /*
- * Tells whether a strike counts.
+ * Returns whether a report is neither cleared nor expired.
  */
 static int
 counts(const struct quarantine_strike *k, uint64_t now_ms)
@@ -193,7 +195,7 @@
 }
 
 /*
- * Returns the number of strikes that count.
+ * Returns the number of active reports of a suspect.
  */
 static uint64_t
 weigh(const struct quarantine_suspect *s, uint64_t now_ms)
--- a/src/quarantine/test_quarantine.c
+++ b/src/quarantine/test_quarantine.c
@@ -9,7 +9,7 @@
 #include "quarantine/quarantine.h"
 #include "quarantine/quarantine_xdr.h"
 
-#define NOW start_ms /* handlers go by the clock, so the test does */
+#define NOW start_ms /* the handlers read the clock */
 #define NODES 3
 #define SERVERS 3
 #define RESENDS 10
@@ -20,10 +20,10 @@
 
 static uint64_t start_ms;
 static struct quarantine nodes[NODES];
-static int cut; /* news is lost */
+static int cut; /* broadcasts are lost */
 
 /*
- * Hands a message to the other nodes, by way of its encoding.
+ * Delivers a broadcast to the other nodes, encoded and decoded on the way.
  */
 static void
 tell(void *ctx, const struct rpc_proc *proc, const void *arg)
@@ -48,7 +48,7 @@
 }
 
 /*
- * Asks a node directly, as the peer is an index.
+ * Calls a handler of the node whose index is the peer's address.
  */
 static enum rpc_status
 ask(void *ctx, const struct node_id *to, const struct rpc_proc *proc,
@@ -62,7 +62,7 @@
 }
 
 /*
- * Starts all nodes anew.
+ * Initialises all nodes.
  */
 static int
 setup(void **state)
@@ -77,7 +77,7 @@
 }
 
 /*
- * Ends all nodes.
+ * Frees all nodes.
  */
 static int
 teardown(void **state)
@@ -91,14 +91,16 @@
 }
 
 /*
- * What happens to one fingerprint, a letter a step, and its state at last.
+ * The state of one fingerprint after a sequence of events, one letter each.
  */
 static void
 test_table(void **state)
 {
 	static const struct {
-		/* a..c struck by that death, A..C acquitted of it, s succeeds,
-		 * w five minutes pass */
+		/*
+		 * a to c: report of that crash, A to C: clearance of it, s:
+		 * successful run, w: half of QUARANTINE_MS passes
+		 */
 		const char *steps;
 		enum quarantine_state last;
 	} rows[] = {
@@ -151,8 +153,9 @@
 }
 
 /*
- * A poisonous request is sent again and again, each time to another node, to
- * a service whose servers return: at most two of them die of it.
+ * A request that crashes its server is sent repeatedly, each time to another
+ * node, to a service whose servers restart.  It may crash at most two of
+ * them.
  */
 static void
 test_resent_poison(void **state)
@@ -185,8 +188,8 @@
 }
 
 /*
- * Of two struck requests one waits while the other runs, so that a further
- * death strikes one alone; others don't wait.
+ * Of two suspect requests one waits while the other runs, so that another
+ * crash is charged to one of them only.  Other requests don't wait.
  */
 static void
 test_suspects_run_alone(void **state)
@@ -213,9 +216,10 @@
 }
 
 /*
- * Copies sent through all entries at once: those already in flight may each
- * kill the server that they are at, but the pin sends all later ones to one
- * server, one at a time, so at most one more dies.
+ * Copies of a request that crashes its server arrive through all entries at
+ * once.  Those already in flight may each crash their server.  All later
+ * ones are sent to one server, one at a time, so at most one more server
+ * crashes.
  */
 static void
 test_concurrent_poison(void **state)
@@ -251,8 +255,9 @@
 }
 
 /*
- * A hot catalogue request is in flight at both deaths: never refused where
- * it has run before, and anywhere only until a copy has run to its end.
+ * A frequent harmless request is in flight at both crashes.  It is never
+ * refused at a node that has seen it succeed, and elsewhere only until a
+ * copy has succeeded.
  */
 static void
 test_hot_innocent(void **state)
@@ -283,8 +288,8 @@
 }
 
 /*
- * Inner requests that differ each time are still refused by their root, and
- * the end of one inner request doesn't acquit the root.
+ * Calls with a different fingerprint each time are still refused because of
+ * their root request, and a successful call doesn't clear the root request.
  */
 static void
 test_root_is_struck(void **state)
@@ -311,7 +316,7 @@
 }
 
 /*
- * A node that heard no news learns all from a peer.
+ * A node that has received no broadcast gets all reports from a peer.
  */
 static void
 test_sync(void **state)
@@ -337,8 +342,8 @@
 }
 
 /*
- * A flood of suspects stays within the table and doesn't push out a request
- * that is refused.  Prints what a request costs.
+ * Many suspects stay within the table's bound and don't evict a request that
+ * is refused.  Prints the cost of a request.
  */
 static void
 test_flood(void **state)
@@ -370,7 +375,7 @@
 }
 
 /*
- * Runs requests over and over while servers die.
+ * Runs requests in a loop and reports a crash for every 64th.
  */
 static void *
 run_often(void *arg)
@@ -392,7 +397,7 @@
 }
 
 /*
- * Threads that use one quarantine at once leave nothing in flight.
+ * Concurrent use of one quarantine leaves no run in its list.
  */
 static void
 test_threads(void **state)
@@ -409,8 +414,8 @@
 }
 
 /*
- * Each part of a request makes another fingerprint, also where only the
- * border between parts moves.
+ * Each part of a request changes the fingerprint, also where text only moves
+ * from one part to the next.
  */
 static void
 test_print(void **state)
