quarantine: rename the private names

Names such as beside, weigh, tell, told and strike said little at their use. They are now is_running, count_active, broadcast, reported and report, times say which event they are of, and the test functions say what they check. No code changed.

--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -8,14 +8,15 @@
 #include "quarantine/quarantine.h"
 
 /* A failed run is charged with a crash reported within this time. */
-#define BROKEN_MS 3000
+#define CRASH_DETECTION_MS 3000
 
-static void note_broken(
+static void store_failed_run(
     struct quarantine *, const struct quarantine_run *, uint64_t);
-static size_t strike_all(struct quarantine *, const struct quarantine_print *,
+static size_t add_reports(struct quarantine *, const struct quarantine_print *,
     size_t, uint64_t, uint64_t, struct quarantine_print *);
-static int beside(const struct quarantine *, const struct quarantine_print *);
-static int runs_struck(const struct quarantine *, uint64_t);
+static int is_running(
+    const struct quarantine *, const struct quarantine_print *);
+static int runs_suspect(const struct quarantine *, uint64_t);
 
 /*
  * Computes the fingerprint of a request: a 128-bit XXH3 hash of the
@@ -51,7 +52,8 @@
  * exhausted.
  */
 void
-quarantine_init(struct quarantine *q, quarantine_tell_fn tell, void *ctx)
+quarantine_init(
+    struct quarantine *q, quarantine_broadcast_fn broadcast, void *ctx)
 {
 	memset(q, 0, sizeof(*q));
 	q->table = calloc(1, sizeof(*q->table));
@@ -59,8 +61,8 @@
 		err(1, "quarantine_init");
 	pthread_mutex_init(&q->lock, NULL);
 	q->runs.next = q->runs.prev = &q->runs;
-	q->tell = tell;
-	q->tell_ctx = ctx;
+	q->broadcast = broadcast;
+	q->broadcast_ctx = ctx;
 }
 
 /*
@@ -104,7 +106,7 @@
 {
 	uint64_t parts[4], h, best = 0;
 	size_t i;
-	int at = -1;
+	int chosen = -1;
 
 	for (i = 0; i < count; i++) {
 		if (!usable[i])
@@ -114,26 +116,26 @@
 		parts[2] = (uint64_t)ids[i].addr << 16 | ids[i].rpc_port;
 		parts[3] = ids[i].incarnation;
 		h = XXH3_64bits(parts, sizeof(parts));
-		if (at < 0 || h > best) {
+		if (chosen < 0 || h > best) {
 			best = h;
-			at = (int)i;
+			chosen = (int)i;
 		}
 	}
-	return at;
+	return chosen;
 }
 
 /*
- * Records at an entry that a request was answered completely.  It is not
- * broadcast, because the exit that ran the request does that.
+ * Records at an entry that a request was answered completely.  Sends no
+ * clearance, because the exit that ran the request does that.
  */
 void
 quarantine_served(
     struct quarantine *q, const struct quarantine_print *p, uint64_t now_ms)
 {
-	uint64_t deaths[QUARANTINE_DEATHS];
+	uint64_t crash_ids[QUARANTINE_DEATHS];
 
 	pthread_mutex_lock(&q->lock);
-	table_succeed(q->table, p, now_ms, deaths);
+	table_succeed(q->table, p, now_ms, crash_ids);
 	pthread_mutex_unlock(&q->lock);
 }
 
@@ -147,28 +149,29 @@
  */
 int
 quarantine_begin(struct quarantine *q, struct quarantine_run *run,
-    const struct quarantine_print *prints, size_t count, uint64_t now_ms)
+    const struct quarantine_print *fingerprints, size_t count, uint64_t now_ms)
 {
-	enum quarantine_state st, worst = QUARANTINE_FREE;
+	enum quarantine_state st, strictest = QUARANTINE_FREE;
 	int wait = 0;
 	size_t i;
 
 	memset(run, 0, sizeof(*run));
 	if (count > QUARANTINE_RUN_PRINTS)
 		count = QUARANTINE_RUN_PRINTS;
-	memcpy(run->prints, prints, count * sizeof(*prints));
+	memcpy(run->fingerprints, fingerprints, count * sizeof(*fingerprints));
 	run->count = (uint32_t)count;
 	pthread_mutex_lock(&q->lock);
 	for (i = 0; i < count; i++) {
-		st = table_state(q->table, &prints[i], now_ms);
-		if (i == 0 && st == QUARANTINE_STRUCK && beside(q, &prints[i]))
+		st = table_state(q->table, &fingerprints[i], now_ms);
+		if (i == 0 && st == QUARANTINE_STRUCK &&
+		    is_running(q, &fingerprints[i]))
 			st = QUARANTINE_REFUSED;
 		if (i == 0 && st == QUARANTINE_STRUCK)
-			wait = runs_struck(q, now_ms);
-		if (st > worst)
-			worst = st;
+			wait = runs_suspect(q, now_ms);
+		if (st > strictest)
+			strictest = st;
 	}
-	if (worst == QUARANTINE_REFUSED) {
+	if (strictest == QUARANTINE_REFUSED) {
 		q->refused++;
 	} else if (!wait) {
 		run->next = &q->runs;
@@ -177,7 +180,7 @@
 		q->runs.prev = run;
 	}
 	pthread_mutex_unlock(&q->lock);
-	return worst == QUARANTINE_REFUSED ? -1 : wait;
+	return strictest == QUARANTINE_REFUSED ? -1 : wait;
 }
 
 /*
@@ -187,58 +190,60 @@
  */
 void
 quarantine_end(struct quarantine *q, struct quarantine_run *run,
-    enum quarantine_end how, uint64_t now_ms)
+    enum quarantine_end result, uint64_t now_ms)
 {
-	uint64_t deaths[QUARANTINE_DEATHS];
+	uint64_t crash_ids[QUARANTINE_DEATHS];
 	size_t n = 0, i;
 
 	pthread_mutex_lock(&q->lock);
 	run->prev->next = run->next;
 	run->next->prev = run->prev;
-	if (how == QUARANTINE_BROKEN && run->death == 0)
-		note_broken(q, run, now_ms);
-	if (how == QUARANTINE_WHOLE)
-		n = table_succeed(q->table, &run->prints[0], now_ms, deaths);
+	if (result == QUARANTINE_BROKEN && run->death == 0)
+		store_failed_run(q, run, now_ms);
+	if (result == QUARANTINE_WHOLE)
+		n = table_succeed(
+		    q->table, &run->fingerprints[0], now_ms, crash_ids);
 	pthread_mutex_unlock(&q->lock);
 	for (i = 0; i < n; i++)
-		quarantine_tell(q, deaths[i], 1, &run->prints[0], 1);
+		quarantine_broadcast(
+		    q, crash_ids[i], 1, &run->fingerprints[0], 1);
 }
 
 /*
  * Reports a crash of the local server.  Adds a crash report for every
  * request in flight and for every request that failed within the last
- * BROKEN_MS, and broadcasts the reports.  The crash id is random and not 0.
- * Returns the number of fingerprints that were reported.
+ * CRASH_DETECTION_MS, and broadcasts the reports.  The crash id is random
+ * and not 0.  Returns the number of fingerprints that were reported.
  */
 size_t
-quarantine_death(struct quarantine *q, uint64_t death, uint64_t now_ms)
+quarantine_death(struct quarantine *q, uint64_t crash_id, uint64_t now_ms)
 {
-	struct quarantine_print *told;
+	struct quarantine_print *reported;
 	struct quarantine_run *r;
-	size_t n = 0, i, room = QUARANTINE_BROKEN_MAX;
+	size_t n = 0, i, max = QUARANTINE_FAILED_RUNS_MAX;
 
 	pthread_mutex_lock(&q->lock);
 	for (r = q->runs.next; r != &q->runs; r = r->next)
-		room += r->count;
-	told = calloc(room, sizeof(*told));
-	if (told == NULL)
+		max += r->count;
+	reported = calloc(max, sizeof(*reported));
+	if (reported == NULL)
 		err(1, "quarantine_death");
-	q->deaths++;
+	q->crashes++;
 	for (r = q->runs.next; r != &q->runs; r = r->next) {
-		r->death = death;
-		n +=
-		    strike_all(q, r->prints, r->count, death, now_ms, told + n);
+		r->death = crash_id;
+		n += add_reports(q, r->fingerprints, r->count, crash_id, now_ms,
+		    reported + n);
 	}
-	for (i = 0; i < QUARANTINE_BROKEN_MAX; i++) {
-		if (q->broken[i].at_ms != 0 &&
-		    now_ms < q->broken[i].at_ms + BROKEN_MS)
-			n += strike_all(
-			    q, &q->broken[i].print, 1, death, now_ms, told + n);
-		q->broken[i].at_ms = 0;
+	for (i = 0; i < QUARANTINE_FAILED_RUNS_MAX; i++) {
+		if (q->failed_runs[i].failed_ms != 0 &&
+		    now_ms < q->failed_runs[i].failed_ms + CRASH_DETECTION_MS)
+			n += add_reports(q, &q->failed_runs[i].fingerprint, 1,
+			    crash_id, now_ms, reported + n);
+		q->failed_runs[i].failed_ms = 0;
 	}
 	pthread_mutex_unlock(&q->lock);
-	quarantine_tell(q, death, 0, told, n);
-	free(told);
+	quarantine_broadcast(q, crash_id, 0, reported, n);
+	free(reported);
 	return n;
 }
 
@@ -248,12 +253,12 @@
  */
 void
 quarantine_merge(struct quarantine *q, const struct quarantine_print *p,
-    uint64_t death, int acquitted, uint64_t age_ms, uint64_t now_ms)
+    uint64_t crash_id, int cleared, uint64_t age_ms, uint64_t now_ms)
 {
-	uint64_t at = now_ms > age_ms ? now_ms - age_ms : 1;
+	uint64_t crashed_ms = now_ms > age_ms ? now_ms - age_ms : 1;
 
 	pthread_mutex_lock(&q->lock);
-	table_strike(q->table, p, death, acquitted, at, now_ms);
+	table_strike(q->table, p, crash_id, cleared, crashed_ms, now_ms);
 	pthread_mutex_unlock(&q->lock);
 }
 
@@ -264,31 +269,33 @@
  * 0 at the end of the table.
  */
 uint32_t
-quarantine_page(struct quarantine *q, uint32_t from, uint64_t now_ms,
-    void (*take)(void *, const struct quarantine_print *,
-	const struct quarantine_strike *),
-    void *ctx, size_t room)
+quarantine_read_page(struct quarantine *q, uint32_t from, uint64_t now_ms,
+    void (*callback)(void *, const struct quarantine_print *,
+	const struct quarantine_report *),
+    void *ctx, size_t max)
 {
 	const struct quarantine_suspect *s;
 	const uint32_t end = QUARANTINE_SETS * QUARANTINE_WAYS;
-	uint32_t at;
+	uint32_t pos;
 	size_t i;
 
 	pthread_mutex_lock(&q->lock);
-	for (at = from; at < end && room >= QUARANTINE_DEATHS; at++) {
-		s = &q->table->sets[at / QUARANTINE_WAYS][at % QUARANTINE_WAYS];
-		if (s->touched_ms == 0)
+	for (pos = from; pos < end && max >= QUARANTINE_DEATHS; pos++) {
+		s = &q->table
+			 ->sets[pos / QUARANTINE_WAYS][pos % QUARANTINE_WAYS];
+		if (s->changed_ms == 0)
 			continue;
 		for (i = 0; i < QUARANTINE_DEATHS; i++) {
-			if (s->strikes[i].death == 0 ||
-			    now_ms >= s->strikes[i].at_ms + QUARANTINE_MS)
+			if (s->reports[i].crash_id == 0 ||
+			    now_ms >= s->reports[i].crashed_ms +
+					  QUARANTINE_REPORT_TTL_MS)
 				continue;
-			take(ctx, &s->print, &s->strikes[i]);
-			room--;
+			callback(ctx, &s->fingerprint, &s->reports[i]);
+			max--;
 		}
 	}
 	pthread_mutex_unlock(&q->lock);
-	return at < end ? at : 0;
+	return pos < end ? pos : 0;
 }
 
 /*
@@ -308,18 +315,18 @@
 
 	pthread_mutex_lock(&q->lock);
 	fprintf(out, "quarantine suspects=%u deaths=%llu refused=%llu\n",
-	    q->table->suspects, (unsigned long long)q->deaths,
+	    q->table->suspects, (unsigned long long)q->crashes,
 	    (unsigned long long)q->refused);
 	for (i = 0; i < QUARANTINE_SETS * QUARANTINE_WAYS; i++) {
 		s = &q->table->sets[i / QUARANTINE_WAYS][i % QUARANTINE_WAYS];
-		if (s->touched_ms == 0)
+		if (s->changed_ms == 0)
 			continue;
-		st = table_state(q->table, &s->print, now_ms);
+		st = table_state(q->table, &s->fingerprint, now_ms);
 		if (st != QUARANTINE_FREE)
 			fprintf(out,
 			    "quarantine print=%016llx%016llx state=%s\n",
-			    (unsigned long long)s->print.hi,
-			    (unsigned long long)s->print.lo, names[st]);
+			    (unsigned long long)s->fingerprint.hi,
+			    (unsigned long long)s->fingerprint.lo, names[st]);
 	}
 	pthread_mutex_unlock(&q->lock);
 }
@@ -329,34 +336,35 @@
  * server is reported soon after.
  */
 static void
-note_broken(
+store_failed_run(
     struct quarantine *q, const struct quarantine_run *run, uint64_t now_ms)
 {
-	struct quarantine_broken *b;
+	struct quarantine_failed_run *failed;
 	uint32_t i;
 
 	for (i = 0; i < run->count; i++) {
-		b = &q->broken[q->broken_next++ % QUARANTINE_BROKEN_MAX];
-		b->print = run->prints[i];
-		b->at_ms = now_ms;
+		failed = &q->failed_runs[q->failed_run_next++ %
+					 QUARANTINE_FAILED_RUNS_MAX];
+		failed->fingerprint = run->fingerprints[i];
+		failed->failed_ms = now_ms;
 	}
 }
 
 /*
- * Adds crash reports for the fingerprints and copies those that had no
- * report of this crash yet to told.  Returns the number copied.
+ * Adds crash reports for the fingerprints and copies those without an
+ * earlier report of this crash to reported.  Returns the number copied.
  */
 static size_t
-strike_all(struct quarantine *q, const struct quarantine_print *prints,
-    size_t count, uint64_t death, uint64_t now_ms,
-    struct quarantine_print *told)
+add_reports(struct quarantine *q, const struct quarantine_print *fingerprints,
+    size_t count, uint64_t crash_id, uint64_t now_ms,
+    struct quarantine_print *reported)
 {
 	size_t i, n = 0;
 
 	for (i = 0; i < count; i++) {
-		if (table_strike(
-			q->table, &prints[i], death, 0, now_ms, now_ms))
-			told[n++] = prints[i];
+		if (table_strike(q->table, &fingerprints[i], crash_id, 0,
+			now_ms, now_ms))
+			reported[n++] = fingerprints[i];
 	}
 	return n;
 }
@@ -366,15 +374,15 @@
  * as a root request.
  */
 static int
-beside(const struct quarantine *q, const struct quarantine_print *p)
+is_running(const struct quarantine *q, const struct quarantine_print *p)
 {
 	const struct quarantine_run *r;
 	uint32_t i;
 
 	for (r = q->runs.next; r != &q->runs; r = r->next) {
 		for (i = 0; i < r->count; i++) {
-			if (r->prints[i].lo == p->lo &&
-			    r->prints[i].hi == p->hi)
+			if (r->fingerprints[i].lo == p->lo &&
+			    r->fingerprints[i].hi == p->hi)
 				return 1;
 		}
 	}
@@ -385,12 +393,12 @@
  * Returns whether a request whose own fingerprint is suspect runs here now.
  */
 static int
-runs_struck(const struct quarantine *q, uint64_t now_ms)
+runs_suspect(const struct quarantine *q, uint64_t now_ms)
 {
 	const struct quarantine_run *r;
 
 	for (r = q->runs.next; r != &q->runs; r = r->next)
-		if (table_state(q->table, &r->prints[0], now_ms) ==
+		if (table_state(q->table, &r->fingerprints[0], now_ms) ==
 		    QUARANTINE_STRUCK)
 			return 1;
 	return 0;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -10,11 +10,11 @@
 #include "quarantine/quarantine_core.h"
 #include "rpc/rpc.h"
 
-#define QUARANTINE_RUN_PRINTS 2	  /* its own and its root request's */
-#define QUARANTINE_BROKEN_MAX 256 /* failed runs, crash not reported yet */
+#define QUARANTINE_RUN_PRINTS 2	       /* its own and its root request's */
+#define QUARANTINE_FAILED_RUNS_MAX 256 /* no crash reported yet */
 
 enum quarantine_proc {
-	QUARANTINE_PROC_NEWS,
+	QUARANTINE_PROC_REPORT,
 	QUARANTINE_PROC_PAGE,
 	QUARANTINE_PROC_MAX
 };
@@ -30,33 +30,33 @@
 struct quarantine_run {
 	struct quarantine_run *next;
 	struct quarantine_run *prev;
-	struct quarantine_print prints[QUARANTINE_RUN_PRINTS];
+	struct quarantine_print fingerprints[QUARANTINE_RUN_PRINTS];
 	uint32_t count;
 	uint64_t death; /* last crash reported against it, or 0 */
 };
 
 /* A request whose exchange failed before a crash was reported. */
-struct quarantine_broken {
-	struct quarantine_print print;
-	uint64_t at_ms;
+struct quarantine_failed_run {
+	struct quarantine_print fingerprint;
+	uint64_t failed_ms;
 };
 
 /*
  * Sends one message to all other members.  It must not block for long.  It
  * may lose messages, since quarantine_sync() fetches what was missed.
  */
-typedef void (*quarantine_tell_fn)(
+typedef void (*quarantine_broadcast_fn)(
     void *, const struct rpc_proc *, const void *);
 
 struct quarantine {
 	pthread_mutex_t lock;
 	struct quarantine_table *table;
 	struct quarantine_run runs; /* head of a circular list */
-	struct quarantine_broken broken[QUARANTINE_BROKEN_MAX];
-	uint32_t broken_next;
-	quarantine_tell_fn tell;
-	void *tell_ctx;
-	uint64_t deaths; /* crashes of the local server */
+	struct quarantine_failed_run failed_runs[QUARANTINE_FAILED_RUNS_MAX];
+	uint32_t failed_run_next;
+	quarantine_broadcast_fn broadcast;
+	void *broadcast_ctx;
+	uint64_t crashes; /* of the local server */
 	uint64_t refused;
 };
 
@@ -65,7 +65,7 @@
 
 void quarantine_print(struct quarantine_print *, const char *, const char *,
     const char *, const void *, size_t);
-void quarantine_init(struct quarantine *, quarantine_tell_fn, void *);
+void quarantine_init(struct quarantine *, quarantine_broadcast_fn, void *);
 void quarantine_finish(struct quarantine *);
 enum quarantine_state quarantine_check(
     struct quarantine *, const struct quarantine_print *, uint64_t);
@@ -85,11 +85,11 @@
 /* Used by the message handlers. */
 void quarantine_merge(struct quarantine *, const struct quarantine_print *,
     uint64_t, int, uint64_t, uint64_t);
-uint32_t quarantine_page(struct quarantine *, uint32_t, uint64_t,
+uint32_t quarantine_read_page(struct quarantine *, uint32_t, uint64_t,
     void (*)(void *, const struct quarantine_print *,
-	const struct quarantine_strike *),
+	const struct quarantine_report *),
     void *, size_t);
-void quarantine_tell(struct quarantine *, uint64_t, int,
+void quarantine_broadcast(struct quarantine *, uint64_t, int,
     const struct quarantine_print *, size_t);
 
 #endif
--- a/src/quarantine/quarantine_core.h
+++ b/src/quarantine/quarantine_core.h
@@ -9,11 +9,13 @@
  * in times, in milliseconds of one clock, and serialise access.
  */
 
-#define QUARANTINE_MS 600000 /* after which a crash report expires */
+/* Lifetime of a crash report and of a recorded success. */
+#define QUARANTINE_REPORT_TTL_MS 600000
+
 #define QUARANTINE_SETS 512
 #define QUARANTINE_WAYS 8
-#define QUARANTINE_DEATHS 4    /* stored per fingerprint */
-#define QUARANTINE_PROVEN 8192 /* slots for recent successes */
+#define QUARANTINE_DEATHS 4	      /* stored per fingerprint */
+#define QUARANTINE_SUCCESSES_MAX 8192 /* slots for recent successes */
 
 /* The fingerprint of a request; all copies of a request share it. */
 struct quarantine_print {
@@ -29,28 +31,28 @@
 };
 
 /* A server crash during which a request was in flight. */
-struct quarantine_strike {
-	uint64_t death; /* random id of the crash; 0: free slot */
-	uint64_t at_ms;
-	int acquitted; /* the request has since run without a crash */
+struct quarantine_report {
+	uint64_t crash_id; /* random id of the crash; 0: free slot */
+	uint64_t crashed_ms;
+	int cleared; /* the request has since run without a crash */
 };
 
 /* A request that may crash servers. */
 struct quarantine_suspect {
-	struct quarantine_print print;
-	uint64_t touched_ms; /* last change; 0: free slot */
-	struct quarantine_strike strikes[QUARANTINE_DEATHS];
+	struct quarantine_print fingerprint;
+	uint64_t changed_ms; /* last change; 0: free slot */
+	struct quarantine_report reports[QUARANTINE_DEATHS];
 };
 
 /* The last successful run of a request. */
-struct quarantine_proof {
+struct quarantine_success {
 	uint64_t lo;
-	uint64_t at_ms;
+	uint64_t succeeded_ms;
 };
 
 struct quarantine_table {
 	struct quarantine_suspect sets[QUARANTINE_SETS][QUARANTINE_WAYS];
-	struct quarantine_proof proven[QUARANTINE_PROVEN];
+	struct quarantine_success successes[QUARANTINE_SUCCESSES_MAX];
 	uint32_t suspects; /* slots in use */
 };
 
@@ -60,7 +62,7 @@
     uint64_t, uint64_t *);
 enum quarantine_state table_state(
     const struct quarantine_table *, const struct quarantine_print *, uint64_t);
-int table_proven(
+int table_has_success(
     const struct quarantine_table *, const struct quarantine_print *, uint64_t);
 
 #endif
--- a/src/quarantine/quarantine_rpc.c
+++ b/src/quarantine/quarantine_rpc.c
@@ -6,18 +6,18 @@
 
 #define PAGE_TIMEOUT_MS 300
 
-static int handle_news(
+static int handle_report(
     void *, const struct sockaddr_in *, const void *, void *);
 static int handle_page(
     void *, const struct sockaddr_in *, const void *, void *);
 static void add_row(
-    void *, const struct quarantine_print *, const struct quarantine_strike *);
+    void *, const struct quarantine_print *, const struct quarantine_report *);
 
 const struct rpc_proc quarantine_procs[QUARANTINE_PROC_MAX] = {
-	[QUARANTINE_PROC_NEWS] = { RPC_BLOCK_QUARANTINE + 1,
+	[QUARANTINE_PROC_REPORT] = { RPC_BLOCK_QUARANTINE + 1,
 	    (xdrproc_t)xdr_quarantine_news_arg, sizeof(quarantine_news_arg),
 	    (xdrproc_t)xdr_quarantine_news_res, sizeof(quarantine_news_res),
-	    handle_news },
+	    handle_report },
 	[QUARANTINE_PROC_PAGE] = { RPC_BLOCK_QUARANTINE + 2,
 	    (xdrproc_t)xdr_quarantine_page_arg, sizeof(quarantine_page_arg),
 	    (xdrproc_t)xdr_quarantine_page_res, sizeof(quarantine_page_res),
@@ -36,14 +36,14 @@
  * need.
  */
 void
-quarantine_tell(struct quarantine *q, uint64_t death, int acquitted,
+quarantine_broadcast(struct quarantine *q, uint64_t crash_id, int cleared,
     const struct quarantine_print *prints, size_t count)
 {
 	quarantine_print_msg rows[QUARANTINE_NEWS_PRINTS];
-	quarantine_news_arg arg = { .death = death, .acquitted = acquitted };
+	quarantine_news_arg arg = { .death = crash_id, .acquitted = cleared };
 	size_t i, n;
 
-	if (q->tell == NULL)
+	if (q->broadcast == NULL)
 		return;
 	arg.prints.prints_val = rows;
 	for (; count > 0; prints += n, count -= n) {
@@ -54,8 +54,8 @@
 			rows[i].hi = prints[i].hi;
 		}
 		arg.prints.prints_len = (u_int)n;
-		q->tell(
-		    q->tell_ctx, &quarantine_procs[QUARANTINE_PROC_NEWS], &arg);
+		q->broadcast(q->broadcast_ctx,
+		    &quarantine_procs[QUARANTINE_PROC_REPORT], &arg);
 	}
 }
 
@@ -99,7 +99,7 @@
  * Merges the crash reports or clearances that a peer has sent.
  */
 static int
-handle_news(
+handle_report(
     void *ctx, const struct sockaddr_in *from, const void *argp, void *resp)
 {
 	const quarantine_news_arg *arg = argp;
@@ -134,7 +134,7 @@
 	    calloc(QUARANTINE_PAGE, sizeof(*page.res->rows.rows_val));
 	if (page.res->rows.rows_val == NULL)
 		return -1;
-	page.res->next = quarantine_page(
+	page.res->next = quarantine_read_page(
 	    ctx, arg->from, page.now_ms, add_row, &page, QUARANTINE_PAGE);
 	return 0;
 }
@@ -144,7 +144,7 @@
  */
 static void
 add_row(void *ctx, const struct quarantine_print *p,
-    const struct quarantine_strike *k)
+    const struct quarantine_report *report)
 {
 	struct page *page = ctx;
 	quarantine_row_msg *r;
@@ -152,7 +152,7 @@
 	r = &page->res->rows.rows_val[page->res->rows.rows_len++];
 	r->print.lo = p->lo;
 	r->print.hi = p->hi;
-	r->death = k->death;
-	r->acquitted = k->acquitted;
-	r->age_ms = (u_int)(page->now_ms - k->at_ms);
+	r->death = report->crash_id;
+	r->acquitted = report->cleared;
+	r->age_ms = (u_int)(page->now_ms - report->crashed_ms);
 }
--- a/src/quarantine/table.c
+++ b/src/quarantine/table.c
@@ -9,69 +9,70 @@
  * each other's messages therefore reach the same state.
  */
 
-#define STRIKES_REFUSE 2
-#define STRIKES_REFUSE_PROVEN 3 /* with a recent successful run */
+#define REFUSAL_REPORTS 2
+#define REFUSAL_REPORTS_AFTER_SUCCESS 3 /* with a recent successful run */
 
-static struct quarantine_suspect *find(
+static struct quarantine_suspect *find_suspect(
     const struct quarantine_table *, const struct quarantine_print *);
-static struct quarantine_suspect *make(
+static struct quarantine_suspect *allocate_suspect(
     struct quarantine_table *, const struct quarantine_print *, uint64_t);
-static struct quarantine_strike *place_for(
+static struct quarantine_report *find_report_slot(
     struct quarantine_suspect *, uint64_t, uint64_t);
-static int counts(const struct quarantine_strike *, uint64_t);
-static uint64_t weigh(const struct quarantine_suspect *, uint64_t);
+static int is_active(const struct quarantine_report *, uint64_t);
+static uint64_t count_active(const struct quarantine_suspect *, uint64_t);
 
 /*
- * Adds a crash report, or a clearance, for a crash at at_ms.  Returns 1 if
- * it changed the table, else 0.
+ * Adds a crash report, or a clearance, for a crash at crashed_ms.  Returns 1
+ * if it changed the table, else 0.
  */
 int
 table_strike(struct quarantine_table *t, const struct quarantine_print *p,
-    uint64_t death, int acquitted, uint64_t at_ms, uint64_t now_ms)
+    uint64_t crash_id, int cleared, uint64_t crashed_ms, uint64_t now_ms)
 {
-	struct quarantine_suspect *s = find(t, p);
-	struct quarantine_strike *k;
+	struct quarantine_suspect *s = find_suspect(t, p);
+	struct quarantine_report *report;
 
-	if (death == 0 || now_ms >= at_ms + QUARANTINE_MS)
+	if (crash_id == 0 || now_ms >= crashed_ms + QUARANTINE_REPORT_TTL_MS)
 		return 0;
 	if (s == NULL)
-		s = make(t, p, now_ms);
-	s->touched_ms = now_ms;
-	k = place_for(s, death, now_ms);
-	if (k->death == death && (k->acquitted || !acquitted))
+		s = allocate_suspect(t, p, now_ms);
+	s->changed_ms = now_ms;
+	report = find_report_slot(s, crash_id, now_ms);
+	if (report->crash_id == crash_id && (report->cleared || !cleared))
 		return 0;
-	if (k->death != death)
-		k->at_ms = at_ms;
-	k->death = death;
-	k->acquitted = acquitted;
+	if (report->crash_id != crash_id)
+		report->crashed_ms = crashed_ms;
+	report->crash_id = crash_id;
+	report->cleared = cleared;
 	return 1;
 }
 
 /*
  * Records that a request ran without a crash, which clears it of all crashes
  * known so far.  Writes the crash ids that it was not cleared of before into
- * deaths, which has room for QUARANTINE_DEATHS, and returns their number.
+ * crash_ids, which has room for QUARANTINE_DEATHS, and returns their number.
  */
 size_t
 table_succeed(struct quarantine_table *t, const struct quarantine_print *p,
-    uint64_t now_ms, uint64_t *deaths)
+    uint64_t now_ms, uint64_t *crash_ids)
 {
-	struct quarantine_proof *proof = &t->proven[p->hi % QUARANTINE_PROVEN];
+	struct quarantine_success *success =
+	    &t->successes[p->hi % QUARANTINE_SUCCESSES_MAX];
 	struct quarantine_suspect *s;
 	size_t i, n = 0;
 
-	proof->lo = p->lo;
-	proof->at_ms = now_ms;
+	success->lo = p->lo;
+	success->succeeded_ms = now_ms;
 	if (t->suspects == 0)
 		return 0;
-	s = find(t, p);
+	s = find_suspect(t, p);
 	if (s == NULL)
 		return 0;
 	for (i = 0; i < QUARANTINE_DEATHS; i++) {
-		if (!counts(&s->strikes[i], now_ms))
+		if (!is_active(&s->reports[i], now_ms))
 			continue;
-		s->strikes[i].acquitted = 1;
-		deaths[n++] = s->strikes[i].death;
+		s->reports[i].cleared = 1;
+		crash_ids[n++] = s->reports[i].crash_id;
 	}
 	return n;
 }
@@ -84,49 +85,50 @@
     uint64_t now_ms)
 {
 	const struct quarantine_suspect *s;
-	int proven;
+	int has_success;
 	uint64_t n;
 
 	if (t->suspects == 0)
 		return QUARANTINE_FREE;
-	s = find(t, p);
+	s = find_suspect(t, p);
 	if (s == NULL)
 		return QUARANTINE_FREE;
-	n = weigh(s, now_ms);
-	proven = table_proven(t, p, now_ms);
-	if (n >= (proven ? STRIKES_REFUSE_PROVEN : STRIKES_REFUSE))
+	n = count_active(s, now_ms);
+	has_success = table_has_success(t, p, now_ms);
+	if (n >=
+	    (has_success ? REFUSAL_REPORTS_AFTER_SUCCESS : REFUSAL_REPORTS))
 		return QUARANTINE_REFUSED;
-	return n > 0 && !proven ? QUARANTINE_STRUCK : QUARANTINE_FREE;
+	return n > 0 && !has_success ? QUARANTINE_STRUCK : QUARANTINE_FREE;
 }
 
 /*
  * Returns whether a request with this fingerprint ran without a crash here
- * within the last QUARANTINE_MS.  A request that crashes its server never
- * does.
+ * within the last QUARANTINE_REPORT_TTL_MS.  A request that crashes its
+ * server never does.
  */
 int
-table_proven(const struct quarantine_table *t, const struct quarantine_print *p,
-    uint64_t now_ms)
+table_has_success(const struct quarantine_table *t,
+    const struct quarantine_print *p, uint64_t now_ms)
 {
-	const struct quarantine_proof *proof =
-	    &t->proven[p->hi % QUARANTINE_PROVEN];
+	const struct quarantine_success *success =
+	    &t->successes[p->hi % QUARANTINE_SUCCESSES_MAX];
 
-	return proof->lo == p->lo && proof->at_ms != 0 &&
-	       now_ms < proof->at_ms + QUARANTINE_MS;
+	return success->lo == p->lo && success->succeeded_ms != 0 &&
+	       now_ms < success->succeeded_ms + QUARANTINE_REPORT_TTL_MS;
 }
 
 /*
  * Returns the suspect with this fingerprint, or NULL.
  */
 static struct quarantine_suspect *
-find(const struct quarantine_table *t, const struct quarantine_print *p)
+find_suspect(const struct quarantine_table *t, const struct quarantine_print *p)
 {
 	const struct quarantine_suspect *set = t->sets[p->lo % QUARANTINE_SETS];
 	size_t i;
 
 	for (i = 0; i < QUARANTINE_WAYS; i++) {
-		if (set[i].touched_ms != 0 && set[i].print.lo == p->lo &&
-		    set[i].print.hi == p->hi)
+		if (set[i].changed_ms != 0 && set[i].fingerprint.lo == p->lo &&
+		    set[i].fingerprint.hi == p->hi)
 			return (struct quarantine_suspect *)&set[i];
 	}
 	return NULL;
@@ -138,25 +140,26 @@
  * changed one.
  */
 static struct quarantine_suspect *
-make(struct quarantine_table *t, const struct quarantine_print *p,
+allocate_suspect(struct quarantine_table *t, const struct quarantine_print *p,
     uint64_t now_ms)
 {
 	struct quarantine_suspect *set = t->sets[p->lo % QUARANTINE_SETS];
 	struct quarantine_suspect *s = &set[0];
-	uint64_t least = UINT64_MAX, n;
+	uint64_t fewest = UINT64_MAX, n;
 	size_t i;
 
 	for (i = 0; i < QUARANTINE_WAYS; i++) {
-		n = set[i].touched_ms == 0 ? 0 : 1 + weigh(&set[i], now_ms);
-		if (n < least ||
-		    (n == least && set[i].touched_ms < s->touched_ms)) {
-			least = n;
+		n = set[i].changed_ms == 0 ? 0
+					   : 1 + count_active(&set[i], now_ms);
+		if (n < fewest ||
+		    (n == fewest && set[i].changed_ms < s->changed_ms)) {
+			fewest = n;
 			s = &set[i];
 		}
 	}
-	t->suspects += s->touched_ms == 0;
+	t->suspects += s->changed_ms == 0;
 	memset(s, 0, sizeof(*s));
-	s->print = *p;
+	s->fingerprint = *p;
 	return s;
 }
 
@@ -164,22 +167,23 @@
  * Returns the slot of the report of this crash, or the one to store it in: a
  * free slot, that of an inactive report, or that of the oldest report.
  */
-static struct quarantine_strike *
-place_for(struct quarantine_suspect *s, uint64_t death, uint64_t now_ms)
+static struct quarantine_report *
+find_report_slot(
+    struct quarantine_suspect *s, uint64_t crash_id, uint64_t now_ms)
 {
-	struct quarantine_strike *best = &s->strikes[0], *k;
+	struct quarantine_report *best = &s->reports[0], *report;
 	size_t i;
 
 	for (i = 0; i < QUARANTINE_DEATHS; i++) {
-		if (s->strikes[i].death == death)
-			return &s->strikes[i];
+		if (s->reports[i].crash_id == crash_id)
+			return &s->reports[i];
 	}
 	for (i = 1; i < QUARANTINE_DEATHS; i++) {
-		k = &s->strikes[i];
-		if (!counts(k, now_ms) != !counts(best, now_ms)
-			? !counts(k, now_ms)
-			: k->at_ms < best->at_ms)
-			best = k;
+		report = &s->reports[i];
+		if (!is_active(report, now_ms) != !is_active(best, now_ms)
+			? !is_active(report, now_ms)
+			: report->crashed_ms < best->crashed_ms)
+			best = report;
 	}
 	return best;
 }
@@ -188,22 +192,22 @@
  * Returns whether a report is neither cleared nor expired.
  */
 static int
-counts(const struct quarantine_strike *k, uint64_t now_ms)
+is_active(const struct quarantine_report *report, uint64_t now_ms)
 {
-	return k->death != 0 && !k->acquitted &&
-	       now_ms < k->at_ms + QUARANTINE_MS;
+	return report->crash_id != 0 && !report->cleared &&
+	       now_ms < report->crashed_ms + QUARANTINE_REPORT_TTL_MS;
 }
 
 /*
  * Returns the number of active reports of a suspect.
  */
 static uint64_t
-weigh(const struct quarantine_suspect *s, uint64_t now_ms)
+count_active(const struct quarantine_suspect *s, uint64_t now_ms)
 {
 	uint64_t n = 0;
 	size_t i;
 
 	for (i = 0; i < QUARANTINE_DEATHS; i++)
-		n += (uint64_t)counts(&s->strikes[i], now_ms);
+		n += (uint64_t)is_active(&s->reports[i], now_ms);
 	return n;
 }
--- a/src/quarantine/test_quarantine.c
+++ b/src/quarantine/test_quarantine.c
@@ -12,38 +12,38 @@
 #define NOW start_ms /* the handlers read the clock */
 #define NODES 3
 #define SERVERS 3
-#define RESENDS 10
-#define HOT_RUNS 4
-#define FLOOD 100000
+#define COPIES 10
+#define FREQUENT_RUNS 4
+#define SUSPECTS 100000
 #define THREADS 8
 #define RUNS 2000
 
 static uint64_t start_ms;
 static struct quarantine nodes[NODES];
-static int cut; /* broadcasts are lost */
+static int broadcasts_lost;
 
 /*
  * Delivers a broadcast to the other nodes, encoded and decoded on the way.
  */
 static void
-tell(void *ctx, const struct rpc_proc *proc, const void *arg)
+broadcast(void *ctx, const struct rpc_proc *proc, const void *arg)
 {
 	char buf[RPC_BODY_MAX];
-	quarantine_news_arg got;
+	quarantine_news_arg received;
 	quarantine_news_res res;
 	XDR x;
 	int i;
 
-	for (i = 0; i < NODES && !cut; i++) {
+	for (i = 0; i < NODES && !broadcasts_lost; i++) {
 		if (&nodes[i] == ctx)
 			continue;
 		xdrmem_create(&x, buf, sizeof(buf), XDR_ENCODE);
 		assert_true(proc->arg_xdr(&x, (void *)(uintptr_t)arg));
 		xdrmem_create(&x, buf, sizeof(buf), XDR_DECODE);
-		memset(&got, 0, sizeof(got));
-		assert_true(proc->arg_xdr(&x, &got));
-		proc->handle(&nodes[i], NULL, &got, &res);
-		xdr_free((xdrproc_t)proc->arg_xdr, (char *)&got);
+		memset(&received, 0, sizeof(received));
+		assert_true(proc->arg_xdr(&x, &received));
+		proc->handle(&nodes[i], NULL, &received, &res);
+		xdr_free((xdrproc_t)proc->arg_xdr, (char *)&received);
 	}
 }
 
@@ -51,7 +51,7 @@
  * Calls a handler of the node whose index is the peer's address.
  */
 static enum rpc_status
-ask(void *ctx, const struct node_id *to, const struct rpc_proc *proc,
+call_node(void *ctx, const struct node_id *to, const struct rpc_proc *proc,
     const void *arg, void *res, uint32_t timeout_ms)
 {
 	(void)ctx;
@@ -70,9 +70,9 @@
 	int i;
 
 	(void)state;
-	cut = 0;
+	broadcasts_lost = 0;
 	for (i = 0; i < NODES; i++)
-		quarantine_init(&nodes[i], tell, &nodes[i]);
+		quarantine_init(&nodes[i], broadcast, &nodes[i]);
 	return 0;
 }
 
@@ -94,12 +94,12 @@
  * The state of one fingerprint after a sequence of events, one letter each.
  */
 static void
-test_table(void **state)
+test_state_after_events(void **state)
 {
 	static const struct {
 		/*
-		 * a to c: report of that crash, A to C: clearance of it, s:
-		 * successful run, w: half of QUARANTINE_MS passes
+		 * a to c: report of that crash, A to C: clearance of it,
+		 * s: successful run, w: half of the lifetime passes
 		 */
 		const char *steps;
 		enum quarantine_state last;
@@ -128,7 +128,7 @@
 	};
 	struct quarantine_print p = { 5, 9 }, other = { 5, 8 };
 	struct quarantine_table *t;
-	uint64_t deaths[QUARANTINE_DEATHS], now;
+	uint64_t crash_ids[QUARANTINE_DEATHS], now;
 	const char *c;
 	size_t i;
 
@@ -139,9 +139,9 @@
 		now = NOW;
 		for (c = rows[i].steps; *c != '\0'; c++) {
 			if (*c == 's')
-				table_succeed(t, &p, now, deaths);
+				table_succeed(t, &p, now, crash_ids);
 			else if (*c == 'w')
-				now += QUARANTINE_MS / 2;
+				now += QUARANTINE_REPORT_TTL_MS / 2;
 			else
 				table_strike(t, &p, (uint64_t)(*c & 31),
 				    *c < 'a', now, now);
@@ -158,16 +158,16 @@
  * them.
  */
 static void
-test_resent_poison(void **state)
+test_resent_request_crashes_two(void **state)
 {
 	struct quarantine_print p;
 	struct quarantine_run run;
 	uint64_t now = NOW;
-	int i, dead = 0, refused = 0;
+	int i, crashes = 0, refused = 0;
 
 	(void)state;
 	quarantine_print(&p, "acme", "POST", "/orders", "boom", 4);
-	for (i = 0; i < RESENDS; i++, now += 10) {
+	for (i = 0; i < COPIES; i++, now += 10) {
 		if (quarantine_check(&nodes[i % NODES], &p, now) ==
 			QUARANTINE_REFUSED ||
 		    quarantine_begin(
@@ -179,11 +179,12 @@
 		    &nodes[(i + 1) % NODES], &run, QUARANTINE_BROKEN, now);
 		quarantine_death(
 		    &nodes[(i + 1) % NODES], 100 + (uint64_t)i, now);
-		dead++;
+		crashes++;
 	}
-	assert_int_equal(dead, 2);
-	assert_int_equal(refused, RESENDS - 2);
-	assert_int_equal(quarantine_check(&nodes[0], &p, now + QUARANTINE_MS),
+	assert_int_equal(crashes, 2);
+	assert_int_equal(refused, COPIES - 2);
+	assert_int_equal(
+	    quarantine_check(&nodes[0], &p, now + QUARANTINE_REPORT_TTL_MS),
 	    QUARANTINE_FREE);
 }
 
@@ -192,7 +193,7 @@
  * crash is charged to one of them only.  Other requests don't wait.
  */
 static void
-test_suspects_run_alone(void **state)
+test_suspects_run_one_at_a_time(void **state)
 {
 	struct quarantine_run run[3];
 	struct quarantine_print p[3] = { { 1, 1 }, { 2, 2 }, { 3, 3 } };
@@ -222,36 +223,38 @@
  * crashes.
  */
 static void
-test_concurrent_poison(void **state)
+test_concurrent_copies_crash_two(void **state)
 {
 	struct node_id ids[SERVERS] = { { 0, 1, 1 }, { 1, 1, 1 }, { 2, 1, 1 } };
-	int usable[SERVERS] = { 1, 1, 1 }, at, i, dead, let = 0;
+	int usable[SERVERS] = { 1, 1, 1 }, server, i, crashes, begun = 0;
 	struct quarantine_print p;
-	struct quarantine_run run[RESENDS];
+	struct quarantine_run run[COPIES];
 
 	(void)state;
 	quarantine_print(&p, "acme", "GET", "/x", NULL, 0);
 	assert_int_equal(quarantine_begin(&nodes[0], &run[0], &p, 1, NOW), 0);
 	quarantine_death(&nodes[0], 1, NOW);
 	quarantine_end(&nodes[0], &run[0], QUARANTINE_BROKEN, NOW);
-	dead = 1;
-	at = quarantine_pin(&p, ids, usable, SERVERS);
-	for (i = 0; i < RESENDS; i++) {
+	crashes = 1;
+	server = quarantine_pin(&p, ids, usable, SERVERS);
+	for (i = 0; i < COPIES; i++) {
 		assert_int_equal(quarantine_check(&nodes[i % NODES], &p, NOW),
 		    QUARANTINE_STRUCK);
-		assert_int_equal(quarantine_pin(&p, ids, usable, SERVERS), at);
-		let += quarantine_begin(&nodes[at], &run[i], &p, 1, NOW) == 0;
+		assert_int_equal(
+		    quarantine_pin(&p, ids, usable, SERVERS), server);
+		begun +=
+		    quarantine_begin(&nodes[server], &run[i], &p, 1, NOW) == 0;
 	}
-	assert_int_equal(let, 1);
-	quarantine_death(&nodes[at], 2, NOW);
-	dead++;
+	assert_int_equal(begun, 1);
+	quarantine_death(&nodes[server], 2, NOW);
+	crashes++;
 	for (i = 0; i < NODES; i++)
 		assert_int_equal(
 		    quarantine_check(&nodes[i], &p, NOW), QUARANTINE_REFUSED);
-	assert_int_equal(dead, 2);
-	quarantine_end(&nodes[at], &run[0], QUARANTINE_BROKEN, NOW);
-	usable[at] = 0;
-	assert_int_not_equal(quarantine_pin(&p, ids, usable, SERVERS), at);
+	assert_int_equal(crashes, 2);
+	quarantine_end(&nodes[server], &run[0], QUARANTINE_BROKEN, NOW);
+	usable[server] = 0;
+	assert_int_not_equal(quarantine_pin(&p, ids, usable, SERVERS), server);
 }
 
 /*
@@ -260,15 +263,15 @@
  * copy has succeeded.
  */
 static void
-test_hot_innocent(void **state)
+test_frequent_request_is_cleared(void **state)
 {
-	struct quarantine_run run[HOT_RUNS];
+	struct quarantine_run run[FREQUENT_RUNS];
 	struct quarantine_print p;
 	int i;
 
 	(void)state;
 	quarantine_print(&p, "acme", "GET", "/catalogue", NULL, 0);
-	for (i = 0; i < HOT_RUNS; i++)
+	for (i = 0; i < FREQUENT_RUNS; i++)
 		assert_int_equal(
 		    quarantine_begin(&nodes[i % 2], &run[i], &p, 1, NOW), 0);
 	quarantine_served(&nodes[2], &p, NOW);
@@ -283,7 +286,7 @@
 	for (i = 0; i < NODES; i++)
 		assert_int_equal(
 		    quarantine_check(&nodes[i], &p, NOW + 1), QUARANTINE_FREE);
-	for (i = 0; i < HOT_RUNS - 1; i++)
+	for (i = 0; i < FREQUENT_RUNS - 1; i++)
 		quarantine_end(&nodes[i % 2], &run[i], QUARANTINE_BROKEN, NOW);
 }
 
@@ -292,7 +295,7 @@
  * their root request, and a successful call doesn't clear the root request.
  */
 static void
-test_root_is_struck(void **state)
+test_root_request_is_charged(void **state)
 {
 	struct quarantine_print p[2], root;
 	struct quarantine_run run;
@@ -319,21 +322,21 @@
  * A node that has received no broadcast gets all reports from a peer.
  */
 static void
-test_sync(void **state)
+test_sync_after_lost_broadcasts(void **state)
 {
 	struct node_id peer = { 0, 1, 1 };
 	struct quarantine_print p;
 	uint64_t i, now = clock_ms();
 
 	(void)state;
-	cut = 1;
+	broadcasts_lost = 1;
 	for (i = 0; i < 200; i++) {
 		p = (struct quarantine_print){ i * 77, i };
 		quarantine_merge(&nodes[0], &p, 1, 0, 5, now);
 		quarantine_merge(&nodes[0], &p, 2, 0, 5, now);
 		quarantine_merge(&nodes[0], &p, 3, 1, 5, now);
 	}
-	assert_int_equal(quarantine_sync(&nodes[1], ask, NULL, &peer), 0);
+	assert_int_equal(quarantine_sync(&nodes[1], call_node, NULL, &peer), 0);
 	for (i = 0; i < 200; i++) {
 		p = (struct quarantine_print){ i * 77, i };
 		assert_int_equal(
@@ -346,39 +349,39 @@
  * is refused.  Prints the cost of a request.
  */
 static void
-test_flood(void **state)
+test_table_bound(void **state)
 {
 	struct quarantine_print p = { 1, 1 }, f;
 	struct quarantine_run run;
 	uint64_t i, t;
 
 	(void)state;
-	cut = 1;
+	broadcasts_lost = 1;
 	quarantine_merge(&nodes[0], &p, 1, 0, 0, NOW);
 	quarantine_merge(&nodes[0], &p, 2, 0, 0, NOW);
-	for (i = 1; i <= FLOOD; i++) {
+	for (i = 1; i <= SUSPECTS; i++) {
 		f = (struct quarantine_print){ i * 512 + 1, i };
 		quarantine_merge(&nodes[0], &f, i, 0, 0, NOW + i);
 	}
-	assert_int_equal(
-	    quarantine_check(&nodes[0], &p, NOW + FLOOD), QUARANTINE_REFUSED);
+	assert_int_equal(quarantine_check(&nodes[0], &p, NOW + SUSPECTS),
+	    QUARANTINE_REFUSED);
 	assert_true(nodes[0].table->suspects <= QUARANTINE_WAYS);
 	t = clock_us();
-	for (i = 0; i < FLOOD; i++) {
+	for (i = 0; i < SUSPECTS; i++) {
 		f = (struct quarantine_print){ i, i };
 		quarantine_check(&nodes[0], &f, NOW);
 		if (quarantine_begin(&nodes[0], &run, &f, 1, NOW) == 0)
 			quarantine_end(&nodes[0], &run, QUARANTINE_WHOLE, NOW);
 	}
 	t = clock_us() - t;
-	print_message("%.0f ns a request\n", (double)t * 1e3 / FLOOD);
+	print_message("%.0f ns a request\n", (double)t * 1e3 / SUSPECTS);
 }
 
 /*
  * Runs requests in a loop and reports a crash for every 64th.
  */
 static void *
-run_often(void *arg)
+run_requests(void *arg)
 {
 	struct quarantine_print p = { 0, 3 };
 	struct quarantine_run run;
@@ -400,14 +403,14 @@
  * Concurrent use of one quarantine leaves no run in its list.
  */
 static void
-test_threads(void **state)
+test_concurrent_use(void **state)
 {
 	pthread_t th[THREADS];
 	int i;
 
 	(void)state;
 	for (i = 0; i < THREADS; i++)
-		pthread_create(&th[i], NULL, run_often, &nodes[0]);
+		pthread_create(&th[i], NULL, run_requests, &nodes[0]);
 	for (i = 0; i < THREADS; i++)
 		pthread_join(th[i], NULL);
 	assert_ptr_equal(nodes[0].runs.next, &nodes[0].runs);
@@ -418,7 +421,7 @@
  * from one part to the next.
  */
 static void
-test_print(void **state)
+test_fingerprint_parts(void **state)
 {
 	static const char *const rows[][4] = {
 		{ "acme", "GET", "/a", "x" },
@@ -450,21 +453,24 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_table),
+		cmocka_unit_test(test_state_after_events),
+		cmocka_unit_test_setup_teardown(
+		    test_resent_request_crashes_two, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_suspects_run_one_at_a_time, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_concurrent_copies_crash_two, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_resent_poison, setup, teardown),
+		    test_frequent_request_is_cleared, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_suspects_run_alone, setup, teardown),
+		    test_root_request_is_charged, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_concurrent_poison, setup, teardown),
+		    test_sync_after_lost_broadcasts, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_hot_innocent, setup, teardown),
+		    test_table_bound, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_root_is_struck, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_sync, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_flood, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_threads, setup, teardown),
-		cmocka_unit_test(test_print),
+		    test_concurrent_use, setup, teardown),
+		cmocka_unit_test(test_fingerprint_parts),
 	};
 
 	start_ms = clock_ms();
