once: reword the comments

The comments spoke of ids that are first, seen and remembered, and of memory that is whole or young. They now say claimed, stored and complete, name the owner, the standby and the entry where each acts, and give fields their meaning and special values. No code changed.

--- a/src/once/once.c
+++ b/src/once/once.c
@@ -36,7 +36,7 @@
 };
 
 /*
- * Prepares the memory of request ids of a node.
+ * Initialises the request id memory of a node.
  */
 void
 once_init(struct once *o, const struct once_config *cfg)
@@ -58,7 +58,7 @@
 }
 
 /*
- * Frees all.  No thread may use it any more.
+ * Frees the memory.  No thread may use it any more.
  */
 void
 once_finish(struct once *o)
@@ -73,7 +73,7 @@
 }
 
 /*
- * Returns the wall clock in ms since 1970, as in a UUID.
+ * Returns the wall clock in ms since 1970, the epoch of a UUID of version 7.
  */
 static uint64_t
 wall_ms(void)
@@ -85,7 +85,8 @@
 }
 
 /*
- * Returns the time within a UUID of version 7, or 0 if it isn't one.
+ * Returns the time in a UUID of version 7 (ms since 1970), or 0 if s isn't
+ * one.
  */
 static uint64_t
 uuid_stamp(const char *s)
@@ -112,8 +113,8 @@
 }
 
 /*
- * Makes the key of a request id within a workspace; equal ids of different
- * workspaces have nothing to do with each other.
+ * Computes the key of a request id within a workspace.  Equal ids of
+ * different workspaces have different keys.
  */
 void
 once_key(struct once_key *key, const char *workspace, const char *id)
@@ -129,7 +130,7 @@
 }
 
 /*
- * Returns the partition that an id belongs to.
+ * Returns the partition of an id.
  */
 uint32_t
 once_part(const struct once_id *id)
@@ -141,8 +142,8 @@
 }
 
 /*
- * Must be called every ONCE_TICK_MS, by one control thread: sends what is
- * released, and memories to new standbys.
+ * Sends the queued releases, and copies memories to new standbys.  One
+ * control thread must call it every ONCE_TICK_MS.
  */
 void
 once_maintain(struct once *o)
@@ -152,8 +153,8 @@
 }
 
 /*
- * Tells whether the standby of an own partition has been sent the whole
- * memory (lease_ready_fn).
+ * Returns whether the standby of a partition that this node owns has
+ * received the whole memory.  Matches lease_ready_fn.
  */
 int
 once_standby_ready(void *ctx, uint32_t part)
@@ -170,7 +171,7 @@
 }
 
 /*
- * Prints what is remembered of each partition.
+ * Writes the state of each partition that has cells or a tenure.
  */
 void
 once_dump(struct once *o, FILE *out)
@@ -195,7 +196,7 @@
 }
 
 /*
- * Serves a claim.
+ * Handles a claim at the owner.
  */
 static int
 handle_claim(
@@ -207,7 +208,7 @@
 }
 
 /*
- * Serves a note.
+ * Handles a note at the standby.
  */
 static int
 handle_note(
@@ -219,7 +220,7 @@
 }
 
 /*
- * Serves a release.
+ * Handles a release at the owner or the standby.
  */
 static int
 handle_release(
@@ -231,7 +232,7 @@
 }
 
 /*
- * Serves a page of a copy.
+ * Handles a page of the owner's memory at the standby.
  */
 static int
 handle_copy(
--- a/src/once/once.h
+++ b/src/once/once.h
@@ -10,19 +10,20 @@
 #include "rpc/rpc.h"
 
 /*
- * At most once: before a request with an id runs anywhere, its entry claims
- * the id with the owner of the id's partition and has it noted by the
- * standby.  docs/LEASES.md argues why no id is first twice.
+ * At-most-once execution of requests that have an id.  Before such a request
+ * runs anywhere, its entry reserves the id at the owner of the id's
+ * partition and has the standby note it.  See docs/LEASES.md for why no id
+ * can be claimed twice.
  */
-#define ONCE_CLOCK_MS 5000    /* by which wall clocks may differ */
-#define ONCE_WAIT_MS 2500     /* for an owner, since one was missed first */
-#define ONCE_TICK_MS 20	      /* between two calls of once_maintain() */
-#define ONCE_CELLS_MAX 262144 /* ids that a node remembers, 32 bytes each */
+#define ONCE_CLOCK_MS 5000    /* largest difference of two wall clocks */
+#define ONCE_WAIT_MS 2500     /* for an owner, since one was first missing */
+#define ONCE_TICK_MS 20	      /* interval of once_maintain() */
+#define ONCE_CELLS_MAX 262144 /* ids that a node stores, 32 bytes each */
 
 enum once_verdict {
-	ONCE_FIRST,
-	ONCE_SEEN,	  /* it ran, runs, or may have */
-	ONCE_UNKNOWN,	  /* it may have run before the memory began */
+	ONCE_FIRST,	  /* claimed: the request may run */
+	ONCE_SEEN,	  /* the request ran, runs or may have run */
+	ONCE_UNKNOWN,	  /* it may have run before the stored history */
 	ONCE_UNAVAILABLE, /* not claimed */
 	ONCE_VERDICT_MAX
 };
@@ -35,16 +36,16 @@
 	ONCE_PROC_MAX
 };
 
-/* An id as its caller made it. */
+/* The key of a request id. */
 struct once_key {
 	struct once_id id;
-	uint64_t stamp_ms; /* wall clock within the id, or 0 */
+	uint64_t stamp_ms; /* wall clock time in the id, or 0 */
 };
 
-/* A claim that was first, to be released if the request was not run. */
+/* A successful claim, to be released if the request was not run. */
 struct once_claim {
 	struct once_id id;
-	uint64_t attempt;
+	uint64_t attempt; /* random id of this claim, never 0 */
 	struct node_id owner;
 	struct node_id standby;
 };
@@ -55,31 +56,31 @@
 	void *lookup_ctx;
 	rpc_call_fn call;
 	void *call_ctx;
-	void (*kick)(void *); /* an owner did not answer; may be NULL */
+	void (*kick)(void *); /* an owner didn't answer; may be NULL */
 	void *kick_ctx;
-	void (*expect)(void *); /* as standby asked as owner; may be NULL */
+	void (*expect)(void *); /* a claim reached this standby; may be NULL */
 	void *expect_ctx;
-	int (*changing)(void *); /* owners may change; NULL: always */
+	int (*changing)(void *); /* whether owners may change; NULL: always */
 	void *changing_ctx;
-	uint64_t (*clock_ms)(void); /* NULL: the clock */
-	uint64_t (*wall_ms)(void);  /* NULL: the wall clock */
+	uint64_t (*clock_ms)(void); /* NULL: clock_ms() */
+	uint64_t (*wall_ms)(void);  /* NULL: CLOCK_REALTIME */
 	size_t cells_max;	    /* 0: ONCE_CELLS_MAX */
 };
 
-/* What a node remembers of one partition. */
+/* The state of one partition at a node. */
 struct once_part {
-	pthread_mutex_t lock; /* guards all below */
+	pthread_mutex_t lock; /* guards all fields below but down_ms */
 	struct once_memory memory;
-	uint64_t term;	  /* newest term acted under as owner */
-	uint64_t tenure;  /* for which since_ms holds */
-	int64_t since_ms; /* the memory has every id that was first since */
-	uint64_t copied;  /* term whose standby was sent the whole memory */
-	uint64_t standby_term; /* newest term acted under as standby */
-	int whole;	       /* the owner has sent its whole memory */
-	int64_t whole_since_ms;
-	uint64_t used_ms;
-	uint64_t retry_ms;     /* a copy that failed is not begun before */
-	atomic_ullong down_ms; /* nobody answers this entry since; 0: not so */
+	uint64_t term;		/* newest term in which it acted as owner */
+	uint64_t tenure;	/* that since_ms is valid for; 0: none */
+	int64_t since_ms;	/* the memory has all ids claimed since */
+	uint64_t copied;	/* term whose standby has the whole memory */
+	uint64_t standby_term;	/* newest term in which it acted as standby */
+	int whole;		/* standby_term's owner sent its whole memory */
+	int64_t whole_since_ms; /* that memory has all ids claimed since */
+	uint64_t used_ms;	/* last claim, note or copy */
+	uint64_t retry_ms;	/* earliest start of the next copy */
+	atomic_ullong down_ms;	/* no owner has answered since; 0: one has */
 };
 
 #define ONCE_RELEASES_MAX 1024
@@ -88,7 +89,7 @@
 	struct once_config cfg;
 	struct memory_budget budget;
 	struct once_part part[LEASE_PARTS];
-	pthread_mutex_t lock; /* guards the queue of releases */
+	pthread_mutex_t lock; /* guards the releases */
 	struct once_claim releases[ONCE_RELEASES_MAX];
 	size_t release_count;
 };
--- a/src/once/once.x
+++ b/src/once/once.x
@@ -1,15 +1,15 @@
-/* Messages of at most once: claims, notes at the standby, copies. */
+/* Messages for request ids: claims, notes at the standby, copies. */
 
 const ONCE_ID_BYTES = 16;
 const ONCE_PAGE = 32;
 
 enum once_status {
-	ONCE_RESERVED = 0,	/* first, once the standby, if any, has noted it */
-	ONCE_CLAIMED = 1,	/* claimed before */
-	ONCE_NOT_KNOWN = 2,	/* the memory is too young to tell */
+	ONCE_RESERVED = 0,	/* valid once a standby has noted it */
+	ONCE_CLAIMED = 1,	/* by another attempt */
+	ONCE_NOT_KNOWN = 2,	/* may precede the stored history */
 	ONCE_NOT_OWNER = 3,
 	ONCE_NO_ROOM = 4,
-	ONCE_FUTURE = 5		/* made later than now */
+	ONCE_FUTURE = 5		/* the time in the id is in the future */
 };
 
 struct once_node {
@@ -59,7 +59,7 @@
 	unsigned int part;
 	unsigned hyper term;
 	bool last;
-	unsigned hyper age_ms;	/* for how long the memory is complete */
+	unsigned hyper age_ms;	/* time that the memory covers */
 	once_copy_cell cells<ONCE_PAGE>;
 };
 
--- a/src/once/once_entry.c
+++ b/src/once/once_entry.c
@@ -6,13 +6,13 @@
 
 #define RELEASES_PER_TICK 64
 #define TRIES_LEFT_MAX 4
-#define PAUSE_US 20000 /* between two tries to claim */
+#define PAUSE_US 20000 /* between two tries of a claim */
 
-/* What earlier tries to claim an id have come to. */
+/* The outcome of the earlier tries of one claim. */
 struct tries {
-	struct once_claim list[TRIES_LEFT_MAX]; /* that may be reserved */
+	struct once_claim list[TRIES_LEFT_MAX]; /* possible reservations */
 	size_t count;
-	int final; /* an owner has refused, and would again */
+	int final; /* the owner refused; a retry would be refused too */
 };
 
 static void leave_behind(struct tries *, const struct once_claim *);
@@ -26,7 +26,7 @@
 static int ask_standby(struct once *, const struct once_claim *, uint64_t);
 static int pop_release(struct once *, struct once_claim *);
 
-/* What an owner's answer means to the caller, once nothing is reserved. */
+/* The verdict for an owner's status, unless the claim succeeds. */
 static const enum once_verdict verdicts[] = {
 	[ONCE_RESERVED] = ONCE_UNAVAILABLE,
 	[ONCE_CLAIMED] = ONCE_SEEN,
@@ -37,7 +37,7 @@
 };
 
 /*
- * Converts a node's name for a message.
+ * Converts a node id to its form in messages.
  */
 struct once_node
 once_node_pack(const struct node_id *id)
@@ -48,7 +48,7 @@
 }
 
 /*
- * Converts a node's name from a message.
+ * Converts a node id from its form in messages.
  */
 struct node_id
 once_node_unpack(const struct once_node *n)
@@ -59,9 +59,9 @@
 }
 
 /*
- * Calls a procedure of a node, which may be this one.  A datagram may be
- * lost, so that it is sent again; all procedures allow for that.  Returns
- * 0, or -1 if there was no answer.
+ * Calls a procedure of a node, which may be this one.  A call without an
+ * answer is sent again, since a datagram may be lost; all procedures are
+ * safe to repeat.  Returns 0, or -1 if there was no answer.
  */
 int
 once_call(struct once *o, const struct node_id *to, enum once_proc proc,
@@ -83,8 +83,8 @@
 }
 
 /*
- * Takes note of whom to send a release, should the claim fail for good.  What
- * finds no room stays claimed.
+ * Stores where a release has to be sent if the claim fails.  If there is no
+ * room, the id stays claimed.
  */
 static void
 leave_behind(struct tries *t, const struct once_claim *c)
@@ -100,8 +100,8 @@
 }
 
 /*
- * Asks the node taken for the owner to reserve an id, and fills in who is to
- * note it.
+ * Asks the node believed to be the owner to reserve an id.  Sets the standby
+ * that has to note the id, and the term.
  */
 static once_status
 ask_owner(struct once *o, const struct once_key *key, struct once_claim *c,
@@ -115,7 +115,7 @@
 		return ONCE_NOT_OWNER;
 	memcpy(arg.id, key->id.byte, sizeof(arg.id));
 	if (once_call(o, &c->owner, ONCE_PROC_CLAIM, &arg, &res) == -1) {
-		/* It may have been reserved for nothing. */
+		/* The id may be reserved though the answer was lost. */
 		leave_behind(t, c);
 		return ONCE_NOT_OWNER;
 	}
@@ -125,9 +125,9 @@
 }
 
 /*
- * Has the standby note a reserved id.  Returns 0, or -1 if it did not.
- * Where the term names no standby there is none that could take over with a
- * memory that counts as whole, and so none that has to know.
+ * Has the standby note a reserved id.  Returns 0, or -1 if it did not.  If
+ * the term has no standby, no node could take over with a memory that counts
+ * as complete, so no node has to note the id.
  */
 static int
 ask_standby(struct once *o, const struct once_claim *c, uint64_t term)
@@ -145,8 +145,8 @@
 }
 
 /*
- * Claims an id with the node taken for the owner.  Blocks for at most
- * ONCE_BOUND_MS.
+ * Claims an id at the node believed to be the owner.  A claim that takes
+ * ONCE_BOUND_MS or longer fails.
  */
 static enum once_verdict
 try_owner(struct once *o, const struct once_key *key, struct once_claim *c,
@@ -161,7 +161,7 @@
 	t->final = st == ONCE_FUTURE || st == ONCE_NO_ROOM;
 	if (st != ONCE_RESERVED)
 		return verdicts[st];
-	/* Late answers count for nothing: this thread may have stood still. */
+	/* Ignore late answers: this thread may have been suspended. */
 	if (ask_standby(o, c, term) == 0 &&
 	    o->cfg.clock_ms() - began < ONCE_BOUND_MS)
 		return ONCE_FIRST;
@@ -170,8 +170,8 @@
 }
 
 /*
- * Claims an id with the owner, or with the standby, which may have become
- * the owner without this node's knowledge.
+ * Claims an id at the owner and, if that fails, at the standby, which may
+ * have become the owner without this node having learnt of it.
  */
 static enum once_verdict
 try_claim(struct once *o, const struct once_key *key, struct once_claim *c,
@@ -194,8 +194,8 @@
 }
 
 /*
- * Tells whether it is worth while to wait for an owner: leases can change,
- * and one was missed only lately.
+ * Returns whether to wait for an owner: leases can change, and it is less
+ * than ONCE_WAIT_MS ago that an owner was first missing.
  */
 static int
 is_hopeful(struct once *o, struct once_part *p)
@@ -211,10 +211,11 @@
 }
 
 /*
- * Claims an id before its request runs, and tries again for up to wait_ms
- * while nobody answers for it.  With ONCE_FIRST the request may be run, and
- * *c is for once_release().  All tries are one attempt, so that none finds
- * the id claimed by another; releases wait until the last one has failed.
+ * Claims an id before its request runs.  Retries for up to wait_ms while no
+ * owner answers.  On ONCE_FIRST the request may run, and *c is valid for
+ * once_release().  All tries share one attempt id, so that none finds the id
+ * claimed by an earlier one.  Releases are queued only after the last try
+ * has failed.
  */
 enum once_verdict
 once_claim_wait(struct once *o, const struct once_key *key, uint32_t wait_ms,
@@ -240,7 +241,7 @@
 }
 
 /*
- * Claims an id without a second try.
+ * Claims an id without a retry.
  */
 enum once_verdict
 once_claim(struct once *o, const struct once_key *key, struct once_claim *c)
@@ -249,8 +250,9 @@
 }
 
 /*
- * Gives a claim back whose request was surely not run; it is sent by the
- * next once_maintain().  If it gets lost, the id stays claimed.
+ * Queues the release of a claim whose request was certainly not run.  The
+ * next once_maintain() sends it.  If the message is lost or the queue is
+ * full, the id stays claimed.
  */
 void
 once_release(struct once *o, const struct once_claim *c)
@@ -262,7 +264,8 @@
 }
 
 /*
- * Takes a claim from the queue.  Returns 0, or -1 if it is empty.
+ * Removes a claim from the release queue.  Returns 0, or -1 if the queue is
+ * empty.
  */
 static int
 pop_release(struct once *o, struct once_claim *c)
@@ -279,7 +282,7 @@
 }
 
 /*
- * Sends what waits to be released.
+ * Sends up to RELEASES_PER_TICK queued releases.
  */
 void
 once_send_releases(struct once *o)
--- a/src/once/once_int.h
+++ b/src/once/once_int.h
@@ -5,9 +5,9 @@
 #include "once/once_xdr.h"
 
 #define MS_PER_S 1000
-#define ONCE_RPC_MS 100 /* bound on one call */
+#define ONCE_RPC_MS 100 /* all tries of a call together */
 #define ONCE_RPC_TRIES 2
-#define ONCE_BOUND_MS 1000 /* within which a claim is made, or is not */
+#define ONCE_BOUND_MS 1000 /* a claim that takes longer is void */
 
 /* once_owner.c */
 void once_serve_claim(struct once *, const once_claim_arg *, once_claim_res *);
--- a/src/once/once_memory.c
+++ b/src/once/once_memory.c
@@ -4,7 +4,7 @@
 #include "once/once_memory.h"
 
 #define CAP_MIN 64
-#define LOAD_NUM 3 /* a table is at most 3/4 full */
+#define LOAD_NUM 3 /* the table is at most LOAD_NUM / LOAD_DEN full */
 #define LOAD_DEN 4
 
 static size_t home(const struct once_memory *, const struct once_id *);
@@ -16,7 +16,7 @@
 static void place(struct once_memory *, const struct memory_cell *);
 
 /*
- * Prepares an empty memory.
+ * Initialises an empty memory.
  */
 void
 memory_init(struct once_memory *m, struct memory_budget *budget)
@@ -35,7 +35,7 @@
 }
 
 /*
- * Forgets all ids.
+ * Removes all ids and returns the cells to the budget.
  */
 void
 memory_clear(struct once_memory *m)
@@ -48,21 +48,21 @@
 }
 
 /*
- * Returns the place at which the search for an id begins.
+ * Returns the index at which the search for an id begins.
  */
 static size_t
 home(const struct once_memory *m, const struct once_id *id)
 {
 	uint64_t h;
 
-	/* The first half chose the partition. */
+	/* The first half of the id selects the partition. */
 	memcpy(&h, &id->byte[sizeof(h)], sizeof(h));
 	return (size_t)h & (m->cap - 1);
 }
 
 /*
- * Finds an id's cell, or the free one where the search ends, or NULL in an
- * empty table.
+ * Returns the cell of an id, or else the free cell where the search ended,
+ * or NULL in an empty table.
  */
 static struct memory_cell *
 find(const struct once_memory *m, const struct once_id *id)
@@ -79,18 +79,18 @@
 }
 
 /*
- * Tells whether a cell still has to be kept.
+ * Returns whether a cell is claimed and within its window.
  */
 static int
 is_alive(const struct memory_cell *c, uint32_t now_s)
 {
-	/* Times are whole seconds: one more makes the window full. */
+	/* Times are rounded down to seconds; one more completes the window. */
 	return c->state == MEMORY_CLAIMED &&
 	       (now_s <= c->time_s || now_s - c->time_s <= ONCE_WINDOW_S + 1);
 }
 
 /*
- * Takes cells from a budget.  Returns 0, or -1 if there are too few.
+ * Takes n cells from a budget.  Returns 0, or -1 if too few are left.
  */
 static int
 budget_take(struct memory_budget *b, size_t n)
@@ -105,7 +105,7 @@
 }
 
 /*
- * Puts a cell into a table known to have room and not to have the id.
+ * Adds a cell to a table that has room and doesn't contain its id.
  */
 static void
 place(struct once_memory *m, const struct memory_cell *c)
@@ -115,8 +115,9 @@
 }
 
 /*
- * Drops what has passed its window, and makes room for one more id.
- * Returns 0, or -1 if the budget doesn't allow it.
+ * Moves the cells within their window to a new table that has room for one
+ * more id.  Returns 0, or -1 if the budget or the memory of the process is
+ * exhausted.
  */
 static int
 rebuild(struct once_memory *m, uint32_t now_s)
@@ -148,7 +149,7 @@
 }
 
 /*
- * Tells whether an id is there, and by whom.
+ * Returns whether an id is stored, and whether by this attempt.
  */
 enum memory_result
 memory_look(const struct once_memory *m, const struct once_id *id,
@@ -162,7 +163,7 @@
 }
 
 /*
- * Adds an id claimed at time_s, unless it is there.
+ * Adds an id that was claimed at time_s, unless it is stored already.
  */
 enum memory_result
 memory_add(struct once_memory *m, const struct once_id *id, uint64_t attempt,
@@ -191,8 +192,8 @@
 }
 
 /*
- * Notes an id at the standby.  If another attempt noted it before, neither
- * can take it back any more.  Returns 0, or -1 if there is no room.
+ * Adds an id at the standby.  If another attempt has added it before,
+ * neither can release it any more.  Returns 0, or -1 if there is no room.
  */
 int
 memory_note(struct once_memory *m, const struct once_id *id, uint64_t attempt,
@@ -216,8 +217,7 @@
 }
 
 /*
- * Forgets an id if it was claimed by this attempt.  Returns 0, or -1 if it
- * was not.
+ * Removes an id if this attempt claimed it.  Returns 0, or -1 if it did not.
  */
 int
 memory_release(
@@ -233,8 +233,8 @@
 }
 
 /*
- * Copies up to max cells that have to be kept, from *pos on, and moves it.
- * Returns how many; 0 at the end.
+ * Copies up to max cells within their window, from index *pos on, and
+ * advances *pos.  Returns the number copied, 0 at the end of the table.
  */
 size_t
 memory_page(const struct once_memory *m, size_t *pos, uint32_t now_s,
--- a/src/once/once_memory.h
+++ b/src/once/once_memory.h
@@ -6,7 +6,7 @@
 #include <stdint.h>
 
 #define ONCE_ID_SIZE 16
-#define ONCE_WINDOW_S 600 /* for how long an id is remembered */
+#define ONCE_WINDOW_S 600 /* how long an id is stored after its claim */
 
 struct once_id {
 	uint8_t byte[ONCE_ID_SIZE];
@@ -20,19 +20,19 @@
 
 struct memory_cell {
 	struct once_id id;
-	uint64_t attempt; /* 0: can't be released any more */
-	uint32_t time_s;
-	uint32_t state;
+	uint64_t attempt; /* that claimed it; 0: it can't be released */
+	uint32_t time_s;  /* of the claim */
+	uint32_t state;	  /* enum memory_state */
 };
 
-/* Cells that all memories of a node may have together. */
+/* The number of cells that a node's memories may still allocate. */
 struct memory_budget {
 	atomic_size_t left;
 };
 
 /*
- * Ids claimed in one partition: a hash table with linear probing.  Cells
- * are dropped only once their window has passed.
+ * The ids claimed in one partition: a hash table with linear probing.  A
+ * claimed id is dropped only after ONCE_WINDOW_S.
  */
 struct once_memory {
 	struct memory_budget *budget;
@@ -43,10 +43,10 @@
 };
 
 enum memory_result {
-	MEMORY_ADDED, /* or, when looked for, not there */
-	MEMORY_SAME,  /* already there, by the same attempt */
-	MEMORY_OTHER, /* already there, by another attempt */
-	MEMORY_FULL
+	MEMORY_ADDED, /* from memory_look(): not stored */
+	MEMORY_SAME,  /* stored already, by the same attempt */
+	MEMORY_OTHER, /* stored already, by another attempt */
+	MEMORY_FULL   /* no room left in the budget */
 };
 
 void memory_init(struct once_memory *, struct memory_budget *);
--- a/src/once/once_owner.c
+++ b/src/once/once_owner.c
@@ -8,8 +8,8 @@
     struct once *, struct once_part *, const once_claim_arg *, uint64_t);
 
 /*
- * Tells whether this node was the standby of the term that a lease replaced,
- * and was sent the whole memory for it.
+ * Returns whether this node was the standby of the term before this tenure,
+ * and received the whole memory in it.
  */
 static int
 was_whole(const struct once_part *p, const struct lease_view *v)
@@ -18,8 +18,8 @@
 }
 
 /*
- * Tells whether a locked partition knows all ids that were first before a
- * lease, so that its owner need not wait until the one before has stopped.
+ * Returns whether a locked partition has all ids that were claimed before a
+ * lease.  The owner then need not wait until its predecessor has stopped.
  */
 int
 once_succeeds(const struct once_part *p, const struct lease_view *v)
@@ -28,10 +28,10 @@
 }
 
 /*
- * Brings a locked partition to the lease of this node.  Its memory has all
- * ids that were first under the lease before, if this node was that one's
- * standby and was sent the whole of it; or if there was none before.
- * Returns 0, or -1 if the lease is older than the memory.
+ * Updates a locked partition to the lease of this node.  The memory has all
+ * ids claimed under the lease before if this node was its standby and
+ * received the whole memory, or if there was no lease before.  Returns 0, or
+ * -1 if the lease is older than the partition's state.
  */
 int
 once_enter(struct once_part *p, const struct lease_view *v)
@@ -53,8 +53,9 @@
 }
 
 /*
- * Tells whether an id that isn't remembered can't have been first before:
- * all of its window is remembered, or it was made after the memory began.
+ * Returns whether an id that isn't stored can't have been claimed before:
+ * the memory covers a whole window, or the id was made after the memory
+ * began.
  */
 static int
 is_new(const struct once_part *p, uint64_t stamp_ms, uint64_t now_ms,
@@ -64,13 +65,13 @@
 
 	if (age >= (int64_t)ONCE_WINDOW_S * MS_PER_S)
 		return 1;
-	/* Two clocks are involved: the one that saw it first, and ours. */
+	/* The clocks of the earlier owner and this node may both be off. */
 	return stamp_ms != 0 &&
 	       (int64_t)stamp_ms > (int64_t)wall_ms - age + 2 * ONCE_CLOCK_MS;
 }
 
 /*
- * Reserves an id in a locked partition of this node's own.
+ * Reserves an id in a locked partition that this node owns.
  */
 static once_status
 reserve(struct once *o, struct once_part *p, const once_claim_arg *arg,
@@ -90,7 +91,7 @@
 		return ONCE_CLAIMED;
 	if (res == MEMORY_ADDED && !is_new(p, stamp, now_ms, wall))
 		return ONCE_NOT_KNOWN;
-	/* What was made longer ago may have been first and forgotten. */
+	/* An older id may have been claimed and dropped since. */
 	if (stamp != 0 && stamp + window < wall + 2 * ONCE_CLOCK_MS)
 		return ONCE_NOT_KNOWN;
 	if (memory_add(&p->memory, &id, arg->attempt, now_s, now_s) ==
@@ -100,8 +101,8 @@
 }
 
 /*
- * Serves a claim.  The answer names the term and the standby that has to
- * note the id before the claim counts.
+ * Serves a claim.  The response has the term, and the standby that has to
+ * note the id before the claim is valid.
  */
 void
 once_serve_claim(struct once *o, const once_claim_arg *arg, once_claim_res *res)
@@ -135,7 +136,7 @@
 }
 
 /*
- * Forgets an id whose request was not run, if that attempt claimed it.
+ * Removes an id whose request was not run, if that attempt claimed it.
  */
 void
 once_serve_release(
--- a/src/once/once_standby.c
+++ b/src/once/once_standby.c
@@ -3,7 +3,7 @@
 #include "base/age.h"
 #include "once/once_int.h"
 
-#define COPY_RETRY_MS 200 /* after a copy that failed */
+#define COPY_RETRY_MS 200 /* after the start of a copy that failed */
 
 static int is_standby(struct once *, uint32_t, uint64_t, uint64_t);
 static int enter_standby(struct once_part *, uint64_t, uint64_t);
@@ -13,8 +13,8 @@
 static void forget(struct once *, uint32_t, const struct lease_view *);
 
 /*
- * Tells whether this node may be the standby in a term: it knows of no
- * newer one, and of no other standby in it.
+ * Returns whether this node may act as the standby in a term: it knows of no
+ * newer term, and of no other standby in this one.
  */
 static int
 is_standby(struct once *o, uint32_t part, uint64_t term, uint64_t now_ms)
@@ -28,8 +28,9 @@
 }
 
 /*
- * Brings a locked partition to a term in which this node is the standby.
- * Returns 0, or -1 if it has acted under a newer one, or as its owner.
+ * Updates a locked partition to a term in which this node is the standby.
+ * Returns 0, or -1 if the node has acted as standby in a newer term, or as
+ * owner in this one or a newer one.
  */
 static int
 enter_standby(struct once_part *p, uint64_t term, uint64_t now_ms)
@@ -45,8 +46,8 @@
 }
 
 /*
- * Notes an id for the owner of a term, so that this node knows it when it
- * takes the partition over.
+ * Records an id for the owner of a term, so that this node knows the id if
+ * it takes the partition over.
  */
 void
 once_serve_note(struct once *o, const once_note_arg *arg, once_note_res *res)
@@ -70,7 +71,8 @@
 }
 
 /*
- * Takes a page of the owner's memory; the last one makes it whole.
+ * Adds a page of the owner's memory.  After the last page the memory is
+ * complete.
  */
 void
 once_serve_copy(struct once *o, const once_copy_arg *arg, once_copy_res *res)
@@ -105,9 +107,9 @@
 }
 
 /*
- * Fills the next page for the standby of a lease.  Claims that come later
- * are noted there by their entries.  Returns 1 if there is a page, or 0 if
- * the lease has passed or the copy is to be begun again.
+ * Fills the next page of the copy to a lease's standby.  Entries have the
+ * standby note later claims.  Returns 1 if there is a page, or 0 if the
+ * lease has been replaced or the table rebuilt since the first page.
  */
 static int
 next_page(struct once *o, uint32_t part, const struct lease_view *v,
@@ -146,8 +148,8 @@
 }
 
 /*
- * Sends the whole memory of a partition to the standby.  If that fails, or
- * the table is rebuilt meanwhile, it has to be done again.
+ * Copies the memory of a partition to the standby.  If that fails, or the
+ * table is rebuilt during the copy, the copy has to be restarted.
  */
 static void
 copy_part(struct once *o, uint32_t part, const struct lease_view *v)
@@ -174,7 +176,8 @@
 }
 
 /*
- * Frees the memory of a partition that this node long has had no part in.
+ * Frees the memory of a partition of which this node is neither owner nor
+ * standby, once it is unused for longer than ONCE_WINDOW_S.
  */
 static void
 forget(struct once *o, uint32_t part, const struct lease_view *v)
@@ -196,8 +199,8 @@
 }
 
 /*
- * Sends the memories of this node's partitions to standbys that have not
- * got them yet.
+ * Copies the memories of the partitions that this node owns to the standbys
+ * that don't have them yet.
  */
 void
 once_copy_all(struct once *o)
--- a/src/once/test_fleet.c
+++ b/src/once/test_fleet.c
@@ -11,9 +11,10 @@
 #include "once/once.h"
 
 /*
- * Drives the decisions of leases, limits and ids together on clocks of
- * their own, through freezes, cuts, kills, lost and late messages and log
- * outages, and checks after each step what must never happen.
+ * Simulates leases, limits and request ids of a fleet together, each node
+ * with its own clock.  Injects suspended nodes, network cuts, restarts, lost
+ * and late messages, and log outages.  After each step it checks that the
+ * invariants named at test_fleet() hold.
  */
 #define NODES 4
 #define PART 0
@@ -34,12 +35,13 @@
 	struct once once;
 	uint64_t frozen_until;
 	uint64_t born;
-	double speed; /* of its clock */
-	int64_t wall; /* error of its wall clock (ms) */
+	double speed; /* of its clock, relative to now_us */
+	int64_t wall; /* offset of its wall clock (ms) */
 	int log_cut;
-	int busy; /* in the midst of a step or a call */
+	int busy; /* a step or a call runs on it */
 };
 
+/* A message, or a log record, that arrives later. */
 struct late {
 	uint64_t at;
 	struct node_id to;
@@ -49,14 +51,14 @@
 };
 
 static struct sim_node nodes[NODES];
-static struct sim_node *current; /* whose code runs */
+static struct sim_node *current; /* the node whose code runs */
 static char *records[RECORDS_MAX];
 static uint64_t log_first, log_next, now_us, log_down_until;
 static uint64_t incarnations, first_at[IDS], firsts, admits, terms;
 static struct late lates[LATE_MAX];
 static struct limits_workspace workspace;
 static int cut[NODES][NODES], nested;
-static double most; /* of admitted - rate x time */
+static double most; /* least value of admits - rate * time */
 
 static void step(void);
 
@@ -88,7 +90,7 @@
 	return WALL_MS + now_us / 1000 + (uint64_t)current->wall;
 }
 
-/* Stands the running node still, while the others go on. */
+/* Suspends the current node while the others go on. */
 static void
 freeze(uint64_t ms)
 {
@@ -105,7 +107,10 @@
 	current = me;
 }
 
-/* Freezes now and then, at a point where that is most awkward. */
+/*
+ * Suspends the current node with a small probability, where a delay could do
+ * the most harm.
+ */
 static void
 maybe_freeze(void)
 {
@@ -113,7 +118,7 @@
 		freeze(pick(2) ? pick(6000) : pick(60000));
 }
 
-/* Looks a partition up in the table of the node that is the context. */
+/* Looks a partition up in the lease table of the node in ctx. */
 static void
 lookup(void *ctx, uint32_t part, uint64_t now, struct lease_view *v)
 {
@@ -123,7 +128,7 @@
 	maybe_freeze();
 }
 
-/* Keeps a message or a record to arrive later. */
+/* Schedules a message or a log record to arrive later. */
 static void
 postpone(const struct node_id *to, const struct rpc_proc *p, const void *arg,
     char *record)
@@ -141,7 +146,7 @@
 	}
 }
 
-/* Finds a node that one can talk to, or NULL. */
+/* Returns the node with this id, or NULL if it is unreachable. */
 static struct sim_node *
 reach(const struct sim_node *from, const struct node_id *to)
 {
@@ -171,7 +176,7 @@
 	current = me;
 }
 
-/* Calls a node; the call or its answer may be lost, late or doubled. */
+/* Calls a node.  The call or its answer may be lost, late or duplicated. */
 static enum rpc_status
 call(void *ctx, const struct node_id *to, const struct rpc_proc *p,
     const void *arg, void *res, uint32_t timeout_ms)
@@ -197,7 +202,7 @@
 	return RPC_DONE;
 }
 
-/* All nodes have the same configuration. */
+/* Looks up the one workspace, which all nodes have. */
 static int
 find_ws(void *ctx, uint64_t hash, struct limits_workspace *ws)
 {
@@ -206,7 +211,7 @@
 	return hash == workspace.hash ? 0 : -1;
 }
 
-/* Puts a new process in place of a node. */
+/* Replaces a node by a new process. */
 static void
 start(struct sim_node *n)
 {
@@ -242,7 +247,7 @@
 	once_init(&n->once, &oc);
 }
 
-/* Makes a record the next one of the log. */
+/* Appends a record to the log. */
 static void
 write_record(char *text)
 {
@@ -250,7 +255,7 @@
 	records[log_next++] = text;
 }
 
-/* Appends a record; returns whether it is or may yet be in the log. */
+/* Appends a record, at once or late.  Returns 0 if it was lost, else 1. */
 static int
 append(char *text)
 {
@@ -289,7 +294,7 @@
 		memset(&m[i], 0, sizeof(m[i]));
 		m[i].id = nodes[i].id;
 		m[i].domain = (uint32_t)i % 2;
-		/* Now and then, a live member is taken for dead. */
+		/* Sometimes a live member is considered dead. */
 		m[i].alive = &nodes[i] == n ||
 			     (reach(n, &nodes[i].id) != NULL && pick(100));
 		m[i].age_ms = (now_us - nodes[i].born) / 1000;
@@ -297,7 +302,7 @@
 	return NODES;
 }
 
-/* Reads, decides and appends, and writes a snapshot now and then. */
+/* Reads the log, decides and appends claims, and sometimes a snapshot. */
 static void
 run_log(struct sim_node *n)
 {
@@ -330,7 +335,7 @@
 		log_first = snap;
 }
 
-/* Asks the standby for its promise. */
+/* Renews the standby's promise to the owner. */
 static void
 run_beat(struct sim_node *n)
 {
@@ -347,7 +352,7 @@
 	lease_promise(&n->table, PART, term, sent);
 }
 
-/* One caller's request: the limit, then its id. */
+/* Runs a request of one caller: asks the limit, then claims its id. */
 static void
 run_request(struct sim_node *n)
 {
@@ -378,7 +383,7 @@
 	    (unsigned int)((WALL_MS + stamps[i] / 1000) & 0xffff),
 	    i % 2 == 0 ? '7' : '4', (unsigned int)i);
 	once_key(&key, "acme", id);
-	key.id.byte[0] = PART; /* bring all into one partition */
+	key.id.byte[0] = PART; /* put all ids into one partition */
 	memset(&key.id.byte[1], 0, 7);
 	if (once_claim(&n->once, &key, &c) != ONCE_FIRST)
 		return;
@@ -394,7 +399,7 @@
 	first_at[i] = now_us;
 }
 
-/* Changes what is broken. */
+/* Starts or ends faults at random. */
 static void
 run_faults(void)
 {
@@ -418,7 +423,7 @@
 	}
 }
 
-/* Checks that at most one node may act for the partition. */
+/* Checks that at most one node holds the lease of the partition. */
 static void
 check_owners(void)
 {
@@ -435,7 +440,7 @@
 		fail_msg("%d owners at %" PRIu64 " us", held, now_us);
 }
 
-/* Lets some time pass, and every node do its work. */
+/* Advances the time by one step and runs every node. */
 static void
 step(void)
 {
@@ -512,8 +517,9 @@
 }
 
 /*
- * No two owners at once, nothing admitted over rate and burst, no id first
- * twice.  FLEET_SEED runs one seed only.
+ * At no time are there two owners, nothing is admitted above rate and burst,
+ * and no id is claimed twice.  The environment variable FLEET_SEED selects a
+ * single seed.
  */
 static void
 test_fleet(void **state)
--- a/src/once/test_once.c
+++ b/src/once/test_once.c
@@ -14,13 +14,13 @@
 #define WALL_MS UINT64_C(1700000000000)
 #define WINDOW_MS (ONCE_WINDOW_S * UINT64_C(1000))
 
-/* Each node has its own view of the one lease that all partitions share. */
+/* All partitions share one lease, of which each node has its own view. */
 static struct once nodes[NODES];
 static struct lease_view views[NODES];
 static uint64_t now_ms;
 static int down[NODES];
 static int lose_answers;
-static uint64_t slow_ms; /* that a call takes */
+static uint64_t slow_ms; /* duration of a call */
 
 static uint64_t fake_clock(void);
 static uint64_t fake_wall(void);
@@ -36,7 +36,7 @@
 static enum once_verdict claim(int, const struct once_key *);
 
 /*
- * Returns the time of the tests (ms).
+ * Returns the simulated clock (ms).
  */
 static uint64_t
 fake_clock(void)
@@ -45,7 +45,7 @@
 }
 
 /*
- * Returns the wall clock of the tests (ms).
+ * Returns the simulated wall clock (ms).
  */
 static uint64_t
 fake_wall(void)
@@ -54,7 +54,7 @@
 }
 
 /*
- * Returns the name of node i; -1 is none.
+ * Returns the id of node i, or that of no node if i is -1.
  */
 static struct node_id
 node(int i)
@@ -66,7 +66,7 @@
 }
 
 /*
- * Looks into the view of the node that is the context.
+ * Returns the view of the node in ctx.
  */
 static void
 lookup(void *ctx, uint32_t part, uint64_t now, struct lease_view *v)
@@ -80,7 +80,7 @@
 }
 
 /*
- * Calls another node directly, unless it is down.
+ * Calls another node directly, or times out if it is down.
  */
 static enum rpc_status
 call(void *ctx, const struct node_id *to, const struct rpc_proc *p,
@@ -99,8 +99,7 @@
 }
 
 /*
- * Shows a lease, in effect from now on, to all nodes but those that are
- * down.
+ * Sets a lease, effective now, in the views of all nodes that are not down.
  */
 static void
 lease(uint64_t term, uint64_t tenure, int owner, int standby, int first)
@@ -124,7 +123,7 @@
 }
 
 /*
- * Starts the nodes, with node 0 as the first owner and 1 as its standby.
+ * Initialises the nodes.  Node 0 is the first owner and node 1 its standby.
  */
 static int
 setup(void **state)
@@ -150,7 +149,7 @@
 }
 
 /*
- * Ends the nodes.
+ * Frees the nodes.
  */
 static int
 teardown(void **state)
@@ -164,7 +163,7 @@
 }
 
 /*
- * Returns the key of the i-th id, which says nothing of its time.
+ * Returns the key of the i-th id, which contains no time.
  */
 static struct once_key
 key(int i)
@@ -178,7 +177,7 @@
 }
 
 /*
- * Returns the key of the i-th time-ordered id, made at a time of the tests.
+ * Returns the key of the i-th UUID of version 7, made at a simulated time.
  */
 static struct once_key
 key_v7(int i, uint64_t at_ms)
@@ -207,7 +206,7 @@
 }
 
 /*
- * An id is first once; equal ids of two workspaces are two ids.
+ * An id is claimed once.  Equal ids of two workspaces are different ids.
  */
 static void
 test_first_once(void **state)
@@ -223,7 +222,7 @@
 }
 
 /*
- * Which ids are taken for time-ordered ones.
+ * Only UUIDs of version 7 have a time.
  */
 static void
 test_stamps(void **state)
@@ -252,7 +251,8 @@
 }
 
 /*
- * After a takeover the standby knows every id, and stays complete.
+ * After a takeover the former standby has every id, and passes all of them
+ * on to the next standby.
  */
 static void
 test_takeover(void **state)
@@ -276,7 +276,7 @@
 	}
 	k = key(i);
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
-	/* The next standby is sent all of it. */
+	/* The next standby receives the whole memory. */
 	assert_false(once_standby_ready(&nodes[1], 7));
 	once_maintain(&nodes[1]);
 	assert_true(once_standby_ready(&nodes[1], 7));
@@ -291,8 +291,9 @@
 }
 
 /*
- * A standby that becomes the owner serves at once what it was sent whole,
- * also entries that don't know of it; otherwise it waits for its lease.
+ * A standby that becomes the owner serves at once if it received the whole
+ * memory, also for entries that don't know its lease.  Otherwise it serves
+ * nothing until its lease is in effect.
  */
 static void
 test_succession(void **state)
@@ -306,7 +307,7 @@
 		assert_int_equal(claim(2, &old), ONCE_FIRST);
 		if (whole)
 			once_maintain(&nodes[0]);
-		down[2] = down[0] = 1; /* they don't see the new lease */
+		down[2] = down[0] = 1; /* they don't learn of the new lease */
 		lease(2, 2, 1, 3, 0);
 		down[2] = down[0] = 0;
 		views[1].until_ms = 0;
@@ -327,7 +328,7 @@
 }
 
 /*
- * A claim waits for a lease, and no longer than it may.
+ * A claim waits for an owner, but not longer than its limit.
  */
 static void
 test_claim_waits(void **state)
@@ -342,15 +343,16 @@
 	assert_true(now_ms >= START_MS + 900);
 	assert_true(now_ms <= START_MS + 1500);
 	down[0] = down[1] = 0;
-	lose_answers = 2 * ONCE_RPC_TRIES; /* reserved for nothing so far */
+	lose_answers = 2 * ONCE_RPC_TRIES; /* reserved, but not claimed */
 	assert_int_equal(once_claim_wait(&nodes[2], &k, 1000, &c), ONCE_FIRST);
 	once_maintain(&nodes[2]);
 	assert_int_equal(claim(3, &k), ONCE_SEEN);
 }
 
 /*
- * A standby that was not sent the whole memory can't tell old ids; those
- * made after its time began are new, but for the clocks' allowance.
+ * An owner that did not receive the whole memory can't judge ids without a
+ * time.  An id made after its lease began is new, with a margin for clock
+ * skew.
  */
 static void
 test_young_memory(void **state)
@@ -374,13 +376,13 @@
 	assert_int_equal(claim(2, &v), ONCE_UNAVAILABLE);
 	now_ms += WINDOW_MS - 20000;
 	assert_int_equal(claim(2, &b), ONCE_FIRST);
-	/* Time-ordered ids older than the window are never first. */
+	/* Ids with a time before the window can't be claimed. */
 	v = key_v7(3, now_ms - WINDOW_MS + 2 * ONCE_CLOCK_MS - 1);
 	assert_int_equal(claim(2, &v), ONCE_UNKNOWN);
 }
 
 /*
- * Without the standby's note, an id is not claimed, and can be later.
+ * Without the standby's note an id is not claimed, and can be claimed later.
  */
 static void
 test_no_note(void **state)
@@ -393,13 +395,13 @@
 	down[1] = 0;
 	once_maintain(&nodes[2]);
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
-	/* A lost answer costs a second try, not a second claim. */
+	/* A lost answer causes a second call, not a second claim. */
 	k = key(2);
 	lose_answers = 1;
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 	assert_int_equal(claim(2, &k), ONCE_SEEN);
 	lease(2, 1, 0, -1, 1);
-	/* With no standby none has to note it, and no successor is whole. */
+	/* Without a standby none has to note it; no successor is complete. */
 	k = key(3);
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 	assert_int_equal(claim(1, &k), ONCE_SEEN);
@@ -410,7 +412,7 @@
 }
 
 /*
- * A claim whose answers come late, as after a freeze, counts for nothing.
+ * A claim fails if its answers come late, as when the entry was suspended.
  */
 static void
 test_late_answers(void **state)
@@ -426,7 +428,8 @@
 }
 
 /*
- * A release frees an id for its own attempt only, also when it is late.
+ * A release removes an id only for the attempt that claimed it, also if it
+ * arrives late.
  */
 static void
 test_release(void **state)
@@ -449,8 +452,8 @@
 }
 
 /*
- * A note or a page for a term that has passed is refused: the node that
- * noted it might decide already.
+ * A note or a page of a past term is refused, since the node that received
+ * it might already serve as owner.
  */
 static void
 test_late_notes(void **state)
@@ -465,7 +468,7 @@
 	(void)state;
 	once_maintain(&nodes[0]);
 	lease(2, 2, 1, 3, 0);
-	views[0] = old; /* was frozen: believes to be the owner yet */
+	views[0] = old; /* suspended, still believes it is the owner */
 	memcpy(note.id, k.id.byte, sizeof(note.id));
 	once_serve_note(&nodes[1], &note, &noted);
 	assert_false(noted.noted);
@@ -474,11 +477,11 @@
 	views[2].owner = node(0);
 	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
 	assert_int_equal(claim(3, &k), ONCE_FIRST);
-	/* Also if the node's own view is behind what it has decided. */
+	/* The same if the node's view is older than its last decisions. */
 	views[1] = stale;
 	once_serve_note(&nodes[1], &note, &noted);
 	assert_false(noted.noted);
-	/* A term not yet read is taken on the owner's word. */
+	/* A term that the node hasn't read yet is accepted from the owner. */
 	note.term = 9;
 	once_serve_note(&nodes[2], &note, &noted);
 	assert_true(noted.noted);
@@ -488,8 +491,8 @@
 }
 
 /*
- * An owner whose view is behind what it has sent to a new standby reserves
- * nothing under the old term.
+ * An owner that has copied its memory to the standby of a newer term
+ * reserves nothing when its view falls back to the old term.
  */
 static void
 test_stale_owner_view(void **state)
@@ -509,8 +512,8 @@
 }
 
 /*
- * Memory is bounded: when full, new ids are refused and old ones kept until
- * their window has passed.
+ * The memory is bounded.  When it is full, new ids are refused and stored
+ * ids are retained until their window has passed.
  */
 static void
 test_memory_bound(void **state)
