--- a/src/once/once.c
+++ b/src/once/once.c
@@ -10,7 +10,7 @@
 #define UUID_TIME_DIGITS 12
 
 static uint64_t wall_ms(void);
-static uint64_t uuid_stamp(const char *);
+static uint64_t uuid_time_ms(const char *);
 static int handle_claim(
     void *, const struct sockaddr_in *, const void *, void *);
 static int handle_note(
@@ -89,7 +89,7 @@
  * one.
  */
 static uint64_t
-uuid_stamp(const char *s)
+uuid_time_ms(const char *s)
 {
 	uint64_t stamp = 0;
 	int i, digits = 0;
@@ -126,7 +126,7 @@
 	    &st, (const unsigned char *)workspace, strlen(workspace) + 1);
 	crypto_generichash_update(&st, (const unsigned char *)id, strlen(id));
 	crypto_generichash_final(&st, key->id.byte, sizeof(key->id.byte));
-	key->stamp_ms = uuid_stamp(id);
+	key->stamp_ms = uuid_time_ms(id);
 }
 
 /*
@@ -143,13 +143,13 @@
 
 /*
  * Sends the queued releases, and copies memories to new standbys.  One
- * control thread must call it every ONCE_TICK_MS.
+ * control thread must call it every ONCE_MAINTAIN_INTERVAL_MS.
  */
 void
 once_maintain(struct once *o)
 {
 	once_send_releases(o);
-	once_copy_all(o);
+	once_copy_memories(o);
 }
 
 /*
@@ -165,7 +165,7 @@
 
 	o->cfg.lookup(o->cfg.lookup_ctx, part, o->cfg.clock_ms(), &v);
 	pthread_mutex_lock(&o->part[part].lock);
-	ready = o->part[part].copied == v.term;
+	ready = o->part[part].copied_term == v.term;
 	pthread_mutex_unlock(&o->part[part].lock);
 	return ready;
 }
@@ -190,7 +190,7 @@
 			    " whole=%d\n",
 			    i, p->memory.used, p->memory.cap, p->tenure,
 			    p->tenure != 0 ? now - p->since_ms : 0,
-			    p->standby_term, p->whole);
+			    p->standby_term, p->copy_complete);
 		pthread_mutex_unlock(&p->lock);
 	}
 }
--- a/src/once/once.h
+++ b/src/once/once.h
@@ -15,10 +15,10 @@
  * partition and has the standby note it.  See docs/LEASES.md for why no id
  * can be claimed twice.
  */
-#define ONCE_CLOCK_MS 5000    /* largest difference of two wall clocks */
-#define ONCE_WAIT_MS 2500     /* for an owner, since one was first missing */
-#define ONCE_TICK_MS 20	      /* interval of once_maintain() */
-#define ONCE_CELLS_MAX 262144 /* ids that a node stores, 32 bytes each */
+#define ONCE_CLOCK_SKEW_MAX_MS 5000 /* between two wall clocks */
+#define ONCE_WAIT_MS 2500 /* for an owner, since one was first missing */
+#define ONCE_MAINTAIN_INTERVAL_MS 20 /* interval of once_maintain() */
+#define ONCE_CELLS_MAX 262144	     /* ids that a node stores, 32 bytes each */
 
 enum once_verdict {
 	ONCE_FIRST,	  /* claimed: the request may run */
@@ -69,18 +69,18 @@
 
 /* The state of one partition at a node. */
 struct once_part {
-	pthread_mutex_t lock; /* guards all fields below but down_ms */
+	pthread_mutex_t lock; /* guards all fields below but owner_missing_ms */
 	struct once_memory memory;
-	uint64_t term;		/* newest term in which it acted as owner */
-	uint64_t tenure;	/* that since_ms is valid for; 0: none */
-	int64_t since_ms;	/* the memory has all ids claimed since */
-	uint64_t copied;	/* term whose standby has the whole memory */
-	uint64_t standby_term;	/* newest term in which it acted as standby */
-	int whole;		/* standby_term's owner sent its whole memory */
-	int64_t whole_since_ms; /* that memory has all ids claimed since */
-	uint64_t used_ms;	/* last claim, note or copy */
-	uint64_t retry_ms;	/* earliest start of the next copy */
-	atomic_ullong down_ms;	/* no owner has answered since; 0: one has */
+	uint64_t term;	       /* newest term in which it acted as owner */
+	uint64_t tenure;       /* that since_ms is valid for; 0: none */
+	int64_t since_ms;      /* the memory has all ids claimed since */
+	uint64_t copied_term;  /* term whose standby has the whole memory */
+	uint64_t standby_term; /* newest term in which it acted as standby */
+	int copy_complete;     /* standby_term's owner sent its whole memory */
+	int64_t copy_since_ms; /* that memory has all ids claimed since */
+	uint64_t last_used_ms; /* last claim, note or copy */
+	uint64_t next_copy_ms; /* earliest start of the next copy */
+	atomic_ullong owner_missing_ms; /* no answer since; 0: answered */
 };
 
 #define ONCE_RELEASES_MAX 1024
--- a/src/once/once_entry.c
+++ b/src/once/once_entry.c
@@ -4,26 +4,27 @@
 #include "base/clock.h"
 #include "once/once_int.h"
 
-#define RELEASES_PER_TICK 64
-#define TRIES_LEFT_MAX 4
-#define PAUSE_US 20000 /* between two tries of a claim */
+#define RELEASES_PER_MAINTAIN 64
+#define RESERVATIONS_MAX 4
+#define CLAIM_RETRY_US 20000 /* between two tries of a claim */
 
 /* The outcome of the earlier tries of one claim. */
-struct tries {
-	struct once_claim list[TRIES_LEFT_MAX]; /* possible reservations */
+struct claim_tries {
+	/* Reservations that nodes may hold after failed tries. */
+	struct once_claim reservations[RESERVATIONS_MAX];
 	size_t count;
-	int final; /* the owner refused; a retry would be refused too */
+	int refused; /* the owner refused; a retry would be refused too */
 };
 
-static void leave_behind(struct tries *, const struct once_claim *);
-static once_status ask_owner(struct once *, const struct once_key *,
-    struct once_claim *, uint64_t *, struct tries *);
-static enum once_verdict try_owner(struct once *, const struct once_key *,
-    struct once_claim *, struct tries *);
-static enum once_verdict try_claim(struct once *, const struct once_key *,
-    struct once_claim *, struct tries *);
-static int is_hopeful(struct once *, struct once_part *);
-static int ask_standby(struct once *, const struct once_claim *, uint64_t);
+static void add_reservation(struct claim_tries *, const struct once_claim *);
+static once_status reserve_at_owner(struct once *, const struct once_key *,
+    struct once_claim *, uint64_t *, struct claim_tries *);
+static enum once_verdict claim_at_owner(struct once *, const struct once_key *,
+    struct once_claim *, struct claim_tries *);
+static enum once_verdict claim_at_owner_or_standby(struct once *,
+    const struct once_key *, struct once_claim *, struct claim_tries *);
+static int should_wait_for_owner(struct once *, struct once_part *);
+static int note_at_standby(struct once *, const struct once_claim *, uint64_t);
 static int pop_release(struct once *, struct once_claim *);
 
 /* The verdict for an owner's status, unless the claim succeeds. */
@@ -76,7 +77,7 @@
 		return p->handle(o, NULL, arg, res);
 	for (i = 0; i < ONCE_RPC_TRIES && st == RPC_TIMEOUT; i++)
 		st = o->cfg.call(o->cfg.call_ctx, to, p, arg, res,
-		    ONCE_RPC_MS / ONCE_RPC_TRIES);
+		    ONCE_RPC_TIMEOUT_MS / ONCE_RPC_TRIES);
 	if (st != RPC_DONE && o->cfg.kick != NULL)
 		o->cfg.kick(o->cfg.kick_ctx);
 	return st == RPC_DONE ? 0 : -1;
@@ -87,16 +88,16 @@
  * room, the id stays claimed.
  */
 static void
-leave_behind(struct tries *t, const struct once_claim *c)
+add_reservation(struct claim_tries *t, const struct once_claim *c)
 {
 	size_t i;
 
 	for (i = 0; i < t->count; i++)
-		if (nodeid_equal(&t->list[i].owner, &c->owner) &&
-		    nodeid_equal(&t->list[i].standby, &c->standby))
+		if (nodeid_equal(&t->reservations[i].owner, &c->owner) &&
+		    nodeid_equal(&t->reservations[i].standby, &c->standby))
 			return;
-	if (t->count < TRIES_LEFT_MAX)
-		t->list[t->count++] = *c;
+	if (t->count < RESERVATIONS_MAX)
+		t->reservations[t->count++] = *c;
 }
 
 /*
@@ -104,8 +105,8 @@
  * that has to note the id, and the term.
  */
 static once_status
-ask_owner(struct once *o, const struct once_key *key, struct once_claim *c,
-    uint64_t *term, struct tries *t)
+reserve_at_owner(struct once *o, const struct once_key *key,
+    struct once_claim *c, uint64_t *term, struct claim_tries *t)
 {
 	once_claim_arg arg = { .attempt = c->attempt,
 		.stamp_ms = key->stamp_ms };
@@ -116,7 +117,7 @@
 	memcpy(arg.id, key->id.byte, sizeof(arg.id));
 	if (once_call(o, &c->owner, ONCE_PROC_CLAIM, &arg, &res) == -1) {
 		/* The id may be reserved though the answer was lost. */
-		leave_behind(t, c);
+		add_reservation(t, c);
 		return ONCE_NOT_OWNER;
 	}
 	c->standby = once_node_unpack(&res.standby);
@@ -130,7 +131,7 @@
  * as complete, so no node has to note the id.
  */
 static int
-ask_standby(struct once *o, const struct once_claim *c, uint64_t term)
+note_at_standby(struct once *o, const struct once_claim *c, uint64_t term)
 {
 	once_note_arg arg = { .attempt = c->attempt, .term = term };
 	once_note_res res;
@@ -146,26 +147,26 @@
 
 /*
  * Claims an id at the node believed to be the owner.  A claim that takes
- * ONCE_BOUND_MS or longer fails.
+ * ONCE_CLAIM_TIMEOUT_MS or longer fails.
  */
 static enum once_verdict
-try_owner(struct once *o, const struct once_key *key, struct once_claim *c,
-    struct tries *t)
+claim_at_owner(struct once *o, const struct once_key *key, struct once_claim *c,
+    struct claim_tries *t)
 {
-	uint64_t began = o->cfg.clock_ms(), term = 0;
+	uint64_t started_ms = o->cfg.clock_ms(), term = 0;
 	once_status st;
 
-	st = ask_owner(o, key, c, &term, t);
+	st = reserve_at_owner(o, key, c, &term, t);
 	if ((size_t)st >= sizeof(verdicts) / sizeof(verdicts[0]))
 		return ONCE_UNAVAILABLE;
-	t->final = st == ONCE_FUTURE || st == ONCE_NO_ROOM;
+	t->refused = st == ONCE_FUTURE || st == ONCE_NO_ROOM;
 	if (st != ONCE_RESERVED)
 		return verdicts[st];
 	/* Ignore late answers: this thread may have been suspended. */
-	if (ask_standby(o, c, term) == 0 &&
-	    o->cfg.clock_ms() - began < ONCE_BOUND_MS)
+	if (note_at_standby(o, c, term) == 0 &&
+	    o->cfg.clock_ms() - started_ms < ONCE_CLAIM_TIMEOUT_MS)
 		return ONCE_FIRST;
-	leave_behind(t, c);
+	add_reservation(t, c);
 	return ONCE_UNAVAILABLE;
 }
 
@@ -174,8 +175,8 @@
  * have become the owner without this node having learnt of it.
  */
 static enum once_verdict
-try_claim(struct once *o, const struct once_key *key, struct once_claim *c,
-    struct tries *t)
+claim_at_owner_or_standby(struct once *o, const struct once_key *key,
+    struct once_claim *c, struct claim_tries *t)
 {
 	enum once_verdict verdict;
 	struct lease_view v;
@@ -184,13 +185,13 @@
 	    o->cfg.lookup_ctx, once_part(&key->id), o->cfg.clock_ms(), &v);
 	c->owner = v.owner;
 	c->standby = v.standby;
-	verdict = try_owner(o, key, c, t);
-	if (verdict != ONCE_UNAVAILABLE || t->final ||
+	verdict = claim_at_owner(o, key, c, t);
+	if (verdict != ONCE_UNAVAILABLE || t->refused ||
 	    nodeid_is_none(&v.standby))
 		return verdict;
 	c->owner = v.standby;
 	memset(&c->standby, 0, sizeof(c->standby));
-	return try_owner(o, key, c, t);
+	return claim_at_owner(o, key, c, t);
 }
 
 /*
@@ -198,14 +199,15 @@
  * than ONCE_WAIT_MS ago that an owner was first missing.
  */
 static int
-is_hopeful(struct once *o, struct once_part *p)
+should_wait_for_owner(struct once *o, struct once_part *p)
 {
 	uint64_t now = o->cfg.clock_ms();
-	unsigned long long none = 0;
+	unsigned long long missing_ms = 0;
 
-	if (atomic_compare_exchange_strong(&p->down_ms, &none, now))
-		none = now;
-	return now < none + ONCE_WAIT_MS &&
+	if (atomic_compare_exchange_strong(
+		&p->owner_missing_ms, &missing_ms, now))
+		missing_ms = now;
+	return now < missing_ms + ONCE_WAIT_MS &&
 	       (o->cfg.changing == NULL ||
 		   o->cfg.changing(o->cfg.changing_ctx));
 }
@@ -222,21 +224,24 @@
     struct once_claim *c)
 {
 	struct once_part *p = &o->part[once_part(&key->id)];
-	uint64_t until = o->cfg.clock_ms() + wait_ms;
-	struct tries t = { .count = 0 };
+	uint64_t until_ms = o->cfg.clock_ms() + wait_ms;
+	struct claim_tries t = { .count = 0 };
 	enum once_verdict v;
 	size_t i;
 
 	memset(c, 0, sizeof(*c));
 	c->id = key->id;
 	c->attempt = rand_u64() | 1;
-	while ((v = try_claim(o, key, c, &t)) == ONCE_UNAVAILABLE && !t.final &&
-	       o->cfg.clock_ms() + PAUSE_US / 1000 < until && is_hopeful(o, p))
-		usleep(PAUSE_US);
+	while ((v = claim_at_owner_or_standby(o, key, c, &t)) ==
+		   ONCE_UNAVAILABLE &&
+	       !t.refused &&
+	       o->cfg.clock_ms() + CLAIM_RETRY_US / 1000 < until_ms &&
+	       should_wait_for_owner(o, p))
+		usleep(CLAIM_RETRY_US);
 	if (v != ONCE_UNAVAILABLE)
-		atomic_store(&p->down_ms, 0);
+		atomic_store(&p->owner_missing_ms, 0);
 	for (i = 0; i < t.count && v != ONCE_FIRST; i++)
-		once_release(o, &t.list[i]);
+		once_release(o, &t.reservations[i]);
 	return v;
 }
 
@@ -282,7 +287,7 @@
 }
 
 /*
- * Sends up to RELEASES_PER_TICK queued releases.
+ * Sends up to RELEASES_PER_MAINTAIN queued releases.
  */
 void
 once_send_releases(struct once *o)
@@ -292,7 +297,7 @@
 	struct once_claim c;
 	int i;
 
-	for (i = 0; i < RELEASES_PER_TICK && pop_release(o, &c) == 0; i++) {
+	for (i = 0; i < RELEASES_PER_MAINTAIN && pop_release(o, &c) == 0; i++) {
 		memcpy(arg.id, c.id.byte, sizeof(arg.id));
 		arg.attempt = c.attempt;
 		once_call(o, &c.owner, ONCE_PROC_RELEASE, &arg, &res);
--- a/src/once/once_memory.c
+++ b/src/once/once_memory.c
@@ -7,13 +7,13 @@
 #define LOAD_NUM 3 /* the table is at most LOAD_NUM / LOAD_DEN full */
 #define LOAD_DEN 4
 
-static size_t home(const struct once_memory *, const struct once_id *);
-static struct memory_cell *find(
+static size_t start_index(const struct once_memory *, const struct once_id *);
+static struct memory_cell *find_cell(
     const struct once_memory *, const struct once_id *);
-static int is_alive(const struct memory_cell *, uint32_t);
-static int budget_take(struct memory_budget *, size_t);
+static int is_retained(const struct memory_cell *, uint32_t);
+static int budget_allocate(struct memory_budget *, size_t);
 static int rebuild(struct once_memory *, uint32_t);
-static void place(struct once_memory *, const struct memory_cell *);
+static void insert_cell(struct once_memory *, const struct memory_cell *);
 
 /*
  * Initialises an empty memory.
@@ -44,14 +44,14 @@
 	free(m->cells);
 	m->cells = NULL;
 	m->cap = m->used = 0;
-	m->layout++;
+	m->generation++;
 }
 
 /*
  * Returns the index at which the search for an id begins.
  */
 static size_t
-home(const struct once_memory *m, const struct once_id *id)
+start_index(const struct once_memory *m, const struct once_id *id)
 {
 	uint64_t h;
 
@@ -65,13 +65,13 @@
  * or NULL in an empty table.
  */
 static struct memory_cell *
-find(const struct once_memory *m, const struct once_id *id)
+find_cell(const struct once_memory *m, const struct once_id *id)
 {
 	size_t i;
 
 	if (m->cap == 0)
 		return NULL;
-	for (i = home(m, id); m->cells[i].state != MEMORY_FREE;
+	for (i = start_index(m, id); m->cells[i].state != MEMORY_FREE;
 	     i = (i + 1) & (m->cap - 1))
 		if (memcmp(&m->cells[i].id, id, sizeof(*id)) == 0)
 			break;
@@ -82,7 +82,7 @@
  * Returns whether a cell is claimed and within its window.
  */
 static int
-is_alive(const struct memory_cell *c, uint32_t now_s)
+is_retained(const struct memory_cell *c, uint32_t now_s)
 {
 	/* Times are rounded down to seconds; one more completes the window. */
 	return c->state == MEMORY_CLAIMED &&
@@ -93,7 +93,7 @@
  * Takes n cells from a budget.  Returns 0, or -1 if too few are left.
  */
 static int
-budget_take(struct memory_budget *b, size_t n)
+budget_allocate(struct memory_budget *b, size_t n)
 {
 	size_t left = atomic_load(&b->left);
 
@@ -108,9 +108,9 @@
  * Adds a cell to a table that has room and doesn't contain its id.
  */
 static void
-place(struct once_memory *m, const struct memory_cell *c)
+insert_cell(struct once_memory *m, const struct memory_cell *c)
 {
-	*find(m, &c->id) = *c;
+	*find_cell(m, &c->id) = *c;
 	m->used++;
 }
 
@@ -126,10 +126,10 @@
 	size_t live = 0, cap = CAP_MIN, i;
 
 	for (i = 0; i < old.cap; i++)
-		live += (size_t)is_alive(&old.cells[i], now_s);
+		live += (size_t)is_retained(&old.cells[i], now_s);
 	while ((live + 1) * 2 > cap)
 		cap *= 2;
-	if (budget_take(m->budget, cap) == -1)
+	if (budget_allocate(m->budget, cap) == -1)
 		return -1;
 	m->cells = calloc(cap, sizeof(*m->cells));
 	if (m->cells == NULL) {
@@ -139,10 +139,10 @@
 	}
 	m->cap = cap;
 	m->used = 0;
-	m->layout++;
+	m->generation++;
 	for (i = 0; i < old.cap; i++)
-		if (is_alive(&old.cells[i], now_s))
-			place(m, &old.cells[i]);
+		if (is_retained(&old.cells[i], now_s))
+			insert_cell(m, &old.cells[i]);
 	atomic_fetch_add(&m->budget->left, old.cap);
 	free(old.cells);
 	return 0;
@@ -152,14 +152,15 @@
  * Returns whether an id is stored, and whether by this attempt.
  */
 enum memory_result
-memory_look(const struct once_memory *m, const struct once_id *id,
+memory_lookup(const struct once_memory *m, const struct once_id *id,
     uint64_t attempt, uint32_t now_s)
 {
-	const struct memory_cell *c = find(m, id);
+	const struct memory_cell *c = find_cell(m, id);
 
-	if (c == NULL || !is_alive(c, now_s))
+	if (c == NULL || !is_retained(c, now_s))
 		return MEMORY_ADDED;
-	return c->attempt == attempt ? MEMORY_SAME : MEMORY_OTHER;
+	return c->attempt == attempt ? MEMORY_SAME_ATTEMPT
+				     : MEMORY_OTHER_ATTEMPT;
 }
 
 /*
@@ -169,8 +170,8 @@
 memory_add(struct once_memory *m, const struct once_id *id, uint64_t attempt,
     uint32_t time_s, uint32_t now_s)
 {
-	enum memory_result res = memory_look(m, id, attempt, now_s);
-	struct memory_cell *c = find(m, id);
+	enum memory_result res = memory_lookup(m, id, attempt, now_s);
+	struct memory_cell *c = find_cell(m, id);
 	int known = c != NULL && c->state != MEMORY_FREE;
 
 	if (res != MEMORY_ADDED)
@@ -178,7 +179,7 @@
 	if (!known && (m->used + 1) * LOAD_DEN > m->cap * LOAD_NUM) {
 		if (rebuild(m, now_s) == -1)
 			return MEMORY_FULL;
-		c = find(m, id);
+		c = find_cell(m, id);
 	}
 	if (c == NULL)
 		return MEMORY_FULL;
@@ -196,8 +197,8 @@
  * neither can release it any more.  Returns 0, or -1 if there is no room.
  */
 int
-memory_note(struct once_memory *m, const struct once_id *id, uint64_t attempt,
-    uint32_t time_s, uint32_t now_s)
+memory_add_noted(struct once_memory *m, const struct once_id *id,
+    uint64_t attempt, uint32_t time_s, uint32_t now_s)
 {
 	enum memory_result res = memory_add(m, id, attempt, time_s, now_s);
 	struct memory_cell *c;
@@ -206,10 +207,10 @@
 		return -1;
 	if (res == MEMORY_ADDED)
 		return 0;
-	c = find(m, id);
+	c = find_cell(m, id);
 	if (c == NULL)
 		return -1;
-	if (res == MEMORY_OTHER)
+	if (res == MEMORY_OTHER_ATTEMPT)
 		c->attempt = 0;
 	if (time_s > c->time_s)
 		c->time_s = time_s;
@@ -223,7 +224,7 @@
 memory_release(
     struct once_memory *m, const struct once_id *id, uint64_t attempt)
 {
-	struct memory_cell *c = find(m, id);
+	struct memory_cell *c = find_cell(m, id);
 
 	if (c == NULL || c->state != MEMORY_CLAIMED || attempt == 0 ||
 	    c->attempt != attempt)
@@ -243,7 +244,7 @@
 	size_t n = 0;
 
 	for (; *pos < m->cap && n < max; (*pos)++)
-		if (is_alive(&m->cells[*pos], now_s))
+		if (is_retained(&m->cells[*pos], now_s))
 			out[n++] = m->cells[*pos];
 	return n;
 }
--- a/src/once/once_memory.h
+++ b/src/once/once_memory.h
@@ -37,16 +37,16 @@
 struct once_memory {
 	struct memory_budget *budget;
 	struct memory_cell *cells;
-	size_t cap;	 /* a power of two, or 0 */
-	size_t used;	 /* cells that are not free */
-	uint32_t layout; /* changes when cells move */
+	size_t cap;	     /* a power of two, or 0 */
+	size_t used;	     /* cells that are not free */
+	uint32_t generation; /* changes when cells move */
 };
 
 enum memory_result {
-	MEMORY_ADDED, /* from memory_look(): not stored */
-	MEMORY_SAME,  /* stored already, by the same attempt */
-	MEMORY_OTHER, /* stored already, by another attempt */
-	MEMORY_FULL   /* no room left in the budget */
+	MEMORY_ADDED,	      /* from memory_lookup(): not stored */
+	MEMORY_SAME_ATTEMPT,  /* stored already, by the same attempt */
+	MEMORY_OTHER_ATTEMPT, /* stored already, by another attempt */
+	MEMORY_FULL	      /* no room left in the budget */
 };
 
 void memory_init(struct once_memory *, struct memory_budget *);
@@ -54,9 +54,9 @@
 void memory_clear(struct once_memory *);
 enum memory_result memory_add(
     struct once_memory *, const struct once_id *, uint64_t, uint32_t, uint32_t);
-enum memory_result memory_look(
+enum memory_result memory_lookup(
     const struct once_memory *, const struct once_id *, uint64_t, uint32_t);
-int memory_note(
+int memory_add_noted(
     struct once_memory *, const struct once_id *, uint64_t, uint32_t, uint32_t);
 int memory_release(struct once_memory *, const struct once_id *, uint64_t);
 size_t memory_page(const struct once_memory *, size_t *, uint32_t,
--- a/src/once/once_owner.c
+++ b/src/once/once_owner.c
@@ -2,7 +2,8 @@
 
 #include "once/once_int.h"
 
-static int was_whole(const struct once_part *, const struct lease_view *);
+static int has_complete_copy(
+    const struct once_part *, const struct lease_view *);
 static int is_new(const struct once_part *, uint64_t, uint64_t, uint64_t);
 static once_status reserve(
     struct once *, struct once_part *, const once_claim_arg *, uint64_t);
@@ -12,9 +13,9 @@
  * and received the whole memory in it.
  */
 static int
-was_whole(const struct once_part *p, const struct lease_view *v)
+has_complete_copy(const struct once_part *p, const struct lease_view *v)
 {
-	return p->whole && p->standby_term + 1 == v->tenure;
+	return p->copy_complete && p->standby_term + 1 == v->tenure;
 }
 
 /*
@@ -22,9 +23,9 @@
  * lease.  The owner then need not wait until its predecessor has stopped.
  */
 int
-once_succeeds(const struct once_part *p, const struct lease_view *v)
+once_has_earlier_ids(const struct once_part *p, const struct lease_view *v)
 {
-	return p->tenure == v->tenure || was_whole(p, v);
+	return p->tenure == v->tenure || has_complete_copy(p, v);
 }
 
 /*
@@ -34,7 +35,7 @@
  * -1 if the lease is older than the partition's state.
  */
 int
-once_enter(struct once_part *p, const struct lease_view *v)
+once_update_lease(struct once_part *p, const struct lease_view *v)
 {
 	if (v->term < p->term || v->term < p->standby_term)
 		return -1;
@@ -42,9 +43,9 @@
 	if (v->tenure == p->tenure)
 		return 0;
 	p->tenure = v->tenure;
-	p->copied = 0;
-	if (was_whole(p, v))
-		p->since_ms = p->whole_since_ms;
+	p->copied_term = 0;
+	if (has_complete_copy(p, v))
+		p->since_ms = p->copy_since_ms;
 	else
 		p->since_ms = (int64_t)v->effective_ms;
 	if (v->first)
@@ -67,7 +68,8 @@
 		return 1;
 	/* The clocks of the earlier owner and this node may both be off. */
 	return stamp_ms != 0 &&
-	       (int64_t)stamp_ms > (int64_t)wall_ms - age + 2 * ONCE_CLOCK_MS;
+	       (int64_t)stamp_ms >
+		   (int64_t)wall_ms - age + 2 * ONCE_CLOCK_SKEW_MAX_MS;
 }
 
 /*
@@ -84,15 +86,15 @@
 	struct once_id id;
 
 	memcpy(id.byte, arg->id, sizeof(id.byte));
-	if (stamp > wall + ONCE_CLOCK_MS)
+	if (stamp > wall + ONCE_CLOCK_SKEW_MAX_MS)
 		return ONCE_FUTURE;
-	res = memory_look(&p->memory, &id, arg->attempt, now_s);
-	if (res == MEMORY_OTHER)
+	res = memory_lookup(&p->memory, &id, arg->attempt, now_s);
+	if (res == MEMORY_OTHER_ATTEMPT)
 		return ONCE_CLAIMED;
 	if (res == MEMORY_ADDED && !is_new(p, stamp, now_ms, wall))
 		return ONCE_NOT_KNOWN;
 	/* An older id may have been claimed and dropped since. */
-	if (stamp != 0 && stamp + window < wall + 2 * ONCE_CLOCK_MS)
+	if (stamp != 0 && stamp + window < wall + 2 * ONCE_CLOCK_SKEW_MAX_MS)
 		return ONCE_NOT_KNOWN;
 	if (memory_add(&p->memory, &id, arg->attempt, now_s, now_s) ==
 	    MEMORY_FULL)
@@ -125,9 +127,9 @@
 	if (v.noted_until_ms == 0 || arg->attempt == 0)
 		return;
 	pthread_mutex_lock(&p->lock);
-	if ((v.until_ms != 0 || once_succeeds(p, &v)) &&
-	    once_enter(p, &v) == 0) {
-		p->used_ms = now;
+	if ((v.until_ms != 0 || once_has_earlier_ids(p, &v)) &&
+	    once_update_lease(p, &v) == 0) {
+		p->last_used_ms = now;
 		res->status = reserve(o, p, arg, now);
 	}
 	pthread_mutex_unlock(&p->lock);
--- a/src/once/once_standby.c
+++ b/src/once/once_standby.c
@@ -6,11 +6,12 @@
 #define COPY_RETRY_MS 200 /* after the start of a copy that failed */
 
 static int is_standby(struct once *, uint32_t, uint64_t, uint64_t);
-static int enter_standby(struct once_part *, uint64_t, uint64_t);
+static int update_standby_term(struct once_part *, uint64_t, uint64_t);
 static int next_page(struct once *, uint32_t, const struct lease_view *,
     size_t *, uint32_t *, once_copy_arg *);
 static void copy_part(struct once *, uint32_t, const struct lease_view *);
-static void forget(struct once *, uint32_t, const struct lease_view *);
+static void free_unused_memory(
+    struct once *, uint32_t, const struct lease_view *);
 
 /*
  * Returns whether this node may act as the standby in a term: it knows of no
@@ -33,15 +34,15 @@
  * owner in this one or a newer one.
  */
 static int
-enter_standby(struct once_part *p, uint64_t term, uint64_t now_ms)
+update_standby_term(struct once_part *p, uint64_t term, uint64_t now_ms)
 {
 	if (p->term >= term || p->standby_term > term)
 		return -1;
 	if (p->standby_term < term) {
 		p->standby_term = term;
-		p->whole = 0;
+		p->copy_complete = 0;
 	}
-	p->used_ms = now_ms;
+	p->last_used_ms = now_ms;
 	return 0;
 }
 
@@ -64,9 +65,9 @@
 	if (!is_standby(o, part, arg->term, now))
 		return;
 	pthread_mutex_lock(&p->lock);
-	if (enter_standby(p, arg->term, now) == 0)
-		res->noted = memory_note(&p->memory, &id, arg->attempt, now_s,
-				 now_s) == 0;
+	if (update_standby_term(p, arg->term, now) == 0)
+		res->noted = memory_add_noted(&p->memory, &id, arg->attempt,
+				 now_s, now_s) == 0;
 	pthread_mutex_unlock(&p->lock);
 }
 
@@ -90,18 +91,18 @@
 		return;
 	p = &o->part[arg->part];
 	pthread_mutex_lock(&p->lock);
-	res->kept = enter_standby(p, arg->term, now) == 0;
+	res->kept = update_standby_term(p, arg->term, now) == 0;
 	for (i = 0; i < arg->cells.cells_len && res->kept; i++) {
 		c = &arg->cells.cells_val[i];
 		memcpy(id.byte, c->id, sizeof(id.byte));
 		if (once_part(&id) != arg->part || c->age_s > now_s ||
-		    memory_note(&p->memory, &id, c->attempt, now_s - c->age_s,
-			now_s) == -1)
+		    memory_add_noted(&p->memory, &id, c->attempt,
+			now_s - c->age_s, now_s) == -1)
 			res->kept = 0;
 	}
 	if (res->kept && arg->last) {
-		p->whole = 1;
-		p->whole_since_ms = (int64_t)now - (int64_t)arg->age_ms;
+		p->copy_complete = 1;
+		p->copy_since_ms = (int64_t)now - (int64_t)arg->age_ms;
 	}
 	pthread_mutex_unlock(&p->lock);
 }
@@ -113,7 +114,7 @@
  */
 static int
 next_page(struct once *o, uint32_t part, const struct lease_view *v,
-    size_t *pos, uint32_t *layout, once_copy_arg *arg)
+    size_t *pos, uint32_t *generation, once_copy_arg *arg)
 {
 	uint64_t now = o->cfg.clock_ms();
 	uint32_t now_s = (uint32_t)(now / MS_PER_S);
@@ -124,8 +125,9 @@
 
 	pthread_mutex_lock(&p->lock);
 	if (*pos == 0)
-		*layout = p->memory.layout;
-	if (once_enter(p, v) == -1 || *layout != p->memory.layout) {
+		*generation = p->memory.generation;
+	if (once_update_lease(p, v) == -1 ||
+	    *generation != p->memory.generation) {
 		pthread_mutex_unlock(&p->lock);
 		return 0;
 	}
@@ -158,12 +160,12 @@
 	once_copy_arg arg = { .part = part, .term = v->term };
 	once_copy_res res;
 	struct once_part *p = &o->part[part];
-	uint32_t layout = 0;
+	uint32_t generation = 0;
 	size_t pos = 0;
 
 	arg.cells.cells_val = cells;
 	do {
-		if (next_page(o, part, v, &pos, &layout, &arg) == 0 ||
+		if (next_page(o, part, v, &pos, &generation, &arg) == 0 ||
 		    once_call(o, &v->standby, ONCE_PROC_COPY, &arg, &res) ==
 			-1 ||
 		    !res.kept)
@@ -171,7 +173,7 @@
 	} while (!arg.last);
 	pthread_mutex_lock(&p->lock);
 	if (p->term == v->term)
-		p->copied = v->term;
+		p->copied_term = v->term;
 	pthread_mutex_unlock(&p->lock);
 }
 
@@ -180,7 +182,7 @@
  * standby, once it is unused for longer than ONCE_WINDOW_S.
  */
 static void
-forget(struct once *o, uint32_t part, const struct lease_view *v)
+free_unused_memory(struct once *o, uint32_t part, const struct lease_view *v)
 {
 	uint64_t now = o->cfg.clock_ms();
 	struct once_part *p = &o->part[part];
@@ -190,9 +192,9 @@
 		return;
 	pthread_mutex_lock(&p->lock);
 	if (p->memory.cap > 0 &&
-	    age_at(now, p->used_ms) > (uint64_t)ONCE_WINDOW_S * MS_PER_S) {
+	    age_at(now, p->last_used_ms) > (uint64_t)ONCE_WINDOW_S * MS_PER_S) {
 		memory_clear(&p->memory);
-		p->whole = 0;
+		p->copy_complete = 0;
 		p->since_ms = (int64_t)now;
 	}
 	pthread_mutex_unlock(&p->lock);
@@ -203,7 +205,7 @@
  * that don't have them yet.
  */
 void
-once_copy_all(struct once *o)
+once_copy_memories(struct once *o)
 {
 	struct lease_view v;
 	struct once_part *p;
@@ -215,13 +217,13 @@
 		p = &o->part[part];
 		now = o->cfg.clock_ms();
 		o->cfg.lookup(o->cfg.lookup_ctx, part, now, &v);
-		forget(o, part, &v);
+		free_unused_memory(o, part, &v);
 		if (v.until_ms == 0 || nodeid_is_none(&v.standby))
 			continue;
 		pthread_mutex_lock(&p->lock);
-		due = p->copied != v.term && now >= p->retry_ms;
+		due = p->copied_term != v.term && now >= p->next_copy_ms;
 		if (due)
-			p->retry_ms = now + COPY_RETRY_MS;
+			p->next_copy_ms = now + COPY_RETRY_MS;
 		pthread_mutex_unlock(&p->lock);
 		if (due)
 			copy_part(o, part, &v);
--- a/src/once/test_fleet.c
+++ b/src/once/test_fleet.c
@@ -14,7 +14,7 @@
  * Simulates leases, limits and request ids of a fleet together, each node
  * with its own clock.  Injects suspended nodes, network cuts, restarts, lost
  * and late messages, and log outages.  After each step it checks that the
- * invariants named at test_fleet() hold.
+ * invariants named at test_fleet_invariants() hold.
  */
 #define NODES 4
 #define PART 0
@@ -33,17 +33,17 @@
 	struct lease_decider decider;
 	struct limits limits;
 	struct once once;
-	uint64_t frozen_until;
-	uint64_t born;
-	double speed; /* of its clock, relative to now_us */
-	int64_t wall; /* offset of its wall clock (ms) */
-	int log_cut;
-	int busy; /* a step or a call runs on it */
+	uint64_t suspended_until_us;
+	uint64_t started_us;
+	double clock_rate; /* of its clock, relative to now_us */
+	int64_t wall_offset_ms;
+	int log_unreachable;
+	int running; /* a step or a call runs on it */
 };
 
 /* A message, or a log record, that arrives later. */
-struct late {
-	uint64_t at;
+struct late_message {
+	uint64_t due_us;
 	struct node_id to;
 	const struct rpc_proc *proc;
 	char arg[256];
@@ -53,18 +53,18 @@
 static struct sim_node nodes[NODES];
 static struct sim_node *current; /* the node whose code runs */
 static char *records[RECORDS_MAX];
-static uint64_t log_first, log_next, now_us, log_down_until;
-static uint64_t incarnations, first_at[IDS], firsts, admits, terms;
-static struct late lates[LATE_MAX];
+static uint64_t log_first, log_next, now_us, log_down_until_us;
+static uint64_t incarnations, claimed_us[IDS], claimed, admitted, terms;
+static struct late_message late_messages[LATE_MAX];
 static struct limits_workspace workspace;
-static int cut[NODES][NODES], nested;
-static double most; /* least value of admits - rate * time */
+static int disconnected[NODES][NODES], in_suspend;
+static double lowest_excess; /* least value of admits - rate * time */
 
 static void step(void);
 
 /* Returns a random number below n. */
 static uint64_t
-pick(uint64_t n)
+random_below(uint64_t n)
 {
 	return (uint64_t)random() % n;
 }
@@ -73,7 +73,7 @@
 static uint64_t
 sim_us(void)
 {
-	return 1000000 + (uint64_t)((double)now_us * current->speed);
+	return 1000000 + (uint64_t)((double)now_us * current->clock_rate);
 }
 
 /* Returns the clock of the node whose code runs (ms). */
@@ -87,24 +87,24 @@
 static uint64_t
 sim_wall(void)
 {
-	return WALL_MS + now_us / 1000 + (uint64_t)current->wall;
+	return WALL_MS + now_us / 1000 + (uint64_t)current->wall_offset_ms;
 }
 
 /* Suspends the current node while the others go on. */
 static void
-freeze(uint64_t ms)
+suspend_node(uint64_t ms)
 {
-	struct sim_node *me = current;
+	struct sim_node *self = current;
 	uint64_t end = now_us + ms * 1000;
 
-	if (nested)
+	if (in_suspend)
 		return;
-	nested = 1;
-	me->frozen_until = end;
+	in_suspend = 1;
+	self->suspended_until_us = end;
 	while (now_us < end)
 		step();
-	nested = 0;
-	current = me;
+	in_suspend = 0;
+	current = self;
 }
 
 /*
@@ -112,20 +112,21 @@
  * the most harm.
  */
 static void
-maybe_freeze(void)
+maybe_suspend_node(void)
 {
-	if (pick(3000) == 0)
-		freeze(pick(2) ? pick(6000) : pick(60000));
+	if (random_below(3000) == 0)
+		suspend_node(
+		    random_below(2) ? random_below(6000) : random_below(60000));
 }
 
 /* Looks a partition up in the lease table of the node in ctx. */
 static void
-lookup(void *ctx, uint32_t part, uint64_t now, struct lease_view *v)
+lookup_lease(void *ctx, uint32_t part, uint64_t now, struct lease_view *v)
 {
 	struct sim_node *n = ctx;
 
 	lease_view(&n->table, part, now, v);
-	maybe_freeze();
+	maybe_suspend_node();
 }
 
 /* Schedules a message or a log record to arrive later. */
@@ -133,11 +134,11 @@
 postpone(const struct node_id *to, const struct rpc_proc *p, const void *arg,
     char *record)
 {
-	struct late *l = &lates[pick(LATE_MAX)];
+	struct late_message *l = &late_messages[random_below(LATE_MAX)];
 
 	free(l->record);
 	memset(l, 0, sizeof(*l));
-	l->at = now_us + pick(20000000);
+	l->due_us = now_us + random_below(20000000);
 	l->proc = p;
 	l->record = record;
 	if (p != NULL) {
@@ -148,14 +149,15 @@
 
 /* Returns the node with this id, or NULL if it is unreachable. */
 static struct sim_node *
-reach(const struct sim_node *from, const struct node_id *to)
+find_reachable(const struct sim_node *from, const struct node_id *to)
 {
 	int i;
 
 	for (i = 0; i < NODES; i++)
 		if (nodeid_equal(&nodes[i].id, to))
-			return nodes[i].frozen_until > now_us ||
-				       nodes[i].busy || cut[from - nodes][i]
+			return nodes[i].suspended_until_us > now_us ||
+				       nodes[i].running ||
+				       disconnected[from - nodes][i]
 				   ? NULL
 				   : &nodes[i];
 	return NULL;
@@ -163,48 +165,49 @@
 
 /* Runs a procedure on a node, with its clock. */
 static void
-serve(struct sim_node *to, const struct rpc_proc *p, const void *arg, void *res)
+run_procedure(
+    struct sim_node *to, const struct rpc_proc *p, const void *arg, void *res)
 {
-	struct sim_node *me = current;
+	struct sim_node *self = current;
 
 	current = to;
-	to->busy++;
+	to->running++;
 	p->handle(
 	    p->proc >= RPC_BLOCK_ONCE ? (void *)&to->once : (void *)&to->limits,
 	    NULL, arg, res);
-	to->busy--;
-	current = me;
+	to->running--;
+	current = self;
 }
 
 /* Calls a node.  The call or its answer may be lost, late or duplicated. */
 static enum rpc_status
-call(void *ctx, const struct node_id *to, const struct rpc_proc *p,
+call_node(void *ctx, const struct node_id *to, const struct rpc_proc *p,
     const void *arg, void *res, uint32_t timeout_ms)
 {
-	struct sim_node *n = ctx, *target = reach(n, to);
-	int flat = p == &once_procs[ONCE_PROC_CLAIM] ||
-		   p == &once_procs[ONCE_PROC_NOTE] ||
-		   p == &once_procs[ONCE_PROC_RELEASE];
+	struct sim_node *n = ctx, *target = find_reachable(n, to);
+	int copyable = p == &once_procs[ONCE_PROC_CLAIM] ||
+		       p == &once_procs[ONCE_PROC_NOTE] ||
+		       p == &once_procs[ONCE_PROC_RELEASE];
 
-	if (target == NULL || pick(50) == 0) {
-		if (flat && pick(2) == 0)
+	if (target == NULL || random_below(50) == 0) {
+		if (copyable && random_below(2) == 0)
 			postpone(to, p, arg, NULL);
 		now_us += timeout_ms * 1000;
 		return RPC_TIMEOUT;
 	}
-	now_us += pick(2000);
-	serve(target, p, arg, res);
-	if (flat && pick(50) == 0)
+	now_us += random_below(2000);
+	run_procedure(target, p, arg, res);
+	if (copyable && random_below(50) == 0)
 		postpone(to, p, arg, NULL);
-	if (pick(50) == 0)
+	if (random_below(50) == 0)
 		return RPC_TIMEOUT;
-	maybe_freeze();
+	maybe_suspend_node();
 	return RPC_DONE;
 }
 
 /* Looks up the one workspace, which all nodes have. */
 static int
-find_ws(void *ctx, uint64_t hash, struct limits_workspace *ws)
+find_workspace(void *ctx, uint64_t hash, struct limits_workspace *ws)
 {
 	(void)ctx;
 	*ws = workspace;
@@ -213,17 +216,17 @@
 
 /* Replaces a node by a new process. */
 static void
-start(struct sim_node *n)
+start_node(struct sim_node *n)
 {
-	struct limits_config lc = { .lookup = lookup,
+	struct limits_config lc = { .lookup = lookup_lease,
 		.lookup_ctx = n,
-		.call = call,
+		.call = call_node,
 		.call_ctx = n,
-		.find_limit = find_ws,
+		.find_limit = find_workspace,
 		.clock_us = sim_us };
-	struct once_config oc = { .lookup = lookup,
+	struct once_config oc = { .lookup = lookup_lease,
 		.lookup_ctx = n,
-		.call = call,
+		.call = call_node,
 		.call_ctx = n,
 		.clock_ms = sim_ms,
 		.wall_ms = sim_wall };
@@ -237,9 +240,9 @@
 	n->id.addr = 1 + (uint32_t)(n - nodes);
 	n->id.rpc_port = 1;
 	n->id.incarnation = ++incarnations;
-	n->speed = 0.995 + (double)pick(100) / 10000;
-	n->wall = (int64_t)pick(4000) - 2000;
-	n->born = now_us;
+	n->clock_rate = 0.995 + (double)random_below(100) / 10000;
+	n->wall_offset_ms = (int64_t)random_below(4000) - 2000;
+	n->started_us = now_us;
 	lc.self = oc.self = n->id;
 	lease_init(&n->table, &n->id, LONG_MS);
 	lease_decider_init(&n->decider);
@@ -257,13 +260,14 @@
 
 /* Appends a record, at once or late.  Returns 0 if it was lost, else 1. */
 static int
-append(char *text)
+append_record(char *text)
 {
-	if (current->log_cut || now_us < log_down_until || pick(20) == 0) {
+	if (current->log_unreachable || now_us < log_down_until_us ||
+	    random_below(20) == 0) {
 		free(text);
 		return 0;
 	}
-	if (pick(8) == 0)
+	if (random_below(8) == 0)
 		postpone(NULL, NULL, NULL, text);
 	else
 		write_record(text);
@@ -280,13 +284,13 @@
 	while (n->table.next < log_next)
 		lease_apply(&n->table, records[n->table.next],
 		    strlen(records[n->table.next]), n->table.next, sim_ms());
-	maybe_freeze();
+	maybe_suspend_node();
 	lease_read_proof(&n->table, sent);
 }
 
 /* Lists the members as a node sees them. */
 static size_t
-members(struct sim_node *n, struct lease_member *m)
+list_members(struct sim_node *n, struct lease_member *m)
 {
 	size_t i;
 
@@ -296,8 +300,9 @@
 		m[i].domain = (uint32_t)i % 2;
 		/* Sometimes a live member is considered dead. */
 		m[i].alive = &nodes[i] == n ||
-			     (reach(n, &nodes[i].id) != NULL && pick(100));
-		m[i].age_ms = (now_us - nodes[i].born) / 1000;
+			     (find_reachable(n, &nodes[i].id) != NULL &&
+				 random_below(100));
+		m[i].age_ms = (now_us - nodes[i].started_us) / 1000;
 	}
 	return NODES;
 }
@@ -308,36 +313,36 @@
 {
 	struct lease_claim c[LEASE_PARTS];
 	struct lease_member m[NODES];
-	struct lease_inputs in = { m, members(n, m), once_standby_ready,
+	struct lease_inputs in = { m, list_members(n, m), once_standby_ready,
 		&n->once, 0 };
 	size_t i, count;
 	uint64_t snap;
 
-	if (n->log_cut || now_us < log_down_until)
+	if (n->log_unreachable || now_us < log_down_until_us)
 		return;
 	read_log(n);
 	in.now_ms = sim_ms();
-	n->decider.stopping = pick(400) == 0;
+	n->decider.stopping = random_below(400) == 0;
 	count = lease_decide(&n->decider, &n->table, &in, c, LEASE_PARTS);
 	for (i = 0; i < count; i++) {
 		if (c[i].part != PART ||
 		    lease_append_begin(&n->table, &c[i]) == -1)
 			continue;
-		maybe_freeze();
+		maybe_suspend_node();
 		lease_append_end(
-		    &n->table, &c[i], append(lease_claim_encode(&c[i])));
+		    &n->table, &c[i], append_record(lease_claim_encode(&c[i])));
 	}
-	if (pick(300) != 0 || !n->table.complete || log_next == 0)
+	if (random_below(300) != 0 || !n->table.complete || log_next == 0)
 		return;
 	snap = n->table.next;
 	write_record(lease_snapshot_encode(&n->table, sim_ms()));
-	if (pick(2) == 0)
+	if (random_below(2) == 0)
 		log_first = snap;
 }
 
 /* Renews the standby's promise to the owner. */
 static void
-run_beat(struct sim_node *n)
+renew_promise(struct sim_node *n)
 {
 	struct lease_entry *e = &n->table.part[PART];
 	uint64_t sent = sim_ms(), term = e->term;
@@ -345,10 +350,10 @@
 
 	if (!nodeid_equal(&e->owner, &n->id))
 		return;
-	s = reach(n, &e->standby);
+	s = find_reachable(n, &e->standby);
 	if (s == NULL || !lease_may_promise(&s->table, PART, term, &n->id))
 		return;
-	maybe_freeze();
+	maybe_suspend_node();
 	lease_promise(&n->table, PART, term, sent);
 }
 
@@ -361,22 +366,24 @@
 	struct once_key key;
 	uint32_t retry;
 	uint64_t loan;
-	uint64_t i = pick(2) ? (now_us / 4000000) % IDS : pick(IDS);
+	uint64_t i =
+	    random_below(2) ? (now_us / 4000000) % IDS : random_below(IDS);
 	char id[64];
 	double v;
 
 	if (limits_admit(&n->limits, &workspace, &loan, &retry) ==
 	    LIMITS_ADMIT) {
-		admits++;
-		v = (double)admits -
+		admitted++;
+		v = (double)admitted -
 		    workspace.rate * 1.006 * (double)now_us / 1e6;
-		if (v - 1 < most)
-			most = v - 1;
-		if (v - most > workspace.burst + 0.001)
+		if (v - 1 < lowest_excess)
+			lowest_excess = v - 1;
+		if (v - lowest_excess > workspace.burst + 0.001)
 			fail_msg("%.2f over rate and burst at %" PRIu64 " us",
-			    v - most, now_us);
+			    v - lowest_excess, now_us);
 	}
-	if (stamps[i] == 0 || (i % 2 == 1 && now_us - first_at[i] > 700000000))
+	if (stamps[i] == 0 ||
+	    (i % 2 == 1 && now_us - claimed_us[i] > 700000000))
 		stamps[i] = now_us + 3000000;
 	snprintf(id, sizeof(id), "%08x-%04x-%c000-8000-%012x",
 	    (unsigned int)((WALL_MS + stamps[i] / 1000) >> 16),
@@ -387,39 +394,40 @@
 	memset(&key.id.byte[1], 0, 7);
 	if (once_claim(&n->once, &key, &c) != ONCE_FIRST)
 		return;
-	firsts++;
-	if (pick(20) == 0) {
+	claimed++;
+	if (random_below(20) == 0) {
 		once_release(&n->once, &c);
 		return;
 	}
-	if (first_at[i] != 0 &&
-	    (i % 2 == 0 || now_us - first_at[i] < 600000000))
-		fail_msg("id %s first at %" PRIu64 " and %" PRIu64 " us", id,
-		    first_at[i], now_us);
-	first_at[i] = now_us;
+	if (claimed_us[i] != 0 &&
+	    (i % 2 == 0 || now_us - claimed_us[i] < 600000000))
+		fail_msg("id %s claimed at %" PRIu64 " and %" PRIu64 " us", id,
+		    claimed_us[i], now_us);
+	claimed_us[i] = now_us;
 }
 
 /* Starts or ends faults at random. */
 static void
 run_faults(void)
 {
-	struct sim_node *n = &nodes[pick(NODES)];
-	size_t i, a = pick(NODES), b = pick(NODES);
-
-	if (pick(400) == 0)
-		cut[a][b] = cut[b][a] = a != b && !cut[a][b];
-	if (pick(400) == 0)
-		n->log_cut = !n->log_cut;
-	if (pick(1500) == 0)
-		log_down_until = now_us + pick(15000000);
-	if (pick(600) == 0)
-		n->frozen_until = now_us + pick(8000000);
-	if (pick(2500) == 0 && !nested)
-		start(n);
-	if (pick(800) == 0) {
-		memset(cut, 0, sizeof(cut));
+	struct sim_node *n = &nodes[random_below(NODES)];
+	size_t i, a = random_below(NODES), b = random_below(NODES);
+
+	if (random_below(400) == 0)
+		disconnected[a][b] = disconnected[b][a] =
+		    a != b && !disconnected[a][b];
+	if (random_below(400) == 0)
+		n->log_unreachable = !n->log_unreachable;
+	if (random_below(1500) == 0)
+		log_down_until_us = now_us + random_below(15000000);
+	if (random_below(600) == 0)
+		n->suspended_until_us = now_us + random_below(8000000);
+	if (random_below(2500) == 0 && !in_suspend)
+		start_node(n);
+	if (random_below(800) == 0) {
+		memset(disconnected, 0, sizeof(disconnected));
 		for (i = 0; i < NODES; i++)
-			nodes[i].log_cut = 0;
+			nodes[i].log_unreachable = 0;
 	}
 }
 
@@ -427,17 +435,17 @@
 static void
 check_owners(void)
 {
-	int i, held = 0;
+	int i, owners = 0;
 
 	for (i = 0; i < NODES; i++) {
 		current = &nodes[i];
 		if (lease_held(&nodes[i].table, PART, sim_ms()) != 0)
-			held++;
+			owners++;
 		if (nodes[i].table.part[PART].term > terms)
 			terms = nodes[i].table.part[PART].term;
 	}
-	if (held > 1)
-		fail_msg("%d owners at %" PRIu64 " us", held, now_us);
+	if (owners > 1)
+		fail_msg("%d owners at %" PRIu64 " us", owners, now_us);
 }
 
 /* Advances the time by one step and runs every node. */
@@ -450,33 +458,36 @@
 
 	now_us += STEP_MS * 1000;
 	for (i = 0; i < LATE_MAX; i++) {
-		if (lates[i].at == 0 || lates[i].at > now_us)
+		if (late_messages[i].due_us == 0 ||
+		    late_messages[i].due_us > now_us)
 			continue;
-		lates[i].at = 0;
+		late_messages[i].due_us = 0;
 		current = &nodes[0];
-		if (lates[i].record != NULL)
-			write_record(lates[i].record);
-		else if ((to = reach(current, &lates[i].to)) != NULL)
-			serve(to, lates[i].proc, lates[i].arg, res);
-		lates[i].record = NULL;
+		if (late_messages[i].record != NULL)
+			write_record(late_messages[i].record);
+		else if ((to = find_reachable(current, &late_messages[i].to)) !=
+			 NULL)
+			run_procedure(to, late_messages[i].proc,
+			    late_messages[i].arg, res);
+		late_messages[i].record = NULL;
 	}
 	run_faults();
 	for (i = 0; i < NODES; i++) {
 		n = current = &nodes[i];
-		if (n->frozen_until > now_us || n->busy)
+		if (n->suspended_until_us > now_us || n->running)
 			continue;
-		n->busy = 1;
-		if (pick(10) == 0)
+		n->running = 1;
+		if (random_below(10) == 0)
 			run_log(n);
-		if (n->frozen_until <= now_us && pick(10) == 0)
-			run_beat(n);
-		if (n->frozen_until <= now_us && pick(3) == 0)
+		if (n->suspended_until_us <= now_us && random_below(10) == 0)
+			renew_promise(n);
+		if (n->suspended_until_us <= now_us && random_below(3) == 0)
 			run_request(n);
-		if (n->frozen_until <= now_us && pick(2) == 0) {
+		if (n->suspended_until_us <= now_us && random_below(2) == 0) {
 			limits_maintain(&n->limits);
 			once_maintain(&n->once);
 		}
-		n->busy = 0;
+		n->running = 0;
 		check_owners();
 	}
 }
@@ -488,25 +499,25 @@
 	size_t i;
 
 	srandom(seed);
-	now_us = log_first = log_next = log_down_until = 0;
-	admits = firsts = terms = 0;
-	most = 0;
+	now_us = log_first = log_next = log_down_until_us = 0;
+	admitted = claimed = terms = 0;
+	lowest_excess = 0;
 	workspace = (struct limits_workspace){ 16 * 3, 4, 6, 0 };
-	memset(first_at, 0, sizeof(first_at));
-	memset(cut, 0, sizeof(cut));
+	memset(claimed_us, 0, sizeof(claimed_us));
+	memset(disconnected, 0, sizeof(disconnected));
 	for (i = 0; i < NODES; i++)
-		start(&nodes[i]);
+		start_node(&nodes[i]);
 	for (i = 0; i < STEPS; i++)
 		step();
 	printf("seed %u: %" PRIu64 " terms, %" PRIu64 " admitted, %" PRIu64
 	       " first, %" PRIu64 " s\n",
-	    seed, terms, admits, firsts, now_us / 1000000);
-	assert_true(terms > 20 && admits > 200 && firsts > 20);
+	    seed, terms, admitted, claimed, now_us / 1000000);
+	assert_true(terms > 20 && admitted > 200 && claimed > 20);
 	for (i = 0; i < log_next; i++)
 		free(records[i]);
 	for (i = 0; i < LATE_MAX; i++) {
-		free(lates[i].record);
-		memset(&lates[i], 0, sizeof(lates[i]));
+		free(late_messages[i].record);
+		memset(&late_messages[i], 0, sizeof(late_messages[i]));
 	}
 	for (i = 0; i < NODES; i++) {
 		lease_finish(&nodes[i].table);
@@ -522,7 +533,7 @@
  * single seed.
  */
 static void
-test_fleet(void **state)
+test_fleet_invariants(void **state)
 {
 	const char *env = getenv("FLEET_SEED");
 	unsigned int seed;
@@ -539,7 +550,8 @@
 int
 main(void)
 {
-	const struct CMUnitTest tests[] = { cmocka_unit_test(test_fleet) };
+	const struct CMUnitTest tests[] = { cmocka_unit_test(
+	    test_fleet_invariants) };
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/once/test_once.c
+++ b/src/once/test_once.c
@@ -19,20 +19,20 @@
 static struct lease_view views[NODES];
 static uint64_t now_ms;
 static int down[NODES];
-static int lose_answers;
-static uint64_t slow_ms; /* duration of a call */
+static int answers_to_lose;
+static uint64_t call_ms; /* duration of a call */
 
 static uint64_t fake_clock(void);
 static uint64_t fake_wall(void);
-static struct node_id node(int);
-static void lookup(void *, uint32_t, uint64_t, struct lease_view *);
-static enum rpc_status call(void *, const struct node_id *,
+static struct node_id make_node_id(int);
+static void lookup_view(void *, uint32_t, uint64_t, struct lease_view *);
+static enum rpc_status call_node(void *, const struct node_id *,
     const struct rpc_proc *, const void *, void *, uint32_t);
-static void lease(uint64_t, uint64_t, int, int, int);
+static void set_lease(uint64_t, uint64_t, int, int, int);
 static int setup(void **);
 static int teardown(void **);
-static struct once_key key(int);
-static struct once_key key_v7(int, uint64_t);
+static struct once_key make_key(int);
+static struct once_key make_uuid_key(int, uint64_t);
 static enum once_verdict claim(int, const struct once_key *);
 
 /*
@@ -57,7 +57,7 @@
  * Returns the id of node i, or that of no node if i is -1.
  */
 static struct node_id
-node(int i)
+make_node_id(int i)
 {
 	struct node_id id = { 0x7f000001, (uint16_t)(7000 + i), 1 };
 	struct node_id none = { 0, 0, 0 };
@@ -69,7 +69,7 @@
  * Returns the view of the node in ctx.
  */
 static void
-lookup(void *ctx, uint32_t part, uint64_t now, struct lease_view *v)
+lookup_view(void *ctx, uint32_t part, uint64_t now, struct lease_view *v)
 {
 	(void)part;
 	*v = views[(struct once *)ctx - nodes];
@@ -83,7 +83,7 @@
  * Calls another node directly, or times out if it is down.
  */
 static enum rpc_status
-call(void *ctx, const struct node_id *to, const struct rpc_proc *p,
+call_node(void *ctx, const struct node_id *to, const struct rpc_proc *p,
     const void *arg, void *res, uint32_t timeout_ms)
 {
 	int i = to->rpc_port - 7000;
@@ -94,15 +94,15 @@
 		return RPC_TIMEOUT;
 	}
 	p->handle(&nodes[i], NULL, arg, res);
-	now_ms += slow_ms;
-	return lose_answers-- > 0 ? RPC_TIMEOUT : RPC_DONE;
+	now_ms += call_ms;
+	return answers_to_lose-- > 0 ? RPC_TIMEOUT : RPC_DONE;
 }
 
 /*
  * Sets a lease, effective now, in the views of all nodes that are not down.
  */
 static void
-lease(uint64_t term, uint64_t tenure, int owner, int standby, int first)
+set_lease(uint64_t term, uint64_t tenure, int owner, int standby, int first)
 {
 	int i;
 
@@ -110,8 +110,8 @@
 		if (down[i])
 			continue;
 		memset(&views[i], 0, sizeof(views[i]));
-		views[i].owner = node(owner);
-		views[i].standby = node(standby);
+		views[i].owner = make_node_id(owner);
+		views[i].standby = make_node_id(standby);
 		views[i].term = term;
 		views[i].tenure = tenure;
 		views[i].first = first;
@@ -128,23 +128,23 @@
 static int
 setup(void **state)
 {
-	struct once_config cfg = { .lookup = lookup,
-		.call = call,
+	struct once_config cfg = { .lookup = lookup_view,
+		.call = call_node,
 		.clock_ms = fake_clock,
 		.wall_ms = fake_wall };
 	int i;
 
 	(void)state;
 	now_ms = START_MS;
-	lose_answers = 0;
-	slow_ms = 0;
+	answers_to_lose = 0;
+	call_ms = 0;
 	memset(down, 0, sizeof(down));
 	for (i = 0; i < NODES; i++) {
-		cfg.self = node(i);
+		cfg.self = make_node_id(i);
 		cfg.lookup_ctx = &nodes[i];
 		once_init(&nodes[i], &cfg);
 	}
-	lease(1, 1, 0, 1, 1);
+	set_lease(1, 1, 0, 1, 1);
 	return 0;
 }
 
@@ -166,7 +166,7 @@
  * Returns the key of the i-th id, which contains no time.
  */
 static struct once_key
-key(int i)
+make_key(int i)
 {
 	struct once_key k;
 	char buf[32];
@@ -180,7 +180,7 @@
  * Returns the key of the i-th UUID of version 7, made at a simulated time.
  */
 static struct once_key
-key_v7(int i, uint64_t at_ms)
+make_uuid_key(int i, uint64_t at_ms)
 {
 	uint64_t stamp = WALL_MS + at_ms - START_MS;
 	struct once_key k;
@@ -209,9 +209,9 @@
  * An id is claimed once.  Equal ids of two workspaces are different ids.
  */
 static void
-test_first_once(void **state)
+test_id_claimed_once(void **state)
 {
-	struct once_key k = key(1), other;
+	struct once_key k = make_key(1), other;
 
 	(void)state;
 	once_key(&other, "zeta", "order-1");
@@ -225,7 +225,7 @@
  * Only UUIDs of version 7 have a time.
  */
 static void
-test_stamps(void **state)
+test_uuid_times(void **state)
 {
 	static const struct {
 		const char *id;
@@ -255,38 +255,38 @@
  * on to the next standby.
  */
 static void
-test_takeover(void **state)
+test_takeover_has_all_ids(void **state)
 {
 	struct once_key k;
 	int i;
 
 	(void)state;
 	for (i = 0; i < 500; i++) {
-		k = key(i);
+		k = make_key(i);
 		assert_int_equal(claim(2, &k), ONCE_FIRST);
 	}
 	once_maintain(&nodes[0]);
 	assert_true(once_standby_ready(&nodes[0], 7));
 	down[0] = 1;
 	now_ms += 3000;
-	lease(2, 2, 1, 3, 0);
+	set_lease(2, 2, 1, 3, 0);
 	for (i = 0; i < 500; i++) {
-		k = key(i);
+		k = make_key(i);
 		assert_int_equal(claim(2, &k), ONCE_SEEN);
 	}
-	k = key(i);
+	k = make_key(i);
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 	/* The next standby receives the whole memory. */
 	assert_false(once_standby_ready(&nodes[1], 7));
 	once_maintain(&nodes[1]);
 	assert_true(once_standby_ready(&nodes[1], 7));
 	down[1] = 1;
-	lease(3, 3, 3, 2, 0);
+	set_lease(3, 3, 3, 2, 0);
 	for (i = 0; i <= 500; i++) {
-		k = key(i);
+		k = make_key(i);
 		assert_int_equal(claim(2, &k), ONCE_SEEN);
 	}
-	k = key(i);
+	k = make_key(i);
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 }
 
@@ -296,34 +296,34 @@
  * nothing until its lease is in effect.
  */
 static void
-test_succession(void **state)
+test_standby_becomes_owner(void **state)
 {
-	struct once_key old = key(1), k;
-	int whole;
+	struct once_key old = make_key(1), k;
+	int copy_complete;
 
-	for (whole = 0; whole < 2; whole++) {
+	for (copy_complete = 0; copy_complete < 2; copy_complete++) {
 		teardown(state);
 		setup(state);
 		assert_int_equal(claim(2, &old), ONCE_FIRST);
-		if (whole)
+		if (copy_complete)
 			once_maintain(&nodes[0]);
 		down[2] = down[0] = 1; /* they don't learn of the new lease */
-		lease(2, 2, 1, 3, 0);
+		set_lease(2, 2, 1, 3, 0);
 		down[2] = down[0] = 0;
 		views[1].until_ms = 0;
-		k = key(2);
-		assert_int_equal(
-		    claim(2, &k), whole ? ONCE_FIRST : ONCE_UNAVAILABLE);
+		k = make_key(2);
+		assert_int_equal(claim(2, &k),
+		    copy_complete ? ONCE_FIRST : ONCE_UNAVAILABLE);
 		once_maintain(&nodes[2]);
 		assert_int_equal(
-		    claim(2, &k), whole ? ONCE_SEEN : ONCE_UNAVAILABLE);
+		    claim(2, &k), copy_complete ? ONCE_SEEN : ONCE_UNAVAILABLE);
 		assert_int_equal(claim(2, &old), ONCE_SEEN);
 		down[0] = 1;
-		k = key(3);
-		assert_int_equal(
-		    claim(2, &k), whole ? ONCE_FIRST : ONCE_UNAVAILABLE);
-		assert_int_equal(
-		    claim(2, &old), whole ? ONCE_SEEN : ONCE_UNAVAILABLE);
+		k = make_key(3);
+		assert_int_equal(claim(2, &k),
+		    copy_complete ? ONCE_FIRST : ONCE_UNAVAILABLE);
+		assert_int_equal(claim(2, &old),
+		    copy_complete ? ONCE_SEEN : ONCE_UNAVAILABLE);
 	}
 }
 
@@ -331,9 +331,9 @@
  * A claim waits for an owner, but not longer than its limit.
  */
 static void
-test_claim_waits(void **state)
+test_claim_waits_for_owner(void **state)
 {
-	struct once_key k = key(1);
+	struct once_key k = make_key(1);
 	struct once_claim c;
 
 	(void)state;
@@ -343,7 +343,7 @@
 	assert_true(now_ms >= START_MS + 900);
 	assert_true(now_ms <= START_MS + 1500);
 	down[0] = down[1] = 0;
-	lose_answers = 2 * ONCE_RPC_TRIES; /* reserved, but not claimed */
+	answers_to_lose = 2 * ONCE_RPC_TRIES; /* reserved, but not claimed */
 	assert_int_equal(once_claim_wait(&nodes[2], &k, 1000, &c), ONCE_FIRST);
 	once_maintain(&nodes[2]);
 	assert_int_equal(claim(3, &k), ONCE_SEEN);
@@ -355,29 +355,30 @@
  * skew.
  */
 static void
-test_young_memory(void **state)
+test_incomplete_memory(void **state)
 {
-	struct once_key a = key(1), b = key(2), v;
+	struct once_key a = make_key(1), b = make_key(2), v;
 
 	(void)state;
 	assert_int_equal(claim(2, &a), ONCE_FIRST);
 	down[0] = down[1] = 1;
 	now_ms += 700000;
-	lease(2, 2, 3, 2, 0);
+	set_lease(2, 2, 3, 2, 0);
 	now_ms += 20000;
 	assert_int_equal(claim(2, &a), ONCE_UNKNOWN);
 	assert_int_equal(claim(2, &b), ONCE_UNKNOWN);
-	v = key_v7(1, now_ms - 20000 + 9999);
+	v = make_uuid_key(1, now_ms - 20000 + 9999);
 	assert_int_equal(claim(2, &v), ONCE_UNKNOWN);
-	v = key_v7(1, now_ms - 20000 + 10001);
+	v = make_uuid_key(1, now_ms - 20000 + 10001);
 	assert_int_equal(claim(2, &v), ONCE_FIRST);
 	assert_int_equal(claim(2, &v), ONCE_SEEN);
-	v = key_v7(2, now_ms + ONCE_CLOCK_MS + 1);
+	v = make_uuid_key(2, now_ms + ONCE_CLOCK_SKEW_MAX_MS + 1);
 	assert_int_equal(claim(2, &v), ONCE_UNAVAILABLE);
 	now_ms += WINDOW_MS - 20000;
 	assert_int_equal(claim(2, &b), ONCE_FIRST);
 	/* Ids with a time before the window can't be claimed. */
-	v = key_v7(3, now_ms - WINDOW_MS + 2 * ONCE_CLOCK_MS - 1);
+	v = make_uuid_key(
+	    3, now_ms - WINDOW_MS + 2 * ONCE_CLOCK_SKEW_MAX_MS - 1);
 	assert_int_equal(claim(2, &v), ONCE_UNKNOWN);
 }
 
@@ -385,9 +386,9 @@
  * Without the standby's note an id is not claimed, and can be claimed later.
  */
 static void
-test_no_note(void **state)
+test_claim_needs_note(void **state)
 {
-	struct once_key k = key(1);
+	struct once_key k = make_key(1);
 
 	(void)state;
 	down[1] = 1;
@@ -396,18 +397,18 @@
 	once_maintain(&nodes[2]);
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 	/* A lost answer causes a second call, not a second claim. */
-	k = key(2);
-	lose_answers = 1;
+	k = make_key(2);
+	answers_to_lose = 1;
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 	assert_int_equal(claim(2, &k), ONCE_SEEN);
-	lease(2, 1, 0, -1, 1);
+	set_lease(2, 1, 0, -1, 1);
 	/* Without a standby none has to note it; no successor is complete. */
-	k = key(3);
+	k = make_key(3);
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 	assert_int_equal(claim(1, &k), ONCE_SEEN);
 	down[0] = 1;
 	now_ms += 20000;
-	lease(3, 3, 1, 2, 0);
+	set_lease(3, 3, 1, 2, 0);
 	assert_int_equal(claim(2, &k), ONCE_UNKNOWN);
 }
 
@@ -415,15 +416,15 @@
  * A claim fails if its answers come late, as when the entry was suspended.
  */
 static void
-test_late_answers(void **state)
+test_late_answers_fail_claim(void **state)
 {
-	struct once_key k = key(1);
+	struct once_key k = make_key(1);
 
 	(void)state;
-	slow_ms = ONCE_BOUND_MS / 2;
+	call_ms = ONCE_CLAIM_TIMEOUT_MS / 2;
 	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
-	slow_ms--;
-	k = key(2);
+	call_ms--;
+	k = make_key(2);
 	assert_int_equal(claim(2, &k), ONCE_FIRST);
 }
 
@@ -432,9 +433,9 @@
  * arrives late.
  */
 static void
-test_release(void **state)
+test_release_by_own_attempt(void **state)
 {
-	struct once_key k = key(1);
+	struct once_key k = make_key(1);
 	struct once_claim c, d;
 
 	(void)state;
@@ -447,7 +448,7 @@
 	assert_int_equal(claim(3, &k), ONCE_SEEN);
 	once_maintain(&nodes[0]);
 	down[0] = 1;
-	lease(2, 2, 1, 3, 0);
+	set_lease(2, 2, 1, 3, 0);
 	assert_int_equal(claim(3, &k), ONCE_SEEN);
 }
 
@@ -456,25 +457,25 @@
  * it might already serve as owner.
  */
 static void
-test_late_notes(void **state)
+test_notes_of_past_term(void **state)
 {
-	struct once_key k = key(1);
+	struct once_key k = make_key(1);
 	once_note_arg note = { .attempt = 5, .term = 1 };
 	once_note_res noted;
 	once_copy_arg copy = { .part = 0, .term = 1, .last = 1 };
-	once_copy_res kept;
+	once_copy_res copy_res;
 	struct lease_view old = views[0], stale = views[1];
 
 	(void)state;
 	once_maintain(&nodes[0]);
-	lease(2, 2, 1, 3, 0);
+	set_lease(2, 2, 1, 3, 0);
 	views[0] = old; /* suspended, still believes it is the owner */
 	memcpy(note.id, k.id.byte, sizeof(note.id));
 	once_serve_note(&nodes[1], &note, &noted);
 	assert_false(noted.noted);
-	once_serve_copy(&nodes[1], &copy, &kept);
-	assert_false(kept.kept);
-	views[2].owner = node(0);
+	once_serve_copy(&nodes[1], &copy, &copy_res);
+	assert_false(copy_res.kept);
+	views[2].owner = make_node_id(0);
 	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
 	assert_int_equal(claim(3, &k), ONCE_FIRST);
 	/* The same if the node's view is older than its last decisions. */
@@ -498,12 +499,12 @@
 test_stale_owner_view(void **state)
 {
 	struct lease_view old = views[0];
-	struct once_key k = key(1);
+	struct once_key k = make_key(1);
 	once_claim_arg arg = { .attempt = 3 };
 	once_claim_res res;
 
 	(void)state;
-	lease(2, 1, 0, 3, 1);
+	set_lease(2, 1, 0, 3, 1);
 	once_maintain(&nodes[0]);
 	views[0] = old;
 	memcpy(arg.id, k.id.byte, sizeof(arg.id));
@@ -536,7 +537,7 @@
 	for (i = 0; i < added; i++) {
 		memcpy(&id.byte[8], &i, sizeof(i));
 		assert_int_equal(
-		    memory_add(&m, &id, 2, 700, 700), MEMORY_OTHER);
+		    memory_add(&m, &id, 2, 700, 700), MEMORY_OTHER_ATTEMPT);
 	}
 	memcpy(&id.byte[8], &i, sizeof(i));
 	assert_int_equal(memory_add(&m, &id, 2, 701, 701), MEMORY_FULL);
@@ -551,21 +552,24 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
-		    test_first_once, setup, teardown),
-		cmocka_unit_test(test_stamps),
-		cmocka_unit_test_setup_teardown(test_takeover, setup, teardown),
+		    test_id_claimed_once, setup, teardown),
+		cmocka_unit_test(test_uuid_times),
+		cmocka_unit_test_setup_teardown(
+		    test_takeover_has_all_ids, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_standby_becomes_owner, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_claim_waits_for_owner, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_succession, setup, teardown),
+		    test_incomplete_memory, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_claim_waits, setup, teardown),
+		    test_claim_needs_note, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_young_memory, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_no_note, setup, teardown),
+		    test_late_answers_fail_claim, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_late_answers, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_release, setup, teardown),
+		    test_release_by_own_attempt, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_late_notes, setup, teardown),
+		    test_notes_of_past_term, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_stale_owner_view, setup, teardown),
 		cmocka_unit_test(test_memory_bound),
