member: plain comments in the table, its merge, probes and view

The comments spoke of news that is told, of cuts and of what a node hears. They now speak of changes that are sent, of network partitions and of probes that are answered. Fields of the two headers and the heads of the tests say what they hold and check. No code changed.

--- a/src/member/member.h
+++ b/src/member/member.h
@@ -17,10 +17,13 @@
 #define MEMBER_SERVICE_TEXT 64 /* bytes, with the terminator */
 #define MEMBER_HEALTH_TEXT 128 /* bytes, with the terminator */
 
-#define MEMBER_ANNOUNCE_MS 5000	  /* silence that ends an announcement */
-#define MEMBER_FRESH_MS 10000	  /* age of log reads that still counts */
-#define MEMBER_PROBE_MS 200	  /* default period of probes */
-#define MEMBER_VIEW_STALE_MS 2000 /* a view older than this proves nothing */
+/* An announcement expires if it isn't repeated for this long. */
+#define MEMBER_ANNOUNCE_MS 5000
+/* Default age from which a log read no longer proves a configuration. */
+#define MEMBER_FRESH_MS 10000
+#define MEMBER_PROBE_MS 200 /* default period of probes */
+/* A view of this age no longer counts as evidence of connectivity. */
+#define MEMBER_VIEW_STALE_MS 2000
 
 enum member_state {
 	MEMBER_ALIVE,
@@ -39,15 +42,15 @@
 };
 
 enum member_event {
-	MEMBER_JOINED,	    /* a process was heard of for the first time */
-	MEMBER_DIED,	    /* it is dead, or another one has its port */
-	MEMBER_DEPARTED,    /* it said that it stops */
-	MEMBER_RETURNED,    /* it was held dead, and isn't */
+	MEMBER_JOINED,	    /* a process became known */
+	MEMBER_DIED,	    /* it is dead or was replaced on its port */
+	MEMBER_DEPARTED,    /* it announced its shutdown */
+	MEMBER_RETURNED,    /* it was considered dead but is up */
 	MEMBER_CONFIG_SEEN, /* it has a later configuration than this node */
 	MEMBER_EVENT_MAX
 };
 
-/* What a node tells of the backend server beside it. */
+/* A node's report of its local backend server. */
 struct member_server {
 	char service[MEMBER_SERVICE_TEXT];
 	uint64_t service_hash;
@@ -58,14 +61,14 @@
 	enum member_server_state state;
 };
 
-/* What is known of one member. */
+/* One member as this node knows it. */
 struct member_info {
 	struct node_id id;
 	uint64_t epoch; /* start of the process, ms since 1970 */
 	uint64_t config_version;
-	uint64_t since_ms; /* local time of its last change of state */
-	uint32_t seq;	   /* grows with each change of its state */
-	uint32_t rev;	   /* grows with each change of its server */
+	uint64_t since_ms; /* local time when it last went up or down */
+	uint32_t seq;	   /* number of its state, orders reports */
+	uint32_t rev;	   /* number of its data, e.g. of its server */
 	uint16_t peer_port;
 	enum member_state state;
 	char domain[MEMBER_DOMAIN_TEXT];
@@ -73,7 +76,7 @@
 	struct member_server server;
 };
 
-/* A backend server's announcement to its node, as parsed. */
+/* A backend server's parsed announcement to its node. */
 struct member_announce {
 	struct member_server server;
 	uint32_t addr; /* host byte order; 0: the node's own */
@@ -81,31 +84,33 @@
 	char health[MEMBER_HEALTH_TEXT];
 };
 
+/* The members that offer one service. */
 struct member_index {
 	uint64_t hash;
-	uint32_t first; /* in the view's handles */
+	uint32_t first; /* index of the first one in the view's handles */
 	uint32_t len;
 };
 
 /*
- * What readers see: immutable, replaced as a whole.  Members are sorted by
- * address and port; a handle is a position in the list and holds for one
- * view only.
+ * An immutable snapshot of the table for readers, protected by RCU. The
+ * members are sorted by address and port. A handle is an index into the list
+ * and is valid for one view only.
  */
 struct member_view {
 	struct rcu_head rcu;
 	uint64_t generation;
 	uint64_t built_ms;
-	uint64_t log_read_ms; /* latest known read of the log by anybody */
-	uint64_t current_ms;  /* latest that the own configuration is as of */
-	uint64_t fresh_ms;    /* age of such a read that still counts */
-	uint64_t config_version; /* latest known of */
-	int behind;		 /* the own one is an earlier one */
-	uint32_t known; /* members that haven't left, this node included */
-	uint32_t alive; /* of those, the ones that answer */
-	uint32_t probed;
-	uint32_t answered; /* of the probes of the last seconds */
-	uint32_t self;
+	uint64_t log_read_ms; /* latest known log read by any node */
+	/* Latest log read at which this node's configuration was current. */
+	uint64_t current_ms;
+	uint64_t fresh_ms;	 /* see member_settings */
+	uint64_t config_version; /* latest version known */
+	int behind;	   /* this node's configuration is an earlier one */
+	uint32_t known;	   /* members that haven't left, this node included */
+	uint32_t alive;	   /* of those, the ones that are alive */
+	uint32_t probed;   /* probes of the last seconds */
+	uint32_t answered; /* of those, the answered ones */
+	uint32_t self;	   /* handle of this node */
 	uint32_t len;
 	struct member_info *list;
 	uint32_t services_len;
@@ -119,17 +124,22 @@
 	const char *domain;
 	const char *region; /* may be NULL */
 	uint32_t probe_ms;  /* 0: the default */
-	uint32_t fresh_ms;  /* 0: the default */
+	/* Age from which a log read is too old to count, 0: the default. */
+	uint32_t fresh_ms;
 	const struct node_id *seeds;
 	size_t seeds_len;
 };
 
+/*
+ * Receives an event about a member. The last argument is the configuration
+ * version of MEMBER_CONFIG_SEEN, 0 for other events.
+ */
 typedef void (*member_event_fn)(
     void *, enum member_event, const struct member_info *, uint64_t);
 
 struct member_table;
 
-/* Membership of one process: its threads, its table and the view of it. */
+/* The membership service of one process. */
 struct member_service {
 	struct member_table *table;
 	struct member_view *view;
--- a/src/member/member.x
+++ b/src/member/member.x
@@ -1,6 +1,6 @@
 /*
- * Messages of the membership protocol.  All are one-way: an answer is a
- * message of its own that carries the nonce of what it answers.
+ * Messages of the membership protocol. All are one-way: an answer is a
+ * separate message with the nonce of the message that it answers.
  */
 const MEMBER_DOMAIN_BYTES = 31;
 const MEMBER_SERVICE_BYTES = 63;
@@ -19,8 +19,8 @@
 	MEMBER_PAGE = 7
 };
 
-/* The process that has an address and port, and the number that orders the
- * processes which had them one after another. */
+/* A process at an address and port. The epoch orders successive processes at
+ * the same address and port. */
 struct member_name {
 	unsigned int addr;
 	unsigned int port;
@@ -50,7 +50,7 @@
 	member_server_entry *server;
 };
 
-/* The state of a member that the receiver knows already. */
+/* The state of a member that the receiver is expected to know. */
 struct member_status {
 	unsigned int addr;
 	unsigned int port_state;
@@ -58,7 +58,7 @@
 	unsigned int seq;
 };
 
-/* The highest configuration version known, and a node that has it. */
+/* The highest configuration version known and a node that has it. */
 struct member_config {
 	unsigned hyper number;
 	unsigned int addr;
--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -8,51 +8,55 @@
 
 #define MEMBER_NONE UINT32_MAX /* no handle */
 
-#define MEMBER_DIRECT_MS 250 /* until others are asked to probe */
+#define MEMBER_DIRECT_MS 250 /* wait before indirect probes */
 #define MEMBER_PROBE_FAIL_MS 500
-#define MEMBER_SUSPECT_UNIT_MS 125 /* times log2 of the members */
+/* A suspicion lasts this long times log2 of the live members plus one. */
+#define MEMBER_SUSPECT_UNIT_MS 125
 #define MEMBER_SUSPECT_MIN_MS 400
-#define MEMBER_HELPERS 3    /* peers asked to probe */
-#define MEMBER_STALL_MS 100 /* between ticks: this process was paused */
-
-#define MEMBER_TELL_FACTOR 3 /* times log2 of the members */
-#define MEMBER_FEW_TELLS 3
-#define MEMBER_QUEUE_LONG 64 /* changes; each is told less often then */
+#define MEMBER_HELPERS 3    /* members asked for an indirect probe */
+#define MEMBER_STALL_MS 100 /* a longer gap between ticks is a pause */
+
+/* A change is sent this many times log2 of the live members plus one. */
+#define MEMBER_TELL_FACTOR 3
+#define MEMBER_FEW_TELLS 3 /* times that minor changes are sent */
+/* With more changes in the queue, each one is sent fewer times. */
+#define MEMBER_QUEUE_LONG 64
 #define MEMBER_GOSSIP_MS 100
 #define MEMBER_GOSSIP_FANOUT 2
 #define MEMBER_LEAVE_FANOUT 24
 
 #define MEMBER_SYNC_MS 30000
-#define MEMBER_SYNC_AGAIN_MS 250  /* after one that brought much news */
-#define MEMBER_SYNC_SOON_MS 2000  /* after one that brought any */
-#define MEMBER_SYNC_START_MS 1000 /* soon after the start */
-#define MEMBER_START_MS 10000
-#define MEMBER_SYNC_NEWS 16  /* changes that are much news */
-#define MEMBER_SYNC_PAGES 16 /* messages that answer one sync */
+#define MEMBER_SYNC_AGAIN_MS 250  /* after many changes */
+#define MEMBER_SYNC_SOON_MS 2000  /* after some changes */
+#define MEMBER_SYNC_START_MS 1000 /* during startup */
+#define MEMBER_START_MS 10000	  /* duration of the startup */
+#define MEMBER_SYNC_NEWS 16	  /* this many changes are many */
+#define MEMBER_SYNC_PAGES 16	  /* at most, in reply to one sync */
 #define MEMBER_BUDGET_BYTES (32 * 1024)
-#define MEMBER_BUDGET_START (1024 * 1024) /* of pages, at the start */
+#define MEMBER_BUDGET_START (1024 * 1024) /* for pages, at startup */
 #define MEMBER_BUDGET_START_MS 60000
 #define MEMBER_BUDGET_RATE 4000 /* bytes a second */
 
-#define MEMBER_REPROBE_MS 1000 /* between probes of dead members */
+#define MEMBER_REPROBE_MS 1000 /* period of probes of dead members */
 #define MEMBER_DEAD_KEEP_MS (2 * 3600 * 1000)
 #define MEMBER_LEFT_KEEP_MS (10 * 60 * 1000)
 
-#define MEMBER_MESSAGE_BYTES 1150 /* of a full message's body */
-#define MEMBER_MESSAGE_LOW 450	  /* once the budget is spent */
+#define MEMBER_MESSAGE_BYTES 1150 /* limit of a message body */
+#define MEMBER_MESSAGE_LOW 450	  /* the same, once the budget is spent */
 #define MEMBER_COUNT_MAX 8192	  /* members of a table */
 #define MEMBER_PROBES_MAX 64
 #define MEMBER_RELAYS_MAX 64
 #define MEMBER_VERIFY_MAX 16
-#define MEMBER_VERIFY_MS 100 /* between probes of those reported dead */
+#define MEMBER_VERIFY_MS 100 /* period of probes of reported deaths */
 #define MEMBER_SEEDS_MAX 64
 #define MEMBER_SEED_TRIES 8
-#define MEMBER_SEED_MS 200 /* times the tries so far */
-#define MEMBER_WINDOW_S 10
-#define MEMBER_HEARING_S 2 /* of probes that tell how well this node hears */
+#define MEMBER_SEED_MS 200 /* retry delay for each try so far */
+#define MEMBER_WINDOW_S 10 /* probe counts are held for this long */
+/* The probe counts of this time tell whether this node is isolated. */
+#define MEMBER_HEARING_S 2
 #define MEMBER_TICK_MS 25
 
-/* What the table needs from outside: sending, chance, and who to tell. */
+/* Callbacks of a table. */
 struct member_port {
 	void (*send)(void *, uint32_t, uint16_t, const struct member_message *);
 	uint64_t (*rand)(void *);
@@ -60,54 +64,61 @@
 	void *ctx;
 };
 
-/* How often a change is told. */
+/* How many times a change is sent. */
 enum member_tell {
-	MEMBER_TELL_FEW,  /* most know it, or will find out by themselves */
-	MEMBER_TELL_SOME, /* comparing tables would find it too */
+	MEMBER_TELL_FEW,  /* most nodes know it or will detect it */
+	MEMBER_TELL_SOME, /* a comparison of tables would find it too */
 	MEMBER_TELL_ALL,
-	MEMBER_TELL_URGENT, /* also when there is much to tell */
+	MEMBER_TELL_URGENT, /* like ALL, also when the queue is long */
 	MEMBER_TELL_MAX
 };
 
+/* A member in the table. */
 struct member_slot {
 	struct member_info info;
-	uint64_t deadline_ms; /* a suspect is dead from then on */
-	uint64_t accuse_ms;   /* when to tell a suspect again that it is one */
+	uint64_t deadline_ms; /* a suspect is declared dead then */
+	/* Next time to notify a suspect that this node accused. */
+	uint64_t accuse_ms;
+	/*
+	 * Times that the queued change was sent. Starts above 0 for a change
+	 * that needs fewer than member_tells().
+	 */
 	uint32_t told;
-	uint32_t stamp; /* the last message that it was put into */
+	uint32_t stamp; /* number of the last message that contains it */
 	int used;
-	int accused; /* by this node */
-	int queued;
-	int full; /* what is to be told is more than a state */
+	int accused; /* this node made it a suspect */
+	int queued;  /* has a change in the queue */
+	int full;    /* the change needs an entry, not only a status */
 };
 
-/* A probe without its answer yet. */
+/* An unanswered probe. */
 struct member_probe {
 	uint64_t sent_ms;
-	uint64_t since_ms; /* what its timeouts count from */
+	uint64_t since_ms; /* sent_ms plus pauses of this process */
 	uint64_t incarnation;
 	uint32_t nonce;
 	uint32_t handle;
-	int indirect;
+	int indirect; /* indirect probes were requested or aren't wanted */
 	int used;
 };
 
-/* A probe made for another member. */
+/* A probe made on behalf of another member. */
 struct member_relay {
-	struct node_id origin;
-	uint32_t nonce;
-	uint32_t origin_nonce;
+	struct node_id origin; /* that member; address 0: unused */
+	uint32_t nonce;	       /* of the probe to the target */
+	uint32_t origin_nonce; /* of the origin's probe */
 };
 
-/* An address where a member may be. */
+/* An address that may belong to a member. */
 struct member_seed {
 	uint64_t next_ms;
 	uint32_t addr;
 	uint16_t port;
 	unsigned int tries;
-	int fixed; /* from settings: never given up */
+	int fixed; /* from the settings, retried without limit */
 };
 
+/* The probe counts of one second. */
 struct member_second {
 	uint64_t second;
 	uint32_t probed;
@@ -121,16 +132,17 @@
 	uint32_t slots_cap;
 	uint32_t self;
 	uint32_t count; /* slots in use */
-	uint32_t alive;
+	uint32_t alive; /* in state alive, this node included */
 	GHashTable *by_addr;
-	uint32_t *ring; /* the order of probes */
+	uint32_t *ring; /* handles in the order of probes */
 	uint32_t ring_len;
 	uint32_t ring_pos;
-	uint32_t *queue; /* handles with changes to tell */
+	uint32_t *queue; /* handles of members with changes to send */
 	uint32_t queue_len;
-	uint32_t old_pos; /* next entry that is told again unasked */
+	uint32_t old_pos; /* last entry that was sent without a change */
 	struct member_probe probes[MEMBER_PROBES_MAX];
-	uint32_t verify[MEMBER_VERIFY_MAX]; /* reported dead, to be probed */
+	/* Handles of live members that were reported dead. */
+	uint32_t verify[MEMBER_VERIFY_MAX];
 	uint32_t verify_len;
 	struct member_relay relays[MEMBER_RELAYS_MAX];
 	uint32_t relay_pos;
@@ -138,10 +150,10 @@
 	uint32_t seeds_len;
 	struct member_second seconds[MEMBER_WINDOW_S];
 	uint32_t next_nonce;
-	uint32_t stamp;
-	uint32_t news; /* changes that the last sync brought */
+	uint32_t stamp; /* number of the last message */
+	uint32_t news;	/* changes received in pages since the last sync */
 	uint32_t probe_ms;
-	uint64_t fresh_ms;
+	uint64_t fresh_ms; /* see member_settings */
 	uint64_t started_ms;
 	uint64_t last_tick_ms;
 	uint64_t next_probe_ms;
@@ -151,19 +163,19 @@
 	uint64_t next_dead_ms;
 	uint64_t next_verify_ms;
 	uint64_t next_forget_ms;
-	uint64_t budget_ms;
-	int64_t gossip_budget; /* bytes for changes in messages */
+	uint64_t budget_ms;    /* time of the last refill */
+	int64_t gossip_budget; /* bytes for entries in messages */
 	int64_t page_budget;   /* bytes for pages of the table */
-	uint64_t log_read_ms;
-	uint64_t
-	    current_ms; /* latest such read that the own version is as of */
-	uint64_t config_version;
-	uint64_t config_asked_ms;
-	uint32_t config_addr;
+	uint64_t log_read_ms;  /* latest known log read by any node */
+	/* Latest log read at which this node's configuration was current. */
+	uint64_t current_ms;
+	uint64_t config_version;  /* latest version known */
+	uint64_t config_asked_ms; /* earliest time of the next report of it */
+	uint32_t config_addr;	  /* of a node that has it */
 	uint16_t config_peer_port;
-	int paging; /* the message at hand is a page of a table */
-	int dirty;  /* the view is out of date */
-	int leaving;
+	int paging;  /* a page of another node's table is being merged */
+	int dirty;   /* the view is out of date */
+	int leaving; /* this node has announced its shutdown */
 };
 
 void member_table_init(struct member_table *, const struct member_settings *,
@@ -222,6 +234,7 @@
     const struct member_table *, uint64_t, uint64_t);
 void member_view_free(struct member_view *);
 
+/* A member's record in the log, by which others find its address. */
 struct member_hello {
 	struct node_id id;
 	uint16_t peer_port;
--- a/src/member/member_merge.c
+++ b/src/member/member_merge.c
@@ -3,9 +3,9 @@
 #include "member/member_int.h"
 
 /*
- * The higher rank wins between two reports with the same sequence number: a
- * suspicion is refuted only by a higher number, which the member itself
- * gives out.
+ * Precedence of two reports with the same sequence number: the higher rank
+ * wins. A suspicion is refuted only by a higher sequence number, and only
+ * the member itself assigns one.
  */
 static const int ranks[MEMBER_STATE_MAX] = {
 	[MEMBER_ALIVE] = 0,
@@ -34,7 +34,7 @@
     const struct member_entry *, int);
 
 /*
- * Tells whether an entry from the wire makes sense.
+ * Returns whether the fields of a received entry are within their ranges.
  */
 static int
 entry_valid(const struct member_entry *e)
@@ -47,7 +47,8 @@
 }
 
 /*
- * Copies a text of bounded length; NULL counts as empty.
+ * Copies a string, truncated to size bytes with the terminator. NULL is
+ * copied as an empty string.
  */
 void
 member_copy_text(char *to, size_t size, const char *from)
@@ -56,7 +57,8 @@
 }
 
 /*
- * Tells whether two states of a backend server differ in more than load.
+ * Returns whether two states of a backend server differ in anything but
+ * load.
  */
 int
 member_server_differs(
@@ -68,7 +70,7 @@
 }
 
 /*
- * Takes over what an entry says of the member's backend server.
+ * Copies the backend server's data from an entry.
  */
 static void
 copy_server(struct member_server *sv, const struct member_entry *e)
@@ -86,8 +88,8 @@
 }
 
 /*
- * Takes over what an entry tells of a member but its name and state.  Only
- * entries of members that are known alive tell it.
+ * Copies a member's data, except its name and state, from an entry. Only
+ * entries in state alive carry these data.
  */
 static void
 copy_data(struct member_slot *s, const struct member_entry *e)
@@ -103,7 +105,7 @@
 }
 
 /*
- * Takes over an entry of a process that wasn't known, but for its state.
+ * Copies an entry of a new process, except its state.
  */
 static void
 copy_entry(struct member_slot *s, const struct member_entry *e)
@@ -117,7 +119,7 @@
 }
 
 /*
- * Tells whether an entry names a later process than the one known at its
+ * Returns whether an entry names a later process than the one known at its
  * address.
  */
 static int
@@ -129,8 +131,8 @@
 }
 
 /*
- * Refutes what others say of this node's state if it is wrong, by a higher
- * number.
+ * Refutes a wrong report of this node's state by raising its sequence number
+ * above that of the report.
  */
 static void
 refute(
@@ -148,8 +150,9 @@
 }
 
 /*
- * Merges an entry about this node's address: refutes it, or raises the epoch
- * where an earlier process is thought to be the later one.
+ * Merges an entry for this node's address. A report of this process is
+ * refuted if it is wrong. If the entry names another process that appears to
+ * be the later one, this node raises its own epoch.
  */
 static void
 merge_self(struct member_table *t, uint64_t now, const struct member_entry *e)
@@ -165,8 +168,9 @@
 }
 
 /*
- * Adds a member that wasn't known.  The dead are remembered too, so that
- * they are counted and probed again, unless they have been so for long.
+ * Adds an unknown member. Dead members are added too, because they must be
+ * counted and probed again, unless they died longer ago than the retention
+ * time.
  */
 static void
 merge_new(struct member_table *t, uint64_t now, const struct member_entry *e)
@@ -196,8 +200,8 @@
 }
 
 /*
- * Replaces a process by a later one at the same address and port, which
- * proves the earlier one dead.
+ * Replaces a process by a later one at the same address and port. The later
+ * process proves that the earlier one is dead.
  */
 static void
 merge_replaced(struct member_table *t, uint64_t now, struct member_slot *s,
@@ -229,9 +233,9 @@
 }
 
 /*
- * Takes note of a report of the death of a member that counts as there.  It
- * isn't believed: when a cut heals, each side brings such reports of the
- * whole other side.  The member is probed soon instead.
+ * Schedules an early probe of a live member that was reported dead. The
+ * report alone doesn't change the state: after a network partition heals,
+ * each side receives such reports about every member of the other side.
  */
 static void
 merge_report(struct member_table *t, const struct member_slot *s)
@@ -248,7 +252,7 @@
 }
 
 /*
- * Merges a state of a process that is known already.
+ * Merges a reported state of a known process.
  */
 static void
 merge_state(struct member_table *t, uint64_t now, struct member_slot *s,
@@ -266,8 +270,8 @@
 }
 
 /*
- * Merges an entry about a process that is known already.  Load is taken from
- * the member itself only, since it ages faster than it spreads.
+ * Merges an entry of a known process. The load is accepted only from the
+ * member itself, because it changes faster than gossip spreads it.
  */
 static void
 merge_same(struct member_table *t, uint64_t now, struct member_slot *s,
@@ -290,7 +294,7 @@
 }
 
 /*
- * Merges the state of a member from a message, if it is known.
+ * Merges a status from a message if it concerns a known process.
  */
 void
 member_merge_status(
@@ -310,8 +314,8 @@
 }
 
 /*
- * Merges an entry from a message.  It is direct if the member sent it
- * itself.
+ * Merges an entry from a message. The entry is direct if its member sent the
+ * message itself.
  */
 void
 member_merge(struct member_table *t, uint64_t now, const struct member_entry *e,
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -21,7 +21,7 @@
 static void refill(struct member_table *, uint64_t);
 
 /*
- * Begins another round of probes, in a new random order.
+ * Starts another round of probes in a new random order.
  */
 static void
 rebuild_ring(struct member_table *t)
@@ -43,7 +43,7 @@
 }
 
 /*
- * Returns the next member to probe, or MEMBER_NONE.
+ * Returns the handle of the next member to probe, or MEMBER_NONE.
  */
 static uint32_t
 next_target(struct member_table *t)
@@ -63,7 +63,7 @@
 }
 
 /*
- * Returns the next member that was reported dead and is held alive, or
+ * Returns the handle of the next live member that was reported dead, or
  * MEMBER_NONE.
  */
 static uint32_t
@@ -80,8 +80,8 @@
 }
 
 /*
- * Probes a member, unless too many probes wait for their answers.  A bare
- * probe carries no news, and no others are asked to help.
+ * Sends a probe to a member, unless too many probes are unanswered. A bare
+ * probe carries no queued changes and isn't followed by indirect probes.
  */
 static void
 probe(struct member_table *t, uint64_t now, uint32_t h, int bare)
@@ -110,7 +110,7 @@
 }
 
 /*
- * Probes a member that hasn't answered again, and asks other members to.
+ * Repeats a probe and asks other members to probe the target too.
  */
 static void
 ask_helpers(struct member_table *t, uint64_t now, struct member_probe *p)
@@ -134,7 +134,8 @@
 }
 
 /*
- * Tells whether half of the last seconds' probes were answered.
+ * Returns whether at least half of the probes of the last seconds were
+ * answered.
  */
 static int
 hears_most(const struct member_table *t, uint64_t now)
@@ -146,9 +147,9 @@
 }
 
 /*
- * Ends a probe without an answer: its target is a suspect from now on.  A
- * node that hears few is probably cut off itself and keeps its suspicions to
- * itself, or all of them would have to be refuted once the cut heals.
+ * Ends an unanswered probe and marks its target suspect. A node with few
+ * answers to its probes is probably isolated itself and doesn't send its
+ * suspicions: all of them would have to be refuted once the partition heals.
  */
 static void
 fail_probe(struct member_table *t, uint64_t now, struct member_probe *p)
@@ -168,7 +169,8 @@
 }
 
 /*
- * Moves probes on whose answer is overdue.
+ * Starts indirect probes for overdue answers and fails probes that have
+ * timed out.
  */
 static void
 check_probes(struct member_table *t, uint64_t now)
@@ -186,8 +188,8 @@
 }
 
 /*
- * Declares suspects dead whose time is over, and lets those know that this
- * node accused, so that they can refute.
+ * Declares suspects dead whose deadline has passed. Other suspects that this
+ * node accused are told so periodically, so they can refute it.
  */
 static void
 check_suspects(struct member_table *t, uint64_t now)
@@ -209,7 +211,7 @@
 }
 
 /*
- * Probes one of the dead, so that a cut that has healed is noticed.
+ * Probes one dead member, to detect that a network partition has healed.
  */
 static void
 probe_dead(struct member_table *t, uint64_t now)
@@ -229,8 +231,8 @@
 }
 
 /*
- * Notes an address where a member may be.  Those from settings are tried for
- * ever, others a few times.
+ * Adds an address where a member may be. Addresses from the settings are
+ * tried without limit, others MEMBER_SEED_TRIES times.
  */
 void
 member_table_seed(
@@ -261,8 +263,7 @@
 }
 
 /*
- * Probes the seeds that aren't known as members, and asks the first of them
- * for its table while this node knows nobody.
+ * Probes the seeds that aren't known as members.
  */
 static void
 try_seeds(struct member_table *t, uint64_t now)
@@ -288,8 +289,9 @@
 }
 
 /*
- * Tells whether there are changes worth a message of their own: once half of
- * the budget is spent, the rest is kept for those that all are to be told.
+ * Returns whether the queue holds changes worth a separate message. Once
+ * half of the budget is spent, only changes that are to be sent many times
+ * are worth one.
  */
 static int
 worth_telling(const struct member_table *t)
@@ -308,7 +310,8 @@
 }
 
 /*
- * Sends changes to random members ahead of the probes, within the budget.
+ * Sends queued changes to random members, in addition to the probes and
+ * within the budget.
  */
 static void
 gossip(struct member_table *t, uint64_t now)
@@ -328,8 +331,8 @@
 }
 
 /*
- * Compares tables with a random member: regularly, and again soon while that
- * brings much news.
+ * Starts a comparison of tables with a random member and schedules the next
+ * one.
  */
 static void
 start_sync(struct member_table *t, uint64_t now)
@@ -348,7 +351,8 @@
 }
 
 /*
- * Compares tables when it is time.
+ * Starts a comparison of tables when it is due. The next one is due earlier
+ * if the last one brought changes.
  */
 static void
 sync_due(struct member_table *t, uint64_t now)
@@ -364,8 +368,8 @@
 }
 
 /*
- * Grants all that waits for others the time for which this process was
- * paused itself: what they sent may wait in its socket.
+ * Extends all probe timeouts and suspicion deadlines by the time that this
+ * process was paused: the answers may wait unread in its socket.
  */
 static void
 after_stall(struct member_table *t, uint64_t gap)
@@ -382,7 +386,8 @@
 }
 
 /*
- * Refills the budgets.  What is left of the start's budget for pages lapses.
+ * Refills the budgets. The unused part of the startup budget for pages
+ * expires.
  */
 static void
 refill(struct member_table *t, uint64_t now)
@@ -402,7 +407,8 @@
 }
 
 /*
- * Does what is due.  To be called about every MEMBER_TICK_MS.
+ * Runs all periodic work that is due. Must be called about every
+ * MEMBER_TICK_MS.
  */
 void
 member_table_tick(struct member_table *t, uint64_t now)
@@ -438,8 +444,8 @@
 }
 
 /*
- * Notes that an address refused a message: no process has the port, so
- * probes of it need no more waiting.
+ * Fails the pending probes of an address that refused a message: no process
+ * has the port, so waiting for an answer is useless.
  */
 void
 member_table_refused(
@@ -457,7 +463,7 @@
 }
 
 /*
- * Tells members at once that this process stops.
+ * Marks this node as left and announces that to random members at once.
  */
 void
 member_table_leave(struct member_table *t, uint64_t now)
--- a/src/member/member_receive.c
+++ b/src/member/member_receive.c
@@ -35,7 +35,7 @@
 };
 
 /*
- * Takes a message in: what it says of members, and what its kind asks for.
+ * Merges the contents of a message and runs the handler of its kind.
  */
 void
 member_table_receive(
@@ -76,7 +76,7 @@
 }
 
 /*
- * Finds a probe without an answer, or returns NULL.
+ * Returns the unanswered probe with a nonce, or NULL.
  */
 static struct member_probe *
 find_probe(struct member_table *t, uint32_t nonce)
@@ -91,10 +91,10 @@
 }
 
 /*
- * Ends the probe that was answered.  The age of the last read of the log is
- * counted from when the probe was sent, so that no delay of the answer makes
- * it look younger.  An answer to a probe made for another member is passed
- * on to it.
+ * Ends the probe that was answered. The age of the last log read is counted
+ * from the time when the probe was sent, because a delayed answer would make
+ * the read look more recent than it was. The answer to a probe made for
+ * another member is relayed to that member.
  */
 static void
 on_ack(struct member_table *t, uint64_t now, const struct member_message *msg,
@@ -123,7 +123,7 @@
 }
 
 /*
- * Probes a target for another member.
+ * Probes a target on behalf of another member.
  */
 static void
 on_ping_req(struct member_table *t, uint64_t now,
@@ -141,7 +141,7 @@
 }
 
 /*
- * Ends a probe that another member saw answered.
+ * Ends a probe whose target answered another member.
  */
 static void
 on_relayed_ack(struct member_table *t, uint64_t now,
@@ -157,7 +157,8 @@
 }
 
 /*
- * Sends what differs from the sender's table, and asks for the reverse.
+ * Sends the entries that differ from the sender's table and asks the sender
+ * for its own.
  */
 static void
 on_sync(struct member_table *t, uint64_t now, const struct member_message *msg,
@@ -168,7 +169,7 @@
 }
 
 /*
- * Sends what differs from the sender's table.
+ * Sends the entries that differ from the sender's table.
  */
 static void
 on_sync_reply(struct member_table *t, uint64_t now,
@@ -179,8 +180,9 @@
 }
 
 /*
- * Notes the highest configuration version heard of and who has it.  The
- * sender itself is preferred where it has it, since it was just there.
+ * Records the highest configuration version known and a node that has it.
+ * The sender is preferred if it has that version, because it was reachable
+ * just now.
  */
 static void
 take_config(
@@ -202,9 +204,10 @@
 }
 
 /*
- * Notes a read of the log (ms) by somebody, 0 for none.  All versions that it
- * showed are known of here by now: a message that tells of a read tells of
- * them too.  So if the own version is none earlier, it is as of that read.
+ * Records a log read (ms) by any node; 0 means none. A message that reports
+ * a read also carries the latest version that the read returned, so this
+ * node knows of that version by now. If its own configuration is no earlier
+ * than the latest known version, it was the latest one at that read.
  */
 void
 member_note_log_read(struct member_table *t, uint64_t read_ms)
@@ -215,8 +218,8 @@
 }
 
 /*
- * Reports that another node has a later configuration, now and then as long
- * as it is so.
+ * Reports to the table's owner that another node has a later configuration,
+ * and repeats the report every CONFIG_ASK_MS while that is so.
  */
 void
 member_ask_config(struct member_table *t, uint64_t now)
@@ -235,7 +238,7 @@
 }
 
 /*
- * Adds the outcome of one probe to the last seconds' record.
+ * Adds the result of one probe to the counts of the last seconds.
  */
 void
 member_window_add(struct member_table *t, uint64_t now, int answered)
@@ -251,7 +254,7 @@
 }
 
 /*
- * Sums up the probes of the last seconds, MEMBER_WINDOW_S at most.
+ * Sums the probe counts of the last seconds, at most MEMBER_WINDOW_S.
  */
 void
 member_window_sum(const struct member_table *t, uint64_t now, uint32_t seconds,
--- a/src/member/member_table.c
+++ b/src/member/member_table.c
@@ -11,8 +11,8 @@
 static void *grow(void *, size_t, size_t);
 
 /*
- * Prepares a table that knows this node only.  The epoch is the start of the
- * process in ms since 1970.
+ * Initializes a table that contains only this node. The epoch is the start
+ * time of the process in ms since 1970.
  */
 void
 member_table_init(struct member_table *t, const struct member_settings *s,
@@ -49,7 +49,7 @@
 }
 
 /*
- * Frees a table.
+ * Releases the memory of a table.
  */
 void
 member_table_finish(struct member_table *t)
@@ -61,7 +61,7 @@
 }
 
 /*
- * Makes a hash key of an address and a port; it is never NULL.
+ * Returns the hash key of an address and port, which is never NULL.
  */
 static gpointer
 key_of(uint32_t addr, uint16_t port)
@@ -70,7 +70,7 @@
 }
 
 /*
- * Resizes an array.  Exits the process if memory is exhausted.
+ * Resizes an array. Aborts the process if memory is exhausted.
  */
 static void *
 grow(void *p, size_t len, size_t size)
@@ -82,7 +82,7 @@
 }
 
 /*
- * Finds the member at an address and port, or returns NULL.
+ * Returns the member at an address and port, or NULL.
  */
 struct member_slot *
 member_find(struct member_table *t, uint32_t addr, uint16_t port)
@@ -102,7 +102,8 @@
 }
 
 /*
- * Adds an empty slot for an address and port.  Slots may move.
+ * Adds an empty slot for an address and port. This may move all slots in
+ * memory.
  */
 struct member_slot *
 member_add_slot(struct member_table *t, uint32_t addr, uint16_t port)
@@ -132,8 +133,8 @@
 }
 
 /*
- * Adds a member at a random place among those still to be probed in this
- * round.
+ * Inserts a member at a random position among the members still to be probed
+ * in this round, unless it is in the probe order already.
  */
 void
 member_insert_probe(struct member_table *t, uint32_t h)
@@ -152,7 +153,7 @@
 }
 
 /*
- * Tells whether a state counts as being there.
+ * Returns whether a state counts as up.
  */
 int
 member_is_up(enum member_state state)
@@ -161,7 +162,7 @@
 }
 
 /*
- * Reports an event to the table's owner.
+ * Reports an event about another member to the table's owner.
  */
 void
 member_tell(
@@ -172,7 +173,7 @@
 }
 
 /*
- * Returns the time (ms) that a suspect has to refute.
+ * Returns the time (ms) that a suspect has to refute the suspicion.
  */
 uint64_t
 member_suspect_ms(const struct member_table *t)
@@ -184,7 +185,8 @@
 }
 
 /*
- * Returns how often a change is told by this node.
+ * Returns how many times this node sends a change before it drops it from
+ * the queue.
  */
 uint32_t
 member_tells(const struct member_table *t)
@@ -193,9 +195,10 @@
 }
 
 /*
- * Puts a member into a state at a sequence number, and has that told: a
- * death rarely, since everybody finds it for themselves, and a number that
- * refutes what wasn't believed here rarely too; a refutation before all.
+ * Sets a member's state and sequence number and queues the change. A death
+ * is sent few times because every node detects it by itself. So is a higher
+ * sequence number that leaves the state unchanged. A refutation of a
+ * suspicion and a departure are urgent.
  */
 void
 member_set_state(struct member_table *t, uint64_t now, struct member_slot *s,
@@ -232,7 +235,8 @@
 }
 
 /*
- * Has a change of this node's own entry told: it gets the next numbers.
+ * Gives this node's own entry new sequence and revision numbers and queues
+ * it to be sent at once.
  */
 void
 member_table_changed(struct member_table *t, uint64_t now)
@@ -247,9 +251,9 @@
 }
 
 /*
- * Forgets members that left or died long ago.  The dead are kept while this
- * node hears from no majority: forgetting them would make a minority look
- * like all there is.
+ * Removes members that left or died long ago. Dead members stay while no
+ * majority of the members is alive: without them, a minority would look like
+ * the whole cluster.
  */
 void
 member_forget(struct member_table *t, uint64_t now)
@@ -280,8 +284,8 @@
 }
 
 /*
- * Returns the handle of a random member that is alive and isn't this node,
- * or MEMBER_NONE.
+ * Returns the handle of a random live member other than this node, or
+ * MEMBER_NONE.
  */
 uint32_t
 member_random_alive(struct member_table *t)
@@ -299,7 +303,8 @@
 }
 
 /*
- * Returns the hash under which a service is found in a view.
+ * Returns the hash of a service name, the key of the service index of a
+ * view.
  */
 uint64_t
 member_service_hash(const char *name)
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -11,7 +11,7 @@
 static void index_services(struct member_view *);
 
 /*
- * Returns the number by which members are sorted.
+ * Returns the sort key of an address and port.
  */
 static uint64_t
 order_of(uint32_t addr, uint16_t port)
@@ -33,7 +33,7 @@
 }
 
 /*
- * Compares two handles by the service of their members.
+ * Compares two handles by the service hash of their members.
  */
 static int
 by_service(const void *a, const void *b, void *ctx)
@@ -46,7 +46,7 @@
 }
 
 /*
- * Allocates a zeroed array.  Exits the process if memory is exhausted.
+ * Allocates a zeroed array. Aborts the process if memory is exhausted.
  */
 static void *
 alloc(size_t len, size_t size)
@@ -59,8 +59,8 @@
 }
 
 /*
- * Lists, service by service, the members whose server is up and that may be
- * there.
+ * Builds the service index: the handles of members that are alive or suspect
+ * and whose server is up, grouped by service.
  */
 static void
 index_services(struct member_view *v)
@@ -89,7 +89,7 @@
 }
 
 /*
- * Builds the view of a table as it is now.
+ * Returns a new view of the table's current contents.
  */
 struct member_view *
 member_view_build(
@@ -124,7 +124,7 @@
 }
 
 /*
- * Frees a view that no reader holds any more.
+ * Frees a view that no reader uses any more.
  */
 void
 member_view_free(struct member_view *v)
@@ -136,7 +136,7 @@
 }
 
 /*
- * Finds the member at an address and port in a view, or returns NULL.
+ * Returns the member of a view at an address and port, or NULL.
  */
 const struct member_info *
 member_view_find(const struct member_view *v, uint32_t addr, uint16_t port)
@@ -150,7 +150,7 @@
 
 /*
  * Returns the handles of the members whose server offers a service and is
- * up, and their number.
+ * up, and sets *len to their number. Returns NULL if there are none.
  */
 const uint32_t *
 member_view_service(
@@ -174,12 +174,13 @@
 }
 
 /*
- * Tells whether this node may trust its configuration: it was the latest when
- * the log was read by somebody recently enough, as far as this node knows, or
- * it is the latest known of and this node hears from more than half of the
- * members.  What it hears is judged by the table, where
- * others' probes count too, and by its own probes of the last seconds, since
- * alone it would notice only slowly that many are gone.
+ * Returns whether this node may trust its configuration. It may if the
+ * configuration was the latest one at a recent enough read of the log by any
+ * node. Otherwise it may if no later version is known and this node is
+ * connected to more than half of the members. Connectivity is judged by the
+ * table, which includes the results of other nodes' probes, and by this
+ * node's own probes of the last seconds: an isolated node would find out
+ * from the table alone only slowly that many members are unreachable.
  */
 int
 member_fresh(const struct member_view *v, uint64_t now)
--- a/src/member/test_merge.c
+++ b/src/member/test_merge.c
@@ -8,8 +8,8 @@
 #define NODES 50
 
 /*
- * The precedence of two reports on one process, and of two processes on one
- * port.
+ * Precedence of two reports about one process, and of two processes at one
+ * address and port.
  */
 static void
 test_merge(void **state)
@@ -73,7 +73,7 @@
 }
 
 /*
- * Entries that make no sense change nothing.
+ * Invalid entries change nothing.
  */
 static void
 test_merge_bad(void **state)
@@ -99,8 +99,9 @@
 }
 
 /*
- * A node refutes what is wrongly said of it, by a higher number or a higher
- * epoch, and nothing else.
+ * A node refutes wrong reports of its own state by a higher sequence number.
+ * If another process with the same address appears to be the later one, the
+ * node raises its epoch. Other reports change nothing.
  */
 static void
 test_refute(void **state)
@@ -141,9 +142,9 @@
 }
 
 /*
- * How often news is told: a change of the backend server in full, a number
- * that refutes what nobody here believed a few times, and either less when
- * it came with a page.
+ * How many times a change is sent: a change of the backend server
+ * MEMBER_TELL_ALL times, a higher sequence number that leaves the state
+ * unchanged a few times, and a change received in a page a few times too.
  */
 static void
 test_tells(void **state)
@@ -189,8 +190,8 @@
 }
 
 /*
- * With much to tell a suspicion is told less, but its refutation in full and
- * first.
+ * With a long queue a suspicion is sent fewer times, but its refutation is
+ * sent the full number of times and has the highest priority.
  */
 static void
 test_refutation_first(void **state)
@@ -224,7 +225,8 @@
 }
 
 /*
- * A member that is reported dead isn't held so, but is probed soon.
+ * A member that is reported dead stays alive in the table and is probed
+ * soon.
  */
 static void
 test_report_verified(void **state)
@@ -257,7 +259,7 @@
 }
 
 /*
- * A table takes no more members than its bound.
+ * A table accepts at most MEMBER_COUNT_MAX members.
  */
 static void
 test_bound(void **state)
--- a/src/member/test_table.c
+++ b/src/member/test_table.c
@@ -6,11 +6,11 @@
 #include "member/test_net.h"
 
 #define NODES 50
-#define TODAY 15 /* nodes of today's sizes */
+#define TODAY 15 /* nodes of a fleet of the usual size */
 
 /*
- * A node whose probes are mostly unanswered keeps its suspicions to itself;
- * one that hears most tells them.
+ * A node whose probes are mostly unanswered doesn't send its suspicions. A
+ * node with mostly answered probes does.
  */
 static void
 test_cut_off_is_quiet(void **state)
@@ -37,8 +37,8 @@
 }
 
 /*
- * All find each other from a chain of seeds, with a twentieth of messages
- * lost.
+ * All nodes find each other from a chain of seeds while 5 % of the messages
+ * are lost.
  */
 static void
 test_join(void **state)
@@ -54,8 +54,8 @@
 }
 
 /*
- * A node that falls silent is held dead by all others in time, at today's
- * size 1.5 s on average.
+ * A killed node is declared dead by all others within 2.5 s, and within 1.5
+ * s on average, in a fleet of the usual size.
  */
 static void
 test_death(void **state)
@@ -84,7 +84,7 @@
 }
 
 /*
- * With losses and pauses under half a second nobody is declared dead.
+ * Message loss and pauses of less than half a second cause no death reports.
  */
 static void
 test_no_false_death(void **state)
@@ -105,8 +105,8 @@
 }
 
 /*
- * A node that was paused for long declares nobody dead when it goes on, and
- * is soon alive again for all.
+ * After a long pause a node declares no other node dead, and all others see
+ * it alive again soon.
  */
 static void
 test_pause(void **state)
@@ -125,8 +125,8 @@
 }
 
 /*
- * What waited for others while this process was paused waits on: their
- * answers may lie unread.
+ * Pending probes and suspicions don't time out because of a pause of this
+ * process: the answers may wait unread in its socket.
  */
 static void
 test_pause_forgiven(void **state)
@@ -155,8 +155,8 @@
 }
 
 /*
- * Both sides of a cut hold the other dead, nobody on a side is declared dead
- * by its own, and after the cut all are alive again.
+ * During a network partition each side declares the other side dead and none
+ * of its own members. After the partition all nodes are alive again.
  */
 static void
 test_cut_heals(void **state)
@@ -183,8 +183,8 @@
 }
 
 /*
- * A later process on a port replaces the earlier one everywhere at once,
- * also if the clock of its machine went back.
+ * A later process at an address and port replaces the earlier one on all
+ * nodes at once, even if the clock of its machine was set back.
  */
 static void
 test_restart(void **state)
@@ -206,8 +206,8 @@
 }
 
 /*
- * A change of a backend server's state is known to all within a second, with
- * losses.
+ * A change of a backend server's state reaches all nodes within a second
+ * despite message loss.
  */
 static void
 test_drain_spreads(void **state)
@@ -241,8 +241,8 @@
 }
 
 /*
- * A node that leaves is known to have left within a second, though it is
- * gone right after.
+ * The departure of a node reaches all others within a second, although its
+ * process stops right after the announcement.
  */
 static void
 test_leave(void **state)
@@ -261,9 +261,9 @@
 }
 
 /*
- * The age of the last log read spreads within seconds, and is never taken
- * for younger than it is, also by a node that was paused.  A configuration
- * version spreads too.
+ * The age of the last log read spreads within seconds. No node, not even one
+ * that was paused, takes the read for more recent than it was. A
+ * configuration version spreads too.
  */
 static void
 test_log_age_and_config(void **state)
@@ -297,7 +297,7 @@
 }
 
 /*
- * The rule by which a node trusts its configuration.
+ * The conditions under which a node trusts its configuration.
  */
 static void
 test_fresh(void **state)
@@ -339,7 +339,7 @@
 		if (member_fresh(&v, now) != rows[i].want)
 			fail_msg("row %zu", i);
 	}
-	/* A view that was built while the time was taken. */
+	/* The view was built just after the current time was read. */
 	v.behind = 0;
 	v.built_ms = v.current_ms = now + 1;
 	assert_true(member_fresh(&v, now));
@@ -350,8 +350,9 @@
 }
 
 /*
- * A node that hears of a read of the log and of a later version than its own
- * is as of no later read than before, until it has that version.
+ * A node that learns of a log read and of a later version than its own
+ * doesn't count its configuration as current at that read. It does once it
+ * has that version.
  */
 static void
 test_behind(void **state)
@@ -376,9 +377,9 @@
 }
 
 /*
- * A node that is cut off alone stops trusting its configuration within ten
- * seconds of the last word, also among many members, and doesn't start again
- * after the dead could have been forgotten.
+ * An isolated node in a large fleet stops trusting its configuration within
+ * ten seconds of the last message. It doesn't trust it again after the
+ * retention time of dead members.
  */
 static void
 test_fresh_alone(void **state)
@@ -411,8 +412,8 @@
 }
 
 /*
- * Spoilt messages are refused by the decoder or change the table at most as
- * any message may; the table stays within its bound.
+ * Corrupted messages are rejected by the decoder or merged as any message.
+ * The table never exceeds its size limit.
  */
 static void
 test_fuzz_messages(void **state)
@@ -449,7 +450,7 @@
 }
 
 /*
- * A view finds members and services.
+ * Lookups of members and services in a view.
  */
 static void
 test_view(void **state)
