--- a/src/member/member.h
+++ b/src/member/member.h
@@ -20,8 +20,8 @@
 /* An announcement expires if it isn't repeated for this long. */
 #define MEMBER_ANNOUNCE_MS 5000
 /* Default age from which a log read no longer proves a configuration. */
-#define MEMBER_FRESH_MS 10000
-#define MEMBER_PROBE_MS 200 /* default period of probes */
+#define MEMBER_LOG_READ_MAX_AGE_MS 10000
+#define MEMBER_PROBE_PERIOD_MS 200 /* default period of probes */
 /* A view of this age no longer counts as evidence of connectivity. */
 #define MEMBER_VIEW_STALE_MS 2000
 
@@ -85,7 +85,7 @@
 };
 
 /* The members that offer one service. */
-struct member_index {
+struct member_service_index {
 	uint64_t hash;
 	uint32_t first; /* index of the first one in the view's handles */
 	uint32_t len;
@@ -102,19 +102,19 @@
 	uint64_t built_ms;
 	uint64_t log_read_ms; /* latest known log read by any node */
 	/* Latest log read at which this node's configuration was current. */
-	uint64_t current_ms;
+	uint64_t config_current_ms;
 	uint64_t fresh_ms;	 /* see member_settings */
 	uint64_t config_version; /* latest version known */
-	int behind;	   /* this node's configuration is an earlier one */
-	uint32_t known;	   /* members that haven't left, this node included */
-	uint32_t alive;	   /* of those, the ones that are alive */
-	uint32_t probed;   /* probes of the last seconds */
-	uint32_t answered; /* of those, the answered ones */
-	uint32_t self;	   /* handle of this node */
+	int config_outdated; /* this node's configuration is an earlier one */
+	uint32_t known;	     /* members that haven't left, this node included */
+	uint32_t alive;	     /* of those, the ones that are alive */
+	uint32_t probed;     /* probes of the last seconds */
+	uint32_t answered;   /* of those, the answered ones */
+	uint32_t self;	     /* handle of this node */
 	uint32_t len;
 	struct member_info *list;
 	uint32_t services_len;
-	struct member_index *services;
+	struct member_service_index *services;
 	uint32_t *handles;
 };
 
--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -6,40 +6,40 @@
 #include "member/member.h"
 #include "member/member_xdr.h"
 
-#define MEMBER_NONE UINT32_MAX /* no handle */
+#define MEMBER_NO_HANDLE UINT32_MAX
 
-#define MEMBER_DIRECT_MS 250 /* wait before indirect probes */
-#define MEMBER_PROBE_FAIL_MS 500
+#define MEMBER_DIRECT_TIMEOUT_MS 250 /* wait before indirect probes */
+#define MEMBER_PROBE_TIMEOUT_MS 500
 /* A suspicion lasts this long times log2 of the live members plus one. */
 #define MEMBER_SUSPECT_UNIT_MS 125
 #define MEMBER_SUSPECT_MIN_MS 400
-#define MEMBER_HELPERS 3    /* members asked for an indirect probe */
-#define MEMBER_STALL_MS 100 /* a longer gap between ticks is a pause */
+#define MEMBER_INDIRECT_PROBES 3 /* members asked for an indirect probe */
+#define MEMBER_PAUSE_MIN_MS 100	 /* a longer gap between ticks is a pause */
 
 /* A change is sent this many times log2 of the live members plus one. */
 #define MEMBER_TELL_FACTOR 3
 #define MEMBER_FEW_TELLS 3 /* times that minor changes are sent */
 /* With more changes in the queue, each one is sent fewer times. */
 #define MEMBER_QUEUE_LONG 64
-#define MEMBER_GOSSIP_MS 100
+#define MEMBER_GOSSIP_PERIOD_MS 100
 #define MEMBER_GOSSIP_FANOUT 2
 #define MEMBER_LEAVE_FANOUT 24
 
-#define MEMBER_SYNC_MS 30000
-#define MEMBER_SYNC_AGAIN_MS 250  /* after many changes */
-#define MEMBER_SYNC_SOON_MS 2000  /* after some changes */
-#define MEMBER_SYNC_START_MS 1000 /* during startup */
-#define MEMBER_START_MS 10000	  /* duration of the startup */
-#define MEMBER_SYNC_NEWS 16	  /* this many changes are many */
-#define MEMBER_SYNC_PAGES 16	  /* at most, in reply to one sync */
+#define MEMBER_SYNC_PERIOD_MS 30000
+#define MEMBER_SYNC_MANY_DELAY_MS 250	   /* after many changes */
+#define MEMBER_SYNC_SOME_DELAY_MS 2000	   /* after some changes */
+#define MEMBER_SYNC_STARTUP_PERIOD_MS 1000 /* during startup */
+#define MEMBER_STARTUP_MS 10000		   /* duration of the startup */
+#define MEMBER_SYNC_MANY_CHANGES 16	   /* this many changes are many */
+#define MEMBER_SYNC_PAGES 16		   /* at most, in reply to one sync */
 #define MEMBER_BUDGET_BYTES (32 * 1024)
-#define MEMBER_BUDGET_START (1024 * 1024) /* for pages, at startup */
-#define MEMBER_BUDGET_START_MS 60000
-#define MEMBER_BUDGET_RATE 4000 /* bytes a second */
+#define MEMBER_BUDGET_STARTUP_BYTES (1024 * 1024) /* for pages, at startup */
+#define MEMBER_BUDGET_STARTUP_MS 60000
+#define MEMBER_BUDGET_BYTES_PER_S 4000
 
-#define MEMBER_REPROBE_MS 1000 /* period of probes of dead members */
-#define MEMBER_DEAD_KEEP_MS (2 * 3600 * 1000)
-#define MEMBER_LEFT_KEEP_MS (10 * 60 * 1000)
+#define MEMBER_REPROBE_PERIOD_MS 1000 /* period of probes of dead members */
+#define MEMBER_DEAD_RETENTION_MS (2 * 3600 * 1000)
+#define MEMBER_LEFT_RETENTION_MS (10 * 60 * 1000)
 
 #define MEMBER_MESSAGE_BYTES 1150 /* limit of a message body */
 #define MEMBER_MESSAGE_LOW 450	  /* the same, once the budget is spent */
@@ -47,13 +47,13 @@
 #define MEMBER_PROBES_MAX 64
 #define MEMBER_RELAYS_MAX 64
 #define MEMBER_VERIFY_MAX 16
-#define MEMBER_VERIFY_MS 100 /* period of probes of reported deaths */
+#define MEMBER_VERIFY_PERIOD_MS 100 /* period of probes of reported deaths */
 #define MEMBER_SEEDS_MAX 64
 #define MEMBER_SEED_TRIES 8
-#define MEMBER_SEED_MS 200 /* retry delay for each try so far */
-#define MEMBER_WINDOW_S 10 /* probe counts are held for this long */
+#define MEMBER_SEED_DELAY_MS 200 /* retry delay for each try so far */
+#define MEMBER_PROBE_WINDOW_S 10 /* probe counts are held for this long */
 /* The probe counts of this time tell whether this node is isolated. */
-#define MEMBER_HEARING_S 2
+#define MEMBER_ISOLATION_WINDOW_S 2
 #define MEMBER_TICK_MS 25
 
 /* Callbacks of a table. */
@@ -78,7 +78,7 @@
 	struct member_info info;
 	uint64_t deadline_ms; /* a suspect is declared dead then */
 	/* Next time to notify a suspect that this node accused. */
-	uint64_t accuse_ms;
+	uint64_t next_accuse_ms;
 	/*
 	 * Times that the queued change was sent. Starts above 0 for a change
 	 * that needs fewer than member_tells().
@@ -86,15 +86,15 @@
 	uint32_t told;
 	uint32_t stamp; /* number of the last message that contains it */
 	int used;
-	int accused; /* this node made it a suspect */
-	int queued;  /* has a change in the queue */
-	int full;    /* the change needs an entry, not only a status */
+	int accused_by_self; /* this node made it a suspect */
+	int queued;	     /* has a change in the queue */
+	int full;	     /* the change needs an entry, not only a status */
 };
 
 /* An unanswered probe. */
 struct member_probe {
 	uint64_t sent_ms;
-	uint64_t since_ms; /* sent_ms plus pauses of this process */
+	uint64_t timeout_start_ms; /* sent_ms plus pauses of this process */
 	uint64_t incarnation;
 	uint32_t nonce;
 	uint32_t handle;
@@ -119,12 +119,13 @@
 };
 
 /* The probe counts of one second. */
-struct member_second {
+struct member_probe_counts {
 	uint64_t second;
 	uint32_t probed;
 	uint32_t answered;
 };
 
+/* What this node knows of the members, and the state of the protocol. */
 struct member_table {
 	struct member_port port;
 	struct member_slot *slots;
@@ -134,24 +135,24 @@
 	uint32_t count; /* slots in use */
 	uint32_t alive; /* in state alive, this node included */
 	GHashTable *by_addr;
-	uint32_t *ring; /* handles in the order of probes */
-	uint32_t ring_len;
-	uint32_t ring_pos;
+	uint32_t *probe_order; /* handles in the order of probes */
+	uint32_t probe_order_len;
+	uint32_t probe_order_pos;
 	uint32_t *queue; /* handles of members with changes to send */
 	uint32_t queue_len;
 	uint32_t old_pos; /* last entry that was sent without a change */
 	struct member_probe probes[MEMBER_PROBES_MAX];
 	/* Handles of live members that were reported dead. */
-	uint32_t verify[MEMBER_VERIFY_MAX];
-	uint32_t verify_len;
+	uint32_t reported_dead[MEMBER_VERIFY_MAX];
+	uint32_t reported_dead_len;
 	struct member_relay relays[MEMBER_RELAYS_MAX];
 	uint32_t relay_pos;
 	struct member_seed seeds[MEMBER_SEEDS_MAX];
 	uint32_t seeds_len;
-	struct member_second seconds[MEMBER_WINDOW_S];
+	struct member_probe_counts probe_counts[MEMBER_PROBE_WINDOW_S];
 	uint32_t next_nonce;
-	uint32_t stamp; /* number of the last message */
-	uint32_t news;	/* changes received in pages since the last sync */
+	uint32_t stamp;	       /* number of the last message */
+	uint32_t sync_changes; /* made by pages since the last sync */
 	uint32_t probe_ms;
 	uint64_t fresh_ms; /* see member_settings */
 	uint64_t started_ms;
@@ -160,18 +161,18 @@
 	uint64_t next_gossip_ms;
 	uint64_t next_sync_ms;
 	uint64_t last_sync_ms;
-	uint64_t next_dead_ms;
+	uint64_t next_reprobe_ms;
 	uint64_t next_verify_ms;
-	uint64_t next_forget_ms;
-	uint64_t budget_ms;    /* time of the last refill */
-	int64_t gossip_budget; /* bytes for entries in messages */
-	int64_t page_budget;   /* bytes for pages of the table */
-	uint64_t log_read_ms;  /* latest known log read by any node */
+	uint64_t next_expiry_ms;
+	uint64_t budget_refilled_ms; /* time of the last refill */
+	int64_t gossip_budget;	     /* bytes for entries in messages */
+	int64_t page_budget;	     /* bytes for pages of the table */
+	uint64_t log_read_ms;	     /* latest known log read by any node */
 	/* Latest log read at which this node's configuration was current. */
-	uint64_t current_ms;
-	uint64_t config_version;  /* latest version known */
-	uint64_t config_asked_ms; /* earliest time of the next report of it */
-	uint32_t config_addr;	  /* of a node that has it */
+	uint64_t config_current_ms;
+	uint64_t config_version;	/* latest version known */
+	uint64_t next_config_report_ms; /* of that version */
+	uint32_t config_addr;		/* of a node that has it */
 	uint16_t config_peer_port;
 	int paging;  /* a page of another node's table is being merged */
 	int dirty;   /* the view is out of date */
@@ -190,24 +191,24 @@
 void member_table_changed(struct member_table *, uint64_t);
 
 struct member_slot *member_add_slot(struct member_table *, uint32_t, uint16_t);
-void member_insert_probe(struct member_table *, uint32_t);
+void member_insert_probe_target(struct member_table *, uint32_t);
 int member_is_up(enum member_state);
-void member_tell(
+void member_report_event(
     struct member_table *, enum member_event, const struct member_slot *);
 void member_copy_text(char *, size_t, const char *);
 struct member_slot *member_find(struct member_table *, uint32_t, uint16_t);
 uint32_t member_handle(const struct member_table *, const struct member_slot *);
-void member_merge(
+void member_merge_entry(
     struct member_table *, uint64_t, const struct member_entry *, int);
 void member_merge_status(
     struct member_table *, uint64_t, const struct member_status *);
 void member_set_state(struct member_table *, uint64_t, struct member_slot *,
     enum member_state, uint32_t);
-uint64_t member_suspect_ms(const struct member_table *);
+uint64_t member_suspicion_timeout_ms(const struct member_table *);
 uint32_t member_tells(const struct member_table *);
 int member_server_differs(
     const struct member_server *, const struct member_server *);
-void member_forget(struct member_table *, uint64_t);
+void member_remove_expired(struct member_table *, uint64_t);
 uint32_t member_random_alive(struct member_table *);
 
 void member_queue(
@@ -225,9 +226,9 @@
     struct member_table *, uint64_t, const struct member_message *);
 
 void member_note_log_read(struct member_table *, uint64_t);
-void member_ask_config(struct member_table *, uint64_t);
-void member_window_add(struct member_table *, uint64_t, int);
-void member_window_sum(
+void member_report_later_config(struct member_table *, uint64_t);
+void member_count_probe(struct member_table *, uint64_t, int);
+void member_sum_probes(
     const struct member_table *, uint64_t, uint32_t, uint32_t *, uint32_t *);
 
 struct member_view *member_view_build(
--- a/src/member/member_merge.c
+++ b/src/member/member_merge.c
@@ -7,37 +7,39 @@
  * wins. A suspicion is refuted only by a higher sequence number, and only
  * the member itself assigns one.
  */
-static const int ranks[MEMBER_STATE_MAX] = {
+static const int state_ranks[MEMBER_STATE_MAX] = {
 	[MEMBER_ALIVE] = 0,
 	[MEMBER_SUSPECT] = 1,
 	[MEMBER_DEAD] = 2,
 	[MEMBER_LEFT] = 3,
 };
 
-static int entry_valid(const struct member_entry *);
+static int entry_is_valid(const struct member_entry *);
 static void copy_server(struct member_server *, const struct member_entry *);
-static void copy_data(struct member_slot *, const struct member_entry *);
-static void copy_entry(struct member_slot *, const struct member_entry *);
-static int name_newer(const struct member_entry *, const struct member_info *);
+static void copy_member_data(struct member_slot *, const struct member_entry *);
+static void copy_new_process(struct member_slot *, const struct member_entry *);
+static int is_later_process(
+    const struct member_entry *, const struct member_info *);
 static void refute(
     struct member_table *, uint64_t, enum member_state, uint32_t);
 static void merge_self(
     struct member_table *, uint64_t, const struct member_entry *);
-static void merge_new(
+static void merge_new_member(
     struct member_table *, uint64_t, const struct member_entry *);
-static void merge_replaced(struct member_table *, uint64_t,
+static void replace_process(struct member_table *, uint64_t,
     struct member_slot *, const struct member_entry *);
-static void merge_report(struct member_table *, const struct member_slot *);
+static void schedule_verification(
+    struct member_table *, const struct member_slot *);
 static void merge_state(struct member_table *, uint64_t, struct member_slot *,
     enum member_state, uint32_t);
-static void merge_same(struct member_table *, uint64_t, struct member_slot *,
-    const struct member_entry *, int);
+static void merge_known_process(struct member_table *, uint64_t,
+    struct member_slot *, const struct member_entry *, int);
 
 /*
  * Returns whether the fields of a received entry are within their ranges.
  */
 static int
-entry_valid(const struct member_entry *e)
+entry_is_valid(const struct member_entry *e)
 {
 	return e->name.addr != 0 && e->name.port > 0 &&
 	       e->name.port <= UINT16_MAX && e->peer_port <= UINT16_MAX &&
@@ -92,7 +94,7 @@
  * entries in state alive carry these data.
  */
 static void
-copy_data(struct member_slot *s, const struct member_entry *e)
+copy_member_data(struct member_slot *s, const struct member_entry *e)
 {
 	if (e->state != MEMBER_ALIVE)
 		return;
@@ -108,14 +110,14 @@
  * Copies an entry of a new process, except its state.
  */
 static void
-copy_entry(struct member_slot *s, const struct member_entry *e)
+copy_new_process(struct member_slot *s, const struct member_entry *e)
 {
 	s->info.id.incarnation = e->name.incarnation;
 	s->info.epoch = e->name.epoch;
 	s->info.seq = e->seq;
 	s->info.rev = 0;
 	s->full = 1;
-	copy_data(s, e);
+	copy_member_data(s, e);
 }
 
 /*
@@ -123,7 +125,7 @@
  * address.
  */
 static int
-name_newer(const struct member_entry *e, const struct member_info *m)
+is_later_process(const struct member_entry *e, const struct member_info *m)
 {
 	if (e->name.epoch != m->epoch)
 		return e->name.epoch > m->epoch;
@@ -161,7 +163,7 @@
 
 	if (e->name.incarnation == s->info.id.incarnation) {
 		refute(t, now, (enum member_state)e->state, e->seq);
-	} else if (!t->leaving && name_newer(e, &s->info)) {
+	} else if (!t->leaving && is_later_process(e, &s->info)) {
 		s->info.epoch = e->name.epoch + 1;
 		member_table_changed(t, now);
 	}
@@ -173,30 +175,31 @@
  * time.
  */
 static void
-merge_new(struct member_table *t, uint64_t now, const struct member_entry *e)
+merge_new_member(
+    struct member_table *t, uint64_t now, const struct member_entry *e)
 {
 	enum member_state state = (enum member_state)e->state;
 	uint64_t age = (uint64_t)e->age_s * 1000;
 	struct member_slot *s;
 
 	if (state == MEMBER_LEFT || state == MEMBER_SUSPECT ||
-	    (state == MEMBER_DEAD && age >= MEMBER_DEAD_KEEP_MS) ||
+	    (state == MEMBER_DEAD && age >= MEMBER_DEAD_RETENTION_MS) ||
 	    t->count == MEMBER_COUNT_MAX)
 		return;
 	s = member_add_slot(t, e->name.addr, (uint16_t)e->name.port);
-	copy_entry(s, e);
+	copy_new_process(s, e);
 	s->info.peer_port = (uint16_t)e->peer_port;
 	s->info.since_ms = now > age ? now - age : 0;
 	s->info.state = state;
 	t->dirty = 1;
-	t->news += (uint32_t)t->paging;
+	t->sync_changes += (uint32_t)t->paging;
 	t->alive += state == MEMBER_ALIVE;
 	if (!t->paging)
 		member_queue(t, s, MEMBER_TELL_SOME);
 	if (state != MEMBER_ALIVE)
 		return;
-	member_insert_probe(t, member_handle(t, s));
-	member_tell(t, MEMBER_JOINED, s);
+	member_insert_probe_target(t, member_handle(t, s));
+	member_report_event(t, MEMBER_JOINED, s);
 }
 
 /*
@@ -204,7 +207,7 @@
  * process proves that the earlier one is dead.
  */
 static void
-merge_replaced(struct member_table *t, uint64_t now, struct member_slot *s,
+replace_process(struct member_table *t, uint64_t now, struct member_slot *s,
     const struct member_entry *e)
 {
 	enum member_state state = (enum member_state)e->state;
@@ -214,22 +217,22 @@
 	if (member_is_up(s->info.state)) {
 		t->alive -= s->info.state == MEMBER_ALIVE;
 		s->info.state = MEMBER_DEAD;
-		member_tell(t, MEMBER_DIED, s);
+		member_report_event(t, MEMBER_DIED, s);
 	}
 	s->info.config_version = 0;
 	memset(&s->info.server, 0, sizeof(s->info.server));
-	copy_entry(s, e);
+	copy_new_process(s, e);
 	s->info.since_ms = now;
 	s->info.state = state;
-	s->accused = 0;
+	s->accused_by_self = 0;
 	t->alive += state == MEMBER_ALIVE;
 	t->dirty = 1;
-	t->news += (uint32_t)t->paging;
+	t->sync_changes += (uint32_t)t->paging;
 	member_queue(t, s, MEMBER_TELL_SOME);
 	if (state != MEMBER_ALIVE)
 		return;
-	member_insert_probe(t, member_handle(t, s));
-	member_tell(t, MEMBER_JOINED, s);
+	member_insert_probe_target(t, member_handle(t, s));
+	member_report_event(t, MEMBER_JOINED, s);
 }
 
 /*
@@ -238,17 +241,18 @@
  * each side receives such reports about every member of the other side.
  */
 static void
-merge_report(struct member_table *t, const struct member_slot *s)
+schedule_verification(struct member_table *t, const struct member_slot *s)
 {
 	uint32_t h = member_handle(t, s), i;
 
-	if (s->info.state != MEMBER_ALIVE || t->verify_len == MEMBER_VERIFY_MAX)
+	if (s->info.state != MEMBER_ALIVE ||
+	    t->reported_dead_len == MEMBER_VERIFY_MAX)
 		return;
-	for (i = 0; i < t->verify_len; i++) {
-		if (t->verify[i] == h)
+	for (i = 0; i < t->reported_dead_len; i++) {
+		if (t->reported_dead[i] == h)
 			return;
 	}
-	t->verify[t->verify_len++] = h;
+	t->reported_dead[t->reported_dead_len++] = h;
 }
 
 /*
@@ -259,13 +263,14 @@
     enum member_state state, uint32_t seq)
 {
 	if (seq < s->info.seq ||
-	    (seq == s->info.seq && ranks[state] <= ranks[s->info.state]))
+	    (seq == s->info.seq &&
+		state_ranks[state] <= state_ranks[s->info.state]))
 		return;
 	if (state == MEMBER_DEAD && member_is_up(s->info.state)) {
-		merge_report(t, s);
+		schedule_verification(t, s);
 		return;
 	}
-	t->news += (uint32_t)t->paging;
+	t->sync_changes += (uint32_t)t->paging;
 	member_set_state(t, now, s, state, seq);
 }
 
@@ -274,11 +279,11 @@
  * member itself, because it changes faster than gossip spreads it.
  */
 static void
-merge_same(struct member_table *t, uint64_t now, struct member_slot *s,
+merge_known_process(struct member_table *t, uint64_t now, struct member_slot *s,
     const struct member_entry *e, int direct)
 {
 	if (direct && s->info.state == MEMBER_SUSPECT)
-		s->deadline_ms = now + member_suspect_ms(t);
+		s->deadline_ms = now + member_suspicion_timeout_ms(t);
 	if (e->config_version > s->info.config_version)
 		s->info.config_version = e->config_version;
 	if (direct && e->server != NULL && e->rev == s->info.rev)
@@ -286,10 +291,10 @@
 	merge_state(t, now, s, (enum member_state)e->state, e->seq);
 	if (e->rev <= s->info.rev || e->state != MEMBER_ALIVE)
 		return;
-	copy_data(s, e);
+	copy_member_data(s, e);
 	s->full = 1;
 	t->dirty = 1;
-	t->news += (uint32_t)t->paging;
+	t->sync_changes += (uint32_t)t->paging;
 	member_queue(t, s, MEMBER_TELL_URGENT);
 }
 
@@ -318,20 +323,20 @@
  * message itself.
  */
 void
-member_merge(struct member_table *t, uint64_t now, const struct member_entry *e,
-    int direct)
+member_merge_entry(struct member_table *t, uint64_t now,
+    const struct member_entry *e, int direct)
 {
 	struct member_slot *s;
 
-	if (!entry_valid(e))
+	if (!entry_is_valid(e))
 		return;
 	s = member_find(t, e->name.addr, (uint16_t)e->name.port);
 	if (s == NULL)
-		merge_new(t, now, e);
+		merge_new_member(t, now, e);
 	else if (member_handle(t, s) == t->self)
 		merge_self(t, now, e);
 	else if (s->info.id.incarnation == e->name.incarnation)
-		merge_same(t, now, s, e, direct);
-	else if (name_newer(e, &s->info))
-		merge_replaced(t, now, s, e);
+		merge_known_process(t, now, s, e, direct);
+	else if (is_later_process(e, &s->info))
+		replace_process(t, now, s, e);
 }
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -2,81 +2,82 @@
 
 #include "member/member_int.h"
 
-static void rebuild_ring(struct member_table *);
-static uint32_t next_target(struct member_table *);
-static uint32_t next_reported(struct member_table *);
-static void probe(struct member_table *, uint64_t, uint32_t, int);
-static void ask_helpers(struct member_table *, uint64_t, struct member_probe *);
-static int hears_most(const struct member_table *, uint64_t);
+static void shuffle_probe_order(struct member_table *);
+static uint32_t next_probe_target(struct member_table *);
+static uint32_t next_to_verify(struct member_table *);
+static void send_probe(struct member_table *, uint64_t, uint32_t, int);
+static void request_indirect_probes(
+    struct member_table *, uint64_t, struct member_probe *);
+static int half_answered(const struct member_table *, uint64_t);
 static void fail_probe(struct member_table *, uint64_t, struct member_probe *);
 static void check_probes(struct member_table *, uint64_t);
 static void check_suspects(struct member_table *, uint64_t);
-static void probe_dead(struct member_table *, uint64_t);
-static void try_seeds(struct member_table *, uint64_t);
-static int worth_telling(const struct member_table *);
-static void gossip(struct member_table *, uint64_t);
-static void sync_due(struct member_table *, uint64_t);
+static void probe_dead_member(struct member_table *, uint64_t);
+static void probe_seeds(struct member_table *, uint64_t);
+static int has_changes_to_send(const struct member_table *);
+static void send_gossip(struct member_table *, uint64_t);
+static void sync_if_due(struct member_table *, uint64_t);
 static void start_sync(struct member_table *, uint64_t);
-static void after_stall(struct member_table *, uint64_t);
-static void refill(struct member_table *, uint64_t);
+static void extend_timeouts(struct member_table *, uint64_t);
+static void refill_budgets(struct member_table *, uint64_t);
 
 /*
  * Starts another round of probes in a new random order.
  */
 static void
-rebuild_ring(struct member_table *t)
+shuffle_probe_order(struct member_table *t)
 {
 	uint32_t h, i, j, swap;
 
-	t->ring_len = t->ring_pos = 0;
+	t->probe_order_len = t->probe_order_pos = 0;
 	for (h = 0; h < t->slots_len; h++) {
 		if (h != t->self && t->slots[h].used &&
 		    t->slots[h].info.state <= MEMBER_SUSPECT)
-			t->ring[t->ring_len++] = h;
+			t->probe_order[t->probe_order_len++] = h;
 	}
-	for (i = t->ring_len; i > 1; i--) {
+	for (i = t->probe_order_len; i > 1; i--) {
 		j = (uint32_t)(t->port.rand(t->port.ctx) % i);
-		swap = t->ring[i - 1];
-		t->ring[i - 1] = t->ring[j];
-		t->ring[j] = swap;
+		swap = t->probe_order[i - 1];
+		t->probe_order[i - 1] = t->probe_order[j];
+		t->probe_order[j] = swap;
 	}
 }
 
 /*
- * Returns the handle of the next member to probe, or MEMBER_NONE.
+ * Returns the handle of the next member to probe, or MEMBER_NO_HANDLE.
  */
 static uint32_t
-next_target(struct member_table *t)
+next_probe_target(struct member_table *t)
 {
 	struct member_slot *s;
 	int round;
 
 	for (round = 0; round < 2; round++) {
-		while (t->ring_pos < t->ring_len) {
-			s = &t->slots[t->ring[t->ring_pos++]];
+		while (t->probe_order_pos < t->probe_order_len) {
+			s = &t->slots[t->probe_order[t->probe_order_pos++]];
 			if (s->used && s->info.state <= MEMBER_SUSPECT)
 				return member_handle(t, s);
 		}
-		rebuild_ring(t);
+		shuffle_probe_order(t);
 	}
-	return MEMBER_NONE;
+	return MEMBER_NO_HANDLE;
 }
 
 /*
  * Returns the handle of the next live member that was reported dead, or
- * MEMBER_NONE.
+ * MEMBER_NO_HANDLE.
  */
 static uint32_t
-next_reported(struct member_table *t)
+next_to_verify(struct member_table *t)
 {
 	uint32_t h;
 
-	while (t->verify_len > 0) {
-		h = t->verify[--t->verify_len];
+	while (t->reported_dead_len > 0) {
+		h = t->reported_dead[--t->reported_dead_len];
 		if (t->slots[h].used && t->slots[h].info.state == MEMBER_ALIVE)
 			return h;
 	}
-	return MEMBER_NONE;
+	return MEMBER_NO_HANDLE;
 }
 
 /*
@@ -84,11 +85,11 @@
  * probe carries no queued changes and isn't followed by indirect probes.
  */
 static void
-probe(struct member_table *t, uint64_t now, uint32_t h, int bare)
+send_probe(struct member_table *t, uint64_t now, uint32_t h, int bare)
 {
 	struct member_probe *p;
 
-	if (h == MEMBER_NONE)
+	if (h == MEMBER_NO_HANDLE)
 		return;
 	for (p = t->probes; p < t->probes + MEMBER_PROBES_MAX; p++) {
 		if (!p->used)
@@ -101,7 +102,7 @@
 	p->handle = h;
 	p->incarnation = t->slots[h].info.id.incarnation;
 	p->nonce = t->next_nonce++;
-	p->sent_ms = p->since_ms = now;
+	p->sent_ms = p->timeout_start_ms = now;
 	if (bare)
 		member_send_bare(t, now, &t->slots[h].info.id, p->nonce);
 	else
@@ -113,7 +114,8 @@
  * Repeats a probe and asks other members to probe the target too.
  */
 static void
-ask_helpers(struct member_table *t, uint64_t now, struct member_probe *p)
+request_indirect_probes(
+    struct member_table *t, uint64_t now, struct member_probe *p)
 {
 	const struct node_id *target = &t->slots[p->handle].info.id;
 	uint32_t start, i, h;
@@ -122,7 +124,7 @@
 	p->indirect = 1;
 	member_send(t, now, MEMBER_PING, target, p->nonce);
 	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
-	for (i = 0; i < t->slots_len && asked < MEMBER_HELPERS; i++) {
+	for (i = 0; i < t->slots_len && asked < MEMBER_INDIRECT_PROBES; i++) {
 		h = (start + i) % t->slots_len;
 		if (!t->slots[h].used || h == t->self || h == p->handle ||
 		    t->slots[h].info.state != MEMBER_ALIVE)
@@ -138,11 +140,12 @@
  * answered.
  */
 static int
-hears_most(const struct member_table *t, uint64_t now)
+half_answered(const struct member_table *t, uint64_t now)
 {
 	uint32_t probed, answered;
 
-	member_window_sum(t, now, MEMBER_HEARING_S, &probed, &answered);
+	member_sum_probes(
+	    t, now, MEMBER_ISOLATION_WINDOW_S, &probed, &answered);
 	return answered * 2 >= probed;
 }
 
@@ -157,14 +160,14 @@
 	struct member_slot *s = &t->slots[p->handle];
 
 	p->used = 0;
-	member_window_add(t, now, 0);
+	member_count_probe(t, now, 0);
 	if (!s->used || s->info.id.incarnation != p->incarnation ||
 	    s->info.state != MEMBER_ALIVE)
 		return;
 	member_set_state(t, now, s, MEMBER_SUSPECT, s->info.seq);
-	s->accused = 1;
-	s->accuse_ms = now;
-	if (!hears_most(t, now))
+	s->accused_by_self = 1;
+	s->next_accuse_ms = now;
+	if (!half_answered(t, now))
 		member_unqueue(t, member_handle(t, s));
 }
 
@@ -180,10 +183,11 @@
 	for (p = t->probes; p < t->probes + MEMBER_PROBES_MAX; p++) {
 		if (!p->used)
 			continue;
-		if (now >= p->since_ms + MEMBER_PROBE_FAIL_MS)
+		if (now >= p->timeout_start_ms + MEMBER_PROBE_TIMEOUT_MS)
 			fail_probe(t, now, p);
-		else if (!p->indirect && now >= p->since_ms + MEMBER_DIRECT_MS)
-			ask_helpers(t, now, p);
+		else if (!p->indirect &&
+			 now >= p->timeout_start_ms + MEMBER_DIRECT_TIMEOUT_MS)
+			request_indirect_probes(t, now, p);
 	}
 }
 
@@ -203,8 +207,9 @@
 			continue;
 		if (now >= s->deadline_ms) {
 			member_set_state(t, now, s, MEMBER_DEAD, s->info.seq);
-		} else if (s->accused && now >= s->accuse_ms) {
-			s->accuse_ms = now + member_suspect_ms(t) / 3;
+		} else if (s->accused_by_self && now >= s->next_accuse_ms) {
+			s->next_accuse_ms =
+			    now + member_suspicion_timeout_ms(t) / 3;
 			member_send_bare(t, now, &s->info.id, t->next_nonce++);
 		}
 	}
@@ -214,11 +219,11 @@
  * Probes one dead member, to detect that a network partition has healed.
  */
 static void
-probe_dead(struct member_table *t, uint64_t now)
+probe_dead_member(struct member_table *t, uint64_t now)
 {
 	uint32_t start, i, h;
 
-	t->next_dead_ms = now + MEMBER_REPROBE_MS;
+	t->next_reprobe_ms = now + MEMBER_REPROBE_PERIOD_MS;
 	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
 	for (i = 0; i < t->slots_len; i++) {
 		h = (start + i) % t->slots_len;
@@ -266,11 +271,11 @@
  * Probes the seeds that aren't known as members.
  */
 static void
-try_seeds(struct member_table *t, uint64_t now)
+probe_seeds(struct member_table *t, uint64_t now)
 {
 	const struct member_slot *known;
 	struct member_seed *s;
-	struct node_id to = { 0 };
+	struct node_id seed_id = { 0 };
 
 	for (s = t->seeds; s < t->seeds + t->seeds_len; s++) {
 		if (now < s->next_ms ||
@@ -280,30 +285,30 @@
 		if (known != NULL)
 			continue;
 		s->tries++;
-		s->next_ms =
-		    now + MIN(s->tries, MEMBER_SEED_TRIES) * MEMBER_SEED_MS;
-		to.addr = s->addr;
-		to.rpc_port = s->port;
-		member_send(t, now, MEMBER_PING, &to, t->next_nonce++);
+		s->next_ms = now + MIN(s->tries, MEMBER_SEED_TRIES) *
+				       MEMBER_SEED_DELAY_MS;
+		seed_id.addr = s->addr;
+		seed_id.rpc_port = s->port;
+		member_send(t, now, MEMBER_PING, &seed_id, t->next_nonce++);
 	}
 }
 
 /*
  * Returns whether the queue holds changes worth a separate message. Once
- * half of the budget is spent, only changes that are to be sent many times
- * are worth one.
+ * half of the budget is spent, the rest is reserved for changes in the first
+ * third of their retransmissions.
  */
 static int
-worth_telling(const struct member_table *t)
+has_changes_to_send(const struct member_table *t)
 {
-	uint32_t all = member_tells(t), i;
+	uint32_t limit = member_tells(t), i;
 
 	if (t->gossip_budget < 0)
 		return 0;
 	if (t->gossip_budget > MEMBER_BUDGET_BYTES / 2)
 		return t->queue_len > 0;
 	for (i = 0; i < t->queue_len; i++) {
-		if (t->slots[t->queue[i]].told < all / MEMBER_TELL_FACTOR)
+		if (t->slots[t->queue[i]].told < limit / MEMBER_TELL_FACTOR)
 			return 1;
 	}
 	return 0;
@@ -314,17 +319,17 @@
  * within the budget.
  */
 static void
-gossip(struct member_table *t, uint64_t now)
+send_gossip(struct member_table *t, uint64_t now)
 {
 	uint32_t h;
 	int i;
 
-	t->next_gossip_ms = now + MEMBER_GOSSIP_MS;
+	t->next_gossip_ms = now + MEMBER_GOSSIP_PERIOD_MS;
 	for (i = 0; i < MEMBER_GOSSIP_FANOUT; i++) {
-		if (!worth_telling(t))
+		if (!has_changes_to_send(t))
 			return;
 		h = member_random_alive(t);
-		if (h == MEMBER_NONE)
+		if (h == MEMBER_NO_HANDLE)
 			return;
 		member_send(t, now, MEMBER_GOSSIP, &t->slots[h].info.id, 0);
 	}
@@ -338,15 +343,17 @@
 start_sync(struct member_table *t, uint64_t now)
 {
 	uint32_t h = member_random_alive(t);
-	uint64_t every;
+	uint64_t period_ms;
 
-	if (h == MEMBER_NONE)
+	if (h == MEMBER_NO_HANDLE)
 		return;
-	t->news = 0;
+	t->sync_changes = 0;
 	t->last_sync_ms = now;
-	every = now < t->started_ms + MEMBER_START_MS ? MEMBER_SYNC_START_MS
-						      : MEMBER_SYNC_MS;
-	t->next_sync_ms = now + every / 2 + t->port.rand(t->port.ctx) % every;
+	period_ms = now < t->started_ms + MEMBER_STARTUP_MS
+			? MEMBER_SYNC_STARTUP_PERIOD_MS
+			: MEMBER_SYNC_PERIOD_MS;
+	t->next_sync_ms =
+	    now + period_ms / 2 + t->port.rand(t->port.ctx) % period_ms;
 	member_sync(t, now, MEMBER_SYNC, &t->slots[h].info.id);
 }
 
@@ -355,14 +362,15 @@
  * if the last one brought changes.
  */
 static void
-sync_due(struct member_table *t, uint64_t now)
+sync_if_due(struct member_table *t, uint64_t now)
 {
-	uint64_t soon = t->last_sync_ms + (t->news >= MEMBER_SYNC_NEWS
-						  ? MEMBER_SYNC_AGAIN_MS
-						  : MEMBER_SYNC_SOON_MS);
+	uint64_t early_ms =
+	    t->last_sync_ms + (t->sync_changes >= MEMBER_SYNC_MANY_CHANGES
+				      ? MEMBER_SYNC_MANY_DELAY_MS
+				      : MEMBER_SYNC_SOME_DELAY_MS);
 
-	if (t->news > 0)
-		t->next_sync_ms = MIN(t->next_sync_ms, soon);
+	if (t->sync_changes > 0)
+		t->next_sync_ms = MIN(t->next_sync_ms, early_ms);
 	if (now >= t->next_sync_ms)
 		start_sync(t, now);
 }
@@ -372,16 +380,16 @@
  * process was paused: the answers may wait unread in its socket.
  */
 static void
-after_stall(struct member_table *t, uint64_t gap)
+extend_timeouts(struct member_table *t, uint64_t pause_ms)
 {
 	uint32_t h;
 	int i;
 
 	for (i = 0; i < MEMBER_PROBES_MAX; i++)
-		t->probes[i].since_ms += gap;
+		t->probes[i].timeout_start_ms += pause_ms;
 	for (h = 0; h < t->slots_len; h++) {
 		if (t->slots[h].used)
-			t->slots[h].deadline_ms += gap;
+			t->slots[h].deadline_ms += pause_ms;
 	}
 }
 
@@ -390,19 +398,20 @@
  * expires.
  */
 static void
-refill(struct member_table *t, uint64_t now)
+refill_budgets(struct member_table *t, uint64_t now)
 {
-	int64_t add;
+	int64_t refill;
 
-	add = (int64_t)((now - t->budget_ms) * MEMBER_BUDGET_RATE / 1000);
-	if (add == 0)
+	refill = (int64_t)((now - t->budget_refilled_ms) *
+			   MEMBER_BUDGET_BYTES_PER_S / 1000);
+	if (refill == 0)
 		return;
-	t->budget_ms = now;
+	t->budget_refilled_ms = now;
 	if (t->gossip_budget < MEMBER_BUDGET_BYTES)
-		t->gossip_budget += add;
+		t->gossip_budget += refill;
 	if (t->page_budget < MEMBER_BUDGET_BYTES)
-		t->page_budget += add;
-	else if (now > t->started_ms + MEMBER_BUDGET_START_MS)
+		t->page_budget += refill;
+	else if (now > t->started_ms + MEMBER_BUDGET_STARTUP_MS)
 		t->page_budget = MEMBER_BUDGET_BYTES;
 }
 
@@ -413,34 +422,34 @@
 void
 member_table_tick(struct member_table *t, uint64_t now)
 {
-	uint64_t gap = now - t->last_tick_ms;
+	uint64_t pause_ms = now - t->last_tick_ms;
 
 	t->last_tick_ms = now;
-	if (gap > MEMBER_STALL_MS)
-		after_stall(t, gap);
-	refill(t, now);
+	if (pause_ms > MEMBER_PAUSE_MIN_MS)
+		extend_timeouts(t, pause_ms);
+	refill_budgets(t, now);
 	check_probes(t, now);
 	check_suspects(t, now);
 	if (now >= t->next_probe_ms) {
 		t->next_probe_ms =
 		    MAX(t->next_probe_ms + t->probe_ms, now + t->probe_ms / 2);
-		probe(t, now, next_target(t), 0);
+		send_probe(t, now, next_probe_target(t), 0);
 	}
 	if (now >= t->next_verify_ms) {
-		t->next_verify_ms = now + MEMBER_VERIFY_MS;
-		probe(t, now, next_reported(t), 1);
+		t->next_verify_ms = now + MEMBER_VERIFY_PERIOD_MS;
+		send_probe(t, now, next_to_verify(t), 1);
 	}
-	try_seeds(t, now);
+	probe_seeds(t, now);
 	if (now >= t->next_gossip_ms)
-		gossip(t, now);
-	if (now >= t->next_dead_ms)
-		probe_dead(t, now);
-	sync_due(t, now);
-	if (now >= t->next_forget_ms) {
-		t->next_forget_ms = now + MEMBER_SYNC_MS;
-		member_forget(t, now);
+		send_gossip(t, now);
+	if (now >= t->next_reprobe_ms)
+		probe_dead_member(t, now);
+	sync_if_due(t, now);
+	if (now >= t->next_expiry_ms) {
+		t->next_expiry_ms = now + MEMBER_SYNC_PERIOD_MS;
+		member_remove_expired(t, now);
 	}
-	member_ask_config(t, now);
+	member_report_later_config(t, now);
 }
 
 /*
@@ -479,7 +488,7 @@
 	member_set_state(t, now, s, MEMBER_LEFT, s->info.seq + 1);
 	for (i = 0; i < MEMBER_LEAVE_FANOUT; i++) {
 		h = member_random_alive(t);
-		if (h != MEMBER_NONE)
+		if (h != MEMBER_NO_HANDLE)
 			member_send(
 			    t, now, MEMBER_GOSSIP, &t->slots[h].info.id, 0);
 	}
--- a/src/member/member_receive.c
+++ b/src/member/member_receive.c
@@ -2,9 +2,9 @@
 
 #include "member/member_int.h"
 
-#define CONFIG_ASK_MS 1000
+#define CONFIG_REPORT_PERIOD_MS 1000
 
-typedef void (*kind_fn)(struct member_table *, uint64_t,
+typedef void (*message_handler)(struct member_table *, uint64_t,
     const struct member_message *, const struct node_id *);
 
 static void on_ping(struct member_table *, uint64_t,
@@ -20,10 +20,10 @@
 static void on_sync_reply(struct member_table *, uint64_t,
     const struct member_message *, const struct node_id *);
 static struct member_probe *find_probe(struct member_table *, uint32_t);
-static void take_config(
+static void update_latest_config(
     struct member_table *, uint64_t, const struct member_message *);
 
-static const kind_fn kinds[] = {
+static const message_handler handlers[] = {
 	[MEMBER_PING] = on_ping,
 	[MEMBER_ACK] = on_ack,
 	[MEMBER_PING_REQ] = on_ping_req,
@@ -46,23 +46,23 @@
 	struct member_slot *s = &t->slots[t->self];
 	u_int i;
 
-	if ((u_int)msg->kind >= G_N_ELEMENTS(kinds))
+	if ((u_int)msg->kind >= G_N_ELEMENTS(handlers))
 		return;
 	if (from.addr == s->info.id.addr &&
 	    from.rpc_port == s->info.id.rpc_port) {
-		member_merge(t, now, &msg->self, 0);
+		member_merge_entry(t, now, &msg->self, 0);
 		return;
 	}
-	member_merge(t, now, &msg->self, 1);
+	member_merge_entry(t, now, &msg->self, 1);
 	t->paging = msg->kind == MEMBER_PAGE;
 	for (i = 0; i < msg->entries.entries_len; i++)
-		member_merge(t, now, &msg->entries.entries_val[i], 0);
+		member_merge_entry(t, now, &msg->entries.entries_val[i], 0);
 	t->paging = 0;
 	for (i = 0; i < msg->statuses.statuses_len; i++)
 		member_merge_status(t, now, &msg->statuses.statuses_val[i]);
-	take_config(t, now, msg);
-	if (kinds[msg->kind] != NULL)
-		kinds[msg->kind](t, now, msg, &from);
+	update_latest_config(t, now, msg);
+	if (handlers[msg->kind] != NULL)
+		handlers[msg->kind](t, now, msg, &from);
 }
 
 /*
@@ -107,7 +107,7 @@
 	(void)from;
 	if (p != NULL) {
 		p->used = 0;
-		member_window_add(t, now, 1);
+		member_count_probe(t, now, 1);
 		if (msg->log_age_ms < p->sent_ms)
 			member_note_log_read(t, p->sent_ms - msg->log_age_ms);
 		return;
@@ -153,7 +153,7 @@
 	if (p == NULL)
 		return;
 	p->used = 0;
-	member_window_add(t, now, 1);
+	member_count_probe(t, now, 1);
 }
 
 /*
@@ -185,7 +185,7 @@
  * just now.
  */
 static void
-take_config(
+update_latest_config(
     struct member_table *t, uint64_t now, const struct member_message *msg)
 {
 	if (msg->self.config_version >= msg->config.number &&
@@ -200,7 +200,7 @@
 	} else {
 		return;
 	}
-	member_ask_config(t, now);
+	member_report_later_config(t, now);
 }
 
 /*
@@ -214,22 +214,22 @@
 {
 	t->log_read_ms = MAX(t->log_read_ms, read_ms);
 	if (t->slots[t->self].info.config_version >= t->config_version)
-		t->current_ms = t->log_read_ms;
+		t->config_current_ms = t->log_read_ms;
 }
 
 /*
  * Reports to the table's owner that another node has a later configuration,
- * and repeats the report every CONFIG_ASK_MS while that is so.
+ * and repeats the report every CONFIG_REPORT_PERIOD_MS while that is so.
  */
 void
-member_ask_config(struct member_table *t, uint64_t now)
+member_report_later_config(struct member_table *t, uint64_t now)
 {
 	struct member_info holder;
 
 	if (t->config_version <= t->slots[t->self].info.config_version ||
-	    now < t->config_asked_ms || t->port.event == NULL)
+	    now < t->next_config_report_ms || t->port.event == NULL)
 		return;
-	t->config_asked_ms = now + CONFIG_ASK_MS;
+	t->next_config_report_ms = now + CONFIG_REPORT_PERIOD_MS;
 	memset(&holder, 0, sizeof(holder));
 	holder.id.addr = t->config_addr;
 	holder.peer_port = t->config_peer_port;
@@ -241,9 +241,10 @@
  * Adds the result of one probe to the counts of the last seconds.
  */
 void
-member_window_add(struct member_table *t, uint64_t now, int answered)
+member_count_probe(struct member_table *t, uint64_t now, int answered)
 {
-	struct member_second *w = &t->seconds[now / 1000 % MEMBER_WINDOW_S];
+	struct member_probe_counts *w =
+	    &t->probe_counts[now / 1000 % MEMBER_PROBE_WINDOW_S];
 
 	if (w->second != now / 1000) {
 		w->second = now / 1000;
@@ -254,16 +255,17 @@
 }
 
 /*
- * Sums the probe counts of the last seconds, at most MEMBER_WINDOW_S.
+ * Sums the probe counts of the last seconds, at most MEMBER_PROBE_WINDOW_S.
  */
 void
-member_window_sum(const struct member_table *t, uint64_t now, uint32_t seconds,
+member_sum_probes(const struct member_table *t, uint64_t now, uint32_t seconds,
     uint32_t *probed, uint32_t *answered)
 {
-	const struct member_second *w;
+	const struct member_probe_counts *w;
 
 	*probed = *answered = 0;
-	for (w = t->seconds; w < t->seconds + MEMBER_WINDOW_S; w++) {
+	for (w = t->probe_counts; w < t->probe_counts + MEMBER_PROBE_WINDOW_S;
+	     w++) {
 		if (w->second + seconds <= now / 1000)
 			continue;
 		*probed += w->probed;
--- a/src/member/member_table.c
+++ b/src/member/member_table.c
@@ -7,8 +7,8 @@
 
 #define SLOTS_MIN 16
 
-static gpointer key_of(uint32_t, uint16_t);
-static void *grow(void *, size_t, size_t);
+static gpointer addr_key(uint32_t, uint16_t);
+static void *resize_array(void *, size_t, size_t);
 
 /*
  * Initializes a table that contains only this node. The epoch is the start
@@ -24,8 +24,9 @@
 	memset(t, 0, sizeof(*t));
 	t->port = *port;
 	t->by_addr = g_hash_table_new(NULL, NULL);
-	t->probe_ms = s->probe_ms != 0 ? s->probe_ms : MEMBER_PROBE_MS;
-	t->fresh_ms = s->fresh_ms != 0 ? s->fresh_ms : MEMBER_FRESH_MS;
+	t->probe_ms = s->probe_ms != 0 ? s->probe_ms : MEMBER_PROBE_PERIOD_MS;
+	t->fresh_ms =
+	    s->fresh_ms != 0 ? s->fresh_ms : MEMBER_LOG_READ_MAX_AGE_MS;
 	self = member_add_slot(t, s->self.addr, s->self.rpc_port);
 	self->info.id = s->self;
 	self->info.peer_port = s->peer_port;
@@ -36,11 +37,11 @@
 	member_copy_text(self->info.region, MEMBER_DOMAIN_TEXT, s->region);
 	t->self = member_handle(t, self);
 	t->alive = 1;
-	t->started_ms = t->last_tick_ms = t->budget_ms = now;
+	t->started_ms = t->last_tick_ms = t->budget_refilled_ms = now;
 	t->next_probe_ms = now + t->port.rand(t->port.ctx) % t->probe_ms;
-	t->next_forget_ms = now + MEMBER_SYNC_MS;
+	t->next_expiry_ms = now + MEMBER_SYNC_PERIOD_MS;
 	t->gossip_budget = MEMBER_BUDGET_BYTES;
-	t->page_budget = MEMBER_BUDGET_START;
+	t->page_budget = MEMBER_BUDGET_STARTUP_BYTES;
 	t->next_nonce = (uint32_t)t->port.rand(t->port.ctx);
 	t->dirty = 1;
 	member_queue(t, &t->slots[t->self], MEMBER_TELL_ALL);
@@ -56,7 +57,7 @@
 {
 	g_hash_table_destroy(t->by_addr);
 	free(t->slots);
-	free(t->ring);
+	free(t->probe_order);
 	free(t->queue);
 }
 
@@ -64,7 +65,7 @@
  * Returns the hash key of an address and port, which is never NULL.
  */
 static gpointer
-key_of(uint32_t addr, uint16_t port)
+addr_key(uint32_t addr, uint16_t port)
 {
 	return (gpointer)(((uintptr_t)addr << 16 | port) + 1);
 }
@@ -73,7 +74,7 @@
  * Resizes an array. Aborts the process if memory is exhausted.
  */
 static void *
-grow(void *p, size_t len, size_t size)
+resize_array(void *p, size_t len, size_t size)
 {
 	p = reallocarray(p, len, size);
 	if (p == NULL)
@@ -87,7 +88,7 @@
 struct member_slot *
 member_find(struct member_table *t, uint32_t addr, uint16_t port)
 {
-	gpointer val = g_hash_table_lookup(t->by_addr, key_of(addr, port));
+	gpointer val = g_hash_table_lookup(t->by_addr, addr_key(addr, port));
 
 	return val == NULL ? NULL : &t->slots[GPOINTER_TO_UINT(val) - 1];
 }
@@ -116,9 +117,12 @@
 		h = t->slots_len;
 	if (h == t->slots_cap) {
 		t->slots_cap = t->slots_cap == 0 ? SLOTS_MIN : h + h / 2;
-		t->slots = grow(t->slots, t->slots_cap, sizeof(*t->slots));
-		t->ring = grow(t->ring, t->slots_cap, sizeof(*t->ring));
-		t->queue = grow(t->queue, t->slots_cap, sizeof(*t->queue));
+		t->slots =
+		    resize_array(t->slots, t->slots_cap, sizeof(*t->slots));
+		t->probe_order = resize_array(
+		    t->probe_order, t->slots_cap, sizeof(*t->probe_order));
+		t->queue =
+		    resize_array(t->queue, t->slots_cap, sizeof(*t->queue));
 	}
 	if (h == t->slots_len)
 		t->slots_len++;
@@ -128,7 +132,7 @@
 	t->slots[h].info.id.rpc_port = port;
 	t->count++;
 	g_hash_table_insert(
-	    t->by_addr, key_of(addr, port), GUINT_TO_POINTER(h + 1));
+	    t->by_addr, addr_key(addr, port), GUINT_TO_POINTER(h + 1));
 	return &t->slots[h];
 }
 
@@ -137,19 +141,21 @@
  * in this round, unless it is in the probe order already.
  */
 void
-member_insert_probe(struct member_table *t, uint32_t h)
+member_insert_probe_target(struct member_table *t, uint32_t h)
 {
-	uint32_t left, at, i;
+	uint32_t remaining, pos, i;
 
-	for (i = 0; i < t->ring_len; i++) {
-		if (t->ring[i] == h)
+	for (i = 0; i < t->probe_order_len; i++) {
+		if (t->probe_order[i] == h)
 			return;
 	}
-	left = t->ring_len - t->ring_pos + 1;
-	at = t->ring_pos + (uint32_t)(t->port.rand(t->port.ctx) % left);
-	t->ring[t->ring_len] = at < t->ring_len ? t->ring[at] : h;
-	t->ring[at] = h;
-	t->ring_len++;
+	remaining = t->probe_order_len - t->probe_order_pos + 1;
+	pos = t->probe_order_pos +
+	      (uint32_t)(t->port.rand(t->port.ctx) % remaining);
+	t->probe_order[t->probe_order_len] =
+	    pos < t->probe_order_len ? t->probe_order[pos] : h;
+	t->probe_order[pos] = h;
+	t->probe_order_len++;
 }
 
 /*
@@ -165,7 +171,7 @@
  * Reports an event about another member to the table's owner.
  */
 void
-member_tell(
+member_report_event(
     struct member_table *t, enum member_event ev, const struct member_slot *s)
 {
 	if (t->port.event != NULL && member_handle(t, s) != t->self)
@@ -176,7 +182,7 @@
  * Returns the time (ms) that a suspect has to refute the suspicion.
  */
 uint64_t
-member_suspect_ms(const struct member_table *t)
+member_suspicion_timeout_ms(const struct member_table *t)
 {
 	double ms = MEMBER_SUSPECT_UNIT_MS * log2((double)t->alive + 1);
 
@@ -196,9 +202,9 @@
 
 /*
  * Sets a member's state and sequence number and queues the change. A death
- * is sent few times because every node detects it by itself. So is a higher
- * sequence number that leaves the state unchanged. A refutation of a
- * suspicion and a departure are urgent.
+ * is sent few times, because every node detects it by itself. A higher
+ * sequence number that leaves the state unchanged is sent few times too. A
+ * refutation of a suspicion and a departure are urgent.
  */
 void
 member_set_state(struct member_table *t, uint64_t now, struct member_slot *s,
@@ -209,9 +215,9 @@
 	s->info.seq = seq;
 	t->dirty = 1;
 	if (state == MEMBER_SUSPECT)
-		s->deadline_ms = now + member_suspect_ms(t);
+		s->deadline_ms = now + member_suspicion_timeout_ms(t);
 	else
-		s->accused = 0;
+		s->accused_by_self = 0;
 	if (old != state) {
 		t->alive += (state == MEMBER_ALIVE) - (old == MEMBER_ALIVE);
 		s->info.state = state;
@@ -225,12 +231,12 @@
 	else
 		member_queue(t, s, MEMBER_TELL_ALL);
 	if (member_is_up(old) && state == MEMBER_DEAD)
-		member_tell(t, MEMBER_DIED, s);
+		member_report_event(t, MEMBER_DIED, s);
 	if (member_is_up(old) && state == MEMBER_LEFT)
-		member_tell(t, MEMBER_DEPARTED, s);
+		member_report_event(t, MEMBER_DEPARTED, s);
 	if (!member_is_up(old) && member_is_up(state)) {
-		member_insert_probe(t, member_handle(t, s));
-		member_tell(t, MEMBER_RETURNED, s);
+		member_insert_probe_target(t, member_handle(t, s));
+		member_report_event(t, MEMBER_RETURNED, s);
 	}
 }
 
@@ -256,7 +262,7 @@
  * the whole cluster.
  */
 void
-member_forget(struct member_table *t, uint64_t now)
+member_remove_expired(struct member_table *t, uint64_t now)
 {
 	struct member_slot *s;
 	uint32_t h, known = 0;
@@ -271,11 +277,12 @@
 			continue;
 		age = now - s->info.since_ms;
 		if (s->info.state == MEMBER_LEFT
-			? age < MEMBER_LEFT_KEEP_MS
-			: age < MEMBER_DEAD_KEEP_MS || t->alive * 2 <= known)
+			? age < MEMBER_LEFT_RETENTION_MS
+			: age < MEMBER_DEAD_RETENTION_MS ||
+			      t->alive * 2 <= known)
 			continue;
 		g_hash_table_remove(
-		    t->by_addr, key_of(s->info.id.addr, s->info.id.rpc_port));
+		    t->by_addr, addr_key(s->info.id.addr, s->info.id.rpc_port));
 		member_unqueue(t, h);
 		s->used = 0;
 		t->count--;
@@ -285,7 +292,7 @@
 
 /*
  * Returns the handle of a random live member other than this node, or
- * MEMBER_NONE.
+ * MEMBER_NO_HANDLE.
  */
 uint32_t
 member_random_alive(struct member_table *t)
@@ -299,7 +306,7 @@
 		    t->slots[h].info.state == MEMBER_ALIVE)
 			return h;
 	}
-	return MEMBER_NONE;
+	return MEMBER_NO_HANDLE;
 }
 
 /*
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -4,17 +4,17 @@
 #include "base/age.h"
 #include "member/member_int.h"
 
-static uint64_t order_of(uint32_t, uint16_t);
-static int by_order(const void *, const void *);
-static int by_service(const void *, const void *, void *);
-static void *alloc(size_t, size_t);
+static uint64_t sort_key(uint32_t, uint16_t);
+static int compare_address(const void *, const void *);
+static int compare_service(const void *, const void *, void *);
+static void *alloc_zeroed(size_t, size_t);
 static void index_services(struct member_view *);
 
 /*
  * Returns the sort key of an address and port.
  */
 static uint64_t
-order_of(uint32_t addr, uint16_t port)
+sort_key(uint32_t addr, uint16_t port)
 {
 	return (uint64_t)addr << 16 | port;
 }
@@ -23,11 +23,11 @@
  * Compares two members by address and port.
  */
 static int
-by_order(const void *a, const void *b)
+compare_address(const void *a, const void *b)
 {
 	const struct member_info *x = a, *y = b;
-	uint64_t i = order_of(x->id.addr, x->id.rpc_port);
-	uint64_t j = order_of(y->id.addr, y->id.rpc_port);
+	uint64_t i = sort_key(x->id.addr, x->id.rpc_port);
+	uint64_t j = sort_key(y->id.addr, y->id.rpc_port);
 
 	return (i > j) - (i < j);
 }
@@ -36,7 +36,7 @@
  * Compares two handles by the service hash of their members.
  */
 static int
-by_service(const void *a, const void *b, void *ctx)
+compare_service(const void *a, const void *b, void *ctx)
 {
 	const struct member_view *v = ctx;
 	uint64_t i = v->list[*(const uint32_t *)a].server.service_hash;
@@ -49,7 +49,7 @@
  * Allocates a zeroed array. Aborts the process if memory is exhausted.
  */
 static void *
-alloc(size_t len, size_t size)
+alloc_zeroed(size_t len, size_t size)
 {
 	void *p = calloc(len > 0 ? len : 1, size);
 
@@ -65,18 +65,18 @@
 static void
 index_services(struct member_view *v)
 {
-	struct member_index *ix = NULL;
+	struct member_service_index *ix = NULL;
 	uint32_t i, n = 0;
 	uint64_t hash;
 
-	v->handles = alloc(v->len, sizeof(*v->handles));
-	v->services = alloc(v->len, sizeof(*v->services));
+	v->handles = alloc_zeroed(v->len, sizeof(*v->handles));
+	v->services = alloc_zeroed(v->len, sizeof(*v->services));
 	for (i = 0; i < v->len; i++) {
 		if (v->list[i].server.state == MEMBER_SERVER_UP &&
 		    v->list[i].state <= MEMBER_SUSPECT)
 			v->handles[n++] = i;
 	}
-	qsort_r(v->handles, n, sizeof(*v->handles), by_service, v);
+	qsort_r(v->handles, n, sizeof(*v->handles), compare_service, v);
 	for (i = 0; i < n; i++) {
 		hash = v->list[v->handles[i]].server.service_hash;
 		if (ix == NULL || ix->hash != hash) {
@@ -95,27 +95,28 @@
 member_view_build(
     const struct member_table *t, uint64_t now, uint64_t generation)
 {
-	struct member_view *v = alloc(1, sizeof(*v));
+	struct member_view *v = alloc_zeroed(1, sizeof(*v));
 	const struct member_info *self = &t->slots[t->self].info;
 	uint32_t h;
 
 	v->generation = generation;
 	v->built_ms = now;
 	v->log_read_ms = t->log_read_ms;
-	v->current_ms = t->current_ms;
-	v->behind = self->config_version < t->config_version;
+	v->config_current_ms = t->config_current_ms;
+	v->config_outdated = self->config_version < t->config_version;
 	v->fresh_ms = t->fresh_ms;
 	v->config_version = t->config_version;
 	v->alive = t->alive;
-	member_window_sum(t, now, MEMBER_WINDOW_S, &v->probed, &v->answered);
-	v->list = alloc(t->count, sizeof(*v->list));
+	member_sum_probes(
+	    t, now, MEMBER_PROBE_WINDOW_S, &v->probed, &v->answered);
+	v->list = alloc_zeroed(t->count, sizeof(*v->list));
 	for (h = 0; h < t->slots_len; h++) {
 		if (!t->slots[h].used)
 			continue;
 		v->known += t->slots[h].info.state != MEMBER_LEFT;
 		v->list[v->len++] = t->slots[h].info;
 	}
-	qsort(v->list, v->len, sizeof(*v->list), by_order);
+	qsort(v->list, v->len, sizeof(*v->list), compare_address);
 	v->self =
 	    (uint32_t)(member_view_find(v, self->id.addr, self->id.rpc_port) -
 		       v->list);
@@ -145,7 +146,8 @@
 
 	key.id.addr = addr;
 	key.id.rpc_port = port;
-	return bsearch(&key, v->list, v->len, sizeof(*v->list), by_order);
+	return bsearch(
+	    &key, v->list, v->len, sizeof(*v->list), compare_address);
 }
 
 /*
@@ -185,9 +187,11 @@
 int
 member_fresh(const struct member_view *v, uint64_t now)
 {
-	if (v->current_ms != 0 && age_at(now, v->current_ms) < v->fresh_ms)
+	if (v->config_current_ms != 0 &&
+	    age_at(now, v->config_current_ms) < v->fresh_ms)
 		return 1;
-	if (v->behind || age_at(now, v->built_ms) >= MEMBER_VIEW_STALE_MS)
+	if (v->config_outdated ||
+	    age_at(now, v->built_ms) >= MEMBER_VIEW_STALE_MS)
 		return 0;
 	if (v->alive * 2 <= v->known)
 		return 0;
--- a/src/member/test_merge.c
+++ b/src/member/test_merge.c
@@ -12,7 +12,7 @@
  * address and port.
  */
 static void
-test_merge(void **state)
+test_merge_precedence(void **state)
 {
 	static const struct {
 		enum member_state have;
@@ -57,13 +57,13 @@
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		net_init(&net, 1, 1);
 		e = net_entry(NET_ADDR + 9, 77, 10, MEMBER_ALIVE, 5);
-		member_merge(&net.nodes[0].table, net.now, &e, 0);
+		member_merge_entry(&net.nodes[0].table, net.now, &e, 0);
 		s = member_find(&net.nodes[0].table, NET_ADDR + 9, NET_PORT);
 		s->info.state = rows[i].have;
 		s->info.seq = rows[i].have_seq;
 		e = net_entry(NET_ADDR + 9, rows[i].other != 0 ? 33 : 77,
 		    10 + (uint64_t)rows[i].other, rows[i].in, rows[i].in_seq);
-		member_merge(&net.nodes[0].table, net.now, &e, 0);
+		member_merge_entry(&net.nodes[0].table, net.now, &e, 0);
 		if (s->info.state != rows[i].want ||
 		    s->info.seq != rows[i].want_seq)
 			fail_msg("row %zu: state %d seq %u", i,
@@ -76,7 +76,7 @@
  * Invalid entries change nothing.
  */
 static void
-test_merge_bad(void **state)
+test_merge_ignores_invalid_entries(void **state)
 {
 	struct member_entry rows[] = {
 		net_entry(0, 1, 1, MEMBER_ALIVE, 1),
@@ -93,7 +93,7 @@
 	rows[4].peer_port = UINT16_MAX + 1;
 	net_init(&net, 1, 1);
 	for (i = 0; i < G_N_ELEMENTS(rows); i++)
-		member_merge(&net.nodes[0].table, net.now, &rows[i], 0);
+		member_merge_entry(&net.nodes[0].table, net.now, &rows[i], 0);
 	assert_int_equal(net.nodes[0].table.count, 1);
 	net_finish(&net);
 }
@@ -104,7 +104,7 @@
  * node raises its epoch. Other reports change nothing.
  */
 static void
-test_refute(void **state)
+test_refute_wrong_reports(void **state)
 {
 	static const struct {
 		int epoch;
@@ -133,7 +133,7 @@
 		epoch = own->epoch + (uint64_t)rows[i].epoch;
 		e = net_entry(NET_ADDR, own->id.incarnation + rows[i].other * 2,
 		    epoch, rows[i].in, rows[i].in_seq);
-		member_merge(&net.nodes[0].table, net.now, &e, 0);
+		member_merge_entry(&net.nodes[0].table, net.now, &e, 0);
 		assert_int_equal(own->seq, rows[i].want_seq);
 		assert_int_equal(own->state, MEMBER_ALIVE);
 		assert_true(rows[i].other == 0 || own->epoch > epoch);
@@ -147,7 +147,7 @@
  * unchanged a few times, and a change received in a page a few times too.
  */
 static void
-test_tells(void **state)
+test_retransmit_counts(void **state)
 {
 	static const struct {
 		int server;
@@ -163,7 +163,7 @@
 	struct member_table *t;
 	struct member_slot *s;
 	struct net net;
-	uint32_t left;
+	uint32_t remaining;
 	size_t i;
 
 	(void)state;
@@ -179,12 +179,12 @@
 		e.server = rows[i].server ? &sv : NULL;
 		e.rev = s->info.rev + (uint32_t)rows[i].server;
 		t->paging = rows[i].paging;
-		member_merge(t, net.now, &e, 0);
-		left = member_tells(t) - s->told;
+		member_merge_entry(t, net.now, &e, 0);
+		remaining = member_tells(t) - s->told;
 		assert_true(s->queued);
-		assert_int_equal(left, rows[i].want == MEMBER_TELL_ALL
-					   ? member_tells(t)
-					   : MEMBER_FEW_TELLS);
+		assert_int_equal(remaining, rows[i].want == MEMBER_TELL_ALL
+						? member_tells(t)
+						: MEMBER_FEW_TELLS);
 		net_finish(&net);
 	}
 }
@@ -194,7 +194,7 @@
  * sent the full number of times and has the highest priority.
  */
 static void
-test_refutation_first(void **state)
+test_refutation_is_urgent(void **state)
 {
 	struct member_table *t;
 	struct member_entry e;
@@ -208,17 +208,17 @@
 	t = &net.nodes[0].table;
 	for (i = 0; i <= MEMBER_QUEUE_LONG; i++) {
 		e = net_entry(NET_ADDR + 9 + i, 7, 7, MEMBER_ALIVE, 1);
-		member_merge(t, net.now, &e, 0);
+		member_merge_entry(t, net.now, &e, 0);
 	}
 	e = net_entry(NET_ADDR + 9, 7, 7, MEMBER_SUSPECT, 1);
 	member_unqueue(
 	    t, member_handle(t, member_find(t, NET_ADDR + 9, NET_PORT)));
-	member_merge(t, net.now, &e, 0);
+	member_merge_entry(t, net.now, &e, 0);
 	s = member_find(t, NET_ADDR + 9, NET_PORT);
 	assert_int_equal(s->info.state, MEMBER_SUSPECT);
 	assert_true(s->queued && s->told > 0);
 	e = net_entry(NET_ADDR + 9, 7, 7, MEMBER_ALIVE, 2);
-	member_merge(t, net.now, &e, 0);
+	member_merge_entry(t, net.now, &e, 0);
 	assert_int_equal(s->info.state, MEMBER_ALIVE);
 	assert_true(s->queued && s->told == 0);
 	net_finish(&net);
@@ -229,7 +229,7 @@
  * soon.
  */
 static void
-test_report_verified(void **state)
+test_reported_death_is_probed(void **state)
 {
 	struct member_table *t;
 	struct member_entry e;
@@ -246,8 +246,8 @@
 	e = net_entry(NET_ADDR + 9, s->info.id.incarnation, s->info.epoch,
 	    MEMBER_DEAD, s->info.seq);
 	start = net.now;
-	member_merge(t, net.now, &e, 0);
-	while (!probed && net.now < start + 2 * MEMBER_VERIFY_MS) {
+	member_merge_entry(t, net.now, &e, 0);
+	while (!probed && net.now < start + 2 * MEMBER_VERIFY_PERIOD_MS) {
 		net_run(&net, 1);
 		for (i = 0; i < MEMBER_PROBES_MAX; i++)
 			probed |= t->probes[i].sent_ms >= start &&
@@ -262,7 +262,7 @@
  * A table accepts at most MEMBER_COUNT_MAX members.
  */
 static void
-test_bound(void **state)
+test_table_size_limit(void **state)
 {
 	struct member_entry e;
 	struct net net;
@@ -272,7 +272,7 @@
 	net_init(&net, 1, 24);
 	for (i = 0; i < MEMBER_COUNT_MAX + 10; i++) {
 		e = net_entry(NET_ADDR + 9 + i, 7, 7, MEMBER_ALIVE, 1);
-		member_merge(&net.nodes[0].table, net.now, &e, 0);
+		member_merge_entry(&net.nodes[0].table, net.now, &e, 0);
 	}
 	assert_int_equal(net.nodes[0].table.count, MEMBER_COUNT_MAX);
 	net_finish(&net);
@@ -282,13 +282,13 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_merge),
-		cmocka_unit_test(test_merge_bad),
-		cmocka_unit_test(test_refute),
-		cmocka_unit_test(test_tells),
-		cmocka_unit_test(test_report_verified),
-		cmocka_unit_test(test_refutation_first),
-		cmocka_unit_test(test_bound),
+		cmocka_unit_test(test_merge_precedence),
+		cmocka_unit_test(test_merge_ignores_invalid_entries),
+		cmocka_unit_test(test_refute_wrong_reports),
+		cmocka_unit_test(test_retransmit_counts),
+		cmocka_unit_test(test_reported_death_is_probed),
+		cmocka_unit_test(test_refutation_is_urgent),
+		cmocka_unit_test(test_table_size_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/member/test_table.c
+++ b/src/member/test_table.c
@@ -6,32 +6,32 @@
 #include "member/test_net.h"
 
 #define NODES 50
-#define TODAY 15 /* nodes of a fleet of the usual size */
+#define USUAL_NODES 15 /* nodes of a fleet of the usual size */
 
 /*
  * A node whose probes are mostly unanswered doesn't send its suspicions. A
  * node with mostly answered probes does.
  */
 static void
-test_cut_off_is_quiet(void **state)
+test_isolated_node_sends_no_suspicions(void **state)
 {
 	struct member_slot *s;
 	struct net net;
-	uint32_t i, quiet;
+	uint32_t i, isolated;
 
 	(void)state;
-	for (quiet = 0; quiet < 2; quiet++) {
+	for (isolated = 0; isolated < 2; isolated++) {
 		net_init(&net, 10, 28);
 		net_settle(&net, 10000);
 		net_run(&net, 10000);
 		for (i = 0; i < 10; i++)
-			net.nodes[i].side = quiet ? i == 0 : i == 9;
-		for (i = 0; i < MEMBER_WINDOW_S && quiet; i++)
-			net.nodes[0].table.seconds[i].answered = 0;
+			net.nodes[i].side = isolated ? i == 0 : i == 9;
+		for (i = 0; i < MEMBER_PROBE_WINDOW_S && isolated; i++)
+			net.nodes[0].table.probe_counts[i].answered = 0;
 		s = member_find(&net.nodes[0].table, NET_ADDR + 9, NET_PORT);
 		while (s->info.state == MEMBER_ALIVE)
 			net_run(&net, 1);
-		assert_int_equal(s->queued, !quiet);
+		assert_int_equal(s->queued, !isolated);
 		net_finish(&net);
 	}
 }
@@ -41,7 +41,7 @@
  * are lost.
  */
 static void
-test_join(void **state)
+test_join_from_seeds(void **state)
 {
 	struct net net;
 
@@ -58,46 +58,46 @@
  * s on average, in a fleet of the usual size.
  */
 static void
-test_death(void **state)
+test_death_detection_time(void **state)
 {
-	uint64_t start, sum = 0, took;
+	uint64_t start, sum_ms = 0, took_ms;
 	struct net net;
 	int round;
 
 	(void)state;
 	for (round = 0; round < 20; round++) {
-		net_init(&net, TODAY, 100 + (uint64_t)round);
+		net_init(&net, USUAL_NODES, 100 + (uint64_t)round);
 		net_settle(&net, 10000);
 		net_run(&net, net_rand(&net.nodes[0]) % 400);
 		net_kill(&net, 3);
 		start = net.now;
-		while (net_holding(&net, 3, MEMBER_DEAD) < TODAY - 1 &&
+		while (net_holding(&net, 3, MEMBER_DEAD) < USUAL_NODES - 1 &&
 		       net.now - start < 5000)
 			net_run(&net, 5);
-		took = net.now - start;
-		sum += took;
-		assert_in_range(took, 0, 2500);
+		took_ms = net.now - start;
+		sum_ms += took_ms;
+		assert_in_range(took_ms, 0, 2500);
 		assert_int_equal(net.false_deaths, 0);
 		net_finish(&net);
 	}
-	assert_in_range(sum / 20, 0, 1500);
+	assert_in_range(sum_ms / 20, 0, 1500);
 }
 
 /*
- * Message loss and pauses of less than half a second cause no death reports.
+ * Message loss and pauses of less than half a second cause no false deaths.
  */
 static void
-test_no_false_death(void **state)
+test_no_false_death_with_loss(void **state)
 {
 	struct net net;
 	uint32_t i;
 
 	(void)state;
-	net_init(&net, TODAY, 12);
+	net_init(&net, USUAL_NODES, 12);
 	net.loss = 50;
 	net_settle(&net, 10000);
 	for (i = 0; i < 100; i++) {
-		net.nodes[i % TODAY].stalled_until = net.now + 499;
+		net.nodes[i % USUAL_NODES].stalled_until = net.now + 499;
 		net_run(&net, 600);
 	}
 	assert_int_equal(net.false_deaths, 0);
@@ -109,16 +109,16 @@
  * it alive again soon.
  */
 static void
-test_pause(void **state)
+test_recovery_after_pause(void **state)
 {
 	struct net net;
 
 	(void)state;
-	net_init(&net, TODAY, 21);
+	net_init(&net, USUAL_NODES, 21);
 	net_settle(&net, 10000);
 	net.nodes[3].stalled_until = net.now + 5000;
 	net_run(&net, 5000);
-	assert_int_equal(net_holding(&net, 3, MEMBER_DEAD), TODAY - 1);
+	assert_int_equal(net_holding(&net, 3, MEMBER_DEAD), USUAL_NODES - 1);
 	assert_in_range(net_settle(&net, 10000), 0, 3000);
 	assert_int_equal(net.nodes[3].deaths, 0);
 	net_finish(&net);
@@ -129,7 +129,7 @@
  * process: the answers may wait unread in its socket.
  */
 static void
-test_pause_forgiven(void **state)
+test_pause_extends_timeouts(void **state)
 {
 	static const uint64_t pauses[] = { 600, 3000 };
 	struct member_table *t;
@@ -159,7 +159,7 @@
  * of its own members. After the partition all nodes are alive again.
  */
 static void
-test_cut_heals(void **state)
+test_partition_heals(void **state)
 {
 	struct net net;
 	uint32_t i;
@@ -187,7 +187,7 @@
  * nodes at once, even if the clock of its machine was set back.
  */
 static void
-test_restart(void **state)
+test_restart_replaces_process(void **state)
 {
 	static const int64_t epochs[] = { 10000, -10000 };
 	struct net net;
@@ -195,7 +195,7 @@
 
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(epochs); i++) {
-		net_init(&net, TODAY, 14);
+		net_init(&net, USUAL_NODES, 14);
 		net_settle(&net, 10000);
 		net_kill(&net, 5);
 		net_start(&net, 5, (uint64_t)((int64_t)net.now + epochs[i]));
@@ -210,7 +210,7 @@
  * despite message loss.
  */
 static void
-test_drain_spreads(void **state)
+test_server_state_spreads(void **state)
 {
 	static const enum member_server_state steps[] = { MEMBER_SERVER_UP,
 		MEMBER_SERVER_DRAINING, MEMBER_SERVER_GONE };
@@ -245,7 +245,7 @@
  * process stops right after the announcement.
  */
 static void
-test_leave(void **state)
+test_departure_spreads(void **state)
 {
 	struct net net;
 
@@ -266,7 +266,7 @@
  * configuration version spreads too.
  */
 static void
-test_log_age_and_config(void **state)
+test_log_age_and_config_spread(void **state)
 {
 	struct member_table *t;
 	uint64_t read = 0;
@@ -300,14 +300,14 @@
  * The conditions under which a node trusts its configuration.
  */
 static void
-test_fresh(void **state)
+test_config_freshness(void **state)
 {
 	static const struct {
 		uint64_t log_age; /* 0: never read */
 		uint64_t view_age;
 		uint32_t known, alive, probed, answered;
 		int want;
-		int behind;
+		int config_outdated;
 	} rows[] = {
 		{ 9999, 0, 10, 1, 50, 0, 1, 0 },
 		{ 10000, 0, 10, 5, 50, 50, 0, 0 },
@@ -323,14 +323,15 @@
 		{ 10000, 0, 10, 6, 50, 26, 0, 1 },
 		{ 0, 0, 10, 10, 50, 50, 0, 1 },
 	};
-	struct member_view v = { .fresh_ms = MEMBER_FRESH_MS };
+	struct member_view v = { .fresh_ms = MEMBER_LOG_READ_MAX_AGE_MS };
 	uint64_t now = 100000;
 	size_t i;
 
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
-		v.current_ms = rows[i].log_age == 0 ? 0 : now - rows[i].log_age;
-		v.behind = rows[i].behind;
+		v.config_current_ms =
+		    rows[i].log_age == 0 ? 0 : now - rows[i].log_age;
+		v.config_outdated = rows[i].config_outdated;
 		v.built_ms = now - rows[i].view_age;
 		v.known = rows[i].known;
 		v.alive = rows[i].alive;
@@ -340,10 +341,10 @@
 			fail_msg("row %zu", i);
 	}
 	/* The view was built just after the current time was read. */
-	v.behind = 0;
-	v.built_ms = v.current_ms = now + 1;
+	v.config_outdated = 0;
+	v.built_ms = v.config_current_ms = now + 1;
 	assert_true(member_fresh(&v, now));
-	v.current_ms = 0;
+	v.config_current_ms = 0;
 	v.known = v.alive = 10;
 	v.probed = v.answered = 50;
 	assert_true(member_fresh(&v, now));
@@ -355,7 +356,7 @@
  * has that version.
  */
 static void
-test_behind(void **state)
+test_read_time_of_outdated_config(void **state)
 {
 	struct net net;
 	struct member_table *t;
@@ -365,14 +366,14 @@
 	t = &net.nodes[0].table;
 	t->slots[t->self].info.config_version = t->config_version = 4;
 	member_note_log_read(t, 1000);
-	assert_int_equal(t->current_ms, 1000);
+	assert_int_equal(t->config_current_ms, 1000);
 	t->config_version = 5;
 	member_note_log_read(t, 50000);
 	assert_int_equal(t->log_read_ms, 50000);
-	assert_int_equal(t->current_ms, 1000);
+	assert_int_equal(t->config_current_ms, 1000);
 	t->slots[t->self].info.config_version = 5;
 	member_note_log_read(t, 0);
-	assert_int_equal(t->current_ms, 50000);
+	assert_int_equal(t->config_current_ms, 50000);
 	net_finish(&net);
 }
 
@@ -382,7 +383,7 @@
  * retention time of dead members.
  */
 static void
-test_fresh_alone(void **state)
+test_isolated_node_is_not_fresh(void **state)
 {
 	struct member_view *v;
 	struct net net;
@@ -393,7 +394,7 @@
 	net_settle(&net, 20000);
 	net_run(&net, 10000);
 	net.nodes[0].side = 1;
-	net_run(&net, MEMBER_FRESH_MS);
+	net_run(&net, MEMBER_LOG_READ_MAX_AGE_MS);
 	v = member_view_build(&net.nodes[0].table, net.now, 0);
 	assert_false(member_fresh(v, net.now));
 	member_view_free(v);
@@ -403,7 +404,7 @@
 	for (i = 1; i < NODES; i++)
 		net_kill(&net, i);
 	net_run(&net, 60000);
-	net.now += MEMBER_DEAD_KEEP_MS;
+	net.now += MEMBER_DEAD_RETENTION_MS;
 	net_run(&net, 60000);
 	v = member_view_build(&net.nodes[0].table, net.now, 0);
 	assert_false(member_fresh(v, net.now));
@@ -416,7 +417,7 @@
  * The table never exceeds its size limit.
  */
 static void
-test_fuzz_messages(void **state)
+test_corrupted_messages(void **state)
 {
 	struct member_message msg;
 	struct net net;
@@ -453,7 +454,7 @@
  * Lookups of members and services in a view.
  */
 static void
-test_view(void **state)
+test_view_lookups(void **state)
 {
 	struct member_server *sv;
 	struct member_view *v;
@@ -461,9 +462,9 @@
 	uint32_t i, len;
 
 	(void)state;
-	net_init(&net, TODAY, 19);
+	net_init(&net, USUAL_NODES, 19);
 	net_settle(&net, 10000);
-	for (i = 0; i < TODAY; i++) {
+	for (i = 0; i < USUAL_NODES; i++) {
 		sv = &net.nodes[0].table.slots[i].info.server;
 		g_strlcpy(sv->service, i % 2 ? "orders" : "pricing",
 		    sizeof(sv->service));
@@ -472,7 +473,7 @@
 	}
 	net.nodes[0].table.slots[4].info.state = MEMBER_DEAD;
 	v = member_view_build(&net.nodes[0].table, net.now, 0);
-	assert_int_equal(v->len, TODAY);
+	assert_int_equal(v->len, USUAL_NODES);
 	assert_int_equal(v->list[v->self].id.addr, NET_ADDR);
 	assert_null(member_view_find(v, NET_ADDR + 99, NET_PORT));
 	assert_non_null(member_view_find(v, NET_ADDR + 14, NET_PORT));
@@ -490,22 +491,22 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_cut_off_is_quiet),
-		cmocka_unit_test(test_join),
-		cmocka_unit_test(test_death),
-		cmocka_unit_test(test_no_false_death),
-		cmocka_unit_test(test_pause),
-		cmocka_unit_test(test_pause_forgiven),
-		cmocka_unit_test(test_cut_heals),
-		cmocka_unit_test(test_restart),
-		cmocka_unit_test(test_drain_spreads),
-		cmocka_unit_test(test_leave),
-		cmocka_unit_test(test_log_age_and_config),
-		cmocka_unit_test(test_fresh),
-		cmocka_unit_test(test_behind),
-		cmocka_unit_test(test_fresh_alone),
-		cmocka_unit_test(test_fuzz_messages),
-		cmocka_unit_test(test_view),
+		cmocka_unit_test(test_isolated_node_sends_no_suspicions),
+		cmocka_unit_test(test_join_from_seeds),
+		cmocka_unit_test(test_death_detection_time),
+		cmocka_unit_test(test_no_false_death_with_loss),
+		cmocka_unit_test(test_recovery_after_pause),
+		cmocka_unit_test(test_pause_extends_timeouts),
+		cmocka_unit_test(test_partition_heals),
+		cmocka_unit_test(test_restart_replaces_process),
+		cmocka_unit_test(test_server_state_spreads),
+		cmocka_unit_test(test_departure_spreads),
+		cmocka_unit_test(test_log_age_and_config_spread),
+		cmocka_unit_test(test_config_freshness),
+		cmocka_unit_test(test_read_time_of_outdated_config),
+		cmocka_unit_test(test_isolated_node_is_not_fresh),
+		cmocka_unit_test(test_corrupted_messages),
+		cmocka_unit_test(test_view_lookups),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
