platform, options: plain names for private identifiers

Functions are now named for what they do, addresses end in _addr, and end_ms is stop_timeout_ms. Test functions say what they check. No code changed.

--- a/src/options/options.c
+++ b/src/options/options.c
@@ -9,13 +9,15 @@
 #include "base/duration.h"
 #include "options/options.h"
 
-#define FRESH_SHARE 0.85   /* of the time after which a withdrawn key is dead */
-#define LEAVE_MS 2600	   /* two questions for readiness, and some slack */
-#define END_MARGIN_MS 1000 /* before SIGKILL, for a machine that is slowed */
-#define LAST_RUN_MS 1500   /* nearly all requests take less (p99 1.4 s) */
-#define MEGABYTE (1ULL << 20)
-#define VARIABLE "CYCLAMENVALE_NODE_" /* then the option in capitals */
-#define VARIABLE_BYTES 64
+#define CONFIG_AGE_SHARE \
+	0.85 /* of the time after which a withdrawn key is dead */
+#define ACCEPT_AFTER_STOP_MS \
+	2600		     /* two questions for readiness, and some slack */
+#define KILL_MARGIN_MS 1000  /* before SIGKILL, for a machine that is slowed */
+#define LONG_REQUEST_MS 1500 /* nearly all requests take less (p99 1.4 s) */
+#define BYTES_PER_MIB (1ULL << 20)
+#define ENV_PREFIX "CYCLAMENVALE_NODE_" /* then the option in capitals */
+#define ENV_NAME_BYTES 64
 
 enum setting_kind {
 	KIND_NAME,
@@ -33,90 +35,94 @@
 	const char *name;
 	enum setting_kind kind;
 	int required;
-	size_t at; /* in struct node_options */
+	size_t offset; /* in struct node_options */
 	const char *help;
 };
 
-enum settings_find {
-	FIND_OPTION,
-	FIND_VARIABLE,
-	FIND_REQUIRED,
-	FIND_NAME,
-	FIND_ADDRESS,
-	FIND_IP,
-	FIND_KEY,
-	FIND_OTHER_KEY,
-	FIND_NUMBER,
-	FIND_TIME,
-	SETTINGS_FIND_MAX
+enum settings_msg {
+	MSG_OPTION,
+	MSG_VARIABLE,
+	MSG_REQUIRED,
+	MSG_NAME,
+	MSG_ADDRESS,
+	MSG_IP,
+	MSG_KEY,
+	MSG_OTHER_KEY,
+	MSG_NUMBER,
+	MSG_TIME,
+	SETTINGS_MSG_MAX
 };
 
-#define AT(field) offsetof(struct node_options, field)
+#define OFFSET(field) offsetof(struct node_options, field)
 
 static int read_address(const char *, struct sockaddr_in *);
 static void read_value(struct node_options *, const struct setting *,
     const char *, struct finds *);
-static void variable_name(const struct setting *, char *);
+static void write_variable_name(const struct setting *, char *);
 static void read_variables(
     struct node_options *, char *const *, int *, struct finds *);
 
-static const struct find_msg msgs[SETTINGS_FIND_MAX] = {
-	[FIND_OPTION] = { FIND_ERROR, "unknown option" },
-	[FIND_VARIABLE] = { FIND_ERROR, "unknown variable" },
-	[FIND_REQUIRED] = { FIND_ERROR, "missing option" },
-	[FIND_NAME] = { FIND_ERROR, "not a name of 1 to 63 characters" },
-	[FIND_ADDRESS] = { FIND_ERROR, "not an IPv4 address and port" },
-	[FIND_IP] = { FIND_ERROR, "not an IPv4 address" },
-	[FIND_KEY] = { FIND_ERROR, "not a key of 16 to 64 characters" },
-	[FIND_OTHER_KEY] = { FIND_ERROR, "needs --fleet-key" },
-	[FIND_NUMBER] = { FIND_ERROR, "not a number" },
-	[FIND_TIME] = { FIND_ERROR, "not a time in ms or s" },
+static const struct find_msg msgs[SETTINGS_MSG_MAX] = {
+	[MSG_OPTION] = { FIND_ERROR, "unknown option" },
+	[MSG_VARIABLE] = { FIND_ERROR, "unknown variable" },
+	[MSG_REQUIRED] = { FIND_ERROR, "missing option" },
+	[MSG_NAME] = { FIND_ERROR, "not a name of 1 to 63 characters" },
+	[MSG_ADDRESS] = { FIND_ERROR, "not an IPv4 address and port" },
+	[MSG_IP] = { FIND_ERROR, "not an IPv4 address" },
+	[MSG_KEY] = { FIND_ERROR, "not a key of 16 to 64 characters" },
+	[MSG_OTHER_KEY] = { FIND_ERROR, "needs --fleet-key" },
+	[MSG_NUMBER] = { FIND_ERROR, "not a number" },
+	[MSG_TIME] = { FIND_ERROR, "not a time in ms or s" },
 };
 
 static const struct setting settings[] = {
-	{ "node", KIND_NAME, 1, AT(relay.node), "name of this node" },
-	{ "zone", KIND_NAME, 1, AT(relay.zone), "failure domain" },
-	{ "service", KIND_NAME, 1, AT(relay.service),
+	{ "node", KIND_NAME, 1, OFFSET(relay.node), "name of this node" },
+	{ "zone", KIND_NAME, 1, OFFSET(relay.zone), "failure domain" },
+	{ "service", KIND_NAME, 1, OFFSET(relay.service),
 	    "service of the server beside this node" },
-	{ "entry", KIND_ADDRESS, 1, AT(relay.entry),
+	{ "entry", KIND_ADDRESS, 1, OFFSET(relay.entry),
 	    "where callers beside this node come" },
-	{ "exit", KIND_ADDRESS, 1, AT(relay.exit), "where other nodes come" },
-	{ "advertise", KIND_IP, 0, AT(relay.advertised),
+	{ "exit", KIND_ADDRESS, 1, OFFSET(relay.exit),
+	    "where other nodes come" },
+	{ "advertise", KIND_IP, 0, OFFSET(relay.advertised),
 	    "address told to other nodes, if not that of the exit" },
-	{ "server", KIND_ADDRESS, 1, AT(relay.server),
+	{ "server", KIND_ADDRESS, 1, OFFSET(relay.server),
 	    "the backend server beside this node" },
-	{ "control", KIND_ADDRESS, 1, AT(control),
+	{ "control", KIND_ADDRESS, 1, OFFSET(control_addr),
 	    "where the server announces itself" },
-	{ "ready", KIND_ADDRESS, 1, AT(ready), "where readiness is asked for" },
-	{ "store", KIND_ADDRESS, 1, AT(store), "the platform's store" },
-	{ "fleet-port", KIND_PORT, 1, AT(relay.fleet),
+	{ "ready", KIND_ADDRESS, 1, OFFSET(ready_addr),
+	    "where readiness is asked for" },
+	{ "store", KIND_ADDRESS, 1, OFFSET(store_addr),
+	    "the platform's store" },
+	{ "fleet-port", KIND_PORT, 1, OFFSET(relay.fleet),
 	    "port for datagrams between nodes" },
-	{ "fleet-key", KIND_KEY, 0, AT(relay.fleet_key),
+	{ "fleet-key", KIND_KEY, 0, OFFSET(relay.fleet_key),
 	    "known to all nodes, which take messages with its seal only" },
-	{ "fleet-key-other", KIND_KEY, 0, AT(relay.previous_key),
+	{ "fleet-key-other", KIND_KEY, 0, OFFSET(relay.previous_key),
 	    "another one whose seals are taken, too" },
-	{ "metrics-port", KIND_PORT, 0, AT(metrics), "port for metrics" },
-	{ "revoke", KIND_TIME, 1, AT(relay.fresh_ms),
+	{ "metrics-port", KIND_PORT, 0, OFFSET(metrics_addr),
+	    "port for metrics" },
+	{ "revoke", KIND_TIME, 1, OFFSET(relay.fresh_ms),
 	    "after which a withdrawn key must not work" },
-	{ "grace", KIND_TIME, 1, AT(grace_ms), "from SIGTERM to SIGKILL" },
-	{ "quota-overage", KIND_NUMBER, 1, AT(relay.quota_share),
+	{ "grace", KIND_TIME, 1, OFFSET(grace_ms), "from SIGTERM to SIGKILL" },
+	{ "quota-overage", KIND_NUMBER, 1, OFFSET(relay.quota_share),
 	    "tolerance of limits, as a share" },
-	{ "quota-slack", KIND_NUMBER, 1, AT(relay.quota_constant),
+	{ "quota-slack", KIND_NUMBER, 1, OFFSET(relay.quota_constant),
 	    "and in requests" },
-	{ "retry-ratio", KIND_NUMBER, 1, AT(relay.retry_ratio),
+	{ "retry-ratio", KIND_NUMBER, 1, OFFSET(relay.retry_ratio),
 	    "extra arrivals at a service to requests for it" },
-	{ "retry-slack", KIND_NUMBER, 1, AT(relay.retry_slack),
+	{ "retry-slack", KIND_NUMBER, 1, OFFSET(relay.retry_slack),
 	    "and more of them, over the whole fleet" },
-	{ "memory-mb", KIND_MEGABYTES, 1, AT(relay.memory_bytes),
+	{ "memory-mb", KIND_MEGABYTES, 1, OFFSET(relay.memory_bytes),
 	    "memory that this process may use" },
-	{ "descriptors", KIND_COUNT, 1, AT(relay.descriptors),
+	{ "descriptors", KIND_COUNT, 1, OFFSET(relay.descriptors),
 	    "descriptors that this process may use" },
 };
 
-#define SETTINGS (sizeof(settings) / sizeof(settings[0]))
-#define OPT_CHECK ((int)SETTINGS)
-#define OPT_QUIET ((int)SETTINGS + 1)
-#define OPT_HELP ((int)SETTINGS + 2)
+#define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
+#define OPT_CHECK ((int)SETTING_COUNT)
+#define OPT_QUIET ((int)SETTING_COUNT + 1)
+#define OPT_HELP ((int)SETTING_COUNT + 2)
 
 /*
  * Reads an address and port.  Returns 0, or -1.
@@ -146,76 +152,76 @@
  * Reads one setting; what is wrong with it becomes a finding.
  */
 static void
-read_value(struct node_options *set, const struct setting *s, const char *text,
+read_value(struct node_options *opts, const struct setting *s, const char *text,
     struct finds *finds)
 {
-	char *dst = (char *)set + s->at, *end;
-	enum settings_find bad = SETTINGS_FIND_MAX;
+	char *dst = (char *)opts + s->offset, *end;
+	enum settings_msg msg = SETTINGS_MSG_MAX;
 	struct sockaddr_in *sa;
 	double v = 0;
 
 	if (s->kind >= KIND_NUMBER || s->kind == KIND_PORT) {
 		v = strtod(text, &end);
 		if (end == text || *end != '\0' || v < 0 || v > 1e9)
-			bad = FIND_NUMBER;
+			msg = MSG_NUMBER;
 	}
 	switch (s->kind) {
 	case KIND_NAME:
 		if (text[0] == '\0' || strlen(text) >= FLEET_NAME_BYTES)
-			bad = FIND_NAME;
+			msg = MSG_NAME;
 		else
 			snprintf(dst, FLEET_NAME_BYTES, "%s", text);
 		break;
 	case KIND_ADDRESS:
 		if (read_address(text, (struct sockaddr_in *)dst) == -1)
-			bad = FIND_ADDRESS;
+			msg = MSG_ADDRESS;
 		break;
 	case KIND_IP:
 		if (inet_pton(AF_INET, text, dst) != 1)
-			bad = FIND_IP;
+			msg = MSG_IP;
 		break;
 	case KIND_KEY:
 		if (strlen(text) < SEAL_KEY_MIN ||
 		    strlen(text) >= SEAL_KEY_BYTES)
-			bad = FIND_KEY;
+			msg = MSG_KEY;
 		else
 			snprintf(dst, SEAL_KEY_BYTES, "%s", text);
 		text = ""; /* findings are logged; a key must not be */
 		break;
 	case KIND_PORT:
-		if (bad == SETTINGS_FIND_MAX && (v < 1 || v > 65535))
-			bad = FIND_NUMBER;
+		if (msg == SETTINGS_MSG_MAX && (v < 1 || v > 65535))
+			msg = MSG_NUMBER;
 		sa = (struct sockaddr_in *)dst;
 		sa->sin_family = AF_INET;
 		sa->sin_port = htons((uint16_t)v);
 		break;
 	case KIND_TIME:
 		if (duration_read(text, (uint64_t *)dst) == -1)
-			bad = FIND_TIME;
+			msg = MSG_TIME;
 		break;
 	case KIND_NUMBER:
 		memcpy(dst, &v, sizeof(v));
 		break;
 	case KIND_MEGABYTES:
-		*(uint64_t *)dst = (uint64_t)v * MEGABYTE;
+		*(uint64_t *)dst = (uint64_t)v * BYTES_PER_MIB;
 		break;
 	case KIND_COUNT:
 		*(uint32_t *)dst = (uint32_t)v;
 		break;
 	}
-	if (bad != SETTINGS_FIND_MAX)
-		finds_add(finds, &msgs[bad], s->name, "%s", text);
+	if (msg != SETTINGS_MSG_MAX)
+		finds_add(finds, &msgs[msg], s->name, "%s", text);
 }
 
 /*
  * Writes the name of a setting's variable into VARIABLE_BYTES.
  */
 static void
-variable_name(const struct setting *s, char *name)
+write_variable_name(const struct setting *s, char *name)
 {
-	char *c = name + strlen(VARIABLE);
+	char *c = name + strlen(ENV_PREFIX);
 
-	snprintf(name, VARIABLE_BYTES, "%s%s", VARIABLE, s->name);
+	snprintf(name, ENV_NAME_BYTES, "%s%s", ENV_PREFIX, s->name);
 	for (; *c != '\0'; c++)
 		*c = *c == '-' ? '_' : (char)toupper((unsigned char)*c);
 }
@@ -225,29 +231,29 @@
  * A variable that belongs to no setting is a finding.
  */
 static void
-read_variables(
-    struct node_options *set, char *const *envp, int *seen, struct finds *finds)
+read_variables(struct node_options *opts, char *const *envp, int *seen,
+    struct finds *finds)
 {
-	char name[VARIABLE_BYTES];
+	char name[ENV_NAME_BYTES];
 	const char *value;
 	size_t n, len;
 
 	for (; *envp != NULL; envp++) {
-		if (strncmp(*envp, VARIABLE, strlen(VARIABLE)) != 0)
+		if (strncmp(*envp, ENV_PREFIX, strlen(ENV_PREFIX)) != 0)
 			continue;
 		len = strcspn(*envp, "=");
 		value = (*envp)[len] == '=' ? *envp + len + 1 : "";
-		for (n = 0; n < SETTINGS; n++) {
-			variable_name(&settings[n], name);
+		for (n = 0; n < SETTING_COUNT; n++) {
+			write_variable_name(&settings[n], name);
 			if (strlen(name) == len &&
 			    strncmp(name, *envp, len) == 0)
 				break;
 		}
-		if (n == SETTINGS) {
-			finds_add(finds, &msgs[FIND_VARIABLE], *envp, "%s", "");
+		if (n == SETTING_COUNT) {
+			finds_add(finds, &msgs[MSG_VARIABLE], *envp, "%s", "");
 		} else if (!seen[n]) {
 			seen[n] = 1;
-			read_value(set, &settings[n], value, finds);
+			read_value(opts, &settings[n], value, finds);
 		}
 	}
 }
@@ -257,60 +263,65 @@
  * are findings, or 1 if only help is asked for.
  */
 int
-options_read(struct node_options *set, int argc, char **argv, char *const *envp,
-    struct finds *finds)
+options_read(struct node_options *opts, int argc, char **argv,
+    char *const *envp, struct finds *finds)
 {
-	struct option options[SETTINGS + 4];
-	int seen[SETTINGS] = { 0 }, i;
+	struct option long_options[SETTING_COUNT + 4];
+	int seen[SETTING_COUNT] = { 0 }, i;
 	size_t n;
 
-	memset(set, 0, sizeof(*set));
-	memset(options, 0, sizeof(options));
-	for (n = 0; n < SETTINGS; n++)
-		options[n] = (struct option){ settings[n].name,
+	memset(opts, 0, sizeof(*opts));
+	memset(long_options, 0, sizeof(long_options));
+	for (n = 0; n < SETTING_COUNT; n++)
+		long_options[n] = (struct option){ settings[n].name,
 			required_argument, NULL, (int)n };
-	options[n++] =
+	long_options[n++] =
 	    (struct option){ "check-settings", no_argument, NULL, OPT_CHECK };
-	options[n++] = (struct option){ "quiet", no_argument, NULL, OPT_QUIET };
-	options[n++] = (struct option){ "help", no_argument, NULL, OPT_HELP };
+	long_options[n++] =
+	    (struct option){ "quiet", no_argument, NULL, OPT_QUIET };
+	long_options[n++] =
+	    (struct option){ "help", no_argument, NULL, OPT_HELP };
 	opterr = 0;
-	while ((i = getopt_long(argc, argv, "", options, NULL)) != -1) {
+	while ((i = getopt_long(argc, argv, "", long_options, NULL)) != -1) {
 		if (i == OPT_CHECK) {
-			set->check_only = 1;
+			opts->check_only = 1;
 		} else if (i == OPT_QUIET) {
-			set->quiet = 1;
+			opts->quiet = 1;
 		} else if (i == OPT_HELP) {
 			return 1;
-		} else if (i >= 0 && i < (int)SETTINGS) {
+		} else if (i >= 0 && i < (int)SETTING_COUNT) {
 			seen[i] = 1;
-			read_value(set, &settings[i], optarg, finds);
+			read_value(opts, &settings[i], optarg, finds);
 		} else {
-			finds_add(finds, &msgs[FIND_OPTION], argv[optind - 1],
+			finds_add(finds, &msgs[MSG_OPTION], argv[optind - 1],
 			    "%s", "");
 		}
 	}
-	read_variables(set, envp, seen, finds);
-	for (n = 0; n < SETTINGS; n++)
+	read_variables(opts, envp, seen, finds);
+	for (n = 0; n < SETTING_COUNT; n++)
 		if (settings[n].required && !seen[n])
-			finds_add(finds, &msgs[FIND_REQUIRED], settings[n].name,
+			finds_add(finds, &msgs[MSG_REQUIRED], settings[n].name,
 			    "%s", settings[n].help);
-	if (set->relay.previous_key[0] != '\0' &&
-	    set->relay.fleet_key[0] == '\0')
+	if (opts->relay.previous_key[0] != '\0' &&
+	    opts->relay.fleet_key[0] == '\0')
 		finds_add(
-		    finds, &msgs[FIND_OTHER_KEY], "fleet-key-other", "%s", "");
-	set->relay.fleet.sin_addr = set->relay.exit.sin_addr;
-	set->metrics.sin_addr = set->relay.exit.sin_addr;
-	if (set->relay.advertised.s_addr == 0)
-		set->relay.advertised = set->relay.exit.sin_addr;
-	set->relay.fresh_ms =
-	    (uint64_t)((double)set->relay.fresh_ms * FRESH_SHARE);
-	set->relay.accept_calls_ms = LEAVE_MS;
-	set->end_ms =
-	    set->grace_ms > END_MARGIN_MS ? set->grace_ms - END_MARGIN_MS : 0;
-	set->relay.accept_root_ms = set->end_ms > LEAVE_MS + LAST_RUN_MS
-					? set->end_ms - LAST_RUN_MS
-				    : set->end_ms < LEAVE_MS ? set->end_ms
-							     : LEAVE_MS;
+		    finds, &msgs[MSG_OTHER_KEY], "fleet-key-other", "%s", "");
+	opts->relay.fleet.sin_addr = opts->relay.exit.sin_addr;
+	opts->metrics_addr.sin_addr = opts->relay.exit.sin_addr;
+	if (opts->relay.advertised.s_addr == 0)
+		opts->relay.advertised = opts->relay.exit.sin_addr;
+	opts->relay.fresh_ms =
+	    (uint64_t)((double)opts->relay.fresh_ms * CONFIG_AGE_SHARE);
+	opts->relay.accept_calls_ms = ACCEPT_AFTER_STOP_MS;
+	opts->stop_timeout_ms = opts->grace_ms > KILL_MARGIN_MS
+				    ? opts->grace_ms - KILL_MARGIN_MS
+				    : 0;
+	opts->relay.accept_root_ms =
+	    opts->stop_timeout_ms > ACCEPT_AFTER_STOP_MS + LONG_REQUEST_MS
+		? opts->stop_timeout_ms - LONG_REQUEST_MS
+	    : opts->stop_timeout_ms < ACCEPT_AFTER_STOP_MS
+		? opts->stop_timeout_ms
+		: ACCEPT_AFTER_STOP_MS;
 	return finds->errors > 0 ? -1 : 0;
 }
 
@@ -323,11 +334,11 @@
 	size_t n;
 
 	printf("usage: cyclamenvale-node --OPTION=VALUE ...\n");
-	for (n = 0; n < SETTINGS; n++)
+	for (n = 0; n < SETTING_COUNT; n++)
 		printf("  --%-16s %s%s\n", settings[n].name, settings[n].help,
 		    settings[n].required ? "" : " (optional)");
 	printf("  --check-settings   only check the settings\n"
 	       "  --quiet            write no log lines\n"
-	       "A setting can also stand in a variable, such as " VARIABLE
+	       "A setting can also stand in a variable, such as " ENV_PREFIX
 	       "FLEET_PORT;\na flag goes before it.\n");
 }
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -7,12 +7,13 @@
 /* What the command line of a node on a platform says. */
 struct node_options {
 	struct relay_settings relay;
-	struct sockaddr_in control; /* announcements of the server come here */
-	struct sockaddr_in ready;   /* where readiness is asked for */
-	struct sockaddr_in metrics; /* port 0: none */
-	struct sockaddr_in store;
-	uint64_t grace_ms; /* from SIGTERM to SIGKILL */
-	uint64_t end_ms;   /* from SIGTERM to the end in any case */
+	struct sockaddr_in
+	    control_addr; /* announcements of the server come here */
+	struct sockaddr_in ready_addr;	 /* where readiness is asked for */
+	struct sockaddr_in metrics_addr; /* port 0: none */
+	struct sockaddr_in store_addr;
+	uint64_t grace_ms;	  /* from SIGTERM to SIGKILL */
+	uint64_t stop_timeout_ms; /* from SIGTERM to the end in any case */
 	int check_only;
 	int quiet; /* no log lines */
 };
--- a/src/options/test_options.c
+++ b/src/options/test_options.c
@@ -12,7 +12,7 @@
  * Wrong settings are all found; a whole set is taken.
  */
 static void
-test_settings(void **state)
+test_command_line(void **state)
 {
 	static char *good[] = { "n", "--node=n1", "--zone=z", "--service=s",
 		"--entry=127.0.0.1:1", "--exit=127.0.0.1:2",
@@ -21,11 +21,11 @@
 		"--revoke=5000ms", "--grace=6s", "--quota-overage=0.1",
 		"--quota-slack=20", "--retry-ratio=0.2", "--retry-slack=49",
 		"--memory-mb=260", "--descriptors=4100", NULL };
-	static char *none[] = { NULL };
+	static char *no_environment[] = { NULL };
 	static char *bad[] = { "n", "--node=", "--entry=127.0.0.1",
 		"--exit=host:2", "--revoke=5", "--quota-slack=many",
 		"--fleet-port=70000", "--nonsense=1", NULL };
-	struct node_options set;
+	struct node_options opts;
 	struct finds finds;
 	int n;
 
@@ -33,18 +33,20 @@
 	finds_init(&finds);
 	for (n = 0; good[n] != NULL; n++)
 		;
-	assert_int_equal(options_read(&set, n, good, none, &finds), 0);
-	assert_int_equal(set.grace_ms, 6000);
-	assert_int_equal(set.end_ms, 5000);
-	assert_int_equal(set.relay.accept_root_ms, 3500);
-	assert_true(set.relay.fresh_ms < 5000);
-	assert_string_equal(set.relay.node, "n1");
 	assert_int_equal(
-	    set.relay.advertised.s_addr, set.relay.exit.sin_addr.s_addr);
+	    options_read(&opts, n, good, no_environment, &finds), 0);
+	assert_int_equal(opts.grace_ms, 6000);
+	assert_int_equal(opts.stop_timeout_ms, 5000);
+	assert_int_equal(opts.relay.accept_root_ms, 3500);
+	assert_true(opts.relay.fresh_ms < 5000);
+	assert_string_equal(opts.relay.node, "n1");
+	assert_int_equal(
+	    opts.relay.advertised.s_addr, opts.relay.exit.sin_addr.s_addr);
 	for (n = 0; bad[n] != NULL; n++)
 		;
 	optind = 0;
-	assert_int_equal(options_read(&set, n, bad, none, &finds), -1);
+	assert_int_equal(
+	    options_read(&opts, n, bad, no_environment, &finds), -1);
 	/* Seven wrong ones, and twelve missing. */
 	assert_int_equal(finds.errors, 7 + 12);
 	finds_finish(&finds);
@@ -55,7 +57,7 @@
  * variables that belong to no setting are found.
  */
 static void
-test_variables(void **state)
+test_environment(void **state)
 {
 	static char *flags[] = { "n", "--node=n1", "--zone=z", "--service=s",
 		"--entry=127.0.0.1:1", "--exit=127.0.0.1:2",
@@ -74,7 +76,7 @@
 		"CYCLAMENVALE_NODE_ADVERTISE=host", "CYCLAMENVALE_NODE_SPEED=9",
 		"CYCLAMENVALE_NODE_FLEET_KEY=0123456789abcde",
 		"CYCLAMENVALE_NODE_FLEET_KEY_OTHER=0123456789abcdef", NULL };
-	struct node_options set;
+	struct node_options opts;
 	struct finds finds;
 	int n;
 
@@ -83,14 +85,14 @@
 	for (n = 0; flags[n] != NULL; n++)
 		;
 	optind = 0;
-	assert_int_equal(options_read(&set, n, flags, good, &finds), 0);
-	assert_string_equal(set.relay.node, "n1");
-	assert_int_equal(ntohs(set.relay.fleet.sin_port), 7);
-	assert_int_equal(set.relay.descriptors, 4100);
-	assert_int_equal(ntohl(set.relay.advertised.s_addr), 0x7f000009);
-	assert_string_equal(set.relay.fleet_key, "0123456789abcdef");
+	assert_int_equal(options_read(&opts, n, flags, good, &finds), 0);
+	assert_string_equal(opts.relay.node, "n1");
+	assert_int_equal(ntohs(opts.relay.fleet.sin_port), 7);
+	assert_int_equal(opts.relay.descriptors, 4100);
+	assert_int_equal(ntohl(opts.relay.advertised.s_addr), 0x7f000009);
+	assert_string_equal(opts.relay.fleet_key, "0123456789abcdef");
 	optind = 0;
-	assert_int_equal(options_read(&set, n, flags, bad, &finds), -1);
+	assert_int_equal(options_read(&opts, n, flags, bad, &finds), -1);
 	/* The key is too short, so that the other one has none beside it. */
 	assert_int_equal(finds.errors, 5);
 	finds_finish(&finds);
@@ -100,7 +102,7 @@
  * Times have a unit.
  */
 static void
-test_duration(void **state)
+test_duration_units(void **state)
 {
 	static const struct {
 		const char *text;
@@ -131,9 +133,9 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_settings),
-		cmocka_unit_test(test_variables),
-		cmocka_unit_test(test_duration),
+		cmocka_unit_test(test_command_line),
+		cmocka_unit_test(test_environment),
+		cmocka_unit_test(test_duration_units),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
