options: plain comments, help texts and errors

Comments and help lines were fragments that could be read only with their neighbours. They are now whole phrases with subject and unit. The help names the variable's precedence plainly, and the errors say what is required. No code changed.

--- a/src/options/options.c
+++ b/src/options/options.c
@@ -9,14 +9,14 @@
 #include "base/duration.h"
 #include "options/options.h"
 
-#define CONFIG_AGE_SHARE \
-	0.85 /* of the time after which a withdrawn key is dead */
-#define ACCEPT_AFTER_STOP_MS \
-	2600		     /* two questions for readiness, and some slack */
-#define KILL_MARGIN_MS 1000  /* before SIGKILL, for a machine that is slowed */
-#define LONG_REQUEST_MS 1500 /* nearly all requests take less (p99 1.4 s) */
+/* Highest age of the configuration, as a share of the time in --revoke. */
+#define CONFIG_AGE_SHARE 0.85
+#define ACCEPT_AFTER_STOP_MS 2600 /* two readiness polls and a margin */
+#define KILL_MARGIN_MS 1000	  /* before SIGKILL, for a slow machine */
+#define LONG_REQUEST_MS 1500	  /* 99 % of the requests take up to 1.4 s */
 #define BYTES_PER_MIB (1ULL << 20)
-#define ENV_PREFIX "CYCLAMENVALE_NODE_" /* then the option in capitals */
+/* Prefix of environment variables; the option in capitals follows. */
+#define ENV_PREFIX "CYCLAMENVALE_NODE_"
 #define ENV_NAME_BYTES 64
 
 enum setting_kind {
@@ -24,9 +24,9 @@
 	KIND_ADDRESS,
 	KIND_IP,
 	KIND_KEY,
-	KIND_PORT, /* on the address of the exit */
+	KIND_PORT, /* on the address of --exit */
 	KIND_TIME,
-	KIND_NUMBER, /* with fractions */
+	KIND_NUMBER, /* may have a fraction */
 	KIND_MEGABYTES,
 	KIND_COUNT
 };
@@ -35,7 +35,7 @@
 	const char *name;
 	enum setting_kind kind;
 	int required;
-	size_t offset; /* in struct node_options */
+	size_t offset; /* of the field in struct node_options */
 	const char *help;
 };
 
@@ -64,59 +64,61 @@
 
 static const struct find_msg msgs[SETTINGS_MSG_MAX] = {
 	[MSG_OPTION] = { FIND_ERROR, "unknown option" },
-	[MSG_VARIABLE] = { FIND_ERROR, "unknown variable" },
+	[MSG_VARIABLE] = { FIND_ERROR, "unknown environment variable" },
 	[MSG_REQUIRED] = { FIND_ERROR, "missing option" },
 	[MSG_NAME] = { FIND_ERROR, "not a name of 1 to 63 characters" },
 	[MSG_ADDRESS] = { FIND_ERROR, "not an IPv4 address and port" },
 	[MSG_IP] = { FIND_ERROR, "not an IPv4 address" },
 	[MSG_KEY] = { FIND_ERROR, "not a key of 16 to 64 characters" },
-	[MSG_OTHER_KEY] = { FIND_ERROR, "needs --fleet-key" },
+	[MSG_OTHER_KEY] = { FIND_ERROR, "requires --fleet-key" },
 	[MSG_NUMBER] = { FIND_ERROR, "not a number" },
-	[MSG_TIME] = { FIND_ERROR, "not a time in ms or s" },
+	[MSG_TIME] = { FIND_ERROR, "not a time with unit ms or s" },
 };
 
 static const struct setting settings[] = {
 	{ "node", KIND_NAME, 1, OFFSET(relay.node), "name of this node" },
-	{ "zone", KIND_NAME, 1, OFFSET(relay.zone), "failure domain" },
+	{ "zone", KIND_NAME, 1, OFFSET(relay.zone),
+	    "failure domain of this node" },
 	{ "service", KIND_NAME, 1, OFFSET(relay.service),
-	    "service of the server beside this node" },
+	    "service of the local backend server" },
 	{ "entry", KIND_ADDRESS, 1, OFFSET(relay.entry),
-	    "where callers beside this node come" },
+	    "address for requests of local callers" },
 	{ "exit", KIND_ADDRESS, 1, OFFSET(relay.exit),
-	    "where other nodes come" },
+	    "address for requests from other nodes" },
 	{ "advertise", KIND_IP, 0, OFFSET(relay.advertised),
-	    "address told to other nodes, if not that of the exit" },
+	    "address reported to other nodes, if not that of --exit" },
 	{ "server", KIND_ADDRESS, 1, OFFSET(relay.server),
-	    "the backend server beside this node" },
+	    "address of the local backend server" },
 	{ "control", KIND_ADDRESS, 1, OFFSET(control_addr),
-	    "where the server announces itself" },
+	    "address for announcements of the server" },
 	{ "ready", KIND_ADDRESS, 1, OFFSET(ready_addr),
-	    "where readiness is asked for" },
+	    "address for readiness requests" },
 	{ "store", KIND_ADDRESS, 1, OFFSET(store_addr),
-	    "the platform's store" },
+	    "address of the platform's store" },
 	{ "fleet-port", KIND_PORT, 1, OFFSET(relay.fleet),
 	    "port for datagrams between nodes" },
 	{ "fleet-key", KIND_KEY, 0, OFFSET(relay.fleet_key),
-	    "known to all nodes, which take messages with its seal only" },
+	    "shared by all nodes; messages without its seal are rejected" },
 	{ "fleet-key-other", KIND_KEY, 0, OFFSET(relay.previous_key),
-	    "another one whose seals are taken, too" },
+	    "second key whose seals are accepted, for key rotation" },
 	{ "metrics-port", KIND_PORT, 0, OFFSET(metrics_addr),
-	    "port for metrics" },
+	    "port for metrics, on the address of --exit" },
 	{ "revoke", KIND_TIME, 1, OFFSET(relay.fresh_ms),
-	    "after which a withdrawn key must not work" },
-	{ "grace", KIND_TIME, 1, OFFSET(grace_ms), "from SIGTERM to SIGKILL" },
+	    "time after which a withdrawn API key must not work" },
+	{ "grace", KIND_TIME, 1, OFFSET(grace_ms),
+	    "time from SIGTERM to SIGKILL" },
 	{ "quota-overage", KIND_NUMBER, 1, OFFSET(relay.quota_share),
-	    "tolerance of limits, as a share" },
+	    "allowed excess over a rate limit, as a share" },
 	{ "quota-slack", KIND_NUMBER, 1, OFFSET(relay.quota_constant),
-	    "and in requests" },
+	    "allowed excess over a rate limit, in requests" },
 	{ "retry-ratio", KIND_NUMBER, 1, OFFSET(relay.retry_ratio),
-	    "extra arrivals at a service to requests for it" },
+	    "allowed ratio of extra arrivals to requests at a service" },
 	{ "retry-slack", KIND_NUMBER, 1, OFFSET(relay.retry_slack),
-	    "and more of them, over the whole fleet" },
+	    "additional extra arrivals, summed over the fleet" },
 	{ "memory-mb", KIND_MEGABYTES, 1, OFFSET(relay.memory_bytes),
-	    "memory that this process may use" },
+	    "memory that this process may use, in MiB" },
 	{ "descriptors", KIND_COUNT, 1, OFFSET(relay.descriptors),
-	    "descriptors that this process may use" },
+	    "file descriptors that this process may use" },
 };
 
 #define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
@@ -125,7 +127,7 @@
 #define OPT_HELP ((int)SETTING_COUNT + 2)
 
 /*
- * Reads an address and port.  Returns 0, or -1.
+ * Reads an IPv4 address and port.  Returns 0, or -1 if it is invalid.
  */
 static int
 read_address(const char *text, struct sockaddr_in *sa)
@@ -149,7 +151,7 @@
 }
 
 /*
- * Reads one setting; what is wrong with it becomes a finding.
+ * Reads the value of a setting.  An invalid value is added to the findings.
  */
 static void
 read_value(struct node_options *opts, const struct setting *s, const char *text,
@@ -186,7 +188,7 @@
 			msg = MSG_KEY;
 		else
 			snprintf(dst, SEAL_KEY_BYTES, "%s", text);
-		text = ""; /* findings are logged; a key must not be */
+		text = ""; /* findings are printed; a key must not be */
 		break;
 	case KIND_PORT:
 		if (msg == SETTINGS_MSG_MAX && (v < 1 || v > 65535))
@@ -214,7 +216,8 @@
 }
 
 /*
- * Writes the name of a setting's variable into VARIABLE_BYTES.
+ * Writes the name of a setting's environment variable to a buffer of
+ * ENV_NAME_BYTES.
  */
 static void
 write_variable_name(const struct setting *s, char *name)
@@ -227,8 +230,8 @@
 }
 
 /*
- * Reads the settings that flags don't give from variables of the environment.
- * A variable that belongs to no setting is a finding.
+ * Reads the settings that the command line doesn't give from the environment.
+ * A variable with the prefix that belongs to no setting is a finding.
  */
 static void
 read_variables(struct node_options *opts, char *const *envp, int *seen,
@@ -259,8 +262,8 @@
 }
 
 /*
- * Reads the command line, then the environment.  Returns 0, or -1 if there
- * are findings, or 1 if only help is asked for.
+ * Reads the command line, then the environment.  Returns 0, -1 if there are
+ * errors, or 1 if --help is given.
  */
 int
 options_read(struct node_options *opts, int argc, char **argv,
@@ -326,7 +329,7 @@
 }
 
 /*
- * Prints the options.
+ * Prints the usage.
  */
 void
 options_usage(void)
@@ -337,8 +340,9 @@
 	for (n = 0; n < SETTING_COUNT; n++)
 		printf("  --%-16s %s%s\n", settings[n].name, settings[n].help,
 		    settings[n].required ? "" : " (optional)");
-	printf("  --check-settings   only check the settings\n"
-	       "  --quiet            write no log lines\n"
-	       "A setting can also stand in a variable, such as " ENV_PREFIX
-	       "FLEET_PORT;\na flag goes before it.\n");
+	printf(
+	    "  --check-settings   check the settings and exit\n"
+	    "  --quiet            write no log lines\n"
+	    "A setting can also be given in an environment variable, such "
+	    "as\n" ENV_PREFIX "FLEET_PORT; the command line has precedence.\n");
 }
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -4,18 +4,17 @@
 #include "base/find.h"
 #include "relay/relay.h"
 
-/* What the command line of a node on a platform says. */
+/* Settings of a node from its command line and environment. */
 struct node_options {
 	struct relay_settings relay;
-	struct sockaddr_in
-	    control_addr; /* announcements of the server come here */
-	struct sockaddr_in ready_addr;	 /* where readiness is asked for */
-	struct sockaddr_in metrics_addr; /* port 0: none */
+	struct sockaddr_in control_addr; /* for announcements of the server */
+	struct sockaddr_in ready_addr;	 /* for readiness requests */
+	struct sockaddr_in metrics_addr; /* port 0: no metrics port */
 	struct sockaddr_in store_addr;
-	uint64_t grace_ms;	  /* from SIGTERM to SIGKILL */
-	uint64_t stop_timeout_ms; /* from SIGTERM to the end in any case */
+	uint64_t grace_ms;	  /* time from SIGTERM to SIGKILL */
+	uint64_t stop_timeout_ms; /* longest time from SIGTERM to the exit */
 	int check_only;
-	int quiet; /* no log lines */
+	int quiet; /* write no log lines */
 };
 
 int options_read(
--- a/src/options/test_options.c
+++ b/src/options/test_options.c
@@ -9,7 +9,8 @@
 #include "options/options.h"
 
 /*
- * Wrong settings are all found; a whole set is taken.
+ * A complete command line is accepted.  Each invalid or missing option gives
+ * a finding.
  */
 static void
 test_command_line(void **state)
@@ -47,14 +48,14 @@
 	optind = 0;
 	assert_int_equal(
 	    options_read(&opts, n, bad, no_environment, &finds), -1);
-	/* Seven wrong ones, and twelve missing. */
+	/* Seven options are invalid and twelve are missing. */
 	assert_int_equal(finds.errors, 7 + 12);
 	finds_finish(&finds);
 }
 
 /*
- * What no flag gives comes from the environment; a flag goes before it, and
- * variables that belong to no setting are found.
+ * Settings that the command line doesn't give are read from the environment.
+ * The command line has precedence.  A variable of no setting gives a finding.
  */
 static void
 test_environment(void **state)
@@ -93,13 +94,13 @@
 	assert_string_equal(opts.relay.fleet_key, "0123456789abcdef");
 	optind = 0;
 	assert_int_equal(options_read(&opts, n, flags, bad, &finds), -1);
-	/* The key is too short, so that the other one has none beside it. */
+	/* The second key counts as well: the first is too short and not set. */
 	assert_int_equal(finds.errors, 5);
 	finds_finish(&finds);
 }
 
 /*
- * Times have a unit.
+ * A duration needs a unit and a non-negative number.
  */
 static void
 test_duration_units(void **state)
