--- a/src/http1/answer.c
+++ b/src/http1/answer.c
@@ -2,8 +2,8 @@
 
 #include "http1/http1_int.h"
 
-static void compose(struct h1_conn *, struct h1_text *, unsigned int,
-    const struct h1_text *, uint64_t);
+static void format_response_head(struct h1_conn *, struct h1_text *,
+    unsigned int, const struct h1_text *, uint64_t);
 
 /*
  * Returns the head of the present request.
@@ -87,7 +87,8 @@
 	if (!c->stream.paused || c->stream.closing)
 		return;
 	c->stream.paused = 0;
-	uv_read_start((uv_stream_t *)&c->stream.tcp, h1_alloc, h1_on_read);
+	uv_read_start((uv_stream_t *)&c->stream.tcp, h1_alloc_read_buffer,
+	    h1_conn_on_read);
 }
 
 /*
@@ -103,21 +104,21 @@
  * Composes the head of an answer.
  */
 static void
-compose(struct h1_conn *c, struct h1_text *t, unsigned int status,
+format_response_head(struct h1_conn *c, struct h1_text *t, unsigned int status,
     const struct h1_text *fields, uint64_t length)
 {
-	if (c->server->closing)
-		c->keep = 0;
-	h1_text_addf(t, "HTTP/1.1 %u %s\r\n", status, h1_reason(status));
+	if (c->server->draining)
+		c->keep_alive = 0;
+	h1_text_addf(t, "HTTP/1.1 %u %s\r\n", status, h1_reason_phrase(status));
 	if (fields != NULL)
 		h1_text_add(t, fields->p, fields->len);
-	c->chunked = length == H1_LENGTH_CHUNKED;
-	if (c->chunked)
+	c->response_chunked = length == H1_LENGTH_CHUNKED;
+	if (c->response_chunked)
 		h1_text_field(t, "Transfer-Encoding", "chunked");
 	else if (status != 204 && status != 304)
 		h1_text_addf(
 		    t, "Content-Length: %llu\r\n", (unsigned long long)length);
-	if (!c->keep)
+	if (!c->keep_alive)
 		h1_text_field(t, "Connection", "close");
 	h1_text_add(t, "\r\n", 2);
 }
@@ -133,10 +134,10 @@
 	struct h1_text t;
 
 	h1_text_init(&t);
-	compose(c, &t, status, fields, length);
+	format_response_head(c, &t, status, fields, length);
 	h1_stream_write(&c->stream, t.p, t.len);
 	h1_text_finish(&t);
-	c->out = OUT_HEAD;
+	c->response_state = H1_RESPONSE_HEAD;
 }
 
 /*
@@ -147,8 +148,8 @@
 {
 	if (n == 0)
 		return;
-	if (c->chunked)
-		h1_stream_chunk(&c->stream, p, n);
+	if (c->response_chunked)
+		h1_stream_write_chunk(&c->stream, p, n);
 	else
 		h1_stream_write(&c->stream, p, n);
 }
@@ -159,11 +160,11 @@
 void
 h1_answer_end(struct h1_conn *c)
 {
-	if (c->chunked)
-		h1_stream_chunk(&c->stream, NULL, 0);
-	c->out = OUT_DONE;
-	c->open = 0;
-	h1_conn_advance(c);
+	if (c->response_chunked)
+		h1_stream_write_chunk(&c->stream, NULL, 0);
+	c->response_state = H1_RESPONSE_DONE;
+	c->request_open = 0;
+	h1_conn_next_request(c);
 }
 
 /*
@@ -176,7 +177,7 @@
 	struct h1_text t;
 
 	h1_text_init(&t);
-	compose(c, &t, status, fields, n);
+	format_response_head(c, &t, status, fields, n);
 	if (strcmp(h1_conn_method(c), "HEAD") != 0)
 		h1_text_add(&t, body, n);
 	h1_stream_write(&c->stream, t.p, t.len);
@@ -190,6 +191,6 @@
 void
 h1_conn_abort(struct h1_conn *c)
 {
-	c->open = 0;
+	c->request_open = 0;
 	h1_conn_close(c);
 }
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -7,65 +7,66 @@
 #include "base/loopclock.h"
 #include "http1/http1_int.h"
 
-#define HEAD_BYTES 65536	 /* of an answer's head */
+#define MAX_HEAD_BYTES 65536	 /* of an answer's head */
 #define KEEP_ALIVE_MARGIN_MS 500 /* before the server closes an idle one */
-#define USER_TIMEOUT_MS 1500	 /* bytes unacknowledged: the peer is lost */
+#define UNACKED_TIMEOUT_MS 1500	 /* bytes unacknowledged: the peer is lost */
 
 /* One connection to a server; it carries one exchange at a time. */
-struct h1_peer {
+struct h1_client_conn {
 	struct h1_stream stream; /* first, for libuv's handle */
 	struct h1_pool *pool;
-	struct h1_peer *next; /* in the pool's idle list */
-	struct h1_xchg *xchg;
+	struct h1_client_conn *next; /* in the pool's idle list */
+	struct h1_xchg *exchange;
 	http_parser parser;
 	uv_connect_t connect;
 	uint64_t idle_since_ms;
-	uint64_t idle_max_ms; /* as the server's Keep-Alive told */
-	uint64_t began_ms;    /* of connecting */
-	uv_timer_t *timer;    /* while connecting */
+	uint64_t keep_alive_ms;	     /* as the server's Keep-Alive told */
+	uint64_t connect_started_ms; /* of connecting */
+	uv_timer_t *connect_timer;   /* while connecting */
 };
 
 struct h1_xchg {
-	struct h1_peer *peer;
+	struct h1_client_conn *conn;
 	const struct h1_client_ops *ops;
 	void *ctx;
 	struct h1_head head;
-	struct h1_collect collect;
+	struct h1_head_builder builder;
 	uint64_t length;
-	int chunked;   /* the request's body */
-	int sent_all;  /* the request is written */
-	int answered;  /* the whole answer is in */
-	int skipping;  /* an answer that belongs to no request of ours */
-	int head_only; /* the answer has no body, whatever its head says */
+	int request_chunked;   /* the request's body */
+	int request_complete;  /* the request is written */
+	int response_complete; /* the whole answer is in */
+	int skip_response;   /* an answer that belongs to no request of ours */
+	int is_head_request; /* the answer has no body, whatever its head says
+			      */
 	int cancelled;
 };
 
 static void on_connect(uv_connect_t *, int);
-static void on_timeout(uv_timer_t *);
+static void on_connect_timeout(uv_timer_t *);
 static void on_read(uv_stream_t *, ssize_t, const uv_buf_t *);
-static void on_close(uv_handle_t *);
-static void on_drained(struct h1_stream *);
-static void peer_close(struct h1_peer *);
-static void peer_done(struct h1_peer *);
-static void peer_fail(struct h1_peer *, enum h1_fail);
-static struct h1_peer *peer_new(struct h1_pool *);
-static void stop_timer(struct h1_peer *);
-static void bound_silence(struct h1_peer *);
-static int was_reset(const struct h1_peer *);
-static int on_begin(http_parser *);
-static int on_field(http_parser *, const char *, size_t);
-static int on_value(http_parser *, const char *, size_t);
-static int on_head(http_parser *);
+static void on_conn_closed(uv_handle_t *);
+static void on_stream_drained(struct h1_stream *);
+static void conn_close(struct h1_client_conn *);
+static void exchange_finish(struct h1_client_conn *);
+static void exchange_fail(struct h1_client_conn *, enum h1_fail);
+static struct h1_client_conn *conn_open(struct h1_pool *);
+static void stop_connect_timer(struct h1_client_conn *);
+static void set_unacked_timeout(struct h1_client_conn *);
+static int closed_by_reset(const struct h1_client_conn *);
+static int on_message_begin(http_parser *);
+static int on_header_field(http_parser *, const char *, size_t);
+static int on_header_value(http_parser *, const char *, size_t);
+static int on_headers_complete(http_parser *);
 static int on_body(http_parser *, const char *, size_t);
-static int on_end(http_parser *);
+static int on_message_complete(http_parser *);
 
 static const http_parser_settings parser_settings = {
-	.on_message_begin = on_begin,
-	.on_header_field = on_field,
-	.on_header_value = on_value,
-	.on_headers_complete = on_head,
+	.on_message_begin = on_message_begin,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
 	.on_body = on_body,
-	.on_message_complete = on_end,
+	.on_message_complete = on_message_complete,
 };
 
 /*
@@ -74,32 +75,33 @@
  */
 void
 h1_pool_init(struct h1_pool *pool, uv_loop_t *loop,
-    const struct sockaddr_in *addr, uint64_t idle_ms, uint64_t connect_ms)
+    const struct sockaddr_in *addr, uint64_t max_idle_ms,
+    uint64_t connect_timeout_ms)
 {
 	memset(pool, 0, sizeof(*pool));
 	pool->loop = loop;
 	pool->addr = *addr;
-	pool->idle_ms = idle_ms;
-	pool->connect_ms = connect_ms;
+	pool->max_idle_ms = max_idle_ms;
+	pool->connect_timeout_ms = connect_timeout_ms;
 }
 
 /*
  * Closes idle connections until at most keep are left, the oldest first.
  */
 void
-h1_pool_trim(struct h1_pool *pool, uint32_t keep)
+h1_pool_trim(struct h1_pool *pool, uint32_t max_idle)
 {
-	struct h1_peer **at = &pool->idle, *p, *next;
+	struct h1_client_conn **link = &pool->idle, *p, *next;
 	uint32_t i;
 
-	for (i = 0; i < keep && *at != NULL; i++)
-		at = &(*at)->next;
-	p = *at;
-	*at = NULL;
+	for (i = 0; i < max_idle && *link != NULL; i++)
+		link = &(*link)->next;
+	p = *link;
+	*link = NULL;
 	for (; p != NULL; p = next) {
 		next = p->next;
 		pool->idle_count--;
-		peer_close(p);
+		conn_close(p);
 	}
 }
 
@@ -116,10 +118,10 @@
 /*
  * Opens a connection.
  */
-static struct h1_peer *
-peer_new(struct h1_pool *pool)
+static struct h1_client_conn *
+conn_open(struct h1_pool *pool)
 {
-	struct h1_peer *p;
+	struct h1_client_conn *p;
 
 	p = calloc(1, sizeof(*p));
 	if (p == NULL)
@@ -127,20 +129,21 @@
 	p->pool = pool;
 	uv_tcp_init(pool->loop, &p->stream.tcp);
 	p->stream.tcp.data = p;
-	p->stream.drained = on_drained;
-	p->idle_max_ms = UINT64_MAX;
+	p->stream.on_drained = on_stream_drained;
+	p->keep_alive_ms = UINT64_MAX;
 	p->stream.connecting = 1;
 	p->connect.data = p;
 	pool->open_count++;
-	p->timer = malloc(sizeof(*p->timer));
-	if (p->timer == NULL)
+	p->connect_timer = malloc(sizeof(*p->connect_timer));
+	if (p->connect_timer == NULL)
 		err(1, "out of memory");
-	uv_timer_init(pool->loop, p->timer);
-	p->timer->data = p;
-	uv_timer_start(p->timer, on_timeout, pool->connect_ms, 0);
+	uv_timer_init(pool->loop, p->connect_timer);
+	p->connect_timer->data = p;
+	uv_timer_start(
+	    p->connect_timer, on_connect_timeout, pool->connect_timeout_ms, 0);
 	if (uv_tcp_connect(&p->connect, &p->stream.tcp,
 		(const struct sockaddr *)&pool->addr, on_connect) != 0)
-		uv_timer_start(p->timer, on_timeout, 0, 0);
+		uv_timer_start(p->connect_timer, on_connect_timeout, 0, 0);
 	uv_tcp_nodelay(&p->stream.tcp, 1);
 	return p;
 }
@@ -153,23 +156,24 @@
  */
 struct h1_xchg *
 h1_send(struct h1_pool *pool, const struct h1_text *head, uint64_t length,
-    int head_only, uint64_t idle_ms, const struct h1_client_ops *ops, void *ctx)
+    int is_head_request, uint64_t max_idle_ms, const struct h1_client_ops *ops,
+    void *ctx)
 {
 	uint64_t age, now = loop_ms(pool->loop);
 	struct h1_xchg *x;
-	struct h1_peer *p;
+	struct h1_client_conn *p;
 
 	x = calloc(1, sizeof(*x));
 	if (x == NULL)
 		err(1, "out of memory");
-	if (idle_ms > pool->idle_ms)
-		idle_ms = pool->idle_ms;
+	if (max_idle_ms > pool->max_idle_ms)
+		max_idle_ms = pool->max_idle_ms;
 	p = pool->idle;
 	if (p != NULL) {
 		age = now - p->idle_since_ms;
-		if (age >= idle_ms || age >= p->idle_max_ms) {
+		if (age >= max_idle_ms || age >= p->keep_alive_ms) {
 			/* The others have been idle for longer. */
-			if (age >= pool->idle_ms || age >= p->idle_max_ms)
+			if (age >= pool->max_idle_ms || age >= p->keep_alive_ms)
 				h1_pool_trim(pool, 0);
 			p = NULL;
 		} else {
@@ -178,15 +182,15 @@
 		}
 	}
 	if (p == NULL)
-		p = peer_new(pool);
-	x->peer = p;
+		p = conn_open(pool);
+	x->conn = p;
 	x->ops = ops;
 	x->ctx = ctx;
-	x->head_only = head_only;
-	x->chunked = length == H1_LENGTH_CHUNKED;
-	x->sent_all = length == 0;
+	x->is_head_request = is_head_request;
+	x->request_chunked = length == H1_LENGTH_CHUNKED;
+	x->request_complete = length == 0;
 	h1_head_init(&x->head);
-	p->xchg = x;
+	p->exchange = x;
 	p->next = NULL;
 	http_parser_init(&p->parser, HTTP_RESPONSE);
 	p->parser.data = p;
@@ -200,12 +204,12 @@
 void
 h1_send_body(struct h1_xchg *x, const char *p, size_t n)
 {
-	if (n == 0 || x->sent_all)
+	if (n == 0 || x->request_complete)
 		return;
-	if (x->chunked)
-		h1_stream_chunk(&x->peer->stream, p, n);
+	if (x->request_chunked)
+		h1_stream_write_chunk(&x->conn->stream, p, n);
 	else
-		h1_stream_write(&x->peer->stream, p, n);
+		h1_stream_write(&x->conn->stream, p, n);
 }
 
 /*
@@ -214,11 +218,11 @@
 void
 h1_send_end(struct h1_xchg *x)
 {
-	if (x->sent_all)
+	if (x->request_complete)
 		return;
-	if (x->chunked)
-		h1_stream_chunk(&x->peer->stream, NULL, 0);
-	x->sent_all = 1;
+	if (x->request_chunked)
+		h1_stream_write_chunk(&x->conn->stream, NULL, 0);
+	x->request_complete = 1;
 }
 
 /*
@@ -227,7 +231,7 @@
 size_t
 h1_send_queued(const struct h1_xchg *x)
 {
-	return x->peer->stream.tcp.write_queue_size;
+	return x->conn->stream.tcp.write_queue_size;
 }
 
 /*
@@ -236,12 +240,12 @@
 void
 h1_cancel(struct h1_xchg *x)
 {
-	struct h1_peer *p = x->peer;
+	struct h1_client_conn *p = x->conn;
 
-	p->xchg = NULL;
+	p->exchange = NULL;
 	h1_head_finish(&x->head);
 	free(x);
-	peer_close(p);
+	conn_close(p);
 }
 
 /*
@@ -250,7 +254,7 @@
 void
 h1_xchg_pause(struct h1_xchg *x)
 {
-	struct h1_stream *s = &x->peer->stream;
+	struct h1_stream *s = &x->conn->stream;
 
 	if (s->paused || s->closing || s->connecting)
 		return;
@@ -264,12 +268,12 @@
 void
 h1_xchg_resume(struct h1_xchg *x)
 {
-	struct h1_stream *s = &x->peer->stream;
+	struct h1_stream *s = &x->conn->stream;
 
 	if (!s->paused || s->closing)
 		return;
 	s->paused = 0;
-	uv_read_start((uv_stream_t *)&s->tcp, h1_alloc, on_read);
+	uv_read_start((uv_stream_t *)&s->tcp, h1_alloc_read_buffer, on_read);
 }
 
 /*
@@ -287,7 +291,7 @@
 unsigned int
 h1_xchg_status(const struct h1_xchg *x)
 {
-	return x->peer->parser.status_code;
+	return x->conn->parser.status_code;
 }
 
 /*
@@ -304,12 +308,12 @@
  * Ends the time for connecting.
  */
 static void
-stop_timer(struct h1_peer *p)
+stop_connect_timer(struct h1_client_conn *p)
 {
-	if (p->timer == NULL)
+	if (p->connect_timer == NULL)
 		return;
-	uv_close((uv_handle_t *)p->timer, (uv_close_cb)free);
-	p->timer = NULL;
+	uv_close((uv_handle_t *)p->connect_timer, (uv_close_cb)free);
+	p->connect_timer = NULL;
 }
 
 /*
@@ -317,9 +321,9 @@
  * behind a cut sends no reset.
  */
 static void
-bound_silence(struct h1_peer *p)
+set_unacked_timeout(struct h1_client_conn *p)
 {
-	unsigned int ms = USER_TIMEOUT_MS;
+	unsigned int ms = UNACKED_TIMEOUT_MS;
 	int fd;
 
 	if (uv_fileno((const uv_handle_t *)&p->stream.tcp, &fd) == 0)
@@ -333,36 +337,37 @@
 static void
 on_connect(uv_connect_t *req, int status)
 {
-	struct h1_peer *p = req->data;
+	struct h1_client_conn *p = req->data;
 
 	if (p->stream.closing)
 		return;
 	if (status != 0) {
-		peer_fail(p, H1_NOT_SENT);
+		exchange_fail(p, H1_NOT_SENT);
 		return;
 	}
-	stop_timer(p);
+	stop_connect_timer(p);
 	p->stream.connecting = 0;
-	bound_silence(p);
-	uv_read_start((uv_stream_t *)&p->stream.tcp, h1_alloc, on_read);
+	set_unacked_timeout(p);
+	uv_read_start(
+	    (uv_stream_t *)&p->stream.tcp, h1_alloc_read_buffer, on_read);
 }
 
 /*
  * A connection wasn't up in time.
  */
 static void
-on_timeout(uv_timer_t *timer)
+on_connect_timeout(uv_timer_t *timer)
 {
-	peer_fail(timer->data, H1_NOT_SENT);
+	exchange_fail(timer->data, H1_NOT_SENT);
 }
 
 /*
  * Frees a connection once libuv has let go of it.
  */
 static void
-on_close(uv_handle_t *handle)
+on_conn_closed(uv_handle_t *handle)
 {
-	struct h1_peer *p = handle->data;
+	struct h1_client_conn *p = handle->data;
 
 	p->pool->open_count--;
 	free(p);
@@ -372,30 +377,30 @@
  * Closes a connection that no exchange uses.
  */
 static void
-peer_close(struct h1_peer *p)
+conn_close(struct h1_client_conn *p)
 {
 	if (p->stream.closing)
 		return;
 	p->stream.closing = 1;
-	stop_timer(p);
-	uv_close((uv_handle_t *)&p->stream.tcp, on_close);
+	stop_connect_timer(p);
+	uv_close((uv_handle_t *)&p->stream.tcp, on_conn_closed);
 }
 
 /*
  * Ends an exchange that failed, and its connection.
  */
 static void
-peer_fail(struct h1_peer *p, enum h1_fail how)
+exchange_fail(struct h1_client_conn *p, enum h1_fail failure)
 {
-	struct h1_xchg *x = p->xchg;
+	struct h1_xchg *x = p->exchange;
 
-	p->xchg = NULL;
+	p->exchange = NULL;
 	if (x != NULL) {
-		x->ops->fail(x->ctx, x, how);
+		x->ops->fail(x->ctx, x, failure);
 		h1_head_finish(&x->head);
 		free(x);
 	}
-	peer_close(p);
+	conn_close(p);
 }
 
 /*
@@ -403,35 +408,37 @@
  * both sides are done with it.
  */
 static void
-peer_done(struct h1_peer *p)
+exchange_finish(struct h1_client_conn *p)
 {
-	struct h1_xchg *x = p->xchg;
+	struct h1_xchg *x = p->exchange;
 	struct h1_pool *pool = p->pool;
-	char text[64];
-	char *at;
-	int keep;
-
-	keep = x->sent_all && http_should_keep_alive(&p->parser);
-	p->idle_max_ms = UINT64_MAX;
-	if (h1_head_copy(&x->head, "Keep-Alive", text, sizeof(text)) > 0 &&
-	    (at = strstr(text, "timeout=")) != NULL)
-		p->idle_max_ms =
-		    strtoull(at + strlen("timeout="), NULL, 10) * 1000;
-	if (p->idle_max_ms != UINT64_MAX)
-		p->idle_max_ms -= p->idle_max_ms < KEEP_ALIVE_MARGIN_MS
-				      ? p->idle_max_ms
-				      : KEEP_ALIVE_MARGIN_MS;
-	p->xchg = NULL;
+	char keep_alive[64];
+	char *timeout;
+	int reuse;
+
+	reuse = x->request_complete && http_should_keep_alive(&p->parser);
+	p->keep_alive_ms = UINT64_MAX;
+	if (h1_head_copy(
+		&x->head, "Keep-Alive", keep_alive, sizeof(keep_alive)) > 0 &&
+	    (timeout = strstr(keep_alive, "timeout=")) != NULL)
+		p->keep_alive_ms =
+		    strtoull(timeout + strlen("timeout="), NULL, 10) * 1000;
+	if (p->keep_alive_ms != UINT64_MAX)
+		p->keep_alive_ms -= p->keep_alive_ms < KEEP_ALIVE_MARGIN_MS
+					? p->keep_alive_ms
+					: KEEP_ALIVE_MARGIN_MS;
+	p->exchange = NULL;
 	x->ops->end(x->ctx, x);
 	h1_head_finish(&x->head);
 	free(x);
-	if (!keep || p->stream.tcp.write_queue_size > 0) {
-		peer_close(p);
+	if (!reuse || p->stream.tcp.write_queue_size > 0) {
+		conn_close(p);
 		return;
 	}
 	if (p->stream.paused) {
 		p->stream.paused = 0;
-		uv_read_start((uv_stream_t *)&p->stream.tcp, h1_alloc, on_read);
+		uv_read_start((uv_stream_t *)&p->stream.tcp,
+		    h1_alloc_read_buffer, on_read);
 	}
 	p->idle_since_ms = loop_ms(pool->loop);
 	p->next = pool->idle;
@@ -444,7 +451,7 @@
  * the end first and keep the error.
  */
 static int
-was_reset(const struct h1_peer *p)
+closed_by_reset(const struct h1_client_conn *p)
 {
 	socklen_t len;
 	int fd, error = 0;
@@ -462,72 +469,73 @@
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
-	struct h1_peer *p = stream->data, **at;
-	struct h1_xchg *x = p->xchg;
+	struct h1_client_conn *p = stream->data, **link;
+	struct h1_xchg *x = p->exchange;
 	size_t used, len;
 
 	if (n == 0 || p->stream.closing)
 		return;
 	if (x == NULL) {
 		/* An idle connection: its end, or bytes of no answer. */
-		for (at = &p->pool->idle; *at != NULL; at = &(*at)->next) {
-			if (*at != p)
+		for (link = &p->pool->idle; *link != NULL;
+		     link = &(*link)->next) {
+			if (*link != p)
 				continue;
-			*at = p->next;
+			*link = p->next;
 			p->pool->idle_count--;
 			break;
 		}
-		peer_close(p);
+		conn_close(p);
 		return;
 	}
 	/* Only a clean end completes an answer that has no length. */
-	if (n < 0 && (n != UV_EOF || was_reset(p))) {
-		peer_fail(p, H1_BROKEN);
+	if (n < 0 && (n != UV_EOF || closed_by_reset(p))) {
+		exchange_fail(p, H1_BROKEN);
 		return;
 	}
 	len = n < 0 ? 0 : (size_t)n;
 	used =
 	    http_parser_execute(&p->parser, &parser_settings, buf->base, len);
-	if (p->stream.closing || p->xchg == NULL)
+	if (p->stream.closing || p->exchange == NULL)
 		return; /* cancelled by its owner meanwhile */
-	if (x->answered) {
+	if (x->response_complete) {
 		if (used < len) /* more than one answer */
-			x->sent_all = 0;
-		peer_done(p);
+			x->request_complete = 0;
+		exchange_finish(p);
 		return;
 	}
 	if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK || p->parser.upgrade)
-		peer_fail(p, n < 0 ? H1_BROKEN : H1_GARBLED);
+		exchange_fail(p, n < 0 ? H1_BROKEN : H1_MALFORMED);
 	else if (n < 0)
-		peer_fail(p, H1_BROKEN);
+		exchange_fail(p, H1_BROKEN);
 }
 
 /*
  * Tells the owner that it may write again.
  */
 static void
-on_drained(struct h1_stream *stream)
+on_stream_drained(struct h1_stream *stream)
 {
-	struct h1_peer *p = stream->tcp.data;
+	struct h1_client_conn *p = stream->tcp.data;
 
-	if (p->xchg != NULL && p->xchg->ops->drained != NULL)
-		p->xchg->ops->drained(p->xchg->ctx, p->xchg);
+	if (p->exchange != NULL && p->exchange->ops->drained != NULL)
+		p->exchange->ops->drained(p->exchange->ctx, p->exchange);
 }
 
 /*
  * Begins an answer.
  */
 static int
-on_begin(http_parser *parser)
+on_message_begin(http_parser *parser)
 {
-	struct h1_peer *p = parser->data;
-	struct h1_xchg *x = p->xchg;
+	struct h1_client_conn *p = parser->data;
+	struct h1_xchg *x = p->exchange;
 
 	if (x == NULL)
 		return -1;
 	h1_head_finish(&x->head);
-	x->skipping = 0;
-	h1_collect_init(&x->collect, &x->head, HEAD_BYTES);
+	x->skip_response = 0;
+	h1_builder_init(&x->builder, &x->head, MAX_HEAD_BYTES);
 	return 0;
 }
 
@@ -535,83 +543,85 @@
  * Takes a piece of a field's name.
  */
 static int
-on_field(http_parser *parser, const char *at, size_t n)
+on_header_field(http_parser *parser, const char *text, size_t n)
 {
-	struct h1_peer *p = parser->data;
+	struct h1_client_conn *p = parser->data;
 
-	return p->xchg == NULL ? -1
-			       : h1_collect_field(&p->xchg->collect, at, n);
+	return p->exchange == NULL
+		   ? -1
+		   : h1_builder_add_name(&p->exchange->builder, text, n);
 }
 
 /*
  * Takes a piece of a field's value.
  */
 static int
-on_value(http_parser *parser, const char *at, size_t n)
+on_header_value(http_parser *parser, const char *text, size_t n)
 {
-	struct h1_peer *p = parser->data;
+	struct h1_client_conn *p = parser->data;
 
-	return p->xchg == NULL ? -1
-			       : h1_collect_value(&p->xchg->collect, at, n);
+	return p->exchange == NULL
+		   ? -1
+		   : h1_builder_add_value(&p->exchange->builder, text, n);
 }
 
 /*
  * Hands a whole head to the owner.  Interim answers are passed over.
  */
 static int
-on_head(http_parser *parser)
+on_headers_complete(http_parser *parser)
 {
-	struct h1_peer *p = parser->data;
-	struct h1_xchg *x = p->xchg;
+	struct h1_client_conn *p = parser->data;
+	struct h1_xchg *x = p->exchange;
 
 	if (x == NULL)
 		return -1;
 	if (parser->status_code / 100 == 1) {
-		x->skipping = 1;
+		x->skip_response = 1;
 		return 0;
 	}
 	x->length = H1_LENGTH_CHUNKED;
-	if (x->head_only || parser->status_code == 204 ||
+	if (x->is_head_request || parser->status_code == 204 ||
 	    parser->status_code == 304)
 		x->length = 0;
 	else if (!(parser->flags & F_CHUNKED) &&
 		 parser->content_length != UINT64_MAX)
 		x->length = parser->content_length;
-	x->skipping = x->ops->head(x->ctx, x);
-	if (p->xchg == NULL)
+	x->skip_response = x->ops->head(x->ctx, x);
+	if (p->exchange == NULL)
 		return -1;
-	return x->head_only ? 1 : 0;
+	return x->is_head_request ? 1 : 0;
 }
 
 /*
  * Hands a piece of the body to the owner.
  */
 static int
-on_body(http_parser *parser, const char *at, size_t n)
+on_body(http_parser *parser, const char *text, size_t n)
 {
-	struct h1_peer *p = parser->data;
-	struct h1_xchg *x = p->xchg;
+	struct h1_client_conn *p = parser->data;
+	struct h1_xchg *x = p->exchange;
 
 	if (x == NULL)
 		return -1;
-	if (!x->skipping)
-		x->ops->body(x->ctx, x, at, n);
-	return p->xchg == NULL ? -1 : 0;
+	if (!x->skip_response)
+		x->ops->body(x->ctx, x, text, n);
+	return p->exchange == NULL ? -1 : 0;
 }
 
 /*
  * The answer is in, if it was ours.
  */
 static int
-on_end(http_parser *parser)
+on_message_complete(http_parser *parser)
 {
-	struct h1_peer *p = parser->data;
+	struct h1_client_conn *p = parser->data;
 
-	if (p->xchg == NULL)
+	if (p->exchange == NULL)
 		return -1;
-	if (p->xchg->skipping)
+	if (p->exchange->skip_response)
 		return 0;
-	p->xchg->answered = 1;
+	p->exchange->response_complete = 1;
 	http_parser_pause(parser, 1);
 	return 0;
 }
--- a/src/http1/head.c
+++ b/src/http1/head.c
@@ -8,13 +8,13 @@
 
 #include "http1/http1_int.h"
 
-#define HEAD_FIRST 512 /* bytes of a new head's buffer */
-#define TEXT_FIRST 512
+#define HEAD_INITIAL_BYTES 512 /* bytes of a new head's buffer */
+#define TEXT_INITIAL_BYTES 512
 
-static int head_add(struct h1_collect *, const char *, size_t);
+static int head_append(struct h1_head_builder *, const char *, size_t);
 
 /* Fields that concern one connection only. */
-static const char *const hop_names[] = { "connection", "keep-alive",
+static const char *const hop_by_hop_names[] = { "connection", "keep-alive",
 	"proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
 	"content-length", "expect", NULL };
 
@@ -27,7 +27,7 @@
 	h->buf = NULL;
 	h->len = h->cap = 0;
 	h->target = h->target_len = 0;
-	h->count = 0;
+	h->field_count = 0;
 }
 
 /*
@@ -59,7 +59,7 @@
 	const struct h1_field *f;
 	uint32_t i;
 
-	for (i = 0; i < h->count; i++) {
+	for (i = 0; i < h->field_count; i++) {
 		f = &h->fields[i];
 		if (!h1_name_is(h->buf + f->name, f->name_len, name))
 			continue;
@@ -92,7 +92,8 @@
  * if it is missing or something else.
  */
 uint64_t
-h1_head_number(const struct h1_head *h, const char *name, uint64_t otherwise)
+h1_head_number(
+    const struct h1_head *h, const char *name, uint64_t default_value)
 {
 	char buf[20];
 	char *end;
@@ -100,9 +101,9 @@
 
 	if (h1_head_copy(h, name, buf, sizeof(buf)) < 1 ||
 	    !isdigit((unsigned char)buf[0]))
-		return otherwise;
+		return default_value;
 	v = strtoull(buf, &end, 10);
-	return *end == '\0' ? v : otherwise;
+	return *end == '\0' ? v : default_value;
 }
 
 /*
@@ -110,13 +111,13 @@
  * its name, or the Connection field names it.
  */
 int
-h1_hop_by_hop(const struct h1_head *h, const struct h1_field *f)
+h1_field_is_hop_by_hop(const struct h1_head *h, const struct h1_field *f)
 {
 	const char *name = h->buf + f->name, *v, *end, *next;
 	size_t n, i;
 
-	for (i = 0; hop_names[i] != NULL; i++)
-		if (h1_name_is(name, f->name_len, hop_names[i]))
+	for (i = 0; hop_by_hop_names[i] != NULL; i++)
+		if (h1_name_is(name, f->name_len, hop_by_hop_names[i]))
 			return 1;
 	v = h1_head_get(h, "Connection", &n);
 	if (v == NULL)
@@ -140,10 +141,11 @@
  * Prepares to collect a head of at most limit bytes.
  */
 void
-h1_collect_init(struct h1_collect *c, struct h1_head *h, uint32_t limit)
+h1_builder_init(
+    struct h1_head_builder *c, struct h1_head *h, uint32_t max_bytes)
 {
 	c->head = h;
-	c->limit = limit;
+	c->max_bytes = max_bytes;
 	c->in_value = 1;
 	c->overflow = 0;
 }
@@ -152,17 +154,17 @@
  * Appends bytes to a head's buffer.  Returns -1 past the limit.
  */
 static int
-head_add(struct h1_collect *c, const char *p, size_t n)
+head_append(struct h1_head_builder *c, const char *p, size_t n)
 {
 	struct h1_head *h = c->head;
 
-	if (h->len + n > c->limit) {
+	if (h->len + n > c->max_bytes) {
 		c->overflow = 1;
 		return -1;
 	}
 	if (h->len + n > h->cap) {
 		if (h->cap == 0)
-			h->cap = HEAD_FIRST;
+			h->cap = HEAD_INITIAL_BYTES;
 		while (h->cap < h->len + n)
 			h->cap *= 2;
 		h->buf = realloc(h->buf, h->cap);
@@ -178,55 +180,55 @@
  * Takes a piece of the request target.  Returns -1 past the limit.
  */
 int
-h1_collect_target(struct h1_collect *c, const char *p, size_t n)
+h1_builder_add_target(struct h1_head_builder *c, const char *p, size_t n)
 {
 	if (c->head->target_len == 0)
 		c->head->target = c->head->len;
 	c->head->target_len += (uint32_t)n;
-	return head_add(c, p, n);
+	return head_append(c, p, n);
 }
 
 /*
  * Takes a piece of a field's name.  Returns -1 past the limits.
  */
 int
-h1_collect_field(struct h1_collect *c, const char *p, size_t n)
+h1_builder_add_name(struct h1_head_builder *c, const char *p, size_t n)
 {
 	struct h1_head *h = c->head;
 
 	if (c->in_value) {
-		if (h->count == H1_FIELDS_MAX) {
+		if (h->field_count == H1_FIELDS_MAX) {
 			c->overflow = 1;
 			return -1;
 		}
-		h->fields[h->count].name = h->len;
-		h->fields[h->count].name_len = 0;
-		h->fields[h->count].value_len = 0;
-		h->count++;
+		h->fields[h->field_count].name = h->len;
+		h->fields[h->field_count].name_len = 0;
+		h->fields[h->field_count].value_len = 0;
+		h->field_count++;
 		c->in_value = 0;
 	}
-	h->fields[h->count - 1].name_len += (uint32_t)n;
-	return head_add(c, p, n);
+	h->fields[h->field_count - 1].name_len += (uint32_t)n;
+	return head_append(c, p, n);
 }
 
 /*
  * Takes a piece of a field's value.  Returns -1 past the limits.
  */
 int
-h1_collect_value(struct h1_collect *c, const char *p, size_t n)
+h1_builder_add_value(struct h1_head_builder *c, const char *p, size_t n)
 {
 	struct h1_head *h = c->head;
 	struct h1_field *f;
 
-	if (h->count == 0)
+	if (h->field_count == 0)
 		return -1;
-	f = &h->fields[h->count - 1];
+	f = &h->fields[h->field_count - 1];
 	if (!c->in_value) {
 		f->value = h->len;
 		c->in_value = 1;
 	}
 	f->value_len += (uint32_t)n;
-	return head_add(c, p, n);
+	return head_append(c, p, n);
 }
 
 /*
@@ -259,7 +261,7 @@
 		return;
 	if (t->len + n > t->cap) {
 		if (t->cap == 0)
-			t->cap = TEXT_FIRST;
+			t->cap = TEXT_INITIAL_BYTES;
 		while (t->cap < t->len + n)
 			t->cap *= 2;
 		t->p = realloc(t->p, t->cap);
@@ -313,13 +315,13 @@
 	const char *name;
 	uint32_t i, k;
 
-	for (i = 0; i < h->count; i++) {
+	for (i = 0; i < h->field_count; i++) {
 		f = &h->fields[i];
 		name = h->buf + f->name;
 		for (k = 0; skip[k] != NULL; k++)
 			if (h1_name_is(name, f->name_len, skip[k]))
 				break;
-		if (skip[k] != NULL || h1_hop_by_hop(h, f))
+		if (skip[k] != NULL || h1_field_is_hop_by_hop(h, f))
 			continue;
 		h1_text_add(t, name, f->name_len);
 		h1_text_add(t, ": ", 2);
@@ -332,7 +334,7 @@
  * Returns the usual phrase of a status.
  */
 const char *
-h1_reason(unsigned int status)
+h1_reason_phrase(unsigned int status)
 {
 	return http_status_str((enum http_status)status);
 }
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -27,7 +27,7 @@
 	char *buf;
 	uint32_t len, cap;
 	uint32_t target, target_len;
-	uint32_t count;
+	uint32_t field_count;
 	struct h1_field fields[H1_FIELDS_MAX];
 };
 
@@ -43,7 +43,7 @@
 int h1_head_copy(const struct h1_head *, const char *, char *, size_t);
 uint64_t h1_head_number(const struct h1_head *, const char *, uint64_t);
 int h1_name_is(const char *, size_t, const char *);
-int h1_hop_by_hop(const struct h1_head *, const struct h1_field *);
+int h1_field_is_hop_by_hop(const struct h1_head *, const struct h1_field *);
 
 void h1_text_init(struct h1_text *);
 void h1_text_finish(struct h1_text *);
@@ -53,7 +53,7 @@
 void h1_text_field(struct h1_text *, const char *, const char *);
 void h1_text_forward(
     struct h1_text *, const struct h1_head *, const char *const *);
-const char *h1_reason(unsigned int);
+const char *h1_reason_phrase(unsigned int);
 
 /* Limits on what a peer may send and how long it may take. */
 struct h1_limits {
@@ -77,21 +77,21 @@
 struct h1_server {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
-	uv_timer_t sweeper;
+	uv_timer_t timeout_timer;
 	const struct h1_server_ops *ops;
 	void *ctx;
 	struct h1_limits limits;
 	struct h1_conn *conns; /* all, newest first */
 	uint32_t conn_count;
 	uint32_t conn_max;
-	int closing; /* answers end their connections */
-	int stopped; /* accepts no more */
+	int draining;	     /* answers end their connections */
+	int listener_closed; /* accepts no more */
 };
 
 int h1_server_init(struct h1_server *, uv_loop_t *, const struct sockaddr_in *,
     const struct h1_server_ops *, void *, uint32_t);
 void h1_server_closing(struct h1_server *);
-void h1_server_stop(struct h1_server *);
+void h1_server_stop_accepting(struct h1_server *);
 void h1_server_finish(struct h1_server *);
 uint32_t h1_server_busy(const struct h1_server *);
 
@@ -114,10 +114,10 @@
 
 /* How an exchange failed. */
 enum h1_fail {
-	H1_NOT_SENT, /* no connection: the peer has seen nothing */
-	H1_BROKEN,   /* ended before the whole answer was in */
-	H1_GARBLED,  /* what came is no answer */
-	H1_FAIL_MAX
+	H1_NOT_SENT,  /* no connection: the peer has seen nothing */
+	H1_BROKEN,    /* ended before the whole answer was in */
+	H1_MALFORMED, /* what came is no answer */
+	H1_FAILURE_MAX
 };
 
 struct h1_xchg;
@@ -131,17 +131,17 @@
 	void (*drained)(void *, struct h1_xchg *);
 };
 
-struct h1_peer;
+struct h1_client_conn;
 
 /* Idle connections to one address. */
 struct h1_pool {
 	uv_loop_t *loop;
 	struct sockaddr_in addr;
-	struct h1_peer *idle; /* most recently used first */
+	struct h1_client_conn *idle; /* most recently used first */
 	uint32_t idle_count;
 	uint32_t open_count;
-	uint64_t idle_ms;    /* a connection idle for longer isn't used */
-	uint64_t connect_ms; /* for a new connection */
+	uint64_t max_idle_ms; /* a connection idle for longer isn't used */
+	uint64_t connect_timeout_ms; /* for a new connection */
 };
 
 void h1_pool_init(struct h1_pool *, uv_loop_t *, const struct sockaddr_in *,
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -6,45 +6,45 @@
 #include "http1/http1.h"
 
 /* Collects a head from the parser's pieces. */
-struct h1_collect {
+struct h1_head_builder {
 	struct h1_head *head;
-	uint32_t limit; /* bytes */
-	int in_value;	/* the last piece was of a value */
+	uint32_t max_bytes;
+	int in_value; /* the last piece was of a value */
 	int overflow;
 };
 
-void h1_collect_init(struct h1_collect *, struct h1_head *, uint32_t);
-int h1_collect_target(struct h1_collect *, const char *, size_t);
-int h1_collect_field(struct h1_collect *, const char *, size_t);
-int h1_collect_value(struct h1_collect *, const char *, size_t);
+void h1_builder_init(struct h1_head_builder *, struct h1_head *, uint32_t);
+int h1_builder_add_target(struct h1_head_builder *, const char *, size_t);
+int h1_builder_add_name(struct h1_head_builder *, const char *, size_t);
+int h1_builder_add_value(struct h1_head_builder *, const char *, size_t);
 
 /* The stream below a connection, with what is not yet written. */
 struct h1_stream {
 	uv_tcp_t tcp;
-	void (*drained)(struct h1_stream *);
+	void (*on_drained)(struct h1_stream *);
 	int connecting;
 	int closing;
 	int paused;
-	int was_high; /* the queue passed H1_QUEUE_HIGH */
+	int above_high_water; /* the queue passed H1_QUEUE_HIGH */
 };
 
-void h1_alloc(uv_handle_t *, size_t, uv_buf_t *);
+void h1_alloc_read_buffer(uv_handle_t *, size_t, uv_buf_t *);
 void h1_stream_write(struct h1_stream *, const char *, size_t);
-void h1_stream_chunk(struct h1_stream *, const char *, size_t);
+void h1_stream_write_chunk(struct h1_stream *, const char *, size_t);
 
 /* How much of the present request has been read. */
-enum in_state {
-	IN_IDLE, /* no byte of a request has come */
-	IN_HEAD,
-	IN_BODY,
-	IN_READ /* the request is in, its answer isn't out */
+enum h1_request_state {
+	H1_REQUEST_IDLE, /* no byte of a request has come */
+	H1_REQUEST_HEAD,
+	H1_REQUEST_BODY,
+	H1_REQUEST_READ /* the request is in, its answer isn't out */
 };
 
 /* How much of its answer has been sent. */
-enum out_state {
-	OUT_NONE,
-	OUT_HEAD,
-	OUT_DONE
+enum h1_response_state {
+	H1_RESPONSE_NONE,
+	H1_RESPONSE_HEAD,
+	H1_RESPONSE_DONE
 };
 
 /* A caller's connection. */
@@ -54,24 +54,24 @@
 	struct h1_conn *next, *prev;
 	http_parser parser;
 	struct h1_head head;
-	struct h1_collect collect;
+	struct h1_head_builder builder;
 	void *user;
-	enum in_state in;
-	enum out_state out;
-	uint64_t since_ms; /* of the present state */
-	uint64_t body_seen;
-	char *pending;
-	size_t pending_len;
+	enum h1_request_state request_state;
+	enum h1_response_state response_state;
+	uint64_t state_since_ms; /* of the present state */
+	uint64_t body_received;
+	char *pipelined;
+	size_t pipelined_len;
 	uv_shutdown_t shutdown;
-	int keep;
-	int chunked; /* the answer's body */
-	int feeding;
+	int keep_alive;
+	int response_chunked; /* the answer's body */
+	int parsing;
 	int lingering;
-	int open; /* the owner holds a request of this connection */
+	int request_open; /* the owner holds a request of this connection */
 };
 
-void h1_conn_advance(struct h1_conn *);
+void h1_conn_next_request(struct h1_conn *);
 void h1_conn_close(struct h1_conn *);
-void h1_on_read(uv_stream_t *, ssize_t, const uv_buf_t *);
+void h1_conn_on_read(uv_stream_t *, ssize_t, const uv_buf_t *);
 
 #endif
--- a/src/http1/server.c
+++ b/src/http1/server.c
@@ -5,40 +5,40 @@
 #include "base/loopclock.h"
 #include "http1/http1_int.h"
 
-#define BACKLOG 1024
-#define SWEEP_MS 250
-#define LINGER_MS 1000	 /* for the peer to read an answer before a reset */
-#define PIPELINED 16384	 /* bytes kept of requests that must wait */
-#define HEAD_BYTES 16384 /* of a head, until a configuration says */
-#define BODY_BYTES (64ULL << 20)
-#define HEAD_MS 5000
-#define IDLE_MS 60000
+#define LISTEN_BACKLOG 1024
+#define TIMEOUT_CHECK_MS 250
+#define LINGER_MS 1000 /* for the peer to read an answer before a reset */
+#define PIPELINED_MAX_BYTES 16384 /* bytes kept of requests that must wait */
+#define DEFAULT_MAX_HEAD_BYTES 16384
+#define DEFAULT_MAX_BODY_BYTES (64ULL << 20)
+#define DEFAULT_HEAD_TIMEOUT_MS 5000
+#define DEFAULT_IDLE_TIMEOUT_MS 60000
 
 static void on_connection(uv_stream_t *, int);
-static void on_close(uv_handle_t *);
-static void on_drained(struct h1_stream *);
-static void on_sweep(uv_timer_t *);
+static void on_conn_closed(uv_handle_t *);
+static void on_stream_drained(struct h1_stream *);
+static void on_timeout_check(uv_timer_t *);
 static void conn_linger(struct h1_conn *);
-static void conn_refuse(struct h1_conn *, unsigned int);
-static void conn_feed(struct h1_conn *, const char *, size_t);
-static void conn_keep(struct h1_conn *, const char *, size_t);
-static int close_idlest(struct h1_server *);
-static int on_begin(http_parser *);
+static void conn_reject(struct h1_conn *, unsigned int);
+static void conn_parse(struct h1_conn *, const char *, size_t);
+static void conn_buffer_pipelined(struct h1_conn *, const char *, size_t);
+static int close_longest_idle(struct h1_server *);
+static int on_message_begin(http_parser *);
 static int on_url(http_parser *, const char *, size_t);
-static int on_field(http_parser *, const char *, size_t);
-static int on_value(http_parser *, const char *, size_t);
-static int on_head(http_parser *);
+static int on_header_field(http_parser *, const char *, size_t);
+static int on_header_value(http_parser *, const char *, size_t);
+static int on_headers_complete(http_parser *);
 static int on_body(http_parser *, const char *, size_t);
-static int on_end(http_parser *);
+static int on_message_complete(http_parser *);
 
 static const http_parser_settings parser_settings = {
-	.on_message_begin = on_begin,
+	.on_message_begin = on_message_begin,
 	.on_url = on_url,
-	.on_header_field = on_field,
-	.on_header_value = on_value,
-	.on_headers_complete = on_head,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
 	.on_body = on_body,
-	.on_message_complete = on_end,
+	.on_message_complete = on_message_complete,
 };
 
 /*
@@ -47,7 +47,7 @@
  */
 int
 h1_server_init(struct h1_server *s, uv_loop_t *loop,
-    const struct sockaddr_in *at, const struct h1_server_ops *ops, void *ctx,
+    const struct sockaddr_in *addr, const struct h1_server_ops *ops, void *ctx,
     uint32_t conn_max)
 {
 	int rc;
@@ -57,19 +57,20 @@
 	s->ops = ops;
 	s->ctx = ctx;
 	s->conn_max = conn_max;
-	s->limits.head_bytes = HEAD_BYTES;
-	s->limits.body_bytes = BODY_BYTES;
-	s->limits.head_ms = HEAD_MS;
-	s->limits.idle_ms = IDLE_MS;
+	s->limits.head_bytes = DEFAULT_MAX_HEAD_BYTES;
+	s->limits.body_bytes = DEFAULT_MAX_BODY_BYTES;
+	s->limits.head_ms = DEFAULT_HEAD_TIMEOUT_MS;
+	s->limits.idle_ms = DEFAULT_IDLE_TIMEOUT_MS;
 	uv_tcp_init(loop, &s->listener);
 	s->listener.data = s;
-	rc = uv_tcp_bind(&s->listener, (const struct sockaddr *)at, 0);
+	rc = uv_tcp_bind(&s->listener, (const struct sockaddr *)addr, 0);
 	if (rc == 0)
 		rc = uv_listen(
-		    (uv_stream_t *)&s->listener, BACKLOG, on_connection);
-	uv_timer_init(loop, &s->sweeper);
-	s->sweeper.data = s;
-	uv_timer_start(&s->sweeper, on_sweep, SWEEP_MS, SWEEP_MS);
+		    (uv_stream_t *)&s->listener, LISTEN_BACKLOG, on_connection);
+	uv_timer_init(loop, &s->timeout_timer);
+	s->timeout_timer.data = s;
+	uv_timer_start(&s->timeout_timer, on_timeout_check, TIMEOUT_CHECK_MS,
+	    TIMEOUT_CHECK_MS);
 	return rc;
 }
 
@@ -79,18 +80,18 @@
 void
 h1_server_closing(struct h1_server *s)
 {
-	s->closing = 1;
+	s->draining = 1;
 }
 
 /*
  * Accepts no more connections.
  */
 void
-h1_server_stop(struct h1_server *s)
+h1_server_stop_accepting(struct h1_server *s)
 {
-	if (s->stopped)
+	if (s->listener_closed)
 		return;
-	s->stopped = 1;
+	s->listener_closed = 1;
 	uv_close((uv_handle_t *)&s->listener, NULL);
 }
 
@@ -103,8 +104,8 @@
 {
 	struct h1_conn *c;
 
-	h1_server_stop(s);
-	uv_close((uv_handle_t *)&s->sweeper, NULL);
+	h1_server_stop_accepting(s);
+	uv_close((uv_handle_t *)&s->timeout_timer, NULL);
 	for (c = s->conns; c != NULL; c = c->next)
 		h1_conn_close(c);
 }
@@ -119,7 +120,7 @@
 	uint32_t n = 0;
 
 	for (c = s->conns; c != NULL; c = c->next)
-		n += c->in == IN_HEAD || c->open;
+		n += c->request_state == H1_REQUEST_HEAD || c->request_open;
 	return n;
 }
 
@@ -139,9 +140,9 @@
 		err(1, "out of memory");
 	uv_tcp_init(s->loop, &c->stream.tcp);
 	c->stream.tcp.data = c;
-	c->stream.drained = on_drained;
+	c->stream.on_drained = on_stream_drained;
 	c->server = s;
-	c->since_ms = loop_ms(s->loop);
+	c->state_since_ms = loop_ms(s->loop);
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
 	h1_head_init(&c->head);
@@ -155,8 +156,9 @@
 		return;
 	}
 	uv_tcp_nodelay(&c->stream.tcp, 1);
-	uv_read_start((uv_stream_t *)&c->stream.tcp, h1_alloc, h1_on_read);
-	if (s->conn_count > s->conn_max && !close_idlest(s))
+	uv_read_start((uv_stream_t *)&c->stream.tcp, h1_alloc_read_buffer,
+	    h1_conn_on_read);
+	if (s->conn_count > s->conn_max && !close_longest_idle(s))
 		h1_conn_close(c);
 }
 
@@ -165,17 +167,18 @@
  * is idle.
  */
 static int
-close_idlest(struct h1_server *s)
+close_longest_idle(struct h1_server *s)
 {
-	struct h1_conn *c, *worst = NULL;
+	struct h1_conn *c, *longest = NULL;
 
 	for (c = s->conns; c != NULL; c = c->next)
-		if (c->in == IN_IDLE && !c->stream.closing &&
-		    (worst == NULL || c->since_ms < worst->since_ms))
-			worst = c;
-	if (worst == NULL)
+		if (c->request_state == H1_REQUEST_IDLE && !c->stream.closing &&
+		    (longest == NULL ||
+			c->state_since_ms < longest->state_since_ms))
+			longest = c;
+	if (longest == NULL)
 		return 0;
-	h1_conn_close(worst);
+	h1_conn_close(longest);
 	return 1;
 }
 
@@ -183,7 +186,7 @@
  * Closes idle connections and refuses heads that take too long.
  */
 static void
-on_sweep(uv_timer_t *timer)
+on_timeout_check(uv_timer_t *timer)
 {
 	struct h1_server *s = timer->data;
 	struct h1_conn *c, *next;
@@ -193,15 +196,16 @@
 		next = c->next;
 		if (c->stream.closing)
 			continue;
-		age = now - c->since_ms;
+		age = now - c->state_since_ms;
 		if (c->lingering) {
 			if (age > LINGER_MS)
 				h1_conn_close(c);
-		} else if (c->in == IN_IDLE) {
+		} else if (c->request_state == H1_REQUEST_IDLE) {
 			if (age > s->limits.idle_ms)
 				h1_conn_close(c);
-		} else if (c->in == IN_HEAD && age > s->limits.head_ms) {
-			conn_refuse(c, 408);
+		} else if (c->request_state == H1_REQUEST_HEAD &&
+			   age > s->limits.head_ms) {
+			conn_reject(c, 408);
 		}
 	}
 }
@@ -210,7 +214,7 @@
  * Frees a connection once libuv has let go of it.
  */
 static void
-on_close(uv_handle_t *handle)
+on_conn_closed(uv_handle_t *handle)
 {
 	struct h1_conn *c = handle->data;
 	struct h1_server *s = c->server;
@@ -223,7 +227,7 @@
 		c->next->prev = c->prev;
 	s->conn_count--;
 	h1_head_finish(&c->head);
-	free(c->pending);
+	free(c->pipelined);
 	free(c);
 }
 
@@ -237,11 +241,11 @@
 	if (c->stream.closing)
 		return;
 	c->stream.closing = 1;
-	if (c->open) {
-		c->open = 0;
+	if (c->request_open) {
+		c->request_open = 0;
 		c->server->ops->gone(c->server->ctx, c);
 	}
-	uv_close((uv_handle_t *)&c->stream.tcp, on_close);
+	uv_close((uv_handle_t *)&c->stream.tcp, on_conn_closed);
 }
 
 /*
@@ -254,7 +258,7 @@
 	if (c->lingering || c->stream.closing)
 		return;
 	c->lingering = 1;
-	c->since_ms = loop_ms(c->server->loop);
+	c->state_since_ms = loop_ms(c->server->loop);
 	uv_shutdown(&c->shutdown, (uv_stream_t *)&c->stream.tcp, NULL);
 	h1_conn_resume(c);
 }
@@ -263,10 +267,10 @@
  * Answers a request that can't be read, and ends the connection.
  */
 static void
-conn_refuse(struct h1_conn *c, unsigned int status)
+conn_reject(struct h1_conn *c, unsigned int status)
 {
-	c->keep = 0;
-	if (c->out == OUT_NONE)
+	c->keep_alive = 0;
+	if (c->response_state == H1_RESPONSE_NONE)
 		h1_answer(c, status, NULL, NULL, 0);
 	conn_linger(c);
 }
@@ -275,19 +279,19 @@
  * Keeps bytes that came before the present request is answered.
  */
 static void
-conn_keep(struct h1_conn *c, const char *p, size_t n)
+conn_buffer_pipelined(struct h1_conn *c, const char *p, size_t n)
 {
-	char *grown;
+	char *buf;
 
 	if (n == 0)
 		return;
-	grown = realloc(c->pending, c->pending_len + n);
-	if (grown == NULL)
+	buf = realloc(c->pipelined, c->pipelined_len + n);
+	if (buf == NULL)
 		err(1, "out of memory");
-	c->pending = grown;
-	memcpy(c->pending + c->pending_len, p, n);
-	c->pending_len += n;
-	if (c->pending_len > PIPELINED)
+	c->pipelined = buf;
+	memcpy(c->pipelined + c->pipelined_len, p, n);
+	c->pipelined_len += n;
+	if (c->pipelined_len > PIPELINED_MAX_BYTES)
 		h1_conn_pause(c);
 }
 
@@ -295,60 +299,60 @@
  * Gives bytes to the parser.
  */
 static void
-conn_feed(struct h1_conn *c, const char *p, size_t n)
+conn_parse(struct h1_conn *c, const char *p, size_t n)
 {
 	size_t used;
 
-	c->feeding = 1;
+	c->parsing = 1;
 	used = http_parser_execute(&c->parser, &parser_settings, p, n);
-	c->feeding = 0;
+	c->parsing = 0;
 	if (c->stream.closing || c->lingering)
 		return;
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
-		conn_keep(c, p + used, n - used);
-		h1_conn_advance(c);
+		conn_buffer_pipelined(c, p + used, n - used);
+		h1_conn_next_request(c);
 		return;
 	}
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && !c->parser.upgrade)
 		return;
-	if (c->in == IN_BODY && c->open) {
+	if (c->request_state == H1_REQUEST_BODY && c->request_open) {
 		/* A body that breaks off: the request never was whole. */
 		h1_conn_close(c);
 		return;
 	}
-	conn_refuse(c, c->collect.overflow ? 431 : 400);
+	conn_reject(c, c->builder.overflow ? 431 : 400);
 }
 
 /*
  * Goes on to the next request, if this one is read and answered.
  */
 void
-h1_conn_advance(struct h1_conn *c)
+h1_conn_next_request(struct h1_conn *c)
 {
 	char *p;
 	size_t n;
 
-	while (!c->feeding && !c->stream.closing && !c->lingering &&
-	       c->out == OUT_DONE) {
-		if (!c->keep) {
+	while (!c->parsing && !c->stream.closing && !c->lingering &&
+	       c->response_state == H1_RESPONSE_DONE) {
+		if (!c->keep_alive) {
 			conn_linger(c);
 			return;
 		}
-		if (c->in != IN_READ)
+		if (c->request_state != H1_REQUEST_READ)
 			return;
-		c->in = IN_IDLE;
-		c->out = OUT_NONE;
+		c->request_state = H1_REQUEST_IDLE;
+		c->response_state = H1_RESPONSE_NONE;
 		c->user = NULL;
-		c->since_ms = loop_ms(c->server->loop);
+		c->state_since_ms = loop_ms(c->server->loop);
 		h1_head_finish(&c->head);
 		http_parser_pause(&c->parser, 0);
-		p = c->pending;
-		n = c->pending_len;
-		c->pending = NULL;
-		c->pending_len = 0;
+		p = c->pipelined;
+		n = c->pipelined_len;
+		c->pipelined = NULL;
+		c->pipelined_len = 0;
 		h1_conn_resume(c);
 		if (n > 0)
-			conn_feed(c, p, n);
+			conn_parse(c, p, n);
 		free(p);
 	}
 }
@@ -357,7 +361,7 @@
  * Takes bytes, or the end of the connection.
  */
 void
-h1_on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+h1_conn_on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct h1_conn *c = stream->data;
 
@@ -369,21 +373,21 @@
 	}
 	if (c->lingering)
 		return;
-	if (c->in == IN_READ)
-		conn_keep(c, buf->base, (size_t)n);
+	if (c->request_state == H1_REQUEST_READ)
+		conn_buffer_pipelined(c, buf->base, (size_t)n);
 	else
-		conn_feed(c, buf->base, (size_t)n);
+		conn_parse(c, buf->base, (size_t)n);
 }
 
 /*
  * Tells the owner that it may write again.
  */
 static void
-on_drained(struct h1_stream *stream)
+on_stream_drained(struct h1_stream *stream)
 {
 	struct h1_conn *c = stream->tcp.data;
 
-	if (c->open && c->server->ops->drained != NULL)
+	if (c->request_open && c->server->ops->drained != NULL)
 		c->server->ops->drained(c->server->ctx, c);
 }
 
@@ -391,14 +395,14 @@
  * Begins a request.
  */
 static int
-on_begin(http_parser *parser)
+on_message_begin(http_parser *parser)
 {
 	struct h1_conn *c = parser->data;
 
-	c->in = IN_HEAD;
-	c->since_ms = loop_ms(c->server->loop);
-	c->body_seen = 0;
-	h1_collect_init(&c->collect, &c->head, c->server->limits.head_bytes);
+	c->request_state = H1_REQUEST_HEAD;
+	c->state_since_ms = loop_ms(c->server->loop);
+	c->body_received = 0;
+	h1_builder_init(&c->builder, &c->head, c->server->limits.head_bytes);
 	return 0;
 }
 
@@ -410,60 +414,61 @@
 {
 	struct h1_conn *c = parser->data;
 
-	return h1_collect_target(&c->collect, p, n);
+	return h1_builder_add_target(&c->builder, p, n);
 }
 
 /*
  * Takes a piece of a field's name.
  */
 static int
-on_field(http_parser *parser, const char *p, size_t n)
+on_header_field(http_parser *parser, const char *p, size_t n)
 {
 	struct h1_conn *c = parser->data;
 
-	if (c->in != IN_HEAD)
+	if (c->request_state != H1_REQUEST_HEAD)
 		return 0; /* trailers are dropped */
-	return h1_collect_field(&c->collect, p, n);
+	return h1_builder_add_name(&c->builder, p, n);
 }
 
 /*
  * Takes a piece of a field's value.
  */
 static int
-on_value(http_parser *parser, const char *p, size_t n)
+on_header_value(http_parser *parser, const char *p, size_t n)
 {
 	struct h1_conn *c = parser->data;
 
-	if (c->in != IN_HEAD)
+	if (c->request_state != H1_REQUEST_HEAD)
 		return 0;
-	return h1_collect_value(&c->collect, p, n);
+	return h1_builder_add_value(&c->builder, p, n);
 }
 
 /*
  * Hands a whole head to the owner.
  */
 static int
-on_head(http_parser *parser)
+on_headers_complete(http_parser *parser)
 {
-	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	struct h1_conn *c = parser->data;
 	size_t n;
 
-	c->in = IN_BODY;
-	c->since_ms = loop_ms(c->server->loop);
-	c->keep = http_should_keep_alive(parser) && !c->server->closing;
+	c->request_state = H1_REQUEST_BODY;
+	c->state_since_ms = loop_ms(c->server->loop);
+	c->keep_alive = http_should_keep_alive(parser) && !c->server->draining;
 	if (parser->upgrade || parser->method == HTTP_CONNECT)
 		return -1;
 	if (h1_conn_has_body(c) && parser->content_length != UINT64_MAX &&
 	    parser->content_length > c->server->limits.body_bytes) {
-		conn_refuse(c, 413);
+		conn_reject(c, 413);
 		return 0;
 	}
-	c->open = 1;
+	c->request_open = 1;
 	c->server->ops->head(c->server->ctx, c);
-	if (c->out == OUT_NONE && !c->stream.closing &&
+	if (c->response_state == H1_RESPONSE_NONE && !c->stream.closing &&
 	    h1_head_get(&c->head, "Expect", &n) != NULL)
-		h1_stream_write(&c->stream, go_on, strlen(go_on));
+		h1_stream_write(
+		    &c->stream, continue_response, strlen(continue_response));
 	return 0;
 }
 
@@ -475,12 +480,12 @@
 {
 	struct h1_conn *c = parser->data;
 
-	c->body_seen += n;
-	if (c->body_seen > c->server->limits.body_bytes) {
-		conn_refuse(c, 413);
+	c->body_received += n;
+	if (c->body_received > c->server->limits.body_bytes) {
+		conn_reject(c, 413);
 		return 0;
 	}
-	if (c->open && c->server->ops->body != NULL)
+	if (c->request_open && c->server->ops->body != NULL)
 		c->server->ops->body(c->server->ctx, c, p, n);
 	return 0;
 }
@@ -489,12 +494,12 @@
  * The request is in.  Parsing pauses until it is answered.
  */
 static int
-on_end(http_parser *parser)
+on_message_complete(http_parser *parser)
 {
 	struct h1_conn *c = parser->data;
 
-	c->in = IN_READ;
-	if (c->open)
+	c->request_state = H1_REQUEST_READ;
+	if (c->request_open)
 		c->server->ops->end(c->server->ctx, c);
 	http_parser_pause(parser, 1);
 	return 0;
--- a/src/http1/stream.c
+++ b/src/http1/stream.c
@@ -5,25 +5,25 @@
 
 #include "http1/http1_int.h"
 
-#define READ_BYTES 65536
+#define READ_BUFFER_BYTES 65536
 
 /* A write that the kernel didn't take at once, with its bytes behind it. */
-struct pending {
+struct queued_write {
 	uv_write_t req;
 	struct h1_stream *stream;
 	char bytes[];
 };
 
-static void written(uv_write_t *, int);
+static void on_written(uv_write_t *, int);
 
 /* The one loop reads into this and uses the bytes before it reads again. */
-static char read_buffer[READ_BYTES];
+static char read_buffer[READ_BUFFER_BYTES];
 
 /*
  * Gives libuv the common read buffer.
  */
 void
-h1_alloc(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
+h1_alloc_read_buffer(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
 {
 	(void)handle;
 	(void)hint;
@@ -35,19 +35,19 @@
  * Ends a queued write, and says so to the owner once the queue is short.
  */
 static void
-written(uv_write_t *req, int status)
+on_written(uv_write_t *req, int status)
 {
-	struct pending *p = (struct pending *)req;
+	struct queued_write *p = (struct queued_write *)req;
 	struct h1_stream *s = p->stream;
 
 	free(p);
 	(void)status; /* a broken connection shows at the reading side */
-	if (s->closing || !s->was_high ||
+	if (s->closing || !s->above_high_water ||
 	    s->tcp.write_queue_size > H1_QUEUE_HIGH / 2)
 		return;
-	s->was_high = 0;
-	if (s->drained != NULL)
-		s->drained(s);
+	s->above_high_water = 0;
+	if (s->on_drained != NULL)
+		s->on_drained(s);
 }
 
 /*
@@ -56,41 +56,42 @@
 void
 h1_stream_write(struct h1_stream *s, const char *p, size_t n)
 {
-	struct pending *w;
+	struct queued_write *w;
 	uv_buf_t buf;
-	int done = 0;
+	int written = 0;
 
 	if (s->closing || n == 0)
 		return;
 	if (!s->connecting && s->tcp.write_queue_size == 0) {
 		buf = uv_buf_init((char *)(uintptr_t)p, (unsigned int)n);
-		done = uv_try_write((uv_stream_t *)&s->tcp, &buf, 1);
-		if (done < 0)
-			done = 0; /* full, or broken, which reading shows */
-		if ((size_t)done == n)
+		written = uv_try_write((uv_stream_t *)&s->tcp, &buf, 1);
+		if (written < 0)
+			written = 0; /* full, or broken, which reading shows */
+		if ((size_t)written == n)
 			return;
 	}
-	p += done;
-	n -= (size_t)done;
+	p += written;
+	n -= (size_t)written;
 	w = malloc(sizeof(*w) + n);
 	if (w == NULL)
 		err(1, "out of memory");
 	w->stream = s;
 	memcpy(w->bytes, p, n);
 	buf = uv_buf_init(w->bytes, (unsigned int)n);
-	if (uv_write(&w->req, (uv_stream_t *)&s->tcp, &buf, 1, written) != 0) {
+	if (uv_write(&w->req, (uv_stream_t *)&s->tcp, &buf, 1, on_written) !=
+	    0) {
 		free(w);
 		return;
 	}
 	if (s->tcp.write_queue_size > H1_QUEUE_HIGH)
-		s->was_high = 1;
+		s->above_high_water = 1;
 }
 
 /*
  * Writes one chunk of a chunked body; an empty one ends the body.
  */
 void
-h1_stream_chunk(struct h1_stream *s, const char *p, size_t n)
+h1_stream_write_chunk(struct h1_stream *s, const char *p, size_t n)
 {
 	char size[24];
 	struct h1_text t;
--- a/src/http1/test_http1.c
+++ b/src/http1/test_http1.c
@@ -20,15 +20,15 @@
 #define TEXT_MAX 70000
 
 /* How the stand-in ends its side after its bytes. */
-enum ending {
-	STAY,
-	END,
-	RESET
+enum close_mode {
+	CLOSE_NEVER,
+	CLOSE_ORDERLY,
+	CLOSE_RESET
 };
 
 /* What became of an exchange. */
 struct outcome {
-	int done; /* 1: whole answer, 2: failed */
+	int result; /* 1: whole answer, 2: failed */
 	enum h1_fail fail;
 	unsigned int status;
 	int heads;
@@ -37,23 +37,23 @@
 	const char *skip_id; /* answers that bear this id are skipped */
 };
 
-struct answer_case {
+struct response_case {
 	const char *name;
 	const char *bytes;
-	enum ending ending;
-	int done;
+	enum close_mode close_mode;
+	int result;
 	enum h1_fail fail;
-	uint32_t idle; /* connections kept */
+	uint32_t idle_count; /* connections kept */
 	const char *body;
 };
 
 /* A server of raw bytes: answers what comes with fixed text. */
-struct raw {
+struct raw_server {
 	uv_tcp_t listener;
 	uv_tcp_t conn;
 	uv_write_t write;
 	const char *bytes;
-	enum ending ending;
+	enum close_mode close_mode;
 	struct sockaddr_in addr;
 	int conns;
 };
@@ -61,31 +61,31 @@
 static uv_loop_t loop;
 
 static void
-alloc(uv_handle_t *h, size_t n, uv_buf_t *b)
+alloc_buffer(uv_handle_t *h, size_t n, uv_buf_t *b)
 {
-	static char room[TEXT_MAX];
+	static char buf[TEXT_MAX];
 
 	(void)h;
 	(void)n;
-	*b = uv_buf_init(room, sizeof(room));
+	*b = uv_buf_init(buf, sizeof(buf));
 }
 
 static void
-raw_written(uv_write_t *w, int status)
+on_raw_written(uv_write_t *w, int status)
 {
-	struct raw *r = w->data;
+	struct raw_server *r = w->data;
 
 	(void)status;
-	if (r->ending == RESET)
+	if (r->close_mode == CLOSE_RESET)
 		uv_tcp_close_reset(&r->conn, NULL);
-	else if (r->ending == END)
+	else if (r->close_mode == CLOSE_ORDERLY)
 		uv_close((uv_handle_t *)&r->conn, NULL);
 }
 
 static void
-raw_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
+on_raw_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
 {
-	struct raw *r = s->data;
+	struct raw_server *r = s->data;
 	uv_buf_t out;
 
 	(void)b;
@@ -99,42 +99,42 @@
 	out = uv_buf_init(
 	    (char *)(uintptr_t)r->bytes, (unsigned int)strlen(r->bytes));
 	r->write.data = r;
-	uv_write(&r->write, s, &out, 1, raw_written);
+	uv_write(&r->write, s, &out, 1, on_raw_written);
 	r->bytes = NULL;
 }
 
 static void
-raw_accept(uv_stream_t *l, int status)
+on_raw_connection(uv_stream_t *l, int status)
 {
-	struct raw *r = l->data;
+	struct raw_server *r = l->data;
 
 	assert_int_equal(status, 0);
 	r->conns++;
 	uv_tcp_init(&loop, &r->conn);
 	r->conn.data = r;
 	assert_int_equal(uv_accept(l, (uv_stream_t *)&r->conn), 0);
-	uv_read_start((uv_stream_t *)&r->conn, alloc, raw_read);
+	uv_read_start((uv_stream_t *)&r->conn, alloc_buffer, on_raw_read);
 }
 
 static void
-raw_init(struct raw *r, const char *bytes, enum ending ending)
+raw_init(struct raw_server *r, const char *bytes, enum close_mode close_mode)
 {
 	int len = sizeof(r->addr);
 
 	memset(r, 0, sizeof(*r));
 	r->bytes = bytes;
-	r->ending = ending;
+	r->close_mode = close_mode;
 	uv_ip4_addr("127.0.0.1", 0, &r->addr);
 	uv_tcp_init(&loop, &r->listener);
 	r->listener.data = r;
 	uv_tcp_bind(&r->listener, (struct sockaddr *)&r->addr, 0);
 	assert_int_equal(
-	    uv_listen((uv_stream_t *)&r->listener, 8, raw_accept), 0);
+	    uv_listen((uv_stream_t *)&r->listener, 8, on_raw_connection), 0);
 	uv_tcp_getsockname(&r->listener, (struct sockaddr *)&r->addr, &len);
 }
 
 static int
-client_head(void *ctx, struct h1_xchg *x)
+on_response_head(void *ctx, struct h1_xchg *x)
 {
 	struct outcome *o = ctx;
 	char id[32];
@@ -149,7 +149,7 @@
 }
 
 static void
-client_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
 {
 	struct outcome *o = ctx;
 
@@ -160,24 +160,24 @@
 }
 
 static void
-client_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_xchg *x)
 {
 	(void)x;
-	((struct outcome *)ctx)->done = 1;
+	((struct outcome *)ctx)->result = 1;
 }
 
 static void
-client_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
 {
 	struct outcome *o = ctx;
 
 	(void)x;
-	o->done = 2;
-	o->fail = how;
+	o->result = 2;
+	o->fail = failure;
 }
 
-static const struct h1_client_ops client_ops = { client_head, client_body,
-	client_end, client_fail, NULL };
+static const struct h1_client_ops client_ops = { on_response_head,
+	on_response_body, on_response_end, on_exchange_failed, NULL };
 
 static void
 close_all(uv_handle_t *h, void *arg)
@@ -204,82 +204,93 @@
 	return uv_loop_close(&loop);
 }
 
-#define HEAD "HTTP/1.1 200 OK\r\n"
+#define STATUS_LINE "HTTP/1.1 200 OK\r\n"
 
-static const struct answer_case answers[] = {
-	{ "whole", HEAD "Content-Length: 2\r\n\r\nab", STAY, 1, 0, 1, "ab" },
+static const struct response_case response_cases[] = {
+	{ "whole", STATUS_LINE "Content-Length: 2\r\n\r\nab", CLOSE_NEVER, 1, 0,
+	    1, "ab" },
 	{ "chunked",
-	    HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", STAY,
-	    1, 0, 1, "ab" },
+	    STATUS_LINE
+	    "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+	    CLOSE_NEVER, 1, 0, 1, "ab" },
 	{ "told to close",
-	    HEAD "Connection: close\r\nContent-Length: 1\r\n\r\na", STAY, 1, 0,
-	    0, "a" },
-	{ "cut in the body", HEAD "Content-Length: 3\r\n\r\nab", END, 2,
-	    H1_BROKEN, 0, NULL },
-	{ "cut in the head", "HTTP/1.1 200 O", END, 2, H1_BROKEN, 0, NULL },
-	{ "cut in a chunk", HEAD "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
-	    END, 2, H1_BROKEN, 0, NULL },
+	    STATUS_LINE "Connection: close\r\nContent-Length: 1\r\n\r\na",
+	    CLOSE_NEVER, 1, 0, 0, "a" },
+	{ "cut in the body", STATUS_LINE "Content-Length: 3\r\n\r\nab",
+	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
+	{ "cut in the head", "HTTP/1.1 200 O", CLOSE_ORDERLY, 2, H1_BROKEN, 0,
+	    NULL },
+	{ "cut in a chunk",
+	    STATUS_LINE "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
 	{ "cut before the last chunk",
-	    HEAD "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", END, 2,
-	    H1_BROKEN, 0, NULL },
-	{ "no length, ended", HEAD "\r\nabc", END, 1, 0, 0, "abc" },
-	{ "no length, reset", HEAD "\r\nabc", RESET, 2, H1_BROKEN, 0, NULL },
-	{ "no answer", "", END, 2, H1_BROKEN, 0, NULL },
-	{ "garbage", "\x01\x02 what\r\n\r\n", STAY, 2, H1_GARBLED, 0, NULL },
+	    STATUS_LINE "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
+	{ "no length, ended", STATUS_LINE "\r\nabc", CLOSE_ORDERLY, 1, 0, 0,
+	    "abc" },
+	{ "no length, reset", STATUS_LINE "\r\nabc", CLOSE_RESET, 2, H1_BROKEN,
+	    0, NULL },
+	{ "no answer", "", CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
+	{ "garbage", "\x01\x02 what\r\n\r\n", CLOSE_NEVER, 2, H1_MALFORMED, 0,
+	    NULL },
 	{ "a second answer",
-	    HEAD "Content-Length: 1\r\n\r\na" HEAD "Content-Length: 1\r\n\r\nb",
-	    STAY, 1, 0, 0, "a" },
+	    STATUS_LINE "Content-Length: 1\r\n\r\na" STATUS_LINE
+			"Content-Length: 1\r\n\r\nb",
+	    CLOSE_NEVER, 1, 0, 0, "a" },
 	{ "interim answer",
-	    "HTTP/1.1 100 Continue\r\n\r\n" HEAD "Content-Length: 1\r\n\r\na",
-	    STAY, 1, 0, 1, "a" },
+	    "HTTP/1.1 100 Continue\r\n\r\n" STATUS_LINE
+	    "Content-Length: 1\r\n\r\na",
+	    CLOSE_NEVER, 1, 0, 1, "a" },
 	{ "another request's answer before ours",
-	    HEAD "Id: old\r\nContent-Length: 3\r\n\r\nold" HEAD
-		 "Id: new\r\nContent-Length: 3\r\n\r\nnew",
-	    STAY, 1, 0, 1, "new" },
+	    STATUS_LINE "Id: old\r\nContent-Length: 3\r\n\r\nold" STATUS_LINE
+			"Id: new\r\nContent-Length: 3\r\n\r\nnew",
+	    CLOSE_NEVER, 1, 0, 1, "new" },
 	{ "both lengths",
-	    HEAD "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na",
-	    STAY, 2, H1_GARBLED, 0, NULL },
+	    STATUS_LINE
+	    "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na",
+	    CLOSE_NEVER, 2, H1_MALFORMED, 0, NULL },
 };
 
 /*
  * What a server sends is taken for what it is: whole, cut, or no answer.
  */
 static void
-test_answers(void **state)
+test_response_parsing(void **state)
 {
-	const struct answer_case *c;
+	const struct response_case *c;
 	struct outcome o;
 	struct h1_pool pool;
 	struct h1_text t;
-	struct raw raw;
+	struct raw_server raw_server;
 	size_t i;
 
 	(void)state;
-	for (i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
-		c = &answers[i];
+	for (i = 0; i < sizeof(response_cases) / sizeof(response_cases[0]);
+	     i++) {
+		c = &response_cases[i];
 		print_message("%s\n", c->name);
 		memset(&o, 0, sizeof(o));
 		o.skip_id = "old";
-		raw_init(&raw, c->bytes, c->ending);
-		h1_pool_init(&pool, &loop, &raw.addr, 1000, 1000);
+		raw_init(&raw_server, c->bytes, c->close_mode);
+		h1_pool_init(&pool, &loop, &raw_server.addr, 1000, 1000);
 		h1_text_init(&t);
 		h1_text_addf(&t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
 		h1_send(&pool, &t, 0, 0, UINT64_MAX, &client_ops, &o);
 		h1_text_finish(&t);
-		while (o.done == 0)
+		while (o.result == 0)
 			uv_run(&loop, UV_RUN_ONCE);
-		assert_int_equal(o.done, c->done);
-		if (o.done == 2)
+		assert_int_equal(o.result, c->result);
+		if (o.result == 2)
 			assert_int_equal(o.fail, c->fail);
 		if (c->body != NULL) {
 			assert_int_equal(o.body_len, strlen(c->body));
 			assert_memory_equal(o.body, c->body, o.body_len);
 		}
-		assert_int_equal(pool.idle_count, c->idle);
+		assert_int_equal(pool.idle_count, c->idle_count);
 		h1_pool_finish(&pool);
 		while (pool.open_count > 0)
 			uv_run(&loop, UV_RUN_ONCE);
-		uv_close((uv_handle_t *)&raw.listener, NULL);
+		uv_close((uv_handle_t *)&raw_server.listener, NULL);
 		uv_run(&loop, UV_RUN_NOWAIT);
 	}
 }
@@ -288,27 +299,27 @@
  * A port that nobody listens at has seen nothing of the request.
  */
 static void
-test_not_sent(void **state)
+test_refused_connection_not_sent(void **state)
 {
-	struct sockaddr_in nowhere;
+	struct sockaddr_in unused_addr;
 	struct outcome o = { 0 };
 	struct h1_pool pool;
 	struct h1_text t;
-	struct raw raw;
+	struct raw_server raw_server;
 
 	(void)state;
-	raw_init(&raw, NULL, STAY);
-	nowhere = raw.addr;
-	uv_close((uv_handle_t *)&raw.listener, NULL);
+	raw_init(&raw_server, NULL, CLOSE_NEVER);
+	unused_addr = raw_server.addr;
+	uv_close((uv_handle_t *)&raw_server.listener, NULL);
 	uv_run(&loop, UV_RUN_NOWAIT);
-	h1_pool_init(&pool, &loop, &nowhere, 1000, 1000);
+	h1_pool_init(&pool, &loop, &unused_addr, 1000, 1000);
 	h1_text_init(&t);
 	h1_text_addf(&t, "GET / HTTP/1.1\r\n\r\n");
 	h1_send(&pool, &t, 0, 0, UINT64_MAX, &client_ops, &o);
 	h1_text_finish(&t);
-	while (o.done == 0)
+	while (o.result == 0)
 		uv_run(&loop, UV_RUN_ONCE);
-	assert_int_equal(o.done, 2);
+	assert_int_equal(o.result, 2);
 	assert_int_equal(o.fail, H1_NOT_SENT);
 	while (pool.open_count > 0)
 		uv_run(&loop, UV_RUN_ONCE);
@@ -320,27 +331,27 @@
 	uv_connect_t connect;
 	uv_write_t write;
 	struct h1_server server;
-	char got[TEXT_MAX];
-	size_t got_len;
-	int ended; /* the server closed the connection */
-	int requests, gone;
+	char received[TEXT_MAX];
+	size_t received_len;
+	int closed; /* the server closed the connection */
+	int requests, disconnects;
 	size_t body_len;
-	int hold; /* don't answer */
-	int answer_early;
+	int withhold_response; /* don't answer */
+	int respond_early;
 };
 
 static void
-server_head(void *ctx, struct h1_conn *conn)
+on_request_head(void *ctx, struct h1_conn *conn)
 {
 	struct caller *c = ctx;
 
 	c->requests++;
-	if (c->answer_early)
+	if (c->respond_early)
 		h1_answer(conn, 200, NULL, "early", 5);
 }
 
 static void
-server_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
+on_request_body(void *ctx, struct h1_conn *conn, const char *p, size_t n)
 {
 	(void)conn;
 	(void)p;
@@ -348,37 +359,37 @@
 }
 
 static void
-server_end(void *ctx, struct h1_conn *conn)
+on_request_end(void *ctx, struct h1_conn *conn)
 {
 	struct caller *c = ctx;
 
-	if (!c->hold)
+	if (!c->withhold_response)
 		h1_answer(conn, 200, NULL, "ok", 2);
 }
 
 static void
-server_gone(void *ctx, struct h1_conn *conn)
+on_disconnect(void *ctx, struct h1_conn *conn)
 {
 	(void)conn;
-	((struct caller *)ctx)->gone++;
+	((struct caller *)ctx)->disconnects++;
 }
 
-static const struct h1_server_ops server_ops = { server_head, server_body,
-	server_end, server_gone, NULL };
+static const struct h1_server_ops server_ops = { on_request_head,
+	on_request_body, on_request_end, on_disconnect, NULL };
 
 static void
-caller_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
+on_caller_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
 {
 	struct caller *c = s->data;
 
 	if (n < 0) {
-		c->ended = 1;
+		c->closed = 1;
 		uv_close((uv_handle_t *)s, NULL);
 		return;
 	}
-	memcpy(c->got + c->got_len, b->base, (size_t)n);
-	c->got_len += (size_t)n;
-	c->got[c->got_len] = '\0';
+	memcpy(c->received + c->received_len, b->base, (size_t)n);
+	c->received_len += (size_t)n;
+	c->received[c->received_len] = '\0';
 }
 
 static void
@@ -392,7 +403,7 @@
 }
 
 static void
-caller_connected(uv_connect_t *r, int status)
+on_caller_connected(uv_connect_t *r, int status)
 {
 	assert_int_equal(status, 0);
 	r->data = NULL;
@@ -401,22 +412,22 @@
 static void
 caller_init(struct caller *c)
 {
-	struct sockaddr_in at;
-	int len = sizeof(at);
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
 
 	memset(c, 0, sizeof(*c));
-	uv_ip4_addr("127.0.0.1", 0, &at);
+	uv_ip4_addr("127.0.0.1", 0, &addr);
 	assert_int_equal(
-	    h1_server_init(&c->server, &loop, &at, &server_ops, c, 16), 0);
-	uv_tcp_getsockname(&c->server.listener, (struct sockaddr *)&at, &len);
+	    h1_server_init(&c->server, &loop, &addr, &server_ops, c, 16), 0);
+	uv_tcp_getsockname(&c->server.listener, (struct sockaddr *)&addr, &len);
 	uv_tcp_init(&loop, &c->conn);
 	c->conn.data = c;
 	c->connect.data = c;
-	uv_tcp_connect(
-	    &c->connect, &c->conn, (struct sockaddr *)&at, caller_connected);
+	uv_tcp_connect(&c->connect, &c->conn, (struct sockaddr *)&addr,
+	    on_caller_connected);
 	while (c->connect.data != NULL)
 		uv_run(&loop, UV_RUN_ONCE);
-	uv_read_start((uv_stream_t *)&c->conn, alloc, caller_read);
+	uv_read_start((uv_stream_t *)&c->conn, alloc_buffer, on_caller_read);
 }
 
 static void
@@ -424,8 +435,8 @@
 {
 	if (!uv_is_closing((uv_handle_t *)&c->conn))
 		uv_close((uv_handle_t *)&c->conn, NULL);
-	h1_server_stop(&c->server);
-	uv_close((uv_handle_t *)&c->server.sweeper, NULL);
+	h1_server_stop_accepting(&c->server);
+	uv_close((uv_handle_t *)&c->server.timeout_timer, NULL);
 	while (c->server.conn_count > 0)
 		uv_run(&loop, UV_RUN_ONCE);
 }
@@ -435,10 +446,10 @@
 	const char *bytes;
 	const char *status; /* of the last answer */
 	int requests;
-	int ended; /* the connection is closed after it */
+	int closed; /* the connection is closed after it */
 };
 
-static const struct request_case requests[] = {
+static const struct request_case request_cases[] = {
 	{ "plain", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", " 200 ", 1, 0 },
 	{ "two at once", "GET / HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
 	    " 200 ", 2, 0 },
@@ -472,23 +483,23 @@
  * What a caller sends is answered, or refused and the connection closed.
  */
 static void
-test_requests(void **state)
+test_request_parsing(void **state)
 {
 	const struct request_case *r;
 	static struct caller c;
 	size_t i;
 
 	(void)state;
-	for (i = 0; i < sizeof(requests) / sizeof(requests[0]); i++) {
-		r = &requests[i];
+	for (i = 0; i < sizeof(request_cases) / sizeof(request_cases[0]); i++) {
+		r = &request_cases[i];
 		print_message("%s\n", r->name);
 		caller_init(&c);
 		caller_write(&c, r->bytes);
-		while (strstr(c.got, r->status) == NULL ||
-		       c.requests < r->requests || (r->ended && !c.ended))
+		while (strstr(c.received, r->status) == NULL ||
+		       c.requests < r->requests || (r->closed && !c.closed))
 			uv_run(&loop, UV_RUN_ONCE);
 		assert_int_equal(c.requests, r->requests);
-		assert_int_equal(c.ended, r->ended);
+		assert_int_equal(c.closed, r->closed);
 		caller_finish(&c);
 	}
 }
@@ -497,7 +508,7 @@
  * A head over the limit is refused with its own status.
  */
 static void
-test_long_head(void **state)
+test_oversized_head_rejected(void **state)
 {
 	static struct caller c;
 	static char text[20000];
@@ -509,7 +520,7 @@
 	n = snprintf(text, sizeof(text), "GET / HTTP/1.1\r\nX: ");
 	text[n] = 'a';
 	caller_write(&c, text);
-	while (strstr(c.got, " 431 ") == NULL)
+	while (strstr(c.received, " 431 ") == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
 	caller_finish(&c);
 }
@@ -518,18 +529,18 @@
  * A caller that leaves while its request is at work is noticed at once.
  */
 static void
-test_gone(void **state)
+test_caller_disconnect_reported(void **state)
 {
 	static struct caller c;
 
 	(void)state;
 	caller_init(&c);
-	c.hold = 1;
+	c.withhold_response = 1;
 	caller_write(&c, "GET / HTTP/1.1\r\n\r\n");
 	while (c.requests == 0)
 		uv_run(&loop, UV_RUN_ONCE);
 	uv_close((uv_handle_t *)&c.conn, NULL);
-	while (c.gone == 0)
+	while (c.disconnects == 0)
 		uv_run(&loop, UV_RUN_ONCE);
 	caller_finish(&c);
 }
@@ -539,15 +550,15 @@
  * request.
  */
 static void
-test_early_answer(void **state)
+test_early_response_discards_body(void **state)
 {
 	static struct caller c;
 
 	(void)state;
 	caller_init(&c);
-	c.answer_early = 1;
+	c.respond_early = 1;
 	caller_write(&c, "POST / HTTP/1.1\r\nContent-Length: 18\r\n\r\n");
-	while (strstr(c.got, "early") == NULL)
+	while (strstr(c.received, "early") == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
 	caller_write(&c, "GET / HTTP/1.1\r\n\r\n");
 	caller_write(&c, "GET /next HTTP/1.1\r\n\r\n");
@@ -555,7 +566,7 @@
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(c.requests, 2);
 	assert_int_equal(c.body_len, 0);
-	assert_int_equal(c.ended, 0);
+	assert_int_equal(c.closed, 0);
 	caller_finish(&c);
 }
 
@@ -563,7 +574,7 @@
  * A server that closes says so in its answers and ends their connections.
  */
 static void
-test_closing(void **state)
+test_draining_closes_connections(void **state)
 {
 	static struct caller c;
 
@@ -571,10 +582,10 @@
 	caller_init(&c);
 	h1_server_closing(&c.server);
 	caller_write(&c, "GET / HTTP/1.1\r\n\r\n");
-	while (!c.ended)
+	while (!c.closed)
 		uv_run(&loop, UV_RUN_ONCE);
-	assert_non_null(strstr(c.got, "Connection: close"));
-	assert_non_null(strstr(c.got, " 200 "));
+	assert_non_null(strstr(c.received, "Connection: close"));
+	assert_non_null(strstr(c.received, " 200 "));
 	caller_finish(&c);
 }
 
@@ -582,15 +593,20 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(test_answers, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_not_sent, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_requests, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_long_head, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_gone, setup, teardown),
+		    test_response_parsing, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_refused_connection_not_sent, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_request_parsing, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_oversized_head_rejected, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_caller_disconnect_reported, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_early_response_discards_body, setup, teardown),
 		cmocka_unit_test_setup_teardown(
-		    test_early_answer, setup, teardown),
-		cmocka_unit_test_setup_teardown(test_closing, setup, teardown),
+		    test_draining_closes_connections, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
