http1: plain comments and test messages

Comments spoke of what a peer told, what was kept and who was gone; they now say what each function does and returns, in the terms of HTTP and libuv. The callbacks of servers and exchanges are described one by one, and the cases of the tests are named for the input they send. No code changed.

--- a/src/http1/answer.c
+++ b/src/http1/answer.c
@@ -6,7 +6,7 @@
     unsigned int, const struct h1_text *, uint64_t);
 
 /*
- * Returns the head of the present request.
+ * Returns the head of the current request.
  */
 const struct h1_head *
 h1_conn_head(const struct h1_conn *c)
@@ -15,7 +15,7 @@
 }
 
 /*
- * Returns the method of the present request.
+ * Returns the method of the current request.
  */
 const char *
 h1_conn_method(const struct h1_conn *c)
@@ -24,7 +24,7 @@
 }
 
 /*
- * Tells whether the present request has a body.
+ * Returns 1 if the current request has a body, else 0.
  */
 int
 h1_conn_has_body(const struct h1_conn *c)
@@ -35,8 +35,8 @@
 }
 
 /*
- * Returns the length of the present request's body, or H1_LENGTH_CHUNKED.
- * It is only right until the body begins.
+ * Returns the length of the current request's body, or H1_LENGTH_CHUNKED.
+ * Valid only until the body begins, because the parser counts the value down.
  */
 uint64_t
 h1_conn_length(const struct h1_conn *c)
@@ -49,7 +49,7 @@
 }
 
 /*
- * Keeps the owner's own state of the present request.
+ * Sets the owner's data for the current request.
  */
 void
 h1_conn_set_user(struct h1_conn *c, void *user)
@@ -58,7 +58,7 @@
 }
 
 /*
- * Returns the owner's own state of the present request.
+ * Returns the owner's data for the current request.
  */
 void *
 h1_conn_user(const struct h1_conn *c)
@@ -67,7 +67,7 @@
 }
 
 /*
- * Stops reading, so that the caller is held back by its window.
+ * Stops reading, so that TCP flow control slows the caller.
  */
 void
 h1_conn_pause(struct h1_conn *c)
@@ -79,7 +79,7 @@
 }
 
 /*
- * Reads on.
+ * Resumes reading after h1_conn_pause().
  */
 void
 h1_conn_resume(struct h1_conn *c)
@@ -92,7 +92,7 @@
 }
 
 /*
- * Returns how many bytes of the answer are not written yet.
+ * Returns the number of response bytes not yet written.
  */
 size_t
 h1_conn_queued(const struct h1_conn *c)
@@ -101,7 +101,7 @@
 }
 
 /*
- * Composes the head of an answer.
+ * Formats the head of a response.
  */
 static void
 format_response_head(struct h1_conn *c, struct h1_text *t, unsigned int status,
@@ -124,8 +124,8 @@
 }
 
 /*
- * Sends the head of an answer; its body follows, of the length given or in
- * chunks.  Fields are whole header lines.
+ * Sends the head of a response.  The body follows, of the given length or in
+ * chunks.  The fields are complete header lines.
  */
 void
 h1_answer_head(struct h1_conn *c, unsigned int status,
@@ -141,7 +141,7 @@
 }
 
 /*
- * Sends a piece of an answer's body.
+ * Sends a piece of a response body.
  */
 void
 h1_answer_body(struct h1_conn *c, const char *p, size_t n)
@@ -155,7 +155,7 @@
 }
 
 /*
- * Ends an answer.  The owner holds the request no longer.
+ * Ends a response.  The owner must not use the request afterwards.
  */
 void
 h1_answer_end(struct h1_conn *c)
@@ -168,7 +168,8 @@
 }
 
 /*
- * Sends a whole answer in one write.  The owner holds the request no longer.
+ * Sends a complete response in one write.  The owner must not use the request
+ * afterwards.
  */
 void
 h1_answer(struct h1_conn *c, unsigned int status, const struct h1_text *fields,
@@ -186,7 +187,8 @@
 }
 
 /*
- * Breaks off the connection, so that an answer that began can't look whole.
+ * Closes the connection without ending the response, so that the caller sees
+ * a partial response as incomplete.
  */
 void
 h1_conn_abort(struct h1_conn *c)
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -7,22 +7,22 @@
 #include "base/loopclock.h"
 #include "http1/http1_int.h"
 
-#define MAX_HEAD_BYTES 65536	 /* of an answer's head */
-#define KEEP_ALIVE_MARGIN_MS 500 /* before the server closes an idle one */
-#define UNACKED_TIMEOUT_MS 1500	 /* bytes unacknowledged: the peer is lost */
+#define MAX_HEAD_BYTES 65536	 /* of a response */
+#define KEEP_ALIVE_MARGIN_MS 500 /* stop reuse before the server's timeout */
+#define UNACKED_TIMEOUT_MS 1500	 /* then the server is unreachable */
 
-/* One connection to a server; it carries one exchange at a time. */
+/* A connection to a server.  It carries one exchange at a time. */
 struct h1_client_conn {
-	struct h1_stream stream; /* first, for libuv's handle */
+	struct h1_stream stream; /* first member: libuv's handle */
 	struct h1_pool *pool;
 	struct h1_client_conn *next; /* in the pool's idle list */
 	struct h1_xchg *exchange;
 	http_parser parser;
 	uv_connect_t connect;
 	uint64_t idle_since_ms;
-	uint64_t keep_alive_ms;	     /* as the server's Keep-Alive told */
-	uint64_t connect_started_ms; /* of connecting */
-	uv_timer_t *connect_timer;   /* while connecting */
+	uint64_t keep_alive_ms; /* from Keep-Alive; UINT64_MAX: none */
+	uint64_t connect_started_ms;
+	uv_timer_t *connect_timer; /* NULL once connected */
 };
 
 struct h1_xchg {
@@ -32,12 +32,11 @@
 	struct h1_head head;
 	struct h1_head_builder builder;
 	uint64_t length;
-	int request_chunked;   /* the request's body */
-	int request_complete;  /* the request is written */
-	int response_complete; /* the whole answer is in */
-	int skip_response;   /* an answer that belongs to no request of ours */
-	int is_head_request; /* the answer has no body, whatever its head says
-			      */
+	int request_chunked;
+	int request_complete; /* all of the request was passed to the stream */
+	int response_complete;
+	int skip_response;   /* interim, or not to this request */
+	int is_head_request; /* no response body, whatever its head says */
 	int cancelled;
 };
 
@@ -70,8 +69,9 @@
 };
 
 /*
- * Prepares a pool of connections to an address.  Connections idle for longer
- * than idle_ms aren't used; a new one must be up within connect_ms.
+ * Initializes a pool of connections to an address.  A connection idle for
+ * max_idle_ms or longer is not reused.  A new connection must be established
+ * within connect_timeout_ms.
  */
 void
 h1_pool_init(struct h1_pool *pool, uv_loop_t *loop,
@@ -86,7 +86,8 @@
 }
 
 /*
- * Closes idle connections until at most keep are left, the oldest first.
+ * Closes idle connections, the longest idle first, until at most max_idle are
+ * left.
  */
 void
 h1_pool_trim(struct h1_pool *pool, uint32_t max_idle)
@@ -106,7 +107,7 @@
 }
 
 /*
- * Closes all idle connections.  No exchange may be open, or the pool must
+ * Closes all idle connections.  If an exchange is still open, the pool must
  * outlive it.
  */
 void
@@ -149,9 +150,9 @@
 }
 
 /*
- * Sends a request, whose head is given whole, but for its body: of a length,
- * or in chunks.  A connection that has been idle for less than idle_ms may
- * be used.  The exchange is freed after ops->end or ops->fail returns, or by
+ * Sends the head of a request.  Its body follows, of the given length or in
+ * chunks.  A connection that has been idle for less than max_idle_ms may be
+ * reused.  The exchange is freed after ops->end or ops->fail returns, or by
  * h1_cancel().
  */
 struct h1_xchg *
@@ -199,7 +200,7 @@
 }
 
 /*
- * Sends a piece of the request's body.
+ * Sends a piece of the request body.
  */
 void
 h1_send_body(struct h1_xchg *x, const char *p, size_t n)
@@ -213,7 +214,7 @@
 }
 
 /*
- * Ends the request's body.  An exchange whose answer came early ends here.
+ * Ends the request body.
  */
 void
 h1_send_end(struct h1_xchg *x)
@@ -226,7 +227,7 @@
 }
 
 /*
- * Returns how many bytes of the request are not written yet.
+ * Returns the number of request bytes not yet written.
  */
 size_t
 h1_send_queued(const struct h1_xchg *x)
@@ -235,7 +236,7 @@
 }
 
 /*
- * Gives an exchange up: its connection is closed, which tells the server.
+ * Cancels an exchange.  Its connection is closed, which notifies the server.
  */
 void
 h1_cancel(struct h1_xchg *x)
@@ -249,7 +250,7 @@
 }
 
 /*
- * Stops reading the answer.
+ * Stops reading the response.
  */
 void
 h1_xchg_pause(struct h1_xchg *x)
@@ -263,7 +264,7 @@
 }
 
 /*
- * Reads on.
+ * Resumes reading after h1_xchg_pause().
  */
 void
 h1_xchg_resume(struct h1_xchg *x)
@@ -277,7 +278,7 @@
 }
 
 /*
- * Returns the head of the answer.
+ * Returns the head of the response.
  */
 const struct h1_head *
 h1_xchg_head(const struct h1_xchg *x)
@@ -286,7 +287,7 @@
 }
 
 /*
- * Returns the answer's status.
+ * Returns the status code of the response.
  */
 unsigned int
 h1_xchg_status(const struct h1_xchg *x)
@@ -295,8 +296,8 @@
 }
 
 /*
- * Returns the length of the answer's body, or H1_LENGTH_CHUNKED if it isn't
- * known before its end.
+ * Returns the length of the response body, or H1_LENGTH_CHUNKED if it isn't
+ * known before the body ends.
  */
 uint64_t
 h1_xchg_length(const struct h1_xchg *x)
@@ -305,7 +306,7 @@
 }
 
 /*
- * Ends the time for connecting.
+ * Stops and frees the connect timer.
  */
 static void
 stop_connect_timer(struct h1_client_conn *p)
@@ -317,8 +318,8 @@
 }
 
 /*
- * Has the kernel break a connection whose bytes aren't acknowledged: a peer
- * behind a cut sends no reset.
+ * Makes the kernel close a connection whose data isn't acknowledged in time,
+ * because a peer behind a network partition sends no reset.
  */
 static void
 set_unacked_timeout(struct h1_client_conn *p)
@@ -332,7 +333,7 @@
 }
 
 /*
- * The connection is up, or can't be had.
+ * Starts reading on an established connection, or fails the exchange.
  */
 static void
 on_connect(uv_connect_t *req, int status)
@@ -353,7 +354,7 @@
 }
 
 /*
- * A connection wasn't up in time.
+ * Fails the exchange because connecting took too long.
  */
 static void
 on_connect_timeout(uv_timer_t *timer)
@@ -362,7 +363,7 @@
 }
 
 /*
- * Frees a connection once libuv has let go of it.
+ * Frees a connection after libuv has closed its handle.
  */
 static void
 on_conn_closed(uv_handle_t *handle)
@@ -374,7 +375,7 @@
 }
 
 /*
- * Closes a connection that no exchange uses.
+ * Closes a connection that has no exchange.
  */
 static void
 conn_close(struct h1_client_conn *p)
@@ -387,7 +388,7 @@
 }
 
 /*
- * Ends an exchange that failed, and its connection.
+ * Reports a failed exchange, frees it and closes its connection.
  */
 static void
 exchange_fail(struct h1_client_conn *p, enum h1_fail failure)
@@ -404,8 +405,9 @@
 }
 
 /*
- * Ends an exchange whose whole answer is in.  The connection is kept if
- * both sides are done with it.
+ * Ends an exchange after the complete response.  Returns the connection to
+ * the pool if the request was sent completely and the server keeps the
+ * connection open; else closes it.
  */
 static void
 exchange_finish(struct h1_client_conn *p)
@@ -447,8 +449,8 @@
 }
 
 /*
- * Tells whether the end of a connection was a reset: the kernel may report
- * the end first and keep the error.
+ * Returns 1 if the connection was reset, else 0.  The kernel may report end
+ * of file first and keep the error on the socket.
  */
 static int
 closed_by_reset(const struct h1_client_conn *p)
@@ -464,7 +466,7 @@
 }
 
 /*
- * Takes bytes, or the end of the connection.
+ * Handles received bytes or the end of the connection.
  */
 static void
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
@@ -476,7 +478,7 @@
 	if (n == 0 || p->stream.closing)
 		return;
 	if (x == NULL) {
-		/* An idle connection: its end, or bytes of no answer. */
+		/* An idle connection ended or sent unexpected bytes. */
 		for (link = &p->pool->idle; *link != NULL;
 		     link = &(*link)->next) {
 			if (*link != p)
@@ -488,7 +490,7 @@
 		conn_close(p);
 		return;
 	}
-	/* Only a clean end completes an answer that has no length. */
+	/* Without a length, only an orderly close ends a response. */
 	if (n < 0 && (n != UV_EOF || closed_by_reset(p))) {
 		exchange_fail(p, H1_BROKEN);
 		return;
@@ -497,9 +499,9 @@
 	used =
 	    http_parser_execute(&p->parser, &parser_settings, buf->base, len);
 	if (p->stream.closing || p->exchange == NULL)
-		return; /* cancelled by its owner meanwhile */
+		return; /* cancelled in a callback */
 	if (x->response_complete) {
-		if (used < len) /* more than one answer */
+		if (used < len) /* unexpected bytes: don't reuse */
 			x->request_complete = 0;
 		exchange_finish(p);
 		return;
@@ -511,7 +513,7 @@
 }
 
 /*
- * Tells the owner that it may write again.
+ * Notifies the owner that the write queue has drained.
  */
 static void
 on_stream_drained(struct h1_stream *stream)
@@ -523,7 +525,7 @@
 }
 
 /*
- * Begins an answer.
+ * Starts a response.
  */
 static int
 on_message_begin(http_parser *parser)
@@ -540,7 +542,7 @@
 }
 
 /*
- * Takes a piece of a field's name.
+ * Appends a piece of a field's name.
  */
 static int
 on_header_field(http_parser *parser, const char *text, size_t n)
@@ -553,7 +555,7 @@
 }
 
 /*
- * Takes a piece of a field's value.
+ * Appends a piece of a field's value.
  */
 static int
 on_header_value(http_parser *parser, const char *text, size_t n)
@@ -566,7 +568,7 @@
 }
 
 /*
- * Hands a whole head to the owner.  Interim answers are passed over.
+ * Passes a complete response head to the owner.  Skips interim responses.
  */
 static int
 on_headers_complete(http_parser *parser)
@@ -594,7 +596,7 @@
 }
 
 /*
- * Hands a piece of the body to the owner.
+ * Passes a piece of the response body to the owner.
  */
 static int
 on_body(http_parser *parser, const char *text, size_t n)
@@ -610,7 +612,7 @@
 }
 
 /*
- * The answer is in, if it was ours.
+ * Marks the response complete, unless it is skipped.
  */
 static int
 on_message_complete(http_parser *parser)
--- a/src/http1/head.c
+++ b/src/http1/head.c
@@ -8,18 +8,18 @@
 
 #include "http1/http1_int.h"
 
-#define HEAD_INITIAL_BYTES 512 /* bytes of a new head's buffer */
+#define HEAD_INITIAL_BYTES 512
 #define TEXT_INITIAL_BYTES 512
 
 static int head_append(struct h1_head_builder *, const char *, size_t);
 
-/* Fields that concern one connection only. */
+/* Hop-by-hop fields, which are not forwarded. */
 static const char *const hop_by_hop_names[] = { "connection", "keep-alive",
 	"proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
 	"content-length", "expect", NULL };
 
 /*
- * Prepares a head without fields.
+ * Initializes an empty head.
  */
 void
 h1_head_init(struct h1_head *h)
@@ -31,7 +31,7 @@
 }
 
 /*
- * Frees what a head holds.
+ * Frees the buffer of a head and empties it.
  */
 void
 h1_head_finish(struct h1_head *h)
@@ -41,7 +41,8 @@
 }
 
 /*
- * Tells whether a name that isn't terminated equals another, in any case.
+ * Compares a field name of n bytes with a string, ignoring case.  Returns 1
+ * if they are equal, else 0.
  */
 int
 h1_name_is(const char *p, size_t n, const char *name)
@@ -50,8 +51,9 @@
 }
 
 /*
- * Returns the value of a field and its length, or NULL.  Of several fields
- * of one name the first counts.
+ * Returns the value of a field, not null-terminated, and sets its length, or
+ * returns NULL if there is none.  If several fields have the name, the first
+ * is used.
  */
 const char *
 h1_head_get(const struct h1_head *h, const char *name, size_t *len)
@@ -70,8 +72,8 @@
 }
 
 /*
- * Copies a field's value into a buffer.  Returns its length, or -1 if there
- * is no such field or no room for it.
+ * Copies a field's value into a buffer as a string.  Returns its length, or
+ * -1 if there is no such field or it doesn't fit.
  */
 int
 h1_head_copy(const struct h1_head *h, const char *name, char *buf, size_t size)
@@ -88,8 +90,8 @@
 }
 
 /*
- * Returns a field that holds a whole number in decimal digits, or a default
- * if it is missing or something else.
+ * Returns the value of a field as a decimal integer, or the default if the
+ * field is missing or isn't a number.
  */
 uint64_t
 h1_head_number(
@@ -107,8 +109,8 @@
 }
 
 /*
- * Tells whether a field must not be forwarded: it concerns one connection by
- * its name, or the Connection field names it.
+ * Returns 1 if a field must not be forwarded, because it is hop-by-hop by
+ * name or listed in the Connection field, else 0.
  */
 int
 h1_field_is_hop_by_hop(const struct h1_head *h, const struct h1_field *f)
@@ -138,7 +140,7 @@
 }
 
 /*
- * Prepares to collect a head of at most limit bytes.
+ * Starts to build a head of at most max_bytes bytes.
  */
 void
 h1_builder_init(
@@ -151,7 +153,8 @@
 }
 
 /*
- * Appends bytes to a head's buffer.  Returns -1 past the limit.
+ * Appends bytes to a head's buffer.  Returns 0, or -1 if the head exceeds its
+ * limit.
  */
 static int
 head_append(struct h1_head_builder *c, const char *p, size_t n)
@@ -177,7 +180,8 @@
 }
 
 /*
- * Takes a piece of the request target.  Returns -1 past the limit.
+ * Appends a piece of the request target.  Returns 0, or -1 if the head
+ * exceeds its limit.
  */
 int
 h1_builder_add_target(struct h1_head_builder *c, const char *p, size_t n)
@@ -189,7 +193,8 @@
 }
 
 /*
- * Takes a piece of a field's name.  Returns -1 past the limits.
+ * Appends a piece of a field's name, starting a new field after a value.
+ * Returns 0, or -1 if the head exceeds its size or field limit.
  */
 int
 h1_builder_add_name(struct h1_head_builder *c, const char *p, size_t n)
@@ -212,7 +217,8 @@
 }
 
 /*
- * Takes a piece of a field's value.  Returns -1 past the limits.
+ * Appends a piece of a field's value.  Returns 0, or -1 if the head exceeds
+ * its limit or has no field yet.
  */
 int
 h1_builder_add_value(struct h1_head_builder *c, const char *p, size_t n)
@@ -232,7 +238,7 @@
 }
 
 /*
- * Prepares empty text.
+ * Initializes an empty text buffer.
  */
 void
 h1_text_init(struct h1_text *t)
@@ -242,7 +248,7 @@
 }
 
 /*
- * Frees text.
+ * Frees the memory of a text buffer and empties it.
  */
 void
 h1_text_finish(struct h1_text *t)
@@ -252,7 +258,7 @@
 }
 
 /*
- * Appends bytes.
+ * Appends bytes to a text buffer.
  */
 void
 h1_text_add(struct h1_text *t, const char *p, size_t n)
@@ -273,7 +279,7 @@
 }
 
 /*
- * Appends formatted text of less than 1024 bytes; longer text is cut.
+ * Appends formatted text.  The result is truncated to 1023 bytes.
  */
 void
 h1_text_addf(struct h1_text *t, const char *fmt, ...)
@@ -292,7 +298,7 @@
 }
 
 /*
- * Appends one header field.
+ * Appends one header field line.
  */
 void
 h1_text_field(struct h1_text *t, const char *name, const char *value)
@@ -304,8 +310,8 @@
 }
 
 /*
- * Appends all fields of a head that may be forwarded, but for those named in
- * a list that NULL ends.
+ * Appends the fields of a head that may be forwarded, except those named in
+ * the NULL-terminated list skip.
  */
 void
 h1_text_forward(
@@ -331,7 +337,7 @@
 }
 
 /*
- * Returns the usual phrase of a status.
+ * Returns the standard reason phrase of a status code.
  */
 const char *
 h1_reason_phrase(unsigned int status)
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -8,21 +8,22 @@
 #include <uv.h>
 
 /*
- * HTTP/1.1 on one libuv loop: both sides of a connection, with bodies passed
- * on in pieces.  Nothing here blocks and nothing is safe to use from a second
- * thread.
+ * HTTP/1.1 server and client on one libuv loop.  Bodies are passed on in
+ * pieces as they arrive.  No function blocks, and none may be called from
+ * another thread than the loop's.
  */
 
 #define H1_FIELDS_MAX 64
-#define H1_LENGTH_CHUNKED UINT64_MAX /* a body whose length isn't known */
-#define H1_QUEUE_HIGH 65536 /* bytes unwritten at which a source is paused */
+#define H1_LENGTH_CHUNKED UINT64_MAX /* body length not known */
+#define H1_QUEUE_HIGH 65536	     /* unwritten bytes above which to pause */
 
+/* A header field.  The name and value are offsets into h1_head.buf. */
 struct h1_field {
 	uint32_t name, name_len;
 	uint32_t value, value_len;
 };
 
-/* A request's or an answer's head; strings are offsets into buf. */
+/* The head of a request or response.  The target is an offset into buf. */
 struct h1_head {
 	char *buf;
 	uint32_t len, cap;
@@ -31,7 +32,7 @@
 	struct h1_field fields[H1_FIELDS_MAX];
 };
 
-/* Text that grows, for heads and small bodies to be sent. */
+/* A growing text buffer for heads and small bodies to send. */
 struct h1_text {
 	char *p;
 	size_t len, cap;
@@ -55,22 +56,27 @@
     struct h1_text *, const struct h1_head *, const char *const *);
 const char *h1_reason_phrase(unsigned int);
 
-/* Limits on what a peer may send and how long it may take. */
+/* Limits on the requests of a server's callers. */
 struct h1_limits {
 	uint32_t head_bytes;
 	uint64_t body_bytes;
-	uint64_t head_ms; /* for a whole head, from its first byte */
-	uint64_t idle_ms; /* between two requests */
+	uint64_t head_ms; /* from the first byte of a head to its last */
+	uint64_t idle_ms; /* between requests */
 };
 
 struct h1_conn;
 
-/* What a listener's owner wants to hear; all get the context given there. */
+/* Callbacks of a server's owner.  The first argument is the owner's context. */
 struct h1_server_ops {
+	/* The head of a request is complete. */
 	void (*head)(void *, struct h1_conn *);
+	/* A piece of the body arrived.  Optional. */
 	void (*body)(void *, struct h1_conn *, const char *, size_t);
+	/* The request is complete. */
 	void (*end)(void *, struct h1_conn *);
+	/* The connection closed before the response ended. */
 	void (*gone)(void *, struct h1_conn *);
+	/* The write queue fell from above H1_QUEUE_HIGH to half.  Optional. */
 	void (*drained)(void *, struct h1_conn *);
 };
 
@@ -81,11 +87,11 @@
 	const struct h1_server_ops *ops;
 	void *ctx;
 	struct h1_limits limits;
-	struct h1_conn *conns; /* all, newest first */
+	struct h1_conn *conns; /* newest first */
 	uint32_t conn_count;
 	uint32_t conn_max;
-	int draining;	     /* answers end their connections */
-	int listener_closed; /* accepts no more */
+	int draining; /* each response closes its connection */
+	int listener_closed;
 };
 
 int h1_server_init(struct h1_server *, uv_loop_t *, const struct sockaddr_in *,
@@ -112,36 +118,41 @@
     const char *, size_t);
 void h1_conn_abort(struct h1_conn *);
 
-/* How an exchange failed. */
+/* The reason for the failure of an exchange. */
 enum h1_fail {
-	H1_NOT_SENT,  /* no connection: the peer has seen nothing */
-	H1_BROKEN,    /* ended before the whole answer was in */
-	H1_MALFORMED, /* what came is no answer */
+	H1_NOT_SENT,  /* not connected: the server received nothing */
+	H1_BROKEN,    /* closed before the response was complete */
+	H1_MALFORMED, /* not a valid response */
 	H1_FAILURE_MAX
 };
 
 struct h1_xchg;
 
+/* Callbacks of an exchange's owner.  The first argument is its context. */
 struct h1_client_ops {
-	/* Returns 0 to take this answer, 1 to skip it and await another. */
+	/* Returns 0 to accept this response, 1 to skip it and await another. */
 	int (*head)(void *, struct h1_xchg *);
+	/* A piece of the response body arrived. */
 	void (*body)(void *, struct h1_xchg *, const char *, size_t);
+	/* The response is complete. */
 	void (*end)(void *, struct h1_xchg *);
+	/* The exchange failed. */
 	void (*fail)(void *, struct h1_xchg *, enum h1_fail);
+	/* The write queue fell from above H1_QUEUE_HIGH to half.  Optional. */
 	void (*drained)(void *, struct h1_xchg *);
 };
 
 struct h1_client_conn;
 
-/* Idle connections to one address. */
+/* Connections to one address. */
 struct h1_pool {
 	uv_loop_t *loop;
 	struct sockaddr_in addr;
 	struct h1_client_conn *idle; /* most recently used first */
 	uint32_t idle_count;
 	uint32_t open_count;
-	uint64_t max_idle_ms; /* a connection idle for longer isn't used */
-	uint64_t connect_timeout_ms; /* for a new connection */
+	uint64_t max_idle_ms; /* not reused after being idle for this long */
+	uint64_t connect_timeout_ms;
 };
 
 void h1_pool_init(struct h1_pool *, uv_loop_t *, const struct sockaddr_in *,
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -5,12 +5,12 @@
 
 #include "http1/http1.h"
 
-/* Collects a head from the parser's pieces. */
+/* Builds a head from the pieces that the parser reports. */
 struct h1_head_builder {
 	struct h1_head *head;
 	uint32_t max_bytes;
-	int in_value; /* the last piece was of a value */
-	int overflow;
+	int in_value; /* the last piece belonged to a value */
+	int overflow; /* a limit was exceeded */
 };
 
 void h1_builder_init(struct h1_head_builder *, struct h1_head *, uint32_t);
@@ -18,38 +18,38 @@
 int h1_builder_add_name(struct h1_head_builder *, const char *, size_t);
 int h1_builder_add_value(struct h1_head_builder *, const char *, size_t);
 
-/* The stream below a connection, with what is not yet written. */
+/* The TCP stream of a connection. */
 struct h1_stream {
 	uv_tcp_t tcp;
 	void (*on_drained)(struct h1_stream *);
 	int connecting;
 	int closing;
 	int paused;
-	int above_high_water; /* the queue passed H1_QUEUE_HIGH */
+	int above_high_water; /* the write queue exceeded H1_QUEUE_HIGH */
 };
 
 void h1_alloc_read_buffer(uv_handle_t *, size_t, uv_buf_t *);
 void h1_stream_write(struct h1_stream *, const char *, size_t);
 void h1_stream_write_chunk(struct h1_stream *, const char *, size_t);
 
-/* How much of the present request has been read. */
+/* How much of the current request has been read. */
 enum h1_request_state {
-	H1_REQUEST_IDLE, /* no byte of a request has come */
+	H1_REQUEST_IDLE, /* no byte received */
 	H1_REQUEST_HEAD,
 	H1_REQUEST_BODY,
-	H1_REQUEST_READ /* the request is in, its answer isn't out */
+	H1_REQUEST_READ /* request complete, response not */
 };
 
-/* How much of its answer has been sent. */
+/* How much of its response has been sent. */
 enum h1_response_state {
 	H1_RESPONSE_NONE,
 	H1_RESPONSE_HEAD,
 	H1_RESPONSE_DONE
 };
 
-/* A caller's connection. */
+/* A connection from a caller. */
 struct h1_conn {
-	struct h1_stream stream; /* first, for libuv's handle */
+	struct h1_stream stream; /* first member: libuv's handle */
 	struct h1_server *server;
 	struct h1_conn *next, *prev;
 	http_parser parser;
@@ -58,16 +58,16 @@
 	void *user;
 	enum h1_request_state request_state;
 	enum h1_response_state response_state;
-	uint64_t state_since_ms; /* of the present state */
-	uint64_t body_received;
-	char *pipelined;
+	uint64_t state_since_ms; /* start of request_state or lingering */
+	uint64_t body_received;	 /* bytes */
+	char *pipelined;	 /* bytes received after the current request */
 	size_t pipelined_len;
 	uv_shutdown_t shutdown;
 	int keep_alive;
-	int response_chunked; /* the answer's body */
-	int parsing;
-	int lingering;
-	int request_open; /* the owner holds a request of this connection */
+	int response_chunked;
+	int parsing;	  /* inside http_parser_execute() */
+	int lingering;	  /* waiting for the caller to close */
+	int request_open; /* passed to the owner, response not ended */
 };
 
 void h1_conn_next_request(struct h1_conn *);
--- a/src/http1/server.c
+++ b/src/http1/server.c
@@ -7,8 +7,10 @@
 
 #define LISTEN_BACKLOG 1024
 #define TIMEOUT_CHECK_MS 250
-#define LINGER_MS 1000 /* for the peer to read an answer before a reset */
-#define PIPELINED_MAX_BYTES 16384 /* bytes kept of requests that must wait */
+#define LINGER_MS 1000		  /* for the caller to read a response */
+#define PIPELINED_MAX_BYTES 16384 /* buffered of waiting requests */
+
+/* Limits until a configuration sets them. */
 #define DEFAULT_MAX_HEAD_BYTES 16384
 #define DEFAULT_MAX_BODY_BYTES (64ULL << 20)
 #define DEFAULT_HEAD_TIMEOUT_MS 5000
@@ -42,8 +44,8 @@
 };
 
 /*
- * Listens at an address for requests, of which the owner hears through ops.
- * At most conn_max connections are kept.  Returns a libuv error or 0.
+ * Listens on an address and reports requests through ops.  At most conn_max
+ * connections are kept open.  Returns 0 or a libuv error.
  */
 int
 h1_server_init(struct h1_server *s, uv_loop_t *loop,
@@ -75,7 +77,7 @@
 }
 
 /*
- * From now on each answer ends its connection, and idle ones are closed.
+ * Starts draining: each further response closes its connection.
  */
 void
 h1_server_closing(struct h1_server *s)
@@ -84,7 +86,7 @@
 }
 
 /*
- * Accepts no more connections.
+ * Closes the listener, so that no more connections are accepted.
  */
 void
 h1_server_stop_accepting(struct h1_server *s)
@@ -96,8 +98,8 @@
 }
 
 /*
- * Closes the port and breaks off all connections.  The memory must stay until
- * the loop has let go of them.
+ * Closes the listener and all connections.  The memory of the server must
+ * stay valid until libuv has closed their handles.
  */
 void
 h1_server_finish(struct h1_server *s)
@@ -111,7 +113,7 @@
 }
 
 /*
- * Returns how many requests are not answered yet.
+ * Returns the number of requests that are not yet answered.
  */
 uint32_t
 h1_server_busy(const struct h1_server *s)
@@ -125,7 +127,8 @@
 }
 
 /*
- * Takes a new connection.
+ * Accepts a connection.  At the connection limit, closes the one that has
+ * been idle longest, or the new one if none is idle.
  */
 static void
 on_connection(uv_stream_t *listener, int status)
@@ -163,7 +166,7 @@
 }
 
 /*
- * Closes the connection that has been idle for longest.  Returns 0 if none
+ * Closes the connection that has been idle longest.  Returns 1, or 0 if none
  * is idle.
  */
 static int
@@ -183,7 +186,8 @@
 }
 
 /*
- * Closes idle connections and refuses heads that take too long.
+ * Closes connections past their idle or linger timeout, and rejects requests
+ * whose head takes too long.
  */
 static void
 on_timeout_check(uv_timer_t *timer)
@@ -211,7 +215,7 @@
 }
 
 /*
- * Frees a connection once libuv has let go of it.
+ * Frees a connection after libuv has closed its handle.
  */
 static void
 on_conn_closed(uv_handle_t *handle)
@@ -232,8 +236,8 @@
 }
 
 /*
- * Closes a connection.  The owner of an open request hears that the caller
- * is gone.
+ * Closes a connection.  The owner of an open request is notified that the
+ * caller disconnected.
  */
 void
 h1_conn_close(struct h1_conn *c)
@@ -249,8 +253,9 @@
 }
 
 /*
- * Ends the sending side and waits for the peer to read, since closing with
- * unread bytes would reset the connection under the answer.
+ * Shuts down the sending side and waits for the caller to close.  Closing
+ * with unread bytes would reset the connection before the caller has read the
+ * response.
  */
 static void
 conn_linger(struct h1_conn *c)
@@ -264,7 +269,8 @@
 }
 
 /*
- * Answers a request that can't be read, and ends the connection.
+ * Responds with an error to a request that can't be accepted, and closes the
+ * connection.
  */
 static void
 conn_reject(struct h1_conn *c, unsigned int status)
@@ -276,7 +282,8 @@
 }
 
 /*
- * Keeps bytes that came before the present request is answered.
+ * Buffers bytes received before the current request is answered.  Pauses
+ * reading when the buffer is full.
  */
 static void
 conn_buffer_pipelined(struct h1_conn *c, const char *p, size_t n)
@@ -296,7 +303,7 @@
 }
 
 /*
- * Gives bytes to the parser.
+ * Parses received bytes.
  */
 static void
 conn_parse(struct h1_conn *c, const char *p, size_t n)
@@ -316,7 +323,7 @@
 	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK && !c->parser.upgrade)
 		return;
 	if (c->request_state == H1_REQUEST_BODY && c->request_open) {
-		/* A body that breaks off: the request never was whole. */
+		/* The body is malformed, so the request is incomplete. */
 		h1_conn_close(c);
 		return;
 	}
@@ -324,7 +331,7 @@
 }
 
 /*
- * Goes on to the next request, if this one is read and answered.
+ * Starts the next request if the current one is read and answered.
  */
 void
 h1_conn_next_request(struct h1_conn *c)
@@ -358,7 +365,7 @@
 }
 
 /*
- * Takes bytes, or the end of the connection.
+ * Handles received bytes or the end of the connection.
  */
 void
 h1_conn_on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
@@ -380,7 +387,7 @@
 }
 
 /*
- * Tells the owner that it may write again.
+ * Notifies the owner that the write queue has drained.
  */
 static void
 on_stream_drained(struct h1_stream *stream)
@@ -392,7 +399,7 @@
 }
 
 /*
- * Begins a request.
+ * Starts a request.
  */
 static int
 on_message_begin(http_parser *parser)
@@ -407,7 +414,7 @@
 }
 
 /*
- * Takes a piece of the request target.
+ * Appends a piece of the request target.
  */
 static int
 on_url(http_parser *parser, const char *p, size_t n)
@@ -418,7 +425,7 @@
 }
 
 /*
- * Takes a piece of a field's name.
+ * Appends a piece of a field's name.
  */
 static int
 on_header_field(http_parser *parser, const char *p, size_t n)
@@ -426,12 +433,12 @@
 	struct h1_conn *c = parser->data;
 
 	if (c->request_state != H1_REQUEST_HEAD)
-		return 0; /* trailers are dropped */
+		return 0; /* ignore trailers */
 	return h1_builder_add_name(&c->builder, p, n);
 }
 
 /*
- * Takes a piece of a field's value.
+ * Appends a piece of a field's value.
  */
 static int
 on_header_value(http_parser *parser, const char *p, size_t n)
@@ -444,7 +451,8 @@
 }
 
 /*
- * Hands a whole head to the owner.
+ * Passes a complete request head to the owner.  Rejects upgrades, CONNECT and
+ * bodies over the limit.
  */
 static int
 on_headers_complete(http_parser *parser)
@@ -473,7 +481,8 @@
 }
 
 /*
- * Hands a piece of the body to the owner, unless it has answered already.
+ * Passes a piece of the body to the owner, unless the request is already
+ * answered.  Rejects bodies over the limit.
  */
 static int
 on_body(http_parser *parser, const char *p, size_t n)
@@ -491,7 +500,8 @@
 }
 
 /*
- * The request is in.  Parsing pauses until it is answered.
+ * Tells the owner that the request is complete, and pauses the parser until
+ * it is answered.
  */
 static int
 on_message_complete(http_parser *parser)
--- a/src/http1/stream.c
+++ b/src/http1/stream.c
@@ -7,7 +7,7 @@
 
 #define READ_BUFFER_BYTES 65536
 
-/* A write that the kernel didn't take at once, with its bytes behind it. */
+/* A queued write and a copy of its bytes. */
 struct queued_write {
 	uv_write_t req;
 	struct h1_stream *stream;
@@ -16,11 +16,14 @@
 
 static void on_written(uv_write_t *, int);
 
-/* The one loop reads into this and uses the bytes before it reads again. */
+/*
+ * Shared by all connections: there is one loop, and it processes the bytes of
+ * a read before the next read.
+ */
 static char read_buffer[READ_BUFFER_BYTES];
 
 /*
- * Gives libuv the common read buffer.
+ * Returns the shared read buffer to libuv.
  */
 void
 h1_alloc_read_buffer(uv_handle_t *handle, size_t hint, uv_buf_t *buf)
@@ -32,7 +35,8 @@
 }
 
 /*
- * Ends a queued write, and says so to the owner once the queue is short.
+ * Frees a completed write.  Calls on_drained when the queue has fallen from
+ * above H1_QUEUE_HIGH to at most half of it.
  */
 static void
 on_written(uv_write_t *req, int status)
@@ -41,7 +45,7 @@
 	struct h1_stream *s = p->stream;
 
 	free(p);
-	(void)status; /* a broken connection shows at the reading side */
+	(void)status; /* the read callback reports a broken connection */
 	if (s->closing || !s->above_high_water ||
 	    s->tcp.write_queue_size > H1_QUEUE_HIGH / 2)
 		return;
@@ -51,7 +55,8 @@
 }
 
 /*
- * Writes bytes, queueing what the kernel doesn't take now.
+ * Writes bytes.  Copies and queues those that the kernel doesn't accept
+ * immediately.
  */
 void
 h1_stream_write(struct h1_stream *s, const char *p, size_t n)
@@ -66,7 +71,8 @@
 		buf = uv_buf_init((char *)(uintptr_t)p, (unsigned int)n);
 		written = uv_try_write((uv_stream_t *)&s->tcp, &buf, 1);
 		if (written < 0)
-			written = 0; /* full, or broken, which reading shows */
+			written =
+			    0; /* full or broken; reads report the latter */
 		if ((size_t)written == n)
 			return;
 	}
@@ -88,7 +94,7 @@
 }
 
 /*
- * Writes one chunk of a chunked body; an empty one ends the body.
+ * Writes one chunk of a chunked body.  An empty chunk ends the body.
  */
 void
 h1_stream_write_chunk(struct h1_stream *s, const char *p, size_t n)
--- a/src/http1/test_http1.c
+++ b/src/http1/test_http1.c
@@ -11,30 +11,29 @@
 #include "http1/http1.h"
 
 /*
- * Both sides of the connection, each against raw bytes on loopback.  The
- * loop runs until what a case waits for has come; a case that hangs is ended
- * by the alarm.
+ * Tests the client and the server against raw bytes on loopback.  Each case
+ * runs the loop until the expected event; the alarm ends a case that hangs.
  */
 
 #define ALARM_S 20
 #define TEXT_MAX 70000
 
-/* How the stand-in ends its side after its bytes. */
+/* How the raw server closes the connection after sending its bytes. */
 enum close_mode {
 	CLOSE_NEVER,
 	CLOSE_ORDERLY,
 	CLOSE_RESET
 };
 
-/* What became of an exchange. */
+/* The result of an exchange. */
 struct outcome {
-	int result; /* 1: whole answer, 2: failed */
+	int result; /* 0: open, 1: complete response, 2: failed */
 	enum h1_fail fail;
 	unsigned int status;
 	int heads;
 	size_t body_len;
 	char body[64];
-	const char *skip_id; /* answers that bear this id are skipped */
+	const char *skip_id; /* skip responses whose Id has this value */
 };
 
 struct response_case {
@@ -43,11 +42,11 @@
 	enum close_mode close_mode;
 	int result;
 	enum h1_fail fail;
-	uint32_t idle_count; /* connections kept */
+	uint32_t idle_count; /* connections returned to the pool */
 	const char *body;
 };
 
-/* A server of raw bytes: answers what comes with fixed text. */
+/* A server that sends fixed bytes when it receives the first data. */
 struct raw_server {
 	uv_tcp_t listener;
 	uv_tcp_t conn;
@@ -207,52 +206,54 @@
 #define STATUS_LINE "HTTP/1.1 200 OK\r\n"
 
 static const struct response_case response_cases[] = {
-	{ "whole", STATUS_LINE "Content-Length: 2\r\n\r\nab", CLOSE_NEVER, 1, 0,
-	    1, "ab" },
-	{ "chunked",
+	{ "Content-Length", STATUS_LINE "Content-Length: 2\r\n\r\nab",
+	    CLOSE_NEVER, 1, 0, 1, "ab" },
+	{ "chunked body",
 	    STATUS_LINE
 	    "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 	    CLOSE_NEVER, 1, 0, 1, "ab" },
-	{ "told to close",
+	{ "Connection: close",
 	    STATUS_LINE "Connection: close\r\nContent-Length: 1\r\n\r\na",
 	    CLOSE_NEVER, 1, 0, 0, "a" },
-	{ "cut in the body", STATUS_LINE "Content-Length: 3\r\n\r\nab",
+	{ "truncated body", STATUS_LINE "Content-Length: 3\r\n\r\nab",
 	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
-	{ "cut in the head", "HTTP/1.1 200 O", CLOSE_ORDERLY, 2, H1_BROKEN, 0,
+	{ "truncated head", "HTTP/1.1 200 O", CLOSE_ORDERLY, 2, H1_BROKEN, 0,
 	    NULL },
-	{ "cut in a chunk",
+	{ "truncated chunk",
 	    STATUS_LINE "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
 	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
-	{ "cut before the last chunk",
+	{ "missing last chunk",
 	    STATUS_LINE "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
 	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
-	{ "no length, ended", STATUS_LINE "\r\nabc", CLOSE_ORDERLY, 1, 0, 0,
-	    "abc" },
+	{ "no length, orderly close", STATUS_LINE "\r\nabc", CLOSE_ORDERLY, 1,
+	    0, 0, "abc" },
 	{ "no length, reset", STATUS_LINE "\r\nabc", CLOSE_RESET, 2, H1_BROKEN,
 	    0, NULL },
-	{ "no answer", "", CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
-	{ "garbage", "\x01\x02 what\r\n\r\n", CLOSE_NEVER, 2, H1_MALFORMED, 0,
+	{ "closed without a response", "", CLOSE_ORDERLY, 2, H1_BROKEN, 0,
+	    NULL },
+	{ "not HTTP", "\x01\x02 what\r\n\r\n", CLOSE_NEVER, 2, H1_MALFORMED, 0,
 	    NULL },
-	{ "a second answer",
+	{ "two responses",
 	    STATUS_LINE "Content-Length: 1\r\n\r\na" STATUS_LINE
 			"Content-Length: 1\r\n\r\nb",
 	    CLOSE_NEVER, 1, 0, 0, "a" },
-	{ "interim answer",
+	{ "interim response",
 	    "HTTP/1.1 100 Continue\r\n\r\n" STATUS_LINE
 	    "Content-Length: 1\r\n\r\na",
 	    CLOSE_NEVER, 1, 0, 1, "a" },
-	{ "another request's answer before ours",
+	{ "skipped response before ours",
 	    STATUS_LINE "Id: old\r\nContent-Length: 3\r\n\r\nold" STATUS_LINE
 			"Id: new\r\nContent-Length: 3\r\n\r\nnew",
 	    CLOSE_NEVER, 1, 0, 1, "new" },
-	{ "both lengths",
+	{ "Content-Length and chunked",
 	    STATUS_LINE
 	    "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\na",
 	    CLOSE_NEVER, 2, H1_MALFORMED, 0, NULL },
 };
 
 /*
- * What a server sends is taken for what it is: whole, cut, or no answer.
+ * The client tells complete, truncated and malformed responses apart, and
+ * reuses a connection only after a complete response.
  */
 static void
 test_response_parsing(void **state)
@@ -296,7 +297,7 @@
 }
 
 /*
- * A port that nobody listens at has seen nothing of the request.
+ * A refused connection is reported as H1_NOT_SENT.
  */
 static void
 test_refused_connection_not_sent(void **state)
@@ -325,7 +326,7 @@
 		uv_run(&loop, UV_RUN_ONCE);
 }
 
-/* What the server under test saw, and a raw caller of it. */
+/* A server under test, its raw caller, and what both received. */
 struct caller {
 	uv_tcp_t conn;
 	uv_connect_t connect;
@@ -336,7 +337,7 @@
 	int closed; /* the server closed the connection */
 	int requests, disconnects;
 	size_t body_len;
-	int withhold_response; /* don't answer */
+	int withhold_response; /* don't respond */
 	int respond_early;
 };
 
@@ -444,43 +445,45 @@
 struct request_case {
 	const char *name;
 	const char *bytes;
-	const char *status; /* of the last answer */
+	const char *status; /* of the last response */
 	int requests;
-	int closed; /* the connection is closed after it */
+	int closed; /* the server closes the connection */
 };
 
 static const struct request_case request_cases[] = {
-	{ "plain", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", " 200 ", 1, 0 },
-	{ "two at once", "GET / HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+	{ "GET without a body", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", " 200 ", 1,
+	    0 },
+	{ "pipelined requests", "GET / HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
 	    " 200 ", 2, 0 },
-	{ "with a length", "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab",
-	    " 200 ", 1, 0 },
-	{ "in chunks",
+	{ "body with Content-Length",
+	    "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab", " 200 ", 1, 0 },
+	{ "chunked body",
 	    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 	    "2\r\nab\r\n0\r\n\r\n",
 	    " 200 ", 1, 0 },
-	{ "asks to close", "GET / HTTP/1.1\r\nConnection: close\r\n\r\n",
-	    " 200 ", 1, 1 },
-	{ "no request", "hello there\r\n\r\n", " 400 ", 0, 1 },
-	{ "both lengths",
+	{ "Connection: close request",
+	    "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", " 200 ", 1, 1 },
+	{ "not an HTTP request", "hello there\r\n\r\n", " 400 ", 0, 1 },
+	{ "Content-Length and chunked",
 	    "POST / HTTP/1.1\r\nContent-Length: 2\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	    " 400 ", 0, 1 },
-	{ "two lengths",
+	{ "two Content-Length fields",
 	    "POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n",
 	    " 400 ", 0, 1 },
-	{ "a length that is none",
+	{ "invalid Content-Length",
 	    "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\n", " 400 ", 0, 1 },
-	{ "another protocol",
+	{ "protocol upgrade",
 	    "GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
 	    " 400 ", 0, 1 },
-	{ "too long a body",
+	{ "body over the limit",
 	    "POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", " 413 ",
 	    0, 1 },
 };
 
 /*
- * What a caller sends is answered, or refused and the connection closed.
+ * Valid requests get a response.  Invalid ones are rejected and their
+ * connection is closed.
  */
 static void
 test_request_parsing(void **state)
@@ -505,7 +508,7 @@
 }
 
 /*
- * A head over the limit is refused with its own status.
+ * A head over the size limit is rejected with status 431.
  */
 static void
 test_oversized_head_rejected(void **state)
@@ -526,7 +529,7 @@
 }
 
 /*
- * A caller that leaves while its request is at work is noticed at once.
+ * The owner is notified when a caller disconnects before the response.
  */
 static void
 test_caller_disconnect_reported(void **state)
@@ -546,8 +549,8 @@
 }
 
 /*
- * An answer before the body is in leaves the rest of the body out of the next
- * request.
+ * After a response sent before the request body arrived, the server discards
+ * the body and doesn't parse it as the next request.
  */
 static void
 test_early_response_discards_body(void **state)
@@ -571,7 +574,7 @@
 }
 
 /*
- * A server that closes says so in its answers and ends their connections.
+ * A draining server sends Connection: close and closes the connection.
  */
 static void
 test_draining_closes_connections(void **state)
