member: names of private functions, constants and locals

Private names of announcements, the dump, the log thread, the service and the wire format were vague (report, run, begin, on_refused, own, every) or lacked a unit; they now name the action, the object and the unit. No code changed.

--- a/src/member/member_announce.c
+++ b/src/member/member_announce.c
@@ -33,23 +33,24 @@
 	FIELD_MAX
 };
 
-struct field {
+struct field_rule {
 	const char *name;
 	int required;
 	json_type type;
-	json_int_t low, high; /* of an integer */
-	size_t size;	      /* of a text, with the terminator */
+	json_int_t min, max; /* of an integer */
+	size_t size;	     /* of a text, with the terminator */
 };
 
-static void report(
+static void add_finding(
     struct finds *, enum announce_msg, const char *, const char *);
-static int text_printable(const char *);
-static int check_field(const json_t *, const struct field *, struct finds *);
+static int is_printable(const char *);
+static int check_field(
+    const json_t *, const struct field_rule *, struct finds *);
 static void check_unknown(json_t *, struct finds *);
-static void take_fields(
+static void parse_fields(
     const json_t *, struct member_announce *, struct finds *);
 
-static const struct find_msg msgs[MSG_MAX] = {
+static const struct find_msg finding_msgs[MSG_MAX] = {
 	[MSG_NOT_JSON] = { FIND_ERROR, "not JSON" },
 	[MSG_NOT_OBJECT] = { FIND_ERROR, "not an object" },
 	[MSG_MISSING] = { FIND_ERROR, "missing" },
@@ -60,7 +61,7 @@
 	[MSG_UNKNOWN] = { FIND_WARNING, "unknown field" },
 };
 
-static const struct field fields[FIELD_MAX] = {
+static const struct field_rule field_rules[FIELD_MAX] = {
 	[FIELD_SERVICE] = { "service", 1, JSON_STRING, 0, 0,
 	    MEMBER_SERVICE_TEXT },
 	[FIELD_PORT] = { "port", 1, JSON_INTEGER, 1, UINT16_MAX, 0 },
@@ -77,20 +78,20 @@
  * Adds a finding at a field.
  */
 static void
-report(struct finds *fs, enum announce_msg msg, const char *field,
+add_finding(struct finds *fs, enum announce_msg msg, const char *field,
     const char *detail)
 {
 	char place[64];
 
 	g_snprintf(place, sizeof(place), "/%s", field);
-	finds_add(fs, &msgs[msg], place, "%s", detail);
+	finds_add(fs, &finding_msgs[msg], place, "%s", detail);
 }
 
 /*
  * Tells whether a text has printable characters only, and no spaces.
  */
 static int
-text_printable(const char *s)
+is_printable(const char *s)
 {
 	for (; *s != '\0'; s++) {
 		if (!g_ascii_isgraph(*s))
@@ -103,31 +104,32 @@
  * Checks one field against its row.  Returns -1 if it can't be used.
  */
 static int
-check_field(const json_t *o, const struct field *f, struct finds *fs)
+check_field(const json_t *o, const struct field_rule *rule, struct finds *fs)
 {
-	const json_t *v = json_object_get(o, f->name);
+	const json_t *v = json_object_get(o, rule->name);
 	const char *s;
 
 	if (v == NULL) {
-		if (f->required)
-			report(fs, MSG_MISSING, f->name, "");
+		if (rule->required)
+			add_finding(fs, MSG_MISSING, rule->name, "");
 		return -1;
 	}
-	if (json_typeof(v) != f->type) {
-		report(fs, MSG_TYPE, f->name, "");
+	if (json_typeof(v) != rule->type) {
+		add_finding(fs, MSG_TYPE, rule->name, "");
 		return -1;
 	}
-	if (f->type == JSON_INTEGER && (json_integer_value(v) < f->low ||
-					   json_integer_value(v) > f->high)) {
-		report(fs, MSG_RANGE, f->name, "");
+	if (rule->type == JSON_INTEGER &&
+	    (json_integer_value(v) < rule->min ||
+		json_integer_value(v) > rule->max)) {
+		add_finding(fs, MSG_RANGE, rule->name, "");
 		return -1;
 	}
-	if (f->type != JSON_STRING)
+	if (rule->type != JSON_STRING)
 		return 0;
 	s = json_string_value(v);
 	if (json_string_length(v) != strlen(s) || s[0] == '\0' ||
-	    strlen(s) >= f->size || !text_printable(s)) {
-		report(fs, MSG_TEXT, f->name, "");
+	    strlen(s) >= rule->size || !is_printable(s)) {
+		add_finding(fs, MSG_TEXT, rule->name, "");
 		return -1;
 	}
 	return 0;
@@ -146,11 +148,11 @@
 	json_object_foreach(o, name, v)
 	{
 		for (i = 0; i < FIELD_MAX; i++) {
-			if (strcmp(fields[i].name, name) == 0)
+			if (strcmp(field_rules[i].name, name) == 0)
 				break;
 		}
 		if (i == FIELD_MAX)
-			report(fs, MSG_UNKNOWN, name, "");
+			add_finding(fs, MSG_UNKNOWN, name, "");
 	}
 }
 
@@ -158,38 +160,38 @@
  * Checks all fields and takes over those that are right.
  */
 static void
-take_fields(const json_t *o, struct member_announce *a, struct finds *fs)
+parse_fields(const json_t *o, struct member_announce *a, struct finds *fs)
 {
-	const char *text[FIELD_MAX] = { NULL };
-	json_int_t num[FIELD_MAX] = { 0 };
+	const char *strings[FIELD_MAX] = { NULL };
+	json_int_t integers[FIELD_MAX] = { 0 };
 	struct in_addr in = { 0 };
 	const json_t *v;
 	int i;
 
 	for (i = 0; i < FIELD_MAX; i++) {
-		if (check_field(o, &fields[i], fs) == -1)
+		if (check_field(o, &field_rules[i], fs) == -1)
 			continue;
-		v = json_object_get(o, fields[i].name);
-		text[i] = json_string_value(v);
-		num[i] = json_integer_value(v);
+		v = json_object_get(o, field_rules[i].name);
+		strings[i] = json_string_value(v);
+		integers[i] = json_integer_value(v);
 	}
-	if (text[FIELD_ADDRESS] != NULL &&
-	    inet_pton(AF_INET, text[FIELD_ADDRESS], &in) != 1)
-		report(fs, MSG_ADDRESS, fields[FIELD_ADDRESS].name,
-		    text[FIELD_ADDRESS]);
+	if (strings[FIELD_ADDRESS] != NULL &&
+	    inet_pton(AF_INET, strings[FIELD_ADDRESS], &in) != 1)
+		add_finding(fs, MSG_ADDRESS, field_rules[FIELD_ADDRESS].name,
+		    strings[FIELD_ADDRESS]);
 	a->addr = ntohl(in.s_addr);
-	a->port = (uint16_t)num[FIELD_PORT];
-	a->server.slots = (uint32_t)num[FIELD_SLOTS];
-	a->server.connections = (uint32_t)num[FIELD_CONNECTIONS];
-	a->server.load = (uint32_t)num[FIELD_LOAD];
-	if (text[FIELD_SERVICE] != NULL)
-		g_strlcpy(a->server.service, text[FIELD_SERVICE],
+	a->port = (uint16_t)integers[FIELD_PORT];
+	a->server.slots = (uint32_t)integers[FIELD_SLOTS];
+	a->server.connections = (uint32_t)integers[FIELD_CONNECTIONS];
+	a->server.load = (uint32_t)integers[FIELD_LOAD];
+	if (strings[FIELD_SERVICE] != NULL)
+		g_strlcpy(a->server.service, strings[FIELD_SERVICE],
 		    MEMBER_SERVICE_TEXT);
-	if (text[FIELD_HEALTH] != NULL)
-		g_strlcpy(a->health, text[FIELD_HEALTH], MEMBER_HEALTH_TEXT);
-	if (text[FIELD_INCARNATION] != NULL)
-		a->server.incarnation = XXH3_64bits(
-		    text[FIELD_INCARNATION], strlen(text[FIELD_INCARNATION]));
+	if (strings[FIELD_HEALTH] != NULL)
+		g_strlcpy(a->health, strings[FIELD_HEALTH], MEMBER_HEALTH_TEXT);
+	if (strings[FIELD_INCARNATION] != NULL)
+		a->server.incarnation = XXH3_64bits(strings[FIELD_INCARNATION],
+		    strlen(strings[FIELD_INCARNATION]));
 }
 
 /*
@@ -209,14 +211,14 @@
 		? NULL
 		: json_loadb(text, len, JSON_REJECT_DUPLICATES, &err);
 	if (len > ANNOUNCE_BYTES_MAX) {
-		finds_add(fs, &msgs[MSG_RANGE], "/", "%zu bytes", len);
+		finds_add(fs, &finding_msgs[MSG_RANGE], "/", "%zu bytes", len);
 	} else if (o == NULL) {
-		finds_add(fs, &msgs[MSG_NOT_JSON], "/", "line %d: %s", err.line,
-		    err.text);
+		finds_add(fs, &finding_msgs[MSG_NOT_JSON], "/", "line %d: %s",
+		    err.line, err.text);
 	} else if (!json_is_object(o)) {
-		finds_add(fs, &msgs[MSG_NOT_OBJECT], "/", "%s", "");
+		finds_add(fs, &finding_msgs[MSG_NOT_OBJECT], "/", "%s", "");
 	} else {
-		take_fields(o, a, fs);
+		parse_fields(o, a, fs);
 		check_unknown(o, fs);
 	}
 	json_decref(o);
@@ -230,7 +232,7 @@
  * another (both ms).
  */
 int
-member_announce_live(uint64_t last, uint64_t now)
+member_announce_live(uint64_t last_ms, uint64_t now_ms)
 {
-	return last != 0 && age_at(now, last) < MEMBER_ANNOUNCE_MS;
+	return last_ms != 0 && age_at(now_ms, last_ms) < MEMBER_ANNOUNCE_MS;
 }
--- a/src/member/member_dump.c
+++ b/src/member/member_dump.c
@@ -4,7 +4,7 @@
 #include "base/clock.h"
 #include "member/member_int.h"
 
-static void dump_one(FILE *, const struct member_info *, uint64_t);
+static void dump_member(FILE *, const struct member_info *, uint64_t);
 
 static const char *const state_names[MEMBER_STATE_MAX] = {
 	[MEMBER_ALIVE] = "alive",
@@ -42,7 +42,7 @@
  * Prints one member on a line.
  */
 static void
-dump_one(FILE *out, const struct member_info *m, uint64_t now)
+dump_member(FILE *out, const struct member_info *m, uint64_t now)
 {
 	char name[NODE_ID_TEXT];
 
@@ -81,6 +81,6 @@
 	    v->log_read_ms == 0 ? 0 : age_at(now, v->log_read_ms),
 	    member_fresh(v, now), v->config_version);
 	for (i = 0; i < v->len; i++)
-		dump_one(out, &v->list[i], now);
+		dump_member(out, &v->list[i], now);
 	rcu_read_unlock();
 }
--- a/src/member/member_log.c
+++ b/src/member/member_log.c
@@ -10,24 +10,27 @@
 #include "base/logline.h"
 #include "member/member_int.h"
 
-#define STREAM "members"
+#define STREAM_NAME "members"
 #define TAIL_RECORDS 64
-#define FRESH_MIN 5 /* hellos of living members that the log should have */
+#define LIVE_HELLOS_MIN \
+	5 /* hellos of living members that the log should have */
 #define LOG_TIMEOUT_MS 2000
-#define ALONE_MS 1000  /* between reads while this node knows nobody */
-#define CHECK_MS 30000 /* between reads otherwise, a hundred members */
-#define CHECK_MEMBERS 100
+#define NO_PEERS_READ_MS 1000 /* between reads while this node knows nobody */
+#define READ_INTERVAL_MS                                    \
+	30000 /* between reads otherwise, a hundred members \
+	       */
+#define READ_INTERVAL_MEMBERS 100
 #define HELLO_BYTES_MAX 1024
 
-static int text_field(const json_t *, const char *, char *, size_t);
-static int port_field(const json_t *, const char *, uint16_t *);
+static int copy_text_field(const json_t *, const char *, char *, size_t);
+static int read_port_field(const json_t *, const char *, uint16_t *);
 static int read_tail(struct member_service *, struct logsvc_batch *);
-static uint32_t take_hellos(
+static uint32_t add_hello_seeds(
     struct member_service *, const struct logsvc_batch *, int *);
 static void append_hello(struct member_service *, int *);
-static uint32_t others(struct member_service *);
+static uint32_t count_live_peers(struct member_service *);
 static int should_append(struct member_service *, uint32_t, int, int);
-static void pause_ms(struct member_service *, uint64_t);
+static void wait_or_stop(struct member_service *, uint64_t);
 
 /*
  * Formats the record by which a node is found, to be freed by the caller.
@@ -54,7 +57,7 @@
  * Copies a text field.  Returns -1 if it is missing or too long.
  */
 static int
-text_field(const json_t *o, const char *name, char *buf, size_t size)
+copy_text_field(const json_t *o, const char *name, char *buf, size_t size)
 {
 	const char *s = json_string_value(json_object_get(o, name));
 
@@ -68,7 +71,7 @@
  * Reads a port.  Returns -1 if it is missing or out of range.
  */
 static int
-port_field(const json_t *o, const char *name, uint16_t *port)
+read_port_field(const json_t *o, const char *name, uint16_t *port)
 {
 	json_int_t v = json_integer_value(json_object_get(o, name));
 
@@ -93,12 +96,13 @@
 	if (len > HELLO_BYTES_MAX)
 		return -1;
 	o = json_loadb(data, len, 0, NULL);
-	if (o != NULL && text_field(o, "address", addr, sizeof(addr)) == 0 &&
+	if (o != NULL &&
+	    copy_text_field(o, "address", addr, sizeof(addr)) == 0 &&
 	    inet_pton(AF_INET, addr, &in) == 1 && in.s_addr != 0 &&
-	    port_field(o, "rpc_port", &h->id.rpc_port) == 0 &&
-	    port_field(o, "peer_port", &h->peer_port) == 0 &&
-	    text_field(o, "domain", h->domain, sizeof(h->domain)) == 0 &&
-	    text_field(o, "incarnation", inc, sizeof(inc)) == 0) {
+	    read_port_field(o, "rpc_port", &h->id.rpc_port) == 0 &&
+	    read_port_field(o, "peer_port", &h->peer_port) == 0 &&
+	    copy_text_field(o, "domain", h->domain, sizeof(h->domain)) == 0 &&
+	    copy_text_field(o, "incarnation", inc, sizeof(inc)) == 0) {
 		h->id.addr = ntohl(in.s_addr);
 		h->id.incarnation = strtoull(inc, &end, 16);
 		rc = h->id.incarnation != 0 && *end == '\0' ? 0 : -1;
@@ -117,7 +121,7 @@
 	uint64_t from;
 
 	memset(b, 0, sizeof(*b));
-	if (log->read(log->ctx, STREAM, 0, 1, 0, LOG_TIMEOUT_MS, b) !=
+	if (log->read(log->ctx, STREAM_NAME, 0, 1, 0, LOG_TIMEOUT_MS, b) !=
 	    LOGSVC_OK)
 		return -1;
 	from = b->first;
@@ -125,7 +129,7 @@
 		from = b->next - TAIL_RECORDS;
 	logsvc_batch_finish(b);
 	memset(b, 0, sizeof(*b));
-	return log->read(log->ctx, STREAM, from, TAIL_RECORDS, 0,
+	return log->read(log->ctx, STREAM_NAME, from, TAIL_RECORDS, 0,
 		   LOG_TIMEOUT_MS, b) == LOGSVC_OK
 		   ? 0
 		   : -1;
@@ -136,11 +140,12 @@
  * a process that is alive, and sets *own if one names this node.
  */
 static uint32_t
-take_hellos(struct member_service *ms, const struct logsvc_batch *b, int *own)
+add_hello_seeds(
+    struct member_service *ms, const struct logsvc_batch *b, int *own_found)
 {
 	struct member_hello h;
 	struct member_slot *s;
-	uint32_t fresh = 0;
+	uint32_t live = 0;
 	size_t i;
 
 	pthread_mutex_lock(&ms->lock);
@@ -156,14 +161,14 @@
 			    ms->table, h.id.addr, h.id.rpc_port, 0);
 		else if (s->info.state == MEMBER_ALIVE &&
 			 nodeid_equal(&s->info.id, &h.id))
-			fresh++;
+			live++;
 		if (s != NULL &&
 		    member_handle(ms->table, s) == ms->table->self &&
 		    nodeid_equal(&s->info.id, &h.id))
-			*own = 1;
+			*own_found = 1;
 	}
 	pthread_mutex_unlock(&ms->lock);
-	return fresh;
+	return live;
 }
 
 /*
@@ -181,7 +186,7 @@
 	pthread_mutex_unlock(&ms->lock);
 	if (hello == NULL)
 		return;
-	st = ms->log->append(ms->log->ctx, STREAM, hello, strlen(hello),
+	st = ms->log->append(ms->log->ctx, STREAM_NAME, hello, strlen(hello),
 	    LOG_TIMEOUT_MS, &offset);
 	free(hello);
 	if (st == LOGSVC_OK)
@@ -194,7 +199,7 @@
  * Returns the number of other members that are alive.
  */
 static uint32_t
-others(struct member_service *ms)
+count_live_peers(struct member_service *ms)
 {
 	uint32_t n;
 
@@ -206,32 +211,33 @@
 
 /*
  * Tells whether to append a hello: once after the start, and again when the
- * log has few; then about FRESH_MIN of all members do so.
+ * log has few; then about LIVE_HELLOS_MIN of all members do so.
  */
 static int
-should_append(struct member_service *ms, uint32_t fresh, int own, int appended)
+should_append(
+    struct member_service *ms, uint32_t live, int own_found, int appended)
 {
-	uint32_t n = others(ms) + 1;
+	uint32_t n = count_live_peers(ms) + 1;
 
-	if (!own && !appended)
+	if (!own_found && !appended)
 		return 1;
-	if (fresh >= FRESH_MIN || fresh >= n || own)
+	if (live >= LIVE_HELLOS_MIN || live >= n || own_found)
 		return 0;
-	return rand_u64() % n < FRESH_MIN;
+	return rand_u64() % n < LIVE_HELLOS_MIN;
 }
 
 /*
  * Waits for some ms or until the service stops.
  */
 static void
-pause_ms(struct member_service *ms, uint64_t n)
+wait_or_stop(struct member_service *ms, uint64_t delay_ms)
 {
 	struct timespec ts;
 	int rc = 0;
 
 	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += (time_t)(n / 1000);
-	ts.tv_nsec += (long)(n % 1000) * 1000000;
+	ts.tv_sec += (time_t)(delay_ms / 1000);
+	ts.tv_nsec += (long)(delay_ms % 1000) * 1000000;
 	ts.tv_sec += ts.tv_nsec / 1000000000;
 	ts.tv_nsec %= 1000000000;
 	pthread_mutex_lock(&ms->lock);
@@ -250,24 +256,25 @@
 {
 	struct member_service *ms = arg;
 	struct logsvc_batch b;
-	int own, appended = 0, stopping = 0;
-	uint32_t fresh, n;
-	uint64_t every;
+	int own_found, appended = 0, stopping = 0;
+	uint32_t live, n;
+	uint64_t interval_ms;
 
 	while (!stopping) {
-		own = 0;
+		own_found = 0;
 		if (read_tail(ms, &b) == 0) {
-			fresh = take_hellos(ms, &b, &own);
-			if (should_append(ms, fresh, own, appended))
+			live = add_hello_seeds(ms, &b, &own_found);
+			if (should_append(ms, live, own_found, appended))
 				append_hello(ms, &appended);
 		}
 		logsvc_batch_finish(&b);
-		n = others(ms);
-		every =
-		    (uint64_t)CHECK_MS * MAX(n, CHECK_MEMBERS) / CHECK_MEMBERS;
-		if (n == 0 || !(own || appended))
-			every = ALONE_MS;
-		pause_ms(ms, every / 2 + rand_u64() % every);
+		n = count_live_peers(ms);
+		interval_ms = (uint64_t)READ_INTERVAL_MS *
+			      MAX(n, READ_INTERVAL_MEMBERS) /
+			      READ_INTERVAL_MEMBERS;
+		if (n == 0 || !(own_found || appended))
+			interval_ms = NO_PEERS_READ_MS;
+		wait_or_stop(ms, interval_ms / 2 + rand_u64() % interval_ms);
 		pthread_mutex_lock(&ms->lock);
 		stopping = ms->stopping;
 		pthread_mutex_unlock(&ms->lock);
--- a/src/member/member_service.c
+++ b/src/member/member_service.c
@@ -9,8 +9,8 @@
 #include "member/member_int.h"
 
 #define PROC_MESSAGE (RPC_BLOCK_MEMBER + 1)
-#define VIEW_GAP_MS 20	  /* between views while there are changes */
-#define VIEW_EVERY_MS 500 /* so that ages and loads stay current */
+#define VIEW_INTERVAL_MIN_MS 20	 /* between views while there are changes */
+#define VIEW_INTERVAL_MAX_MS 500 /* so that ages and loads stay current */
 
 /* An event to be reported once the lock is released. */
 struct pending_event {
@@ -19,20 +19,20 @@
 	uint64_t version;
 };
 
-static int handle_message(
+static int receive_message(
     void *, const struct sockaddr_in *, const void *, void *);
-static void port_send(
+static void send_message(
     void *, uint32_t, uint16_t, const struct member_message *);
-static uint64_t port_rand(void *);
-static void port_event(
+static uint64_t random_number(void *);
+static void queue_event(
     void *, enum member_event, const struct member_info *, uint64_t);
-static void on_refused(void *, const struct node_id *);
-static void free_view(struct rcu_head *);
-static void publish(struct member_service *, uint64_t);
-static void deliver(struct member_service *);
-static void wait_ms(struct member_service *, uint32_t);
-static void *run(void *);
-static uint64_t epoch_now(void);
+static void report_refused(void *, const struct node_id *);
+static void free_replaced_view(struct rcu_head *);
+static void publish_view(struct member_service *, uint64_t);
+static void deliver_events(struct member_service *);
+static void wait_wakeup(struct member_service *, uint32_t);
+static void *run_ticker(void *);
+static uint64_t wall_clock_ms(void);
 static void log_event(enum member_event, const struct member_info *);
 
 static const struct rpc_proc proc_message = {
@@ -41,7 +41,7 @@
 	.arg_size = sizeof(struct member_message),
 	.res_xdr = rpc_xdr_none,
 	.res_size = 0,
-	.handle = handle_message,
+	.handle = receive_message,
 };
 
 static const char *const event_names[MEMBER_EVENT_MAX] = {
@@ -56,7 +56,7 @@
  * Returns the wall clock in ms since 1970.
  */
 static uint64_t
-epoch_now(void)
+wall_clock_ms(void)
 {
 	struct timespec ts;
 
@@ -73,7 +73,8 @@
     const struct member_settings *settings, struct rpc_server *server,
     struct rpc_client *client, const struct logsvc *log)
 {
-	struct member_port port = { port_send, port_rand, port_event, ms };
+	struct member_port port = { send_message, random_number, queue_event,
+		ms };
 	uint64_t now = clock_ms();
 
 	memset(ms, 0, sizeof(*ms));
@@ -86,10 +87,10 @@
 	ms->table = calloc(1, sizeof(*ms->table));
 	if (ms->table == NULL)
 		abort();
-	member_table_init(ms->table, settings, &port, now, epoch_now());
+	member_table_init(ms->table, settings, &port, now, wall_clock_ms());
 	ms->view = member_view_build(ms->table, now, ms->generation++);
 	ms->built_ms = now;
-	rpc_client_on_refused(client, on_refused, ms);
+	rpc_client_on_refused(client, report_refused, ms);
 	rpc_server_register(server, &proc_message, 1, ms);
 	return 0;
 }
@@ -112,7 +113,7 @@
 int
 member_service_start(struct member_service *ms, GError **error)
 {
-	if (pthread_create(&ms->ticker, NULL, run, ms) != 0) {
+	if (pthread_create(&ms->ticker, NULL, run_ticker, ms) != 0) {
 		g_set_error(
 		    error, RPC_ERROR, RPC_ERROR_THREAD, "membership thread");
 		return -1;
@@ -161,7 +162,7 @@
  * Sends a message of the table's.
  */
 static void
-port_send(
+send_message(
     void *ctx, uint32_t addr, uint16_t port, const struct member_message *msg)
 {
 	struct member_service *ms = ctx;
@@ -174,7 +175,7 @@
  * Returns random bits for the table.
  */
 static uint64_t
-port_rand(void *ctx)
+random_number(void *ctx)
 {
 	(void)ctx;
 	return rand_u64();
@@ -184,7 +185,7 @@
  * Keeps an event of the table's until the lock is released.
  */
 static void
-port_event(void *ctx, enum member_event event, const struct member_info *info,
+queue_event(void *ctx, enum member_event event, const struct member_info *info,
     uint64_t version)
 {
 	struct member_service *ms = ctx;
@@ -202,7 +203,7 @@
  * Takes a message from the RPC server; there is never an answer.
  */
 static int
-handle_message(
+receive_message(
     void *ctx, const struct sockaddr_in *from, const void *arg, void *res)
 {
 	struct member_service *ms = ctx;
@@ -221,7 +222,7 @@
  * Notes that an address has no process.
  */
 static void
-on_refused(void *ctx, const struct node_id *to)
+report_refused(void *ctx, const struct node_id *to)
 {
 	struct member_service *ms = ctx;
 
@@ -234,7 +235,7 @@
  * Frees a view after a grace period.
  */
 static void
-free_view(struct rcu_head *head)
+free_replaced_view(struct rcu_head *head)
 {
 	member_view_free(caa_container_of(head, struct member_view, rcu));
 }
@@ -243,18 +244,19 @@
  * Replaces the view if it is out of date, with the lock held.
  */
 static void
-publish(struct member_service *ms, uint64_t now)
+publish_view(struct member_service *ms, uint64_t now)
 {
 	uint64_t age = age_at(now, ms->built_ms);
 	struct member_view *v, *old;
 
-	if (age < VIEW_GAP_MS || (!ms->table->dirty && age < VIEW_EVERY_MS))
+	if (age < VIEW_INTERVAL_MIN_MS ||
+	    (!ms->table->dirty && age < VIEW_INTERVAL_MAX_MS))
 		return;
 	v = member_view_build(ms->table, now, ms->generation++);
 	ms->table->dirty = 0;
 	ms->built_ms = now;
 	old = rcu_xchg_pointer(&ms->view, v);
-	call_rcu(&old->rcu, free_view);
+	call_rcu(&old->rcu, free_replaced_view);
 }
 
 /*
@@ -275,7 +277,7 @@
  * Reports all events that wait, with the lock held but for the calls.
  */
 static void
-deliver(struct member_service *ms)
+deliver_events(struct member_service *ms)
 {
 	struct pending_event *pe;
 
@@ -295,12 +297,12 @@
  * Waits until woken or for some ms, with the lock held.
  */
 static void
-wait_ms(struct member_service *ms, uint32_t n)
+wait_wakeup(struct member_service *ms, uint32_t timeout_ms)
 {
 	struct timespec ts;
 
 	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_nsec += (long)n * 1000000;
+	ts.tv_nsec += (long)timeout_ms * 1000000;
 	ts.tv_sec += ts.tv_nsec / 1000000000;
 	ts.tv_nsec %= 1000000000;
 	pthread_cond_clockwait(&ms->wake, &ms->lock, CLOCK_MONOTONIC, &ts);
@@ -310,7 +312,7 @@
  * Ticks the table, publishes views and reports events until stopped.
  */
 static void *
-run(void *arg)
+run_ticker(void *arg)
 {
 	struct member_service *ms = arg;
 	uint64_t now;
@@ -321,10 +323,10 @@
 		now = clock_ms();
 		if (now >= ms->table->last_tick_ms + MEMBER_TICK_MS)
 			member_table_tick(ms->table, now);
-		publish(ms, now);
-		deliver(ms);
-		wait_ms(
-		    ms, ms->table->dirty ? VIEW_GAP_MS / 4 : MEMBER_TICK_MS);
+		publish_view(ms, now);
+		deliver_events(ms);
+		wait_wakeup(ms, ms->table->dirty ? VIEW_INTERVAL_MIN_MS / 4
+						 : MEMBER_TICK_MS);
 	}
 	pthread_mutex_unlock(&ms->lock);
 	rcu_unregister_thread();
@@ -390,10 +392,10 @@
  * Notes a read of the log that was sent at this time (ms) and succeeded.
  */
 void
-member_set_log_read(struct member_service *ms, uint64_t sent)
+member_set_log_read(struct member_service *ms, uint64_t sent_ms)
 {
 	pthread_mutex_lock(&ms->lock);
-	member_note_log_read(ms->table, sent);
+	member_note_log_read(ms->table, sent_ms);
 	pthread_mutex_unlock(&ms->lock);
 }
 
--- a/src/member/member_wire.c
+++ b/src/member/member_wire.c
@@ -6,10 +6,10 @@
 #include "member/member_int.h"
 
 /* Bytes of the parts of a message that don't vary, as XDR encodes them. */
-#define MESSAGE_BYTES 48
-#define ENTRY_BYTES 64
+#define MESSAGE_FIXED_BYTES 48
+#define ENTRY_FIXED_BYTES 64
 #define STATUS_BYTES 20
-#define SERVER_BYTES 28
+#define SERVER_FIXED_BYTES 28
 
 /* A message being put together, with the memory that it points to. */
 struct draft {
@@ -27,17 +27,17 @@
 static size_t entry_bytes(const struct member_entry *);
 static int add_status(struct draft *, const struct member_slot *);
 static int add_entry(uint64_t, struct draft *, struct member_slot *);
-static void begin(
+static void begin_draft(
     struct member_table *, uint64_t, struct draft *, member_kind, uint32_t);
-static struct member_slot *least_told(struct member_table *);
-static void add_queued(struct member_table *, uint64_t, struct draft *);
-static void add_old(struct member_table *, uint64_t, struct draft *);
-static void add_about(
+static struct member_slot *find_least_sent(struct member_table *);
+static void add_queued_changes(struct member_table *, uint64_t, struct draft *);
+static void add_next_entry(struct member_table *, uint64_t, struct draft *);
+static void add_receiver_entry(
     struct member_table *, uint64_t, struct draft *, const struct node_id *);
 static void send_draft(
     struct member_table *, struct draft *, const struct node_id *);
-static uint32_t bucket_of(const struct member_info *);
-static void digest(const struct member_table *, u_int *);
+static uint32_t digest_bucket(const struct member_info *);
+static void compute_digests(const struct member_table *, u_int *);
 
 /*
  * Puts a member's change among those to be told.  When there are many, each
@@ -46,23 +46,25 @@
  */
 void
 member_queue(
-    struct member_table *t, struct member_slot *s, enum member_tell tell)
+    struct member_table *t, struct member_slot *s, enum member_tell priority)
 {
-	uint32_t all = member_tells(t), told;
-	const uint32_t wants[MEMBER_TELL_MAX] = {
+	uint32_t sends_max = member_tells(t), sends_done;
+	const uint32_t sends_wanted[MEMBER_TELL_MAX] = {
 		[MEMBER_TELL_FEW] = MEMBER_FEW_TELLS,
-		[MEMBER_TELL_SOME] = all / MEMBER_TELL_FACTOR,
-		[MEMBER_TELL_ALL] = all,
-		[MEMBER_TELL_URGENT] = all,
+		[MEMBER_TELL_SOME] = sends_max / MEMBER_TELL_FACTOR,
+		[MEMBER_TELL_ALL] = sends_max,
+		[MEMBER_TELL_URGENT] = sends_max,
 	};
 
 	if (t->paging)
-		tell = MEMBER_TELL_FEW;
-	else if (t->queue_len > MEMBER_QUEUE_LONG && tell > MEMBER_TELL_FEW &&
-		 tell < MEMBER_TELL_URGENT)
-		tell--;
-	told = all > wants[tell] ? all - wants[tell] : 0;
-	s->told = s->queued ? MIN(s->told, told) : told;
+		priority = MEMBER_TELL_FEW;
+	else if (t->queue_len > MEMBER_QUEUE_LONG &&
+		 priority > MEMBER_TELL_FEW && priority < MEMBER_TELL_URGENT)
+		priority--;
+	sends_done = sends_max > sends_wanted[priority]
+			 ? sends_max - sends_wanted[priority]
+			 : 0;
+	s->told = s->queued ? MIN(s->told, sends_done) : sends_done;
 	if (s->queued)
 		return;
 	s->queued = 1;
@@ -94,9 +96,9 @@
 fill_entry(uint64_t now, struct member_slot *s, struct member_entry *e,
     struct member_server_entry *sv)
 {
-	static char none[] = "";
+	static char empty[] = "";
 	struct member_info *m = &s->info;
-	int up = m->state == MEMBER_ALIVE;
+	int alive = m->state == MEMBER_ALIVE;
 
 	e->name.addr = m->id.addr;
 	e->name.port = m->id.rpc_port;
@@ -107,11 +109,11 @@
 	e->seq = m->seq;
 	e->rev = m->rev;
 	e->age_s = (u_int)(age_at(now, m->since_ms) / 1000);
-	e->domain = up ? m->domain : none;
-	e->region = up ? m->region : none;
+	e->domain = alive ? m->domain : empty;
+	e->region = alive ? m->region : empty;
 	e->config_version = m->config_version;
 	e->server = NULL;
-	if (!up || m->server.state == MEMBER_SERVER_NONE)
+	if (!alive || m->server.state == MEMBER_SERVER_NONE)
 		return;
 	e->server = sv;
 	sv->state = m->server.state;
@@ -128,11 +130,11 @@
 static size_t
 entry_bytes(const struct member_entry *e)
 {
-	size_t n = ENTRY_BYTES;
+	size_t n = ENTRY_FIXED_BYTES;
 
 	n += RNDUP(strlen(e->domain)) + RNDUP(strlen(e->region));
 	if (e->server != NULL)
-		n += SERVER_BYTES + RNDUP(strlen(e->server->service));
+		n += SERVER_FIXED_BYTES + RNDUP(strlen(e->server->service));
 	return n;
 }
 
@@ -180,8 +182,8 @@
  * Begins a message with what all of them carry.
  */
 static void
-begin(struct member_table *t, uint64_t now, struct draft *d, member_kind kind,
-    uint32_t nonce)
+begin_draft(struct member_table *t, uint64_t now, struct draft *d,
+    member_kind kind, uint32_t nonce)
 {
 	uint64_t age = age_at(now, t->log_read_ms);
 
@@ -199,7 +201,7 @@
 	d->msg.digests.digests_val = d->digests;
 	fill_entry(now, &t->slots[t->self], &d->msg.self,
 	    &d->servers[MEMBER_ENTRIES_MAX]);
-	d->bytes = MESSAGE_BYTES + entry_bytes(&d->msg.self);
+	d->bytes = MESSAGE_FIXED_BYTES + entry_bytes(&d->msg.self);
 	d->limit = MEMBER_MESSAGE_BYTES;
 	if (t->gossip_budget < 0 && kind != MEMBER_PAGE)
 		d->limit = MEMBER_MESSAGE_LOW;
@@ -211,7 +213,7 @@
  * or returns NULL.
  */
 static struct member_slot *
-least_told(struct member_table *t)
+find_least_sent(struct member_table *t)
 {
 	struct member_slot *s, *best = NULL;
 	uint32_t i;
@@ -230,13 +232,13 @@
  * no more.  Every message has this node's own entry anyway.
  */
 static void
-add_queued(struct member_table *t, uint64_t now, struct draft *d)
+add_queued_changes(struct member_table *t, uint64_t now, struct draft *d)
 {
 	struct member_slot *s;
 	uint32_t h;
 	int added;
 
-	while ((s = least_told(t)) != NULL) {
+	while ((s = find_least_sent(t)) != NULL) {
 		h = member_handle(t, s);
 		added = h == t->self ||
 			(s->full ? add_entry(now, d, s) : add_status(d, s));
@@ -253,7 +255,7 @@
  * nodes agree in the end whatever was lost.
  */
 static void
-add_old(struct member_table *t, uint64_t now, struct draft *d)
+add_next_entry(struct member_table *t, uint64_t now, struct draft *d)
 {
 	struct member_slot *s;
 	uint32_t i;
@@ -274,7 +276,7 @@
  * refute it.
  */
 static void
-add_about(struct member_table *t, uint64_t now, struct draft *d,
+add_receiver_entry(struct member_table *t, uint64_t now, struct draft *d,
     const struct node_id *to)
 {
 	struct member_slot *s = member_find(t, to->addr, to->rpc_port);
@@ -314,11 +316,11 @@
 {
 	struct draft d;
 
-	begin(t, now, &d, kind, nonce);
-	add_about(t, now, &d, to);
-	add_queued(t, now, &d);
+	begin_draft(t, now, &d, kind, nonce);
+	add_receiver_entry(t, now, &d, to);
+	add_queued_changes(t, now, &d);
 	if (kind == MEMBER_PING)
-		add_old(t, now, &d);
+		add_next_entry(t, now, &d);
 	send_draft(t, &d, to);
 }
 
@@ -331,8 +333,8 @@
 {
 	struct draft d;
 
-	begin(t, now, &d, MEMBER_PING, nonce);
-	add_about(t, now, &d, to);
+	begin_draft(t, now, &d, MEMBER_PING, nonce);
+	add_receiver_entry(t, now, &d, to);
 	send_draft(t, &d, to);
 }
 
@@ -345,7 +347,7 @@
 {
 	struct draft d;
 
-	begin(t, now, &d, MEMBER_PING_REQ, nonce);
+	begin_draft(t, now, &d, MEMBER_PING_REQ, nonce);
 	d.msg.target_addr = target->addr;
 	d.msg.target_port = target->rpc_port;
 	send_draft(t, &d, helper);
@@ -355,7 +357,7 @@
  * Returns the bucket of digests that a member belongs to.
  */
 static uint32_t
-bucket_of(const struct member_info *m)
+digest_bucket(const struct member_info *m)
 {
 	uint64_t key = (uint64_t)m->id.addr << 16 | m->id.rpc_port;
 
@@ -368,7 +370,7 @@
  * (load, suspicion, age) stays out.
  */
 static void
-digest(const struct member_table *t, u_int *out)
+compute_digests(const struct member_table *t, u_int *out)
 {
 	const struct member_slot *s;
 	uint64_t in[3];
@@ -382,7 +384,8 @@
 		in[0] = (uint64_t)s->info.id.addr << 16 | s->info.id.rpc_port;
 		in[1] = s->info.id.incarnation;
 		in[2] = s->info.rev;
-		out[bucket_of(&s->info)] ^= (u_int)XXH3_64bits(in, sizeof(in));
+		out[digest_bucket(&s->info)] ^=
+		    (u_int)XXH3_64bits(in, sizeof(in));
 	}
 }
 
@@ -396,11 +399,11 @@
 {
 	struct draft d;
 
-	begin(t, now, &d, kind, 0);
-	digest(t, d.digests);
+	begin_draft(t, now, &d, kind, 0);
+	compute_digests(t, d.digests);
 	d.msg.digests.digests_len = MEMBER_DIGESTS;
 	d.bytes += sizeof(d.digests);
-	add_about(t, now, &d, to);
+	add_receiver_entry(t, now, &d, to);
 	send_draft(t, &d, to);
 }
 
@@ -422,12 +425,12 @@
 
 	if (msg->digests.digests_len != MEMBER_DIGESTS)
 		return;
-	digest(t, own);
-	begin(t, now, &d, MEMBER_PAGE, 0);
+	compute_digests(t, own);
+	begin_draft(t, now, &d, MEMBER_PAGE, 0);
 	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
 	for (i = 0; i < t->slots_len; i++) {
 		s = &t->slots[(start + i) % t->slots_len];
-		b = bucket_of(&s->info);
+		b = digest_bucket(&s->info);
 		if (!s->used || s->info.state == MEMBER_LEFT ||
 		    own[b] == msg->digests.digests_val[b])
 			continue;
@@ -436,7 +439,7 @@
 		send_draft(t, &d, &to);
 		if (++pages == MEMBER_SYNC_PAGES || t->page_budget < 0)
 			return;
-		begin(t, now, &d, MEMBER_PAGE, 0);
+		begin_draft(t, now, &d, MEMBER_PAGE, 0);
 		add_entry(now, &d, s);
 	}
 	if (d.msg.entries.entries_len > 0)
