member: plain comments of announcements, log, service, wire

Comments spoke of telling, news and hearing, left out who acts, or named a unit only in passing; they now say what each function does, who calls it under which lock, and why. Two thread errors now say that the thread couldn't be created.

--- a/src/member/member_announce.c
+++ b/src/member/member_announce.c
@@ -37,8 +37,8 @@
 	const char *name;
 	int required;
 	json_type type;
-	json_int_t min, max; /* of an integer */
-	size_t size;	     /* of a text, with the terminator */
+	json_int_t min, max; /* bounds of an integer */
+	size_t size;	     /* of a string, with the terminator */
 };
 
 static void add_finding(
@@ -75,7 +75,7 @@
 };
 
 /*
- * Adds a finding at a field.
+ * Adds a finding about a field.
  */
 static void
 add_finding(struct finds *fs, enum announce_msg msg, const char *field,
@@ -88,7 +88,8 @@
 }
 
 /*
- * Tells whether a text has printable characters only, and no spaces.
+ * Returns whether a string consists of printable ASCII characters other
+ * than the space.
  */
 static int
 is_printable(const char *s)
@@ -101,7 +102,7 @@
 }
 
 /*
- * Checks one field against its row.  Returns -1 if it can't be used.
+ * Checks one field against its rule.  Returns -1 if it is absent or invalid.
  */
 static int
 check_field(const json_t *o, const struct field_rule *rule, struct finds *fs)
@@ -136,7 +137,7 @@
 }
 
 /*
- * Warns of every field that no row describes.
+ * Adds a warning for every field that has no rule.
  */
 static void
 check_unknown(json_t *o, struct finds *fs)
@@ -157,7 +158,7 @@
 }
 
 /*
- * Checks all fields and takes over those that are right.
+ * Checks all fields and stores the valid ones in the announcement.
  */
 static void
 parse_fields(const json_t *o, struct member_announce *a, struct finds *fs)
@@ -195,9 +196,9 @@
 }
 
 /*
- * Parses a backend server's announcement.  All findings are collected;
- * returns -1 if there are errors among them, and the announcement is then
- * not to be used.  Its incarnation becomes a hash of the text announced.
+ * Parses a backend server's announcement and adds all findings.  Returns -1
+ * if the findings include an error; the announcement must not be used then.
+ * The server's incarnation is the hash of the announced incarnation text.
  */
 int
 member_announce_parse(
@@ -228,8 +229,8 @@
 }
 
 /*
- * Tells whether an announcement last repeated at one time still holds at
- * another (both ms).
+ * Returns whether an announcement that was last received at last_ms is still
+ * valid at now_ms.  0 for last_ms means that none was received.
  */
 int
 member_announce_live(uint64_t last_ms, uint64_t now_ms)
--- a/src/member/member_dump.c
+++ b/src/member/member_dump.c
@@ -39,7 +39,7 @@
 }
 
 /*
- * Prints one member on a line.
+ * Prints one line that describes a member.
  */
 static void
 dump_member(FILE *out, const struct member_info *m, uint64_t now)
@@ -62,8 +62,8 @@
 }
 
 /*
- * Prints what this node knows of all members.  The thread must be registered
- * with RCU.
+ * Prints this node's current view of the members.  The calling thread must
+ * be registered with RCU.
  */
 void
 member_dump(struct member_service *ms, FILE *out)
--- a/src/member/member_log.c
+++ b/src/member/member_log.c
@@ -12,13 +12,10 @@
 
 #define STREAM_NAME "members"
 #define TAIL_RECORDS 64
-#define LIVE_HELLOS_MIN \
-	5 /* hellos of living members that the log should have */
+#define LIVE_HELLOS_MIN 5 /* in the tail of the log */
 #define LOG_TIMEOUT_MS 2000
-#define NO_PEERS_READ_MS 1000 /* between reads while this node knows nobody */
-#define READ_INTERVAL_MS                                    \
-	30000 /* between reads otherwise, a hundred members \
-	       */
+#define NO_PEERS_READ_MS 1000  /* without live peers or an own hello */
+#define READ_INTERVAL_MS 30000 /* between reads with up to 100 members */
 #define READ_INTERVAL_MEMBERS 100
 #define HELLO_BYTES_MAX 1024
 
@@ -33,7 +30,8 @@
 static void wait_or_stop(struct member_service *, uint64_t);
 
 /*
- * Formats the record by which a node is found, to be freed by the caller.
+ * Formats a hello: the log record from which other nodes learn this node's
+ * address.  The caller frees it.
  */
 char *
 member_hello_format(const struct member_info *m)
@@ -54,7 +52,7 @@
 }
 
 /*
- * Copies a text field.  Returns -1 if it is missing or too long.
+ * Copies a string field.  Returns -1 if it is missing or too long.
  */
 static int
 copy_text_field(const json_t *o, const char *name, char *buf, size_t size)
@@ -68,7 +66,7 @@
 }
 
 /*
- * Reads a port.  Returns -1 if it is missing or out of range.
+ * Reads a port field.  Returns -1 if it is missing or out of range.
  */
 static int
 read_port_field(const json_t *o, const char *name, uint16_t *port)
@@ -82,7 +80,7 @@
 }
 
 /*
- * Parses a record of the stream of members.  Returns -1 if it is no hello.
+ * Parses a record of the members stream.  Returns -1 if it isn't a hello.
  */
 int
 member_hello_parse(const char *data, size_t len, struct member_hello *h)
@@ -112,7 +110,7 @@
 }
 
 /*
- * Reads the last records of the stream.  Returns -1 on failure.
+ * Reads the last records of the members stream.  Returns -1 on failure.
  */
 static int
 read_tail(struct member_service *ms, struct logsvc_batch *b)
@@ -136,8 +134,9 @@
 }
 
 /*
- * Takes the addresses of unknown members from hellos.  Returns how many name
- * a process that is alive, and sets *own if one names this node.
+ * Adds the addresses of unknown members in a batch of hellos as seeds.
+ * Returns the number of hellos of live processes, and sets *own_found if one
+ * of the hellos is this node's.
  */
 static uint32_t
 add_hello_seeds(
@@ -172,7 +171,8 @@
 }
 
 /*
- * Appends this node's hello.  If the answer was lost the next read tells.
+ * Appends this node's hello to the log and sets *appended on success.  If the
+ * answer is lost, the next read shows whether the record was appended.
  */
 static void
 append_hello(struct member_service *ms, int *appended)
@@ -196,7 +196,7 @@
 }
 
 /*
- * Returns the number of other members that are alive.
+ * Returns the number of live members other than this node.
  */
 static uint32_t
 count_live_peers(struct member_service *ms)
@@ -210,8 +210,10 @@
 }
 
 /*
- * Tells whether to append a hello: once after the start, and again when the
- * log has few; then about LIVE_HELLOS_MIN of all members do so.
+ * Returns whether to append a hello.  A node appends one after its start, and
+ * another when the log's tail has fewer hellos of live members than wanted.
+ * In that case each node appends with a probability that makes LIVE_HELLOS_MIN
+ * nodes append on average.
  */
 static int
 should_append(
@@ -227,7 +229,7 @@
 }
 
 /*
- * Waits for some ms or until the service stops.
+ * Waits for delay_ms or until the service stops.
  */
 static void
 wait_or_stop(struct member_service *ms, uint64_t delay_ms)
@@ -248,8 +250,9 @@
 }
 
 /*
- * Reads the stream of members for addresses, and keeps a few hellos in it
- * for those that start later.  All nodes together read at a bounded rate.
+ * Thread that reads member addresses from the log and appends a hello where
+ * the log has too few, for nodes that start later.  The read interval grows
+ * with the number of members, which bounds the read rate of all nodes.
  */
 void *
 member_log_thread(void *arg)
--- a/src/member/member_service.c
+++ b/src/member/member_service.c
@@ -9,10 +9,10 @@
 #include "member/member_int.h"
 
 #define PROC_MESSAGE (RPC_BLOCK_MEMBER + 1)
-#define VIEW_INTERVAL_MIN_MS 20	 /* between views while there are changes */
-#define VIEW_INTERVAL_MAX_MS 500 /* so that ages and loads stay current */
+#define VIEW_INTERVAL_MIN_MS 20	 /* between views while the table changes */
+#define VIEW_INTERVAL_MAX_MS 500 /* updates ages and loads in an idle table */
 
-/* An event to be reported once the lock is released. */
+/* An event that is reported after the lock has been released. */
 struct pending_event {
 	enum member_event event;
 	struct member_info info;
@@ -53,7 +53,7 @@
 };
 
 /*
- * Returns the wall clock in ms since 1970.
+ * Returns the wall clock time in ms since 1970.
  */
 static uint64_t
 wall_clock_ms(void)
@@ -65,8 +65,9 @@
 }
 
 /*
- * Prepares membership and registers its procedure, so the RPC server must
- * not have started yet.  The log may be NULL: then only seeds are used.
+ * Initializes membership and registers its RPC procedure.  Must be called
+ * before the RPC server starts.  Without a log (NULL), the node finds members
+ * through its seeds only.
  */
 int
 member_service_init(struct member_service *ms,
@@ -96,8 +97,8 @@
 }
 
 /*
- * Sets what is called for every event, by the service's own thread and with
- * no lock held.  To be set before the start.
+ * Sets the callback for events.  The service's thread calls it without
+ * holding a lock.  Must be called before member_service_start().
  */
 void
 member_service_on_event(
@@ -108,14 +109,15 @@
 }
 
 /*
- * Starts the threads for probes and for the log.
+ * Starts the probe thread and, if there is a log, the log thread.  Returns -1
+ * and sets the error on failure.
  */
 int
 member_service_start(struct member_service *ms, GError **error)
 {
 	if (pthread_create(&ms->ticker, NULL, run_ticker, ms) != 0) {
-		g_set_error(
-		    error, RPC_ERROR, RPC_ERROR_THREAD, "membership thread");
+		g_set_error(error, RPC_ERROR, RPC_ERROR_THREAD,
+		    "cannot create the membership thread");
 		return -1;
 	}
 	ms->running = 1;
@@ -123,7 +125,7 @@
 		return 0;
 	if (pthread_create(&ms->logger, NULL, member_log_thread, ms) != 0) {
 		g_set_error(error, RPC_ERROR, RPC_ERROR_THREAD,
-		    "membership log thread");
+		    "cannot create the membership log thread");
 		return -1;
 	}
 	ms->logging = 1;
@@ -131,9 +133,9 @@
 }
 
 /*
- * Ends the threads and frees everything.  The RPC server must have been
- * finished before, the RPC client is finished after, and no reader may hold
- * a view.
+ * Stops the threads and frees all memory.  The caller finishes the RPC server
+ * before this call and the RPC client after it.  No reader may still use a
+ * view.
  */
 void
 member_service_finish(struct member_service *ms)
@@ -159,7 +161,7 @@
 }
 
 /*
- * Sends a message of the table's.
+ * Sends a message for the table.
  */
 static void
 send_message(
@@ -172,7 +174,7 @@
 }
 
 /*
- * Returns random bits for the table.
+ * Returns a random number for the table.
  */
 static uint64_t
 random_number(void *ctx)
@@ -182,7 +184,7 @@
 }
 
 /*
- * Keeps an event of the table's until the lock is released.
+ * Queues an event of the table until the lock is released.
  */
 static void
 queue_event(void *ctx, enum member_event event, const struct member_info *info,
@@ -200,7 +202,8 @@
 }
 
 /*
- * Takes a message from the RPC server; there is never an answer.
+ * Passes a received message to the table.  Always returns -1, so the RPC
+ * server sends no reply.
  */
 static int
 receive_message(
@@ -219,7 +222,8 @@
 }
 
 /*
- * Notes that an address has no process.
+ * Tells the table that an address refused a message, so no process listens
+ * there.
  */
 static void
 report_refused(void *ctx, const struct node_id *to)
@@ -232,7 +236,7 @@
 }
 
 /*
- * Frees a view after a grace period.
+ * Frees a replaced view after an RCU grace period.
  */
 static void
 free_replaced_view(struct rcu_head *head)
@@ -241,7 +245,7 @@
 }
 
 /*
- * Replaces the view if it is out of date, with the lock held.
+ * Replaces the view if it is out of date.  The caller holds the lock.
  */
 static void
 publish_view(struct member_service *ms, uint64_t now)
@@ -260,7 +264,7 @@
 }
 
 /*
- * Writes a line about an event.
+ * Logs an event.
  */
 static void
 log_event(enum member_event event, const struct member_info *m)
@@ -274,7 +278,8 @@
 }
 
 /*
- * Reports all events that wait, with the lock held but for the calls.
+ * Reports all queued events.  The caller holds the lock, which is released
+ * while an event is reported.
  */
 static void
 deliver_events(struct member_service *ms)
@@ -294,7 +299,7 @@
 }
 
 /*
- * Waits until woken or for some ms, with the lock held.
+ * Waits for a wakeup or for timeout_ms.  The caller holds the lock.
  */
 static void
 wait_wakeup(struct member_service *ms, uint32_t timeout_ms)
@@ -309,7 +314,8 @@
 }
 
 /*
- * Ticks the table, publishes views and reports events until stopped.
+ * Thread that runs the table's timers, publishes views and reports events
+ * until the service stops.
  */
 static void *
 run_ticker(void *arg)
@@ -334,8 +340,9 @@
 }
 
 /*
- * Sets what this node tells of its backend server.  A change spreads at
- * once; one of the load alone goes out with the messages sent anyway.
+ * Sets the state of the local backend server that this node reports to its
+ * peers.  A change is sent at once.  A change of the load alone is sent only
+ * with messages that are due anyway.
  */
 void
 member_set_server(struct member_service *ms, const struct member_server *sv)
@@ -356,8 +363,8 @@
 }
 
 /*
- * Sets the load of the local backend server, in thousandths.  It goes out
- * with the messages that are sent anyway.
+ * Sets the load of the local backend server, in thousandths of its slots.  It
+ * is sent with messages that are due anyway.
  */
 void
 member_set_load(struct member_service *ms, uint32_t load)
@@ -368,7 +375,7 @@
 }
 
 /*
- * Sets the configuration version in force at this node.
+ * Sets the configuration version that this node applies.
  */
 void
 member_set_config_version(struct member_service *ms, uint64_t version)
@@ -389,7 +396,7 @@
 }
 
 /*
- * Notes a read of the log that was sent at this time (ms) and succeeded.
+ * Records a successful read of the log that was sent at sent_ms.
  */
 void
 member_set_log_read(struct member_service *ms, uint64_t sent_ms)
@@ -400,8 +407,8 @@
 }
 
 /*
- * Tells peers that this process stops.  It goes on answering until it is
- * finished.
+ * Announces to the peers that this process shuts down.  The service keeps
+ * answering probes until member_service_finish().
  */
 void
 member_leave(struct member_service *ms)
@@ -414,8 +421,8 @@
 }
 
 /*
- * Returns the current view.  To be called and used within an RCU read-side
- * critical section.
+ * Returns the current view.  The caller must be in an RCU read-side critical
+ * section for as long as it uses the view.
  */
 const struct member_view *
 member_view_get(struct member_service *ms)
--- a/src/member/member_wire.c
+++ b/src/member/member_wire.c
@@ -5,13 +5,13 @@
 #include "base/age.h"
 #include "member/member_int.h"
 
-/* Bytes of the parts of a message that don't vary, as XDR encodes them. */
+/* Bytes of the fixed-size parts of a message in XDR encoding. */
 #define MESSAGE_FIXED_BYTES 48
 #define ENTRY_FIXED_BYTES 64
 #define STATUS_BYTES 20
 #define SERVER_FIXED_BYTES 28
 
-/* A message being put together, with the memory that it points to. */
+/* A message under construction and the arrays that it points to. */
 struct draft {
 	struct member_message msg;
 	struct member_entry list[MEMBER_ENTRIES_MAX];
@@ -40,9 +40,11 @@
 static void compute_digests(const struct member_table *, u_int *);
 
 /*
- * Puts a member's change among those to be told.  When there are many, each
- * is told less often, since comparing tables finds them too.  What came that
- * way itself is news to few.
+ * Queues a member's change for sending.  The priority says in how many
+ * messages the change is sent.  While the queue is long, a priority other
+ * than urgent is lowered by one step, since table comparison spreads the
+ * changes too.  A change that was itself received by table comparison gets
+ * the lowest priority, since few nodes lack it.
  */
 void
 member_queue(
@@ -72,7 +74,7 @@
 }
 
 /*
- * Ends the telling of a member's change.
+ * Removes a member's change from the queue.
  */
 void
 member_unqueue(struct member_table *t, uint32_t h)
@@ -89,8 +91,8 @@
 }
 
 /*
- * Fills in an entry for the wire, which points into the slot.  Of a member
- * that isn't known alive, only its name and state are told.
+ * Fills in a wire entry whose pointers refer to the slot.  The entry of a
+ * member that isn't alive has no domain, region or server.
  */
 static void
 fill_entry(uint64_t now, struct member_slot *s, struct member_entry *e,
@@ -125,7 +127,7 @@
 }
 
 /*
- * Returns the bytes that an entry takes when encoded.
+ * Returns the encoded size of an entry in bytes.
  */
 static size_t
 entry_bytes(const struct member_entry *e)
@@ -139,7 +141,7 @@
 }
 
 /*
- * Adds an entry to a message.  Returns 0 if it has no room.
+ * Adds a member's entry to a message.  Returns 0 if the message is full.
  */
 static int
 add_entry(uint64_t now, struct draft *d, struct member_slot *s)
@@ -159,7 +161,7 @@
 }
 
 /*
- * Adds a member's state to a message.  Returns 0 if it has no room.
+ * Adds a member's state to a message.  Returns 0 if the message is full.
  */
 static int
 add_status(struct draft *d, const struct member_slot *s)
@@ -179,7 +181,7 @@
 }
 
 /*
- * Begins a message with what all of them carry.
+ * Initializes a message with the fields that every message carries.
  */
 static void
 begin_draft(struct member_table *t, uint64_t now, struct draft *d,
@@ -209,8 +211,8 @@
 }
 
 /*
- * Finds the change that was told least often and isn't in the message yet,
- * or returns NULL.
+ * Returns the queued change that has been sent least often and isn't in the
+ * message yet, or NULL if there is none.
  */
 static struct member_slot *
 find_least_sent(struct member_table *t)
@@ -228,8 +230,9 @@
 }
 
 /*
- * Fills a message up with changes.  One that was told often enough is told
- * no more.  Every message has this node's own entry anyway.
+ * Adds queued changes to a message until it is full.  Changes that have been
+ * sent often enough leave the queue.  This node's own change is only counted,
+ * since every message carries its entry.
  */
 static void
 add_queued_changes(struct member_table *t, uint64_t now, struct draft *d)
@@ -251,8 +254,9 @@
 }
 
 /*
- * Adds one entry whether or not it has changed, each in turn, so that all
- * nodes agree in the end whatever was lost.
+ * Adds the next entry of the table in round-robin order, whether or not it
+ * has changed.  All nodes thus agree eventually, whichever messages were
+ * lost.
  */
 static void
 add_next_entry(struct member_table *t, uint64_t now, struct draft *d)
@@ -272,8 +276,8 @@
 }
 
 /*
- * Adds what this node holds of the receiver, where the receiver may want to
- * refute it.
+ * Adds the receiver's own entry if this node doesn't hold it alive or knows
+ * another incarnation of it.  The receiver can then refute it.
  */
 static void
 add_receiver_entry(struct member_table *t, uint64_t now, struct draft *d,
@@ -291,9 +295,9 @@
 }
 
 /*
- * Sends a message and charges its entries to a budget.  Once that is spent
- * messages are short, so that also after the loss of a failure domain a node
- * keeps within its share of the network.
+ * Sends a message and charges the bytes of its entries to a budget.  Messages
+ * are short once the gossip budget is spent.  This bounds a node's network
+ * use, also after the loss of a failure domain.
  */
 static void
 send_draft(struct member_table *t, struct draft *d, const struct node_id *to)
@@ -308,7 +312,7 @@
 }
 
 /*
- * Sends a message that carries as many changes as it has room for.
+ * Sends a message with as many queued changes as it has room for.
  */
 void
 member_send(struct member_table *t, uint64_t now, member_kind kind,
@@ -325,7 +329,7 @@
 }
 
 /*
- * Sends a probe that carries nothing but what the receiver may refute.
+ * Sends a probe without changes, with only an entry for the receiver to refute.
  */
 void
 member_send_bare(struct member_table *t, uint64_t now, const struct node_id *to,
@@ -339,7 +343,7 @@
 }
 
 /*
- * Asks a helper to probe a target.
+ * Asks another member, the helper, to probe a target.
  */
 void
 member_send_ping_req(struct member_table *t, uint64_t now,
@@ -354,7 +358,7 @@
 }
 
 /*
- * Returns the bucket of digests that a member belongs to.
+ * Returns the digest bucket of a member.
  */
 static uint32_t
 digest_bucket(const struct member_info *m)
@@ -365,9 +369,9 @@
 }
 
 /*
- * Computes a digest of each bucket over the members that are there.  Nodes
- * that agree have equal digests; what changes often or differs rightly
- * (load, suspicion, age) stays out.
+ * Computes a digest of each bucket over the members that are alive or suspect.
+ * Nodes whose tables agree have equal digests.  Values that change often or
+ * may differ between nodes (load, suspicion, age) are left out.
  */
 static void
 compute_digests(const struct member_table *t, u_int *out)
@@ -390,8 +394,8 @@
 }
 
 /*
- * Sends the digests of this node's table, so that the receiver sends what
- * differs.
+ * Sends the digests of this node's table.  The receiver answers with the
+ * members of the buckets that differ.
  */
 void
 member_sync(struct member_table *t, uint64_t now, member_kind kind,
@@ -408,8 +412,8 @@
 }
 
 /*
- * Sends the members of all buckets that differ from the sender's digests, as
- * far as the bounds on pages and bytes allow, beginning anywhere.
+ * Sends the members of all buckets that differ from the sender's digests, up
+ * to the limits on pages and bytes.  The scan begins at a random slot.
  */
 void
 member_sync_answer(
