--- a/src/member/test_member.c
+++ b/src/member/test_member.c
@@ -12,7 +12,7 @@
 #include "member/member_int.h"
 
 #define SECRET "0123456789abcdef"
-#define SERVICES 6
+#define NODES 6
 #define WAIT_MS 10000
 
 struct node {
@@ -20,7 +20,7 @@
 	struct rpc_server server;
 	struct rpc_client client;
 	struct member_service member;
-	int cut;
+	int partitioned;
 };
 
 /* A log in memory that refuses every other append at first. */
@@ -32,24 +32,24 @@
 	int appends;
 };
 
-static struct node nodes[SERVICES];
+static struct node nodes[NODES];
 static struct fake_log fake;
 
 /*
  * Cuts a node off from all others while its flag is set.
  */
 static int
-cut(void *ctx, const struct node_id *peer)
+is_blocked(void *ctx, const struct node_id *peer)
 {
 	const struct node *n = ctx;
 	int i;
 
-	for (i = 0; i < SERVICES; i++) {
+	for (i = 0; i < NODES; i++) {
 		if (nodes[i].rpc.self.rpc_port == peer->rpc_port &&
-		    nodes[i].cut)
+		    nodes[i].partitioned)
 			return 1;
 	}
-	return n->cut;
+	return n->partitioned;
 }
 
 /*
@@ -112,7 +112,7 @@
 	memset(n, 0, sizeof(*n));
 	assert_int_equal(
 	    rpc_settings_init(&n->rpc, &id, SECRET, strlen(SECRET), NULL), 0);
-	n->rpc.cut = cut;
+	n->rpc.cut = is_blocked;
 	n->rpc.cut_ctx = n;
 	assert_int_equal(rpc_server_init(&n->server, &n->rpc, NULL), 0);
 	assert_int_equal(rpc_client_init(&n->client, &n->rpc, NULL), 0);
@@ -167,7 +167,7 @@
  * healed, and an announcement spreads.
  */
 static void
-test_live_services(void **state)
+test_join_death_partition_leave(void **state)
 {
 	struct node_id dead, seed;
 	int i, j;
@@ -175,10 +175,10 @@
 	(void)state;
 	node_init(&nodes[0], NULL, NULL);
 	seed = nodes[0].rpc.self;
-	for (i = 1; i < SERVICES; i++)
+	for (i = 1; i < NODES; i++)
 		node_init(&nodes[i], &seed, NULL);
-	for (i = 0; i < SERVICES; i++) {
-		for (j = 0; j < SERVICES; j++)
+	for (i = 0; i < NODES; i++) {
+		for (j = 0; j < NODES; j++)
 			assert_int_not_equal(
 			    wait_state(
 				&nodes[i], &nodes[j].rpc.self, MEMBER_ALIVE),
@@ -189,11 +189,11 @@
 	for (i = 0; i < 5; i++)
 		assert_int_not_equal(
 		    wait_state(&nodes[i], &dead, MEMBER_DEAD), -1);
-	nodes[4].cut = 1;
+	nodes[4].partitioned = 1;
 	for (i = 0; i < 4; i++)
 		assert_int_not_equal(
 		    wait_state(&nodes[i], &nodes[4].rpc.self, MEMBER_DEAD), -1);
-	nodes[4].cut = 0;
+	nodes[4].partitioned = 0;
 	for (i = 0; i < 4; i++)
 		assert_int_not_equal(
 		    wait_state(&nodes[i], &nodes[4].rpc.self, MEMBER_ALIVE),
@@ -211,7 +211,7 @@
  * no hellos and appends are refused now and then.
  */
 static void
-test_log_bootstrap(void **state)
+test_log_discovery(void **state)
 {
 	static const char bad_addr[] =
 	    "{\"address\":\"1.2.3\",\"rpc_port\":1,\"peer_port\":1,"
@@ -249,7 +249,7 @@
  * A hello that was formatted is parsed again; others are refused.
  */
 static void
-test_hello(void **state)
+test_hello_round_trip(void **state)
 {
 	struct member_info m = { .id = { 0x0a000001, 7000, 0xfedcba98 },
 		.peer_port = 8000,
@@ -270,11 +270,11 @@
  * Announcements: each fault gives its findings, all at once.
  */
 static void
-test_announce(void **state)
+test_announce_findings(void **state)
 {
 	static const struct {
 		const char *text;
-		size_t errors, finds;
+		size_t errors, findings;
 	} rows[] = {
 		{ "{\"service\":\"orders\",\"port\":80,\"slots\":4,"
 		  "\"connections\":9,\"incarnation\":\"x\"}",
@@ -310,7 +310,7 @@
 				     strlen(rows[i].text), &a, &fs),
 		    rows[i].errors == 0 ? 0 : -1);
 		assert_int_equal(fs.errors, rows[i].errors);
-		assert_int_equal(fs.count, rows[i].finds);
+		assert_int_equal(fs.count, rows[i].findings);
 		finds_finish(&fs);
 	}
 	finds_init(&fs);
@@ -329,7 +329,7 @@
  * no news.
  */
 static void
-test_dump(void **state)
+test_dump_formats(void **state)
 {
 	struct member_server sv = { .service = "orders",
 		.state = MEMBER_SERVER_UP };
@@ -368,11 +368,11 @@
 main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_live_services),
-		cmocka_unit_test(test_log_bootstrap),
-		cmocka_unit_test(test_hello),
-		cmocka_unit_test(test_announce),
-		cmocka_unit_test(test_dump),
+		cmocka_unit_test(test_join_death_partition_leave),
+		cmocka_unit_test(test_log_discovery),
+		cmocka_unit_test(test_hello_round_trip),
+		cmocka_unit_test(test_announce_findings),
+		cmocka_unit_test(test_dump_formats),
 	};
 	int rc;
 
--- a/src/member/test_net.h
+++ b/src/member/test_net.h
@@ -13,15 +13,15 @@
  */
 #define NET_ADDR 0x0a000000u
 #define NET_PORT 7000
-#define NET_DELAY_MAX 64  /* ms */
-#define NET_START 1000000 /* ms at which the clock starts */
+#define NET_DELAY_MAX 64     /* ms */
+#define NET_START_MS 1000000 /* ms at which the clock starts */
 
 struct net;
 
 struct net_msg {
 	struct net_msg *next;
 	uint32_t to;
-	uint32_t side;
+	uint32_t partition;
 	uint32_t len;
 	char bytes[RPC_BODY_MAX];
 };
@@ -46,7 +46,7 @@
 	uint64_t now;
 	uint64_t rng;
 	uint32_t loss; /* in thousandths */
-	uint32_t delay;
+	uint32_t delay_max_ms;
 	uint32_t false_deaths;
 	uint32_t largest;
 };
@@ -69,7 +69,7 @@
  * Returns the node at an address, or NULL.
  */
 static inline struct net_node *
-net_at(struct net *net, uint32_t addr)
+net_find_node(struct net *net, uint32_t addr)
 {
 	uint32_t i = addr - NET_ADDR;
 
@@ -83,7 +83,7 @@
 net_send(
     void *ctx, uint32_t addr, uint16_t port, const struct member_message *msg)
 {
-	struct net_node *from = ctx, *to = net_at(from->net, addr);
+	struct net_node *from = ctx, *to = net_find_node(from->net, addr);
 	struct net *net = from->net;
 	struct net_msg *m;
 	uint64_t due;
@@ -105,8 +105,8 @@
 		return;
 	}
 	m->to = addr - NET_ADDR;
-	m->side = from->side;
-	due = net->now + 1 + net_rand(ctx) % net->delay;
+	m->partition = from->side;
+	due = net->now + 1 + net_rand(ctx) % net->delay_max_ms;
 	m->next = net->due[due % NET_DELAY_MAX];
 	net->due[due % NET_DELAY_MAX] = m;
 }
@@ -115,10 +115,10 @@
  * Counts deaths, and those of processes that are there.
  */
 static inline void
-net_event(void *ctx, enum member_event event, const struct member_info *info,
-    uint64_t version)
+net_handle_event(void *ctx, enum member_event event,
+    const struct member_info *info, uint64_t version)
 {
-	struct net_node *n = ctx, *about = net_at(n->net, info->id.addr);
+	struct net_node *n = ctx, *about = net_find_node(n->net, info->id.addr);
 
 	if (event == MEMBER_CONFIG_SEEN)
 		n->config_seen = version;
@@ -137,7 +137,7 @@
 net_start(struct net *net, uint32_t i, uint64_t epoch)
 {
 	struct net_node *n = &net->nodes[i];
-	struct member_port port = { net_send, net_rand, net_event, n };
+	struct member_port port = { net_send, net_rand, net_handle_event, n };
 	struct node_id seed = { NET_ADDR + (i == 0 ? 1 : i - 1), NET_PORT, 0 };
 	struct member_settings s = { 0 };
 
@@ -176,9 +176,9 @@
 	net->nodes = calloc(len, sizeof(*net->nodes));
 	assert(net->nodes != NULL);
 	net->len = len;
-	net->now = NET_START;
+	net->now = NET_START_MS;
 	net->rng = seed;
-	net->delay = 4;
+	net->delay_max_ms = 4;
 	for (i = 0; i < len; i++)
 		net_start(net, i, net->now + i);
 }
@@ -227,7 +227,7 @@
 	if (!xdr_member_message(&xdrs, &msg))
 		n = NULL; /* spoilt by a test */
 	xdr_destroy(&xdrs);
-	if (n != NULL && n->up && n->side == m->side)
+	if (n != NULL && n->up && n->side == m->partition)
 		member_table_receive(&n->table, net->now, &msg);
 	xdr_free((xdrproc_t)xdr_member_message, &msg);
 	free(m);
@@ -286,22 +286,23 @@
  * took, or the bound if they don't.
  */
 static inline uint64_t
-net_settle(struct net *net, uint64_t bound)
+net_settle(struct net *net, uint64_t bound_ms)
 {
 	uint64_t start = net->now;
-	uint32_t i, up, want;
+	uint32_t i, running, agreeing;
 
-	while (net->now - start < bound) {
+	while (net->now - start < bound_ms) {
 		net_run(net, 25);
-		for (i = up = 0; i < net->len; i++)
-			up += net->nodes[i].up;
-		for (i = want = 0; i < net->len; i++)
-			want +=
-			    net->nodes[i].up && net->nodes[i].table.alive == up;
-		for (i = 0; i < net->len && want == up; i++)
-			want -= net->nodes[i].up &&
-				net_holding(net, i, MEMBER_ALIVE) < up - 1;
-		if (want == up)
+		for (i = running = 0; i < net->len; i++)
+			running += net->nodes[i].up;
+		for (i = agreeing = 0; i < net->len; i++)
+			agreeing += net->nodes[i].up &&
+				    net->nodes[i].table.alive == running;
+		for (i = 0; i < net->len && agreeing == running; i++)
+			agreeing -=
+			    net->nodes[i].up &&
+			    net_holding(net, i, MEMBER_ALIVE) < running - 1;
+		if (agreeing == running)
 			break;
 	}
 	return net->now - start;
