member: plain comments in the service test and its network

Heads of tests now state the failure that they guard against, and comments of the simulated network name the subject instead of words such as told, under way and there. The assertions are the same. No code changed.

--- a/src/member/test_member.c
+++ b/src/member/test_member.c
@@ -23,7 +23,7 @@
 	int partitioned;
 };
 
-/* A log in memory that refuses every other append at first. */
+/* An in-memory log that refuses every other append, the first included. */
 struct fake_log {
 	struct logsvc svc;
 	pthread_mutex_t lock;
@@ -36,7 +36,8 @@
 static struct fake_log fake;
 
 /*
- * Cuts a node off from all others while its flag is set.
+ * Returns whether traffic between a node and a peer is blocked, because either
+ * of them is partitioned from all others.
  */
 static int
 is_blocked(void *ctx, const struct node_id *peer)
@@ -53,7 +54,7 @@
 }
 
 /*
- * Appends to the log in memory.
+ * Appends a record to the fake log, or refuses it at every other call.
  */
 static enum logsvc_status
 fake_append(void *ctx, const char *stream, const char *data, size_t len,
@@ -75,7 +76,7 @@
 }
 
 /*
- * Reads from the log in memory.
+ * Reads records from the fake log.
  */
 static enum logsvc_status
 fake_read(void *ctx, const char *stream, uint64_t from, uint32_t max,
@@ -101,7 +102,7 @@
 }
 
 /*
- * Starts a node on loopback; the seed and the log may be NULL.
+ * Starts a node on the loopback address.  The seed and the log may be NULL.
  */
 static void
 node_init(struct node *n, const struct node_id *seed, struct logsvc *log)
@@ -129,7 +130,7 @@
 }
 
 /*
- * Ends a node without a word to the others.
+ * Stops a node without a leave announcement.
  */
 static void
 node_finish(struct node *n)
@@ -140,8 +141,8 @@
 }
 
 /*
- * Waits until a node holds another in a state; returns the ms waited, or -1
- * if it never did.
+ * Waits until a node's view shows a member in a state.  Returns the elapsed
+ * ms, or -1 after WAIT_MS.
  */
 static int
 wait_state(struct node *n, const struct node_id *id, enum member_state want)
@@ -163,8 +164,8 @@
 }
 
 /*
- * Nodes that know one seed find each other; a death is seen by all, a cut is
- * healed, and an announcement spreads.
+ * Nodes with a common seed must discover each other, and all must see a
+ * node's death, a partition and its end, and a leave announcement.
  */
 static void
 test_join_death_partition_leave(void **state)
@@ -207,8 +208,8 @@
 }
 
 /*
- * Nodes find each other through the log alone, though its first records are
- * no hellos and appends are refused now and then.
+ * Nodes must discover each other through the log alone, although its first
+ * records aren't hellos and the log refuses some appends.
  */
 static void
 test_log_discovery(void **state)
@@ -246,7 +247,8 @@
 }
 
 /*
- * A hello that was formatted is parsed again; others are refused.
+ * A formatted hello must parse to the same values, and a truncated one must be
+ * refused.
  */
 static void
 test_hello_round_trip(void **state)
@@ -267,7 +269,8 @@
 }
 
 /*
- * Announcements: each fault gives its findings, all at once.
+ * Parsing an announcement must report all its faults at once, and an
+ * announcement must expire after MEMBER_ANNOUNCE_MS.
  */
 static void
 test_announce_findings(void **state)
@@ -325,8 +328,8 @@
 }
 
 /*
- * The dump shows every member in both forms, and a change of load alone is
- * no news.
+ * The dump must show every member as text and as JSON, without the secret.  A
+ * change of the load alone must not raise the sequence number.
  */
 static void
 test_dump_formats(void **state)
--- a/src/member/test_net.h
+++ b/src/member/test_net.h
@@ -8,13 +8,14 @@
 #include "member/member_int.h"
 
 /*
- * Many tables in one process that exchange encoded messages with delay and
- * loss, driven by a clock of their own.  Everything follows from the seed.
+ * Simulated network of member tables in one process.  The tables exchange
+ * encoded messages with delay and loss, driven by a simulated clock.  A run
+ * is determined by its seed.
  */
 #define NET_ADDR 0x0a000000u
 #define NET_PORT 7000
 #define NET_DELAY_MAX 64     /* ms */
-#define NET_START_MS 1000000 /* ms at which the clock starts */
+#define NET_START_MS 1000000 /* of the simulated clock */
 
 struct net;
 
@@ -45,7 +46,7 @@
 	uint32_t len;
 	uint64_t now;
 	uint64_t rng;
-	uint32_t loss; /* in thousandths */
+	uint32_t loss; /* thousandths of the messages that are lost */
 	uint32_t delay_max_ms;
 	uint32_t false_deaths;
 	uint32_t largest;
@@ -66,7 +67,7 @@
 }
 
 /*
- * Returns the node at an address, or NULL.
+ * Returns the node with an address, or NULL if there is none.
  */
 static inline struct net_node *
 net_find_node(struct net *net, uint32_t addr)
@@ -77,7 +78,8 @@
 }
 
 /*
- * Encodes a message and puts it among those under way, unless it is lost.
+ * Encodes a message and queues it for delivery after a random delay, unless
+ * it is lost.
  */
 static inline void
 net_send(
@@ -112,7 +114,8 @@
 }
 
 /*
- * Counts deaths, and those of processes that are there.
+ * Records the configuration version seen, and counts the deaths reported.  The
+ * death of a process that runs in the same partition is also counted as false.
  */
 static inline void
 net_handle_event(void *ctx, enum member_event event,
@@ -131,7 +134,8 @@
 }
 
 /*
- * Starts a process on a node's address, with the node before it as a seed.
+ * Starts a process at a node's address.  Its seed is the previous node, or
+ * node 1 for node 0.
  */
 static inline void
 net_start(struct net *net, uint32_t i, uint64_t epoch)
@@ -155,7 +159,7 @@
 }
 
 /*
- * Ends a process without a word.
+ * Ends a process without a leave announcement.
  */
 static inline void
 net_kill(struct net *net, uint32_t i)
@@ -165,7 +169,7 @@
 }
 
 /*
- * Prepares a net and starts all nodes.
+ * Initializes a network and starts all nodes.
  */
 static inline void
 net_init(struct net *net, uint32_t len, uint64_t seed)
@@ -184,7 +188,7 @@
 }
 
 /*
- * Frees a net with all that is under way.
+ * Frees a network with its nodes and undelivered messages.
  */
 static inline void
 net_finish(struct net *net)
@@ -206,7 +210,7 @@
 }
 
 /*
- * Delivers one message, or keeps it for a node that is paused.
+ * Delivers one message, or delays it while the receiving node is stalled.
  */
 static inline void
 net_deliver(struct net *net, struct net_msg *m)
@@ -225,7 +229,7 @@
 	memset(&msg, 0, sizeof(msg));
 	xdrmem_create(&xdrs, m->bytes, m->len, XDR_DECODE);
 	if (!xdr_member_message(&xdrs, &msg))
-		n = NULL; /* spoilt by a test */
+		n = NULL; /* corrupted by a test */
 	xdr_destroy(&xdrs);
 	if (n != NULL && n->up && n->side == m->partition)
 		member_table_receive(&n->table, net->now, &msg);
@@ -234,7 +238,7 @@
 }
 
 /*
- * Lets some ms pass.
+ * Runs the simulation for some ms.
  */
 static inline void
 net_run(struct net *net, uint64_t ms)
@@ -262,7 +266,8 @@
 }
 
 /*
- * Counts the running nodes that hold a node's present process in a state.
+ * Returns the number of other running nodes whose tables have the current
+ * process of node about in a state.
  */
 static inline uint32_t
 net_holding(struct net *net, uint32_t about, enum member_state state)
@@ -282,8 +287,8 @@
 }
 
 /*
- * Runs until all running nodes hold each other alive.  Returns the ms it
- * took, or the bound if they don't.
+ * Runs until the tables of all running nodes show each other alive.  Returns
+ * the elapsed ms, which are at least the bound if that didn't happen.
  */
 static inline uint64_t
 net_settle(struct net *net, uint64_t bound_ms)
@@ -309,7 +314,7 @@
 }
 
 /*
- * Makes an entry as it comes from the wire.
+ * Returns an entry as decoded from a message.
  */
 static inline struct member_entry
 net_entry(uint32_t addr, uint64_t inc, uint64_t epoch, enum member_state state,
