member: names of a node's subject and of an incarnation's text

The locals about and inc were vague: the first names the node that a report or a count is for, the second the text of an incarnation in a hello. They are spelled out now. No code changed.

--- a/src/member/member_log.c
+++ b/src/member/member_log.c
@@ -37,15 +37,16 @@
 member_hello_format(const struct member_info *m)
 {
 	struct in_addr in = { .s_addr = htonl(m->id.addr) };
-	char addr[INET_ADDRSTRLEN], inc[17];
+	char addr[INET_ADDRSTRLEN], incarnation[17];
 	json_t *o;
 	char *s;
 
 	inet_ntop(AF_INET, &in, addr, sizeof(addr));
-	snprintf(inc, sizeof(inc), "%016" PRIx64, m->id.incarnation);
+	snprintf(
+	    incarnation, sizeof(incarnation), "%016" PRIx64, m->id.incarnation);
 	o = json_pack("{s:s,s:i,s:i,s:s,s:s}", "address", addr, "rpc_port",
 	    (int)m->id.rpc_port, "peer_port", (int)m->peer_port, "domain",
-	    m->domain, "incarnation", inc);
+	    m->domain, "incarnation", incarnation);
 	s = json_dumps(o, JSON_COMPACT);
 	json_decref(o);
 	return s;
@@ -85,7 +86,7 @@
 int
 member_hello_parse(const char *data, size_t len, struct member_hello *h)
 {
-	char addr[INET_ADDRSTRLEN], inc[17], *end;
+	char addr[INET_ADDRSTRLEN], incarnation[17], *end;
 	struct in_addr in;
 	json_t *o;
 	int rc = -1;
@@ -100,9 +101,10 @@
 	    read_port_field(o, "rpc_port", &h->id.rpc_port) == 0 &&
 	    read_port_field(o, "peer_port", &h->peer_port) == 0 &&
 	    copy_text_field(o, "domain", h->domain, sizeof(h->domain)) == 0 &&
-	    copy_text_field(o, "incarnation", inc, sizeof(inc)) == 0) {
+	    copy_text_field(
+		o, "incarnation", incarnation, sizeof(incarnation)) == 0) {
 		h->id.addr = ntohl(in.s_addr);
-		h->id.incarnation = strtoull(inc, &end, 16);
+		h->id.incarnation = strtoull(incarnation, &end, 16);
 		rc = h->id.incarnation != 0 && *end == '\0' ? 0 : -1;
 	}
 	json_decref(o);
--- a/src/member/test_net.h
+++ b/src/member/test_net.h
@@ -121,15 +121,16 @@
 net_handle_event(void *ctx, enum member_event event,
     const struct member_info *info, uint64_t version)
 {
-	struct net_node *n = ctx, *about = net_find_node(n->net, info->id.addr);
+	struct net_node *n = ctx,
+			*subject = net_find_node(n->net, info->id.addr);
 
 	if (event == MEMBER_CONFIG_SEEN)
 		n->config_seen = version;
 	if (event != MEMBER_DIED)
 		return;
 	n->deaths++;
-	if (about != NULL && about->up && about->side == n->side &&
-	    about->id.incarnation == info->id.incarnation)
+	if (subject != NULL && subject->up && subject->side == n->side &&
+	    subject->id.incarnation == info->id.incarnation)
 		n->net->false_deaths++;
 }
 
@@ -267,17 +268,17 @@
 
 /*
  * Returns the number of other running nodes whose tables have the current
- * process of node about in a state.
+ * process of the subject node in a state.
  */
 static inline uint32_t
-net_holding(struct net *net, uint32_t about, enum member_state state)
+net_holding(struct net *net, uint32_t subject, enum member_state state)
 {
-	const struct node_id *id = &net->nodes[about].id;
+	const struct node_id *id = &net->nodes[subject].id;
 	struct member_slot *s;
 	uint32_t i, n = 0;
 
 	for (i = 0; i < net->len; i++) {
-		if (!net->nodes[i].up || i == about)
+		if (!net->nodes[i].up || i == subject)
 			continue;
 		s = member_find(&net->nodes[i].table, id->addr, id->rpc_port);
 		n += s != NULL && nodeid_equal(&s->info.id, id) &&
