--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -9,11 +9,10 @@
 #include "admission/admission_core.h"
 
 #define ADMISSION_CHAIN_LEVEL_ALL 255U /* chain level that sheds nothing */
-#define ADMISSION_CHAIN_LEVEL_UNKNOWN          \
-	256U /* no inner call reported a level \
-	      */
-#define ADMISSION_LOAD_TEXT_BYTES \
-	64 /* bytes, buffer of admission_load_format() */
+/* No inner call reported a level. */
+#define ADMISSION_CHAIN_LEVEL_UNKNOWN 256U
+/* Bytes, buffer of admission_load_format(). */
+#define ADMISSION_LOAD_TEXT_BYTES 64
 
 /* Load that an exit node reports with every answer. */
 struct admission_load {
--- a/src/admission/test_admission.c
+++ b/src/admission/test_admission.c
@@ -128,7 +128,7 @@
 	EVENT_LEAVE,
 	EVENT_DRAIN,
 	EVENT_STOP,
-	EVENT_SERVER_DOWN,
+	EVENT_SERVER_LOST,
 	EVENT_RESET,
 	EVENT_NONE
 };
@@ -149,7 +149,7 @@
 		{ EVENT_DRAIN, SECOND_US, ADMISSION_DRAINING,
 		    ADMISSION_DRAINING },
 		{ EVENT_STOP, SECOND_US, ADMISSION_RUN, ADMISSION_STOPPING },
-		{ EVENT_SERVER_DOWN, SECOND_US, ADMISSION_NO_SERVER,
+		{ EVENT_SERVER_LOST, SECOND_US, ADMISSION_NO_SERVER,
 		    ADMISSION_NO_SERVER },
 		{ EVENT_RESET, SECOND_US, ADMISSION_RUN, ADMISSION_RUN },
 		{ EVENT_NONE, 50000, ADMISSION_DEADLINE, ADMISSION_RUN },
@@ -173,7 +173,7 @@
 			admission_drain(&a);
 		if (cases[i].event == EVENT_STOP)
 			admission_stop(&a);
-		if (cases[i].event == EVENT_SERVER_DOWN)
+		if (cases[i].event == EVENT_SERVER_LOST)
 			admission_server_reset(&a, 0);
 		if (cases[i].event == EVENT_RESET)
 			admission_server_reset(&a, SLOTS);
--- a/src/cyclamenvalectl/keys.c
+++ b/src/cyclamenvalectl/keys.c
@@ -28,8 +28,8 @@
 	const struct ctl_args *a = ch->args;
 
 	if (ch->hash == NULL)
-		return publish_withdraw(text, a->workspace, a->key_id, fs);
-	return publish_grant(text, a->workspace, a->key_id, ch->hash, fs);
+		return publish_remove_key(text, a->workspace, a->key_id, fs);
+	return publish_add_key(text, a->workspace, a->key_id, ch->hash, fs);
 }
 
 /*
@@ -50,7 +50,7 @@
 	uint64_t version = 0;
 	struct finds fs;
 
-	publish_id(id);
+	publish_new_id(id);
 	publish_reader_init(&r, &log->env, id);
 	rc = ctl_log_read(&r, a);
 	if (rc != CTL_OK) {
@@ -58,7 +58,7 @@
 		return rc;
 	}
 	finds_init(&fs);
-	p.base = publish_version(&r);
+	p.base_version = publish_current_version(&r);
 	text =
 	    change_text(ch, r.state.cur != NULL ? r.state.cur->text : cur, &fs);
 	if (text != NULL)
@@ -68,7 +68,7 @@
 	rc = CTL_FINDINGS;
 	if (c != NULL) {
 		p.text = text;
-		st = publish_run(&r, &p, &version);
+		st = publish_config(&r, &p, &version);
 		rc = ctl_outcome(st, version);
 	}
 	config_free(c);
--- a/src/cyclamenvalectl/log.c
+++ b/src/cyclamenvalectl/log.c
@@ -20,8 +20,8 @@
 	const char *text;
 	const char *hint;
 } outcomes[PUBLISH_STATUS_MAX] = {
-	[PUBLISH_WON] = { CTL_OK, "won: version", NULL },
-	[PUBLISH_LOST] = { CTL_LOST, "lost the race to version",
+	[PUBLISH_ACCEPTED] = { CTL_OK, "won: version", NULL },
+	[PUBLISH_CONFLICT] = { CTL_LOST, "lost the race to version",
 	    "make the change again from the version in force, see show" },
 	[PUBLISH_INVALID] = { CTL_FINDINGS, "rejected",
 	    "too large, or the nodes reject it; it is not in force" },
@@ -67,8 +67,8 @@
 {
 	l->http = logsvc_http_new(a->log_url);
 	logsvc_http_use(l->http, &l->env.log);
-	l->env.now = log_now;
-	l->env.sleep = log_sleep;
+	l->env.now_ms = log_now;
+	l->env.sleep_ms = log_sleep;
 	l->env.ctx = NULL;
 }
 
@@ -108,7 +108,7 @@
 enum ctl_exit
 ctl_outcome(enum publish_status st, uint64_t version)
 {
-	if (st == PUBLISH_WON || st == PUBLISH_LOST)
+	if (st == PUBLISH_ACCEPTED || st == PUBLISH_CONFLICT)
 		printf("%s %" PRIu64 "\n", outcomes[st].text, version);
 	else
 		printf("%s\n", outcomes[st].text);
--- a/src/cyclamenvalectl/publish.c
+++ b/src/cyclamenvalectl/publish.c
@@ -23,20 +23,20 @@
 	enum ctl_exit rc = CTL_OK;
 	struct ctl_log log;
 
-	publish_id(id);
+	publish_new_id(id);
 	if (a->id != NULL)
 		memcpy(id, a->id, sizeof(id));
 	ctl_log_open(&log, a);
 	publish_reader_init(&r, &log.env, id);
 	if ((a->given & OPT_BIT(OPT_BASE)) == 0) {
 		rc = ctl_log_read(&r, a);
-		p.base = publish_version(&r);
+		p.base_version = publish_current_version(&r);
 	}
 	if (rc == CTL_OK) {
 		fprintf(stderr,
 		    CTL_PROG ": publishing with --base %" PRIu64 " --id %s\n",
-		    p.base, id);
-		st = publish_run(&r, &p, &version);
+		    p.base_version, id);
+		st = publish_config(&r, &p, &version);
 		rc = ctl_outcome(st, version);
 	}
 	publish_reader_finish(&r);
--- a/src/cyclamenvalectl/show.c
+++ b/src/cyclamenvalectl/show.c
@@ -17,12 +17,13 @@
 	enum ctl_exit rc;
 	json_t *o;
 
-	publish_id(id);
+	publish_new_id(id);
 	ctl_log_open(&log, a);
 	publish_reader_init(&r, &log.env, id);
 	rc = ctl_log_read(&r, a);
 	if (rc == CTL_OK)
-		fprintf(stderr, "version %" PRIu64 "\n", publish_version(&r));
+		fprintf(stderr, "version %" PRIu64 "\n",
+		    publish_current_version(&r));
 	if (rc == CTL_OK && r.state.cur != NULL) {
 		o = json_loads(r.state.cur->text, 0, NULL);
 		json_dumpf(o, stdout, JSON_INDENT(2));
--- a/src/event/test_event.c
+++ b/src/event/test_event.c
@@ -86,8 +86,8 @@
 
 	(void)state;
 	for (i = 0; i < 1000; i++)
-		event_log(EVENT_FAILED, 5000, "id=%d", i);
-	event_log(EVENT_FAILED, 6000, "id=last");
+		event_log(EVENT_REQUEST_FAILED, 5000, "id=%d", i);
+	event_log(EVENT_REQUEST_FAILED, 6000, "id=last");
 	drain(buf, sizeof(buf));
 	for (p = buf; (p = strchr(p, '\n')) != NULL; p++)
 		lines++;
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -4,7 +4,7 @@
 
 const FLEET_NAME_MAX = 63;
 const FLEET_CALLS_MAX = 8;
-const FLEET_DEMANDS_MAX = 8;
+const FLEET_REQUESTED_MAX = 8;
 const FLEET_CLASSES = 4;
 const FLEET_RATES_MAX = 32;	/* services times classes */
 const FLEET_SILENT_MAX = 32;
@@ -44,7 +44,7 @@
 };
 
 /* A full heartbeat with the whole state of the sender. */
-struct fleet_beat {
+struct fleet_heartbeat {
 	fleet_name node;
 	fleet_name zone;
 	unsigned hyper incarnation;
@@ -53,19 +53,19 @@
 	unsigned int stopping;
 	fleet_server_state server;
 	fleet_name calls<FLEET_CALLS_MAX>;     /* services, as in the load */
-	fleet_name demands<FLEET_DEMANDS_MAX>; /* services, as in the load */
+	fleet_name demands<FLEET_REQUESTED_MAX>; /* services, as in the load */
 	fleet_load load;
 };
 
 /* A load heartbeat: the rest is as in the last full heartbeat. */
-struct fleet_pulse {
+struct fleet_load_heartbeat {
 	unsigned hyper incarnation;
 	unsigned hyper print;	 /* digest of that heartbeat */
 	fleet_load load;
 };
 
 /* A token request to the owner of a limit. */
-struct fleet_ask {
+struct fleet_token_request {
 	unsigned hyper workspace;
 	unsigned hyper id;
 	unsigned int need;
@@ -73,7 +73,7 @@
 };
 
 /* The answer to a token request. */
-struct fleet_give {
+struct fleet_token_grant {
 	unsigned hyper workspace;
 	unsigned hyper id;
 	unsigned int tokens;
@@ -88,7 +88,7 @@
 };
 
 /* A proof query to a store reader: how recent is its configuration? */
-struct fleet_doubt {
+struct fleet_proof_query {
 	unsigned hyper id;
 };
 
@@ -103,7 +103,7 @@
  * A crash report: a server crashed while it ran the request with this
  * fingerprint, or the request has run without a crash since.
  */
-struct fleet_strike {
+struct fleet_crash_report {
 	unsigned hyper lo;
 	unsigned hyper hi;
 	unsigned hyper death;
@@ -111,43 +111,43 @@
 };
 
 /* Reminds a restarted node that its server had announced its shutdown. */
-struct fleet_left {
+struct fleet_departure {
 	fleet_name server;
 	unsigned hyper born_ms;
 };
 
 enum fleet_kind {
-	FLEET_BEAT = 1,
-	FLEET_BYE = 2,
-	FLEET_ASK = 3,
-	FLEET_GIVE = 4,
-	FLEET_STRIKE = 5,
+	FLEET_HEARTBEAT = 1,
+	FLEET_GOODBYE = 2,
+	FLEET_TOKEN_REQUEST = 3,
+	FLEET_TOKEN_GRANT = 4,
+	FLEET_CRASH_REPORT = 5,
 	FLEET_BUCKET = 6,
-	FLEET_DOUBT = 7,
+	FLEET_PROOF_QUERY = 7,
 	FLEET_PROOF = 8,
-	FLEET_PULSE = 9,
-	FLEET_LEFT = 10
+	FLEET_LOAD_HEARTBEAT = 9,
+	FLEET_DEPARTURE = 10
 };
 
 union fleet_msg switch (fleet_kind kind) {
-case FLEET_BEAT:
-	fleet_beat beat;
-case FLEET_BYE:
-	fleet_beat bye;
-case FLEET_ASK:
-	fleet_ask ask;
-case FLEET_GIVE:
-	fleet_give give;
-case FLEET_STRIKE:
-	fleet_strike strike;
+case FLEET_HEARTBEAT:
+	fleet_heartbeat beat;
+case FLEET_GOODBYE:
+	fleet_heartbeat bye;
+case FLEET_TOKEN_REQUEST:
+	fleet_token_request ask;
+case FLEET_TOKEN_GRANT:
+	fleet_token_grant give;
+case FLEET_CRASH_REPORT:
+	fleet_crash_report strike;
 case FLEET_BUCKET:
 	fleet_bucket bucket;
-case FLEET_DOUBT:
-	fleet_doubt doubt;
+case FLEET_PROOF_QUERY:
+	fleet_proof_query doubt;
 case FLEET_PROOF:
 	fleet_proof proof;
-case FLEET_PULSE:
-	fleet_pulse pulse;
-case FLEET_LEFT:
-	fleet_left left;
+case FLEET_LOAD_HEARTBEAT:
+	fleet_load_heartbeat pulse;
+case FLEET_DEPARTURE:
+	fleet_departure left;
 };
--- a/src/fleet/fleet_left.c
+++ b/src/fleet/fleet_left.c
@@ -15,17 +15,19 @@
  * restarted.
  */
 void
-fleet_note_left(struct fleet_peer *p, const struct fleet_beat *b)
+fleet_note_departure(struct fleet_peer *p, const struct fleet_heartbeat *b)
 {
 	const struct fleet_server *s = &p->server;
 
 	if (b->server.away == FLEET_LEAVING && b->server.id[0] != '\0') {
-		snprintf(p->left_id, sizeof(p->left_id), "%s", b->server.id);
-		p->left_born_ms = b->server.born_ms;
+		snprintf(p->departed_server_id, sizeof(p->departed_server_id),
+		    "%s", b->server.id);
+		p->departed_server_started_ms = b->server.born_ms;
 	} else if (b->server.id[0] == '\0' && s->id[0] != '\0' &&
 		   b->incarnation == p->incarnation) {
-		memcpy(p->left_id, s->id, sizeof(p->left_id));
-		p->left_born_ms = s->born_ms;
+		memcpy(p->departed_server_id, s->id,
+		    sizeof(p->departed_server_id));
+		p->departed_server_started_ms = s->process_started_ms;
 	}
 }
 
@@ -46,8 +48,10 @@
  * Returns whether a server of a node has announced its shutdown before.
  */
 int
-fleet_has_left(const struct fleet_peer *p, const struct fleet_server_state *s)
+fleet_server_has_departed(
+    const struct fleet_peer *p, const struct fleet_server_state *s)
 {
-	return s->id[0] != '\0' && fleet_same_server(p->left_id,
-				       p->left_born_ms, s->id, s->born_ms);
+	return s->id[0] != '\0' &&
+	       fleet_same_server(p->departed_server_id,
+		   p->departed_server_started_ms, s->id, s->born_ms);
 }
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -24,8 +24,9 @@
 static void probe_silent_nodes(struct fleet_net *);
 static void dispatch(
     struct fleet_net *, const struct fleet_msg *, const struct sockaddr_in *);
-static void receive_heartbeat(struct fleet_net *, const struct fleet_beat *);
-static void send_departure(struct fleet_net *, const struct fleet_beat *);
+static void receive_heartbeat(
+    struct fleet_net *, const struct fleet_heartbeat *);
+static void send_departure(struct fleet_net *, const struct fleet_heartbeat *);
 static size_t encode(
     const struct fleet_net *, const struct fleet_msg *, char *);
 static void send_bytes(struct fleet_net *, const char *, size_t, uint32_t);
@@ -50,7 +51,7 @@
 	n->ops = ops;
 	n->ctx = ctx;
 	n->port = ntohs(bind_address->sin_port);
-	n->ticked_ms = loop_ms(loop);
+	n->members_updated_ms = loop_ms(loop);
 	uv_udp_init(loop, &n->udp);
 	n->udp.data = n;
 	rc = uv_udp_bind(&n->udp, (const struct sockaddr *)bind_address, 0);
@@ -94,10 +95,10 @@
 	uint64_t interval_ms = fleet_interval_ms(n->table);
 
 	detect_pause(n);
-	n->ticked_ms = loop_ms(n->loop);
+	n->members_updated_ms = loop_ms(n->loop);
 	update_members(n);
 	send_heartbeat(n);
-	if (++n->beats % PROBE_EVERY == 0)
+	if (++n->heartbeats_sent % PROBE_EVERY == 0)
 		probe_silent_nodes(n);
 	uv_timer_start(&n->timer, on_heartbeat_timer, interval_ms, 0);
 }
@@ -111,12 +112,13 @@
 static void
 detect_pause(struct fleet_net *n)
 {
-	uint64_t now = loop_ms(n->loop), elapsed_ms = now - n->ticked_ms;
+	uint64_t now = loop_ms(n->loop),
+		 elapsed_ms = now - n->members_updated_ms;
 
 	if (elapsed_ms <= fleet_interval_ms(n->table) * PAUSE_HEARTBEATS)
 		return;
-	fleet_paused(n->table, elapsed_ms, now);
-	n->ticked_ms = now;
+	fleet_apply_pause(n->table, elapsed_ms, now);
+	n->members_updated_ms = now;
 	update_members(n);
 }
 
@@ -131,19 +133,20 @@
 	uint64_t digest;
 
 	memset(&m, 0, sizeof(m));
-	m.kind = FLEET_BEAT;
-	n->ops->fill(n->ctx, &m.fleet_msg_u.beat);
-	digest = fleet_print(&m.fleet_msg_u.beat);
-	if (digest != n->print)
-		n->wholes = 1 + FULL_HEARTBEAT_REPEATS;
-	n->print = digest;
-	if (n->wholes > 0 || n->beats % FULL_HEARTBEAT_EVERY == 0) {
-		n->wholes -= n->wholes > 0;
+	m.kind = FLEET_HEARTBEAT;
+	n->ops->fill_heartbeat(n->ctx, &m.fleet_msg_u.beat);
+	digest = fleet_heartbeat_digest(&m.fleet_msg_u.beat);
+	if (digest != n->sent_digest)
+		n->full_heartbeats_due = 1 + FULL_HEARTBEAT_REPEATS;
+	n->sent_digest = digest;
+	if (n->full_heartbeats_due > 0 ||
+	    n->heartbeats_sent % FULL_HEARTBEAT_EVERY == 0) {
+		n->full_heartbeats_due -= n->full_heartbeats_due > 0;
 		fleet_send_all(n, &m);
 		return;
 	}
 	memset(&pulse, 0, sizeof(pulse));
-	pulse.kind = FLEET_PULSE;
+	pulse.kind = FLEET_LOAD_HEARTBEAT;
 	pulse.fleet_msg_u.pulse.incarnation = m.fleet_msg_u.beat.incarnation;
 	pulse.fleet_msg_u.pulse.print = digest;
 	pulse.fleet_msg_u.pulse.load = m.fleet_msg_u.beat.load;
@@ -157,11 +160,11 @@
 static void
 update_members(struct fleet_net *n)
 {
-	uint64_t previous_digest = n->table->live_print;
+	uint64_t previous_digest = n->table->live_digest;
 
-	fleet_tick(n->table, loop_ms(n->loop));
-	if (n->table->live_print != previous_digest)
-		n->ops->turned(n->ctx, FLEET_NONE);
+	fleet_update_members(n->table, loop_ms(n->loop));
+	if (n->table->live_digest != previous_digest)
+		n->ops->on_members_changed(n->ctx, FLEET_NONE);
 }
 
 /*
@@ -176,8 +179,8 @@
 
 	for (i = 0; i < n->table->count; i++) {
 		p = &n->table->peers[i];
-		if (p->gone && !p->stopping)
-			fleet_beat_one(n, p->address);
+		if (p->has_departed && !p->stopping)
+			fleet_send_heartbeat(n, p->address);
 	}
 }
 
@@ -200,7 +203,7 @@
 	detect_pause(n);
 	size = seal_open(n->seal, buf->base, (size_t)len);
 	if (size == 0) {
-		n->unsealed++;
+		n->seal_rejected++;
 		return;
 	}
 	memset(&m, 0, sizeof(m));
@@ -208,7 +211,7 @@
 	if (xdr_fleet_msg(&x, &m))
 		dispatch(n, &m, (const struct sockaddr_in *)from);
 	else
-		n->bad++;
+		n->undecodable++;
 	xdr_destroy(&x);
 	xdr_free((xdrproc_t)xdr_fleet_msg, (char *)&m);
 }
@@ -223,39 +226,40 @@
 	int i;
 
 	switch (m->kind) {
-	case FLEET_BEAT:
+	case FLEET_HEARTBEAT:
 		receive_heartbeat(n, &m->fleet_msg_u.beat);
 		break;
-	case FLEET_PULSE:
-		i = fleet_pulsed(n->table, &m->fleet_msg_u.pulse,
+	case FLEET_LOAD_HEARTBEAT:
+		i = fleet_apply_load_heartbeat(n->table, &m->fleet_msg_u.pulse,
 		    ntohl(from->sin_addr.s_addr), loop_ms(n->loop));
 		if (i >= 0)
-			n->ops->told(n->ctx, i, &m->fleet_msg_u.pulse.load);
+			n->ops->on_load(n->ctx, i, &m->fleet_msg_u.pulse.load);
 		break;
-	case FLEET_BYE:
-		fleet_said_bye(n->table, &m->fleet_msg_u.bye, loop_ms(n->loop));
+	case FLEET_GOODBYE:
+		fleet_apply_goodbye(
+		    n->table, &m->fleet_msg_u.bye, loop_ms(n->loop));
 		update_members(n);
 		break;
-	case FLEET_ASK:
-		n->ops->ask(n->ctx, &m->fleet_msg_u.ask, from);
+	case FLEET_TOKEN_REQUEST:
+		n->ops->on_token_request(n->ctx, &m->fleet_msg_u.ask, from);
 		break;
-	case FLEET_GIVE:
-		n->ops->give(n->ctx, &m->fleet_msg_u.give);
+	case FLEET_TOKEN_GRANT:
+		n->ops->on_token_grant(n->ctx, &m->fleet_msg_u.give);
 		break;
-	case FLEET_STRIKE:
-		n->ops->strike(n->ctx, &m->fleet_msg_u.strike);
+	case FLEET_CRASH_REPORT:
+		n->ops->on_crash_report(n->ctx, &m->fleet_msg_u.strike);
 		break;
 	case FLEET_BUCKET:
-		n->ops->bucket(n->ctx, &m->fleet_msg_u.bucket);
+		n->ops->on_bucket_transfer(n->ctx, &m->fleet_msg_u.bucket);
 		break;
-	case FLEET_DOUBT:
-		n->ops->doubt(n->ctx, &m->fleet_msg_u.doubt, from);
+	case FLEET_PROOF_QUERY:
+		n->ops->on_proof_query(n->ctx, &m->fleet_msg_u.doubt, from);
 		break;
-	case FLEET_LEFT:
-		n->ops->left(n->ctx, &m->fleet_msg_u.left);
+	case FLEET_DEPARTURE:
+		n->ops->on_server_departed(n->ctx, &m->fleet_msg_u.left);
 		break;
 	case FLEET_PROOF:
-		n->ops->proof(n->ctx, &m->fleet_msg_u.proof);
+		n->ops->on_proof(n->ctx, &m->fleet_msg_u.proof);
 		break;
 	}
 }
@@ -264,7 +268,7 @@
  * Applies a full heartbeat and replies to the first one of a node at once.
  */
 static void
-receive_heartbeat(struct fleet_net *n, const struct fleet_beat *b)
+receive_heartbeat(struct fleet_net *n, const struct fleet_heartbeat *b)
 {
 	uint64_t now = loop_ms(n->loop), previous_heard_ms = 0;
 	int i, changed;
@@ -272,19 +276,19 @@
 	i = fleet_find(n->table, b->node);
 	if (i >= 0 && n->table->peers[i].incarnation == b->incarnation)
 		previous_heard_ms = n->table->peers[i].heard_ms;
-	i = fleet_heard(n->table, b, now, &changed);
+	i = fleet_apply_heartbeat(n->table, b, now, &changed);
 	if (i < 0)
 		return;
 	if (previous_heard_ms == 0)
-		fleet_beat_one(n, b->address);
+		fleet_send_heartbeat(n, b->address);
 	if (b->server.away != FLEET_LEAVING &&
-	    fleet_has_left(&n->table->peers[i], &b->server))
+	    fleet_server_has_departed(&n->table->peers[i], &b->server))
 		send_departure(n, b);
-	n->ops->heard(n->ctx, i, b);
-	n->ops->told(n->ctx, i, &b->load);
+	n->ops->on_full_heartbeat(n->ctx, i, b);
+	n->ops->on_load(n->ctx, i, &b->load);
 	if (changed) {
 		update_members(n);
-		n->ops->turned(n->ctx, i);
+		n->ops->on_members_changed(n->ctx, i);
 	}
 }
 
@@ -293,12 +297,12 @@
  * the server announced its shutdown.
  */
 static void
-send_departure(struct fleet_net *n, const struct fleet_beat *b)
+send_departure(struct fleet_net *n, const struct fleet_heartbeat *b)
 {
 	struct fleet_msg m;
 
 	memset(&m, 0, sizeof(m));
-	m.kind = FLEET_LEFT;
+	m.kind = FLEET_DEPARTURE;
 	m.fleet_msg_u.left.server = b->server.id;
 	m.fleet_msg_u.left.born_ms = b->server.born_ms;
 	fleet_send(n, &m, b->address);
@@ -361,7 +365,7 @@
 	size_t i, len = encode(n, m, buf);
 
 	for (i = 0; len > 0 && i < n->table->count; i++)
-		if (!n->table->peers[i].gone)
+		if (!n->table->peers[i].has_departed)
 			send_bytes(n, buf, len, n->table->peers[i].address);
 }
 
@@ -369,15 +373,15 @@
  * Sends a full heartbeat, or a goodbye, to all nodes.
  */
 void
-fleet_beat_all(struct fleet_net *n, int bye)
+fleet_send_heartbeat_all(struct fleet_net *n, int bye)
 {
 	struct fleet_msg m;
 
 	memset(&m, 0, sizeof(m));
-	m.kind = bye ? FLEET_BYE : FLEET_BEAT;
-	n->ops->fill(n->ctx, &m.fleet_msg_u.beat);
-	n->print = fleet_print(&m.fleet_msg_u.beat);
-	n->wholes = FULL_HEARTBEAT_REPEATS;
+	m.kind = bye ? FLEET_GOODBYE : FLEET_HEARTBEAT;
+	n->ops->fill_heartbeat(n->ctx, &m.fleet_msg_u.beat);
+	n->sent_digest = fleet_heartbeat_digest(&m.fleet_msg_u.beat);
+	n->full_heartbeats_due = FULL_HEARTBEAT_REPEATS;
 	fleet_send_all(n, &m);
 }
 
@@ -385,12 +389,12 @@
  * Sends a full heartbeat to one address.
  */
 void
-fleet_beat_one(struct fleet_net *n, uint32_t address)
+fleet_send_heartbeat(struct fleet_net *n, uint32_t address)
 {
 	struct fleet_msg m;
 
 	memset(&m, 0, sizeof(m));
-	m.kind = FLEET_BEAT;
-	n->ops->fill(n->ctx, &m.fleet_msg_u.beat);
+	m.kind = FLEET_HEARTBEAT;
+	n->ops->fill_heartbeat(n->ctx, &m.fleet_msg_u.beat);
 	fleet_send(n, &m, address);
 }
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -46,9 +46,9 @@
 {
 	memset(t, 0, sizeof(*t));
 	copy_node_name(t->node, node);
-	t->hash = XXH3_64bits(t->node, strlen(t->node));
-	t->interval_ms = HEARTBEAT_MS;
-	t->turned_ms = now;
+	t->node_hash = XXH3_64bits(t->node, strlen(t->node));
+	t->heartbeat_interval_ms = HEARTBEAT_MS;
+	t->members_changed_ms = now;
 }
 
 /*
@@ -90,9 +90,9 @@
  * Records that all nodes of the store's list have been added.
  */
 void
-fleet_listed(struct fleet_table *t)
+fleet_set_node_list_complete(struct fleet_table *t)
 {
-	t->listed = 1;
+	t->node_list_complete = 1;
 }
 
 /*
@@ -100,7 +100,7 @@
  * handle, or FLEET_SELF for this node.
  */
 int
-fleet_learn(
+fleet_add_node(
     struct fleet_table *t, const char *node, uint32_t address, uint64_t now)
 {
 	struct fleet_peer *p;
@@ -124,12 +124,12 @@
 	p = &t->peers[t->count];
 	memset(p, 0, sizeof(*p));
 	copy_node_name(p->node, node);
-	p->hash = XXH3_64bits(p->node, strlen(p->node));
+	p->name_hash = XXH3_64bits(p->node, strlen(p->node));
 	p->address = address;
 	p->learned_ms = now;
-	t->interval_ms = HEARTBEAT_MS;
+	t->heartbeat_interval_ms = HEARTBEAT_MS;
 	if (t->count * HEARTBEAT_PEER_MS > HEARTBEAT_MS)
-		t->interval_ms = t->count * HEARTBEAT_PEER_MS;
+		t->heartbeat_interval_ms = t->count * HEARTBEAT_PEER_MS;
 	return (int)t->count++;
 }
 
@@ -139,15 +139,15 @@
  * its incarnation, its server or either one's state differs from before.
  */
 int
-fleet_heard(struct fleet_table *t, const struct fleet_beat *b, uint64_t now,
-    int *changed)
+fleet_apply_heartbeat(struct fleet_table *t, const struct fleet_heartbeat *b,
+    uint64_t now, int *changed)
 {
 	struct fleet_peer *p;
 	struct fleet_server *s;
 	int i;
 
 	*changed = 0;
-	i = fleet_learn(t, b->node, b->address, now);
+	i = fleet_add_node(t, b->node, b->address, now);
 	if (i == FLEET_SELF)
 		return i;
 	p = &t->peers[i];
@@ -159,25 +159,26 @@
 		return FLEET_NONE;
 	s = &p->server;
 	*changed = p->heard_ms == 0 || b->incarnation != p->incarnation ||
-		   p->stopping != (int)b->stopping || p->gone ||
+		   p->stopping != (int)b->stopping || p->has_departed ||
 		   strcmp(s->id, b->server.id) != 0 ||
-		   s->born_ms != b->server.born_ms ||
-		   s->leaving != (int)b->server.away;
-	fleet_note_left(p, b);
+		   s->process_started_ms != b->server.born_ms ||
+		   s->unavailable_state != (int)b->server.away;
+	fleet_note_departure(p, b);
 	copy_node_name(p->zone, b->zone);
 	p->incarnation = b->incarnation;
-	p->print = fleet_print(b);
+	p->full_digest = fleet_heartbeat_digest(b);
 	p->address = b->address;
 	p->port = (uint16_t)b->port;
 	p->stopping = (int)b->stopping;
-	p->gone = 0;
+	p->has_departed = 0;
 	copy_node_name(s->id, b->server.id);
 	copy_node_name(s->service, b->server.service);
-	s->born_ms = b->server.born_ms;
+	s->process_started_ms = b->server.born_ms;
 	s->slots = b->server.slots;
 	s->cold_until_ms = b->server.cold_ms > 0 ? now + b->server.cold_ms : 0;
-	s->leaving =
-	    fleet_has_left(p, &b->server) ? FLEET_LEAVING : (int)b->server.away;
+	s->unavailable_state = fleet_server_has_departed(p, &b->server)
+				   ? FLEET_LEAVING
+				   : (int)b->server.away;
 	apply_load(t, p, &b->load, now);
 	return i;
 }
@@ -191,22 +192,22 @@
 {
 	struct fleet_server *s = &p->server;
 
-	if (l->nodes > t->told_size)
-		t->told_size = l->nodes;
-	p->says_out = (int)l->out;
+	if (l->nodes > t->reported_size)
+		t->reported_size = l->nodes;
+	p->reported_isolated = (int)l->out;
 	p->silent_count = l->silent.silent_len;
 	if (p->silent_count > 0)
-		memcpy(p->silent, l->silent.silent_val,
-		    p->silent_count * sizeof(*p->silent));
+		memcpy(p->silent_hashes, l->silent.silent_val,
+		    p->silent_count * sizeof(*p->silent_hashes));
 
 	p->heard_ms = now;
 	p->sequence = l->sequence;
 	p->config_version = l->config_version;
 	s->running = l->running;
 	s->waiting = l->waiting;
-	s->offered = l->offered / PER_THOUSAND;
-	s->run_s = l->run_us / US_PER_S;
-	s->failing = l->failing / PER_THOUSAND;
+	s->offered_load = l->offered / PER_THOUSAND;
+	s->mean_run_s = l->run_us / US_PER_S;
+	s->failure_share = l->failing / PER_THOUSAND;
 }
 
 /*
@@ -215,14 +216,14 @@
  * it refers to has not arrived.
  */
 int
-fleet_pulsed(struct fleet_table *t, const struct fleet_pulse *m,
-    uint32_t address, uint64_t now)
+fleet_apply_load_heartbeat(struct fleet_table *t,
+    const struct fleet_load_heartbeat *m, uint32_t address, uint64_t now)
 {
 	struct fleet_peer *p;
 	size_t i;
 
 	for (i = 0; i < t->count; i++)
-		if (t->peers[i].address == address && !t->peers[i].gone)
+		if (t->peers[i].address == address && !t->peers[i].has_departed)
 			break;
 	if (i == t->count)
 		return FLEET_NONE;
@@ -230,7 +231,7 @@
 	if (p->heard_ms == 0 || p->incarnation != m->incarnation ||
 	    m->load.sequence <= p->sequence)
 		return FLEET_NONE;
-	if (p->print != m->print) {
+	if (p->full_digest != m->print) {
 		/* A full heartbeat was lost; the next one follows soon. */
 		p->heard_ms = now;
 		p->config_version = m->load.config_version;
@@ -245,7 +246,7 @@
  * server.
  */
 uint64_t
-fleet_print(const struct fleet_beat *b)
+fleet_heartbeat_digest(const struct fleet_heartbeat *b)
 {
 	const struct fleet_server_state *s = &b->server;
 	const uint64_t numbers[] = { b->incarnation, b->address, b->port,
@@ -278,13 +279,14 @@
  * Applies a node's goodbye: the node no longer counts until its next heartbeat.
  */
 void
-fleet_said_bye(struct fleet_table *t, const struct fleet_beat *b, uint64_t now)
+fleet_apply_goodbye(
+    struct fleet_table *t, const struct fleet_heartbeat *b, uint64_t now)
 {
 	int i = fleet_find(t, b->node);
 
 	if (i == FLEET_NONE || t->peers[i].incarnation > b->incarnation)
 		return;
-	t->peers[i].gone = 1;
+	t->peers[i].has_departed = 1;
 	t->peers[i].stopping = 1;
 	t->peers[i].heard_ms = now;
 	t->peers[i].incarnation = b->incarnation;
@@ -295,11 +297,11 @@
  * Returns whether a recent heartbeat of a node has arrived.
  */
 int
-fleet_alive(const struct fleet_table *t, size_t i, uint64_t now)
+fleet_is_alive(const struct fleet_table *t, size_t i, uint64_t now)
 {
 	const struct fleet_peer *p = &t->peers[i];
 
-	return !p->gone && p->heard_ms != 0 &&
+	return !p->has_departed && p->heard_ms != 0 &&
 	       now - p->heard_ms < dead_after_ms(t);
 }
 
@@ -309,7 +311,7 @@
 static uint64_t
 dead_after_ms(const struct fleet_table *t)
 {
-	return t->interval_ms * MISSED_HEARTBEATS + MISSED_SLACK_MS;
+	return t->heartbeat_interval_ms * MISSED_HEARTBEATS + MISSED_SLACK_MS;
 }
 
 /*
@@ -317,13 +319,13 @@
  * part of a partitioned fleet can have this quorum and own limits.
  */
 int
-fleet_quorum(const struct fleet_table *t, uint64_t now)
+fleet_has_quorum(const struct fleet_table *t, uint64_t now)
 {
 	uint32_t known = fleet_size(t);
 	size_t i, alive = 1;
 
 	for (i = 0; i < t->count; i++)
-		alive += (size_t)fleet_alive(t, i, now);
+		alive += (size_t)fleet_is_alive(t, i, now);
 	return known != FLEET_SIZE_UNKNOWN && alive * 2 > known;
 }
 
@@ -340,12 +342,12 @@
 	size_t i;
 
 	for (i = 0; i < t->count; i++)
-		n += !t->peers[i].gone;
-	if (t->listed)
+		n += !t->peers[i].has_departed;
+	if (t->node_list_complete)
 		return n;
-	if (t->told_size == 0)
+	if (t->reported_size == 0)
 		return FLEET_SIZE_UNKNOWN;
-	return n > t->told_size ? n : t->told_size;
+	return n > t->reported_size ? n : t->reported_size;
 }
 
 /*
@@ -364,7 +366,7 @@
  * have fallen silent without a goodbye.  Returns their number.
  */
 uint32_t
-fleet_silent(const struct fleet_table *t, uint64_t now, uint32_t *list)
+fleet_list_silent(const struct fleet_table *t, uint64_t now, uint32_t *list)
 {
 	const struct fleet_peer *p;
 	uint32_t n = 0;
@@ -372,8 +374,9 @@
 
 	for (i = 0; i < t->count && n < FLEET_SILENT_MAX; i++) {
 		p = &t->peers[i];
-		if (p->heard_ms != 0 && !p->gone && !fleet_alive(t, i, now))
-			list[n++] = (uint32_t)p->hash;
+		if (p->heard_ms != 0 && !p->has_departed &&
+		    !fleet_is_alive(t, i, now))
+			list[n++] = (uint32_t)p->name_hash;
 	}
 	return n;
 }
@@ -422,13 +425,15 @@
     struct fleet_table *t, int majority_hears, int quorum, uint64_t now)
 {
 	if (!quorum)
-		t->was_in = 0;
+		t->was_participating = 0;
 	if (!majority_hears)
-		t->unheard_ms = now;
-	t->out = !majority_hears || now < t->judged_ms ||
-		 (t->was_in && t->out && now - t->unheard_ms < REJOIN_AFTER_MS);
-	if (!t->out)
-		t->was_in = 1;
+		t->unheard_by_majority_ms = now;
+	t->self_isolated =
+	    !majority_hears || now < t->isolated_until_ms ||
+	    (t->was_participating && t->self_isolated &&
+		now - t->unheard_by_majority_ms < REJOIN_AFTER_MS);
+	if (!t->self_isolated)
+		t->was_participating = 1;
 }
 
 /*
@@ -449,19 +454,21 @@
 		err(1, "out of memory");
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
-		if (!fleet_alive(t, i, now))
+		if (!fleet_is_alive(t, i, now))
 			continue;
 		voters++;
-		memcpy(&list[n], p->silent, p->silent_count * sizeof(*list));
+		memcpy(&list[n], p->silent_hashes,
+		    p->silent_count * sizeof(*list));
 		n += p->silent_count;
 	}
 	qsort(list, n, sizeof(*list), hash_cmp);
 	for (i = 0; i < t->count; i++) {
-		votes = count_occurrences(list, n, t->peers[i].hash);
-		votes += !fleet_alive(t, i, now);
-		t->peers[i].out = t->peers[i].says_out || votes > known / 2;
+		votes = count_occurrences(list, n, t->peers[i].name_hash);
+		votes += !fleet_is_alive(t, i, now);
+		t->peers[i].isolated =
+		    t->peers[i].reported_isolated || votes > known / 2;
 	}
-	votes = count_occurrences(list, n, t->hash);
+	votes = count_occurrences(list, n, t->node_hash);
 	update_own_isolation(t, votes < voters && voters - votes > known / 2,
 	    voters > known / 2, now);
 	free(list);
@@ -479,15 +486,16 @@
 	int owner = FLEET_NONE;
 	size_t i;
 
-	if (self && !t->out) {
-		best = owner_weight(t->hash, key);
+	if (self && !t->self_isolated) {
+		best = owner_weight(t->node_hash, key);
 		owner = FLEET_SELF;
 	}
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
-		if (p->stopping || p->gone || p->out || p->heard_ms == 0)
+		if (p->stopping || p->has_departed || p->isolated ||
+		    p->heard_ms == 0)
 			continue;
-		w = owner_weight(p->hash, key);
+		w = owner_weight(p->name_hash, key);
 		if (w <= best)
 			continue;
 		best = w;
@@ -503,7 +511,7 @@
 int
 fleet_owner(const struct fleet_table *t, uint64_t key, uint64_t now)
 {
-	if (!fleet_quorum(t, now))
+	if (!fleet_has_quorum(t, now))
 		return FLEET_NONE;
 	return highest_weight_node(t, key, 1);
 }
@@ -524,7 +532,7 @@
  * readers.
  */
 size_t
-fleet_readers(const struct fleet_table *t, int *list, size_t max)
+fleet_store_readers(const struct fleet_table *t, int *list, size_t max)
 {
 	size_t n, i;
 	int h;
@@ -557,30 +565,31 @@
  * all nodes and records when the set of live nodes changes.
  */
 void
-fleet_tick(struct fleet_table *t, uint64_t now)
+fleet_update_members(struct fleet_table *t, uint64_t now)
 {
-	int quorum = fleet_quorum(t, now);
+	int quorum = fleet_has_quorum(t, now);
 	struct fleet_peer *p;
 	uint64_t digest;
 	size_t i;
 
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
-		if (!p->gone &&
+		if (!p->has_departed &&
 		    now - (p->heard_ms != 0 ? p->heard_ms : p->learned_ms) >
 			forget_after_ms(p, quorum))
-			p->gone = 1;
+			p->has_departed = 1;
 	}
 	update_isolation(t, now);
-	digest = (uint64_t)t->out;
+	digest = (uint64_t)t->self_isolated;
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
-		if (p->heard_ms != 0 && !p->gone && !p->out && !p->stopping)
-			digest += owner_weight(p->hash, p->incarnation);
+		if (p->heard_ms != 0 && !p->has_departed && !p->isolated &&
+		    !p->stopping)
+			digest += owner_weight(p->name_hash, p->incarnation);
 	}
-	if (digest != t->live_print) {
-		t->live_print = digest;
-		t->turned_ms = now;
+	if (digest != t->live_digest) {
+		t->live_digest = digest;
+		t->members_changed_ms = now;
 	}
 }
 
@@ -591,14 +600,14 @@
  * have arrived.
  */
 void
-fleet_paused(struct fleet_table *t, uint64_t pause_ms, uint64_t now)
+fleet_apply_pause(struct fleet_table *t, uint64_t pause_ms, uint64_t now)
 {
 	struct fleet_peer *p;
 	size_t i;
 
 	if (pause_ms >= dead_after_ms(t))
-		t->judged_ms =
-		    now + PAUSE_ISOLATION_HEARTBEATS * t->interval_ms;
+		t->isolated_until_ms =
+		    now + PAUSE_ISOLATION_HEARTBEATS * t->heartbeat_interval_ms;
 	for (i = 0; i < t->count; i++) {
 		p = &t->peers[i];
 		if (p->heard_ms == 0)
@@ -616,5 +625,5 @@
 uint64_t
 fleet_interval_ms(const struct fleet_table *t)
 {
-	return t->interval_ms;
+	return t->heartbeat_interval_ms;
 }
--- a/src/fleet/fleet_xdr.c
+++ b/src/fleet/fleet_xdr.c
@@ -161,7 +161,7 @@
 }
 
 bool_t
-xdr_fleet_beat (XDR *xdrs, fleet_beat *objp)
+xdr_fleet_heartbeat (XDR *xdrs, fleet_heartbeat *objp)
 {
 	register int32_t *buf;
 
@@ -192,7 +192,7 @@
 		 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
 			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_DEMANDS_MAX,
+		 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_REQUESTED_MAX,
 			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 			 return FALSE;
 		 if (!xdr_fleet_load (xdrs, &objp->load))
@@ -224,7 +224,7 @@
 		 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
 			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_DEMANDS_MAX,
+		 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_REQUESTED_MAX,
 			sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 			 return FALSE;
 		 if (!xdr_fleet_load (xdrs, &objp->load))
@@ -249,7 +249,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
 		sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_DEMANDS_MAX,
+	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, FLEET_REQUESTED_MAX,
 		sizeof (fleet_name), (xdrproc_t) xdr_fleet_name))
 		 return FALSE;
 	 if (!xdr_fleet_load (xdrs, &objp->load))
@@ -258,7 +258,7 @@
 }
 
 bool_t
-xdr_fleet_pulse (XDR *xdrs, fleet_pulse *objp)
+xdr_fleet_load_heartbeat (XDR *xdrs, fleet_load_heartbeat *objp)
 {
 	register int32_t *buf;
 
@@ -272,7 +272,7 @@
 }
 
 bool_t
-xdr_fleet_ask (XDR *xdrs, fleet_ask *objp)
+xdr_fleet_token_request (XDR *xdrs, fleet_token_request *objp)
 {
 	register int32_t *buf;
 
@@ -288,7 +288,7 @@
 }
 
 bool_t
-xdr_fleet_give (XDR *xdrs, fleet_give *objp)
+xdr_fleet_token_grant (XDR *xdrs, fleet_token_grant *objp)
 {
 	register int32_t *buf;
 
@@ -318,7 +318,7 @@
 }
 
 bool_t
-xdr_fleet_doubt (XDR *xdrs, fleet_doubt *objp)
+xdr_fleet_proof_query (XDR *xdrs, fleet_proof_query *objp)
 {
 	register int32_t *buf;
 
@@ -342,7 +342,7 @@
 }
 
 bool_t
-xdr_fleet_strike (XDR *xdrs, fleet_strike *objp)
+xdr_fleet_crash_report (XDR *xdrs, fleet_crash_report *objp)
 {
 	register int32_t *buf;
 
@@ -358,7 +358,7 @@
 }
 
 bool_t
-xdr_fleet_left (XDR *xdrs, fleet_left *objp)
+xdr_fleet_departure (XDR *xdrs, fleet_departure *objp)
 {
 	register int32_t *buf;
 
@@ -387,44 +387,44 @@
 	 if (!xdr_fleet_kind (xdrs, &objp->kind))
 		 return FALSE;
 	switch (objp->kind) {
-	case FLEET_BEAT:
-		 if (!xdr_fleet_beat (xdrs, &objp->fleet_msg_u.beat))
+	case FLEET_HEARTBEAT:
+		 if (!xdr_fleet_heartbeat (xdrs, &objp->fleet_msg_u.beat))
 			 return FALSE;
 		break;
-	case FLEET_BYE:
-		 if (!xdr_fleet_beat (xdrs, &objp->fleet_msg_u.bye))
+	case FLEET_GOODBYE:
+		 if (!xdr_fleet_heartbeat (xdrs, &objp->fleet_msg_u.bye))
 			 return FALSE;
 		break;
-	case FLEET_ASK:
-		 if (!xdr_fleet_ask (xdrs, &objp->fleet_msg_u.ask))
+	case FLEET_TOKEN_REQUEST:
+		 if (!xdr_fleet_token_request (xdrs, &objp->fleet_msg_u.ask))
 			 return FALSE;
 		break;
-	case FLEET_GIVE:
-		 if (!xdr_fleet_give (xdrs, &objp->fleet_msg_u.give))
+	case FLEET_TOKEN_GRANT:
+		 if (!xdr_fleet_token_grant (xdrs, &objp->fleet_msg_u.give))
 			 return FALSE;
 		break;
-	case FLEET_STRIKE:
-		 if (!xdr_fleet_strike (xdrs, &objp->fleet_msg_u.strike))
+	case FLEET_CRASH_REPORT:
+		 if (!xdr_fleet_crash_report (xdrs, &objp->fleet_msg_u.strike))
 			 return FALSE;
 		break;
 	case FLEET_BUCKET:
 		 if (!xdr_fleet_bucket (xdrs, &objp->fleet_msg_u.bucket))
 			 return FALSE;
 		break;
-	case FLEET_DOUBT:
-		 if (!xdr_fleet_doubt (xdrs, &objp->fleet_msg_u.doubt))
+	case FLEET_PROOF_QUERY:
+		 if (!xdr_fleet_proof_query (xdrs, &objp->fleet_msg_u.doubt))
 			 return FALSE;
 		break;
 	case FLEET_PROOF:
 		 if (!xdr_fleet_proof (xdrs, &objp->fleet_msg_u.proof))
 			 return FALSE;
 		break;
-	case FLEET_PULSE:
-		 if (!xdr_fleet_pulse (xdrs, &objp->fleet_msg_u.pulse))
+	case FLEET_LOAD_HEARTBEAT:
+		 if (!xdr_fleet_load_heartbeat (xdrs, &objp->fleet_msg_u.pulse))
 			 return FALSE;
 		break;
-	case FLEET_LEFT:
-		 if (!xdr_fleet_left (xdrs, &objp->fleet_msg_u.left))
+	case FLEET_DEPARTURE:
+		 if (!xdr_fleet_departure (xdrs, &objp->fleet_msg_u.left))
 			 return FALSE;
 		break;
 	default:
--- a/src/fleet/fleet_xdr.h
+++ b/src/fleet/fleet_xdr.h
@@ -16,7 +16,7 @@
 
 #define FLEET_NAME_MAX 63
 #define FLEET_CALLS_MAX 8
-#define FLEET_DEMANDS_MAX 8
+#define FLEET_REQUESTED_MAX 8
 #define FLEET_CLASSES 4
 #define FLEET_RATES_MAX 32
 #define FLEET_SILENT_MAX 32
@@ -61,7 +61,7 @@
 };
 typedef struct fleet_load fleet_load;
 
-struct fleet_beat {
+struct fleet_heartbeat {
 	fleet_name node;
 	fleet_name zone;
 	u_quad_t incarnation;
@@ -79,31 +79,31 @@
 	} demands;
 	fleet_load load;
 };
-typedef struct fleet_beat fleet_beat;
+typedef struct fleet_heartbeat fleet_heartbeat;
 
-struct fleet_pulse {
+struct fleet_load_heartbeat {
 	u_quad_t incarnation;
 	u_quad_t print;
 	fleet_load load;
 };
-typedef struct fleet_pulse fleet_pulse;
+typedef struct fleet_load_heartbeat fleet_load_heartbeat;
 
-struct fleet_ask {
+struct fleet_token_request {
 	u_quad_t workspace;
 	u_quad_t id;
 	u_int need;
 	u_int want;
 };
-typedef struct fleet_ask fleet_ask;
+typedef struct fleet_token_request fleet_token_request;
 
-struct fleet_give {
+struct fleet_token_grant {
 	u_quad_t workspace;
 	u_quad_t id;
 	u_int tokens;
 	u_int owner;
 	u_int wait_ms;
 };
-typedef struct fleet_give fleet_give;
+typedef struct fleet_token_grant fleet_token_grant;
 
 struct fleet_bucket {
 	u_quad_t workspace;
@@ -111,10 +111,10 @@
 };
 typedef struct fleet_bucket fleet_bucket;
 
-struct fleet_doubt {
+struct fleet_proof_query {
 	u_quad_t id;
 };
-typedef struct fleet_doubt fleet_doubt;
+typedef struct fleet_proof_query fleet_proof_query;
 
 struct fleet_proof {
 	u_quad_t id;
@@ -123,47 +123,47 @@
 };
 typedef struct fleet_proof fleet_proof;
 
-struct fleet_strike {
+struct fleet_crash_report {
 	u_quad_t lo;
 	u_quad_t hi;
 	u_quad_t death;
 	u_int acquitted;
 };
-typedef struct fleet_strike fleet_strike;
+typedef struct fleet_crash_report fleet_crash_report;
 
-struct fleet_left {
+struct fleet_departure {
 	fleet_name server;
 	u_quad_t born_ms;
 };
-typedef struct fleet_left fleet_left;
+typedef struct fleet_departure fleet_departure;
 
 enum fleet_kind {
-	FLEET_BEAT = 1,
-	FLEET_BYE = 2,
-	FLEET_ASK = 3,
-	FLEET_GIVE = 4,
-	FLEET_STRIKE = 5,
+	FLEET_HEARTBEAT = 1,
+	FLEET_GOODBYE = 2,
+	FLEET_TOKEN_REQUEST = 3,
+	FLEET_TOKEN_GRANT = 4,
+	FLEET_CRASH_REPORT = 5,
 	FLEET_BUCKET = 6,
-	FLEET_DOUBT = 7,
+	FLEET_PROOF_QUERY = 7,
 	FLEET_PROOF = 8,
-	FLEET_PULSE = 9,
-	FLEET_LEFT = 10,
+	FLEET_LOAD_HEARTBEAT = 9,
+	FLEET_DEPARTURE = 10,
 };
 typedef enum fleet_kind fleet_kind;
 
 struct fleet_msg {
 	fleet_kind kind;
 	union {
-		fleet_beat beat;
-		fleet_beat bye;
-		fleet_ask ask;
-		fleet_give give;
-		fleet_strike strike;
+		fleet_heartbeat beat;
+		fleet_heartbeat bye;
+		fleet_token_request ask;
+		fleet_token_grant give;
+		fleet_crash_report strike;
 		fleet_bucket bucket;
-		fleet_doubt doubt;
+		fleet_proof_query doubt;
 		fleet_proof proof;
-		fleet_pulse pulse;
-		fleet_left left;
+		fleet_load_heartbeat pulse;
+		fleet_departure left;
 	} fleet_msg_u;
 };
 typedef struct fleet_msg fleet_msg;
@@ -174,15 +174,15 @@
 extern  bool_t xdr_fleet_name (XDR *, fleet_name*);
 extern  bool_t xdr_fleet_server_state (XDR *, fleet_server_state*);
 extern  bool_t xdr_fleet_load (XDR *, fleet_load*);
-extern  bool_t xdr_fleet_beat (XDR *, fleet_beat*);
-extern  bool_t xdr_fleet_pulse (XDR *, fleet_pulse*);
-extern  bool_t xdr_fleet_ask (XDR *, fleet_ask*);
-extern  bool_t xdr_fleet_give (XDR *, fleet_give*);
+extern  bool_t xdr_fleet_heartbeat (XDR *, fleet_heartbeat*);
+extern  bool_t xdr_fleet_load_heartbeat (XDR *, fleet_load_heartbeat*);
+extern  bool_t xdr_fleet_token_request (XDR *, fleet_token_request*);
+extern  bool_t xdr_fleet_token_grant (XDR *, fleet_token_grant*);
 extern  bool_t xdr_fleet_bucket (XDR *, fleet_bucket*);
-extern  bool_t xdr_fleet_doubt (XDR *, fleet_doubt*);
+extern  bool_t xdr_fleet_proof_query (XDR *, fleet_proof_query*);
 extern  bool_t xdr_fleet_proof (XDR *, fleet_proof*);
-extern  bool_t xdr_fleet_strike (XDR *, fleet_strike*);
-extern  bool_t xdr_fleet_left (XDR *, fleet_left*);
+extern  bool_t xdr_fleet_crash_report (XDR *, fleet_crash_report*);
+extern  bool_t xdr_fleet_departure (XDR *, fleet_departure*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_msg (XDR *, fleet_msg*);
 
@@ -190,15 +190,15 @@
 extern bool_t xdr_fleet_name ();
 extern bool_t xdr_fleet_server_state ();
 extern bool_t xdr_fleet_load ();
-extern bool_t xdr_fleet_beat ();
-extern bool_t xdr_fleet_pulse ();
-extern bool_t xdr_fleet_ask ();
-extern bool_t xdr_fleet_give ();
+extern bool_t xdr_fleet_heartbeat ();
+extern bool_t xdr_fleet_load_heartbeat ();
+extern bool_t xdr_fleet_token_request ();
+extern bool_t xdr_fleet_token_grant ();
 extern bool_t xdr_fleet_bucket ();
-extern bool_t xdr_fleet_doubt ();
+extern bool_t xdr_fleet_proof_query ();
 extern bool_t xdr_fleet_proof ();
-extern bool_t xdr_fleet_strike ();
-extern bool_t xdr_fleet_left ();
+extern bool_t xdr_fleet_crash_report ();
+extern bool_t xdr_fleet_departure ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_msg ();
 
--- a/src/fleet/seal.c
+++ b/src/fleet/seal.c
@@ -20,8 +20,8 @@
 static void
 derive_key(const char *text, unsigned char *key)
 {
-	crypto_generichash(key, SEAL_KEY_HASH, (const unsigned char *)text,
-	    strlen(text), NULL, 0);
+	crypto_generichash(key, SEAL_KEY_HASH_BYTES,
+	    (const unsigned char *)text, strlen(text), NULL, 0);
 }
 
 /*
@@ -29,15 +29,15 @@
  * rotation.  An empty text means no key.
  */
 void
-seal_init(struct seal *s, const char *secret_key, const char *previous_key)
+seal_init(struct seal *s, const char *secret_key, const char *alternate_key)
 {
 	memset(s, 0, sizeof(*s));
-	s->keyed = secret_key[0] != '\0';
-	if (!s->keyed)
+	s->has_key = secret_key[0] != '\0';
+	if (!s->has_key)
 		return;
 	derive_key(secret_key, s->key[0]);
 	derive_key(
-	    previous_key[0] != '\0' ? previous_key : secret_key, s->key[1]);
+	    alternate_key[0] != '\0' ? alternate_key : secret_key, s->key[1]);
 }
 
 /*
@@ -65,15 +65,15 @@
 	static const unsigned char kind = KIND_DATAGRAM;
 	crypto_generichash_state st;
 
-	crypto_generichash_init(&st, key, SEAL_KEY_HASH, SEAL_BYTES);
+	crypto_generichash_init(&st, key, SEAL_KEY_HASH_BYTES, SEAL_BYTES);
 	crypto_generichash_update(&st, &kind, sizeof(kind));
 	hash_part(&st, p, len);
 	crypto_generichash_final(&st, mac, SEAL_BYTES);
 }
 
 /*
- * Computes the MAC of a request with one key, as SEAL_HEX bytes of hexadecimal
- * text.
+ * Computes the MAC of a request with one key, as SEAL_HEX_BYTES bytes of
+ * hexadecimal text.
  */
 static void
 compute_request_mac(
@@ -83,14 +83,14 @@
 	crypto_generichash_state st;
 	unsigned char mac[SEAL_BYTES];
 
-	crypto_generichash_init(&st, key, SEAL_KEY_HASH, SEAL_BYTES);
+	crypto_generichash_init(&st, key, SEAL_KEY_HASH_BYTES, SEAL_BYTES);
 	crypto_generichash_update(&st, &kind, sizeof(kind));
 	hash_part(&st, q->method, strlen(q->method));
 	hash_part(&st, q->target, q->target_len);
 	hash_part(&st, q->id, q->id_len);
 	hash_part(&st, q->hop, strlen(q->hop));
 	crypto_generichash_final(&st, mac, sizeof(mac));
-	sodium_bin2hex(hex, SEAL_HEX, mac, sizeof(mac));
+	sodium_bin2hex(hex, SEAL_HEX_BYTES, mac, sizeof(mac));
 }
 
 /*
@@ -100,7 +100,7 @@
 size_t
 seal_datagram(const struct seal *s, char *p, size_t len)
 {
-	if (!s->keyed)
+	if (!s->has_key)
 		return len;
 	compute_datagram_mac(s->key[0], p, len, (unsigned char *)p + len);
 	return len + SEAL_BYTES;
@@ -116,7 +116,7 @@
 	unsigned char expected[SEAL_BYTES];
 	size_t i;
 
-	if (!s->keyed)
+	if (!s->has_key)
 		return len;
 	if (len <= SEAL_BYTES)
 		return 0;
@@ -130,14 +130,14 @@
 }
 
 /*
- * Writes the seal of a request as SEAL_HEX bytes of hexadecimal text, or an
- * empty text without a key.
+ * Writes the seal of a request as SEAL_HEX_BYTES bytes of hexadecimal text, or
+ * an empty text without a key.
  */
 void
 seal_request(const struct seal *s, const struct seal_request *q, char *hex)
 {
 	hex[0] = '\0';
-	if (s->keyed)
+	if (s->has_key)
 		compute_request_mac(s->key[0], q, hex);
 }
 
@@ -146,18 +146,18 @@
  * key every request passes.
  */
 int
-seal_request_good(
+seal_request_valid(
     const struct seal *s, const struct seal_request *q, const char *hex)
 {
-	char expected[SEAL_HEX];
+	char expected[SEAL_HEX_BYTES];
 	size_t i;
 
-	if (!s->keyed)
+	if (!s->has_key)
 		return 1;
 	for (i = 0; i < SEAL_KEYS; i++) {
 		compute_request_mac(s->key[i], q, expected);
-		if (strlen(hex) == SEAL_HEX - 1 &&
-		    sodium_memcmp(hex, expected, SEAL_HEX - 1) == 0)
+		if (strlen(hex) == SEAL_HEX_BYTES - 1 &&
+		    sodium_memcmp(hex, expected, SEAL_HEX_BYTES - 1) == 0)
 			return 1;
 	}
 	return 0;
--- a/src/fleet/test_left.c
+++ b/src/fleet/test_left.c
@@ -56,7 +56,7 @@
 	char node[] = "b", zone[] = "z", service[] = "s";
 	const struct heartbeat_step *s;
 	struct fleet_table t;
-	struct fleet_beat b;
+	struct fleet_heartbeat b;
 	size_t i, k;
 	int changed;
 
@@ -79,10 +79,11 @@
 			b.server.born_ms = s->born_ms;
 			b.server.away = s->away;
 			assert_int_equal(
-			    fleet_heard(&t, &b, 10 + k, &changed), 0);
+			    fleet_apply_heartbeat(&t, &b, 10 + k, &changed), 0);
 			if (s->server[0] != '\0')
 				assert_int_equal(
-				    t.peers[0].server.leaving != 0, s->leaving);
+				    t.peers[0].server.unavailable_state != 0,
+				    s->leaving);
 		}
 		fleet_table_finish(&t);
 	}
--- a/src/fleet/test_seal.c
+++ b/src/fleet/test_seal.c
@@ -40,7 +40,7 @@
 		.id = "r1",
 		.id_len = 2,
 		.hop = "1 0" };
-	char buf[9 + SEAL_BYTES], hex[SEAL_HEX];
+	char buf[9 + SEAL_BYTES], hex[SEAL_HEX_BYTES];
 	struct seal from, to;
 	size_t i, len;
 
@@ -54,7 +54,7 @@
 		    seal_open(&to, buf, len), rows[i].valid ? 8 : 0);
 		seal_request(&from, &q, hex);
 		assert_int_equal(
-		    seal_request_good(&to, &q, hex), rows[i].valid);
+		    seal_request_valid(&to, &q, hex), rows[i].valid);
 	}
 }
 
@@ -100,7 +100,7 @@
 		{ "GET", "/o/12", 5, "r1", 2, "9 1" },
 		{ "GET", "/o/12", 5, NULL, 0, "9 0" },
 	};
-	char hex[SEAL_HEX];
+	char hex[SEAL_HEX_BYTES];
 	struct seal s;
 	size_t i, j, n = sizeof(rows) / sizeof(rows[0]);
 
@@ -108,13 +108,13 @@
 	seal_init(&s, OLD_KEY, "");
 	for (i = 0; i < n; i++) {
 		seal_request(&s, &rows[i], hex);
-		assert_int_equal(strlen(hex), SEAL_HEX - 1);
+		assert_int_equal(strlen(hex), SEAL_HEX_BYTES - 1);
 		for (j = 0; j < n; j++)
 			assert_int_equal(
-			    seal_request_good(&s, &rows[j], hex), i == j);
-		hex[SEAL_HEX - 2] = '\0';
-		assert_false(seal_request_good(&s, &rows[i], hex));
-		assert_false(seal_request_good(&s, &rows[i], ""));
+			    seal_request_valid(&s, &rows[j], hex), i == j);
+		hex[SEAL_HEX_BYTES - 2] = '\0';
+		assert_false(seal_request_valid(&s, &rows[i], hex));
+		assert_false(seal_request_valid(&s, &rows[i], ""));
 	}
 }
 
--- a/src/fleet/test_table.c
+++ b/src/fleet/test_table.c
@@ -15,10 +15,10 @@
 #define CUT_FROM_MS 4000
 #define CUT_END_MS 17800
 
-static struct fleet_beat
+static struct fleet_heartbeat
 make_heartbeat(char *name, uint64_t incarnation, uint64_t sequence)
 {
-	struct fleet_beat b;
+	struct fleet_heartbeat b;
 
 	memset(&b, 0, sizeof(b));
 	b.node = name;
@@ -36,10 +36,10 @@
 receive_heartbeat(
     struct fleet_table *t, char *name, uint64_t inc, uint64_t seq, uint64_t now)
 {
-	struct fleet_beat b = make_heartbeat(name, inc, seq);
+	struct fleet_heartbeat b = make_heartbeat(name, inc, seq);
 	int changed;
 
-	(void)fleet_heard(t, &b, now, &changed);
+	(void)fleet_apply_heartbeat(t, &b, now, &changed);
 }
 
 /*
@@ -62,24 +62,24 @@
 		{ 4, 1, 4000, 1, 1 }, /* its clock was set back; long silence */
 	};
 	struct fleet_table t;
-	struct fleet_beat b;
+	struct fleet_heartbeat b;
 	char name[] = "b";
 	int changed, h;
 	size_t i;
 
 	(void)state;
 	fleet_table_init(&t, "a", START_MS);
-	fleet_listed(&t);
+	fleet_set_node_list_complete(&t);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		b = make_heartbeat(name, rows[i].inc, rows[i].seq);
-		h = fleet_heard(&t, &b, rows[i].now, &changed);
+		h = fleet_apply_heartbeat(&t, &b, rows[i].now, &changed);
 		assert_int_equal(h >= 0, rows[i].accepted);
 		assert_int_equal(changed, rows[i].changed);
 	}
-	fleet_said_bye(&t, &b, 4100);
-	assert_false(fleet_alive(&t, 0, 4100));
+	fleet_apply_goodbye(&t, &b, 4100);
+	assert_false(fleet_is_alive(&t, 0, 4100));
 	receive_heartbeat(&t, name, 7, 1, 4200);
-	assert_true(fleet_alive(&t, 0, 4200));
+	assert_true(fleet_is_alive(&t, 0, 4200));
 	fleet_table_finish(&t);
 }
 
@@ -91,40 +91,45 @@
 test_load_heartbeat(void **state)
 {
 	char name[] = "b", new_server[] = "c";
-	struct fleet_pulse m;
+	struct fleet_load_heartbeat m;
 	struct fleet_table t;
-	struct fleet_beat b;
+	struct fleet_heartbeat b;
 	int changed;
 
 	(void)state;
 	fleet_table_init(&t, "a", START_MS);
-	fleet_listed(&t);
+	fleet_set_node_list_complete(&t);
 	b = make_heartbeat(name, 5, 1);
 	memset(&m, 0, sizeof(m));
 	m.incarnation = 5;
-	m.print = fleet_print(&b);
+	m.print = fleet_heartbeat_digest(&b);
 	m.load.sequence = 2;
 	m.load.running = 7;
 	m.load.config_version = 3;
-	assert_int_equal(fleet_pulsed(&t, &m, 1, 900), FLEET_NONE);
-	fleet_heard(&t, &b, 1000, &changed);
-	assert_int_equal(fleet_pulsed(&t, &m, 2, 1100), FLEET_NONE);
-	assert_int_equal(fleet_pulsed(&t, &m, 1, 1100), 0);
+	assert_int_equal(
+	    fleet_apply_load_heartbeat(&t, &m, 1, 900), FLEET_NONE);
+	fleet_apply_heartbeat(&t, &b, 1000, &changed);
+	assert_int_equal(
+	    fleet_apply_load_heartbeat(&t, &m, 2, 1100), FLEET_NONE);
+	assert_int_equal(fleet_apply_load_heartbeat(&t, &m, 1, 1100), 0);
 	assert_int_equal(t.peers[0].server.running, 7);
-	assert_int_equal(fleet_pulsed(&t, &m, 1, 1200), FLEET_NONE);
+	assert_int_equal(
+	    fleet_apply_load_heartbeat(&t, &m, 1, 1200), FLEET_NONE);
 	assert_int_equal(t.peers[0].heard_ms, 1100);
 	/* The full heartbeat that reports a new server was lost. */
 	b.server.id = new_server;
-	m.print = fleet_print(&b);
+	m.print = fleet_heartbeat_digest(&b);
 	m.load.sequence = 4;
 	m.load.running = 0;
 	m.load.config_version = 4;
-	assert_int_equal(fleet_pulsed(&t, &m, 1, 1300), FLEET_NONE);
+	assert_int_equal(
+	    fleet_apply_load_heartbeat(&t, &m, 1, 1300), FLEET_NONE);
 	assert_int_equal(t.peers[0].heard_ms, 1300);
 	assert_int_equal(t.peers[0].config_version, 4);
 	assert_int_equal(t.peers[0].server.running, 7);
 	m.incarnation = 6;
-	assert_int_equal(fleet_pulsed(&t, &m, 1, 1400), FLEET_NONE);
+	assert_int_equal(
+	    fleet_apply_load_heartbeat(&t, &m, 1, 1400), FLEET_NONE);
 	assert_int_equal(t.peers[0].heard_ms, 1300);
 	fleet_table_finish(&t);
 }
@@ -137,24 +142,24 @@
 {
 	char name[] = "b", called[] = "deep";
 	fleet_name calls[] = { called };
-	struct fleet_beat b = make_heartbeat(name, 5, 1);
-	uint64_t digest = fleet_print(&b);
+	struct fleet_heartbeat b = make_heartbeat(name, 5, 1);
+	uint64_t digest = fleet_heartbeat_digest(&b);
 
 	(void)state;
 	b.load.sequence = 9;
 	b.load.running = 3;
 	b.server.cold_ms = 100;
-	assert_true(fleet_print(&b) == digest);
+	assert_true(fleet_heartbeat_digest(&b) == digest);
 	b.server.away = 1;
-	assert_true(fleet_print(&b) != digest);
+	assert_true(fleet_heartbeat_digest(&b) != digest);
 	b.server.away = 0;
 	b.calls.calls_val = calls;
 	b.calls.calls_len = 1;
-	assert_true(fleet_print(&b) != digest);
+	assert_true(fleet_heartbeat_digest(&b) != digest);
 	b.demands.demands_val = calls;
 	b.demands.demands_len = 1;
 	b.calls.calls_len = 0;
-	assert_true(fleet_print(&b) != digest);
+	assert_true(fleet_heartbeat_digest(&b) != digest);
 }
 
 /*
@@ -164,15 +169,16 @@
 test_own_heartbeat(void **state)
 {
 	struct fleet_table t;
-	struct fleet_beat b;
+	struct fleet_heartbeat b;
 	char name[] = "a";
 	int changed;
 
 	(void)state;
 	fleet_table_init(&t, "a", START_MS);
-	fleet_listed(&t);
+	fleet_set_node_list_complete(&t);
 	b = make_heartbeat(name, 1, 1);
-	assert_int_equal(fleet_heard(&t, &b, 1, &changed), FLEET_SELF);
+	assert_int_equal(
+	    fleet_apply_heartbeat(&t, &b, 1, &changed), FLEET_SELF);
 	assert_int_equal(t.count, 0);
 	fleet_table_finish(&t);
 }
@@ -194,7 +200,7 @@
 		snprintf(names[i], sizeof(names[i]), "n%d", i);
 	for (n = 0; n < 2; n++) {
 		fleet_table_init(&t[n], names[n], START_MS);
-		fleet_listed(&t[n]);
+		fleet_set_node_list_complete(&t[n]);
 		for (i = 0; i < NODES; i++)
 			if (i != n)
 				receive_heartbeat(&t[n], names[i], 1, 1, 1000);
@@ -234,9 +240,9 @@
 
 	(void)state;
 	fleet_table_init(&t, "a", START_MS);
-	fleet_listed(&t);
-	fleet_learn(&t, "b", 1, 1000);
-	fleet_learn(&t, "c", 2, 1000);
+	fleet_set_node_list_complete(&t);
+	fleet_add_node(&t, "b", 1, 1000);
+	fleet_add_node(&t, "c", 2, 1000);
 	assert_int_equal(fleet_owner(&t, 1, 1000), FLEET_NONE);
 	fleet_table_finish(&t);
 }
@@ -254,8 +260,8 @@
 	(void)state;
 	fleet_table_init(&t, "a", START_MS);
 	assert_int_equal(fleet_owner(&t, 1, START_MS), FLEET_NONE);
-	assert_int_equal(t.turned_ms, START_MS);
-	fleet_listed(&t);
+	assert_int_equal(t.members_changed_ms, START_MS);
+	fleet_set_node_list_complete(&t);
 	assert_int_equal(fleet_owner(&t, 1, START_MS), FLEET_SELF);
 	fleet_table_finish(&t);
 }
@@ -267,7 +273,7 @@
 static void
 test_fleet_size_at_start(void **state)
 {
-	struct fleet_beat b;
+	struct fleet_heartbeat b;
 	struct fleet_table t;
 	char names[NODES][16];
 	int changed, i;
@@ -278,21 +284,21 @@
 	for (i = 0; i < 8; i++) {
 		snprintf(names[i], sizeof(names[i]), "n%d", i);
 		b = make_heartbeat(names[i], 1, 1);
-		fleet_heard(&t, &b, 1000, &changed);
+		fleet_apply_heartbeat(&t, &b, 1000, &changed);
 	}
 	/* The peers have just started, too. */
 	assert_int_equal(fleet_size(&t), FLEET_SIZE_UNKNOWN);
-	assert_false(fleet_quorum(&t, 1000));
+	assert_false(fleet_has_quorum(&t, 1000));
 	b = make_heartbeat(names[0], 1, 2);
 	b.load.nodes = 17;
-	fleet_heard(&t, &b, 1000, &changed);
+	fleet_apply_heartbeat(&t, &b, 1000, &changed);
 	assert_int_equal(fleet_size(&t), 17);
-	assert_true(fleet_quorum(&t, 1000)); /* nine of 17 */
+	assert_true(fleet_has_quorum(&t, 1000)); /* nine of 17 */
 	b = make_heartbeat(names[1], 1, 2);
 	b.load.nodes = 18;
-	fleet_heard(&t, &b, 1000, &changed);
-	assert_false(fleet_quorum(&t, 1000));
-	fleet_listed(&t);
+	fleet_apply_heartbeat(&t, &b, 1000, &changed);
+	assert_false(fleet_has_quorum(&t, 1000));
+	fleet_set_node_list_complete(&t);
 	assert_int_equal(fleet_size(&t), 9);
 	fleet_table_finish(&t);
 }
@@ -314,7 +320,7 @@
 	for (larger_part = 0; larger_part < 2; larger_part++) {
 		alive = larger_part == 0 ? 5 : 9; /* others, of 14 */
 		fleet_table_init(&t, "a", START_MS);
-		fleet_listed(&t);
+		fleet_set_node_list_complete(&t);
 		for (now = 1000; now < 60000; now += 250) {
 			for (i = 0; i < NODES - 1; i++) {
 				snprintf(names[i], sizeof(names[i]), "n%d", i);
@@ -322,18 +328,18 @@
 					receive_heartbeat(
 					    &t, names[i], 1, now, now);
 			}
-			fleet_tick(&t, now);
+			fleet_update_members(&t, now);
 			if (now < 2000 || now > 5000)
-				assert_int_equal(fleet_quorum(&t, now),
+				assert_int_equal(fleet_has_quorum(&t, now),
 				    now < 2000 || larger_part == 1);
 		}
 		assert_int_equal(fleet_size(&t), larger_part == 0 ? 15 : 10);
 		for (; now < 70000; now += 250) {
 			for (i = 0; i < alive; i++)
 				receive_heartbeat(&t, names[i], 1, now, now);
-			fleet_tick(&t, now);
+			fleet_update_members(&t, now);
 		}
-		assert_true(fleet_quorum(&t, now));
+		assert_true(fleet_has_quorum(&t, now));
 		fleet_table_finish(&t);
 	}
 }
@@ -365,7 +371,7 @@
 /* Nodes that send heartbeats to each other. */
 struct nodes {
 	struct fleet_table tables[NODES];
-	struct fleet_beat beats[NODES];
+	struct fleet_heartbeat beats[NODES];
 	uint32_t silent[NODES][FLEET_SILENT_MAX];
 	char names[NODES][16];
 };
@@ -378,7 +384,7 @@
 	for (i = 0; i < NODES; i++) {
 		snprintf(ns->names[i], sizeof(ns->names[i]), "n%d", i);
 		fleet_table_init(&ns->tables[i], ns->names[i], START_MS);
-		fleet_listed(&ns->tables[i]);
+		fleet_set_node_list_complete(&ns->tables[i]);
 	}
 }
 
@@ -392,18 +398,18 @@
 
 	for (i = 0; i < NODES; i++) {
 		ns->beats[i] = make_heartbeat(ns->names[i], 1, now);
-		ns->beats[i].load.out = (u_int)ns->tables[i].out;
+		ns->beats[i].load.out = (u_int)ns->tables[i].self_isolated;
 		ns->beats[i].load.silent.silent_val = ns->silent[i];
 		ns->beats[i].load.silent.silent_len =
-		    fleet_silent(&ns->tables[i], now, ns->silent[i]);
+		    fleet_list_silent(&ns->tables[i], now, ns->silent[i]);
 	}
 	for (i = 0; i < NODES; i++)
 		for (k = 0; k < NODES; k++)
 			if (i != k && !is_cut(c, i, k, now))
-				fleet_heard(&ns->tables[k], &ns->beats[i], now,
-				    &changed);
+				fleet_apply_heartbeat(&ns->tables[k],
+				    &ns->beats[i], now, &changed);
 	for (i = 0; i < NODES; i++)
-		fleet_tick(&ns->tables[i], now);
+		fleet_update_members(&ns->tables[i], now);
 }
 
 /*
@@ -417,7 +423,7 @@
 
 	for (i = 0; i < NODES; i++) {
 		if (fleet_owner(&ns->tables[i], limit, now) != FLEET_SELF ||
-		    now - ns->tables[i].turned_ms < GRANT_DELAY_MS)
+		    now - ns->tables[i].members_changed_ms < GRANT_DELAY_MS)
 			continue;
 		assert_int_equal(granter, -1);
 		granter = i;
@@ -505,19 +511,19 @@
 	(void)state;
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		fleet_table_init(&t, "a", START_MS);
-		fleet_listed(&t);
+		fleet_set_node_list_complete(&t);
 		receive_heartbeat(&t, name, 1, 1, 1000);
-		fleet_tick(&t, 1000);
-		assert_false(t.out);
+		fleet_update_members(&t, 1000);
+		assert_false(t.self_isolated);
 		receive_heartbeat(&t, name, 1, 2, 1200);
 		now = 1000 + rows[i].pause_ms;
-		fleet_paused(&t, rows[i].pause_ms, now);
-		fleet_tick(&t, now);
-		assert_true(fleet_alive(&t, 0, now));
+		fleet_apply_pause(&t, rows[i].pause_ms, now);
+		fleet_update_members(&t, now);
+		assert_true(fleet_is_alive(&t, 0, now));
 		now += rows[i].later_ms;
-		fleet_tick(&t, now);
-		assert_int_equal(t.out, rows[i].stays_isolated);
-		assert_false(t.peers[0].gone);
+		fleet_update_members(&t, now);
+		assert_int_equal(t.self_isolated, rows[i].stays_isolated);
+		assert_false(t.peers[0].has_departed);
 		assert_true(rows[i].stays_isolated ||
 			    fleet_owner(&t, 7, now) != FLEET_NONE);
 		assert_true(!rows[i].stays_isolated ||
@@ -538,13 +544,13 @@
 
 	(void)state;
 	fleet_table_init(&t, "a", START_MS);
-	fleet_listed(&t);
+	fleet_set_node_list_complete(&t);
 	receive_heartbeat(&t, name, 1, 1, 1000);
-	fleet_paused(&t, 10000, 11000);
-	assert_true(fleet_alive(&t, 0, 11050));
-	assert_false(fleet_alive(&t, 0, 13000));
-	fleet_tick(&t, 80000);
-	assert_true(t.peers[0].gone);
+	fleet_apply_pause(&t, 10000, 11000);
+	assert_true(fleet_is_alive(&t, 0, 11050));
+	assert_false(fleet_is_alive(&t, 0, 13000));
+	fleet_update_members(&t, 80000);
+	assert_true(t.peers[0].has_departed);
 	fleet_table_finish(&t);
 }
 
--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -25,19 +25,19 @@
 static void request_config(uv_timer_t *);
 static void on_newest_reply(void *, const struct store_reply *);
 static void on_read_reply(void *, const struct store_reply *);
-static void retry_config(struct follow *, const struct store_reply *);
-static void resume_config(struct follow *);
-static void apply_record(struct follow *, const struct store_record *);
+static void retry_config(struct follower *, const struct store_reply *);
+static void resume_config(struct follower *);
+static void apply_record(struct follower *, const struct store_record *);
 static void apply_records(
-    struct follow *, const struct store_reply *, uint64_t);
+    struct follower *, const struct store_reply *, uint64_t);
 static void on_short_read_timer(uv_timer_t *);
 static void on_short_read_reply(void *, const struct store_reply *);
 static void request_node_list(uv_timer_t *);
 static void on_register_reply(void *, const struct store_reply *);
 static void on_node_list_reply(void *, const struct store_reply *);
-static void retry_node_list(struct follow *);
+static void retry_node_list(struct follower *);
 static uint64_t retry_delay_ms(uint64_t, uint32_t, uint32_t);
-static int is_outage_tolerable(const struct follow *);
+static int is_outage_tolerable(const struct follower *);
 
 static const char *const status_names[STORE_STATUS_MAX] = {
 	[STORE_OK] = "ok",
@@ -52,7 +52,7 @@
  * outlive the follower.
  */
 void
-follow_init(struct follow *f, uv_loop_t *loop, const struct store_ops *store,
+follow_init(struct follower *f, uv_loop_t *loop, const struct store_ops *store,
     void *store_ctx, const struct follow_ops *ops, void *ctx,
     const char *config_key, const char *node)
 {
@@ -77,7 +77,7 @@
  * host order.
  */
 void
-follow_start(struct follow *f, uint32_t address)
+follow_start(struct follower *f, uint32_t address)
 {
 	struct in_addr a;
 
@@ -99,16 +99,16 @@
 static void
 on_short_read_timer(uv_timer_t *timer)
 {
-	struct follow *f = timer->data;
+	struct follower *f = timer->data;
 
-	f->query_needed = f->ops->doubt(f->ctx);
+	f->query_needed = f->ops->must_read_store(f->ctx);
 	if (f->query_needed && f->store_lost)
-		f->ops->ask(f->ctx);
+		f->ops->query_peers(f->ctx);
 	if (f->short_read_pending || f->phase != FOLLOW_READ ||
 	    f->read_wait_ms == 0)
 		return;
-	if (!f->query_needed &&
-	    (f->read_wait_ms < LONG_READ_WAIT_MS || !f->ops->close(f->ctx)))
+	if (!f->query_needed && (f->read_wait_ms < LONG_READ_WAIT_MS ||
+				    !f->ops->follows_closely(f->ctx)))
 		return;
 	f->short_read_pending = 1;
 	f->short_read_wait_ms = f->query_needed ? 0 : CLOSE_READ_WAIT_MS;
@@ -123,7 +123,7 @@
 static void
 on_short_read_reply(void *ctx, const struct store_reply *reply)
 {
-	struct follow *f = ctx;
+	struct follower *f = ctx;
 
 	f->short_read_pending = 0;
 	if (reply->status == STORE_OK)
@@ -137,7 +137,7 @@
  * the request was sent.
  */
 uint64_t
-follow_proof(uint64_t asked_ms, uint64_t wait_ms, uint64_t now_ms)
+follow_proof_ms(uint64_t asked_ms, uint64_t wait_ms, uint64_t now_ms)
 {
 	return now_ms >= asked_ms + wait_ms ? asked_ms + wait_ms : asked_ms;
 }
@@ -158,10 +158,10 @@
  * known.
  */
 static int
-is_outage_tolerable(const struct follow *f)
+is_outage_tolerable(const struct follower *f)
 {
 	return f->version > 0 && f->phase == FOLLOW_READ && !f->query_needed &&
-	       !f->ops->close(f->ctx);
+	       !f->ops->follows_closely(f->ctx);
 }
 
 /*
@@ -170,17 +170,17 @@
 static void
 request_config(uv_timer_t *timer)
 {
-	struct follow *f = timer->data;
+	struct follower *f = timer->data;
 
 	if (f->phase == FOLLOW_NEWEST) {
-		f->store->newest(f->store_ctx, STORE_CONFIG, NULL,
+		f->store->read_newest(f->store_ctx, STORE_CONFIG, NULL,
 		    NEWEST_TIMEOUT_MS, on_newest_reply, f);
 		return;
 	}
 	/* After a failure a read without a wait detects recovery sooner. */
-	f->read_wait_ms = f->config_failures > 0  ? 0
-			  : f->ops->close(f->ctx) ? CLOSE_READ_WAIT_MS
-						  : LONG_READ_WAIT_MS;
+	f->read_wait_ms = f->config_failures > 0	    ? 0
+			  : f->ops->follows_closely(f->ctx) ? CLOSE_READ_WAIT_MS
+							    : LONG_READ_WAIT_MS;
 	f->store->read(f->store_ctx, STORE_CONFIG, f->next_offset,
 	    f->read_wait_ms, f->read_wait_ms + READ_GRACE_MS, on_read_reply, f);
 }
@@ -189,7 +189,7 @@
  * Logs the start of an outage, schedules a retry, and queries the peers.
  */
 static void
-retry_config(struct follow *f, const struct store_reply *reply)
+retry_config(struct follower *f, const struct store_reply *reply)
 {
 	if (!f->store_lost) {
 		f->store_lost = 1;
@@ -207,17 +207,17 @@
 				       : RETRY_DOUBLINGS),
 	    0);
 	f->config_failures++;
-	f->ops->ask(f->ctx);
+	f->ops->query_peers(f->ctx);
 }
 
 /*
  * Logs the end of an outage and sends the next request.
  */
 static void
-resume_config(struct follow *f)
+resume_config(struct follower *f)
 {
 	if (f->store_lost)
-		event_log(EVENT_STORE_BACK, loop_ms(f->loop),
+		event_log(EVENT_STORE_REGAINED, loop_ms(f->loop),
 		    "version=%llu failures=%u", (unsigned long long)f->version,
 		    f->config_failures);
 	f->store_lost = 0;
@@ -231,7 +231,7 @@
  * nothing.
  */
 static void
-apply_record(struct follow *f, const struct store_record *record)
+apply_record(struct follower *f, const struct store_record *record)
 {
 	uint64_t now = loop_ms(f->loop);
 	struct finds finds;
@@ -244,13 +244,13 @@
 	c = f->ops->decode(f->ctx, record->value, record->value_len, &finds);
 	if (c == NULL) {
 		f->bad_records++;
-		event_log(EVENT_CONFIG_BAD, now,
+		event_log(EVENT_CONFIG_INVALID, now,
 		    "offset=%llu findings=%zu first=\"%s\" at=%s",
 		    (unsigned long long)record->offset, finds.count,
 		    finds.count > 0 ? finds.list[0].text : "",
 		    finds.count > 0 ? finds.list[0].place : "/");
 	} else {
-		follow_offer(f, c, "store", record->offset);
+		follow_offer_config(f, c, "store", record->offset);
 	}
 	finds_finish(&finds);
 }
@@ -261,14 +261,14 @@
  * the node that sent it.
  */
 void
-follow_offer(
-    struct follow *f, struct config *c, const char *source, uint64_t offset)
+follow_offer_config(
+    struct follower *f, struct config *c, const char *source, uint64_t offset)
 {
 	uint64_t now = loop_ms(f->loop);
 
 	if (c->version <= f->version) {
 		if (c->version < f->version)
-			event_log(EVENT_CONFIG_OLD, now,
+			event_log(EVENT_CONFIG_OUTDATED, now,
 			    "source=%s offset=%llu version=%llu in_force=%llu",
 			    source, (unsigned long long)offset,
 			    (unsigned long long)c->version,
@@ -276,14 +276,14 @@
 		config_free(c);
 		return;
 	}
-	event_log(EVENT_CONFIG_TAKEN, now,
+	event_log(EVENT_CONFIG_IN_FORCE, now,
 	    "version=%llu before=%llu source=%s offset=%llu routes=%zu "
 	    "workspaces=%zu keys=%zu",
 	    (unsigned long long)c->version, (unsigned long long)f->version,
 	    source, (unsigned long long)offset, c->route_count, c->ws_count,
 	    c->key_count);
 	f->version = c->version;
-	f->ops->take(f->ctx, c);
+	f->ops->apply_config(f->ctx, c);
 }
 
 /*
@@ -292,7 +292,7 @@
 static void
 on_newest_reply(void *ctx, const struct store_reply *reply)
 {
-	struct follow *f = ctx;
+	struct follower *f = ctx;
 	size_t i;
 
 	if (reply->status != STORE_OK) {
@@ -301,10 +301,10 @@
 	}
 	for (i = 0; i < reply->count; i++)
 		apply_record(f, &reply->records[i]);
-	f->next_offset = reply->end;
+	f->next_offset = reply->end_offset;
 	f->phase = FOLLOW_READ;
 	if (f->version > 0)
-		f->ops->proved(f->ctx, reply->asked_ms);
+		f->ops->record_proof(f->ctx, reply->request_sent_ms);
 	resume_config(f);
 }
 
@@ -313,7 +313,7 @@
  */
 static void
 apply_records(
-    struct follow *f, const struct store_reply *reply, uint64_t wait_ms)
+    struct follower *f, const struct store_reply *reply, uint64_t wait_ms)
 {
 	uint64_t next = f->next_offset;
 	size_t i;
@@ -324,11 +324,11 @@
 	}
 	if (next > f->next_offset)
 		f->next_offset = next;
-	if (f->version > 0 && f->next_offset >= reply->end)
-		f->ops->proved(f->ctx, reply->count > 0
-					   ? reply->asked_ms
-					   : follow_proof(reply->asked_ms,
-						 wait_ms, loop_ms(f->loop)));
+	if (f->version > 0 && f->next_offset >= reply->end_offset)
+		f->ops->record_proof(f->ctx,
+		    reply->count > 0 ? reply->request_sent_ms
+				     : follow_proof_ms(reply->request_sent_ms,
+					   wait_ms, loop_ms(f->loop)));
 }
 
 /*
@@ -337,7 +337,7 @@
 static void
 on_read_reply(void *ctx, const struct store_reply *reply)
 {
-	struct follow *f = ctx;
+	struct follower *f = ctx;
 
 	if (reply->status != STORE_OK) {
 		retry_config(f, reply);
@@ -355,14 +355,14 @@
 static void
 request_node_list(uv_timer_t *timer)
 {
-	struct follow *f = timer->data;
+	struct follower *f = timer->data;
 
 	if (f->registration_needed)
 		f->store->append(f->store_ctx, STORE_NODES, f->node_name,
 		    f->address, strlen(f->address), APPEND_TIMEOUT_MS,
 		    on_register_reply, f);
 	else
-		f->store->newest(f->store_ctx, STORE_NODES, NULL,
+		f->store->read_newest(f->store_ctx, STORE_NODES, NULL,
 		    NEWEST_TIMEOUT_MS, on_node_list_reply, f);
 }
 
@@ -370,7 +370,7 @@
  * Schedules a retry after a failed request for the list of nodes.
  */
 static void
-retry_node_list(struct follow *f)
+retry_node_list(struct follower *f)
 {
 	uv_timer_start(&f->nodes_timer, request_node_list,
 	    retry_delay_ms(NODES_RETRY_MS, f->nodes_failures, RETRY_DOUBLINGS),
@@ -385,7 +385,7 @@
 static void
 on_register_reply(void *ctx, const struct store_reply *reply)
 {
-	struct follow *f = ctx;
+	struct follower *f = ctx;
 
 	if (reply->status != STORE_OK) {
 		retry_node_list(f);
@@ -403,7 +403,7 @@
 static void
 on_node_list_reply(void *ctx, const struct store_reply *reply)
 {
-	struct follow *f = ctx;
+	struct follower *f = ctx;
 	char name[CONFIG_NAME_MAX + 1], text[16];
 	struct in_addr a;
 	size_t i;
@@ -428,20 +428,20 @@
 		if (strcmp(name, f->node_name) == 0)
 			f->registered |= strcmp(text, f->address) == 0;
 		else if (inet_pton(AF_INET, text, &a) == 1)
-			f->ops->node(f->ctx, name, ntohl(a.s_addr));
+			f->ops->add_node(f->ctx, name, ntohl(a.s_addr));
 		else
 			f->bad_records++;
 	}
-	if (reply->more && reply->count > 0) {
+	if (reply->more_keys && reply->count > 0) {
 		snprintf(name, sizeof(name), "%.*s",
 		    (int)reply->records[reply->count - 1].key_len,
 		    reply->records[reply->count - 1].key);
-		f->store->newest(f->store_ctx, STORE_NODES, name,
+		f->store->read_newest(f->store_ctx, STORE_NODES, name,
 		    NEWEST_TIMEOUT_MS, on_node_list_reply, f);
 		return;
 	}
 	if (f->registered) {
-		f->ops->listed(f->ctx);
+		f->ops->nodes_listed(f->ctx);
 		return;
 	}
 	f->registration_needed = 1;
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -15,19 +15,19 @@
 	/* Parses a configuration.  Returns NULL with findings if invalid. */
 	struct config *(*decode)(void *, const char *, size_t, struct finds *);
 	/* Puts a newer configuration into force and takes ownership of it. */
-	void (*take)(void *, struct config *);
+	void (*apply_config)(void *, struct config *);
 	/* Records that the configuration was the newest at a time (ms). */
-	void (*proved)(void *, uint64_t);
+	void (*record_proof)(void *, uint64_t);
 	/* Returns 1 if this node reads the store closely for other nodes. */
-	int (*close)(void *);
+	int (*follows_closely)(void *);
 	/* Returns 1 if the store must be read now.  Called periodically. */
-	int (*doubt)(void *);
+	int (*must_read_store)(void *);
 	/* Requests a newer configuration from a peer: the store is down. */
-	void (*ask)(void *);
+	void (*query_peers)(void *);
 	/* Adds a node of the store's list, with its IPv4 host-order address. */
-	void (*node)(void *, const char *, uint32_t);
+	void (*add_node)(void *, const char *, uint32_t);
 	/* Called when the whole list of nodes was read. */
-	void (*listed)(void *);
+	void (*nodes_listed)(void *);
 };
 
 enum follow_phase {
@@ -40,7 +40,7 @@
  * Follows the configuration log of the store.  At the start it also registers
  * this node in the store's list of nodes and reads that list.
  */
-struct follow {
+struct follower {
 	uv_loop_t *loop;
 	const struct store_ops *store;
 	void *store_ctx;
@@ -67,10 +67,11 @@
 	uint64_t bad_records;
 };
 
-void follow_init(struct follow *, uv_loop_t *, const struct store_ops *, void *,
-    const struct follow_ops *, void *, const char *, const char *);
-void follow_start(struct follow *, uint32_t);
-void follow_offer(struct follow *, struct config *, const char *, uint64_t);
-uint64_t follow_proof(uint64_t, uint64_t, uint64_t);
+void follow_init(struct follower *, uv_loop_t *, const struct store_ops *,
+    void *, const struct follow_ops *, void *, const char *, const char *);
+void follow_start(struct follower *, uint32_t);
+void follow_offer_config(
+    struct follower *, struct config *, const char *, uint64_t);
+uint64_t follow_proof_ms(uint64_t, uint64_t, uint64_t);
 
 #endif
--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -57,9 +57,9 @@
 struct world {
 	uv_loop_t loop;
 	uv_timer_t timer;
-	struct follow follow;
+	struct follower follower;
 	size_t step;
-	store_fn reply_fn;
+	store_reply_fn reply_fn;
 	void *reply_ctx;
 	uint64_t version;
 	int proofs, proofs_expected;
@@ -100,8 +100,8 @@
 	memset(&rep, 0, sizeof(rep));
 	memset(recs, 0, sizeof(recs));
 	rep.status = s->status;
-	rep.end = s->end;
-	rep.asked_ms = loop_ms(&w->loop);
+	rep.end_offset = s->end;
+	rep.request_sent_ms = loop_ms(&w->loop);
 	rep.records = recs;
 	for (i = 0; i < RECORDS_MAX && s->values[i] != NULL; i++) {
 		recs[i].key = "config";
@@ -121,8 +121,8 @@
  * Checks that a request is the one of the next row, and schedules the reply.
  */
 static void
-expect_query(
-    struct world *w, enum query_kind q, uint64_t from, store_fn done, void *ctx)
+expect_query(struct world *w, enum query_kind q, uint64_t from,
+    store_reply_fn done, void *ctx)
 {
 	check_step(w);
 	if (w->step == STEP_COUNT)
@@ -137,7 +137,7 @@
 
 static void
 fake_newest(void *ctx, enum store_log log, const char *after, uint64_t timeout,
-    store_fn done, void *done_ctx)
+    store_reply_fn done, void *done_ctx)
 {
 	struct world *w = ctx;
 
@@ -153,7 +153,7 @@
 
 static void
 fake_read(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
-    uint64_t timeout, store_fn done, void *done_ctx)
+    uint64_t timeout, store_reply_fn done, void *done_ctx)
 {
 	assert_int_equal(log, STORE_CONFIG);
 	assert_true(timeout > wait);
@@ -162,7 +162,7 @@
 
 static void
 fake_append(void *ctx, enum store_log log, const char *key, const char *value,
-    size_t len, uint64_t timeout, store_fn done, void *done_ctx)
+    size_t len, uint64_t timeout, store_reply_fn done, void *done_ctx)
 {
 	struct world *w = ctx;
 	struct store_reply rep;
@@ -254,7 +254,7 @@
 	struct config *c = calloc(1, sizeof(*c));
 
 	c->version = peer_versions[w->peer_queries++];
-	follow_offer(&w->follow, c, "n2", 0);
+	follow_offer_config(&w->follower, c, "n2", 0);
 }
 
 static const struct follow_ops follow_ops = { decode_version, accept_config,
@@ -281,9 +281,9 @@
 	uv_loop_init(&w->loop);
 	uv_timer_init(&w->loop, &w->timer);
 	w->timer.data = w;
-	follow_init(&w->follow, &w->loop, &store_ops, w, &follow_ops, w,
+	follow_init(&w->follower, &w->loop, &store_ops, w, &follow_ops, w,
 	    "config", "n1");
-	follow_start(&w->follow, address);
+	follow_start(&w->follower, address);
 }
 
 /*
@@ -308,7 +308,7 @@
 	assert_int_equal(w.configs_accepted, 7);
 	assert_int_equal(
 	    w.peer_queries, sizeof(peer_versions) / sizeof(peer_versions[0]));
-	assert_int_equal(w.follow.bad_records, 3);
+	assert_int_equal(w.follower.bad_records, 3);
 	assert_int_equal(w.appends, 2);
 	assert_string_equal(w.appended, "n1=127.0.0.1");
 	assert_int_equal(
@@ -357,7 +357,7 @@
 
 static void
 refused_newest(void *ctx, enum store_log log, const char *after,
-    uint64_t timeout, store_fn done, void *done_ctx)
+    uint64_t timeout, store_reply_fn done, void *done_ctx)
 {
 	struct store_reply rep;
 
@@ -372,7 +372,7 @@
 
 static void
 refused_read(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
-    uint64_t timeout, store_fn done, void *done_ctx)
+    uint64_t timeout, store_reply_fn done, void *done_ctx)
 {
 	(void)from;
 	(void)wait;
@@ -406,10 +406,10 @@
 		alarm(ALARM_S);
 		memset(&w, 0, sizeof(w));
 		uv_loop_init(&w.loop);
-		follow_init(&w.follow, &w.loop, &refused_store, &w, &ops, &w,
+		follow_init(&w.follower, &w.loop, &refused_store, &w, &ops, &w,
 		    "config", "n1");
-		w.follow.phase = phase;
-		follow_start(&w.follow, 0x7f000001);
+		w.follower.phase = phase;
+		follow_start(&w.follower, 0x7f000001);
 		while (w.store_checks < 3)
 			uv_run(&w.loop, UV_RUN_ONCE);
 		uv_walk(&w.loop, close_all, NULL);
@@ -430,7 +430,7 @@
 
 static void
 counted_newest(void *ctx, enum store_log log, const char *after,
-    uint64_t timeout, store_fn done, void *done_ctx)
+    uint64_t timeout, store_reply_fn done, void *done_ctx)
 {
 	struct store_record rec = { "config", 6, "5", 1, 0 };
 	struct store_reply rep;
@@ -441,14 +441,14 @@
 	memset(&rep, 0, sizeof(rep));
 	if (log == STORE_CONFIG) {
 		rep.records = &rec;
-		rep.count = rep.end = 1;
+		rep.count = rep.end_offset = 1;
 	}
 	done(done_ctx, &rep);
 }
 
 static void
 counted_read(void *ctx, enum store_log log, uint64_t from, uint64_t wait,
-    uint64_t timeout, store_fn done, void *done_ctx)
+    uint64_t timeout, store_reply_fn done, void *done_ctx)
 {
 	struct read_counts *c = ctx;
 	struct store_reply rep;
@@ -457,8 +457,8 @@
 	(void)from;
 	(void)timeout;
 	memset(&rep, 0, sizeof(rep));
-	rep.end = 1;
-	rep.asked_ms = loop_ms(&c->w.loop);
+	rep.end_offset = 1;
+	rep.request_sent_ms = loop_ms(&c->w.loop);
 	c->long_reads += wait > 1000;
 	c->close_reads += wait == 1000;
 	c->short_reads += wait == 0;
@@ -492,7 +492,7 @@
 	/* The retry timer was started just before this callback. */
 	if (c->refusing)
 		c->retry_delay_ms =
-		    uv_timer_get_due_in(&c->w.follow.config_timer);
+		    uv_timer_get_due_in(&c->w.follower.config_timer);
 }
 
 static void
@@ -529,9 +529,9 @@
 	alarm(ALARM_S);
 	memset(c, 0, sizeof(*c));
 	uv_loop_init(&c->w.loop);
-	follow_init(&c->w.follow, &c->w.loop, &counted_store, c, &counted_ops,
+	follow_init(&c->w.follower, &c->w.loop, &counted_store, c, &counted_ops,
 	    c, "config", "n1");
-	follow_start(&c->w.follow, 0x7f000001);
+	follow_start(&c->w.follower, 0x7f000001);
 	while (c->long_reads == 0)
 		uv_run(&c->w.loop, UV_RUN_ONCE);
 }
@@ -607,12 +607,12 @@
 	(void)state;
 	count_start(&c);
 	c.refuse_reads = 1;
-	c.w.follow.read_wait_ms = 0;
-	c.w.follow.version = 5;
-	c.w.follow.config_failures = 5;
-	c.w.follow.store_lost = 1;
-	uv_timer_start(
-	    &c.w.follow.config_timer, c.w.follow.config_timer.timer_cb, 0, 0);
+	c.w.follower.read_wait_ms = 0;
+	c.w.follower.version = 5;
+	c.w.follower.config_failures = 5;
+	c.w.follower.store_lost = 1;
+	uv_timer_start(&c.w.follower.config_timer,
+	    c.w.follower.config_timer.timer_cb, 0, 0);
 	assert_int_equal(next_retry_delay(&c), 1920);
 	assert_int_equal(next_retry_delay(&c), 1920);
 	assert_int_equal(c.queries_while_idle, 0);
@@ -643,8 +643,8 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
-		assert_int_equal(follow_proof(rows[i].sent_ms, rows[i].wait_ms,
-				     rows[i].now_ms),
+		assert_int_equal(follow_proof_ms(rows[i].sent_ms,
+				     rows[i].wait_ms, rows[i].now_ms),
 		    rows[i].proof_ms);
 }
 
--- a/src/http1/answer.c
+++ b/src/http1/answer.c
@@ -35,14 +35,14 @@
 }
 
 /*
- * Returns the length of the current request's body, or H1_LENGTH_CHUNKED.
+ * Returns the length of the current request's body, or H1_LENGTH_UNKNOWN.
  * Valid only until the body begins, because the parser counts the value down.
  */
 uint64_t
-h1_conn_length(const struct h1_conn *c)
+h1_conn_body_length(const struct h1_conn *c)
 {
 	if (c->parser.flags & F_CHUNKED)
-		return H1_LENGTH_CHUNKED;
+		return H1_LENGTH_UNKNOWN;
 	return c->parser.content_length == UINT64_MAX
 		   ? 0
 		   : c->parser.content_length;
@@ -95,7 +95,7 @@
  * Returns the number of response bytes not yet written.
  */
 size_t
-h1_conn_queued(const struct h1_conn *c)
+h1_conn_unsent_bytes(const struct h1_conn *c)
 {
 	return c->stream.tcp.write_queue_size;
 }
@@ -112,14 +112,14 @@
 	h1_text_addf(t, "HTTP/1.1 %u %s\r\n", status, h1_reason_phrase(status));
 	if (fields != NULL)
 		h1_text_add(t, fields->p, fields->len);
-	c->response_chunked = length == H1_LENGTH_CHUNKED;
+	c->response_chunked = length == H1_LENGTH_UNKNOWN;
 	if (c->response_chunked)
-		h1_text_field(t, "Transfer-Encoding", "chunked");
+		h1_text_add_field(t, "Transfer-Encoding", "chunked");
 	else if (status != 204 && status != 304)
 		h1_text_addf(
 		    t, "Content-Length: %llu\r\n", (unsigned long long)length);
 	if (!c->keep_alive)
-		h1_text_field(t, "Connection", "close");
+		h1_text_add_field(t, "Connection", "close");
 	h1_text_add(t, "\r\n", 2);
 }
 
@@ -128,7 +128,7 @@
  * chunks.  The fields are complete header lines.
  */
 void
-h1_answer_head(struct h1_conn *c, unsigned int status,
+h1_send_response_head(struct h1_conn *c, unsigned int status,
     const struct h1_text *fields, uint64_t length)
 {
 	struct h1_text t;
@@ -144,7 +144,7 @@
  * Sends a piece of a response body.
  */
 void
-h1_answer_body(struct h1_conn *c, const char *p, size_t n)
+h1_send_response_body(struct h1_conn *c, const char *p, size_t n)
 {
 	if (n == 0)
 		return;
@@ -158,7 +158,7 @@
  * Ends a response.  The owner must not use the request afterwards.
  */
 void
-h1_answer_end(struct h1_conn *c)
+h1_send_response_end(struct h1_conn *c)
 {
 	if (c->response_chunked)
 		h1_stream_write_chunk(&c->stream, NULL, 0);
@@ -172,8 +172,8 @@
  * afterwards.
  */
 void
-h1_answer(struct h1_conn *c, unsigned int status, const struct h1_text *fields,
-    const char *body, size_t n)
+h1_send_response(struct h1_conn *c, unsigned int status,
+    const struct h1_text *fields, const char *body, size_t n)
 {
 	struct h1_text t;
 
@@ -183,7 +183,7 @@
 		h1_text_add(&t, body, n);
 	h1_stream_write(&c->stream, t.p, t.len);
 	h1_text_finish(&t);
-	h1_answer_end(c);
+	h1_send_response_end(c);
 }
 
 /*
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -16,7 +16,7 @@
 	struct h1_stream stream; /* first member: libuv's handle */
 	struct h1_pool *pool;
 	struct h1_client_conn *next; /* in the pool's idle list */
-	struct h1_xchg *exchange;
+	struct h1_exchange *exchange;
 	http_parser parser;
 	uv_connect_t connect;
 	uint64_t idle_since_ms;
@@ -25,7 +25,7 @@
 	uv_timer_t *connect_timer; /* NULL once connected */
 };
 
-struct h1_xchg {
+struct h1_exchange {
 	struct h1_client_conn *conn;
 	const struct h1_client_ops *ops;
 	void *ctx;
@@ -47,7 +47,7 @@
 static void on_stream_drained(struct h1_stream *);
 static void conn_close(struct h1_client_conn *);
 static void exchange_finish(struct h1_client_conn *);
-static void exchange_fail(struct h1_client_conn *, enum h1_fail);
+static void exchange_fail(struct h1_client_conn *, enum h1_failure);
 static struct h1_client_conn *conn_open(struct h1_pool *);
 static void stop_connect_timer(struct h1_client_conn *);
 static void set_unacked_timeout(struct h1_client_conn *);
@@ -153,15 +153,15 @@
  * Sends the head of a request.  Its body follows, of the given length or in
  * chunks.  A connection that has been idle for less than max_idle_ms may be
  * reused.  The exchange is freed after ops->end or ops->fail returns, or by
- * h1_cancel().
+ * h1_exchange_cancel().
  */
-struct h1_xchg *
-h1_send(struct h1_pool *pool, const struct h1_text *head, uint64_t length,
-    int is_head_request, uint64_t max_idle_ms, const struct h1_client_ops *ops,
-    void *ctx)
+struct h1_exchange *
+h1_send_request(struct h1_pool *pool, const struct h1_text *head,
+    uint64_t length, int is_head_request, uint64_t max_idle_ms,
+    const struct h1_client_ops *ops, void *ctx)
 {
 	uint64_t age, now = loop_ms(pool->loop);
-	struct h1_xchg *x;
+	struct h1_exchange *x;
 	struct h1_client_conn *p;
 
 	x = calloc(1, sizeof(*x));
@@ -188,7 +188,7 @@
 	x->ops = ops;
 	x->ctx = ctx;
 	x->is_head_request = is_head_request;
-	x->request_chunked = length == H1_LENGTH_CHUNKED;
+	x->request_chunked = length == H1_LENGTH_UNKNOWN;
 	x->request_complete = length == 0;
 	h1_head_init(&x->head);
 	p->exchange = x;
@@ -203,7 +203,7 @@
  * Sends a piece of the request body.
  */
 void
-h1_send_body(struct h1_xchg *x, const char *p, size_t n)
+h1_send_request_body(struct h1_exchange *x, const char *p, size_t n)
 {
 	if (n == 0 || x->request_complete)
 		return;
@@ -217,7 +217,7 @@
  * Ends the request body.
  */
 void
-h1_send_end(struct h1_xchg *x)
+h1_send_request_end(struct h1_exchange *x)
 {
 	if (x->request_complete)
 		return;
@@ -230,7 +230,7 @@
  * Returns the number of request bytes not yet written.
  */
 size_t
-h1_send_queued(const struct h1_xchg *x)
+h1_exchange_unsent_bytes(const struct h1_exchange *x)
 {
 	return x->conn->stream.tcp.write_queue_size;
 }
@@ -239,7 +239,7 @@
  * Cancels an exchange.  Its connection is closed, which notifies the server.
  */
 void
-h1_cancel(struct h1_xchg *x)
+h1_exchange_cancel(struct h1_exchange *x)
 {
 	struct h1_client_conn *p = x->conn;
 
@@ -253,7 +253,7 @@
  * Stops reading the response.
  */
 void
-h1_xchg_pause(struct h1_xchg *x)
+h1_exchange_pause(struct h1_exchange *x)
 {
 	struct h1_stream *s = &x->conn->stream;
 
@@ -264,10 +264,10 @@
 }
 
 /*
- * Resumes reading after h1_xchg_pause().
+ * Resumes reading after h1_exchange_pause().
  */
 void
-h1_xchg_resume(struct h1_xchg *x)
+h1_exchange_resume(struct h1_exchange *x)
 {
 	struct h1_stream *s = &x->conn->stream;
 
@@ -281,7 +281,7 @@
  * Returns the head of the response.
  */
 const struct h1_head *
-h1_xchg_head(const struct h1_xchg *x)
+h1_exchange_head(const struct h1_exchange *x)
 {
 	return &x->head;
 }
@@ -290,17 +290,17 @@
  * Returns the status code of the response.
  */
 unsigned int
-h1_xchg_status(const struct h1_xchg *x)
+h1_exchange_status(const struct h1_exchange *x)
 {
 	return x->conn->parser.status_code;
 }
 
 /*
- * Returns the length of the response body, or H1_LENGTH_CHUNKED if it isn't
+ * Returns the length of the response body, or H1_LENGTH_UNKNOWN if it isn't
  * known before the body ends.
  */
 uint64_t
-h1_xchg_length(const struct h1_xchg *x)
+h1_exchange_body_length(const struct h1_exchange *x)
 {
 	return x->length;
 }
@@ -391,9 +391,9 @@
  * Reports a failed exchange, frees it and closes its connection.
  */
 static void
-exchange_fail(struct h1_client_conn *p, enum h1_fail failure)
+exchange_fail(struct h1_client_conn *p, enum h1_failure failure)
 {
-	struct h1_xchg *x = p->exchange;
+	struct h1_exchange *x = p->exchange;
 
 	p->exchange = NULL;
 	if (x != NULL) {
@@ -412,7 +412,7 @@
 static void
 exchange_finish(struct h1_client_conn *p)
 {
-	struct h1_xchg *x = p->exchange;
+	struct h1_exchange *x = p->exchange;
 	struct h1_pool *pool = p->pool;
 	char keep_alive[64];
 	char *timeout;
@@ -472,7 +472,7 @@
 on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
 	struct h1_client_conn *p = stream->data, **link;
-	struct h1_xchg *x = p->exchange;
+	struct h1_exchange *x = p->exchange;
 	size_t used, len;
 
 	if (n == 0 || p->stream.closing)
@@ -492,7 +492,7 @@
 	}
 	/* Without a length, only an orderly close ends a response. */
 	if (n < 0 && (n != UV_EOF || closed_by_reset(p))) {
-		exchange_fail(p, H1_BROKEN);
+		exchange_fail(p, H1_INCOMPLETE);
 		return;
 	}
 	len = n < 0 ? 0 : (size_t)n;
@@ -507,9 +507,9 @@
 		return;
 	}
 	if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK || p->parser.upgrade)
-		exchange_fail(p, n < 0 ? H1_BROKEN : H1_MALFORMED);
+		exchange_fail(p, n < 0 ? H1_INCOMPLETE : H1_MALFORMED);
 	else if (n < 0)
-		exchange_fail(p, H1_BROKEN);
+		exchange_fail(p, H1_INCOMPLETE);
 }
 
 /*
@@ -531,7 +531,7 @@
 on_message_begin(http_parser *parser)
 {
 	struct h1_client_conn *p = parser->data;
-	struct h1_xchg *x = p->exchange;
+	struct h1_exchange *x = p->exchange;
 
 	if (x == NULL)
 		return -1;
@@ -574,7 +574,7 @@
 on_headers_complete(http_parser *parser)
 {
 	struct h1_client_conn *p = parser->data;
-	struct h1_xchg *x = p->exchange;
+	struct h1_exchange *x = p->exchange;
 
 	if (x == NULL)
 		return -1;
@@ -582,7 +582,7 @@
 		x->skip_response = 1;
 		return 0;
 	}
-	x->length = H1_LENGTH_CHUNKED;
+	x->length = H1_LENGTH_UNKNOWN;
 	if (x->is_head_request || parser->status_code == 204 ||
 	    parser->status_code == 304)
 		x->length = 0;
@@ -602,7 +602,7 @@
 on_body(http_parser *parser, const char *text, size_t n)
 {
 	struct h1_client_conn *p = parser->data;
-	struct h1_xchg *x = p->exchange;
+	struct h1_exchange *x = p->exchange;
 
 	if (x == NULL)
 		return -1;
--- a/src/http1/head.c
+++ b/src/http1/head.c
@@ -45,7 +45,7 @@
  * if they are equal, else 0.
  */
 int
-h1_name_is(const char *p, size_t n, const char *name)
+h1_name_equals(const char *p, size_t n, const char *name)
 {
 	return strlen(name) == n && strncasecmp(p, name, n) == 0;
 }
@@ -63,7 +63,7 @@
 
 	for (i = 0; i < h->field_count; i++) {
 		f = &h->fields[i];
-		if (!h1_name_is(h->buf + f->name, f->name_len, name))
+		if (!h1_name_equals(h->buf + f->name, f->name_len, name))
 			continue;
 		*len = f->value_len;
 		return h->buf + f->value;
@@ -94,7 +94,7 @@
  * field is missing or isn't a number.
  */
 uint64_t
-h1_head_number(
+h1_head_get_number(
     const struct h1_head *h, const char *name, uint64_t default_value)
 {
 	char buf[20];
@@ -119,7 +119,7 @@
 	size_t n, i;
 
 	for (i = 0; hop_by_hop_names[i] != NULL; i++)
-		if (h1_name_is(name, f->name_len, hop_by_hop_names[i]))
+		if (h1_name_equals(name, f->name_len, hop_by_hop_names[i]))
 			return 1;
 	v = h1_head_get(h, "Connection", &n);
 	if (v == NULL)
@@ -301,7 +301,7 @@
  * Appends one header field line.
  */
 void
-h1_text_field(struct h1_text *t, const char *name, const char *value)
+h1_text_add_field(struct h1_text *t, const char *name, const char *value)
 {
 	h1_text_add(t, name, strlen(name));
 	h1_text_add(t, ": ", 2);
@@ -314,7 +314,7 @@
  * the NULL-terminated list skip.
  */
 void
-h1_text_forward(
+h1_text_add_forwarded(
     struct h1_text *t, const struct h1_head *h, const char *const *skip)
 {
 	const struct h1_field *f;
@@ -325,7 +325,7 @@
 		f = &h->fields[i];
 		name = h->buf + f->name;
 		for (k = 0; skip[k] != NULL; k++)
-			if (h1_name_is(name, f->name_len, skip[k]))
+			if (h1_name_equals(name, f->name_len, skip[k]))
 				break;
 		if (skip[k] != NULL || h1_field_is_hop_by_hop(h, f))
 			continue;
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -25,7 +25,8 @@
 	int connecting;
 	int closing;
 	int paused;
-	int above_high_water; /* the write queue exceeded H1_QUEUE_HIGH */
+	int above_high_water; /* the write queue exceeded
+				 H1_WRITE_QUEUE_HIGH_BYTES */
 };
 
 void h1_alloc_read_buffer(uv_handle_t *, size_t, uv_buf_t *);
--- a/src/http1/server.c
+++ b/src/http1/server.c
@@ -59,10 +59,10 @@
 	s->ops = ops;
 	s->ctx = ctx;
 	s->conn_max = conn_max;
-	s->limits.head_bytes = DEFAULT_MAX_HEAD_BYTES;
-	s->limits.body_bytes = DEFAULT_MAX_BODY_BYTES;
-	s->limits.head_ms = DEFAULT_HEAD_TIMEOUT_MS;
-	s->limits.idle_ms = DEFAULT_IDLE_TIMEOUT_MS;
+	s->limits.max_head_bytes = DEFAULT_MAX_HEAD_BYTES;
+	s->limits.max_body_bytes = DEFAULT_MAX_BODY_BYTES;
+	s->limits.head_timeout_ms = DEFAULT_HEAD_TIMEOUT_MS;
+	s->limits.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
 	uv_tcp_init(loop, &s->listener);
 	s->listener.data = s;
 	rc = uv_tcp_bind(&s->listener, (const struct sockaddr *)addr, 0);
@@ -80,7 +80,7 @@
  * Starts draining: each further response closes its connection.
  */
 void
-h1_server_closing(struct h1_server *s)
+h1_server_start_draining(struct h1_server *s)
 {
 	s->draining = 1;
 }
@@ -116,7 +116,7 @@
  * Returns the number of requests that are not yet answered.
  */
 uint32_t
-h1_server_busy(const struct h1_server *s)
+h1_server_open_requests(const struct h1_server *s)
 {
 	const struct h1_conn *c;
 	uint32_t n = 0;
@@ -205,10 +205,10 @@
 			if (age > LINGER_MS)
 				h1_conn_close(c);
 		} else if (c->request_state == H1_REQUEST_IDLE) {
-			if (age > s->limits.idle_ms)
+			if (age > s->limits.idle_timeout_ms)
 				h1_conn_close(c);
 		} else if (c->request_state == H1_REQUEST_HEAD &&
-			   age > s->limits.head_ms) {
+			   age > s->limits.head_timeout_ms) {
 			conn_reject(c, 408);
 		}
 	}
@@ -247,7 +247,7 @@
 	c->stream.closing = 1;
 	if (c->request_open) {
 		c->request_open = 0;
-		c->server->ops->gone(c->server->ctx, c);
+		c->server->ops->disconnected(c->server->ctx, c);
 	}
 	uv_close((uv_handle_t *)&c->stream.tcp, on_conn_closed);
 }
@@ -277,7 +277,7 @@
 {
 	c->keep_alive = 0;
 	if (c->response_state == H1_RESPONSE_NONE)
-		h1_answer(c, status, NULL, NULL, 0);
+		h1_send_response(c, status, NULL, NULL, 0);
 	conn_linger(c);
 }
 
@@ -409,7 +409,8 @@
 	c->request_state = H1_REQUEST_HEAD;
 	c->state_since_ms = loop_ms(c->server->loop);
 	c->body_received = 0;
-	h1_builder_init(&c->builder, &c->head, c->server->limits.head_bytes);
+	h1_builder_init(
+	    &c->builder, &c->head, c->server->limits.max_head_bytes);
 	return 0;
 }
 
@@ -467,7 +468,7 @@
 	if (parser->upgrade || parser->method == HTTP_CONNECT)
 		return -1;
 	if (h1_conn_has_body(c) && parser->content_length != UINT64_MAX &&
-	    parser->content_length > c->server->limits.body_bytes) {
+	    parser->content_length > c->server->limits.max_body_bytes) {
 		conn_reject(c, 413);
 		return 0;
 	}
@@ -490,7 +491,7 @@
 	struct h1_conn *c = parser->data;
 
 	c->body_received += n;
-	if (c->body_received > c->server->limits.body_bytes) {
+	if (c->body_received > c->server->limits.max_body_bytes) {
 		conn_reject(c, 413);
 		return 0;
 	}
--- a/src/http1/stream.c
+++ b/src/http1/stream.c
@@ -36,7 +36,7 @@
 
 /*
  * Frees a completed write.  Calls on_drained when the queue has fallen from
- * above H1_QUEUE_HIGH to at most half of it.
+ * above H1_WRITE_QUEUE_HIGH_BYTES to at most half of it.
  */
 static void
 on_written(uv_write_t *req, int status)
@@ -47,7 +47,7 @@
 	free(p);
 	(void)status; /* the read callback reports a broken connection */
 	if (s->closing || !s->above_high_water ||
-	    s->tcp.write_queue_size > H1_QUEUE_HIGH / 2)
+	    s->tcp.write_queue_size > H1_WRITE_QUEUE_HIGH_BYTES / 2)
 		return;
 	s->above_high_water = 0;
 	if (s->on_drained != NULL)
@@ -89,7 +89,7 @@
 		free(w);
 		return;
 	}
-	if (s->tcp.write_queue_size > H1_QUEUE_HIGH)
+	if (s->tcp.write_queue_size > H1_WRITE_QUEUE_HIGH_BYTES)
 		s->above_high_water = 1;
 }
 
--- a/src/http1/test_http1.c
+++ b/src/http1/test_http1.c
@@ -28,7 +28,7 @@
 /* The result of an exchange. */
 struct outcome {
 	int result; /* 0: open, 1: complete response, 2: failed */
-	enum h1_fail fail;
+	enum h1_failure fail;
 	unsigned int status;
 	int heads;
 	size_t body_len;
@@ -41,7 +41,7 @@
 	const char *bytes;
 	enum close_mode close_mode;
 	int result;
-	enum h1_fail fail;
+	enum h1_failure fail;
 	uint32_t idle_count; /* connections returned to the pool */
 	const char *body;
 };
@@ -133,22 +133,22 @@
 }
 
 static int
-on_response_head(void *ctx, struct h1_xchg *x)
+on_response_head(void *ctx, struct h1_exchange *x)
 {
 	struct outcome *o = ctx;
 	char id[32];
 
 	o->heads++;
 	if (o->skip_id != NULL &&
-	    h1_head_copy(h1_xchg_head(x), "Id", id, sizeof(id)) > 0 &&
+	    h1_head_copy(h1_exchange_head(x), "Id", id, sizeof(id)) > 0 &&
 	    strcmp(id, o->skip_id) == 0)
 		return 1;
-	o->status = h1_xchg_status(x);
+	o->status = h1_exchange_status(x);
 	return 0;
 }
 
 static void
-on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	struct outcome *o = ctx;
 
@@ -159,14 +159,14 @@
 }
 
 static void
-on_response_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_exchange *x)
 {
 	(void)x;
 	((struct outcome *)ctx)->result = 1;
 }
 
 static void
-on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
+on_exchange_failed(void *ctx, struct h1_exchange *x, enum h1_failure failure)
 {
 	struct outcome *o = ctx;
 
@@ -216,20 +216,20 @@
 	    STATUS_LINE "Connection: close\r\nContent-Length: 1\r\n\r\na",
 	    CLOSE_NEVER, 1, 0, 0, "a" },
 	{ "truncated body", STATUS_LINE "Content-Length: 3\r\n\r\nab",
-	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
-	{ "truncated head", "HTTP/1.1 200 O", CLOSE_ORDERLY, 2, H1_BROKEN, 0,
-	    NULL },
+	    CLOSE_ORDERLY, 2, H1_INCOMPLETE, 0, NULL },
+	{ "truncated head", "HTTP/1.1 200 O", CLOSE_ORDERLY, 2, H1_INCOMPLETE,
+	    0, NULL },
 	{ "truncated chunk",
 	    STATUS_LINE "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
-	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
+	    CLOSE_ORDERLY, 2, H1_INCOMPLETE, 0, NULL },
 	{ "missing last chunk",
 	    STATUS_LINE "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
-	    CLOSE_ORDERLY, 2, H1_BROKEN, 0, NULL },
+	    CLOSE_ORDERLY, 2, H1_INCOMPLETE, 0, NULL },
 	{ "no length, orderly close", STATUS_LINE "\r\nabc", CLOSE_ORDERLY, 1,
 	    0, 0, "abc" },
-	{ "no length, reset", STATUS_LINE "\r\nabc", CLOSE_RESET, 2, H1_BROKEN,
-	    0, NULL },
-	{ "closed without a response", "", CLOSE_ORDERLY, 2, H1_BROKEN, 0,
+	{ "no length, reset", STATUS_LINE "\r\nabc", CLOSE_RESET, 2,
+	    H1_INCOMPLETE, 0, NULL },
+	{ "closed without a response", "", CLOSE_ORDERLY, 2, H1_INCOMPLETE, 0,
 	    NULL },
 	{ "not HTTP", "\x01\x02 what\r\n\r\n", CLOSE_NEVER, 2, H1_MALFORMED, 0,
 	    NULL },
@@ -276,7 +276,7 @@
 		h1_pool_init(&pool, &loop, &raw_server.addr, 1000, 1000);
 		h1_text_init(&t);
 		h1_text_addf(&t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-		h1_send(&pool, &t, 0, 0, UINT64_MAX, &client_ops, &o);
+		h1_send_request(&pool, &t, 0, 0, UINT64_MAX, &client_ops, &o);
 		h1_text_finish(&t);
 		while (o.result == 0)
 			uv_run(&loop, UV_RUN_ONCE);
@@ -316,7 +316,7 @@
 	h1_pool_init(&pool, &loop, &unused_addr, 1000, 1000);
 	h1_text_init(&t);
 	h1_text_addf(&t, "GET / HTTP/1.1\r\n\r\n");
-	h1_send(&pool, &t, 0, 0, UINT64_MAX, &client_ops, &o);
+	h1_send_request(&pool, &t, 0, 0, UINT64_MAX, &client_ops, &o);
 	h1_text_finish(&t);
 	while (o.result == 0)
 		uv_run(&loop, UV_RUN_ONCE);
@@ -348,7 +348,7 @@
 
 	c->requests++;
 	if (c->respond_early)
-		h1_answer(conn, 200, NULL, "early", 5);
+		h1_send_response(conn, 200, NULL, "early", 5);
 }
 
 static void
@@ -365,7 +365,7 @@
 	struct caller *c = ctx;
 
 	if (!c->withhold_response)
-		h1_answer(conn, 200, NULL, "ok", 2);
+		h1_send_response(conn, 200, NULL, "ok", 2);
 }
 
 static void
@@ -583,7 +583,7 @@
 
 	(void)state;
 	caller_init(&c);
-	h1_server_closing(&c.server);
+	h1_server_start_draining(&c.server);
 	caller_write(&c, "GET / HTTP/1.1\r\n\r\n");
 	while (!c.closed)
 		uv_run(&loop, UV_RUN_ONCE);
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -16,10 +16,9 @@
 #define LEASE_GROUPS 3
 #define LEASE_GROUP_PARTS (LEASE_PARTS / LEASE_GROUPS)
 
-#define LEASE_TERM_MS                                                         \
-	2000		    /* authority after a read or promise is requested \
-			     */
-#define LEASE_MARGIN_MS 200 /* allowance for clock drift */
+/* Authority after a read or promise is requested. */
+#define LEASE_TERM_MS 2000
+#define LEASE_MARGIN_MS 200   /* allowance for clock drift */
 #define LEASE_HANDOVER_MS 700 /* until the old owner's loans have expired */
 /*
  * Limit of an owner's authority by promises after its last read. A takeover
@@ -52,9 +51,9 @@
 
 struct lease_claim {
 	uint32_t part;
-	uint64_t prev; /* term that the claim replaces */
+	uint64_t prev_term; /* term that the claim replaces */
 	uint64_t term;
-	struct node_id by; /* node that made the claim */
+	struct node_id claimant; /* node that made the claim */
 	struct node_id owner;
 	struct node_id standby;
 };
@@ -122,9 +121,9 @@
 	uint64_t tenure;
 	uint64_t effective_ms; /* the owner may act from then on */
 	/* This node may act as the owner until then; 0: it may not. */
-	uint64_t until_ms;
+	uint64_t valid_until_ms;
 	/* The same for decisions that the standby must record first. */
-	uint64_t noted_until_ms;
+	uint64_t replicated_until_ms;
 	int first; /* tenure began with LEASE_FIRST */
 };
 
@@ -134,18 +133,18 @@
 
 void lease_init(struct lease_table *, const struct node_id *, uint64_t);
 void lease_finish(struct lease_table *);
-void lease_first(struct lease_table *, uint64_t);
+void lease_set_log_start(struct lease_table *, uint64_t);
 enum lease_result lease_apply(
     struct lease_table *, const char *, size_t, uint64_t, uint64_t);
-void lease_read_proof(struct lease_table *, uint64_t);
+void lease_confirm_read(struct lease_table *, uint64_t);
 int lease_append_begin(struct lease_table *, const struct lease_claim *);
 void lease_append_end(struct lease_table *, const struct lease_claim *, int);
-void lease_promise(struct lease_table *, uint32_t, uint64_t, uint64_t);
+void lease_add_promise(struct lease_table *, uint32_t, uint64_t, uint64_t);
 int lease_may_promise(
     const struct lease_table *, uint32_t, uint64_t, const struct node_id *);
 void lease_add_hint(struct lease_table *, uint32_t, uint64_t,
     const struct node_id *, const struct node_id *);
-uint64_t lease_held(const struct lease_table *, uint32_t, uint64_t);
+uint64_t lease_valid_until(const struct lease_table *, uint32_t, uint64_t);
 uint64_t lease_replicated_until(const struct lease_table *, uint32_t, uint64_t);
 void lease_view(
     const struct lease_table *, uint32_t, uint64_t, struct lease_view *);
@@ -165,7 +164,7 @@
 /* Takeover if the standby is alive but does not take over. */
 #define LEASE_STANDBY_IDLE_MS 60000
 #define LEASE_REBALANCE_INTERVAL_MS 10000 /* between moves by one owner */
-#define LEASE_STABLE_MS 30000		  /* age of a target of moves */
+#define LEASE_MEMBER_STABLE_MS 30000	  /* age of a target of moves */
 
 struct lease_member {
 	struct node_id id;
--- a/src/lease/lease.x
+++ b/src/lease/lease.x
@@ -9,19 +9,19 @@
 	unsigned hyper incarnation;
 };
 
-struct lease_beat_item {
+struct lease_heartbeat_item {
 	unsigned int part;
 	unsigned hyper term;
 };
 
-struct lease_beat_arg {
+struct lease_heartbeat_arg {
 	lease_node owner;
 	lease_node standby;
-	lease_beat_item items<LEASE_PARTS_MAX>;
+	lease_heartbeat_item items<LEASE_PARTS_MAX>;
 };
 
 /* Bit i is set if the standby gives its promise for item i. */
-struct lease_beat_res {
+struct lease_heartbeat_res {
 	unsigned hyper promised;
 };
 
--- a/src/lease/lease_decide.c
+++ b/src/lease/lease_decide.c
@@ -244,9 +244,9 @@
 		return;
 	c = &r->out[r->count++];
 	c->part = part;
-	c->prev = e->term;
+	c->prev_term = e->term;
 	c->term = e->term + 1;
-	c->by = r->table->self;
+	c->claimant = r->table->self;
 	c->owner = *owner;
 	c->standby = *standby;
 }
@@ -322,7 +322,7 @@
 	if (standby->domain != r->self->domain)
 		return 0;
 	m = pick_member(
-	    r, part, &w, LEASE_STABLE_MS, &r->table->self, &no_node);
+	    r, part, &w, LEASE_MEMBER_STABLE_MS, &r->table->self, &no_node);
 	if (m == NULL || m->domain == r->self->domain)
 		return 0;
 	add_claim(r, part, &r->table->self, &m->id);
@@ -368,7 +368,8 @@
 		return;
 	if (r->domain_count < LEASE_GROUPS)
 		w.domain = r->self->domain;
-	m = pick_member(r, part, &w, LEASE_STABLE_MS, &no_node, &no_node);
+	m = pick_member(
+	    r, part, &w, LEASE_MEMBER_STABLE_MS, &no_node, &no_node);
 	if (m == NULL)
 		return;
 	moved = m == r->self ? move_standby(r, part, standby)
--- a/src/lease/lease_json.c
+++ b/src/lease/lease_json.c
@@ -88,14 +88,14 @@
 
 	if (number_parse(json_object_get(j, "part"), &part) == -1 ||
 	    part >= LEASE_PARTS ||
-	    number_parse(json_object_get(j, "prev"), &c->prev) == -1 ||
+	    number_parse(json_object_get(j, "prev"), &c->prev_term) == -1 ||
 	    number_parse(json_object_get(j, "term"), &c->term) == -1 ||
-	    c->term != c->prev + 1 ||
-	    node_parse(json_object_get(j, "by"), &c->by) == -1 ||
+	    c->term != c->prev_term + 1 ||
+	    node_parse(json_object_get(j, "by"), &c->claimant) == -1 ||
 	    node_parse(json_object_get(j, "owner"), &c->owner) == -1 ||
 	    node_parse(json_object_get(j, "standby"), &c->standby) == -1)
 		return -1;
-	if (nodeid_is_none(&c->by) || nodeid_is_none(&c->owner) ||
+	if (nodeid_is_none(&c->claimant) || nodeid_is_none(&c->owner) ||
 	    nodeid_equal(&c->owner, &c->standby))
 		return -1;
 	c->part = (uint32_t)part;
@@ -182,8 +182,8 @@
 lease_claim_encode(const struct lease_claim *c)
 {
 	return encode_json(json_pack("{s:I,s:I,s:I,s:o,s:o,s:o}", "part",
-	    (json_int_t)c->part, "prev", (json_int_t)c->prev, "term",
-	    (json_int_t)c->term, "by", node_json(&c->by), "owner",
+	    (json_int_t)c->part, "prev", (json_int_t)c->prev_term, "term",
+	    (json_int_t)c->term, "by", node_json(&c->claimant), "owner",
 	    node_json(&c->owner), "standby", node_json(&c->standby)));
 }
 
--- a/src/lease/lease_rpc.c
+++ b/src/lease/lease_rpc.c
@@ -14,17 +14,17 @@
     void *, const struct sockaddr_in *, const void *, void *);
 static lease_node node_pack(const struct node_id *);
 static struct node_id node_unpack(const lease_node *);
-static size_t take_shared_standby(
-    struct lease_service *, uint64_t *, struct node_id *, lease_beat_item *);
-static void send_heartbeat(
-    struct lease_service *, const struct node_id *, lease_beat_item *, size_t);
+static size_t take_shared_standby(struct lease_service *, uint64_t *,
+    struct node_id *, lease_heartbeat_item *);
+static void send_heartbeat(struct lease_service *, const struct node_id *,
+    lease_heartbeat_item *, size_t);
 static int fetch_page(struct lease_service *, const struct node_id *, u_int);
 static int pick_peer(struct lease_service *, struct node_id *);
 
 const struct rpc_proc lease_procs[LEASE_PROC_MAX] = {
 	[LEASE_PROC_HEARTBEAT] = { RPC_BLOCK_LEASE + 1,
-	    (xdrproc_t)xdr_lease_beat_arg, sizeof(lease_beat_arg),
-	    (xdrproc_t)xdr_lease_beat_res, sizeof(lease_beat_res),
+	    (xdrproc_t)xdr_lease_heartbeat_arg, sizeof(lease_heartbeat_arg),
+	    (xdrproc_t)xdr_lease_heartbeat_res, sizeof(lease_heartbeat_res),
 	    handle_heartbeat },
 	[LEASE_PROC_PAGE] = { RPC_BLOCK_LEASE + 2,
 	    (xdrproc_t)xdr_lease_page_arg, sizeof(lease_page_arg),
@@ -63,8 +63,8 @@
     void *ctx, const struct sockaddr_in *from, const void *argp, void *resp)
 {
 	struct lease_service *s = ctx;
-	const lease_beat_arg *arg = argp;
-	lease_beat_res *res = resp;
+	const lease_heartbeat_arg *arg = argp;
+	lease_heartbeat_res *res = resp;
 	struct node_id owner = node_unpack(&arg->owner);
 	struct node_id standby = node_unpack(&arg->standby);
 	const struct lease_table *t;
@@ -125,7 +125,7 @@
  */
 static size_t
 take_shared_standby(struct lease_service *s, uint64_t *remaining,
-    struct node_id *standby, lease_beat_item *items)
+    struct node_id *standby, lease_heartbeat_item *items)
 {
 	const struct lease_entry *e;
 	size_t n = 0;
@@ -152,10 +152,10 @@
  */
 static void
 send_heartbeat(struct lease_service *s, const struct node_id *standby,
-    lease_beat_item *items, size_t n)
+    lease_heartbeat_item *items, size_t n)
 {
-	lease_beat_arg arg;
-	lease_beat_res res;
+	lease_heartbeat_arg arg;
+	lease_heartbeat_res res;
 	uint64_t sent;
 	size_t i;
 
@@ -172,10 +172,10 @@
 	pthread_mutex_lock(&s->lock);
 	for (i = 0; i < n; i++)
 		if (res.promised & UINT64_C(1) << i)
-			lease_promise(
+			lease_add_promise(
 			    &s->table, items[i].part, items[i].term, sent);
 	pthread_mutex_unlock(&s->lock);
-	xdr_free((xdrproc_t)xdr_lease_beat_res, &res);
+	xdr_free((xdrproc_t)xdr_lease_heartbeat_res, &res);
 }
 
 /*
@@ -184,7 +184,7 @@
 void
 lease_send_heartbeats(struct lease_service *s)
 {
-	lease_beat_item items[LEASE_PARTS];
+	lease_heartbeat_item items[LEASE_PARTS];
 	const struct lease_entry *e;
 	struct node_id standby;
 	uint64_t remaining = 0;
--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -140,7 +140,7 @@
  * Requests an early read of the stream. Called when an owner is unreachable.
  */
 void
-lease_service_kick(struct lease_service *s)
+lease_service_poll_soon(struct lease_service *s)
 {
 	pthread_mutex_lock(&s->lock);
 	s->poll_soon = 1;
@@ -154,7 +154,7 @@
  * be in the log.
  */
 void
-lease_service_expect(struct lease_service *s)
+lease_service_poll_now(struct lease_service *s)
 {
 	pthread_mutex_lock(&s->lock);
 	s->poll_now = 1;
@@ -167,7 +167,7 @@
  * Returns 0, or -1 if this node still owns partitions.
  */
 int
-lease_service_leave(struct lease_service *s, uint32_t timeout_ms)
+lease_service_hand_over(struct lease_service *s, uint32_t timeout_ms)
 {
 	uint64_t end = clock_ms() + timeout_ms;
 	size_t n;
@@ -187,7 +187,7 @@
  * of any partition. Returns 0, or -1 if it still is.
  */
 int
-lease_service_left(struct lease_service *s, uint32_t timeout_ms)
+lease_service_wait_released(struct lease_service *s, uint32_t timeout_ms)
 {
 	uint64_t end = clock_ms() + timeout_ms;
 	size_t n;
@@ -237,7 +237,7 @@
 		    "lease part=%u term=%" PRIu64 " owner=%s standby=%s "
 		    "held_ms=%" PRIu64 " effective_in_ms=%" PRIu64 "\n",
 		    i, v.term, owner, standby,
-		    v.until_ms > now ? v.until_ms - now : 0,
+		    v.valid_until_ms > now ? v.valid_until_ms - now : 0,
 		    v.effective_ms > now ? v.effective_ms - now : 0);
 	}
 }
@@ -399,7 +399,7 @@
 		return -1;
 	}
 	s->log_start = b->first;
-	lease_first(&s->table, b->first);
+	lease_set_log_start(&s->table, b->first);
 	for (i = 0; i < b->count; i++)
 		log_apply_result(s,
 		    lease_apply(&s->table, b->list[i].data, b->list[i].len,
@@ -407,7 +407,7 @@
 		    &b->list[i]);
 	end = s->table.next >= b->next;
 	if (end)
-		lease_read_proof(&s->table, sent_ms);
+		lease_confirm_read(&s->table, sent_ms);
 	return end;
 }
 
--- a/src/lease/lease_service.h
+++ b/src/lease/lease_service.h
@@ -58,10 +58,10 @@
 int lease_service_init(struct lease_service *, const struct lease_config *);
 void lease_service_finish(struct lease_service *);
 void lease_service_lookup(void *, uint32_t, uint64_t, struct lease_view *);
-void lease_service_kick(struct lease_service *);
-void lease_service_expect(struct lease_service *);
-int lease_service_leave(struct lease_service *, uint32_t);
-int lease_service_left(struct lease_service *, uint32_t);
+void lease_service_poll_soon(struct lease_service *);
+void lease_service_poll_now(struct lease_service *);
+int lease_service_hand_over(struct lease_service *, uint32_t);
+int lease_service_wait_released(struct lease_service *, uint32_t);
 int lease_service_ready(struct lease_service *);
 void lease_service_dump(struct lease_service *, FILE *);
 
--- a/src/lease/lease_table.c
+++ b/src/lease/lease_table.c
@@ -171,7 +171,7 @@
  * not applied yet, the table is restarted and waits for a snapshot.
  */
 void
-lease_first(struct lease_table *t, uint64_t first)
+lease_set_log_start(struct lease_table *t, uint64_t first)
 {
 	if (first > t->next)
 		restart_table(t, first);
@@ -185,10 +185,10 @@
 {
 	if (nodeid_is_none(&e->owner))
 		return e->term == 0 ? LEASE_FIRST : LEASE_VACANT;
-	if (nodeid_equal(&c->by, &e->owner))
+	if (nodeid_equal(&c->claimant, &e->owner))
 		return nodeid_equal(&c->owner, &e->owner) ? LEASE_STANDBY_CHANGE
 							  : LEASE_HANDOVER;
-	if (nodeid_equal(&c->by, &e->standby) &&
+	if (nodeid_equal(&c->claimant, &e->standby) &&
 	    nodeid_equal(&c->owner, &e->standby))
 		return LEASE_TAKEOVER;
 	return LEASE_SLOW_TAKEOVER;
@@ -246,7 +246,7 @@
 	enum lease_kind kind;
 	uint64_t from;
 
-	if (c->prev != e->term) {
+	if (c->prev_term != e->term) {
 		t->superseded_count++;
 		return LEASE_SUPERSEDED;
 	}
@@ -396,7 +396,7 @@
 
 	if (offset < t->next)
 		return LEASE_STALE;
-	lease_first(t, offset);
+	lease_set_log_start(t, offset);
 	t->next = offset + 1;
 	lease_record_decode(&r, data, len);
 	if (r.type == LEASE_RECORD_CLAIM)
@@ -416,7 +416,7 @@
  * all its records were applied.
  */
 void
-lease_read_proof(struct lease_table *t, uint64_t sent_ms)
+lease_confirm_read(struct lease_table *t, uint64_t sent_ms)
 {
 	if (!t->complete) {
 		if (t->end_reached_ms == 0)
@@ -441,11 +441,11 @@
 {
 	struct lease_entry *e = &t->part[c->part];
 
-	if (!t->complete || c->prev != e->term)
+	if (!t->complete || c->prev_term != e->term)
 		return -1;
-	if (e->appends.replaced_term != c->prev)
+	if (e->appends.replaced_term != c->prev_term)
 		memset(&e->appends, 0, sizeof(e->appends));
-	e->appends.replaced_term = c->prev;
+	e->appends.replaced_term = c->prev_term;
 	e->appends.in_flight = 1;
 	if (nodeid_equal(&e->owner, &t->self) &&
 	    !nodeid_equal(&c->owner, &t->self))
@@ -465,7 +465,7 @@
 {
 	struct lease_appends *a = &t->part[c->part].appends;
 
-	if (a->replaced_term != c->prev)
+	if (a->replaced_term != c->prev_term)
 		return;
 	a->in_flight = 0;
 	if (written)
@@ -479,7 +479,7 @@
  * node asked for it.
  */
 void
-lease_promise(
+lease_add_promise(
     struct lease_table *t, uint32_t part, uint64_t term, uint64_t sent_ms)
 {
 	struct lease_entry *e = &t->part[part];
@@ -563,7 +563,7 @@
  * its owner, or 0 if it may not at now_ms.
  */
 uint64_t
-lease_held(const struct lease_table *t, uint32_t part, uint64_t now_ms)
+lease_valid_until(const struct lease_table *t, uint32_t part, uint64_t now_ms)
 {
 	const struct lease_entry *e = &t->part[part];
 	uint64_t until = owned_until(t, e);
@@ -574,10 +574,10 @@
 }
 
 /*
- * Like lease_held(), for decisions that take effect only after the standby has
- * recorded them. A standby that was sent all decisions of its predecessor need
- * not wait for the old authority to expire when it becomes the owner. An owner
- * with a standby goes on deciding during its handover.
+ * Like lease_valid_until(), for decisions that take effect only after the
+ * standby has recorded them. A standby that was sent all decisions of its
+ * predecessor need not wait for the old authority to expire when it becomes the
+ * owner. An owner with a standby goes on deciding during its handover.
  */
 uint64_t
 lease_replicated_until(
@@ -614,8 +614,8 @@
 	v->tenure = e->tenure;
 	v->effective_ms = e->effective_ms;
 	v->first = e->first;
-	v->until_ms = lease_held(t, part, now_ms);
-	v->noted_until_ms = lease_replicated_until(t, part, now_ms);
+	v->valid_until_ms = lease_valid_until(t, part, now_ms);
+	v->replicated_until_ms = lease_replicated_until(t, part, now_ms);
 }
 
 /*
--- a/src/lease/lease_xdr.c
+++ b/src/lease/lease_xdr.c
@@ -20,7 +20,7 @@
 }
 
 bool_t
-xdr_lease_beat_item (XDR *xdrs, lease_beat_item *objp)
+xdr_lease_heartbeat_item (XDR *xdrs, lease_heartbeat_item *objp)
 {
 	register int32_t *buf;
 
@@ -32,7 +32,7 @@
 }
 
 bool_t
-xdr_lease_beat_arg (XDR *xdrs, lease_beat_arg *objp)
+xdr_lease_heartbeat_arg (XDR *xdrs, lease_heartbeat_arg *objp)
 {
 	register int32_t *buf;
 
@@ -41,13 +41,13 @@
 	 if (!xdr_lease_node (xdrs, &objp->standby))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, LEASE_PARTS_MAX,
-		sizeof (lease_beat_item), (xdrproc_t) xdr_lease_beat_item))
+		sizeof (lease_heartbeat_item), (xdrproc_t) xdr_lease_heartbeat_item))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_lease_beat_res (XDR *xdrs, lease_beat_res *objp)
+xdr_lease_heartbeat_res (XDR *xdrs, lease_heartbeat_res *objp)
 {
 	register int32_t *buf;
 
--- a/src/lease/lease_xdr.h
+++ b/src/lease/lease_xdr.h
@@ -23,26 +23,26 @@
 };
 typedef struct lease_node lease_node;
 
-struct lease_beat_item {
+struct lease_heartbeat_item {
 	u_int part;
 	u_quad_t term;
 };
-typedef struct lease_beat_item lease_beat_item;
+typedef struct lease_heartbeat_item lease_heartbeat_item;
 
-struct lease_beat_arg {
+struct lease_heartbeat_arg {
 	lease_node owner;
 	lease_node standby;
 	struct {
 		u_int items_len;
-		lease_beat_item *items_val;
+		lease_heartbeat_item *items_val;
 	} items;
 };
-typedef struct lease_beat_arg lease_beat_arg;
+typedef struct lease_heartbeat_arg lease_heartbeat_arg;
 
-struct lease_beat_res {
+struct lease_heartbeat_res {
 	u_quad_t promised;
 };
-typedef struct lease_beat_res lease_beat_res;
+typedef struct lease_heartbeat_res lease_heartbeat_res;
 
 struct lease_page_arg {
 	u_int from;
@@ -69,18 +69,18 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_lease_node (XDR *, lease_node*);
-extern  bool_t xdr_lease_beat_item (XDR *, lease_beat_item*);
-extern  bool_t xdr_lease_beat_arg (XDR *, lease_beat_arg*);
-extern  bool_t xdr_lease_beat_res (XDR *, lease_beat_res*);
+extern  bool_t xdr_lease_heartbeat_item (XDR *, lease_heartbeat_item*);
+extern  bool_t xdr_lease_heartbeat_arg (XDR *, lease_heartbeat_arg*);
+extern  bool_t xdr_lease_heartbeat_res (XDR *, lease_heartbeat_res*);
 extern  bool_t xdr_lease_page_arg (XDR *, lease_page_arg*);
 extern  bool_t xdr_lease_row (XDR *, lease_row*);
 extern  bool_t xdr_lease_page_res (XDR *, lease_page_res*);
 
 #else /* K&R C */
 extern bool_t xdr_lease_node ();
-extern bool_t xdr_lease_beat_item ();
-extern bool_t xdr_lease_beat_arg ();
-extern bool_t xdr_lease_beat_res ();
+extern bool_t xdr_lease_heartbeat_item ();
+extern bool_t xdr_lease_heartbeat_arg ();
+extern bool_t xdr_lease_heartbeat_res ();
 extern bool_t xdr_lease_page_arg ();
 extern bool_t xdr_lease_row ();
 extern bool_t xdr_lease_page_res ();
--- a/src/lease/test_lease.c
+++ b/src/lease/test_lease.c
@@ -148,8 +148,8 @@
 	apply_claim(&t, &quick, 2000);
 	assert_int_equal(t.part[0].kind, LEASE_TAKEOVER);
 	assert_int_equal(t.part[0].effective_ms, 1000 + LONG_WAIT);
-	lease_read_proof(&t, 5000);
-	assert_int_equal(lease_held(&t, 0, 5001), 0);
+	lease_confirm_read(&t, 5000);
+	assert_int_equal(lease_valid_until(&t, 0, 5001), 0);
 	lease_finish(&t);
 }
 
@@ -165,35 +165,36 @@
 
 	(void)state;
 	init_owned_table(&t, 1);
-	assert_int_equal(lease_held(&t, 0, 10), 0);
-	lease_read_proof(&t, 1000);
-	assert_int_equal(lease_held(&t, 0, 2999), 3000);
-	assert_int_equal(lease_held(&t, 0, 3000), 0);
-	lease_promise(&t, 0, 1, 2500);
-	assert_int_equal(lease_held(&t, 0, 3000), 4500);
-	lease_promise(&t, 0, 7, 4000);
-	assert_int_equal(lease_held(&t, 0, 4400), 4500);
-	lease_promise(&t, 0, 1, 1000 + LONG_MS);
-	assert_int_equal(lease_held(&t, 0, 1000 + LONG_MS - 1), 1000 + LONG_MS);
-	assert_int_equal(lease_held(&t, 0, 1000 + LONG_MS), 0);
+	assert_int_equal(lease_valid_until(&t, 0, 10), 0);
+	lease_confirm_read(&t, 1000);
+	assert_int_equal(lease_valid_until(&t, 0, 2999), 3000);
+	assert_int_equal(lease_valid_until(&t, 0, 3000), 0);
+	lease_add_promise(&t, 0, 1, 2500);
+	assert_int_equal(lease_valid_until(&t, 0, 3000), 4500);
+	lease_add_promise(&t, 0, 7, 4000);
+	assert_int_equal(lease_valid_until(&t, 0, 4400), 4500);
+	lease_add_promise(&t, 0, 1, 1000 + LONG_MS);
+	assert_int_equal(
+	    lease_valid_until(&t, 0, 1000 + LONG_MS - 1), 1000 + LONG_MS);
+	assert_int_equal(lease_valid_until(&t, 0, 1000 + LONG_MS), 0);
 
 	/* Promises don't count while an own append may be written. */
 	assert_int_equal(lease_append_begin(&t, &c), 0);
-	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
+	assert_int_equal(lease_valid_until(&t, 0, LONG_MS), 0);
 	lease_append_end(&t, &c, 0);
-	assert_int_not_equal(lease_held(&t, 0, LONG_MS), 0);
+	assert_int_not_equal(lease_valid_until(&t, 0, LONG_MS), 0);
 	lease_append_begin(&t, &c);
 	lease_append_end(&t, &c, 1);
 	lease_append_begin(&t, &c);
 	lease_append_end(&t, &c, 0);
-	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
+	assert_int_equal(lease_valid_until(&t, 0, LONG_MS), 0);
 
 	/* Once it is read, promises for the new term count. */
 	apply_claim(&t, &c, LONG_MS);
-	lease_promise(&t, 0, 1, LONG_MS);
-	assert_int_equal(lease_held(&t, 0, LONG_MS), 0);
-	lease_promise(&t, 0, 2, LONG_MS);
-	assert_int_equal(lease_held(&t, 0, LONG_MS), 1000 + LONG_MS);
+	lease_add_promise(&t, 0, 1, LONG_MS);
+	assert_int_equal(lease_valid_until(&t, 0, LONG_MS), 0);
+	lease_add_promise(&t, 0, 2, LONG_MS);
+	assert_int_equal(lease_valid_until(&t, 0, LONG_MS), 1000 + LONG_MS);
 	lease_finish(&t);
 }
 
@@ -221,7 +222,7 @@
 	lease_append_begin(&t, &c);
 	lease_append_end(&t, &c, 1);
 	assert_false(lease_may_promise(&t, 0, 1, &owner));
-	lease_first(&t, 50);
+	lease_set_log_start(&t, 50);
 	assert_false(lease_may_promise(&t, 0, 1, &owner));
 	lease_finish(&t);
 	init_owned_table(&t, 2);
@@ -242,14 +243,14 @@
 
 	(void)state;
 	init_owned_table(&t, 1);
-	lease_read_proof(&t, 1000);
+	lease_confirm_read(&t, 1000);
 	lease_append_begin(&t, &c);
-	assert_int_equal(lease_held(&t, 0, 1001), 0);
+	assert_int_equal(lease_valid_until(&t, 0, 1001), 0);
 	lease_append_end(&t, &c, 0);
-	assert_int_equal(lease_held(&t, 0, 1001), 3000);
+	assert_int_equal(lease_valid_until(&t, 0, 1001), 3000);
 	lease_append_begin(&t, &c);
 	lease_append_end(&t, &c, 1);
-	assert_int_equal(lease_held(&t, 0, 1001), 0);
+	assert_int_equal(lease_valid_until(&t, 0, 1001), 0);
 	lease_finish(&t);
 }
 
@@ -286,15 +287,15 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		init_owned_table(&t, cases[i].self);
 		apply_claim(&t, cases[i].claim, 1000);
-		lease_read_proof(&t, 1000);
+		lease_confirm_read(&t, 1000);
 		assert_int_equal(lease_replicated_until(&t, 0, cases[i].now_ms),
 		    cases[i].want);
 		lease_finish(&t);
 	}
 	init_owned_table(&t, 1);
-	lease_read_proof(&t, 1000);
+	lease_confirm_read(&t, 1000);
 	lease_append_begin(&t, &to_standby);
-	assert_int_equal(lease_held(&t, 0, 1001), 0);
+	assert_int_equal(lease_valid_until(&t, 0, 1001), 0);
 	assert_int_equal(lease_replicated_until(&t, 0, 1001), 3000);
 	lease_append_end(&t, &to_standby, 0);
 	apply_claim(&t, &alone, 1000);
@@ -317,17 +318,17 @@
 
 	(void)state;
 	init_owned_table(&t, 1);
-	lease_read_proof(&t, 1000);
+	lease_confirm_read(&t, 1000);
 	lease_add_hint(&t, 0, 1, &a, &b);
-	assert_int_equal(lease_held(&t, 0, 1001), 3000);
+	assert_int_equal(lease_valid_until(&t, 0, 1001), 3000);
 	lease_add_hint(&t, 0, 5, &a, &b);
 	lease_add_hint(&t, 0, 4, &b, &a);
-	assert_int_equal(lease_held(&t, 0, 1001), 0);
+	assert_int_equal(lease_valid_until(&t, 0, 1001), 0);
 	lease_view(&t, 0, 1001, &v);
 	assert_true(nodeid_equal(&v.owner, &a));
 	assert_int_equal(v.term, 5);
 	lease_add_hint(&t, 1, 3, &self, &a);
-	assert_int_equal(lease_held(&t, 1, 1001), 0);
+	assert_int_equal(lease_valid_until(&t, 1, 1001), 0);
 	lease_finish(&t);
 }
 
@@ -353,9 +354,9 @@
 	apply_claim(&t, &c3, 500);
 
 	lease_init(&late, &self, LONG_MS);
-	lease_first(&late, 2);
-	lease_read_proof(&late, 10);
-	assert_int_equal(lease_held(&late, 0, 11), 0);
+	lease_set_log_start(&late, 2);
+	lease_confirm_read(&late, 10);
+	assert_int_equal(lease_valid_until(&late, 0, 11), 0);
 	assert_int_equal(apply_record(&late, lease_claim_encode(&c3), 2, 5000),
 	    LEASE_BUFFERED);
 	assert_int_equal(apply_record(&late, old, 3, 5000), LEASE_STALE);
@@ -368,7 +369,7 @@
 	assert_int_equal(late.part[1].term, 0);
 
 	/* A gap in the records restarts the table. */
-	lease_first(&late, 9);
+	lease_set_log_start(&late, 9);
 	assert_false(late.complete);
 	assert_int_equal(late.part[0].term, 0);
 	lease_finish(&late);
@@ -388,10 +389,10 @@
 
 	(void)state;
 	lease_init(&t, &self, LONG_MS);
-	lease_first(&t, 40);
+	lease_set_log_start(&t, 40);
 	c = make_claim(0, 3, 3, 4);
 	assert_int_equal(lease_append_begin(&t, &c), -1);
-	lease_read_proof(&t, 1000);
+	lease_confirm_read(&t, 1000);
 	assert_false(lease_reset_due(&t, 1000 + LEASE_RESET_WAIT_MS - 1));
 	assert_true(lease_reset_due(&t, 1000 + LEASE_RESET_WAIT_MS));
 	assert_int_equal(
@@ -404,9 +405,9 @@
 	assert_int_equal(t.part[0].effective_ms, 2000 + LONG_WAIT);
 	lease_finish(&t);
 	init_owned_table(&t, 1);
-	lease_read_proof(&t, 100);
+	lease_confirm_read(&t, 100);
 	apply_record(&t, lease_reset_encode(), 1, 100);
-	assert_int_equal(lease_held(&t, 0, 101), 0);
+	assert_int_equal(lease_valid_until(&t, 0, 101), 0);
 	lease_finish(&t);
 }
 
@@ -512,11 +513,11 @@
 		}
 		lease_decider_init(&d);
 		d.stopping = cases[i].stopping;
-		lease_read_proof(&t, 1000);
+		lease_confirm_read(&t, 1000);
 		in.now_ms = 1000;
 		n = lease_decide(&d, &t, &in, c, LEASE_PARTS);
 		if (cases[i].after != 0) {
-			lease_read_proof(&t, 1000 + cases[i].after);
+			lease_confirm_read(&t, 1000 + cases[i].after);
 			in.now_ms = 1000 + cases[i].after;
 			n = lease_decide(&d, &t, &in, c, LEASE_PARTS);
 		}
@@ -562,7 +563,7 @@
 		c[0] = make_claim(0, 1, 1, 2);
 		apply_claim(&t, &c[0], 1);
 		lease_decider_init(&d);
-		lease_read_proof(&t, 1000);
+		lease_confirm_read(&t, 1000);
 		assert_int_equal(
 		    lease_decide(&d, &t, &in, c, LEASE_PARTS), alive >= 3);
 		lease_finish(&t);
@@ -592,10 +593,10 @@
 		m[i].preferred = preferred && i < 4;
 		m[i].alive = 1;
 		m[i].leaving = 0;
-		m[i].age_ms = LEASE_STABLE_MS;
+		m[i].age_ms = LEASE_MEMBER_STABLE_MS;
 		lease_init(&t[i], &m[i].id, LONG_MS);
 		lease_decider_init(&d[i]);
-		lease_read_proof(&t[i], 1000);
+		lease_confirm_read(&t[i], 1000);
 	}
 	/* No node claims before LEASE_DISCOVERY_MS has passed. */
 	in.count = 1;
@@ -604,7 +605,7 @@
 	for (i = 0; i < 6; i++) {
 		assert_int_equal(
 		    lease_decide(&d[i], &t[i], &in, c, LEASE_PARTS), 0);
-		lease_read_proof(&t[i], 1000 + LEASE_DISCOVERY_MS);
+		lease_confirm_read(&t[i], 1000 + LEASE_DISCOVERY_MS);
 	}
 	in.now_ms = 1000 + LEASE_DISCOVERY_MS;
 	for (i = 0; i < 6; i++) {
--- a/src/lease/test_lease_service.c
+++ b/src/lease/test_lease_service.c
@@ -189,7 +189,7 @@
 			if (!running[k])
 				continue;
 			lease_service_lookup(&nodes[k], part, clock_ms(), &v);
-			if (v.until_ms != 0)
+			if (v.valid_until_ms != 0)
 				owners++;
 			if (k == i &&
 			    nodeid_equal(&v.owner, &nodes[i].cfg.self))
@@ -273,7 +273,7 @@
 	assert_true(wait_for(all_partitions_owned, 0));
 
 	leaving[0] = 1;
-	assert_int_equal(lease_service_leave(&nodes[0], WAIT_MS), 0);
+	assert_int_equal(lease_service_hand_over(&nodes[0], WAIT_MS), 0);
 	assert_true(owns_no_partition(0));
 	assert_true(wait_for(all_partitions_owned, 1));
 	stop_node(0);
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -178,7 +178,7 @@
 	if (part >= LEASE_PARTS)
 		return NULL;
 	l->cfg.lookup(l->cfg.lookup_ctx, part, now_us / US_PER_MS, v);
-	if (v->until_ms <= now_us / US_PER_MS + 1)
+	if (v->valid_until_ms <= now_us / US_PER_MS + 1)
 		return NULL;
 	if (l->cfg.find_limit(l->cfg.find_limit_ctx, hash, &ws) == -1 ||
 	    limits_partition_shard(&ws, part) == -1) {
@@ -212,7 +212,7 @@
 	    l, arg->workspace, arg->part, &v, now, &res->status);
 	if (s == NULL)
 		return;
-	life_ms = v.until_ms - now / US_PER_MS - 1;
+	life_ms = v.valid_until_ms - now / US_PER_MS - 1;
 	if (life_ms > arg->life_ms)
 		life_ms = arg->life_ms;
 	if (life_ms > LIMITS_LOAN_MAX_MS)
--- a/src/limits/test_limits.c
+++ b/src/limits/test_limits.c
@@ -88,7 +88,7 @@
 	v->term = v->tenure = tenure;
 	v->first = is_first_lease;
 	if (ctx == &nodes[group] && now_ms < lease_until_ms)
-		v->until_ms = lease_until_ms;
+		v->valid_until_ms = lease_until_ms;
 }
 
 /*
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -18,7 +18,7 @@
 #define MEMBER_HEALTH_TEXT 128 /* bytes, with the terminator */
 
 /* An announcement expires if it isn't repeated for this long. */
-#define MEMBER_ANNOUNCE_MS 5000
+#define MEMBER_ANNOUNCE_TIMEOUT_MS 5000
 /* Default age from which a log read no longer proves a configuration. */
 #define MEMBER_LOG_READ_MAX_AGE_MS 10000
 #define MEMBER_PROBE_PERIOD_MS 200 /* default period of probes */
@@ -66,9 +66,9 @@
 	struct node_id id;
 	uint64_t epoch; /* start of the process, ms since 1970 */
 	uint64_t config_version;
-	uint64_t since_ms; /* local time when it last went up or down */
-	uint32_t seq;	   /* number of its state, orders reports */
-	uint32_t rev;	   /* number of its data, e.g. of its server */
+	uint64_t state_since_ms; /* local time when it last went up or down */
+	uint32_t seq;		 /* number of its state, orders reports */
+	uint32_t rev;		 /* number of its data, e.g. of its server */
 	uint16_t peer_port;
 	enum member_state state;
 	char domain[MEMBER_DOMAIN_TEXT];
@@ -103,8 +103,8 @@
 	uint64_t log_read_ms; /* latest known log read by any node */
 	/* Latest log read at which this node's configuration was current. */
 	uint64_t config_current_ms;
-	uint64_t fresh_ms;	 /* see member_settings */
-	uint64_t config_version; /* latest version known */
+	uint64_t log_read_max_age_ms; /* see member_settings */
+	uint64_t config_version;      /* latest version known */
 	int config_outdated; /* this node's configuration is an earlier one */
 	uint32_t known;	     /* members that haven't left, this node included */
 	uint32_t alive;	     /* of those, the ones that are alive */
@@ -112,7 +112,7 @@
 	uint32_t answered;   /* of those, the answered ones */
 	uint32_t self;	     /* handle of this node */
 	uint32_t len;
-	struct member_info *list;
+	struct member_info *members;
 	uint32_t services_len;
 	struct member_service_index *services;
 	uint32_t *handles;
@@ -122,10 +122,10 @@
 	struct node_id self;
 	uint16_t peer_port;
 	const char *domain;
-	const char *region; /* may be NULL */
-	uint32_t probe_ms;  /* 0: the default */
+	const char *region;	  /* may be NULL */
+	uint32_t probe_period_ms; /* 0: the default */
 	/* Age from which a log read is too old to count, 0: the default. */
-	uint32_t fresh_ms;
+	uint32_t log_read_max_age_ms;
 	const struct node_id *seeds;
 	size_t seeds_len;
 };
@@ -145,31 +145,32 @@
 	struct member_view *view;
 	struct rpc_client *client;
 	const struct logsvc *log;
-	member_event_fn event;
-	void *event_ctx;
+	member_event_fn on_event;
+	void *on_event_ctx;
 	pthread_mutex_t lock;
-	pthread_cond_t wake;
-	pthread_cond_t stop;
-	pthread_t ticker;
-	pthread_t logger;
+	pthread_cond_t wake_cond;
+	pthread_cond_t stop_cond;
+	pthread_t tick_thread;
+	pthread_t log_thread;
 	GQueue events;
 	uint64_t generation;
 	uint64_t built_ms;
 	int running;
-	int logging;
+	int log_thread_started;
 	int stopping;
 };
 
 int member_service_init(struct member_service *, const struct member_settings *,
     struct rpc_server *, struct rpc_client *, const struct logsvc *);
-void member_service_on_event(struct member_service *, member_event_fn, void *);
+void member_service_set_event_callback(
+    struct member_service *, member_event_fn, void *);
 int member_service_start(struct member_service *, GError **);
 void member_service_finish(struct member_service *);
 
 void member_set_server(struct member_service *, const struct member_server *);
 void member_set_load(struct member_service *, uint32_t);
 void member_set_config_version(struct member_service *, uint64_t);
-void member_set_log_read(struct member_service *, uint64_t);
+void member_set_log_read_time(struct member_service *, uint64_t);
 void member_leave(struct member_service *);
 
 const struct member_view *member_view_get(struct member_service *);
@@ -177,7 +178,7 @@
     const struct member_view *, uint32_t, uint16_t);
 const uint32_t *member_view_service(
     const struct member_view *, const char *, uint32_t *);
-int member_fresh(const struct member_view *, uint64_t);
+int member_config_is_fresh(const struct member_view *, uint64_t);
 
 int member_announce_parse(
     const char *, size_t, struct member_announce *, struct finds *);
--- a/src/member/member_announce.c
+++ b/src/member/member_announce.c
@@ -235,5 +235,6 @@
 int
 member_announce_live(uint64_t last_ms, uint64_t now_ms)
 {
-	return last_ms != 0 && age_at(now_ms, last_ms) < MEMBER_ANNOUNCE_MS;
+	return last_ms != 0 &&
+	       age_at(now_ms, last_ms) < MEMBER_ANNOUNCE_TIMEOUT_MS;
 }
--- a/src/member/member_dump.c
+++ b/src/member/member_dump.c
@@ -51,8 +51,8 @@
 	    "member %s peer_port=%u domain=%s state=%s for=%" PRIu64
 	    "s seq=%u config=%" PRIu64,
 	    name, m->peer_port, m->domain[0] != '\0' ? m->domain : "-",
-	    state_names[m->state], age_at(now, m->since_ms) / 1000, m->seq,
-	    m->config_version);
+	    state_names[m->state], age_at(now, m->state_since_ms) / 1000,
+	    m->seq, m->config_version);
 	if (m->server.state != MEMBER_SERVER_NONE)
 		fprintf(out,
 		    " service=%s server=%s slots=%u connections=%u load=%u",
@@ -79,8 +79,8 @@
 	    "log_read=%" PRIu64 "ms fresh=%d config=%" PRIu64 "\n",
 	    v->known, v->alive, v->probed, v->answered,
 	    v->log_read_ms == 0 ? 0 : age_at(now, v->log_read_ms),
-	    member_fresh(v, now), v->config_version);
+	    member_config_is_fresh(v, now), v->config_version);
 	for (i = 0; i < v->len; i++)
-		dump_member(out, &v->list[i], now);
+		dump_member(out, &v->members[i], now);
 	rcu_read_unlock();
 }
--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -17,10 +17,10 @@
 #define MEMBER_PAUSE_MIN_MS 100	 /* a longer gap between ticks is a pause */
 
 /* A change is sent this many times log2 of the live members plus one. */
-#define MEMBER_TELL_FACTOR 3
-#define MEMBER_FEW_TELLS 3 /* times that minor changes are sent */
+#define MEMBER_RETRANSMIT_FACTOR 3
+#define MEMBER_RETRANSMIT_FEW 3 /* times that minor changes are sent */
 /* With more changes in the queue, each one is sent fewer times. */
-#define MEMBER_QUEUE_LONG 64
+#define MEMBER_QUEUE_LONG_LEN 64
 #define MEMBER_GOSSIP_PERIOD_MS 100
 #define MEMBER_GOSSIP_FANOUT 2
 #define MEMBER_LEAVE_FANOUT 24
@@ -31,7 +31,7 @@
 #define MEMBER_SYNC_STARTUP_PERIOD_MS 1000 /* during startup */
 #define MEMBER_STARTUP_MS 10000		   /* duration of the startup */
 #define MEMBER_SYNC_MANY_CHANGES 16	   /* this many changes are many */
-#define MEMBER_SYNC_PAGES 16		   /* at most, in reply to one sync */
+#define MEMBER_SYNC_PAGES_MAX 16	   /* at most, in reply to one sync */
 #define MEMBER_BUDGET_BYTES (32 * 1024)
 #define MEMBER_BUDGET_STARTUP_BYTES (1024 * 1024) /* for pages, at startup */
 #define MEMBER_BUDGET_STARTUP_MS 60000
@@ -41,9 +41,9 @@
 #define MEMBER_DEAD_RETENTION_MS (2 * 3600 * 1000)
 #define MEMBER_LEFT_RETENTION_MS (10 * 60 * 1000)
 
-#define MEMBER_MESSAGE_BYTES 1150 /* limit of a message body */
-#define MEMBER_MESSAGE_LOW 450	  /* the same, once the budget is spent */
-#define MEMBER_COUNT_MAX 8192	  /* members of a table */
+#define MEMBER_MESSAGE_BYTES 1150    /* limit of a message body */
+#define MEMBER_MESSAGE_LOW_BYTES 450 /* the same, once the budget is spent */
+#define MEMBER_COUNT_MAX 8192	     /* members of a table */
 #define MEMBER_PROBES_MAX 64
 #define MEMBER_RELAYS_MAX 64
 #define MEMBER_VERIFY_MAX 16
@@ -57,20 +57,20 @@
 #define MEMBER_TICK_MS 25
 
 /* Callbacks of a table. */
-struct member_port {
+struct member_callbacks {
 	void (*send)(void *, uint32_t, uint16_t, const struct member_message *);
 	uint64_t (*rand)(void *);
-	member_event_fn event;
+	member_event_fn on_event;
 	void *ctx;
 };
 
 /* How many times a change is sent. */
-enum member_tell {
-	MEMBER_TELL_FEW,  /* most nodes know it or will detect it */
-	MEMBER_TELL_SOME, /* a comparison of tables would find it too */
-	MEMBER_TELL_ALL,
-	MEMBER_TELL_URGENT, /* like ALL, also when the queue is long */
-	MEMBER_TELL_MAX
+enum member_spread {
+	MEMBER_SPREAD_FEW,  /* most nodes know it or will detect it */
+	MEMBER_SPREAD_SOME, /* a comparison of tables would find it too */
+	MEMBER_SPREAD_ALL,
+	MEMBER_SPREAD_URGENT, /* like ALL, also when the queue is long */
+	MEMBER_SPREAD_MAX
 };
 
 /* A member in the table. */
@@ -81,14 +81,15 @@
 	uint64_t next_accuse_ms;
 	/*
 	 * Times that the queued change was sent. Starts above 0 for a change
-	 * that needs fewer than member_tells().
+	 * that needs fewer than member_retransmit_limit().
 	 */
-	uint32_t told;
-	uint32_t stamp; /* number of the last message that contains it */
+	uint32_t times_sent;
+	uint32_t last_message_number; /* number of the last message that
+					 contains it */
 	int used;
 	int accused_by_self; /* this node made it a suspect */
 	int queued;	     /* has a change in the queue */
-	int full;	     /* the change needs an entry, not only a status */
+	int full_entry;	     /* the change needs an entry, not only a status */
 };
 
 /* An unanswered probe. */
@@ -127,7 +128,7 @@
 
 /* What this node knows of the members, and the state of the protocol. */
 struct member_table {
-	struct member_port port;
+	struct member_callbacks callbacks;
 	struct member_slot *slots;
 	uint32_t slots_len;
 	uint32_t slots_cap;
@@ -140,7 +141,7 @@
 	uint32_t probe_order_pos;
 	uint32_t *queue; /* handles of members with changes to send */
 	uint32_t queue_len;
-	uint32_t old_pos; /* last entry that was sent without a change */
+	uint32_t refresh_pos; /* last entry that was sent without a change */
 	struct member_probe probes[MEMBER_PROBES_MAX];
 	/* Handles of live members that were reported dead. */
 	uint32_t reported_dead[MEMBER_VERIFY_MAX];
@@ -151,10 +152,10 @@
 	uint32_t seeds_len;
 	struct member_probe_counts probe_counts[MEMBER_PROBE_WINDOW_S];
 	uint32_t next_nonce;
-	uint32_t stamp;	       /* number of the last message */
-	uint32_t sync_changes; /* made by pages since the last sync */
-	uint32_t probe_ms;
-	uint64_t fresh_ms; /* see member_settings */
+	uint32_t message_number; /* number of the last message */
+	uint32_t sync_changes;	 /* made by pages since the last sync */
+	uint32_t probe_period_ms;
+	uint64_t log_read_max_age_ms; /* see member_settings */
 	uint64_t started_ms;
 	uint64_t last_tick_ms;
 	uint64_t next_probe_ms;
@@ -174,21 +175,22 @@
 	uint64_t next_config_report_ms; /* of that version */
 	uint32_t config_addr;		/* of a node that has it */
 	uint16_t config_peer_port;
-	int paging;  /* a page of another node's table is being merged */
-	int dirty;   /* the view is out of date */
-	int leaving; /* this node has announced its shutdown */
+	int merging_page; /* a page of another node's table is being merged */
+	int dirty;	  /* the view is out of date */
+	int leaving;	  /* this node has announced its shutdown */
 };
 
 void member_table_init(struct member_table *, const struct member_settings *,
-    const struct member_port *, uint64_t, uint64_t);
+    const struct member_callbacks *, uint64_t, uint64_t);
 void member_table_finish(struct member_table *);
-void member_table_seed(struct member_table *, uint32_t, uint16_t, int);
+void member_table_add_seed(struct member_table *, uint32_t, uint16_t, int);
 void member_table_receive(
     struct member_table *, uint64_t, const struct member_message *);
 void member_table_tick(struct member_table *, uint64_t);
-void member_table_refused(struct member_table *, uint64_t, uint32_t, uint16_t);
+void member_table_fail_probes(
+    struct member_table *, uint64_t, uint32_t, uint16_t);
 void member_table_leave(struct member_table *, uint64_t);
-void member_table_changed(struct member_table *, uint64_t);
+void member_table_publish_self(struct member_table *, uint64_t);
 
 struct member_slot *member_add_slot(struct member_table *, uint32_t, uint16_t);
 void member_insert_probe_target(struct member_table *, uint32_t);
@@ -196,8 +198,10 @@
 void member_report_event(
     struct member_table *, enum member_event, const struct member_slot *);
 void member_copy_text(char *, size_t, const char *);
-struct member_slot *member_find(struct member_table *, uint32_t, uint16_t);
-uint32_t member_handle(const struct member_table *, const struct member_slot *);
+struct member_slot *member_table_find(
+    struct member_table *, uint32_t, uint16_t);
+uint32_t member_slot_handle(
+    const struct member_table *, const struct member_slot *);
 void member_merge_entry(
     struct member_table *, uint64_t, const struct member_entry *, int);
 void member_merge_status(
@@ -205,27 +209,27 @@
 void member_set_state(struct member_table *, uint64_t, struct member_slot *,
     enum member_state, uint32_t);
 uint64_t member_suspicion_timeout_ms(const struct member_table *);
-uint32_t member_tells(const struct member_table *);
+uint32_t member_retransmit_limit(const struct member_table *);
 int member_server_differs(
     const struct member_server *, const struct member_server *);
 void member_remove_expired(struct member_table *, uint64_t);
 uint32_t member_random_alive(struct member_table *);
 
-void member_queue(
-    struct member_table *, struct member_slot *, enum member_tell);
-void member_unqueue(struct member_table *, uint32_t);
-void member_send(struct member_table *, uint64_t, member_kind,
+void member_queue_change(
+    struct member_table *, struct member_slot *, enum member_spread);
+void member_unqueue_change(struct member_table *, uint32_t);
+void member_send_changes(struct member_table *, uint64_t, member_kind,
     const struct node_id *, uint32_t);
-void member_send_bare(
+void member_send_bare_ping(
     struct member_table *, uint64_t, const struct node_id *, uint32_t);
 void member_send_ping_req(struct member_table *, uint64_t,
     const struct node_id *, const struct node_id *, uint32_t);
-void member_sync(
+void member_send_digests(
     struct member_table *, uint64_t, member_kind, const struct node_id *);
-void member_sync_answer(
+void member_answer_sync(
     struct member_table *, uint64_t, const struct member_message *);
 
-void member_note_log_read(struct member_table *, uint64_t);
+void member_record_log_read(struct member_table *, uint64_t);
 void member_report_later_config(struct member_table *, uint64_t);
 void member_count_probe(struct member_table *, uint64_t, int);
 void member_sum_probes(
--- a/src/member/member_log.c
+++ b/src/member/member_log.c
@@ -156,15 +156,15 @@
 			counter_add(CTR_LOG_BAD_RECORDS, 1);
 			continue;
 		}
-		s = member_find(ms->table, h.id.addr, h.id.rpc_port);
+		s = member_table_find(ms->table, h.id.addr, h.id.rpc_port);
 		if (s == NULL)
-			member_table_seed(
+			member_table_add_seed(
 			    ms->table, h.id.addr, h.id.rpc_port, 0);
 		else if (s->info.state == MEMBER_ALIVE &&
 			 nodeid_equal(&s->info.id, &h.id))
 			live++;
 		if (s != NULL &&
-		    member_handle(ms->table, s) == ms->table->self &&
+		    member_slot_handle(ms->table, s) == ms->table->self &&
 		    nodeid_equal(&s->info.id, &h.id))
 			*own_found = 1;
 	}
@@ -247,7 +247,7 @@
 	pthread_mutex_lock(&ms->lock);
 	while (!ms->stopping && rc == 0)
 		rc = pthread_cond_clockwait(
-		    &ms->stop, &ms->lock, CLOCK_MONOTONIC, &ts);
+		    &ms->stop_cond, &ms->lock, CLOCK_MONOTONIC, &ts);
 	pthread_mutex_unlock(&ms->lock);
 }
 
--- a/src/member/member_merge.c
+++ b/src/member/member_merge.c
@@ -116,7 +116,7 @@
 	s->info.epoch = e->name.epoch;
 	s->info.seq = e->seq;
 	s->info.rev = 0;
-	s->full = 1;
+	s->full_entry = 1;
 	copy_member_data(s, e);
 }
 
@@ -147,7 +147,7 @@
 		return;
 	s->info.seq = seq + 1;
 	t->dirty = 1;
-	member_queue(t, s, MEMBER_TELL_URGENT);
+	member_queue_change(t, s, MEMBER_SPREAD_URGENT);
 	t->next_gossip_ms = now;
 }
 
@@ -165,7 +165,7 @@
 		refute(t, now, (enum member_state)e->state, e->seq);
 	} else if (!t->leaving && is_later_process(e, &s->info)) {
 		s->info.epoch = e->name.epoch + 1;
-		member_table_changed(t, now);
+		member_table_publish_self(t, now);
 	}
 }
 
@@ -189,16 +189,16 @@
 	s = member_add_slot(t, e->name.addr, (uint16_t)e->name.port);
 	copy_new_process(s, e);
 	s->info.peer_port = (uint16_t)e->peer_port;
-	s->info.since_ms = now > age ? now - age : 0;
+	s->info.state_since_ms = now > age ? now - age : 0;
 	s->info.state = state;
 	t->dirty = 1;
-	t->sync_changes += (uint32_t)t->paging;
+	t->sync_changes += (uint32_t)t->merging_page;
 	t->alive += state == MEMBER_ALIVE;
-	if (!t->paging)
-		member_queue(t, s, MEMBER_TELL_SOME);
+	if (!t->merging_page)
+		member_queue_change(t, s, MEMBER_SPREAD_SOME);
 	if (state != MEMBER_ALIVE)
 		return;
-	member_insert_probe_target(t, member_handle(t, s));
+	member_insert_probe_target(t, member_slot_handle(t, s));
 	member_report_event(t, MEMBER_JOINED, s);
 }
 
@@ -222,16 +222,16 @@
 	s->info.config_version = 0;
 	memset(&s->info.server, 0, sizeof(s->info.server));
 	copy_new_process(s, e);
-	s->info.since_ms = now;
+	s->info.state_since_ms = now;
 	s->info.state = state;
 	s->accused_by_self = 0;
 	t->alive += state == MEMBER_ALIVE;
 	t->dirty = 1;
-	t->sync_changes += (uint32_t)t->paging;
-	member_queue(t, s, MEMBER_TELL_SOME);
+	t->sync_changes += (uint32_t)t->merging_page;
+	member_queue_change(t, s, MEMBER_SPREAD_SOME);
 	if (state != MEMBER_ALIVE)
 		return;
-	member_insert_probe_target(t, member_handle(t, s));
+	member_insert_probe_target(t, member_slot_handle(t, s));
 	member_report_event(t, MEMBER_JOINED, s);
 }
 
@@ -243,7 +243,7 @@
 static void
 schedule_verification(struct member_table *t, const struct member_slot *s)
 {
-	uint32_t h = member_handle(t, s), i;
+	uint32_t h = member_slot_handle(t, s), i;
 
 	if (s->info.state != MEMBER_ALIVE ||
 	    t->reported_dead_len == MEMBER_VERIFY_MAX)
@@ -270,7 +270,7 @@
 		schedule_verification(t, s);
 		return;
 	}
-	t->sync_changes += (uint32_t)t->paging;
+	t->sync_changes += (uint32_t)t->merging_page;
 	member_set_state(t, now, s, state, seq);
 }
 
@@ -292,10 +292,10 @@
 	if (e->rev <= s->info.rev || e->state != MEMBER_ALIVE)
 		return;
 	copy_member_data(s, e);
-	s->full = 1;
+	s->full_entry = 1;
 	t->dirty = 1;
-	t->sync_changes += (uint32_t)t->paging;
-	member_queue(t, s, MEMBER_TELL_URGENT);
+	t->sync_changes += (uint32_t)t->merging_page;
+	member_queue_change(t, s, MEMBER_SPREAD_URGENT);
 }
 
 /*
@@ -308,11 +308,11 @@
 	struct member_slot *s;
 	uint32_t state = st->port_state & UINT16_MAX;
 
-	s = member_find(t, st->addr, (uint16_t)(st->port_state >> 16));
+	s = member_table_find(t, st->addr, (uint16_t)(st->port_state >> 16));
 	if (s == NULL || s->info.id.incarnation != st->incarnation ||
 	    state >= MEMBER_STATE_MAX)
 		return;
-	if (member_handle(t, s) == t->self)
+	if (member_slot_handle(t, s) == t->self)
 		refute(t, now, (enum member_state)state, st->seq);
 	else
 		merge_state(t, now, s, (enum member_state)state, st->seq);
@@ -330,10 +330,10 @@
 
 	if (!entry_is_valid(e))
 		return;
-	s = member_find(t, e->name.addr, (uint16_t)e->name.port);
+	s = member_table_find(t, e->name.addr, (uint16_t)e->name.port);
 	if (s == NULL)
 		merge_new_member(t, now, e);
-	else if (member_handle(t, s) == t->self)
+	else if (member_slot_handle(t, s) == t->self)
 		merge_self(t, now, e);
 	else if (s->info.id.incarnation == e->name.incarnation)
 		merge_known_process(t, now, s, e, direct);
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -36,7 +36,7 @@
 			t->probe_order[t->probe_order_len++] = h;
 	}
 	for (i = t->probe_order_len; i > 1; i--) {
-		j = (uint32_t)(t->port.rand(t->port.ctx) % i);
+		j = (uint32_t)(t->callbacks.rand(t->callbacks.ctx) % i);
 		swap = t->probe_order[i - 1];
 		t->probe_order[i - 1] = t->probe_order[j];
 		t->probe_order[j] = swap;
@@ -56,7 +56,7 @@
 		while (t->probe_order_pos < t->probe_order_len) {
 			s = &t->slots[t->probe_order[t->probe_order_pos++]];
 			if (s->used && s->info.state <= MEMBER_SUSPECT)
-				return member_handle(t, s);
+				return member_slot_handle(t, s);
 		}
 		shuffle_probe_order(t);
 	}
@@ -104,9 +104,9 @@
 	p->nonce = t->next_nonce++;
 	p->sent_ms = p->timeout_start_ms = now;
 	if (bare)
-		member_send_bare(t, now, &t->slots[h].info.id, p->nonce);
+		member_send_bare_ping(t, now, &t->slots[h].info.id, p->nonce);
 	else
-		member_send(
+		member_send_changes(
 		    t, now, MEMBER_PING, &t->slots[h].info.id, p->nonce);
 }
 
@@ -122,8 +122,8 @@
 	int asked = 0;
 
 	p->indirect = 1;
-	member_send(t, now, MEMBER_PING, target, p->nonce);
-	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
+	member_send_changes(t, now, MEMBER_PING, target, p->nonce);
+	start = (uint32_t)(t->callbacks.rand(t->callbacks.ctx) % t->slots_len);
 	for (i = 0; i < t->slots_len && asked < MEMBER_INDIRECT_PROBES; i++) {
 		h = (start + i) % t->slots_len;
 		if (!t->slots[h].used || h == t->self || h == p->handle ||
@@ -168,7 +168,7 @@
 	s->accused_by_self = 1;
 	s->next_accuse_ms = now;
 	if (!half_answered(t, now))
-		member_unqueue(t, member_handle(t, s));
+		member_unqueue_change(t, member_slot_handle(t, s));
 }
 
 /*
@@ -210,7 +210,8 @@
 		} else if (s->accused_by_self && now >= s->next_accuse_ms) {
 			s->next_accuse_ms =
 			    now + member_suspicion_timeout_ms(t) / 3;
-			member_send_bare(t, now, &s->info.id, t->next_nonce++);
+			member_send_bare_ping(
+			    t, now, &s->info.id, t->next_nonce++);
 		}
 	}
 }
@@ -224,12 +225,12 @@
 	uint32_t start, i, h;
 
 	t->next_reprobe_ms = now + MEMBER_REPROBE_PERIOD_MS;
-	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
+	start = (uint32_t)(t->callbacks.rand(t->callbacks.ctx) % t->slots_len);
 	for (i = 0; i < t->slots_len; i++) {
 		h = (start + i) % t->slots_len;
 		if (!t->slots[h].used || t->slots[h].info.state != MEMBER_DEAD)
 			continue;
-		member_send(
+		member_send_changes(
 		    t, now, MEMBER_PING, &t->slots[h].info.id, t->next_nonce++);
 		return;
 	}
@@ -240,7 +241,7 @@
  * tried without limit, others MEMBER_SEED_TRIES times.
  */
 void
-member_table_seed(
+member_table_add_seed(
     struct member_table *t, uint32_t addr, uint16_t port, int fixed)
 {
 	struct member_seed *s;
@@ -254,7 +255,8 @@
 		}
 	}
 	if (t->seeds_len == MEMBER_SEEDS_MAX) {
-		i = (uint32_t)(t->port.rand(t->port.ctx) % MEMBER_SEEDS_MAX);
+		i = (uint32_t)(t->callbacks.rand(t->callbacks.ctx) %
+			       MEMBER_SEEDS_MAX);
 		s = &t->seeds[i];
 		if (s->fixed)
 			return;
@@ -281,7 +283,7 @@
 		if (now < s->next_ms ||
 		    (!s->fixed && s->tries >= MEMBER_SEED_TRIES))
 			continue;
-		known = member_find(t, s->addr, s->port);
+		known = member_table_find(t, s->addr, s->port);
 		if (known != NULL)
 			continue;
 		s->tries++;
@@ -289,7 +291,8 @@
 				       MEMBER_SEED_DELAY_MS;
 		seed_id.addr = s->addr;
 		seed_id.rpc_port = s->port;
-		member_send(t, now, MEMBER_PING, &seed_id, t->next_nonce++);
+		member_send_changes(
+		    t, now, MEMBER_PING, &seed_id, t->next_nonce++);
 	}
 }
 
@@ -301,14 +304,15 @@
 static int
 has_changes_to_send(const struct member_table *t)
 {
-	uint32_t limit = member_tells(t), i;
+	uint32_t limit = member_retransmit_limit(t), i;
 
 	if (t->gossip_budget < 0)
 		return 0;
 	if (t->gossip_budget > MEMBER_BUDGET_BYTES / 2)
 		return t->queue_len > 0;
 	for (i = 0; i < t->queue_len; i++) {
-		if (t->slots[t->queue[i]].told < limit / MEMBER_TELL_FACTOR)
+		if (t->slots[t->queue[i]].times_sent <
+		    limit / MEMBER_RETRANSMIT_FACTOR)
 			return 1;
 	}
 	return 0;
@@ -331,7 +335,8 @@
 		h = member_random_alive(t);
 		if (h == MEMBER_NO_HANDLE)
 			return;
-		member_send(t, now, MEMBER_GOSSIP, &t->slots[h].info.id, 0);
+		member_send_changes(
+		    t, now, MEMBER_GOSSIP, &t->slots[h].info.id, 0);
 	}
 }
 
@@ -352,9 +357,9 @@
 	period_ms = now < t->started_ms + MEMBER_STARTUP_MS
 			? MEMBER_SYNC_STARTUP_PERIOD_MS
 			: MEMBER_SYNC_PERIOD_MS;
-	t->next_sync_ms =
-	    now + period_ms / 2 + t->port.rand(t->port.ctx) % period_ms;
-	member_sync(t, now, MEMBER_SYNC, &t->slots[h].info.id);
+	t->next_sync_ms = now + period_ms / 2 +
+			  t->callbacks.rand(t->callbacks.ctx) % period_ms;
+	member_send_digests(t, now, MEMBER_SYNC, &t->slots[h].info.id);
 }
 
 /*
@@ -431,8 +436,8 @@
 	check_probes(t, now);
 	check_suspects(t, now);
 	if (now >= t->next_probe_ms) {
-		t->next_probe_ms =
-		    MAX(t->next_probe_ms + t->probe_ms, now + t->probe_ms / 2);
+		t->next_probe_ms = MAX(t->next_probe_ms + t->probe_period_ms,
+		    now + t->probe_period_ms / 2);
 		send_probe(t, now, next_probe_target(t), 0);
 	}
 	if (now >= t->next_verify_ms) {
@@ -457,16 +462,16 @@
  * has the port, so waiting for an answer is useless.
  */
 void
-member_table_refused(
+member_table_fail_probes(
     struct member_table *t, uint64_t now, uint32_t addr, uint16_t port)
 {
-	struct member_slot *s = member_find(t, addr, port);
+	struct member_slot *s = member_table_find(t, addr, port);
 	struct member_probe *p;
 
 	if (s == NULL)
 		return;
 	for (p = t->probes; p < t->probes + MEMBER_PROBES_MAX; p++) {
-		if (p->used && p->handle == member_handle(t, s))
+		if (p->used && p->handle == member_slot_handle(t, s))
 			fail_probe(t, now, p);
 	}
 }
@@ -489,7 +494,7 @@
 	for (i = 0; i < MEMBER_LEAVE_FANOUT; i++) {
 		h = member_random_alive(t);
 		if (h != MEMBER_NO_HANDLE)
-			member_send(
+			member_send_changes(
 			    t, now, MEMBER_GOSSIP, &t->slots[h].info.id, 0);
 	}
 }
--- a/src/member/member_receive.c
+++ b/src/member/member_receive.c
@@ -54,10 +54,10 @@
 		return;
 	}
 	member_merge_entry(t, now, &msg->self, 1);
-	t->paging = msg->kind == MEMBER_PAGE;
+	t->merging_page = msg->kind == MEMBER_PAGE;
 	for (i = 0; i < msg->entries.entries_len; i++)
 		member_merge_entry(t, now, &msg->entries.entries_val[i], 0);
-	t->paging = 0;
+	t->merging_page = 0;
 	for (i = 0; i < msg->statuses.statuses_len; i++)
 		member_merge_status(t, now, &msg->statuses.statuses_val[i]);
 	update_latest_config(t, now, msg);
@@ -72,7 +72,7 @@
 on_ping(struct member_table *t, uint64_t now, const struct member_message *msg,
     const struct node_id *from)
 {
-	member_send(t, now, MEMBER_ACK, from, msg->nonce);
+	member_send_changes(t, now, MEMBER_ACK, from, msg->nonce);
 }
 
 /*
@@ -109,14 +109,14 @@
 		p->used = 0;
 		member_count_probe(t, now, 1);
 		if (msg->log_age_ms < p->sent_ms)
-			member_note_log_read(t, p->sent_ms - msg->log_age_ms);
+			member_record_log_read(t, p->sent_ms - msg->log_age_ms);
 		return;
 	}
 	for (i = 0; i < MEMBER_RELAYS_MAX; i++) {
 		r = &t->relays[i];
 		if (r->origin.addr == 0 || r->nonce != msg->nonce)
 			continue;
-		member_send(
+		member_send_changes(
 		    t, now, MEMBER_RELAYED_ACK, &r->origin, r->origin_nonce);
 		r->origin.addr = 0;
 	}
@@ -137,7 +137,7 @@
 	r->origin = *from;
 	r->origin_nonce = msg->nonce;
 	r->nonce = t->next_nonce++;
-	member_send_bare(t, now, &target, r->nonce);
+	member_send_bare_ping(t, now, &target, r->nonce);
 }
 
 /*
@@ -164,8 +164,8 @@
 on_sync(struct member_table *t, uint64_t now, const struct member_message *msg,
     const struct node_id *from)
 {
-	member_sync_answer(t, now, msg);
-	member_sync(t, now, MEMBER_SYNC_REPLY, from);
+	member_answer_sync(t, now, msg);
+	member_send_digests(t, now, MEMBER_SYNC_REPLY, from);
 }
 
 /*
@@ -176,7 +176,7 @@
     const struct member_message *msg, const struct node_id *from)
 {
 	(void)from;
-	member_sync_answer(t, now, msg);
+	member_answer_sync(t, now, msg);
 }
 
 /*
@@ -210,7 +210,7 @@
  * than the latest known version, it was the latest one at that read.
  */
 void
-member_note_log_read(struct member_table *t, uint64_t read_ms)
+member_record_log_read(struct member_table *t, uint64_t read_ms)
 {
 	t->log_read_ms = MAX(t->log_read_ms, read_ms);
 	if (t->slots[t->self].info.config_version >= t->config_version)
@@ -227,14 +227,14 @@
 	struct member_info holder;
 
 	if (t->config_version <= t->slots[t->self].info.config_version ||
-	    now < t->next_config_report_ms || t->port.event == NULL)
+	    now < t->next_config_report_ms || t->callbacks.on_event == NULL)
 		return;
 	t->next_config_report_ms = now + CONFIG_REPORT_PERIOD_MS;
 	memset(&holder, 0, sizeof(holder));
 	holder.id.addr = t->config_addr;
 	holder.peer_port = t->config_peer_port;
-	t->port.event(
-	    t->port.ctx, MEMBER_CONFIG_SEEN, &holder, t->config_version);
+	t->callbacks.on_event(
+	    t->callbacks.ctx, MEMBER_CONFIG_SEEN, &holder, t->config_version);
 }
 
 /*
--- a/src/member/member_service.c
+++ b/src/member/member_service.c
@@ -74,8 +74,8 @@
     const struct member_settings *settings, struct rpc_server *server,
     struct rpc_client *client, const struct logsvc *log)
 {
-	struct member_port port = { send_message, random_number, queue_event,
-		ms };
+	struct member_callbacks port = { send_message, random_number,
+		queue_event, ms };
 	uint64_t now = clock_ms();
 
 	memset(ms, 0, sizeof(*ms));
@@ -83,8 +83,8 @@
 	ms->log = log;
 	g_queue_init(&ms->events);
 	pthread_mutex_init(&ms->lock, NULL);
-	pthread_cond_init(&ms->wake, NULL);
-	pthread_cond_init(&ms->stop, NULL);
+	pthread_cond_init(&ms->wake_cond, NULL);
+	pthread_cond_init(&ms->stop_cond, NULL);
 	ms->table = calloc(1, sizeof(*ms->table));
 	if (ms->table == NULL)
 		abort();
@@ -101,11 +101,11 @@
  * holding a lock.  Must be called before member_service_start().
  */
 void
-member_service_on_event(
+member_service_set_event_callback(
     struct member_service *ms, member_event_fn event, void *ctx)
 {
-	ms->event = event;
-	ms->event_ctx = ctx;
+	ms->on_event = event;
+	ms->on_event_ctx = ctx;
 }
 
 /*
@@ -115,7 +115,7 @@
 int
 member_service_start(struct member_service *ms, GError **error)
 {
-	if (pthread_create(&ms->ticker, NULL, run_ticker, ms) != 0) {
+	if (pthread_create(&ms->tick_thread, NULL, run_ticker, ms) != 0) {
 		g_set_error(error, RPC_ERROR, RPC_ERROR_THREAD,
 		    "cannot create the membership thread");
 		return -1;
@@ -123,12 +123,12 @@
 	ms->running = 1;
 	if (ms->log == NULL)
 		return 0;
-	if (pthread_create(&ms->logger, NULL, member_log_thread, ms) != 0) {
+	if (pthread_create(&ms->log_thread, NULL, member_log_thread, ms) != 0) {
 		g_set_error(error, RPC_ERROR, RPC_ERROR_THREAD,
 		    "cannot create the membership log thread");
 		return -1;
 	}
-	ms->logging = 1;
+	ms->log_thread_started = 1;
 	return 0;
 }
 
@@ -143,20 +143,20 @@
 	rpc_client_on_refused(ms->client, NULL, NULL);
 	pthread_mutex_lock(&ms->lock);
 	ms->stopping = 1;
-	pthread_cond_broadcast(&ms->wake);
-	pthread_cond_broadcast(&ms->stop);
+	pthread_cond_broadcast(&ms->wake_cond);
+	pthread_cond_broadcast(&ms->stop_cond);
 	pthread_mutex_unlock(&ms->lock);
 	if (ms->running)
-		pthread_join(ms->ticker, NULL);
-	if (ms->logging)
-		pthread_join(ms->logger, NULL);
+		pthread_join(ms->tick_thread, NULL);
+	if (ms->log_thread_started)
+		pthread_join(ms->log_thread, NULL);
 	rcu_barrier();
 	member_view_free(ms->view);
 	member_table_finish(ms->table);
 	free(ms->table);
 	g_queue_clear_full(&ms->events, free);
-	pthread_cond_destroy(&ms->wake);
-	pthread_cond_destroy(&ms->stop);
+	pthread_cond_destroy(&ms->wake_cond);
+	pthread_cond_destroy(&ms->stop_cond);
 	pthread_mutex_destroy(&ms->lock);
 }
 
@@ -216,7 +216,7 @@
 	pthread_mutex_lock(&ms->lock);
 	member_table_receive(ms->table, clock_ms(), arg);
 	if (ms->table->dirty || !g_queue_is_empty(&ms->events))
-		pthread_cond_signal(&ms->wake);
+		pthread_cond_signal(&ms->wake_cond);
 	pthread_mutex_unlock(&ms->lock);
 	return -1;
 }
@@ -231,7 +231,7 @@
 	struct member_service *ms = ctx;
 
 	pthread_mutex_lock(&ms->lock);
-	member_table_refused(ms->table, clock_ms(), to->addr, to->rpc_port);
+	member_table_fail_probes(ms->table, clock_ms(), to->addr, to->rpc_port);
 	pthread_mutex_unlock(&ms->lock);
 }
 
@@ -290,9 +290,9 @@
 		pthread_mutex_unlock(&ms->lock);
 		if (pe->event != MEMBER_CONFIG_SEEN)
 			log_event(pe->event, &pe->info);
-		if (ms->event != NULL)
-			ms->event(
-			    ms->event_ctx, pe->event, &pe->info, pe->version);
+		if (ms->on_event != NULL)
+			ms->on_event(ms->on_event_ctx, pe->event, &pe->info,
+			    pe->version);
 		free(pe);
 		pthread_mutex_lock(&ms->lock);
 	}
@@ -310,7 +310,7 @@
 	ts.tv_nsec += (long)timeout_ms * 1000000;
 	ts.tv_sec += ts.tv_nsec / 1000000000;
 	ts.tv_nsec %= 1000000000;
-	pthread_cond_clockwait(&ms->wake, &ms->lock, CLOCK_MONOTONIC, &ts);
+	pthread_cond_clockwait(&ms->wake_cond, &ms->lock, CLOCK_MONOTONIC, &ts);
 }
 
 /*
@@ -356,8 +356,8 @@
 	*own = *sv;
 	own->service_hash = member_service_hash(own->service);
 	if (differs) {
-		member_table_changed(ms->table, clock_ms());
-		pthread_cond_signal(&ms->wake);
+		member_table_publish_self(ms->table, clock_ms());
+		pthread_cond_signal(&ms->wake_cond);
 	}
 	pthread_mutex_unlock(&ms->lock);
 }
@@ -391,7 +391,7 @@
 		t->config_addr = own->id.addr;
 		t->config_peer_port = own->peer_port;
 	}
-	member_note_log_read(t, 0);
+	member_record_log_read(t, 0);
 	pthread_mutex_unlock(&ms->lock);
 }
 
@@ -399,10 +399,10 @@
  * Records a successful read of the log that was sent at sent_ms.
  */
 void
-member_set_log_read(struct member_service *ms, uint64_t sent_ms)
+member_set_log_read_time(struct member_service *ms, uint64_t sent_ms)
 {
 	pthread_mutex_lock(&ms->lock);
-	member_note_log_read(ms->table, sent_ms);
+	member_record_log_read(ms->table, sent_ms);
 	pthread_mutex_unlock(&ms->lock);
 }
 
@@ -416,7 +416,7 @@
 	pthread_mutex_lock(&ms->lock);
 	if (!ms->table->leaving)
 		member_table_leave(ms->table, clock_ms());
-	pthread_cond_signal(&ms->wake);
+	pthread_cond_signal(&ms->wake_cond);
 	pthread_mutex_unlock(&ms->lock);
 }
 
--- a/src/member/member_table.c
+++ b/src/member/member_table.c
@@ -16,37 +16,41 @@
  */
 void
 member_table_init(struct member_table *t, const struct member_settings *s,
-    const struct member_port *port, uint64_t now, uint64_t epoch)
+    const struct member_callbacks *port, uint64_t now, uint64_t epoch)
 {
 	struct member_slot *self;
 	size_t i;
 
 	memset(t, 0, sizeof(*t));
-	t->port = *port;
+	t->callbacks = *port;
 	t->by_addr = g_hash_table_new(NULL, NULL);
-	t->probe_ms = s->probe_ms != 0 ? s->probe_ms : MEMBER_PROBE_PERIOD_MS;
-	t->fresh_ms =
-	    s->fresh_ms != 0 ? s->fresh_ms : MEMBER_LOG_READ_MAX_AGE_MS;
+	t->probe_period_ms = s->probe_period_ms != 0 ? s->probe_period_ms
+						     : MEMBER_PROBE_PERIOD_MS;
+	t->log_read_max_age_ms = s->log_read_max_age_ms != 0
+				     ? s->log_read_max_age_ms
+				     : MEMBER_LOG_READ_MAX_AGE_MS;
 	self = member_add_slot(t, s->self.addr, s->self.rpc_port);
 	self->info.id = s->self;
 	self->info.peer_port = s->peer_port;
 	self->info.epoch = epoch;
 	self->info.seq = 1;
-	self->info.since_ms = now;
+	self->info.state_since_ms = now;
 	member_copy_text(self->info.domain, MEMBER_DOMAIN_TEXT, s->domain);
 	member_copy_text(self->info.region, MEMBER_DOMAIN_TEXT, s->region);
-	t->self = member_handle(t, self);
+	t->self = member_slot_handle(t, self);
 	t->alive = 1;
 	t->started_ms = t->last_tick_ms = t->budget_refilled_ms = now;
-	t->next_probe_ms = now + t->port.rand(t->port.ctx) % t->probe_ms;
+	t->next_probe_ms =
+	    now + t->callbacks.rand(t->callbacks.ctx) % t->probe_period_ms;
 	t->next_expiry_ms = now + MEMBER_SYNC_PERIOD_MS;
 	t->gossip_budget = MEMBER_BUDGET_BYTES;
 	t->page_budget = MEMBER_BUDGET_STARTUP_BYTES;
-	t->next_nonce = (uint32_t)t->port.rand(t->port.ctx);
+	t->next_nonce = (uint32_t)t->callbacks.rand(t->callbacks.ctx);
 	t->dirty = 1;
-	member_queue(t, &t->slots[t->self], MEMBER_TELL_ALL);
+	member_queue_change(t, &t->slots[t->self], MEMBER_SPREAD_ALL);
 	for (i = 0; i < s->seeds_len; i++)
-		member_table_seed(t, s->seeds[i].addr, s->seeds[i].rpc_port, 1);
+		member_table_add_seed(
+		    t, s->seeds[i].addr, s->seeds[i].rpc_port, 1);
 }
 
 /*
@@ -86,7 +90,7 @@
  * Returns the member at an address and port, or NULL.
  */
 struct member_slot *
-member_find(struct member_table *t, uint32_t addr, uint16_t port)
+member_table_find(struct member_table *t, uint32_t addr, uint16_t port)
 {
 	gpointer val = g_hash_table_lookup(t->by_addr, addr_key(addr, port));
 
@@ -97,7 +101,7 @@
  * Returns the handle of a slot.
  */
 uint32_t
-member_handle(const struct member_table *t, const struct member_slot *s)
+member_slot_handle(const struct member_table *t, const struct member_slot *s)
 {
 	return (uint32_t)(s - t->slots);
 }
@@ -151,7 +155,7 @@
 	}
 	remaining = t->probe_order_len - t->probe_order_pos + 1;
 	pos = t->probe_order_pos +
-	      (uint32_t)(t->port.rand(t->port.ctx) % remaining);
+	      (uint32_t)(t->callbacks.rand(t->callbacks.ctx) % remaining);
 	t->probe_order[t->probe_order_len] =
 	    pos < t->probe_order_len ? t->probe_order[pos] : h;
 	t->probe_order[pos] = h;
@@ -174,8 +178,9 @@
 member_report_event(
     struct member_table *t, enum member_event ev, const struct member_slot *s)
 {
-	if (t->port.event != NULL && member_handle(t, s) != t->self)
-		t->port.event(t->port.ctx, ev, &s->info, 0);
+	if (t->callbacks.on_event != NULL &&
+	    member_slot_handle(t, s) != t->self)
+		t->callbacks.on_event(t->callbacks.ctx, ev, &s->info, 0);
 }
 
 /*
@@ -195,9 +200,10 @@
  * the queue.
  */
 uint32_t
-member_tells(const struct member_table *t)
+member_retransmit_limit(const struct member_table *t)
 {
-	return (uint32_t)(MEMBER_TELL_FACTOR * ceil(log2(t->alive + 1.0)));
+	return (
+	    uint32_t)(MEMBER_RETRANSMIT_FACTOR * ceil(log2(t->alive + 1.0)));
 }
 
 /*
@@ -222,20 +228,20 @@
 		t->alive += (state == MEMBER_ALIVE) - (old == MEMBER_ALIVE);
 		s->info.state = state;
 		if (member_is_up(old) != member_is_up(state))
-			s->info.since_ms = now;
+			s->info.state_since_ms = now;
 	}
 	if (state == MEMBER_DEAD || old == state)
-		member_queue(t, s, MEMBER_TELL_FEW);
+		member_queue_change(t, s, MEMBER_SPREAD_FEW);
 	else if (old == MEMBER_SUSPECT || state == MEMBER_LEFT)
-		member_queue(t, s, MEMBER_TELL_URGENT);
+		member_queue_change(t, s, MEMBER_SPREAD_URGENT);
 	else
-		member_queue(t, s, MEMBER_TELL_ALL);
+		member_queue_change(t, s, MEMBER_SPREAD_ALL);
 	if (member_is_up(old) && state == MEMBER_DEAD)
 		member_report_event(t, MEMBER_DIED, s);
 	if (member_is_up(old) && state == MEMBER_LEFT)
 		member_report_event(t, MEMBER_DEPARTED, s);
 	if (!member_is_up(old) && member_is_up(state)) {
-		member_insert_probe_target(t, member_handle(t, s));
+		member_insert_probe_target(t, member_slot_handle(t, s));
 		member_report_event(t, MEMBER_RETURNED, s);
 	}
 }
@@ -245,14 +251,14 @@
  * it to be sent at once.
  */
 void
-member_table_changed(struct member_table *t, uint64_t now)
+member_table_publish_self(struct member_table *t, uint64_t now)
 {
 	struct member_slot *s = &t->slots[t->self];
 
 	s->info.seq++;
 	s->info.rev++;
 	t->dirty = 1;
-	member_queue(t, s, MEMBER_TELL_URGENT);
+	member_queue_change(t, s, MEMBER_SPREAD_URGENT);
 	t->next_gossip_ms = now;
 }
 
@@ -275,7 +281,7 @@
 		s = &t->slots[h];
 		if (!s->used || member_is_up(s->info.state) || h == t->self)
 			continue;
-		age = now - s->info.since_ms;
+		age = now - s->info.state_since_ms;
 		if (s->info.state == MEMBER_LEFT
 			? age < MEMBER_LEFT_RETENTION_MS
 			: age < MEMBER_DEAD_RETENTION_MS ||
@@ -283,7 +289,7 @@
 			continue;
 		g_hash_table_remove(
 		    t->by_addr, addr_key(s->info.id.addr, s->info.id.rpc_port));
-		member_unqueue(t, h);
+		member_unqueue_change(t, h);
 		s->used = 0;
 		t->count--;
 		t->dirty = 1;
@@ -299,7 +305,7 @@
 {
 	uint32_t start, i, h;
 
-	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
+	start = (uint32_t)(t->callbacks.rand(t->callbacks.ctx) % t->slots_len);
 	for (i = 0; i < t->slots_len; i++) {
 		h = (start + i) % t->slots_len;
 		if (h != t->self && t->slots[h].used &&
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -39,8 +39,8 @@
 compare_service(const void *a, const void *b, void *ctx)
 {
 	const struct member_view *v = ctx;
-	uint64_t i = v->list[*(const uint32_t *)a].server.service_hash;
-	uint64_t j = v->list[*(const uint32_t *)b].server.service_hash;
+	uint64_t i = v->members[*(const uint32_t *)a].server.service_hash;
+	uint64_t j = v->members[*(const uint32_t *)b].server.service_hash;
 
 	return (i > j) - (i < j);
 }
@@ -72,13 +72,13 @@
 	v->handles = alloc_zeroed(v->len, sizeof(*v->handles));
 	v->services = alloc_zeroed(v->len, sizeof(*v->services));
 	for (i = 0; i < v->len; i++) {
-		if (v->list[i].server.state == MEMBER_SERVER_UP &&
-		    v->list[i].state <= MEMBER_SUSPECT)
+		if (v->members[i].server.state == MEMBER_SERVER_UP &&
+		    v->members[i].state <= MEMBER_SUSPECT)
 			v->handles[n++] = i;
 	}
 	qsort_r(v->handles, n, sizeof(*v->handles), compare_service, v);
 	for (i = 0; i < n; i++) {
-		hash = v->list[v->handles[i]].server.service_hash;
+		hash = v->members[v->handles[i]].server.service_hash;
 		if (ix == NULL || ix->hash != hash) {
 			ix = &v->services[v->services_len++];
 			ix->hash = hash;
@@ -104,22 +104,22 @@
 	v->log_read_ms = t->log_read_ms;
 	v->config_current_ms = t->config_current_ms;
 	v->config_outdated = self->config_version < t->config_version;
-	v->fresh_ms = t->fresh_ms;
+	v->log_read_max_age_ms = t->log_read_max_age_ms;
 	v->config_version = t->config_version;
 	v->alive = t->alive;
 	member_sum_probes(
 	    t, now, MEMBER_PROBE_WINDOW_S, &v->probed, &v->answered);
-	v->list = alloc_zeroed(t->count, sizeof(*v->list));
+	v->members = alloc_zeroed(t->count, sizeof(*v->members));
 	for (h = 0; h < t->slots_len; h++) {
 		if (!t->slots[h].used)
 			continue;
 		v->known += t->slots[h].info.state != MEMBER_LEFT;
-		v->list[v->len++] = t->slots[h].info;
+		v->members[v->len++] = t->slots[h].info;
 	}
-	qsort(v->list, v->len, sizeof(*v->list), compare_address);
+	qsort(v->members, v->len, sizeof(*v->members), compare_address);
 	v->self =
 	    (uint32_t)(member_view_find(v, self->id.addr, self->id.rpc_port) -
-		       v->list);
+		       v->members);
 	index_services(v);
 	return v;
 }
@@ -130,7 +130,7 @@
 void
 member_view_free(struct member_view *v)
 {
-	free(v->list);
+	free(v->members);
 	free(v->services);
 	free(v->handles);
 	free(v);
@@ -147,7 +147,7 @@
 	key.id.addr = addr;
 	key.id.rpc_port = port;
 	return bsearch(
-	    &key, v->list, v->len, sizeof(*v->list), compare_address);
+	    &key, v->members, v->len, sizeof(*v->members), compare_address);
 }
 
 /*
@@ -185,10 +185,10 @@
  * from the table alone only slowly that many members are unreachable.
  */
 int
-member_fresh(const struct member_view *v, uint64_t now)
+member_config_is_fresh(const struct member_view *v, uint64_t now)
 {
 	if (v->config_current_ms != 0 &&
-	    age_at(now, v->config_current_ms) < v->fresh_ms)
+	    age_at(now, v->config_current_ms) < v->log_read_max_age_ms)
 		return 1;
 	if (v->config_outdated ||
 	    age_at(now, v->built_ms) >= MEMBER_VIEW_STALE_MS)
--- a/src/member/member_wire.c
+++ b/src/member/member_wire.c
@@ -47,37 +47,38 @@
  * the lowest priority, since few nodes lack it.
  */
 void
-member_queue(
-    struct member_table *t, struct member_slot *s, enum member_tell priority)
+member_queue_change(
+    struct member_table *t, struct member_slot *s, enum member_spread priority)
 {
-	uint32_t sends_max = member_tells(t), sends_done;
-	const uint32_t sends_wanted[MEMBER_TELL_MAX] = {
-		[MEMBER_TELL_FEW] = MEMBER_FEW_TELLS,
-		[MEMBER_TELL_SOME] = sends_max / MEMBER_TELL_FACTOR,
-		[MEMBER_TELL_ALL] = sends_max,
-		[MEMBER_TELL_URGENT] = sends_max,
+	uint32_t sends_max = member_retransmit_limit(t), sends_done;
+	const uint32_t sends_wanted[MEMBER_SPREAD_MAX] = {
+		[MEMBER_SPREAD_FEW] = MEMBER_RETRANSMIT_FEW,
+		[MEMBER_SPREAD_SOME] = sends_max / MEMBER_RETRANSMIT_FACTOR,
+		[MEMBER_SPREAD_ALL] = sends_max,
+		[MEMBER_SPREAD_URGENT] = sends_max,
 	};
 
-	if (t->paging)
-		priority = MEMBER_TELL_FEW;
-	else if (t->queue_len > MEMBER_QUEUE_LONG &&
-		 priority > MEMBER_TELL_FEW && priority < MEMBER_TELL_URGENT)
+	if (t->merging_page)
+		priority = MEMBER_SPREAD_FEW;
+	else if (t->queue_len > MEMBER_QUEUE_LONG_LEN &&
+		 priority > MEMBER_SPREAD_FEW &&
+		 priority < MEMBER_SPREAD_URGENT)
 		priority--;
 	sends_done = sends_max > sends_wanted[priority]
 			 ? sends_max - sends_wanted[priority]
 			 : 0;
-	s->told = s->queued ? MIN(s->told, sends_done) : sends_done;
+	s->times_sent = s->queued ? MIN(s->times_sent, sends_done) : sends_done;
 	if (s->queued)
 		return;
 	s->queued = 1;
-	t->queue[t->queue_len++] = member_handle(t, s);
+	t->queue[t->queue_len++] = member_slot_handle(t, s);
 }
 
 /*
  * Removes a member's change from the queue.
  */
 void
-member_unqueue(struct member_table *t, uint32_t h)
+member_unqueue_change(struct member_table *t, uint32_t h)
 {
 	uint32_t i;
 
@@ -85,7 +86,7 @@
 		if (t->queue[i] != h)
 			continue;
 		t->queue[i] = t->queue[--t->queue_len];
-		t->slots[h].queued = t->slots[h].full = 0;
+		t->slots[h].queued = t->slots[h].full_entry = 0;
 		return;
 	}
 }
@@ -110,7 +111,7 @@
 	e->state = m->state;
 	e->seq = m->seq;
 	e->rev = m->rev;
-	e->age_s = (u_int)(age_at(now, m->since_ms) / 1000);
+	e->age_s = (u_int)(age_at(now, m->state_since_ms) / 1000);
 	e->domain = alive ? m->domain : empty;
 	e->region = alive ? m->region : empty;
 	e->config_version = m->config_version;
@@ -206,8 +207,8 @@
 	d->bytes = MESSAGE_FIXED_BYTES + entry_bytes(&d->msg.self);
 	d->limit = MEMBER_MESSAGE_BYTES;
 	if (t->gossip_budget < 0 && kind != MEMBER_PAGE)
-		d->limit = MEMBER_MESSAGE_LOW;
-	t->stamp++;
+		d->limit = MEMBER_MESSAGE_LOW_BYTES;
+	t->message_number++;
 }
 
 /*
@@ -222,8 +223,8 @@
 
 	for (i = 0; i < t->queue_len; i++) {
 		s = &t->slots[t->queue[i]];
-		if (s->stamp != t->stamp &&
-		    (best == NULL || s->told < best->told))
+		if (s->last_message_number != t->message_number &&
+		    (best == NULL || s->times_sent < best->times_sent))
 			best = s;
 	}
 	return best;
@@ -242,14 +243,14 @@
 	int added;
 
 	while ((s = find_least_sent(t)) != NULL) {
-		h = member_handle(t, s);
-		added = h == t->self ||
-			(s->full ? add_entry(now, d, s) : add_status(d, s));
+		h = member_slot_handle(t, s);
+		added = h == t->self || (s->full_entry ? add_entry(now, d, s)
+						       : add_status(d, s));
 		if (!added)
 			return;
-		s->stamp = t->stamp;
-		if (++s->told >= member_tells(t))
-			member_unqueue(t, h);
+		s->last_message_number = t->message_number;
+		if (++s->times_sent >= member_retransmit_limit(t))
+			member_unqueue_change(t, h);
 	}
 }
 
@@ -265,10 +266,11 @@
 	uint32_t i;
 
 	for (i = 0; i < t->slots_len; i++) {
-		t->old_pos = (t->old_pos + 1) % t->slots_len;
-		s = &t->slots[t->old_pos];
-		if (s->used && t->old_pos != t->self &&
-		    s->info.state != MEMBER_LEFT && s->stamp != t->stamp) {
+		t->refresh_pos = (t->refresh_pos + 1) % t->slots_len;
+		s = &t->slots[t->refresh_pos];
+		if (s->used && t->refresh_pos != t->self &&
+		    s->info.state != MEMBER_LEFT &&
+		    s->last_message_number != t->message_number) {
 			add_entry(now, d, s);
 			return;
 		}
@@ -283,14 +285,14 @@
 add_receiver_entry(struct member_table *t, uint64_t now, struct draft *d,
     const struct node_id *to)
 {
-	struct member_slot *s = member_find(t, to->addr, to->rpc_port);
+	struct member_slot *s = member_table_find(t, to->addr, to->rpc_port);
 
 	if (s == NULL)
 		return;
 	if (s->info.state == MEMBER_ALIVE &&
 	    (to->incarnation == 0 || to->incarnation == s->info.id.incarnation))
 		return;
-	s->stamp = t->stamp;
+	s->last_message_number = t->message_number;
 	add_entry(now, d, s);
 }
 
@@ -308,14 +310,14 @@
 		t->page_budget -= (int64_t)bytes;
 	else if (d->msg.digests.digests_len == 0)
 		t->gossip_budget -= (int64_t)bytes;
-	t->port.send(t->port.ctx, to->addr, to->rpc_port, &d->msg);
+	t->callbacks.send(t->callbacks.ctx, to->addr, to->rpc_port, &d->msg);
 }
 
 /*
  * Sends a message with as many queued changes as it has room for.
  */
 void
-member_send(struct member_table *t, uint64_t now, member_kind kind,
+member_send_changes(struct member_table *t, uint64_t now, member_kind kind,
     const struct node_id *to, uint32_t nonce)
 {
 	struct draft d;
@@ -332,8 +334,8 @@
  * Sends a probe without changes, with only an entry for the receiver to refute.
  */
 void
-member_send_bare(struct member_table *t, uint64_t now, const struct node_id *to,
-    uint32_t nonce)
+member_send_bare_ping(struct member_table *t, uint64_t now,
+    const struct node_id *to, uint32_t nonce)
 {
 	struct draft d;
 
@@ -398,7 +400,7 @@
  * members of the buckets that differ.
  */
 void
-member_sync(struct member_table *t, uint64_t now, member_kind kind,
+member_send_digests(struct member_table *t, uint64_t now, member_kind kind,
     const struct node_id *to)
 {
 	struct draft d;
@@ -416,7 +418,7 @@
  * to the limits on pages and bytes.  The scan begins at a random slot.
  */
 void
-member_sync_answer(
+member_answer_sync(
     struct member_table *t, uint64_t now, const struct member_message *msg)
 {
 	struct node_id to = { msg->self.name.addr,
@@ -431,7 +433,7 @@
 		return;
 	compute_digests(t, own);
 	begin_draft(t, now, &d, MEMBER_PAGE, 0);
-	start = (uint32_t)(t->port.rand(t->port.ctx) % t->slots_len);
+	start = (uint32_t)(t->callbacks.rand(t->callbacks.ctx) % t->slots_len);
 	for (i = 0; i < t->slots_len; i++) {
 		s = &t->slots[(start + i) % t->slots_len];
 		b = digest_bucket(&s->info);
@@ -441,7 +443,7 @@
 		if (add_entry(now, &d, s))
 			continue;
 		send_draft(t, &d, &to);
-		if (++pages == MEMBER_SYNC_PAGES || t->page_budget < 0)
+		if (++pages == MEMBER_SYNC_PAGES_MAX || t->page_budget < 0)
 			return;
 		begin_draft(t, now, &d, MEMBER_PAGE, 0);
 		add_entry(now, &d, s);
--- a/src/member/test_member.c
+++ b/src/member/test_member.c
@@ -270,7 +270,7 @@
 
 /*
  * Parsing an announcement must report all its faults at once, and an
- * announcement must expire after MEMBER_ANNOUNCE_MS.
+ * announcement must expire after MEMBER_ANNOUNCE_TIMEOUT_MS.
  */
 static void
 test_announce_findings(void **state)
@@ -349,7 +349,7 @@
 	member_set_server(&nodes[0].member, &sv);
 	while (!up) {
 		rcu_read_lock();
-		m = member_view_get(&nodes[0].member)->list;
+		m = member_view_get(&nodes[0].member)->members;
 		up = m->server.state == MEMBER_SERVER_UP;
 		assert_true(m->seq <= 2);
 		rcu_read_unlock();
--- a/src/member/test_merge.c
+++ b/src/member/test_merge.c
@@ -56,12 +56,13 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		net_init(&net, 1, 1);
-		e = net_entry(NET_ADDR + 9, 77, 10, MEMBER_ALIVE, 5);
+		e = net_entry(NET_ADDR_FIRST + 9, 77, 10, MEMBER_ALIVE, 5);
 		member_merge_entry(&net.nodes[0].table, net.now, &e, 0);
-		s = member_find(&net.nodes[0].table, NET_ADDR + 9, NET_PORT);
+		s = member_table_find(
+		    &net.nodes[0].table, NET_ADDR_FIRST + 9, NET_PORT);
 		s->info.state = rows[i].have;
 		s->info.seq = rows[i].have_seq;
-		e = net_entry(NET_ADDR + 9, rows[i].other != 0 ? 33 : 77,
+		e = net_entry(NET_ADDR_FIRST + 9, rows[i].other != 0 ? 33 : 77,
 		    10 + (uint64_t)rows[i].other, rows[i].in, rows[i].in_seq);
 		member_merge_entry(&net.nodes[0].table, net.now, &e, 0);
 		if (s->info.state != rows[i].want ||
@@ -80,10 +81,10 @@
 {
 	struct member_entry rows[] = {
 		net_entry(0, 1, 1, MEMBER_ALIVE, 1),
-		net_entry(NET_ADDR + 9, 0, 1, MEMBER_ALIVE, 1),
-		net_entry(NET_ADDR + 9, 1, 1, MEMBER_STATE_MAX, 1),
-		net_entry(NET_ADDR + 9, 1, 1, MEMBER_ALIVE, 1),
-		net_entry(NET_ADDR + 9, 1, 1, MEMBER_ALIVE, 1),
+		net_entry(NET_ADDR_FIRST + 9, 0, 1, MEMBER_ALIVE, 1),
+		net_entry(NET_ADDR_FIRST + 9, 1, 1, MEMBER_STATE_MAX, 1),
+		net_entry(NET_ADDR_FIRST + 9, 1, 1, MEMBER_ALIVE, 1),
+		net_entry(NET_ADDR_FIRST + 9, 1, 1, MEMBER_ALIVE, 1),
 	};
 	struct net net;
 	size_t i;
@@ -131,8 +132,9 @@
 		net_init(&net, 1, 1);
 		own = &net.nodes[0].table.slots[0].info;
 		epoch = own->epoch + (uint64_t)rows[i].epoch;
-		e = net_entry(NET_ADDR, own->id.incarnation + rows[i].other * 2,
-		    epoch, rows[i].in, rows[i].in_seq);
+		e = net_entry(NET_ADDR_FIRST,
+		    own->id.incarnation + rows[i].other * 2, epoch, rows[i].in,
+		    rows[i].in_seq);
 		member_merge_entry(&net.nodes[0].table, net.now, &e, 0);
 		assert_int_equal(own->seq, rows[i].want_seq);
 		assert_int_equal(own->state, MEMBER_ALIVE);
@@ -143,7 +145,7 @@
 
 /*
  * How many times a change is sent: a change of the backend server
- * MEMBER_TELL_ALL times, a higher sequence number that leaves the state
+ * MEMBER_SPREAD_ALL times, a higher sequence number that leaves the state
  * unchanged a few times, and a change received in a page a few times too.
  */
 static void
@@ -152,11 +154,11 @@
 	static const struct {
 		int server;
 		int paging;
-		enum member_tell want;
+		enum member_spread want;
 	} rows[] = {
-		{ 0, 0, MEMBER_TELL_FEW },
-		{ 1, 0, MEMBER_TELL_ALL },
-		{ 1, 1, MEMBER_TELL_FEW },
+		{ 0, 0, MEMBER_SPREAD_FEW },
+		{ 1, 0, MEMBER_SPREAD_ALL },
+		{ 1, 1, MEMBER_SPREAD_FEW },
 	};
 	struct member_server_entry sv = { .service = (char *)(uintptr_t) "a" };
 	struct member_entry e;
@@ -169,22 +171,22 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
 		net_init(&net, NODES, 25);
-		net_settle(&net, 20000);
+		net_converge(&net, 20000);
 		net_run(&net, 10000);
 		t = &net.nodes[0].table;
-		s = member_find(t, NET_ADDR + 9, NET_PORT);
-		e = net_entry(NET_ADDR + 9, s->info.id.incarnation,
+		s = member_table_find(t, NET_ADDR_FIRST + 9, NET_PORT);
+		e = net_entry(NET_ADDR_FIRST + 9, s->info.id.incarnation,
 		    s->info.epoch, MEMBER_ALIVE, s->info.seq + 1);
 		sv.state = MEMBER_SERVER_UP;
 		e.server = rows[i].server ? &sv : NULL;
 		e.rev = s->info.rev + (uint32_t)rows[i].server;
-		t->paging = rows[i].paging;
+		t->merging_page = rows[i].paging;
 		member_merge_entry(t, net.now, &e, 0);
-		remaining = member_tells(t) - s->told;
+		remaining = member_retransmit_limit(t) - s->times_sent;
 		assert_true(s->queued);
-		assert_int_equal(remaining, rows[i].want == MEMBER_TELL_ALL
-						? member_tells(t)
-						: MEMBER_FEW_TELLS);
+		assert_int_equal(remaining, rows[i].want == MEMBER_SPREAD_ALL
+						? member_retransmit_limit(t)
+						: MEMBER_RETRANSMIT_FEW);
 		net_finish(&net);
 	}
 }
@@ -204,23 +206,24 @@
 
 	(void)state;
 	net_init(&net, 2, 27);
-	net_settle(&net, 10000);
+	net_converge(&net, 10000);
 	t = &net.nodes[0].table;
-	for (i = 0; i <= MEMBER_QUEUE_LONG; i++) {
-		e = net_entry(NET_ADDR + 9 + i, 7, 7, MEMBER_ALIVE, 1);
+	for (i = 0; i <= MEMBER_QUEUE_LONG_LEN; i++) {
+		e = net_entry(NET_ADDR_FIRST + 9 + i, 7, 7, MEMBER_ALIVE, 1);
 		member_merge_entry(t, net.now, &e, 0);
 	}
-	e = net_entry(NET_ADDR + 9, 7, 7, MEMBER_SUSPECT, 1);
-	member_unqueue(
-	    t, member_handle(t, member_find(t, NET_ADDR + 9, NET_PORT)));
+	e = net_entry(NET_ADDR_FIRST + 9, 7, 7, MEMBER_SUSPECT, 1);
+	member_unqueue_change(
+	    t, member_slot_handle(
+		   t, member_table_find(t, NET_ADDR_FIRST + 9, NET_PORT)));
 	member_merge_entry(t, net.now, &e, 0);
-	s = member_find(t, NET_ADDR + 9, NET_PORT);
+	s = member_table_find(t, NET_ADDR_FIRST + 9, NET_PORT);
 	assert_int_equal(s->info.state, MEMBER_SUSPECT);
-	assert_true(s->queued && s->told > 0);
-	e = net_entry(NET_ADDR + 9, 7, 7, MEMBER_ALIVE, 2);
+	assert_true(s->queued && s->times_sent > 0);
+	e = net_entry(NET_ADDR_FIRST + 9, 7, 7, MEMBER_ALIVE, 2);
 	member_merge_entry(t, net.now, &e, 0);
 	assert_int_equal(s->info.state, MEMBER_ALIVE);
-	assert_true(s->queued && s->told == 0);
+	assert_true(s->queued && s->times_sent == 0);
 	net_finish(&net);
 }
 
@@ -240,18 +243,19 @@
 
 	(void)state;
 	net_init(&net, NODES, 26);
-	net_settle(&net, 20000);
+	net_converge(&net, 20000);
 	t = &net.nodes[0].table;
-	s = member_find(t, NET_ADDR + 9, NET_PORT);
-	e = net_entry(NET_ADDR + 9, s->info.id.incarnation, s->info.epoch,
+	s = member_table_find(t, NET_ADDR_FIRST + 9, NET_PORT);
+	e = net_entry(NET_ADDR_FIRST + 9, s->info.id.incarnation, s->info.epoch,
 	    MEMBER_DEAD, s->info.seq);
 	start = net.now;
 	member_merge_entry(t, net.now, &e, 0);
 	while (!probed && net.now < start + 2 * MEMBER_VERIFY_PERIOD_MS) {
 		net_run(&net, 1);
 		for (i = 0; i < MEMBER_PROBES_MAX; i++)
-			probed |= t->probes[i].sent_ms >= start &&
-				  t->probes[i].handle == member_handle(t, s);
+			probed |=
+			    t->probes[i].sent_ms >= start &&
+			    t->probes[i].handle == member_slot_handle(t, s);
 	}
 	assert_true(probed);
 	assert_int_equal(s->info.state, MEMBER_ALIVE);
@@ -271,7 +275,7 @@
 	(void)state;
 	net_init(&net, 1, 24);
 	for (i = 0; i < MEMBER_COUNT_MAX + 10; i++) {
-		e = net_entry(NET_ADDR + 9 + i, 7, 7, MEMBER_ALIVE, 1);
+		e = net_entry(NET_ADDR_FIRST + 9 + i, 7, 7, MEMBER_ALIVE, 1);
 		member_merge_entry(&net.nodes[0].table, net.now, &e, 0);
 	}
 	assert_int_equal(net.nodes[0].table.count, MEMBER_COUNT_MAX);
--- a/src/member/test_net.h
+++ b/src/member/test_net.h
@@ -12,9 +12,9 @@
  * encoded messages with delay and loss, driven by a simulated clock.  A run
  * is determined by its seed.
  */
-#define NET_ADDR 0x0a000000u
+#define NET_ADDR_FIRST 0x0a000000u
 #define NET_PORT 7000
-#define NET_DELAY_MAX 64     /* ms */
+#define NET_DELAY_MAX_MS 64  /* ms */
 #define NET_START_MS 1000000 /* of the simulated clock */
 
 struct net;
@@ -31,25 +31,25 @@
 	struct member_table table;
 	struct net *net;
 	struct node_id id;
-	uint64_t stalled_until;
-	uint64_t msgs;
-	uint64_t bytes;
+	uint64_t stalled_until_ms;
+	uint64_t sent_msgs;
+	uint64_t sent_bytes;
 	uint64_t config_seen;
-	uint32_t side;
-	uint32_t deaths;
-	int up;
+	uint32_t partition;
+	uint32_t deaths_seen;
+	int running;
 };
 
 struct net {
 	struct net_node *nodes;
-	struct net_msg *due[NET_DELAY_MAX];
+	struct net_msg *in_flight[NET_DELAY_MAX_MS];
 	uint32_t len;
 	uint64_t now;
 	uint64_t rng;
-	uint32_t loss; /* thousandths of the messages that are lost */
+	uint32_t loss_permille; /* thousandths of the messages that are lost */
 	uint32_t delay_max_ms;
 	uint32_t false_deaths;
-	uint32_t largest;
+	uint32_t largest_msg_bytes;
 };
 
 /*
@@ -72,7 +72,7 @@
 static inline struct net_node *
 net_find_node(struct net *net, uint32_t addr)
 {
-	uint32_t i = addr - NET_ADDR;
+	uint32_t i = addr - NET_ADDR_FIRST;
 
 	return i < net->len ? &net->nodes[i] : NULL;
 }
@@ -98,19 +98,19 @@
 		abort();
 	m->len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
-	net->largest = MAX(net->largest, m->len);
-	from->msgs++;
-	from->bytes += m->len;
+	net->largest_msg_bytes = MAX(net->largest_msg_bytes, m->len);
+	from->sent_msgs++;
+	from->sent_bytes += m->len;
 	if (to == NULL || port != NET_PORT ||
-	    net_rand(ctx) % 1000 < net->loss) {
+	    net_rand(ctx) % 1000 < net->loss_permille) {
 		free(m);
 		return;
 	}
-	m->to = addr - NET_ADDR;
-	m->partition = from->side;
+	m->to = addr - NET_ADDR_FIRST;
+	m->partition = from->partition;
 	due = net->now + 1 + net_rand(ctx) % net->delay_max_ms;
-	m->next = net->due[due % NET_DELAY_MAX];
-	net->due[due % NET_DELAY_MAX] = m;
+	m->next = net->in_flight[due % NET_DELAY_MAX_MS];
+	net->in_flight[due % NET_DELAY_MAX_MS] = m;
 }
 
 /*
@@ -128,8 +128,9 @@
 		n->config_seen = version;
 	if (event != MEMBER_DIED)
 		return;
-	n->deaths++;
-	if (subject != NULL && subject->up && subject->side == n->side &&
+	n->deaths_seen++;
+	if (subject != NULL && subject->running &&
+	    subject->partition == n->partition &&
 	    subject->id.incarnation == info->id.incarnation)
 		n->net->false_deaths++;
 }
@@ -142,12 +143,14 @@
 net_start(struct net *net, uint32_t i, uint64_t epoch)
 {
 	struct net_node *n = &net->nodes[i];
-	struct member_port port = { net_send, net_rand, net_handle_event, n };
-	struct node_id seed = { NET_ADDR + (i == 0 ? 1 : i - 1), NET_PORT, 0 };
+	struct member_callbacks port = { net_send, net_rand, net_handle_event,
+		n };
+	struct node_id seed = { NET_ADDR_FIRST + (i == 0 ? 1 : i - 1), NET_PORT,
+		0 };
 	struct member_settings s = { 0 };
 
 	n->net = net;
-	n->id.addr = NET_ADDR + i;
+	n->id.addr = NET_ADDR_FIRST + i;
 	n->id.rpc_port = NET_PORT;
 	n->id.incarnation = net_rand(n) | 1;
 	s.self = n->id;
@@ -156,7 +159,7 @@
 	s.seeds = &seed;
 	s.seeds_len = 1;
 	member_table_init(&n->table, &s, &port, net->now, epoch);
-	n->up = 1;
+	n->running = 1;
 }
 
 /*
@@ -166,7 +169,7 @@
 net_kill(struct net *net, uint32_t i)
 {
 	member_table_finish(&net->nodes[i].table);
-	net->nodes[i].up = 0;
+	net->nodes[i].running = 0;
 }
 
 /*
@@ -198,12 +201,12 @@
 	uint32_t i;
 
 	for (i = 0; i < net->len; i++) {
-		if (net->nodes[i].up)
+		if (net->nodes[i].running)
 			net_kill(net, i);
 	}
-	for (i = 0; i < NET_DELAY_MAX; i++) {
-		while ((m = net->due[i]) != NULL) {
-			net->due[i] = m->next;
+	for (i = 0; i < NET_DELAY_MAX_MS; i++) {
+		while ((m = net->in_flight[i]) != NULL) {
+			net->in_flight[i] = m->next;
 			free(m);
 		}
 	}
@@ -221,10 +224,10 @@
 	uint64_t due;
 	XDR xdrs;
 
-	if (n->up && n->stalled_until > net->now) {
-		due = MIN(n->stalled_until, net->now + NET_DELAY_MAX - 1);
-		m->next = net->due[due % NET_DELAY_MAX];
-		net->due[due % NET_DELAY_MAX] = m;
+	if (n->running && n->stalled_until_ms > net->now) {
+		due = MIN(n->stalled_until_ms, net->now + NET_DELAY_MAX_MS - 1);
+		m->next = net->in_flight[due % NET_DELAY_MAX_MS];
+		net->in_flight[due % NET_DELAY_MAX_MS] = m;
 		return;
 	}
 	memset(&msg, 0, sizeof(msg));
@@ -232,7 +235,7 @@
 	if (!xdr_member_message(&xdrs, &msg))
 		n = NULL; /* corrupted by a test */
 	xdr_destroy(&xdrs);
-	if (n != NULL && n->up && n->side == m->partition)
+	if (n != NULL && n->running && n->partition == m->partition)
 		member_table_receive(&n->table, net->now, &msg);
 	xdr_free((xdrproc_t)xdr_member_message, &msg);
 	free(m);
@@ -251,15 +254,15 @@
 
 	while (net->now < end) {
 		net->now++;
-		m = net->due[net->now % NET_DELAY_MAX];
-		net->due[net->now % NET_DELAY_MAX] = NULL;
+		m = net->in_flight[net->now % NET_DELAY_MAX_MS];
+		net->in_flight[net->now % NET_DELAY_MAX_MS] = NULL;
 		for (; m != NULL; m = next) {
 			next = m->next;
 			net_deliver(net, m);
 		}
 		for (i = 0; i < net->len; i++) {
 			n = &net->nodes[i];
-			if (n->up && n->stalled_until <= net->now &&
+			if (n->running && n->stalled_until_ms <= net->now &&
 			    (net->now + i) % MEMBER_TICK_MS == 0)
 				member_table_tick(&n->table, net->now);
 		}
@@ -271,16 +274,17 @@
  * process of the subject node in a state.
  */
 static inline uint32_t
-net_holding(struct net *net, uint32_t subject, enum member_state state)
+net_count_views(struct net *net, uint32_t subject, enum member_state state)
 {
 	const struct node_id *id = &net->nodes[subject].id;
 	struct member_slot *s;
 	uint32_t i, n = 0;
 
 	for (i = 0; i < net->len; i++) {
-		if (!net->nodes[i].up || i == subject)
+		if (!net->nodes[i].running || i == subject)
 			continue;
-		s = member_find(&net->nodes[i].table, id->addr, id->rpc_port);
+		s = member_table_find(
+		    &net->nodes[i].table, id->addr, id->rpc_port);
 		n += s != NULL && nodeid_equal(&s->info.id, id) &&
 		     s->info.state == state;
 	}
@@ -292,7 +296,7 @@
  * the elapsed ms, which are at least the bound if that didn't happen.
  */
 static inline uint64_t
-net_settle(struct net *net, uint64_t bound_ms)
+net_converge(struct net *net, uint64_t bound_ms)
 {
 	uint64_t start = net->now;
 	uint32_t i, running, agreeing;
@@ -300,14 +304,14 @@
 	while (net->now - start < bound_ms) {
 		net_run(net, 25);
 		for (i = running = 0; i < net->len; i++)
-			running += net->nodes[i].up;
+			running += net->nodes[i].running;
 		for (i = agreeing = 0; i < net->len; i++)
-			agreeing += net->nodes[i].up &&
+			agreeing += net->nodes[i].running &&
 				    net->nodes[i].table.alive == running;
 		for (i = 0; i < net->len && agreeing == running; i++)
 			agreeing -=
-			    net->nodes[i].up &&
-			    net_holding(net, i, MEMBER_ALIVE) < running - 1;
+			    net->nodes[i].running &&
+			    net_count_views(net, i, MEMBER_ALIVE) < running - 1;
 		if (agreeing == running)
 			break;
 	}
