--- a/src/member/test_table.c
+++ b/src/member/test_table.c
@@ -22,13 +22,14 @@
 	(void)state;
 	for (isolated = 0; isolated < 2; isolated++) {
 		net_init(&net, 10, 28);
-		net_settle(&net, 10000);
+		net_converge(&net, 10000);
 		net_run(&net, 10000);
 		for (i = 0; i < 10; i++)
-			net.nodes[i].side = isolated ? i == 0 : i == 9;
+			net.nodes[i].partition = isolated ? i == 0 : i == 9;
 		for (i = 0; i < MEMBER_PROBE_WINDOW_S && isolated; i++)
 			net.nodes[0].table.probe_counts[i].answered = 0;
-		s = member_find(&net.nodes[0].table, NET_ADDR + 9, NET_PORT);
+		s = member_table_find(
+		    &net.nodes[0].table, NET_ADDR_FIRST + 9, NET_PORT);
 		while (s->info.state == MEMBER_ALIVE)
 			net_run(&net, 1);
 		assert_int_equal(s->queued, !isolated);
@@ -47,9 +48,9 @@
 
 	(void)state;
 	net_init(&net, NODES, 11);
-	net.loss = 50;
-	assert_in_range(net_settle(&net, 20000), 0, 10000);
-	assert_true(net.largest <= RPC_BODY_MAX);
+	net.loss_permille = 50;
+	assert_in_range(net_converge(&net, 20000), 0, 10000);
+	assert_true(net.largest_msg_bytes <= RPC_BODY_MAX);
 	net_finish(&net);
 }
 
@@ -67,12 +68,13 @@
 	(void)state;
 	for (round = 0; round < 20; round++) {
 		net_init(&net, USUAL_NODES, 100 + (uint64_t)round);
-		net_settle(&net, 10000);
+		net_converge(&net, 10000);
 		net_run(&net, net_rand(&net.nodes[0]) % 400);
 		net_kill(&net, 3);
 		start = net.now;
-		while (net_holding(&net, 3, MEMBER_DEAD) < USUAL_NODES - 1 &&
-		       net.now - start < 5000)
+		while (
+		    net_count_views(&net, 3, MEMBER_DEAD) < USUAL_NODES - 1 &&
+		    net.now - start < 5000)
 			net_run(&net, 5);
 		took_ms = net.now - start;
 		sum_ms += took_ms;
@@ -94,10 +96,10 @@
 
 	(void)state;
 	net_init(&net, USUAL_NODES, 12);
-	net.loss = 50;
-	net_settle(&net, 10000);
+	net.loss_permille = 50;
+	net_converge(&net, 10000);
 	for (i = 0; i < 100; i++) {
-		net.nodes[i % USUAL_NODES].stalled_until = net.now + 499;
+		net.nodes[i % USUAL_NODES].stalled_until_ms = net.now + 499;
 		net_run(&net, 600);
 	}
 	assert_int_equal(net.false_deaths, 0);
@@ -115,12 +117,13 @@
 
 	(void)state;
 	net_init(&net, USUAL_NODES, 21);
-	net_settle(&net, 10000);
-	net.nodes[3].stalled_until = net.now + 5000;
+	net_converge(&net, 10000);
+	net.nodes[3].stalled_until_ms = net.now + 5000;
 	net_run(&net, 5000);
-	assert_int_equal(net_holding(&net, 3, MEMBER_DEAD), USUAL_NODES - 1);
-	assert_in_range(net_settle(&net, 10000), 0, 3000);
-	assert_int_equal(net.nodes[3].deaths, 0);
+	assert_int_equal(
+	    net_count_views(&net, 3, MEMBER_DEAD), USUAL_NODES - 1);
+	assert_in_range(net_converge(&net, 10000), 0, 3000);
+	assert_int_equal(net.nodes[3].deaths_seen, 0);
 	net_finish(&net);
 }
 
@@ -140,7 +143,7 @@
 	(void)state;
 	for (k = 0; k < G_N_ELEMENTS(pauses); k++) {
 		net_init(&net, 2, 22);
-		net_settle(&net, 10000);
+		net_converge(&net, 10000);
 		t = &net.nodes[0].table;
 		for (used = 0; !used;) {
 			net_run(&net, 1);
@@ -149,7 +152,7 @@
 		}
 		member_table_tick(t, net.now + pauses[k]);
 		member_table_tick(t, net.now + pauses[k] + 25);
-		assert_int_equal(net_holding(&net, 1, MEMBER_ALIVE), 1);
+		assert_int_equal(net_count_views(&net, 1, MEMBER_ALIVE), 1);
 		net_finish(&net);
 	}
 }
@@ -166,18 +169,18 @@
 
 	(void)state;
 	net_init(&net, NODES, 13);
-	net.loss = 20;
-	net_settle(&net, 20000);
+	net.loss_permille = 20;
+	net_converge(&net, 20000);
 	for (i = 0; i < 20; i++)
-		net.nodes[i].side = 1;
+		net.nodes[i].partition = 1;
 	net_run(&net, 60000);
-	assert_int_equal(net_holding(&net, 0, MEMBER_DEAD), 30);
-	assert_int_equal(net_holding(&net, 49, MEMBER_DEAD), 20);
+	assert_int_equal(net_count_views(&net, 0, MEMBER_DEAD), 30);
+	assert_int_equal(net_count_views(&net, 49, MEMBER_DEAD), 20);
 	for (i = 0; i < 20; i++)
-		net.nodes[i].side = 0;
-	assert_in_range(net_settle(&net, 60000), 0, 15000);
+		net.nodes[i].partition = 0;
+	assert_in_range(net_converge(&net, 60000), 0, 15000);
 	net_run(&net, 10000);
-	assert_int_equal(net_settle(&net, 1000), 25);
+	assert_int_equal(net_converge(&net, 1000), 25);
 	assert_int_equal(net.false_deaths, 0);
 	net_finish(&net);
 }
@@ -196,11 +199,11 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(epochs); i++) {
 		net_init(&net, USUAL_NODES, 14);
-		net_settle(&net, 10000);
+		net_converge(&net, 10000);
 		net_kill(&net, 5);
 		net_start(&net, 5, (uint64_t)((int64_t)net.now + epochs[i]));
-		assert_in_range(net_settle(&net, 10000), 0, 1500);
-		assert_int_equal(net.nodes[9].deaths, 1);
+		assert_in_range(net_converge(&net, 10000), 0, 1500);
+		assert_int_equal(net.nodes[9].deaths_seen, 1);
 		net_finish(&net);
 	}
 }
@@ -221,18 +224,18 @@
 
 	(void)state;
 	net_init(&net, NODES, 15);
-	net.loss = 50;
-	net_settle(&net, 20000);
+	net.loss_permille = 50;
+	net_converge(&net, 20000);
 	net_run(&net, 3000);
 	sv = &net.nodes[7].table.slots[net.nodes[7].table.self].info.server;
 	for (k = 0; k < G_N_ELEMENTS(steps); k++) {
 		g_strlcpy(sv->service, "orders", sizeof(sv->service));
 		sv->state = steps[k];
-		member_table_changed(&net.nodes[7].table, net.now);
+		member_table_publish_self(&net.nodes[7].table, net.now);
 		net_run(&net, 1000);
 		for (i = 0; i < NODES; i++) {
-			s = member_find(
-			    &net.nodes[i].table, NET_ADDR + 7, NET_PORT);
+			s = member_table_find(
+			    &net.nodes[i].table, NET_ADDR_FIRST + 7, NET_PORT);
 			assert_int_equal(s->info.server.state, steps[k]);
 			assert_string_equal(s->info.server.service, "orders");
 		}
@@ -251,12 +254,12 @@
 
 	(void)state;
 	net_init(&net, NODES, 16);
-	net.loss = 50;
-	net_settle(&net, 20000);
+	net.loss_permille = 50;
+	net_converge(&net, 20000);
 	member_table_leave(&net.nodes[4].table, net.now);
 	net_kill(&net, 4);
 	net_run(&net, 1000);
-	assert_int_equal(net_holding(&net, 4, MEMBER_LEFT), NODES - 1);
+	assert_int_equal(net_count_views(&net, 4, MEMBER_LEFT), NODES - 1);
 	net_finish(&net);
 }
 
@@ -275,14 +278,14 @@
 
 	(void)state;
 	net_init(&net, NODES, 17);
-	net_settle(&net, 20000);
+	net_converge(&net, 20000);
 	t = &net.nodes[0].table;
 	t->slots[t->self].info.config_version = t->config_version = 9;
-	t->config_addr = NET_ADDR;
+	t->config_addr = NET_ADDR_FIRST;
 	for (k = 0; k < 200; k++) {
 		if (k < 100)
 			read = t->log_read_ms = net.now;
-		net.nodes[1 + k % 49].stalled_until =
+		net.nodes[1 + k % 49].stalled_until_ms =
 		    net.now + (k % 3 == 0 ? 5000 : 0);
 		net_run(&net, 100);
 		for (i = 0; i < NODES; i++)
@@ -323,7 +326,8 @@
 		{ 10000, 0, 10, 6, 50, 26, 0, 1 },
 		{ 0, 0, 10, 10, 50, 50, 0, 1 },
 	};
-	struct member_view v = { .fresh_ms = MEMBER_LOG_READ_MAX_AGE_MS };
+	struct member_view v = { .log_read_max_age_ms =
+				     MEMBER_LOG_READ_MAX_AGE_MS };
 	uint64_t now = 100000;
 	size_t i;
 
@@ -337,17 +341,17 @@
 		v.alive = rows[i].alive;
 		v.probed = rows[i].probed;
 		v.answered = rows[i].answered;
-		if (member_fresh(&v, now) != rows[i].want)
+		if (member_config_is_fresh(&v, now) != rows[i].want)
 			fail_msg("row %zu", i);
 	}
 	/* The view was built just after the current time was read. */
 	v.config_outdated = 0;
 	v.built_ms = v.config_current_ms = now + 1;
-	assert_true(member_fresh(&v, now));
+	assert_true(member_config_is_fresh(&v, now));
 	v.config_current_ms = 0;
 	v.known = v.alive = 10;
 	v.probed = v.answered = 50;
-	assert_true(member_fresh(&v, now));
+	assert_true(member_config_is_fresh(&v, now));
 }
 
 /*
@@ -365,14 +369,14 @@
 	net_init(&net, 1, 18);
 	t = &net.nodes[0].table;
 	t->slots[t->self].info.config_version = t->config_version = 4;
-	member_note_log_read(t, 1000);
+	member_record_log_read(t, 1000);
 	assert_int_equal(t->config_current_ms, 1000);
 	t->config_version = 5;
-	member_note_log_read(t, 50000);
+	member_record_log_read(t, 50000);
 	assert_int_equal(t->log_read_ms, 50000);
 	assert_int_equal(t->config_current_ms, 1000);
 	t->slots[t->self].info.config_version = 5;
-	member_note_log_read(t, 0);
+	member_record_log_read(t, 0);
 	assert_int_equal(t->config_current_ms, 50000);
 	net_finish(&net);
 }
@@ -391,15 +395,15 @@
 
 	(void)state;
 	net_init(&net, NODES, 18);
-	net_settle(&net, 20000);
+	net_converge(&net, 20000);
 	net_run(&net, 10000);
-	net.nodes[0].side = 1;
+	net.nodes[0].partition = 1;
 	net_run(&net, MEMBER_LOG_READ_MAX_AGE_MS);
 	v = member_view_build(&net.nodes[0].table, net.now, 0);
-	assert_false(member_fresh(v, net.now));
+	assert_false(member_config_is_fresh(v, net.now));
 	member_view_free(v);
 	v = member_view_build(&net.nodes[1].table, net.now, 0);
-	assert_true(member_fresh(v, net.now));
+	assert_true(member_config_is_fresh(v, net.now));
 	member_view_free(v);
 	for (i = 1; i < NODES; i++)
 		net_kill(&net, i);
@@ -407,7 +411,7 @@
 	net.now += MEMBER_DEAD_RETENTION_MS;
 	net_run(&net, 60000);
 	v = member_view_build(&net.nodes[0].table, net.now, 0);
-	assert_false(member_fresh(v, net.now));
+	assert_false(member_config_is_fresh(v, net.now));
 	member_view_free(v);
 	net_finish(&net);
 }
@@ -427,10 +431,10 @@
 
 	(void)state;
 	net_init(&net, 4, 23);
-	net_settle(&net, 10000);
+	net_converge(&net, 10000);
 	for (i = 0; i < 20000; i++) {
 		net_run(&net, 1);
-		m = net.due[(net.now + 1) % NET_DELAY_MAX];
+		m = net.in_flight[(net.now + 1) % NET_DELAY_MAX_MS];
 		for (; m != NULL; m = m->next) {
 			for (j = 0; j < 1 + i % 8; j++) {
 				k = (uint32_t)(net_rand(&net.nodes[0]) %
@@ -463,7 +467,7 @@
 
 	(void)state;
 	net_init(&net, USUAL_NODES, 19);
-	net_settle(&net, 10000);
+	net_converge(&net, 10000);
 	for (i = 0; i < USUAL_NODES; i++) {
 		sv = &net.nodes[0].table.slots[i].info.server;
 		g_strlcpy(sv->service, i % 2 ? "orders" : "pricing",
@@ -474,9 +478,9 @@
 	net.nodes[0].table.slots[4].info.state = MEMBER_DEAD;
 	v = member_view_build(&net.nodes[0].table, net.now, 0);
 	assert_int_equal(v->len, USUAL_NODES);
-	assert_int_equal(v->list[v->self].id.addr, NET_ADDR);
-	assert_null(member_view_find(v, NET_ADDR + 99, NET_PORT));
-	assert_non_null(member_view_find(v, NET_ADDR + 14, NET_PORT));
+	assert_int_equal(v->members[v->self].id.addr, NET_ADDR_FIRST);
+	assert_null(member_view_find(v, NET_ADDR_FIRST + 99, NET_PORT));
+	assert_non_null(member_view_find(v, NET_ADDR_FIRST + 14, NET_PORT));
 	assert_non_null(member_view_service(v, "orders", &len));
 	assert_int_equal(len, 6);
 	assert_non_null(member_view_service(v, "pricing", &len));
--- a/src/node/announce.c
+++ b/src/node/announce.c
@@ -100,7 +100,8 @@
 	pthread_mutex_lock(&n->death_lock);
 	change = server_announced(&n->server, &a, clock_ms());
 	if (change == SERVER_REPLACED)
-		quarantine_death(&n->quarantine, rand_u64() | 1, clock_ms());
+		quarantine_report_crash(
+		    &n->quarantine, rand_u64() | 1, clock_ms());
 	pthread_mutex_unlock(&n->death_lock);
 	if (change == SERVER_NEW || change == SERVER_REPLACED) {
 		logline(LOG_NOTICE, "server-announced",
--- a/src/node/attempt.c
+++ b/src/node/attempt.c
@@ -200,17 +200,17 @@
 	if (c->tried_count < CALL_TRIED_MAX)
 		c->tried[c->tried_count++] = t->id;
 	c->cx.attempt = rand_u64();
-	c->cx.retries = retry_lend_attempt(&c->chain);
+	c->cx.retries = retry_grant_to_attempt(&c->chain);
 	c->unsent = c->wrong = 0;
 	memset(&c->verdict, 0, sizeof(c->verdict));
 	c->verdict.chain_level = ADMISSION_CHAIN_LEVEL_UNKNOWN;
 	answer_reset(&c->answer);
-	route_begin(&c->node->routes, &t->id, begin / 1000);
+	route_request_started(&c->node->routes, &t->id, begin / 1000);
 	if (t->local)
 		attempt_local(c);
 	else
 		attempt_peer(c, t);
-	retry_return(&c->chain, c->cx.retries, c->verdict.retries_left);
+	retry_return_unused(&c->chain, c->cx.retries, c->verdict.retries_left);
 	if (c->verdict.outcome == OUTCOME_MAY_HAVE_RUN)
 		c->ran = 1;
 	call_observe(c, t, clock_us() - begin);
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -26,7 +26,7 @@
 	struct limits_workspace limit;
 	uint64_t loan; /* that a token was charged to, or 0 */
 	struct context cx;
-	struct quarantine_print print; /* of this very request */
+	struct quarantine_fingerprint print; /* of this very request */
 	uint64_t deadline_ms;
 	struct parent *parent; /* of an inner call, else NULL */
 	struct retry_chain chain;
--- a/src/node/choose.c
+++ b/src/node/choose.c
@@ -26,20 +26,21 @@
 candidate(const struct call *c, const struct member_view *v,
     const struct member_info *m, struct route_candidate *out)
 {
-	const struct member_info *self = &v->list[v->self];
+	const struct member_info *self = &v->members[v->self];
 
 	memset(out, 0, sizeof(*out));
 	out->id = m->id;
-	out->since_ms = m->since_ms;
+	out->first_seen_ms = m->state_since_ms;
 	out->slots = m->server.slots;
-	out->near = strcmp(m->region, self->region) != 0   ? ROUTE_ELSEWHERE
-		    : strcmp(m->domain, self->domain) != 0 ? ROUTE_SAME_REGION
-							   : ROUTE_SAME_DOMAIN;
+	out->proximity =
+	    strcmp(m->region, self->region) != 0   ? ROUTE_OTHER_REGION
+	    : strcmp(m->domain, self->domain) != 0 ? ROUTE_SAME_REGION
+						   : ROUTE_SAME_DOMAIN;
 	out->leaving =
 	    (m->state != MEMBER_ALIVE && m->state != MEMBER_SUSPECT) ||
 	    m->server.state != MEMBER_SERVER_UP;
 	out->suspect = m->state == MEMBER_SUSPECT;
-	out->tried = was_tried(c, &m->id);
+	out->already_tried = was_tried(c, &m->id);
 }
 
 /*
@@ -78,7 +79,7 @@
 
 	for (i = 0; i < n; i++) {
 		at = (start + i) % n;
-		if (!cand[at].leaving && !cand[at].tried)
+		if (!cand[at].leaving && !cand[at].already_tried)
 			return (int)at;
 	}
 	return -1;
@@ -97,9 +98,9 @@
 
 	for (i = 0; i < n; i++) {
 		ids[i] = cand[i].id;
-		usable[i] = !cand[i].leaving && !cand[i].tried;
+		usable[i] = !cand[i].leaving && !cand[i].already_tried;
 	}
-	return quarantine_pin(&c->print, ids, usable, n);
+	return quarantine_choose_server(&c->print, ids, usable, n);
 }
 
 /*
@@ -131,17 +132,17 @@
 	if (cand == NULL)
 		err(1, "call_choose");
 	for (i = 0; i < len; i++)
-		candidate(c, v, &v->list[h[i]], &cand[i]);
+		candidate(c, v, &v->members[h[i]], &cand[i]);
 	if (settings_policy_on(&n->settings, POLICY_QUARANTINE) &&
 	    quarantine_check(&n->quarantine, &c->print, q.now_ms) !=
-		QUARANTINE_FREE)
+		QUARANTINE_UNRESTRICTED)
 		at = choose_pinned(c, cand, len);
 	else if (settings_policy_on(&n->settings, POLICY_ROUTING))
-		at = route_pick(&n->routes, cand, len, &q, why);
+		at = route_table_choose(&n->routes, cand, len, &q, why);
 	else
 		at = choose_any(cand, len);
 	if (at >= 0) {
-		m = &v->list[h[at]];
+		m = &v->members[h[at]];
 		t->id = m->id;
 		t->peer_port = m->peer_port;
 		t->local = nodeid_equal(&m->id, &n->id);
@@ -166,7 +167,7 @@
 	if (c->answer.broken)
 		return ROUTE_CANCELLED;
 	if (c->unsent)
-		return ROUTE_REFUSED;
+		return ROUTE_NO_CONNECTION;
 	if (v->reason == REASON_DEADLINE)
 		return v->outcome == OUTCOME_NOT_RUN ? ROUTE_SHED
 						     : ROUTE_TIMEOUT;
@@ -187,14 +188,15 @@
 	struct route_stat is;
 	char id[NODE_ID_TEXT];
 
-	route_book_get(&c->node->routes, &t->id, &is);
+	route_table_get(&c->node->routes, &t->id, &is);
 	if (is.ejections <= was->ejections)
 		return;
 	nodeid_format(&t->id, id);
 	logline(LOG_WARNING, "server-ejected",
 	    "node=%s service=%s reason=%s failures=%u for_ms=%llu", id,
 	    c->route.service, reason_rows[c->verdict.reason].name,
-	    was->streak + 1, (unsigned long long)(is.ejected_ms - clock_ms()));
+	    was->consecutive_failures + 1,
+	    (unsigned long long)(is.ejected_until_ms - clock_ms()));
 }
 
 /*
@@ -216,9 +218,9 @@
 	if (c->parent == NULL)
 		return;
 	if (level != ADMISSION_CHAIN_LEVEL_UNKNOWN)
-		parent_note_level(c->parent, level);
+		parent_lower_chain_level(c->parent, level);
 	if (load != NULL)
-		parent_note_level(
+		parent_lower_chain_level(
 		    c->parent, admission_chain_level(load->level, &ar));
 }
 
@@ -236,14 +238,14 @@
 
 	if (!settings_policy_on(&c->node->settings, POLICY_EJECTION) &&
 	    (out == ROUTE_FAILED || out == ROUTE_TIMEOUT ||
-		out == ROUTE_REFUSED))
+		out == ROUTE_NO_CONNECTION))
 		out = ROUTE_CANCELLED;
 	note_levels(c, heard ? &load : NULL);
-	failed =
-	    out == ROUTE_FAILED || out == ROUTE_TIMEOUT || out == ROUTE_REFUSED;
+	failed = out == ROUTE_FAILED || out == ROUTE_TIMEOUT ||
+		 out == ROUTE_NO_CONNECTION;
 	if (failed)
-		route_book_get(&c->node->routes, &t->id, &before);
-	route_observe(&c->node->routes, &t->id, out, latency_us,
+		route_table_get(&c->node->routes, &t->id, &before);
+	route_request_ended(&c->node->routes, &t->id, out, latency_us,
 	    heard ? &load : NULL, clock_ms());
 	if (failed)
 		log_ejection(c, t, &before);
--- a/src/node/duties.c
+++ b/src/node/duties.c
@@ -44,7 +44,7 @@
 	rcu_read_lock();
 	v = member_view_get(&n->member);
 	for (i = 0; i < v->len && count < max; i++) {
-		m = &v->list[i];
+		m = &v->members[i];
 		out[count].id = m->id;
 		out[count].domain = number_of(m->domain);
 		out[count].region = number_of(m->region);
@@ -54,7 +54,8 @@
 		out[count].leaving =
 		    m->state == MEMBER_LEFT ||
 		    (i == v->self && atomic_load(&n->stopping));
-		out[count].age_ms = now > m->since_ms ? now - m->since_ms : 0;
+		out[count].age_ms =
+		    now > m->state_since_ms ? now - m->state_since_ms : 0;
 		count++;
 	}
 	rcu_read_unlock();
@@ -75,11 +76,11 @@
 	rcu_read_lock();
 	v = member_view_get(&n->member);
 	for (i = 0; i < v->len && count < DOMAINS_MAX; i++) {
-		x = number_of(v->list[i].domain);
+		x = number_of(v->members[i].domain);
 		for (j = 0; j < count && d[j] != x; j++)
 			;
-		if (j < count || v->list[i].state != MEMBER_ALIVE ||
-		    !is_lease_region(n, v->list[i].region))
+		if (j < count || v->members[i].state != MEMBER_ALIVE ||
+		    !is_lease_region(n, v->members[i].region))
 			continue;
 		d[count++] = x;
 		if (x < own)
@@ -121,7 +122,7 @@
 {
 	struct node *n = ctx;
 
-	lease_service_kick(&n->lease);
+	lease_service_poll_soon(&n->lease);
 }
 
 /*
@@ -132,7 +133,7 @@
 {
 	struct node *n = ctx;
 
-	lease_service_expect(&n->lease);
+	lease_service_poll_now(&n->lease);
 }
 
 /*
@@ -163,8 +164,8 @@
 	rcu_read_lock();
 	v = member_view_get(&n->member);
 	for (i = 0; i < v->len && count < NEWS_MEMBERS_MAX; i++)
-		if (i != v->self && v->list[i].state == MEMBER_ALIVE)
-			to[count++] = v->list[i].id;
+		if (i != v->self && v->members[i].state == MEMBER_ALIVE)
+			to[count++] = v->members[i].id;
 	rcu_read_unlock();
 	for (i = 0; i < count; i++)
 		rpc_client_notify(&n->rpc_client, &to[i], proc, arg);
@@ -220,8 +221,8 @@
 	v = member_view_get(&n->member);
 	if (v->len > 1) {
 		i = (uint32_t)(rand_u64() % v->len);
-		if (i != v->self && v->list[i].state == MEMBER_ALIVE)
-			to = v->list[i].id;
+		if (i != v->self && v->members[i].state == MEMBER_ALIVE)
+			to = v->members[i].id;
 	}
 	rcu_read_unlock();
 	if (!nodeid_is_none(&to))
@@ -252,15 +253,15 @@
 		.lookup_ctx = &n->lease,
 		.call = rpc_client_call,
 		.call_ctx = &n->rpc_client,
-		.kick = kick_leases,
-		.kick_ctx = n,
-		.expect = expect_lease,
-		.expect_ctx = n,
-		.changing = duties_leases_change,
-		.changing_ctx = n };
+		.on_owner_failure = kick_leases,
+		.on_owner_failure_ctx = n,
+		.on_claim_as_standby = expect_lease,
+		.on_claim_as_standby_ctx = n,
+		.owners_may_change = duties_leases_change,
+		.owners_may_change_ctx = n };
 	size_t i;
 
-	route_book_init(&n->routes);
+	route_table_init(&n->routes);
 	parents_init(&n->parents);
 	for (i = 0; i < NODE_BUDGETS; i++) {
 		retry_budget_init(&n->budgets[i], clock_ms());
@@ -308,6 +309,6 @@
 	limits_finish(&n->limits);
 	once_finish(&n->once);
 	quarantine_finish(&n->quarantine);
-	route_book_finish(&n->routes);
+	route_table_finish(&n->routes);
 	parents_finish(&n->parents);
 }
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -19,8 +19,8 @@
 };
 
 static const enum reason once_reasons[ONCE_VERDICT_MAX] = {
-	[ONCE_FIRST] = REASON_NONE,
-	[ONCE_SEEN] = REASON_DUPLICATE,
+	[ONCE_GRANTED] = REASON_NONE,
+	[ONCE_DUPLICATE] = REASON_DUPLICATE,
 	[ONCE_UNKNOWN] = REASON_DUPLICATE,
 	[ONCE_UNAVAILABLE] = REASON_IDS_UNAVAILABLE,
 };
@@ -51,7 +51,8 @@
 static int
 keys_known(struct call *c)
 {
-	return member_fresh(member_view_get(&c->node->member), clock_ms());
+	return member_config_is_fresh(
+	    member_view_get(&c->node->member), clock_ms());
 }
 
 /*
@@ -101,7 +102,7 @@
 	const struct request *r = c->req;
 	struct node *n = c->node;
 
-	quarantine_print(&c->print, c->cx.workspace, r->method, r->target,
+	quarantine_fingerprint(&c->print, c->cx.workspace, r->method, r->target,
 	    r->body != NULL ? r->body : "", r->body_len);
 	if (!settings_policy_on(&n->settings, POLICY_QUARANTINE))
 		return REASON_NONE;
@@ -175,7 +176,7 @@
 static enum reason
 check_once(struct call *c)
 {
-	uint64_t now = clock_ms(), wait = ONCE_WAIT_MS;
+	uint64_t now = clock_ms(), wait = ONCE_OWNER_WAIT_MS;
 	struct once_key key;
 	enum once_verdict v;
 
@@ -185,7 +186,7 @@
 	if (c->deadline_ms < now + wait)
 		wait = c->deadline_ms > now ? c->deadline_ms - now : 0;
 	v = once_claim_wait(&c->node->once, &key, (uint32_t)wait, &c->claim);
-	c->claimed = v == ONCE_FIRST;
+	c->claimed = v == ONCE_GRANTED;
 	return once_reasons[v];
 }
 
@@ -294,8 +295,8 @@
 	const struct parent_context *pc = &p->context;
 
 	c->cx.root = pc->root_hash;
-	c->cx.print[0] = pc->root_print[0];
-	c->cx.print[1] = pc->root_print[1];
+	c->cx.print[0] = pc->root_fingerprint[0];
+	c->cx.print[1] = pc->root_fingerprint[1];
 	c->cx.key_tag = pc->key_tag;
 	c->cx.depth = pc->depth + 1;
 	snprintf(c->cx.workspace, sizeof(c->cx.workspace), "%s", pc->workspace);
@@ -307,13 +308,13 @@
 static void
 forward_inner(struct call *c, struct parent *p)
 {
-	uint32_t lent = retry_lend_call(&p->chain);
+	uint32_t lent = retry_grant_to_call(&p->chain);
 
 	retry_chain_init(&c->chain, lent);
 	call_forward(c);
 	if (c->verdict.outcome != OUTCOME_DONE || c->scratch.status >= 500)
-		parent_call_failed(p, c->print.lo);
-	retry_return(&p->chain, lent, retry_chain_close(&c->chain));
+		parent_record_failed_call(p, c->print.lo);
+	retry_return_unused(&p->chain, lent, retry_chain_close(&c->chain));
 	free(c);
 }
 
@@ -346,7 +347,7 @@
 	rcu_read_unlock();
 	if (why == REASON_NONE)
 		why = check_quarantine(c);
-	if (why == REASON_NONE && parent_call_repeats(p, c->print.lo) &&
+	if (why == REASON_NONE && parent_call_is_retry(p, c->print.lo) &&
 	    !retry_spend(&p->chain))
 		why = REASON_RETRY_BOUND;
 	set_deadline(c, clock_ms(), p->context.deadline_us / 1000);
--- a/src/node/exit.c
+++ b/src/node/exit.c
@@ -178,7 +178,8 @@
 	pthread_mutex_lock(&n->death_lock);
 	first = server_died(&n->server, incarnation);
 	if (first)
-		quarantine_death(&n->quarantine, rand_u64() | 1, clock_ms());
+		quarantine_report_crash(
+		    &n->quarantine, rand_u64() | 1, clock_ms());
 	pthread_mutex_unlock(&n->death_lock);
 	return first;
 }
@@ -229,7 +230,7 @@
 add_parent(struct node *n, const struct context *cx, uint64_t deadline_us)
 {
 	struct parent_context pc = { .root_hash = cx->root,
-		.root_print = { cx->print[0], cx->print[1] },
+		.root_fingerprint = { cx->print[0], cx->print[1] },
 		.key_tag = cx->key_tag,
 		.deadline_us = deadline_us,
 		.class = (enum admission_class)cx->importance,
@@ -301,10 +302,10 @@
 quarantine_end_of(enum exchange_end end)
 {
 	if (end == EXCHANGE_WHOLE)
-		return QUARANTINE_WHOLE;
+		return QUARANTINE_RESULT_COMPLETE;
 	if (end == EXCHANGE_CUT || end == EXCHANGE_CUT_BODY)
-		return QUARANTINE_BROKEN;
-	return QUARANTINE_NOTHING;
+		return QUARANTINE_RESULT_FAILED;
+	return QUARANTINE_RESULT_UNKNOWN;
 }
 
 /*
@@ -313,8 +314,8 @@
  */
 static int
 begin_run(struct node *n, struct quarantine_run *qr,
-    const struct quarantine_print *prints, size_t count, uint64_t deadline_us,
-    struct verdict *v)
+    const struct quarantine_fingerprint *prints, size_t count,
+    uint64_t deadline_us, struct verdict *v)
 {
 	int rc;
 
@@ -339,7 +340,7 @@
     const struct member_announce *a, uint64_t deadline_us,
     const struct answer_sink *next, struct verdict *v)
 {
-	struct quarantine_print prints[QUARANTINE_RUN_PRINTS];
+	struct quarantine_fingerprint prints[QUARANTINE_RUN_FINGERPRINTS];
 	struct quarantine_run qr;
 	enum admission_outcome served;
 	enum exchange_end end;
@@ -351,8 +352,8 @@
 		not_run(v, REASON_DEADLINE);
 		return ADMISSION_CANCELLED;
 	}
-	quarantine_print(&prints[0], cx->workspace, rq->method, rq->target,
-	    rq->body != NULL ? rq->body : "", rq->body_len);
+	quarantine_fingerprint(&prints[0], cx->workspace, rq->method,
+	    rq->target, rq->body != NULL ? rq->body : "", rq->body_len);
 	prints[1].lo = cx->print[0];
 	prints[1].hi = cx->print[1];
 	if (quarantine && begin_run(n, &qr, prints, cx->depth > 0 ? 2 : 1,
@@ -376,7 +377,7 @@
 	if (quarantine) {
 		quarantine_end(
 		    &n->quarantine, &qr, quarantine_end_of(end), clock_ms());
-		v->death = qr.death;
+		v->death = qr.crash_id;
 	}
 	free(r);
 	return served;
--- a/src/node/fetch.c
+++ b/src/node/fetch.c
@@ -38,7 +38,7 @@
 	v = member_view_get(&n->member);
 	start = v->len > 0 ? (uint32_t)(rand_u64() % v->len) : 0;
 	for (i = 0; i < v->len && !found; i++) {
-		m = &v->list[(start + i) % v->len];
+		m = &v->members[(start + i) % v->len];
 		if (m->config_version <= own || m->state != MEMBER_ALIVE)
 			continue;
 		*out = *m;
--- a/src/node/forward.c
+++ b/src/node/forward.c
@@ -8,13 +8,13 @@
 
 /* Why an attempt brought no answer, in the terms of the retry policy. */
 static const enum retry_reason retry_reasons[REASON_MAX] = {
-	[REASON_BAD_REQUEST] = RETRY_FINAL,
-	[REASON_SERVER_FAILED] = RETRY_BROKEN,
+	[REASON_BAD_REQUEST] = RETRY_NOT_RETRYABLE,
+	[REASON_SERVER_FAILED] = RETRY_BROKEN_EXCHANGE,
 	[REASON_OVERLOAD] = RETRY_OVERLOAD,
 	[REASON_NO_SERVER] = RETRY_LEAVING,
 	[REASON_DRAINING] = RETRY_LEAVING,
 	[REASON_STOPPING] = RETRY_LEAVING,
-	[REASON_QUARANTINED] = RETRY_FINAL,
+	[REASON_QUARANTINED] = RETRY_NOT_RETRYABLE,
 	[REASON_DEADLINE] = RETRY_DEADLINE,
 };
 
@@ -62,7 +62,8 @@
 	    ADMISSION_HINT_SHED)
 		return 0;
 	if (c->parent != NULL)
-		parent_note_level(c->parent, admission_downstream_level(e));
+		parent_lower_chain_level(
+		    c->parent, admission_downstream_level(e));
 	return 1;
 }
 
@@ -109,8 +110,9 @@
 	if (!settings_policy_on(&c->node->settings, POLICY_QUARANTINE))
 		return 0;
 	if (c->verdict.death != 0)
-		quarantine_merge(q, &c->print, c->verdict.death, 0, 0, now);
-	return quarantine_check(q, &c->print, now) != QUARANTINE_FREE;
+		quarantine_merge_report(
+		    q, &c->print, c->verdict.death, 0, 0, now);
+	return quarantine_check(q, &c->print, now) != QUARANTINE_UNRESTRICTED;
 }
 
 /*
@@ -121,13 +123,13 @@
 retry(struct call *c)
 {
 	uint64_t now = clock_ms();
-	struct retry_case q = { .reason = retry_reasons[c->verdict.reason],
+	struct retry_failure q = { .reason = retry_reasons[c->verdict.reason],
 		.not_run = c->verdict.outcome == OUTCOME_NOT_RUN,
 		.idempotent = c->route.idempotent,
 		.attempts = c->tried_count,
-		.left_us = now < c->deadline_ms
-			       ? (c->deadline_ms - now) * US_PER_MS
-			       : 0,
+		.time_left_us = now < c->deadline_ms
+				    ? (c->deadline_ms - now) * US_PER_MS
+				    : 0,
 		.rnd = rand_u64() };
 	struct retry_budget *b = budget_of(c), none;
 	struct admission_load load;
@@ -137,13 +139,13 @@
 	if (c->answer.started || c->answer.broken)
 		return 0;
 	if (admission_load_parse(&load, c->verdict.load) == 0)
-		q.expected_us = load.service_us;
+		q.expected_attempt_us = load.service_us;
 	if (c->unsent)
 		q.reason = RETRY_NO_CONNECTION;
 	if (q.reason == RETRY_OVERLOAD)
 		c->overloads++;
-	q.overloads = c->overloads;
-	q.struck = is_struck(c, now);
+	q.overloaded_attempts = c->overloads;
+	q.server_crashed = is_struck(c, now);
 	if (!settings_policy_on(&c->node->settings, POLICY_RETRY_BUDGET)) {
 		retry_budget_init(&none, now);
 		b = &none;
@@ -152,7 +154,7 @@
 	if (v == RETRY_GIVE_UP || charge_again(c) == -1)
 		return 0;
 	counter_add(CTR_RETRIES, 1);
-	if (v == RETRY_LATER && delay > 0)
+	if (v == RETRY_AFTER_DELAY && delay > 0)
 		usleep(delay * US_PER_MS);
 	return 1;
 }
@@ -182,8 +184,9 @@
 	if (c->verdict.outcome == OUTCOME_DONE) {
 		answer_end(&c->answer);
 		counter_add(CTR_DONE, 1);
-		retry_budget_success(budget_of(c));
-		quarantine_served(&c->node->quarantine, &c->print, clock_ms());
+		retry_budget_add_success(budget_of(c));
+		quarantine_record_success(
+		    &c->node->quarantine, &c->print, clock_ms());
 		return;
 	}
 	if (c->answer.started) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -44,7 +44,7 @@
 	struct node *n = ctx;
 
 	atomic_store(&n->log_read_ms, sent_ms);
-	member_set_log_read(&n->member, sent_ms);
+	member_set_log_read_time(&n->member, sent_ms);
 }
 
 /*
@@ -74,8 +74,8 @@
 		.peer_port = (uint16_t)s->advertise_peer_port,
 		.domain = s->domain,
 		.region = s->region,
-		.probe_ms = s->probe_ms,
-		.fresh_ms = s->config_stale_ms,
+		.probe_period_ms = s->probe_ms,
+		.log_read_max_age_ms = s->config_stale_ms,
 		.seeds = seeds,
 		.seeds_len = s->seed_peers.count };
 	GError *e = NULL;
@@ -288,9 +288,9 @@
 	atomic_store(&n->stopping, 1);
 	admission_stop(&n->admission);
 	server_check(n, now);
-	lease_service_leave(&n->lease, LEAVE_LEASES_MS);
+	lease_service_hand_over(&n->lease, LEAVE_LEASES_MS);
 	member_leave(&n->member);
-	lease_service_left(&n->lease, LEAVE_LEASES_MS);
+	lease_service_wait_released(&n->lease, LEAVE_LEASES_MS);
 	while (clock_ms() < until && admission_outstanding(&n->admission) > 0)
 		usleep(STOP_CHECK_US);
 	now = clock_ms();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -60,7 +60,7 @@
 	struct limits limits;
 	struct once once;
 	struct quarantine quarantine;
-	struct route_book routes;
+	struct route_table routes;
 	struct retry_budget budgets[NODE_BUDGETS];
 	atomic_ullong limit_missed_ms[NODE_BUDGETS]; /* by workspace */
 	struct admission_downstream echoes[NODE_BUDGETS];
--- a/src/once/once.h
+++ b/src/once/once.h
@@ -16,13 +16,14 @@
  * can be claimed twice.
  */
 #define ONCE_CLOCK_SKEW_MAX_MS 5000 /* between two wall clocks */
-#define ONCE_WAIT_MS 2500 /* for an owner, since one was first missing */
+/* For an owner, since one was first missing. */
+#define ONCE_OWNER_WAIT_MS 2500
 #define ONCE_MAINTAIN_INTERVAL_MS 20 /* interval of once_maintain() */
 #define ONCE_CELLS_MAX 262144	     /* ids that a node stores, 32 bytes each */
 
 enum once_verdict {
-	ONCE_FIRST,	  /* claimed: the request may run */
-	ONCE_SEEN,	  /* the request ran, runs or may have run */
+	ONCE_GRANTED,	  /* claimed: the request may run */
+	ONCE_DUPLICATE,	  /* the request ran, runs or may have run */
 	ONCE_UNKNOWN,	  /* it may have run before the stored history */
 	ONCE_UNAVAILABLE, /* not claimed */
 	ONCE_VERDICT_MAX
@@ -56,12 +57,15 @@
 	void *lookup_ctx;
 	rpc_call_fn call;
 	void *call_ctx;
-	void (*kick)(void *); /* an owner didn't answer; may be NULL */
-	void *kick_ctx;
-	void (*expect)(void *); /* a claim reached this standby; may be NULL */
-	void *expect_ctx;
-	int (*changing)(void *); /* whether owners may change; NULL: always */
-	void *changing_ctx;
+	void (*on_owner_failure)(
+	    void *); /* an owner didn't answer; may be NULL */
+	void *on_owner_failure_ctx;
+	void (*on_claim_as_standby)(
+	    void *); /* a claim reached this standby; may be NULL */
+	void *on_claim_as_standby_ctx;
+	int (*owners_may_change)(
+	    void *); /* whether owners may change; NULL: always */
+	void *owners_may_change_ctx;
 	uint64_t (*clock_ms)(void); /* NULL: clock_ms() */
 	uint64_t (*wall_ms)(void);  /* NULL: CLOCK_REALTIME */
 	size_t cells_max;	    /* 0: ONCE_CELLS_MAX */
--- a/src/once/once.x
+++ b/src/once/once.x
@@ -1,15 +1,15 @@
 /* Messages for request ids: claims, notes at the standby, copies. */
 
 const ONCE_ID_BYTES = 16;
-const ONCE_PAGE = 32;
+const ONCE_PAGE_CELLS = 32;
 
 enum once_status {
 	ONCE_RESERVED = 0,	/* valid once a standby has noted it */
 	ONCE_CLAIMED = 1,	/* by another attempt */
 	ONCE_NOT_KNOWN = 2,	/* may precede the stored history */
 	ONCE_NOT_OWNER = 3,
-	ONCE_NO_ROOM = 4,
-	ONCE_FUTURE = 5		/* the time in the id is in the future */
+	ONCE_MEMORY_FULL = 4,
+	ONCE_FUTURE_ID = 5		/* the time in the id is in the future */
 };
 
 struct once_node {
@@ -60,9 +60,9 @@
 	unsigned hyper term;
 	bool last;
 	unsigned hyper age_ms;	/* time that the memory covers */
-	once_copy_cell cells<ONCE_PAGE>;
+	once_copy_cell cells<ONCE_PAGE_CELLS>;
 };
 
 struct once_copy_res {
-	bool kept;
+	bool accepted;
 };
--- a/src/once/once_entry.c
+++ b/src/once/once_entry.c
@@ -30,11 +30,11 @@
 /* The verdict for an owner's status, unless the claim succeeds. */
 static const enum once_verdict verdicts[] = {
 	[ONCE_RESERVED] = ONCE_UNAVAILABLE,
-	[ONCE_CLAIMED] = ONCE_SEEN,
+	[ONCE_CLAIMED] = ONCE_DUPLICATE,
 	[ONCE_NOT_KNOWN] = ONCE_UNKNOWN,
 	[ONCE_NOT_OWNER] = ONCE_UNAVAILABLE,
-	[ONCE_NO_ROOM] = ONCE_UNAVAILABLE,
-	[ONCE_FUTURE] = ONCE_UNAVAILABLE,
+	[ONCE_MEMORY_FULL] = ONCE_UNAVAILABLE,
+	[ONCE_FUTURE_ID] = ONCE_UNAVAILABLE,
 };
 
 /*
@@ -78,8 +78,8 @@
 	for (i = 0; i < ONCE_RPC_TRIES && st == RPC_TIMEOUT; i++)
 		st = o->cfg.call(o->cfg.call_ctx, to, p, arg, res,
 		    ONCE_RPC_TIMEOUT_MS / ONCE_RPC_TRIES);
-	if (st != RPC_DONE && o->cfg.kick != NULL)
-		o->cfg.kick(o->cfg.kick_ctx);
+	if (st != RPC_DONE && o->cfg.on_owner_failure != NULL)
+		o->cfg.on_owner_failure(o->cfg.on_owner_failure_ctx);
 	return st == RPC_DONE ? 0 : -1;
 }
 
@@ -159,13 +159,13 @@
 	st = reserve_at_owner(o, key, c, &term, t);
 	if ((size_t)st >= sizeof(verdicts) / sizeof(verdicts[0]))
 		return ONCE_UNAVAILABLE;
-	t->refused = st == ONCE_FUTURE || st == ONCE_NO_ROOM;
+	t->refused = st == ONCE_FUTURE_ID || st == ONCE_MEMORY_FULL;
 	if (st != ONCE_RESERVED)
 		return verdicts[st];
 	/* Ignore late answers: this thread may have been suspended. */
 	if (note_at_standby(o, c, term) == 0 &&
 	    o->cfg.clock_ms() - started_ms < ONCE_CLAIM_TIMEOUT_MS)
-		return ONCE_FIRST;
+		return ONCE_GRANTED;
 	add_reservation(t, c);
 	return ONCE_UNAVAILABLE;
 }
@@ -196,7 +196,7 @@
 
 /*
  * Returns whether to wait for an owner: leases can change, and it is less
- * than ONCE_WAIT_MS ago that an owner was first missing.
+ * than ONCE_OWNER_WAIT_MS ago that an owner was first missing.
  */
 static int
 should_wait_for_owner(struct once *o, struct once_part *p)
@@ -207,14 +207,14 @@
 	if (atomic_compare_exchange_strong(
 		&p->owner_missing_ms, &missing_ms, now))
 		missing_ms = now;
-	return now < missing_ms + ONCE_WAIT_MS &&
-	       (o->cfg.changing == NULL ||
-		   o->cfg.changing(o->cfg.changing_ctx));
+	return now < missing_ms + ONCE_OWNER_WAIT_MS &&
+	       (o->cfg.owners_may_change == NULL ||
+		   o->cfg.owners_may_change(o->cfg.owners_may_change_ctx));
 }
 
 /*
  * Claims an id before its request runs.  Retries for up to wait_ms while no
- * owner answers.  On ONCE_FIRST the request may run, and *c is valid for
+ * owner answers.  On ONCE_GRANTED the request may run, and *c is valid for
  * once_release().  All tries share one attempt id, so that none finds the id
  * claimed by an earlier one.  Releases are queued only after the last try
  * has failed.
@@ -224,7 +224,7 @@
     struct once_claim *c)
 {
 	struct once_part *p = &o->part[once_part(&key->id)];
-	uint64_t until_ms = o->cfg.clock_ms() + wait_ms;
+	uint64_t valid_until_ms = o->cfg.clock_ms() + wait_ms;
 	struct claim_tries t = { .count = 0 };
 	enum once_verdict v;
 	size_t i;
@@ -235,12 +235,12 @@
 	while ((v = claim_at_owner_or_standby(o, key, c, &t)) ==
 		   ONCE_UNAVAILABLE &&
 	       !t.refused &&
-	       o->cfg.clock_ms() + CLAIM_RETRY_US / 1000 < until_ms &&
+	       o->cfg.clock_ms() + CLAIM_RETRY_US / 1000 < valid_until_ms &&
 	       should_wait_for_owner(o, p))
 		usleep(CLAIM_RETRY_US);
 	if (v != ONCE_UNAVAILABLE)
 		atomic_store(&p->owner_missing_ms, 0);
-	for (i = 0; i < t.count && v != ONCE_FIRST; i++)
+	for (i = 0; i < t.count && v != ONCE_GRANTED; i++)
 		once_release(o, &t.reservations[i]);
 	return v;
 }
--- a/src/once/once_owner.c
+++ b/src/once/once_owner.c
@@ -87,7 +87,7 @@
 
 	memcpy(id.byte, arg->id, sizeof(id.byte));
 	if (stamp > wall + ONCE_CLOCK_SKEW_MAX_MS)
-		return ONCE_FUTURE;
+		return ONCE_FUTURE_ID;
 	res = memory_lookup(&p->memory, &id, arg->attempt, now_s);
 	if (res == MEMORY_OTHER_ATTEMPT)
 		return ONCE_CLAIMED;
@@ -98,7 +98,7 @@
 		return ONCE_NOT_KNOWN;
 	if (memory_add(&p->memory, &id, arg->attempt, now_s, now_s) ==
 	    MEMORY_FULL)
-		return ONCE_NO_ROOM;
+		return ONCE_MEMORY_FULL;
 	return ONCE_RESERVED;
 }
 
@@ -121,13 +121,14 @@
 	part = once_part(&id);
 	p = &o->part[part];
 	o->cfg.lookup(o->cfg.lookup_ctx, part, now, &v);
-	if (v.noted_until_ms == 0 && nodeid_equal(&v.standby, &o->cfg.self) &&
-	    o->cfg.expect != NULL)
-		o->cfg.expect(o->cfg.expect_ctx);
-	if (v.noted_until_ms == 0 || arg->attempt == 0)
+	if (v.replicated_until_ms == 0 &&
+	    nodeid_equal(&v.standby, &o->cfg.self) &&
+	    o->cfg.on_claim_as_standby != NULL)
+		o->cfg.on_claim_as_standby(o->cfg.on_claim_as_standby_ctx);
+	if (v.replicated_until_ms == 0 || arg->attempt == 0)
 		return;
 	pthread_mutex_lock(&p->lock);
-	if ((v.until_ms != 0 || once_has_earlier_ids(p, &v)) &&
+	if ((v.valid_until_ms != 0 || once_has_earlier_ids(p, &v)) &&
 	    once_update_lease(p, &v) == 0) {
 		p->last_used_ms = now;
 		res->status = reserve(o, p, arg, now);
--- a/src/once/once_standby.c
+++ b/src/once/once_standby.c
@@ -85,22 +85,22 @@
 	struct once_id id;
 	u_int i;
 
-	res->kept = 0;
+	res->accepted = 0;
 	if (arg->part >= LEASE_PARTS ||
 	    !is_standby(o, arg->part, arg->term, now))
 		return;
 	p = &o->part[arg->part];
 	pthread_mutex_lock(&p->lock);
-	res->kept = update_standby_term(p, arg->term, now) == 0;
-	for (i = 0; i < arg->cells.cells_len && res->kept; i++) {
+	res->accepted = update_standby_term(p, arg->term, now) == 0;
+	for (i = 0; i < arg->cells.cells_len && res->accepted; i++) {
 		c = &arg->cells.cells_val[i];
 		memcpy(id.byte, c->id, sizeof(id.byte));
 		if (once_part(&id) != arg->part || c->age_s > now_s ||
 		    memory_add_noted(&p->memory, &id, c->attempt,
 			now_s - c->age_s, now_s) == -1)
-			res->kept = 0;
+			res->accepted = 0;
 	}
-	if (res->kept && arg->last) {
+	if (res->accepted && arg->last) {
 		p->copy_complete = 1;
 		p->copy_since_ms = (int64_t)now - (int64_t)arg->age_ms;
 	}
@@ -118,7 +118,7 @@
 {
 	uint64_t now = o->cfg.clock_ms();
 	uint32_t now_s = (uint32_t)(now / MS_PER_S);
-	struct memory_cell cells[ONCE_PAGE];
+	struct memory_cell cells[ONCE_PAGE_CELLS];
 	struct once_part *p = &o->part[part];
 	int64_t age;
 	size_t n, i;
@@ -131,7 +131,7 @@
 		pthread_mutex_unlock(&p->lock);
 		return 0;
 	}
-	n = memory_page(&p->memory, pos, now_s, cells, ONCE_PAGE);
+	n = memory_page(&p->memory, pos, now_s, cells, ONCE_PAGE_CELLS);
 	age = (int64_t)now - p->since_ms;
 	arg->last = *pos >= p->memory.cap;
 	pthread_mutex_unlock(&p->lock);
@@ -156,7 +156,7 @@
 static void
 copy_part(struct once *o, uint32_t part, const struct lease_view *v)
 {
-	once_copy_cell cells[ONCE_PAGE];
+	once_copy_cell cells[ONCE_PAGE_CELLS];
 	once_copy_arg arg = { .part = part, .term = v->term };
 	once_copy_res res;
 	struct once_part *p = &o->part[part];
@@ -168,7 +168,7 @@
 		if (next_page(o, part, v, &pos, &generation, &arg) == 0 ||
 		    once_call(o, &v->standby, ONCE_PROC_COPY, &arg, &res) ==
 			-1 ||
-		    !res.kept)
+		    !res.accepted)
 			return;
 	} while (!arg.last);
 	pthread_mutex_lock(&p->lock);
@@ -218,7 +218,7 @@
 		now = o->cfg.clock_ms();
 		o->cfg.lookup(o->cfg.lookup_ctx, part, now, &v);
 		free_unused_memory(o, part, &v);
-		if (v.until_ms == 0 || nodeid_is_none(&v.standby))
+		if (v.valid_until_ms == 0 || nodeid_is_none(&v.standby))
 			continue;
 		pthread_mutex_lock(&p->lock);
 		due = p->copied_term != v.term && now >= p->next_copy_ms;
--- a/src/once/once_xdr.c
+++ b/src/once/once_xdr.c
@@ -134,7 +134,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->cells.cells_val, (u_int *) &objp->cells.cells_len, ONCE_PAGE,
+	 if (!xdr_array (xdrs, (char **)&objp->cells.cells_val, (u_int *) &objp->cells.cells_len, ONCE_PAGE_CELLS,
 		sizeof (once_copy_cell), (xdrproc_t) xdr_once_copy_cell))
 		 return FALSE;
 	return TRUE;
@@ -145,7 +145,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bool (xdrs, &objp->kept))
+	 if (!xdr_bool (xdrs, &objp->accepted))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/once/once_xdr.h
+++ b/src/once/once_xdr.h
@@ -14,15 +14,15 @@
 #endif
 
 #define ONCE_ID_BYTES 16
-#define ONCE_PAGE 32
+#define ONCE_PAGE_CELLS 32
 
 enum once_status {
 	ONCE_RESERVED = 0,
 	ONCE_CLAIMED = 1,
 	ONCE_NOT_KNOWN = 2,
 	ONCE_NOT_OWNER = 3,
-	ONCE_NO_ROOM = 4,
-	ONCE_FUTURE = 5,
+	ONCE_MEMORY_FULL = 4,
+	ONCE_FUTURE_ID = 5,
 };
 typedef enum once_status once_status;
 
@@ -90,7 +90,7 @@
 typedef struct once_copy_arg once_copy_arg;
 
 struct once_copy_res {
-	bool_t kept;
+	bool_t accepted;
 };
 typedef struct once_copy_res once_copy_res;
 
--- a/src/once/test_fleet.c
+++ b/src/once/test_fleet.c
@@ -280,12 +280,12 @@
 {
 	uint64_t sent = sim_ms();
 
-	lease_first(&n->table, log_first);
+	lease_set_log_start(&n->table, log_first);
 	while (n->table.next < log_next)
 		lease_apply(&n->table, records[n->table.next],
 		    strlen(records[n->table.next]), n->table.next, sim_ms());
 	maybe_suspend_node();
-	lease_read_proof(&n->table, sent);
+	lease_confirm_read(&n->table, sent);
 }
 
 /* Lists the members as a node sees them. */
@@ -354,7 +354,7 @@
 	if (s == NULL || !lease_may_promise(&s->table, PART, term, &n->id))
 		return;
 	maybe_suspend_node();
-	lease_promise(&n->table, PART, term, sent);
+	lease_add_promise(&n->table, PART, term, sent);
 }
 
 /* Runs a request of one caller: asks the limit, then claims its id. */
@@ -392,7 +392,7 @@
 	once_key(&key, "acme", id);
 	key.id.byte[0] = PART; /* put all ids into one partition */
 	memset(&key.id.byte[1], 0, 7);
-	if (once_claim(&n->once, &key, &c) != ONCE_FIRST)
+	if (once_claim(&n->once, &key, &c) != ONCE_GRANTED)
 		return;
 	claimed++;
 	if (random_below(20) == 0) {
@@ -439,7 +439,7 @@
 
 	for (i = 0; i < NODES; i++) {
 		current = &nodes[i];
-		if (lease_held(&nodes[i].table, PART, sim_ms()) != 0)
+		if (lease_valid_until(&nodes[i].table, PART, sim_ms()) != 0)
 			owners++;
 		if (nodes[i].table.part[PART].term > terms)
 			terms = nodes[i].table.part[PART].term;
--- a/src/once/test_once.c
+++ b/src/once/test_once.c
@@ -73,10 +73,10 @@
 {
 	(void)part;
 	*v = views[(struct once *)ctx - nodes];
-	if (now >= v->until_ms)
-		v->until_ms = 0;
-	if (now >= v->noted_until_ms)
-		v->noted_until_ms = 0;
+	if (now >= v->valid_until_ms)
+		v->valid_until_ms = 0;
+	if (now >= v->replicated_until_ms)
+		v->replicated_until_ms = 0;
 }
 
 /*
@@ -117,7 +117,7 @@
 		views[i].first = first;
 		views[i].effective_ms = now_ms;
 		if (i == owner)
-			views[i].until_ms = views[i].noted_until_ms =
+			views[i].valid_until_ms = views[i].replicated_until_ms =
 			    UINT64_MAX;
 	}
 }
@@ -215,10 +215,10 @@
 
 	(void)state;
 	once_key(&other, "zeta", "order-1");
-	assert_int_equal(claim(2, &k), ONCE_FIRST);
-	assert_int_equal(claim(3, &k), ONCE_SEEN);
-	assert_int_equal(claim(0, &k), ONCE_SEEN);
-	assert_int_equal(claim(1, &other), ONCE_FIRST);
+	assert_int_equal(claim(2, &k), ONCE_GRANTED);
+	assert_int_equal(claim(3, &k), ONCE_DUPLICATE);
+	assert_int_equal(claim(0, &k), ONCE_DUPLICATE);
+	assert_int_equal(claim(1, &other), ONCE_GRANTED);
 }
 
 /*
@@ -263,7 +263,7 @@
 	(void)state;
 	for (i = 0; i < 500; i++) {
 		k = make_key(i);
-		assert_int_equal(claim(2, &k), ONCE_FIRST);
+		assert_int_equal(claim(2, &k), ONCE_GRANTED);
 	}
 	once_maintain(&nodes[0]);
 	assert_true(once_standby_ready(&nodes[0], 7));
@@ -272,10 +272,10 @@
 	set_lease(2, 2, 1, 3, 0);
 	for (i = 0; i < 500; i++) {
 		k = make_key(i);
-		assert_int_equal(claim(2, &k), ONCE_SEEN);
+		assert_int_equal(claim(2, &k), ONCE_DUPLICATE);
 	}
 	k = make_key(i);
-	assert_int_equal(claim(2, &k), ONCE_FIRST);
+	assert_int_equal(claim(2, &k), ONCE_GRANTED);
 	/* The next standby receives the whole memory. */
 	assert_false(once_standby_ready(&nodes[1], 7));
 	once_maintain(&nodes[1]);
@@ -284,10 +284,10 @@
 	set_lease(3, 3, 3, 2, 0);
 	for (i = 0; i <= 500; i++) {
 		k = make_key(i);
-		assert_int_equal(claim(2, &k), ONCE_SEEN);
+		assert_int_equal(claim(2, &k), ONCE_DUPLICATE);
 	}
 	k = make_key(i);
-	assert_int_equal(claim(2, &k), ONCE_FIRST);
+	assert_int_equal(claim(2, &k), ONCE_GRANTED);
 }
 
 /*
@@ -304,26 +304,26 @@
 	for (copy_complete = 0; copy_complete < 2; copy_complete++) {
 		teardown(state);
 		setup(state);
-		assert_int_equal(claim(2, &old), ONCE_FIRST);
+		assert_int_equal(claim(2, &old), ONCE_GRANTED);
 		if (copy_complete)
 			once_maintain(&nodes[0]);
 		down[2] = down[0] = 1; /* they don't learn of the new lease */
 		set_lease(2, 2, 1, 3, 0);
 		down[2] = down[0] = 0;
-		views[1].until_ms = 0;
+		views[1].valid_until_ms = 0;
 		k = make_key(2);
 		assert_int_equal(claim(2, &k),
-		    copy_complete ? ONCE_FIRST : ONCE_UNAVAILABLE);
+		    copy_complete ? ONCE_GRANTED : ONCE_UNAVAILABLE);
 		once_maintain(&nodes[2]);
-		assert_int_equal(
-		    claim(2, &k), copy_complete ? ONCE_SEEN : ONCE_UNAVAILABLE);
-		assert_int_equal(claim(2, &old), ONCE_SEEN);
+		assert_int_equal(claim(2, &k),
+		    copy_complete ? ONCE_DUPLICATE : ONCE_UNAVAILABLE);
+		assert_int_equal(claim(2, &old), ONCE_DUPLICATE);
 		down[0] = 1;
 		k = make_key(3);
 		assert_int_equal(claim(2, &k),
-		    copy_complete ? ONCE_FIRST : ONCE_UNAVAILABLE);
+		    copy_complete ? ONCE_GRANTED : ONCE_UNAVAILABLE);
 		assert_int_equal(claim(2, &old),
-		    copy_complete ? ONCE_SEEN : ONCE_UNAVAILABLE);
+		    copy_complete ? ONCE_DUPLICATE : ONCE_UNAVAILABLE);
 	}
 }
 
@@ -344,9 +344,10 @@
 	assert_true(now_ms <= START_MS + 1500);
 	down[0] = down[1] = 0;
 	answers_to_lose = 2 * ONCE_RPC_TRIES; /* reserved, but not claimed */
-	assert_int_equal(once_claim_wait(&nodes[2], &k, 1000, &c), ONCE_FIRST);
+	assert_int_equal(
+	    once_claim_wait(&nodes[2], &k, 1000, &c), ONCE_GRANTED);
 	once_maintain(&nodes[2]);
-	assert_int_equal(claim(3, &k), ONCE_SEEN);
+	assert_int_equal(claim(3, &k), ONCE_DUPLICATE);
 }
 
 /*
@@ -360,7 +361,7 @@
 	struct once_key a = make_key(1), b = make_key(2), v;
 
 	(void)state;
-	assert_int_equal(claim(2, &a), ONCE_FIRST);
+	assert_int_equal(claim(2, &a), ONCE_GRANTED);
 	down[0] = down[1] = 1;
 	now_ms += 700000;
 	set_lease(2, 2, 3, 2, 0);
@@ -370,12 +371,12 @@
 	v = make_uuid_key(1, now_ms - 20000 + 9999);
 	assert_int_equal(claim(2, &v), ONCE_UNKNOWN);
 	v = make_uuid_key(1, now_ms - 20000 + 10001);
-	assert_int_equal(claim(2, &v), ONCE_FIRST);
-	assert_int_equal(claim(2, &v), ONCE_SEEN);
+	assert_int_equal(claim(2, &v), ONCE_GRANTED);
+	assert_int_equal(claim(2, &v), ONCE_DUPLICATE);
 	v = make_uuid_key(2, now_ms + ONCE_CLOCK_SKEW_MAX_MS + 1);
 	assert_int_equal(claim(2, &v), ONCE_UNAVAILABLE);
 	now_ms += WINDOW_MS - 20000;
-	assert_int_equal(claim(2, &b), ONCE_FIRST);
+	assert_int_equal(claim(2, &b), ONCE_GRANTED);
 	/* Ids with a time before the window can't be claimed. */
 	v = make_uuid_key(
 	    3, now_ms - WINDOW_MS + 2 * ONCE_CLOCK_SKEW_MAX_MS - 1);
@@ -395,17 +396,17 @@
 	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
 	down[1] = 0;
 	once_maintain(&nodes[2]);
-	assert_int_equal(claim(2, &k), ONCE_FIRST);
+	assert_int_equal(claim(2, &k), ONCE_GRANTED);
 	/* A lost answer causes a second call, not a second claim. */
 	k = make_key(2);
 	answers_to_lose = 1;
-	assert_int_equal(claim(2, &k), ONCE_FIRST);
-	assert_int_equal(claim(2, &k), ONCE_SEEN);
+	assert_int_equal(claim(2, &k), ONCE_GRANTED);
+	assert_int_equal(claim(2, &k), ONCE_DUPLICATE);
 	set_lease(2, 1, 0, -1, 1);
 	/* Without a standby none has to note it; no successor is complete. */
 	k = make_key(3);
-	assert_int_equal(claim(2, &k), ONCE_FIRST);
-	assert_int_equal(claim(1, &k), ONCE_SEEN);
+	assert_int_equal(claim(2, &k), ONCE_GRANTED);
+	assert_int_equal(claim(1, &k), ONCE_DUPLICATE);
 	down[0] = 1;
 	now_ms += 20000;
 	set_lease(3, 3, 1, 2, 0);
@@ -425,7 +426,7 @@
 	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
 	call_ms--;
 	k = make_key(2);
-	assert_int_equal(claim(2, &k), ONCE_FIRST);
+	assert_int_equal(claim(2, &k), ONCE_GRANTED);
 }
 
 /*
@@ -439,17 +440,17 @@
 	struct once_claim c, d;
 
 	(void)state;
-	assert_int_equal(once_claim(&nodes[2], &k, &c), ONCE_FIRST);
+	assert_int_equal(once_claim(&nodes[2], &k, &c), ONCE_GRANTED);
 	once_release(&nodes[2], &c);
 	once_maintain(&nodes[2]);
-	assert_int_equal(once_claim(&nodes[3], &k, &d), ONCE_FIRST);
+	assert_int_equal(once_claim(&nodes[3], &k, &d), ONCE_GRANTED);
 	once_release(&nodes[2], &c);
 	once_maintain(&nodes[2]);
-	assert_int_equal(claim(3, &k), ONCE_SEEN);
+	assert_int_equal(claim(3, &k), ONCE_DUPLICATE);
 	once_maintain(&nodes[0]);
 	down[0] = 1;
 	set_lease(2, 2, 1, 3, 0);
-	assert_int_equal(claim(3, &k), ONCE_SEEN);
+	assert_int_equal(claim(3, &k), ONCE_DUPLICATE);
 }
 
 /*
@@ -474,10 +475,10 @@
 	once_serve_note(&nodes[1], &note, &noted);
 	assert_false(noted.noted);
 	once_serve_copy(&nodes[1], &copy, &copy_res);
-	assert_false(copy_res.kept);
+	assert_false(copy_res.accepted);
 	views[2].owner = make_node_id(0);
 	assert_int_equal(claim(2, &k), ONCE_UNAVAILABLE);
-	assert_int_equal(claim(3, &k), ONCE_FIRST);
+	assert_int_equal(claim(3, &k), ONCE_GRANTED);
 	/* The same if the node's view is older than its last decisions. */
 	views[1] = stale;
 	once_serve_note(&nodes[1], &note, &noted);
--- a/src/options/options.c
+++ b/src/options/options.c
@@ -99,7 +99,7 @@
 	    "port for datagrams between nodes" },
 	{ "fleet-key", KIND_KEY, 0, OFFSET(relay.fleet_key),
 	    "shared by all nodes; messages without its seal are rejected" },
-	{ "fleet-key-other", KIND_KEY, 0, OFFSET(relay.previous_key),
+	{ "fleet-key-other", KIND_KEY, 0, OFFSET(relay.alternate_key),
 	    "second key whose seals are accepted, for key rotation" },
 	{ "metrics-port", KIND_PORT, 0, OFFSET(metrics_addr),
 	    "port for metrics, on the address of --exit" },
@@ -183,11 +183,11 @@
 			msg = MSG_IP;
 		break;
 	case KIND_KEY:
-		if (strlen(text) < SEAL_KEY_MIN ||
-		    strlen(text) >= SEAL_KEY_BYTES)
+		if (strlen(text) < SEAL_KEY_MIN_CHARS ||
+		    strlen(text) >= SEAL_KEY_TEXT_BYTES)
 			msg = MSG_KEY;
 		else
-			snprintf(dst, SEAL_KEY_BYTES, "%s", text);
+			snprintf(dst, SEAL_KEY_TEXT_BYTES, "%s", text);
 		text = ""; /* findings are printed; a key must not be */
 		break;
 	case KIND_PORT:
@@ -305,7 +305,7 @@
 		if (settings[n].required && !seen[n])
 			finds_add(finds, &msgs[MSG_REQUIRED], settings[n].name,
 			    "%s", settings[n].help);
-	if (opts->relay.previous_key[0] != '\0' &&
+	if (opts->relay.alternate_key[0] != '\0' &&
 	    opts->relay.fleet_key[0] == '\0')
 		finds_add(
 		    finds, &msgs[MSG_OTHER_KEY], "fleet-key-other", "%s", "");
--- a/src/publish/edit.c
+++ b/src/publish/edit.c
@@ -76,7 +76,7 @@
  * a finding.  The caller frees the text.
  */
 char *
-publish_grant(const char *text, const char *ws, const char *id,
+publish_add_key(const char *text, const char *ws, const char *id,
     const char *hash, struct finds *findings)
 {
 	json_t *root = json_loads(text, 0, NULL),
@@ -100,7 +100,7 @@
  * finding.  The caller frees the text.
  */
 char *
-publish_withdraw(
+publish_remove_key(
     const char *text, const char *ws, const char *id, struct finds *findings)
 {
 	json_t *root = json_loads(text, 0, NULL),
--- a/src/publish/publish.c
+++ b/src/publish/publish.c
@@ -26,9 +26,9 @@
 
 /* Status of a publication that was read back, by its outcome. */
 static const enum publish_status status_of_outcome[CONFIG_OUTCOME_MAX] = {
-	[CONFIG_TAKEN] = PUBLISH_WON,
+	[CONFIG_TAKEN] = PUBLISH_ACCEPTED,
 	[CONFIG_CONFIRMED] = PUBLISH_INVALID,
-	[CONFIG_LOST] = PUBLISH_LOST,
+	[CONFIG_LOST] = PUBLISH_CONFLICT,
 	[CONFIG_OLD] = PUBLISH_UNKNOWN,
 	[CONFIG_BAD] = PUBLISH_INVALID,
 	[CONFIG_UNSYNCED] = PUBLISH_UNKNOWN,
@@ -63,7 +63,7 @@
 static enum publish_status
 decide_status(const struct publish_reader *r, uint64_t base, uint64_t *version)
 {
-	*version = publish_version(r);
+	*version = publish_current_version(r);
 	if (r->found)
 		return found_status(r, version);
 	if (!r->state.synced)
@@ -71,7 +71,7 @@
 	if (*version == base)
 		return PUBLISH_PENDING;
 	return r->log_trimmed && *version > base ? PUBLISH_UNKNOWN
-						 : PUBLISH_LOST;
+						 : PUBLISH_CONFLICT;
 }
 
 /*
@@ -115,32 +115,32 @@
  * id and base is safe.
  */
 enum publish_status
-publish_run(
+publish_config(
     struct publish_reader *r, const struct publication *p, uint64_t *version)
 {
 	const struct publish_env *env = r->env;
-	uint64_t end_ms = env->now(env->ctx) + p->timeout;
+	uint64_t end_ms = env->now_ms(env->ctx) + p->timeout_ms;
 	uint32_t delay_ms = 0;
 	enum append_state state = APPEND_NOT_WRITTEN;
 	enum publish_status st;
 	char *record;
 
-	record = config_publication(p->text, p->base, r->id, p->author);
+	record = config_publication(p->text, p->base_version, r->id, p->author);
 	if (record == NULL || strlen(record) > LOGSVC_RECORD_MAX) {
 		free(record);
 		return PUBLISH_INVALID;
 	}
 	for (;;) {
 		if (publish_catch_up(r, CALL_TIMEOUT_MS) == LOGSVC_OK) {
-			st = decide_status(r, p->base, version);
+			st = decide_status(r, p->base_version, version);
 			if (st != PUBLISH_PENDING)
 				break;
 			append_record(r, record, &state);
 		}
 		st = status_at_timeout[state];
-		if (env->now(env->ctx) >= end_ms)
+		if (env->now_ms(env->ctx) >= end_ms)
 			break;
-		env->sleep(env->ctx, delay_ms);
+		env->sleep_ms(env->ctx, delay_ms);
 		delay_ms = next_retry_delay(delay_ms);
 	}
 	free(record);
--- a/src/publish/publish.h
+++ b/src/publish/publish.h
@@ -16,8 +16,8 @@
  */
 struct publish_env {
 	struct logsvc log;
-	uint64_t (*now)(void *);
-	void (*sleep)(void *, uint32_t);
+	uint64_t (*now_ms)(void *);
+	void (*sleep_ms)(void *, uint32_t);
 	void *ctx;
 };
 
@@ -36,8 +36,8 @@
 };
 
 enum publish_status {
-	PUBLISH_WON,	     /* the configuration came into force */
-	PUBLISH_LOST,	     /* its base is not the version in force */
+	PUBLISH_ACCEPTED,    /* the configuration came into force */
+	PUBLISH_CONFLICT,    /* its base is not the version in force */
 	PUBLISH_INVALID,     /* the nodes reject the record */
 	PUBLISH_UNAVAILABLE, /* nothing was written */
 	PUBLISH_UNSYNCED,    /* the version in force is unknown */
@@ -50,22 +50,22 @@
 struct publication {
 	const char *text;
 	const char *author;
-	uint64_t base;	  /* version that the text was made from */
-	uint32_t timeout; /* ms */
+	uint64_t base_version; /* version that the text was made from */
+	uint32_t timeout_ms;   /* ms */
 };
 
-void publish_id(char *);
+void publish_new_id(char *);
 void publish_reader_init(
     struct publish_reader *, const struct publish_env *, const char *);
 void publish_reader_finish(struct publish_reader *);
 enum logsvc_status publish_catch_up(struct publish_reader *, uint32_t);
-uint64_t publish_version(const struct publish_reader *);
-enum publish_status publish_run(
+uint64_t publish_current_version(const struct publish_reader *);
+enum publish_status publish_config(
     struct publish_reader *, const struct publication *, uint64_t *);
 
-char *publish_grant(
+char *publish_add_key(
     const char *, const char *, const char *, const char *, struct finds *);
-char *publish_withdraw(
+char *publish_remove_key(
     const char *, const char *, const char *, struct finds *);
 
 #endif
--- a/src/publish/reader.c
+++ b/src/publish/reader.c
@@ -15,7 +15,7 @@
  * Writes a random publication id into PUBLISH_ID_BYTES bytes.
  */
 void
-publish_id(char *id)
+publish_new_id(char *id)
 {
 	unsigned char bin[CONFIG_ID_HEX / 2];
 
@@ -50,7 +50,7 @@
  * Returns the version in force, or 0 before the first publication.
  */
 uint64_t
-publish_version(const struct publish_reader *r)
+publish_current_version(const struct publish_reader *r)
 {
 	return r->state.cur != NULL ? r->state.cur->version : 0;
 }
@@ -92,7 +92,7 @@
 		return;
 	r->found = 1;
 	r->outcome = outcome;
-	r->published_version = publish_version(r);
+	r->published_version = publish_current_version(r);
 }
 
 /*
@@ -102,13 +102,13 @@
 publish_catch_up(struct publish_reader *r, uint32_t timeout_ms)
 {
 	const struct publish_env *env = r->env;
-	uint64_t now_ms = env->now(env->ctx), end_ms = now_ms + timeout_ms;
+	uint64_t now_ms = env->now_ms(env->ctx), end_ms = now_ms + timeout_ms;
 	struct logsvc_batch batch;
 	enum logsvc_status st;
 	size_t i;
 	int done;
 
-	for (done = 0; !done; now_ms = env->now(env->ctx)) {
+	for (done = 0; !done; now_ms = env->now_ms(env->ctx)) {
 		if (now_ms >= end_ms)
 			return LOGSVC_UNAVAILABLE;
 		st = env->log.read(env->log.ctx, STREAM, r->state.next,
--- a/src/publish/test_publish.c
+++ b/src/publish/test_publish.c
@@ -173,8 +173,8 @@
 	env->log.append = fake_append;
 	env->log.read = fake_read;
 	env->log.ctx = f;
-	env->now = fake_now;
-	env->sleep = fake_sleep;
+	env->now_ms = fake_now;
+	env->sleep_ms = fake_sleep;
 	env->ctx = f;
 }
 
@@ -190,28 +190,28 @@
 	uint64_t version;
 	uint64_t next; /* records in the log at the end */
 } cases[] = {
-	{ "first", { STEP_OK }, 0, 0, 0, 0, 0, PUBLISH_WON, 1, 1 },
-	{ "fourth", { STEP_OK }, 3, 0, 3, 0, 0, PUBLISH_WON, 4, 4 },
-	{ "stale base", { STEP_OK }, 3, 0, 2, 0, 0, PUBLISH_LOST, 3, 3 },
-	{ "future base", { STEP_OK }, 3, 0, 4, 0, 0, PUBLISH_LOST, 3, 3 },
-	{ "answer lost", { STEP_ANSWER_LOST }, 0, 0, 0, 0, 0, PUBLISH_WON, 1,
-	    1 },
+	{ "first", { STEP_OK }, 0, 0, 0, 0, 0, PUBLISH_ACCEPTED, 1, 1 },
+	{ "fourth", { STEP_OK }, 3, 0, 3, 0, 0, PUBLISH_ACCEPTED, 4, 4 },
+	{ "stale base", { STEP_OK }, 3, 0, 2, 0, 0, PUBLISH_CONFLICT, 3, 3 },
+	{ "future base", { STEP_OK }, 3, 0, 4, 0, 0, PUBLISH_CONFLICT, 3, 3 },
+	{ "answer lost", { STEP_ANSWER_LOST }, 0, 0, 0, 0, 0, PUBLISH_ACCEPTED,
+	    1, 1 },
 	{ "request lost", { STEP_REQUEST_LOST, STEP_OK }, 0, 0, 0, 0, 0,
-	    PUBLISH_WON, 1, 1 },
+	    PUBLISH_ACCEPTED, 1, 1 },
 	{ "written late, twice", { STEP_LATE, STEP_OK }, 0, 0, 0, 0, 0,
-	    PUBLISH_WON, 1, 2 },
-	{ "race", { STEP_RACE }, 0, 0, 0, 0, 0, PUBLISH_LOST, 1, 2 },
-	{ "race, answer lost", { STEP_RACE_LOST }, 0, 0, 0, 0, 0, PUBLISH_LOST,
-	    1, 2 },
+	    PUBLISH_ACCEPTED, 1, 2 },
+	{ "race", { STEP_RACE }, 0, 0, 0, 0, 0, PUBLISH_CONFLICT, 1, 2 },
+	{ "race, answer lost", { STEP_RACE_LOST }, 0, 0, 0, 0, 0,
+	    PUBLISH_CONFLICT, 1, 2 },
 	{ "refused at first", { STEP_REFUSED, STEP_UNAVAILABLE, STEP_OK }, 0, 0,
-	    0, 0, 0, PUBLISH_WON, 1, 1 },
+	    0, 0, 0, PUBLISH_ACCEPTED, 1, 1 },
 	{ "refused for long",
 	    { STEP_REFUSED, STEP_REFUSED, STEP_REFUSED, STEP_REFUSED }, 0, 0, 0,
 	    0, 0, PUBLISH_UNAVAILABLE, 0, 0 },
-	{ "reads fail at first", { STEP_OK }, 0, 0, 0, 1, 3, PUBLISH_WON, 1,
-	    1 },
+	{ "reads fail at first", { STEP_OK }, 0, 0, 0, 1, 3, PUBLISH_ACCEPTED,
+	    1, 1 },
 	{ "answer lost, reads fail", { STEP_ANSWER_LOST }, 0, 0, 0, 1, 3,
-	    PUBLISH_WON, 1, 1 },
+	    PUBLISH_ACCEPTED, 1, 1 },
 	{ "answer lost, then an outage", { STEP_ANSWER_LOST }, 0, 0, 0, 1, 1000,
 	    PUBLISH_UNKNOWN, 0, 1 },
 	{ "no snapshot yet", { STEP_OK }, 3, 2, 3, 0, 0, PUBLISH_UNSYNCED, 0,
@@ -241,9 +241,9 @@
 		f.outage_after = cases[i].outage_after;
 		f.reads_fail = cases[i].reads_fail;
 		publish_reader_init(&r, &env, ID_A);
-		p.base = cases[i].base;
+		p.base_version = cases[i].base;
 		version = 0;
-		st = publish_run(&r, &p, &version);
+		st = publish_config(&r, &p, &version);
 		if (st != cases[i].status || f.next != cases[i].next)
 			print_error("case %s\n", cases[i].name);
 		assert_int_equal(st, cases[i].status);
@@ -251,8 +251,9 @@
 		assert_int_equal(f.next, cases[i].next);
 		f.reads_fail = 0;
 		publish_reader_init(&retry, &env, ID_A);
-		if (st == PUBLISH_WON || st == PUBLISH_LOST) {
-			assert_int_equal(publish_run(&retry, &p, &version), st);
+		if (st == PUBLISH_ACCEPTED || st == PUBLISH_CONFLICT) {
+			assert_int_equal(
+			    publish_config(&retry, &p, &version), st);
 			assert_int_equal(version, cases[i].version);
 			assert_int_equal(f.next, cases[i].next);
 		}
@@ -280,17 +281,17 @@
 	fake_init(&f, &env, steps, 3, 0);
 	publish_reader_init(&r, &env, ID_A);
 	assert_int_equal(publish_catch_up(&r, TIMEOUT_MS), LOGSVC_OK);
-	assert_int_equal(publish_version(&r), 3);
+	assert_int_equal(publish_current_version(&r), 3);
 	snapshot = config_snapshot(r.state.cur, ID_B);
 	fake_write(&f, snapshot);
 	free(snapshot);
 	publish_reader_finish(&r);
 	f.first = 3;
 	publish_reader_init(&r, &env, ID_A);
-	assert_int_equal(publish_run(&r, &p, &version), PUBLISH_UNKNOWN);
+	assert_int_equal(publish_config(&r, &p, &version), PUBLISH_UNKNOWN);
 	assert_int_equal(version, 3);
-	p.base = 3;
-	assert_int_equal(publish_run(&r, &p, &version), PUBLISH_WON);
+	p.base_version = 3;
+	assert_int_equal(publish_config(&r, &p, &version), PUBLISH_ACCEPTED);
 	assert_int_equal(version, 4);
 	publish_reader_finish(&r);
 }
@@ -338,9 +339,10 @@
 		}
 		publish_reader_init(&r, &env, ID_A);
 		assert_int_equal(publish_catch_up(&r, TIMEOUT_MS), LOGSVC_OK);
-		p.base = publish_version(&r);
-		assert_int_equal(publish_run(&r, &p, &version), PUBLISH_WON);
-		assert_int_equal(version, p.base + 1);
+		p.base_version = publish_current_version(&r);
+		assert_int_equal(
+		    publish_config(&r, &p, &version), PUBLISH_ACCEPTED);
+		assert_int_equal(version, p.base_version + 1);
 		publish_reader_finish(&r);
 	}
 	free(valid);
@@ -378,10 +380,10 @@
 	for (i = 0; i < sizeof(edits) / sizeof(edits[0]); i++) {
 		finds_init(&findings);
 		if (edits[i].withdraw)
-			text = publish_withdraw(
+			text = publish_remove_key(
 			    config_json, edits[i].ws, edits[i].id, &findings);
 		else
-			text = publish_grant(config_json, edits[i].ws,
+			text = publish_add_key(config_json, edits[i].ws,
 			    edits[i].id, hash, &findings);
 		assert_int_equal(findings.errors, edits[i].errors);
 		assert_int_equal(text == NULL, edits[i].errors > 0);
@@ -407,8 +409,8 @@
 
 	(void)state;
 	finds_init(&findings);
-	text = publish_withdraw("{\"workspaces\":[{\"name\":\"w\",\"keys\":"
-				"[{\"id\":\"k\"},{\"id\":\"k\"}]}]}",
+	text = publish_remove_key("{\"workspaces\":[{\"name\":\"w\",\"keys\":"
+				  "[{\"id\":\"k\"},{\"id\":\"k\"}]}]}",
 	    "w", "k", &findings);
 	assert_string_equal(
 	    text, "{\"workspaces\":[{\"name\":\"w\",\"keys\":[]}]}");
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -12,10 +12,11 @@
 
 static void store_failed_run(
     struct quarantine *, const struct quarantine_run *, uint64_t);
-static size_t add_reports(struct quarantine *, const struct quarantine_print *,
-    size_t, uint64_t, uint64_t, struct quarantine_print *);
+static size_t add_reports(struct quarantine *,
+    const struct quarantine_fingerprint *, size_t, uint64_t, uint64_t,
+    struct quarantine_fingerprint *);
 static int is_running(
-    const struct quarantine *, const struct quarantine_print *);
+    const struct quarantine *, const struct quarantine_fingerprint *);
 static int runs_suspect(const struct quarantine *, uint64_t);
 
 /*
@@ -25,7 +26,7 @@
  * to the next changes the hash.
  */
 void
-quarantine_print(struct quarantine_print *p, const char *workspace,
+quarantine_fingerprint(struct quarantine_fingerprint *p, const char *workspace,
     const char *method, const char *target, const void *body, size_t len)
 {
 	const char *const texts[] = { workspace, method, target };
@@ -77,19 +78,19 @@
 }
 
 /*
- * Returns how an entry has to treat a request: QUARANTINE_FREE to run it
- * normally, QUARANTINE_STRUCK to run it without retries and only at the
- * server that quarantine_pin() returns, QUARANTINE_REFUSED to refuse it as
- * not run.
+ * Returns how an entry has to treat a request: QUARANTINE_UNRESTRICTED to run
+ * it normally, QUARANTINE_SUSPECT to run it without retries and only at the
+ * server that quarantine_choose_server() returns, QUARANTINE_REFUSED to refuse
+ * it as not run.
  */
 enum quarantine_state
-quarantine_check(
-    struct quarantine *q, const struct quarantine_print *p, uint64_t now_ms)
+quarantine_check(struct quarantine *q, const struct quarantine_fingerprint *p,
+    uint64_t now_ms)
 {
 	enum quarantine_state st;
 
 	pthread_mutex_lock(&q->lock);
-	st = table_state(q->table, p, now_ms);
+	st = table_get_state(q->table, p, now_ms);
 	q->refused += st == QUARANTINE_REFUSED;
 	pthread_mutex_unlock(&q->lock);
 	return st;
@@ -101,8 +102,8 @@
  * ids of a server whose usable flag is set, or -1 if there is none.
  */
 int
-quarantine_pin(const struct quarantine_print *p, const struct node_id *ids,
-    const int *usable, size_t count)
+quarantine_choose_server(const struct quarantine_fingerprint *p,
+    const struct node_id *ids, const int *usable, size_t count)
 {
 	uint64_t parts[4], h, best = 0;
 	size_t i;
@@ -129,13 +130,13 @@
  * clearance, because the exit that ran the request does that.
  */
 void
-quarantine_served(
-    struct quarantine *q, const struct quarantine_print *p, uint64_t now_ms)
+quarantine_record_success(struct quarantine *q,
+    const struct quarantine_fingerprint *p, uint64_t now_ms)
 {
-	uint64_t crash_ids[QUARANTINE_DEATHS];
+	uint64_t crash_ids[QUARANTINE_CRASHES_MAX];
 
 	pthread_mutex_lock(&q->lock);
-	table_succeed(q->table, p, now_ms, crash_ids);
+	table_record_success(q->table, p, now_ms, crash_ids);
 	pthread_mutex_unlock(&q->lock);
 }
 
@@ -149,24 +150,25 @@
  */
 int
 quarantine_begin(struct quarantine *q, struct quarantine_run *run,
-    const struct quarantine_print *fingerprints, size_t count, uint64_t now_ms)
+    const struct quarantine_fingerprint *fingerprints, size_t count,
+    uint64_t now_ms)
 {
-	enum quarantine_state st, strictest = QUARANTINE_FREE;
+	enum quarantine_state st, strictest = QUARANTINE_UNRESTRICTED;
 	int wait = 0;
 	size_t i;
 
 	memset(run, 0, sizeof(*run));
-	if (count > QUARANTINE_RUN_PRINTS)
-		count = QUARANTINE_RUN_PRINTS;
+	if (count > QUARANTINE_RUN_FINGERPRINTS)
+		count = QUARANTINE_RUN_FINGERPRINTS;
 	memcpy(run->fingerprints, fingerprints, count * sizeof(*fingerprints));
 	run->count = (uint32_t)count;
 	pthread_mutex_lock(&q->lock);
 	for (i = 0; i < count; i++) {
-		st = table_state(q->table, &fingerprints[i], now_ms);
-		if (i == 0 && st == QUARANTINE_STRUCK &&
+		st = table_get_state(q->table, &fingerprints[i], now_ms);
+		if (i == 0 && st == QUARANTINE_SUSPECT &&
 		    is_running(q, &fingerprints[i]))
 			st = QUARANTINE_REFUSED;
-		if (i == 0 && st == QUARANTINE_STRUCK)
+		if (i == 0 && st == QUARANTINE_SUSPECT)
 			wait = runs_suspect(q, now_ms);
 		if (st > strictest)
 			strictest = st;
@@ -192,16 +194,16 @@
 quarantine_end(struct quarantine *q, struct quarantine_run *run,
     enum quarantine_end result, uint64_t now_ms)
 {
-	uint64_t crash_ids[QUARANTINE_DEATHS];
+	uint64_t crash_ids[QUARANTINE_CRASHES_MAX];
 	size_t n = 0, i;
 
 	pthread_mutex_lock(&q->lock);
 	run->prev->next = run->next;
 	run->next->prev = run->prev;
-	if (result == QUARANTINE_BROKEN && run->death == 0)
+	if (result == QUARANTINE_RESULT_FAILED && run->crash_id == 0)
 		store_failed_run(q, run, now_ms);
-	if (result == QUARANTINE_WHOLE)
-		n = table_succeed(
+	if (result == QUARANTINE_RESULT_COMPLETE)
+		n = table_record_success(
 		    q->table, &run->fingerprints[0], now_ms, crash_ids);
 	pthread_mutex_unlock(&q->lock);
 	for (i = 0; i < n; i++)
@@ -216,9 +218,10 @@
  * and not 0.  Returns the number of fingerprints that were reported.
  */
 size_t
-quarantine_death(struct quarantine *q, uint64_t crash_id, uint64_t now_ms)
+quarantine_report_crash(
+    struct quarantine *q, uint64_t crash_id, uint64_t now_ms)
 {
-	struct quarantine_print *reported;
+	struct quarantine_fingerprint *reported;
 	struct quarantine_run *r;
 	size_t n = 0, i, max = QUARANTINE_FAILED_RUNS_MAX;
 
@@ -230,7 +233,7 @@
 		err(1, "quarantine_death");
 	q->crashes++;
 	for (r = q->runs.next; r != &q->runs; r = r->next) {
-		r->death = crash_id;
+		r->crash_id = crash_id;
 		n += add_reports(q, r->fingerprints, r->count, crash_id, now_ms,
 		    reported + n);
 	}
@@ -252,13 +255,14 @@
  * ago.
  */
 void
-quarantine_merge(struct quarantine *q, const struct quarantine_print *p,
-    uint64_t crash_id, int cleared, uint64_t age_ms, uint64_t now_ms)
+quarantine_merge_report(struct quarantine *q,
+    const struct quarantine_fingerprint *p, uint64_t crash_id, int cleared,
+    uint64_t age_ms, uint64_t now_ms)
 {
 	uint64_t crashed_ms = now_ms > age_ms ? now_ms - age_ms : 1;
 
 	pthread_mutex_lock(&q->lock);
-	table_strike(q->table, p, crash_id, cleared, crashed_ms, now_ms);
+	table_add_report(q->table, p, crash_id, cleared, crashed_ms, now_ms);
 	pthread_mutex_unlock(&q->lock);
 }
 
@@ -270,7 +274,7 @@
  */
 uint32_t
 quarantine_read_page(struct quarantine *q, uint32_t from, uint64_t now_ms,
-    void (*callback)(void *, const struct quarantine_print *,
+    void (*callback)(void *, const struct quarantine_fingerprint *,
 	const struct quarantine_report *),
     void *ctx, size_t max)
 {
@@ -280,12 +284,12 @@
 	size_t i;
 
 	pthread_mutex_lock(&q->lock);
-	for (pos = from; pos < end && max >= QUARANTINE_DEATHS; pos++) {
+	for (pos = from; pos < end && max >= QUARANTINE_CRASHES_MAX; pos++) {
 		s = &q->table
 			 ->sets[pos / QUARANTINE_WAYS][pos % QUARANTINE_WAYS];
 		if (s->changed_ms == 0)
 			continue;
-		for (i = 0; i < QUARANTINE_DEATHS; i++) {
+		for (i = 0; i < QUARANTINE_CRASHES_MAX; i++) {
 			if (s->reports[i].crash_id == 0 ||
 			    now_ms >= s->reports[i].crashed_ms +
 					  QUARANTINE_REPORT_TTL_MS)
@@ -305,8 +309,8 @@
 quarantine_dump(struct quarantine *q, uint64_t now_ms, FILE *out)
 {
 	static const char *const names[QUARANTINE_STATE_MAX] = {
-		[QUARANTINE_FREE] = "free",
-		[QUARANTINE_STRUCK] = "struck",
+		[QUARANTINE_UNRESTRICTED] = "free",
+		[QUARANTINE_SUSPECT] = "struck",
 		[QUARANTINE_REFUSED] = "refused",
 	};
 	const struct quarantine_suspect *s;
@@ -321,8 +325,8 @@
 		s = &q->table->sets[i / QUARANTINE_WAYS][i % QUARANTINE_WAYS];
 		if (s->changed_ms == 0)
 			continue;
-		st = table_state(q->table, &s->fingerprint, now_ms);
-		if (st != QUARANTINE_FREE)
+		st = table_get_state(q->table, &s->fingerprint, now_ms);
+		if (st != QUARANTINE_UNRESTRICTED)
 			fprintf(out,
 			    "quarantine print=%016llx%016llx state=%s\n",
 			    (unsigned long long)s->fingerprint.hi,
@@ -355,14 +359,14 @@
  * earlier report of this crash to reported.  Returns the number copied.
  */
 static size_t
-add_reports(struct quarantine *q, const struct quarantine_print *fingerprints,
-    size_t count, uint64_t crash_id, uint64_t now_ms,
-    struct quarantine_print *reported)
+add_reports(struct quarantine *q,
+    const struct quarantine_fingerprint *fingerprints, size_t count,
+    uint64_t crash_id, uint64_t now_ms, struct quarantine_fingerprint *reported)
 {
 	size_t i, n = 0;
 
 	for (i = 0; i < count; i++) {
-		if (table_strike(q->table, &fingerprints[i], crash_id, 0,
+		if (table_add_report(q->table, &fingerprints[i], crash_id, 0,
 			now_ms, now_ms))
 			reported[n++] = fingerprints[i];
 	}
@@ -374,7 +378,7 @@
  * as a root request.
  */
 static int
-is_running(const struct quarantine *q, const struct quarantine_print *p)
+is_running(const struct quarantine *q, const struct quarantine_fingerprint *p)
 {
 	const struct quarantine_run *r;
 	uint32_t i;
@@ -398,8 +402,8 @@
 	const struct quarantine_run *r;
 
 	for (r = q->runs.next; r != &q->runs; r = r->next)
-		if (table_state(q->table, &r->fingerprints[0], now_ms) ==
-		    QUARANTINE_STRUCK)
+		if (table_get_state(q->table, &r->fingerprints[0], now_ms) ==
+		    QUARANTINE_SUSPECT)
 			return 1;
 	return 0;
 }
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -10,7 +10,7 @@
 #include "quarantine/quarantine_core.h"
 #include "rpc/rpc.h"
 
-#define QUARANTINE_RUN_PRINTS 2	       /* its own and its root request's */
+#define QUARANTINE_RUN_FINGERPRINTS 2  /* its own and its root request's */
 #define QUARANTINE_FAILED_RUNS_MAX 256 /* no crash reported yet */
 
 enum quarantine_proc {
@@ -21,23 +21,23 @@
 
 /* The result of a request at the local server. */
 enum quarantine_end {
-	QUARANTINE_WHOLE,  /* complete response of any status */
-	QUARANTINE_BROKEN, /* the exchange failed or was refused */
-	QUARANTINE_NOTHING /* cancelled or never sent: no evidence */
+	QUARANTINE_RESULT_COMPLETE, /* complete response of any status */
+	QUARANTINE_RESULT_FAILED,   /* the exchange failed or was refused */
+	QUARANTINE_RESULT_UNKNOWN   /* cancelled or never sent: no evidence */
 };
 
 /* A request that runs at the local server; owned by its thread. */
 struct quarantine_run {
 	struct quarantine_run *next;
 	struct quarantine_run *prev;
-	struct quarantine_print fingerprints[QUARANTINE_RUN_PRINTS];
+	struct quarantine_fingerprint fingerprints[QUARANTINE_RUN_FINGERPRINTS];
 	uint32_t count;
-	uint64_t death; /* last crash reported against it, or 0 */
+	uint64_t crash_id; /* last crash reported against it, or 0 */
 };
 
 /* A request whose exchange failed before a crash was reported. */
 struct quarantine_failed_run {
-	struct quarantine_print fingerprint;
+	struct quarantine_fingerprint fingerprint;
 	uint64_t failed_ms;
 };
 
@@ -63,33 +63,33 @@
 /* Procedures for the RPC server; their context is struct quarantine. */
 extern const struct rpc_proc quarantine_procs[QUARANTINE_PROC_MAX];
 
-void quarantine_print(struct quarantine_print *, const char *, const char *,
-    const char *, const void *, size_t);
+void quarantine_fingerprint(struct quarantine_fingerprint *, const char *,
+    const char *, const char *, const void *, size_t);
 void quarantine_init(struct quarantine *, quarantine_broadcast_fn, void *);
 void quarantine_finish(struct quarantine *);
 enum quarantine_state quarantine_check(
-    struct quarantine *, const struct quarantine_print *, uint64_t);
-void quarantine_served(
-    struct quarantine *, const struct quarantine_print *, uint64_t);
-int quarantine_pin(const struct quarantine_print *, const struct node_id *,
-    const int *, size_t);
+    struct quarantine *, const struct quarantine_fingerprint *, uint64_t);
+void quarantine_record_success(
+    struct quarantine *, const struct quarantine_fingerprint *, uint64_t);
+int quarantine_choose_server(const struct quarantine_fingerprint *,
+    const struct node_id *, const int *, size_t);
 int quarantine_begin(struct quarantine *, struct quarantine_run *,
-    const struct quarantine_print *, size_t, uint64_t);
+    const struct quarantine_fingerprint *, size_t, uint64_t);
 void quarantine_end(struct quarantine *, struct quarantine_run *,
     enum quarantine_end, uint64_t);
-size_t quarantine_death(struct quarantine *, uint64_t, uint64_t);
+size_t quarantine_report_crash(struct quarantine *, uint64_t, uint64_t);
 int quarantine_sync(
     struct quarantine *, rpc_call_fn, void *, const struct node_id *);
 void quarantine_dump(struct quarantine *, uint64_t, FILE *);
 
 /* Used by the message handlers. */
-void quarantine_merge(struct quarantine *, const struct quarantine_print *,
-    uint64_t, int, uint64_t, uint64_t);
+void quarantine_merge_report(struct quarantine *,
+    const struct quarantine_fingerprint *, uint64_t, int, uint64_t, uint64_t);
 uint32_t quarantine_read_page(struct quarantine *, uint32_t, uint64_t,
-    void (*)(void *, const struct quarantine_print *,
+    void (*)(void *, const struct quarantine_fingerprint *,
 	const struct quarantine_report *),
     void *, size_t);
 void quarantine_broadcast(struct quarantine *, uint64_t, int,
-    const struct quarantine_print *, size_t);
+    const struct quarantine_fingerprint *, size_t);
 
 #endif
--- a/src/quarantine/quarantine.x
+++ b/src/quarantine/quarantine.x
@@ -1,9 +1,9 @@
 /* Quarantine messages: crash reports, clearances, and pages of the table. */
 
-const QUARANTINE_NEWS_PRINTS = 60;
-const QUARANTINE_PAGE = 30;
+const QUARANTINE_REPORT_FINGERPRINTS = 60;
+const QUARANTINE_PAGE_ROWS = 30;
 
-struct quarantine_print_msg {
+struct quarantine_fingerprint_msg {
 	unsigned hyper lo;
 	unsigned hyper hi;
 };
@@ -12,15 +12,15 @@
  * Reports a server crash during which these requests were in flight, or
  * clears the requests of it because they have run without a crash since.
  */
-struct quarantine_news_arg {
-	unsigned hyper death;
-	bool acquitted;
+struct quarantine_report_arg {
+	unsigned hyper crash_id;
+	bool cleared;
 	unsigned int age_ms;
-	quarantine_print_msg prints<QUARANTINE_NEWS_PRINTS>;
+	quarantine_fingerprint_msg prints<QUARANTINE_REPORT_FINGERPRINTS>;
 };
 
-struct quarantine_news_res {
-	bool taken;
+struct quarantine_report_res {
+	bool accepted;
 };
 
 struct quarantine_page_arg {
@@ -28,14 +28,14 @@
 };
 
 struct quarantine_row_msg {
-	quarantine_print_msg print;
-	unsigned hyper death;
-	bool acquitted;
+	quarantine_fingerprint_msg print;
+	unsigned hyper crash_id;
+	bool cleared;
 	unsigned int age_ms;
 };
 
 /* next is the position of the next page, or 0 after the last page. */
 struct quarantine_page_res {
 	unsigned int next;
-	quarantine_row_msg rows<QUARANTINE_PAGE>;
+	quarantine_row_msg rows<QUARANTINE_PAGE_ROWS>;
 };
--- a/src/quarantine/quarantine_core.h
+++ b/src/quarantine/quarantine_core.h
@@ -14,18 +14,18 @@
 
 #define QUARANTINE_SETS 512
 #define QUARANTINE_WAYS 8
-#define QUARANTINE_DEATHS 4	      /* stored per fingerprint */
+#define QUARANTINE_CRASHES_MAX 4      /* stored per fingerprint */
 #define QUARANTINE_SUCCESSES_MAX 8192 /* slots for recent successes */
 
 /* The fingerprint of a request; all copies of a request share it. */
-struct quarantine_print {
+struct quarantine_fingerprint {
 	uint64_t lo;
 	uint64_t hi;
 };
 
 enum quarantine_state {
-	QUARANTINE_FREE,
-	QUARANTINE_STRUCK,  /* in flight at one crash: one run at a time */
+	QUARANTINE_UNRESTRICTED,
+	QUARANTINE_SUSPECT, /* in flight at one crash: one run at a time */
 	QUARANTINE_REFUSED, /* in flight at enough crashes */
 	QUARANTINE_STATE_MAX
 };
@@ -39,9 +39,9 @@
 
 /* A request that may crash servers. */
 struct quarantine_suspect {
-	struct quarantine_print fingerprint;
+	struct quarantine_fingerprint fingerprint;
 	uint64_t changed_ms; /* last change; 0: free slot */
-	struct quarantine_report reports[QUARANTINE_DEATHS];
+	struct quarantine_report reports[QUARANTINE_CRASHES_MAX];
 };
 
 /* The last successful run of a request. */
@@ -56,13 +56,13 @@
 	uint32_t suspects; /* slots in use */
 };
 
-int table_strike(struct quarantine_table *, const struct quarantine_print *,
-    uint64_t, int, uint64_t, uint64_t);
-size_t table_succeed(struct quarantine_table *, const struct quarantine_print *,
-    uint64_t, uint64_t *);
-enum quarantine_state table_state(
-    const struct quarantine_table *, const struct quarantine_print *, uint64_t);
-int table_has_success(
-    const struct quarantine_table *, const struct quarantine_print *, uint64_t);
+int table_add_report(struct quarantine_table *,
+    const struct quarantine_fingerprint *, uint64_t, int, uint64_t, uint64_t);
+size_t table_record_success(struct quarantine_table *,
+    const struct quarantine_fingerprint *, uint64_t, uint64_t *);
+enum quarantine_state table_get_state(const struct quarantine_table *,
+    const struct quarantine_fingerprint *, uint64_t);
+int table_has_success(const struct quarantine_table *,
+    const struct quarantine_fingerprint *, uint64_t);
 
 #endif
--- a/src/quarantine/quarantine_rpc.c
+++ b/src/quarantine/quarantine_rpc.c
@@ -10,13 +10,13 @@
     void *, const struct sockaddr_in *, const void *, void *);
 static int handle_page(
     void *, const struct sockaddr_in *, const void *, void *);
-static void add_row(
-    void *, const struct quarantine_print *, const struct quarantine_report *);
+static void add_row(void *, const struct quarantine_fingerprint *,
+    const struct quarantine_report *);
 
 const struct rpc_proc quarantine_procs[QUARANTINE_PROC_MAX] = {
 	[QUARANTINE_PROC_REPORT] = { RPC_BLOCK_QUARANTINE + 1,
-	    (xdrproc_t)xdr_quarantine_news_arg, sizeof(quarantine_news_arg),
-	    (xdrproc_t)xdr_quarantine_news_res, sizeof(quarantine_news_res),
+	    (xdrproc_t)xdr_quarantine_report_arg, sizeof(quarantine_report_arg),
+	    (xdrproc_t)xdr_quarantine_report_res, sizeof(quarantine_report_res),
 	    handle_report },
 	[QUARANTINE_PROC_PAGE] = { RPC_BLOCK_QUARANTINE + 2,
 	    (xdrproc_t)xdr_quarantine_page_arg, sizeof(quarantine_page_arg),
@@ -37,18 +37,20 @@
  */
 void
 quarantine_broadcast(struct quarantine *q, uint64_t crash_id, int cleared,
-    const struct quarantine_print *prints, size_t count)
+    const struct quarantine_fingerprint *prints, size_t count)
 {
-	quarantine_print_msg rows[QUARANTINE_NEWS_PRINTS];
-	quarantine_news_arg arg = { .death = crash_id, .acquitted = cleared };
+	quarantine_fingerprint_msg rows[QUARANTINE_REPORT_FINGERPRINTS];
+	quarantine_report_arg arg = { .crash_id = crash_id,
+		.cleared = cleared };
 	size_t i, n;
 
 	if (q->broadcast == NULL)
 		return;
 	arg.prints.prints_val = rows;
 	for (; count > 0; prints += n, count -= n) {
-		n = count < QUARANTINE_NEWS_PRINTS ? count
-						   : QUARANTINE_NEWS_PRINTS;
+		n = count < QUARANTINE_REPORT_FINGERPRINTS
+			? count
+			: QUARANTINE_REPORT_FINGERPRINTS;
 		for (i = 0; i < n; i++) {
 			rows[i].lo = prints[i].lo;
 			rows[i].hi = prints[i].hi;
@@ -72,7 +74,7 @@
 	quarantine_page_arg arg = { 0 };
 	quarantine_page_res res;
 	const quarantine_row_msg *r;
-	struct quarantine_print p;
+	struct quarantine_fingerprint p;
 	u_int i;
 
 	do {
@@ -84,7 +86,7 @@
 			r = &res.rows.rows_val[i];
 			p.lo = r->print.lo;
 			p.hi = r->print.hi;
-			quarantine_merge(q, &p, r->death, r->acquitted,
+			quarantine_merge_report(q, &p, r->crash_id, r->cleared,
 			    r->age_ms, clock_ms());
 		}
 		if (res.next != 0 && res.next <= arg.from)
@@ -102,9 +104,9 @@
 handle_report(
     void *ctx, const struct sockaddr_in *from, const void *argp, void *resp)
 {
-	const quarantine_news_arg *arg = argp;
-	quarantine_news_res *res = resp;
-	struct quarantine_print p;
+	const quarantine_report_arg *arg = argp;
+	quarantine_report_res *res = resp;
+	struct quarantine_fingerprint p;
 	uint64_t now = clock_ms();
 	u_int i;
 
@@ -112,10 +114,10 @@
 	for (i = 0; i < arg->prints.prints_len; i++) {
 		p.lo = arg->prints.prints_val[i].lo;
 		p.hi = arg->prints.prints_val[i].hi;
-		quarantine_merge(
-		    ctx, &p, arg->death, arg->acquitted, arg->age_ms, now);
+		quarantine_merge_report(
+		    ctx, &p, arg->crash_id, arg->cleared, arg->age_ms, now);
 	}
-	res->taken = 1;
+	res->accepted = 1;
 	return 0;
 }
 
@@ -131,11 +133,11 @@
 
 	(void)from;
 	page.res->rows.rows_val =
-	    calloc(QUARANTINE_PAGE, sizeof(*page.res->rows.rows_val));
+	    calloc(QUARANTINE_PAGE_ROWS, sizeof(*page.res->rows.rows_val));
 	if (page.res->rows.rows_val == NULL)
 		return -1;
 	page.res->next = quarantine_read_page(
-	    ctx, arg->from, page.now_ms, add_row, &page, QUARANTINE_PAGE);
+	    ctx, arg->from, page.now_ms, add_row, &page, QUARANTINE_PAGE_ROWS);
 	return 0;
 }
 
@@ -143,7 +145,7 @@
  * Appends one crash report or clearance to a page.
  */
 static void
-add_row(void *ctx, const struct quarantine_print *p,
+add_row(void *ctx, const struct quarantine_fingerprint *p,
     const struct quarantine_report *report)
 {
 	struct page *page = ctx;
@@ -152,7 +154,7 @@
 	r = &page->res->rows.rows_val[page->res->rows.rows_len++];
 	r->print.lo = p->lo;
 	r->print.hi = p->hi;
-	r->death = report->crash_id;
-	r->acquitted = report->cleared;
+	r->crash_id = report->crash_id;
+	r->cleared = report->cleared;
 	r->age_ms = (u_int)(page->now_ms - report->crashed_ms);
 }
--- a/src/quarantine/quarantine_xdr.c
+++ b/src/quarantine/quarantine_xdr.c
@@ -6,7 +6,7 @@
 #include "quarantine/quarantine_xdr.h"
 
 bool_t
-xdr_quarantine_print_msg (XDR *xdrs, quarantine_print_msg *objp)
+xdr_quarantine_fingerprint_msg (XDR *xdrs, quarantine_fingerprint_msg *objp)
 {
 	register int32_t *buf;
 
@@ -18,28 +18,28 @@
 }
 
 bool_t
-xdr_quarantine_news_arg (XDR *xdrs, quarantine_news_arg *objp)
+xdr_quarantine_report_arg (XDR *xdrs, quarantine_report_arg *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->death))
+	 if (!xdr_u_quad_t (xdrs, &objp->crash_id))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->acquitted))
+	 if (!xdr_bool (xdrs, &objp->cleared))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->prints.prints_val, (u_int *) &objp->prints.prints_len, QUARANTINE_NEWS_PRINTS,
-		sizeof (quarantine_print_msg), (xdrproc_t) xdr_quarantine_print_msg))
+	 if (!xdr_array (xdrs, (char **)&objp->prints.prints_val, (u_int *) &objp->prints.prints_len, QUARANTINE_REPORT_FINGERPRINTS,
+		sizeof (quarantine_fingerprint_msg), (xdrproc_t) xdr_quarantine_fingerprint_msg))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_quarantine_news_res (XDR *xdrs, quarantine_news_res *objp)
+xdr_quarantine_report_res (XDR *xdrs, quarantine_report_res *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_bool (xdrs, &objp->taken))
+	 if (!xdr_bool (xdrs, &objp->accepted))
 		 return FALSE;
 	return TRUE;
 }
@@ -59,11 +59,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_quarantine_print_msg (xdrs, &objp->print))
+	 if (!xdr_quarantine_fingerprint_msg (xdrs, &objp->print))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->death))
+	 if (!xdr_u_quad_t (xdrs, &objp->crash_id))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->acquitted))
+	 if (!xdr_bool (xdrs, &objp->cleared))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
@@ -77,7 +77,7 @@
 
 	 if (!xdr_u_int (xdrs, &objp->next))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, QUARANTINE_PAGE,
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, QUARANTINE_PAGE_ROWS,
 		sizeof (quarantine_row_msg), (xdrproc_t) xdr_quarantine_row_msg))
 		 return FALSE;
 	return TRUE;
--- a/src/quarantine/quarantine_xdr.h
+++ b/src/quarantine/quarantine_xdr.h
@@ -13,30 +13,30 @@
 extern "C" {
 #endif
 
-#define QUARANTINE_NEWS_PRINTS 60
-#define QUARANTINE_PAGE 30
+#define QUARANTINE_REPORT_FINGERPRINTS 60
+#define QUARANTINE_PAGE_ROWS 30
 
-struct quarantine_print_msg {
+struct quarantine_fingerprint_msg {
 	u_quad_t lo;
 	u_quad_t hi;
 };
-typedef struct quarantine_print_msg quarantine_print_msg;
+typedef struct quarantine_fingerprint_msg quarantine_fingerprint_msg;
 
-struct quarantine_news_arg {
-	u_quad_t death;
-	bool_t acquitted;
+struct quarantine_report_arg {
+	u_quad_t crash_id;
+	bool_t cleared;
 	u_int age_ms;
 	struct {
 		u_int prints_len;
-		quarantine_print_msg *prints_val;
+		quarantine_fingerprint_msg *prints_val;
 	} prints;
 };
-typedef struct quarantine_news_arg quarantine_news_arg;
+typedef struct quarantine_report_arg quarantine_report_arg;
 
-struct quarantine_news_res {
-	bool_t taken;
+struct quarantine_report_res {
+	bool_t accepted;
 };
-typedef struct quarantine_news_res quarantine_news_res;
+typedef struct quarantine_report_res quarantine_report_res;
 
 struct quarantine_page_arg {
 	u_int from;
@@ -44,9 +44,9 @@
 typedef struct quarantine_page_arg quarantine_page_arg;
 
 struct quarantine_row_msg {
-	quarantine_print_msg print;
-	u_quad_t death;
-	bool_t acquitted;
+	quarantine_fingerprint_msg print;
+	u_quad_t crash_id;
+	bool_t cleared;
 	u_int age_ms;
 };
 typedef struct quarantine_row_msg quarantine_row_msg;
@@ -63,17 +63,17 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_quarantine_print_msg (XDR *, quarantine_print_msg*);
-extern  bool_t xdr_quarantine_news_arg (XDR *, quarantine_news_arg*);
-extern  bool_t xdr_quarantine_news_res (XDR *, quarantine_news_res*);
+extern  bool_t xdr_quarantine_fingerprint_msg (XDR *, quarantine_fingerprint_msg*);
+extern  bool_t xdr_quarantine_report_arg (XDR *, quarantine_report_arg*);
+extern  bool_t xdr_quarantine_report_res (XDR *, quarantine_report_res*);
 extern  bool_t xdr_quarantine_page_arg (XDR *, quarantine_page_arg*);
 extern  bool_t xdr_quarantine_row_msg (XDR *, quarantine_row_msg*);
 extern  bool_t xdr_quarantine_page_res (XDR *, quarantine_page_res*);
 
 #else /* K&R C */
-extern bool_t xdr_quarantine_print_msg ();
-extern bool_t xdr_quarantine_news_arg ();
-extern bool_t xdr_quarantine_news_res ();
+extern bool_t xdr_quarantine_fingerprint_msg ();
+extern bool_t xdr_quarantine_report_arg ();
+extern bool_t xdr_quarantine_report_res ();
 extern bool_t xdr_quarantine_page_arg ();
 extern bool_t xdr_quarantine_row_msg ();
 extern bool_t xdr_quarantine_page_res ();
--- a/src/quarantine/table.c
+++ b/src/quarantine/table.c
@@ -13,9 +13,9 @@
 #define REFUSAL_REPORTS_AFTER_SUCCESS 3 /* with a recent successful run */
 
 static struct quarantine_suspect *find_suspect(
-    const struct quarantine_table *, const struct quarantine_print *);
+    const struct quarantine_table *, const struct quarantine_fingerprint *);
 static struct quarantine_suspect *allocate_suspect(
-    struct quarantine_table *, const struct quarantine_print *, uint64_t);
+    struct quarantine_table *, const struct quarantine_fingerprint *, uint64_t);
 static struct quarantine_report *find_report_slot(
     struct quarantine_suspect *, uint64_t, uint64_t);
 static int is_active(const struct quarantine_report *, uint64_t);
@@ -26,8 +26,9 @@
  * if it changed the table, else 0.
  */
 int
-table_strike(struct quarantine_table *t, const struct quarantine_print *p,
-    uint64_t crash_id, int cleared, uint64_t crashed_ms, uint64_t now_ms)
+table_add_report(struct quarantine_table *t,
+    const struct quarantine_fingerprint *p, uint64_t crash_id, int cleared,
+    uint64_t crashed_ms, uint64_t now_ms)
 {
 	struct quarantine_suspect *s = find_suspect(t, p);
 	struct quarantine_report *report;
@@ -50,11 +51,13 @@
 /*
  * Records that a request ran without a crash, which clears it of all crashes
  * known so far.  Writes the crash ids that it was not cleared of before into
- * crash_ids, which has room for QUARANTINE_DEATHS, and returns their number.
+ * crash_ids, which has room for QUARANTINE_CRASHES_MAX, and returns their
+ * number.
  */
 size_t
-table_succeed(struct quarantine_table *t, const struct quarantine_print *p,
-    uint64_t now_ms, uint64_t *crash_ids)
+table_record_success(struct quarantine_table *t,
+    const struct quarantine_fingerprint *p, uint64_t now_ms,
+    uint64_t *crash_ids)
 {
 	struct quarantine_success *success =
 	    &t->successes[p->hi % QUARANTINE_SUCCESSES_MAX];
@@ -68,7 +71,7 @@
 	s = find_suspect(t, p);
 	if (s == NULL)
 		return 0;
-	for (i = 0; i < QUARANTINE_DEATHS; i++) {
+	for (i = 0; i < QUARANTINE_CRASHES_MAX; i++) {
 		if (!is_active(&s->reports[i], now_ms))
 			continue;
 		s->reports[i].cleared = 1;
@@ -81,24 +84,25 @@
  * Returns how a request with this fingerprint has to be treated now.
  */
 enum quarantine_state
-table_state(const struct quarantine_table *t, const struct quarantine_print *p,
-    uint64_t now_ms)
+table_get_state(const struct quarantine_table *t,
+    const struct quarantine_fingerprint *p, uint64_t now_ms)
 {
 	const struct quarantine_suspect *s;
 	int has_success;
 	uint64_t n;
 
 	if (t->suspects == 0)
-		return QUARANTINE_FREE;
+		return QUARANTINE_UNRESTRICTED;
 	s = find_suspect(t, p);
 	if (s == NULL)
-		return QUARANTINE_FREE;
+		return QUARANTINE_UNRESTRICTED;
 	n = count_active(s, now_ms);
 	has_success = table_has_success(t, p, now_ms);
 	if (n >=
 	    (has_success ? REFUSAL_REPORTS_AFTER_SUCCESS : REFUSAL_REPORTS))
 		return QUARANTINE_REFUSED;
-	return n > 0 && !has_success ? QUARANTINE_STRUCK : QUARANTINE_FREE;
+	return n > 0 && !has_success ? QUARANTINE_SUSPECT
+				     : QUARANTINE_UNRESTRICTED;
 }
 
 /*
@@ -108,7 +112,7 @@
  */
 int
 table_has_success(const struct quarantine_table *t,
-    const struct quarantine_print *p, uint64_t now_ms)
+    const struct quarantine_fingerprint *p, uint64_t now_ms)
 {
 	const struct quarantine_success *success =
 	    &t->successes[p->hi % QUARANTINE_SUCCESSES_MAX];
@@ -121,7 +125,8 @@
  * Returns the suspect with this fingerprint, or NULL.
  */
 static struct quarantine_suspect *
-find_suspect(const struct quarantine_table *t, const struct quarantine_print *p)
+find_suspect(
+    const struct quarantine_table *t, const struct quarantine_fingerprint *p)
 {
 	const struct quarantine_suspect *set = t->sets[p->lo % QUARANTINE_SETS];
 	size_t i;
@@ -140,8 +145,8 @@
  * changed one.
  */
 static struct quarantine_suspect *
-allocate_suspect(struct quarantine_table *t, const struct quarantine_print *p,
-    uint64_t now_ms)
+allocate_suspect(struct quarantine_table *t,
+    const struct quarantine_fingerprint *p, uint64_t now_ms)
 {
 	struct quarantine_suspect *set = t->sets[p->lo % QUARANTINE_SETS];
 	struct quarantine_suspect *s = &set[0];
@@ -174,11 +179,11 @@
 	struct quarantine_report *best = &s->reports[0], *report;
 	size_t i;
 
-	for (i = 0; i < QUARANTINE_DEATHS; i++) {
+	for (i = 0; i < QUARANTINE_CRASHES_MAX; i++) {
 		if (s->reports[i].crash_id == crash_id)
 			return &s->reports[i];
 	}
-	for (i = 1; i < QUARANTINE_DEATHS; i++) {
+	for (i = 1; i < QUARANTINE_CRASHES_MAX; i++) {
 		report = &s->reports[i];
 		if (!is_active(report, now_ms) != !is_active(best, now_ms)
 			? !is_active(report, now_ms)
@@ -207,7 +212,7 @@
 	uint64_t n = 0;
 	size_t i;
 
-	for (i = 0; i < QUARANTINE_DEATHS; i++)
+	for (i = 0; i < QUARANTINE_CRASHES_MAX; i++)
 		n += (uint64_t)is_active(&s->reports[i], now_ms);
 	return n;
 }
--- a/src/quarantine/test_quarantine.c
+++ b/src/quarantine/test_quarantine.c
@@ -29,8 +29,8 @@
 broadcast(void *ctx, const struct rpc_proc *proc, const void *arg)
 {
 	char buf[RPC_BODY_MAX];
-	quarantine_news_arg received;
-	quarantine_news_res res;
+	quarantine_report_arg received;
+	quarantine_report_res res;
 	XDR x;
 	int i;
 
@@ -104,31 +104,31 @@
 		const char *steps;
 		enum quarantine_state last;
 	} rows[] = {
-		{ "", QUARANTINE_FREE },
-		{ "a", QUARANTINE_STRUCK },
-		{ "aa", QUARANTINE_STRUCK },
+		{ "", QUARANTINE_UNRESTRICTED },
+		{ "a", QUARANTINE_SUSPECT },
+		{ "aa", QUARANTINE_SUSPECT },
 		{ "ab", QUARANTINE_REFUSED },
 		{ "ba", QUARANTINE_REFUSED },
-		{ "as", QUARANTINE_FREE },
-		{ "asb", QUARANTINE_FREE },
-		{ "sab", QUARANTINE_FREE },
+		{ "as", QUARANTINE_UNRESTRICTED },
+		{ "asb", QUARANTINE_UNRESTRICTED },
+		{ "sab", QUARANTINE_UNRESTRICTED },
 		{ "sabc", QUARANTINE_REFUSED },
-		{ "sabcs", QUARANTINE_FREE },
-		{ "abs", QUARANTINE_FREE },
-		{ "aA", QUARANTINE_FREE },
-		{ "Aa", QUARANTINE_FREE },
-		{ "aAa", QUARANTINE_FREE },
-		{ "Aab", QUARANTINE_STRUCK },
-		{ "abA", QUARANTINE_STRUCK },
+		{ "sabcs", QUARANTINE_UNRESTRICTED },
+		{ "abs", QUARANTINE_UNRESTRICTED },
+		{ "aA", QUARANTINE_UNRESTRICTED },
+		{ "Aa", QUARANTINE_UNRESTRICTED },
+		{ "aAa", QUARANTINE_UNRESTRICTED },
+		{ "Aab", QUARANTINE_SUSPECT },
+		{ "abA", QUARANTINE_SUSPECT },
 		{ "abw", QUARANTINE_REFUSED },
-		{ "abww", QUARANTINE_FREE },
-		{ "awbw", QUARANTINE_STRUCK },
-		{ "awbaw", QUARANTINE_STRUCK },
-		{ "wwa", QUARANTINE_STRUCK },
+		{ "abww", QUARANTINE_UNRESTRICTED },
+		{ "awbw", QUARANTINE_SUSPECT },
+		{ "awbaw", QUARANTINE_SUSPECT },
+		{ "wwa", QUARANTINE_SUSPECT },
 	};
-	struct quarantine_print p = { 5, 9 }, other = { 5, 8 };
+	struct quarantine_fingerprint p = { 5, 9 }, other = { 5, 8 };
 	struct quarantine_table *t;
-	uint64_t crash_ids[QUARANTINE_DEATHS], now;
+	uint64_t crash_ids[QUARANTINE_CRASHES_MAX], now;
 	const char *c;
 	size_t i;
 
@@ -139,15 +139,16 @@
 		now = NOW;
 		for (c = rows[i].steps; *c != '\0'; c++) {
 			if (*c == 's')
-				table_succeed(t, &p, now, crash_ids);
+				table_record_success(t, &p, now, crash_ids);
 			else if (*c == 'w')
 				now += QUARANTINE_REPORT_TTL_MS / 2;
 			else
-				table_strike(t, &p, (uint64_t)(*c & 31),
+				table_add_report(t, &p, (uint64_t)(*c & 31),
 				    *c < 'a', now, now);
 		}
-		assert_int_equal(table_state(t, &p, now), rows[i].last);
-		assert_int_equal(table_state(t, &other, now), QUARANTINE_FREE);
+		assert_int_equal(table_get_state(t, &p, now), rows[i].last);
+		assert_int_equal(
+		    table_get_state(t, &other, now), QUARANTINE_UNRESTRICTED);
 		free(t);
 	}
 }
@@ -160,13 +161,13 @@
 static void
 test_resent_request_crashes_two(void **state)
 {
-	struct quarantine_print p;
+	struct quarantine_fingerprint p;
 	struct quarantine_run run;
 	uint64_t now = NOW;
 	int i, crashes = 0, refused = 0;
 
 	(void)state;
-	quarantine_print(&p, "acme", "POST", "/orders", "boom", 4);
+	quarantine_fingerprint(&p, "acme", "POST", "/orders", "boom", 4);
 	for (i = 0; i < COPIES; i++, now += 10) {
 		if (quarantine_check(&nodes[i % NODES], &p, now) ==
 			QUARANTINE_REFUSED ||
@@ -175,9 +176,9 @@
 			refused++;
 			continue;
 		}
-		quarantine_end(
-		    &nodes[(i + 1) % NODES], &run, QUARANTINE_BROKEN, now);
-		quarantine_death(
+		quarantine_end(&nodes[(i + 1) % NODES], &run,
+		    QUARANTINE_RESULT_FAILED, now);
+		quarantine_report_crash(
 		    &nodes[(i + 1) % NODES], 100 + (uint64_t)i, now);
 		crashes++;
 	}
@@ -185,7 +186,7 @@
 	assert_int_equal(refused, COPIES - 2);
 	assert_int_equal(
 	    quarantine_check(&nodes[0], &p, now + QUARANTINE_REPORT_TTL_MS),
-	    QUARANTINE_FREE);
+	    QUARANTINE_UNRESTRICTED);
 }
 
 /*
@@ -196,24 +197,24 @@
 test_suspects_run_one_at_a_time(void **state)
 {
 	struct quarantine_run run[3];
-	struct quarantine_print p[3] = { { 1, 1 }, { 2, 2 }, { 3, 3 } };
+	struct quarantine_fingerprint p[3] = { { 1, 1 }, { 2, 2 }, { 3, 3 } };
 	struct quarantine *q = &nodes[0];
 
 	(void)state;
 	assert_int_equal(quarantine_begin(q, &run[0], &p[0], 1, NOW), 0);
 	assert_int_equal(quarantine_begin(q, &run[1], &p[1], 1, NOW), 0);
-	assert_int_equal(quarantine_death(q, 7, NOW), 2);
-	quarantine_end(q, &run[0], QUARANTINE_BROKEN, NOW);
+	assert_int_equal(quarantine_report_crash(q, 7, NOW), 2);
+	quarantine_end(q, &run[0], QUARANTINE_RESULT_FAILED, NOW);
 	assert_int_equal(quarantine_begin(q, &run[0], &p[0], 1, NOW), 1);
-	quarantine_end(q, &run[1], QUARANTINE_BROKEN, NOW);
+	quarantine_end(q, &run[1], QUARANTINE_RESULT_FAILED, NOW);
 	assert_int_equal(quarantine_begin(q, &run[0], &p[0], 1, NOW), 0);
 	assert_int_equal(quarantine_begin(q, &run[1], &p[1], 1, NOW), 1);
 	assert_int_equal(quarantine_begin(q, &run[2], &p[2], 1, NOW), 0);
-	assert_int_equal(quarantine_death(q, 8, NOW), 2);
-	quarantine_end(q, &run[0], QUARANTINE_BROKEN, NOW);
-	quarantine_end(q, &run[2], QUARANTINE_BROKEN, NOW);
+	assert_int_equal(quarantine_report_crash(q, 8, NOW), 2);
+	quarantine_end(q, &run[0], QUARANTINE_RESULT_FAILED, NOW);
+	quarantine_end(q, &run[2], QUARANTINE_RESULT_FAILED, NOW);
 	assert_int_equal(quarantine_check(q, &p[0], NOW), QUARANTINE_REFUSED);
-	assert_int_equal(quarantine_check(q, &p[1], NOW), QUARANTINE_STRUCK);
+	assert_int_equal(quarantine_check(q, &p[1], NOW), QUARANTINE_SUSPECT);
 }
 
 /*
@@ -227,34 +228,35 @@
 {
 	struct node_id ids[SERVERS] = { { 0, 1, 1 }, { 1, 1, 1 }, { 2, 1, 1 } };
 	int usable[SERVERS] = { 1, 1, 1 }, server, i, crashes, begun = 0;
-	struct quarantine_print p;
+	struct quarantine_fingerprint p;
 	struct quarantine_run run[COPIES];
 
 	(void)state;
-	quarantine_print(&p, "acme", "GET", "/x", NULL, 0);
+	quarantine_fingerprint(&p, "acme", "GET", "/x", NULL, 0);
 	assert_int_equal(quarantine_begin(&nodes[0], &run[0], &p, 1, NOW), 0);
-	quarantine_death(&nodes[0], 1, NOW);
-	quarantine_end(&nodes[0], &run[0], QUARANTINE_BROKEN, NOW);
+	quarantine_report_crash(&nodes[0], 1, NOW);
+	quarantine_end(&nodes[0], &run[0], QUARANTINE_RESULT_FAILED, NOW);
 	crashes = 1;
-	server = quarantine_pin(&p, ids, usable, SERVERS);
+	server = quarantine_choose_server(&p, ids, usable, SERVERS);
 	for (i = 0; i < COPIES; i++) {
 		assert_int_equal(quarantine_check(&nodes[i % NODES], &p, NOW),
-		    QUARANTINE_STRUCK);
+		    QUARANTINE_SUSPECT);
 		assert_int_equal(
-		    quarantine_pin(&p, ids, usable, SERVERS), server);
+		    quarantine_choose_server(&p, ids, usable, SERVERS), server);
 		begun +=
 		    quarantine_begin(&nodes[server], &run[i], &p, 1, NOW) == 0;
 	}
 	assert_int_equal(begun, 1);
-	quarantine_death(&nodes[server], 2, NOW);
+	quarantine_report_crash(&nodes[server], 2, NOW);
 	crashes++;
 	for (i = 0; i < NODES; i++)
 		assert_int_equal(
 		    quarantine_check(&nodes[i], &p, NOW), QUARANTINE_REFUSED);
 	assert_int_equal(crashes, 2);
-	quarantine_end(&nodes[server], &run[0], QUARANTINE_BROKEN, NOW);
+	quarantine_end(&nodes[server], &run[0], QUARANTINE_RESULT_FAILED, NOW);
 	usable[server] = 0;
-	assert_int_not_equal(quarantine_pin(&p, ids, usable, SERVERS), server);
+	assert_int_not_equal(
+	    quarantine_choose_server(&p, ids, usable, SERVERS), server);
 }
 
 /*
@@ -266,28 +268,30 @@
 test_frequent_request_is_cleared(void **state)
 {
 	struct quarantine_run run[FREQUENT_RUNS];
-	struct quarantine_print p;
+	struct quarantine_fingerprint p;
 	int i;
 
 	(void)state;
-	quarantine_print(&p, "acme", "GET", "/catalogue", NULL, 0);
+	quarantine_fingerprint(&p, "acme", "GET", "/catalogue", NULL, 0);
 	for (i = 0; i < FREQUENT_RUNS; i++)
 		assert_int_equal(
 		    quarantine_begin(&nodes[i % 2], &run[i], &p, 1, NOW), 0);
-	quarantine_served(&nodes[2], &p, NOW);
-	quarantine_end(&nodes[1], &run[3], QUARANTINE_NOTHING, NOW);
-	quarantine_death(&nodes[0], 1, NOW);
-	quarantine_death(&nodes[1], 2, NOW);
+	quarantine_record_success(&nodes[2], &p, NOW);
+	quarantine_end(&nodes[1], &run[3], QUARANTINE_RESULT_UNKNOWN, NOW);
+	quarantine_report_crash(&nodes[0], 1, NOW);
+	quarantine_report_crash(&nodes[1], 2, NOW);
 	assert_int_equal(
 	    quarantine_check(&nodes[0], &p, NOW), QUARANTINE_REFUSED);
-	assert_int_equal(quarantine_check(&nodes[2], &p, NOW), QUARANTINE_FREE);
+	assert_int_equal(
+	    quarantine_check(&nodes[2], &p, NOW), QUARANTINE_UNRESTRICTED);
 	assert_int_equal(quarantine_begin(&nodes[2], &run[3], &p, 1, NOW), 0);
-	quarantine_end(&nodes[2], &run[3], QUARANTINE_WHOLE, NOW + 1);
+	quarantine_end(&nodes[2], &run[3], QUARANTINE_RESULT_COMPLETE, NOW + 1);
 	for (i = 0; i < NODES; i++)
-		assert_int_equal(
-		    quarantine_check(&nodes[i], &p, NOW + 1), QUARANTINE_FREE);
+		assert_int_equal(quarantine_check(&nodes[i], &p, NOW + 1),
+		    QUARANTINE_UNRESTRICTED);
 	for (i = 0; i < FREQUENT_RUNS - 1; i++)
-		quarantine_end(&nodes[i % 2], &run[i], QUARANTINE_BROKEN, NOW);
+		quarantine_end(
+		    &nodes[i % 2], &run[i], QUARANTINE_RESULT_FAILED, NOW);
 }
 
 /*
@@ -297,22 +301,23 @@
 static void
 test_root_request_is_charged(void **state)
 {
-	struct quarantine_print p[2], root;
+	struct quarantine_fingerprint p[2], root;
 	struct quarantine_run run;
 	int i;
 
 	(void)state;
-	quarantine_print(&root, "acme", "POST", "/orders", "boom", 4);
+	quarantine_fingerprint(&root, "acme", "POST", "/orders", "boom", 4);
 	for (i = 0; i < 2; i++) {
-		p[0] = (struct quarantine_print){ 70 + (uint64_t)i, 7 };
+		p[0] = (struct quarantine_fingerprint){ 70 + (uint64_t)i, 7 };
 		p[1] = root;
 		assert_int_equal(
 		    quarantine_begin(&nodes[i], &run, p, 2, NOW), 0);
-		quarantine_death(&nodes[i], 1 + (uint64_t)i, NOW);
-		quarantine_end(&nodes[i], &run, QUARANTINE_BROKEN, NOW);
+		quarantine_report_crash(&nodes[i], 1 + (uint64_t)i, NOW);
+		quarantine_end(&nodes[i], &run, QUARANTINE_RESULT_FAILED, NOW);
 		p[0].lo += 10;
 		if (quarantine_begin(&nodes[2], &run, p, 2, NOW) == 0)
-			quarantine_end(&nodes[2], &run, QUARANTINE_WHOLE, NOW);
+			quarantine_end(
+			    &nodes[2], &run, QUARANTINE_RESULT_COMPLETE, NOW);
 	}
 	assert_int_equal(
 	    quarantine_check(&nodes[2], &root, NOW), QUARANTINE_REFUSED);
@@ -325,20 +330,20 @@
 test_sync_after_lost_broadcasts(void **state)
 {
 	struct node_id peer = { 0, 1, 1 };
-	struct quarantine_print p;
+	struct quarantine_fingerprint p;
 	uint64_t i, now = clock_ms();
 
 	(void)state;
 	broadcasts_lost = 1;
 	for (i = 0; i < 200; i++) {
-		p = (struct quarantine_print){ i * 77, i };
-		quarantine_merge(&nodes[0], &p, 1, 0, 5, now);
-		quarantine_merge(&nodes[0], &p, 2, 0, 5, now);
-		quarantine_merge(&nodes[0], &p, 3, 1, 5, now);
+		p = (struct quarantine_fingerprint){ i * 77, i };
+		quarantine_merge_report(&nodes[0], &p, 1, 0, 5, now);
+		quarantine_merge_report(&nodes[0], &p, 2, 0, 5, now);
+		quarantine_merge_report(&nodes[0], &p, 3, 1, 5, now);
 	}
 	assert_int_equal(quarantine_sync(&nodes[1], call_node, NULL, &peer), 0);
 	for (i = 0; i < 200; i++) {
-		p = (struct quarantine_print){ i * 77, i };
+		p = (struct quarantine_fingerprint){ i * 77, i };
 		assert_int_equal(
 		    quarantine_check(&nodes[1], &p, now), QUARANTINE_REFUSED);
 	}
@@ -351,27 +356,28 @@
 static void
 test_table_bound(void **state)
 {
-	struct quarantine_print p = { 1, 1 }, f;
+	struct quarantine_fingerprint p = { 1, 1 }, f;
 	struct quarantine_run run;
 	uint64_t i, t;
 
 	(void)state;
 	broadcasts_lost = 1;
-	quarantine_merge(&nodes[0], &p, 1, 0, 0, NOW);
-	quarantine_merge(&nodes[0], &p, 2, 0, 0, NOW);
+	quarantine_merge_report(&nodes[0], &p, 1, 0, 0, NOW);
+	quarantine_merge_report(&nodes[0], &p, 2, 0, 0, NOW);
 	for (i = 1; i <= SUSPECTS; i++) {
-		f = (struct quarantine_print){ i * 512 + 1, i };
-		quarantine_merge(&nodes[0], &f, i, 0, 0, NOW + i);
+		f = (struct quarantine_fingerprint){ i * 512 + 1, i };
+		quarantine_merge_report(&nodes[0], &f, i, 0, 0, NOW + i);
 	}
 	assert_int_equal(quarantine_check(&nodes[0], &p, NOW + SUSPECTS),
 	    QUARANTINE_REFUSED);
 	assert_true(nodes[0].table->suspects <= QUARANTINE_WAYS);
 	t = clock_us();
 	for (i = 0; i < SUSPECTS; i++) {
-		f = (struct quarantine_print){ i, i };
+		f = (struct quarantine_fingerprint){ i, i };
 		quarantine_check(&nodes[0], &f, NOW);
 		if (quarantine_begin(&nodes[0], &run, &f, 1, NOW) == 0)
-			quarantine_end(&nodes[0], &run, QUARANTINE_WHOLE, NOW);
+			quarantine_end(
+			    &nodes[0], &run, QUARANTINE_RESULT_COMPLETE, NOW);
 	}
 	t = clock_us() - t;
 	print_message("%.0f ns a request\n", (double)t * 1e3 / SUSPECTS);
@@ -383,7 +389,7 @@
 static void *
 run_requests(void *arg)
 {
-	struct quarantine_print p = { 0, 3 };
+	struct quarantine_fingerprint p = { 0, 3 };
 	struct quarantine_run run;
 	uint64_t i;
 
@@ -391,10 +397,11 @@
 		p.lo = i % 16;
 		if (quarantine_begin(arg, &run, &p, 1, NOW) == 0)
 			quarantine_end(arg, &run,
-			    i % 3 == 0 ? QUARANTINE_BROKEN : QUARANTINE_WHOLE,
+			    i % 3 == 0 ? QUARANTINE_RESULT_FAILED
+				       : QUARANTINE_RESULT_COMPLETE,
 			    NOW);
 		if (i % 64 == 0)
-			quarantine_death(arg, i, NOW);
+			quarantine_report_crash(arg, i, NOW);
 	}
 	return NULL;
 }
@@ -435,13 +442,13 @@
 		{ "acme", "GET", "/ax", "" },
 		{ "", "", "", "acmeGET/ax" },
 	};
-	struct quarantine_print p[sizeof(rows) / sizeof(rows[0])];
+	struct quarantine_fingerprint p[sizeof(rows) / sizeof(rows[0])];
 	size_t i, j;
 
 	(void)state;
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-		quarantine_print(&p[i], rows[i][0], rows[i][1], rows[i][2],
-		    rows[i][3], strlen(rows[i][3]));
+		quarantine_fingerprint(&p[i], rows[i][0], rows[i][1],
+		    rows[i][2], rows[i][3], strlen(rows[i][3]));
 		for (j = 0; j < i; j++) {
 			assert_true(p[i].lo != p[j].lo);
 			assert_true(p[i].hi != p[j].hi);
--- a/src/relay/copy.c
+++ b/src/relay/copy.c
@@ -17,10 +17,11 @@
 #define COPY_BYTES_MAX (16U << 20)
 
 static int pick_peer(struct relay *);
-static int on_response_head(void *, struct h1_xchg *);
-static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
-static void on_response_end(void *, struct h1_xchg *);
-static void on_exchange_failed(void *, struct h1_xchg *, enum h1_fail);
+static int on_response_head(void *, struct h1_exchange *);
+static void on_response_body(
+    void *, struct h1_exchange *, const char *, size_t);
+static void on_response_end(void *, struct h1_exchange *);
+static void on_exchange_failed(void *, struct h1_exchange *, enum h1_failure);
 static void fail_copy(struct relay *, const char *);
 
 static const struct h1_client_ops copy_ops = { on_response_head,
@@ -49,11 +50,11 @@
 	char *p;
 
 	if (r->config == NULL) {
-		h1_answer(conn, 503, NULL, NULL, 0);
+		h1_send_response(conn, 503, NULL, NULL, 0);
 		return;
 	}
 	p = config_copy_write(r->config, &len);
-	h1_answer(conn, 200, NULL, p, len);
+	h1_send_response(conn, 200, NULL, p, len);
 	free(p);
 }
 
@@ -74,7 +75,7 @@
 	for (i = 0; i < r->fleet.count; i++) {
 		p = &r->fleet.peers[i];
 		if (p->config_version > version && p->port != 0 &&
-		    fleet_alive(&r->fleet, i, now) &&
+		    fleet_is_alive(&r->fleet, i, now) &&
 		    relay_random() % ++found == 0)
 			peer = (int)i;
 	}
@@ -95,14 +96,14 @@
 		.id = "",
 		.hop = "" };
 	struct relay_copy *c = &r->copy;
-	char hex[SEAL_HEX];
+	char hex[SEAL_HEX_BYTES];
 	struct h1_text t;
 	int peer;
 
 	if (c->xchg != NULL) {
 		if (relay_now(r) - c->requested_ms < COPY_TIMEOUT_MS)
 			return;
-		h1_cancel(c->xchg);
+		h1_exchange_cancel(c->xchg);
 		fail_copy(r, "timeout");
 	}
 	peer = pick_peer(r);
@@ -117,9 +118,9 @@
 	h1_text_addf(&t, "GET %s HTTP/1.1\r\nHost: node\r\n", COPY_TARGET);
 	seal_request(&r->seal, &seal_input, hex);
 	if (hex[0] != '\0')
-		h1_text_field(&t, RELAY_SEAL, hex);
+		h1_text_add_field(&t, RELAY_SEAL, hex);
 	h1_text_add(&t, "\r\n", 2);
-	c->xchg = h1_send(
+	c->xchg = h1_send_request(
 	    relay_link(r, peer)->pool, &t, 0, 0, UINT64_MAX, &copy_ops, r);
 	h1_text_finish(&t);
 }
@@ -132,7 +133,7 @@
 {
 	if (r->copy.xchg == NULL)
 		return;
-	h1_cancel(r->copy.xchg);
+	h1_exchange_cancel(r->copy.xchg);
 	r->copy.xchg = NULL;
 	h1_text_finish(&r->copy.body);
 }
@@ -145,7 +146,7 @@
 {
 	struct relay_copy *c = &r->copy;
 
-	event_log(EVENT_COPY_FAILED, relay_now(r),
+	event_log(EVENT_CONFIG_COPY_FAILED, relay_now(r),
 	    "peer=%s why=%s bytes=%zu after_ms=%llu",
 	    r->fleet.peers[c->peer].node, reason, c->body.len,
 	    (unsigned long long)(relay_now(r) - c->requested_ms));
@@ -157,11 +158,11 @@
  * Checks the response status.  Only the body of a 200 response is used.
  */
 static int
-on_response_head(void *ctx, struct h1_xchg *x)
+on_response_head(void *ctx, struct h1_exchange *x)
 {
 	struct relay *r = ctx;
 
-	r->copy.valid = h1_xchg_status(x) == 200;
+	r->copy.valid = h1_exchange_status(x) == 200;
 	return 0;
 }
 
@@ -169,7 +170,7 @@
  * Appends a part of the response, up to the size limit.
  */
 static void
-on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	struct relay_copy *c = &((struct relay *)ctx)->copy;
 
@@ -184,7 +185,7 @@
  * Parses the complete response and passes the configuration to the callback.
  */
 static void
-on_response_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_exchange *x)
 {
 	struct relay *r = ctx;
 	struct relay_copy *c = &r->copy;
@@ -206,7 +207,7 @@
  * Handles an exchange that failed before the end of the response.
  */
 static void
-on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
+on_exchange_failed(void *ctx, struct h1_exchange *x, enum h1_failure failure)
 {
 	(void)x;
 	fail_copy(ctx, failure == H1_NOT_SENT ? "unreached" : "broken");
--- a/src/relay/dump.c
+++ b/src/relay/dump.c
@@ -39,7 +39,8 @@
 		    r->config->route_count, r->config->ws_count,
 		    r->config->key_count);
 	h1_text_addf(t, "# requests\nentries %u\nexits %u\nheld bytes %llu\n",
-	    h1_server_busy(&r->entry), h1_server_busy(&r->exit),
+	    h1_server_open_requests(&r->entry),
+	    h1_server_open_requests(&r->exit),
 	    (unsigned long long)r->buffered_bytes);
 }
 
@@ -75,8 +76,8 @@
 	size_t i;
 
 	h1_text_addf(t, "# fleet\nknown %u\nquorum %d\nlisted %d\nout %d\n",
-	    fleet_size(&r->fleet), fleet_quorum(&r->fleet, now),
-	    r->fleet.listed, r->fleet.out);
+	    fleet_size(&r->fleet), fleet_has_quorum(&r->fleet, now),
+	    r->fleet.node_list_complete, r->fleet.self_isolated);
 	for (i = 0; i < r->fleet.count; i++) {
 		p = &r->fleet.peers[i];
 		l = relay_link(r, (int)i);
@@ -86,14 +87,14 @@
 		    "config=%llu service=%s server=%s leaving=%d running=%u "
 		    "waiting=%u slots=%u offered=%.2f failing=%.3f "
 		    "inflight=%u avoided=%d\n",
-		    p->node, fleet_alive(&r->fleet, i, now), p->gone, p->out,
-		    p->stopping,
+		    p->node, fleet_is_alive(&r->fleet, i, now), p->has_departed,
+		    p->isolated, p->stopping,
 		    (unsigned long long)(p->heard_ms > 0 ? now - p->heard_ms
 							 : 0),
 		    (unsigned long long)p->config_version,
 		    or_dash(p->server.service), or_dash(p->server.id),
-		    p->server.leaving, p->server.running, p->server.waiting,
-		    p->server.slots, p->server.offered,
+		    p->server.unavailable_state, p->server.running,
+		    p->server.waiting, p->server.slots, p->server.offered_load,
 		    choice_failure_share(&l->health, now), l->inflight,
 		    l->avoid_until_ms > now);
 	}
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -164,7 +164,8 @@
 	else if (cause == ENTRY_FAIL_OVER_RATE)
 		load_record_over_rate(r, e->service, e->class);
 	r->counters[d->counter]++;
-	event_log(status == 502 || status == 504 ? EVENT_FAILED : EVENT_REFUSED,
+	event_log(status == 502 || status == 504 ? EVENT_REQUEST_FAILED
+						 : EVENT_REQUEST_REFUSED,
 	    relay_now(r),
 	    "id=%s service=%s status=%u reason=%s age_ms=%llu tries=%u "
 	    "arrivals=%u class=%u workspace=%s retry_after_ms=%llu "
@@ -181,7 +182,7 @@
 		return;
 	}
 	h1_text_init(&fields);
-	h1_text_field(&fields, "Cyclamen-Reason", d->reason);
+	h1_text_add_field(&fields, "Cyclamen-Reason", d->reason);
 	id = h1_head_get(h1_conn_head(conn), r->set.names.request_id, &id_len);
 	if (id != NULL) {
 		h1_text_addf(&fields, "%s: ", r->set.names.request_id);
@@ -193,7 +194,7 @@
 		    (double)retry_after_ms / 1000);
 	entry_finish(e);
 	h1_conn_set_user(conn, NULL);
-	h1_answer(conn, status, &fields, NULL, 0);
+	h1_send_response(conn, status, &fields, NULL, 0);
 	h1_text_finish(&fields);
 }
 
@@ -365,12 +366,13 @@
 	e->idempotent = route->idempotent;
 	e->arrivals_max = route->retries + 1;
 	remaining_ms =
-	    h1_head_number(h, r->set.names.deadline_ms, route->deadline_ms);
+	    h1_head_get_number(h, r->set.names.deadline_ms, route->deadline_ms);
 	e->deadline_ms = e->started_ms + remaining_ms;
 	if (remaining_ms > route->deadline_ms)
 		remaining_ms = route->deadline_ms;
 	e->answer_by_ms = e->started_ms + remaining_ms;
-	e->content_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
+	e->content_length =
+	    h1_conn_has_body(conn) ? h1_conn_body_length(conn) : 0;
 	budget_add_request(
 	    relay_budget(r, e->service), r->set.retry_ratio, relay_now(r));
 	if (entry_acquire_token(e) == 0)
@@ -433,7 +435,7 @@
 		return;
 	e->body_complete = 1;
 	if (e->xchg != NULL)
-		h1_send_end(e->xchg);
+		h1_send_request_end(e->xchg);
 }
 
 /*
@@ -448,7 +450,7 @@
 	if (e == NULL)
 		return;
 	r->counters[RELAY_CALLER_DISCONNECTED]++;
-	event_log(EVENT_CALLER_GONE, relay_now(r),
+	event_log(EVENT_CALLER_DISCONNECTED, relay_now(r),
 	    "id=%s service=%s age_ms=%llu state=%d", e->id, e->service,
 	    (unsigned long long)(relay_now(r) - e->started_ms), (int)e->state);
 	if (!e->may_have_run && e->xchg == NULL)
@@ -466,7 +468,7 @@
 
 	(void)ctx;
 	if (e != NULL && e->xchg != NULL)
-		h1_xchg_resume(e->xchg);
+		h1_exchange_resume(e->xchg);
 }
 
 /*
--- a/src/relay/entry_limit.c
+++ b/src/relay/entry_limit.c
@@ -151,13 +151,13 @@
 	}
 	limit.rate = r->config->workspaces[i].rate;
 	limit.burst = r->config->workspaces[i].burst;
-	g = quota_owner_grant_tokens(
-	    &r->owner, ws, &limit, id, need, want, r->fleet.turned_ms, now);
+	g = quota_owner_grant_tokens(&r->owner, ws, &limit, id, need, want,
+	    r->fleet.members_changed_ms, now);
 	if (g.is_new_bucket)
 		event_log(EVENT_LIMIT_OWNED, now,
 		    "workspace=%s rate=%.1f burst=%u nodes_changed_ms=%llu",
 		    r->config->workspaces[i].name, limit.rate, limit.burst,
-		    (unsigned long long)(now - r->fleet.turned_ms));
+		    (unsigned long long)(now - r->fleet.members_changed_ms));
 	return g;
 }
 
@@ -191,7 +191,7 @@
 		return;
 	}
 	memset(&m, 0, sizeof(m));
-	m.kind = FLEET_ASK;
+	m.kind = FLEET_TOKEN_REQUEST;
 	m.fleet_msg_u.ask.workspace = l->ws;
 	m.fleet_msg_u.ask.id = l->stock.token_request_id;
 	m.fleet_msg_u.ask.need = need;
@@ -334,8 +334,8 @@
  * Answers another node's token request.
  */
 void
-relay_on_token_request(
-    void *ctx, const struct fleet_ask *a, const struct sockaddr_in *from)
+relay_on_token_request(void *ctx, const struct fleet_token_request *a,
+    const struct sockaddr_in *from)
 {
 	struct relay *r = ctx;
 	struct quota_grant g;
@@ -343,7 +343,7 @@
 
 	g = grant_tokens(r, a->workspace, a->id, a->need, a->want);
 	memset(&m, 0, sizeof(m));
-	m.kind = FLEET_GIVE;
+	m.kind = FLEET_TOKEN_GRANT;
 	m.fleet_msg_u.give.workspace = a->workspace;
 	m.fleet_msg_u.give.id = a->id;
 	m.fleet_msg_u.give.tokens = g.tokens;
@@ -356,7 +356,7 @@
  * Applies the owner's answer.  A late or duplicate answer is ignored.
  */
 void
-relay_on_token_grant(void *ctx, const struct fleet_give *a)
+relay_on_token_grant(void *ctx, const struct fleet_token_grant *a)
 {
 	struct relay *r = ctx;
 	struct relay_limit *l = get_limit(r, a->workspace);
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -15,11 +15,12 @@
 #define IDLE_UNLIMITED_MS UINT64_MAX
 #define IDLE_NON_IDEMPOTENT_MS 4000 /* older connections may break */
 
-static int on_response_headers(void *, struct h1_xchg *);
-static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
-static void on_response_end(void *, struct h1_xchg *);
-static void on_attempt_fail(void *, struct h1_xchg *, enum h1_fail);
-static void on_node_drained(void *, struct h1_xchg *);
+static int on_response_headers(void *, struct h1_exchange *);
+static void on_response_body(
+    void *, struct h1_exchange *, const char *, size_t);
+static void on_response_end(void *, struct h1_exchange *);
+static void on_attempt_fail(void *, struct h1_exchange *, enum h1_failure);
+static void on_node_drained(void *, struct h1_exchange *);
 static void record_attempt(struct entry_req *, int);
 static void retry(struct entry_req *);
 static int acquire_retry(struct entry_req *);
@@ -67,8 +68,9 @@
 			l = relay_link(r, h);
 		} else {
 			p = &r->fleet.peers[h];
-			if (p->port == 0 || p->gone || p->stopping ||
-			    p->server.id[0] == '\0' || p->server.leaving ||
+			if (p->port == 0 || p->has_departed || p->stopping ||
+			    p->server.id[0] == '\0' ||
+			    p->server.unavailable_state ||
 			    strcmp(p->server.service, e->service) != 0)
 				continue;
 			l = relay_link(r, h);
@@ -84,7 +86,7 @@
 			c->same_zone = strcmp(p->zone, r->set.zone) == 0;
 			c->recently_started = p->server.cold_until_ms > now;
 			c->unreachable =
-			    !fleet_alive(&r->fleet, (size_t)h, now);
+			    !fleet_is_alive(&r->fleet, (size_t)h, now);
 		}
 		c->unreachable |= l->avoid_until_ms > now;
 		c->failure_share = choice_failure_share(&l->health, now);
@@ -103,7 +105,7 @@
 {
 	uint64_t now = relay_now(e->relay);
 	struct seal_request parts;
-	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX];
+	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX_BYTES];
 
 	snprintf(hop, sizeof(hop), "%llu %u %u %llu %d %s %s %s",
 	    (unsigned long long)(e->answer_by_ms > now ? e->answer_by_ms - now
@@ -111,11 +113,11 @@
 	    e->class, e->depth, (unsigned long long)e->root_hash, e->idempotent,
 	    e->service, e->relay->set.service,
 	    e->ws_name[0] != '\0' ? e->ws_name : "-");
-	h1_text_field(t, RELAY_HOP, hop);
+	h1_text_add_field(t, RELAY_HOP, hop);
 	sealed_request_parts(e->relay, e->conn, hop, &parts);
 	seal_request(&e->relay->seal, &parts, hex);
 	if (hex[0] != '\0')
-		h1_text_field(t, RELAY_SEAL, hex);
+		h1_text_add_field(t, RELAY_SEAL, hex);
 }
 
 /*
@@ -133,11 +135,11 @@
 	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
 	h1_text_add(t, h->buf + h->target, h->target_len);
 	h1_text_add(t, " HTTP/1.1\r\n", 11);
-	h1_text_forward(t, h, skip);
+	h1_text_add_forwarded(t, h, skip);
 	add_hop(e, t);
-	if (e->content_length == H1_LENGTH_CHUNKED)
-		h1_text_field(t, "Transfer-Encoding", "chunked");
-	else if (e->content_length > 0 || h1_conn_length(e->conn) > 0)
+	if (e->content_length == H1_LENGTH_UNKNOWN)
+		h1_text_add_field(t, "Transfer-Encoding", "chunked");
+	else if (e->content_length > 0 || h1_conn_body_length(e->conn) > 0)
 		h1_text_addf(t, "Content-Length: %llu\r\n",
 		    (unsigned long long)e->content_length);
 	h1_text_add(t, "\r\n", 2);
@@ -173,18 +175,18 @@
 	l->sent_since_report++;
 	h1_text_init(&t);
 	compose_request(e, &t);
-	if (e->body_len > 0 && e->content_length != H1_LENGTH_CHUNKED) {
+	if (e->body_len > 0 && e->content_length != H1_LENGTH_UNKNOWN) {
 		h1_text_add(&t, e->body, e->body_len);
 	}
-	e->xchg = h1_send(l->pool, &t, e->content_length,
+	e->xchg = h1_send_request(l->pool, &t, e->content_length,
 	    strcmp(h1_conn_method(e->conn), "HEAD") == 0,
 	    e->idempotent ? IDLE_UNLIMITED_MS : IDLE_NON_IDEMPOTENT_MS,
 	    &attempt_ops, e);
 	h1_text_finish(&t);
-	if (e->body_len > 0 && e->content_length == H1_LENGTH_CHUNKED)
-		h1_send_body(e->xchg, e->body, e->body_len);
+	if (e->body_len > 0 && e->content_length == H1_LENGTH_UNKNOWN)
+		h1_send_request_body(e->xchg, e->body, e->body_len);
 	if (e->body_complete)
-		h1_send_end(e->xchg);
+		h1_send_request_end(e->xchg);
 	h1_conn_resume(e->conn);
 }
 
@@ -195,8 +197,8 @@
 void
 entry_forward_body(struct entry_req *e, const char *p, size_t n)
 {
-	h1_send_body(e->xchg, p, n);
-	if (h1_send_queued(e->xchg) > H1_QUEUE_HIGH)
+	h1_send_request_body(e->xchg, p, n);
+	if (h1_exchange_unsent_bytes(e->xchg) > H1_WRITE_QUEUE_HIGH_BYTES)
 		h1_conn_pause(e->conn);
 }
 
@@ -204,7 +206,7 @@
  * Resumes reading from the caller when the node has caught up.
  */
 static void
-on_node_drained(void *ctx, struct h1_xchg *x)
+on_node_drained(void *ctx, struct h1_exchange *x)
 {
 	struct entry_req *e = ctx;
 
@@ -235,12 +237,12 @@
 void
 entry_cancel_attempt(struct entry_req *e)
 {
-	struct h1_xchg *x = e->xchg;
+	struct h1_exchange *x = e->xchg;
 
 	if (x == NULL)
 		return;
 	record_attempt(e, 0);
-	h1_cancel(x);
+	h1_exchange_cancel(x);
 }
 
 /*
@@ -258,11 +260,11 @@
  * Handles the headers of a response: reads the verdict of the exit.
  */
 static int
-on_response_headers(void *ctx, struct h1_xchg *x)
+on_response_headers(void *ctx, struct h1_exchange *x)
 {
 	struct entry_req *e = ctx;
 	static const char *const skip[] = { RELAY_EXIT, NULL };
-	const struct h1_head *h = h1_xchg_head(x);
+	const struct h1_head *h = h1_exchange_head(x);
 	char text[96];
 	uint32_t i;
 
@@ -270,17 +272,17 @@
 	e->call_failed = 0;
 	if (h1_head_copy(h, RELAY_EXIT, text, sizeof(text)) > 0) {
 		for (i = 0; i < VERDICT_MAX; i++)
-			if (h1_name_is(text, strcspn(text, " "),
+			if (h1_name_equals(text, strcspn(text, " "),
 				relay_verdict_names[i]))
 				e->verdict = (enum relay_verdict)i;
 		e->call_failed =
 		    relay_apply_exit_header(e->relay, e->attempt_node, text);
 	}
-	e->status = h1_xchg_status(x);
-	e->answer_length = h1_xchg_length(x);
+	e->status = h1_exchange_status(x);
+	e->answer_length = h1_exchange_body_length(x);
 	h1_text_finish(&e->fields);
 	h1_text_finish(&e->answer);
-	h1_text_forward(&e->fields, h, skip);
+	h1_text_add_forwarded(&e->fields, h, skip);
 	return 0;
 }
 
@@ -292,8 +294,8 @@
 {
 	e->answer_started = 1;
 	e->state = ENTRY_ANSWERING;
-	h1_answer_head(e->conn, e->status, &e->fields, e->answer_length);
-	h1_answer_body(e->conn, e->answer.p, e->answer.len);
+	h1_send_response_head(e->conn, e->status, &e->fields, e->answer_length);
+	h1_send_response_body(e->conn, e->answer.p, e->answer.len);
 	h1_text_finish(&e->answer);
 }
 
@@ -302,7 +304,7 @@
  * complete, so that a request whose answer breaks off can be retried.
  */
 static void
-on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	struct entry_req *e = ctx;
 
@@ -314,9 +316,9 @@
 	}
 	if (!e->answer_started)
 		start_streaming(e);
-	h1_answer_body(e->conn, p, n);
-	if (h1_conn_queued(e->conn) > H1_QUEUE_HIGH)
-		h1_xchg_pause(x);
+	h1_send_response_body(e->conn, p, n);
+	if (h1_conn_unsent_bytes(e->conn) > H1_WRITE_QUEUE_HIGH_BYTES)
+		h1_exchange_pause(x);
 }
 
 /*
@@ -350,7 +352,7 @@
 	struct relay *r = e->relay;
 
 	r->counters[RELAY_RETRIES]++;
-	event_log(EVENT_REPEATED, relay_now(r),
+	event_log(EVENT_REQUEST_RETRIED, relay_now(r),
 	    "id=%s service=%s verdict=%s tries=%u arrivals=%u maybe_run=%d",
 	    e->id, e->service, relay_verdict_names[e->verdict],
 	    e->attempt_count, e->arrivals, e->may_have_run);
@@ -362,7 +364,7 @@
  * the exit.
  */
 static void
-on_response_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_exchange *x)
 {
 	struct entry_req *e = ctx;
 	struct relay *r = e->relay;
@@ -382,7 +384,7 @@
 			entry_record_call_result(e, 0, e->status >= 400);
 		r->counters[e->status < 500 ? RELAY_SERVED : RELAY_FAILED]++;
 		if (e->status >= 500)
-			event_log(EVENT_FAILED, now,
+			event_log(EVENT_REQUEST_FAILED, now,
 			    "id=%s service=%s status=%u reason=%s "
 			    "age_ms=%llu tries=%u",
 			    e->id, e->service, e->status,
@@ -392,10 +394,10 @@
 		if (!e->answer_started)
 			h1_conn_set_user(conn, NULL);
 		if (e->answer_started)
-			h1_answer_end(conn);
+			h1_send_response_end(conn);
 		else
-			h1_answer(conn, e->status, &e->fields, e->answer.p,
-			    e->answer.len);
+			h1_send_response(conn, e->status, &e->fields,
+			    e->answer.p, e->answer.len);
 		h1_conn_resume(conn);
 		entry_finish(e);
 		return;
@@ -437,7 +439,7 @@
  * Handles an attempt that failed before the end of the response.
  */
 static void
-on_attempt_fail(void *ctx, struct h1_xchg *x, enum h1_fail failure)
+on_attempt_fail(void *ctx, struct h1_exchange *x, enum h1_failure failure)
 {
 	struct entry_req *e = ctx;
 	struct relay *r = e->relay;
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -155,10 +155,10 @@
 	if (read_hop(e, h, service, &req) == -1) {
 		exit_free(e);
 		h1_conn_set_user(conn, NULL);
-		h1_answer(conn, 400, NULL, NULL, 0);
+		h1_send_response(conn, 400, NULL, NULL, 0);
 		return;
 	}
-	e->body_length = h1_conn_has_body(conn) ? h1_conn_length(conn) : 0;
+	e->body_length = h1_conn_has_body(conn) ? h1_conn_body_length(conn) : 0;
 	if (s->id[0] == '\0' || s->leaving || s->down_until_ms > relay_now(r) ||
 	    strcmp(service, s->service) != 0) {
 		exit_refuse(
@@ -171,7 +171,7 @@
 		exit_refuse(e, VERDICT_SUSPECT, "quarantined");
 		return;
 	}
-	if (state == QUARANTINE_STRUCK) {
+	if (state == QUARANTINE_SUSPECT) {
 		if (r->solo_running > 0) {
 			exit_refuse(e, VERDICT_OVERLOADED, "struck");
 			return;
@@ -264,8 +264,9 @@
 	if (e == NULL)
 		return;
 	if (e->xchg != NULL) {
-		h1_send_body(e->xchg, p, n);
-		if (h1_send_queued(e->xchg) > H1_QUEUE_HIGH)
+		h1_send_request_body(e->xchg, p, n);
+		if (h1_exchange_unsent_bytes(e->xchg) >
+		    H1_WRITE_QUEUE_HIGH_BYTES)
 			h1_conn_pause(conn);
 		return;
 	}
@@ -289,7 +290,7 @@
 		return;
 	e->body_complete = 1;
 	if (e->xchg != NULL)
-		h1_send_end(e->xchg);
+		h1_send_request_end(e->xchg);
 }
 
 /*
@@ -300,7 +301,7 @@
 {
 	struct relay *r = ctx;
 	struct exit_req *e = h1_conn_user(conn);
-	struct h1_xchg *x;
+	struct h1_exchange *x;
 
 	if (e == NULL)
 		return;
@@ -309,7 +310,7 @@
 	if (e->waiting)
 		core_expire(&r->core, &e->waiter);
 	if (x != NULL)
-		h1_cancel(x);
+		h1_exchange_cancel(x);
 	exit_complete(e, ADMISSION_CANCELLED);
 	exit_free(e);
 	exit_run_queued(r);
@@ -326,7 +327,7 @@
 
 	(void)ctx;
 	if (e != NULL && e->xchg != NULL)
-		h1_xchg_resume(e->xchg);
+		h1_exchange_resume(e->xchg);
 }
 
 /*
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -17,11 +17,12 @@
 #define RECONNECT_DOUBLINGS 3
 #define US_PER_MS 1000
 
-static int on_response_head(void *, struct h1_xchg *);
-static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
-static void on_response_end(void *, struct h1_xchg *);
-static void on_exchange_failed(void *, struct h1_xchg *, enum h1_fail);
-static void on_request_drained(void *, struct h1_xchg *);
+static int on_response_head(void *, struct h1_exchange *);
+static void on_response_body(
+    void *, struct h1_exchange *, const char *, size_t);
+static void on_response_end(void *, struct h1_exchange *);
+static void on_exchange_failed(void *, struct h1_exchange *, enum h1_failure);
+static void on_request_drained(void *, struct h1_exchange *);
 static void compose_request_head(struct exit_req *, struct h1_text *);
 static void add_exit_field(
     struct exit_req *, struct h1_text *, enum relay_verdict);
@@ -54,16 +55,16 @@
 	h1_text_addf(t, "%s ", h1_conn_method(e->conn));
 	h1_text_add(t, h->buf + h->target, h->target_len);
 	h1_text_add(t, " HTTP/1.1\r\n", 11);
-	h1_text_forward(t, h, internal_fields);
+	h1_text_add_forwarded(t, h, internal_fields);
 	h1_text_addf(t, "%s: %llu\r\n", names->deadline_ms,
 	    (unsigned long long)(e->deadline_ms > now ? e->deadline_ms - now
 						      : 1));
-	h1_text_field(t, names->expected_instance, e->relay->server.id);
-	h1_text_field(t, names->caller, e->caller);
+	h1_text_add_field(t, names->expected_instance, e->relay->server.id);
+	h1_text_add_field(t, names->caller, e->caller);
 	if (e->ws_name[0] != '\0')
-		h1_text_field(t, names->workspace, e->ws_name);
-	if (e->body_length == H1_LENGTH_CHUNKED)
-		h1_text_field(t, "Transfer-Encoding", "chunked");
+		h1_text_add_field(t, names->workspace, e->ws_name);
+	if (e->body_length == H1_LENGTH_UNKNOWN)
+		h1_text_add_field(t, "Transfer-Encoding", "chunked");
 	else if (e->body_length > 0)
 		h1_text_addf(t, "Content-Length: %llu\r\n",
 		    (unsigned long long)e->body_length);
@@ -84,18 +85,18 @@
 	profile_run_started(&r->profile);
 	h1_text_init(&t);
 	compose_request_head(e, &t);
-	if (e->body_length != H1_LENGTH_CHUNKED)
+	if (e->body_length != H1_LENGTH_UNKNOWN)
 		h1_text_add(&t, e->body.p, e->body.len);
-	e->xchg = h1_send(&r->server_pool, &t, e->body_length,
+	e->xchg = h1_send_request(&r->server_pool, &t, e->body_length,
 	    strcmp(h1_conn_method(e->conn), "HEAD") == 0,
 	    e->idempotent ? IDLE_ANY_MS : IDLE_UNSAFE_MS, &server_ops, e);
 	h1_text_finish(&t);
-	if (e->body_length == H1_LENGTH_CHUNKED)
-		h1_send_body(e->xchg, e->body.p, e->body.len);
+	if (e->body_length == H1_LENGTH_UNKNOWN)
+		h1_send_request_body(e->xchg, e->body.p, e->body.len);
 	r->buffered_bytes -= e->body.cap;
 	h1_text_finish(&e->body);
 	if (e->body_complete)
-		h1_send_end(e->xchg);
+		h1_send_request_end(e->xchg);
 	h1_conn_resume(e->conn);
 }
 
@@ -151,8 +152,8 @@
 
 	r->counters[verdict == VERDICT_UNKNOWN ? RELAY_EXIT_FAILED
 					       : RELAY_EXIT_REFUSED]++;
-	event_log(
-	    verdict == VERDICT_UNKNOWN ? EVENT_EXIT_FAILED : EVENT_EXIT_REFUSED,
+	event_log(verdict == VERDICT_UNKNOWN ? EVENT_SERVER_FAILURE
+					     : EVENT_SERVER_REFUSAL,
 	    relay_now(r),
 	    "id=%s verdict=%s reason=%s running=%u waiting=%u limit=%u "
 	    "server=%s",
@@ -164,7 +165,7 @@
 						     : ADMISSION_FAILED);
 	exit_free(e);
 	h1_conn_set_user(conn, NULL);
-	h1_answer(
+	h1_send_response(
 	    conn, verdict == VERDICT_UNKNOWN ? 502 : 503, &fields, NULL, 0);
 	h1_conn_resume(conn);
 	h1_text_finish(&fields);
@@ -211,19 +212,19 @@
  * Handles a response head.  Returns 1 to skip a response to another request.
  */
 static int
-on_response_head(void *ctx, struct h1_xchg *x)
+on_response_head(void *ctx, struct h1_exchange *x)
 {
 	struct exit_req *e = ctx;
-	const struct h1_head *h = h1_xchg_head(x);
+	const struct h1_head *h = h1_exchange_head(x);
 
 	if (!matches_request(e, h)) {
 		e->relay->counters[RELAY_ANSWERS_SKIPPED]++;
 		return 1;
 	}
-	e->status = h1_xchg_status(x);
-	e->answer_length = h1_xchg_length(x);
+	e->status = h1_exchange_status(x);
+	e->answer_length = h1_exchange_body_length(x);
 	e->verdict = classify_response(e, h);
-	h1_text_forward(&e->fields, h, internal_fields);
+	h1_text_add_forwarded(&e->fields, h, internal_fields);
 	return 0;
 }
 
@@ -232,7 +233,7 @@
  * larger than the buffer.
  */
 static void
-on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	struct exit_req *e = ctx;
 
@@ -245,21 +246,21 @@
 	if (!e->streaming) {
 		e->streaming = 1;
 		add_exit_field(e, &e->fields, VERDICT_RAN);
-		h1_answer_head(
+		h1_send_response_head(
 		    e->conn, e->status, &e->fields, e->answer_length);
-		h1_answer_body(e->conn, e->answer.p, e->answer.len);
+		h1_send_response_body(e->conn, e->answer.p, e->answer.len);
 		h1_text_finish(&e->answer);
 	}
-	h1_answer_body(e->conn, p, n);
-	if (h1_conn_queued(e->conn) > H1_QUEUE_HIGH)
-		h1_xchg_pause(x);
+	h1_send_response_body(e->conn, p, n);
+	if (h1_conn_unsent_bytes(e->conn) > H1_WRITE_QUEUE_HIGH_BYTES)
+		h1_exchange_pause(x);
 }
 
 /*
  * Handles the end of a response.
  */
 static void
-on_response_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_exchange *x)
 {
 	struct exit_req *e = ctx;
 	struct relay *r = e->relay;
@@ -268,8 +269,8 @@
 	(void)x;
 	e->xchg = NULL;
 	if (r->server.connect_failures > 0)
-		event_log(
-		    EVENT_SERVER_UP, relay_now(r), "server=%s", r->server.id);
+		event_log(EVENT_SERVER_REGAINED, relay_now(r), "server=%s",
+		    r->server.id);
 	r->server.connect_failures = 0;
 	if (e->verdict == VERDICT_REJECTED) {
 		r->counters[RELAY_EXIT_SERVER_REJECTED]++;
@@ -289,11 +290,11 @@
 			 : e->status == 504 ? ADMISSION_TIMEOUT
 					    : ADMISSION_FAILED);
 	if (e->streaming) {
-		h1_answer_end(conn);
+		h1_send_response_end(conn);
 	} else {
 		add_exit_field(e, &e->fields, VERDICT_RAN);
 		h1_conn_set_user(conn, NULL);
-		h1_answer(
+		h1_send_response(
 		    conn, e->status, &e->fields, e->answer.p, e->answer.len);
 	}
 	h1_conn_resume(conn);
@@ -321,17 +322,17 @@
 				 ? s->connect_failures
 				 : RECONNECT_DOUBLINGS));
 	s->connect_failures++;
-	event_log(EVENT_SERVER_DOWN, now, "server=%s retry_in_ms=%llu", s->id,
+	event_log(EVENT_SERVER_LOST, now, "server=%s retry_in_ms=%llu", s->id,
 	    (unsigned long long)(s->down_until_ms - now));
 	suspect_server_down(r, crashed);
-	fleet_beat_all(&r->net, 0);
+	fleet_send_heartbeat_all(&r->net, 0);
 }
 
 /*
  * Handles a failed exchange with the server.
  */
 static void
-on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
+on_exchange_failed(void *ctx, struct h1_exchange *x, enum h1_failure failure)
 {
 	struct exit_req *e = ctx;
 	struct relay *r = e->relay;
@@ -345,11 +346,11 @@
 		exit_run_queued(r);
 		return;
 	}
-	if (failure == H1_BROKEN && e->status == 0)
+	if (failure == H1_INCOMPLETE && e->status == 0)
 		suspect_note_broken(e);
 	if (e->streaming) {
 		r->counters[RELAY_EXIT_FAILED]++;
-		event_log(EVENT_EXIT_FAILED, relay_now(r),
+		event_log(EVENT_SERVER_FAILURE, relay_now(r),
 		    "id=%s verdict=unknown reason=cut-answer server=%s", e->id,
 		    r->server.id);
 		exit_complete(e, ADMISSION_FAILED);
@@ -358,7 +359,7 @@
 		h1_conn_abort(conn);
 	} else {
 		exit_refuse(e, VERDICT_UNKNOWN,
-		    failure == H1_BROKEN ? "broken" : "garbled");
+		    failure == H1_INCOMPLETE ? "broken" : "garbled");
 	}
 	exit_run_queued(r);
 }
@@ -368,7 +369,7 @@
  * for it.
  */
 static void
-on_request_drained(void *ctx, struct h1_xchg *x)
+on_request_drained(void *ctx, struct h1_exchange *x)
 {
 	struct exit_req *e = ctx;
 
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -90,9 +90,9 @@
  * this node's callers.
  */
 void
-load_fill_heartbeat(struct relay *r, struct fleet_beat *b)
+load_fill_heartbeat(struct relay *r, struct fleet_heartbeat *b)
 {
-	static fleet_name calls[FLEET_CALLS_MAX], demands[FLEET_DEMANDS_MAX];
+	static fleet_name calls[FLEET_CALLS_MAX], demands[FLEET_REQUESTED_MAX];
 	static u_int per_1000[FLEET_CALLS_MAX];
 	static char rates[FLEET_RATES_MAX];
 	const struct profile *p = &r->profile;
@@ -135,7 +135,7 @@
  * the node's callers request, as listed in its heartbeat.
  */
 void
-load_on_heartbeat(void *ctx, int handle, const struct fleet_beat *b)
+load_on_heartbeat(void *ctx, int handle, const struct fleet_heartbeat *b)
 {
 	struct relay *r = ctx;
 	struct relay_link *l = relay_link(r, handle);
@@ -240,7 +240,8 @@
 {
 	int h;
 
-	if (p->gone || p->out || p->server.id[0] == '\0' || p->server.leaving)
+	if (p->has_departed || p->isolated || p->server.id[0] == '\0' ||
+	    p->server.unavailable_state)
 		return;
 	h = throttle_service(&r->throttle, p->server.service);
 	if (h >= 0)
@@ -285,7 +286,7 @@
 	add_own_load(r);
 	for (i = 0; i < r->fleet.count; i++) {
 		p = &r->fleet.peers[i];
-		if (!fleet_alive(&r->fleet, i, now)) {
+		if (!fleet_is_alive(&r->fleet, i, now)) {
 			keep_unheard_service_open(r, p);
 			continue;
 		}
@@ -295,13 +296,13 @@
 			     k++)
 				throttle_add_demand(&r->throttle, l->demands[j],
 				    k, l->demands_per_s[j][k]);
-		if (p->server.id[0] == '\0' || p->server.leaving)
+		if (p->server.id[0] == '\0' || p->server.unavailable_state)
 			continue;
 		h = throttle_service(&r->throttle, p->server.service);
 		m.slots = p->server.slots;
-		m.mean_run_s = p->server.run_s;
-		m.offered_load = p->server.offered;
-		m.failure_share = p->server.failing;
+		m.mean_run_s = p->server.mean_run_s;
+		m.offered_load = p->server.offered_load;
+		m.failure_share = p->server.failure_share;
 		if (h >= 0)
 			throttle_server(&r->throttle, h, &m);
 	}
--- a/src/relay/probe.c
+++ b/src/relay/probe.c
@@ -16,10 +16,11 @@
 #define PROBES_MAX 5 /* after that the node waits for the announcement */
 
 static void on_probe_timer(uv_timer_t *);
-static int on_response_head(void *, struct h1_xchg *);
-static void on_response_body(void *, struct h1_xchg *, const char *, size_t);
-static void on_response_end(void *, struct h1_xchg *);
-static void on_exchange_failed(void *, struct h1_xchg *, enum h1_fail);
+static int on_response_head(void *, struct h1_exchange *);
+static void on_response_body(
+    void *, struct h1_exchange *, const char *, size_t);
+static void on_response_end(void *, struct h1_exchange *);
+static void on_exchange_failed(void *, struct h1_exchange *, enum h1_failure);
 static const char *health_path(const struct relay *);
 static int read_slots(const char *, uint64_t *);
 
@@ -72,7 +73,7 @@
 	r->probe_count++;
 	h1_text_init(&t);
 	h1_text_addf(&t, "GET %s HTTP/1.1\r\nHost: health\r\n\r\n", path);
-	h1_send(&r->server_pool, &t, 0, 0, UINT64_MAX, &probe_ops, r);
+	h1_send_request(&r->server_pool, &t, 0, 0, UINT64_MAX, &probe_ops, r);
 	h1_text_finish(&t);
 }
 
@@ -102,16 +103,16 @@
  * a number of slots is treated as announced.
  */
 static int
-on_response_head(void *ctx, struct h1_xchg *x)
+on_response_head(void *ctx, struct h1_exchange *x)
 {
 	struct relay *r = ctx;
-	const struct h1_head *h = h1_xchg_head(x);
+	const struct h1_head *h = h1_exchange_head(x);
 	struct relay_announce a;
 	char load[64];
 	uint64_t slots;
 
 	memset(&a, 0, sizeof(a));
-	if (r->server.id[0] != '\0' || h1_xchg_status(x) != 200 ||
+	if (r->server.id[0] != '\0' || h1_exchange_status(x) != 200 ||
 	    h1_head_copy(h, r->set.names.instance, a.id, sizeof(a.id)) < 1 ||
 	    h1_head_copy(h, r->set.names.load, load, sizeof(load)) < 1 ||
 	    read_slots(load, &slots) == -1 || slots == 0 || slots > UINT32_MAX)
@@ -126,7 +127,7 @@
  * Ignores the body of a health response.
  */
 static void
-on_response_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_response_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	(void)ctx;
 	(void)x;
@@ -138,7 +139,7 @@
  * Does nothing: the head of the response was enough.
  */
 static void
-on_response_end(void *ctx, struct h1_xchg *x)
+on_response_end(void *ctx, struct h1_exchange *x)
 {
 	(void)ctx;
 	(void)x;
@@ -148,7 +149,7 @@
  * Ignores a failed request; the timer sends another one.
  */
 static void
-on_exchange_failed(void *ctx, struct h1_xchg *x, enum h1_fail failure)
+on_exchange_failed(void *ctx, struct h1_exchange *x, enum h1_failure failure)
 {
 	(void)ctx;
 	(void)x;
--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -39,7 +39,7 @@
 	int readers[READERS_MAX];
 	size_t i, n;
 
-	n = fleet_readers(&r->fleet, readers, READERS_MAX);
+	n = fleet_store_readers(&r->fleet, readers, READERS_MAX);
 	for (i = 0; i < n; i++)
 		if (readers[i] == FLEET_SELF)
 			return 1;
@@ -62,12 +62,12 @@
 		return 0;
 	for (i = 0; i < r->fleet.count; i++)
 		if (r->fleet.peers[i].config_version > r->config->version &&
-		    fleet_alive(&r->fleet, i, now))
+		    fleet_is_alive(&r->fleet, i, now))
 			return 1;
 	if (age_ms < QUERY_AGE_MS)
 		return 0;
 	if (now - r->proof_query_ms >= QUERY_INTERVAL_MS) {
-		n = fleet_readers(&r->fleet, readers, READERS_MAX);
+		n = fleet_store_readers(&r->fleet, readers, READERS_MAX);
 		r->proof_query_id = relay_random();
 		r->proof_query_ms = now;
 		if (n > 0)
@@ -93,10 +93,11 @@
 {
 	struct fleet_msg m;
 
-	if (handle < 0 || !fleet_alive(&r->fleet, (size_t)handle, relay_now(r)))
+	if (handle < 0 ||
+	    !fleet_is_alive(&r->fleet, (size_t)handle, relay_now(r)))
 		return;
 	memset(&m, 0, sizeof(m));
-	m.kind = FLEET_DOUBT;
+	m.kind = FLEET_PROOF_QUERY;
 	m.fleet_msg_u.doubt.id = r->proof_query_id;
 	fleet_send(&r->net, &m, r->fleet.peers[handle].address);
 }
@@ -105,8 +106,8 @@
  * Responds to a query of another node.
  */
 void
-relay_on_proof_query(
-    void *ctx, const struct fleet_doubt *d, const struct sockaddr_in *from)
+relay_on_proof_query(void *ctx, const struct fleet_proof_query *d,
+    const struct sockaddr_in *from)
 {
 	struct relay *r = ctx;
 	struct fleet_msg m;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -23,24 +23,24 @@
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
-static void fill_heartbeat(void *, struct fleet_beat *);
+static void fill_heartbeat(void *, struct fleet_heartbeat *);
 static void on_peer_changed(void *, int);
 static void on_deadline_tick(uv_timer_t *);
-static void on_left_report(void *, const struct fleet_left *);
+static void on_left_report(void *, const struct fleet_departure *);
 static uint32_t usable_slots(uint32_t);
 
 static const struct fleet_ops fleet_ops = {
-	.fill = fill_heartbeat,
-	.heard = load_on_heartbeat,
-	.told = load_on_report,
-	.turned = on_peer_changed,
-	.ask = relay_on_token_request,
-	.give = relay_on_token_grant,
-	.strike = relay_on_crash_report,
-	.bucket = relay_on_bucket_transfer,
-	.doubt = relay_on_proof_query,
-	.proof = relay_on_proof,
-	.left = on_left_report,
+	.fill_heartbeat = fill_heartbeat,
+	.on_full_heartbeat = load_on_heartbeat,
+	.on_load = load_on_report,
+	.on_members_changed = on_peer_changed,
+	.on_token_request = relay_on_token_request,
+	.on_token_grant = relay_on_token_grant,
+	.on_crash_report = relay_on_crash_report,
+	.on_bucket_transfer = relay_on_bucket_transfer,
+	.on_proof_query = relay_on_proof_query,
+	.on_proof = relay_on_proof,
+	.on_server_departed = on_left_report,
 };
 
 static const char *const counter_names[RELAY_COUNTER_MAX] = {
@@ -112,7 +112,7 @@
 	r->core.limiter.fixed_to_slots = 1;
 	r->core.slots_known = 1;
 	quota_owner_init(&r->owner);
-	seal_init(&r->seal, settings->fleet_key, settings->previous_key);
+	seal_init(&r->seal, settings->fleet_key, settings->alternate_key);
 	suspect_init(r);
 	h1_pool_init(&r->server_pool, loop, &settings->server, SERVER_IDLE_MS,
 	    SERVER_CONNECT_MS);
@@ -333,15 +333,15 @@
 	load_collect_ranks(r);
 	l = &r->entry.limits;
 	if (c->caps.head_bytes > 0)
-		l->head_bytes = c->caps.head_bytes;
+		l->max_head_bytes = c->caps.head_bytes;
 	if (c->caps.body_bytes > 0)
-		l->body_bytes = c->caps.body_bytes;
+		l->max_body_bytes = c->caps.body_bytes;
 	if (c->caps.head_ms > 0)
-		l->head_ms = c->caps.head_ms;
+		l->head_timeout_ms = c->caps.head_ms;
 	if (c->caps.idle_ms > 0)
-		l->idle_ms = c->caps.idle_ms;
-	r->exit.limits.body_bytes = l->body_bytes;
-	r->exit.limits.head_bytes = l->head_bytes * 2;
+		l->idle_timeout_ms = c->caps.idle_ms;
+	r->exit.limits.max_body_bytes = l->max_body_bytes;
+	r->exit.limits.max_head_bytes = l->max_head_bytes * 2;
 }
 
 /*
@@ -367,7 +367,7 @@
  * Fills in this node's heartbeat.
  */
 static void
-fill_heartbeat(void *ctx, struct fleet_beat *b)
+fill_heartbeat(void *ctx, struct fleet_heartbeat *b)
 {
 	static uint32_t silent[FLEET_SILENT_MAX];
 	struct relay *r = ctx;
@@ -389,9 +389,9 @@
 	b->server.slots = limiter_value(&r->core.limiter);
 	b->server.cold_ms =
 	    s->cold_until_ms > now ? (unsigned int)(s->cold_until_ms - now) : 0;
-	b->load.out = (unsigned int)r->fleet.out;
+	b->load.out = (unsigned int)r->fleet.self_isolated;
 	b->load.nodes = nodes != FLEET_SIZE_UNKNOWN ? nodes : 0;
-	b->load.silent.silent_len = fleet_silent(&r->fleet, now, silent);
+	b->load.silent.silent_len = fleet_list_silent(&r->fleet, now, silent);
 	b->load.silent.silent_val = silent;
 	b->load.running = r->core.inflight;
 	b->load.waiting = r->core.queued;
@@ -431,7 +431,7 @@
 	    "peer=%s incarnation=%llu stopping=%d service=%s server=%s "
 	    "server_leaving=%d",
 	    p->node, (unsigned long long)p->incarnation, p->stopping,
-	    p->server.service, p->server.id, p->server.leaving);
+	    p->server.service, p->server.id, p->server.unavailable_state);
 }
 
 /*
@@ -498,7 +498,7 @@
 		changed = 1;
 	}
 	if (changed)
-		fleet_beat_all(&r->net, 0);
+		fleet_send_heartbeat_all(&r->net, 0);
 	exit_run_queued(r);
 	return 1;
 }
@@ -517,8 +517,8 @@
 		return;
 	s->leaving = 1;
 	s->departed = 1;
-	event_log(EVENT_SERVER_GONE, relay_now(r), "server=%s", s->id);
-	fleet_beat_all(&r->net, 0);
+	event_log(EVENT_SERVER_DEPARTED, relay_now(r), "server=%s", s->id);
+	fleet_send_heartbeat_all(&r->net, 0);
 	exit_run_queued(r);
 }
 
@@ -527,7 +527,7 @@
  * departure before this node restarted.
  */
 static void
-on_left_report(void *ctx, const struct fleet_left *l)
+on_left_report(void *ctx, const struct fleet_departure *l)
 {
 	struct relay *r = ctx;
 	struct relay_server *s = &r->server;
@@ -538,7 +538,7 @@
 	s->leaving = 1;
 	event_log(
 	    EVENT_SERVER_LEAVING, relay_now(r), "server=%s source=node", s->id);
-	fleet_beat_all(&r->net, 0);
+	fleet_send_heartbeat_all(&r->net, 0);
 	exit_run_queued(r);
 }
 
@@ -553,12 +553,13 @@
 		return;
 	r->stopping = 1;
 	r->stop_began_ms = relay_now(r);
-	h1_server_closing(&r->entry);
-	h1_server_closing(&r->exit);
-	fleet_beat_all(&r->net, 0);
+	h1_server_start_draining(&r->entry);
+	h1_server_start_draining(&r->exit);
+	fleet_send_heartbeat_all(&r->net, 0);
 	relay_transfer_buckets(r);
 	event_log(EVENT_STOPPING, relay_now(r), "entries=%u exits=%u",
-	    h1_server_busy(&r->entry), h1_server_busy(&r->exit));
+	    h1_server_open_requests(&r->entry),
+	    h1_server_open_requests(&r->exit));
 }
 
 /*
@@ -611,7 +612,7 @@
 relay_has_requests(const struct relay *r)
 {
 	return r->entries != NULL || r->exits != NULL ||
-	       h1_server_busy(&r->entry) > 0;
+	       h1_server_open_requests(&r->entry) > 0;
 }
 
 /*
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -67,9 +67,10 @@
 	uint64_t accept_root_ms;
 	uint64_t memory_bytes; /* memory that the process may use */
 	uint32_t descriptors;
-	char fleet_key[SEAL_KEY_BYTES]; /* shared by all nodes; empty: none */
+	char fleet_key[SEAL_KEY_TEXT_BYTES]; /* shared by all nodes; empty: none
+					      */
 	/* Also accepted during key rotation; empty: none. */
-	char previous_key[SEAL_KEY_BYTES];
+	char alternate_key[SEAL_KEY_TEXT_BYTES];
 };
 
 /* An announcement by the backend server beside this node. */
@@ -139,9 +140,9 @@
 	int calls[FLEET_CALLS_MAX]; /* services that the node's server calls */
 	uint32_t call_count;
 	/* Services that the node's callers request. */
-	int demands[FLEET_DEMANDS_MAX];
+	int demands[FLEET_REQUESTED_MAX];
 	uint32_t demand_count;
-	float demands_per_s[FLEET_DEMANDS_MAX][THROTTLE_CLASSES];
+	float demands_per_s[FLEET_REQUESTED_MAX][THROTTLE_CLASSES];
 	struct choice_health health;
 	uint64_t avoid_until_ms; /* the node is not chosen before this time */
 	uint32_t connect_failure_run; /* consecutive failures to connect */
@@ -158,7 +159,7 @@
 
 /* A request that was running on the server when its connection broke. */
 struct relay_broken_exchange {
-	struct quarantine_print fingerprint;
+	struct quarantine_fingerprint fingerprint;
 	uint64_t broken_ms; /* 0: unused slot */
 };
 
@@ -187,9 +188,9 @@
 
 /* A request to another node for its configuration. */
 struct relay_copy {
-	struct h1_xchg *xchg; /* NULL: no request in progress */
-	int peer;	      /* handle of the node asked */
-	int valid;	      /* no error so far */
+	struct h1_exchange *xchg; /* NULL: no request in progress */
+	int peer;		  /* handle of the node asked */
+	int valid;		  /* no error so far */
 	uint64_t requested_ms;
 	struct h1_text body;
 	relay_config_fn done;
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -85,7 +85,7 @@
 	int may_have_run;
 	int tried_nodes[RELAY_TRIED_MAX];
 	int attempt_node; /* handle of the node of the current attempt */
-	struct h1_xchg *xchg;
+	struct h1_exchange *xchg;
 	/* As read so far; kept for the current and later attempts. */
 	char *body;
 	size_t body_len, body_cap;
@@ -108,7 +108,7 @@
 	struct admission_waiter waiter;
 	int waiting; /* queued for a slot */
 	int running;
-	struct h1_xchg *xchg;
+	struct h1_exchange *xchg;
 	char id[RELAY_ID_BYTES];
 	/* Untruncated id in the request head; NULL: none. */
 	const char *full_id;
@@ -132,7 +132,7 @@
 	enum relay_verdict verdict;
 	struct h1_text fields; /* header fields of the response */
 	struct h1_text answer; /* response body, buffered until it is sent */
-	struct quarantine_print fingerprint;
+	struct quarantine_fingerprint fingerprint;
 	/* Has a crash report: at most one such request runs at a time. */
 	int solo;
 };
@@ -151,8 +151,8 @@
 
 /* load.c */
 void load_init(struct relay *);
-void load_fill_heartbeat(struct relay *, struct fleet_beat *);
-void load_on_heartbeat(void *, int, const struct fleet_beat *);
+void load_fill_heartbeat(struct relay *, struct fleet_heartbeat *);
+void load_on_heartbeat(void *, int, const struct fleet_heartbeat *);
 void load_on_report(void *, int, const struct fleet_load *);
 void load_update(struct relay *);
 void load_record_refusal(struct relay *);
@@ -181,8 +181,8 @@
 void entry_retry_token_requests(struct relay *);
 void entry_return_token(struct entry_req *);
 void relay_on_token_request(
-    void *, const struct fleet_ask *, const struct sockaddr_in *);
-void relay_on_token_grant(void *, const struct fleet_give *);
+    void *, const struct fleet_token_request *, const struct sockaddr_in *);
+void relay_on_token_grant(void *, const struct fleet_token_grant *);
 void relay_on_bucket_transfer(void *, const struct fleet_bucket *);
 void relay_transfer_buckets(struct relay *);
 
@@ -191,7 +191,7 @@
 
 /* proof.c */
 void relay_on_proof_query(
-    void *, const struct fleet_doubt *, const struct sockaddr_in *);
+    void *, const struct fleet_proof_query *, const struct sockaddr_in *);
 void relay_on_proof(void *, const struct fleet_proof *);
 
 /* sealed.c */
@@ -224,6 +224,6 @@
 void suspect_server_down(struct relay *, int);
 void suspect_note_served(struct exit_req *);
 enum quarantine_state suspect_state(const struct exit_req *);
-void relay_on_crash_report(void *, const struct fleet_strike *);
+void relay_on_crash_report(void *, const struct fleet_crash_report *);
 
 #endif
--- a/src/relay/sealed.c
+++ b/src/relay/sealed.c
@@ -35,16 +35,16 @@
 {
 	const struct h1_head *h = h1_conn_head(conn);
 	struct seal_request q;
-	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX];
+	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX_BYTES];
 
-	if (!r->seal.keyed)
+	if (!r->seal.has_key)
 		return 1;
 	if (h1_head_copy(h, RELAY_HOP, hop, sizeof(hop)) < 0)
 		hop[0] = '\0';
 	if (h1_head_copy(h, RELAY_SEAL, hex, sizeof(hex)) < 0)
 		hex[0] = '\0';
 	sealed_request_parts(r, conn, hop, &q);
-	if (seal_request_good(&r->seal, &q, hex))
+	if (seal_request_valid(&r->seal, &q, hex))
 		return 1;
 	r->counters[RELAY_EXIT_UNSEALED]++;
 	return 0;
@@ -59,14 +59,15 @@
 sealed_log_rejected(struct relay *r)
 {
 	uint64_t requests = r->counters[RELAY_EXIT_UNSEALED];
-	uint64_t total = r->net.bad + r->net.unsealed + requests;
+	uint64_t total = r->net.undecodable + r->net.seal_rejected + requests;
 
 	if (total == r->rejected_logged)
 		return;
 	r->rejected_logged = total;
-	event_log(EVENT_STRANGERS, relay_now(r),
+	event_log(EVENT_SEAL_REJECTED, relay_now(r),
 	    "unreadable_datagrams=%llu unsealed_datagrams=%llu "
 	    "unsealed_requests=%llu",
-	    (unsigned long long)r->net.bad, (unsigned long long)r->net.unsealed,
+	    (unsigned long long)r->net.undecodable,
+	    (unsigned long long)r->net.seal_rejected,
 	    (unsigned long long)requests);
 }
--- a/src/relay/suspect.c
+++ b/src/relay/suspect.c
@@ -10,9 +10,9 @@
 #define CRASH_WINDOW_MS 1500
 
 static void record_report(
-    struct relay *, const struct quarantine_print *, uint64_t, int);
+    struct relay *, const struct quarantine_fingerprint *, uint64_t, int);
 static void broadcast_report(
-    struct relay *, const struct quarantine_print *, uint64_t, int);
+    struct relay *, const struct quarantine_fingerprint *, uint64_t, int);
 
 /*
  * Allocates the table of suspect requests.  It also records the requests that
@@ -59,7 +59,7 @@
 {
 	struct relay *r = e->relay;
 
-	return table_state(r->suspects, &e->fingerprint, relay_now(r));
+	return table_get_state(r->suspects, &e->fingerprint, relay_now(r));
 }
 
 /*
@@ -69,11 +69,11 @@
 void
 suspect_note_served(struct exit_req *e)
 {
-	uint64_t crash_ids[QUARANTINE_DEATHS];
+	uint64_t crash_ids[QUARANTINE_CRASHES_MAX];
 	struct relay *r = e->relay;
 	size_t n, i;
 
-	n = table_succeed(
+	n = table_record_success(
 	    r->suspects, &e->fingerprint, relay_now(r), crash_ids);
 	for (i = 0; i < n; i++)
 		broadcast_report(r, &e->fingerprint, crash_ids[i], 1);
@@ -98,15 +98,15 @@
  * Records a crash report on a request, or that it is cleared of one.
  */
 static void
-record_report(struct relay *r, const struct quarantine_print *p,
+record_report(struct relay *r, const struct quarantine_fingerprint *p,
     uint64_t crash_id, int cleared)
 {
 	uint64_t now = relay_now(r);
 
-	if (!table_strike(r->suspects, p, crash_id, cleared, now, now))
+	if (!table_add_report(r->suspects, p, crash_id, cleared, now, now))
 		return;
 	r->counters[RELAY_CRASH_REPORTS] += !cleared;
-	event_log(EVENT_STRIKE, now,
+	event_log(EVENT_CRASH_REPORT, now,
 	    "print=%016llx%016llx death=%016llx acquitted=%d",
 	    (unsigned long long)p->hi, (unsigned long long)p->lo,
 	    (unsigned long long)crash_id, cleared);
@@ -117,13 +117,13 @@
  * nodes.
  */
 static void
-broadcast_report(struct relay *r, const struct quarantine_print *p,
+broadcast_report(struct relay *r, const struct quarantine_fingerprint *p,
     uint64_t crash_id, int cleared)
 {
 	struct fleet_msg m;
 
 	memset(&m, 0, sizeof(m));
-	m.kind = FLEET_STRIKE;
+	m.kind = FLEET_CRASH_REPORT;
 	m.fleet_msg_u.strike.lo = p->lo;
 	m.fleet_msg_u.strike.hi = p->hi;
 	m.fleet_msg_u.strike.death = crash_id;
@@ -160,9 +160,9 @@
  * Handles a crash report of another node.
  */
 void
-relay_on_crash_report(void *ctx, const struct fleet_strike *s)
+relay_on_crash_report(void *ctx, const struct fleet_crash_report *s)
 {
-	struct quarantine_print p = { s->lo, s->hi };
+	struct quarantine_fingerprint p = { s->lo, s->hi };
 
 	record_report(ctx, &p, s->death, s->acquitted != 0);
 }
--- a/src/relay/test_pair.h
+++ b/src/relay/test_pair.h
@@ -37,9 +37,9 @@
 
 struct caller {
 	struct h1_pool pool;
-	struct h1_xchg *xchg;
+	struct h1_exchange *xchg;
 	int done;
-	enum h1_fail fail;
+	enum h1_failure fail;
 	unsigned int status;
 	char body[64];
 	size_t body_len;
@@ -79,43 +79,44 @@
 
 	h1_text_init(&t);
 	if (s->health) {
-		h1_text_field(&t, "Instance", "i-0");
-		h1_text_field(&t, "Load", "1,0,7");
-		h1_answer(conn, s->server_behavior == SERVER_FAILS ? 503 : 200,
-		    &t, NULL, 0);
+		h1_text_add_field(&t, "Instance", "i-0");
+		h1_text_add_field(&t, "Load", "1,0,7");
+		h1_send_response(conn,
+		    s->server_behavior == SERVER_FAILS ? 503 : 200, &t, NULL,
+		    0);
 		h1_text_finish(&t);
 		return;
 	}
-	h1_text_field(&t, "Id", s->id);
+	h1_text_add_field(&t, "Id", s->id);
 	switch (s->server_behavior) {
 	case SERVER_ANSWERS:
-		h1_text_field(&t, "Cyclamen-Exit", "busy 0 0 0");
-		h1_text_field(&t, "Stamp", "s");
-		h1_answer(conn, 200, &t, "mine", 4);
+		h1_text_add_field(&t, "Cyclamen-Exit", "busy 0 0 0");
+		h1_text_add_field(&t, "Stamp", "s");
+		h1_send_response(conn, 200, &t, "mine", 4);
 		break;
 	case SERVER_FAILS:
-		h1_text_field(&t, "Stamp", "s");
-		h1_answer(conn, 500, &t, "bad", 3);
+		h1_text_add_field(&t, "Stamp", "s");
+		h1_send_response(conn, 500, &t, "bad", 3);
 		break;
 	case SERVER_OMITS_STAMP:
-		h1_answer(conn, 200, &t, "mine", 4);
+		h1_send_response(conn, 200, &t, "mine", 4);
 		break;
 	case SERVER_REJECTS:
-		h1_text_field(&t, "Not-Run", "1");
-		h1_answer(conn, 503, &t, NULL, 0);
+		h1_text_add_field(&t, "Not-Run", "1");
+		h1_send_response(conn, 503, &t, NULL, 0);
 		break;
 	case SERVER_ANSWERS_OTHER_FIRST:
 		/* A late answer to an earlier request precedes this one. */
 		h1_text_finish(&t);
 		s->id[strlen(s->id) - 1] ^= 1;
-		h1_text_field(&t, "Id", s->id);
-		h1_text_field(&t, "Stamp", "s");
+		h1_text_add_field(&t, "Id", s->id);
+		h1_text_add_field(&t, "Stamp", "s");
 		h1_text_addf(&t, "Content-Length: 6\r\n\r\nothersHTTP/1.1 200 "
 				 "OK\r\n");
 		s->id[strlen(s->id) - 1] ^= 1;
-		h1_text_field(&t, "Id", s->id);
-		h1_text_field(&t, "Stamp", "s");
-		h1_answer(conn, 200, &t, "mine", 4);
+		h1_text_add_field(&t, "Id", s->id);
+		h1_text_add_field(&t, "Stamp", "s");
+		h1_send_response(conn, 200, &t, "mine", 4);
 		break;
 	case SERVER_BREAKS:
 		h1_conn_abort(conn);
@@ -141,19 +142,19 @@
 	server_end, on_server_disconnect, NULL };
 
 static int
-on_caller_headers(void *ctx, struct h1_xchg *x)
+on_caller_headers(void *ctx, struct h1_exchange *x)
 {
 	struct caller *c = ctx;
 
-	c->status = h1_xchg_status(x);
-	if (h1_head_copy(h1_xchg_head(x), "Retry-After", c->retry_after,
+	c->status = h1_exchange_status(x);
+	if (h1_head_copy(h1_exchange_head(x), "Retry-After", c->retry_after,
 		sizeof(c->retry_after)) < 0)
 		c->retry_after[0] = '\0';
 	return 0;
 }
 
 static void
-on_caller_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_caller_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	struct caller *c = ctx;
 
@@ -164,14 +165,14 @@
 }
 
 static void
-on_caller_end(void *ctx, struct h1_xchg *x)
+on_caller_end(void *ctx, struct h1_exchange *x)
 {
 	(void)x;
 	((struct caller *)ctx)->done = 1;
 }
 
 static void
-on_caller_fail(void *ctx, struct h1_xchg *x, enum h1_fail failure)
+on_caller_fail(void *ctx, struct h1_exchange *x, enum h1_failure failure)
 {
 	(void)x;
 	((struct caller *)ctx)->done = 2;
@@ -293,19 +294,19 @@
 		set.descriptors = 1000;
 		snprintf(set.fleet_key, sizeof(set.fleet_key), "%s",
 		    fleet_keys[i][0]);
-		snprintf(set.previous_key, sizeof(set.previous_key), "%s",
+		snprintf(set.alternate_key, sizeof(set.alternate_key), "%s",
 		    fleet_keys[i][1]);
 		server_addrs[i] = set.server;
 		assert_int_equal(h1_server_init(&servers[i].http, &loop,
 				     &set.server, &server_ops, &servers[i], 64),
 		    0);
 		assert_int_equal(relay_init(&nodes[i], &loop, &set), 0);
-		fleet_listed(&nodes[i].fleet);
+		fleet_set_node_list_complete(&nodes[i].fleet);
 		relay_apply_config(&nodes[i], make_config(1, 0, KEY));
 		relay_config_proved(&nodes[i], loop_ms(&loop));
 	}
-	fleet_learn(&nodes[0].fleet, "n1", ntohl(inet_addr(ips[1])), 1);
-	fleet_learn(&nodes[1].fleet, "n0", ntohl(inet_addr(ips[0])), 1);
+	fleet_add_node(&nodes[0].fleet, "n1", ntohl(inet_addr(ips[1])), 1);
+	fleet_add_node(&nodes[1].fleet, "n0", ntohl(inet_addr(ips[0])), 1);
 	announce(1, 100, 1, 0);
 	while (nodes[0].fleet.peers[0].server.id[0] == '\0' ||
 	       nodes[1].fleet.peers[0].heard_ms == 0)
@@ -344,9 +345,9 @@
 	    "Id: %s\r\n%s",
 	    path, id, extra_fields);
 	if (key != NULL)
-		h1_text_field(&t, "Key", key);
+		h1_text_add_field(&t, "Key", key);
 	h1_text_add(&t, "\r\n", 2);
-	c->xchg = h1_send(&c->pool, &t, 0, 0, 0, &caller_ops, c);
+	c->xchg = h1_send_request(&c->pool, &t, 0, 0, 0, &caller_ops, c);
 	h1_text_finish(&t);
 }
 
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -164,7 +164,7 @@
 	send_to(&c, 0, "/o/1", KEY, "");
 	while (servers[1].held_conn == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
-	h1_cancel(c.xchg);
+	h1_exchange_cancel(c.xchg);
 	while (servers[1].disconnects == 0)
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_null(nodes[0].entries);
@@ -220,7 +220,8 @@
 	for (i = 0; i < 2; i++)
 		relay_apply_config(&nodes[i], make_config(2, 10, KEY));
 	/* The owner may grant at once, as no other owner granted before. */
-	nodes[0].fleet.turned_ms = nodes[1].fleet.turned_ms = 0;
+	nodes[0].fleet.members_changed_ms = nodes[1].fleet.members_changed_ms =
+	    0;
 	for (i = 0; i < 40; i++) {
 		ask(&c, "/o/1", KEY);
 		ok += c.status == 200;
@@ -248,7 +249,8 @@
 	(void)state;
 	for (i = 0; i < 2; i++)
 		relay_apply_config(&nodes[i], make_config(2, 10, KEY));
-	nodes[0].fleet.turned_ms = nodes[1].fleet.turned_ms = 0;
+	nodes[0].fleet.members_changed_ms = nodes[1].fleet.members_changed_ms =
+	    0;
 	owner = fleet_owner(&nodes[0].fleet, ws, loop_ms(&loop)) == FLEET_SELF
 		    ? 0
 		    : 1;
@@ -362,10 +364,10 @@
 	/* Add silent nodes until both readers are silent ones. */
 	while (live_reader) {
 		snprintf(name, sizeof(name), "silent-%zu", t->count);
-		h = fleet_learn(t, name, 0x7f000063, loop_ms(&loop));
+		h = fleet_add_node(t, name, 0x7f000063, loop_ms(&loop));
 		t->peers[h].heard_ms = loop_ms(&loop);
-		live_reader =
-		    fleet_readers(t, list, 2) < 2 || list[0] < 1 || list[1] < 1;
+		live_reader = fleet_store_readers(t, list, 2) < 2 ||
+			      list[0] < 1 || list[1] < 1;
 	}
 	nodes[0].config_proved_ms = 0;
 	while (nodes[0].config_proved_ms == 0) {
@@ -461,7 +463,7 @@
 			&server_ops, &servers[1], 64),
 		    0);
 		announce(1, 200 + (uint64_t)i, 1, 0);
-		while (nodes[0].fleet.peers[0].server.leaving)
+		while (nodes[0].fleet.peers[0].server.unavailable_state)
 			uv_run(&loop, UV_RUN_ONCE);
 	}
 	servers[1].server_behavior = SERVER_ANSWERS;
@@ -596,9 +598,9 @@
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(call.status, 503);
 	h1_text_init(&t);
-	h1_text_field(&t, "Id", "7fa3");
-	h1_text_field(&t, "Stamp", "s");
-	h1_answer(servers[1].held_conn, 500, &t, "bad", 3);
+	h1_text_add_field(&t, "Id", "7fa3");
+	h1_text_add_field(&t, "Stamp", "s");
+	h1_send_response(servers[1].held_conn, 500, &t, "bad", 3);
 	h1_text_finish(&t);
 	while (!root.done)
 		uv_run(&loop, UV_RUN_ONCE);
--- a/src/relay/test_sealed.c
+++ b/src/relay/test_sealed.c
@@ -62,11 +62,11 @@
 	h1_text_init(&t);
 	h1_text_addf(&t, "GET %s HTTP/1.1\r\nHost: H\r\nId: forged\r\n", path);
 	if (hop != NULL)
-		h1_text_field(&t, RELAY_HOP, hop);
+		h1_text_add_field(&t, RELAY_HOP, hop);
 	if (hex != NULL)
-		h1_text_field(&t, RELAY_SEAL, hex);
+		h1_text_add_field(&t, RELAY_SEAL, hex);
 	h1_text_add(&t, "\r\n", 2);
-	c->xchg = h1_send(&c->pool, &t, 0, 0, 0, &caller_ops, c);
+	c->xchg = h1_send_request(&c->pool, &t, 0, 0, 0, &caller_ops, c);
 	h1_text_finish(&t);
 	while (!c->done)
 		uv_run(&loop, UV_RUN_ONCE);
@@ -101,7 +101,7 @@
 		.id = "forged",
 		.id_len = 6,
 		.hop = HOP_TEXT };
-	char wrong[SEAL_HEX], moved[SEAL_HEX];
+	char wrong[SEAL_HEX_BYTES], moved[SEAL_HEX_BYTES];
 	struct caller c;
 	struct seal s;
 
@@ -149,7 +149,7 @@
 	(void)state;
 	seal_init(&none, "", "");
 	memset(&m, 0, sizeof(m));
-	m.kind = FLEET_BYE;
+	m.kind = FLEET_GOODBYE;
 	m.fleet_msg_u.bye.node = "n1";
 	m.fleet_msg_u.bye.zone = "z1";
 	m.fleet_msg_u.bye.server.id = "";
@@ -158,11 +158,11 @@
 	m.fleet_msg_u.bye.incarnation = UINT64_MAX;
 	from.seal = &none;
 	fleet_send(&from, &m, ntohl(nodes[0].set.advertised.s_addr));
-	while (to->unsealed == 0)
+	while (to->seal_rejected == 0)
 		uv_run(&loop, UV_RUN_ONCE);
-	assert_int_equal(to->unsealed, 1);
+	assert_int_equal(to->seal_rejected, 1);
 	assert_false(nodes[0].fleet.peers[0].stopping);
-	assert_true(fleet_alive(&nodes[0].fleet, 0, loop_ms(&loop)));
+	assert_true(fleet_is_alive(&nodes[0].fleet, 0, loop_ms(&loop)));
 }
 
 static void
--- a/src/relay/test_stopping.c
+++ b/src/relay/test_stopping.c
@@ -78,7 +78,7 @@
 
 	(void)state;
 	announce(1, 100, 2, 1);
-	while (!nodes[0].fleet.peers[0].server.leaving)
+	while (!nodes[0].fleet.peers[0].server.unavailable_state)
 		uv_run(&loop, UV_RUN_ONCE);
 	memset(&nodes[1].server, 0, sizeof(nodes[1].server));
 	nodes[1].incarnation++;
@@ -91,7 +91,7 @@
 	assert_int_equal(c.status, 503);
 	assert_int_equal(servers[1].runs, 0);
 	announce(1, 300, 1, 0); /* the server has restarted */
-	while (nodes[0].fleet.peers[0].server.leaving)
+	while (nodes[0].fleet.peers[0].server.unavailable_state)
 		uv_run(&loop, UV_RUN_ONCE);
 	ask(&c, "/o/1", KEY);
 	assert_int_equal(c.status, 200);
--- a/src/relay/test_suspect.c
+++ b/src/relay/test_suspect.c
@@ -43,7 +43,7 @@
 	if (born != 0)
 		announce(1, born, 1, 0);
 	while (nodes[1].server.down_until_ms > loop_ms(&loop) ||
-	       nodes[0].fleet.peers[0].server.leaving)
+	       nodes[0].fleet.peers[0].server.unavailable_state)
 		uv_run(&loop, UV_RUN_ONCE);
 	servers[1].server_behavior = SERVER_ANSWERS;
 	servers[1].runs = 0;
@@ -75,7 +75,7 @@
 static void
 test_harmless_request_is_cleared(void **state)
 {
-	struct quarantine_print fingerprint;
+	struct quarantine_fingerprint fingerprint;
 	struct caller c;
 
 	(void)state;
@@ -91,7 +91,7 @@
 		uv_run(&loop, UV_RUN_ONCE);
 	fingerprint = nodes[1].exits->fingerprint;
 	assert_int_equal(
-	    table_state(nodes[0].suspects, &fingerprint, loop_ms(&loop)),
+	    table_get_state(nodes[0].suspects, &fingerprint, loop_ms(&loop)),
 	    QUARANTINE_REFUSED);
 	servers[1].server_behavior = SERVER_ANSWERS;
 	server_end(&servers[1], servers[1].held_conn);
@@ -99,8 +99,8 @@
 		uv_run(&loop, UV_RUN_ONCE);
 	assert_int_equal(c.status, 200);
 	h1_pool_finish(&c.pool);
-	while (table_state(nodes[0].suspects, &fingerprint, loop_ms(&loop)) !=
-	       QUARANTINE_FREE)
+	while (table_get_state(nodes[0].suspects, &fingerprint,
+		   loop_ms(&loop)) != QUARANTINE_UNRESTRICTED)
 		uv_run(&loop, UV_RUN_ONCE);
 }
 
--- a/src/relay/test_suspend.c
+++ b/src/relay/test_suspend.c
@@ -59,8 +59,8 @@
 		relay_config_proved(&nodes[0], loop_ms(&loop));
 		ask(&c, "/o/1", KEY);
 	} while (c.status != 200);
-	assert_false(nodes[0].fleet.peers[0].gone);
-	while (nodes[0].fleet.out || nodes[1].fleet.out)
+	assert_false(nodes[0].fleet.peers[0].has_departed);
+	while (nodes[0].fleet.self_isolated || nodes[1].fleet.self_isolated)
 		uv_run(&loop, UV_RUN_ONCE);
 }
 
--- a/src/retry/chain.c
+++ b/src/retry/chain.c
@@ -28,7 +28,7 @@
  * the chain, where a retry repeats the least work.
  */
 uint32_t
-retry_lend_call(struct retry_chain *c)
+retry_grant_to_call(struct retry_chain *c)
 {
 	return acquire(c, half_rounded_up);
 }
@@ -39,7 +39,7 @@
  * answer that is not lost returns it.
  */
 uint32_t
-retry_lend_attempt(struct retry_chain *c)
+retry_grant_to_attempt(struct retry_chain *c)
 {
 	return acquire(c, all_but_one);
 }
@@ -51,7 +51,7 @@
  * called.
  */
 void
-retry_return(struct retry_chain *c, uint32_t granted, uint32_t left)
+retry_return_unused(struct retry_chain *c, uint32_t granted, uint32_t left)
 {
 	uint32_t current = atomic_load(&c->left);
 
--- a/src/retry/decide.c
+++ b/src/retry/decide.c
@@ -12,7 +12,7 @@
 #define BACKOFF_FIRST_MS 10
 #define BACKOFF_MAX_MS 320
 
-static uint32_t random_backoff_ms(const struct retry_case *);
+static uint32_t random_backoff_ms(const struct retry_failure *);
 static void add_to_budget(struct retry_budget *, int64_t);
 
 struct rule {
@@ -26,10 +26,10 @@
 	[RETRY_LEAVING] = { 1, 0, 0 },
 	[RETRY_OVERLOAD] = { 1, 1, 0 },
 	[RETRY_OVERLOAD_ALL] = { 0, 0, 0 },
-	[RETRY_BROKEN] = { 1, 1, 1 },
+	[RETRY_BROKEN_EXCHANGE] = { 1, 1, 1 },
 	[RETRY_SERVER_FAILED] = { 1, 1, 1 },
 	[RETRY_DEADLINE] = { 0, 0, 0 },
-	[RETRY_FINAL] = { 0, 0, 0 },
+	[RETRY_NOT_RETRYABLE] = { 0, 0, 0 },
 };
 
 /*
@@ -47,7 +47,7 @@
  * Adds SUCCESS_MILLI_RETRIES to the budget for a served request.
  */
 void
-retry_budget_success(struct retry_budget *b)
+retry_budget_add_success(struct retry_budget *b)
 {
 	add_to_budget(b, SUCCESS_MILLI_RETRIES);
 }
@@ -77,30 +77,33 @@
 /*
  * Decides whether a failed attempt is retried.  Unless it returns
  * RETRY_GIVE_UP, it has spent one retry of the chain, and one of the route's
- * budget if the retry adds load.  Sets the delay (ms) for RETRY_LATER.  The
- * caller must have returned the unused grant of the attempt before, if it is
- * to be returned.
+ * budget if the retry adds load.  Sets the delay (ms) for RETRY_AFTER_DELAY.
+ * The caller must have returned the unused grant of the attempt before, if it
+ * is to be returned.
  */
 enum retry_verdict
-retry_decide(const struct retry_case *q, struct retry_chain *c,
+retry_decide(const struct retry_failure *q, struct retry_chain *c,
     struct retry_budget *b, uint64_t now_ms, uint32_t *delay_ms)
 {
 	const struct rule *r = &rules[q->reason];
 
 	*delay_ms = r->delayed ? random_backoff_ms(q) : 0;
-	if (!r->retryable || q->struck || (!q->not_run && !q->idempotent))
+	if (!r->retryable || q->server_crashed ||
+	    (!q->not_run && !q->idempotent))
 		return RETRY_GIVE_UP;
-	if (q->reason == RETRY_OVERLOAD && q->overloads > OVERLOAD_RETRIES_MAX)
+	if (q->reason == RETRY_OVERLOAD &&
+	    q->overloaded_attempts > OVERLOAD_RETRIES_MAX)
 		return RETRY_GIVE_UP;
-	if ((uint64_t)*delay_ms * 1000 + q->expected_us >= q->left_us)
+	if ((uint64_t)*delay_ms * 1000 + q->expected_attempt_us >=
+	    q->time_left_us)
 		return RETRY_GIVE_UP;
 	if (!retry_spend(c))
 		return RETRY_GIVE_UP;
 	if (r->budgeted && !retry_budget_spend(b, now_ms)) {
-		retry_return(c, 1, 1);
+		retry_return_unused(c, 1, 1);
 		return RETRY_GIVE_UP;
 	}
-	return r->delayed ? RETRY_LATER : RETRY_NOW;
+	return r->delayed ? RETRY_AFTER_DELAY : RETRY_NOW;
 }
 
 /*
@@ -109,7 +112,7 @@
  * time.
  */
 static uint32_t
-random_backoff_ms(const struct retry_case *q)
+random_backoff_ms(const struct retry_failure *q)
 {
 	uint32_t ms = BACKOFF_FIRST_MS, i;
 
--- a/src/retry/parents.c
+++ b/src/retry/parents.c
@@ -137,7 +137,7 @@
  * Stores the request hash of an inner call that failed.
  */
 void
-parent_call_failed(struct parent *p, uint64_t call)
+parent_record_failed_call(struct parent *p, uint64_t call)
 {
 	pthread_mutex_lock(&p->lock);
 	if (p->failed_call_count < PARENT_FAILED_CALLS_MAX)
@@ -151,7 +151,7 @@
  * as a retry.
  */
 int
-parent_call_repeats(struct parent *p, uint64_t call)
+parent_call_is_retry(struct parent *p, uint64_t call)
 {
 	uint32_t i;
 	int is_retry;
@@ -184,7 +184,7 @@
  * Records the chain level that the answer to an inner call reported.
  */
 void
-parent_note_level(struct parent *p, uint32_t level)
+parent_lower_chain_level(struct parent *p, uint32_t level)
 {
 	unsigned int current = atomic_load(&p->chain_level);
 
--- a/src/retry/parents.h
+++ b/src/retry/parents.h
@@ -19,8 +19,8 @@
 /* Attributes that inner calls inherit from the request being run. */
 struct parent_context {
 	uint64_t root_hash;
-	uint64_t root_print[2]; /* fingerprint of the root request */
-	uint64_t key_tag;	/* tag of the root request's API key, or 0 */
+	uint64_t root_fingerprint[2]; /* fingerprint of the root request */
+	uint64_t key_tag; /* tag of the root request's API key, or 0 */
 	uint64_t deadline_us;
 	enum admission_class class;
 	uint32_t depth;
@@ -61,9 +61,9 @@
 uint32_t parents_end(struct parents *, struct parent *);
 struct parent *parents_get(struct parents *, const char *);
 void parent_put(struct parent *);
-void parent_call_failed(struct parent *, uint64_t);
-int parent_call_repeats(struct parent *, uint64_t);
-void parent_note_level(struct parent *, uint32_t);
+void parent_record_failed_call(struct parent *, uint64_t);
+int parent_call_is_retry(struct parent *, uint64_t);
+void parent_lower_chain_level(struct parent *, uint32_t);
 uint32_t parent_chain_level(const struct parent *);
 int parent_has_failed_calls(struct parent *);
 int parent_has_ended(const struct parent *);
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -47,28 +47,29 @@
 
 	retry_chain_init(&caller_chain, granted);
 	for (;;) {
-		attempt_grant = retry_lend_attempt(&caller_chain);
+		attempt_grant = retry_grant_to_attempt(&caller_chain);
 		retry_chain_init(&server_chain, attempt_grant);
 		if (depth > 1) {
 			for (i = 0; i < t->width; i++)
-				call_grants[i] = retry_lend_call(&server_chain);
+				call_grants[i] =
+				    retry_grant_to_call(&server_chain);
 			for (i = 0; i < t->width; i++) {
 				left =
 				    simulate_call(t, call_grants[i], depth - 1);
 				if (random_below(t, 8) >= t->fail_in_8)
-					retry_return(&server_chain,
+					retry_return_unused(&server_chain,
 					    call_grants[i], left);
 			}
 		}
 		left = retry_chain_close(&server_chain);
-		retry_return(&server_chain, RETRY_MAX, RETRY_MAX);
-		assert_int_equal(retry_lend_call(&server_chain), 0);
+		retry_return_unused(&server_chain, RETRY_MAX, RETRY_MAX);
+		assert_int_equal(retry_grant_to_call(&server_chain), 0);
 		if (random_below(t, 8) >= t->fail_in_8) {
-			retry_return(&caller_chain, attempt_grant, left);
+			retry_return_unused(&caller_chain, attempt_grant, left);
 			break;
 		}
 		if (random_below(t, 2) == 0)
-			retry_return(&caller_chain, attempt_grant, left);
+			retry_return_unused(&caller_chain, attempt_grant, left);
 		if (!retry_spend(&caller_chain))
 			break;
 		t->retries++;
@@ -115,9 +116,9 @@
 
 	(void)state;
 	retry_chain_init(&c, 4);
-	granted = retry_lend_attempt(&c);
+	granted = retry_grant_to_attempt(&c);
 	assert_int_equal(granted, 3);
-	retry_return(&c, granted, 1000);
+	retry_return_unused(&c, granted, 1000);
 	assert_int_equal(retry_chain_close(&c), 4);
 }
 
@@ -145,9 +146,10 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		retry_chain_init(&c, rows[i].left);
 		for (j = 0; j < 4; j++)
-			assert_int_equal(retry_lend_call(&c), rows[i].calls[j]);
+			assert_int_equal(
+			    retry_grant_to_call(&c), rows[i].calls[j]);
 		retry_chain_init(&c, rows[i].left);
-		assert_int_equal(retry_lend_attempt(&c), rows[i].attempt);
+		assert_int_equal(retry_grant_to_attempt(&c), rows[i].attempt);
 	}
 }
 
@@ -159,7 +161,7 @@
 test_verdict_for_each_reason(void **state)
 {
 	static const struct {
-		struct retry_case q;
+		struct retry_failure q;
 		uint32_t left;
 		int budget_empty;
 		enum retry_verdict verdict;
@@ -180,16 +182,16 @@
 		    RETRY_GIVE_UP },
 		{ { RETRY_OVERLOAD_ALL, 1, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
 		    RETRY_GIVE_UP },
-		{ { RETRY_BROKEN, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
-		    RETRY_LATER },
-		{ { RETRY_BROKEN, 0, 0, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
+		{ { RETRY_BROKEN_EXCHANGE, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
+		    RETRY_AFTER_DELAY },
+		{ { RETRY_BROKEN_EXCHANGE, 0, 0, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
 		    RETRY_GIVE_UP },
-		{ { RETRY_BROKEN, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 1,
+		{ { RETRY_BROKEN_EXCHANGE, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 1,
 		    RETRY_GIVE_UP },
-		{ { RETRY_BROKEN, 0, 1, 1, 1, 0, 9999999, 0, 7 }, 9, 0,
+		{ { RETRY_BROKEN_EXCHANGE, 0, 1, 1, 1, 0, 9999999, 0, 7 }, 9, 0,
 		    RETRY_GIVE_UP },
 		{ { RETRY_SERVER_FAILED, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
-		    RETRY_LATER },
+		    RETRY_AFTER_DELAY },
 		{ { RETRY_SERVER_FAILED, 0, 0, 0, 1, 0, 9999999, 0, 7 }, 1, 0,
 		    RETRY_GIVE_UP },
 		{ { RETRY_SERVER_FAILED, 0, 1, 0, 1, 0, 5000, 0, 7 }, 1, 0,
@@ -198,11 +200,11 @@
 		    RETRY_GIVE_UP },
 		{ { RETRY_DEADLINE, 0, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
 		    RETRY_GIVE_UP },
-		{ { RETRY_FINAL, 1, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
+		{ { RETRY_NOT_RETRYABLE, 1, 1, 0, 1, 0, 9999999, 0, 7 }, 9, 0,
 		    RETRY_GIVE_UP },
 		/* The reason was never set. */
-		{ { .not_run = 1, .idempotent = 1, .left_us = 9999999 }, 9, 0,
-		    RETRY_GIVE_UP },
+		{ { .not_run = 1, .idempotent = 1, .time_left_us = 9999999 }, 9,
+		    0, RETRY_GIVE_UP },
 	};
 	struct retry_chain c;
 	struct retry_budget b;
@@ -241,7 +243,7 @@
 	assert_int_equal(spent, 10 + 10);
 	spent = 0;
 	for (i = 0; i < 1000; i++) {
-		retry_budget_success(&b);
+		retry_budget_add_success(&b);
 		spent += retry_budget_spend(&b, now);
 	}
 	assert_int_equal(spent, 100);
@@ -257,8 +259,8 @@
 	uint32_t i, n;
 
 	for (i = 0; i < GRANTS; i++) {
-		n = retry_lend_call(c);
-		retry_return(c, n, n);
+		n = retry_grant_to_call(c);
+		retry_return_unused(c, n, n);
 	}
 	return NULL;
 }
@@ -311,22 +313,22 @@
 	found = parents_get(&ps, text);
 	assert_ptr_equal(found, p);
 	assert_string_equal(found->context.workspace, "acme");
-	assert_int_equal(retry_lend_call(&found->chain), 2);
+	assert_int_equal(retry_grant_to_call(&found->chain), 2);
 	t = clock_us();
 	for (i = 0; i < LOOKUPS; i++)
 		parent_put(parents_get(&ps, text));
 	t = clock_us() - t;
 	print_message("%.0f ns per lookup\n", (double)t * 1e3 / LOOKUPS);
 	assert_int_equal(parent_chain_level(p), ADMISSION_CHAIN_LEVEL_UNKNOWN);
-	parent_note_level(found, 70);
-	parent_note_level(found, 90);
+	parent_lower_chain_level(found, 70);
+	parent_lower_chain_level(found, 90);
 	assert_int_equal(parent_chain_level(p), 70);
 	assert_false(parent_has_ended(found));
 	assert_int_equal(parents_count(&ps), 1);
 	assert_int_equal(parents_end(&ps, p), 1);
 	assert_null(parents_get(&ps, text));
 	assert_true(parent_has_ended(found));
-	assert_int_equal(retry_lend_call(&found->chain), 0);
+	assert_int_equal(retry_grant_to_call(&found->chain), 0);
 	parent_put(found);
 	assert_int_equal(parents_count(&ps), 0);
 	parents_finish(&ps);
--- a/src/route/book.c
+++ b/src/route/book.c
@@ -8,7 +8,7 @@
 #define HASH_MULTIPLIER 0x9e3779b97f4a7c15ULL
 
 static uint64_t server_key(const struct node_id *);
-static struct route_bucket *bucket_of(const struct route_book *, uint64_t);
+static struct route_bucket *bucket_of(const struct route_table *, uint64_t);
 static struct route_stat *find_stat(struct route_bucket *, uint64_t);
 static struct route_stat *find_or_add(struct route_bucket *, uint64_t);
 
@@ -17,7 +17,7 @@
  * is exhausted.
  */
 void
-route_book_init(struct route_book *b)
+route_table_init(struct route_table *b)
 {
 	size_t i;
 
@@ -32,7 +32,7 @@
  * Frees the table.  No thread may use it any more.
  */
 void
-route_book_finish(struct route_book *b)
+route_table_finish(struct route_table *b)
 {
 	size_t i;
 
@@ -44,10 +44,11 @@
 
 /*
  * Records that a request is being sent to a server.  Each call must be
- * followed by one call of route_observe().
+ * followed by one call of route_request_ended().
  */
 void
-route_begin(struct route_book *b, const struct node_id *id, uint64_t now_ms)
+route_request_started(
+    struct route_table *b, const struct node_id *id, uint64_t now_ms)
 {
 	uint64_t key = server_key(id);
 	struct route_bucket *bk = bucket_of(b, key);
@@ -65,7 +66,7 @@
  * that the answer reported, or NULL.
  */
 void
-route_observe(struct route_book *b, const struct node_id *id,
+route_request_ended(struct route_table *b, const struct node_id *id,
     enum route_outcome outcome, uint64_t latency_us,
     const struct admission_load *load, uint64_t now_ms)
 {
@@ -85,8 +86,8 @@
  * Copies the observations of a server; all zero if there are none.
  */
 void
-route_book_get(
-    struct route_book *b, const struct node_id *id, struct route_stat *out)
+route_table_get(
+    struct route_table *b, const struct node_id *id, struct route_stat *out)
 {
 	uint64_t key = server_key(id);
 	struct route_bucket *bk = bucket_of(b, key);
@@ -107,7 +108,7 @@
  * considers a random contiguous range of them.
  */
 int
-route_pick(struct route_book *b, const struct route_candidate *cand,
+route_table_choose(struct route_table *b, const struct route_candidate *cand,
     size_t count, const struct route_query *q, enum route_reason *why)
 {
 	struct route_stat *stats;
@@ -123,7 +124,7 @@
 	if (stats == NULL)
 		err(1, "cannot allocate the observations of candidates");
 	for (i = 0; i < count; i++)
-		route_book_get(b, &cand[first + i].id, &stats[i]);
+		route_table_get(b, &cand[first + i].id, &stats[i]);
 	chosen = route_choose(cand + first, stats, count, q, why);
 	free(stats);
 	return chosen < 0 ? chosen : (int)first + chosen;
@@ -133,7 +134,7 @@
  * Prints one line per candidate.
  */
 void
-route_dump(struct route_book *b, const struct route_candidate *cand,
+route_dump(struct route_table *b, const struct route_candidate *cand,
     size_t count, uint64_t now_ms, FILE *out)
 {
 	char name[NODE_ID_TEXT];
@@ -141,7 +142,7 @@
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		route_book_get(b, &cand[i].id, &s);
+		route_table_get(b, &cand[i].id, &s);
 		nodeid_format(&cand[i].id, name);
 		fprintf(out,
 		    "route server=%s slots=%u inflight=%u told=%u/%u "
@@ -150,8 +151,9 @@
 		    "leaving=%d\n",
 		    name, cand[i].slots, s.inflight, s.load.inflight,
 		    s.load.limit, s.load.level, s.latency_us, s.successes,
-		    s.failures, s.streak, s.ejections,
-		    s.ejected_ms > now_ms ? s.ejected_ms - now_ms : 0,
+		    s.failures, s.consecutive_failures, s.ejections,
+		    s.ejected_until_ms > now_ms ? s.ejected_until_ms - now_ms
+						: 0,
 		    s.needs_probe,
 		    cand[i].leaving || now_ms < s.leaving_until_ms);
 	}
@@ -176,7 +178,7 @@
  * Returns the bucket of a key.
  */
 static struct route_bucket *
-bucket_of(const struct route_book *b, uint64_t key)
+bucket_of(const struct route_table *b, uint64_t key)
 {
 	return &b->buckets[key % ROUTE_BUCKETS];
 }
--- a/src/route/choose.c
+++ b/src/route/choose.c
@@ -117,15 +117,15 @@
 	struct admission_load load = { 0 };
 	uint64_t reported_ms, now_ms = q->now_ms;
 
-	if (cand->leaving || cand->tried || cand->slots == 0 ||
+	if (cand->leaving || cand->already_tried || cand->slots == 0 ||
 	    now_ms < s->leaving_until_ms)
 		return CAND_UNUSABLE;
-	if (now_ms < s->ejected_ms)
+	if (now_ms < s->ejected_until_ms)
 		return CAND_EJECTED;
 	if (s->needs_probe)
 		return s->inflight == 0 &&
-			       (q->may_probe ||
-				   now_ms > s->ejected_ms + PROBE_OVERDUE_MS)
+			       (q->may_probe || now_ms > s->ejected_until_ms +
+							     PROBE_OVERDUE_MS)
 			   ? CAND_PROBE
 			   : CAND_EJECTED;
 	estimated_load(c, i, &load.level, &reported_ms);
@@ -146,7 +146,8 @@
 	unsigned char enforced[ROUTE_CANDIDATES_MAX] = { 0 };
 
 	for (i = 0; i < c->count; i++) {
-		live += c->states[i] != CAND_UNUSABLE || c->cand[i].tried;
+		live +=
+		    c->states[i] != CAND_UNUSABLE || c->cand[i].already_tried;
 		ejected += c->states[i] == CAND_EJECTED;
 	}
 	if (ejected <= live / 2)
@@ -157,7 +158,8 @@
 			if (c->states[i] != CAND_EJECTED || enforced[i])
 				continue;
 			if (worst == c->count ||
-			    c->stat[i].ejected_ms > c->stat[worst].ejected_ms)
+			    c->stat[i].ejected_until_ms >
+				c->stat[worst].ejected_until_ms)
 				worst = i;
 		}
 		enforced[worst] = 1;
@@ -208,7 +210,7 @@
 static double
 slow_start_weight(const struct selection *c, size_t i)
 {
-	uint64_t start_ms = c->cand[i].since_ms, now_ms = c->query->now_ms;
+	uint64_t start_ms = c->cand[i].first_seen_ms, now_ms = c->query->now_ms;
 
 	if (c->stat[i].readmitted_ms > start_ms)
 		start_ms = c->stat[i].readmitted_ms;
@@ -304,7 +306,7 @@
 
 	for (i = 0; i < c->count; i++)
 		n += c->states[i] == state &&
-		     (proximities >> c->cand[i].near & 1);
+		     (proximities >> c->cand[i].proximity & 1);
 	return n;
 }
 
@@ -320,7 +322,7 @@
 
 	for (i = 0; i < c->count; i++) {
 		if (c->states[i] != state ||
-		    (proximities >> c->cand[i].near & 1) == 0)
+		    (proximities >> c->cand[i].proximity & 1) == 0)
 			continue;
 		if (n-- == 0)
 			return i;
--- a/src/route/stat.c
+++ b/src/route/stat.c
@@ -33,7 +33,7 @@
 	[ROUTE_LEAVING] = record_leaving,
 	[ROUTE_FAILED] = record_failure,
 	[ROUTE_TIMEOUT] = record_timeout,
-	[ROUTE_REFUSED] = record_no_connection,
+	[ROUTE_NO_CONNECTION] = record_no_connection,
 	[ROUTE_CANCELLED] = NULL,
 };
 
@@ -71,7 +71,7 @@
 	s->successes *= factor;
 	s->failures *= factor;
 	s->decayed_ms = now_ms;
-	if (now_ms > s->ejected_ms + EJECT_RESET_MS)
+	if (now_ms > s->ejected_until_ms + EJECT_RESET_MS)
 		s->ejections = 0;
 }
 
@@ -82,13 +82,13 @@
 record_success(struct route_stat *s, uint64_t latency_us, uint64_t now_ms)
 {
 	s->successes++;
-	s->streak = 0;
+	s->consecutive_failures = 0;
 	s->last_answer_ms = now_ms;
 	if (s->latency_us == 0)
 		s->latency_us = (double)latency_us;
 	s->latency_us +=
 	    LATENCY_MEAN_WEIGHT * ((double)latency_us - s->latency_us);
-	if (s->needs_probe && now_ms >= s->ejected_ms) {
+	if (s->needs_probe && now_ms >= s->ejected_until_ms) {
 		s->needs_probe = 0;
 		s->readmitted_ms = now_ms;
 		s->failures = 0;
@@ -103,8 +103,9 @@
 {
 	(void)latency_us;
 	s->failures++;
-	s->streak++;
-	if (s->needs_probe || s->streak >= EJECT_CONSECUTIVE_FAILURES ||
+	s->consecutive_failures++;
+	if (s->needs_probe ||
+	    s->consecutive_failures >= EJECT_CONSECUTIVE_FAILURES ||
 	    (s->successes + s->failures >= EJECT_SHARE_MIN_COUNT &&
 		s->failures >=
 		    EJECT_FAILURE_SHARE * (s->successes + s->failures)))
@@ -132,7 +133,7 @@
 {
 	(void)latency_us;
 	s->failures++;
-	s->streak++;
+	s->consecutive_failures++;
 	eject(s, now_ms);
 }
 
@@ -159,12 +160,12 @@
 	uint64_t ms = EJECT_FIRST_MS;
 	uint32_t i;
 
-	if (now_ms < s->ejected_ms)
+	if (now_ms < s->ejected_until_ms)
 		return;
 	for (i = 0; i < s->ejections && ms < EJECT_MAX_MS; i++)
 		ms *= 2;
 	s->ejections++;
-	s->ejected_ms = now_ms + (ms < EJECT_MAX_MS ? ms : EJECT_MAX_MS);
+	s->ejected_until_ms = now_ms + (ms < EJECT_MAX_MS ? ms : EJECT_MAX_MS);
 	s->needs_probe = 1;
-	s->streak = 0;
+	s->consecutive_failures = 0;
 }
--- a/src/route/test_balance.c
+++ b/src/route/test_balance.c
@@ -144,7 +144,7 @@
 
 	s->stat[e][server].inflight--;
 	route_stat_update(&s->stat[e][server], outcome, latency_ms * 1000ULL,
-	    outcome == ROUTE_REFUSED ? NULL : &load,
+	    outcome == ROUTE_NO_CONNECTION ? NULL : &load,
 	    CLOCK_START_MS + s->now_ms);
 	if (outcome != ROUTE_SERVED)
 		return;
@@ -178,7 +178,7 @@
 	    s->waiting[server] >= QUEUE_LENGTH) {
 		finish_request(s, e, server,
 		    s->waiting[server] >= QUEUE_LENGTH ? ROUTE_SHED
-						       : ROUTE_REFUSED,
+						       : ROUTE_NO_CONNECTION,
 		    1);
 		if (!is_retry)
 			send_request(s, e, 1);
@@ -249,8 +249,9 @@
 	for (e = 0; e < ENTRIES; e++) {
 		for (i = 0; i < SERVERS; i++) {
 			s->cand[e][i].slots = SLOTS;
-			s->cand[e][i].near = e / 2 == i / 2 ? ROUTE_SAME_DOMAIN
-							    : ROUTE_SAME_REGION;
+			s->cand[e][i].proximity = e / 2 == i / 2
+						      ? ROUTE_SAME_DOMAIN
+						      : ROUTE_SAME_REGION;
 		}
 	}
 	for (; s->now_ms < DURATION_MS; s->now_ms++) {
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -29,24 +29,24 @@
 	{ "suspect", { .slots = 50, .suspect = 1 }, { .successes = 10 }, 0, 0,
 	    1 },
 	{ "suspect in the own domain",
-	    { .slots = 50, .suspect = 1, .near = ROUTE_SAME_DOMAIN },
+	    { .slots = 50, .suspect = 1, .proximity = ROUTE_SAME_DOMAIN },
 	    { .successes = 10 }, 0, 0, 1 },
 	{ "refused as leaving", { .slots = 50 },
 	    { .leaving_until_ms = NOW + 1 }, 0, 0, 1 },
-	{ "tried", { .slots = 50, .tried = 1 }, { 0 }, 0, 0, 1 },
+	{ "tried", { .slots = 50, .already_tried = 1 }, { 0 }, 0, 0, 1 },
 	{ "no slots", { .slots = 0 }, { 0 }, 0, 0, 1 },
 	{ "ejected", { .slots = 50 },
-	    { .ejected_ms = NOW + 1, .needs_probe = 1 }, 0, 0, 1 },
+	    { .ejected_until_ms = NOW + 1, .needs_probe = 1 }, 0, 0, 1 },
 	{ "ejection over", { .slots = 50 },
-	    { .ejected_ms = NOW - 1, .needs_probe = 1 }, .1, .15, 1 },
+	    { .ejected_until_ms = NOW - 1, .needs_probe = 1 }, .1, .15, 1 },
 	{ "ejection over, request may not probe", { .slots = 50 },
-	    { .ejected_ms = NOW - 1, .needs_probe = 1 }, 0, 0, 0 },
+	    { .ejected_until_ms = NOW - 1, .needs_probe = 1 }, 0, 0, 0 },
 	{ "ejection long over, request may not probe", { .slots = 50 },
-	    { .ejected_ms = NOW - 6000, .needs_probe = 1 }, .1, .15, 0 },
+	    { .ejected_until_ms = NOW - 6000, .needs_probe = 1 }, .1, .15, 0 },
 	{ "probe in flight", { .slots = 50 },
-	    { .ejected_ms = NOW - 1, .needs_probe = 1, .inflight = 1 }, 0, 0,
-	    1 },
-	{ "slow start", { .slots = 50, .since_ms = NOW - 100 },
+	    { .ejected_until_ms = NOW - 1, .needs_probe = 1, .inflight = 1 }, 0,
+	    0, 1 },
+	{ "slow start", { .slots = 50, .first_seen_ms = NOW - 100 },
 	    { .successes = 10 }, 0, .01, 1 },
 	{ "loaded", { .slots = 50 }, { .inflight = 20 }, 0, .01, 1 },
 	{ "reports high load", { .slots = 50 },
@@ -78,15 +78,15 @@
 	    .01, 1 },
 	{ "slow long ago", { .slots = 50 },
 	    { .latency_us = 90000, .last_used_ms = NOW - 60000 }, .1, .51, 1 },
-	{ "own domain", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
+	{ "own domain", { .slots = 50, .proximity = ROUTE_SAME_DOMAIN },
 	    { .successes = 10 }, 1, 1, 1 },
-	{ "own domain, loaded", { .slots = 50, .near = ROUTE_SAME_DOMAIN },
+	{ "own domain, loaded", { .slots = 50, .proximity = ROUTE_SAME_DOMAIN },
 	    { .inflight = 40 }, 0, 0, 1 },
-	{ "own region", { .slots = 50, .near = ROUTE_SAME_REGION },
+	{ "own region", { .slots = 50, .proximity = ROUTE_SAME_REGION },
 	    { .successes = 10 }, 1, 1, 1 },
-	{ "own region, loaded", { .slots = 50, .near = ROUTE_SAME_REGION },
+	{ "own region, loaded", { .slots = 50, .proximity = ROUTE_SAME_REGION },
 	    { .inflight = 40 }, 0, 0, 1 },
-	{ "own region, slow", { .slots = 50, .near = ROUTE_SAME_REGION },
+	{ "own region, slow", { .slots = 50, .proximity = ROUTE_SAME_REGION },
 	    { .latency_us = 90000, .successes = 10, .last_used_ms = NOW }, 0,
 	    .01, 1 },
 };
@@ -176,7 +176,7 @@
 	(void)state;
 	init_service(cand, stat);
 	for (i = 0; i < SERVERS; i++) {
-		stat[i].ejected_ms = NOW + 1 + (uint64_t)i;
+		stat[i].ejected_until_ms = NOW + 1 + (uint64_t)i;
 		stat[i].needs_probe = 1;
 	}
 	assert_true(chosen_share_of(cand, stat, 0, 0) > .4);
@@ -244,13 +244,14 @@
 				route_stat_update(&s,
 				    *p == 's'	? ROUTE_SERVED
 				    : *p == 'f' ? ROUTE_FAILED
-				    : *p == 'r' ? ROUTE_REFUSED
+				    : *p == 'r' ? ROUTE_NO_CONNECTION
 				    : *p == 'o' ? ROUTE_SHED
 						: ROUTE_TIMEOUT,
 				    500000, NULL, now);
 		}
 		assert_int_equal(s.ejections, cases[i].ejections);
-		assert_int_equal(s.ejected_ms > now ? s.ejected_ms - now : 0,
+		assert_int_equal(
+		    s.ejected_until_ms > now ? s.ejected_until_ms - now : 0,
 		    cases[i].remaining_ms);
 	}
 }
@@ -295,39 +296,40 @@
 	static struct route_candidate cand[MEMBERS];
 	struct route_query q = { NOW, 1, 500, 1 };
 	struct admission_load load = { 1023, 5, 50, 0, 1000 };
-	struct route_book b;
+	struct route_table b;
 	struct route_stat s;
 	enum route_reason why;
 	uint64_t t;
 	uint32_t i;
 
 	(void)state;
-	route_book_init(&b);
+	route_table_init(&b);
 	for (i = 0; i < MEMBERS; i++) {
 		cand[i].id = (struct node_id){ 0x7f000001, (uint16_t)i, 77 };
 		cand[i].slots = 50;
-		route_begin(&b, &cand[i].id, NOW);
-		route_begin(&b, &cand[i].id, NOW);
-		route_observe(
+		route_request_started(&b, &cand[i].id, NOW);
+		route_request_started(&b, &cand[i].id, NOW);
+		route_request_ended(
 		    &b, &cand[i].id, ROUTE_SERVED, 1000 + i, &load, NOW);
 	}
 	for (i = 0; i < MEMBERS; i++) {
-		route_book_get(&b, &cand[i].id, &s);
+		route_table_get(&b, &cand[i].id, &s);
 		assert_int_equal(s.inflight, 1);
 		assert_int_equal((int)s.latency_us, 1000 + i);
 	}
 	cand[0].id.incarnation++;
-	route_book_get(&b, &cand[0].id, &s);
+	route_table_get(&b, &cand[0].id, &s);
 	assert_int_equal(s.key, 0);
 	t = clock_us();
 	for (i = 0; i < PICKS; i++) {
 		q.rnd = q.rnd * 6364136223846793005ULL + 1442695040888963407ULL;
-		assert_true(route_pick(&b, cand + 1, 22, &q, &why) >= 0);
+		assert_true(
+		    route_table_choose(&b, cand + 1, 22, &q, &why) >= 0);
 	}
 	t = clock_us() - t;
 	print_message(
 	    "%.0f ns per choice among 22 servers\n", (double)t * 1e3 / PICKS);
-	route_book_finish(&b);
+	route_table_finish(&b);
 }
 
 /*
@@ -347,10 +349,10 @@
 	}
 	for (i = 0; i < DRAWS; i++) {
 		q.rnd = q.rnd * 6364136223846793005ULL + 1442695040888963407ULL;
-		chosen = route_pick(arg, cand, SERVERS, &q, &why);
+		chosen = route_table_choose(arg, cand, SERVERS, &q, &why);
 		assert_true(chosen >= 0);
-		route_begin(arg, &cand[chosen].id, NOW);
-		route_observe(arg, &cand[chosen].id,
+		route_request_started(arg, &cand[chosen].id, NOW);
+		route_request_ended(arg, &cand[chosen].id,
 		    i % 7 == 0 ? ROUTE_FAILED : ROUTE_SERVED, 1000, NULL, NOW);
 	}
 	return NULL;
@@ -364,23 +366,23 @@
 test_concurrent_updates(void **state)
 {
 	pthread_t th[THREADS];
-	struct route_book b;
+	struct route_table b;
 	struct route_stat s;
 	struct node_id id = { 0, 0, 0 };
 	int i;
 
 	(void)state;
-	route_book_init(&b);
+	route_table_init(&b);
 	for (i = 0; i < THREADS; i++)
 		pthread_create(&th[i], NULL, send_requests, &b);
 	for (i = 0; i < THREADS; i++)
 		pthread_join(th[i], NULL);
 	for (i = 0; i < SERVERS; i++) {
 		id.rpc_port = (uint16_t)(i + 1);
-		route_book_get(&b, &id, &s);
+		route_table_get(&b, &id, &s);
 		assert_int_equal(s.inflight, 0);
 	}
-	route_book_finish(&b);
+	route_table_finish(&b);
 }
 
 int
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -37,32 +37,32 @@
 	enum store_status status;
 	const struct store_record *records;
 	size_t count;
-	uint64_t end;	   /* offset after the newest record */
-	uint64_t asked_ms; /* time when the request was sent */
-	int more;	   /* keys remain; in newest records only */
+	uint64_t end_offset;	  /* offset after the newest record */
+	uint64_t request_sent_ms; /* time when the request was sent */
+	int more_keys;		  /* keys remain; in newest records only */
 };
 
-typedef void (*store_fn)(void *, const struct store_reply *);
+typedef void (*store_reply_fn)(void *, const struct store_reply *);
 
 struct store_ops {
 	/*
 	 * Reads the newest record of each key: context, log, the key after
 	 * which to start or NULL, timeout (ms), callback and its context.
 	 */
-	void (*newest)(
-	    void *, enum store_log, const char *, uint64_t, store_fn, void *);
+	void (*read_newest)(void *, enum store_log, const char *, uint64_t,
+	    store_reply_fn, void *);
 	/*
 	 * Reads records: context, log, first offset, time (ms) to wait for a
 	 * first record, timeout (ms), callback and its context.
 	 */
 	void (*read)(void *, enum store_log, uint64_t, uint64_t, uint64_t,
-	    store_fn, void *);
+	    store_reply_fn, void *);
 	/*
 	 * Appends a record: context, log, key, value and its length, timeout
 	 * (ms), callback and its context.
 	 */
 	void (*append)(void *, enum store_log, const char *, const char *,
-	    size_t, uint64_t, store_fn, void *);
+	    size_t, uint64_t, store_reply_fn, void *);
 };
 
 #endif
--- a/tests/fuzz/fuzz_announce.c
+++ b/tests/fuzz/fuzz_announce.c
@@ -15,6 +15,6 @@
 	uint64_t born;
 
 	platform_announce_decode((const char *)p, len, "i-1", &a);
-	platform_leave_decode((const char *)p, len, &born);
+	platform_goodbye_decode((const char *)p, len, &born);
 	return 0;
 }
--- a/tests/fuzz/fuzz_http.c
+++ b/tests/fuzz/fuzz_http.c
@@ -30,8 +30,8 @@
 	(void)ctx;
 	h1_text_init(&t);
 	h1_head_copy(h, "Host", text, sizeof(text));
-	h1_head_number(h, "Deadline", 1);
-	h1_text_forward(&t, h, skip);
+	h1_head_get_number(h, "Deadline", 1);
+	h1_text_add_forwarded(&t, h, skip);
 	h1_text_finish(&t);
 }
 
@@ -48,7 +48,7 @@
 on_end(void *ctx, struct h1_conn *conn)
 {
 	(void)ctx;
-	h1_answer(conn, 200, NULL, "whole", 5);
+	h1_send_response(conn, 200, NULL, "whole", 5);
 }
 
 static void
--- a/tests/measure/control.c
+++ b/tests/measure/control.c
@@ -67,8 +67,8 @@
 	v->first = 1;
 	if (ctx != NULL)
 		return;
-	v->until_ms = now_ms + LEASE_TERM_MS;
-	v->noted_until_ms = v->until_ms;
+	v->valid_until_ms = now_ms + LEASE_TERM_MS;
+	v->replicated_until_ms = v->valid_until_ms;
 }
 
 /*
@@ -118,7 +118,7 @@
 measure_leases(void)
 {
 	struct node_id self = node(0);
-	struct lease_claim c = { .by = node(0), .owner = node(0) };
+	struct lease_claim c = { .claimant = node(0), .owner = node(0) };
 	struct lease_table t;
 	uint64_t began, i;
 	size_t claim = 0;
@@ -128,8 +128,8 @@
 	began = clock_us();
 	for (i = 0; i < RECORDS; i++) {
 		c.part = (uint32_t)(i % LEASE_PARTS);
-		c.prev = t.part[c.part].term;
-		c.term = c.prev + 1;
+		c.prev_term = t.part[c.part].term;
+		c.term = c.prev_term + 1;
 		c.standby = node(1 + i % 7);
 		text = lease_claim_encode(&c);
 		claim = strlen(text);
@@ -157,7 +157,7 @@
 	static struct lease_member m[MEMBERS];
 	struct lease_inputs in = { m, MEMBERS, NULL, NULL, 100000 };
 	struct lease_claim c = {
-		.by = node(1), .owner = node(1), .standby = node(2)
+		.claimant = node(1), .owner = node(1), .standby = node(2)
 	};
 	struct lease_claim out[LEASE_PARTS];
 	static const char *const what[] = { "idle node", "owner of 1",
@@ -172,21 +172,21 @@
 		m[i].id = node(i);
 		m[i].domain = (uint32_t)(i % DOMAINS);
 		m[i].alive = 1;
-		m[i].age_ms = LEASE_STABLE_MS;
+		m[i].age_ms = LEASE_MEMBER_STABLE_MS;
 	}
 	for (k = 0; k < 3; k++) {
 		self = node(k == 1 ? 1 : 900);
 		lease_init(&t, &self, LEASE_LONG_MS);
 		for (i = 0; i < LEASE_PARTS; i++) {
 			c.part = (uint32_t)i;
-			c.by = c.owner = node(1 + i * SPREAD);
+			c.claimant = c.owner = node(1 + i * SPREAD);
 			c.term = 1;
 			char *text = lease_claim_encode(&c);
 			lease_apply(&t, text, strlen(text), i, 1);
 			free(text);
 			m[1 + i * SPREAD].alive = k != 2;
 		}
-		lease_read_proof(&t, in.now_ms);
+		lease_confirm_read(&t, in.now_ms);
 		lease_decider_init(&d);
 		began = clock_us();
 		for (i = 0; i < ROUNDS; i++)
--- a/tests/measure/member.c
+++ b/tests/measure/member.c
@@ -95,7 +95,7 @@
 	uint32_t i;
 
 	for (i = 0; i < net->len; i++)
-		sum += net->nodes[i].bytes;
+		sum += net->nodes[i].sent_bytes;
 	return sum;
 }
 
@@ -109,7 +109,7 @@
 	uint32_t i;
 
 	for (i = 0; i < net->len; i++)
-		sum += net->nodes[i].msgs;
+		sum += net->nodes[i].sent_msgs;
 	return sum;
 }
 
@@ -139,7 +139,7 @@
 	while (know < net->len && net->now - start < SETTLE_MS) {
 		net_run(net, 10);
 		for (i = know = 0; i < net->len; i++) {
-			s = member_find(
+			s = member_table_find(
 			    &net->nodes[i].table, id->addr, id->rpc_port);
 			know += s != NULL && s->info.rev >= rev;
 		}
@@ -155,7 +155,7 @@
 {
 	uint64_t start = net->now;
 
-	while (net_holding(net, about, MEMBER_DEAD) < net->len - 1 &&
+	while (net_count_views(net, about, MEMBER_DEAD) < net->len - 1 &&
 	       net->now - start < SETTLE_MS)
 		net_run(net, 10);
 	return net->now - start;
@@ -208,9 +208,9 @@
 	uint32_t i;
 
 	net_init(&net, n, SEED);
-	net.loss = 10;
+	net.loss_permille = 10;
 	announce(&net);
-	joined = net_settle(&net, SETTLE_MS);
+	joined = net_converge(&net, SETTLE_MS);
 	net_run(&net, CALM_MS);
 	mem = resident_now() - mem;
 	cpu = cpu_now();
@@ -222,7 +222,7 @@
 	steady = rate(&net, bytes, msgs, since);
 	per_s = (double)(sum_msgs(&net) - msgs) / n / (STEADY_MS / 1000.0);
 	net.nodes[1].table.slots[0].info.server.state = MEMBER_SERVER_DRAINING;
-	member_table_changed(&net.nodes[1].table, net.now);
+	member_table_publish_self(&net.nodes[1].table, net.now);
 	spread = until_rev(&net, 1, net.nodes[1].table.slots[0].info.rev);
 	net_kill(&net, 2);
 	dead = until_dead(&net, 2);
@@ -230,7 +230,7 @@
 	msgs = sum_msgs(&net);
 	since = net.now;
 	for (i = 0; i < n / DOMAINS; i++)
-		net.nodes[n - 1 - i].side = 1;
+		net.nodes[n - 1 - i].partition = 1;
 	net_run(&net, 10000);
 	cut = rate(&net, bytes, msgs, since);
 	printf("%5u %8.0f %7.1f %8.0f %9.3f %9.0f %8d %8d %8d %9.0f %6u\n", n,
