--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -18,19 +18,19 @@
 };
 
 static int
-on_head(void *ctx, struct h1_xchg *x)
+on_head(void *ctx, struct h1_exchange *x)
 {
 	struct asked *a = ctx;
 	size_t n;
 
-	soak.requests[a->index].status = (uint16_t)h1_xchg_status(x);
-	a->stamped = h1_head_get(h1_xchg_head(x),
+	soak.requests[a->index].status = (uint16_t)h1_exchange_status(x);
+	a->stamped = h1_head_get(h1_exchange_head(x),
 			 "X-Cyclamenvale-Response-Signature", &n) != NULL;
 	return 0;
 }
 
 static void
-on_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+on_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	struct asked *a = ctx;
 
@@ -41,7 +41,7 @@
 }
 
 static void
-on_end(void *ctx, struct h1_xchg *x)
+on_end(void *ctx, struct h1_exchange *x)
 {
 	struct asked *a = ctx;
 	struct request *r = &soak.requests[a->index];
@@ -63,7 +63,7 @@
 }
 
 static void
-on_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+on_fail(void *ctx, struct h1_exchange *x, enum h1_failure how)
 {
 	struct asked *a = ctx;
 	struct request *r = &soak.requests[a->index];
@@ -119,29 +119,30 @@
 	    "X-Cyclamenvale-Key: %s\r\n%s\r\n%s",
 	    r->once ? "POST" : "GET", r->once ? "once" : "safe", i, keys[r->ws],
 	    r->once ? "Content-Length: 4\r\n" : "", r->once ? "abcd" : "");
-	h1_send_end(h1_send(&n->entry, &t, r->once ? 4 : 0, 0, 10000, &ops, a));
+	h1_send_request_end(
+	    h1_send_request(&n->entry, &t, r->once ? 4 : 0, 0, 10000, &ops, a));
 	h1_text_finish(&t);
 }
 
 static int
-probe_head(void *ctx, struct h1_xchg *x)
+probe_head(void *ctx, struct h1_exchange *x)
 {
 	struct node *n = ctx;
 
-	n->ready = h1_xchg_status(x) == 200;
+	n->ready = h1_exchange_status(x) == 200;
 	n->misses = n->ready ? 0 : n->misses + 1;
 	return 0;
 }
 
 static void
-probe_end(void *ctx, struct h1_xchg *x)
+probe_end(void *ctx, struct h1_exchange *x)
 {
 	(void)ctx;
 	(void)x;
 }
 
 static void
-probe_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+probe_fail(void *ctx, struct h1_exchange *x, enum h1_failure how)
 {
 	struct node *n = ctx;
 
@@ -152,7 +153,7 @@
 }
 
 static void
-probe_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+probe_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	(void)ctx;
 	(void)x;
@@ -179,7 +180,7 @@
 		h1_text_init(&head);
 		h1_text_addf(
 		    &head, "GET /v1/ready HTTP/1.1\r\nHost: r\r\n\r\n");
-		h1_send(&n->probe, &head, 0, 0, 0, &probe_ops, n);
+		h1_send_request(&n->probe, &head, 0, 0, 0, &probe_ops, n);
 		h1_text_finish(&head);
 	}
 	if (n->ready || n->misses < MISSES)
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -37,13 +37,13 @@
 		h1_conn_set_user(conn, NULL);
 		snprintf(body, sizeof(body), "id:%s", w->id);
 		h1_text_init(&t);
-		h1_text_field(&t, "X-Cyclamenvale-Attempt-Id", w->id);
-		h1_text_field(&t, "X-Cyclamenvale-Response-Signature", "s");
+		h1_text_add_field(&t, "X-Cyclamenvale-Attempt-Id", w->id);
+		h1_text_add_field(&t, "X-Cyclamenvale-Response-Signature", "s");
 		if (chance(1000) < s->break_share * 1000) {
 			check_run(w->id, s->node, 0, 1);
 			if (chance(2) == 0) {
-				h1_answer_head(conn, 200, &t, 4000);
-				h1_answer_body(conn, body, strlen(body));
+				h1_send_response_head(conn, 200, &t, 4000);
+				h1_send_response_body(conn, body, strlen(body));
 			}
 			h1_conn_abort(conn);
 		} else if (chance(1000) < s->extra_share * 1000) {
@@ -54,12 +54,13 @@
 			    "X-Cyclamenvale-Response-Signature: s\r\n"
 			    "Content-Length: 5\r\n\r\nwrong"
 			    "HTTP/1.1 200 OK\r\n");
-			h1_text_field(&t, "X-Cyclamenvale-Attempt-Id", w->id);
-			h1_text_field(
+			h1_text_add_field(
+			    &t, "X-Cyclamenvale-Attempt-Id", w->id);
+			h1_text_add_field(
 			    &t, "X-Cyclamenvale-Response-Signature", "s");
-			h1_answer(conn, 200, &t, body, strlen(body));
+			h1_send_response(conn, 200, &t, body, strlen(body));
 		} else {
-			h1_answer(conn, 200, &t, body, strlen(body));
+			h1_send_response(conn, 200, &t, body, strlen(body));
 		}
 		h1_text_finish(&t);
 	}
@@ -73,7 +74,7 @@
 }
 
 static int
-call_head(void *ctx, struct h1_xchg *x)
+call_head(void *ctx, struct h1_exchange *x)
 {
 	(void)ctx;
 	(void)x;
@@ -81,7 +82,7 @@
 }
 
 static void
-call_body(void *ctx, struct h1_xchg *x, const char *p, size_t n)
+call_body(void *ctx, struct h1_exchange *x, const char *p, size_t n)
 {
 	(void)ctx;
 	(void)x;
@@ -90,14 +91,14 @@
 }
 
 static void
-call_end(void *ctx, struct h1_xchg *x)
+call_end(void *ctx, struct h1_exchange *x)
 {
 	(void)x;
 	work_end(ctx);
 }
 
 static void
-call_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+call_fail(void *ctx, struct h1_exchange *x, enum h1_failure how)
 {
 	(void)x;
 	(void)how;
@@ -126,7 +127,7 @@
 	if (h1_head_copy(h, "X-Cyclamenvale-Expect-Instance", expect,
 		sizeof(expect)) > 0 &&
 	    strcmp(expect, s->id) != 0) {
-		h1_answer(conn, 421, NULL, NULL, 0);
+		h1_send_response(conn, 421, NULL, NULL, 0);
 		return;
 	}
 	if (s->acked_ms != 0 && now_ms() > s->acked_ms + DRAIN_MS)
@@ -175,7 +176,7 @@
 	    "X-Cyclamenvale-Attempt-Id: %s.1\r\n"
 	    "X-Cyclamenvale-Deadline-Ms: 900\r\n\r\n",
 	    w->id);
-	h1_send(&s->calls, &t, 0, 0, 3000, &call_ops, w);
+	h1_send_request(&s->calls, &t, 0, 0, 3000, &call_ops, w);
 	h1_text_finish(&t);
 }
 
@@ -200,26 +201,26 @@
 };
 
 static int
-news_head(void *ctx, struct h1_xchg *x)
+news_head(void *ctx, struct h1_exchange *x)
 {
 	struct news *n = ctx;
 	struct server *s = n->server;
 
-	if (n->leaving && h1_xchg_status(x) == 200 &&
+	if (n->leaving && h1_exchange_status(x) == 200 &&
 	    strcmp(n->id, s->id) == 0 && s->acked_ms == 0)
 		s->acked_ms = now_ms();
 	return 0;
 }
 
 static void
-news_end(void *ctx, struct h1_xchg *x)
+news_end(void *ctx, struct h1_exchange *x)
 {
 	(void)x;
 	free(ctx);
 }
 
 static void
-news_fail(void *ctx, struct h1_xchg *x, enum h1_fail how)
+news_fail(void *ctx, struct h1_exchange *x, enum h1_failure how)
 {
 	(void)x;
 	(void)how;
@@ -254,7 +255,8 @@
 	    "%zu\r\n\r\n",
 	    method, s->id, b.len);
 	h1_text_add(&t, b.p, b.len);
-	h1_send_end(h1_send(&s->control, &t, b.len, 0, 0, &news_ops, n));
+	h1_send_request_end(
+	    h1_send_request(&s->control, &t, b.len, 0, 0, &news_ops, n));
 	h1_text_finish(&t);
 	h1_text_finish(&b);
 }
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -68,7 +68,7 @@
 		h1_text_add(&t, r->key, strlen(r->key));
 		h1_text_add(&t, r->value, strlen(r->value));
 	}
-	h1_answer(conn, 200, NULL, t.p, t.len);
+	h1_send_response(conn, 200, NULL, t.p, t.len);
 	h1_text_finish(&t);
 }
 
@@ -141,7 +141,7 @@
 	}
 	h1_text_addf(&t, "],\"has_more\":false,\"end\":%llu}",
 	    (unsigned long long)ends[topic]);
-	h1_answer(conn, 200, NULL, t.p, t.len);
+	h1_send_response(conn, 200, NULL, t.p, t.len);
 	h1_text_finish(&t);
 }
 
@@ -159,7 +159,7 @@
 	    h->buf + h->target);
 	topic = strstr(target, "topic=keyed.op") == NULL;
 	if (soak.store.down) {
-		h1_answer(conn, 503, NULL, NULL, 0);
+		h1_send_response(conn, 503, NULL, NULL, 0);
 	} else if (strstr(target, "/log-newest") != NULL) {
 		answer_newest(conn, topic);
 	} else if (strstr(target, "/log-append") != NULL) {
@@ -171,7 +171,7 @@
 		if (chance(1000) < soak.store.lose * 1000)
 			h1_conn_abort(conn);
 		else
-			h1_answer(conn, 200, NULL, "{}", 2);
+			h1_send_response(conn, 200, NULL, "{}", 2);
 	} else {
 		from = query(target, "from=");
 		wait = query(target, "wait_ms=");
