relay, throttle and others: comments after the renames

Comments that broke across lines after the renames now stand above their field, and declarations fit on one line again. Comments that still used an old word or an old field or file name follow the present names, vague ones name their subject and unit, and sentences are separated by two spaces. Only comments and their layout change.

--- a/src/admission/admission_core.h
+++ b/src/admission/admission_core.h
@@ -59,8 +59,8 @@
 /* Samples since the window began. */
 struct limiter_window {
 	uint64_t start_us;
-	double sum_us; /* of service times, and of their squares */
-	double sum_sq;
+	double sum_us; /* sum of the service times */
+	double sum_sq; /* sum of their squares */
 	uint32_t served;
 	uint32_t timeouts;
 	int saturated; /* a request found no free place */
@@ -75,8 +75,8 @@
 	double ref_latency_us;	/* of the window before the current trial */
 	double ref_limit;
 	double ref_log_variance; /* squared standard error of log latency */
-	double mean_us; /* decaying mean and deviation of service times */
-	double dev_us;
+	double mean_us;		 /* decaying mean of service times */
+	double dev_us;		 /* decaying mean deviation of service times */
 	uint64_t last_sample_us; /* when the last service time was recorded */
 	uint64_t next_raise_us;	 /* no trial up before this time */
 	uint64_t raise_delay_us; /* doubles when the limit was too high */
@@ -100,7 +100,7 @@
 
 /* One request from its arrival to its end. */
 struct admission_waiter {
-	uint64_t order; /* of importance, lowest first */
+	uint64_t order; /* by importance; the lowest runs first */
 	uint64_t seq;
 	uint64_t deadline_us;
 	uint64_t enter_us;
--- a/src/admission/core.c
+++ b/src/admission/core.c
@@ -299,8 +299,8 @@
 
 /*
  * Returns whether a request is expected to miss its deadline when this many
- * requests run before it. Until its deadline has passed, a request is always
- * admitted to an idle server, so that the service time is measured again. If
+ * requests run before it.  Until its deadline has passed, a request is always
+ * admitted to an idle server, so that the service time is measured again.  If
  * the server reports its slots, a free slot is always used: a mean over very
  * different kinds of requests predicts the time of a single one badly.
  */
--- a/src/limits/limits_bucket.h
+++ b/src/limits/limits_bucket.h
@@ -36,7 +36,7 @@
 	struct limits_loan *loans; /* ring buffer, by ascending expiry */
 	size_t head;		   /* index of the oldest loan */
 	size_t count;
-	size_t settled; /* number of oldest loans all reported or expired */
+	size_t settled; /* oldest loans that are reported or expired */
 	size_t cap;	/* a power of two */
 };
 
--- a/src/limits/limits_int.h
+++ b/src/limits/limits_int.h
@@ -5,10 +5,10 @@
 #include "limits/limits_bucket.h"
 #include "limits/limits_xdr.h"
 
-#define LIMITS_LOAN_MAX_MS 500	 /* longest life; that of prefetched loans */
-#define LIMITS_SHORT_LOAN_MS 150 /* life of loans for waiting requests only */
+#define LIMITS_LOAN_MAX_MS 500	 /* longest lifetime, of prefetched loans */
+#define LIMITS_SHORT_LOAN_MS 150 /* of loans for waiting requests only */
 /*
- * An owner waits this long after a loan's life before it counts the loan as
+ * An owner waits this long after a loan's lifetime before it counts the loan as
  * expired, because the clocks of nodes differ in speed.
  */
 #define LIMITS_EXPIRY_MARGIN_MS 50
@@ -44,7 +44,7 @@
 	struct limits_active_loan loans[LIMITS_ACTIVE_LOANS_MAX];
 	/* The newest is the last. */
 	struct limits_ended_loan ended[LIMITS_ENDED_LOANS_MAX];
-	size_t queued_reports;	   /* number of ended with report_queued */
+	size_t queued_reports;	   /* ended loans with report_queued */
 	uint64_t oldest_report_us; /* when the first of them was queued */
 	/* No token request goes to a shard before these times. */
 	uint64_t empty_until_us[LIMITS_SHARDS];
@@ -52,7 +52,8 @@
 	/* 1 if the bucket may be empty only because its lease is new. */
 	int owner_is_new[LIMITS_SHARDS];
 	double last_level[LIMITS_SHARDS]; /* tokens, from the last answer */
-	uint64_t level_read_us[LIMITS_SHARDS]; /* of that answer; 0: none */
+	/* Time of that answer; 0: none. */
+	uint64_t level_read_us[LIMITS_SHARDS];
 	int borrowing;		   /* 1 while a thread borrows tokens */
 	uint32_t waiting_requests; /* threads that wait for borrow_done */
 	uint64_t arrivals;	   /* requests since demand_measured_us */
--- a/src/limits/limits_loans.c
+++ b/src/limits/limits_loans.c
@@ -5,7 +5,7 @@
 
 #define US_PER_S 1000000
 #define DEMAND_WINDOW_US 400000.0 /* of the moving average */
-#define RETURN_BEFORE_US 60000	  /* unspent tokens go back before expiry */
+#define RETURN_BEFORE_US 60000	  /* returned this long before expiry */
 
 static void queue_report(
     struct limits_entry *, struct limits_ended_loan *, uint64_t);
--- a/src/limits/limits_owner.c
+++ b/src/limits/limits_owner.c
@@ -10,7 +10,7 @@
 
 /* Time over which empty_requests are counted. */
 #define EMPTY_WINDOW_US 100000
-#define RETRY_AFTER_MIN_US 1000 /* of an entry node's next request */
+#define RETRY_AFTER_MIN_US 1000 /* until an entry node's next request */
 #define RETRY_AFTER_MAX_US 400000
 /* Spaces out the requests of all entry nodes for an overloaded limit. */
 #define RETRY_AFTER_PER_REQUEST_US 500
@@ -24,10 +24,11 @@
 	uint64_t hash;
 	uint32_t part;
 	uint64_t tenure;	 /* of the lease that the bucket belongs to */
-	uint64_t empty_since_us; /* start of an empty bucket; 0: began full */
+	uint64_t empty_since_us; /* when it started empty; 0: started full */
 	uint64_t window_start_us;
-	uint32_t empty_requests; /* left the bucket empty, in this window */
-	uint32_t previous_empty_requests; /* in the window before */
+	/* Loan requests in this window that left the bucket empty. */
+	uint32_t empty_requests;
+	uint32_t previous_empty_requests; /* the same, in the previous window */
 	struct limits_bucket bucket;
 	pthread_mutex_t lock; /* guards all but next, hash and part */
 };
@@ -195,7 +196,7 @@
 
 /*
  * Grants a loan if this node is the owner.  No loan outlives the lease: the
- * entry node counts the loan's life from before its request, hence from before
+ * entry node counts the lifetime from before its request, hence from before
  * now.
  */
 void
--- a/src/quota/quota_owner.c
+++ b/src/quota/quota_owner.c
@@ -133,7 +133,7 @@
 
 /*
  * Grants at least the needed tokens, up to the wanted ones if there are
- * plenty. A repeated id gets the same grant again.  members_changed_ms is the
+ * plenty.  A repeated id gets the same grant again.  members_changed_ms is the
  * time when the set of live nodes, and with it the ownership, last changed.
  */
 struct quota_grant
--- a/src/quota/test_quota.c
+++ b/src/quota/test_quota.c
@@ -53,7 +53,7 @@
 /*
  * Hot tenant: all nodes request far more than the limit while the owner
  * changes twice and is unavailable for a second, in which the nodes use their
- * reserve. No window exceeds the limit, and most of the limit is used.
+ * reserve.  No window exceeds the limit, and most of the limit is used.
  */
 static void
 test_window_limit_across_owner_changes(void **state)
--- a/src/relay/budget.c
+++ b/src/relay/budget.c
@@ -5,8 +5,8 @@
 
 #define CALL_RETRY_SHARE 0.6  /* of the ratio; nested calls may also retry */
 #define FLEET_SLACK_SHARE 0.7 /* of the slack, for all nodes together */
-#define SAVED_SHARE 0.5	      /* of earned: what about 0.7 s of requests earn */
-#define HALF_LIFE_MS 1000.0   /* of earned and wanted */
+#define SAVED_SHARE 0.5	      /* of recent_earned; about 0.7 s of requests */
+#define HALF_LIFE_MS 1000.0   /* of the recent counts */
 
 static void decay(struct budget *, uint64_t);
 static int is_within_budget(const struct budget *, const struct budget_query *);
@@ -53,9 +53,9 @@
 /*
  * Returns 1 if the recently earned retries suffice for a request of this class
  * and root hash.  More important classes are served first.  Within the class
- * that gets only a part of what it wants, the root hash selects the requests,
- * so all nodes and all calls select the same root requests: a root request
- * that needs several retries fails unless it gets all of them.
+ * that gets only a part of its retries, the root hash selects the requests to
+ * retry, so all nodes and all calls select the same root requests: a root
+ * request that needs several retries fails unless it gets all of them.
  */
 static int
 is_within_budget(const struct budget *b, const struct budget_query *ask)
--- a/src/relay/budget.h
+++ b/src/relay/budget.h
@@ -13,9 +13,9 @@
 
 struct budget {
 	double tokens;	      /* retries available */
-	double recent_earned; /* recently allowed, decaying */
-	double recent_requested[ADMISSION_CLASS_MAX]; /* recently requested,
-							 decaying */
+	double recent_earned; /* decaying number of retries earned */
+	/* Decaying number of retries requested, by class. */
+	double recent_requested[ADMISSION_CLASS_MAX];
 	uint64_t updated_ms;
 };
 
--- a/src/relay/choice.h
+++ b/src/relay/choice.h
@@ -21,7 +21,7 @@
 
 /* Failure statistics of a server. */
 struct choice_health {
-	double failure_share; /* share of failed attempts as of at_ms */
+	double failure_share; /* share of failed attempts at updated_ms */
 	uint64_t updated_ms;
 };
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -504,8 +504,9 @@
 }
 
 /*
- * Handles the goodbye of the server beside this node.  A goodbye of an
- * earlier incarnation is ignored; born_ms is 0 if the server didn't send it.
+ * Handles the departure of the server beside this node, announced by the
+ * server.  That of an earlier incarnation is ignored; born_ms is 0 if the
+ * server didn't send it.
  */
 void
 relay_server_departed(struct relay *r, const char *id, uint64_t born_ms)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -29,15 +29,15 @@
 
 /* Names of the header fields exchanged with callers and backend servers. */
 struct relay_header_names {
-	const char *request_id;	 /* echoed in responses */
+	const char *request_id;	 /* copied to responses */
 	const char *deadline_ms; /* time that the caller still waits */
 	const char *key;	 /* API key of a workspace */
 	const char *workspace;	 /* sent to the server in place of the key */
 	const char *caller;	 /* service of the caller */
-	const char
-	    *expected_instance; /* server instance the request is meant for */
-	const char
-	    *not_executed;     /* marks a rejection: the request did not run */
+	/* Server instance for which the request is meant. */
+	const char *expected_instance;
+	/* Marks a rejection: the request did not run. */
+	const char *not_executed;
 	const char *signature; /* in every successful response of a server */
 	const char *load;      /* server's running, waiting, slots */
 	const char *instance;  /* server's id in health responses */
@@ -53,7 +53,7 @@
 	struct in_addr advertised; /* address of the exit in heartbeats */
 	struct sockaddr_in server; /* the backend server beside this node */
 	struct sockaddr_in fleet;  /* datagrams between nodes */
-	/* API keys are refused when the configuration is older than this */
+	/* API keys are refused when the configuration is older than this. */
 	uint64_t fresh_ms;
 	/* Excess allowed over a rate limit, as a share and as a constant. */
 	double quota_share;
@@ -67,8 +67,8 @@
 	uint64_t accept_root_ms;
 	uint64_t memory_bytes; /* memory that the process may use */
 	uint32_t descriptors;
-	char fleet_key[SEAL_KEY_TEXT_BYTES]; /* shared by all nodes; empty: none
-					      */
+	/* Shared by all nodes; empty: none. */
+	char fleet_key[SEAL_KEY_TEXT_BYTES];
 	/* Also accepted during key rotation; empty: none. */
 	char alternate_key[SEAL_KEY_TEXT_BYTES];
 };
@@ -127,7 +127,7 @@
 	int departed;
 };
 
-/* What this node has learned about another node from its own requests to it. */
+/* What another node has reported, and what this node observed of it. */
 struct relay_link {
 	struct h1_pool *pool;
 	uint32_t address;
@@ -256,12 +256,12 @@
 	uint32_t priorities[RELAY_RANKS];
 	uint32_t priority_count;
 	uint64_t counters[RELAY_COUNTER_MAX];
-	uint64_t counters_logged[RELAY_LOGGED_COUNTERS]; /* counters at the last
-							    summary line */
+	/* Values of the logged counters at the last summary line. */
+	uint64_t counters_logged[RELAY_LOGGED_COUNTERS];
 	uint64_t throttle_steps;      /* steps of the throttle */
 	struct latency entry_latency; /* response times measured at the entry */
-	struct latency
-	    server_latency; /* run times on the server beside this node */
+	/* Run times on the server beside this node. */
+	struct latency server_latency;
 };
 
 int relay_init(struct relay *, uv_loop_t *, const struct relay_settings *);
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -6,8 +6,8 @@
 
 #define RELAY_TRIED_MAX 6
 #define RELAY_ID_BYTES 160 /* length limit of a request id in log lines */
+#define RELAY_NO_LINK (-3) /* handle: no node */
 /* Header fields between the entry and the exit. */
-#define RELAY_NO_LINK (-3)
 #define RELAY_HOP "Cyclamen-Hop"
 #define RELAY_EXIT "Cyclamen-Exit"
 #define RELAY_SEAL "Cyclamen-Seal"
@@ -48,8 +48,8 @@
 enum entry_state {
 	ENTRY_WAITING_TOKEN, /* waits for a rate limit token of its workspace */
 	ENTRY_ATTEMPTING,    /* an attempt is in progress */
-	ENTRY_ANSWERING, /* the server's response is being passed to the caller
-			  */
+	/* The server's response is being passed to the caller. */
+	ENTRY_ANSWERING,
 	ENTRY_DONE
 };
 
@@ -68,13 +68,13 @@
 	uint64_t started_ms;
 	uint64_t deadline_ms;  /* deadline of the caller */
 	uint64_t answer_by_ms; /* a response is sent by this time */
-	/* Responses within this time are in time; 0: no target. */
+	/* Latency target of a response; 0: none. */
 	uint64_t target_ms;
 	uint32_t class; /* class of the root request */
 	uint32_t depth; /* depth in the call chain; 0: a root request */
 	/* Same for a root request and all calls made for it. */
 	uint64_t root_hash;
-	int parent_known; /* a call made by a request that runs here */
+	int parent_known; /* 1: a call made by a request that runs here */
 	/* A call that the server made for this request failed. */
 	int call_failed;
 	uint32_t arrivals; /* attempts that reached a server */
@@ -86,7 +86,7 @@
 	int tried_nodes[RELAY_TRIED_MAX];
 	int attempt_node; /* handle of the node of the current attempt */
 	struct h1_exchange *xchg;
-	/* As read so far; kept for the current and later attempts. */
+	/* Body as read so far, buffered for the current and later attempts. */
 	char *body;
 	size_t body_len, body_cap;
 	uint64_t content_length; /* length declared in the head */
@@ -175,7 +175,7 @@
 void entry_close_idle(struct entry_req *);
 int entry_choose_node(struct entry_req *);
 
-/* entry_acquire_token.c */
+/* entry_limit.c */
 int entry_acquire_token(struct entry_req *);
 void entry_leave_token_queue(struct entry_req *);
 void entry_retry_token_requests(struct relay *);
--- a/src/relay/test_sealed.c
+++ b/src/relay/test_sealed.c
@@ -136,7 +136,7 @@
 }
 
 /*
- * An unsealed goodbye is counted and otherwise ignored.
+ * An unsealed departure notice is counted and otherwise ignored.
  */
 static void
 test_ignores_unsealed_goodbye(void **state)
--- a/src/retry/retry.h
+++ b/src/retry/retry.h
@@ -40,10 +40,10 @@
 	int idempotent;	    /* the request may run more than once */
 	int server_crashed; /* a server crashed while it was in flight */
 	uint32_t attempts;  /* including the failed one */
-	uint32_t
-	    overloaded_attempts; /* attempts that ended in RETRY_OVERLOAD */
-	uint64_t time_left_us;	 /* until the deadline */
-	uint64_t expected_attempt_us; /* duration of an attempt; 0 if unknown */
+	uint32_t overloaded_attempts; /* ended in RETRY_OVERLOAD */
+	uint64_t time_left_us;	      /* until the deadline */
+	/* Expected duration of an attempt; 0 if unknown. */
+	uint64_t expected_attempt_us;
 	uint64_t rnd;
 };
 
--- a/src/retry/test_retry.c
+++ b/src/retry/test_retry.c
@@ -286,9 +286,9 @@
 }
 
 /*
- * A token finds its request until that ends.  A reference held beyond that
- * shows that the request has ended.  Malformed and unknown tokens find
- * nothing.
+ * A token finds its request until the request ends.  A reference that is still
+ * held then shows that the request has ended.  Malformed and unknown tokens
+ * find nothing.
  */
 static void
 test_token_valid_until_request_ends(void **state)
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -43,8 +43,8 @@
 /* A server of the service, as described by membership. */
 struct route_candidate {
 	struct node_id id;
-	uint64_t
-	    first_seen_ms; /* first report of this incarnation; 0 if unknown */
+	/* Time of the first report of this incarnation; 0 if unknown. */
+	uint64_t first_seen_ms;
 	uint64_t load_reported_ms; /* time of the load report; 0 if none */
 	struct admission_load load;
 	uint32_t slots; /* requests that it runs at once */
@@ -79,7 +79,7 @@
 	uint64_t now_ms;
 	uint64_t rnd;  /* random bits */
 	uint32_t rank; /* from admission_rank() */
-	int may_probe; /* can be retried if a probed server fails */
+	int may_probe; /* it can be retried if a probed server fails */
 };
 
 struct route_bucket {
--- a/src/route/test_route.c
+++ b/src/route/test_route.c
@@ -206,10 +206,11 @@
 test_ejection_after_outcomes(void **state)
 {
 	static const struct {
-		const char *outcomes; /* s served, f failed, t timeout,
-				       * T timeout while other requests
-				       * are answered, r no connection,
-				       * o shed, w waits 1 s */
+		/*
+		 * s served, f failed, t timeout, T timeout while other
+		 * requests are answered, r no connection, o shed, w waits 1 s
+		 */
+		const char *outcomes;
 		uint64_t remaining_ms;
 		uint32_t ejections;
 	} cases[] = {
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -277,7 +277,7 @@
 }
 
 /*
- * Grey failure: work kept away from a failing server must fit at the others.
+ * Grey failure: the work that a failing server doesn't get must fit at others.
  * If all servers fail alike, no capacity is lost.
  */
 static void
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -48,22 +48,22 @@
 	char name[THROTTLE_NAME_BYTES];
 	double demand[THROTTLE_CLASSES]; /* requested roots per second */
 	double slots;			 /* of all its servers */
-	double capacity_runs_per_s;  /* capacity with all usable slots in use */
-	double lowest_failure_share; /* lowest failure share of a server */
-	double next_lowest_failure_share; /* the same, of the servers added so
-					     far */
+	double capacity_runs_per_s; /* capacity with all usable slots in use */
+	/* Lowest failure share of its servers in the previous update. */
+	double lowest_failure_share;
+	/* Lowest failure share of the servers added in the current update. */
+	double next_lowest_failure_share;
 	double offered_load;	/* measured load, as a share of the slots */
 	double capacity_factor; /* correction factor of the capacity */
-	double admitted_share[THROTTLE_CLASSES]; /* admitted share of root
-						    requests */
+	double admitted_share[THROTTLE_CLASSES]; /* of its root requests */
 	int is_limiting;       /* 1: its load reduces admitted shares */
 	int had_server;	       /* 1: at least one server was ever added */
 	int assumed_reachable; /* 1: a server is known or assumed to exist */
-	double
-	    expected_load; /* load before its own limit, as part of capacity */
-	double own_admitted_share[THROTTLE_CLASSES]; /* share admitted by its
-							own limit */
-	double limiting_s; /* time at or above its limit */
+	/* Load before its own limit applies, as a share of the capacity. */
+	double expected_load;
+	/* Share of the root requests that its own limit admits. */
+	double own_admitted_share[THROTTLE_CLASSES];
+	double limiting_s; /* time in seconds at or above its limit */
 	struct throttle_call calls[THROTTLE_CALLS_MAX];
 	uint32_t call_count;
 };
