--- a/src/event/event.c
+++ b/src/event/event.c
@@ -71,10 +71,10 @@
 static int discard_lines;
 
 /*
- * Sets the node name for all lines and the origin of the caller's clock, which
- * shows now.  Lines carry the time of day, so that the logs of several nodes
- * can be merged.  Makes standard output non-blocking.  If discard is set, no
- * lines are written.
+ * Sets the node name for all lines, and the time (ms) that the caller's clock
+ * shows at this moment.  Lines carry the time of day, so that the logs of
+ * several nodes can be merged.  Makes standard output non-blocking.  If discard
+ * is set, no lines are written.
  */
 void
 event_init(const char *node, int discard, uint64_t now)
@@ -175,7 +175,7 @@
 		return;
 	n = write(STDOUT_FILENO, buffer, buffer_len);
 	if (n < 0 && errno != EAGAIN && errno != EINTR)
-		n = (ssize_t)buffer_len; /* nothing can read it: discard */
+		n = (ssize_t)buffer_len; /* not writable: discard */
 	if (n <= 0)
 		return;
 	buffer_len -= (size_t)n;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -19,8 +19,8 @@
 struct fleet_server {
 	char id[FLEET_NAME_BYTES]; /* empty: the node has no server */
 	char service[FLEET_NAME_BYTES];
-	uint64_t process_started_ms; /* start of its process, Unix time; 0:
-					unknown */
+	/* Start of the server's process, Unix time (ms); 0: unknown. */
+	uint64_t process_started_ms;
 	uint32_t slots;
 	uint64_t cold_until_ms; /* on this node's clock */
 	uint32_t running;
@@ -61,20 +61,20 @@
 struct fleet_table {
 	struct fleet_peer *peers;
 	size_t count, cap;
-	char node[FLEET_NAME_BYTES];	/* name of this node */
-	uint64_t node_hash;		/* of the name of this node */
-	uint64_t heartbeat_interval_ms; /* between two heartbeats */
+	char node[FLEET_NAME_BYTES]; /* name of this node */
+	uint64_t node_hash;	     /* of the name of this node */
+	uint64_t heartbeat_interval_ms;
 	uint64_t members_changed_ms; /* last change of the set of live nodes */
 	uint64_t live_digest;	     /* digest of that set */
 	int node_list_complete; /* the node list of the store has been read */
 	uint32_t reported_size; /* largest fleet size that a peer reported */
 	int self_isolated;	/* this node is isolated: it owns no limits */
-	int was_participating;	/* has taken part in ownership since the quorum
-				 */
-	uint64_t unheard_by_majority_ms; /* last time that no majority heard
-					    this node */
-	uint64_t
-	    isolated_until_ms; /* isolated until this time, after a pause */
+	/* This node has taken part in ownership since the quorum. */
+	int was_participating;
+	/* Last time at which no majority received this node's heartbeats. */
+	uint64_t unheard_by_majority_ms;
+	/* End of this node's isolation after a pause. */
+	uint64_t isolated_until_ms;
 };
 
 void fleet_table_init(struct fleet_table *, const char *, uint64_t);
@@ -135,13 +135,13 @@
 	const struct seal *seal;
 	const struct fleet_ops *ops;
 	void *ctx;
-	uint64_t members_updated_ms; /* last time the live nodes were updated */
+	uint64_t members_updated_ms; /* last update of the live nodes */
 	uint64_t heartbeats_sent;    /* heartbeats sent to all nodes */
 	uint64_t sent_digest;	     /* digest of the last full heartbeat */
-	uint32_t
-	    full_heartbeats_due; /* full heartbeats still due after a change */
-	uint64_t undecodable;	 /* datagrams that could not be decoded */
-	uint64_t seal_rejected;	 /* datagrams without a valid seal */
+	/* Number of full heartbeats still to be sent after a change. */
+	uint32_t full_heartbeats_due;
+	uint64_t undecodable;	/* datagrams that could not be decoded */
+	uint64_t seal_rejected; /* datagrams without a valid seal */
 };
 
 int fleet_net_init(struct fleet_net *, uv_loop_t *, const struct sockaddr_in *,
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -39,7 +39,10 @@
 	unsigned int silent<FLEET_SILENT_MAX>;
 	/* Calls per 1000 runs to each downstream service. */
 	unsigned int calls_per_1000<FLEET_CALLS_MAX>;
-	/* Root requests per service and class, encoded by demand_encode_rate(). */
+	/*
+	 * Root requests per service and class, encoded by
+	 * demand_encode_rate().
+	 */
 	opaque demands<FLEET_RATES_MAX>;
 };
 
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -15,13 +15,13 @@
 #define FORGET_AFTER_MS 20000
 /* The same without a quorum: longer than network partitions last. */
 #define FORGET_NO_QUORUM_MS 60000
-/* Isolation after a pause, until all nodes have sent a heartbeat. */
+/* Intervals of isolation after a pause, so that all heartbeats can arrive. */
 #define PAUSE_ISOLATION_HEARTBEATS 2
-/* Heard by a majority for this long, an isolated node owns limits again. */
+/* An isolated node that a majority hears for this long owns limits again. */
 #define REJOIN_AFTER_MS 5000
 #define PER_THOUSAND 1000.0
 #define US_PER_S 1000000.0
-/* A lower incarnation is accepted after this silence of a higher one. */
+/* A lower incarnation is accepted once a higher one is silent this long. */
 #define RESTART_SILENCE_MS 1000
 
 static uint64_t owner_weight(uint64_t, uint64_t);
@@ -38,8 +38,8 @@
 static uint64_t dead_after_ms(const struct fleet_table *);
 
 /*
- * Initialises a table that holds only this node, under the given name, started
- * now.
+ * Initializes a table that contains only this node, given its name and the time
+ * (ms) of its start.
  */
 void
 fleet_table_init(struct fleet_table *t, const char *node, uint64_t now)
@@ -135,8 +135,9 @@
 
 /*
  * Applies a full heartbeat.  Returns the sender's handle, FLEET_SELF if this
- * node sent it, or FLEET_NONE if it is outdated.  Sets *changed if the sender,
- * its incarnation, its server or either one's state differs from before.
+ * node sent the heartbeat, or FLEET_NONE if the heartbeat is outdated.  Sets
+ * *changed if the sender, its incarnation, its server or either one's state
+ * differs from before.
  */
 int
 fleet_apply_heartbeat(struct fleet_table *t, const struct fleet_heartbeat *b,
@@ -550,8 +551,8 @@
 /*
  * Returns how long a silent node counts as known.  The minority of a
  * partitioned fleet remembers the majority for longer, or it would take itself
- * for the whole fleet.  Nodes that were never heard may have been removed long
- * ago.
+ * for the whole fleet.  Nodes that never sent a heartbeat may have been removed
+ * long ago.
  */
 static uint64_t
 forget_after_ms(const struct fleet_peer *p, int quorum)
--- a/src/fleet/test_table.c
+++ b/src/fleet/test_table.c
@@ -52,7 +52,7 @@
 		uint64_t inc, seq, now;
 		int accepted, changed;
 	} rows[] = {
-		{ 5, 1, 1000, 1, 1 }, /* first heard */
+		{ 5, 1, 1000, 1, 1 }, /* first heartbeat */
 		{ 5, 2, 1100, 1, 0 }, /* unchanged */
 		{ 5, 2, 1150, 0, 0 }, /* duplicated */
 		{ 5, 1, 1160, 0, 0 }, /* reordered */
@@ -230,7 +230,7 @@
 }
 
 /*
- * Listed nodes that were never heard count as known, so that a node which is
+ * Listed nodes count as known before their first heartbeat, so a node that is
  * cut off at its start owns nothing.
  */
 static void
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -15,7 +15,7 @@
 
 #define H1_FIELDS_MAX 64
 #define H1_LENGTH_UNKNOWN UINT64_MAX /* body length not known */
-/* Unwritten bytes above which to pause. */
+/* Size of a write queue above which its owner should pause. */
 #define H1_WRITE_QUEUE_HIGH_BYTES 65536
 
 /* A header field.  The name and value are offsets into h1_head.buf. */
@@ -61,8 +61,8 @@
 struct h1_limits {
 	uint32_t max_head_bytes;
 	uint64_t max_body_bytes;
-	uint64_t
-	    head_timeout_ms; /* from the first byte of a head to its last */
+	/* From the first byte of a head to its last. */
+	uint64_t head_timeout_ms;
 	uint64_t idle_timeout_ms; /* between requests */
 };
 
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -25,8 +25,8 @@
 	int connecting;
 	int closing;
 	int paused;
-	int above_high_water; /* the write queue exceeded
-				 H1_WRITE_QUEUE_HIGH_BYTES */
+	/* The write queue exceeded H1_WRITE_QUEUE_HIGH_BYTES. */
+	int above_high_water;
 };
 
 void h1_alloc_read_buffer(uv_handle_t *, size_t, uv_buf_t *);
--- a/src/http1/server.c
+++ b/src/http1/server.c
@@ -8,7 +8,7 @@
 #define LISTEN_BACKLOG 1024
 #define TIMEOUT_CHECK_MS 250
 #define LINGER_MS 1000		  /* for the caller to read a response */
-#define PIPELINED_MAX_BYTES 16384 /* buffered of waiting requests */
+#define PIPELINED_MAX_BYTES 16384 /* of later requests, buffered */
 
 /* Limits until a configuration sets them. */
 #define DEFAULT_MAX_HEAD_BYTES 16384
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -7,8 +7,8 @@
 #include "base/nodeid.h"
 
 /*
- * Leases on partitions. The order of the records in the log stream "leases"
- * decides which claim succeeds. docs/LEASES.md shows why no two nodes act for
+ * Leases on partitions.  The order of the records in the log stream "leases"
+ * decides which claim succeeds.  docs/LEASES.md shows why no two nodes act for
  * a partition at the same time.
  */
 #define LEASE_STREAM "leases"
@@ -21,8 +21,8 @@
 #define LEASE_MARGIN_MS 200   /* allowance for clock drift */
 #define LEASE_HANDOVER_MS 700 /* until the old owner's loans have expired */
 /*
- * Limit of an owner's authority by promises after its last read. A takeover
- * by a node other than the standby waits for it.
+ * Limit of an owner's authority by promises after its last read.  A takeover by
+ * a node other than the standby waits for it.
  */
 #define LEASE_LONG_MS 600000
 #define LEASE_RESET_WAIT_MS 30000 /* wait for a snapshot */
@@ -61,8 +61,8 @@
 /* This node's claims on a partition; retained when the table restarts. */
 struct lease_appends {
 	uint64_t replaced_term; /* term that the claims replace */
-	int in_flight;		/* an append has not ended */
-	int maybe_written;	/* an ended append may be written */
+	int in_flight;		/* an append has not ended yet */
+	int maybe_written;	/* an ended append may have been written */
 	int stopped;		/* by a handover: no longer acts as owner */
 };
 
--- a/src/lease/lease_decide.c
+++ b/src/lease/lease_decide.c
@@ -164,7 +164,7 @@
 }
 
 /*
- * Returns the score of a member for a partition. Region and failure domain
+ * Returns the score of a member for a partition.  Region and failure domain
  * decide first, in this order; rendezvous hashing breaks ties.
  */
 static uint64_t
@@ -182,7 +182,7 @@
 
 /*
  * Returns the live member with the highest score that is not leaving and has
- * been alive for at least age_ms, or NULL if there is none. The members
+ * been alive for at least age_ms, or NULL if there is none.  The members
  * exclude1 and exclude2 are skipped.
  */
 static const struct lease_member *
@@ -230,7 +230,7 @@
 }
 
 /*
- * Adds a claim that replaces the current term of a partition. Does nothing if
+ * Adds a claim that replaces the current term of a partition.  Does nothing if
  * the output of the round is full.
  */
 static void
@@ -310,8 +310,8 @@
 
 /*
  * Moves the standby of a partition that this node owns out of this node's
- * failure domain, if a stable member of another domain is available. Returns
- * 1 if a claim was made, 0 if not.
+ * failure domain, if a stable member of another domain is available.  Returns 1
+ * if a claim was made, 0 if not.
  */
 static int
 move_standby(struct round *r, uint32_t part, const struct lease_member *standby)
@@ -331,8 +331,8 @@
 
 /*
  * Moves a partition that this node owns one step towards its preferred owner:
- * the preferred owner first becomes the standby, and the owner in a later
- * step. Returns 1 if a claim was made, 0 if not.
+ * the preferred owner first becomes the standby, and the owner in a later step.
+ * Returns 1 if a claim was made, 0 if not.
  */
 static int
 move_owner(struct round *r, uint32_t part, const struct lease_member *to,
@@ -349,7 +349,7 @@
 
 /*
  * Moves a partition that this node owns one step towards its preferred
- * placement. An owner makes at most one move per LEASE_REBALANCE_INTERVAL_MS.
+ * placement.  An owner makes at most one move per LEASE_REBALANCE_INTERVAL_MS.
  * While fewer domains than partition groups are alive, owners stay in their
  * domains.
  */
@@ -398,9 +398,8 @@
 }
 
 /*
- * Decides on a partition without an owner. The best candidate claims it after
- * LEASE_DISCOVERY_MS; each further candidate waits LEASE_RANK_DELAY_MS
- * longer.
+ * Decides on a partition without an owner.  The best candidate claims it after
+ * LEASE_DISCOVERY_MS; each further candidate waits LEASE_RANK_DELAY_MS longer.
  */
 static void
 decide_vacant(struct round *r, uint32_t part)
@@ -418,10 +417,10 @@
 }
 
 /*
- * Decides on a partition whose owner is dead. The standby claims it at once.
+ * Decides on a partition whose owner is dead.  The standby claims it at once.
  * Another node claims it LEASE_OWNER_DEAD_MS after the owner was seen dead if
  * the standby is dead too, or LEASE_STANDBY_IDLE_MS after it if the standby is
- * alive but idle. Each further candidate waits LEASE_RANK_DELAY_MS longer.
+ * alive but idle.  Each further candidate waits LEASE_RANK_DELAY_MS longer.
  */
 static void
 decide_dead_owner(struct round *r, uint32_t part)
@@ -472,9 +471,9 @@
 }
 
 /*
- * Returns 1 if this node sees less than half of the known members alive. A
- * node that is cut off with its failure domain, but still reaches the log,
- * must not claim leases: most nodes could not reach it as the owner.
+ * Returns 1 if this node sees less than half of the known members alive.  A
+ * node that is cut off with its failure domain, but still reaches the log, must
+ * not claim leases: most nodes could not reach it as the owner.
  */
 static int
 sees_minority(const struct round *r)
@@ -492,10 +491,9 @@
 
 /*
  * Decides which claims this node should append now, and writes at most max of
- * them to out. Makes no decision if the table is incomplete, if its last read
- * is older than LEASE_READ_AGE_MAX_MS, or if less than half of the members
- * are alive. The members must include this node. Returns the number of
- * claims.
+ * them to out.  Makes no decision if the table is incomplete, if its last read
+ * is older than LEASE_READ_AGE_MAX_MS, or if less than half of the members are
+ * alive.  The members must include this node.  Returns the number of claims.
  */
 size_t
 lease_decide(struct lease_decider *d, const struct lease_table *t,
--- a/src/lease/lease_json.c
+++ b/src/lease/lease_json.c
@@ -30,7 +30,7 @@
 }
 
 /*
- * Parses the result of node_json(). Returns 0, or -1 if it is malformed.
+ * Parses the result of node_json().  Returns 0, or -1 if it is malformed.
  */
 static int
 node_parse(json_t *j, struct node_id *id)
@@ -66,8 +66,7 @@
 }
 
 /*
- * Parses an integer that is not negative. Returns 0, or -1 if it is
- * malformed.
+ * Parses an integer that is not negative.  Returns 0, or -1 if it is malformed.
  */
 static int
 number_parse(json_t *j, uint64_t *v)
@@ -79,7 +78,7 @@
 }
 
 /*
- * Parses a claim. Returns 0, or -1 if it is malformed.
+ * Parses a claim.  Returns 0, or -1 if it is malformed.
  */
 static int
 claim_parse(json_t *j, struct lease_claim *c)
@@ -103,7 +102,7 @@
 }
 
 /*
- * Parses one partition of a snapshot. Returns 0, or -1 if it is malformed.
+ * Parses one partition of a snapshot.  Returns 0, or -1 if it is malformed.
  */
 static int
 state_parse(json_t *j, struct lease_state *s)
@@ -119,7 +118,7 @@
 }
 
 /*
- * Parses a snapshot. Returns 0, or -1 if it is malformed.
+ * Parses a snapshot.  Returns 0, or -1 if it is malformed.
  */
 static int
 snapshot_parse(json_t *j, struct lease_record *r)
@@ -137,7 +136,7 @@
 }
 
 /*
- * Decodes a record of the stream. A malformed record gets the type
+ * Decodes a record of the stream.  A malformed record gets the type
  * LEASE_RECORD_MALFORMED.
  */
 void
@@ -161,7 +160,7 @@
 }
 
 /*
- * Encodes JSON as text and releases it; the caller frees the text. Exits the
+ * Encodes JSON as text and releases it; the caller frees the text.  Exits the
  * process if memory is exhausted.
  */
 static char *
@@ -189,7 +188,7 @@
 
 /*
  * Encodes the whole table as of now_ms as a snapshot; the caller frees the
- * text. The table must be complete.
+ * text.  The table must be complete.
  */
 char *
 lease_snapshot_encode(const struct lease_table *t, uint64_t now_ms)
--- a/src/lease/lease_rpc.c
+++ b/src/lease/lease_rpc.c
@@ -55,7 +55,7 @@
 }
 
 /*
- * Handles an owner's heartbeat. The result tells for which of the listed
+ * Handles an owner's heartbeat.  The result tells for which of the listed
  * partitions this node, the standby, promises that it has begun no takeover.
  */
 static int
@@ -85,8 +85,8 @@
 }
 
 /*
- * Returns a page of the table to a peer whose own table is incomplete or out
- * of date. The page is empty if the first partition is out of range. The RPC
+ * Returns a page of the table to a peer whose own table is incomplete or out of
+ * date.  The page is empty if the first partition is out of range.  The RPC
  * server frees the result.
  */
 static int
@@ -120,8 +120,8 @@
 
 /*
  * Removes from a set of partitions the first one and all others with the same
- * standby, and writes them to items. Returns the number of items; 0 if the
- * set is empty.
+ * standby, and writes them to items.  Returns the number of items; 0 if the set
+ * is empty.
  */
 static size_t
 take_shared_standby(struct lease_service *s, uint64_t *remaining,
@@ -147,7 +147,7 @@
 }
 
 /*
- * Sends a heartbeat to one standby and records its promises. They count from
+ * Sends a heartbeat to one standby and records its promises.  They count from
  * the time before the call was sent.
  */
 static void
@@ -208,8 +208,8 @@
 }
 
 /*
- * Fetches one page of a peer's table and adds its rows as hints. Returns 0,
- * or -1 if the peer did not answer.
+ * Fetches one page of a peer's table and adds its rows as hints.  Returns 0, or
+ * -1 if the peer did not answer.
  */
 static int
 fetch_page(struct lease_service *s, const struct node_id *peer, u_int from)
@@ -238,7 +238,7 @@
 }
 
 /*
- * Picks a random live peer. Returns 0, or -1 if there is none.
+ * Picks a random live peer.  Returns 0, or -1 if there is none.
  */
 static int
 pick_peer(struct lease_service *s, struct node_id *peer)
--- a/src/lease/lease_service.c
+++ b/src/lease/lease_service.c
@@ -80,7 +80,7 @@
 }
 
 /*
- * Stops the threads and frees the service. The RPC server must no longer call
+ * Stops the threads and frees the service.  The RPC server must no longer call
  * its procedures.
  */
 void
@@ -101,7 +101,7 @@
 }
 
 /*
- * Publishes a copy of the table to the request threads. On return no thread
+ * Publishes a copy of the table to the request threads.  On return no thread
  * uses an older copy.
  */
 void
@@ -122,7 +122,7 @@
 }
 
 /*
- * Describes a partition (lease_lookup_fn). Takes no lock; the calling thread
+ * Describes a partition (lease_lookup_fn).  Takes no lock; the calling thread
  * must be registered with RCU.
  */
 void
@@ -137,7 +137,7 @@
 }
 
 /*
- * Requests an early read of the stream. Called when an owner is unreachable.
+ * Requests an early read of the stream.  Called when an owner is unreachable.
  */
 void
 lease_service_poll_soon(struct lease_service *s)
@@ -149,9 +149,9 @@
 }
 
 /*
- * Requests an immediate read of the stream. Called when a request for the
- * owner reaches this node, the standby: a claim that makes it the owner may
- * be in the log.
+ * Requests an immediate read of the stream.  Called when a request for the
+ * owner reaches this node, the standby: a claim that makes it the owner may be
+ * in the log.
  */
 void
 lease_service_poll_now(struct lease_service *s)
@@ -163,7 +163,7 @@
 }
 
 /*
- * Hands all partitions over before a planned stop. Waits up to timeout_ms.
+ * Hands all partitions over before a planned stop.  Waits up to timeout_ms.
  * Returns 0, or -1 if this node still owns partitions.
  */
 int
@@ -184,7 +184,7 @@
 
 /*
  * Waits up to timeout_ms until this leaving node is neither owner nor standby
- * of any partition. Returns 0, or -1 if it still is.
+ * of any partition.  Returns 0, or -1 if it still is.
  */
 int
 lease_service_wait_released(struct lease_service *s, uint32_t timeout_ms)
@@ -200,9 +200,9 @@
 }
 
 /*
- * Returns 1 if requests can be routed to the owners of partitions: the table
- * is complete and a read has reached the end of the log, or a peer has
- * reported its table. Returns 0 if not.
+ * Returns 1 if requests can be routed to the owners of partitions: the table is
+ * complete and a read has reached the end of the log, or a peer has reported
+ * its table.  Returns 0 if not.
  */
 int
 lease_service_ready(struct lease_service *s)
@@ -277,7 +277,7 @@
 }
 
 /*
- * Waits until the service is woken up, at most ms milliseconds. The lock must
+ * Waits until the service is woken up, at most ms milliseconds.  The lock must
  * be held.
  */
 static void
@@ -297,7 +297,7 @@
 
 /*
  * Returns 1 if this node is an owner or standby, or may become one because a
- * partition has no owner; 0 if not. The lock must be held.
+ * partition has no owner; 0 if not.  The lock must be held.
  */
 static int
 may_hold_lease(struct lease_service *s)
@@ -313,7 +313,7 @@
 }
 
 /*
- * Returns the interval (ms) between two reads. The lock must be held. Nodes
+ * Returns the interval (ms) between two reads.  The lock must be held.  Nodes
  * without leases poll less often, also when an owner is unreachable, to limit
  * the load on the log.
  */
@@ -381,9 +381,9 @@
 }
 
 /*
- * Applies the records of a read that was sent at sent_ms. Returns 1 if the
- * end of the stream was reached, 0 if there are more records, or -1 if the
- * end of the log is before records that were already applied.
+ * Applies the records of a read that was sent at sent_ms.  Returns 1 if the end
+ * of the stream was reached, 0 if there are more records, or -1 if the end of
+ * the log is before records that were already applied.
  */
 static int
 apply_batch(
@@ -412,7 +412,7 @@
 }
 
 /*
- * Reads the stream to its end. Returns 0, or -1 if a read failed.
+ * Reads the stream to its end.  Returns 0, or -1 if a read failed.
  */
 static int
 read_stream(struct lease_service *s)
@@ -443,7 +443,7 @@
 }
 
 /*
- * Appends a record. Returns 1 if the record is or may still be written to the
+ * Appends a record.  Returns 1 if the record is or may still be written to the
  * log, 0 if it can't be.
  */
 static int
@@ -458,8 +458,8 @@
 }
 
 /*
- * Appends a claim. The request threads see that the append has begun before
- * the claim is sent. Returns 1 if it is or may still be written, 0 if not.
+ * Appends a claim.  The request threads see that the append has begun before
+ * the claim is sent.  Returns 1 if it is or may still be written, 0 if not.
  */
 static int
 append_claim(struct lease_service *s, const struct lease_claim *c)
@@ -489,7 +489,7 @@
 }
 
 /*
- * Decides on claims and appends them. Returns the number of claims that may
+ * Decides on claims and appends them.  Returns the number of claims that may
  * have been written.
  */
 static size_t
@@ -517,8 +517,8 @@
 }
 
 /*
- * Returns 1 if this node should write a snapshot now, 0 if not. The lock must
- * be held. To avoid duplicates, nodes wait for different times: owners by the
+ * Returns 1 if this node should write a snapshot now, 0 if not.  The lock must
+ * be held.  To avoid duplicates, nodes wait for different times: owners by the
  * number of their first partition, other nodes longer and at random.
  */
 static int
@@ -547,7 +547,7 @@
 }
 
 /*
- * Writes a snapshot of the table, or a reset, if one is due. Returns 1 if a
+ * Writes a snapshot of the table, or a reset, if one is due.  Returns 1 if a
  * record may have been written, 0 if not.
  */
 static int
--- a/src/lease/lease_service.h
+++ b/src/lease/lease_service.h
@@ -45,7 +45,7 @@
 	uint64_t jitter_ms;  /* random delay of this node */
 	int poll_soon;	     /* an owner is unreachable */
 	int peer_table_read; /* a peer has reported its table */
-	int poll_now;	     /* got a request for the owner as the standby */
+	int poll_now;	     /* this standby got a request for the owner */
 	int stop;
 	pthread_t log_thread;
 	pthread_t heartbeat_thread;
--- a/src/lease/lease_table.c
+++ b/src/lease/lease_table.c
@@ -74,8 +74,8 @@
 }
 
 /*
- * Delay of a handover. The old owner stopped before it appended the claim,
- * but the loans that it granted must expire.
+ * Delay of a handover.  The old owner stopped before it appended the claim, but
+ * the loans that it granted must expire.
  */
 static uint64_t
 wait_handover(const struct lease_table *t)
@@ -97,7 +97,7 @@
 
 /*
  * Delay of a takeover by another node: the old owner may rely on promises for
- * up to long_ms after its last read. The clocks of the two nodes may drift
+ * up to long_ms after its last read.  The clocks of the two nodes may drift
  * apart meanwhile.
  */
 static uint64_t
@@ -117,7 +117,7 @@
 }
 
 /*
- * Initializes an empty table for a node. long_ms must be the same on all
+ * Initializes an empty table for a node.  long_ms must be the same on all
  * nodes; it is LEASE_LONG_MS except in tests.
  */
 void
@@ -141,7 +141,7 @@
 
 /*
  * Clears all state that was read from the log and restarts the table at an
- * offset. This node's own appends and the hints of peers are retained.
+ * offset.  This node's own appends and the hints of peers are retained.
  */
 static void
 restart_table(struct lease_table *t, uint64_t start)
@@ -166,9 +166,9 @@
 }
 
 /*
- * Sets the oldest offset that the log still retains. Must be called before
- * the records of a read are applied. If the log has dropped records that were
- * not applied yet, the table is restarted and waits for a snapshot.
+ * Sets the oldest offset that the log still retains.  Must be called before the
+ * records of a read are applied.  If the log has dropped records that were not
+ * applied yet, the table is restarted and waits for a snapshot.
  */
 void
 lease_set_log_start(struct lease_table *t, uint64_t first)
@@ -226,7 +226,7 @@
 }
 
 /*
- * Starts a new term. Promises for the old term become void.
+ * Starts a new term.  Promises for the old term become void.
  */
 static void
 start_term(struct lease_entry *e, uint64_t term, uint64_t now_ms)
@@ -271,8 +271,8 @@
 
 /*
  * Buffers a claim until a snapshot gives the term that the claim is compared
- * with. If the buffer is full, all buffered claims are dropped; the table
- * then needs a snapshot of a later position.
+ * with.  If the buffer is full, all buffered claims are dropped; the table then
+ * needs a snapshot of a later position.
  */
 static enum lease_result
 buffer_claim(
@@ -312,8 +312,8 @@
 }
 
 /*
- * Applies a snapshot. An incomplete table loads it whole and replays the
- * buffered claims from the position of the snapshot on. A complete table only
+ * Applies a snapshot.  An incomplete table loads it whole and replays the
+ * buffered claims from the position of the snapshot on.  A complete table only
  * lowers the time at which a lease takes effect: the writer may have read the
  * claim earlier than this node.
  */
@@ -354,10 +354,10 @@
 }
 
 /*
- * Applies a reset: no partition has an owner, and all terms are higher than
- * any earlier term. offset + 1 is such a term, because each earlier term took
- * one record of the log. A node that still acts on a lost record stops before
- * the long delay ends.
+ * Applies a reset: no partition has an owner, and all terms are higher than any
+ * earlier term.  The number offset + 1 is such a term, because each earlier
+ * term took one record of the log.  A node that still acts on a lost record
+ * stops before the long delay ends.
  */
 static enum lease_result
 apply_reset(struct lease_table *t, uint64_t offset, uint64_t now_ms)
@@ -383,8 +383,8 @@
 }
 
 /*
- * Applies the record at an offset, which was read at now_ms. Records must be
- * applied in order; a gap restarts the table. A malformed record is dropped
+ * Applies the record at an offset, which was read at now_ms.  Records must be
+ * applied in order; a gap restarts the table.  A malformed record is dropped
  * and counted.
  */
 enum lease_result
@@ -430,11 +430,11 @@
 }
 
 /*
- * Must be called before a claim of this node is appended. From then on this
- * node neither gives nor counts promises for the term that the claim
- * replaces. If the claim gives the partition to another node, this node also
- * stops acting as the owner. Returns 0, or -1 if the claim is out of date and
- * must not be appended.
+ * Must be called before a claim of this node is appended.  From then on this
+ * node neither gives nor counts promises for the term that the claim replaces.
+ * If the claim gives the partition to another node, this node also stops acting
+ * as the owner.  Returns 0, or -1 if the claim is out of date and must not be
+ * appended.
  */
 int
 lease_append_begin(struct lease_table *t, const struct lease_claim *c)
@@ -454,10 +454,10 @@
 }
 
 /*
- * Must be called when the append of a claim has ended. written is 0 only if
- * the record can neither be in the log nor be written later. Otherwise the
- * restrictions of lease_append_begin() last until a newer term is read from
- * the log.
+ * Must be called when the append of a claim has ended.  written is 0 only if
+ * the record can neither be in the log nor be written later.  Otherwise the
+ * restrictions of lease_append_begin() last until a newer term is read from the
+ * log.
  */
 void
 lease_append_end(
@@ -475,7 +475,7 @@
 }
 
 /*
- * Records the standby's promise for a term. sent_ms is the time at which this
+ * Records the standby's promise for a term.  sent_ms is the time at which this
  * node asked for it.
  */
 void
@@ -493,10 +493,10 @@
 }
 
 /*
- * Returns 1 if this node may promise an owner that it has begun no takeover
- * of a term in which it is the standby, 0 if not. A term newer than this
- * node's table is accepted without a check of owner and standby: this node
- * can't take it over before it has read it.
+ * Returns 1 if this node may promise an owner that it has begun no takeover of
+ * a term in which it is the standby, 0 if not.  A term newer than this node's
+ * table is accepted without a check of owner and standby: this node can't take
+ * it over before it has read it.
  */
 int
 lease_may_promise(const struct lease_table *t, uint32_t part, uint64_t term,
@@ -516,8 +516,8 @@
 }
 
 /*
- * Records the state of a partition as reported by a peer. A newer term
- * redirects requests and ends this node's authority. A hint never gives
+ * Records the state of a partition as reported by a peer.  A newer term
+ * redirects requests and ends this node's authority.  A hint never gives
  * authority.
  */
 void
@@ -575,9 +575,9 @@
 
 /*
  * Like lease_valid_until(), for decisions that take effect only after the
- * standby has recorded them. A standby that was sent all decisions of its
+ * standby has recorded them.  A standby that was sent all decisions of its
  * predecessor need not wait for the old authority to expire when it becomes the
- * owner. An owner with a standby goes on deciding during its handover.
+ * owner.  An owner with a standby goes on deciding during its handover.
  */
 uint64_t
 lease_replicated_until(
--- a/src/lease/test_lease.c
+++ b/src/lease/test_lease.c
@@ -70,7 +70,7 @@
 }
 
 /*
- * Initializes the table of node self. Node 1 owns partition 0 since 0 ms, and
+ * Initializes the table of node self.  Node 1 owns partition 0 since 0 ms, and
  * node 2 is its standby.
  */
 static void
@@ -199,7 +199,7 @@
 }
 
 /*
- * A standby promises until it has begun a takeover. It promises again only if
+ * A standby promises until it has begun a takeover.  It promises again only if
  * the takeover certainly was not written.
  */
 static void
@@ -232,7 +232,7 @@
 }
 
 /*
- * An owner stops acting before it appends a handover. It acts again only if
+ * An owner stops acting before it appends a handover.  It acts again only if
  * the record certainly was not written.
  */
 static void
@@ -257,7 +257,7 @@
 /*
  * For decisions that the standby has to record, an owner goes on deciding
  * during its handover, and the standby decides as soon as it has read the
- * handover or its own takeover. Another new owner waits until the loans have
+ * handover or its own takeover.  Another new owner waits until the loans have
  * expired.
  */
 static void
@@ -571,9 +571,9 @@
 }
 
 /*
- * Nodes that decide in turn give each partition one owner in the failure
- * domain of its group, and a standby in another domain of the same region
- * where there is one. Owners are in the preferred region, if there is one.
+ * Nodes that decide in turn give each partition one owner in the failure domain
+ * of its group, and a standby in another domain of the same region where there
+ * is one.  Owners are in the preferred region, if there is one.
  */
 static void
 check_cold_start(int preferred)
--- a/src/lease/test_lease_service.c
+++ b/src/lease/test_lease_service.c
@@ -51,7 +51,7 @@
 }
 
 /*
- * Appends to the log. The status is unknown while acknowledgements are to be
+ * Appends to the log.  The status is unknown while acknowledgements are to be
  * lost.
  */
 static enum logsvc_status
@@ -104,7 +104,7 @@
 }
 
 /*
- * Lists all nodes, alive if running. All are in the same failure domain.
+ * Lists all nodes, alive if running.  All are in the same failure domain.
  */
 static size_t
 list_members(void *ctx, struct lease_member *m, size_t max)
@@ -171,7 +171,7 @@
 }
 
 /*
- * Asserts that no partition has two acting owners. If count is negative,
+ * Asserts that no partition has two acting owners.  If count is negative,
  * returns 1 if every partition has one; else returns 1 if node i owns count
  * partitions.
  */
@@ -221,7 +221,7 @@
 }
 
 /*
- * Waits until a condition on a node holds. Returns 1 if it does, 0 after
+ * Waits until a condition on a node holds.  Returns 1 if it does, 0 after
  * WAIT_MS.
  */
 static int
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -92,8 +92,8 @@
 };
 
 /*
- * An immutable snapshot of the table for readers, protected by RCU. The
- * members are sorted by address and port. A handle is an index into the list
+ * An immutable snapshot of the table for readers, protected by RCU.  The
+ * members are sorted by address and port.  A handle is an index into the list
  * and is valid for one view only.
  */
 struct member_view {
@@ -106,11 +106,12 @@
 	uint64_t log_read_max_age_ms; /* see member_settings */
 	uint64_t config_version;      /* latest version known */
 	int config_outdated; /* this node's configuration is an earlier one */
-	uint32_t known;	     /* members that haven't left, this node included */
-	uint32_t alive;	     /* of those, the ones that are alive */
-	uint32_t probed;     /* probes of the last seconds */
-	uint32_t answered;   /* of those, the answered ones */
-	uint32_t self;	     /* handle of this node */
+	/* Members in any state but MEMBER_LEFT, this node included. */
+	uint32_t known;
+	uint32_t alive;	   /* of those, the ones that are alive */
+	uint32_t probed;   /* probes of the last seconds */
+	uint32_t answered; /* of those, the answered ones */
+	uint32_t self;	   /* handle of this node */
 	uint32_t len;
 	struct member_info *members;
 	uint32_t services_len;
@@ -131,7 +132,7 @@
 };
 
 /*
- * Receives an event about a member. The last argument is the configuration
+ * Receives an event about a member.  The last argument is the configuration
  * version of MEMBER_CONFIG_SEEN, 0 for other events.
  */
 typedef void (*member_event_fn)(
--- a/src/member/member.x
+++ b/src/member/member.x
@@ -1,5 +1,5 @@
 /*
- * Messages of the membership protocol. All are one-way: an answer is a
+ * Messages of the membership protocol.  All are one-way: an answer is a
  * separate message with the nonce of the message that it answers.
  */
 const MEMBER_DOMAIN_BYTES = 31;
@@ -19,7 +19,7 @@
 	MEMBER_PAGE = 7
 };
 
-/* A process at an address and port. The epoch orders successive processes at
+/* A process at an address and port.  The epoch orders successive processes at
  * the same address and port. */
 struct member_name {
 	unsigned int addr;
--- a/src/member/member_int.h
+++ b/src/member/member_int.h
@@ -51,7 +51,7 @@
 #define MEMBER_SEEDS_MAX 64
 #define MEMBER_SEED_TRIES 8
 #define MEMBER_SEED_DELAY_MS 200 /* retry delay for each try so far */
-#define MEMBER_PROBE_WINDOW_S 10 /* probe counts are held for this long */
+#define MEMBER_PROBE_WINDOW_S 10 /* time that probe counts cover */
 /* The probe counts of this time tell whether this node is isolated. */
 #define MEMBER_ISOLATION_WINDOW_S 2
 #define MEMBER_TICK_MS 25
@@ -80,12 +80,12 @@
 	/* Next time to notify a suspect that this node accused. */
 	uint64_t next_accuse_ms;
 	/*
-	 * Times that the queued change was sent. Starts above 0 for a change
+	 * Times that the queued change was sent.  Starts above 0 for a change
 	 * that needs fewer than member_retransmit_limit().
 	 */
 	uint32_t times_sent;
-	uint32_t last_message_number; /* number of the last message that
-					 contains it */
+	/* Number of the last message that contains this member. */
+	uint32_t last_message_number;
 	int used;
 	int accused_by_self; /* this node made it a suspect */
 	int queued;	     /* has a change in the queue */
--- a/src/member/member_merge.c
+++ b/src/member/member_merge.c
@@ -4,8 +4,8 @@
 
 /*
  * Precedence of two reports with the same sequence number: the higher rank
- * wins. A suspicion is refuted only by a higher sequence number, and only
- * the member itself assigns one.
+ * wins.  A suspicion is refuted only by a higher sequence number, and only the
+ * member itself assigns one.
  */
 static const int state_ranks[MEMBER_STATE_MAX] = {
 	[MEMBER_ALIVE] = 0,
@@ -49,8 +49,8 @@
 }
 
 /*
- * Copies a string, truncated to size bytes with the terminator. NULL is
- * copied as an empty string.
+ * Copies a string, truncated to size bytes with the terminator.  NULL is copied
+ * as an empty string.
  */
 void
 member_copy_text(char *to, size_t size, const char *from)
@@ -90,7 +90,7 @@
 }
 
 /*
- * Copies a member's data, except its name and state, from an entry. Only
+ * Copies a member's data, except its name and state, from an entry.  Only
  * entries in state alive carry these data.
  */
 static void
@@ -152,9 +152,9 @@
 }
 
 /*
- * Merges an entry for this node's address. A report of this process is
- * refuted if it is wrong. If the entry names another process that appears to
- * be the later one, this node raises its own epoch.
+ * Merges an entry for this node's address.  A report of this process is refuted
+ * if it is wrong.  If the entry names another process that appears to be the
+ * later one, this node raises its own epoch.
  */
 static void
 merge_self(struct member_table *t, uint64_t now, const struct member_entry *e)
@@ -170,7 +170,7 @@
 }
 
 /*
- * Adds an unknown member. Dead members are added too, because they must be
+ * Adds an unknown member.  Dead members are added too, because they must be
  * counted and probed again, unless they died longer ago than the retention
  * time.
  */
@@ -203,7 +203,7 @@
 }
 
 /*
- * Replaces a process by a later one at the same address and port. The later
+ * Replaces a process by a later one at the same address and port.  The later
  * process proves that the earlier one is dead.
  */
 static void
@@ -236,9 +236,9 @@
 }
 
 /*
- * Schedules an early probe of a live member that was reported dead. The
- * report alone doesn't change the state: after a network partition heals,
- * each side receives such reports about every member of the other side.
+ * Schedules an early probe of a live member that was reported dead.  The report
+ * alone doesn't change the state: after a network partition heals, each side
+ * receives such reports about every member of the other side.
  */
 static void
 schedule_verification(struct member_table *t, const struct member_slot *s)
@@ -275,7 +275,7 @@
 }
 
 /*
- * Merges an entry of a known process. The load is accepted only from the
+ * Merges an entry of a known process.  The load is accepted only from the
  * member itself, because it changes faster than gossip spreads it.
  */
 static void
@@ -319,7 +319,7 @@
 }
 
 /*
- * Merges an entry from a message. The entry is direct if its member sent the
+ * Merges an entry from a message.  The entry is direct if its member sent the
  * message itself.
  */
 void
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -81,7 +81,7 @@
 }
 
 /*
- * Sends a probe to a member, unless too many probes are unanswered. A bare
+ * Sends a probe to a member, unless too many probes are unanswered.  A bare
  * probe carries no queued changes and isn't followed by indirect probes.
  */
 static void
@@ -150,7 +150,7 @@
 }
 
 /*
- * Ends an unanswered probe and marks its target suspect. A node with few
+ * Ends an unanswered probe and marks its target suspect.  A node with few
  * answers to its probes is probably isolated itself and doesn't send its
  * suspicions: all of them would have to be refuted once the partition heals.
  */
@@ -192,8 +192,8 @@
 }
 
 /*
- * Declares suspects dead whose deadline has passed. Other suspects that this
- * node accused are told so periodically, so they can refute it.
+ * Declares suspects dead whose deadline has passed.  Periodically notifies the
+ * other suspects that this node accused, so that they can refute the suspicion.
  */
 static void
 check_suspects(struct member_table *t, uint64_t now)
@@ -237,8 +237,8 @@
 }
 
 /*
- * Adds an address where a member may be. Addresses from the settings are
- * tried without limit, others MEMBER_SEED_TRIES times.
+ * Adds an address where a member may be.  Addresses from the settings are tried
+ * without limit, others MEMBER_SEED_TRIES times.
  */
 void
 member_table_add_seed(
@@ -297,9 +297,9 @@
 }
 
 /*
- * Returns whether the queue holds changes worth a separate message. Once
- * half of the budget is spent, the rest is reserved for changes in the first
- * third of their retransmissions.
+ * Returns whether the queue holds changes worth a separate message.  Once half
+ * of the budget is spent, the rest is reserved for changes in the first third
+ * of their retransmissions.
  */
 static int
 has_changes_to_send(const struct member_table *t)
@@ -363,8 +363,8 @@
 }
 
 /*
- * Starts a comparison of tables when it is due. The next one is due earlier
- * if the last one brought changes.
+ * Starts a comparison of tables when it is due.  The next one is due earlier if
+ * the last one brought changes.
  */
 static void
 sync_if_due(struct member_table *t, uint64_t now)
@@ -399,7 +399,7 @@
 }
 
 /*
- * Refills the budgets. The unused part of the startup budget for pages
+ * Refills the budgets.  The unused part of the startup budget for pages
  * expires.
  */
 static void
@@ -421,7 +421,7 @@
 }
 
 /*
- * Runs all periodic work that is due. Must be called about every
+ * Runs all periodic work that is due.  Must be called about every
  * MEMBER_TICK_MS.
  */
 void
@@ -477,7 +477,8 @@
 }
 
 /*
- * Marks this node as left and announces that to random members at once.
+ * Sets this node's state to MEMBER_LEFT and announces it to random members at
+ * once.
  */
 void
 member_table_leave(struct member_table *t, uint64_t now)
--- a/src/member/member_receive.c
+++ b/src/member/member_receive.c
@@ -91,9 +91,9 @@
 }
 
 /*
- * Ends the probe that was answered. The age of the last log read is counted
+ * Ends the probe that was answered.  The age of the last log read is counted
  * from the time when the probe was sent, because a delayed answer would make
- * the read look more recent than it was. The answer to a probe made for
+ * the read look more recent than it was.  The answer to a probe made for
  * another member is relayed to that member.
  */
 static void
@@ -204,10 +204,10 @@
 }
 
 /*
- * Records a log read (ms) by any node; 0 means none. A message that reports
- * a read also carries the latest version that the read returned, so this
- * node knows of that version by now. If its own configuration is no earlier
- * than the latest known version, it was the latest one at that read.
+ * Records a log read (ms) by any node; 0 means none.  A message that reports a
+ * read also carries the latest version that the read returned, so this node
+ * knows of that version by now.  If its own configuration is no earlier than
+ * the latest known version, it was the latest one at that read.
  */
 void
 member_record_log_read(struct member_table *t, uint64_t read_ms)
--- a/src/member/member_table.c
+++ b/src/member/member_table.c
@@ -11,7 +11,7 @@
 static void *resize_array(void *, size_t, size_t);
 
 /*
- * Initializes a table that contains only this node. The epoch is the start
+ * Initializes a table that contains only this node.  The epoch is the start
  * time of the process in ms since 1970.
  */
 void
@@ -75,7 +75,7 @@
 }
 
 /*
- * Resizes an array. Aborts the process if memory is exhausted.
+ * Resizes an array.  Aborts the process if memory is exhausted.
  */
 static void *
 resize_array(void *p, size_t len, size_t size)
@@ -107,7 +107,7 @@
 }
 
 /*
- * Adds an empty slot for an address and port. This may move all slots in
+ * Adds an empty slot for an address and port.  This may move all slots in
  * memory.
  */
 struct member_slot *
@@ -207,10 +207,10 @@
 }
 
 /*
- * Sets a member's state and sequence number and queues the change. A death
- * is sent few times, because every node detects it by itself. A higher
- * sequence number that leaves the state unchanged is sent few times too. A
- * refutation of a suspicion and a departure are urgent.
+ * Sets a member's state and sequence number and queues the change.  A death is
+ * sent few times, because every node detects it by itself.  A higher sequence
+ * number that leaves the state unchanged is sent few times too.  A refutation
+ * of a suspicion and a departure are urgent.
  */
 void
 member_set_state(struct member_table *t, uint64_t now, struct member_slot *s,
@@ -263,7 +263,7 @@
 }
 
 /*
- * Removes members that left or died long ago. Dead members stay while no
+ * Removes members that left or died long ago.  Dead members stay while no
  * majority of the members is alive: without them, a minority would look like
  * the whole cluster.
  */
--- a/src/member/member_view.c
+++ b/src/member/member_view.c
@@ -46,7 +46,7 @@
 }
 
 /*
- * Allocates a zeroed array. Aborts the process if memory is exhausted.
+ * Allocates a zeroed array.  Aborts the process if memory is exhausted.
  */
 static void *
 alloc_zeroed(size_t len, size_t size)
@@ -151,8 +151,8 @@
 }
 
 /*
- * Returns the handles of the members whose server offers a service and is
- * up, and sets *len to their number. Returns NULL if there are none.
+ * Returns the handles of the members whose server offers a service and is up,
+ * and sets *len to their number.  Returns NULL if there are none.
  */
 const uint32_t *
 member_view_service(
@@ -176,13 +176,13 @@
 }
 
 /*
- * Returns whether this node may trust its configuration. It may if the
+ * Returns whether this node may trust its configuration.  It may if the
  * configuration was the latest one at a recent enough read of the log by any
- * node. Otherwise it may if no later version is known and this node is
- * connected to more than half of the members. Connectivity is judged by the
- * table, which includes the results of other nodes' probes, and by this
- * node's own probes of the last seconds: an isolated node would find out
- * from the table alone only slowly that many members are unreachable.
+ * node.  Otherwise it may if no later version is known and this node is
+ * connected to more than half of the members.  Connectivity is judged by the
+ * table, which includes the results of other nodes' probes, and by this node's
+ * own probes of the last seconds: an isolated node would find out from the
+ * table alone only slowly that many members are unreachable.
  */
 int
 member_config_is_fresh(const struct member_view *v, uint64_t now)
--- a/src/member/member_wire.c
+++ b/src/member/member_wire.c
@@ -278,8 +278,8 @@
 }
 
 /*
- * Adds the receiver's own entry if this node doesn't hold it alive or knows
- * another incarnation of it.  The receiver can then refute it.
+ * Adds the receiver's own entry if this node's table doesn't show it as alive
+ * or has another incarnation of it.  The receiver can then refute it.
  */
 static void
 add_receiver_entry(struct member_table *t, uint64_t now, struct draft *d,
@@ -373,7 +373,7 @@
 /*
  * Computes a digest of each bucket over the members that are alive or suspect.
  * Nodes whose tables agree have equal digests.  Values that change often or
- * may differ between nodes (load, suspicion, age) are left out.
+ * may differ between nodes (load, suspicion, age) are excluded.
  */
 static void
 compute_digests(const struct member_table *t, u_int *out)
--- a/src/member/test_merge.c
+++ b/src/member/test_merge.c
@@ -102,7 +102,7 @@
 /*
  * A node refutes wrong reports of its own state by a higher sequence number.
  * If another process with the same address appears to be the later one, the
- * node raises its epoch. Other reports change nothing.
+ * node raises its epoch.  Other reports change nothing.
  */
 static void
 test_refute_wrong_reports(void **state)
--- a/src/member/test_net.h
+++ b/src/member/test_net.h
@@ -14,7 +14,7 @@
  */
 #define NET_ADDR_FIRST 0x0a000000u
 #define NET_PORT 7000
-#define NET_DELAY_MAX_MS 64  /* ms */
+#define NET_DELAY_MAX_MS 64
 #define NET_START_MS 1000000 /* of the simulated clock */
 
 struct net;
--- a/src/member/test_table.c
+++ b/src/member/test_table.c
@@ -9,7 +9,7 @@
 #define USUAL_NODES 15 /* nodes of a fleet of the usual size */
 
 /*
- * A node whose probes are mostly unanswered doesn't send its suspicions. A
+ * A node whose probes are mostly unanswered doesn't send its suspicions.  A
  * node with mostly answered probes does.
  */
 static void
@@ -158,8 +158,8 @@
 }
 
 /*
- * During a network partition each side declares the other side dead and none
- * of its own members. After the partition all nodes are alive again.
+ * During a network partition each side declares the other side dead and none of
+ * its own members.  After the partition all nodes are alive again.
  */
 static void
 test_partition_heals(void **state)
@@ -264,9 +264,9 @@
 }
 
 /*
- * The age of the last log read spreads within seconds. No node, not even one
- * that was paused, takes the read for more recent than it was. A
- * configuration version spreads too.
+ * The age of the last log read spreads within seconds.  No node, not even one
+ * that was paused, takes the read for more recent than it was.  A configuration
+ * version spreads too.
  */
 static void
 test_log_age_and_config_spread(void **state)
@@ -355,9 +355,9 @@
 }
 
 /*
- * A node that learns of a log read and of a later version than its own
- * doesn't count its configuration as current at that read. It does once it
- * has that version.
+ * A node that learns of a log read and of a later version than its own doesn't
+ * count its configuration as current at that read.  It does once it has that
+ * version.
  */
 static void
 test_read_time_of_outdated_config(void **state)
@@ -382,9 +382,9 @@
 }
 
 /*
- * An isolated node in a large fleet stops trusting its configuration within
- * ten seconds of the last message. It doesn't trust it again after the
- * retention time of dead members.
+ * An isolated node in a large fleet stops trusting its configuration within ten
+ * seconds of the last message.  It doesn't trust it again after the retention
+ * time of dead members.
  */
 static void
 test_isolated_node_is_not_fresh(void **state)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -84,10 +84,10 @@
 	enum outcome outcome;
 	enum reason reason;
 	uint32_t retries_left;
-	uint32_t chain_level; /* told by inner calls, or
-				 ADMISSION_CHAIN_LEVEL_UNKNOWN */
-	int inner_failed;     /* an inner call brought no good answer */
-	uint64_t death;	      /* of the server, that struck the request, or 0 */
+	/* Told by inner calls, or ADMISSION_CHAIN_LEVEL_UNKNOWN. */
+	uint32_t chain_level;
+	int inner_failed; /* an inner call brought no good answer */
+	uint64_t death;	  /* of the server, that struck the request, or 0 */
 	char load[ADMISSION_LOAD_TEXT_BYTES];
 };
 
--- a/src/once/once.c
+++ b/src/once/once.c
@@ -36,7 +36,7 @@
 };
 
 /*
- * Initialises the request id memory of a node.
+ * Initializes the request id memory of a node.
  */
 void
 once_init(struct once *o, const struct once_config *cfg)
--- a/src/once/once.h
+++ b/src/once/once.h
@@ -16,9 +16,9 @@
  * can be claimed twice.
  */
 #define ONCE_CLOCK_SKEW_MAX_MS 5000 /* between two wall clocks */
-/* For an owner, since one was first missing. */
+/* Longest wait for an owner, from the time when one was first missing. */
 #define ONCE_OWNER_WAIT_MS 2500
-#define ONCE_MAINTAIN_INTERVAL_MS 20 /* interval of once_maintain() */
+#define ONCE_MAINTAIN_INTERVAL_MS 20 /* between once_maintain() calls */
 #define ONCE_CELLS_MAX 262144	     /* ids that a node stores, 32 bytes each */
 
 enum once_verdict {
@@ -57,14 +57,14 @@
 	void *lookup_ctx;
 	rpc_call_fn call;
 	void *call_ctx;
-	void (*on_owner_failure)(
-	    void *); /* an owner didn't answer; may be NULL */
+	/* An owner didn't answer.  May be NULL. */
+	void (*on_owner_failure)(void *);
 	void *on_owner_failure_ctx;
-	void (*on_claim_as_standby)(
-	    void *); /* a claim reached this standby; may be NULL */
+	/* A claim reached this standby.  May be NULL. */
+	void (*on_claim_as_standby)(void *);
 	void *on_claim_as_standby_ctx;
-	int (*owners_may_change)(
-	    void *); /* whether owners may change; NULL: always */
+	/* Returns whether owners may change.  NULL: they always may. */
+	int (*owners_may_change)(void *);
 	void *owners_may_change_ctx;
 	uint64_t (*clock_ms)(void); /* NULL: clock_ms() */
 	uint64_t (*wall_ms)(void);  /* NULL: CLOCK_REALTIME */
--- a/src/once/once.x
+++ b/src/once/once.x
@@ -9,7 +9,7 @@
 	ONCE_NOT_KNOWN = 2,	/* may precede the stored history */
 	ONCE_NOT_OWNER = 3,
 	ONCE_MEMORY_FULL = 4,
-	ONCE_FUTURE_ID = 5		/* the time in the id is in the future */
+	ONCE_FUTURE_ID = 5	/* the time in the id is in the future */
 };
 
 struct once_node {
--- a/src/once/once_memory.c
+++ b/src/once/once_memory.c
@@ -16,7 +16,7 @@
 static void insert_cell(struct once_memory *, const struct memory_cell *);
 
 /*
- * Initialises an empty memory.
+ * Initializes an empty memory.
  */
 void
 memory_init(struct once_memory *m, struct memory_budget *budget)
--- a/src/once/test_once.c
+++ b/src/once/test_once.c
@@ -123,7 +123,7 @@
 }
 
 /*
- * Initialises the nodes.  Node 0 is the first owner and node 1 its standby.
+ * Initializes the nodes.  Node 0 is the first owner and node 1 its standby.
  */
 static int
 setup(void **state)
--- a/src/publish/publish.h
+++ b/src/publish/publish.h
@@ -51,7 +51,7 @@
 	const char *text;
 	const char *author;
 	uint64_t base_version; /* version that the text was made from */
-	uint32_t timeout_ms;   /* ms */
+	uint32_t timeout_ms;
 };
 
 void publish_new_id(char *);
--- a/src/publish/reader.c
+++ b/src/publish/reader.c
@@ -72,7 +72,7 @@
 /*
  * Applies a record to the state.  If the stream has several copies of the
  * publication with the id of the reader, at most one is accepted, and its
- * outcome is kept.
+ * outcome is recorded.
  */
 static void
 apply_record(struct publish_reader *r, const struct logsvc_record *record)
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -48,7 +48,7 @@
 }
 
 /*
- * Initialises an empty quarantine.  Crash reports and clearances are sent to
+ * Initializes an empty quarantine.  Crash reports and clearances are sent to
  * the other members through the callback.  Exits the process if memory is
  * exhausted.
  */
@@ -141,12 +141,13 @@
 }
 
 /*
- * Registers a run of a request at the exit.  Its own fingerprint comes first
- * in prints.  Returns 0 if the request may run; quarantine_end() must
- * follow.  Returns -1 if the request is in quarantine, or is suspect while a
- * copy of it runs here; it is then refused as not run.  Returns 1 if it is
- * suspect while another suspect request runs here; it then has to wait,
- * since a crash during both would also be charged to the innocent one.
+ * Registers a run of a request at the exit.  The request's own fingerprint is
+ * the first one of fingerprints.  Returns 0 if the request may run;
+ * quarantine_end() must follow.  Returns -1 if the request is in quarantine, or
+ * is suspect while a copy of it runs here; it is then refused as not run.
+ * Returns 1 if it is suspect while another suspect request runs here; it then
+ * has to wait, since a crash during both would also be charged to the innocent
+ * one.
  */
 int
 quarantine_begin(struct quarantine *q, struct quarantine_run *run,
--- a/src/quarantine/quarantine_core.h
+++ b/src/quarantine/quarantine_core.h
@@ -6,7 +6,7 @@
 
 /*
  * The quarantine table.  It reads no clock and takes no lock: callers pass
- * in times, in milliseconds of one clock, and serialise access.
+ * in times, in milliseconds of one clock, and serialize access.
  */
 
 /* Lifetime of a crash report and of a recorded success. */
--- a/src/quarantine/test_quarantine.c
+++ b/src/quarantine/test_quarantine.c
@@ -62,7 +62,7 @@
 }
 
 /*
- * Initialises all nodes.
+ * Initializes all nodes.
  */
 static int
 setup(void **state)
