limits: a comment of the messages fits its line

The renamed field had pushed its comment past 80 columns; it stands above the field now, in a whole sentence. A comment of a .x file only, no code changed.

--- a/src/limits/limits.x
+++ b/src/limits/limits.x
@@ -35,7 +35,8 @@
 	unsigned int life_ms;
 	unsigned int retry_after_us;
 	unsigned int level;	/* whole tokens left in the bucket */
-	unsigned int bucket_is_new;	/* 1: empty as its lease is new, not by use */
+	/* 1: the bucket is empty because its lease is new, not by use. */
+	unsigned int bucket_is_new;
 };
 
 struct limits_report_arg {
