--- a/src/config/config.h
+++ b/src/config/config.h
@@ -129,6 +129,8 @@
 uint64_t config_key_tag(const struct config_key *);
 int config_ws_find(const struct config *, uint64_t);
 uint64_t config_ws_hash(const char *);
+uint32_t config_route_id(const char *);
+int config_has_route_id(const struct config *, uint32_t);
 void config_carry(struct config *, const struct config *, uint64_t);
 void config_key_hash(const char *, unsigned char *);
 
--- a/src/config/lookup.c
+++ b/src/config/lookup.c
@@ -158,6 +158,32 @@
 	    hash, c->keys, c->key_count, sizeof(*c->keys), config_key_cmp);
 }
 
+/*
+ * Returns the id of a route, which tells its runs apart in what nodes report
+ * to each other.  It is never 0.
+ */
+uint32_t
+config_route_id(const char *name)
+{
+	uint32_t id = XXH32(name, strlen(name), 0);
+
+	return id != 0 ? id : 1;
+}
+
+/*
+ * Returns 1 if a configuration has a route with the given id, else 0.
+ */
+int
+config_has_route_id(const struct config *c, uint32_t id)
+{
+	size_t i;
+
+	for (i = 0; i < c->route_count; i++)
+		if (config_route_id(c->routes[i].name) == id)
+			return 1;
+	return 0;
+}
+
 /*
  * Returns the number under which peers speak of a workspace.
  */
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -136,6 +136,7 @@
 	    const struct sockaddr_in *);
 	void (*on_proof)(void *, const struct fleet_proof *);
 	void (*on_server_departed)(void *, const struct fleet_departure *);
+	void (*on_route_profile)(void *, const struct fleet_route_profile *);
 };
 
 /* The UDP socket through which nodes exchange messages. */
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -4,9 +4,9 @@
 
 const FLEET_NAME_MAX = 63;
 const FLEET_CALLS_MAX = 8;
-const FLEET_REQUESTED_MAX = 8;
+const FLEET_REQUESTED_MAX = 16;
 const FLEET_CLASSES = 4;
-const FLEET_RATES_MAX = 32;	/* services times classes */
+const FLEET_RATES_MAX = 64;	/* requested rows times classes */
 const FLEET_SILENT_MAX = 32;
 const FLEET_DOWN = 1;	/* server accepted no connection lately */
 const FLEET_LEAVING = 2;	/* server announced its shutdown */
@@ -40,7 +40,7 @@
 	/* Calls per 1000 runs to each downstream service. */
 	unsigned int calls_per_1000<FLEET_CALLS_MAX>;
 	/*
-	 * Root requests per service and class, encoded by
+	 * Root requests per requested row and class, encoded by
 	 * demand_encode_rate().
 	 */
 	opaque demands<FLEET_RATES_MAX>;
@@ -58,6 +58,11 @@
 	fleet_name calls<FLEET_CALLS_MAX>;     /* services, as in the load */
 	fleet_name demands<FLEET_REQUESTED_MAX>; /* services, as in the load */
 	fleet_load load;
+	/*
+	 * Ids of the routes to those services.  A heartbeat of an older version
+	 * ends before: no ids.
+	 */
+	unsigned int demand_routes<FLEET_REQUESTED_MAX>;
 };
 
 /* A load heartbeat: the rest is as in the last full heartbeat. */
@@ -119,6 +124,21 @@
 	unsigned hyper born_ms;
 };
 
+/* Calls that a run of some route makes to a route of a service. */
+struct fleet_call {
+	fleet_name service;
+	unsigned int route;	 /* id */
+	unsigned int per_1000;	 /* calls per 1000 runs */
+};
+
+/* Measured runs of one route at the sender's server. */
+struct fleet_route_profile {
+	fleet_name service;
+	unsigned int route;	 /* id */
+	unsigned int cost_per_1000; /* mean run time, to that of all runs */
+	fleet_call calls<FLEET_CALLS_MAX>;
+};
+
 enum fleet_kind {
 	FLEET_HEARTBEAT = 1,
 	FLEET_GOODBYE = 2,
@@ -129,7 +149,8 @@
 	FLEET_PROOF_QUERY = 7,
 	FLEET_PROOF = 8,
 	FLEET_LOAD_HEARTBEAT = 9,
-	FLEET_DEPARTURE = 10
+	FLEET_DEPARTURE = 10,
+	FLEET_ROUTE_PROFILE = 11
 };
 
 union fleet_msg switch (fleet_kind kind) {
@@ -153,4 +174,6 @@
 	fleet_load_heartbeat pulse;
 case FLEET_DEPARTURE:
 	fleet_departure left;
+case FLEET_ROUTE_PROFILE:
+	fleet_route_profile profile;
 };
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -31,8 +31,14 @@
     const struct fleet_net *, const struct fleet_msg *, char *);
 static void send_bytes(struct fleet_net *, const char *, size_t, uint32_t);
 
+/*
+ * An empty array behind a message, for the last member of a message from an
+ * older version, which ends before it.
+ */
+#define EMPTY_ARRAY_BYTES 4
+
 /* Receive buffer of the only loop; processed before the next read. */
-static char datagram[DATAGRAM_BYTES + SEAL_BYTES];
+static char datagram[DATAGRAM_BYTES + SEAL_BYTES + EMPTY_ARRAY_BYTES];
 
 /*
  * Opens the socket and starts to send heartbeats.  Returns a libuv error or 0.
@@ -82,7 +88,7 @@
 	(void)handle;
 	(void)hint;
 	buf->base = datagram;
-	buf->len = sizeof(datagram);
+	buf->len = sizeof(datagram) - EMPTY_ARRAY_BYTES;
 }
 
 /*
@@ -207,7 +213,9 @@
 		return;
 	}
 	memset(&m, 0, sizeof(m));
-	xdrmem_create(&x, buf->base, (unsigned int)size, XDR_DECODE);
+	memset(buf->base + size, 0, EMPTY_ARRAY_BYTES);
+	xdrmem_create(
+	    &x, buf->base, (unsigned int)size + EMPTY_ARRAY_BYTES, XDR_DECODE);
 	if (xdr_fleet_msg(&x, &m))
 		dispatch(n, &m, (const struct sockaddr_in *)from);
 	else
@@ -261,6 +269,9 @@
 	case FLEET_PROOF:
 		n->ops->on_proof(n->ctx, &m->fleet_msg_u.proof);
 		break;
+	case FLEET_ROUTE_PROFILE:
+		n->ops->on_route_profile(n->ctx, &m->fleet_msg_u.profile);
+		break;
 	}
 }
 
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -270,6 +270,12 @@
 	digest = digest_name(digest, "");
 	for (i = 0; i < b->demands.demands_len; i++)
 		digest = digest_name(digest, b->demands.demands_val[i]);
+	if (b->demand_routes.demand_routes_len > 0)
+		digest =
+		    XXH3_64bits_withSeed(b->demand_routes.demand_routes_val,
+			b->demand_routes.demand_routes_len *
+			    sizeof(*b->demand_routes.demand_routes_val),
+			digest);
 	return digest;
 }
 
--- a/src/fleet/fleet_xdr.c
+++ b/src/fleet/fleet_xdr.c
@@ -197,6 +197,9 @@
 			 return FALSE;
 		 if (!xdr_fleet_load (xdrs, &objp->load))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->demand_routes.demand_routes_val, (u_int *) &objp->demand_routes.demand_routes_len, FLEET_REQUESTED_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_fleet_name (xdrs, &objp->node))
@@ -229,6 +232,9 @@
 			 return FALSE;
 		 if (!xdr_fleet_load (xdrs, &objp->load))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->demand_routes.demand_routes_val, (u_int *) &objp->demand_routes.demand_routes_len, FLEET_REQUESTED_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -254,6 +260,9 @@
 		 return FALSE;
 	 if (!xdr_fleet_load (xdrs, &objp->load))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demand_routes.demand_routes_val, (u_int *) &objp->demand_routes.demand_routes_len, FLEET_REQUESTED_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -369,6 +378,37 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fleet_call (XDR *xdrs, fleet_call *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->per_1000))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fleet_route_profile (XDR *xdrs, fleet_route_profile *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fleet_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->route))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cost_per_1000))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->calls.calls_val, (u_int *) &objp->calls.calls_len, FLEET_CALLS_MAX,
+		sizeof (fleet_call), (xdrproc_t) xdr_fleet_call))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fleet_kind (XDR *xdrs, fleet_kind *objp)
 {
@@ -427,6 +467,10 @@
 		 if (!xdr_fleet_departure (xdrs, &objp->fleet_msg_u.left))
 			 return FALSE;
 		break;
+	case FLEET_ROUTE_PROFILE:
+		 if (!xdr_fleet_route_profile (xdrs, &objp->fleet_msg_u.profile))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/fleet/fleet_xdr.h
+++ b/src/fleet/fleet_xdr.h
@@ -16,9 +16,9 @@
 
 #define FLEET_NAME_MAX 63
 #define FLEET_CALLS_MAX 8
-#define FLEET_REQUESTED_MAX 8
+#define FLEET_REQUESTED_MAX 16
 #define FLEET_CLASSES 4
-#define FLEET_RATES_MAX 32
+#define FLEET_RATES_MAX 64
 #define FLEET_SILENT_MAX 32
 #define FLEET_DOWN 1
 #define FLEET_LEAVING 2
@@ -78,6 +78,10 @@
 		fleet_name *demands_val;
 	} demands;
 	fleet_load load;
+	struct {
+		u_int demand_routes_len;
+		u_int *demand_routes_val;
+	} demand_routes;
 };
 typedef struct fleet_heartbeat fleet_heartbeat;
 
@@ -137,6 +141,24 @@
 };
 typedef struct fleet_departure fleet_departure;
 
+struct fleet_call {
+	fleet_name service;
+	u_int route;
+	u_int per_1000;
+};
+typedef struct fleet_call fleet_call;
+
+struct fleet_route_profile {
+	fleet_name service;
+	u_int route;
+	u_int cost_per_1000;
+	struct {
+		u_int calls_len;
+		fleet_call *calls_val;
+	} calls;
+};
+typedef struct fleet_route_profile fleet_route_profile;
+
 enum fleet_kind {
 	FLEET_HEARTBEAT = 1,
 	FLEET_GOODBYE = 2,
@@ -148,6 +170,7 @@
 	FLEET_PROOF = 8,
 	FLEET_LOAD_HEARTBEAT = 9,
 	FLEET_DEPARTURE = 10,
+	FLEET_ROUTE_PROFILE = 11,
 };
 typedef enum fleet_kind fleet_kind;
 
@@ -164,6 +187,7 @@
 		fleet_proof proof;
 		fleet_load_heartbeat pulse;
 		fleet_departure left;
+		fleet_route_profile profile;
 	} fleet_msg_u;
 };
 typedef struct fleet_msg fleet_msg;
@@ -183,6 +207,8 @@
 extern  bool_t xdr_fleet_proof (XDR *, fleet_proof*);
 extern  bool_t xdr_fleet_crash_report (XDR *, fleet_crash_report*);
 extern  bool_t xdr_fleet_departure (XDR *, fleet_departure*);
+extern  bool_t xdr_fleet_call (XDR *, fleet_call*);
+extern  bool_t xdr_fleet_route_profile (XDR *, fleet_route_profile*);
 extern  bool_t xdr_fleet_kind (XDR *, fleet_kind*);
 extern  bool_t xdr_fleet_msg (XDR *, fleet_msg*);
 
@@ -199,6 +225,8 @@
 extern bool_t xdr_fleet_proof ();
 extern bool_t xdr_fleet_crash_report ();
 extern bool_t xdr_fleet_departure ();
+extern bool_t xdr_fleet_call ();
+extern bool_t xdr_fleet_route_profile ();
 extern bool_t xdr_fleet_kind ();
 extern bool_t xdr_fleet_msg ();
 
--- a/src/model/entry.c
+++ b/src/model/entry.c
@@ -44,7 +44,9 @@
 	}
 	w->res->inner_calls++;
 	w->res->turned += (uint32_t)refused;
-	profile_call_ended(&w->nodes[q->entry].profile, refused);
+	run = request_get(w, parent);
+	profile_set_call_ended(&w->nodes[q->entry].profiles,
+	    run != NULL ? kind_route(run->kind) : 0, refused);
 	if (refused && second_of(w, w->now_us) != NULL)
 		second_of(w, w->now_us)->turned++;
 	request_settle(w, q);
@@ -64,11 +66,13 @@
 	struct node *n = &w->nodes[q->entry];
 	const struct model_kind *k = kind_of(w, q);
 	const char *service = w->load->services[k->service].name;
-	struct demand_row *row = demand_row(&n->demand, service);
+	uint32_t route = kind_route(q->kind);
+	struct demand_row *row = demand_row(&n->demand, service, route);
 	int h = throttle_service(&n->throttle, service);
 
 	if (row != NULL)
 		row->counts[k->class].requested_count++;
+	h = throttle_find_row(&n->throttle, h, route);
 	if (w->load->policies.throttle &&
 	    draw(w) >= throttle_admitted_share(&n->throttle, h, k->class))
 		return 1;
@@ -84,8 +88,8 @@
 over_rate(struct world *w, struct request *q)
 {
 	const struct model_kind *k = kind_of(w, q);
-	struct demand_row *row = demand_row(
-	    &w->nodes[q->entry].demand, w->load->services[k->service].name);
+	struct demand_row *row = demand_row(&w->nodes[q->entry].demand,
+	    w->load->services[k->service].name, kind_route(q->kind));
 
 	if (row != NULL)
 		row->counts[k->class].over_rate_count++;
@@ -129,6 +133,7 @@
 	const struct model_kind *k = kind_of(w, q);
 	struct node *n = &w->nodes[q->entry];
 	const char *service = w->load->services[k->service].name;
+	const struct request *run;
 	uint64_t left;
 
 	if (n->down || w->now_us >= q->due_us) {
@@ -140,8 +145,11 @@
 		left = k->timeout_ms * US_PER_MS;
 	q->end_us = w->now_us + left;
 	if (q->parent != 0) {
-		profile_call_started(
-		    &n->profile, service, w->load->policies.chains);
+		run = request_get(w, q->parent);
+		profile_set_call_started(&n->profiles,
+		    run != NULL ? kind_route(run->kind) : 0, service,
+		    kind_route(q->kind),
+		    run != NULL && w->load->policies.chains);
 	} else if (throttled(w, q)) {
 		end(w, q, VERDICT_OVERLOADED, RETRY_AFTER_THROTTLED);
 		return;
--- a/src/model/exit.c
+++ b/src/model/exit.c
@@ -98,7 +98,7 @@
 	q->waiting = 0;
 	q->running = 1;
 	q->run_us = w->now_us;
-	profile_run_started(&n->profile);
+	profile_set_run_started(&n->profiles, kind_route(q->kind));
 	ms *= trouble(w, TROUBLE_SLOW, n->service, n->index);
 	q->verdict = VERDICT_SERVED;
 	if (draw(w) < trouble(w, TROUBLE_SHED, n->service, n->index)) {
@@ -131,7 +131,7 @@
 	q->running = 0;
 	q->spent_us += took;
 	w->res->work_s += took / US_PER_S;
-	profile_run_ended(&n->profile);
+	profile_set_run_ended(&n->profiles, kind_route(q->kind));
 	if (how == VERDICT_SERVED || (how != VERDICT_LATE && !q->call_failed))
 		choice_record_attempt(
 		    &n->health, how != VERDICT_SERVED, now_ms(w));
--- a/src/model/loads.c
+++ b/src/model/loads.c
@@ -17,7 +17,7 @@
 	uint32_t i;
 
 	throttle_init(&n->throttle);
-	profile_init(&n->profile);
+	profile_set_init(&n->profiles);
 	demand_init(&n->demand);
 	for (i = 0; i < w->load->service_count; i++)
 		(void)throttle_service(&n->throttle, w->load->services[i].name);
@@ -37,7 +37,7 @@
 	n->busy = n->busy * keep + busy * (1 - keep);
 	n->shed_per_s *= keep;
 	n->busy_us = w->now_us;
-	profile_update(&n->profile, n->core.inflight, passed);
+	profile_set_update(&n->profiles, n->core.inflight, passed);
 }
 
 /*
@@ -47,7 +47,7 @@
 loads_offered(const struct node *n)
 {
 	return n->busy + n->shed_per_s / BUSY_S *
-			     profile_mean_run_s(&n->profile) /
+			     profile_mean_run_s(&n->profiles.all) /
 			     limiter_value(&n->core.limiter);
 }
 
@@ -73,6 +73,7 @@
 loads_beat(struct world *w, int from)
 {
 	struct node *n = &w->nodes[from], *to;
+	const struct profile *p = &n->profiles.all;
 	struct link *l;
 	uint32_t i, k;
 	int h;
@@ -89,20 +90,21 @@
 		l->waiting = n->core.queued;
 		l->sent_since_report = 0;
 		l->offered = loads_offered(n);
-		l->run_s = profile_mean_run_s(&n->profile);
+		l->run_s = profile_mean_run_s(&n->profiles.all);
 		l->told_failing = choice_failure_share(&n->health, now_ms(w));
 		l->demand = n->demand;
-		if (n->profile.call_count > 0)
+		if (p->call_count > 0)
 			throttle_record_chained(
-			    &to->throttle, n->profile.chained_share);
-		for (k = 0; profile_calls_known(&n->profile) &&
-			    k < n->profile.call_count;
-		     k++) {
+			    &to->throttle, p->chained_share);
+		for (k = 0; profile_calls_known(p) && k < p->call_count; k++) {
 			h = throttle_service(
-			    &to->throttle, n->profile.calls[k].service);
+			    &to->throttle, p->calls[k].service);
 			throttle_record_calls(&to->throttle, n->service, h,
-			    profile_calls_per_run(&n->profile, k));
+			    profile_calls_per_run(p, k));
 		}
+		for (k = 0; k < n->profiles.route_count; k++)
+			profile_set_record(
+			    &n->profiles, k, &to->throttle, n->service);
 	}
 }
 
@@ -131,6 +133,7 @@
 		for (j = 0; j < l->demand.count; j++) {
 			row = &l->demand.rows[j];
 			h = throttle_service(&n->throttle, row->service);
+			h = throttle_find_row(&n->throttle, h, row->route);
 			for (k = 0; k < THROTTLE_CLASSES; k++)
 				throttle_add_demand(&n->throttle, h, k,
 				    demand_rate_per_s(row, k));
--- a/src/model/world.c
+++ b/src/model/world.c
@@ -130,6 +130,15 @@
 	return w->now_us / US_PER_MS;
 }
 
+/*
+ * Returns the id of the route of a kind of request.
+ */
+uint32_t
+kind_route(int kind)
+{
+	return (uint32_t)kind + 1;
+}
+
 /*
  * Returns the time that a message takes between two nodes.
  */
--- a/src/model/world.h
+++ b/src/model/world.h
@@ -83,7 +83,7 @@
 	int down;
 	struct admission_core core;
 	struct throttle throttle;
-	struct profile profile;
+	struct profile_set profiles;
 	struct demand demand;
 	struct choice_health health; /* of its server */
 	struct budget budgets[MODEL_SERVICES];
@@ -147,6 +147,7 @@
 void request_settle(struct world *, struct request *);
 double draw(struct world *);
 uint64_t now_ms(const struct world *);
+uint32_t kind_route(int);
 uint64_t hop_us(const struct world *, int, int);
 double trouble(const struct world *, enum model_trouble_kind, int, int);
 struct model_second *second_of(struct world *, uint64_t);
--- a/src/relay/dump.c
+++ b/src/relay/dump.c
@@ -60,7 +60,7 @@
 	    s->slots, limiter_value(&r->core.limiter), r->core.inflight,
 	    r->core.queued);
 	h1_text_addf(t, "run seconds %.4f\nfailing %.3f\n",
-	    profile_mean_run_s(&r->profile),
+	    profile_mean_run_s(&r->profiles.all),
 	    choice_failure_share(&r->health, now));
 }
 
@@ -101,33 +101,71 @@
 }
 
 /*
- * Adds the admitted share of each class of root requests, and the
- * measurements behind it.
+ * Returns the name of the route with the given id: "*" for all routes of a
+ * service, "-" if the configuration has none.
+ */
+static const char *
+route_name(const struct relay *r, uint32_t route)
+{
+	size_t i;
+
+	if (route == 0)
+		return "*";
+	for (i = 0; r->config != NULL && i < r->config->route_count; i++)
+		if (config_route_id(r->config->routes[i].name) == route)
+			return r->config->routes[i].name;
+	return "-";
+}
+
+/*
+ * Adds a row of the throttle: the admitted share of each class, its cost and
+ * its calls.
+ */
+static void
+dump_row(const struct relay *r, struct h1_text *t, const struct throttle_row *w)
+{
+	const struct throttle *th = &r->throttle;
+	const char *service = th->services[w->service].name,
+		   *route = route_name(r, w->route);
+	const struct throttle_row *to;
+	uint32_t k;
+
+	h1_text_addf(t, "runs %s route=%s measured=%d cost=%.2f", service,
+	    route, w->measured, w->cost);
+	for (k = 0; k < THROTTLE_CLASSES; k++)
+		h1_text_addf(t, " share_%u=%.3f asked_per_s_%u=%.1f", k,
+		    w->admitted_share[k], k, w->demand[k]);
+	h1_text_addf(t, "\n");
+	for (k = 0; k < w->call_count; k++) {
+		to = &th->rows[w->calls[k].row];
+		h1_text_addf(t,
+		    "calls %s route=%s to=%s to_route=%s per_run=%.3f\n",
+		    service, route, th->services[to->service].name,
+		    route_name(r, to->route), w->calls[k].calls_per_run);
+	}
+}
+
+/*
+ * Adds the measurements of each service, and the rows of its runs.
  */
 static void
 dump_throttle(const struct relay *r, struct h1_text *t)
 {
 	const struct throttle_service *s;
-	uint32_t i, k;
+	uint32_t i;
 
 	h1_text_addf(t, "# throttle\n");
 	for (i = 0; i < r->throttle.count; i++) {
 		s = &r->throttle.services[i];
 		h1_text_addf(t,
 		    "service %s limits=%d offered=%.3f expected=%.3f trim=%.2f "
-		    "slots=%.0f runs_per_s=%.1f",
+		    "slots=%.0f runs_per_s=%.1f\n",
 		    s->name, s->is_limiting, s->offered_load, s->expected_load,
 		    s->capacity_factor, s->slots, s->capacity_runs_per_s);
-		for (k = 0; k < THROTTLE_CLASSES; k++)
-			h1_text_addf(t, " share_%u=%.3f asked_per_s_%u=%.1f", k,
-			    s->admitted_share[k], k, s->demand[k]);
-		h1_text_addf(t, "\n");
-		for (k = 0; k < s->call_count; k++)
-			h1_text_addf(t, "calls %s to=%s per_run=%.3f\n",
-			    s->name,
-			    r->throttle.services[s->calls[k].service].name,
-			    s->calls[k].calls_per_run);
 	}
+	for (i = 0; i < r->throttle.row_end; i++)
+		if (r->throttle.rows[i].service >= 0)
+			dump_row(r, t, &r->throttle.rows[i]);
 }
 
 /*
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -118,7 +118,7 @@
 	const char *id;
 	size_t len;
 
-	profile_call_ended(&r->profile, refused);
+	profile_set_call_ended(&r->profiles, e->parent_route, refused);
 	id = h1_head_get(h1_conn_head(e->conn), r->set.names.request_id, &len);
 	if (failed && id != NULL)
 		parent = exit_parent(r, id, len);
@@ -162,7 +162,7 @@
 	if (e->depth > 0)
 		entry_record_call_result(e, is_capacity_failure(e, cause), 1);
 	else if (cause == ENTRY_FAIL_OVER_RATE)
-		load_record_over_rate(r, e->service, e->class);
+		load_record_over_rate(r, e->service, e->route, e->class);
 	r->counters[d->counter]++;
 	event_log(status == 502 || status == 504 ? EVENT_REQUEST_FAILED
 						 : EVENT_REQUEST_REFUSED,
@@ -295,6 +295,7 @@
 	if (id != NULL)
 		parent = exit_parent(r, id, len);
 	e->parent_known = parent != NULL;
+	e->parent_route = parent != NULL ? parent->route : 0;
 	e->depth = parent != NULL ? parent->depth + 1 : 1;
 	e->class = parent != NULL ? parent->class : ADMISSION_CRITICAL;
 	if (parent != NULL)
@@ -338,6 +339,7 @@
 		entry_fail(e, ENTRY_FAIL_NO_ROUTE, 0);
 		return;
 	}
+	e->route = config_route_id(route->name);
 	e->target_ms = route->target_ms;
 	e->class = load_find_class(r, 0, route->priority);
 	cause = resolve_workspace(e, route, h);
@@ -352,13 +354,14 @@
 	r->counters[e->depth > 0 ? RELAY_CALLS : RELAY_REQUESTS]++;
 	choose_split_service(e, route);
 	if (e->depth > 0) {
-		profile_call_started(&r->profile, e->service, e->parent_known);
+		profile_set_call_started(&r->profiles, e->parent_route,
+		    e->service, e->route, e->parent_known);
 	} else if (is_past_stop_limit(r)) {
 		entry_fail(e, ENTRY_FAIL_STOPPING,
 		    relay_retry_after_ms(
 			RETRY_AFTER_SERVERS_FULL, e->target_ms));
 		return;
-	} else if (!load_admit_root(r, e->service, e->class)) {
+	} else if (!load_admit_root(r, e->service, e->route, e->class)) {
 		entry_fail(e, ENTRY_FAIL_THROTTLED,
 		    relay_retry_after_ms(RETRY_AFTER_THROTTLED, e->target_ms));
 		return;
--- a/src/relay/entry_send.c
+++ b/src/relay/entry_send.c
@@ -107,12 +107,12 @@
 	struct seal_request parts;
 	char hop[RELAY_HOP_BYTES], hex[SEAL_HEX_BYTES];
 
-	snprintf(hop, sizeof(hop), "%llu %u %u %llu %d %s %s %s",
+	snprintf(hop, sizeof(hop), "%llu %u %u %llu %d %s %s %s %u",
 	    (unsigned long long)(e->answer_by_ms > now ? e->answer_by_ms - now
 						       : 1),
 	    e->class, e->depth, (unsigned long long)e->root_hash, e->idempotent,
 	    e->service, e->relay->set.service,
-	    e->ws_name[0] != '\0' ? e->ws_name : "-");
+	    e->ws_name[0] != '\0' ? e->ws_name : "-", e->route);
 	h1_text_add_field(t, RELAY_HOP, hop);
 	sealed_request_parts(e->relay, e->conn, hop, &parts);
 	seal_request(&e->relay->seal, &parts, hex);
--- a/src/relay/exit.c
+++ b/src/relay/exit.c
@@ -86,15 +86,15 @@
 
 /*
  * Reads the hop field that the entry sends: remaining time (ms), class,
- * depth, root hash, whether the request is idempotent, target service,
- * service of the caller, and workspace.  Returns 0, or -1 if the field
- * is missing or invalid.
+ * depth, root hash, whether the request is idempotent, target service, service
+ * of the caller, workspace, and id of the route, which entries of an older
+ * version don't send.  Returns 0, or -1 if the field is missing or invalid.
  */
 static int
 read_hop(struct exit_req *e, const struct h1_head *h, char *service,
     struct admission_req *req)
 {
-	uint64_t left_ms, class, depth, root, idempotent;
+	uint64_t left_ms, class, depth, root, idempotent, route;
 	char text[RELAY_HOP_BYTES], *cursor = text;
 
 	if (h1_head_copy(h, RELAY_HOP, text, sizeof(text)) < 0 ||
@@ -115,6 +115,8 @@
 	e->class = (uint32_t) class;
 	e->depth = (uint32_t)depth;
 	e->root_hash = root;
+	if (relay_read_number(&cursor, &route) == 0 && route <= UINT32_MAX)
+		e->route = (uint32_t)route;
 	req->class = (enum admission_class) class;
 	req->depth = (uint32_t)depth;
 	req->root_hash = root;
--- a/src/relay/exit_send.c
+++ b/src/relay/exit_send.c
@@ -102,7 +102,7 @@
 
 	e->running = 1;
 	e->sent_ms = relay_now(r);
-	profile_run_started(&r->profile);
+	profile_set_run_started(&r->profiles, e->route);
 	if (h1_conn_close_if_left(e->conn))
 		return;
 	rate_cap_take(&r->cap);
@@ -154,7 +154,7 @@
 		return;
 	e->running = 0;
 	load_update(r);
-	profile_run_ended(&r->profile);
+	profile_set_run_ended(&r->profiles, e->route);
 	if (outcome == ADMISSION_SERVED ||
 	    (outcome != ADMISSION_CANCELLED && !e->call_failed))
 		choice_record_attempt(
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -24,7 +24,9 @@
 static void keep_unheard_service_open(
     struct relay *, const struct fleet_peer *);
 static void keep_unrouted_services_open(struct relay *);
+static void add_peer_demand(struct relay *, struct relay_link *);
 static void sum_loads(struct relay *);
+static int route_exists(void *, uint32_t);
 static int compare_ranks(const void *, const void *);
 static void add_rank(struct relay *, uint32_t);
 
@@ -35,7 +37,7 @@
 load_init(struct relay *r)
 {
 	throttle_init(&r->throttle);
-	profile_init(&r->profile);
+	profile_set_init(&r->profiles);
 	demand_init(&r->demand);
 	uv_timer_init(r->loop, &r->throttle_timer);
 	r->throttle_timer.data = r;
@@ -59,7 +61,7 @@
 	r->utilization = r->utilization * old_weight + load * (1 - old_weight);
 	r->shed_per_s *= old_weight;
 	r->rates_updated_ms = now;
-	profile_update(&r->profile, r->core.inflight, elapsed_s);
+	profile_set_update(&r->profiles, r->core.inflight, elapsed_s);
 }
 
 /*
@@ -72,7 +74,7 @@
 	if (r->server.slots == 0)
 		return 0;
 	return r->utilization + r->shed_per_s *
-				    profile_mean_run_s(&r->profile) /
+				    profile_mean_run_s(&r->profiles.all) /
 				    relay_server_slots(r);
 }
 
@@ -95,8 +97,9 @@
 {
 	static fleet_name calls[FLEET_CALLS_MAX], demands[FLEET_REQUESTED_MAX];
 	static u_int per_1000[FLEET_CALLS_MAX];
+	static u_int routes[FLEET_REQUESTED_MAX];
 	static char rates[FLEET_RATES_MAX];
-	const struct profile *p = &r->profile;
+	const struct profile *p = &r->profiles.all;
 	struct demand_row *row;
 	uint32_t i, k, n = 0;
 
@@ -110,7 +113,7 @@
 	if (profile_calls_known(p))
 		n = p->call_count;
 	for (i = 0; i < n; i++) {
-		calls[i] = r->profile.calls[i].service;
+		calls[i] = r->profiles.all.calls[i].service;
 		per_1000[i] =
 		    (u_int)(profile_calls_per_run(p, i) * PER_THOUSAND);
 	}
@@ -121,12 +124,15 @@
 	for (i = 0; i < n; i++) {
 		row = &r->demand.rows[i];
 		demands[i] = row->service;
+		routes[i] = row->route;
 		for (k = 0; k < THROTTLE_CLASSES; k++)
 			rates[i * THROTTLE_CLASSES + k] =
 			    (char)demand_encode_rate(demand_rate_per_s(row, k));
 	}
 	b->demands.demands_val = demands;
 	b->demands.demands_len = n;
+	b->demand_routes.demand_routes_val = routes;
+	b->demand_routes.demand_routes_len = n;
 	b->load.demands.demands_val = rates;
 	b->load.demands.demands_len = n * THROTTLE_CLASSES;
 }
@@ -147,9 +153,15 @@
 		l->calls[i] =
 		    throttle_service(&r->throttle, b->calls.calls_val[i]);
 	l->demand_count = b->demands.demands_len;
-	for (i = 0; i < b->demands.demands_len; i++)
+	for (i = 0; i < b->demands.demands_len; i++) {
 		l->demands[i] =
 		    throttle_service(&r->throttle, b->demands.demands_val[i]);
+		l->demand_routes[i] =
+		    i < b->demand_routes.demand_routes_len
+			? b->demand_routes.demand_routes_val[i]
+			: 0;
+		l->demand_rows[i] = l->demands[i];
+	}
 	memset(l->demands_per_s, 0, sizeof(l->demands_per_s));
 }
 
@@ -204,6 +216,7 @@
 static void
 add_own_load(struct relay *r)
 {
+	const struct profile *p = &r->profiles.all;
 	const struct demand_row *row;
 	struct throttle_server own;
 	uint32_t i, k;
@@ -212,6 +225,8 @@
 	for (i = 0; i < r->demand.count; i++) {
 		row = &r->demand.rows[i];
 		h = throttle_service(&r->throttle, row->service);
+		if (h >= 0)
+			h = throttle_find_row(&r->throttle, h, row->route);
 		for (k = 0; h >= 0 && k < THROTTLE_CLASSES; k++)
 			throttle_add_demand(
 			    &r->throttle, h, k, demand_rate_per_s(row, k));
@@ -220,16 +235,16 @@
 	    (h = throttle_service(&r->throttle, r->server.service)) < 0)
 		return;
 	own.slots = relay_server_slots(r);
-	own.mean_run_s = profile_mean_run_s(&r->profile);
+	own.mean_run_s = profile_mean_run_s(&r->profiles.all);
 	own.offered_load = offered_load(r);
 	own.failure_share = choice_failure_share(&r->health, relay_now(r));
 	throttle_server(&r->throttle, h, &own);
-	if (r->profile.call_count > 0)
-		throttle_record_chained(&r->throttle, r->profile.chained_share);
-	for (i = 0;
-	     profile_calls_known(&r->profile) && i < r->profile.call_count; i++)
-		add_calls(r, h, r->profile.calls[i].service,
-		    profile_calls_per_run(&r->profile, i));
+	if (p->call_count > 0)
+		throttle_record_chained(&r->throttle, p->chained_share);
+	for (i = 0; profile_calls_known(p) && i < p->call_count; i++)
+		add_calls(
+		    r, h, p->calls[i].service, profile_calls_per_run(p, i));
+	load_add_own_routes(r, h);
 }
 
 /*
@@ -268,6 +283,27 @@
 	}
 }
 
+/*
+ * Adds the demand that another node has reported to the throttle.
+ */
+static void
+add_peer_demand(struct relay *r, struct relay_link *l)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < l->demand_count; i++) {
+		if (l->demands[i] < 0)
+			continue;
+		if (!throttle_is_row(&r->throttle, l->demand_rows[i],
+			l->demands[i], l->demand_routes[i]))
+			l->demand_rows[i] = throttle_find_row(
+			    &r->throttle, l->demands[i], l->demand_routes[i]);
+		for (k = 0; k < THROTTLE_CLASSES; k++)
+			throttle_add_demand(&r->throttle, l->demand_rows[i], k,
+			    l->demands_per_s[i][k]);
+	}
+}
+
 /*
  * Sums the server loads and the callers' demand per service over all reachable
  * nodes.
@@ -276,10 +312,8 @@
 sum_loads(struct relay *r)
 {
 	const struct fleet_peer *p;
-	const struct relay_link *l;
 	struct throttle_server m;
 	uint64_t now = relay_now(r);
-	uint32_t j, k;
 	size_t i;
 	int h;
 
@@ -291,12 +325,7 @@
 			keep_unheard_service_open(r, p);
 			continue;
 		}
-		l = relay_link(r, (int)i);
-		for (j = 0; j < l->demand_count; j++)
-			for (k = 0; l->demands[j] >= 0 && k < THROTTLE_CLASSES;
-			     k++)
-				throttle_add_demand(&r->throttle, l->demands[j],
-				    k, l->demands_per_s[j][k]);
+		add_peer_demand(r, relay_link(r, (int)i));
 		if (p->server.id[0] == '\0' || p->server.unavailable_state)
 			continue;
 		h = throttle_service(&r->throttle, p->server.service);
@@ -359,7 +388,7 @@
 	    (unsigned long long)delta[2], (unsigned long long)delta[3],
 	    (unsigned long long)delta[4], (unsigned long long)delta[5],
 	    (unsigned long long)delta[6], offered_load(r),
-	    profile_mean_run_s(&r->profile) * MS_PER_S);
+	    profile_mean_run_s(&r->profiles.all) * MS_PER_S);
 }
 
 /*
@@ -400,6 +429,7 @@
 	sum_loads(r);
 	keep_unrouted_services_open(r);
 	throttle_update_shares(&r->throttle, STEP_MS / MS_PER_S);
+	load_report_routes(r);
 	if (++r->throttle_steps % STEPS_PER_SUMMARY == 0) {
 		log_summary(r);
 		log_limiting_services(r);
@@ -407,16 +437,20 @@
 }
 
 /*
- * Returns 1 if the throttle admits a root request to a service, else 0.
+ * Returns 1 if the throttle admits a root request on a route to a service, else
+ * 0.
  */
 int
-load_admit_root(struct relay *r, const char *service, uint32_t class)
+load_admit_root(
+    struct relay *r, const char *service, uint32_t route, uint32_t class)
 {
-	struct demand_row *row = demand_row(&r->demand, service);
+	struct demand_row *row = demand_row(&r->demand, service, route);
 	int h = throttle_service(&r->throttle, service);
-	double share =
-	    h < 0 ? 1 : throttle_admitted_share(&r->throttle, h, class);
+	double share = 1;
 
+	if (h >= 0)
+		share = throttle_admitted_share(&r->throttle,
+		    throttle_find_row(&r->throttle, h, route), class);
 	if (row != NULL)
 		row->counts[class].requested_count++;
 	if (share < 1 &&
@@ -431,14 +465,35 @@
  * Records that an admitted root request exceeded its workspace's rate.
  */
 void
-load_record_over_rate(struct relay *r, const char *service, uint32_t class)
+load_record_over_rate(
+    struct relay *r, const char *service, uint32_t route, uint32_t class)
 {
-	struct demand_row *row = demand_row(&r->demand, service);
+	struct demand_row *row = demand_row(&r->demand, service, route);
 
 	if (row != NULL)
 		row->counts[class].over_rate_count++;
 }
 
+/*
+ * Returns 1 if a route id is that of a route of the configuration.
+ */
+static int
+route_exists(void *ctx, uint32_t route)
+{
+	const struct relay *r = ctx;
+
+	return config_has_route_id(r->config, route);
+}
+
+/*
+ * Forgets what was measured on routes that the new configuration lacks.
+ */
+void
+load_forget_routes(struct relay *r)
+{
+	throttle_forget_routes(&r->throttle, route_exists, r);
+}
+
 /*
  * Compares two priority ranks.
  */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -42,6 +42,7 @@
 	.on_proof_query = relay_on_proof_query,
 	.on_proof = relay_on_proof,
 	.on_server_departed = on_left_report,
+	.on_route_profile = load_on_route_profile,
 };
 
 static const char *const counter_names[RELAY_COUNTER_MAX] = {
@@ -333,6 +334,7 @@
 		config_free(r->config);
 	r->config = c;
 	load_collect_ranks(r);
+	load_forget_routes(r);
 	l = &r->entry.limits;
 	if (c->caps.head_bytes > 0)
 		l->max_head_bytes = c->caps.head_bytes;
@@ -525,7 +527,7 @@
 relay_server_slots(const struct relay *r)
 {
 	return rate_cap_slots(&r->cap, limiter_value(&r->core.limiter),
-	    profile_mean_run_s(&r->profile));
+	    profile_mean_run_s(&r->profiles.all));
 }
 
 /*
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -143,8 +143,10 @@
 	uint64_t load_reported_ms;
 	int calls[FLEET_CALLS_MAX]; /* services that the node's server calls */
 	uint32_t call_count;
-	/* Services that the node's callers request. */
-	int demands[FLEET_REQUESTED_MAX];
+	/* Services and routes that the node's callers request. */
+	int demands[FLEET_REQUESTED_MAX]; /* services; -1: unknown */
+	uint32_t demand_routes[FLEET_REQUESTED_MAX];
+	int demand_rows[FLEET_REQUESTED_MAX]; /* rows of the throttle */
 	uint32_t demand_count;
 	float demands_per_s[FLEET_REQUESTED_MAX][THROTTLE_CLASSES];
 	struct choice_health health;
@@ -255,7 +257,8 @@
 	double utilization;
 	double shed_per_s; /* decaying average rate of refused arrivals */
 	uint64_t rates_updated_ms;   /* last update of the two averages */
-	struct profile profile;	     /* of the server beside this node */
+	struct profile_set profiles; /* of the server beside this node */
+	uint64_t routes_reported_ms; /* last report of its routes */
 	struct choice_health health; /* failure share of that server */
 	struct demand demand;	     /* requests of this node's callers */
 	/* Distinct priorities of the configuration. */
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -11,7 +11,7 @@
 #define RELAY_HOP "Cyclamen-Hop"
 #define RELAY_EXIT "Cyclamen-Exit"
 #define RELAY_SEAL "Cyclamen-Seal"
-#define RELAY_HOP_BYTES 320 /* three names of 63 bytes, and numbers */
+#define RELAY_HOP_BYTES 336 /* three names of 63 bytes, and numbers */
 
 /* The exit's verdict on a request. */
 enum relay_verdict {
@@ -62,6 +62,7 @@
 	enum entry_state state;
 	char id[RELAY_ID_BYTES];
 	char service[FLEET_NAME_BYTES];	   /* service that runs the request */
+	uint32_t route;			   /* id of its route */
 	char ws_name[CONFIG_NAME_MAX + 1]; /* empty: no workspace */
 	uint64_t ws_hash;
 	struct quota_limit limit;
@@ -74,7 +75,8 @@
 	uint32_t depth; /* depth in the call chain; 0: a root request */
 	/* Same for a root request and all calls made for it. */
 	uint64_t root_hash;
-	int parent_known; /* 1: a call made by a request that runs here */
+	int parent_known;      /* 1: a call made by a request that runs here */
+	uint32_t parent_route; /* route id of that request */
 	/* A call that the server made for this request failed. */
 	int call_failed;
 	uint32_t arrivals; /* attempts that reached a server */
@@ -116,6 +118,7 @@
 	uint32_t class; /* class of the root request */
 	uint32_t depth;
 	uint64_t root_hash;
+	uint32_t route; /* id of the route; 0: unknown */
 	/* A call that the server made for this request failed. */
 	int call_failed;
 	char caller[FLEET_NAME_BYTES];
@@ -159,8 +162,14 @@
 void load_on_report(void *, int, const struct fleet_load *);
 void load_update(struct relay *);
 void load_record_refusal(struct relay *);
-int load_admit_root(struct relay *, const char *, uint32_t);
-void load_record_over_rate(struct relay *, const char *, uint32_t);
+int load_admit_root(struct relay *, const char *, uint32_t, uint32_t);
+void load_record_over_rate(struct relay *, const char *, uint32_t, uint32_t);
+void load_forget_routes(struct relay *);
+
+/* load_routes.c */
+void load_report_routes(struct relay *);
+void load_add_own_routes(struct relay *, int);
+void load_on_route_profile(void *, const struct fleet_route_profile *);
 void load_collect_ranks(struct relay *);
 uint32_t load_find_class(const struct relay *, uint32_t, uint32_t);
 
--- a/src/relay/test_load.c
+++ b/src/relay/test_load.c
@@ -71,6 +71,118 @@
 		uv_run(&loop, UV_RUN_ONCE);
 }
 
+/*
+ * Returns the row in a node's throttle of a route to the service.
+ */
+static struct throttle_row *
+find_row(struct relay *r, const char *route)
+{
+	return &r->throttle.rows[throttle_find_row(&r->throttle,
+	    throttle_service(&r->throttle, SERVICE), config_route_id(route))];
+}
+
+/*
+ * Each route's runs are measured by themselves, and other nodes hear of them.
+ * A call counts for the route of the run that made it.
+ */
+static void
+test_routes_measured_and_reported(void **state)
+{
+	struct caller root, call, c;
+	struct throttle_row *row;
+	struct h1_text t;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 8; i++) {
+		ask(&c, "/s/1", KEY);
+		assert_int_equal(c.status, 200);
+	}
+	for (i = 0; i < 8; i++) {
+		servers[1].server_behavior = SERVER_HOLDS;
+		send_with_id(&root, 0, "/o/1", KEY, "7fa3", "");
+		while (servers[1].held_conn == NULL)
+			uv_run(&loop, UV_RUN_ONCE);
+		servers[1].server_behavior = SERVER_ANSWERS;
+		send_with_id(&call, 1, "/open/1", NULL, "7fa3.01", "");
+		while (!call.done)
+			uv_run(&loop, UV_RUN_ONCE);
+		assert_int_equal(call.status, 200);
+		h1_text_init(&t);
+		h1_text_add_field(&t, "Id", "7fa3");
+		h1_text_add_field(&t, "Stamp", "s");
+		h1_send_response(servers[1].held_conn, 200, &t, "mine", 4);
+		h1_text_finish(&t);
+		servers[1].held_conn = NULL;
+		while (!root.done)
+			uv_run(&loop, UV_RUN_ONCE);
+		assert_int_equal(root.status, 200);
+		h1_pool_finish(&root.pool);
+		h1_pool_finish(&call.pool);
+	}
+	row = find_row(&nodes[0], "/o/");
+	while (!row->measured || row->call_count == 0)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_ptr_equal(&nodes[0].throttle.rows[row->calls[0].row],
+	    find_row(&nodes[0], "/open/"));
+	assert_true(row->calls[0].calls_per_run > 0.8);
+	row = find_row(&nodes[0], "/s/");
+	while (!row->measured)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_int_equal(row->call_count, 0);
+}
+
+/*
+ * Nodes of an older version, which know no routes: their heartbeats are read,
+ * and their callers' demand counts for the service.
+ */
+static void
+test_heartbeat_without_routes(void **state)
+{
+	static char rates[THROTTLE_CLASSES];
+	fleet_name names_asked[] = { (char *)(uintptr_t)SERVICE };
+	struct fleet_msg m;
+	struct sockaddr_in to = nodes[0].set.fleet;
+	struct throttle_row *row = find_row(&nodes[0], "/o/");
+	int service = row->service, fd;
+	char buf[1400];
+	size_t len;
+	XDR x;
+
+	(void)state;
+	while (nodes[0].throttle_steps < 2)
+		uv_run(&loop, UV_RUN_ONCE);
+	memset(&m, 0, sizeof(m));
+	m.kind = FLEET_HEARTBEAT;
+	load_fill_heartbeat(&nodes[1], &m.fleet_msg_u.beat);
+	m.fleet_msg_u.beat.node = (char *)(uintptr_t) "n9";
+	m.fleet_msg_u.beat.zone = (char *)(uintptr_t) "z9";
+	m.fleet_msg_u.beat.server.id = (char *)(uintptr_t) "";
+	m.fleet_msg_u.beat.server.service = (char *)(uintptr_t) "";
+	m.fleet_msg_u.beat.incarnation = 7;
+	m.fleet_msg_u.beat.address = ntohl(inet_addr("127.0.0.9"));
+	m.fleet_msg_u.beat.port = 1;
+	m.fleet_msg_u.beat.demands.demands_val = names_asked;
+	m.fleet_msg_u.beat.demands.demands_len = 1;
+	rates[0] = (char)demand_encode_rate(50);
+	m.fleet_msg_u.beat.load.demands.demands_val = rates;
+	m.fleet_msg_u.beat.load.demands.demands_len = THROTTLE_CLASSES;
+	m.fleet_msg_u.beat.demand_routes.demand_routes_len = 0;
+	xdrmem_create(&x, buf, sizeof(buf), XDR_ENCODE);
+	assert_true(xdr_fleet_msg(&x, &m));
+	len = xdr_getpos(&x) - 4; /* without the length of the routes */
+	xdr_destroy(&x);
+	fd = socket(AF_INET, SOCK_DGRAM, 0);
+	assert_int_equal(
+	    sendto(fd, buf, len, 0, (struct sockaddr *)&to, sizeof(to)), len);
+	close(fd);
+	while (nodes[0].throttle.rows[service].demand[0] <= 0) {
+		uv_run(&loop, UV_RUN_ONCE);
+		assert_int_equal(nodes[0].net.undecodable, 0);
+	}
+	assert_true(nodes[0].throttle.rows[service].demand[0] > 45);
+}
+
 int
 main(void)
 {
@@ -79,6 +191,10 @@
 		    test_roots_refused_without_server, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_unrouted_service_does_not_limit, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_routes_measured_and_reported, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_heartbeat_without_routes, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/relay/test_pair.h
+++ b/src/relay/test_pair.h
@@ -251,6 +251,7 @@
 	c->keys = calloc(1, sizeof(*c->keys));
 	for (i = 0; i < 3; i++) {
 		r = &c->routes[c->route_count++];
+		snprintf(r->name, sizeof(r->name), "%s", prefixes[i]);
 		snprintf(r->host, sizeof(r->host), "h");
 		snprintf(r->prefix, sizeof(r->prefix), "%s", prefixes[i]);
 		r->prefix_len = strlen(r->prefix);
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -506,11 +506,13 @@
 	int h;
 
 	(void)state;
-	h = throttle_service(&other->throttle, SERVICE);
+	h = throttle_find_row(&other->throttle,
+	    throttle_service(&other->throttle, SERVICE),
+	    config_route_id("/o/"));
 	do {
 		ask(&c, "/o/1", KEY);
 		assert_int_equal(c.status, 200);
-	} while (other->throttle.services[h].demand[0] <= 0);
+	} while (other->throttle.rows[h].demand[0] <= 0);
 	servers[1].server_behavior = SERVER_HOLDS; /* a long run */
 	ask(&c, "/o/1", KEY);
 	h = throttle_service(&nodes[0].throttle, SERVICE);
@@ -561,9 +563,9 @@
 		assert_int_equal(e->depth, cases[i].is_child ? 4 : 1);
 		assert_int_equal(
 		    e->root_hash == run->root_hash, cases[i].is_child);
-		assert_int_equal(nodes[1].profile.chained_share > chained,
+		assert_int_equal(nodes[1].profiles.all.chained_share > chained,
 		    cases[i].is_child);
-		chained = nodes[1].profile.chained_share;
+		chained = nodes[1].profiles.all.chained_share;
 	}
 	for (i = 0; i < ROWS; i++) {
 		while (!call[i].done)
--- a/src/throttle/demand.c
+++ b/src/throttle/demand.c
@@ -27,19 +27,21 @@
 }
 
 /*
- * Returns the row of a service, which may reuse an idle row, or NULL if the
- * table is full.
+ * Returns the row of a service and route, which may reuse an idle row.  If all
+ * rows of routes are in use, that is the row of the service's other routes; if
+ * there is none, NULL.
  */
 struct demand_row *
-demand_row(struct demand *d, const char *service)
+demand_row(struct demand *d, const char *service, uint32_t route)
 {
 	struct demand_row *r, *free_row = NULL;
+	uint32_t row_max = route != 0 ? DEMAND_ROUTES_MAX : DEMAND_ROWS_MAX;
 	double requested;
 	uint32_t i, k;
 
 	for (i = 0; i < d->count; i++) {
 		r = &d->rows[i];
-		if (strcmp(r->service, service) == 0)
+		if (r->route == route && strcmp(r->service, service) == 0)
 			return r;
 		for (requested = 0, k = 0; k < THROTTLE_CLASSES; k++)
 			requested += r->requested_per_s[k] +
@@ -48,12 +50,13 @@
 			free_row = r;
 	}
 	if (free_row == NULL) {
-		if (d->count == DEMAND_SERVICES_MAX)
-			return NULL;
+		if (d->count >= row_max)
+			return route != 0 ? demand_row(d, service, 0) : NULL;
 		free_row = &d->rows[d->count++];
 	}
 	memset(free_row, 0, sizeof(*free_row));
 	snprintf(free_row->service, sizeof(free_row->service), "%s", service);
+	free_row->route = route;
 	return free_row;
 }
 
--- a/src/throttle/profile.c
+++ b/src/throttle/profile.c
@@ -4,7 +4,10 @@
 
 #include "throttle/profile.h"
 
-#define KNOWN_RUNS_MIN 20.0 /* for a reliable mean of calls per run */
+/* Runs for a reliable mean of calls per run. */
+#define KNOWN_RUNS_MIN 20.0
+/* The sums of runs and calls don't decay to fewer runs. */
+#define DECAYED_RUNS_MIN 20.0
 /* Weight of the newest call in the refused and chained shares. */
 #define CALL_SHARE_WEIGHT 0.05
 /* Refused share from which the calls per run count as reduced. */
@@ -16,7 +19,11 @@
 /* Ended runs below which the sums decay only while slots are held. */
 #define ENDED_RUNS_MIN 0.5
 
+/* Calls that decayed to less may give their place to another. */
+#define UNUSED_CALLS_MAX 0.01
+
 static double current_per_run(const struct profile *, uint32_t);
+static struct profile_call *find_call(struct profile *, const char *, uint32_t);
 
 /*
  * Initializes a profile without measurements.
@@ -25,6 +32,7 @@
 profile_init(struct profile *p)
 {
 	memset(p, 0, sizeof(*p));
+	p->known_runs_min = KNOWN_RUNS_MIN;
 }
 
 /*
@@ -48,32 +56,49 @@
 }
 
 /*
- * Records a call of the server to a service; run_known says whether the
- * calling run is known.  After the first call of a known run to that service,
- * calls of unknown runs no longer count: their runs began before this node
- * did, and the calls would be attributed to the few runs counted since.
+ * Returns the calls to a route of a service, or NULL if there are too many.
+ */
+static struct profile_call *
+find_call(struct profile *p, const char *service, uint32_t route)
+{
+	struct profile_call *c, *unused = NULL;
+	uint32_t i;
+
+	for (i = 0; i < p->call_count; i++) {
+		c = &p->calls[i];
+		if (c->route == route && strcmp(c->service, service) == 0)
+			return c;
+		if (c->count < UNUSED_CALLS_MAX &&
+		    c->usual_per_run < UNUSED_CALLS_MAX)
+			unused = c;
+	}
+	if (i < PROFILE_CALLS_MAX)
+		unused = &p->calls[p->call_count++];
+	if (unused == NULL)
+		return NULL;
+	memset(unused, 0, sizeof(*unused));
+	snprintf(unused->service, sizeof(unused->service), "%s", service);
+	unused->route = route;
+	return unused;
+}
+
+/*
+ * Records a call of the server to a route of a service; run_known says whether
+ * the calling run is known.  After the first call of a known run to that
+ * service, calls of unknown runs no longer count: their runs began before this
+ * node did, and the calls would be attributed to the few runs counted since.
  */
 void
-profile_call_started(struct profile *p, const char *service, int run_known)
+profile_call_started(
+    struct profile *p, const char *service, uint32_t route, int run_known)
 {
 	struct profile_call *c;
-	uint32_t i;
 
 	p->chained_share +=
 	    CALL_SHARE_WEIGHT * ((run_known ? 1 : 0) - p->chained_share);
-	for (i = 0; i < p->call_count; i++)
-		if (strcmp(p->calls[i].service, service) == 0)
-			break;
-	if (i == PROFILE_CALLS_MAX)
+	c = find_call(p, service, route);
+	if (c == NULL)
 		return;
-	c = &p->calls[i];
-	if (i == p->call_count) {
-		p->call_count++;
-		snprintf(c->service, sizeof(c->service), "%s", service);
-		c->count = 0;
-		c->usual_per_run = 0;
-		c->only_known_runs = 0;
-	}
 	if (run_known && !c->only_known_runs)
 		c->count = 0;
 	c->only_known_runs |= run_known;
@@ -102,21 +127,43 @@
 
 /*
  * Updates the averages after the given seconds, during which held_slots slots
- * were in use.  With too few runs, the last known means stay.
+ * were in use.
  */
 void
 profile_update(struct profile *p, uint32_t held_slots, double seconds)
 {
-	double decay = exp(-seconds / RUN_TIME_CONSTANT_S), current;
+	profile_update_decayed(
+	    p, held_slots, seconds, profile_slot_decay(p, held_slots, seconds));
+}
+
+/*
+ * Returns the factor by which the sums of slot holding times and ended runs
+ * decay in the given seconds.
+ */
+double
+profile_slot_decay(const struct profile *p, uint32_t held_slots, double seconds)
+{
+	if (p->ended_runs < ENDED_RUNS_MIN && held_slots == 0)
+		return 1;
+	return exp(-seconds / RUN_TIME_CONSTANT_S);
+}
+
+/*
+ * Updates the averages like profile_update(), with the given decay of the slot
+ * holding times and ended runs.  With too few runs, the last known means of
+ * calls stay.
+ */
+void
+profile_update_decayed(
+    struct profile *p, uint32_t held_slots, double seconds, double slot_decay)
+{
 	struct profile_call *c;
+	double decay, current;
 	uint32_t i;
 
-	p->slot_s += held_slots * seconds;
-	if (p->ended_runs >= ENDED_RUNS_MIN || held_slots > 0) {
-		p->slot_s *= decay;
-		p->ended_runs *= decay;
-	}
-	if (p->runs < KNOWN_RUNS_MIN)
+	p->slot_s = (p->slot_s + held_slots * seconds) * slot_decay;
+	p->ended_runs *= slot_decay;
+	if (p->runs < p->known_runs_min)
 		return;
 	for (i = 0; i < p->call_count; i++) {
 		c = &p->calls[i];
@@ -130,7 +177,7 @@
 			    fmin(1, seconds / USUAL_TIME_CONSTANT_S);
 	}
 	decay = exp(-seconds / CALLS_TIME_CONSTANT_S);
-	if (p->runs * decay < KNOWN_RUNS_MIN)
+	if (p->runs * decay < DECAYED_RUNS_MIN)
 		return;
 	p->runs *= decay;
 	for (i = 0; i < p->call_count; i++)
@@ -169,5 +216,5 @@
 int
 profile_calls_known(const struct profile *p)
 {
-	return p->runs >= KNOWN_RUNS_MIN;
+	return p->runs >= p->known_runs_min;
 }
--- a/src/throttle/test_throttle.c
+++ b/src/throttle/test_throttle.c
@@ -116,7 +116,7 @@
 simulate_callers(struct simulation *s, const struct load_case *l,
     const struct fleet_case *f, int step, double surge)
 {
-	struct demand_row *row = demand_row(&s->demand, "catalogue");
+	struct demand_row *row = demand_row(&s->demand, "catalogue", 0);
 	double total = 0, new_per_s;
 	int earlier = step - RETRY_STEPS;
 	uint32_t k, class;
@@ -187,7 +187,7 @@
 		if (step % f->report_steps == 0) {
 			for (k = 0; k < KINDS; k++)
 				reported[k] = demand_rate_per_s(
-				    demand_row(&s.demand, "catalogue"),
+				    demand_row(&s.demand, "catalogue", 0),
 				    l->kinds[k].class);
 			reported_load = load;
 		}
@@ -476,7 +476,7 @@
 		for (refused = c = 0; c < calls_per_run && !refused; c++) {
 			refused =
 			    refuse_every > 0 && ++made % refuse_every == 0;
-			profile_call_started(p, "pricing", 1);
+			profile_call_started(p, "pricing", 0, 1);
 			profile_call_ended(p, refused);
 		}
 		profile_run_ended(p);
@@ -530,14 +530,14 @@
 	for (k = 0; k < sizeof(rows) / sizeof(rows[0]); k++) {
 		profile_init(&p);
 		for (i = 0; i < 200; i++)
-			profile_call_started(&p, "pricing", 0);
+			profile_call_started(&p, "pricing", 0, 0);
 		for (i = 0; i < 100; i++) {
 			profile_run_started(&p);
-			profile_call_started(&p, "pricing", rows[k].known);
-			profile_call_started(&p, "pricing", rows[k].known);
-			profile_call_started(&p, "pricing", rows[k].known);
-			profile_call_started(&p, "pricing", rows[k].known);
-			profile_call_started(&p, "pricing", 0);
+			profile_call_started(&p, "pricing", 0, rows[k].known);
+			profile_call_started(&p, "pricing", 0, rows[k].known);
+			profile_call_started(&p, "pricing", 0, rows[k].known);
+			profile_call_started(&p, "pricing", 0, rows[k].known);
+			profile_call_started(&p, "pricing", 0, 0);
 			profile_run_ended(&p);
 			profile_update(&p, 8, 0.01);
 		}
@@ -577,7 +577,7 @@
 	(void)state;
 	demand_init(&d);
 	for (i = 0; i < 1000; i++) {
-		r = demand_row(&d, "catalogue");
+		r = demand_row(&d, "catalogue", 0);
 		r->counts[2].requested_count += 20;
 		r->counts[2].admitted_count += 12;
 		r->counts[2].over_rate_count += 8;
@@ -586,13 +586,13 @@
 	assert_true(demand_rate_per_s(r, 2) > 65);
 	assert_true(demand_rate_per_s(r, 2) < 68);
 	assert_true(demand_rate_per_s(r, 1) <= 0);
-	for (i = 1; i < DEMAND_SERVICES_MAX; i++) {
+	for (i = 1; i < DEMAND_ROWS_MAX; i++) {
 		snprintf(name, sizeof(name), "s%d", i);
-		demand_row(&d, name)->counts[0].requested_count = 1;
+		demand_row(&d, name, 0)->counts[0].requested_count = 1;
 	}
-	assert_null(demand_row(&d, "one too many"));
+	assert_null(demand_row(&d, "one too many", 0));
 	demand_update_rates(&d, 100);
-	assert_non_null(demand_row(&d, "in place of a forgotten one"));
+	assert_non_null(demand_row(&d, "in place of a forgotten one", 0));
 }
 
 /*
--- a/src/throttle/throttle.c
+++ b/src/throttle/throttle.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "throttle/throttle.h"
+#include "throttle/throttle_int.h"
 
 /* Rate of the capacity correction, per unit of load error. */
 #define CORRECTION_PER_S 0.7
@@ -22,16 +22,10 @@
 /* Iterations until the floor and the mean share agree. */
 #define SHARE_FLOOR_ROUNDS 4
 
-/* Runs per root request from which its tree counts as reaching a service. */
-#define REACHED_RUNS_PER_ROOT 0.05
 /* Weight of the newest report in the mean share of chained calls. */
 #define CHAINED_REPORT_WEIGHT 0.05
-/* Weight of the newest report in the mean calls per run. */
-#define CALLS_REPORT_WEIGHT 0.2
 /* Capacity lost per unit of a server's excess failure share. */
 #define AVOIDANCE_PER_FAILURE 3.0
-/* Levels of a call tree that are followed; ends cycles. */
-#define CALL_DEPTH_MAX 20
 
 /*
  * Runs per root request from which its tree is taken to require a service.
@@ -40,15 +34,6 @@
  */
 #define REQUIRED_RUNS_PER_ROOT 0.75
 
-/* Arrivals at one service. */
-struct arrivals {
-	double runs_per_root[THROTTLE_SERVICES_MAX]; /* by root service */
-	double runs_per_s[THROTTLE_CLASSES];	     /* by class */
-	double roots_per_s[THROTTLE_CLASSES];	     /* whose trees reach it */
-};
-
-static void compute_runs(const struct throttle *, double *);
-static void compute_arrivals(const struct throttle *, int, struct arrivals *);
 static void compute_class_shares(
     const struct arrivals *, double, double, double *);
 static void limit_service(struct throttle *, int);
@@ -64,7 +49,11 @@
 void
 throttle_init(struct throttle *t)
 {
+	uint32_t i;
+
 	memset(t, 0, sizeof(*t));
+	for (i = 0; i < THROTTLE_ROWS_MAX; i++)
+		t->rows[i].service = -1;
 }
 
 /*
@@ -75,7 +64,7 @@
 throttle_service(struct throttle *t, const char *name)
 {
 	struct throttle_service *s;
-	uint32_t i, k;
+	uint32_t i;
 
 	for (i = 0; i < t->count; i++)
 		if (strcmp(t->services[i].name, name) == 0)
@@ -86,35 +75,10 @@
 	memset(s, 0, sizeof(*s));
 	snprintf(s->name, THROTTLE_NAME_BYTES, "%s", name);
 	s->capacity_factor = 1;
-	for (k = 0; k < THROTTLE_CLASSES; k++)
-		s->admitted_share[k] = 1;
+	(void)throttle_find_row(t, (int)i, 0);
 	return (int)i;
 }
 
-/*
- * Records a server's report of the calls that a run of service from makes to
- * service to.  The reports of all its servers are averaged.
- */
-void
-throttle_record_calls(struct throttle *t, int from, int to, double per_run)
-{
-	struct throttle_service *s = &t->services[from];
-	uint32_t i;
-
-	for (i = 0; i < s->call_count; i++)
-		if (s->calls[i].service == to)
-			break;
-	if (i == THROTTLE_CALLS_MAX)
-		return;
-	if (i == s->call_count) {
-		s->call_count++;
-		s->calls[i].service = to;
-		s->calls[i].calls_per_run = per_run;
-	}
-	s->calls[i].calls_per_run +=
-	    CALLS_REPORT_WEIGHT * (per_run - s->calls[i].calls_per_run);
-}
-
 /*
  * Records a server's report of the share of its calls that belong to a known
  * chain.  The reports of all calling servers are averaged.
@@ -148,7 +112,6 @@
 
 	for (i = 0; i < t->count; i++) {
 		s = &t->services[i];
-		memset(s->demand, 0, sizeof(s->demand));
 		s->slots = 0;
 		s->capacity_runs_per_s = 0;
 		s->offered_load = 0;
@@ -156,17 +119,18 @@
 		s->next_lowest_failure_share = 1;
 		s->assumed_reachable = 0;
 	}
+	for (i = 0; i < t->row_end; i++)
+		memset(t->rows[i].demand, 0, sizeof(t->rows[i].demand));
 }
 
 /*
- * Adds the root requests per second of a class that callers send to one node,
- * admitted or not.
+ * Adds the root requests per second of a row and class that callers send to one
+ * node, admitted or not.
  */
 void
-throttle_add_demand(
-    struct throttle *t, int service, uint32_t class, double per_s)
+throttle_add_demand(struct throttle *t, int row, uint32_t class, double per_s)
 {
-	t->services[service].demand[class] += per_s;
+	t->rows[row].demand[class] += per_s;
 }
 
 /*
@@ -239,85 +203,7 @@
 }
 
 /*
- * Computes the runs per second that arrive at each service with the present
- * shares: root requests and, level by level, the calls that they cause.
- */
-static void
-compute_runs(const struct throttle *t, double *runs_per_s)
-{
-	double level[THROTTLE_SERVICES_MAX], next[THROTTLE_SERVICES_MAX];
-	const struct throttle_service *s;
-	double total = 1;
-	uint32_t i, k, depth;
-
-	for (i = 0; i < t->count; i++) {
-		level[i] = 0;
-		for (k = 0; k < THROTTLE_CLASSES; k++)
-			level[i] += t->services[i].demand[k] *
-				    t->services[i].admitted_share[k];
-		runs_per_s[i] = level[i];
-	}
-	for (depth = 0; depth < CALL_DEPTH_MAX && total > 0; depth++) {
-		memset(next, 0, sizeof(next));
-		for (i = 0; i < t->count; i++) {
-			s = &t->services[i];
-			for (k = 0; k < s->call_count; k++)
-				next[s->calls[k].service] +=
-				    level[i] * s->calls[k].calls_per_run;
-		}
-		for (total = 0, i = 0; i < t->count; i++) {
-			level[i] = next[i];
-			runs_per_s[i] += next[i];
-			total += next[i];
-		}
-	}
-}
-
-/*
- * Computes the runs that one root request at each service causes at the given
- * service, and its arrivals by class.
- */
-static void
-compute_arrivals(const struct throttle *t, int service, struct arrivals *a)
-{
-	double level[THROTTLE_SERVICES_MAX] = { 0 },
-	       next[THROTTLE_SERVICES_MAX];
-	const struct throttle_service *s;
-	double total = 1;
-	uint32_t i, k, depth;
-
-	memset(a, 0, sizeof(*a));
-	level[service] = 1;
-	a->runs_per_root[service] = 1;
-	for (depth = 0; depth < CALL_DEPTH_MAX && total > 0; depth++) {
-		for (total = 0, i = 0; i < t->count; i++) {
-			s = &t->services[i];
-			for (next[i] = 0, k = 0; k < s->call_count; k++)
-				next[i] += s->calls[k].calls_per_run *
-					   level[s->calls[k].service];
-			total += next[i];
-		}
-		for (i = 0; i < t->count; i++) {
-			level[i] = next[i];
-			a->runs_per_root[i] += next[i];
-		}
-	}
-	for (i = 0; i < t->count; i++) {
-		s = &t->services[i];
-		if (a->runs_per_root[i] < REACHED_RUNS_PER_ROOT)
-			continue;
-		for (k = 0; k < THROTTLE_CLASSES; k++) {
-			a->roots_per_s[k] +=
-			    s->demand[k] * s->admitted_share[k];
-			a->runs_per_s[k] += s->demand[k] *
-					    s->admitted_share[k] *
-					    a->runs_per_root[i];
-		}
-	}
-}
-
-/*
- * Computes the share of each class that fits into the given runs per second.
+ * Computes the share of each class that fits into the given mean runs a second.
  * Each class gets at least the floor; the rest goes to the most important
  * classes first.
  */
@@ -329,9 +215,9 @@
 	uint32_t k;
 
 	for (k = 0; k < THROTTLE_CLASSES; k++)
-		remaining -= share_floor * a->runs_per_s[k];
+		remaining -= share_floor * a->work_per_s[k];
 	for (k = 0; k < THROTTLE_CLASSES; k++) {
-		extra = (1 - share_floor) * a->runs_per_s[k];
+		extra = (1 - share_floor) * a->work_per_s[k];
 		share[k] = 1;
 		if (remaining <= 0)
 			share[k] = share_floor;
@@ -356,7 +242,7 @@
 	struct arrivals a;
 	uint32_t i, k, round;
 
-	compute_arrivals(t, service, &a);
+	throttle_compute_arrivals(t, service, &a);
 	for (round = 0; round < SHARE_FLOOR_ROUNDS; round++) {
 		compute_class_shares(
 		    &a, max_runs_per_s(t, s), share_floor, share);
@@ -372,11 +258,10 @@
 	}
 	s->is_limiting = 1;
 	memcpy(s->own_admitted_share, share, sizeof(s->own_admitted_share));
-	for (i = 0; i < t->count; i++)
-		for (k = 0; a.runs_per_root[i] >= REACHED_RUNS_PER_ROOT &&
-			    k < THROTTLE_CLASSES;
+	for (i = 0; i < t->row_end; i++)
+		for (k = 0; throttle_reaches(&a, i) && k < THROTTLE_CLASSES;
 		     k++)
-			t->services[i].admitted_share[k] *= share[k];
+			t->rows[i].admitted_share[k] *= share[k];
 }
 
 /*
@@ -391,16 +276,16 @@
 	struct arrivals a;
 	uint32_t i, k;
 
-	compute_arrivals(t, service, &a);
+	throttle_compute_arrivals(t, service, &a);
 	s->is_limiting = 1;
 	for (k = 0; k < THROTTLE_CLASSES; k++)
 		s->own_admitted_share[k] = SHARE_FLOOR_MIN;
-	for (i = 0; i < t->count; i++)
-		for (k = 0; (int)i != service &&
+	for (i = 0; i < t->row_end; i++)
+		for (k = 0; t->rows[i].service != service &&
 			    a.runs_per_root[i] >= REQUIRED_RUNS_PER_ROOT &&
 			    k < THROTTLE_CLASSES;
 		     k++)
-			t->services[i].admitted_share[k] *= SHARE_FLOOR_MIN;
+			t->rows[i].admitted_share[k] *= SHARE_FLOOR_MIN;
 }
 
 /*
@@ -411,17 +296,17 @@
 static int
 most_overloaded(struct throttle *t, const int *done)
 {
-	double runs_per_s[THROTTLE_SERVICES_MAX], overload, highest = 1;
+	double work_per_s[THROTTLE_SERVICES_MAX], overload, highest = 1;
 	uint32_t i;
 	int service = -1;
 
-	compute_runs(t, runs_per_s);
+	throttle_compute_work(t, work_per_s);
 	for (i = 0; i < t->count; i++) {
 		if (done[i] || t->services[i].capacity_runs_per_s <= 0)
 			continue;
 		t->services[i].expected_load =
-		    runs_per_s[i] / t->services[i].capacity_runs_per_s;
-		overload = runs_per_s[i] / max_runs_per_s(t, &t->services[i]);
+		    work_per_s[i] / t->services[i].capacity_runs_per_s;
+		overload = work_per_s[i] / max_runs_per_s(t, &t->services[i]);
 		if (overload <= highest)
 			continue;
 		highest = overload;
@@ -449,9 +334,11 @@
 			    s, throttle_target_load(t), seconds);
 		}
 		s->is_limiting = 0;
-		for (k = 0; k < THROTTLE_CLASSES; k++)
-			s->admitted_share[k] = 1;
 	}
+	for (i = 0; i < t->row_end; i++)
+		for (k = 0; k < THROTTLE_CLASSES; k++)
+			t->rows[i].admitted_share[k] = 1;
+	throttle_count_asked(t, seconds);
 	for (i = 0; i < t->count; i++)
 		if (t->services[i].had_server &&
 		    !t->services[i].assumed_reachable)
@@ -463,10 +350,10 @@
 }
 
 /*
- * Returns the admitted share of a class of root requests to a service.
+ * Returns the admitted share of a class of root requests of a row.
  */
 double
-throttle_admitted_share(const struct throttle *t, int service, uint32_t class)
+throttle_admitted_share(const struct throttle *t, int row, uint32_t class)
 {
-	return t->services[service].admitted_share[class];
+	return t->rows[row].admitted_share[class];
 }
