--- a/src/relay/test_load.c
+++ b/src/relay/test_load.c
@@ -71,6 +71,33 @@
 		uv_run(&loop, UV_RUN_ONCE);
 }
 
+/*
+ * Nodes report their callers' demand and the cost of runs to each other, so
+ * that all nodes admit the same share.
+ */
+static void
+test_demand_reported(void **state)
+{
+	struct relay *other = &nodes[1];
+	struct caller c;
+	int h;
+
+	(void)state;
+	h = throttle_find_row(&other->throttle,
+	    throttle_service(&other->throttle, SERVICE),
+	    config_route_id("/o/"));
+	do {
+		ask(&c, "/o/1", KEY);
+		assert_int_equal(c.status, 200);
+	} while (other->throttle.rows[h].demand[0] <= 0);
+	servers[1].server_behavior = SERVER_HOLDS; /* a long run */
+	ask(&c, "/o/1", KEY);
+	h = throttle_service(&nodes[0].throttle, SERVICE);
+	while (nodes[0].throttle.services[h].capacity_runs_per_s <= 0)
+		uv_run(&loop, UV_RUN_ONCE);
+	assert_true(nodes[0].throttle.services[h].slots >= 1);
+}
+
 /*
  * Returns the row in a node's throttle of a route to the service.
  */
@@ -191,6 +218,8 @@
 		    test_roots_refused_without_server, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_unrouted_service_does_not_limit, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_demand_reported, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_routes_measured_and_reported, setup, teardown),
 		cmocka_unit_test_setup_teardown(
--- a/src/relay/test_relay.c
+++ b/src/relay/test_relay.c
@@ -494,33 +494,6 @@
 		uv_run(&loop, UV_RUN_ONCE);
 }
 
-/*
- * Nodes report their callers' demand and the cost of runs to each other, so
- * that all nodes admit the same share.
- */
-static void
-test_demand_reported(void **state)
-{
-	struct relay *other = &nodes[1];
-	struct caller c;
-	int h;
-
-	(void)state;
-	h = throttle_find_row(&other->throttle,
-	    throttle_service(&other->throttle, SERVICE),
-	    config_route_id("/o/"));
-	do {
-		ask(&c, "/o/1", KEY);
-		assert_int_equal(c.status, 200);
-	} while (other->throttle.rows[h].demand[0] <= 0);
-	servers[1].server_behavior = SERVER_HOLDS; /* a long run */
-	ask(&c, "/o/1", KEY);
-	h = throttle_service(&nodes[0].throttle, SERVICE);
-	while (nodes[0].throttle.services[h].capacity_runs_per_s <= 0)
-		uv_run(&loop, UV_RUN_ONCE);
-	assert_true(nodes[0].throttle.services[h].slots >= 1);
-}
-
 /*
  * Priority inversion: a call gets the class of the run that made it, at every
  * depth.  A call whose run is unknown gets the most important class.
@@ -687,8 +660,6 @@
 		    test_crashing_request_refused, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_stopping_node, setup, teardown),
-		cmocka_unit_test_setup_teardown(
-		    test_demand_reported, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_call_priority_follows_parent, setup, teardown),
 		cmocka_unit_test_setup_teardown(
