options, platform: settings come from a file that is read again when it changes

What operators saw: a changed settings file was never noticed; SIGHUP logged "changed=0 reason=command-line" and the old bounds stayed.

It is checked as a whole before anything of it is used: every error is named with file, line and reason, a file that is written in part is refused at each of its lengths, and the settings in force stay. Flags and variables go before the file.

Also: "nan" was taken for a number.

Ruled out: inotify and fs_event (not to be had on the platform; a thread pool for polling costs memory); the modification time alone (a file written twice in a tick).

--- a/src/options/options.c
+++ b/src/options/options.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "base/duration.h"
-#include "options/options.h"
+#include "options/options_int.h"
 
 /* Highest age of the configuration, as a share of the time in --revoke. */
 #define CONFIG_AGE_SHARE 0.85
@@ -19,50 +19,14 @@
 #define ENV_PREFIX "CYCLAMENVALE_NODE_"
 #define ENV_NAME_BYTES 64
 
-enum setting_kind {
-	KIND_NAME,
-	KIND_ADDRESS,
-	KIND_IP,
-	KIND_KEY,
-	KIND_PORT, /* on the address of --exit */
-	KIND_TIME,
-	KIND_NUMBER, /* may have a fraction */
-	KIND_MEGABYTES,
-	KIND_COUNT
-};
-
-struct setting {
-	const char *name;
-	enum setting_kind kind;
-	int required;
-	size_t offset; /* of the field in struct node_options */
-	const char *help;
-};
-
-enum settings_msg {
-	MSG_OPTION,
-	MSG_VARIABLE,
-	MSG_REQUIRED,
-	MSG_NAME,
-	MSG_ADDRESS,
-	MSG_IP,
-	MSG_KEY,
-	MSG_OTHER_KEY,
-	MSG_NUMBER,
-	MSG_TIME,
-	SETTINGS_MSG_MAX
-};
-
 #define OFFSET(field) offsetof(struct node_options, field)
 
 static int read_address(const char *, struct sockaddr_in *);
-static void read_value(struct node_options *, const struct setting *,
-    const char *, struct finds *);
 static void write_variable_name(const struct setting *, char *);
 static void read_variables(
     struct node_options *, char *const *, int *, struct finds *);
 
-static const struct find_msg msgs[SETTINGS_MSG_MAX] = {
+const struct find_msg options_msgs[SETTINGS_MSG_MAX] = {
 	[MSG_OPTION] = { FIND_ERROR, "unknown option" },
 	[MSG_VARIABLE] = { FIND_ERROR, "unknown environment variable" },
 	[MSG_REQUIRED] = { FIND_ERROR, "missing option" },
@@ -73,58 +37,79 @@
 	[MSG_OTHER_KEY] = { FIND_ERROR, "requires --fleet-key" },
 	[MSG_NUMBER] = { FIND_ERROR, "not a number" },
 	[MSG_TIME] = { FIND_ERROR, "not a time with unit ms or s" },
+	[MSG_SETTING] = { FIND_ERROR, "unknown setting" },
+	[MSG_TWICE] = { FIND_ERROR, "setting given twice" },
+	[MSG_LINE] = { FIND_ERROR, "not a line of the form name = value" },
+	[MSG_TEXT] = { FIND_ERROR, "not text" },
+	[MSG_AFTER_END] = { FIND_ERROR, "text after the line end" },
+	[MSG_NO_END] = { FIND_ERROR, "incomplete, the last line is not end" },
+	[MSG_FILE] = { FIND_ERROR, "cannot read the settings file" },
 };
 
-static const struct setting settings[] = {
-	{ "node", KIND_NAME, 1, OFFSET(relay.node), "name of this node" },
-	{ "zone", KIND_NAME, 1, OFFSET(relay.zone),
+const struct setting options_settings[] = {
+	{ "node", KIND_NAME, 1, OPTIONS_AT_RESTART, OFFSET(relay.node),
+	    "name of this node" },
+	{ "zone", KIND_NAME, 1, OPTIONS_AT_RESTART, OFFSET(relay.zone),
 	    "failure domain of this node" },
-	{ "service", KIND_NAME, 1, OFFSET(relay.service),
+	{ "service", KIND_NAME, 1, OPTIONS_AT_RESTART, OFFSET(relay.service),
 	    "service of the local backend server" },
-	{ "entry", KIND_ADDRESS, 1, OFFSET(relay.entry),
+	{ "entry", KIND_ADDRESS, 1, OPTIONS_AT_RESTART, OFFSET(relay.entry),
 	    "address for requests of local callers" },
-	{ "exit", KIND_ADDRESS, 1, OFFSET(relay.exit),
+	{ "exit", KIND_ADDRESS, 1, OPTIONS_AT_RESTART, OFFSET(relay.exit),
 	    "address for requests from other nodes" },
-	{ "advertise", KIND_IP, 0, OFFSET(relay.advertised),
+	{ "advertise", KIND_IP, 0, OPTIONS_AT_RESTART, OFFSET(relay.advertised),
 	    "address reported to other nodes, if not that of --exit" },
-	{ "server", KIND_ADDRESS, 1, OFFSET(relay.server),
+	{ "server", KIND_ADDRESS, 1, OPTIONS_AT_RESTART, OFFSET(relay.server),
 	    "address of the local backend server" },
-	{ "control", KIND_ADDRESS, 1, OFFSET(control_addr),
+	{ "control", KIND_ADDRESS, 1, OPTIONS_AT_RESTART, OFFSET(control_addr),
 	    "address for announcements of the server" },
-	{ "ready", KIND_ADDRESS, 1, OFFSET(ready_addr),
+	{ "ready", KIND_ADDRESS, 1, OPTIONS_AT_RESTART, OFFSET(ready_addr),
 	    "address for readiness requests" },
-	{ "store", KIND_ADDRESS, 1, OFFSET(store_addr),
+	{ "store", KIND_ADDRESS, 1, OPTIONS_AT_RESTART, OFFSET(store_addr),
 	    "address of the platform's store" },
-	{ "fleet-port", KIND_PORT, 1, OFFSET(relay.fleet),
+	{ "fleet-port", KIND_PORT, 1, OPTIONS_AT_RESTART, OFFSET(relay.fleet),
 	    "port for datagrams between nodes" },
-	{ "fleet-key", KIND_KEY, 0, OFFSET(relay.fleet_key),
+	{ "fleet-key", KIND_KEY, 0, OPTIONS_AT_RESTART, OFFSET(relay.fleet_key),
 	    "shared by all nodes; messages without its seal are rejected" },
-	{ "fleet-key-other", KIND_KEY, 0, OFFSET(relay.alternate_key),
+	{ "fleet-key-other", KIND_KEY, 0, OPTIONS_AT_RESTART,
+	    OFFSET(relay.alternate_key),
 	    "second key whose seals are accepted, for key rotation" },
-	{ "metrics-port", KIND_PORT, 0, OFFSET(metrics_addr),
+	{ "metrics-port", KIND_PORT, 0, OPTIONS_AT_RESTART,
+	    OFFSET(metrics_addr),
 	    "port for metrics, on the address of --exit" },
-	{ "revoke", KIND_TIME, 1, OFFSET(relay.fresh_ms),
+	{ "revoke", KIND_TIME, 1, OPTIONS_STRICTER_FIRST,
+	    OFFSET(relay.fresh_ms),
 	    "time after which a withdrawn API key must not work" },
-	{ "grace", KIND_TIME, 1, OFFSET(grace_ms),
+	{ "grace", KIND_TIME, 1, OPTIONS_AT_ONCE, OFFSET(grace_ms),
 	    "time from SIGTERM to SIGKILL" },
-	{ "quota-overage", KIND_NUMBER, 1, OFFSET(relay.quota_share),
+	{ "quota-overage", KIND_NUMBER, 1, OPTIONS_STRICTER_FIRST,
+	    OFFSET(relay.quota_share),
 	    "allowed excess over a rate limit, as a share" },
-	{ "quota-slack", KIND_NUMBER, 1, OFFSET(relay.quota_constant),
+	{ "quota-slack", KIND_NUMBER, 1, OPTIONS_STRICTER_FIRST,
+	    OFFSET(relay.quota_constant),
 	    "allowed excess over a rate limit, in requests" },
-	{ "retry-ratio", KIND_NUMBER, 1, OFFSET(relay.retry_ratio),
+	{ "retry-ratio", KIND_NUMBER, 1, OPTIONS_STRICTER_FIRST,
+	    OFFSET(relay.retry_ratio),
 	    "allowed ratio of extra arrivals to requests at a service" },
-	{ "retry-slack", KIND_NUMBER, 1, OFFSET(relay.retry_slack),
+	{ "retry-slack", KIND_NUMBER, 1, OPTIONS_STRICTER_FIRST,
+	    OFFSET(relay.retry_slack),
 	    "additional extra arrivals, summed over the fleet" },
-	{ "memory-mb", KIND_MEGABYTES, 1, OFFSET(relay.memory_bytes),
+	{ "memory-mb", KIND_MEGABYTES, 1, OPTIONS_AT_ONCE,
+	    OFFSET(relay.memory_bytes),
 	    "memory that this process may use, in MiB" },
-	{ "descriptors", KIND_COUNT, 1, OFFSET(relay.descriptors),
+	{ "descriptors", KIND_COUNT, 1, OPTIONS_AT_RESTART,
+	    OFFSET(relay.descriptors),
 	    "file descriptors that this process may use" },
 };
 
-#define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
+_Static_assert(
+    sizeof(options_settings) / sizeof(options_settings[0]) == SETTING_COUNT,
+    "SETTING_COUNT");
 #define OPT_CHECK ((int)SETTING_COUNT)
 #define OPT_QUIET ((int)SETTING_COUNT + 1)
 #define OPT_HELP ((int)SETTING_COUNT + 2)
+#define OPT_FILE ((int)SETTING_COUNT + 3)
+#define OPT_CHECK_FILE ((int)SETTING_COUNT + 4)
 
 /*
  * Reads an IPv4 address and port.  Returns 0, or -1 if it is invalid.
@@ -151,11 +136,12 @@
 }
 
 /*
- * Reads the value of a setting.  An invalid value is added to the findings.
+ * Reads the value of a setting that is given at a place.  An invalid value is
+ * added to the findings.
  */
-static void
-read_value(struct node_options *opts, const struct setting *s, const char *text,
-    struct finds *finds)
+void
+options_read_value(struct node_options *opts, const struct setting *s,
+    const char *text, const char *place, struct finds *finds)
 {
 	char *dst = (char *)opts + s->offset, *end;
 	enum settings_msg msg = SETTINGS_MSG_MAX;
@@ -164,7 +150,7 @@
 
 	if (s->kind >= KIND_NUMBER || s->kind == KIND_PORT) {
 		v = strtod(text, &end);
-		if (end == text || *end != '\0' || v < 0 || v > 1e9)
+		if (end == text || *end != '\0' || !(v >= 0 && v <= 1e9))
 			msg = MSG_NUMBER;
 	}
 	switch (s->kind) {
@@ -212,7 +198,7 @@
 		break;
 	}
 	if (msg != SETTINGS_MSG_MAX)
-		finds_add(finds, &msgs[msg], s->name, "%s", text);
+		finds_add(finds, &options_msgs[msg], place, "%s", text);
 }
 
 /*
@@ -247,36 +233,72 @@
 		len = strcspn(*envp, "=");
 		value = (*envp)[len] == '=' ? *envp + len + 1 : "";
 		for (n = 0; n < SETTING_COUNT; n++) {
-			write_variable_name(&settings[n], name);
+			write_variable_name(&options_settings[n], name);
 			if (strlen(name) == len &&
 			    strncmp(name, *envp, len) == 0)
 				break;
 		}
 		if (n == SETTING_COUNT) {
-			finds_add(finds, &msgs[MSG_VARIABLE], *envp, "%s", "");
+			finds_add(finds, &options_msgs[MSG_VARIABLE], *envp,
+			    "%s", "");
 		} else if (!seen[n]) {
 			seen[n] = 1;
-			read_value(opts, &settings[n], value, finds);
+			options_read_value(opts, &options_settings[n], value,
+			    options_settings[n].name, finds);
 		}
 	}
 }
 
 /*
- * Reads the command line, then the environment.  Returns 0, -1 if there are
- * errors, or 1 if --help is given.
+ * Derives what follows from the settings.
+ */
+static void
+derive(struct node_options *opts)
+{
+	opts->relay.fleet.sin_addr = opts->relay.exit.sin_addr;
+	opts->metrics_addr.sin_addr = opts->relay.exit.sin_addr;
+	if (opts->relay.advertised.s_addr == 0)
+		opts->relay.advertised = opts->relay.exit.sin_addr;
+	opts->relay.fresh_ms =
+	    (uint64_t)((double)opts->relay.fresh_ms * CONFIG_AGE_SHARE);
+	opts->relay.accept_calls_ms = ACCEPT_AFTER_STOP_MS;
+	options_derive_stop(opts);
+}
+
+/*
+ * Derives the times of a stop from the time until SIGKILL.
+ */
+void
+options_derive_stop(struct node_options *opts)
+{
+	opts->stop_timeout_ms = opts->grace_ms > KILL_MARGIN_MS
+				    ? opts->grace_ms - KILL_MARGIN_MS
+				    : 0;
+	opts->relay.accept_root_ms =
+	    opts->stop_timeout_ms > ACCEPT_AFTER_STOP_MS + LONG_REQUEST_MS
+		? opts->stop_timeout_ms - LONG_REQUEST_MS
+	    : opts->stop_timeout_ms < ACCEPT_AFTER_STOP_MS
+		? opts->stop_timeout_ms
+		: ACCEPT_AFTER_STOP_MS;
+}
+
+/*
+ * Reads the command line, then the environment, then the settings file.  A
+ * setting given by one of them isn't taken from the next.  Returns 0, -1 if
+ * there are errors, or 1 if --help is given.
  */
 int
 options_read(struct node_options *opts, int argc, char **argv,
     char *const *envp, struct finds *finds)
 {
-	struct option long_options[SETTING_COUNT + 4];
+	struct option long_options[SETTING_COUNT + 6];
 	int seen[SETTING_COUNT] = { 0 }, i;
 	size_t n;
 
 	memset(opts, 0, sizeof(*opts));
 	memset(long_options, 0, sizeof(long_options));
 	for (n = 0; n < SETTING_COUNT; n++)
-		long_options[n] = (struct option){ settings[n].name,
+		long_options[n] = (struct option){ options_settings[n].name,
 			required_argument, NULL, (int)n };
 	long_options[n++] =
 	    (struct option){ "check-settings", no_argument, NULL, OPT_CHECK };
@@ -284,6 +306,11 @@
 	    (struct option){ "quiet", no_argument, NULL, OPT_QUIET };
 	long_options[n++] =
 	    (struct option){ "help", no_argument, NULL, OPT_HELP };
+	long_options[n++] =
+	    (struct option){ "settings", required_argument, NULL, OPT_FILE };
+	long_options[n++] =
+	    (struct option){ "check", required_argument, NULL, OPT_CHECK_FILE };
+	optind = 0;
 	opterr = 0;
 	while ((i = getopt_long(argc, argv, "", long_options, NULL)) != -1) {
 		if (i == OPT_CHECK) {
@@ -292,39 +319,31 @@
 			opts->quiet = 1;
 		} else if (i == OPT_HELP) {
 			return 1;
+		} else if (i == OPT_FILE || i == OPT_CHECK_FILE) {
+			opts->check_only |= i == OPT_CHECK_FILE;
+			snprintf(opts->path, sizeof(opts->path), "%s", optarg);
 		} else if (i >= 0 && i < (int)SETTING_COUNT) {
 			seen[i] = 1;
-			read_value(opts, &settings[i], optarg, finds);
+			options_read_value(opts, &options_settings[i], optarg,
+			    options_settings[i].name, finds);
 		} else {
-			finds_add(finds, &msgs[MSG_OPTION], argv[optind - 1],
-			    "%s", "");
+			finds_add(finds, &options_msgs[MSG_OPTION],
+			    argv[optind - 1], "%s", "");
 		}
 	}
 	read_variables(opts, envp, seen, finds);
+	if (opts->path[0] != '\0')
+		options_read_file(opts, seen, finds);
 	for (n = 0; n < SETTING_COUNT; n++)
-		if (settings[n].required && !seen[n])
-			finds_add(finds, &msgs[MSG_REQUIRED], settings[n].name,
-			    "%s", settings[n].help);
+		if (options_settings[n].required && !seen[n])
+			finds_add(finds, &options_msgs[MSG_REQUIRED],
+			    options_settings[n].name, "%s",
+			    options_settings[n].help);
 	if (opts->relay.alternate_key[0] != '\0' &&
 	    opts->relay.fleet_key[0] == '\0')
-		finds_add(
-		    finds, &msgs[MSG_OTHER_KEY], "fleet-key-other", "%s", "");
-	opts->relay.fleet.sin_addr = opts->relay.exit.sin_addr;
-	opts->metrics_addr.sin_addr = opts->relay.exit.sin_addr;
-	if (opts->relay.advertised.s_addr == 0)
-		opts->relay.advertised = opts->relay.exit.sin_addr;
-	opts->relay.fresh_ms =
-	    (uint64_t)((double)opts->relay.fresh_ms * CONFIG_AGE_SHARE);
-	opts->relay.accept_calls_ms = ACCEPT_AFTER_STOP_MS;
-	opts->stop_timeout_ms = opts->grace_ms > KILL_MARGIN_MS
-				    ? opts->grace_ms - KILL_MARGIN_MS
-				    : 0;
-	opts->relay.accept_root_ms =
-	    opts->stop_timeout_ms > ACCEPT_AFTER_STOP_MS + LONG_REQUEST_MS
-		? opts->stop_timeout_ms - LONG_REQUEST_MS
-	    : opts->stop_timeout_ms < ACCEPT_AFTER_STOP_MS
-		? opts->stop_timeout_ms
-		: ACCEPT_AFTER_STOP_MS;
+		finds_add(finds, &options_msgs[MSG_OTHER_KEY],
+		    "fleet-key-other", "%s", "");
+	derive(opts);
 	return finds->errors > 0 ? -1 : 0;
 }
 
@@ -336,13 +355,19 @@
 {
 	size_t n;
 
-	printf("usage: cyclamenvale-node --OPTION=VALUE ...\n");
+	printf("usage: cyclamenvale-node --OPTION=VALUE ...\n"
+	       "       cyclamenvale-node --settings=FILE\n"
+	       "       cyclamenvale-node --check FILE\n");
 	for (n = 0; n < SETTING_COUNT; n++)
-		printf("  --%-16s %s%s\n", settings[n].name, settings[n].help,
-		    settings[n].required ? "" : " (optional)");
-	printf(
-	    "  --check-settings   check the settings and exit\n"
-	    "  --quiet            write no log lines\n"
-	    "A setting can also be given in an environment variable, such "
-	    "as\n" ENV_PREFIX "FLEET_PORT; the command line has precedence.\n");
+		printf("  --%-16s %s%s\n", options_settings[n].name,
+		    options_settings[n].help,
+		    options_settings[n].required ? "" : " (optional)");
+	printf("  --settings         file with settings, read again when it "
+	       "changes (optional)\n"
+	       "  --check-settings   check the settings and exit\n"
+	       "  --check            check the given file and exit\n"
+	       "  --quiet            write no log lines\n"
+	       "A setting can also be given in an environment variable, such "
+	       "as\n" ENV_PREFIX "FLEET_PORT.  The command line has precedence "
+	       "over it, and both over the\nfile.\n");
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -348,6 +348,21 @@
 	r->exit.limits.max_head_bytes = l->max_head_bytes * 2;
 }
 
+/*
+ * Applies the settings that can change at run time.
+ */
+void
+relay_apply_settings(struct relay *r, const struct relay_settings *set)
+{
+	r->set.fresh_ms = set->fresh_ms;
+	r->set.quota_share = set->quota_share;
+	r->set.quota_constant = set->quota_constant;
+	r->set.retry_ratio = set->retry_ratio;
+	r->set.retry_slack = set->retry_slack;
+	r->set.accept_root_ms = set->accept_root_ms;
+	r->set.memory_bytes = set->memory_bytes;
+}
+
 /*
  * Records that the configuration in force was the newest at a given time.
  */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -276,6 +276,7 @@
 
 int relay_init(struct relay *, uv_loop_t *, const struct relay_settings *);
 void relay_apply_config(struct relay *, struct config *);
+void relay_apply_settings(struct relay *, const struct relay_settings *);
 void relay_config_proved(struct relay *, uint64_t);
 int relay_reads_store(struct relay *);
 uint64_t relay_proof_age_ms(const struct relay *);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -147,7 +147,7 @@
 static void
 node_start(struct node *n)
 {
-	static char args[24][64];
+	static char args[24][160];
 	static char program[256];
 	char *argv[25], file[128];
 	uv_stdio_container_t io[3];
@@ -172,14 +172,9 @@
 	ADDR("server", k, PORT_SERVER_PROXY);
 	ADDR("store", k, PORT_STORE_PROXY);
 	ARG("--fleet-port=%d", PORT_FLEET);
-	ARG("--revoke=%dms", REVOKE_MS);
-	ARG("--grace=6s");
-	ARG("--quota-overage=0.1");
-	ARG("--quota-slack=20");
-	ARG("--retry-ratio=0.2");
-	ARG("--retry-slack=49");
-	ARG("--memory-mb=200");
-	ARG("--descriptors=1000");
+	settings_init(k); /* as the platform does at each start */
+	settings_path(k, file, sizeof(file));
+	ARG("--settings=%s", file);
 	if (soak.seed % 2 == 1) {
 		/* As if a key were being changed all the time. */
 		k = (int)(soak.starts++ % 2);
@@ -492,6 +487,11 @@
 	{ "connections to node reset", node_link_reset, nothing },
 	{ "datagrams lost", datagrams_lossy, datagrams_well },
 	{ "server names a rate from now on", server_names_rate, nothing },
+	{ "settings changed", settings_change, settings_well },
+	{ "settings changed at some nodes, not told", settings_change_some,
+	    settings_well },
+	{ "settings changed in a storm, bad at the end", settings_storm,
+	    settings_well },
 };
 
 #define KINDS (sizeof(faults) / sizeof(faults[0]))
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -160,6 +160,12 @@
 void wrong(const char *, ...) __attribute__((format(printf, 1, 2)));
 void note(const char *, ...) __attribute__((format(printf, 1, 2)));
 
+void settings_path(int, char *, size_t);
+void settings_init(int);
+void settings_change(int);
+void settings_change_some(int);
+void settings_storm(int);
+void settings_well(int);
 void store_init(struct store *);
 void store_publish(struct store *);
 void server_init(struct server *, int);
