relay: a stopping node accepts what must end before it does

What callers saw (two operators' reports): in a planned stop in calm, requests that came late in the grace were taken, passed on, and cut with no answer at its end, among them requests that may not be repeated.

The other report, an answer's head that ends in its middle, can't happen here: test_cut_answers (relay) and test_client (exchange) cut every framing at every byte, closed and reset, on new and kept connections: no success that isn't whole, one run of what must not be repeated.

--- /dev/null
+++ b/src/exchange/test_client.c
@@ -0,0 +1,208 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "exchange/client.h"
+
+#define ALARM_S 120
+#define BODY "mine and all of it"
+#define TIMEOUT_MS 5000
+#define POOL 4
+
+/*
+ * Answers that end anywhere, read by the client of the exit and of the entry.
+ */
+
+static const struct {
+	const char *name;
+	const char *answer;
+} framings[] = {
+	{ "length", "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 18\r\n"
+		    "\r\n" BODY },
+	{ "length first", "HTTP/1.1 200 OK\r\nContent-Length: 18\r\n"
+			  "Stamp: s\r\n\r\n" BODY },
+	{ "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		    "Stamp: s\r\n\r\n12\r\n" BODY "\r\n0\r\n\r\n" },
+	{ "interim answer before it",
+	    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+	    "Content-Length: 18\r\n\r\n" BODY },
+};
+
+/* What the server does with the next connection. */
+struct raw_server {
+	int listener;
+	uint16_t port;
+	const char *answer;
+	size_t cut_at;
+	int kept; /* whole answers before it on the same connection */
+	int reset;
+};
+
+/* What the receiver of an answer got. */
+struct receipt {
+	int heads;
+	int status;
+	size_t body_len;
+};
+
+/*
+ * Reads a request's head.  Returns 0, or -1 if there is none.
+ */
+static int
+read_request(int fd)
+{
+	char buf[4096];
+	size_t len = 0;
+	ssize_t n;
+
+	do {
+		n = read(fd, buf + len, sizeof(buf) - 1 - len);
+		if (n <= 0)
+			return -1;
+		len += (size_t)n;
+		buf[len] = '\0';
+	} while (strstr(buf, "\r\n\r\n") == NULL);
+	return 0;
+}
+
+static void *
+serve_once(void *arg)
+{
+	struct raw_server *s = arg;
+	struct linger linger = { 1, 0 };
+	int fd = accept(s->listener, NULL, NULL), i;
+
+	for (i = 0; i < s->kept && read_request(fd) == 0; i++)
+		(void)!write(
+		    fd, framings[0].answer, strlen(framings[0].answer));
+	if (read_request(fd) == 0)
+		(void)!write(fd, s->answer, s->cut_at);
+	if (s->reset)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+	return NULL;
+}
+
+static int
+on_head(void *ctx, const struct head *h)
+{
+	struct receipt *r = ctx;
+
+	r->heads++;
+	r->status = h->status;
+	return 0;
+}
+
+static int
+on_body(void *ctx, const char *p, size_t n)
+{
+	struct receipt *r = ctx;
+
+	(void)p;
+	assert_int_equal(r->heads, 1);
+	r->body_len += n;
+	return 0;
+}
+
+static enum exchange_end
+exchange(struct client *cl, const struct raw_server *s, struct receipt *r)
+{
+	struct answer_sink sink = { on_head, on_body, r };
+	struct exchange_req req;
+	static struct head h;
+
+	head_init(&h, 0);
+	memset(&req, 0, sizeof(req));
+	memset(r, 0, sizeof(*r));
+	req.addr = INADDR_LOOPBACK;
+	req.port = s->port;
+	req.method = "GET";
+	req.target = "/x";
+	req.head = &h;
+	req.timeout_ms = TIMEOUT_MS;
+	req.idle_max = 1;
+	return client_exchange(cl, &req, &sink);
+}
+
+/*
+ * Truncated answers: every framing, cut at every place, closed or reset, on a
+ * new or a kept connection.  Only a whole answer ends as whole.
+ */
+static void
+test_cut_answer_is_never_whole(void **state)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+	struct raw_server s;
+	struct receipt r;
+	struct client *cl;
+	enum exchange_end end;
+	pthread_t thread;
+	size_t i, total;
+
+	(void)state;
+	memset(&s, 0, sizeof(s));
+	s.listener = socket(AF_INET, SOCK_STREAM, 0);
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(s.listener, (struct sockaddr *)&sa, len), 0);
+	assert_int_equal(listen(s.listener, 8), 0);
+	getsockname(s.listener, (struct sockaddr *)&sa, &len);
+	s.port = ntohs(sa.sin_port);
+	for (i = 0; i < sizeof(framings) / sizeof(framings[0]); i++) {
+		total = strlen(framings[i].answer);
+		s.answer = framings[i].answer;
+		for (s.cut_at = 1; s.cut_at <= total; s.cut_at++) {
+			s.kept = s.cut_at % 2 == 0;
+			s.reset = s.cut_at % 3 == 0;
+			cl = client_new(INADDR_LOOPBACK, POOL, TIMEOUT_MS);
+			assert_non_null(cl);
+			assert_int_equal(
+			    pthread_create(&thread, NULL, serve_once, &s), 0);
+			if (s.kept) {
+				end = exchange(cl, &s, &r);
+				assert_int_equal(end, EXCHANGE_WHOLE);
+			}
+			end = exchange(cl, &s, &r);
+			if (end == EXCHANGE_WHOLE) {
+				/*
+				 * Of the two line ends behind the last chunk,
+				 * the last byte says nothing more.
+				 */
+				assert_true(s.cut_at == total ||
+					    (s.cut_at == total - 1 &&
+						strstr(s.answer, "chunked")));
+				assert_int_equal(r.status, 200);
+				assert_int_equal(r.body_len, strlen(BODY));
+			} else {
+				assert_true(s.reset || s.cut_at < total);
+				assert_int_not_equal(end, EXCHANGE_UNSENT);
+			}
+			pthread_join(thread, NULL);
+			client_free(cl);
+		}
+	}
+	close(s.listener);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_cut_answer_is_never_whole),
+	};
+
+	alarm(ALARM_S);
+	signal(SIGPIPE, SIG_IGN);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/options/options.c
+++ b/src/options/options.c
@@ -13,7 +13,6 @@
 #define CONFIG_AGE_SHARE 0.85
 #define ACCEPT_AFTER_STOP_MS 2600 /* two readiness polls and a margin */
 #define KILL_MARGIN_MS 1000	  /* before SIGKILL, for a slow machine */
-#define LONG_REQUEST_MS 1500	  /* 99 % of the requests take up to 1.4 s */
 #define BYTES_PER_MIB (1ULL << 20)
 /* Prefix of environment variables; the option in capitals follows. */
 #define ENV_PREFIX "CYCLAMENVALE_NODE_"
@@ -271,15 +270,9 @@
 void
 options_derive_stop(struct node_options *opts)
 {
-	opts->stop_timeout_ms = opts->grace_ms > KILL_MARGIN_MS
-				    ? opts->grace_ms - KILL_MARGIN_MS
-				    : 0;
-	opts->relay.accept_root_ms =
-	    opts->stop_timeout_ms > ACCEPT_AFTER_STOP_MS + LONG_REQUEST_MS
-		? opts->stop_timeout_ms - LONG_REQUEST_MS
-	    : opts->stop_timeout_ms < ACCEPT_AFTER_STOP_MS
-		? opts->stop_timeout_ms
-		: ACCEPT_AFTER_STOP_MS;
+	opts->relay.stop_timeout_ms = opts->grace_ms > KILL_MARGIN_MS
+					  ? opts->grace_ms - KILL_MARGIN_MS
+					  : 0;
 }
 
 /*
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -14,8 +14,7 @@
 	struct sockaddr_in ready_addr;	 /* for readiness requests */
 	struct sockaddr_in metrics_addr; /* port 0: no metrics port */
 	struct sockaddr_in store_addr;
-	uint64_t grace_ms;	  /* time from SIGTERM to SIGKILL */
-	uint64_t stop_timeout_ms; /* longest time from SIGTERM to the exit */
+	uint64_t grace_ms;	       /* time from SIGTERM to SIGKILL */
 	char path[OPTIONS_PATH_BYTES]; /* of the settings file; empty: none */
 	uint64_t file_digest;	       /* of the text of that file */
 	int check_only;
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -12,7 +12,7 @@
 #define TIMEOUT_GRACE_MS 30 /* lets the server's own timeout answer arrive */
 #define RANDOM_BITS 32
 
-static int is_past_stop_limit(const struct relay *);
+static int outlasts_stop(const struct relay *, uint64_t);
 static void on_request_headers(void *, struct h1_conn *);
 static void on_request_body(void *, struct h1_conn *, const char *, size_t);
 static void on_request_end(void *, struct h1_conn *);
@@ -54,6 +54,7 @@
 	[ENTRY_FAIL_BROKEN_EXCHANGE] = { 502, RELAY_FAILED, "broken-exchange" },
 	[ENTRY_FAIL_SUSPECT] = { 503, RELAY_REFUSED, "crashes-servers" },
 	[ENTRY_FAIL_STOPPING] = { 503, RELAY_REFUSED, "node-leaving" },
+	[ENTRY_FAIL_STOPPED] = { 504, RELAY_FAILED, "node-ended" },
 };
 
 /*
@@ -303,15 +304,18 @@
 }
 
 /*
- * Returns 1 if this node is stopping and a new root request might not finish
- * in time.  Calls by runs in progress are still accepted, as those runs have
- * to finish.
+ * Returns 1 if this node is stopping and a root request that may take the given
+ * time (ms) might not end before it does.  Callers are still told to come here
+ * for the first while, and what they send then is accepted.  Calls by runs in
+ * progress always are, as those runs have to end.
  */
 static int
-is_past_stop_limit(const struct relay *r)
+outlasts_stop(const struct relay *r, uint64_t remaining_ms)
 {
-	return r->stopping &&
-	       relay_now(r) - r->stop_began_ms > r->set.accept_root_ms;
+	uint64_t age_ms = relay_now(r) - r->stop_began_ms;
+
+	return r->stopping && age_ms > r->set.accept_calls_ms &&
+	       age_ms + remaining_ms > r->set.stop_timeout_ms;
 }
 
 /*
@@ -353,10 +357,16 @@
 		attach_to_parent(e, h);
 	r->counters[e->depth > 0 ? RELAY_CALLS : RELAY_REQUESTS]++;
 	choose_split_service(e, route);
+	remaining_ms =
+	    h1_head_get_number(h, r->set.names.deadline_ms, route->deadline_ms);
+	e->deadline_ms = e->started_ms + remaining_ms;
+	if (remaining_ms > route->deadline_ms)
+		remaining_ms = route->deadline_ms;
+	e->answer_by_ms = e->started_ms + remaining_ms;
 	if (e->depth > 0) {
 		profile_set_call_started(&r->profiles, e->parent_route,
 		    e->service, e->route, e->parent_known);
-	} else if (is_past_stop_limit(r)) {
+	} else if (outlasts_stop(r, remaining_ms)) {
 		entry_fail(e, ENTRY_FAIL_STOPPING,
 		    relay_retry_after_ms(
 			RETRY_AFTER_SERVERS_FULL, e->target_ms));
@@ -368,12 +378,6 @@
 	}
 	e->idempotent = route->idempotent;
 	e->arrivals_max = route->retries + 1;
-	remaining_ms =
-	    h1_head_get_number(h, r->set.names.deadline_ms, route->deadline_ms);
-	e->deadline_ms = e->started_ms + remaining_ms;
-	if (remaining_ms > route->deadline_ms)
-		remaining_ms = route->deadline_ms;
-	e->answer_by_ms = e->started_ms + remaining_ms;
 	e->content_length =
 	    h1_conn_has_body(conn) ? h1_conn_body_length(conn) : 0;
 	budget_add_request(
@@ -500,3 +504,24 @@
 				RETRY_AFTER_TIMEOUT, e->target_ms));
 	}
 }
+
+/*
+ * Ends all requests whose answers haven't begun, before this node ends: those
+ * that a server may have got with an error that doesn't say otherwise.
+ */
+void
+relay_fail_requests(struct relay *r)
+{
+	struct entry_req *e, *next;
+
+	for (e = r->entries; e != NULL; e = next) {
+		next = e->next;
+		if (!e->answer_started)
+			entry_fail(e,
+			    e->may_have_run || e->xchg != NULL
+				? ENTRY_FAIL_STOPPED
+				: ENTRY_FAIL_STOPPING,
+			    relay_retry_after_ms(
+				RETRY_AFTER_SERVERS_FULL, e->target_ms));
+	}
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -359,7 +359,7 @@
 	r->set.quota_constant = set->quota_constant;
 	r->set.retry_ratio = set->retry_ratio;
 	r->set.retry_slack = set->retry_slack;
-	r->set.accept_root_ms = set->accept_root_ms;
+	r->set.stop_timeout_ms = set->stop_timeout_ms;
 	r->set.memory_bytes = set->memory_bytes;
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -67,8 +67,8 @@
 	double retry_slack; /* additional retries, summed over the fleet */
 	/* After a stop, callers are still accepted this long. */
 	uint64_t accept_calls_ms;
-	/* After a stop, root requests are still accepted this long. */
-	uint64_t accept_root_ms;
+	/* After a stop, requests in progress are given up after this time. */
+	uint64_t stop_timeout_ms;
 	uint64_t memory_bytes; /* memory that the process may use */
 	uint32_t descriptors;
 	/* Shared by all nodes; empty: none. */
@@ -287,6 +287,7 @@
 int relay_apply_announcement(struct relay *, const struct relay_announce *);
 void relay_server_departed(struct relay *, const char *, uint64_t);
 void relay_stop(struct relay *);
+void relay_fail_requests(struct relay *);
 void relay_close(struct relay *);
 void relay_finish(struct relay *);
 int relay_has_requests(const struct relay *);
--- /dev/null
+++ b/src/relay/test_cut_answers.c
@@ -0,0 +1,262 @@
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "base/loopclock.h"
+#include "relay/relay_int.h"
+#include "relay/test_pair.h"
+
+/*
+ * A server that stops anywhere in its answer and closes its connection.  The
+ * answer passes through an exit and an entry; a caller must not get a success
+ * that looks whole and isn't.
+ */
+
+#define BODY "mine and all of it"
+#define HEAD_OF_ALL "HTTP/1.1 200 OK\r\nId: a\r\nStamp: s\r\n"
+#define KEPT_ANSWER HEAD_OF_ALL "Content-Length: 18\r\n\r\n" BODY
+
+/* How the server ends the connection. */
+enum ending {
+	ENDING_CLOSE,
+	ENDING_RESET,
+	ENDING_MAX
+};
+
+/* A way of showing where a body ends. */
+struct framing {
+	const char *name;
+	const char *answer;
+	int ends_with_connection;
+};
+
+static const struct framing framings[] = {
+	{ "length", KEPT_ANSWER, 0 },
+	{ "length first",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 18\r\nId: a\r\n"
+	    "Stamp: s\r\n\r\n" BODY,
+	    0 },
+	{ "chunks",
+	    HEAD_OF_ALL "Transfer-Encoding: chunked\r\n\r\n"
+			"4\r\nmine\r\ne\r\n and all of it\r\n0\r\n\r\n",
+	    0 },
+	{ "end of connection", HEAD_OF_ALL "Connection: close\r\n\r\n" BODY,
+	    1 },
+	{ "end of connection, old version",
+	    "HTTP/1.0 200 OK\r\nId: a\r\nStamp: s\r\n\r\n" BODY, 1 },
+	{ "interim answer before it",
+	    "HTTP/1.1 100 Continue\r\n\r\n" KEPT_ANSWER, 0 },
+};
+
+/* A connection of the server. */
+struct raw_conn {
+	uv_tcp_t tcp;
+	uv_write_t write;
+	char request[4096];
+	size_t len;
+	int cut; /* the answer being written is the one that is cut */
+};
+
+static uv_tcp_t listener;
+static const struct framing *framing;
+static size_t cut_at;
+static enum ending ending;
+static int whole_answers; /* to send before the one that is cut */
+static int requests;
+
+static void
+on_closed(uv_handle_t *h)
+{
+	free(h->data);
+}
+
+static void
+on_written(uv_write_t *w, int status)
+{
+	struct raw_conn *c = w->data;
+
+	(void)status;
+	if (!c->cut || uv_is_closing((uv_handle_t *)&c->tcp))
+		return;
+	if (ending == ENDING_RESET)
+		uv_tcp_close_reset(&c->tcp, on_closed);
+	else
+		uv_close((uv_handle_t *)&c->tcp, on_closed);
+}
+
+static void
+on_alloc(uv_handle_t *h, size_t hint, uv_buf_t *b)
+{
+	struct raw_conn *c = h->data;
+
+	(void)hint;
+	b->base = c->request + c->len;
+	b->len = sizeof(c->request) - 1 - c->len;
+}
+
+static void
+on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
+{
+	struct raw_conn *c = s->data;
+	const char *answer = KEPT_ANSWER;
+	uv_buf_t out;
+
+	(void)b;
+	if (n < 0) {
+		if (!uv_is_closing((uv_handle_t *)s))
+			uv_close((uv_handle_t *)s, on_closed);
+		return;
+	}
+	c->len += (size_t)n;
+	c->request[c->len] = '\0';
+	if (strstr(c->request, "\r\n\r\n") == NULL)
+		return;
+	c->len = 0;
+	requests++;
+	out = uv_buf_init(
+	    (char *)(uintptr_t)answer, (unsigned int)strlen(answer));
+	c->cut = whole_answers-- <= 0;
+	if (c->cut)
+		out = uv_buf_init(
+		    (char *)(uintptr_t)framing->answer, (unsigned int)cut_at);
+	c->write.data = c;
+	uv_write(&c->write, s, &out, 1, on_written);
+}
+
+static void
+on_connection(uv_stream_t *l, int status)
+{
+	struct raw_conn *c = calloc(1, sizeof(*c));
+
+	assert_non_null(c);
+	assert_int_equal(status, 0);
+	uv_tcp_init(&loop, &c->tcp);
+	c->tcp.data = c;
+	assert_int_equal(uv_accept(l, (uv_stream_t *)&c->tcp), 0);
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+/*
+ * Puts the raw server in the place of that beside node 1.
+ */
+static void
+listen_raw(void)
+{
+	struct sockaddr_in addr = server_addrs[1];
+
+	uv_ip4_addr("127.0.0.3", ntohs(addr.sin_port), &addr);
+	uv_tcp_init(&loop, &listener);
+	assert_int_equal(
+	    uv_tcp_bind(&listener, (struct sockaddr *)&addr, 0), 0);
+	assert_int_equal(
+	    uv_listen((uv_stream_t *)&listener, 16, on_connection), 0);
+	h1_pool_trim(&nodes[1].server_pool, 0);
+	nodes[1].server_pool.addr = addr;
+}
+
+static void
+request(struct caller *c, const char *path)
+{
+	memset(c, 0, sizeof(*c));
+	send_with_id(c, 0, path, KEY, "a", "");
+	while (!c->done)
+		uv_run(&loop, UV_RUN_ONCE);
+	h1_pool_finish(&c->pool);
+}
+
+/*
+ * Returns 1 if the answer as cut is a whole one.
+ */
+static int
+is_whole(void)
+{
+	const char *body = strstr(framing->answer, BODY);
+
+	if (cut_at == strlen(framing->answer))
+		return !(
+		    framing->ends_with_connection && ending == ENDING_RESET);
+	/* An orderly end of the connection is the end of such a body. */
+	return framing->ends_with_connection && ending == ENDING_CLOSE &&
+	       framing->answer + cut_at >= body;
+}
+
+/*
+ * Cuts the answer of every framing at every place, on a new and on a kept
+ * connection.
+ */
+static void
+check_cuts(const char *path)
+{
+	struct caller c;
+	size_t i;
+	int kept;
+
+	for (i = 0; i < sizeof(framings) / sizeof(framings[0]); i++)
+		for (kept = 0; kept < 2; kept++)
+			for (cut_at = 1; cut_at <= strlen(framings[i].answer);
+			     cut_at++) {
+				framing = &framings[i];
+				h1_pool_trim(&nodes[1].server_pool, 0);
+				whole_answers = kept;
+				requests = 0;
+				if (kept) {
+					request(&c, path);
+					assert_int_equal(c.done, 1);
+					assert_int_equal(c.status, 200);
+					assert_int_equal(requests, 1);
+				}
+				request(&c, path);
+				if (c.done == 1 && c.status < 300) {
+					assert_true(is_whole());
+					if (!framing->ends_with_connection)
+						assert_int_equal(
+						    c.body_len, strlen(BODY));
+				} else if (c.done == 1) {
+					assert_int_equal(c.status, 502);
+				}
+				if (is_whole() &&
+				    !framing->ends_with_connection)
+					assert_int_equal(c.status, 200);
+				/* The only server: it ran at most twice. */
+				assert_true(requests - kept <= 2);
+				assert_true(strcmp(path, "/s/1") == 0 ||
+					    requests - kept == 1);
+			}
+}
+
+/*
+ * Truncated answers, of a request that must not be repeated and of one that may
+ * be, where the server closes the connection and where it resets it.
+ */
+static void
+test_cut_answer_is_never_whole(void **state)
+{
+	struct caller c;
+
+	(void)state;
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 200);
+	listen_raw();
+	for (ending = 0; ending < ENDING_MAX; ending++) {
+		check_cuts("/o/1");
+		check_cuts("/s/1");
+	}
+	uv_close((uv_handle_t *)&listener, NULL);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_cut_answer_is_never_whole, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
