follow, relay: a change of the configuration is read from the store by two nodes

Cause: each node kept a long read at the store, which every change answers. Now a node that isn't one of the two readers reads nothing once it has a configuration. The readers announce a version at once; the first node of a zone copies it from them, the others from a node of their zone (0.5 s), then from any node, and after 0.8 s from the store. Without a proof by other nodes for 2.2 s a node reads the store itself, as before, and in any case every 60 s.

Ruled out: copies from any node that has the version (93 copies across zones for each change).

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -94,6 +94,13 @@
 	size_t health_count;
 };
 
+/* How a node gets the newest configuration, or the proof that it has it. */
+enum config_need {
+	CONFIG_NEED_NOTHING,
+	CONFIG_NEED_PEER, /* another node has a newer one */
+	CONFIG_NEED_STORE /* the other nodes are of no help */
+};
+
 enum config_outcome {
 	CONFIG_TAKEN,	  /* the record changed the version in force */
 	CONFIG_CONFIRMED, /* a snapshot of the version in force */
--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -12,7 +12,8 @@
  * configuration is the newest gets too old for access keys to be trusted.
  */
 #define CLOSE_READ_WAIT_MS 1000
-#define LONG_READ_WAIT_MS 15000 /* while other nodes read closely */
+#define LONG_READ_WAIT_MS 15000 /* until there is a configuration */
+#define IDLE_READ_MS 60000	/* longest time without any read */
 #define SHORT_READ_CHECK_MS 200 /* between checks whether to read at once */
 #define READ_GRACE_MS 900	/* added to the wait time as a read's timeout */
 #define CONFIG_RETRY_MS 60	/* first delay, doubled with each failure */
@@ -81,20 +82,27 @@
 }
 
 /*
- * Checks whether the store must be read at once, and starts a short read
- * beside the long one if so.  The long read may hang on a dead connection, or
- * may have started before this node became a close reader.  The check also
- * runs during an outage of the store, because the owner queries its peers in
- * that callback.
+ * Checks whether the store must be read at once, and starts a short read if so,
+ * also beside a long one: that may hang on a dead connection, or may have
+ * started before this node became a close reader.  The check also runs during
+ * an outage of the store, because the owner queries its peers in that callback.
  */
 static void
 on_short_read_timer(uv_timer_t *timer)
 {
 	struct follower *f = timer->data;
+	enum config_need need = f->ops->config_need(f->ctx);
 
-	f->query_needed = f->ops->must_read_store(f->ctx);
-	if (f->query_needed && f->store_lost)
+	f->query_needed =
+	    need == CONFIG_NEED_STORE ||
+	    (f->idle && loop_ms(f->loop) - f->replied_ms >= IDLE_READ_MS);
+	if (need == CONFIG_NEED_PEER || (f->query_needed && f->store_lost))
 		f->ops->query_peers(f->ctx);
+	if (f->idle && f->ops->follows_closely(f->ctx)) {
+		f->idle = 0;
+		uv_timer_start(&f->config_timer, request_config, 0, 0);
+		return;
+	}
 	if (f->short_read_pending || f->phase != FOLLOW_READ ||
 	    f->read_wait_ms == 0)
 		return;
@@ -117,8 +125,12 @@
 	struct follower *f = ctx;
 
 	f->short_read_pending = 0;
-	if (reply->status == STORE_OK)
+	if (reply->status == STORE_OK) {
 		apply_records(f, reply, f->short_read_wait_ms);
+	} else if (f->idle) {
+		f->idle = 0;
+		retry_config(f, reply);
+	}
 }
 
 /*
@@ -157,6 +169,8 @@
 
 /*
  * Requests the newest configuration or, once that is known, the next records.
+ * While other nodes read the store closely, this one reads nothing: it hears
+ * from them of a newer version, and that they know of none.
  */
 static void
 request_config(uv_timer_t *timer)
@@ -168,6 +182,12 @@
 		    FOLLOW_NEWEST_TIMEOUT_MS, on_newest_reply, f);
 		return;
 	}
+	if (f->config_failures == 0 && f->version > 0 &&
+	    !f->ops->follows_closely(f->ctx)) {
+		f->idle = 1;
+		f->read_wait_ms = LONG_READ_WAIT_MS;
+		return;
+	}
 	/* After a failure a read without a wait detects recovery sooner. */
 	f->read_wait_ms = f->config_failures > 0	    ? 0
 			  : f->ops->follows_closely(f->ctx) ? CLOSE_READ_WAIT_MS
@@ -293,6 +313,7 @@
 	for (i = 0; i < reply->count; i++)
 		apply_record(f, &reply->records[i]);
 	f->next_offset = reply->end_offset;
+	f->replied_ms = loop_ms(f->loop);
 	f->phase = FOLLOW_READ;
 	if (f->version > 0)
 		f->ops->record_proof(f->ctx, reply->request_sent_ms);
@@ -309,6 +330,7 @@
 	uint64_t next = f->next_offset;
 	size_t i;
 
+	f->replied_ms = loop_ms(f->loop);
 	for (i = 0; i < reply->count; i++) {
 		apply_record(f, &reply->records[i]);
 		next = reply->records[i].offset + 1;
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -20,9 +20,9 @@
 	void (*record_proof)(void *, uint64_t);
 	/* Returns 1 if this node reads the store closely for other nodes. */
 	int (*follows_closely)(void *);
-	/* Returns 1 if the store must be read now.  Called periodically. */
-	int (*must_read_store)(void *);
-	/* Requests a newer configuration from a peer: the store is down. */
+	/* Returns what this node needs now.  Called periodically. */
+	enum config_need (*config_need)(void *);
+	/* Requests a newer configuration from a peer. */
 	void (*query_peers)(void *);
 	/* Adds a node of the store's list, with its IPv4 host-order address. */
 	void (*add_node)(void *, const char *, uint32_t);
@@ -62,6 +62,8 @@
 	enum follow_phase phase;
 	uint64_t next_offset;	     /* first offset of the next read */
 	uint64_t read_wait_ms;	     /* wait time of the current read */
+	int idle;		     /* no read; other nodes read closely */
+	uint64_t replied_ms;	     /* last reply of the store */
 	int short_read_pending;	     /* a second, short read is in flight */
 	uint64_t short_read_wait_ms; /* wait time of the short read */
 	int query_needed;	     /* the last check found a need to read */
--- a/src/relay/copy.c
+++ b/src/relay/copy.c
@@ -12,6 +12,8 @@
 
 /* Served on the port for other nodes. */
 #define COPY_TARGET "/cyclamen/config"
+/* Time for the first node of a zone to have a newer version. */
+#define ZONE_WAIT_MS 500
 #define COPY_TIMEOUT_MS 800 /* timeout of the whole exchange */
 /* Far above 1,600 routes of 500 bytes each. */
 #define COPY_BYTES_MAX (16U << 20)
@@ -58,9 +60,31 @@
 	free(p);
 }
 
+/*
+ * Returns 1 if no live node of this node's zone has a lower hash of its name:
+ * one node of each zone copies a configuration from another zone, and the
+ * others copy it from there.
+ */
+static int
+is_first_in_zone(const struct relay *r, uint64_t now)
+{
+	const struct fleet_peer *p;
+	size_t i;
+
+	for (i = 0; i < r->fleet.count; i++) {
+		p = &r->fleet.peers[i];
+		if (p->name_hash < r->fleet.node_hash &&
+		    strcmp(p->zone, r->set.zone) == 0 &&
+		    fleet_is_alive(&r->fleet, i, now))
+			return 0;
+	}
+	return 1;
+}
+
 /*
  * Returns the handle of a random live node that has a newer configuration
- * than this one, or -1.
+ * than this one, or -1.  Takes one of another zone only if this node copies for
+ * its zone, or has waited for that one.
  */
 static int
 pick_peer(struct relay *r)
@@ -68,18 +92,50 @@
 	uint64_t version = r->config != NULL ? r->config->version : 0;
 	uint64_t now = relay_now(r);
 	const struct fleet_peer *p;
-	uint32_t found = 0;
-	int peer = -1;
+	uint32_t near_count = 0, far_count = 0;
+	int near = -1, far = -1;
 	size_t i;
 
 	for (i = 0; i < r->fleet.count; i++) {
 		p = &r->fleet.peers[i];
-		if (p->config_version > version && p->port != 0 &&
-		    fleet_is_alive(&r->fleet, i, now) &&
-		    relay_random() % ++found == 0)
-			peer = (int)i;
+		if (p->config_version <= version || p->port == 0 ||
+		    !fleet_is_alive(&r->fleet, i, now))
+			continue;
+		if (strcmp(p->zone, r->set.zone) == 0) {
+			if (relay_random() % ++near_count == 0)
+				near = (int)i;
+		} else if (relay_random() % ++far_count == 0) {
+			far = (int)i;
+		}
+	}
+	if (near >= 0 || (r->newer_version_ms > 0 &&
+			     now - r->newer_version_ms < ZONE_WAIT_MS &&
+			     !is_first_in_zone(r, now)))
+		return near;
+	return far;
+}
+
+/*
+ * Tells other nodes at once of a configuration that has come into force: a
+ * reader of the store all, the first node of a zone those of its zone.
+ */
+void
+copy_announce_version(struct relay *r)
+{
+	uint64_t now = relay_now(r);
+	const struct fleet_peer *p;
+	size_t i;
+
+	if (relay_reads_store(r)) {
+		fleet_send_heartbeat_all(&r->net, 0);
+		return;
+	}
+	for (i = 0; is_first_in_zone(r, now) && i < r->fleet.count; i++) {
+		p = &r->fleet.peers[i];
+		if (strcmp(p->zone, r->set.zone) == 0 &&
+		    fleet_is_alive(&r->fleet, i, now))
+			fleet_send_heartbeat(&r->net, p->address);
 	}
-	return peer;
 }
 
 /*
--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -17,6 +17,8 @@
 /* With an older proof this node reads the store itself. */
 #define STORE_READ_AGE_MS 2200
 #define QUERY_INTERVAL_MS 300 /* minimum interval between queries */
+/* Time for which a newer version is requested from the nodes that have it. */
+#define PEER_COPY_MS 800
 
 static void send_query(struct relay *, int);
 
@@ -47,25 +49,46 @@
 }
 
 /*
- * Sends a query if the last proof is getting old.  Returns 1 if this node
- * should read the store itself because the readers didn't help or another
- * node has a newer version, else 0.
+ * Returns 1 if a live node has a newer version, else 0.
  */
-int
-relay_needs_store_read(struct relay *r)
+static int
+is_outdated(const struct relay *r, uint64_t now)
 {
-	uint64_t now = relay_now(r), age_ms = now - r->config_proved_ms;
-	int readers[READERS_MAX];
-	size_t i, n;
+	size_t i;
 
-	if (r->config == NULL)
-		return 0;
 	for (i = 0; i < r->fleet.count; i++)
 		if (r->fleet.peers[i].config_version > r->config->version &&
 		    fleet_is_alive(&r->fleet, i, now))
 			return 1;
+	return 0;
+}
+
+/*
+ * Returns what this node needs to have the newest configuration and to know
+ * that it has.  Sends a query if the last proof is getting old.  The store is
+ * needed where other nodes don't help.
+ */
+enum config_need
+relay_config_need(struct relay *r)
+{
+	uint64_t now = relay_now(r), age_ms = now - r->config_proved_ms;
+	int readers[READERS_MAX];
+	size_t i, n;
+
+	if (r->config == NULL)
+		return CONFIG_NEED_NOTHING;
+	if (!is_outdated(r, now)) {
+		r->newer_version_ms = 0;
+	} else if (r->newer_version_ms == 0) {
+		r->newer_version_ms = now;
+		return CONFIG_NEED_PEER;
+	} else {
+		return now - r->newer_version_ms < PEER_COPY_MS
+			   ? CONFIG_NEED_PEER
+			   : CONFIG_NEED_STORE;
+	}
 	if (age_ms < QUERY_AGE_MS)
-		return 0;
+		return CONFIG_NEED_NOTHING;
 	if (now - r->proof_query_ms >= QUERY_INTERVAL_MS) {
 		n = fleet_store_readers(&r->fleet, readers, READERS_MAX);
 		r->proof_query_id = relay_random();
@@ -82,7 +105,8 @@
 				send_query(
 				    r, (int)(relay_random() % r->fleet.count));
 	}
-	return age_ms >= STORE_READ_AGE_MS;
+	return age_ms >= STORE_READ_AGE_MS ? CONFIG_NEED_STORE
+					   : CONFIG_NEED_NOTHING;
 }
 
 /*
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -335,6 +335,8 @@
 	r->config = c;
 	load_collect_ranks(r);
 	load_forget_routes(r);
+	r->newer_version_ms = 0;
+	copy_announce_version(r);
 	l = &r->entry.limits;
 	if (c->caps.head_bytes > 0)
 		l->max_head_bytes = c->caps.head_bytes;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -211,6 +211,8 @@
 	uint64_t config_proved_ms;
 	uint64_t proof_query_id; /* id of the last proof query */
 	uint64_t proof_query_ms; /* time of the last proof query */
+	/* Since when another node has had a newer version; 0: none has. */
+	uint64_t newer_version_ms;
 	struct relay_copy copy;
 	struct fleet_table fleet;
 	struct fleet_net net;
@@ -280,7 +282,7 @@
 void relay_config_proved(struct relay *, uint64_t);
 int relay_reads_store(struct relay *);
 uint64_t relay_proof_age_ms(const struct relay *);
-int relay_needs_store_read(struct relay *);
+enum config_need relay_config_need(struct relay *);
 void relay_request_config(struct relay *, relay_config_fn, void *);
 int relay_announcement_is_plausible(
     const struct relay *, const struct relay_announce *);
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -217,6 +217,7 @@
 int copy_is_request(const struct h1_conn *);
 void copy_send(struct relay *, struct h1_conn *);
 void copy_cancel(struct relay *);
+void copy_announce_version(struct relay *);
 
 /* exit.c */
 extern const struct h1_server_ops exit_ops;
--- /dev/null
+++ b/src/relay/test_version.c
@@ -0,0 +1,147 @@
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include "base/loopclock.h"
+#include "relay/relay_int.h"
+#include "relay/test_pair.h"
+
+/*
+ * How a newer configuration spreads from the nodes that read the store.
+ */
+
+static int copies;
+
+static void
+store_copy(void *ctx, struct config *c, const char *node)
+{
+	(void)node;
+	copies++;
+	relay_apply_config(ctx, c);
+}
+
+/*
+ * Runs the loop for some time, with the checks and requests of a follower.
+ * Returns 1 if the store was needed.
+ */
+static int
+follow_during(struct relay *r, uint64_t ms)
+{
+	uint64_t end = loop_ms(&loop) + ms;
+	int store_needed = 0;
+
+	while (loop_ms(&loop) < end) {
+		relay_config_proved(r, loop_ms(&loop));
+		switch (relay_config_need(r)) {
+		case CONFIG_NEED_PEER:
+			relay_request_config(r, store_copy, r);
+			break;
+		case CONFIG_NEED_STORE:
+			store_needed = 1;
+			break;
+		case CONFIG_NEED_NOTHING:
+			break;
+		}
+		uv_run(&loop, UV_RUN_ONCE);
+	}
+	return store_needed;
+}
+
+/*
+ * Store calls at each change: a node takes a newer version from the one that
+ * has it, well within the time in which it must be in force, and doesn't read
+ * the store.
+ */
+static void
+test_change_spreads_between_nodes(void **state)
+{
+	struct caller c;
+
+	(void)state;
+	ask(&c, "/o/1", KEY);
+	copies = 0;
+	relay_apply_config(&nodes[1], make_config(2, 0, "key-2"));
+	assert_false(follow_during(&nodes[0], 700));
+	assert_int_equal(copies, 1);
+	assert_int_equal(nodes[0].config->version, 2);
+	ask(&c, "/s/1", KEY);
+	assert_int_equal(c.status, 401);
+	ask(&c, "/s/1", "key-2");
+	assert_int_equal(c.status, 200);
+}
+
+/*
+ * A node that has the newer version but can't be reached: the store is read
+ * after a while.
+ */
+static void
+test_store_read_if_no_copy(void **state)
+{
+	uint64_t began = loop_ms(&loop);
+	size_t i;
+
+	(void)state;
+	i = (size_t)fleet_add_node(
+	    &nodes[0].fleet, "silent", 0x7f000063, loop_ms(&loop));
+	nodes[0].fleet.peers[i].heard_ms = loop_ms(&loop);
+	nodes[0].fleet.peers[i].config_version = 9;
+	while (relay_config_need(&nodes[0]) != CONFIG_NEED_STORE) {
+		nodes[0].fleet.peers[i].heard_ms = loop_ms(&loop);
+		uv_run(&loop, UV_RUN_ONCE);
+	}
+	assert_true(loop_ms(&loop) - began >= 700);
+	assert_true(loop_ms(&loop) - began < 1500);
+}
+
+/*
+ * Bytes between zones: of the nodes of a zone one copies the configuration from
+ * another zone, and the others wait for it, but not for long.
+ */
+static void
+test_one_copy_into_a_zone(void **state)
+{
+	struct fleet_table *t = &nodes[0].fleet;
+	struct fleet_peer *p;
+	uint64_t began;
+	char name[16];
+	int h;
+
+	(void)state;
+	do {
+		snprintf(name, sizeof(name), "near-%zu", t->count);
+		h = fleet_add_node(t, name, 0x7f000063, loop_ms(&loop));
+	} while (t->peers[h].name_hash >= t->node_hash);
+	snprintf(t->peers[h].zone, sizeof(t->peers[h].zone), "z0");
+	copies = 0;
+	began = loop_ms(&loop);
+	relay_apply_config(&nodes[1], make_config(2, 0, KEY));
+	while (copies == 0 && loop_ms(&loop) - began < 5000) {
+		p = &t->peers[h];
+		p->heard_ms = loop_ms(&loop);
+		(void)follow_during(&nodes[0], 1);
+	}
+	assert_true(loop_ms(&loop) - began >= 400);
+	assert_true(loop_ms(&loop) - began < 1500);
+	assert_int_equal(nodes[0].config->version, 2);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+		    test_change_spreads_between_nodes, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_store_read_if_no_copy, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_one_copy_into_a_zone, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
