relay, fleet: heartbeats carry rows of routes in use, and calls when they are full

Cause: each route that was tried once had a row, which made the next three heartbeats full ones, and the first requests of each route counted in another row that stayed. A route now has a row from its third request on. Calls by service, which only stand in for routes that aren't measured, are in full heartbeats only. Reports of routes come once in two seconds from all servers of a service together, not four times as often, and at once only if no other server has reported the route.

--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -37,7 +37,10 @@
 	unsigned int chained;	 /* calls of 1000 with a known run */
 	/* Name hashes of nodes whose heartbeats do not arrive. */
 	unsigned int silent<FLEET_SILENT_MAX>;
-	/* Calls per 1000 runs to each downstream service. */
+	/*
+	 * Calls per 1000 runs to each downstream service; in full heartbeats
+	 * only.
+	 */
 	unsigned int calls_per_1000<FLEET_CALLS_MAX>;
 	/*
 	 * Root requests per requested row and class, encoded by
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -156,6 +156,8 @@
 	pulse.fleet_msg_u.pulse.incarnation = m.fleet_msg_u.beat.incarnation;
 	pulse.fleet_msg_u.pulse.print = digest;
 	pulse.fleet_msg_u.pulse.load = m.fleet_msg_u.beat.load;
+	/* These change rarely: full heartbeats are enough. */
+	pulse.fleet_msg_u.pulse.load.calls_per_1000.calls_per_1000_len = 0;
 	fleet_send_all(n, &pulse);
 }
 
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -12,6 +12,11 @@
 #define PER_THOUSAND 1000.0 /* loads and calls are sent in thousandths */
 #define US_PER_S 1000000.0
 #define RANK_SHIFT 16
+/*
+ * Requests from which a route has a row of demand.  Each new row makes the next
+ * heartbeats full ones, and some routes are tried just once or twice.
+ */
+#define ROUTE_REQUESTS_MIN 3
 #define STEPS_PER_SUMMARY 10 /* steps between two summary log lines */
 
 static void on_throttle_timer(uv_timer_t *);
@@ -26,6 +31,7 @@
 static void keep_unrouted_services_open(struct relay *);
 static void add_peer_demand(struct relay *, struct relay_link *);
 static void sum_loads(struct relay *);
+static struct demand_row *find_demand(struct relay *, const char *, uint32_t);
 static int route_exists(void *, uint32_t);
 static int compare_ranks(const void *, const void *);
 static void add_rank(struct relay *, uint32_t);
@@ -426,16 +432,31 @@
 	log_quorum(r);
 	load_update(r);
 	demand_update_rates(&r->demand, STEP_MS / MS_PER_S);
+	load_report_routes(r);
 	sum_loads(r);
 	keep_unrouted_services_open(r);
 	throttle_update_shares(&r->throttle, STEP_MS / MS_PER_S);
-	load_report_routes(r);
 	if (++r->throttle_steps % STEPS_PER_SUMMARY == 0) {
 		log_summary(r);
 		log_limiting_services(r);
 	}
 }
 
+/*
+ * Returns the row of demand in which a root request counts, or NULL if its
+ * route has had too few, or there are too many routes.
+ */
+static struct demand_row *
+find_demand(struct relay *r, const char *service, uint32_t route)
+{
+	int h = throttle_service(&r->throttle, service);
+
+	if (h < 0 || r->throttle.rows[throttle_find_row(&r->throttle, h, route)]
+			     .request_count < ROUTE_REQUESTS_MIN)
+		return NULL;
+	return demand_row(&r->demand, service, route);
+}
+
 /*
  * Returns 1 if the throttle admits a root request on a route to a service, else
  * 0.
@@ -444,13 +465,19 @@
 load_admit_root(
     struct relay *r, const char *service, uint32_t route, uint32_t class)
 {
-	struct demand_row *row = demand_row(&r->demand, service, route);
 	int h = throttle_service(&r->throttle, service);
+	struct throttle_row *runs;
+	struct demand_row *row;
 	double share = 1;
 
-	if (h >= 0)
-		share = throttle_admitted_share(&r->throttle,
-		    throttle_find_row(&r->throttle, h, route), class);
+	if (h >= 0) {
+		h = throttle_find_row(&r->throttle, h, route);
+		share = throttle_admitted_share(&r->throttle, h, class);
+		runs = &r->throttle.rows[h];
+		if (runs->request_count < ROUTE_REQUESTS_MIN)
+			runs->request_count++;
+	}
+	row = find_demand(r, service, route);
 	if (row != NULL)
 		row->counts[class].requested_count++;
 	if (share < 1 &&
@@ -468,7 +495,7 @@
 load_record_over_rate(
     struct relay *r, const char *service, uint32_t route, uint32_t class)
 {
-	struct demand_row *row = demand_row(&r->demand, service, route);
+	struct demand_row *row = find_demand(r, service, route);
 
 	if (row != NULL)
 		row->counts[class].over_rate_count++;
--- a/src/relay/load_routes.c
+++ b/src/relay/load_routes.c
@@ -7,8 +7,8 @@
  * them, and the least.  All reports of a service then arrive at a steady rate,
  * however many servers it has.
  */
-#define REPORT_PER_SERVER_MS 500
-#define REPORT_MIN_MS 1000
+#define REPORT_PER_SERVER_MS 2000
+#define REPORT_MIN_MS 2000
 #define PER_THOUSAND 1000.0
 /* Reported costs and calls above are taken as mistakes. */
 #define REPORTED_MAX 1000000
@@ -67,8 +67,21 @@
 }
 
 /*
- * Reports the routes that the local server runs to all nodes: a newly measured
- * one at once, and all when a report is due.
+ * Returns 1 if no server has reported a route of the local server's service.
+ */
+static int
+is_unreported(struct relay *r, uint32_t route)
+{
+	int h = throttle_service(&r->throttle, r->server.service);
+
+	return h >= 0 &&
+	       !r->throttle.rows[throttle_find_row(&r->throttle, h, route)]
+		    .measured;
+}
+
+/*
+ * Reports the routes that the local server runs to all nodes: all when a report
+ * is due, and at once one that is newly measured and not heard of yet.
  */
 void
 load_report_routes(struct relay *r)
@@ -85,10 +98,11 @@
 		r->routes_reported_ms = now;
 	for (i = 0; i < r->profiles.route_count; i++) {
 		p = &r->profiles.routes[i];
-		if (profile_calls_known(&p->runs) && (due || !p->reported)) {
-			p->reported = 1;
+		if (!profile_calls_known(&p->runs))
+			continue;
+		if (due || (!p->reported && is_unreported(r, p->route)))
 			report_route(r, i);
-		}
+		p->reported = 1;
 	}
 }
 
--- a/src/relay/test_load.c
+++ b/src/relay/test_load.c
@@ -159,6 +159,33 @@
 	assert_int_equal(row->call_count, 0);
 }
 
+/*
+ * Full heartbeats: a route that is tried once or twice gets no row in this
+ * node's heartbeats.
+ */
+static void
+test_rare_route_has_no_row(void **state)
+{
+	static struct fleet_heartbeat b;
+	uint64_t digest;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 20; i++)
+		assert_true(load_admit_root(
+		    &nodes[0], SERVICE, config_route_id("/o/"), 0));
+	b.node = b.zone = b.server.id = b.server.service =
+	    (char *)(uintptr_t) "";
+	load_fill_heartbeat(&nodes[0], &b);
+	digest = fleet_heartbeat_digest(&b);
+	for (i = 2; i < 12; i++)
+		assert_true(load_admit_root(&nodes[0], SERVICE, i / 2, 0));
+	load_fill_heartbeat(&nodes[0], &b);
+	assert_true(fleet_heartbeat_digest(&b) == digest);
+	assert_int_equal(nodes[0].demand.count, 1);
+	assert_int_equal(nodes[0].demand.rows[0].route, config_route_id("/o/"));
+}
+
 /*
  * Nodes of an older version, which know no routes: their heartbeats are read,
  * and their callers' demand counts for the service.
@@ -222,6 +249,8 @@
 		    test_demand_reported, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_routes_measured_and_reported, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_rare_route_has_no_row, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_heartbeat_without_routes, setup, teardown),
 	};
--- a/src/throttle/call_graph.c
+++ b/src/throttle/call_graph.c
@@ -140,8 +140,12 @@
 	struct throttle_row *r = &t->rows[row];
 
 	r->measured = 1;
-	if (cost > 0)
-		r->cost += REPORT_WEIGHT * (cost - r->cost);
+	if (cost <= 0)
+		return;
+	if (!r->cost_known)
+		r->cost = cost;
+	r->cost_known = 1;
+	r->cost += REPORT_WEIGHT * (cost - r->cost);
 }
 
 /*
--- a/src/throttle/throttle.h
+++ b/src/throttle/throttle.h
@@ -47,7 +47,10 @@
 	uint32_t route; /* id of the route; 0: all runs of the service */
 	int measured;	/* 1: its calls are known */
 	double asked_s; /* time in seconds with demand */
-	double cost;	/* mean run time, relative to all runs of the service */
+	/* Root requests of this node's callers, up to some number. */
+	uint32_t request_count;
+	double cost; /* mean run time, relative to all runs of the service */
+	int cost_known;
 	double demand[THROTTLE_CLASSES];	 /* requested roots a second */
 	double admitted_share[THROTTLE_CLASSES]; /* of its root requests */
 	struct throttle_call calls[THROTTLE_CALLS_MAX];
