--- a/src/relay/load_routes.c
+++ b/src/relay/load_routes.c
@@ -3,12 +3,11 @@
 #include "relay/relay_int.h"
 
 /*
- * Time in milliseconds per server of a service between two reports of one of
- * them, and the least.  All reports of a service then arrive at a steady rate,
- * however many servers it has.
+ * Time between two reports of a server for each server of its service.  The
+ * reports of a service then arrive at a steady rate, however many servers it
+ * has.
  */
 #define REPORT_PER_SERVER_MS 2000
-#define REPORT_MIN_MS 2000
 #define PER_THOUSAND 1000.0
 /* Reported costs and calls above are taken as mistakes. */
 #define REPORTED_MAX 1000000
@@ -32,7 +31,7 @@
 		    strcmp(p->server.service, r->server.service) == 0)
 			ms += REPORT_PER_SERVER_MS;
 	}
-	return ms > REPORT_MIN_MS ? ms : REPORT_MIN_MS;
+	return ms;
 }
 
 /*
