http1, exchange, logsvc: a status outside the classes of HTTP is no answer

What callers saw: a server in trouble answered with status 000, with its id, signature and body. The exit and the entry passed it on as a whole answer ("HTTP/1.1 0 <unknown>").

Cause: http_parser takes any number up to 999 as a status, and nothing behind it looked at the number: a status below 400 with a signature counted as served. h1_client now ends the exchange as malformed, so that the caller gets 502, which promises nothing. All that reads answers through it follows: exit, entry, health requests, copies of the configuration, the store's client.

The operators' tool uses the body of a 200 only.

The raw server of exchange/test_client moves to test_raw.h, to be used by both.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,8 @@
 	src/admission/limiter.c src/admission/rate_cap.c src/quarantine/table.c src/config/copy.c src/config/lookup.c \
 	src/config/parse.c src/config/read.c src/config/read_route.c \
 	src/config/read_ws.c src/limits/limits_bucket.c src/base/find.c \
-	src/base/latency.c src/base/duration.c src/base/loopclock.c src/dump/json.c
+	src/base/latency.c src/base/duration.c src/base/loopclock.c \
+	src/base/http_syntax.c src/dump/json.c
 NODE_OBJ = $(NODE_SRC:%.c=$(BUILD)/obj/%.o)
 NODE_PKGS = libuv jansson libsodium libxxhash libtirpc
 
--- a/src/exchange/client.c
+++ b/src/exchange/client.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/http_syntax.h"
 #include "exchange/client.h"
 
 #define ADDRESS_TEXT 16 /* bytes of an IPv4 address as text */
@@ -360,7 +361,7 @@
 
 	if (st >= 100 && st < 200)
 		return n;
-	if (f->head.overflow || st < 200) {
+	if (f->head.overflow || !http_status_is_valid((unsigned int)st)) {
 		f->garbage = 1;
 		return 0;
 	}
--- a/src/exchange/test_client.c
+++ b/src/exchange/test_client.c
@@ -8,12 +8,14 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <cmocka.h>
 
 #include "exchange/client.h"
+#include "exchange/test_raw.h"
 
 #define ALARM_S 120
 #define BODY "mine and all of it"
@@ -39,14 +41,18 @@
 	    "Content-Length: 18\r\n\r\n" BODY },
 };
 
-/* What the server does with the next connection. */
-struct raw_server {
-	int listener;
-	uint16_t port;
-	const char *answer;
-	size_t cut_at;
-	int kept; /* whole answers before it on the same connection */
-	int reset;
+#define REST_OF_HEAD "Stamp: s\r\nContent-Length: 18\r\n\r\n"
+
+/* Answers with a status outside the classes of HTTP. */
+static const char *const invalid_statuses[] = {
+	"HTTP/1.1 000 OK\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 099 OK\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 600 OK\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 999 OK\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 0200 OK\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 2000 OK\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 20 OK\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 -20 OK\r\n" REST_OF_HEAD BODY,
 };
 
 /* What the receiver of an answer got. */
@@ -56,44 +62,6 @@
 	size_t body_len;
 };
 
-/*
- * Reads a request's head.  Returns 0, or -1 if there is none.
- */
-static int
-read_request(int fd)
-{
-	char buf[4096];
-	size_t len = 0;
-	ssize_t n;
-
-	do {
-		n = read(fd, buf + len, sizeof(buf) - 1 - len);
-		if (n <= 0)
-			return -1;
-		len += (size_t)n;
-		buf[len] = '\0';
-	} while (strstr(buf, "\r\n\r\n") == NULL);
-	return 0;
-}
-
-static void *
-serve_once(void *arg)
-{
-	struct raw_server *s = arg;
-	struct linger linger = { 1, 0 };
-	int fd = accept(s->listener, NULL, NULL), i;
-
-	for (i = 0; i < s->kept && read_request(fd) == 0; i++)
-		(void)!write(
-		    fd, framings[0].answer, strlen(framings[0].answer));
-	if (read_request(fd) == 0)
-		(void)!write(fd, s->answer, s->cut_at);
-	if (s->reset)
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
-	close(fd);
-	return NULL;
-}
-
 static int
 on_head(void *ctx, const struct head *h)
 {
@@ -142,8 +110,6 @@
 static void
 test_cut_answer_is_never_whole(void **state)
 {
-	struct sockaddr_in sa = { .sin_family = AF_INET };
-	socklen_t len = sizeof(sa);
 	struct raw_server s;
 	struct receipt r;
 	struct client *cl;
@@ -152,13 +118,8 @@
 	size_t i, total;
 
 	(void)state;
-	memset(&s, 0, sizeof(s));
-	s.listener = socket(AF_INET, SOCK_STREAM, 0);
-	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(bind(s.listener, (struct sockaddr *)&sa, len), 0);
-	assert_int_equal(listen(s.listener, 8), 0);
-	getsockname(s.listener, (struct sockaddr *)&sa, &len);
-	s.port = ntohs(sa.sin_port);
+	raw_init(&s);
+	s.kept_answer = framings[0].answer;
 	for (i = 0; i < sizeof(framings) / sizeof(framings[0]); i++) {
 		total = strlen(framings[i].answer);
 		s.answer = framings[i].answer;
@@ -195,11 +156,53 @@
 	close(s.listener);
 }
 
+/*
+ * Sends each of a list of answers, whole, and checks that none is received.
+ */
+static void
+check_no_answers(const char *const *list, size_t count)
+{
+	struct raw_server s;
+	struct receipt r;
+	struct client *cl;
+	enum exchange_end end;
+	pthread_t thread;
+	size_t i;
+
+	raw_init(&s);
+	for (i = 0; i < count; i++) {
+		print_message("%s\n", list[i]);
+		s.answer = list[i];
+		s.cut_at = strlen(list[i]);
+		cl = client_new(INADDR_LOOPBACK, POOL, TIMEOUT_MS);
+		assert_int_equal(
+		    pthread_create(&thread, NULL, serve_once, &s), 0);
+		end = exchange(cl, &s, &r);
+		pthread_join(thread, NULL);
+		client_free(cl);
+		assert_true(
+		    end == EXCHANGE_GARBAGE || end == EXCHANGE_CUT_BODY);
+	}
+	close(s.listener);
+}
+
+/*
+ * A status outside the classes of HTTP.
+ */
+static void
+test_invalid_status_is_no_answer(void **state)
+{
+	(void)state;
+	check_no_answers(invalid_statuses,
+	    sizeof(invalid_statuses) / sizeof(invalid_statuses[0]));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_cut_answer_is_never_whole),
+		cmocka_unit_test(test_invalid_status_is_no_answer),
 	};
 
 	alarm(ALARM_S);
--- /dev/null
+++ b/src/exchange/test_raw.h
@@ -0,0 +1,85 @@
+#ifndef EXCHANGE_TEST_RAW_H
+#define EXCHANGE_TEST_RAW_H
+
+/*
+ * A server of one connection that sends fixed bytes, run by a thread.
+ */
+
+/* What the server does with the next connection. */
+struct raw_server {
+	int listener;
+	uint16_t port;
+	const char *answer;
+	size_t cut_at;
+	int kept; /* times that kept_answer comes before it */
+	const char *kept_answer;
+	int reset;
+};
+
+/*
+ * Reads a request with a short body or none.  Returns 0, or -1 if there is
+ * none.
+ */
+static int
+read_request(int fd)
+{
+	char buf[4096];
+	const char *end, *field;
+	size_t len = 0, body_len;
+	ssize_t n;
+
+	do {
+		n = read(fd, buf + len, sizeof(buf) - 1 - len);
+		if (n <= 0)
+			return -1;
+		len += (size_t)n;
+		buf[len] = '\0';
+		end = strstr(buf, "\r\n\r\n");
+		field = strstr(buf, "Content-Length: ");
+		body_len =
+		    field == NULL
+			? 0
+			: strtoul(field + strlen("Content-Length: "), NULL, 10);
+	} while (end == NULL || strlen(end) < strlen("\r\n\r\n") + body_len);
+	return 0;
+}
+
+/*
+ * Listens on a free port of loopback.
+ */
+static void
+raw_init(struct raw_server *s)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+
+	memset(s, 0, sizeof(*s));
+	s->listener = socket(AF_INET, SOCK_STREAM, 0);
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(s->listener, (struct sockaddr *)&sa, len), 0);
+	assert_int_equal(listen(s->listener, 8), 0);
+	getsockname(s->listener, (struct sockaddr *)&sa, &len);
+	s->port = ntohs(sa.sin_port);
+}
+
+/*
+ * Serves one connection as the struct raw_server that is its argument says.
+ */
+static void *
+serve_once(void *arg)
+{
+	struct raw_server *s = arg;
+	struct linger linger = { 1, 0 };
+	int fd = accept(s->listener, NULL, NULL), i;
+
+	for (i = 0; i < s->kept && read_request(fd) == 0; i++)
+		(void)!write(fd, s->kept_answer, strlen(s->kept_answer));
+	if (read_request(fd) == 0)
+		(void)!write(fd, s->answer, s->cut_at);
+	if (s->reset)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+	return NULL;
+}
+
+#endif
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <netinet/tcp.h>
 
+#include "base/http_syntax.h"
 #include "base/loopclock.h"
 #include "http1/http1_int.h"
 
@@ -596,7 +597,8 @@
 }
 
 /*
- * Passes a complete response head to the owner.  Skips interim responses.
+ * Passes a complete response head to the owner.  Skips interim responses and
+ * rejects invalid status codes.
  */
 static int
 on_headers_complete(http_parser *parser)
@@ -605,7 +607,7 @@
 	struct h1_exchange *x = p->exchange;
 	int skip;
 
-	if (x == NULL)
+	if (x == NULL || !http_status_is_valid(parser->status_code))
 		return -1;
 	if (parser->status_code / 100 == 1) {
 		x->skip_response = 1;
--- a/src/logsvc/http.c
+++ b/src/logsvc/http.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "base/counter.h"
+#include "base/http_syntax.h"
 #include "logsvc/logsvc.h"
 
 #define IDLE_HANDLES_MAX 4
@@ -136,6 +137,8 @@
 	rc = curl_easy_perform(c);
 	if (rc == CURLE_OK)
 		curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, status);
+	if (rc == CURLE_OK && !http_status_is_valid((unsigned int)*status))
+		rc = CURLE_WEIRD_SERVER_REPLY;
 	handle_give(h, c, rc == CURLE_OK);
 	curl_slist_free_all(hdrs);
 	if (rc == CURLE_OK)
--- a/src/relay/test_cut_answers.c
+++ b/src/relay/test_cut_answers.c
@@ -13,13 +13,14 @@
 #include "relay/test_pair.h"
 
 /*
- * A server that stops anywhere in its answer and closes its connection.  The
- * answer passes through an exit and an entry; a caller must not get a success
- * that looks whole and isn't.
+ * A server whose answer is broken: it ends anywhere, or its head or framing is
+ * invalid.  The answer passes through an exit and an entry; a caller must not
+ * get it as an answer.
  */
 
 #define BODY "mine and all of it"
 #define HEAD_OF_ALL "HTTP/1.1 200 OK\r\nId: a\r\nStamp: s\r\n"
+#define REST_OF_HEAD "Id: a\r\nStamp: s\r\nContent-Length: 18\r\n\r\n"
 #define KEPT_ANSWER HEAD_OF_ALL "Content-Length: 18\r\n\r\n" BODY
 
 /* How the server ends the connection. */
@@ -54,6 +55,16 @@
 	    "HTTP/1.1 100 Continue\r\n\r\n" KEPT_ANSWER, 0 },
 };
 
+/* The server closes the connection behind each of the following answers. */
+static const struct framing invalid_statuses[] = {
+	{ "000", "HTTP/1.1 000 OK\r\n" REST_OF_HEAD BODY, 0 },
+	{ "099", "HTTP/1.1 099 OK\r\n" REST_OF_HEAD BODY, 0 },
+	{ "600", "HTTP/1.1 600 OK\r\n" REST_OF_HEAD BODY, 0 },
+	{ "999", "HTTP/1.1 999 OK\r\n" REST_OF_HEAD BODY, 0 },
+	{ "000 without a length",
+	    "HTTP/1.1 000 OK\r\nId: a\r\nStamp: s\r\n\r\n" BODY, 0 },
+};
+
 /* A connection of the server. */
 struct raw_conn {
 	uv_tcp_t tcp;
@@ -250,12 +261,68 @@
 	uv_close((uv_handle_t *)&listener, NULL);
 }
 
+/*
+ * Sends each of a list of answers, whole, and checks that the caller gets an
+ * error of the node instead.
+ */
+static void
+check_no_answers(const struct framing *list, size_t count)
+{
+	static const char *const paths[] = { "/o/1", "/s/1" };
+	struct caller c;
+	size_t i, k;
+	int kept;
+
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 200);
+	listen_raw();
+	ending = ENDING_CLOSE;
+	for (i = 0; i < count; i++)
+		for (k = 0; k < 4; k++) {
+			kept = k % 2 == 1;
+			framing = &list[i];
+			cut_at = strlen(framing->answer);
+			print_message("%s\n", framing->name);
+			h1_pool_trim(&nodes[1].server_pool, 0);
+			whole_answers = kept;
+			if (kept)
+				request(&c, paths[k / 2]);
+			request(&c, paths[k / 2]);
+			assert_int_equal(c.done, 1);
+			assert_int_equal(c.status, 502);
+			assert_int_equal(c.body_len, 0);
+		}
+}
+
+/*
+ * Closes the raw server also after a failed check.
+ */
+static int
+teardown_raw(void **state)
+{
+	uv_close((uv_handle_t *)&listener, NULL);
+	return teardown(state);
+}
+
+/*
+ * A status outside the classes of HTTP.
+ */
+static void
+test_invalid_status_is_no_answer(void **state)
+{
+	(void)state;
+	check_no_answers(invalid_statuses,
+	    sizeof(invalid_statuses) / sizeof(invalid_statuses[0]));
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 		    test_cut_answer_is_never_whole, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_invalid_status_is_no_answer, setup, teardown_raw),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
