http1: a reset is noticed also after a failed write

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: a body without a length ends with its connection, and only an orderly end counts; closed_by_reset() asks the socket for its error. The kernel reports an error once, to whatever call comes first. When a piece of the upload arrived between the reset and the read, the write took the error, which h1_stream_write() and on_written() dropped, and the read then saw a plain end of file. The stream now keeps that a write has failed, and such an end is H1_INCOMPLETE: the caller gets 502, or its connection is closed if bytes of the answer have been passed on. Answers whose length is known aren't touched.

The store's client and copies of the configuration use the same h1_client.

--- a/src/exchange/test_client.c
+++ b/src/exchange/test_client.c
@@ -21,6 +21,7 @@
 #define BODY "mine and all of it"
 #define TIMEOUT_MS 5000
 #define POOL 4
+#define UPLOAD_BYTES (16 << 20)
 
 /*
  * Answers that end anywhere, read by the client of the exit and of the entry.
@@ -84,8 +85,10 @@
 }
 
 static enum exchange_end
-exchange(struct client *cl, const struct raw_server *s, struct receipt *r)
+exchange(struct client *cl, const struct raw_server *s, struct receipt *r,
+    size_t body_len)
 {
+	static char body[UPLOAD_BYTES];
 	struct answer_sink sink = { on_head, on_body, r };
 	struct exchange_req req;
 	static struct head h;
@@ -95,7 +98,9 @@
 	memset(r, 0, sizeof(*r));
 	req.addr = INADDR_LOOPBACK;
 	req.port = s->port;
-	req.method = "GET";
+	req.method = body_len > 0 ? "POST" : "GET";
+	req.body = body;
+	req.body_len = body_len;
 	req.target = "/x";
 	req.head = &h;
 	req.timeout_ms = TIMEOUT_MS;
@@ -131,10 +136,10 @@
 			assert_int_equal(
 			    pthread_create(&thread, NULL, serve_once, &s), 0);
 			if (s.kept) {
-				end = exchange(cl, &s, &r);
+				end = exchange(cl, &s, &r, 0);
 				assert_int_equal(end, EXCHANGE_WHOLE);
 			}
-			end = exchange(cl, &s, &r);
+			end = exchange(cl, &s, &r, 0);
 			if (end == EXCHANGE_WHOLE) {
 				/*
 				 * Of the two line ends behind the last chunk,
@@ -177,7 +182,7 @@
 		cl = client_new(INADDR_LOOPBACK, POOL, TIMEOUT_MS);
 		assert_int_equal(
 		    pthread_create(&thread, NULL, serve_once, &s), 0);
-		end = exchange(cl, &s, &r);
+		end = exchange(cl, &s, &r, 0);
 		pthread_join(thread, NULL);
 		client_free(cl);
 		assert_true(
@@ -197,12 +202,45 @@
 	    sizeof(invalid_statuses) / sizeof(invalid_statuses[0]));
 }
 
+/*
+ * Answers to a long upload that is still being written, cut anywhere by a
+ * reset.
+ */
+static void
+test_early_answer_is_cut_by_reset(void **state)
+{
+	static const char answer[] = "HTTP/1.1 200 OK\r\nStamp: s\r\n\r\n" BODY;
+	struct raw_server s;
+	struct receipt r;
+	struct client *cl;
+	enum exchange_end end;
+	pthread_t thread;
+
+	(void)state;
+	raw_init(&s);
+	s.answer = answer;
+	s.early = s.reset = 1;
+	for (s.cut_at = strlen(answer); s.cut_at > 0; s.cut_at--) {
+		cl = client_new(INADDR_LOOPBACK, POOL, TIMEOUT_MS);
+		assert_int_equal(
+		    pthread_create(&thread, NULL, serve_once, &s), 0);
+		end = exchange(cl, &s, &r, UPLOAD_BYTES);
+		pthread_join(thread, NULL);
+		client_free(cl);
+		assert_int_not_equal(end, EXCHANGE_WHOLE);
+		assert_int_not_equal(end, EXCHANGE_UNSENT);
+		assert_int_equal(r.heads, 0);
+	}
+	close(s.listener);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_cut_answer_is_never_whole),
 		cmocka_unit_test(test_invalid_status_is_no_answer),
+		cmocka_unit_test(test_early_answer_is_cut_by_reset),
 	};
 
 	alarm(ALARM_S);
--- a/src/exchange/test_raw.h
+++ b/src/exchange/test_raw.h
@@ -5,6 +5,9 @@
  * A server of one connection that sends fixed bytes, run by a thread.
  */
 
+#define END_OF_HEAD "\r\n\r\n"
+#define LENGTH_FIELD "Content-Length: "
+
 /* What the server does with the next connection. */
 struct raw_server {
 	int listener;
@@ -14,34 +17,38 @@
 	int kept; /* times that kept_answer comes before it */
 	const char *kept_answer;
 	int reset;
+	int early; /* answers when it has read a head */
 };
 
 /*
- * Reads a request with a short body or none.  Returns 0, or -1 if there is
- * none.
+ * Reads a request with a short body or none, or only its head.  Returns 0, or
+ * -1 if there is none.
  */
 static int
-read_request(int fd)
+read_request(int fd, int head_only)
 {
 	char buf[4096];
 	const char *end, *field;
 	size_t len = 0, body_len;
 	ssize_t n;
 
-	do {
+	for (;;) {
 		n = read(fd, buf + len, sizeof(buf) - 1 - len);
 		if (n <= 0)
 			return -1;
 		len += (size_t)n;
 		buf[len] = '\0';
-		end = strstr(buf, "\r\n\r\n");
-		field = strstr(buf, "Content-Length: ");
-		body_len =
-		    field == NULL
-			? 0
-			: strtoul(field + strlen("Content-Length: "), NULL, 10);
-	} while (end == NULL || strlen(end) < strlen("\r\n\r\n") + body_len);
-	return 0;
+		end = strstr(buf, END_OF_HEAD);
+		if (end == NULL)
+			continue;
+		field = strstr(buf, LENGTH_FIELD);
+		body_len = 0;
+		if (field != NULL && !head_only)
+			body_len =
+			    strtoul(field + strlen(LENGTH_FIELD), NULL, 10);
+		if (strlen(end) >= strlen(END_OF_HEAD) + body_len)
+			return 0;
+	}
 }
 
 /*
@@ -72,9 +79,9 @@
 	struct linger linger = { 1, 0 };
 	int fd = accept(s->listener, NULL, NULL), i;
 
-	for (i = 0; i < s->kept && read_request(fd) == 0; i++)
+	for (i = 0; i < s->kept && read_request(fd, 0) == 0; i++)
 		(void)!write(fd, s->kept_answer, strlen(s->kept_answer));
-	if (read_request(fd) == 0)
+	if (read_request(fd, s->early) == 0)
 		(void)!write(fd, s->answer, s->cut_at);
 	if (s->reset)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -479,7 +479,8 @@
 
 /*
  * Returns 1 if the connection was reset, else 0.  The kernel may report end
- * of file first and keep the error on the socket.
+ * of file first and keep the error on the socket.  It reports the error once:
+ * a write that failed before has taken it.
  */
 static int
 closed_by_reset(const struct h1_client_conn *p)
@@ -487,6 +488,8 @@
 	socklen_t len;
 	int fd, error = 0;
 
+	if (p->stream.write_failed)
+		return 1;
 	len = sizeof(error);
 	if (uv_fileno((const uv_handle_t *)&p->stream.tcp, &fd) != 0 ||
 	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == -1)
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -25,6 +25,8 @@
 	int connecting;
 	int closing;
 	int paused;
+	int write_failed; /* the kernel has reported, and so cleared, an error
+			   */
 	/* The write queue exceeded H1_WRITE_QUEUE_HIGH_BYTES. */
 	int above_high_water;
 };
--- a/src/http1/stream.c
+++ b/src/http1/stream.c
@@ -45,7 +45,8 @@
 	struct h1_stream *s = p->stream;
 
 	free(p);
-	(void)status; /* the read callback reports a broken connection */
+	if (status < 0)
+		s->write_failed = 1;
 	if (s->closing || !s->above_high_water ||
 	    s->tcp.write_queue_size > H1_WRITE_QUEUE_HIGH_BYTES / 2)
 		return;
@@ -56,7 +57,7 @@
 
 /*
  * Writes bytes.  Copies and queues those that the kernel doesn't accept
- * immediately.
+ * immediately.  A broken connection is noted; the read callback reports it.
  */
 void
 h1_stream_write(struct h1_stream *s, const char *p, size_t n)
@@ -70,9 +71,10 @@
 	if (!s->connecting && s->tcp.write_queue_size == 0) {
 		buf = uv_buf_init((char *)(uintptr_t)p, (unsigned int)n);
 		written = uv_try_write((uv_stream_t *)&s->tcp, &buf, 1);
-		if (written < 0)
-			written =
-			    0; /* full or broken; reads report the latter */
+		if (written < 0) {
+			s->write_failed |= written != UV_EAGAIN;
+			written = 0;
+		}
 		if ((size_t)written == n)
 			return;
 	}
@@ -86,6 +88,7 @@
 	buf = uv_buf_init(w->bytes, (unsigned int)n);
 	if (uv_write(&w->req, (uv_stream_t *)&s->tcp, &buf, 1, on_written) !=
 	    0) {
+		s->write_failed = 1;
 		free(w);
 		return;
 	}
--- a/src/logsvc/test_http.c
+++ b/src/logsvc/test_http.c
@@ -25,14 +25,18 @@
 struct append_case {
 	const char *answer;
 	enum logsvc_status status;
+	int reset; /* behind it */
 };
 
 static const struct append_case append_cases[] = {
-	{ "HTTP/1.1 201 Created\r\n" REST, LOGSVC_OK },
-	{ "HTTP/1.1 503 Unavailable\r\n" REST, LOGSVC_REFUSED },
-	{ "HTTP/1.1 000 OK\r\n" REST, LOGSVC_UNKNOWN },
-	{ "HTTP/1.1 600 OK\r\n" REST, LOGSVC_UNKNOWN },
-	{ "HTTP/1.1 999 OK\r\n" REST, LOGSVC_UNKNOWN },
+	{ "HTTP/1.1 201 Created\r\n" REST, LOGSVC_OK, 0 },
+	{ "HTTP/1.1 503 Unavailable\r\n" REST, LOGSVC_REFUSED, 0 },
+	{ "HTTP/1.1 000 OK\r\n" REST, LOGSVC_UNKNOWN, 0 },
+	{ "HTTP/1.1 600 OK\r\n" REST, LOGSVC_UNKNOWN, 0 },
+	{ "HTTP/1.1 999 OK\r\n" REST, LOGSVC_UNKNOWN, 0 },
+	{ "HTTP/1.1 201 Created\r\n\r\n{\"offset\": 7}", LOGSVC_OK, 0 },
+	{ "HTTP/1.1 201 Created\r\n\r\n{\"offset\": 7}", LOGSVC_UNKNOWN, 1 },
+	{ "HTTP/1.1 503 Unavailable\r\n\r\n", LOGSVC_UNKNOWN, 1 },
 };
 
 /*
@@ -77,6 +81,7 @@
 		print_message("%s\n", c->answer);
 		s.answer = c->answer;
 		s.cut_at = strlen(c->answer);
+		s.reset = c->reset;
 		assert_int_equal(append_to(&s), c->status);
 	}
 	close(s.listener);
--- a/src/relay/test_cut_answers.c
+++ b/src/relay/test_cut_answers.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
@@ -19,6 +20,8 @@
  */
 
 #define BODY "mine and all of it"
+#define UPLOAD_PIECE_BYTES 16384
+#define UPLOAD_BYTES (128 * UPLOAD_PIECE_BYTES)
 #define HEAD_OF_ALL "HTTP/1.1 200 OK\r\nId: a\r\nStamp: s\r\n"
 #define REST_OF_HEAD "Id: a\r\nStamp: s\r\nContent-Length: 18\r\n\r\n"
 #define KEPT_ANSWER HEAD_OF_ALL "Content-Length: 18\r\n\r\n" BODY
@@ -69,8 +72,10 @@
 struct raw_conn {
 	uv_tcp_t tcp;
 	uv_write_t write;
-	char request[4096];
+	char request[65536];
 	size_t len;
+	size_t uploaded; /* bytes of the body so far */
+	int in_upload;
 	int cut; /* the answer being written is the one that is cut */
 };
 
@@ -80,6 +85,7 @@
 static enum ending ending;
 static int whole_answers; /* to send before the one that is cut */
 static int requests;
+static size_t answer_after; /* bytes of an upload; 0: waits for all of it */
 
 static void
 on_closed(uv_handle_t *h)
@@ -111,12 +117,43 @@
 	b->len = sizeof(c->request) - 1 - c->len;
 }
 
+/*
+ * Sends the answer to a request: whole on a connection that is kept, else as
+ * cut.
+ */
+static void
+send_answer(struct raw_conn *c)
+{
+	const char *answer = KEPT_ANSWER;
+	uv_buf_t out = uv_buf_init(
+	    (char *)(uintptr_t)answer, (unsigned int)strlen(answer));
+
+	c->cut = whole_answers-- <= 0;
+	if (c->cut)
+		out = uv_buf_init(
+		    (char *)(uintptr_t)framing->answer, (unsigned int)cut_at);
+	c->write.data = c;
+	uv_write(&c->write, (uv_stream_t *)&c->tcp, &out, 1, on_written);
+}
+
+/*
+ * Answers an upload before its end and resets the connection.
+ */
+static void
+answer_early(struct raw_conn *c)
+{
+	uv_buf_t out = uv_buf_init(
+	    (char *)(uintptr_t)framing->answer, (unsigned int)cut_at);
+
+	assert_int_equal(
+	    uv_try_write((uv_stream_t *)&c->tcp, &out, 1), (int)cut_at);
+	uv_tcp_close_reset(&c->tcp, on_closed);
+}
+
 static void
 on_read(uv_stream_t *s, ssize_t n, const uv_buf_t *b)
 {
 	struct raw_conn *c = s->data;
-	const char *answer = KEPT_ANSWER;
-	uv_buf_t out;
 
 	(void)b;
 	if (n < 0) {
@@ -124,20 +161,22 @@
 			uv_close((uv_handle_t *)s, on_closed);
 		return;
 	}
+	if (c->in_upload) {
+		c->uploaded += (size_t)n;
+		if (c->uploaded >= answer_after)
+			answer_early(c);
+		return;
+	}
 	c->len += (size_t)n;
 	c->request[c->len] = '\0';
 	if (strstr(c->request, "\r\n\r\n") == NULL)
 		return;
 	c->len = 0;
 	requests++;
-	out = uv_buf_init(
-	    (char *)(uintptr_t)answer, (unsigned int)strlen(answer));
-	c->cut = whole_answers-- <= 0;
-	if (c->cut)
-		out = uv_buf_init(
-		    (char *)(uintptr_t)framing->answer, (unsigned int)cut_at);
-	c->write.data = c;
-	uv_write(&c->write, s, &out, 1, on_written);
+	if (answer_after > 0)
+		c->in_upload = 1;
+	else
+		send_answer(c);
 }
 
 static void
@@ -294,12 +333,76 @@
 		}
 }
 
+/*
+ * Sends a long upload.
+ */
+static void
+upload(struct caller *c, const char *path)
+{
+	static char piece[UPLOAD_PIECE_BYTES];
+	struct h1_text t;
+	size_t sent = 0;
+
+	memset(c, 0, sizeof(*c));
+	h1_pool_init(&c->pool, &loop, &nodes[0].set.entry, 1000, 1000);
+	h1_text_init(&t);
+	h1_text_addf(&t,
+	    "POST %s HTTP/1.1\r\nHost: H:80\r\nDeadline: 2000\r\n"
+	    "Id: a\r\nKey: %s\r\nContent-Length: %d\r\n\r\n",
+	    path, KEY, UPLOAD_BYTES);
+	c->xchg =
+	    h1_send_request(&c->pool, &t, UPLOAD_BYTES, 0, 0, &caller_ops, c);
+	h1_text_finish(&t);
+	while (!c->done) {
+		if (sent < UPLOAD_BYTES &&
+		    h1_exchange_unsent_bytes(c->xchg) == 0) {
+			h1_send_request_body(c->xchg, piece, sizeof(piece));
+			sent += sizeof(piece);
+		}
+		uv_run(&loop, UV_RUN_ONCE);
+	}
+	h1_pool_finish(&c->pool);
+}
+
+/*
+ * An answer without a length to an upload that is still being written, cut
+ * anywhere by a reset, is no answer.
+ */
+static void
+test_early_answer_is_cut_by_reset(void **state)
+{
+	static const char *const paths[] = { "/o/1", "/s/1" };
+	struct caller c;
+	size_t i, k;
+
+	(void)state;
+	ask(&c, "/o/1", KEY);
+	assert_int_equal(c.status, 200);
+	listen_raw();
+	for (i = 0; i < sizeof(framings) / sizeof(framings[0]); i++) {
+		framing = &framings[i];
+		if (!framing->ends_with_connection)
+			continue;
+		for (k = 0; k < 2; k++)
+			for (cut_at = strlen(framing->answer); cut_at > 0;
+			     cut_at--) {
+				answer_after = cut_at * UPLOAD_PIECE_BYTES / 16;
+				h1_pool_trim(&nodes[1].server_pool, 0);
+				upload(&c, paths[k]);
+				if (c.done == 1)
+					assert_int_equal(c.status, 502);
+				assert_int_equal(c.body_len, 0);
+			}
+	}
+}
+
 /*
  * Closes the raw server also after a failed check.
  */
 static int
 teardown_raw(void **state)
 {
+	answer_after = 0;
 	uv_close((uv_handle_t *)&listener, NULL);
 	return teardown(state);
 }
@@ -323,7 +426,10 @@
 		    test_cut_answer_is_never_whole, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_invalid_status_is_no_answer, setup, teardown_raw),
+		cmocka_unit_test_setup_teardown(
+		    test_early_answer_is_cut_by_reset, setup, teardown_raw),
 	};
 
+	signal(SIGPIPE, SIG_IGN);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
