--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -4,47 +4,11 @@
 #include <sys/socket.h>
 #include <netinet/tcp.h>
 
-#include "base/http_syntax.h"
 #include "base/loopclock.h"
 #include "http1/http1_int.h"
 
-#define MAX_HEAD_BYTES 65536	 /* of a response */
 #define KEEP_ALIVE_MARGIN_MS 500 /* stop reuse before the server's timeout */
 #define UNACKED_TIMEOUT_MS 1500	 /* then the server is unreachable */
-/* Heads and bodies before the response, interim or not to this request. */
-#define MAX_SKIPPED_BYTES 262144
-#define MIN_HEAD_BYTES 16 /* a status line */
-
-/* A connection to a server.  It carries one exchange at a time. */
-struct h1_client_conn {
-	struct h1_stream stream; /* first member: libuv's handle */
-	struct h1_pool *pool;
-	struct h1_client_conn *next; /* in the pool's idle list */
-	struct h1_exchange *exchange;
-	http_parser parser;
-	uv_connect_t connect;
-	uint64_t idle_since_ms;
-	uint64_t keep_alive_ms; /* from Keep-Alive; UINT64_MAX: none */
-	uint64_t connect_started_ms;
-	uv_timer_t *connect_timer; /* NULL once connected */
-};
-
-struct h1_exchange {
-	struct h1_client_conn *conn;
-	const struct h1_client_ops *ops;
-	void *ctx;
-	struct h1_head head;
-	struct h1_head_builder builder;
-	uint64_t length;
-	int request_chunked;
-	int request_has_body;
-	int request_complete; /* all of the request was passed to the stream */
-	int response_complete;
-	int skip_response;   /* interim, or not to this request */
-	uint64_t skipped;    /* bytes of such responses */
-	int is_head_request; /* no response body, whatever its head says */
-	int cancelled;
-};
 
 static void on_connect(uv_connect_t *, int);
 static void on_connect_timeout(uv_timer_t *);
@@ -59,22 +23,6 @@
 static void stop_connect_timer(struct h1_client_conn *);
 static void set_unacked_timeout(struct h1_client_conn *);
 static int closed_by_reset(const struct h1_client_conn *);
-static int on_message_begin(http_parser *);
-static int on_header_field(http_parser *, const char *, size_t);
-static int on_header_value(http_parser *, const char *, size_t);
-static int on_headers_complete(http_parser *);
-static int skip_bytes(struct h1_exchange *, uint64_t);
-static int on_body(http_parser *, const char *, size_t);
-static int on_message_complete(http_parser *);
-
-static const http_parser_settings parser_settings = {
-	.on_message_begin = on_message_begin,
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_headers_complete = on_headers_complete,
-	.on_body = on_body,
-	.on_message_complete = on_message_complete,
-};
 
 /*
  * Initializes a pool of connections to an address.  A connection idle for
@@ -203,8 +151,7 @@
 	h1_head_init(&x->head);
 	p->exchange = x;
 	p->next = NULL;
-	http_parser_init(&p->parser, HTTP_RESPONSE);
-	p->parser.data = p;
+	h1_response_begin(p);
 	h1_stream_write(&p->stream, head->p, head->len);
 	return x;
 }
@@ -528,8 +475,7 @@
 		return;
 	}
 	len = n < 0 ? 0 : (size_t)n;
-	used =
-	    http_parser_execute(&p->parser, &parser_settings, buf->base, len);
+	used = h1_response_parse(p, buf->base, len);
 	if (p->stream.closing || p->exchange == NULL)
 		return; /* cancelled in a callback */
 	if (x->response_complete) {
@@ -555,124 +501,3 @@
 	if (p->exchange != NULL && p->exchange->ops->drained != NULL)
 		p->exchange->ops->drained(p->exchange->ctx, p->exchange);
 }
-
-/*
- * Starts a response.
- */
-static int
-on_message_begin(http_parser *parser)
-{
-	struct h1_client_conn *p = parser->data;
-	struct h1_exchange *x = p->exchange;
-
-	if (x == NULL)
-		return -1;
-	h1_head_finish(&x->head);
-	x->skip_response = 0;
-	h1_builder_init(&x->builder, &x->head, MAX_HEAD_BYTES);
-	return 0;
-}
-
-/*
- * Appends a piece of a field's name.
- */
-static int
-on_header_field(http_parser *parser, const char *text, size_t n)
-{
-	struct h1_client_conn *p = parser->data;
-
-	return p->exchange == NULL
-		   ? -1
-		   : h1_builder_add_name(&p->exchange->builder, text, n);
-}
-
-/*
- * Appends a piece of a field's value.
- */
-static int
-on_header_value(http_parser *parser, const char *text, size_t n)
-{
-	struct h1_client_conn *p = parser->data;
-
-	return p->exchange == NULL
-		   ? -1
-		   : h1_builder_add_value(&p->exchange->builder, text, n);
-}
-
-/*
- * Passes a complete response head to the owner.  Skips interim responses and
- * rejects invalid status codes.
- */
-static int
-on_headers_complete(http_parser *parser)
-{
-	struct h1_client_conn *p = parser->data;
-	struct h1_exchange *x = p->exchange;
-	int skip;
-
-	if (x == NULL || !http_status_is_valid(parser->status_code))
-		return -1;
-	if (parser->status_code / 100 == 1) {
-		x->skip_response = 1;
-		return skip_bytes(x, MIN_HEAD_BYTES + x->head.len);
-	}
-	x->length = H1_LENGTH_UNKNOWN;
-	if (x->is_head_request || parser->status_code == 204 ||
-	    parser->status_code == 304)
-		x->length = 0;
-	else if (!(parser->flags & F_CHUNKED) &&
-		 parser->content_length != UINT64_MAX)
-		x->length = parser->content_length;
-	skip = x->ops->head(x->ctx, x);
-	if (p->exchange == NULL)
-		return -1;
-	x->skip_response = skip;
-	if (skip && skip_bytes(x, MIN_HEAD_BYTES + x->head.len) == -1)
-		return -1;
-	return x->is_head_request ? 1 : 0;
-}
-
-/*
- * Counts bytes of skipped responses.  Returns 0, or -1 if there are too many:
- * a faulty server may send them without end.
- */
-static int
-skip_bytes(struct h1_exchange *x, uint64_t n)
-{
-	x->skipped += n;
-	return x->skipped <= MAX_SKIPPED_BYTES ? 0 : -1;
-}
-
-/*
- * Passes a piece of the response body to the owner.
- */
-static int
-on_body(http_parser *parser, const char *text, size_t n)
-{
-	struct h1_client_conn *p = parser->data;
-	struct h1_exchange *x = p->exchange;
-
-	if (x == NULL)
-		return -1;
-	if (x->skip_response)
-		return skip_bytes(x, n);
-	x->ops->body(x->ctx, x, text, n);
-	return p->exchange == NULL ? -1 : 0;
-}
-
-/*
- * Marks the response complete, unless it is skipped.
- */
-static int
-on_message_complete(http_parser *parser)
-{
-	struct h1_client_conn *p = parser->data;
-
-	if (p->exchange == NULL)
-		return -1;
-	if (p->exchange->skip_response)
-		return 0;
-	p->exchange->response_complete = 1;
-	http_parser_pause(parser, 1);
-	return 0;
-}
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -73,6 +73,40 @@
 	int request_open; /* passed to the owner, response not ended */
 };
 
+/* A connection to a server.  It carries one exchange at a time. */
+struct h1_client_conn {
+	struct h1_stream stream; /* first member: libuv's handle */
+	struct h1_pool *pool;
+	struct h1_client_conn *next; /* in the pool's idle list */
+	struct h1_exchange *exchange;
+	http_parser parser;
+	uv_connect_t connect;
+	uint64_t idle_since_ms;
+	uint64_t keep_alive_ms; /* from Keep-Alive; UINT64_MAX: none */
+	uint64_t connect_started_ms;
+	uv_timer_t *connect_timer; /* NULL once connected */
+};
+
+struct h1_exchange {
+	struct h1_client_conn *conn;
+	const struct h1_client_ops *ops;
+	void *ctx;
+	struct h1_head head;
+	struct h1_head_builder builder;
+	uint64_t length;
+	int request_chunked;
+	int request_has_body;
+	int request_complete; /* all of the request was passed to the stream */
+	int response_complete;
+	int skip_response;   /* interim, or not to this request */
+	uint64_t skipped;    /* bytes of such responses */
+	int is_head_request; /* no response body, whatever its head says */
+	int cancelled;
+};
+
+void h1_response_begin(struct h1_client_conn *);
+size_t h1_response_parse(struct h1_client_conn *, const char *, size_t);
+
 void h1_server_watch_paused(struct h1_server *);
 void h1_conn_next_request(struct h1_conn *);
 void h1_conn_close(struct h1_conn *);
--- /dev/null
+++ b/src/http1/receive.c
@@ -0,0 +1,165 @@
+#include "base/http_syntax.h"
+#include "http1/http1_int.h"
+
+#define MAX_HEAD_BYTES 65536 /* of a response */
+/* Heads and bodies before the response, interim or not to this request. */
+#define MAX_SKIPPED_BYTES 262144
+#define MIN_HEAD_BYTES 16 /* a status line */
+
+static int on_message_begin(http_parser *);
+static int on_header_field(http_parser *, const char *, size_t);
+static int on_header_value(http_parser *, const char *, size_t);
+static int on_headers_complete(http_parser *);
+static int skip_bytes(struct h1_exchange *, uint64_t);
+static int on_body(http_parser *, const char *, size_t);
+static int on_message_complete(http_parser *);
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_message_begin,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+/*
+ * Prepares a connection for the response to its next request.
+ */
+void
+h1_response_begin(struct h1_client_conn *p)
+{
+	http_parser_init(&p->parser, HTTP_RESPONSE);
+	p->parser.data = p;
+}
+
+/*
+ * Parses received bytes of a response, or the end of the connection if there
+ * are none.  Returns the number of bytes used.
+ */
+size_t
+h1_response_parse(struct h1_client_conn *p, const char *bytes, size_t n)
+{
+	return http_parser_execute(&p->parser, &parser_settings, bytes, n);
+}
+
+/*
+ * Starts a response.
+ */
+static int
+on_message_begin(http_parser *parser)
+{
+	struct h1_client_conn *p = parser->data;
+	struct h1_exchange *x = p->exchange;
+
+	if (x == NULL)
+		return -1;
+	h1_head_finish(&x->head);
+	x->skip_response = 0;
+	h1_builder_init(&x->builder, &x->head, MAX_HEAD_BYTES);
+	return 0;
+}
+
+/*
+ * Appends a piece of a field's name.
+ */
+static int
+on_header_field(http_parser *parser, const char *text, size_t n)
+{
+	struct h1_client_conn *p = parser->data;
+
+	return p->exchange == NULL
+		   ? -1
+		   : h1_builder_add_name(&p->exchange->builder, text, n);
+}
+
+/*
+ * Appends a piece of a field's value.
+ */
+static int
+on_header_value(http_parser *parser, const char *text, size_t n)
+{
+	struct h1_client_conn *p = parser->data;
+
+	return p->exchange == NULL
+		   ? -1
+		   : h1_builder_add_value(&p->exchange->builder, text, n);
+}
+
+/*
+ * Passes a complete response head to the owner.  Skips interim responses and
+ * rejects invalid status codes.
+ */
+static int
+on_headers_complete(http_parser *parser)
+{
+	struct h1_client_conn *p = parser->data;
+	struct h1_exchange *x = p->exchange;
+	int skip;
+
+	if (x == NULL || !http_status_is_valid(parser->status_code))
+		return -1;
+	if (parser->status_code / 100 == 1) {
+		x->skip_response = 1;
+		return skip_bytes(x, MIN_HEAD_BYTES + x->head.len);
+	}
+	x->length = H1_LENGTH_UNKNOWN;
+	if (x->is_head_request || parser->status_code == 204 ||
+	    parser->status_code == 304)
+		x->length = 0;
+	else if (!(parser->flags & F_CHUNKED) &&
+		 parser->content_length != UINT64_MAX)
+		x->length = parser->content_length;
+	skip = x->ops->head(x->ctx, x);
+	if (p->exchange == NULL)
+		return -1;
+	x->skip_response = skip;
+	if (skip && skip_bytes(x, MIN_HEAD_BYTES + x->head.len) == -1)
+		return -1;
+	return x->is_head_request ? 1 : 0;
+}
+
+/*
+ * Counts bytes of skipped responses.  Returns 0, or -1 if there are too many:
+ * a faulty server may send them without end.
+ */
+static int
+skip_bytes(struct h1_exchange *x, uint64_t n)
+{
+	x->skipped += n;
+	return x->skipped <= MAX_SKIPPED_BYTES ? 0 : -1;
+}
+
+/*
+ * Passes a piece of the response body to the owner.
+ */
+static int
+on_body(http_parser *parser, const char *text, size_t n)
+{
+	struct h1_client_conn *p = parser->data;
+	struct h1_exchange *x = p->exchange;
+
+	if (x == NULL)
+		return -1;
+	if (x->skip_response)
+		return skip_bytes(x, n);
+	x->ops->body(x->ctx, x, text, n);
+	return p->exchange == NULL ? -1 : 0;
+}
+
+/*
+ * Marks the response complete, unless it is skipped.
+ */
+static int
+on_message_complete(http_parser *parser)
+{
+	struct h1_client_conn *p = parser->data;
+
+	if (p->exchange == NULL)
+		return -1;
+	if (p->exchange->skip_response)
+		return 0;
+	p->exchange->response_complete = 1;
+	http_parser_pause(parser, 1);
+	return 0;
+}
