base, http1, exchange: a response whose head is no HTTP is no answer

What callers saw: a server in trouble sent a head in which the name of a field held a blank. The line was passed on; where it was the line that frames the body ("Content Length: 4"), the caller got other bytes than the server's body as a whole 200.

Cause: Debian builds http_parser without its strict mode. It then takes blanks in names, any byte in the place of the line feed after a carriage return (so that "200 OK\rContent-Length" loses its C, and a body its first byte), a control byte as the first of a value, statuses of any number of digits and any version. libcurl hands the lines of a head to cyclamenvaled as they come, which looked for the colon only.

http_syntax (base) checks a response's head byte by byte; nothing but a valid one reaches the parser. The client of http1 parses up to the end of a head at a time, so that interim and skipped responses are checked as well. A line that begins with a blank is rejected, too: RFC 9112, 5.2, allows a gateway to answer 502, and here it hid Content-Length. In cyclamenvaled the first line of a head is its status line whatever it holds: a colon in a reason phrase made it a field, and a sound 500 was lost (test_reason_with_colon).

Ruled out: control bytes elsewhere in names, lines without a colon, a carriage return in a value; http_parser rejects them, and their tests passed before.

Evidence, on: test_cut_answers, test_invalid_head_is_no_answer: 17 of 30 heads gave the caller 200, one with "12" for the body, one without the body's first byte; exchange/test_client, the same name: 15 of 26 ended as whole. test_http_syntax is new with the module. All pass now. check_no_answers of exchange/test_client asks for no head at all, instead of two ways of ending.

--- a/src/base/http_syntax.h
+++ b/src/base/http_syntax.h
@@ -1,6 +1,34 @@
 #ifndef BASE_HTTP_SYNTAX_H
 #define BASE_HTTP_SYNTAX_H
 
+#include <stddef.h>
+#include <stdint.h>
+
+#define HTTP_SYNTAX_ERROR SIZE_MAX
+
+/* What the next byte of a response belongs to. */
+enum http_syntax_state {
+	SYNTAX_START,	   /* the status line, or empty lines before it */
+	SYNTAX_STATUS,	   /* the version or status */
+	SYNTAX_STATUS_END, /* what follows the status */
+	SYNTAX_TEXT,	   /* a reason phrase or a field's value */
+	SYNTAX_LINE_END,   /* the line feed after a carriage return */
+	SYNTAX_FIELD,	   /* a field, or the empty line after the last */
+	SYNTAX_NAME,
+	SYNTAX_HEAD_END, /* the line feed of the empty line */
+	SYNTAX_BODY,
+	SYNTAX_INVALID
+};
+
+/* The check of a response's syntax. */
+struct http_syntax {
+	enum http_syntax_state state;
+	uint32_t matched; /* bytes of the status line */
+};
+
 int http_status_is_valid(unsigned int);
+int http_status_of_line(const char *);
+void http_syntax_init(struct http_syntax *);
+size_t http_syntax_check(struct http_syntax *, const char *, size_t);
 
 #endif
--- /dev/null
+++ b/src/base/test_http_syntax.c
@@ -0,0 +1,136 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "base/http_syntax.h"
+
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+
+/* A head, and whether it is valid. */
+struct head_case {
+	const char *head;
+	int valid;
+};
+
+static const struct head_case head_cases[] = {
+	{ OK_LINE "\r\n", 1 },
+	{ OK_LINE "A: b\r\n\r\n", 1 },
+	{ OK_LINE "A:b\r\nC:\r\nD: \t e f \r\n\r\n", 1 },
+	{ OK_LINE "!#$%&'*+-.^_`|~09azAZ: \x80\xff\r\n\r\n", 1 },
+	{ "HTTP/1.0 200\r\n\r\n", 1 },
+	{ "HTTP/1.1 599 \r\n\r\n", 1 },
+	{ "HTTP/1.1 200 a b: c\r\n\r\n", 1 },
+	{ "HTTP/1.1 200 OK\nA: b\n\n", 1 },
+	{ "\r\n\nHTTP/1.1 200 OK\r\n\r\n", 1 },
+	{ "HTTP/1.1 0200 OK\r\n\r\n", 0 },
+	{ "HTTP/1.1 20 OK\r\n\r\n", 0 },
+	{ "HTTP/1.1  200 OK\r\n\r\n", 0 },
+	{ "HTTP/1.1 200OK\r\n\r\n", 0 },
+	{ "HTTP/1.1 -20 OK\r\n\r\n", 0 },
+	{ "HTTP/1.1\r\n\r\n", 0 },
+	{ "HTTP/2.0 200 OK\r\n\r\n", 0 },
+	{ "HTTP/1.10 200 OK\r\n\r\n", 0 },
+	{ "HTTP 200 OK\r\n\r\n", 0 },
+	{ "http/1.1 200 OK\r\n\r\n", 0 },
+	{ " HTTP/1.1 200 OK\r\n\r\n", 0 },
+	{ "HTTP/1.1 200 O\x01K\r\n\r\n", 0 },
+	{ "HTTP/1.1 200 OK\rA: b\r\n\r\n", 0 },
+	{ "HTTP/1.1 200 OK\r\rA: b\r\n\r\n", 0 },
+	{ OK_LINE "A B: c\r\n\r\n", 0 },
+	{ OK_LINE "A : b\r\n\r\n", 0 },
+	{ OK_LINE "A\t: b\r\n\r\n", 0 },
+	{ OK_LINE " A: b\r\n\r\n", 0 },
+	{ OK_LINE "A: b\r\n c\r\n\r\n", 0 },
+	{ OK_LINE "A: b\r\n\tc\r\n\r\n", 0 },
+	{ OK_LINE "A\x01: b\r\n\r\n", 0 },
+	{ OK_LINE "A\x7f: b\r\n\r\n", 0 },
+	{ OK_LINE "A\xe9: b\r\n\r\n", 0 },
+	{ OK_LINE "A(: b\r\n\r\n", 0 },
+	{ OK_LINE "A\"b: c\r\n\r\n", 0 },
+	{ OK_LINE ": b\r\n\r\n", 0 },
+	{ OK_LINE "A\r\n\r\n", 0 },
+	{ OK_LINE "A: \x01\r\n\r\n", 0 },
+	{ OK_LINE "A: b\x7f\r\n\r\n", 0 },
+	{ OK_LINE "A: b\rc\r\n\r\n", 0 },
+	{ OK_LINE "A:\rB: c\r\n\r\n", 0 },
+	{ OK_LINE "\rA", 0 },
+	{ "\x01\x02 what\r\n\r\n", 0 },
+};
+
+/*
+ * Checks a text in pieces of so many bytes.  Returns the number of bytes up to
+ * the end of the head, or HTTP_SYNTAX_ERROR.
+ */
+static size_t
+check_in_pieces(const char *text, size_t len, size_t piece)
+{
+	struct http_syntax s;
+	size_t used = 0, n, valid;
+
+	http_syntax_init(&s);
+	while (used < len && s.state != SYNTAX_BODY) {
+		n = len - used < piece ? len - used : piece;
+		valid = http_syntax_check(&s, text + used, n);
+		if (valid == HTTP_SYNTAX_ERROR)
+			return valid;
+		assert_true(valid <= n);
+		used += valid;
+	}
+	assert_int_equal(s.state, SYNTAX_BODY);
+	return used;
+}
+
+/*
+ * Valid and invalid heads, whole and in pieces of any size, and with a body
+ * behind them.
+ */
+static void
+test_heads(void **state)
+{
+	const struct head_case *c;
+	char text[256];
+	size_t i, piece, len, used;
+
+	(void)state;
+	for (i = 0; i < sizeof(head_cases) / sizeof(head_cases[0]); i++) {
+		c = &head_cases[i];
+		print_message("%s\n", c->head);
+		snprintf(text, sizeof(text), "%sbody", c->head);
+		len = strlen(c->head);
+		for (piece = 1; piece <= strlen(text); piece++) {
+			used = check_in_pieces(text, strlen(text), piece);
+			assert_int_equal(
+			    used, c->valid ? len : HTTP_SYNTAX_ERROR);
+		}
+	}
+}
+
+/*
+ * A byte of zero is part of no head.
+ */
+static void
+test_zero_byte(void **state)
+{
+	static const char in_name[] = OK_LINE "A\0B: c\r\n\r\n";
+	static const char in_value[] = OK_LINE "A: b\0c\r\n\r\n";
+
+	(void)state;
+	assert_int_equal(check_in_pieces(in_name, sizeof(in_name) - 1, 64),
+	    HTTP_SYNTAX_ERROR);
+	assert_int_equal(check_in_pieces(in_value, sizeof(in_value) - 1, 64),
+	    HTTP_SYNTAX_ERROR);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_heads),
+		cmocka_unit_test(test_zero_byte),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/exchange/client.c
+++ b/src/exchange/client.c
@@ -52,6 +52,7 @@
 	const struct answer_sink *sink;
 	const struct exchange_req *req;
 	struct head head;
+	struct http_syntax syntax;
 	int sent;
 	int chunked;
 	int sized;
@@ -359,8 +360,10 @@
 {
 	int st = f->head.status;
 
-	if (st >= 100 && st < 200)
+	if (st >= 100 && st < 200) {
+		http_syntax_init(&f->syntax);
 		return n;
+	}
 	if (f->head.overflow || !http_status_is_valid((unsigned int)st)) {
 		f->garbage = 1;
 		return 0;
@@ -424,20 +427,21 @@
 {
 	struct flight *f = ctx;
 	size_t total = size * count, n = total;
-	int status = 0;
+	int first = f->syntax.state == SYNTAX_START;
 
 	if (f->head_done)
 		return total; /* a trailer */
 	while (n > 0 && (data[n - 1] == '\r' || data[n - 1] == '\n'))
 		n--;
+	if (http_syntax_check(&f->syntax, data, total) != total ||
+	    (first && n == 0)) {
+		f->garbage = 1;
+		return 0;
+	}
 	if (n == 0)
 		return head_end(f, total);
-	if (n > 5 && memcmp(data, "HTTP/", 5) == 0 &&
-	    memchr(data, ':', n) == NULL) {
-		if (n >= 12)
-			status = (data[9] - '0') * 100 + (data[10] - '0') * 10 +
-				 (data[11] - '0');
-		head_init(&f->head, status);
+	if (first) {
+		head_init(&f->head, http_status_of_line(data));
 		f->chunked = 0;
 		f->sized = 0;
 		return total;
@@ -565,6 +569,7 @@
 	f->sink = sink;
 	f->req = r;
 	head_init(&f->head, 0);
+	http_syntax_init(&f->syntax);
 	set_request(c, r, f);
 	curl_easy_setopt(c, CURLOPT_HTTPHEADER, hdrs);
 	curl_easy_setopt(c, CURLOPT_INTERFACE, cl->from);
--- a/src/exchange/test_client.c
+++ b/src/exchange/test_client.c
@@ -56,6 +56,41 @@
 	"HTTP/1.1 -20 OK\r\n" REST_OF_HEAD BODY,
 };
 
+#define INVALID_LINE(line) \
+	"HTTP/1.1 200 OK\r\n" line "Content-Length: 18\r\n\r\n" BODY
+
+static const char *const invalid_heads[] = {
+	INVALID_LINE("A B: c\r\n"),
+	INVALID_LINE("A : b\r\n"),
+	INVALID_LINE(" A: b\r\n"),
+	INVALID_LINE("B: c\r\n A: b\r\n"),
+	INVALID_LINE("A\tB: c\r\n"),
+	INVALID_LINE("A\x01: b\r\n"),
+	INVALID_LINE("A\x7f: b\r\n"),
+	INVALID_LINE("A\xe9: b\r\n"),
+	INVALID_LINE("A(: b\r\n"),
+	INVALID_LINE(": b\r\n"),
+	INVALID_LINE("A\r\n"),
+	INVALID_LINE("HTTP/1.1 200 OK\r\n"),
+	INVALID_LINE("A: b\x01\r\n"),
+	INVALID_LINE("A: \x01\r\n"),
+	INVALID_LINE("A: b\rc\r\n"),
+	INVALID_LINE("A:\rB: c\r\n"),
+	"HTTP/1.1 200 OK\r\nContent Length: 4\r\n\r\n" BODY,
+	"HTTP/1.1 200 OK\r\nContent-Length : 18\r\n\r\n" BODY,
+	"HTTP/1.1 200 OK\r\n Content-Length: 4\r\n\r\n" BODY,
+	"HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n"
+	"12\r\n" BODY "\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n"
+	"12\r\n" BODY "\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\rContent-Length: 4\r\n\r\n" BODY,
+	"HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r" BODY,
+	"HTTP/1.1  200 OK\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 200 O\x01\r\n" REST_OF_HEAD BODY,
+	"HTTP/1.1 100 Continue\r\nA B: c\r\n\r\n"
+	"HTTP/1.1 200 OK\r\n" REST_OF_HEAD BODY,
+};
+
 /* What the receiver of an answer got. */
 struct receipt {
 	int heads;
@@ -185,8 +220,9 @@
 		end = exchange(cl, &s, &r, 0);
 		pthread_join(thread, NULL);
 		client_free(cl);
-		assert_true(
-		    end == EXCHANGE_GARBAGE || end == EXCHANGE_CUT_BODY);
+		assert_int_not_equal(end, EXCHANGE_WHOLE);
+		assert_int_not_equal(end, EXCHANGE_UNSENT);
+		assert_int_equal(r.heads, 0);
 	}
 	close(s.listener);
 }
@@ -202,6 +238,43 @@
 	    sizeof(invalid_statuses) / sizeof(invalid_statuses[0]));
 }
 
+/*
+ * A colon in a reason phrase doesn't make it a field.
+ */
+static void
+test_reason_with_colon(void **state)
+{
+	struct raw_server s;
+	struct receipt r;
+	struct client *cl;
+	pthread_t thread;
+
+	(void)state;
+	raw_init(&s);
+	s.answer = "HTTP/1.1 100 Go: on\r\n\r\n"
+		   "HTTP/1.1 500 Failed: twice\r\n" REST_OF_HEAD BODY;
+	s.cut_at = strlen(s.answer);
+	cl = client_new(INADDR_LOOPBACK, POOL, TIMEOUT_MS);
+	assert_int_equal(pthread_create(&thread, NULL, serve_once, &s), 0);
+	assert_int_equal(exchange(cl, &s, &r, 0), EXCHANGE_WHOLE);
+	pthread_join(thread, NULL);
+	client_free(cl);
+	close(s.listener);
+	assert_int_equal(r.status, 500);
+	assert_int_equal(r.body_len, strlen(BODY));
+}
+
+/*
+ * A head that isn't one of HTTP.
+ */
+static void
+test_invalid_head_is_no_answer(void **state)
+{
+	(void)state;
+	check_no_answers(
+	    invalid_heads, sizeof(invalid_heads) / sizeof(invalid_heads[0]));
+}
+
 /*
  * Answers to a long upload that is still being written, cut anywhere by a
  * reset.
@@ -240,6 +313,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_cut_answer_is_never_whole),
 		cmocka_unit_test(test_invalid_status_is_no_answer),
+		cmocka_unit_test(test_invalid_head_is_no_answer),
+		cmocka_unit_test(test_reason_with_colon),
 		cmocka_unit_test(test_early_answer_is_cut_by_reset),
 	};
 
--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -452,7 +452,7 @@
 {
 	struct h1_client_conn *p = stream->data, **link;
 	struct h1_exchange *x = p->exchange;
-	size_t used, len;
+	size_t used = 0, len;
 
 	if (n == 0 || p->stream.closing)
 		return;
@@ -475,7 +475,10 @@
 		return;
 	}
 	len = n < 0 ? 0 : (size_t)n;
-	used = h1_response_parse(p, buf->base, len);
+	if (n < 0)
+		h1_response_parse_end(p);
+	else
+		used = h1_response_parse(p, buf->base, len);
 	if (p->stream.closing || p->exchange == NULL)
 		return; /* cancelled in a callback */
 	if (x->response_complete) {
@@ -484,10 +487,10 @@
 		exchange_finish(p);
 		return;
 	}
-	if (HTTP_PARSER_ERRNO(&p->parser) != HPE_OK || p->parser.upgrade)
-		exchange_fail(p, n < 0 ? H1_INCOMPLETE : H1_MALFORMED);
-	else if (n < 0)
+	if (n < 0)
 		exchange_fail(p, H1_INCOMPLETE);
+	else if (h1_response_is_malformed(p))
+		exchange_fail(p, H1_MALFORMED);
 }
 
 /*
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -3,6 +3,7 @@
 
 #include <http_parser.h>
 
+#include "base/http_syntax.h"
 #include "http1/http1.h"
 
 /* Builds a head from the pieces that the parser reports. */
@@ -80,6 +81,7 @@
 	struct h1_client_conn *next; /* in the pool's idle list */
 	struct h1_exchange *exchange;
 	http_parser parser;
+	struct http_syntax syntax;
 	uv_connect_t connect;
 	uint64_t idle_since_ms;
 	uint64_t keep_alive_ms; /* from Keep-Alive; UINT64_MAX: none */
@@ -106,6 +108,8 @@
 
 void h1_response_begin(struct h1_client_conn *);
 size_t h1_response_parse(struct h1_client_conn *, const char *, size_t);
+void h1_response_parse_end(struct h1_client_conn *);
+int h1_response_is_malformed(const struct h1_client_conn *);
 
 void h1_server_watch_paused(struct h1_server *);
 void h1_conn_next_request(struct h1_conn *);
--- a/src/http1/receive.c
+++ b/src/http1/receive.c
@@ -1,4 +1,3 @@
-#include "base/http_syntax.h"
 #include "http1/http1_int.h"
 
 #define MAX_HEAD_BYTES 65536 /* of a response */
@@ -6,6 +5,7 @@
 #define MAX_SKIPPED_BYTES 262144
 #define MIN_HEAD_BYTES 16 /* a status line */
 
+static int parse_failed(const struct h1_client_conn *);
 static int on_message_begin(http_parser *);
 static int on_header_field(http_parser *, const char *, size_t);
 static int on_header_value(http_parser *, const char *, size_t);
@@ -31,16 +31,64 @@
 {
 	http_parser_init(&p->parser, HTTP_RESPONSE);
 	p->parser.data = p;
+	http_syntax_init(&p->syntax);
 }
 
 /*
- * Parses received bytes of a response, or the end of the connection if there
- * are none.  Returns the number of bytes used.
+ * Returns 1 if the parser has failed, else 0.
+ */
+static int
+parse_failed(const struct h1_client_conn *p)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&p->parser);
+
+	return (error != HPE_OK && error != HPE_PAUSED) || p->parser.upgrade;
+}
+
+/*
+ * Parses received bytes up to the end of the response.  Returns the number of
+ * bytes used.  A callback may have cancelled the exchange.
  */
 size_t
 h1_response_parse(struct h1_client_conn *p, const char *bytes, size_t n)
 {
-	return http_parser_execute(&p->parser, &parser_settings, bytes, n);
+	struct h1_exchange *x = p->exchange;
+	size_t used = 0, valid;
+
+	while (used < n) {
+		valid = http_syntax_check(&p->syntax, bytes + used, n - used);
+		if (valid == HTTP_SYNTAX_ERROR)
+			break;
+		used += http_parser_execute(
+		    &p->parser, &parser_settings, bytes + used, valid);
+		if (p->stream.closing || p->exchange != x ||
+		    x->response_complete || parse_failed(p))
+			break;
+		if (HTTP_PARSER_ERRNO(&p->parser) == HPE_PAUSED) {
+			/* A skipped response has ended. */
+			http_parser_pause(&p->parser, 0);
+			http_syntax_init(&p->syntax);
+		}
+	}
+	return used;
+}
+
+/*
+ * Parses the end of the connection, which ends a response without a length.
+ */
+void
+h1_response_parse_end(struct h1_client_conn *p)
+{
+	http_parser_execute(&p->parser, &parser_settings, NULL, 0);
+}
+
+/*
+ * Returns 1 if the bytes received so far are no valid response, else 0.
+ */
+int
+h1_response_is_malformed(const struct h1_client_conn *p)
+{
+	return p->syntax.state == SYNTAX_INVALID || parse_failed(p);
 }
 
 /*
@@ -148,7 +196,7 @@
 }
 
 /*
- * Marks the response complete, unless it is skipped.
+ * Marks the response complete, unless it is skipped, and stops the parser.
  */
 static int
 on_message_complete(http_parser *parser)
@@ -157,9 +205,7 @@
 
 	if (p->exchange == NULL)
 		return -1;
-	if (p->exchange->skip_response)
-		return 0;
-	p->exchange->response_complete = 1;
+	p->exchange->response_complete = !p->exchange->skip_response;
 	http_parser_pause(parser, 1);
 	return 0;
 }
--- a/src/http1/test_client.c
+++ b/src/http1/test_client.c
@@ -295,6 +295,7 @@
 		const char *name, *bytes, *endless;
 	} rows[] = {
 		{ "no HTTP", "\x01", "\x01\x02\x03" },
+		{ "empty lines", "\r\n", "\r\n\r\n\r\n\r\n" },
 		{ "reason phrase", "HTTP/1.1 200 O", "OOOOOOOOOOOOOOOO" },
 		{ "field", STATUS_LINE "A: b", "bbbbbbbbbbbbbbbb" },
 		{ "fields", STATUS_LINE, "A: b\r\n" },
--- a/src/relay/test_cut_answers.c
+++ b/src/relay/test_cut_answers.c
@@ -68,6 +68,68 @@
 	    "HTTP/1.1 000 OK\r\nId: a\r\nStamp: s\r\n\r\n" BODY, 0 },
 };
 
+#define INVALID_LINE(name, line)                                            \
+	{                                                                   \
+		name, HEAD_OF_ALL line "Content-Length: 18\r\n\r\n" BODY, 0 \
+	}
+
+static const struct framing invalid_heads[] = {
+	INVALID_LINE("blank in a name", "A B: c\r\n"),
+	INVALID_LINE("blank behind a name", "A : b\r\n"),
+	INVALID_LINE("blank before a name", " A: b\r\n"),
+	INVALID_LINE("tab in a name", "A\tB: c\r\n"),
+	INVALID_LINE("tab behind a name", "A\t: b\r\n"),
+	INVALID_LINE("control byte in a name", "A\x01: b\r\n"),
+	INVALID_LINE("delete in a name", "A\x7f: b\r\n"),
+	INVALID_LINE("byte of no ASCII in a name", "A\xe9: b\r\n"),
+	INVALID_LINE("parenthesis in a name", "A(: b\r\n"),
+	INVALID_LINE("no name", ": b\r\n"),
+	INVALID_LINE("no colon", "A\r\n"),
+	INVALID_LINE("control byte in a value", "A: b\x01\r\n"),
+	INVALID_LINE("value begins with a control byte", "A: \x01\r\n"),
+	INVALID_LINE("carriage return in a value", "A: b\rc\r\n"),
+	INVALID_LINE("carriage return before a value", "A:\rB: c\r\n"),
+	{ "blank in the name of the length",
+	    HEAD_OF_ALL "Content Length: 4\r\n\r\n" BODY, 0 },
+	{ "blank behind the name of the length",
+	    HEAD_OF_ALL "Content-Length : 18\r\n\r\n" BODY, 0 },
+	{ "blank before the name of the length",
+	    HEAD_OF_ALL " Content-Length: 4\r\n\r\n" BODY, 0 },
+	{ "blank before the first name",
+	    "HTTP/1.1 200 OK\r\n Content-Length: 4\r\nId: a\r\n"
+	    "Stamp: s\r\n\r\n" BODY,
+	    0 },
+	{ "blank in the name of the encoding",
+	    HEAD_OF_ALL "Transfer Encoding: chunked\r\n\r\n"
+			"12\r\n" BODY "\r\n0\r\n\r\n",
+	    0 },
+	{ "blank behind the name of the encoding",
+	    HEAD_OF_ALL "Transfer-Encoding : chunked\r\n\r\n"
+			"12\r\n" BODY "\r\n0\r\n\r\n",
+	    0 },
+	{ "carriage return ends the status line",
+	    "HTTP/1.1 200 OK\rContent-Length: 4\r\nId: a\r\n"
+	    "Stamp: s\r\n\r\n" BODY,
+	    0 },
+	{ "carriage return ends a line",
+	    HEAD_OF_ALL "A:\rContent-Length: 4\r\n\r\n" BODY, 0 },
+	{ "carriage return ends the head",
+	    HEAD_OF_ALL "Content-Length: 17\r\n\r" BODY, 0 },
+	{ "status of four digits", "HTTP/1.1 0200 OK\r\n" REST_OF_HEAD BODY,
+	    0 },
+	{ "two blanks before the status",
+	    "HTTP/1.1  200 OK\r\n" REST_OF_HEAD BODY, 0 },
+	{ "control byte in the reason",
+	    "HTTP/1.1 200 O\x01\r\n" REST_OF_HEAD BODY, 0 },
+	{ "another version", "HTTP/9.1 200 OK\r\n" REST_OF_HEAD BODY, 0 },
+	{ "in an interim answer",
+	    "HTTP/1.1 100 Continue\r\nA B: c\r\n\r\n" KEPT_ANSWER, 0 },
+	{ "in an answer to another request",
+	    "HTTP/1.1 200 OK\r\nId: b\r\nA B: c\r\n"
+	    "Content-Length: 1\r\n\r\nb" KEPT_ANSWER,
+	    0 },
+};
+
 /* A connection of the server. */
 struct raw_conn {
 	uv_tcp_t tcp;
@@ -333,6 +395,17 @@
 		}
 }
 
+/*
+ * A head that isn't one of HTTP.
+ */
+static void
+test_invalid_head_is_no_answer(void **state)
+{
+	(void)state;
+	check_no_answers(
+	    invalid_heads, sizeof(invalid_heads) / sizeof(invalid_heads[0]));
+}
+
 /*
  * Sends a long upload.
  */
@@ -426,6 +499,8 @@
 		    test_cut_answer_is_never_whole, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_invalid_status_is_no_answer, setup, teardown_raw),
+		cmocka_unit_test_setup_teardown(
+		    test_invalid_head_is_no_answer, setup, teardown_raw),
 		cmocka_unit_test_setup_teardown(
 		    test_early_answer_is_cut_by_reset, setup, teardown_raw),
 	};
