http1, platform: the body of a response that is kept whole has a limit

What could happen: the store, or what answers at its address, sends a body without end. The node kept all of it until the call's timeout; where memory ends first, the process ends, and the requests of its callers with it.

Cause: platform/store.c collects the body of each response, without a limit. h1_pool_limit_body() sets one for all responses of a pool; a longer body, or a length that says so, ends the exchange as malformed, and the call as STORE_UNKNOWN (it may have run).

--- a/src/http1/client.c
+++ b/src/http1/client.c
@@ -41,6 +41,16 @@
 	pool->connect_timeout_ms = connect_timeout_ms;
 }
 
+/*
+ * Limits the body of a response, in bytes.  A longer one is malformed.  For
+ * owners that keep the whole body.
+ */
+void
+h1_pool_limit_body(struct h1_pool *pool, uint64_t max_body_bytes)
+{
+	pool->max_body_bytes = max_body_bytes;
+}
+
 /*
  * Closes idle connections, the longest idle first, until at most max_idle are
  * left.
--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -159,10 +159,12 @@
 	uint32_t open_count;
 	uint64_t max_idle_ms; /* not reused after being idle for this long */
 	uint64_t connect_timeout_ms;
+	uint64_t max_body_bytes; /* of a response; 0: no limit */
 };
 
 void h1_pool_init(struct h1_pool *, uv_loop_t *, const struct sockaddr_in *,
     uint64_t, uint64_t);
+void h1_pool_limit_body(struct h1_pool *, uint64_t);
 void h1_pool_finish(struct h1_pool *);
 void h1_pool_trim(struct h1_pool *, uint32_t);
 struct h1_exchange *h1_send_request(struct h1_pool *, const struct h1_text *,
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -102,6 +102,7 @@
 	int response_complete;
 	int skip_response;   /* interim, or not to this request */
 	uint64_t skipped;    /* bytes of such responses */
+	uint64_t received;   /* bytes of the body */
 	int is_head_request; /* no response body, whatever its head says */
 	int cancelled;
 };
--- a/src/http1/receive.c
+++ b/src/http1/receive.c
@@ -11,6 +11,7 @@
 static int on_header_value(http_parser *, const char *, size_t);
 static int on_headers_complete(http_parser *);
 static int skip_bytes(struct h1_exchange *, uint64_t);
+static int exceeds_limit(const struct h1_client_conn *, uint64_t);
 static int on_body(http_parser *, const char *, size_t);
 static int on_message_complete(http_parser *);
 
@@ -160,6 +161,8 @@
 	else if (!(parser->flags & F_CHUNKED) &&
 		 parser->content_length != UINT64_MAX)
 		x->length = parser->content_length;
+	if (x->length != H1_LENGTH_UNKNOWN && exceeds_limit(p, x->length))
+		return -1;
 	skip = x->ops->head(x->ctx, x);
 	if (p->exchange == NULL)
 		return -1;
@@ -180,6 +183,16 @@
 	return x->skipped <= MAX_SKIPPED_BYTES ? 0 : -1;
 }
 
+/*
+ * Returns 1 if a body of so many bytes is longer than the pool accepts, else
+ * 0.
+ */
+static int
+exceeds_limit(const struct h1_client_conn *p, uint64_t n)
+{
+	return p->pool->max_body_bytes > 0 && n > p->pool->max_body_bytes;
+}
+
 /*
  * Passes a piece of the response body to the owner.
  */
@@ -193,6 +206,9 @@
 		return -1;
 	if (x->skip_response)
 		return skip_bytes(x, n);
+	x->received += n;
+	if (exceeds_limit(p, x->received))
+		return -1;
 	x->ops->body(x->ctx, x, text, n);
 	return p->exchange == NULL ? -1 : 0;
 }
