base, exchange: the heads and trailers of an exchange have a limit

What could happen: a server in trouble sends trailers without end behind a body in chunks. libcurl limits the lines of a head as Debian ships it, but keeps trailers as they come: after 67 MB of them cyclamenvaled held 710 MB, and read on. The process ends when memory does, with the requests of all its other callers.

Cause: on_header() returned "go on" for all lines behind the head. http_lines (base) now counts the bytes of all heads, interim ones too, and trailers of an exchange and ends it beyond 256 KB; it also says what each line is, which on_header() worked out itself.

Looked at and bounded already: bytes that are no HTTP, empty lines, long lines, heads, interim answers (libcurl); bodies, which are passed on as the caller reads, dropped, or kept up to 1 MB for a configuration.

--- a/src/base/http_syntax.c
+++ b/src/base/http_syntax.c
@@ -6,6 +6,7 @@
 #define STATUS_MIN 100
 #define STATUS_MAX 599
 #define DELETE 0x7f
+#define LINES_BYTES_MAX 262144 /* of all heads and trailers of an exchange */
 
 /*
  * Checks the syntax of responses beside the libraries that parse them.
@@ -25,6 +26,7 @@
 static int hex_digit(char);
 static enum http_syntax_state end_chunk_size(char);
 static enum http_syntax_state next_in_chunks(struct http_syntax *, char);
+static int status_of(const char *);
 
 /*
  * Returns 1 if a status code belongs to one of the five classes of HTTP,
@@ -36,18 +38,6 @@
 	return status >= STATUS_MIN && status <= STATUS_MAX;
 }
 
-/*
- * Returns the status code of a valid status line.
- */
-int
-http_status_of_line(const char *line)
-{
-	const char *digits = line + strlen("HTTP/1.1 ");
-
-	return (digits[0] - '0') * 100 + (digits[1] - '0') * 10 +
-	       (digits[2] - '0');
-}
-
 /*
  * Returns 1 if a byte may be part of a field's name, else 0.
  */
@@ -259,3 +249,67 @@
 	} while (i < n && s->state != SYNTAX_BODY && s->state != SYNTAX_DONE);
 	return i;
 }
+
+/*
+ * Prepares for the lines of an exchange.
+ */
+void
+http_lines_init(struct http_lines *l)
+{
+	http_syntax_init(&l->syntax);
+	l->status = 0;
+	l->bytes = 0;
+}
+
+/*
+ * Returns the status code of a valid status line.
+ */
+static int
+status_of(const char *line)
+{
+	const char *digits = line + strlen("HTTP/1.1 ");
+
+	return (digits[0] - '0') * 100 + (digits[1] - '0') * 10 +
+	       (digits[2] - '0');
+}
+
+/*
+ * Checks the next line, with its line end.  Behind an interim response another
+ * head follows, behind the last head its trailers.
+ */
+enum http_line
+http_lines_add(struct http_lines *l, const char *line, size_t n)
+{
+	struct http_syntax *s = &l->syntax;
+	int first = s->state == SYNTAX_START;
+
+	l->bytes += n;
+	if (l->bytes > LINES_BYTES_MAX || http_syntax_check(s, line, n) != n ||
+	    s->state == SYNTAX_START)
+		return HTTP_LINE_INVALID;
+	if (first) {
+		l->status = status_of(line);
+		return HTTP_LINE_STATUS;
+	}
+	if (s->in_trailers)
+		return HTTP_LINE_TRAILER;
+	if (s->state != SYNTAX_BODY)
+		return HTTP_LINE_FIELD;
+	if (l->status / 100 == 1)
+		http_syntax_init(s);
+	else
+		http_syntax_begin_trailers(s);
+	return HTTP_LINE_END;
+}
+
+/*
+ * Receives a line from libcurl for a user that needs none of them.  Returns the
+ * number of its bytes, or 0 to end the exchange.
+ */
+size_t
+http_lines_receive(char *line, size_t size, size_t count, void *lines)
+{
+	return http_lines_add(lines, line, size * count) == HTTP_LINE_INVALID
+		   ? 0
+		   : size * count;
+}
--- a/src/base/http_syntax.h
+++ b/src/base/http_syntax.h
@@ -37,11 +37,30 @@
 	uint64_t chunk_left; /* bytes */
 };
 
+/* What a line of a response is. */
+enum http_line {
+	HTTP_LINE_INVALID, /* also: one too many */
+	HTTP_LINE_STATUS,
+	HTTP_LINE_FIELD,
+	HTTP_LINE_END, /* of a head */
+	HTTP_LINE_TRAILER
+};
+
+/* The lines of one exchange's heads and trailers, as libcurl passes them on. */
+struct http_lines {
+	struct http_syntax syntax;
+	int status;
+	size_t bytes;
+};
+
 int http_status_is_valid(unsigned int);
-int http_status_of_line(const char *);
 void http_syntax_init(struct http_syntax *);
 void http_syntax_begin_chunks(struct http_syntax *);
 void http_syntax_begin_trailers(struct http_syntax *);
 size_t http_syntax_check(struct http_syntax *, const char *, size_t);
 
+void http_lines_init(struct http_lines *);
+enum http_line http_lines_add(struct http_lines *, const char *, size_t);
+size_t http_lines_receive(char *, size_t, size_t, void *);
+
 #endif
--- a/src/exchange/client.c
+++ b/src/exchange/client.c
@@ -52,7 +52,7 @@
 	const struct answer_sink *sink;
 	const struct exchange_req *req;
 	struct head head;
-	struct http_syntax syntax;
+	struct http_lines lines;
 	int sent;
 	int chunked;
 	int sized;
@@ -360,10 +360,8 @@
 {
 	int st = f->head.status;
 
-	if (st >= 100 && st < 200) {
-		http_syntax_init(&f->syntax);
+	if (st >= 100 && st < 200)
 		return n;
-	}
 	if (f->head.overflow || !http_status_is_valid((unsigned int)st)) {
 		f->garbage = 1;
 		return 0;
@@ -378,7 +376,6 @@
 		return 0;
 	}
 	f->head_done = 1;
-	http_syntax_begin_trailers(&f->syntax);
 	if (f->sink->head(f->sink->ctx, &f->head) == 0)
 		return n;
 	f->aborted = 1;
@@ -428,26 +425,26 @@
 {
 	struct flight *f = ctx;
 	size_t total = size * count, n = total;
-	int first = f->syntax.state == SYNTAX_START;
 
-	while (n > 0 && (data[n - 1] == '\r' || data[n - 1] == '\n'))
-		n--;
-	if (http_syntax_check(&f->syntax, data, total) != total ||
-	    (first && n == 0)) {
+	switch (http_lines_add(&f->lines, data, total)) {
+	case HTTP_LINE_INVALID:
 		f->garbage = 1;
 		return 0;
-	}
-	if (f->head_done)
-		return total;
-	if (n == 0)
-		return head_end(f, total);
-	if (first) {
-		head_init(&f->head, http_status_of_line(data));
+	case HTTP_LINE_STATUS:
+		head_init(&f->head, f->lines.status);
 		f->chunked = 0;
 		f->sized = 0;
 		return total;
+	case HTTP_LINE_FIELD:
+		while (n > 0 && (data[n - 1] == '\r' || data[n - 1] == '\n'))
+			n--;
+		header_keep(f, data, n);
+		return total;
+	case HTTP_LINE_END:
+		return head_end(f, total);
+	case HTTP_LINE_TRAILER:
+		break;
 	}
-	header_keep(f, data, n);
 	return total;
 }
 
@@ -570,7 +567,7 @@
 	f->sink = sink;
 	f->req = r;
 	head_init(&f->head, 0);
-	http_syntax_init(&f->syntax);
+	http_lines_init(&f->lines);
 	set_request(c, r, f);
 	curl_easy_setopt(c, CURLOPT_HTTPHEADER, hdrs);
 	curl_easy_setopt(c, CURLOPT_INTERFACE, cl->from);
--- a/src/exchange/test_client.c
+++ b/src/exchange/test_client.c
@@ -178,7 +178,7 @@
 test_cut_answer_is_never_whole(void **state)
 {
 	struct raw_server s;
-	struct receipt r;
+	struct receipt r = { 0 };
 	struct client *cl;
 	enum exchange_end end;
 	pthread_t thread;
@@ -231,7 +231,7 @@
 check_no_answers(const char *const *list, size_t count, int heads)
 {
 	struct raw_server s;
-	struct receipt r;
+	struct receipt r = { 0 };
 	struct client *cl;
 	enum exchange_end end;
 	pthread_t thread;
@@ -273,7 +273,7 @@
 test_reason_with_colon(void **state)
 {
 	struct raw_server s;
-	struct receipt r;
+	struct receipt r = { 0 };
 	struct client *cl;
 	pthread_t thread;
 
@@ -314,6 +314,60 @@
 	    sizeof(invalid_chunks) / sizeof(invalid_chunks[0]), 1);
 }
 
+/*
+ * A server in trouble sends bytes that are no answer, without end.  The
+ * exchange ends after a bounded number of them.
+ */
+static void
+test_endless_bytes_end_exchange(void **state)
+{
+	static char fields[8192], text[8192], interim[8192];
+	const struct {
+		const char *name, *answer, *endless;
+	} rows[] = {
+		{ "no HTTP", "\x01", text },
+		{ "empty lines", "\r\n", "\r\n\r\n\r\n\r\n" },
+		{ "reason phrase", "HTTP/1.1 200 O", text },
+		{ "field", "HTTP/1.1 200 OK\r\nA: b", text },
+		{ "fields", "HTTP/1.1 200 OK\r\n", fields },
+		{ "interim answers", "HTTP/1.1 100 Continue\r\n\r\n", interim },
+		{ "trailer", CHUNKED("0\r\nA: b"), text },
+		{ "trailers", CHUNKED("0\r\n"), fields },
+	};
+	struct raw_server s;
+	struct receipt r = { 0 };
+	struct client *cl;
+	enum exchange_end end;
+	pthread_t thread;
+	size_t i;
+
+	(void)state;
+	memset(text, 'a', sizeof(text) - 1);
+	for (i = 0; i + 6 < sizeof(fields); i += 6)
+		memcpy(fields + i, "A: b\r\n", 6);
+	for (i = 0; i + 25 < sizeof(interim); i += 25)
+		memcpy(interim + i, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	raw_init(&s);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		s.answer = rows[i].answer;
+		s.cut_at = strlen(rows[i].answer);
+		s.endless = rows[i].endless;
+		cl = client_new(INADDR_LOOPBACK, POOL, TIMEOUT_MS);
+		assert_int_equal(
+		    pthread_create(&thread, NULL, serve_once, &s), 0);
+		end = exchange(cl, &s, &r, 0);
+		pthread_join(thread, NULL);
+		client_free(cl);
+		print_message(
+		    "%s: %zu bytes, end %d\n", rows[i].name, s.sent, end);
+		assert_int_not_equal(end, EXCHANGE_WHOLE);
+		assert_int_not_equal(end, EXCHANGE_UNSENT);
+		assert_int_not_equal(end, EXCHANGE_TIMEOUT);
+		assert_true(s.sent < ENDLESS_BYTES);
+	}
+	close(s.listener);
+}
+
 /*
  * Answers to a long upload that is still being written, cut anywhere by a
  * reset.
@@ -323,7 +377,7 @@
 {
 	static const char answer[] = "HTTP/1.1 200 OK\r\nStamp: s\r\n\r\n" BODY;
 	struct raw_server s;
-	struct receipt r;
+	struct receipt r = { 0 };
 	struct client *cl;
 	enum exchange_end end;
 	pthread_t thread;
@@ -355,6 +409,7 @@
 		cmocka_unit_test(test_invalid_head_is_no_answer),
 		cmocka_unit_test(test_invalid_chunks_are_no_answer),
 		cmocka_unit_test(test_reason_with_colon),
+		cmocka_unit_test(test_endless_bytes_end_exchange),
 		cmocka_unit_test(test_early_answer_is_cut_by_reset),
 	};
 
--- a/src/exchange/test_raw.h
+++ b/src/exchange/test_raw.h
@@ -7,6 +7,7 @@
 
 #define END_OF_HEAD "\r\n\r\n"
 #define LENGTH_FIELD "Content-Length: "
+#define ENDLESS_BYTES (64U << 20) /* sent in vain by an endless server */
 
 /* What the server does with the next connection. */
 struct raw_server {
@@ -17,7 +18,9 @@
 	int kept; /* times that kept_answer comes before it */
 	const char *kept_answer;
 	int reset;
-	int early; /* answers when it has read a head */
+	int early;	     /* answers when it has read a head */
+	const char *endless; /* sent again and again behind the answer */
+	size_t sent;	     /* bytes of it */
 };
 
 /*
@@ -78,11 +81,16 @@
 	struct raw_server *s = arg;
 	struct linger linger = { 1, 0 };
 	int fd = accept(s->listener, NULL, NULL), i;
+	size_t n;
 
 	for (i = 0; i < s->kept && read_request(fd, 0) == 0; i++)
 		(void)!write(fd, s->kept_answer, strlen(s->kept_answer));
 	if (read_request(fd, s->early) == 0)
 		(void)!write(fd, s->answer, s->cut_at);
+	n = s->endless != NULL ? strlen(s->endless) : 0;
+	for (s->sent = 0; n > 0 && s->sent < ENDLESS_BYTES; s->sent += n)
+		if (write(fd, s->endless, n) != (ssize_t)n)
+			break;
 	if (s->reset)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 	close(fd);
