logsvc, exchange: the log client and the operators' tool check heads and trailers

What could happen: a log service in trouble answers an append with 503 and a head in which a name holds a blank ("Content Length: 0"); that was read as "nothing was written", after which the publisher may write again. cyclamenvalectl took the body of such a 200 for a node's version or dump. Trailers without end were kept by both, as by cyclamenvaled.

Cause: both leave the head to libcurl, which takes any line. They now hand each line to http_lines, which ends the exchange: the append is LOGSVC_UNKNOWN, the tool says that the node gave no answer. The tool's GET moves to exchange/get.c, where a test can link it.

Looked at: resets and lengths that are too long (libcurl reports them), bodies (up to 32 and 64 MB). The library, libcyclamenvale, reads no answers.

--- a/src/cyclamenvalectl/ctl.h
+++ b/src/cyclamenvalectl/ctl.h
@@ -89,6 +89,5 @@
 enum ctl_exit ctl_log_read(struct publish_reader *, const struct ctl_args *);
 enum ctl_exit ctl_outcome(enum publish_status, uint64_t);
 char *ctl_file_read(const char *, size_t *);
-char *ctl_http_get(const char *, const char *, uint32_t);
 
 #endif
--- a/src/cyclamenvalectl/dump.c
+++ b/src/cyclamenvalectl/dump.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "cyclamenvalectl/ctl.h"
+#include "exchange/get.h"
 
 #define DUMP_TEXT_PATH "/dump"
 #define DUMP_JSON_PATH "/dump?format=json"
@@ -13,7 +14,7 @@
 ctl_dump(const struct ctl_args *a)
 {
 	int json = (a->given & OPT_BIT(OPT_JSON)) != 0;
-	char *text = ctl_http_get(a->node,
+	char *text = exchange_get(a->node,
 	    json ? DUMP_JSON_PATH : DUMP_TEXT_PATH, (uint32_t)a->timeout);
 
 	if (text == NULL) {
--- a/src/cyclamenvalectl/wait.c
+++ b/src/cyclamenvalectl/wait.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "cyclamenvalectl/ctl.h"
+#include "exchange/get.h"
 
 #define VERSION_PATH "/version"
 #define ASK_TIMEOUT_MS 1000
@@ -20,7 +21,7 @@
 static int64_t
 node_version(const char *node)
 {
-	char *text = ctl_http_get(node, VERSION_PATH, ASK_TIMEOUT_MS);
+	char *text = exchange_get(node, VERSION_PATH, ASK_TIMEOUT_MS);
 	json_t *o = text != NULL ? json_loads(text, 0, NULL) : NULL;
 	json_int_t version = -1;
 
--- a/src/exchange/get.c
+++ b/src/exchange/get.c
@@ -3,7 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cyclamenvalectl/ctl.h"
+#include "base/http_syntax.h"
+#include "exchange/get.h"
 
 #define URL_BYTES 256
 #define BODY_BYTES_MAX (64 * 1024 * 1024)
@@ -43,9 +44,10 @@
  * the body, which the caller frees, or NULL.
  */
 char *
-ctl_http_get(const char *node, const char *path, uint32_t timeout)
+exchange_get(const char *node, const char *path, uint32_t timeout)
 {
 	struct body b = { NULL, 0 };
+	struct http_lines lines;
 	char url[URL_BYTES];
 	CURL *c = curl_easy_init();
 	long status = 0;
@@ -58,6 +60,9 @@
 	curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(c, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)timeout);
+	http_lines_init(&lines);
+	curl_easy_setopt(c, CURLOPT_HEADERFUNCTION, http_lines_receive);
+	curl_easy_setopt(c, CURLOPT_HEADERDATA, &lines);
 	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, body_write);
 	curl_easy_setopt(c, CURLOPT_WRITEDATA, &b);
 	rc = curl_easy_perform(c);
--- a/src/logsvc/http.c
+++ b/src/logsvc/http.c
@@ -114,6 +114,7 @@
     uint32_t timeout, struct answer *a, long *status)
 {
 	struct curl_slist *hdrs = NULL;
+	struct http_lines lines;
 	CURL *c = handle_take(h);
 	CURLcode rc;
 
@@ -122,6 +123,9 @@
 	curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, (long)timeout);
 	curl_easy_setopt(
 	    c, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+	http_lines_init(&lines);
+	curl_easy_setopt(c, CURLOPT_HEADERFUNCTION, http_lines_receive);
+	curl_easy_setopt(c, CURLOPT_HEADERDATA, &lines);
 	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, answer_write);
 	curl_easy_setopt(c, CURLOPT_WRITEDATA, a);
 	if (data != NULL) {
--- a/src/logsvc/test_http.c
+++ b/src/logsvc/test_http.c
@@ -21,6 +21,9 @@
 #define URL_BYTES 64
 #define REST "Content-Length: 13\r\n\r\n{\"offset\": 7}"
 
+#define CHUNKED(chunks) \
+	"HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n" chunks
+
 /* An answer to an append, and what it says of the record. */
 struct append_case {
 	const char *answer;
@@ -37,6 +40,13 @@
 	{ "HTTP/1.1 201 Created\r\n\r\n{\"offset\": 7}", LOGSVC_OK, 0 },
 	{ "HTTP/1.1 201 Created\r\n\r\n{\"offset\": 7}", LOGSVC_UNKNOWN, 1 },
 	{ "HTTP/1.1 503 Unavailable\r\n\r\n", LOGSVC_UNKNOWN, 1 },
+	{ "HTTP/1.1 201 Created\r\nA B: c\r\n" REST, LOGSVC_UNKNOWN, 0 },
+	{ "HTTP/1.1 201 Created\r\nA: b\x01\r\n" REST, LOGSVC_UNKNOWN, 0 },
+	{ "HTTP/1.1 503 No\r\nA B: c\r\n" REST, LOGSVC_UNKNOWN, 0 },
+	{ "HTTP/1.1 503 No\r\nContent Length: 0\r\n\r\n", LOGSVC_UNKNOWN, 0 },
+	{ CHUNKED("d\r\n{\"offset\": 7}\r\n0\r\nA: b\r\n\r\n"), LOGSVC_OK, 0 },
+	{ CHUNKED("d\r\n{\"offset\": 7}\r\n0\r\nA B: c\r\n\r\n"),
+	    LOGSVC_UNKNOWN, 0 },
 };
 
 /*
@@ -87,11 +97,46 @@
 	close(s.listener);
 }
 
+/*
+ * Bytes that are no answer, without end, are not kept.
+ */
+static void
+test_endless_answers(void **state)
+{
+	static char fields[8192], chunks[8192];
+	const struct {
+		const char *answer, *endless;
+	} rows[] = {
+		{ "HTTP/1.1 201 Created\r\n", fields },
+		{ CHUNKED("0\r\n"), fields },
+		{ CHUNKED(""), chunks },
+		{ "HTTP/1.1 201 Created\r\n\r\n", chunks },
+	};
+	struct raw_server s;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i + 6 < sizeof(fields); i += 6)
+		memcpy(fields + i, "A: b\r\n", 6);
+	snprintf(chunks, sizeof(chunks), "1000\r\n%04096d\r\n", 0);
+	raw_init(&s);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		s.answer = rows[i].answer;
+		s.cut_at = strlen(rows[i].answer);
+		s.endless = rows[i].endless;
+		assert_int_equal(append_to(&s), LOGSVC_UNKNOWN);
+		print_message("%zu bytes\n", s.sent);
+		assert_true(s.sent < ENDLESS_BYTES);
+	}
+	close(s.listener);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_append_answers),
+		cmocka_unit_test(test_endless_answers),
 	};
 
 	alarm(ALARM_S);
