base, http1, exchange: a body in an unknown transfer coding is no answer

What callers could see: a server in trouble names another transfer coding, or "chunked" with a byte lost ("chunke"), and sends chunks. The caller got a whole 200 whose body began with the size of a chunk.

Cause: http_parser reads a body in a coding that it doesn't know up to the end of the connection, and drops the other codings of a list; Transfer-Encoding concerns one connection and isn't passed on, so that the coded bytes became the body. No node asks for a coding, so all but one "chunked" is malformed now, and the caller gets 502. cyclamenvaled checks the same (http_is_chunked); there libcurl has broken off most of them, but not "identity", an empty one or two fields.

Evidence, on: test_cut_answers, test_other_coding_is_no_answer: all ten answers reached the caller as 200, eight with "12" for the body; exchange/ test_client, the same name: three of nine ended as whole, with 29 bytes for 18 in two. All pass now.

--- a/src/base/http_syntax.c
+++ b/src/base/http_syntax.c
@@ -1,5 +1,6 @@
 #include <ctype.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/http_syntax.h"
 
@@ -38,6 +39,20 @@
 	return status >= STATUS_MIN && status <= STATUS_MAX;
 }
 
+/*
+ * Returns 1 if the value of a Transfer-Encoding field names chunks and nothing
+ * else, else 0.
+ */
+int
+http_is_chunked(const char *value, size_t n)
+{
+	static const char coding[] = "chunked";
+
+	while (n > 0 && (value[n - 1] == ' ' || value[n - 1] == '\t'))
+		n--;
+	return n == strlen(coding) && strncasecmp(value, coding, n) == 0;
+}
+
 /*
  * Returns 1 if a byte may be part of a field's name, else 0.
  */
--- a/src/base/http_syntax.h
+++ b/src/base/http_syntax.h
@@ -54,6 +54,7 @@
 };
 
 int http_status_is_valid(unsigned int);
+int http_is_chunked(const char *, size_t);
 void http_syntax_init(struct http_syntax *);
 void http_syntax_begin_chunks(struct http_syntax *);
 void http_syntax_begin_trailers(struct http_syntax *);
--- a/src/base/test_http_syntax.c
+++ b/src/base/test_http_syntax.c
@@ -206,6 +206,23 @@
 	    HTTP_SYNTAX_ERROR);
 }
 
+/*
+ * The value of a Transfer-Encoding field.
+ */
+static void
+test_chunked_coding(void **state)
+{
+	static const char *const others[] = { "", "chunke", "chunked2",
+		" chunked", "chunked;a", "gzip, chunked", "chunked, gzip" };
+	size_t i;
+
+	(void)state;
+	assert_true(http_is_chunked("chunked", 7));
+	assert_true(http_is_chunked("Chunked \t", 9));
+	for (i = 0; i < sizeof(others) / sizeof(others[0]); i++)
+		assert_false(http_is_chunked(others[i], strlen(others[i])));
+}
+
 int
 main(void)
 {
@@ -213,6 +230,7 @@
 		cmocka_unit_test(test_heads),
 		cmocka_unit_test(test_chunks),
 		cmocka_unit_test(test_zero_byte),
+		cmocka_unit_test(test_chunked_coding),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/exchange/client.c
+++ b/src/exchange/client.c
@@ -400,8 +400,12 @@
 	v = colon + 1;
 	while (v < line + n && (*v == ' ' || *v == '\t'))
 		v++;
-	if (strcasecmp(name, "Transfer-Encoding") == 0)
+	if (strcasecmp(name, "Transfer-Encoding") == 0) {
+		/* Only chunks can be undone, and nothing else is asked for. */
+		if (f->chunked || !http_is_chunked(v, (size_t)(line + n - v)))
+			f->head.overflow = 1;
 		f->chunked = 1;
+	}
 	if (strcasecmp(name, "Content-Length") == 0) {
 		char num[32];
 
--- a/src/exchange/test_client.c
+++ b/src/exchange/test_client.c
@@ -118,6 +118,22 @@
 	CHUNKED("4\r\nmine\r\n0\r\n\rX"),
 };
 
+#define CODED(coding)                                              \
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: " coding "\r\n\r\n" \
+	"12\r\n" BODY "\r\n0\r\n\r\n"
+
+static const char *const other_codings[] = {
+	CODED("xchunked"),
+	CODED("chunke"),
+	CODED("chunked2"),
+	CODED("gzip"),
+	CODED("gzip, chunked"),
+	CODED("chunked, gzip"),
+	CODED("identity"),
+	CODED("chunked\r\nTransfer-Encoding: chunked"),
+	CODED(""),
+};
+
 /* What the receiver of an answer got. */
 struct receipt {
 	int heads;
@@ -266,6 +282,17 @@
 	    sizeof(invalid_statuses) / sizeof(invalid_statuses[0]), 0);
 }
 
+/*
+ * A body in another transfer coding than chunks.
+ */
+static void
+test_other_coding_is_no_answer(void **state)
+{
+	(void)state;
+	check_no_answers(
+	    other_codings, sizeof(other_codings) / sizeof(other_codings[0]), 0);
+}
+
 /*
  * A colon in a reason phrase doesn't make it a field.
  */
@@ -342,11 +369,9 @@
 	size_t i;
 
 	(void)state;
-	memset(text, 'a', sizeof(text) - 1);
-	for (i = 0; i + 6 < sizeof(fields); i += 6)
-		memcpy(fields + i, "A: b\r\n", 6);
-	for (i = 0; i + 25 < sizeof(interim); i += 25)
-		memcpy(interim + i, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	fill(text, sizeof(text), "a");
+	fill(fields, sizeof(fields), "A: b\r\n");
+	fill(interim, sizeof(interim), "HTTP/1.1 100 Continue\r\n\r\n");
 	raw_init(&s);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		s.answer = rows[i].answer;
@@ -408,6 +433,7 @@
 		cmocka_unit_test(test_invalid_status_is_no_answer),
 		cmocka_unit_test(test_invalid_head_is_no_answer),
 		cmocka_unit_test(test_invalid_chunks_are_no_answer),
+		cmocka_unit_test(test_other_coding_is_no_answer),
 		cmocka_unit_test(test_reason_with_colon),
 		cmocka_unit_test(test_endless_bytes_end_exchange),
 		cmocka_unit_test(test_early_answer_is_cut_by_reset),
--- a/src/exchange/test_get.c
+++ b/src/exchange/test_get.c
@@ -100,8 +100,7 @@
 	size_t i;
 
 	(void)state;
-	for (i = 0; i + 6 < sizeof(fields); i += 6)
-		memcpy(fields + i, "A: b\r\n", 6);
+	fill(fields, sizeof(fields), "A: b\r\n");
 	raw_init(&s);
 	s.endless = fields;
 	for (i = 0; i < sizeof(starts) / sizeof(starts[0]); i++) {
--- a/src/exchange/test_raw.h
+++ b/src/exchange/test_raw.h
@@ -54,6 +54,18 @@
 	}
 }
 
+/*
+ * Fills a string with as many copies of a shorter one as fit.
+ */
+static void
+fill(char *buf, size_t size, const char *piece)
+{
+	size_t n = 0;
+
+	while (n + strlen(piece) < size)
+		n += (size_t)snprintf(buf + n, size - n, "%s", piece);
+}
+
 /*
  * Listens on a free port of loopback.
  */
--- a/src/http1/receive.c
+++ b/src/http1/receive.c
@@ -10,6 +10,7 @@
 static int on_header_field(http_parser *, const char *, size_t);
 static int on_header_value(http_parser *, const char *, size_t);
 static int on_headers_complete(http_parser *);
+static int has_other_coding(const struct h1_head *);
 static int skip_bytes(struct h1_exchange *, uint64_t);
 static int exceeds_limit(const struct h1_client_conn *, uint64_t);
 static int on_body(http_parser *, const char *, size_t);
@@ -135,9 +136,30 @@
 		   : h1_builder_add_value(&p->exchange->builder, text, n);
 }
 
+/*
+ * Returns 1 if the body of a response is in another transfer coding than
+ * chunks, else 0.  None is asked for, and only chunks can be undone.
+ */
+static int
+has_other_coding(const struct h1_head *h)
+{
+	const struct h1_field *f;
+	uint32_t i, found = 0;
+
+	for (i = 0; i < h->field_count; i++) {
+		f = &h->fields[i];
+		if (h1_name_equals(
+			h->buf + f->name, f->name_len, "Transfer-Encoding") &&
+		    (++found > 1 ||
+			!http_is_chunked(h->buf + f->value, f->value_len)))
+			return 1;
+	}
+	return 0;
+}
+
 /*
  * Passes a complete response head to the owner.  Skips interim responses and
- * rejects invalid status codes.
+ * rejects invalid status codes and transfer codings.
  */
 static int
 on_headers_complete(http_parser *parser)
@@ -146,7 +168,8 @@
 	struct h1_exchange *x = p->exchange;
 	int skip;
 
-	if (x == NULL || !http_status_is_valid(parser->status_code))
+	if (x == NULL || !http_status_is_valid(parser->status_code) ||
+	    has_other_coding(&x->head))
 		return -1;
 	if (parser->flags & F_CHUNKED)
 		http_syntax_begin_chunks(&p->syntax);
--- a/src/logsvc/test_http.c
+++ b/src/logsvc/test_http.c
@@ -116,8 +116,7 @@
 	size_t i;
 
 	(void)state;
-	for (i = 0; i + 6 < sizeof(fields); i += 6)
-		memcpy(fields + i, "A: b\r\n", 6);
+	fill(fields, sizeof(fields), "A: b\r\n");
 	snprintf(chunks, sizeof(chunks), "1000\r\n%04096d\r\n", 0);
 	raw_init(&s);
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
--- a/src/relay/test_cut_answers.c
+++ b/src/relay/test_cut_answers.c
@@ -168,6 +168,28 @@
 	CHUNKED("carriage return ends the trailers", "4\r\nmine\r\n0\r\n\rX"),
 };
 
+#define CODED(coding)                                                   \
+	{                                                               \
+		coding,                                                 \
+		    HEAD_OF_ALL "Transfer-Encoding: " coding "\r\n\r\n" \
+				"12\r\n" BODY "\r\n0\r\n\r\n",          \
+		    0                                                   \
+	}
+
+/* Transfer codings that nobody has asked for. */
+static const struct framing other_codings[] = {
+	CODED("xchunked"),
+	CODED("chunke"),
+	CODED("chunked2"),
+	CODED("gzip"),
+	CODED("gzip, chunked"),
+	CODED("chunked, gzip"),
+	CODED("chunked, chunked"),
+	CODED("chunked\r\nTransfer-Encoding: gzip"),
+	CODED("chunked\r\nTransfer-Encoding: chunked"),
+	CODED(""),
+};
+
 /* Answers that have no body, whatever their heads say, with bytes behind them.
  */
 static const struct framing no_content_answers[] = {
@@ -483,8 +505,20 @@
 }
 
 /*
- * An answer that has no body by its status is whole with its head.  Bytes
- * behind it are no part of it.
+ * A body in another transfer coding than chunks, alone and once, isn't passed
+ * on: what would arrive isn't the server's body.
+ */
+static void
+test_other_coding_is_no_answer(void **state)
+{
+	(void)state;
+	check_no_answers(
+	    other_codings, sizeof(other_codings) / sizeof(other_codings[0]));
+}
+
+/*
+ * An answer with status 204 is whole with its head.  Bytes behind it are no
+ * part of it.
  */
 static void
 test_no_content_has_no_body(void **state)
@@ -617,6 +651,8 @@
 		    test_invalid_head_is_no_answer, setup, teardown_raw),
 		cmocka_unit_test_setup_teardown(
 		    test_invalid_chunks_are_no_answer, setup, teardown_raw),
+		cmocka_unit_test_setup_teardown(
+		    test_other_coding_is_no_answer, setup, teardown_raw),
 		cmocka_unit_test_setup_teardown(
 		    test_no_content_has_no_body, setup, teardown_raw),
 		cmocka_unit_test_setup_teardown(
