relay, base: a test of broken health responses; one runner for syntax cases

The fix is that of the heads (http_syntax, in the client that health requests use); the test shows it for this reader, too. The two loops of test_http_syntax become one; it checks the same texts in the same pieces.

--- a/src/base/test_http_syntax.c
+++ b/src/base/test_http_syntax.c
@@ -93,101 +93,84 @@
 };
 
 /*
- * Checks a text in pieces of so many bytes.  Returns the number of bytes up to
- * the end of the head, or HTTP_SYNTAX_ERROR.
+ * Checks a text in pieces of so many bytes, up to a state.  Returns the number
+ * of bytes until then, or HTTP_SYNTAX_ERROR.
  */
 static size_t
-check_in_pieces(const char *text, size_t len, size_t piece)
+check_in_pieces(struct http_syntax *s, enum http_syntax_state last,
+    const char *text, size_t len, size_t piece)
 {
-	struct http_syntax s;
 	size_t used = 0, n, valid;
 
-	http_syntax_init(&s);
-	while (used < len && s.state != SYNTAX_BODY) {
+	while (used < len && s->state != last) {
 		n = len - used < piece ? len - used : piece;
-		valid = http_syntax_check(&s, text + used, n);
+		valid = http_syntax_check(s, text + used, n);
 		if (valid == HTTP_SYNTAX_ERROR)
 			return valid;
-		assert_true(valid <= n);
+		assert_true(valid > 0 && valid <= n);
 		used += valid;
 	}
-	assert_int_equal(s.state, SYNTAX_BODY);
+	assert_int_equal(s->state, last);
 	return used;
 }
 
-/*
- * Valid and invalid heads, whole and in pieces of any size, and with a body
- * behind them.
- */
-static void
-test_heads(void **state)
+static size_t
+check_head(const char *text, size_t len, size_t piece)
 {
-	const struct syntax_case *c;
-	char text[256];
-	size_t i, piece, len, used;
+	struct http_syntax s;
 
-	(void)state;
-	for (i = 0; i < sizeof(head_cases) / sizeof(head_cases[0]); i++) {
-		c = &head_cases[i];
-		print_message("%s\n", c->text);
-		snprintf(text, sizeof(text), "%sbody", c->text);
-		len = strlen(c->text);
-		for (piece = 1; piece <= strlen(text); piece++) {
-			used = check_in_pieces(text, strlen(text), piece);
-			assert_int_equal(
-			    used, c->valid ? len : HTTP_SYNTAX_ERROR);
-		}
-	}
+	http_syntax_init(&s);
+	return check_in_pieces(&s, SYNTAX_BODY, text, len, piece);
 }
 
-/*
- * Checks a body in chunks in pieces of so many bytes.  Returns the number of
- * bytes up to its end, or HTTP_SYNTAX_ERROR.
- */
 static size_t
 check_chunks(const char *text, size_t len, size_t piece)
 {
 	struct http_syntax s;
-	size_t used = 0, n, valid;
+	size_t used;
 
 	http_syntax_init(&s);
 	http_syntax_begin_chunks(&s);
-	while (used < len && s.state != SYNTAX_DONE) {
-		n = len - used < piece ? len - used : piece;
-		valid = http_syntax_check(&s, text + used, n);
-		if (valid == HTTP_SYNTAX_ERROR)
-			return valid;
-		assert_true(valid > 0 && valid <= n);
-		used += valid;
-	}
-	assert_int_equal(s.state, SYNTAX_DONE);
+	used = check_in_pieces(&s, SYNTAX_DONE, text, len, piece);
 	assert_int_equal(http_syntax_check(&s, "x", 1), HTTP_SYNTAX_ERROR);
 	return used;
 }
 
 /*
- * Valid and invalid bodies in chunks, whole and in pieces of any size, and with
- * another response behind them.
+ * Checks each text of a list, whole and in pieces of any size, with other bytes
+ * behind it.
  */
 static void
-test_chunks(void **state)
+check_cases(const struct syntax_case *list, size_t count,
+    size_t (*check)(const char *, size_t, size_t))
 {
-	const struct syntax_case *c;
 	char text[256];
-	size_t i, piece, len, used;
+	size_t i, piece, len;
+
+	for (i = 0; i < count; i++) {
+		print_message("%s\n", list[i].text);
+		snprintf(text, sizeof(text), "%sHTTP/1.1 200", list[i].text);
+		len = strlen(list[i].text);
+		for (piece = 1; piece <= strlen(text); piece++)
+			assert_int_equal(check(text, strlen(text), piece),
+			    list[i].valid ? len : HTTP_SYNTAX_ERROR);
+	}
+}
 
+static void
+test_heads(void **state)
+{
 	(void)state;
-	for (i = 0; i < sizeof(chunk_cases) / sizeof(chunk_cases[0]); i++) {
-		c = &chunk_cases[i];
-		print_message("%s\n", c->text);
-		snprintf(text, sizeof(text), "%sHTTP/1.1 200", c->text);
-		len = strlen(c->text);
-		for (piece = 1; piece <= strlen(text); piece++) {
-			used = check_chunks(text, strlen(text), piece);
-			assert_int_equal(
-			    used, c->valid ? len : HTTP_SYNTAX_ERROR);
-		}
-	}
+	check_cases(
+	    head_cases, sizeof(head_cases) / sizeof(head_cases[0]), check_head);
+}
+
+static void
+test_chunks(void **state)
+{
+	(void)state;
+	check_cases(chunk_cases, sizeof(chunk_cases) / sizeof(chunk_cases[0]),
+	    check_chunks);
 }
 
 /*
@@ -200,10 +183,10 @@
 	static const char in_value[] = OK_LINE "A: b\0c\r\n\r\n";
 
 	(void)state;
-	assert_int_equal(check_in_pieces(in_name, sizeof(in_name) - 1, 64),
-	    HTTP_SYNTAX_ERROR);
-	assert_int_equal(check_in_pieces(in_value, sizeof(in_value) - 1, 64),
-	    HTTP_SYNTAX_ERROR);
+	assert_int_equal(
+	    check_head(in_name, sizeof(in_name) - 1, 64), HTTP_SYNTAX_ERROR);
+	assert_int_equal(
+	    check_head(in_value, sizeof(in_value) - 1, 64), HTTP_SYNTAX_ERROR);
 }
 
 /*
--- a/src/relay/test_faulty_answers.c
+++ b/src/relay/test_faulty_answers.c
@@ -119,17 +119,14 @@
 }
 
 /*
- * A health response without end is cancelled.
+ * Gives node 0 a configuration in which its service has a health check, and
+ * waits for the request.
  */
 static void
-test_endless_health_response(void **state)
+hold_health_request(void)
 {
-	static char piece[16384];
 	struct config *c = make_config(2, 0, KEY);
-	struct h1_text t;
-	size_t sent;
 
-	(void)state;
 	c->health = calloc(1, sizeof(*c->health));
 	c->health_count = 1;
 	snprintf(c->health[0].service, sizeof(c->health[0].service), "web");
@@ -138,6 +135,52 @@
 	relay_apply_config(&nodes[0], c);
 	while (servers[0].held_conn == NULL)
 		uv_run(&loop, UV_RUN_ONCE);
+}
+
+/*
+ * A health response whose head is invalid announces no server.
+ */
+static void
+test_invalid_health_response(void **state)
+{
+	static const char *const lines[] = { "A B: c\r\n", " A: b\r\n",
+		"A: \x01\r\n" };
+	struct h1_conn *conn;
+	struct h1_text t;
+	size_t i;
+
+	(void)state;
+	hold_health_request();
+	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
+		while (servers[0].held_conn == NULL)
+			uv_run(&loop, UV_RUN_ONCE);
+		conn = servers[0].held_conn;
+		servers[0].held_conn = NULL;
+		h1_text_init(&t);
+		h1_text_add_field(&t, "Instance", "i-0");
+		h1_text_add_field(&t, "Load", "1,0,7");
+		h1_text_add(&t, lines[i], strlen(lines[i]));
+		h1_send_response(conn, 200, &t, NULL, 0);
+		h1_text_finish(&t);
+		while (nodes[0].server.id[0] == '\0' &&
+		       servers[0].held_conn == NULL)
+			uv_run(&loop, UV_RUN_ONCE);
+		assert_string_equal(nodes[0].server.id, "");
+	}
+}
+
+/*
+ * A health response without end is cancelled.
+ */
+static void
+test_endless_health_response(void **state)
+{
+	static char piece[16384];
+	struct h1_text t;
+	size_t sent;
+
+	(void)state;
+	hold_health_request();
 	h1_text_init(&t);
 	h1_send_response_head(servers[0].held_conn, 503, &t, H1_LENGTH_UNKNOWN);
 	for (sent = 0; servers[0].disconnects == 0 && sent < ENDLESS_BYTES;
@@ -157,6 +200,8 @@
 		    test_repeated_refusal_is_not_believed, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_endless_body_is_no_answer, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_invalid_health_response, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_endless_health_response, setup, teardown),
 	};
