base, http1: two comments of the checks say what they mean

Reading the change anew: the reason for write_failed in http1_int.h stood half on another line, and HTTP_LINE_INVALID named neither of its two cases. No code is changed; the tests of both are test_cut_answers and exchange/test_client.

--- a/src/base/http_syntax.h
+++ b/src/base/http_syntax.h
@@ -39,7 +39,7 @@
 
 /* What a line of a response is. */
 enum http_line {
-	HTTP_LINE_INVALID, /* also: one too many */
+	HTTP_LINE_INVALID, /* or beyond the limit of bytes */
 	HTTP_LINE_STATUS,
 	HTTP_LINE_FIELD,
 	HTTP_LINE_END, /* of a head */
--- a/src/http1/http1_int.h
+++ b/src/http1/http1_int.h
@@ -26,8 +26,8 @@
 	int connecting;
 	int closing;
 	int paused;
-	int write_failed; /* the kernel has reported, and so cleared, an error
-			   */
+	/* A write failed.  The kernel reports its error to no later call. */
+	int write_failed;
 	/* The write queue exceeded H1_WRITE_QUEUE_HIGH_BYTES. */
 	int above_high_water;
 };
