relay: log which nodes read the store, and why a node reads it itself

A node that had a change late logged only config-in-force with source=store. Added: event=store-readers when the set changes, event=proof-overdue with the queries sent, the responses and the age in the last one, and the counters proof_queries, proofs and proofs_overdue. No decision is changed.

test_overdue_proof_is_counted checks the counts.

--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -1,6 +1,8 @@
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <string.h>
 
+#include "event/event.h"
 #include "relay/relay_int.h"
 
 /*
@@ -19,8 +21,12 @@
 #define QUERY_INTERVAL_MS 300 /* minimum interval between queries */
 /* Time for which a newer version is requested from the nodes that have it. */
 #define PEER_COPY_MS 800
+#define READER_NAMES_BYTES (READERS_MAX * (FLEET_NAME_BYTES + 1))
 
 static void send_query(struct relay *, int);
+static enum config_need find_need(struct relay *);
+static void log_readers(struct relay *);
+static void note_need(struct relay *, enum config_need);
 
 /*
  * Returns how many milliseconds ago the configuration in force was last
@@ -32,6 +38,18 @@
 	return relay_now(r) - r->config_proved_ms;
 }
 
+/*
+ * Records the last time at which the configuration was known to be the newest.
+ */
+void
+relay_config_proved(struct relay *r, uint64_t at_ms)
+{
+	if (at_ms <= r->config_proved_ms)
+		return;
+	r->config_proved_ms = at_ms;
+	r->proof_search.queries = r->proof_search.responses = 0;
+}
+
 /*
  * Returns whether this node is one of the readers.
  */
@@ -48,6 +66,78 @@
 	return 0;
 }
 
+/*
+ * Writes the names of the readers, separated by commas.  Returns their digest.
+ */
+static uint64_t
+name_readers(const struct relay *r, char *names, size_t size)
+{
+	int readers[READERS_MAX];
+	uint64_t digest = 0;
+	size_t i, n, len = 0;
+
+	names[0] = '\0';
+	n = fleet_store_readers(&r->fleet, readers, READERS_MAX);
+	for (i = 0; i < n; i++) {
+		digest = digest * (UINT32_MAX + 2ULL) +
+			 (uint64_t)(readers[i] - FLEET_NONE) + 1;
+		len += (size_t)snprintf(names + len, size - len, "%s%s",
+		    i > 0 ? "," : "",
+		    readers[i] == FLEET_SELF ? r->set.node
+		    : readers[i] == FLEET_NONE
+			? "-"
+			: r->fleet.peers[readers[i]].node);
+	}
+	return digest;
+}
+
+/*
+ * Logs which nodes read the store if that has changed.
+ */
+static void
+log_readers(struct relay *r)
+{
+	char names[READER_NAMES_BYTES];
+	uint64_t digest = name_readers(r, names, sizeof(names));
+
+	if (digest == r->readers_logged)
+		return;
+	r->readers_logged = digest;
+	event_log(EVENT_STORE_READERS, relay_now(r), "readers=%s self=%d",
+	    names, relay_reads_store(r));
+}
+
+/*
+ * Logs that this node begins to read the store because it got no proof from
+ * other nodes: whether they responded, and how old their proofs are.
+ */
+static void
+note_need(struct relay *r, enum config_need need)
+{
+	struct relay_proof_search *s = &r->proof_search;
+	char names[READER_NAMES_BYTES];
+
+	if (need != CONFIG_NEED_STORE) {
+		s->overdue = 0;
+		return;
+	}
+	if (s->overdue)
+		return;
+	s->overdue = 1;
+	r->counters[RELAY_PROOFS_OVERDUE]++;
+	name_readers(r, names, sizeof(names));
+	event_log(EVENT_PROOF_OVERDUE, relay_now(r),
+	    "age_ms=%llu version=%llu readers=%s queries=%u responses=%u "
+	    "response_age_ms=%llu response_version=%llu newer_ms=%llu",
+	    (unsigned long long)relay_proof_age_ms(r),
+	    (unsigned long long)r->config->version, names, s->queries,
+	    s->responses, (unsigned long long)s->response_age_ms,
+	    (unsigned long long)s->response_version,
+	    (unsigned long long)(r->newer_version_ms > 0
+				     ? relay_now(r) - r->newer_version_ms
+				     : 0));
+}
+
 /*
  * Returns 1 if a live node has a newer version, else 0.
  */
@@ -70,6 +160,19 @@
  */
 enum config_need
 relay_config_need(struct relay *r)
+{
+	enum config_need need = find_need(r);
+
+	log_readers(r);
+	note_need(r, need);
+	return need;
+}
+
+/*
+ * Decides for relay_config_need().
+ */
+static enum config_need
+find_need(struct relay *r)
 {
 	uint64_t now = relay_now(r), age_ms = now - r->config_proved_ms;
 	int readers[READERS_MAX];
@@ -121,6 +224,8 @@
 	    !fleet_is_alive(&r->fleet, (size_t)handle, relay_now(r)))
 		return;
 	memset(&m, 0, sizeof(m));
+	r->counters[RELAY_PROOF_QUERIES]++;
+	r->proof_search.queries++;
 	m.kind = FLEET_PROOF_QUERY;
 	m.fleet_msg_u.doubt.id = r->proof_query_id;
 	fleet_send(&r->net, &m, r->fleet.peers[handle].address);
@@ -155,9 +260,14 @@
 {
 	struct relay *r = ctx;
 
-	if (p->id != r->proof_query_id || r->config == NULL ||
-	    p->config_version != r->config->version ||
+	if (p->id != r->proof_query_id || r->config == NULL)
+		return;
+	r->proof_search.responses++;
+	r->proof_search.response_age_ms = p->age_ms;
+	r->proof_search.response_version = p->config_version;
+	if (p->config_version != r->config->version ||
 	    p->age_ms > r->proof_query_ms)
 		return;
+	r->counters[RELAY_PROOFS]++;
 	relay_config_proved(r, r->proof_query_ms - p->age_ms);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -67,6 +67,9 @@
 	[RELAY_THROTTLED] = "throttled",
 	[RELAY_ANSWERS_SKIPPED] = "answers_skipped",
 	[RELAY_CRASH_REPORTS] = "strikes",
+	[RELAY_PROOF_QUERIES] = "proof_queries",
+	[RELAY_PROOFS] = "proofs",
+	[RELAY_PROOFS_OVERDUE] = "proofs_overdue",
 };
 
 const char *const relay_verdict_names[VERDICT_MAX] = {
@@ -365,16 +368,6 @@
 	r->set.memory_bytes = set->memory_bytes;
 }
 
-/*
- * Records that the configuration in force was the newest at a given time.
- */
-void
-relay_config_proved(struct relay *r, uint64_t at_ms)
-{
-	if (at_ms > r->config_proved_ms)
-		r->config_proved_ms = at_ms;
-}
-
 /*
  * Returns whether the node is ready for requests of callers.
  */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -110,6 +110,9 @@
 	RELAY_ANSWERS_SKIPPED,
 	RELAY_THROTTLED,
 	RELAY_CRASH_REPORTS,
+	RELAY_PROOF_QUERIES,
+	RELAY_PROOFS,
+	RELAY_PROOFS_OVERDUE,
 	RELAY_COUNTER_MAX
 };
 
@@ -203,6 +206,15 @@
 	void *ctx;
 };
 
+/* Queries for a proof since the last one, and the responses to them. */
+struct relay_proof_search {
+	uint32_t queries;
+	uint32_t responses;	  /* also those that proved nothing */
+	uint64_t response_age_ms; /* in the last response */
+	uint64_t response_version;
+	int overdue; /* this node needs the store, as last logged */
+};
+
 struct relay {
 	uv_loop_t *loop;
 	struct relay_settings set;
@@ -211,6 +223,8 @@
 	uint64_t config_proved_ms;
 	uint64_t proof_query_id; /* id of the last proof query */
 	uint64_t proof_query_ms; /* time of the last proof query */
+	struct relay_proof_search proof_search;
+	uint64_t readers_logged; /* digest of the readers as last logged */
 	/* Since when another node has had a newer version; 0: none has. */
 	uint64_t newer_version_ms;
 	struct relay_copy copy;
--- a/src/relay/test_version.c
+++ b/src/relay/test_version.c
@@ -131,6 +131,39 @@
 	assert_int_equal(nodes[0].config->version, 2);
 }
 
+/*
+ * What an operator sees of a node that gets no proof: one overdue proof until
+ * the next proof, the queries for it, and the responses that prove nothing.
+ */
+static void
+test_overdue_proof_is_counted(void **state)
+{
+	struct relay *r = &nodes[0];
+	uint64_t end = loop_ms(&loop) + 1000;
+
+	(void)state;
+	relay_apply_config(r, make_config(2, 0, KEY));
+	r->fleet.peers[0].config_version = 1;
+	r->config_proved_ms = 0;
+	while (loop_ms(&loop) < end) {
+		relay_config_proved(&nodes[1], loop_ms(&loop));
+		assert_int_equal(relay_config_need(r), CONFIG_NEED_STORE);
+		uv_run(&loop, UV_RUN_ONCE);
+	}
+	assert_int_equal(r->counters[RELAY_PROOFS_OVERDUE], 1);
+	assert_true(r->counters[RELAY_PROOF_QUERIES] >= 3);
+	assert_true(r->proof_search.queries >= 3);
+	assert_true(r->proof_search.responses >= 3);
+	assert_int_equal(r->proof_search.response_version, 1);
+	assert_int_equal(r->counters[RELAY_PROOFS], 0);
+	relay_config_proved(r, loop_ms(&loop));
+	assert_int_equal(relay_config_need(r), CONFIG_NEED_NOTHING);
+	assert_int_equal(r->proof_search.queries, 0);
+	r->config_proved_ms = 0;
+	relay_config_need(r);
+	assert_int_equal(r->counters[RELAY_PROOFS_OVERDUE], 2);
+}
+
 int
 main(void)
 {
@@ -141,6 +174,8 @@
 		    test_store_read_if_no_copy, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_one_copy_into_a_zone, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_overdue_proof_is_counted, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
