follow, relay: when a node reads the store follows from config-apply

Callers were refused with 404, or served by an older version, more than config_apply (2 s) after a version was acknowledged, at nodes that the store served all the while.

Cause: one or two nodes read the store for all. Where they can't, or can't be heard, another node reads it once its last proof is 2.2 s old, a constant that knows nothing of the bound it must stay below.

Now all these times are shares of a setting, config-apply (or of revoke if that is shorter): the age from which a reader is queried, that from which the store is read, the interval of the check, the timeout of reads, the wait time of the readers. The worst case, with a first read on a dead connection, is 0.9 of the bound and 60 ms (follow_schedule_worst_ms()), whatever other nodes do. The timeout doubles while the store is slow, up to four times.

Tests: test_schedule holds the sum below each bound. Four of test_readers fail on the code before and pass now.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -7,16 +7,10 @@
 #include "event/event.h"
 #include "follow/follow_int.h"
 
-/*
- * Wait time of a close read.  With a longer one the last proof that the
- * configuration is the newest gets too old for access keys to be trusted.
- */
-#define CLOSE_READ_WAIT_MS 1000
 #define LONG_READ_WAIT_MS 15000 /* until there is a configuration */
 #define IDLE_READ_MS 60000	/* longest time without any read */
-#define SHORT_READ_CHECK_MS 200 /* between checks whether to read at once */
-#define READ_GRACE_MS 900	/* added to the wait time as a read's timeout */
-#define CONFIG_RETRY_MS 60	/* first delay, doubled with each failure */
+/* The timeout of reads is doubled as often while the store is slow. */
+#define READ_TIMEOUT_DOUBLINGS 2
 #define OUTAGE_RETRY_DOUBLINGS 5 /* while an outage does no harm */
 
 static void request_config(uv_timer_t *);
@@ -29,6 +23,8 @@
     struct follower *, const struct store_reply *, uint64_t);
 static void on_short_read_timer(uv_timer_t *);
 static void on_short_read_reply(void *, const struct store_reply *);
+static void adapt_read_timeout(
+    struct follower *, const struct store_reply *, uint64_t);
 static int is_outage_tolerable(const struct follower *);
 
 static const char *const status_names[STORE_STATUS_MAX] = {
@@ -64,6 +60,17 @@
 	f->nodes_timer.data = f;
 }
 
+/*
+ * Sets when the store is read.  The schedule must outlive the follower; its
+ * times may change.
+ */
+void
+follow_set_schedule(struct follower *f, const struct follow_schedule *schedule)
+{
+	f->schedule = schedule;
+	f->read_timeout_ms = schedule->read_timeout_ms;
+}
+
 /*
  * Starts to follow the store.  address is the IPv4 address of this node in
  * host order.
@@ -78,7 +85,7 @@
 	uv_timer_start(&f->config_timer, request_config, 0, 0);
 	node_list_start(f);
 	uv_timer_start(&f->short_read_timer, on_short_read_timer,
-	    SHORT_READ_CHECK_MS, SHORT_READ_CHECK_MS);
+	    f->schedule->check_ms, f->schedule->check_ms);
 }
 
 /*
@@ -93,6 +100,7 @@
 	struct follower *f = timer->data;
 	enum config_need need = f->ops->config_need(f->ctx);
 
+	uv_timer_set_repeat(timer, f->schedule->check_ms);
 	f->query_needed =
 	    need == CONFIG_NEED_STORE ||
 	    (f->idle && loop_ms(f->loop) - f->replied_ms >= IDLE_READ_MS);
@@ -110,9 +118,10 @@
 				    !f->ops->follows_closely(f->ctx)))
 		return;
 	f->short_read_pending = 1;
-	f->short_read_wait_ms = f->query_needed ? 0 : CLOSE_READ_WAIT_MS;
+	f->short_read_wait_ms =
+	    f->query_needed ? 0 : f->schedule->close_wait_ms;
 	f->store->read(f->store_ctx, STORE_CONFIG, f->next_offset,
-	    f->short_read_wait_ms, f->short_read_wait_ms + READ_GRACE_MS,
+	    f->short_read_wait_ms, f->short_read_wait_ms + f->read_timeout_ms,
 	    on_short_read_reply, f);
 }
 
@@ -125,6 +134,7 @@
 	struct follower *f = ctx;
 
 	f->short_read_pending = 0;
+	adapt_read_timeout(f, reply, f->short_read_wait_ms);
 	if (reply->status == STORE_OK) {
 		apply_records(f, reply, f->short_read_wait_ms);
 	} else if (f->idle) {
@@ -145,6 +155,37 @@
 	return now_ms >= asked_ms + wait_ms ? asked_ms + wait_ms : asked_ms;
 }
 
+/*
+ * Returns the timeout of the next read, beyond its wait time, from that of the
+ * last one.  It doubles with each timeout and falls again as the store responds
+ * faster.  took_ms is how long the response took beyond the wait time.
+ */
+uint64_t
+follow_read_timeout_ms(const struct follow_schedule *schedule, uint64_t last_ms,
+    uint64_t took_ms, int timed_out)
+{
+	uint64_t max = schedule->read_timeout_ms << READ_TIMEOUT_DOUBLINGS;
+	uint64_t ms = 2 * (timed_out ? last_ms : took_ms);
+
+	if (ms < schedule->read_timeout_ms)
+		return schedule->read_timeout_ms;
+	return ms < max ? ms : max;
+}
+
+/*
+ * Adapts the timeout of reads to a reply to a read with the given wait time.
+ */
+static void
+adapt_read_timeout(
+    struct follower *f, const struct store_reply *reply, uint64_t wait_ms)
+{
+	uint64_t took_ms = loop_ms(f->loop) - reply->request_sent_ms;
+
+	f->read_timeout_ms = follow_read_timeout_ms(f->schedule,
+	    f->read_timeout_ms, took_ms > wait_ms ? took_ms - wait_ms : 0,
+	    reply->status == STORE_UNKNOWN);
+}
+
 /*
  * Returns the delay before the next retry.  The delay doubles with each of the
  * first failures, as often as doublings says.
@@ -189,11 +230,13 @@
 		return;
 	}
 	/* After a failure a read without a wait detects recovery sooner. */
-	f->read_wait_ms = f->config_failures > 0	    ? 0
-			  : f->ops->follows_closely(f->ctx) ? CLOSE_READ_WAIT_MS
-							    : LONG_READ_WAIT_MS;
+	f->read_wait_ms = f->config_failures > 0 ? 0
+			  : f->ops->follows_closely(f->ctx)
+			      ? f->schedule->close_wait_ms
+			      : LONG_READ_WAIT_MS;
 	f->store->read(f->store_ctx, STORE_CONFIG, f->next_offset,
-	    f->read_wait_ms, f->read_wait_ms + READ_GRACE_MS, on_read_reply, f);
+	    f->read_wait_ms, f->read_wait_ms + f->read_timeout_ms,
+	    on_read_reply, f);
 }
 
 /*
@@ -213,7 +256,7 @@
 	if (reply->status == STORE_TRIMMED)
 		f->phase = FOLLOW_NEWEST;
 	uv_timer_start(&f->config_timer, request_config,
-	    follow_retry_delay_ms(CONFIG_RETRY_MS, f->config_failures,
+	    follow_retry_delay_ms(FOLLOW_RETRY_MS, f->config_failures,
 		is_outage_tolerable(f) ? OUTAGE_RETRY_DOUBLINGS
 				       : FOLLOW_RETRY_DOUBLINGS),
 	    0);
@@ -352,6 +395,7 @@
 {
 	struct follower *f = ctx;
 
+	adapt_read_timeout(f, reply, f->read_wait_ms);
 	if (reply->status != STORE_OK) {
 		retry_config(f, reply);
 		return;
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -5,6 +5,7 @@
 
 #include "base/find.h"
 #include "config/config.h"
+#include "follow/schedule.h"
 #include "store/store.h"
 
 /*
@@ -53,8 +54,10 @@
 	void *store_ctx;
 	const struct follow_ops *ops;
 	void *ctx;
-	const char *node_name; /* key of this node in the list of nodes */
-	char address[16];      /* IPv4 address registered for this node */
+	const struct follow_schedule *schedule;
+	uint64_t read_timeout_ms; /* of the next read, beyond its wait time */
+	const char *node_name;	  /* key of this node in the list of nodes */
+	char address[16];	  /* IPv4 address registered for this node */
 	const char *config_key;
 	uv_timer_t config_timer;
 	uv_timer_t nodes_timer;
@@ -81,9 +84,12 @@
 
 void follow_init(struct follower *, uv_loop_t *, const struct store_ops *,
     void *, const struct follow_ops *, void *, const char *, const char *);
+void follow_set_schedule(struct follower *, const struct follow_schedule *);
 void follow_start(struct follower *, uint32_t);
 void follow_offer_config(
     struct follower *, struct config *, const char *, uint64_t);
 uint64_t follow_proof_ms(uint64_t, uint64_t, uint64_t);
+uint64_t follow_read_timeout_ms(
+    const struct follow_schedule *, uint64_t, uint64_t, int);
 
 #endif
--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -204,7 +204,7 @@
 	w->timer.data = w;
 	follow_init(&w->follower, &w->loop, &store_ops, w, &follow_ops, w,
 	    "config", "n1");
-	follow_start(&w->follower, address);
+	start_follower(w, address);
 }
 
 /*
@@ -331,7 +331,7 @@
 		follow_init(&w.follower, &w.loop, &refused_store, &w, &ops, &w,
 		    "config", "n1");
 		w.follower.phase = phase;
-		follow_start(&w.follower, 0x7f000001);
+		start_follower(&w, 0x7f000001);
 		while (w.store_checks < 3)
 			uv_run(&w.loop, UV_RUN_ONCE);
 		uv_walk(&w.loop, close_all, NULL);
--- a/src/follow/test_follow.h
+++ b/src/follow/test_follow.h
@@ -7,11 +7,15 @@
 
 #define ALARM_S 20
 
+/* Close reads of 1000 ms. */
+#define CONFIG_APPLY_MS 4000
+
 /* The store that replies from the table, and counts of callbacks. */
 struct world {
 	uv_loop_t loop;
 	uv_timer_t timer;
 	struct follower follower;
+	struct follow_schedule schedule;
 	size_t step;
 	store_reply_fn reply_fn;
 	void *reply_ctx;
@@ -43,6 +47,17 @@
 	done(done_ctx, &rep);
 }
 
+/*
+ * Starts the follower of a world.
+ */
+static void
+start_follower(struct world *w, uint32_t address)
+{
+	follow_schedule_init(&w->schedule, CONFIG_APPLY_MS);
+	follow_set_schedule(&w->follower, &w->schedule);
+	follow_start(&w->follower, address);
+}
+
 static struct config *
 decode_version(void *ctx, const char *text, size_t len, struct finds *finds)
 {
--- a/src/follow/test_node_list.c
+++ b/src/follow/test_node_list.c
@@ -14,6 +14,7 @@
  * in pages and may refuse appends.
  */
 
+#define CONFIG_APPLY_MS 2000
 #define ALARM_S 20
 #define ENTRIES_MAX 48
 #define PAGE_ENTRIES 10
@@ -27,6 +28,7 @@
 struct world {
 	uv_loop_t loop;
 	struct follower follower;
+	struct follow_schedule schedule;
 	struct entry entries[ENTRIES_MAX];
 	size_t count;
 	char gone_prefix; /* names of nodes that have gone begin so; 0: none */
@@ -251,6 +253,8 @@
 	uv_loop_init(&w->loop);
 	follow_init(&w->follower, &w->loop, &list_store, w, &follow_ops, w,
 	    "config", "self");
+	follow_schedule_init(&w->schedule, CONFIG_APPLY_MS);
+	follow_set_schedule(&w->follower, &w->schedule);
 	follow_start(&w->follower, OWN_ADDRESS);
 	while (w->lists_completed == 0)
 		uv_run(&w->loop, UV_RUN_ONCE);
--- a/src/follow/test_reads.c
+++ b/src/follow/test_reads.c
@@ -152,7 +152,7 @@
 	c->w.timer.data = c;
 	follow_init(&c->w.follower, &c->w.loop, &counted_store, c, &counted_ops,
 	    c, "config", "n1");
-	follow_start(&c->w.follower, 0x7f000001);
+	start_follower(&c->w, 0x7f000001);
 	while (!c->w.follower.idle)
 		uv_run(&c->w.loop, UV_RUN_ONCE);
 }
@@ -306,6 +306,33 @@
 		    rows[i].proof_ms);
 }
 
+/*
+ * A connection to the store that has died without a reset costs one short
+ * timeout, and a store that is slow still answers.
+ */
+static void
+test_read_timeout_adapts(void **state)
+{
+	struct follow_schedule s;
+	uint64_t ms;
+
+	(void)state;
+	follow_schedule_init(&s, 2000);
+	ms = s.read_timeout_ms;
+	assert_int_equal(ms, 400);
+	ms = follow_read_timeout_ms(&s, ms, 400, 1);
+	assert_int_equal(ms, 800);
+	ms = follow_read_timeout_ms(&s, ms, 800, 1);
+	assert_int_equal(ms, 1600);
+	ms = follow_read_timeout_ms(&s, ms, 1600, 1);
+	assert_int_equal(ms, 1600);
+	/* The store takes 700 ms: the next reads are not given up. */
+	ms = follow_read_timeout_ms(&s, ms, 700, 0);
+	assert_int_equal(ms, 1400);
+	ms = follow_read_timeout_ms(&s, ms, 4, 0);
+	assert_int_equal(ms, 400);
+}
+
 int
 main(void)
 {
@@ -314,6 +341,7 @@
 		cmocka_unit_test(test_idle_node_asks_peers_first),
 		cmocka_unit_test(test_retry_delay_during_outage),
 		cmocka_unit_test(test_proof_time),
+		cmocka_unit_test(test_read_timeout_adapts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/options/options.c
+++ b/src/options/options.c
@@ -11,6 +11,7 @@
 
 /* Highest age of the configuration, as a share of the time in --revoke. */
 #define CONFIG_AGE_SHARE 0.85
+#define CONFIG_APPLY_DEFAULT_MS 2000
 #define ACCEPT_AFTER_STOP_MS 2600 /* two readiness polls and a margin */
 #define KILL_MARGIN_MS 1000	  /* before SIGKILL, for a slow machine */
 #define BYTES_PER_MIB (1ULL << 20)
@@ -76,6 +77,8 @@
 	{ "metrics-port", KIND_PORT, 0, OPTIONS_AT_RESTART,
 	    OFFSET(metrics_addr),
 	    "port for metrics, on the address of --exit" },
+	{ "config-apply", KIND_TIME, 0, OPTIONS_AT_ONCE, OFFSET(relay.apply_ms),
+	    "time after which a published configuration is in force" },
 	{ "revoke", KIND_TIME, 1, OPTIONS_STRICTER_FIRST,
 	    OFFSET(relay.fresh_ms),
 	    "time after which a withdrawn API key must not work" },
@@ -289,6 +292,7 @@
 	size_t n;
 
 	memset(opts, 0, sizeof(*opts));
+	opts->relay.apply_ms = CONFIG_APPLY_DEFAULT_MS;
 	memset(long_options, 0, sizeof(long_options));
 	for (n = 0; n < SETTING_COUNT; n++)
 		long_options[n] = (struct option){ options_settings[n].name,
--- a/src/options/options_int.h
+++ b/src/options/options_int.h
@@ -3,7 +3,7 @@
 
 #include "options/options.h"
 
-#define SETTING_COUNT 22
+#define SETTING_COUNT 23
 
 enum setting_kind {
 	KIND_NAME,
--- a/src/options/test_options.c
+++ b/src/options/test_options.c
@@ -39,6 +39,7 @@
 	assert_int_equal(opts.grace_ms, 6000);
 	assert_int_equal(opts.relay.stop_timeout_ms, 5000);
 	assert_true(opts.relay.fresh_ms < 5000);
+	assert_int_equal(opts.relay.apply_ms, 2000);
 	assert_string_equal(opts.relay.node, "n1");
 	assert_int_equal(
 	    opts.relay.advertised.s_addr, opts.relay.exit.sin_addr.s_addr);
--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -14,11 +14,7 @@
  */
 
 #define READERS_MAX 2
-#define EXTRA_QUERIES 2	  /* random nodes queried when the readers don't help */
-#define QUERY_AGE_MS 1100 /* proofs younger than this need no query */
-/* With an older proof this node reads the store itself. */
-#define STORE_READ_AGE_MS 2200
-#define QUERY_INTERVAL_MS 300 /* minimum interval between queries */
+#define EXTRA_QUERIES 2 /* random nodes queried when the readers don't help */
 /* Time for which a newer version is requested from the nodes that have it. */
 #define PEER_COPY_MS 800
 #define READER_NAMES_BYTES (READERS_MAX * (FLEET_NAME_BYTES + 1))
@@ -28,6 +24,18 @@
 static void log_readers(struct relay *);
 static void note_need(struct relay *, enum config_need);
 
+/*
+ * Computes when this node queries others and reads the store, from the settings
+ * that bound the age of its configuration and of its keys.
+ */
+void
+proof_set_schedule(struct relay *r)
+{
+	follow_schedule_init(&r->schedule, r->set.apply_ms < r->set.fresh_ms
+					       ? r->set.apply_ms
+					       : r->set.fresh_ms);
+}
+
 /*
  * Returns how many milliseconds ago the configuration in force was last
  * proved to be the newest.
@@ -190,9 +198,9 @@
 			   ? CONFIG_NEED_PEER
 			   : CONFIG_NEED_STORE;
 	}
-	if (age_ms < QUERY_AGE_MS)
+	if (age_ms < r->schedule.query_age_ms)
 		return CONFIG_NEED_NOTHING;
-	if (now - r->proof_query_ms >= QUERY_INTERVAL_MS) {
+	if (now - r->proof_query_ms >= r->schedule.query_interval_ms) {
 		n = fleet_store_readers(&r->fleet, readers, READERS_MAX);
 		r->proof_query_id = relay_random();
 		r->proof_query_ms = now;
@@ -202,14 +210,15 @@
 		 * The store may be reachable for some nodes but not for the
 		 * readers.
 		 */
-		for (i = 0; age_ms >= STORE_READ_AGE_MS && i < EXTRA_QUERIES;
+		for (i = 0;
+		     age_ms >= r->schedule.read_age_ms && i < EXTRA_QUERIES;
 		     i++)
 			if (r->fleet.count > 0)
 				send_query(
 				    r, (int)(relay_random() % r->fleet.count));
 	}
-	return age_ms >= STORE_READ_AGE_MS ? CONFIG_NEED_STORE
-					   : CONFIG_NEED_NOTHING;
+	return age_ms >= r->schedule.read_age_ms ? CONFIG_NEED_STORE
+						 : CONFIG_NEED_NOTHING;
 }
 
 /*
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -105,6 +105,7 @@
 	memset(r, 0, sizeof(*r));
 	r->loop = loop;
 	r->set = *settings;
+	proof_set_schedule(r);
 	randombytes_set_implementation(&randombytes_internal_implementation);
 	if (sodium_init() == -1)
 		return UV_ENOSYS;
@@ -359,7 +360,9 @@
 void
 relay_apply_settings(struct relay *r, const struct relay_settings *set)
 {
+	r->set.apply_ms = set->apply_ms;
 	r->set.fresh_ms = set->fresh_ms;
+	proof_set_schedule(r);
 	r->set.quota_share = set->quota_share;
 	r->set.quota_constant = set->quota_constant;
 	r->set.retry_ratio = set->retry_ratio;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,6 +12,7 @@
 #include "base/latency.h"
 #include "config/config.h"
 #include "fleet/fleet.h"
+#include "follow/schedule.h"
 #include "http1/http1.h"
 #include "quarantine/quarantine_core.h"
 #include "quota/quota.h"
@@ -57,6 +58,8 @@
 	struct in_addr advertised; /* address of the exit in heartbeats */
 	struct sockaddr_in server; /* the backend server beside this node */
 	struct sockaddr_in fleet;  /* datagrams between nodes */
+	/* A version is in force within this time after its acknowledgement. */
+	uint64_t apply_ms;
 	/* API keys are refused when the configuration is older than this. */
 	uint64_t fresh_ms;
 	/* Excess allowed over a rate limit, as a share and as a constant. */
@@ -218,7 +221,8 @@
 struct relay {
 	uv_loop_t *loop;
 	struct relay_settings set;
-	struct config *config; /* NULL until one has been received */
+	struct follow_schedule schedule; /* of queries and reads of the store */
+	struct config *config;		 /* NULL until one has been received */
 	/* Last time at which the configuration was known to be the newest. */
 	uint64_t config_proved_ms;
 	uint64_t proof_query_id; /* id of the last proof query */
--- a/src/relay/test_pair.h
+++ b/src/relay/test_pair.h
@@ -10,6 +10,7 @@
 #define ALARM_S 60
 #define SERVICE "orders"
 #define KEY "key-1"
+#define CONFIG_APPLY_MS 2000
 #define CONFIG_FRESH_MS 4000
 #define ACCEPT_MS 2600
 #define STOP_TIMEOUT_MS 60000
@@ -313,6 +314,7 @@
 		set.advertised = set.exit.sin_addr;
 		uv_ip4_addr(ips[i], ports[2], &set.server);
 		uv_ip4_addr(ips[i], ports[3], &set.fleet);
+		set.apply_ms = CONFIG_APPLY_MS;
 		set.fresh_ms = CONFIG_FRESH_MS;
 		set.quota_share = 0.1;
 		set.quota_constant = 20;
--- a/src/relay/test_readers.c
+++ b/src/relay/test_readers.c
@@ -40,7 +40,7 @@
 	struct relay relay;
 	struct follower follower;
 	enum store_fault fault;
-	int reads; /* sent to the store */
+	int lost_reads; /* the next reads get no reply */
 	char name[16];
 };
 
@@ -51,6 +51,7 @@
 	int closing;
 	uint64_t from, sent_ms, timeout_at_ms;
 	int replying;
+	int lost;
 	store_reply_fn done;
 	void *done_ctx;
 };
@@ -227,7 +228,7 @@
 {
 	uint64_t now = loop_ms(&loop), delay_ms = wait_ms + REPLY_MS;
 
-	r->replying = r->member->fault != STORE_SILENT;
+	r->replying = r->member->fault != STORE_SILENT && !r->lost;
 	if (r->member->fault == STORE_REFUSES || r->from < version_count)
 		delay_ms = REPLY_MS;
 	if (!r->replying)
@@ -245,7 +246,8 @@
 	while (r->member != NULL || r->closing)
 		assert_true(++r < reads + READS_MAX);
 	r->member = ctx;
-	r->member->reads++;
+	r->lost = r->member->lost_reads > 0;
+	r->member->lost_reads -= r->lost;
 	r->from = from;
 	r->sent_ms = loop_ms(&loop);
 	r->timeout_at_ms = r->sent_ms + timeout_ms;
@@ -410,6 +412,7 @@
 		uv_ip4_addr(ip, port + 2, &set.server);
 		uv_ip4_addr(ip, port + 3, &set.fleet);
 		set.advertised = set.exit.sin_addr;
+		set.apply_ms = CONFIG_APPLY_MS;
 		set.fresh_ms = REVOKE_MS;
 		set.memory_bytes = 64 << 20;
 		set.descriptors = 1000;
@@ -424,6 +427,8 @@
 		follow_init(&members[i].follower, &loop, &store_ops,
 		    &members[i], &follow_ops, &members[i], "config",
 		    members[i].name);
+		follow_set_schedule(
+		    &members[i].follower, &members[i].relay.schedule);
 		follow_start(&members[i].follower,
 		    ntohl(members[i].relay.set.advertised.s_addr));
 	}
@@ -506,6 +511,22 @@
 	check_versions_during(7000);
 }
 
+/*
+ * The first read of each other node after that is sent on a connection that
+ * has died without a reset.
+ */
+static void
+test_version_in_time_if_connections_are_dead(void **state)
+{
+	int i;
+
+	(void)state;
+	set_fault_of_readers(STORE_SILENT);
+	for (i = 0; i < NODES; i++)
+		members[i].lost_reads = members[i].fault == STORE_SERVES;
+	check_versions_during(7000);
+}
+
 /*
  * Incident 5: a node that is cut off from all other nodes, but not from the
  * store, had a version 2.2 s after its acknowledgement.
@@ -573,6 +594,9 @@
 		cmocka_unit_test_setup_teardown(
 		    test_version_in_time_if_readers_get_no_reply, setup,
 		    teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_version_in_time_if_connections_are_dead, setup,
+		    teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_version_in_time_if_node_is_cut_off, setup, teardown),
 		cmocka_unit_test_setup_teardown(
--- a/src/relay/test_settings.c
+++ b/src/relay/test_settings.c
@@ -54,12 +54,33 @@
 	assert_int_equal(c.status, 200);
 }
 
+/*
+ * A shorter time for configurations, or for keys, changes at once when the
+ * store is read.
+ */
+static void
+test_change_of_schedule(void **state)
+{
+	struct relay_settings set = nodes[0].set;
+
+	(void)state;
+	assert_int_equal(nodes[0].schedule.close_wait_ms, CONFIG_APPLY_MS / 4);
+	set.apply_ms = 1200;
+	relay_apply_settings(&nodes[0], &set);
+	assert_int_equal(nodes[0].schedule.close_wait_ms, 300);
+	set.apply_ms = 13000;
+	relay_apply_settings(&nodes[0], &set);
+	assert_int_equal(nodes[0].schedule.close_wait_ms, CONFIG_FRESH_MS / 4);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(
 		    test_change_during_request, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_change_of_schedule, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
