relay: the age of the proof counts also while a copy is awaited

A node that hears of a newer version waits 0.8 s for a copy from another node, and during that time its last proof could grow older than any bound: both waits added up.

The age decides now whatever else is awaited. test_store_read_in_time_while_copy_is_awaited failed before.

--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -19,6 +19,7 @@
 #define PEER_COPY_MS 800
 #define READER_NAMES_BYTES (READERS_MAX * (FLEET_NAME_BYTES + 1))
 
+static void query_nodes(struct relay *, uint64_t);
 static void send_query(struct relay *, int);
 static enum config_need find_need(struct relay *);
 static void log_readers(struct relay *);
@@ -177,48 +178,50 @@
 }
 
 /*
- * Decides for relay_config_need().
+ * Decides for relay_config_need().  A proof that is too old needs the store
+ * also while a copy of a newer version is awaited.
  */
 static enum config_need
 find_need(struct relay *r)
 {
 	uint64_t now = relay_now(r), age_ms = now - r->config_proved_ms;
-	int readers[READERS_MAX];
-	size_t i, n;
+	int outdated;
 
 	if (r->config == NULL)
 		return CONFIG_NEED_NOTHING;
-	if (!is_outdated(r, now)) {
+	outdated = is_outdated(r, now);
+	if (!outdated)
 		r->newer_version_ms = 0;
-	} else if (r->newer_version_ms == 0) {
+	else if (r->newer_version_ms == 0)
 		r->newer_version_ms = now;
-		return CONFIG_NEED_PEER;
-	} else {
-		return now - r->newer_version_ms < PEER_COPY_MS
-			   ? CONFIG_NEED_PEER
-			   : CONFIG_NEED_STORE;
-	}
-	if (age_ms < r->schedule.query_age_ms)
-		return CONFIG_NEED_NOTHING;
-	if (now - r->proof_query_ms >= r->schedule.query_interval_ms) {
-		n = fleet_store_readers(&r->fleet, readers, READERS_MAX);
-		r->proof_query_id = relay_random();
-		r->proof_query_ms = now;
-		if (n > 0)
-			send_query(r, readers[relay_random() % n]);
-		/*
-		 * The store may be reachable for some nodes but not for the
-		 * readers.
-		 */
-		for (i = 0;
-		     age_ms >= r->schedule.read_age_ms && i < EXTRA_QUERIES;
-		     i++)
-			if (r->fleet.count > 0)
-				send_query(
-				    r, (int)(relay_random() % r->fleet.count));
-	}
-	return age_ms >= r->schedule.read_age_ms ? CONFIG_NEED_STORE
-						 : CONFIG_NEED_NOTHING;
+	if (!outdated && age_ms >= r->schedule.query_age_ms &&
+	    now - r->proof_query_ms >= r->schedule.query_interval_ms)
+		query_nodes(r, age_ms);
+	if (age_ms >= r->schedule.read_age_ms ||
+	    (outdated && now - r->newer_version_ms >= PEER_COPY_MS))
+		return CONFIG_NEED_STORE;
+	return outdated ? CONFIG_NEED_PEER : CONFIG_NEED_NOTHING;
+}
+
+/*
+ * Queries a reader.  If its proofs are too old, also queries random nodes: the
+ * store may be reachable for some, but not for the readers.
+ */
+static void
+query_nodes(struct relay *r, uint64_t age_ms)
+{
+	int readers[READERS_MAX];
+	size_t i, n;
+
+	n = fleet_store_readers(&r->fleet, readers, READERS_MAX);
+	r->proof_query_id = relay_random();
+	r->proof_query_ms = relay_now(r);
+	if (n > 0)
+		send_query(r, readers[relay_random() % n]);
+	if (age_ms < r->schedule.read_age_ms || r->fleet.count == 0)
+		return;
+	for (i = 0; i < EXTRA_QUERIES; i++)
+		send_query(r, (int)(relay_random() % r->fleet.count));
 }
 
 /*
--- a/src/relay/test_version.c
+++ b/src/relay/test_version.c
@@ -99,6 +99,35 @@
 	assert_true(loop_ms(&loop) - began < 1500);
 }
 
+/*
+ * Incident 5: while a copy of a newer version was awaited, the age of the last
+ * proof didn't count, and both times added up.
+ */
+static void
+test_store_read_in_time_while_copy_is_awaited(void **state)
+{
+	struct relay *r = &nodes[0];
+	uint64_t proved_ms = loop_ms(&loop), read_ms;
+	size_t i;
+
+	(void)state;
+	i = (size_t)fleet_add_node(
+	    &r->fleet, "silent", 0x7f000063, loop_ms(&loop));
+	relay_config_proved(r, proved_ms);
+	read_ms = proved_ms + r->schedule.read_age_ms;
+	while (relay_config_need(r) != CONFIG_NEED_STORE) {
+		if (loop_ms(&loop) >= read_ms - 100)
+			r->fleet.peers[i].config_version = 9;
+		r->fleet.peers[i].heard_ms = loop_ms(&loop);
+		/* No proof but the first. */
+		r->proof_query_id = 0;
+		uv_run(&loop, UV_RUN_ONCE);
+	}
+	assert_int_equal(r->fleet.peers[i].config_version, 9);
+	assert_true(loop_ms(&loop) >= read_ms);
+	assert_true(loop_ms(&loop) < read_ms + 300);
+}
+
 /*
  * Bytes between zones: of the nodes of a zone one copies the configuration from
  * another zone, and the others wait for it, but not for long.
@@ -172,6 +201,9 @@
 		    test_change_spreads_between_nodes, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_store_read_if_no_copy, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_store_read_in_time_while_copy_is_awaited, setup,
+		    teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_one_copy_into_a_zone, setup, teardown),
 		cmocka_unit_test_setup_teardown(
