follow: a reader's proofs stay young after a change and a take-over

A read that returns records proves nothing later than its start, and the next one waited its whole time again: for up to twice that the other nodes got no younger proof, and all of them read the store at each change (proof-overdue with responses=1 response_age_ms=800 in a test without any fault). A node that became a reader had no proof to give before its first wait was over.

A reader's read now waits only until the last proof is as old as the schedule allows: not at all after a take-over. Before the first configuration it waits as long as before.

test_only_readers_read_the_store failed before. test_close_reads_when_needed asked for close reads only; it asks now for exactly one read without a wait first, and as many close reads after that; it failed before.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -208,6 +208,33 @@
 	       !f->ops->follows_closely(f->ctx);
 }
 
+/*
+ * Returns the wait time of a reader's next read.  It ends as soon as the last
+ * proof is as old as the schedule allows: a read that returned records proves
+ * nothing later than its start, and a new reader has no proof yet.
+ */
+static uint64_t
+close_wait_ms(const struct follower *f)
+{
+	uint64_t age_ms = loop_ms(f->loop) - f->proved_ms;
+
+	if (f->version == 0)
+		return f->schedule->close_wait_ms;
+	return age_ms < f->schedule->close_wait_ms
+		   ? f->schedule->close_wait_ms - age_ms
+		   : 0;
+}
+
+/*
+ * Records a proof that the configuration in force is the newest.
+ */
+static void
+record_proof(struct follower *f, uint64_t proof_ms)
+{
+	f->proved_ms = proof_ms;
+	f->ops->record_proof(f->ctx, proof_ms);
+}
+
 /*
  * Requests the newest configuration or, once that is known, the next records.
  * While other nodes read the store closely, this one reads nothing: it hears
@@ -230,10 +257,9 @@
 		return;
 	}
 	/* After a failure a read without a wait detects recovery sooner. */
-	f->read_wait_ms = f->config_failures > 0 ? 0
-			  : f->ops->follows_closely(f->ctx)
-			      ? f->schedule->close_wait_ms
-			      : LONG_READ_WAIT_MS;
+	f->read_wait_ms = f->config_failures > 0	    ? 0
+			  : f->ops->follows_closely(f->ctx) ? close_wait_ms(f)
+							    : LONG_READ_WAIT_MS;
 	f->store->read(f->store_ctx, STORE_CONFIG, f->next_offset,
 	    f->read_wait_ms, f->read_wait_ms + f->read_timeout_ms,
 	    on_read_reply, f);
@@ -359,7 +385,7 @@
 	f->replied_ms = loop_ms(f->loop);
 	f->phase = FOLLOW_READ;
 	if (f->version > 0)
-		f->ops->record_proof(f->ctx, reply->request_sent_ms);
+		record_proof(f, reply->request_sent_ms);
 	resume_config(f);
 }
 
@@ -381,10 +407,10 @@
 	if (next > f->next_offset)
 		f->next_offset = next;
 	if (f->version > 0 && f->next_offset >= reply->end_offset)
-		f->ops->record_proof(f->ctx,
-		    reply->count > 0 ? reply->request_sent_ms
-				     : follow_proof_ms(reply->request_sent_ms,
-					   wait_ms, loop_ms(f->loop)));
+		record_proof(f, reply->count > 0
+				    ? reply->request_sent_ms
+				    : follow_proof_ms(reply->request_sent_ms,
+					  wait_ms, loop_ms(f->loop)));
 }
 
 /*
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -67,6 +67,7 @@
 	uint64_t read_wait_ms;	     /* wait time of the current read */
 	int idle;		     /* no read; other nodes read closely */
 	uint64_t replied_ms;	     /* last reply of the store */
+	uint64_t proved_ms;	     /* last proof from the store */
 	int short_read_pending;	     /* a second, short read is in flight */
 	uint64_t short_read_wait_ms; /* wait time of the short read */
 	int query_needed;	     /* the last check found a need to read */
