fleet, follow: a reader that can't read the store is replaced

A duty stayed with a node that couldn't do it. Receivers of an older version ignore the new last member, and theirs is taken as without it. The bound doesn't depend on it: it is kept by each node alone.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -54,8 +54,9 @@
 	int stopping;
 	int has_departed;      /* sent a goodbye or has long been silent */
 	int reported_isolated; /* the peer reports that it is isolated */
-	int isolated; /* isolated by its own report or by majority vote */
-	int delisted; /* removed from the store's list since it was heard */
+	int isolated;	/* isolated by its own report or by majority vote */
+	int store_lost; /* reports that it can't read the store */
+	int delisted;	/* removed from the store's list since it was heard */
 	/* Hashes of the nodes from which the peer gets no heartbeats. */
 	uint32_t silent_hashes[FLEET_SILENT_MAX];
 	uint32_t silent_count;
@@ -76,6 +77,7 @@
 	uint64_t live_digest;	     /* digest of that set */
 	int node_list_complete; /* the node list of the store has been read */
 	uint32_t reported_size; /* largest fleet size that a peer reported */
+	int self_store_lost;	/* this node can't read the store */
 	int self_isolated;	/* this node is isolated: it owns no limits */
 	/* This node has taken part in ownership since the quorum. */
 	int was_participating;
@@ -108,6 +110,7 @@
 int fleet_owner(const struct fleet_table *, uint64_t, uint64_t);
 int fleet_successor(const struct fleet_table *, uint64_t);
 size_t fleet_store_readers(const struct fleet_table *, int *, size_t);
+uint64_t fleet_weight(uint64_t, uint64_t);
 uint32_t fleet_size(const struct fleet_table *);
 void fleet_update_members(struct fleet_table *, uint64_t);
 uint32_t fleet_list_silent(const struct fleet_table *, uint64_t, uint32_t *);
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -66,6 +66,11 @@
 	 * ends before: no ids.
 	 */
 	unsigned int demand_routes<FLEET_REQUESTED_MAX>;
+	/*
+	 * One element: the sender can't read the store.  Empty otherwise, and
+	 * in a heartbeat of an older version.
+	 */
+	unsigned int store_lost<1>;
 };
 
 /* A load heartbeat: the rest is as in the last full heartbeat. */
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -32,13 +32,13 @@
 static void send_bytes(struct fleet_net *, const char *, size_t, uint32_t);
 
 /*
- * An empty array behind a message, for the last member of a message from an
- * older version, which ends before it.
+ * Empty arrays behind a message, for the last members of a message from an
+ * older version, which ends before them.
  */
-#define EMPTY_ARRAY_BYTES 4
+#define EMPTY_ARRAYS_BYTES (2 * 4)
 
 /* Receive buffer of the only loop; processed before the next read. */
-static char datagram[DATAGRAM_BYTES + SEAL_BYTES + EMPTY_ARRAY_BYTES];
+static char datagram[DATAGRAM_BYTES + SEAL_BYTES + EMPTY_ARRAYS_BYTES];
 
 /*
  * Opens the socket and starts to send heartbeats.  Returns a libuv error or 0.
@@ -88,7 +88,7 @@
 	(void)handle;
 	(void)hint;
 	buf->base = datagram;
-	buf->len = sizeof(datagram) - EMPTY_ARRAY_BYTES;
+	buf->len = sizeof(datagram) - EMPTY_ARRAYS_BYTES;
 }
 
 /*
@@ -215,9 +215,9 @@
 		return;
 	}
 	memset(&m, 0, sizeof(m));
-	memset(buf->base + size, 0, EMPTY_ARRAY_BYTES);
+	memset(buf->base + size, 0, EMPTY_ARRAYS_BYTES);
 	xdrmem_create(
-	    &x, buf->base, (unsigned int)size + EMPTY_ARRAY_BYTES, XDR_DECODE);
+	    &x, buf->base, (unsigned int)size + EMPTY_ARRAYS_BYTES, XDR_DECODE);
 	if (xdr_fleet_msg(&x, &m))
 		dispatch(n, &m, (const struct sockaddr_in *)from);
 	else
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -10,7 +10,6 @@
 #define HEARTBEAT_PEER_MS 6 /* least interval per peer; bounds the traffic */
 #define MISSED_HEARTBEATS 4 /* intervals after which a node counts as dead */
 #define MISSED_SLACK_MS 200 /* for late timers and datagrams */
-#define FIRST_READER_KEY 1  /* its owner is the first reader of the store */
 /* Silence after which a node no longer counts in the quorum. */
 #define FORGET_AFTER_MS 20000
 /* The same without a quorum: longer than network partitions last. */
@@ -29,7 +28,6 @@
 /* A lower incarnation is accepted once a higher one is silent this long. */
 #define RESTART_SILENCE_MS 1000
 
-static uint64_t owner_weight(uint64_t, uint64_t);
 static int highest_weight_node(const struct fleet_table *, uint64_t, int);
 static void copy_node_name(char *, const char *);
 static void apply_load(struct fleet_table *, struct fleet_peer *,
@@ -177,6 +175,7 @@
 	p->stopping = (int)b->stopping;
 	p->has_departed = 0;
 	p->delisted = 0;
+	p->store_lost = b->store_lost.store_lost_len > 0;
 	copy_node_name(s->id, b->server.id);
 	copy_node_name(s->service, b->server.service);
 	s->process_started_ms = b->server.born_ms;
@@ -383,8 +382,8 @@
 /*
  * Returns a node's rendezvous weight for a key.
  */
-static uint64_t
-owner_weight(uint64_t node, uint64_t key)
+uint64_t
+fleet_weight(uint64_t node, uint64_t key)
 {
 	uint64_t pair[2] = { node, key };
 
@@ -517,7 +516,7 @@
 	size_t i;
 
 	if (self && !t->self_isolated) {
-		best = owner_weight(t->node_hash, key);
+		best = fleet_weight(t->node_hash, key);
 		owner = FLEET_SELF;
 	}
 	for (i = 0; i < t->count; i++) {
@@ -525,7 +524,7 @@
 		if (p->stopping || p->has_departed || p->isolated ||
 		    p->heard_ms == 0)
 			continue;
-		w = owner_weight(p->name_hash, key);
+		w = fleet_weight(p->name_hash, key);
 		if (w <= best)
 			continue;
 		best = w;
@@ -556,27 +555,6 @@
 	return highest_weight_node(t, key, 0);
 }
 
-/*
- * Lists the nodes that follow the store closely on behalf of all others.  Nodes
- * that see the same live nodes get the same list.  Returns the number of
- * readers.
- */
-size_t
-fleet_store_readers(const struct fleet_table *t, int *list, size_t max)
-{
-	size_t n, i;
-	int h;
-
-	for (n = 0; n < max; n++) {
-		h = highest_weight_node(t, FIRST_READER_KEY + n, 1);
-		for (i = 0; i < n; i++)
-			if (list[i] == h)
-				return n;
-		list[n] = h;
-	}
-	return n;
-}
-
 /*
  * Returns how long a silent node counts as known.  The minority of a
  * partitioned fleet remembers the majority for longer, or it would take itself
@@ -616,7 +594,7 @@
 		p = &t->peers[i];
 		if (p->heard_ms != 0 && !p->has_departed && !p->isolated &&
 		    !p->stopping)
-			digest += owner_weight(p->name_hash, p->incarnation);
+			digest += fleet_weight(p->name_hash, p->incarnation);
 	}
 	if (digest != t->live_digest) {
 		t->live_digest = digest;
--- a/src/fleet/fleet_xdr.c
+++ b/src/fleet/fleet_xdr.c
@@ -200,6 +200,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->demand_routes.demand_routes_val, (u_int *) &objp->demand_routes.demand_routes_len, FLEET_REQUESTED_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->store_lost.store_lost_val, (u_int *) &objp->store_lost.store_lost_len, 1,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_fleet_name (xdrs, &objp->node))
@@ -235,6 +238,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->demand_routes.demand_routes_val, (u_int *) &objp->demand_routes.demand_routes_len, FLEET_REQUESTED_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->store_lost.store_lost_val, (u_int *) &objp->store_lost.store_lost_len, 1,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -263,6 +269,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->demand_routes.demand_routes_val, (u_int *) &objp->demand_routes.demand_routes_len, FLEET_REQUESTED_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->store_lost.store_lost_val, (u_int *) &objp->store_lost.store_lost_len, 1,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/fleet/fleet_xdr.h
+++ b/src/fleet/fleet_xdr.h
@@ -82,6 +82,10 @@
 		u_int demand_routes_len;
 		u_int *demand_routes_val;
 	} demand_routes;
+	struct {
+		u_int store_lost_len;
+		u_int *store_lost_val;
+	} store_lost;
 };
 typedef struct fleet_heartbeat fleet_heartbeat;
 
--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -273,6 +273,7 @@
 {
 	if (!f->store_lost) {
 		f->store_lost = 1;
+		f->ops->store_lost(f->ctx, 1);
 		event_log(EVENT_STORE_LOST, loop_ms(f->loop),
 		    "status=%s phase=%d version=%llu next=%llu",
 		    status_names[reply->status], (int)f->phase,
@@ -296,10 +297,12 @@
 static void
 resume_config(struct follower *f)
 {
-	if (f->store_lost)
+	if (f->store_lost) {
 		event_log(EVENT_STORE_REGAINED, loop_ms(f->loop),
 		    "version=%llu failures=%u", (unsigned long long)f->version,
 		    f->config_failures);
+		f->ops->store_lost(f->ctx, 0);
+	}
 	f->store_lost = 0;
 	f->config_failures = 0;
 	uv_timer_start(&f->config_timer, request_config, 0, 0);
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -33,6 +33,8 @@
 	int (*must_prune)(void *);
 	/* Returns 1 if a listed node must be removed. */
 	int (*is_prunable)(void *, const char *);
+	/* Called with 1 when the store can't be read, with 0 when it can. */
+	void (*store_lost)(void *, int);
 };
 
 /* Nodes removed from the list between two reads of it. */
--- a/src/follow/test_follow.c
+++ b/src/follow/test_follow.c
@@ -188,7 +188,7 @@
 
 static const struct follow_ops follow_ops = { decode_version, accept_config,
 	count_proof, is_close_follower, count_store_check, offer_peer_config,
-	check_node, count_list, prune_nothing, prune_no_node };
+	check_node, count_list, prune_nothing, prune_no_node, note_store_lost };
 
 /*
  * Starts a follower with an address on a store that lists two nodes.
@@ -319,7 +319,7 @@
 	static const struct follow_ops ops = { decode_version, accept_config,
 		count_proof, is_close_follower, count_store_check,
 		ignore_peer_query, check_node, count_list, prune_nothing,
-		prune_no_node };
+		prune_no_node, note_store_lost };
 	enum follow_phase phase;
 	struct world w;
 
--- a/src/follow/test_follow.h
+++ b/src/follow/test_follow.h
@@ -28,6 +28,7 @@
 	int store_checks;
 	int list_events; /* 1 for each list request, 100 for each node */
 	int lists_completed;
+	int store_lost, store_losses;
 	struct store_reply nodes;
 };
 
@@ -108,6 +109,16 @@
 	return 0;
 }
 
+static void
+note_store_lost(void *ctx, int lost)
+{
+	struct world *w = ctx;
+
+	assert_int_not_equal(w->store_lost, lost);
+	w->store_lost = lost;
+	w->store_losses += lost;
+}
+
 static void
 close_all(uv_handle_t *h, void *arg)
 {
--- a/src/follow/test_node_list.c
+++ b/src/follow/test_node_list.c
@@ -218,9 +218,16 @@
 	return name[0] == ((struct world *)ctx)->gone_prefix;
 }
 
+static void
+ignore_store_lost(void *ctx, int lost)
+{
+	(void)ctx;
+	(void)lost;
+}
+
 static const struct follow_ops follow_ops = { decode_nothing, ignore_config,
 	ignore_proof, answer_no, need_nothing, ignore_query, count_node,
-	count_list, must_prune, is_gone };
+	count_list, must_prune, is_gone, ignore_store_lost };
 
 static void
 close_all(uv_handle_t *h, void *arg)
--- a/src/follow/test_reads.c
+++ b/src/follow/test_reads.c
@@ -136,7 +136,8 @@
 	fake_append };
 static const struct follow_ops counted_ops = { decode_version, counted_config,
 	counted_proof, counted_is_close, counted_need, counted_peer_query,
-	check_node, counted_list, prune_nothing, prune_no_node };
+	check_node, counted_list, prune_nothing, prune_no_node,
+	note_store_lost };
 
 /*
  * Starts a follower on a new loop.
@@ -260,12 +261,15 @@
 	c.refuse_reads = 1;
 	count_during(&c, 500);
 	assert_true(c.w.follower.store_lost);
+	assert_true(c.w.store_lost);
 	assert_true(c.short_reads > 0 && c.peer_queries > 0);
 	c.refuse_reads = 0;
 	c.need = CONFIG_NEED_NOTHING;
 	while (!c.w.follower.idle)
 		uv_run(&c.w.loop, UV_RUN_ONCE);
 	assert_false(c.w.follower.store_lost);
+	assert_false(c.w.store_lost);
+	assert_int_equal(c.w.store_losses, 1);
 	count_end(&c);
 }
 
--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -75,6 +75,21 @@
 	return 0;
 }
 
+/*
+ * Records whether this node can read the store.  A reader that can't tells all
+ * nodes at once, so that another takes its place; otherwise the next full
+ * heartbeat tells them.
+ */
+void
+relay_set_store_lost(struct relay *r, int lost)
+{
+	int was_reader = relay_reads_store(r);
+
+	r->fleet.self_store_lost = lost;
+	if (lost && was_reader)
+		fleet_send_heartbeat_all(&r->net, 0);
+}
+
 /*
  * Writes the names of the readers, separated by commas.  Returns their digest.
  */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -387,6 +387,7 @@
 fill_heartbeat(void *ctx, struct fleet_heartbeat *b)
 {
 	static uint32_t silent[FLEET_SILENT_MAX];
+	static unsigned int store_lost = 1;
 	struct relay *r = ctx;
 	struct relay_server *s = &r->server;
 	uint64_t now = relay_now(r);
@@ -399,6 +400,8 @@
 	b->address = ntohl(r->set.advertised.s_addr);
 	b->port = ntohs(r->set.exit.sin_port);
 	b->stopping = (unsigned int)r->stopping;
+	b->store_lost.store_lost_val = &store_lost;
+	b->store_lost.store_lost_len = (unsigned int)r->fleet.self_store_lost;
 	b->load.config_version = r->config != NULL ? r->config->version : 0;
 	b->server.id = s->departed ? "" : s->id;
 	b->server.service = s->service;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -299,6 +299,7 @@
 void relay_apply_settings(struct relay *, const struct relay_settings *);
 void relay_config_proved(struct relay *, uint64_t);
 int relay_reads_store(struct relay *);
+void relay_set_store_lost(struct relay *, int);
 uint64_t relay_proof_age_ms(const struct relay *);
 enum config_need relay_config_need(struct relay *);
 void relay_request_config(struct relay *, relay_config_fn, void *);
--- a/src/relay/test_readers.c
+++ b/src/relay/test_readers.c
@@ -154,6 +154,12 @@
 	return 0;
 }
 
+static void
+store_lost(void *ctx, int lost)
+{
+	relay_set_store_lost(&((struct member *)ctx)->relay, lost);
+}
+
 static const struct follow_ops follow_ops = {
 	.decode = decode,
 	.apply_config = apply,
@@ -165,6 +171,7 @@
 	.nodes_listed = nodes_listed,
 	.must_prune = must_prune,
 	.is_prunable = is_prunable,
+	.store_lost = store_lost,
 };
 
 /*
@@ -532,6 +539,27 @@
 	check_versions_during(7000, APPEND_EVERY_MS);
 }
 
+/*
+ * Calls to the store while the readers are refused: others take their place
+ * within a second, and the rest doesn't read the store.
+ */
+static void
+test_refused_readers_are_replaced(void **state)
+{
+	uint64_t overdue[NODES];
+	int i;
+
+	(void)state;
+	set_fault_of_readers(STORE_REFUSES);
+	check_versions_during(1000, RARE_APPEND_MS);
+	for (i = 0; i < NODES; i++)
+		overdue[i] = members[i].relay.counters[RELAY_PROOFS_OVERDUE];
+	check_versions_during(3000, RARE_APPEND_MS);
+	for (i = 0; i < NODES; i++)
+		assert_int_equal(overdue[i],
+		    members[i].relay.counters[RELAY_PROOFS_OVERDUE]);
+}
+
 /*
  * The first read of each other node after that is sent on a connection that
  * has died without a reset.
@@ -617,6 +645,8 @@
 		cmocka_unit_test_setup_teardown(
 		    test_version_in_time_if_readers_get_no_reply, setup,
 		    teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_refused_readers_are_replaced, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_version_in_time_if_connections_are_dead, setup,
 		    teardown),
