relay: the proof of a newer version counts once that is in force

A node queries a reader just as a change arrives there: the response names the newer version and was dropped. Until the copy had come and the next query was answered, the node's last proof got old, and it read the store itself. Nobody was served wrongly; it costs the store a call.

Seen once, beside other work, in test_refused_readers_are_replaced, and worked out from that; the log of that run was not kept. Responses are kept for the version that they name, and queries go on while a copy is awaited.

test_proof_of_newer_version_counts_later failed on the code before.

--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -59,6 +59,17 @@
 	r->proof_search.queries = r->proof_search.responses = 0;
 }
 
+/*
+ * Accounts for a version that has come into force.
+ */
+void
+proof_config_applied(struct relay *r)
+{
+	r->newer_version_ms = 0;
+	if (r->config->version == r->newer_proof_version)
+		relay_config_proved(r, r->newer_proof_ms);
+}
+
 /*
  * Returns whether this node is one of the readers.
  */
@@ -209,7 +220,7 @@
 		r->newer_version_ms = 0;
 	else if (r->newer_version_ms == 0)
 		r->newer_version_ms = now;
-	if (!outdated && age_ms >= r->schedule.query_age_ms &&
+	if (age_ms >= r->schedule.query_age_ms &&
 	    now - r->proof_query_ms >= r->schedule.query_interval_ms)
 		query_nodes(r, age_ms);
 	if (age_ms >= r->schedule.read_age_ms ||
@@ -280,21 +291,29 @@
 }
 
 /*
- * Applies a response to the last query if it is about the version in force.
+ * Applies a response to the last query.  The proof of a newer version counts
+ * once that is in force.
  */
 void
 relay_on_proof(void *ctx, const struct fleet_proof *p)
 {
 	struct relay *r = ctx;
+	uint64_t proved_ms;
 
 	if (p->id != r->proof_query_id || r->config == NULL)
 		return;
 	r->proof_search.responses++;
 	r->proof_search.response_age_ms = p->age_ms;
 	r->proof_search.response_version = p->config_version;
-	if (p->config_version != r->config->version ||
+	if (p->config_version < r->config->version ||
 	    p->age_ms > r->proof_query_ms)
 		return;
+	proved_ms = r->proof_query_ms - p->age_ms;
+	if (p->config_version > r->config->version) {
+		r->newer_proof_version = p->config_version;
+		r->newer_proof_ms = proved_ms;
+		return;
+	}
 	r->counters[RELAY_PROOFS]++;
-	relay_config_proved(r, r->proof_query_ms - p->age_ms);
+	relay_config_proved(r, proved_ms);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -339,7 +339,7 @@
 	r->config = c;
 	load_collect_ranks(r);
 	load_forget_routes(r);
-	r->newer_version_ms = 0;
+	proof_config_applied(r);
 	copy_announce_version(r);
 	l = &r->entry.limits;
 	if (c->caps.head_bytes > 0)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -227,6 +227,9 @@
 	uint64_t config_proved_ms;
 	uint64_t proof_query_id; /* id of the last proof query */
 	uint64_t proof_query_ms; /* time of the last proof query */
+	/* Proof of a newer version than the one in force; 0: none. */
+	uint64_t newer_proof_version;
+	uint64_t newer_proof_ms;
 	struct relay_proof_search proof_search;
 	uint64_t readers_logged; /* digest of the readers as last logged */
 	/* Since when another node has had a newer version; 0: none has. */
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -204,6 +204,7 @@
 
 /* proof.c */
 void proof_set_schedule(struct relay *);
+void proof_config_applied(struct relay *);
 void relay_on_proof_query(
     void *, const struct fleet_proof_query *, const struct sockaddr_in *);
 void relay_on_proof(void *, const struct fleet_proof *);
--- a/src/relay/test_version.c
+++ b/src/relay/test_version.c
@@ -128,6 +128,34 @@
 	assert_true(loop_ms(&loop) < read_ms + 300);
 }
 
+/*
+ * Calls to the store at each change: a query just before a copy proved the
+ * newer version, and was lost.
+ */
+static void
+test_proof_of_newer_version_counts_later(void **state)
+{
+	struct relay *r = &nodes[0];
+	uint64_t began = loop_ms(&loop);
+
+	(void)state;
+	relay_apply_config(&nodes[1], make_config(2, 0, KEY));
+	relay_config_proved(&nodes[1], began);
+	r->config_proved_ms = 0;
+	while (r->proof_search.responses == 0) {
+		(void)relay_config_need(r);
+		uv_run(&loop, UV_RUN_ONCE);
+	}
+	assert_int_equal(r->config_proved_ms, 0);
+	relay_apply_config(r, make_config(2, 0, KEY));
+	assert_true(r->config_proved_ms + 50 >= began);
+	assert_true(r->config_proved_ms <= loop_ms(&loop));
+	/* It says nothing of any other version. */
+	r->config_proved_ms = 0;
+	relay_apply_config(r, make_config(3, 0, KEY));
+	assert_int_equal(r->config_proved_ms, 0);
+}
+
 /*
  * Bytes between zones: of the nodes of a zone one copies the configuration from
  * another zone, and the others wait for it, but not for long.
@@ -204,6 +232,8 @@
 		cmocka_unit_test_setup_teardown(
 		    test_store_read_in_time_while_copy_is_awaited, setup,
 		    teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_proof_of_newer_version_counts_later, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_one_copy_into_a_zone, setup, teardown),
 		cmocka_unit_test_setup_teardown(
