--- a/src/relay/test_readers.c
+++ b/src/relay/test_readers.c
@@ -389,7 +389,7 @@
 	struct relay_settings set;
 	struct sockaddr_in a;
 	uv_udp_t probe;
-	char ip[16];
+	char ip[32];
 	int i, j, len = sizeof(a);
 	uint16_t port;
 
