relay: test_cut_answers renews the proof of its configuration

The test has no follower: four seconds after its set-up all keys are refused (configuration-stale), and its loop, which sends again after a refusal that reached no server, took that for the throttle and went on until the alarm. No caller is concerned. The proof is renewed before each request; what is checked is the same.

--- a/src/relay/test_cut_answers.c
+++ b/src/relay/test_cut_answers.c
@@ -355,12 +355,24 @@
 	return c->done == 1 && c->status == 503 && requests == requests_before;
 }
 
+/*
+ * Renews the proof of the configuration, which no follower does here.  Without
+ * it all keys are refused after CONFIG_FRESH_MS, and was_throttled() is true
+ * for good.
+ */
+static void
+renew_proof(void)
+{
+	relay_config_proved(&nodes[0], loop_ms(&loop));
+}
+
 static void
 request(struct caller *c, const char *path)
 {
 	int before;
 
 	do {
+		renew_proof();
 		before = requests;
 		memset(c, 0, sizeof(*c));
 		send_with_id(c, 0, path, KEY, "a", "");
@@ -607,6 +619,7 @@
 				answer_after = cut_at * UPLOAD_PIECE_BYTES / 16;
 				h1_pool_trim(&nodes[1].server_pool, 0);
 				do {
+					renew_proof();
 					before = requests;
 					upload(&c, paths[k]);
 				} while (was_throttled(&c, before));
