--- a/regress/scripts/node-check.sh
+++ b/regress/scripts/node-check.sh
@@ -11,6 +11,7 @@
 	    -e 's|{{listen.ready}}|127.0.0.1:5|' \
 	    -e 's|{{platform.address}}|127.0.0.1:6|' \
 	    -e 's|{{port_range.0}}|7|' -e 's|{{bounds.revoke}}|5000ms|' \
+	    -e 's|{{bounds.config_apply}}|2000ms|' \
 	    -e 's|{{bounds.grace}}|6s|' -e 's|{{bounds.quota_overage}}|0.1|' \
 	    -e 's|{{bounds.quota_slack}}|20|' \
 	    -e 's|{{bounds.retry_budget_ratio}}|0.2|' \
