--- a/review/7/case.c
+++ b/review/7/case.c
@@ -11,6 +11,10 @@
  * service "orders" that leaves, beside machine 3 one that stays.  The node of
  * machine 2 is killed and started again, as the platform does; then its server
  * leaves: it sends DELETE, which is acknowledged, goes on serving, and exits.
+ *
+ * With LATE_HEARTBEAT the server leaves while its node is down: it repeats
+ * DELETE until that is acknowledged, and a heartbeat that it sent before
+ * arrives two seconds late.  The DELETE has no body.
  */
 
 #define LEAVE_MS 5700	/* time of the DELETE */
@@ -22,6 +26,8 @@
 #define RESTART_MS 300
 #define CALLERS 4
 #define RUN_MS 60
+#define RETRY_MS 100		/* between two DELETE */
+#define HEARTBEAT_DELAY_MS 2500 /* until the last heartbeat arrives */
 
 static struct lab_server leaving, staying;
 static volatile uint64_t acked_ms, in_touch_ms;
@@ -110,10 +116,69 @@
 	return NULL;
 }
 
+#ifdef LATE_HEARTBEAT
+/*
+ * Repeats DELETE until it is acknowledged, as a server does that leaves.
+ */
+static void *
+repeat_delete(void *arg)
+{
+	int status;
+
+	(void)arg;
+	while (acked_ms == 0) {
+		status = lab_server_delete(&leaving);
+		if (status == 200) {
+			acked_ms = lab_ms();
+			lab_note("server %s: DELETE is answered with 200",
+			    leaving.id);
+		} else {
+			usleep(RETRY_MS * 1000);
+		}
+	}
+	return NULL;
+}
+
+/*
+ * Delivers a heartbeat of the server that was delayed on its way.
+ */
+static void *
+deliver_heartbeat(void *arg)
+{
+	int status;
+
+	lab_sleep_until(KILL_MS + HEARTBEAT_DELAY_MS);
+	status = lab_server_beat_numbered(
+	    &leaving, "PUT", "ready", (uint64_t)(uintptr_t)arg);
+	lab_note("the delayed heartbeat %llu of server %s arrives, answered "
+		 "with %d",
+	    (unsigned long long)(uintptr_t)arg, leaving.id, status);
+	return NULL;
+}
+
+/*
+ * Lets the server send a heartbeat, which is delayed, and then leave.
+ */
+static void
+leave_late(void)
+{
+	uint64_t number = __sync_add_and_fetch(&leaving.sequence, 1);
+
+	lab_note("server %s sends its heartbeat %llu, and then DELETE",
+	    leaving.id, (unsigned long long)number);
+	leaving.leaving = 1;
+	lab_thread(deliver_heartbeat, (void *)(uintptr_t)number);
+	lab_thread(repeat_delete, NULL);
+}
+#endif
+
 int
 main(int argc, char **argv)
 {
-	int i, status;
+	int i;
+#ifndef LATE_HEARTBEAT
+	int status;
+#endif
 
 	lab_init(argc > 1 ? argv[1] : ".");
 	lab_publish(config);
@@ -131,8 +196,12 @@
 	for (i = 0; i < CALLERS; i++)
 		lab_thread(call, (void *)(intptr_t)(i + 1));
 	lab_sleep_until(KILL_MS);
-	if (lab_trouble()) {
+	if (lab_trouble())
 		lab_node_signal(2, SIGKILL);
+#ifdef LATE_HEARTBEAT
+	leave_late();
+#endif
+	if (lab_trouble()) {
 		lab_node_wait(2);
 		lab_sleep_until(KILL_MS + RESTART_MS);
 		lab_node_start(2, "orders");
@@ -140,6 +209,7 @@
 		if (!lab_wait_ready(2, 700))
 			return lab_finish(2);
 	}
+#ifndef LATE_HEARTBEAT
 	lab_sleep_until(LEAVE_MS);
 	leaving.leaving = 1;
 	status = lab_server_beat(&leaving, "DELETE", "draining");
@@ -147,7 +217,10 @@
 	if (status != 200)
 		return lab_finish(2);
 	acked_ms = lab_ms();
+#endif
 	lab_sleep_until(LEAVE_MS + STAY_MS);
+	if (acked_ms == 0)
+		return lab_finish(2);
 	lab_note("server %s ends", leaving.id);
 	lab_server_end(&leaving);
 	lab_sleep_until(END_MS + 500);
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 mkdir -p build/review-2
 for source in review/*/case.c; do
 	n=$(basename "$(dirname "$source")")
-	grep -q 'lab-2/lab.h' "$source" || continue
+	[ "$n" -ge 6 ] || continue
 	cc -D_GNU_SOURCE -O2 -Wall -Wextra -pthread -o "build/review-2/$n" \
 	    "$source" review/lab-2/lab.c
 done
--- a/review/lab-2/lab.c
+++ b/review/lab-2/lab.c
@@ -807,29 +807,18 @@
 }
 
 /*
- * Sends an announcement of the server to its node.  Returns the status of the
- * answer, or -1.
+ * Sends a call of the server to its node.  Returns the status of the answer, or
+ * -1.
  */
-int
-lab_server_beat(struct lab_server *s, const char *method, const char *state)
+static int
+call_control(struct lab_server *s, const char *method, const char *body)
 {
 	struct lab_conn *c = malloc(sizeof(*c));
 	struct lab_msg *m = malloc(sizeof(*m));
-	char ip[32], body[512];
 	int status = -1;
 
 	if (c == NULL || m == NULL)
 		errx(2, "out of memory");
-	lab_ip(s->machine, ip, sizeof(ip));
-	snprintf(body, sizeof(body),
-	    "{\"address\":\"%s:%d\",\"info\":{\"service\":\"%s\",\"version\":"
-	    "\"v1\",\"zone\":\"z%d\",\"slots\":%d},\"status\":{\"state\":"
-	    "\"%s\",\"sequence\":%llu,\"cold_remaining\":\"0ms\"},"
-	    "\"born\":%llu}",
-	    ip, lab_port(LAB_SERVER), s->service, s->machine % 3, s->slots,
-	    state,
-	    (unsigned long long)__sync_add_and_fetch(&s->sequence, 1),
-	    (unsigned long long)s->born_ms);
 	if (lab_connect(c, s->machine, lab_port(LAB_CONTROL),
 		ACK_TIMEOUT_MS) == 0) {
 		if (lab_printf(c,
@@ -846,6 +835,47 @@
 	return status;
 }
 
+/*
+ * Sends the server's DELETE, without a body.
+ */
+int
+lab_server_delete(struct lab_server *s)
+{
+	return call_control(s, "DELETE", "");
+}
+
+/*
+ * Sends an announcement of the server with its next number.
+ */
+int
+lab_server_beat(struct lab_server *s, const char *method, const char *state)
+{
+	return lab_server_beat_numbered(
+	    s, method, state, __sync_add_and_fetch(&s->sequence, 1));
+}
+
+/*
+ * Sends an announcement of the server with a given number.  Returns the status
+ * of the answer, or -1.
+ */
+int
+lab_server_beat_numbered(struct lab_server *s, const char *method,
+    const char *state, uint64_t number)
+{
+	char ip[32], body[512];
+
+	lab_ip(s->machine, ip, sizeof(ip));
+	snprintf(body, sizeof(body),
+	    "{\"address\":\"%s:%d\",\"info\":{\"service\":\"%s\",\"version\":"
+	    "\"v1\",\"zone\":\"z%d\",\"slots\":%d},\"status\":{\"state\":"
+	    "\"%s\",\"sequence\":%llu,\"cold_remaining\":\"0ms\"},"
+	    "\"born\":%llu}",
+	    ip, lab_port(LAB_SERVER), s->service, s->machine % 3, s->slots,
+	    state,
+	    (unsigned long long)number, (unsigned long long)s->born_ms);
+	return call_control(s, method, body);
+}
+
 static void *
 beat_loop(void *arg)
 {
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -84,6 +84,9 @@
 void lab_server_init(struct lab_server *, int, const char *, lab_run_fn);
 void lab_server_start(struct lab_server *);
 int lab_server_beat(struct lab_server *, const char *, const char *);
+int lab_server_beat_numbered(
+    struct lab_server *, const char *, const char *, uint64_t);
+int lab_server_delete(struct lab_server *);
 void lab_server_end(struct lab_server *);
 void lab_answer(struct lab_server *, struct lab_conn *, const struct lab_msg *,
     int, const char *, const char *);
