--- a/review/6/case.c
+++ b/review/6/case.c
@@ -26,7 +26,7 @@
 #define LOST_MAX 3 /* more break the rule */
 
 static struct lab_server artwork, catalogue;
-static volatile int answered, failed, unanswered, lost, uploads_done;
+static volatile int answered, failed, unanswered, lost, foreign, uploads_done;
 /* Last request of each caller that the server has begun to run. */
 static volatile int begun[CALLERS + 1];
 
@@ -121,6 +121,7 @@
 	int caller = (int)(intptr_t)arg, n = 0, on_connection = 0;
 	struct lab_conn *c = malloc(sizeof(*c));
 	struct lab_msg *m = malloc(sizeof(*m));
+	char sent[LAB_ID_BYTES], got[LAB_ID_BYTES];
 
 	if (c == NULL || m == NULL)
 		abort();
@@ -156,6 +157,13 @@
 			continue;
 		}
 		lab_note("c%d-%d: %d %s", caller, n, m->status, m->body);
+		snprintf(sent, sizeof(sent), "c%d-%d", caller, n);
+		lab_header(m, "X-Cyclamenvale-Attempt-Id", got, sizeof(got));
+		if (strcmp(got, sent) != 0) {
+			__sync_fetch_and_add(&foreign, 1);
+			lab_note("MIXED: %s gets the answer of \"%s\"", sent,
+			    got);
+		}
 		__sync_fetch_and_add(m->status == 200 ? &answered : &failed, 1);
 		free(m->body);
 		if (strcasestr(m->head, "\r\nConnection: close") != NULL)
@@ -204,9 +212,10 @@
 	}
 	lab_note("%d uploads answered with success; short requests: %d answered "
 		 "with success, %d with another status, %d unanswered; %d lost "
-		 "from kept connections; %d nodes crashed",
-	    uploads_done, answered, failed, unanswered, lost, crashed);
+		 "from kept connections, %d got the answer of another one; %d nodes "
+		 "crashed",
+	    uploads_done, answered, failed, unanswered, lost, foreign, crashed);
 	if (answered < 100)
 		return lab_finish(2);
-	return lab_finish(lost > LOST_MAX);
+	return lab_finish(lost > LOST_MAX || foreign > 0);
 }
