--- a/review/6/case.c
+++ b/review/6/case.c
@@ -7,168 +7,104 @@
 #include "../lab-2/lab.h"
 
 /*
- * Machine 1 has the callers, machine 2 a server of "artwork", machine 3 one of
- * "catalogue".  Uploads are under way, all within the limits in force when they
- * began, when a configuration lowers max_body_bytes.  Afterwards callers open
- * connections and send one short request after the other on each.
+ * Machine 1 has the callers.  Beside machine 2 runs the only server of the
+ * service "orders" that leaves, beside machine 3 one that stays.  The node of
+ * machine 2 is killed and started again, as the platform does.  Meanwhile its
+ * server leaves: it repeats DELETE (without a body) until that is acknowledged,
+ * goes on serving, and exits.  A heartbeat that it sent before arrives late.
  */
 
-#define UPLOADS 4
-#define UPLOAD_BYTES (3 << 20)
-#define PIECE_BYTES 32768
-#define PIECE_GAP_US 60000
-#define UPLOAD_START_MS 3000
-#define CHANGE_MS 4000
-#define CALLERS 24
-#define CALL_START_MS 7500
-#define END_MS 18000
-#define RUN_MS 120
-#define LOST_MAX 3 /* more break the rule */
-
-static struct lab_server artwork, catalogue;
-static volatile int answered, failed, unanswered, lost, foreign, uploads_done;
-/* Last request of each caller that the server has begun to run. */
-static volatile int begun[CALLERS + 1];
+#define DRAIN_MS 2000	/* bound of the rule */
+#define TOUCH_MS 3000	/* bound of the rule */
+#define STAY_MS 6100	/* after which the server exits */
+#define END_MS 13000
+#define KILL_MS 4600
+#define RESTART_MS 300
+#define CALLERS 4
+#define RUN_MS 60
+#define RETRY_MS 100		/* between two DELETE */
+#define HEARTBEAT_DELAY_MS 2500 /* until the last heartbeat arrives */
 
-static const char config[] =
-    "{\"version\":%d,\"routes\":{"
-    "\"r-art\":{\"host\":\"shop.example\",\"path_prefix\":\"/artwork/\","
-    "\"kind\":\"upload\",\"timeout\":\"9000ms\",\"target_latency\":\"6000ms\","
-    "\"priority\":0,\"service\":\"artwork\",\"retry_attempts\":1,"
-    "\"public\":false},"
-    "\"r-cat\":{\"host\":\"shop.example\",\"path_prefix\":\"/catalogue/\","
-    "\"kind\":\"safe\",\"timeout\":\"3000ms\",\"target_latency\":\"1500ms\","
-    "\"priority\":1,\"service\":\"catalogue\",\"retry_attempts\":2,"
-    "\"public\":false}},"
-    "\"services\":{\"artwork\":{\"health_path\":\"/health\","
-    "\"max_connections\":600},\"catalogue\":{\"health_path\":\"/health\","
-    "\"max_connections\":600}},\"limits\":{\"max_header_bytes\":16384,"
-    "\"max_body_bytes\":%d,\"header_timeout\":\"3000ms\","
-    "\"idle_timeout\":\"15000ms\"}}";
-
-static void
-publish(int version, int max_body_bytes)
-{
-	char text[2048];
+static struct lab_server leaving, staying;
+static volatile uint64_t acked_ms, in_touch_ms;
+static volatile int late_runs, cut_requests, answered, refused;
 
-	snprintf(text, sizeof(text), config, version, max_body_bytes);
-	lab_publish(text);
-}
+static const char config[] =
+    "{\"version\":3,\"routes\":{\"r-orders\":{\"host\":\"shop.example\","
+    "\"path_prefix\":\"/orders/\",\"kind\":\"unsafe\",\"timeout\":\"3000ms\","
+    "\"target_latency\":\"1500ms\",\"priority\":0,\"service\":\"orders\","
+    "\"retry_attempts\":2,\"public\":false}},\"services\":{\"orders\":{"
+    "\"health_path\":\"/health\",\"max_connections\":600}},\"limits\":{"
+    "\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+    "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}";
 
+/*
+ * Runs a request at a server.  Counts those that reach the leaving server
+ * later than the rule allows, once all nodes are in touch.
+ */
 static void
 run(struct lab_server *s, struct lab_conn *c, const struct lab_msg *m)
 {
+	uint64_t now = lab_ms();
 	char id[LAB_ID_BYTES];
-	int caller, n;
 
 	lab_header(m, "X-Cyclamenvale-Attempt-Id", id, sizeof(id));
-	if (sscanf(id, "c%d-%d", &caller, &n) == 2)
-		begun[caller] = n;
-	lab_run_for(s, c, m, RUN_MS);
-}
-
-/*
- * Uploads one body in pieces and reads the answer, also an early one.
- */
-static void *
-upload(void *arg)
-{
-	int n = (int)(intptr_t)arg, rc;
-	struct lab_conn *c = malloc(sizeof(*c));
-	struct lab_msg *m = malloc(sizeof(*m));
-	char *piece = calloc(1, PIECE_BYTES);
-	size_t sent = 0;
-
-	if (c == NULL || m == NULL || piece == NULL)
-		abort();
-	if (lab_connect(c, 1, lab_port(LAB_ENTRY), 1000) == -1)
-		return NULL;
-	lab_note("upload u%d begins, %d bytes", n, UPLOAD_BYTES);
-	rc = lab_printf(c,
-	    "POST /artwork/%d HTTP/1.1\r\nHost: shop.example\r\n"
-	    "X-Cyclamenvale-Attempt-Id: u%d\r\n"
-	    "X-Cyclamenvale-Deadline-Ms: 12000\r\n"
-	    "Content-Length: %d\r\n\r\n",
-	    n, n, UPLOAD_BYTES);
-	while (rc == 0 && sent < UPLOAD_BYTES) {
-		rc = lab_write(c, piece, PIECE_BYTES);
-		sent += PIECE_BYTES;
-		usleep(PIECE_GAP_US);
-		if (lab_read_head(c, m, 1) == 1)
-			break;
-		m->status = 0;
+	if (s == &leaving && acked_ms != 0 && now > acked_ms + DRAIN_MS &&
+	    now > in_touch_ms) {
+		__sync_fetch_and_add(&late_runs, 1);
+		lab_note("DRAIN: %s reaches server %s %llu ms after the "
+			 "acknowledgement that it is gone",
+		    id, s->id, (unsigned long long)(now - acked_ms));
 	}
-	if (rc == 0 && m->status == 0 && lab_read_head(c, m, 12000) != 1)
-		m->status = 0;
-	lab_note("upload u%d: %d after %zu bytes", n, m->status, sent);
-	if (m->status == 200)
-		__sync_fetch_and_add(&uploads_done, 1);
-	lab_close(c);
-	free(piece);
-	free(c);
-	free(m);
-	return NULL;
+	lab_run_for(s, c, m, RUN_MS);
 }
 
 /*
- * Sends one request after the other on a connection of its own.  Counts those
- * on a kept connection that the server has begun to run and whose connection
- * is closed without an answer.
+ * Sends one request after the other from machine 1.
  */
 static void *
 call(void *arg)
 {
-	int caller = (int)(intptr_t)arg, n = 0, on_connection = 0;
+	int caller = (int)(intptr_t)arg, n = 0;
 	struct lab_conn *c = malloc(sizeof(*c));
 	struct lab_msg *m = malloc(sizeof(*m));
-	char sent[LAB_ID_BYTES], got[LAB_ID_BYTES];
 
 	if (c == NULL || m == NULL)
 		abort();
 	c->fd = -1;
 	while (lab_ms() < END_MS) {
-		if (c->fd == -1) {
-			on_connection = 0;
-			if (lab_connect(c, 1, lab_port(LAB_ENTRY), 1000) ==
-			    -1) {
-				usleep(50000);
-				continue;
-			}
+		if (c->fd == -1 &&
+		    lab_connect(c, 1, lab_port(LAB_ENTRY), 1000) == -1) {
+			usleep(50000);
+			continue;
 		}
-		n++;
-		on_connection++;
+		lab_note("caller %d sends a%d-%d", caller, caller, ++n);
 		if (lab_printf(c,
-			"GET /catalogue/%d HTTP/1.1\r\nHost: shop.example\r\n"
-			"X-Cyclamenvale-Attempt-Id: c%d-%d\r\n"
-			"X-Cyclamenvale-Deadline-Ms: 5000\r\n\r\n",
+			"POST /orders/%d HTTP/1.1\r\nHost: shop.example\r\n"
+			"X-Cyclamenvale-Attempt-Id: a%d-%d\r\n"
+			"X-Cyclamenvale-Deadline-Ms: 5000\r\n"
+			"Content-Length: 2\r\n\r\n{}",
 			n, caller, n) == -1 ||
 		    lab_read_head(c, m, 5000) != 1 ||
 		    lab_read_body(c, m, 5000) == -1) {
-			__sync_fetch_and_add(&unanswered, 1);
-			lab_note("no answer to c%d-%d", caller, n);
-			if (on_connection > 1 && begun[caller] == n) {
-				__sync_fetch_and_add(&lost, 1);
-				lab_note("LOST: c%d-%d was passed on from a "
-					 "kept connection, which is closed "
-					 "without an answer",
-				    caller, n);
-			}
+			lab_note("caller %d: no answer to a%d-%d", caller,
+			    caller, n);
 			lab_close(c);
+			__sync_fetch_and_add(&cut_requests, 1);
 			continue;
 		}
-		lab_note("c%d-%d: %d %s", caller, n, m->status, m->body);
-		snprintf(sent, sizeof(sent), "c%d-%d", caller, n);
-		lab_header(m, "X-Cyclamenvale-Attempt-Id", got, sizeof(got));
-		if (strcmp(got, sent) != 0) {
-			__sync_fetch_and_add(&foreign, 1);
-			lab_note("MIXED: %s gets the answer of \"%s\"", sent,
-			    got);
-		}
-		__sync_fetch_and_add(m->status == 200 ? &answered : &failed, 1);
+		lab_note("caller %d: a%d-%d: %d %s", caller, caller, n,
+		    m->status, m->body);
+		if (m->status == 200)
+			__sync_fetch_and_add(&answered, 1);
+		else if (m->status == 502 || m->status == 504)
+			__sync_fetch_and_add(&cut_requests, 1);
+		else
+			__sync_fetch_and_add(&refused, 1);
 		free(m->body);
 		if (strcasestr(m->head, "\r\nConnection: close") != NULL)
 			lab_close(c);
-		usleep(20000);
+		usleep(40000);
 	}
 	lab_close(c);
 	free(c);
@@ -176,46 +112,102 @@
 	return NULL;
 }
 
+/*
+ * Repeats DELETE until it is acknowledged, as a server does that leaves.
+ */
+static void *
+repeat_delete(void *arg)
+{
+	int status;
+
+	(void)arg;
+	while (acked_ms == 0) {
+		status = lab_server_delete(&leaving);
+		if (status == 200) {
+			acked_ms = lab_ms();
+			lab_note("server %s: DELETE is answered with 200",
+			    leaving.id);
+		} else {
+			usleep(RETRY_MS * 1000);
+		}
+	}
+	return NULL;
+}
+
+/*
+ * Delivers a heartbeat of the server that was delayed on its way.
+ */
+static void *
+deliver_heartbeat(void *arg)
+{
+	int status;
+
+	lab_sleep_until(KILL_MS + HEARTBEAT_DELAY_MS);
+	status = lab_server_beat_numbered(
+	    &leaving, "PUT", "ready", (uint64_t)(uintptr_t)arg);
+	lab_note("the delayed heartbeat %llu of server %s arrives, answered "
+		 "with %d",
+	    (unsigned long long)(uintptr_t)arg, leaving.id, status);
+	return NULL;
+}
+
+/*
+ * Lets the server send a heartbeat, which is delayed, and then leave.
+ */
+static void
+leave_late(void)
+{
+	uint64_t number = __sync_add_and_fetch(&leaving.sequence, 1);
+
+	lab_note("server %s sends its heartbeat %llu, and then DELETE",
+	    leaving.id, (unsigned long long)number);
+	leaving.leaving = 1;
+	lab_thread(deliver_heartbeat, (void *)(uintptr_t)number);
+	lab_thread(repeat_delete, NULL);
+}
+
 int
 main(int argc, char **argv)
 {
-	int i, alive, seen_crashed = 0, crashed = 0;
+	int i;
 
 	lab_init(argc > 1 ? argv[1] : ".");
-	publish(3, 4 << 20);
-	lab_server_init(&artwork, 2, "artwork", run);
-	lab_server_init(&catalogue, 3, "catalogue", run);
+	lab_publish(config);
+	lab_server_init(&leaving, 2, "orders", run);
+	lab_server_init(&staying, 3, "orders", run);
 	lab_node_start(1, "shop");
-	lab_node_start(2, "artwork");
-	lab_node_start(3, "catalogue");
-	lab_server_start(&artwork);
-	lab_server_start(&catalogue);
+	lab_node_start(2, "orders");
+	lab_node_start(3, "orders");
+	lab_server_start(&leaving);
+	lab_server_start(&staying);
 	for (i = 1; i <= 3; i++)
 		if (!lab_wait_ready(i, 10000))
 			return lab_finish(2);
-	lab_sleep_until(UPLOAD_START_MS);
-	for (i = 0; i < UPLOADS; i++)
-		lab_thread(upload, (void *)(intptr_t)(i + 1));
-	lab_sleep_until(CHANGE_MS);
-	if (lab_trouble())
-		publish(5, 1 << 20);
-	lab_sleep_until(CALL_START_MS);
+	lab_sleep_until(2500);
 	for (i = 0; i < CALLERS; i++)
 		lab_thread(call, (void *)(intptr_t)(i + 1));
-	while (lab_ms() < END_MS + 500) {
-		for (i = 1; i <= 3; i++) {
-			alive = lab_node_alive(i);
-			crashed += !alive && !(seen_crashed & 1 << i);
-			seen_crashed |= (!alive) << i;
-		}
-		usleep(20000);
+	lab_sleep_until(KILL_MS);
+	if (lab_trouble())
+		lab_node_signal(2, SIGKILL);
+	leave_late();
+	if (lab_trouble()) {
+		lab_node_wait(2);
+		lab_sleep_until(KILL_MS + RESTART_MS);
+		lab_node_start(2, "orders");
+		in_touch_ms = lab_ms() + TOUCH_MS;
+		if (!lab_wait_ready(2, 700))
+			return lab_finish(2);
 	}
-	lab_note("%d uploads answered with success; short requests: %d answered "
-		 "with success, %d with another status, %d unanswered; %d lost "
-		 "from kept connections, %d got the answer of another one; %d nodes "
-		 "crashed",
-	    uploads_done, answered, failed, unanswered, lost, foreign, crashed);
+	lab_sleep_until(KILL_MS + STAY_MS);
+	if (acked_ms == 0)
+		return lab_finish(2);
+	lab_note("server %s ends", leaving.id);
+	lab_server_end(&leaving);
+	lab_sleep_until(END_MS + 500);
+	lab_note("%d answered, %d refused, %d ended without an answer of a "
+		 "server; %d reached the server too late",
+	    answered, refused, cut_requests, late_runs);
 	if (answered < 100)
 		return lab_finish(2);
-	return lab_finish(lost > LOST_MAX || foreign > 0);
+	return lab_finish(late_runs > 0);
 }
