--- a/review/6/case.c
+++ b/review/6/case.c
@@ -1,4 +1,3 @@
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,104 +6,115 @@
 #include "../lab-2/lab.h"
 
 /*
- * Machine 1 has the callers.  Beside machine 2 runs the only server of the
- * service "orders" that leaves, beside machine 3 one that stays.  The node of
- * machine 2 is killed and started again, as the platform does.  Meanwhile its
- * server leaves: it repeats DELETE (without a body) until that is acknowledged,
- * goes on serving, and exits.  A heartbeat that it sent before arrives late.
+ * Machine 1 has the callers, machines 2 and 3 a server each of "orders".  The
+ * operator has written the versions 5 and 7 when the store is away, and returns
+ * from a copy that has neither.  The operator writes its newest version again,
+ * and then one that withdraws a key.
  */
 
-#define DRAIN_MS 2000	/* bound of the rule */
-#define TOUCH_MS 3000	/* bound of the rule */
-#define STAY_MS 6100	/* after which the server exits */
-#define END_MS 13000
-#define KILL_MS 4600
-#define RESTART_MS 300
+#define VERSION_5_MS 500
+#define VERSION_7_MS 1000
+#define START_MS 1500
+#define CALL_MS 4000
+#define AWAY_MS 5000
+#define RETURN_MS 7500
+#define WITHDRAW_MS 7700
+#define REVOKE_MS 5000 /* bound of the rule */
+#define END_MS 25000
 #define CALLERS 4
-#define RUN_MS 60
-#define RETRY_MS 100		/* between two DELETE */
-#define HEARTBEAT_DELAY_MS 2500 /* until the last heartbeat arrives */
+#define CALL_GAP_MS 100
+#define RUN_MS 20
 
-static struct lab_server leaving, staying;
-static volatile uint64_t acked_ms, in_touch_ms;
-static volatile int late_runs, cut_requests, answered, refused;
+static struct lab_server servers[2];
+static volatile uint64_t withdrawn_ms;
+static volatile int good, withdrawn_runs, withdrawn_refused;
 
 static const char config[] =
-    "{\"version\":3,\"routes\":{\"r-orders\":{\"host\":\"shop.example\","
-    "\"path_prefix\":\"/orders/\",\"kind\":\"unsafe\",\"timeout\":\"3000ms\","
+    "{\"version\":%d,\"routes\":{\"r-orders\":{\"host\":\"shop.example\","
+    "\"path_prefix\":\"/orders/\",\"kind\":\"unsafe\",\"timeout\":\"%dms\","
     "\"target_latency\":\"1500ms\",\"priority\":0,\"service\":\"orders\","
     "\"retry_attempts\":2,\"public\":false}},\"services\":{\"orders\":{"
-    "\"health_path\":\"/health\",\"max_connections\":600}},\"limits\":{"
+    "\"health_path\":\"/health\",\"max_connections\":664}},\"limits\":{"
     "\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
-    "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}";
+    "\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"},"
+    "\"tenants\":{\"pulo\":{\"api_keys\":[\"key-that-stays\"%s],"
+    "\"priority\":1,\"rate_per_s\":500,\"burst\":500}}}";
+
+static void
+publish(int version, int timeout_ms, int with_key)
+{
+	char text[1024];
+
+	snprintf(text, sizeof(text), config, version, timeout_ms,
+	    with_key ? ",\"key-withdrawn\"" : "");
+	lab_publish(text);
+}
 
 /*
- * Runs a request at a server.  Counts those that reach the leaving server
- * later than the rule allows, once all nodes are in touch.
+ * Runs a request.  The caller puts into the path which key it uses and when it
+ * sent the request.
  */
 static void
 run(struct lab_server *s, struct lab_conn *c, const struct lab_msg *m)
 {
-	uint64_t now = lab_ms();
-	char id[LAB_ID_BYTES];
-
-	lab_header(m, "X-Cyclamenvale-Attempt-Id", id, sizeof(id));
-	if (s == &leaving && acked_ms != 0 && now > acked_ms + DRAIN_MS &&
-	    now > in_touch_ms) {
-		__sync_fetch_and_add(&late_runs, 1);
-		lab_note("DRAIN: %s reaches server %s %llu ms after the "
-			 "acknowledgement that it is gone",
-		    id, s->id, (unsigned long long)(now - acked_ms));
+	unsigned long long sent_ms;
+
+	if (sscanf(m->target, "/orders/withdrawn/%llu", &sent_ms) == 1 &&
+	    withdrawn_ms != 0 && sent_ms > withdrawn_ms + REVOKE_MS) {
+		__sync_fetch_and_add(&withdrawn_runs, 1);
+		lab_note("CONFIG: server %s runs a request with a key that was "
+			 "withdrawn %llu ms before it was sent",
+		    s->id, sent_ms - (unsigned long long)withdrawn_ms);
 	}
 	lab_run_for(s, c, m, RUN_MS);
 }
 
 /*
- * Sends one request after the other from machine 1.
+ * Sends requests with one of the keys.
  */
 static void *
 call(void *arg)
 {
-	int caller = (int)(intptr_t)arg, n = 0;
+	int caller = (int)(intptr_t)arg, n = 0, withdrawn = caller % 2;
 	struct lab_conn *c = malloc(sizeof(*c));
 	struct lab_msg *m = malloc(sizeof(*m));
+	uint64_t sent_ms;
 
 	if (c == NULL || m == NULL)
 		abort();
 	c->fd = -1;
 	while (lab_ms() < END_MS) {
-		if (c->fd == -1 &&
-		    lab_connect(c, 1, lab_port(LAB_ENTRY), 1000) == -1) {
+		if (c->fd == -1 && lab_connect(c, 1 + caller % 3,
+				       lab_port(LAB_ENTRY), 1000) == -1) {
 			usleep(50000);
 			continue;
 		}
-		lab_note("caller %d sends a%d-%d", caller, caller, ++n);
+		sent_ms = lab_ms();
 		if (lab_printf(c,
-			"POST /orders/%d HTTP/1.1\r\nHost: shop.example\r\n"
-			"X-Cyclamenvale-Attempt-Id: a%d-%d\r\n"
+			"POST /orders/%s/%llu HTTP/1.1\r\n"
+			"Host: shop.example\r\n"
+			"X-Cyclamenvale-Attempt-Id: k%d-%d\r\n"
 			"X-Cyclamenvale-Deadline-Ms: 5000\r\n"
-			"Content-Length: 2\r\n\r\n{}",
-			n, caller, n) == -1 ||
+			"X-Cyclamenvale-Key: %s\r\nContent-Length: 2\r\n\r\n{}",
+			withdrawn ? "withdrawn" : "stays",
+			(unsigned long long)sent_ms, caller, ++n,
+			withdrawn ? "key-withdrawn" : "key-that-stays") == -1 ||
 		    lab_read_head(c, m, 5000) != 1 ||
 		    lab_read_body(c, m, 5000) == -1) {
-			lab_note("caller %d: no answer to a%d-%d", caller,
-			    caller, n);
+			lab_note("no answer to k%d-%d", caller, n);
 			lab_close(c);
-			__sync_fetch_and_add(&cut_requests, 1);
 			continue;
 		}
-		lab_note("caller %d: a%d-%d: %d %s", caller, caller, n,
-		    m->status, m->body);
-		if (m->status == 200)
-			__sync_fetch_and_add(&answered, 1);
-		else if (m->status == 502 || m->status == 504)
-			__sync_fetch_and_add(&cut_requests, 1);
-		else
-			__sync_fetch_and_add(&refused, 1);
+		lab_note("k%d-%d, %s: %d", caller, n,
+		    withdrawn ? "key-withdrawn" : "key-that-stays", m->status);
+		if (!withdrawn && m->status == 200)
+			__sync_fetch_and_add(&good, 1);
+		if (withdrawn && m->status == 401)
+			__sync_fetch_and_add(&withdrawn_refused, 1);
 		free(m->body);
 		if (strcasestr(m->head, "\r\nConnection: close") != NULL)
 			lab_close(c);
-		usleep(40000);
+		usleep(CALL_GAP_MS * 1000);
 	}
 	lab_close(c);
 	free(c);
@@ -112,102 +122,47 @@
 	return NULL;
 }
 
-/*
- * Repeats DELETE until it is acknowledged, as a server does that leaves.
- */
-static void *
-repeat_delete(void *arg)
-{
-	int status;
-
-	(void)arg;
-	while (acked_ms == 0) {
-		status = lab_server_delete(&leaving);
-		if (status == 200) {
-			acked_ms = lab_ms();
-			lab_note("server %s: DELETE is answered with 200",
-			    leaving.id);
-		} else {
-			usleep(RETRY_MS * 1000);
-		}
-	}
-	return NULL;
-}
-
-/*
- * Delivers a heartbeat of the server that was delayed on its way.
- */
-static void *
-deliver_heartbeat(void *arg)
-{
-	int status;
-
-	lab_sleep_until(KILL_MS + HEARTBEAT_DELAY_MS);
-	status = lab_server_beat_numbered(
-	    &leaving, "PUT", "ready", (uint64_t)(uintptr_t)arg);
-	lab_note("the delayed heartbeat %llu of server %s arrives, answered "
-		 "with %d",
-	    (unsigned long long)(uintptr_t)arg, leaving.id, status);
-	return NULL;
-}
-
-/*
- * Lets the server send a heartbeat, which is delayed, and then leave.
- */
-static void
-leave_late(void)
-{
-	uint64_t number = __sync_add_and_fetch(&leaving.sequence, 1);
-
-	lab_note("server %s sends its heartbeat %llu, and then DELETE",
-	    leaving.id, (unsigned long long)number);
-	leaving.leaving = 1;
-	lab_thread(deliver_heartbeat, (void *)(uintptr_t)number);
-	lab_thread(repeat_delete, NULL);
-}
-
 int
 main(int argc, char **argv)
 {
 	int i;
 
 	lab_init(argc > 1 ? argv[1] : ".");
-	lab_publish(config);
-	lab_server_init(&leaving, 2, "orders", run);
-	lab_server_init(&staying, 3, "orders", run);
+	publish(3, 3000, 1);
+	lab_sleep_until(VERSION_5_MS);
+	publish(5, 2800, 1);
+	lab_sleep_until(VERSION_7_MS);
+	publish(7, 2600, 1);
+	lab_sleep_until(START_MS);
 	lab_node_start(1, "shop");
-	lab_node_start(2, "orders");
-	lab_node_start(3, "orders");
-	lab_server_start(&leaving);
-	lab_server_start(&staying);
+	for (i = 0; i < 2; i++) {
+		lab_server_init(&servers[i], i + 2, "orders", run);
+		lab_node_start(i + 2, "orders");
+		lab_server_start(&servers[i]);
+	}
 	for (i = 1; i <= 3; i++)
 		if (!lab_wait_ready(i, 10000))
 			return lab_finish(2);
-	lab_sleep_until(2500);
+	lab_sleep_until(CALL_MS);
 	for (i = 0; i < CALLERS; i++)
-		lab_thread(call, (void *)(intptr_t)(i + 1));
-	lab_sleep_until(KILL_MS);
+		lab_thread(call, (void *)(intptr_t)i);
+	lab_sleep_until(AWAY_MS);
 	if (lab_trouble())
-		lab_node_signal(2, SIGKILL);
-	leave_late();
+		lab_store_silence();
+	lab_sleep_until(RETURN_MS);
 	if (lab_trouble()) {
-		lab_node_wait(2);
-		lab_sleep_until(KILL_MS + RESTART_MS);
-		lab_node_start(2, "orders");
-		in_touch_ms = lab_ms() + TOUCH_MS;
-		if (!lab_wait_ready(2, 700))
-			return lab_finish(2);
+		lab_store_return(1);
+		publish(7, 2600, 1);
 	}
-	lab_sleep_until(KILL_MS + STAY_MS);
-	if (acked_ms == 0)
-		return lab_finish(2);
-	lab_note("server %s ends", leaving.id);
-	lab_server_end(&leaving);
+	lab_sleep_until(WITHDRAW_MS);
+	publish(9, 2600, 0);
+	withdrawn_ms = lab_ms();
 	lab_sleep_until(END_MS + 500);
-	lab_note("%d answered, %d refused, %d ended without an answer of a "
-		 "server; %d reached the server too late",
-	    answered, refused, cut_requests, late_runs);
-	if (answered < 100)
+	lab_note("%d requests with the key that stays answered with success; with "
+		 "the withdrawn key %d were refused with 401, and %d ran that "
+		 "were sent later than %d ms after the acknowledgement",
+	    good, withdrawn_refused, withdrawn_runs, REVOKE_MS);
+	if (good < 100)
 		return lab_finish(2);
-	return lab_finish(late_runs > 0);
+	return lab_finish(withdrawn_runs > 0);
 }
--- a/review/lab-2/lab.c
+++ b/review/lab-2/lab.c
@@ -44,6 +44,8 @@
 	{ .name = "keyed.nodes" } };
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t store_changed = PTHREAD_COND_INITIALIZER;
+static int store_era = 1;
+static volatile int store_silent;
 
 static struct lab_node nodes[LAB_NODES_MAX];
 static uint64_t start_ms;
@@ -505,6 +507,44 @@
 	lab_note("operator: configuration acknowledged: %s", config);
 }
 
+/*
+ * Lets the store accept connections and answer nothing.
+ */
+void
+lab_store_silence(void)
+{
+	store_silent = 1;
+	lab_note("the store answers nothing from now on");
+}
+
+/*
+ * Lets the store return from a copy that holds so many versions of the
+ * configuration, in a new era.  Connections from before stay silent.
+ */
+void
+lab_store_return(size_t versions)
+{
+	pthread_mutex_lock(&store_lock);
+	if (topics[0].count > versions)
+		topics[0].count = versions;
+	store_era++;
+	store_silent = 0;
+	pthread_mutex_unlock(&store_lock);
+	lab_note("the store returns from a copy: %zu versions, era %d",
+	    versions, store_era);
+}
+
+/*
+ * Waits forever on a connection that belongs to an earlier era of the store, or
+ * as long as the store is silent.
+ */
+static void
+await_silence(int era)
+{
+	while (store_silent || era != store_era)
+		usleep(20000);
+}
+
 static void
 answer_newest(struct lab_conn *c, struct topic *t)
 {
@@ -531,8 +571,8 @@
 	pthread_mutex_unlock(&store_lock);
 	lab_printf(c,
 	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-	    "Content-Length: %zu\r\n\r\n",
-	    len);
+	    "Store-Era: %d\r\nContent-Length: %zu\r\n\r\n",
+	    store_era, len);
 	lab_write(c, text, len);
 	free(text);
 	free(item);
@@ -548,7 +588,8 @@
 }
 
 static void
-answer_read(struct lab_conn *c, struct topic *t, const char *target)
+answer_read(
+    struct lab_conn *c, struct topic *t, const char *target, int era)
 {
 	uint64_t from = query(target, "from=", 0);
 	uint64_t wait_ms = query(target, "wait_ms=", 0);
@@ -566,10 +607,26 @@
 		until.tv_sec++;
 	}
 	pthread_mutex_lock(&store_lock);
+	if (from > t->count) {
+		pthread_mutex_unlock(&store_lock);
+		lab_note("store: read from %llu gets 410",
+		    (unsigned long long)from);
+		lab_printf(c,
+		    "HTTP/1.1 410 Gone\r\nStore-Era: %d\r\n"
+		    "Content-Length: 11\r\n\r\n{\"first\":0}",
+		    store_era);
+		free(text);
+		return;
+	}
 	while (t->count <= from && wait_ms > 0 &&
 	       pthread_cond_timedwait(&store_changed, &store_lock, &until) ==
 		   0)
 		;
+	if (store_silent || era != store_era) {
+		pthread_mutex_unlock(&store_lock);
+		await_silence(era);
+		pthread_mutex_lock(&store_lock);
+	}
 	put_big_endian(text, t->count, 8);
 	put_big_endian(text + 8, 0, 8);
 	for (i = from; i < t->count; i++) {
@@ -583,8 +640,10 @@
 		len += 4 + n;
 	}
 	pthread_mutex_unlock(&store_lock);
-	lab_printf(
-	    c, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", len);
+	lab_printf(c,
+	    "HTTP/1.1 200 OK\r\nStore-Era: %d\r\n"
+	    "Content-Length: %zu\r\n\r\n",
+	    store_era, len);
 	lab_write(c, text, len);
 	free(text);
 }
@@ -607,8 +666,10 @@
 	}
 	snprintf(text, sizeof(text), "{\"offset\":%zu,\"end\":%zu}", first,
 	    t->count);
-	lab_printf(c, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-	    strlen(text), text);
+	lab_printf(c,
+	    "HTTP/1.1 200 OK\r\nStore-Era: %d\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    store_era, strlen(text), text);
 }
 
 static void *
@@ -617,9 +678,11 @@
 	struct lab_conn *c = arg;
 	struct lab_msg m;
 	struct topic *t;
+	int era = store_era;
 
 	while (lab_read_head(c, &m, -1) == 1 &&
 	       lab_read_body(c, &m, -1) == 0) {
+		await_silence(era);
 		t = find_topic(m.target);
 		if (t == NULL)
 			lab_printf(c, "HTTP/1.1 404 Not Found\r\n"
@@ -627,7 +690,7 @@
 		else if (strstr(m.target, "log-newest") != NULL)
 			answer_newest(c, t);
 		else if (strstr(m.target, "log-read") != NULL)
-			answer_read(c, t, m.target);
+			answer_read(c, t, m.target, era);
 		else
 			answer_append(c, t, &m);
 		free(m.body);
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -74,6 +74,8 @@
 int lab_trouble(void);
 
 void lab_publish(const char *);
+void lab_store_silence(void);
+void lab_store_return(size_t);
 
 void lab_node_start(int, const char *);
 void lab_node_signal(int, int);
