--- a/review/lab-2/lab.c
+++ b/review/lab-2/lab.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -1046,6 +1047,8 @@
 	if (pid == -1)
 		err(2, "fork");
 	if (pid == 0) {
+		/* The node ends with this program, however that ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 		if (fd == -1 || dup2(fd, STDOUT_FILENO) == -1 ||
 		    dup2(fd, STDERR_FILENO) == -1)
@@ -1168,6 +1171,7 @@
 	snprintf(folder, sizeof(folder), "/tmp/review-2-XXXXXX");
 	if (mkdtemp(folder) == NULL)
 		err(2, "mkdtemp");
+	atexit(kill_nodes);
 	signal(SIGPIPE, SIG_IGN);
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
