relay: test_store_read_in_time_while_copy_is_awaited bears a held up process

Failed once in 46 runs, with "0 != 9": the test named the newer version only if its loop woke within the last 100 ms before the store must be read. A process that is held up across these finds the store needed by the age alone.

The version is now set before each check, so that the state under test holds whenever the loop wakes.

--- a/src/relay/test_version.c
+++ b/src/relay/test_version.c
@@ -115,10 +115,13 @@
 	    &r->fleet, "silent", 0x7f000063, loop_ms(&loop));
 	relay_config_proved(r, proved_ms);
 	read_ms = proved_ms + r->schedule.read_age_ms;
-	while (relay_config_need(r) != CONFIG_NEED_STORE) {
+	for (;;) {
+		/* Before the check: the process may be held up until read_ms. */
 		if (loop_ms(&loop) >= read_ms - 100)
 			r->fleet.peers[i].config_version = 9;
 		r->fleet.peers[i].heard_ms = loop_ms(&loop);
+		if (relay_config_need(r) == CONFIG_NEED_STORE)
+			break;
 		/* No proof but the first. */
 		r->proof_query_id = 0;
 		uv_run(&loop, UV_RUN_ONCE);
