--- a/src/http1/http1.h
+++ b/src/http1/http1.h
@@ -107,6 +107,7 @@
 
 const struct h1_head *h1_conn_head(const struct h1_conn *);
 const char *h1_conn_method(const struct h1_conn *);
+int h1_conn_copy_target(const struct h1_conn *, char *, size_t);
 int h1_conn_has_body(const struct h1_conn *);
 uint64_t h1_conn_body_length(const struct h1_conn *);
 void h1_conn_set_user(struct h1_conn *, void *);
--- a/src/http1/response.c
+++ b/src/http1/response.c
@@ -23,6 +23,22 @@
 	return http_method_str((enum http_method)c->parser.method);
 }
 
+/*
+ * Copies the target of the current request into a buffer as a string.  Returns
+ * 0, or -1 if it doesn't fit.
+ */
+int
+h1_conn_copy_target(const struct h1_conn *c, char *buf, size_t size)
+{
+	const struct h1_head *h = &c->head;
+
+	if (h->target_len >= size)
+		return -1;
+	memcpy(buf, h->buf + h->target, h->target_len);
+	buf[h->target_len] = '\0';
+	return 0;
+}
+
 /*
  * Returns 1 if the current request has a body, else 0.
  */
