follow: a restored store's offsets and proofs count only in their era

The store had come back from a copy without its newest records, and no node put the version that withdrew the key into force.

Cause: a node read on at its offset of the time before. The log had grown to that offset again, with other records, so the node took the empty reply for the proof that it had the newest version, and passed that on. The client of the store dropped the era that each reply states.

Evidence: each node logs store-regained with next=3 and never config-in-force version=9, from no source.

The era is now part of a reply. An offset is used only in the era in which it was given out, and a reply counts only if its read began there; otherwise the newest records are read, also beside a read that hangs. On related paths: a store without the version in force proves nothing, and is read at the interval of a reader then; the list of nodes is read again, and a lost registration repeated, within a second. New event: store-restored.

--- a/src/event/event.c
+++ b/src/event/event.c
@@ -43,6 +43,7 @@
 	[EVENT_PROOF_OVERDUE] = { "notice", "proof-overdue" },
 	[EVENT_STORE_LOST] = { "warning", "store-lost" },
 	[EVENT_STORE_REGAINED] = { "info", "store-regained" },
+	[EVENT_STORE_RESTORED] = { "warning", "store-restored" },
 	[EVENT_PEER_NEW] = { "info", "peer-new" },
 	[EVENT_PEER_CHANGED] = { "info", "peer-changed" },
 	[EVENT_QUORUM] = { "notice", "quorum" },
--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -15,10 +15,12 @@
 
 static void request_config(uv_timer_t *);
 static void on_newest_reply(void *, const struct store_reply *);
+static void on_short_newest_reply(void *, const struct store_reply *);
 static void on_read_reply(void *, const struct store_reply *);
 static void retry_config(struct follower *, const struct store_reply *);
 static void resume_config(struct follower *);
 static void apply_record(struct follower *, const struct store_record *);
+static void apply_newest(struct follower *, const struct store_reply *);
 static void apply_records(
     struct follower *, const struct store_reply *, uint64_t);
 static void on_short_read_timer(uv_timer_t *);
@@ -26,6 +28,7 @@
 static void adapt_read_timeout(
     struct follower *, const struct store_reply *, uint64_t);
 static int is_outage_tolerable(const struct follower *);
+static int is_store_behind(const struct follower *);
 
 static const char *const status_names[STORE_STATUS_MAX] = {
 	[STORE_OK] = "ok",
@@ -88,6 +91,56 @@
 	    f->schedule->check_ms, f->schedule->check_ms);
 }
 
+/*
+ * Notes the era in a reply of the store.  A new one means that the store has
+ * been restored without its newest records, so that offsets and the list of
+ * nodes from an earlier era are invalid.
+ */
+void
+follow_note_era(struct follower *f, const struct store_reply *reply)
+{
+	if (reply->era == 0 || reply->era == f->store_era)
+		return;
+	if (f->store_era != 0)
+		event_log(EVENT_STORE_RESTORED, loop_ms(f->loop),
+		    "era=%llu before=%llu version=%llu next=%llu",
+		    (unsigned long long)reply->era,
+		    (unsigned long long)f->store_era,
+		    (unsigned long long)f->version,
+		    (unsigned long long)f->next_offset);
+	f->store_era = reply->era;
+}
+
+/*
+ * Returns 1 if the next offset is one of an earlier era of the store.
+ */
+static int
+is_offset_outdated(const struct follower *f)
+{
+	return f->config_era != f->store_era;
+}
+
+/*
+ * Returns 1 if the records read from the store are all older than the version
+ * in force.  Such a store has lost records, and can't prove which version is
+ * the newest before operators have written that again.
+ */
+static int
+is_store_behind(const struct follower *f)
+{
+	return f->stored_version < f->version;
+}
+
+/*
+ * Returns 1 if the records of a reply continue those read so far.  read_era is
+ * the era of the offset from which they were read.
+ */
+static int
+continues_log(const struct follower *f, uint64_t read_era)
+{
+	return !is_offset_outdated(f) && read_era == f->config_era;
+}
+
 /*
  * Checks whether the store must be read at once, and starts a short read if so,
  * also beside a long one: that may hang on a dead connection, or may have
@@ -111,15 +164,23 @@
 		uv_timer_start(&f->config_timer, request_config, 0, 0);
 		return;
 	}
-	if (f->short_read_pending || f->phase != FOLLOW_READ ||
-	    f->read_wait_ms == 0)
+	if (f->short_read_pending || f->phase != FOLLOW_READ)
+		return;
+	if (is_offset_outdated(f)) {
+		f->short_read_pending = 1;
+		f->store->read_newest(f->store_ctx, STORE_CONFIG, NULL,
+		    FOLLOW_NEWEST_TIMEOUT_MS, on_short_newest_reply, f);
 		return;
-	if (!f->query_needed && (f->read_wait_ms < LONG_READ_WAIT_MS ||
-				    !f->ops->follows_closely(f->ctx)))
+	}
+	if (f->read_wait_ms == 0 ||
+	    (!f->query_needed && (f->read_wait_ms < LONG_READ_WAIT_MS ||
+				     !f->ops->follows_closely(f->ctx))))
 		return;
 	f->short_read_pending = 1;
-	f->short_read_wait_ms =
-	    f->query_needed ? 0 : f->schedule->close_wait_ms;
+	f->short_read_era = f->config_era;
+	f->short_read_wait_ms = f->query_needed && !is_store_behind(f)
+				    ? 0
+				    : f->schedule->close_wait_ms;
 	f->store->read(f->store_ctx, STORE_CONFIG, f->next_offset,
 	    f->short_read_wait_ms, f->short_read_wait_ms + f->read_timeout_ms,
 	    on_short_read_reply, f);
@@ -134,9 +195,30 @@
 	struct follower *f = ctx;
 
 	f->short_read_pending = 0;
+	follow_note_era(f, reply);
 	adapt_read_timeout(f, reply, f->short_read_wait_ms);
 	if (reply->status == STORE_OK) {
-		apply_records(f, reply, f->short_read_wait_ms);
+		if (continues_log(f, f->short_read_era))
+			apply_records(f, reply, f->short_read_wait_ms);
+	} else if (f->idle) {
+		f->idle = 0;
+		retry_config(f, reply);
+	}
+}
+
+/*
+ * Applies the newest record of each key, requested beside a read that may
+ * hang.
+ */
+static void
+on_short_newest_reply(void *ctx, const struct store_reply *reply)
+{
+	struct follower *f = ctx;
+
+	f->short_read_pending = 0;
+	follow_note_era(f, reply);
+	if (reply->status == STORE_OK) {
+		apply_newest(f, reply);
 	} else if (f->idle) {
 		f->idle = 0;
 		retry_config(f, reply);
@@ -211,14 +293,15 @@
 /*
  * Returns the wait time of a reader's next read.  It ends as soon as the last
  * proof is as old as the schedule allows: a read that returned records proves
- * nothing later than its start, and a new reader has no proof yet.
+ * nothing later than its start, and a new reader has no proof yet.  A read that
+ * can prove nothing waits for a record.
  */
 static uint64_t
 close_wait_ms(const struct follower *f)
 {
 	uint64_t age_ms = loop_ms(f->loop) - f->proved_ms;
 
-	if (f->version == 0)
+	if (f->version == 0 || is_store_behind(f))
 		return f->schedule->close_wait_ms;
 	return age_ms < f->schedule->close_wait_ms
 		   ? f->schedule->close_wait_ms - age_ms
@@ -245,6 +328,8 @@
 {
 	struct follower *f = timer->data;
 
+	if (is_offset_outdated(f))
+		f->phase = FOLLOW_NEWEST;
 	if (f->phase == FOLLOW_NEWEST) {
 		f->store->read_newest(f->store_ctx, STORE_CONFIG, NULL,
 		    FOLLOW_NEWEST_TIMEOUT_MS, on_newest_reply, f);
@@ -260,6 +345,7 @@
 	f->read_wait_ms = f->config_failures > 0	    ? 0
 			  : f->ops->follows_closely(f->ctx) ? close_wait_ms(f)
 							    : LONG_READ_WAIT_MS;
+	f->read_era = f->config_era;
 	f->store->read(f->store_ctx, STORE_CONFIG, f->next_offset,
 	    f->read_wait_ms, f->read_wait_ms + f->read_timeout_ms,
 	    on_read_reply, f);
@@ -332,7 +418,12 @@
 		    (unsigned long long)record->offset, finds.count,
 		    finds.count > 0 ? finds.list[0].text : "",
 		    finds.count > 0 ? finds.list[0].place : "/");
+		/* Without a version it can't show that the store is behind. */
+		if (f->stored_version < f->version)
+			f->stored_version = f->version;
 	} else {
+		if (f->stored_version < c->version)
+			f->stored_version = c->version;
 		follow_offer_config(f, c, "store", record->offset);
 	}
 	finds_finish(&finds);
@@ -370,25 +461,38 @@
 }
 
 /*
- * Applies the newest record of each key.
+ * Applies the newest record of each key.  Later reads go on after them.
+ */
+static void
+apply_newest(struct follower *f, const struct store_reply *reply)
+{
+	size_t i;
+
+	f->stored_version = 0;
+	for (i = 0; i < reply->count; i++)
+		apply_record(f, &reply->records[i]);
+	f->next_offset = reply->end_offset;
+	f->config_era = f->store_era;
+	f->replied_ms = loop_ms(f->loop);
+	if (f->version > 0 && !is_store_behind(f))
+		record_proof(f, reply->request_sent_ms);
+}
+
+/*
+ * Applies the newest record of each key and sends the next request.
  */
 static void
 on_newest_reply(void *ctx, const struct store_reply *reply)
 {
 	struct follower *f = ctx;
-	size_t i;
 
+	follow_note_era(f, reply);
 	if (reply->status != STORE_OK) {
 		retry_config(f, reply);
 		return;
 	}
-	for (i = 0; i < reply->count; i++)
-		apply_record(f, &reply->records[i]);
-	f->next_offset = reply->end_offset;
-	f->replied_ms = loop_ms(f->loop);
+	apply_newest(f, reply);
 	f->phase = FOLLOW_READ;
-	if (f->version > 0)
-		record_proof(f, reply->request_sent_ms);
 	resume_config(f);
 }
 
@@ -409,7 +513,8 @@
 	}
 	if (next > f->next_offset)
 		f->next_offset = next;
-	if (f->version > 0 && f->next_offset >= reply->end_offset)
+	if (f->version > 0 && !is_store_behind(f) &&
+	    f->next_offset >= reply->end_offset)
 		record_proof(f, reply->count > 0
 				    ? reply->request_sent_ms
 				    : follow_proof_ms(reply->request_sent_ms,
@@ -417,18 +522,21 @@
 }
 
 /*
- * Applies the records of a reply and sends the next request.
+ * Applies the records of a reply and sends the next request.  Records that
+ * don't continue the log are left to that request.
  */
 static void
 on_read_reply(void *ctx, const struct store_reply *reply)
 {
 	struct follower *f = ctx;
 
+	follow_note_era(f, reply);
 	adapt_read_timeout(f, reply, f->read_wait_ms);
 	if (reply->status != STORE_OK) {
 		retry_config(f, reply);
 		return;
 	}
-	apply_records(f, reply, f->read_wait_ms);
+	if (continues_log(f, f->read_era))
+		apply_records(f, reply, f->read_wait_ms);
 	resume_config(f);
 }
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -67,13 +67,19 @@
 	enum follow_phase phase;
 	uint64_t next_offset;	     /* first offset of the next read */
 	uint64_t read_wait_ms;	     /* wait time of the current read */
+	uint64_t read_era;	     /* era of its first offset */
 	int idle;		     /* no read; other nodes read closely */
 	uint64_t replied_ms;	     /* last reply of the store */
 	uint64_t proved_ms;	     /* last proof from the store */
 	int short_read_pending;	     /* a second, short read is in flight */
 	uint64_t short_read_wait_ms; /* wait time of the short read */
+	uint64_t short_read_era;     /* era of its first offset */
 	int query_needed;	     /* the last check found a need to read */
 	uint64_t version;	     /* in force; 0 if none */
+	uint64_t store_era;	     /* in the store's last reply */
+	uint64_t config_era;	     /* era of next_offset */
+	uint64_t nodes_era;	     /* era of the list of nodes */
+	uint64_t stored_version;     /* newest one read in config_era */
 	uint32_t config_failures;    /* consecutive */
 	uint32_t nodes_failures;     /* consecutive */
 	uint64_t nodes_listed_ms;    /* last time the list was complete */
--- a/src/follow/node_list.c
+++ b/src/follow/node_list.c
@@ -57,7 +57,8 @@
 }
 
 /*
- * Reads the list again if nodes must be removed from it, or after a long time.
+ * Reads the list again if nodes must be removed from it, if the store may have
+ * lost entries, or after a long time.
  */
 static void
 check_list(uv_timer_t *timer)
@@ -65,7 +66,7 @@
 	struct follower *f = timer->data;
 
 	if (loop_ms(f->loop) - f->nodes_listed_ms < REREAD_INTERVAL_MS &&
-	    !f->ops->must_prune(f->ctx)) {
+	    f->nodes_era == f->store_era && !f->ops->must_prune(f->ctx)) {
 		uv_timer_start(timer, check_list, CHECK_INTERVAL_MS, 0);
 		return;
 	}
@@ -95,6 +96,7 @@
 {
 	struct follower *f = ctx;
 
+	follow_note_era(f, reply);
 	if (reply->status != STORE_OK) {
 		retry_list(f);
 		return;
@@ -148,10 +150,16 @@
 	char name[CONFIG_NAME_MAX + 1];
 	size_t i;
 
+	follow_note_era(f, reply);
 	if (reply->status != STORE_OK) {
 		retry_list(f);
 		return;
 	}
+	/* What was written in an earlier era may be lost. */
+	if (f->nodes_era != f->store_era) {
+		f->nodes_era = f->store_era;
+		f->registered = 0;
+	}
 	for (i = 0; i < reply->count; i++)
 		apply_entry(f, &reply->records[i]);
 	if (reply->more_keys && reply->count > 0) {
@@ -203,6 +211,7 @@
 {
 	struct follower *f = ctx;
 
+	follow_note_era(f, reply);
 	if (reply->status != STORE_OK) {
 		retry_list(f);
 		return;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -39,7 +39,12 @@
 	size_t count;
 	uint64_t end_offset;	  /* offset after the newest record */
 	uint64_t request_sent_ms; /* time when the request was sent */
-	int more_keys;		  /* keys remain; in newest records only */
+	/*
+	 * Rises when the log loses its newest records and gives their offsets
+	 * out again; 0 if the reply doesn't state it.
+	 */
+	uint64_t era;
+	int more_keys; /* keys remain; in newest records only */
 };
 
 typedef void (*store_reply_fn)(void *, const struct store_reply *);
