--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -242,4 +242,7 @@
 enum quarantine_state suspect_state(const struct exit_req *);
 void relay_on_crash_report(void *, const struct fleet_crash_report *);
 
+/* server.c */
+void relay_on_departure_report(void *, const struct fleet_departure *);
+
 #endif
