--- a/src/relay/test_version.c
+++ b/src/relay/test_version.c
@@ -116,7 +116,7 @@
 	relay_config_proved(r, proved_ms);
 	read_ms = proved_ms + r->schedule.read_age_ms;
 	for (;;) {
-		/* Before the check: the process may be held up until read_ms. */
+		/* First: the process may be held up until read_ms. */
 		if (loop_ms(&loop) >= read_ms - 100)
 			r->fleet.peers[i].config_version = 9;
 		r->fleet.peers[i].heard_ms = loop_ms(&loop);
