relay, fleet: a departure is kept whatever server the node knows

The server's DELETE was the first that its node heard of it after a start; it was acknowledged, and a late heartbeat put the server into use again in the whole fleet.

Cause: relay_server_departed() ignored a DELETE unless its server was the one in use. Nothing of it was logged; with that line alone added in a scratch copy, the case logs server-gone with known=0 current=0, then server-new.

A node now keeps the last departures, each with the server's start or, if that isn't stated, the time of the departure as a bound, and takes an announcement that isn't later for outdated. If it knows no server, the departed one takes that place, and heartbeats name it as leaving, so that other nodes remind this one after one more restart. Reminders carry the start that was remembered, so that a later process under the same id is used.

test_departure: of its five tests two failed before and two waited for their time limit; a new row of test_departed failed.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -15,6 +15,13 @@
 #define FLEET_NONE (-2)
 #define FLEET_SIZE_UNKNOWN UINT32_MAX
 
+/* A backend server that announced its shutdown. */
+struct fleet_departed_server {
+	char id[FLEET_NAME_BYTES]; /* empty: none */
+	/* Unix time (ms) by which its process had started; 0: unknown. */
+	uint64_t started_by_ms;
+};
+
 /* A backend server as reported by its node. */
 struct fleet_server {
 	char id[FLEET_NAME_BYTES]; /* empty: the node has no server */
@@ -62,8 +69,7 @@
 	uint32_t silent_count;
 	struct fleet_server server;
 	/* The last server of the node that announced its shutdown. */
-	char departed_server_id[FLEET_NAME_BYTES];
-	uint64_t departed_server_started_ms;
+	struct fleet_departed_server departed_server;
 };
 
 /* The known nodes.  Handles of peers stay valid until the table is freed. */
@@ -97,9 +103,8 @@
 int fleet_apply_load_heartbeat(struct fleet_table *,
     const struct fleet_load_heartbeat *, uint32_t, uint64_t);
 void fleet_note_departure(struct fleet_peer *, const struct fleet_heartbeat *);
-int fleet_same_server(const char *, uint64_t, const char *, uint64_t);
 int fleet_server_has_departed(
-    const struct fleet_peer *, const struct fleet_server_state *);
+    const struct fleet_departed_server *, const char *, uint64_t);
 uint64_t fleet_heartbeat_digest(const struct fleet_heartbeat *);
 void fleet_apply_goodbye(
     struct fleet_table *, const struct fleet_heartbeat *, uint64_t);
--- a/src/fleet/fleet.x
+++ b/src/fleet/fleet.x
@@ -126,7 +126,10 @@
 	unsigned int acquitted;
 };
 
-/* Reminds a restarted node that its server had announced its shutdown. */
+/*
+ * Reminds a restarted node that its server had announced its shutdown.  born_ms
+ * is the start of the server, or a time by which it had started.
+ */
 struct fleet_departure {
 	fleet_name server;
 	unsigned hyper born_ms;
--- a/src/fleet/fleet_departed.c
+++ b/src/fleet/fleet_departed.c
@@ -17,41 +17,29 @@
 void
 fleet_note_departure(struct fleet_peer *p, const struct fleet_heartbeat *b)
 {
+	struct fleet_departed_server *d = &p->departed_server;
 	const struct fleet_server *s = &p->server;
 
 	if (b->server.away == FLEET_LEAVING && b->server.id[0] != '\0') {
-		snprintf(p->departed_server_id, sizeof(p->departed_server_id),
-		    "%s", b->server.id);
-		p->departed_server_started_ms = b->server.born_ms;
+		snprintf(d->id, sizeof(d->id), "%s", b->server.id);
+		d->started_by_ms = b->server.born_ms;
 	} else if (b->server.id[0] == '\0' && s->id[0] != '\0' &&
 		   b->incarnation == p->incarnation) {
-		memcpy(p->departed_server_id, s->id,
-		    sizeof(p->departed_server_id));
-		p->departed_server_started_ms = s->process_started_ms;
+		memcpy(d->id, s->id, sizeof(d->id));
+		d->started_by_ms = s->process_started_ms;
 	}
 }
 
 /*
- * Returns whether two ids and start times (Unix ms, 0: unknown) belong to one
- * server process.  A process restarted under the same id has a later start
- * time.
- */
-int
-fleet_same_server(
-    const char *id, uint64_t born_ms, const char *other, uint64_t other_born_ms)
-{
-	return strcmp(id, other) == 0 &&
-	       (born_ms == 0 || other_born_ms == 0 || born_ms == other_born_ms);
-}
-
-/*
- * Returns whether a server of a node has announced its shutdown before.
+ * Returns whether a server with an id and start time (Unix ms, 0: unknown) is
+ * the departed one or an earlier process under its id.  A process that is
+ * restarted under the same id has a later start time.
  */
 int
 fleet_server_has_departed(
-    const struct fleet_peer *p, const struct fleet_server_state *s)
+    const struct fleet_departed_server *d, const char *id, uint64_t born_ms)
 {
-	return s->id[0] != '\0' &&
-	       fleet_same_server(p->departed_server_id,
-		   p->departed_server_started_ms, s->id, s->born_ms);
+	return id[0] != '\0' && strcmp(d->id, id) == 0 &&
+	       (born_ms == 0 || d->started_by_ms == 0 ||
+		   born_ms <= d->started_by_ms);
 }
--- a/src/fleet/fleet_net.c
+++ b/src/fleet/fleet_net.c
@@ -26,7 +26,7 @@
     struct fleet_net *, const struct fleet_msg *, const struct sockaddr_in *);
 static void receive_heartbeat(
     struct fleet_net *, const struct fleet_heartbeat *);
-static void send_departure(struct fleet_net *, const struct fleet_heartbeat *);
+static void send_departure(struct fleet_net *, struct fleet_peer *);
 static size_t encode(
     const struct fleet_net *, const struct fleet_msg *, char *);
 static void send_bytes(struct fleet_net *, const char *, size_t, uint32_t);
@@ -295,8 +295,9 @@
 	if (previous_heard_ms == 0)
 		fleet_send_heartbeat(n, b->address);
 	if (b->server.away != FLEET_LEAVING &&
-	    fleet_server_has_departed(&n->table->peers[i], &b->server))
-		send_departure(n, b);
+	    fleet_server_has_departed(&n->table->peers[i].departed_server,
+		b->server.id, b->server.born_ms))
+		send_departure(n, &n->table->peers[i]);
 	n->ops->on_full_heartbeat(n->ctx, i, b);
 	n->ops->on_load(n->ctx, i, &b->load);
 	if (changed) {
@@ -310,15 +311,15 @@
  * the server announced its shutdown.
  */
 static void
-send_departure(struct fleet_net *n, const struct fleet_heartbeat *b)
+send_departure(struct fleet_net *n, struct fleet_peer *p)
 {
 	struct fleet_msg m;
 
 	memset(&m, 0, sizeof(m));
 	m.kind = FLEET_DEPARTURE;
-	m.fleet_msg_u.left.server = b->server.id;
-	m.fleet_msg_u.left.born_ms = b->server.born_ms;
-	fleet_send(n, &m, b->address);
+	m.fleet_msg_u.left.server = p->departed_server.id;
+	m.fleet_msg_u.left.born_ms = p->departed_server.started_by_ms;
+	fleet_send(n, &m, p->address);
 }
 
 /*
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -181,7 +181,8 @@
 	s->process_started_ms = b->server.born_ms;
 	s->slots = b->server.slots;
 	s->cold_until_ms = b->server.cold_ms > 0 ? now + b->server.cold_ms : 0;
-	s->unavailable_state = fleet_server_has_departed(p, &b->server)
+	s->unavailable_state = fleet_server_has_departed(&p->departed_server,
+				   b->server.id, b->server.born_ms)
 				   ? FLEET_LEAVING
 				   : (int)b->server.away;
 	apply_load(t, p, &b->load, now);
--- a/src/fleet/test_departed.c
+++ b/src/fleet/test_departed.c
@@ -34,6 +34,8 @@
 	{ "server restarts under its id",
 	    { { 5, "i-1", 100, FLEET_LEAVING, 1 }, { 6, "", 0, 0, 0 },
 		{ 6, "i-1", 200, 0, 0 } } },
+	{ "late announcement of the process before",
+	    { { 5, "i-1", 200, FLEET_LEAVING, 1 }, { 6, "i-1", 100, 0, 1 } } },
 	{ "replaced by another server",
 	    { { 5, "i-1", 100, FLEET_LEAVING, 1 }, { 5, "", 0, 0, 0 },
 		{ 5, "i-2", 150, 0, 0 } } },
--- a/src/relay/probe.c
+++ b/src/relay/probe.c
@@ -56,7 +56,8 @@
 }
 
 /*
- * Sends a health request if the server is still unknown.
+ * Sends a health request if the server is still unknown, or only a departed one
+ * is known.
  */
 static void
 on_probe_timer(uv_timer_t *timer)
@@ -65,7 +66,8 @@
 	const char *path = health_path(r);
 	struct h1_text t;
 
-	if (r->server.id[0] != '\0' || r->probe_count == PROBES_MAX) {
+	if ((r->server.id[0] != '\0' && !r->server.leaving) ||
+	    r->probe_count == PROBES_MAX) {
 		uv_timer_stop(timer);
 		return;
 	}
@@ -113,7 +115,8 @@
 	uint64_t slots;
 
 	memset(&a, 0, sizeof(a));
-	if (r->server.id[0] != '\0' || h1_exchange_status(x) != 200 ||
+	if ((r->server.id[0] != '\0' && !r->server.leaving) ||
+	    h1_exchange_status(x) != 200 ||
 	    h1_head_copy(h, r->set.names.instance, a.id, sizeof(a.id)) < 1 ||
 	    h1_head_copy(h, r->set.names.load, load, sizeof(load)) < 1 ||
 	    read_slots(load, &slots) == -1 || slots == 0 || slots > UINT32_MAX)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -399,9 +399,9 @@
 	b->store_lost.store_lost_val = &store_lost;
 	b->store_lost.store_lost_len = (unsigned int)r->fleet.self_store_lost;
 	b->load.config_version = r->config != NULL ? r->config->version : 0;
-	b->server.id = s->departed ? "" : s->id;
+	b->server.id = s->id;
 	b->server.service = s->service;
-	b->server.born_ms = s->born_ms;
+	b->server.born_ms = relay_server_started_ms(s);
 	b->server.slots = relay_server_slots(r);
 	b->server.cold_ms =
 	    s->cold_until_ms > now ? (unsigned int)(s->cold_until_ms - now) : 0;
@@ -411,9 +411,9 @@
 	b->load.silent.silent_val = silent;
 	b->load.running = r->core.inflight;
 	b->load.waiting = r->core.queued;
-	b->server.away = s->leaving || s->departed ? FLEET_LEAVING
-			 : s->down_until_ms > now  ? FLEET_DOWN
-						   : 0;
+	b->server.away = s->leaving		  ? FLEET_LEAVING
+			 : s->down_until_ms > now ? FLEET_DOWN
+						  : 0;
 	load_fill_heartbeat(r, b);
 	sealed_log_rejected(r);
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -119,6 +119,9 @@
 	RELAY_COUNTER_MAX
 };
 
+/* Departed servers that a node remembers. */
+#define RELAY_DEPARTURES_MAX 8
+
 /*
  * State of the backend server beside this node, from its announcements and
  * from the connections to it.
@@ -135,6 +138,9 @@
 	uint32_t connect_failures;
 	int leaving;
 	int departed;
+	/* The last ones that announced their shutdown, this one included. */
+	struct fleet_departed_server departures[RELAY_DEPARTURES_MAX];
+	uint32_t departure_count; /* since the start */
 };
 
 /* What another node has reported, and what this node observed of it. */
--- a/src/relay/relay_int.h
+++ b/src/relay/relay_int.h
@@ -243,6 +243,7 @@
 void relay_on_crash_report(void *, const struct fleet_crash_report *);
 
 /* server.c */
+uint64_t relay_server_started_ms(const struct relay_server *);
 void relay_on_departure_report(void *, const struct fleet_departure *);
 
 #endif
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -12,6 +12,25 @@
 #define USABLE_SLOTS_SHARE 0.96 /* share of the reported slots that is used */
 #define BORN_AHEAD_MAX_S 3600	/* by which a server's clock may be ahead */
 #define MS_PER_S 1000
+#define NS_PER_MS 1000000
+
+static uint64_t unix_ms(void);
+static int find_departure(const struct relay_server *, const char *);
+static void note_departure(struct relay_server *, const char *, uint64_t);
+static void adopt_departed_server(struct relay *, const char *, uint64_t);
+
+/*
+ * Returns the Unix time.
+ */
+static uint64_t
+unix_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * MS_PER_S +
+	       (uint64_t)(ts.tv_nsec / NS_PER_MS);
+}
 
 /*
  * Returns how many of a server's slots are used.  Some servers are slow when
@@ -33,11 +52,58 @@
 relay_announcement_is_plausible(
     const struct relay *r, const struct relay_announce *a)
 {
-	struct timespec ts;
-
-	clock_gettime(CLOCK_REALTIME, &ts);
 	return strcmp(a->service, r->set.service) == 0 &&
-	       a->born_ms < ((uint64_t)ts.tv_sec + BORN_AHEAD_MAX_S) * MS_PER_S;
+	       a->born_ms < unix_ms() + BORN_AHEAD_MAX_S * MS_PER_S;
+}
+
+/*
+ * Returns the index of the noted departure of a server, or -1.
+ */
+static int
+find_departure(const struct relay_server *s, const char *id)
+{
+	int i;
+
+	for (i = 0; i < RELAY_DEPARTURES_MAX; i++)
+		if (s->departures[i].id[0] != '\0' &&
+		    strcmp(s->departures[i].id, id) == 0)
+			return i;
+	return -1;
+}
+
+/*
+ * Notes the departure of a server that started at a time (Unix ms), or by now
+ * if that is 0.
+ */
+static void
+note_departure(struct relay_server *s, const char *id, uint64_t born_ms)
+{
+	struct fleet_departed_server *d;
+	int i = find_departure(s, id);
+
+	if (born_ms == 0)
+		born_ms = unix_ms();
+	if (i == -1) {
+		d = &s->departures[s->departure_count++ % RELAY_DEPARTURES_MAX];
+		snprintf(d->id, sizeof(d->id), "%s", id);
+		d->started_by_ms = born_ms;
+	} else if (s->departures[i].started_by_ms < born_ms) {
+		s->departures[i].started_by_ms = born_ms;
+	}
+}
+
+/*
+ * Returns when the server started (Unix ms, 0: unknown).  If only its departure
+ * is known, returns a time by which it had started.
+ */
+uint64_t
+relay_server_started_ms(const struct relay_server *s)
+{
+	int i = find_departure(s, s->id);
+
+	return s->born_ms == 0 && s->leaving && i != -1
+		   ? s->departures[i].started_by_ms
+		   : s->born_ms;
 }
 
 /*
@@ -49,13 +115,17 @@
 {
 	struct relay_server *s = &r->server;
 	uint64_t now = relay_now(r);
-	int changed;
+	int changed, i = find_departure(s, a->id);
 
+	if (i != -1 &&
+	    fleet_server_has_departed(&s->departures[i], a->id, a->born_ms))
+		return 0;
 	/*
 	 * This server was found by a health request, which doesn't give its
 	 * start time.
 	 */
-	if (strcmp(a->id, s->id) == 0 && s->born_ms == 0 && s->sequence == 0)
+	if (strcmp(a->id, s->id) == 0 && s->born_ms == 0 && s->sequence == 0 &&
+	    !s->leaving)
 		s->born_ms = a->born_ms;
 	if (s->id[0] != '\0' &&
 	    (a->born_ms < s->born_ms ||
@@ -117,6 +187,7 @@
 	if (s->leaving)
 		return;
 	s->leaving = 1;
+	note_departure(s, s->id, s->born_ms);
 	event_log(EVENT_SERVER_LEAVING, relay_now(r),
 	    "server=%s source=%s sequence=%llu", s->id, source,
 	    (unsigned long long)s->sequence);
@@ -125,21 +196,47 @@
 }
 
 /*
- * Handles the departure of the server beside this node, announced by the
- * server.  That of an earlier incarnation is ignored; born_ms is 0 if the
- * server didn't send it.
+ * Takes a server that has departed for the one beside this node, which knows
+ * none yet.  The other nodes learn of the departure and remind this one if it
+ * restarts.
+ */
+static void
+adopt_departed_server(struct relay *r, const char *id, uint64_t born_ms)
+{
+	struct relay_server *s = &r->server;
+
+	snprintf(s->id, sizeof(s->id), "%s", id);
+	snprintf(s->service, sizeof(s->service), "%s", r->set.service);
+	s->born_ms = born_ms;
+}
+
+/*
+ * Handles a server's announcement that it departs.  It is kept also if the
+ * server is not the one in use, so that a delayed announcement doesn't put it
+ * into use again.  born_ms is 0 if the server didn't send it.
  */
 void
 relay_server_departed(struct relay *r, const char *id, uint64_t born_ms)
 {
 	struct relay_server *s = &r->server;
+	int known = strcmp(s->id, id) == 0, current;
 
-	if (strcmp(s->id, id) != 0 || s->departed ||
-	    (born_ms != 0 && born_ms != s->born_ms))
+	if (id[0] == '\0' || strlen(id) >= sizeof(s->id))
+		return;
+	if (s->id[0] == '\0')
+		adopt_departed_server(r, id, born_ms);
+	current =
+	    strcmp(s->id, id) == 0 && (born_ms == 0 || born_ms >= s->born_ms);
+	if (current && s->departed)
+		return;
+	note_departure(s, id, born_ms == 0 && current ? s->born_ms : born_ms);
+	event_log(EVENT_SERVER_DEPARTED, relay_now(r),
+	    "server=%s born=%llu known=%d current=%d", id,
+	    (unsigned long long)born_ms, known, current);
+	if (!current)
 		return;
 	s->leaving = 1;
 	s->departed = 1;
-	event_log(EVENT_SERVER_DEPARTED, relay_now(r), "server=%s", s->id);
 	fleet_send_heartbeat_all(&r->net, 0);
 	exit_run_queued(r);
 }
@@ -153,7 +250,14 @@
 {
 	struct relay *r = ctx;
 	struct relay_server *s = &r->server;
+	struct fleet_departed_server d;
 
-	if (fleet_same_server(s->id, s->born_ms, l->server, l->born_ms))
-		relay_server_leaves(r, "node");
+	snprintf(d.id, sizeof(d.id), "%s", l->server);
+	d.started_by_ms = l->born_ms;
+	if (!fleet_server_has_departed(&d, s->id, s->born_ms))
+		return;
+	/* A server found by a health request may have started later. */
+	if (s->born_ms == 0)
+		s->born_ms = l->born_ms;
+	relay_server_leaves(r, "node");
 }
