relay: a response to an earlier proof query counts

A node kept the id of its last query only. The last eight queries are kept now, each with its time.

test_response_after_next_query_counts fails if only the last one counts.

--- a/src/relay/proof.c
+++ b/src/relay/proof.c
@@ -20,7 +20,7 @@
 #define READER_NAMES_BYTES (READERS_MAX * (FLEET_NAME_BYTES + 1))
 
 static void query_nodes(struct relay *, uint64_t);
-static void send_query(struct relay *, int);
+static void send_query(struct relay *, const struct relay_proof_query *, int);
 static enum config_need find_need(struct relay *);
 static void log_readers(struct relay *);
 static void note_need(struct relay *, enum config_need);
@@ -236,25 +236,27 @@
 static void
 query_nodes(struct relay *r, uint64_t age_ms)
 {
+	struct relay_proof_query *q;
 	int readers[READERS_MAX];
 	size_t i, n;
 
 	n = fleet_store_readers(&r->fleet, readers, READERS_MAX);
-	r->proof_query_id = relay_random();
-	r->proof_query_ms = relay_now(r);
+	q = &r->proof_queries[r->proof_query_count++ % RELAY_PROOF_QUERIES_MAX];
+	q->id = relay_random();
+	q->sent_ms = r->proof_query_ms = relay_now(r);
 	if (n > 0)
-		send_query(r, readers[relay_random() % n]);
+		send_query(r, q, readers[relay_random() % n]);
 	if (age_ms < r->schedule.read_age_ms || r->fleet.count == 0)
 		return;
 	for (i = 0; i < EXTRA_QUERIES; i++)
-		send_query(r, (int)(relay_random() % r->fleet.count));
+		send_query(r, q, (int)(relay_random() % r->fleet.count));
 }
 
 /*
  * Sends the query to the node with a given handle, if it is alive.
  */
 static void
-send_query(struct relay *r, int handle)
+send_query(struct relay *r, const struct relay_proof_query *q, int handle)
 {
 	struct fleet_msg m;
 
@@ -265,7 +267,7 @@
 	r->counters[RELAY_PROOF_QUERIES]++;
 	r->proof_search.queries++;
 	m.kind = FLEET_PROOF_QUERY;
-	m.fleet_msg_u.doubt.id = r->proof_query_id;
+	m.fleet_msg_u.doubt.id = q->id;
 	fleet_send(&r->net, &m, r->fleet.peers[handle].address);
 }
 
@@ -291,24 +293,39 @@
 }
 
 /*
- * Applies a response to the last query.  The proof of a newer version counts
+ * Returns the query with an id, or NULL.
+ */
+static const struct relay_proof_query *
+find_query(const struct relay *r, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; id != 0 && i < RELAY_PROOF_QUERIES_MAX; i++)
+		if (r->proof_queries[i].id == id)
+			return &r->proof_queries[i];
+	return NULL;
+}
+
+/*
+ * Applies a response to one of the last queries: on a busy machine it may take
+ * longer than the interval between them.  The proof of a newer version counts
  * once that is in force.
  */
 void
 relay_on_proof(void *ctx, const struct fleet_proof *p)
 {
 	struct relay *r = ctx;
+	const struct relay_proof_query *q = find_query(r, p->id);
 	uint64_t proved_ms;
 
-	if (p->id != r->proof_query_id || r->config == NULL)
+	if (q == NULL || r->config == NULL)
 		return;
 	r->proof_search.responses++;
 	r->proof_search.response_age_ms = p->age_ms;
 	r->proof_search.response_version = p->config_version;
-	if (p->config_version < r->config->version ||
-	    p->age_ms > r->proof_query_ms)
+	if (p->config_version < r->config->version || p->age_ms > q->sent_ms)
 		return;
-	proved_ms = r->proof_query_ms - p->age_ms;
+	proved_ms = q->sent_ms - p->age_ms;
 	if (p->config_version > r->config->version) {
 		r->newer_proof_version = p->config_version;
 		r->newer_proof_ms = proved_ms;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -119,6 +119,15 @@
 	RELAY_COUNTER_MAX
 };
 
+/* Proof queries to which responses are awaited. */
+#define RELAY_PROOF_QUERIES_MAX 8
+
+/* A query for the proof of another node. */
+struct relay_proof_query {
+	uint64_t id; /* 0: none */
+	uint64_t sent_ms;
+};
+
 /* Departed servers that a node remembers. */
 #define RELAY_DEPARTURES_MAX 8
 
@@ -231,8 +240,9 @@
 	struct config *config;		 /* NULL until one has been received */
 	/* Last time at which the configuration was known to be the newest. */
 	uint64_t config_proved_ms;
-	uint64_t proof_query_id; /* id of the last proof query */
-	uint64_t proof_query_ms; /* time of the last proof query */
+	struct relay_proof_query proof_queries[RELAY_PROOF_QUERIES_MAX];
+	uint32_t proof_query_count; /* since the start */
+	uint64_t proof_query_ms;    /* time of the last proof query */
 	/* Proof of a newer version than the one in force; 0: none. */
 	uint64_t newer_proof_version;
 	uint64_t newer_proof_ms;
--- a/src/relay/test_version.c
+++ b/src/relay/test_version.c
@@ -123,7 +123,7 @@
 		if (relay_config_need(r) == CONFIG_NEED_STORE)
 			break;
 		/* No proof but the first. */
-		r->proof_query_id = 0;
+		memset(r->proof_queries, 0, sizeof(r->proof_queries));
 		uv_run(&loop, UV_RUN_ONCE);
 	}
 	assert_int_equal(r->fleet.peers[i].config_version, 9);
@@ -224,6 +224,34 @@
 	assert_int_equal(r->counters[RELAY_PROOFS_OVERDUE], 2);
 }
 
+/*
+ * A response that takes longer than the interval between queries was dropped,
+ * so that a fleet on busy machines had no proofs.
+ */
+static void
+test_response_after_next_query_counts(void **state)
+{
+	struct relay *r = &nodes[0];
+	uint64_t proofs = r->counters[RELAY_PROOFS], first_ms;
+	struct fleet_proof p;
+
+	(void)state;
+	memset(&p, 0, sizeof(p));
+	p.config_version = r->config->version;
+	r->config_proved_ms = loop_ms(&loop) - r->schedule.query_age_ms;
+	memset(r->proof_queries, 0, sizeof(r->proof_queries));
+	r->proof_query_count = 0;
+	(void)relay_config_need(r);
+	first_ms = r->proof_query_ms;
+	r->proof_query_ms -= r->schedule.query_interval_ms;
+	(void)relay_config_need(r);
+	assert_int_equal(r->proof_query_count, 2);
+	p.id = r->proof_queries[0].id;
+	relay_on_proof(r, &p);
+	assert_int_equal(r->counters[RELAY_PROOFS], proofs + 1);
+	assert_int_equal(r->config_proved_ms, first_ms);
+}
+
 int
 main(void)
 {
@@ -241,6 +269,8 @@
 		    test_one_copy_into_a_zone, setup, teardown),
 		cmocka_unit_test_setup_teardown(
 		    test_overdue_proof_is_counted, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+		    test_response_after_next_query_counts, setup, teardown),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
