follow: a copied version doesn't mean that the store lacks it

A node that had taken its version from another node compared it with what it had read of the store itself, and took the store for one that had lost records.

The store counts as behind only once a reply has shown it to its end.

test_read_after_copy_does_not_wait failed before.

--- a/src/follow/follow.c
+++ b/src/follow/follow.c
@@ -28,7 +28,6 @@
 static void adapt_read_timeout(
     struct follower *, const struct store_reply *, uint64_t);
 static int is_outage_tolerable(const struct follower *);
-static int is_store_behind(const struct follower *);
 static struct follow_short_read *find_unused_read(struct follower *);
 static int is_short_read_due(const struct follower *);
 static void send_short_read(struct follower *, struct follow_short_read *);
@@ -124,14 +123,14 @@
 }
 
 /*
- * Returns 1 if the records read from the store are all older than the version
+ * Records whether the store, which has been read to its end, lacks the version
  * in force.  Such a store has lost records, and can't prove which version is
  * the newest before operators have written that again.
  */
-static int
-is_store_behind(const struct follower *f)
+static void
+note_end_of_log(struct follower *f)
 {
-	return f->stored_version < f->version;
+	f->store_behind = f->stored_version < f->version;
 }
 
 /*
@@ -221,7 +220,7 @@
 {
 	r->follower = f;
 	r->era = f->config_era;
-	r->wait_ms = f->query_needed && !is_store_behind(f)
+	r->wait_ms = f->query_needed && !f->store_behind
 			 ? 0
 			 : f->schedule->close_wait_ms;
 	f->short_read_due_ms =
@@ -360,7 +359,7 @@
 {
 	uint64_t age_ms = loop_ms(f->loop) - f->proved_ms;
 
-	if (f->version == 0 || is_store_behind(f))
+	if (f->version == 0 || f->store_behind)
 		return f->schedule->close_wait_ms;
 	return age_ms < f->schedule->close_wait_ms
 		   ? f->schedule->close_wait_ms - age_ms
@@ -548,7 +547,8 @@
 	f->next_offset = reply->end_offset;
 	f->config_era = f->store_era;
 	f->replied_ms = loop_ms(f->loop);
-	if (f->version > 0 && !is_store_behind(f))
+	note_end_of_log(f);
+	if (f->version > 0 && !f->store_behind)
 		record_proof(f, reply->request_sent_ms);
 }
 
@@ -587,8 +587,10 @@
 	}
 	if (next > f->next_offset)
 		f->next_offset = next;
-	if (f->version > 0 && !is_store_behind(f) &&
-	    f->next_offset >= reply->end_offset)
+	if (f->next_offset < reply->end_offset)
+		return;
+	note_end_of_log(f);
+	if (f->version > 0 && !f->store_behind)
 		record_proof(f, reply->count > 0
 				    ? reply->request_sent_ms
 				    : follow_proof_ms(reply->request_sent_ms,
--- a/src/follow/follow.h
+++ b/src/follow/follow.h
@@ -91,6 +91,7 @@
 	uint64_t config_era;	    /* era of next_offset */
 	uint64_t nodes_era;	    /* era of the list of nodes */
 	uint64_t stored_version;    /* newest one read in config_era */
+	int store_behind;	    /* it lacks the version in force */
 	uint32_t config_failures;   /* consecutive */
 	uint64_t config_failed_ms;  /* last failure */
 	uint32_t nodes_failures;    /* consecutive */
--- a/src/follow/test_reads.c
+++ b/src/follow/test_reads.c
@@ -432,6 +432,28 @@
 	count_end(&c);
 }
 
+/*
+ * A node that took its version from another node doesn't wait for records when
+ * it reads the store: that has the version, as far as it knows.
+ */
+static void
+test_read_after_copy_does_not_wait(void **state)
+{
+	struct read_counts c;
+	struct config *copy = calloc(1, sizeof(*copy));
+
+	(void)state;
+	assert_non_null(copy);
+	count_start(&c);
+	copy->version = 7;
+	follow_offer_config(&c.w.follower, copy, "n2", 0);
+	c.need = CONFIG_NEED_STORE;
+	while (c.short_reads + c.close_reads == 0)
+		uv_run(&c.w.loop, UV_RUN_ONCE);
+	assert_int_equal(c.short_reads, 1);
+	count_end(&c);
+}
+
 int
 main(void)
 {
@@ -444,6 +466,7 @@
 		cmocka_unit_test(test_read_timeout_adapts),
 		cmocka_unit_test(test_grown_retry_delay_is_cut),
 		cmocka_unit_test(test_unanswered_read_is_repeated),
+		cmocka_unit_test(test_read_after_copy_does_not_wait),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
