--- a/src/relay/test_settings.c
+++ b/src/relay/test_settings.c
@@ -64,13 +64,13 @@
 	struct relay_settings set = nodes[0].set;
 
 	(void)state;
-	assert_int_equal(nodes[0].schedule.close_wait_ms, CONFIG_APPLY_MS / 4);
+	assert_int_equal(nodes[0].schedule.close_wait_ms, CONFIG_APPLY_MS / 5);
 	set.apply_ms = 1200;
 	relay_apply_settings(&nodes[0], &set);
-	assert_int_equal(nodes[0].schedule.close_wait_ms, 300);
+	assert_int_equal(nodes[0].schedule.close_wait_ms, 240);
 	set.apply_ms = 13000;
 	relay_apply_settings(&nodes[0], &set);
-	assert_int_equal(nodes[0].schedule.close_wait_ms, CONFIG_FRESH_MS / 4);
+	assert_int_equal(nodes[0].schedule.close_wait_ms, CONFIG_FRESH_MS / 5);
 }
 
 int
