--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -39,6 +39,8 @@
 };
 static struct record records[TOPICS][RECORDS_MAX];
 static size_t ends[TOPICS];
+static int store_era = 1;
+static volatile int store_away;
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t store_grown = PTHREAD_COND_INITIALIZER;
 
@@ -541,9 +543,17 @@
 	return (size_t)bytes;
 }
 
+static const char *
+era_field(char field[32])
+{
+	snprintf(field, 32, "Store-Era: %d\r\n", store_era);
+	return field;
+}
+
 static void
 serve_newest(int fd, const struct msg *m, int topic)
 {
+	char field[32];
 	char *out = malloc(4 << 20);
 	size_t len = 0, i, j;
 	int first = 1;
@@ -567,7 +577,7 @@
 	len += (size_t)sprintf(out + len, "],\"has_more\":false,\"end\":%zu}",
 	    ends[topic]);
 	pthread_mutex_unlock(&store_lock);
-	lab_answer(fd, m, 200, "Store-Era: 1\r\n", out, len);
+	lab_answer(fd, m, 200, era_field(field), out, len);
 	free(out);
 }
 
@@ -576,12 +586,12 @@
 {
 	uint64_t from = query_of(m->target, "from=");
 	uint64_t until = lab_ms() + query_of(m->target, "wait_ms=");
-	char *out = malloc(4 << 20);
+	char *out = malloc(4 << 20), field[32];
 	struct timespec ts;
 	size_t len, i, key_len;
 
 	pthread_mutex_lock(&store_lock);
-	while (from >= ends[topic] && lab_ms() < until) {
+	while (from >= ends[topic] && lab_ms() < until && !store_away) {
 		clock_gettime(CLOCK_REALTIME, &ts);
 		ts.tv_nsec += 5000000;
 		if (ts.tv_nsec >= 1000000000) {
@@ -590,6 +600,18 @@
 		}
 		pthread_cond_timedwait(&store_grown, &store_lock, &ts);
 	}
+	if (store_away) {
+		pthread_mutex_unlock(&store_lock);
+		shutdown(fd, SHUT_RDWR);
+		free(out);
+		return;
+	}
+	if (from > ends[topic]) {
+		pthread_mutex_unlock(&store_lock);
+		lab_answer(fd, m, 410, era_field(field), "{\"first\":0}", 11);
+		free(out);
+		return;
+	}
 	len = put_number(out, ends[topic], 8);
 	len += put_number(out + len, 0, 8);
 	for (i = from; i < ends[topic]; i++) {
@@ -604,7 +626,7 @@
 		len += records[topic][i].value_len;
 	}
 	pthread_mutex_unlock(&store_lock);
-	lab_answer(fd, m, 200, "Store-Era: 1\r\n", out, len);
+	lab_answer(fd, m, 200, era_field(field), out, len);
 	free(out);
 }
 
@@ -613,10 +635,13 @@
 {
 	int fd = (int)(intptr_t)arg, topic;
 	struct msg *m = malloc(sizeof(*m));
+	char field[32];
 	size_t key_len, len;
 
 	while (lab_read_message(fd, m, lab_ms() + RUN_MAX_MS) == 0 &&
 	       m->complete) {
+		if (store_away)
+			break;
 		topic = topic_of(m->target);
 		if (strstr(m->target, "/v1/log-newest") != NULL) {
 			serve_newest(fd, m, topic);
@@ -628,9 +653,9 @@
 			key_len = (unsigned char)m->body[4];
 			append(topic, m->body + 5, key_len,
 			    m->body + 5 + key_len, len - 1 - key_len);
-			lab_answer(fd, m, 200, "Store-Era: 1\r\n", "{}", 2);
+			lab_answer(fd, m, 200, era_field(field), "{}", 2);
 		} else {
-			lab_answer(fd, m, 403, "Store-Era: 1\r\n", "", 0);
+			lab_answer(fd, m, 403, era_field(field), "", 0);
 		}
 	}
 	close(fd);
@@ -638,6 +663,27 @@
 	return NULL;
 }
 
+/*
+ * Lets the store go away for some milliseconds and come back from a copy that
+ * lacks the newest records of the operator.
+ */
+void
+lab_store_restore(uint64_t away_ms, size_t lost)
+{
+	lab_record("the store goes away");
+	pthread_mutex_lock(&store_lock);
+	store_away = 1;
+	pthread_mutex_unlock(&store_lock);
+	lab_sleep(away_ms);
+	pthread_mutex_lock(&store_lock);
+	ends[0] -= lost;
+	store_era++;
+	store_away = 0;
+	pthread_mutex_unlock(&store_lock);
+	lab_record("the store is back without its newest %zu records, era %d",
+	    lost, store_era);
+}
+
 struct acceptor {
 	int fd;
 	struct server *server;
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -63,6 +63,7 @@
 const char *lab_ip(int);
 void lab_store_start(void);
 void lab_publish(const char *);
+void lab_store_restore(uint64_t, size_t);
 void lab_node_start(int, const char *, const char *);
 void lab_node_signal(int, int);
 int lab_node_ended(int, int);
