--- a/review/lab-3/late_calls.c
+++ b/review/lab-3/late_calls.c
@@ -13,7 +13,7 @@
  * Node 1 stands beside a server of "orders" and has the clients; node 2 stands
  * beside another server of "orders", in another zone; nodes 3 and 4 stand beside
  * servers of "catalogue", which orders call one after the other.  Orders need a
- * key; items are public, for calls and for clients.
+ * key; the route of items, for calls, and that of notes, for clients, are public.
  */
 
 #define NODES 4
@@ -80,8 +80,8 @@
 }
 
 /*
- * Sends a request for an item to a node: a call of a server or, without the id
- * of a parent, a client's.  Returns the status.
+ * Sends a request to a node: a server's call for an item or, without the id of
+ * a parent, a client's note, which may not be repeated.  Returns the status.
  */
 static int
 make_call(int node, const char *parent, int number, uint64_t deadline)
@@ -98,10 +98,12 @@
 		lab_new_id(c->id, 20);
 	c->is_clients = parent == NULL;
 	len = snprintf(head, sizeof(head),
-	    "GET /item/%d HTTP/1.1\r\nHost: catalogue.example\r\n"
+	    "%s /%s/%d HTTP/1.1\r\nHost: catalogue.example\r\n"
 	    "X-Cyclamenvale-Attempt-Id: %s\r\n"
-	    "X-Cyclamenvale-Deadline-Ms: %llu\r\n\r\n",
-	    number, c->id, (unsigned long long)(deadline - lab_ms()));
+	    "X-Cyclamenvale-Deadline-Ms: %llu\r\n%s\r\n",
+	    parent != NULL ? "GET" : "POST", parent != NULL ? "item" : "note",
+	    number, c->id, (unsigned long long)(deadline - lab_ms()),
+	    parent != NULL ? "" : "Content-Length: 0\r\n");
 	fd = lab_connect(lab_ip(node), PORT_ENTRY, 0);
 	c->sent_ms = lab_ms();
 	if (fd >= 0 && lab_write(fd, head, (size_t)len) == 0 &&
@@ -174,7 +176,7 @@
 }
 
 static void *
-send_item(void *arg)
+send_note(void *arg)
 {
 	(void)arg;
 	(void)make_call(STOPPED, NULL, 1, lab_ms() + 2500);
@@ -195,6 +197,10 @@
 	    "\"item\":{\"host\":\"catalogue.example\",\"path_prefix\":"
 	    "\"/item/\",\"kind\":\"safe\",\"timeout\":\"2500ms\","
 	    "\"target_latency\":\"1000ms\",\"priority\":0,\"service\":"
+	    "\"catalogue\",\"retry_attempts\":2,\"public\":true},"
+	    "\"note\":{\"host\":\"catalogue.example\",\"path_prefix\":"
+	    "\"/note/\",\"kind\":\"unsafe\",\"timeout\":\"2500ms\","
+	    "\"target_latency\":\"1000ms\",\"priority\":0,\"service\":"
 	    "\"catalogue\",\"retry_attempts\":2,\"public\":true}},"
 	    "\"services\":{\"orders\":{\"health_path\":\"/health\"},"
 	    "\"catalogue\":{\"health_path\":\"/health\"}},"
@@ -241,7 +247,7 @@
 		if (lab_trouble() && lab_node_ended(STOPPED, 0))
 			break;
 		__sync_fetch_and_add(&clients, 1);
-		lab_thread(send_item, NULL);
+		lab_thread(send_note, NULL);
 		lab_sleep(GAP_MS);
 	}
 	until = lab_ms() + 10000;
@@ -267,7 +273,7 @@
 			unanswered[c->is_clients]++;
 		lab_record("%s %s, sent %ld ms after the SIGTERM, at work "
 			   "from %ld to %ld ms, %s %d at %ld ms",
-		    c->is_clients ? "public request" : "call", c->id,
+		    c->is_clients ? "note" : "call", c->id,
 		    since_term(c->sent_ms), since_term(c->began_ms),
 		    since_term(c->ended_ms),
 		    c->has_answer ? "is answered by the node with"
@@ -282,7 +288,7 @@
 			   "%u; broken off while their server was at work: %u "
 			   "with an answer of the node's own, %u without an "
 			   "answer",
-		    i == 0 ? "calls" : "public requests of clients", LATE_MS,
+		    i == 0 ? "calls" : "notes of clients", LATE_MS,
 		    late[i], replaced[i], unanswered[i]);
 	if (late[0] == 0 || late[1] == 0)
 		lab_die("no late requests");
